Set out the design, the shared values and the micro-kernel

Cause: the parts of the system are written in parallel and need one description of state, messages and failures, and types they share.

Ruled out: one configuration key per department, which gives no total order of versions, and locks under leases, which a paused holder can outlive.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+
+.PHONY: venv lint format test unit demo scenarios bench bench-moves \
+	bench-capacity bench-call
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements.txt -r requirements-dev.txt
+	$(PY) -m pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+lint: venv
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m flake8 gypsumhall tests benchmarks
+	$(PY) -m mypy
+
+format: venv
+	$(PY) -m ruff format .
+	$(PY) -m ruff check --fix .
+
+unit: venv
+	$(PY) -m pytest
+
+test: lint unit
+
+demo: venv
+	$(PY) -m gypsumhall.cli.demo
--- /dev/null
+++ b/gypsumhall/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/gypsumhall/_errors.py
@@ -0,0 +1,147 @@
+"""Exceptions with codes, and findings that name a place in a text."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """A position in an operator's text or in the settings.
+
+    Parameters
+    ----------
+    source : str
+        Name of the text, the flag or the environment variable.
+    line, column : int
+        Position in the text, both counted from 1; 0 when unknown.
+    """
+
+    source: str
+    line: int = 0
+    column: int = 0
+
+    def __str__(self) -> str:
+        if not self.line:
+            return self.source
+        return f'{self.source}:{self.line}:{self.column}'
+
+
+@dataclass(slots=True, frozen=True)
+class Finding:
+    """One fault in a text or in the settings.
+
+    Parameters
+    ----------
+    code : str
+        Stable identifier, for example ``unknown-key``.
+    message : str
+        What is wrong, with the value and the valid choices.
+    place : Place
+        Where it is.
+    """
+
+    code: str
+    message: str
+    place: Place
+
+    def __str__(self) -> str:
+        return f'{self.place}: {self.code}: {self.message}'
+
+
+class GypsumhallError(Exception):
+    """Base class of all errors raised by this package."""
+
+    code: ClassVar[str] = 'internal'
+
+
+class FindingsError(GypsumhallError):
+    """Several faults, collected and reported together."""
+
+    code = 'invalid'
+
+    def __init__(self, findings: Iterable[Finding]) -> None:
+        self._findings = tuple(findings)
+        super().__init__('\n'.join(str(item) for item in self._findings))
+
+    @property
+    def findings(self) -> tuple[Finding, ...]:
+        """The faults in the order of their places."""
+        return self._findings
+
+
+class InvalidTextError(FindingsError):
+    """An operator's text that cannot be accepted."""
+
+    code = 'invalid-text'
+
+
+class SettingsError(FindingsError):
+    """Settings that cannot be used."""
+
+    code = 'invalid-settings'
+
+
+class InvalidUpdateError(GypsumhallError):
+    """A configuration update that fails its checks; nothing was applied."""
+
+    code = 'invalid-update'
+
+
+class StoreError(GypsumhallError):
+    """Base class of the errors of the platform's key-value service."""
+
+    code = 'store'
+
+
+class StoreUnavailableError(StoreError):
+    """The platform did not execute the request."""
+
+    code = 'store-unavailable'
+
+
+class StoreUnknownError(StoreError):
+    """The platform may have executed the request; its answer was lost."""
+
+    code = 'store-unknown'
+
+
+class StoreCompactedError(StoreError):
+    """The revision asked for is no longer kept by the platform."""
+
+    code = 'store-compacted'
+
+
+class StoreProtocolError(StoreError):
+    """The platform sent an answer that does not follow its protocol."""
+
+    code = 'store-protocol'
+
+
+class PeerError(GypsumhallError):
+    """Base class of the errors of streams between daemons."""
+
+    code = 'peer'
+
+
+class PeerUnreachableError(PeerError):
+    """No stream could be opened; the message was not sent."""
+
+    code = 'peer-unreachable'
+
+
+class PeerLostError(PeerError):
+    """The stream ended or went silent after the message was sent."""
+
+    code = 'peer-lost'
+
+
+class PeerProtocolError(PeerError):
+    """A malformed or oversized frame, or a failed handshake."""
+
+    code = 'peer-protocol'
--- /dev/null
+++ b/gypsumhall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries."""
--- /dev/null
+++ b/gypsumhall/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: usable as a library, testable without a network."""
--- /dev/null
+++ b/gypsumhall/core/_model.py
@@ -0,0 +1,226 @@
+"""Values of the configuration: services, routes, moves, fragments, head.
+
+All values are immutable. They are stored in the platform and sent between
+daemons as msgpack maps.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from typing import Any
+
+import msgspec
+
+
+class Service(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A service of one department.
+
+    Parameters
+    ----------
+    name : str
+        Unique over all departments.
+    versions : tuple of str
+        Versions that routes and moves may send traffic to.
+    current : str
+        Version that gets all traffic when no move is active.
+    depends_on : tuple of str
+        Names of the services that this one calls.
+    """
+
+    name: str
+    versions: tuple[str, ...]
+    current: str
+    depends_on: tuple[str, ...] = ()
+
+
+class Route(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A rule that sends calls for a host and path prefix to a service.
+
+    Parameters
+    ----------
+    name : str
+        Unique within the department.
+    host : str
+        Host of the request, lower case, without port.
+    path : str
+        Path prefix; the longest matching prefix wins. A prefix matches
+        whole path segments.
+    service : str
+        Name of the service.
+    timeout_s : float
+        Deadline of a call that carries none of its own, in seconds.
+    idempotent_methods : tuple of str
+        Methods whose requests may be repeated.
+    """
+
+    name: str
+    host: str
+    path: str
+    service: str
+    timeout_s: float = 10.0
+    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
+
+
+class MoveSpec(msgspec.Struct, frozen=True):
+    """A staged move of a service's traffic, as the operator asked for it.
+
+    Parameters
+    ----------
+    id : str
+        ``<department>/<name of the move>``.
+    service, from_version, to_version : str
+        What moves, from which version to which.
+    deadline : float
+        Unix time in seconds by which all traffic has moved.
+    soak_s : float
+        Seconds of observation after the last stage.
+    """
+
+    id: str
+    service: str
+    from_version: str
+    to_version: str
+    deadline: float
+    soak_s: float = 10.0
+
+
+class Fragment(msgspec.Struct, frozen=True):
+    """Everything that one department configures.
+
+    Parameters
+    ----------
+    department : str
+        Name of the department.
+    services, routes, moves : tuple
+        Contents, sorted by name or id, so that equal texts have equal
+        digests.
+    """
+
+    department: str
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    moves: tuple[MoveSpec, ...] = ()
+
+
+class MoveState(enum.StrEnum):
+    """Progress of a move; ``done`` and ``reverted`` are final."""
+
+    ACTIVE = 'active'
+    SOAKING = 'soaking'
+    DONE = 'done'
+    REVERTED = 'reverted'
+
+    @property
+    def final(self) -> bool:
+        """Whether the state never changes again."""
+        return self in (MoveState.DONE, MoveState.REVERTED)
+
+
+class Move(msgspec.Struct, frozen=True):
+    """A move and its progress, as the head records it.
+
+    Parameters
+    ----------
+    spec : MoveSpec
+        What the operator asked for.
+    state : MoveState
+        Progress.
+    stage : int
+        Index of the current stage, from 0.
+    share : float
+        Share of the calls that go to the new version, 0 to 1.
+    started : float
+        Unix time in seconds at which the move was accepted.
+    stage_started : float
+        Unix time in seconds at which the stage began.
+    reason : str
+        Why the move was reverted; empty otherwise.
+    """
+
+    spec: MoveSpec
+    state: MoveState
+    stage: int
+    share: float
+    started: float
+    stage_started: float
+    reason: str = ''
+
+
+class DepartmentRef(msgspec.Struct, frozen=True):
+    """A department's entry in the head.
+
+    Parameters
+    ----------
+    fragment : str
+        SHA-256 digest (hexadecimal) of the fragment's encoding.
+    credential : str
+        SHA-256 digest (hexadecimal) of the operators' token.
+    """
+
+    fragment: str
+    credential: str
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The record that gives all configurations a total order.
+
+    Parameters
+    ----------
+    version : int
+        Grows by one with every change; 0 before the first.
+    departments : dict of str to DepartmentRef
+        Fragment and credential of every department.
+    moves : dict of str to Move
+        Progress of moves by id.
+    current : dict of str to str
+        Version in use of services for which a finished move replaced the
+        version named by the fragment.
+    submissions : dict of str to int
+        Recently accepted submission ids and the version each produced, in
+        the order of acceptance.
+    """
+
+    version: int = 0
+    departments: dict[str, DepartmentRef] = {}
+    moves: dict[str, Move] = {}
+    current: dict[str, str] = {}
+    submissions: dict[str, int] = {}
+
+
+_ENCODER = msgspec.msgpack.Encoder(order='deterministic')
+
+
+def encode(value: Any) -> bytes:
+    """Encode a value of this module as canonical msgpack.
+
+    Equal values have equal encodings, so digests can be compared.
+    """
+    return _ENCODER.encode(value)
+
+
+def decode_fragment(data: bytes) -> Fragment:
+    """Decode a fragment.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        When the bytes are not a fragment.
+    """
+    return msgspec.msgpack.decode(data, type=Fragment)
+
+
+def decode_head(data: bytes) -> Head:
+    """Decode a head record.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        When the bytes are not a head record.
+    """
+    return msgspec.msgpack.decode(data, type=Head)
+
+
+def digest(data: bytes) -> str:
+    """Return the SHA-256 digest of an encoding, in hexadecimal."""
+    return hashlib.sha256(data).hexdigest()
--- /dev/null
+++ b/gypsumhall/core/_snapshot.py
@@ -0,0 +1,325 @@
+"""Installed configuration: one immutable, checked value per version."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumhall._errors import InvalidUpdateError
+from gypsumhall.core import _model
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+_NO_REVERTS: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class MatchedRoute:
+    """A route with the department that owns it.
+
+    Parameters
+    ----------
+    id : str
+        ``<department>/<route>``.
+    route : Route
+        The route.
+    """
+
+    id: str
+    route: _model.Route
+
+
+@dataclass(slots=True, frozen=True)
+class Split:
+    """How the calls of a service are divided between its versions.
+
+    Parameters
+    ----------
+    old_version : str
+        Version that gets the rest of the calls.
+    new_version : str or None
+        Version that a move sends calls to; None without a move.
+    share : float
+        Share of the calls for the new version, 0 to 1.
+    move : str
+        Id of the move; empty without a move.
+    stage : int
+        Stage of the move, from 0.
+    """
+
+    old_version: str
+    new_version: str | None = None
+    share: float = 0.0
+    move: str = ''
+    stage: int = 0
+
+
+class Snapshot:
+    """A whole configuration version that has passed all checks.
+
+    Use `build` or `apply`; the constructor does not check anything.
+    """
+
+    __slots__ = (
+        '_digest',
+        '_fragments',
+        '_head',
+        '_moves',
+        '_routes',
+        '_services',
+    )
+
+    def __init__(
+        self,
+        head: _model.Head,
+        fragments: Mapping[str, _model.Fragment],
+    ) -> None:
+        self._head = head
+        self._fragments = fragments
+        self._digest = _model.digest(_model.encode(head))[:16]
+        self._services = {
+            service.name: service
+            for fragment in fragments.values()
+            for service in fragment.services
+        }
+        self._routes: dict[tuple[str, str], MatchedRoute] = {
+            (route.host, route.path.rstrip('/')): MatchedRoute(
+                f'{fragment.department}/{route.name}', route
+            )
+            for fragment in fragments.values()
+            for route in fragment.routes
+        }
+        self._moves = {
+            move.spec.service: move
+            for move in head.moves.values()
+            if not move.state.final
+        }
+
+    @classmethod
+    def build(
+        cls,
+        head: _model.Head,
+        fragments: Iterable[_model.Fragment],
+    ) -> Snapshot:
+        """Check a whole configuration and return it.
+
+        Parameters
+        ----------
+        head : Head
+            Head record of the version.
+        fragments : iterable of Fragment
+            Fragments of all departments that the head names.
+
+        Raises
+        ------
+        InvalidUpdateError
+            When a fragment is missing or has another digest, or when a
+            route or move names something that does not exist.
+        """
+        by_department = {item.department: item for item in fragments}
+        _check_digests(head, by_department, known=None)
+        return cls._checked(head, by_department)
+
+    def apply(
+        self,
+        head: _model.Head,
+        base: int,
+        fragments: Iterable[_model.Fragment],
+    ) -> Snapshot:
+        """Return the configuration that a delta leads to.
+
+        Parameters
+        ----------
+        head : Head
+            Head record of the new version.
+        base : int
+            Version that the delta starts from.
+        fragments : iterable of Fragment
+            Fragments that differ from the base.
+
+        Raises
+        ------
+        InvalidUpdateError
+            When the base is another version, or as in `build`.
+        """
+        if base != self.version:
+            raise InvalidUpdateError(
+                f'delta to version {head.version} starts from version '
+                f'{base}, but version {self.version} is installed'
+            )
+        merged = {
+            name: fragment
+            for name, fragment in self._fragments.items()
+            if name in head.departments
+        }
+        changed = {item.department: item for item in fragments}
+        merged.update(changed)
+        _check_digests(head, merged, known=(self, changed))
+        return self._checked(head, merged)
+
+    @classmethod
+    def _checked(
+        cls,
+        head: _model.Head,
+        fragments: Mapping[str, _model.Fragment],
+    ) -> Snapshot:
+        snapshot = cls(head, fragments)
+        _check_references(snapshot)
+        return snapshot
+
+    @property
+    def version(self) -> int:
+        """Configuration version."""
+        return self._head.version
+
+    @property
+    def digest(self) -> str:
+        """Digest of the head, 16 hexadecimal digits."""
+        return self._digest
+
+    @property
+    def head(self) -> _model.Head:
+        """Head record."""
+        return self._head
+
+    @property
+    def fragments(self) -> Mapping[str, _model.Fragment]:
+        """Fragments by department."""
+        return self._fragments
+
+    @property
+    def services(self) -> Mapping[str, _model.Service]:
+        """Services by name."""
+        return self._services
+
+    @property
+    def routes(self) -> Iterable[MatchedRoute]:
+        """All routes."""
+        return self._routes.values()
+
+    def match(self, host: str, path: str) -> MatchedRoute | None:
+        """Return the route with the longest path prefix.
+
+        Parameters
+        ----------
+        host : str
+            Host of the request; case and port do not matter.
+        path : str
+            Path of the request without query.
+        """
+        name = host.rsplit(':', 1)[0] if ':' in host else host
+        name = name.lower()
+        prefix = path.rstrip('/')
+        while True:
+            found = self._routes.get((name, prefix))
+            if found is not None or not prefix:
+                return found
+            prefix = prefix.rpartition('/')[0]
+
+    def service(self, name: str) -> _model.Service | None:
+        """Return a service by name."""
+        return self._services.get(name)
+
+    def split(
+        self, service: str, reverts: Container[str] = _NO_REVERTS
+    ) -> Split:
+        """Return how the calls of a service are divided.
+
+        Parameters
+        ----------
+        service : str
+            Name of a service of this configuration.
+        reverts : container of str
+            Ids of moves that are reverted whatever the head says.
+        """
+        current = self._head.current.get(service)
+        if current is None:
+            current = self._services[service].current
+        move = self._moves.get(service)
+        if move is None or move.spec.id in reverts:
+            return Split(current)
+        return Split(
+            move.spec.from_version,
+            move.spec.to_version,
+            move.share,
+            move.spec.id,
+            move.stage,
+        )
+
+
+def _check_digests(
+    head: _model.Head,
+    fragments: Mapping[str, _model.Fragment],
+    known: tuple[Snapshot, Mapping[str, _model.Fragment]] | None,
+) -> None:
+    for name, ref in head.departments.items():
+        fragment = fragments.get(name)
+        if fragment is None:
+            raise InvalidUpdateError(
+                f'version {head.version} lacks the fragment of {name!r}'
+            )
+        if known is not None and name not in known[1]:
+            held = known[0].head.departments[name].fragment
+        else:
+            held = _model.digest(_model.encode(fragment))
+        if held != ref.fragment:
+            raise InvalidUpdateError(
+                f'fragment of {name!r} in version {head.version} has '
+                f'digest {held}, expected {ref.fragment}'
+            )
+    extra = sorted(set(fragments) - set(head.departments))
+    if extra:
+        raise InvalidUpdateError(
+            f'version {head.version} has fragments of {extra}, which its '
+            'head does not name'
+        )
+
+
+def _check_references(snapshot: Snapshot) -> None:
+    services = snapshot.services
+    count = sum(len(item.services) for item in snapshot.fragments.values())
+    if count != len(services):
+        raise InvalidUpdateError(
+            f'version {snapshot.version} defines a service twice'
+        )
+    for matched in snapshot.routes:
+        if matched.route.service not in services:
+            raise InvalidUpdateError(
+                f'route {matched.id!r} points at service '
+                f'{matched.route.service!r}, which does not exist'
+            )
+    for service in services.values():
+        for name in service.depends_on:
+            if name not in services:
+                raise InvalidUpdateError(
+                    f'service {service.name!r} depends on {name!r}, which '
+                    'does not exist'
+                )
+    for move in snapshot.head.moves.values():
+        if not move.state.final:
+            _check_move(snapshot, move.spec)
+    for name, version in snapshot.head.current.items():
+        if name not in services or version not in services[name].versions:
+            raise InvalidUpdateError(
+                f'version {version!r} in use of service {name!r} does not '
+                'exist'
+            )
+
+
+def _check_move(snapshot: Snapshot, spec: _model.MoveSpec) -> None:
+    service = snapshot.services.get(spec.service)
+    if service is None:
+        raise InvalidUpdateError(
+            f'move {spec.id!r} names service {spec.service!r}, which does '
+            'not exist'
+        )
+    for version in (spec.from_version, spec.to_version):
+        if version not in service.versions:
+            raise InvalidUpdateError(
+                f'move {spec.id!r} names version {version!r} of service '
+                f'{spec.service!r}; its versions: '
+                f'{", ".join(service.versions)}'
+            )
--- /dev/null
+++ b/gypsumhall/errors.py
@@ -0,0 +1,37 @@
+"""Exceptions with codes, and findings that name a place in a text."""
+
+from gypsumhall._errors import Finding
+from gypsumhall._errors import FindingsError
+from gypsumhall._errors import GypsumhallError
+from gypsumhall._errors import InvalidTextError
+from gypsumhall._errors import InvalidUpdateError
+from gypsumhall._errors import PeerError
+from gypsumhall._errors import PeerLostError
+from gypsumhall._errors import PeerProtocolError
+from gypsumhall._errors import PeerUnreachableError
+from gypsumhall._errors import Place
+from gypsumhall._errors import SettingsError
+from gypsumhall._errors import StoreCompactedError
+from gypsumhall._errors import StoreError
+from gypsumhall._errors import StoreProtocolError
+from gypsumhall._errors import StoreUnavailableError
+from gypsumhall._errors import StoreUnknownError
+
+__all__ = [
+    'Finding',
+    'FindingsError',
+    'GypsumhallError',
+    'InvalidTextError',
+    'InvalidUpdateError',
+    'PeerError',
+    'PeerLostError',
+    'PeerProtocolError',
+    'PeerUnreachableError',
+    'Place',
+    'SettingsError',
+    'StoreCompactedError',
+    'StoreError',
+    'StoreProtocolError',
+    'StoreUnavailableError',
+    'StoreUnknownError',
+]
--- /dev/null
+++ b/gypsumhall/kernel.py
@@ -0,0 +1,7 @@
+"""Micro-kernel: starts services that find each other by name."""
+
+from gypsumhall._kernel import Kernel
+from gypsumhall._kernel import KernelError
+from gypsumhall._kernel import Service
+
+__all__ = ['Kernel', 'KernelError', 'Service']
--- /dev/null
+++ b/gypsumhall/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load tool."""
--- /dev/null
+++ b/gypsumhall/net/__init__.py
@@ -0,0 +1,1 @@
+"""Streams and messages between daemons."""
--- /dev/null
+++ b/gypsumhall/net/_messages.py
@@ -0,0 +1,567 @@
+"""Messages between daemons.
+
+Every message is an msgpack array whose first item is the message's tag. A
+tag is never reused, and fields are only ever added at the end with a default,
+so that daemons of neighbouring releases understand each other.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from gypsumhall.core._member import Member
+from gypsumhall.core._model import Fragment
+from gypsumhall.core._model import Head
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base class of the messages between daemons."""
+
+
+class Ping(Message, frozen=True, tag=1):
+    """Asks the other end of an idle stream for a sign of life."""
+
+
+class Pong(Message, frozen=True, tag=2):
+    """Answers a `Ping`."""
+
+
+class Failure(Message, frozen=True, tag=3):
+    """Answers an exchange that the receiver cannot handle.
+
+    Parameters
+    ----------
+    code : str
+        Error code.
+    detail : str
+        What was wrong.
+    """
+
+    code: str
+    detail: str
+
+
+class Busy(Message, frozen=True, tag=4):
+    """Refuses a request for now.
+
+    Parameters
+    ----------
+    others : tuple of str
+        Peer addresses that may answer instead.
+    retry_after_ms : int
+        Time after which the same peer may be asked again.
+    """
+
+    others: tuple[str, ...] = ()
+    retry_after_ms: int = 200
+
+
+# Membership
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """Summary of the state that daemons compare with each other.
+
+    Parameters
+    ----------
+    version : int
+        Installed configuration version.
+    snapshot : str
+        Digest of the installed configuration (16 hexadecimal digits).
+    members : int
+        Digest of the member table, 64 bits.
+    reverts : int
+        Digest of the set of reverted moves, 64 bits.
+    """
+
+    version: int = 0
+    snapshot: str = ''
+    members: int = 0
+    reverts: int = 0
+
+
+class Heartbeat(Message, frozen=True, tag=10):
+    """Sign of life with changes to the member table.
+
+    Parameters
+    ----------
+    sender : Member
+        Current entry of the sender.
+    digest : Digest
+        Summary of the sender's state.
+    members : tuple of Member
+        Recent changes to the member table.
+    time : int
+        Hybrid logical clock of the sender.
+    """
+
+    sender: Member
+    digest: Digest
+    members: tuple[Member, ...] = ()
+    time: int = 0
+
+
+class HeartbeatReply(Message, frozen=True, tag=11):
+    """Answers a `Heartbeat` with the same kinds of fields."""
+
+    sender: Member
+    digest: Digest
+    members: tuple[Member, ...] = ()
+    time: int = 0
+
+
+class MembersPull(Message, frozen=True, tag=12):
+    """Asks for the entries of the buckets whose digests differ.
+
+    Parameters
+    ----------
+    buckets : tuple of int
+        Digests of the sender's buckets, in order; empty to ask for all
+        entries.
+    """
+
+    buckets: tuple[int, ...] = ()
+
+
+class Members(Message, frozen=True, tag=13):
+    """Entries of the member table.
+
+    Parameters
+    ----------
+    members : tuple of Member
+        The entries.
+    more : bool
+        Whether another `Members` message follows in the exchange.
+    """
+
+    members: tuple[Member, ...]
+    more: bool = False
+
+
+class PingRequest(Message, frozen=True, tag=14):
+    """Asks a peer to check whether a third daemon responds.
+
+    Parameters
+    ----------
+    target : str
+        Peer address of the daemon to check.
+    """
+
+    target: str
+
+
+class PingResult(Message, frozen=True, tag=15):
+    """Answers a `PingRequest`."""
+
+    reachable: bool
+
+
+# Distribution
+
+
+class Update(Message, frozen=True, tag=20):
+    """A configuration version, whole or as a delta.
+
+    Parameters
+    ----------
+    head : Head
+        Head record of the version.
+    base : int
+        Configuration version that the delta starts from; 0 when all
+        fragments are included.
+    fragments : tuple of Fragment
+        Fragments that differ from the base, or all.
+    root : str
+        Id of the reader whose tree carries the update; empty outside the
+        tree.
+    time : int
+        Hybrid logical clock of the sender.
+    """
+
+    head: Head
+    base: int
+    fragments: tuple[Fragment, ...]
+    root: str = ''
+    time: int = 0
+
+
+class Announcement(Message, frozen=True, tag=21):
+    """Tells a peer which configuration version the sender holds."""
+
+    digest: Digest
+
+
+class Pull(Message, frozen=True, tag=22):
+    """Asks for the installed configuration; answered by `Update` or `Busy`.
+
+    Parameters
+    ----------
+    held : int
+        Version that the sender holds, as base of a delta; 0 for none.
+    """
+
+    held: int = 0
+
+
+class FloorRequest(Message, frozen=True, tag=23):
+    """Asks which versions a peer knows a daemon to have acknowledged.
+
+    Parameters
+    ----------
+    member : str
+        Id of the daemon that starts.
+    """
+
+    member: str
+
+
+class Floor(Message, frozen=True, tag=24):
+    """Answers a `FloorRequest`.
+
+    Parameters
+    ----------
+    acknowledged : int
+        Highest configuration version that the asking daemon is known to
+        have held; 0 when unknown.
+    held : int
+        Configuration version of the answering daemon.
+    """
+
+    acknowledged: int
+    held: int
+
+
+class Acknowledgement(Message, frozen=True, tag=25):
+    """State of a subtree, sent to the parent in the distribution tree.
+
+    Parameters
+    ----------
+    root : str
+        Id of the reader at the root of the tree.
+    lowest : int
+        Lowest configuration version in the subtree.
+    members : int
+        Daemons in the subtree.
+    """
+
+    root: str
+    lowest: int
+    members: int
+
+
+class ZoneSummary(msgspec.Struct, frozen=True, array_like=True):
+    """State of a zone as the root of its distribution tree sees it.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone.
+    incarnation : int
+        Incarnation of the root; with `sequence`, the later one wins.
+    sequence : int
+        Grows with every summary of the root.
+    members : int
+        Daemons that acknowledged.
+    expected : int
+        Daemons in the root's member table.
+    lowest : int
+        Lowest configuration version of the zone.
+    """
+
+    zone: str
+    incarnation: int
+    sequence: int
+    members: int
+    expected: int
+    lowest: int
+
+
+class ZoneSummaries(Message, frozen=True, tag=26):
+    """Summaries of zones, merged by incarnation and sequence."""
+
+    summaries: tuple[ZoneSummary, ...]
+
+
+class Revert(msgspec.Struct, frozen=True, array_like=True):
+    """A verdict against a move.
+
+    Parameters
+    ----------
+    move : str
+        Id of the move.
+    reason : str
+        Evidence or command that led to the verdict.
+    origin : str
+        Id of the daemon that reached the verdict.
+    """
+
+    move: str
+    reason: str
+    origin: str
+
+
+class Reverts(Message, frozen=True, tag=27):
+    """Reverted moves, merged by union."""
+
+    reverts: tuple[Revert, ...]
+    time: int = 0
+
+
+class RevertsPull(Message, frozen=True, tag=28):
+    """Asks for all reverted moves; answered by `Reverts`."""
+
+
+# Calls
+
+
+class Outcome(enum.StrEnum):
+    """Whether a backend server executed a request."""
+
+    RUN = 'run'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a backend server, as its daemon sees it.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests being executed.
+    queued : int
+        Requests waiting for a slot.
+    slots : int
+        Concurrency limit.
+    draining : bool
+        Whether new work is refused.
+    """
+
+    in_flight: int
+    queued: int
+    slots: int
+    draining: bool = False
+
+
+class CallStart(Message, frozen=True, tag=40):
+    """Starts a call; the body follows in `BodyChunk` messages.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique id of the attempt; the execution ledger is keyed by it.
+    runner_incarnation : int
+        Incarnation of the runner that the id is meant for; 0 for any.
+    service, version, route : str
+        Service, chosen service version and ``<department>/<route>``.
+    method, path : str
+        Request line; the path includes the query.
+    headers : tuple of (bytes, bytes)
+        Request headers without hop-by-hop headers.
+    deadline_ms : int
+        Time left until the deadline, in milliseconds.
+    idempotent : bool
+        Whether the request may be repeated.
+    key : str
+        The caller's ``Idempotency-Key``; empty for none.
+    has_body : bool
+        Whether `BodyChunk` messages follow.
+    move : str
+        Id of the move whose evidence the call is part of; empty for none.
+    stage : int
+        Stage of that move.
+    time : int
+        Hybrid logical clock of the sender.
+    """
+
+    request_id: str
+    runner_incarnation: int
+    service: str
+    version: str
+    route: str
+    method: str
+    path: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    deadline_ms: int
+    idempotent: bool
+    key: str = ''
+    has_body: bool = False
+    move: str = ''
+    stage: int = 0
+    time: int = 0
+
+
+class BodyChunk(Message, frozen=True, tag=41):
+    """Part of a request or response body.
+
+    Parameters
+    ----------
+    data : bytes
+        At most 64 KiB.
+    last : bool
+        Whether the body ends here.
+    """
+
+    data: bytes
+    last: bool = False
+
+
+class CallCancel(Message, frozen=True, tag=42):
+    """Tells the runner that nobody waits for the response any more."""
+
+    request_id: str
+
+
+class AnswerStart(Message, frozen=True, tag=43):
+    """Starts a response; `BodyChunk` messages and `AnswerEnd` follow."""
+
+    request_id: str
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    load: Load
+
+
+class AnswerEnd(Message, frozen=True, tag=44):
+    """Ends a response.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt.
+    complete : bool
+        False when the backend server broke the response off.
+    """
+
+    request_id: str
+    complete: bool = True
+
+
+class CallRefused(Message, frozen=True, tag=45):
+    """Refuses a call.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt.
+    outcome : Outcome
+        Whether the request was executed.
+    code : str
+        Reason, for example ``draining`` or ``overloaded``.
+    detail : str
+        Explanation for people.
+    load : Load or None
+        Load of the backend server.
+    """
+
+    request_id: str
+    outcome: Outcome
+    code: str
+    detail: str = ''
+    load: Load | None = None
+
+
+class CallQuery(Message, frozen=True, tag=46):
+    """Asks a runner for the outcome of an earlier attempt.
+
+    Answered like a call, by `AnswerStart` or `CallRefused`.
+    """
+
+    request_id: str
+    runner_incarnation: int
+
+
+class KeyRelease(Message, frozen=True, tag=47):
+    """Asks a former key owner to give up an idempotency key."""
+
+    service: str
+    key: str
+
+
+class KeyReleased(Message, frozen=True, tag=48):
+    """Answers a `KeyRelease`.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        ``not-run`` when the former owner never ran a request with this
+        key and will not run one any more.
+    """
+
+    outcome: Outcome
+
+
+# Moves
+
+
+class Counts(msgspec.Struct, frozen=True, array_like=True):
+    """Results of calls to one endpoint within one interval.
+
+    Parameters
+    ----------
+    route : str
+        ``<department>/<route>``.
+    version : str
+        Service version of the endpoint.
+    endpoint : str
+        Id of the daemon beside the backend server.
+    zone : str
+        Zone of the endpoint.
+    calls, failures, slow : int
+        Calls that were run, and how many of them failed or were slow.
+    latencies_ms : tuple of float
+        Quantiles 0.5, 0.95 and 0.99 of the latency; empty without calls.
+    """
+
+    route: str
+    version: str
+    endpoint: str
+    zone: str
+    calls: int
+    failures: int
+    slow: int
+    latencies_ms: tuple[float, ...] = ()
+
+
+class Evidence(Message, frozen=True, tag=60):
+    """Evidence about a move from one endpoint or one judge.
+
+    Parameters
+    ----------
+    move : str
+        Id of the move.
+    stage : int
+        Stage during which the calls were assigned.
+    interval : int
+        Number of the interval; Unix time divided by the interval's length.
+    counts : tuple of Counts
+        Results within the interval.
+    time : int
+        Hybrid logical clock of the sender.
+    """
+
+    move: str
+    stage: int
+    interval: int
+    counts: tuple[Counts, ...]
+    time: int = 0
+
+
+class SlowThreshold(msgspec.Struct, frozen=True, array_like=True):
+    """Latency above which a call of a route counts as slow."""
+
+    route: str
+    threshold_ms: float
+
+
+class EvidenceReply(Message, frozen=True, tag=61):
+    """Answers `Evidence` with what the endpoint needs for the next interval.
+
+    Parameters
+    ----------
+    thresholds : tuple of SlowThreshold
+        Latency thresholds by route.
+    """
+
+    thresholds: tuple[SlowThreshold, ...] = ()
--- /dev/null
+++ b/gypsumhall/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services of a daemon, found by name through the kernel."""
--- /dev/null
+++ b/gypsumhall/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/gypsumhall/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data and the scenario language."""
--- /dev/null
+++ b/gypsumhall/testing/builders.py
@@ -0,0 +1,99 @@
+"""Builders of valid test data; every argument has a usable default."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumhall.core import _model
+from gypsumhall.core._member import Endpoint
+from gypsumhall.core._member import EndpointState
+from gypsumhall.core._member import Member
+from gypsumhall.core._member import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def build_service(
+    name: str = 'availability',
+    versions: tuple[str, ...] = ('v1', 'v2'),
+    depends_on: tuple[str, ...] = (),
+) -> _model.Service:
+    """Return a service whose first version is current."""
+    return _model.Service(name, versions, versions[0], depends_on)
+
+
+def build_route(
+    name: str = 'search',
+    service: str = 'availability',
+    host: str = 'spa.example',
+    path: str = '/search',
+) -> _model.Route:
+    """Return a route."""
+    return _model.Route(name, host, path, service)
+
+
+def build_move(
+    move_id: str = 'spa/move',
+    service: str = 'availability',
+    deadline: float = 1000.0,
+    soak_s: float = 10.0,
+) -> _model.MoveSpec:
+    """Return a move from ``v1`` to ``v2``."""
+    return _model.MoveSpec(move_id, service, 'v1', 'v2', deadline, soak_s)
+
+
+def build_fragment(
+    department: str = 'spa',
+    services: Iterable[_model.Service] | None = None,
+    routes: Iterable[_model.Route] | None = None,
+    moves: Iterable[_model.MoveSpec] = (),
+) -> _model.Fragment:
+    """Return a fragment with one service and one route by default."""
+    return _model.Fragment(
+        department,
+        tuple([build_service()] if services is None else services),
+        tuple([build_route()] if routes is None else routes),
+        tuple(moves),
+    )
+
+
+def build_head(
+    fragments: Iterable[_model.Fragment],
+    version: int = 1,
+    moves: Iterable[_model.Move] = (),
+    current: dict[str, str] | None = None,
+) -> _model.Head:
+    """Return a head that names the fragments by their digests."""
+    return _model.Head(
+        version=version,
+        departments={
+            item.department: _model.DepartmentRef(
+                _model.digest(_model.encode(item)), 'c' * 64
+            )
+            for item in fragments
+        },
+        moves={move.spec.id: move for move in moves},
+        current=current or {},
+    )
+
+
+def build_member(
+    index: int = 0,
+    zone: str = 'az-1',
+    endpoint: Endpoint | None = None,
+    status: MemberStatus = MemberStatus.ALIVE,
+) -> Member:
+    """Return an entry whose id and address follow from the index."""
+    address = f'127.0.{index // 250}.{index % 250 + 1}:7000'
+    return Member(f'd{index}', zone, address, 1, 1, status, endpoint)
+
+
+def build_endpoint(
+    service: str = 'availability',
+    version: str = 'v1',
+    slots: int = 6,
+    state: EndpointState = EndpointState.READY,
+) -> Endpoint:
+    """Return a ready endpoint."""
+    return Endpoint(service, version, slots, state)
--- /dev/null
+++ b/gypsumhall/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Merges the event logs of all processes into one time line."""
