Add an in-memory store with injected faults

Cause: acceptance, readers and the controller need a platform in their tests that loses answers, lapses leases and drops watches on demand.

Change: gypsumhall.testing.memory_store.MemoryStore implements the whole Store protocol on the trio clock. Faults are queued per operation; an outage, a latency and a hook before each operation can be switched at any time.

Ruled out: random faults inside the store; tests choose them, so a failure can be replayed.

Nothing was measured for speed.

Conclusion: usable by other parts.

--- /dev/null
+++ b/gypsumhall/testing/memory_store.py
@@ -0,0 +1,363 @@
+"""In-memory `Store` with revisions, leases, watches and faults.
+
+It follows the protocol of `gypsumhall.store` without a network. Time is the
+trio clock, so tests run it under `trio.testing.MockClock`. Its `name`, `run`
+and `drain` let it stand for the service ``store`` in a kernel.
+"""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+import math
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import trio
+
+from gypsumhall._errors import StoreCompactedError
+from gypsumhall._errors import StoreProtocolError
+from gypsumhall._errors import StoreUnavailableError
+from gypsumhall._errors import StoreUnknownError
+from gypsumhall.store import Delete
+from gypsumhall.store import KeyValue
+from gypsumhall.store import Put
+from gypsumhall.store import TxnResult
+from gypsumhall.store import WatchEvent
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from gypsumhall.kernel import Kernel
+    from gypsumhall.store import Compare
+
+T = TypeVar('T')
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class Fault(enum.Enum):
+    """What happens to one request.
+
+    ``UNAVAILABLE`` refuses it, ``LOST_REQUEST`` loses it before and
+    ``LOST_ANSWER`` after it was executed (both raise `StoreUnknownError`),
+    and ``NONSENSE`` executes it and raises `StoreProtocolError`.
+    """
+
+    UNAVAILABLE = 'unavailable'
+    LOST_REQUEST = 'lost-request'
+    LOST_ANSWER = 'lost-answer'
+    NONSENSE = 'nonsense'
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: int
+    deadline: float
+
+
+@dataclass(slots=True, eq=False)
+class _Watch:
+    changed: trio.Event = field(default_factory=trio.Event)
+    dropped: bool = False
+    silent: bool = False
+
+
+class MemoryStore:
+    """A `Store` that lives in this process.
+
+    Parameters
+    ----------
+    latency_s : float
+        Seconds that each request takes before it is executed.
+
+    Attributes
+    ----------
+    latency_s : float
+        As above; may be changed at any time.
+    before : callable or None
+        Coroutine function that gets the name of each operation before it
+        is executed; it may wait, for example to pause one client.
+    """
+
+    name = 'store'
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, *, latency_s: float = 0.0) -> None:
+        self._outage = False
+        self.latency_s = latency_s
+        self.before: Callable[[str], Awaitable[None]] | None = None
+        self._revision = 1
+        self._compacted = 0
+        self._next_lease = 1
+        self._keys: dict[str, KeyValue] = {}
+        self._history: list[WatchEvent] = []
+        self._leases: dict[int, _Lease] = {}
+        self._watches: set[_Watch] = set()
+        self._faults: dict[str, list[Fault]] = {}
+        self._counts: dict[str, int] = {}
+
+    @property
+    def outage(self) -> bool:
+        """Whether every request is refused with `StoreUnavailableError`.
+
+        Setting it to true also drops the open watches.
+        """
+        return self._outage
+
+    @outage.setter
+    def outage(self, value: bool) -> None:
+        self._outage = value
+        if value:
+            self.drop_watches()
+
+    @property
+    def revision(self) -> int:
+        """Revision of the last change."""
+        return self._revision
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """Stored keys in order."""
+        self._expire()
+        return tuple(sorted(self._keys))
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of requests received, by operation."""
+        return dict(self._counts)
+
+    # Faults
+
+    def inject(self, operation: str, *faults: Fault) -> None:
+        """Queue faults for the next requests of one operation.
+
+        Parameters
+        ----------
+        operation : str
+            ``get``, ``range``, ``txn``, ``grant_lease``, ``keep_alive`` or
+            ``revoke``.
+        *faults : Fault
+            One for each of the next requests.
+        """
+        self._faults.setdefault(operation, []).extend(faults)
+
+    def drop_watches(self) -> None:
+        """End all open watches with `StoreUnavailableError`."""
+        for watch in self._watches:
+            watch.dropped = True
+            watch.changed.set()
+
+    def silence_watches(self) -> None:
+        """Let the open watches deliver nothing more, without an error."""
+        for watch in self._watches:
+            watch.silent = True
+
+    def compact(self) -> None:
+        """Forget the history up to the present revision."""
+        self._expire()
+        self._compacted = self._revision
+        self._history.clear()
+
+    def lapse(self, lease: int) -> None:
+        """End a lease at once, as if its holder had been paused."""
+        if lease in self._leases:
+            self._leases[lease].deadline = -math.inf
+        self._expire()
+
+    # Store
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Read one key; None when it does not exist."""
+        return await self._request('get', lambda: self._keys.get(key))
+
+    async def range(self, prefix: str) -> list[KeyValue]:
+        """Read all keys that start with a prefix, in key order."""
+        return await self._request(
+            'range',
+            lambda: [
+                self._keys[key]
+                for key in sorted(self._keys)
+                if key.startswith(prefix)
+            ],
+        )
+
+    async def txn(
+        self,
+        compares: Sequence[Compare],
+        writes: Sequence[Put | Delete],
+    ) -> TxnResult:
+        """Execute all writes if all conditions hold, else none."""
+        for write in writes:
+            if isinstance(write, Put) and len(write.value) > MAX_VALUE_BYTES:
+                raise StoreProtocolError(
+                    f'value of {write.key} has {len(write.value)} bytes; '
+                    f'at most {MAX_VALUE_BYTES} are stored'
+                )
+        return await self._request(
+            'txn', lambda: self._execute(compares, writes)
+        )
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Create a lease that lapses without renewal; return its id."""
+        return await self._request('grant_lease', lambda: self._grant(ttl_s))
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease once; False when it has lapsed."""
+        return await self._request('keep_alive', lambda: self._renew(lease))
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        await self._request('revoke', lambda: self.lapse(lease))
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int = 0
+    ) -> AsyncIterator[AsyncIterator[WatchEvent]]:
+        """Watch all keys that start with a prefix."""
+        watch = _Watch()
+        self._expire()
+        start = from_revision or self._revision + 1
+        self._watches.add(watch)
+        try:
+            yield self._events(watch, prefix, start)
+        finally:
+            self._watches.discard(watch)
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Stand for the service ``store`` until cancelled."""
+        task_status.started()
+        await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Return at once: no work is kept."""
+
+    async def _request(self, operation: str, execute: Callable[[], T]) -> T:
+        self._counts[operation] = self._counts.get(operation, 0) + 1
+        queued = self._faults.get(operation)
+        fault = queued.pop(0) if queued else None
+        if self.before is not None:
+            await self.before(operation)
+        await trio.sleep(self.latency_s)
+        if self._outage or fault is Fault.UNAVAILABLE:
+            raise StoreUnavailableError(f'{operation}: injected outage')
+        if fault is Fault.LOST_REQUEST:
+            raise StoreUnknownError(f'{operation}: injected lost request')
+        self._expire()
+        result = execute()
+        if fault is Fault.LOST_ANSWER:
+            raise StoreUnknownError(f'{operation}: injected lost answer')
+        if fault is Fault.NONSENSE:
+            raise StoreProtocolError(f'{operation}: injected nonsense')
+        return result
+
+    def _execute(
+        self,
+        compares: Sequence[Compare],
+        writes: Sequence[Put | Delete],
+    ) -> TxnResult:
+        for compare in compares:
+            found = self._keys.get(compare.key)
+            if (found.mod_revision if found else 0) != compare.mod_revision:
+                return TxnResult(False, self._revision)
+        for write in writes:
+            if isinstance(write, Put) and write.lease not in (
+                0,
+                *self._leases,
+            ):
+                raise StoreProtocolError(f'no lease {write.lease}')
+        self._write(writes)
+        return TxnResult(True, self._revision)
+
+    def _write(self, writes: Sequence[Put | Delete]) -> None:
+        changes = [
+            item
+            for item in writes
+            if isinstance(item, Put) or item.key in self._keys
+        ]
+        if not changes:
+            return
+        self._revision += 1
+        for item in changes:
+            value = None
+            if isinstance(item, Put):
+                value = item.value
+                self._keys[item.key] = KeyValue(
+                    item.key, item.value, self._revision, item.lease
+                )
+            else:
+                del self._keys[item.key]
+            self._history.append(WatchEvent(item.key, value, self._revision))
+        for watch in self._watches:
+            watch.changed.set()
+
+    def _grant(self, ttl_s: int) -> int:
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases[lease] = _Lease(ttl_s, trio.current_time() + ttl_s)
+        return lease
+
+    def _renew(self, lease: int) -> bool:
+        held = self._leases.get(lease)
+        if held is None:
+            return False
+        held.deadline = trio.current_time() + held.ttl_s
+        return True
+
+    def _expire(self) -> None:
+        now = trio.current_time()
+        lapsed = {
+            lease
+            for lease, held in self._leases.items()
+            if held.deadline <= now
+        }
+        for lease in lapsed:
+            del self._leases[lease]
+        if lapsed:
+            self._write(
+                [
+                    Delete(key)
+                    for key, found in sorted(self._keys.items())
+                    if found.lease in lapsed
+                ]
+            )
+
+    async def _events(
+        self, watch: _Watch, prefix: str, start: int
+    ) -> AsyncIterator[WatchEvent]:
+        while True:
+            self._expire()
+            if watch.dropped or self._outage:
+                raise StoreUnavailableError('watch: injected end of the watch')
+            if start <= self._compacted:
+                raise StoreCompactedError(
+                    f'revision {start} is compacted; oldest kept: '
+                    f'{self._compacted + 1}'
+                )
+            watch.changed = trio.Event()
+            if not watch.silent:
+                last = self._revision
+                for event in [
+                    item for item in self._history if item.revision >= start
+                ]:
+                    if event.key.startswith(prefix):
+                        yield event
+                start = last + 1
+                if self._revision > last:
+                    continue
+            lapse = min(
+                (held.deadline for held in self._leases.values()),
+                default=math.inf,
+            )
+            with trio.move_on_at(lapse):
+                await watch.changed.wait()
--- /dev/null
+++ b/tests/test_testing_memory_store.py
@@ -0,0 +1,88 @@
+"""Tests of the in-memory store, which other tests rely on."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from gypsumhall.errors import StoreCompactedError
+from gypsumhall.errors import StoreProtocolError
+from gypsumhall.errors import StoreUnavailableError
+from gypsumhall.errors import StoreUnknownError
+from gypsumhall.store import Compare
+from gypsumhall.store import Delete
+from gypsumhall.store import Put
+from gypsumhall.testing.memory_store import Fault
+from gypsumhall.testing.memory_store import MemoryStore
+
+
+async def test_a_transaction_writes_all_or_nothing() -> None:
+    store = MemoryStore()
+    first = await store.txn([Compare('a', 0)], [Put('a', b'1'), Put('b', b'')])
+    assert first.succeeded
+    found = await store.get('a')
+    assert found is not None
+    assert found.mod_revision == first.revision
+    late = await store.txn([Compare('a', 0)], [Put('a', b'2'), Delete('b')])
+    assert not late.succeeded
+    assert [item.key for item in await store.range('')] == ['a', 'b']
+
+
+@pytest.mark.parametrize(
+    ('fault', 'error', 'written'),
+    [
+        (Fault.UNAVAILABLE, StoreUnavailableError, False),
+        (Fault.LOST_REQUEST, StoreUnknownError, False),
+        (Fault.LOST_ANSWER, StoreUnknownError, True),
+        (Fault.NONSENSE, StoreProtocolError, True),
+    ],
+)
+async def test_faults_hit_one_request(
+    fault: Fault, error: type[Exception], written: bool
+) -> None:
+    store = MemoryStore()
+    store.inject('txn', fault)
+    with pytest.raises(error):
+        await store.txn([], [Put('a', b'1')])
+    assert (await store.get('a') is not None) is written
+    await store.txn([], [Put('a', b'2')])
+
+
+async def test_a_lapsed_lease_removes_its_keys_and_wakes_watches(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    store = MemoryStore()
+    lease = await store.grant_lease(10)
+    await store.txn([], [Put('leased', b'x', lease), Put('kept', b'y')])
+    async with store.watch('leased') as events:
+        await trio.sleep(8)
+        assert await store.keep_alive(lease)
+        event = await anext(events)
+    assert event.value is None
+    assert trio.current_time() == pytest.approx(18)
+    assert store.keys == ('kept',)
+    assert not await store.keep_alive(lease)
+
+
+async def test_watches_replay_and_end_as_told(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    store = MemoryStore()
+    first = await store.txn([], [Put('a', b'1')])
+    await store.txn([], [Put('a', b'2')])
+    async with store.watch('a', first.revision) as events:
+        assert [(await anext(events)).value for _ in '12'] == [b'1', b'2']
+        store.silence_watches()
+        await store.txn([], [Put('a', b'3')])
+        with trio.move_on_after(60) as scope:
+            await anext(events)
+        assert scope.cancelled_caught
+    async with store.watch('a') as events:
+        store.outage = True
+        with pytest.raises(StoreUnavailableError):
+            await anext(events)
+    store.outage = False
+    store.compact()
+    async with store.watch('a', first.revision) as events:
+        with pytest.raises(StoreCompactedError):
+            await anext(events)
