Accept operators' texts and offer the operators' interface

Cause: nothing read an operator's text, decided about it or changed the head, and operators had no way to reach a daemon.

Change: gypsumhall.core._text reads YAML events into a fragment and collects every fault with line and column; anchors, aliases, tags, deep nesting and texts over 512 KiB are refused. gypsumhall.core._accept decides, from the head, all fragments, a text and the time, on the next head or the findings, and has the controller's transitions. The service acceptance swaps the head by compare-and-swap and keeps a refusal open while an earlier write may still arrive. The services admin and operator serve HTTP; the binary gypsumhall uses one submission id over all retries. The head records <id>~<tag>, so that an id used for another text is not answered as accepted, and an id can name the version at which it was made, so that it is never decided on a record that has forgotten it.

Ruled out: loading YAML into values, which reads version 1.10 as a number and expands aliases before they can be refused; changing the version in use by editing `current`, which would shift all calls without stages; removing fragments by listing on every submission, which reads all of them.

--- /dev/null
+++ b/gypsumhall/core/_text.py
@@ -0,0 +1,720 @@
+"""Reading of an operator's text: YAML to a fragment, faults with places.
+
+The text is read as parser events rather than as loaded values. Events carry
+the line and column of every key and value, a version such as ``1.10`` stays
+the text that was written, and anchors, aliases, tags and deep nesting are
+refused before they can cost memory.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+import datetime
+import hashlib
+import re
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from ruamel.yaml import events
+from ruamel.yaml import YAML
+from ruamel.yaml.error import MarkedYAMLError
+from ruamel.yaml.error import YAMLError
+from ruamel.yaml.reader import ReaderError
+
+from gypsumhall._errors import Finding
+from gypsumhall._errors import InvalidTextError
+from gypsumhall._errors import Place
+from gypsumhall.core import _model
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+MAX_TEXT_BYTES = 512 * 1024
+# A valid text nests four levels deep; the rest is room for useful messages.
+MAX_DEPTH = 16
+# A hostile text can hold a fault in every few bytes; the answer stays small.
+MAX_FINDINGS = 200
+MAX_DURATION_S = 30 * 86400.0
+MAX_TIMEOUT_S = 3600.0
+MAX_SOAK_S = 86400.0
+METHODS = (
+    'GET',
+    'HEAD',
+    'OPTIONS',
+    'PUT',
+    'DELETE',
+    'PATCH',
+    'POST',
+)
+
+NAME_PATTERN = r'[a-z]([a-z0-9-]{0,61}[a-z0-9])?'
+VERSION_PATTERN = r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}'
+
+_NAME = re.compile(NAME_PATTERN)
+_VERSION = re.compile(VERSION_PATTERN)
+_LABEL = re.compile(r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
+_PATH = re.compile(r"(/([A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-Fa-f]{2})+)*/?")
+_DURATION = re.compile(r'([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s|m|h|d)')
+_DATE = re.compile(
+    r'\d{4}-\d{2}-\d{2}[T ]\d{2}:\d{2}:\d{2}(\.\d{1,6})?'
+    r'(Z|[+-]\d{2}:\d{2})'
+)
+_UNITS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0, 'd': 86400.0}
+_EMPTY = ('', '~', 'null')
+_Named = TypeVar('_Named', _model.Service, _model.Route)
+
+
+def shown(value: str) -> str:
+    """Return a value quoted for a message, shortened when it is long."""
+    if len(value) > 80:
+        return repr(value[:77] + '...')
+    return repr(value)
+
+
+@dataclass(slots=True, frozen=True)
+class ParsedText:
+    """An operator's text as it was read.
+
+    Parameters
+    ----------
+    fragment : Fragment
+        Contents. When there are findings it lacks the faulty parts.
+    findings : tuple of Finding
+        Faults of the text itself, in the order of their places.
+    within : dict of str to float
+        Seconds that were given instead of a deadline, by move id. The
+        deadline in the fragment counts from the time of reading.
+    readable : bool
+        Whether the parts can be checked against other texts.
+    source : str
+        Name of the text.
+    digest : str
+        SHA-256 digest of the text, in hexadecimal.
+    places : dict of tuple to Place
+        Positions by path, for example ``('services', 'a', 'versions')``.
+    """
+
+    fragment: _model.Fragment
+    findings: tuple[Finding, ...]
+    within: Mapping[str, float]
+    readable: bool
+    source: str
+    digest: str
+    places: Mapping[tuple[str, ...], Place]
+
+    def place(self, *path: str) -> Place:
+        """Return the position of a path, or of its closest known parent."""
+        for length in range(len(path), 0, -1):
+            found = self.places.get(path[:length])
+            if found is not None:
+                return found
+        return self.places.get(('department',), Place(self.source, 1, 1))
+
+
+def sorted_findings(findings: Iterable[Finding]) -> tuple[Finding, ...]:
+    """Return findings in the order of their places, without repetition."""
+    unique = dict.fromkeys(findings)
+    return tuple(
+        sorted(unique, key=lambda item: (item.place.line, item.place.column))
+    )
+
+
+@dataclass(slots=True)
+class _Node:
+    """A scalar (`text`), sequence (`items`) or mapping (`items` in pairs)."""
+
+    kind: str
+    place: Place
+    text: str = ''
+    plain: bool = False
+    items: list[_Node] = field(default_factory=list)
+
+    @property
+    def empty(self) -> bool:
+        return self.kind == 'text' and self.plain and self.text in _EMPTY
+
+
+class _RefusedError(Exception):
+    """Reading cannot go on after this finding."""
+
+    def __init__(self, finding: Finding) -> None:
+        super().__init__(str(finding))
+        self.finding = finding
+
+
+def _compose(text: str, source: str) -> _Node | None:
+    """Build the tree of nodes; None for an empty text."""
+
+    def place_of(event: events.Event) -> Place:
+        mark = event.start_mark
+        return Place(source, mark.line + 1, mark.column + 1)
+
+    root: _Node | None = None
+    stack: list[_Node] = []
+    for event in YAML(typ='rt').parse(text):
+        if isinstance(event, events.DocumentStartEvent) and root is not None:
+            raise _RefusedError(
+                Finding(
+                    'syntax',
+                    'a second document starts here; a text has one',
+                    place_of(event),
+                )
+            )
+        if isinstance(event, events.NodeEvent):
+            node = _node(event, place_of(event))
+            if stack:
+                stack[-1].items.append(node)
+            else:
+                root = node
+            if node.kind != 'text':
+                stack.append(node)
+            if len(stack) > MAX_DEPTH:
+                raise _RefusedError(
+                    Finding(
+                        'too-deep',
+                        f'nested more than {MAX_DEPTH} levels',
+                        node.place,
+                    )
+                )
+        elif isinstance(event, events.CollectionEndEvent):
+            stack.pop()
+    return root
+
+
+def _node(event: events.NodeEvent, place: Place) -> _Node:
+    if isinstance(event, events.AliasEvent):
+        raise _RefusedError(
+            Finding(
+                'alias',
+                f'alias *{event.anchor}: write the value out instead',
+                place,
+            )
+        )
+    if event.anchor is not None:
+        raise _RefusedError(
+            Finding('alias', f'anchor &{event.anchor} is not allowed', place)
+        )
+    tag = getattr(event, 'tag', None)
+    if tag is not None:
+        raise _RefusedError(
+            Finding('tag', f'tag {shown(str(tag))} is not allowed', place)
+        )
+    if isinstance(event, events.ScalarEvent):
+        return _Node('text', place, event.value, not event.style)
+    if isinstance(event, events.SequenceStartEvent):
+        return _Node('list', place)
+    return _Node('mapping', place)
+
+
+def _syntax_finding(error: YAMLError, text: str, source: str) -> Finding:
+    if isinstance(error, MarkedYAMLError):
+        mark = error.problem_mark or error.context_mark
+        parts = [item for item in (error.problem, error.context) if item]
+        place = Place(source, 1, 1)
+        if mark is not None:
+            place = Place(source, mark.line + 1, mark.column + 1)
+        return Finding('syntax', ', '.join(parts) or 'not YAML', place)
+    if isinstance(error, ReaderError):
+        before = text[: error.position]
+        line = before.count('\n') + 1
+        column = error.position - (before.rfind('\n') + 1) + 1
+        return Finding(
+            'syntax',
+            f'character U+{ord(text[error.position]):04X} is not allowed',
+            Place(source, line, column),
+        )
+    return Finding('syntax', str(error), Place(source, 1, 1))
+
+
+class _Reader:
+    """Collects findings and places while it reads nodes."""
+
+    def __init__(self, source: str, now: float) -> None:
+        self._source = source
+        self._now = now
+        self.findings: list[Finding] = []
+        self.places: dict[tuple[str, ...], Place] = {}
+        self.within: dict[str, float] = {}
+
+    def add(self, code: str, message: str, place: Place) -> None:
+        self.findings.append(Finding(code, message, place))
+
+    def read(self, root: _Node) -> _model.Fragment | None:
+        keys = ('department', 'services', 'routes', 'moves')
+        top = self._keys(root, (), keys, ('department',))
+        if top is None:
+            return None
+        department = self._name(top.get('department'), ('department',))
+        services = [
+            self._service(name, node)
+            for name, node in self._section(top, 'services')
+        ]
+        routes = [
+            self._route(name, node)
+            for name, node in self._section(top, 'routes')
+        ]
+        moves = [
+            self._move(department or '', name, node)
+            for name, node in self._section(top, 'moves')
+        ]
+        if department is None:
+            return None
+        return _model.Fragment(
+            department,
+            _sorted_by_name(services),
+            _sorted_by_name(item for item in routes if item is not None),
+            tuple(
+                sorted(
+                    (item for item in moves if item is not None),
+                    key=lambda item: item.id,
+                )
+            ),
+        )
+
+    # Structure
+
+    def _pairs(
+        self, node: _Node, path: tuple[str, ...]
+    ) -> Iterator[tuple[str, _Node]]:
+        """Yield the keys of a mapping once each, and note their places."""
+        seen: dict[str, Place] = {}
+        for key, value in zip(node.items[::2], node.items[1::2], strict=True):
+            if key.kind != 'text':
+                self.add('wrong-type', 'a key has to be a word', key.place)
+                continue
+            if key.text in seen:
+                self.add(
+                    'duplicate-key',
+                    f'key {shown(key.text)} stands already in line '
+                    f'{seen[key.text].line}',
+                    key.place,
+                )
+                continue
+            seen[key.text] = key.place
+            self.places[*path, key.text] = key.place
+            yield key.text, value
+
+    def _mapping(self, node: _Node, what: str) -> bool:
+        if node.kind == 'mapping':
+            return True
+        self.add(
+            'wrong-type',
+            f'{what} has to be a mapping (key: value), not a {node.kind}',
+            node.place,
+        )
+        return False
+
+    def _keys(
+        self,
+        node: _Node,
+        path: tuple[str, ...],
+        known: Sequence[str],
+        required: Sequence[str],
+    ) -> dict[str, _Node] | None:
+        what = ' '.join(path[-2:]) or 'the text'
+        if not self._mapping(node, what):
+            return None
+        result = {}
+        for key, value in self._pairs(node, path):
+            if key in known:
+                result[key] = value
+            else:
+                self.add(
+                    'unknown-key',
+                    f'unknown key {shown(key)} in {what}; valid keys: '
+                    f'{", ".join(known)}',
+                    self.places[*path, key],
+                )
+        for key in required:
+            if key not in result:
+                self.add(
+                    'missing-key', f'{what} lacks the key {key!r}', node.place
+                )
+        return result
+
+    def _section(
+        self, top: Mapping[str, _Node], section: str
+    ) -> Iterator[tuple[str, _Node]]:
+        node = top.get(section)
+        if node is None or node.empty or not self._mapping(node, section):
+            return
+        for name, value in self._pairs(node, (section,)):
+            if self._matches(
+                _NAME, name, 'bad-name', self.places[section, name]
+            ):
+                yield name, value
+
+    # Values
+
+    def _matches(
+        self, pattern: re.Pattern[str], text: str, code: str, place: Place
+    ) -> bool:
+        if pattern.fullmatch(text):
+            return True
+        rule = (
+            'lower-case letters, digits and hyphens, starting with a '
+            'letter, at most 63 characters'
+            if pattern is _NAME
+            else 'letters, digits, ".", "_" and "-", starting with a letter '
+            'or digit, at most 63 characters'
+        )
+        self.add(code, f'{shown(text)} is not valid here: {rule}', place)
+        return False
+
+    def _text(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
+        if node is None:
+            return None
+        if node.kind != 'text' or node.empty:
+            kind = 'empty' if node.empty else f'a {node.kind}'
+            self.add(
+                'wrong-type',
+                f'{path[-1]} has to be a text, is {kind}',
+                node.place,
+            )
+            return None
+        return node.text
+
+    def _name(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return None
+        ok = self._matches(_NAME, text, 'bad-name', node.place)
+        return text if ok else None
+
+    def _version(
+        self, node: _Node | None, path: tuple[str, ...]
+    ) -> str | None:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return None
+        ok = self._matches(_VERSION, text, 'bad-version', node.place)
+        return text if ok else None
+
+    def _list(
+        self,
+        node: _Node | None,
+        path: tuple[str, ...],
+        read: Callable[[_Node | None, tuple[str, ...]], str | None],
+    ) -> tuple[str, ...]:
+        if node is None:
+            return ()
+        if node.kind != 'list':
+            self.add(
+                'wrong-type',
+                f'{path[-1]} has to be a list, for example '
+                f'[first, second], not a {node.kind}',
+                node.place,
+            )
+            return ()
+        result: list[str] = []
+        for item in node.items:
+            text = read(item, path)
+            if text is None:
+                continue
+            if text in result:
+                self.add(
+                    'duplicate-item',
+                    f'{shown(text)} stands twice in {path[-1]}',
+                    item.place,
+                )
+                continue
+            self.places[*path, text] = item.place
+            result.append(text)
+        return tuple(result)
+
+    def _duration(
+        self,
+        node: _Node | None,
+        path: tuple[str, ...],
+        default: float,
+        lowest: float,
+        highest: float,
+    ) -> float:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return default
+        found = _DURATION.fullmatch(text)
+        if not found:
+            self.add(
+                'bad-duration',
+                f'{shown(text)} is no duration; write a number and one of '
+                f'{", ".join(_UNITS)}, for example 500ms or 90s',
+                node.place,
+            )
+            return default
+        value = round(float(found[1]) * _UNITS[found[2]], 6)
+        if not lowest <= value <= highest:
+            self.add(
+                'bad-duration',
+                f'{path[-1]} {text} is out of range: {lowest:g}s to '
+                f'{highest:g}s',
+                node.place,
+            )
+            return default
+        return value
+
+    def _date(self, node: _Node | None, path: tuple[str, ...]) -> float | None:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return None
+        try:
+            if not _DATE.fullmatch(text):
+                raise ValueError
+            return datetime.datetime.fromisoformat(text).timestamp()
+        except (ValueError, OverflowError):
+            self.add(
+                'bad-date',
+                f'{shown(text)} is no date with time and zone; write for '
+                'example 2026-12-05T06:00:00Z',
+                node.place,
+            )
+            return None
+
+    def _host(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return None
+        host = text.lower()
+        labels = host.split('.')
+        if len(host) > 253 or not all(map(_LABEL.fullmatch, labels)):
+            self.add(
+                'bad-host',
+                f'{shown(text)} is no host name; write it without scheme, '
+                'port, path or wildcard, for example plans.example',
+                node.place,
+            )
+            return None
+        return host
+
+    def _path(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return None
+        dots = {'.', '..'}.intersection(text.split('/'))
+        if (
+            not text.startswith('/')
+            or len(text) > 1024
+            or dots
+            or not _PATH.fullmatch(text)
+        ):
+            self.add(
+                'bad-path',
+                f'{shown(text)} is no path prefix; it starts with "/", has '
+                'no empty, "." or ".." segment, no query, and other '
+                'characters as %XX; at most 1024 characters',
+                node.place,
+            )
+            return None
+        return text.rstrip('/') or '/'
+
+    def _method(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
+        text = self._text(node, path)
+        if text is None or node is None:
+            return None
+        if text not in METHODS:
+            self.add(
+                'unknown-method',
+                f'unknown method {shown(text)}; valid: {", ".join(METHODS)}',
+                node.place,
+            )
+            return None
+        return text
+
+    # Entries
+
+    def _service(self, name: str, node: _Node) -> _model.Service:
+        path = ('services', name)
+        known = ('versions', 'current', 'depends_on')
+        keys = self._keys(node, path, known, ('versions',)) or {}
+        listed = keys.get('versions')
+        at = (*path, 'versions')
+        versions = self._list(listed, at, self._version)
+        if listed is not None and listed.kind == 'list' and not listed.items:
+            self.add(
+                'no-versions', f'service {name} lists no version', listed.place
+            )
+        at = (*path, 'current')
+        current = self._version(keys.get('current'), at)
+        if current is not None and versions and current not in versions:
+            self.add(
+                'unknown-version',
+                f'current version {shown(current)} of service {name} is not '
+                f'among its versions: {", ".join(versions)}',
+                keys['current'].place,
+            )
+        at = (*path, 'depends_on')
+        depends_on = self._list(keys.get('depends_on'), at, self._name)
+        return _model.Service(
+            name,
+            versions,
+            current or (versions[0] if versions else ''),
+            tuple(sorted(depends_on)),
+        )
+
+    def _route(self, name: str, node: _Node) -> _model.Route | None:
+        path = ('routes', name)
+        required = ('host', 'path', 'service')
+        known = (*required, 'timeout', 'idempotent_methods')
+        keys = self._keys(node, path, known, required) or {}
+        host = self._host(keys.get('host'), (*path, 'host'))
+        prefix = self._path(keys.get('path'), (*path, 'path'))
+        service = self._name(keys.get('service'), (*path, 'service'))
+        timeout = self._duration(
+            keys.get('timeout'), (*path, 'timeout'), 10.0, 0.001, MAX_TIMEOUT_S
+        )
+        methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
+        if 'idempotent_methods' in keys:
+            at = (*path, 'idempotent_methods')
+            found = self._list(keys['idempotent_methods'], at, self._method)
+            methods = tuple(sorted(found))
+        if host is None or prefix is None or service is None:
+            return None
+        return _model.Route(name, host, prefix, service, timeout, methods)
+
+    def _move(
+        self, department: str, name: str, node: _Node
+    ) -> _model.MoveSpec | None:
+        path = ('moves', name)
+        required = ('service', 'from', 'to')
+        known = (*required, 'deadline', 'within', 'soak')
+        keys = self._keys(node, path, known, required) or {}
+        service = self._name(keys.get('service'), (*path, 'service'))
+        old = self._version(keys.get('from'), (*path, 'from'))
+        new = self._version(keys.get('to'), (*path, 'to'))
+        if old is not None and old == new:
+            self.add(
+                'same-version',
+                f'move {name} goes from {old} to the same version',
+                keys['to'].place,
+            )
+        soak = self._duration(
+            keys.get('soak'), (*path, 'soak'), 10.0, 0.0, MAX_SOAK_S
+        )
+        deadline = self._deadline(department, name, node, keys)
+        if None in (service, old, new) or deadline is None or old == new:
+            return None
+        return _model.MoveSpec(
+            f'{department}/{name}',
+            service or '',
+            old or '',
+            new or '',
+            deadline,
+            soak,
+        )
+
+    def _deadline(
+        self,
+        department: str,
+        name: str,
+        node: _Node,
+        keys: Mapping[str, _Node],
+    ) -> float | None:
+        path = ('moves', name)
+        if ('deadline' in keys) == ('within' in keys):
+            place = keys['within'].place if 'within' in keys else node.place
+            self.add(
+                'move-deadline',
+                f'move {name} needs exactly one of the keys deadline and '
+                'within',
+                place,
+            )
+            return None
+        if 'deadline' in keys:
+            return self._date(keys['deadline'], (*path, 'deadline'))
+        count = len(self.findings)
+        seconds = self._duration(
+            keys['within'], (*path, 'within'), 0.0, 1.0, MAX_DURATION_S
+        )
+        if len(self.findings) > count:
+            return None
+        self.within[f'{department}/{name}'] = seconds
+        return self._now + seconds
+
+
+def _sorted_by_name(items: Iterable[_Named]) -> tuple[_Named, ...]:
+    return tuple(sorted(items, key=lambda item: item.name))
+
+
+def _limited(findings: list[Finding], source: str) -> tuple[Finding, ...]:
+    result = sorted_findings(findings)
+    if len(result) <= MAX_FINDINGS:
+        return result
+    left = len(result) - MAX_FINDINGS
+    more = Finding(
+        'more-findings', f'{left} more findings are not listed', Place(source)
+    )
+    return (*result[:MAX_FINDINGS], more)
+
+
+def read_text(text: str, source: str, now: float) -> ParsedText:
+    """Read a text as far as possible and collect its faults.
+
+    Parameters
+    ----------
+    text : str
+        The operator's text.
+    source : str
+        Name of the text in findings.
+    now : float
+        Unix time in seconds from which ``within`` counts.
+
+    Returns
+    -------
+    ParsedText
+        With `findings` when anything is wrong.
+    """
+    data = text.encode(errors='surrogatepass')
+    reader = _Reader(source, now)
+    fragment = None
+    if len(data) > MAX_TEXT_BYTES:
+        reader.add(
+            'too-large',
+            f'the text has {len(data)} bytes; at most {MAX_TEXT_BYTES} are '
+            'accepted',
+            Place(source, 1, 1),
+        )
+    else:
+        try:
+            root = _compose(text, source)
+            if root is None or root.empty:
+                raise _RefusedError(
+                    Finding('empty', 'the text is empty', Place(source, 1, 1))
+                )
+            fragment = reader.read(root)
+        except _RefusedError as error:
+            reader.findings.append(error.finding)
+        except YAMLError as error:
+            reader.findings.append(_syntax_finding(error, text, source))
+        except (ValueError, OverflowError) as error:
+            # The scanner does not check the range of escapes like \\U.
+            reader.add('syntax', str(error), Place(source, 1, 1))
+    return ParsedText(
+        fragment or _model.Fragment(''),
+        _limited(reader.findings, source),
+        reader.within,
+        fragment is not None,
+        source,
+        hashlib.sha256(data).hexdigest(),
+        reader.places,
+    )
+
+
+def parse_text(text: str, source: str, now: float) -> ParsedText:
+    """Read a text that has no faults of its own.
+
+    Parameters are those of `read_text`.
+
+    Raises
+    ------
+    InvalidTextError
+        With all findings.
+    """
+    parsed = read_text(text, source, now)
+    if parsed.findings:
+        raise InvalidTextError(parsed.findings)
+    return parsed
--- a/gypsumhall/services/_protocols.py
+++ b/gypsumhall/services/_protocols.py
@@ -215,6 +215,38 @@
         ...
 
 
+@runtime_checkable
+class Acceptance(Protocol):
+    """Changes of the head; the service ``acceptance``."""
+
+    async def apply(
+        self, transition: Callable[[Head], Head | None]
+    ) -> Head | None:
+        """Swap the head for the one that a transition returns.
+
+        Parameters
+        ----------
+        transition : callable
+            Pure function from the present head to the next one, or to None
+            when it does not apply. It is called again for each head that
+            is read after a lost race or a lost answer.
+
+        Returns
+        -------
+        Head or None
+            The new head, which was also published; None when the
+            transition did not apply.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the platform did not respond in time; nothing was written.
+        StoreUnknownError
+            When the change may have been written.
+        """
+        ...
+
+
 @runtime_checkable
 class Runner(Protocol):
     """Admission to the backend server on this VM; the service ``runner``."""
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -44,14 +44,16 @@
 class Fault(enum.Enum):
     """What happens to one request.
 
-    ``UNAVAILABLE`` refuses it, ``LOST_REQUEST`` loses it before and
-    ``LOST_ANSWER`` after it was executed (both raise `StoreUnknownError`),
-    and ``NONSENSE`` executes it and raises `StoreProtocolError`.
+    ``UNAVAILABLE`` refuses it. ``LOST_REQUEST`` loses it before and
+    ``LOST_ANSWER`` after it was executed, and ``LATE`` executes it some
+    time after its client gave up; these three raise `StoreUnknownError`.
+    ``NONSENSE`` executes it and raises `StoreProtocolError`.
     """
 
     UNAVAILABLE = 'unavailable'
     LOST_REQUEST = 'lost-request'
     LOST_ANSWER = 'lost-answer'
+    LATE = 'late'
     NONSENSE = 'nonsense'
 
 
@@ -80,6 +82,8 @@
     ----------
     latency_s : float
         As above; may be changed at any time.
+    late_s : float
+        Seconds after which requests with the fault ``LATE`` are executed.
     before : callable or None
         Coroutine function that gets the name of each operation before it
         is executed; it may wait, for example to pause one client.
@@ -91,6 +95,7 @@
     def __init__(self, *, latency_s: float = 0.0) -> None:
         self._outage = False
         self.latency_s = latency_s
+        self.late_s = 0.5
         self.before: Callable[[str], Awaitable[None]] | None = None
         self._revision = 1
         self._compacted = 0
@@ -101,6 +106,7 @@
         self._watches: set[_Watch] = set()
         self._faults: dict[str, list[Fault]] = {}
         self._counts: dict[str, int] = {}
+        self._late: list[tuple[float, Callable[[], object]]] = []
 
     @property
     def outage(self) -> bool:
@@ -254,6 +260,9 @@
         if fault is Fault.LOST_REQUEST:
             raise StoreUnknownError(f'{operation}: injected lost request')
         self._expire()
+        if fault is Fault.LATE:
+            self._late.append((trio.current_time() + self.late_s, execute))
+            raise StoreUnknownError(f'{operation}: injected late request')
         result = execute()
         if fault is Fault.LOST_ANSWER:
             raise StoreUnknownError(f'{operation}: injected lost answer')
@@ -315,7 +324,12 @@
         return True
 
     def _expire(self) -> None:
+        """Do what was due by now: late requests and lapsed leases."""
         now = trio.current_time()
+        due = [item for item in self._late if item[0] <= now]
+        self._late = [item for item in self._late if item[0] > now]
+        for _, execute in sorted(due, key=lambda item: item[0]):
+            execute()
         lapsed = {
             lease
             for lease, held in self._leases.items()
@@ -355,9 +369,12 @@
                 start = last + 1
                 if self._revision > last:
                     continue
-            lapse = min(
-                (held.deadline for held in self._leases.values()),
+            due = min(
+                [
+                    *(held.deadline for held in self._leases.values()),
+                    *(time for time, _ in self._late),
+                ],
                 default=math.inf,
             )
-            with trio.move_on_at(lapse):
+            with trio.move_on_at(due):
                 await watch.changed.wait()
--- /dev/null
+++ b/tests/test_cli_operator.py
@@ -0,0 +1,314 @@
+"""Tests of the operators' command line against daemons over HTTP."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+import json
+import pathlib
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from gypsumhall.cli import operator
+from gypsumhall.core import _accept
+from gypsumhall.services._acceptance import HEAD_KEY
+from gypsumhall.services._admin import MAX_BODY_BYTES
+from gypsumhall.testing.control_plane import ControlPlane
+from gypsumhall.testing.memory_store import Fault
+from gypsumhall.testing.memory_store import MemoryStore
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+_ITURRASPE = str(_EXAMPLES / 'iturraspe' / 'semaforizacion.yaml')
+_OMARURU = [
+    str(_EXAMPLES / 'omaruru' / name)
+    for name in ('availability.yaml', 'sales.yaml', 'memberships.yaml')
+]
+_BAD_FLAGS = ('status', '--daemons=h', '--output=x', '--nope')
+_OVERSIZED = b' ' * (MAX_BODY_BYTES + 1)
+_MOVE = """
+moves:
+  archive-v2: {service: archive, from: v1, to: v2, within: 1h}
+"""
+
+
+@dataclass
+class _Outcome:
+    code: int
+    out: str
+    err: str
+
+    @property
+    def fields(self) -> dict[str, Any]:
+        fields = json.loads(self.out)
+        assert isinstance(fields, dict)
+        return fields
+
+
+async def _connect(address: str) -> trio.SocketStream:
+    host, _, port = address.rpartition(':')
+    return await trio.open_tcp_stream(host, int(port))
+
+
+class _Bench:
+    """A daemon and the binary that talks to it."""
+
+    def __init__(self, plane: ControlPlane, capsys: Any) -> None:
+        assert plane.admin is not None
+        self.plane = plane
+        self.address = plane.admin.bound
+        self._capsys = capsys
+
+    async def run(self, *arguments: str, daemons: str = '') -> _Outcome:
+        """Run the binary in a thread, as it starts an event loop."""
+        environment = {
+            'GYPSUMHALL_DAEMONS': daemons or self.address,
+            'GYPSUMHALL_TOKEN': 'secret-token',
+            'GYPSUMHALL_TIMEOUT': '40s',
+        }
+        self._capsys.readouterr()
+        code = await trio.to_thread.run_sync(
+            operator.run, arguments, environment
+        )
+        captured = self._capsys.readouterr()
+        return _Outcome(code, captured.out, captured.err)
+
+
+@asynccontextmanager
+async def _bench(
+    capsys: Any, store: MemoryStore | None = None
+) -> AsyncIterator[_Bench]:
+    plane = ControlPlane(store or MemoryStore(), time.time, '127.0.0.1:0')
+    async with plane.running():
+        yield _Bench(plane, capsys)
+
+
+async def test_the_examples_are_accepted_in_order(capsys: Any) -> None:
+    async with _bench(capsys) as bench:
+        refused = await bench.run('submit', _OMARURU[1], '--output=json')
+        assert refused.code == operator.REFUSED
+        finding = refused.fields['findings'][0]
+        assert (finding['code'], finding['line']) == ('missing-dependency', 7)
+        for number, name in enumerate([*_OMARURU, _ITURRASPE], 1):
+            assert (await bench.run('check', name)).code == operator.OK
+            accepted = await bench.run('submit', name, '--output=json')
+            assert accepted.code == operator.OK
+            assert accepted.fields['version'] == number
+        status = await bench.run('status', '--output=json')
+        assert status.fields['departments'] == [
+            'availability',
+            'memberships',
+            'sales',
+            'semaforizacion',
+        ]
+        assert status.fields['in_effect']
+        metrics = await _connect(bench.address)
+        await metrics.send_all(b'GET /metrics HTTP/1.0\r\n\r\n')
+        page = b''.join([chunk async for chunk in metrics])
+        assert b'acceptance_results_total' in page
+
+
+async def test_wait_ends_when_a_version_is_in_effect(capsys: Any) -> None:
+    async with _bench(capsys) as bench:
+        await bench.run('submit', _ITURRASPE)
+        bench.plane.distribution.lag = 1
+        late = await bench.run('wait', '1', '--timeout=1s')
+        assert late.code == operator.TIMED_OUT
+        assert 'zone az-2: not yet' in (await bench.run('status')).out
+        async with trio.open_nursery() as nursery:
+
+            async def catch_up() -> None:
+                await trio.sleep(0.3)
+                bench.plane.distribution.lag = 0
+
+            nursery.start_soon(catch_up)
+            done = await bench.run('wait', '1')
+        assert done.code == operator.OK
+        assert done.out == 'version 1 in effect\n'
+
+
+async def test_a_move_is_followed_and_aborted(
+    capsys: Any, tmp_path: pathlib.Path
+) -> None:
+    path = tmp_path / 'text.yaml'
+    text = await trio.Path(_ITURRASPE).read_text()
+    await trio.Path(path).write_text(text + _MOVE)
+    move = 'semaforizacion/archive-v2'
+    async with _bench(capsys) as bench:
+        await bench.run('submit', str(path), '--wait')
+        assert (
+            f'move {move}: archive v1 -> v2, active, 1%'
+            in (await bench.run('moves')).out
+        )
+        pending = await bench.run('wait', move, '--timeout=1s')
+        assert pending.code == operator.TIMED_OUT
+        wrong = await bench.run('abort', move, '--token=wrong-token')
+        assert wrong.code == operator.REFUSED
+        assert 'wrong-token' in wrong.out
+        missing = await bench.run('abort', 'semaforizacion/other')
+        assert missing.code == operator.REFUSED
+        assert f'moves of semaforizacion: {move}' in missing.out
+        assert (await bench.run('abort', move)).code == operator.OK
+        ended = await bench.run('wait', move)
+        assert ended.code == operator.REFUSED
+        assert 'reverted (aborted)' in ended.out
+        events = await bench.run('events')
+        assert 'move-aborted' in events.out
+
+
+async def _lose_answers(listener: trio.SocketListener, address: str) -> None:
+    """Pass requests on and drop every response."""
+
+    async def serve(client: trio.SocketStream) -> None:
+        async with await _connect(address) as server, client:
+
+            async def pass_on() -> None:
+                async for chunk in client:
+                    await server.send_all(chunk)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(pass_on)
+                await server.receive_some(65536)
+                nursery.cancel_scope.cancel()
+
+    await trio.serve_listeners(serve, [listener])
+
+
+async def test_a_lost_answer_never_leads_to_a_second_acceptance(
+    capsys: Any,
+) -> None:
+    store = MemoryStore()
+    async with _bench(capsys, store) as bench, trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(_lose_answers, listeners[0], bench.address)
+        result = await bench.run(
+            'submit',
+            _ITURRASPE,
+            '--output=json',
+            '--submission_id=0.first-attempt',
+            daemons=f'127.0.0.1:1,127.0.0.1:{port},{bench.address}',
+        )
+        assert result.code == operator.OK
+        assert result.fields['version'] == 1
+        assert 'trying again' in result.err
+        snapshot = bench.plane.distribution.snapshot
+        assert snapshot is not None
+        assert snapshot.version == 1
+        assert _accept.find_submission(snapshot.head, '0.first-attempt')
+        changes = [item for item in store._history if item.key == HEAD_KEY]
+        assert len(changes) == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_outages_have_their_own_exit_codes(capsys: Any) -> None:
+    store = MemoryStore()
+    async with _bench(capsys, store) as bench:
+        await bench.run('submit', _OMARURU[0])
+        store.outage = True
+        down = await bench.run('submit', _ITURRASPE, '--timeout=1s')
+        assert down.code == operator.UNAVAILABLE
+        assert 'nothing was accepted' in down.out
+        # Without the platform a text is checked against the snapshot.
+        checked = await bench.run('check', _OMARURU[2])
+        assert 'missing-dependency' in checked.out
+        store.outage = False
+        store.inject('txn', *[Fault.LOST_REQUEST] * 1000)
+        lost = await bench.run('submit', _ITURRASPE, '--timeout=1s')
+        assert lost.code == operator.UNKNOWN
+        assert 'ask again with --submission_id=1.' in lost.out
+        none = await bench.run('status', '--timeout=1s', daemons='127.0.0.1:1')
+        assert none.code == operator.UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ('request_head', 'body', 'expected'),
+    [
+        ('GET /v1/operator/nothing', b'', '404 no-such-path'),
+        ('POST /v1/operator/status', b'', '405 method-not-allowed'),
+        ('POST /v1/operator/submit', b'{', '400 bad-json'),
+        ('POST /v1/operator/submit', b'[' * 5000, '400 bad-json'),
+        ('POST /v1/operator/submit', b'[]', '400 bad-json'),
+        ('POST /v1/operator/submit', b'{"id": 5}', '400 bad-field'),
+        ('POST /v1/operator/check', _OVERSIZED, '413 too-large'),
+        ('GET /v1/operator/wait?version=x', b'', '400 bad-query'),
+        ('GET /v1/operator/wait', b'', '400 bad-query'),
+        ('GET /v1/operator/wait?version=1&timeout=nan', b'', '400 bad-query'),
+        ('GET /v1/operator/status', b'', '503 starting'),
+        ('GET /v1/operator/submissions/some-id', b'', '404 absent'),
+        ('POST /v1/operator/moves/a/b', b'{}', '404 no-such-path'),
+        ('POST /v1/operator/moves/a/b/abort', b'{}', '400 bad-field'),
+        ('GET /events?since=-1', b'', '400 bad-query'),
+        ('GET /fails', b'', '500 internal'),
+    ],
+)
+async def test_bad_requests_are_answered_with_problems(
+    capsys: Any, request_head: str, body: bytes, expected: str
+) -> None:
+    async with _bench(capsys) as bench:
+
+        async def fail(request: object) -> Any:
+            raise KeyError('injected')
+
+        assert bench.plane.admin is not None
+        bench.plane.admin.add_route('GET', '/fails', fail)
+        stream = await _connect(bench.address)
+        head = (
+            f'{request_head} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        with trio.fail_after(30):
+            # An oversized body is refused before all of it was taken.
+            with trio.move_on_after(5):
+                await stream.send_all(head.encode() + body[:65536])
+            answer = b''.join([chunk async for chunk in stream])
+    start, _, content = answer.partition(b'\r\n\r\n')
+    fields = json.loads(content)
+    assert b'content-type: application/problem+json' in start
+    assert f'{fields["status"]} {fields["code"]}' == expected
+    assert start.split()[1] == str(fields['status']).encode()
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'expected'),
+    [
+        ((), 'no command'),
+        (('sumbit',), "unknown command 'sumbit'"),
+        (('status',), 'give --daemons'),
+        (('status', 'x', '--daemons=h:1'), 'takes no arguments'),
+        (('submit', 'a', 'b', '--daemons=h:1'), 'takes one argument'),
+        (('submit', '/nonexistent', '--daemons=h:1'), 'No such file'),
+        (('submit', _ITURRASPE, '--daemons=h:1'), 'give --token_file'),
+        (('wait', 'x', '--daemons=h:1'), 'neither a version nor'),
+        (
+            ('abort', 'x/y', '--daemons=h:1', '--token_file=/nonexistent'),
+            '--token_file',
+        ),
+        (_BAD_FLAGS, '--daemons: bad-setting'),
+        (_BAD_FLAGS, '--output: bad-setting'),
+        (_BAD_FLAGS, '--nope: unknown-flag'),
+        (('status', '--timeout'), 'command line: bad-setting'),
+        (('status', '--follow=maybe'), 'bad-setting'),
+    ],
+)
+def test_wrong_usage_is_explained(
+    capsys: Any, arguments: tuple[str, ...], expected: str
+) -> None:
+    assert operator.run(arguments, {}) == operator.USAGE
+    assert expected in capsys.readouterr().err
+
+
+def test_texts_are_checked_together_without_a_daemon(capsys: Any) -> None:
+    assert operator.run(['check', *_OMARURU], {}) == operator.OK
+    assert operator.run(['check', _OMARURU[2]], {}) == operator.REFUSED
+    assert 'memberships.yaml:7:18: missing-dependency' in (
+        capsys.readouterr().out
+    )
+    assert operator.run(['--help'], {}) == operator.OK
+    assert 'Exit codes:' in capsys.readouterr().out
