Share the harness of platform tests

Cause: four test modules and the benchmark set up the stand-in by themselves.

Change: gypsumhall.testing.platform opens a stand-in in memory and writes versions. Errors within the stream of a keep-alive are classified like those of a watch. A test cuts one reader off alone; it loses its slot to another daemon although membership still sees it alive.

Ruled out: nothing. Nothing measured.

Conclusion: the same faults can be used by the tests of other parts.

--- a/benchmarks/bench_store.py
+++ b/benchmarks/bench_store.py
@@ -16,26 +16,22 @@
 import trio
 from trio.testing import MockClock
 
-from gypsumhall.core import _model
 from gypsumhall.kernel import Kernel
 from gypsumhall.services._events import EventLog
 from gypsumhall.services._metrics import MetricRegistry
 from gypsumhall.services._reader import Reader
 from gypsumhall.services._store import PlatformStore
-from gypsumhall.standin import Platform
-from gypsumhall.standin import PlatformApp
-from gypsumhall.store import _keys
-from gypsumhall.store import EtcdStore
-from gypsumhall.store import Put
 from gypsumhall.testing import builders
 from gypsumhall.testing.fakes import FakeDistribution
 from gypsumhall.testing.fakes import FakeMembership
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform import open_platform
+from gypsumhall.testing.platform import write_version
 
 if TYPE_CHECKING:
     from gypsumhall.core._member import Member
+    from gypsumhall.standin import Platform
+    from gypsumhall.testing.platform import MemoryPlatform
 
-ADDRESS = '127.0.0.1:1'
 ZONES = (1, 3, 20)
 DAEMONS = 4
 QUIET_S = 60.0
@@ -46,7 +42,7 @@
 
 async def _start_daemon(
     nursery: trio.Nursery,
-    network: MemoryNetwork,
+    opened: MemoryPlatform,
     me: Member,
     members: list[Member],
 ) -> FakeDistribution:
@@ -56,7 +52,7 @@
     for service in (
         EventLog(me.id, me.zone, path='/dev/null'),
         MetricRegistry(),
-        PlatformStore(EtcdStore([ADDRESS], network_backend=network), rng=rng),
+        PlatformStore(opened.open_store(), rng=rng),
         FakeMembership(me, members),
         distribution,
         Reader(rng=rng),
@@ -66,21 +62,6 @@
     return distribution
 
 
-async def _write_version(store: EtcdStore, version: int) -> None:
-    fragment = builders.build_fragment(
-        routes=[builders.build_route(f'r{version}')]
-    )
-    data = _model.encode(fragment)
-    head = builders.build_head([fragment], version)
-    await store.txn(
-        [],
-        [
-            Put(_keys.fragment_key(_model.digest(data)), data),
-            Put(_keys.HEAD, _model.encode(head)),
-        ],
-    )
-
-
 def _report(
     label: str, before: dict[str, int], platform: Platform, seconds: float
 ) -> None:
@@ -97,13 +78,10 @@
 
 
 async def _measure(zones: int) -> None:
-    async with trio.open_nursery() as nursery:
-        platform = Platform()
-        await nursery.start(platform.run)
-        network = MemoryNetwork(nursery)
-        network.listen(ADDRESS, PlatformApp(platform))
-        store = EtcdStore([ADDRESS], network_backend=network)
-        await _write_version(store, 1)
+    async with open_platform() as opened, trio.open_nursery() as nursery:
+        platform = opened.platform
+        store = opened.open_store()
+        await write_version(store, 1)
         distributions = []
         for zone in range(zones):
             members = [
@@ -112,7 +90,7 @@
             ]
             for me in members:
                 distributions.append(
-                    await _start_daemon(nursery, network, me, members)
+                    await _start_daemon(nursery, opened, me, members)
                 )
         await trio.sleep(15)
         before = dict(platform.stats['calls'])
@@ -120,7 +98,7 @@
         _report('quiet', before, platform, QUIET_S)
         before = dict(platform.stats['calls'])
         for version in range(2, 2 + CHANGES):
-            await _write_version(store, version)
+            await write_version(store, version)
             await trio.sleep(CHANGES_S / CHANGES)
         _report('changes', before, platform, CHANGES_S)
         holders = sum(
--- a/gypsumhall/standin/_platform.py
+++ b/gypsumhall/standin/_platform.py
@@ -264,6 +264,10 @@
             compact=False,
         )
 
+    def clear_faults(self) -> None:
+        """End all faults in force."""
+        self._faults = FaultSettings()
+
     def compact(self) -> None:
         """Forget all revisions but the latest of every key."""
         self._compacted = self._revision
--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -135,8 +135,17 @@
     ttl: int = msgspec.field(name='TTL', default=0)
 
 
+class _StreamError(msgspec.Struct):
+    """Error within a stream; releases of the gateway differ in the name."""
+
+    grpc_code: int = 0
+    code: int = 0
+    message: str = ''
+
+
 class _KeepAliveResponse(msgspec.Struct):
-    result: _KeepAliveResult
+    result: _KeepAliveResult | None = None
+    error: _StreamError | None = None
 
 
 class _Event(msgspec.Struct):
@@ -153,11 +162,6 @@
     events: list[_Event] = []
 
 
-class _StreamError(msgspec.Struct):
-    grpc_code: int = 0
-    message: str = ''
-
-
 class _WatchMessage(msgspec.Struct):
     result: _WatchResult | None = None
     error: _StreamError | None = None
@@ -315,6 +319,13 @@
     raise _MaybeExecutedError(detail)
 
 
+def _raise_stream_error(error: _StreamError, call: str) -> None:
+    try:
+        _raise_refusal(error.grpc_code or error.code, error.message, call)
+    except (_NotExecutedError, _MaybeExecutedError) as failure:
+        raise StoreUnavailableError(str(failure)) from failure
+
+
 class EtcdStore:
     """The platform's key-value service behind JSON gateways.
 
@@ -537,12 +548,15 @@
         response = _decode(
             data.strip(), _KeepAliveResponse, 'lease keep-alive'
         )
-        if response.result.id != lease:
+        if response.error is not None:
+            _raise_stream_error(response.error, 'lease keep-alive')
+        result = response.result
+        if result is None or result.id != lease:
             raise StoreProtocolError(
-                f'response to lease keep-alive is about lease '
-                f'{response.result.id}, expected {lease}'
+                f'response to lease keep-alive is {result}, expected the '
+                f'lease {lease}'
             )
-        return response.result.ttl > 0
+        return result.ttl > 0
 
     async def revoke(self, lease: int) -> None:
         """End a lease and remove its keys."""
@@ -788,7 +802,7 @@
     async def _receive(self) -> _WatchResult:
         message = _decode(await self._read_line(), _WatchMessage, 'watch')
         if message.error is not None:
-            self._raise_error(message.error.grpc_code, message.error.message)
+            _raise_stream_error(message.error, 'watch')
         if message.result is None:
             raise StoreProtocolError('watch message has no result')
         return message.result
@@ -817,12 +831,6 @@
                     f'watch was dropped: {type(error).__name__}: {error}'
                 )
 
-    def _raise_error(self, code: int, message: str) -> None:
-        try:
-            _raise_refusal(code, message, 'watch')
-        except (_NotExecutedError, _MaybeExecutedError) as error:
-            raise StoreUnavailableError(str(error)) from error
-
     def _handle(self, message: _WatchResult) -> None:
         _check_revision(message.header.revision, 'watch')
         if message.compact_revision:
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -60,8 +60,11 @@
 class _ClientStream(httpcore.AsyncNetworkStream):
     """End of a stream in memory that the HTTP client reads and writes."""
 
-    def __init__(self, stream: trio.abc.HalfCloseableStream) -> None:
+    def __init__(
+        self, stream: trio.abc.HalfCloseableStream, address: str
+    ) -> None:
         self._stream = stream
+        self.address = address
         self.silent = False
 
     async def _check_silent(self) -> None:
@@ -133,10 +136,17 @@
         """Serve an ASGI application at an address ``<ip>:<port>``."""
         self._apps[address] = app
 
-    def silence_open_connections(self) -> None:
-        """Lose all further data of the connections that are open now."""
+    def silence_open_connections(self, address: str = '') -> None:
+        """Lose all further data of the connections that are open now.
+
+        Parameters
+        ----------
+        address : str
+            Only connections to this address; by default all.
+        """
         for stream in self._streams:
-            stream.silent = True
+            if address in ('', stream.address):
+                stream.silent = True
 
     async def connect_tcp(
         self,
@@ -163,7 +173,7 @@
             _ServerStream(far),  # type: ignore[arg-type]
         )
         self._nursery.start_soon(server.run)
-        stream = _ClientStream(near)
+        stream = _ClientStream(near, address)
         self._streams.add(stream)
         return stream
 
--- /dev/null
+++ b/gypsumhall/testing/platform.py
@@ -0,0 +1,91 @@
+"""The stand-in of the platform and stores on it, over streams in memory."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall.core import _model
+from gypsumhall.standin import Platform
+from gypsumhall.standin import PlatformApp
+from gypsumhall.store import _keys
+from gypsumhall.store import EtcdStore
+from gypsumhall.store import Put
+from gypsumhall.testing import builders
+from gypsumhall.testing.memory_network import MemoryNetwork
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gypsumhall.store import Store
+
+ADDRESS = '127.0.0.1:2379'
+"""Address that is always served."""
+
+
+@dataclass(slots=True, frozen=True)
+class MemoryPlatform:
+    """A stand-in that is served in memory.
+
+    Parameters
+    ----------
+    platform : Platform
+        State and faults of the stand-in.
+    network : MemoryNetwork
+        Connections and their faults.
+    """
+
+    platform: Platform
+    network: MemoryNetwork
+
+    def open_store(self, *addresses: str) -> EtcdStore:
+        """Return a store that uses the given gateways, or `ADDRESS`.
+
+        Every address leads to the same stand-in.
+        """
+        for address in addresses:
+            self.network.listen(address, PlatformApp(self.platform))
+        return EtcdStore(addresses or [ADDRESS], network_backend=self.network)
+
+
+@asynccontextmanager
+async def open_platform() -> AsyncIterator[MemoryPlatform]:
+    """Run a stand-in within a context."""
+    async with trio.open_nursery() as nursery:
+        platform = Platform()
+        await nursery.start(platform.run)
+        network = MemoryNetwork(nursery)
+        network.listen(ADDRESS, PlatformApp(platform))
+        yield MemoryPlatform(platform, network)
+        nursery.cancel_scope.cancel()
+
+
+async def write_version(
+    store: Store, version: int, fragment: _model.Fragment | None = None
+) -> None:
+    """Write a head with one department, whatever the former head was.
+
+    Parameters
+    ----------
+    store : Store
+        The platform.
+    version : int
+        Configuration version.
+    fragment : Fragment, optional
+        Contents; by default a route that is named after the version.
+    """
+    if fragment is None:
+        route = builders.build_route(f'r{version}')
+        fragment = builders.build_fragment(routes=[route])
+    data = _model.encode(fragment)
+    head = builders.build_head([fragment], version)
+    await store.txn(
+        [],
+        [
+            Put(_keys.fragment_key(_model.digest(data)), data),
+            Put(_keys.HEAD, _model.encode(head)),
+        ],
+    )
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -19,15 +19,13 @@
 from gypsumhall.services._reader import read_seeds
 from gypsumhall.services._reader import Reader
 from gypsumhall.services._store import PlatformStore
-from gypsumhall.standin import Platform
-from gypsumhall.standin import PlatformApp
 from gypsumhall.store import _keys
-from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
 from gypsumhall.testing import builders
 from gypsumhall.testing.fakes import FakeDistribution
 from gypsumhall.testing.fakes import FakeMembership
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform import open_platform
+from gypsumhall.testing.platform import write_version
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,16 +34,16 @@
     from trio.testing import MockClock
 
     from gypsumhall.core._member import Member
+    from gypsumhall.testing.platform import MemoryPlatform
 
 
 class _Zone:
     """Some daemons of a zone that run readers, and an operator's store."""
 
-    def __init__(self, nursery: trio.Nursery, platform: Platform) -> None:
-        self.platform = platform
-        self.network = MemoryNetwork(nursery)
-        self.network.listen('127.0.0.1:1', PlatformApp(platform))
-        self.store = self._open_store()
+    def __init__(self, opened: MemoryPlatform) -> None:
+        self.opened = opened
+        self.platform = opened.platform
+        self.store = opened.open_store()
         self.members: list[Member] = []
         self.readers: dict[str, Reader] = {}
         self.distributions: dict[str, FakeDistribution] = {}
@@ -53,9 +51,6 @@
         self.kernels: dict[str, Kernel] = {}
         self.version = 0
 
-    def _open_store(self) -> EtcdStore:
-        return EtcdStore(['127.0.0.1:1'], network_backend=self.network)
-
     async def run_daemon(
         self, index: int, *, task_status: Any = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -69,7 +64,7 @@
         for service in (
             log,
             MetricRegistry(),
-            PlatformStore(self._open_store(), rng=rng),
+            PlatformStore(self.opened.open_store(me.peer_address), rng=rng),
             FakeMembership(me, self.members),
             self.distributions[me.id],
             self.readers[me.id],
@@ -82,19 +77,7 @@
     async def change(self, *, fragment: _model.Fragment | None = None) -> None:
         """Write a new version, as acceptance does."""
         self.version += 1
-        name = f'r{self.version}'
-        fragment = fragment or builders.build_fragment(
-            routes=[builders.build_route(name)]
-        )
-        data = _model.encode(fragment)
-        head = builders.build_head([fragment], self.version)
-        await self.store.txn(
-            [],
-            [
-                Put(_keys.fragment_key(_model.digest(data)), data),
-                Put(_keys.HEAD, _model.encode(head)),
-            ],
-        )
+        await write_version(self.store, self.version, fragment)
 
     def slots(self) -> list[int]:
         return sorted(
@@ -118,23 +101,21 @@
 
 
 @asynccontextmanager
-async def _zone(daemons: int) -> AsyncIterator[tuple[_Zone, trio.Nursery]]:
-    async with trio.open_nursery() as nursery:
-        platform = Platform()
-        await nursery.start(platform.run)
-        zone = _Zone(nursery, platform)
+async def _zone(daemons: int) -> AsyncIterator[_Zone]:
+    async with open_platform() as opened, trio.open_nursery() as nursery:
+        zone = _Zone(opened)
         for index in range(daemons):
             await nursery.start(zone.run_daemon, index)
         await zone.change()
         await trio.sleep(20)
-        yield zone, nursery
+        yield zone
         nursery.cancel_scope.cancel()
 
 
 async def test_three_of_many_daemons_publish_each_version_within_a_second(
     autojump_clock: MockClock,
 ) -> None:
-    async with _zone(8) as (zone, _):
+    async with _zone(8) as zone:
         assert zone.slots() == [0, 1, 2]
         for _ in range(5):
             await zone.change()
@@ -155,7 +136,7 @@
     autojump_clock: MockClock,
 ) -> None:
     # Guards against a load that grows with the number of daemons.
-    async with _zone(60) as (zone, _):
+    async with _zone(60) as zone:
         for missing, most_per_s in ((False, 0.7 + 0.7), (True, 0.7 + 5.0)):
             if missing:
                 zone.members[:] = [
@@ -172,7 +153,7 @@
 async def test_a_planned_stop_frees_the_slot_and_a_crash_lets_it_lapse(
     autojump_clock: MockClock,
 ) -> None:
-    async with _zone(8) as (zone, _):
+    async with _zone(8) as zone:
         for stop in (True, False):
             name = next(
                 name
@@ -195,6 +176,26 @@
             zone.check_published(zone.version)
 
 
+async def test_a_reader_that_is_cut_off_alone_loses_its_slot(
+    autojump_clock: MockClock,
+) -> None:
+    # The other members still see it alive, so they learn it from the slots.
+    async with _zone(8) as zone:
+        name, reader = next(
+            item for item in zone.readers.items() if item[1].slot is not None
+        )
+        me = zone.kernels[name].get('membership', FakeMembership).me
+        network = zone.opened.network
+        network.unreachable.add(me.peer_address)
+        network.silence_open_connections(me.peer_address)
+        await trio.sleep(40)
+        assert reader.slot is None
+        assert zone.slots() == [0, 1, 2]
+        await zone.change()
+        await trio.sleep(1)
+        zone.check_published(zone.version)
+
+
 FAULTS: list[Any] = [
     ({'outage': True}, 'platform-unreachable'),
     ({'hang': True}, 'platform-unreachable'),
@@ -220,20 +221,12 @@
     code: str | None,
     duration: float,
 ) -> None:
-    async with _zone(5) as (zone, _):
+    async with _zone(5) as zone:
         await zone.change()
         await trio.sleep(1)
         zone.platform.set_faults(faults)
         await trio.sleep(duration)
-        zone.platform.set_faults(
-            {
-                'outage': False,
-                'hang': False,
-                'delay_s': 0,
-                'nonsense': 0,
-                'lose_responses': 0,
-            }
-        )
+        zone.platform.clear_faults()
         await zone.change()
         await zone.change()
         await trio.sleep(30)
@@ -250,7 +243,7 @@
 async def test_a_silent_watch_delays_a_version_by_one_check_at_most(
     autojump_clock: MockClock,
 ) -> None:
-    async with _zone(3) as (zone, _):
+    async with _zone(3) as zone:
         for _ in range(2):
             await zone.change()
             await trio.sleep(1)
@@ -287,7 +280,7 @@
 async def test_records_that_cannot_be_used_are_reported_and_passed_over(
     autojump_clock: MockClock, writes: Sequence[Put], code: str
 ) -> None:
-    async with _zone(3) as (zone, _):
+    async with _zone(3) as zone:
         before = zone.version
         await zone.store.txn([], writes)
         await trio.sleep(10)
@@ -302,7 +295,7 @@
 async def test_a_version_that_fails_its_checks_is_not_published_again(
     autojump_clock: MockClock,
 ) -> None:
-    async with _zone(3) as (zone, _):
+    async with _zone(3) as zone:
         bad = builders.build_fragment(
             routes=[builders.build_route(service='missing')]
         )
@@ -323,7 +316,7 @@
 async def test_fragments_that_are_installed_or_cached_are_not_fetched(
     autojump_clock: MockClock,
 ) -> None:
-    async with _zone(3) as (zone, _):
+    async with _zone(3) as zone:
         fragment = builders.build_fragment()
         await zone.change(fragment=fragment)
         await trio.sleep(1)
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from contextlib import asynccontextmanager
 from typing import Any
 from typing import Protocol
@@ -22,21 +24,19 @@
 from gypsumhall.errors import StoreProtocolError
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.errors import StoreUnknownError
-from gypsumhall.standin import Platform
-from gypsumhall.standin import PlatformApp
 from gypsumhall.store import Compare
 from gypsumhall.store import Delete
-from gypsumhall.store import EtcdStore
 from gypsumhall.store import MAX_VALUE_BYTES
 from gypsumhall.store import Put
 from gypsumhall.store import Store
 from gypsumhall.store import StoreLeaseError
 from gypsumhall.store import StoreLimitError
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform import open_platform
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from collections.abc import Callable
+
+    from gypsumhall.standin import Platform
 
 
 class Harness(Protocol):
@@ -47,6 +47,9 @@
     def set_faults(self, **faults: Any) -> None:
         """Change faults; the names are the fields of `FaultSettings`."""
 
+    def clear_faults(self) -> None:
+        """End all faults."""
+
 
 class _EtcdHarness:
     def __init__(self, store: Store, platform: Platform) -> None:
@@ -56,22 +59,17 @@
     def set_faults(self, **faults: Any) -> None:
         self._platform.set_faults(faults)
 
+    def clear_faults(self) -> None:
+        self._platform.clear_faults()
+
 
 @asynccontextmanager
 async def _etcd() -> AsyncIterator[Harness]:
-    async with trio.open_nursery() as nursery:
-        platform = Platform()
-        await nursery.start(platform.run)
-        network = MemoryNetwork(nursery)
-        network.listen('127.0.0.1:1', PlatformApp(platform))
-        async with EtcdStore(
-            ['127.0.0.1:1'], network_backend=network
-        ) as store:
-            yield _EtcdHarness(store, platform)
-        nursery.cancel_scope.cancel()
+    async with open_platform() as opened, opened.open_store() as store:
+        yield _EtcdHarness(store, opened.platform)
 
 
-Factory = 'Callable[[], AbstractAsyncContextManager[Harness]]'
+Factory = Callable[[], AbstractAsyncContextManager[Harness]]
 
 FACTORIES = [pytest.param(_etcd, id='etcd')]
 
@@ -263,9 +261,7 @@
             await _error(lambda: store.txn([Compare('new', 0)], writes))
             is write_error
         )
-        harness.set_faults(
-            outage=False, hang=False, delay_s=0, nonsense=0, lose_responses=0
-        )
+        harness.clear_faults()
         await trio.sleep(10)
         assert (await store.get('new') is not None) is executed
 
@@ -358,7 +354,7 @@
         )
     except StoreError as error:
         outcome = error
-    harness.set_faults(outage=False, delay_s=0, lose_responses=0)
+    harness.clear_faults()
     await trio.sleep(5)
     after = await store.get(key)
     executed = after is not None and after.value == value
--- a/tests/test_store_election.py
+++ b/tests/test_store_election.py
@@ -13,33 +13,25 @@
 import trio
 from trio.testing import MockClock
 
-from gypsumhall.standin import Platform
-from gypsumhall.standin import PlatformApp
 from gypsumhall.store import campaign
 from gypsumhall.store import Compare
-from gypsumhall.store import EtcdStore
 from gypsumhall.store import LeaseHeldError
 from gypsumhall.store import Put
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform import open_platform
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from gypsumhall.standin import Platform
+    from gypsumhall.store import EtcdStore
+
 KEY = 'gypsumhall/controller'
 
 
 @asynccontextmanager
 async def _platform() -> AsyncIterator[tuple[EtcdStore, Platform]]:
-    async with trio.open_nursery() as nursery:
-        platform = Platform()
-        await nursery.start(platform.run)
-        network = MemoryNetwork(nursery)
-        network.listen('127.0.0.1:1', PlatformApp(platform))
-        async with EtcdStore(
-            ['127.0.0.1:1'], network_backend=network
-        ) as store:
-            yield store, platform
-        nursery.cancel_scope.cancel()
+    async with open_platform() as opened, opened.open_store() as store:
+        yield store, opened.platform
 
 
 async def test_a_successor_follows_at_once_when_the_lease_is_given_up(
@@ -176,15 +168,7 @@
                     now = trio.current_time()
                     valid = [item for item in held.values() if item.valid(now)]
                     assert len(valid) <= 1 or lapse
-                platform.set_faults(
-                    {
-                        'outage': False,
-                        'hang': False,
-                        'delay_s': 0,
-                        'nonsense': 0,
-                        'lose_responses': 0,
-                    }
-                )
+                platform.clear_faults()
                 await trio.sleep(pause)
             # The campaign recovers from all of it.
             before = terms
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -14,13 +14,13 @@
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.errors import StoreUnknownError
 from gypsumhall.standin import Platform
-from gypsumhall.standin import PlatformApp
 from gypsumhall.standin import serve_platform
 from gypsumhall.store import _etcd
 from gypsumhall.store import Compare
 from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
 from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform import open_platform
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -35,15 +35,8 @@
 async def _two_gateways() -> AsyncIterator[
     tuple[EtcdStore, Platform, MemoryNetwork]
 ]:
-    async with trio.open_nursery() as nursery:
-        platform = Platform()
-        await nursery.start(platform.run)
-        network = MemoryNetwork(nursery)
-        for address in (ONE, TWO):
-            network.listen(address, PlatformApp(platform))
-        async with EtcdStore([ONE, TWO], network_backend=network) as store:
-            yield store, platform, network
-        nursery.cancel_scope.cancel()
+    async with open_platform() as opened, opened.open_store(ONE, TWO) as store:
+        yield store, opened.platform, opened.network
 
 
 class _Script:
@@ -197,6 +190,7 @@
         '"TTL":"10"}}\n',
         '{"result":{"header":{"revision":"4"},"ID":"7587848390000000001"}}\n',
         '{"result":{"header":{"revision":"12"},"created":true}}\n'
+        '{"result":{"header":{"revision":"12"}}}\n'
         '{"result":{"header":{"revision":"13"},"events":[{"kv":{"key":'
         '"Zm9v","mod_revision":"13","value":"YmFy"}},{"type":"DELETE",'
         '"kv":{"key":"Zm9v","mod_revision":"14"}}]}}\n',
