--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -135,8 +135,17 @@
     ttl: int = msgspec.field(name='TTL', default=0)
 
 
+class _StreamError(msgspec.Struct):
+    """Error within a stream; releases of the gateway differ in the name."""
+
+    grpc_code: int = 0
+    code: int = 0
+    message: str = ''
+
+
 class _KeepAliveResponse(msgspec.Struct):
-    result: _KeepAliveResult
+    result: _KeepAliveResult | None = None
+    error: _StreamError | None = None
 
 
 class _Event(msgspec.Struct):
@@ -153,11 +162,6 @@
     events: list[_Event] = []
 
 
-class _StreamError(msgspec.Struct):
-    grpc_code: int = 0
-    message: str = ''
-
-
 class _WatchMessage(msgspec.Struct):
     result: _WatchResult | None = None
     error: _StreamError | None = None
@@ -168,6 +172,42 @@
     message: str = ''
 
 
+class _Pool:
+    """Connections for calls, closed when retired and no longer in use."""
+
+    def __init__(
+        self, network_backend: httpcore.AsyncNetworkBackend | None
+    ) -> None:
+        self._users = 0
+        self._retired = False
+        # An idle connection is given up before a load balancer forgets it.
+        self._connections = httpcore.AsyncConnectionPool(
+            max_connections=16,
+            keepalive_expiry=30.0,
+            network_backend=network_backend,
+        )
+
+    @asynccontextmanager
+    async def use(self) -> AsyncIterator[httpcore.AsyncConnectionPool]:
+        """Keep the connections open within a context."""
+        self._users += 1
+        try:
+            yield self._connections
+        finally:
+            self._users -= 1
+            if self._retired and not self._users:
+                await self.aclose()
+
+    def retire(self) -> None:
+        """Close the connections as soon as no call uses them."""
+        self._retired = True
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+            await self._connections.aclose()
+
+
 class Random(Protocol):
     """Source of random numbers, as `random.Random` offers it."""
 
@@ -279,14 +319,21 @@
     raise _MaybeExecutedError(detail)
 
 
+def _raise_stream_error(error: _StreamError, call: str) -> None:
+    try:
+        _raise_refusal(error.grpc_code or error.code, error.message, call)
+    except (_NotExecutedError, _MaybeExecutedError) as failure:
+        raise StoreUnavailableError(str(failure)) from failure
+
+
 class EtcdStore:
     """The platform's key-value service behind JSON gateways.
 
     A call that was certainly not executed is tried at every address once.
     Calls that may be repeated (reads, and the calls about leases, whose
     repetition leaves at most an unused lease that lapses) are also tried
-    elsewhere when a response is missing. All other calls raise
-    `StoreUnknownError` then.
+    again when a response is missing, with a single address on a new
+    connection. All other calls raise `StoreUnknownError` then.
 
     Parameters
     ----------
@@ -326,12 +373,8 @@
         self._timeout_s = timeout_s
         self._silence_s = silence_s
         self._preferred = 0 if rng is None else rng.randrange(len(self._urls))
-        # An idle connection is given up before a load balancer forgets it.
-        self._calls = httpcore.AsyncConnectionPool(
-            max_connections=16,
-            keepalive_expiry=30.0,
-            network_backend=network_backend,
-        )
+        self._network_backend = network_backend
+        self._calls = _Pool(network_backend)
         # Every watch occupies a connection, so they have their own pool.
         self._watches = httpcore.AsyncConnectionPool(
             max_connections=None,
@@ -359,8 +402,8 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
+        await self._calls.aclose()
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
-            await self._calls.aclose()
             await self._watches.aclose()
 
     async def get(self, key: str) -> KeyValue | None:
@@ -505,12 +548,15 @@
         response = _decode(
             data.strip(), _KeepAliveResponse, 'lease keep-alive'
         )
-        if response.result.id != lease:
+        if response.error is not None:
+            _raise_stream_error(response.error, 'lease keep-alive')
+        result = response.result
+        if result is None or result.id != lease:
             raise StoreProtocolError(
-                f'response to lease keep-alive is about lease '
-                f'{response.result.id}, expected {lease}'
+                f'response to lease keep-alive is {result}, expected the '
+                f'lease {lease}'
             )
-        return response.result.ttl > 0
+        return result.ttl > 0
 
     async def revoke(self, lease: int) -> None:
         """End a lease and remove its keys."""
@@ -606,7 +652,11 @@
     ) -> bytes:
         encoded = msgspec.json.encode(body)
         failure: Exception = _NotExecutedError('no address')
-        for index in self._order():
+        order = self._order()
+        if repeatable and len(order) == 1:
+            # The second attempt uses a new connection.
+            order *= 2
+        for index in order:
             try:
                 data = await self._call_once(index, path, encoded)
             except StoreProtocolError:
@@ -634,11 +684,17 @@
 
         request = self._request(index, path, body, self._timeout_s, trace)
         where = f'{path} at {self._urls[index]}'
+        pool = self._calls
         try:
-            with trio.fail_after(self._timeout_s):
-                response = await self._calls.handle_async_request(request)
-                data = await self._read(response)
+            async with pool.use() as connections:
+                with trio.fail_after(self._timeout_s):
+                    response = await connections.handle_async_request(request)
+                    data = await self._read(response)
         except (*_HTTP_ERRORS, trio.TooSlowError) as error:
+            if sent and pool is self._calls:
+                # The other open connections may be silent for good as well.
+                pool.retire()
+                self._calls = _Pool(self._network_backend)
             detail = f'{where}: {type(error).__name__}: {error}'
             if sent:
                 raise _MaybeExecutedError(detail)
@@ -746,7 +802,7 @@
     async def _receive(self) -> _WatchResult:
         message = _decode(await self._read_line(), _WatchMessage, 'watch')
         if message.error is not None:
-            self._raise_error(message.error.grpc_code, message.error.message)
+            _raise_stream_error(message.error, 'watch')
         if message.result is None:
             raise StoreProtocolError('watch message has no result')
         return message.result
@@ -775,12 +831,6 @@
                     f'watch was dropped: {type(error).__name__}: {error}'
                 )
 
-    def _raise_error(self, code: int, message: str) -> None:
-        try:
-            _raise_refusal(code, message, 'watch')
-        except (_NotExecutedError, _MaybeExecutedError) as error:
-            raise StoreUnavailableError(str(error)) from error
-
     def _handle(self, message: _WatchResult) -> None:
         _check_revision(message.header.revision, 'watch')
         if message.compact_revision:
