--- /dev/null
+++ b/gypsumhall/core/_actions.py
@@ -0,0 +1,75 @@
+"""What the replica asks its surroundings to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from gypsumhall._errors import InvalidUpdateError
+    from gypsumhall.core._snapshot import Snapshot
+    from gypsumhall.net._messages import Message
+    from gypsumhall.net._messages import Pull
+    from gypsumhall.net._messages import Revert
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Send a message without waiting for an answer."""
+
+    address: str
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Fetch:
+    """Pull a configuration; the result goes to `Replica.fetched`."""
+
+    address: str
+    pull: Pull
+
+
+@dataclass(slots=True, frozen=True)
+class FetchReverts:
+    """Pull the reverts; the result goes to `Replica.receive_reverts`."""
+
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class Installed:
+    """A configuration version was installed."""
+
+    snapshot: Snapshot
+
+
+@dataclass(slots=True, frozen=True)
+class Reverted:
+    """Moves were added to the reverts."""
+
+    reverts: tuple[Revert, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Alarm:
+    """Something that an operator should look at.
+
+    Parameters
+    ----------
+    code : str
+        Event code.
+    fields : mapping of str to object
+        Details of the event.
+    error : InvalidUpdateError or None
+        Check that an update failed.
+    """
+
+    code: str
+    fields: Mapping[str, object] = field(default_factory=dict)
+    error: InvalidUpdateError | None = None
+
+
+Action = Send | Fetch | FetchReverts | Installed | Reverted | Alarm
--- a/gypsumhall/core/_snapshot.py
+++ b/gypsumhall/core/_snapshot.py
@@ -16,6 +16,16 @@
 _NO_REVERTS: frozenset[str] = frozenset()
 
 
+class CorruptUpdateError(InvalidUpdateError):
+    """An update whose contents do not match its digests.
+
+    The message is at fault, not the version: another peer may still send
+    the same version intact.
+    """
+
+    code = 'corrupt-update'
+
+
 @dataclass(slots=True, frozen=True)
 class MatchedRoute:
     """A route with the department that owns it.
@@ -76,22 +86,14 @@
         self,
         head: _model.Head,
         fragments: Mapping[str, _model.Fragment],
+        services: Mapping[str, _model.Service],
+        routes: Mapping[tuple[str, str], MatchedRoute],
     ) -> None:
         self._head = head
         self._fragments = fragments
+        self._services = services
+        self._routes = routes
         self._digest = _model.digest(_model.encode(head))[:16]
-        self._services = {
-            service.name: service
-            for fragment in fragments.values()
-            for service in fragment.services
-        }
-        self._routes: dict[tuple[str, str], MatchedRoute] = {
-            (route.host, route.path.rstrip('/')): MatchedRoute(
-                f'{fragment.department}/{route.name}', route
-            )
-            for fragment in fragments.values()
-            for route in fragment.routes
-        }
         self._moves = {
             move.spec.service: move
             for move in head.moves.values()
@@ -115,13 +117,14 @@
 
         Raises
         ------
+        CorruptUpdateError
+            When a fragment is missing or has another digest.
         InvalidUpdateError
-            When a fragment is missing or has another digest, or when a
-            route or move names something that does not exist.
+            When a route or move names something that does not exist, or
+            when a service or a route is defined twice.
         """
-        by_department = {item.department: item for item in fragments}
-        _check_digests(head, by_department, known=None)
-        return cls._checked(head, by_department)
+        empty = cls(_model.Head(), {}, {}, {})
+        return empty.advance(head, fragments)
 
     def apply(
         self,
@@ -150,25 +153,115 @@
                 f'delta to version {head.version} starts from version '
                 f'{base}, but version {self.version} is installed'
             )
-        merged = {
+        return self.advance(head, fragments)
+
+    def advance(
+        self, head: _model.Head, fragments: Iterable[_model.Fragment]
+    ) -> Snapshot:
+        """Return the configuration of another head.
+
+        Only what differs from this configuration is checked again, so a
+        change of one department does not cost a pass over all of them.
+
+        Parameters
+        ----------
+        head : Head
+            Head record of the other version.
+        fragments : iterable of Fragment
+            At least the fragments whose digest differs from this version.
+
+        Raises
+        ------
+        InvalidUpdateError
+            As in `build`.
+        """
+        given = {item.department: item for item in fragments}
+        merged, changed = self._merge(head, given)
+        before = {
             name: fragment
             for name, fragment in self._fragments.items()
-            if name in head.departments
+            if merged.get(name) is not fragment
         }
-        changed = {item.department: item for item in fragments}
-        merged.update(changed)
-        _check_digests(head, merged, known=(self, changed))
-        return self._checked(head, merged)
+        services = self._services
+        routes = self._routes
+        if before or changed:
+            services, routes = self._index(head, before, changed)
+        snapshot = Snapshot(head, merged, services, routes)
+        lost = any(
+            service.name not in services
+            for fragment in before.values()
+            for service in fragment.services
+        )
+        _check_references(
+            snapshot, merged.values() if lost else changed.values()
+        )
+        if before or changed or head.current is not self._head.current:
+            _check_current(snapshot)
+        return snapshot
 
-    @classmethod
-    def _checked(
-        cls,
+    def _merge(
+        self, head: _model.Head, given: Mapping[str, _model.Fragment]
+    ) -> tuple[dict[str, _model.Fragment], dict[str, _model.Fragment]]:
+        merged = {}
+        changed = {}
+        for name, ref in head.departments.items():
+            held = self._head.departments.get(name)
+            if held is not None and held.fragment == ref.fragment:
+                merged[name] = self._fragments[name]
+                continue
+            fragment = given.get(name)
+            if fragment is None:
+                raise CorruptUpdateError(
+                    f'version {head.version} lacks the fragment of {name!r} '
+                    f'with digest {ref.fragment}'
+                )
+            found = _model.digest(_model.encode(fragment))
+            if found != ref.fragment:
+                raise CorruptUpdateError(
+                    f'fragment of {name!r} in version {head.version} has '
+                    f'digest {found}, expected {ref.fragment}'
+                )
+            merged[name] = changed[name] = fragment
+        extra = sorted(set(given) - set(merged))
+        if extra:
+            raise CorruptUpdateError(
+                f'version {head.version} has fragments of {extra}, which its '
+                'head does not name'
+            )
+        return merged, changed
+
+    def _index(
+        self,
         head: _model.Head,
-        fragments: Mapping[str, _model.Fragment],
-    ) -> Snapshot:
-        snapshot = cls(head, fragments)
-        _check_references(snapshot)
-        return snapshot
+        before: Mapping[str, _model.Fragment],
+        changed: Mapping[str, _model.Fragment],
+    ) -> tuple[dict[str, _model.Service], dict[tuple[str, str], MatchedRoute]]:
+        services = dict(self._services)
+        routes = dict(self._routes)
+        for fragment in before.values():
+            for service in fragment.services:
+                del services[service.name]
+            for route in fragment.routes:
+                del routes[_route_key(route)]
+        for fragment in changed.values():
+            for service in fragment.services:
+                if service.name in services:
+                    raise InvalidUpdateError(
+                        f'version {head.version} defines service '
+                        f'{service.name!r} twice'
+                    )
+                services[service.name] = service
+            for route in fragment.routes:
+                key = _route_key(route)
+                if key in routes:
+                    raise InvalidUpdateError(
+                        f'version {head.version} has two routes for host '
+                        f'{route.host!r} and path {route.path!r}'
+                    )
+                routes[key] = MatchedRoute(
+                    f'{fragment.department}/{route.name}', route
+                )
+        return services, routes
 
     @property
     def version(self) -> int:
@@ -250,57 +343,35 @@
         )
 
 
-def _check_digests(
-    head: _model.Head,
-    fragments: Mapping[str, _model.Fragment],
-    known: tuple[Snapshot, Mapping[str, _model.Fragment]] | None,
-) -> None:
-    for name, ref in head.departments.items():
-        fragment = fragments.get(name)
-        if fragment is None:
-            raise InvalidUpdateError(
-                f'version {head.version} lacks the fragment of {name!r}'
-            )
-        if known is not None and name not in known[1]:
-            held = known[0].head.departments[name].fragment
-        else:
-            held = _model.digest(_model.encode(fragment))
-        if held != ref.fragment:
-            raise InvalidUpdateError(
-                f'fragment of {name!r} in version {head.version} has '
-                f'digest {held}, expected {ref.fragment}'
-            )
-    extra = sorted(set(fragments) - set(head.departments))
-    if extra:
-        raise InvalidUpdateError(
-            f'version {head.version} has fragments of {extra}, which its '
-            'head does not name'
-        )
+def _route_key(route: _model.Route) -> tuple[str, str]:
+    return route.host, route.path.rstrip('/')
 
 
-def _check_references(snapshot: Snapshot) -> None:
+def _check_references(
+    snapshot: Snapshot, fragments: Iterable[_model.Fragment]
+) -> None:
     services = snapshot.services
-    count = sum(len(item.services) for item in snapshot.fragments.values())
-    if count != len(services):
-        raise InvalidUpdateError(
-            f'version {snapshot.version} defines a service twice'
-        )
-    for matched in snapshot.routes:
-        if matched.route.service not in services:
-            raise InvalidUpdateError(
-                f'route {matched.id!r} points at service '
-                f'{matched.route.service!r}, which does not exist'
-            )
-    for service in services.values():
-        for name in service.depends_on:
-            if name not in services:
+    for fragment in fragments:
+        for route in fragment.routes:
+            if route.service not in services:
                 raise InvalidUpdateError(
-                    f'service {service.name!r} depends on {name!r}, which '
-                    'does not exist'
+                    f"route '{fragment.department}/{route.name}' points at "
+                    f'service {route.service!r}, which does not exist'
                 )
+        for service in fragment.services:
+            for name in service.depends_on:
+                if name not in services:
+                    raise InvalidUpdateError(
+                        f'service {service.name!r} depends on {name!r}, '
+                        'which does not exist'
+                    )
     for move in snapshot.head.moves.values():
         if not move.state.final:
             _check_move(snapshot, move.spec)
+
+
+def _check_current(snapshot: Snapshot) -> None:
+    services = snapshot.services
     for name, version in snapshot.head.current.items():
         if name not in services or version not in services[name].versions:
             raise InvalidUpdateError(
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -14,6 +14,9 @@
 from gypsumhall.core._member import Member
 from gypsumhall.core._model import Fragment
 from gypsumhall.core._model import Head
+from gypsumhall.core._model import MoveSpec
+from gypsumhall.core._model import Route
+from gypsumhall.core._model import Service
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -161,23 +164,69 @@
 # Distribution
 
 
+class HeadRemovals(msgspec.Struct, frozen=True, array_like=True):
+    """Keys of a head's maps that a delta removes."""
+
+    departments: tuple[str, ...] = ()
+    moves: tuple[str, ...] = ()
+    current: tuple[str, ...] = ()
+    submissions: tuple[str, ...] = ()
+
+
+class FragmentPatch(msgspec.Struct, frozen=True, array_like=True):
+    """Change of one department's fragment.
+
+    Parameters
+    ----------
+    department : str
+        Name of the department.
+    services, routes, moves : tuple
+        Added and changed entries.
+    removed_services, removed_routes, removed_moves : tuple of str
+        Names or ids of removed entries.
+    """
+
+    department: str
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    moves: tuple[MoveSpec, ...] = ()
+    removed_services: tuple[str, ...] = ()
+    removed_routes: tuple[str, ...] = ()
+    removed_moves: tuple[str, ...] = ()
+
+
 class Update(Message, frozen=True, tag=20):
     """A configuration version, whole or as a delta.
 
+    A delta carries only what differs from its base: a head of 1,900
+    services takes 300 KB, but a typical change takes under 1 KB.
+
     Parameters
     ----------
     head : Head
-        Head record of the version.
+        Head record of the version; in a delta, the version and the added
+        and changed entries of the head's maps.
     base : int
-        Configuration version that the delta starts from; 0 when all
-        fragments are included.
+        Configuration version that the delta starts from; 0 for a whole
+        configuration.
     fragments : tuple of Fragment
-        Fragments that differ from the base, or all.
+        All fragments, or those that a delta replaces as a whole.
     root : str
-        Id of the reader whose tree carries the update; empty outside the
-        tree.
+        Id of the daemon at the root of the tree that carries the update;
+        empty outside the tree.
     time : int
         Hybrid logical clock of the sender.
+    digest : str
+        Digest of the resulting snapshot; required in a delta.
+    base_digest : str
+        Digest of the base's snapshot.
+    removed : HeadRemovals
+        Entries of the base's head that are gone.
+    patches : tuple of FragmentPatch
+        Changes of fragments that are not replaced as a whole.
+    more : bool
+        Whether a further `Update` in the exchange carries more fragments
+        of the same version.
     """
 
     head: Head
@@ -185,6 +234,11 @@
     fragments: tuple[Fragment, ...]
     root: str = ''
     time: int = 0
+    digest: str = ''
+    base_digest: str = ''
+    removed: HeadRemovals = HeadRemovals()
+    patches: tuple[FragmentPatch, ...] = ()
+    more: bool = False
 
 
 class Announcement(Message, frozen=True, tag=21):
@@ -200,9 +254,13 @@
     ----------
     held : int
         Version that the sender holds, as base of a delta; 0 for none.
+    digest : str
+        Digest of the held snapshot. A delta is sent only from a base with
+        the same digest.
     """
 
     held: int = 0
+    digest: str = ''
 
 
 class FloorRequest(Message, frozen=True, tag=23):
@@ -227,10 +285,15 @@
         have held; 0 when unknown.
     held : int
         Configuration version of the answering daemon.
+    ready : bool
+        Whether the answering daemon has reached its own floor. When all
+        daemons of a zone restart together, their empty state must not
+        count as an answer.
     """
 
     acknowledged: int
     held: int
+    ready: bool = True
 
 
 class Acknowledgement(Message, frozen=True, tag=25):
@@ -303,10 +366,27 @@
 
 
 class Reverts(Message, frozen=True, tag=27):
-    """Reverted moves, merged by union."""
+    """Reverted moves, merged by union.
+
+    Parameters
+    ----------
+    reverts : tuple of Revert
+        The verdicts.
+    time : int
+        Hybrid logical clock of the sender.
+    version : int
+        Configuration version by which all these moves existed. A receiver
+        at this version or above whose configuration does not know a move
+        drops its revert, because the move has been removed since.
+    root : str
+        Id of the daemon of the receiver's zone whose tree carries the
+        message; empty outside a tree.
+    """
 
     reverts: tuple[Revert, ...]
     time: int = 0
+    version: int = 0
+    root: str = ''
 
 
 class RevertsPull(Message, frozen=True, tag=28):
--- /dev/null
+++ b/gypsumhall/services/_distribution.py
@@ -0,0 +1,566 @@
+"""Service that keeps the configuration of this daemon up to date."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+from typing import cast
+from typing import TYPE_CHECKING
+
+from loguru import logger
+import msgspec
+import trio
+
+from gypsumhall._errors import PeerError
+from gypsumhall._errors import StoreError
+from gypsumhall._kernel import KernelError
+from gypsumhall.core import _delta
+from gypsumhall.core._actions import Action
+from gypsumhall.core._actions import Alarm
+from gypsumhall.core._actions import Fetch
+from gypsumhall.core._actions import FetchReverts
+from gypsumhall.core._actions import Installed
+from gypsumhall.core._actions import Reverted
+from gypsumhall.core._actions import Send
+from gypsumhall.core._replica import Replica
+from gypsumhall.core._snapshot import CorruptUpdateError
+from gypsumhall.core._tree import pick
+from gypsumhall.core._tree import ring_neighbours
+from gypsumhall.net._messages import Acknowledgement
+from gypsumhall.net._messages import Announcement
+from gypsumhall.net._messages import Busy
+from gypsumhall.net._messages import Digest
+from gypsumhall.net._messages import Floor
+from gypsumhall.net._messages import FloorRequest
+from gypsumhall.net._messages import Pull
+from gypsumhall.net._messages import Reverts
+from gypsumhall.net._messages import RevertsPull
+from gypsumhall.net._messages import Update
+from gypsumhall.net._messages import ZoneSummaries
+from gypsumhall.net._protocol import PeerNetwork
+from gypsumhall.services._protocols import Events
+from gypsumhall.services._protocols import Membership
+from gypsumhall.services._protocols import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from gypsumhall._kernel import Kernel
+    from gypsumhall.core._member import Member
+    from gypsumhall.core._model import Fragment
+    from gypsumhall.core._model import Head
+    from gypsumhall.core._snapshot import Snapshot
+    from gypsumhall.net._messages import Message
+    from gypsumhall.net._messages import Revert
+    from gypsumhall.net._messages import ZoneSummary
+    from gypsumhall.net._protocol import Exchange
+
+HeadReader = Callable[[], Awaitable['Head']]
+
+# A whole configuration takes about 1 MB at the design scale, so more
+# bootstraps at a time would exceed a daemon's memory and network share.
+MAX_BOOTSTRAPS = 8
+
+# Answers from which a version floor is derived.
+FLOOR_ANSWERS = 3
+
+_BOOTSTRAP_JITTER_S = 0.5
+_FLOOR_ASKED = 8
+_FLOOR_TIMEOUT_S = 1.0
+_BACKOFF_MIN_S = 0.2
+_BACKOFF_MAX_S = 5.0
+
+# Two rounds of membership heartbeats: before, the member table may not yet
+# list the members that a small zone has.
+_SETTLE_S = 2.0
+
+_FETCH_TIMEOUT_S = 10.0
+_REVERTS_TIMEOUT_S = 2.0
+
+# At 512 KiB per part this is far above any valid configuration.
+_MAX_PARTS = 64
+
+
+class DistributionService:
+    """Installed configuration and reverts; the service ``distribution``.
+
+    Parameters
+    ----------
+    rng : random.Random or None
+        Source of randomness; a fresh one by default.
+    """
+
+    __slots__ = (
+        '_bootstraps',
+        '_events',
+        '_membership',
+        '_metrics',
+        '_nursery',
+        '_peers',
+        '_read_head',
+        '_ready',
+        '_replica',
+        '_rng',
+        '_subscribers',
+        '_wake',
+    )
+
+    name = 'distribution'
+    requires: tuple[str, ...] = ('peers', 'membership')
+
+    def __init__(self, *, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._replica: Replica | None = None
+        self._read_head: HeadReader | None = None
+        self._subscribers: list[Callable[[], None]] = []
+        self._ready = trio.Event()
+        self._wake = trio.Event()
+        self._bootstraps = 0
+        self._events: Events | None = None
+        self._metrics: Metrics | None = None
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """Installed configuration; None before the floor is reached."""
+        replica = self._replica
+        return replica.snapshot if replica and replica.ready else None
+
+    @property
+    def reverts(self) -> Mapping[str, Revert]:
+        """Reverted moves by id."""
+        return self._replica.reverts if self._replica else {}
+
+    @property
+    def summaries(self) -> Mapping[str, ZoneSummary]:
+        """Latest summary of every zone."""
+        return self._replica.summaries if self._replica else {}
+
+    @property
+    def digest(self) -> Digest:
+        """Summary of the state that daemons compare with each other."""
+        return self._replica.digest if self._replica else Digest()
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Keep the configuration up to date until cancelled.
+
+        The service counts as started before the version floor is reached;
+        use `wait_ready` for that.
+        """
+        # The type checker refuses protocols in place of concrete types.
+        peers: PeerNetwork = kernel.get('peers', cast('type', PeerNetwork))
+        membership: Membership = kernel.get(
+            'membership', cast('type', Membership)
+        )
+        self._peers = peers
+        self._membership = membership
+        if 'events' in kernel.names:
+            self._events = kernel.get('events', cast('type', Events))
+        if 'metrics' in kernel.names:
+            self._metrics = kernel.get('metrics', cast('type', Metrics))
+        self._replica = Replica(membership.me, membership.table, self._rng)
+        self._listen()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._run_timers)
+            nursery.start_soon(self._bootstrap)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Return at once: peers may pull until the daemon has stopped."""
+
+    async def wait_ready(self) -> None:
+        """Wait until a configuration at or above the floor is installed."""
+        await self._ready.wait()
+
+    def set_head_reader(self, read: HeadReader) -> None:
+        """Set how the version floor is read when peers do not know it.
+
+        Parameters
+        ----------
+        read : callable
+            Coroutine function that returns the platform's head, an empty
+            one when there is none. It raises `StoreError` on failure.
+        """
+        self._read_head = read
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each install and each new revert."""
+        self._subscribers.append(callback)
+
+    def in_effect(self, version: int) -> bool:
+        """Whether every member of every zone acknowledged a version."""
+        return self._replica is not None and self._replica.in_effect(version)
+
+    def install(self, update: Update) -> bool:
+        """Install an update; False when it is not newer.
+
+        Raises
+        ------
+        InvalidUpdateError
+            When the update fails its checks; nothing was applied.
+        """
+        replica = self._started()
+        before = replica.version
+        actions = replica.receive(update, '', trio.current_time())
+        self._execute(actions)
+        for action in actions:
+            if isinstance(action, Alarm) and action.error is not None:
+                raise action.error
+        return replica.version > before
+
+    def publish(self, head: Head, fragments: Sequence[Fragment]) -> None:
+        """Install a version read from the platform and push it.
+
+        Parameters
+        ----------
+        head : Head
+            Head record.
+        fragments : sequence of Fragment
+            All fragments that the head names.
+        """
+        replica = self._started()
+        self._execute(replica.publish(head, fragments, trio.current_time()))
+
+    def add_revert(self, revert: Revert) -> None:
+        """Add a verdict, apply it and spread it at once."""
+        self._execute(self._started().add_revert(revert))
+
+    def _started(self) -> Replica:
+        if self._replica is None:
+            raise KernelError('service distribution has not been started')
+        return self._replica
+
+    def _listen(self) -> None:
+        self._peers.on(Update, self._on_update)
+        self._peers.on(Announcement, self._on_announcement)
+        self._peers.on(Pull, self._on_pull)
+        self._peers.on(FloorRequest, self._on_floor_request)
+        self._peers.on(Acknowledgement, self._on_acknowledgement)
+        self._peers.on(ZoneSummaries, self._on_summaries)
+        self._peers.on(Reverts, self._on_reverts)
+        self._peers.on(RevertsPull, self._on_reverts_pull)
+        self._membership.subscribe(self._on_members)
+        # Heartbeats compare digests more often than announcements do.
+        provide = getattr(self._membership, 'set_digest_provider', None)
+        if provide is not None:
+            provide(lambda: self.digest)
+        observe = getattr(self._membership, 'on_peer_digest', None)
+        if observe is not None:
+            observe(self._on_peer_digest)
+
+    # Actions
+
+    def _execute(self, actions: Iterable[Action]) -> None:
+        changed = False
+        for action in actions:
+            match action:
+                case Send(address, message):
+                    self._peers.post(address, self._stamped(message))
+                case Fetch():
+                    self._nursery.start_soon(self._fetch, action)
+                case FetchReverts(address):
+                    self._nursery.start_soon(self._fetch_reverts, address)
+                case Installed(snapshot):
+                    changed = True
+                    self._note(
+                        'snapshot-installed',
+                        version=snapshot.version,
+                        digest=snapshot.digest,
+                    )
+                case Reverted(reverts):
+                    changed = True
+                    for revert in reverts:
+                        self._note(
+                            'move-reverted',
+                            move=revert.move,
+                            reason=revert.reason,
+                            origin=revert.origin,
+                        )
+                case Alarm(code, fields):
+                    logger.warning('{}: {}', code, dict(fields))
+                    self._note(code, **fields)
+        replica = self._started()
+        if replica.ready and not self._ready.is_set():
+            self._ready.set()
+            self._note('distribution-ready', version=replica.version)
+            changed = True
+        self._wake.set()
+        if changed:
+            for callback in self._subscribers:
+                callback()
+
+    def _stamped(self, message: Message) -> Message:
+        if self._events and isinstance(message, Update | Reverts):
+            time = self._events.clock.now()
+            return msgspec.structs.replace(message, time=time)
+        return message
+
+    def _observe(self, message: Update | Reverts) -> None:
+        if self._events and message.time:
+            self._events.clock.observe(message.time)
+
+    def _note(self, code: str, **fields: object) -> None:
+        if self._events:
+            self._events.emit(code, **fields)
+        if self._metrics:
+            self._metrics.counter(
+                'gypsumhall_distribution_events',
+                'Installs, reverts and alarms of the distribution.',
+            ).add(code=code)
+            self._metrics.gauge(
+                'gypsumhall_configuration_version',
+                'Installed configuration version.',
+            ).set(self._started().version)
+
+    async def _run_timers(self) -> None:
+        replica = self._started()
+        while True:
+            self._wake = trio.Event()
+            with trio.move_on_at(replica.due):
+                await self._wake.wait()
+            self._execute(replica.tick(trio.current_time()))
+
+    async def _fetch(self, action: Fetch) -> None:
+        answer: Update | Busy | None = None
+        try:
+            with trio.move_on_after(_FETCH_TIMEOUT_S):
+                answer = await self._pull(action)
+        except (PeerError, trio.EndOfChannel) as error:
+            logger.debug('pull from {} failed: {}', action.address, error)
+        except CorruptUpdateError as error:
+            alarm = Alarm(
+                error.code, {'peer': action.address, 'error': str(error)}
+            )
+            self._execute([alarm])
+        if isinstance(answer, Update):
+            self._observe(answer)
+        now = trio.current_time()
+        replica = self._started()
+        self._execute(replica.fetched(action.address, answer, now))
+
+    async def _pull(self, action: Fetch) -> Update | Busy | None:
+        parts: list[Update] = []
+        async with self._peers.open(action.address, action.pull) as exchange:
+            while len(parts) < _MAX_PARTS:
+                message = await exchange.receive()
+                if isinstance(message, Busy):
+                    return message
+                if not isinstance(message, Update):
+                    return None
+                parts.append(message)
+                if not message.more:
+                    break
+        return _delta.join(parts)
+
+    async def _fetch_reverts(self, address: str) -> None:
+        try:
+            answer = await self._peers.request(
+                address, RevertsPull(), timeout_s=_REVERTS_TIMEOUT_S
+            )
+        except (PeerError, trio.EndOfChannel) as error:
+            logger.debug('reverts from {} failed: {}', address, error)
+            return
+        if isinstance(answer, Reverts):
+            self._observe(answer)
+            self._execute(
+                self._started().receive_reverts(answer, address, whole=True)
+            )
+
+    # Bootstrap
+
+    async def _bootstrap(self) -> None:
+        """Learn the version floor, then pull until it is reached."""
+        replica = self._started()
+        started = trio.current_time()
+        await trio.sleep(self._rng.uniform(0, _BOOTSTRAP_JITTER_S))
+        backoff = _BACKOFF_MIN_S
+        while not replica.ready:
+            await self._learn_floor(started)
+            if replica.ready:
+                break
+            with trio.move_on_after(self._rng.uniform(backoff / 2, backoff)):
+                await self._ready.wait()
+            backoff = min(backoff * 2, _BACKOFF_MAX_S)
+
+    async def _learn_floor(self, started: float) -> None:
+        replica = self._started()
+        me = self._membership.me
+        others = [
+            member
+            for member in self._membership.table.alive(me.zone)
+            if member.id != me.id
+        ]
+        answers = await self._ask_members(others)
+        now = trio.current_time()
+        for member, answer in answers:
+            replica.hint(answer.held, member.peer_address, now)
+        if replica.floor is not None:
+            self._execute([])
+            return
+        floor = max(
+            (max(item.acknowledged, item.held) for _, item in answers),
+            default=0,
+        )
+        ready = sum(1 for _, item in answers if item.ready)
+        known = ready >= FLOOR_ANSWERS
+        if not known:
+            head = await self._head_version()
+            if head is not None:
+                floor = max(floor, head)
+                known = True
+        if not known:
+            # All members of a small zone, once the member table settled.
+            settled = trio.current_time() >= started + _SETTLE_S
+            known = settled and 0 < len(others) == ready
+        if known:
+            replica.set_floor(floor, trio.current_time())
+        self._execute([])
+
+    async def _ask_members(
+        self, others: Sequence[Member]
+    ) -> list[tuple[Member, Floor]]:
+        me = self._membership.me
+        # The daemons that receive this one's heartbeats know the version
+        # that it acknowledged last.
+        asked = {
+            item.id: item
+            for item in [
+                *ring_neighbours(me.id, others, FLOOR_ANSWERS),
+                *pick(others, _FLOOR_ASKED, me.id, self._rng),
+            ][:_FLOOR_ASKED]
+        }
+        answers: list[tuple[Member, Floor]] = []
+
+        async def ask(member: Member) -> None:
+            try:
+                answer = await self._peers.request(
+                    member.peer_address,
+                    FloorRequest(me.id),
+                    timeout_s=_FLOOR_TIMEOUT_S,
+                )
+            except (PeerError, trio.EndOfChannel):
+                return
+            if isinstance(answer, Floor):
+                answers.append((member, answer))
+
+        with trio.move_on_after(2 * _FLOOR_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for member in asked.values():
+                    nursery.start_soon(ask, member)
+        return answers
+
+    async def _head_version(self) -> int | None:
+        if self._read_head is None:
+            return None
+        try:
+            with trio.move_on_after(_FETCH_TIMEOUT_S):
+                return (await self._read_head()).version
+        except StoreError as error:
+            logger.debug('head cannot be read: {}', error)
+        return None
+
+    # Handlers
+
+    def _on_members(self) -> None:
+        self._started().members_changed(trio.current_time())
+        self._wake.set()
+
+    def _on_peer_digest(self, address: str, digest: Digest) -> None:
+        replica = self._started()
+        now = trio.current_time()
+        self._execute(replica.receive_digest(digest, address, now))
+
+    async def _on_update(self, exchange: Exchange, message: Update) -> None:
+        self._observe(message)
+        replica = self._started()
+        now = trio.current_time()
+        self._execute(replica.receive(message, exchange.peer.address, now))
+
+    async def _on_announcement(
+        self, exchange: Exchange, message: Announcement
+    ) -> None:
+        replica = self._started()
+        self._execute(
+            replica.receive_digest(
+                message.digest,
+                exchange.peer.address,
+                trio.current_time(),
+                reply=True,
+            )
+        )
+
+    async def _on_pull(self, exchange: Exchange, message: Pull) -> None:
+        parts = self._started().answer_pull(message)
+        if parts[0].base:
+            for part in parts:
+                await exchange.send(part)
+        elif self._bootstraps >= MAX_BOOTSTRAPS:
+            await exchange.send(self._busy(exchange.peer.id))
+        else:
+            self._bootstraps += 1
+            try:
+                for part in parts:
+                    await exchange.send(part)
+            finally:
+                self._bootstraps -= 1
+        await exchange.finish()
+
+    def _busy(self, asking: str) -> Busy:
+        me = self._membership.me
+        members = [
+            member
+            for member in self._membership.table.alive(me.zone)
+            if member.id != asking
+        ]
+        chosen = pick(members, FLOOR_ANSWERS, me.id, self._rng)
+        return Busy(tuple(item.peer_address for item in chosen))
+
+    async def _on_floor_request(
+        self, exchange: Exchange, message: FloorRequest
+    ) -> None:
+        replica = self._started()
+        acknowledged = self._membership.acknowledged(message.member)
+        await exchange.send(
+            Floor(acknowledged, replica.version, replica.ready)
+        )
+        await exchange.finish()
+
+    async def _on_acknowledgement(
+        self, exchange: Exchange, message: Acknowledgement
+    ) -> None:
+        replica = self._started()
+        now = trio.current_time()
+        self._execute(
+            replica.receive_acknowledgement(exchange.peer.id, message, now)
+        )
+
+    async def _on_summaries(
+        self, exchange: Exchange, message: ZoneSummaries
+    ) -> None:
+        replica = self._started()
+        peer = exchange.peer
+        now = trio.current_time()
+        self._execute(
+            replica.receive_summaries(message, peer.address, peer.zone, now)
+        )
+
+    async def _on_reverts(self, exchange: Exchange, message: Reverts) -> None:
+        self._observe(message)
+        self._execute(
+            self._started().receive_reverts(message, exchange.peer.address)
+        )
+
+    async def _on_reverts_pull(
+        self, exchange: Exchange, message: RevertsPull
+    ) -> None:
+        answer = self._started().all_reverts()
+        await exchange.send(self._stamped(answer))
+        await exchange.finish()
--- /dev/null
+++ b/tests/test_core_replica.py
@@ -0,0 +1,416 @@
+"""State machine over several replicas with an unreliable network."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import msgspec
+
+from gypsumhall.core import _actions
+from gypsumhall.core import _delta
+from gypsumhall.core import _model
+from gypsumhall.core._replica import Replica
+from gypsumhall.core._snapshot import Snapshot
+from gypsumhall.net import _messages
+from gypsumhall.testing import builders
+from gypsumhall.testing.tables import FixedTable
+
+# The larger zone is deeper than one level of the tree.
+ZONES = {'az-1': 11, 'az-2': 3}
+DEPARTMENTS = ('bath', 'spa', 'steam')
+SEEDS = st.integers(0, 2**32)
+
+
+def _fragment(
+    name: str, routes: int, *, dangling: bool = False, move: bool = False
+) -> _model.Fragment:
+    service = f'{name}-service'
+    return builders.build_fragment(
+        name,
+        [builders.build_service(service)],
+        [
+            builders.build_route(
+                f'r{index:02}',
+                'missing' if dangling else service,
+                f'{name}.example',
+                f'/{index}',
+            )
+            for index in range(routes)
+        ],
+        [builders.build_move(f'{name}/move', service)] if move else [],
+    )
+
+
+class Platform:
+    """Accepted versions; every change of the head is one of these."""
+
+    def __init__(self) -> None:
+        self.fragments: dict[str, _model.Fragment] = {}
+        self.moves: dict[str, _model.Move] = {}
+        self.submissions: dict[str, int] = {}
+        self.history: list[_model.Head] = []
+
+    @property
+    def version(self) -> int:
+        return self.history[-1].version if self.history else 0
+
+    def change(self, kind: str, name: str, number: int) -> None:
+        move_id = f'{name}/move'
+        move = self.moves.get(move_id)
+        if kind == 'routes' or name not in self.fragments:
+            named = name in self.fragments and self.fragments[name].moves
+            self.fragments[name] = _fragment(name, number, move=bool(named))
+        elif kind == 'remove' and move is None:
+            del self.fragments[name]
+        elif kind == 'move' and move is None:
+            fragment = _fragment(name, number, move=True)
+            self.fragments[name] = fragment
+            self.moves[move_id] = _model.Move(
+                fragment.moves[0], _model.MoveState.ACTIVE, 0, 0.01, 0.0, 0.0
+            )
+        elif kind == 'advance' and move is not None:
+            self.moves[move_id] = msgspec.structs.replace(
+                move, stage=move.stage + 1
+            )
+        elif kind == 'forget' and move is not None:
+            # As 24 h after the move ended and was removed from the text.
+            self.fragments[name] = _fragment(name, number)
+            del self.moves[move_id]
+        self.submissions[f'submission-{self.version + 1}'] = self.version + 1
+        self.submissions = dict(list(self.submissions.items())[-4:])
+        self.store(self.version + 1)
+
+    def store(self, version: int) -> _model.Head:
+        head = msgspec.structs.replace(
+            builders.build_head(
+                self.fragments.values(), version, self.moves.values()
+            ),
+            submissions=dict(self.submissions),
+        )
+        self.history.append(head)
+        return head
+
+
+class ReplicaMachine(RuleBasedStateMachine):
+    """Loss, reordering, duplicates, restarts, cut zones and bad versions."""
+
+    @initialize(seed=SEEDS)
+    def start(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.platform = Platform()
+        self.bad_digests: set[str] = set()
+        zones = [zone for zone, size in ZONES.items() for _ in range(size)]
+        self.members = [
+            builders.build_member(index, zone)
+            for index, zone in enumerate(zones)
+        ]
+        self.table = FixedTable(self.members)
+        self.by_address = {
+            item.peer_address: index for index, item in enumerate(self.members)
+        }
+        size = len(self.members)
+        self.in_flight: list[tuple[int, str, object]] = []
+        self.cut = False
+        self.replicas: list[Replica] = []
+        self.held = [0] * size
+        self.heartbeat = [0] * size
+        self.reverted: list[set[str]] = [set() for _ in range(size)]
+        for index in range(size):
+            self.replicas.append(self._new(index))
+            self.replicas[index].set_floor(0, self.now)
+        self._change('routes', 'spa', 2)
+        self._publish(0)
+
+    def _new(self, index: int) -> Replica:
+        return Replica(self.members[index], self.table, self.rng)
+
+    def _change(self, kind: str, name: str, number: int) -> None:
+        self.platform.change(kind, name, number)
+
+    def _publish(self, index: int) -> None:
+        self._run(
+            index,
+            self.replicas[index].publish(
+                self.platform.history[-1],
+                list(self.platform.fragments.values()),
+                self.now,
+            ),
+        )
+
+    def _run(self, index: int, actions: list[_actions.Action]) -> None:
+        for action in actions:
+            if isinstance(action, _actions.Send):
+                self.in_flight.append((index, action.address, action.message))
+            elif isinstance(action, _actions.Fetch | _actions.FetchReverts):
+                self.in_flight.append((index, action.address, action))
+
+    def _reachable(self, one: int, other: int) -> bool:
+        return not self.cut or (
+            self.members[one].zone == self.members[other].zone
+        )
+
+    def _deliver(self, position: int, *, lost: bool, twice: bool) -> None:
+        source, address, message = self.in_flight.pop(position)
+        target = self.by_address[address]
+        lost = lost or not self._reachable(source, target)
+        if isinstance(message, _actions.Fetch):
+            answer = None
+            if not lost:
+                parts = self.replicas[target].answer_pull(message.pull)
+                answer = _delta.join(parts)
+            self._run(
+                source,
+                self.replicas[source].fetched(address, answer, self.now),
+            )
+            return
+        for _ in range(0 if lost else 1 + twice):
+            self._receive(source, target, message)
+
+    def _receive(self, source: int, target: int, message: object) -> None:
+        replica = self.replicas[target]
+        sender = self.members[source]
+        address, now = sender.peer_address, self.now
+        match message:
+            case _actions.FetchReverts():
+                answer = replica.all_reverts()
+                actions = self.replicas[source].receive_reverts(
+                    answer, self.members[target].peer_address, whole=True
+                )
+                self._run(source, actions)
+                return
+            case _messages.Update():
+                actions = replica.receive(message, address, now)
+            case _messages.Announcement():
+                actions = replica.receive_digest(
+                    message.digest, address, now, reply=True
+                )
+            case _messages.Reverts():
+                actions = replica.receive_reverts(message, address)
+            case _messages.Acknowledgement():
+                actions = replica.receive_acknowledgement(
+                    sender.id, message, now
+                )
+            case _messages.ZoneSummaries():
+                actions = replica.receive_summaries(
+                    message, address, sender.zone, now
+                )
+        self._run(target, actions)
+
+    @rule(
+        kind=st.sampled_from(
+            ('routes', 'remove', 'move', 'advance', 'forget')
+        ),
+        name=st.sampled_from(DEPARTMENTS),
+        number=st.integers(0, 4),
+        publishers=st.lists(st.integers(0, 13), max_size=3),
+    )
+    def change(
+        self, kind: str, name: str, number: int, publishers: list[int]
+    ) -> None:
+        self._change(kind, name, number)
+        for index in publishers:
+            self._publish(index)
+
+    @rule(seed=SEEDS, count=st.integers(1, 60), loss=st.floats(0, 0.5))
+    def deliver(self, seed: int, count: int, loss: float) -> None:
+        rng = random.Random(seed)
+        for _ in range(min(count, len(self.in_flight))):
+            self._deliver(
+                rng.randrange(len(self.in_flight)),
+                lost=rng.random() < loss,
+                twice=rng.random() < 0.2,
+            )
+
+    @rule(seconds=st.floats(0.01, 6))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for index, replica in enumerate(self.replicas):
+            if replica.due <= self.now:
+                self._run(index, replica.tick(self.now))
+            self.heartbeat[index] = replica.version
+
+    @rule(index=st.integers(0, 13))
+    def restart(self, index: int) -> None:
+        """All state is lost; the floor is learned from neighbours."""
+        self.in_flight = [item for item in self.in_flight if item[0] != index]
+        replica = self.replicas[index] = self._new(index)
+        self.held[index] = 0
+        self.reverted[index] = set()
+        answers = [
+            other.version
+            for number, other in enumerate(self.replicas)
+            if number != index
+            and other.ready
+            and self.members[number].zone == self.members[index].zone
+        ]
+        replica.set_floor(max([self.heartbeat[index], *answers[:3]]), self.now)
+
+    @rule()
+    def cut_zones(self) -> None:
+        self.cut = not self.cut
+
+    @rule(index=st.integers(0, 13), source=st.integers(0, 13))
+    def bad_version(self, index: int, source: int) -> None:
+        """A version with a dangling route from the platform and a peer."""
+        name = DEPARTMENTS[0]
+        fragments = {
+            **self.platform.fragments,
+            name: _fragment(name, 1, dangling=True),
+        }
+        head = builders.build_head(
+            fragments.values(), self.platform.version + 1
+        )
+        digest = _model.digest(_model.encode(head))[:16]
+        self.bad_digests.add(digest)
+        replica = self.replicas[index]
+        first = replica.publish(head, list(fragments.values()), self.now)
+        assert [item.code for item in first] in (['invalid-update'], [])
+        update = _messages.Update(
+            head, 0, tuple(fragments.values()), root='d0', digest=digest
+        )
+        address = self.members[source].peer_address
+        # The alarm is raised once, and nothing is forwarded or pulled.
+        assert replica.receive(update, address, self.now) == []
+        due = replica.due
+        replica.receive_digest(
+            _messages.Digest(head.version, digest, 0, replica.digest.reverts),
+            address,
+            self.now,
+        )
+        assert replica.due == due
+
+    @rule(index=st.integers(0, 13), source=st.integers(0, 13))
+    def damaged_update(self, index: int, source: int) -> None:
+        """The message is wrong, not the version: it can still be pulled."""
+        if self.platform.version < 2:
+            return
+        head = self.platform.history[-1]
+        replica = self.replicas[index]
+        update = _messages.Update(
+            msgspec.structs.replace(head, submissions={'forged': 1}),
+            0,
+            tuple(self.platform.fragments.values()),
+            digest=_model.digest(_model.encode(head))[:16],
+        )
+        before = replica.version
+        address = self.members[source].peer_address
+        self._run(index, replica.receive(update, address, self.now))
+        assert replica.version == before
+
+    @rule(index=st.integers(0, 13))
+    def conflict(self, index: int) -> None:
+        """Another head under the installed version raises one alarm."""
+        replica = self.replicas[index]
+        if not replica.version:
+            return
+        head = msgspec.structs.replace(
+            replica.snapshot.head, submissions={'other': 1}
+        )
+        update = _messages.Update(head, 0, ())
+        actions = replica.receive(update, '', self.now)
+        assert all(item.code == 'digest-conflict' for item in actions)
+        assert replica.receive(update, '', self.now) == []
+
+    @rule(index=st.integers(0, 13), back=st.integers(1, 3))
+    def restored_head(self, index: int, back: int) -> None:
+        """The platform came back with an older head."""
+        replica = self.replicas[index]
+        older = [
+            head
+            for head in self.platform.history
+            if head.version < replica.version
+        ]
+        if not older:
+            return
+        head = older[-min(back, len(older))]
+        self.now += 10
+        actions = replica.publish(head, [], self.now)
+        assert all(item.code == 'head-went-back' for item in actions)
+        assert replica.publish(head, [], self.now) == []
+
+    @rule(index=st.integers(0, 13), name=st.sampled_from(DEPARTMENTS))
+    def revert(self, index: int, name: str) -> None:
+        move = f'{name}/move'
+        if move in self.replicas[index].snapshot.head.moves:
+            verdict = _messages.Revert(move, 'failures', f'd{index}')
+            self._run(index, self.replicas[index].add_revert(verdict))
+            assert move in self.replicas[index].reverts
+
+    @invariant()
+    def no_version_goes_back(self) -> None:
+        for index, replica in enumerate(self.replicas):
+            assert replica.version >= self.held[index]
+            self.held[index] = replica.version
+            if replica.ready:
+                assert replica.version >= self.heartbeat[index]
+
+    @invariant()
+    def every_installed_version_is_whole(self) -> None:
+        accepted = {head.version: head for head in self.platform.history}
+        for snapshot in {
+            item.snapshot.version: item.snapshot for item in self.replicas
+        }.values():
+            if not snapshot.version:
+                continue
+            assert snapshot.head == accepted[snapshot.version]
+            rebuilt = Snapshot.build(
+                snapshot.head, snapshot.fragments.values()
+            )
+            assert rebuilt.digest == snapshot.digest
+            assert rebuilt.services == snapshot.services
+            assert sorted(item.id for item in rebuilt.routes) == sorted(
+                item.id for item in snapshot.routes
+            )
+            for matched in snapshot.routes:
+                found = snapshot.match(matched.route.host, matched.route.path)
+                assert found == matched
+                assert snapshot.service(matched.route.service) is not None
+
+    @invariant()
+    def reverts_only_grow(self) -> None:
+        for index, replica in enumerate(self.replicas):
+            known = set(replica.snapshot.head.moves)
+            held = set(replica.reverts)
+            assert not (self.reverted[index] & known) - held
+            self.reverted[index] = held
+
+    def teardown(self) -> None:
+        """Everything converges once the network is whole."""
+        if not hasattr(self, 'platform'):
+            return
+        self.cut = False
+        self._publish(0)
+        for _ in range(40):
+            self.pass_time(0.5)
+            for index, replica in enumerate(self.replicas):
+                # A heartbeat of the membership carries the digest.
+                other = self.rng.randrange(len(self.replicas))
+                message = _messages.Announcement(replica.digest)
+                self._receive(index, other, message)
+            while self.in_flight:
+                self._deliver(0, lost=False, twice=False)
+            self.no_version_goes_back()
+            self.reverts_only_grow()
+        digests = {
+            (item.version, item.digest.snapshot, item.digest.reverts)
+            for item in self.replicas
+        }
+        assert len(digests) == 1
+        assert self.replicas[0].version == self.platform.version
+        assert all(item.ready for item in self.replicas)
+        assert all(
+            item.in_effect(self.platform.version) for item in self.replicas
+        )
+
+
+TestReplicas = ReplicaMachine.TestCase
+TestReplicas.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/test_services_distribution.py
@@ -0,0 +1,470 @@
+"""Scenarios of the distribution service on an in-memory network."""
+
+from __future__ import annotations
+
+from collections import Counter
+from contextlib import asynccontextmanager
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from gypsumhall.core import _model
+from gypsumhall.core._member import Member
+from gypsumhall.core._member import MemberStatus
+from gypsumhall.errors import InvalidUpdateError
+from gypsumhall.errors import PeerLostError
+from gypsumhall.errors import PeerUnreachableError
+from gypsumhall.errors import StoreUnavailableError
+from gypsumhall.kernel import Kernel
+from gypsumhall.net import _messages
+from gypsumhall.net._protocol import PeerInfo
+from gypsumhall.services._distribution import DistributionService
+from gypsumhall.services._distribution import MAX_BOOTSTRAPS
+from gypsumhall.testing import builders
+from gypsumhall.testing.tables import FixedTable
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from trio.testing import MockClock
+
+LATENCY_S = 0.001
+
+
+class _Exchange:
+    def __init__(
+        self,
+        peer: Member,
+        sender: trio.MemorySendChannel[Any],
+        receiver: trio.MemoryReceiveChannel[Any],
+    ) -> None:
+        self.peer = PeerInfo(
+            peer.id, peer.zone, peer.incarnation, peer.peer_address
+        )
+        self._sender = sender
+        self._receiver = receiver
+
+    async def send(self, message: _messages.Message) -> None:
+        await trio.sleep(LATENCY_S)
+        try:
+            await self._sender.send(message)
+        except trio.BrokenResourceError:
+            raise PeerLostError('the other end has gone') from None
+
+    async def receive(self) -> _messages.Message:
+        return await self._receiver.receive()
+
+    async def finish(self) -> None:
+        await self._sender.aclose()
+
+    def cancel(self) -> None:
+        self._sender.close()
+        self._receiver.close()
+
+
+class _Daemon:
+    """One daemon with fakes of `peers`, `membership` and `events`."""
+
+    def __init__(self, fleet: _Fleet, me: Member, seed: int) -> None:
+        self.me = me
+        self.table = fleet.table
+        self.fleet = fleet
+        self.handlers: dict[type, Callable[..., Awaitable[None]]] = {}
+        self.service = DistributionService(rng=random.Random(seed))
+        self.codes: Counter[str] = Counter()
+        self.scope = trio.CancelScope()
+        self.clock = self
+        self.nursery: trio.Nursery
+
+    # events
+
+    def emit(self, code: str, **fields: object) -> None:
+        self.codes[code] += 1
+
+    def now(self) -> int:
+        return 1
+
+    def observe(self, time: int) -> None:
+        assert time == 1
+
+    # membership
+
+    def acknowledged(self, member_id: str) -> int:
+        return self.fleet.acknowledged.get(member_id, 0)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        self.fleet.callbacks.append(callback)
+
+    def set_endpoint(self, endpoint: object) -> None: ...
+
+    def set_leaving(self) -> None: ...
+
+    # peers
+
+    def on(self, kind: type, handler: Callable[..., Awaitable[None]]) -> None:
+        self.handlers[kind] = handler
+
+    def post(self, address: str, message: _messages.Message) -> None:
+        async def send() -> None:
+            try:
+                async with self.open(address, message):
+                    pass
+            except (PeerUnreachableError, PeerLostError):
+                pass
+
+        self.nursery.start_soon(send)
+
+    async def request(
+        self, address: str, message: _messages.Message, *, timeout_s: float
+    ) -> _messages.Message:
+        with trio.move_on_after(timeout_s):
+            async with self.open(address, message) as exchange:
+                return await exchange.receive()
+        raise PeerLostError('no answer')
+
+    @asynccontextmanager
+    async def open(
+        self, address: str, message: _messages.Message, *, timeout_s: float = 2
+    ) -> AsyncIterator[_Exchange]:
+        await trio.sleep(LATENCY_S)
+        target = self.fleet.reach(self.me, address)
+        if target is None:
+            await trio.sleep(timeout_s)
+            raise PeerUnreachableError(f'{address} does not answer')
+        there, theirs = trio.open_memory_channel[Any](16)
+        back, ours = trio.open_memory_channel[Any](16)
+        exchange = _Exchange(target.me, there, ours)
+        other = _Exchange(self.me, back, theirs)
+
+        async def handle() -> None:
+            with back:
+                await target.handlers[type(message)](other, message)
+
+        target.nursery.start_soon(handle)
+        yield exchange
+
+
+class _Fleet:
+    """Daemons of several zones; links and daemons can fail."""
+
+    def __init__(self, nursery: trio.Nursery, **zones: int) -> None:
+        self.nursery = nursery
+        names = [name for name, size in zones.items() for _ in range(size)]
+        self.members = [
+            builders.build_member(index, zone)
+            for index, zone in enumerate(names)
+        ]
+        self.table = FixedTable(self.members)
+        self.acknowledged: dict[str, int] = {}
+        self.callbacks: list[Callable[[], None]] = []
+        self.daemons: dict[str, _Daemon] = {}
+        self.silent: set[str] = set()
+        self.cut: set[str] = set()
+        self.read_head: Callable[[], Awaitable[_model.Head]] | None = None
+        self.published: list[_model.Head] = []
+
+    def reach(self, source: Member, address: str) -> _Daemon | None:
+        for daemon in self.daemons.values():
+            if daemon.me.peer_address == address:
+                crossing = source.zone != daemon.me.zone
+                if {source.zone, daemon.me.zone} & self.cut and crossing:
+                    return None
+                return None if daemon.me.id in self.silent else daemon
+        return None
+
+    def zone(self, name: str) -> list[_Daemon]:
+        return [
+            self.daemons[item.id] for item in self.members if item.zone == name
+        ]
+
+    async def start(self, members: list[Member], seed: int = 0) -> None:
+        for number, member in enumerate(members):
+            daemon = _Daemon(self, member, seed + number)
+            if self.read_head is not None:
+                daemon.service.set_head_reader(self.read_head)
+            await self.nursery.start(self._run, daemon)
+
+    async def _run(
+        self,
+        daemon: _Daemon,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        kernel = Kernel()
+        for name in ('peers', 'membership', 'events'):
+            kernel._services = {**kernel._services, name: daemon}
+        with daemon.scope:
+            async with trio.open_nursery() as nursery:
+                daemon.nursery = nursery
+                await nursery.start(daemon.service.run, kernel)
+                self.daemons[daemon.me.id] = daemon
+                task_status.started()
+
+    def stop(self, members: list[Member]) -> None:
+        for member in members:
+            self.daemons.pop(member.id).scope.cancel()
+
+    def publish(self, *ids: str, routes: int | None = None) -> int:
+        """Accept a new version and publish it on some daemons."""
+        version = len(self.published) + 1
+        fragment = builders.build_fragment(
+            routes=[
+                builders.build_route(f'r{index:03}', path=f'/{index}')
+                for index in range(version if routes is None else routes)
+            ]
+        )
+        move = _model.Move(
+            builders.build_move(), _model.MoveState.ACTIVE, 0, 0.01, 0.0, 0.0
+        )
+        head = builders.build_head([fragment], version, [move])
+        self.published.append(head)
+        for member_id in ids:
+            self.daemons[member_id].service.publish(head, [fragment])
+        return version
+
+    async def all_hold(
+        self, version: int, daemons: list[_Daemon], within_s: float
+    ) -> None:
+        """Fail unless the daemons serve the version in time."""
+        deadline = trio.current_time() + within_s
+        while trio.current_time() < deadline:
+            if all(
+                item.service.snapshot
+                and item.service.snapshot.version >= version
+                for item in daemons
+            ):
+                return
+            await trio.sleep(0.005)
+        held = [
+            item.service.snapshot and item.service.snapshot.version
+            for item in daemons
+        ]
+        raise AssertionError(f'expected version {version}, held: {held}')
+
+
+@pytest.fixture
+async def fleet(nursery: trio.Nursery, autojump_clock: MockClock) -> _Fleet:
+    """Two zones that have started with an empty platform."""
+    result = _Fleet(nursery, a=40, b=12)
+
+    async def empty() -> _model.Head:
+        return _model.Head()
+
+    result.read_head = empty
+    await result.start(result.members)
+    for daemon in result.daemons.values():
+        await daemon.service.wait_ready()
+    return result
+
+
+async def test_a_change_passes_a_dead_inner_node(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    tree = fleet.daemons['d0'].service._replica._trees.get('a', 'd0')
+    inner = tree.children('d0')[0]
+    assert tree.children(inner.id)
+    fleet.silent.add(inner.id)
+    version = fleet.publish('d0')
+    others = [item for item in fleet.zone('a') if item.me != inner]
+    await fleet.all_hold(version, others, within_s=0.6)
+    assert fleet.daemons[inner.id].service.snapshot.version == 0
+    assert not fleet.daemons['d0'].service.in_effect(version)
+    fleet.silent.clear()
+    everyone = list(fleet.daemons.values())
+    await fleet.all_hold(version, everyone, within_s=20)
+    await trio.sleep(25)
+    assert all(item.service.in_effect(version) for item in everyone)
+
+
+async def test_a_zone_cut_from_the_platform_gets_versions_from_others(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    # Only daemons of zone a read the platform.
+    version = fleet.publish('d0', 'd1', 'd2')
+    await fleet.all_hold(version, fleet.zone('b'), within_s=3)
+    assert fleet.daemons['d40'].service.snapshot.match('spa.example', '/0')
+
+
+async def test_a_separated_zone_keeps_its_version_and_then_catches_up(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    first = fleet.publish('d0', 'd40')
+    everyone = list(fleet.daemons.values())
+    await fleet.all_hold(first, everyone, within_s=3)
+    fleet.cut = {'b'}
+    second = fleet.publish('d0')
+    ours = _messages.Revert('spa/move', 'failures', 'd41')
+    fleet.daemons['d41'].service.add_revert(ours)
+    await trio.sleep(0.5)
+    assert all('spa/move' in item.service.reverts for item in fleet.zone('b'))
+    await trio.sleep(20)
+    assert all(
+        item.service.snapshot.version == first and not item.service.reverts
+        if item.me.zone == 'a'
+        else item.service.snapshot.version == first
+        for item in fleet.zone('b')
+    )
+    assert not any(item.service.reverts for item in fleet.zone('a'))
+    assert not any(item.service.in_effect(second) for item in everyone)
+    fleet.cut = set()
+    await fleet.all_hold(second, everyone, within_s=10)
+    await trio.sleep(20)
+    for item in everyone:
+        assert 'spa/move' in item.service.reverts
+        assert item.service.in_effect(second)
+
+
+async def test_a_revert_reaches_every_zone_at_once(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    version = fleet.publish('d0', 'd40')
+    everyone = list(fleet.daemons.values())
+    await fleet.all_hold(version, everyone, within_s=3)
+    calls = []
+    fleet.daemons['d51'].service.subscribe(lambda: calls.append('called'))
+    revert = _messages.Revert('spa/move', 'failures', 'd3')
+    fleet.daemons['d3'].service.add_revert(revert)
+    await trio.sleep(0.1)
+    assert all(item.service.reverts for item in everyone)
+    assert calls == ['called']
+
+
+async def test_a_herd_bootstraps_with_bounded_concurrency(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    version = fleet.publish('d0', 'd40', routes=300)
+    everyone = list(fleet.daemons.values())
+    await fleet.all_hold(version, everyone, within_s=3)
+    fleet.read_head = None
+    fleet.acknowledged = {item.id: version for item in fleet.members}
+    returning = fleet.members[5:40]
+    fleet.stop(returning)
+    await fleet.start(returning, seed=100)
+    stayed = [fleet.daemons[f'd{index}'].service for index in range(5)]
+    most = 0
+    with trio.fail_after(15):
+        while not all(
+            fleet.daemons[item.id].service.snapshot for item in returning
+        ):
+            most = max(most, *(item._bootstraps for item in stayed))
+            for item in returning:
+                held = fleet.daemons[item.id].service.snapshot
+                assert held is None or held.version >= version
+            await trio.sleep(LATENCY_S / 2)
+    assert 1 <= most <= MAX_BOOTSTRAPS
+
+
+async def test_busy_names_other_peers(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    version = fleet.publish('d0', 'd40')
+    await fleet.all_hold(version, fleet.zone('a'), within_s=3)
+    fleet.daemons['d1'].service._bootstraps = MAX_BOOTSTRAPS
+    asking = fleet.daemons['d2']
+    address = fleet.daemons['d1'].me.peer_address
+    answer = await asking.request(address, _messages.Pull(), timeout_s=1)
+    assert isinstance(answer, _messages.Busy)
+    assert len(answer.others) == 3
+    assert not {address, asking.me.peer_address} & set(answer.others)
+    # Deltas are small and are never refused.
+    held = asking.service.digest
+    pull = _messages.Pull(held.version, held.snapshot)
+    answer = await asking.request(address, pull, timeout_s=1)
+    assert isinstance(answer, _messages.Update)
+
+
+async def test_a_zone_that_restarts_as_a_whole_waits_for_a_floor(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    """Empty daemons must not agree with each other on version 0."""
+    version = fleet.publish('d0', 'd40')
+    await fleet.all_hold(version, list(fleet.daemons.values()), within_s=3)
+    reads = []
+
+    async def read() -> _model.Head:
+        reads.append(trio.current_time())
+        if trio.current_time() < outage_end:
+            raise StoreUnavailableError('outage')
+        return fleet.published[-1]
+
+    outage_end = trio.current_time() + 30
+    fleet.read_head = read
+    fleet.cut = {'b'}
+    restarted = [item for item in fleet.members if item.zone == 'b']
+    fleet.stop(restarted)
+    await fleet.start(restarted, seed=200)
+    await trio.sleep(25)
+    assert all(item.service.snapshot is None for item in fleet.zone('b'))
+    # 12 daemons with backoff up to 5 s must not load the platform.
+    assert len(reads) < 12 * 25
+    with trio.move_on_after(20) as scope:
+        await fleet.zone('b')[0].service.wait_ready()
+    assert scope.cancelled_caught
+    fleet.cut = set()
+    await fleet.all_hold(version, fleet.zone('b'), within_s=10)
+
+
+async def test_alarms_and_errors_of_bad_heads(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    for _ in range(3):
+        version = fleet.publish('d0', 'd40')
+        everyone = list(fleet.daemons.values())
+        await fleet.all_hold(version, everyone, within_s=3)
+    await trio.sleep(5)
+    daemon = fleet.daemons['d0']
+    daemon.service.publish(fleet.published[0], [])
+    assert daemon.codes['head-went-back'] == 1
+    assert daemon.service.snapshot.version == version
+    bad = builders.build_fragment(
+        routes=[builders.build_route(service='missing')]
+    )
+    update = _messages.Update(
+        builders.build_head([bad], version + 1), 0, (bad,)
+    )
+    with pytest.raises(InvalidUpdateError, match="'missing'"):
+        daemon.service.install(update)
+    await trio.sleep(10)
+    assert all(item.service.snapshot.version == version for item in everyone)
+    assert [item.codes['invalid-update'] for item in everyone][:2] == [1, 0]
+
+
+async def test_a_large_change_is_pulled_in_parts(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    fleet.publish('d0', 'd40')
+    version = fleet.publish('d0', routes=9000)
+    await fleet.all_hold(version, fleet.zone('a'), within_s=5)
+
+
+async def test_a_lost_member_no_longer_counts(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    version = fleet.publish('d0', 'd40')
+    await trio.sleep(20)
+    tree = fleet.daemons['d0'].service._replica._trees.acknowledgement('a')
+    root = tree.root
+    assert fleet.daemons['d7'].service.in_effect(version)
+    fleet.stop([root])
+    fleet.table.replace(
+        builders.build_member(
+            int(item.id[1:]),
+            item.zone,
+            status=MemberStatus.DEAD if item == root else item.status,
+        )
+        for item in fleet.members
+    )
+    for callback in fleet.callbacks:
+        callback()
+    reader = next(item for item in fleet.zone('b'))
+    second = fleet.publish(
+        next(item for item in fleet.daemons if item != root.id), reader.me.id
+    )
+    await trio.sleep(25)
+    for daemon in fleet.daemons.values():
+        assert daemon.service.in_effect(second)
+        assert daemon.service.summaries['a'].members == 39
