--- a/gypsumhall/testing/platform.py
+++ b/gypsumhall/testing/platform.py
@@ -15,7 +15,7 @@
 from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
 from gypsumhall.testing import builders
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform_network import MemoryNetwork
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -19,7 +19,7 @@
 from gypsumhall.store import Compare
 from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform_network import MemoryNetwork
 from gypsumhall.testing.platform import open_platform
 
 if TYPE_CHECKING:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -15,7 +15,7 @@
 from gypsumhall import timeline
 from gypsumhall.cli import timeline as cli
 from gypsumhall.services._events import EventLog
-from gypsumhall.testing.memory_network import MemoryNetwork
+from gypsumhall.testing.platform_network import MemoryNetwork
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
