--- /dev/null
+++ b/gypsumhall/core/_limits.py
@@ -0,0 +1,305 @@
+"""Limits on calls: admission, retry budget and outlier ejection."""
+
+from __future__ import annotations
+
+import enum
+import statistics
+
+
+class ConcurrencyLimit:
+    """Limit on requests in flight that falls when latency shows overload.
+
+    The limit starts at the number of slots and never exceeds it. Latencies
+    are compared window by window with the lowest recent median: a median of
+    more than twice that value while the limit is in use lowers the limit by
+    a tenth, any other window raises it by one.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the backend server executes at the same time.
+    """
+
+    __slots__ = (
+        '_baseline_s',
+        '_latencies',
+        '_limit',
+        '_slots',
+        '_used',
+        '_window_start',
+    )
+
+    # Fewer samples make the median of mixed requests too uncertain.
+    _WINDOW_CALLS = 20
+    _WINDOW_S = 0.5
+    # The baseline follows a lasting change of latency in about 35 windows.
+    _BASELINE_GROWTH = 1.02
+    _TOLERANCE = 2.0
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._limit = slots
+        self._latencies: list[float] = []
+        self._baseline_s = float('inf')
+        self._window_start = 0.0
+        self._used = False
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be in flight."""
+        return self._limit
+
+    def record(self, now: float, latency_s: float, in_flight: int) -> None:
+        """Take the latency of a finished request into account.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        latency_s : float
+            Time in seconds that the request took.
+        in_flight : int
+            Requests in flight when it ended, itself included.
+        """
+        self._latencies.append(latency_s)
+        self._used = self._used or in_flight >= self._limit
+        if (
+            len(self._latencies) < self._WINDOW_CALLS
+            or now - self._window_start < self._WINDOW_S
+        ):
+            return
+        median = statistics.median(self._latencies)
+        grown = self._baseline_s * self._BASELINE_GROWTH
+        self._baseline_s = min(grown, median)
+        if median > self._TOLERANCE * self._baseline_s and self._used:
+            self._limit = max(1, min(self._limit - 1, self._limit * 9 // 10))
+        else:
+            self._limit = min(self._slots, self._limit + 1)
+        self._latencies.clear()
+        self._used = False
+        self._window_start = now
+
+
+class Admission(enum.Enum):
+    """Decision about a new call."""
+
+    RUN = 'run'
+    QUEUE = 'queue'
+    QUEUE_FULL = 'queue-full'
+    TOO_LATE = 'too-late'
+
+
+class AdmissionQueue:
+    """Decides which calls run, wait or are refused.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the backend server executes at the same time. The
+        queue holds at most twice as many.
+    """
+
+    __slots__ = ('_in_flight', '_limit', '_mean_s', '_queued', '_slots')
+
+    # Weight of the latest service time in the moving mean.
+    _WEIGHT = 0.1
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._limit = ConcurrencyLimit(slots)
+        self._in_flight = 0
+        self._queued = 0
+        self._mean_s = 0.0
+
+    @property
+    def slots(self) -> int:
+        """Slots of the backend server."""
+        return self._slots
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be in flight."""
+        return self._limit.limit
+
+    @property
+    def in_flight(self) -> int:
+        """Requests being executed."""
+        return self._in_flight
+
+    @property
+    def queued(self) -> int:
+        """Requests waiting for a slot."""
+        return self._queued
+
+    @property
+    def may_run(self) -> bool:
+        """Whether a request may start now."""
+        return self._in_flight < self._limit.limit
+
+    def resize(self, slots: int) -> None:
+        """Take over another number of slots."""
+        self._slots = slots
+        self._limit = ConcurrencyLimit(slots)
+
+    def expected_wait_s(self) -> float:
+        """Return the time in seconds that a call queued now would wait."""
+        return (self._queued + 1) * self._mean_s / self._limit.limit
+
+    def arrive(self, time_left_s: float) -> Admission:
+        """Decide about a new call and count it.
+
+        Parameters
+        ----------
+        time_left_s : float
+            Time in seconds until the deadline of the call.
+        """
+        if self.may_run and not self._queued:
+            self._in_flight += 1
+            return Admission.RUN
+        if self._queued >= 2 * self._slots:
+            return Admission.QUEUE_FULL
+        if self.expected_wait_s() > time_left_s:
+            return Admission.TOO_LATE
+        self._queued += 1
+        return Admission.QUEUE
+
+    def dequeue(self, *, run: bool) -> None:
+        """Take a call out of the queue.
+
+        Parameters
+        ----------
+        run : bool
+            Whether it runs now; False when it was given up.
+        """
+        self._queued -= 1
+        self._in_flight += run
+
+    def leave(self, now: float, service_s: float | None) -> None:
+        """Count a call that no longer runs.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        service_s : float or None
+            Time in seconds that it took; None when it was cut short.
+        """
+        if service_s is not None:
+            self._limit.record(now, service_s, self._in_flight)
+            if self._mean_s:
+                self._mean_s += self._WEIGHT * (service_s - self._mean_s)
+            else:
+                self._mean_s = service_s
+        self._in_flight -= 1
+
+
+class RetryBudget:
+    """Allows retries up to a share of the calls plus a floor.
+
+    Parameters
+    ----------
+    share : float
+        Retries per call.
+    floor_per_s : float
+        Retries per second that are always allowed.
+    """
+
+    __slots__ = ('_floor_per_s', '_now', '_share', '_tokens')
+
+    # Budget that was not used is kept up to this many seconds of the
+    # floor, so that a long quiet period does not allow a burst of retries.
+    _KEPT_S = 10.0
+
+    def __init__(self, share: float = 0.1, floor_per_s: float = 10.0) -> None:
+        self._share = share
+        self._floor_per_s = floor_per_s
+        self._tokens = floor_per_s
+        self._now = 0.0
+
+    def call(self, now: float) -> None:
+        """Count a call."""
+        self._refill(now, self._share)
+
+    def retry(self, now: float) -> bool:
+        """Take a retry from the budget; False when none is left."""
+        self._refill(now, 0.0)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _refill(self, now: float, tokens: float) -> None:
+        elapsed = max(0.0, now - self._now)
+        self._now = now
+        self._tokens = min(
+            self._floor_per_s * self._KEPT_S,
+            self._tokens + tokens + elapsed * self._floor_per_s,
+        )
+
+
+class OutlierEjection:
+    """Ejects endpoints after consecutive failures.
+
+    Parameters
+    ----------
+    failures : int
+        Consecutive failures after which an endpoint is ejected.
+    base_s, max_s : float
+        First and longest time of ejection in seconds; it doubles with
+        each ejection that follows without a success between.
+    """
+
+    __slots__ = ('_base_s', '_failures', '_max_s', '_states')
+
+    def __init__(
+        self, failures: int = 5, base_s: float = 5.0, max_s: float = 60.0
+    ) -> None:
+        self._failures = failures
+        self._base_s = base_s
+        self._max_s = max_s
+        # Endpoint id -> [consecutive failures, ejections, ejected until].
+        self._states: dict[str, list[float]] = {}
+
+    @property
+    def any_failure(self) -> bool:
+        """Whether any endpoint failed since its last success."""
+        return bool(self._states)
+
+    def success(self, endpoint: str) -> None:
+        """Record a call that succeeded."""
+        self._states.pop(endpoint, None)
+
+    def failure(self, endpoint: str, now: float) -> None:
+        """Record a call that failed."""
+        state = self._states.setdefault(endpoint, [0, 0, 0.0])
+        if state[2] > now:
+            return
+        state[0] += 1
+        if state[0] >= self._failures:
+            duration = min(self._max_s, self._base_s * 2 ** state[1])
+            state[:] = [0, state[1] + 1, now + duration]
+
+    def forget(self, endpoint: str) -> None:
+        """Drop the state of an endpoint that is gone."""
+        self._states.pop(endpoint, None)
+
+    def ejected(self, endpoint: str, now: float) -> bool:
+        """Whether an endpoint is ejected."""
+        state = self._states.get(endpoint)
+        return state is not None and state[2] > now
+
+    def usable(self, endpoints: list[str], now: float) -> list[str]:
+        """Return the endpoints that may get calls, at least half of them.
+
+        When more than half are ejected, those whose ejection ends first
+        are used again.
+        """
+        if not self._states:
+            return endpoints
+        good = [item for item in endpoints if not self.ejected(item, now)]
+        missing = (len(endpoints) + 1) // 2 - len(good)
+        if missing > 0:
+            ejected = [item for item in endpoints if self.ejected(item, now)]
+            ejected.sort(key=lambda item: self._states[item][2])
+            good += ejected[:missing]
+        return good
--- /dev/null
+++ b/gypsumhall/core/_ownership.py
@@ -0,0 +1,397 @@
+"""Ownership of idempotency keys, and the ledger of a key owner."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+import enum
+import hashlib
+from typing import TYPE_CHECKING
+
+from gypsumhall.core._member import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gypsumhall.core._ledger import RecordedResponse
+    from gypsumhall.core._member import Member
+
+RETENTION_S = 600.0
+
+
+def _weight(service: str, key: str, member_id: str) -> bytes:
+    text = f'{service}\0{key}\0{member_id}'
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+def rank(service: str, key: str, members: Iterable[Member]) -> list[Member]:
+    """Return members in the order of their claim to a key.
+
+    Parameters
+    ----------
+    service, key : str
+        Service and idempotency key.
+    members : iterable of Member
+        Members with an endpoint of the service.
+    """
+    return sorted(
+        members,
+        key=lambda member: (_weight(service, key, member.id), member.id),
+        reverse=True,
+    )
+
+
+def takes_part(member: Member) -> bool:
+    """Whether a member can own keys.
+
+    Unreachable members take part until the membership declares them dead.
+    """
+    return member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+
+
+def owner(service: str, key: str, members: Iterable[Member]) -> Member | None:
+    """Return the member that owns a key; None without any member.
+
+    Parameters
+    ----------
+    service, key : str
+        Service and idempotency key.
+    members : iterable of Member
+        Members with an endpoint of the service, whatever their status.
+    """
+    return max(
+        (member for member in members if takes_part(member)),
+        key=lambda member: (_weight(service, key, member.id), member.id),
+        default=None,
+    )
+
+
+@dataclass(slots=True)
+class _Known:
+    member: Member
+    joined_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class FormerOwners:
+    """Members that may hold a key that another member owns now.
+
+    Parameters
+    ----------
+    ask : tuple of Member
+        Members to ask; the key is free only if all of them release it.
+    lost : tuple of str
+        Ids of earlier processes that cannot be asked any more, because
+        another incarnation runs in their place.
+    """
+
+    ask: tuple[Member, ...]
+    lost: tuple[str, ...]
+
+
+# A refuted suspicion raises the incarnation by a little, a new process takes
+# the time in milliseconds. No process can come back within this time: its
+# death has to be seen and the new one has to reach its version floor first.
+_RESTART_MS = 50
+
+
+class OwnershipHistory:
+    """Changes of the members with an endpoint of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    me : str
+        Id of the daemon that keeps the history.
+    """
+
+    __slots__ = ('_departed', '_known', '_lost', '_me', '_service')
+
+    def __init__(self, service: str, me: str) -> None:
+        self._service = service
+        self._me = me
+        self._known: dict[str, _Known] = {}
+        # Id -> member, time at which it was seen to have left.
+        self._departed: dict[str, tuple[Member, float]] = {}
+        # Id -> member, time at which another incarnation replaced it.
+        self._lost: dict[str, tuple[Member, float]] = {}
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+        return self._service
+
+    def observe(self, members: Iterable[Member], now: float) -> None:
+        """Take over the members with an endpoint of the service.
+
+        Parameters
+        ----------
+        members : iterable of Member
+            Members whatever their status.
+        now : float
+            Current time in seconds.
+        """
+        seen = {}
+        for member in members:
+            if takes_part(member):
+                seen[member.id] = member
+            elif member.id not in self._known:
+                self._departed.setdefault(member.id, (member, now))
+        for member_id, known in list(self._known.items()):
+            if member_id not in seen:
+                self._departed[member_id] = (known.member, now)
+                del self._known[member_id]
+        for member in seen.values():
+            self._join(member, now)
+        for table in (self._departed, self._lost):
+            for member_id, (_, left_at) in list(table.items()):
+                if now - left_at >= RETENTION_S:
+                    del table[member_id]
+
+    def former_owners(
+        self, key: str, now: float, joined_at: float
+    ) -> FormerOwners:
+        """Return who may have owned a key within the retention time.
+
+        Parameters
+        ----------
+        key : str
+            Idempotency key.
+        now : float
+            Current time in seconds.
+        joined_at : float
+            Time in seconds at which this daemon joined the service.
+
+        Returns
+        -------
+        FormerOwners
+            Members that ranked above this daemon and have left. If this
+            daemon joined within the retention time, also the members that
+            ranked next, up to the first one that has been there for that
+            long.
+        """
+        departed = self._recent(self._departed, now)
+        ask = [member for member in departed if self._is_above(key, member)]
+        lost = [
+            member.id
+            for member in self._recent(self._lost, now)
+            if member.id == self._me or self._is_above(key, member)
+        ]
+        if now - joined_at < RETENTION_S:
+            joined = {
+                item.member.id: item.joined_at for item in self._known.values()
+            }
+            candidates = [item.member for item in self._known.values()]
+            below = [
+                member
+                for member in candidates + departed
+                if member.id != self._me and not self._is_above(key, member)
+            ]
+            for member in rank(self._service, key, below):
+                ask.append(member)
+                if now - joined.get(member.id, now) >= RETENTION_S:
+                    break
+        return FormerOwners(tuple(ask), tuple(lost))
+
+    def had_earlier_owner(self, key: str, now: float) -> bool:
+        """Whether a member with a better claim left within the time.
+
+        Parameters
+        ----------
+        key : str
+            Idempotency key.
+        now : float
+            Current time in seconds.
+        """
+        gone = self._recent(self._departed, now)
+        gone += self._recent(self._lost, now)
+        return any(self._is_above(key, member) for member in gone)
+
+    def _recent(
+        self, table: dict[str, tuple[Member, float]], now: float
+    ) -> list[Member]:
+        return [
+            member
+            for member, left_at in table.values()
+            if now - left_at < RETENTION_S
+        ]
+
+    def _is_above(self, key: str, member: Member) -> bool:
+        if member.id == self._me:
+            return False
+        mine = (_weight(self._service, key, self._me), self._me)
+        return (_weight(self._service, key, member.id), member.id) > mine
+
+    def _join(self, member: Member, now: float) -> None:
+        known = self._known.get(member.id)
+        departed = self._departed.pop(member.id, None)
+        before = known.member if known else departed[0] if departed else None
+        restarted = (
+            before is not None
+            and member.incarnation - before.incarnation >= _RESTART_MS
+        )
+        if before is not None and restarted:
+            self._lost[member.id] = (before, now)
+        if known is None or restarted:
+            self._known[member.id] = _Known(member, now)
+        else:
+            known.member = member
+
+
+class KeyState(enum.Enum):
+    """What a key owner knows about a key."""
+
+    NEW = 'new'
+    RUNNING = 'running'
+    DONE = 'done'
+    UNKNOWN = 'unknown'
+    RELEASED = 'released'
+    MISMATCH = 'mismatch'
+
+
+@dataclass(slots=True)
+class KeyEntry:
+    """A key and what is known about it.
+
+    Parameters
+    ----------
+    state : KeyState
+        Progress.
+    digest : bytes
+        Digest of the request; another request must not use the key.
+    response : RecordedResponse or None
+        Kept response.
+    expires_at : float
+        Time in seconds at which the entry is dropped.
+    """
+
+    state: KeyState
+    digest: bytes
+    response: RecordedResponse | None = None
+    expires_at: float = float('inf')
+
+
+class KeyLedger:
+    """Record of the keys that a key owner has seen.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bytes of responses that are kept. When they are used up, responses
+        of the oldest keys are dropped; the keys stay.
+    """
+
+    __slots__ = ('_bytes', '_entries', '_expiry', '_max_bytes', '_responses')
+
+    def __init__(self, *, max_bytes: int = 32 * 1024 * 1024) -> None:
+        self._max_bytes = max_bytes
+        self._entries: dict[tuple[str, str], KeyEntry] = {}
+        self._expiry: OrderedDict[tuple[str, str], None] = OrderedDict()
+        self._responses: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._bytes = 0
+
+    @property
+    def size(self) -> int:
+        """Number of keys."""
+        return len(self._entries)
+
+    def begin(
+        self, service: str, key: str, digest: bytes, now: float
+    ) -> KeyEntry:
+        """Claim a key.
+
+        Parameters
+        ----------
+        service, key : str
+            Service and idempotency key.
+        digest : bytes
+            Digest of the request.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        KeyEntry
+            State ``NEW`` when the caller of this method has claimed it;
+            it then has to call `finish` or `abandon`.
+        """
+        self._expire(now)
+        entry = self._entries.get((service, key))
+        if entry is None:
+            self._entries[service, key] = KeyEntry(KeyState.RUNNING, digest)
+            return KeyEntry(KeyState.NEW, digest)
+        if entry.state != KeyState.RELEASED and entry.digest != digest:
+            return KeyEntry(KeyState.MISMATCH, entry.digest)
+        return entry
+
+    def finish(
+        self,
+        service: str,
+        key: str,
+        now: float,
+        state: KeyState,
+        response: RecordedResponse | None = None,
+    ) -> None:
+        """Record how the request of a claimed key ended.
+
+        Parameters
+        ----------
+        service, key : str
+            Service and idempotency key.
+        now : float
+            Current time in seconds.
+        state : KeyState
+            ``DONE`` when it ran, ``UNKNOWN`` when that is not certain.
+        response : RecordedResponse or None
+            Response to keep.
+        """
+        entry = self._entries[service, key]
+        entry.state = state
+        self._keep(service, key, entry, now)
+        if response is not None and response.size <= self._max_bytes:
+            entry.response = response
+            self._responses[service, key] = response.size
+            self._bytes += response.size
+        while self._bytes > self._max_bytes:
+            oldest, size = self._responses.popitem(last=False)
+            self._entries[oldest].response = None
+            self._bytes -= size
+
+    def abandon(self, service: str, key: str) -> None:
+        """Give up a claimed key whose request certainly did not run."""
+        del self._entries[service, key]
+
+    def release(self, service: str, key: str, now: float) -> KeyState:
+        """Give up a key for its new owner.
+
+        Returns
+        -------
+        KeyState
+            ``RELEASED`` when no request with the key has run here and
+            none will; otherwise what is known about the key.
+        """
+        self._expire(now)
+        entry = self._entries.get((service, key))
+        if entry is None:
+            entry = KeyEntry(KeyState.RELEASED, b'')
+            self._entries[service, key] = entry
+            self._keep(service, key, entry, now)
+        return entry.state
+
+    def _keep(
+        self, service: str, key: str, entry: KeyEntry, now: float
+    ) -> None:
+        entry.expires_at = now + RETENTION_S
+        self._expiry[service, key] = None
+
+    def _expire(self, now: float) -> None:
+        while self._expiry:
+            oldest = next(iter(self._expiry))
+            if self._entries[oldest].expires_at > now:
+                break
+            del self._expiry[oldest]
+            del self._entries[oldest]
+            size = self._responses.pop(oldest, None)
+            if size is not None:
+                self._bytes -= size
--- /dev/null
+++ b/gypsumhall/services/_announcements.py
@@ -0,0 +1,171 @@
+"""Service ``announcements``: the backend server on the VM reports itself."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from gypsumhall.core._member import Endpoint
+from gypsumhall.core._member import EndpointState
+from gypsumhall.services import _protocols
+from gypsumhall.services import _runner
+
+if TYPE_CHECKING:
+    from gypsumhall.kernel import Kernel
+
+_MISSING_S = 3.0
+_MAX_SLOTS = 10_000
+_STATES = {state.name.lower(): state for state in EndpointState}
+
+
+class Announced(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/announce``.
+
+    Parameters
+    ----------
+    service, version : str
+        What the backend server runs.
+    address : str
+        ``<ip>:<port>`` of its HTTP listener.
+    slots : int
+        Requests that it executes at the same time.
+    state : str
+        ``starting``, ``ready`` or ``draining``.
+    """
+
+    service: str
+    version: str
+    address: str
+    slots: int
+    state: str
+
+
+class AnnouncementsService:
+    """Takes the announcements and removes an endpoint that stops them."""
+
+    name = 'announcements'
+    requires: tuple[str, ...] = ('admin', 'membership', 'runner', 'events')
+
+    def __init__(self) -> None:
+        self._announced: Announced | None = None
+        self._last = 0.0
+        self._draining = False
+        self._arrived = trio.Event()
+        self._membership: _protocols.Membership
+        self._runner: _runner.RunnerService
+        self._events: _protocols.Events
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Watch for announcements that stop, until cancelled."""
+        admin = kernel.get(
+            'admin',
+            _protocols.Admin,  # type: ignore[type-abstract]
+        )
+        self._membership = kernel.get(
+            'membership',
+            _protocols.Membership,  # type: ignore[type-abstract]
+        )
+        self._runner = kernel.get('runner', _runner.RunnerService)
+        self._events = kernel.get(
+            'events',
+            _protocols.Events,  # type: ignore[type-abstract]
+        )
+        admin.add_route('POST', '/v1/announce', self.handle)
+        task_status.started()
+        while True:
+            await self._arrived.wait()
+            self._arrived = trio.Event()
+            while self._announced is not None:
+                await trio.sleep_until(self._last + _MISSING_S)
+                if trio.current_time() >= self._last + _MISSING_S:
+                    self._remove()
+
+    async def drain(self) -> None:
+        """Ignore announcements from now on; the runner drains the calls."""
+        self._draining = True
+
+    async def handle(
+        self, request: _protocols.AdminRequest
+    ) -> _protocols.AdminResponse:
+        """Handle ``POST /v1/announce``."""
+        try:
+            announced = msgspec.json.decode(request.body, type=Announced)
+            endpoint = _endpoint(announced)
+        except (msgspec.DecodeError, ValueError) as error:
+            return _problem(400, 'bad-announcement', str(error))
+        if self._draining:
+            return _problem(503, 'draining', 'this daemon is stopping')
+        self._last = trio.current_time()
+        self._arrived.set()
+        if announced != self._announced:
+            self._announced = announced
+            # The runner first, so that it refuses work or accepts it before
+            # other daemons learn of the change.
+            self._runner.set_backend(endpoint, announced.address)
+            self._membership.set_endpoint(endpoint)
+            self._events.emit(
+                'endpoint-announced',
+                service=announced.service,
+                service_version=announced.version,
+                state=announced.state,
+                address=announced.address,
+            )
+        return _protocols.AdminResponse(204)
+
+    def _remove(self) -> None:
+        announced = self._announced
+        self._announced = None
+        self._runner.set_backend(None, '')
+        if not self._draining:
+            self._membership.set_endpoint(None)
+        if announced is not None:
+            self._events.emit(
+                'endpoint-lost',
+                service=announced.service,
+                service_version=announced.version,
+                address=announced.address,
+            )
+
+
+def _endpoint(announced: Announced) -> Endpoint:
+    state = _STATES.get(announced.state)
+    if state is None:
+        raise ValueError(
+            f'state is {announced.state!r}, expected one of '
+            f'{", ".join(_STATES)}'
+        )
+    if not 0 < announced.slots <= _MAX_SLOTS:
+        raise ValueError(
+            f'slots is {announced.slots}, expected 1 to {_MAX_SLOTS}'
+        )
+    if not announced.service or not announced.version:
+        raise ValueError('service and version must not be empty')
+    host, _, port = announced.address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        valid = 0 < int(port) < 65536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError(
+            f'address is {announced.address!r}, expected <ip>:<port>'
+        )
+    return Endpoint(
+        announced.service, announced.version, announced.slots, state
+    )
+
+
+def _problem(status: int, code: str, detail: str) -> _protocols.AdminResponse:
+    body = json.dumps({'status': status, 'code': code, 'detail': detail})
+    return _protocols.AdminResponse(
+        status, body.encode(), 'application/problem+json'
+    )
--- /dev/null
+++ b/gypsumhall/services/_attempts.py
@@ -0,0 +1,367 @@
+"""Single attempts to run a request, on this VM or through an exchange."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall._errors import PeerError
+from gypsumhall._errors import PeerUnreachableError
+from gypsumhall.net._messages import AnswerEnd
+from gypsumhall.net._messages import AnswerStart
+from gypsumhall.net._messages import BodyChunk
+from gypsumhall.net._messages import CallCancel
+from gypsumhall.net._messages import CallQuery
+from gypsumhall.net._messages import CallRefused
+from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import Load
+from gypsumhall.net._messages import Message
+from gypsumhall.net._messages import Outcome
+from gypsumhall.services import _calls
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from gypsumhall.core._member import Member
+    from gypsumhall.core._snapshot import Split
+    from gypsumhall.net._protocol import Exchange
+    from gypsumhall.net._protocol import PeerNetwork
+    from gypsumhall.services import _protocols
+
+# The runner refuses at the deadline; its refusal, which knows whether the
+# request was run, needs this long to arrive.
+_GRACE_S = 0.25
+# Time in seconds to settle the outcome of a request that must not be
+# repeated after its stream was lost.
+_QUERY_S = 3.0
+_QUERY_BACKOFF_S = 0.05
+# Responses of up to this size can be held back until they are complete.
+_HELD_BYTES = 256 * 1024
+
+Execute = Callable[[CallStart, bytes, '_calls.SendMessage'], Awaitable[None]]
+
+
+class Receiver:
+    """Receives the answer of one attempt.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt; messages with another id are dropped.
+    sink : ResponseSink
+        Receives the response.
+    hold : bool
+        Whether the response is held back until it is complete.
+    should_retry : callable or None
+        Decides by the status whether the response is kept from the sink,
+        because the request will be repeated.
+    """
+
+    __slots__ = (
+        '_buffered',
+        '_hold',
+        '_recorder',
+        '_request_id',
+        '_should_retry',
+        '_sink',
+        'complete',
+        'done',
+        'load',
+        'passed',
+        'refused',
+        'status',
+        'timed_out',
+        'withheld',
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        sink: _calls.ResponseSink,
+        *,
+        hold: bool = False,
+        should_retry: Callable[[int], bool] | None = None,
+    ) -> None:
+        self._request_id = request_id
+        self._sink = sink
+        self._hold = hold
+        self._should_retry = should_retry
+        self._recorder: _calls.Recorder | None = None
+        self._buffered = 0
+        self.refused: CallRefused | None = None
+        self.load: Load | None = None
+        self.status = 0
+        self.timed_out = False
+        self.withheld = False
+        self.passed = False
+        self.complete = False
+        self.done = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of a response has arrived."""
+        return self.passed or self._recorder is not None
+
+    @property
+    def recorder(self) -> _calls.Recorder | None:
+        """Response that was kept from the sink."""
+        return self._recorder
+
+    async def feed(self, message: Message) -> None:
+        """Take a message of the answer; `done` tells whether it was last."""
+        if self.done:
+            return
+        if isinstance(message, BodyChunk):
+            if self.started:
+                await self._chunk(message.data, last=message.last)
+        elif isinstance(message, AnswerStart):
+            if message.request_id == self._request_id and not self.started:
+                await self._head(message)
+        elif isinstance(message, CallRefused):
+            if message.request_id == self._request_id and not self.started:
+                self.refused = message
+                self.load = message.load
+                self.done = True
+        elif (
+            isinstance(message, AnswerEnd)
+            and message.request_id == self._request_id
+            and self.started
+        ):
+            if message.complete:
+                await self._chunk(b'', last=True)
+            self.done = True
+
+    async def _head(self, message: AnswerStart) -> None:
+        self.load = message.load
+        self.status = message.status
+        if self._should_retry is not None:
+            self.withheld = self._should_retry(message.status)
+        if self.withheld or self._hold:
+            self._recorder = _calls.Recorder()
+            self._recorder.head(message.status, message.headers)
+        else:
+            self.passed = True
+            await self._sink.head(message.status, message.headers)
+
+    async def _chunk(self, data: bytes, *, last: bool) -> None:
+        if self._recorder is not None:
+            self._recorder.chunk(data)
+            self._buffered += len(data)
+            if not self.withheld and (last or self._buffered > _HELD_BYTES):
+                held = self._recorder.response
+                self._recorder = None
+                self.passed = True
+                assert held is not None
+                await self._sink.head(held.status, held.headers)
+                for part in _calls.chunks(held.body):
+                    if part:
+                        await self._sink.chunk(part, last=False)
+                if last:
+                    await self._sink.chunk(b'', last=True)
+        else:
+            await self._sink.chunk(data, last=last)
+        if last:
+            self.complete = True
+            self.done = True
+
+
+class Attempts:
+    """Makes attempts.
+
+    Parameters
+    ----------
+    peers : PeerNetwork
+        Streams to other daemons.
+    me : Member
+        Entry of this daemon at its start.
+    events : Events
+        Event log, for its clock.
+    rng : Random
+        Source of randomness.
+    execute : callable
+        Runs a call on this VM.
+    """
+
+    __slots__ = (
+        '_counter',
+        '_events',
+        '_execute',
+        '_me',
+        '_peers',
+        '_prefix',
+        '_rng',
+    )
+
+    def __init__(
+        self,
+        peers: PeerNetwork,
+        me: Member,
+        events: _protocols.Events,
+        rng: Random,
+        execute: Execute,
+    ) -> None:
+        self._peers = peers
+        self._me = me.id
+        self._events = events
+        self._rng = rng
+        self._execute = execute
+        # The ledger relies on one prefix per process and on rising counters.
+        self._prefix = f'{me.id}/{me.incarnation}'
+        self._counter = 0
+
+    def build(
+        self,
+        request: _calls.Request,
+        member: Member,
+        version: str,
+        *,
+        key: str = '',
+        split: Split | None = None,
+        time_s: float | None = None,
+    ) -> CallStart:
+        """Return the first message of an attempt.
+
+        Parameters
+        ----------
+        request : Request
+            The request.
+        member : Member
+            Member whose runner gets the call.
+        version : str
+            Service version; empty for the owner of the key.
+        key : str
+            Idempotency key for its owner; empty otherwise.
+        split : Split or None
+            Move that the attempt is evidence for.
+        time_s : float or None
+            Time in seconds for the attempt; by default all that is left.
+        """
+        self._counter += 1
+        if time_s is None:
+            time_s = request.deadline - trio.current_time()
+        return CallStart(
+            f'{self._prefix}:{self._counter}',
+            member.incarnation,
+            request.service,
+            version,
+            request.route,
+            request.method,
+            request.path,
+            request.headers,
+            max(0, int(time_s * 1000)),
+            request.idempotent,
+            key,
+            bool(request.body),
+            split.move if split is not None else '',
+            split.stage if split is not None else 0,
+            self._events.clock.now(),
+        )
+
+    async def run(
+        self,
+        member: Member,
+        call: CallStart,
+        request: _calls.Request,
+        receiver: Receiver,
+    ) -> None:
+        """Make an attempt; `receiver.done` is False when it was lost.
+
+        Parameters
+        ----------
+        member : Member
+            Member whose runner gets the call.
+        call : CallStart
+            First message, from `build`.
+        request : Request
+            The request.
+        receiver : Receiver
+            Receives the answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            When nothing was sent.
+        """
+        timeout_s = call.deadline_ms / 1000 + _GRACE_S
+        with trio.move_on_after(timeout_s) as scope:
+            if member.id == self._me:
+                await self._execute(call, request.body, receiver.feed)
+                receiver.done = True
+                return
+            try:
+                async with self._peers.open(
+                    member.peer_address, call
+                ) as exchange:
+                    await self._converse(exchange, call, request, receiver)
+            except PeerUnreachableError:
+                if receiver.started:
+                    return
+                raise
+            except PeerError:
+                return
+        receiver.timed_out = scope.cancelled_caught
+
+    async def settle(
+        self,
+        member: Member,
+        call: CallStart,
+        request: _calls.Request,
+        receiver: Receiver,
+    ) -> None:
+        """Find out what became of an attempt that must not be repeated.
+
+        The receiver ends with a response or a refusal. The parameters
+        are those of `run`.
+        """
+        if receiver.started:
+            return
+        query = CallQuery(call.request_id, call.runner_incarnation)
+        now = trio.current_time()
+        deadline = max(now + 1.0, min(request.deadline + 1.0, now + _QUERY_S))
+        backoff = _QUERY_BACKOFF_S
+        with trio.CancelScope(deadline=deadline):
+            while not receiver.done and not receiver.started:
+                try:
+                    async with self._peers.open(
+                        member.peer_address, query
+                    ) as exchange:
+                        while not receiver.done:
+                            await receiver.feed(await exchange.receive())
+                except (PeerError, trio.EndOfChannel):
+                    await trio.sleep(backoff * (1 + self._rng.random()))
+                    backoff *= 2
+        if not receiver.done and not receiver.started:
+            receiver.refused = CallRefused(
+                call.request_id,
+                Outcome.UNKNOWN,
+                'peer-lost',
+                f'the stream to {member.id} was lost',
+            )
+
+    async def _converse(
+        self,
+        exchange: Exchange,
+        call: CallStart,
+        request: _calls.Request,
+        receiver: Receiver,
+    ) -> None:
+        try:
+            if call.has_body:
+                left = len(request.body)
+                for part in _calls.chunks(request.body):
+                    left -= len(part)
+                    await exchange.send(BodyChunk(part, last=not left))
+            while not receiver.done:
+                await receiver.feed(await exchange.receive())
+        except trio.EndOfChannel:
+            return
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + _GRACE_S
+                with contextlib.suppress(PeerError):
+                    await exchange.send(CallCancel(call.request_id))
+            raise
--- /dev/null
+++ b/gypsumhall/services/_caller.py
@@ -0,0 +1,430 @@
+"""Service ``caller``: the HTTP listener for callers."""
+
+from __future__ import annotations
+
+from contextvars import ContextVar
+import json
+import math
+from typing import Any
+from typing import TYPE_CHECKING
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from gypsumhall.net._messages import Outcome
+from gypsumhall.services import _calls
+from gypsumhall.services import _protocols
+from gypsumhall.services import _runner
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from gypsumhall.core._snapshot import MatchedRoute
+    from gypsumhall.kernel import Kernel
+
+    Receive = Callable[[], Awaitable[dict[str, Any]]]
+    Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+# Bytes of request bodies that may be held at the same time.
+_MAX_BUFFERED = 64 * 1024 * 1024
+# A caller that sends its body more slowly than this is cut off, in seconds.
+_BODY_TIMEOUT_S = 30.0
+_MAX_KEY_BYTES = 255
+_RETRY_AFTER_S = 1
+
+# Set in the tasks that handle requests. Responses made elsewhere are those
+# of the HTTP library to input that is not a valid request.
+_in_request: ContextVar[bool] = ContextVar('in_request', default=False)
+
+
+class _Config(hypercorn.config.Config):
+    """Marks refusals by the HTTP library as ``not-run``."""
+
+    def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
+        if _in_request.get():
+            return []
+        return [(_calls.OUTCOME_HEADER, Outcome.NOT_RUN.value.encode())]
+
+
+class _CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class _HttpSink:
+    """Passes a response to the caller.
+
+    HTTP/1.0 cannot tell a response of unknown length that broke off from a
+    whole one, so such a response is held until it is complete.
+    """
+
+    __slots__ = ('_head', '_hold', '_send', 'finished', 'started')
+
+    def __init__(self, send: Send, *, is_http_1_0: bool) -> None:
+        self._send = send
+        self._hold: bytearray | None = bytearray() if is_http_1_0 else None
+        self._head: dict[str, Any] = {}
+        self.started = False
+        self.finished = False
+
+    async def head(self, status: int, headers: _calls.Headers) -> None:
+        """Take the status and the headers."""
+        self._head = {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers,
+        }
+        if any(name == b'content-length' for name, _ in headers):
+            self._hold = None
+        if self._hold is None:
+            self.started = True
+            await self._send(self._head)
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Take a part of the body."""
+        if self._hold is not None:
+            self._hold += data
+            if not last:
+                return
+            data = bytes(self._hold)
+            length = (b'content-length', b'%d' % len(data))
+            self._head['headers'] = [*self._head['headers'], length]
+            self.started = True
+            await self._send(self._head)
+        self.finished = last
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': data,
+                'more_body': not last,
+            }
+        )
+
+
+class CallerService:
+    """Serves callers over HTTP/1.1.
+
+    Parameters
+    ----------
+    address : str
+        ``<ip>:<port>`` to listen on; port 0 for any.
+    """
+
+    name = 'caller'
+    requires: tuple[str, ...] = ('runner', 'distribution', 'events', 'metrics')
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._bound = ''
+        self._draining = False
+        self._stop = trio.Event()
+        self._active = 0
+        self._idle = trio.Event()
+        self._buffered = 0
+        self._distribution: _protocols.Distribution
+        self._runner: _runner.RunnerService
+        self._requests: _protocols.Metric
+        self._latency: _protocols.Metric
+
+    @property
+    def address(self) -> str:
+        """Bound address, ``<ip>:<port>``; empty before the start."""
+        return self._bound
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        self._runner = kernel.get('runner', _runner.RunnerService)
+        self._distribution = kernel.get(
+            'distribution',
+            _protocols.Distribution,  # type: ignore[type-abstract]
+        )
+        metrics = kernel.get(
+            'metrics',
+            _protocols.Metrics,  # type: ignore[type-abstract]
+        )
+        self._requests = metrics.counter(
+            'gypsumhall_caller_requests_total',
+            'Requests of callers, by result.',
+        )
+        self._latency = metrics.histogram(
+            'gypsumhall_caller_latency_seconds',
+            'Time from a whole request to the end of its response.',
+        )
+        config = _Config()
+        config.bind = [self._address]
+        config.backlog = 1024
+        config.h11_max_incomplete_size = _calls.MAX_HEADER_BYTES
+        config.keep_alive_timeout = 60.0
+        config.keep_alive_max_requests = 1_000_000
+        config.errorlog = None
+        async with trio.open_nursery() as nursery:
+            bound = await nursery.start(
+                _serve, self._application, config, self._stop
+            )
+            self._bound = bound[0].removeprefix('http://')
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait for those in flight."""
+        self._draining = True
+        while self._active:
+            self._idle = trio.Event()
+            await self._idle.wait()
+        self._stop.set()
+
+    async def _application(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        if scope['type'] == 'lifespan':
+            await _lifespan(receive, send)
+            return
+        if scope['type'] != 'http':
+            # The HTTP library refuses the upgrade with status 403.
+            await receive()
+            await send({'type': 'websocket.close', 'code': 1003})
+            return
+        _in_request.set(True)
+        self._active += 1
+        started = trio.current_time()
+        sink = _HttpSink(send, is_http_1_0=scope['http_version'] == '1.0')
+        result = 'response'
+        refusal: _calls.CallRefusedError | None = None
+        held = 0
+        try:
+            request = await self._read(scope, receive)
+            held = len(request.body)
+            await self._forward(request, sink, receive)
+        except _calls.CallRefusedError as error:
+            refusal = error
+        except _calls.BrokenResponseError as error:
+            # When the head has been sent, returning without the end of the
+            # body makes the HTTP library close the connection in the
+            # middle of the response.
+            result = 'broken-response'
+            if not sink.started:
+                refusal = _calls.CallRefusedError(
+                    Outcome.RUN, 'bad-response', str(error)
+                )
+        except _CallerGoneError:
+            result = 'caller-gone'
+        finally:
+            self._buffered -= held
+            self._active -= 1
+            if not self._active:
+                self._idle.set()
+        if refusal is not None:
+            result = refusal.reason
+            is_head = scope['method'] == 'HEAD'
+            await _send_refusal(send, refusal, head_only=is_head)
+        self._requests.add(1.0, result=result)
+        self._latency.add(trio.current_time() - started)
+
+    async def _forward(
+        self, request: _calls.Request, sink: _HttpSink, receive: Receive
+    ) -> None:
+        gone = False
+
+        async def watch() -> None:
+            nonlocal gone
+            while (await receive())['type'] != 'http.disconnect':
+                pass
+            # The end of the response is reported in the same way.
+            if not sink.finished:
+                gone = True
+                nursery.cancel_scope.cancel()
+
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            try:
+                await self._runner.sender.send(request, sink)
+            except (
+                _calls.CallRefusedError,
+                _calls.BrokenResponseError,
+            ) as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if gone:
+            raise _CallerGoneError
+
+    async def _read(
+        self, scope: dict[str, Any], receive: Receive
+    ) -> _calls.Request:
+        now = trio.current_time()
+        matched, fields = self._match(scope)
+        route = matched.route
+        timeout_s = _timeout_s(fields, route.timeout_s)
+        key = fields.get(_calls.KEY_HEADER, b'')
+        if len(key) > _MAX_KEY_BYTES:
+            raise _calls.not_run(
+                'bad-request',
+                f'Idempotency-Key is longer than {_MAX_KEY_BYTES} bytes',
+            )
+        body = b''
+        if b'content-length' in fields or b'transfer-encoding' in fields:
+            body = await self._read_body(fields, receive)
+        path = scope['raw_path']
+        if scope['query_string']:
+            path += b'?' + scope['query_string']
+        return _calls.Request(
+            route.service,
+            matched.id,
+            scope['method'],
+            path.decode('ascii'),
+            _calls.request_headers(scope['headers']),
+            body,
+            now + timeout_s,
+            scope['method'] in route.idempotent_methods,
+            key.decode('latin-1'),
+        )
+
+    def _match(
+        self, scope: dict[str, Any]
+    ) -> tuple[MatchedRoute, dict[bytes, bytes]]:
+        if scope['http_version'] not in ('1.0', '1.1'):
+            raise _calls.not_run('http-version', 'only HTTP/1.1 is served')
+        if scope['method'] == 'CONNECT':
+            raise _calls.not_run('bad-request', 'CONNECT is not supported')
+        if _calls.header_bytes(scope['headers']) > _calls.MAX_HEADER_BYTES:
+            raise _calls.not_run(
+                'headers-too-large',
+                f'headers exceed {_calls.MAX_HEADER_BYTES} bytes',
+            )
+        if self._draining:
+            raise _calls.not_run('draining', 'this daemon is stopping')
+        snapshot = self._distribution.snapshot
+        if snapshot is None:
+            raise _calls.not_run('not-ready', 'no configuration installed yet')
+        fields = dict(scope['headers'])
+        host = fields.get(b'host', b'').decode('latin-1')
+        matched = snapshot.match(host, scope['path'])
+        if matched is None:
+            raise _calls.not_run(
+                'unknown-route', f'no route for {host!r} {scope["path"]!r}'
+            )
+        return matched, fields
+
+    async def _read_body(
+        self, fields: dict[bytes, bytes], receive: Receive
+    ) -> bytes:
+        too_large = _calls.not_run(
+            'request-too-large',
+            f'request bodies may have {_calls.MAX_REQUEST_BODY} bytes',
+        )
+        announced = fields.get(b'content-length', b'0')
+        if int(announced) > _calls.MAX_REQUEST_BODY:
+            raise too_large
+        body = bytearray()
+        whole = False
+        try:
+            with trio.move_on_after(_BODY_TIMEOUT_S):
+                while not whole:
+                    message = await receive()
+                    if message['type'] == 'http.disconnect':
+                        raise _CallerGoneError
+                    body += message['body']
+                    self._buffered += len(message['body'])
+                    if len(body) > _calls.MAX_REQUEST_BODY:
+                        raise too_large
+                    if self._buffered > _MAX_BUFFERED:
+                        raise _calls.not_run(
+                            'overloaded', 'too many request bodies'
+                        )
+                    whole = not message['more_body']
+        finally:
+            if not whole:
+                self._buffered -= len(body)
+        if not whole:
+            raise _calls.not_run(
+                'body-timeout', 'the request body did not arrive in time'
+            )
+        return bytes(body)
+
+
+async def _serve(
+    application: Any,
+    config: hypercorn.config.Config,
+    stop: trio.Event,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await hypercorn.trio.serve(
+        application,
+        config,
+        mode='asgi',
+        shutdown_trigger=stop.wait,
+        task_status=task_status,
+    )
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
+
+
+def _timeout_s(fields: dict[bytes, bytes], route_s: float) -> float:
+    value = fields.get(_calls.DEADLINE_HEADER)
+    if value is None:
+        return route_s
+    try:
+        wanted_s = float(value) / 1000
+    except ValueError:
+        wanted_s = math.nan
+    if math.isnan(wanted_s):
+        raise _calls.not_run(
+            'bad-request',
+            f'Gypsumhall-Deadline-Ms is {value!r}, expected milliseconds',
+        )
+    if wanted_s <= 0:
+        raise _calls.not_run('deadline', 'the deadline has passed')
+    return min(wanted_s, route_s)
+
+
+async def _send_refusal(
+    send: Send, error: _calls.CallRefusedError, *, head_only: bool
+) -> None:
+    body = json.dumps(
+        {
+            'type': f'urn:gypsumhall:refusal:{error.reason}',
+            'title': 'The request was refused',
+            'status': error.status,
+            'code': error.reason,
+            'detail': error.detail,
+            'outcome': error.outcome.value,
+        }
+    ).encode()
+    headers: Iterable[tuple[bytes, bytes]] = [
+        (b'content-type', b'application/problem+json'),
+        (b'content-length', b'%d' % len(body)),
+        (_calls.OUTCOME_HEADER, error.outcome.value.encode()),
+    ]
+    if error.status == 503:
+        headers = [*headers, (b'retry-after', b'%d' % _RETRY_AFTER_S)]
+    if error.reason in ('draining', 'request-too-large', 'body-timeout'):
+        headers = [*headers, (b'connection', b'close')]
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': error.status,
+            'headers': headers,
+        }
+    )
+    await send(
+        {
+            'type': 'http.response.body',
+            'body': b'' if head_only else body,
+            'more_body': False,
+        }
+    )
--- /dev/null
+++ b/gypsumhall/services/_keys.py
@@ -0,0 +1,322 @@
+"""Owner of idempotency keys: a request with a key runs at most once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import hashlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall._errors import PeerError
+from gypsumhall.core import _ownership
+from gypsumhall.core._ownership import KeyLedger
+from gypsumhall.core._ownership import KeyState
+from gypsumhall.core._ownership import OwnershipHistory
+from gypsumhall.net._messages import KeyRelease
+from gypsumhall.net._messages import KeyReleased
+from gypsumhall.net._messages import Outcome
+from gypsumhall.services import _calls
+
+if TYPE_CHECKING:
+    from gypsumhall.core._ledger import RecordedResponse
+    from gypsumhall.core._member import Member
+    from gypsumhall.net._protocol import Exchange
+    from gypsumhall.net._protocol import PeerNetwork
+    from gypsumhall.services import _protocols
+    from gypsumhall.services._sender import Sender
+
+# Time in seconds to wait for a former owner; a member that was seen to have
+# left rarely responds, and the caller waits.
+_ASK_TIMEOUT_S = 1.0
+
+_OUTCOMES = {
+    KeyState.RELEASED: Outcome.NOT_RUN,
+    KeyState.DONE: Outcome.RUN,
+}
+
+
+class _RecordingSink:
+    """Passes a response on and keeps it."""
+
+    __slots__ = ('_recorder', '_sink')
+
+    def __init__(self, sink: _calls.ResponseSink) -> None:
+        self._sink = sink
+        self._recorder = _calls.Recorder()
+
+    @property
+    def response(self) -> RecordedResponse | None:
+        """The response; None when it was too large."""
+        return self._recorder.response
+
+    async def head(self, status: int, headers: _calls.Headers) -> None:
+        """Take the status and the headers."""
+        self._recorder.head(status, headers)
+        await self._sink.head(status, headers)
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Take a part of the body."""
+        self._recorder.chunk(data)
+        await self._sink.chunk(data, last=last)
+
+
+@dataclass(slots=True)
+class _Membership:
+    history: OwnershipHistory
+    joined_at: float
+
+
+class KeyOwner:
+    """Runs requests with keys that this daemon owns.
+
+    Parameters
+    ----------
+    peers : PeerNetwork
+        Streams to other daemons.
+    membership : Membership
+        Member table.
+    sender : Sender
+        Sends the requests to a runner.
+    events : Events
+        Event log.
+    """
+
+    __slots__ = (
+        '_events',
+        '_finished',
+        '_joined',
+        '_ledger',
+        '_membership',
+        '_peers',
+        '_sender',
+    )
+
+    def __init__(
+        self,
+        peers: PeerNetwork,
+        membership: _protocols.Membership,
+        sender: Sender,
+        events: _protocols.Events,
+    ) -> None:
+        self._peers = peers
+        self._membership = membership
+        self._sender = sender
+        self._events = events
+        self._ledger = KeyLedger()
+        self._joined: dict[str, _Membership] = {}
+        # Events of running requests; set when the request has ended.
+        self._finished: dict[tuple[str, str], trio.Event] = {}
+
+    def joined(self, service: str) -> None:
+        """Note that this daemon has an endpoint of a service from now on."""
+        now = trio.current_time()
+        known = self._joined.get(service)
+        if known is None:
+            history = OwnershipHistory(service, self._membership.me.id)
+            self._joined[service] = _Membership(history, now)
+        else:
+            known.joined_at = now
+        self.members_changed()
+
+    def members_changed(self) -> None:
+        """Take over changes of the member table."""
+        now = trio.current_time()
+        table = self._membership.table
+        for service, known in self._joined.items():
+            known.history.observe(table.endpoints(service), now)
+
+    async def execute(
+        self, request: _calls.Request, sink: _calls.ResponseSink
+    ) -> None:
+        """Run a request as the owner of its key, or repeat its response.
+
+        Parameters
+        ----------
+        request : Request
+            Request with a key.
+        sink : ResponseSink
+            Receives the response.
+
+        Raises
+        ------
+        CallRefusedError
+            When there is no response. ``not-run`` is certain for every
+            request with this key.
+        BrokenResponseError
+            When the response broke off.
+        """
+        service, key = request.service, request.key
+        digest = _digest(request)
+        while True:
+            self._check_owner(request)
+            now = trio.current_time()
+            entry = self._ledger.begin(service, key, digest, now)
+            if entry.state != KeyState.RUNNING:
+                break
+            finished = self._finished[service, key]
+            with trio.move_on_after(request.deadline - now) as scope:
+                await finished.wait()
+            if scope.cancelled_caught:
+                raise _calls.CallRefusedError(
+                    Outcome.UNKNOWN,
+                    'deadline',
+                    'a request with this key is running',
+                )
+        if entry.state == KeyState.NEW:
+            await self._execute_claimed(request, sink)
+        else:
+            await _repeat(entry, key, sink)
+
+    async def handle_release(
+        self, exchange: Exchange, message: KeyRelease
+    ) -> None:
+        """Give up a key for its new owner."""
+        now = trio.current_time()
+        state = self._ledger.release(message.service, message.key, now)
+        outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
+        known = self._joined.get(message.service)
+        if outcome == Outcome.NOT_RUN and (
+            known is None or known.history.had_earlier_owner(message.key, now)
+        ):
+            outcome = Outcome.UNKNOWN
+        await exchange.send(KeyReleased(outcome))
+
+    def _check_owner(self, request: _calls.Request) -> None:
+        table = self._membership.table
+        owner = _ownership.owner(
+            request.service, request.key, table.endpoints(request.service)
+        )
+        if owner is None or owner.id != self._membership.me.id:
+            raise _calls.CallRefusedError(
+                Outcome.UNKNOWN,
+                'not-owner',
+                f'another daemon owns the key {request.key!r}',
+            )
+
+    async def _execute_claimed(
+        self, request: _calls.Request, sink: _calls.ResponseSink
+    ) -> None:
+        service, key = request.service, request.key
+        finished = self._finished[service, key] = trio.Event()
+        recording = _RecordingSink(sink)
+        state: KeyState | None = KeyState.UNKNOWN
+        try:
+            try:
+                await self._ask_former_owners(request)
+            except BaseException:
+                state = None
+                raise
+            await self._sender.send(request, recording, unkeyed=True)
+            state = KeyState.DONE
+        except _calls.CallRefusedError as error:
+            if error.outcome == Outcome.NOT_RUN:
+                state = None
+            elif error.outcome == Outcome.RUN:
+                state = KeyState.DONE
+            recording = _RecordingSink(sink)
+            raise
+        except _calls.BrokenResponseError:
+            state = KeyState.DONE
+            recording = _RecordingSink(sink)
+            raise
+        finally:
+            del self._finished[service, key]
+            if state is None:
+                self._ledger.abandon(service, key)
+            else:
+                now = trio.current_time()
+                response = None
+                if state == KeyState.DONE:
+                    response = recording.response
+                self._ledger.finish(service, key, now, state, response)
+            finished.set()
+
+    async def _ask_former_owners(self, request: _calls.Request) -> None:
+        known = self._joined.get(request.service)
+        if known is None:
+            raise _calls.CallRefusedError(
+                Outcome.UNKNOWN, 'not-owner', 'no endpoint of the service here'
+            )
+        now = trio.current_time()
+        former = known.history.former_owners(request.key, now, known.joined_at)
+        if former.lost:
+            raise _calls.CallRefusedError(
+                Outcome.UNKNOWN,
+                'former-owner-lost',
+                f'former owners of the key have restarted: {former.lost}',
+            )
+        if not former.ask:
+            return
+        answers: dict[str, Outcome] = {}
+        async with trio.open_nursery() as nursery:
+            for member in former.ask:
+                nursery.start_soon(self._ask, member, request, answers)
+        for member_id, outcome in answers.items():
+            if outcome != Outcome.NOT_RUN:
+                raise _calls.CallRefusedError(
+                    outcome,
+                    'former-owner',
+                    f'former owner {member_id} of the key did not release it',
+                )
+
+    async def _ask(
+        self,
+        member: Member,
+        request: _calls.Request,
+        answers: dict[str, Outcome],
+    ) -> None:
+        answers[member.id] = Outcome.UNKNOWN
+        left = request.deadline - trio.current_time()
+        try:
+            reply = await self._peers.request(
+                member.peer_address,
+                KeyRelease(request.service, request.key),
+                timeout_s=max(0.0, min(_ASK_TIMEOUT_S, left)),
+            )
+        except PeerError:
+            return
+        if isinstance(reply, KeyReleased):
+            answers[member.id] = reply.outcome
+
+
+def _digest(request: _calls.Request) -> bytes:
+    # The fields are separated by their lengths.
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (
+        request.method.encode(),
+        request.path.encode(),
+        request.body,
+    ):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.digest()
+
+
+async def _repeat(
+    entry: _ownership.KeyEntry, key: str, sink: _calls.ResponseSink
+) -> None:
+    if entry.state == KeyState.MISMATCH:
+        raise _calls.not_run(
+            'key-mismatch', f'key {key!r} was used for another request'
+        )
+    if entry.state == KeyState.RELEASED:
+        raise _calls.CallRefusedError(
+            Outcome.UNKNOWN,
+            'key-released',
+            f'key {key!r} was given up for another owner',
+        )
+    if entry.state == KeyState.UNKNOWN:
+        raise _calls.CallRefusedError(
+            Outcome.UNKNOWN,
+            'outcome-unknown',
+            f'the outcome of the request with key {key!r} is unknown',
+        )
+    response = entry.response
+    if response is None:
+        raise _calls.CallRefusedError(
+            Outcome.RUN,
+            'response-dropped',
+            f'the response to key {key!r} is no longer kept',
+        )
+    await _calls.deliver(response, sink)
--- /dev/null
+++ b/gypsumhall/services/_runner.py
@@ -0,0 +1,763 @@
+"""Service ``runner``: passes calls to the backend server on this VM."""
+
+from __future__ import annotations
+
+from collections import deque
+import contextlib
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall._errors import PeerError
+from gypsumhall.core._ledger import Entry
+from gypsumhall.core._ledger import EntryState
+from gypsumhall.core._ledger import Ledger
+from gypsumhall.core._ledger import RecordedResponse
+from gypsumhall.core._limits import Admission
+from gypsumhall.core._limits import AdmissionQueue
+from gypsumhall.core._member import Endpoint
+from gypsumhall.core._member import EndpointState
+from gypsumhall.net._messages import AnswerEnd
+from gypsumhall.net._messages import AnswerStart
+from gypsumhall.net._messages import BodyChunk
+from gypsumhall.net._messages import CallCancel
+from gypsumhall.net._messages import CallQuery
+from gypsumhall.net._messages import CallRefused
+from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import KeyRelease
+from gypsumhall.net._messages import Load
+from gypsumhall.net._messages import Message
+from gypsumhall.net._messages import Outcome
+from gypsumhall.net._protocol import PeerNetwork
+from gypsumhall.services import _backend_client
+from gypsumhall.services import _calls
+from gypsumhall.services import _keys
+from gypsumhall.services import _protocols
+from gypsumhall.services import _sender
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumhall.kernel import Kernel
+    from gypsumhall.net._protocol import Exchange
+
+# Bytes of request bodies that may be held at the same time.
+_MAX_BUFFERED = 64 * 1024 * 1024
+_MAINTENANCE_S = 1.0
+
+
+@dataclass(slots=True)
+class _Backend:
+    endpoint: Endpoint
+    client: _backend_client.Client
+    queue: AdmissionQueue
+
+
+@dataclass(slots=True)
+class _Waiter:
+    ready: trio.Event
+    admitted: bool = False
+
+
+class _Run:
+    """One run of a call on the backend server."""
+
+    __slots__ = (
+        '_recorder',
+        '_send',
+        'failed',
+        'load',
+        'outcome',
+        'started_response',
+    )
+
+    def __init__(
+        self, send: _calls.SendMessage, recorder: _calls.Recorder | None
+    ) -> None:
+        self._send: _calls.SendMessage | None = send
+        self._recorder = recorder
+        self.outcome = Outcome.NOT_RUN
+        self.started_response = False
+        self.failed = False
+
+    def mark_sent(self) -> None:
+        """Note that the backend server may run the request from now on."""
+        self.outcome = Outcome.UNKNOWN
+
+    async def send(self, message: Message) -> None:
+        """Pass a message on.
+
+        Calls whose response is recorded continue without a receiver.
+        """
+        if self._send is None:
+            return
+        try:
+            await self._send(message)
+        except PeerError:
+            if self._recorder is None:
+                raise
+            self._send = None
+
+    async def respond(
+        self,
+        call: CallStart,
+        response: _backend_client.BackendResponse,
+        load: Load,
+    ) -> None:
+        """Pass a response on, with its body in chunks."""
+        self.outcome = Outcome.RUN
+        self.failed = response.status >= 500
+        if self._recorder is not None:
+            self._recorder.head(response.status, response.headers)
+        self.started_response = True
+        await self.send(
+            AnswerStart(
+                call.request_id, response.status, response.headers, load
+            )
+        )
+        left = response.length
+        finished = False
+        async with contextlib.aclosing(response.chunks()) as chunks:
+            async for data in chunks:
+                if left is not None:
+                    left -= len(data)
+                    finished = left == 0
+                if self._recorder is not None:
+                    self._recorder.chunk(data)
+                await self.send(BodyChunk(data, last=finished))
+        if not finished:
+            await self.send(AnswerEnd(call.request_id))
+
+
+class RunnerService:
+    """Admits calls, runs each at most once and records the outcome.
+
+    Parameters
+    ----------
+    rng : Random or None
+        Source of randomness of the sender.
+    connect : callable
+        Returns the client for the address of a backend server.
+    """
+
+    name = 'runner'
+    requires: tuple[str, ...] = (
+        'peers',
+        'membership',
+        'distribution',
+        'moves',
+        'events',
+        'metrics',
+    )
+
+    def __init__(
+        self,
+        rng: Random | None = None,
+        connect: Callable[
+            [str], _backend_client.Client
+        ] = _backend_client.BackendClient,
+    ) -> None:
+        self._rng = rng or Random()
+        self._connect = connect
+        self._backend: _Backend | None = None
+        self._old_clients: list[_backend_client.Client] = []
+        self._waiters: deque[_Waiter] = deque()
+        self._ledger = Ledger()
+        # Detached calls by request id; set when the call has ended.
+        self._running: dict[str, trio.Event] = {}
+        self._draining = False
+        self._active = 0
+        self._idle = trio.Event()
+        self._buffered = 0
+        self._incarnation = 0
+        self._keys: _keys.KeyOwner
+        self._membership: _protocols.Membership
+        self._moves: _protocols.Moves
+        self._events: _protocols.Events
+        self._nursery: trio.Nursery
+        self._sender: _sender.Sender
+        self._runs: _protocols.Metric
+
+    @property
+    def sender(self) -> _sender.Sender:
+        """Sends calls to the runners of all daemons."""
+        return self._sender
+
+    @property
+    def ledger(self) -> Ledger:
+        """Execution ledger."""
+        return self._ledger
+
+    @property
+    def load(self) -> Load:
+        """Current load of the backend server on this VM."""
+        backend = self._backend
+        if backend is None:
+            return Load(0, 0, 0, True)
+        return Load(
+            backend.queue.in_flight,
+            backend.queue.queued,
+            backend.queue.limit,
+            self._draining or backend.endpoint.state != EndpointState.READY,
+        )
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve calls until cancelled."""
+        peers = kernel.get('peers', PeerNetwork)  # type: ignore[type-abstract]
+        self._membership = kernel.get(
+            'membership',
+            _protocols.Membership,  # type: ignore[type-abstract]
+        )
+        distribution = kernel.get(
+            'distribution',
+            _protocols.Distribution,  # type: ignore[type-abstract]
+        )
+        self._moves = kernel.get(
+            'moves',
+            _protocols.Moves,  # type: ignore[type-abstract]
+        )
+        self._events = kernel.get(
+            'events',
+            _protocols.Events,  # type: ignore[type-abstract]
+        )
+        metrics = kernel.get(
+            'metrics',
+            _protocols.Metrics,  # type: ignore[type-abstract]
+        )
+        self._runs = metrics.counter(
+            'gypsumhall_runner_calls_total',
+            'Calls that reached the runner, by result.',
+        )
+        self._incarnation = self._membership.me.incarnation
+        self._sender = _sender.Sender(
+            peers=peers,
+            membership=self._membership,
+            distribution=distribution,
+            events=self._events,
+            metrics=metrics,
+            rng=self._rng,
+            execute=self.execute,
+        )
+        self._keys = _keys.KeyOwner(
+            peers, self._membership, self._sender, self._events
+        )
+        self._sender.execute_keyed = self._keys.execute
+        self._membership.subscribe(self._keys.members_changed)
+        peers.on(CallStart, self._handle_call)
+        peers.on(CallQuery, self._handle_query)
+        peers.on(KeyRelease, self._keys.handle_release)
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            while True:
+                await trio.sleep(_MAINTENANCE_S)
+                await self._close_idle()
+
+    async def drain(self) -> None:
+        """Refuse new work and wait for the calls in flight."""
+        self._draining = True
+        backend = self._backend
+        if backend is not None:
+            self._membership.set_endpoint(
+                Endpoint(
+                    backend.endpoint.service,
+                    backend.endpoint.version,
+                    backend.endpoint.slots,
+                    EndpointState.DRAINING,
+                )
+            )
+        self._refuse_waiters()
+        while self._active:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    def set_backend(self, endpoint: Endpoint | None, address: str) -> None:
+        """Take over what the backend server announced.
+
+        Parameters
+        ----------
+        endpoint : Endpoint or None
+            What it runs; None when it is gone.
+        address : str
+            ``<ip>:<port>`` of the backend server.
+        """
+        old = self._backend
+        same = (
+            old is not None
+            and endpoint is not None
+            and old.client.address == address
+            and old.endpoint.service == endpoint.service
+        )
+        if old is not None and not same:
+            self._old_clients.append(old.client)
+        if endpoint is None:
+            self._backend = None
+            self._refuse_waiters()
+            return
+        if old is not None and same:
+            if old.queue.slots != endpoint.slots:
+                old.queue.resize(endpoint.slots)
+            old.endpoint = endpoint
+        else:
+            self._refuse_waiters()
+            self._backend = _Backend(
+                endpoint,
+                self._connect(address),
+                AdmissionQueue(endpoint.slots),
+            )
+            self._keys.joined(endpoint.service)
+        if endpoint.state != EndpointState.READY:
+            self._refuse_waiters()
+
+    async def execute(
+        self, call: CallStart, body: bytes, send: _calls.SendMessage
+    ) -> None:
+        """Run a call on the backend server of this VM.
+
+        Parameters
+        ----------
+        call : CallStart
+            The call.
+        body : bytes
+            Whole request body.
+        send : callable
+            Takes the messages of the answer: `CallRefused`, or
+            `AnswerStart` followed by the body.
+        """
+        self._active += 1
+        try:
+            known = self._ledger.begin(call.request_id, trio.current_time())
+            if known is not None:
+                self._count('duplicate')
+                await self._replay(call.request_id, known, send)
+            else:
+                await self._execute_new(call, body, send)
+        finally:
+            self._active -= 1
+            if not self._active:
+                self._idle.set()
+
+    async def _execute_new(
+        self, call: CallStart, body: bytes, send: _calls.SendMessage
+    ) -> None:
+        recorder = None if call.idempotent else _calls.Recorder()
+        run = _Run(send, recorder)
+        refusal: _calls.CallRefusedError | None = None
+        deadline = trio.current_time() + call.deadline_ms / 1000
+        try:
+            refusal = await self._admit_and_run(call, body, run, deadline)
+        finally:
+            # Also reached by cancellation, where `run.outcome` tells how
+            # far the call got.
+            now = trio.current_time()
+            if run.outcome == Outcome.NOT_RUN:
+                state = EntryState.REFUSED
+            elif run.outcome == Outcome.RUN:
+                state = EntryState.DONE
+            else:
+                state = EntryState.UNKNOWN
+            response = None
+            if recorder is not None and refusal is None:
+                response = recorder.response
+            self._ledger.finish(call.request_id, now, state, response)
+        if refusal is None:
+            self._count('run')
+            return
+        self._count(refusal.reason)
+        if run.started_response:
+            with contextlib.suppress(PeerError):
+                await run.send(AnswerEnd(call.request_id, complete=False))
+            return
+        await self._refuse(call.request_id, refusal, send)
+
+    async def _admit_and_run(
+        self, call: CallStart, body: bytes, run: _Run, deadline: float
+    ) -> _calls.CallRefusedError | None:
+        try:
+            backend = self._check(call)
+            await self._admit(backend, call, deadline)
+        except _calls.CallRefusedError as error:
+            return error
+        started = trio.current_time()
+        complete = False
+        try:
+            refusal = await self._pass_on(backend, call, body, run, deadline)
+            complete = refusal is None
+        finally:
+            now = trio.current_time()
+            backend.queue.leave(now, now - started if complete else None)
+            self._wake()
+            if run.outcome != Outcome.NOT_RUN:
+                self._moves.record(
+                    call, (now - started) * 1000, failed=run.failed
+                )
+        return refusal
+
+    async def _pass_on(
+        self,
+        backend: _Backend,
+        call: CallStart,
+        body: bytes,
+        run: _Run,
+        deadline: float,
+    ) -> _calls.CallRefusedError | None:
+        left_ms = int((deadline - trio.current_time()) * 1000)
+        headers = (
+            *call.headers,
+            (_calls.DEADLINE_HEADER, b'%d' % max(0, left_ms)),
+        )
+        with trio.CancelScope(deadline=deadline) as scope:
+            try:
+                async with backend.client.request(
+                    call.method, call.path, headers, body, run.mark_sent
+                ) as response:
+                    await run.respond(call, response, self.load)
+                return None
+            except _backend_client.BackendUnreachableError as error:
+                return _calls.not_run('backend-unreachable', str(error))
+            except _backend_client.BackendRejectedError as error:
+                run.outcome = Outcome.NOT_RUN
+                return _calls.not_run('bad-request', str(error))
+            except _backend_client.BackendResetError as error:
+                run.failed = True
+                return _calls.CallRefusedError(
+                    run.outcome, 'backend-reset', str(error)
+                )
+            except _backend_client.BackendResponseError as error:
+                run.failed = True
+                return _calls.CallRefusedError(
+                    run.outcome, 'bad-response', str(error)
+                )
+        assert scope.cancelled_caught
+        run.failed = run.outcome != Outcome.NOT_RUN
+        return _calls.CallRefusedError(
+            run.outcome, 'deadline', 'the deadline passed'
+        )
+
+    def _check(self, call: CallStart) -> _Backend:
+        backend = self._backend
+        if call.runner_incarnation and (
+            call.runner_incarnation < self._incarnation
+        ):
+            raise _calls.not_run(
+                'restarted', 'the call is meant for an earlier process'
+            )
+        if backend is None:
+            raise _calls.not_run('no-backend', 'no backend server here')
+        endpoint = backend.endpoint
+        if self._draining or endpoint.state == EndpointState.DRAINING:
+            raise _calls.not_run('draining', 'the endpoint is draining')
+        if endpoint.state != EndpointState.READY:
+            raise _calls.not_run('starting', 'the endpoint is not ready')
+        if (call.service, call.version) != (
+            endpoint.service,
+            endpoint.version,
+        ):
+            raise _calls.not_run(
+                'version-mismatch',
+                f'{call.service} {call.version} was called, this is '
+                f'{endpoint.service} {endpoint.version}',
+            )
+        return backend
+
+    async def _admit(
+        self, backend: _Backend, call: CallStart, deadline: float
+    ) -> None:
+        left = deadline - trio.current_time()
+        if left <= 0:
+            raise _calls.not_run('deadline', 'the deadline has passed')
+        decision = backend.queue.arrive(left)
+        if decision == Admission.RUN:
+            return
+        if decision != Admission.QUEUE:
+            raise _calls.not_run('overloaded', decision.value)
+        waiter = _Waiter(trio.Event())
+        self._waiters.append(waiter)
+        try:
+            with trio.CancelScope(deadline=deadline):
+                await waiter.ready.wait()
+        finally:
+            if not waiter.admitted:
+                backend.queue.dequeue(run=False)
+                if waiter in self._waiters:
+                    self._waiters.remove(waiter)
+        if waiter.admitted:
+            return
+        if waiter.ready.is_set():
+            raise _calls.not_run('draining', 'the endpoint is leaving')
+        raise _calls.not_run('deadline', 'the deadline passed in the queue')
+
+    def _wake(self) -> None:
+        backend = self._backend
+        while backend and self._waiters and backend.queue.may_run:
+            waiter = self._waiters.popleft()
+            waiter.admitted = True
+            backend.queue.dequeue(run=True)
+            waiter.ready.set()
+
+    def _refuse_waiters(self) -> None:
+        while self._waiters:
+            self._waiters.popleft().ready.set()
+
+    async def _replay(
+        self, request_id: str, known: Entry, send: _calls.SendMessage
+    ) -> None:
+        response = known.response
+        if response is not None:
+            await send_recorded(request_id, response, self.load, send)
+            return
+        outcomes = {
+            EntryState.REFUSED: (Outcome.NOT_RUN, 'refused'),
+            EntryState.DONE: (Outcome.RUN, 'response-dropped'),
+        }
+        outcome, code = outcomes.get(
+            known.state, (Outcome.UNKNOWN, 'outcome-unknown')
+        )
+        refusal = _calls.CallRefusedError(
+            outcome, code, f'attempt {request_id} is {known.state.value}'
+        )
+        await self._refuse(request_id, refusal, send)
+
+    async def _refuse(
+        self,
+        request_id: str,
+        refusal: _calls.CallRefusedError,
+        send: _calls.SendMessage,
+    ) -> None:
+        await send(
+            CallRefused(
+                request_id,
+                refusal.outcome,
+                refusal.reason,
+                refusal.detail,
+                self.load,
+            )
+        )
+
+    async def _handle_call(self, exchange: Exchange, call: CallStart) -> None:
+        self._events.clock.observe(call.time)
+        size = 0
+        chunks: list[bytes] = []
+        try:
+            while call.has_body:
+                message = await exchange.receive()
+                if not isinstance(message, BodyChunk):
+                    return
+                size += len(message.data)
+                self._buffered += len(message.data)
+                if (
+                    size > _calls.MAX_REQUEST_BODY
+                    or self._buffered > _MAX_BUFFERED
+                ):
+                    refusal = _calls.not_run(
+                        'overloaded', 'too many bytes of request bodies'
+                    )
+                    await self._refuse(call.request_id, refusal, exchange.send)
+                    return
+                chunks.append(message.data)
+                if message.last:
+                    break
+            await self._run_for_peer(exchange, call, b''.join(chunks))
+        except (PeerError, trio.EndOfChannel):
+            # Nobody waits any more. Calls that are not idempotent are
+            # detached and finish on their own.
+            self._count('sender-lost')
+        finally:
+            self._buffered -= size
+
+    async def _run_for_peer(
+        self, exchange: Exchange, call: CallStart, body: bytes
+    ) -> None:
+        if call.idempotent and not call.key:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self._watch, exchange, call, nursery.cancel_scope
+                )
+                with contextlib.suppress(PeerError):
+                    await self.execute(call, body, exchange.send)
+                nursery.cancel_scope.cancel()
+            return
+        if call.request_id in self._running:
+            await self._answer_query(call.request_id, exchange.send)
+            return
+        scope = trio.CancelScope()
+        done = self._running[call.request_id] = trio.Event()
+        self._nursery.start_soon(
+            self._run_detached, exchange, call, body, scope, done
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, exchange, call, scope)
+            await done.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _run_detached(
+        self,
+        exchange: Exchange,
+        call: CallStart,
+        body: bytes,
+        scope: trio.CancelScope,
+        done: trio.Event,
+    ) -> None:
+        try:
+            with scope, contextlib.suppress(PeerError):
+                if call.key:
+                    await self._execute_keyed(call, body, exchange.send)
+                else:
+                    await self.execute(call, body, exchange.send)
+        finally:
+            self._running.pop(call.request_id, None)
+            done.set()
+
+    async def _execute_keyed(
+        self, call: CallStart, body: bytes, send: _calls.SendMessage
+    ) -> None:
+        """Run a call as the owner of its idempotency key."""
+        known = self._ledger.begin(call.request_id, trio.current_time())
+        if known is not None:
+            await self._replay(call.request_id, known, send)
+            return
+        self._active += 1
+        recorder = _calls.Recorder()
+        sink = _MessageSink(self, call.request_id, send, recorder)
+        state = EntryState.UNKNOWN
+        try:
+            request = _calls.Request(
+                call.service,
+                call.route,
+                call.method,
+                call.path,
+                call.headers,
+                body,
+                trio.current_time() + call.deadline_ms / 1000,
+                call.idempotent,
+                call.key,
+            )
+            await self._keys.execute(request, sink)
+            state = EntryState.DONE
+        except _calls.CallRefusedError as error:
+            if error.outcome == Outcome.NOT_RUN:
+                state = EntryState.REFUSED
+            elif error.outcome == Outcome.RUN:
+                state = EntryState.DONE
+            await self._refuse(call.request_id, error, sink.send)
+        except _calls.BrokenResponseError:
+            state = EntryState.DONE
+            recorder = _calls.Recorder()
+            await sink.send(AnswerEnd(call.request_id, complete=False))
+        finally:
+            response = recorder.response if state == EntryState.DONE else None
+            now = trio.current_time()
+            self._ledger.finish(call.request_id, now, state, response)
+            self._active -= 1
+            if not self._active:
+                self._idle.set()
+
+    async def _watch(
+        self, exchange: Exchange, call: CallStart, scope: trio.CancelScope
+    ) -> None:
+        """Cancel a call when its sender asks for it or is gone."""
+        try:
+            while True:
+                message = await exchange.receive()
+                if (
+                    isinstance(message, CallCancel)
+                    and message.request_id == call.request_id
+                ):
+                    scope.cancel()
+                    return
+        except (PeerError, trio.EndOfChannel):
+            if call.idempotent:
+                scope.cancel()
+
+    async def _handle_query(
+        self, exchange: Exchange, query: CallQuery
+    ) -> None:
+        with contextlib.suppress(PeerError):
+            if query.runner_incarnation < self._incarnation:
+                refusal = _calls.CallRefusedError(
+                    Outcome.UNKNOWN, 'restarted', 'the runner has restarted'
+                )
+                await self._refuse(query.request_id, refusal, exchange.send)
+                return
+            await self._answer_query(query.request_id, exchange.send)
+
+    async def _answer_query(
+        self, request_id: str, send: _calls.SendMessage
+    ) -> None:
+        # A call whose body has not arrived is not in the ledger yet; the
+        # query then refuses it, so that it cannot run later.
+        entry = self._ledger.query(request_id, trio.current_time())
+        done = self._running.get(request_id)
+        if entry.state == EntryState.RUNNING and done is not None:
+            await done.wait()
+            entry = self._ledger.query(request_id, trio.current_time())
+        await self._replay(request_id, entry, send)
+
+    async def _close_idle(self) -> None:
+        if self._backend is not None:
+            await self._backend.client.close_idle()
+        old, self._old_clients = self._old_clients, []
+        for client in old:
+            await client.close_idle(all_connections=True)
+
+    def _count(self, result: str) -> None:
+        self._runs.add(1.0, result=result)
+
+
+class _MessageSink:
+    """Turns a response into messages for the daemon that sent the call."""
+
+    __slots__ = ('_recorder', '_request_id', '_runner', '_send')
+
+    def __init__(
+        self,
+        runner: RunnerService,
+        request_id: str,
+        send: _calls.SendMessage,
+        recorder: _calls.Recorder,
+    ) -> None:
+        self._runner = runner
+        self._request_id = request_id
+        self._send: _calls.SendMessage | None = send
+        self._recorder = recorder
+
+    async def send(self, message: Message) -> None:
+        """Send a message; without a receiver it is only recorded."""
+        if self._send is not None:
+            try:
+                await self._send(message)
+            except PeerError:
+                self._send = None
+
+    async def head(self, status: int, headers: _calls.Headers) -> None:
+        """Take the status and the headers."""
+        self._recorder.head(status, headers)
+        await self.send(
+            AnswerStart(self._request_id, status, headers, self._runner.load)
+        )
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Take a part of the body."""
+        self._recorder.chunk(data)
+        await self.send(BodyChunk(data, last))
+
+
+async def send_recorded(
+    request_id: str,
+    response: RecordedResponse,
+    load: Load,
+    send: _calls.SendMessage,
+) -> None:
+    """Send a recorded response as messages."""
+    await send(
+        AnswerStart(request_id, response.status, response.headers, load)
+    )
+    for part in _calls.chunks(response.body):
+        await send(BodyChunk(part))
+    await send(AnswerEnd(request_id))
--- /dev/null
+++ b/gypsumhall/testing/daemons.py
@@ -0,0 +1,214 @@
+"""The call path of a daemon, with small versions of the other services."""
+
+from __future__ import annotations
+
+import contextlib
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from gypsumhall.core._member import Endpoint
+from gypsumhall.core._member import EndpointState
+from gypsumhall.core._snapshot import Snapshot
+from gypsumhall.kernel import Kernel
+from gypsumhall.net._protocol import PeerInfo
+from gypsumhall.services import _backend_client
+from gypsumhall.services._announcements import AnnouncementsService
+from gypsumhall.services._caller import CallerService
+from gypsumhall.services._runner import RunnerService
+from gypsumhall.testing import builders
+from gypsumhall.testing import fakes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from gypsumhall.core import _model
+    from gypsumhall.core._member import Member
+    from gypsumhall.kernel import Service
+    from gypsumhall.services import _calls
+
+POST_ROUTE = builders.build_route(path='/')
+
+
+def build_snapshot(
+    version: int = 1, moves: tuple[_model.Move, ...] = ()
+) -> Snapshot:
+    """Return a configuration with one service and one route to it."""
+    fragment = builders.build_fragment(routes=[POST_ROUTE])
+    head = builders.build_head([fragment], version, moves)
+    return Snapshot.build(head, [fragment])
+
+
+class MemoryBackend:
+    """Backend server without sockets; shared by all runners of a test.
+
+    Parameters
+    ----------
+    rng : Random
+        Source of service times and faults.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self.runs: dict[str, int] = {}
+        self.by_address: dict[str, int] = {}
+        self.mean_s = 0.01
+        self.reset_rate = 0.0
+        self.break_rate = 0.0
+        self.unreachable_rate = 0.0
+        # Status by address of the backend server; 200 by default.
+        self.status: dict[str, int] = {}
+        self.hang: set[str] = set()
+
+    def client(self, address: str) -> MemoryBackendClient:
+        """Return a client; usable as argument ``connect`` of the runner."""
+        return MemoryBackendClient(self, address)
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        headers: _calls.Headers,
+        on_send: Callable[[], None],
+    ) -> AsyncIterator[_backend_client.BackendResponse]:
+        """Run a request, which counts by its header ``X-Request``."""
+        await trio.lowlevel.checkpoint()
+        if self._rng.random() < self.unreachable_rate:
+            raise _backend_client.BackendUnreachableError(address)
+        on_send()
+        request_id = dict(headers)[b'x-request'].decode()
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        self.by_address[address] = self.by_address.get(address, 0) + 1
+        if address in self.hang:
+            await trio.sleep_forever()
+        await trio.sleep(self._rng.expovariate(1 / self.mean_s))
+        if self._rng.random() < self.reset_rate:
+            raise _backend_client.BackendResetError(address)
+        body = request_id.encode()
+        yield _backend_client.BackendResponse(
+            self.status.get(address, 200), (), len(body), self._body(body)
+        )
+
+    async def _body(self, body: bytes) -> AsyncGenerator[bytes, None]:
+        half = len(body) // 2
+        yield body[:half]
+        await trio.sleep(self._rng.expovariate(1 / self.mean_s))
+        if self._rng.random() < self.break_rate:
+            raise _backend_client.BackendResetError('broke off')
+        yield body[half:]
+
+
+class MemoryBackendClient:
+    """Client of a `MemoryBackend`."""
+
+    def __init__(self, backend: MemoryBackend, address: str) -> None:
+        self._backend = backend
+        self.address = address
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        headers: _calls.Headers,
+        body: bytes,
+        on_send: Callable[[], None],
+    ) -> contextlib.AbstractAsyncContextManager[
+        _backend_client.BackendResponse
+    ]:
+        """Send a request."""
+        return self._backend.request(self.address, headers, on_send)
+
+    async def close_idle(self, *, all_connections: bool = False) -> None:
+        """Return at once."""
+
+
+class CallDaemon:
+    """The services ``caller``, ``runner`` and ``announcements``.
+
+    Parameters
+    ----------
+    me : Member
+        Entry of the daemon.
+    table : FakeTable
+        Member table.
+    peers : callable
+        Returns the service ``peers`` for the daemon.
+    snapshot : Snapshot
+        Configuration.
+    connect : callable
+        Returns the client for the address of a backend server.
+    seed : int
+        Seed of the sender.
+    listen : str
+        Address for callers; empty for none.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        table: fakes.FakeTable,
+        peers: Callable[[PeerInfo], Service],
+        snapshot: Snapshot,
+        connect: Callable[
+            [str], _backend_client.Client
+        ] = _backend_client.BackendClient,
+        seed: int = 0,
+        listen: str = '',
+    ) -> None:
+        self.membership = fakes.FakeMembership(me, table)
+        self.distribution = fakes.FakeDistribution(snapshot)
+        self.moves = fakes.FakeMoves()
+        self.events = fakes.FakeEvents()
+        self.metrics = fakes.FakeMetrics()
+        self.admin = fakes.FakeAdmin()
+        self.runner = RunnerService(Random(seed), connect)
+        self.announcements = AnnouncementsService()
+        self.caller = CallerService(listen) if listen else None
+        self.kernel = Kernel()
+        info = PeerInfo(me.id, me.zone, me.incarnation, me.peer_address)
+        for service in (
+            self.membership,
+            self.distribution,
+            self.moves,
+            self.events,
+            self.metrics,
+            self.admin,
+            peers(info),
+            self.runner,
+            self.announcements,
+        ):
+            self.kernel.register(service)
+        if self.caller is not None:
+            self.kernel.register(self.caller)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run the daemon until it is stopped or cancelled."""
+        await self.kernel.run(task_status=task_status)
+
+    def set_backend(
+        self,
+        address: str,
+        version: str = 'v1',
+        slots: int = 6,
+        state: EndpointState = EndpointState.READY,
+        service: str = 'availability',
+    ) -> None:
+        """Announce a backend server; it is not removed after 3 s."""
+        endpoint = Endpoint(service, version, slots, state)
+        self.runner.set_backend(endpoint, address)
+        self.membership.set_endpoint(endpoint)
+
+
+def restarted(member: Member) -> Member:
+    """Return the entry of a daemon's next process, without endpoint."""
+    return msgspec.structs.replace(
+        member, incarnation=member.incarnation + 1000, endpoint=None
+    )
--- /dev/null
+++ b/tests/test_services_caller.py
@@ -0,0 +1,342 @@
+"""Contract tests of the interfaces to callers and to backend servers."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+import httpcore
+import pytest
+import trio
+
+from gypsumhall.standin._backend import BackendServer
+from gypsumhall.standin._backend import BackendSettings
+from gypsumhall.testing import builders
+from gypsumhall.testing import fakes
+from gypsumhall.testing.daemons import build_snapshot
+from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.memory_network import MemoryHub
+from gypsumhall.testing.memory_network import MemoryNetwork
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+_WAIT_S = 30.0
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    while True:
+        if condition():
+            return
+        await trio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def _daemons(
+    backend: str, *, remote: bool = True
+) -> AsyncIterator[list[CallDaemon]]:
+    """Run a daemon with a backend server, and one without before it."""
+    with trio.fail_after(_WAIT_S):
+        async with trio.open_nursery() as nursery:
+            hub = MemoryHub(nursery)
+            table = fakes.FakeTable()
+            daemons = [
+                CallDaemon(
+                    builders.build_member(index),
+                    table,
+                    lambda info: MemoryNetwork(hub, info),
+                    build_snapshot(),
+                    listen='127.0.0.1:0',
+                )
+                for index in range(2 if remote else 1)
+            ]
+            for daemon in daemons:
+                await nursery.start(daemon.run)
+            daemons[-1].set_backend(backend)
+            yield daemons
+            nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def _scripted_backend(
+    script: bytes | None, *, reset: bool = False
+) -> AsyncIterator[str]:
+    """Run a server that answers every request with the same bytes."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        received = b''
+        while b'\r\n\r\n' not in received:
+            data = await stream.receive_some()
+            if not data:
+                return
+            received += data
+        if script is None:
+            await stream.receive_some()
+            return
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(script)
+        if reset:
+            linger = struct.pack('ii', 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        yield f'127.0.0.1:{port}'
+        nursery.cancel_scope.cancel()
+
+
+_HEAD = b'HTTP/1.1 200 OK\r\n'
+_LENGTH = b'Content-Length: 100\r\n\r\n'
+_LARGE = b'Content-Length: 70000000\r\n\r\n'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n'
+_BUSY = (
+    b'HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nContent-Length: 0\r\n'
+    b'Connection: close\r\n\r\n'
+)
+_PADDING = b'X-Padding: ' + b'x' * 33_000 + b'\r\n'
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(
+    ('script', 'reset', 'expected'),
+    [
+        pytest.param(b'', False, (502, 'unknown'), id='closed-before-head'),
+        pytest.param(b'', True, (502, 'unknown'), id='reset-before-head'),
+        pytest.param(_HEAD, True, (502, 'unknown'), id='reset-within-head'),
+        pytest.param(b'\0garbage\n\n', False, (502, 'unknown'), id='garbage'),
+        pytest.param(
+            _HEAD + _PADDING + _LENGTH, False, (502, 'unknown'), id='headers'
+        ),
+        pytest.param(_HEAD + _LARGE, False, (502, 'unknown'), id='too-large'),
+        pytest.param(
+            _HEAD + b'\r\nhello', False, (502, 'unknown'), id='unframed'
+        ),
+        pytest.param(_HEAD + _LENGTH + b'short', False, None, id='short-body'),
+        pytest.param(
+            _HEAD + _LENGTH + b'short', True, None, id='reset-after-head'
+        ),
+        pytest.param(_HEAD + _CHUNKED, False, None, id='unfinished-chunks'),
+        pytest.param(None, False, (504, 'unknown'), id='no-response'),
+        pytest.param(_BUSY, False, (503, ''), id='overloaded-backend'),
+    ],
+)
+async def test_faulty_backend_server(
+    method: str,
+    script: bytes | None,
+    reset: bool,
+    expected: tuple[int, str] | None,
+) -> None:
+    """A fault must become neither a complete response nor `not-run`."""
+    async with (
+        _scripted_backend(script, reset=reset) as backend,
+        _daemons(backend) as daemons,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        for daemon in daemons:
+            url = f'http://{daemon.caller.address}/search'
+            headers = {'Host': 'spa.example', 'Gypsumhall-Deadline-Ms': '400'}
+            if expected is None:
+                with pytest.raises(httpcore.RemoteProtocolError):
+                    await pool.request(method, url, headers=headers)
+                continue
+            response = await pool.request(method, url, headers=headers)
+            found = dict(response.headers)
+            outcome = found.get(b'gypsumhall-outcome', b'').decode()
+            assert (response.status, outcome) == expected
+            if outcome:
+                assert json.loads(response.content)['outcome'] == outcome
+            else:
+                assert found[b'retry-after'] == b'7'
+
+
+async def test_backend_server_that_does_not_listen_ran_nothing() -> None:
+    async with (
+        _daemons('127.0.0.1:1') as daemons,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        response = await pool.request(
+            'POST',
+            f'http://{daemons[0].caller.address}/search',
+            headers={'Host': 'spa.example'},
+        )
+        assert response.status == 503
+        assert (b'gypsumhall-outcome', b'not-run') in response.headers
+
+
+def _get(path: bytes = b'/search', *fields: bytes) -> bytes:
+    lines = [b'GET ' + path + b' HTTP/1.1', b'Host: spa.example', *fields]
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+def _post(*fields: bytes) -> bytes:
+    return _get(b'/search', *fields).replace(b'GET', b'POST', 1)
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'status'),
+    [
+        pytest.param(b'nonsense\r\n\r\n', 400, id='garbage'),
+        pytest.param(b'GET / HTTP/1.1\r\n\r\n', 400, id='missing-host'),
+        pytest.param(
+            _get().replace(b'spa.example', b'other'), 404, id='unknown-host'
+        ),
+        pytest.param(
+            _get(b'/search', _PADDING[:-2]), 431, id='oversized-headers'
+        ),
+        pytest.param(
+            _post(b'Content-Length: 9000000'), 413, id='oversized-body'
+        ),
+        pytest.param(
+            _post(b'Transfer-Encoding: chunked')
+            + b'900000\r\n'
+            + bytes(0x900000)
+            + b'\r\n0\r\n\r\n',
+            413,
+            id='oversized-chunked-body',
+        ),
+        pytest.param(
+            _get(b'/search', b'Gypsumhall-Deadline-Ms: 0'),
+            504,
+            id='deadline-passed',
+        ),
+        pytest.param(
+            _get(b'/search', b'Gypsumhall-Deadline-Ms: soon'),
+            400,
+            id='bad-deadline',
+        ),
+        pytest.param(
+            _post(b'Idempotency-Key: ' + b'k' * 300), 400, id='long-key'
+        ),
+        pytest.param(
+            _get().replace(b'GET /search', b'CONNECT spa.example:80'),
+            400,
+            id='connect',
+        ),
+        pytest.param(
+            _get(
+                b'/search',
+                b'Connection: Upgrade',
+                b'Upgrade: websocket',
+                b'Sec-WebSocket-Version: 13',
+                b'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==',
+            ),
+            403,
+            id='websocket',
+        ),
+    ],
+)
+async def test_request_that_is_refused_before_it_runs(
+    request_bytes: bytes, status: int
+) -> None:
+    """Every refusal states the outcome, also those of the HTTP library."""
+    async with _daemons('127.0.0.1:1') as daemons:
+        host, _, port = daemons[0].caller.address.rpartition(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream, trio.open_nursery() as nursery:
+
+            async def send() -> None:
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await stream.send_all(request_bytes)
+
+            nursery.start_soon(send)
+            received = b''
+            while b'\r\n\r\n' not in received:
+                data = await stream.receive_some()
+                assert data, received
+                received += data
+            nursery.cancel_scope.cancel()
+        head = received.split(b'\r\n\r\n')[0].lower()
+        assert head.startswith(b'http/1.1 %d' % status)
+        assert b'gypsumhall-outcome: not-run' in head
+
+
+@contextlib.asynccontextmanager
+async def _standin(
+    service_time_ms: float,
+) -> AsyncIterator[tuple[BackendServer, list[CallDaemon], trio.Nursery]]:
+    async with trio.open_nursery() as nursery:
+        server = BackendServer(
+            BackendSettings(
+                'availability', 'v1', service_time_ms=service_time_ms
+            )
+        )
+        address = await nursery.start(server.run)
+        async with _daemons(address) as daemons:
+            yield server, daemons, nursery
+        nursery.cancel_scope.cancel()
+
+
+async def test_large_bodies_and_key_are_repeated_without_a_second_run() -> (
+    None
+):
+    async with (
+        _standin(1.0) as (server, daemons, _),
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        answers = []
+        for body in (b'a' * 300_000, b'a' * 300_000, b'other'):
+            response = await pool.request(
+                'POST',
+                f'http://{daemons[0].caller.address}/search?size=300000',
+                headers={
+                    'Host': 'spa.example',
+                    'X-Request': 'r1',
+                    'Idempotency-Key': 'key',
+                },
+                content=body,
+            )
+            answers.append((response.status, len(response.content)))
+        assert answers[:2] == [(200, 300_000)] * 2
+        assert answers[2][0] == 422
+        assert server.runs == {'r1': 1}
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('index', [0, 1])
+async def test_caller_that_leaves_cancels_the_run(
+    method: str, index: int
+) -> None:
+    async with _standin(600_000.0) as (server, daemons, _):
+        address = daemons[index].caller.address
+        with trio.move_on_after(0.3):
+            async with httpcore.AsyncConnectionPool() as pool:
+                await pool.request(
+                    method,
+                    f'http://{address}/search',
+                    headers={'Host': 'spa.example', 'X-Request': 'r1'},
+                )
+        await _until(lambda: server.cancelled > 0)
+        assert daemons[-1].runner.load.in_flight == 0
+
+
+async def test_planned_stop_finishes_calls_and_refuses_new_ones() -> None:
+    """A request in flight is not interrupted by a planned stop."""
+    async with (
+        _standin(300.0) as (server, daemons, nursery),
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        url = f'http://{daemons[0].caller.address}/search'
+        headers = {'Host': 'spa.example', 'X-Request': 'r1'}
+        statuses = []
+
+        async def call() -> None:
+            response = await pool.request('POST', url, headers=headers)
+            statuses.append(response.status)
+
+        async with trio.open_nursery() as calls:
+            calls.start_soon(call)
+            await _until(lambda: bool(server.runs))
+            calls.start_soon(daemons[1].runner.drain)
+            await trio.sleep(0.05)
+            response = await pool.request('POST', url, headers=headers)
+            assert response.status == 503
+            assert (b'gypsumhall-outcome', b'not-run') in response.headers
+        assert statuses == [200]
+        assert server.runs == {'r1': 1}
