Test the call path under random faults and mend what it found

Cause: trials of several daemons under message faults, resets and restarts showed keyed requests that ran twice and false not-run refusals. Change: a refusal by the owner's execution ledger settles only one attempt of a keyed request; a released key remembers for whom it was given up; a release names the processes that are asked, and earlier processes of the new owner make the outcome unknown. Two different endpoints are compared, as a quarter of the calls went to a slowly starting endpoint before. State machines cover the execution ledger and key ownership. Ruled out: asking a former owner by its address only, because a new process there answers for a ledger that it has lost. Conclusion: no known way to run a key twice is left, except that all daemons of a service are replaced within the retention time.

--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from dataclasses import field
 import enum
 import hashlib
 from typing import TYPE_CHECKING
@@ -95,6 +96,15 @@
 _RESTART_MS = 50
 
 
+def is_same_process(member: Member, incarnation: int) -> bool:
+    """Whether an incarnation belongs to the process of a member's entry."""
+    return _are_same_process(member.incarnation, incarnation)
+
+
+def _are_same_process(incarnation: int, other: int) -> bool:
+    return abs(incarnation - other) < _RESTART_MS
+
+
 class OwnershipHistory:
     """Changes of the members with an endpoint of one service.
 
@@ -194,18 +204,40 @@
                     break
         return FormerOwners(tuple(ask), tuple(lost))
 
-    def had_earlier_owner(self, key: str, now: float) -> bool:
+    def had_earlier_owner(
+        self,
+        key: str,
+        now: float,
+        to: tuple[str, int],
+        asked: Iterable[tuple[str, int]],
+    ) -> bool:
         """Whether a member with a better claim left within the time.
 
+        An earlier process of the new owner counts, even if its death has
+        not been seen here yet.
+
         Parameters
         ----------
         key : str
             Idempotency key.
         now : float
             Current time in seconds.
+        to : (str, int)
+            Id and incarnation of the new owner.
+        asked : iterable of (str, int)
+            Ids and incarnations of the members that it asks anyway.
         """
-        gone = self._recent(self._departed, now)
-        gone += self._recent(self._lost, now)
+        before = self._known.get(to[0])
+        if before is not None and not is_same_process(before.member, to[1]):
+            return True
+        incarnations = dict(asked)
+        gone = self._recent(self._lost, now)
+        gone += [
+            member
+            for member in self._recent(self._departed, now)
+            if member.id not in incarnations
+            or not is_same_process(member, incarnations[member.id])
+        ]
         return any(self._is_above(key, member) for member in gone)
 
     def _recent(
@@ -227,9 +259,8 @@
         known = self._known.get(member.id)
         departed = self._departed.pop(member.id, None)
         before = known.member if known else departed[0] if departed else None
-        restarted = (
-            before is not None
-            and member.incarnation - before.incarnation >= _RESTART_MS
+        restarted = before is not None and not is_same_process(
+            before, member.incarnation
         )
         if before is not None and restarted:
             self._lost[member.id] = (before, now)
@@ -264,12 +295,15 @@
         Kept response.
     expires_at : float
         Time in seconds at which the entry is dropped.
+    released_to : set of (str, int)
+        Ids and incarnations of the daemons that the key was given up for.
     """
 
     state: KeyState
     digest: bytes
     response: RecordedResponse | None = None
     expires_at: float = float('inf')
+    released_to: set[tuple[str, int]] = field(default_factory=set)
 
 
 class KeyLedger:
@@ -314,7 +348,8 @@
         -------
         KeyEntry
             State ``NEW`` when the caller of this method has claimed it;
-            it then has to call `finish` or `abandon`.
+            it then has to call `finish` or `abandon`. An entry that is
+            ``RELEASED`` can be claimed with `reclaim`.
         """
         self._expire(now)
         entry = self._entries.get((service, key))
@@ -358,18 +393,42 @@
             self._entries[oldest].response = None
             self._bytes -= size
 
-    def abandon(self, service: str, key: str) -> None:
+    def abandon(self, service: str, key: str, now: float) -> None:
         """Give up a claimed key whose request certainly did not run."""
-        del self._entries[service, key]
+        entry = self._entries[service, key]
+        if entry.released_to:
+            entry.state = KeyState.RELEASED
+            self._keep(service, key, entry, now)
+        else:
+            del self._entries[service, key]
 
-    def release(self, service: str, key: str, now: float) -> KeyState:
+    def release(
+        self,
+        service: str,
+        key: str,
+        now: float,
+        to: tuple[str, int],
+        asked: Iterable[tuple[str, int]],
+    ) -> KeyState:
         """Give up a key for its new owner.
 
+        Parameters
+        ----------
+        service, key : str
+            Service and idempotency key.
+        now : float
+            Current time in seconds.
+        to : (str, int)
+            Id and incarnation of the new owner.
+        asked : iterable of (str, int)
+            Ids and incarnations of all members that the new owner asks.
+
         Returns
         -------
         KeyState
-            ``RELEASED`` when no request with the key has run here and
-            none will; otherwise what is known about the key.
+            ``RELEASED`` when no request with the key has run here or with
+            the consent of this daemon, and none will without the consent
+            of the new owner; otherwise what is known about the key.
         """
         self._expire(now)
         entry = self._entries.get((service, key))
@@ -377,7 +436,32 @@
             entry = KeyEntry(KeyState.RELEASED, b'')
             self._entries[service, key] = entry
             self._keep(service, key, entry, now)
-        return entry.state
+        if entry.state != KeyState.RELEASED:
+            return entry.state
+        consulted = {**dict(asked), to[0]: to[1]}
+        certain = all(
+            member_id in consulted
+            and _are_same_process(incarnation, consulted[member_id])
+            for member_id, incarnation in entry.released_to
+        )
+        entry.released_to.add(to)
+        return KeyState.RELEASED if certain else KeyState.UNKNOWN
+
+    def reclaim(self, service: str, key: str, digest: bytes) -> None:
+        """Claim a released key, to ask those that it was given up for.
+
+        Parameters
+        ----------
+        service, key : str
+            Service and key, whose entry is ``RELEASED``.
+        digest : bytes
+            Digest of the request.
+        """
+        entry = self._entries[service, key]
+        entry.state = KeyState.RUNNING
+        entry.digest = digest
+        entry.expires_at = float('inf')
+        del self._expiry[service, key]
 
     def _keep(
         self, service: str, key: str, entry: KeyEntry, now: float
--- a/gypsumhall/core/_routing.py
+++ b/gypsumhall/core/_routing.py
@@ -268,10 +268,15 @@
             self._ejection.forget(member_id)
 
     def _two_choices(self, ids: list[str], now: float) -> Member:
-        first = self._states[ids[int(self._rng.random() * len(ids))]]
-        if len(ids) == 1:
+        count = len(ids)
+        index = int(self._rng.random() * count)
+        first = self._states[ids[index]]
+        if count == 1:
             return first.member
-        second = self._states[ids[int(self._rng.random() * len(ids))]]
+        # Two different endpoints: with the same one twice, a quarter of the
+        # calls would go to the slower of two endpoints whatever its load.
+        index += 1 + int(self._rng.random() * (count - 1))
+        second = self._states[ids[index % count]]
         if second.load(now) < first.load(now):
             return second.member
         return first.member
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -473,10 +473,23 @@
 
 
 class KeyRelease(Message, frozen=True, tag=47):
-    """Asks a former key owner to give up an idempotency key."""
+    """Asks a former key owner to give up an idempotency key.
+
+    Parameters
+    ----------
+    service, key : str
+        Service and idempotency key.
+    incarnation : int
+        Incarnation of the process that is asked; another one cannot know.
+    asked : tuple of (str, int)
+        Ids and incarnations of all members that are asked, so that none of
+        them answers ``unknown`` because of another.
+    """
 
     service: str
     key: str
+    incarnation: int = 0
+    asked: tuple[tuple[str, int], ...] = ()
 
 
 class KeyReleased(Message, frozen=True, tag=48):
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -85,6 +85,7 @@
     __slots__ = (
         '_events',
         '_finished',
+        '_incarnation',
         '_joined',
         '_ledger',
         '_membership',
@@ -104,6 +105,7 @@
         self._sender = sender
         self._events = events
         self._ledger = KeyLedger()
+        self._incarnation = membership.me.incarnation
         self._joined: dict[str, _Membership] = {}
         # Events of running requests; set when the request has ended.
         self._finished: dict[tuple[str, str], trio.Event] = {}
@@ -163,8 +165,10 @@
                     'deadline',
                     'a request with this key is running',
                 )
-        if entry.state == KeyState.NEW:
-            await self._execute_claimed(request, sink)
+        if entry.state == KeyState.RELEASED:
+            self._ledger.reclaim(service, key, digest)
+        if entry.state in (KeyState.NEW, KeyState.RUNNING):
+            await self._execute_claimed(request, sink, entry.released_to)
         else:
             await _repeat(entry, key, sink)
 
@@ -173,11 +177,15 @@
     ) -> None:
         """Give up a key for its new owner."""
         now = trio.current_time()
-        state = self._ledger.release(message.service, message.key, now)
+        service, key = message.service, message.key
+        to = (exchange.peer.id, exchange.peer.incarnation)
+        state = self._ledger.release(service, key, now, to, message.asked)
         outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
-        known = self._joined.get(message.service)
+        known = self._joined.get(service)
         if outcome == Outcome.NOT_RUN and (
-            known is None or known.history.had_earlier_owner(message.key, now)
+            message.incarnation < self._incarnation
+            or known is None
+            or known.history.had_earlier_owner(key, now, to, message.asked)
         ):
             outcome = Outcome.UNKNOWN
         await exchange.send(KeyReleased(outcome))
@@ -195,7 +203,10 @@
             )
 
     async def _execute_claimed(
-        self, request: _calls.Request, sink: _calls.ResponseSink
+        self,
+        request: _calls.Request,
+        sink: _calls.ResponseSink,
+        released_to: set[tuple[str, int]],
     ) -> None:
         service, key = request.service, request.key
         finished = self._finished[service, key] = trio.Event()
@@ -203,7 +214,7 @@
         state: KeyState | None = KeyState.UNKNOWN
         try:
             try:
-                await self._ask_former_owners(request)
+                await self._ask_former_owners(request, released_to)
             except BaseException:
                 state = None
                 raise
@@ -223,7 +234,7 @@
         finally:
             del self._finished[service, key]
             if state is None:
-                self._ledger.abandon(service, key)
+                self._ledger.abandon(service, key, trio.current_time())
             else:
                 now = trio.current_time()
                 response = None
@@ -232,7 +243,9 @@
                 self._ledger.finish(service, key, now, state, response)
             finished.set()
 
-    async def _ask_former_owners(self, request: _calls.Request) -> None:
+    async def _ask_former_owners(
+        self, request: _calls.Request, released_to: set[tuple[str, int]]
+    ) -> None:
         known = self._joined.get(request.service)
         if known is None:
             raise _calls.CallRefusedError(
@@ -246,24 +259,38 @@
                 'former-owner-lost',
                 f'former owners of the key have restarted: {former.lost}',
             )
+        ask = {item.id: item for item in former.ask}
+        for member_id, incarnation in released_to:
+            if member_id not in ask or not _ownership.is_same_process(
+                ask[member_id], incarnation
+            ):
+                raise _calls.CallRefusedError(
+                    Outcome.UNKNOWN,
+                    'key-released',
+                    f'the key was given up for {member_id}',
+                )
         if not former.ask:
             return
         answers: dict[str, Outcome] = {}
+        asked = tuple((item.id, item.incarnation) for item in former.ask)
         async with trio.open_nursery() as nursery:
             for member in former.ask:
-                nursery.start_soon(self._ask, member, request, answers)
-        for member_id, outcome in answers.items():
-            if outcome != Outcome.NOT_RUN:
-                raise _calls.CallRefusedError(
-                    outcome,
-                    'former-owner',
-                    f'former owner {member_id} of the key did not release it',
-                )
+                nursery.start_soon(self._ask, member, request, asked, answers)
+        for outcome in (Outcome.RUN, Outcome.UNKNOWN):
+            for member_id, answer in answers.items():
+                if answer == outcome:
+                    raise _calls.CallRefusedError(
+                        outcome,
+                        'former-owner',
+                        f'former owner {member_id} of the key did not '
+                        'release it',
+                    )
 
     async def _ask(
         self,
         member: Member,
         request: _calls.Request,
+        asked: tuple[tuple[str, int], ...],
         answers: dict[str, Outcome],
     ) -> None:
         answers[member.id] = Outcome.UNKNOWN
@@ -271,7 +298,9 @@
         try:
             reply = await self._peers.request(
                 member.peer_address,
-                KeyRelease(request.service, request.key),
+                KeyRelease(
+                    request.service, request.key, member.incarnation, asked
+                ),
                 timeout_s=max(0.0, min(_ASK_TIMEOUT_S, left)),
             )
         except PeerError:
@@ -300,12 +329,6 @@
         raise _calls.not_run(
             'key-mismatch', f'key {key!r} was used for another request'
         )
-    if entry.state == KeyState.RELEASED:
-        raise _calls.CallRefusedError(
-            Outcome.UNKNOWN,
-            'key-released',
-            f'key {key!r} was given up for another owner',
-        )
     if entry.state == KeyState.UNKNOWN:
         raise _calls.CallRefusedError(
             Outcome.UNKNOWN,
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -556,7 +556,7 @@
                     or self._buffered > _MAX_BUFFERED
                 ):
                     refusal = _calls.not_run(
-                        'overloaded', 'too many bytes of request bodies'
+                        'buffer-full', 'too many bytes of request bodies'
                     )
                     await self._refuse(call.request_id, refusal, exchange.send)
                     return
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -46,6 +46,8 @@
         'version-mismatch',
     ]
 )
+# Certain refusals of one attempt by the owner of a key.
+_ATTEMPT_ONLY = frozenset(['buffer-full', 'refused'])
 # Refusals that every other endpoint would repeat.
 _FINAL = frozenset(['bad-request', 'request-too-large'])
 # Refusals that show a faulty endpoint, and those that show nothing.
@@ -178,6 +180,32 @@
     async def _send_to_owner(
         self, request: _calls.Request, sink: _calls.ResponseSink
     ) -> None:
+        """Send a request to the owner of its key.
+
+        The owner's key ledger makes repetition safe. A refusal by its
+        execution ledger settles only one attempt and says nothing about
+        earlier requests with the key.
+        """
+        for _ in range(_MAX_ATTEMPTS):
+            owner = self._owner(request)
+            if owner.id == self._me:
+                assert self.execute_keyed is not None
+                await self.execute_keyed(request, sink)
+                return
+            refused = await self._attempt_at_owner(owner, request, sink)
+            if refused is None:
+                return
+            # Every attempt that was lost has been settled, so that it
+            # cannot run after a later one has been refused.
+            if refused.code not in _ATTEMPT_ONLY:
+                raise _calls.CallRefusedError(
+                    refused.outcome, refused.code, refused.detail
+                )
+        raise _calls.CallRefusedError(
+            Outcome.UNKNOWN, 'peer-lost', 'streams to the owner were lost'
+        )
+
+    def _owner(self, request: _calls.Request) -> Member:
         table = self._membership.table
         owner = _ownership.owner(
             request.service, request.key, table.endpoints(request.service)
@@ -189,29 +217,27 @@
                 'no-key-owner',
                 f'no endpoint of {request.service} to own the key',
             )
-        if owner.id == self._me:
-            assert self.execute_keyed is not None
-            await self.execute_keyed(request, sink)
-            return
+        return owner
+
+    async def _attempt_at_owner(
+        self,
+        owner: Member,
+        request: _calls.Request,
+        sink: _calls.ResponseSink,
+    ) -> CallRefused | None:
         call = self._attempts.build(request, owner, '', key=request.key)
         receiver = _attempts.Receiver(call.request_id, sink)
         try:
             await self._attempts.run(owner, call, request, receiver)
-            if not receiver.done:
-                await self._attempts.settle(owner, call, request, receiver)
         except PeerUnreachableError as error:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN,
                 'key-owner-unreachable',
                 f'owner {owner.id} of the key: {error}',
             ) from error
-        if receiver.refused is not None:
-            refused = receiver.refused
-            raise _calls.CallRefusedError(
-                refused.outcome, refused.code, refused.detail
-            )
-        if not receiver.complete:
-            raise _calls.BrokenResponseError('the response broke off')
+        if not receiver.done:
+            await self._attempts.settle(owner, call, request, receiver)
+        return _failure(receiver, call.request_id, owner.id)
 
     async def _send(
         self, request: _calls.Request, sink: _calls.ResponseSink
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -62,7 +62,9 @@
         self.unreachable_rate = 0.0
         # Status by address of the backend server; 200 by default.
         self.status: dict[str, int] = {}
+        # Addresses whose requests hang, or whose responses break off.
         self.hang: set[str] = set()
+        self.broken: set[str] = set()
 
     def client(self, address: str) -> MemoryBackendClient:
         """Return a client; usable as argument ``connect`` of the runner."""
@@ -90,14 +92,19 @@
             raise _backend_client.BackendResetError(address)
         body = request_id.encode()
         yield _backend_client.BackendResponse(
-            self.status.get(address, 200), (), len(body), self._body(body)
+            self.status.get(address, 200),
+            (),
+            len(body),
+            self._body(address, body),
         )
 
-    async def _body(self, body: bytes) -> AsyncGenerator[bytes, None]:
+    async def _body(
+        self, address: str, body: bytes
+    ) -> AsyncGenerator[bytes, None]:
         half = len(body) // 2
         yield body[:half]
         await trio.sleep(self._rng.expovariate(1 / self.mean_s))
-        if self._rng.random() < self.break_rate:
+        if address in self.broken or self._rng.random() < self.break_rate:
             raise _backend_client.BackendResetError('broke off')
         yield body[half:]
 
--- /dev/null
+++ b/tests/test_services_sender.py
@@ -0,0 +1,192 @@
+"""Tests of sender, runner and key owner over a network in memory."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from gypsumhall.core._member import EndpointState
+from gypsumhall.net._messages import AnswerStart
+from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import Message
+from gypsumhall.net._messages import Revert
+from gypsumhall.testing import builders
+from gypsumhall.testing import call_trial
+from gypsumhall.testing.call_trial import CallTrial
+from gypsumhall.testing.memory_network import Fault
+from gypsumhall.testing.memory_network import FaultRule
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from trio.testing import MockClock
+
+
+@contextlib.asynccontextmanager
+async def _trial(
+    daemons: int = 4, share: float = 0.0
+) -> AsyncIterator[CallTrial]:
+    async with trio.open_nursery() as nursery:
+        trial = CallTrial(nursery, 1, daemons=daemons, share=share)
+        await trial.start()
+        await trio.sleep(20.0)
+        yield trial
+        call_trial.check(trial)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('seed', range(8))
+async def test_random_faults(autojump_clock: MockClock, seed: int) -> None:
+    trial = await call_trial.run_trial(seed, 300, restarts=seed % 4)
+    call_trial.check(trial)
+    assert trial.results['response'] > 200
+
+
+def _break_on(kind: type[Message], fault: Fault, times: int = 1) -> FaultRule:
+    left = [times]
+
+    def rule(source: str, target: str, message: Message) -> Fault:
+        if isinstance(message, kind) and left[0]:
+            left[0] -= 1
+            return fault
+        return Fault.NONE
+
+    return rule
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(
+    ('kind', 'fault'),
+    [
+        (CallStart, Fault.BREAK_BEFORE),
+        (CallStart, Fault.BREAK_AFTER),
+        (CallStart, Fault.SILENCE),
+        (AnswerStart, Fault.BREAK_BEFORE),
+        (AnswerStart, Fault.SILENCE),
+    ],
+)
+async def test_lost_stream_is_hidden_from_the_caller(
+    autojump_clock: MockClock,
+    method: str,
+    kind: type[Message],
+    fault: Fault,
+) -> None:
+    """Idempotent calls are repeated, the others asked for by a query."""
+    async with _trial() as trial:
+        trial.hub.rule = _break_on(kind, fault)
+        request = trial.request('r1', method=method)
+        assert await trial.call(3, request) == 'response'
+        assert method == 'GET' or trial.backend.runs == {'r1': 1}
+
+
+async def test_query_reaches_a_restarted_daemon(
+    autojump_clock: MockClock,
+) -> None:
+    """A new process does not know what the old one ran."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.mean_s = 2.0
+        trial.hub.rule = _break_on(AnswerStart, Fault.SILENCE)
+        async with trio.open_nursery() as nursery:
+            results = []
+
+            async def call() -> None:
+                request = trial.request('r1', timeout_s=9.0)
+                results.append(await trial.call(1, request))
+
+            nursery.start_soon(call)
+            await trio.sleep(0.1)
+            await trial.restart(0, 0.5)
+        assert results == ['unknown']
+
+
+@pytest.mark.parametrize('fault', ['status', 'reset', 'hang'])
+async def test_failure_on_the_new_version_is_repeated_on_the_old_one(
+    autojump_clock: MockClock, fault: str
+) -> None:
+    """Callers of idempotent requests lose nothing to a bad version."""
+    async with _trial(share=1.0) as trial:
+        new = 'backend-2'
+        if fault == 'status':
+            trial.backend.status[new] = 500
+        elif fault == 'hang':
+            trial.backend.hang.add(new)
+        else:
+            trial.backend.broken.add(new)
+        for index in range(30):
+            request = trial.request(f'r{index}', method='GET')
+            assert await trial.call(3, request) == 'response'
+        assert trial.backend.by_address[new] >= 5
+        failed = [failed for _, _, failed in trial.daemons[2].moves.records]
+        assert failed and all(failed)
+
+
+async def test_only_random_idempotent_calls_use_the_first_stage(
+    autojump_clock: MockClock,
+) -> None:
+    """Others would be at risk, and would bias the evidence."""
+    async with _trial(share=1.0) as trial:
+        for index in range(20):
+            request = trial.request(f'p{index}')
+            assert await trial.call(3, request) == 'response'
+            keyed = trial.request(f'k{index}', key=f'k{index}')
+            assert await trial.call(3, keyed) == 'response'
+        assert 'backend-2' not in trial.backend.by_address
+        assert not any(daemon.moves.records for daemon in trial.daemons)
+        trial.daemons[3].distribution.add_revert(Revert('spa/move', '', 'd0'))
+        await trial.call(3, trial.request('g', method='GET'))
+        assert 'backend-2' not in trial.backend.by_address
+
+
+async def test_draining_endpoint_refuses_and_others_take_over(
+    autojump_clock: MockClock,
+) -> None:
+    """A sender whose member table lags must not reach a leaving server."""
+    async with _trial() as trial:
+        runner = trial.daemons[0].runner
+        endpoint = trial.daemons[0].membership.me.endpoint
+        assert endpoint is not None
+        draining = builders.build_endpoint(state=EndpointState.DRAINING)
+        runner.set_backend(draining, 'backend-0')
+        for index in range(20):
+            assert await trial.call(3, trial.request(f'r{index}')) == (
+                'response'
+            )
+        assert 'backend-0' not in trial.backend.by_address
+
+
+async def test_overload_is_refused_before_the_run(
+    autojump_clock: MockClock,
+) -> None:
+    """Calls beyond slots and queue are refused, none of them is run."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.mean_s = 1.0
+        async with trio.open_nursery() as nursery:
+            for index in range(100):
+                request = trial.request(f'r{index}', timeout_s=30.0)
+                nursery.start_soon(trial.call, 1, request)
+        assert trial.results['response'] == 12
+        assert trial.results['not-run'] == 88
+
+
+async def test_key_released_by_a_former_owner_runs_once(
+    autojump_clock: MockClock,
+) -> None:
+    """A new owner must not run a key that another one has run."""
+    async with _trial(daemons=6) as trial:
+        assert trial.daemons[0].membership.table.revision
+        for index in range(30):
+            request = trial.request(f'k{index}', key=f'k{index}')
+            assert await trial.call(5, request) == 'response'
+        for daemon in trial.daemons[:2]:
+            daemon.runner.set_backend(None, '')
+            daemon.membership.set_endpoint(None)
+        await trio.sleep(1.0)
+        results = []
+        for index in range(30):
+            request = trial.request(f'k{index}', key=f'k{index}')
+            results.append(await trial.call(5, request))
+        assert set(results) == {'response', 'run'}
+        assert set(trial.backend.runs.values()) == {1}
