Add the load tool and the benchmark of a call

Cause: the latency that a daemon adds could not be measured. Ruled out: httpcore's connection pool for the load, because it looks at all connections for every request.

--- /dev/null
+++ b/gypsumhall/load/_load.py
@@ -0,0 +1,305 @@
+"""Open-loop load: requests start at their time, whatever came before."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import defaultdict
+import json
+from random import Random
+import time
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+import msgspec
+import trio
+
+from gypsumhall._errors import GypsumhallError
+from gypsumhall.services import _backend_client
+
+# One microsecond to ten minutes with three significant digits.
+_HIGHEST_US = 600_000_000
+_PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+_BASELINE = 'baseline'
+
+
+class RequestKind(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A kind of request.
+
+    Parameters
+    ----------
+    name : str
+        Name in the report.
+    host : str
+        Header ``Host``.
+    path : str
+        Path with query.
+    method : str
+        HTTP method.
+    weight : float
+        Share of the requests, relative to the other kinds.
+    keyed : bool
+        Whether each request carries an ``Idempotency-Key``.
+    idempotent : bool
+        Whether a request may be run more than once.
+    body_bytes : int
+        Size of the request body.
+    deadline_ms : int
+        Header ``Gypsumhall-Deadline-Ms``; 0 for none.
+    """
+
+    name: str
+    host: str
+    path: str = '/'
+    method: str = 'GET'
+    weight: float = 1.0
+    keyed: bool = False
+    idempotent: bool = True
+    body_bytes: int = 0
+    deadline_ms: int = 0
+
+
+class LoadSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of a load.
+
+    Parameters
+    ----------
+    targets : tuple of str
+        Caller addresses of daemons, ``<ip>:<port>``.
+    kinds : tuple of RequestKind
+        Kinds of requests.
+    rate_per_s : float
+        Mean arrivals per second; the arrivals are a Poisson process.
+    seconds : float
+        Longest time in which requests are started.
+    max_requests : int
+        Most requests that are started.
+    max_in_flight : int
+        Requests in flight above which new ones are counted as ``skipped``.
+    timeout_s : float
+        Time after which a request is given up.
+    seed : int
+        Seed of arrivals, kinds and targets.
+    baseline : tuple of str
+        Addresses of backend servers that are called directly.
+    baseline_share : float
+        Share of the requests that go to them.
+    check_runs : tuple of str
+        Addresses of stand-in backend servers that are asked at the end how
+        often each request was run.
+    """
+
+    targets: tuple[str, ...]
+    kinds: tuple[RequestKind, ...]
+    rate_per_s: float = 100.0
+    seconds: float = 10.0
+    max_requests: int = 1_000_000
+    max_in_flight: int = 5_000
+    timeout_s: float = 30.0
+    seed: int = 0
+    baseline: tuple[str, ...] = ()
+    baseline_share: float = 0.1
+    check_runs: tuple[str, ...] = ()
+
+
+class Load:
+    """Sends a load and reports what became of it.
+
+    Parameters
+    ----------
+    settings : LoadSettings
+        Settings.
+    """
+
+    def __init__(self, settings: LoadSettings) -> None:
+        self._settings = settings
+        self._rng = Random(settings.seed)
+        # Requests of different runs against the same servers must differ.
+        self._run = f'{settings.seed}-{time.time_ns():x}'
+        self._clients: dict[str, _backend_client.BackendClient] = {}
+        self._in_flight = 0
+        self._results: dict[str, Counter[str]] = defaultdict(Counter)
+        self._latency = {
+            group: HdrHistogram(1, _HIGHEST_US, 3)
+            for group in ('calls', _BASELINE)
+        }
+        self._violations: Counter[str] = Counter()
+        self._outcomes: dict[str, tuple[RequestKind, str]] = {}
+        self._runs: Counter[str] = Counter()
+
+    async def run(self) -> dict[str, Any]:
+        """Send the load.
+
+        Returns
+        -------
+        dict
+            Report that JSON can represent.
+        """
+        settings = self._settings
+        weights = [kind.weight for kind in settings.kinds]
+        started = trio.current_time()
+        at = started
+        number = 0
+        async with trio.open_nursery() as nursery:
+            while number < settings.max_requests:
+                at += self._rng.expovariate(settings.rate_per_s)
+                if at - started > settings.seconds:
+                    break
+                kind = self._rng.choices(settings.kinds, weights)[0]
+                group, addresses = 'calls', settings.targets
+                if settings.baseline and (
+                    self._rng.random() < settings.baseline_share
+                ):
+                    group, addresses = _BASELINE, settings.baseline
+                address = self._rng.choice(addresses)
+                await trio.sleep_until(at)
+                number += 1
+                if self._in_flight >= settings.max_in_flight:
+                    self._results[kind.name]['skipped'] += 1
+                    continue
+                nursery.start_soon(
+                    self._request, f'{number}', kind, group, address, at
+                )
+        elapsed_s = trio.current_time() - started
+        for address in settings.check_runs:
+            await self._fetch_runs(address)
+        self._check_runs()
+        for client in self._clients.values():
+            await client.close_idle(all_connections=True)
+        return self._report(number, elapsed_s)
+
+    def _client(self, address: str) -> _backend_client.BackendClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = _backend_client.BackendClient(address)
+            self._clients[address] = client
+        return client
+
+    async def _request(
+        self,
+        number: str,
+        kind: RequestKind,
+        group: str,
+        address: str,
+        at: float,
+    ) -> None:
+        request_id = f'{self._run}-{number}'
+        headers = [
+            (b'host', kind.host.encode()),
+            (b'x-request', request_id.encode()),
+        ]
+        if kind.keyed:
+            headers.append((b'idempotency-key', request_id.encode()))
+        if kind.deadline_ms:
+            headers.append(
+                (b'gypsumhall-deadline-ms', b'%d' % kind.deadline_ms)
+            )
+        self._in_flight += 1
+        result = 'timeout'
+        try:
+            with trio.move_on_after(self._settings.timeout_s):
+                result = await self._exchange(
+                    request_id, kind, address, tuple(headers)
+                )
+        finally:
+            self._in_flight -= 1
+        elapsed_us = int((trio.current_time() - at) * 1e6)
+        if result == 'ok':
+            value = min(max(1, elapsed_us), _HIGHEST_US)
+            self._latency[group].record_value(value)
+        name = kind.name if group == 'calls' else _BASELINE
+        self._results[name][result] += 1
+        if self._settings.check_runs:
+            self._outcomes[request_id] = (kind, result)
+
+    async def _exchange(
+        self,
+        request_id: str,
+        kind: RequestKind,
+        address: str,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> str:
+        body = b'x' * kind.body_bytes
+        content = bytearray()
+        try:
+            async with self._client(address).request(
+                kind.method, kind.path, headers, body, lambda: None
+            ) as response:
+                async for data in response.chunks():
+                    content += data
+        except GypsumhallError as error:
+            return error.code
+        for name, value in response.headers:
+            if name == b'gypsumhall-outcome':
+                return f'refused-{value.decode()}'
+        if response.status >= 400:
+            return f'status-{response.status}'
+        if kind.method != 'HEAD':
+            self._check_response(request_id, bytes(content))
+        return 'ok'
+
+    def _check_response(self, request_id: str, content: bytes) -> None:
+        """Check that a response of the stand-in belongs to its request."""
+        try:
+            echoed = json.loads(content)['id']
+        except (ValueError, KeyError, TypeError):
+            self._violations['not-whole'] += 1
+            return
+        if echoed != request_id:
+            self._violations['crossed'] += 1
+
+    async def _fetch_runs(self, address: str) -> None:
+        content = bytearray()
+        async with self._client(address).request(
+            'GET', '/runs', ((b'host', b'runs'),), b'', lambda: None
+        ) as response:
+            async for data in response.chunks():
+                content += data
+        self._runs.update(json.loads(content))
+
+    def _check_runs(self) -> None:
+        if not self._settings.check_runs:
+            return
+        for request_id, (kind, result) in self._outcomes.items():
+            runs = self._runs[request_id]
+            if runs > 1 and not kind.idempotent:
+                self._violations['ran-twice'] += 1
+            if runs and result == 'refused-not-run':
+                self._violations['false-not-run'] += 1
+            if not runs and result in ('ok', 'refused-run'):
+                self._violations['false-run'] += 1
+
+    def _report(self, number: int, elapsed_s: float) -> dict[str, Any]:
+        latency = {
+            group: _summary(histogram)
+            for group, histogram in self._latency.items()
+            if histogram.get_total_count()
+        }
+        report: dict[str, Any] = {
+            'requests': number,
+            'elapsed_s': round(elapsed_s, 3),
+            'results': {
+                name: dict(counts) for name, counts in self._results.items()
+            },
+            'latency_ms': latency,
+            'violations': dict(self._violations),
+        }
+        if len(latency) == 2:
+            report['added_ms'] = {
+                name: round(value - latency[_BASELINE][name], 3)
+                for name, value in latency['calls'].items()
+                if name.startswith('p')
+            }
+        return report
+
+
+def _summary(histogram: HdrHistogram) -> dict[str, float]:
+    summary = {
+        f'p{percentile:g}': histogram.get_value_at_percentile(percentile)
+        / 1000
+        for percentile in _PERCENTILES
+    }
+    summary['max'] = histogram.get_max_value() / 1000
+    summary['count'] = histogram.get_total_count()
+    return summary
