--- a/gypsumhall/core/_ledger.py
+++ b/gypsumhall/core/_ledger.py
@@ -97,7 +97,7 @@
         keep_s: float = 60.0,
         refused_keep_s: float = 600.0,
         max_bytes: int = 32 * 1024 * 1024,
-        max_entries: int = 100_000,
+        max_entries: int = 50_000,
     ) -> None:
         self._keep_s = keep_s
         self._refused_keep_s = refused_keep_s
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -18,6 +18,7 @@
 from gypsumhall.net._messages import CallQuery
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import Failure
 from gypsumhall.net._messages import Load
 from gypsumhall.net._messages import Message
 from gypsumhall.net._messages import Outcome
@@ -126,6 +127,16 @@
                 self.refused = message
                 self.load = message.load
                 self.done = True
+        elif isinstance(message, Failure):
+            # The other daemon failed; how far the call got is not certain.
+            if not self.started:
+                self.refused = CallRefused(
+                    self._request_id,
+                    Outcome.UNKNOWN,
+                    'peer-failure',
+                    f'{message.code}: {message.detail}',
+                )
+            self.done = True
         elif (
             isinstance(message, AnswerEnd)
             and message.request_id == self._request_id
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -9,6 +9,8 @@
 
 import functools
 import math
+import socket
+import struct
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -66,6 +68,8 @@
         self._ended = False
         self._timer = _IdleTimer(self, self.config.keep_alive_timeout)
         self.idle_task = self._timer  # type: ignore[assignment]
+        # Reaches the application as `scope['state']`.
+        self.state = {'reset': self._reset}
 
     async def protocol_send(self, event: Event) -> None:
         """Send data, or take note of a change of state."""
@@ -101,6 +105,12 @@
             with trio.CancelScope(shield=True):
                 await self._initiate_server_close()
 
+    async def _reset(self) -> None:
+        """Reset the connection, for servers that imitate a crash."""
+        linger = struct.pack('ii', 1, 0)
+        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await self.stream.aclose()
+
     async def _read_data(self) -> None:
         try:
             await super()._read_data()
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 import hashlib
 from typing import TYPE_CHECKING
@@ -188,7 +189,9 @@
             or known.history.had_earlier_owner(key, now, to, message.asked)
         ):
             outcome = Outcome.UNKNOWN
-        await exchange.send(KeyReleased(outcome))
+        # Without an answer the new owner assumes the worst.
+        with contextlib.suppress(PeerError):
+            await exchange.send(KeyReleased(outcome))
 
     def _check_owner(self, request: _calls.Request) -> None:
         table = self._membership.table
--- a/gypsumhall/standin/_backend.py
+++ b/gypsumhall/standin/_backend.py
@@ -12,10 +12,11 @@
 
 import httpcore
 import hypercorn.config
-import hypercorn.trio
 import msgspec
 import trio
 
+from gypsumhall.services import _http_server
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -53,6 +54,9 @@
         Requests in flight above which they apply.
     load_factor : float
         Factor by which ``GET /load`` misstates the load.
+    run_twice : bool
+        Whether each request is counted as two runs, to test the tools that
+        look for these.
     """
 
     failure_rate: float = 0.0
@@ -64,6 +68,7 @@
     after_s: float = 0.0
     above: int = 0
     load_factor: float = 1.0
+    run_twice: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -163,7 +168,6 @@
         self._slots = trio.CapacityLimiter(self._settings.slots)
         self._started = trio.current_time()
         config = hypercorn.config.Config()
-        config.bind = [self._settings.address]
         config.backlog = 1024
         config.keep_alive_timeout = 60.0
         config.keep_alive_max_requests = 1_000_000
@@ -171,20 +175,17 @@
         config.errorlog = None
         async with trio.open_nursery() as nursery:
 
-            async def serve(
-                task_status: trio.TaskStatus[list[str]],
-            ) -> None:
-                await hypercorn.trio.serve(
-                    self._application,  # type: ignore[arg-type]
+            async def serve(task_status: trio.TaskStatus[str]) -> None:
+                await _http_server.serve(
+                    self._application,
                     config,
-                    mode='asgi',
-                    shutdown_trigger=self._stop.wait,
+                    self._settings.address,
+                    self._stop,
                     task_status=task_status,
                 )
                 nursery.cancel_scope.cancel()
 
-            bound = await nursery.start(serve)
-            self._address = bound[0].removeprefix('http://')
+            self._address = await nursery.start(serve)
             task_status.started(self._address)
             if self._settings.announce:
                 nursery.start_soon(self._announce_regularly)
@@ -240,9 +241,6 @@
     async def _application(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        if scope['type'] == 'lifespan':
-            await _lifespan(receive, send)
-            return
         if scope['type'] != 'http':
             await send({'type': 'websocket.close', 'code': 1003})
             return
@@ -312,7 +310,7 @@
             and self._in_flight > faults.above
         )
         async with self._slots:
-            self._runs[request_id] += 1
+            self._runs[request_id] += 1 + faults.run_twice
             # A gamma distribution with a coefficient of variation of 0.5.
             time_ms = self._rng.gammavariate(4.0, 0.25)
             time_ms *= self._settings.service_time_ms
@@ -323,11 +321,8 @@
             await trio.sleep(time_ms / 1000)
         draw = self._rng.random()
         if faulty and draw < faults.crash_rate:
-            # Ends the connection before anything has been sent.
-            nursery = trio.lowlevel.current_task().parent_nursery
-            assert nursery is not None
-            nursery.cancel_scope.cancel()
-            await trio.sleep_forever()
+            await scope['state']['reset']()
+            return
         if faulty and self._rng.random() < faults.failure_rate:
             headers = []
             if faults.failure_status == 503:
@@ -357,14 +352,6 @@
     scope.cancel()
 
 
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({'type': f'{message["type"]}.complete'})
-        if message['type'] == 'lifespan.shutdown':
-            return
-
-
 async def _read_body(receive: Receive) -> bytes:
     body = bytearray()
     more = True
