Release the slot of a call that is cancelled when admitted

Cause: a queued call whose caller left in the moment in which it was given a slot kept the slot for good, found by reading the code and shown by a test (4 slots of 4 stayed in use). Change: such a call gives its slot to the next one; trials check for slots in use, lose backend servers and declare daemons dead as well. A query waits for a running call until the deadline, and gives up after 3 s only when the runner cannot be reached. Ruled out: nothing. Nothing measured. Conclusion: the test fails without the change and passes with it.

--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -36,9 +36,11 @@
 # The runner refuses at the deadline; its refusal, which knows whether the
 # request was run, needs this long to arrive.
 _GRACE_S = 0.25
-# Time in seconds to settle the outcome of a request that must not be
-# repeated after its stream was lost.
+# Time in seconds in which a runner has to be reached to settle the outcome
+# of a request that must not be repeated, and the time after the deadline in
+# which it has to answer.
 _QUERY_S = 3.0
+_QUERY_AFTER_S = 1.0
 _QUERY_BACKOFF_S = 0.05
 # Responses of up to this size can be held back until they are complete.
 _HELD_BYTES = 256 * 1024
@@ -336,17 +338,24 @@
             return
         query = CallQuery(call.request_id, call.runner_incarnation)
         now = trio.current_time()
-        deadline = max(now + 1.0, min(request.deadline + 1.0, now + _QUERY_S))
+        give_up_at = now + _QUERY_S
         backoff = _QUERY_BACKOFF_S
+        deadline = max(request.deadline, now) + _QUERY_AFTER_S
         with trio.CancelScope(deadline=deadline):
             while not receiver.done and not receiver.started:
+                now = trio.current_time()
+                if now >= give_up_at:
+                    break
                 try:
+                    # The runner answers when the call has ended.
                     async with self._peers.open(
                         member.peer_address, query
                     ) as exchange:
                         while not receiver.done:
                             await receiver.feed(await exchange.receive())
                 except (PeerError, trio.EndOfChannel):
+                    # Time in which the query waited was not lost.
+                    give_up_at += trio.current_time() - now
                     await trio.sleep(backoff * (1 + self._rng.random()))
                     backoff *= 2
         if not receiver.done and not receiver.started:
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -79,12 +79,9 @@
         Member table.
     sender : Sender
         Sends the requests to a runner.
-    events : Events
-        Event log.
     """
 
     __slots__ = (
-        '_events',
         '_finished',
         '_incarnation',
         '_joined',
@@ -99,12 +96,10 @@
         peers: PeerNetwork,
         membership: _protocols.Membership,
         sender: Sender,
-        events: _protocols.Events,
     ) -> None:
         self._peers = peers
         self._membership = membership
         self._sender = sender
-        self._events = events
         self._ledger = KeyLedger()
         self._incarnation = membership.me.incarnation
         self._joined: dict[str, _Membership] = {}
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -71,7 +71,6 @@
         '_recorder',
         '_send',
         'failed',
-        'load',
         'outcome',
         'started_response',
     )
@@ -200,11 +199,6 @@
         """Sends calls to the runners of all daemons."""
         return self._sender
 
-    @property
-    def ledger(self) -> Ledger:
-        """Execution ledger."""
-        return self._ledger
-
     @property
     def load(self) -> Load:
         """Current load of the backend server on this VM."""
@@ -260,9 +254,7 @@
             rng=self._rng,
             execute=self.execute,
         )
-        self._keys = _keys.KeyOwner(
-            peers, self._membership, self._sender, self._events
-        )
+        self._keys = _keys.KeyOwner(peers, self._membership, self._sender)
         self._sender.execute_keyed = self._keys.execute
         self._membership.subscribe(self._keys.members_changed)
         peers.on(CallStart, self._handle_call)
@@ -498,6 +490,12 @@
         try:
             with trio.CancelScope(deadline=deadline):
                 await waiter.ready.wait()
+        except trio.Cancelled:
+            # The slot can have been given to it in the same moment.
+            if waiter.admitted:
+                backend.queue.leave(trio.current_time(), None)
+                self._wake()
+            raise
         finally:
             if not waiter.admitted:
                 backend.queue.dequeue(run=False)
--- a/gypsumhall/testing/call_trial.py
+++ b/gypsumhall/testing/call_trial.py
@@ -140,6 +140,32 @@
         self.daemons[index] = self._build(index, restarted(member))
         await self._run(index)
 
+    async def lose_backend(self, index: int, for_s: float) -> None:
+        """Let the backend server of a daemon disappear for a time."""
+        daemon = self.daemons[index]
+        daemon.runner.set_backend(None, '')
+        daemon.membership.set_endpoint(None)
+        await trio.sleep(for_s)
+        if daemon is self.daemons[index]:
+            self._set_backend(index)
+
+    async def declare_dead(self, index: int, for_s: float) -> None:
+        """Let half of the others hold a daemon for dead until it refutes."""
+        daemon = self.daemons[index]
+        member = daemon.membership.me
+        dead = msgspec.structs.replace(
+            member, status=MemberStatus.DEAD, sequence=member.sequence + 1
+        )
+        for other in range(self._count):
+            if other != index and self.rng.random() < 0.5:
+                await self._put(self._tables[other], dead)
+        await trio.sleep(for_s)
+        if daemon is self.daemons[index]:
+            me = daemon.membership.me
+            daemon.membership.table.put(
+                msgspec.structs.replace(me, incarnation=me.incarnation + 1)
+            )
+
     def request(
         self,
         request_id: str,
@@ -263,9 +289,12 @@
         await self._nursery.start(run)
         self._spread(index, daemon.membership.me)
         if index < self._count - 1:
-            is_new = self._has_move and index == self._count - 2
-            version = 'v2' if is_new else 'v1'
-            daemon.set_backend(f'backend-{index}', version, slots=4)
+            self._set_backend(index)
+
+    def _set_backend(self, index: int) -> None:
+        is_new = self._has_move and index == self._count - 2
+        version = 'v2' if is_new else 'v1'
+        self.daemons[index].set_backend(f'backend-{index}', version, slots=4)
 
     def _spread(self, index: int, member: Member) -> None:
         for other in range(len(self._tables)):
@@ -298,7 +327,9 @@
     run._r.seed(seed)
 
 
-async def run_trial(seed: int, calls: int, *, restarts: int) -> CallTrial:
+async def run_trial(
+    seed: int, calls: int, *, restarts: int, daemons: int = 5
+) -> CallTrial:
     """Run a trial with all kinds of faults.
 
     Parameters
@@ -310,10 +341,14 @@
     restarts : int
         Number of daemons that are killed and replaced during the trial;
         one daemon is always spared.
+    daemons : int
+        Number of daemons.
     """
     seed_scheduler(seed)
     async with trio.open_nursery() as nursery:
-        trial = CallTrial(nursery, seed, share=0.3, fault_rate=0.03)
+        trial = CallTrial(
+            nursery, seed, daemons=daemons, share=0.3, fault_rate=0.03
+        )
         await trial.start()
         trial.spread_s = 0.5
         trial.backend.reset_rate = 0.02
@@ -324,10 +359,23 @@
                 work.start_soon(trial.random_call)
                 await trio.sleep(trial.rng.expovariate(100.0))
                 if restarts and index % (calls // restarts + 1) == 10:
-                    victim = trial.rng.randrange(1, trial._count)
+                    victim = trial.rng.randrange(1, daemons)
                     down_s = trial.rng.choice([0.5, 8.0])
                     await trial.restart(victim, down_s)
+                elif index % (calls // 5 + 1) == 20:
+                    # The last daemon has no backend server.
+                    victim = trial.rng.randrange(1, daemons - 1)
+                    disturb = trial.rng.choice(
+                        [trial.lose_backend, trial.declare_dead]
+                    )
+                    for_s = trial.rng.choice([0.5, 5.0])
+                    work.start_soon(disturb, victim, for_s)
         await trio.sleep(30.0)
+        for daemon in trial.daemons:
+            load = daemon.runner.load
+            if load.in_flight or load.queued:
+                name = daemon.membership.me.id
+                trial.faults_found.append(f'{name}: slots in use: {load}')
         nursery.cancel_scope.cancel()
     return trial
 
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -190,3 +190,26 @@
             results.append(await trial.call(5, request))
         assert set(results) == {'response', 'run'}
         assert set(trial.backend.runs.values()) == {1}
+
+
+async def test_cancelled_calls_in_the_queue_release_their_slots(
+    autojump_clock: MockClock,
+) -> None:
+    """A call may be admitted in the moment in which its caller leaves."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.mean_s = 0.05
+        trial.backend.constant = True
+
+        async def call(index: int) -> None:
+            # The calls end, and so admit the next, while others are
+            # cancelled at the same time.
+            with trio.move_on_after(trial.rng.choice([0.1, 0.2, 0.3])):
+                request = trial.request(f'r{index}', method='GET')
+                await trial.call(0, request)
+
+        for _ in range(50):
+            async with trio.open_nursery() as nursery:
+                for index in range(12):
+                    nursery.start_soon(call, index)
+        load = trial.daemons[0].runner.load
+        assert (load.in_flight, load.queued) == (0, 0)
