Judge new service versions by a sequential test of random assignment

Cause: moves need a decision that overload and zone faults of both versions cannot mislead, and that finds faults on one route, late or under load.

Change: a likelihood-ratio test given the new version's share of the calls, per route and over all routes, with restart, a bound on the evidence of one interval and a check without the worst failure domain; stage decisions; the judge that collects evidence by interval; seeded trials with two baselines.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them is a test."""
--- /dev/null
+++ b/benchmarks/bench_moves.py
@@ -0,0 +1,486 @@
+"""Seeded trials of moves: how many good ones finish, bad ones are reverted.
+
+The real judge, test and stage decisions run on random call results. Two
+baselines run on the same trials: stages on a fixed timer without a test, and
+a fixed limit on the new version's rate of failures.
+
+    python -m benchmarks.bench_moves --trials=1000
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+import functools
+import json
+import math
+import multiprocessing
+import multiprocessing.pool
+from pathlib import Path
+import statistics
+import time
+
+from absl import app
+from absl import flags
+import numpy as np
+
+from gypsumhall.core import _judge
+from gypsumhall.core import _moves
+from gypsumhall.core._model import Move
+from gypsumhall.core._model import MoveSpec
+from gypsumhall.core._model import MoveState
+from gypsumhall.net._messages import Counts
+from gypsumhall.net._messages import Evidence
+
+_TRIALS = flags.DEFINE_integer('trials', 1000, 'Trials of each kind.')
+_BASELINE_TRIALS = flags.DEFINE_integer(
+    'baseline_trials', 100, 'Trials of each kind under each baseline.'
+)
+_PROCESSES = flags.DEFINE_integer('processes', 4, 'Worker processes.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of the random numbers.')
+_KINDS = flags.DEFINE_list('kinds', None, 'Kinds to run; all by default.')
+_OUTPUT = flags.DEFINE_string(
+    'output', 'benchmarks/results/moves.json', 'File for the results.'
+)
+
+ZONES = ('az-1', 'az-2', 'az-3')
+ROUTES = ('d/a', 'd/b', 'd/c', 'd/d')
+MEDIAN_MS = 20.0
+SIGMA = 0.5
+NORMAL = statistics.NormalDist()
+# Quantiles 0.5, 0.95 and 0.99 as multiples of the median.
+QUANTILES = tuple(
+    math.exp(SIGMA * NORMAL.inv_cdf(level)) for level in (0.5, 0.95, 0.99)
+)
+FAULT_S = 20.0
+COLD_START_S = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class Kind:
+    """One kind of trial.
+
+    Parameters
+    ----------
+    name : str
+        Name in the results.
+    good : bool
+        Whether the move has to finish.
+    rate : float
+        Calls a second to the service.
+    fails : float
+        Failure probability of the new version while it is bad.
+    slow : float
+        Factor of the new version's latency while it is bad.
+    after : float
+        Part of the time to the deadline after which it turns bad.
+    min_share : float
+        Share from which it is bad (a fault under load only).
+    routes : int
+        Routes on which it is bad.
+    zone_fault, overload, sick_vm, cold_start : bool
+        Faults that are not the version's.
+    """
+
+    name: str
+    good: bool
+    rate: float = 200.0
+    fails: float = 0.0
+    slow: float = 1.0
+    after: float = 0.0
+    min_share: float = 0.0
+    routes: int = len(ROUTES)
+    zone_fault: bool = False
+    overload: bool = False
+    sick_vm: bool = False
+    cold_start: bool = False
+
+
+KINDS = (
+    Kind('good', True),
+    Kind('good, low traffic', True, rate=2.0),
+    Kind('good, zone fault', True, zone_fault=True),
+    Kind('good, cold start', True, zone_fault=True, cold_start=True),
+    Kind('good, overload of both', True, overload=True),
+    Kind('good, sick VM', True, sick_vm=True),
+    Kind('fails at once', False, fails=1.0),
+    Kind('fails at once, low traffic', False, fails=1.0, rate=2.0),
+    Kind('fails 30 %', False, fails=0.3),
+    Kind('fails 5 %', False, fails=0.05),
+    Kind('fails later', False, fails=0.5, after=0.6),
+    Kind('fails during soak', False, fails=0.5, after=0.83),
+    Kind('fails under load', False, fails=0.3, min_share=0.5),
+    Kind('fails on one route', False, fails=1.0, routes=1),
+    Kind('slow', False, slow=6.0),
+    Kind('slow later', False, slow=6.0, after=0.5),
+    Kind('slow under load', False, slow=6.0, min_share=0.5),
+    Kind('fails in a zone fault', False, fails=0.5, zone_fault=True),
+)
+
+
+@dataclass(slots=True)
+class Result:
+    """Outcome of one trial."""
+
+    finished: bool = False
+    in_time: bool = False
+    calls: int = 0
+    bad_calls: int = 0
+    harmed: int = 0
+    detection_s: float | None = None
+    reason: str = ''
+
+
+class Policy:
+    """Decides like the product; the baselines override `decide`."""
+
+    name = 'sequential test'
+
+    def __init__(self, spec: MoveSpec) -> None:
+        self.judge = _judge.Judge(spec.id, spec.to_version)
+
+    def add(self, stage: int, interval: int, counts: list[Counts]) -> None:
+        """Add the results of one interval."""
+        self.judge.add(Evidence('d/m', stage, interval, tuple(counts)))
+        self.judge.close(interval)
+
+    def decide(self, move: Move, now: float) -> _moves.Decision:
+        """Return the next step."""
+        return _moves.decide(
+            move,
+            self.judge.test,
+            now,
+            endpoints_ready=True,
+            evidence_fresh=True,
+        )
+
+
+class TimerPolicy(Policy):
+    """Stages on a fixed timer, no test."""
+
+    name = 'timer'
+
+    def decide(self, move: Move, now: float) -> _moves.Decision:
+        """Return the next step without looking at the evidence."""
+        empty = _judge.Judge(move.spec.id, move.spec.to_version)
+        return _moves.decide(
+            move, empty.test, now, endpoints_ready=True, evidence_fresh=True
+        )
+
+
+class LimitPolicy(TimerPolicy):
+    """Reverts above 5 % failures of the new version in the last 5 s."""
+
+    name = 'limit of 5 %'
+
+    def __init__(self, spec: MoveSpec) -> None:
+        super().__init__(spec)
+        self._recent: list[tuple[int, int]] = []
+
+    def add(self, stage: int, interval: int, counts: list[Counts]) -> None:
+        """Add the results of one interval."""
+        super().add(stage, interval, counts)
+        new = [item for item in counts if item.version == 'v2']
+        calls = sum(item.calls for item in new)
+        failures = sum(item.failures for item in new)
+        self._recent.append((calls, failures))
+        del self._recent[:-10]
+
+    def decide(self, move: Move, now: float) -> _moves.Decision:
+        """Return the next step."""
+        calls = sum(item[0] for item in self._recent)
+        failures = sum(item[1] for item in self._recent)
+        if calls >= 5 and failures > 0.05 * calls:
+            return _moves.Decision(_moves.Step.REVERT, move.stage, 0, 'limit')
+        return super().decide(move, now)
+
+
+@dataclass(slots=True)
+class World:
+    """Draws the results of the calls of one trial."""
+
+    kind: Kind
+    rng: np.random.Generator
+    total_s: float
+    base_failure: float = 0.0
+    fault_start: float = 0.0
+    old_endpoints: int = 5
+    new_endpoints: int = 5
+    result: Result = field(default_factory=Result)
+
+    def __post_init__(self) -> None:
+        self.base_failure = float(self.rng.choice([0.0, 1e-4, 1e-3, 1e-2]))
+        self.fault_start = float(self.rng.uniform(0.1, 0.7)) * self.total_s
+        if self.kind.cold_start:
+            self.fault_start = 0.0
+        self.new_endpoints = int(self.rng.integers(3, 7))
+        self.old_endpoints = int(self.rng.integers(3, 7))
+
+    def is_bad(self, t: float, share: float, route: int) -> bool:
+        """Whether the new version is bad at time `t` on a route."""
+        kind = self.kind
+        return (
+            not kind.good
+            and t >= kind.after * self.total_s
+            and share >= kind.min_share
+            and route < kind.routes
+        )
+
+    def faulty(self, t: float) -> bool:
+        """Whether the fault that is not the version's is present."""
+        return self.fault_start <= t < self.fault_start + FAULT_S
+
+    def interval(
+        self, t: float, move: Move, thresholds: dict[str, float]
+    ) -> list[Counts]:
+        """Draw the results of one interval that starts at `t`."""
+        rate = self.kind.rate * _judge.INTERVAL_S / len(ZONES) / len(ROUTES)
+        if self.kind.overload and self.faulty(t):
+            rate *= 3
+        cells = len(ZONES) * len(ROUTES)
+        total = self.rng.poisson(rate, cells)
+        new = self.rng.binomial(total, move.share)
+        self.result.calls += int(total.sum())
+        rows = []
+        for cell in range(cells):
+            zone, route = divmod(cell, len(ROUTES))
+            rows += self._rows(zone, route, False, total[cell] - new[cell])
+            rows += self._rows(zone, route, True, new[cell])
+        return self._results(t, move, thresholds, rows)
+
+    def _rows(
+        self, zone: int, route: int, is_new: bool, calls: int
+    ) -> list[tuple[int, int, bool, int, int]]:
+        """Divide the calls of a zone over its endpoints."""
+        number = self.new_endpoints if is_new else self.old_endpoints
+        local = [i for i in range(number) if i % len(ZONES) == zone]
+        if len(local) == 1:
+            split = [calls]
+        else:
+            split = self.rng.multinomial(calls, [1 / len(local)] * len(local))
+        return [
+            (zone, route, is_new, endpoint, int(count))
+            for endpoint, count in zip(local, split, strict=True)
+            if count
+        ]
+
+    def _results(
+        self,
+        t: float,
+        move: Move,
+        thresholds: dict[str, float],
+        rows: list[tuple[int, int, bool, int, int]],
+    ) -> list[Counts]:
+        bad = [
+            is_new and self.is_bad(t, move.share, route)
+            for _zone, route, is_new, _endpoint, _calls in rows
+        ]
+        medians = [
+            self._median(t, row[2], is_bad)
+            for row, is_bad in zip(rows, bad, strict=True)
+        ]
+        calls = [row[4] for row in rows]
+        failures = self.rng.binomial(
+            calls,
+            [
+                self._failure(t, row[0], row[3], row[2], is_bad)
+                for row, is_bad in zip(rows, bad, strict=True)
+            ],
+        )
+        slow = self.rng.binomial(
+            calls,
+            [
+                _tail(thresholds.get(ROUTES[row[1]]), median)
+                for row, median in zip(rows, medians, strict=True)
+            ],
+        )
+        found = []
+        for index, (zone, route, is_new, endpoint, count) in enumerate(rows):
+            failed, late = int(failures[index]), int(slow[index])
+            if bad[index]:
+                self._account(count, failed, late, move.stage)
+            if is_new and self.kind.cold_start and t < COLD_START_S:
+                # Runners leave out slow calls during a cold start.
+                late = 0
+            version = 'v2' if is_new else 'v1'
+            found.append(
+                Counts(
+                    ROUTES[route],
+                    version,
+                    f'{version}-{endpoint}',
+                    ZONES[zone],
+                    count,
+                    failed,
+                    late,
+                    tuple(medians[index] * q for q in QUANTILES),
+                    ZONES[zone],
+                )
+            )
+        return found
+
+    def _failure(
+        self, t: float, zone: int, endpoint: int, is_new: bool, bad: bool
+    ) -> float:
+        chance = self.base_failure
+        if self.faulty(t):
+            if self.kind.zone_fault and zone == 0:
+                chance = 0.5
+            if self.kind.overload:
+                chance = 0.3
+            if self.kind.sick_vm and is_new and endpoint == 0:
+                chance = 0.8
+        return max(chance, self.kind.fails) if bad else chance
+
+    def _median(self, t: float, is_new: bool, bad: bool) -> float:
+        """Return the median latency in milliseconds."""
+        median = MEDIAN_MS
+        if self.kind.overload and self.faulty(t):
+            median *= 4
+        if self.kind.cold_start and is_new and t < COLD_START_S:
+            median *= 5
+        return median * self.kind.slow if bad else median
+
+    def _account(
+        self, calls: int, failures: int, slow: int, stage: int
+    ) -> None:
+        self.result.bad_calls += calls
+        self.result.harmed += slow
+        # Stage 0 takes idempotent requests only; a failed one is retried on
+        # the old version, so that its caller sees no failure.
+        if stage > 0:
+            self.result.harmed += failures
+
+
+def _tail(limit: float | None, median: float) -> float:
+    """Return the probability of a log-normal latency above a limit."""
+    if limit is None:
+        return 0.0
+    return 1 - NORMAL.cdf(math.log(limit / median) / SIGMA)
+
+
+def run_trial(
+    kind: Kind, policy_type: type[Policy], rng: np.random.Generator
+) -> Result:
+    """Run one move to its end."""
+    total_s = float(rng.choice([60.0, 120.0, 300.0]))
+    spec = MoveSpec('d/m', 's', 'v1', 'v2', total_s, total_s / 12)
+    world = World(kind, rng, total_s)
+    policy = policy_type(spec)
+    move = Move(spec, MoveState.ACTIVE, 0, _moves.STAGE_SHARES[0], 0.0, 0.0)
+    bad_since: float | None = None
+    interval = 0
+    while True:
+        interval += 1
+        t = (interval - 1) * _judge.INTERVAL_S
+        thresholds = {
+            item.route: item.threshold_ms for item in policy.judge.thresholds()
+        }
+        counts = world.interval(t, move, thresholds)
+        if bad_since is None and world.result.bad_calls:
+            bad_since = t
+        policy.add(move.stage, interval, counts)
+        # Reports of the closed interval arrive one interval later.
+        now = t + 2 * _judge.INTERVAL_S
+        decision = policy.decide(move, now)
+        if decision.step in (_moves.Step.FINISH, _moves.Step.REVERT):
+            return _finish(world.result, decision, now, spec, bad_since)
+        move = _advance(move, decision, now)
+
+
+def _advance(move: Move, decision: _moves.Decision, now: float) -> Move:
+    if decision.step is _moves.Step.HOLD:
+        return move
+    state = MoveState.ACTIVE
+    if decision.step is _moves.Step.SOAK:
+        state = MoveState.SOAKING
+    return Move(
+        move.spec, state, decision.stage, decision.share, move.started, now
+    )
+
+
+def _finish(
+    result: Result,
+    decision: _moves.Decision,
+    now: float,
+    spec: MoveSpec,
+    bad_since: float | None,
+) -> Result:
+    result.finished = decision.step is _moves.Step.FINISH
+    result.in_time = result.finished and now <= spec.deadline
+    result.reason = decision.reason
+    if bad_since is not None and not result.finished:
+        result.detection_s = now - bad_since
+    return result
+
+
+def _seeded(kind: Kind, policy: type[Policy], seed: int, index: int) -> Result:
+    return run_trial(kind, policy, np.random.default_rng((seed, index)))
+
+
+def summarize(kind: Kind, results: list[Result]) -> dict[str, object]:
+    """Summarize the trials of one kind and policy."""
+    detections = [r.detection_s for r in results if r.detection_s is not None]
+    shares = [r.bad_calls / max(1, r.calls) for r in results]
+    return {
+        'trials': len(results),
+        'finished': sum(r.finished for r in results),
+        'in_time': sum(r.in_time for r in results),
+        'wrong': sum(r.finished != kind.good for r in results),
+        'reverted_by_deadline': sum(
+            r.reason == _moves.DEADLINE_REASON for r in results
+        ),
+        'detection_s': _quantiles(detections),
+        'bad_share': _quantiles(shares),
+        'harmed': _quantiles([float(r.harmed) for r in results]),
+    }
+
+
+def _quantiles(values: list[float]) -> list[float]:
+    """Return median, 99th percentile and maximum."""
+    if not values:
+        return []
+    found = np.quantile(values, (0.5, 0.99, 1.0))
+    return [round(float(value), 5) for value in found]
+
+
+def main(argv: list[str]) -> None:
+    """Run all kinds under all policies and write the results."""
+    del argv
+    with multiprocessing.Pool(_PROCESSES.value) as pool:
+        _run(pool)
+
+
+def _run(pool: multiprocessing.pool.Pool) -> None:
+    report: dict[str, object] = {'seed': _SEED.value}
+    for kind in KINDS:
+        if _KINDS.value and kind.name not in _KINDS.value:
+            continue
+        entry: dict[str, object] = {'kind': asdict(kind)}
+        for policy in (Policy, TimerPolicy, LimitPolicy):
+            started = time.perf_counter()
+            trial = functools.partial(_seeded, kind, policy, _SEED.value)
+            trials = _TRIALS.value
+            if policy is not Policy:
+                trials = min(trials, _BASELINE_TRIALS.value)
+            results = pool.map(trial, range(trials), chunksize=8)
+            entry[policy.name] = summary = summarize(kind, results)
+            print(
+                f'{kind.name:27}{policy.name:16}wrong {summary["wrong"]:5} '
+                f'in time {summary["in_time"]:5} '
+                f'deadline {summary["reverted_by_deadline"]:4} '
+                f'detect {summary["detection_s"]} '
+                f'share {summary["bad_share"]} '
+                f'harmed {summary["harmed"]} '
+                f'({time.perf_counter() - started:.0f} s)',
+                flush=True,
+            )
+        report[kind.name] = entry
+    if _KINDS.value is None:
+        path = Path(_OUTPUT.value)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(json.dumps(report, indent=1) + '\n')
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/gypsumhall/core/_moves.py
@@ -0,0 +1,180 @@
+"""Stages of a move and the decision to advance, finish or revert it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import enum
+from typing import TYPE_CHECKING
+
+from gypsumhall.core._model import MoveState
+
+if TYPE_CHECKING:
+    from gypsumhall.core._evidence import EvidenceTest
+    from gypsumhall.core._model import Move
+    from gypsumhall.core._model import MoveSpec
+
+# The last stage keeps a tenth of the calls on the old version until the soak
+# has ended, since the test compares versions within the same interval.
+STAGE_SHARES = (0.01, 0.05, 0.2, 0.5, 0.9)
+
+# Part of the time to the deadline that is kept free for held stages.
+RESERVE = 0.1
+
+# Fewer calls than this to the new version are low traffic; a stage is then
+# held when the new version's rate of faults exceeds the old one's by more than
+# the limit.
+LOW_TRAFFIC_CALLS = 50
+LOW_TRAFFIC_EXCESS = 0.1
+
+# A soak that starts late is shortened to the time left, down to this part.
+SHORTEST_SOAK = 0.5
+
+# The last compare-and-swap has to be in effect everywhere by the deadline.
+FINISH_MARGIN_S = 3.0
+
+DEADLINE_REASON = 'deadline'
+SUSPICION_REASON = 'suspicious'
+
+
+class Step(enum.StrEnum):
+    """What happens to a move next."""
+
+    HOLD = 'hold'
+    ADVANCE = 'advance'
+    SOAK = 'soak'
+    FINISH = 'finish'
+    REVERT = 'revert'
+
+
+@dataclass(slots=True, frozen=True)
+class Decision:
+    """A step with what it needs.
+
+    Parameters
+    ----------
+    step : Step
+        What to do.
+    stage : int
+        Stage after the step.
+    share : float
+        Share of the calls for the new version after the step.
+    reason : str
+        Why the move is held or reverted.
+    """
+
+    step: Step
+    stage: int
+    share: float
+    reason: str = ''
+
+
+def usable_time(spec: MoveSpec, started: float) -> float:
+    """Return the time that a move's stages may take in total, in seconds.
+
+    Parameters
+    ----------
+    spec : MoveSpec
+        The move.
+    started : float
+        Unix time in seconds at which the move was accepted.
+    """
+    return (spec.deadline - started) * (1 - RESERVE) - spec.soak_s
+
+
+def stage_end(move: Move) -> float:
+    """Return the Unix time in seconds at which the stage should end.
+
+    The time that is left is divided over the stages that are left, so a
+    stage that was held shortens those after it.
+    """
+    plan_end = move.started + usable_time(move.spec, move.started)
+    left = len(STAGE_SHARES) - move.stage
+    return move.stage_started + max(0.0, plan_end - move.stage_started) / left
+
+
+def _suspicion_end(move: Move) -> float:
+    """Return when a suspicious stage has lasted twice its planned time."""
+    return 2 * stage_end(move) - move.stage_started
+
+
+def decide(
+    move: Move,
+    test: EvidenceTest,
+    now: float,
+    *,
+    endpoints_ready: bool,
+    evidence_fresh: bool,
+) -> Decision:
+    """Decide the next step of a move.
+
+    Parameters
+    ----------
+    move : Move
+        Progress as the head records it.
+    test : EvidenceTest
+        Evidence of all zones.
+    now : float
+        Unix time in seconds.
+    endpoints_ready : bool
+        Whether the new version has a ready endpoint.
+    evidence_fresh : bool
+        Whether the judge of at least one zone reported recently.
+    """
+    if move.state.final:
+        return _hold(move, 'ended')
+    if test.verdict is not None:
+        return _revert(move, str(test.verdict))
+    if move.state is MoveState.SOAKING:
+        return _decide_soaking(move, test, now, evidence_fresh)
+    if now >= move.spec.deadline - SHORTEST_SOAK * move.spec.soak_s:
+        return _revert(move, DEADLINE_REASON)
+    if now < stage_end(move):
+        return _hold(move, 'planned')
+    reason = _reason_to_hold(test, endpoints_ready, evidence_fresh)
+    if reason == SUSPICION_REASON and now >= _suspicion_end(move):
+        return _revert(move, reason)
+    if reason:
+        return _hold(move, reason)
+    if move.stage + 1 < len(STAGE_SHARES):
+        stage = move.stage + 1
+        return Decision(Step.ADVANCE, stage, STAGE_SHARES[stage])
+    return Decision(Step.SOAK, move.stage, move.share)
+
+
+def _decide_soaking(
+    move: Move, test: EvidenceTest, now: float, evidence_fresh: bool
+) -> Decision:
+    if now >= move.spec.deadline:
+        return _revert(move, DEADLINE_REASON)
+    latest = move.spec.deadline - FINISH_MARGIN_S
+    shortest = move.stage_started + SHORTEST_SOAK * move.spec.soak_s
+    end = max(shortest, min(move.stage_started + move.spec.soak_s, latest))
+    if now < end:
+        return _hold(move, 'soaking')
+    reason = _reason_to_hold(test, True, evidence_fresh)
+    if reason:
+        return _hold(move, reason)
+    return Decision(Step.FINISH, move.stage, 1.0)
+
+
+def _reason_to_hold(
+    test: EvidenceTest, endpoints_ready: bool, evidence_fresh: bool
+) -> str:
+    if not endpoints_ready:
+        return 'no-ready-endpoint'
+    if not evidence_fresh:
+        return 'no-evidence'
+    if test.suspicious:
+        return SUSPICION_REASON
+    low_traffic = test.new_calls < LOW_TRAFFIC_CALLS
+    if low_traffic and test.excess_rate > LOW_TRAFFIC_EXCESS:
+        return 'low-traffic-with-faults'
+    return ''
+
+
+def _hold(move: Move, reason: str) -> Decision:
+    return Decision(Step.HOLD, move.stage, move.share, reason)
+
+
+def _revert(move: Move, reason: str) -> Decision:
+    return Decision(Step.REVERT, move.stage, 0.0, reason)
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -374,6 +374,8 @@
         Stage of that move.
     time : int
         Hybrid logical clock of the sender.
+    zone : str
+        Zone of the sender.
     """
 
     request_id: str
@@ -391,6 +393,7 @@
     move: str = ''
     stage: int = 0
     time: int = 0
+    zone: str = ''
 
 
 class BodyChunk(Message, frozen=True, tag=41):
@@ -512,6 +515,8 @@
         Calls that were run, and how many of them failed or were slow.
     latencies_ms : tuple of float
         Quantiles 0.5, 0.95 and 0.99 of the latency; empty without calls.
+    sender_zone : str
+        Zone of the daemons that sent the calls.
     """
 
     route: str
@@ -522,6 +527,7 @@
     failures: int
     slow: int
     latencies_ms: tuple[float, ...] = ()
+    sender_zone: str = ''
 
 
 class Evidence(Message, frozen=True, tag=60):
@@ -565,3 +571,23 @@
     """
 
     thresholds: tuple[SlowThreshold, ...] = ()
+
+
+class EvidencePosition(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the evidence about a move after an interval."""
+
+    move: str
+    after_interval: int = 0
+
+
+class EvidencePull(Message, frozen=True, tag=62):
+    """Asks a judge for evidence; answered by `EvidenceBatch`."""
+
+    positions: tuple[EvidencePosition, ...]
+
+
+class EvidenceBatch(Message, frozen=True, tag=63):
+    """Evidence of closed intervals, in the order of the intervals."""
+
+    evidence: tuple[Evidence, ...]
+    time: int = 0
--- a/gypsumhall/testing/builders.py
+++ b/gypsumhall/testing/builders.py
@@ -9,6 +9,7 @@
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
+from gypsumhall.net._messages import Counts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -97,3 +98,26 @@
 ) -> Endpoint:
     """Return a ready endpoint."""
     return Endpoint(service, version, slots, state)
+
+
+def build_counts(
+    version: str = 'v2',
+    calls: int = 10,
+    failures: int = 0,
+    slow: int = 0,
+    endpoint: str = 'd0',
+    zone: str = 'az-1',
+    route: str = 'spa/search',
+) -> Counts:
+    """Return results of calls whose sender is in the endpoint's zone."""
+    return Counts(
+        route,
+        version,
+        endpoint,
+        zone,
+        calls,
+        failures,
+        slow,
+        (10.0, 20.0, 30.0),
+        zone,
+    )
--- /dev/null
+++ b/tests/test_core_evidence.py
@@ -0,0 +1,141 @@
+"""Tests of the sequential test of a new service version."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from gypsumhall.core import _evidence
+from gypsumhall.core._evidence import EvidenceTest
+from gypsumhall.core._evidence import FaultKind
+from gypsumhall.testing.builders import build_counts
+
+if TYPE_CHECKING:
+    from gypsumhall.net._messages import Counts
+
+
+def _interval(
+    old_failures: int,
+    new_failures: int,
+    *,
+    calls: int = 100,
+    new_calls: int = 10,
+    **fields: str,
+) -> list[Counts]:
+    return [
+        build_counts('v1', calls, old_failures, endpoint='o1', **fields),
+        build_counts('v2', new_calls, new_failures, endpoint='n1', **fields),
+    ]
+
+
+@pytest.mark.parametrize('share', [0.01, 0.05, 0.5, 0.9])
+@pytest.mark.parametrize('index', range(len(_evidence.ODDS_RATIOS)))
+def test_the_expected_likelihood_ratio_is_one_for_a_good_version(
+    share: float, index: int
+) -> None:
+    new = _evidence.log_likelihood_ratios(share, 0, 1)[index]
+    old = _evidence.log_likelihood_ratios(share, 1, 0)[index]
+    expected = share * _evidence.math.exp(new)
+    expected += (1 - share) * _evidence.math.exp(old)
+    assert expected == pytest.approx(1.0)
+
+
+def test_a_version_that_fails_is_condemned_and_stays_so() -> None:
+    test = EvidenceTest('v2')
+    for _ in range(20):
+        test.observe(0, _interval(0, 5))
+    verdict = test.verdict
+    assert verdict is not None
+    assert verdict.kind is FaultKind.FAILURE
+    for _ in range(100):
+        test.observe(0, _interval(50, 0))
+    assert test.verdict is verdict
+
+
+def test_a_fault_on_one_route_is_found_on_that_route() -> None:
+    test = EvidenceTest('v2')
+    while test.verdict is None:
+        test.observe(
+            0,
+            _interval(30, 3, route='spa/search')
+            + _interval(0, 5, route='spa/book'),
+        )
+    assert test.verdict.route == 'spa/book'
+
+
+def test_a_short_fault_does_not_condemn() -> None:
+    # A burst of failures within one or two intervals is no lasting fault.
+    test = EvidenceTest('v2')
+    test.observe(0, _interval(0, 0, calls=10000, new_calls=100))
+    test.observe(0, _interval(0, 100, new_calls=100))
+    test.observe(0, _interval(0, 100, new_calls=100))
+    assert test.verdict is None
+
+
+def test_an_overload_of_both_versions_is_no_evidence() -> None:
+    rng = random.Random(3)
+    test = EvidenceTest('v2')
+    for _ in range(2000):
+        failures = [rng.random() < 0.5 for _ in range(110)]
+        test.observe(0, _interval(sum(failures[:100]), sum(failures[100:])))
+    assert test.verdict is None
+
+
+def test_a_zone_without_calls_to_the_old_version_is_no_evidence() -> None:
+    # The old version's endpoints of a zone are gone, then the zone fails.
+    test = EvidenceTest('v2')
+    for _ in range(40):
+        test.observe(0, _interval(0, 0))
+    for _ in range(200):
+        test.observe(0, [build_counts('v2', 50, 40, endpoint='n1')])
+    assert test.verdict is None
+
+
+def test_a_sick_vm_does_not_condemn_a_version_with_other_endpoints() -> None:
+    test = EvidenceTest('v2')
+    for _ in range(200):
+        test.observe(
+            0,
+            [
+                *_interval(0, 8),
+                build_counts('v2', 10, 0, endpoint='n2'),
+            ],
+        )
+    assert test.verdict is None
+    assert not test.suspicious
+
+
+def test_a_fault_in_all_endpoints_condemns_a_version_with_several() -> None:
+    test = EvidenceTest('v2')
+    for _ in range(40):
+        test.observe(
+            0,
+            [
+                *_interval(0, 4),
+                build_counts('v2', 10, 4, endpoint='n2'),
+            ],
+        )
+    assert test.verdict is not None
+
+
+def test_a_version_that_turns_bad_late_is_condemned_as_fast() -> None:
+    # Without the restart, a long good time would offset later faults.
+    test = EvidenceTest('v2')
+    for _ in range(5000):
+        test.observe(0, _interval(1, 0))
+    for _ in range(20):
+        test.observe(0, _interval(0, 5))
+    assert test.verdict is not None
+
+
+def test_suspicion_and_counts_start_anew_with_a_stage() -> None:
+    test = EvidenceTest('v2')
+    test.observe(0, _interval(0, 5))
+    assert test.suspicious
+    assert test.new_calls == 10
+    test.observe(1, _interval(0, 0))
+    assert test.new_calls == 10
+    assert test.excess_rate == 0
+    assert not test.suspicious
