Report evidence to judges and advance moves under the controller lease

Cause: the decisions about moves need a service that collects results, judges them in each zone and advances the stages.

Change: results of calls are counted beside the backend server, reported to the judge of the zone by rendezvous hash, and pulled from there by the holder of the controller lease, who applies the steps to the head. A stage with low traffic is held by the probability of its faults at the old version's rate.

--- a/gypsumhall/core/_evidence.py
+++ b/gypsumhall/core/_evidence.py
@@ -212,6 +212,7 @@
 
     __slots__ = (
         '_domains',
+        '_move_cell',
         '_new_version',
         '_stage',
         '_stage_cell',
@@ -235,6 +236,7 @@
         self._domains: dict[str, set[str]] = {}
         self._stage = -1
         self._stage_cell = _Cell()
+        self._move_cell = _Cell()
         self._verdict: Verdict | None = None
 
     @property
@@ -244,8 +246,8 @@
 
     @property
     def new_calls(self) -> int:
-        """Calls to the new version in the latest stage."""
-        return self._stage_cell.new_calls
+        """Calls to the new version in all stages."""
+        return self._move_cell.new_calls
 
     @property
     def excess_rate(self) -> float:
@@ -268,6 +270,24 @@
             return False
         return self._stage_cell.excess_rate > FAULT_RATE_TOLERANCE
 
+    def fault_probability(self) -> float:
+        """Return how probable the new version's faults are by chance.
+
+        That is the probability of at least as many faults in as many calls
+        at the old version's rate of faults, over all stages. Unlike the
+        sequential test it does not tell a zone fault from a version's, and
+        it is meant for few calls only.
+        """
+        cell = self._move_cell
+        rate = (cell.old_faults + 1) / (cell.old_calls + 1)
+        rate = min(rate, 1.0)
+        return math.fsum(
+            math.comb(cell.new_calls, count)
+            * rate**count
+            * (1 - rate) ** (cell.new_calls - count)
+            for count in range(cell.new_faults, cell.new_calls + 1)
+        )
+
     def observe(self, stage: int, counts: Iterable[Counts]) -> Verdict | None:
         """Add the results of one interval of all endpoints.
 
@@ -301,14 +321,16 @@
         if stage > self._stage:
             self._stage = stage
             self._stage_cell = _Cell()
-        if stage < self._stage:
-            return
+        cell = _Cell()
         for item in counts:
-            self._stage_cell.add(
+            cell.add(
                 new=item.version == self._new_version,
                 calls=item.calls,
                 faults=max(item.failures, item.slow),
             )
+        self._move_cell.include(cell)
+        if stage == self._stage:
+            self._stage_cell.include(cell)
 
     def _count_strata(self, stage: int, counts: Sequence[Counts]) -> None:
         cells: dict[tuple[str, str], _Cell] = defaultdict(_Cell)
--- a/gypsumhall/core/_moves.py
+++ b/gypsumhall/core/_moves.py
@@ -20,11 +20,12 @@
 # Part of the time to the deadline that is kept free for held stages.
 RESERVE = 0.1
 
-# Fewer calls than this to the new version are low traffic; a stage is then
-# held when the new version's rate of faults exceeds the old one's by more than
-# the limit.
+# With fewer calls than this to the new version since the move began, the
+# sequential test cannot decide yet. A stage is then held when the faults of
+# the new version are this improbable at the old version's rate of faults. A
+# hold after any single fault made 4 of 1,000 good moves miss their deadline.
 LOW_TRAFFIC_CALLS = 50
-LOW_TRAFFIC_EXCESS = 0.1
+LOW_TRAFFIC_LEVEL = 1e-3
 
 # A soak that starts late is shortened to the time left, down to this part.
 SHORTEST_SOAK = 0.5
@@ -34,6 +35,9 @@
 
 DEADLINE_REASON = 'deadline'
 SUSPICION_REASON = 'suspicious'
+LOW_TRAFFIC_REASON = 'low-traffic-with-faults'
+
+_DOUBTS = (SUSPICION_REASON, LOW_TRAFFIC_REASON)
 
 
 class Step(enum.StrEnum):
@@ -92,8 +96,8 @@
     return move.stage_started + max(0.0, plan_end - move.stage_started) / left
 
 
-def _suspicion_end(move: Move) -> float:
-    """Return when a suspicious stage has lasted twice its planned time."""
+def _longest_doubt(move: Move) -> float:
+    """Return when a stage has lasted twice its planned time."""
     return 2 * stage_end(move) - move.stage_started
 
 
@@ -131,7 +135,7 @@
     if now < stage_end(move):
         return _hold(move, 'planned')
     reason = _reason_to_hold(test, endpoints_ready, evidence_fresh)
-    if reason == SUSPICION_REASON and now >= _suspicion_end(move):
+    if reason in _DOUBTS and now >= _longest_doubt(move):
         return _revert(move, reason)
     if reason:
         return _hold(move, reason)
@@ -166,9 +170,11 @@
         return 'no-evidence'
     if test.suspicious:
         return SUSPICION_REASON
-    low_traffic = test.new_calls < LOW_TRAFFIC_CALLS
-    if low_traffic and test.excess_rate > LOW_TRAFFIC_EXCESS:
-        return 'low-traffic-with-faults'
+    if (
+        test.new_calls < LOW_TRAFFIC_CALLS
+        and test.fault_probability() < LOW_TRAFFIC_LEVEL
+    ):
+        return LOW_TRAFFIC_REASON
     return ''
 
 
--- /dev/null
+++ b/gypsumhall/services/_moves.py
@@ -0,0 +1,512 @@
+"""Evidence, verdicts and stages of moves; the service ``moves``."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+import contextlib
+from dataclasses import dataclass
+from dataclasses import field
+import functools
+import time
+from typing import cast
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall._errors import PeerError
+from gypsumhall._errors import StoreError
+from gypsumhall.core import _accept
+from gypsumhall.core import _moves
+from gypsumhall.core import _rendezvous
+from gypsumhall.core._judge import INTERVAL_S
+from gypsumhall.core._judge import Judge
+from gypsumhall.core._member import EndpointState
+from gypsumhall.core._member import MemberStatus
+from gypsumhall.core._recorder import Recorder
+from gypsumhall.net._messages import Evidence
+from gypsumhall.net._messages import EvidenceBatch
+from gypsumhall.net._messages import EvidencePosition
+from gypsumhall.net._messages import EvidencePull
+from gypsumhall.net._messages import EvidenceReply
+from gypsumhall.net._messages import Revert
+from gypsumhall.net._protocol import PeerNetwork
+from gypsumhall.services._protocols import Acceptance
+from gypsumhall.services._protocols import Distribution
+from gypsumhall.services._protocols import Elections
+from gypsumhall.services._protocols import Events
+from gypsumhall.services._protocols import Membership
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from gypsumhall._kernel import Kernel
+    from gypsumhall.core._member import Member
+    from gypsumhall.core._model import Head
+    from gypsumhall.core._model import Move
+    from gypsumhall.net._messages import CallStart
+    from gypsumhall.net._protocol import Exchange
+    from gypsumhall.services._protocols import Lease
+
+CONTROLLER_KEY = 'gypsumhall/controller'
+LEASE_TTL_S = 10
+
+# An interval is closed this many intervals after its end, so that the reports
+# of all endpoints have arrived: at the judge, then at the controller.
+JUDGE_LAG = 1
+CONTROLLER_LAG = 3
+
+# Without a report of any judge for this time a stage is not advanced.
+EVIDENCE_TIMEOUT_S = 5.0
+
+_REQUEST_TIMEOUT_S = 1.0
+_JUDGE_SCOPE = 'judge'
+
+
+@dataclass(slots=True)
+class _Controlled:
+    """What the controller knows of one move."""
+
+    judge: Judge
+    positions: dict[str, int] = field(default_factory=dict)
+    reported: float = float('-inf')
+
+
+class MovesService:
+    """Evidence, verdicts and stages of moves; the service ``moves``.
+
+    A daemon beside a backend server reports its results to the judge of its
+    zone. The judge reverts a bad version without the platform. The daemon
+    that holds the controller lease pulls the evidence of all judges and
+    advances the moves in the head.
+
+    An endpoint of a moving service sends one report of about 100 bytes per
+    route every 500 ms; other daemons send nothing. A judge answers one pull
+    every 500 ms.
+
+    Parameters
+    ----------
+    wall_clock : callable
+        Returns the Unix time in seconds.
+    """
+
+    __slots__ = (
+        '_acceptance',
+        '_controlled',
+        '_distribution',
+        '_elections',
+        '_events',
+        '_judges',
+        '_membership',
+        '_peers',
+        '_ready_since',
+        '_recorder',
+        '_wall_clock',
+        '_written',
+    )
+
+    name = 'moves'
+    requires: tuple[str, ...] = (
+        'events',
+        'store',
+        'peers',
+        'membership',
+        'distribution',
+        'acceptance',
+    )
+
+    def __init__(self, *, wall_clock: Callable[[], float] = time.time) -> None:
+        self._wall_clock = wall_clock
+        self._judges: dict[str, Judge] = {}
+        self._controlled: dict[str, _Controlled] = {}
+        self._recorder: Recorder | None = None
+        self._ready_since: float | None = None
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Report, judge and control until cancelled."""
+        get = kernel.get
+        self._events = get('events', cast('type[Events]', Events))
+        self._peers = get('peers', cast('type[PeerNetwork]', PeerNetwork))
+        self._membership = get(
+            'membership', cast('type[Membership]', Membership)
+        )
+        self._distribution = get(
+            'distribution', cast('type[Distribution]', Distribution)
+        )
+        self._acceptance = get(
+            'acceptance', cast('type[Acceptance]', Acceptance)
+        )
+        self._elections = get('store', cast('type[Elections]', Elections))
+        me = self._membership.me
+        self._recorder = Recorder(me.id, me.zone)
+        self._peers.on(Evidence, self._on_evidence)
+        self._peers.on(EvidencePull, self._on_pull)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_intervals)
+            nursery.start_soon(self._run_controller)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Return at once: evidence of the last interval may be lost."""
+
+    def record(
+        self, call: CallStart, latency_ms: float, *, failed: bool
+    ) -> None:
+        """Record the result of a call to the backend server on this VM."""
+        if not call.move or self._recorder is None:
+            return
+        since = self._ready_since
+        self._recorder.add(
+            call.move,
+            call.stage,
+            call.route,
+            call.version,
+            call.zone,
+            latency_ms,
+            failed=failed,
+            ready_for_s=trio.current_time() - since if since else 0.0,
+        )
+
+    def _interval(self) -> int:
+        return int(self._wall_clock() / INTERVAL_S)
+
+    def _active_moves(self) -> Mapping[str, Move]:
+        snapshot = self._distribution.snapshot
+        if snapshot is None:
+            return {}
+        reverts = self._distribution.reverts
+        return {
+            name: move
+            for name, move in snapshot.head.moves.items()
+            if not move.state.final and name not in reverts
+        }
+
+    # Reports of this daemon's endpoint
+
+    async def _run_intervals(self) -> None:
+        while True:
+            left = INTERVAL_S - self._wall_clock() % INTERVAL_S
+            await trio.sleep(left)
+            self._note_readiness()
+            active = self._active_moves()
+            self._forget(active)
+            await self._report(active)
+            self._close_judges()
+
+    def _note_readiness(self) -> None:
+        endpoint = self._membership.me.endpoint
+        ready = endpoint is not None and endpoint.state is EndpointState.READY
+        if not ready:
+            self._ready_since = None
+        elif self._ready_since is None:
+            self._ready_since = trio.current_time()
+
+    def _forget(self, active: Mapping[str, Move]) -> None:
+        if self._recorder is not None:
+            self._recorder.forget(active)
+        for name in [name for name in self._judges if name not in active]:
+            del self._judges[name]
+
+    async def _report(self, active: Mapping[str, Move]) -> None:
+        if self._recorder is None:
+            return
+        async with trio.open_nursery() as nursery:
+            for evidence in self._recorder.take(self._interval() - 1):
+                if evidence.move in active:
+                    nursery.start_soon(self._send_evidence, evidence)
+
+    async def _send_evidence(self, evidence: Evidence) -> None:
+        me = self._membership.me
+        judge = self._judge_of(evidence.move, me.zone)
+        if judge is None or judge.id == me.id:
+            reply = self._judge(evidence)
+        else:
+            try:
+                reply = await self._peers.request(
+                    judge.peer_address,
+                    evidence,
+                    # Reports of the next interval must not queue up behind.
+                    timeout_s=INTERVAL_S / 2,
+                )
+            except PeerError as error:
+                self._events.emit(
+                    'evidence-lost',
+                    move=evidence.move,
+                    judge=judge.id,
+                    error=error.code,
+                )
+                return
+        if isinstance(reply, EvidenceReply) and self._recorder is not None:
+            self._recorder.set_thresholds(evidence.move, reply.thresholds)
+
+    def _judge_of(self, move: str, zone: str) -> Member | None:
+        candidates = [
+            member
+            for member in self._membership.table.alive(zone)
+            if member.status is MemberStatus.ALIVE
+        ]
+        ranked = _rendezvous.rank(_JUDGE_SCOPE, move, candidates)
+        return ranked[0] if ranked else None
+
+    # Judge of this zone
+
+    async def _on_evidence(
+        self, exchange: Exchange, evidence: Evidence
+    ) -> None:
+        self._events.clock.observe(evidence.time)
+        await exchange.send(self._judge(evidence))
+
+    def _judge(self, evidence: Evidence) -> EvidenceReply:
+        move = self._active_moves().get(evidence.move)
+        if move is None:
+            return EvidenceReply()
+        judge = self._judges.get(evidence.move)
+        if judge is None:
+            judge = Judge(evidence.move, move.spec.to_version)
+            self._judges[evidence.move] = judge
+        judge.add(evidence)
+        return EvidenceReply(judge.thresholds())
+
+    def _close_judges(self) -> None:
+        last = self._interval() - 1 - JUDGE_LAG
+        for name, judge in list(self._judges.items()):
+            verdict = judge.close(last)
+            if verdict is not None:
+                self._condemn(name, str(verdict))
+
+    def _condemn(self, move: str, reason: str) -> None:
+        if move in self._distribution.reverts:
+            return
+        me = self._membership.me.id
+        self._events.emit('move-condemned', move=move, reason=reason)
+        self._distribution.add_revert(Revert(move, reason, me))
+
+    async def _on_pull(self, exchange: Exchange, pull: EvidencePull) -> None:
+        found: list[Evidence] = []
+        for position in pull.positions:
+            judge = self._judges.get(position.move)
+            if judge is not None:
+                found += judge.since(position.after_interval)
+        await exchange.send(
+            EvidenceBatch(tuple(found), self._events.clock.now())
+        )
+
+    # Controller
+
+    async def _run_controller(self) -> None:
+        await self._distribution.wait_ready()
+        while True:
+            with contextlib.suppress(StoreError):
+                await self._campaign()
+            await trio.sleep(LEASE_TTL_S / 2)
+
+    async def _campaign(self) -> None:
+        """Control the moves while this daemon holds the controller lease.
+
+        Only readers campaign: they have a connection to the platform, and
+        25,000 daemons waiting for one lease would exceed its rates.
+        """
+        if not self._is_reader():
+            return
+        value = self._membership.me.id.encode()
+        async with self._elections.elections.campaign(
+            CONTROLLER_KEY, value, LEASE_TTL_S, wait=False
+        ) as lease:
+            self._events.emit('controller-started')
+            self._controlled.clear()
+            while lease.valid(trio.current_time()):
+                await self._control(lease)
+                with trio.move_on_after(INTERVAL_S):
+                    await lease.lost.wait()
+            self._events.emit('controller-stopped')
+
+    def _is_reader(self) -> bool:
+        return self._elections.is_reader()
+
+    async def _control(self, lease: Lease) -> None:
+        moves = self._moves_in_head()
+        for name in [name for name in self._controlled if name not in moves]:
+            del self._controlled[name]
+        if not moves:
+            return
+        await self._write_reverts(lease, moves)
+        active = {
+            name: move
+            for name, move in moves.items()
+            if name not in self._distribution.reverts
+        }
+        await self._collect(active)
+        for name, move in active.items():
+            await self._step(lease, name, move)
+
+    def _moves_in_head(self) -> Mapping[str, Move]:
+        snapshot = self._distribution.snapshot
+        if snapshot is None:
+            return {}
+        return {
+            name: move
+            for name, move in snapshot.head.moves.items()
+            if not move.state.final
+        }
+
+    async def _write_reverts(self, lease: Lease, moves: Iterable[str]) -> None:
+        reverts = self._distribution.reverts
+        reasons = {
+            name: reverts[name].reason for name in moves if name in reverts
+        }
+        if reasons:
+            now = self._wall_clock()
+            await self._apply(
+                lease,
+                lambda head: _accept.revert_moves(head, reasons, now),
+            )
+
+    async def _collect(self, active: Mapping[str, Move]) -> None:
+        for name, move in active.items():
+            if name not in self._controlled:
+                judge = Judge(name, move.spec.to_version)
+                self._controlled[name] = _Controlled(judge)
+        wanted: dict[str, list[str]] = defaultdict(list)
+        zones = {member.zone for member in self._membership.table.members()}
+        for zone in sorted(zones):
+            for name in active:
+                judge_member = self._judge_of(name, zone)
+                if judge_member is not None:
+                    wanted[judge_member.peer_address].append(name)
+        async with trio.open_nursery() as nursery:
+            for address, names in wanted.items():
+                nursery.start_soon(self._pull, address, names)
+        last = self._interval() - 1 - CONTROLLER_LAG
+        for name in active:
+            self._controlled[name].judge.close(last)
+
+    async def _pull(self, address: str, names: list[str]) -> None:
+        positions = tuple(
+            EvidencePosition(
+                name, self._controlled[name].positions.get(address, 0)
+            )
+            for name in names
+        )
+        me = self._membership.me
+        if address == me.peer_address:
+            found = [
+                item
+                for position in positions
+                if position.move in self._judges
+                for item in self._judges[position.move].since(
+                    position.after_interval
+                )
+            ]
+        else:
+            try:
+                batch = await self._peers.request(
+                    address,
+                    EvidencePull(positions),
+                    timeout_s=_REQUEST_TIMEOUT_S,
+                )
+            except PeerError:
+                return
+            if not isinstance(batch, EvidenceBatch):
+                return
+            self._events.clock.observe(batch.time)
+            found = list(batch.evidence)
+        now = trio.current_time()
+        for name in names:
+            self._controlled[name].reported = now
+        for evidence in found:
+            known = self._controlled.get(evidence.move)
+            if known is not None:
+                known.judge.add(evidence)
+                known.positions[address] = max(
+                    known.positions.get(address, 0), evidence.interval
+                )
+
+    async def _step(self, lease: Lease, name: str, move: Move) -> None:
+        known = self._controlled[name]
+        now = self._wall_clock()
+        decision = _moves.decide(
+            move,
+            known.judge.test,
+            now,
+            endpoints_ready=self._has_ready_endpoint(move),
+            evidence_fresh=(
+                trio.current_time() - known.reported < EVIDENCE_TIMEOUT_S
+            ),
+        )
+        if decision.step is _moves.Step.HOLD:
+            return
+        if decision.step is _moves.Step.REVERT:
+            self._condemn(name, decision.reason)
+            return
+        transition = functools.partial(
+            _advance, name=name, move=move, decision=decision, now=now
+        )
+        head = await self._apply(lease, transition)
+        if head is not None:
+            self._events.emit(
+                'move-advanced',
+                move=name,
+                step=str(decision.step),
+                stage=decision.stage,
+                share=decision.share,
+                version=head.version,
+            )
+
+    def _has_ready_endpoint(self, move: Move) -> bool:
+        return any(
+            member.status is MemberStatus.ALIVE
+            and member.endpoint is not None
+            and member.endpoint.version == move.spec.to_version
+            and member.endpoint.state is EndpointState.READY
+            for member in self._membership.table.endpoints(move.spec.service)
+        )
+
+    async def _apply(
+        self, lease: Lease, transition: Callable[[Head], Head | None]
+    ) -> Head | None:
+        """Swap the head while the lease is valid.
+
+        A transition is evaluated just before the compare-and-swap, so a
+        controller that was paused finds its lease expired, and one whose
+        clock stood still finds that the move has changed.
+        """
+
+        def guarded(head: Head) -> Head | None:
+            if not lease.valid(trio.current_time()):
+                return None
+            return transition(head)
+
+        try:
+            return await self._acceptance.apply(guarded)
+        except StoreError as error:
+            self._events.emit('head-not-written', error=error.code)
+            return None
+
+
+def _advance(
+    head: Head,
+    name: str,
+    move: Move,
+    decision: _moves.Decision,
+    now: float,
+) -> Head | None:
+    """Return the head after a step, if the move is as it was judged."""
+    present = head.moves.get(name)
+    if present is None or (present.state, present.stage) != (
+        move.state,
+        move.stage,
+    ):
+        return None
+    if decision.step is _moves.Step.ADVANCE:
+        return _accept.advance_stage(
+            head, name, decision.stage, decision.share, now
+        )
+    if decision.step is _moves.Step.SOAK:
+        return _accept.start_soak(head, name, now)
+    return _accept.finish_move(head, name, now)
