--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -461,6 +461,8 @@
         Hybrid logical clock of the sender.
     body : bytes
         Whole body, at most 64 KiB; empty when `BodyChunk` messages follow.
+    zone : str
+        Zone of the sender.
     """
 
     request_id: str
@@ -479,6 +481,7 @@
     stage: int = 0
     time: int = 0
     body: bytes = b''
+    zone: str = ''
 
 
 class BodyChunk(Message, frozen=True, tag=41):
@@ -634,6 +637,8 @@
         Calls that were run, and how many of them failed or were slow.
     latencies_ms : tuple of float
         Quantiles 0.5, 0.95 and 0.99 of the latency; empty without calls.
+    sender_zone : str
+        Zone of the daemons that sent the calls.
     """
 
     route: str
@@ -644,6 +649,7 @@
     failures: int
     slow: int
     latencies_ms: tuple[float, ...] = ()
+    sender_zone: str = ''
 
 
 class Evidence(Message, frozen=True, tag=60):
@@ -687,3 +693,23 @@
     """
 
     thresholds: tuple[SlowThreshold, ...] = ()
+
+
+class EvidencePosition(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the evidence about a move after an interval."""
+
+    move: str
+    after_interval: int = 0
+
+
+class EvidencePull(Message, frozen=True, tag=62):
+    """Asks a judge for evidence; answered by `EvidenceBatch`."""
+
+    positions: tuple[EvidencePosition, ...]
+
+
+class EvidenceBatch(Message, frozen=True, tag=63):
+    """Evidence of closed intervals, in the order of the intervals."""
+
+    evidence: tuple[Evidence, ...]
+    time: int = 0
