--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -257,15 +257,15 @@
         self._store = cast('Store', kernel.get('store', object))
         self._distribution: Distribution = kernel.get(
             'distribution',
-            Distribution,  # type: ignore[type-abstract]
+            Distribution,
         )
         self._events: Events = kernel.get(
             'events',
-            Events,  # type: ignore[type-abstract]
+            Events,
         )
         metrics: Metrics = kernel.get(
             'metrics',
-            Metrics,  # type: ignore[type-abstract]
+            Metrics,
         )
         self._results = metrics.counter(
             'acceptance_results_total', 'Submissions by result'
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -164,15 +164,15 @@
         """Listen until drained or cancelled."""
         self._events: Events = kernel.get(
             'events',
-            Events,  # type: ignore[type-abstract]
+            Events,
         )
         log: EventLog = kernel.get(
             'events',
-            EventLog,  # type: ignore[type-abstract]
+            EventLog,
         )
         page: MetricsPage = kernel.get(
             'metrics',
-            MetricsPage,  # type: ignore[type-abstract]
+            MetricsPage,
         )
 
         async def serve_metrics(request: AdminRequest) -> AdminResponse:
--- a/gypsumhall/services/_announcements.py
+++ b/gypsumhall/services/_announcements.py
@@ -68,16 +68,16 @@
         """Watch for announcements that stop, until cancelled."""
         admin = kernel.get(
             'admin',
-            _protocols.Admin,  # type: ignore[type-abstract]
+            _protocols.Admin,
         )
         self._membership = kernel.get(
             'membership',
-            _protocols.Membership,  # type: ignore[type-abstract]
+            _protocols.Membership,
         )
         self._runner = kernel.get('runner', _runner.RunnerService)
         self._events = kernel.get(
             'events',
-            _protocols.Events,  # type: ignore[type-abstract]
+            _protocols.Events,
         )
         admin.add_route('POST', '/v1/announce', self.handle)
         task_status.started()
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -145,11 +145,11 @@
         self._runner = kernel.get('runner', _runner.RunnerService)
         self._distribution = kernel.get(
             'distribution',
-            _protocols.Distribution,  # type: ignore[type-abstract]
+            _protocols.Distribution,
         )
         metrics = kernel.get(
             'metrics',
-            _protocols.Metrics,  # type: ignore[type-abstract]
+            _protocols.Metrics,
         )
         self._requests = metrics.counter(
             'gypsumhall_caller_requests_total',
--- a/gypsumhall/services/_events.py
+++ b/gypsumhall/services/_events.py
@@ -198,7 +198,7 @@
                 return 0
             self._distribution = self._kernel.get(
                 'distribution',
-                Distribution,  # type: ignore[type-abstract]
+                Distribution,
             )
         snapshot = self._distribution.snapshot
         return 0 if snapshot is None else snapshot.version
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -127,7 +127,7 @@
     """
 
     name = 'membership'
-    requires = ('events', 'peers')
+    requires: tuple[str, ...] = ('events', 'peers')
 
     def __init__(
         self,
@@ -220,11 +220,11 @@
         """Serve until cancelled."""
         self._events = kernel.get(
             'events',
-            Events,  # type: ignore[type-abstract]
+            Events,
         )
         self._peers = kernel.get(
             'peers',
-            IdentifiedNetwork,  # type: ignore[type-abstract]
+            IdentifiedNetwork,
         )
         info = self._peers.me
         self._me = Member(
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -8,7 +8,6 @@
 from dataclasses import field
 import functools
 import time
-from typing import cast
 from typing import TYPE_CHECKING
 
 import trio
@@ -32,9 +31,11 @@
 from gypsumhall.net._protocol import PeerNetwork
 from gypsumhall.services._protocols import Acceptance
 from gypsumhall.services._protocols import Distribution
-from gypsumhall.services._protocols import Elections
 from gypsumhall.services._protocols import Events
 from gypsumhall.services._protocols import Membership
+from gypsumhall.services._protocols import ReaderSlot
+from gypsumhall.store import LeaseHeldError
+from gypsumhall.store import StoreService
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,8 +47,9 @@
     from gypsumhall.core._model import Head
     from gypsumhall.core._model import Move
     from gypsumhall.net._messages import CallStart
+    from gypsumhall.net._messages import Message
     from gypsumhall.net._protocol import Exchange
-    from gypsumhall.services._protocols import Lease
+    from gypsumhall.store import Lease
 
 CONTROLLER_KEY = 'gypsumhall/controller'
 LEASE_TTL_S = 10
@@ -95,15 +97,15 @@
         '_acceptance',
         '_controlled',
         '_distribution',
-        '_elections',
         '_events',
         '_judges',
         '_membership',
         '_peers',
         '_ready_since',
+        '_reader',
         '_recorder',
+        '_store',
         '_wall_clock',
-        '_written',
     )
 
     name = 'moves'
@@ -114,6 +116,7 @@
         'membership',
         'distribution',
         'acceptance',
+        'reader',
     )
 
     def __init__(self, *, wall_clock: Callable[[], float] = time.time) -> None:
@@ -131,18 +134,13 @@
     ) -> None:
         """Report, judge and control until cancelled."""
         get = kernel.get
-        self._events = get('events', cast('type[Events]', Events))
-        self._peers = get('peers', cast('type[PeerNetwork]', PeerNetwork))
-        self._membership = get(
-            'membership', cast('type[Membership]', Membership)
-        )
-        self._distribution = get(
-            'distribution', cast('type[Distribution]', Distribution)
-        )
-        self._acceptance = get(
-            'acceptance', cast('type[Acceptance]', Acceptance)
-        )
-        self._elections = get('store', cast('type[Elections]', Elections))
+        self._events = get('events', Events)
+        self._peers = get('peers', PeerNetwork)
+        self._membership = get('membership', Membership)
+        self._distribution = get('distribution', Distribution)
+        self._acceptance = get('acceptance', Acceptance)
+        self._store = get('store', StoreService)
+        self._reader = get('reader', ReaderSlot)
         me = self._membership.me
         self._recorder = Recorder(me.id, me.zone)
         self._peers.on(Evidence, self._on_evidence)
@@ -225,7 +223,7 @@
         me = self._membership.me
         judge = self._judge_of(evidence.move, me.zone)
         if judge is None or judge.id == me.id:
-            reply = self._judge(evidence)
+            reply: Message = self._judge(evidence)
         else:
             try:
                 reply = await self._peers.request(
@@ -302,7 +300,7 @@
     async def _run_controller(self) -> None:
         await self._distribution.wait_ready()
         while True:
-            with contextlib.suppress(StoreError):
+            with contextlib.suppress(StoreError, LeaseHeldError):
                 await self._campaign()
             await trio.sleep(LEASE_TTL_S / 2)
 
@@ -312,10 +310,10 @@
         Only readers campaign: they have a connection to the platform, and
         25,000 daemons waiting for one lease would exceed its rates.
         """
-        if not self._is_reader():
+        if self._reader.slot is None:
             return
         value = self._membership.me.id.encode()
-        async with self._elections.elections.campaign(
+        async with self._store.elections.campaign(
             CONTROLLER_KEY, value, LEASE_TTL_S, wait=False
         ) as lease:
             self._events.emit('controller-started')
@@ -326,9 +324,6 @@
                     await lease.lost.wait()
             self._events.emit('controller-stopped')
 
-    def _is_reader(self) -> bool:
-        return self._elections.is_reader()
-
     async def _control(self, lease: Lease) -> None:
         moves = self._moves_in_head()
         for name in [name for name in self._controlled if name not in moves]:
--- a/gypsumhall/services/_operator.py
+++ b/gypsumhall/services/_operator.py
@@ -10,6 +10,8 @@
 
 from gypsumhall._errors import StoreError
 from gypsumhall.core._accept import effective_version
+from gypsumhall.core._member import EndpointState
+from gypsumhall.core._member import MemberStatus
 from gypsumhall.services._acceptance import AcceptanceService
 from gypsumhall.services._acceptance import Submission
 from gypsumhall.services._acceptance import SubmissionResult
@@ -22,6 +24,7 @@
 from gypsumhall.services._admin import problem
 from gypsumhall.services._admin import RequestError
 from gypsumhall.services._protocols import Distribution
+from gypsumhall.services._protocols import Membership
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -43,7 +46,12 @@
     """Registers the operators' paths at the service ``admin``."""
 
     name = 'operator'
-    requires: tuple[str, ...] = ('admin', 'acceptance', 'distribution')
+    requires: tuple[str, ...] = (
+        'admin',
+        'acceptance',
+        'distribution',
+        'membership',
+    )
 
     async def run(
         self,
@@ -56,8 +64,9 @@
         self._acceptance = kernel.get('acceptance', AcceptanceService)
         self._distribution: Distribution = kernel.get(
             'distribution',
-            Distribution,  # type: ignore[type-abstract]
+            Distribution,
         )
+        self._membership = kernel.get('membership', Membership)
         for method, path, handler in (
             ('POST', '/check', self._check),
             ('POST', '/submit', self._submit),
@@ -123,6 +132,7 @@
             'digest': snapshot.digest,
             'in_effect': self._distribution.in_effect(snapshot.version),
             'zones': self._zone_fields(snapshot.version),
+            'members': self._member_fields(),
             'departments': sorted(snapshot.head.departments),
             'current': {
                 name: effective_version(snapshot.head, service)
@@ -139,6 +149,20 @@
             ],
         }
 
+    def _member_fields(self) -> dict[str, int]:
+        members = [
+            member
+            for member in self._membership.table.members()
+            if member.status is MemberStatus.ALIVE
+        ]
+        ready = [
+            member
+            for member in members
+            if member.endpoint is not None
+            and member.endpoint.state is EndpointState.READY
+        ]
+        return {'alive': len(members), 'ready_endpoints': len(ready)}
+
     def _zone_fields(self, version: int) -> dict[str, object]:
         return {
             zone: {
--- a/gypsumhall/services/_peers.py
+++ b/gypsumhall/services/_peers.py
@@ -32,7 +32,7 @@
     """
 
     name = 'peers'
-    requires = ('events',)
+    requires: tuple[str, ...] = ('events',)
 
     def __init__(self, settings: PeerSettings) -> None:
         super().__init__(settings, self._record)
@@ -47,14 +47,14 @@
         """Serve until cancelled."""
         self._events = kernel.get(
             'events',
-            Events,  # type: ignore[type-abstract]
+            Events,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(self.serve)
             if 'metrics' in kernel.names:
                 metrics = kernel.get(
                     'metrics',
-                    Metrics,  # type: ignore[type-abstract]
+                    Metrics,
                 )
                 nursery.start_soon(self._report, metrics)
             task_status.started()
--- a/gypsumhall/services/_protocols.py
+++ b/gypsumhall/services/_protocols.py
@@ -247,6 +247,16 @@
         ...
 
 
+@runtime_checkable
+class ReaderSlot(Protocol):
+    """Reader role of this daemon; the service ``reader``."""
+
+    @property
+    def slot(self) -> int | None:
+        """Number of the reader slot that is held; None for none."""
+        ...
+
+
 @runtime_checkable
 class Runner(Protocol):
     """Admission to the backend server on this VM; the service ``runner``."""
--- a/gypsumhall/services/_reader.py
+++ b/gypsumhall/services/_reader.py
@@ -150,23 +150,23 @@
         """Campaign for a slot, and read while it is held."""
         self._events = kernel.get(
             'events',
-            Events,  # type: ignore[type-abstract]
+            Events,
         )
         self._store = kernel.get(
             'store',
-            StoreService,  # type: ignore[type-abstract]
+            StoreService,
         )
         self._membership = kernel.get(
             'membership',
-            Membership,  # type: ignore[type-abstract]
+            Membership,
         )
         self._distribution = kernel.get(
             'distribution',
-            Distribution,  # type: ignore[type-abstract]
+            Distribution,
         )
         metrics = kernel.get(
             'metrics',
-            Metrics,  # type: ignore[type-abstract]
+            Metrics,
         )
         self._held: Metric = metrics.gauge(
             'gypsumhall_reader_slot_held', 'Whether a reader slot is held'
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -219,26 +219,26 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve calls until cancelled."""
-        peers = kernel.get('peers', PeerNetwork)  # type: ignore[type-abstract]
+        peers = kernel.get('peers', PeerNetwork)
         self._membership = kernel.get(
             'membership',
-            _protocols.Membership,  # type: ignore[type-abstract]
+            _protocols.Membership,
         )
         distribution = kernel.get(
             'distribution',
-            _protocols.Distribution,  # type: ignore[type-abstract]
+            _protocols.Distribution,
         )
         self._moves = kernel.get(
             'moves',
-            _protocols.Moves,  # type: ignore[type-abstract]
+            _protocols.Moves,
         )
         self._events = kernel.get(
             'events',
-            _protocols.Events,  # type: ignore[type-abstract]
+            _protocols.Events,
         )
         metrics = kernel.get(
             'metrics',
-            _protocols.Metrics,  # type: ignore[type-abstract]
+            _protocols.Metrics,
         )
         self._runs = metrics.counter(
             'gypsumhall_runner_calls_total',
--- a/gypsumhall/services/_store.py
+++ b/gypsumhall/services/_store.py
@@ -72,11 +72,11 @@
         """Serve until cancelled."""
         metrics = kernel.get(
             'metrics',
-            Metrics,  # type: ignore[type-abstract]
+            Metrics,
         )
         self._events = kernel.get(
             'events',
-            Events,  # type: ignore[type-abstract]
+            Events,
         )
         self._calls = metrics.counter(
             'gypsumhall_store_calls_total',
--- a/gypsumhall/testing/control_plane.py
+++ b/gypsumhall/testing/control_plane.py
@@ -16,6 +16,8 @@
 from gypsumhall.services._acceptance import AcceptanceService
 from gypsumhall.services._admin import AdminService
 from gypsumhall.services._operator import OperatorService
+from gypsumhall.testing import builders
+from gypsumhall.testing.platform_fakes import FakeMembership
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -225,6 +227,8 @@
             self.kernel.register(service)
         if self.admin is not None:
             self.kernel.register(self.admin)
+            me = builders.build_member()
+            self.kernel.register(FakeMembership(me, [me]))
             self.kernel.register(OperatorService())
 
     @asynccontextmanager
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -22,10 +22,10 @@
 from gypsumhall.store import _keys
 from gypsumhall.store import Put
 from gypsumhall.testing import builders
-from gypsumhall.testing.platform_fakes import FakeDistribution
-from gypsumhall.testing.platform_fakes import FakeMembership
 from gypsumhall.testing.platform import open_platform
 from gypsumhall.testing.platform import write_version
+from gypsumhall.testing.platform_fakes import FakeDistribution
+from gypsumhall.testing.platform_fakes import FakeMembership
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -19,8 +19,8 @@
 from gypsumhall.store import Compare
 from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
-from gypsumhall.testing.platform_network import MemoryNetwork
 from gypsumhall.testing.platform import open_platform
+from gypsumhall.testing.platform_network import MemoryNetwork
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
