Spread the revert of an abort before writing the head

The binary repeated the same line for every attempt.

Change: abort adds the revert first when the installed configuration permits it, and reports the platform's error otherwise. The department is compared after the look-up. Progress is printed when it changes. The fields of a finding and the form of a duration are defined once.

Ruled out: waiting with the revert until the head is known: a move that was done meanwhile stays done, as daemons ignore reverts of ended moves.

Nothing was measured for speed.

--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -27,6 +27,7 @@
 from gypsumhall._errors import Finding
 from gypsumhall._errors import Place
 from gypsumhall._errors import SettingsError
+from gypsumhall.core._text import parse_duration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,8 +37,6 @@
 T = TypeVar('T')
 
 PREFIX = 'GYPSUMHALL_'
-_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)')
-_UNITS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0}
 _TRUE = ('true', '1', 'yes', 'on')
 _FALSE = ('false', '0', 'no', 'off')
 
@@ -189,11 +188,10 @@
         """Define a duration in seconds, written like ``500ms`` or ``2s``."""
 
         def convert(value: str) -> float:
-            found = _DURATION.fullmatch(value)
-            result = float(found[1]) * _UNITS[found[2]] if found else -1.0
-            if not found or not lowest <= result <= highest:
+            result = parse_duration(value)
+            if result is None or not lowest <= result <= highest:
                 raise ValueError(
-                    'a number and one of ms, s, m, h, for example 500ms, '
+                    'a number and one of ms, s, m, h, d, for example 500ms, '
                     f'from {lowest:g}s to {highest:g}s'
                 )
             return result
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -364,7 +364,9 @@
         findings: list[Mapping[str, Any]] = []
         if not self._options.daemons.value:
             self._progress('checked without a daemon: these texts only')
-            findings += [_finding_fields(item) for item in _check_alone(texts)]
+            findings += [
+                _text.finding_fields(item) for item in _check_alone(texts)
+            ]
         else:
             for name, text in texts.items():
                 response = await self._client.ask(
@@ -397,7 +399,7 @@
         }
         # An id of an earlier run may have been accepted by then.
         uncertain = bool(self._options.submission_id.value)
-        problem = 'no time was left'
+        problem = shown = 'no time was left'
         while await self._client.back_off():
             body['timeout_s'] = self._client.remaining
             try:
@@ -418,7 +420,9 @@
                 not_run = 'unavailable' in (outcome, code)
                 uncertain = uncertain or not (not_run or code in _NOT_RUN)
                 problem = response.detail
-            self._progress(f'trying again: {problem}')
+            if problem != shown:
+                self._progress(f'trying again: {problem}')
+                shown = problem
             self._client.try_next()
         return self._undecided(submission_id, problem, uncertain)
 
@@ -609,17 +613,6 @@
     return findings
 
 
-def _finding_fields(finding: Finding) -> dict[str, Any]:
-    place = finding.place
-    return {
-        'code': finding.code,
-        'message': finding.message,
-        'source': place.source,
-        'line': place.line,
-        'column': place.column,
-    }
-
-
 def _finding_line(fields: Mapping[str, Any]) -> str:
     place = Place(fields['source'], fields['line'], fields['column'])
     return str(Finding(fields['code'], fields['message'], place))
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -79,6 +79,25 @@
     return repr(value)
 
 
+def finding_fields(finding: Finding) -> dict[str, object]:
+    """Return a finding as JSON fields."""
+    return {
+        'code': finding.code,
+        'message': finding.message,
+        'source': finding.place.source,
+        'line': finding.place.line,
+        'column': finding.place.column,
+    }
+
+
+def parse_duration(text: str) -> float | None:
+    """Return the seconds of a duration like ``500ms``, or None."""
+    found = _DURATION.fullmatch(text)
+    if not found:
+        return None
+    return round(float(found[1]) * _UNITS[found[2]], 6)
+
+
 @dataclass(slots=True, frozen=True)
 class ParsedText:
     """An operator's text as it was read.
@@ -451,8 +470,8 @@
         text = self._text(node, path)
         if text is None or node is None:
             return default
-        found = _DURATION.fullmatch(text)
-        if not found:
+        value = parse_duration(text)
+        if value is None:
             self.add(
                 'bad-duration',
                 f'{shown(text)} is no duration; write a number and one of '
@@ -460,7 +479,6 @@
                 node.place,
             )
             return default
-        value = round(float(found[1]) * _UNITS[found[2]], 6)
         if not lowest <= value <= highest:
             self.add(
                 'bad-duration',
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -370,15 +370,22 @@
     async def abort(self, move_id: str, token: str) -> AbortResult:
         """Revert a move with reason ``aborted``.
 
-        While the platform is down, the revert is spread between the
-        daemons, so that traffic leaves the new version at once.
+        If the installed configuration permits it, the revert is spread
+        before the head is written: calls leave the new version at once
+        even while the platform is slow or down.
 
         Raises
         ------
         StoreError
-            When the platform does not respond and this daemon holds no
-            configuration that shows the move unfinished.
+            When the platform does not respond and the revert could not be
+            spread.
         """
+        snapshot = self._distribution.snapshot
+        spread = snapshot is not None and not _accept.abort_findings(
+            snapshot.head, move_id, token
+        )
+        if spread:
+            self._spread_abort(move_id)
         findings: tuple[Finding, ...] = ()
 
         def transition(head: _model.Head) -> _model.Head | None:
@@ -390,21 +397,19 @@
                 head, {move_id: 'aborted'}, self._wall_clock()
             )
 
-        recorded = True
         try:
             await self.apply(transition)
         except StoreError:
-            snapshot = self._distribution.snapshot
-            if snapshot is None:
+            if not spread:
                 raise
-            findings = _accept.abort_findings(snapshot.head, move_id, token)
-            recorded = False
-        if not findings:
-            self._distribution.add_revert(
-                Revert(move_id, 'aborted', self._origin)
-            )
-            self._events.emit('move-aborted', move=move_id, recorded=recorded)
-        return AbortResult(move_id, recorded, findings)
+            return AbortResult(move_id, recorded=False)
+        if not findings and not spread:
+            self._spread_abort(move_id)
+        return AbortResult(move_id, recorded=True, findings=findings)
+
+    def _spread_abort(self, move_id: str) -> None:
+        self._distribution.add_revert(Revert(move_id, 'aborted', self._origin))
+        self._events.emit('move-aborted', move=move_id)
 
     # Controller
 
@@ -473,21 +478,6 @@
                 submission, SubmissionStatus.REFUSED, findings=(finding,)
             )
         parsed = await self._read_text(submission.text, submission.source)
-        department = parsed.fragment.department
-        if (
-            submission.department
-            and parsed.readable
-            and submission.department != department
-        ):
-            finding = Finding(
-                'wrong-department',
-                f'the text is of department {department}, the submission '
-                f'of {_text.shown(submission.department)}',
-                parsed.place('department'),
-            )
-            return self._result(
-                submission, SubmissionStatus.REFUSED, findings=(finding,)
-            )
         try:
             result = await self._swap(
                 self._decision(submission, parsed),
@@ -546,6 +536,14 @@
             if isinstance(decision, _accept.Refused):
                 return _End(decision)
             department = decision.fragment.department
+            if submission.department not in ('', department):
+                finding = Finding(
+                    'wrong-department',
+                    f'the text is of department {department}, the submission '
+                    f'of {_text.shown(submission.department)}',
+                    parsed.place('department'),
+                )
+                return _End(_accept.Refused((finding,)))
             old = head.departments.get(department)
             new = decision.head.departments[department]
             replaced = ''
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -16,6 +16,7 @@
 from hypercorn.trio import serve
 import trio
 
+from gypsumhall.core._text import finding_fields
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._protocols import AdminResponse
 from gypsumhall.services._protocols import Events
@@ -64,17 +65,6 @@
     return AdminResponse(status, json.dumps(value).encode())
 
 
-def finding_fields(finding: Finding) -> dict[str, object]:
-    """Return a finding as JSON fields."""
-    return {
-        'code': finding.code,
-        'message': finding.message,
-        'source': finding.place.source,
-        'line': finding.place.line,
-        'column': finding.place.column,
-    }
-
-
 def problem(
     status: int,
     code: str,
--- a/gypsumhall/services/_operator.py
+++ b/gypsumhall/services/_operator.py
@@ -10,13 +10,13 @@
 
 from gypsumhall._errors import StoreError
 from gypsumhall.core._accept import effective_version
+from gypsumhall.core._text import finding_fields
 from gypsumhall.services._acceptance import AcceptanceService
 from gypsumhall.services._acceptance import Submission
 from gypsumhall.services._acceptance import SubmissionResult
 from gypsumhall.services._acceptance import SubmissionStatus
 from gypsumhall.services._acceptance import TIME_LIMIT_S
 from gypsumhall.services._admin import AdminService
-from gypsumhall.services._admin import finding_fields
 from gypsumhall.services._admin import json_response
 from gypsumhall.services._admin import number_of
 from gypsumhall.services._admin import problem
@@ -25,7 +25,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
+    from gypsumhall._errors import Finding
     from gypsumhall.core._model import Move
     from gypsumhall.kernel import Kernel
     from gypsumhall.services._protocols import AdminRequest
@@ -256,8 +258,8 @@
 
 
 def _findings_problem(
-    findings: Any, /, **fields: object
-) -> AdminResponse:  # fmt: skip
+    findings: Sequence[Finding], **fields: object
+) -> AdminResponse:
     first = findings[0]
     count = len(findings)
     return problem(
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -221,10 +221,17 @@
         wrong = await plane.acceptance.abort('a/up', 'another-token')
         assert [item.code for item in wrong.findings] == ['wrong-token']
         assert not plane.distribution.reverts
+        store.latency_s = 60
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(plane.acceptance.abort, 'a/up', 'secret-token')
+            await trio.sleep(0.1)
+            assert plane.distribution.reverts['a/up'].reason == 'aborted'
+        store.latency_s = 0
         store.outage = True
         spread = await plane.acceptance.abort('a/up', 'secret-token')
         assert not spread.recorded
-        assert plane.distribution.reverts['a/up'].reason == 'aborted'
+        with pytest.raises(StoreUnavailableError):
+            await plane.acceptance.abort('a/other', 'secret-token')
         store.outage = False
         for _ in range(2):
             done = await plane.acceptance.abort('a/up', 'secret-token')
