Give tests public access to the history of the in-memory store

Cause: tests read private attributes of MemoryStore.

Change: `history` and `clear_faults`; `gypsumhall events` leaves empty fields out.

Ruled out: nothing.

--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -658,7 +658,7 @@
     rest = ' '.join(
         f'{key}={value}'
         for key, value in event.items()
-        if key not in ('index', 'code')
+        if key not in ('index', 'code') and value not in ('', [])
     )
     return f'{event["index"]} {event.get("code", "")} {rest}'
 
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -138,8 +138,18 @@
         """Number of requests received, by operation."""
         return dict(self._counts)
 
+    @property
+    def history(self) -> tuple[WatchEvent, ...]:
+        """All changes since the last compaction, in order."""
+        return tuple(self._history)
+
     # Faults
 
+    def clear_faults(self) -> None:
+        """Forget the queued faults and start counting requests anew."""
+        self._faults.clear()
+        self._counts.clear()
+
     def inject(self, operation: str, *faults: Fault) -> None:
         """Queue faults for the next requests of one operation.
 
--- a/tests/test_cli_operator.py
+++ b/tests/test_cli_operator.py
@@ -218,7 +218,7 @@
         assert snapshot is not None
         assert snapshot.version == 1
         assert _accept.find_submission(snapshot.head, '0.first-attempt')
-        changes = [item for item in store._history if item.key == HEAD_KEY]
+        changes = [item for item in store.history if item.key == HEAD_KEY]
         assert len(changes) == 1
         nursery.cancel_scope.cancel()
 
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -176,7 +176,7 @@
         first = await rival.acceptance.submit(_submission(_text('b'), 9))
         assert first.version == 1
         store.before = pause_first_write
-        store._counts.clear()
+        store.clear_faults()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(submit_paused)
             await trio.sleep(1)
@@ -419,7 +419,7 @@
                 await trio.sleep(waits.pop())
 
         async def start(planes: list[ControlPlane]) -> None:
-            self.store._faults.clear()
+            self.store.clear_faults()
             self.store.inject('txn', *faults)
             self.store.inject('get', *reads)
             self.store.late_s = late_s
@@ -460,7 +460,7 @@
                 self.excluded.discard(number)
                 self.accepted[number] = result.version
 
-        self.store._faults.clear()
+        self.store.clear_faults()
         self.store.before = None
         self._run(start)
 
@@ -469,7 +469,7 @@
         """Look at every head that was ever written."""
         heads = [
             _model.decode_head(item.value)
-            for item in self.store._history
+            for item in self.store.history
             if item.key == HEAD_KEY and item.value is not None
         ]
         versions = [head.version for head in heads]
@@ -492,7 +492,7 @@
         """Install every head as a daemon does."""
         fragments = {}
         before: Snapshot | None = None
-        for item in self.store._history:
+        for item in self.store.history:
             if item.value is None:
                 continue
             if item.key != HEAD_KEY:
