Let a correction replace a head that cannot be published

Cause: a head whose fragments cannot be fetched hid every later head with a lower or equal version, and a newer head waited for the retries of the bad one, up to 5 s.

Change: the revision of the store decides which head is later, and a newer head ends the wait for a retry.

Ruled out: taking whatever was read last, as a slow read of the head can return after the watch has delivered a later one.

--- a/gypsumhall/services/_reader.py
+++ b/gypsumhall/services/_reader.py
@@ -78,6 +78,10 @@
         return None
 
 
+def _digest(head: _model.Head) -> str:
+    return _model.digest(_model.encode(head))
+
+
 async def read_seeds(store: Store, zone: str) -> list[ReaderRecord]:
     """Return the readers of all zones, those of the own zone first.
 
@@ -122,12 +126,13 @@
     )
 
     def __init__(self, *, rng: random.Random | None = None) -> None:
-        self._rng = rng or random.Random()  # noqa: S311
+        self._rng = rng or random.Random()
         self._scope = trio.CancelScope()
         self._stopped = trio.Event()
         self._records: dict[str, ReaderRecord] = {}
         self._cache: dict[str, _model.Fragment] = {}
         self._newest: _model.Head | None = None
+        self._newest_revision = 0
         self._published = 0
         self._published_digest = ''
         self._offered = trio.Event()
@@ -257,7 +262,7 @@
             )
 
     async def _read(self, lease: Lease) -> None:
-        self._watched_revision = 0
+        self._watched_revision = self._newest_revision = 0
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_head)
             nursery.start_soon(self._check_head)
@@ -290,7 +295,7 @@
                 if event.key != _keys.HEAD or event.value is None:
                     continue
                 self._watched_revision = event.revision
-                self._offer(event.value, 'watch')
+                self._offer(event.value, event.revision, 'watch')
 
     async def _check_head(self) -> None:
         """Read the head regularly, and end a watch that missed a change."""
@@ -309,9 +314,11 @@
             backoff.reset()
             seen = self._watched_revision
             if item is not None:
-                self._offer(item.value, 'check', max(floor, self._published))
-                if item.mod_revision > seen:
-                    await self._check_watch(item.mod_revision, seen)
+                revision = item.mod_revision
+                floor = max(floor, self._published)
+                self._offer(item.value, revision, 'check', floor)
+                if revision > seen:
+                    await self._check_watch(revision, seen)
             await trio.sleep(HEAD_CHECK_S * self._rng.uniform(0.9, 1.0))
 
     async def _check_watch(self, revision: int, seen: int) -> None:
@@ -325,10 +332,14 @@
             self._events.emit('watch-silent', revision=revision)
             self._watch_scope.cancel()
 
-    def _offer(self, data: bytes, source: str, floor: int = 0) -> None:
-        """Take a head record; older ones than the newest are ignored.
+    def _offer(
+        self, data: bytes, revision: int, source: str, floor: int = 0
+    ) -> None:
+        """Take a head record unless a later one was taken.
 
-        The platform must not return an older version than `floor`.
+        Revisions of the store decide which record is later, so that a record
+        that cannot be published does not hide its correction. The platform
+        must not return an older version than `floor`.
         """
         try:
             head = _model.decode_head(data)
@@ -337,16 +348,17 @@
                 'head-malformed', source=source, detail=str(error)
             )
             return
-        newest = self._newest.version if self._newest is not None else 0
-        if head.version > max(newest, self._published):
-            self._newest = head
-            self._offered.set()
-        elif head.version == self._published:
-            digest = _model.digest(data)
-            if digest != self._published_digest:
-                self._events.emit(
-                    'head-conflict', version=head.version, source=source
-                )
+        if head.version > self._published:
+            if revision > self._newest_revision:
+                self._newest = head
+                self._newest_revision = revision
+                self._offered.set()
+        elif head.version == self._published and (
+            _digest(head) != self._published_digest
+        ):
+            self._events.emit(
+                'head-conflict', head=head.version, source=source
+            )
         if head.version < floor:
             self._events.emit('head-behind', head=head.version, floor=floor)
 
@@ -368,7 +380,10 @@
                     error=error.code,
                     detail=str(error),
                 )
-                await trio.sleep(backoff.next())
+                # A newer version need not wait for this one.
+                self._offered = trio.Event()
+                with trio.move_on_after(backoff.next()):
+                    await self._offered.wait()
                 continue
             backoff.reset()
             self._publish(head, fragments, started)
@@ -381,7 +396,7 @@
     ) -> None:
         # A version that fails its checks never gets better.
         self._published = head.version
-        self._published_digest = _model.digest(_model.encode(head))
+        self._published_digest = _digest(head)
         try:
             self._distribution.publish(head, fragments)
         except InvalidUpdateError as error:
--- a/gypsumhall/store/_election.py
+++ b/gypsumhall/store/_election.py
@@ -204,7 +204,7 @@
     StoreError
         On entry, when the platform fails and `wait` is false.
     """
-    source = rng or random.Random()  # noqa: S311
+    source = rng or random.Random()
     backoff = Backoff(*_BACKOFF_S, source)
     while True:
         try:
--- /dev/null
+++ b/gypsumhall/testing/readers.py
@@ -0,0 +1,131 @@
+"""Daemons that run readers against a stand-in in memory."""
+
+from __future__ import annotations
+
+from collections import Counter
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall.kernel import Kernel
+from gypsumhall.services._events import EventLog
+from gypsumhall.services._metrics import MetricRegistry
+from gypsumhall.services._reader import Reader
+from gypsumhall.services._store import PlatformStore
+from gypsumhall.testing import builders
+from gypsumhall.testing.fakes import FakeDistribution
+from gypsumhall.testing.fakes import FakeMembership
+from gypsumhall.testing.platform import write_version
+
+if TYPE_CHECKING:
+    from gypsumhall.core import _model
+    from gypsumhall.core._member import Member
+    from gypsumhall.testing.platform import MemoryPlatform
+
+
+class ReaderZone:
+    """Daemons of a zone with little more than the service ``reader``.
+
+    Parameters
+    ----------
+    opened : MemoryPlatform
+        The platform; each daemon reaches it at its own peer address.
+    name : str
+        Availability zone.
+    first : int
+        Index of the first daemon; ids and addresses follow from it.
+
+    Attributes
+    ----------
+    members : list of Member
+        The member table of all daemons; tests may change it.
+    readers, distributions, logs, kernels : dict
+        Parts of the running daemons by daemon id.
+    version : int
+        Configuration version that was written last.
+    """
+
+    def __init__(
+        self, opened: MemoryPlatform, name: str = 'az-1', first: int = 0
+    ) -> None:
+        self._name = name
+        self._first = first
+        self.opened = opened
+        self.platform = opened.platform
+        self.store = opened.open_store()
+        self.members: list[Member] = []
+        self.readers: dict[str, Reader] = {}
+        self.distributions: dict[str, FakeDistribution] = {}
+        self.logs: dict[str, EventLog] = {}
+        self.kernels: dict[str, Kernel] = {}
+        self.version = 0
+
+    async def start(self, nursery: trio.Nursery, daemons: int) -> None:
+        """Start daemons, one after the other."""
+        for index in range(self._first, self._first + daemons):
+            await nursery.start(self._run_daemon, index)
+
+    async def _run_daemon(
+        self,
+        index: int,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        rng = random.Random(index)
+        me = builders.build_member(index, self._name)
+        self.members.append(me)
+        kernel = self.kernels[me.id] = Kernel()
+        log = self.logs[me.id] = EventLog(me.id, me.zone, path='/dev/null')
+        self.readers[me.id] = Reader(rng=rng)
+        self.distributions[me.id] = FakeDistribution()
+        for service in (
+            log,
+            MetricRegistry(),
+            PlatformStore(self.opened.open_store(me.peer_address), rng=rng),
+            FakeMembership(me, self.members),
+            self.distributions[me.id],
+            self.readers[me.id],
+        ):
+            kernel.register(service)
+        await kernel.run(task_status=task_status)
+        self.members.remove(me)
+        del self.readers[me.id], self.distributions[me.id]
+
+    async def change(self, fragment: _model.Fragment | None = None) -> None:
+        """Write a new version, as acceptance does."""
+        self.version += 1
+        await write_version(self.store, self.version, fragment)
+
+    async def converge(self, seconds: float) -> None:
+        """Write a new version and check that it is published in time."""
+        await self.change()
+        await trio.sleep(seconds)
+        self.check_published(self.version)
+
+    def holder(self) -> tuple[str, Reader]:
+        """Return a reader that holds a slot."""
+        return next(
+            item for item in self.readers.items() if item[1].slot is not None
+        )
+
+    def slots(self) -> list[int]:
+        """Return the slots that are held."""
+        return sorted(
+            reader.slot
+            for reader in self.readers.values()
+            if reader.slot is not None
+        )
+
+    def codes(self) -> Counter[str]:
+        """Count the events of all daemons by code."""
+        logs = self.logs.values()
+        return Counter(event.code for log in logs for event in log.since(0))
+
+    def check_published(self, version: int) -> None:
+        """Check that each holder published it and no daemon went back."""
+        for name, reader in self.readers.items():
+            versions = self.distributions[name].published
+            assert versions == sorted(set(versions))
+            if reader.slot is not None:
+                assert versions[-1] == version
