Keep untrusted bytes and large posts from ending a daemon

A posted message above the frame limit raised in a background task, and a message nested deep in an unknown field raised RecursionError in the reader of a stream; either would have ended the process.

Both are now errors of the message or the stream, with an event. Idle handler tasks no longer keep their last message, and the number of addresses with waiting posts is bounded. The benchmark also measures memory per stream, joining and an idle daemon.

--- a/benchmarks/bench_network.py
+++ b/benchmarks/bench_network.py
@@ -7,7 +7,8 @@
 * CPU time per round trip in each of the two processes,
 * memory of an open stream,
 * bytes per second of the heartbeats of a pair of daemons,
-* memory and times of a member table of 25,000 entries,
+* memory and times of a member table of 25,000 entries, time and bytes of a
+  join, and CPU of a daemon with such a table,
 * bytes per second and daemon of a simulated fleet with changes.
 """
 
@@ -159,33 +160,34 @@
     await process.wait()
 
 
+async def _start_daemon(
+    nursery: trio.Nursery, index: int, seeds: tuple[str, ...]
+) -> tuple[Peers, MembershipService]:
+    peers = Peers(
+        PeerSettings('', 'az-x', index, '127.0.0.1:0', (echo_peer.KEY,))
+    )
+    membership = MembershipService(MembershipSettings(seeds=seeds))
+    kernel = Kernel()
+    for service in (FakeEvents(), peers, membership):
+        kernel.register(service)
+    await nursery.start(kernel.run)
+    membership.set_endpoint(builders.build_endpoint())
+    membership.set_digest_provider(
+        lambda: _messages.Digest(18_000, 'a' * 16, 0, 2**63)
+    )
+    return peers, membership
+
+
 async def _bench_heartbeats() -> None:
     async with trio.open_nursery() as nursery:
-        networks: list[Network] = []
-        for index in range(2):
-            peers = Peers(
-                PeerSettings(
-                    '', 'az-1', index + 1, '127.0.0.1:0', (echo_peer.KEY,)
-                )
-            )
-            seeds = tuple(item.me.address for item in networks)
-            kernel = Kernel()
-            membership = MembershipService(MembershipSettings(seeds=seeds))
-            for service in (FakeEvents(), peers, membership):
-                kernel.register(service)
-            await nursery.start(kernel.run)
-            membership.set_endpoint(builders.build_endpoint())
-            membership.set_digest_provider(
-                lambda: _messages.Digest(18_000, 'a' * 16, 0, 2**63)
-            )
-            networks.append(peers)
+        peers, _ = await _start_daemon(nursery, 1, ())
+        await _start_daemon(nursery, 2, (peers.me.address,))
         await trio.sleep(5)
-        before = list(networks[0].traffic.sizes), networks[0].traffic.frames[0]
+        sizes, frames = list(peers.traffic.sizes), list(peers.traffic.frames)
         await trio.sleep(_HEARTBEAT_S)
-        sizes, frames = networks[0].traffic.sizes, networks[0].traffic.frames
-        sent = (sizes[0] - before[0][0]) / _HEARTBEAT_S
-        received = (sizes[1] - before[0][1]) / _HEARTBEAT_S
-        count = (frames[0] - before[1]) / _HEARTBEAT_S
+        sent = (peers.traffic.sizes[0] - sizes[0]) / _HEARTBEAT_S
+        received = (peers.traffic.sizes[1] - sizes[1]) / _HEARTBEAT_S
+        count = (peers.traffic.frames[0] - frames[0]) / _HEARTBEAT_S
         print(
             f'heartbeats of a pair: {sent:.0f} B/s sent, {received:.0f} B/s '
             f'received, {sent / count:.0f} bytes per frame; 8 frames per '
@@ -194,6 +196,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def _bench_join(count: int = 5) -> None:
+    async with trio.open_nursery() as nursery:
+        first, membership = await _start_daemon(nursery, 0, ())
+        for index in range(_MEMBERS):
+            membership.table.merge(_member(index), trio.current_time())
+        times = []
+        for index in range(1, count):
+            start = time.perf_counter()
+            _, other = await _start_daemon(nursery, index, (first.me.address,))
+            await other.wait_joined()
+            times.append(time.perf_counter() - start)
+        size = first.traffic.sizes[0] / (count - 1)
+        print(
+            f'join with {_MEMBERS} entries: {max(times):.2f} s at most, '
+            f'jitter of up to 0.5 s included; {size / 1e6:.2f} MB'
+        )
+        await trio.sleep(3)
+        cpu = time.process_time()
+        await trio.sleep(_HEARTBEAT_S)
+        cpu = (time.process_time() - cpu) / _HEARTBEAT_S / count
+        print(f'CPU of an idle daemon: {cpu:.2%} of a core')
+        nursery.cancel_scope.cancel()
+
+
 async def _bench_memory(count: int = 100) -> None:
     networks = [echo_peer.build_network(index) for index in range(count + 1)]
     async with trio.open_nursery() as nursery:
@@ -337,6 +363,7 @@
     trio.run(_bench_memory)
     _bench_table()
     trio.run(_bench_heartbeats)
+    trio.run(_bench_join)
     for changes in (0, 0.3):
         clock = trio.testing.MockClock(autojump_threshold=0)
         trio.run(_bench_fleet, 3, 40, changes, clock=clock)
--- a/gypsumhall/core/_membership.py
+++ b/gypsumhall/core/_membership.py
@@ -453,8 +453,12 @@
         '_zone',
     )
 
+    # Up to this zone size, and after this time, a verdict needs no witness:
+    # all who could confirm it may be gone for good.
     _SMALL = 8
     _HOLD_S = 10.0
+    # Further time after which daemons that neither raised a suspicion nor
+    # watch its member act on it.
     _BACKSTOP_S = 5.0
 
     def __init__(
@@ -481,11 +485,6 @@
         self._last_tick = math.nan
         self._paused_until = -math.inf
 
-    @property
-    def interval_s(self) -> float:
-        """Time between heartbeats in seconds."""
-        return self._interval_s
-
     def tick(self, now: float) -> bool:
         """Start a round; return whether the table has to be refreshed.
 
@@ -636,8 +635,6 @@
         return found
 
     def _held_long(self, member_id: str, now: float) -> bool:
-        # In a small zone everybody who could confirm may be gone for good,
-        # and a wrong verdict costs few refutations.
         alive = len(self._table.alive(self._zone))
         since = self._held_since.setdefault(member_id, now)
         return alive <= self._SMALL and now - since >= self._HOLD_S
--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -140,7 +140,7 @@
     """
     try:
         return _DECODER.decode(payload)  # type: ignore[arg-type]
-    except (msgspec.MsgspecError, TypeError) as error:
+    except (msgspec.MsgspecError, RecursionError, TypeError) as error:
         raise PeerProtocolError(f'malformed message: {error}') from error
 
 
--- a/gypsumhall/net/_handshake.py
+++ b/gypsumhall/net/_handshake.py
@@ -159,7 +159,7 @@
             raise PeerProtocolError('proof before hello')
         try:
             proof = _PROOF.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise PeerProtocolError(f'malformed proof: {error}') from error
         answer = Hello(PROTOCOL, self._nonce, self._me)
         _verify(self._keys, 'open', self._theirs, answer, proof.proofs)
@@ -168,7 +168,7 @@
     def _hello(self, data: bytes) -> Hello:
         try:
             hello = _HELLO.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise PeerProtocolError(f'malformed hello: {error}') from error
         if hello.protocol != PROTOCOL:
             raise PeerProtocolError(
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -42,6 +42,8 @@
 """Time for peers to learn that no new exchange is taken; a round trip between
 regions and a busy event loop fit in."""
 _SHUTDOWN_S = 1.0
+_POSTING = 256
+"""Addresses for which posted messages may wait."""
 _IDLE_WORKERS = 32
 """Tasks kept for the next exchanges."""
 
@@ -278,10 +280,14 @@
         """
         stream = self._usable(address)
         if stream is not None:
-            self._dropped += not stream.post(message)
+            self._post_on(stream, message)
             return
         queue = self._posts.get(address)
-        if queue is None and self._nursery is not None:
+        if (
+            queue is None
+            and self._nursery is not None
+            and len(self._posts) < _POSTING
+        ):
             queue = self._posts[address] = deque()
             self._nursery.start_soon(self._post_later, address, queue)
         if queue is None or len(queue) >= self._settings.max_posts:
@@ -488,8 +494,15 @@
         finally:
             del self._posts[address]
             for message in queue:
-                if stream is None or not stream.post(message):
-                    self._dropped += 1
+                self._post_on(stream, message)
+
+    def _post_on(self, stream: Stream | None, message: Message) -> None:
+        try:
+            sent = stream is not None and stream.post(message)
+        except PeerProtocolError as error:
+            sent = False
+            self._event('peer-post-failed', detail=str(error))
+        self._dropped += not sent
 
     # Accepting
 
@@ -538,14 +551,15 @@
             self._idle.remove(worker)
             return trio.lowlevel.Abort.SUCCEEDED
 
-        while True:
-            await self._handle(*job)
-            if len(self._idle) >= _IDLE_WORKERS:
-                return
-            self._idle.append(worker)
-            await trio.lowlevel.wait_task_rescheduled(abort)
-            assert worker.job is not None
+        worker.job = job
+        while worker.job is not None:
             job, worker.job = worker.job, None
+            await self._handle(*job)
+            # An idle worker must not keep the last message.
+            del job
+            if len(self._idle) < _IDLE_WORKERS:
+                self._idle.append(worker)
+                await trio.lowlevel.wait_task_rescheduled(abort)
 
     async def _handle(
         self, handler: Handler[Any], exchange: StreamExchange, message: Message
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -183,6 +183,10 @@
         _inject(_frame(99, 0, msgpack.packb([23, 7]))),
         'peer-protocol-error',
     ),
+    'nesting in an unknown field': (
+        _inject(_frame(99, 0, b'\x93\x17\xa1x' + b'\x91' * 100_000)),
+        'peer-protocol-error',
+    ),
     'unknown kind': (_inject(_frame(99, 77, 0)), 'peer-protocol-error'),
     'negative credit': (_inject(_frame(1, 8, -5)), 'peer-protocol-error'),
     'id in the future': (
@@ -474,8 +478,13 @@
         for _ in range(1000):
             one.post('127.0.0.1:1', _messages.Reverts(()))
         await _eventually(lambda: one.dropped == 1000)
-        one.post(relay.address, _messages.Reverts(()))
+        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        for message in (large, _messages.Reverts(()), large):
+            one.post(relay.address, message)
         await _eventually(lambda: len(received) == 1)
+        one.post(relay.address, large)
+        assert one.dropped == 1003
+        assert one.events == ['peer-post-failed'] * 3
 
 
 async def test_a_failing_handler_answers_and_the_network_goes_on() -> None:
