Close connections of callers that stop reading

Cause: hypercorn shields sending from cancellation. A caller that stopped reading in the middle of a response kept its call, and on the same VM the slot of the backend server, for ever (a test with a 50 MB response hung). Change: sending can be cancelled, which closes the connection, and ends after 30 s in any case. The load of the runner is a metric. Ruled out: a timeout alone, because the slot would be held past the deadline. Conclusion: the deadline of a call bounds how long a silent caller costs anything.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -14,6 +14,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from hypercorn.events import Closed
 from hypercorn.events import Event
 from hypercorn.events import RawData
 from hypercorn.events import Updated
@@ -26,6 +27,10 @@
     from hypercorn.config import Config
 
 
+# Longest time in seconds for which a caller may not read.
+_SEND_TIMEOUT_S = 30.0
+
+
 class _IdleTimer:
     """Closes a connection that is idle for too long, with a single task.
 
@@ -119,9 +124,31 @@
             self._timer.end()
 
     async def _send(self, data: bytes) -> None:
+        """Send data; cancellation closes the connection.
+
+        hypercorn shields sending from cancellation, so that a caller that
+        stops reading would keep its call for ever.
+        """
         held, self._held = self._held, b''
-        if held or data:
-            await super().protocol_send(RawData(held + data))
+        data = held + data
+        if not data:
+            return
+        async with self.send_lock:
+            try:
+                with trio.fail_after(_SEND_TIMEOUT_S):
+                    await self.stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            except trio.TooSlowError:
+                await trio.aclose_forcefully(self.stream)
+            except trio.Cancelled:
+                # Part of the data may have been sent.
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(self.stream)
+                raise
+            else:
+                return
+        await self.protocol.handle(Closed())
 
 
 async def serve(
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -244,6 +244,10 @@
             'gypsumhall_runner_calls_total',
             'Calls that reached the runner, by result.',
         )
+        load = metrics.gauge(
+            'gypsumhall_runner_load',
+            'Calls in flight and queued, and the concurrency limit.',
+        )
         self._incarnation = self._membership.me.incarnation
         self._sender = _sender.Sender(
             peers=peers,
@@ -266,6 +270,9 @@
             while True:
                 await trio.sleep(_MAINTENANCE_S)
                 await self._close_idle()
+                load.set(self.load.in_flight, kind='in-flight')
+                load.set(self.load.queued, kind='queued')
+                load.set(self.load.slots, kind='limit')
 
     async def drain(self) -> None:
         """Refuse new work and wait for the calls in flight."""
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -351,3 +351,24 @@
             assert (b'gypsumhall-outcome', b'not-run') in response.headers
         assert statuses == [200]
         assert server.runs == {'r1': 1}
+
+
+async def test_caller_that_stops_reading_does_not_keep_a_slot() -> None:
+    """A connection can go silent for good in the middle of a response."""
+    async with _standin(1.0) as (_, daemons, _):
+        for daemon in daemons:
+            host, _, port = daemon.caller.address.rpartition(':')
+            stream = await trio.open_tcp_stream(host, int(port))
+            path = b'/search?size=50000000'
+            await stream.send_all(_get(path, b'Gypsumhall-Deadline-Ms: 700'))
+            assert await stream.receive_some(100)
+            runner = daemons[-1].runner
+            assert runner.load.in_flight == 1
+            await _until(lambda runner=runner: not runner.load.in_flight)
+            # The response must not end as if it was complete.
+            received = 0
+            with contextlib.suppress(trio.BrokenResourceError):
+                while data := await stream.receive_some():
+                    received += len(data)
+            assert received < 50_000_000
+            await stream.aclose()
