Name the points in which connections differ from hypercorn's

Cause: reading the whole change as a newcomer; a class was named like the membership service. Change: a doc comment and a private name. Ruled out: nothing. Nothing measured. Conclusion: no change of behaviour.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -1,8 +1,9 @@
-"""HTTP/1.1 server: hypercorn's connections with fewer system calls.
+"""HTTP/1.1 server with connections derived from hypercorn's.
 
-`hypercorn.trio.serve` sends the head and the body of a response separately
-and starts a task for every idle period of a connection. This module listens
-itself and changes both in a subclass of hypercorn's connection.
+`hypercorn.trio.serve` sends the head and the body of a response separately,
+starts a task for every idle period of a connection and shields sending from
+cancellation. This module listens itself, so that it can use a subclass of
+hypercorn's connection that differs in these three points.
 """
 
 from __future__ import annotations
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -63,7 +63,7 @@
 
 
 @dataclass(slots=True)
-class _Membership:
+class _Joined:
     history: OwnershipHistory
     joined_at: float
 
@@ -102,7 +102,7 @@
         self._sender = sender
         self._ledger = KeyLedger()
         self._incarnation = membership.me.incarnation
-        self._joined: dict[str, _Membership] = {}
+        self._joined: dict[str, _Joined] = {}
         # Events of running requests; set when the request has ended.
         self._finished: dict[tuple[str, str], trio.Event] = {}
 
@@ -112,7 +112,7 @@
         known = self._joined.get(service)
         if known is None:
             history = OwnershipHistory(service, self._membership.me.id)
-            self._joined[service] = _Membership(history, now)
+            self._joined[service] = _Joined(history, now)
         else:
             known.joined_at = now
         self.members_changed()
