Ask the ring neighbours that hear a daemon's heartbeats for its version floor

Cause: the bootstrap ordered the ring by another hash than the membership, so it did not necessarily ask the members that know the acknowledged version.

Change: one order for both. The tests run on four workers. Nothing measured.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(PY) -m ruff check --fix .
 
 unit: venv
-	$(PY) -m pytest
+	$(PY) -m pytest -n 4 --dist worksteal
 
 test: lint unit
 
--- a/gypsumhall/core/_tree.py
+++ b/gypsumhall/core/_tree.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gypsumhall.core import _membership
 from gypsumhall.core._member import MemberStatus
 
 if TYPE_CHECKING:
@@ -76,12 +77,14 @@
     count : int
         Neighbours on each side.
     """
+    # Heartbeats follow the ring of the membership, so its neighbours are the
+    # members that know the acknowledged version of a daemon.
     others = sorted(
         (item for item in members if item.id != member_id),
-        key=lambda item: rank('', item.id),
+        key=lambda item: _membership.position(item.id),
     )
-    own = rank('', member_id)
-    index = sum(1 for item in others if rank('', item.id) < own)
+    own = _membership.position(member_id)
+    index = sum(1 for item in others if _membership.position(item.id) < own)
     if len(others) <= 2 * count:
         return others
     return [
--- a/gypsumhall/testing/readers.py
+++ b/gypsumhall/testing/readers.py
@@ -14,9 +14,9 @@
 from gypsumhall.services._reader import Reader
 from gypsumhall.services._store import PlatformStore
 from gypsumhall.testing import builders
+from gypsumhall.testing.platform import write_version
 from gypsumhall.testing.platform_fakes import FakeDistribution
 from gypsumhall.testing.platform_fakes import FakeMembership
-from gypsumhall.testing.platform import write_version
 
 if TYPE_CHECKING:
     from gypsumhall.core import _model
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -15,8 +15,8 @@
 from gypsumhall.store import _keys
 from gypsumhall.store import Put
 from gypsumhall.testing import builders
-from gypsumhall.testing.platform_fakes import FakeMembership
 from gypsumhall.testing.platform import open_platform
+from gypsumhall.testing.platform_fakes import FakeMembership
 from gypsumhall.testing.readers import ReaderZone
 
 if TYPE_CHECKING:
