Wake a receiver of an exchange at most once

A receiver that had been cancelled, but had not run yet, was still entered in its exchange, and the end of the exchange rescheduled it a second time.

Change: the entry is removed when the wait is aborted.

Ruled out: the tasks that watch long calls, which the trace ends in; they only are the tasks that were rescheduled.

Measured: the new test fails with trio's assertion before the change and passes after it.

--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -186,10 +186,7 @@
             if self._receiver is not None:
                 raise trio.BusyResourceError('another task receives')
             self._receiver = trio.lowlevel.current_task()
-            try:
-                await trio.lowlevel.wait_task_rescheduled(_abort)
-            finally:
-                self._receiver = None
+            await trio.lowlevel.wait_task_rescheduled(self._abort)
         message, size = self._queue.popleft()
         self._buffered -= size
         self._consumed += size
@@ -269,6 +266,12 @@
     def _write(self, kind: Kind, payload: bytes | int) -> None:
         self._stream.write(self.number, kind, payload, self.is_call)
 
+    def _abort(self, _: object) -> trio.lowlevel.Abort:
+        # The task counts as rescheduled from now on, not only when it runs:
+        # a frame that arrives in between must not reschedule it again.
+        self._receiver = None
+        return trio.lowlevel.Abort.SUCCEEDED
+
     def _wake(self) -> None:
         if self._receiver is not None:
             trio.lowlevel.reschedule(self._receiver)
@@ -277,10 +280,6 @@
             self._senders.unpark_all()
 
 
-def _abort(_: object) -> trio.lowlevel.Abort:
-    return trio.lowlevel.Abort.SUCCEEDED
-
-
 class Stream:
     """A stream to one peer.
 
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -17,6 +17,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from gypsumhall.errors import PeerLostError
 from gypsumhall.errors import PeerProtocolError
@@ -400,6 +401,26 @@
         assert 'peer-protocol-error' not in one.events + two.events
 
 
+async def test_an_end_at_the_moment_of_a_cancel_is_no_fault() -> None:
+    # A receiver that was cancelled, but had not run yet, was rescheduled a
+    # second time by the end of its exchange, which stopped the daemon.
+    async def wait(exchange: Exchange, message: _messages.CallQuery) -> None:
+        await exchange.receive()
+
+    async with _peers() as (one, two, _):
+        two.on(_messages.CallQuery, wait)
+        async with one.open(
+            two.me.address, _messages.CallQuery('r', 0)
+        ) as exchange:
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(exchange.receive)
+                    await trio.testing.wait_all_tasks_blocked()
+                    scope.cancel()
+                    exchange.cancel()
+            assert scope.cancelled_caught
+
+
 async def test_concurrent_opens_share_a_stream_per_direction() -> None:
     """Both sides opening at once must not end with a stream too few."""
     async with _peers() as (one, two, _):
