Learn the version floor from other zones when a whole zone restarts

Cause: in an outage of the platform a zone whose daemons had all been restarted stayed without a configuration, because only ready members of the own zone and the platform counted. A zone with fewer than three ready members stayed so too when another of its members was restarting.

Change: after 5 s without the platform, ready members of other zones are asked. In a small zone it suffices that all members answered and one of them is ready, since nobody else knows more.

Ruled out: counting members that are not ready; daemons that restarted together would agree on version 0.

--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -23,6 +23,7 @@
 from gypsumhall.core._actions import Installed
 from gypsumhall.core._actions import Reverted
 from gypsumhall.core._actions import Send
+from gypsumhall.core._member import MemberStatus
 from gypsumhall.core._replica import Replica
 from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._tree import pick
@@ -80,6 +81,9 @@
 _FETCH_TIMEOUT_S = 10.0
 _REVERTS_TIMEOUT_S = 2.0
 
+# The own zone and the platform come first: other zones may lag behind them.
+_OTHER_ZONES_S = 5.0
+
 # At 512 KiB per part this is far above any valid configuration.
 _MAX_PARTS = 64
 
@@ -94,6 +98,16 @@
         logger.debug('answer to {} failed: {}', exchange.peer.id, error)
 
 
+def _highest(answers: Iterable[tuple[Member, Floor]]) -> int:
+    return max(
+        (max(item.acknowledged, item.held) for _, item in answers), default=0
+    )
+
+
+def _count_ready(answers: Iterable[tuple[Member, Floor]]) -> int:
+    return sum(1 for _, item in answers if item.ready)
+
+
 class DistributionService:
     """Installed configuration and reverts; the service ``distribution``.
 
@@ -416,25 +430,41 @@
         if replica.floor is not None:
             self._execute([])
             return
-        floor = max(
-            (max(item.acknowledged, item.held) for _, item in answers),
-            default=0,
-        )
-        ready = sum(1 for _, item in answers if item.ready)
-        known = ready >= FLOOR_ANSWERS
+        floor = _highest(answers)
+        known = _count_ready(answers) >= FLOOR_ANSWERS
         if not known:
             head = await self._head_version()
             if head is not None:
                 floor = max(floor, head)
                 known = True
-        if not known:
-            # All members of a small zone, once the member table settled.
-            settled = trio.current_time() >= started + _SETTLE_S
-            known = settled and 0 < len(others) == ready
+        waited = trio.current_time() - started
+        if not known and waited >= _SETTLE_S:
+            # All that is left of a small zone's knowledge.
+            known = len(answers) == len(others) and bool(_count_ready(answers))
+        if not known and waited >= _OTHER_ZONES_S:
+            distant = await self._ask_members(self._members_elsewhere())
+            floor = max(floor, _highest(distant))
+            known = bool(_count_ready(distant))
+            for member, answer in distant:
+                replica.hint(answer.held, member.peer_address, now)
         if known:
             replica.set_floor(floor, trio.current_time())
         self._execute([])
 
+    def _members_elsewhere(self) -> list[Member]:
+        """Return the live members of the other zones.
+
+        A zone that restarts as a whole while the platform is down has only
+        them to learn the version floor from.
+        """
+        live = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+        zone = self._membership.me.zone
+        return [
+            member
+            for member in self._membership.table.members()
+            if member.zone != zone and member.status in live
+        ]
+
     async def _ask_members(
         self, others: Sequence[Member]
     ) -> list[tuple[Member, Floor]]:
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -408,6 +408,23 @@
     await fleet.all_hold(version, fleet.zone('b'), within_s=10)
 
 
+async def test_a_zone_that_restarts_in_an_outage_asks_other_zones(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    """With the platform down, it would not serve before the outage ends."""
+    version = fleet.publish('d0', 'd40')
+    await fleet.all_hold(version, list(fleet.daemons.values()), within_s=3)
+
+    async def fail() -> _model.Head:
+        raise StoreUnavailableError('outage')
+
+    fleet.read_head = fail
+    restarted = [item for item in fleet.members if item.zone == 'b']
+    fleet.stop(restarted)
+    await fleet.start(restarted, seed=300)
+    await fleet.all_hold(version, fleet.zone('b'), within_s=20)
+
+
 async def test_alarms_and_errors_of_bad_heads(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
