Read the settings of all binaries in one way

Cause: two modules defined flags; four binaries reported one fault at a time or with a stack trace, and an address in use was not always named. Ruled out: address names for peers, because peer streams take IP numbers. Conclusion: one module defines settings.

--- a/gypsumhall/_errors.py
+++ b/gypsumhall/_errors.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from dataclasses import dataclass
+import os
 from typing import ClassVar
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,6 +90,40 @@
     code = 'invalid-settings'
 
 
+class AddressError(GypsumhallError, OSError):
+    """An address that cannot be listened at."""
+
+    code = 'address'
+
+
+@contextmanager
+def listening_at(address: str) -> Iterator[None]:
+    """Name the address when opening its listener fails.
+
+    Raises
+    ------
+    AddressError
+        Instead of an `OSError`, whose text does not name the address.
+    """
+    try:
+        yield
+    except (OSError, BaseExceptionGroup) as error:
+        cause = innermost(error)
+        if not isinstance(cause, OSError):
+            raise
+        # The texts of some libraries repeat the address.
+        number = cause.errno or 0
+        reason = os.strerror(number) if number > 0 else str(cause)
+        raise AddressError(f'cannot listen at {address!r}: {reason}') from None
+
+
+def innermost(error: BaseException) -> BaseException:
+    """Return the first error of nested groups, or the error itself."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 class InvalidUpdateError(GypsumhallError):
     """A configuration update that fails its checks; nothing was applied."""
 
--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -7,6 +7,8 @@
     names = settings.parse(sys.argv[1:], os.environ)
     use(timeout.value)
 
+`run_binary` does this for a binary and turns errors into exit statuses.
+
 The flag ``--timeout`` comes before the variable ``GYPSUMHALL_TIMEOUT``, and
 this before the default. All faults are collected and raised together.
 """
@@ -15,8 +17,11 @@
 
 from dataclasses import dataclass
 import difflib
+import ipaddress
 import math
+import os
 import re
+import sys
 from typing import Any
 from typing import Generic
 from typing import TYPE_CHECKING
@@ -25,6 +30,8 @@
 from absl import flags
 
 from gypsumhall._errors import Finding
+from gypsumhall._errors import GypsumhallError
+from gypsumhall._errors import innermost
 from gypsumhall._errors import Place
 from gypsumhall._errors import SettingsError
 from gypsumhall.core._text import parse_duration
@@ -67,6 +74,8 @@
     text: str
     required: bool
     switch: bool
+    repeated: bool
+    secret: bool
 
 
 class Settings:
@@ -80,10 +89,20 @@
         First lines of the help page.
     notes : str
         Last lines of the help page.
+    positionals : bool
+        Whether arguments that are no flags are accepted.
     """
 
-    def __init__(self, program: str, usage: str, notes: str = '') -> None:
+    def __init__(
+        self,
+        program: str,
+        usage: str,
+        notes: str = '',
+        *,
+        positionals: bool = False,
+    ) -> None:
         self._program = program
+        self._positionals = positionals
         self._usage = usage
         self._notes = notes
         self._flags = flags.FlagValues()
@@ -91,6 +110,16 @@
         self._definitions: dict[str, _Definition] = {}
         self._help = self.boolean('help', False, 'Show this page.')
 
+    @property
+    def program(self) -> str:
+        """Name of the binary."""
+        return self._program
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the settings, in the order of their definition."""
+        return tuple(self._definitions)
+
     @property
     def help_wanted(self) -> bool:
         """Whether ``--help`` was given; nothing else was checked then."""
@@ -102,6 +131,7 @@
         lines = [self._usage.strip(), '', 'Flags:']
         for name, item in sorted(self._definitions.items()):
             kind = f'--[no]{name}' if item.switch else f'--{name}=<value>'
+            kind += '...' if item.repeated else ''
             lines.append(f'  {kind}  ({PREFIX}{name.upper()})')
             default = 'required' if item.required else item.shown_default
             lines.append(f'      {item.text} Default: {default}.')
@@ -213,16 +243,23 @@
         )
 
     def address(
-        self, name: str, default: str, text: str, *, required: bool = False
+        self,
+        name: str,
+        default: str,
+        text: str,
+        *,
+        required: bool = False,
+        hosts: bool = True,
     ) -> Setting[str]:
-        """Define an address, ``<IP number or host>:<port>``."""
+        """Define an address, `hosts` tells whether names are accepted."""
+
+        def convert(value: str) -> str:
+            if not value and not required:
+                return value
+            return parse_address(value, hosts=hosts)
+
         return self._define(
-            name,
-            default,
-            text,
-            parse_address,
-            repr(default),
-            required=required,
+            name, default, text, convert, repr(default), required=required
         )
 
     def addresses(
@@ -232,20 +269,88 @@
         text: str,
         *,
         required: bool = False,
+        hosts: bool = True,
     ) -> Setting[tuple[str, ...]]:
         """Define a list of addresses, separated by commas."""
+        return self.items(
+            name,
+            default,
+            text,
+            lambda item: parse_address(item, hosts=hosts),
+            required=required,
+        )
 
-        def convert(value: str) -> tuple[str, ...]:
+    def items(
+        self,
+        name: str,
+        default: tuple[T, ...],
+        text: str,
+        convert: Callable[[str], T],
+        *,
+        required: bool = False,
+        secret: bool = False,
+    ) -> Setting[tuple[T, ...]]:
+        """Define a list of values, separated by commas.
+
+        Parameters
+        ----------
+        name, default, text
+            Name, value if nothing is given, and line of the help page.
+        convert : callable
+            Gets one item without blanks around it; raises `ValueError`.
+        required : bool
+            Whether at least one item has to be given.
+        secret : bool
+            Whether messages leave the value out.
+        """
+
+        def convert_all(value: str) -> tuple[T, ...]:
             parts = [item.strip() for item in value.split(',')]
-            return tuple(parse_address(item) for item in parts if item)
+            result = tuple(convert(item) for item in parts if item)
+            if required and not result:
+                raise ValueError('it must not be empty')
+            return result
 
+        shown = ','.join(str(item) for item in default)
         return self._define(
             name,
             default,
             text,
-            convert,
-            repr(','.join(default)),
+            convert_all,
+            repr(shown),
+            required=required,
+            secret=secret,
+        )
+
+    def repeated(
+        self,
+        name: str,
+        text: str,
+        convert: Callable[[str], T],
+        *,
+        required: bool = False,
+    ) -> Setting[tuple[T, ...]]:
+        """Define a flag that is given once for each value.
+
+        The environment variable holds one value per line.
+        """
+
+        def convert_all(value: str) -> tuple[T, ...]:
+            lines = [line for line in value.splitlines() if line.strip()]
+            result = tuple(convert(line) for line in lines)
+            if required and not result:
+                raise ValueError('it must not be empty')
+            return result
+
+        default: tuple[T, ...] = ()
+        return self._define(
+            name,
+            default,
+            text,
+            convert_all,
+            'none',
             required=required,
+            repeated=True,
         )
 
     def _define(
@@ -258,19 +363,39 @@
         *,
         required: bool = False,
         switch: bool = False,
+        repeated: bool = False,
+        secret: bool = False,
     ) -> Setting[T]:
         setting = Setting(name, default)
         self._definitions[name] = _Definition(
-            setting, convert, shown_default, text, required, switch
+            setting,
+            convert,
+            shown_default,
+            text,
+            required,
+            switch,
+            repeated,
+            secret,
         )
-        define = flags.DEFINE_boolean if switch else flags.DEFINE_string
-        define(name, None, text, flag_values=self._flags)
+        values = self._flags
+        if switch:
+            flags.DEFINE_boolean(name, None, text, flag_values=values)
+            # absl stops at the first value that is no boolean; as a text, it
+            # is converted with all other values.
+            values[name].parser = flags.ArgumentParser()
+        elif repeated:
+            flags.DEFINE_multi_string(name, None, text, flag_values=values)
+        else:
+            flags.DEFINE_string(name, None, text, flag_values=values)
         return setting
 
     # Parsing
 
     def parse(
-        self, arguments: Sequence[str], environment: Mapping[str, str]
+        self,
+        arguments: Sequence[str],
+        environment: Mapping[str, str],
+        check: Callable[[list[str]], Sequence[Finding]] | None = None,
     ) -> list[str]:
         """Set all values and return the positional arguments.
 
@@ -280,6 +405,10 @@
             Command line without the name of the binary.
         environment : mapping
             Environment variables.
+        check : callable, optional
+            Gets the positional arguments when all values are set and
+            returns faults of values that do not fit together. A setting
+            with a fault of its own has its default then.
 
         Raises
         ------
@@ -291,6 +420,14 @@
             return []
         findings: list[Finding] = []
         names = self._parse_flags(arguments, findings)
+        if names and not self._positionals:
+            findings.append(
+                Finding(
+                    'unexpected-argument',
+                    f'{" ".join(names)!r}: only flags are accepted',
+                    Place('command line'),
+                )
+            )
         for name, item in self._definitions.items():
             given = self._flags[name].value
             place = Place(f'--{name}')
@@ -309,12 +446,17 @@
                         )
                     )
                 continue
+            if isinstance(given, list):
+                given = '\n'.join(given)
             try:
                 item.setting._set(item.convert(str(given)))
             except ValueError as error:
+                shown = '' if item.secret else f'{given!r}: '
                 findings.append(
-                    Finding('bad-setting', f'{given!r}: {error}', place)
+                    Finding('bad-setting', shown + str(error), place)
                 )
+        if check is not None:
+            findings += check(names)
         if findings:
             raise SettingsError(findings)
         return names
@@ -329,11 +471,12 @@
             own, rest = own[:at], own[at + 1 :]
         try:
             left = self._flags([self._program, *own], known_only=True)[1:]
-        except flags.Error as error:
+        except (flags.Error, ValueError) as error:
             findings.append(
                 Finding('bad-setting', str(error), Place('command line'))
             )
-            return []
+            # A value is missing at the end only; the rest is checked too.
+            return self._parse_flags(own[:-1], findings) if own else []
         for item in left:
             if item.startswith('-') and item != '-':
                 name = item.lstrip('-').partition('=')[0]
@@ -352,22 +495,82 @@
         ] + rest
 
 
-def parse_address(text: str) -> str:
+def parse_address(text: str, *, hosts: bool = True) -> str:
     """Check an address and return it.
 
+    Parameters
+    ----------
+    text : str
+        ``<ip>:<port>``, with brackets around IPv6, or ``<host>:<port>``.
+    hosts : bool
+        Whether the second form is accepted.
+
     Raises
     ------
     ValueError
-        When it is not ``<host>:<port>`` with a port from 0 to 65535.
+        When it has another form or the port is not from 0 to 65535.
     """
     host, _, port = text.rpartition(':')
+    forms = '<ip>:<port>' + (' or <host>:<port>' if hosts else '')
     if (
-        not re.fullmatch(r'[A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]', host)
+        not _is_host(host, hosts=hosts)
         or not re.fullmatch(r'[0-9]{1,5}', port)
         or int(port) > 65535
     ):
         raise ValueError(
-            f'{text!r} is no address; write <host>:<port>, for example '
+            f'{text!r} is no address; expected {forms}, for example '
             '127.0.0.1:7002'
         )
     return text
+
+
+def _is_host(text: str, *, hosts: bool) -> bool:
+    bracketed = text.startswith('[') and text.endswith(']')
+    try:
+        address = ipaddress.ip_address(text[1:-1] if bracketed else text)
+    except ValueError:
+        return hosts and bool(re.fullmatch(r'[A-Za-z0-9.-]+', text))
+    return bracketed == (address.version == 6)
+
+
+def run_binary(
+    settings: Settings,
+    argv: Sequence[str] | None,
+    start: Callable[[list[str]], int],
+    check: Callable[[list[str]], Sequence[Finding]] | None = None,
+) -> int:
+    """Parse the settings of a binary, run it and return its exit status.
+
+    Parameters
+    ----------
+    settings : Settings
+        All settings of the binary.
+    argv : sequence of str or None
+        Command line with the name of the binary; None for that of the
+        process.
+    start : callable
+        Gets the positional arguments and returns the exit status.
+    check : callable, optional
+        See `Settings.parse`.
+
+    Returns
+    -------
+    int
+        That of `start`; 0 for ``--help``; 1 after an error with a known
+        reason, which is printed in one line; 2 for invalid settings.
+    """
+    arguments = sys.argv[1:] if argv is None else argv[1:]
+    try:
+        names = settings.parse(arguments, os.environ, check)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if settings.help_wanted:
+        print(settings.help_page, end='')
+        return 0
+    status = 1
+    try:
+        status = start(names)
+    except* (GypsumhallError, OSError) as group:
+        print(f'{settings.program}: {innermost(group)}', file=sys.stderr)
+    return status
--- a/gypsumhall/cli/backend.py
+++ b/gypsumhall/cli/backend.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import signal
+import sys
+from typing import Any
 from typing import TYPE_CHECKING
 
-from absl import app
-from absl import flags
 import msgspec
 import trio
 
+from gypsumhall.cli._settings import run_binary
+from gypsumhall.cli._settings import Setting
+from gypsumhall.cli._settings import Settings
 from gypsumhall.standin._backend import BackendServer
 from gypsumhall.standin._backend import BackendSettings
 from gypsumhall.standin._backend import Faults
@@ -17,39 +20,39 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-_SERVICE = flags.DEFINE_string(
-    'service', None, 'Service to run.', required=True
-)
-_VERSION = flags.DEFINE_string('service_version', 'v1', 'Service version.')
-_ADDRESS = flags.DEFINE_string(
-    'address', '127.0.0.1:0', '<ip>:<port> to listen on; port 0 for any.'
-)
-_ANNOUNCE = flags.DEFINE_string(
-    'announce',
-    '',
-    '<ip>:<port> of the administration listener of the daemon on this VM.',
-)
-_SLOTS = flags.DEFINE_integer(
-    'slots', 6, 'Requests executed at the same time.', lower_bound=1
-)
-_SERVICE_TIME_MS = flags.DEFINE_float(
-    'service_time_ms', 5.0, 'Mean service time.', lower_bound=0.0
-)
-_COLD_START_S = flags.DEFINE_float(
-    'cold_start_s', 0.0, 'Seconds until the server is ready.', lower_bound=0.0
-)
-_SEED = flags.DEFINE_integer('seed', 0, 'Seed of service times and faults.')
-_FAULT_FLAGS = [
-    flags.DEFINE_float('failure_rate', 0.0, 'Share of failed requests.'),
-    flags.DEFINE_integer('failure_status', 500, 'HTTP status of failures.'),
-    flags.DEFINE_float('delay_ms', 0.0, 'Additional service time.'),
-    flags.DEFINE_float('crash_rate', 0.0, 'Share of reset connections.'),
-    flags.DEFINE_float('break_rate', 0.0, 'Share of broken responses.'),
-    flags.DEFINE_string('path', '', 'Path prefix that faults apply to.'),
-    flags.DEFINE_float('after_s', 0.0, 'Seconds until faults apply.'),
-    flags.DEFINE_integer('above', 0, 'Load above which faults apply.'),
-    flags.DEFINE_float('load_factor', 1.0, 'Factor on the reported load.'),
-]
+_USAGE = """\
+usage: gypsumhall-backend [flags]
+
+Executes requests of one service with a given service time and given faults,
+and announces itself to the daemon on its VM.
+"""
+_NOTES = """\
+Exit status: 0 after a planned stop (SIGTERM or SIGINT), 1 when the address
+cannot be used, 2 for invalid settings.
+"""
+
+
+def _define_faults(settings: Settings) -> list[Setting[Any]]:
+    def rate(name: str, text: str) -> Setting[float]:
+        return settings.number(name, 0.0, text, highest=1.0)
+
+    return [
+        rate('failure_rate', 'Share of failed requests, 0 to 1.'),
+        settings.integer(
+            'failure_status',
+            500,
+            'HTTP status of failures.',
+            lowest=200,
+            highest=599,
+        ),
+        settings.number('delay_ms', 0.0, 'Additional service time in ms.'),
+        rate('crash_rate', 'Share of reset connections, 0 to 1.'),
+        rate('break_rate', 'Share of broken responses, 0 to 1.'),
+        settings.string('path', '', 'Path prefix that faults apply to.'),
+        settings.number('after_s', 0.0, 'Seconds until faults apply.'),
+        settings.integer('above', 0, 'Load above which faults apply.'),
+        settings.number('load_factor', 1.0, 'Factor on the reported load.'),
+    ]
 
 
 async def _serve(server: BackendServer) -> None:
@@ -64,29 +67,68 @@
                 break
 
 
-def _main(argv: Sequence[str]) -> None:
-    if len(argv) > 1:
-        raise app.UsageError(f'unexpected arguments: {argv[1:]}')
-    settings = BackendSettings(
-        _SERVICE.value,
-        _VERSION.value,
-        _ADDRESS.value,
-        _ANNOUNCE.value,
-        _SLOTS.value,
-        _SERVICE_TIME_MS.value,
-        _COLD_START_S.value,
-        _SEED.value,
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the stand-in until it is asked to end.
+
+    Parameters
+    ----------
+    argv : sequence of str, optional
+        Command line; by default that of the process.
+
+    Returns
+    -------
+    int
+        Exit status, see ``--help``.
+    """
+    settings = Settings('gypsumhall-backend', _USAGE, _NOTES)
+    service = settings.string('service', '', 'Service to run.', required=True)
+    version = settings.string('service_version', 'v1', 'Service version.')
+    address = settings.address(
+        'address',
+        '127.0.0.1:0',
+        '<ip>:<port> to listen at; port 0 for any free one.',
+    )
+    announce = settings.address(
+        'announce',
+        '',
+        '<ip>:<port> of the administration listener of the daemon on this '
+        'VM; empty for none.',
+    )
+    slots = settings.integer(
+        'slots', 6, 'Requests executed at the same time.', lowest=1
+    )
+    service_time_ms = settings.number(
+        'service_time_ms', 5.0, 'Mean service time in ms.'
+    )
+    cold_start_s = settings.number(
+        'cold_start_s', 0.0, 'Seconds until the server is ready.'
     )
-    faults = msgspec.convert(
-        {flag.name: flag.value for flag in _FAULT_FLAGS}, Faults
+    seed = settings.integer(
+        'seed', 0, 'Seed of service times and faults.', lowest=-(2**53)
     )
-    trio.run(_serve, BackendServer(settings, faults))
+    faults = _define_faults(settings)
 
+    def start(_names: list[str]) -> int:
+        server = BackendServer(
+            BackendSettings(
+                service.value,
+                version.value,
+                address.value,
+                announce.value,
+                slots.value,
+                service_time_ms.value,
+                cold_start_s.value,
+                seed.value,
+            ),
+            msgspec.convert(
+                {item.name: item.value for item in faults}, Faults
+            ),
+        )
+        trio.run(_serve, server)
+        return 0
 
-def main() -> None:
-    """Run the binary."""
-    app.run(_main)
+    return run_binary(settings, argv, start)
 
 
 if __name__ == '__main__':
-    main()
+    sys.exit(main())
--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 import signal
 import sys
@@ -15,7 +14,7 @@
 from gypsumhall._errors import Finding
 from gypsumhall._errors import GypsumhallError
 from gypsumhall._errors import Place
-from gypsumhall._errors import SettingsError
+from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.kernel import Kernel
 from gypsumhall.kernel import Service
@@ -41,7 +40,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-_USAGE = 'usage: gypsumhalld [flags]'
+_USAGE = """\
+usage: gypsumhalld [flags]
+
+Serves callers, other daemons and operators on one VM.
+"""
 _NOTES = """\
 Every flag may be given as an environment variable instead; the flag comes
 first. Exit status: 0 after a planned stop (SIGTERM or SIGINT), 1 when an
@@ -51,35 +54,30 @@
 MIN_KEY_CHARACTERS = 16
 
 
-class DaemonSettings:
-    """Settings of the daemon, checked together.
+def _key(text: str) -> bytes:
+    if len(text) < MIN_KEY_CHARACTERS:
+        raise ValueError(
+            f'every key needs at least {MIN_KEY_CHARACTERS} characters; one '
+            f'has {len(text)}'
+        )
+    return text.encode()
 
-    Parameters
-    ----------
-    arguments : sequence of str
-        Command line without the name of the binary.
-    environment : mapping
-        Environment variables.
 
-    Raises
-    ------
-    SettingsError
-        With all faults.
-    """
+class DaemonSettings:
+    """Settings of the daemon; the values are set by `run_binary`."""
 
-    def __init__(
-        self, arguments: Sequence[str], environment: dict[str, str]
-    ) -> None:
+    def __init__(self) -> None:
         settings = Settings('gypsumhalld', _USAGE, _NOTES)
         self.settings = settings
         self.zone = settings.string(
             'zone', '', 'Availability zone of this VM.', required=True
         )
-        self.zones = settings.string(
+        self.zones = settings.items(
             'zones',
-            '',
+            (),
             'All availability zones, separated by commas; guards against a '
             'misspelt --zone. Empty for no check.',
+            str,
         )
         self.id = settings.string(
             'id', '', 'Unique name; the peer address when empty.'
@@ -95,12 +93,14 @@
             '',
             '<ip>:<port> for other daemons.',
             required=True,
+            hosts=False,
         )
-        self.advertised_peer_address = settings.string(
+        self.advertised_peer_address = settings.address(
             'advertised_peer_address',
             '',
             '<ip>:<port> at which other daemons reach the peer address, if '
             'it is another one.',
+            hosts=False,
         )
         self.admin_address = settings.address(
             'admin_address',
@@ -113,16 +113,21 @@
             'platform', (), 'Gateways of the platform.', required=True
         )
         self.seeds = settings.addresses(
-            'seeds', (), 'Peer addresses of daemons to join through.'
+            'seeds',
+            (),
+            'Peer addresses of daemons to join through.',
+            hosts=False,
         )
-        self.peer_keys = settings.string(
+        self.peer_keys = settings.items(
             'peer_keys',
-            '',
+            (),
             'Shared keys of the daemons, separated by commas, at least '
             f'{MIN_KEY_CHARACTERS} characters each; the first one is '
             'preferred, the others are accepted while keys are replaced. '
             'Better given in the environment than on the command line.',
+            _key,
             required=True,
+            secret=True,
         )
         self.event_log = settings.string(
             'event_log', '', 'File for events; standard error when empty.'
@@ -130,39 +135,17 @@
         self.drain_timeout = settings.duration(
             'drain_timeout', 30.0, 'Longest time of a planned stop.'
         )
-        settings.parse(arguments, environment)
-        if not settings.help_wanted:
-            self._check()
-
-    @property
-    def keys(self) -> tuple[bytes, ...]:
-        """Shared keys of the daemons."""
-        parts = self.peer_keys.value.split(',')
-        return tuple(part.encode() for part in parts)
 
-    def _check(self) -> None:
-        findings = []
-        zones = [item for item in self.zones.value.split(',') if item]
-        if zones and self.zone.value not in zones:
-            findings.append(
-                Finding(
-                    'unknown-zone',
-                    f'{self.zone.value!r} is no availability zone; valid '
-                    f'choices: {", ".join(zones)}',
-                    Place('--zone'),
-                )
-            )
-        if any(len(key) < MIN_KEY_CHARACTERS for key in self.keys):
-            findings.append(
-                Finding(
-                    'bad-setting',
-                    'every key needs at least '
-                    f'{MIN_KEY_CHARACTERS} characters',
-                    Place('--peer_keys'),
-                )
-            )
-        if findings:
-            raise SettingsError(findings)
+    def check(self, _names: list[str]) -> list[Finding]:
+        """Return faults of values that do not fit together."""
+        zone, zones = self.zone.value, self.zones.value
+        if not zone or not zones or zone in zones:
+            return []
+        message = (
+            f'{zone!r} is no availability zone; valid choices: '
+            f'{", ".join(zones)}'
+        )
+        return [Finding('unknown-zone', message, Place('--zone'))]
 
 
 def build_kernel(settings: DaemonSettings) -> Kernel:
@@ -181,7 +164,7 @@
         zone,
         int(time.time() * 1000),
         settings.peer_address.value,
-        settings.keys,
+        settings.peer_keys.value,
         settings.advertised_peer_address.value,
     )
     services: list[Service] = [
@@ -220,13 +203,6 @@
             nursery.cancel_scope.cancel()
 
 
-def _first(group: BaseExceptionGroup) -> BaseException:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the daemon until it is asked to stop.
 
@@ -240,26 +216,21 @@
     int
         Exit status, see ``--help``.
     """
-    arguments = sys.argv[1:] if argv is None else argv[1:]
-    try:
-        settings = DaemonSettings(arguments, dict(os.environ))
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    if settings.settings.help_wanted:
-        print(settings.settings.help_page, end='')
-        return 0
-    status = 0
-    try:
-        trio.run(_run, build_kernel(settings), settings.drain_timeout.value)
-    except* (OSError, GypsumhallError) as group:
-        reason = _first(group)
-        print(f'gypsumhalld: {reason}', file=sys.stderr)
-        status = 1
-    except* Exception as group:
-        logger.opt(exception=group).critical('a service failed')
-        status = 1
-    return status
+    settings = DaemonSettings()
+
+    def start(_names: list[str]) -> int:
+        kernel = build_kernel(settings)
+        status = 0
+        try:
+            trio.run(_run, kernel, settings.drain_timeout.value)
+        except* (OSError, GypsumhallError):
+            raise
+        except* Exception as group:
+            logger.opt(exception=group).critical('a service failed')
+            status = 1
+        return status
+
+    return run_binary(settings.settings, argv, start, settings.check)
 
 
 if __name__ == '__main__':
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -112,7 +112,9 @@
     """Flags of the binary."""
 
     def __init__(self) -> None:
-        self.settings = Settings('gypsumhall', _USAGE, _NOTES)
+        self.settings = Settings(
+            'gypsumhall', _USAGE, _NOTES, positionals=True
+        )
         define = self.settings
         self.daemons = define.addresses(
             'daemons', (), 'Admin addresses of daemons, tried in this order.'
--- a/gypsumhall/cli/platform.py
+++ b/gypsumhall/cli/platform.py
@@ -1,7 +1,6 @@
-"""``gypsumhall-platform``: the stand-in of the platform as a process.
+"""Binary ``gypsumhall-platform``: the stand-in of the platform.
 
-It prints the address that it listens at, and ends when it is asked to by
-SIGTERM or SIGINT.
+It prints the address that it listens at.
 """
 
 from __future__ import annotations
@@ -10,34 +9,25 @@
 import sys
 from typing import TYPE_CHECKING
 
-from absl import flags
 import trio
 
-from gypsumhall._errors import SettingsError
-from gypsumhall.cli._environment import is_address
-from gypsumhall.cli._environment import parse_flags
+from gypsumhall.cli._settings import run_binary
+from gypsumhall.cli._settings import Settings
 from gypsumhall.standin import Platform
 from gypsumhall.standin import serve_platform
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+_USAGE = """\
+usage: gypsumhall-platform [flags]
 
-def _define_flags() -> flags.FlagValues:
-    values = flags.FlagValues()
-    flags.DEFINE_string(
-        'platform_address',
-        '127.0.0.1:2379',
-        'Address to listen at, <ip>:<port>; port 0 for any free one.',
-        flag_values=values,
-    )
-    flags.register_validator(
-        'platform_address',
-        is_address,
-        message='expected <ip>:<port>',
-        flag_values=values,
-    )
-    return values
+Serves the part of the platform's gateway that gypsumhall uses, from memory.
+"""
+_NOTES = """\
+Exit status: 0 after a planned stop (SIGTERM or SIGINT), 1 when the address
+cannot be used, 2 for invalid settings.
+"""
 
 
 async def _serve(address: str) -> None:
@@ -64,29 +54,21 @@
     Returns
     -------
     int
-        Exit status: 0 after a planned stop, 1 when the address cannot be
-        used, 2 for invalid settings.
+        Exit status, see ``--help``.
     """
-    values = _define_flags()
-    try:
-        rest = parse_flags(values, sys.argv if argv is None else argv)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    if rest:
-        print(f'unexpected arguments: {" ".join(rest)}', file=sys.stderr)
-        return 2
-    status = 0
-    try:
-        trio.run(_serve, values.platform_address)
-    except* OSError as group:
-        reason = group.exceptions[0]
-        print(
-            f'cannot listen at {values.platform_address!r}: {reason}',
-            file=sys.stderr,
-        )
-        status = 1
-    return status
+    settings = Settings('gypsumhall-platform', _USAGE, _NOTES)
+    address = settings.address(
+        'platform_address',
+        '127.0.0.1:2379',
+        '<ip>:<port> to listen at; port 0 for any free one.',
+        hosts=False,
+    )
+
+    def start(_names: list[str]) -> int:
+        trio.run(_serve, address.value)
+        return 0
+
+    return run_binary(settings, argv, start)
 
 
 if __name__ == '__main__':
--- a/gypsumhall/cli/timeline.py
+++ b/gypsumhall/cli/timeline.py
@@ -1,23 +1,16 @@
-"""``gypsumhall-timeline``: one time line of the events of many processes.
-
-Logs are given as files, as arguments or with ``--log``, and as admin
-addresses of daemons with ``--admin_address``. Findings about the logs go to
-the standard error stream.
-"""
+"""Binary ``gypsumhall-timeline``: one time line of many processes."""
 
 from __future__ import annotations
 
 import sys
 from typing import TYPE_CHECKING
 
-from absl import flags
 import trio
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import Place
-from gypsumhall._errors import SettingsError
-from gypsumhall.cli._environment import is_address
-from gypsumhall.cli._environment import parse_flags
+from gypsumhall.cli._settings import run_binary
+from gypsumhall.cli._settings import Settings
 from gypsumhall.timeline import fetch_logs
 from gypsumhall.timeline import Logs
 from gypsumhall.timeline import merge
@@ -32,63 +25,24 @@
 
     from gypsumhall.services._events import Event
 
-_LISTS = {
-    'log': 'Event logs to read, in addition to the arguments.',
-    'admin_address': 'Admin addresses of daemons to ask, <ip>:<port>.',
-    'code': 'Show only events with these codes; * stands for any text.',
-    'zone': 'Show only events of these zones.',
-    'daemon': 'Show only events of the daemons with these ids.',
-    'move': 'Show only events about the moves with these ids.',
-    'version': 'Show only events at or about these configuration versions.',
-}
-
-
-def _define_flags() -> flags.FlagValues:
-    values = flags.FlagValues()
-    for name, description in _LISTS.items():
-        flags.DEFINE_list(name, [], description, flag_values=values)
-    flags.DEFINE_enum(
-        'format',
-        'text',
-        ['text', 'json', 'none'],
-        'How events are printed.',
-        flag_values=values,
-    )
-    flags.DEFINE_string(
-        'html',
-        '',
-        'File for a page with one lane per process; empty for none.',
-        flag_values=values,
-    )
-    flags.register_validator(
-        'admin_address',
-        lambda items: all(map(is_address, items)),
-        message='expected <ip>:<port>, separated by commas',
-        flag_values=values,
-    )
-    flags.register_validator(
-        'version',
-        lambda items: all(item.isdecimal() for item in items),
-        message='expected integers, separated by commas',
-        flag_values=values,
-    )
-    return values
-
-
-def _read_settings(argv: Sequence[str]) -> tuple[flags.FlagValues, list[str]]:
-    values = _define_flags()
-    paths = [*parse_flags(values, argv), *values.log]
-    if not paths and not values.admin_address:
-        raise SettingsError(
-            [
-                Finding(
-                    'no-log',
-                    'give event logs as arguments, or --admin_address',
-                    Place('command line'),
-                )
-            ]
-        )
-    return values, paths
+_USAGE = """\
+usage: gypsumhall-timeline [flags] [event log]...
+
+Merges event logs into one time line in which no effect comes before its
+cause. Logs are files, given as arguments or with --log, and those of running
+daemons, given with --admin_address. Findings about the logs go to standard
+error.
+"""
+_NOTES = """\
+Exit status: 0, also with malformed lines; 1 when a log could not be read or
+the page not be written; 2 for invalid settings.
+"""
+
+
+def _version(text: str) -> int:
+    if not text.isdecimal():
+        raise ValueError('expected integers, separated by commas')
+    return int(text)
 
 
 def _write_html(path: str, events: list[Event], logs: Logs) -> None:
@@ -96,6 +50,24 @@
         file.write(render_html(events, logs.findings))
 
 
+def _show(logs: Logs, selection: Selection, form: str, html: str) -> int:
+    """Print and write the selected events and return the exit status."""
+    events = [item for item in merge(logs.events) if selection.admits(item)]
+    for finding in logs.findings:
+        print(finding, file=sys.stderr)
+    try:
+        if html:
+            _write_html(html, events, logs)
+        if form != 'none':
+            render = render_json if form == 'json' else render_text
+            for line in render(events):
+                print(line)
+    except OSError as error:
+        print(f'the time line cannot be written: {error}', file=sys.stderr)
+        return 1
+    return 1 if logs.unread else 0
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Merge event logs and show them.
 
@@ -107,40 +79,66 @@
     Returns
     -------
     int
-        Exit status: 0, also with malformed lines; 1 when a log could not be
-        read or the page not be written; 2 for invalid settings.
+        Exit status, see ``--help``.
     """
-    try:
-        values, paths = _read_settings(sys.argv if argv is None else argv)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    logs = Logs()
-    read_files(logs, paths)
-    if values.admin_address:
-        trio.run(fetch_logs, logs, values.admin_address)
-    selection = Selection(
-        tuple(values.code),
-        tuple(values.zone),
-        tuple(values.daemon),
-        tuple(values.move),
-        tuple(int(item) for item in values.version),
+    settings = Settings(
+        'gypsumhall-timeline', _USAGE, _NOTES, positionals=True
     )
-    events = [item for item in merge(logs.events) if selection.admits(item)]
-    for finding in logs.findings:
-        print(finding, file=sys.stderr)
-    status = 1 if logs.unread else 0
-    try:
-        if values.html:
-            _write_html(values.html, events, logs)
-        if values.format != 'none':
-            render = render_json if values.format == 'json' else render_text
-            for line in render(events):
-                print(line)
-    except OSError as error:
-        print(f'the time line cannot be written: {error}', file=sys.stderr)
-        status = 1
-    return status
+    files = settings.items(
+        'log', (), 'Event logs to read, in addition to the arguments.', str
+    )
+    daemons = settings.addresses(
+        'admin_address',
+        (),
+        'Admin addresses of daemons to ask, <ip>:<port>.',
+        hosts=False,
+    )
+    codes = settings.items(
+        'code',
+        (),
+        'Show only events with these codes; * stands for any text.',
+        str,
+    )
+    zones = settings.items('zone', (), 'Show only events of these zones.', str)
+    ids = settings.items(
+        'daemon', (), 'Show only events of the daemons with these ids.', str
+    )
+    moves = settings.items(
+        'move', (), 'Show only events about the moves with these ids.', str
+    )
+    versions = settings.items(
+        'version',
+        (),
+        'Show only events at or about these configuration versions.',
+        _version,
+    )
+    form = settings.string(
+        'format',
+        'text',
+        'How events are printed: text, json or none.',
+        choices=('text', 'json', 'none'),
+    )
+    html = settings.string(
+        'html', '', 'File for a page with one lane per process.'
+    )
+
+    def check(names: list[str]) -> list[Finding]:
+        if names or files.value or daemons.value:
+            return []
+        message = 'give event logs as arguments, or --admin_address'
+        return [Finding('no-log', message, Place('command line'))]
+
+    def start(names: list[str]) -> int:
+        logs = Logs()
+        read_files(logs, [*names, *files.value])
+        if daemons.value:
+            trio.run(fetch_logs, logs, daemons.value)
+        selection = Selection(
+            codes.value, zones.value, ids.value, moves.value, versions.value
+        )
+        return _show(logs, selection, form.value, html.value)
+
+    return run_binary(settings, argv, start, check)
 
 
 if __name__ == '__main__':
--- a/gypsumhall/net/_socket.py
+++ b/gypsumhall/net/_socket.py
@@ -14,6 +14,8 @@
 
 import trio
 
+from gypsumhall._errors import listening_at
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split ``<ip>:<port>``.
@@ -93,12 +95,13 @@
 
     Raises
     ------
-    OSError
+    AddressError
         When the address is in use or not local.
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.create_server((host, port), family=family, backlog=1024)
+    with listening_at(address):
+        sock = socket.create_server((host, port), family=family, backlog=1024)
     sock.setblocking(False)
     return sock
 
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -16,6 +16,7 @@
 from hypercorn.trio import serve
 import trio
 
+from gypsumhall._errors import listening_at
 from gypsumhall.core._text import finding_fields
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._protocols import AdminResponse
@@ -183,7 +184,8 @@
         config.include_server_header = False
         config.read_timeout = READ_TIMEOUT_S
         async with trio.open_nursery() as nursery:
-            bound = await nursery.start(self._serve, config)
+            with listening_at(self._address):
+                bound = await nursery.start(self._serve, config)
             self._bound = bound[0].partition('://')[2]
             task_status.started()
         self._ended.set()
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -24,6 +24,8 @@
 from hypercorn.utils import wrap_app
 import trio
 
+from gypsumhall._errors import listening_at
+
 if TYPE_CHECKING:
     from hypercorn.config import Config
 
@@ -176,9 +178,10 @@
         Gets the bound address.
     """
     host, _, port = address.rpartition(':')
-    listeners = await trio.open_tcp_listeners(
-        int(port), host=host.strip('[]'), backlog=config.backlog
-    )
+    with listening_at(address):
+        listeners = await trio.open_tcp_listeners(
+            int(port), host=host.strip('[]'), backlog=config.backlog
+        )
     context = WorkerContext(None)
     app = wrap_app(application, config.wsgi_max_body_size, 'asgi')
     handler = functools.partial(_Connection, app, config, context, {})
