Merge the fakes of services and the networks in memory

Cause: four modules and two tests had fakes of the same services, three had networks between daemons, and two classes were called MemoryNetwork. Change: fakes.py has one fake of each service and one member table; memory_network.py gained latency, blocked links and counted bytes, and replaces fake_network.py and the network of the distribution test; platform_network.py is http_network.py with HttpNetwork. Ruled out: latency on the receiving side, because a sender then holds its place for no time and the bound on concurrent bootstraps is not tested. Conclusion: tests of all services share their surroundings.

--- a/benchmarks/bench_distribution.py
+++ b/benchmarks/bench_distribution.py
@@ -35,7 +35,7 @@
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.net import _messages
 from gypsumhall.testing import builders
-from gypsumhall.testing.tables import FixedTable
+from gypsumhall.testing.fakes import FakeTable
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list('sizes', ['100', '400', '1250'], 'Daemons per zone.')
@@ -182,7 +182,7 @@
         self.rng = random.Random(size)
         self.hop_s = hop_s
         self.members = [builders.build_member(item) for item in range(size)]
-        self.table = FixedTable(self.members)
+        self.table = FakeTable(self.members)
         self.replicas = [
             Replica(member, self.table, self.rng) for member in self.members
         ]
@@ -505,7 +505,7 @@
 def measure_bootstrap(start: Configuration) -> dict[str, Any]:
     """Measure a pull of the whole configuration."""
     head, fragments = start
-    table = FixedTable([builders.build_member(item) for item in range(2)])
+    table = FakeTable([builders.build_member(item) for item in range(2)])
     rng = random.Random(1)
     source, target = (
         Replica(member, table, rng) for member in table.members()
@@ -534,7 +534,7 @@
 
 def measure_history(start: Configuration) -> dict[str, Any]:
     """Measure the memory that the deltas' bases take on one daemon."""
-    table = FixedTable([builders.build_member()])
+    table = FakeTable([builders.build_member()])
     replica = Replica(table.members()[0], table, random.Random(1))
     configuration = start
     replica.publish(start[0], start[1].values(), 0.0)
--- a/benchmarks/bench_network.py
+++ b/benchmarks/bench_network.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 import gc
 import random
 import statistics
@@ -40,9 +41,9 @@
 from gypsumhall.services._peers import Peers
 from gypsumhall.testing import builders
 from gypsumhall.testing import echo_peer
-from gypsumhall.testing.fake_network import FakeEvents
-from gypsumhall.testing.fake_network import FakeNetwork
-from gypsumhall.testing.fake_network import Hub
+from gypsumhall.testing.fakes import FakeEvents
+from gypsumhall.testing.memory_network import MemoryHub
+from gypsumhall.testing.memory_network import MemoryNetwork
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -307,7 +308,7 @@
 async def _bench_fleet(zones: int, size: int, changes: float) -> None:
     rng = random.Random(1)
     async with trio.open_nursery() as nursery:
-        hub = Hub(nursery)
+        hub = MemoryHub(nursery, latency_s=0.002)
         services = []
         for index in range(zones * size):
             member = _member(index)
@@ -319,19 +320,19 @@
             )
             kernel = Kernel()
             service = MembershipService(
-                MembershipSettings(seeds=tuple(hub.networks)[:3]),
+                MembershipSettings(seeds=hub.addresses[:3]),
                 rng=random.Random(index),
             )
             service.set_digest_provider(
                 lambda: _messages.Digest(18_000, 'a' * 16, 0, 2**63)
             )
-            for item in (FakeEvents(), FakeNetwork(hub, info), service):
+            for item in (FakeEvents(), MemoryNetwork(hub, info), service):
                 kernel.register(item)
             await nursery.start(kernel.run)
             service.set_endpoint(member.endpoint)
             services.append(service)
         await trio.sleep(60)
-        hub.sizes.clear()
+        sizes = hub.sizes = Counter()
         start = trio.current_time()
         while changes and trio.current_time() < start + 60:
             await trio.sleep(1 / changes)
@@ -344,7 +345,7 @@
         await trio.sleep_until(start + 60)
         spent = {
             key: round(value / 60 / len(services))
-            for key, value in hub.sizes.items()
+            for key, value in sizes.items()
         }
         print(
             f'fleet of {zones} zones with {size} daemons, {changes} changes '
--- a/gypsumhall/testing/fakes.py
+++ b/gypsumhall/testing/fakes.py
@@ -1,4 +1,4 @@
-"""Small in-memory versions of daemon services."""
+"""Small in-memory versions of daemon services, and a member table."""
 
 from __future__ import annotations
 
@@ -7,29 +7,31 @@
 import msgspec
 import trio
 
-from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
+from gypsumhall.core._snapshot import Snapshot
+from gypsumhall.net._messages import ZoneSummary
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
 
     from gypsumhall.core._member import Endpoint
+    from gypsumhall.core._member import Member
     from gypsumhall.core._model import Fragment
     from gypsumhall.core._model import Head
-    from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._messages import CallStart
     from gypsumhall.net._messages import Revert
     from gypsumhall.net._messages import Update
-    from gypsumhall.net._messages import ZoneSummary
     from gypsumhall.services import _protocols
 
 
-class _Service:
+class FakeService:
     """Does nothing while it runs."""
 
+    name = ''
     requires: tuple[str, ...] = ()
 
     async def run(
@@ -47,17 +49,31 @@
 
 
 class FakeTable:
-    """Member table that several fake memberships share."""
-
-    def __init__(self) -> None:
-        self._members: dict[str, Member] = {}
-        self._revision = 0
+    """A `MemberTable` that tests change; several daemons may share it.
+
+    Parameters
+    ----------
+    members : iterable of Member
+        The entries.
+
+    Attributes
+    ----------
+    acknowledged : dict of str to int
+        Configuration versions by member id, for
+        `FakeMembership.acknowledged`.
+    """
+
+    def __init__(self, members: Iterable[Member] = ()) -> None:
+        self._members = {item.id: item for item in members}
+        self._alive: dict[str, list[Member]] | None = None
+        self._revision = 1
         self._callbacks: list[Callable[[], None]] = []
+        self.acknowledged: dict[str, int] = {}
 
     @property
     def digest(self) -> int:
-        """Digest over all entries."""
-        return hash(tuple(self._members.values()))
+        """The revision, as all users share the table."""
+        return self._revision
 
     @property
     def revision(self) -> int:
@@ -67,9 +83,17 @@
     def put(self, member: Member) -> None:
         """Add or replace an entry."""
         self._members[member.id] = member
-        self._revision += 1
-        for callback in self._callbacks:
-            callback()
+        self._changed()
+
+    def remove(self, member_id: str) -> None:
+        """Remove an entry."""
+        del self._members[member_id]
+        self._changed()
+
+    def replace(self, members: Iterable[Member]) -> None:
+        """Replace all entries."""
+        self._members = {item.id: item for item in members}
+        self._changed()
 
     def get(self, member_id: str) -> Member | None:
         """Return an entry by id."""
@@ -80,36 +104,51 @@
         return list(self._members.values())
 
     def alive(self, zone: str) -> Sequence[Member]:
-        """Return the alive and suspect members of a zone."""
-        return [
-            member
-            for member in self._members.values()
-            if member.zone == zone and member.status <= MemberStatus.SUSPECT
-        ]
+        """Return the alive and suspect members of a zone, sorted by id."""
+        if self._alive is None:
+            self._alive = {}
+            for item in sorted(self._members.values(), key=lambda m: m.id):
+                if item.status <= MemberStatus.SUSPECT:
+                    self._alive.setdefault(item.zone, []).append(item)
+        return self._alive.get(zone, [])
 
     def endpoints(self, service: str) -> Sequence[Member]:
         """Return the members with an endpoint of a service."""
         return [
-            member
-            for member in self._members.values()
-            if member.endpoint is not None
-            and member.endpoint.service == service
+            item
+            for item in self._members.values()
+            if item.endpoint is not None and item.endpoint.service == service
         ]
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change."""
         self._callbacks.append(callback)
 
+    def _changed(self) -> None:
+        self._alive = None
+        self._revision += 1
+        for callback in self._callbacks:
+            callback()
+
+
+class FakeMembership(FakeService):
+    """Membership of one daemon over a table that may be shared.
 
-class FakeMembership(_Service):
-    """Membership of one daemon over a table that may be shared."""
+    Parameters
+    ----------
+    me : Member
+        Entry of the daemon, which is put into the table.
+    table : FakeTable, optional
+        By default an own one.
+    """
 
     name = 'membership'
 
     def __init__(self, me: Member, table: FakeTable | None = None) -> None:
         self._id = me.id
-        self._table = table or FakeTable()
-        self._table.put(me)
+        self._table = FakeTable() if table is None else table
+        if self._table.get(me.id) != me:
+            self._table.put(me)
 
     @property
     def table(self) -> FakeTable:
@@ -132,8 +171,8 @@
         self._replace(status=MemberStatus.LEAVING)
 
     def acknowledged(self, member_id: str) -> int:
-        """Return 0."""
-        return 0
+        """Return what the table has; 0 for unknown."""
+        return self._table.acknowledged.get(member_id, 0)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the table."""
@@ -146,39 +185,76 @@
         )
 
 
-class FakeDistribution(_Service):
-    """Distribution that holds what a test sets."""
+class FakeDistribution(FakeService):
+    """Distribution that installs what is published, on this daemon only.
+
+    Parameters
+    ----------
+    snapshot : Snapshot, optional
+        Installed at the start.
+
+    Attributes
+    ----------
+    lag : int
+        Number of versions by which the second of two zones is behind.
+    published : list of Head
+        Everything that was published, in this order.
+    """
 
     name = 'distribution'
 
     def __init__(self, snapshot: Snapshot | None = None) -> None:
         self.snapshot = snapshot
+        self.lag = 0
+        self.published: list[Head] = []
         self.reverts: dict[str, Revert] = {}
-        self.summaries: Mapping[str, ZoneSummary] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    @property
+    def summaries(self) -> Mapping[str, ZoneSummary]:
+        """Two zones; the second is `lag` versions behind."""
+        version = self.snapshot.version if self.snapshot else 0
+        return {
+            zone: ZoneSummary(zone, 1, version, 3, 3, version - behind)
+            for zone, behind in (('az-1', 0), ('az-2', self.lag))
+        }
 
     async def wait_ready(self) -> None:
         """Return at once."""
+        await trio.lowlevel.checkpoint()
 
     def install(self, update: Update) -> bool:
-        """Install nothing."""
-        return False
+        """Install a whole update when it is newer."""
+        return self._install(update.head, update.fragments)
 
     def publish(self, head: Head, fragments: Sequence[Fragment]) -> None:
-        """Publish nothing."""
+        """Install a version when it is newer, and record it."""
+        self._install(head, fragments)
+        self.published.append(head)
 
     def add_revert(self, revert: Revert) -> None:
-        """Add a verdict."""
+        """Keep a verdict."""
         self.reverts[revert.move] = revert
 
     def in_effect(self, version: int) -> bool:
-        """Return True."""
-        return True
+        """Whether both zones hold the version."""
+        return all(item.lowest >= version for item in self.summaries.values())
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Never call back."""
+        """Call back after each install."""
+        self._callbacks.append(callback)
 
+    def _install(self, head: Head, fragments: Sequence[Fragment]) -> bool:
+        snapshot = Snapshot.build(head, fragments)
+        if self.snapshot and self.snapshot.version >= head.version:
+            return False
+        self.snapshot = snapshot
+        for callback in self._callbacks:
+            callback()
+        return True
 
-class FakeMoves(_Service):
+
+class FakeMoves(FakeService):
     """Keeps the recorded results."""
 
     name = 'moves'
@@ -195,7 +271,7 @@
 
 
 class FakeClock:
-    """Counts the time stamps."""
+    """Hybrid logical clock that counts the time stamps."""
 
     def __init__(self) -> None:
         self._time = 0
@@ -210,8 +286,8 @@
         self._time = max(self._time, time)
 
 
-class FakeEvents(_Service):
-    """Keeps the events."""
+class FakeEvents(FakeService):
+    """Keeps the codes and fields of all events in `emitted`."""
 
     name = 'events'
 
@@ -219,10 +295,23 @@
         self.clock = FakeClock()
         self.emitted: list[tuple[str, dict[str, object]]] = []
 
+    @property
+    def codes(self) -> list[str]:
+        """Codes of all events, in order."""
+        return [code for code, _ in self.emitted]
+
     def emit(self, code: str, **fields: object) -> None:
         """Keep an event."""
         self.emitted.append((code, fields))
 
+    def since(self, index: int) -> list[dict[str, object]]:
+        """Return the events from an index on."""
+        return [
+            {'index': number, 'code': code, **fields}
+            for number, (code, fields) in enumerate(self.emitted)
+            if number >= index
+        ]
+
 
 class FakeMetric:
     """Sums values by labels."""
@@ -240,7 +329,7 @@
         self.values[tuple(sorted(labels.items()))] = value
 
 
-class FakeMetrics(_Service):
+class FakeMetrics(FakeService):
     """Registry of fake metrics."""
 
     name = 'metrics'
@@ -255,8 +344,22 @@
     gauge = counter
     histogram = counter
 
+    def value(self, name: str, **labels: str) -> float:
+        """Return a sum; 0 when nothing was added."""
+        metric = self.by_name.get(name, FakeMetric())
+        return metric.values.get(tuple(sorted(labels.items())), 0.0)
+
+    def render(self, accept: str) -> tuple[bytes, str]:
+        """Return one line for each value."""
+        lines = [
+            f'{name} {labels} {value}'
+            for name, metric in self.by_name.items()
+            for labels, value in metric.values.items()
+        ]
+        return '\n'.join(lines).encode(), 'text/plain'
+
 
-class FakeAdmin(_Service):
+class FakeAdmin(FakeService):
     """Keeps the handlers, so that tests can call them."""
 
     name = 'admin'
--- a/gypsumhall/testing/platform_network.py
+++ b/gypsumhall/testing/http_network.py
@@ -109,7 +109,7 @@
         raise NotImplementedError('streams in memory are not encrypted')
 
 
-class MemoryNetwork(httpcore.AsyncNetworkBackend):
+class HttpNetwork(httpcore.AsyncNetworkBackend):
     """Network backend of `httpcore` that connects to applications.
 
     Parameters
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -13,8 +13,11 @@
 
 from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerUnreachableError
+from gypsumhall.net import _frames
 
 if TYPE_CHECKING:
+    from collections import Counter
+
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._messages import Message
     from gypsumhall.net._protocol import Handler
@@ -85,6 +88,12 @@
         """Send a message."""
         if self._link.dead:
             raise PeerLostError(f'stream to {self._peer.id} is dead')
+        self._hub.count(message)
+        if self._hub.latency_s:
+            await trio.sleep(self._hub.latency_s)
+        if self._hub.blocks(self._me.address, self._peer.address):
+            await trio.lowlevel.checkpoint()
+            return
         fault = self._hub.fault(self._me.address, self._peer.address, message)
         if fault is Fault.DELAY:
             await trio.sleep(self._hub.delay_s)
@@ -147,6 +156,11 @@
         self._handlers: dict[type[Any], Any] = {}
         hub.add(self, me)
 
+    @property
+    def me(self) -> PeerInfo:
+        """The daemon."""
+        return self._me
+
     async def run(
         self,
         kernel: Kernel,
@@ -170,7 +184,11 @@
     ) -> AsyncIterator[MemoryExchange]:
         """Open an exchange with a first message."""
         await trio.lowlevel.checkpoint()
-        target = self._hub.find(self._me.address, address)
+        if self._hub.blocks(self._me.address, address):
+            self._hub.count(message)
+            await trio.sleep(timeout_s)
+            raise PeerUnreachableError(f'{address} does not respond')
+        target = self._hub.find(address)
         if target is None:
             raise PeerUnreachableError(f'no daemon at {address}')
         network, peer = target
@@ -212,7 +230,10 @@
         """Handle an exchange that a peer has opened."""
         try:
             first = await exchange.receive()
-            await self._handlers[type(first)](exchange, first)
+            handler = self._handlers.get(type(first))
+            # A daemon that has just started may have no handler yet.
+            if handler is not None:
+                await handler(exchange, first)
         except (PeerLostError, trio.EndOfChannel):
             pass
         finally:
@@ -231,35 +252,80 @@
     ----------
     nursery : trio.Nursery
         Runs the handlers.
+    latency_s : float
+        Time in seconds that sending a message takes.
+
+    Attributes
+    ----------
+    rule : callable or None
+        Chooses the fault of each message.
+    blocked : callable
+        Tells for two addresses whether nothing passes between them, which
+        their daemons notice by timeouts only.
+    silent : set of str
+        Addresses that nothing passes to or from.
+    sizes : Counter of str or None
+        Bytes of the encoded messages that were sent, by type; None for no
+        count, which would take most of the time of a long trial.
     """
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, latency_s: float = 0.0) -> None:
         self._nursery = nursery
+        self.latency_s = latency_s
+        self.blocked: Callable[[str, str], bool] = lambda one, other: False
+        self.silent: set[str] = set()
+        self.sizes: Counter[str] | None = None
         self._nodes: dict[str, tuple[MemoryNetwork, PeerInfo]] = {}
         self.links: list[tuple[str, str, _Link]] = []
         self.rule: FaultRule | None = None
-        self.unreachable: set[tuple[str, str]] = set()
         self.delay_s = 0.05
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses of all daemons."""
+        return tuple(self._nodes)
+
     def add(self, network: MemoryNetwork, info: PeerInfo) -> None:
         """Add a daemon, or replace the one at the same address."""
         self.remove(info.address)
+        self.silent.discard(info.address)
         self._nodes[info.address] = (network, info)
 
-    def remove(self, address: str) -> None:
-        """Remove a daemon; its streams die."""
+    def remove(self, address: str, *, silent: bool = False) -> None:
+        """Remove a daemon; its streams die.
+
+        Parameters
+        ----------
+        address : str
+            Address of the daemon.
+        silent : bool
+            Whether new streams time out, as if the VM were gone, instead of
+            being refused.
+        """
+        if silent:
+            self.silent.add(address)
         self._nodes.pop(address, None)
         for source, target, link in self.links:
             if address in (source, target):
                 link.kill()
 
-    def find(
-        self, source: str, target: str
-    ) -> tuple[MemoryNetwork, PeerInfo] | None:
-        """Return the daemon at an address, if it can be reached."""
-        if (source, target) in self.unreachable:
-            return None
-        return self._nodes.get(target)
+    def find(self, address: str) -> tuple[MemoryNetwork, PeerInfo] | None:
+        """Return the daemon at an address."""
+        return self._nodes.get(address)
+
+    def blocks(self, one: str, other: str) -> bool:
+        """Whether nothing passes between two addresses."""
+        return (
+            one in self.silent
+            or other in self.silent
+            or self.blocked(one, other)
+        )
+
+    def count(self, message: Message) -> None:
+        """Add to `sizes`, when they are counted."""
+        if self.sizes is not None:
+            size = len(_frames.encode_message(message))
+            self.sizes[type(message).__name__] += size
 
     def fault(self, source: str, target: str, message: Message) -> Fault:
         """Return the fault for a message."""
--- a/gypsumhall/testing/platform.py
+++ b/gypsumhall/testing/platform.py
@@ -15,7 +15,7 @@
 from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
 from gypsumhall.testing import builders
-from gypsumhall.testing.platform_network import MemoryNetwork
+from gypsumhall.testing.http_network import HttpNetwork
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -34,12 +34,12 @@
     ----------
     platform : Platform
         State and faults of the stand-in.
-    network : MemoryNetwork
+    network : HttpNetwork
         Connections and their faults.
     """
 
     platform: Platform
-    network: MemoryNetwork
+    network: HttpNetwork
 
     def open_store(self, *addresses: str) -> EtcdStore:
         """Return a store that uses the given gateways, or `ADDRESS`.
@@ -57,7 +57,7 @@
     async with trio.open_nursery() as nursery:
         platform = Platform()
         await nursery.start(platform.run)
-        network = MemoryNetwork(nursery)
+        network = HttpNetwork(nursery)
         network.listen(ADDRESS, PlatformApp(platform))
         yield MemoryPlatform(platform, network)
         nursery.cancel_scope.cancel()
--- a/gypsumhall/testing/readers.py
+++ b/gypsumhall/testing/readers.py
@@ -14,13 +14,13 @@
 from gypsumhall.services._reader import Reader
 from gypsumhall.services._store import PlatformStore
 from gypsumhall.testing import builders
+from gypsumhall.testing.fakes import FakeDistribution
+from gypsumhall.testing.fakes import FakeMembership
+from gypsumhall.testing.fakes import FakeTable
 from gypsumhall.testing.platform import write_version
-from gypsumhall.testing.platform_fakes import FakeDistribution
-from gypsumhall.testing.platform_fakes import FakeMembership
 
 if TYPE_CHECKING:
     from gypsumhall.core import _model
-    from gypsumhall.core._member import Member
     from gypsumhall.testing.platform import MemoryPlatform
 
 
@@ -38,7 +38,7 @@
 
     Attributes
     ----------
-    members : list of Member
+    table : FakeTable
         The member table of all daemons; tests may change it.
     readers, distributions, logs, kernels : dict
         Parts of the running daemons by daemon id.
@@ -54,7 +54,7 @@
         self.opened = opened
         self.platform = opened.platform
         self.store = opened.open_store()
-        self.members: list[Member] = []
+        self.table = FakeTable()
         self.readers: dict[str, Reader] = {}
         self.distributions: dict[str, FakeDistribution] = {}
         self.logs: dict[str, EventLog] = {}
@@ -74,7 +74,6 @@
     ) -> None:
         rng = random.Random(index)
         me = builders.build_member(index, self._name)
-        self.members.append(me)
         kernel = self.kernels[me.id] = Kernel()
         log = self.logs[me.id] = EventLog(me.id, me.zone, path='/dev/null')
         self.readers[me.id] = Reader(rng=rng)
@@ -83,13 +82,13 @@
             log,
             MetricRegistry(),
             PlatformStore(self.opened.open_store(me.peer_address), rng=rng),
-            FakeMembership(me, self.members),
+            FakeMembership(me, self.table),
             self.distributions[me.id],
             self.readers[me.id],
         ):
             kernel.register(service)
         await kernel.run(task_status=task_status)
-        self.members.remove(me)
+        self.table.remove(me.id)
         del self.readers[me.id], self.distributions[me.id]
 
     async def change(self, fragment: _model.Fragment | None = None) -> None:
@@ -125,7 +124,8 @@
     def check_published(self, version: int) -> None:
         """Check that each holder published it and no daemon went back."""
         for name, reader in self.readers.items():
-            versions = self.distributions[name].published
+            published = self.distributions[name].published
+            versions = [head.version for head in published]
             assert versions == sorted(set(versions))
             if reader.slot is not None:
                 assert versions[-1] == version
--- a/tests/test_core_delta.py
+++ b/tests/test_core_delta.py
@@ -20,7 +20,7 @@
 from gypsumhall.net._messages import Revert
 from gypsumhall.net._messages import Update
 from gypsumhall.testing import builders
-from gypsumhall.testing.tables import FixedTable
+from gypsumhall.testing.fakes import FakeTable
 
 NAMES = st.sampled_from(('bath', 'spa', 'steam', 'tub'))
 
@@ -162,7 +162,7 @@
 @pytest.mark.parametrize('size', [1, 2, 9, 10, 74, 300])
 def test_every_member_has_one_path_from_the_root(size: int) -> None:
     members = [builders.build_member(index) for index in range(size)]
-    trees = _tree.Trees(FixedTable(members))
+    trees = _tree.Trees(FakeTable(members))
     root = members[size // 2].id
     tree = trees.get('az-1', root)
     assert tree is trees.get('az-1', root)
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -19,7 +19,7 @@
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.net import _messages
 from gypsumhall.testing import builders
-from gypsumhall.testing.tables import FixedTable
+from gypsumhall.testing.fakes import FakeTable
 
 # The larger zone is deeper than one level of the tree.
 ZONES = {'az-1': 11, 'az-2': 3}
@@ -116,7 +116,7 @@
             builders.build_member(index, zone)
             for index, zone in enumerate(zones)
         ]
-        self.table = FixedTable(self.members)
+        self.table = FakeTable(self.members)
         self.by_address = {
             item.peer_address: index for index, item in enumerate(self.members)
         }
@@ -440,7 +440,7 @@
 def test_pulls_are_retried_within_bounds_through_a_long_partition() -> None:
     """An unbounded backoff overflowed after about 1,000 failures."""
     members = [builders.build_member(index) for index in range(2)]
-    replica = Replica(members[0], FixedTable(members), random.Random(1))
+    replica = Replica(members[0], FakeTable(members), random.Random(1))
     peer = members[1].peer_address
     failures = 0
     for step in range(20_000):
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from contextlib import asynccontextmanager
 import random
-from typing import Any
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,8 +12,6 @@
 from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
 from gypsumhall.errors import InvalidUpdateError
-from gypsumhall.errors import PeerLostError
-from gypsumhall.errors import PeerUnreachableError
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.kernel import Kernel
 from gypsumhall.net import _messages
@@ -24,10 +19,13 @@
 from gypsumhall.services._distribution import DistributionService
 from gypsumhall.services._distribution import MAX_BOOTSTRAPS
 from gypsumhall.testing import builders
-from gypsumhall.testing.tables import FixedTable
+from gypsumhall.testing.fakes import FakeEvents
+from gypsumhall.testing.fakes import FakeMembership
+from gypsumhall.testing.fakes import FakeTable
+from gypsumhall.testing.memory_network import MemoryHub
+from gypsumhall.testing.memory_network import MemoryNetwork
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Awaitable
     from collections.abc import Callable
 
@@ -36,117 +34,30 @@
 LATENCY_S = 0.001
 
 
-class _Exchange:
-    def __init__(
-        self,
-        peer: Member,
-        sender: trio.MemorySendChannel[Any],
-        receiver: trio.MemoryReceiveChannel[Any],
-    ) -> None:
-        self.peer = PeerInfo(
-            peer.id, peer.zone, peer.incarnation, peer.peer_address
-        )
-        self._sender = sender
-        self._receiver = receiver
-
-    async def send(self, message: _messages.Message) -> None:
-        await trio.sleep(LATENCY_S)
-        try:
-            await self._sender.send(message)
-        except trio.BrokenResourceError:
-            raise PeerLostError('the other end has gone') from None
-
-    async def receive(self) -> _messages.Message:
-        return await self._receiver.receive()
-
-    async def finish(self) -> None:
-        await self._sender.aclose()
-
-    def cancel(self) -> None:
-        self._sender.close()
-        self._receiver.close()
-
-
 class _Daemon:
-    """One daemon with fakes of `peers`, `membership` and `events`."""
+    """One daemon with fakes of `membership` and `events`."""
 
     def __init__(self, fleet: _Fleet, me: Member, seed: int) -> None:
         self.me = me
-        self.table = fleet.table
-        self.fleet = fleet
-        self.handlers: dict[type, Callable[..., Awaitable[None]]] = {}
+        self.events = FakeEvents()
         self.service = DistributionService(rng=random.Random(seed))
-        self.codes: Counter[str] = Counter()
+        info = PeerInfo(me.id, me.zone, me.incarnation, me.peer_address)
+        self.network = MemoryNetwork(fleet.hub, info)
         self.scope = trio.CancelScope()
-        self.clock = self
-        self.nursery: trio.Nursery
-
-    # events
-
-    def emit(self, code: str, **fields: object) -> None:
-        self.codes[code] += 1
-
-    def now(self) -> int:
-        return 1
-
-    def observe(self, time: int) -> None:
-        assert time == 1
-
-    # membership
-
-    def acknowledged(self, member_id: str) -> int:
-        return self.fleet.acknowledged.get(member_id, 0)
-
-    def subscribe(self, callback: Callable[[], None]) -> None:
-        self.fleet.callbacks.append(callback)
-
-    def set_endpoint(self, endpoint: object) -> None: ...
-
-    def set_leaving(self) -> None: ...
-
-    # peers
-
-    def on(self, kind: type, handler: Callable[..., Awaitable[None]]) -> None:
-        self.handlers[kind] = handler
-
-    def post(self, address: str, message: _messages.Message) -> None:
-        async def send() -> None:
-            try:
-                async with self.open(address, message):
-                    pass
-            except (PeerUnreachableError, PeerLostError):
-                pass
-
-        self.nursery.start_soon(send)
-
-    async def request(
-        self, address: str, message: _messages.Message, *, timeout_s: float
-    ) -> _messages.Message:
-        with trio.move_on_after(timeout_s):
-            async with self.open(address, message) as exchange:
-                return await exchange.receive()
-        raise PeerLostError('no answer')
-
-    @asynccontextmanager
-    async def open(
-        self, address: str, message: _messages.Message, *, timeout_s: float = 2
-    ) -> AsyncIterator[_Exchange]:
-        await trio.sleep(LATENCY_S)
-        target = self.fleet.reach(self.me, address)
-        if target is None:
-            await trio.sleep(timeout_s)
-            raise PeerUnreachableError(f'{address} does not answer')
-        there, theirs = trio.open_memory_channel[Any](16)
-        back, ours = trio.open_memory_channel[Any](16)
-        exchange = _Exchange(target.me, there, ours)
-        other = _Exchange(self.me, back, theirs)
-
-        async def handle() -> None:
-            with back:
-                await target.handlers[type(message)](other, message)
+        self._kernel = Kernel()
+        for service in (
+            self.events,
+            self.network,
+            FakeMembership(me, fleet.table),
+            self.service,
+        ):
+            self._kernel.register(service)
 
-        target.nursery.start_soon(handle)
-        yield exchange
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with self.scope:
+            await self._kernel.run(task_status=task_status)
 
 
 class _Fleet:
@@ -159,23 +70,21 @@
             builders.build_member(index, zone)
             for index, zone in enumerate(names)
         ]
-        self.table = FixedTable(self.members)
-        self.acknowledged: dict[str, int] = {}
-        self.callbacks: list[Callable[[], None]] = []
+        self.table = FakeTable(self.members)
+        self.hub = MemoryHub(nursery, LATENCY_S)
+        self.hub.blocked = self._is_cut
         self.daemons: dict[str, _Daemon] = {}
-        self.silent: set[str] = set()
         self.cut: set[str] = set()
         self.read_head: Callable[[], Awaitable[_model.Head]] | None = None
         self.published: list[_model.Head] = []
 
-    def reach(self, source: Member, address: str) -> _Daemon | None:
-        for daemon in self.daemons.values():
-            if daemon.me.peer_address == address:
-                crossing = source.zone != daemon.me.zone
-                if {source.zone, daemon.me.zone} & self.cut and crossing:
-                    return None
-                return None if daemon.me.id in self.silent else daemon
-        return None
+    def _is_cut(self, one: str, other: str) -> bool:
+        zones = {
+            item.zone
+            for item in self.members
+            if item.peer_address in (one, other)
+        }
+        return len(zones) > 1 and bool(zones & self.cut)
 
     def zone(self, name: str) -> list[_Daemon]:
         return [
@@ -187,25 +96,12 @@
             daemon = _Daemon(self, member, seed + number)
             if self.read_head is not None:
                 daemon.service.set_head_reader(self.read_head)
-            await self.nursery.start(self._run, daemon)
-
-    async def _run(
-        self,
-        daemon: _Daemon,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        kernel = Kernel()
-        for name in ('peers', 'membership', 'events'):
-            kernel._services = {**kernel._services, name: daemon}
-        with daemon.scope:
-            async with trio.open_nursery() as nursery:
-                daemon.nursery = nursery
-                await nursery.start(daemon.service.run, kernel)
-                self.daemons[daemon.me.id] = daemon
-                task_status.started()
+            await self.nursery.start(daemon.run)
+            self.daemons[member.id] = daemon
 
     def stop(self, members: list[Member]) -> None:
         for member in members:
+            self.hub.remove(member.peer_address, silent=True)
             self.daemons.pop(member.id).scope.cancel()
 
     def publish(self, *ids: str, routes: int | None = None) -> int:
@@ -267,13 +163,13 @@
     tree = fleet.daemons['d0'].service._replica._trees.get('a', 'd0')
     inner = tree.children('d0')[0]
     assert tree.children(inner.id)
-    fleet.silent.add(inner.id)
+    fleet.hub.silent.add(inner.peer_address)
     version = fleet.publish('d0')
     others = [item for item in fleet.zone('a') if item.me != inner]
     await fleet.all_hold(version, others, within_s=0.6)
     assert fleet.daemons[inner.id].service.snapshot.version == 0
     assert not fleet.daemons['d0'].service.in_effect(version)
-    fleet.silent.clear()
+    fleet.hub.silent.clear()
     everyone = list(fleet.daemons.values())
     await fleet.all_hold(version, everyone, within_s=20)
     await trio.sleep(25)
@@ -340,7 +236,7 @@
     everyone = list(fleet.daemons.values())
     await fleet.all_hold(version, everyone, within_s=3)
     fleet.read_head = None
-    fleet.acknowledged = {item.id: version for item in fleet.members}
+    fleet.table.acknowledged = {item.id: version for item in fleet.members}
     returning = fleet.members[5:40]
     fleet.stop(returning)
     await fleet.start(returning, seed=100)
@@ -366,14 +262,16 @@
     fleet.daemons['d1'].service._bootstraps = MAX_BOOTSTRAPS
     asking = fleet.daemons['d2']
     address = fleet.daemons['d1'].me.peer_address
-    answer = await asking.request(address, _messages.Pull(), timeout_s=1)
+    answer = await asking.network.request(
+        address, _messages.Pull(), timeout_s=1
+    )
     assert isinstance(answer, _messages.Busy)
     assert len(answer.others) == 3
     assert not {address, asking.me.peer_address} & set(answer.others)
     # Deltas are small and are never refused.
     held = asking.service.digest
     pull = _messages.Pull(held.version, held.snapshot)
-    answer = await asking.request(address, pull, timeout_s=1)
+    answer = await asking.network.request(address, pull, timeout_s=1)
     assert isinstance(answer, _messages.Update)
 
 
@@ -418,7 +316,7 @@
     await trio.sleep(5)
     daemon = fleet.daemons['d0']
     daemon.service.publish(fleet.published[0], [])
-    assert daemon.codes['head-went-back'] == 1
+    assert daemon.events.codes.count('head-went-back') == 1
     assert daemon.service.snapshot.version == version
     bad = builders.build_fragment(
         routes=[builders.build_route(service='missing')]
@@ -430,7 +328,9 @@
         daemon.service.install(update)
     await trio.sleep(10)
     assert all(item.service.snapshot.version == version for item in everyone)
-    assert [item.codes['invalid-update'] for item in everyone][:2] == [1, 0]
+    assert [item.events.codes.count('invalid-update') for item in everyone][
+        :2
+    ] == [1, 0]
 
 
 async def test_a_large_change_is_pulled_in_parts(
@@ -458,8 +358,6 @@
         )
         for item in fleet.members
     )
-    for callback in fleet.callbacks:
-        callback()
     reader = fleet.zone('b')[0]
     second = fleet.publish(
         next(item for item in fleet.daemons if item != root.id), reader.me.id
--- a/tests/test_services_events.py
+++ b/tests/test_services_events.py
@@ -14,7 +14,7 @@
 from gypsumhall.services import _metrics
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.testing import builders
-from gypsumhall.testing.platform_fakes import FakeDistribution
+from gypsumhall.testing.fakes import FakeDistribution
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -19,9 +19,10 @@
 from gypsumhall.services._membership import MembershipSettings
 from gypsumhall.services._peers import Peers
 from gypsumhall.testing import builders
-from gypsumhall.testing.fake_network import FakeEvents
-from gypsumhall.testing.fake_network import FakeNetwork
-from gypsumhall.testing.fake_network import Hub
+from gypsumhall.testing.fakes import FakeEvents
+from gypsumhall.testing.fakes import FakeMetrics
+from gypsumhall.testing.memory_network import MemoryHub
+from gypsumhall.testing.memory_network import MemoryNetwork
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -31,7 +32,9 @@
 
 
 class _Daemon:
-    def __init__(self, hub: Hub, index: int, zone: str, start: int) -> None:
+    def __init__(
+        self, hub: MemoryHub, index: int, zone: str, start: int
+    ) -> None:
         self.hub = hub
         self.id = f'd{index}'
         self.address = f'10.0.0.{index}:1'
@@ -44,7 +47,7 @@
         )
         self._kernel = Kernel()
         info = PeerInfo(self.id, zone, start, self.address)
-        for service in (self.events, FakeNetwork(hub, info), self.service):
+        for service in (self.events, MemoryNetwork(hub, info), self.service):
             self._kernel.register(service)
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
@@ -52,20 +55,20 @@
             await self._kernel.run(task_status=task_status)
 
     def crash(self) -> None:
-        del self.hub.networks[self.address]
+        self.hub.remove(self.address, silent=True)
         self.scope.cancel()
 
     def statuses(self) -> dict[str, MemberStatus]:
         return {item.id: item.status for item in self.service.table.members()}
 
     def codes(self) -> list[str]:
-        return [code for code, _ in self.events.log]
+        return self.events.codes
 
 
 class _Fleet:
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
-        self.hub = Hub(nursery)
+        self.hub = MemoryHub(nursery, latency_s=0.002)
         self.daemons: list[_Daemon] = []
 
     async def start(self, index: int, zone: str, start: int = 1) -> _Daemon:
@@ -276,45 +279,9 @@
         assert second.service.acknowledged('d9') == 0
 
 
-class _Counters:
-    """Metrics that add up what they are told, by name and labels."""
-
-    name = 'metrics'
-    requires = ()
-
-    def __init__(self) -> None:
-        self.values: dict[str, float] = {}
-
-    def counter(self, name: str, description: str) -> _Counter:
-        return _Counter(self.values, name)
-
-    gauge = histogram = counter
-
-    async def run(
-        self, kernel: Kernel, *, task_status: trio.TaskStatus[None]
-    ) -> None:
-        task_status.started()
-
-    async def drain(self) -> None:
-        """Return at once."""
-
-
-class _Counter:
-    def __init__(self, values: dict[str, float], name: str) -> None:
-        self._values = values
-        self._name = name
-
-    def add(self, value: float = 1.0, **labels: str) -> None:
-        key = ' '.join([self._name, *labels.values()])
-        self._values[key] = self._values.get(key, 0.0) + value
-
-    def set(self, value: float, **labels: str) -> None:
-        self._values[self._name] = value
-
-
 async def test_daemons_join_and_leave_over_real_streams() -> None:
     async with trio.open_nursery() as nursery:
-        kernels, services, counters = [], [], _Counters()
+        kernels, services, counters = [], [], FakeMetrics()
         seeds: tuple[str, ...] = ()
         for index in range(3):
             peers = Peers(
@@ -343,7 +310,9 @@
             entry = services[0].table.get(seeds[2])
             assert entry is not None
             assert entry.status is MemberStatus.LEAVING
-            key = 'gypsumhall_peer_bytes_total control received'
-            while not counters.values.get(key):  # noqa: ASYNC110
+            received = {'kind': 'control', 'direction': 'received'}
+            while not counters.value(  # noqa: ASYNC110
+                'gypsumhall_peer_bytes_total', **received
+            ):
                 await trio.sleep(0.05)
         nursery.cancel_scope.cancel()
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -15,8 +15,8 @@
 from gypsumhall.store import _keys
 from gypsumhall.store import Put
 from gypsumhall.testing import builders
+from gypsumhall.testing.fakes import FakeMembership
 from gypsumhall.testing.platform import open_platform
-from gypsumhall.testing.platform_fakes import FakeMembership
 from gypsumhall.testing.readers import ReaderZone
 
 if TYPE_CHECKING:
@@ -47,7 +47,7 @@
         seeds = await read_seeds(zone.store, 'az-1')
         holders = {
             item.peer_address
-            for item in zone.members
+            for item in zone.table.members()
             if zone.readers[item.id].slot is not None
         }
         assert {seed.address for seed in seeds} == holders
@@ -62,11 +62,11 @@
     async with _zone(60) as zone:
         for missing, most_per_s in ((False, 0.7 + 0.7), (True, 0.7 + 5.0)):
             if missing:
-                zone.members[:] = [
+                zone.table.replace(
                     item
-                    for item in zone.members
+                    for item in zone.table.members()
                     if zone.readers[item.id].slot != 0
-                ]
+                )
             before = zone.platform.stats['calls']['range']
             await trio.sleep(60)
             calls = zone.platform.stats['calls']['range'] - before
@@ -87,7 +87,7 @@
                 zone.platform.set_faults({'outage': True})
                 await trio.sleep(0.1)
                 zone.platform.set_faults({'outage': False})
-                zone.members[:] = [m for m in zone.members if m.id != name]
+                zone.table.remove(name)
             await trio.sleep(15)
             assert zone.slots() == [0, 1, 2]
             await zone.converge(1)
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -19,8 +19,8 @@
 from gypsumhall.store import Compare
 from gypsumhall.store import EtcdStore
 from gypsumhall.store import Put
+from gypsumhall.testing.http_network import HttpNetwork
 from gypsumhall.testing.platform import open_platform
-from gypsumhall.testing.platform_network import MemoryNetwork
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -33,7 +33,7 @@
 
 @asynccontextmanager
 async def _two_gateways() -> AsyncIterator[
-    tuple[EtcdStore, Platform, MemoryNetwork]
+    tuple[EtcdStore, Platform, HttpNetwork]
 ]:
     async with open_platform() as opened, opened.open_store(ONE, TWO) as store:
         yield store, opened.platform, opened.network
@@ -73,7 +73,7 @@
 @asynccontextmanager
 async def _scripted(script: _Script) -> AsyncIterator[EtcdStore]:
     async with trio.open_nursery() as nursery:
-        network = MemoryNetwork(nursery)
+        network = HttpNetwork(nursery)
         network.listen(ONE, script)
         async with EtcdStore([ONE], network_backend=network) as store:
             yield store
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -15,7 +15,7 @@
 from gypsumhall import timeline
 from gypsumhall.cli import timeline as cli
 from gypsumhall.services._events import EventLog
-from gypsumhall.testing.platform_network import MemoryNetwork
+from gypsumhall.testing.http_network import HttpNetwork
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
@@ -162,7 +162,7 @@
         await trio.sleep_forever()
 
     async with trio.open_nursery() as nursery:
-        network = MemoryNetwork(nursery)
+        network = HttpNetwork(nursery)
         network.listen('127.0.0.1:1', serve)
         network.listen('127.0.0.1:2', hang)
         network.unreachable.add('127.0.0.1:4')
