Run the contract of the store against the in-memory store too

Cause: the fake raised StoreProtocolError for values that are too large and for lapsed leases, had no limit of a transaction and no time-out, and a late request under a lapsed lease failed the request after it. Change: it checks the adapter's limits (check_writes), raises StoreLimitError and StoreLeaseError, gives up after timeout_s, and reports lost reads as StoreUnavailableError. Conclusion: tests on the fake see the errors of the adapter.

--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -277,11 +277,6 @@
 
 
 def _encode_put(write: Put) -> dict[str, Any]:
-    if len(write.value) > MAX_VALUE_BYTES:
-        raise StoreLimitError(
-            f'value of {write.key!r} has {len(write.value)} bytes, expected '
-            f'at most {MAX_VALUE_BYTES}'
-        )
     return {
         'key': _key(write.key),
         'value': _text(write.value),
@@ -289,7 +284,21 @@
     }
 
 
-def _check_txn_size(writes: Sequence[Put | Delete]) -> None:
+def check_writes(writes: Sequence[Put | Delete]) -> None:
+    """Check the limits of a transaction.
+
+    Raises
+    ------
+    StoreLimitError
+        When a key, a value or the transaction is too large.
+    """
+    for write in writes:
+        _key(write.key)
+        if isinstance(write, Put) and len(write.value) > MAX_VALUE_BYTES:
+            raise StoreLimitError(
+                f'value of {write.key!r} has {len(write.value)} bytes, '
+                f'expected at most {MAX_VALUE_BYTES}'
+            )
     if len(writes) > MAX_TXN_WRITES:
         raise StoreLimitError(
             f'transaction has {len(writes)} writes, expected at most '
@@ -494,7 +503,7 @@
         StoreLeaseError
             When a lease of the writes has lapsed.
         """
-        _check_txn_size(writes)
+        check_writes(writes)
         if not compares and len(writes) == 1:
             return await self._write(writes[0])
         body = {
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
 import enum
@@ -18,14 +19,17 @@
 import trio
 
 from gypsumhall._errors import StoreCompactedError
+from gypsumhall._errors import StoreError
 from gypsumhall._errors import StoreProtocolError
 from gypsumhall._errors import StoreUnavailableError
 from gypsumhall._errors import StoreUnknownError
 from gypsumhall.store import Delete
 from gypsumhall.store import KeyValue
 from gypsumhall.store import Put
+from gypsumhall.store import StoreLeaseError
 from gypsumhall.store import TxnResult
 from gypsumhall.store import WatchEvent
+from gypsumhall.store._etcd import check_writes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -38,7 +42,7 @@
 
 T = TypeVar('T')
 
-MAX_VALUE_BYTES = 1_000_000
+_READS = ('get', 'range')
 
 
 class Fault(enum.Enum):
@@ -46,7 +50,8 @@
 
     ``UNAVAILABLE`` refuses it. ``LOST_REQUEST`` loses it before and
     ``LOST_ANSWER`` after it was executed, and ``LATE`` executes it some
-    time after its client gave up; these three raise `StoreUnknownError`.
+    time after its client gave up; these three raise `StoreUnknownError`,
+    and for reads, which leave nothing unknown, `StoreUnavailableError`.
     ``NONSENSE`` executes it and raises `StoreProtocolError`.
     """
 
@@ -82,6 +87,10 @@
     ----------
     latency_s : float
         As above; may be changed at any time.
+    timeout_s : float
+        Seconds after which the client of a request gives up.
+    hang : bool
+        Whether requests are neither executed nor answered.
     late_s : float
         Seconds after which requests with the fault ``LATE`` are executed.
     before : callable or None
@@ -95,6 +104,8 @@
     def __init__(self, *, latency_s: float = 0.0) -> None:
         self._outage = False
         self.latency_s = latency_s
+        self.timeout_s = 2.0
+        self.hang = False
         self.late_s = 0.5
         self.before: Callable[[str], Awaitable[None]] | None = None
         self._revision = 1
@@ -157,7 +168,7 @@
         ----------
         operation : str
             ``get``, ``range``, ``txn``, ``grant_lease``, ``keep_alive`` or
-            ``revoke``.
+            ``revoke``; empty for the next requests of any operation.
         *faults : Fault
             One for each of the next requests.
         """
@@ -180,10 +191,11 @@
         self._compacted = self._revision
         self._history.clear()
 
-    def lapse(self, lease: int) -> None:
-        """End a lease at once, as if its holder had been paused."""
-        if lease in self._leases:
-            self._leases[lease].deadline = -math.inf
+    def lapse(self, *leases: int) -> None:
+        """End leases at once, or all, as if the holders had been paused."""
+        for lease in leases or self._leases:
+            if lease in self._leases:
+                self._leases[lease].deadline = -math.inf
         self._expire()
 
     # Store
@@ -209,12 +221,7 @@
         writes: Sequence[Put | Delete],
     ) -> TxnResult:
         """Execute all writes if all conditions hold, else none."""
-        for write in writes:
-            if isinstance(write, Put) and len(write.value) > MAX_VALUE_BYTES:
-                raise StoreProtocolError(
-                    f'value of {write.key} has {len(write.value)} bytes; '
-                    f'at most {MAX_VALUE_BYTES} are stored'
-                )
+        check_writes(writes)
         return await self._request(
             'txn', lambda: self._execute(compares, writes)
         )
@@ -260,22 +267,29 @@
 
     async def _request(self, operation: str, execute: Callable[[], T]) -> T:
         self._counts[operation] = self._counts.get(operation, 0) + 1
-        queued = self._faults.get(operation)
+        queued = self._faults.get(operation) or self._faults.get('')
         fault = queued.pop(0) if queued else None
         if self.before is not None:
             await self.before(operation)
-        await trio.sleep(self.latency_s)
+        latency_s = math.inf if self.hang else self.latency_s
+        await trio.sleep(min(latency_s, self.timeout_s))
         if self._outage or fault is Fault.UNAVAILABLE:
             raise StoreUnavailableError(f'{operation}: injected outage')
+        lost = (
+            StoreUnavailableError if operation in _READS else StoreUnknownError
+        )
         if fault is Fault.LOST_REQUEST:
-            raise StoreUnknownError(f'{operation}: injected lost request')
+            raise lost(f'{operation}: injected lost request')
         self._expire()
+        late_s = latency_s - self.timeout_s
         if fault is Fault.LATE:
-            self._late.append((trio.current_time() + self.late_s, execute))
-            raise StoreUnknownError(f'{operation}: injected late request')
+            late_s = self.late_s
+        if late_s > 0:
+            self._late.append((trio.current_time() + late_s, execute))
+            raise lost(f'{operation}: no answer in time')
         result = execute()
         if fault is Fault.LOST_ANSWER:
-            raise StoreUnknownError(f'{operation}: injected lost answer')
+            raise lost(f'{operation}: injected lost answer')
         if fault is Fault.NONSENSE:
             raise StoreProtocolError(f'{operation}: injected nonsense')
         return result
@@ -294,7 +308,7 @@
                 0,
                 *self._leases,
             ):
-                raise StoreProtocolError(f'no lease {write.lease}')
+                raise StoreLeaseError(f'no lease {write.lease}')
         self._write(writes)
         return TxnResult(True, self._revision)
 
@@ -339,7 +353,9 @@
         due = [item for item in self._late if item[0] <= now]
         self._late = [item for item in self._late if item[0] > now]
         for _, execute in sorted(due, key=lambda item: item[0]):
-            execute()
+            # Nobody waits for the outcome any more.
+            with suppress(StoreError):
+                execute()
         lapsed = {
             lease
             for lease, held in self._leases.items()
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from contextlib import asynccontextmanager
+import functools
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -31,6 +32,8 @@
 from gypsumhall.store import Store
 from gypsumhall.store import StoreLeaseError
 from gypsumhall.store import StoreLimitError
+from gypsumhall.testing.memory_store import Fault
+from gypsumhall.testing.memory_store import MemoryStore
 from gypsumhall.testing.platform import open_platform
 
 if TYPE_CHECKING:
@@ -69,9 +72,47 @@
         yield _EtcdHarness(store, opened.platform)
 
 
+class _MemoryHarness:
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+
+    def set_faults(self, **faults: Any) -> None:
+        for name, value in faults.items():
+            self._switches()[name](value)
+
+    def clear_faults(self) -> None:
+        self.store.clear_faults()
+        self.set_faults(outage=False, hang=False, delay_s=0.0)
+
+    def _switches(self) -> dict[str, Callable[[Any], None]]:
+        store = self.store
+        return {
+            'outage': functools.partial(setattr, store, 'outage'),
+            'hang': functools.partial(setattr, store, 'hang'),
+            'delay_s': functools.partial(setattr, store, 'latency_s'),
+            'lose_responses': lambda count: store.inject(
+                'txn', *[Fault.LOST_ANSWER] * count
+            ),
+            'nonsense': lambda count: store.inject(
+                '', *[Fault.NONSENSE] * count
+            ),
+            'drop_watches': lambda _: store.drop_watches(),
+            'lapse_leases': lambda _: store.lapse(),
+            'compact': lambda _: store.compact(),
+        }
+
+
+@asynccontextmanager
+async def _memory() -> AsyncIterator[Harness]:
+    yield _MemoryHarness(MemoryStore())
+
+
 Factory = Callable[[], AbstractAsyncContextManager[Harness]]
 
-FACTORIES = [pytest.param(_etcd, id='etcd')]
+FACTORIES = [
+    pytest.param(_etcd, id='etcd'),
+    pytest.param(_memory, id='memory'),
+]
 
 pytestmark = pytest.mark.parametrize('factory', FACTORIES)
 
