Give equal configuration values equal encodings

Cause: the encoder omits defaults by identity, so a computed 10.0 or an equal tuple was written out; 10 and 10.0 had two encodings everywhere. Change: Route replaces values that equal a default by the default; numbers of Route, MoveSpec and Move are stored as floats. Ruled out: writing all defaults, which changes every stored encoding. A stored route that spells out a default re-encodes without it. Conclusion: digests depend on values only.

--- a/gypsumhall/core/_model.py
+++ b/gypsumhall/core/_model.py
@@ -12,6 +12,17 @@
 
 import msgspec
 
+_TIMEOUT_S = 10.0
+_IDEMPOTENT_METHODS = ('GET', 'HEAD', 'OPTIONS')
+
+
+def _set_floats(value: msgspec.Struct, *names: str) -> None:
+    """Store numbers as floats, so that 1 and 1.0 have one encoding."""
+    for name in names:
+        # The sum turns -0.0 into 0.0.
+        number = float(getattr(value, name)) + 0.0
+        msgspec.structs.force_setattr(value, name, number)
+
 
 class Service(msgspec.Struct, frozen=True, omit_defaults=True):
     """A service of one department.
@@ -58,8 +69,21 @@
     host: str
     path: str
     service: str
-    timeout_s: float = 10.0
-    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
+    timeout_s: float = _TIMEOUT_S
+    idempotent_methods: tuple[str, ...] = _IDEMPOTENT_METHODS
+
+    def __post_init__(self) -> None:
+        """Replace values that equal a default by the default.
+
+        The encoder compares with defaults by identity.
+        """
+        _set_floats(self, 'timeout_s')
+        if self.timeout_s == _TIMEOUT_S:
+            msgspec.structs.force_setattr(self, 'timeout_s', _TIMEOUT_S)
+        if self.idempotent_methods == _IDEMPOTENT_METHODS:
+            msgspec.structs.force_setattr(
+                self, 'idempotent_methods', _IDEMPOTENT_METHODS
+            )
 
 
 class MoveSpec(msgspec.Struct, frozen=True):
@@ -84,6 +108,10 @@
     deadline: float
     soak_s: float = 10.0
 
+    def __post_init__(self) -> None:
+        """Store the times as floats."""
+        _set_floats(self, 'deadline', 'soak_s')
+
 
 class Fragment(msgspec.Struct, frozen=True):
     """Everything that one department configures.
@@ -146,6 +174,10 @@
     stage_started: float
     reason: str = ''
 
+    def __post_init__(self) -> None:
+        """Store share and times as floats."""
+        _set_floats(self, 'share', 'started', 'stage_started')
+
 
 class DepartmentRef(msgspec.Struct, frozen=True):
     """A department's entry in the head.
