Look services up without casts

Cause: mypy's check of abstract types is off, so the casts and the annotations around kernel.get say nothing. Measured: nothing. Conclusion: one form of look-up.

--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -35,13 +35,13 @@
 from gypsumhall.store import Compare
 from gypsumhall.store import Delete
 from gypsumhall.store import Put
+from gypsumhall.store import Store
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from gypsumhall.core._text import ParsedText
     from gypsumhall.kernel import Kernel
-    from gypsumhall.store import Store
 
 T = TypeVar('T')
 
@@ -254,19 +254,10 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled, and remove old fragments meanwhile."""
-        self._store = cast('Store', kernel.get('store', object))
-        self._distribution: Distribution = kernel.get(
-            'distribution',
-            Distribution,
-        )
-        self._events: Events = kernel.get(
-            'events',
-            Events,
-        )
-        metrics: Metrics = kernel.get(
-            'metrics',
-            Metrics,
-        )
+        self._store = kernel.get('store', Store)
+        self._distribution = kernel.get('distribution', Distribution)
+        self._events = kernel.get('events', Events)
+        metrics = kernel.get('metrics', Metrics)
         self._results = metrics.counter(
             'acceptance_results_total', 'Submissions by result'
         )
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -153,18 +153,9 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Listen until drained or cancelled."""
-        self._events: Events = kernel.get(
-            'events',
-            Events,
-        )
-        log: EventLog = kernel.get(
-            'events',
-            EventLog,
-        )
-        page: MetricsPage = kernel.get(
-            'metrics',
-            MetricsPage,
-        )
+        self._events = kernel.get('events', Events)
+        log = kernel.get('events', EventLog)
+        page = kernel.get('metrics', MetricsPage)
 
         async def serve_metrics(request: AdminRequest) -> AdminResponse:
             body, kind = page.render(request.headers.get('accept', ''))
--- a/gypsumhall/services/_announcements.py
+++ b/gypsumhall/services/_announcements.py
@@ -66,19 +66,10 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Watch for announcements that stop, until cancelled."""
-        admin = kernel.get(
-            'admin',
-            _protocols.Admin,
-        )
-        self._membership = kernel.get(
-            'membership',
-            _protocols.Membership,
-        )
+        admin = kernel.get('admin', _protocols.Admin)
+        self._membership = kernel.get('membership', _protocols.Membership)
         self._runner = kernel.get('runner', _runner.RunnerService)
-        self._events = kernel.get(
-            'events',
-            _protocols.Events,
-        )
+        self._events = kernel.get('events', _protocols.Events)
         admin.add_route('POST', '/v1/announce', self.handle)
         task_status.started()
         while True:
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -144,13 +144,9 @@
         """Serve until cancelled."""
         self._runner = kernel.get('runner', _runner.RunnerService)
         self._distribution = kernel.get(
-            'distribution',
-            _protocols.Distribution,
-        )
-        metrics = kernel.get(
-            'metrics',
-            _protocols.Metrics,
+            'distribution', _protocols.Distribution
         )
+        metrics = kernel.get('metrics', _protocols.Metrics)
         self._requests = metrics.counter(
             'gypsumhall_caller_requests_total',
             'Requests of callers, by result.',
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import random
-from typing import cast
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -164,17 +163,12 @@
         The service counts as started before the version floor is reached;
         use `wait_ready` for that.
         """
-        # The type checker refuses protocols in place of concrete types.
-        peers: PeerNetwork = kernel.get('peers', cast('type', PeerNetwork))
-        membership: Membership = kernel.get(
-            'membership', cast('type', Membership)
-        )
-        self._peers = peers
-        self._membership = membership
+        self._peers = kernel.get('peers', PeerNetwork)
+        membership = self._membership = kernel.get('membership', Membership)
         if 'events' in kernel.names:
-            self._events = kernel.get('events', cast('type', Events))
+            self._events = kernel.get('events', Events)
         if 'metrics' in kernel.names:
-            self._metrics = kernel.get('metrics', cast('type', Metrics))
+            self._metrics = kernel.get('metrics', Metrics)
         self._replica = Replica(membership.me, membership.table, self._rng)
         self._listen()
         async with trio.open_nursery() as nursery:
--- a/gypsumhall/services/_events.py
+++ b/gypsumhall/services/_events.py
@@ -196,10 +196,7 @@
                 'distribution' not in self._kernel.names
             ):
                 return 0
-            self._distribution = self._kernel.get(
-                'distribution',
-                Distribution,
-            )
+            self._distribution = self._kernel.get('distribution', Distribution)
         snapshot = self._distribution.snapshot
         return 0 if snapshot is None else snapshot.version
 
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -235,14 +235,8 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled."""
-        self._events = kernel.get(
-            'events',
-            Events,
-        )
-        self._peers = kernel.get(
-            'peers',
-            IdentifiedNetwork,
-        )
+        self._events = kernel.get('events', Events)
+        self._peers = kernel.get('peers', IdentifiedNetwork)
         info = self._peers.me
         self._me = Member(
             info.id,
--- a/gypsumhall/services/_operator.py
+++ b/gypsumhall/services/_operator.py
@@ -64,10 +64,7 @@
         """Serve until cancelled."""
         self._admin = kernel.get('admin', AdminService)
         self._acceptance = kernel.get('acceptance', AcceptanceService)
-        self._distribution: Distribution = kernel.get(
-            'distribution',
-            Distribution,
-        )
+        self._distribution = kernel.get('distribution', Distribution)
         self._membership = kernel.get('membership', Membership)
         for method, path, handler in (
             ('POST', '/check', self._check),
--- a/gypsumhall/services/_peers.py
+++ b/gypsumhall/services/_peers.py
@@ -45,17 +45,11 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled."""
-        self._events = kernel.get(
-            'events',
-            Events,
-        )
+        self._events = kernel.get('events', Events)
         async with trio.open_nursery() as nursery:
             await nursery.start(self.serve)
             if 'metrics' in kernel.names:
-                metrics = kernel.get(
-                    'metrics',
-                    Metrics,
-                )
+                metrics = kernel.get('metrics', Metrics)
                 nursery.start_soon(self._report, metrics)
             task_status.started()
 
--- a/gypsumhall/services/_reader.py
+++ b/gypsumhall/services/_reader.py
@@ -153,26 +153,11 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Campaign for a slot, and read while it is held."""
-        self._events = kernel.get(
-            'events',
-            Events,
-        )
-        self._store = kernel.get(
-            'store',
-            StoreService,
-        )
-        self._membership = kernel.get(
-            'membership',
-            Membership,
-        )
-        self._distribution = kernel.get(
-            'distribution',
-            Distribution,
-        )
-        metrics = kernel.get(
-            'metrics',
-            Metrics,
-        )
+        self._events = kernel.get('events', Events)
+        self._store = kernel.get('store', StoreService)
+        self._membership = kernel.get('membership', Membership)
+        self._distribution = kernel.get('distribution', Distribution)
+        metrics = kernel.get('metrics', Metrics)
         self._held: Metric = metrics.gauge(
             'gypsumhall_reader_slot_held', 'Whether a reader slot is held'
         )
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -220,26 +220,11 @@
     ) -> None:
         """Serve calls until cancelled."""
         peers = kernel.get('peers', PeerNetwork)
-        self._membership = kernel.get(
-            'membership',
-            _protocols.Membership,
-        )
-        distribution = kernel.get(
-            'distribution',
-            _protocols.Distribution,
-        )
-        self._moves = kernel.get(
-            'moves',
-            _protocols.Moves,
-        )
-        self._events = kernel.get(
-            'events',
-            _protocols.Events,
-        )
-        metrics = kernel.get(
-            'metrics',
-            _protocols.Metrics,
-        )
+        self._membership = kernel.get('membership', _protocols.Membership)
+        distribution = kernel.get('distribution', _protocols.Distribution)
+        self._moves = kernel.get('moves', _protocols.Moves)
+        self._events = kernel.get('events', _protocols.Events)
+        metrics = kernel.get('metrics', _protocols.Metrics)
         self._runs = metrics.counter(
             'gypsumhall_runner_calls_total',
             'Calls that reached the runner, by result.',
--- a/gypsumhall/services/_store.py
+++ b/gypsumhall/services/_store.py
@@ -70,14 +70,8 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled."""
-        metrics = kernel.get(
-            'metrics',
-            Metrics,
-        )
-        self._events = kernel.get(
-            'events',
-            Events,
-        )
+        metrics = kernel.get('metrics', Metrics)
+        self._events = kernel.get('events', Events)
         self._calls = metrics.counter(
             'gypsumhall_store_calls_total',
             'Calls to the platform by call and outcome',
