--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -18,6 +18,7 @@
 from gypsumhall.cli._settings import Settings
 from gypsumhall.kernel import Kernel
 from gypsumhall.kernel import Service
+from gypsumhall.net._handshake import MAX_KEYS
 from gypsumhall.net._network import PeerSettings
 from gypsumhall.services._acceptance import AcceptanceService
 from gypsumhall.services._admin import AdminService
@@ -121,10 +122,10 @@
         self.peer_keys = settings.items(
             'peer_keys',
             (),
-            'Shared keys of the daemons, separated by commas, at least '
-            f'{MIN_KEY_CHARACTERS} characters each; the first one is '
-            'preferred, the others are accepted while keys are replaced. '
-            'Better given in the environment than on the command line.',
+            f'Shared keys, separated by commas: 1 to {MAX_KEYS}, at least '
+            f'{MIN_KEY_CHARACTERS} characters each. Daemons that have a key '
+            'in common accept each other. Better given in the environment '
+            'than on the command line.',
             _key,
             required=True,
             secret=True,
@@ -138,14 +139,21 @@
 
     def check(self, _names: list[str]) -> list[Finding]:
         """Return faults of values that do not fit together."""
+        findings = []
         zone, zones = self.zone.value, self.zones.value
-        if not zone or not zones or zone in zones:
-            return []
-        message = (
-            f'{zone!r} is no availability zone; valid choices: '
-            f'{", ".join(zones)}'
-        )
-        return [Finding('unknown-zone', message, Place('--zone'))]
+        if zone and zones and zone not in zones:
+            message = (
+                f'{zone!r} is no availability zone; valid choices: '
+                f'{", ".join(zones)}'
+            )
+            findings.append(Finding('unknown-zone', message, Place('--zone')))
+        count = len(self.peer_keys.value)
+        if count > MAX_KEYS:
+            message = f'{count} keys; at most {MAX_KEYS} are accepted'
+            findings.append(
+                Finding('bad-setting', message, Place('--peer_keys'))
+            )
+        return findings
 
 
 def build_kernel(settings: DaemonSettings) -> Kernel:
--- a/tests/test_cli_daemon.py
+++ b/tests/test_cli_daemon.py
@@ -48,6 +48,7 @@
         ({'zone': 'az-9'}, "--zone: unknown-zone: 'az-9'"),
         ({'zone': 'az-9'}, 'valid choices: az-1, az-2'),
         ({'peer_keys': f'{KEY},short'}, '--peer_keys: bad-setting: every key'),
+        ({'peer_keys': ','.join([KEY] * 5)}, '5 keys; at most 4'),
         ({'peer_keys': ' , '}, '--peer_keys: bad-setting'),
         ({'zone': None}, 'GYPSUMHALL_ZONE'),
         ({'caller_address': None}, '--caller_address: missing-setting'),
