Run the operators' binary and the fakes through the shared parts

Change: run_binary, FakeService and RequestKind are used instead; a kind of request in a scenario may now have deadline_ms. Ruled out: merging doc comments of the protocols and the look-ups of services, which are the same by shape only.

--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -538,6 +538,7 @@
     argv: Sequence[str] | None,
     start: Callable[[list[str]], int],
     check: Callable[[list[str]], Sequence[Finding]] | None = None,
+    environment: Mapping[str, str] = os.environ,
 ) -> int:
     """Parse the settings of a binary, run it and return its exit status.
 
@@ -552,6 +553,8 @@
         Gets the positional arguments and returns the exit status.
     check : callable, optional
         See `Settings.parse`.
+    environment : mapping
+        Environment variables.
 
     Returns
     -------
@@ -561,7 +564,7 @@
     """
     arguments = sys.argv[1:] if argv is None else argv[1:]
     try:
-        names = settings.parse(arguments, os.environ, check)
+        names = settings.parse(arguments, environment, check)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -20,7 +20,7 @@
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import Place
-from gypsumhall._errors import SettingsError
+from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.core import _accept
 from gypsumhall.core import _model
@@ -676,32 +676,29 @@
         Environment variables.
     """
     options = _Options()
-    try:
-        names = options.settings.parse(arguments, environment)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return USAGE
-    if options.settings.help_wanted:
-        print(options.settings.help_page, end='')
-        return OK
-    command = _COMMANDS.get(names[0]) if names else None
-    if command is None:
-        given = f'unknown command {names[0]!r}' if names else 'no command'
-        print(
-            f'gypsumhall: {given}; commands: {", ".join(_COMMANDS)}; see '
-            '--help',
-            file=sys.stderr,
-        )
-        return USAGE
 
-    async def start() -> int:
-        return await _Command(options, names[1:]).run(command)
+    def start(names: list[str]) -> int:
+        command = _COMMANDS.get(names[0]) if names else None
+        if command is None:
+            given = f'unknown command {names[0]!r}' if names else 'no command'
+            print(
+                f'gypsumhall: {given}; commands: {", ".join(_COMMANDS)}; see '
+                '--help',
+                file=sys.stderr,
+            )
+            return USAGE
+
+        async def run_command() -> int:
+            return await _Command(options, names[1:]).run(command)
 
-    try:
-        return trio.run(start)
-    except UsageError as error:
-        print(f'gypsumhall: {error}', file=sys.stderr)
-        return USAGE
+        try:
+            return trio.run(run_command)
+        except UsageError as error:
+            print(f'gypsumhall: {error}', file=sys.stderr)
+            return USAGE
+
+    argv = ['gypsumhall', *arguments]
+    return run_binary(options.settings, argv, start, environment=environment)
 
 
 def main() -> None:
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -14,11 +14,11 @@
 from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerUnreachableError
 from gypsumhall.net import _frames
+from gypsumhall.testing.fakes import FakeService
 
 if TYPE_CHECKING:
     from collections import Counter
 
-    from gypsumhall.kernel import Kernel
     from gypsumhall.net._messages import Message
     from gypsumhall.net._protocol import Handler
     from gypsumhall.net._protocol import M
@@ -136,7 +136,7 @@
         self._incoming.close()
 
 
-class MemoryNetwork:
+class MemoryNetwork(FakeService):
     """`PeerNetwork` of one daemon.
 
     Parameters
@@ -148,7 +148,6 @@
     """
 
     name = 'peers'
-    requires: tuple[str, ...] = ()
 
     def __init__(self, hub: MemoryHub, me: PeerInfo) -> None:
         self._hub = hub
@@ -161,19 +160,6 @@
         """The daemon."""
         return self._me
 
-    async def run(
-        self,
-        kernel: Kernel,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Wait until cancelled; the hub runs the handlers."""
-        task_status.started()
-        await trio.sleep_forever()
-
-    async def drain(self) -> None:
-        """Return at once."""
-
     def on(self, kind: type[M], handler: Handler[M]) -> None:
         """Register the handler of exchanges that start with `kind`."""
         self._handlers[kind] = handler
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -1,8 +1,8 @@
 """In-memory `Store` with revisions, leases, watches and faults.
 
 It follows the protocol of `gypsumhall.store` without a network. Time is the
-trio clock, so tests run it under `trio.testing.MockClock`. Its `name`, `run`
-and `drain` let it stand for the service ``store`` in a kernel.
+trio clock, so tests run it under `trio.testing.MockClock`. It can stand for
+the service ``store`` in a kernel.
 """
 
 from __future__ import annotations
@@ -30,6 +30,7 @@
 from gypsumhall.store import TxnResult
 from gypsumhall.store import WatchEvent
 from gypsumhall.store._etcd import check_writes
+from gypsumhall.testing.fakes import FakeService
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -37,7 +38,6 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from gypsumhall.kernel import Kernel
     from gypsumhall.store import Compare
 
 T = TypeVar('T')
@@ -75,7 +75,7 @@
     silent: bool = False
 
 
-class MemoryStore:
+class MemoryStore(FakeService):
     """A `Store` that lives in this process.
 
     Parameters
@@ -99,7 +99,6 @@
     """
 
     name = 'store'
-    requires: tuple[str, ...] = ()
 
     def __init__(self, *, latency_s: float = 0.0) -> None:
         self._outage = False
@@ -252,19 +251,6 @@
         finally:
             self._watches.discard(watch)
 
-    async def run(
-        self,
-        kernel: Kernel,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Stand for the service ``store`` until cancelled."""
-        task_status.started()
-        await trio.sleep_forever()
-
-    async def drain(self) -> None:
-        """Return at once: no work is kept."""
-
     async def _request(self, operation: str, execute: Callable[[], T]) -> T:
         self._counts[operation] = self._counts.get(operation, 0) + 1
         queued = self._faults.get(operation) or self._faults.get('')
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -26,6 +26,7 @@
 from gypsumhall._errors import Finding
 from gypsumhall._errors import FindingsError
 from gypsumhall._errors import Place
+from gypsumhall.load._load import RequestKind
 from gypsumhall.testing.processes import backend_name
 from gypsumhall.testing.processes import Fleet
 from gypsumhall.testing.processes import open_fleet
@@ -108,23 +109,10 @@
     within: float = WAIT_LIMIT_S
 
 
-class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Kind of requests of ``load``."""
-
-    name: str
-    host: str
-    path: str = '/'
-    method: str = 'GET'
-    weight: float = 1.0
-    keyed: bool = False
-    idempotent: bool = True
-    body_bytes: int = 0
-
-
 class StartLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Arguments of ``load``."""
 
-    kinds: tuple[Kind, ...]
+    kinds: tuple[RequestKind, ...]
     seconds: float
     rate: float = 40.0
     seed: int = 1
