--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+import functools
 import json
 import math
 import signal
@@ -25,6 +26,7 @@
 from gypsumhall._errors import Finding
 from gypsumhall._errors import FindingsError
 from gypsumhall._errors import Place
+from gypsumhall.load._load import RequestKind
 from gypsumhall.testing.processes import backend_name
 from gypsumhall.testing.processes import Fleet
 from gypsumhall.testing.processes import open_fleet
@@ -107,23 +109,10 @@
     within: float = WAIT_LIMIT_S
 
 
-class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Kind of requests of ``load``."""
-
-    name: str
-    host: str
-    path: str = '/'
-    method: str = 'GET'
-    weight: float = 1.0
-    keyed: bool = False
-    idempotent: bool = True
-    body_bytes: int = 0
-
-
 class StartLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Arguments of ``load``."""
 
-    kinds: tuple[Kind, ...]
+    kinds: tuple[RequestKind, ...]
     seconds: float
     rate: float = 40.0
     seed: int = 1
@@ -596,7 +585,7 @@
         for move in arguments.reverted:
             for vm in self._running():
                 await self._until(
-                    lambda vm=vm, move=move: self._has_reverted(vm, move),  # type: ignore[misc]
+                    functools.partial(self._has_reverted, vm, move),
                     f'{vm.name} does not know that {move} is reverted',
                 )
         if arguments.same_version:
