Keep a cancelled receiver from ending its daemon

Cause: a task that waits in StreamExchange.receive is rescheduled by its cancellation. Until it ran, the exchange still named it as its receiver, so that closing the exchange in the same step rescheduled it again; trio then fails an assertion, which ended the whole daemon with status 1. The runner does just this after each call from another daemon that takes over 50 ms, when the watch for the sender's messages has started.

Change: the abort function of the wait forgets the receiver.

Ruled out: the order of the drain; idle daemons stop with status 0, with and without their backend server.

Measured: the new test fails without the change.

--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -186,10 +186,7 @@
             if self._receiver is not None:
                 raise trio.BusyResourceError('another task receives')
             self._receiver = trio.lowlevel.current_task()
-            try:
-                await trio.lowlevel.wait_task_rescheduled(_abort)
-            finally:
-                self._receiver = None
+            await trio.lowlevel.wait_task_rescheduled(self._abort)
         message, size = self._queue.popleft()
         self._buffered -= size
         self._consumed += size
@@ -276,9 +273,11 @@
         if self._senders is not None:
             self._senders.unpark_all()
 
-
-def _abort(_: object) -> trio.lowlevel.Abort:
-    return trio.lowlevel.Abort.SUCCEEDED
+    def _abort(self, _: object) -> trio.lowlevel.Abort:
+        # The task is rescheduled by the cancellation; a second time, by a
+        # frame that arrives before it runs, would end the process.
+        self._receiver = None
+        return trio.lowlevel.Abort.SUCCEEDED
 
 
 class Stream:
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -17,6 +17,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from gypsumhall.errors import PeerLostError
 from gypsumhall.errors import PeerProtocolError
@@ -400,6 +401,36 @@
         assert 'peer-protocol-error' not in one.events + two.events
 
 
+async def test_a_receiver_is_cancelled_as_its_exchange_ends() -> None:
+    """Its task must not be rescheduled twice, which ended the process.
+
+    A handler cancels the task that watches for the sender's messages and
+    returns at once, so that the network closes the exchange before the
+    cancelled task has run.
+    """
+
+    async def watch(exchange: Exchange, scope: trio.CancelScope) -> None:
+        with scope:
+            await exchange.receive()
+
+    async with _peers() as (one, two, _), trio.open_nursery() as nursery:
+
+        async def answer(
+            exchange: Exchange, message: _messages.CallQuery
+        ) -> None:
+            scope = trio.CancelScope()
+            nursery.start_soon(watch, exchange, scope)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            scope.cancel()
+
+        two.on(_messages.CallQuery, answer)
+        query = _messages.CallQuery('r', 0)
+        async with one.open(two.me.address, query) as exchange:
+            with pytest.raises(trio.EndOfChannel):
+                await exchange.receive()
+        await one.floor(two.me.address)
+
+
 async def test_concurrent_opens_share_a_stream_per_direction() -> None:
     """Both sides opening at once must not end with a stream too few."""
     async with _peers() as (one, two, _):
