Check calls of real daemons under faults and measure added latency

Change: benchmarks/bench_calls_under_faults.py starts 12 daemons in three zones behind relays and brings about faults from a seed while a load runs; at the end the outcome of each request is compared with the runs.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 
 .PHONY: venv lint format test unit demo scenarios bench bench-moves \
-	bench-capacity bench-call
+	bench-capacity bench-call bench-calls-under-faults
 
 venv: $(VENV)/.installed
 
@@ -29,3 +29,9 @@
 
 demo: venv
 	$(PY) -m gypsumhall.cli.demo
+
+bench-call: venv
+	$(PY) -m benchmarks.bench_call
+
+bench-calls-under-faults: venv
+	$(PY) -m benchmarks.bench_calls_under_faults
--- a/benchmarks/bench_call.py
+++ b/benchmarks/bench_call.py
@@ -1,132 +1,57 @@
-"""Time and CPU that the path of a call adds to a call of a backend server.
-
-Runs a caller's daemon, a runner's daemon and a stand-in backend server as
-processes and sends an open-loop load in which part of the requests call the
-backend server directly. Run as ``python -m benchmarks.bench_call``.
+"""Time and CPU that the daemons add to a call of a backend server.
+
+Starts real daemons in two zones: a caller's daemon without a backend server,
+and a daemon beside a stand-in backend server. An open-loop load sends half of
+its requests to the backend server directly, so that both kinds meet the same
+machine. It is sent first to the caller's daemon, so that each call passes two
+daemons (``remote``), then to the daemon beside the backend server (``local``).
+The bare exchange of two messages with a daemon is measured for comparison.
+Run as ``python -m benchmarks.bench_call``.
 """
 
 from __future__ import annotations
 
-import cProfile
 import json
 import os
-import pstats
-import signal
-import socket
-import subprocess
-import sys
+from random import Random
+import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 from absl import app
 from absl import flags
+from hdrh.histogram import HdrHistogram
 import trio
 
-from benchmarks.stream_peers import StreamPeers
-from gypsumhall.load._load import Load
-from gypsumhall.load._load import LoadSettings
-from gypsumhall.load._load import RequestKind
-from gypsumhall.standin._backend import BackendServer
-from gypsumhall.standin._backend import BackendSettings
-from gypsumhall.testing import builders
-from gypsumhall.testing import fakes
-from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.net._messages import FloorRequest
+from gypsumhall.net._network import Network
+from gypsumhall.net._network import PeerSettings
+from gypsumhall.testing.processes import open_fleet
+from gypsumhall.testing.processes import SHARED_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-_ROLE = flags.DEFINE_enum(
-    'role', 'all', ['all', 'sender', 'runner', 'backend'], 'Process to be.'
-)
-_PORTS = flags.DEFINE_list('ports', [], 'Ports of the processes.')
+    from gypsumhall.testing.processes import Fleet
+    from gypsumhall.testing.processes import Vm
+
 _RATE = flags.DEFINE_float('rate_per_s', 100.0, 'Arrivals per second.')
-_SECONDS = flags.DEFINE_float('seconds', 20.0, 'Duration.')
+_SECONDS = flags.DEFINE_float('seconds', 20.0, 'Duration of each load.')
+_ROUNDS = flags.DEFINE_integer('rounds', 1, 'Repetitions of both loads.')
 _SEED = flags.DEFINE_integer('seed', 1, 'Seed of the load.')
-_LOCAL = flags.DEFINE_bool(
-    'local', False, 'Call the daemon beside the backend server.'
-)
-_PROFILE = flags.DEFINE_string('profile', '', 'Role to profile.')
-
-
-def _members(ports: Sequence[str]) -> list[fakes.Member]:
-    members = []
-    for index, port in enumerate(ports[:2]):
-        member = builders.build_member(
-            index, endpoint=builders.build_endpoint(slots=64)
-        )
-        members.append(
-            fakes.msgspec.structs.replace(
-                member,
-                peer_address=f'127.0.0.1:{port}',
-                endpoint=member.endpoint if index else None,
-            )
-        )
-    return members
-
-
-async def _serve_daemon(index: int, ports: Sequence[str]) -> None:
-    members = _members(ports)
-    table = fakes.FakeTable()
-    for member in members:
-        table.put(member)
-    daemon = CallDaemon(
-        members[index],
-        table,
-        StreamPeers,
-        build_snapshot(),
-        listen=f'127.0.0.1:{ports[3 + index]}',
-    )
-    async with trio.open_nursery() as nursery:
-        await nursery.start(daemon.run)
-        if index:
-            daemon.set_backend(f'127.0.0.1:{ports[2]}', slots=64)
-        await _until_stopped()
-        nursery.cancel_scope.cancel()
-
-
-async def _serve_backend(ports: Sequence[str]) -> None:
-    settings = BackendSettings(
-        'availability',
-        'v1',
-        f'127.0.0.1:{ports[2]}',
-        slots=64,
-        service_time_ms=0.0,
-    )
-    async with trio.open_nursery() as nursery:
-        await nursery.start(BackendServer(settings).run)
-        await _until_stopped()
-        nursery.cancel_scope.cancel()
-
-
-async def _until_stopped() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM) as signals:
-        print('ready', flush=True)
-        async for _ in signals:
-            return
-
 
-def _run_role(role: str, ports: Sequence[str]) -> None:
-    profile = cProfile.Profile()
-    if _PROFILE.value == role:
-        profile.enable()
-    if role == 'backend':
-        trio.run(_serve_backend, ports)
-    else:
-        trio.run(_serve_daemon, int(role == 'runner'), ports)
-    if _PROFILE.value == role:
-        profile.disable()
-        stats = pstats.Stats(profile, stream=sys.stderr)
-        stats.sort_stats('tottime').print_stats(45)
-
-
-def _free_ports(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(('127.0.0.1', 0))
-    ports = [str(item.getsockname()[1]) for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+_ZONES = ('az-1', 'az-2')
+_SLOTS = 64
+_IDLE_S = 4.0
+_EXCHANGES = 1000
+_TEXT = """\
+department: spa
+services:
+  availability: {versions: [v1]}
+routes:
+  search: {host: spa.example, path: /search, service: availability}
+"""
+_KIND = {'name': 'search', 'host': 'spa.example', 'path': '/search/1'}
 
 
 def _cpu_s(pid: int) -> float:
@@ -135,43 +60,126 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
 
 
-def _main(argv: Sequence[str]) -> None:
-    if _ROLE.value != 'all':
-        _run_role(_ROLE.value, _PORTS.value)
-        return
-    ports = _free_ports(5)
-    processes = {}
-    for role in ('backend', 'runner', 'sender'):
-        command = [sys.executable, '-m', 'benchmarks.bench_call']
-        command += [f'--role={role}', f'--ports={",".join(ports)}']
-        command += [f'--profile={_PROFILE.value}']
-        processes[role] = subprocess.Popen(command, stdout=subprocess.PIPE)
-        assert processes[role].stdout.readline() == b'ready\n'
-    settings = LoadSettings(
-        targets=(f'127.0.0.1:{ports[4 if _LOCAL.value else 3]}',),
-        kinds=(
-            RequestKind(name='search', host='spa.example', path='/search'),
-        ),
-        rate_per_s=_RATE.value,
-        seconds=_SECONDS.value,
-        seed=_SEED.value,
-        baseline=(f'127.0.0.1:{ports[2]}',),
-        baseline_share=0.5,
+async def _start(fleet: Fleet) -> tuple[Vm, Vm]:
+    caller = fleet.add_vm('caller', 'az-1')
+    runner = fleet.add_vm('runner', 'az-2', 'availability', 'v1')
+    for vm in (caller, runner):
+        await fleet.start_daemon(vm)
+    for vm in (caller, runner):
+        await fleet.wait_listening(vm.admin_address, vm.name)
+    await fleet.start_backend(
+        runner, {'slots': str(_SLOTS), 'service_time_ms': '0'}
+    )
+    path = fleet.directory / 'text.yaml'
+    path.write_text(_TEXT)
+    result = await fleet.run_binary(
+        'gypsumhall.cli.operator',
+        [f'--daemons={caller.admin_address}', 'submit', str(path)],
+        {'GYPSUMHALL_TOKEN': 'benchmark-token'},
+    )
+    if result.returncode:
+        raise app.UsageError(f'submit failed: {result.stderr.decode()}')
+    for vm in (caller, runner):
+        while True:
+            status = await fleet.status(vm)
+            if status['version'] and status['members']['ready_endpoints']:
+                break
+            await trio.sleep(0.1)
+    return caller, runner
+
+
+async def _cpu_per_s(fleet: Fleet, names: Sequence[str]) -> dict[str, float]:
+    """Return the CPU time that idle daemons use, in seconds per second."""
+    before = {name: _cpu_s(fleet.pid(name)) for name in names}
+    await trio.sleep(_IDLE_S)
+    return {
+        name: (_cpu_s(fleet.pid(name)) - before[name]) / _IDLE_S
+        for name in names
+    }
+
+
+async def _measure(
+    fleet: Fleet, target: Vm, runner: Vm, idle: dict[str, float]
+) -> dict[str, Any]:
+    before = {name: _cpu_s(fleet.pid(name)) for name in idle}
+    result = await fleet.run_binary(
+        'gypsumhall.cli.load',
+        [
+            f'--targets={target.caller_address}',
+            f'--kind={json.dumps(_KIND)}',
+            f'--rate_per_s={_RATE.value}',
+            f'--seconds={_SECONDS.value}',
+            f'--seed={_SEED.value}',
+            f'--baseline={runner.backend_address}',
+            '--baseline_share=0.5',
+        ],
+    )
+    if not result.stdout:
+        raise app.UsageError(f'load failed: {result.stderr.decode()}')
+    report = json.loads(result.stdout)
+    calls = report['latency_ms']['calls']['count']
+    cpu = {
+        name: _cpu_s(fleet.pid(name))
+        - before[name]
+        - idle[name] * report['elapsed_s']
+        for name in idle
+    }
+    return {
+        'results': report['results'],
+        'latency_ms': report['latency_ms'],
+        'added_ms': report['added_ms'],
+        'cpu_ms_per_call': {
+            name: round(value * 1000 / calls, 3) for name, value in cpu.items()
+        },
+        'load_average': round(os.getloadavg()[0], 1),
+    }
+
+
+async def _exchange_ms(fleet: Fleet, runner: Vm) -> dict[str, float]:
+    """Measure one small message each way with a daemon, without a call."""
+    ip = runner.ip.rpartition('.')[0] + '.250'
+    settings = PeerSettings(
+        'benchmark', 'az-1', 1, f'{ip}:0', (SHARED_KEY.encode(),)
     )
-    try:
-        before = {role: _cpu_s(item.pid) for role, item in processes.items()}
-        report = trio.run(Load(settings).run)
-        calls = report['latency_ms']['calls']['count']
-        report['cpu_ms_per_call'] = {
-            role: round((_cpu_s(item.pid) - before[role]) * 1000 / calls, 3)
-            for role, item in processes.items()
-            if role != 'backend'
-        }
-    finally:
-        for item in processes.values():
-            item.terminate()
-            item.wait()
-    print(json.dumps(report, indent=2))
+    network = Network(settings)
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    rng = Random(_SEED.value)  # noqa: S311
+    async with trio.open_nursery() as nursery:
+        await nursery.start(network.serve)
+        for _ in range(_EXCHANGES):
+            await trio.sleep(rng.expovariate(_RATE.value))
+            started = time.perf_counter()
+            await network.request(
+                runner.peer_address, FloorRequest('benchmark'), timeout_s=10.0
+            )
+            elapsed_us = (time.perf_counter() - started) * 1e6
+            histogram.record_value(max(1, int(elapsed_us)))
+        nursery.cancel_scope.cancel()
+    return {
+        f'p{percentile}': histogram.get_value_at_percentile(percentile) / 1000
+        for percentile in (50, 99)
+    }
+
+
+async def _run() -> list[dict[str, Any]]:
+    reports = []
+    async with open_fleet(_ZONES) as fleet:
+        caller, runner = await _start(fleet)
+        idle = await _cpu_per_s(fleet, (caller.name, runner.name))
+        for _ in range(_ROUNDS.value):
+            reports.append(
+                {
+                    'exchange_ms': await _exchange_ms(fleet, runner),
+                    'remote': await _measure(fleet, caller, runner, idle),
+                    'local': await _measure(fleet, runner, runner, idle),
+                }
+            )
+    return reports
+
+
+def _main(argv: Sequence[str]) -> None:
+    for report in trio.run(_run):
+        print(json.dumps(report, indent=2))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/benchmarks/bench_calls_under_faults.py
@@ -0,0 +1,302 @@
+"""Calls of real daemons under repeated faults, with a check of each request.
+
+Twelve daemons in three zones behind relays get requests that are idempotent,
+non-idempotent or keyed, while daemons and backend servers are killed and
+suspended, zones are cut, connections go silent and the platform fails. The
+backend servers note each run in a file, so that the runs of killed ones count
+too. Run as ``python -m benchmarks.bench_calls_under_faults --seed 1``; the
+exit status is 1 when a request ran twice, a refusal was false, or a response
+was crossed or partial.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+import json
+import os
+from random import Random
+import shutil
+import signal
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from absl import app
+from absl import flags
+import trio
+
+from gypsumhall.testing.processes import backend_name
+from gypsumhall.testing.processes import open_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from gypsumhall.testing.processes import Fleet
+    from gypsumhall.testing.processes import Vm
+
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of the load and the faults.')
+_SECONDS = flags.DEFINE_float('seconds', 180.0, 'Duration of the load.')
+_RATE = flags.DEFINE_float('rate_per_s', 125.0, 'Arrivals per second.')
+_PAUSE_S = flags.DEFINE_float('pause_s', 2.5, 'Mean time between faults.')
+_FAULTS = flags.DEFINE_list('faults', [], 'Faults to use; all when empty.')
+_KEEP = flags.DEFINE_string('keep', '', 'Directory for the logs.')
+
+_ZONES = ('az-1', 'az-2', 'az-3')
+_SERVICES = ('availability', 'bookings')
+_PER_ZONE = 2
+# At most so many faults at a time; more would leave nothing to call.
+_MOST_FAULTS = 2
+_TEXT = """\
+department: spa
+services:
+  availability: {versions: [v1]}
+  bookings: {versions: [v1], depends_on: [availability]}
+routes:
+  search:
+    {host: spa.example, path: /search, service: availability, timeout: 8s}
+  book: {host: spa.example, path: /book, service: bookings, timeout: 8s}
+"""
+_KINDS: tuple[dict[str, Any], ...] = (
+    {'name': 'search', 'path': '/search/1', 'weight': 4},
+    {'name': 'search-large', 'path': '/search/2?size=200000', 'weight': 1},
+    {
+        'name': 'book',
+        'path': '/book/1',
+        'method': 'POST',
+        'idempotent': False,
+        'body_bytes': 100,
+        'weight': 3,
+    },
+    {
+        'name': 'book-large',
+        'path': '/book/2?size=100000',
+        'method': 'POST',
+        'idempotent': False,
+        'body_bytes': 100_000,
+        'weight': 1,
+    },
+    {
+        'name': 'book-keyed',
+        'path': '/book/3',
+        'method': 'POST',
+        'idempotent': False,
+        'keyed': True,
+        'weight': 2,
+    },
+)
+
+
+class _Chaos:
+    """Brings about faults, each of which ends after a few seconds."""
+
+    def __init__(self, fleet: Fleet, rng: Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        # Processes with a fault; a second one at the same time would only
+        # hide the first.
+        self._busy: set[str] = set()
+        self.counts: Counter[str] = Counter()
+        self._faults: dict[str, Callable[[], Awaitable[None]]] = {
+            'kill-daemon': self._kill_daemon,
+            'kill-backend': self._kill_backend,
+            'freeze-daemon': self._freeze_daemon,
+            'freeze-backend': self._freeze_backend,
+            'silence': self._silence,
+            'cut': self._cut,
+            'platform': self._platform,
+            'backend-faults': self._backend_faults,
+        }
+
+    async def run(self) -> None:
+        """Bring about faults until cancelled."""
+        names = _FAULTS.value or list(self._faults)
+        limit = trio.Semaphore(_MOST_FAULTS)
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self._rng.expovariate(1 / _PAUSE_S.value))
+                await limit.acquire()
+                name = self._rng.choice(names)
+                self.counts[name] += 1
+                nursery.start_soon(self._one, self._faults[name], limit)
+
+    async def _one(
+        self, fault: Callable[[], Awaitable[None]], limit: trio.Semaphore
+    ) -> None:
+        try:
+            await fault()
+        finally:
+            limit.release()
+
+    def _pick(self) -> Vm:
+        free = [
+            vm for vm in self._fleet.vms.values() if vm.name not in self._busy
+        ]
+        vm = self._rng.choice(free)
+        self._busy.add(vm.name)
+        return vm
+
+    async def _wait(self, low_s: float = 3.0, high_s: float = 6.0) -> None:
+        await trio.sleep(self._rng.uniform(low_s, high_s))
+
+    async def _kill_daemon(self) -> None:
+        vm = self._pick()
+        self._fleet.signal(vm.name, signal.SIGKILL)
+        await self._fleet.wait_ended(vm.name)
+        await self._wait(0.0, 4.0)
+        await self._fleet.start_daemon(vm)
+        await self._fleet.wait_listening(vm.admin_address, vm.name)
+        await self._wait()
+        self._busy.remove(vm.name)
+
+    async def _kill_backend(self) -> None:
+        vm = self._pick()
+        name = backend_name(vm.name)
+        self._fleet.signal(name, signal.SIGKILL)
+        await self._fleet.wait_ended(name)
+        await self._wait(0.0, 4.0)
+        await _start_backend(self._fleet, vm)
+        await self._fleet.wait_listening(vm.backend_address, name)
+        await self._wait(2.0, 3.0)
+        self._busy.remove(vm.name)
+
+    async def _freeze_daemon(self) -> None:
+        vm = self._pick()
+        await self._freeze(vm.name)
+        self._busy.remove(vm.name)
+
+    async def _freeze_backend(self) -> None:
+        vm = self._pick()
+        await self._freeze(backend_name(vm.name))
+        self._busy.remove(vm.name)
+
+    async def _freeze(self, name: str) -> None:
+        self._fleet.signal(name, signal.SIGSTOP)
+        try:
+            await self._wait()
+        finally:
+            self._fleet.signal(name, signal.SIGCONT)
+
+    async def _silence(self) -> None:
+        assert self._fleet.links is not None
+        self._fleet.links.silence()
+        await self._wait()
+
+    async def _cut(self) -> None:
+        assert self._fleet.links is not None
+        self._fleet.links.cut(*self._rng.sample((*_ZONES, 'platform'), 2))
+        await self._wait()
+        self._fleet.links.heal()
+
+    async def _platform(self) -> None:
+        address = self._fleet.platform_address
+        await self._fleet.set_faults(address, {'outage': True})
+        await self._wait()
+        await self._fleet.set_faults(
+            address, {'outage': False, 'lapse_leases': True}
+        )
+
+    async def _backend_faults(self) -> None:
+        vm = self._pick()
+        kind = self._rng.choice(['crash_rate', 'break_rate'])
+        await self._fleet.set_faults(vm.backend_address, {kind: 0.3})
+        await self._wait()
+        await self._fleet.set_faults(vm.backend_address, {})
+        self._busy.remove(vm.name)
+
+
+def _run_log(fleet: Fleet, vm: Vm) -> Path:
+    return fleet.directory / f'{vm.name}.runs'
+
+
+async def _start_backend(fleet: Fleet, vm: Vm) -> None:
+    flags_ = {'run_log': str(_run_log(fleet, vm))}
+    await fleet.start_backend(vm, flags_)
+
+
+async def _start(fleet: Fleet) -> None:
+    for zone in _ZONES:
+        for service in _SERVICES:
+            for number in range(_PER_ZONE):
+                name = f'{zone}-{service}-{number}'
+                fleet.add_vm(name, zone, service, 'v1')
+    await fleet.start_relays()
+    vms = list(fleet.vms.values())
+    for vm in vms:
+        await fleet.start_daemon(vm)
+    for vm in vms:
+        await fleet.wait_listening(vm.admin_address, vm.name)
+        _run_log(fleet, vm).touch()
+        await _start_backend(fleet, vm)
+    path = fleet.directory / 'text.yaml'
+    path.write_text(_TEXT)
+    result = await fleet.run_binary(
+        'gypsumhall.cli.operator',
+        [f'--daemons={vms[0].admin_address}', 'submit', str(path)],
+        {'GYPSUMHALL_TOKEN': 'benchmark-token'},
+    )
+    if result.returncode:
+        raise app.UsageError(f'submit failed: {result.stderr.decode()}')
+    for vm in vms:
+        while True:
+            status = await fleet.status(vm)
+            ready = status['members']['ready_endpoints'] == len(vms)
+            if ready and status['version']:
+                break
+            await trio.sleep(0.1)
+
+
+async def _load(fleet: Fleet) -> dict[str, Any]:
+    vms = list(fleet.vms.values())
+    result = await fleet.run_binary(
+        'gypsumhall.cli.load',
+        [
+            f'--targets={",".join(vm.caller_address for vm in vms)}',
+            *(
+                f'--kind={json.dumps({"host": "spa.example", **kind})}'
+                for kind in _KINDS
+            ),
+            f'--rate_per_s={_RATE.value}',
+            f'--seconds={_SECONDS.value}',
+            f'--seed={_SEED.value}',
+            f'--run_logs={",".join(str(_run_log(fleet, vm)) for vm in vms)}',
+        ],
+    )
+    if not result.stdout:
+        raise app.UsageError(f'load failed: {result.stderr.decode()}')
+    report: dict[str, Any] = json.loads(result.stdout)
+    return report
+
+
+async def _run() -> dict[str, Any]:
+    started = time.monotonic()
+    async with open_fleet(_ZONES, relayed=True) as fleet:
+        await _start(fleet)
+        chaos = _Chaos(fleet, Random(_SEED.value))  # noqa: S311
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(chaos.run)
+            report = await _load(fleet)
+            nursery.cancel_scope.cancel()
+        ended = [vm.name for vm in fleet.vms.values()]
+        ended = [name for name in ended if not fleet.is_running(name)]
+        if _KEEP.value:
+            shutil.copytree(fleet.directory, _KEEP.value, dirs_exist_ok=True)
+    report['seed'] = _SEED.value
+    report['faults'] = dict(chaos.counts)
+    report['not_running_at_end'] = ended
+    report['load_average'] = os.getloadavg()
+    report['total_s'] = round(time.monotonic() - started, 1)
+    return report
+
+
+def _main(argv: Sequence[str]) -> None:
+    report = trio.run(_run)
+    print(json.dumps(report, indent=2))
+    sys.exit(1 if report['violations'] else 0)
+
+
+if __name__ == '__main__':
+    app.run(_main)
--- a/gypsumhall/cli/backend.py
+++ b/gypsumhall/cli/backend.py
@@ -39,6 +39,9 @@
     'cold_start_s', 0.0, 'Seconds until the server is ready.', lower_bound=0.0
 )
 _SEED = flags.DEFINE_integer('seed', 0, 'Seed of service times and faults.')
+_RUN_LOG = flags.DEFINE_string(
+    'run_log', '', 'File for the ids of the requests that are run.'
+)
 _FAULT_FLAGS = [
     flags.DEFINE_float('failure_rate', 0.0, 'Share of failed requests.'),
     flags.DEFINE_integer('failure_status', 500, 'HTTP status of failures.'),
@@ -76,6 +79,7 @@
         _SERVICE_TIME_MS.value,
         _COLD_START_S.value,
         _SEED.value,
+        _RUN_LOG.value,
     )
     faults = msgspec.convert(
         {flag.name: flag.value for flag in _FAULT_FLAGS}, Faults
--- a/gypsumhall/cli/load.py
+++ b/gypsumhall/cli/load.py
@@ -52,6 +52,9 @@
 _CHECK_RUNS = flags.DEFINE_list(
     'check_runs', [], 'Addresses of stand-in backend servers to ask for runs.'
 )
+_RUN_LOGS = flags.DEFINE_list(
+    'run_logs', [], 'Files in which stand-in backend servers note runs.'
+)
 _REPORT = flags.DEFINE_string(
     'report', '', 'File for the JSON report; empty for standard output.'
 )
@@ -82,6 +85,7 @@
         baseline=tuple(_BASELINE.value),
         baseline_share=_BASELINE_SHARE.value,
         check_runs=tuple(_CHECK_RUNS.value),
+        run_logs=tuple(_RUN_LOGS.value),
     )
     report = trio.run(Load(settings).run)
     text = json.dumps(report, indent=2)
--- a/gypsumhall/load/_load.py
+++ b/gypsumhall/load/_load.py
@@ -20,6 +20,8 @@
 _HIGHEST_US = 600_000_000
 _PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 _BASELINE = 'baseline'
+# Violations that the report describes one by one.
+_MAX_EXAMPLES = 20
 
 
 class RequestKind(
@@ -88,6 +90,9 @@
     check_runs : tuple of str
         Addresses of stand-in backend servers that are asked at the end how
         often each request was run.
+    run_logs : tuple of str
+        Files in which stand-in backend servers note the requests that they
+        run. With them the runs of killed servers count too.
     """
 
     targets: tuple[str, ...]
@@ -101,6 +106,7 @@
     baseline: tuple[str, ...] = ()
     baseline_share: float = 0.1
     check_runs: tuple[str, ...] = ()
+    run_logs: tuple[str, ...] = ()
 
 
 class Load:
@@ -125,7 +131,9 @@
             for group in ('calls', _BASELINE)
         }
         self._violations: Counter[str] = Counter()
-        self._outcomes: dict[str, tuple[RequestKind, str]] = {}
+        self._examples: list[dict[str, str]] = []
+        self._reasons: Counter[str] = Counter()
+        self._outcomes: dict[str, tuple[RequestKind, str, str]] = {}
         self._runs: Counter[str] = Counter()
 
     async def run(self) -> dict[str, Any]:
@@ -168,6 +176,9 @@
                 await self._fetch_runs(address)
             except GypsumhallError:
                 unchecked.append(address)
+        for path in settings.run_logs:
+            text = await trio.Path(path).read_text()
+            self._runs.update(text.splitlines())
         self._check_runs(complete=not unchecked)
         for client in self._clients.values():
             await client.close_idle(all_connections=True)
@@ -200,10 +211,10 @@
                 (b'gypsumhall-deadline-ms', b'%d' % kind.deadline_ms)
             )
         self._in_flight += 1
-        result = 'timeout'
+        result, detail = 'timeout', ''
         try:
             with trio.move_on_after(self._settings.timeout_s):
-                result = await self._exchange(
+                result, detail = await self._exchange(
                     request_id, kind, address, tuple(headers)
                 )
         finally:
@@ -214,8 +225,9 @@
             self._latency[group].record_value(value)
         name = kind.name if group == 'calls' else _BASELINE
         self._results[name][result] += 1
-        if self._settings.check_runs:
-            self._outcomes[request_id] = (kind, result)
+        if self._settings.check_runs or self._settings.run_logs:
+            detail = f'{address} {detail}'
+            self._outcomes[request_id] = (kind, result, detail)
 
     async def _exchange(
         self,
@@ -223,7 +235,7 @@
         kind: RequestKind,
         address: str,
         headers: tuple[tuple[bytes, bytes], ...],
-    ) -> str:
+    ) -> tuple[str, str]:
         body = b'x' * kind.body_bytes
         content = bytearray()
         try:
@@ -233,25 +245,35 @@
                 async for data in response.chunks():
                     content += data
         except GypsumhallError as error:
-            return error.code
+            return error.code, str(error)
         for name, value in response.headers:
             if name == b'gypsumhall-outcome':
-                return f'refused-{value.decode()}'
+                text = content.decode(errors='replace')
+                result = f'refused-{value.decode()}'
+                self._reasons[f'{kind.name} {result} {_code(content)}'] += 1
+                return result, text
         if response.status >= 400:
-            return f'status-{response.status}'
+            return f'status-{response.status}', ''
         if kind.method != 'HEAD':
             self._check_response(request_id, bytes(content))
-        return 'ok'
+        return 'ok', ''
 
     def _check_response(self, request_id: str, content: bytes) -> None:
         """Check that a response of the stand-in belongs to its request."""
         try:
             echoed = json.loads(content)['id']
         except (ValueError, KeyError, TypeError):
-            self._violations['not-whole'] += 1
+            self._violation('not-whole', request_id, repr(content[:200]))
             return
         if echoed != request_id:
-            self._violations['crossed'] += 1
+            self._violation('crossed', request_id, f'has {echoed!r}')
+
+    def _violation(self, name: str, request_id: str, detail: str) -> None:
+        self._violations[name] += 1
+        if len(self._examples) < _MAX_EXAMPLES:
+            self._examples.append(
+                {'violation': name, 'request': request_id, 'detail': detail}
+            )
 
     async def _fetch_runs(self, address: str) -> None:
         content = bytearray()
@@ -268,16 +290,15 @@
         A server that has ended takes its counts along, so a request without
         a run is a fault only when the counts are complete.
         """
-        if not self._settings.check_runs:
-            return
-        for request_id, (kind, result) in self._outcomes.items():
+        for request_id, (kind, result, detail) in self._outcomes.items():
             runs = self._runs[request_id]
+            text = f'{kind.name}: {result}, {runs} runs, {detail}'
             if runs > 1 and not kind.idempotent:
-                self._violations['ran-twice'] += 1
+                self._violation('ran-twice', request_id, text)
             if runs and result == 'refused-not-run':
-                self._violations['false-not-run'] += 1
+                self._violation('false-not-run', request_id, text)
             if complete and not runs and result in ('ok', 'refused-run'):
-                self._violations['false-run'] += 1
+                self._violation('false-run', request_id, text)
 
     def _report(self, number: int, elapsed_s: float) -> dict[str, Any]:
         latency = {
@@ -293,6 +314,8 @@
             },
             'latency_ms': latency,
             'violations': dict(self._violations),
+            'examples': self._examples,
+            'reasons': dict(self._reasons),
         }
         if len(latency) == 2:
             report['added_ms'] = {
@@ -303,6 +326,13 @@
         return report
 
 
+def _code(content: bytearray) -> str:
+    try:
+        return str(json.loads(content)['code'])
+    except (ValueError, KeyError, TypeError):
+        return ''
+
+
 def _summary(histogram: HdrHistogram) -> dict[str, float]:
     summary = {
         f'p{percentile:g}': histogram.get_value_at_percentile(percentile)
--- a/gypsumhall/standin/_backend.py
+++ b/gypsumhall/standin/_backend.py
@@ -93,6 +93,9 @@
         requests take ten times as long.
     seed : int
         Seed of the service times and faults.
+    run_log : str
+        File to which the id of each request is appended when it is run, so
+        that the runs of a killed server are still known; empty for none.
     """
 
     service: str
@@ -103,6 +106,7 @@
     service_time_ms: float = 5.0
     cold_start_s: float = 0.0
     seed: int = 0
+    run_log: str = ''
 
 
 class BackendServer:
@@ -311,6 +315,11 @@
         )
         async with self._slots:
             self._runs[request_id] += 1 + faults.run_twice
+            if self._settings.run_log:
+                # Closed at once, so that a killed server loses no entry.
+                path = self._settings.run_log
+                with open(path, 'a') as file:  # noqa: ASYNC230
+                    file.write(f'{request_id}\n')
             # A gamma distribution with a coefficient of variation of 0.5.
             time_ms = self._rng.gammavariate(4.0, 0.25)
             time_ms *= self._settings.service_time_ms
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+import functools
 import json
 import math
 import signal
@@ -596,7 +597,7 @@
         for move in arguments.reverted:
             for vm in self._running():
                 await self._until(
-                    lambda vm=vm, move=move: self._has_reverted(vm, move),  # type: ignore[misc]
+                    functools.partial(self._has_reverted, vm, move),
                     f'{vm.name} does not know that {move} is reverted',
                 )
         if arguments.same_version:
@@ -686,7 +687,10 @@
     except ValueError:
         raise ExpectationError(f'load failed: {result.stderr.decode()}')
     if report['violations']:
-        raise ExpectationError(f'violations: {report["violations"]}')
+        raise ExpectationError(
+            f'violations: {report["violations"]}, such as '
+            f'{report["examples"][:3]}'
+        )
     failed = total = 0
     for kind in arguments.kinds:
         counts = dict(report['results'].get(kind.name, {}))
@@ -696,11 +700,13 @@
         if bad > arguments.max_failed.get(kind.name, math.inf):
             raise ExpectationError(
                 f'{bad} calls of kind {kind.name} failed, expected at most '
-                f'{arguments.max_failed[kind.name]}: {counts}'
+                f'{arguments.max_failed[kind.name]}: {counts}, '
+                f'{report["reasons"]}'
             )
     if failed > arguments.max_failed_share * total:
         raise ExpectationError(
-            f'{failed} of {total} calls failed: {report["results"]}'
+            f'{failed} of {total} calls failed: {report["results"]}, '
+            f'{report["reasons"]}'
         )
 
 
