--- a/gypsumhall/cli/backend.py
+++ b/gypsumhall/cli/backend.py
@@ -106,6 +106,9 @@
     seed = settings.integer(
         'seed', 0, 'Seed of service times and faults.', lowest=-(2**53)
     )
+    run_log = settings.string(
+        'run_log', '', 'File for the ids of the requests that are run.'
+    )
     faults = _define_faults(settings)
 
     def start(_names: list[str]) -> int:
@@ -119,6 +122,7 @@
                 service_time_ms.value,
                 cold_start_s.value,
                 seed.value,
+                run_log.value,
             ),
             msgspec.convert(
                 {item.name: item.value for item in faults}, Faults
--- a/gypsumhall/cli/load.py
+++ b/gypsumhall/cli/load.py
@@ -95,6 +95,12 @@
         (),
         'Addresses of stand-in backend servers to ask for runs.',
     )
+    run_logs = settings.items(
+        'run_logs',
+        (),
+        'Files in which stand-in backend servers note runs.',
+        str,
+    )
     report = settings.string(
         'report', '', 'File for the JSON report; empty for standard output.'
     )
@@ -113,6 +119,7 @@
                 baseline=baseline.value,
                 baseline_share=baseline_share.value,
                 check_runs=check_runs.value,
+                run_logs=run_logs.value,
             )
         )
         result = trio.run(load.run)
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -675,7 +675,10 @@
     except ValueError:
         raise ExpectationError(f'load failed: {result.stderr.decode()}')
     if report['violations']:
-        raise ExpectationError(f'violations: {report["violations"]}')
+        raise ExpectationError(
+            f'violations: {report["violations"]}, such as '
+            f'{report["examples"][:3]}'
+        )
     failed = total = 0
     for kind in arguments.kinds:
         counts = dict(report['results'].get(kind.name, {}))
@@ -685,11 +688,13 @@
         if bad > arguments.max_failed.get(kind.name, math.inf):
             raise ExpectationError(
                 f'{bad} calls of kind {kind.name} failed, expected at most '
-                f'{arguments.max_failed[kind.name]}: {counts}'
+                f'{arguments.max_failed[kind.name]}: {counts}, '
+                f'{report["reasons"]}'
             )
     if failed > arguments.max_failed_share * total:
         raise ExpectationError(
-            f'{failed} of {total} calls failed: {report["results"]}'
+            f'{failed} of {total} calls failed: {report["results"]}, '
+            f'{report["reasons"]}'
         )
 
 
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -161,6 +161,37 @@
         assert 'backend-0' not in trial.backend.by_address
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_a_request_waits_while_all_endpoints_fail(
+    autojump_clock: MockClock, method: str
+) -> None:
+    """After a group of processes died, others are ready soon.
+
+    Refusals that cost nothing used up the attempts within milliseconds
+    although the deadline was seconds away.
+    """
+    async with _trial() as trial, trio.open_nursery() as nursery:
+        results: list[str] = []
+
+        async def call() -> None:
+            request = trial.request('r1', method=method, timeout_s=5.0)
+            results.append(await trial.call(3, request))
+
+        def set_state(state: EndpointState) -> None:
+            endpoint = builders.build_endpoint(state=state)
+            for index in range(3):
+                runner = trial.daemons[index].runner
+                runner.set_backend(endpoint, f'backend-{index}')
+
+        set_state(EndpointState.STARTING)
+        nursery.start_soon(call)
+        await trio.sleep(1.0)
+        assert not results
+        set_state(EndpointState.READY)
+        await trio.sleep(2.0)
+        assert results == ['response']
+
+
 async def test_overload_is_refused_before_the_run(
     autojump_clock: MockClock,
 ) -> None:
@@ -196,6 +227,29 @@
         assert set(trial.backend.runs.values()) == {1}
 
 
+async def test_keys_of_a_planned_stop_are_handed_over(
+    autojump_clock: MockClock,
+) -> None:
+    """The next owners run new keys and no key for a second time.
+
+    They refused half of the keyed requests as unknown for 600 s, since
+    nobody could be asked about the keys of the daemon that had stopped.
+    """
+    async with _trial(daemons=6) as trial:
+        keys = [trial.request(f'k{i}', key=f'k{i}') for i in range(30)]
+        for request in keys:
+            assert await trial.call(5, request) == 'response'
+        await trial.daemons[0].runner.drain()
+        trial._nursery.start_soon(trial.restart, 0, 30.0)
+        await trio.sleep(10.0)
+        results = [await trial.call(5, request) for request in keys]
+        assert set(results) == {'response', 'run'}
+        for index in range(30):
+            request = trial.request(f'n{index}', key=f'n{index}')
+            assert await trial.call(5, request) == 'response'
+        assert set(trial.backend.runs.values()) == {1}
+
+
 async def test_cancelled_calls_in_the_queue_release_their_slots(
     autojump_clock: MockClock,
 ) -> None:
