Bound the reads of seeds in the platform

Cause: every daemon read the readers' records from the platform about every 30 s to find groups that started apart, and once more at each start.

Change: about 4 daemons of a zone look per 30 s; one that finds the other group is enough. A start asks the platform only after the configured seeds failed, or without any.

Ruled out: only readers look, because a group without the platform's leases has none.

Conclusion: 2.7 reads a second at 20 zones, calculated.

--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -74,6 +74,8 @@
 _FRESH_S = 30.0
 """Deaths learned later than this are not passed on as news."""
 _ZONE_FAILURES = 3
+_RESEEDERS = 4
+"""Daemons of a zone that look for unknown seeds per `reseed_s`, on average."""
 
 DigestProvider = Callable[[], Digest]
 DigestCallback = Callable[[str, Digest], None]
@@ -711,9 +713,16 @@
         finally:
             self._joins -= joining
 
-    async def _seeds(self) -> list[str]:
+    async def _seeds(self, *, look_up: bool) -> list[str]:
+        """Return addresses to join through, in random order.
+
+        Parameters
+        ----------
+        look_up : bool
+            Whether to ask the seed source as well, which reads the platform.
+        """
         seeds = {*self._settings.seeds, *self._hints}
-        if self._seed_source is not None:
+        if look_up and self._seed_source is not None:
             try:
                 seeds.update(await self._seed_source())
             except Exception as error:
@@ -728,8 +737,11 @@
         settings = self._settings
         await trio.sleep(self._rng.uniform(0, settings.jitter_s))
         delay = settings.interval_s / 2
+        # When a zone returns, 1,250 daemons would read the platform at once.
+        look_up = not settings.seeds
         while not self._joined.is_set():
-            seeds = await self._seeds()
+            seeds = await self._seeds(look_up=look_up)
+            look_up = True
             for address in seeds:
                 if await self._pull(address, ()) is not None:
                     self._joined.set()
@@ -748,7 +760,11 @@
                 for item in self._table.members()
                 if item.status is MemberStatus.ALIVE
             }
-            for address in await self._seeds():
+            # A group that started apart is found by any one of its members;
+            # all 25,000 together would read the platform 800 times a second.
+            size = len(self._table.alive(self.me.zone))
+            look_up = self._rng.random() * size < _RESEEDERS
+            for address in await self._seeds(look_up=look_up):
                 if address not in known:
                     await self._pull(
                         address,
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -237,6 +237,24 @@
             assert len(item.service.table.endpoints('availability')) == 1
 
 
+async def test_reads_of_the_platform_do_not_grow_with_the_zone(
+    autojump_clock: MockClock,
+) -> None:
+    # Every daemon once looked for seeds in the platform every 30 s.
+    reads = []
+
+    async def read() -> list[str]:
+        reads.append(trio.current_time())
+        return []
+
+    async with _fleet(zones=1, size=42) as fleet:
+        for daemon in fleet.daemons:
+            daemon.service.set_seed_source(read)
+        await trio.sleep(300)
+    # About 40 are expected; without the limit there are 420.
+    assert 10 <= len(reads) <= 80
+
+
 async def test_two_groups_that_started_apart_find_each_other(
     autojump_clock: MockClock,
 ) -> None:
