Keep a daemon alive when a cancelled receive meets a frame

When a receive is cancelled, by a timeout for instance, its task is scheduled but still entered as the receiver until it runs. A frame, or the end of the stream, in the same turn of the event loop scheduled it again, which ends the process. Heartbeats that time out on a busy machine are enough for this.

Change: the cancellation removes the receiver. The new test fails without the change.

Ruled out: nothing else was looked into.

Measured: nothing.

--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -187,7 +187,7 @@
                 raise trio.BusyResourceError('another task receives')
             self._receiver = trio.lowlevel.current_task()
             try:
-                await trio.lowlevel.wait_task_rescheduled(_abort)
+                await trio.lowlevel.wait_task_rescheduled(self._abort)
             finally:
                 self._receiver = None
         message, size = self._queue.popleft()
@@ -269,6 +269,12 @@
     def _write(self, kind: Kind, payload: bytes | int) -> None:
         self._stream.write(self.number, kind, payload, self.is_call)
 
+    def _abort(self, _: object) -> trio.lowlevel.Abort:
+        # A frame that arrives before the cancelled task runs must not
+        # schedule it a second time; trio ends the process then.
+        self._receiver = None
+        return trio.lowlevel.Abort.SUCCEEDED
+
     def _wake(self) -> None:
         if self._receiver is not None:
             trio.lowlevel.reschedule(self._receiver)
@@ -277,10 +283,6 @@
             self._senders.unpark_all()
 
 
-def _abort(_: object) -> trio.lowlevel.Abort:
-    return trio.lowlevel.Abort.SUCCEEDED
-
-
 class Stream:
     """A stream to one peer.
 
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -17,6 +17,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from gypsumhall.errors import PeerLostError
 from gypsumhall.errors import PeerProtocolError
@@ -24,6 +25,7 @@
 from gypsumhall.net import _frames
 from gypsumhall.net import _handshake
 from gypsumhall.net import _messages
+from gypsumhall.net._frames import Kind
 from gypsumhall.net._network import Network
 from gypsumhall.net._network import PeerSettings
 from gypsumhall.net._stream import StreamSettings
@@ -522,3 +524,25 @@
                 size for key, size in found.items() if key[1] == direction
             )
             assert total == one.traffic.sizes[index]
+
+
+async def test_a_frame_may_arrive_while_its_receiver_is_cancelled() -> None:
+    # Both in one turn of the event loop scheduled the task twice, which
+    # ended the daemon.
+    async with (
+        _peers() as (one, two, _),
+        one.open(two.me.address, _CALL) as exchange,
+    ):
+        assert isinstance(await exchange.receive(), _messages.AnswerStart)
+
+        async def receive() -> None:
+            with scope:
+                await exchange.receive()
+
+        scope = trio.CancelScope()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(receive)
+            await trio.testing.wait_all_tasks_blocked()
+            scope.cancel()
+            exchange.handle(Kind.DATA, _frames.encode_message(_FLOOR))
+        assert await exchange.receive() == _FLOOR
