Test a move's evidence over all zones without the platform

Cause: with the platform down, each zone's judge tested its own half of the calls only, so a version that fails every call at a share of 1 % took longer to revert than necessary. The soak raised the share to 1, which leaves no calls of the old version to compare with.

Change: a judge whose own evidence speaks against the version pulls the closed intervals of the judges of the other zones with endpoints of the service and tests them together, as the controller does. What is closed is fixed before the pulls: a pull that waits for an unreachable judge made the controller close intervals it had not asked the other judges for. A verdict that arrives while the head is read stops the step. One report per interval, even if a sleep ends early.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 demo: venv
 	$(PY) -m gypsumhall.cli.demo
+
+bench-moves: venv
+	$(PY) -m benchmarks.bench_moves --trials=1000 --processes=3
--- a/benchmarks/bench_moves.py
+++ b/benchmarks/bench_moves.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 import statistics
 import time
+from typing import NamedTuple
 
 from absl import app
 from absl import flags
@@ -79,8 +80,11 @@
         Share from which it is bad (a fault under load only).
     routes : int
         Routes on which it is bad.
-    zone_fault, overload, sick_vm, cold_start : bool
-        Faults that are not the version's.
+    zone_fault, overload, sick_vm, cold_start, rack_fault : bool
+        Faults that are not the version's. A rack fault takes the old
+        version's endpoints of a zone away, and the new one's there fail.
+    one_zone : bool
+        Whether the new version has endpoints in the first zone only.
     """
 
     name: str
@@ -95,6 +99,8 @@
     overload: bool = False
     sick_vm: bool = False
     cold_start: bool = False
+    rack_fault: bool = False
+    one_zone: bool = False
 
 
 KINDS = (
@@ -116,6 +122,28 @@
     Kind('slow later', False, slow=6.0, after=0.5),
     Kind('slow under load', False, slow=6.0, min_share=0.5),
     Kind('fails in a zone fault', False, fails=0.5, zone_fault=True),
+    Kind('good, one zone in a fault', True, one_zone=True, zone_fault=True),
+    Kind('fails, in one zone only', False, fails=0.5, one_zone=True),
+    Kind(
+        'fails, one zone in a fault',
+        False,
+        fails=0.9,
+        one_zone=True,
+        zone_fault=True,
+    ),
+    Kind('good in a rack fault', True, rack_fault=True),
+    Kind('fails in a rack fault', False, fails=0.5, rack_fault=True),
+    Kind('fails 2 %', False, fails=0.02),
+    Kind('good, zone and overload', True, zone_fault=True, overload=True),
+    Kind('good, sick VM and overload', True, sick_vm=True, overload=True),
+    Kind('good, sick VM and zone', True, sick_vm=True, zone_fault=True),
+    Kind(
+        'fails, zone and overload',
+        False,
+        fails=0.5,
+        zone_fault=True,
+        overload=True,
+    ),
 )
 
 
@@ -196,6 +224,17 @@
         return super().decide(move, now)
 
 
+class _Row(NamedTuple):
+    """Calls of the senders of one zone to one endpoint."""
+
+    sender: int
+    zone: int
+    route: int
+    is_new: bool
+    endpoint: int
+    calls: int
+
+
 @dataclass(slots=True)
 class World:
     """Draws the results of the calls of one trial."""
@@ -244,23 +283,31 @@
         self.result.calls += int(total.sum())
         rows = []
         for cell in range(cells):
-            zone, route = divmod(cell, len(ROUTES))
-            rows += self._rows(zone, route, False, total[cell] - new[cell])
-            rows += self._rows(zone, route, True, new[cell])
+            sender, route = divmod(cell, len(ROUTES))
+            old, moved = total[cell] - new[cell], new[cell]
+            rows += self._rows(t, sender, route, False, old)
+            rows += self._rows(t, sender, route, True, moved)
         return self._results(t, move, thresholds, rows)
 
     def _rows(
-        self, zone: int, route: int, is_new: bool, calls: int
-    ) -> list[tuple[int, int, bool, int, int]]:
-        """Divide the calls of a zone over its endpoints."""
+        self, t: float, sender: int, route: int, is_new: bool, calls: int
+    ) -> list[_Row]:
+        """Divide the calls of a sender's zone over the endpoints."""
         number = self.new_endpoints if is_new else self.old_endpoints
-        local = [i for i in range(number) if i % len(ZONES) == zone]
+        zone = sender
+        if is_new and self.kind.one_zone:
+            zone = 0
+            local = list(range(number))
+        else:
+            if self.kind.rack_fault and self.faulty(t) and not is_new:
+                zone = max(zone, 1)
+            local = [i for i in range(number) if i % len(ZONES) == zone]
         if len(local) == 1:
             split = [calls]
         else:
             split = self.rng.multinomial(calls, [1 / len(local)] * len(local))
         return [
-            (zone, route, is_new, endpoint, int(count))
+            _Row(sender, zone, route, is_new, endpoint, int(count))
             for endpoint, count in zip(local, split, strict=True)
             if count
         ]
@@ -270,65 +317,65 @@
         t: float,
         move: Move,
         thresholds: dict[str, float],
-        rows: list[tuple[int, int, bool, int, int]],
+        rows: list[_Row],
     ) -> list[Counts]:
         bad = [
-            is_new and self.is_bad(t, move.share, route)
-            for _zone, route, is_new, _endpoint, _calls in rows
+            row.is_new and self.is_bad(t, move.share, row.route)
+            for row in rows
         ]
         medians = [
-            self._median(t, row[2], is_bad)
+            self._median(t, row.is_new, is_bad)
             for row, is_bad in zip(rows, bad, strict=True)
         ]
-        calls = [row[4] for row in rows]
+        calls = [row.calls for row in rows]
         failures = self.rng.binomial(
             calls,
             [
-                self._failure(t, row[0], row[3], row[2], is_bad)
+                self._failure(t, row, is_bad)
                 for row, is_bad in zip(rows, bad, strict=True)
             ],
         )
         slow = self.rng.binomial(
             calls,
             [
-                _tail(thresholds.get(ROUTES[row[1]]), median)
+                _tail(thresholds.get(ROUTES[row.route]), median)
                 for row, median in zip(rows, medians, strict=True)
             ],
         )
         found = []
-        for index, (zone, route, is_new, endpoint, count) in enumerate(rows):
+        for index, row in enumerate(rows):
             failed, late = int(failures[index]), int(slow[index])
             if bad[index]:
-                self._account(count, failed, late, move.stage)
-            if is_new and self.kind.cold_start and t < COLD_START_S:
+                self._account(row.calls, failed, late, move.stage)
+            if row.is_new and self.kind.cold_start and t < COLD_START_S:
                 # Runners leave out slow calls during a cold start.
                 late = 0
-            version = 'v2' if is_new else 'v1'
+            version = 'v2' if row.is_new else 'v1'
             found.append(
                 Counts(
-                    ROUTES[route],
+                    ROUTES[row.route],
                     version,
-                    f'{version}-{endpoint}',
-                    ZONES[zone],
-                    count,
+                    f'{version}-{row.endpoint}',
+                    ZONES[row.zone],
+                    row.calls,
                     failed,
                     late,
                     tuple(medians[index] * q for q in QUANTILES),
-                    ZONES[zone],
+                    ZONES[row.sender],
                 )
             )
         return found
 
-    def _failure(
-        self, t: float, zone: int, endpoint: int, is_new: bool, bad: bool
-    ) -> float:
+    def _failure(self, t: float, row: _Row, bad: bool) -> float:
         chance = self.base_failure
         if self.faulty(t):
-            if self.kind.zone_fault and zone == 0:
+            if (self.kind.zone_fault or self.kind.rack_fault) and (
+                row.zone == 0
+            ):
                 chance = 0.5
             if self.kind.overload:
-                chance = 0.3
-            if self.kind.sick_vm and is_new and endpoint == 0:
+                chance = max(chance, 0.3)
+            if self.kind.sick_vm and row.is_new and row.endpoint == 0:
                 chance = 0.8
         return max(chance, self.kind.fails) if bad else chance
 
--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -175,7 +175,7 @@
     move_id : str
         Id of the move.
     stage : int
-        Index of the new stage, greater than the present one.
+        Index of the new stage, the one after the present stage.
     share : float
         Share of the calls for the new version, over the present one.
     now : float
@@ -184,13 +184,14 @@
     Returns
     -------
     Head or None
-        None when the move is not active or has reached that stage.
+        None when the move is not active or not in the stage before.
     """
     move = head.moves.get(move_id)
     if (
         move is None
         or move.state is not MoveState.ACTIVE
-        or stage <= move.stage
+        or stage != move.stage + 1
+        or stage >= STAGES
         or not move.share < share <= 1.0
     ):
         return None
@@ -203,9 +204,10 @@
 def start_soak(
     head: _model.Head, move_id: str, now: float
 ) -> _model.Head | None:
-    """Return the head with a move in its soak, at share 1.
+    """Return the head with a move in its soak.
 
-    None when the move is not active or was not in the last stage.
+    The share stays that of the last stage, since the test compares calls to
+    both versions. None when the move is not active or not in that stage.
     """
     move = head.moves.get(move_id)
     if (
@@ -215,7 +217,7 @@
     ):
         return None
     changed = msgspec.structs.replace(
-        move, state=MoveState.SOAKING, share=1.0, stage_started=now
+        move, state=MoveState.SOAKING, stage_started=now
     )
     return _with_moves(head, {move_id: changed})
 
--- a/gypsumhall/core/_evidence.py
+++ b/gypsumhall/core/_evidence.py
@@ -257,6 +257,12 @@
         """
         return self._stage_cell.excess_rate
 
+    @property
+    def statistic(self) -> float:
+        """Largest statistic over all routes and kinds of fault."""
+        values = (item.value for item in self._statistics.values())
+        return max(values, default=0.0)
+
     @property
     def suspicion(self) -> float:
         """Largest statistic without its worst failure domain."""
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -6,7 +6,6 @@
 import contextlib
 from dataclasses import dataclass
 from dataclasses import field
-import functools
 import time
 from typing import TYPE_CHECKING
 
@@ -67,8 +66,11 @@
 
 
 @dataclass(slots=True)
-class _Controlled:
-    """What the controller knows of one move."""
+class _Joined:
+    """Evidence about one move from the judges of all zones.
+
+    `positions` holds the last interval received by judge address.
+    """
 
     judge: Judge
     positions: dict[str, int] = field(default_factory=dict)
@@ -79,13 +81,17 @@
     """Evidence, verdicts and stages of moves; the service ``moves``.
 
     A daemon beside a backend server reports its results to the judge of its
-    zone. The judge reverts a bad version without the platform. The daemon
-    that holds the controller lease pulls the evidence of all judges and
+    zone. The judge reverts a bad version without the platform. While its own
+    zone's evidence speaks against a version, it also pulls the evidence of
+    the judges of the other zones and tests all of it together: at a share of
+    1 % one zone alone may take longer than the stage lasts. The daemon that
+    holds the controller lease pulls the evidence of all judges as well and
     advances the moves in the head.
 
     An endpoint of a moving service sends one report of about 100 bytes per
     route every 500 ms; other daemons send nothing. A judge answers one pull
-    every 500 ms.
+    every 500 ms from the controller, and one from each judge that has
+    evidence against the version.
 
     Parameters
     ----------
@@ -98,6 +104,7 @@
         '_controlled',
         '_distribution',
         '_events',
+        '_joined',
         '_judges',
         '_membership',
         '_peers',
@@ -122,7 +129,8 @@
     def __init__(self, *, wall_clock: Callable[[], float] = time.time) -> None:
         self._wall_clock = wall_clock
         self._judges: dict[str, Judge] = {}
-        self._controlled: dict[str, _Controlled] = {}
+        self._joined: dict[str, _Joined] = {}
+        self._controlled: dict[str, _Joined] = {}
         self._recorder: Recorder | None = None
         self._ready_since: float | None = None
 
@@ -147,6 +155,7 @@
         self._peers.on(EvidencePull, self._on_pull)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_intervals)
+            nursery.start_soon(self._run_joint_tests)
             nursery.start_soon(self._run_controller)
             task_status.started()
 
@@ -189,8 +198,12 @@
 
     async def _run_intervals(self) -> None:
         while True:
-            left = INTERVAL_S - self._wall_clock() % INTERVAL_S
-            await trio.sleep(left)
+            started = self._interval()
+            # The wall clock may be short of the boundary after the sleep; a
+            # second report of one interval would replace the first.
+            while self._interval() == started:
+                left = INTERVAL_S - self._wall_clock() % INTERVAL_S
+                await trio.sleep(left)
             self._note_readiness()
             active = self._active_moves()
             self._forget(active)
@@ -286,15 +299,114 @@
         self._distribution.add_revert(Revert(move, reason, me))
 
     async def _on_pull(self, exchange: Exchange, pull: EvidencePull) -> None:
-        found: list[Evidence] = []
-        for position in pull.positions:
-            judge = self._judges.get(position.move)
-            if judge is not None:
-                found += judge.since(position.after_interval)
+        found = self._kept_evidence(pull.positions)
         await exchange.send(
             EvidenceBatch(tuple(found), self._events.clock.now())
         )
 
+    # Evidence of all zones
+
+    async def _run_joint_tests(self) -> None:
+        """Test the evidence of all zones that this judge can reach."""
+        while True:
+            await trio.sleep(INTERVAL_S)
+            suspected = {
+                name: move
+                for name, move in self._active_moves().items()
+                if name in self._judges
+                and self._judges[name].test.statistic > 0
+                # The controller tests the same evidence.
+                and name not in self._controlled
+            }
+            await self._collect(suspected, self._joined)
+            for name, known in self._joined.items():
+                verdict = known.judge.test.verdict
+                if verdict is not None:
+                    self._condemn(name, str(verdict))
+
+    async def _collect(
+        self, moves: Mapping[str, Move], joined: dict[str, _Joined]
+    ) -> None:
+        """Pull and test what the judges of all zones have closed.
+
+        Parameters
+        ----------
+        moves : dict of str to Move
+            Moves whose evidence is wanted.
+        joined : dict of str to _Joined
+            Evidence by move; entries of other moves are dropped.
+        """
+        for name in [name for name in joined if name not in moves]:
+            del joined[name]
+        wanted: dict[str, list[str]] = defaultdict(list)
+        for name, move in moves.items():
+            if name not in joined:
+                joined[name] = _Joined(Judge(name, move.spec.to_version))
+            for address in self._judge_addresses(name, move):
+                wanted[address].append(name)
+        # Taken before the pulls: while one of them waits for an unreachable
+        # judge, the others close intervals that were not asked for.
+        last = self._interval() - 1 - CONTROLLER_LAG
+        async with trio.open_nursery() as nursery:
+            for address, names in wanted.items():
+                nursery.start_soon(self._pull, address, names, joined)
+        for name in moves:
+            joined[name].judge.close(last)
+
+    def _judge_addresses(self, name: str, move: Move) -> set[str]:
+        """Return the judges of the zones with endpoints of the service."""
+        members = self._membership.table.endpoints(move.spec.service)
+        judges = (
+            self._judge_of(name, zone)
+            for zone in {member.zone for member in members}
+        )
+        return {judge.peer_address for judge in judges if judge is not None}
+
+    async def _pull(
+        self, address: str, names: list[str], joined: Mapping[str, _Joined]
+    ) -> None:
+        positions = tuple(
+            EvidencePosition(name, joined[name].positions.get(address, 0))
+            for name in names
+        )
+        if address == self._membership.me.peer_address:
+            found = self._kept_evidence(positions)
+        else:
+            try:
+                batch = await self._peers.request(
+                    address,
+                    EvidencePull(positions),
+                    timeout_s=_REQUEST_TIMEOUT_S,
+                )
+            except PeerError:
+                return
+            if not isinstance(batch, EvidenceBatch):
+                return
+            self._events.clock.observe(batch.time)
+            found = list(batch.evidence)
+        now = trio.current_time()
+        for name in names:
+            joined[name].reported = now
+        for evidence in found:
+            known = joined.get(evidence.move)
+            if known is not None:
+                known.judge.add(evidence)
+                known.positions[address] = max(
+                    known.positions.get(address, 0), evidence.interval
+                )
+
+    def _kept_evidence(
+        self, positions: Iterable[EvidencePosition]
+    ) -> list[Evidence]:
+        return [
+            evidence
+            for position in positions
+            if position.move in self._judges
+            for evidence in self._judges[position.move].since(
+                position.after_interval
+            )
+        ]
+
     # Controller
 
     async def _run_controller(self) -> None:
@@ -317,26 +429,24 @@
             CONTROLLER_KEY, value, LEASE_TTL_S, wait=False
         ) as lease:
             self._events.emit('controller-started')
-            self._controlled.clear()
-            while lease.valid(trio.current_time()):
-                await self._control(lease)
-                with trio.move_on_after(INTERVAL_S):
-                    await lease.lost.wait()
+            try:
+                while lease.valid(trio.current_time()):
+                    await self._control(lease)
+                    with trio.move_on_after(INTERVAL_S):
+                        await lease.lost.wait()
+            finally:
+                self._controlled.clear()
             self._events.emit('controller-stopped')
 
     async def _control(self, lease: Lease) -> None:
         moves = self._moves_in_head()
-        for name in [name for name in self._controlled if name not in moves]:
-            del self._controlled[name]
-        if not moves:
-            return
         await self._write_reverts(lease, moves)
         active = {
             name: move
             for name, move in moves.items()
             if name not in self._distribution.reverts
         }
-        await self._collect(active)
+        await self._collect(active, self._controlled)
         for name, move in active.items():
             await self._step(lease, name, move)
 
@@ -362,67 +472,9 @@
                 lambda head: _accept.revert_moves(head, reasons, now),
             )
 
-    async def _collect(self, active: Mapping[str, Move]) -> None:
-        for name, move in active.items():
-            if name not in self._controlled:
-                judge = Judge(name, move.spec.to_version)
-                self._controlled[name] = _Controlled(judge)
-        wanted: dict[str, list[str]] = defaultdict(list)
-        zones = {member.zone for member in self._membership.table.members()}
-        for zone in sorted(zones):
-            for name in active:
-                judge_member = self._judge_of(name, zone)
-                if judge_member is not None:
-                    wanted[judge_member.peer_address].append(name)
-        async with trio.open_nursery() as nursery:
-            for address, names in wanted.items():
-                nursery.start_soon(self._pull, address, names)
-        last = self._interval() - 1 - CONTROLLER_LAG
-        for name in active:
-            self._controlled[name].judge.close(last)
-
-    async def _pull(self, address: str, names: list[str]) -> None:
-        positions = tuple(
-            EvidencePosition(
-                name, self._controlled[name].positions.get(address, 0)
-            )
-            for name in names
-        )
-        me = self._membership.me
-        if address == me.peer_address:
-            found = [
-                item
-                for position in positions
-                if position.move in self._judges
-                for item in self._judges[position.move].since(
-                    position.after_interval
-                )
-            ]
-        else:
-            try:
-                batch = await self._peers.request(
-                    address,
-                    EvidencePull(positions),
-                    timeout_s=_REQUEST_TIMEOUT_S,
-                )
-            except PeerError:
-                return
-            if not isinstance(batch, EvidenceBatch):
-                return
-            self._events.clock.observe(batch.time)
-            found = list(batch.evidence)
-        now = trio.current_time()
-        for name in names:
-            self._controlled[name].reported = now
-        for evidence in found:
-            known = self._controlled.get(evidence.move)
-            if known is not None:
-                known.judge.add(evidence)
-                known.positions[address] = max(
-                    known.positions.get(address, 0), evidence.interval
-                )
-
     async def _step(self, lease: Lease, name: str, move: Move) -> None:
+        if name in self._distribution.reverts:
+            return
         known = self._controlled[name]
         now = self._wall_clock()
         decision = _moves.decide(
@@ -439,9 +491,13 @@
         if decision.step is _moves.Step.REVERT:
             self._condemn(name, decision.reason)
             return
-        transition = functools.partial(
-            _advance, name=name, move=move, decision=decision, now=now
-        )
+
+        def transition(head: Head) -> Head | None:
+            # A verdict of a zone's judge may arrive while the head is read.
+            if name in self._distribution.reverts:
+                return None
+            return advance(head, name, move, decision, now)
+
         head = await self._apply(lease, transition)
         if head is not None:
             self._events.emit(
@@ -484,7 +540,7 @@
             return None
 
 
-def _advance(
+def advance(
     head: Head,
     name: str,
     move: Move,
--- a/tests/test_core_accept.py
+++ b/tests/test_core_accept.py
@@ -9,6 +9,7 @@
 from gypsumhall.core import _accept
 from gypsumhall.core import _model
 from gypsumhall.core._model import MoveState
+from gypsumhall.core._moves import STAGE_SHARES
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.core._text import read_text
 
@@ -91,7 +92,10 @@
         Snapshot.build(self.head, self.fragments.values())
 
     def finish(self, move_id: str) -> None:
-        self.change(_accept.advance_stage, move_id, 4, 1.0)
+        first = self.head.moves[move_id].stage + 1
+        for stage in range(first, len(STAGE_SHARES)):
+            share = STAGE_SHARES[stage]
+            self.change(_accept.advance_stage, move_id, stage, share)
         self.change(_accept.start_soak, move_id)
         self.change(_accept.finish_move, move_id)
 
@@ -198,6 +202,7 @@
     fleet = _Fleet(_OWN, _OWN + _MOVE)
     move = fleet.head.moves['spa/up']
     assert (move.stage, move.share, move.started) == (0, 0.01, 1000.0)
+    fleet.change(_accept.advance_stage, 'spa/up', 1, 0.05)
     fleet.change(_accept.advance_stage, 'spa/up', 2, 0.2)
     fleet.now += 20
     # The same text later: "within" still counts from the first time.
@@ -256,6 +261,23 @@
     assert fleet.used('bookings') == 'v2'
 
 
+def test_the_soak_keeps_calls_on_the_old_version() -> None:
+    # At share 1 a version that turns bad during its soak has no old calls
+    # to be compared with and gives no evidence.
+    fleet = _Fleet(_OWN + _MOVE)
+    for stage, share in enumerate(STAGE_SHARES[1:], 1):
+        assert _accept.start_soak(fleet.head, 'spa/up', 0.0) is None
+        fleet.change(_accept.advance_stage, 'spa/up', stage, share)
+    fleet.change(_accept.start_soak, 'spa/up')
+    move = fleet.head.moves['spa/up']
+    assert (move.state, move.share) == (MoveState.SOAKING, 0.9)
+    assert fleet.used('bookings') == 'v1'
+    fleet.change(_accept.finish_move, 'spa/up')
+    move = fleet.head.moves['spa/up']
+    assert (move.state, move.share) == (MoveState.DONE, 1.0)
+    assert fleet.head.current == {'bookings': 'v2'}
+
+
 def test_final_states_are_absorbing() -> None:
     for end in (MoveState.DONE, MoveState.REVERTED):
         fleet = _Fleet(_OWN + _MOVE)
@@ -264,6 +286,7 @@
         assert _accept.finish_move(early, 'spa/up', 0.0) is None
         assert _accept.advance_stage(early, 'spa/up', 0, 0.5, 0.0) is None
         assert _accept.advance_stage(early, 'spa/up', 1, 0.01, 0.0) is None
+        assert _accept.advance_stage(early, 'spa/up', 2, 0.2, 0.0) is None
         if end is MoveState.DONE:
             fleet.finish('spa/up')
         else:
--- a/tests/test_core_moves.py
+++ b/tests/test_core_moves.py
@@ -2,15 +2,30 @@
 
 from __future__ import annotations
 
+import hypothesis
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
 import msgspec
 import pytest
 
+from gypsumhall.core import _accept
 from gypsumhall.core import _moves
 from gypsumhall.core._evidence import EvidenceTest
+from gypsumhall.core._judge import Judge
+from gypsumhall.core._model import Head
 from gypsumhall.core._model import Move
 from gypsumhall.core._model import MoveState
 from gypsumhall.core._moves import Step
+from gypsumhall.core._reverts import RevertSet
+from gypsumhall.core._snapshot import Snapshot
+from gypsumhall.net._messages import Evidence
+from gypsumhall.net._messages import Revert
+from gypsumhall.services._moves import advance
 from gypsumhall.testing.builders import build_counts
+from gypsumhall.testing.builders import build_fragment
+from gypsumhall.testing.builders import build_head
 from gypsumhall.testing.builders import build_move
 
 LAST = len(_moves.STAGE_SHARES) - 1
@@ -154,3 +169,177 @@
         assert _decide(_move(0, state), 1.0, test).step is Step.REVERT
     for state in (MoveState.DONE, MoveState.REVERTED):
         assert _decide(_move(0, state), 1.0, test).step is Step.HOLD
+
+
+_DAEMONS = st.integers(0, 2)
+_CONTROLLERS = st.integers(0, 1)
+
+
+class MoveMachine(RuleBasedStateMachine):
+    """Two controllers and three daemons with views of different ages.
+
+    Guards against a stale controller that repeats or skips a stage, a final
+    state that is left, and calls to a version that a daemon knows as bad.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        spec = build_move()
+        self.id = spec.id
+        self.fragment = build_fragment(moves=[spec])
+        move = Move(spec, MoveState.ACTIVE, 0, 0.01, 0.0, 0.0)
+        self.head = build_head([self.fragment], moves=[move])
+        self.now = 0.0
+        self.interval = 1
+        self.judges = [Judge(self.id, 'v2') for _ in range(3)]
+        self.controllers = [Judge(self.id, 'v2') for _ in range(2)]
+        self.snapshots = [self.build(self.head)] * 3
+        self.reverts = [RevertSet() for _ in range(3)]
+        self.views = [self.head] * 2
+        self.steps: list[tuple[Move, _moves.Decision, float] | None]
+        self.steps = [None] * 2
+        self.writes: list[tuple[Head, Head] | None] = [None] * 2
+        self.reports: list[Evidence] = []
+
+    def build(self, head: Head) -> Snapshot:
+        return Snapshot.build(head, [self.fragment])
+
+    def swap(self, known: Head, following: Head | None) -> None:
+        if following is None or known is not self.head:
+            return
+        before, after = known.moves[self.id], following.moves[self.id]
+        assert not before.state.final
+        if after.state is MoveState.REVERTED:
+            assert (after.share, after.stage) == (0.0, before.stage)
+        else:
+            assert after.share >= before.share
+            assert after.stage - before.stage == (
+                after.state is MoveState.ACTIVE
+            )
+        if after.state is MoveState.DONE:
+            assert before.state is MoveState.SOAKING
+            soaked = after.stage_started - before.stage_started
+            assert soaked >= _moves.SHORTEST_SOAK * before.spec.soak_s
+        self.head = following
+
+    @rule(seconds=st.sampled_from([0.5, 5.0, 60.0, 200.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        self.interval += 1
+
+    @rule(
+        calls=st.sampled_from([1, 20]),
+        bad=st.booleans(),
+        age=st.integers(0, 3),
+    )
+    def report(self, calls: int, bad: bool, age: int) -> None:
+        stage = self.head.moves[self.id].stage
+        counts = [
+            build_counts('v1', 100, 0, endpoint='o1'),
+            build_counts('v2', calls, calls * bad, endpoint='n1'),
+        ]
+        self.reports.append(
+            Evidence(self.id, stage, self.interval - age, tuple(counts))
+        )
+
+    @rule(daemon=_DAEMONS, choice=st.integers(0, 1000))
+    def deliver(self, daemon: int, choice: int) -> None:
+        """Deliver any report, perhaps again, to a judge and a controller."""
+        if self.reports:
+            report = self.reports[choice % len(self.reports)]
+            self.judges[daemon].add(report)
+            self.controllers[daemon % 2].add(report)
+
+    @rule(daemon=_DAEMONS)
+    def close(self, daemon: int) -> None:
+        verdict = self.judges[daemon].close(self.interval)
+        if verdict is not None:
+            self.condemn(daemon, str(verdict))
+
+    def condemn(self, daemon: int, reason: str) -> None:
+        self.reverts[daemon].add_own(
+            Revert(self.id, reason, f'd{daemon}'), self.snapshots[daemon]
+        )
+
+    @rule(one=_DAEMONS, other=_DAEMONS)
+    def gossip(self, one: int, other: int) -> None:
+        self.reverts[other].merge(
+            self.reverts[one].reverts.values(),
+            self.snapshots[one].version,
+            self.snapshots[other],
+        )
+
+    @rule(daemon=_DAEMONS)
+    def install(self, daemon: int) -> None:
+        self.snapshots[daemon] = self.build(self.head)
+        self.reverts[daemon].prune(self.snapshots[daemon])
+
+    @rule(one=_CONTROLLERS)
+    def look(self, one: int) -> None:
+        self.views[one] = self.head
+
+    @rule(one=_CONTROLLERS)
+    def decide(self, one: int) -> None:
+        self.controllers[one].close(self.interval)
+        move = self.views[one].moves[self.id]
+        decision = _decide(move, self.now, self.controllers[one].test)
+        if decision.step is Step.REVERT:
+            self.condemn(one, decision.reason)
+        elif decision.step is not Step.HOLD:
+            self.steps[one] = (move, decision, self.now)
+
+    @rule(one=_CONTROLLERS)
+    def read_head(self, one: int) -> None:
+        """Evaluate the transition of the last decision."""
+        step = self.steps[one]
+        if step is not None:
+            move, decision, now = step
+            following = advance(self.head, self.id, move, decision, now)
+            if following is not None:
+                self.writes[one] = (self.head, following)
+
+    @rule(one=_CONTROLLERS, answered=st.booleans())
+    def write_head(self, one: int, answered: bool) -> None:
+        write = self.writes[one]
+        if write is not None:
+            self.swap(*write)
+            # Without an answer the same write and step come again.
+            if answered:
+                self.steps[one] = self.writes[one] = None
+
+    @rule(one=_CONTROLLERS)
+    def write_reverts(self, one: int) -> None:
+        reverts = self.reverts[one].reverts
+        if reverts:
+            reasons = {name: item.reason for name, item in reverts.items()}
+            self.swap(
+                self.head,
+                _accept.revert_moves(self.head, reasons, self.now),
+            )
+
+    @rule(daemon=_DAEMONS)
+    def abort(self, daemon: int) -> None:
+        self.condemn(daemon, 'aborted')
+        self.swap(
+            self.head,
+            _accept.revert_moves(self.head, {self.id: 'aborted'}, self.now),
+        )
+
+    @invariant()
+    def no_calls_to_a_reverted_version(self) -> None:
+        for snapshot, reverts in zip(
+            self.snapshots, self.reverts, strict=True
+        ):
+            split = snapshot.split('availability', reverts.reverts)
+            move = snapshot.head.moves[self.id]
+            if move.state is MoveState.DONE:
+                assert split.old_version == 'v2'
+            elif self.id in reverts.reverts or move.state.final:
+                assert (split.old_version, split.share) == ('v1', 0.0)
+                assert split.new_version is None
+
+
+TestMoveMachine = MoveMachine.TestCase
+TestMoveMachine.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=60, deadline=None
+)
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -356,7 +356,7 @@
                 if kind == 'revert':
                     return _accept.revert_moves(head, {move_id: 'bad'}, _NOW)
                 if kind == 'advance':
-                    stage = head.moves[move_id].stage + 2
+                    stage = head.moves[move_id].stage + 1
                     return _accept.advance_stage(
                         head, move_id, stage, stage / 4, _NOW
                     )
