Bring the merged parts together

Cause: tests of the moves and the membership used fakes that had been merged into others, and the network in memory kept every link it had ever opened, so that a test of 300 virtual seconds took over two minutes.

--- a/benchmarks/check_proofs.py
+++ b/benchmarks/check_proofs.py
@@ -89,7 +89,8 @@
         'core/_replica.py',
         '        if (version, update.digest) in self._rejected:\n'
         '            return []\n        base = None',
-        '        self._snapshot = Snapshot(update.head, {})\n        base = None',
+        '        self._snapshot = Snapshot(update.head, {})\n'
+        '        base = None',
         'tests/test_core_replica.py',
     ),
     Mutation(
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -188,13 +188,14 @@
         theirs = MemoryExchange(
             self._hub, link, (peer, self._me), back, there_in
         )
-        self._hub.links.append((self._me.address, address, link))
+        self._hub.links[link] = (self._me.address, address)
         self._hub.spawn(network.serve, theirs)
         try:
             await mine.send(message)
             yield mine
         finally:
             mine.cancel()
+            del self._hub.links[link]
 
     async def request(
         self, address: str, message: Message, *, timeout_s: float
@@ -262,7 +263,7 @@
         self.silent: set[str] = set()
         self.sizes: Counter[str] | None = None
         self._nodes: dict[str, tuple[MemoryNetwork, PeerInfo]] = {}
-        self.links: list[tuple[str, str, _Link]] = []
+        self.links: dict[_Link, tuple[str, str]] = {}
         self.rule: FaultRule | None = None
         self.delay_s = 0.05
 
@@ -291,8 +292,8 @@
         if silent:
             self.silent.add(address)
         self._nodes.pop(address, None)
-        for source, target, link in self.links:
-            if address in (source, target):
+        for link, ends in self.links.items():
+            if address in ends:
                 link.kill()
 
     def find(self, address: str) -> tuple[MemoryNetwork, PeerInfo] | None:
@@ -315,7 +316,6 @@
 
     def fault(self, source: str, target: str, message: Message) -> Fault:
         """Return the fault for a message."""
-        self.links = [item for item in self.links if not item[2].dead]
         if self.rule is None:
             return Fault.NONE
         return self.rule(source, target, message)
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 import contextlib
 import random
 from typing import TYPE_CHECKING
@@ -155,10 +156,11 @@
     # Echoes carry no id: a daemon that took over an address must not keep
     # the entry of its predecessor alive.
     async with _fleet() as fleet:
-        fleet.hub.sizes.clear()
+        sizes = fleet.hub.sizes = Counter()
         await trio.sleep(5)
-        assert fleet.hub.sizes['HeartbeatEcho'] > 0
-        assert fleet.hub.sizes['HeartbeatReply'] == 0
+        assert sizes['HeartbeatEcho'] > 0
+        assert sizes['HeartbeatReply'] == 0
+        fleet.hub.sizes = None
         fleet.daemons[7].crash()
         fleet.daemons[7] = await fleet.start(7, 'az-1', name='other')
         await fleet.until(
--- a/tests/test_services_moves.py
+++ b/tests/test_services_moves.py
@@ -25,12 +25,12 @@
 from gypsumhall.services._moves import MovesService
 from gypsumhall.store import StoreElections
 from gypsumhall.testing import builders
-from gypsumhall.testing.fake_network import FakeEvents
-from gypsumhall.testing.fake_network import FakeNetwork
-from gypsumhall.testing.fake_network import Hub
 from gypsumhall.testing.fakes import FakeDistribution
+from gypsumhall.testing.fakes import FakeEvents
 from gypsumhall.testing.fakes import FakeMembership
 from gypsumhall.testing.fakes import FakeTable
+from gypsumhall.testing.memory_network import MemoryHub
+from gypsumhall.testing.memory_network import MemoryNetwork
 from gypsumhall.testing.memory_store import MemoryStore
 
 if TYPE_CHECKING:
@@ -70,7 +70,9 @@
     `hold_write` delays the compare-and-swap of one daemon after it decided.
     """
 
-    def __init__(self, hub: Hub, nursery: trio.Nursery, within: float) -> None:
+    def __init__(
+        self, hub: MemoryHub, nursery: trio.Nursery, within: float
+    ) -> None:
         self.hub = hub
         self.nursery = nursery
         self.table = FakeTable()
@@ -105,7 +107,7 @@
         for service in (
             self.events[me.id],
             self.store,
-            FakeNetwork(self.hub, peer),
+            MemoryNetwork(self.hub, peer),
             FakeMembership(me, self.table),
             self.distributions[me.id],
             _Acceptance(self, me.id),
@@ -139,7 +141,7 @@
         return [
             name
             for name, events in self.events.items()
-            for found, _ in events.log
+            for found in events.codes
             if found == code
         ]
 
@@ -239,7 +241,7 @@
 ) -> AsyncIterator[_Fleet]:
     """Run two old endpoints and one new one in each zone."""
     async with trio.open_nursery() as nursery:
-        fleet = _Fleet(Hub(nursery), nursery, within)
+        fleet = _Fleet(MemoryHub(nursery, latency_s=0.002), nursery, within)
         versions = ('v1', 'v1', 'v2')
         for zone in range(1, zones + 1):
             for index, version in enumerate(versions):
