Count runs in scenarios from files that outlive the servers

Cause: the check for a response without a run asked the backend servers at the end of a load. A server that had been killed and started again answered, but its counts began anew, so runs were missing ("false-run") in herd_returns and outage_and_herd.

Change: every backend server of a scenario notes its runs in a file, and the load compares all files. The check now covers killed servers as well, for second runs and for false "not run" too.

Ruled out: a fault of the product; all reported requests had been sent to the servers that were killed later in the scenario.

--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -289,6 +289,9 @@
             found += matching
         return found
 
+    def _run_log(self, name: str) -> Path:
+        return self._fleet.directory / f'{name}.runs'
+
     def _running(self) -> list[Vm]:
         return [
             vm
@@ -311,7 +314,11 @@
                     key: str(value)
                     for key, value in self._groups[vm.name].backend.items()
                 }
+                # A load that starts before the first run needs the file too.
+                self._run_log(vm.name).touch()
+                flags['run_log'] = str(self._run_log(vm.name))
                 await self._fleet.start_backend(vm, flags)
+                self._started.add(vm.name)
 
     async def _ready(self, names: tuple[str, ...]) -> None:
         """Wait until daemons know the endpoints of all running ones."""
@@ -533,8 +540,9 @@
                 f'--rate_per_s={arguments.rate}',
                 f'--seconds={arguments.seconds}',
                 f'--seed={arguments.seed}',
-                '--check_runs='
-                + ','.join(vm.backend_address for vm in self._running()),
+                # Files, since a restarted server has lost its counts.
+                '--run_logs='
+                + ','.join(str(self._run_log(vm)) for vm in self._started),
             ],
         )
         results.append(result)
