Test that a draining endpoint refuses a sender with a stale table

Cause: the test passed with all checks of the endpoint switched off, because its sender never chose the draining endpoint, which was in the other zone.

Change: the endpoint of the sender's own zone drains, and the test requires that it refused calls.

Measured: without the checks the test passed before and fails now.

--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -149,16 +149,19 @@
 ) -> None:
     """A sender whose member table lags must not reach a leaving server."""
     async with _trial() as trial:
-        runner = trial.daemons[0].runner
-        endpoint = trial.daemons[0].membership.me.endpoint
-        assert endpoint is not None
+        # The only endpoint in the sender's zone, so it is chosen first.
+        leaving = trial.daemons[1]
         draining = builders.build_endpoint(state=EndpointState.DRAINING)
-        runner.set_backend(draining, 'backend-0')
+        leaving.runner.set_backend(draining, 'backend-1')
         for index in range(20):
             assert await trial.call(3, trial.request(f'r{index}')) == (
                 'response'
             )
-        assert 'backend-0' not in trial.backend.by_address
+        assert 'backend-1' not in trial.backend.by_address
+        refused = leaving.metrics.value(
+            'gypsumhall_runner_calls_total', result='draining'
+        )
+        assert refused > 0
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
