--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
-import hashlib
 from typing import TYPE_CHECKING
 
+from gypsumhall.core import _rendezvous
 from gypsumhall.core._member import MemberStatus
 
 if TYPE_CHECKING:
@@ -20,28 +20,6 @@
 RETENTION_S = 600.0
 
 
-def _weight(service: str, key: str, member_id: str) -> bytes:
-    text = f'{service}\0{key}\0{member_id}'
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-
-def rank(service: str, key: str, members: Iterable[Member]) -> list[Member]:
-    """Return members in the order of their claim to a key.
-
-    Parameters
-    ----------
-    service, key : str
-        Service and idempotency key.
-    members : iterable of Member
-        Members with an endpoint of the service.
-    """
-    return sorted(
-        members,
-        key=lambda member: (_weight(service, key, member.id), member.id),
-        reverse=True,
-    )
-
-
 def takes_part(member: Member) -> bool:
     """Whether a member can own keys.
 
@@ -62,7 +40,10 @@
     """
     return max(
         (member for member in members if takes_part(member)),
-        key=lambda member: (_weight(service, key, member.id), member.id),
+        key=lambda member: (
+            _rendezvous.weight(service, key, member.id),
+            member.id,
+        ),
         default=None,
     )
 
@@ -252,7 +233,7 @@
                 for member in candidates + departed
                 if member.id != self._me and not self._is_above(key, member)
             ]
-            for member in rank(self._service, key, below):
+            for member in _rendezvous.rank(self._service, key, below):
                 ask.append(member)
                 if now - joined.get(member.id, now) >= RETENTION_S:
                     break
@@ -310,8 +291,11 @@
     def _is_above(self, key: str, member: Member) -> bool:
         if member.id == self._me:
             return False
-        mine = (_weight(self._service, key, self._me), self._me)
-        return (_weight(self._service, key, member.id), member.id) > mine
+        mine = (_rendezvous.weight(self._service, key, self._me), self._me)
+        return (
+            _rendezvous.weight(self._service, key, member.id),
+            member.id,
+        ) > mine
 
     def _join(self, member: Member, now: float) -> None:
         known = self._known.get(member.id)
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -32,6 +32,7 @@
 from gypsumhall.services._protocols import Distribution
 from gypsumhall.services._protocols import Events
 from gypsumhall.services._protocols import Metrics
+from gypsumhall.store import _keys
 from gypsumhall.store import Compare
 from gypsumhall.store import Delete
 from gypsumhall.store import Put
@@ -45,8 +46,6 @@
 
 T = TypeVar('T')
 
-HEAD_KEY = 'gypsumhall/head'
-FRAGMENT_PREFIX = 'gypsumhall/fragments/'
 
 MAX_ATTEMPTS = 16
 TIME_LIMIT_S = 10.0
@@ -614,13 +613,13 @@
         writes: list[Put | Delete] = []
         if step.stored is not None:
             data = _model.encode(step.stored)
-            writes.append(Put(FRAGMENT_PREFIX + _model.digest(data), data))
+            writes.append(Put(_keys.FRAGMENTS + _model.digest(data), data))
         # Last, so that a watch delivers the fragment before its head.
-        writes.append(Put(HEAD_KEY, _model.encode(step.head)))
+        writes.append(Put(_keys.HEAD, _model.encode(step.head)))
         pending.add(revision, step)
         try:
             result = await self._store.txn(
-                [Compare(HEAD_KEY, revision)], writes
+                [Compare(_keys.HEAD, revision)], writes
             )
         except StoreUnavailableError:
             pending.writes.pop()
@@ -637,13 +636,13 @@
         return None
 
     async def _read_head(self) -> tuple[int, _model.Head]:
-        found = await self._store.get(HEAD_KEY)
+        found = await self._store.get(_keys.HEAD)
         if found is None:
             return 0, _model.Head()
         try:
             return found.mod_revision, _model.decode_head(found.value)
         except msgspec.DecodeError as error:
-            raise StoreProtocolError(f'{HEAD_KEY}: {error}') from error
+            raise StoreProtocolError(f'{_keys.HEAD}: {error}') from error
 
     async def _read(
         self,
@@ -690,15 +689,15 @@
             raise errors[0]
 
     async def _fragment(self, digest: str) -> _model.Fragment:
-        found = await self._store.get(FRAGMENT_PREFIX + digest)
+        found = await self._store.get(_keys.FRAGMENTS + digest)
         if found is None or _model.digest(found.value) != digest:
             state = 'is missing' if found is None else 'is damaged'
-            raise StoreProtocolError(f'{FRAGMENT_PREFIX}{digest} {state}')
+            raise StoreProtocolError(f'{_keys.FRAGMENTS}{digest} {state}')
         try:
             return _model.decode_fragment(found.value)
         except msgspec.DecodeError as error:
             raise StoreProtocolError(
-                f'{FRAGMENT_PREFIX}{digest}: {error}'
+                f'{_keys.FRAGMENTS}{digest}: {error}'
             ) from error
 
     def _publish(self, write: _Write) -> None:
@@ -739,10 +738,10 @@
         """
         now = trio.current_time()
         if self._listing_due:
-            stored = await self._store.range(FRAGMENT_PREFIX)
+            stored = await self._store.range(_keys.FRAGMENTS)
             self._listing_due = False
             for item in stored:
-                digest = item.key.removeprefix(FRAGMENT_PREFIX)
+                digest = item.key.removeprefix(_keys.FRAGMENTS)
                 self._retired.setdefault(digest, now)
         due = [
             digest
@@ -758,8 +757,8 @@
         if not due:
             return
         result = await self._store.txn(
-            [Compare(HEAD_KEY, revision)],
-            [Delete(FRAGMENT_PREFIX + digest) for digest in due],
+            [Compare(_keys.HEAD, revision)],
+            [Delete(_keys.FRAGMENTS + digest) for digest in due],
         )
         if result.succeeded:
             for digest in due:
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -33,6 +33,7 @@
 from gypsumhall.services._protocols import Events
 from gypsumhall.services._protocols import Membership
 from gypsumhall.services._protocols import ReaderSlot
+from gypsumhall.store import _keys
 from gypsumhall.store import LeaseHeldError
 from gypsumhall.store import StoreService
 
@@ -50,9 +51,6 @@
     from gypsumhall.net._protocol import Exchange
     from gypsumhall.store import Lease
 
-CONTROLLER_KEY = 'gypsumhall/controller'
-LEASE_TTL_S = 10
-
 # An interval is closed this many intervals after its end, so that the reports
 # of all endpoints have arrived: at the judge, then at the controller.
 JUDGE_LAG = 1
@@ -414,7 +412,7 @@
         while True:
             with contextlib.suppress(StoreError, LeaseHeldError):
                 await self._campaign()
-            await trio.sleep(LEASE_TTL_S / 2)
+            await trio.sleep(_keys.LEASE_TTL_S / 2)
 
     async def _campaign(self) -> None:
         """Control the moves while this daemon holds the controller lease.
@@ -426,7 +424,7 @@
             return
         value = self._membership.me.id.encode()
         async with self._store.elections.campaign(
-            CONTROLLER_KEY, value, LEASE_TTL_S, wait=False
+            _keys.CONTROLLER, value, _keys.LEASE_TTL_S, wait=False
         ) as lease:
             self._events.emit('controller-started')
             try:
--- a/tests/test_cli_operator.py
+++ b/tests/test_cli_operator.py
@@ -15,8 +15,8 @@
 
 from gypsumhall.cli import operator
 from gypsumhall.core import _accept
-from gypsumhall.services._acceptance import HEAD_KEY
 from gypsumhall.services._admin import MAX_BODY_BYTES
+from gypsumhall.store import _keys
 from gypsumhall.testing.control_plane import ControlPlane
 from gypsumhall.testing.memory_store import Fault
 from gypsumhall.testing.memory_store import MemoryStore
@@ -218,7 +218,7 @@
         assert snapshot is not None
         assert snapshot.version == 1
         assert _accept.find_submission(snapshot.head, '0.first-attempt')
-        changes = [item for item in store.history if item.key == HEAD_KEY]
+        changes = [item for item in store.history if item.key == _keys.HEAD]
         assert len(changes) == 1
         nursery.cancel_scope.cancel()
 
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -26,12 +26,11 @@
 from gypsumhall.errors import StoreError
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.errors import StoreUnknownError
-from gypsumhall.services._acceptance import FRAGMENT_PREFIX
-from gypsumhall.services._acceptance import HEAD_KEY
 from gypsumhall.services._acceptance import RETIRED_S
 from gypsumhall.services._acceptance import Submission
 from gypsumhall.services._acceptance import SubmissionResult
 from gypsumhall.services._acceptance import SubmissionStatus
+from gypsumhall.store import _keys
 from gypsumhall.store import Put
 from gypsumhall.testing.control_plane import ControlPlane
 from gypsumhall.testing.memory_store import Fault
@@ -79,7 +78,7 @@
 
 
 async def _head(store: MemoryStore) -> _model.Head:
-    found = await store.get(HEAD_KEY)
+    found = await store.get(_keys.HEAD)
     return _model.decode_head(found.value) if found else _model.Head()
 
 
@@ -250,7 +249,7 @@
             (_text('a'), _text('a', _move('a', 'up')), _text('b'))
         ):
             await plane.acceptance.submit(_submission(text, number))
-        await store.txn([], [Put(FRAGMENT_PREFIX + 'left-over', b'')])
+        await store.txn([], [Put(_keys.FRAGMENTS + 'left-over', b'')])
         plane.acceptance._listing_due = True
         await trio.sleep(RETIRED_S - 1)
         assert len(store.keys) == 5
@@ -258,8 +257,8 @@
         head = await _head(store)
         named = {ref.fragment for ref in head.departments.values()}
         assert set(store.keys) == {
-            HEAD_KEY,
-            *(FRAGMENT_PREFIX + item for item in named),
+            _keys.HEAD,
+            *(_keys.FRAGMENTS + item for item in named),
         }
         assert len(named) == 2
 
@@ -470,7 +469,7 @@
         heads = [
             _model.decode_head(item.value)
             for item in self.store.history
-            if item.key == HEAD_KEY and item.value is not None
+            if item.key == _keys.HEAD and item.value is not None
         ]
         versions = [head.version for head in heads]
         assert versions == list(range(1, len(heads) + 1))
@@ -495,8 +494,8 @@
         for item in self.store.history:
             if item.value is None:
                 continue
-            if item.key != HEAD_KEY:
-                digest = item.key.removeprefix(FRAGMENT_PREFIX)
+            if item.key != _keys.HEAD:
+                digest = item.key.removeprefix(_keys.FRAGMENTS)
                 fragments[digest] = _model.decode_fragment(item.value)
                 continue
             head = _model.decode_head(item.value)
