Follow a renamed constant in the check of proofs

Cause: the mutation of the head's compare-and-swap named a constant that has been replaced, so the whole run ended with an error.

Measured: the mutation is noticed in a run of its own; the whole run was not repeated.

--- a/benchmarks/check_proofs.py
+++ b/benchmarks/check_proofs.py
@@ -148,7 +148,7 @@
         10,
         'the head is swapped only from the revision that was read',
         'services/_acceptance.py',
-        '                [Compare(HEAD_KEY, revision)], writes\n',
+        '                [Compare(_keys.HEAD, revision)], writes\n',
         '                [], writes\n',
         'tests/test_services_acceptance.py',
     ),
