--- /dev/null
+++ b/gypsumhall/cli/fleet.py
@@ -0,0 +1,221 @@
+"""Binary ``gypsumhall-fleetd``: the daemon on the platform's machines."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+import trio
+
+from gypsumhall import platform
+from gypsumhall._errors import GypsumhallError
+from gypsumhall.cli._settings import run_binary
+from gypsumhall.cli._settings import Settings
+from gypsumhall.kernel import Kernel
+from gypsumhall.kernel import Service
+from gypsumhall.net._network import PeerSettings
+from gypsumhall.net._stream import StreamSettings
+from gypsumhall.services._admin import AdminService
+from gypsumhall.services._caller import CallerService
+from gypsumhall.services._checkins import CheckInService
+from gypsumhall.services._distribution import DistributionService
+from gypsumhall.services._events import EventLog
+from gypsumhall.services._feed import Feed
+from gypsumhall.services._membership import MembershipService
+from gypsumhall.services._membership import MembershipSettings
+from gypsumhall.services._metrics import MetricRegistry
+from gypsumhall.services._peers import Peers
+from gypsumhall.services._readiness import Readiness
+from gypsumhall.services._readiness import ReadyListener
+from gypsumhall.services._registration import Registration
+from gypsumhall.services._rollouts import RolloutService
+from gypsumhall.services._runner import RunnerService
+from gypsumhall.services._store import PlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_USAGE = """\
+usage: gypsumhall-fleetd [flags]
+
+Serves callers and the backend server of one VM on the users' platform.
+"""
+_NOTES = """\
+Every flag may be given as an environment variable instead; the flag comes
+first. deploy/system.toml renders them from the platform's fields. Exit
+status: 0 after a planned stop (SIGTERM or SIGINT), 1 when an address cannot
+be used or a service fails, 2 for invalid settings.
+"""
+
+_LINGER_SHARE = 0.5
+"""Part of the time for a planned stop in which new requests are served; the
+platform asks for readiness once a second, and two misses count."""
+
+_DRAIN_SHARE = 0.93
+"""Part of the time for a planned stop after which the daemon ends."""
+
+_HEARTBEAT_S = 0.5
+"""Time between two heartbeats to another daemon in seconds. A machine that
+dies is left out after three of them."""
+
+
+class FleetSettings:
+    """Settings of the daemon; the values are set by `run_binary`."""
+
+    def __init__(self) -> None:
+        settings = Settings('gypsumhall-fleetd', _USAGE, _NOTES)
+        self.settings = settings
+        self.id = settings.string(
+            'id', '', 'Unique name of the machine.', required=True
+        )
+        self.zone = settings.string(
+            'zone', '', 'Availability zone of this VM.', required=True
+        )
+        self.ip = settings.string(
+            'ip', '', 'Address of this VM.', required=True
+        )
+        self.peer_port = settings.integer(
+            'peer_port', 7600, 'Port for other daemons.', highest=65535
+        )
+        self.outbound_address = settings.address(
+            'outbound_address', '', '<ip>:<port> for callers.', required=True
+        )
+        self.ready_address = settings.address(
+            'ready_address',
+            '',
+            '<ip>:<port> for questions about readiness.',
+            required=True,
+        )
+        self.control_address = settings.address(
+            'control_address',
+            '',
+            '<ip>:<port> for the heartbeats of the backend server, and for '
+            'metrics.',
+            required=True,
+        )
+        self.backend_address = settings.address(
+            'backend_address', '', '<ip>:<port> of the backend server.'
+        )
+        self.service = settings.string(
+            'service', '', 'Service of the backend server.'
+        )
+        self.platform = settings.addresses(
+            'platform', (), 'Metadata store of the platform.', required=True
+        )
+        self.grace = settings.duration(
+            'grace', 6.0, 'Time between SIGTERM and SIGKILL.'
+        )
+
+
+def build_kernel(settings: FleetSettings) -> Kernel:
+    """Return a kernel with all services of a daemon.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Checked settings.
+    """
+    daemon = settings.id.value
+    zone = settings.zone.value
+    store_address = settings.platform.value[0]
+    rng = random.Random()  # noqa: S311
+    # The platform's settings hold no secret; this key keeps the daemons of
+    # different fleets apart.
+    key = f'gypsumhall fleet at {store_address}'.encode()
+    peer_settings = PeerSettings(
+        daemon,
+        zone,
+        int(time.time() * 1000),
+        f'{settings.ip.value}:{settings.peer_port.value}',
+        (key,),
+        stream=StreamSettings(ping_after_s=0.4, dead_after_s=1.0),
+        connect_timeout_s=0.5,
+    )
+    rollouts = RolloutService(rng=rng)
+    runner = RunnerService(rng, dialect=platform.DIALECT)
+    runner.set_split_source(rollouts.split)
+    services: list[Service] = [
+        EventLog(daemon, zone),
+        MetricRegistry(),
+        PlatformStore(platform.KvStore(store_address), rng=rng),
+        Peers(peer_settings),
+        MembershipService(
+            MembershipSettings(
+                interval_s=_HEARTBEAT_S, jitter_s=0.1, reseed_s=5.0
+            )
+        ),
+        Registration(rng=rng),
+        DistributionService(),
+        rollouts,
+        Feed(rng=rng),
+        AdminService(settings.control_address.value),
+        ReadyListener(settings.ready_address.value),
+        runner,
+        CheckInService(settings.backend_address.value),
+        CallerService(
+            settings.outbound_address.value,
+            platform.DIALECT,
+            settings.service.value,
+            _LINGER_SHARE * settings.grace.value,
+        ),
+        Readiness(),
+    ]
+    kernel = Kernel()
+    for service in services:
+        kernel.register(service)
+    return kernel
+
+
+async def _run(kernel: Kernel, grace_s: float) -> None:
+    stops = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*stops, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+
+            async def handle_signals() -> None:
+                async for number in signals:
+                    # What this daemon reads of the settings is fixed for the
+                    # life of its process.
+                    if number in stops:
+                        kernel.stop()
+
+            nursery.start_soon(handle_signals)
+            await kernel.run(drain_timeout_s=_DRAIN_SHARE * grace_s)
+            nursery.cancel_scope.cancel()
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the daemon until it is asked to stop.
+
+    Parameters
+    ----------
+    argv : sequence of str, optional
+        Command line; by default that of the process.
+
+    Returns
+    -------
+    int
+        Exit status, see ``--help``.
+    """
+    settings = FleetSettings()
+
+    def start(_names: list[str]) -> int:
+        kernel = build_kernel(settings)
+        status = 0
+        try:
+            trio.run(_run, kernel, settings.grace.value)
+        except* (OSError, GypsumhallError):
+            raise
+        except* Exception as group:
+            logger.opt(exception=group).critical('a service failed')
+            status = 1
+        return status
+
+    return run_binary(settings.settings, argv, start)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/gypsumhall/core/_model.py
+++ b/gypsumhall/core/_model.py
@@ -45,6 +45,25 @@
     depends_on: tuple[str, ...] = ()
 
 
+class Target(msgspec.Struct, frozen=True):
+    """A service that a route sends a part of its calls to.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    weight : int
+        Its part; the parts of a route add up to the whole.
+    """
+
+    service: str
+    weight: int
+
+
+ANY_METHOD = '*'
+"""Stands in `Route.idempotent_methods` for all methods."""
+
+
 class Route(msgspec.Struct, frozen=True, omit_defaults=True):
     """A rule that sends calls for a host and path prefix to a service.
 
@@ -62,7 +81,18 @@
     timeout_s : float
         Deadline of a call that carries none of its own, in seconds.
     idempotent_methods : tuple of str
-        Methods whose requests may be repeated.
+        Methods whose requests may be repeated; `ANY_METHOD` for all.
+    targets : tuple of Target
+        Services among which the calls are divided; empty when all go to
+        `service`, which is the first of them otherwise.
+    objective_s : float
+        Time in seconds within which a response is worth most; 0 for the
+        time-out.
+    attempts : int
+        Most endpoints that one request may reach; 0 for no limit of its
+        own.
+    priority : int
+        Rank of the route, 0 for the most urgent.
     """
 
     name: str
@@ -71,6 +101,10 @@
     service: str
     timeout_s: float = _TIMEOUT_S
     idempotent_methods: tuple[str, ...] = _IDEMPOTENT_METHODS
+    targets: tuple[Target, ...] = ()
+    objective_s: float = 0.0
+    attempts: int = 0
+    priority: int = 0
 
     def __post_init__(self) -> None:
         """Replace values that equal a default by the default.
@@ -85,6 +119,11 @@
                 self, 'idempotent_methods', _IDEMPOTENT_METHODS
             )
 
+    def is_idempotent(self, method: str) -> bool:
+        """Whether requests with a method may be repeated."""
+        methods = self.idempotent_methods
+        return method in methods or ANY_METHOD in methods
+
 
 class MoveSpec(msgspec.Struct, frozen=True):
     """A staged move of a service's traffic, as the operator asked for it.
--- /dev/null
+++ b/gypsumhall/core/_placement.py
@@ -0,0 +1,322 @@
+"""Choice of an endpoint by the expected time until its response.
+
+The load patterns that the rules answer are replayed by
+``tests/test_core_placement.py``:
+
+* Endpoints of unequal speed, some of them slow for a while. The expected
+  time follows the service times that the daemons beside them report.
+* Reports that are old, because a sender calls each of many endpoints rarely.
+  What they say of the present fades with their age, and the cost of each
+  endpoint is varied a little, so that senders do not choose the same one.
+* Endpoints that fail a part of their requests while they report good health.
+  Failures lengthen the expected time, because failed work is done again.
+* All endpoints of a zone busy while another zone has free slots. A zone
+  boundary costs a fixed time only.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from gypsumhall.core._member import EndpointState
+from gypsumhall.core._member import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Sequence
+    from random import Random
+
+    from gypsumhall.core._member import Member
+    from gypsumhall.net._messages import Load
+
+ANY_VERSION = ''
+"""Stands for endpoints of all versions of a service."""
+
+_DEFAULT_SERVICE_S = 0.1
+"""Service time in seconds of an endpoint that has not reported one."""
+
+_ZONE_COST_S = 0.02
+"""Cost in seconds of leaving the own zone: two crossings of 1.5 ms, and the
+price of the bytes."""
+
+_FADE_S = 1.0
+"""Age in seconds after which a report counts a third."""
+
+_UTILISATION = 0.3
+"""Part of a service time that a full endpoint costs more than an idle one."""
+
+_FAILURE_COST_S = 1.0
+"""Cost in seconds of a certain failure."""
+
+_FAILURE_WEIGHT = 0.2
+"""Weight of the latest result in the share of failures that a sender saw."""
+
+_FAILURE_FADE_S = 5.0
+"""Time in seconds after which an observed failure counts a third."""
+
+_UNREACHABLE_S = 0.5
+"""Time in seconds for which an endpoint that could not be reached is left
+out; it doubles with each further failure up to `_UNREACHABLE_MAX_S`."""
+
+_UNREACHABLE_MAX_S = 4.0
+
+_COLD_S = 3.0
+"""Time in seconds during which an endpoint that has appeared is taken to be
+slow."""
+
+_COLD_FACTOR = 2.0
+_JITTER = 0.1
+"""Largest random part by which a cost is changed."""
+
+
+class _State:
+    __slots__ = (
+        'failing',
+        'failing_at',
+        'in_flight',
+        'load',
+        'member',
+        'own_at_report',
+        'reported_at',
+        'since',
+        'slots',
+        'unreachable',
+        'unreachable_until',
+    )
+
+    def __init__(self, member: Member, slots: int, since: float) -> None:
+        self.member = member
+        self.slots = max(1, slots)
+        self.since = since
+        self.in_flight = 0
+        self.load: Load | None = None
+        self.reported_at = -math.inf
+        self.own_at_report = 0
+        self.failing = 0.0
+        self.failing_at = since
+        self.unreachable = 0
+        self.unreachable_until = -math.inf
+
+    def wait_s(self, now: float) -> float:
+        """Return the expected wait for a slot, in seconds."""
+        load = self.load
+        if load is None:
+            own = max(0, self.in_flight - self.slots + 1)
+            return own * _DEFAULT_SERVICE_S / self.slots
+        fresh = math.exp(-max(0.0, now - self.reported_at) / _FADE_S)
+        added = self.in_flight - self.own_at_report
+        busy = max(0.0, load.in_flight * fresh + added)
+        service_s = load.service_ms / 1000 or _DEFAULT_SERVICE_S
+        queued = load.wait_ms / 1000 * fresh
+        excess = max(0.0, busy - self.slots + 1)
+        return max(queued, 0.0) + excess * service_s / self.slots
+
+    def cost_s(self, now: float, zone: str) -> float:
+        load = self.load
+        service_s = _DEFAULT_SERVICE_S
+        failing = self.failing * math.exp(
+            -max(0.0, now - self.failing_at) / _FAILURE_FADE_S
+        )
+        busy = float(self.in_flight)
+        if load is not None:
+            fresh = math.exp(-max(0.0, now - self.reported_at) / _FADE_S)
+            if load.service_ms:
+                service_s = load.service_ms / 1000
+            failing = max(failing, load.failing * fresh)
+            added = self.in_flight - self.own_at_report
+            busy = max(0.0, load.in_flight * fresh + added)
+        cost = service_s + self.wait_s(now) + failing * _FAILURE_COST_S
+        cost += min(1.0, busy / self.slots) * service_s * _UTILISATION
+        if now - self.since < _COLD_S:
+            cost *= _COLD_FACTOR
+        if self.member.zone != zone:
+            cost += _ZONE_COST_S
+        return cost
+
+
+class Placement:
+    """Endpoints of all services as one sender sees them.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of the sender.
+    rng : Random
+        Source of randomness.
+    """
+
+    __slots__ = ('_revisions', '_rng', '_services', '_states', '_zone')
+
+    def __init__(self, zone: str, rng: Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._states: dict[str, _State] = {}
+        self._services: dict[str, list[str]] = {}
+        self._revisions: dict[str, int] = {}
+
+    def revision(self, service: str) -> int:
+        """Return the table revision of the last `update`; -1 for none."""
+        return self._revisions.get(service, -1)
+
+    def update(
+        self,
+        service: str,
+        members: Sequence[Member],
+        revision: int,
+        now: float,
+    ) -> None:
+        """Take over the endpoints of a service from the member table.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        members : sequence of Member
+            Members with an endpoint of it, whatever their status.
+        revision : int
+            Revision of the member table.
+        now : float
+            Current time in seconds.
+        """
+        kept = []
+        first = service not in self._revisions
+        for member in members:
+            endpoint = member.endpoint
+            if (
+                endpoint is None
+                or endpoint.state != EndpointState.READY
+                or member.status
+                not in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+            ):
+                continue
+            kept.append(member.id)
+            state = self._states.get(member.id)
+            if state is None or state.member.endpoint != endpoint:
+                since = -math.inf if first else now
+                state = _State(member, endpoint.slots, since)
+                self._states[member.id] = state
+            elif state.member.incarnation != member.incarnation:
+                state.unreachable_until = -math.inf
+            state.member = member
+        for member_id in set(self._services.get(service, ())) - set(kept):
+            self._states.pop(member_id, None)
+        self._services[service] = kept
+        self._revisions[service] = revision
+
+    def versions(self, service: str) -> set[str]:
+        """Return the versions of the ready endpoints of a service."""
+        return {
+            state.member.endpoint.version
+            for state in self._ready(service)
+            if state.member.endpoint is not None
+        }
+
+    def choose(
+        self,
+        service: str,
+        version: str,
+        now: float,
+        exclude: Collection[str] = (),
+    ) -> Member | None:
+        """Return the endpoint with the least expected time to a response.
+
+        Parameters
+        ----------
+        service, version : str
+            Service and service version; `ANY_VERSION` for all.
+        now : float
+            Current time in seconds.
+        exclude : collection of str
+            Ids of members that are not to be chosen.
+
+        Returns
+        -------
+        Member or None
+            None when no endpoint is left.
+        """
+        best: _State | None = None
+        best_cost = math.inf
+        reserve: _State | None = None
+        for state in self._ready(service):
+            member = state.member
+            endpoint = member.endpoint
+            if member.id in exclude or endpoint is None:
+                continue
+            if version not in (ANY_VERSION, endpoint.version):
+                continue
+            if state.unreachable_until > now:
+                if (
+                    reserve is None
+                    or state.unreachable_until < reserve.unreachable_until
+                ):
+                    reserve = state
+                continue
+            cost = state.cost_s(now, self._zone)
+            cost *= 1.0 + _JITTER * self._rng.random()
+            if cost < best_cost:
+                best, best_cost = state, cost
+        chosen = best or reserve
+        return None if chosen is None else chosen.member
+
+    def wait_s(self, member_id: str, now: float) -> float:
+        """Return the expected wait for a slot at an endpoint, in seconds."""
+        state = self._states.get(member_id)
+        return 0.0 if state is None else state.wait_s(now)
+
+    def begin(self, member_id: str) -> None:
+        """Count a call that is sent to an endpoint."""
+        state = self._states.get(member_id)
+        if state is not None:
+            state.in_flight += 1
+
+    def end(self, member_id: str, now: float, *, failed: bool | None) -> None:
+        """Count the end of a call.
+
+        Parameters
+        ----------
+        member_id : str
+            Id given to `begin`.
+        now : float
+            Current time in seconds.
+        failed : bool or None
+            Whether the endpoint failed; None when the call says nothing
+            about it.
+        """
+        state = self._states.get(member_id)
+        if state is None:
+            return
+        state.in_flight = max(0, state.in_flight - 1)
+        state.own_at_report = max(0, state.own_at_report - 1)
+        if failed is None:
+            return
+        age = max(0.0, now - state.failing_at)
+        known = state.failing * math.exp(-age / _FAILURE_FADE_S)
+        state.failing = known + _FAILURE_WEIGHT * (failed - known)
+        state.failing_at = now
+
+    def unreachable(self, member_id: str, now: float) -> None:
+        """Leave an endpoint out for a while: its daemon did not answer."""
+        state = self._states.get(member_id)
+        if state is None:
+            return
+        pause = _UNREACHABLE_S * 2**state.unreachable
+        state.unreachable = min(state.unreachable + 1, 8)
+        state.unreachable_until = now + min(pause, _UNREACHABLE_MAX_S)
+
+    def report(self, member_id: str, now: float, load: Load) -> None:
+        """Take over the load that came with a response or a refusal."""
+        state = self._states.get(member_id)
+        if state is not None:
+            state.load = load
+            state.reported_at = now
+            state.own_at_report = state.in_flight
+            state.unreachable = 0
+
+    def _ready(self, service: str) -> list[_State]:
+        states = self._states
+        return [
+            states[item]
+            for item in self._services.get(service, ())
+            if item in states
+        ]
--- a/gypsumhall/core/_snapshot.py
+++ b/gypsumhall/core/_snapshot.py
@@ -304,7 +304,9 @@
         """All routes."""
         return self._routes.values()
 
-    def match(self, host: str, path: str) -> MatchedRoute | None:
+    def match(
+        self, host: str, path: str, *, exact: bool = False
+    ) -> MatchedRoute | None:
         """Return the route with the longest path prefix.
 
         Parameters
@@ -313,14 +315,20 @@
             Host of the request; case and port do not matter.
         path : str
             Path of the request without query.
+        exact : bool
+            Whether a closing slash of a prefix has to be in the path too.
         """
         name = host.rsplit(':', 1)[0] if ':' in host else host
         name = name.lower()
         prefix = path.rstrip('/')
         while True:
             found = self._routes.get((name, prefix))
-            if found is not None or not prefix:
+            if found is not None and not exact:
                 return found
+            if found is not None and path.startswith(found.route.path):
+                return found
+            if not prefix:
+                return None
             prefix = prefix.rpartition('/')[0]
 
     def service(self, name: str) -> _model.Service | None:
@@ -375,11 +383,13 @@
     services = snapshot.services
     for fragment in fragments:
         for route in fragment.routes:
-            if route.service not in services:
-                raise InvalidUpdateError(
-                    f"route '{fragment.department}/{route.name}' points at "
-                    f'service {route.service!r}, which does not exist'
-                )
+            named = [item.service for item in route.targets]
+            for name in (route.service, *named):
+                if name not in services:
+                    raise InvalidUpdateError(
+                        f"route '{fragment.department}/{route.name}' points "
+                        f'at service {name!r}, which does not exist'
+                    )
         for service in fragment.services:
             for name in service.depends_on:
                 if name not in services:
--- /dev/null
+++ b/gypsumhall/core/_waiting.py
@@ -0,0 +1,314 @@
+"""Order and bounds of the calls that wait for a backend server.
+
+The load patterns that the rules answer are replayed by
+``tests/test_core_waiting.py``:
+
+* More calls than the slots can serve for seconds. A line in the order of
+  arrival lets every call miss its latency objective. Here calls that can
+  still meet it go first, the most urgent route before the others, and calls
+  that cannot be served in time are refused when they arrive.
+* Calls that an endpoint makes while it runs a request. They hold a slot
+  elsewhere, so their routes rank first.
+* Callers that return after a refusal. Their objective has passed; they go
+  before other late calls, because they give up soon.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+DEFAULT_SERVICE_S = 0.1
+"""Service time in seconds that is assumed before the first measurement."""
+
+_WEIGHT = 0.1
+"""Weight of the latest service time in the moving means."""
+
+_FAILURE_WEIGHT = 0.1
+"""Weight of the latest run in the share of failures."""
+
+WAITING_PER_SLOT = 2
+"""Calls that may wait per slot. With more, calls of twice the mean service
+time as their objective would all be late."""
+
+_LATE_PER_SLOT = 1.0
+"""Late calls that may wait per slot; more could not be served soon after the
+load falls."""
+
+_DEADLINE_MARGIN = 0.9
+"""Part of the time to the deadline in which an expected end has to lie; the
+rest covers the error of the estimate and the way of the response."""
+
+_MIN_RETRY_AFTER_S = 0.05
+"""Shortest time in seconds after which a refused caller may return."""
+
+
+class Verdict(enum.Enum):
+    """Decision about a call that arrives."""
+
+    RUN = 'run'
+    WAIT = 'wait'
+    BUSY = 'busy'
+    OVERLOADED = 'overloaded'
+
+
+class Waiter:
+    """A call in the line.
+
+    Parameters
+    ----------
+    route : str
+        Route of the call, whose service time is measured.
+    priority : int
+        Rank of the route, 0 for the most urgent.
+    objective, deadline : float
+        Times in seconds until which a response is worth most, and until
+        which anybody waits for it.
+    returning : bool
+        Whether its caller was refused before.
+    """
+
+    __slots__ = (
+        'deadline',
+        'objective',
+        'priority',
+        'returning',
+        'route',
+        'since',
+        'work_s',
+    )
+
+    def __init__(
+        self,
+        route: str,
+        priority: int,
+        objective: float,
+        deadline: float,
+        *,
+        returning: bool = False,
+    ) -> None:
+        self.route = route
+        self.priority = priority
+        self.objective = objective
+        self.deadline = deadline
+        self.returning = returning
+        self.since = 0.0
+        self.work_s = DEFAULT_SERVICE_S
+
+
+class WaitingLine:
+    """Calls that run on a backend server or wait for one of its slots.
+
+    It reads no clock and wakes nobody: the owner passes the time in seconds
+    and acts on the results.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the backend server executes at the same time.
+    """
+
+    __slots__ = (
+        '_displaced',
+        '_failing',
+        '_line',
+        '_mean_s',
+        '_route_s',
+        '_running',
+        '_slots',
+    )
+
+    def __init__(self, slots: int) -> None:
+        self._slots = max(1, slots)
+        self._running = 0
+        self._line: list[Waiter] = []
+        self._displaced: list[Waiter] = []
+        self._mean_s = 0.0
+        self._route_s: dict[str, float] = {}
+        self._failing = 0.0
+
+    @property
+    def slots(self) -> int:
+        """Requests that may run at the same time."""
+        return self._slots
+
+    @property
+    def running(self) -> int:
+        """Calls being executed."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._line)
+
+    @property
+    def service_s(self) -> float:
+        """Recent mean service time in seconds; 0 before the first run."""
+        return self._mean_s
+
+    @property
+    def failing(self) -> float:
+        """Recent share of runs that failed, 0 to 1."""
+        return self._failing
+
+    def resize(self, slots: int) -> None:
+        """Take over another number of slots."""
+        self._slots = max(1, slots)
+
+    def wait_s(self) -> float:
+        """Return how long a call arriving now would wait, in seconds."""
+        if self._running < self._slots and not self._line:
+            return 0.0
+        work = sum(item.work_s for item in self._line)
+        excess = self._running - self._slots + 1
+        return (work + max(1, excess) * self._mean()) / self._slots
+
+    def arrive(
+        self, now: float, waiter: Waiter, max_wait_s: float = math.inf
+    ) -> Verdict:
+        """Decide about a new call and count it unless it is refused.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        waiter : Waiter
+            The call.
+        max_wait_s : float
+            Longest expected wait with which it wants to be accepted.
+        """
+        waiter.since = now
+        waiter.work_s = self._route_s.get(waiter.route) or self._mean()
+        if self._running < self._slots and not self._line:
+            self._running += 1
+            return Verdict.RUN
+        wait = self._wait_of(now, waiter)
+        if wait > max_wait_s:
+            return Verdict.BUSY
+        left = _DEADLINE_MARGIN * (waiter.deadline - now)
+        if wait + waiter.work_s > left:
+            return Verdict.OVERLOADED
+        late = now + wait + waiter.work_s > waiter.objective
+        if late and self._late(now) >= _LATE_PER_SLOT * self._slots:
+            return Verdict.OVERLOADED
+        if len(self._line) >= WAITING_PER_SLOT * self._slots:
+            last = max(self._line, key=lambda item: _order(item, now))
+            if _order(last, now) <= _order(waiter, now):
+                return Verdict.OVERLOADED
+            self._line.remove(last)
+            self._displaced.append(last)
+        self._line.append(waiter)
+        return Verdict.WAIT
+
+    def take(self, now: float) -> Waiter | None:
+        """Return the call that runs next, if a slot is free."""
+        if self._running >= self._slots or not self._line:
+            return None
+        chosen = min(self._line, key=lambda item: _order(item, now))
+        self._line.remove(chosen)
+        self._running += 1
+        return chosen
+
+    def give_up(self, now: float) -> list[Waiter]:
+        """Remove and return the calls that cannot be served any more.
+
+        These are the calls that more urgent ones displaced, those that
+        would end after their deadline, and late ones beyond their limit.
+        """
+        hopeless = [
+            item for item in self._line if now + item.work_s > item.deadline
+        ]
+        for item in hopeless:
+            self._line.remove(item)
+        hopeless += self._displaced
+        self._displaced = []
+        surplus = self._late(now) - int(_LATE_PER_SLOT * self._slots)
+        if surplus > 0:
+            late = [
+                item
+                for item in self._line
+                if now + item.work_s > item.objective
+            ]
+            late.sort(key=lambda item: _order(item, now))
+            for item in late[-surplus:]:
+                self._line.remove(item)
+                hopeless.append(item)
+        return hopeless
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Remove a call whose caller has left; False when it runs."""
+        if waiter in self._line:
+            self._line.remove(waiter)
+            return True
+        return False
+
+    def clear(self) -> Iterable[Waiter]:
+        """Remove and return all calls that wait."""
+        line, self._line = self._line, []
+        return line
+
+    def leave(
+        self,
+        route: str,
+        service_s: float | None,
+        *,
+        failed: bool | None = None,
+    ) -> None:
+        """Count a call that no longer runs.
+
+        Parameters
+        ----------
+        route : str
+            Route of the call.
+        service_s : float or None
+            Time in seconds that it took; None when it was cut short.
+        failed : bool or None
+            Whether the backend server failed; None when the run says
+            nothing about it.
+        """
+        self._running -= 1
+        if failed is not None:
+            self._failing += _FAILURE_WEIGHT * (failed - self._failing)
+        if service_s is None:
+            return
+        self._mean_s = _moved(self._mean_s, service_s)
+        if route not in self._route_s and len(self._route_s) >= 1024:
+            self._route_s.clear()
+        known = self._route_s.get(route, 0.0)
+        self._route_s[route] = _moved(known, service_s)
+
+    def retry_after_s(self, now: float) -> float:
+        """Return after how many seconds there is likely to be room."""
+        return max(_MIN_RETRY_AFTER_S, self.wait_s())
+
+    def _mean(self) -> float:
+        return self._mean_s or DEFAULT_SERVICE_S
+
+    def _late(self, now: float) -> int:
+        return sum(
+            1 for item in self._line if now + item.work_s > item.objective
+        )
+
+    def _wait_of(self, now: float, waiter: Waiter) -> float:
+        """Return how long a call would wait behind those that go before."""
+        order = _order(waiter, now)
+        ahead = sum(
+            item.work_s for item in self._line if _order(item, now) <= order
+        )
+        excess = max(1, self._running - self._slots + 1)
+        return (ahead + excess * self._mean()) / self._slots
+
+
+def _order(item: Waiter, now: float) -> tuple[bool, int, bool, float]:
+    late = now + item.work_s > item.objective
+    limit = item.deadline if late else item.objective
+    return late, item.priority, late and not item.returning, limit
+
+
+def _moved(mean: float, value: float) -> float:
+    return mean + _WEIGHT * (value - mean) if mean else value
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -459,12 +459,21 @@
         Concurrency limit.
     draining : bool
         Whether new work is refused.
+    service_ms : float
+        Recent mean time of a run; 0 when none was measured.
+    wait_ms : float
+        Time that a call arriving now would wait for a slot.
+    failing : float
+        Recent share of runs that failed, 0 to 1.
     """
 
     in_flight: int
     queued: int
     slots: int
     draining: bool = False
+    service_ms: float = 0.0
+    wait_ms: float = 0.0
+    failing: float = 0.0
 
 
 class CallStart(Message, frozen=True, tag=40):
@@ -500,6 +509,13 @@
         Whole body, at most 64 KiB; empty when `BodyChunk` messages follow.
     zone : str
         Zone of the sender.
+    priority : int
+        Rank of the route, 0 for the most urgent.
+    objective_ms : int
+        Time left until the latency objective; negative once it has passed.
+    max_wait_ms : int
+        Longest expected wait for a slot with which the runner accepts the
+        call; -1 for any that leaves time to run it.
     """
 
     request_id: str
@@ -519,6 +535,9 @@
     time: int = 0
     body: bytes = b''
     zone: str = ''
+    priority: int = 0
+    objective_ms: int = 0
+    max_wait_ms: int = -1
 
 
 class BodyChunk(Message, frozen=True, tag=41):
@@ -797,3 +816,83 @@
 
     evidence: tuple[Evidence, ...]
     time: int = 0
+
+
+# Rollouts
+
+
+class RolloutRecord(msgspec.Struct, frozen=True, array_like=True):
+    """State of a move that was ordered through the platform's store.
+
+    Parameters
+    ----------
+    service, version : str
+        Service, and the version that is to get its calls.
+    order : int
+        Revision of the store at which the order was written.
+    step : int
+        Grows with each change of the record.
+    share : float
+        Share of the calls that go to the version, 0 to 1.
+    state : str
+        ``in_progress``, ``completed`` or ``rolled_back``.
+    """
+
+    service: str
+    version: str
+    order: int
+    step: int = 0
+    share: float = 0.0
+    state: str = 'in_progress'
+
+
+class RolloutUpdate(Message, frozen=True, tag=64):
+    """Tells a peer the state of rollouts.
+
+    Parameters
+    ----------
+    records : tuple of RolloutRecord
+        The records.
+    evidence : bool
+        Whether the sender, a controller, wants evidence in return.
+    """
+
+    records: tuple[RolloutRecord, ...]
+    evidence: bool = False
+
+
+class RolloutCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Results of the runs of one route since a rollout was ordered.
+
+    Parameters
+    ----------
+    route : str
+        Id of the route.
+    failures : int
+        Runs that failed.
+    durations : tuple of int
+        Number of runs by duration; see `gypsumhall.core._rollout.bucket`.
+    """
+
+    route: str
+    failures: int
+    durations: tuple[int, ...]
+
+
+class RolloutEvidence(Message, frozen=True, tag=65):
+    """Results at one endpoint of a service with a rollout.
+
+    Parameters
+    ----------
+    service, version : str
+        Service, and the version of the endpoint.
+    order : int
+        Revision of the order.
+    counts : tuple of RolloutCounts
+        Results since the order.
+    """
+
+    service: str
+    version: str
+    order: int
+    counts: tuple[RolloutCounts, ...]
--- /dev/null
+++ b/gypsumhall/platform/_names.py
@@ -0,0 +1,22 @@
+"""Headers and paths of the platform's HTTP interfaces."""
+
+from __future__ import annotations
+
+from gypsumhall.services._calls import Dialect
+
+READY_PATH = '/v1/readyz'
+"""Asked once a second whether this daemon takes callers."""
+
+DIALECT = Dialect(
+    deadline=b'gypsumhall-timeout-ms',
+    outcome=b'',
+    key=b'',
+    request_id=b'gypsumhall-request-id',
+    caller_service=b'gypsumhall-caller-service',
+    expected_instance=b'gypsumhall-expected-instance',
+    not_executed=b'gypsumhall-not-executed',
+    status_promises=True,
+    whole_responses=True,
+    literal_prefixes=True,
+)
+"""Headers of callers and backend servers on the platform."""
--- /dev/null
+++ b/gypsumhall/platform/_operator.py
@@ -0,0 +1,179 @@
+"""What the operator writes to the platform's store, and reads there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import enum
+
+import msgspec
+
+from gypsumhall._errors import InvalidUpdateError
+from gypsumhall.core import _model
+from gypsumhall.core._placement import ANY_VERSION
+
+OPERATOR_PREFIX = 'op/'
+"""Prefix of all that the operator writes."""
+
+CONFIGURATION_KEY = 'op/config'
+"""Newest configuration, in full."""
+
+_ROLLOUTS = 'op/rollout/'
+_ROLLOUT_STATUS = 'status/rollout/'
+# The platform's text does not name departments; one fragment holds it.
+_DEPARTMENT = 'platform'
+
+
+class RolloutState(enum.StrEnum):
+    """State of a rollout, as the operator reads it."""
+
+    IN_PROGRESS = 'in_progress'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled_back'
+
+
+@dataclass(slots=True, frozen=True)
+class RolloutOrder:
+    """The operator's order to move a service to another version.
+
+    Parameters
+    ----------
+    service, version : str
+        Service, and the version that is to get its calls.
+    duration_s : float
+        Time in seconds within which the move has to end.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+
+
+class _Metadata(msgspec.Struct, frozen=True):
+    name: str = ''
+
+
+class _Entry(msgspec.Struct):
+    type: str = msgspec.field(name='entryType')
+    spec: msgspec.Raw
+    metadata: _Metadata = _Metadata()
+
+
+class _Config(msgspec.Struct):
+    version: str
+    resources: list[_Entry]
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    host: str
+    prefix: str
+    # Says whether requests may be repeated, not what they are.
+    type: str
+    timeout_ms: float = msgspec.field(name='timeoutMs')
+    objective_ms: float = msgspec.field(name='sloMs', default=0)
+    priority: int = 0
+    attempts: int = 0
+    service: str = ''
+    split: list[_Split] = []
+
+
+class _Rollout(msgspec.Struct):
+    service: str
+    target: str = msgspec.field(name='targetVersion')
+    duration_s: float = msgspec.field(name='durationS')
+
+
+class _RolloutStatus(msgspec.Struct):
+    state: str
+    target: str = msgspec.field(name='targetVersion')
+
+
+def decode_configuration(
+    value: bytes,
+) -> tuple[_model.Head, _model.Fragment]:
+    """Decode a configuration into the product's records.
+
+    Raises
+    ------
+    InvalidUpdateError
+        When it cannot be read.
+    """
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        version = int(config.version, 16)
+        services = []
+        routes = []
+        for entry in config.resources:
+            name = entry.metadata.name
+            if entry.type == 'services':
+                services.append(
+                    _model.Service(name, (ANY_VERSION,), ANY_VERSION)
+                )
+            elif entry.type == 'routes':
+                routes.append(_route(name, entry.spec))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise InvalidUpdateError(f'{CONFIGURATION_KEY}: {error}') from error
+    services.sort(key=lambda item: item.name)
+    routes.sort(key=lambda item: item.name)
+    fragment = _model.Fragment(_DEPARTMENT, tuple(services), tuple(routes))
+    digest = _model.digest(_model.encode(fragment))
+    head = _model.Head(
+        version, {_DEPARTMENT: _model.DepartmentRef(digest, '')}
+    )
+    return head, fragment
+
+
+def _route(name: str, spec: msgspec.Raw) -> _model.Route:
+    route = msgspec.json.decode(spec, type=_Route)
+    targets = tuple(
+        _model.Target(item.service, round(item.weight)) for item in route.split
+    )
+    service = route.service or (targets[0].service if targets else '')
+    return _model.Route(
+        name,
+        route.host.lower(),
+        route.prefix,
+        service,
+        route.timeout_ms / 1000,
+        (_model.ANY_METHOD,) if route.type == 'idempotent' else (),
+        targets,
+        route.objective_ms / 1000,
+        route.attempts,
+        route.priority,
+    )
+
+
+def rollout_service(key: str) -> str:
+    """Return the service whose order a key holds; empty for other keys."""
+    if not key.startswith(_ROLLOUTS):
+        return ''
+    return key[len(_ROLLOUTS) :]
+
+
+def rollout_status_key(service: str) -> str:
+    """Return the key at which the operator reads the state of a rollout."""
+    return f'{_ROLLOUT_STATUS}{service}'
+
+
+def decode_rollout(value: bytes) -> RolloutOrder:
+    """Decode an order.
+
+    Raises
+    ------
+    InvalidUpdateError
+        When it cannot be read.
+    """
+    try:
+        found = msgspec.json.decode(value, type=_Rollout)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise InvalidUpdateError(f'rollout: {error}') from error
+    return RolloutOrder(found.service, found.target, found.duration_s)
+
+
+def encode_rollout_status(order: RolloutOrder, state: RolloutState) -> bytes:
+    """Encode the state of a rollout for the operator."""
+    return msgspec.json.encode(_RolloutStatus(state.value, order.version))
--- /dev/null
+++ b/gypsumhall/platform/_store.py
@@ -0,0 +1,358 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import Any
+from typing import NoReturn
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import httpcore
+import msgspec
+import trio
+
+from gypsumhall._errors import StoreCompactedError
+from gypsumhall._errors import StoreProtocolError
+from gypsumhall._errors import StoreUnavailableError
+from gypsumhall._errors import StoreUnknownError
+from gypsumhall.store import Delete
+from gypsumhall.store import KeyValue
+from gypsumhall.store import Put
+from gypsumhall.store import StoreLeaseError
+from gypsumhall.store import StoreLimitError
+from gypsumhall.store import TxnResult
+from gypsumhall.store import WatchEvent
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Sequence
+
+    from gypsumhall.store import Compare
+
+T = TypeVar('T')
+
+MAX_TXN_ENTRIES = 32
+"""Most entries of a transaction, as the platform's page states."""
+
+MAX_KEY_BYTES = 200
+"""Longest key, as the platform's page states."""
+
+_CALL_TIMEOUT_S = 1.0
+"""Longest time for a call; the platform answers in milliseconds, and a lost
+response is noticed only in this way."""
+
+_WATCH_S = 3.0
+"""Time for which the platform holds a watch without events; a watch that has
+gone silent is noticed after this time and `_CALL_TIMEOUT_S`."""
+
+_WATCH_RETRY_S = 0.2
+_MAX_PAGES = 200
+
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+_HTTP_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    value: bytes = b''
+    lease: int = 0
+    tombstone: bool = False
+
+
+class _Read(msgspec.Struct):
+    key: str
+    value: bytes
+    revision: int
+    lease: int = 0
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool = msgspec.field(name='hasMore', default=False)
+    current: int = msgspec.field(name='currentRev', default=0)
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    current: int = msgspec.field(name='currentRev')
+
+
+class _Precondition(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Put(msgspec.Struct):
+    key: str
+    value: bytes
+    lease: int
+
+
+class _Txn(msgspec.Struct):
+    precondition: list[_Precondition]
+    puts: list[_Put]
+    delete: list[str]
+
+
+class _Revision(msgspec.Struct):
+    revision: int
+
+
+class _Failed(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _LeaseRequest(msgspec.Struct):
+    ttl_ms: int = msgspec.field(name='ttlMs')
+
+
+class _LeaseResponse(msgspec.Struct):
+    lease: int
+
+
+class _Response(msgspec.Struct):
+    status: int
+    body: bytes
+
+
+class KvStore:
+    """The platform's metadata store, behind the protocol `Store`.
+
+    Parameters
+    ----------
+    address : str
+        ``<ip>:<port>`` of the store.
+    """
+
+    __slots__ = ('_base', '_pool', '_watches')
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}'
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=16, keepalive_expiry=5.0
+        )
+        # Watches wait for long, so they have connections of their own.
+        self._watches = httpcore.AsyncConnectionPool(
+            max_connections=16, keepalive_expiry=5.0
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+        await self._watches.aclose()
+
+    async def get(self, key: str, *, stale: bool = False) -> KeyValue | None:
+        """Read one key; None when it does not exist.
+
+        Parameters
+        ----------
+        key : str
+            The key.
+        stale : bool
+            Whether a value that is seconds old will do; it costs a tenth.
+        """
+        query: dict[str, Any] = {'key': key}
+        if stale:
+            query['allowStale'] = 1
+        response = await self._read('/v1/kv-key', query)
+        if response.status == 404:
+            return None
+        item = _decode(response, _Read)
+        return KeyValue(item.key, item.value, item.revision, item.lease)
+
+    async def range(self, prefix: str) -> list[KeyValue]:
+        """Read all keys that start with a prefix, in key order.
+
+        The pages of a long range are read one after the other.
+        """
+        found: dict[str, KeyValue] = {}
+        after = ''
+        for _ in range(_MAX_PAGES):
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            page = _decode(await self._read('/v1/kv-range', query), _Page)
+            for item in page.items:
+                found[item.key] = KeyValue(
+                    item.key, item.value, item.revision, item.lease
+                )
+                after = item.key
+            if not page.has_more or not page.items:
+                return [found[key] for key in sorted(found)]
+        raise StoreProtocolError(f'{prefix!r} has over {_MAX_PAGES} pages')
+
+    async def txn(
+        self,
+        compares: Sequence[Compare],
+        writes: Sequence[Put | Delete],
+    ) -> TxnResult:
+        """Execute all writes if all conditions hold, else none."""
+        _check_size(compares, writes)
+        body = _Txn(
+            [_Precondition(item.key, item.mod_revision) for item in compares],
+            [
+                _Put(item.key, item.value, item.lease)
+                for item in writes
+                if isinstance(item, Put)
+            ],
+            [item.key for item in writes if isinstance(item, Delete)],
+        )
+        response = await self._write('/v1/kv-txn', body)
+        if response.status == 412:
+            revisions = [i.revision for i in _decode(response, _Failed).items]
+            return TxnResult(False, max(revisions, default=0))
+        if response.status == 404:
+            raise StoreLeaseError('the lease has lapsed')
+        return TxnResult(True, _decode(response, _Revision).revision)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Create a lease that lapses without renewal; return its id."""
+        body = _LeaseRequest(ttl_s * 1000)
+        return _decode(
+            await self._write('/v1/kv-lease', body), _LeaseResponse
+        ).lease
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease once; False when it has lapsed."""
+        response = await self._write(f'/v1/kv-keep/{lease}')
+        if response.status == 404:
+            return False
+        _check(response)
+        return True
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        path = f'/v1/kv-lease-end/{lease}'
+        response = await self._write(path, method='DELETE')
+        if response.status != 404:
+            _check(response)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int = 0
+    ) -> AsyncIterator[AsyncIterator[WatchEvent]]:
+        """Watch all keys that start with a prefix."""
+        if from_revision:
+            after = from_revision - 1
+        else:
+            query = {'prefix': prefix}
+            page = _decode(await self._read('/v1/kv-range', query), _Page)
+            after = page.current
+        events = self._poll(prefix, after)
+        try:
+            yield events
+        finally:
+            await events.aclose()  # type: ignore[attr-defined]
+
+    async def _poll(
+        self, prefix: str, after: int
+    ) -> AsyncIterator[WatchEvent]:
+        wait_ms = int(_WATCH_S * 1000)
+        while True:
+            query = {'prefix': prefix, 'after': after, 'waitMs': wait_ms}
+            response = await self._read(
+                '/v1/kv-watch',
+                query,
+                _WATCH_S + _CALL_TIMEOUT_S,
+                self._watches,
+            )
+            if response.status == 410:
+                raise StoreCompactedError(f'revision {after} is not kept')
+            found = _decode(response, _Events)
+            for item in sorted(found.events, key=lambda item: item.revision):
+                value = None if item.tombstone else item.value
+                yield WatchEvent(item.key, value, item.revision)
+            after = max(after, found.current)
+
+    async def _read(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout_s: float = _CALL_TIMEOUT_S,
+        pool: httpcore.AsyncConnectionPool | None = None,
+    ) -> _Response:
+        try:
+            return await self._call(
+                'GET', f'{path}?{urlencode(query)}', b'', timeout_s, pool
+            )
+        except (*_HTTP_ERRORS, trio.TooSlowError) as error:
+            raise StoreUnavailableError(f'{path}: {error!r}') from error
+
+    async def _write(
+        self,
+        path: str,
+        body: msgspec.Struct | None = None,
+        method: str = 'POST',
+    ) -> _Response:
+        content = b'' if body is None else msgspec.json.encode(body)
+        try:
+            return await self._call(method, path, content, _CALL_TIMEOUT_S)
+        except _NOT_SENT as error:
+            raise StoreUnavailableError(f'{path}: {error!r}') from error
+        except (*_HTTP_ERRORS, trio.TooSlowError) as error:
+            raise StoreUnknownError(f'{path}: {error!r}') from error
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        content: bytes,
+        timeout_s: float,
+        pool: httpcore.AsyncConnectionPool | None = None,
+    ) -> _Response:
+        headers = [('Content-Type', 'application/json')] if content else []
+        with trio.fail_after(timeout_s):
+            response = await (pool or self._pool).request(
+                method,
+                self._base + target,
+                headers=headers,
+                content=content,
+            )
+        if response.status in (429, 503):
+            raise StoreUnavailableError(
+                f'{target.partition("?")[0]}: status {response.status}'
+            )
+        return _Response(response.status, response.content)
+
+
+def _check_size(
+    compares: Sequence[Compare], writes: Sequence[Put | Delete]
+) -> None:
+    if len(compares) + len(writes) > MAX_TXN_ENTRIES:
+        raise StoreLimitError(
+            f'{len(compares) + len(writes)} entries; a transaction has at '
+            f'most {MAX_TXN_ENTRIES}'
+        )
+    for item in (*compares, *writes):
+        if len(item.key.encode()) > MAX_KEY_BYTES:
+            raise StoreLimitError(f'key {item.key!r} is too long')
+
+
+def _check(response: _Response) -> None:
+    if response.status != 200:
+        _refuse(response)
+
+
+def _refuse(response: _Response) -> NoReturn:
+    raise StoreProtocolError(
+        f'status {response.status}: {response.body[:200]!r}'
+    )
+
+
+def _decode(response: _Response, kind: type[T]) -> T:
+    _check(response)
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise StoreProtocolError(f'{kind.__name__}: {error}') from error
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -253,6 +253,7 @@
         key: str = '',
         split: Split | None = None,
         time_s: float | None = None,
+        max_wait_s: float | None = None,
     ) -> CallStart:
         """Return the first message of an attempt.
 
@@ -270,11 +271,19 @@
             Move that the attempt is evidence for.
         time_s : float or None
             Time in seconds for the attempt; by default all that is left.
+        max_wait_s : float or None
+            Longest expected wait with which the runner accepts the call;
+            by default any that leaves time to run it.
         """
         self._counter += 1
         inline = len(request.body) <= _calls.CHUNK_BYTES
+        now = trio.current_time()
         if time_s is None:
-            time_s = request.deadline - trio.current_time()
+            time_s = request.deadline - now
+        objective_ms = 0
+        if request.objective:
+            # 0 would stand for no objective.
+            objective_ms = int((request.objective - now) * 1000) or -1
         return CallStart(
             f'{self._prefix}:{self._counter}',
             member.incarnation,
@@ -293,6 +302,9 @@
             self._events.clock.now(),
             request.body if inline else b'',
             self._zone,
+            request.priority,
+            objective_ms,
+            -1 if max_wait_s is None else max(0, int(max_wait_s * 1000)),
         )
 
     async def run(
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -5,6 +5,7 @@
 from contextvars import ContextVar
 import json
 import math
+import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from gypsumhall.core._model import Route
     from gypsumhall.core._snapshot import MatchedRoute
     from gypsumhall.kernel import Kernel
 
@@ -35,6 +37,13 @@
 _BODY_TIMEOUT_S = 30.0
 _MAX_KEY_BYTES = 255
 _RETRY_AFTER_S = 1
+# Largest part by which a known time is extended, so that callers that were
+# refused together do not return together.
+_RETRY_SPREAD = 0.5
+# Time that a caller may have spent on its way here in a first attempt.
+_RETURNING_S = 0.05
+# Routes whose longest stated time is kept.
+_MAX_ROUTES = 16_384
 
 # Set in the tasks that handle requests. Responses made elsewhere are those
 # of the HTTP library to input that is not a valid request.
@@ -44,10 +53,14 @@
 class _Config(hypercorn.config.Config):
     """Marks refusals by the HTTP library as ``not-run``."""
 
+    def __init__(self, dialect: _calls.Dialect) -> None:
+        super().__init__()
+        self._dialect = dialect
+
     def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
-        if _in_request.get():
+        if _in_request.get() or not self._dialect.outcome:
             return []
-        return [(_calls.OUTCOME_HEADER, Outcome.NOT_RUN.value.encode())]
+        return [(self._dialect.outcome, Outcome.NOT_RUN.value.encode())]
 
 
 class _CallerGoneError(Exception):
@@ -61,10 +74,13 @@
     whole one, so such a response is held until it is complete.
     """
 
-    __slots__ = ('_head', '_hold', '_send', 'finished', 'started')
+    __slots__ = ('_caller', '_head', '_hold', '_send', 'finished', 'started')
 
-    def __init__(self, send: Send, *, is_http_1_0: bool) -> None:
+    def __init__(
+        self, send: Send, *, is_http_1_0: bool, caller: CallerService
+    ) -> None:
         self._send = send
+        self._caller = caller
         self._hold: bytearray | None = bytearray() if is_http_1_0 else None
         self._head: dict[str, Any] = {}
         self.started = False
@@ -72,6 +88,8 @@
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
         """Take the status and the headers."""
+        if self._caller.stopping:
+            headers = (*headers, (b'connection', b'close'))
         self._head = {
             'type': 'http.response.start',
             'status': status,
@@ -111,13 +129,34 @@
     ----------
     address : str
         ``<ip>:<port>`` to listen on; port 0 for any.
+    dialect : Dialect
+        Names of the headers that callers use.
+    service : str
+        Service on this VM, which backend servers are told as the caller's;
+        used if the dialect has a header for it.
+    linger_s : float
+        Time in seconds after the start of a planned stop in which requests
+        are still served, until all callers know of it.
     """
 
     name = 'caller'
     requires: tuple[str, ...] = ('runner', 'distribution', 'events', 'metrics')
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        dialect: _calls.Dialect = _calls.OWN_DIALECT,
+        service: str = '',
+        linger_s: float = 0.0,
+    ) -> None:
         self._address = address
+        self._dialect = dialect
+        self._service = service
+        self._linger_s = linger_s
+        self._rng = random.Random()
+        self._stopping = False
+        # Longest time that callers of a route were seen to wait, by route.
+        self._longest_s: dict[str, float] = {}
         self._bound = ''
         self._draining = False
         self._stop = trio.Event()
@@ -155,7 +194,8 @@
             'gypsumhall_caller_latency_seconds',
             'Time from a whole request to the end of its response.',
         )
-        config = _Config()
+        self._events = kernel.get('events', _protocols.Events)
+        config = _Config(self._dialect)
         config.backlog = 1024
         config.h11_max_incomplete_size = _calls.MAX_HEADER_BYTES
         config.keep_alive_timeout = 60.0
@@ -173,8 +213,16 @@
             task_status.started()
             await self._stop.wait()
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stopping
+
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
+        self._stopping = True
+        if self._linger_s:
+            await trio.sleep(self._linger_s)
         self._draining = True
         while self._active:
             self._idle = trio.Event()
@@ -192,7 +240,9 @@
         _in_request.set(True)
         self._active += 1
         started = trio.current_time()
-        sink = _HttpSink(send, is_http_1_0=scope['http_version'] == '1.0')
+        sink = _HttpSink(
+            send, is_http_1_0=scope['http_version'] == '1.0', caller=self
+        )
         result = 'response'
         refusal: _calls.CallRefusedError | None = None
         held = 0
@@ -221,7 +271,7 @@
         if refusal is not None:
             result = refusal.reason
             is_head = scope['method'] == 'HEAD'
-            await _send_refusal(send, refusal, head_only=is_head)
+            await self._send_refusal(send, refusal, head_only=is_head)
         self._requests.add(1.0, result=result)
         self._latency.add(trio.current_time() - started)
 
@@ -246,12 +296,12 @@
         now = trio.current_time()
         matched, fields = self._match(scope)
         route = matched.route
-        timeout_s = _timeout_s(fields, route.timeout_s)
-        key = fields.get(_calls.KEY_HEADER, b'')
+        timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
+        key = fields.get(self._dialect.key, b'')
         if len(key) > _MAX_KEY_BYTES:
             raise _calls.not_run(
                 'bad-request',
-                f'Idempotency-Key is longer than {_MAX_KEY_BYTES} bytes',
+                f'the idempotency key is longer than {_MAX_KEY_BYTES} bytes',
             )
         body = b''
         if b'content-length' in fields or b'transfer-encoding' in fields:
@@ -259,18 +309,43 @@
         path = scope['raw_path']
         if scope['query_string']:
             path += b'?' + scope['query_string']
+        headers = _calls.request_headers(scope['headers'], self._dialect)
+        if self._dialect.caller_service:
+            name = self._dialect.caller_service
+            headers = (*headers, (name, self._service.encode()))
+        elapsed_s = self._elapsed_s(matched.id, fields)
         return _calls.Request(
-            route.service,
+            _choose_target(route, self._rng),
             matched.id,
             scope['method'],
             path.decode('ascii'),
-            _calls.request_headers(scope['headers']),
+            headers,
             body,
             now + timeout_s,
-            scope['method'] in route.idempotent_methods,
+            route.is_idempotent(scope['method']),
             key.decode('latin-1'),
+            now + route.objective_s - elapsed_s if route.objective_s else 0.0,
+            route.priority,
+            route.attempts,
+            elapsed_s > _RETURNING_S,
+            fields.get(self._dialect.request_id, b'').decode('latin-1'),
         )
 
+    def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
+        """Return for how long the caller has waited before this request.
+
+        Callers that return after a refusal state what is left of their
+        time, while others of the same route state all of it.
+        """
+        stated_s = _stated_s(fields, self._dialect.deadline)
+        if stated_s is None:
+            return 0.0
+        if len(self._longest_s) >= _MAX_ROUTES:
+            self._longest_s.clear()
+        longest_s = max(self._longest_s.get(route, 0.0), stated_s)
+        self._longest_s[route] = longest_s
+        return longest_s - stated_s
+
     def _match(
         self, scope: dict[str, Any]
     ) -> tuple[MatchedRoute, dict[bytes, bytes]]:
@@ -290,7 +365,11 @@
             raise _calls.not_run('not-ready', 'no configuration installed yet')
         fields = dict(scope['headers'])
         host = fields.get(b'host', b'').decode('latin-1')
-        matched = snapshot.match(host, scope['path'])
+        literal = self._dialect.literal_prefixes
+        path = (
+            scope['raw_path'].decode('latin-1') if literal else (scope['path'])
+        )
+        matched = snapshot.match(host, path, exact=literal)
         if matched is None:
             raise _calls.not_run(
                 'unknown-route', f'no route for {host!r} {scope["path"]!r}'
@@ -333,58 +412,94 @@
             )
         return bytes(body)
 
+    async def _send_refusal(
+        self, send: Send, error: _calls.CallRefusedError, *, head_only: bool
+    ) -> None:
+        dialect = self._dialect
+        status = error.status
+        if dialect.status_promises:
+            status = error.promising_status
+        body = json.dumps(
+            {
+                'type': f'urn:gypsumhall:refusal:{error.reason}',
+                'title': 'The request was refused',
+                'status': status,
+                'code': error.reason,
+                'detail': error.detail,
+                'outcome': error.outcome.value,
+            }
+        ).encode()
+        headers: Iterable[tuple[bytes, bytes]] = [
+            (b'content-type', b'application/problem+json'),
+            (b'content-length', b'%d' % len(body)),
+        ]
+        if dialect.outcome:
+            outcome = (dialect.outcome, error.outcome.value.encode())
+            headers = [*headers, outcome]
+        if status == 503:
+            value = _retry_after(error, self._rng)
+            headers = [*headers, (b'retry-after', value)]
+        closing = ('draining', 'request-too-large', 'body-timeout')
+        if self._stopping or error.reason in closing:
+            headers = [*headers, (b'connection', b'close')]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        await send(
+            {
+                'type': 'http.response.body',
+                'body': b'' if head_only else body,
+                'more_body': False,
+            }
+        )
+
+
+def _choose_target(route: Route, rng: random.Random) -> str:
+    """Return the service that gets a request of a route."""
+    if not route.targets:
+        return route.service
+    weights = [target.weight for target in route.targets]
+    if not any(weights):
+        return route.service
+    chosen = rng.choices(route.targets, weights)[0]
+    return chosen.service
 
-def _timeout_s(fields: dict[bytes, bytes], route_s: float) -> float:
-    value = fields.get(_calls.DEADLINE_HEADER)
+
+def _stated_s(fields: dict[bytes, bytes], name: bytes) -> float | None:
+    """Return how many seconds the caller waits, or None if it is silent."""
+    value = fields.get(name)
     if value is None:
-        return route_s
+        return None
     try:
-        wanted_s = float(value) / 1000
+        stated_s = float(value) / 1000
     except ValueError:
-        wanted_s = math.nan
-    if math.isnan(wanted_s):
+        stated_s = math.nan
+    if math.isnan(stated_s):
         raise _calls.not_run(
             'bad-request',
-            f'Gypsumhall-Deadline-Ms is {value!r}, expected milliseconds',
+            f'{name.decode()} is {value!r}, expected milliseconds',
         )
-    if wanted_s <= 0:
+    return stated_s
+
+
+def _timeout_s(
+    fields: dict[bytes, bytes], name: bytes, route_s: float
+) -> float:
+    stated_s = _stated_s(fields, name)
+    if stated_s is None:
+        return route_s
+    if stated_s <= 0:
         raise _calls.not_run('deadline', 'the deadline has passed')
-    return min(wanted_s, route_s)
-
-
-async def _send_refusal(
-    send: Send, error: _calls.CallRefusedError, *, head_only: bool
-) -> None:
-    body = json.dumps(
-        {
-            'type': f'urn:gypsumhall:refusal:{error.reason}',
-            'title': 'The request was refused',
-            'status': error.status,
-            'code': error.reason,
-            'detail': error.detail,
-            'outcome': error.outcome.value,
-        }
-    ).encode()
-    headers: Iterable[tuple[bytes, bytes]] = [
-        (b'content-type', b'application/problem+json'),
-        (b'content-length', b'%d' % len(body)),
-        (_calls.OUTCOME_HEADER, error.outcome.value.encode()),
-    ]
-    if error.status == 503:
-        headers = [*headers, (b'retry-after', b'%d' % _RETRY_AFTER_S)]
-    if error.reason in ('draining', 'request-too-large', 'body-timeout'):
-        headers = [*headers, (b'connection', b'close')]
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': error.status,
-            'headers': headers,
-        }
-    )
-    await send(
-        {
-            'type': 'http.response.body',
-            'body': b'' if head_only else body,
-            'more_body': False,
-        }
-    )
+    return min(stated_s, route_s)
+
+
+def _retry_after(error: _calls.CallRefusedError, rng: random.Random) -> bytes:
+    """Return the value of ``Retry-After``, spread over callers."""
+    if not error.retry_after_s:
+        return b'%d' % _RETRY_AFTER_S
+    spread = 1.0 + _RETRY_SPREAD * rng.random()
+    return b'%.3f' % (error.retry_after_s * spread)
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -30,9 +30,55 @@
 # push the responses of many other calls out of the ledger.
 MAX_RECORDED_BODY = 1024 * 1024
 
-OUTCOME_HEADER = b'gypsumhall-outcome'
-DEADLINE_HEADER = b'gypsumhall-deadline-ms'
-KEY_HEADER = b'idempotency-key'
+
+@dataclass(slots=True, frozen=True)
+class Dialect:
+    """Names of the HTTP headers that callers and backend servers use.
+
+    The defaults are the product's own. A header with an empty name is
+    neither read nor sent.
+
+    Parameters
+    ----------
+    deadline : bytes
+        Milliseconds that the sender of a request waits.
+    outcome : bytes
+        Whether a refused request was run.
+    key : bytes
+        Idempotency key.
+    request_id : bytes
+        Id that a backend server repeats in its response.
+    caller_service : bytes
+        Service on the VM where a request began.
+    expected_instance : bytes
+        Process of a backend server that a request is meant for.
+    not_executed : bytes
+        Marks responses of a backend server that did not run the request.
+    status_promises : bool
+        Whether status 503 promises that a request was not run, so that a
+        refusal with another outcome needs another status.
+    whole_responses : bool
+        Whether a response is held back until it is complete.
+    literal_prefixes : bool
+        Whether a route's prefix has to match with its closing slash.
+    """
+
+    deadline: bytes = b'gypsumhall-deadline-ms'
+    outcome: bytes = b'gypsumhall-outcome'
+    key: bytes = b'idempotency-key'
+    request_id: bytes = b''
+    caller_service: bytes = b''
+    expected_instance: bytes = b''
+    not_executed: bytes = b''
+    status_promises: bool = False
+    whole_responses: bool = False
+    literal_prefixes: bool = False
+
+
+OWN_DIALECT = Dialect()
+OUTCOME_HEADER = OWN_DIALECT.outcome
+DEADLINE_HEADER = OWN_DIALECT.deadline
+KEY_HEADER = OWN_DIALECT.key
 
 _HOP_BY_HOP = frozenset(
     [
@@ -47,8 +93,8 @@
         b'upgrade',
     ]
 )
-# The runner sets these from the body and the deadline that it received.
-_REQUEST_ONLY = frozenset([b'content-length', b'expect', DEADLINE_HEADER])
+# The runner sets the length from the body that it received.
+_REQUEST_ONLY = frozenset([b'content-length', b'expect'])
 
 _STATUS = {
     'bad-request': 400,
@@ -77,21 +123,38 @@
         Reason, for example ``overloaded``.
     detail : str
         Explanation for people.
+    retry_after_s : float
+        Time in seconds after which there is likely to be room; 0 when that
+        is not known.
     """
 
     code = 'call-refused'
 
-    def __init__(self, outcome: Outcome, code: str, detail: str) -> None:
+    def __init__(
+        self,
+        outcome: Outcome,
+        code: str,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
         super().__init__(f'{code}: {detail} ({outcome.value})')
         self.outcome = outcome
         self.reason = code
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
     @property
     def status(self) -> int:
         """HTTP status of the refusal."""
         return _STATUS.get(self.reason, 503)
 
+    @property
+    def promising_status(self) -> int:
+        """HTTP status where 503 promises that a request was not run."""
+        if self.outcome == Outcome.NOT_RUN:
+            return 503 if self.status >= 500 else self.status
+        return 502 if self.status in (408, 503) else self.status
+
 
 class BrokenResponseError(GypsumhallError):
     """A response ended early after its head was passed on."""
@@ -125,6 +188,16 @@
         Whether the request may be repeated.
     key : str
         Idempotency key; empty for none.
+    objective : float
+        Time until which a response is worth most; 0 for the deadline.
+    priority : int
+        Rank of the route, 0 for the most urgent.
+    attempts : int
+        Most endpoints that the request may reach; 0 for no own limit.
+    returning : bool
+        Whether the caller was refused before.
+    id : str
+        The caller's id of the request; empty for none.
     """
 
     service: str
@@ -136,6 +209,11 @@
     deadline: float
     idempotent: bool
     key: str = ''
+    objective: float = 0.0
+    priority: int = 0
+    attempts: int = 0
+    returning: bool = False
+    id: str = ''
 
 
 class ResponseSink(Protocol):
@@ -199,9 +277,15 @@
         await sink.chunk(part, last=sent == len(response.body))
 
 
-def request_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers of a request that are passed on."""
-    return _end_to_end(headers, _REQUEST_ONLY)
+def request_headers(
+    headers: Iterable[tuple[bytes, bytes]], dialect: Dialect = OWN_DIALECT
+) -> Headers:
+    """Return the headers of a request that are passed on.
+
+    Those that the system sets itself are left out.
+    """
+    own = (dialect.deadline, dialect.caller_service, dialect.expected_instance)
+    return _end_to_end(headers, _REQUEST_ONLY.union(own))
 
 
 def response_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- /dev/null
+++ b/gypsumhall/services/_checkins.py
@@ -0,0 +1,133 @@
+"""Service ``check-ins``: heartbeats of the backend server on the VM."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall import platform
+from gypsumhall._errors import GypsumhallError
+from gypsumhall.core._checkins import CheckIns
+from gypsumhall.core._checkins import Decision
+from gypsumhall.services import _protocols
+from gypsumhall.services import _runner
+
+if TYPE_CHECKING:
+    from gypsumhall.kernel import Kernel
+
+_CHECK_S = 0.5
+
+
+class CheckInService:
+    """Takes heartbeats, and tells runner and membership of changes.
+
+    Parameters
+    ----------
+    address : str
+        ``<ip>:<port>`` of the backend server on the VM; heartbeats that
+        name another one are not used. Empty for any.
+    """
+
+    name = 'check-ins'
+    requires: tuple[str, ...] = ('admin', 'membership', 'runner', 'events')
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._known = CheckIns()
+        self._draining = False
+        self._membership: _protocols.Membership
+        self._runner: _runner.RunnerService
+        self._events: _protocols.Events
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Look for heartbeats that stop, until cancelled."""
+        admin = kernel.get('admin', _protocols.Admin)
+        self._membership = kernel.get('membership', _protocols.Membership)
+        self._runner = kernel.get('runner', _runner.RunnerService)
+        self._events = kernel.get('events', _protocols.Events)
+        admin.add_route('PUT', platform.INSTANCES_PATH, self._check_in)
+        admin.add_route('DELETE', platform.INSTANCES_PATH, self._leave)
+        task_status.started()
+        while True:
+            await trio.sleep(_CHECK_S)
+            if self._known.expire(trio.current_time()):
+                self._apply('missing')
+
+    async def drain(self) -> None:
+        """Go on: the promise to a backend server that leaves holds."""
+        self._draining = True
+
+    async def _check_in(
+        self, request: _protocols.AdminRequest
+    ) -> _protocols.AdminResponse:
+        instance = request.path[len(platform.INSTANCES_PATH) :]
+        try:
+            check_in = platform.decode_check_in(instance, request.body)
+        except GypsumhallError as error:
+            self._events.emit('check-in-rejected', detail=str(error))
+            return _response(400)
+        if self._address and check_in.address != self._address:
+            self._events.emit(
+                'check-in-rejected',
+                detail=f'{instance!r} is at {check_in.address!r}, not here',
+            )
+            return _response(400)
+        decision = self._known.take(
+            instance,
+            check_in.started_ms,
+            check_in.sequence,
+            check_in.address,
+            check_in.endpoint,
+            trio.current_time(),
+        )
+        if decision is not Decision.STALE:
+            now = trio.current_time()
+            self._runner.set_warm_at(now + check_in.warmup_s)
+        if decision is Decision.CHANGED:
+            self._apply('check-in')
+        elif decision is Decision.STALE:
+            self._events.emit(
+                'check-in-stale',
+                instance=instance,
+                started_ms=check_in.started_ms,
+                sequence=check_in.sequence,
+            )
+        return _response(200)
+
+    async def _leave(
+        self, request: _protocols.AdminRequest
+    ) -> _protocols.AdminResponse:
+        instance = request.path[len(platform.INSTANCES_PATH) :]
+        started_ms = platform.decode_start_time(request.body)
+        if self._known.leave(instance, started_ms):
+            self._apply('leaving')
+        return _response(200)
+
+    def _apply(self, cause: str) -> None:
+        """Pass the state on, first to the runner, which keeps promises."""
+        found = self._known.current
+        endpoint = None if found is None else found.endpoint
+        instance = '' if found is None else found.instance
+        address = '' if found is None else found.address
+        self._runner.set_backend(endpoint, address, instance)
+        if not self._draining:
+            self._membership.set_endpoint(endpoint)
+        self._events.emit(
+            'endpoint-changed',
+            cause=cause,
+            instance=instance,
+            service='' if endpoint is None else endpoint.service,
+            service_version='' if endpoint is None else endpoint.version,
+            state='gone' if endpoint is None else endpoint.state.name.lower(),
+            address=address,
+        )
+
+
+def _response(status: int) -> _protocols.AdminResponse:
+    return _protocols.AdminResponse(status, b'{}')
--- /dev/null
+++ b/gypsumhall/services/_feed.py
@@ -0,0 +1,179 @@
+"""Service ``feed``: carries what the operator writes into the zone.
+
+A few daemons of each zone watch the platform's store and push what they read
+to the others; the distribution's trees, digests on heartbeats and pulls do
+the rest. Which daemons watch follows from the member table alone, so that a
+daemon that dies is replaced as soon as the table says so, and the number of
+watches does not grow with the zone.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+from typing import runtime_checkable
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall import platform
+from gypsumhall._errors import InvalidUpdateError
+from gypsumhall._errors import StoreError
+from gypsumhall.core import _model
+from gypsumhall.core import _tree
+from gypsumhall.services._distribution import DistributionService
+from gypsumhall.services._protocols import Events
+from gypsumhall.services._protocols import Membership
+from gypsumhall.store import StoreService
+from gypsumhall.store._election import Backoff
+
+if TYPE_CHECKING:
+    from gypsumhall.kernel import Kernel
+
+WATCHERS = 5
+"""Daemons of a zone that watch the store. When 55 % of the machines die at
+once, all watchers of a large zone are among them with a probability of 5 %."""
+
+_RETRY_S = (0.1, 0.5)
+
+
+@runtime_checkable
+class RolloutOrders(Protocol):
+    """Takes orders; the service ``moves``."""
+
+    def order(self, order: platform.RolloutOrder, revision: int) -> None:
+        """Take over an order that was read from the store."""
+        ...
+
+
+class Feed:
+    """Watches the store for the operator's changes.
+
+    Parameters
+    ----------
+    rng : random.Random, optional
+        Source of the jitter of retries.
+    """
+
+    name = 'feed'
+    requires: tuple[str, ...] = (
+        'events',
+        'store',
+        'membership',
+        'distribution',
+        'moves',
+    )
+
+    def __init__(self, *, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._store: StoreService
+        self._membership: Membership
+        self._distribution: DistributionService
+        self._events: Events
+        self._rollouts: RolloutOrders
+        self._config_revision = 0
+        self._reachable = True
+        self._changed = trio.Event()
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Watch whenever this daemon is one of the watchers."""
+        self._store = kernel.get('store', StoreService)
+        self._membership = kernel.get('membership', Membership)
+        self._distribution = kernel.get('distribution', DistributionService)
+        self._events = kernel.get('events', Events)
+        self._rollouts = kernel.get('moves', RolloutOrders)
+        self._distribution.set_head_reader(self._read_head)
+        task_status.started()
+        self._membership.subscribe(self._members_changed)
+        while True:
+            await self._wait_until(watcher=True)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch)
+                await self._wait_until(watcher=False)
+                nursery.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Go on until the daemon has stopped: requests are still served."""
+
+    def _members_changed(self) -> None:
+        self._changed.set()
+
+    async def _wait_until(self, *, watcher: bool) -> None:
+        while self._is_watcher() != watcher:
+            self._changed = trio.Event()
+            await self._changed.wait()
+
+    def _is_watcher(self) -> bool:
+        me = self._membership.me
+        mine = _tree.rank('feed', me.id)
+        before = sum(
+            1
+            for item in self._membership.table.alive(me.zone)
+            if item.id != me.id and _tree.rank('feed', item.id) < mine
+        )
+        return before < WATCHERS
+
+    async def _watch(self) -> None:
+        backoff = Backoff(*_RETRY_S, self._rng)
+        while True:
+            try:
+                await self._watch_once(backoff)
+            except StoreError as error:
+                self._note_reachable(error)
+                await trio.sleep(backoff.next())
+
+    async def _watch_once(self, backoff: Backoff) -> None:
+        async with self._store.watch(platform.OPERATOR_PREFIX) as events:
+            # The watch covers what is written during this read.
+            for item in await self._store.range(platform.OPERATOR_PREFIX):
+                self._take(item.key, item.value, item.mod_revision)
+            self._note_reachable(None)
+            backoff.reset()
+            async for event in events:
+                if event.value is not None:
+                    self._take(event.key, event.value, event.revision)
+
+    def _take(self, key: str, value: bytes, revision: int) -> None:
+        try:
+            if key == platform.CONFIGURATION_KEY:
+                self._publish(value, revision)
+            elif platform.rollout_service(key):
+                order = platform.decode_rollout(value)
+                self._rollouts.order(order, revision)
+        except InvalidUpdateError as error:
+            self._events.emit(
+                'feed-entry-rejected',
+                key=key,
+                revision=revision,
+                detail=str(error),
+            )
+
+    def _publish(self, value: bytes, revision: int) -> None:
+        if revision <= self._config_revision:
+            return
+        self._config_revision = revision
+        head, fragment = platform.decode_configuration(value)
+        self._events.emit(
+            'configuration-read', head=head.version, revision=revision
+        )
+        self._distribution.publish(head, [fragment])
+
+    async def _read_head(self) -> _model.Head:
+        item = await self._store.get(platform.CONFIGURATION_KEY)
+        if item is None:
+            return _model.Head()
+        return platform.decode_configuration(item.value)[0]
+
+    def _note_reachable(self, error: StoreError | None) -> None:
+        if error is None and not self._reachable:
+            self._events.emit('platform-reachable')
+        elif error is not None and self._reachable:
+            self._events.emit(
+                'platform-unreachable', error=error.code, detail=str(error)
+            )
+        self._reachable = error is None
--- /dev/null
+++ b/gypsumhall/services/_readiness.py
@@ -0,0 +1,70 @@
+"""Service ``readiness``: tells whether this daemon takes callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall import platform
+from gypsumhall.services import _protocols
+from gypsumhall.services._admin import AdminService
+
+if TYPE_CHECKING:
+    from gypsumhall.kernel import Kernel
+
+
+class ReadyListener(AdminService):
+    """Listener of its own for questions about readiness."""
+
+    name = 'ready-listener'
+
+
+class Readiness:
+    """Answers as ready while requests can be served.
+
+    It also marks the daemon as leaving when a planned stop begins, so that
+    others stop sending calls while callers are still served.
+    """
+
+    name = 'readiness'
+    requires: tuple[str, ...] = (
+        'ready-listener',
+        'membership',
+        'distribution',
+        'caller',
+    )
+
+    def __init__(self) -> None:
+        self._kernel: Kernel
+        self._distribution: _protocols.Distribution
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        self._kernel = kernel
+        membership = kernel.get('membership', _protocols.Membership)
+        self._distribution = kernel.get(
+            'distribution', _protocols.Distribution
+        )
+        listener = kernel.get('ready-listener', ReadyListener)
+        listener.add_route('GET', platform.READY_PATH, self._answer)
+        task_status.started()
+        await kernel.stopping.wait()
+        membership.set_leaving()
+
+    async def drain(self) -> None:
+        """Nothing is in flight."""
+
+    async def _answer(
+        self, request: _protocols.AdminRequest
+    ) -> _protocols.AdminResponse:
+        ready = (
+            self._distribution.snapshot is not None
+            and not self._kernel.stopping.is_set()
+        )
+        return _protocols.AdminResponse(200 if ready else 503, b'{}')
--- /dev/null
+++ b/gypsumhall/services/_registration.py
@@ -0,0 +1,148 @@
+"""Service ``registration``: a leased entry through which daemons meet.
+
+A few daemons of each zone hold an entry in the platform's store; those that
+start read the entries and join through any of them.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from gypsumhall._errors import StoreError
+from gypsumhall.core import _tree
+from gypsumhall.services._membership import MembershipService
+from gypsumhall.services._protocols import Events
+from gypsumhall.store import Put
+from gypsumhall.store import StoreLeaseError
+from gypsumhall.store import StoreService
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from gypsumhall.kernel import Kernel
+
+PREFIX = 'gypsumhall/members/'
+"""Prefix of the entries; the zone and the id of the daemon follow."""
+
+ENTRIES_PER_ZONE = 8
+"""Daemons of a zone that hold an entry, so that the renewals do not grow
+with the fleet and the loss of most machines leaves some."""
+
+TTL_S = 10
+"""Time to live of an entry in seconds."""
+
+_RENEW_S = 1.5
+"""Time between two renewals in seconds. An entry that lapsed is back after
+this time at most, which is below the 2 s that are asked for."""
+
+_RETRY_S = 0.4
+_IDLE_S = 2.0
+
+
+class Registration:
+    """Keeps the own entry, and reads those of others.
+
+    Parameters
+    ----------
+    rng : random.Random, optional
+        Source of jitter.
+    """
+
+    name = 'registration'
+    requires: tuple[str, ...] = ('events', 'store', 'membership')
+
+    def __init__(self, *, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._lease = 0
+        self._membership: MembershipService
+        self._store: StoreService
+        self._events: Events
+        self._stopping = False
+
+    async def run(
+        self,
+        kernel: Kernel,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Keep the entry until cancelled."""
+        self._membership = kernel.get('membership', MembershipService)
+        self._store = kernel.get('store', StoreService)
+        self._events = kernel.get('events', Events)
+        self._membership.set_seed_source(self.read_seeds)
+        task_status.started()
+        while True:
+            if self._stopping or not self._holds_entry():
+                await self._withdraw()
+                await trio.sleep(_IDLE_S)
+                continue
+            try:
+                await self._renew()
+            except StoreError as error:
+                self._events.emit(
+                    'registration-failed', error=error.code, detail=str(error)
+                )
+                await trio.sleep(_RETRY_S * self._rng.uniform(0.75, 1.25))
+                continue
+            await trio.sleep(_RENEW_S * self._rng.uniform(0.9, 1.0))
+
+    async def drain(self) -> None:
+        """Remove the entry; a daemon that starts must not wait for it."""
+        self._stopping = True
+        with trio.move_on_after(0.5):
+            await self._withdraw()
+
+    async def read_seeds(self) -> Sequence[str]:
+        """Return peer addresses of daemons of all zones.
+
+        Raises
+        ------
+        StoreError
+            When the platform cannot be read.
+        """
+        items = await self._store.range(PREFIX)
+        return [item.value.decode('latin-1') for item in items]
+
+    def _holds_entry(self) -> bool:
+        me = self._membership.me
+        mine = _tree.rank('registration', me.id)
+        before = sum(
+            1
+            for item in self._membership.table.alive(me.zone)
+            if item.id != me.id and _tree.rank('registration', item.id) < mine
+        )
+        return before < ENTRIES_PER_ZONE
+
+    async def _renew(self) -> None:
+        me = self._membership.me
+        key = f'{PREFIX}{me.zone}/{me.id}'
+        if self._lease and not await self._store.keep_alive(self._lease):
+            self._events.emit('registration-lapsed', lease=self._lease)
+            self._lease = 0
+        if self._lease and await self._store.get(key) is not None:
+            return
+        if not self._lease:
+            self._lease = await self._store.grant_lease(TTL_S)
+        try:
+            await self._store.txn(
+                [], [Put(key, me.peer_address.encode(), self._lease)]
+            )
+        except StoreLeaseError:
+            self._lease = 0
+            raise
+        self._events.emit('registered', key=key, lease=self._lease)
+
+    async def _withdraw(self) -> None:
+        lease, self._lease = self._lease, 0
+        if not lease:
+            return
+        try:
+            await self._store.revoke(lease)
+        except StoreError as error:
+            # It lapses by itself.
+            self._events.emit(
+                'registration-kept', lease=lease, detail=str(error)
+            )
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 import contextlib
 from dataclasses import dataclass
 import functools
+import math
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -17,10 +17,12 @@
 from gypsumhall.core._ledger import EntryState
 from gypsumhall.core._ledger import Ledger
 from gypsumhall.core._ledger import RecordedResponse
-from gypsumhall.core._limits import Admission
-from gypsumhall.core._limits import AdmissionQueue
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
+from gypsumhall.core._placement import ANY_VERSION
+from gypsumhall.core._waiting import Verdict
+from gypsumhall.core._waiting import Waiter
+from gypsumhall.core._waiting import WaitingLine
 from gypsumhall.net._messages import AnswerEnd
 from gypsumhall.net._messages import AnswerStart
 from gypsumhall.net._messages import BodyChunk
@@ -43,6 +45,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._protocol import Exchange
@@ -50,19 +53,24 @@
 # Bytes of request bodies that may be held at the same time.
 _MAX_BUFFERED = 64 * 1024 * 1024
 _MAINTENANCE_S = 1.0
+# Time between two looks for waiting calls that cannot be served any more.
+_LINE_CHECK_S = 0.05
 
 
 @dataclass(slots=True)
 class _Backend:
     endpoint: Endpoint
     client: _backend_client.Client
-    queue: AdmissionQueue
+    queue: WaitingLine
+    # Process of the backend server that requests are meant for.
+    instance: str = ''
 
 
 @dataclass(slots=True)
-class _Waiter:
+class _Pending:
     ready: trio.Event
     admitted: bool = False
+    code: str = 'draining'
 
 
 class _Run:
@@ -154,6 +162,8 @@
         Source of randomness of the sender.
     connect : callable
         Returns the client for the address of a backend server.
+    dialect : Dialect
+        Names of the headers that the backend server uses.
     """
 
     name = 'runner'
@@ -172,12 +182,16 @@
         connect: Callable[
             [str], _backend_client.Client
         ] = _backend_client.BackendClient,
+        dialect: _calls.Dialect = _calls.OWN_DIALECT,
     ) -> None:
+        self._dialect = dialect
+        self._warm_at = -math.inf
+        self._splits: _sender.SplitSource | None = None
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
-        self._waiters: deque[_Waiter] = deque()
+        self._pending: dict[Waiter, _Pending] = {}
         self._ledger = Ledger()
         # Detached calls by request id; set when the call has ended.
         self._running: dict[str, trio.Event] = {}
@@ -206,13 +220,21 @@
         backend = self._backend
         if backend is None:
             return Load(0, 0, 0, True)
+        queue = backend.queue
         return Load(
-            backend.queue.in_flight,
-            backend.queue.queued,
-            backend.queue.limit,
+            queue.running,
+            queue.waiting,
+            queue.slots,
             self._draining or backend.endpoint.state != EndpointState.READY,
+            round(queue.service_s * 1000, 1),
+            round(queue.wait_s() * 1000, 1),
+            round(queue.failing, 3),
         )
 
+    def set_split_source(self, source: _sender.SplitSource) -> None:
+        """Set how calls are divided between versions, before `run`."""
+        self._splits = source
+
     async def run(
         self,
         kernel: Kernel,
@@ -243,6 +265,8 @@
             metrics=metrics,
             rng=self._rng,
             execute=self.execute,
+            dialect=self._dialect,
+            splits=self._splits,
         )
         self._keys = _keys.KeyOwner(peers, self._membership, self._sender)
         self._sender.execute_keyed = self._keys.execute
@@ -253,6 +277,7 @@
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._watches.run)
+            self._nursery.start_soon(self._check_line)
             task_status.started()
             while True:
                 await trio.sleep(_MAINTENANCE_S)
@@ -280,7 +305,9 @@
             await self._idle.wait()
         await self._keys.hand_over()
 
-    def set_backend(self, endpoint: Endpoint | None, address: str) -> None:
+    def set_backend(
+        self, endpoint: Endpoint | None, address: str, instance: str = ''
+    ) -> None:
         """Take over what the backend server announced.
 
         Parameters
@@ -289,19 +316,22 @@
             What it runs; None when it is gone.
         address : str
             ``<ip>:<port>`` of the backend server.
+        instance : str
+            Id of its process; empty when it has none.
         """
         old = self._backend
         same = (
             old is not None
             and endpoint is not None
             and old.client.address == address
+            and old.instance == instance
             and old.endpoint.service == endpoint.service
         )
         if old is not None and not same:
             self._old_clients.append(old.client)
         if endpoint is None:
-            self._backend = None
             self._refuse_waiters()
+            self._backend = None
             return
         if old is not None and same:
             if old.queue.slots != endpoint.slots:
@@ -312,12 +342,20 @@
             self._backend = _Backend(
                 endpoint,
                 self._connect(address),
-                AdmissionQueue(endpoint.slots),
+                WaitingLine(endpoint.slots),
+                instance,
             )
             self._keys.joined(endpoint.service)
         if endpoint.state != EndpointState.READY:
             self._refuse_waiters()
 
+    def set_warm_at(self, time: float) -> None:
+        """Set until when a backend server that has started is slow.
+
+        Until then its runs are no evidence about its version.
+        """
+        self._warm_at = time
+
     async def execute(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
@@ -394,9 +432,12 @@
             complete = refusal is None
         finally:
             now = trio.current_time()
-            backend.queue.leave(now, now - started if complete else None)
+            failed = run.failed if run.outcome != Outcome.NOT_RUN else None
+            backend.queue.leave(
+                call.route, now - started if complete else None, failed=failed
+            )
             self._wake()
-            if run.outcome != Outcome.NOT_RUN:
+            if run.outcome != Outcome.NOT_RUN and started >= self._warm_at:
                 self._moves.record(
                     call, (now - started) * 1000, failed=run.failed
                 )
@@ -413,15 +454,21 @@
         left_ms = int((deadline - trio.current_time()) * 1000)
         headers = (
             *call.headers,
-            (_calls.DEADLINE_HEADER, b'%d' % max(0, left_ms)),
+            (self._dialect.deadline, b'%d' % max(1, left_ms)),
         )
+        expected = self._dialect.expected_instance
+        if expected and backend.instance:
+            headers = (*headers, (expected, backend.instance.encode()))
         with trio.CancelScope(deadline=deadline) as scope:
             try:
                 async with backend.client.request(
                     call.method, call.path, headers, body, run.mark_sent
                 ) as response:
+                    self._check_response(call, response, run)
                     await run.respond(call, response, self.load)
                 return None
+            except _calls.CallRefusedError as error:
+                return error
             except _backend_client.BackendUnreachableError as error:
                 return _calls.not_run('backend-unreachable', str(error))
             except _backend_client.BackendRejectedError as error:
@@ -443,6 +490,33 @@
             run.outcome, 'deadline', 'the deadline passed'
         )
 
+    def _check_response(
+        self,
+        call: CallStart,
+        response: _backend_client.BackendResponse,
+        run: _Run,
+    ) -> None:
+        """Refuse a response that is none to this request."""
+        dialect = self._dialect
+        if not dialect.request_id:
+            return
+        fields = dict(response.headers)
+        if response.status == 421 or dialect.not_executed in fields:
+            run.outcome = Outcome.NOT_RUN
+            code = 'no-backend' if response.status == 421 else 'shed'
+            raise _calls.not_run(
+                code, f'the backend server answered {response.status}'
+            )
+        sent = dict(call.headers).get(dialect.request_id)
+        found = fields.get(dialect.request_id)
+        if sent != found:
+            run.failed = True
+            raise _calls.CallRefusedError(
+                run.outcome,
+                'bad-response',
+                f'response to request {found!r} instead of {sent!r}',
+            )
+
     def _check(self, call: CallStart) -> _Backend:
         backend = self._backend
         if call.runner_incarnation and (
@@ -458,8 +532,8 @@
             raise _calls.not_run('draining', 'the endpoint is draining')
         if endpoint.state != EndpointState.READY:
             raise _calls.not_run('starting', 'the endpoint is not ready')
-        if (call.service, call.version) != (
-            endpoint.service,
+        if call.service != endpoint.service or call.version not in (
+            ANY_VERSION,
             endpoint.version,
         ):
             raise _calls.not_run(
@@ -472,47 +546,83 @@
     async def _admit(
         self, backend: _Backend, call: CallStart, deadline: float
     ) -> None:
-        left = deadline - trio.current_time()
-        if left <= 0:
+        now = trio.current_time()
+        if deadline <= now:
             raise _calls.not_run('deadline', 'the deadline has passed')
-        decision = backend.queue.arrive(left)
-        if decision == Admission.RUN:
+        waiter = Waiter(
+            call.route,
+            call.priority,
+            now + call.objective_ms / 1000 if call.objective_ms else deadline,
+            deadline,
+        )
+        max_wait_s = (
+            math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
+        )
+        verdict = backend.queue.arrive(now, waiter, max_wait_s)
+        if verdict is Verdict.RUN:
             return
-        if decision != Admission.QUEUE:
-            raise _calls.not_run('overloaded', decision.value)
-        waiter = _Waiter(trio.Event())
-        self._waiters.append(waiter)
+        if verdict is not Verdict.WAIT:
+            raise _calls.CallRefusedError(
+                Outcome.NOT_RUN,
+                verdict.value,
+                f'{backend.queue.waiting} calls wait',
+                backend.queue.retry_after_s(now),
+            )
+        pending = self._pending[waiter] = _Pending(trio.Event())
+        hopeless = backend.queue.give_up(now)
+        self._release(hopeless, Verdict.OVERLOADED.value)
         try:
             with trio.CancelScope(deadline=deadline):
-                await waiter.ready.wait()
+                await pending.ready.wait()
         except trio.Cancelled:
             # The slot can have been given to it in the same moment.
-            if waiter.admitted:
-                backend.queue.leave(trio.current_time(), None)
+            if pending.admitted:
+                backend.queue.leave(call.route, None)
                 self._wake()
             raise
         finally:
-            if not waiter.admitted:
-                backend.queue.dequeue(run=False)
-                if waiter in self._waiters:
-                    self._waiters.remove(waiter)
-        if waiter.admitted:
+            self._pending.pop(waiter, None)
+            backend.queue.remove(waiter)
+        if pending.admitted:
             return
-        if waiter.ready.is_set():
-            raise _calls.not_run('draining', 'the endpoint is leaving')
+        if pending.ready.is_set():
+            raise _calls.CallRefusedError(
+                Outcome.NOT_RUN,
+                pending.code,
+                'the call left the line of the endpoint',
+                backend.queue.retry_after_s(trio.current_time()),
+            )
         raise _calls.not_run('deadline', 'the deadline passed in the queue')
 
     def _wake(self) -> None:
         backend = self._backend
-        while backend and self._waiters and backend.queue.may_run:
-            waiter = self._waiters.popleft()
-            waiter.admitted = True
-            backend.queue.dequeue(run=True)
-            waiter.ready.set()
+        if backend is None:
+            return
+        now = trio.current_time()
+        while (waiter := backend.queue.take(now)) is not None:
+            pending = self._pending.pop(waiter)
+            pending.admitted = True
+            pending.ready.set()
 
     def _refuse_waiters(self) -> None:
-        while self._waiters:
-            self._waiters.popleft().ready.set()
+        if self._backend is not None:
+            self._release(self._backend.queue.clear(), 'draining')
+
+    def _release(self, waiters: Iterable[Waiter], code: str) -> None:
+        for waiter in waiters:
+            pending = self._pending.pop(waiter, None)
+            if pending is not None:
+                pending.code = code
+                pending.ready.set()
+
+    async def _check_line(self) -> None:
+        """Refuse waiting calls as soon as they cannot be served any more."""
+        while True:
+            await trio.sleep(_LINE_CHECK_S)
+            if self._pending and self._backend is not None:
+                now = trio.current_time()
+                hopeless = self._backend.queue.give_up(now)
+                self._release(hopeless, Verdict.OVERLOADED.value)
 
     async def _replay(
         self, request_id: str, known: Entry, send: _calls.SendMessage
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -13,6 +13,7 @@
 
 from gypsumhall._errors import PeerUnreachableError
 from gypsumhall.core import _ownership
+from gypsumhall.core import _placement
 from gypsumhall.core import _routing
 from gypsumhall.core._limits import RetryBudget
 from gypsumhall.net._messages import CallRefused
@@ -24,13 +25,18 @@
     from random import Random
 
     from gypsumhall.core._member import Member
+    from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.core._snapshot import Split
     from gypsumhall.net._messages import CallStart
-    from gypsumhall.net._messages import Load
     from gypsumhall.net._protocol import PeerNetwork
     from gypsumhall.services import _protocols
 
 _MAX_ATTEMPTS = 4
+# Services whose budgets are kept.
+_MAX_BUDGETS = 4096
+# Repetitions per call of a service, and per second in any case.
+_RETRY_SHARE = 0.1
+_RETRY_FLOOR_PER_S = 10.0
 # Attempts that stale routing data may cost one request in addition.
 _MAX_FREE_RETRIES = 16
 # Time in seconds for which a request waits for an endpoint after all have
@@ -46,6 +52,7 @@
 # do not count against the budget.
 _FREE_RETRIES = frozenset(
     [
+        'busy',
         'draining',
         'no-backend',
         'peer-unreachable',
@@ -54,6 +61,15 @@
         'version-mismatch',
     ]
 )
+# Endpoints that are asked for a slot without a long wait, before the request
+# is put in the line of the best one.
+_OFFERS = 2
+# Part of the time to the objective for which such an offer may wait.
+_OFFER_WAIT_SHARE = 0.1
+# Refusals after which another endpoint may have room.
+_NO_ROOM = frozenset(['busy', 'overloaded'])
+# Endpoints without room after which a request is refused.
+_MAX_NO_ROOM = 4
 # Certain refusals of one attempt by the owner of a key.
 _ATTEMPT_ONLY = frozenset(['buffer-full', 'refused'])
 # Refusals of a keyed request before anything was sent or claimed.
@@ -70,6 +86,9 @@
 ExecuteKeyed = Callable[
     ['_calls.Request', '_calls.ResponseSink'], Awaitable[None]
 ]
+SplitSource = Callable[['Snapshot', str, set[str]], 'Split']
+"""Returns how the calls of a service are divided, from the configuration, the
+service and the versions of its ready endpoints."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,12 +121,21 @@
     fallback: _calls.Recorder | None = None
     retry_granted: bool = False
     free_retries: int = 0
+    # Version that the request was assigned to, and whether it failed there.
+    version: str | None = None
+    failed: bool = False
+    # Endpoints that refused because they have no free slot or no room.
+    no_room: int = 0
+    retry_after_s: float = math.inf
     backoff_s: float = _FIRST_BACKOFF_S
     give_up_at: float = math.inf
 
     def note(self, member_id: str, failure: CallRefused) -> None:
         self.last = failure
-        if failure.outcome == Outcome.NOT_RUN:
+        if failure.code in _NO_ROOM and failure.load is not None:
+            wait_s = failure.load.wait_ms / 1000
+            self.retry_after_s = min(self.retry_after_s, wait_s)
+        if failure.outcome == Outcome.NOT_RUN and failure.code != 'busy':
             self.refused_by.add(member_id)
         if _SEVERITY[failure.outcome] > _SEVERITY[self.outcome]:
             self.outcome = failure.outcome
@@ -132,6 +160,11 @@
         Source of randomness.
     execute : callable
         Runs a call on this VM.
+    dialect : Dialect
+        Names of the headers that callers and backend servers use.
+    splits : callable, optional
+        How calls are divided between versions; by default as the
+        configuration says.
     """
 
     def __init__(
@@ -144,7 +177,12 @@
         metrics: _protocols.Metrics,
         rng: Random,
         execute: _attempts.Execute,
+        dialect: _calls.Dialect = _calls.OWN_DIALECT,
+        splits: SplitSource | None = None,
     ) -> None:
+        self._whole_responses = dialect.whole_responses
+        self._retry_floor_per_s = _RETRY_FLOOR_PER_S
+        self._splits = splits or self._configured_split
         self._membership = membership
         self._distribution = distribution
         self._rng = rng
@@ -153,8 +191,8 @@
             peers, membership.me, events, rng, execute
         )
         self._me = membership.me.id
-        self._router = _routing.Router(membership.me.zone, rng, self._me)
-        self._budget = RetryBudget()
+        self._placement = _placement.Placement(membership.me.zone, rng)
+        self._budgets: dict[str, RetryBudget] = {}
         self._results = metrics.counter(
             'gypsumhall_sender_attempts_total',
             'Attempts to run a request, by result.',
@@ -265,7 +303,7 @@
     async def _send(
         self, request: _calls.Request, sink: _calls.ResponseSink
     ) -> None:
-        self._budget.call(trio.current_time())
+        self._budget(request.service).call(trio.current_time())
         progress = _Progress(request, sink)
         while True:
             choice = self._choose(progress)
@@ -290,7 +328,29 @@
             raise _calls.not_run(
                 'no-endpoint', f'no endpoint of {request.service} is ready'
             )
-        raise _calls.CallRefusedError(progress.outcome, last.code, last.detail)
+        raise _calls.CallRefusedError(
+            progress.outcome,
+            last.code,
+            last.detail,
+            0.0
+            if math.isinf(progress.retry_after_s)
+            else progress.retry_after_s,
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            if len(self._budgets) >= _MAX_BUDGETS:
+                self._budgets.clear()
+            budget = self._budgets[service] = RetryBudget(
+                _RETRY_SHARE, self._retry_floor_per_s
+            )
+        return budget
+
+    def _configured_split(
+        self, snapshot: Snapshot, service: str, versions: set[str]
+    ) -> Split:
+        return snapshot.split(service, self._distribution.reverts)
 
     async def _wait_for_endpoint(self, progress: _Progress) -> bool:
         """Wait until all endpoints may be tried again; False to give up.
@@ -317,35 +377,39 @@
         snapshot = self._distribution.snapshot
         if snapshot is None or snapshot.service(request.service) is None:
             return None
-        split = snapshot.split(request.service, self._distribution.reverts)
-        first = not progress.attempts
-        version = split.old_version
-        if first:
-            version = _routing.choose_version(
-                split,
-                self._rng,
-                idempotent=request.idempotent,
-                keyed=bool(request.key),
-            )
         now = trio.current_time()
         table = self._membership.table
-        if self._router.revision(request.service) != table.revision:
-            self._router.update(
+        if self._placement.revision(request.service) != table.revision:
+            self._placement.update(
                 request.service,
                 table.endpoints(request.service),
                 table.revision,
                 now,
             )
+        split = self._splits(
+            snapshot,
+            request.service,
+            self._placement.versions(request.service),
+        )
+        if not progress.attempts or progress.version is None:
+            progress.version = _routing.choose_version(
+                split,
+                self._rng,
+                idempotent=request.idempotent,
+                keyed=bool(request.key),
+            )
+        version = progress.version
+        if progress.failed:
+            version = split.old_version
         versions = [version]
         if version != split.old_version:
             versions.append(split.old_version)
         elif split.new_version is not None and split.share >= 1.0:
             versions.append(split.new_version)
+        first = not progress.failed
         for item in versions:
-            member = self._router.choose(
-                request.service, item, now, progress.tried
-            )
-            if member is not None and member.id not in progress.refused_by:
+            member = self._find(progress, item, now)
+            if member is not None:
                 comparable = split.stage > 0 or (
                     request.idempotent and not request.key
                 )
@@ -355,6 +419,29 @@
                 return _Choice(member, split, item, evidence)
         return None
 
+    def _find(
+        self, progress: _Progress, version: str, now: float
+    ) -> Member | None:
+        """Return an endpoint that has not refused the request for good.
+
+        Those that were tried are chosen again only if no other is left.
+        """
+        service = progress.request.service
+        refused = progress.refused_by
+        tried = refused | progress.tried
+        member = self._placement.choose(service, version, now, tried)
+        if member is None:
+            member = self._placement.choose(service, version, now, refused)
+        return member
+
+    def _max_wait_s(self, progress: _Progress, now: float) -> float | None:
+        if progress.no_room >= _OFFERS:
+            return None
+        objective = progress.request.objective
+        if not objective:
+            return None
+        return max(0.0, _OFFER_WAIT_SHARE * (objective - now))
+
     async def _attempt(
         self, choice: _Choice, progress: _Progress
     ) -> CallRefused | None:
@@ -374,11 +461,13 @@
             choice.version,
             split=choice.split if choice.evidence else None,
             time_s=left * _FIRST_SHARE if divided else left,
+            max_wait_s=self._max_wait_s(progress, trio.current_time()),
         )
         receiver = _attempts.Receiver(
             call.request_id,
             progress.sink,
-            hold=request.idempotent and choice.is_new,
+            hold=self._whole_responses
+            or (request.idempotent and choice.is_new),
             should_retry=(
                 lambda status: self._withhold(choice, progress, status)
             )
@@ -387,15 +476,15 @@
         )
         failure: CallRefused | None = None
         failed: bool | None = None
-        self._router.begin(member.id)
+        self._placement.begin(member.id)
         try:
             await self._attempts.run(member, call, request, receiver)
             if not receiver.done and not request.idempotent:
                 await self._settle(choice, call, request, receiver)
             failure = _failure(receiver, call.request_id, member.id)
-            failed = receiver.status >= 500
+            failed = receiver.status >= 500 if receiver.status else None
         except PeerUnreachableError as error:
-            failed = True
+            self._placement.unreachable(member.id, trio.current_time())
             failure = CallRefused(
                 call.request_id,
                 Outcome.NOT_RUN,
@@ -409,8 +498,9 @@
             if failure is not None and failure.code != 'withheld':
                 failed = True if failure.code in _FAULTS else failed or None
             now = trio.current_time()
-            self._router.end(member.id, now, failed=failed)
-            self._report(member.id, receiver.load, now)
+            self._placement.end(member.id, now, failed=failed)
+            if receiver.load is not None:
+                self._placement.report(member.id, now, receiver.load)
         self._results.add(1.0, result=failure.code if failure else 'response')
         if receiver.withheld and receiver.complete:
             progress.fallback = receiver.recorder
@@ -426,53 +516,67 @@
         if choice.member.id != self._me:
             await self._attempts.settle(choice.member, call, request, receiver)
 
-    def _report(self, member_id: str, load: Load | None, now: float) -> None:
-        if load is not None:
-            self._router.report(
-                member_id,
-                now,
-                load.in_flight + load.queued,
-                full=load.draining or load.queued >= 2 * load.slots,
-            )
-
     def _withhold(
         self, choice: _Choice, progress: _Progress, status: int
     ) -> bool:
         """Decide by its status whether a response is replaced by a retry."""
-        fails = status >= 500 if choice.is_new else status in _RETRIED_STATUS
+        fails = status in _RETRIED_STATUS
+        if choice.is_new or self._whole_responses:
+            fails = status >= 500
         if not fails or not self._retry_is_possible(progress):
             return False
-        progress.retry_granted = choice.is_new or self._budget.retry(
-            trio.current_time()
-        )
+        progress.retry_granted = self._may_repeat(choice, progress)
         return progress.retry_granted
 
+    def _may_repeat(self, choice: _Choice, progress: _Progress) -> bool:
+        """Take a repetition from the budget of the service.
+
+        A call that failed on the new version of a move has to succeed on
+        the old one; the move's share bounds these unless the budget is the
+        fleet's.
+        """
+        if choice.is_new and not self._whole_responses:
+            return True
+        budget = self._budget(progress.request.service)
+        return budget.retry(trio.current_time())
+
     def _retry_is_possible(self, progress: _Progress) -> bool:
+        limit = progress.request.attempts or _MAX_ATTEMPTS
         return (
-            progress.attempts - progress.free_retries < _MAX_ATTEMPTS
+            progress.attempts - progress.free_retries < limit
             and trio.current_time() < progress.request.deadline
         )
 
     def _may_retry(
         self, choice: _Choice, progress: _Progress, failure: CallRefused
     ) -> bool:
+        if failure.code in _NO_ROOM:
+            progress.no_room += 1
+            progress.free_retries += 1
+            return (
+                progress.no_room < _MAX_NO_ROOM
+                and trio.current_time() < progress.request.deadline
+            )
         if progress.retry_granted:
             progress.retry_granted = False
+            progress.failed = True
+            return True
+        if (
+            failure.outcome == Outcome.NOT_RUN
+            and failure.code in _FREE_RETRIES
+            and progress.free_retries < _MAX_FREE_RETRIES
+            and trio.current_time() < progress.request.deadline
+        ):
+            progress.free_retries += 1
             return True
         if not self._retry_is_possible(progress) or failure.code in _FINAL:
             return False
-        if failure.outcome == Outcome.NOT_RUN:
-            if (
-                failure.code in _FREE_RETRIES
-                and progress.free_retries < _MAX_FREE_RETRIES
-            ):
-                progress.free_retries += 1
-                return True
-        elif not progress.request.idempotent:
+        if failure.outcome != Outcome.NOT_RUN and (
+            not progress.request.idempotent
+        ):
             return False
-        # A call that failed on the new version of a move has to succeed on
-        # the old one whatever the budget; the move's share bounds these.
-        return choice.is_new or self._budget.retry(trio.current_time())
+        progress.failed = True
+        return self._may_repeat(choice, progress)
 
 
 def _failure(
--- a/gypsumhall/services/_store.py
+++ b/gypsumhall/services/_store.py
@@ -12,7 +12,6 @@
 from gypsumhall._errors import StoreError
 from gypsumhall.services._protocols import Events
 from gypsumhall.services._protocols import Metrics
-from gypsumhall.store import EtcdStore
 from gypsumhall.store import StoreElections
 
 if TYPE_CHECKING:
@@ -38,7 +37,7 @@
     Parameters
     ----------
     store : Store
-        The platform; an `EtcdStore` is closed when the service ends.
+        The platform; it is closed when the service ends, if it can be.
     rng : random.Random, optional
         Source of the jitter of elections.
     """
@@ -86,8 +85,10 @@
             task_status.started()
             await trio.sleep_forever()
         finally:
-            if isinstance(self._store, EtcdStore):
-                await self._store.aclose()
+            close = getattr(self._store, 'aclose', None)
+            if close is not None:
+                with trio.CancelScope(shield=True):
+                    await close()
 
     async def drain(self) -> None:
         """Do nothing; the services that use the store end their calls."""
