Keep requests off daemons that do not answer

Change: a separate task asks daemons that did not answer; requests never do. The endpoint serves until its daemon stops taking callers. Rollouts keep both versions in use until 80 % of their time. Routes with short limits count as useful until those. Endpoints without room are left out for the time in which a run is likely to end. Repetitions are limited over the fleet.

Ruled out: more attempts per request (the trails show that all endpoints were full or unreachable).

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -34,6 +34,7 @@
 from gypsumhall.services._registration import Registration
 from gypsumhall.services._rollouts import RolloutService
 from gypsumhall.services._runner import RunnerService
+from gypsumhall.services._sender import RetryLimits
 from gypsumhall.services._store import PlatformStore
 
 if TYPE_CHECKING:
@@ -51,13 +52,21 @@
 be used or a service fails, 2 for invalid settings.
 """
 
-_LINGER_SHARE = 0.5
-"""Part of the time for a planned stop in which new requests are served; the
-platform asks for readiness once a second, and two misses count."""
+_LINGER_SHARE = 0.7
+"""Part of the time for a planned stop in which new requests are served at
+most; callers that have nowhere else to go use all of it."""
+
+_NOTICE_S = 0.1
+"""Time in seconds in which news of a planned stop reaches most daemons."""
 
 _DRAIN_SHARE = 0.93
 """Part of the time for a planned stop after which the daemon ends."""
 
+_RETRY_SHARE = 0.45
+"""Part of the allowed repetitions that daemons make. What a daemon has not
+used is kept for a window, so the sum over a window can be twice the floor;
+calls of repeated runs count as repetitions too."""
+
 _HEARTBEAT_S = 0.5
 """Time between two heartbeats to another daemon in seconds. A machine that
 dies is left out after three of them."""
@@ -106,6 +115,18 @@
         self.platform = settings.addresses(
             'platform', (), 'Metadata store of the platform.', required=True
         )
+        self.retry_ratio = settings.number(
+            'retry_ratio',
+            0.2,
+            'Requests beyond the first per request that a service may get '
+            'from all daemons.',
+        )
+        self.retry_slack = settings.number(
+            'retry_slack', 64.0, 'The same, in each window in any case.'
+        )
+        self.retry_window = settings.duration(
+            'retry_window', 10.0, 'Length of that window.'
+        )
         self.grace = settings.duration(
             'grace', 6.0, 'Time between SIGTERM and SIGKILL.'
         )
@@ -132,11 +153,20 @@
         int(time.time() * 1000),
         f'{settings.ip.value}:{settings.peer_port.value}',
         (key,),
-        stream=StreamSettings(ping_after_s=0.4, dead_after_s=1.0),
-        connect_timeout_s=0.5,
+        stream=StreamSettings(ping_after_s=0.25, dead_after_s=0.75),
+        connect_timeout_s=0.25,
     )
     rollouts = RolloutService(rng=rng)
-    runner = RunnerService(rng, dialect=platform.DIALECT)
+    retries = RetryLimits(
+        _RETRY_SHARE * settings.retry_ratio.value,
+        _RETRY_SHARE
+        * settings.retry_slack.value
+        / settings.retry_window.value,
+        fleet_wide=True,
+    )
+    runner = RunnerService(
+        rng, dialect=platform.DIALECT, retries=retries, notice_s=_NOTICE_S
+    )
     runner.set_split_source(rollouts.split)
     services: list[Service] = [
         EventLog(daemon, zone),
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -55,12 +55,6 @@
 _FAILURE_FADE_S = 5.0
 """Time in seconds after which an observed failure counts a third."""
 
-_UNREACHABLE_S = 0.5
-"""Time in seconds for which an endpoint that could not be reached is left
-out; it doubles with each further failure up to `_UNREACHABLE_MAX_S`."""
-
-_UNREACHABLE_MAX_S = 4.0
-
 _COLD_S = 3.0
 """Time in seconds during which an endpoint that has appeared is taken to be
 slow."""
@@ -81,8 +75,9 @@
         'reported_at',
         'since',
         'slots',
+        'full_from',
+        'full_until',
         'unreachable',
-        'unreachable_until',
     )
 
     def __init__(self, member: Member, slots: int, since: float) -> None:
@@ -95,8 +90,10 @@
         self.own_at_report = 0
         self.failing = 0.0
         self.failing_at = since
-        self.unreachable = 0
-        self.unreachable_until = -math.inf
+        self.unreachable = False
+        # Priority from which on calls were refused, and until when.
+        self.full_from = 0
+        self.full_until = -math.inf
 
     def wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
@@ -197,7 +194,7 @@
                 state = _State(member, endpoint.slots, since)
                 self._states[member.id] = state
             elif state.member.incarnation != member.incarnation:
-                state.unreachable_until = -math.inf
+                state.unreachable = False
             state.member = member
         for member_id in set(self._services.get(service, ())) - set(kept):
             self._states.pop(member_id, None)
@@ -218,6 +215,7 @@
         version: str,
         now: float,
         exclude: Collection[str] = (),
+        priority: int = 0,
     ) -> Member | None:
         """Return the endpoint with the least expected time to a response.
 
@@ -229,15 +227,17 @@
             Current time in seconds.
         exclude : collection of str
             Ids of members that are not to be chosen.
+        priority : int
+            Rank of the call.
 
         Returns
         -------
         Member or None
-            None when no endpoint is left.
+            None when no endpoint is left that can be reached and is not
+            known to have no room.
         """
         best: _State | None = None
         best_cost = math.inf
-        reserve: _State | None = None
         for state in self._ready(service):
             member = state.member
             endpoint = member.endpoint
@@ -245,19 +245,15 @@
                 continue
             if version not in (ANY_VERSION, endpoint.version):
                 continue
-            if state.unreachable_until > now:
-                if (
-                    reserve is None
-                    or state.unreachable_until < reserve.unreachable_until
-                ):
-                    reserve = state
+            if state.unreachable:
+                continue
+            if state.full_until > now and priority >= state.full_from:
                 continue
             cost = state.cost_s(now, self._zone)
             cost *= 1.0 + _JITTER * self._rng.random()
             if cost < best_cost:
                 best, best_cost = state, cost
-        chosen = best or reserve
-        return None if chosen is None else chosen.member
+        return None if best is None else best.member
 
     def wait_s(self, member_id: str, now: float) -> float:
         """Return the expected wait for a slot at an endpoint, in seconds."""
@@ -295,14 +291,46 @@
         state.failing = known + _FAILURE_WEIGHT * (failed - known)
         state.failing_at = now
 
-    def unreachable(self, member_id: str, now: float) -> None:
-        """Leave an endpoint out for a while: its daemon did not answer."""
+    def set_reachable(self, member_id: str, *, reachable: bool) -> None:
+        """Leave an endpoint out while its daemon does not answer."""
+        state = self._states.get(member_id)
+        if state is not None:
+            state.unreachable = not reachable
+
+    def full(self, member_id: str, now: float, priority: int) -> None:
+        """Leave an endpoint out until a run there is likely to end.
+
+        Parameters
+        ----------
+        member_id : str
+            Member whose line had no room.
+        now : float
+            Current time in seconds.
+        priority : int
+            Rank of the call that it refused; more urgent ones may still
+            displace others there.
+        """
         state = self._states.get(member_id)
         if state is None:
             return
-        pause = _UNREACHABLE_S * 2**state.unreachable
-        state.unreachable = min(state.unreachable + 1, 8)
-        state.unreachable_until = now + min(pause, _UNREACHABLE_MAX_S)
+        service_s = _DEFAULT_SERVICE_S
+        if state.load is not None and state.load.service_ms:
+            service_s = state.load.service_ms / 1000
+        until = now + service_s / state.slots
+        if state.full_until <= now or priority < state.full_from:
+            state.full_from = priority
+        state.full_until = until
+
+    def least_wait_s(self, service: str, now: float) -> float:
+        """Return the shortest expected wait for a slot of a service."""
+        return min(
+            (
+                state.wait_s(now)
+                for state in self._ready(service)
+                if not state.unreachable
+            ),
+            default=0.0,
+        )
 
     def report(self, member_id: str, now: float, load: Load) -> None:
         """Take over the load that came with a response or a refusal."""
@@ -311,7 +339,7 @@
             state.load = load
             state.reported_at = now
             state.own_at_report = state.in_flight
-            state.unreachable = 0
+            state.unreachable = False
 
     def _ready(self, service: str) -> list[_State]:
         states = self._states
--- a/gypsumhall/core/_rollout.py
+++ b/gypsumhall/core/_rollout.py
@@ -28,16 +28,17 @@
 _FIRST_MS = 2.0
 _RATIO = 1.5
 
-STAGES = ((0.0, 0.04), (0.45, 0.25), (0.56, 0.6), (0.65, 1.0))
+STAGES = ((0.0, 0.04), (0.45, 0.2), (0.56, 0.45), (0.8, 1.0))
 """Part of the rollout's time at which a stage begins, and the share of the
 calls that the new version gets in it. The first one stays below the tenth
 that a bad version may get, and is long enough for versions that turn bad
-some seconds after their start."""
+some seconds after their start. The last but one keeps the slots of both
+versions in use for as long as the time allows."""
 
-COMPLETE_AT = 0.78
+COMPLETE_AT = 0.88
 """Part of the time at which a rollout is complete: calls that were sent to
 the old version before the last stage have ended by then, and the rest of the
-time covers a change of the controller."""
+time covers a slow store."""
 
 MIN_STAGE_S = 1.0
 """Shortest time in seconds of a stage that began late."""
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -194,10 +194,13 @@
         if wait + waiter.work_s > left:
             return Verdict.OVERLOADED
         late = now + wait + waiter.work_s > waiter.objective
-        if late and self._late(now) >= _LATE_PER_SLOT * self._slots:
-            return Verdict.OVERLOADED
+        rivals: list[Waiter] = []
         if len(self._line) >= WAITING_PER_SLOT * self._slots:
-            last = max(self._line, key=lambda item: _order(item, now))
+            rivals = self._line
+        elif late and self._late(now) >= _LATE_PER_SLOT * self._slots:
+            rivals = [item for item in self._line if _is_late(item, now)]
+        if rivals:
+            last = max(rivals, key=lambda item: _order(item, now))
             if _order(last, now) <= _order(waiter, now):
                 return Verdict.OVERLOADED
             self._line.remove(last)
@@ -229,11 +232,7 @@
         self._displaced = []
         surplus = self._late(now) - int(_LATE_PER_SLOT * self._slots)
         if surplus > 0:
-            late = [
-                item
-                for item in self._line
-                if now + item.work_s > item.objective
-            ]
+            late = [item for item in self._line if _is_late(item, now)]
             late.sort(key=lambda item: _order(item, now))
             for item in late[-surplus:]:
                 self._line.remove(item)
@@ -290,9 +289,7 @@
         return self._mean_s or DEFAULT_SERVICE_S
 
     def _late(self, now: float) -> int:
-        return sum(
-            1 for item in self._line if now + item.work_s > item.objective
-        )
+        return sum(_is_late(item, now) for item in self._line)
 
     def _wait_of(self, now: float, waiter: Waiter) -> float:
         """Return how long a call would wait behind those that go before."""
@@ -304,8 +301,12 @@
         return (ahead + excess * self._mean()) / self._slots
 
 
+def _is_late(item: Waiter, now: float) -> bool:
+    return now + item.work_s > item.objective
+
+
 def _order(item: Waiter, now: float) -> tuple[bool, int, bool, float]:
-    late = now + item.work_s > item.objective
+    late = _is_late(item, now)
     limit = item.deadline if late else item.objective
     return late, item.priority, late and not item.returning, limit
 
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -42,6 +42,14 @@
 _RETRY_SPREAD = 0.5
 # Time that a caller may have spent on its way here in a first attempt.
 _RETURNING_S = 0.05
+# Time limit in seconds up to which a route is taken for one that is called
+# while other requests run, and the part of it in which responses are useful.
+_SHORT_S = 0.5
+_SHORT_SHARE = 0.75
+# Callers are told to go elsewhere once they have missed two questions that
+# are asked every second; no request for a while shows that they have gone.
+_NOTICE_S = 1.0
+_QUIET_S = 0.8
 # Routes whose longest stated time is kept.
 _MAX_ROUTES = 16_384
 
@@ -154,6 +162,7 @@
         self._service = service
         self._linger_s = linger_s
         self._rng = random.Random()
+        self._last_request = -math.inf
         self._stopping = False
         # Longest time that callers of a route were seen to wait, by route.
         self._longest_s: dict[str, float] = {}
@@ -221,8 +230,7 @@
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
         self._stopping = True
-        if self._linger_s:
-            await trio.sleep(self._linger_s)
+        await self._linger()
         self._draining = True
         while self._active:
             self._idle = trio.Event()
@@ -272,8 +280,35 @@
             result = refusal.reason
             is_head = scope['method'] == 'HEAD'
             await self._send_refusal(send, refusal, head_only=is_head)
+        elapsed_s = trio.current_time() - started
         self._requests.add(1.0, result=result)
-        self._latency.add(trio.current_time() - started)
+        self._latency.add(elapsed_s)
+        if result != 'response' and self._dialect.request_id:
+            self._log_end(scope, result, refusal, elapsed_s)
+
+    def _log_end(
+        self,
+        scope: dict[str, Any],
+        result: str,
+        refusal: _calls.CallRefusedError | None,
+        elapsed_s: float,
+    ) -> None:
+        """Record why a request got no response of a backend server."""
+        name = self._dialect.request_id
+        request_id = dict(scope['headers']).get(name, b'').decode('latin-1')
+        self._events.emit(
+            'request-ended',
+            request=request_id,
+            path=scope['path'],
+            result=result,
+            outcome=refusal.outcome.value if refusal else '',
+            detail=refusal.detail if refusal else '',
+            trail=refusal.trail if refusal else (),
+            retry_after_ms=round(refusal.retry_after_s * 1000)
+            if refusal
+            else 0,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+        )
 
     async def _forward(
         self, request: _calls.Request, sink: _HttpSink, receive: Receive
@@ -294,6 +329,7 @@
         self, scope: dict[str, Any], receive: Receive
     ) -> _calls.Request:
         now = trio.current_time()
+        self._last_request = now
         matched, fields = self._match(scope)
         route = matched.route
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
@@ -314,6 +350,11 @@
             name = self._dialect.caller_service
             headers = (*headers, (name, self._service.encode()))
         elapsed_s = self._elapsed_s(matched.id, fields)
+        objective_s = route.objective_s
+        if objective_s and route.timeout_s <= _SHORT_S:
+            # Other requests hold slots until such a call ends, so it is of
+            # use until its time limit.
+            objective_s = max(objective_s, _SHORT_SHARE * route.timeout_s)
         return _calls.Request(
             _choose_target(route, self._rng),
             matched.id,
@@ -324,7 +365,7 @@
             now + timeout_s,
             route.is_idempotent(scope['method']),
             key.decode('latin-1'),
-            now + route.objective_s - elapsed_s if route.objective_s else 0.0,
+            now + objective_s - elapsed_s if objective_s else 0.0,
             route.priority,
             route.attempts,
             elapsed_s > _RETURNING_S,
@@ -346,6 +387,18 @@
         self._longest_s[route] = longest_s
         return longest_s - stated_s
 
+    async def _linger(self) -> None:
+        """Serve new requests until callers have gone elsewhere."""
+        if not self._linger_s:
+            return
+        started = trio.current_time()
+        while trio.current_time() < started + self._linger_s:
+            await trio.sleep(_QUIET_S / 4)
+            now = trio.current_time()
+            quiet = now - self._last_request >= _QUIET_S
+            if quiet and now - started >= _NOTICE_S:
+                return
+
     def _match(
         self, scope: dict[str, Any]
     ) -> tuple[MatchedRoute, dict[bytes, bytes]]:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -142,6 +142,8 @@
         self.reason = code
         self.detail = detail
         self.retry_after_s = retry_after_s
+        # Endpoints that were asked, with what each of them said.
+        self.trail: tuple[str, ...] = ()
 
     @property
     def status(self) -> int:
--- a/gypsumhall/services/_readiness.py
+++ b/gypsumhall/services/_readiness.py
@@ -23,14 +23,12 @@
 class Readiness:
     """Answers as ready while requests can be served.
 
-    It also marks the daemon as leaving when a planned stop begins, so that
-    others stop sending calls while callers are still served.
+    It answers as not ready as soon as a planned stop begins.
     """
 
     name = 'readiness'
     requires: tuple[str, ...] = (
         'ready-listener',
-        'membership',
         'distribution',
         'caller',
     )
@@ -47,15 +45,12 @@
     ) -> None:
         """Serve until cancelled."""
         self._kernel = kernel
-        membership = kernel.get('membership', _protocols.Membership)
         self._distribution = kernel.get(
             'distribution', _protocols.Distribution
         )
         listener = kernel.get('ready-listener', ReadyListener)
         listener.add_route('GET', platform.READY_PATH, self._answer)
         task_status.started()
-        await kernel.stopping.wait()
-        membership.set_leaving()
 
     async def drain(self) -> None:
         """Nothing is in flight."""
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -133,7 +133,7 @@
         except StoreLeaseError:
             self._lease = 0
             raise
-        self._events.emit('registered', key=key, lease=self._lease)
+        self._events.emit('entry-registered', key=key, lease=self._lease)
 
     async def _withdraw(self) -> None:
         lease, self._lease = self._lease, 0
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -164,6 +164,11 @@
         Returns the client for the address of a backend server.
     dialect : Dialect
         Names of the headers that the backend server uses.
+    retries : RetryLimits, optional
+        Repetitions that the sender may make.
+    notice_s : float
+        Time in seconds between telling others of a planned stop and
+        refusing their calls.
     """
 
     name = 'runner'
@@ -183,7 +188,11 @@
             [str], _backend_client.Client
         ] = _backend_client.BackendClient,
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
+        retries: _sender.RetryLimits | None = None,
+        notice_s: float = 0.0,
     ) -> None:
+        self._notice_s = notice_s
+        self._retries = retries
         self._dialect = dialect
         self._warm_at = -math.inf
         self._splits: _sender.SplitSource | None = None
@@ -192,6 +201,7 @@
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
         self._pending: dict[Waiter, _Pending] = {}
+        self._arrived = trio.Event()
         self._ledger = Ledger()
         # Detached calls by request id; set when the call has ended.
         self._running: dict[str, trio.Event] = {}
@@ -267,6 +277,7 @@
             execute=self.execute,
             dialect=self._dialect,
             splits=self._splits,
+            retries=self._retries,
         )
         self._keys = _keys.KeyOwner(peers, self._membership, self._sender)
         self._sender.execute_keyed = self._keys.execute
@@ -278,6 +289,7 @@
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._watches.run)
             self._nursery.start_soon(self._check_line)
+            self._nursery.start_soon(self._sender.run)
             task_status.started()
             while True:
                 await trio.sleep(_MAINTENANCE_S)
@@ -288,9 +300,9 @@
 
     async def drain(self) -> None:
         """Refuse new work and wait for the calls in flight."""
-        self._draining = True
         backend = self._backend
         if backend is not None:
+            # Others stop sending calls before this daemon refuses them.
             self._membership.set_endpoint(
                 Endpoint(
                     backend.endpoint.service,
@@ -299,6 +311,8 @@
                     EndpointState.DRAINING,
                 )
             )
+        await trio.sleep(self._notice_s)
+        self._draining = True
         self._refuse_waiters()
         while self._active:
             self._idle = trio.Event()
@@ -569,6 +583,7 @@
                 backend.queue.retry_after_s(now),
             )
         pending = self._pending[waiter] = _Pending(trio.Event())
+        self._arrived.set()
         hopeless = backend.queue.give_up(now)
         self._release(hopeless, Verdict.OVERLOADED.value)
         try:
@@ -618,8 +633,11 @@
     async def _check_line(self) -> None:
         """Refuse waiting calls as soon as they cannot be served any more."""
         while True:
+            if not self._pending:
+                self._arrived = trio.Event()
+                await self._arrived.wait()
             await trio.sleep(_LINE_CHECK_S)
-            if self._pending and self._backend is not None:
+            if self._backend is not None:
                 now = trio.current_time()
                 hopeless = self._backend.queue.give_up(now)
                 self._release(hopeless, Verdict.OVERLOADED.value)
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -11,13 +11,16 @@
 
 import trio
 
+from gypsumhall._errors import PeerError
 from gypsumhall._errors import PeerUnreachableError
 from gypsumhall.core import _ownership
 from gypsumhall.core import _placement
 from gypsumhall.core import _routing
 from gypsumhall.core._limits import RetryBudget
+from gypsumhall.core._member import MemberStatus
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import Outcome
+from gypsumhall.net._messages import Ping
 from gypsumhall.services import _attempts
 from gypsumhall.services import _calls
 
@@ -34,9 +37,28 @@
 _MAX_ATTEMPTS = 4
 # Services whose budgets are kept.
 _MAX_BUDGETS = 4096
-# Repetitions per call of a service, and per second in any case.
-_RETRY_SHARE = 0.1
-_RETRY_FLOOR_PER_S = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class RetryLimits:
+    """Repetitions that the senders of one service may make.
+
+    Parameters
+    ----------
+    share : float
+        Repetitions per call.
+    floor_per_s : float
+        Repetitions per second that are allowed in any case.
+    fleet_wide : bool
+        Whether the floor is that of all daemons together, of which each
+        takes an equal part.
+    """
+
+    share: float = 0.1
+    floor_per_s: float = 10.0
+    fleet_wide: bool = False
+
+
 # Attempts that stale routing data may cost one request in addition.
 _MAX_FREE_RETRIES = 16
 # Time in seconds for which a request waits for an endpoint after all have
@@ -68,6 +90,13 @@
 _OFFER_WAIT_SHARE = 0.1
 # Refusals after which another endpoint may have room.
 _NO_ROOM = frozenset(['busy', 'overloaded'])
+# Time between two questions to a daemon that did not answer, in seconds.
+_PROBE_S = 0.25
+# Time after which a caller may return when no endpoint is ready, in seconds:
+# that in which a daemon that was stopped starts again.
+_NO_ENDPOINT_RETRY_S = 0.5
+# Endpoints that a log line names for one request.
+_MAX_TRAIL = 8
 # Endpoints without room after which a request is refused.
 _MAX_NO_ROOM = 4
 # Certain refusals of one attempt by the owner of a key.
@@ -126,12 +155,15 @@
     failed: bool = False
     # Endpoints that refused because they have no free slot or no room.
     no_room: int = 0
+    trail: list[str] = field(default_factory=list)
     retry_after_s: float = math.inf
     backoff_s: float = _FIRST_BACKOFF_S
     give_up_at: float = math.inf
 
     def note(self, member_id: str, failure: CallRefused) -> None:
         self.last = failure
+        if len(self.trail) < _MAX_TRAIL:
+            self.trail.append(_describe(member_id, failure))
         if failure.code in _NO_ROOM and failure.load is not None:
             wait_s = failure.load.wait_ms / 1000
             self.retry_after_s = min(self.retry_after_s, wait_s)
@@ -141,6 +173,16 @@
             self.outcome = failure.outcome
 
 
+def _describe(member_id: str, failure: CallRefused) -> str:
+    load = failure.load
+    if load is None:
+        return f'{member_id} {failure.code}'
+    return (
+        f'{member_id} {failure.code} {load.in_flight}/{load.slots} '
+        f'+{load.queued} wait {load.wait_ms:.0f} ms'
+    )
+
+
 class Sender:
     """Sends requests to runners.
 
@@ -165,6 +207,8 @@
     splits : callable, optional
         How calls are divided between versions; by default as the
         configuration says.
+    retries : RetryLimits, optional
+        Repetitions that are allowed.
     """
 
     def __init__(
@@ -179,10 +223,14 @@
         execute: _attempts.Execute,
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
         splits: SplitSource | None = None,
+        retries: RetryLimits | None = None,
     ) -> None:
         self._whole_responses = dialect.whole_responses
-        self._retry_floor_per_s = _RETRY_FLOOR_PER_S
+        self._retries = retries or RetryLimits()
         self._splits = splits or self._configured_split
+        self._peers = peers
+        self._nursery: trio.Nursery | None = None
+        self._probed: set[str] = set()
         self._membership = membership
         self._distribution = distribution
         self._rng = rng
@@ -198,6 +246,14 @@
             'Attempts to run a request, by result.',
         )
 
+    async def run(self) -> None:
+        """Ask daemons that were left out whether they answer again."""
+        try:
+            async with trio.open_nursery() as self._nursery:
+                await trio.sleep_forever()
+        finally:
+            self._nursery = None
+
     async def send(
         self,
         request: _calls.Request,
@@ -325,28 +381,45 @@
                 return
         last = progress.last
         if last is None:
-            raise _calls.not_run(
-                'no-endpoint', f'no endpoint of {request.service} is ready'
+            wait_s = self._placement.least_wait_s(
+                request.service, trio.current_time()
             )
-        raise _calls.CallRefusedError(
+            raise _calls.CallRefusedError(
+                Outcome.NOT_RUN,
+                'overloaded' if wait_s else 'no-endpoint',
+                f'no endpoint of {request.service} has room',
+                wait_s or _NO_ENDPOINT_RETRY_S,
+            )
+        retry_after_s = progress.retry_after_s
+        error = _calls.CallRefusedError(
             progress.outcome,
             last.code,
             last.detail,
-            0.0
-            if math.isinf(progress.retry_after_s)
-            else progress.retry_after_s,
+            0.0 if math.isinf(retry_after_s) else retry_after_s,
         )
+        error.trail = tuple(progress.trail)
+        raise error
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
             if len(self._budgets) >= _MAX_BUDGETS:
                 self._budgets.clear()
-            budget = self._budgets[service] = RetryBudget(
-                _RETRY_SHARE, self._retry_floor_per_s
-            )
+            floor_per_s = self._retries.floor_per_s
+            if self._retries.fleet_wide:
+                floor_per_s /= max(1, self._daemons())
+            budget = RetryBudget(self._retries.share, floor_per_s)
+            self._budgets[service] = budget
         return budget
 
+    def _daemons(self) -> int:
+        table = self._membership.table
+        return sum(
+            1
+            for member in table.members()
+            if member.status is not MemberStatus.LEAVING
+        )
+
     def _configured_split(
         self, snapshot: Snapshot, service: str, versions: set[str]
     ) -> Split:
@@ -429,18 +502,54 @@
         service = progress.request.service
         refused = progress.refused_by
         tried = refused | progress.tried
-        member = self._placement.choose(service, version, now, tried)
+        rank = progress.request.priority
+        member = self._placement.choose(service, version, now, tried, rank)
         if member is None:
-            member = self._placement.choose(service, version, now, refused)
+            member = self._placement.choose(
+                service, version, now, refused, rank
+            )
         return member
 
-    def _max_wait_s(self, progress: _Progress, now: float) -> float | None:
-        if progress.no_room >= _OFFERS:
-            return None
+    def _max_wait_s(
+        self, progress: _Progress, member_id: str, now: float
+    ) -> float | None:
         objective = progress.request.objective
-        if not objective:
+        if progress.no_room >= _OFFERS or not objective:
+            return None
+        limit_s = max(0.0, _OFFER_WAIT_SHARE * (objective - now))
+        if self._placement.wait_s(member_id, now) > limit_s:
+            # The best endpoint is known to be busy, so all of them are.
             return None
-        return max(0.0, _OFFER_WAIT_SHARE * (objective - now))
+        return limit_s
+
+    def _leave_out(self, member: Member) -> None:
+        """Leave out a daemon that did not answer, until it does."""
+        nursery = self._nursery
+        if member.id in self._probed or nursery is None:
+            return
+        if nursery.cancel_scope.cancel_called:
+            return
+        self._placement.set_reachable(member.id, reachable=False)
+        self._probed.add(member.id)
+        nursery.start_soon(self._probe, member)
+
+    async def _probe(self, member: Member) -> None:
+        """Ask a daemon whether it answers, so that no request has to."""
+        try:
+            while True:
+                known = self._membership.table.get(member.id)
+                if known is None or known.status is MemberStatus.LEAVING:
+                    break
+                try:
+                    await self._peers.request(
+                        known.peer_address, Ping(), timeout_s=_PROBE_S
+                    )
+                    break
+                except PeerError:
+                    await trio.sleep(_PROBE_S * (0.5 + self._rng.random()))
+        finally:
+            self._probed.discard(member.id)
+            self._placement.set_reachable(member.id, reachable=True)
 
     async def _attempt(
         self, choice: _Choice, progress: _Progress
@@ -461,7 +570,9 @@
             choice.version,
             split=choice.split if choice.evidence else None,
             time_s=left * _FIRST_SHARE if divided else left,
-            max_wait_s=self._max_wait_s(progress, trio.current_time()),
+            max_wait_s=self._max_wait_s(
+                progress, member.id, trio.current_time()
+            ),
         )
         receiver = _attempts.Receiver(
             call.request_id,
@@ -484,7 +595,7 @@
             failure = _failure(receiver, call.request_id, member.id)
             failed = receiver.status >= 500 if receiver.status else None
         except PeerUnreachableError as error:
-            self._placement.unreachable(member.id, trio.current_time())
+            self._leave_out(member)
             failure = CallRefused(
                 call.request_id,
                 Outcome.NOT_RUN,
@@ -501,6 +612,10 @@
             self._placement.end(member.id, now, failed=failed)
             if receiver.load is not None:
                 self._placement.report(member.id, now, receiver.load)
+            if failure is not None and failure.code == 'peer-lost':
+                self._leave_out(member)
+            if failure is not None and failure.code == 'overloaded':
+                self._placement.full(member.id, now, request.priority)
         self._results.add(1.0, result=failure.code if failure else 'response')
         if receiver.withheld and receiver.complete:
             progress.fallback = receiver.recorder
