Run the platform's store through the contract of stores

A stand-in of the metadata store, over the in-memory store, serves the published HTTP interface. The contract found that a failed condition (412) was raised as a protocol error, so that a controller that had lost its lease would have ended with it; it failed before and passes now. The client checks sizes before it sends, as the other store does.

--- a/gypsumhall/platform/_store.py
+++ b/gypsumhall/platform/_store.py
@@ -4,7 +4,6 @@
 
 from contextlib import asynccontextmanager
 from typing import Any
-from typing import NoReturn
 from typing import TYPE_CHECKING
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -24,6 +23,7 @@
 from gypsumhall.store import StoreLimitError
 from gypsumhall.store import TxnResult
 from gypsumhall.store import WatchEvent
+from gypsumhall.store._etcd import check_writes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,7 +39,7 @@
 MAX_KEY_BYTES = 200
 """Longest key, as the platform's page states."""
 
-_CALL_TIMEOUT_S = 1.0
+_CALL_TIMEOUT_S = 1.2
 """Longest time for a call; the platform answers in milliseconds, and a lost
 response is noticed only in this way."""
 
@@ -47,8 +47,11 @@
 """Time for which the platform holds a watch without events; a watch that has
 gone silent is noticed after this time and `_CALL_TIMEOUT_S`."""
 
-_WATCH_RETRY_S = 0.2
 _MAX_PAGES = 200
+_MAX_CONNECTIONS = 16
+
+_IDLE_S = 5.0
+"""Time in seconds for which an idle connection is kept."""
 
 _NOT_SENT = (
     httpcore.ConnectError,
@@ -133,19 +136,29 @@
     ----------
     address : str
         ``<ip>:<port>`` of the store.
+    network_backend : httpcore.AsyncNetworkBackend, optional
+        Opens connections; by default over TCP.
     """
 
     __slots__ = ('_base', '_pool', '_watches')
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        network_backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
         self._base = f'http://{address}'
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=16, keepalive_expiry=5.0
-        )
+
+        def open_pool() -> httpcore.AsyncConnectionPool:
+            return httpcore.AsyncConnectionPool(
+                max_connections=_MAX_CONNECTIONS,
+                keepalive_expiry=_IDLE_S,
+                network_backend=network_backend,
+            )
+
+        self._pool = open_pool()
         # Watches wait for long, so they have connections of their own.
-        self._watches = httpcore.AsyncConnectionPool(
-            max_connections=16, keepalive_expiry=5.0
-        )
+        self._watches = open_pool()
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -198,7 +211,8 @@
         writes: Sequence[Put | Delete],
     ) -> TxnResult:
         """Execute all writes if all conditions hold, else none."""
-        _check_size(compares, writes)
+        check_writes(writes)
+        _check_entries(compares, writes)
         body = _Txn(
             [_Precondition(item.key, item.mod_revision) for item in compares],
             [
@@ -210,7 +224,8 @@
         )
         response = await self._write('/v1/kv-txn', body)
         if response.status == 412:
-            revisions = [i.revision for i in _decode(response, _Failed).items]
+            found = _decode(response, _Failed, 412)
+            revisions = [item.revision for item in found.items]
             return TxnResult(False, max(revisions, default=0))
         if response.status == 404:
             raise StoreLeaseError('the lease has lapsed')
@@ -326,7 +341,7 @@
         return _Response(response.status, response.content)
 
 
-def _check_size(
+def _check_entries(
     compares: Sequence[Compare], writes: Sequence[Put | Delete]
 ) -> None:
     if len(compares) + len(writes) > MAX_TXN_ENTRIES:
@@ -339,19 +354,15 @@
             raise StoreLimitError(f'key {item.key!r} is too long')
 
 
-def _check(response: _Response) -> None:
-    if response.status != 200:
-        _refuse(response)
-
-
-def _refuse(response: _Response) -> NoReturn:
-    raise StoreProtocolError(
-        f'status {response.status}: {response.body[:200]!r}'
-    )
+def _check(response: _Response, expected: int = 200) -> None:
+    if response.status != expected:
+        raise StoreProtocolError(
+            f'status {response.status}: {response.body[:200]!r}'
+        )
 
 
-def _decode(response: _Response, kind: type[T]) -> T:
-    _check(response)
+def _decode(response: _Response, kind: type[T], expected: int = 200) -> T:
+    _check(response, expected)
     try:
         return msgspec.json.decode(response.body, type=kind)
     except (msgspec.MsgspecError, ValueError) as error:
--- /dev/null
+++ b/gypsumhall/testing/kv_store.py
@@ -0,0 +1,216 @@
+"""Stand-in of the metadata store that `gypsumhall.platform.KvStore` calls.
+
+State and faults are those of a `MemoryStore`; this module gives them the
+platform's published HTTP interface.
+"""
+
+from __future__ import annotations
+
+import base64
+from contextlib import asynccontextmanager
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl
+
+import trio
+
+from gypsumhall._errors import StoreCompactedError
+from gypsumhall._errors import StoreProtocolError
+from gypsumhall._errors import StoreUnavailableError
+from gypsumhall._errors import StoreUnknownError
+from gypsumhall.platform import KvStore
+from gypsumhall.store import Compare
+from gypsumhall.store import Delete
+from gypsumhall.store import Put
+from gypsumhall.store import StoreLeaseError
+from gypsumhall.testing.http_network import HttpNetwork
+from gypsumhall.testing.memory_store import MemoryStore
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from gypsumhall.store import KeyValue
+    from gypsumhall.store import WatchEvent
+
+    Receive = Callable[[], Awaitable[dict[str, Any]]]
+    Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+ADDRESS = '127.0.0.1:8627'
+"""Address that is always served."""
+
+_PAGE_ITEMS = 500
+
+
+def _item(found: KeyValue) -> dict[str, Any]:
+    return {
+        'key': found.key,
+        'value': base64.b64encode(found.value).decode(),
+        'revision': found.mod_revision,
+        'createRev': found.mod_revision,
+        'lease': found.lease,
+    }
+
+
+def _event(event: WatchEvent) -> dict[str, Any]:
+    body: dict[str, Any] = {'key': event.key, 'revision': event.revision}
+    if event.value is None:
+        return {**body, 'tombstone': True}
+    value = base64.b64encode(event.value).decode()
+    return {**body, 'value': value, 'createRev': event.revision, 'lease': 0}
+
+
+class KvApp:
+    """ASGI application with the interface of the metadata store.
+
+    Parameters
+    ----------
+    store : MemoryStore
+        State and faults.
+
+    Attributes
+    ----------
+    refuse : int or None
+        Status with which every call is refused, for example 429.
+    cut_watches : int
+        Watches that are refused from now on.
+    """
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+        self.refuse: int | None = None
+        self.cut_watches = 0
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Handle a request."""
+        body = b''
+        more = True
+        while more:
+            message = await receive()
+            body += message.get('body', b'')
+            more = message.get('more_body', False)
+        status, content = await self._respond(scope, body)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [(b'content-type', b'application/json')],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': content})
+
+    async def _respond(
+        self, scope: dict[str, Any], body: bytes
+    ) -> tuple[int, bytes]:
+        if self.refuse is not None:
+            return self.refuse, b'{}'
+        query = dict(parse_qsl(scope['query_string'].decode()))
+        try:
+            status, value = await self._execute(scope['path'], query, body)
+        except StoreLeaseError:
+            return 404, b'{}'
+        except StoreUnavailableError as error:
+            if 'no answer' in str(error):
+                await trio.sleep_forever()
+            return 503, b'{}'
+        except StoreUnknownError:
+            await trio.sleep_forever()
+        except StoreProtocolError:
+            return 200, b'nonsense'
+        except StoreCompactedError:
+            return 410, b'{}'
+        return status, json.dumps(value).encode()
+
+    async def _execute(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        store = self.store
+        name, _, argument = path.removeprefix('/v1/').partition('/')
+        match name:
+            case 'kv-key':
+                found = await store.get(query['key'])
+                if found is None:
+                    return 404, {}
+                return 200, {**_item(found), 'currentRev': store.revision}
+            case 'kv-range':
+                return 200, await self._range(query)
+            case 'kv-watch':
+                return 200, await self._watch(query)
+            case 'kv-txn':
+                return await self._txn(json.loads(body))
+            case 'kv-lease':
+                ttl_ms = json.loads(body)['ttlMs']
+                lease = await store.grant_lease(ttl_ms // 1000)
+                return 200, {'lease': lease, 'ttlMs': ttl_ms}
+            case 'kv-keep':
+                kept = await store.keep_alive(int(argument))
+                return (200, {'ttlMs': 1000}) if kept else (404, {})
+            case 'kv-lease-end':
+                await store.revoke(int(argument))
+                return 200, {}
+        return 404, {}
+
+    async def _range(self, query: dict[str, str]) -> dict[str, Any]:
+        items = await self.store.range(query['prefix'])
+        after = query.get('after', '')
+        left = [item for item in items if item.key > after]
+        return {
+            'items': [_item(item) for item in left[:_PAGE_ITEMS]],
+            'hasMore': len(left) > _PAGE_ITEMS,
+            'currentRev': self.store.revision,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
+        if self.cut_watches:
+            self.cut_watches -= 1
+            raise StoreUnavailableError('watch: injected end of the watch')
+        after = int(query['after'])
+        found: list[WatchEvent] = []
+        current = max(after, self.store.revision)
+        async with self.store.watch(query['prefix'], after + 1) as events:
+            with trio.move_on_after(int(query['waitMs']) / 1000):
+                found.append(await anext(events))
+            if found:
+                with trio.move_on_after(0):
+                    async for event in events:
+                        found.append(event)
+        if found:
+            current = found[-1].revision
+        return {
+            'events': [_event(event) for event in found],
+            'currentRev': current,
+        }
+
+    async def _txn(self, body: dict[str, Any]) -> tuple[int, Any]:
+        compares = [
+            Compare(item['key'], item['revision'])
+            for item in body['precondition']
+        ]
+        puts = [
+            Put(item['key'], base64.b64decode(item['value']), item['lease'])
+            for item in body['puts']
+        ]
+        deletes = [Delete(key) for key in body['delete']]
+        writes: list[Put | Delete] = [*puts, *deletes]
+        result = await self.store.txn(compares, writes)
+        if result.succeeded:
+            return 200, {'revision': result.revision}
+        return 412, {'items': []}
+
+
+@asynccontextmanager
+async def open_kv_store() -> AsyncIterator[tuple[KvStore, KvApp, HttpNetwork]]:
+    """Run a stand-in within a context; yield a client, it and the network."""
+    async with trio.open_nursery() as nursery:
+        app = KvApp(MemoryStore())
+        network = HttpNetwork(nursery)
+        network.listen(ADDRESS, app)
+        store = KvStore(ADDRESS, network_backend=network)
+        yield store, app, network
+        with trio.CancelScope(shield=True):
+            await store.aclose()
+        nursery.cancel_scope.cancel()
