--- a/gypsumhall/cli/demo.py
+++ b/gypsumhall/cli/demo.py
@@ -64,6 +64,10 @@
     soak: {SOAK_S}s
 """
 _HOST = 'plans.iturraspe.example'
+BAD_SHARE = 0.01
+"""Largest share of a service's calls that a version which fails at once may
+get; see the invariants in docs/design.md."""
+
 _KINDS = (
     {'name': 'consult', 'host': _HOST, 'path': '/plans/1', 'weight': 5},
     {
@@ -247,12 +251,17 @@
     for results in load['results'].values():
         counts.update(results)
     succeeded = counts.pop('ok', 0)
+    # Only the bad version fails calls, and only those of its service.
+    dispatch = Counter[str](load['results']['dispatch'])
+    bad_share = 1.0 - dispatch['ok'] / max(1, dispatch.total())
     return {
         'ok': (
             moves['consultation-to-v2']['state'] == 'done'
             and moves['dispatch-to-v2']['state'] == 'reverted'
             and not load['violations']
+            and bad_share <= BAD_SHARE
         ),
+        'bad_version_share': round(bad_share, 4),
         'convergence_ms': round(convergence, 1),
         'control_bytes_per_daemon_s': round(
             control / len(fleet.vms) / elapsed, 1
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -24,6 +24,7 @@
 from gypsumhall.services._checkins import CheckInService
 from gypsumhall.services._distribution import DistributionService
 from gypsumhall.services._events import EventLog
+from gypsumhall.services._events import LINES_PER_S
 from gypsumhall.services._feed import Feed
 from gypsumhall.services._membership import MembershipService
 from gypsumhall.services._membership import MembershipSettings
@@ -173,7 +174,7 @@
     )
     runner.set_split_source(rollouts.split)
     services: list[Service] = [
-        EventLog(daemon, zone),
+        EventLog(daemon, zone, lines_per_s=LINES_PER_S),
         MetricRegistry(),
         PlatformStore(platform.KvStore(store_address), rng=rng),
         Peers(peer_settings),
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -302,8 +302,9 @@
         """Record why a request got no response of a backend server."""
         name = self._dialect.request_id
         request_id = dict(scope['headers']).get(name, b'').decode('latin-1')
+        refused = refusal is not None and refusal.outcome == Outcome.NOT_RUN
         self._events.emit(
-            'request-ended',
+            'request-refused' if refused else 'request-failed',
             request=request_id,
             path=scope['path'],
             result=result,
--- a/gypsumhall/services/_events.py
+++ b/gypsumhall/services/_events.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
+import math
+import os
 import re
 import sys
 import time
@@ -27,9 +29,20 @@
 KEPT_EVENTS = 4096
 """Events kept in memory for operators who ask the daemon."""
 
+MAX_PENDING_BYTES = 256 * 1024
+"""Bytes of lines that wait for a reader of the log that has stopped reading;
+lines beyond are counted and left out."""
+
+LINES_PER_S = 200
+"""Lines per second that are written on average, with as many in a burst as
+in two seconds. A line costs about 0.05 ms, so that this is 1 % of a core."""
+
 MAX_EVENT_BYTES = 16 * 1024
 """Longest JSON line; the fields of a longer one are replaced by a note."""
 
+# Lines of failed requests explain what nothing else does.
+_ALWAYS_WRITTEN = frozenset(['request-failed', 'lines-omitted'])
+
 _ROTATION_BYTES = 64 * 1024 * 1024
 _RETENTION_FILES = 2
 _CODE = re.compile(r'[a-z0-9]+(-[a-z0-9]+)*')
@@ -66,6 +79,91 @@
     fields: dict[str, Any] = {}
 
 
+class NonBlockingWriter:
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    Parameters
+    ----------
+    descriptor : int
+        Open file descriptor, for example that of the standard error stream.
+        It is set to non-blocking.
+    """
+
+    __slots__ = ('_descriptor', '_dropped', '_pending')
+
+    def __init__(self, descriptor: int) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._pending = bytearray()
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were left out."""
+        return self._dropped
+
+    def write(self, line: str) -> None:
+        """Write a line now, later or never."""
+        data = line.encode()
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            self._flush()
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            self._dropped += 1
+            return
+        self._pending += data
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._pending:
+            try:
+                written = os.write(self._descriptor, self._pending)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody can read the log any more.
+                self._pending.clear()
+                return
+            del self._pending[:written]
+
+
+class LineBudget:
+    """Bounds the lines of a log per second.
+
+    Parameters
+    ----------
+    lines_per_s : float
+        Lines that are allowed on average.
+    """
+
+    __slots__ = ('_left', '_lines_per_s', '_omitted', '_since')
+
+    _BURST_S = 2.0
+
+    def __init__(self, lines_per_s: float) -> None:
+        self._lines_per_s = lines_per_s
+        self._left = lines_per_s * self._BURST_S
+        self._since: float | None = None
+        self._omitted = 0
+
+    def take(self, now: float) -> bool:
+        """Whether a line may be written; otherwise it is counted."""
+        since = now if self._since is None else self._since
+        self._since = now
+        gained = max(0.0, now - since) * self._lines_per_s
+        most = self._lines_per_s * self._BURST_S
+        self._left = min(most, self._left + gained)
+        if self._left < 1.0:
+            self._omitted += 1
+            return False
+        self._left -= 1.0
+        return True
+
+    def omitted(self) -> int:
+        """Return the lines left out since the last call."""
+        omitted, self._omitted = self._omitted, 0
+        return omitted
+
+
 class EventLog:
     """Writes events as JSON lines and keeps the latest in memory.
 
@@ -74,10 +172,14 @@
     daemon, zone : str
         Id and zone of the daemon, part of each event.
     path : str
-        File to append to; empty for the standard error stream. A file is
-        rotated at 64 MiB, and 2 old ones are kept.
+        File to append to; empty for the standard error stream, which is
+        never waited for. A file is rotated at 64 MiB, and 2 old ones are
+        kept.
     wall : callable
         Returns Unix time in seconds.
+    lines_per_s : float
+        Lines per second that are written on average. Events of requests
+        that failed are written in any case, as far as the reader keeps up.
     """
 
     name = 'events'
@@ -90,7 +192,10 @@
         *,
         path: str = '',
         wall: Callable[[], float] = time.time,
+        lines_per_s: float = math.inf,
     ) -> None:
+        self._budget = LineBudget(lines_per_s)
+        self._writer: NonBlockingWriter | None = None
         self._daemon = daemon
         self._zone = zone
         self._path = path
@@ -163,7 +268,13 @@
             event = msgspec.structs.replace(event, fields=note)
             line = _encode(event)
         self._kept.append(event)
-        self._logger.info(line.decode())
+        if code in _ALWAYS_WRITTEN:
+            self._logger.info(line.decode())
+        elif self._budget.take(self._wall()):
+            self._logger.info(line.decode())
+            omitted = self._budget.omitted()
+            if omitted:
+                self.emit('lines-omitted', lines=omitted)
 
     def since(self, index: int) -> list[Event]:
         """Return the kept events after an index, oldest first.
@@ -187,7 +298,13 @@
         if self._path:
             options['rotation'] = _ROTATION_BYTES
             options['retention'] = _RETENTION_FILES
-        return logger.add(self._path or sys.stderr, **options)
+            return logger.add(self._path, **options)
+        try:
+            descriptor = os.dup(sys.stderr.fileno())
+        except (OSError, ValueError):
+            return logger.add(sys.stderr, **options)
+        self._writer = NonBlockingWriter(descriptor)
+        return logger.add(self._writer.write, **options)
 
     def _version(self) -> int:
         if self._distribution is None:
--- a/gypsumhall/testing/processes.py
+++ b/gypsumhall/testing/processes.py
@@ -128,8 +128,12 @@
     links: Network | None = None
     _nursery: trio.Nursery | None = None
     _running: dict[str, _Running] = field(default_factory=dict)
+    # A process may close an idle connection at any time, above all one that
+    # was frozen, so no connection is used twice.
     _http: httpcore.AsyncConnectionPool = field(
-        default_factory=httpcore.AsyncConnectionPool
+        default_factory=lambda: httpcore.AsyncConnectionPool(
+            max_keepalive_connections=0
+        )
     )
 
     @property
--- a/tests/test_services_events.py
+++ b/tests/test_services_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,53 @@
     from pathlib import Path
 
 
+def test_a_reader_that_stops_costs_lines_and_never_waits() -> None:
+    """Guards against requests that wait for the reader of the log."""
+    reading, writing = os.pipe()
+    writer = _events.NonBlockingWriter(writing)
+    line = 'x' * 999 + '\n'
+    for _ in range(2000):
+        writer.write(line)
+    assert 1000 < writer.dropped < 2000
+    read = bytearray()
+    while len(read) < (2000 - writer.dropped) * len(line):
+        read += os.read(reading, 1 << 20)
+        writer.write('')
+    assert read.count(b'\n') == 2000 - writer.dropped
+    assert set(bytes(read).split(b'\n')) == {line[:-1].encode(), b''}
+    os.close(reading)
+    os.close(writing)
+
+
+async def test_lines_beyond_the_budget_are_counted(tmp_path: Path) -> None:
+    """A storm of events must not take the processor; failures are kept."""
+    path = tmp_path / 'events.jsonl'
+    now = 0.0
+    log = _events.EventLog(
+        'd1', 'az-1', path=str(path), wall=lambda: now, lines_per_s=10.0
+    )
+    kernel = Kernel()
+    kernel.register(log)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        for _ in range(100):
+            log.emit('request-refused')
+        log.emit('request-failed')
+        now = 60.0
+        log.emit('request-refused')
+        nursery.cancel_scope.cancel()
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    codes = [line['code'] for line in lines]
+    assert codes.count('request-refused') == 21
+    assert codes.count('request-failed') == 1
+    omitted = [
+        line['fields']['lines']
+        for line in lines
+        if line['code'] == 'lines-omitted'
+    ]
+    assert omitted == [80]
+
+
 async def test_events_are_written_as_json_lines_and_kept(
     tmp_path: Path,
 ) -> None:
