--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -17,7 +17,6 @@
 from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _protocols
-from gypsumhall.services import _runner
 
 if TYPE_CHECKING:
     from gypsumhall.kernel import Kernel
@@ -35,6 +34,21 @@
         ...
 
 
+@runtime_checkable
+class BackendRunner(Protocol):
+    """What this service needs of the service ``runner``."""
+
+    def set_backend(
+        self, endpoint: Endpoint | None, address: str, instance: str = ''
+    ) -> None:
+        """Take over what the backend server reported."""
+        ...
+
+    def set_warm_at(self, time: float) -> None:
+        """Set until when a backend server that has started is slow."""
+        ...
+
+
 class CheckInService:
     """Takes heartbeats, and tells runner and membership of changes.
 
@@ -67,7 +81,7 @@
         self._known = CheckIns()
         self._draining = False
         self._membership: _protocols.Membership
-        self._runner: _runner.RunnerService
+        self._runner: BackendRunner
         self._events: _protocols.Events
 
     async def run(
@@ -79,7 +93,7 @@
         """Look for heartbeats that stop, until cancelled."""
         admin = kernel.get('admin', _protocols.Admin)
         self._membership = kernel.get('membership', _protocols.Membership)
-        self._runner = kernel.get('runner', _runner.RunnerService)
+        self._runner = kernel.get('runner', BackendRunner)
         self._events = kernel.get('events', _protocols.Events)
         admin.add_route('PUT', platform.INSTANCES_PATH, self._check_in)
         admin.add_route('DELETE', platform.INSTANCES_PATH, self._leave)
--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -21,13 +21,16 @@
 from gypsumhall._errors import StoreError
 from gypsumhall.core import _model
 from gypsumhall.core import _tree
-from gypsumhall.services._distribution import DistributionService
+from gypsumhall.services._protocols import Distribution
 from gypsumhall.services._protocols import Events
 from gypsumhall.services._protocols import Membership
 from gypsumhall.store import StoreService
 from gypsumhall.store._election import Backoff
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from gypsumhall.kernel import Kernel
 
 WATCHERS = 5
@@ -37,6 +40,17 @@
 _RETRY_S = (0.1, 0.5)
 
 
+@runtime_checkable
+class FedDistribution(Distribution, Protocol):
+    """Distribution that asks for the version floor."""
+
+    def set_head_reader(
+        self, read: Callable[[], Awaitable[_model.Head]]
+    ) -> None:
+        """Set how the version floor is read."""
+        ...
+
+
 @runtime_checkable
 class RolloutOrders(Protocol):
     """Takes orders; the service ``moves``."""
@@ -68,7 +82,7 @@
         self._rng = rng or random.Random()
         self._store: StoreService
         self._membership: Membership
-        self._distribution: DistributionService
+        self._distribution: FedDistribution
         self._events: Events
         self._rollouts: RolloutOrders
         self._config_revision = 0
@@ -84,7 +98,7 @@
         """Watch whenever this daemon is one of the watchers."""
         self._store = kernel.get('store', StoreService)
         self._membership = kernel.get('membership', Membership)
-        self._distribution = kernel.get('distribution', DistributionService)
+        self._distribution = kernel.get('distribution', FedDistribution)
         self._events = kernel.get('events', Events)
         self._rollouts = kernel.get('moves', RolloutOrders)
         self._distribution.set_head_reader(self._read_head)
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -7,19 +7,23 @@
 from __future__ import annotations
 
 import random
+from typing import Protocol
+from typing import runtime_checkable
 from typing import TYPE_CHECKING
 
 import trio
 
 from gypsumhall._errors import StoreError
 from gypsumhall.core import _tree
-from gypsumhall.services._membership import MembershipService
 from gypsumhall.services._protocols import Events
+from gypsumhall.services._protocols import Membership
 from gypsumhall.store import Put
 from gypsumhall.store import StoreLeaseError
 from gypsumhall.store import StoreService
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from gypsumhall.kernel import Kernel
@@ -42,6 +46,17 @@
 _IDLE_S = 2.0
 
 
+@runtime_checkable
+class SeededMembership(Membership, Protocol):
+    """Membership that asks for addresses to join through."""
+
+    def set_seed_source(
+        self, source: Callable[[], Awaitable[Sequence[str]]]
+    ) -> None:
+        """Set a coroutine function that returns seed addresses."""
+        ...
+
+
 class Registration:
     """Keeps the own entry, and reads those of others.
 
@@ -57,7 +72,7 @@
     def __init__(self, *, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
         self._lease = 0
-        self._membership: MembershipService
+        self._membership: SeededMembership
         self._store: StoreService
         self._events: Events
         self._stopping = False
@@ -69,7 +84,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Keep the entry until cancelled."""
-        self._membership = kernel.get('membership', MembershipService)
+        self._membership = kernel.get('membership', SeededMembership)
         self._store = kernel.get('store', StoreService)
         self._events = kernel.get('events', Events)
         self._membership.set_seed_source(self.read_seeds)
--- /dev/null
+++ b/tests/test_services_fleet.py
@@ -0,0 +1,360 @@
+"""Services of the daemon on the users' platform, against fakes."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from gypsumhall.core._member import EndpointState
+from gypsumhall.core._placement import ANY_VERSION
+from gypsumhall.core._snapshot import Snapshot
+from gypsumhall.core._snapshot import Split
+from gypsumhall.kernel import Kernel
+from gypsumhall.net._messages import RolloutRecord
+from gypsumhall.services import _registration
+from gypsumhall.services._checkins import CheckInService
+from gypsumhall.services._feed import Feed
+from gypsumhall.services._feed import WATCHERS
+from gypsumhall.services._protocols import AdminRequest
+from gypsumhall.services._registration import Registration
+from gypsumhall.services._rollouts import RolloutService
+from gypsumhall.store import Delete
+from gypsumhall.store import Put
+from gypsumhall.testing import builders
+from gypsumhall.testing.fakes import FakeAdmin
+from gypsumhall.testing.fakes import FakeDistribution
+from gypsumhall.testing.fakes import FakeEvents
+from gypsumhall.testing.fakes import FakeMembership
+from gypsumhall.testing.fakes import FakeService
+from gypsumhall.testing.fakes import FakeTable
+from gypsumhall.testing.memory_store import MemoryStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trio.testing import MockClock
+
+    from gypsumhall.core._member import Endpoint
+
+
+class _Membership(FakeMembership):
+    name = 'membership'
+    source: Callable[[], Any] | None = None
+
+    def set_seed_source(self, source: Callable[[], Any]) -> None:
+        self.source = source
+
+
+class _Distribution(FakeDistribution):
+    name = 'distribution'
+    published: list[int]
+
+    def set_head_reader(self, read: Callable[[], Any]) -> None:
+        self.read = read
+
+
+class _Store(MemoryStore):
+    """A `StoreService`; elections are not used here."""
+
+    elections: Any = None
+
+
+class _Rollouts(FakeService):
+    name = 'moves'
+    restricted = False
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[str, int]] = []
+
+    def order(self, order: Any, revision: int) -> None:
+        self.orders.append((order.service, revision))
+
+    def restricts(self, service: str) -> bool:
+        return self.restricted
+
+
+class _Runner(FakeService):
+    name = 'runner'
+
+    def __init__(self) -> None:
+        self.backends: list[tuple[EndpointState | None, str]] = []
+
+    def set_backend(
+        self, endpoint: Endpoint | None, address: str, instance: str = ''
+    ) -> None:
+        state = None if endpoint is None else endpoint.state
+        self.backends.append((state, instance))
+
+    def set_warm_at(self, time: float) -> None:
+        pass
+
+
+def _kernel(*services: Any) -> Kernel:
+    kernel = Kernel()
+    for service in (FakeEvents(), *services):
+        kernel.register(service)
+    return kernel
+
+
+# Registration
+
+
+async def test_a_lapsed_entry_is_back_within_two_seconds(
+    autojump_clock: MockClock,
+) -> None:
+    store = _Store()
+    membership = _Membership(builders.build_member(0))
+    kernel = _kernel(store, membership, Registration())
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        await trio.sleep(5)
+        assert len(store.keys) == 1
+        for hang in (True, False):
+            store.outage, store.hang = not hang, hang
+            await trio.sleep(7.3)
+            store.lapse()
+            store.outage = store.hang = False
+            assert not store.keys
+            await trio.sleep(2.0)
+            assert len(store.keys) == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_entry_that_vanished_without_its_lease_is_written_again(
+    autojump_clock: MockClock,
+) -> None:
+    """The platform may take keys away without any request showing it."""
+    store = _Store()
+    membership = _Membership(builders.build_member(0))
+    kernel = _kernel(store, membership, Registration())
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        await trio.sleep(3)
+        (key,) = store.keys
+        await store.txn([], [Delete(key)])
+        await trio.sleep(2.0)
+        assert store.keys == (key,)
+        assert membership.source is not None
+        assert await membership.source() == [membership.me.peer_address]
+        nursery.cancel_scope.cancel()
+
+
+async def test_entries_do_not_grow_with_the_zone(
+    autojump_clock: MockClock,
+) -> None:
+    members = [builders.build_member(index) for index in range(30)]
+    store = _Store()
+    async with trio.open_nursery() as nursery:
+        for member in members:
+            membership = _Membership(member, FakeTable(members))
+            kernel = _kernel(store, membership, Registration())
+            await nursery.start(kernel.run)
+        await trio.sleep(5)
+        assert len(store.keys) == _registration.ENTRIES_PER_ZONE
+        nursery.cancel_scope.cancel()
+
+
+# Feed
+
+
+def _config(version: int) -> bytes:
+    spec = {'host': 'h', 'prefix': '/a/', 'type': 'idempotent'}
+    route = {**spec, 'timeoutMs': 1000, 'service': 's'}
+    return json.dumps(
+        {
+            'version': f'{version:08x}',
+            'resources': [
+                {
+                    'entryType': 'routes',
+                    'metadata': {'name': 'r'},
+                    'spec': route,
+                },
+                {
+                    'entryType': 'services',
+                    'metadata': {'name': 's'},
+                    'spec': {},
+                },
+            ],
+        }
+    ).encode()
+
+
+async def _publish(store: MemoryStore, version: int) -> None:
+    await store.txn([], [Put('op/config', _config(version))])
+
+
+async def test_the_feed_publishes_changes_orders_and_survives_faults(
+    autojump_clock: MockClock,
+) -> None:
+    store, distribution, rollouts = _Store(), _Distribution(), _Rollouts()
+    await _publish(store, 5)
+    membership = _Membership(builders.build_member(0))
+    kernel = _kernel(store, membership, distribution, rollouts, Feed())
+    events = kernel.get('events', FakeEvents)
+
+    def version() -> int:
+        snapshot = distribution.snapshot
+        return snapshot.version if snapshot else 0
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        await trio.sleep(0.5)
+        assert version() == 5
+        await _publish(store, 9)
+        await trio.sleep(0.1)
+        assert version() == 9
+        store.outage = True
+        await trio.sleep(5)
+        store.outage = False
+        await _publish(store, 12)
+        await trio.sleep(1.0)
+        assert version() == 12
+        store.drop_watches()
+        store.compact()
+        await _publish(store, 13)
+        await trio.sleep(1.0)
+        assert version() == 13
+        order = b'{"service":"s","targetVersion":"v2","durationS":12}'
+        await store.txn([], [Put('op/rollout/s', order)])
+        await store.txn([], [Put('op/rollout/x', b'{"service"')])
+        await trio.sleep(0.1)
+        assert [service for service, _ in rollouts.orders] == ['s']
+        assert 'feed-entry-rejected' in events.codes
+        await _publish(store, 14)
+        await trio.sleep(0.1)
+        assert version() == 14
+        nursery.cancel_scope.cancel()
+
+
+async def test_few_daemons_of_a_zone_watch_the_store(
+    autojump_clock: MockClock,
+) -> None:
+    """The calls to the store must not grow with the fleet."""
+    members = [builders.build_member(index) for index in range(20)]
+    store = _Store()
+    await _publish(store, 5)
+    async with trio.open_nursery() as nursery:
+        for member in members:
+            kernel = _kernel(
+                store,
+                _Membership(member, FakeTable(members)),
+                _Distribution(),
+                _Rollouts(),
+                Feed(),
+            )
+            await nursery.start(kernel.run)
+        await trio.sleep(2)
+        assert store.counts['range'] == WATCHERS
+        nursery.cancel_scope.cancel()
+
+
+# Heartbeats
+
+
+def _check_in(state: str, seq: int, **changes: Any) -> bytes:
+    body: dict[str, Any] = {
+        'addr': '10.0.0.9:80',
+        'info': {'service': 's', 'version': 'v1', 'zone': 'z', 'slots': 6},
+        'status': {'state': state, 'seq': seq, 'warmupLeftMs': 0},
+        'born': 100,
+    }
+    return json.dumps({**body, **changes}).encode()
+
+
+@pytest.mark.parametrize('leaves_with', ['draining', 'notice'])
+async def test_the_runner_knows_of_leaving_before_it_is_acknowledged(
+    autojump_clock: MockClock, leaves_with: str
+) -> None:
+    runner, admin = _Runner(), FakeAdmin()
+    membership = _Membership(builders.build_member(0))
+    service = CheckInService('10.0.0.9:80')
+    kernel = _kernel(
+        admin, membership, _Distribution(), _Rollouts(), runner, service
+    )
+    path = '/v1/instances/i-1'
+
+    async def send(method: str, body: bytes) -> int:
+        handler = admin.routes[method, '/v1/instances/']
+        answer = await handler(AdminRequest(method, path, body=body))
+        return int(answer.status)
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        assert await send('PUT', _check_in('ready', 1)) == 200
+        assert runner.backends[-1] == (EndpointState.READY, 'i-1')
+        assert await send('PUT', b'{') == 400
+        foreign = _check_in('ready', 2, addr='10.0.0.8:80')
+        assert await send('PUT', foreign) == 400
+        if leaves_with == 'draining':
+            status = await send('PUT', _check_in('draining', 3))
+        else:
+            status = await send('DELETE', b'')
+        assert status == 200
+        assert runner.backends[-1] == (EndpointState.DRAINING, 'i-1')
+        await send('PUT', _check_in('ready', 4))
+        assert runner.backends[-1] == (EndpointState.DRAINING, 'i-1')
+        endpoint = membership.me.endpoint
+        assert endpoint is not None
+        assert endpoint.state is EndpointState.DRAINING
+        await trio.sleep(7)
+        assert runner.backends[-1] == (None, '')
+        nursery.cancel_scope.cancel()
+
+
+# Rollouts
+
+
+def _split(service: RolloutService, versions: set[str]) -> Split:
+    snapshot = Snapshot.build(builders.build_head([]), [])
+    return service.split(snapshot, 's', versions)
+
+
+def _rollouts(*records: RolloutRecord) -> RolloutService:
+    service = RolloutService()
+    service._events = FakeEvents()
+    for record in records:
+        service._install(record, 'test')
+    return service
+
+
+def test_a_new_version_gets_no_calls_before_its_order() -> None:
+    service = _rollouts()
+    assert _split(service, {'v1'}).old_version == ANY_VERSION
+    assert _split(service, {'v1', 'v2'}) == Split('v1')
+
+
+def test_records_decide_the_share_and_never_go_back() -> None:
+    service = _rollouts()
+    _split(service, {'v1'})
+    second = RolloutRecord('s', 'v2', 7, 2, 0.2)
+    first = RolloutRecord('s', 'v2', 7, 1, 0.04)
+    assert service._install(second, 'a')
+    assert not service._install(first, 'b')
+    split = _split(service, {'v1', 'v2'})
+    assert (split.old_version, split.new_version, split.share) == (
+        'v1',
+        'v2',
+        0.2,
+    )
+
+
+@pytest.mark.parametrize('versions', [{'v1', 'v2'}, {'v2'}])
+def test_a_version_that_was_rolled_back_gets_no_calls(
+    versions: set[str],
+) -> None:
+    """Even when it is the only one left: its answers are bad."""
+    record = RolloutRecord('s', 'v2', 7, 3, 0.0, 'rolled_back')
+    service = _rollouts()
+    _split(service, {'v1'})
+    service._install(record, 'a')
+    split = _split(service, versions)
+    assert split.old_version == 'v1' and split.new_version is None
+
+
+def test_a_complete_rollout_leaves_only_the_new_version() -> None:
+    service = _rollouts(RolloutRecord('s', 'v2', 7, 5, 1.0, 'completed'))
+    assert _split(service, {'v1', 'v2'}) == Split('v2')
