Test that requests do not wait for a daemon that is cut off

Fails when the sender does not leave such a daemon out. The deploy file is rendered with the values of the platform's page and has to give settings that are accepted and explained.

--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -28,6 +28,9 @@
 _WEIGHT = 0.1
 """Weight of the latest service time in the moving means."""
 
+_MAX_ROUTES = 1024
+"""Routes whose service times are kept, so that they stay below 0.2 MB."""
+
 _FAILURE_WEIGHT = 0.1
 """Weight of the latest run in the share of failures."""
 
@@ -296,7 +299,7 @@
         if service_s is None:
             return
         self._mean_s = _moved(self._mean_s, service_s)
-        if route not in self._route_s and len(self._route_s) >= 1024:
+        if route not in self._route_s and len(self._route_s) >= _MAX_ROUTES:
             self._route_s.clear()
         known = self._route_s.get(route, 0.0)
         self._route_s[route] = _moved(known, service_s)
--- /dev/null
+++ b/tests/test_cli_fleet.py
@@ -0,0 +1,86 @@
+"""Settings of the daemon on the users' platform, and its deploy file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import re
+import tomllib
+
+import pytest
+
+from gypsumhall.cli import fleet
+from gypsumhall.cli._settings import run_binary
+
+_ROOT = Path(__file__).parents[1]
+# Values as the platform's page shows them, by placeholder.
+_FIELDS = {
+    'nodeName': 'sidecar-meso-norte-1',
+    'zone': 'meso-norte',
+    'ip': '10.1.0.41',
+    'internalPortRange.0': '7600',
+    'listen.outbound': '10.1.0.41:8629',
+    'listen.ready': '10.1.0.41:8625',
+    'listen.control': '10.1.0.41:8620',
+    'appAddr': '10.1.0.41:8628',
+    'service': 'huvo11a',
+    'platform.addr': '10.200.1.7:8627',
+    'bounds.graceS': '6',
+    'bounds.retryBudgetRatio': '0.2',
+    'bounds.budgetSlack': '64',
+    'bounds.budgetWindowS': '10',
+}
+
+
+def _environment() -> dict[str, str]:
+    text = (_ROOT / 'deploy' / 'system.toml').read_text()
+    (role,) = tomllib.loads(text)['roles'].values()
+    return {
+        name: re.sub(
+            r'\{\{([^}]+)\}\}', lambda found: _FIELDS[found[1]], value
+        )
+        for name, value in role['env'].items()
+    }
+
+
+def test_the_deploy_file_renders_settings_that_are_accepted() -> None:
+    settings = fleet.FleetSettings()
+    settings.settings.parse([], _environment())
+    kernel = fleet.build_kernel(settings)
+    assert 'caller' in kernel.names and 'check-ins' in kernel.names
+    assert settings.retry_window.value == 10.0
+    assert settings.peer_port.value == 7600
+
+
+def test_every_setting_of_the_deploy_file_is_explained() -> None:
+    page = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    for name in _environment():
+        suffix = name.removeprefix('GYPSUMHALL')
+        assert f'`{name}`' in page or f'`{suffix}`' in page
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('GYPSUMHALL_ZONE', ''),
+        ('GYPSUMHALL_PEER_PORT', 'high'),
+        ('GYPSUMHALL_READY_ADDRESS', '10.1.0.41'),
+        ('GYPSUMHALL_RETRY_RATIO', '-1'),
+        ('GYPSUMHALL_GRACE', 'soon'),
+    ],
+)
+def test_a_wrong_setting_is_named(
+    name: str,
+    value: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    settings = fleet.FleetSettings()
+    status = run_binary(
+        settings.settings,
+        ['gypsumhall-fleetd'],
+        lambda names: 0,
+        environment={**_environment(), name: value},
+    )
+    assert status == 2
+    flag = name.removeprefix('GYPSUMHALL_').lower()
+    message = capsys.readouterr().err
+    assert flag in message.lower()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -13,6 +13,8 @@
 from gypsumhall.net._messages import BodyChunk
 from gypsumhall.net._messages import CallStart
 from gypsumhall.net._messages import Message
+from gypsumhall.net._messages import Ping
+from gypsumhall.net._messages import Pong
 from gypsumhall.net._messages import Revert
 from gypsumhall.testing import builders
 from gypsumhall.testing import call_trial
@@ -25,6 +27,8 @@
 
     from trio.testing import MockClock
 
+    from gypsumhall.net._protocol import Exchange
+
 
 @contextlib.asynccontextmanager
 async def _trial(
@@ -86,6 +90,45 @@
         assert method == 'GET' or trial.backend.runs == {'r1': 1}
 
 
+async def test_requests_do_not_wait_for_a_daemon_that_is_cut_off(
+    autojump_clock: MockClock,
+) -> None:
+    """Each request tried it for the time of a connection in a zone cut."""
+    async with _trial(daemons=6) as trial:
+        # In the zone of the sender, with the version that gets the calls.
+        cut = trial.daemons[4].membership.me.peer_address
+        trial.hub.silent.add(cut)
+        tried = []
+
+        def rule(source: str, target: str, message: Message) -> Fault:
+            if target == cut and isinstance(message, CallStart):
+                tried.append(message.request_id)
+            return Fault.NONE
+
+        async def answer(exchange: Exchange, message: Ping) -> None:
+            await exchange.send(Pong())
+
+        found = trial.hub.find(cut)
+        assert found is not None
+        found[0].on(Ping, answer)
+        trial.hub.rule = rule
+        slow = 0
+        for index in range(40):
+            started = trio.current_time()
+            request = trial.request(f'r{index}', method='GET')
+            assert await trial.call(0, request) == 'response'
+            slow += trio.current_time() - started > 0.4
+            await trio.sleep(0.05)
+        assert slow <= 1
+        trial.hub.silent.discard(cut)
+        await trio.sleep(1.0)
+        async with trio.open_nursery() as nursery:
+            for index in range(24):
+                request = trial.request(f's{index}', method='GET')
+                nursery.start_soon(trial.call, 0, request)
+        assert tried
+
+
 async def test_query_reaches_a_restarted_daemon(
     autojump_clock: MockClock,
 ) -> None:
