Let the floors of all retry budgets add up to the fleet's

Found while reading: a budget took its part of the fleet's floor when it was made, and a daemon that has just started knows no others, so that after a loss of all machines each of them could have repeated as much as the whole fleet may.

--- a/gypsumhall/core/_limits.py
+++ b/gypsumhall/core/_limits.py
@@ -216,6 +216,11 @@
         self._tokens = floor_per_s
         self._now = 0.0
 
+    def set_floor(self, floor_per_s: float) -> None:
+        """Change the floor; what was kept beyond the new one is lost."""
+        self._floor_per_s = floor_per_s
+        self._tokens = min(self._tokens, floor_per_s * self._KEPT_S)
+
     def call(self, now: float) -> None:
         """Count a call."""
         self._refill(now, self._share)
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -227,6 +227,8 @@
     ) -> None:
         self._whole_responses = dialect.whole_responses
         self._retries = retries or RetryLimits()
+        self._floor_per_s = self._retries.floor_per_s
+        self._revision = -1
         self._splits = splits or self._configured_split
         self._peers = peers
         self._nursery: trio.Nursery | None = None
@@ -401,24 +403,33 @@
         raise error
 
     def _budget(self, service: str) -> RetryBudget:
+        self._follow_members()
         budget = self._budgets.get(service)
         if budget is None:
             if len(self._budgets) >= _MAX_BUDGETS:
                 self._budgets.clear()
-            floor_per_s = self._retries.floor_per_s
-            if self._retries.fleet_wide:
-                floor_per_s /= max(1, self._daemons())
-            budget = RetryBudget(self._retries.share, floor_per_s)
+            budget = RetryBudget(self._retries.share, self._floor_per_s)
             self._budgets[service] = budget
         return budget
 
-    def _daemons(self) -> int:
+    def _follow_members(self) -> None:
+        """Keep the sum of the floors when daemons come and go.
+
+        A daemon that has just started knows few others; its budgets must
+        not keep the floor of that moment.
+        """
         table = self._membership.table
-        return sum(
+        if not self._retries.fleet_wide or table.revision == self._revision:
+            return
+        self._revision = table.revision
+        daemons = sum(
             1
             for member in table.members()
             if member.status is not MemberStatus.LEAVING
         )
+        self._floor_per_s = self._retries.floor_per_s / max(1, daemons)
+        for budget in self._budgets.values():
+            budget.set_floor(self._floor_per_s)
 
     def _configured_split(
         self, snapshot: Snapshot, service: str, versions: set[str]
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -16,8 +17,10 @@
 from gypsumhall.net._messages import Ping
 from gypsumhall.net._messages import Pong
 from gypsumhall.net._messages import Revert
+from gypsumhall.services import _sender
 from gypsumhall.testing import builders
 from gypsumhall.testing import call_trial
+from gypsumhall.testing import fakes
 from gypsumhall.testing.call_trial import CallTrial
 from gypsumhall.testing.memory_network import Fault
 from gypsumhall.testing.memory_network import FaultRule
@@ -317,3 +320,37 @@
                     nursery.start_soon(call, index)
         load = trial.daemons[0].runner.load
         assert (load.in_flight, load.queued) == (0, 0)
+
+
+async def test_the_floors_of_all_daemons_add_up_to_that_of_the_fleet(
+    autojump_clock: MockClock,
+) -> None:
+    """A daemon that starts alone must not keep the floor of all."""
+    async with _trial(daemons=4) as trial:
+        daemon = trial.daemons[0]
+        sender = _sender.Sender(
+            peers=trial.hub.find(daemon.membership.me.peer_address)[0],
+            membership=daemon.membership,
+            distribution=fakes.FakeDistribution(),
+            events=fakes.FakeEvents(),
+            metrics=fakes.FakeMetrics(),
+            rng=Random(1),
+            execute=daemon.runner.execute,
+            retries=_sender.RetryLimits(0.0, 12.0, fleet_wide=True),
+        )
+        table = daemon.membership.table
+        others = [
+            m for m in table.members() if m.id != daemon.membership.me.id
+        ]
+        for member in others:
+            table.remove(member.id)
+        budget = sender._budget('availability')
+        for member in others:
+            table.put(member)
+        assert sender._budget('availability') is budget
+        now = trio.current_time()
+        allowed = sum(
+            budget.retry(now + 100.0 + index / 100) for index in range(1000)
+        )
+        # What is kept for 10 s, and the floor of the 10 s of this test.
+        assert allowed <= 12.0 / 4 * 20 + 1
