Keep the promise to a leaving endpoint over a restart, finish stops in time

Health does not tell what an earlier process has acknowledged, and the store or peers would have to hold it, so the question is removed; a daemon that starts waits for the next heartbeat again.

New requests are taken for half of the time at most, so that the longest route (2.5 s) ends within the rest.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -53,9 +53,9 @@
 be used or a service fails, 2 for invalid settings.
 """
 
-_LINGER_SHARE = 0.7
+_LINGER_SHARE = 0.5
 """Part of the time for a planned stop in which new requests are served at
-most; callers that have nowhere else to go use all of it."""
+most. The longest route takes 2.5 s, which the rest has to leave room for."""
 
 _JITTER_S = 0.05
 """Longest random delay in seconds at a start. After the loss of all machines
@@ -173,6 +173,9 @@
         rng, dialect=platform.DIALECT, retries=retries, notice_s=_NOTICE_S
     )
     runner.set_split_source(rollouts.split)
+    admin = AdminService(settings.control_address.value)
+    check_ins = CheckInService(settings.backend_address.value)
+    check_ins.listen_on(admin)
     services: list[Service] = [
         EventLog(daemon, zone, lines_per_s=LINES_PER_S),
         MetricRegistry(),
@@ -187,10 +190,10 @@
         DistributionService(jitter_s=_JITTER_S),
         rollouts,
         Feed(rng=rng),
-        AdminService(settings.control_address.value),
+        admin,
         ReadyListener(settings.ready_address.value),
         runner,
-        CheckInService(settings.backend_address.value, settings.service.value),
+        check_ins,
         CallerService(
             settings.outbound_address.value,
             platform.DIALECT,
--- a/gypsumhall/core/_checkins.py
+++ b/gypsumhall/core/_checkins.py
@@ -102,21 +102,6 @@
         self._present = True
         return Decision.CHANGED
 
-    def suppose(
-        self, instance: str, address: str, endpoint: Endpoint, now: float
-    ) -> bool:
-        """Take a backend server that has not reported itself yet.
-
-        The first heartbeat replaces it. Returns False when a heartbeat has
-        arrived before.
-        """
-        if self._known is not None:
-            return False
-        self._known = Known(instance, 0, address, endpoint)
-        self._heard = now
-        self._present = True
-        return True
-
     def leave(self, instance: str, started_ms: int) -> bool:
         """Take a notice of leaving; False when it changes nothing."""
         known = self._known
--- a/gypsumhall/core/_model.py
+++ b/gypsumhall/core/_model.py
@@ -37,16 +37,12 @@
         Version that gets all traffic when no move is active.
     depends_on : tuple of str
         Names of the services that this one calls.
-    health_path : str
-        Path at which its backend servers state their health; empty when
-        they do not.
     """
 
     name: str
     versions: tuple[str, ...]
     current: str
     depends_on: tuple[str, ...] = ()
-    health_path: str = ''
 
 
 class Target(msgspec.Struct, frozen=True):
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -243,10 +243,7 @@
             endpoint = member.endpoint
             if member.id in exclude or endpoint is None:
                 continue
-            if endpoint.version != ANY_VERSION and version not in (
-                ANY_VERSION,
-                endpoint.version,
-            ):
+            if version not in (ANY_VERSION, endpoint.version):
                 continue
             if state.unreachable:
                 continue
--- a/gypsumhall/platform/__init__.py
+++ b/gypsumhall/platform/__init__.py
@@ -6,7 +6,6 @@
 
 from gypsumhall.platform._checkins import CheckIn
 from gypsumhall.platform._checkins import decode_check_in
-from gypsumhall.platform._checkins import decode_health
 from gypsumhall.platform._checkins import decode_start_time
 from gypsumhall.platform._checkins import INSTANCES_PATH
 from gypsumhall.platform._names import DIALECT
@@ -34,7 +33,6 @@
     'RolloutState',
     'decode_check_in',
     'decode_configuration',
-    'decode_health',
     'decode_rollout',
     'decode_start_time',
     'encode_rollout_status',
--- a/gypsumhall/platform/_checkins.py
+++ b/gypsumhall/platform/_checkins.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -11,9 +10,6 @@
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
 INSTANCES_PATH = '/v1/instances/'
 """Prefix of the path to which backend servers send heartbeats."""
 
@@ -116,33 +112,6 @@
     )
 
 
-def decode_health(
-    status: int, headers: Iterable[tuple[bytes, bytes]]
-) -> tuple[str, int]:
-    """Decode an answer to a question about health.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : iterable of (bytes, bytes)
-        Headers with lower-case names.
-
-    Returns
-    -------
-    tuple of str and int
-        Id of the process and its slots; an empty id when it is not healthy
-        or does not say who it is.
-    """
-    fields = dict(headers)
-    instance = fields.get(b'gypsumhall-instance-id', b'').decode('latin-1')
-    # Running requests, waiting requests and slots.
-    load = fields.get(b'gypsumhall-server-load', b'').split(b',')
-    if status != 200 or len(load) != 3 or not load[2].strip().isdigit():
-        return '', 0
-    return instance, int(load[2])
-
-
 def decode_start_time(body: bytes) -> int:
     """Return the start time in a notice of leaving; 0 when it has none."""
     try:
--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -68,10 +68,6 @@
     weight: float
 
 
-class _Service(msgspec.Struct):
-    health_path: str = msgspec.field(name='healthPath', default='')
-
-
 class _Route(msgspec.Struct):
     host: str
     prefix: str
@@ -114,7 +110,9 @@
         for entry in config.resources:
             name = entry.metadata.name
             if entry.type == 'services':
-                services.append(_service(name, entry.spec))
+                services.append(
+                    _model.Service(name, (ANY_VERSION,), ANY_VERSION)
+                )
             elif entry.type == 'routes':
                 routes.append(_route(name, entry.spec))
     except (msgspec.MsgspecError, ValueError) as error:
@@ -129,13 +127,6 @@
     return head, fragment
 
 
-def _service(name: str, spec: msgspec.Raw) -> _model.Service:
-    found = msgspec.json.decode(spec, type=_Service)
-    return _model.Service(
-        name, (ANY_VERSION,), ANY_VERSION, health_path=found.health_path
-    )
-
-
 def _route(name: str, spec: msgspec.Raw) -> _model.Route:
     route = msgspec.json.decode(spec, type=_Route)
     targets = tuple(
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -12,26 +12,13 @@
 from gypsumhall._errors import GypsumhallError
 from gypsumhall.core._checkins import CheckIns
 from gypsumhall.core._checkins import Decision
-from gypsumhall.core._member import Endpoint
-from gypsumhall.core._member import EndpointState
-from gypsumhall.core._placement import ANY_VERSION
-from gypsumhall.services import _backend_client
 from gypsumhall.services import _protocols
 
 if TYPE_CHECKING:
+    from gypsumhall.core._member import Endpoint
     from gypsumhall.kernel import Kernel
 
 _CHECK_S = 0.5
-_HEALTH_TIMEOUT_S = 1.0
-
-
-@runtime_checkable
-class Rollouts(Protocol):
-    """What this service needs of the service ``moves``."""
-
-    def restricts(self, service: str) -> bool:
-        """Whether calls of a service depend on the endpoint's version."""
-        ...
 
 
 @runtime_checkable
@@ -57,27 +44,14 @@
     address : str
         ``<ip>:<port>`` of the backend server on the VM; heartbeats that
         name another one are not used. Empty for any.
-    service : str
-        Service of the backend server; with it, a daemon that starts asks
-        for the health of a backend server that is already running instead
-        of waiting for its next heartbeat.
     """
 
     name = 'check-ins'
-    requires: tuple[str, ...] = (
-        'admin',
-        'membership',
-        'distribution',
-        'moves',
-        'runner',
-        'events',
-    )
-
-    def __init__(self, address: str, service: str = '') -> None:
+    requires: tuple[str, ...] = ('admin', 'membership', 'runner', 'events')
+
+    def __init__(self, address: str) -> None:
         self._address = address
-        self._service = service
-        self._distribution: _protocols.Distribution
-        self._rollouts: Rollouts
+        self._started = False
         self._known = CheckIns()
         self._draining = False
         self._membership: _protocols.Membership
@@ -91,71 +65,33 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Look for heartbeats that stop, until cancelled."""
-        admin = kernel.get('admin', _protocols.Admin)
         self._membership = kernel.get('membership', _protocols.Membership)
         self._runner = kernel.get('runner', BackendRunner)
         self._events = kernel.get('events', _protocols.Events)
-        admin.add_route('PUT', platform.INSTANCES_PATH, self._check_in)
-        admin.add_route('DELETE', platform.INSTANCES_PATH, self._leave)
-        self._distribution = kernel.get(
-            'distribution', _protocols.Distribution
-        )
-        self._rollouts = kernel.get('moves', Rollouts)
+        self._started = True
         task_status.started()
-        if self._address and self._service:
-            await self._find_running()
         while True:
             await trio.sleep(_CHECK_S)
             if self._known.expire(trio.current_time()):
                 self._apply('missing')
 
+    def listen_on(self, admin: _protocols.Admin) -> None:
+        """Register with a listener, before it starts.
+
+        Until this service has started, heartbeats are not acknowledged.
+        """
+        admin.add_route('PUT', platform.INSTANCES_PATH, self._check_in)
+        admin.add_route('DELETE', platform.INSTANCES_PATH, self._leave)
+
     async def drain(self) -> None:
         """Go on: the promise to a backend server that leaves holds."""
         self._draining = True
 
-    async def _find_running(self) -> None:
-        """Ask a backend server that started earlier who it is."""
-        await self._distribution.wait_ready()
-        snapshot = self._distribution.snapshot
-        service = snapshot.service(self._service) if snapshot else None
-        if (
-            service is None
-            or not service.health_path
-            or self._known.current is not None
-            or self._rollouts.restricts(self._service)
-        ):
-            return
-        client = _backend_client.BackendClient(self._address)
-        instance, slots = '', 0
-        try:
-            with trio.fail_after(_HEALTH_TIMEOUT_S):
-                async with client.request(
-                    'GET',
-                    service.health_path,
-                    ((b'host', self._address.encode()),),
-                    b'',
-                    lambda: None,
-                ) as response:
-                    instance, slots = platform.decode_health(
-                        response.status, response.headers
-                    )
-        except (GypsumhallError, trio.TooSlowError) as error:
-            self._events.emit('backend-unanswered', detail=repr(error))
-        finally:
-            with trio.CancelScope(shield=True):
-                await client.close_idle(all_connections=True)
-        # Its version follows with its first heartbeat.
-        endpoint = Endpoint(
-            self._service, ANY_VERSION, slots, EndpointState.READY
-        )
-        if instance and self._known.suppose(
-            instance, self._address, endpoint, trio.current_time()
-        ):
-            self._apply('health')
-
     async def _check_in(
         self, request: _protocols.AdminRequest
     ) -> _protocols.AdminResponse:
+        if not self._started:
+            return _response(503)
         instance = request.path[len(platform.INSTANCES_PATH) :]
         try:
             check_in = platform.decode_check_in(instance, request.body)
@@ -193,6 +129,8 @@
     async def _leave(
         self, request: _protocols.AdminRequest
     ) -> _protocols.AdminResponse:
+        if not self._started:
+            return _response(503)
         instance = request.path[len(platform.INSTANCES_PATH) :]
         started_ms = platform.decode_start_time(request.body)
         if self._known.leave(instance, started_ms):
--- a/gypsumhall/services/_events.py
+++ b/gypsumhall/services/_events.py
@@ -300,7 +300,7 @@
             options['retention'] = _RETENTION_FILES
             return logger.add(self._path, **options)
         try:
-            descriptor = os.dup(sys.stderr.fileno())
+            descriptor = sys.stderr.fileno()
         except (OSError, ValueError):
             return logger.add(sys.stderr, **options)
         self._writer = NonBlockingWriter(descriptor)
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -100,7 +100,6 @@
         self._rollouts: dict[str, tuple[int, _rollout.Rollout]] = {}
         self._ordered = trio.Event()
         self._told_at = -1e9
-        self._records_read = False
         self._membership: _protocols.Membership
         self._events: _protocols.Events
         self._peers: PeerNetwork
@@ -146,8 +145,6 @@
         """
         record = self._records.get(service)
         known = self._established.get(service)
-        # An endpoint without a version has not sent a heartbeat yet.
-        versions = versions - {ANY_VERSION}
         if record is None:
             if len(versions) == 1:
                 self._established[service] = next(iter(versions))
@@ -169,14 +166,6 @@
         move = f'{service}/{record.order}'
         return Split(old, target, record.share, move, 1)
 
-    def restricts(self, service: str) -> bool:
-        """Whether calls of a service depend on the endpoint's version."""
-        record = self._records.get(service)
-        return not self._records_read or (
-            record is not None
-            and record.state != platform.RolloutState.COMPLETED
-        )
-
     # Evidence
 
     def record(
@@ -311,7 +300,6 @@
             record = _decode_record(item.value)
             if record is not None:
                 self._install(record, 'store')
-        self._records_read = True
 
     # Controller
 
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -546,9 +546,9 @@
             raise _calls.not_run('draining', 'the endpoint is draining')
         if endpoint.state != EndpointState.READY:
             raise _calls.not_run('starting', 'the endpoint is not ready')
-        known = ANY_VERSION not in (call.version, endpoint.version)
-        if call.service != endpoint.service or (
-            known and call.version != endpoint.version
+        if call.service != endpoint.service or call.version not in (
+            ANY_VERSION,
+            endpoint.version,
         ):
             raise _calls.not_run(
                 'version-mismatch',
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -65,7 +65,6 @@
 
 class _Rollouts(FakeService):
     name = 'moves'
-    restricted = False
 
     def __init__(self) -> None:
         self.orders: list[tuple[str, int]] = []
@@ -73,9 +72,6 @@
     def order(self, order: Any, revision: int) -> None:
         self.orders.append((order.service, revision))
 
-    def restricts(self, service: str) -> bool:
-        return self.restricted
-
 
 class _Runner(FakeService):
     name = 'runner'
@@ -272,6 +268,7 @@
     runner, admin = _Runner(), FakeAdmin()
     membership = _Membership(builders.build_member(0))
     service = CheckInService('10.0.0.9:80')
+    service.listen_on(admin)
     kernel = _kernel(
         admin, membership, _Distribution(), _Rollouts(), runner, service
     )
@@ -283,6 +280,9 @@
         return int(answer.status)
 
     async with trio.open_nursery() as nursery:
+        # The listener may be up before the daemon can keep a promise.
+        assert await send('PUT', _check_in('ready', 1)) == 503
+        assert await send('DELETE', b'') == 503
         await nursery.start(kernel.run)
         assert await send('PUT', _check_in('ready', 1)) == 200
         assert runner.backends[-1] == (EndpointState.READY, 'i-1')
