--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -3,17 +3,13 @@
 from __future__ import annotations
 
 import random
-import signal
 import sys
 import time
 from typing import TYPE_CHECKING
 
-from loguru import logger
-import trio
-
 from gypsumhall._errors import Finding
-from gypsumhall._errors import GypsumhallError
 from gypsumhall._errors import Place
+from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.kernel import Kernel
@@ -198,19 +194,6 @@
     return kernel
 
 
-async def _run(kernel: Kernel, drain_timeout_s: float) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-
-            async def stop_on_signal() -> None:
-                async for _ in signals:
-                    kernel.stop()
-
-            nursery.start_soon(stop_on_signal)
-            await kernel.run(drain_timeout_s=drain_timeout_s)
-            nursery.cancel_scope.cancel()
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the daemon until it is asked to stop.
 
@@ -228,15 +211,7 @@
 
     def start(_names: list[str]) -> int:
         kernel = build_kernel(settings)
-        status = 0
-        try:
-            trio.run(_run, kernel, settings.drain_timeout.value)
-        except* (OSError, GypsumhallError):
-            raise
-        except* Exception as group:
-            logger.opt(exception=group).critical('a service failed')
-            status = 1
-        return status
+        return run_kernel(kernel, settings.drain_timeout.value)
 
     return run_binary(settings.settings, argv, start, settings.check)
 
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -8,11 +8,8 @@
 import time
 from typing import TYPE_CHECKING
 
-from loguru import logger
-import trio
-
 from gypsumhall import platform
-from gypsumhall._errors import GypsumhallError
+from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.kernel import Kernel
@@ -208,23 +205,6 @@
     return kernel
 
 
-async def _run(kernel: Kernel, grace_s: float) -> None:
-    stops = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*stops, signal.SIGHUP) as signals:
-        async with trio.open_nursery() as nursery:
-
-            async def handle_signals() -> None:
-                async for number in signals:
-                    # What this daemon reads of the settings is fixed for the
-                    # life of its process.
-                    if number in stops:
-                        kernel.stop()
-
-            nursery.start_soon(handle_signals)
-            await kernel.run(drain_timeout_s=_DRAIN_SHARE * grace_s)
-            nursery.cancel_scope.cancel()
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the daemon until it is asked to stop.
 
@@ -242,15 +222,11 @@
 
     def start(_names: list[str]) -> int:
         kernel = build_kernel(settings)
-        status = 0
-        try:
-            trio.run(_run, kernel, settings.grace.value)
-        except* (OSError, GypsumhallError):
-            raise
-        except* Exception as group:
-            logger.opt(exception=group).critical('a service failed')
-            status = 1
-        return status
+        # What this daemon reads of the settings is fixed for the life of
+        # its process, so SIGHUP changes nothing.
+        return run_kernel(
+            kernel, _DRAIN_SHARE * settings.grace.value, (signal.SIGHUP,)
+        )
 
     return run_binary(settings.settings, argv, start)
 
--- a/gypsumhall/core/_tree.py
+++ b/gypsumhall/core/_tree.py
@@ -35,6 +35,32 @@
     return hashlib.blake2b(value, digest_size=8).digest()
 
 
+def is_among_first(
+    purpose: str, member_id: str, members: Iterable[Member], count: int
+) -> bool:
+    """Whether a member is one of the few that take a role in its zone.
+
+    All daemons with the same member table agree on them without a message.
+
+    Parameters
+    ----------
+    purpose : str
+        Name of the role; each one is taken by other members.
+    member_id : str
+        The member.
+    members : iterable of Member
+        Live members of its zone; it may be missing.
+    count : int
+        Members that take the role.
+    """
+    own = rank(purpose, member_id)
+    before = sum(
+        item.id != member_id and rank(purpose, item.id) < own
+        for item in members
+    )
+    return before < count
+
+
 def order(root: str, members: Iterable[Member]) -> tuple[Member, ...]:
     """Return the members in the order of the tree, the root first.
 
--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -124,13 +124,8 @@
 
     def _is_watcher(self) -> bool:
         me = self._membership.me
-        mine = _tree.rank('feed', me.id)
-        before = sum(
-            1
-            for item in self._membership.table.alive(me.zone)
-            if item.id != me.id and _tree.rank('feed', item.id) < mine
-        )
-        return before < WATCHERS
+        alive = self._membership.table.alive(me.zone)
+        return _tree.is_among_first('feed', me.id, alive, WATCHERS)
 
     async def _watch(self) -> None:
         backoff = Backoff(*_RETRY_S, self._rng)
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -123,13 +123,10 @@
 
     def _holds_entry(self) -> bool:
         me = self._membership.me
-        mine = _tree.rank('registration', me.id)
-        before = sum(
-            1
-            for item in self._membership.table.alive(me.zone)
-            if item.id != me.id and _tree.rank('registration', item.id) < mine
+        alive = self._membership.table.alive(me.zone)
+        return _tree.is_among_first(
+            'registration', me.id, alive, ENTRIES_PER_ZONE
         )
-        return before < ENTRIES_PER_ZONE
 
     async def _renew(self) -> None:
         me = self._membership.me
