Remove unused names and a repeated loop from the platform's services

Read of the whole change: three header constants and Request.id were never read, and the records of rollouts were taken over from the store in two equal loops. Behaviour is unchanged. docs/fleet.md lists as open that calls do not carry whether their caller returns, so that the runner ranks all late calls alike.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -376,7 +376,6 @@
             route.priority,
             route.attempts,
             elapsed_s > _RETURNING_S,
-            fields.get(self._dialect.request_id, b'').decode('latin-1'),
         )
 
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
@@ -554,9 +553,8 @@
     stated_s = _stated_s(fields, name)
     if stated_s is None:
         return route_s
-    stated_s = (
-        stated_s - _RESPONSE_S if stated_s > 4 * _RESPONSE_S else (stated_s)
-    )
+    if stated_s > 4 * _RESPONSE_S:
+        stated_s -= _RESPONSE_S
     if stated_s <= 0:
         raise _calls.not_run('deadline', 'the deadline has passed')
     return min(stated_s, route_s)
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -76,9 +76,6 @@
 
 
 OWN_DIALECT = Dialect()
-OUTCOME_HEADER = OWN_DIALECT.outcome
-DEADLINE_HEADER = OWN_DIALECT.deadline
-KEY_HEADER = OWN_DIALECT.key
 
 _HOP_BY_HOP = frozenset(
     [
@@ -198,8 +195,6 @@
         Most endpoints that the request may reach; 0 for no own limit.
     returning : bool
         Whether the caller was refused before.
-    id : str
-        The caller's id of the request; empty for none.
     """
 
     service: str
@@ -215,7 +210,6 @@
     priority: int = 0
     attempts: int = 0
     returning: bool = False
-    id: str = ''
 
 
 class ResponseSink(Protocol):
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -41,6 +41,7 @@
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._messages import CallStart
     from gypsumhall.net._protocol import Exchange
+    from gypsumhall.store import KeyValue
     from gypsumhall.store import Lease
 
 _CONTROLLER_KEY = 'gypsumhall/controller'
@@ -296,6 +297,9 @@
             except StoreError as error:
                 self._events.emit('rollouts-unread', detail=str(error))
                 await trio.sleep(_RETRY_S * self._rng.uniform(1.0, 2.0))
+        self._take_items(items)
+
+    def _take_items(self, items: Iterable[KeyValue]) -> None:
         for item in items:
             record = _decode_record(item.value)
             if record is not None:
@@ -341,10 +345,7 @@
         self._rollouts.clear()
         self._events.emit('controller-started', key=lease.key)
         # An earlier controller may have written what was not told to all.
-        for item in await self._store.range(_RECORDS):
-            record = _decode_record(item.value)
-            if record is not None:
-                self._install(record, 'store')
+        self._take_items(await self._store.range(_RECORDS))
         while lease.valid(trio.current_time()):
             orders = self._open_orders()
             if not orders:
