Stagger stops of one service, tell of ready endpoints at once

Change: a stop goes on serving while more than a third of the service's endpoints are away, for half of the grace time at most; endpoints that become ready are pushed like those that leave, within a budget, and daemons that start tell the seeds of themselves; leaving the zone costs in proportion to the size of a route's responses; CallStart carries whether the caller was refused before.

Ruled out: compression of responses between zones (bodies are random bytes, 600 become 611).

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -166,8 +166,13 @@
         / settings.retry_window.value,
         fleet_wide=True,
     )
+    linger_s = _LINGER_SHARE * settings.grace.value
     runner = RunnerService(
-        rng, dialect=platform.DIALECT, retries=retries, notice_s=_NOTICE_S
+        rng,
+        dialect=platform.DIALECT,
+        retries=retries,
+        notice_s=_NOTICE_S,
+        hold_s=linger_s,
     )
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
@@ -195,7 +200,7 @@
             settings.outbound_address.value,
             platform.DIALECT,
             settings.service.value,
-            _LINGER_SHARE * settings.grace.value,
+            linger_s,
         ),
         Readiness(),
     ]
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -11,7 +11,8 @@
 * Endpoints that fail a part of their requests while they report good health.
   Failures lengthen the expected time, because failed work is done again.
 * All endpoints of a zone busy while another zone has free slots. A zone
-  boundary costs a fixed time only.
+  boundary costs a time that follows from the size of a route's responses, so
+  that small ones fill the slots of all zones and large ones stay at home.
 """
 
 from __future__ import annotations
@@ -36,9 +37,26 @@
 _DEFAULT_SERVICE_S = 0.1
 """Service time in seconds of an endpoint that has not reported one."""
 
-_ZONE_COST_S = 0.06
-"""Cost in seconds of leaving the own zone: the price of the bytes, which the
-users put at a sixth of a request, and two crossings of 1.5 ms."""
+_CROSSING_S = 0.006
+"""Cost in seconds of leaving the own zone, whatever the size of the response:
+two crossings of 1.5 ms, and what they add to the spread."""
+
+_BYTE_COST_S = 2e-5
+"""Cost in seconds of a byte from another zone. The users price 5,000 bytes at
+a tenth of a request whose latency objective is 0.4 s and more."""
+
+_MAX_BYTES_COST_S = 0.15
+"""Largest cost in seconds of the bytes of a response; no response is worth
+more than a free slot in another zone while the own one is busy for longer."""
+
+_SIZE_WEIGHT = 0.1
+"""Weight of the latest response in the mean size of a route's responses."""
+
+_DEFAULT_BYTES = 2500.0
+"""Size that is assumed for the responses of a route before the first."""
+
+_MAX_ROUTES = 4096
+"""Routes whose sizes are kept, so that they stay below 1 MB."""
 
 _FADE_S = 1.0
 """Age in seconds after which a report counts a third."""
@@ -97,39 +115,56 @@
 
     def wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
-        load = self.load
-        if load is None:
-            own = max(0, self.in_flight - self.slots + 1)
-            return own * _DEFAULT_SERVICE_S / self.slots
-        fresh = math.exp(-max(0.0, now - self.reported_at) / _FADE_S)
-        added = self.in_flight - self.own_at_report
-        busy = max(0.0, load.in_flight * fresh + added)
-        service_s = load.service_ms / 1000 or _DEFAULT_SERVICE_S
-        queued = load.wait_ms / 1000 * fresh
-        excess = max(0.0, busy - self.slots + 1)
-        return max(queued, 0.0) + excess * service_s / self.slots
+        return self._wait_s(self._fresh(now))
 
-    def cost_s(self, now: float, zone: str) -> float:
-        load = self.load
-        service_s = _DEFAULT_SERVICE_S
+    def cost_s(self, now: float, away_s: float) -> float:
+        """Return the expected time until a response, with penalties.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        away_s : float
+            Cost of a response from another zone; 0 in the own one.
+        """
+        fresh = self._fresh(now)
+        service_s = self.service_s
         failing = self.failing * math.exp(
             -max(0.0, now - self.failing_at) / _FAILURE_FADE_S
         )
         busy = float(self.in_flight)
-        if load is not None:
-            fresh = math.exp(-max(0.0, now - self.reported_at) / _FADE_S)
-            if load.service_ms:
-                service_s = load.service_ms / 1000
-            failing = max(failing, load.failing * fresh)
-            added = self.in_flight - self.own_at_report
-            busy = max(0.0, load.in_flight * fresh + added)
-        cost = service_s + self.wait_s(now) + failing * _FAILURE_COST_S
+        if self.load is not None:
+            failing = max(failing, self.load.failing * fresh)
+            busy = self._busy(self.load, fresh)
+        cost = service_s + self._wait_s(fresh) + failing * _FAILURE_COST_S
         cost += min(1.0, busy / self.slots) * service_s * _UTILISATION
         if now - self.since < _COLD_S:
             cost *= _COLD_FACTOR
-        if self.member.zone != zone:
-            cost += _ZONE_COST_S
-        return cost
+        return cost + away_s
+
+    def _fresh(self, now: float) -> float:
+        """Return the weight of the latest report, 0 to 1."""
+        return math.exp(-max(0.0, now - self.reported_at) / _FADE_S)
+
+    @property
+    def service_s(self) -> float:
+        """Reported mean service time in seconds."""
+        if self.load is None or not self.load.service_ms:
+            return _DEFAULT_SERVICE_S
+        return self.load.service_ms / 1000
+
+    def _busy(self, load: Load, fresh: float) -> float:
+        added = self.in_flight - self.own_at_report
+        return max(0.0, load.in_flight * fresh + added)
+
+    def _wait_s(self, fresh: float) -> float:
+        load = self.load
+        if load is None:
+            own = max(0, self.in_flight - self.slots + 1)
+            return own * _DEFAULT_SERVICE_S / self.slots
+        queued = load.wait_ms / 1000 * fresh
+        excess = max(0.0, self._busy(load, fresh) - self.slots + 1)
+        return max(queued, 0.0) + excess * self.service_s / self.slots
 
 
 class Placement:
@@ -143,13 +178,22 @@
         Source of randomness.
     """
 
-    __slots__ = ('_revisions', '_rng', '_services', '_states', '_zone')
+    __slots__ = (
+        '_bytes',
+        '_revisions',
+        '_rng',
+        '_services',
+        '_states',
+        '_zone',
+    )
 
     def __init__(self, zone: str, rng: Random) -> None:
         self._zone = zone
         self._rng = rng
         self._states: dict[str, _State] = {}
         self._services: dict[str, list[str]] = {}
+        # Mean size of the responses of a route.
+        self._bytes: dict[str, float] = {}
         self._revisions: dict[str, int] = {}
 
     def revision(self, service: str) -> int:
@@ -216,6 +260,7 @@
         now: float,
         exclude: Collection[str] = (),
         priority: int = 0,
+        route: str = '',
     ) -> Member | None:
         """Return the endpoint with the least expected time to a response.
 
@@ -229,6 +274,8 @@
             Ids of members that are not to be chosen.
         priority : int
             Rank of the call.
+        route : str
+            Route of the call, for the size of its response.
 
         Returns
         -------
@@ -238,6 +285,7 @@
         """
         best: _State | None = None
         best_cost = math.inf
+        away_s = self._away_s(route)
         for state in self._ready(service):
             member = state.member
             endpoint = member.endpoint
@@ -249,7 +297,8 @@
                 continue
             if state.full_until > now and priority >= state.full_from:
                 continue
-            cost = state.cost_s(now, self._zone)
+            home = member.zone == self._zone
+            cost = state.cost_s(now, 0.0 if home else away_s)
             cost *= 1.0 + _JITTER * self._rng.random()
             if cost < best_cost:
                 best, best_cost = state, cost
@@ -313,10 +362,7 @@
         state = self._states.get(member_id)
         if state is None:
             return
-        service_s = _DEFAULT_SERVICE_S
-        if state.load is not None and state.load.service_ms:
-            service_s = state.load.service_ms / 1000
-        until = now + service_s / state.slots
+        until = now + state.service_s / state.slots
         if state.full_until <= now or priority < state.full_from:
             state.full_from = priority
         state.full_until = until
@@ -341,6 +387,17 @@
             state.own_at_report = state.in_flight
             state.unreachable = False
 
+    def responded(self, route: str, size: int) -> None:
+        """Take note of the bytes of a response's body."""
+        if route not in self._bytes and len(self._bytes) >= _MAX_ROUTES:
+            self._bytes.clear()
+        known = self._bytes.get(route, float(size))
+        self._bytes[route] = known + _SIZE_WEIGHT * (size - known)
+
+    def _away_s(self, route: str) -> float:
+        size = self._bytes.get(route, _DEFAULT_BYTES)
+        return _CROSSING_S + min(_MAX_BYTES_COST_S, size * _BYTE_COST_S)
+
     def _ready(self, service: str) -> list[_State]:
         states = self._states
         return [
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -516,6 +516,8 @@
     max_wait_ms : int
         Longest expected wait for a slot with which the runner accepts the
         call; -1 for any that leaves time to run it.
+    returning : bool
+        Whether the caller was refused before.
     """
 
     request_id: str
@@ -538,6 +540,7 @@
     priority: int = 0
     objective_ms: int = 0
     max_wait_ms: int = -1
+    returning: bool = False
 
 
 class BodyChunk(Message, frozen=True, tag=41):
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -77,6 +77,7 @@
         'load',
         'passed',
         'refused',
+        'size',
         'status',
         'timed_out',
         'withheld',
@@ -96,6 +97,7 @@
         self._should_retry = should_retry
         self._recorder: _calls.Recorder | None = None
         self._buffered = 0
+        self.size = 0
         self.refused: CallRefused | None = None
         self.load: Load | None = None
         self.status = 0
@@ -119,6 +121,7 @@
         """Forget a response that was lost before it was passed on."""
         self._recorder = None
         self._buffered = 0
+        self.size = 0
 
     async def feed(self, message: Message) -> None:
         """Take a message of the answer; `done` tells whether it was last."""
@@ -177,6 +180,7 @@
         return False
 
     async def _chunk(self, data: bytes, *, last: bool) -> None:
+        self.size += len(data)
         if self._recorder is not None:
             self._recorder.chunk(data)
             self._buffered += len(data)
@@ -305,6 +309,7 @@
             request.priority,
             objective_ms,
             -1 if max_wait_s is None else max(0, int(max_wait_s * 1000)),
+            request.returning,
         )
 
     async def run(
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -14,7 +14,7 @@
 * Repair, a comparison of 2,300 bytes every 20 s: 125 B/s (m). While entries
   are in fact missing, at most 1,600 B/s.
 * Handshakes of 400 bytes with new partners, one in 10 s: 40 B/s.
-* Urgent changes, 5 copies of 85 bytes for 0.12 changes per second: 51 B/s.
+* Urgent changes, 5 copies of 85 bytes for 0.18 changes per second: 77 B/s.
 * Gossip between zones replaces one in eight of the heartbeats to partners
   and has no bytes of its own.
 * Joining: 1.8 MB once per start; 5,000 starts a day over 25,000 daemons are
@@ -40,6 +40,7 @@
 
 from gypsumhall._errors import PeerError
 from gypsumhall.core import _membership
+from gypsumhall.core._limits import RetryBudget
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
@@ -62,6 +63,14 @@
 _URGENT = 5
 """Contacts that get an urgent change from a daemon that hears of it first.
 About exp(-5) of the daemons are missed and hear of it by heartbeat."""
+_FORWARDS_PER_S = 5.0
+"""Endpoints that have become ready which a daemon passes on at once, per
+second on average. More come when a zone returns; heartbeats carry those."""
+_GREETED = 24
+"""Seeds that a daemon which starts tells of itself. After the loss of all
+daemons each of them would know only those that it happened to ask."""
+_START_S = 5.0
+"""Time in seconds after the start in which seeds are told of changes."""
 _CHUNK = 512
 """Entries per `Members` message, about 40 KB."""
 _REPAIR_ENTRIES = 400
@@ -160,6 +169,9 @@
         self._repair_wait_s = settings.repair_s / 10
         self._repairing = False
         self._zone_failures: dict[str, int] = {}
+        self._greeted: Sequence[str] = ()
+        self._greet_until = 0.0
+        self._forwards = RetryBudget(0.0, _FORWARDS_PER_S)
         self._me: Member | None = None
 
     @property
@@ -279,7 +291,7 @@
         me = msgspec.structs.replace(
             self.me, sequence=self.me.sequence + 1, **changes
         )
-        self._set_me(me, urgent=_is_urgent(me))
+        self._set_me(me, urgent=_is_urgent(me) or _is_ready(me))
 
     def _set_me(self, me: Member, *, urgent: bool) -> None:
         self._me = me
@@ -322,11 +334,17 @@
                 age = next(remaining, 0)
             if member.id == self.me.id:
                 self._refute(member)
-            elif self._table.merge(member, now, age):
+                continue
+            known = self._table.get(member.id)
+            if self._table.merge(member, now, age):
                 self._detector.changed(member, now, own=False)
                 if news and age < _FRESH_S:
                     self._news(member)
-                    if _is_urgent(member):
+                    if _is_urgent(member) or (
+                        _is_ready(member)
+                        and not (known is not None and _is_ready(known))
+                        and self._forwards.retry(now)
+                    ):
                         self._spread(member)
             elif not urgent and self._table.get(member.id) == member:
                 self._queue.heard(member.id)
@@ -373,6 +391,9 @@
         hears of it, and now and then to another zone.
         """
         contacts = list(self._contacts)
+        if len(contacts) < _URGENT:
+            # The first round has not been, or knew few others.
+            contacts += self._draw_several(_URGENT)
         if member.id == self.me.id:
             targets = contacts + [
                 self._rng.choice(self._table.alive(zone))
@@ -383,10 +404,14 @@
             targets = self._rng.sample(contacts, count)
             if self._rng.random() < self._distant_share():
                 targets += [item for item in [self._draw_distant()] if item]
+        addresses = {
+            target.peer_address for target in targets if target.id != member.id
+        }
+        if member.id == self.me.id and trio.current_time() < self._greet_until:
+            addresses.update(self._greeted)
         message = _messages.Members((member,))
-        for target in targets:
-            if target.id != member.id:
-                self._peers.post(target.peer_address, message)
+        for address in sorted(addresses):
+            self._peers.post(address, message)
 
     async def _on_urgent(
         self, exchange: Exchange, message: _messages.Members
@@ -450,6 +475,11 @@
         member = self._rng.choice(members) if members else None
         return None if member is None or member.id == self.me.id else member
 
+    def _draw_several(self, count: int) -> list[Member]:
+        members = self._table.alive(self.me.zone)
+        drawn = self._rng.sample(members, min(count, len(members)))
+        return [item for item in drawn if item.id != self.me.id]
+
     def _draw_distant(self) -> Member | None:
         zones = self._other_zones()
         if not zones:
@@ -748,6 +778,9 @@
                 delay = min(2 * delay, 5 * settings.interval_s)
         self._events.emit('membership-joined', members=len(self._table))
         self._news(self.me)
+        self._greeted = tuple(seeds[:_GREETED])
+        self._greet_until = trio.current_time() + _START_S
+        self._spread(self.me)
         while True:
             await trio.sleep(settings.reseed_s * self._rng.uniform(0.5, 1.5))
             known = {
@@ -783,6 +816,14 @@
     return _messages.HeartbeatReply(member, digest, echo.members, echo.time)
 
 
+def _is_ready(member: Member) -> bool:
+    return (
+        member.status is MemberStatus.ALIVE
+        and member.endpoint is not None
+        and member.endpoint.state is EndpointState.READY
+    )
+
+
 def _is_urgent(member: Member) -> bool:
     return member.status is MemberStatus.LEAVING or (
         member.status is MemberStatus.ALIVE
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -20,6 +20,7 @@
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._placement import ANY_VERSION
+from gypsumhall.core._stops import Absences
 from gypsumhall.core._waiting import Verdict
 from gypsumhall.core._waiting import Waiter
 from gypsumhall.core._waiting import WaitingLine
@@ -55,6 +56,8 @@
 _MAINTENANCE_S = 1.0
 # Time between two looks for waiting calls that cannot be served any more.
 _LINE_CHECK_S = 0.05
+# Time between two looks whether other endpoints have come back.
+_HOLD_CHECK_S = 0.1
 
 
 @dataclass(slots=True)
@@ -169,6 +172,9 @@
     notice_s : float
         Time in seconds between telling others of a planned stop and
         refusing their calls.
+    hold_s : float
+        Time in seconds after the start of a planned stop until which calls
+        are served while other endpoints of the service are away.
     """
 
     name = 'runner'
@@ -190,8 +196,12 @@
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
         retries: _sender.RetryLimits | None = None,
         notice_s: float = 0.0,
+        hold_s: float = 0.0,
     ) -> None:
         self._notice_s = notice_s
+        self._hold_s = hold_s
+        self._stopped_at = math.inf
+        self._absences = Absences()
         self._retries = retries
         self._dialect = dialect
         self._warm_at = -math.inf
@@ -282,6 +292,8 @@
         self._keys = _keys.KeyOwner(peers, self._membership, self._sender)
         self._sender.execute_keyed = self._keys.execute
         self._membership.subscribe(self._keys.members_changed)
+        if self._hold_s:
+            self._membership.subscribe(self._members_changed)
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
         peers.on(KeyRelease, self._keys.handle_release)
@@ -290,6 +302,7 @@
             self._nursery.start_soon(self._watches.run)
             self._nursery.start_soon(self._check_line)
             self._nursery.start_soon(self._sender.run)
+            self._nursery.start_soon(self._note_stop, kernel.stopping)
             task_status.started()
             while True:
                 await trio.sleep(_MAINTENANCE_S)
@@ -302,6 +315,7 @@
         """Refuse new work and wait for the calls in flight."""
         backend = self._backend
         if backend is not None:
+            await self._wait_for_others()
             # Others stop sending calls before this daemon refuses them.
             self._membership.set_endpoint(
                 Endpoint(
@@ -319,6 +333,34 @@
             await self._idle.wait()
         await self._keys.hand_over()
 
+    async def _wait_for_others(self) -> None:
+        """Go on while too few other endpoints of the service are ready."""
+        until = min(
+            self._stopped_at + self._hold_s,
+            trio.current_time() + self._hold_s,
+        )
+        while trio.current_time() < until:
+            self._members_changed()
+            if self._absences.may_stop(trio.current_time()):
+                return
+            await trio.sleep(_HOLD_CHECK_S)
+
+    def _members_changed(self) -> None:
+        backend = self._backend
+        if backend is None:
+            return
+        membership = self._membership
+        others = [
+            member
+            for member in membership.table.endpoints(backend.endpoint.service)
+            if member.id != membership.me.id
+        ]
+        self._absences.observe(others, trio.current_time())
+
+    async def _note_stop(self, stopping: trio.Event) -> None:
+        await stopping.wait()
+        self._stopped_at = trio.current_time()
+
     def set_backend(
         self, endpoint: Endpoint | None, address: str, instance: str = ''
     ) -> None:
@@ -360,6 +402,8 @@
                 instance,
             )
             self._keys.joined(endpoint.service)
+            if old is None or old.endpoint.service != endpoint.service:
+                self._absences = Absences()
         if endpoint.state != EndpointState.READY:
             self._refuse_waiters()
 
@@ -568,6 +612,7 @@
             call.priority,
             now + call.objective_ms / 1000 if call.objective_ms else deadline,
             deadline,
+            returning=call.returning,
         )
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -514,12 +514,14 @@
         refused = progress.refused_by
         tried = refused | progress.tried
         rank = progress.request.priority
-        member = self._placement.choose(service, version, now, tried, rank)
-        if member is None:
+        route = progress.request.route
+        for exclude in (tried, refused):
             member = self._placement.choose(
-                service, version, now, refused, rank
+                service, version, now, exclude, rank, route
             )
-        return member
+            if member is not None:
+                return member
+        return None
 
     def _max_wait_s(
         self, progress: _Progress, member_id: str, now: float
@@ -627,6 +629,8 @@
                 self._leave_out(member)
             if failure is not None and failure.code == 'overloaded':
                 self._placement.full(member.id, now, request.priority)
+        if failure is None:
+            self._placement.responded(request.route, receiver.size)
         self._results.add(1.0, result=failure.code if failure else 'response')
         if receiver.withheld and receiver.complete:
             progress.fallback = receiver.recorder
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -163,6 +163,8 @@
         Seed of the sender.
     listen : str
         Address for callers; empty for none.
+    hold_s : float
+        Longest time in seconds for which a stop waits for other endpoints.
     """
 
     def __init__(
@@ -176,6 +178,7 @@
         ] = _backend_client.BackendClient,
         seed: int = 0,
         listen: str = '',
+        hold_s: float = 0.0,
     ) -> None:
         self.membership = fakes.FakeMembership(me, table)
         self.distribution = fakes.FakeDistribution(snapshot)
@@ -183,7 +186,7 @@
         self.events = fakes.FakeEvents()
         self.metrics = fakes.FakeMetrics()
         self.admin = fakes.FakeAdmin()
-        self.runner = RunnerService(Random(seed), connect)
+        self.runner = RunnerService(Random(seed), connect, hold_s=hold_s)
         self.announcements = AnnouncementsService()
         self.caller = CallerService(listen) if listen else None
         self.kernel = Kernel()
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -73,6 +73,27 @@
     assert _choices(placement, 10.0) == {'d1': 200}
 
 
+def test_large_responses_stay_in_the_zone_longer_than_small_ones() -> None:
+    """Users pay for bytes between zones, not for crossings."""
+    placement = _placement(['az-1', 'az-2'])
+    for _ in range(50):
+        placement.responded('large', 6000)
+        placement.responded('small', 400)
+    busy = Load(4, 0, 4, service_ms=100.0, wait_ms=25.0)
+    placement.report('d0', 10.0, busy)
+    placement.report('d1', 10.0, Load(0, 0, 4, service_ms=100.0))
+    chosen = {
+        route: placement.choose(_SERVICE, ANY_VERSION, 10.0, route=route)
+        for route in ('large', 'small')
+    }
+    assert chosen['large'] is not None and chosen['large'].id == 'd0'
+    assert chosen['small'] is not None and chosen['small'].id == 'd1'
+    queued = Load(4, 8, 4, service_ms=100.0, wait_ms=250.0)
+    placement.report('d0', 10.0, queued)
+    found = placement.choose(_SERVICE, ANY_VERSION, 10.0, route='large')
+    assert found is not None and found.id == 'd1'
+
+
 def test_senders_with_equal_reports_do_not_choose_one_endpoint() -> None:
     """Herding on the endpoint that looks best makes it the worst."""
     chosen: Counter[str] = Counter()
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -305,6 +305,41 @@
         )
 
 
+async def test_an_endpoint_that_is_ready_is_known_at_once(
+    autojump_clock: MockClock,
+) -> None:
+    """After a restart all senders used the one endpoint that they knew."""
+    async with _fleet() as fleet:
+        fleet.daemons[5].service.set_endpoint(builders.build_endpoint())
+        entry = fleet.daemons[5].service.me
+        await trio.sleep(0.1)
+        known = sum(
+            item.service.table.get('d5') == entry for item in fleet.daemons
+        )
+        assert known > 0.9 * len(fleet.daemons)
+
+
+async def test_daemons_that_start_together_know_each_other_soon(
+    autojump_clock: MockClock,
+) -> None:
+    """After a loss of all daemons each one had joined a table of two."""
+    async with trio.open_nursery() as nursery:
+        fleet = _Fleet(nursery)
+        for index in range(12):
+            daemon = await fleet.start(index, f'az-{index % 3}')
+            fleet.daemons.append(daemon)
+        await trio.sleep(0.6)
+        for daemon in fleet.daemons:
+            daemon.service.set_endpoint(builders.build_endpoint())
+        await trio.sleep(0.2)
+        ready = sum(
+            len(item.service.table.endpoints('availability'))
+            for item in fleet.daemons
+        )
+        assert ready > 0.9 * 12 * 12
+        nursery.cancel_scope.cancel()
+
+
 async def test_heartbeats_carry_digests_both_ways(
     autojump_clock: MockClock,
 ) -> None:
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -35,10 +35,12 @@
 
 @contextlib.asynccontextmanager
 async def _trial(
-    daemons: int = 4, share: float = 0.0
+    daemons: int = 4, share: float = 0.0, hold_s: float = 0.0
 ) -> AsyncIterator[CallTrial]:
     async with trio.open_nursery() as nursery:
-        trial = CallTrial(nursery, 1, daemons=daemons, share=share)
+        trial = CallTrial(
+            nursery, 1, daemons=daemons, share=share, hold_s=hold_s
+        )
         await trial.start()
         await trio.sleep(20.0)
         yield trial
@@ -354,3 +356,29 @@
         )
         # What is kept for 10 s, and the floor of the 10 s of this test.
         assert allowed <= 12.0 / 4 * 20 + 1
+
+
+async def test_a_stop_waits_until_the_other_endpoint_is_back(
+    autojump_clock: MockClock,
+) -> None:
+    """Two daemons that restart in turn left no endpoint for 1.4 s."""
+    async with _trial(daemons=3, hold_s=3.0) as trial:
+        first, second = trial.daemons[:2]
+        first.set_backend('backend-0', state=EndpointState.DRAINING)
+        trial._nursery.start_soon(second.runner.drain)
+        await trio.sleep(1.0)
+        assert await trial.call(2, trial.request('r1')) == 'response'
+        first.set_backend('backend-0')
+        await trio.sleep(0.3)
+        assert await trial.call(2, trial.request('r2')) == 'response'
+        assert second.runner.load.draining
+
+
+async def test_a_stop_does_not_wait_for_ever(
+    autojump_clock: MockClock,
+) -> None:
+    async with _trial(daemons=3, hold_s=3.0) as trial:
+        first, second = trial.daemons[:2]
+        first.set_backend('backend-0', state=EndpointState.DRAINING)
+        with trio.fail_after(3.5):
+            await second.runner.drain()
