Shorten planned stops, and make fewer calls to the store

Change: calls of running requests do not prolong a stop; 4 entries and 3 watchers a zone instead of 8 and 5; two daemons of a zone campaign for a rollout at once and the others after 1 s. The test on stops fails before.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -343,9 +343,10 @@
         self, scope: dict[str, Any], receive: Receive
     ) -> _calls.Request:
         now = trio.current_time()
-        self._last_request = now
         matched, fields = self._match(scope)
         route = matched.route
+        if not _is_nested(route):
+            self._last_request = now
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
         key = fields.get(self._dialect.key, b'')
         if len(key) > _MAX_KEY_BYTES:
--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -33,9 +33,10 @@
 
     from gypsumhall.kernel import Kernel
 
-WATCHERS = 5
-"""Daemons of a zone that watch the store. When 55 % of the machines die at
-once, all watchers of a large zone are among them with a probability of 5 %."""
+WATCHERS = 3
+"""Daemons of a zone that watch the store. Each costs a call every 3 s and one
+per change. When 55 % of the machines die at once, all watchers of three zones
+are among them with a probability of 0.5 %; others replace them then."""
 
 _RETRY_S = (0.1, 0.5)
 
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -31,9 +31,10 @@
 PREFIX = 'gypsumhall/members/'
 """Prefix of the entries; the zone and the id of the daemon follow."""
 
-ENTRIES_PER_ZONE = 8
-"""Daemons of a zone that hold an entry, so that the renewals do not grow
-with the fleet and the loss of most machines leaves some."""
+ENTRIES_PER_ZONE = 4
+"""Daemons of a zone that hold an entry, so that the calls do not grow with the
+fleet and the loss of most machines leaves some: each entry costs a renewal
+and a read in 1.5 s."""
 
 TTL_S = 10
 """Time to live of an entry in seconds."""
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -20,6 +20,7 @@
 from gypsumhall import platform
 from gypsumhall._errors import StoreError
 from gypsumhall.core import _rollout
+from gypsumhall.core import _tree
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import MemberStatus
 from gypsumhall.core._placement import ANY_VERSION
@@ -57,6 +58,13 @@
 """Time between two comparisons of records with a random peer."""
 
 _CAMPAIGN_S = (0.3, 0.6)
+_CANDIDATES = 2
+"""Daemons of a zone that campaign at once; every campaign costs two calls of
+the store, and only one wins."""
+
+_DEFER_S = 1.0
+"""Time in seconds after which the others campaign if nobody rules."""
+
 _RETRY_S = 0.3
 
 
@@ -322,7 +330,9 @@
                 self._ordered = trio.Event()
                 await self._ordered.wait()
             await trio.sleep(self._rng.uniform(0.0, _CAMPAIGN_S[0]))
-            if trio.current_time() - self._told_at < 2 * _CAMPAIGN_S[1]:
+            if not self._is_ruled() and not self._is_candidate():
+                await trio.sleep(_DEFER_S)
+            if self._is_ruled():
                 await trio.sleep(_CAMPAIGN_S[1])
                 continue
             try:
@@ -341,6 +351,14 @@
                 )
                 await trio.sleep(self._rng.uniform(*_CAMPAIGN_S))
 
+    def _is_ruled(self) -> bool:
+        return trio.current_time() - self._told_at < 2 * _CAMPAIGN_S[1]
+
+    def _is_candidate(self) -> bool:
+        me = self._membership.me
+        alive = self._membership.table.alive(me.zone)
+        return _tree.is_among_first('controller', me.id, alive, _CANDIDATES)
+
     async def _control(self, lease: Lease) -> None:
         self._rollouts.clear()
         self._events.emit('controller-started', key=lease.key)
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -169,6 +169,8 @@
         Address for callers; empty for none.
     hold_s : float
         Longest time in seconds for which a stop waits for other endpoints.
+    linger_s : float
+        Longest time in seconds for which a stop serves new callers.
     """
 
     def __init__(
@@ -183,6 +185,7 @@
         seed: int = 0,
         listen: str = '',
         hold_s: float = 0.0,
+        linger_s: float = 0.0,
     ) -> None:
         self.membership = fakes.FakeMembership(me, table)
         self.distribution = fakes.FakeDistribution(snapshot)
@@ -192,7 +195,9 @@
         self.admin = fakes.FakeAdmin()
         self.runner = RunnerService(Random(seed), connect, hold_s=hold_s)
         self.announcements = AnnouncementsService()
-        self.caller = CallerService(listen) if listen else None
+        self.caller = (
+            CallerService(listen, linger_s=linger_s) if listen else None
+        )
         self.kernel = Kernel()
         info = PeerInfo(me.id, me.zone, me.incarnation, me.peer_address)
         for service in (
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -378,7 +378,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _two_services() -> AsyncIterator[list[CallDaemon]]:
+async def _two_services(
+    linger_s: float = 0.0,
+) -> AsyncIterator[list[CallDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
     snapshot = build_snapshot(routes=(_NEW_WORK, _NESTED))
     with trio.fail_after(_WAIT_S):
@@ -397,6 +399,7 @@
                     lambda info: MemoryNetwork(hub, info),
                     snapshot,
                     listen='127.0.0.1:0',
+                    linger_s=linger_s,
                 )
                 await nursery.start(daemon.run)
                 daemon.set_backend(address, slots=1, service=name)
@@ -435,6 +438,29 @@
         ]
 
 
+async def test_calls_of_running_requests_do_not_prolong_a_stop() -> None:
+    """Every stop took 3 s longer, so that stops in turn overlapped."""
+    async with (
+        _two_services(linger_s=6.0) as daemons,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        url = f'http://{daemons[0].caller.address}/check'
+        stopped = trio.Event()
+
+        async def stop() -> None:
+            await daemons[0].caller.drain()
+            stopped.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            with trio.fail_after(3.0):
+                while not stopped.is_set():
+                    await pool.request(
+                        'GET', url, headers={'Host': 'spa.example'}
+                    )
+                    await trio.sleep(0.1)
+
+
 async def test_calls_of_running_requests_go_before_new_work() -> None:
     """A check that is refused wastes the run that waits for it."""
     async with (
