--- a/gypsumhall/_errors.py
+++ b/gypsumhall/_errors.py
@@ -63,6 +63,17 @@
     code: ClassVar[str] = 'internal'
 
 
+def finding_fields(finding: Finding) -> dict[str, object]:
+    """Return a finding as JSON fields."""
+    return {
+        'code': finding.code,
+        'message': finding.message,
+        'source': finding.place.source,
+        'line': finding.place.line,
+        'column': finding.place.column,
+    }
+
+
 class FindingsError(GypsumhallError):
     """Several faults, collected and reported together."""
 
--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -34,7 +34,7 @@
 from gypsumhall._errors import innermost
 from gypsumhall._errors import Place
 from gypsumhall._errors import SettingsError
-from gypsumhall.core._text import parse_duration
+from gypsumhall.core._durations import parse_duration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -19,6 +19,7 @@
 import trio
 
 from gypsumhall._errors import Finding
+from gypsumhall._errors import finding_fields
 from gypsumhall._errors import Place
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
@@ -366,9 +367,7 @@
         findings: list[Mapping[str, Any]] = []
         if not self._options.daemons.value:
             self._progress('checked without a daemon: these texts only')
-            findings += [
-                _text.finding_fields(item) for item in _check_alone(texts)
-            ]
+            findings += [finding_fields(item) for item in _check_alone(texts)]
         else:
             for name, text in texts.items():
                 response = await self._client.ask(
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -41,18 +41,22 @@
 """Cost in seconds of leaving the own zone, whatever the size of the response:
 two crossings of 1.5 ms, and what they add to the spread."""
 
-_BYTE_COST_S = 2e-5
+_CALL_BYTES = 1500.0
+"""Bytes of a call that are not the body of its response: both messages'
+headers, and offers that are declined."""
+
+_BYTE_COST_S = 3e-5
 """Cost in seconds of a byte from another zone. The users price 5,000 bytes at
-a tenth of a request whose latency objective is 0.4 s and more."""
+a tenth to a fifth of a request whose latency objective is 0.4 s and more."""
 
 _MAX_BYTES_COST_S = 0.15
-"""Largest cost in seconds of the bytes of a response; no response is worth
-more than a free slot in another zone while the own one is busy for longer."""
+"""Largest cost in seconds of the bytes of a call; no response is worth more
+than a free slot in another zone while the own one is busy for longer."""
 
 _SIZE_WEIGHT = 0.1
 """Weight of the latest response in the mean size of a route's responses."""
 
-_DEFAULT_BYTES = 2500.0
+_DEFAULT_BYTES = 500.0
 """Size that is assumed for the responses of a route before the first."""
 
 _MAX_ROUTES = 4096
@@ -414,7 +418,8 @@
 
     def _away_s(self, route: str) -> float:
         size = self._bytes.get(route, _DEFAULT_BYTES)
-        return _CROSSING_S + min(_MAX_BYTES_COST_S, size * _BYTE_COST_S)
+        cost_s = (size + _CALL_BYTES) * _BYTE_COST_S
+        return _CROSSING_S + min(_MAX_BYTES_COST_S, cost_s)
 
     def _ready(self, service: str) -> list[_State]:
         states = self._states
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -26,6 +26,8 @@
 from gypsumhall._errors import InvalidTextError
 from gypsumhall._errors import Place
 from gypsumhall.core import _model
+from gypsumhall.core._durations import DURATION_UNITS
+from gypsumhall.core._durations import parse_duration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,12 +64,10 @@
 _VERSION = re.compile(VERSION_PATTERN)
 _LABEL = re.compile(r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
 _PATH = re.compile(r"(/([A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-Fa-f]{2})+)*/?")
-_DURATION = re.compile(r'([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s|m|h|d)')
 _DATE = re.compile(
     r'\d{4}-\d{2}-\d{2}[T ]\d{2}:\d{2}:\d{2}(\.\d{1,6})?'
     r'(Z|[+-]\d{2}:\d{2})'
 )
-_UNITS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0, 'd': 86400.0}
 _EMPTY = ('', '~', 'null')
 _Named = TypeVar('_Named', _model.Service, _model.Route)
 
@@ -79,25 +79,6 @@
     return repr(value)
 
 
-def finding_fields(finding: Finding) -> dict[str, object]:
-    """Return a finding as JSON fields."""
-    return {
-        'code': finding.code,
-        'message': finding.message,
-        'source': finding.place.source,
-        'line': finding.place.line,
-        'column': finding.place.column,
-    }
-
-
-def parse_duration(text: str) -> float | None:
-    """Return the seconds of a duration like ``500ms``, or None."""
-    found = _DURATION.fullmatch(text)
-    if not found:
-        return None
-    return round(float(found[1]) * _UNITS[found[2]], 6)
-
-
 @dataclass(slots=True, frozen=True)
 class ParsedText:
     """An operator's text as it was read.
@@ -475,7 +456,7 @@
             self.add(
                 'bad-duration',
                 f'{shown(text)} is no duration; write a number and one of '
-                f'{", ".join(_UNITS)}, for example 500ms or 90s',
+                f'{", ".join(DURATION_UNITS)}, for example 500ms or 90s',
                 node.place,
             )
             return default
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -217,7 +217,7 @@
         if wait + waiter.work_s > left:
             return Verdict.OVERLOADED
         late = now + wait + waiter.work_s > waiter.objective
-        if late and now - self._backlog_since > _BRIEF_S:
+        if late and self._lasts(now):
             return Verdict.OVERLOADED
         rivals: list[Waiter] = []
         if len(self._line) >= WAITING_PER_SLOT * self._slots:
@@ -315,13 +315,17 @@
 
     def retry_after_s(self, now: float) -> float:
         """Return after how many seconds there is likely to be room."""
-        if self._line and now - self._backlog_since > _BRIEF_S:
+        if self._lasts(now):
             return max(_LASTING_RETRY_AFTER_S, self.wait_s())
         return max(_MIN_RETRY_AFTER_S, self.wait_s())
 
     def _mean(self) -> float:
         return self._mean_s or DEFAULT_SERVICE_S
 
+    def _lasts(self, now: float) -> bool:
+        """Whether calls have waited without a pause for a while."""
+        return bool(self._line) and now - self._backlog_since > _BRIEF_S
+
     def _late(self, now: float) -> int:
         return sum(_is_late(item, now) for item in self._line)
 
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -16,8 +16,8 @@
 from hypercorn.trio import serve
 import trio
 
+from gypsumhall._errors import finding_fields
 from gypsumhall._errors import listening_at
-from gypsumhall.core._text import finding_fields
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._protocols import AdminResponse
 from gypsumhall.services._protocols import Events
--- a/gypsumhall/services/_operator.py
+++ b/gypsumhall/services/_operator.py
@@ -8,11 +8,11 @@
 
 import trio
 
+from gypsumhall._errors import finding_fields
 from gypsumhall._errors import StoreError
 from gypsumhall.core._accept import effective_version
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import MemberStatus
-from gypsumhall.core._text import finding_fields
 from gypsumhall.services._acceptance import AcceptanceService
 from gypsumhall.services._acceptance import Submission
 from gypsumhall.services._acceptance import SubmissionResult
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -333,7 +333,8 @@
         while self._active:
             self._idle = trio.Event()
             await self._idle.wait()
-        await self._keys.hand_over()
+        if self._dialect.key:
+            await self._keys.hand_over()
 
     async def _wait_for_others(self) -> None:
         """Go on while too few other endpoints of the service are ready."""
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -196,3 +196,13 @@
         line.leave('r', _SERVICE_S)
         line.take(1.5)
     assert line.retry_after_s(1.6) < 0.1
+
+
+def test_a_late_call_may_wait_when_the_line_is_empty() -> None:
+    """It was refused long after the last overload, with nobody waiting."""
+    line = _busy_line()
+    assert line.arrive(0.0, _waiter(0.0)) is Verdict.WAIT
+    line.leave('r', _SERVICE_S)
+    assert line.take(0.1) is not None
+    late = _waiter(20.0, objective_s=0.01)
+    assert line.arrive(20.0, late) is Verdict.WAIT
