Test the commands of OPERATIONS.md, name live members and moves once

Left by earlier work: three services and two choices of endpoints each spelled out which members are live, and the record of a rollout between daemons held the platform's words; Member.is_live and is_ready, and MoveState with a table in the adapter, replace them. A record of the store that cannot be read is logged.

--- a/gypsumhall/core/_member.py
+++ b/gypsumhall/core/_member.py
@@ -72,3 +72,18 @@
     sequence: int
     status: MemberStatus
     endpoint: Endpoint | None = None
+
+    @property
+    def is_live(self) -> bool:
+        """Whether the daemon takes part; one may fail to answer for now."""
+        return self.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the daemon takes part and its endpoint takes new work."""
+        endpoint = self.endpoint
+        return (
+            endpoint is not None
+            and endpoint.state is EndpointState.READY
+            and self.is_live
+        )
--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 
 from gypsumhall.core import _rendezvous
-from gypsumhall.core._member import MemberStatus
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,7 +24,7 @@
 
     Unreachable members take part until the membership declares them dead.
     """
-    return member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+    return member.is_live
 
 
 def owner(service: str, key: str, members: Iterable[Member]) -> Member | None:
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -20,9 +20,6 @@
 import math
 from typing import TYPE_CHECKING
 
-from gypsumhall.core._member import EndpointState
-from gypsumhall.core._member import MemberStatus
-
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Sequence
@@ -230,12 +227,7 @@
         first = service not in self._revisions
         for member in members:
             endpoint = member.endpoint
-            if (
-                endpoint is None
-                or endpoint.state != EndpointState.READY
-                or member.status
-                not in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-            ):
+            if endpoint is None or not member.is_ready:
                 continue
             kept.append(member.id)
             state = self._states.get(member.id)
--- a/gypsumhall/core/_routing.py
+++ b/gypsumhall/core/_routing.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 from gypsumhall.core._limits import OutlierEjection
-from gypsumhall.core._member import EndpointState
-from gypsumhall.core._member import MemberStatus
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -135,12 +133,7 @@
         kept = set()
         for member in members:
             endpoint = member.endpoint
-            if (
-                endpoint is None
-                or endpoint.state != EndpointState.READY
-                or member.status
-                not in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-            ):
+            if endpoint is None or not member.is_ready:
                 continue
             kept.add(member.id)
             self._observe(member, endpoint.slots, now)
--- a/gypsumhall/core/_stops.py
+++ b/gypsumhall/core/_stops.py
@@ -12,9 +12,6 @@
 
 from typing import TYPE_CHECKING
 
-from gypsumhall.core._member import EndpointState
-from gypsumhall.core._member import MemberStatus
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -48,13 +45,7 @@
         now : float
             Current time in seconds.
         """
-        ready = {
-            member.id
-            for member in members
-            if member.endpoint is not None
-            and member.endpoint.state is EndpointState.READY
-            and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-        }
+        ready = {member.id for member in members if member.is_ready}
         for member_id in ready | self._ready:
             self._seen[member_id] = now
         self._ready = ready
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -15,6 +15,7 @@
 from gypsumhall.core._model import Fragment
 from gypsumhall.core._model import Head
 from gypsumhall.core._model import MoveSpec
+from gypsumhall.core._model import MoveState
 from gypsumhall.core._model import Route
 from gypsumhall.core._model import Service
 
@@ -840,8 +841,8 @@
         Grows with each change of the record.
     share : float
         Share of the calls that go to the version, 0 to 1.
-    state : str
-        ``in_progress``, ``completed`` or ``rolled_back``.
+    state : MoveState
+        Progress; a move of seconds does not soak.
     """
 
     service: str
@@ -849,7 +850,7 @@
     order: int
     step: int = 0
     share: float = 0.0
-    state: str = 'in_progress'
+    state: MoveState = MoveState.ACTIVE
 
 
 class RolloutUpdate(Message, frozen=True, tag=64):
--- a/gypsumhall/platform/__init__.py
+++ b/gypsumhall/platform/__init__.py
@@ -18,7 +18,6 @@
 from gypsumhall.platform._operator import rollout_service
 from gypsumhall.platform._operator import rollout_status_key
 from gypsumhall.platform._operator import RolloutOrder
-from gypsumhall.platform._operator import RolloutState
 from gypsumhall.platform._store import KvStore
 
 __all__ = [
@@ -30,7 +29,6 @@
     'CheckIn',
     'KvStore',
     'RolloutOrder',
-    'RolloutState',
     'decode_check_in',
     'decode_configuration',
     'decode_rollout',
--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import enum
 
 import msgspec
 
@@ -23,12 +22,12 @@
 _DEPARTMENT = 'platform'
 
 
-class RolloutState(enum.StrEnum):
-    """State of a rollout, as the operator reads it."""
-
-    IN_PROGRESS = 'in_progress'
-    COMPLETED = 'completed'
-    ROLLED_BACK = 'rolled_back'
+# State of a rollout, as the operator reads it.
+_STATES = {
+    _model.MoveState.ACTIVE: 'in_progress',
+    _model.MoveState.DONE: 'completed',
+    _model.MoveState.REVERTED: 'rolled_back',
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -174,6 +173,8 @@
     return RolloutOrder(found.service, found.target, found.duration_s)
 
 
-def encode_rollout_status(order: RolloutOrder, state: RolloutState) -> bytes:
+def encode_rollout_status(
+    order: RolloutOrder, state: _model.MoveState
+) -> bytes:
     """Encode the state of a rollout for the operator."""
-    return msgspec.json.encode(_RolloutStatus(state.value, order.version))
+    return msgspec.json.encode(_RolloutStatus(_STATES[state], order.version))
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -22,7 +22,6 @@
 from gypsumhall.core._actions import Installed
 from gypsumhall.core._actions import Reverted
 from gypsumhall.core._actions import Send
-from gypsumhall.core._member import MemberStatus
 from gypsumhall.core._replica import Replica
 from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._tree import pick
@@ -472,12 +471,11 @@
         A zone that restarts as a whole while the platform is down has only
         them to learn the version floor from.
         """
-        live = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
         zone = self._membership.me.zone
         return [
             member
             for member in self._membership.table.members()
-            if member.zone != zone and member.status in live
+            if member.zone != zone and member.is_live
         ]
 
     async def _ask_members(
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -21,8 +21,7 @@
 from gypsumhall._errors import StoreError
 from gypsumhall.core import _rollout
 from gypsumhall.core import _tree
-from gypsumhall.core._member import EndpointState
-from gypsumhall.core._member import MemberStatus
+from gypsumhall.core._model import MoveState
 from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._snapshot import Split
 from gypsumhall.net._messages import RolloutCounts
@@ -162,7 +161,7 @@
             # Another version gets calls only by an order.
             return Split(known or ANY_VERSION)
         target = record.version
-        if record.state == platform.RolloutState.COMPLETED:
+        if record.state == MoveState.DONE:
             self._established[service] = target
             return Split(target if target in versions else ANY_VERSION)
         others = versions - {target}
@@ -170,7 +169,7 @@
         if not old:
             # No endpoint of the old version is left or known.
             old = known if known and known != target else f'not {target}'
-        if record.state == platform.RolloutState.ROLLED_BACK:
+        if record.state == MoveState.REVERTED:
             return Split(old)
         move = f'{service}/{record.order}'
         return Split(old, target, record.share, move, 1)
@@ -182,7 +181,7 @@
     ) -> None:
         """Record the result of a call to the backend server on this VM."""
         record = self._records.get(call.service)
-        if record is None or record.state != platform.RolloutState.IN_PROGRESS:
+        if record is None or record.state != MoveState.ACTIVE:
             return
         results = self._results.get(call.service)
         if results is None or results.order != record.order:
@@ -287,8 +286,7 @@
         return [
             member.peer_address
             for member in self._membership.table.members()
-            if member.id != me.id
-            and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+            if member.id != me.id and member.is_live
         ]
 
     def _tell(self, records: Iterable[RolloutRecord]) -> None:
@@ -309,9 +307,14 @@
 
     def _take_items(self, items: Iterable[KeyValue]) -> None:
         for item in items:
-            record = _decode_record(item.value)
-            if record is not None:
-                self._install(record, 'store')
+            try:
+                record = msgspec.msgpack.decode(item.value, type=RolloutRecord)
+            except (msgspec.MsgspecError, ValueError) as error:
+                self._events.emit(
+                    'rollouts-unread', detail=f'{item.key}: {error}'
+                )
+                continue
+            self._install(record, 'store')
 
     # Controller
 
@@ -321,7 +324,7 @@
             for item in self._orders.values()
             if (record := self._records.get(item.order.service)) is not None
             and record.order == item.revision
-            and record.state == platform.RolloutState.IN_PROGRESS
+            and record.state == MoveState.ACTIVE
         ]
 
     async def _campaign(self) -> None:
@@ -394,21 +397,20 @@
         present = any(
             member.endpoint is not None
             and member.endpoint.version == order.order.version
-            and member.endpoint.state is EndpointState.READY
-            and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+            and member.is_ready
             for member in self._membership.table.endpoints(service)
         )
         outcome = rollout.advance(now, present=present)
-        state = platform.RolloutState.IN_PROGRESS
+        state = MoveState.ACTIVE
         share = rollout.share
         if outcome is _rollout.Outcome.COMPLETE:
-            state, share = platform.RolloutState.COMPLETED, 1.0
+            state, share = MoveState.DONE, 1.0
         elif outcome is _rollout.Outcome.ROLL_BACK:
-            state, share = platform.RolloutState.ROLLED_BACK, 0.0
+            state, share = MoveState.REVERTED, 0.0
         if record.step and (record.state, record.share) == (state, share):
             return
         following = msgspec.structs.replace(
-            record, step=record.step + 1, share=share, state=state.value
+            record, step=record.step + 1, share=share, state=state
         )
         self._events.emit(
             'rollout-decided',
@@ -422,7 +424,7 @@
             suspicion=rollout.suspicion(),
             present=present,
         )
-        if state is platform.RolloutState.ROLLED_BACK:
+        if state is MoveState.REVERTED:
             # Calls must not wait for the store to leave a bad version.
             self._install(following, 'controller')
             self._tell([following])
@@ -433,13 +435,13 @@
         self,
         order: _Order,
         record: RolloutRecord,
-        state: platform.RolloutState,
+        state: MoveState,
         lease: Lease,
     ) -> None:
         service = order.order.service
         writes = [Put(f'{_RECORDS}{service}', msgspec.msgpack.encode(record))]
         known = self._records[service]
-        if not known.step or known.state != state.value or record is known:
+        if not known.step or known.state != state or record is known:
             status = platform.encode_rollout_status(order.order, state)
             writes.append(Put(platform.rollout_status_key(service), status))
         while lease.valid(trio.current_time()):
@@ -458,10 +460,3 @@
                 raise LeaseHeldError(f'{service}: another controller rules')
             return
         raise LeaseHeldError(f'{service}: the lease ended before the write')
-
-
-def _decode_record(value: bytes) -> RolloutRecord | None:
-    try:
-        return msgspec.msgpack.decode(value, type=RolloutRecord)
-    except (msgspec.MsgspecError, ValueError):
-        return None
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import ast
+import os
 from pathlib import Path
 import re
+import shutil
+import subprocess
+import sys
 from typing import TYPE_CHECKING
 
 import pytest
@@ -102,3 +106,35 @@
     for verb in scenario.VERBS:
         assert f'\n| `{verb}` |' in page
         assert re.search(rf'^ *- {verb}:', page, re.M)
+
+
+_OPERATIONS = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
+_COMMANDS = [
+    line.strip()
+    for line in _OPERATIONS.splitlines()
+    if line.startswith('    ') and 'logs.jsonl' in line
+]
+
+
+def test_the_page_has_a_command_for_each_kind_of_failed_request() -> None:
+    assert len(_COMMANDS) >= 6
+
+
+@pytest.mark.parametrize('command', _COMMANDS)
+def test_commands_of_the_page_find_lines_in_recorded_logs(
+    command: str, tmp_path: Path
+) -> None:
+    """A command that finds nothing leaves an engineer without the cause."""
+    logs = _ROOT / 'tests' / 'data' / 'platform_logs.jsonl'
+    shutil.copy(logs, tmp_path / 'logs.jsonl')
+    module = f'{sys.executable} -m gypsumhall.cli.timeline'
+    found = subprocess.run(
+        ['bash', '-c', command.replace('gypsumhall-timeline', module)],
+        cwd=tmp_path,
+        env={**os.environ, 'PYTHONPATH': str(_ROOT)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert found.returncode == 0, found.stderr
+    assert found.stdout.strip()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 
 from gypsumhall import platform
 from gypsumhall.core._member import EndpointState
+from gypsumhall.core._model import MoveState
 from gypsumhall.core._model import Target
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.errors import GypsumhallError
@@ -187,9 +188,7 @@
     value = b'{"service":"s","targetVersion":"v2","durationS":12}'
     order = platform.decode_rollout(value)
     assert (order.service, order.version, order.duration_s) == ('s', 'v2', 12)
-    state = platform.encode_rollout_status(
-        order, platform.RolloutState.COMPLETED
-    )
+    state = platform.encode_rollout_status(order, MoveState.DONE)
     assert json.loads(state) == {'state': 'completed', 'targetVersion': 'v2'}
     assert platform.rollout_service('op/rollout/s') == 's'
     assert platform.rollout_service('op/config') == ''
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -10,6 +10,7 @@
 import trio
 
 from gypsumhall.core._member import EndpointState
+from gypsumhall.core._model import MoveState
 from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.core._snapshot import Split
@@ -347,7 +348,7 @@
     versions: set[str],
 ) -> None:
     """Even when it is the only one left: its answers are bad."""
-    record = RolloutRecord('s', 'v2', 7, 3, 0.0, 'rolled_back')
+    record = RolloutRecord('s', 'v2', 7, 3, 0.0, MoveState.REVERTED)
     service = _rollouts()
     _split(service, {'v1'})
     service._install(record, 'a')
@@ -356,5 +357,5 @@
 
 
 def test_a_complete_rollout_leaves_only_the_new_version() -> None:
-    service = _rollouts(RolloutRecord('s', 'v2', 7, 5, 1.0, 'completed'))
+    service = _rollouts(RolloutRecord('s', 'v2', 7, 5, 1.0, MoveState.DONE))
     assert _split(service, {'v1', 'v2'}) == Split('v2')
