--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -225,7 +225,7 @@
         rivals: list[Waiter] = []
         if len(self._line) >= WAITING_PER_SLOT * self._slots:
             rivals = self._line
-        elif late and self._late(now) >= _LATE_PER_SLOT * self._slots:
+        elif late and self._late(now) >= self._late_limit():
             rivals = [item for item in self._line if _is_late(item, now)]
         if rivals:
             last = max(rivals, key=lambda item: _order(item, now))
@@ -265,7 +265,7 @@
                 ahead_s += item.work_s
         hopeless += self._displaced
         self._displaced = []
-        surplus = self._late(now) - int(_LATE_PER_SLOT * self._slots)
+        surplus = self._late(now) - self._late_limit()
         if surplus > 0:
             late = [item for item in self._line if _is_late(item, now)]
             late.sort(key=lambda item: _order(item, now))
@@ -329,6 +329,9 @@
         """Whether calls have waited without a pause for a while."""
         return bool(self._line) and now - self._backlog_since > _BRIEF_S
 
+    def _late_limit(self) -> int:
+        return max(1, int(_LATE_PER_SLOT * self._slots))
+
     def _late(self, now: float) -> int:
         return sum(_is_late(item, now) for item in self._line)
 
