Ask only live daemons whether they answer, and end campaigns for old orders

A machine was replaced at the address of one that was lost; the new daemon asked the dead member for an answer, and so itself, five times a second (peer-handshake-failed). Tests on both fail before.

--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -332,6 +332,8 @@
             if not self._open_orders():
                 self._ordered = trio.Event()
                 await self._ordered.wait()
+                # Old orders are read again after a start.
+                continue
             await trio.sleep(self._rng.uniform(0.0, _CAMPAIGN_S[0]))
             if not self._is_ruled() and not self._is_candidate():
                 await trio.sleep(_DEFER_S)
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -551,7 +551,8 @@
         try:
             while True:
                 known = self._membership.table.get(member.id)
-                if known is None or known.status is MemberStatus.LEAVING:
+                if known is None or not known.is_live:
+                    # Its address may belong to another daemon by now.
                     break
                 try:
                     await self._peers.request(
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from gypsumhall import platform
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._model import MoveState
 from gypsumhall.core._placement import ANY_VERSION
@@ -359,3 +360,19 @@
 def test_a_complete_rollout_leaves_only_the_new_version() -> None:
     service = _rollouts(RolloutRecord('s', 'v2', 7, 5, 1.0, MoveState.DONE))
     assert _split(service, {'v1', 'v2'}) == Split('v2')
+
+
+async def test_an_order_that_has_ended_is_not_campaigned_for(
+    autojump_clock: MockClock,
+) -> None:
+    """Every daemon that started took the lease for orders of the past."""
+    service = _rollouts(
+        RolloutRecord('s', 'v2', 7, 3, 0.0, MoveState.REVERTED)
+    )
+    async with trio.open_nursery() as nursery:
+        # Without a store, a campaign ends the test with an error.
+        nursery.start_soon(service._campaign)
+        await trio.sleep(0.1)
+        service.order(platform.RolloutOrder('s', 'v2', 12.0), 7)
+        await trio.sleep(5.0)
+        nursery.cancel_scope.cancel()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -6,10 +6,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 import trio
 
 from gypsumhall.core._member import EndpointState
+from gypsumhall.core._member import MemberStatus
 from gypsumhall.net._messages import AnswerStart
 from gypsumhall.net._messages import BodyChunk
 from gypsumhall.net._messages import CallStart
@@ -134,6 +136,37 @@
         assert tried
 
 
+async def test_a_dead_daemon_is_not_asked_any_more(
+    autojump_clock: MockClock,
+) -> None:
+    """Its address belonged to the sender itself after a replacement."""
+    async with _trial(daemons=4) as trial:
+        cut = trial.daemons[1].membership.me
+        trial.hub.silent.add(cut.peer_address)
+        asked = []
+
+        def rule(source: str, target: str, message: Message) -> Fault:
+            if target == cut.peer_address and isinstance(message, Ping):
+                asked.append(trio.current_time())
+            return Fault.NONE
+
+        trial.hub.rule = rule
+        for index in range(10):
+            request = trial.request(f'r{index}', method='GET')
+            assert await trial.call(3, request) == 'response'
+        await trio.sleep(1.0)
+        assert asked
+        trial.daemons[3].membership.table.put(
+            msgspec.structs.replace(
+                cut, status=MemberStatus.DEAD, sequence=cut.sequence + 1
+            )
+        )
+        await trio.sleep(1.0)
+        asked.clear()
+        await trio.sleep(5.0)
+        assert not asked
+
+
 async def test_query_reaches_a_restarted_daemon(
     autojump_clock: MockClock,
 ) -> None:
