Close a stopping daemon to the calls of running requests before it ends

Change: such calls are taken for 0.8 of the grace time at most; the runner's drain may be cancelled and called again. Test fails before.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -54,6 +54,10 @@
 """Part of the time for a planned stop in which new requests are served at
 most. The longest route takes 2.5 s, which the rest has to leave room for."""
 
+_CLOSE_SHARE = 0.8
+"""Part of the time for a planned stop in which calls of running requests are
+taken at most. They last for 0.5 s, and the daemon ends at `_DRAIN_SHARE`."""
+
 _JITTER_S = 0.05
 """Longest random delay in seconds at a start. After the loss of all machines
 every request waits for it; the store takes 2,000 reads a second."""
@@ -201,6 +205,7 @@
             platform.DIALECT,
             settings.service.value,
             linger_s,
+            _CLOSE_SHARE * settings.grace.value,
         ),
         Readiness(),
     ]
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -154,6 +154,9 @@
     linger_s : float
         Time in seconds after the start of a planned stop in which requests
         are still served, until all callers know of it.
+    close_s : float
+        Time in seconds after which calls of running requests are refused as
+        well, so that those that were taken end before the process does.
     """
 
     name = 'caller'
@@ -165,11 +168,13 @@
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
         service: str = '',
         linger_s: float = 0.0,
+        close_s: float = math.inf,
     ) -> None:
         self._address = address
         self._dialect = dialect
         self._service = service
         self._linger_s = linger_s
+        self._close_s = close_s
         self._rng = random.Random()
         self._last_request = -math.inf
         self._stopping = False
@@ -240,10 +245,12 @@
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
         self._stopping = True
+        closes_at = trio.current_time() + self._close_s
         await self._linger()
         self._draining = True
         # Runs on the backend server make calls of their own until they end.
-        await self._runner.drain()
+        with trio.CancelScope(deadline=closes_at):
+            await self._runner.drain()
         self._closed = True
         while self._active:
             self._idle = trio.Event()
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -312,13 +312,23 @@
                 load.set(self.load.slots, kind='limit')
 
     async def drain(self) -> None:
-        """Refuse new work and wait for the calls in flight."""
-        if self._draining:
-            return
+        """Refuse new work and wait for the calls in flight.
+
+        May be cancelled and called again.
+        """
+        if not self._draining:
+            await self._announce_stop()
+        while self._active:
+            self._idle = trio.Event()
+            await self._idle.wait()
+        if self._dialect.key:
+            await self._keys.hand_over()
+
+    async def _announce_stop(self) -> None:
+        """Let others stop sending calls before this daemon refuses them."""
         backend = self._backend
         if backend is not None:
             await self._wait_for_others()
-            # Others stop sending calls before this daemon refuses them.
             self._membership.set_endpoint(
                 Endpoint(
                     backend.endpoint.service,
@@ -330,11 +340,6 @@
         await trio.sleep(self._notice_s)
         self._draining = True
         self._refuse_waiters()
-        while self._active:
-            self._idle = trio.Event()
-            await self._idle.wait()
-        if self._dialect.key:
-            await self._keys.hand_over()
 
     async def _wait_for_others(self) -> None:
         """Go on while too few other endpoints of the service are ready."""
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -171,6 +172,8 @@
         Longest time in seconds for which a stop waits for other endpoints.
     linger_s : float
         Longest time in seconds for which a stop serves new callers.
+    close_s : float
+        Longest time in seconds for which a stop serves any caller.
     """
 
     def __init__(
@@ -186,6 +189,7 @@
         listen: str = '',
         hold_s: float = 0.0,
         linger_s: float = 0.0,
+        close_s: float = math.inf,
     ) -> None:
         self.membership = fakes.FakeMembership(me, table)
         self.distribution = fakes.FakeDistribution(snapshot)
@@ -196,7 +200,9 @@
         self.runner = RunnerService(Random(seed), connect, hold_s=hold_s)
         self.announcements = AnnouncementsService()
         self.caller = (
-            CallerService(listen, linger_s=linger_s) if listen else None
+            CallerService(listen, linger_s=linger_s, close_s=close_s)
+            if listen
+            else None
         )
         self.kernel = Kernel()
         info = PeerInfo(me.id, me.zone, me.incarnation, me.peer_address)
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import math
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -380,6 +381,7 @@
 @contextlib.asynccontextmanager
 async def _two_services(
     linger_s: float = 0.0,
+    close_s: float = math.inf,
 ) -> AsyncIterator[list[CallDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
     snapshot = build_snapshot(routes=(_NEW_WORK, _NESTED))
@@ -400,6 +402,7 @@
                     snapshot,
                     listen='127.0.0.1:0',
                     linger_s=linger_s,
+                    close_s=close_s,
                 )
                 await nursery.start(daemon.run)
                 daemon.set_backend(address, slots=1, service=name)
@@ -408,9 +411,7 @@
             nursery.cancel_scope.cancel()
 
 
-async def test_calls_of_running_requests_are_served_during_a_planned_stop() -> (
-    None
-):
+async def test_calls_of_running_requests_are_served_during_a_stop() -> None:
     """They were refused, so that the requests in flight failed."""
     async with (
         _two_services() as daemons,
@@ -438,6 +439,34 @@
         ]
 
 
+async def test_calls_of_running_requests_are_refused_at_its_end() -> None:
+    """One that is taken when the process ends is cut off."""
+    async with (
+        _two_services(close_s=0.1) as daemons,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        url = f'http://{daemons[0].caller.address}'
+        headers = {'Host': 'spa.example'}
+        statuses = []
+
+        async def search() -> None:
+            response = await pool.request(
+                'GET', url + '/search', headers=headers
+            )
+            statuses.append(response.status)
+
+        async with trio.open_nursery() as calls:
+            calls.start_soon(search)
+            await _until(lambda: daemons[0].runner.load.in_flight == 1)
+            calls.start_soon(daemons[0].caller.drain)
+            await trio.sleep(0.2)
+            late = await pool.request('GET', url + '/check', headers=headers)
+            assert late.status == 503
+            await daemons[0].runner.drain()
+            assert not daemons[0].runner.load.in_flight
+        assert statuses == [200]
+
+
 async def test_calls_of_running_requests_do_not_prolong_a_stop() -> None:
     """Every stop took 3 s longer, so that stops in turn overlapped."""
     async with (
