Do not announce an endpoint that starts while its daemon stops

Found by reading the change: the runner's drain runs within that of the callers' listener now, before the heartbeats' service is told to stop, so that a backend server that starts in between was announced as ready for up to 2 s and its calls refused. The runner says that it stops; test fails before.

--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -25,6 +25,11 @@
 class BackendRunner(Protocol):
     """What this service needs of the service ``runner``."""
 
+    @property
+    def stopping(self) -> bool:
+        """Whether others have been told that no more calls are taken."""
+        ...
+
     def set_backend(
         self, endpoint: Endpoint | None, address: str, instance: str = ''
     ) -> None:
@@ -53,7 +58,6 @@
         self._address = address
         self._started = False
         self._known = CheckIns()
-        self._draining = False
         self._membership: _protocols.Membership
         self._runner: BackendRunner
         self._events: _protocols.Events
@@ -85,7 +89,6 @@
 
     async def drain(self) -> None:
         """Go on: the promise to a backend server that leaves holds."""
-        self._draining = True
 
     async def _check_in(
         self, request: _protocols.AdminRequest
@@ -144,7 +147,7 @@
         instance = '' if found is None else found.instance
         address = '' if found is None else found.address
         self._runner.set_backend(endpoint, address, instance)
-        if not self._draining:
+        if not self._runner.stopping:
             self._membership.set_endpoint(endpoint)
         self._events.emit(
             'endpoint-changed',
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -215,6 +215,7 @@
         self._ledger = Ledger()
         # Detached calls by request id; set when the call has ended.
         self._running: dict[str, trio.Event] = {}
+        self._stopping = False
         self._draining = False
         self._active = 0
         self._idle = trio.Event()
@@ -251,6 +252,11 @@
             round(queue.failing, 3),
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Whether others have been told that no more calls are taken."""
+        return self._stopping
+
     def set_split_source(self, source: _sender.SplitSource) -> None:
         """Set how calls are divided between versions, before `run`."""
         self._splits = source
@@ -326,9 +332,11 @@
 
     async def _announce_stop(self) -> None:
         """Let others stop sending calls before this daemon refuses them."""
+        if self._backend is not None:
+            await self._wait_for_others()
+        self._stopping = True
         backend = self._backend
         if backend is not None:
-            await self._wait_for_others()
             self._membership.set_endpoint(
                 Endpoint(
                     backend.endpoint.service,
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -79,6 +79,7 @@
     name = 'runner'
 
     def __init__(self) -> None:
+        self.stopping = False
         self.backends: list[tuple[EndpointState | None, str]] = []
 
     def set_backend(
@@ -307,6 +308,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_an_endpoint_that_starts_during_a_stop_is_not_announced(
+    autojump_clock: MockClock,
+) -> None:
+    """Others would send it calls, which the daemon beside it refuses."""
+    runner, admin = _Runner(), FakeAdmin()
+    membership = _Membership(builders.build_member(0))
+    service = CheckInService('10.0.0.9:80')
+    service.listen_on(admin)
+    kernel = _kernel(
+        admin, membership, _Distribution(), _Rollouts(), runner, service
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        runner.stopping = True
+        handler = admin.routes['PUT', '/v1/instances/']
+        request = AdminRequest(
+            'PUT', '/v1/instances/i-1', body=_check_in('ready', 1)
+        )
+        answer = await handler(request)
+        assert answer.status == 200
+        assert runner.backends[-1] == (EndpointState.READY, 'i-1')
+        assert membership.me.endpoint is None
+        nursery.cancel_scope.cancel()
+
+
 # Rollouts
 
 
