--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -9,14 +9,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from gypsumhall._errors import PeerError
 from gypsumhall.core._ledger import Entry
 from gypsumhall.core._ledger import EntryState
 from gypsumhall.core._ledger import Ledger
-from gypsumhall.core._ledger import RecordedResponse
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._placement import ANY_VERSION
@@ -25,7 +23,6 @@
 from gypsumhall.core._waiting import Waiter
 from gypsumhall.core._waiting import WaitingLine
 from gypsumhall.net._messages import AnswerEnd
-from gypsumhall.net._messages import AnswerStart
 from gypsumhall.net._messages import BodyChunk
 from gypsumhall.net._messages import CallCancel
 from gypsumhall.net._messages import CallQuery
@@ -34,9 +31,9 @@
 from gypsumhall.net._messages import KeyHandover
 from gypsumhall.net._messages import KeyRelease
 from gypsumhall.net._messages import Load
-from gypsumhall.net._messages import Message
 from gypsumhall.net._messages import Outcome
 from gypsumhall.net._protocol import PeerNetwork
+from gypsumhall.services import _answers
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _calls
 from gypsumhall.services import _keys
@@ -76,86 +73,6 @@
     code: str = 'draining'
 
 
-class _Run:
-    """One run of a call on the backend server."""
-
-    __slots__ = (
-        '_recorder',
-        '_send',
-        'failed',
-        'outcome',
-        'started_response',
-    )
-
-    def __init__(
-        self, send: _calls.SendMessage, recorder: _calls.Recorder | None
-    ) -> None:
-        self._send: _calls.SendMessage | None = send
-        self._recorder = recorder
-        self.outcome = Outcome.NOT_RUN
-        self.started_response = False
-        self.failed = False
-
-    def mark_sent(self) -> None:
-        """Note that the backend server may run the request from now on."""
-        self.outcome = Outcome.UNKNOWN
-
-    async def send(self, message: Message) -> None:
-        """Pass a message on.
-
-        Calls whose response is recorded continue without a receiver.
-        """
-        if self._send is None:
-            return
-        try:
-            await self._send(message)
-        except PeerError:
-            if self._recorder is None:
-                raise
-            self._send = None
-
-    async def respond(
-        self,
-        call: CallStart,
-        response: _backend_client.BackendResponse,
-        load: Load,
-    ) -> None:
-        """Pass a response on, with its body in chunks."""
-        self.outcome = Outcome.RUN
-        self.failed = response.status >= 500
-        if self._recorder is not None:
-            self._recorder.head(response.status, response.headers)
-        # One message with the first part of the body costs less than two.
-        # A chunked response may pause before its body, so it doesn't wait.
-        head = AnswerStart(
-            call.request_id, response.status, response.headers, load
-        )
-        left = response.length
-        if left is None:
-            self.started_response = True
-            await self.send(head)
-        waiting = left is not None
-        async with contextlib.aclosing(response.chunks()) as chunks:
-            async for data in chunks:
-                last = False
-                if left is not None:
-                    left -= len(data)
-                    last = left == 0
-                if self._recorder is not None:
-                    self._recorder.chunk(data)
-                if waiting:
-                    waiting = False
-                    self.started_response = True
-                    head = msgspec.structs.replace(head, body=data, last=last)
-                    await self.send(head)
-                else:
-                    await self.send(BodyChunk(data, last))
-        if waiting:
-            await self.send(msgspec.structs.replace(head, last=True))
-        elif left is None:
-            await self.send(AnswerEnd(call.request_id))
-
-
 class RunnerService:
     """Admits calls, runs each at most once and records the outcome.
 
@@ -462,7 +379,7 @@
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
         recorder = None if call.idempotent else _calls.Recorder()
-        run = _Run(send, recorder)
+        run = _answers.Run(send, recorder)
         refusal: _calls.CallRefusedError | None = None
         deadline = trio.current_time() + call.deadline_ms / 1000
         try:
@@ -492,7 +409,7 @@
         await self._refuse(call.request_id, refusal, send)
 
     async def _admit_and_run(
-        self, call: CallStart, body: bytes, run: _Run, deadline: float
+        self, call: CallStart, body: bytes, run: _answers.Run, deadline: float
     ) -> _calls.CallRefusedError | None:
         try:
             backend = self._check(call)
@@ -522,7 +439,7 @@
         backend: _Backend,
         call: CallStart,
         body: bytes,
-        run: _Run,
+        run: _answers.Run,
         deadline: float,
     ) -> _calls.CallRefusedError | None:
         left_ms = int((deadline - trio.current_time()) * 1000)
@@ -568,7 +485,7 @@
         self,
         call: CallStart,
         response: _backend_client.BackendResponse,
-        run: _Run,
+        run: _answers.Run,
     ) -> None:
         """Refuse a response that is none to this request."""
         dialect = self._dialect
@@ -708,7 +625,7 @@
     ) -> None:
         response = known.response
         if response is not None:
-            await send_recorded(request_id, response, self.load, send)
+            await _answers.send_recorded(request_id, response, self.load, send)
             return
         outcomes = {
             EntryState.REFUSED: (Outcome.NOT_RUN, 'refused'),
@@ -820,7 +737,9 @@
             return
         self._active += 1
         recorder = _calls.Recorder()
-        sink = _MessageSink(self, call.request_id, send, recorder)
+        sink = _answers.MessageSink(
+            lambda: self.load, call.request_id, send, recorder
+        )
         state = EntryState.UNKNOWN
         try:
             request = _calls.Request(
@@ -905,67 +824,3 @@
 
     def _count(self, result: str) -> None:
         self._runs.add(1.0, result=result)
-
-
-class _MessageSink:
-    """Turns a response into messages for the daemon that sent the call."""
-
-    __slots__ = ('_head', '_recorder', '_request_id', '_runner', '_send')
-
-    def __init__(
-        self,
-        runner: RunnerService,
-        request_id: str,
-        send: _calls.SendMessage,
-        recorder: _calls.Recorder,
-    ) -> None:
-        self._runner = runner
-        self._request_id = request_id
-        self._send: _calls.SendMessage | None = send
-        self._recorder = recorder
-        self._head: AnswerStart | None = None
-
-    async def send(self, message: Message) -> None:
-        """Send a message; without a receiver it is only recorded."""
-        if self._send is not None:
-            try:
-                await self._send(message)
-            except PeerError:
-                self._send = None
-
-    async def flush(self) -> None:
-        """Send a head that waits for the first part of its body."""
-        if self._head is not None:
-            head, self._head = self._head, None
-            await self.send(head)
-
-    async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers."""
-        self._recorder.head(status, headers)
-        load = self._runner.load
-        self._head = AnswerStart(self._request_id, status, headers, load)
-
-    async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
-        self._recorder.chunk(data)
-        if self._head is not None:
-            head, self._head = self._head, None
-            await self.send(
-                msgspec.structs.replace(head, body=data, last=last)
-            )
-        else:
-            await self.send(BodyChunk(data, last))
-
-
-async def send_recorded(
-    request_id: str,
-    response: RecordedResponse,
-    load: Load,
-    send: _calls.SendMessage,
-) -> None:
-    """Send a recorded response as messages."""
-    head = AnswerStart(request_id, response.status, response.headers, load)
-    await send(head)
-    for part in _calls.chunks(response.body):
-        await send(BodyChunk(part))
-    await send(AnswerEnd(request_id))
