Look for members that have left at their address

Change: two daemons of the zone send a heartbeat in each round to the address of a member that has left or died, for 30 s and to three members at most; the next process there learns of them and pulls the table.

--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -40,6 +40,7 @@
 
 from gypsumhall._errors import PeerError
 from gypsumhall.core import _membership
+from gypsumhall.core import _tree
 from gypsumhall.core._limits import RetryBudget
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import Member
@@ -63,6 +64,13 @@
 _URGENT = 5
 """Contacts that get an urgent change from a daemon that hears of it first.
 About exp(-5) of the daemons are missed and hear of it by heartbeat."""
+_RETURN_S = 30.0
+"""Time in seconds in which a daemon that has left or died is looked for at its
+address. One that starts while the platform is down finds nobody by itself."""
+_SEARCHERS = 2
+"""Daemons of the zone that look for each of them."""
+_SEARCHED = 3
+"""Most of them that a daemon looks for in a round, as a zone may be away."""
 _FORWARDS_PER_S = 5.0
 """Endpoints that have become ready which a daemon passes on at once, per
 second on average. More come when a zone returns; heartbeats carry those."""
@@ -169,6 +177,8 @@
         self._repair_wait_s = settings.repair_s / 10
         self._repairing = False
         self._zone_failures: dict[str, int] = {}
+        # Members of the zone that have left or died a short time ago.
+        self._gone: dict[str, Member] = {}
         self._greeted: Sequence[str] = ()
         self._greet_until = 0.0
         self._forwards = RetryBudget(0.0, _FORWARDS_PER_S)
@@ -338,6 +348,7 @@
             known = self._table.get(member.id)
             if self._table.merge(member, now, age):
                 self._detector.changed(member, now, own=False)
+                self._note_gone(member)
                 if news and age < _FRESH_S:
                     self._news(member)
                     if _is_urgent(member) or (
@@ -367,6 +378,7 @@
         now = trio.current_time()
         if self._table.merge(member, now):
             self._detector.changed(member, now, own=True)
+            self._note_gone(member)
             self._events.emit(
                 f'member-{member.status.name.lower()}',
                 member=member.id,
@@ -375,6 +387,10 @@
             self._news(member)
             self._notify()
 
+    def _note_gone(self, member: Member) -> None:
+        if member.zone == self.me.zone and not member.is_live:
+            self._gone[member.id] = member
+
     def _news(self, member: Member) -> None:
         size = len(self._table.alive(self.me.zone))
         self._queue.add(member.id, size)
@@ -430,7 +446,7 @@
                 self._nursery.start_soon(self._refresh)
             ring = self._table.neighbours(self.me, _RING)
             self._detector.watch(ring, now)
-            for target in self._targets(ring, now):
+            for target in (*self._targets(ring, now), *self._absent(now)):
                 self._nursery.start_soon(self._beat, target)
             for member in self._detector.silent(now):
                 self._nursery.start_soon(self._check, member)
@@ -460,6 +476,28 @@
                 targets.append(self._rng.choice(rest))
         return targets
 
+    def _absent(self, now: float) -> list[Member]:
+        """Return members whose next process may be at their address."""
+        if not self._gone:
+            return []
+        alive = self._table.alive(self.me.zone)
+        used = {item.peer_address for item in alive}
+        self._gone = {
+            member.id: member
+            for member in self._gone.values()
+            if self._table.get(member.id) == member
+            and self._table.age(member.id, now) < _RETURN_S
+        }
+        absent = [
+            member
+            for member in self._gone.values()
+            if member.peer_address not in used
+            and _tree.is_among_first(
+                f'return:{member.id}', self.me.id, alive, _SEARCHERS
+            )
+        ]
+        return self._rng.sample(absent, min(_SEARCHED, len(absent)))
+
     def _distant_share(self) -> float:
         # At least two daemons of a zone talk to each other zone per round,
         # which matters in small zones only.
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -40,6 +40,7 @@
         zone: str,
         start: int,
         name: str = '',
+        seeds: tuple[str, ...] = ('10.0.0.0:1', '10.0.0.1:1'),
     ) -> None:
         self.hub = hub
         self.id = name or f'd{index}'
@@ -48,7 +49,7 @@
         self.events = FakeEvents()
         self.scope = trio.CancelScope()
         self.service = MembershipService(
-            MembershipSettings(seeds=('10.0.0.0:1', '10.0.0.1:1')),
+            MembershipSettings(seeds=seeds),
             rng=random.Random(index),
         )
         self._kernel = Kernel()
@@ -319,6 +320,32 @@
         assert known > 0.9 * len(fleet.daemons)
 
 
+@pytest.mark.parametrize('planned', [True, False])
+async def test_a_daemon_that_restarts_without_seeds_is_found(
+    planned: bool, autojump_clock: MockClock
+) -> None:
+    """While the platform was down it knew nobody and served no request."""
+    async with _fleet(1, 6) as fleet:
+        leaving = fleet.daemons[4]
+        if planned:
+            leaving.service.set_leaving()
+            await trio.sleep(0.2)
+        leaving.crash()
+        fleet.daemons.remove(leaving)
+        status = MemberStatus.LEAVING if planned else MemberStatus.DEAD
+        await fleet.until(
+            lambda: fleet.everyone_sees(leaving.id, status), 20.0
+        )
+        fleet.hub.silent.discard(leaving.address)
+        daemon = _Daemon(fleet.hub, 4, 'az-0', 5, seeds=())
+        await fleet.nursery.start(daemon.run)
+        await fleet.until(lambda: len(daemon.statuses()) == 6, 4.0)
+        fleet.daemons.append(daemon)
+        await fleet.until(
+            lambda: fleet.everyone_sees('d4', MemberStatus.ALIVE), 4.0
+        )
+
+
 async def test_daemons_that_start_together_know_each_other_soon(
     autojump_clock: MockClock,
 ) -> None:
