--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -301,7 +301,7 @@
         me = msgspec.structs.replace(
             self.me, sequence=self.me.sequence + 1, **changes
         )
-        self._set_me(me, urgent=_is_urgent(me) or _is_ready(me))
+        self._set_me(me, urgent=_is_urgent(me) or me.is_ready)
 
     def _set_me(self, me: Member, *, urgent: bool) -> None:
         self._me = me
@@ -352,8 +352,8 @@
                 if news and age < _FRESH_S:
                     self._news(member)
                     if _is_urgent(member) or (
-                        _is_ready(member)
-                        and not (known is not None and _is_ready(known))
+                        member.is_ready
+                        and not (known is not None and known.is_ready)
                         and self._forwards.retry(now)
                     ):
                         self._spread(member)
@@ -854,14 +854,6 @@
     return _messages.HeartbeatReply(member, digest, echo.members, echo.time)
 
 
-def _is_ready(member: Member) -> bool:
-    return (
-        member.status is MemberStatus.ALIVE
-        and member.endpoint is not None
-        and member.endpoint.state is EndpointState.READY
-    )
-
-
 def _is_urgent(member: Member) -> bool:
     return member.status is MemberStatus.LEAVING or (
         member.status is MemberStatus.ALIVE
