Hand over keys once although the runner is drained twice

Found by reading the change again: the callers' listener drains the runner now, and the kernel does so after it, so that a planned stop of the product's own daemon sent all its keys to all owners twice. The test fails before.

--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -134,6 +134,7 @@
         self._running: dict[str, trio.Event] = {}
         self._stopping = False
         self._draining = False
+        self._handed_over = False
         self._active = 0
         self._idle = trio.Event()
         self._buffered = 0
@@ -244,8 +245,9 @@
         while self._active:
             self._idle = trio.Event()
             await self._idle.wait()
-        if self._dialect.key:
+        if self._dialect.key and not self._handed_over:
             await self._keys.hand_over()
+            self._handed_over = True
 
     async def _announce_stop(self) -> None:
         """Let others stop sending calls before this daemon refuses them."""
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -15,6 +15,7 @@
 from gypsumhall.net._messages import AnswerStart
 from gypsumhall.net._messages import BodyChunk
 from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import KeyHandover
 from gypsumhall.net._messages import Message
 from gypsumhall.net._messages import Ping
 from gypsumhall.net._messages import Pong
@@ -333,6 +334,26 @@
         assert set(trial.backend.runs.values()) == {1}
 
 
+async def test_keys_are_handed_over_once_by_two_drains(
+    autojump_clock: MockClock,
+) -> None:
+    """The callers' listener drains the runner before the kernel does."""
+    async with _trial(daemons=4) as trial:
+        handed = []
+
+        def rule(source: str, target: str, message: Message) -> Fault:
+            if isinstance(message, KeyHandover):
+                handed.append(target)
+            return Fault.NONE
+
+        trial.hub.rule = rule
+        await trial.daemons[0].runner.drain()
+        first = len(handed)
+        await trial.daemons[0].runner.drain()
+        assert first
+        assert len(handed) == first
+
+
 async def test_cancelled_calls_in_the_queue_release_their_slots(
     autojump_clock: MockClock,
 ) -> None:
