--- a/gypsumhall/core/_acknowledgements.py
+++ b/gypsumhall/core/_acknowledgements.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumhall.core._actions import Send
-from gypsumhall.core._tree import pick
+from gypsumhall.core._tree import sample_members
 from gypsumhall.net._messages import Acknowledgement
 from gypsumhall.net._messages import ZoneSummaries
 from gypsumhall.net._messages import ZoneSummary
@@ -25,7 +25,7 @@
 SUMMARY_INTERVAL_S = 0.5
 
 # Unchanged state is sent again in case a message was lost.
-REFRESH_S = 10.0
+REFRESH_INTERVAL_S = 10.0
 
 # Members of another zone that get a summary: one of them may have failed.
 _CROSS_ZONE_COPIES = 2
@@ -169,7 +169,7 @@
         # The own subtree gets it from here: when it comes down from the
         # root, it is no longer new.
         self._mark(now, *(item.zone for item in new))
-        root = self._trees.acknowledgement(self._me.zone).root
+        root = self._trees.acknowledgement_tree(self._me.zone).root
         if root and root.id != self._me.id and zone != self._me.zone:
             actions.append(Send(root.peer_address, ZoneSummaries(tuple(new))))
         return actions
@@ -181,7 +181,9 @@
         actions: list[Send] = []
         refresh = now >= self._refresh_due
         if refresh:
-            self._refresh_due = now + REFRESH_S * self._rng.uniform(0.8, 1.2)
+            self._refresh_due = now + REFRESH_INTERVAL_S * self._rng.uniform(
+                0.8, 1.2
+            )
             # Every daemon repeats them to its children, who pass on only
             # what is new to them.
             self._mark(now, *self._summaries)
@@ -202,7 +204,7 @@
         )
 
     def _acknowledge(self, now: float, refresh: bool) -> list[Send]:
-        tree = self._trees.acknowledgement(self._me.zone)
+        tree = self._trees.acknowledgement_tree(self._me.zone)
         root = tree.root
         parent = tree.parent(self._me.id)
         if root is None or (parent is None and root.id != self._me.id):
@@ -274,7 +276,7 @@
         return [
             Send(member.peer_address, message)
             for zone in zones
-            for member in pick(
+            for member in sample_members(
                 self._trees.table.alive(zone),
                 _CROSS_ZONE_COPIES,
                 self._me.id,
@@ -288,7 +290,7 @@
         if not zones:
             return []
         message = ZoneSummaries(tuple(self._summaries[zone] for zone in zones))
-        tree = self._trees.acknowledgement(self._me.zone)
+        tree = self._trees.acknowledgement_tree(self._me.zone)
         return [
             Send(child.peer_address, message)
             for child in tree.children(self._me.id)
--- a/gypsumhall/core/_actions.py
+++ b/gypsumhall/core/_actions.py
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Fetch:
-    """Pull a configuration; the result goes to `Replica.fetched`."""
+    """Pull a configuration; the result goes to `Replica.handle_fetch_result`."""
 
     address: str
     pull: Pull
--- a/gypsumhall/core/_binomial.py
+++ b/gypsumhall/core/_binomial.py
@@ -8,7 +8,7 @@
 """Terms beyond the mean below which the rest of a tail is left out."""
 
 
-def tail(trials: int, successes: int, rate: float) -> float:
+def tail_probability(trials: int, successes: int, rate: float) -> float:
     """Return the probability of at least as many successes.
 
     Parameters
--- a/gypsumhall/core/_checkins.py
+++ b/gypsumhall/core/_checkins.py
@@ -10,12 +10,12 @@
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
 
-MISSING_S = 6.0
+HEARTBEAT_TIMEOUT_S = 6.0
 """Time in seconds without a heartbeat after which a backend server counts as
 gone; heartbeats are sent every 1.5 s and may arrive seconds late."""
 
 
-class Decision(enum.Enum):
+class HeartbeatResult(enum.Enum):
     """What a heartbeat changed."""
 
     CHANGED = 'changed'
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Known:
+class BackendInstance:
     """The backend server on the VM.
 
     Parameters
@@ -45,24 +45,24 @@
     endpoint: Endpoint
 
 
-class CheckIns:
+class BackendTracker:
     """The newest process of the backend server that reported itself."""
 
     __slots__ = ('_heard', '_known', '_left', '_present', '_sequence')
 
     def __init__(self) -> None:
-        self._known: Known | None = None
+        self._known: BackendInstance | None = None
         self._sequence = 0
         self._heard = 0.0
         self._present = False
         self._left = False
 
     @property
-    def current(self) -> Known | None:
+    def current(self) -> BackendInstance | None:
         """The backend server; None when it is gone."""
         return self._known if self._present else None
 
-    def take(
+    def record_heartbeat(
         self,
         instance: str,
         started_ms: int,
@@ -70,7 +70,7 @@
         address: str,
         endpoint: Endpoint,
         now: float,
-    ) -> Decision:
+    ) -> HeartbeatResult:
         """Take a heartbeat.
 
         A process that has said that it leaves does not come back; what
@@ -82,9 +82,9 @@
             known.started_ms,
         )
         if known is not None and not same and started_ms < known.started_ms:
-            return Decision.STALE
+            return HeartbeatResult.STALE
         if same and sequence <= self._sequence:
-            return Decision.STALE
+            return HeartbeatResult.STALE
         if not same:
             self._left = False
         self._sequence = sequence
@@ -95,14 +95,14 @@
             endpoint = msgspec.structs.replace(
                 endpoint, state=EndpointState.DRAINING
             )
-        found = Known(instance, started_ms, address, endpoint)
+        found = BackendInstance(instance, started_ms, address, endpoint)
         if found == known and self._present:
-            return Decision.SAME
+            return HeartbeatResult.SAME
         self._known = found
         self._present = True
-        return Decision.CHANGED
+        return HeartbeatResult.CHANGED
 
-    def leave(self, instance: str, started_ms: int) -> bool:
+    def record_leaving(self, instance: str, started_ms: int) -> bool:
         """Take a notice of leaving; False when it changes nothing."""
         known = self._known
         if known is None or known.instance != instance:
@@ -114,14 +114,14 @@
         endpoint = msgspec.structs.replace(
             known.endpoint, state=EndpointState.DRAINING
         )
-        self._known = Known(
+        self._known = BackendInstance(
             known.instance, known.started_ms, known.address, endpoint
         )
         return not already
 
     def expire(self, now: float) -> bool:
         """Forget a backend server that is silent; True when it was known."""
-        if not self._present or now - self._heard < MISSING_S:
+        if not self._present or now - self._heard < HEARTBEAT_TIMEOUT_S:
             return False
         self._present = False
         return True
--- a/gypsumhall/core/_evidence.py
+++ b/gypsumhall/core/_evidence.py
@@ -296,7 +296,7 @@
         return max(values, default=0.0)
 
     @property
-    def suspicion(self) -> float:
+    def robust_statistic(self) -> float:
         """Largest statistic without its worst failure domain."""
         values = [self._robust_value(key) for key in self._statistics]
         return max(values, default=0.0)
@@ -306,11 +306,11 @@
         """Whether the evidence speaks against going on for now."""
         if self._fails_recently():
             return True
-        if self.suspicion < SUSPICION_LOG:
+        if self.robust_statistic < SUSPICION_LOG:
             return False
         return self._stage_cell.excess_rate > FAULT_RATE_TOLERANCE
 
-    def fault_probability(self) -> float:
+    def fault_p_value(self) -> float:
         """Return how probable the new version's faults are by chance.
 
         That is the probability of at least as many faults in as many calls
@@ -320,9 +320,11 @@
         """
         cell = self._move_cell
         rate = (cell.old_faults + 1) / (cell.old_calls + 1)
-        return _binomial.tail(cell.new_calls, cell.new_faults, rate)
+        return _binomial.tail_probability(
+            cell.new_calls, cell.new_faults, rate
+        )
 
-    def condemned_by_few_calls(self) -> bool:
+    def fails_small_sample_test(self) -> bool:
         """Whether the failures of the latest stage cannot be chance.
 
         Each zone of endpoints is compared with itself, and one failure
@@ -351,7 +353,7 @@
             cell.new_calls * (cell.old_faults + 1) / (cell.old_calls + 1)
             for cell in zones.values()
         )
-        return _binomial.tail(calls, faults, expected / calls)
+        return _binomial.tail_probability(calls, faults, expected / calls)
 
     def observe(self, stage: int, counts: Iterable[Counts]) -> Verdict | None:
         """Add the results of one interval of all endpoints.
--- a/gypsumhall/core/_judge.py
+++ b/gypsumhall/core/_judge.py
@@ -22,7 +22,7 @@
 SLOW_MARGIN_MS = 50.0
 
 # Intervals whose evidence is kept for a new controller: one minute.
-KEPT_INTERVALS = 120
+RETAINED_INTERVALS = 120
 
 # Intervals of the old version's latency behind a threshold, and the calls
 # they need to have seen.
@@ -70,7 +70,7 @@
         return self._test
 
     @property
-    def closed(self) -> int:
+    def last_closed_interval(self) -> int:
         """Number of the last closed interval."""
         return self._closed
 
@@ -109,7 +109,7 @@
     ) -> None:
         self._test.observe(stage, counts)
         self._kept.append(Evidence(self._move, stage, interval, tuple(counts)))
-        while self._kept[0].interval <= interval - KEPT_INTERVALS:
+        while self._kept[0].interval <= interval - RETAINED_INTERVALS:
             self._kept.popleft()
         self._add_latencies(counts)
 
--- a/gypsumhall/core/_limits.py
+++ b/gypsumhall/core/_limits.py
@@ -145,7 +145,7 @@
         """Return the time in seconds that a call queued now would wait."""
         return (self._queued + 1) * self._mean_s / self._limit.limit
 
-    def arrive(self, time_left_s: float) -> Admission:
+    def admit(self, time_left_s: float) -> Admission:
         """Decide about a new call and count it.
 
         Parameters
@@ -174,22 +174,22 @@
         self._queued -= 1
         self._in_flight += run
 
-    def leave(self, now: float, service_s: float | None) -> None:
+    def finish(self, now: float, service_time_s: float | None) -> None:
         """Count a call that no longer runs.
 
         Parameters
         ----------
         now : float
             Current time in seconds.
-        service_s : float or None
+        service_time_s : float or None
             Time in seconds that it took; None when it was cut short.
         """
-        if service_s is not None:
-            self._limit.record(now, service_s, self._in_flight)
+        if service_time_s is not None:
+            self._limit.record(now, service_time_s, self._in_flight)
             if self._mean_s:
-                self._mean_s += self._WEIGHT * (service_s - self._mean_s)
+                self._mean_s += self._WEIGHT * (service_time_s - self._mean_s)
             else:
-                self._mean_s = service_s
+                self._mean_s = service_time_s
         self._in_flight -= 1
 
 
@@ -238,7 +238,7 @@
         self._tokens -= 1.0
         return True
 
-    def give_back(self) -> None:
+    def refund(self) -> None:
         """Return a retry that reached no endpoint."""
         self._tokens += 1.0
 
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -105,7 +105,7 @@
 
 class _State:
     __slots__ = (
-        'failing',
+        'failure_rate',
         'failing_at',
         'in_flight',
         'load',
@@ -128,7 +128,7 @@
         self.load: Load | None = None
         self.reported_at = -math.inf
         self.own_at_report = 0
-        self.failing = 0.0
+        self.failure_rate = 0.0
         self.failing_at = since
         self.unreachable = False
         # Priority from which on calls were refused, and until when.
@@ -136,33 +136,35 @@
         self.full_until = -math.inf
         self.retry_after_s = 0.0
 
-    def wait_s(self, now: float) -> float:
+    def expected_wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
-        return self._wait_s(self._fresh(now), self.service_s)
+        return self._wait_s(self._fresh(now), self.service_time_s)
 
-    def cost_s(self, now: float, service_s: float, away_s: float) -> float:
+    def cost_s(
+        self, now: float, service_time_s: float, away_s: float
+    ) -> float:
         """Return the expected time until a response, with penalties.
 
         Parameters
         ----------
         now : float
             Current time in seconds.
-        service_s : float
+        service_time_s : float
             Assumed mean service time in seconds.
         away_s : float
             Cost of a response from another zone; 0 in the own one.
         """
         fresh = self._fresh(now)
-        failing = self.failing * math.exp(
+        failure_rate = self.failure_rate * math.exp(
             -max(0.0, now - self.failing_at) / _FAILURE_FADE_S
         )
         busy = float(self.in_flight)
         if self.load is not None:
-            failing = max(failing, self.load.failing * fresh)
+            failure_rate = max(failure_rate, self.load.failure_rate * fresh)
             busy = self._busy(self.load, fresh)
-        cost = service_s + self._wait_s(fresh, service_s)
-        cost += failing * _FAILURE_COST_S
-        cost += min(1.0, busy / self.slots) * service_s * _UTILISATION
+        cost = service_time_s + self._wait_s(fresh, service_time_s)
+        cost += failure_rate * _FAILURE_COST_S
+        cost += min(1.0, busy / self.slots) * service_time_s * _UTILISATION
         if self.is_cold(now):
             cost *= _COLD_FACTOR
         return cost + away_s
@@ -187,30 +189,30 @@
     @property
     def is_known(self) -> bool:
         """Whether a service time has been reported."""
-        return self.load is not None and self.load.service_ms > 0
+        return self.load is not None and self.load.service_time_ms > 0
 
     @property
-    def service_s(self) -> float:
+    def service_time_s(self) -> float:
         """Reported mean service time in seconds, or the default one."""
-        if self.load is None or not self.load.service_ms:
+        if self.load is None or not self.load.service_time_ms:
             return _DEFAULT_SERVICE_S
-        return self.load.service_ms / 1000
+        return self.load.service_time_ms / 1000
 
     def _busy(self, load: Load, fresh: float) -> float:
         added = self.in_flight - self.own_at_report
         return max(0.0, load.in_flight * fresh + added)
 
-    def _wait_s(self, fresh: float, service_s: float) -> float:
+    def _wait_s(self, fresh: float, service_time_s: float) -> float:
         load = self.load
         if load is None:
             own = max(0, self.in_flight - self.slots + 1)
-            return own * service_s / self.slots
+            return own * service_time_s / self.slots
         queued = load.wait_ms / 1000 * fresh
         excess = max(0.0, self._busy(load, fresh) - self.slots + 1)
-        return max(queued, 0.0) + excess * service_s / self.slots
+        return max(queued, 0.0) + excess * service_time_s / self.slots
 
 
-class Placement:
+class LoadBalancer:
     """Endpoints of all services as one sender sees them.
 
     Parameters
@@ -325,7 +327,7 @@
         best_cost = math.inf
         away_s = self._away_s(route)
         states = self._candidates(service, version, now, exclude, priority)
-        known = [state.service_s for state in states if state.is_known]
+        known = [state.service_time_s for state in states if state.is_known]
         fastest_s = min(known, default=_DEFAULT_SERVICE_S)
         slowest_s = max(known, default=_DEFAULT_SERVICE_S)
         # One draw for all, so that many slow endpoints do not add trials.
@@ -333,21 +335,21 @@
         for state in states:
             home = state.member.zone == self._zone
             crossing_s = 0.0 if home else away_s
-            service_s = state.service_s
+            service_time_s = state.service_time_s
             if not state.is_known:
-                service_s = slowest_s
+                service_time_s = slowest_s
                 # All senders together try it in its share of the calls.
                 tried = self._rng.random() * len(states) < 1.0
                 if tried and not state.is_cold(now):
-                    service_s = fastest_s
+                    service_time_s = fastest_s
                     if state.joined:
                         crossing_s = 0.0
             elif state.is_old(now):
                 faded = math.exp(-(now - state.reported_at) / _TRIAL_FADE_S)
-                believed_s = fastest_s + (service_s - fastest_s) * faded
+                believed_s = fastest_s + (service_time_s - fastest_s) * faded
                 if draw * believed_s < _TRIAL_SHARE * fastest_s:
-                    service_s = fastest_s
-            cost = state.cost_s(now, service_s, crossing_s)
+                    service_time_s = fastest_s
+            cost = state.cost_s(now, service_time_s, crossing_s)
             cost *= 1.0 + _JITTER * self._rng.random()
             if cost < best_cost:
                 best, best_cost = state, cost
@@ -376,10 +378,10 @@
             found.append(state)
         return found
 
-    def wait_s(self, member_id: str, now: float) -> float:
+    def expected_wait_s(self, member_id: str, now: float) -> float:
         """Return the expected wait for a slot at an endpoint, in seconds."""
         state = self._states.get(member_id)
-        return 0.0 if state is None else state.wait_s(now)
+        return 0.0 if state is None else state.expected_wait_s(now)
 
     def begin(self, member_id: str) -> None:
         """Count a call that is sent to an endpoint."""
@@ -408,8 +410,8 @@
         if failed is None:
             return
         age = max(0.0, now - state.failing_at)
-        known = state.failing * math.exp(-age / _FAILURE_FADE_S)
-        state.failing = known + _FAILURE_WEIGHT * (failed - known)
+        known = state.failure_rate * math.exp(-age / _FAILURE_FADE_S)
+        state.failure_rate = known + _FAILURE_WEIGHT * (failed - known)
         state.failing_at = now
 
     def set_reachable(self, member_id: str, *, reachable: bool) -> None:
@@ -418,7 +420,7 @@
         if state is not None:
             state.unreachable = not reachable
 
-    def full(
+    def mark_full(
         self,
         member_id: str,
         now: float,
@@ -442,7 +444,7 @@
         state = self._states.get(member_id)
         if state is None:
             return
-        until = now + state.service_s / state.slots
+        until = now + state.service_time_s / state.slots
         if state.full_until <= now or priority < state.full_from:
             state.full_from = priority
         state.full_until = until
@@ -458,7 +460,7 @@
         """
         return min(
             (
-                max(state.wait_s(now), state.retry_after_s)
+                max(state.expected_wait_s(now), state.retry_after_s)
                 for state in self._ready(service)
                 if not state.unreachable
             ),
@@ -475,7 +477,7 @@
             state.own_at_report = state.in_flight
             state.unreachable = False
 
-    def responded(self, route: str, size: int) -> None:
+    def record_response_size(self, route: str, size: int) -> None:
         """Take note of the bytes of a response's body."""
         if route not in self._bytes and len(self._bytes) >= _MAX_ROUTES:
             self._bytes.clear()
--- a/gypsumhall/core/_membership.py
+++ b/gypsumhall/core/_membership.py
@@ -259,13 +259,13 @@
         """
         quiet_s = 10.0 * min(1.0, len(self._slots) / 4096)
         return [
-            MASKED if now - changed < quiet_s else value
-            for value, changed in zip(
+            MASKED if now - record_change < quiet_s else value
+            for value, record_change in zip(
                 self._buckets, self._changed_at, strict=True
             )
         ]
 
-    def differing(
+    def differing_entries(
         self, buckets: Sequence[int], now: float
     ) -> Sequence[Member]:
         """Return the entries of the buckets that differ from another table.
@@ -371,7 +371,7 @@
         """Queue a change, anew when the member was queued already."""
         self._left[member_id] = math.ceil(math.log2(zone_size + 1)) + 1
 
-    def heard(self, member_id: str) -> None:
+    def record_received(self, member_id: str) -> None:
         """Note that another member carries the same change."""
         if member_id in self._left:
             self._spend(member_id)
@@ -496,7 +496,7 @@
 
         If the last round began more than three intervals ago, this process
         was paused and its silences mean nothing. Nobody is judged until
-        `refreshed` is called, or for ten intervals at most.
+        `record_refresh` is called, or for ten intervals at most.
         """
         paused = now - self._last_tick > 3 * self._interval_s
         self._last_tick = now
@@ -505,7 +505,7 @@
             self._restart(now)
         return paused
 
-    def refreshed(self, now: float) -> None:
+    def record_refresh(self, now: float) -> None:
         """Note that the table was compared with another member's."""
         if now < self._paused_until:
             self._paused_until = now
@@ -521,14 +521,14 @@
             self._checked_at.pop(key, None)
             self._held_since.pop(key, None)
 
-    def heard(self, member_id: str, now: float) -> None:
+    def record_received(self, member_id: str, now: float) -> None:
         """Note a sign of life that came directly from a member."""
         self._answered = now
         if member_id in self._heard:
             self._heard[member_id] = now
             self._held_since.pop(member_id, None)
 
-    def silent(self, now: float) -> Sequence[Member]:
+    def members_to_probe(self, now: float) -> Sequence[Member]:
         """Return the watched members that others should try to reach now."""
         if now < self._paused_until:
             return []
@@ -547,11 +547,11 @@
             found.append(member)
         return found
 
-    def checked(
+    def evaluate_probes(
         self,
         member: Member,
         asked: int,
-        answered: int,
+        replied: int,
         reached: int,
         now: float,
     ) -> Member | None:
@@ -560,39 +560,39 @@
         Parameters
         ----------
         member : Member
-            The silent member as `silent` returned it.
+            The silent member as `members_to_probe` returned it.
         asked, answered, reached : int
             Members asked to reach it, how many of them answered, and how
             many of these reached it.
         now : float
             Current time in seconds.
         """
-        heard = self._heard.get(member.id)
+        record_received = self._heard.get(member.id)
         current = self._table.get(member.id)
         if (
-            heard is None
+            record_received is None
             or current is None
             or _rank(current) != _rank(member)
             or now < self._paused_until
         ):
             return None
-        if answered:
+        if replied:
             self._answered = now
         if reached:
             self._heard[member.id] = now
             return None
-        if now - heard < self._suspect_after_s:
+        if now - record_received < self._suspect_after_s:
             self._checked_at.pop(member.id, None)
             return None
         if (
             asked
-            and answered * 2 <= asked
+            and replied * 2 <= asked
             and not self._held_long(member.id, now)
         ):
             return None
         return msgspec.structs.replace(member, status=MemberStatus.SUSPECT)
 
-    def changed(self, member: Member, now: float, *, own: bool) -> None:
+    def record_change(self, member: Member, now: float, *, own: bool) -> None:
         """Note a change of the table.
 
         Parameters
@@ -611,7 +611,7 @@
         else:
             self._suspicions.pop(member.id, None)
 
-    def overdue(self, now: float) -> Sequence[Member]:
+    def expired_suspects(self, now: float) -> Sequence[Member]:
         """Return the entries of suspects whose time is over, as dead.
 
         The daemon that raised a suspicion and those that watch the member
@@ -677,7 +677,7 @@
     )
 
 
-class Partners:
+class GossipPartners:
     """Members that a daemon gossips with, replaced one after the other.
 
     A new random member every second would cost a new stream, and thus a
--- a/gypsumhall/core/_moves.py
+++ b/gypsumhall/core/_moves.py
@@ -30,7 +30,7 @@
 # Calls to the new version, since the move began, that a stage waits for. A
 # version that fails all calls went from a stage of 4 s to 20 % of them while
 # the controller knew of one call or none. Two failures show as a doubt.
-ENOUGH_CALLS = 3
+MIN_NEW_CALLS = 3
 
 # Time in seconds that a stage which waits leaves to each one after it: a
 # little over the time in which evidence reaches the controller.
@@ -39,11 +39,11 @@
 
 # Calls that a stage has to expect in the time it may wait. At low traffic
 # the wait would only shorten the later stages, which have more calls.
-EXPECTED_CALLS = 0.3
+MIN_EXPECTED_CALLS = 0.3
 
 # A first stage without any call to compare, as all requests of the service
 # are non-idempotent or keyed, ends after this time in seconds.
-UNTRIED_S = 3.0
+NO_CALLS_TIMEOUT_S = 3.0
 
 # Largest factors by which a stage raises the share, with and without enough
 # calls. The first one has precedence, so that the last share is reached.
@@ -51,7 +51,7 @@
 FEW_CALLS_GROWTH = 2.0
 
 # A soak that starts late is shortened to the time left, down to this part.
-SHORTEST_SOAK = 0.5
+MIN_SOAK_FRACTION = 0.5
 
 # The last compare-and-swap has to be in effect everywhere by the deadline.
 FINISH_MARGIN_S = 3.0
@@ -128,13 +128,13 @@
 
 def _is_untried(move: Move, test: EvidenceTest, now: float) -> bool:
     """Whether the first stage has no calls that could be compared."""
-    waited = now - move.stage_started >= UNTRIED_S
+    waited = now - move.stage_started >= NO_CALLS_TIMEOUT_S
     return move.stage == 0 and waited and not test.calls
 
 
 def _waits_for_calls(move: Move, test: EvidenceTest, now: float) -> bool:
     """Whether enough calls will come without delaying the move."""
-    if test.new_calls >= ENOUGH_CALLS:
+    if test.new_calls >= MIN_NEW_CALLS:
         return False
     plan_end = move.started + usable_time(move.spec, move.started)
     later = len(STAGE_SHARES) - 1 - move.stage
@@ -143,14 +143,14 @@
         return False
     seen_s = max(now - EVIDENCE_LAG_S - move.stage_started, 0.1)
     rate = test.stage_calls / seen_s
-    return rate * move.share * (latest - now) >= EXPECTED_CALLS
+    return rate * move.share * (latest - now) >= MIN_EXPECTED_CALLS
 
 
 def _following_share(move: Move, test: EvidenceTest) -> float:
     """Return the share of the next stage, at most the planned one."""
     stage = move.stage + 1
     planned = STAGE_SHARES[stage]
-    if test.new_calls >= ENOUGH_CALLS:
+    if test.new_calls >= MIN_NEW_CALLS:
         return min(planned, round(LARGEST_GROWTH * move.share, 6))
     later = len(STAGE_SHARES) - 1 - stage
     least = STAGE_SHARES[-1] / LARGEST_GROWTH**later
@@ -186,10 +186,10 @@
         return _revert(move, str(test.verdict))
     if move.state is MoveState.SOAKING:
         return _decide_soaking(move, test, now, evidence_fresh)
-    if now >= move.spec.deadline - SHORTEST_SOAK * move.spec.soak_s:
+    if now >= move.spec.deadline - MIN_SOAK_FRACTION * move.spec.soak_s:
         return _revert(move, DEADLINE_REASON)
     few = test.new_calls < LOW_TRAFFIC_CALLS
-    if few and test.condemned_by_few_calls():
+    if few and test.fails_small_sample_test():
         return _revert(move, FEW_FAILURES_REASON)
     if now < stage_end(move) and not _is_untried(move, test, now):
         return _hold(move, 'planned')
@@ -212,7 +212,7 @@
     if now >= move.spec.deadline:
         return _revert(move, DEADLINE_REASON)
     latest = move.spec.deadline - FINISH_MARGIN_S
-    shortest = move.stage_started + SHORTEST_SOAK * move.spec.soak_s
+    shortest = move.stage_started + MIN_SOAK_FRACTION * move.spec.soak_s
     end = max(shortest, min(move.stage_started + move.spec.soak_s, latest))
     if now < end:
         return _hold(move, 'soaking')
@@ -233,7 +233,7 @@
         return SUSPICION_REASON
     if (
         test.new_calls < LOW_TRAFFIC_CALLS
-        and test.fault_probability() < LOW_TRAFFIC_LEVEL
+        and test.fault_p_value() < LOW_TRAFFIC_LEVEL
     ):
         return LOW_TRAFFIC_REASON
     return ''
--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -19,7 +19,7 @@
 RETENTION_S = 600.0
 
 
-def takes_part(member: Member) -> bool:
+def can_own_keys(member: Member) -> bool:
     """Whether a member can own keys.
 
     Unreachable members take part until the membership declares them dead.
@@ -38,7 +38,7 @@
         Members with an endpoint of the service, whatever their status.
     """
     return max(
-        (member for member in members if takes_part(member)),
+        (member for member in members if can_own_keys(member)),
         key=lambda member: (
             _rendezvous.weight(service, key, member.id),
             member.id,
@@ -66,7 +66,7 @@
         another incarnation runs in their place.
     """
 
-    ask: tuple[Member, ...]
+    to_query: tuple[Member, ...]
     lost: tuple[str, ...]
 
 
@@ -121,17 +121,17 @@
         """Name of the service."""
         return self._service
 
-    def gone(self, now: float) -> list[Member]:
+    def departed_members(self, now: float) -> list[Member]:
         """Return the processes that left without handing their keys over."""
         return self._recent(self._departed, now) + self._recent(
             self._lost, now
         )
 
-    def handed_over(
+    def record_handover(
         self,
         member_id: str,
         incarnation: int,
-        gone: Iterable[Member],
+        departed_members: Iterable[Member],
         now: float,
     ) -> None:
         """Note that this daemon knows all that a process knew about keys.
@@ -143,13 +143,13 @@
         incarnation : int
             Incarnation of its process.
         gone : iterable of Member
-            Its `gone`. Asked about a key of one of these, it would have
+            Its `departed_members`. Asked about a key of one of these, it would have
             answered that the outcome is unknown; so must this daemon.
         now : float
             Current time in seconds.
         """
         self._handed_over[member_id] = incarnation
-        for member in gone:
+        for member in departed_members:
             known = self._known.get(member.id)
             left = self._departed.get(member.id)
             other = known.member if known else left[0] if left else None
@@ -178,7 +178,7 @@
         """
         seen = {}
         for member in members:
-            if takes_part(member):
+            if can_own_keys(member):
                 seen[member.id] = member
             elif member.id not in self._known:
                 self._departed.setdefault(member.id, (member, now))
@@ -216,7 +216,9 @@
             long.
         """
         departed = self._recent(self._departed, now)
-        ask = [member for member in departed if self._is_above(key, member)]
+        to_query = [
+            member for member in departed if self._is_above(key, member)
+        ]
         lost = [
             member.id
             for member in self._recent(self._lost, now)
@@ -233,10 +235,10 @@
                 if member.id != self._me and not self._is_above(key, member)
             ]
             for member in _rendezvous.rank(self._service, key, below):
-                ask.append(member)
+                to_query.append(member)
                 if now - joined.get(member.id, now) >= RETENTION_S:
                     break
-        return FormerOwners(tuple(ask), tuple(lost))
+        return FormerOwners(tuple(to_query), tuple(lost))
 
     def had_earlier_owner(
         self,
@@ -269,14 +271,14 @@
         ):
             return True
         incarnations = dict(asked)
-        gone = self._recent(self._lost, now)
-        gone += [
+        departed_members = self._recent(self._lost, now)
+        departed_members += [
             member
             for member in self._recent(self._departed, now)
             if member.id not in incarnations
             or not is_same_process(member, incarnations[member.id])
         ]
-        return any(self._is_above(key, member) for member in gone)
+        return any(self._is_above(key, member) for member in departed_members)
 
     def _recent(
         self, table: dict[str, tuple[Member, float]], now: float
@@ -496,7 +498,7 @@
             if name == service
         ]
 
-    def take(
+    def import_entry(
         self,
         service: str,
         key: str,
--- a/gypsumhall/core/_recorder.py
+++ b/gypsumhall/core/_recorder.py
@@ -67,7 +67,7 @@
         for item in thresholds:
             self._thresholds[move, item.route] = item.threshold_ms
 
-    def forget(self, active: Iterable[str]) -> None:
+    def retain_moves(self, active: Iterable[str]) -> None:
         """Drop everything about moves that are not active any more."""
         kept = set(active)
         for key in [key for key in self._thresholds if key[0] not in kept]:
@@ -111,7 +111,7 @@
         if limit is not None and ready_for_s >= COLD_START_S:
             tally.slow += latency_ms > limit
 
-    def take(self, interval: int) -> list[Evidence]:
+    def pop_evidence(self, interval: int) -> list[Evidence]:
         """Return the counts since the last call, by move and stage."""
         counts: dict[tuple[str, int], list[Counts]] = defaultdict(list)
         for key, tally in self._tallies.items():
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -22,7 +22,7 @@
 from gypsumhall.core._reverts import RevertSet
 from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._snapshot import Snapshot
-from gypsumhall.core._tree import pick
+from gypsumhall.core._tree import sample_members
 from gypsumhall.core._tree import Trees
 from gypsumhall.net._messages import Acknowledgement
 from gypsumhall.net._messages import Announcement
@@ -212,7 +212,9 @@
         if self.ready:
             self._acknowledgements.set_version(self.version, now)
 
-    def hint(self, version: int, address: str, now: float) -> None:
+    def note_peer_version(
+        self, version: int, address: str, now: float
+    ) -> None:
         """Take note that a peer holds a version."""
         if version > self.version:
             self._want(version, '', address, now)
@@ -229,7 +231,9 @@
                 self._rng.uniform(0.8, 1.2)
             )
             members = self._table.members()
-            actions += self._announce(pick(members, 1, self._me.id, self._rng))
+            actions += self._announce(
+                sample_members(members, 1, self._me.id, self._rng)
+            )
         if now >= self._pull_due and not self._fetching:
             self._pull_due = math.inf
             actions += self._pull()
@@ -343,7 +347,7 @@
             actions.append(FetchReverts(address))
         return actions
 
-    def fetched(
+    def handle_fetch_result(
         self, address: str, answer: Update | Busy | None, now: float
     ) -> list[Action]:
         """Handle the result of a `Fetch`.
@@ -381,7 +385,7 @@
             self._pull_due = now + self._rng.uniform(longest / 4, longest)
         return actions
 
-    def answer_pull(self, pull: Pull) -> Sequence[Update]:
+    def build_pull_reply(self, pull: Pull) -> Sequence[Update]:
         """Return the installed configuration in parts, as a delta if known.
 
         All parts of a delta have `base` set. A peer that is not behind gets
@@ -464,13 +468,13 @@
             self._acknowledgements.set_version(snapshot.version, now)
         # Random members alone would miss one member in twenty when nobody
         # was pushed to; a second tree reaches those behind a dead node.
-        tree = self._trees.acknowledgement(self._me.zone)
+        tree = self._trees.acknowledgement_tree(self._me.zone)
         parent = tree.parent(self._me.id)
         zone = self._table.alive(self._me.zone)
         chosen = [
             *((parent,) if parent else ()),
             *tree.children(self._me.id),
-            *pick(zone, ANNOUNCED_MEMBERS, self._me.id, self._rng),
+            *sample_members(zone, ANNOUNCED_MEMBERS, self._me.id, self._rng),
         ]
         if self._rng.random() < CROSS_ZONE_PROBABILITY:
             chosen += self._other_zone_members(1)
@@ -481,7 +485,7 @@
         found: list[Member] = []
         for zone in self._rng.sample(zones, min(count, len(zones))):
             members = self._table.alive(zone)
-            found += pick(members, 1, self._me.id, self._rng)
+            found += sample_members(members, 1, self._me.id, self._rng)
         return found
 
     def _announce(self, members: Iterable[Member]) -> list[Send]:
@@ -588,14 +592,14 @@
 
     def add_revert(self, revert: Revert) -> list[Action]:
         """Add a verdict reached on this daemon and spread it at once."""
-        if not self._reverts.add_own(revert, self._snapshot):
+        if not self._reverts.add_local(revert, self._snapshot):
             return []
         self._reverts_wait = _REVERTS_MIN_S
         zones = len(self._trees.other_zones(self._me.zone))
         return [*self._spread((revert,), '', zones), Reverted((revert,))]
 
     def receive_reverts(
-        self, message: Reverts, address: str, *, whole: bool = False
+        self, message: Reverts, address: str, *, complete: bool = False
     ) -> list[Action]:
         """Handle reverts from a peer.
 
@@ -619,7 +623,7 @@
             others = 0 if message.root else 1
             actions += self._spread(new, message.root, others)
             actions.append(Reverted(new))
-        if whole:
+        if complete:
             theirs = {item.move for item in message.reverts}
             missing = [
                 item
@@ -645,7 +649,7 @@
         tree = self._trees.get(me.zone, root)
         zone = self._table.alive(me.zone)
         targets = {item.id: item for item in tree.children(me.id)}
-        for item in pick(zone, ANNOUNCED_MEMBERS, me.id, self._rng):
+        for item in sample_members(zone, ANNOUNCED_MEMBERS, me.id, self._rng):
             targets.setdefault(item.id, item)
         entry = self._reverts.message(reverts, self.version)
         return [
--- a/gypsumhall/core/_reverts.py
+++ b/gypsumhall/core/_reverts.py
@@ -68,7 +68,7 @@
         known_by = [self._versions.get(item.move, 0) for item in chosen]
         return Reverts(chosen, version=max([installed, *known_by]), root=root)
 
-    def add_own(self, revert: Revert, snapshot: Snapshot) -> bool:
+    def add_local(self, revert: Revert, snapshot: Snapshot) -> bool:
         """Add a verdict reached on this daemon; False when it is known."""
         version = snapshot.version
         if not _knows(snapshot, revert.move):
--- a/gypsumhall/core/_rollout.py
+++ b/gypsumhall/core/_rollout.py
@@ -208,7 +208,7 @@
             if known <= share:
                 self._enter(index, now)
 
-    def take(
+    def set_results(
         self, endpoint: str, version: str, counts: Iterable[RolloutCounts]
     ) -> None:
         """Take over the results at an endpoint; they replace earlier ones."""
@@ -274,7 +274,7 @@
         before = self._before_last
         runs = total.runs - before.runs
         failures = total.failures - before.failures
-        if tail(runs, failures, _LAST_RATE) < _ALPHA:
+        if tail_probability(runs, failures, _LAST_RATE) < _ALPHA:
             return 'all routes in the last stage'
         return ''
 
@@ -318,11 +318,13 @@
         runs = new.runs
         known = old.runs
         rate = (old.failures + 1) / (known + _PRIOR_RUNS) + _TOLERANCE
-        chance = tail(runs, new.failures, rate)
+        chance = tail_probability(runs, new.failures, rate)
         if known >= _PRIOR_RUNS:
             index = _slow_from(old)
             slow = (old.slower_than(index) + 1) / (known + 1) + _TOLERANCE
-            chance = min(chance, tail(runs, new.slower_than(index), slow))
+            chance = min(
+                chance, tail_probability(runs, new.slower_than(index), slow)
+            )
         return chance
 
 
@@ -338,12 +340,12 @@
     return BUCKETS - 1
 
 
-def tail(trials: int, successes: int, rate: float) -> float:
+def tail_probability(trials: int, successes: int, rate: float) -> float:
     """Return the probability of at least as many successes.
 
     Fewer than `_MIN_BAD` of them show nothing. The parameters are those of
-    `gypsumhall.core._binomial.tail`.
+    `gypsumhall.core._binomial.tail_probability`.
     """
     if successes < _MIN_BAD:
         return 1.0
-    return _binomial.tail(trials, successes, min(0.99, rate))
+    return _binomial.tail_probability(trials, successes, min(0.99, rate))
--- a/gypsumhall/core/_tree.py
+++ b/gypsumhall/core/_tree.py
@@ -35,7 +35,7 @@
     return hashlib.blake2b(value, digest_size=8).digest()
 
 
-def is_among_first(
+def has_zone_role(
     purpose: str, member_id: str, members: Iterable[Member], count: int
 ) -> bool:
     """Whether a member is one of the few that take a role in its zone.
@@ -195,7 +195,7 @@
             self._cache[key] = tree
         return tree
 
-    def acknowledgement(self, zone: str) -> Tree:
+    def acknowledgement_tree(self, zone: str) -> Tree:
         """Return the tree that collects a zone's acknowledgements.
 
         Its root is the first member by a hash of the zone's name. Every
@@ -229,7 +229,7 @@
             self._revision = self._table.revision
 
 
-def pick(
+def sample_members(
     members: Sequence[Member],
     count: int,
     excluded: str,
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -45,7 +45,7 @@
 _FAILURE_WEIGHT = 0.1
 """Weight of the latest run in the share of failures."""
 
-WAITING_PER_SLOT = 2
+MAX_QUEUED_PER_SLOT = 2
 """Calls that may wait per slot. With more, calls of twice the mean service
 time as their objective would all be late."""
 
@@ -76,7 +76,7 @@
 callers wait for a third of their time at most, which is 0.3 to 1.7 s."""
 
 
-class Verdict(enum.Enum):
+class AdmissionDecision(enum.Enum):
     """Decision about a call that arrives."""
 
     RUN = 'run'
@@ -85,7 +85,7 @@
     OVERLOADED = 'overloaded'
 
 
-class Waiter:
+class QueuedCall:
     """A call in the line.
 
     Parameters
@@ -105,7 +105,7 @@
         'deadline',
         'objective',
         'priority',
-        'returning',
+        'is_caller_retry',
         'route',
         'since',
         'work_s',
@@ -118,18 +118,18 @@
         objective: float,
         deadline: float,
         *,
-        returning: bool = False,
+        is_caller_retry: bool = False,
     ) -> None:
         self.route = route
         self.priority = priority
         self.objective = objective
         self.deadline = deadline
-        self.returning = returning
+        self.is_caller_retry = is_caller_retry
         self.since = 0.0
         self.work_s = DEFAULT_SERVICE_S
 
 
-class WaitingLine:
+class CallQueue:
     """Calls that run on a backend server or wait for one of its slots.
 
     It reads no clock and wakes nobody: the owner passes the time in seconds
@@ -156,8 +156,8 @@
     def __init__(self, slots: int) -> None:
         self._slots = max(1, slots)
         self._running = 0
-        self._line: list[Waiter] = []
-        self._displaced: list[Waiter] = []
+        self._line: list[QueuedCall] = []
+        self._displaced: list[QueuedCall] = []
         self._backlog_since = math.inf
         self._mean_s = 0.0
         self._mean_at = -math.inf
@@ -175,17 +175,17 @@
         return self._running
 
     @property
-    def waiting(self) -> int:
+    def queued(self) -> int:
         """Calls that wait for a slot."""
         return len(self._line)
 
     @property
-    def service_s(self) -> float:
+    def service_time_s(self) -> float:
         """Recent mean service time in seconds; 0 before the first run."""
         return self._mean_s
 
     @property
-    def failing(self) -> float:
+    def failure_rate(self) -> float:
         """Recent share of runs that failed, 0 to 1."""
         return self._failing
 
@@ -193,7 +193,7 @@
         """Take over another number of slots."""
         self._slots = max(1, slots)
 
-    def wait_s(self) -> float:
+    def expected_wait_s(self) -> float:
         """Return how long a call arriving now would wait, in seconds."""
         if self._running < self._slots and not self._line:
             return 0.0
@@ -201,9 +201,9 @@
         excess = self._running - self._slots + 1
         return (work + max(1, excess) * self._mean()) / self._slots
 
-    def arrive(
-        self, now: float, waiter: Waiter, max_wait_s: float = math.inf
-    ) -> Verdict:
+    def admit(
+        self, now: float, waiter: QueuedCall, max_wait_s: float = math.inf
+    ) -> AdmissionDecision:
         """Decide about a new call and count it unless it is refused.
 
         Parameters
@@ -219,33 +219,33 @@
         waiter.work_s = self._route_s.get(waiter.route) or self._mean()
         if self._running < self._slots and not self._line:
             self._running += 1
-            return Verdict.RUN
+            return AdmissionDecision.RUN
         wait = self._wait_of(now, waiter)
         if wait > max_wait_s:
-            return Verdict.BUSY
+            return AdmissionDecision.BUSY
         left = _DEADLINE_MARGIN * (waiter.deadline - now)
         if wait + waiter.work_s > left:
-            return Verdict.OVERLOADED
+            return AdmissionDecision.OVERLOADED
         late = now + wait + waiter.work_s > waiter.objective
         if late and self._lasts(now):
-            return Verdict.OVERLOADED
-        rivals: list[Waiter] = []
-        if len(self._line) >= WAITING_PER_SLOT * self._slots:
+            return AdmissionDecision.OVERLOADED
+        rivals: list[QueuedCall] = []
+        if len(self._line) >= MAX_QUEUED_PER_SLOT * self._slots:
             rivals = self._line
         elif late and self._late(now) >= self._late_limit():
             rivals = [item for item in self._line if _is_late(item, now)]
         if rivals:
             last = max(rivals, key=lambda item: _order(item, now))
             if _order(last, now) <= _order(waiter, now):
-                return Verdict.OVERLOADED
+                return AdmissionDecision.OVERLOADED
             self._line.remove(last)
             self._displaced.append(last)
         if not self._line:
             self._backlog_since = now
         self._line.append(waiter)
-        return Verdict.WAIT
+        return AdmissionDecision.WAIT
 
-    def take(self, now: float) -> Waiter | None:
+    def dequeue(self, now: float) -> QueuedCall | None:
         """Return the call that runs next, if a slot is free."""
         if self._running >= self._slots or not self._line:
             return None
@@ -254,7 +254,7 @@
         self._running += 1
         return chosen
 
-    def give_up(self, now: float) -> list[Waiter]:
+    def evict(self, now: float) -> list[QueuedCall]:
         """Remove and return the calls that cannot be served any more.
 
         These are the calls that more urgent ones displaced, those that
@@ -264,8 +264,10 @@
         ahead_s = 0.0
         # A late call that others overtake has to return while it has time.
         for item in sorted(self._line, key=lambda item: _order(item, now)):
-            wait_s = ahead_s / self._slots if _is_late(item, now) else 0.0
-            if now + wait_s + item.work_s > item.deadline:
+            expected_wait_s = (
+                ahead_s / self._slots if _is_late(item, now) else 0.0
+            )
+            if now + expected_wait_s + item.work_s > item.deadline:
                 hopeless.append(item)
                 self._line.remove(item)
             else:
@@ -281,22 +283,22 @@
                 hopeless.append(item)
         return hopeless
 
-    def remove(self, waiter: Waiter) -> bool:
+    def remove(self, waiter: QueuedCall) -> bool:
         """Remove a call whose caller has left; False when it runs."""
         if waiter in self._line:
             self._line.remove(waiter)
             return True
         return False
 
-    def clear(self) -> Iterable[Waiter]:
+    def clear(self) -> Iterable[QueuedCall]:
         """Remove and return all calls that wait."""
         line, self._line = self._line, []
         return line
 
-    def leave(
+    def finish(
         self,
         route: str,
-        service_s: float | None,
+        service_time_s: float | None,
         *,
         failed: bool | None = None,
         now: float = -math.inf,
@@ -307,7 +309,7 @@
         ----------
         route : str
             Route of the call.
-        service_s : float or None
+        service_time_s : float or None
             Time in seconds that it took; None when it was cut short.
         failed : bool or None
             Whether the backend server failed; None when the run says
@@ -318,7 +320,7 @@
         self._running -= 1
         if failed is not None:
             self._failing += _FAILURE_WEIGHT * (failed - self._failing)
-        if service_s is None:
+        if service_time_s is None:
             return
         weight = _WEIGHT
         if now > self._mean_at:
@@ -326,17 +328,17 @@
                 age_s = now - self._mean_at
                 weight = max(weight, 1.0 - math.exp(-age_s / _MEAN_S))
             self._mean_at = now
-        self._mean_s = _moved(self._mean_s, service_s, weight)
+        self._mean_s = _moved(self._mean_s, service_time_s, weight)
         if route not in self._route_s and len(self._route_s) >= _MAX_ROUTES:
             self._route_s.clear()
         known = self._route_s.get(route, 0.0)
-        self._route_s[route] = _moved(known, service_s)
+        self._route_s[route] = _moved(known, service_time_s)
 
     def retry_after_s(self, now: float) -> float:
         """Return after how many seconds there is likely to be room."""
         if self._lasts(now):
-            return max(_LASTING_RETRY_AFTER_S, self.wait_s())
-        return max(_MIN_RETRY_AFTER_S, self.wait_s())
+            return max(_LASTING_RETRY_AFTER_S, self.expected_wait_s())
+        return max(_MIN_RETRY_AFTER_S, self.expected_wait_s())
 
     def _mean(self) -> float:
         return self._mean_s or DEFAULT_SERVICE_S
@@ -351,7 +353,7 @@
     def _late(self, now: float) -> int:
         return sum(_is_late(item, now) for item in self._line)
 
-    def _wait_of(self, now: float, waiter: Waiter) -> float:
+    def _wait_of(self, now: float, waiter: QueuedCall) -> float:
         """Return how long a call would wait behind those that go before."""
         order = _order(waiter, now)
         ahead = sum(
@@ -361,14 +363,14 @@
         return (ahead + excess * self._mean()) / self._slots
 
 
-def _is_late(item: Waiter, now: float) -> bool:
+def _is_late(item: QueuedCall, now: float) -> bool:
     return now + _SPREAD * item.work_s > item.objective
 
 
-def _order(item: Waiter, now: float) -> tuple[bool, int, bool, float]:
+def _order(item: QueuedCall, now: float) -> tuple[bool, int, bool, float]:
     late = _is_late(item, now)
     limit = item.deadline if late else item.objective
-    return late, item.priority, late and not item.returning, limit
+    return late, item.priority, late and not item.is_caller_retry, limit
 
 
 def _moved(mean: float, value: float, weight: float = _WEIGHT) -> float:
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -460,7 +460,7 @@
         Concurrency limit.
     draining : bool
         Whether new work is refused.
-    service_ms : float
+    service_time_ms : float
         Recent mean time of a run; 0 when none was measured.
     wait_ms : float
         Time that a call arriving now would wait for a slot.
@@ -472,9 +472,9 @@
     queued: int
     slots: int
     draining: bool = False
-    service_ms: float = 0.0
+    service_time_ms: float = 0.0
     wait_ms: float = 0.0
-    failing: float = 0.0
+    failure_rate: float = 0.0
 
 
 class CallStart(Message, frozen=True, tag=40):
@@ -541,7 +541,7 @@
     priority: int = 0
     objective_ms: int = 0
     max_wait_ms: int = -1
-    returning: bool = False
+    is_caller_retry: bool = False
 
 
 class BodyChunk(Message, frozen=True, tag=41):
@@ -720,7 +720,7 @@
     service: str
     records: tuple[KeyRecord, ...]
     last: bool
-    gone: tuple[Member, ...] = ()
+    departed_members: tuple[Member, ...] = ()
 
 
 class KeysTaken(Message, frozen=True, tag=50):
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -21,8 +21,8 @@
 from gypsumhall._errors import StoreError
 from gypsumhall.core import _rollout
 from gypsumhall.core import _tree
+from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._model import MoveState
-from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._snapshot import Split
 from gypsumhall.net._messages import RolloutCounts
 from gypsumhall.net._messages import RolloutEvidence
@@ -215,7 +215,7 @@
     def _take_evidence(self, member: str, message: RolloutEvidence) -> None:
         found = self._rollouts.get(message.service)
         if found is not None and found[0] == message.order:
-            found[1].take(member, message.version, message.counts)
+            found[1].set_results(member, message.version, message.counts)
 
     # Records
 
@@ -362,7 +362,7 @@
     def _is_candidate(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
-        return _tree.is_among_first('controller', me.id, alive, _CANDIDATES)
+        return _tree.has_zone_role('controller', me.id, alive, _CANDIDATES)
 
     async def _control(self, lease: Lease) -> None:
         self._rollouts.clear()
--- a/tests/test_core_placement.py
+++ b/tests/test_core_load_balancer.py
@@ -1,4 +1,4 @@
-"""Replays of the load patterns that `gypsumhall.core._placement` answers."""
+"""Replays of the load patterns that `gypsumhall.core._load_balancer` answers."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 import pytest
 import trio
 
-from gypsumhall.core._placement import ANY_VERSION
-from gypsumhall.core._placement import Placement
-from gypsumhall.core._waiting import Waiter
-from gypsumhall.core._waiting import WaitingLine
+from gypsumhall.core._load_balancer import ANY_VERSION
+from gypsumhall.core._load_balancer import LoadBalancer
+from gypsumhall.core._waiting import CallQueue
+from gypsumhall.core._waiting import QueuedCall
 from gypsumhall.net._messages import Load
 from gypsumhall.testing import builders
 
@@ -34,12 +34,12 @@
     """Endpoint and the line of the daemon beside it, for replays."""
 
     def __init__(
-        self, name: str, service_s: float, since: float = -_COLD_S
+        self, name: str, service_time_s: float, since: float = -_COLD_S
     ) -> None:
         self.name = name
-        self.service_s = service_s
+        self.service_time_s = service_time_s
         self._warm_at = since + _COLD_S
-        self._line = WaitingLine(_SLOTS)
+        self._line = CallQueue(_SLOTS)
         self._slots = trio.CapacityLimiter(_SLOTS)
         # Sender and time of each call that arrived.
         self.calls: list[tuple[int, float]] = []
@@ -47,24 +47,24 @@
     @property
     def load(self) -> Load:
         waiting = self._slots.statistics().tasks_waiting
-        service_s = self._line.service_s
+        service_time_s = self._line.service_time_s
         return Load(
             self._line.running,
             waiting,
             _SLOTS,
-            service_ms=service_s * 1000,
-            wait_ms=waiting * service_s * 1000 / _SLOTS,
+            service_time_ms=service_time_s * 1000,
+            wait_ms=waiting * service_time_s * 1000 / _SLOTS,
         )
 
     async def run(self, sender: int) -> None:
         self.calls.append((sender, trio.current_time()))
         async with self._slots:
             now = trio.current_time()
-            self._line.arrive(now, Waiter('route', 0, now + 9, now + 9))
+            self._line.admit(now, QueuedCall('route', 0, now + 9, now + 9))
             cold = now < self._warm_at
-            await trio.sleep(self.service_s * (2 if cold else 1))
+            await trio.sleep(self.service_time_s * (2 if cold else 1))
             end = trio.current_time()
-            self._line.leave('route', end - now, now=end)
+            self._line.finish('route', end - now, now=end)
 
     def senders(self, start: float, end: float) -> Counter[int]:
         """Return the calls of each sender that arrived in a time."""
@@ -91,7 +91,7 @@
     ) -> None:
         self._rng = Random(seed)
         self._placements = [
-            Placement(zone, Random(seed * 100 + index))
+            LoadBalancer(zone, Random(seed * 100 + index))
             for index, zone in enumerate(zones)
         ]
         self._endpoints: dict[str, _Endpoint] = {}
@@ -149,14 +149,14 @@
     ]
 
 
-def _placement(zones: list[str]) -> Placement:
-    placement = Placement('az-1', Random(1))
+def _placement(zones: list[str]) -> LoadBalancer:
+    placement = LoadBalancer('az-1', Random(1))
     placement.update(_SERVICE, _members(zones), 1, 0.0)
     return placement
 
 
 def _choices(
-    placement: Placement, now: float, count: int = 200
+    placement: LoadBalancer, now: float, count: int = 200
 ) -> Counter[str]:
     chosen: Counter[str] = Counter()
     for _ in range(count):
@@ -168,11 +168,11 @@
 
 def test_slow_endpoints_get_calls_only_when_others_are_busy() -> None:
     placement = _placement(['az-1', 'az-1'])
-    placement.report('d0', 10.0, Load(0, 0, 4, service_ms=100.0))
-    placement.report('d1', 10.0, Load(0, 0, 4, service_ms=500.0))
+    placement.report('d0', 10.0, Load(0, 0, 4, service_time_ms=100.0))
+    placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=500.0))
     assert _choices(placement, 10.0) == {'d0': 200}
-    full = Load(4, 20, 4, service_ms=100.0, wait_ms=600.0)
-    placement.report('d0', 10.0, full)
+    mark_full = Load(4, 20, 4, service_time_ms=100.0, wait_ms=600.0)
+    placement.report('d0', 10.0, mark_full)
     assert _choices(placement, 10.0)['d1'] > 190
 
 
@@ -190,9 +190,9 @@
 def test_another_zone_helps_when_the_own_one_is_busy() -> None:
     placement = _placement(['az-1', 'az-2'])
     for member in ('d0', 'd1'):
-        placement.report(member, 10.0, Load(0, 0, 4, service_ms=100.0))
+        placement.report(member, 10.0, Load(0, 0, 4, service_time_ms=100.0))
     assert _choices(placement, 10.0) == {'d0': 200}
-    busy = Load(4, 2, 4, service_ms=100.0, wait_ms=75.0)
+    busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=75.0)
     placement.report('d0', 10.0, busy)
     assert _choices(placement, 10.0) == {'d1': 200}
 
@@ -201,18 +201,18 @@
     """Users pay for bytes between zones, not for crossings."""
     placement = _placement(['az-1', 'az-2'])
     for _ in range(50):
-        placement.responded('large', 6000)
-        placement.responded('small', 400)
-    busy = Load(4, 2, 4, service_ms=100.0, wait_ms=60.0)
+        placement.record_response_size('large', 6000)
+        placement.record_response_size('small', 400)
+    busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=60.0)
     placement.report('d0', 10.0, busy)
-    placement.report('d1', 10.0, Load(0, 0, 4, service_ms=100.0))
+    placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=100.0))
     chosen = {
         route: placement.choose(_SERVICE, ANY_VERSION, 10.0, route=route)
         for route in ('large', 'small')
     }
     assert chosen['large'] is not None and chosen['large'].id == 'd0'
     assert chosen['small'] is not None and chosen['small'].id == 'd1'
-    queued = Load(4, 12, 4, service_ms=100.0, wait_ms=300.0)
+    queued = Load(4, 12, 4, service_time_ms=100.0, wait_ms=300.0)
     placement.report('d0', 10.0, queued)
     found = placement.choose(_SERVICE, ANY_VERSION, 10.0, route='large')
     assert found is not None and found.id == 'd1'
@@ -222,10 +222,10 @@
     """Herding on the endpoint that looks best makes it the worst."""
     chosen: Counter[str] = Counter()
     for seed in range(60):
-        placement = Placement('az-1', Random(seed))
+        placement = LoadBalancer('az-1', Random(seed))
         placement.update(_SERVICE, _members(['az-1'] * 6), 1, 0.0)
         for index in range(6):
-            load = Load(1, 0, 4, service_ms=100.0 + index)
+            load = Load(1, 0, 4, service_time_ms=100.0 + index)
             placement.report(f'd{index}', 10.0, load)
         member = placement.choose(_SERVICE, ANY_VERSION, 10.0)
         assert member is not None
@@ -235,17 +235,17 @@
 
 def test_old_reports_lose_their_weight() -> None:
     placement = _placement(['az-1', 'az-1'])
-    busy = Load(4, 8, 4, service_ms=100.0, wait_ms=300.0)
+    busy = Load(4, 8, 4, service_time_ms=100.0, wait_ms=300.0)
     placement.report('d0', 10.0, busy)
-    assert placement.wait_s('d0', 10.0) > 0.29
-    assert placement.wait_s('d0', 14.0) < 0.01
+    assert placement.expected_wait_s('d0', 10.0) > 0.29
+    assert placement.expected_wait_s('d0', 14.0) < 0.01
 
 
 def test_unreachable_and_full_endpoints_are_left_out() -> None:
     placement = _placement(['az-1', 'az-1'])
     placement.set_reachable('d0', reachable=False)
     assert _choices(placement, 10.0) == {'d1': 200}
-    placement.full('d1', 10.0, 2)
+    placement.mark_full('d1', 10.0, 2)
     assert placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 2) is None
     urgent = placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 1)
     assert urgent is not None and urgent.id == 'd1'
@@ -256,7 +256,7 @@
 
 
 def test_only_the_wanted_version_is_chosen() -> None:
-    placement = Placement('az-1', Random(1))
+    placement = LoadBalancer('az-1', Random(1))
     members = [
         *_members(['az-1']),
         *_members(['az-1', 'az-1'], 'v2')[1:],
@@ -342,13 +342,13 @@
     replay = _Replay(['az-1'] * 6, endpoints, seed)
     await replay.play(5.0, 60.0)
     slow = endpoints[0]
-    slow.service_s = 0.3
+    slow.service_time_s = 0.3
     await replay.play(6.0, 60.0)
     start = trio.current_time()
     await replay.play(10.0, 60.0)
     # Trials may not cost the callers more than the others gain.
     assert slow.senders(start, start + 10.0).total() < 0.03 * 600
-    slow.service_s = 0.06
+    slow.service_time_s = 0.06
     await replay.play(20.0, 60.0)
     start = trio.current_time()
     await replay.play(5.0, 60.0)
@@ -368,22 +368,24 @@
 
 
 def _apply(
-    placement: Placement,
+    placement: LoadBalancer,
     members: list[Member],
     kind: str,
     name: str,
     now: float,
 ) -> None:
     if kind == 'slow':
-        placement.report(name, now, Load(1, 0, 4, service_ms=900.0))
+        placement.report(name, now, Load(1, 0, 4, service_time_ms=900.0))
     elif kind == 'waiting':
-        load = Load(4, 9, 4, service_ms=60.0, wait_ms=900.0, failing=1.0)
+        load = Load(
+            4, 9, 4, service_time_ms=60.0, wait_ms=900.0, failure_rate=1.0
+        )
         placement.report(name, now, load)
     elif kind == 'failed':
         placement.begin(name)
         placement.end(name, now, failed=True)
     elif kind == 'full':
-        placement.full(name, now, 0, 0.8)
+        placement.mark_full(name, now, 0, 0.8)
     elif kind == 'cut':
         placement.set_reachable(name, reachable=False)
     else:
@@ -400,7 +402,7 @@
 ) -> None:
     """Guards against what a sender once saw and never checks again."""
     members = _members(['az-1'] * 4)
-    placement = Placement('az-1', Random(seed))
+    placement = LoadBalancer('az-1', Random(seed))
     placement.update(_SERVICE, members, 1, 0.0)
     now = 1.0
     for kind, index, pause_s in events:
@@ -416,6 +418,6 @@
         chosen[member.id] += 1
         placement.begin(member.id)
         placement.end(member.id, now, failed=False)
-        placement.report(member.id, now, Load(0, 0, 4, service_ms=60.0))
+        placement.report(member.id, now, Load(0, 0, 4, service_time_ms=60.0))
     assert min(chosen.values()) > 40
     assert len(chosen) == 4
--- a/tests/test_core_membership.py
+++ b/tests/test_core_membership.py
@@ -124,7 +124,7 @@
         for other in self.tables[1:]:
             assert _by_id(first) == _by_id(other)
             assert first.digest == other.digest
-            assert not first.differing(other.buckets(99.0), 99.0)
+            assert not first.differing_entries(other.buckets(99.0), 99.0)
 
     @invariant()
     def no_entry_goes_back(self) -> None:
@@ -193,12 +193,12 @@
         if index != 1234:
             two.merge(member, 0.0)
     assert one.digest != two.digest
-    found = one.differing(two.buckets(20.0), 20.0)
+    found = one.differing_entries(two.buckets(20.0), 20.0)
     assert builders.build_member(1234) in found
     assert len(found) < 60
     two.merge(builders.build_member(1234), 20.0)
     # A change that is on its way is not repaired.
-    assert not one.differing(two.buckets(21.0), 21.0)
+    assert not one.differing_entries(two.buckets(21.0), 21.0)
     assert one.digest == two.digest
 
 
@@ -227,21 +227,21 @@
         self.detector.watch(self.watched, 0.0)
 
     def judge(
-        self, now: float, asked: int, answered: int, reached: int
+        self, now: float, asked: int, replied: int, reached: int
     ) -> Member | None:
-        silent = self.detector.silent(now)
-        if not silent:
+        members_to_probe = self.detector.members_to_probe(now)
+        if not members_to_probe:
             return None
-        result = self.detector.checked(
-            silent[0],
+        result = self.detector.evaluate_probes(
+            members_to_probe[0],
             asked=asked,
-            answered=answered,
+            replied=replied,
             reached=reached,
             now=now,
         )
         if result is not None:
             self.table.merge(result, now)
-            self.detector.changed(result, now, own=True)
+            self.detector.record_change(result, now, own=True)
         return result
 
 
@@ -258,19 +258,21 @@
     ],
 )
 def test_a_suspicion_needs_witnesses(
-    count: int, asked: int, answered: int, reached: int, suspect: bool
+    count: int, asked: int, replied: int, reached: int, suspect: bool
 ) -> None:
     watch = _Watch(count)
-    assert watch.judge(1.5, asked, answered, reached) is None
-    found = watch.judge(2.5, asked, answered, reached)
+    assert watch.judge(1.5, asked, replied, reached) is None
+    found = watch.judge(2.5, asked, replied, reached)
     assert (found is not None) is suspect
     if found is not None:
-        assert not watch.detector.overdue(5.4)
-        dead = watch.detector.overdue(5.6)
+        assert not watch.detector.expired_suspects(5.4)
+        dead = watch.detector.expired_suspects(5.6)
         # Without an answer since, the own daemon may be cut off by now.
         assert bool(dead) is (count == 2)
-        watch.detector.heard('d1', 5.5)
-        assert watch.detector.overdue(5.6)[0].status is MemberStatus.DEAD
+        watch.detector.record_received('d1', 5.5)
+        assert (
+            watch.detector.expired_suspects(5.6)[0].status is MemberStatus.DEAD
+        )
 
 
 def test_the_last_members_of_a_small_fleet_are_found_dead() -> None:
@@ -283,10 +285,10 @@
     watch = _Watch(50)
     assert watch.judge(2.5, 3, 3, 0) is not None
     assert watch.detector.tick(60.0)
-    assert not watch.detector.overdue(60.0)
+    assert not watch.detector.expired_suspects(60.0)
     assert watch.judge(62.5, 3, 3, 0) is None
-    watch.detector.refreshed(63.0)
-    watch.detector.heard('d1', 65.9)
-    assert not watch.detector.silent(64.0)
-    assert not watch.detector.overdue(65.9)
-    assert watch.detector.overdue(66.1)
+    watch.detector.record_refresh(63.0)
+    watch.detector.record_received('d1', 65.9)
+    assert not watch.detector.members_to_probe(64.0)
+    assert not watch.detector.expired_suspects(65.9)
+    assert watch.detector.expired_suspects(66.1)
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -173,11 +173,13 @@
         if isinstance(message, _actions.Fetch):
             answer = None
             if not lost:
-                parts = self.replicas[target].answer_pull(message.pull)
+                parts = self.replicas[target].build_pull_reply(message.pull)
                 answer = _delta.join(parts)
             self._run(
                 source,
-                self.replicas[source].fetched(address, answer, self.now),
+                self.replicas[source].handle_fetch_result(
+                    address, answer, self.now
+                ),
             )
             return
         for _ in range(0 if lost else 1 + twice):
@@ -191,7 +193,7 @@
             case _actions.FetchReverts():
                 answer = replica.all_reverts()
                 actions = self.replicas[source].receive_reverts(
-                    answer, self.members[target].peer_address, whole=True
+                    answer, self.members[target].peer_address, complete=True
                 )
                 self._run(source, actions)
                 return
@@ -445,11 +447,11 @@
     failures = 0
     for step in range(20_000):
         now = step * 0.5
-        replica.hint(7, peer, now)
+        replica.note_peer_version(7, peer, now)
         for action in replica.tick(now):
             if isinstance(action, _actions.Fetch):
                 failures += 1
                 # Another source keeps the backoff going.
-                replica.hint(7, 'other', now)
-                replica.fetched(action.address, None, now)
+                replica.note_peer_version(7, 'other', now)
+                replica.handle_fetch_result(action.address, None, now)
     assert 1200 < failures < 6000
