--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -608,7 +608,7 @@
         others = {
             other.fragment.department: other.fragment
             for other in parsed
-            if other.readable and other is not item
+            if other.has_fragment and other is not item
         }
         findings += _accept.check_text(_model.Head(), others, item, now)
     return findings
--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -19,7 +19,7 @@
 from gypsumhall._errors import Place
 from gypsumhall.core import _model
 from gypsumhall.core._model import MoveState
-from gypsumhall.core._text import shown
+from gypsumhall.core._text import quote_value
 from gypsumhall.core._text import sorted_findings
 
 if TYPE_CHECKING:
@@ -42,8 +42,8 @@
 # Deadlines that stem from `within` are sums of floats.
 _TOLERANCE_S = 0.001
 
-ID_PATTERN = r'(?:([0-9]{1,12})\.)?[A-Za-z0-9_-]{8,36}'
-_ID = re.compile(ID_PATTERN)
+SUBMISSION_ID_PATTERN = r'(?:([0-9]{1,12})\.)?[A-Za-z0-9_-]{8,36}'
+_ID = re.compile(SUBMISSION_ID_PATTERN)
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,7 +66,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Known:
+class AlreadyAccepted:
     """The submission was accepted before, with this version."""
 
     version: int
@@ -80,11 +80,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Untraceable:
+class OutcomeUnknown:
     """Whether the submission was accepted cannot be told any more."""
 
 
-Decision = Accepted | Known | Refused | Untraceable
+Decision = Accepted | AlreadyAccepted | Refused | OutcomeUnknown
 
 
 # Submission ids and credentials
@@ -101,7 +101,7 @@
     return _ID.fullmatch(text) is not None and len(text) <= 36
 
 
-def submission_base(submission_id: str) -> int | None:
+def submission_base_version(submission_id: str) -> int | None:
     """Return the configuration version that a submission id names.
 
     An id of the form ``<version>.<random part>`` names the version that
@@ -134,7 +134,7 @@
     return None
 
 
-def submissions_cover(head: _model.Head, base: int) -> bool:
+def records_submissions_since(head: _model.Head, base: int) -> bool:
     """Return whether the head records all submissions after a version.
 
     Only then does the absence of an id prove that it was not accepted
@@ -288,7 +288,7 @@
     department = move_id.partition('/')[0]
     ref = head.departments.get(department)
     if ref is None:
-        problem = f'no department {shown(department)}'
+        problem = f'no department {quote_value(department)}'
         return (Finding('unknown-move', problem, place),)
     if not hmac.compare_digest(ref.credential, credential_digest(token)):
         return (_wrong_token(department, place),)
@@ -300,7 +300,7 @@
         return (
             Finding(
                 'unknown-move',
-                f'no move {shown(move_id)}; moves of {department}: '
+                f'no move {quote_value(move_id)}; moves of {department}: '
                 f'{", ".join(sorted(own)) or "none"}',
                 place,
             ),
@@ -751,14 +751,14 @@
     now : float
         Unix time in seconds.
     """
-    if not parsed.readable:
+    if not parsed.has_fragment:
         return parsed.findings
     check = _Check(head, fragments, parsed, now)
     check.run()
     return check.findings
 
 
-def prepare(
+def decide_submission(
     head: _model.Head,
     fragments: Mapping[str, _model.Fragment],
     parsed: ParsedText,
@@ -789,28 +789,28 @@
 
     Returns
     -------
-    Accepted, Known, Refused or Untraceable
+    Accepted, AlreadyAccepted, Refused or OutcomeUnknown
         The head to swap in, the version that the same submission produced
-        before, or the findings. `Untraceable` when more submissions were
+        before, or the findings. `OutcomeUnknown` when more submissions were
         accepted since the id was made than the head records.
     """
-    base = submission_base(submission_id)
+    base = submission_base_version(submission_id)
     base = since if base is None else base
     place = parsed.place('department')
     known = find_submission(head, submission_id)
     if known is not None:
         version, tag = known
         if tag == submission_tag(parsed, token):
-            return Known(version)
+            return AlreadyAccepted(version)
         return _refused(
             'submission-reused',
             f'submission id {submission_id} was used for another text or '
             'with another token',
             place,
         )
-    if base is not None and not submissions_cover(head, base):
-        return Untraceable()
-    if not parsed.readable:
+    if base is not None and not records_submissions_since(head, base):
+        return OutcomeUnknown()
+    if not parsed.has_fragment:
         return Refused(parsed.findings)
     credential = credential_digest(token)
     department = parsed.fragment.department
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -72,7 +72,7 @@
 _Named = TypeVar('_Named', _model.Service, _model.Route)
 
 
-def shown(value: str) -> str:
+def quote_value(value: str) -> str:
     """Return a value quoted for a message, shortened when it is long."""
     if len(value) > 80:
         return repr(value[:77] + '...')
@@ -92,7 +92,7 @@
     within : dict of str to float
         Seconds that were given instead of a deadline, by move id. The
         deadline in the fragment counts from the time of reading.
-    readable : bool
+    has_fragment : bool
         Whether the parts can be checked against other texts.
     source : str
         Name of the text.
@@ -105,7 +105,7 @@
     fragment: _model.Fragment
     findings: tuple[Finding, ...]
     within: Mapping[str, float]
-    readable: bool
+    has_fragment: bool
     source: str
     digest: str
     places: Mapping[tuple[str, ...], Place]
@@ -215,7 +215,9 @@
     tag = getattr(event, 'tag', None)
     if tag is not None:
         raise _RefusedError(
-            Finding('tag', f'tag {shown(str(tag))} is not allowed', place)
+            Finding(
+                'tag', f'tag {quote_value(str(tag))} is not allowed', place
+            )
         )
     if isinstance(event, events.ScalarEvent):
         return _Node('text', place, event.value, not event.style)
@@ -303,7 +305,7 @@
             if key.text in seen:
                 self.add(
                     'duplicate-key',
-                    f'key {shown(key.text)} stands already in line '
+                    f'key {quote_value(key.text)} stands already in line '
                     f'{seen[key.text].line}',
                     key.place,
                 )
@@ -339,7 +341,7 @@
             else:
                 self.add(
                     'unknown-key',
-                    f'unknown key {shown(key)} in {what}; valid keys: '
+                    f'unknown key {quote_value(key)} in {what}; valid keys: '
                     f'{", ".join(known)}',
                     self.places[*path, key],
                 )
@@ -376,7 +378,7 @@
             else 'letters, digits, ".", "_" and "-", starting with a letter '
             'or digit, at most 63 characters'
         )
-        self.add(code, f'{shown(text)} is not valid here: {rule}', place)
+        self.add(code, f'{quote_value(text)} is not valid here: {rule}', place)
         return False
 
     def _text(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
@@ -432,7 +434,7 @@
             if text in result:
                 self.add(
                     'duplicate-item',
-                    f'{shown(text)} stands twice in {path[-1]}',
+                    f'{quote_value(text)} stands twice in {path[-1]}',
                     item.place,
                 )
                 continue
@@ -455,8 +457,8 @@
         if value is None:
             self.add(
                 'bad-duration',
-                f'{shown(text)} is no duration; write a number and one of '
-                f'{", ".join(DURATION_UNITS)}, for example 500ms or 90s',
+                f'{quote_value(text)} is no duration; write a number and one '
+                f'of {", ".join(DURATION_UNITS)}, for example 500ms or 90s',
                 node.place,
             )
             return default
@@ -481,8 +483,8 @@
         except (ValueError, OverflowError):
             self.add(
                 'bad-date',
-                f'{shown(text)} is no date with time and zone; write for '
-                'example 2026-12-05T06:00:00Z',
+                f'{quote_value(text)} is no date with time and zone; write '
+                'for example 2026-12-05T06:00:00Z',
                 node.place,
             )
             return None
@@ -496,8 +498,8 @@
         if len(host) > 253 or not all(map(_LABEL.fullmatch, labels)):
             self.add(
                 'bad-host',
-                f'{shown(text)} is no host name; write it without scheme, '
-                'port, path or wildcard, for example plans.example',
+                f'{quote_value(text)} is no host name; write it without '
+                'scheme, port, path or wildcard, for example plans.example',
                 node.place,
             )
             return None
@@ -516,8 +518,8 @@
         ):
             self.add(
                 'bad-path',
-                f'{shown(text)} is no path prefix; it starts with "/", has '
-                'no empty, "." or ".." segment, no query, and other '
+                f'{quote_value(text)} is no path prefix; it starts with "/", '
+                'has no empty, "." or ".." segment, no query, and other '
                 'characters as %XX; at most 1024 characters',
                 node.place,
             )
@@ -531,7 +533,8 @@
         if text not in METHODS:
             self.add(
                 'unknown-method',
-                f'unknown method {shown(text)}; valid: {", ".join(METHODS)}',
+                f'unknown method {quote_value(text)}; valid: '
+                f'{", ".join(METHODS)}',
                 node.place,
             )
             return None
@@ -555,8 +558,8 @@
         if current is not None and versions and current not in versions:
             self.add(
                 'unknown-version',
-                f'current version {shown(current)} of service {name} is not '
-                f'among its versions: {", ".join(versions)}',
+                f'current version {quote_value(current)} of service {name} is '
+                f'not among its versions: {", ".join(versions)}',
                 keys['current'].place,
             )
         at = (*path, 'depends_on')
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -83,7 +83,8 @@
     Parameters
     ----------
     id : str
-        Kept by the operator over all retries, see `_accept.ID_PATTERN`.
+        Kept by the operator over all retries, see
+        `_accept.SUBMISSION_ID_PATTERN`.
     token : str
         The department's token.
     text : str
@@ -345,9 +346,9 @@
             status = SubmissionStatus.UNKNOWN
             detail = f'the platform does not respond: {error}'
         else:
-            base = _accept.submission_base(submission_id) or 0
+            base = _accept.submission_base_version(submission_id) or 0
             status, detail = SubmissionStatus.ABSENT, ''
-            if not _accept.submissions_cover(head, base):
+            if not _accept.records_submissions_since(head, base):
                 status = SubmissionStatus.UNKNOWN
                 detail = 'the id is too old to tell'
         known = _accept.find_submission(head, submission_id)
@@ -459,9 +460,9 @@
         if not _accept.is_submission_id(submission.id):
             finding = Finding(
                 'bad-submission-id',
-                f'{_text.shown(submission.id)} is no submission id; write 8 '
-                'to 36 letters, digits, "_" and "-", after a version and "." '
-                'if wanted',
+                f'{_text.quote_value(submission.id)} is no submission id; '
+                'write 8 to 36 letters, digits, "_" and "-", after a version '
+                'and "." if wanted',
                 Place('id'),
             )
             return self._result(
@@ -488,7 +489,7 @@
             return self._result(
                 submission, SubmissionStatus.ACCEPTED, result.head.version
             )
-        if isinstance(result, _accept.Known):
+        if isinstance(result, _accept.AlreadyAccepted):
             return self._result(
                 submission, SubmissionStatus.ACCEPTED, result.version
             )
@@ -512,7 +513,7 @@
         ) -> _Write | _End[_accept.Decision]:
             nonlocal first
             first = head.version if first is None else first
-            decision = _accept.prepare(
+            decision = _accept.decide_submission(
                 head,
                 fragments,
                 parsed,
@@ -521,7 +522,9 @@
                 self._wall_clock(),
                 since=first,
             )
-            if isinstance(decision, _accept.Known | _accept.Untraceable):
+            if isinstance(
+                decision, _accept.AlreadyAccepted | _accept.OutcomeUnknown
+            ):
                 return _End(decision, certain=True)
             if isinstance(decision, _accept.Refused):
                 return _End(decision)
@@ -530,7 +533,7 @@
                 finding = Finding(
                     'wrong-department',
                     f'the text is of department {department}, the submission '
-                    f'of {_text.shown(submission.department)}',
+                    f'of {_text.quote_value(submission.department)}',
                     parsed.place('department'),
                 )
                 return _End(_accept.Refused((finding,)))
--- a/tests/test_core_accept.py
+++ b/tests/test_core_accept.py
@@ -60,7 +60,7 @@
         self, text: str, submission_id: str = '', token: str = _TOKEN
     ) -> _accept.Decision:
         self._count += 1
-        return _accept.prepare(
+        return _accept.decide_submission(
             self.head,
             self.fragments,
             read_text(text, 't', self.now),
@@ -178,7 +178,7 @@
 def test_an_id_is_accepted_once_and_for_one_text() -> None:
     fleet = _Fleet(_OWN)
     again = fleet.decide(_OWN, 'submission-1')
-    assert again == _accept.Known(1)
+    assert again == _accept.AlreadyAccepted(1)
     for text, token in ((_OWN + '#', _TOKEN), (_OWN, 'other-token')):
         refused = fleet.decide(text, 'submission-1', token)
         assert isinstance(refused, _accept.Refused)
@@ -195,7 +195,7 @@
     assert len(_model.encode(fleet.head.submissions)) < 60 * 1024
     for base, expired in ((0, True), (2, True), (3, False), (1000, False)):
         decision = fleet.decide('department: spa', f'{base}.0123456789abcdef')
-        assert isinstance(decision, _accept.Untraceable) is expired
+        assert isinstance(decision, _accept.OutcomeUnknown) is expired
 
 
 def test_a_move_runs_once_and_keeps_its_progress() -> None:
--- a/tests/test_core_text.py
+++ b/tests/test_core_text.py
@@ -196,6 +196,6 @@
     """Guards against errors of the scanner that are not findings."""
     text = _VALID[:start] + inserted + _VALID[start + length :]
     parsed = _text.read_text(text, 't', 0.0)
-    assert parsed.readable or parsed.findings
+    assert parsed.has_fragment or parsed.findings
     for item in parsed.findings:
         assert 1 <= item.place.line <= text.count('\n') + 2
