--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -1,7 +1,7 @@
-"""Acceptance: which submissions change the head, and how.
+"""Decides about submissions and computes the next head.
 
-Everything here is a pure function of the head, the fragments of all
-departments, the operator's text and the time. A caller that loses a
+All functions are pure: their results depend only on the head, the fragments
+of all departments, the operator's text and the time. A caller that loses a
 compare-and-swap calls again with the head that it then reads.
 """
 
@@ -27,28 +27,29 @@
 
     from gypsumhall.core._text import ParsedText
 
-FIRST_SHARE = 0.01
-STAGES = 5
-RESERVE = 0.1
-MIN_USABLE_S = 5.0
-MAX_SUBMISSIONS = 1024
-MOVE_KEPT_S = 24 * 3600.0
-# The platform stores values of 1 MB. The rest is left for the controller,
-# whose transitions may not fail for lack of room.
+FIRST_STAGE_SHARE = 0.01
+STAGE_COUNT = 5
+# Fraction of the time to the deadline that is not planned for stages.
+DEADLINE_RESERVE = 0.1
+MIN_STAGES_TOTAL_S = 5.0
+MAX_RECORDED_SUBMISSIONS = 1024
+ENDED_MOVE_RETENTION_S = 24 * 3600.0
+# The platform stores values of up to 1 MB. The difference is reserved for the
+# controller, whose changes must not fail because the head is too large.
 MAX_HEAD_BYTES = 900_000
 MAX_FRAGMENT_BYTES = 1_000_000
 MAX_REASON_CHARACTERS = 120
 MIN_TOKEN_CHARACTERS = 8
-# Deadlines that stem from `within` are sums of floats.
-_TOLERANCE_S = 0.001
+# Deadlines computed from ``within`` are sums of floats.
+_DEADLINE_TOLERANCE_S = 0.001
 
 SUBMISSION_ID_PATTERN = r'(?:([0-9]{1,12})\.)?[A-Za-z0-9_-]{8,36}'
-_ID = re.compile(SUBMISSION_ID_PATTERN)
+_SUBMISSION_ID = re.compile(SUBMISSION_ID_PATTERN)
 
 
 @dataclass(slots=True, frozen=True)
 class Accepted:
-    """The head that a submission leads to.
+    """The submission can be accepted; the next head and its fragments.
 
     Parameters
     ----------
@@ -67,7 +68,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AlreadyAccepted:
-    """The submission was accepted before, with this version."""
+    """The submission was already accepted and produced this version."""
 
     version: int
 
@@ -81,7 +82,7 @@
 
 @dataclass(slots=True, frozen=True)
 class OutcomeUnknown:
-    """Whether the submission was accepted cannot be told any more."""
+    """The head no longer records whether the submission was accepted."""
 
 
 Decision = Accepted | AlreadyAccepted | Refused | OutcomeUnknown
@@ -98,22 +99,25 @@
 
 def is_submission_id(text: str) -> bool:
     """Return whether a submission id has the documented form."""
-    return _ID.fullmatch(text) is not None and len(text) <= 36
+    return _SUBMISSION_ID.fullmatch(text) is not None and len(text) <= 36
 
 
 def submission_base_version(submission_id: str) -> int | None:
-    """Return the configuration version that a submission id names.
+    """Return the base version of a submission id; None if it has none.
 
-    An id of the form ``<version>.<random part>`` names the version that
-    was in force when the id was made. An acceptance under this id can only
-    have produced a later version.
+    An id of the form ``<version>.<random part>`` names the configuration
+    version that was in effect when the id was created. An acceptance under
+    this id can only have produced a later version.
     """
-    found = _ID.fullmatch(submission_id)
-    return int(found[1]) if found and found[1] else None
+    match = _SUBMISSION_ID.fullmatch(submission_id)
+    return int(match[1]) if match and match[1] else None
 
 
-def submission_tag(parsed: ParsedText, token: str) -> str:
-    """Return what tells two submissions with the same id apart."""
+def submission_fingerprint(parsed: ParsedText, token: str) -> str:
+    """Return a short digest of the text and token of a submission.
+
+    It distinguishes submissions that have the same id.
+    """
     credential = credential_digest(token)
     data = f'{credential}:{parsed.digest}'.encode()
     return hashlib.sha256(data).hexdigest()[:8]
@@ -122,10 +126,10 @@
 def find_submission(
     head: _model.Head, submission_id: str
 ) -> tuple[int, str] | None:
-    """Return the version that a submission produced, and its tag.
+    """Return the version that a submission produced, and its fingerprint.
 
-    The head records ``<id>~<tag>``, so that an id used again for another
-    text is not answered as if that text had been accepted.
+    The head records ``<id>~<fingerprint>``, so that an id reused for another
+    text is not reported as if that text had been accepted.
     """
     prefix = submission_id + '~'
     for key, version in head.submissions.items():
@@ -134,21 +138,21 @@
     return None
 
 
-def records_submissions_since(head: _model.Head, base: int) -> bool:
+def records_submissions_since(head: _model.Head, version: int) -> bool:
     """Return whether the head records all submissions after a version.
 
-    Only then does the absence of an id prove that it was not accepted
-    after that version.
+    Only then does a missing id prove that no submission with this id was
+    accepted after that version.
     """
-    if len(head.submissions) < MAX_SUBMISSIONS:
+    if len(head.submissions) < MAX_RECORDED_SUBMISSIONS:
         return True
-    return min(head.submissions.values()) <= base + 1
+    return min(head.submissions.values()) <= version + 1
 
 
 # Transitions of the head
 
 
-def _next(head: _model.Head, **changes: object) -> _model.Head:
+def _next_head(head: _model.Head, **changes: object) -> _model.Head:
     return msgspec.structs.replace(head, version=head.version + 1, **changes)
 
 
@@ -158,7 +162,7 @@
     current: Mapping[str, str] | None = None,
 ) -> _model.Head:
     moves = {**head.moves, **changed}
-    return _next(
+    return _next_head(
         head, moves=moves, current={**head.current, **(current or {})}
     )
 
@@ -171,27 +175,29 @@
     Parameters
     ----------
     head : Head
-        Present head.
+        Current head.
     move_id : str
         Id of the move.
     stage : int
-        Index of the new stage, the one after the present stage.
+        Index of the new stage, one above that of the current stage.
     share : float
-        Share of the calls for the new version, over the present one.
+        Share of the calls for the new version, greater than the current
+        share.
     now : float
         Unix time in seconds.
 
     Returns
     -------
     Head or None
-        None when the move is not active or not in the stage before.
+        None when the move is not active, or when stage and share do not
+        follow the current ones.
     """
     move = head.moves.get(move_id)
     if (
         move is None
         or move.state is not MoveState.ACTIVE
         or stage != move.stage + 1
-        or stage >= STAGES
+        or stage >= STAGE_COUNT
         or not move.share < share <= 1.0
     ):
         return None
@@ -204,16 +210,17 @@
 def start_soak(
     head: _model.Head, move_id: str, now: float
 ) -> _model.Head | None:
-    """Return the head with a move in its soak.
+    """Return the head with a move that starts to soak.
 
-    The share stays that of the last stage, since the test compares calls to
-    both versions. None when the move is not active or not in that stage.
+    The share of the last stage is kept, since the statistical test compares
+    calls to both versions. None when the move is not active or not in the
+    last stage.
     """
     move = head.moves.get(move_id)
     if (
         move is None
         or move.state is not MoveState.ACTIVE
-        or move.stage < STAGES - 1
+        or move.stage < STAGE_COUNT - 1
     ):
         return None
     changed = msgspec.structs.replace(
@@ -227,8 +234,7 @@
 ) -> _model.Head | None:
     """Return the head with a move done and its new version in use.
 
-    ``stage_started`` becomes the time of the end. None when the move is
-    not soaking.
+    ``stage_started`` is set to `now`. None when the move is not soaking.
     """
     move = head.moves.get(move_id)
     if move is None or move.state is not MoveState.SOAKING:
@@ -250,16 +256,16 @@
     Parameters
     ----------
     head : Head
-        Present head.
+        Current head.
     reasons : dict of str to str
-        Reason by move id. Unknown and ended moves are left out.
+        Reason by move id. Unknown and ended moves are ignored.
     now : float
-        Unix time in seconds; becomes ``stage_started``.
+        Unix time in seconds; the new ``stage_started``.
 
     Returns
     -------
     Head or None
-        None when no move is left to revert.
+        None when there is no move to revert.
     """
     changed = {}
     for move_id, reason in reasons.items():
@@ -279,35 +285,35 @@
 def abort_findings(
     head: _model.Head, move_id: str, token: str
 ) -> tuple[Finding, ...]:
-    """Return why a move cannot be aborted; empty when it can.
+    """Return why a move cannot be aborted; empty if it can.
 
-    A move that was aborted before gives no finding, so that a repeated
+    A move that was already reverted gives no finding, so that repeating the
     command has the same result.
     """
     place = Place(f'move {move_id}')
     department = move_id.partition('/')[0]
     ref = head.departments.get(department)
     if ref is None:
-        problem = f'no department {quote_value(department)}'
+        problem = f'unknown department {quote_value(department)}'
         return (Finding('unknown-move', problem, place),)
     if not hmac.compare_digest(ref.credential, credential_digest(token)):
         return (_wrong_token(department, place),)
     move = head.moves.get(move_id)
     if move is None:
-        own = [
+        move_ids = [
             item for item in head.moves if item.startswith(department + '/')
         ]
         return (
             Finding(
                 'unknown-move',
-                f'no move {quote_value(move_id)}; moves of {department}: '
-                f'{", ".join(sorted(own)) or "none"}',
+                f'unknown move {quote_value(move_id)}; moves of {department}: '
+                f'{", ".join(sorted(move_ids)) or "none"}',
                 place,
             ),
         )
     if move.state is MoveState.DONE:
         return (
-            Finding('move-ended', f'move {move_id} is done already', place),
+            Finding('move-ended', f'move {move_id} is already done', place),
         )
     return ()
 
@@ -325,17 +331,17 @@
 
 
 def effective_version(head: _model.Head, service: _model.Service) -> str:
-    """Return the version that gets a service's calls without a move."""
+    """Return the version that gets a service's calls if no move is active."""
     return head.current.get(service.name, service.current)
 
 
 def resolve_deadlines(
     head: _model.Head, parsed: ParsedText, now: float
 ) -> _model.Fragment:
-    """Return the fragment with the deadlines of ``within`` moves.
+    """Return the fragment with the deadlines of moves that use ``within``.
 
-    A move that the head knows keeps its deadline if its text is unchanged;
-    for others ``within`` counts from `now`.
+    A move that the head records keeps its deadline if its ``within`` is
+    unchanged. Deadlines of other moves are relative to `now`.
     """
     moves = []
     for spec in parsed.fragment.moves:
@@ -343,19 +349,19 @@
         if within is None:
             moves.append(spec)
             continue
-        known = head.moves.get(spec.id)
+        recorded = head.moves.get(spec.id)
         deadline = now + within
         if (
-            known is not None
-            and abs(known.spec.deadline - known.started - within)
-            < _TOLERANCE_S
+            recorded is not None
+            and abs(recorded.spec.deadline - recorded.started - within)
+            < _DEADLINE_TOLERANCE_S
         ):
-            deadline = known.spec.deadline
+            deadline = recorded.spec.deadline
         moves.append(msgspec.structs.replace(spec, deadline=deadline))
     return msgspec.structs.replace(parsed.fragment, moves=tuple(moves))
 
 
-class _Check:
+class _TextCheck:
     """Checks one text against the head and the other departments."""
 
     def __init__(
@@ -369,20 +375,20 @@
         self._parsed = parsed
         self._now = now
         self._findings = list(parsed.findings)
-        self._own = resolve_deadlines(head, parsed, now)
-        self._name = self._own.department
-        self._before = fragments.get(self._name)
-        self._others = {
+        self._fragment = resolve_deadlines(head, parsed, now)
+        self._department = self._fragment.department
+        self._previous_fragment = fragments.get(self._department)
+        self._other_fragments = {
             name: fragment
             for name, fragment in sorted(fragments.items())
-            if name != self._name
+            if name != self._department
         }
         self._owners = {
             service.name: name
-            for name, fragment in self._others.items()
+            for name, fragment in self._other_fragments.items()
             for service in fragment.services
         }
-        self._services = {item.name: item for item in self._own.services}
+        self._services = {item.name: item for item in self._fragment.services}
         self._current = {
             name: version
             for name, version in head.current.items()
@@ -392,7 +398,7 @@
     @property
     def fragment(self) -> _model.Fragment:
         """Fragment with resolved deadlines."""
-        return self._own
+        return self._fragment
 
     @property
     def current(self) -> dict[str, str]:
@@ -401,16 +407,16 @@
 
     @property
     def findings(self) -> tuple[Finding, ...]:
-        """Everything that was found, in the order of places."""
+        """All findings, sorted by position."""
         return sorted_findings(self._findings)
 
     def run(self) -> None:
-        """Make all checks."""
+        """Run all checks."""
         self._check_names()
         self._check_references()
         self._check_cycles()
         self._check_routes()
-        for service in self._own.services:
+        for service in self._fragment.services:
             self._check_current(service)
         self._check_moves()
 
@@ -430,12 +436,12 @@
                 )
 
     def _exists(self, name: str) -> bool:
-        # A service whose entry is faulty is in the places only.
+        # A service with a faulty entry may be missing from the fragment.
         declared = ('services', name) in self._parsed.places
         return declared or name in self._owners
 
     def _check_references(self) -> None:
-        for service in self._own.services:
+        for service in self._fragment.services:
             for name in service.depends_on:
                 if not self._exists(name):
                     self._add(
@@ -447,17 +453,17 @@
                         'depends_on',
                         name,
                     )
-        for route in self._own.routes:
+        for route in self._fragment.routes:
             if not self._exists(route.service):
                 self._add(
                     'unknown-service',
-                    f'route {route.name} points at service {route.service}, '
+                    f'route {route.name} refers to service {route.service}, '
                     'which no department defines',
                     'routes',
                     route.name,
                     'service',
                 )
-        for department, fragment in self._others.items():
+        for department, fragment in self._other_fragments.items():
             users = [
                 (f'service {item.name}', name)
                 for item in fragment.services
@@ -471,7 +477,7 @@
                 if not self._exists(name):
                     self._add(
                         'service-in-use',
-                        f'service {name} is gone from this text, but {user} '
+                        f'service {name} is missing in this text, but {user} '
                         f'of department {department} uses it',
                         'services',
                     )
@@ -479,7 +485,7 @@
     def _check_cycles(self) -> None:
         graph = {
             service.name: service.depends_on
-            for fragment in (*self._others.values(), self._own)
+            for fragment in (*self._other_fragments.values(), self._fragment)
             for service in fragment.services
         }
         for cycle in _cycles(graph, sorted(self._services)):
@@ -493,125 +499,136 @@
             )
 
     def _check_routes(self) -> None:
-        taken = {
+        routes_of_others = {
             (route.host, route.path): (name, route.name)
-            for name, fragment in self._others.items()
+            for name, fragment in self._other_fragments.items()
             for route in fragment.routes
         }
-        seen: dict[tuple[str, str], str] = {}
-        # In the order of the text: the later of two is the faulty one.
+        first_routes: dict[tuple[str, str], str] = {}
+        # In the order of the text, so that the finding names the later of
+        # two routes.
         for route in sorted(
-            self._own.routes,
+            self._fragment.routes,
             key=lambda item: self._parsed.place('routes', item.name).line,
         ):
             key = (route.host, route.path)
             where = f'host {route.host} with path {route.path}'
-            if key in taken:
-                owner, other = taken[key]
+            if key in routes_of_others:
+                owner, other_route = routes_of_others[key]
                 self._add(
                     'route-taken',
-                    f'{where} belongs to route {other} of department {owner}',
+                    f'{where} belongs to route {other_route} of department '
+                    f'{owner}',
                     'routes',
                     route.name,
                     'path',
                 )
-            elif key in seen:
+            elif key in first_routes:
                 self._add(
                     'duplicate-route',
-                    f'{where} is also that of route {seen[key]}',
+                    f'{where} is already used by route {first_routes[key]}',
                     'routes',
                     route.name,
                     'path',
                 )
-            seen.setdefault(key, route.name)
+            first_routes.setdefault(key, route.name)
 
     def _check_current(self, service: _model.Service) -> None:
-        """Keep the version in use, which only a move may change."""
-        before = next(
+        """Check that the text keeps the version in use.
+
+        Only a move may change it.
+        """
+        previous = next(
             (
                 item
-                for item in (self._before.services if self._before else ())
+                for item in (
+                    self._previous_fragment.services
+                    if self._previous_fragment
+                    else ()
+                )
                 if item.name == service.name
             ),
             None,
         )
-        if before is None or not service.versions:
+        if previous is None or not service.versions:
             if service.name not in self._owners:
                 self._current.pop(service.name, None)
             return
-        used = effective_version(self._head, before)
+        version_in_use = effective_version(self._head, previous)
         path = ('services', service.name)
-        named = (*path, 'current') in self._parsed.places
-        if used not in service.versions:
+        names_current = (*path, 'current') in self._parsed.places
+        if version_in_use not in service.versions:
             self._add(
                 'version-in-use',
-                f'version {used} of service {service.name} is in use and has '
-                f'to stay among its versions',
+                f'version {version_in_use} of service {service.name} is '
+                f'in use and must remain one of its versions',
                 *path,
                 'versions',
             )
-        elif service.current == used:
+        elif service.current == version_in_use:
             self._current.pop(service.name, None)
         elif service.name in self._head.current and (
-            not named or service.current == before.current
+            not names_current or service.current == previous.current
         ):
-            # The text still names what a finished move replaced.
-            self._current[service.name] = used
+            # The text still names the version that a finished move replaced.
+            self._current[service.name] = version_in_use
         else:
             self._add(
                 'current-changed',
-                f'version {used} of service {service.name} is in use; write '
-                f'"current: {used}" and change it with a move',
+                f'version {version_in_use} of service {service.name} is '
+                f'in use; write "current: {version_in_use}" and change it '
+                'with a move',
                 *path,
-                'current' if named else 'versions',
+                'current' if names_current else 'versions',
             )
 
     def _check_moves(self) -> None:
-        named = {spec.id for spec in self._own.moves}
+        move_ids = {spec.id for spec in self._fragment.moves}
         for move_id, move in sorted(self._head.moves.items()):
             department, _, name = move_id.partition('/')
-            if department != self._name or move.state.final:
+            if department != self._department or move.state.final:
                 continue
-            if move_id not in named and ('moves', name) not in (
+            if move_id not in move_ids and ('moves', name) not in (
                 self._parsed.places
             ):
                 self._add(
                     'move-active',
-                    f'move {name} is {move.state} and has to stay in the '
+                    f'move {name} is {move.state} and must remain in the '
                     f'text; end it with: abort {move_id}',
                     'moves',
                 )
-        moving: dict[str, str] = {}
+        move_by_service: dict[str, str] = {}
         for spec in sorted(
-            self._own.moves, key=lambda item: self._line_of(item)
+            self._fragment.moves, key=lambda item: self._line_of(item)
         ):
             name = spec.id.partition('/')[2]
-            known = self._head.moves.get(spec.id)
-            if known is not None and known.spec != spec:
-                self._report_changed(known, name)
+            recorded = self._head.moves.get(spec.id)
+            if recorded is not None and recorded.spec != spec:
+                self._report_changed(recorded, name)
                 continue
-            if known is not None and known.state.final:
+            if recorded is not None and recorded.state.final:
                 continue
-            if spec.service in moving:
+            if spec.service in move_by_service:
                 self._add(
                     'two-moves',
-                    f'service {spec.service} is also moved by '
-                    f'{moving[spec.service]}; one move at a time',
+                    f'service {spec.service} already has move '
+                    f'{move_by_service[spec.service]}; only one move of a '
+                    'service at a time',
                     'moves',
                     name,
                     'service',
                 )
-            moving.setdefault(spec.service, name)
-            self._check_move(spec, name, known)
+            move_by_service.setdefault(spec.service, name)
+            self._check_move(spec, name, recorded)
 
     def _line_of(self, spec: _model.MoveSpec) -> int:
         return self._parsed.place('moves', spec.id.partition('/')[2]).line
 
-    def _report_changed(self, known: _model.Move, name: str) -> None:
-        if known.state.final:
+    def _report_changed(self, recorded: _model.Move, name: str) -> None:
+        if recorded.state.final:
             self._add(
                 'move-ended',
-                f'move {name} is {known.state} and its name cannot be used '
+                f'move {name} is {recorded.state} and its name cannot be used '
                 'for another move yet',
                 'moves',
                 name,
@@ -619,14 +636,14 @@
         else:
             self._add(
                 'move-active',
-                f'move {name} is {known.state} and cannot be changed; end it '
-                f'with: abort {known.spec.id}',
+                f'move {name} is {recorded.state} and cannot be changed; end '
+                f'it with: abort {recorded.spec.id}',
                 'moves',
                 name,
             )
 
     def _check_move(
-        self, spec: _model.MoveSpec, name: str, known: _model.Move | None
+        self, spec: _model.MoveSpec, name: str, recorded: _model.Move | None
     ) -> None:
         service = self._services.get(spec.service)
         if service is None:
@@ -660,14 +677,14 @@
                     name,
                     key,
                 )
-        if known is not None:
+        if recorded is not None:
             return
-        used = self._current.get(spec.service, service.current)
-        if used and spec.from_version != used:
+        version_in_use = self._current.get(spec.service, service.current)
+        if version_in_use and spec.from_version != version_in_use:
             self._add(
                 'not-current',
                 f'move {name} starts from {spec.from_version}, but version '
-                f'{used} of service {spec.service} is in use',
+                f'{version_in_use} of service {spec.service} is in use',
                 'moves',
                 name,
                 'from',
@@ -676,22 +693,25 @@
 
     def _check_deadline(self, spec: _model.MoveSpec, name: str) -> None:
         key = 'within' if spec.id in self._parsed.within else 'deadline'
-        left = spec.deadline - self._now
-        usable = left * (1 - RESERVE) - spec.soak_s
-        if left <= 0:
+        remaining_s = spec.deadline - self._now
+        stages_total_s = remaining_s * (1 - DEADLINE_RESERVE) - spec.soak_s
+        if remaining_s <= 0:
             self._add(
                 'deadline-past',
-                f'the deadline of move {name} was {-left:.0f} s ago',
+                f'the deadline of move {name} was {-remaining_s:.0f} s ago',
                 'moves',
                 name,
                 key,
             )
-        elif usable < MIN_USABLE_S:
-            needed = (MIN_USABLE_S + spec.soak_s) / (1 - RESERVE)
+        elif stages_total_s < MIN_STAGES_TOTAL_S:
+            needed_s = (MIN_STAGES_TOTAL_S + spec.soak_s) / (
+                1 - DEADLINE_RESERVE
+            )
             self._add(
                 'deadline-too-close',
-                f'the deadline of move {name} is in {left:.1f} s; with a soak '
-                f'of {spec.soak_s:g} s the stages need {needed:.1f} s',
+                f'the deadline of move {name} is in {remaining_s:.1f} s; with '
+                f'a soak of {spec.soak_s:g} s the stages need '
+                f'{needed_s:.1f} s',
                 'moves',
                 name,
                 key,
@@ -701,35 +721,39 @@
 def _cycles(
     graph: Mapping[str, tuple[str, ...]], starts: list[str]
 ) -> list[list[str]]:
-    """Return one cycle for each start that closes one, without recursion."""
+    """Return the cycles through the given services.
+
+    The search is iterative, so that long chains of dependencies cannot exceed
+    the recursion limit.
+    """
     cycles: list[list[str]] = []
-    done: set[str] = set()
+    visited: set[str] = set()
     for start in starts:
         path: list[str] = []
         on_path: set[str] = set()
         stack: list[tuple[str, bool]] = [(start, False)]
         while stack:
-            name, leave = stack.pop()
-            if leave:
+            name, on_exit = stack.pop()
+            if on_exit:
                 path.pop()
                 on_path.discard(name)
-                done.add(name)
+                visited.add(name)
             elif name in on_path:
                 cycles.append([*path[path.index(name) :], name])
-            elif name in graph and name not in done:
+            elif name in graph and name not in visited:
                 path.append(name)
                 on_path.add(name)
                 stack.append((name, True))
                 stack.extend((item, False) for item in graph[name])
     own = set(starts)
-    return [_rotated(cycle, own) for cycle in cycles if own & set(cycle)]
+    return [_rotate_cycle(cycle, own) for cycle in cycles if own & set(cycle)]
 
 
-def _rotated(cycle: list[str], own: set[str]) -> list[str]:
-    """Return a cycle that starts at a service of the text."""
+def _rotate_cycle(cycle: list[str], own: set[str]) -> list[str]:
+    """Return the cycle, rotated to start at a service of the text."""
     nodes = cycle[:-1]
-    at = next(index for index, name in enumerate(nodes) if name in own)
-    return [*nodes[at:], *nodes[: at + 1]]
+    first = next(index for index, name in enumerate(nodes) if name in own)
+    return [*nodes[first:], *nodes[: first + 1]]
 
 
 def check_text(
@@ -738,12 +762,12 @@
     parsed: ParsedText,
     now: float,
 ) -> tuple[Finding, ...]:
-    """Return what is wrong with a text, without its credentials.
+    """Return the findings of a text, without a check of the token.
 
     Parameters
     ----------
     head : Head
-        Present head.
+        Current head.
     fragments : dict of str to Fragment
         Fragments of all departments that the head names.
     parsed : ParsedText
@@ -753,7 +777,7 @@
     """
     if not parsed.has_fragment:
         return parsed.findings
-    check = _Check(head, fragments, parsed, now)
+    check = _TextCheck(head, fragments, parsed, now)
     check.run()
     return check.findings
 
@@ -772,43 +796,45 @@
     Parameters
     ----------
     head : Head
-        Present head.
+        Current head.
     fragments : dict of str to Fragment
         Fragments of all departments that the head names.
     parsed : ParsedText
         The operator's text.
     submission_id : str
-        Id that the operator keeps over retries.
+        Id that the operator uses again for retries.
     token : str
         The department's token.
     now : float
         Unix time in seconds.
     since : int, optional
-        Version at which the submission had not been accepted, for ids that
-        name none.
+        Base version for ids that have none: the version of a head in which
+        the submission was not yet accepted.
 
     Returns
     -------
     Accepted, AlreadyAccepted, Refused or OutcomeUnknown
-        The head to swap in, the version that the same submission produced
-        before, or the findings. `OutcomeUnknown` when more submissions were
-        accepted since the id was made than the head records.
+        The next head, the version that the same submission already produced,
+        or the findings. `OutcomeUnknown` when more submissions were accepted
+        since the base version than the head records.
     """
-    base = submission_base_version(submission_id)
-    base = since if base is None else base
+    base_version = submission_base_version(submission_id)
+    base_version = since if base_version is None else base_version
     place = parsed.place('department')
-    known = find_submission(head, submission_id)
-    if known is not None:
-        version, tag = known
-        if tag == submission_tag(parsed, token):
+    recorded = find_submission(head, submission_id)
+    if recorded is not None:
+        version, fingerprint = recorded
+        if fingerprint == submission_fingerprint(parsed, token):
             return AlreadyAccepted(version)
-        return _refused(
+        return _refusal(
             'submission-reused',
-            f'submission id {submission_id} was used for another text or '
-            'with another token',
+            f'submission id {submission_id} was already used for another text '
+            'or with another token',
             place,
         )
-    if base is not None and not records_submissions_since(head, base):
+    if base_version is not None and not records_submissions_since(
+        head, base_version
+    ):
         return OutcomeUnknown()
     if not parsed.has_fragment:
         return Refused(parsed.findings)
@@ -816,28 +842,30 @@
     department = parsed.fragment.department
     ref = head.departments.get(department)
     if len(token) < MIN_TOKEN_CHARACTERS:
-        return _refused(
+        return _refusal(
             'wrong-token',
-            f'a token has at least {MIN_TOKEN_CHARACTERS} characters',
+            f'a token must have at least {MIN_TOKEN_CHARACTERS} characters',
             place,
         )
     if ref and not hmac.compare_digest(ref.credential, credential):
         return Refused((_wrong_token(department, place),))
-    check = _Check(head, fragments, parsed, now)
+    check = _TextCheck(head, fragments, parsed, now)
     check.run()
     if check.findings:
         return Refused(check.findings)
-    return _accepted(head, fragments, check, submission_id, parsed, token, now)
+    return _apply_submission(
+        head, fragments, check, submission_id, parsed, token, now
+    )
 
 
-def _refused(code: str, message: str, place: Place) -> Refused:
+def _refusal(code: str, message: str, place: Place) -> Refused:
     return Refused((Finding(code, message, place),))
 
 
-def _accepted(
+def _apply_submission(
     head: _model.Head,
     fragments: Mapping[str, _model.Fragment],
-    check: _Check,
+    check: _TextCheck,
     submission_id: str,
     parsed: ParsedText,
     token: str,
@@ -846,19 +874,19 @@
     fragment = check.fragment
     data = _model.encode(fragment)
     merged = {**fragments, fragment.department: fragment}
-    moves = _kept_moves(head, merged, now)
+    moves = _retained_moves(head, merged, now)
     for spec in fragment.moves:
         if spec.id not in moves:
             moves[spec.id] = _model.Move(
-                spec, MoveState.ACTIVE, 0, FIRST_SHARE, now, now
+                spec, MoveState.ACTIVE, 0, FIRST_STAGE_SHARE, now, now
             )
-    key = f'{submission_id}~{submission_tag(parsed, token)}'
+    key = f'{submission_id}~{submission_fingerprint(parsed, token)}'
     submissions = {**head.submissions, key: head.version + 1}
-    # The canonical encoding sorts keys, so the age is in the values only.
-    while len(submissions) > MAX_SUBMISSIONS:
+    # The canonical encoding sorts the keys, so only the values give the age.
+    while len(submissions) > MAX_RECORDED_SUBMISSIONS:
         del submissions[min(submissions, key=submissions.__getitem__)]
     ref = _model.DepartmentRef(_model.digest(data), credential_digest(token))
-    following = _next(
+    next_head = _next_head(
         head,
         departments={**head.departments, fragment.department: ref},
         moves=moves,
@@ -866,30 +894,35 @@
         submissions=submissions,
     )
     place = parsed.place('department')
-    for what, size, limit in (
+    for subject, size, limit in (
         ('the department', len(data), MAX_FRAGMENT_BYTES),
-        ('the head', len(_model.encode(following)), MAX_HEAD_BYTES),
+        ('the head', len(_model.encode(next_head)), MAX_HEAD_BYTES),
     ):
         if size > limit:
-            return _refused(
+            return _refusal(
                 'too-large',
-                f'{what} would take {size} bytes; at most {limit} are stored',
+                f'{subject} would take {size} bytes; at most {limit} can be '
+                'stored',
                 place,
             )
-    return Accepted(following, fragment, merged)
+    return Accepted(next_head, fragment, merged)
 
 
-def _kept_moves(
+def _retained_moves(
     head: _model.Head, fragments: Mapping[str, _model.Fragment], now: float
 ) -> dict[str, _model.Move]:
-    """Return the moves without those that ended long ago and are unnamed."""
-    named = {
+    """Return the moves without those that are expired.
+
+    A move expires `ENDED_MOVE_RETENTION_S` after its end, but not while a
+    fragment names it.
+    """
+    move_ids = {
         spec.id for fragment in fragments.values() for spec in fragment.moves
     }
     return {
         move_id: move
         for move_id, move in head.moves.items()
-        if move_id in named
+        if move_id in move_ids
         or not move.state.final
-        or now - move.stage_started < MOVE_KEPT_S
+        or now - move.stage_started < ENDED_MOVE_RETENTION_S
     }
--- a/gypsumhall/core/_model.py
+++ b/gypsumhall/core/_model.py
@@ -1,4 +1,4 @@
-"""Values of the configuration: services, routes, moves, fragments, head.
+"""Configuration values: services, routes, moves, fragments and the head.
 
 All values are immutable. They are stored in the platform and sent between
 daemons as msgpack maps.
@@ -12,14 +12,14 @@
 
 import msgspec
 
-_TIMEOUT_S = 10.0
-_IDEMPOTENT_METHODS = ('GET', 'HEAD', 'OPTIONS')
+_DEFAULT_TIMEOUT_S = 10.0
+_DEFAULT_IDEMPOTENT_METHODS = ('GET', 'HEAD', 'OPTIONS')
 
 
 def _set_floats(value: msgspec.Struct, *names: str) -> None:
-    """Store numbers as floats, so that 1 and 1.0 have one encoding."""
+    """Convert fields to floats, so that 1 and 1.0 have the same encoding."""
     for name in names:
-        # The sum turns -0.0 into 0.0.
+        # Adding 0.0 turns -0.0 into 0.0.
         number = float(getattr(value, name)) + 0.0
         msgspec.structs.force_setattr(value, name, number)
 
@@ -34,7 +34,7 @@
     versions : tuple of str
         Versions that routes and moves may send traffic to.
     current : str
-        Version that gets all traffic when no move is active.
+        Version that receives all traffic when no move is active.
     depends_on : tuple of str
         Names of the services that this one calls.
     """
@@ -46,14 +46,15 @@
 
 
 class Target(msgspec.Struct, frozen=True):
-    """A service that a route sends a part of its calls to.
+    """One of several services among which a route divides its calls.
 
     Parameters
     ----------
     service : str
         Name of the service.
     weight : int
-        Its part; the parts of a route add up to the whole.
+        Its share of the calls, relative to the sum of the weights of the
+        route.
     """
 
     service: str
@@ -61,7 +62,7 @@
 
 
 ANY_METHOD = '*'
-"""Stands in `Route.idempotent_methods` for all methods."""
+"""Matches all methods in `Route.idempotent_methods`."""
 
 
 class Route(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -79,18 +80,18 @@
     service : str
         Name of the service.
     timeout_s : float
-        Deadline of a call that carries none of its own, in seconds.
+        Time limit in seconds of a call that has no deadline of its own.
     idempotent_methods : tuple of str
-        Methods whose requests may be repeated; `ANY_METHOD` for all.
+        Methods whose requests may be retried; `ANY_METHOD` for all.
     targets : tuple of Target
-        Services among which the calls are divided; empty when all go to
-        `service`, which is the first of them otherwise.
+        Services among which the calls are divided; empty when all calls go
+        to `service`, which is the first of them otherwise.
     objective_s : float
-        Time in seconds within which a response is worth most; 0 for the
-        time-out.
+        Target response time in seconds, after which a response is worth
+        less; 0 to use the time limit.
     attempts : int
-        Most endpoints that one request may reach; 0 for no limit of its
-        own.
+        Maximum number of endpoints that one request may reach; 0 if the
+        route sets no limit.
     priority : int
         Rank of the route, 0 for the most urgent.
     """
@@ -99,43 +100,45 @@
     host: str
     path: str
     service: str
-    timeout_s: float = _TIMEOUT_S
-    idempotent_methods: tuple[str, ...] = _IDEMPOTENT_METHODS
+    timeout_s: float = _DEFAULT_TIMEOUT_S
+    idempotent_methods: tuple[str, ...] = _DEFAULT_IDEMPOTENT_METHODS
     targets: tuple[Target, ...] = ()
     objective_s: float = 0.0
     attempts: int = 0
     priority: int = 0
 
     def __post_init__(self) -> None:
-        """Replace values that equal a default by the default.
+        """Replace values that are equal to a default by the default itself.
 
-        The encoder compares with defaults by identity.
+        The encoder omits a field only if its value is the default object.
         """
         _set_floats(self, 'timeout_s')
-        if self.timeout_s == _TIMEOUT_S:
-            msgspec.structs.force_setattr(self, 'timeout_s', _TIMEOUT_S)
-        if self.idempotent_methods == _IDEMPOTENT_METHODS:
+        if self.timeout_s == _DEFAULT_TIMEOUT_S:
             msgspec.structs.force_setattr(
-                self, 'idempotent_methods', _IDEMPOTENT_METHODS
+                self, 'timeout_s', _DEFAULT_TIMEOUT_S
+            )
+        if self.idempotent_methods == _DEFAULT_IDEMPOTENT_METHODS:
+            msgspec.structs.force_setattr(
+                self, 'idempotent_methods', _DEFAULT_IDEMPOTENT_METHODS
             )
 
     def is_idempotent(self, method: str) -> bool:
-        """Whether requests with a method may be repeated."""
+        """Whether requests with this method may be retried."""
         methods = self.idempotent_methods
         return method in methods or ANY_METHOD in methods
 
 
 class MoveSpec(msgspec.Struct, frozen=True):
-    """A staged move of a service's traffic, as the operator asked for it.
+    """A staged move of a service's traffic, as specified by the operator.
 
     Parameters
     ----------
     id : str
         ``<department>/<name of the move>``.
     service, from_version, to_version : str
-        What moves, from which version to which.
+        Name of the service, its old version and its new version.
     deadline : float
-        Unix time in seconds by which all traffic has moved.
+        Unix time in seconds by which all traffic has to be moved.
     soak_s : float
         Seconds of observation after the last stage.
     """
@@ -148,7 +151,7 @@
     soak_s: float = 10.0
 
     def __post_init__(self) -> None:
-        """Store the times as floats."""
+        """Convert the times to floats."""
         _set_floats(self, 'deadline', 'soak_s')
 
 
@@ -160,8 +163,8 @@
     department : str
         Name of the department.
     services, routes, moves : tuple
-        Contents, sorted by name or id, so that equal texts have equal
-        digests.
+        Contents, sorted by name or id, so that texts with the same contents
+        have the same digest.
     """
 
     department: str
@@ -190,7 +193,7 @@
     Parameters
     ----------
     spec : MoveSpec
-        What the operator asked for.
+        Specification of the move.
     state : MoveState
         Progress.
     stage : int
@@ -214,7 +217,7 @@
     reason: str = ''
 
     def __post_init__(self) -> None:
-        """Store share and times as floats."""
+        """Convert share and times to floats."""
         _set_floats(self, 'share', 'started', 'stage_started')
 
 
@@ -234,12 +237,14 @@
 
 
 class Head(msgspec.Struct, frozen=True):
-    """The record that gives all configurations a total order.
+    """The root record of the configuration.
+
+    Its version gives all configurations a total order.
 
     Parameters
     ----------
     version : int
-        Grows by one with every change; 0 before the first.
+        Incremented by one with every change; 0 before the first.
     departments : dict of str to DepartmentRef
         Fragment and credential of every department.
     moves : dict of str to Move
@@ -248,8 +253,8 @@
         Version in use of services for which a finished move replaced the
         version named by the fragment.
     submissions : dict of str to int
-        Recently accepted submission ids and the version each produced, in
-        the order of acceptance.
+        Versions that recently accepted submissions produced, by
+        ``<submission id>~<fingerprint>``.
     """
 
     version: int = 0
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -1,9 +1,10 @@
-"""Reading of an operator's text: YAML to a fragment, faults with places.
+"""Parses an operator's configuration text (YAML) into a fragment.
 
-The text is read as parser events rather than as loaded values. Events carry
-the line and column of every key and value, a version such as ``1.10`` stays
-the text that was written, and anchors, aliases, tags and deep nesting are
-refused before they can cost memory.
+Faults are collected as findings with their positions. The text is processed
+as parser events rather than as loaded values: events carry the line and
+column of every key and value, a version such as ``1.10`` is not converted to
+a number, and anchors, aliases, tags and deep nesting are rejected before they
+can consume memory.
 """
 
 from __future__ import annotations
@@ -37,14 +38,16 @@
     from collections.abc import Sequence
 
 MAX_TEXT_BYTES = 512 * 1024
-# A valid text nests four levels deep; the rest is room for useful messages.
+# A valid text nests four levels deep. The margin lets texts that are nested a
+# little deeper get more specific findings than ``too-deep``.
 MAX_DEPTH = 16
-# A dense valid text of the greatest size has about 98,000 keys and values; a
-# hostile one with 260,000 took 17 s to read.
+# The densest valid text of `MAX_TEXT_BYTES` has about 98,000 keys and values.
+# Reading a malicious one with 260,000 took 17 s.
 MAX_NODES = 120_000
-# A hostile text can hold a fault in every few bytes; the answer stays small.
+# Limits the size of the response: a malicious text can contain a fault every
+# few bytes.
 MAX_FINDINGS = 200
-MAX_DURATION_S = 30 * 86400.0
+MAX_WITHIN_S = 30 * 86400.0
 MAX_TIMEOUT_S = 3600.0
 MAX_SOAK_S = 86400.0
 METHODS = (
@@ -68,12 +71,12 @@
     r'\d{4}-\d{2}-\d{2}[T ]\d{2}:\d{2}:\d{2}(\.\d{1,6})?'
     r'(Z|[+-]\d{2}:\d{2})'
 )
-_EMPTY = ('', '~', 'null')
+_NULL_SCALARS = ('', '~', 'null')
 _Named = TypeVar('_Named', _model.Service, _model.Route)
 
 
 def quote_value(value: str) -> str:
-    """Return a value quoted for a message, shortened when it is long."""
+    """Return a value in quotes for a message, truncated if it is long."""
     if len(value) > 80:
         return repr(value[:77] + '...')
     return repr(value)
@@ -81,19 +84,21 @@
 
 @dataclass(slots=True, frozen=True)
 class ParsedText:
-    """An operator's text as it was read.
+    """Result of reading an operator's text.
 
     Parameters
     ----------
     fragment : Fragment
-        Contents. When there are findings it lacks the faulty parts.
+        Contents of the text, without the faulty parts.
     findings : tuple of Finding
-        Faults of the text itself, in the order of their places.
+        Faults of the text itself, sorted by position.
     within : dict of str to float
-        Seconds that were given instead of a deadline, by move id. The
-        deadline in the fragment counts from the time of reading.
+        Values of ``within`` in seconds, by id of the moves that have it
+        instead of a deadline. Their deadlines in the fragment are relative
+        to the time of reading.
     has_fragment : bool
-        Whether the parts can be checked against other texts.
+        Whether the text could be converted to a fragment, which can then be
+        checked against those of other departments.
     source : str
         Name of the text.
     digest : str
@@ -111,16 +116,16 @@
     places: Mapping[tuple[str, ...], Place]
 
     def place(self, *path: str) -> Place:
-        """Return the position of a path, or of its closest known parent."""
+        """Return the position of a path or of its closest parent."""
         for length in range(len(path), 0, -1):
-            found = self.places.get(path[:length])
-            if found is not None:
-                return found
+            place = self.places.get(path[:length])
+            if place is not None:
+                return place
         return self.places.get(('department',), Place(self.source, 1, 1))
 
 
 def sorted_findings(findings: Iterable[Finding]) -> tuple[Finding, ...]:
-    """Return findings in the order of their places, without repetition."""
+    """Return findings sorted by position, without duplicates."""
     unique = dict.fromkeys(findings)
     return tuple(
         sorted(unique, key=lambda item: (item.place.line, item.place.column))
@@ -129,7 +134,21 @@
 
 @dataclass(slots=True)
 class _Node:
-    """A scalar (`text`), sequence (`items`) or mapping (`items` in pairs)."""
+    """A node of the YAML document.
+
+    Parameters
+    ----------
+    kind : str
+        ``scalar``, ``list`` or ``mapping``.
+    place : Place
+        Position of the node.
+    text : str
+        Value of a scalar.
+    plain : bool
+        Whether a scalar is written without quotes and not as a block.
+    items : list of _Node
+        Items of a list; keys and values of a mapping in turn.
+    """
 
     kind: str
     place: Place
@@ -138,12 +157,14 @@
     items: list[_Node] = field(default_factory=list)
 
     @property
-    def empty(self) -> bool:
-        return self.kind == 'text' and self.plain and self.text in _EMPTY
+    def is_null(self) -> bool:
+        return (
+            self.kind == 'scalar' and self.plain and self.text in _NULL_SCALARS
+        )
 
 
-class _RefusedError(Exception):
-    """Reading cannot go on after this finding."""
+class _FatalFindingError(Exception):
+    """A finding after which the text cannot be read any further."""
 
     def __init__(self, finding: Finding) -> None:
         super().__init__(str(finding))
@@ -151,7 +172,7 @@
 
 
 def _compose(text: str, source: str) -> _Node | None:
-    """Build the tree of nodes; None for an empty text."""
+    """Return the root of the tree of nodes; None for an empty text."""
 
     def place_of(event: events.Event) -> Place:
         mark = event.start_mark
@@ -159,21 +180,21 @@
 
     root: _Node | None = None
     stack: list[_Node] = []
-    count = 0
+    node_count = 0
     for event in YAML(typ='rt').parse(text):
         if isinstance(event, events.DocumentStartEvent) and root is not None:
-            raise _RefusedError(
+            raise _FatalFindingError(
                 Finding(
                     'syntax',
-                    'a second document starts here; a text has one',
+                    'a second YAML document starts here; only one is allowed',
                     place_of(event),
                 )
             )
         if isinstance(event, events.NodeEvent):
             node = _node(event, place_of(event))
-            count += 1
-            if count > MAX_NODES:
-                raise _RefusedError(
+            node_count += 1
+            if node_count > MAX_NODES:
+                raise _FatalFindingError(
                     Finding(
                         'too-large',
                         f'more than {MAX_NODES} keys and values',
@@ -184,10 +205,10 @@
                 stack[-1].items.append(node)
             else:
                 root = node
-            if node.kind != 'text':
+            if node.kind != 'scalar':
                 stack.append(node)
             if len(stack) > MAX_DEPTH:
-                raise _RefusedError(
+                raise _FatalFindingError(
                     Finding(
                         'too-deep',
                         f'nested more than {MAX_DEPTH} levels',
@@ -201,26 +222,27 @@
 
 def _node(event: events.NodeEvent, place: Place) -> _Node:
     if isinstance(event, events.AliasEvent):
-        raise _RefusedError(
+        raise _FatalFindingError(
             Finding(
                 'alias',
-                f'alias *{event.anchor}: write the value out instead',
+                f'alias *{event.anchor} is not allowed; repeat the '
+                'value instead',
                 place,
             )
         )
     if event.anchor is not None:
-        raise _RefusedError(
+        raise _FatalFindingError(
             Finding('alias', f'anchor &{event.anchor} is not allowed', place)
         )
     tag = getattr(event, 'tag', None)
     if tag is not None:
-        raise _RefusedError(
+        raise _FatalFindingError(
             Finding(
                 'tag', f'tag {quote_value(str(tag))} is not allowed', place
             )
         )
     if isinstance(event, events.ScalarEvent):
-        return _Node('text', place, event.value, not event.style)
+        return _Node('scalar', place, event.value, not event.style)
     if isinstance(event, events.SequenceStartEvent):
         return _Node('list', place)
     return _Node('mapping', place)
@@ -247,7 +269,7 @@
 
 
 class _Reader:
-    """Collects findings and places while it reads nodes."""
+    """Converts nodes to a fragment; collects findings and positions."""
 
     def __init__(self, source: str, now: float) -> None:
         self._source = source
@@ -261,21 +283,21 @@
 
     def read(self, root: _Node) -> _model.Fragment | None:
         keys = ('department', 'services', 'routes', 'moves')
-        top = self._keys(root, (), keys, ('department',))
-        if top is None:
+        sections = self._read_keys(root, (), keys, ('department',))
+        if sections is None:
             return None
-        department = self._name(top.get('department'), ('department',))
+        department = self._name(sections.get('department'), ('department',))
         services = [
             self._service(name, node)
-            for name, node in self._section(top, 'services')
+            for name, node in self._section(sections, 'services')
         ]
         routes = [
             self._route(name, node)
-            for name, node in self._section(top, 'routes')
+            for name, node in self._section(sections, 'routes')
         ]
         moves = [
             self._move(department or '', name, node)
-            for name, node in self._section(top, 'moves')
+            for name, node in self._section(sections, 'moves')
         ]
         if department is None:
             return None
@@ -293,80 +315,89 @@
 
     # Structure
 
-    def _pairs(
+    def _unique_items(
         self, node: _Node, path: tuple[str, ...]
     ) -> Iterator[tuple[str, _Node]]:
-        """Yield the keys of a mapping once each, and note their places."""
-        seen: dict[str, Place] = {}
+        """Yield the items of a mapping and record the places of the keys.
+
+        Keys that are no strings or occur again are reported and skipped.
+        """
+        first_places: dict[str, Place] = {}
         for key, value in zip(node.items[::2], node.items[1::2], strict=True):
-            if key.kind != 'text':
-                self.add('wrong-type', 'a key has to be a word', key.place)
+            if key.kind != 'scalar':
+                self.add('wrong-type', 'a key must be a string', key.place)
                 continue
-            if key.text in seen:
+            if key.text in first_places:
                 self.add(
                     'duplicate-key',
-                    f'key {quote_value(key.text)} stands already in line '
-                    f'{seen[key.text].line}',
+                    f'key {quote_value(key.text)} is already defined in line '
+                    f'{first_places[key.text].line}',
                     key.place,
                 )
                 continue
-            seen[key.text] = key.place
+            first_places[key.text] = key.place
             self.places[*path, key.text] = key.place
             yield key.text, value
 
-    def _mapping(self, node: _Node, what: str) -> bool:
+    def _check_mapping(self, node: _Node, subject: str) -> bool:
         if node.kind == 'mapping':
             return True
         self.add(
             'wrong-type',
-            f'{what} has to be a mapping (key: value), not a {node.kind}',
+            f'{subject} must be a mapping (key: value), not a {node.kind}',
             node.place,
         )
         return False
 
-    def _keys(
+    def _read_keys(
         self,
         node: _Node,
         path: tuple[str, ...],
-        known: Sequence[str],
+        allowed_keys: Sequence[str],
         required: Sequence[str],
     ) -> dict[str, _Node] | None:
-        what = ' '.join(path[-2:]) or 'the text'
-        if not self._mapping(node, what):
+        subject = ' '.join(path[-2:]) or 'the text'
+        if not self._check_mapping(node, subject):
             return None
         result = {}
-        for key, value in self._pairs(node, path):
-            if key in known:
+        for key, value in self._unique_items(node, path):
+            if key in allowed_keys:
                 result[key] = value
             else:
                 self.add(
                     'unknown-key',
-                    f'unknown key {quote_value(key)} in {what}; valid keys: '
-                    f'{", ".join(known)}',
+                    f'unknown key {quote_value(key)} in {subject}; valid '
+                    f'keys: {", ".join(allowed_keys)}',
                     self.places[*path, key],
                 )
         for key in required:
             if key not in result:
                 self.add(
-                    'missing-key', f'{what} lacks the key {key!r}', node.place
+                    'missing-key',
+                    f'{subject} lacks the required key {key!r}',
+                    node.place,
                 )
         return result
 
     def _section(
-        self, top: Mapping[str, _Node], section: str
+        self, sections: Mapping[str, _Node], section: str
     ) -> Iterator[tuple[str, _Node]]:
-        node = top.get(section)
-        if node is None or node.empty or not self._mapping(node, section):
+        node = sections.get(section)
+        if (
+            node is None
+            or node.is_null
+            or not self._check_mapping(node, section)
+        ):
             return
-        for name, value in self._pairs(node, (section,)):
-            if self._matches(
+        for name, value in self._unique_items(node, (section,)):
+            if self._check_pattern(
                 _NAME, name, 'bad-name', self.places[section, name]
             ):
                 yield name, value
 
     # Values
 
-    def _matches(
+    def _check_pattern(
         self, pattern: re.Pattern[str], text: str, code: str, place: Place
     ) -> bool:
         if pattern.fullmatch(text):
@@ -378,37 +409,41 @@
             else 'letters, digits, ".", "_" and "-", starting with a letter '
             'or digit, at most 63 characters'
         )
-        self.add(code, f'{quote_value(text)} is not valid here: {rule}', place)
+        self.add(
+            code,
+            f'{quote_value(text)} is not valid; allowed are {rule}',
+            place,
+        )
         return False
 
-    def _text(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
+    def _string(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
         if node is None:
             return None
-        if node.kind != 'text' or node.empty:
-            kind = 'empty' if node.empty else f'a {node.kind}'
+        if node.kind != 'scalar' or node.is_null:
+            kind = 'empty' if node.is_null else f'a {node.kind}'
             self.add(
                 'wrong-type',
-                f'{path[-1]} has to be a text, is {kind}',
+                f'{path[-1]} must be a string, but is {kind}',
                 node.place,
             )
             return None
         return node.text
 
     def _name(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
-        text = self._text(node, path)
+        text = self._string(node, path)
         if text is None or node is None:
             return None
-        ok = self._matches(_NAME, text, 'bad-name', node.place)
-        return text if ok else None
+        valid = self._check_pattern(_NAME, text, 'bad-name', node.place)
+        return text if valid else None
 
     def _version(
         self, node: _Node | None, path: tuple[str, ...]
     ) -> str | None:
-        text = self._text(node, path)
+        text = self._string(node, path)
         if text is None or node is None:
             return None
-        ok = self._matches(_VERSION, text, 'bad-version', node.place)
-        return text if ok else None
+        valid = self._check_pattern(_VERSION, text, 'bad-version', node.place)
+        return text if valid else None
 
     def _list(
         self,
@@ -421,7 +456,7 @@
         if node.kind != 'list':
             self.add(
                 'wrong-type',
-                f'{path[-1]} has to be a list, for example '
+                f'{path[-1]} must be a list, for example '
                 f'[first, second], not a {node.kind}',
                 node.place,
             )
@@ -434,7 +469,8 @@
             if text in result:
                 self.add(
                     'duplicate-item',
-                    f'{quote_value(text)} stands twice in {path[-1]}',
+                    f'{quote_value(text)} is listed more than once in '
+                    f'{path[-1]}',
                     item.place,
                 )
                 continue
@@ -450,15 +486,16 @@
         lowest: float,
         highest: float,
     ) -> float:
-        text = self._text(node, path)
+        text = self._string(node, path)
         if text is None or node is None:
             return default
         value = parse_duration(text)
         if value is None:
             self.add(
                 'bad-duration',
-                f'{quote_value(text)} is no duration; write a number and one '
-                f'of {", ".join(DURATION_UNITS)}, for example 500ms or 90s',
+                f'{quote_value(text)} is not a duration; write a number '
+                f'and one of {", ".join(DURATION_UNITS)}, for example 500ms '
+                'or 90s',
                 node.place,
             )
             return default
@@ -472,8 +509,10 @@
             return default
         return value
 
-    def _date(self, node: _Node | None, path: tuple[str, ...]) -> float | None:
-        text = self._text(node, path)
+    def _timestamp(
+        self, node: _Node | None, path: tuple[str, ...]
+    ) -> float | None:
+        text = self._string(node, path)
         if text is None or node is None:
             return None
         try:
@@ -483,14 +522,14 @@
         except (ValueError, OverflowError):
             self.add(
                 'bad-date',
-                f'{quote_value(text)} is no date with time and zone; write '
-                'for example 2026-12-05T06:00:00Z',
+                f'{quote_value(text)} is not a date with time and time zone; '
+                'write for example 2026-12-05T06:00:00Z',
                 node.place,
             )
             return None
 
     def _host(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
-        text = self._text(node, path)
+        text = self._string(node, path)
         if text is None or node is None:
             return None
         host = text.lower()
@@ -498,7 +537,7 @@
         if len(host) > 253 or not all(map(_LABEL.fullmatch, labels)):
             self.add(
                 'bad-host',
-                f'{quote_value(text)} is no host name; write it without '
+                f'{quote_value(text)} is not a host name; write it without '
                 'scheme, port, path or wildcard, for example plans.example',
                 node.place,
             )
@@ -506,7 +545,7 @@
         return host
 
     def _path(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
-        text = self._text(node, path)
+        text = self._string(node, path)
         if text is None or node is None:
             return None
         dots = {'.', '..'}.intersection(text.split('/'))
@@ -518,22 +557,23 @@
         ):
             self.add(
                 'bad-path',
-                f'{quote_value(text)} is no path prefix; it starts with "/", '
-                'has no empty, "." or ".." segment, no query, and other '
-                'characters as %XX; at most 1024 characters',
+                f'{quote_value(text)} is not a path prefix; it must start '
+                'with "/", have no empty, "." or ".." segments and no query, '
+                'have other characters percent-encoded (%XX) and be at most '
+                '1024 characters long',
                 node.place,
             )
             return None
         return text.rstrip('/') or '/'
 
     def _method(self, node: _Node | None, path: tuple[str, ...]) -> str | None:
-        text = self._text(node, path)
+        text = self._string(node, path)
         if text is None or node is None:
             return None
         if text not in METHODS:
             self.add(
                 'unknown-method',
-                f'unknown method {quote_value(text)}; valid: '
+                f'unknown method {quote_value(text)}; valid methods: '
                 f'{", ".join(METHODS)}',
                 node.place,
             )
@@ -544,26 +584,32 @@
 
     def _service(self, name: str, node: _Node) -> _model.Service:
         path = ('services', name)
-        known = ('versions', 'current', 'depends_on')
-        keys = self._keys(node, path, known, ('versions',)) or {}
-        listed = keys.get('versions')
-        at = (*path, 'versions')
-        versions = self._list(listed, at, self._version)
-        if listed is not None and listed.kind == 'list' and not listed.items:
+        allowed_keys = ('versions', 'current', 'depends_on')
+        keys = self._read_keys(node, path, allowed_keys, ('versions',)) or {}
+        versions_node = keys.get('versions')
+        key_path = (*path, 'versions')
+        versions = self._list(versions_node, key_path, self._version)
+        if (
+            versions_node is not None
+            and versions_node.kind == 'list'
+            and not versions_node.items
+        ):
             self.add(
-                'no-versions', f'service {name} lists no version', listed.place
+                'no-versions',
+                f'service {name} has no versions',
+                versions_node.place,
             )
-        at = (*path, 'current')
-        current = self._version(keys.get('current'), at)
+        key_path = (*path, 'current')
+        current = self._version(keys.get('current'), key_path)
         if current is not None and versions and current not in versions:
             self.add(
                 'unknown-version',
                 f'current version {quote_value(current)} of service {name} is '
-                f'not among its versions: {", ".join(versions)}',
+                f'not one of its versions: {", ".join(versions)}',
                 keys['current'].place,
             )
-        at = (*path, 'depends_on')
-        depends_on = self._list(keys.get('depends_on'), at, self._name)
+        key_path = (*path, 'depends_on')
+        depends_on = self._list(keys.get('depends_on'), key_path, self._name)
         return _model.Service(
             name,
             versions,
@@ -574,52 +620,58 @@
     def _route(self, name: str, node: _Node) -> _model.Route | None:
         path = ('routes', name)
         required = ('host', 'path', 'service')
-        known = (*required, 'timeout', 'idempotent_methods')
-        keys = self._keys(node, path, known, required) or {}
+        allowed_keys = (*required, 'timeout', 'idempotent_methods')
+        keys = self._read_keys(node, path, allowed_keys, required) or {}
         host = self._host(keys.get('host'), (*path, 'host'))
         prefix = self._path(keys.get('path'), (*path, 'path'))
         service = self._name(keys.get('service'), (*path, 'service'))
-        timeout = self._duration(
+        timeout_s = self._duration(
             keys.get('timeout'), (*path, 'timeout'), 10.0, 0.001, MAX_TIMEOUT_S
         )
         methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
         if 'idempotent_methods' in keys:
-            at = (*path, 'idempotent_methods')
-            found = self._list(keys['idempotent_methods'], at, self._method)
-            methods = tuple(sorted(found))
+            key_path = (*path, 'idempotent_methods')
+            listed_methods = self._list(
+                keys['idempotent_methods'], key_path, self._method
+            )
+            methods = tuple(sorted(listed_methods))
         if host is None or prefix is None or service is None:
             return None
-        return _model.Route(name, host, prefix, service, timeout, methods)
+        return _model.Route(name, host, prefix, service, timeout_s, methods)
 
     def _move(
         self, department: str, name: str, node: _Node
     ) -> _model.MoveSpec | None:
         path = ('moves', name)
         required = ('service', 'from', 'to')
-        known = (*required, 'deadline', 'within', 'soak')
-        keys = self._keys(node, path, known, required) or {}
+        allowed_keys = (*required, 'deadline', 'within', 'soak')
+        keys = self._read_keys(node, path, allowed_keys, required) or {}
         service = self._name(keys.get('service'), (*path, 'service'))
-        old = self._version(keys.get('from'), (*path, 'from'))
-        new = self._version(keys.get('to'), (*path, 'to'))
-        if old is not None and old == new:
+        from_version = self._version(keys.get('from'), (*path, 'from'))
+        to_version = self._version(keys.get('to'), (*path, 'to'))
+        if from_version is not None and from_version == to_version:
             self.add(
                 'same-version',
-                f'move {name} goes from {old} to the same version',
+                f'move {name} has version {from_version} as both from and to',
                 keys['to'].place,
             )
-        soak = self._duration(
+        soak_s = self._duration(
             keys.get('soak'), (*path, 'soak'), 10.0, 0.0, MAX_SOAK_S
         )
         deadline = self._deadline(department, name, node, keys)
-        if None in (service, old, new) or deadline is None or old == new:
+        if (
+            None in (service, from_version, to_version)
+            or deadline is None
+            or from_version == to_version
+        ):
             return None
         return _model.MoveSpec(
             f'{department}/{name}',
             service or '',
-            old or '',
-            new or '',
+            from_version or '',
+            to_version or '',
             deadline,
-            soak,
+            soak_s,
         )
 
     def _deadline(
@@ -640,12 +692,12 @@
             )
             return None
         if 'deadline' in keys:
-            return self._date(keys['deadline'], (*path, 'deadline'))
-        count = len(self.findings)
+            return self._timestamp(keys['deadline'], (*path, 'deadline'))
+        previous_count = len(self.findings)
         seconds = self._duration(
-            keys['within'], (*path, 'within'), 0.0, 1.0, MAX_DURATION_S
+            keys['within'], (*path, 'within'), 0.0, 1.0, MAX_WITHIN_S
         )
-        if len(self.findings) > count:
+        if len(self.findings) > previous_count:
             return None
         self.within[f'{department}/{name}'] = seconds
         return self._now + seconds
@@ -655,15 +707,19 @@
     return tuple(sorted(items, key=lambda item: item.name))
 
 
-def _limited(findings: list[Finding], source: str) -> tuple[Finding, ...]:
+def _limit_findings(
+    findings: list[Finding], source: str
+) -> tuple[Finding, ...]:
     result = sorted_findings(findings)
     if len(result) <= MAX_FINDINGS:
         return result
-    left = len(result) - MAX_FINDINGS
-    more = Finding(
-        'more-findings', f'{left} more findings are not listed', Place(source)
+    omitted = len(result) - MAX_FINDINGS
+    summary = Finding(
+        'more-findings',
+        f'{omitted} more findings are not listed',
+        Place(source),
     )
-    return (*result[:MAX_FINDINGS], more)
+    return (*result[:MAX_FINDINGS], summary)
 
 
 def read_text(text: str, source: str, now: float) -> ParsedText:
@@ -676,12 +732,12 @@
     source : str
         Name of the text in findings.
     now : float
-        Unix time in seconds from which ``within`` counts.
+        Unix time in seconds to which ``within`` is relative.
 
     Returns
     -------
     ParsedText
-        With `findings` when anything is wrong.
+        The result, with every fault in its `findings`.
     """
     data = text.encode(errors='surrogatepass')
     reader = _Reader(source, now)
@@ -696,21 +752,22 @@
     else:
         try:
             root = _compose(text, source)
-            if root is None or root.empty:
-                raise _RefusedError(
+            if root is None or root.is_null:
+                raise _FatalFindingError(
                     Finding('empty', 'the text is empty', Place(source, 1, 1))
                 )
             fragment = reader.read(root)
-        except _RefusedError as error:
+        except _FatalFindingError as error:
             reader.findings.append(error.finding)
         except YAMLError as error:
             reader.findings.append(_syntax_finding(error, text, source))
         except (ValueError, OverflowError) as error:
-            # The scanner does not check the range of escapes like \\U.
+            # The YAML scanner does not validate the code points of escapes
+            # such as ``\\U``.
             reader.add('syntax', str(error), Place(source, 1, 1))
     return ParsedText(
         fragment or _model.Fragment(''),
-        _limited(reader.findings, source),
+        _limit_findings(reader.findings, source),
         reader.within,
         fragment is not None,
         source,
@@ -720,9 +777,10 @@
 
 
 def parse_text(text: str, source: str, now: float) -> ParsedText:
-    """Read a text that has no faults of its own.
+    """Read a text and raise an error if it has faults of its own.
 
-    Parameters are those of `read_text`.
+    The parameters are those of `read_text`. The text is not checked against
+    the texts of other departments.
 
     Raises
     ------
--- a/tests/test_core_accept.py
+++ b/tests/test_core_accept.py
@@ -188,9 +188,9 @@
 def test_an_id_older_than_the_record_is_not_decided() -> None:
     """Guards against a second acceptance, or a false refusal."""
     fleet = _Fleet()
-    for _ in range(_accept.MAX_SUBMISSIONS + 3):
+    for _ in range(_accept.MAX_RECORDED_SUBMISSIONS + 3):
         fleet.accept('department: spa')
-    assert len(fleet.head.submissions) == _accept.MAX_SUBMISSIONS
+    assert len(fleet.head.submissions) == _accept.MAX_RECORDED_SUBMISSIONS
     assert min(fleet.head.submissions.values()) == 4
     assert len(_model.encode(fleet.head.submissions)) < 60 * 1024
     for base, expired in ((0, True), (2, True), (3, False), (1000, False)):
@@ -253,7 +253,7 @@
 def test_ended_moves_leave_the_head_a_day_later() -> None:
     fleet = _Fleet(_OWN + _MOVE)
     fleet.finish('spa/up')
-    fleet.now += _accept.MOVE_KEPT_S
+    fleet.now += _accept.ENDED_MOVE_RETENTION_S
     fleet.accept(_OWN + _MOVE)
     assert 'spa/up' in fleet.head.moves
     fleet.accept(_OWN)
