--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -477,8 +477,8 @@
                 if not self._exists(name):
                     self._add(
                         'service-in-use',
-                        f'service {name} is missing in this text, but {user} '
-                        f'of department {department} uses it',
+                        f'service {name} is missing from this text, but '
+                        f'{user} of department {department} uses it',
                         'services',
                     )
 
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -118,9 +118,9 @@
     def place(self, *path: str) -> Place:
         """Return the position of a path or of its closest parent."""
         for length in range(len(path), 0, -1):
-            place = self.places.get(path[:length])
-            if place is not None:
-                return place
+            position = self.places.get(path[:length])
+            if position is not None:
+                return position
         return self.places.get(('department',), Place(self.source, 1, 1))
 
 
--- a/tests/test_core_model.py
+++ b/tests/test_core_model.py
@@ -20,7 +20,7 @@
 
 
 def _copy(value: Any) -> Any:
-    """Return an equal object that is not the same, where there is one."""
+    """Return an equal object that is not identical, if possible."""
     if isinstance(value, tuple):
         return tuple(list(value))
     return float(repr(value)) if isinstance(value, float) else value
@@ -33,13 +33,13 @@
 def test_equal_routes_have_equal_encodings(
     number: float, methods: list[str]
 ) -> None:
-    # Guards against two digests of one configuration: the encoder leaves out
-    # defaults, which it recognizes by identity.
-    parts = ('consult', 'plans.example', '/plans', 'plans')
+    # Guards against different digests of equal configurations: the encoder
+    # omits defaults, which it recognizes by identity.
+    arguments = ('consult', 'plans.example', '/plans', 'plans')
     routes = [
-        _model.Route(*parts, number, tuple(methods)),
-        _model.Route(*parts, _copy(number), _copy(tuple(methods))),
-        _model.Route(*parts, float(number), tuple(list(methods))),
+        _model.Route(*arguments, number, tuple(methods)),
+        _model.Route(*arguments, _copy(number), _copy(tuple(methods))),
+        _model.Route(*arguments, float(number), tuple(list(methods))),
     ]
     fragments = [_model.Fragment('d', routes=(route,)) for route in routes]
     data = {_model.encode(fragment) for fragment in fragments}
@@ -50,12 +50,15 @@
 
 
 def test_a_route_with_defaults_has_one_encoding() -> None:
-    parts = ('consult', 'plans.example', '/plans', 'plans')
-    short = _model.encode(_model.Route(*parts))
+    arguments = ('consult', 'plans.example', '/plans', 'plans')
+    expected = _model.encode(_model.Route(*arguments))
     methods = tuple(['GET', 'HEAD', 'OPTIONS'])
     for timeout in (float('10'), 10, 20 / 2):
-        assert _model.encode(_model.Route(*parts, timeout, methods)) == short
-    assert b'timeout_s' not in short
+        assert (
+            _model.encode(_model.Route(*arguments, timeout, methods))
+            == expected
+        )
+    assert b'timeout_s' not in expected
 
 
 @pytest.mark.parametrize('number', [0, 1, 5])
--- a/tests/test_core_text.py
+++ b/tests/test_core_text.py
@@ -1,4 +1,4 @@
-"""Tests of reading an operator's text."""
+"""Tests of reading an operator's configuration text."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 _MOVE = 'department: a\nmoves:\n  m: {service: s, from: v1, '
 
 
-def test_a_valid_text_leads_to_its_fragment() -> None:
+def test_valid_text_is_read_into_a_fragment() -> None:
     parsed = _text.parse_text(_VALID, 'plans.yaml', 1000.0)
     deadline = datetime.datetime(2026, 12, 5, 6, tzinfo=datetime.UTC)
     service = 'plan-consultation'
@@ -151,30 +151,31 @@
         (_MOVE + 'to: v2, within: 9s, soak: -1s}', '3:55 bad-duration'),
     ],
 )
-def test_a_fault_is_found_at_its_place(text: str, expected: str) -> None:
+def test_fault_is_reported_at_its_position(text: str, expected: str) -> None:
     with pytest.raises(InvalidTextError) as caught:
         _text.parse_text(text, 't', 0.0)
-    found = [
+    findings = [
         f'{item.place.line}:{item.place.column} {item.code}'
         for item in caught.value.findings
     ]
-    assert found == [expected]
+    assert findings == [expected]
 
 
-def test_all_faults_are_reported_in_order_and_limited() -> None:
+def test_faults_are_sorted_by_position_and_limited() -> None:
     text = _VALID.replace('1500ms', 'fast').replace('[1.10', '[/')
     parsed = _text.read_text(text, 't', 0.0)
     codes = [item.code for item in parsed.findings]
     assert codes == ['bad-version', 'bad-duration']
-    many = 'department: a\n' + 'x: 1\n' * 1000
-    parsed = _text.read_text(many, 't', 0.0)
+    faulty_text = 'department: a\n' + 'x: 1\n' * 1000
+    parsed = _text.read_text(faulty_text, 't', 0.0)
     assert len(parsed.findings) == _text.MAX_FINDINGS + 1
     assert parsed.findings[-1].message.startswith('800 more')
 
 
-def test_the_time_of_reading_is_limited_by_the_number_of_values(
+def test_number_of_keys_and_values_is_limited(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    # Guards against texts that take long to read.
     monkeypatch.setattr(_text, 'MAX_NODES', 20)
     parsed = _text.read_text('a: [' + 'b,' * 100, 't', 0.0)
     assert [str(item.place) for item in parsed.findings] == ['t:1:39']
@@ -190,10 +191,10 @@
         ['{', '[', '\n', ': ', '- ', '*a', '&a ', '!', '"', '|']
     ),
 )
-def test_no_damage_to_a_text_raises_anything_else(
+def test_damaged_texts_cause_findings_only(
     start: int, length: int, inserted: str
 ) -> None:
-    """Guards against errors of the scanner that are not findings."""
+    """Guards against YAML scanner errors that are not reported as findings."""
     text = _VALID[:start] + inserted + _VALID[start + length :]
     parsed = _text.read_text(text, 't', 0.0)
     assert parsed.has_fragment or parsed.findings
