--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -98,7 +98,7 @@
 
 
 def is_submission_id(text: str) -> bool:
-    """Return whether a submission id has the documented form."""
+    """Return whether a text is a valid submission id."""
     return _SUBMISSION_ID.fullmatch(text) is not None and len(text) <= 36
 
 
@@ -436,7 +436,7 @@
                 )
 
     def _exists(self, name: str) -> bool:
-        # A service with a faulty entry may be missing from the fragment.
+        # The position of a service is recorded even if its entry is faulty.
         declared = ('services', name) in self._parsed.places
         return declared or name in self._owners
 
--- a/tests/test_core_text.py
+++ b/tests/test_core_text.py
@@ -154,11 +154,11 @@
 def test_fault_is_reported_at_its_position(text: str, expected: str) -> None:
     with pytest.raises(InvalidTextError) as caught:
         _text.parse_text(text, 't', 0.0)
-    findings = [
+    reported = [
         f'{item.place.line}:{item.place.column} {item.code}'
         for item in caught.value.findings
     ]
-    assert findings == [expected]
+    assert reported == [expected]
 
 
 def test_faults_are_sorted_by_position_and_limited() -> None:
