--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -320,7 +320,7 @@
     ) -> Iterator[tuple[str, _Node]]:
         """Yield the items of a mapping and record the places of the keys.
 
-        Keys that are no strings or occur again are reported and skipped.
+        Keys that are not strings, and repeated keys, are reported and skipped.
         """
         first_places: dict[str, Place] = {}
         for key, value in zip(node.items[::2], node.items[1::2], strict=True):
