Reword the clock, the recorder and the set of reverts

Timestamps, counts and reverts are described in the usual terms; local and private names follow (_contains_move, threshold_ms, _MAX_TIMESTAMP).

--- a/gypsumhall/core/_clock.py
+++ b/gypsumhall/core/_clock.py
@@ -1,9 +1,9 @@
-"""Hybrid logical clock: time stamps that respect cause and effect.
+"""Hybrid logical clock: timestamps that preserve causal order.
 
-A time stamp is an integer of 64 bits: the upper 48 are Unix time in
-milliseconds, the lower 16 a counter for events within one millisecond. Time
-stamps of one clock grow strictly, and one that is taken after a message was
-observed is greater than the time stamp that came with the message.
+A timestamp is a 64-bit integer: the upper 48 bits are Unix time in
+milliseconds, the lower 16 a counter for events within one millisecond. The
+timestamps of one clock strictly increase, and after the timestamp of a
+received message was observed, all later ones are greater than it.
 """
 
 from __future__ import annotations
@@ -16,22 +16,22 @@
 COUNTER_BITS = 16
 
 MAX_DRIFT_S = 5.0
-"""How far ahead of the own wall clock a peer's time stamp may be.
+"""Maximum lead of a peer's timestamp over the local wall clock, in seconds.
 
-Wall clocks of a fleet differ by less than a second. A peer with a wrong
-clock must not drag the time stamps of all others along for good.
+Wall clocks in a fleet differ by less than a second. A peer with a wrong clock
+must not permanently advance the timestamps of all others.
 """
 
-_MAX_TIME = (1 << 64) - 1
+_MAX_TIMESTAMP = (1 << 64) - 1
 
 
 def to_unix_ms(time: int) -> int:
-    """Return the Unix time of a time stamp in milliseconds."""
+    """Return the Unix time of a timestamp in milliseconds."""
     return time >> COUNTER_BITS
 
 
 def counter(time: int) -> int:
-    """Return the counter of a time stamp."""
+    """Return the counter of a timestamp."""
     return time & ((1 << COUNTER_BITS) - 1)
 
 
@@ -43,8 +43,8 @@
     physical : callable
         Returns Unix time in seconds; it may step backwards.
     max_drift_s : float
-        How far ahead of the physical clock an observed time stamp may be,
-        in seconds.
+        Maximum lead of an observed timestamp over the physical clock, in
+        seconds.
     """
 
     __slots__ = ('_last', '_max_drift_ms', '_physical', '_rejected')
@@ -62,42 +62,42 @@
 
     @property
     def last(self) -> int:
-        """Latest time stamp that was returned or observed."""
+        """Latest timestamp that was returned or observed."""
         return self._last
 
     @property
     def rejected(self) -> int:
-        """Number of observed time stamps that were out of bounds."""
+        """Number of observed timestamps that were out of bounds."""
         return self._rejected
 
     def _physical_ms(self) -> int:
         return max(0, int(self._physical() * 1000))
 
     def now(self) -> int:
-        """Return the next time stamp.
+        """Return the next timestamp.
 
-        When the counter is used up within a millisecond, it carries into
-        the milliseconds, which the physical clock then catches up with.
+        When the counter overflows within a millisecond, it carries into the
+        milliseconds, and the physical clock catches up with them later.
         """
         physical = self._physical_ms() << COUNTER_BITS
         self._last = max(self._last + 1, physical)
         return self._last
 
     def observe(self, time: int) -> None:
-        """Move past a time stamp that came with a message.
+        """Advance the clock past the timestamp of a received message.
 
-        A time stamp that is too far ahead of the physical clock, or no time
-        stamp at all, is counted in `rejected` and otherwise ignored.
+        A timestamp that is too far ahead of the physical clock, or not a
+        valid timestamp, is counted in `rejected` and otherwise ignored.
 
         Parameters
         ----------
         time : int
-            Time stamp of the sender; 0 when the message carries none.
+            Timestamp of the sender; 0 when the message carries none.
         """
         if time == 0:
             return
         latest_ms = self._physical_ms() + self._max_drift_ms
-        if not 0 < time <= _MAX_TIME or to_unix_ms(time) > latest_ms:
+        if not 0 < time <= _MAX_TIMESTAMP or to_unix_ms(time) > latest_ms:
             self._rejected += 1
             return
         self._last = max(self._last, time)
--- a/gypsumhall/core/_recorder.py
+++ b/gypsumhall/core/_recorder.py
@@ -1,4 +1,4 @@
-"""Results of calls to one backend server, counted as evidence of moves."""
+"""Counts of the calls to one backend server, as evidence on moves."""
 
 from __future__ import annotations
 
@@ -16,11 +16,12 @@
 
     from gypsumhall.net._messages import SlowThreshold
 
-# Slow calls within this time after a backend server became ready are its cold
-# start and say nothing about its version.
+# Slow calls within this time after a backend server became ready are
+# attributed to its cold start, not to its version.
 COLD_START_S = 10.0
 
-# Bounds the memory of one interval; the quantiles of more calls hardly differ.
+# Latencies stored per interval, to bound memory; the quantiles of more calls
+# hardly differ.
 MAX_LATENCIES = 2000
 
 
@@ -68,12 +69,16 @@
             self._thresholds[move, item.route] = item.threshold_ms
 
     def forget(self, active: Iterable[str]) -> None:
-        """Drop everything about moves that are not active any more."""
-        kept = set(active)
-        for key in [key for key in self._thresholds if key[0] not in kept]:
+        """Discard counts and thresholds of moves that are not active."""
+        active_moves = set(active)
+        for key in [
+            key for key in self._thresholds if key[0] not in active_moves
+        ]:
             del self._thresholds[key]
-        for tally in [key for key in self._tallies if key[0] not in kept]:
-            del self._tallies[tally]
+        for tally_key in [
+            key for key in self._tallies if key[0] not in active_moves
+        ]:
+            del self._tallies[tally_key]
 
     def add(
         self,
@@ -92,13 +97,13 @@
         Parameters
         ----------
         move, route, version, sender_zone : str
-            What the call belongs to.
+            Labels under which the call is counted.
         stage : int
             Stage in which the call was assigned to the version.
         latency_ms : float
             Latency of the backend server, in milliseconds.
         failed : bool
-            Whether the response was a 5xx or was broken off.
+            Whether the response was a 5xx or incomplete.
         ready_for_s : float
             Seconds since the backend server became ready.
         """
@@ -107,12 +112,18 @@
         tally.failures += failed
         if len(tally.latencies_ms) < MAX_LATENCIES:
             tally.latencies_ms.append(latency_ms)
-        limit = self._thresholds.get((move, route))
-        if limit is not None and ready_for_s >= COLD_START_S:
-            tally.slow += latency_ms > limit
+        threshold_ms = self._thresholds.get((move, route))
+        if threshold_ms is not None and ready_for_s >= COLD_START_S:
+            tally.slow += latency_ms > threshold_ms
 
     def take(self, interval: int) -> list[Evidence]:
-        """Return the counts since the last call, by move and stage."""
+        """Return and reset the counts, grouped by move and stage.
+
+        Parameters
+        ----------
+        interval : int
+            Number of the interval in which the calls were counted.
+        """
         counts: dict[tuple[str, int], list[Counts]] = defaultdict(list)
         for key, tally in self._tallies.items():
             move, stage, route, version, sender_zone = key
--- a/gypsumhall/core/_reverts.py
+++ b/gypsumhall/core/_reverts.py
@@ -1,4 +1,4 @@
-"""The reverted moves that a daemon knows."""
+"""Set of the reverted moves that a daemon knows."""
 
 from __future__ import annotations
 
@@ -14,8 +14,9 @@
 
     from gypsumhall.core._snapshot import Snapshot
 
-# A verdict can arrive before the version that introduces its move. Without
-# a version from the sender, it is kept for this many versions.
+# A revert can precede the installation of the version that introduces its
+# move. When no sender states such a version, the revert is kept for this many
+# versions.
 _UNKNOWN_MOVE_VERSIONS = 64
 
 
@@ -25,7 +26,7 @@
     )
 
 
-def _knows(snapshot: Snapshot, move: str) -> bool:
+def _contains_move(snapshot: Snapshot, move: str) -> bool:
     return move in snapshot.head.moves or any(
         spec.id == move
         for fragment in snapshot.fragments.values()
@@ -34,13 +35,12 @@
 
 
 class RevertSet:
-    """Union of verdicts, absorbing.
+    """Set of reverts, merged by union: a reverted move stays reverted.
 
-    With every revert the set keeps a configuration version by which the
-    move existed. A configuration at this version or above that does not
-    know the move proves that the move was removed, which is the only
-    reason to drop its revert. A configuration below it may not know the
-    move yet.
+    For every revert the set stores a configuration version by which the
+    move existed. A configuration at this version or above without the move
+    proves that the move was removed, which is the only reason to drop its
+    revert. A configuration below it may not contain the move yet.
     """
 
     __slots__ = ('_digest', '_reverts', '_versions')
@@ -65,13 +65,13 @@
     ) -> Reverts:
         """Return the message that carries reverts of this set."""
         chosen = tuple(reverts)
-        known_by = [self._versions.get(item.move, 0) for item in chosen]
-        return Reverts(chosen, version=max([installed, *known_by]), root=root)
+        versions = [self._versions.get(item.move, 0) for item in chosen]
+        return Reverts(chosen, version=max([installed, *versions]), root=root)
 
     def add_own(self, revert: Revert, snapshot: Snapshot) -> bool:
-        """Add a verdict reached on this daemon; False when it is known."""
+        """Add a revert decided on this daemon; return False if present."""
         version = snapshot.version
-        if not _knows(snapshot, revert.move):
+        if not _contains_move(snapshot, revert.move):
             version += _UNKNOWN_MOVE_VERSIONS
         return bool(self.merge((revert,), version, snapshot))
 
@@ -94,7 +94,7 @@
             move = revert.move
             if move in self._reverts:
                 self._versions[move] = min(self._versions[move], version)
-            elif snapshot.version < version or _knows(snapshot, move):
+            elif snapshot.version < version or _contains_move(snapshot, move):
                 self._reverts[move] = revert
                 self._versions[move] = version
                 self._digest ^= _hash(move)
@@ -103,13 +103,14 @@
 
     def prune(self, snapshot: Snapshot) -> tuple[str, ...]:
         """Drop and return the moves that an installed version removed."""
-        gone = tuple(
+        removed = tuple(
             move
             for move, version in self._versions.items()
-            if version <= snapshot.version and not _knows(snapshot, move)
+            if version <= snapshot.version
+            and not _contains_move(snapshot, move)
         )
-        for move in gone:
+        for move in removed:
             del self._reverts[move]
             del self._versions[move]
             self._digest ^= _hash(move)
-        return gone
+        return removed
