--- a/gypsumhall/core/_delta.py
+++ b/gypsumhall/core/_delta.py
@@ -1,8 +1,8 @@
 """Deltas between configuration versions.
 
-A delta names only the entries that differ from its base. Its result is
-checked by digest, so a delta that was applied to the wrong base or damaged
-is noticed before anything is installed.
+A delta contains only the entries that differ from its base. The digest of
+its result is verified before installation, which detects a corrupt delta or
+one that was applied to the wrong base.
 """
 
 from __future__ import annotations
@@ -30,9 +30,9 @@
 
 V = TypeVar('V')
 
-# Peer frames carry at most 1 MiB + 64 KiB, and the platform stores a head or
-# a fragment of up to 1 MB, so a part of this size plus one such value fits
-# only if the value is sent alone.
+# A peer frame carries at most 1 MiB + 64 KiB, and the platform stores a head
+# or a fragment of up to 1 MB. Such a value fits into a frame only alone, so
+# values that would exceed this size start a new part.
 PART_BYTES = 512 * 1024
 
 _NAME = attrgetter('name')
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Base:
-    """A configuration version from which deltas can start.
+    """A configuration version that a delta can be based on.
 
     Parameters
     ----------
@@ -59,7 +59,7 @@
 
     @classmethod
     def of(cls, snapshot: Snapshot) -> Base:
-        """Return the base that a snapshot provides."""
+        """Return a snapshot as the base of deltas."""
         return cls(snapshot.digest, snapshot.head, snapshot.fragments)
 
 
@@ -71,7 +71,7 @@
     changed = {
         key: value
         for key, value in new.items()
-        if (held := old.get(key)) is not value and held != value
+        if (previous := old.get(key)) is not value and previous != value
     }
     return changed, tuple(key for key in old if key not in new)
 
@@ -90,17 +90,17 @@
 def _diff_items(
     old: Sequence[Any], new: Sequence[Any], key: Callable[[Any], str]
 ) -> tuple[tuple[Any, ...], tuple[str, ...]]:
-    # Encodings are compared, because equal entries can differ in whether a
-    # field that has the default's value is written out.
-    held = {key(item): item for item in old}
+    # Encodings are compared, because equal entries are encoded differently
+    # when only one of them writes out a field with its default value.
+    unmatched = {key(item): item for item in old}
     changed = []
     for item in new:
-        before = held.pop(key(item), None)
-        if before is not item and (
-            before is None or _model.encode(before) != _model.encode(item)
+        previous = unmatched.pop(key(item), None)
+        if previous is not item and (
+            previous is None or _model.encode(previous) != _model.encode(item)
         ):
             changed.append(item)
-    return tuple(changed), tuple(held)
+    return tuple(changed), tuple(unmatched)
 
 
 def _patch_items(
@@ -122,22 +122,22 @@
 def diff_fragment(
     old: _model.Fragment, new: _model.Fragment
 ) -> FragmentPatch | None:
-    """Return the patch that leads from one fragment to another.
+    """Return the patch that turns one fragment into another.
 
-    None is returned when a patch cannot express the difference, because
-    the entries are not sorted or a name occurs twice.
+    Returns None when a patch cannot express the difference, because the
+    entries are not sorted or a name occurs twice.
     """
-    services, gone_services = _diff_items(old.services, new.services, _NAME)
-    routes, gone_routes = _diff_items(old.routes, new.routes, _NAME)
-    moves, gone_moves = _diff_items(old.moves, new.moves, _ID)
+    services, removed_services = _diff_items(old.services, new.services, _NAME)
+    routes, removed_routes = _diff_items(old.routes, new.routes, _NAME)
+    moves, removed_moves = _diff_items(old.moves, new.moves, _ID)
     patch = FragmentPatch(
         new.department,
         services,
         routes,
         moves,
-        gone_services,
-        gone_routes,
-        gone_moves,
+        removed_services,
+        removed_routes,
+        removed_moves,
     )
     if _model.encode(patch_fragment(old, patch)) != _model.encode(new):
         return None
@@ -147,7 +147,7 @@
 def patch_fragment(
     old: _model.Fragment, patch: FragmentPatch
 ) -> _model.Fragment:
-    """Return the fragment that a patch leads to."""
+    """Apply a patch to a fragment and return the result."""
     return _model.Fragment(
         patch.department,
         _patch_items(
@@ -161,15 +161,19 @@
 def diff(base: Base, target: Base) -> Update:
     """Return the delta from one version to a later one."""
     old, new = base.head, target.head
-    departments, gone_departments = _diff_map(old.departments, new.departments)
-    moves, gone_moves = _diff_map(old.moves, new.moves)
-    current, gone_current = _diff_map(old.current, new.current)
-    submissions, gone_submissions = _diff_map(old.submissions, new.submissions)
+    departments, removed_departments = _diff_map(
+        old.departments, new.departments
+    )
+    moves, removed_moves = _diff_map(old.moves, new.moves)
+    current, removed_current = _diff_map(old.current, new.current)
+    submissions, removed_submissions = _diff_map(
+        old.submissions, new.submissions
+    )
     fragments = []
     patches = []
     for name, ref in departments.items():
-        held = old.departments.get(name)
-        if held is not None and held.fragment == ref.fragment:
+        previous = old.departments.get(name)
+        if previous is not None and previous.fragment == ref.fragment:
             continue
         fragment = target.fragments[name]
         patch = None
@@ -186,7 +190,10 @@
         digest=target.digest,
         base_digest=base.digest,
         removed=HeadRemovals(
-            gone_departments, gone_moves, gone_current, gone_submissions
+            removed_departments,
+            removed_moves,
+            removed_current,
+            removed_submissions,
         ),
         patches=tuple(patches),
     )
@@ -195,21 +202,22 @@
 def resolve(
     update: Update, base: Base | None
 ) -> tuple[_model.Head, tuple[_model.Fragment, ...]]:
-    """Return the head and all fragments that an update leads to.
+    """Return the head and all fragments that result from an update.
 
-    The caller checks the fragments against the digests in the head.
+    The caller verifies the fragments against the digests in the head.
 
     Parameters
     ----------
     update : Update
-        Whole configuration or delta, in one part.
+        Full configuration or delta, joined from its parts.
     base : Base or None
         The base of a delta.
 
     Raises
     ------
     CorruptUpdateError
-        When the result does not have the digest that the update names.
+        When the base is not the one that the delta starts from, or the
+        result does not have the digest that the update states.
     """
     if not update.base:
         head, fragments = update.head, update.fragments
@@ -218,28 +226,28 @@
             raise CorruptUpdateError(
                 f'delta to version {update.head.version} starts from '
                 f'version {update.base} with digest '
-                f'{update.base_digest!r}, which is not held'
+                f'{update.base_digest!r}, which is not available'
             )
         head = _patch_head(base.head, update)
         changed = {item.department: item for item in update.fragments}
         for patch in update.patches:
-            changed[patch.department] = _patched(patch, base)
-        kept = (
+            changed[patch.department] = _apply_patch(patch, base)
+        unchanged = (
             fragment
             for name, fragment in base.fragments.items()
             if name in head.departments and name not in changed
         )
-        fragments = (*kept, *changed.values())
-    found = _model.digest(_model.encode(head))[:16]
-    if found != update.digest and (update.base or update.digest):
+        fragments = (*unchanged, *changed.values())
+    actual = _model.digest(_model.encode(head))[:16]
+    if actual != update.digest and (update.base or update.digest):
         raise CorruptUpdateError(
-            f'update to version {head.version} leads to digest {found}, '
+            f'update to version {head.version} results in digest {actual}, '
             f'expected {update.digest!r}'
         )
     return head, fragments
 
 
-def _patched(patch: FragmentPatch, base: Base) -> _model.Fragment:
+def _apply_patch(patch: FragmentPatch, base: Base) -> _model.Fragment:
     fragment = base.fragments.get(patch.department)
     if fragment is None:
         raise CorruptUpdateError(
@@ -250,18 +258,18 @@
 
 
 def _patch_head(old: _model.Head, update: Update) -> _model.Head:
-    new, gone = update.head, update.removed
+    new, removals = update.head, update.removed
     return _model.Head(
         new.version,
-        _patch_map(old.departments, new.departments, gone.departments),
-        _patch_map(old.moves, new.moves, gone.moves),
-        _patch_map(old.current, new.current, gone.current),
-        _patch_map(old.submissions, new.submissions, gone.submissions),
+        _patch_map(old.departments, new.departments, removals.departments),
+        _patch_map(old.moves, new.moves, removals.moves),
+        _patch_map(old.current, new.current, removals.current),
+        _patch_map(old.submissions, new.submissions, removals.submissions),
     )
 
 
-def whole(target: Base) -> Update:
-    """Return the update that carries a whole configuration."""
+def full_update(target: Base) -> Update:
+    """Return the update that carries a full configuration."""
     return Update(
         target.head,
         0,
@@ -271,42 +279,42 @@
 
 
 def split(update: Update, limit: int = PART_BYTES) -> list[Update]:
-    """Return an update as parts that each fit into a peer frame.
+    """Divide an update into parts that each fit into a peer frame.
 
     Parameters
     ----------
     update : Update
         The update.
     limit : int
-        Size in bytes from which a further part is started.
+        Size in bytes; a fragment that would exceed it starts a new part.
     """
     fragments = update.fragments
     first = msgspec.structs.replace(update, fragments=())
     size = len(_model.encode(first))
     groups: list[list[_model.Fragment]] = [[]]
     for fragment in fragments:
-        added = len(_model.encode(fragment))
-        if size + added > limit:
+        fragment_size = len(_model.encode(fragment))
+        if size + fragment_size > limit:
             groups.append([])
             size = 0
         groups[-1].append(fragment)
-        size += added
-    rest = Update(
+        size += fragment_size
+    continuation = Update(
         _model.Head(update.head.version), update.base, (), digest=update.digest
     )
-    last = len(groups) - 1
+    last_index = len(groups) - 1
     return [
         msgspec.structs.replace(
-            rest if index else first,
+            continuation if index else first,
             fragments=tuple(group),
-            more=index < last,
+            more=index < last_index,
         )
         for index, group in enumerate(groups)
     ]
 
 
 def join(parts: Sequence[Update]) -> Update:
-    """Return the update that was sent in parts.
+    """Join the parts of an update.
 
     Raises
     ------
@@ -326,7 +334,8 @@
             )
     if parts[-1].more:
         raise CorruptUpdateError(
-            f'version {first.head.version} arrived without its last part'
+            f'update to version {first.head.version} was received without '
+            'its last part'
         )
     return msgspec.structs.replace(
         first,
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -11,7 +11,7 @@
 from gypsumhall._errors import InvalidUpdateError
 from gypsumhall.core import _delta
 from gypsumhall.core import _model
-from gypsumhall.core._acknowledgements import Acknowledgements
+from gypsumhall.core._acknowledgements import AcknowledgementTracker
 from gypsumhall.core._actions import Action
 from gypsumhall.core._actions import Alarm
 from gypsumhall.core._actions import Fetch
@@ -23,7 +23,7 @@
 from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.core._tree import pick
-from gypsumhall.core._tree import Trees
+from gypsumhall.core._tree import TreeCache
 from gypsumhall.net._messages import Acknowledgement
 from gypsumhall.net._messages import Announcement
 from gypsumhall.net._messages import Busy
@@ -47,43 +47,44 @@
 ANNOUNCED_MEMBERS = 3
 CROSS_ZONE_PROBABILITY = 1 / 8
 
-# A push usually arrives within this time after an announcement.
+# After an announcement, the push usually arrives within this time, which
+# makes a pull unnecessary.
 PULL_DELAY_S = 0.1
 
-# Versions that a delta can start from. At the design rate of 0.21 changes
-# per second this covers more than two minutes.
-HISTORY = 32
+# Number of versions that a delta can start from. At the design rate of 0.21
+# changes per second this covers more than two minutes.
+MAX_DELTA_BASES = 32
 
-# A head read from the platform may lag behind the pushes of peers, but not
-# longer than the time within which a version is in effect everywhere.
+# A head read from the platform may lag behind the versions pushed by peers,
+# but by no more than the time in which a version takes effect on all daemons.
 HEAD_LAG_S = 3.0
 
 _ANNOUNCE_INTERVAL_S = 5.0
 _RETRY_MIN_S = 0.2
 _RETRY_MAX_S = 5.0
-# A peer that sends corrupt updates costs a whole configuration per attempt.
-_CORRUPT_MAX_S = 60.0
-# The interval doubles while pulls of reverts bring nothing new.
-_REVERTS_MIN_S = 0.5
-_REVERTS_MAX_S = 10.0
+# After a corrupt update, every retry transfers a full configuration.
+_CORRUPT_RETRY_MAX_S = 60.0
+# The interval doubles while pulls of reverts return nothing new.
+_REVERTS_INTERVAL_MIN_S = 0.5
+_REVERTS_INTERVAL_MAX_S = 10.0
 _MAX_DOUBLINGS = 10
 _MAX_SOURCES = 8
-_MAX_REMEMBERED = 256
+_MAX_RECORDED_KEYS = 256
 
 
 @dataclass(slots=True)
 class _Source:
-    """A peer that holds a version above the installed one."""
+    """A peer that has a version above the installed one."""
 
     version: int
     digest: str
 
 
-def _remember(store: dict[tuple[object, ...], None], *key: object) -> bool:
-    """Add a key to a bounded set; False when it is already in it."""
+def _add_once(store: dict[tuple[object, ...], None], *key: object) -> bool:
+    """Add a key to a bounded set; return False if it is present."""
     if key in store:
         return False
-    if len(store) >= _MAX_REMEMBERED:
+    if len(store) >= _MAX_RECORDED_KEYS:
         del store[next(iter(store))]
     store[key] = None
     return True
@@ -92,13 +93,13 @@
 class Replica:
     """Configuration, reverts and acknowledgements of one daemon.
 
-    It reads no clock and does no I/O: every input returns the actions to
-    take, and `tick` has to be called when `due` is reached.
+    It reads no clock and performs no I/O: its methods return the actions to
+    execute, and `tick` has to be called when `due` is reached.
 
     Parameters
     ----------
     me : Member
-        Entry of this daemon.
+        Member table entry of this daemon.
     table : MemberTable
         The member table.
     rng : random.Random
@@ -107,27 +108,27 @@
 
     __slots__ = (
         '_acknowledgements',
-        '_alarmed',
         '_announce_due',
-        '_attempts',
+        '_delta_bases',
+        '_failed_pulls',
         '_fetching',
         '_floor',
-        '_forwarded',
-        '_history',
+        '_forwarded_versions',
+        '_full_parts',
         '_installed_at',
         '_me',
         '_pull_due',
-        '_pull_whole',
-        '_rejected',
+        '_pull_full',
+        '_raised_alarms',
+        '_rejected_versions',
         '_reverts',
-        '_reverts_due',
-        '_reverts_wait',
+        '_reverts_interval_s',
+        '_reverts_pull_due',
         '_rng',
         '_snapshot',
         '_sources',
         '_table',
         '_trees',
-        '_whole',
     )
 
     def __init__(
@@ -136,25 +137,25 @@
         self._me = me
         self._table = table
         self._rng = rng
-        self._trees = Trees(table)
-        self._acknowledgements = Acknowledgements(me, self._trees, rng)
+        self._trees = TreeCache(table)
+        self._acknowledgements = AcknowledgementTracker(me, self._trees, rng)
         self._snapshot = Snapshot.build(_model.Head(), ())
         self._installed_at = -math.inf
-        self._history: dict[tuple[int, str], _delta.Base] = {}
-        self._whole: list[Update] = []
+        self._delta_bases: dict[tuple[int, str], _delta.Base] = {}
+        self._full_parts: list[Update] = []
         self._floor: int | None = None
         self._reverts = RevertSet()
-        self._reverts_due = -math.inf
-        self._reverts_wait = _REVERTS_MIN_S
+        self._reverts_pull_due = -math.inf
+        self._reverts_interval_s = _REVERTS_INTERVAL_MIN_S
         self._sources: dict[str, _Source] = {}
         self._fetching = False
         self._pull_due = math.inf
-        self._pull_whole = False
-        self._attempts = 0
+        self._pull_full = False
+        self._failed_pulls = 0
         self._announce_due = -math.inf
-        self._forwarded: dict[str, int] = {}
-        self._rejected: dict[tuple[object, ...], None] = {}
-        self._alarmed: dict[tuple[object, ...], None] = {}
+        self._forwarded_versions: dict[str, int] = {}
+        self._rejected_versions: dict[tuple[object, ...], None] = {}
+        self._raised_alarms: dict[tuple[object, ...], None] = {}
 
     @property
     def snapshot(self) -> Snapshot:
@@ -163,12 +164,12 @@
 
     @property
     def version(self) -> int:
-        """Installed configuration version, the highest ever held."""
+        """Installed configuration version, the highest one so far."""
         return self._snapshot.version
 
     @property
     def floor(self) -> int | None:
-        """Lowest version at which this daemon may serve, once known."""
+        """Lowest version at which this daemon may serve; None if unknown."""
         return self._floor
 
     @property
@@ -188,7 +189,7 @@
 
     @property
     def digest(self) -> Digest:
-        """Summary of the state that daemons compare with each other."""
+        """Digest of the state, which daemons compare with each other."""
         return Digest(
             self.version,
             self._snapshot.digest,
@@ -198,7 +199,7 @@
 
     @property
     def due(self) -> float:
-        """Time at which `tick` has something to do."""
+        """Time in seconds at which `tick` has to be called."""
         pull = math.inf if self._fetching else self._pull_due
         return min(pull, self._announce_due, self._acknowledgements.due)
 
@@ -207,18 +208,18 @@
         return self._acknowledgements.in_effect(version)
 
     def set_floor(self, version: int, now: float) -> None:
-        """Take over the version floor; it is never lowered."""
+        """Set the version floor; it is never lowered."""
         self._floor = max(version, self._floor or 0)
         if self.ready:
             self._acknowledgements.set_version(self.version, now)
 
     def hint(self, version: int, address: str, now: float) -> None:
-        """Take note that a peer holds a version."""
+        """Record that a peer has a version; pull it if it is newer."""
         if version > self.version:
-            self._want(version, '', address, now)
+            self._schedule_pull(version, '', address, now)
 
     def members_changed(self, now: float) -> None:
-        """Take note of a change of the member table."""
+        """Handle a change of the member table."""
         self._acknowledgements.members_changed(now)
 
     def tick(self, now: float) -> list[Action]:
@@ -246,19 +247,19 @@
         """Install a version read from the platform and push it."""
         base = self._snapshot
         if head.version < base.version:
-            return self._check_late_head(head, now)
+            return self._check_old_head(head, now)
         digest = _model.digest(_model.encode(head))[:16]
         if head.version == base.version:
             if digest != base.digest:
-                return self._conflict(head.version, digest, '')
-            if head.version in (0, *self._forwarded.values()):
-                return []  # A tree of this zone already carries it.
-            return [*self._push(self._update(base))]
-        if (head.version, digest) in self._rejected:
+                return self._report_conflict(head.version, digest, '')
+            if head.version in (0, *self._forwarded_versions.values()):
+                return []  # Already forwarded in a tree of this zone.
+            return [*self._push(self._build_update(base))]
+        if (head.version, digest) in self._rejected_versions:
             return []
         try:
             snapshot = base.advance(head, fragments)
-            update, snapshot = self._as_received(snapshot)
+            update, snapshot = self._build_verified_update(snapshot)
         except InvalidUpdateError as error:
             return self._reject(head.version, digest, '', error)
         actions = self._install(snapshot, now)
@@ -272,9 +273,9 @@
         Parameters
         ----------
         update : Update
-            Whole configuration or delta, joined from its parts.
+            Full configuration or delta, joined from its parts.
         address : str
-            Peer address of the sender; it holds the version.
+            Peer address of the sender, which has the version.
         now : float
             Time in seconds.
         """
@@ -286,29 +287,31 @@
             update = msgspec.structs.replace(update, digest=digest)
         if version == self.version:
             if update.digest != self._snapshot.digest:
-                return self._conflict(version, update.digest, address)
+                return self._report_conflict(version, update.digest, address)
             return [*self._forward(update)]
-        if (version, update.digest) in self._rejected:
+        if (version, update.digest) in self._rejected_versions:
             return []
         base = None
         if update.base:
-            base = self._history.get((update.base, update.base_digest))
+            base = self._delta_bases.get((update.base, update.base_digest))
             if base is None:
-                self._want(version, update.digest, address, now)
+                self._schedule_pull(version, update.digest, address, now)
                 return []
         try:
             head, fragments = _delta.resolve(update, base)
             snapshot = self._snapshot.advance(head, fragments)
         except CorruptUpdateError as error:
-            self._pull_whole = True
-            self._want(version, update.digest, address, now)
-            return [self._alarm('corrupt-update', version, address, error)]
+            self._pull_full = True
+            self._schedule_pull(version, update.digest, address, now)
+            return [
+                self._build_alarm('corrupt-update', version, address, error)
+            ]
         except InvalidUpdateError as error:
             return self._reject(version, update.digest, address, error)
-        if not update.root and self._forwarded:
-            # A pulled version means that the tree is broken above: those
-            # below get it from here rather than after a pull of their own.
-            root = next(reversed(self._forwarded))
+        if not update.root and self._forwarded_versions:
+            # A version that was pulled shows that a node above in the tree
+            # has failed: forward it, so that those below need not pull too.
+            root = next(reversed(self._forwarded_versions))
             update = msgspec.structs.replace(update, root=root)
         actions = self._install(snapshot, now)
         return [*self._forward(update), *actions]
@@ -316,76 +319,84 @@
     def receive_digest(
         self, digest: Digest, address: str, now: float, *, reply: bool = False
     ) -> list[Action]:
-        """Handle the summary of a peer's state.
+        """Handle the digest of a peer's state.
 
         Parameters
         ----------
         digest : Digest
-            The peer's state.
+            Digest of the peer's state.
         address : str
             Peer address of the sender.
         now : float
             Time in seconds.
         reply : bool
-            Whether to tell a peer that is behind.
+            Whether to notify a peer that has an older version.
         """
         actions: list[Action] = []
         if digest.version > self.version:
-            self._want(digest.version, digest.snapshot, address, now)
+            self._schedule_pull(digest.version, digest.snapshot, address, now)
         elif digest.version < self.version:
             if reply:
                 actions.append(Send(address, Announcement(self.digest)))
         elif digest.snapshot != self._snapshot.digest:
-            actions += self._conflict(digest.version, digest.snapshot, address)
-        if digest.reverts != self._reverts.digest and now >= self._reverts_due:
-            self._reverts_due = now + self._reverts_wait
-            self._reverts_wait = min(_REVERTS_MAX_S, self._reverts_wait * 2)
+            actions += self._report_conflict(
+                digest.version, digest.snapshot, address
+            )
+        if (
+            digest.reverts != self._reverts.digest
+            and now >= self._reverts_pull_due
+        ):
+            self._reverts_pull_due = now + self._reverts_interval_s
+            self._reverts_interval_s = min(
+                _REVERTS_INTERVAL_MAX_S, self._reverts_interval_s * 2
+            )
             actions.append(FetchReverts(address))
         return actions
 
     def fetched(
-        self, address: str, answer: Update | Busy | None, now: float
+        self, address: str, reply: Update | Busy | None, now: float
     ) -> list[Action]:
         """Handle the result of a `Fetch`.
 
         Parameters
         ----------
         address : str
-            Peer address that was asked.
-        answer : Update, Busy or None
-            Joined answer; None when the peer did not answer.
+            Peer address that the pull was sent to.
+        reply : Update, Busy or None
+            Reply, joined from its parts; None when the peer did not reply.
         now : float
             Time in seconds.
         """
         self._fetching = False
-        before = self.version
+        previous_version = self.version
         source = self._sources.pop(address, None)
         actions: list[Action] = []
-        if isinstance(answer, Update):
-            self._pull_whole = False
-            actions = self.receive(answer, address, now)
-        elif isinstance(answer, Busy) and source is not None:
-            for other in answer.others:
+        if isinstance(reply, Update):
+            self._pull_full = False
+            actions = self.receive(reply, address, now)
+        elif isinstance(reply, Busy) and source is not None:
+            for other in reply.others:
                 if other != self._me.peer_address:
                     self._add_source(other, source)
             self._add_source(address, source)
-        if self.version > before:
-            self._attempts = 0
+        if self.version > previous_version:
+            self._failed_pulls = 0
         else:
-            self._attempts = min(self._attempts + 1, _MAX_DOUBLINGS)
+            self._failed_pulls = min(self._failed_pulls + 1, _MAX_DOUBLINGS)
         if self._sources:
-            limit = _CORRUPT_MAX_S if self._pull_whole else _RETRY_MAX_S
-            longest = min(limit, _RETRY_MIN_S * 2**self._attempts)
-            if isinstance(answer, Busy):
-                longest = max(longest, answer.retry_after_ms / 1000)
-            self._pull_due = now + self._rng.uniform(longest / 4, longest)
+            limit = _CORRUPT_RETRY_MAX_S if self._pull_full else _RETRY_MAX_S
+            max_delay = min(limit, _RETRY_MIN_S * 2**self._failed_pulls)
+            if isinstance(reply, Busy):
+                max_delay = max(max_delay, reply.retry_after_ms / 1000)
+            self._pull_due = now + self._rng.uniform(max_delay / 4, max_delay)
         return actions
 
     def answer_pull(self, pull: Pull) -> Sequence[Update]:
-        """Return the installed configuration in parts, as a delta if known.
+        """Return the parts of the reply to a pull.
 
-        All parts of a delta have `base` set. A peer that is not behind gets
-        a delta without contents.
+        The reply is a delta if its base is available, and the full
+        configuration otherwise. All parts of a delta have `base` set. A
+        peer that is up to date receives an empty delta.
         """
         if pull.held >= self.version:
             return [
@@ -396,32 +407,34 @@
                     digest=self._snapshot.digest,
                 )
             ]
-        base = self._history.get((pull.held, pull.digest))
+        base = self._delta_bases.get((pull.held, pull.digest))
         if base is not None:
             target = _delta.Base.of(self._snapshot)
             return _delta.split(_delta.diff(base, target))
-        if not self._whole:
-            self._whole = _delta.split(
-                _delta.whole(_delta.Base.of(self._snapshot))
+        if not self._full_parts:
+            self._full_parts = _delta.split(
+                _delta.full_update(_delta.Base.of(self._snapshot))
             )
-        return self._whole
+        return self._full_parts
 
-    def _update(self, snapshot: Snapshot) -> Update:
-        """Return the update to a snapshot from the version held before."""
+    def _build_update(self, snapshot: Snapshot) -> Update:
+        """Return the update to a snapshot from the latest earlier version."""
         target = _delta.Base.of(snapshot)
-        for base in reversed(self._history.values()):
+        for base in reversed(self._delta_bases.values()):
             if base.head.version < snapshot.version:
                 return _delta.diff(base, target)
-        return _delta.whole(target)
+        return _delta.full_update(target)
 
-    def _as_received(self, snapshot: Snapshot) -> tuple[Update, Snapshot]:
-        """Return the update to a new snapshot and what it leads to.
+    def _build_verified_update(
+        self, snapshot: Snapshot
+    ) -> tuple[Update, Snapshot]:
+        """Return the update to a new snapshot and the snapshot to install.
 
         A publisher installs the result of its own delta, as the receivers
-        do. This proves that the delta is right, and what did not change is
-        shared with the base.
+        do. This verifies the delta, and the installed snapshot shares its
+        unchanged entries with the base.
         """
-        update = self._update(snapshot)
+        update = self._build_update(snapshot)
         if update.base != self.version or not update.base:
             return update, snapshot
         base = self._snapshot
@@ -429,15 +442,17 @@
             resolved = _delta.resolve(update, _delta.Base.of(base))
             return update, base.advance(*resolved)
         except CorruptUpdateError:
-            return _delta.whole(_delta.Base.of(snapshot)), snapshot
+            return _delta.full_update(_delta.Base.of(snapshot)), snapshot
 
-    def _check_late_head(self, head: _model.Head, now: float) -> list[Action]:
+    def _check_old_head(self, head: _model.Head, now: float) -> list[Action]:
         digest = _model.digest(_model.encode(head))[:16]
-        known = [key[1] for key in self._history if key[0] == head.version]
-        forked = bool(known) and digest not in known
+        known_digests = [
+            key[1] for key in self._delta_bases if key[0] == head.version
+        ]
+        forked = bool(known_digests) and digest not in known_digests
         if not forked and now < self._installed_at + HEAD_LAG_S:
             return []
-        if not _remember(self._alarmed, 'head-went-back', digest):
+        if not _add_once(self._raised_alarms, 'head-went-back', digest):
             return []
         return [
             Alarm(
@@ -449,11 +464,11 @@
     def _install(self, snapshot: Snapshot, now: float) -> list[Action]:
         self._snapshot = snapshot
         self._installed_at = now
-        self._whole = []
+        self._full_parts = []
         base = _delta.Base.of(snapshot)
-        self._history[(snapshot.version, snapshot.digest)] = base
-        if len(self._history) > HISTORY:
-            del self._history[next(iter(self._history))]
+        self._delta_bases[(snapshot.version, snapshot.digest)] = base
+        if len(self._delta_bases) > MAX_DELTA_BASES:
+            del self._delta_bases[next(iter(self._delta_bases))]
         self._reverts.prune(snapshot)
         for address, source in list(self._sources.items()):
             if source.version <= snapshot.version:
@@ -462,27 +477,28 @@
             self._pull_due = math.inf
         if self.ready:
             self._acknowledgements.set_version(snapshot.version, now)
-        # Random members alone would miss one member in twenty when nobody
-        # was pushed to; a second tree reaches those behind a dead node.
+        # When no member received a push, announcements to random members
+        # alone would miss one member in twenty; announcements along a second
+        # tree also reach members below a dead node.
         tree = self._trees.acknowledgement(self._me.zone)
         parent = tree.parent(self._me.id)
-        zone = self._table.alive(self._me.zone)
-        chosen = [
+        members = self._table.alive(self._me.zone)
+        recipients = [
             *((parent,) if parent else ()),
             *tree.children(self._me.id),
-            *pick(zone, ANNOUNCED_MEMBERS, self._me.id, self._rng),
+            *pick(members, ANNOUNCED_MEMBERS, self._me.id, self._rng),
         ]
         if self._rng.random() < CROSS_ZONE_PROBABILITY:
-            chosen += self._other_zone_members(1)
-        return [*self._announce(chosen), Installed(snapshot)]
+            recipients += self._sample_other_zones(1)
+        return [*self._announce(recipients), Installed(snapshot)]
 
-    def _other_zone_members(self, count: int) -> list[Member]:
+    def _sample_other_zones(self, count: int) -> list[Member]:
         zones = self._trees.other_zones(self._me.zone)
-        found: list[Member] = []
+        sampled: list[Member] = []
         for zone in self._rng.sample(zones, min(count, len(zones))):
             members = self._table.alive(zone)
-            found += pick(members, 1, self._me.id, self._rng)
-        return found
+            sampled += pick(members, 1, self._me.id, self._rng)
+        return sampled
 
     def _announce(self, members: Iterable[Member]) -> list[Send]:
         message = Announcement(self.digest)
@@ -495,12 +511,12 @@
     def _forward(self, update: Update) -> list[Send]:
         version = update.head.version
         root = update.root
-        if not root or self._forwarded.get(root, 0) >= version:
+        if not root or self._forwarded_versions.get(root, 0) >= version:
             return []
-        self._forwarded.pop(root, None)
-        self._forwarded[root] = version
-        if len(self._forwarded) > _MAX_SOURCES:
-            del self._forwarded[next(iter(self._forwarded))]
+        self._forwarded_versions.pop(root, None)
+        self._forwarded_versions[root] = version
+        if len(self._forwarded_versions) > _MAX_SOURCES:
+            del self._forwarded_versions[next(iter(self._forwarded_versions))]
         children = self._trees.get(self._me.zone, root).children(self._me.id)
         if not children:
             return []
@@ -509,10 +525,10 @@
             return self._announce(children)
         return [Send(item.peer_address, update) for item in children]
 
-    def _want(
+    def _schedule_pull(
         self, version: int, digest: str, address: str, now: float
     ) -> None:
-        if not address or (version, digest) in self._rejected:
+        if not address or (version, digest) in self._rejected_versions:
             return
         self._add_source(address, _Source(version, digest))
         if self._pull_due == math.inf:
@@ -536,11 +552,11 @@
             ]
         )
         self._fetching = True
-        if self._pull_whole or not self.version:
+        if self._pull_full or not self.version:
             return [Fetch(address, Pull())]
         return [Fetch(address, Pull(self.version, self._snapshot.digest))]
 
-    def _alarm(
+    def _build_alarm(
         self,
         code: str,
         version: int,
@@ -559,13 +575,17 @@
             fields['error'] = str(error)
         return Alarm(code, fields, error)
 
-    def _conflict(
+    def _report_conflict(
         self, version: int, digest: str, address: str
     ) -> list[Action]:
-        if not _remember(self._alarmed, 'digest-conflict', version, digest):
+        if not _add_once(
+            self._raised_alarms, 'digest-conflict', version, digest
+        ):
             return []
         return [
-            self._alarm('digest-conflict', version, address, digest=digest)
+            self._build_alarm(
+                'digest-conflict', version, address, digest=digest
+            )
         ]
 
     def _reject(
@@ -575,24 +595,26 @@
         address: str,
         error: InvalidUpdateError,
     ) -> list[Action]:
-        alarm = self._alarm('invalid-update', version, address, error, digest)
+        alarm = self._build_alarm(
+            'invalid-update', version, address, error, digest
+        )
         if isinstance(error, CorruptUpdateError):
             return [alarm]
-        for key, source in list(self._sources.items()):
+        for source_address, source in list(self._sources.items()):
             if (source.version, source.digest) == (version, digest):
-                del self._sources[key]
-        new = _remember(self._rejected, version, digest)
-        return [alarm] if new else []
+                del self._sources[source_address]
+        is_new = _add_once(self._rejected_versions, version, digest)
+        return [alarm] if is_new else []
 
     # Reverts
 
     def add_revert(self, revert: Revert) -> list[Action]:
-        """Add a verdict reached on this daemon and spread it at once."""
+        """Add a revert decided on this daemon and send it at once."""
         if not self._reverts.add_own(revert, self._snapshot):
             return []
-        self._reverts_wait = _REVERTS_MIN_S
+        self._reverts_interval_s = _REVERTS_INTERVAL_MIN_S
         zones = len(self._trees.other_zones(self._me.zone))
-        return [*self._spread((revert,), '', zones), Reverted((revert,))]
+        return [*self._send_reverts((revert,), '', zones), Reverted((revert,))]
 
     def receive_reverts(
         self, message: Reverts, address: str, *, whole: bool = False
@@ -606,25 +628,25 @@
         address : str
             Peer address of the sender.
         whole : bool
-            Whether these are all reverts of the sender, so that it lacks
-            those that are missing.
+            Whether these are all reverts of the sender; those that it lacks
+            are then sent to it.
         """
         new = self._reverts.merge(
             message.reverts, message.version, self._snapshot
         )
         actions: list[Action] = []
         if new:
-            self._reverts_wait = _REVERTS_MIN_S
-            # Zones that the origin cannot reach learn it from this zone.
+            self._reverts_interval_s = _REVERTS_INTERVAL_MIN_S
+            # Zones that the origin cannot reach receive it from this zone.
             others = 0 if message.root else 1
-            actions += self._spread(new, message.root, others)
+            actions += self._send_reverts(new, message.root, others)
             actions.append(Reverted(new))
         if whole:
-            theirs = {item.move for item in message.reverts}
+            sender_moves = {item.move for item in message.reverts}
             missing = [
                 item
                 for move, item in self.reverts.items()
-                if move not in theirs
+                if move not in sender_moves
             ]
             if missing:
                 reply = self._reverts.message(missing, self.version)
@@ -632,10 +654,10 @@
         return actions
 
     def all_reverts(self) -> Reverts:
-        """Return the answer to a `RevertsPull`."""
+        """Return the reply to a `RevertsPull`."""
         return self._reverts.message(self.reverts.values(), self.version)
 
-    def _spread(
+    def _send_reverts(
         self, reverts: Sequence[Revert], root: str, zones: int
     ) -> list[Send]:
         """Send reverts down the tree, to random members and other zones."""
@@ -643,16 +665,16 @@
         root = root or me.id
         message = self._reverts.message(reverts, self.version, root)
         tree = self._trees.get(me.zone, root)
-        zone = self._table.alive(me.zone)
+        members = self._table.alive(me.zone)
         targets = {item.id: item for item in tree.children(me.id)}
-        for item in pick(zone, ANNOUNCED_MEMBERS, me.id, self._rng):
+        for item in pick(members, ANNOUNCED_MEMBERS, me.id, self._rng):
             targets.setdefault(item.id, item)
-        entry = self._reverts.message(reverts, self.version)
+        cross_zone_message = self._reverts.message(reverts, self.version)
         return [
             *(Send(item.peer_address, message) for item in targets.values()),
             *(
-                Send(item.peer_address, entry)
-                for item in self._other_zone_members(zones)
+                Send(item.peer_address, cross_zone_message)
+                for item in self._sample_other_zones(zones)
             ),
         ]
 
@@ -662,12 +684,14 @@
         self, sender: str, message: Acknowledgement, now: float
     ) -> list[Action]:
         """Handle the state of a child's subtree."""
-        self._acknowledgements.report(sender, message, now)
+        self._acknowledgements.receive_report(sender, message, now)
         return []
 
     def receive_summaries(
         self, message: ZoneSummaries, address: str, zone: str, now: float
     ) -> list[Action]:
-        """Handle summaries of zones from a peer of some zone."""
-        found = self._acknowledgements.merge(message, address, zone, now)
-        return [*found]
+        """Handle summaries of zones from a peer of any zone."""
+        actions = self._acknowledgements.merge_summaries(
+            message, address, zone, now
+        )
+        return [*actions]
--- a/gypsumhall/core/_snapshot.py
+++ b/gypsumhall/core/_snapshot.py
@@ -1,4 +1,4 @@
-"""Installed configuration: one immutable, checked value per version."""
+"""Immutable, validated snapshots of the configuration, one per version."""
 
 from __future__ import annotations
 
@@ -18,14 +18,14 @@
 E = TypeVar('E')
 
 _NO_REVERTS: frozenset[str] = frozenset()
-_NOTHING = _model.Fragment('')
+_EMPTY_FRAGMENT = _model.Fragment('')
 
 
 class CorruptUpdateError(InvalidUpdateError):
     """An update whose contents do not match its digests.
 
-    The message is at fault, not the version: another peer may still send
-    the same version intact.
+    Only the message is corrupt, not necessarily the version: another peer
+    may still send an intact copy of the same version.
     """
 
     code = 'corrupt-update'
@@ -54,7 +54,7 @@
     Parameters
     ----------
     old_version : str
-        Version that gets the rest of the calls.
+        Version that receives the remaining calls.
     new_version : str or None
         Version that a move sends calls to; None without a move.
     share : float
@@ -62,7 +62,7 @@
     move : str
         Id of the move; empty without a move.
     stage : int
-        Stage of the move, from 0.
+        Stage of the move, counted from 0.
     """
 
     old_version: str
@@ -73,9 +73,9 @@
 
 
 class Snapshot:
-    """A whole configuration version that has passed all checks.
+    """A complete, validated configuration version.
 
-    Use `build` or `apply`; the constructor does not check anything.
+    Create it with `build` or `apply`; the constructor validates nothing.
     """
 
     __slots__ = (
@@ -111,22 +111,22 @@
         head: _model.Head,
         fragments: Iterable[_model.Fragment],
     ) -> Snapshot:
-        """Check a whole configuration and return it.
+        """Validate a full configuration and return its snapshot.
 
         Parameters
         ----------
         head : Head
             Head record of the version.
         fragments : iterable of Fragment
-            Fragments of all departments that the head names.
+            Fragments of all departments that the head lists.
 
         Raises
         ------
         CorruptUpdateError
             When a fragment is missing or has another digest.
         InvalidUpdateError
-            When a route or move names something that does not exist, or
-            when a service or a route is defined twice.
+            When a route or move refers to something that does not exist,
+            or when a service or a route is defined twice.
         """
         empty = cls(_model.Head(), {}, {}, {})
         return empty.advance(head, fragments)
@@ -137,7 +137,7 @@
         base: int,
         fragments: Iterable[_model.Fragment],
     ) -> Snapshot:
-        """Return the configuration that a delta leads to.
+        """Return the snapshot that results from a delta.
 
         Parameters
         ----------
@@ -151,7 +151,7 @@
         Raises
         ------
         InvalidUpdateError
-            When the base is another version, or as in `build`.
+            When `base` is not this version, or as in `build`.
         """
         if base != self.version:
             raise InvalidUpdateError(
@@ -163,10 +163,10 @@
     def advance(
         self, head: _model.Head, fragments: Iterable[_model.Fragment]
     ) -> Snapshot:
-        """Return the configuration of another head.
+        """Return the snapshot for another head.
 
-        Only what differs from this configuration is checked again, so a
-        change of one department does not cost a pass over all of them.
+        Only entries that differ from this snapshot are validated, so a
+        change of one department does not require a pass over all of them.
 
         Parameters
         ----------
@@ -180,89 +180,94 @@
         InvalidUpdateError
             As in `build`.
         """
-        given = {item.department: item for item in fragments}
-        merged, changed = self._merge(head, given)
-        before = {
+        received = {item.department: item for item in fragments}
+        merged, changed = self._merge(head, received)
+        replaced = {
             name: fragment
             for name, fragment in self._fragments.items()
             if merged.get(name) is not fragment
         }
         services = self._services
         routes = self._routes
-        if before or changed:
-            services, routes = self._index(head, before, changed)
+        if replaced or changed:
+            services, routes = self._index(head, replaced, changed)
         snapshot = Snapshot(head, merged, services, routes)
-        lost = any(
+        service_removed = any(
             service.name not in services
-            for fragment in before.values()
+            for fragment in replaced.values()
             for service in fragment.services
         )
         _check_references(
-            snapshot, merged.values() if lost else changed.values()
+            snapshot,
+            merged.values() if service_removed else changed.values(),
         )
-        known = self._head.moves if services is self._services else {}
+        checked_moves = self._head.moves if services is self._services else {}
         for key, move in head.moves.items():
-            if known.get(key) is not move and not move.state.final:
+            if checked_moves.get(key) is not move and not move.state.final:
                 _check_move(snapshot, move.spec)
-        if before or changed or head.current is not self._head.current:
+        if replaced or changed or head.current is not self._head.current:
             _check_current(snapshot)
         return snapshot
 
     def _merge(
-        self, head: _model.Head, given: Mapping[str, _model.Fragment]
+        self, head: _model.Head, received: Mapping[str, _model.Fragment]
     ) -> tuple[dict[str, _model.Fragment], dict[str, _model.Fragment]]:
         merged = {}
         changed = {}
         for name, ref in head.departments.items():
-            held = self._head.departments.get(name)
-            if held is not None and held.fragment == ref.fragment:
+            previous = self._head.departments.get(name)
+            if previous is not None and previous.fragment == ref.fragment:
                 merged[name] = self._fragments[name]
                 continue
-            fragment = given.get(name)
+            fragment = received.get(name)
             if fragment is None:
                 raise CorruptUpdateError(
                     f'version {head.version} lacks the fragment of {name!r} '
                     f'with digest {ref.fragment}'
                 )
-            found = _model.digest(_model.encode(fragment))
-            if found != ref.fragment:
+            actual = _model.digest(_model.encode(fragment))
+            if actual != ref.fragment:
                 raise CorruptUpdateError(
                     f'fragment of {name!r} in version {head.version} has '
-                    f'digest {found}, expected {ref.fragment}'
+                    f'digest {actual}, expected {ref.fragment}'
                 )
             merged[name] = changed[name] = fragment
-        extra = sorted(set(given) - set(merged))
+        extra = sorted(set(received) - set(merged))
         if extra:
             raise CorruptUpdateError(
                 f'version {head.version} has fragments of {extra}, which its '
-                'head does not name'
+                'head does not list'
             )
         return merged, changed
 
     def _index(
         self,
         head: _model.Head,
-        before: Mapping[str, _model.Fragment],
+        replaced: Mapping[str, _model.Fragment],
         changed: Mapping[str, _model.Fragment],
     ) -> tuple[dict[str, _model.Service], dict[tuple[str, str], MatchedRoute]]:
         services = dict(self._services)
         routes = dict(self._routes)
-        for name, fragment in before.items():
-            after = changed.get(name, _NOTHING)
-            for service in _lacking(fragment.services, after.services):
+        for name, fragment in replaced.items():
+            current = changed.get(name, _EMPTY_FRAGMENT)
+            for service in _entries_not_in(
+                fragment.services, current.services
+            ):
                 del services[service.name]
-            for route in _lacking(fragment.routes, after.routes):
+            for route in _entries_not_in(fragment.routes, current.routes):
                 del routes[_route_key(route)]
         for name, fragment in changed.items():
-            held = before.get(name, _NOTHING)
-            for service in _lacking(fragment.services, held.services):
+            previous = replaced.get(name, _EMPTY_FRAGMENT)
+            for service in _entries_not_in(
+                fragment.services, previous.services
+            ):
                 if service.name in services:
                     raise InvalidUpdateError(
                         f'version {head.version} defines service '
                         f'{service.name!r} twice'
                     )
                 services[service.name] = service
-            for route in _lacking(fragment.routes, held.routes):
+            for route in _entries_not_in(fragment.routes, previous.routes):
                 key = _route_key(route)
                 if key in routes:
                     raise InvalidUpdateError(
@@ -312,17 +317,18 @@
         Parameters
         ----------
         host : str
-            Host of the request; case and port do not matter.
+            Host of the request; case and port are ignored.
         path : str
             Path of the request without query.
         exact : bool
-            Whether a closing slash of a prefix has to be in the path too.
+            Whether a trailing slash of a route's path has to be in the path
+            of the request too.
         """
-        name = host.rsplit(':', 1)[0] if ':' in host else host
-        name = name.lower()
+        hostname = host.rsplit(':', 1)[0] if ':' in host else host
+        hostname = hostname.lower()
         prefix = path.rstrip('/')
         while True:
-            found = self._routes.get((name, prefix))
+            found = self._routes.get((hostname, prefix))
             if found is not None and not exact:
                 return found
             if found is not None and path.startswith(found.route.path):
@@ -345,7 +351,7 @@
         service : str
             Name of a service of this configuration.
         reverts : container of str
-            Ids of moves that are reverted whatever the head says.
+            Ids of moves that are reverted regardless of the head.
         """
         current = self._head.current.get(service)
         if current is None:
@@ -362,15 +368,16 @@
         )
 
 
-def _lacking(entries: Sequence[E], other: Sequence[E]) -> Iterable[E]:
-    """Return the entries that are not the same objects in `other`.
+def _entries_not_in(entries: Sequence[E], other: Sequence[E]) -> Iterable[E]:
+    """Return the entries that are not in `other`, compared by identity.
 
-    A patched fragment shares the entries that did not change with its base.
+    A patched fragment shares its unchanged entries with its base, so
+    identity distinguishes them from added and changed entries.
     """
     if not other:
         return entries
-    same = {id(entry) for entry in other}
-    return [entry for entry in entries if id(entry) not in same]
+    other_ids = {id(entry) for entry in other}
+    return [entry for entry in entries if id(entry) not in other_ids]
 
 
 def _route_key(route: _model.Route) -> tuple[str, str]:
@@ -383,8 +390,8 @@
     services = snapshot.services
     for fragment in fragments:
         for route in fragment.routes:
-            named = [item.service for item in route.targets]
-            for name in (route.service, *named):
+            targets = [item.service for item in route.targets]
+            for name in (route.service, *targets):
                 if name not in services:
                     raise InvalidUpdateError(
                         f"route '{fragment.department}/{route.name}' points "
@@ -404,7 +411,7 @@
     for name, version in snapshot.head.current.items():
         if name not in services or version not in services[name].versions:
             raise InvalidUpdateError(
-                f'version {version!r} in use of service {name!r} does not '
+                f'current version {version!r} of service {name!r} does not '
                 'exist'
             )
 
--- a/gypsumhall/core/_tree.py
+++ b/gypsumhall/core/_tree.py
@@ -21,48 +21,50 @@
 
 FAN_OUT = 8
 
-# Every zone usually has three readers and one more daemon that publishes
-# what it accepted.
-_CACHED_TREES = 8
+# A zone usually has four roots: three readers, and one more daemon that
+# publishes the versions it accepted.
+_MAX_CACHED_TREES = 8
 
 
-# The member table changes more often than its members: cached ranks make
-# sorting a zone again cheap.
+# The member table changes more often than the set of its members, so cached
+# keys make it cheap to sort a zone again.
 @functools.lru_cache(maxsize=16_384)
-def rank(root: str, member_id: str) -> bytes:
+def _sort_key(root: str, member_id: str) -> bytes:
     """Return the sort key of a member in the tree of a root."""
     value = msgspec.msgpack.encode((root, member_id))
     return hashlib.blake2b(value, digest_size=8).digest()
 
 
 def is_among_first(
-    purpose: str, member_id: str, members: Iterable[Member], count: int
+    role: str, member_id: str, members: Iterable[Member], count: int
 ) -> bool:
-    """Whether a member is one of the few that take a role in its zone.
+    """Whether a member has a role that only a few members of its zone have.
 
-    All daemons with the same member table agree on them without a message.
+    The members are selected by hash, so all daemons with the same member
+    table agree on them without exchanging messages.
 
     Parameters
     ----------
-    purpose : str
-        Name of the role; each one is taken by other members.
+    role : str
+        Name of the role; it is part of the hash, so that different roles
+        are assigned to different members.
     member_id : str
-        The member.
+        Id of the member.
     members : iterable of Member
-        Live members of its zone; it may be missing.
+        Live members of its zone; the member itself may be missing.
     count : int
-        Members that take the role.
+        Number of members that have the role.
     """
-    own = rank(purpose, member_id)
-    before = sum(
-        item.id != member_id and rank(purpose, item.id) < own
+    own = _sort_key(role, member_id)
+    preceding = sum(
+        item.id != member_id and _sort_key(role, item.id) < own
         for item in members
     )
-    return before < count
+    return preceding < count
 
 
-def order(root: str, members: Iterable[Member]) -> tuple[Member, ...]:
-    """Return the members in the order of the tree, the root first.
+def order_members(root: str, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the members in tree order, the root first.
 
     Parameters
     ----------
@@ -73,18 +75,19 @@
     """
     return tuple(
         sorted(
-            members, key=lambda item: (item.id != root, rank(root, item.id))
+            members,
+            key=lambda item: (item.id != root, _sort_key(root, item.id)),
         )
     )
 
 
-def children(position: int, size: int) -> range:
+def child_positions(position: int, size: int) -> range:
     """Return the positions of the children of a position."""
     first = FAN_OUT * position + 1
     return range(min(first, size), min(first + FAN_OUT, size))
 
 
-def parent(position: int) -> int:
+def parent_position(position: int) -> int:
     """Return the position of the parent; -1 for the root."""
     return (position - 1) // FAN_OUT if position else -1
 
@@ -97,14 +100,15 @@
     Parameters
     ----------
     member_id : str
-        Member whose neighbours are asked for; it may be missing.
+        Id of the member whose neighbours are returned; the member may be
+        missing.
     members : iterable of Member
         Members of one zone.
     count : int
-        Neighbours on each side.
+        Number of neighbours on each side.
     """
-    # Heartbeats follow the ring of the membership, so its neighbours are the
-    # members that know the acknowledged version of a daemon.
+    # Heartbeats are sent along the ring of the membership, so a daemon's
+    # neighbours on it know the version that the daemon acknowledged.
     others = sorted(
         (item for item in members if item.id != member_id),
         key=lambda item: _membership.position(item.id),
@@ -134,7 +138,7 @@
     __slots__ = ('_members', '_positions')
 
     def __init__(self, root: str, members: Iterable[Member]) -> None:
-        self._members = order(root, members)
+        self._members = order_members(root, members)
         self._positions = {
             member.id: position
             for position, member in enumerate(self._members)
@@ -146,23 +150,23 @@
         return self._members[0] if self._members else None
 
     def children(self, member_id: str) -> Sequence[Member]:
-        """Return the children of a member; none for an unknown one."""
+        """Return the children of a member; empty for an unknown member."""
         position = self._positions.get(member_id)
         if position is None:
             return ()
-        found = children(position, len(self._members))
-        return self._members[found.start : found.stop]
+        positions = child_positions(position, len(self._members))
+        return self._members[positions.start : positions.stop]
 
     def parent(self, member_id: str) -> Member | None:
-        """Return the parent of a member; None for root and unknown ones."""
+        """Return the parent; None for the root or an unknown member."""
         position = self._positions.get(member_id)
         if not position:
             return None
-        return self._members[parent(position)]
+        return self._members[parent_position(position)]
 
 
-class Trees:
-    """Trees of all zones, kept until the member table changes.
+class TreeCache:
+    """Trees of all zones, cached until the member table changes.
 
     Parameters
     ----------
@@ -184,12 +188,12 @@
         return self._table
 
     def get(self, zone: str, root: str) -> Tree:
-        """Return the tree of a zone that starts at a root."""
+        """Return the tree of a zone for a root."""
         self._check_revision()
         key = (zone, root)
         tree = self._cache.get(key)
         if tree is None:
-            if len(self._cache) >= _CACHED_TREES:
+            if len(self._cache) >= _MAX_CACHED_TREES:
                 del self._cache[next(iter(self._cache))]
             tree = Tree(root, self._table.alive(zone))
             self._cache[key] = tree
@@ -198,16 +202,16 @@
     def acknowledgement(self, zone: str) -> Tree:
         """Return the tree that collects a zone's acknowledgements.
 
-        Its root is the first member by a hash of the zone's name. Every
-        daemon derives it from the member table alone, so a daemon that
-        has just started agrees with the others before any push.
+        Its root is the first member by a hash of the zone's name. It is
+        derived from the member table alone, so a daemon that has just
+        started agrees with the others before it receives any push.
         """
         return self.get(zone, f'zone:{zone}')
 
     def zones(self) -> frozenset[str]:
         """Return the zones with a member that has not left.
 
-        Dead members count, because they may only be cut off.
+        Dead members count, because they may merely be unreachable.
         """
         self._check_revision()
         if self._zones is None:
@@ -219,7 +223,7 @@
         return self._zones
 
     def other_zones(self, zone: str) -> list[str]:
-        """Return the sorted names of the zones other than one."""
+        """Return the sorted names of all zones except one."""
         return sorted(self.zones() - {zone})
 
     def _check_revision(self) -> None:
@@ -235,18 +239,18 @@
     excluded: str,
     rng: random.Random,
 ) -> list[Member]:
-    """Return up to `count` random members other than the excluded one.
+    """Return up to `count` random members except the excluded one.
 
     Parameters
     ----------
     members : sequence of Member
         Members to choose from.
     count : int
-        Largest number of members.
+        Maximum number of members.
     excluded : str
-        Id of the daemon itself.
+        Id of the member that is never returned.
     rng : random.Random
         Source of randomness.
     """
-    drawn = rng.sample(members, min(count + 1, len(members)))
-    return [item for item in drawn if item.id != excluded][:count]
+    sampled = rng.sample(members, min(count + 1, len(members)))
+    return [item for item in sampled if item.id != excluded][:count]
--- a/tests/test_core_delta.py
+++ b/tests/test_core_delta.py
@@ -47,7 +47,7 @@
                     _model.Route(
                         key, name, f'/{key}', services[0].name, **value
                     )
-                    # Unsorted entries cannot be patched.
+                    # A patch cannot express unsorted entries.
                     for key, value in draw(
                         st.permutations(list(routes.items()))
                     )
@@ -76,13 +76,13 @@
 
 @settings(deadline=None, derandomize=True)
 @given(_snapshots(1), _snapshots(2), st.integers(1, 400))
-def test_a_delta_survives_encoding_and_leads_to_its_target(
+def test_an_encoded_delta_results_in_its_target(
     old: Snapshot, new: Snapshot, limit: int
 ) -> None:
     base = _delta.Base.of(old)
     for update in (
         _delta.diff(base, _delta.Base.of(new)),
-        _delta.whole(_delta.Base.of(new)),
+        _delta.full_update(_delta.Base.of(new)),
     ):
         sent = [
             msgspec.msgpack.decode(_model.encode(part), type=Update)
@@ -116,17 +116,17 @@
     other = Snapshot.build(
         builders.build_head([old], 1, current={'availability': 'v1'}), [old]
     )
-    with pytest.raises(CorruptUpdateError, match='which is not held'):
+    with pytest.raises(CorruptUpdateError, match='which is not available'):
         _delta.resolve(update, _delta.Base.of(other))
     forged = msgspec.structs.replace(update, base_digest=other.digest)
-    with pytest.raises(CorruptUpdateError, match='leads to digest'):
+    with pytest.raises(CorruptUpdateError, match='results in digest'):
         _delta.resolve(forged, _delta.Base.of(other))
 
 
 @pytest.mark.parametrize(
     ('changed', 'message'),
     [
-        # The service that a route of another department uses disappears.
+        # Removes the service that a route of another department uses.
         ({'bath': ([], [])}, "points at service 'bookings'"),
         ({'steam': (['bookings'], [])}, "'bookings' twice"),
         ({'steam': (['heat'], ['/search'])}, 'two routes'),
@@ -144,17 +144,19 @@
             [builders.build_route(service=target, path=p) for p in paths],
         )
 
-    held = {
+    installed = {
         'bath': fragment('bath', ['bookings'], [], ''),
         'spa': fragment('spa', [], ['/search'], 'bookings'),
         'steam': fragment('steam', ['heat'], [], ''),
     }
-    base = Snapshot.build(builders.build_head(held.values()), held.values())
+    base = Snapshot.build(
+        builders.build_head(installed.values()), installed.values()
+    )
     new = {
         name: fragment(name, *content, 'heat')
         for name, content in changed.items()
     }
-    head = builders.build_head({**held, **new}.values(), 2)
+    head = builders.build_head({**installed, **new}.values(), 2)
     with pytest.raises(InvalidUpdateError, match=message):
         base.advance(head, new.values())
 
@@ -162,27 +164,27 @@
 @pytest.mark.parametrize('size', [1, 2, 9, 10, 74, 300])
 def test_every_member_has_one_path_from_the_root(size: int) -> None:
     members = [builders.build_member(index) for index in range(size)]
-    trees = _tree.Trees(FakeTable(members))
+    trees = _tree.TreeCache(FakeTable(members))
     root = members[size // 2].id
     tree = trees.get('az-1', root)
     assert tree is trees.get('az-1', root)
     assert tree.root == members[size // 2]
-    found = [root]
-    for parent in found:
-        kids = tree.children(parent)
-        assert len(kids) <= _tree.FAN_OUT
-        for child in kids:
+    reached = [root]
+    for parent in reached:
+        children = tree.children(parent)
+        assert len(children) <= _tree.FAN_OUT
+        for child in children:
             assert tree.parent(child.id).id == parent
-            found.append(child.id)
-    assert sorted(found) == sorted(item.id for item in members)
-    # Positions do not depend on the order in which members became known.
+            reached.append(child.id)
+    assert sorted(reached) == sorted(item.id for item in members)
+    # Positions do not depend on the order of the member table.
     shuffled = random.Random(1).sample(members, size)
-    assert _tree.order(root, shuffled) == _tree.order(root, members)
+    assert _tree.order_members(root, shuffled) == _tree.order_members(
+        root, members
+    )
 
 
-def test_a_revert_outlives_the_versions_that_do_not_know_its_move_yet() -> (
-    None
-):
+def test_a_revert_is_kept_until_a_later_version_removes_its_move() -> None:
     fragment = builders.build_fragment(moves=[builders.build_move()])
     spec = fragment.moves[0]
     move = _model.Move(spec, _model.MoveState.REVERTED, 1, 0.0, 0.0, 0.0)
@@ -197,18 +199,18 @@
         )
 
     reverts = RevertSet()
-    # The sender holds version 3, in which the move exists.
+    # The sender has version 3, which contains the move.
     assert reverts.merge([revert], 3, snapshot(1, plain)) == (revert,)
     assert reverts.merge([revert], 3, snapshot(1, plain)) == ()
-    for kept in (
+    for earlier in (
         snapshot(2, plain),
         snapshot(3, fragment, move),
         snapshot(4, plain, move),
         snapshot(5, fragment),
     ):
-        assert reverts.prune(kept) == ()
+        assert reverts.prune(earlier) == ()
     assert reverts.digest
     assert reverts.prune(snapshot(6, plain)) == ('spa/move',)
     assert reverts.digest == 0
-    # A daemon that is behind must not bring it back.
+    # A daemon with an older version must not add it again.
     assert reverts.merge([revert], 5, snapshot(6, plain)) == ()
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -1,4 +1,4 @@
-"""State machine over several replicas with an unreliable network."""
+"""Stateful test of several replicas on an unreliable network."""
 
 from __future__ import annotations
 
@@ -21,14 +21,18 @@
 from gypsumhall.testing import builders
 from gypsumhall.testing.fakes import FakeTable
 
-# The larger zone is deeper than one level of the tree.
+# The tree of the larger zone has more than one level below its root.
 ZONES = {'az-1': 11, 'az-2': 3}
 DEPARTMENTS = ('bath', 'spa', 'steam')
 SEEDS = st.integers(0, 2**32)
 
 
 def _fragment(
-    name: str, routes: int, *, dangling: bool = False, move: bool = False
+    name: str,
+    routes: int,
+    *,
+    has_dangling_route: bool = False,
+    move: bool = False,
 ) -> _model.Fragment:
     service = f'{name}-service'
     return builders.build_fragment(
@@ -37,7 +41,7 @@
         [
             builders.build_route(
                 f'r{index:02}',
-                'missing' if dangling else service,
+                'missing' if has_dangling_route else service,
                 f'{name}.example',
                 f'/{index}',
             )
@@ -48,7 +52,7 @@
 
 
 class Platform:
-    """Accepted versions; every change of the head is one of these."""
+    """Fake platform with the history of accepted heads."""
 
     def __init__(self) -> None:
         self.fragments: dict[str, _model.Fragment] = {}
@@ -84,7 +88,7 @@
                 move, stage=move.stage + 1
             )
         elif kind == 'forget' and move is not None:
-            # As 24 h after the move ended and was removed from the text.
+            # Happens 24 h after the move ended and was removed from the text.
             self.fragments[name] = _fragment(name, number)
             del self.moves[move_id]
         self.submissions[f'submission-{self.version + 1}'] = self.version + 1
@@ -103,7 +107,7 @@
 
 
 class ReplicaMachine(RuleBasedStateMachine):
-    """Loss, reordering, duplicates, restarts, cut zones and bad versions."""
+    """Loss, reordering, duplicates, restarts, partitions, bad versions."""
 
     @initialize(seed=SEEDS)
     def start(self, seed: int) -> None:
@@ -122,28 +126,28 @@
         }
         size = len(self.members)
         self.in_flight: list[tuple[int, str, object]] = []
-        self.cut = False
+        self.partitioned = False
         self.replicas: list[Replica] = []
-        self.held = [0] * size
-        self.heartbeat = [0] * size
+        self.installed_versions = [0] * size
+        self.heartbeat_versions = [0] * size
         self.reverted: list[set[tuple[str, float]]] = [
             set() for _ in range(size)
         ]
         for index in range(size):
-            self.replicas.append(self._new(index))
+            self.replicas.append(self._build_replica(index))
             self.replicas[index].set_floor(0, self.now)
         for kind in ('routes', 'move'):
             self._change(kind, 'spa', 2)
             self._publish(0)
 
-    def _new(self, index: int) -> Replica:
+    def _build_replica(self, index: int) -> Replica:
         return Replica(self.members[index], self.table, self.rng)
 
     def _change(self, kind: str, name: str, number: int) -> None:
         self.platform.change(kind, name, number)
 
     def _publish(self, index: int) -> None:
-        self._run(
+        self._execute(
             index,
             self.replicas[index].publish(
                 self.platform.history[-1],
@@ -152,9 +156,9 @@
             ),
         )
 
-    def _run(self, index: int, actions: list[_actions.Action]) -> None:
+    def _execute(self, index: int, actions: list[_actions.Action]) -> None:
         for action in actions:
-            # Only the rules for bad input expect alarms, and take them out.
+            # Only rules with bad input expect alarms, and they remove them.
             assert not isinstance(action, _actions.Alarm), action
             if isinstance(action, _actions.Send):
                 self.in_flight.append((index, action.address, action.message))
@@ -162,7 +166,7 @@
                 self.in_flight.append((index, action.address, action))
 
     def _reachable(self, one: int, other: int) -> bool:
-        return not self.cut or (
+        return not self.partitioned or (
             self.members[one].zone == self.members[other].zone
         )
 
@@ -171,13 +175,13 @@
         target = self.by_address[address]
         lost = lost or not self._reachable(source, target)
         if isinstance(message, _actions.Fetch):
-            answer = None
+            reply = None
             if not lost:
                 parts = self.replicas[target].answer_pull(message.pull)
-                answer = _delta.join(parts)
-            self._run(
+                reply = _delta.join(parts)
+            self._execute(
                 source,
-                self.replicas[source].fetched(address, answer, self.now),
+                self.replicas[source].fetched(address, reply, self.now),
             )
             return
         for _ in range(0 if lost else 1 + twice):
@@ -189,11 +193,11 @@
         address, now = sender.peer_address, self.now
         match message:
             case _actions.FetchReverts():
-                answer = replica.all_reverts()
+                reply = replica.all_reverts()
                 actions = self.replicas[source].receive_reverts(
-                    answer, self.members[target].peer_address, whole=True
+                    reply, self.members[target].peer_address, whole=True
                 )
-                self._run(source, actions)
+                self._execute(source, actions)
                 return
             case _messages.Update():
                 actions = replica.receive(message, address, now)
@@ -211,7 +215,7 @@
                 actions = replica.receive_summaries(
                     message, address, sender.zone, now
                 )
-        self._run(target, actions)
+        self._execute(target, actions)
 
     @rule(
         kind=st.sampled_from(
@@ -243,36 +247,39 @@
         self.now += seconds
         for index, replica in enumerate(self.replicas):
             if replica.due <= self.now:
-                self._run(index, replica.tick(self.now))
-            self.heartbeat[index] = replica.version
+                self._execute(index, replica.tick(self.now))
+            self.heartbeat_versions[index] = replica.version
 
     @rule(index=st.integers(0, 13))
     def restart(self, index: int) -> None:
-        """All state is lost; the floor is learned from neighbours."""
+        """All state is lost; the floor is obtained from neighbours."""
         self.in_flight = [item for item in self.in_flight if item[0] != index]
-        replica = self.replicas[index] = self._new(index)
-        self.held[index] = 0
+        replica = self.replicas[index] = self._build_replica(index)
+        self.installed_versions[index] = 0
         self.reverted[index] = set()
-        answers = [
+        neighbour_versions = [
             other.version
             for number, other in enumerate(self.replicas)
             if number != index
             and other.ready
             and self.members[number].zone == self.members[index].zone
         ]
-        replica.set_floor(max([self.heartbeat[index], *answers[:3]]), self.now)
+        replica.set_floor(
+            max([self.heartbeat_versions[index], *neighbour_versions[:3]]),
+            self.now,
+        )
 
     @rule()
-    def cut_zones(self) -> None:
-        self.cut = not self.cut
+    def toggle_partition(self) -> None:
+        self.partitioned = not self.partitioned
 
     @rule(index=st.integers(0, 13), source=st.integers(0, 13))
     def bad_version(self, index: int, source: int) -> None:
-        """A version with a dangling route from the platform and a peer."""
+        """The platform and a peer send a version with a dangling route."""
         name = DEPARTMENTS[0]
         fragments = {
             **self.platform.fragments,
-            name: _fragment(name, 1, dangling=True),
+            name: _fragment(name, 1, has_dangling_route=True),
         }
         head = builders.build_head(
             fragments.values(), self.platform.version + 1
@@ -298,7 +305,7 @@
 
     @rule(index=st.integers(0, 13), source=st.integers(0, 13))
     def damaged_update(self, index: int, source: int) -> None:
-        """The message is wrong, not the version: it can still be pulled."""
+        """Only the message is corrupt; the version can still be pulled."""
         if self.platform.version < 2:
             return
         head = self.platform.history[-1]
@@ -309,17 +316,17 @@
             tuple(self.platform.fragments.values()),
             digest=_model.digest(_model.encode(head))[:16],
         )
-        before = replica.version
+        previous_version = replica.version
         address = self.members[source].peer_address
         actions = replica.receive(update, address, self.now)
-        if before < head.version:
+        if previous_version < head.version:
             assert actions.pop().code == 'corrupt-update'
-        self._run(index, actions)
-        assert replica.version == before
+        self._execute(index, actions)
+        assert replica.version == previous_version
 
     @rule(index=st.integers(0, 13))
     def conflict(self, index: int) -> None:
-        """Another head under the installed version raises one alarm."""
+        """Another head with the installed version number raises one alarm."""
         replica = self.replicas[index]
         if not replica.version:
             return
@@ -333,7 +340,7 @@
 
     @rule(index=st.integers(0, 13), back=st.integers(1, 3))
     def restored_head(self, index: int, back: int) -> None:
-        """The platform came back with an older head."""
+        """The platform was restored with an older head."""
         replica = self.replicas[index]
         older = [
             head
@@ -351,20 +358,20 @@
     @rule(index=st.integers(0, 13))
     def revert(self, index: int) -> None:
         for move in self.replicas[index].snapshot.head.moves:
-            verdict = _messages.Revert(move, 'failures', f'd{index}')
-            self._run(index, self.replicas[index].add_revert(verdict))
+            revert = _messages.Revert(move, 'failures', f'd{index}')
+            self._execute(index, self.replicas[index].add_revert(revert))
             assert move in self.replicas[index].reverts
 
     @invariant()
-    def no_version_goes_back(self) -> None:
+    def no_version_decreases(self) -> None:
         for index, replica in enumerate(self.replicas):
-            assert replica.version >= self.held[index]
-            self.held[index] = replica.version
+            assert replica.version >= self.installed_versions[index]
+            self.installed_versions[index] = replica.version
             if replica.ready:
-                assert replica.version >= self.heartbeat[index]
+                assert replica.version >= self.heartbeat_versions[index]
 
     @invariant()
-    def every_installed_version_is_whole(self) -> None:
+    def every_installed_version_is_valid(self) -> None:
         accepted = {head.version: head for head in self.platform.history}
         for snapshot in {
             item.snapshot.version: item.snapshot for item in self.replicas
@@ -386,39 +393,39 @@
                 assert snapshot.service(matched.route.service) is not None
 
     @invariant()
-    def reverts_only_grow(self) -> None:
+    def reverts_are_never_lost(self) -> None:
         for index, replica in enumerate(self.replicas):
             moves = replica.snapshot.head.moves
-            # A move may have been forgotten and submitted anew since.
-            held = {
+            # A move may have been removed and submitted again since.
+            current = {
                 (move, moves[move].started)
                 for move in replica.reverts
                 if move in moves
             }
-            lost = self.reverted[index] - held
+            lost = self.reverted[index] - current
             assert not any(
                 move in moves and moves[move].started == started
                 for move, started in lost
             )
-            self.reverted[index] = held
+            self.reverted[index] = current
 
     def teardown(self) -> None:
-        """Everything converges once the network is whole."""
+        """All replicas converge once the network is reliable."""
         if not hasattr(self, 'platform'):
             return
-        self.cut = False
+        self.partitioned = False
         self._publish(0)
         for _ in range(40):
             self.pass_time(0.5)
             for index, replica in enumerate(self.replicas):
-                # A heartbeat of the membership carries the digest.
+                # Heartbeats of the membership carry the digest.
                 other = self.rng.randrange(len(self.replicas))
                 message = _messages.Announcement(replica.digest)
                 self._receive(index, other, message)
             while self.in_flight:
                 self._deliver(0, lost=False, twice=False)
-            self.no_version_goes_back()
-            self.reverts_only_grow()
+            self.no_version_decreases()
+            self.reverts_are_never_lost()
         digests = {
             (item.version, item.digest.snapshot, item.digest.reverts)
             for item in self.replicas
@@ -437,7 +444,7 @@
 )
 
 
-def test_pulls_are_retried_within_bounds_through_a_long_partition() -> None:
+def test_backoff_of_pulls_is_bounded_in_a_long_partition() -> None:
     """An unbounded backoff overflowed after about 1,000 failures."""
     members = [builders.build_member(index) for index in range(2)]
     replica = Replica(members[0], FakeTable(members), random.Random(1))
@@ -449,7 +456,7 @@
         for action in replica.tick(now):
             if isinstance(action, _actions.Fetch):
                 failures += 1
-                # Another source keeps the backoff going.
+                # With another source, the pull is retried again.
                 replica.hint(7, 'other', now)
                 replica.fetched(action.address, None, now)
     assert 1200 < failures < 6000
--- a/tests/test_core_snapshot.py
+++ b/tests/test_core_snapshot.py
@@ -1,4 +1,4 @@
-"""Tests of the installed configuration."""
+"""Tests of configuration snapshots."""
 
 from __future__ import annotations
 
@@ -54,14 +54,14 @@
         ),
     ],
 )
-def test_dangling_references_are_refused(
+def test_dangling_references_are_rejected(
     fragment: _model.Fragment, message: str
 ) -> None:
     with pytest.raises(InvalidUpdateError, match=message):
         Snapshot.build(builders.build_head([fragment]), [fragment])
 
 
-def test_a_fragment_with_another_digest_is_refused() -> None:
+def test_a_fragment_with_another_digest_is_rejected() -> None:
     fragment = builders.build_fragment()
     head = builders.build_head([fragment])
     other = builders.build_fragment(routes=[])
@@ -71,7 +71,7 @@
         Snapshot.build(head, [])
 
 
-def test_a_delta_leads_to_the_same_snapshot_as_the_whole() -> None:
+def test_a_delta_results_in_the_same_snapshot_as_a_full_update() -> None:
     one = builders.build_fragment()
     two = builders.build_fragment('bath', [], [])
     base = Snapshot.build(builders.build_head([one, two]), [one, two])
@@ -80,14 +80,14 @@
     )
     head = builders.build_head([one, changed], version=2)
     result = base.apply(head, 1, [changed])
-    whole = Snapshot.build(head, [one, changed])
-    assert result.digest == whole.digest
-    assert result.fragments == whole.fragments
+    full = Snapshot.build(head, [one, changed])
+    assert result.digest == full.digest
+    assert result.fragments == full.fragments
     with pytest.raises(InvalidUpdateError, match='version 2 is installed'):
         result.apply(head, 1, [changed])
 
 
-def test_a_delta_without_a_changed_fragment_is_refused() -> None:
+def test_a_delta_without_a_changed_fragment_is_rejected() -> None:
     one = builders.build_fragment()
     base = Snapshot.build(builders.build_head([one]), [one])
     changed = builders.build_fragment(routes=[])
@@ -96,7 +96,7 @@
         base.apply(head, 1, [])
 
 
-def test_a_reverted_move_gives_no_share_to_the_new_version() -> None:
+def test_a_reverted_move_sends_no_calls_to_the_new_version() -> None:
     fragment = builders.build_fragment()
     move = _move(_model.MoveState.ACTIVE, 0.05)
     head = builders.build_head([fragment], moves=[move])
@@ -106,7 +106,7 @@
     assert snapshot.split('availability', {'spa/move'}).new_version is None
 
 
-def test_a_finished_move_leaves_its_version_in_use() -> None:
+def test_the_version_of_a_finished_move_stays_in_use() -> None:
     fragment = builders.build_fragment()
     done = _move(_model.MoveState.DONE, 1.0)
     head = builders.build_head(
@@ -116,7 +116,7 @@
     assert snapshot.split('availability').old_version == 'v2'
 
 
-def test_a_move_to_a_missing_version_is_refused() -> None:
+def test_a_move_to_a_missing_version_is_rejected() -> None:
     fragment = builders.build_fragment(
         services=[builders.build_service(versions=('v1',))]
     )
@@ -126,7 +126,7 @@
         Snapshot.build(head, [fragment])
 
 
-def test_head_and_fragment_keep_their_encoding() -> None:
+def test_head_and_fragment_survive_encoding() -> None:
     fragment = builders.build_fragment(moves=[builders.build_move()])
     head = builders.build_head([fragment], moves=[_move('active', 0.5)])
     assert _model.decode_head(_model.encode(head)) == head
