--- a/gypsumhall/core/_snapshot.py
+++ b/gypsumhall/core/_snapshot.py
@@ -390,8 +390,8 @@
     services = snapshot.services
     for fragment in fragments:
         for route in fragment.routes:
-            targets = [item.service for item in route.targets]
-            for name in (route.service, *targets):
+            target_names = [item.service for item in route.targets]
+            for name in (route.service, *target_names):
                 if name not in services:
                     raise InvalidUpdateError(
                         f"route '{fragment.department}/{route.name}' points "
--- a/tests/test_core_delta.py
+++ b/tests/test_core_delta.py
@@ -171,9 +171,9 @@
     assert tree.root == members[size // 2]
     reached = [root]
     for parent in reached:
-        children = tree.children(parent)
-        assert len(children) <= _tree.FAN_OUT
-        for child in children:
+        child_members = tree.children(parent)
+        assert len(child_members) <= _tree.FAN_OUT
+        for child in child_members:
             assert tree.parent(child.id).id == parent
             reached.append(child.id)
     assert sorted(reached) == sorted(item.id for item in members)
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -193,9 +193,9 @@
         address, now = sender.peer_address, self.now
         match message:
             case _actions.FetchReverts():
-                reply = replica.all_reverts()
+                reverts = replica.all_reverts()
                 actions = self.replicas[source].receive_reverts(
-                    reply, self.members[target].peer_address, whole=True
+                    reverts, self.members[target].peer_address, whole=True
                 )
                 self._execute(source, actions)
                 return
@@ -358,8 +358,8 @@
     @rule(index=st.integers(0, 13))
     def revert(self, index: int) -> None:
         for move in self.replicas[index].snapshot.head.moves:
-            revert = _messages.Revert(move, 'failures', f'd{index}')
-            self._execute(index, self.replicas[index].add_revert(revert))
+            new_revert = _messages.Revert(move, 'failures', f'd{index}')
+            self._execute(index, self.replicas[index].add_revert(new_revert))
             assert move in self.replicas[index].reverts
 
     @invariant()
