Rename methods of the replica, the trees and the recorder

fetched -> handle_fetch_result, answer_pull -> build_pull_reply, hint -> note_peer_version, whole -> complete (receive_reverts), pick -> sample_members, is_among_first -> has_zone_role, acknowledgement -> acknowledgement_tree, forget and take of Recorder -> retain_moves and pop_evidence, add_own -> add_local, REFRESH_S -> REFRESH_INTERVAL_S: the new names say what is done or returned.

--- a/benchmarks/bench_distribution.py
+++ b/benchmarks/bench_distribution.py
@@ -294,8 +294,10 @@
         if target in self.silent:
             if isinstance(item, _actions.Fetch):
                 address = self.members[target].peer_address
-                fetched = self.replicas[source].fetched
-                self.handle(source, at + 2.0, fetched, address, None)
+                handle_fetch_result = self.replicas[source].handle_fetch_result
+                self.handle(
+                    source, at + 2.0, handle_fetch_result, address, None
+                )
             return source
         self.received_bytes[target] += _size(
             item.pull if isinstance(item, _actions.Fetch) else item
@@ -304,14 +306,14 @@
         sender = self.members[source]
         address = sender.peer_address
         if isinstance(item, _actions.Fetch):
-            parts = replica.answer_pull(item.pull)
+            parts = replica.build_pull_reply(item.pull)
             for part in parts:
                 self._count(part)
                 self.received_bytes[source] += _size(part)
             self.handle(
                 source,
                 at + self.hop_s,
-                self.replicas[source].fetched,
+                self.replicas[source].handle_fetch_result,
                 self.members[target].peer_address,
                 _delta.join(parts),
             )
@@ -512,14 +514,14 @@
     )
     source.publish(head, fragments.values(), 0.0)
     began = time.perf_counter()
-    first = source.answer_pull(_messages.Pull())
+    first = source.build_pull_reply(_messages.Pull())
     first_ms = _ms(time.perf_counter() - began)
     encoded = [_model.encode(part) for part in first]
     decoder = msgspec.msgpack.Decoder(_messages.Update)
     decode_ms = _time(lambda: [decoder.decode(item) for item in encoded])
     update = _delta.join([decoder.decode(item) for item in encoded])
     began = time.perf_counter()
-    target.fetched('d0', update, 1.0)
+    target.handle_fetch_result('d0', update, 1.0)
     install_ms = _ms(time.perf_counter() - began)
     assert target.version == source.version
     return {
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -14,7 +14,7 @@
 import matplotlib as mpl
 
 from gypsumhall.core import _model
-from gypsumhall.core._acknowledgements import REFRESH_S
+from gypsumhall.core._acknowledgements import REFRESH_INTERVAL_S
 from gypsumhall.net._messages import ZoneSummary
 
 if TYPE_CHECKING:
@@ -96,7 +96,9 @@
         )
     )
     return (
-        zones * size * (SUMMARIES_PER_CHANGE * CHANGES_PER_S + 1 / REFRESH_S)
+        zones
+        * size
+        * (SUMMARIES_PER_CHANGE * CHANGES_PER_S + 1 / REFRESH_INTERVAL_S)
     )
 
 
--- a/gypsumhall/core/_acknowledgements.py
+++ b/gypsumhall/core/_acknowledgements.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumhall.core._actions import Send
-from gypsumhall.core._tree import pick
+from gypsumhall.core._tree import sample_members
 from gypsumhall.net._messages import Acknowledgement
 from gypsumhall.net._messages import ZoneSummaries
 from gypsumhall.net._messages import ZoneSummary
@@ -25,7 +25,7 @@
 SUMMARY_INTERVAL_S = 0.5
 
 # Unchanged state is sent again in case a message was lost.
-REFRESH_S = 10.0
+REFRESH_INTERVAL_S = 10.0
 
 # Members of another zone that receive a summary: one of them may have failed.
 _CROSS_ZONE_COPIES = 2
@@ -174,7 +174,7 @@
         # Forward to the own subtree now: when the root forwards the same
         # summaries, they are no longer new here and go no further.
         self._schedule_summaries(now, *(item.zone for item in new))
-        root = self._trees.acknowledgement(self._me.zone).root
+        root = self._trees.acknowledgement_tree(self._me.zone).root
         if root and root.id != self._me.id and zone != self._me.zone:
             actions.append(Send(root.peer_address, ZoneSummaries(tuple(new))))
         return actions
@@ -186,7 +186,9 @@
         actions: list[Send] = []
         refresh = now >= self._refresh_due
         if refresh:
-            self._refresh_due = now + REFRESH_S * self._rng.uniform(0.8, 1.2)
+            self._refresh_due = now + REFRESH_INTERVAL_S * self._rng.uniform(
+                0.8, 1.2
+            )
             # Every daemon resends all summaries to its children, which
             # forward only those that are new to them.
             self._schedule_summaries(now, *self._summaries)
@@ -207,7 +209,7 @@
         )
 
     def _report(self, now: float, refresh: bool) -> list[Send]:
-        tree = self._trees.acknowledgement(self._me.zone)
+        tree = self._trees.acknowledgement_tree(self._me.zone)
         root = tree.root
         parent = tree.parent(self._me.id)
         if root is None or (parent is None and root.id != self._me.id):
@@ -282,7 +284,7 @@
         return [
             Send(member.peer_address, message)
             for zone in zones
-            for member in pick(
+            for member in sample_members(
                 self._trees.table.alive(zone),
                 _CROSS_ZONE_COPIES,
                 self._me.id,
@@ -296,7 +298,7 @@
         if not zones:
             return []
         message = ZoneSummaries(tuple(self._summaries[zone] for zone in zones))
-        tree = self._trees.acknowledgement(self._me.zone)
+        tree = self._trees.acknowledgement_tree(self._me.zone)
         return [
             Send(child.peer_address, message)
             for child in tree.children(self._me.id)
--- a/gypsumhall/core/_recorder.py
+++ b/gypsumhall/core/_recorder.py
@@ -68,7 +68,7 @@
         for item in thresholds:
             self._thresholds[move, item.route] = item.threshold_ms
 
-    def forget(self, active: Iterable[str]) -> None:
+    def retain_moves(self, active: Iterable[str]) -> None:
         """Discard counts and thresholds of moves that are not active."""
         active_moves = set(active)
         for key in [
@@ -116,7 +116,7 @@
         if threshold_ms is not None and ready_for_s >= COLD_START_S:
             tally.slow += latency_ms > threshold_ms
 
-    def take(self, interval: int) -> list[Evidence]:
+    def pop_evidence(self, interval: int) -> list[Evidence]:
         """Return and reset the counts, grouped by move and stage.
 
         Parameters
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -22,7 +22,7 @@
 from gypsumhall.core._reverts import RevertSet
 from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._snapshot import Snapshot
-from gypsumhall.core._tree import pick
+from gypsumhall.core._tree import sample_members
 from gypsumhall.core._tree import TreeCache
 from gypsumhall.net._messages import Acknowledgement
 from gypsumhall.net._messages import Announcement
@@ -213,7 +213,9 @@
         if self.ready:
             self._acknowledgements.set_version(self.version, now)
 
-    def hint(self, version: int, address: str, now: float) -> None:
+    def note_peer_version(
+        self, version: int, address: str, now: float
+    ) -> None:
         """Record that a peer has a version; pull it if it is newer."""
         if version > self.version:
             self._schedule_pull(version, '', address, now)
@@ -230,7 +232,9 @@
                 self._rng.uniform(0.8, 1.2)
             )
             members = self._table.members()
-            actions += self._announce(pick(members, 1, self._me.id, self._rng))
+            actions += self._announce(
+                sample_members(members, 1, self._me.id, self._rng)
+            )
         if now >= self._pull_due and not self._fetching:
             self._pull_due = math.inf
             actions += self._pull()
@@ -353,7 +357,7 @@
             actions.append(FetchReverts(address))
         return actions
 
-    def fetched(
+    def handle_fetch_result(
         self, address: str, reply: Update | Busy | None, now: float
     ) -> list[Action]:
         """Handle the result of a `Fetch`.
@@ -391,7 +395,7 @@
             self._pull_due = now + self._rng.uniform(max_delay / 4, max_delay)
         return actions
 
-    def answer_pull(self, pull: Pull) -> Sequence[Update]:
+    def build_pull_reply(self, pull: Pull) -> Sequence[Update]:
         """Return the parts of the reply to a pull.
 
         The reply is a delta if its base is available, and the full
@@ -480,13 +484,15 @@
         # When no member received a push, announcements to random members
         # alone would miss one member in twenty; announcements along a second
         # tree also reach members below a dead node.
-        tree = self._trees.acknowledgement(self._me.zone)
+        tree = self._trees.acknowledgement_tree(self._me.zone)
         parent = tree.parent(self._me.id)
         members = self._table.alive(self._me.zone)
         recipients = [
             *((parent,) if parent else ()),
             *tree.children(self._me.id),
-            *pick(members, ANNOUNCED_MEMBERS, self._me.id, self._rng),
+            *sample_members(
+                members, ANNOUNCED_MEMBERS, self._me.id, self._rng
+            ),
         ]
         if self._rng.random() < CROSS_ZONE_PROBABILITY:
             recipients += self._sample_other_zones(1)
@@ -497,7 +503,7 @@
         sampled: list[Member] = []
         for zone in self._rng.sample(zones, min(count, len(zones))):
             members = self._table.alive(zone)
-            sampled += pick(members, 1, self._me.id, self._rng)
+            sampled += sample_members(members, 1, self._me.id, self._rng)
         return sampled
 
     def _announce(self, members: Iterable[Member]) -> list[Send]:
@@ -610,14 +616,14 @@
 
     def add_revert(self, revert: Revert) -> list[Action]:
         """Add a revert decided on this daemon and send it at once."""
-        if not self._reverts.add_own(revert, self._snapshot):
+        if not self._reverts.add_local(revert, self._snapshot):
             return []
         self._reverts_interval_s = _REVERTS_INTERVAL_MIN_S
         zones = len(self._trees.other_zones(self._me.zone))
         return [*self._send_reverts((revert,), '', zones), Reverted((revert,))]
 
     def receive_reverts(
-        self, message: Reverts, address: str, *, whole: bool = False
+        self, message: Reverts, address: str, *, complete: bool = False
     ) -> list[Action]:
         """Handle reverts from a peer.
 
@@ -627,7 +633,7 @@
             The reverts.
         address : str
             Peer address of the sender.
-        whole : bool
+        complete : bool
             Whether these are all reverts of the sender; those that it lacks
             are then sent to it.
         """
@@ -641,7 +647,7 @@
             others = 0 if message.root else 1
             actions += self._send_reverts(new, message.root, others)
             actions.append(Reverted(new))
-        if whole:
+        if complete:
             sender_moves = {item.move for item in message.reverts}
             missing = [
                 item
@@ -667,7 +673,9 @@
         tree = self._trees.get(me.zone, root)
         members = self._table.alive(me.zone)
         targets = {item.id: item for item in tree.children(me.id)}
-        for item in pick(members, ANNOUNCED_MEMBERS, me.id, self._rng):
+        for item in sample_members(
+            members, ANNOUNCED_MEMBERS, me.id, self._rng
+        ):
             targets.setdefault(item.id, item)
         cross_zone_message = self._reverts.message(reverts, self.version)
         return [
--- a/gypsumhall/core/_reverts.py
+++ b/gypsumhall/core/_reverts.py
@@ -68,7 +68,7 @@
         versions = [self._versions.get(item.move, 0) for item in chosen]
         return Reverts(chosen, version=max([installed, *versions]), root=root)
 
-    def add_own(self, revert: Revert, snapshot: Snapshot) -> bool:
+    def add_local(self, revert: Revert, snapshot: Snapshot) -> bool:
         """Add a revert decided on this daemon; return False if present."""
         version = snapshot.version
         if not _contains_move(snapshot, revert.move):
--- a/gypsumhall/core/_tree.py
+++ b/gypsumhall/core/_tree.py
@@ -35,7 +35,7 @@
     return hashlib.blake2b(value, digest_size=8).digest()
 
 
-def is_among_first(
+def has_zone_role(
     role: str, member_id: str, members: Iterable[Member], count: int
 ) -> bool:
     """Whether a member has a role that only a few members of its zone have.
@@ -199,7 +199,7 @@
             self._cache[key] = tree
         return tree
 
-    def acknowledgement(self, zone: str) -> Tree:
+    def acknowledgement_tree(self, zone: str) -> Tree:
         """Return the tree that collects a zone's acknowledgements.
 
         Its root is the first member by a hash of the zone's name. It is
@@ -233,7 +233,7 @@
             self._revision = self._table.revision
 
 
-def pick(
+def sample_members(
     members: Sequence[Member],
     count: int,
     excluded: str,
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -24,8 +24,8 @@
 from gypsumhall.core._actions import Send
 from gypsumhall.core._replica import Replica
 from gypsumhall.core._snapshot import CorruptUpdateError
-from gypsumhall.core._tree import pick
 from gypsumhall.core._tree import ring_neighbours
+from gypsumhall.core._tree import sample_members
 from gypsumhall.net._messages import Acknowledgement
 from gypsumhall.net._messages import Announcement
 from gypsumhall.net._messages import Busy
@@ -375,7 +375,7 @@
             self._observe(answer)
         now = trio.current_time()
         replica = self._started()
-        self._execute(replica.fetched(action.address, answer, now))
+        self._execute(replica.handle_fetch_result(action.address, answer, now))
 
     async def _pull(self, action: Fetch) -> Update | Busy | None:
         parts: list[Update] = []
@@ -402,7 +402,7 @@
         if isinstance(answer, Reverts):
             self._observe(answer)
             self._execute(
-                self._started().receive_reverts(answer, address, whole=True)
+                self._started().receive_reverts(answer, address, complete=True)
             )
 
     # Bootstrap
@@ -432,7 +432,7 @@
         answers = await self._ask_members(others)
         now = trio.current_time()
         for member, answer in answers:
-            replica.hint(answer.held, member.peer_address, now)
+            replica.note_peer_version(answer.held, member.peer_address, now)
         if replica.floor is not None:
             self._execute([])
             return
@@ -452,7 +452,9 @@
             floor = max(floor, _highest(distant))
             known = bool(_count_ready(distant))
             for member, answer in distant:
-                replica.hint(answer.held, member.peer_address, now)
+                replica.note_peer_version(
+                    answer.held, member.peer_address, now
+                )
         if known:
             replica.set_floor(floor, trio.current_time())
         self._execute([])
@@ -488,7 +490,7 @@
             item.id: item
             for item in [
                 *ring_neighbours(me.id, others, FLOOR_ANSWERS),
-                *pick(others, _FLOOR_ASKED, me.id, self._rng),
+                *sample_members(others, _FLOOR_ASKED, me.id, self._rng),
             ][:_FLOOR_ASKED]
         }
         answers: list[tuple[Member, Floor]] = []
@@ -552,7 +554,7 @@
         )
 
     async def _on_pull(self, exchange: Exchange, message: Pull) -> None:
-        parts = self._started().answer_pull(message)
+        parts = self._started().build_pull_reply(message)
         if parts[0].base:
             await _answer(exchange, *parts)
         elif self._bootstraps >= MAX_BOOTSTRAPS:
@@ -571,7 +573,7 @@
             for member in self._membership.table.alive(me.zone)
             if member.id != asking
         ]
-        chosen = pick(members, FLOOR_ANSWERS, me.id, self._rng)
+        chosen = sample_members(members, FLOOR_ANSWERS, me.id, self._rng)
         return Busy(tuple(item.peer_address for item in chosen))
 
     async def _on_floor_request(
--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -126,7 +126,7 @@
     def _is_watcher(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
-        return _tree.is_among_first('feed', me.id, alive, WATCHERS)
+        return _tree.has_zone_role('feed', me.id, alive, WATCHERS)
 
     async def _watch(self) -> None:
         backoff = Backoff(*_RETRY_S, self._rng)
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -492,7 +492,7 @@
             member
             for member in self._gone.values()
             if member.peer_address not in used
-            and _tree.is_among_first(
+            and _tree.has_zone_role(
                 f'return:{member.id}', self.me.id, alive, _SEARCHERS
             )
         ]
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -218,7 +218,7 @@
 
     def _forget(self, active: Mapping[str, Move]) -> None:
         if self._recorder is not None:
-            self._recorder.forget(active)
+            self._recorder.retain_moves(active)
         for name in [name for name in self._judges if name not in active]:
             del self._judges[name]
 
@@ -226,7 +226,7 @@
         if self._recorder is None:
             return
         async with trio.open_nursery() as nursery:
-            for evidence in self._recorder.take(self._interval() - 1):
+            for evidence in self._recorder.pop_evidence(self._interval() - 1):
                 if evidence.move in active:
                     nursery.start_soon(self._send_evidence, evidence)
 
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -125,7 +125,7 @@
     def _holds_entry(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
-        return _tree.is_among_first(
+        return _tree.has_zone_role(
             'registration', me.id, alive, ENTRIES_PER_ZONE
         )
 
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -362,7 +362,7 @@
     def _is_candidate(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
-        return _tree.is_among_first('controller', me.id, alive, _CANDIDATES)
+        return _tree.has_zone_role('controller', me.id, alive, _CANDIDATES)
 
     async def _control(self, lease: Lease) -> None:
         self._rollouts.clear()
--- a/tests/test_core_moves.py
+++ b/tests/test_core_moves.py
@@ -300,7 +300,7 @@
             self.condemn(daemon, str(verdict))
 
     def condemn(self, daemon: int, reason: str) -> None:
-        self.reverts[daemon].add_own(
+        self.reverts[daemon].add_local(
             Revert(self.id, reason, f'd{daemon}'), self.snapshots[daemon]
         )
 
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -177,11 +177,13 @@
         if isinstance(message, _actions.Fetch):
             reply = None
             if not lost:
-                parts = self.replicas[target].answer_pull(message.pull)
+                parts = self.replicas[target].build_pull_reply(message.pull)
                 reply = _delta.join(parts)
             self._execute(
                 source,
-                self.replicas[source].fetched(address, reply, self.now),
+                self.replicas[source].handle_fetch_result(
+                    address, reply, self.now
+                ),
             )
             return
         for _ in range(0 if lost else 1 + twice):
@@ -195,7 +197,7 @@
             case _actions.FetchReverts():
                 reverts = replica.all_reverts()
                 actions = self.replicas[source].receive_reverts(
-                    reverts, self.members[target].peer_address, whole=True
+                    reverts, self.members[target].peer_address, complete=True
                 )
                 self._execute(source, actions)
                 return
@@ -452,11 +454,11 @@
     failures = 0
     for step in range(20_000):
         now = step * 0.5
-        replica.hint(7, peer, now)
+        replica.note_peer_version(7, peer, now)
         for action in replica.tick(now):
             if isinstance(action, _actions.Fetch):
                 failures += 1
                 # With another source, the pull is retried again.
-                replica.hint(7, 'other', now)
-                replica.fetched(action.address, None, now)
+                replica.note_peer_version(7, 'other', now)
+                replica.handle_fetch_result(action.address, None, now)
     assert 1200 < failures < 6000
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -371,7 +371,9 @@
 ) -> None:
     version = fleet.publish('d0', 'd40')
     await trio.sleep(20)
-    tree = fleet.daemons['d0'].service._replica._trees.acknowledgement('a')
+    tree = fleet.daemons['d0'].service._replica._trees.acknowledgement_tree(
+        'a'
+    )
     root = tree.root
     assert fleet.daemons['d7'].service.in_effect(version)
     fleet.stop([root])
