--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -74,7 +74,7 @@
 
 @dataclass(slots=True)
 class _Source:
-    """A peer that has a version above the installed one."""
+    """A version above the installed one that a peer can provide."""
 
     version: int
     digest: str
@@ -483,7 +483,7 @@
             self._acknowledgements.set_version(snapshot.version, now)
         # When no member received a push, announcements to random members
         # alone would miss one member in twenty; announcements along a second
-        # tree also reach members below a dead node.
+        # tree also reach members below a dead node of the first.
         tree = self._trees.acknowledgement_tree(self._me.zone)
         parent = tree.parent(self._me.id)
         members = self._table.alive(self._me.zone)
