--- a/gypsumhall/core/_acknowledgements.py
+++ b/gypsumhall/core/_acknowledgements.py
@@ -17,7 +17,7 @@
     import random
 
     from gypsumhall.core._member import Member
-    from gypsumhall.core._tree import Trees
+    from gypsumhall.core._tree import TreeCache
 
 # The first change is sent at once and further changes after this interval,
 # so a burst of versions costs at most four messages per second and link.
@@ -49,7 +49,7 @@
     me : Member
         Member table entry of this daemon; its id, zone and incarnation are
         used.
-    trees : Trees
+    trees : TreeCache
         Trees of all zones.
     rng : random.Random
         Source of randomness.
@@ -71,7 +71,9 @@
         '_version',
     )
 
-    def __init__(self, me: Member, trees: Trees, rng: random.Random) -> None:
+    def __init__(
+        self, me: Member, trees: TreeCache, rng: random.Random
+    ) -> None:
         self._me = me
         self._trees = trees
         self._rng = rng
