--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -1,22 +1,24 @@
-"""Order and bounds of the calls that wait for a backend server.
-
-The load patterns that the rules answer are replayed by
-``tests/test_core_waiting.py``:
-
-* More calls than the slots can serve for seconds. A line in the order of
-  arrival lets every call miss its latency objective. Here calls that can
-  still meet it go first, the most urgent route before the others, and calls
-  that cannot be served in time are refused when they arrive.
-* Calls that an endpoint makes while it runs a request. They hold a slot
-  elsewhere, so their routes rank first.
-* All endpoints cold after a restart, at half of their speed, while callers
-  that met nobody come back. Few late calls may wait, because each of them
-  takes the slot of a call that would have been in time.
-* An overload that lasts for seconds. Callers that are told to return after
-  the wait of now come back to the same line until they give up; they are told
-  to return later, spread by their own daemon.
-* Callers that return after a refusal. Their objective has passed; they go
-  before other late calls, because they give up soon.
+"""Admission and ordering of the calls queued for a backend server.
+
+A call is late when it is not expected to meet its latency objective. The
+rules handle these load patterns, which ``tests/test_core_waiting.py``
+simulates:
+
+* More calls than the slots can serve for seconds. In a first-in, first-out
+  queue every call would miss its latency objective. Here calls that can still
+  meet it go first, in the order of their routes' priorities, and calls that
+  cannot be served in time are rejected on arrival.
+* Calls that an endpoint makes while it executes a request. They hold a slot
+  elsewhere, so their routes have the highest priority.
+* All endpoints cold after a restart and running at half their speed, while
+  callers that found no endpoint retry. The number of queued late calls is
+  limited, because each of them takes the slot of a call that would have been
+  in time.
+* An overload that lasts for seconds. Callers whose retry delay covers only
+  the current wait return to the same queue until they run out of attempts.
+  They get a longer delay, to which their own daemon adds jitter.
+* Callers that retry after a rejection. Their objective has passed; they go
+  before other late calls, because they time out soon.
 """
 
 from __future__ import annotations
@@ -28,56 +30,58 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-DEFAULT_SERVICE_S = 0.1
-"""Service time in seconds that is assumed before the first measurement."""
+DEFAULT_SERVICE_TIME_S = 0.1
+"""Service time in seconds assumed before the first measurement."""
 
-_WEIGHT = 0.1
+_MEAN_WEIGHT = 0.1
 """Weight of the latest service time in the moving means."""
 
-_MEAN_S = 5.0
-"""Time in seconds after which the mean service time counts a third. Without
-it an endpoint that recovers, with few calls, would report its slow spell for
-25 more calls."""
+_MEAN_DECAY_S = 5.0
+"""Time in seconds after which the weight of the mean service time has decayed
+to 1/e. Without the decay, an endpoint that recovers and gets few calls would
+report its earlier slowness for 25 more calls."""
 
 _MAX_ROUTES = 1024
-"""Routes whose service times are kept, so that they stay below 0.2 MB."""
+"""Routes whose service times are stored; bounds the memory to 0.2 MB."""
 
 _FAILURE_WEIGHT = 0.1
-"""Weight of the latest run in the share of failures."""
+"""Weight of the latest run in the moving failure rate."""
 
 WAITING_PER_SLOT = 2
-"""Calls that may wait per slot. With more, calls of twice the mean service
-time as their objective would all be late."""
+"""Maximum number of queued calls per slot. With more, calls whose objective is
+twice the mean service time would all be late."""
 
-_LATE_PER_SLOT = 0.34
-"""Late calls that may wait per slot. A slot that runs one is not free for the
-next call that could still be in time."""
+_MAX_LATE_PER_SLOT = 0.34
+"""Maximum number of queued late calls per slot. A slot that runs one is not
+free for the next call that could still be in time."""
 
-_BRIEF_S = 1.0
-"""Age in seconds of a line up to which its load is taken for a short peak.
-In a longer one, late calls would only wait until their deadline, because
-calls in time go before them."""
+_SHORT_BACKLOG_S = 1.0
+"""Age in seconds up to which a backlog is treated as a short peak. In a longer
+one, late calls would be queued until their deadline without being served,
+because calls in time go first."""
 
 _DEADLINE_MARGIN = 0.9
-"""Part of the time to the deadline in which an expected end has to lie; the
-rest covers the error of the estimate and the way of the response."""
+"""Fraction of the time to the deadline within which a call must be expected to
+end; the rest covers the estimation error and the network delay of the
+response."""
 
-_SPREAD = 1.3
-"""Multiple of the mean service time that a call must have until its objective
-to go first; with the mean alone, half of the last ones would end late."""
+_OBJECTIVE_MARGIN = 1.3
+"""Multiple of the mean service time that must be left until the objective of a
+call for it to count as in time; with a factor of 1, half of the calls that
+barely qualify would end late."""
 
 _MIN_RETRY_AFTER_S = 0.05
-"""Shortest time in seconds after which a refused caller may return."""
+"""Shortest retry delay in seconds for a rejected caller."""
 
-_LASTING_RETRY_AFTER_S = 0.8
-"""Time in seconds after which a caller may return when the line has lasted for
-longer than `_BRIEF_S`. One that returns as soon as the line of now has been
-served meets the next one, and has used up its few attempts in half a second;
-callers wait for a third of their time at most, which is 0.3 to 1.7 s."""
+_LONG_BACKLOG_RETRY_AFTER_S = 0.8
+"""Retry delay in seconds once the backlog is older than `_SHORT_BACKLOG_S`.
+Callers that retry as soon as the current queue has been served find the next
+one full as well and use up their few attempts within half a second. Callers
+wait for at most a third of their time, which is 0.3 to 1.7 s."""
 
 
 class Verdict(enum.Enum):
-    """Decision about a call that arrives."""
+    """Admission decision about a new call."""
 
     RUN = 'run'
     WAIT = 'wait'
@@ -86,29 +90,30 @@
 
 
 class Waiter:
-    """A call in the line.
+    """A call in the queue.
 
     Parameters
     ----------
     route : str
         Route of the call, whose service time is measured.
     priority : int
-        Rank of the route, 0 for the most urgent.
-    objective, deadline : float
-        Times in seconds until which a response is worth most, and until
-        which anybody waits for it.
+        Priority of the route, 0 for the most urgent.
+    objective : float
+        Time in seconds until which a response meets the latency objective.
+    deadline : float
+        Time in seconds until which the caller waits for a response.
     returning : bool
-        Whether its caller was refused before.
+        Whether the caller retries after a rejection.
     """
 
     __slots__ = (
         'deadline',
+        'enqueued_at',
+        'expected_service_time_s',
         'objective',
         'priority',
         'returning',
         'route',
-        'since',
-        'work_s',
     )
 
     def __init__(
@@ -125,15 +130,15 @@
         self.objective = objective
         self.deadline = deadline
         self.returning = returning
-        self.since = 0.0
-        self.work_s = DEFAULT_SERVICE_S
+        self.enqueued_at = 0.0
+        self.expected_service_time_s = DEFAULT_SERVICE_TIME_S
 
 
 class WaitingLine:
     """Calls that run on a backend server or wait for one of its slots.
 
-    It reads no clock and wakes nobody: the owner passes the time in seconds
-    and acts on the results.
+    The class reads no clock and schedules no tasks: the owner passes the
+    current time in seconds and acts on the results.
 
     Parameters
     ----------
@@ -144,11 +149,11 @@
     __slots__ = (
         '_backlog_since',
         '_displaced',
-        '_failing',
-        '_line',
-        '_mean_at',
-        '_mean_s',
-        '_route_s',
+        '_failure_rate',
+        '_mean_service_time_s',
+        '_mean_updated_at',
+        '_queue',
+        '_route_service_times_s',
         '_running',
         '_slots',
     )
@@ -156,13 +161,13 @@
     def __init__(self, slots: int) -> None:
         self._slots = max(1, slots)
         self._running = 0
-        self._line: list[Waiter] = []
+        self._queue: list[Waiter] = []
         self._displaced: list[Waiter] = []
         self._backlog_since = math.inf
-        self._mean_s = 0.0
-        self._mean_at = -math.inf
-        self._route_s: dict[str, float] = {}
-        self._failing = 0.0
+        self._mean_service_time_s = 0.0
+        self._mean_updated_at = -math.inf
+        self._route_service_times_s: dict[str, float] = {}
+        self._failure_rate = 0.0
 
     @property
     def slots(self) -> int:
@@ -177,121 +182,132 @@
     @property
     def waiting(self) -> int:
         """Calls that wait for a slot."""
-        return len(self._line)
+        return len(self._queue)
 
     @property
     def service_s(self) -> float:
         """Recent mean service time in seconds; 0 before the first run."""
-        return self._mean_s
+        return self._mean_service_time_s
 
     @property
     def failing(self) -> float:
-        """Recent share of runs that failed, 0 to 1."""
-        return self._failing
+        """Recent failure rate of the runs, 0 to 1."""
+        return self._failure_rate
 
     def resize(self, slots: int) -> None:
-        """Take over another number of slots."""
+        """Change the number of slots."""
         self._slots = max(1, slots)
 
     def wait_s(self) -> float:
-        """Return how long a call arriving now would wait, in seconds."""
-        if self._running < self._slots and not self._line:
+        """Return the expected wait in seconds of a call that arrives now."""
+        if self._running < self._slots and not self._queue:
             return 0.0
-        work = sum(item.work_s for item in self._line)
+        queued_s = sum(call.expected_service_time_s for call in self._queue)
         excess = self._running - self._slots + 1
-        return (work + max(1, excess) * self._mean()) / self._slots
+        return (
+            queued_s + max(1, excess) * self._mean_or_default_s()
+        ) / self._slots
 
     def arrive(
-        self, now: float, waiter: Waiter, max_wait_s: float = math.inf
+        self, now: float, call: Waiter, max_wait_s: float = math.inf
     ) -> Verdict:
-        """Decide about a new call and count it unless it is refused.
+        """Decide about a new call and count it unless it is rejected.
 
         Parameters
         ----------
         now : float
             Current time in seconds.
-        waiter : Waiter
+        call : Waiter
             The call.
         max_wait_s : float
-            Longest expected wait with which it wants to be accepted.
+            Longest expected wait in seconds for which the sender wants the
+            call to be queued.
         """
-        waiter.since = now
-        waiter.work_s = self._route_s.get(waiter.route) or self._mean()
-        if self._running < self._slots and not self._line:
+        call.enqueued_at = now
+        call.expected_service_time_s = (
+            self._route_service_times_s.get(call.route)
+            or self._mean_or_default_s()
+        )
+        if self._running < self._slots and not self._queue:
             self._running += 1
             return Verdict.RUN
-        wait = self._wait_of(now, waiter)
-        if wait > max_wait_s:
+        wait_time_s = self._expected_wait_of(now, call)
+        if wait_time_s > max_wait_s:
             return Verdict.BUSY
-        left = _DEADLINE_MARGIN * (waiter.deadline - now)
-        if wait + waiter.work_s > left:
+        time_left = _DEADLINE_MARGIN * (call.deadline - now)
+        if wait_time_s + call.expected_service_time_s > time_left:
             return Verdict.OVERLOADED
-        late = now + wait + waiter.work_s > waiter.objective
-        if late and self._lasts(now):
+        late = (
+            now + wait_time_s + call.expected_service_time_s > call.objective
+        )
+        if late and self._has_long_backlog(now):
             return Verdict.OVERLOADED
-        rivals: list[Waiter] = []
-        if len(self._line) >= WAITING_PER_SLOT * self._slots:
-            rivals = self._line
-        elif late and self._late(now) >= self._late_limit():
-            rivals = [item for item in self._line if _is_late(item, now)]
-        if rivals:
-            last = max(rivals, key=lambda item: _order(item, now))
-            if _order(last, now) <= _order(waiter, now):
+        candidates: list[Waiter] = []
+        if len(self._queue) >= WAITING_PER_SLOT * self._slots:
+            candidates = self._queue
+        elif late and self._count_late(now) >= self._max_late():
+            candidates = [
+                other for other in self._queue if _is_late(other, now)
+            ]
+        if candidates:
+            last = max(candidates, key=lambda other: _sort_key(other, now))
+            if _sort_key(last, now) <= _sort_key(call, now):
                 return Verdict.OVERLOADED
-            self._line.remove(last)
+            self._queue.remove(last)
             self._displaced.append(last)
-        if not self._line:
+        if not self._queue:
             self._backlog_since = now
-        self._line.append(waiter)
+        self._queue.append(call)
         return Verdict.WAIT
 
     def take(self, now: float) -> Waiter | None:
         """Return the call that runs next, if a slot is free."""
-        if self._running >= self._slots or not self._line:
+        if self._running >= self._slots or not self._queue:
             return None
-        chosen = min(self._line, key=lambda item: _order(item, now))
-        self._line.remove(chosen)
+        chosen = min(self._queue, key=lambda call: _sort_key(call, now))
+        self._queue.remove(chosen)
         self._running += 1
         return chosen
 
     def give_up(self, now: float) -> list[Waiter]:
-        """Remove and return the calls that cannot be served any more.
+        """Remove and return the calls that can no longer be served.
 
         These are the calls that more urgent ones displaced, those that
-        would end after their deadline, and late ones beyond their limit.
+        would end after their deadline, and late calls above their limit.
         """
-        hopeless = []
+        evicted = []
         ahead_s = 0.0
-        # A late call that others overtake has to return while it has time.
-        for item in sorted(self._line, key=lambda item: _order(item, now)):
-            wait_s = ahead_s / self._slots if _is_late(item, now) else 0.0
-            if now + wait_s + item.work_s > item.deadline:
-                hopeless.append(item)
-                self._line.remove(item)
+        # A late call that others overtake is evicted while its caller still
+        # has time to retry.
+        for call in sorted(self._queue, key=lambda call: _sort_key(call, now)):
+            delay_s = ahead_s / self._slots if _is_late(call, now) else 0.0
+            if now + delay_s + call.expected_service_time_s > call.deadline:
+                evicted.append(call)
+                self._queue.remove(call)
             else:
-                ahead_s += item.work_s
-        hopeless += self._displaced
+                ahead_s += call.expected_service_time_s
+        evicted += self._displaced
         self._displaced = []
-        surplus = self._late(now) - self._late_limit()
-        if surplus > 0:
-            late = [item for item in self._line if _is_late(item, now)]
-            late.sort(key=lambda item: _order(item, now))
-            for item in late[-surplus:]:
-                self._line.remove(item)
-                hopeless.append(item)
-        return hopeless
-
-    def remove(self, waiter: Waiter) -> bool:
-        """Remove a call whose caller has left; False when it runs."""
-        if waiter in self._line:
-            self._line.remove(waiter)
+        excess = self._count_late(now) - self._max_late()
+        if excess > 0:
+            late = [call for call in self._queue if _is_late(call, now)]
+            late.sort(key=lambda call: _sort_key(call, now))
+            for call in late[-excess:]:
+                self._queue.remove(call)
+                evicted.append(call)
+        return evicted
+
+    def remove(self, call: Waiter) -> bool:
+        """Remove a call that was cancelled; False when it is not queued."""
+        if call in self._queue:
+            self._queue.remove(call)
             return True
         return False
 
     def clear(self) -> Iterable[Waiter]:
-        """Remove and return all calls that wait."""
-        line, self._line = self._line, []
-        return line
+        """Remove and return all queued calls."""
+        queue, self._queue = self._queue, []
+        return queue
 
     def leave(
         self,
@@ -308,68 +324,84 @@
         route : str
             Route of the call.
         service_s : float or None
-            Time in seconds that it took; None when it was cut short.
+            Service time in seconds; None when the run was aborted.
         failed : bool or None
-            Whether the backend server failed; None when the run says
-            nothing about it.
+            Whether the backend server failed; None when the run gives no
+            evidence.
         now : float
-            Current time in seconds, by which old runs are discounted.
+            Current time in seconds; the weight of earlier runs decays with
+            time.
         """
         self._running -= 1
         if failed is not None:
-            self._failing += _FAILURE_WEIGHT * (failed - self._failing)
+            self._failure_rate += _FAILURE_WEIGHT * (
+                failed - self._failure_rate
+            )
         if service_s is None:
             return
-        weight = _WEIGHT
-        if now > self._mean_at:
-            if not math.isinf(self._mean_at):
-                age_s = now - self._mean_at
-                weight = max(weight, 1.0 - math.exp(-age_s / _MEAN_S))
-            self._mean_at = now
-        self._mean_s = _moved(self._mean_s, service_s, weight)
-        if route not in self._route_s and len(self._route_s) >= _MAX_ROUTES:
-            self._route_s.clear()
-        known = self._route_s.get(route, 0.0)
-        self._route_s[route] = _moved(known, service_s)
+        weight = _MEAN_WEIGHT
+        if now > self._mean_updated_at:
+            if not math.isinf(self._mean_updated_at):
+                age_s = now - self._mean_updated_at
+                weight = max(weight, 1.0 - math.exp(-age_s / _MEAN_DECAY_S))
+            self._mean_updated_at = now
+        self._mean_service_time_s = _update_mean(
+            self._mean_service_time_s, service_s, weight
+        )
+        if (
+            route not in self._route_service_times_s
+            and len(self._route_service_times_s) >= _MAX_ROUTES
+        ):
+            self._route_service_times_s.clear()
+        mean = self._route_service_times_s.get(route, 0.0)
+        self._route_service_times_s[route] = _update_mean(mean, service_s)
 
     def retry_after_s(self, now: float) -> float:
-        """Return after how many seconds there is likely to be room."""
-        if self._lasts(now):
-            return max(_LASTING_RETRY_AFTER_S, self.wait_s())
+        """Return the time in seconds until there is likely to be room."""
+        if self._has_long_backlog(now):
+            return max(_LONG_BACKLOG_RETRY_AFTER_S, self.wait_s())
         return max(_MIN_RETRY_AFTER_S, self.wait_s())
 
-    def _mean(self) -> float:
-        return self._mean_s or DEFAULT_SERVICE_S
+    def _mean_or_default_s(self) -> float:
+        return self._mean_service_time_s or DEFAULT_SERVICE_TIME_S
 
-    def _lasts(self, now: float) -> bool:
-        """Whether calls have waited without a pause for a while."""
-        return bool(self._line) and now - self._backlog_since > _BRIEF_S
+    def _has_long_backlog(self, now: float) -> bool:
+        """Whether calls have been queued for longer than a short peak."""
+        return (
+            bool(self._queue) and now - self._backlog_since > _SHORT_BACKLOG_S
+        )
 
-    def _late_limit(self) -> int:
-        return max(1, int(_LATE_PER_SLOT * self._slots))
+    def _max_late(self) -> int:
+        return max(1, int(_MAX_LATE_PER_SLOT * self._slots))
 
-    def _late(self, now: float) -> int:
-        return sum(_is_late(item, now) for item in self._line)
+    def _count_late(self, now: float) -> int:
+        return sum(_is_late(call, now) for call in self._queue)
 
-    def _wait_of(self, now: float, waiter: Waiter) -> float:
-        """Return how long a call would wait behind those that go before."""
-        order = _order(waiter, now)
-        ahead = sum(
-            item.work_s for item in self._line if _order(item, now) <= order
+    def _expected_wait_of(self, now: float, call: Waiter) -> float:
+        """Return the expected wait in seconds behind calls that go first."""
+        order = _sort_key(call, now)
+        ahead_s = sum(
+            other.expected_service_time_s
+            for other in self._queue
+            if _sort_key(other, now) <= order
         )
         excess = max(1, self._running - self._slots + 1)
-        return (ahead + excess * self._mean()) / self._slots
+        return (ahead_s + excess * self._mean_or_default_s()) / self._slots
 
 
-def _is_late(item: Waiter, now: float) -> bool:
-    return now + _SPREAD * item.work_s > item.objective
+def _is_late(call: Waiter, now: float) -> bool:
+    return (
+        now + _OBJECTIVE_MARGIN * call.expected_service_time_s > call.objective
+    )
 
 
-def _order(item: Waiter, now: float) -> tuple[bool, int, bool, float]:
-    late = _is_late(item, now)
-    limit = item.deadline if late else item.objective
-    return late, item.priority, late and not item.returning, limit
+def _sort_key(call: Waiter, now: float) -> tuple[bool, int, bool, float]:
+    late = _is_late(call, now)
+    limit = call.deadline if late else call.objective
+    return late, call.priority, late and not call.returning, limit
 
 
-def _moved(mean: float, value: float, weight: float = _WEIGHT) -> float:
+def _update_mean(
+    mean: float, value: float, weight: float = _MEAN_WEIGHT
+) -> float:
     return mean + weight * (value - mean) if mean else value
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -171,8 +171,8 @@
     placement.report('d0', 10.0, Load(0, 0, 4, service_ms=100.0))
     placement.report('d1', 10.0, Load(0, 0, 4, service_ms=500.0))
     assert _choices(placement, 10.0) == {'d0': 200}
-    full = Load(4, 20, 4, service_ms=100.0, wait_ms=600.0)
-    placement.report('d0', 10.0, full)
+    full_load = Load(4, 20, 4, service_ms=100.0, wait_ms=600.0)
+    placement.report('d0', 10.0, full_load)
     assert _choices(placement, 10.0)['d1'] > 190
 
 
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -152,11 +152,11 @@
     """A caller that was refused before gives up for good soon."""
     line = _busy_line()
     first = _waiter(0.0, objective_s=0.05)
-    returning = _waiter(0.0, objective_s=-0.3, returning=True)
+    retried = _waiter(0.0, objective_s=-0.3, returning=True)
     line.arrive(0.0, first)
-    line.arrive(0.0, returning)
+    line.arrive(0.0, retried)
     line.leave('r', _SERVICE_S)
-    assert line.take(0.1) is returning
+    assert line.take(0.1) is retried
 
 
 @pytest.mark.parametrize('deadline_s', [0.05, 0.11, 0.13])
