Rename the waiting line to a call queue

WaitingLine -> CallQueue Waiter -> QueuedCall WAITING_PER_SLOT -> MAX_QUEUED_PER_SLOT waiting -> queued waiter -> queued_call waiters -> queued_calls _refuse_waiters -> _reject_queued_calls

--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -47,7 +47,7 @@
 _FAILURE_WEIGHT = 0.1
 """Weight of the latest run in the moving failure rate."""
 
-WAITING_PER_SLOT = 2
+MAX_QUEUED_PER_SLOT = 2
 """Maximum number of queued calls per slot. With more, calls whose objective is
 twice the mean service time would all be late."""
 
@@ -89,7 +89,7 @@
     OVERLOADED = 'overloaded'
 
 
-class Waiter:
+class QueuedCall:
     """A call in the queue.
 
     Parameters
@@ -134,7 +134,7 @@
         self.expected_service_time_s = DEFAULT_SERVICE_TIME_S
 
 
-class WaitingLine:
+class CallQueue:
     """Calls that run on a backend server or wait for one of its slots.
 
     The class reads no clock and schedules no tasks: the owner passes the
@@ -161,8 +161,8 @@
     def __init__(self, slots: int) -> None:
         self._slots = max(1, slots)
         self._running = 0
-        self._queue: list[Waiter] = []
-        self._displaced: list[Waiter] = []
+        self._queue: list[QueuedCall] = []
+        self._displaced: list[QueuedCall] = []
         self._backlog_since = math.inf
         self._mean_service_time_s = 0.0
         self._mean_updated_at = -math.inf
@@ -180,7 +180,7 @@
         return self._running
 
     @property
-    def waiting(self) -> int:
+    def queued(self) -> int:
         """Calls that wait for a slot."""
         return len(self._queue)
 
@@ -209,7 +209,7 @@
         ) / self._slots
 
     def arrive(
-        self, now: float, call: Waiter, max_wait_s: float = math.inf
+        self, now: float, call: QueuedCall, max_wait_s: float = math.inf
     ) -> Verdict:
         """Decide about a new call and count it unless it is rejected.
 
@@ -242,8 +242,8 @@
         )
         if late and self._has_long_backlog(now):
             return Verdict.OVERLOADED
-        candidates: list[Waiter] = []
-        if len(self._queue) >= WAITING_PER_SLOT * self._slots:
+        candidates: list[QueuedCall] = []
+        if len(self._queue) >= MAX_QUEUED_PER_SLOT * self._slots:
             candidates = self._queue
         elif late and self._count_late(now) >= self._max_late():
             candidates = [
@@ -260,7 +260,7 @@
         self._queue.append(call)
         return Verdict.WAIT
 
-    def take(self, now: float) -> Waiter | None:
+    def take(self, now: float) -> QueuedCall | None:
         """Return the call that runs next, if a slot is free."""
         if self._running >= self._slots or not self._queue:
             return None
@@ -269,7 +269,7 @@
         self._running += 1
         return chosen
 
-    def give_up(self, now: float) -> list[Waiter]:
+    def give_up(self, now: float) -> list[QueuedCall]:
         """Remove and return the calls that can no longer be served.
 
         These are the calls that more urgent ones displaced, those that
@@ -297,14 +297,14 @@
                 evicted.append(call)
         return evicted
 
-    def remove(self, call: Waiter) -> bool:
+    def remove(self, call: QueuedCall) -> bool:
         """Remove a call that was cancelled; False when it is not queued."""
         if call in self._queue:
             self._queue.remove(call)
             return True
         return False
 
-    def clear(self) -> Iterable[Waiter]:
+    def clear(self) -> Iterable[QueuedCall]:
         """Remove and return all queued calls."""
         queue, self._queue = self._queue, []
         return queue
@@ -377,7 +377,7 @@
     def _count_late(self, now: float) -> int:
         return sum(_is_late(call, now) for call in self._queue)
 
-    def _expected_wait_of(self, now: float, call: Waiter) -> float:
+    def _expected_wait_of(self, now: float, call: QueuedCall) -> float:
         """Return the expected wait in seconds behind calls that go first."""
         order = _sort_key(call, now)
         ahead_s = sum(
@@ -389,13 +389,13 @@
         return (ahead_s + excess * self._mean_or_default_s()) / self._slots
 
 
-def _is_late(call: Waiter, now: float) -> bool:
+def _is_late(call: QueuedCall, now: float) -> bool:
     return (
         now + _OBJECTIVE_MARGIN * call.expected_service_time_s > call.objective
     )
 
 
-def _sort_key(call: Waiter, now: float) -> tuple[bool, int, bool, float]:
+def _sort_key(call: QueuedCall, now: float) -> tuple[bool, int, bool, float]:
     late = _is_late(call, now)
     limit = call.deadline if late else call.objective
     return late, call.priority, late and not call.returning, limit
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -19,9 +19,9 @@
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._stops import Absences
+from gypsumhall.core._waiting import CallQueue
+from gypsumhall.core._waiting import QueuedCall
 from gypsumhall.core._waiting import Verdict
-from gypsumhall.core._waiting import Waiter
-from gypsumhall.core._waiting import WaitingLine
 from gypsumhall.net._messages import AnswerEnd
 from gypsumhall.net._messages import BodyChunk
 from gypsumhall.net._messages import CallCancel
@@ -65,7 +65,7 @@
 class _Backend:
     endpoint: Endpoint
     client: _backend_client.Client
-    queue: WaitingLine
+    queue: CallQueue
     # Process of the backend server that requests are meant for.
     instance: str = ''
 
@@ -131,7 +131,7 @@
         self._connect = connect
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
-        self._pending: dict[Waiter, _Pending] = {}
+        self._pending: dict[QueuedCall, _Pending] = {}
         self._arrived = trio.Event()
         self._ledger = Ledger()
         # Detached calls by request id; set when the call has ended.
@@ -167,7 +167,7 @@
         queue = backend.queue
         return Load(
             queue.running,
-            queue.waiting,
+            queue.queued,
             queue.slots,
             self._draining or backend.endpoint.state != EndpointState.READY,
             round(queue.service_s * 1000, 1),
@@ -274,7 +274,7 @@
             )
         await trio.sleep(self._notice_s)
         self._draining = True
-        self._refuse_waiters()
+        self._reject_queued_calls()
 
     async def _wait_for_others(self) -> None:
         """Go on while too few other endpoints of the service are ready."""
@@ -329,7 +329,7 @@
         if old is not None and not same:
             self._old_clients.append(old.client)
         if endpoint is None:
-            self._refuse_waiters()
+            self._reject_queued_calls()
             self._backend = None
             return
         if old is not None and same:
@@ -337,18 +337,18 @@
                 old.queue.resize(endpoint.slots)
             old.endpoint = endpoint
         else:
-            self._refuse_waiters()
+            self._reject_queued_calls()
             self._backend = _Backend(
                 endpoint,
                 self._connect(address),
-                WaitingLine(endpoint.slots),
+                CallQueue(endpoint.slots),
                 instance,
             )
             self._keys.joined(endpoint.service)
             if old is None or old.endpoint.service != endpoint.service:
                 self._absences = Absences()
         if endpoint.state != EndpointState.READY:
-            self._refuse_waiters()
+            self._reject_queued_calls()
 
     def set_warm_at(self, time: float) -> None:
         """Set until when a backend server that has started is slow.
@@ -590,7 +590,7 @@
             raise _calls.not_run('deadline', 'the deadline has passed')
         if deadline - now > 4 * _ANSWER_S:
             deadline -= _ANSWER_S
-        waiter = Waiter(
+        queued_call = QueuedCall(
             call.route,
             call.priority,
             now + call.objective_ms / 1000 if call.objective_ms else deadline,
@@ -600,17 +600,17 @@
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
         )
-        verdict = backend.queue.arrive(now, waiter, max_wait_s)
+        verdict = backend.queue.arrive(now, queued_call, max_wait_s)
         if verdict is Verdict.RUN:
             return
         if verdict is not Verdict.WAIT:
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 verdict.value,
-                f'{backend.queue.waiting} calls wait',
+                f'{backend.queue.queued} calls wait',
                 backend.queue.retry_after_s(now),
             )
-        pending = self._pending[waiter] = _Pending(trio.Event())
+        pending = self._pending[queued_call] = _Pending(trio.Event())
         self._arrived.set()
         hopeless = backend.queue.give_up(now)
         self._release(hopeless, Verdict.OVERLOADED.value)
@@ -624,8 +624,8 @@
                 self._wake()
             raise
         finally:
-            self._pending.pop(waiter, None)
-            backend.queue.remove(waiter)
+            self._pending.pop(queued_call, None)
+            backend.queue.remove(queued_call)
         if pending.admitted:
             return
         if pending.ready.is_set():
@@ -642,18 +642,18 @@
         if backend is None:
             return
         now = trio.current_time()
-        while (waiter := backend.queue.take(now)) is not None:
-            pending = self._pending.pop(waiter)
+        while (queued_call := backend.queue.take(now)) is not None:
+            pending = self._pending.pop(queued_call)
             pending.admitted = True
             pending.ready.set()
 
-    def _refuse_waiters(self) -> None:
+    def _reject_queued_calls(self) -> None:
         if self._backend is not None:
             self._release(self._backend.queue.clear(), 'draining')
 
-    def _release(self, waiters: Iterable[Waiter], code: str) -> None:
-        for waiter in waiters:
-            pending = self._pending.pop(waiter, None)
+    def _release(self, queued_calls: Iterable[QueuedCall], code: str) -> None:
+        for queued_call in queued_calls:
+            pending = self._pending.pop(queued_call, None)
             if pending is not None:
                 pending.code = code
                 pending.ready.set()
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -14,8 +14,8 @@
 
 from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._placement import Placement
-from gypsumhall.core._waiting import Waiter
-from gypsumhall.core._waiting import WaitingLine
+from gypsumhall.core._waiting import CallQueue
+from gypsumhall.core._waiting import QueuedCall
 from gypsumhall.net._messages import Load
 from gypsumhall.testing import builders
 
@@ -39,7 +39,7 @@
         self.name = name
         self.service_s = service_s
         self._warm_at = since + _COLD_S
-        self._line = WaitingLine(_SLOTS)
+        self._line = CallQueue(_SLOTS)
         self._slots = trio.CapacityLimiter(_SLOTS)
         # Sender and time of each call that arrived.
         self.calls: list[tuple[int, float]] = []
@@ -60,7 +60,7 @@
         self.calls.append((sender, trio.current_time()))
         async with self._slots:
             now = trio.current_time()
-            self._line.arrive(now, Waiter('route', 0, now + 9, now + 9))
+            self._line.arrive(now, QueuedCall('route', 0, now + 9, now + 9))
             cold = now < self._warm_at
             await trio.sleep(self.service_s * (2 if cold else 1))
             end = trio.current_time()
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -9,10 +9,10 @@
 
 import pytest
 
+from gypsumhall.core._waiting import CallQueue
+from gypsumhall.core._waiting import MAX_QUEUED_PER_SLOT
+from gypsumhall.core._waiting import QueuedCall
 from gypsumhall.core._waiting import Verdict
-from gypsumhall.core._waiting import Waiter
-from gypsumhall.core._waiting import WAITING_PER_SLOT
-from gypsumhall.core._waiting import WaitingLine
 
 _SLOTS = 6
 _SERVICE_S = 0.12
@@ -26,8 +26,8 @@
     objective_s: float = 0.4,
     deadline_s: float = 1.2,
     returning: bool = False,
-) -> Waiter:
-    return Waiter(
+) -> QueuedCall:
+    return QueuedCall(
         route,
         priority,
         now + objective_s,
@@ -36,8 +36,8 @@
     )
 
 
-def _busy_line(slots: int = _SLOTS) -> WaitingLine:
-    line = WaitingLine(slots)
+def _busy_line(slots: int = _SLOTS) -> CallQueue:
+    line = CallQueue(slots)
     line.arrive(0.0, _waiter(0.0))
     line.leave('r', _SERVICE_S)
     for _ in range(slots):
@@ -46,7 +46,7 @@
 
 
 def _replay(
-    line: WaitingLine,
+    line: CallQueue,
     rate: float,
     seconds: float,
     service_s: float = _SERVICE_S,
@@ -55,11 +55,11 @@
     """Replay arrivals at a rate; count what became of them."""
     rng = Random(seed)
     results: Counter[str] = Counter()
-    running: list[tuple[float, int, Waiter, float]] = []
+    running: list[tuple[float, int, QueuedCall, float]] = []
     now = 0.0
     number = 0
 
-    def start(waiter: Waiter, at: float) -> None:
+    def start(waiter: QueuedCall, at: float) -> None:
         nonlocal number
         number += 1
         work = service_s * rng.lognormvariate(0.0, 0.3)
@@ -95,7 +95,7 @@
 def test_under_overload_the_slots_serve_calls_that_are_still_in_time() -> None:
     """Guards against a line in which every call becomes late."""
     rate = 1.6 * _SLOTS / _SERVICE_S
-    results = _replay(WaitingLine(_SLOTS), rate, 30.0)
+    results = _replay(CallQueue(_SLOTS), rate, 30.0)
     served = results['in-time'] + results['late']
     assert served > 0.95 * 30.0 * _SLOTS / _SERVICE_S / 1.05
     assert results['in-time'] > 0.9 * served
@@ -111,7 +111,7 @@
     results: Counter[str] = Counter()
     for seed in range(20):
         rate = 1.4 * _SLOTS / service_s
-        line = WaitingLine(_SLOTS)
+        line = CallQueue(_SLOTS)
         results += _replay(line, rate, 4.0, service_s, seed)
     calls = sum(results.values())
     assert results['in-time'] > 0.43 * calls
@@ -120,7 +120,7 @@
 
 def test_below_the_capacity_nothing_is_refused() -> None:
     rate = 0.7 * _SLOTS / _SERVICE_S
-    results = _replay(WaitingLine(_SLOTS), rate, 30.0)
+    results = _replay(CallQueue(_SLOTS), rate, 30.0)
     assert results['refused'] + results['refused-later'] < 3
     assert results['late'] < 0.01 * results['in-time']
 
@@ -128,7 +128,7 @@
 def test_urgent_calls_go_first_and_displace_others() -> None:
     """Calls of endpoints hold slots elsewhere and must not wait at the end."""
     line = _busy_line()
-    for _ in range(WAITING_PER_SLOT * _SLOTS):
+    for _ in range(MAX_QUEUED_PER_SLOT * _SLOTS):
         assert line.arrive(0.0, _waiter(0.0)) is Verdict.WAIT
     assert line.arrive(0.0, _waiter(0.0)) is Verdict.OVERLOADED
     urgent = _waiter(0.0, priority=1)
@@ -166,7 +166,7 @@
     line = _busy_line()
     waiter = _waiter(0.0, objective_s=deadline_s, deadline_s=deadline_s)
     assert line.arrive(0.0, waiter) is Verdict.OVERLOADED
-    assert line.waiting == 0
+    assert line.queued == 0
 
 
 def test_a_waiting_call_is_given_up_when_it_becomes_hopeless() -> None:
@@ -181,7 +181,7 @@
 def test_an_offer_with_a_short_wait_is_declined_without_queueing() -> None:
     line = _busy_line()
     assert line.arrive(0.0, _waiter(0.0), 0.001) is Verdict.BUSY
-    assert line.waiting == 0
+    assert line.queued == 0
     line.leave('r', _SERVICE_S)
     assert line.arrive(0.1, _waiter(0.1), 0.0) is Verdict.RUN
 
@@ -201,7 +201,7 @@
     line = _busy_line()
     verdicts = [
         line.arrive(0.0, _waiter(0.0, objective_s=0.01))
-        for _ in range(WAITING_PER_SLOT * _SLOTS)
+        for _ in range(MAX_QUEUED_PER_SLOT * _SLOTS)
     ]
     assert verdicts.count(Verdict.WAIT) == _SLOTS // 3
 
@@ -215,7 +215,7 @@
     for step in range(15):
         line.arrive(0.1 * step, _waiter(0.1 * step, objective_s=9.0))
     assert line.retry_after_s(1.5) > 5 * brief_s
-    while line.waiting:
+    while line.queued:
         line.leave('r', _SERVICE_S)
         line.take(1.5)
     assert line.retry_after_s(1.6) < 0.1
@@ -233,22 +233,22 @@
 
 def test_the_mean_follows_a_recovery_with_few_calls() -> None:
     """Guards against a slow spell that is reported for dozens of calls."""
-    line = WaitingLine(1)
+    line = CallQueue(1)
     for index in range(30):
-        line.arrive(index, Waiter('r', 0, index + 9.0, index + 9.0))
+        line.arrive(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
         line.leave('r', 0.5, now=float(index))
     assert line.service_s == pytest.approx(0.5)
     for index in range(30, 40):
-        line.arrive(index, Waiter('r', 0, index + 9.0, index + 9.0))
+        line.arrive(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
         line.leave('r', 0.1, now=float(index))
     assert line.service_s < 0.16
 
 
 def test_the_mean_of_many_calls_hardly_follows_one() -> None:
     """Guards against an estimate that follows single calls under load."""
-    line = WaitingLine(1)
+    line = CallQueue(1)
     for index in range(100):
         now = index / 100
-        line.arrive(now, Waiter('r', 0, now + 9.0, now + 9.0))
+        line.arrive(now, QueuedCall('r', 0, now + 9.0, now + 9.0))
         line.leave('r', 0.5 if index == 99 else 0.1, now=now)
     assert line.service_s < 0.15
