--- a/gypsumhall/core/_limits.py
+++ b/gypsumhall/core/_limits.py
@@ -145,7 +145,7 @@
         """Return the time in seconds that a call queued now would wait."""
         return (self._queued + 1) * self._mean_s / self._limit.limit
 
-    def arrive(self, time_left_s: float) -> Admission:
+    def admit(self, time_left_s: float) -> Admission:
         """Decide about a new call and count it.
 
         Parameters
@@ -174,7 +174,7 @@
         self._queued -= 1
         self._in_flight += run
 
-    def leave(self, now: float, service_s: float | None) -> None:
+    def finish(self, now: float, service_s: float | None) -> None:
         """Count a call that no longer runs.
 
         Parameters
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -208,7 +208,7 @@
             queued_s + max(1, excess) * self._mean_or_default_s()
         ) / self._slots
 
-    def arrive(
+    def admit(
         self, now: float, call: QueuedCall, max_wait_s: float = math.inf
     ) -> Verdict:
         """Decide about a new call and count it unless it is rejected.
@@ -260,7 +260,7 @@
         self._queue.append(call)
         return Verdict.WAIT
 
-    def take(self, now: float) -> QueuedCall | None:
+    def dequeue(self, now: float) -> QueuedCall | None:
         """Return the call that runs next, if a slot is free."""
         if self._running >= self._slots or not self._queue:
             return None
@@ -269,7 +269,7 @@
         self._running += 1
         return chosen
 
-    def give_up(self, now: float) -> list[QueuedCall]:
+    def evict(self, now: float) -> list[QueuedCall]:
         """Remove and return the calls that can no longer be served.
 
         These are the calls that more urgent ones displaced, those that
@@ -309,7 +309,7 @@
         queue, self._queue = self._queue, []
         return queue
 
-    def leave(
+    def finish(
         self,
         route: str,
         service_s: float | None,
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -447,7 +447,7 @@
             if cause == 'cancelled':
                 run.failed = run.failed or slow
             failed = run.failed if run.outcome != Outcome.NOT_RUN else None
-            backend.queue.leave(
+            backend.queue.finish(
                 call.route,
                 now - started if complete else None,
                 failed=failed,
@@ -600,7 +600,7 @@
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
         )
-        verdict = backend.queue.arrive(now, queued_call, max_wait_s)
+        verdict = backend.queue.admit(now, queued_call, max_wait_s)
         if verdict is Verdict.RUN:
             return
         if verdict is not Verdict.WAIT:
@@ -612,15 +612,15 @@
             )
         pending = self._pending[queued_call] = _Pending(trio.Event())
         self._arrived.set()
-        hopeless = backend.queue.give_up(now)
-        self._release(hopeless, Verdict.OVERLOADED.value)
+        evicted = backend.queue.evict(now)
+        self._release(evicted, Verdict.OVERLOADED.value)
         try:
             with trio.CancelScope(deadline=deadline):
                 await pending.ready.wait()
         except trio.Cancelled:
             # The slot can have been given to it in the same moment.
             if pending.admitted:
-                backend.queue.leave(call.route, None)
+                backend.queue.finish(call.route, None)
                 self._wake()
             raise
         finally:
@@ -642,7 +642,7 @@
         if backend is None:
             return
         now = trio.current_time()
-        while (queued_call := backend.queue.take(now)) is not None:
+        while (queued_call := backend.queue.dequeue(now)) is not None:
             pending = self._pending.pop(queued_call)
             pending.admitted = True
             pending.ready.set()
@@ -667,8 +667,8 @@
             await trio.sleep(_LINE_CHECK_S)
             if self._backend is not None:
                 now = trio.current_time()
-                hopeless = self._backend.queue.give_up(now)
-                self._release(hopeless, Verdict.OVERLOADED.value)
+                evicted = self._backend.queue.evict(now)
+                self._release(evicted, Verdict.OVERLOADED.value)
 
     async def _replay(
         self, request_id: str, known: Entry, send: _calls.SendMessage
--- a/tests/test_core_calls.py
+++ b/tests/test_core_calls.py
@@ -272,10 +272,10 @@
         for _ in range(60):
             for _ in range(20):
                 while queue.may_run:
-                    assert queue.arrive(100.0) == Admission.RUN
+                    assert queue.admit(100.0) == Admission.RUN
                 slow = overloaded and queue.in_flight > 4
                 now += 0.05
-                queue.leave(now, 0.1 if slow else 0.01)
+                queue.finish(now, 0.1 if slow else 0.01)
             assert queue.limit <= 10
             lowest = min(lowest, queue.limit)
         if overloaded:
@@ -285,12 +285,12 @@
 
 def test_queue_refuses_what_cannot_make_its_deadline() -> None:
     queue = AdmissionQueue(2)
-    assert queue.arrive(1.0) == Admission.RUN
-    queue.leave(1.0, 0.5)
-    assert [queue.arrive(1.0) for _ in range(2)] == [Admission.RUN] * 2
-    assert queue.arrive(0.2) == Admission.TOO_LATE
-    assert [queue.arrive(9.0) for _ in range(4)] == [Admission.QUEUE] * 4
-    assert queue.arrive(9.0) == Admission.QUEUE_FULL
+    assert queue.admit(1.0) == Admission.RUN
+    queue.finish(1.0, 0.5)
+    assert [queue.admit(1.0) for _ in range(2)] == [Admission.RUN] * 2
+    assert queue.admit(0.2) == Admission.TOO_LATE
+    assert [queue.admit(9.0) for _ in range(4)] == [Admission.QUEUE] * 4
+    assert queue.admit(9.0) == Admission.QUEUE_FULL
 
 
 def test_retry_budget_bounds_the_share_of_retries() -> None:
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -60,11 +60,11 @@
         self.calls.append((sender, trio.current_time()))
         async with self._slots:
             now = trio.current_time()
-            self._line.arrive(now, QueuedCall('route', 0, now + 9, now + 9))
+            self._line.admit(now, QueuedCall('route', 0, now + 9, now + 9))
             cold = now < self._warm_at
             await trio.sleep(self.service_s * (2 if cold else 1))
             end = trio.current_time()
-            self._line.leave('route', end - now, now=end)
+            self._line.finish('route', end - now, now=end)
 
     def senders(self, start: float, end: float) -> Counter[int]:
         """Return the calls of each sender that arrived in a time."""
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -38,10 +38,10 @@
 
 def _busy_line(slots: int = _SLOTS) -> CallQueue:
     line = CallQueue(slots)
-    line.arrive(0.0, _waiter(0.0))
-    line.leave('r', _SERVICE_S)
+    line.admit(0.0, _waiter(0.0))
+    line.finish('r', _SERVICE_S)
     for _ in range(slots):
-        assert line.arrive(0.0, _waiter(0.0)) is Verdict.RUN
+        assert line.admit(0.0, _waiter(0.0)) is Verdict.RUN
     return line
 
 
@@ -68,12 +68,12 @@
     def finish_until(limit: float) -> None:
         while running and running[0][0] <= limit:
             ended, _, waiter, work = heapq.heappop(running)
-            line.leave(waiter.route, work, failed=False)
+            line.finish(waiter.route, work, failed=False)
             in_time = ended <= waiter.objective
             results['in-time' if in_time else 'late'] += 1
-            for _ in line.give_up(ended):
+            for _ in line.evict(ended):
                 results['refused-later'] += 1
-            following = line.take(ended)
+            following = line.dequeue(ended)
             if following is not None:
                 start(following, ended)
 
@@ -81,12 +81,12 @@
         now += rng.expovariate(rate)
         finish_until(now)
         waiter = _waiter(now)
-        verdict = line.arrive(now, waiter)
+        verdict = line.admit(now, waiter)
         if verdict is Verdict.RUN:
             start(waiter, now)
         elif verdict is not Verdict.WAIT:
             results['refused'] += 1
-        for _ in line.give_up(now):
+        for _ in line.evict(now):
             results['refused-later'] += 1
     finish_until(math.inf)
     return results
@@ -129,23 +129,23 @@
     """Calls of endpoints hold slots elsewhere and must not wait at the end."""
     line = _busy_line()
     for _ in range(MAX_QUEUED_PER_SLOT * _SLOTS):
-        assert line.arrive(0.0, _waiter(0.0)) is Verdict.WAIT
-    assert line.arrive(0.0, _waiter(0.0)) is Verdict.OVERLOADED
+        assert line.admit(0.0, _waiter(0.0)) is Verdict.WAIT
+    assert line.admit(0.0, _waiter(0.0)) is Verdict.OVERLOADED
     urgent = _waiter(0.0, priority=1)
-    assert line.arrive(0.0, urgent) is Verdict.WAIT
-    assert len(line.give_up(0.0)) == 1
-    line.leave('r', _SERVICE_S)
-    assert line.take(0.1) is urgent
+    assert line.admit(0.0, urgent) is Verdict.WAIT
+    assert len(line.evict(0.0)) == 1
+    line.finish('r', _SERVICE_S)
+    assert line.dequeue(0.1) is urgent
 
 
 def test_a_call_in_time_goes_before_one_that_is_late() -> None:
     line = _busy_line()
     late = _waiter(0.0, objective_s=0.05)
     timely = _waiter(0.0, objective_s=0.6)
-    assert line.arrive(0.0, late) is Verdict.WAIT
-    assert line.arrive(0.0, timely) is Verdict.WAIT
-    line.leave('r', _SERVICE_S)
-    assert line.take(0.1) is timely
+    assert line.admit(0.0, late) is Verdict.WAIT
+    assert line.admit(0.0, timely) is Verdict.WAIT
+    line.finish('r', _SERVICE_S)
+    assert line.dequeue(0.1) is timely
 
 
 def test_a_returning_caller_goes_before_other_late_ones() -> None:
@@ -153,10 +153,10 @@
     line = _busy_line()
     first = _waiter(0.0, objective_s=0.05)
     retried = _waiter(0.0, objective_s=-0.3, returning=True)
-    line.arrive(0.0, first)
-    line.arrive(0.0, retried)
-    line.leave('r', _SERVICE_S)
-    assert line.take(0.1) is retried
+    line.admit(0.0, first)
+    line.admit(0.0, retried)
+    line.finish('r', _SERVICE_S)
+    assert line.dequeue(0.1) is retried
 
 
 @pytest.mark.parametrize('deadline_s', [0.05, 0.11, 0.13])
@@ -165,42 +165,42 @@
 ) -> None:
     line = _busy_line()
     waiter = _waiter(0.0, objective_s=deadline_s, deadline_s=deadline_s)
-    assert line.arrive(0.0, waiter) is Verdict.OVERLOADED
+    assert line.admit(0.0, waiter) is Verdict.OVERLOADED
     assert line.queued == 0
 
 
 def test_a_waiting_call_is_given_up_when_it_becomes_hopeless() -> None:
     line = _busy_line()
     waiter = _waiter(0.0, objective_s=0.3, deadline_s=0.3)
-    assert line.arrive(0.0, waiter) is Verdict.WAIT
-    assert line.give_up(0.1) == []
-    assert line.give_up(0.2) == [waiter]
+    assert line.admit(0.0, waiter) is Verdict.WAIT
+    assert line.evict(0.1) == []
+    assert line.evict(0.2) == [waiter]
     assert not line.remove(waiter)
 
 
 def test_an_offer_with_a_short_wait_is_declined_without_queueing() -> None:
     line = _busy_line()
-    assert line.arrive(0.0, _waiter(0.0), 0.001) is Verdict.BUSY
+    assert line.admit(0.0, _waiter(0.0), 0.001) is Verdict.BUSY
     assert line.queued == 0
-    line.leave('r', _SERVICE_S)
-    assert line.arrive(0.1, _waiter(0.1), 0.0) is Verdict.RUN
+    line.finish('r', _SERVICE_S)
+    assert line.admit(0.1, _waiter(0.1), 0.0) is Verdict.RUN
 
 
 def test_in_a_lasting_overload_late_calls_are_refused_at_once() -> None:
     """They were held for 0.4 s and refused then, on steamgate-na scale-1."""
     line = _busy_line()
-    assert line.arrive(0.0, _waiter(0.0, objective_s=0.01)) is Verdict.WAIT
+    assert line.admit(0.0, _waiter(0.0, objective_s=0.01)) is Verdict.WAIT
     late = _waiter(1.1, objective_s=0.01)
     timely = _waiter(1.1, objective_s=0.9)
-    assert line.arrive(1.1, late) is Verdict.OVERLOADED
-    assert line.arrive(1.1, timely) is Verdict.WAIT
+    assert line.admit(1.1, late) is Verdict.OVERLOADED
+    assert line.admit(1.1, timely) is Verdict.WAIT
 
 
 def test_late_calls_are_limited_to_what_is_served_soon() -> None:
     """Calls without a chance must not be held until their deadline."""
     line = _busy_line()
     verdicts = [
-        line.arrive(0.0, _waiter(0.0, objective_s=0.01))
+        line.admit(0.0, _waiter(0.0, objective_s=0.01))
         for _ in range(MAX_QUEUED_PER_SLOT * _SLOTS)
     ]
     assert verdicts.count(Verdict.WAIT) == _SLOTS // 3
@@ -209,38 +209,38 @@
 def test_in_a_lasting_overload_callers_return_later() -> None:
     """They used up all attempts on one line, 583 refusals a second."""
     line = _busy_line()
-    line.arrive(0.0, _waiter(0.0))
+    line.admit(0.0, _waiter(0.0))
     brief_s = line.retry_after_s(0.1)
     assert brief_s < 0.1
     for step in range(15):
-        line.arrive(0.1 * step, _waiter(0.1 * step, objective_s=9.0))
+        line.admit(0.1 * step, _waiter(0.1 * step, objective_s=9.0))
     assert line.retry_after_s(1.5) > 5 * brief_s
     while line.queued:
-        line.leave('r', _SERVICE_S)
-        line.take(1.5)
+        line.finish('r', _SERVICE_S)
+        line.dequeue(1.5)
     assert line.retry_after_s(1.6) < 0.1
 
 
 def test_a_late_call_may_wait_when_the_line_is_empty() -> None:
     """It was refused long after the last overload, with nobody waiting."""
     line = _busy_line()
-    assert line.arrive(0.0, _waiter(0.0)) is Verdict.WAIT
-    line.leave('r', _SERVICE_S)
-    assert line.take(0.1) is not None
+    assert line.admit(0.0, _waiter(0.0)) is Verdict.WAIT
+    line.finish('r', _SERVICE_S)
+    assert line.dequeue(0.1) is not None
     late = _waiter(20.0, objective_s=0.01)
-    assert line.arrive(20.0, late) is Verdict.WAIT
+    assert line.admit(20.0, late) is Verdict.WAIT
 
 
 def test_the_mean_follows_a_recovery_with_few_calls() -> None:
     """Guards against a slow spell that is reported for dozens of calls."""
     line = CallQueue(1)
     for index in range(30):
-        line.arrive(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
-        line.leave('r', 0.5, now=float(index))
+        line.admit(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
+        line.finish('r', 0.5, now=float(index))
     assert line.service_s == pytest.approx(0.5)
     for index in range(30, 40):
-        line.arrive(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
-        line.leave('r', 0.1, now=float(index))
+        line.admit(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
+        line.finish('r', 0.1, now=float(index))
     assert line.service_s < 0.16
 
 
@@ -249,6 +249,6 @@
     line = CallQueue(1)
     for index in range(100):
         now = index / 100
-        line.arrive(now, QueuedCall('r', 0, now + 9.0, now + 9.0))
-        line.leave('r', 0.5 if index == 99 else 0.1, now=now)
+        line.admit(now, QueuedCall('r', 0, now + 9.0, now + 9.0))
+        line.finish('r', 0.5 if index == 99 else 0.1, now=now)
     assert line.service_s < 0.15
