--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -80,7 +80,7 @@
 wait for at most a third of their time, which is 0.3 to 1.7 s."""
 
 
-class Verdict(enum.Enum):
+class AdmissionDecision(enum.Enum):
     """Admission decision about a new call."""
 
     RUN = 'run'
@@ -210,7 +210,7 @@
 
     def admit(
         self, now: float, call: QueuedCall, max_wait_s: float = math.inf
-    ) -> Verdict:
+    ) -> AdmissionDecision:
         """Decide about a new call and count it unless it is rejected.
 
         Parameters
@@ -230,18 +230,18 @@
         )
         if self._running < self._slots and not self._queue:
             self._running += 1
-            return Verdict.RUN
+            return AdmissionDecision.RUN
         wait_time_s = self._expected_wait_of(now, call)
         if wait_time_s > max_wait_s:
-            return Verdict.BUSY
+            return AdmissionDecision.BUSY
         time_left = _DEADLINE_MARGIN * (call.deadline - now)
         if wait_time_s + call.expected_service_time_s > time_left:
-            return Verdict.OVERLOADED
+            return AdmissionDecision.OVERLOADED
         late = (
             now + wait_time_s + call.expected_service_time_s > call.objective
         )
         if late and self._has_long_backlog(now):
-            return Verdict.OVERLOADED
+            return AdmissionDecision.OVERLOADED
         candidates: list[QueuedCall] = []
         if len(self._queue) >= MAX_QUEUED_PER_SLOT * self._slots:
             candidates = self._queue
@@ -252,13 +252,13 @@
         if candidates:
             last = max(candidates, key=lambda other: _sort_key(other, now))
             if _sort_key(last, now) <= _sort_key(call, now):
-                return Verdict.OVERLOADED
+                return AdmissionDecision.OVERLOADED
             self._queue.remove(last)
             self._displaced.append(last)
         if not self._queue:
             self._backlog_since = now
         self._queue.append(call)
-        return Verdict.WAIT
+        return AdmissionDecision.WAIT
 
     def dequeue(self, now: float) -> QueuedCall | None:
         """Return the call that runs next, if a slot is free."""
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -19,9 +19,9 @@
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._stops import Absences
+from gypsumhall.core._waiting import AdmissionDecision
 from gypsumhall.core._waiting import CallQueue
 from gypsumhall.core._waiting import QueuedCall
-from gypsumhall.core._waiting import Verdict
 from gypsumhall.net._messages import AnswerEnd
 from gypsumhall.net._messages import BodyChunk
 from gypsumhall.net._messages import CallCancel
@@ -600,20 +600,20 @@
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
         )
-        verdict = backend.queue.admit(now, queued_call, max_wait_s)
-        if verdict is Verdict.RUN:
+        decision = backend.queue.admit(now, queued_call, max_wait_s)
+        if decision is AdmissionDecision.RUN:
             return
-        if verdict is not Verdict.WAIT:
+        if decision is not AdmissionDecision.WAIT:
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
-                verdict.value,
+                decision.value,
                 f'{backend.queue.queued} calls wait',
                 backend.queue.retry_after_s(now),
             )
         pending = self._pending[queued_call] = _Pending(trio.Event())
         self._arrived.set()
         evicted = backend.queue.evict(now)
-        self._release(evicted, Verdict.OVERLOADED.value)
+        self._release(evicted, AdmissionDecision.OVERLOADED.value)
         try:
             with trio.CancelScope(deadline=deadline):
                 await pending.ready.wait()
@@ -668,7 +668,7 @@
             if self._backend is not None:
                 now = trio.current_time()
                 evicted = self._backend.queue.evict(now)
-                self._release(evicted, Verdict.OVERLOADED.value)
+                self._release(evicted, AdmissionDecision.OVERLOADED.value)
 
     async def _replay(
         self, request_id: str, known: Entry, send: _calls.SendMessage
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -9,10 +9,10 @@
 
 import pytest
 
+from gypsumhall.core._waiting import AdmissionDecision
 from gypsumhall.core._waiting import CallQueue
 from gypsumhall.core._waiting import MAX_QUEUED_PER_SLOT
 from gypsumhall.core._waiting import QueuedCall
-from gypsumhall.core._waiting import Verdict
 
 _SLOTS = 6
 _SERVICE_S = 0.12
@@ -41,7 +41,7 @@
     line.admit(0.0, _waiter(0.0))
     line.finish('r', _SERVICE_S)
     for _ in range(slots):
-        assert line.admit(0.0, _waiter(0.0)) is Verdict.RUN
+        assert line.admit(0.0, _waiter(0.0)) is AdmissionDecision.RUN
     return line
 
 
@@ -82,9 +82,9 @@
         finish_until(now)
         waiter = _waiter(now)
         verdict = line.admit(now, waiter)
-        if verdict is Verdict.RUN:
+        if verdict is AdmissionDecision.RUN:
             start(waiter, now)
-        elif verdict is not Verdict.WAIT:
+        elif verdict is not AdmissionDecision.WAIT:
             results['refused'] += 1
         for _ in line.evict(now):
             results['refused-later'] += 1
@@ -129,10 +129,10 @@
     """Calls of endpoints hold slots elsewhere and must not wait at the end."""
     line = _busy_line()
     for _ in range(MAX_QUEUED_PER_SLOT * _SLOTS):
-        assert line.admit(0.0, _waiter(0.0)) is Verdict.WAIT
-    assert line.admit(0.0, _waiter(0.0)) is Verdict.OVERLOADED
+        assert line.admit(0.0, _waiter(0.0)) is AdmissionDecision.WAIT
+    assert line.admit(0.0, _waiter(0.0)) is AdmissionDecision.OVERLOADED
     urgent = _waiter(0.0, priority=1)
-    assert line.admit(0.0, urgent) is Verdict.WAIT
+    assert line.admit(0.0, urgent) is AdmissionDecision.WAIT
     assert len(line.evict(0.0)) == 1
     line.finish('r', _SERVICE_S)
     assert line.dequeue(0.1) is urgent
@@ -142,8 +142,8 @@
     line = _busy_line()
     late = _waiter(0.0, objective_s=0.05)
     timely = _waiter(0.0, objective_s=0.6)
-    assert line.admit(0.0, late) is Verdict.WAIT
-    assert line.admit(0.0, timely) is Verdict.WAIT
+    assert line.admit(0.0, late) is AdmissionDecision.WAIT
+    assert line.admit(0.0, timely) is AdmissionDecision.WAIT
     line.finish('r', _SERVICE_S)
     assert line.dequeue(0.1) is timely
 
@@ -165,14 +165,14 @@
 ) -> None:
     line = _busy_line()
     waiter = _waiter(0.0, objective_s=deadline_s, deadline_s=deadline_s)
-    assert line.admit(0.0, waiter) is Verdict.OVERLOADED
+    assert line.admit(0.0, waiter) is AdmissionDecision.OVERLOADED
     assert line.queued == 0
 
 
 def test_a_waiting_call_is_given_up_when_it_becomes_hopeless() -> None:
     line = _busy_line()
     waiter = _waiter(0.0, objective_s=0.3, deadline_s=0.3)
-    assert line.admit(0.0, waiter) is Verdict.WAIT
+    assert line.admit(0.0, waiter) is AdmissionDecision.WAIT
     assert line.evict(0.1) == []
     assert line.evict(0.2) == [waiter]
     assert not line.remove(waiter)
@@ -180,20 +180,23 @@
 
 def test_an_offer_with_a_short_wait_is_declined_without_queueing() -> None:
     line = _busy_line()
-    assert line.admit(0.0, _waiter(0.0), 0.001) is Verdict.BUSY
+    assert line.admit(0.0, _waiter(0.0), 0.001) is AdmissionDecision.BUSY
     assert line.queued == 0
     line.finish('r', _SERVICE_S)
-    assert line.admit(0.1, _waiter(0.1), 0.0) is Verdict.RUN
+    assert line.admit(0.1, _waiter(0.1), 0.0) is AdmissionDecision.RUN
 
 
 def test_in_a_lasting_overload_late_calls_are_refused_at_once() -> None:
     """They were held for 0.4 s and refused then, on steamgate-na scale-1."""
     line = _busy_line()
-    assert line.admit(0.0, _waiter(0.0, objective_s=0.01)) is Verdict.WAIT
+    assert (
+        line.admit(0.0, _waiter(0.0, objective_s=0.01))
+        is AdmissionDecision.WAIT
+    )
     late = _waiter(1.1, objective_s=0.01)
     timely = _waiter(1.1, objective_s=0.9)
-    assert line.admit(1.1, late) is Verdict.OVERLOADED
-    assert line.admit(1.1, timely) is Verdict.WAIT
+    assert line.admit(1.1, late) is AdmissionDecision.OVERLOADED
+    assert line.admit(1.1, timely) is AdmissionDecision.WAIT
 
 
 def test_late_calls_are_limited_to_what_is_served_soon() -> None:
@@ -203,7 +206,7 @@
         line.admit(0.0, _waiter(0.0, objective_s=0.01))
         for _ in range(MAX_QUEUED_PER_SLOT * _SLOTS)
     ]
-    assert verdicts.count(Verdict.WAIT) == _SLOTS // 3
+    assert verdicts.count(AdmissionDecision.WAIT) == _SLOTS // 3
 
 
 def test_in_a_lasting_overload_callers_return_later() -> None:
@@ -224,11 +227,11 @@
 def test_a_late_call_may_wait_when_the_line_is_empty() -> None:
     """It was refused long after the last overload, with nobody waiting."""
     line = _busy_line()
-    assert line.admit(0.0, _waiter(0.0)) is Verdict.WAIT
+    assert line.admit(0.0, _waiter(0.0)) is AdmissionDecision.WAIT
     line.finish('r', _SERVICE_S)
     assert line.dequeue(0.1) is not None
     late = _waiter(20.0, objective_s=0.01)
-    assert line.admit(20.0, late) is Verdict.WAIT
+    assert line.admit(20.0, late) is AdmissionDecision.WAIT
 
 
 def test_the_mean_follows_a_recovery_with_few_calls() -> None:
