--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -112,7 +112,7 @@
         'expected_service_time_s',
         'objective',
         'priority',
-        'returning',
+        'is_caller_retry',
         'route',
     )
 
@@ -123,13 +123,13 @@
         objective: float,
         deadline: float,
         *,
-        returning: bool = False,
+        is_caller_retry: bool = False,
     ) -> None:
         self.route = route
         self.priority = priority
         self.objective = objective
         self.deadline = deadline
-        self.returning = returning
+        self.is_caller_retry = is_caller_retry
         self.enqueued_at = 0.0
         self.expected_service_time_s = DEFAULT_SERVICE_TIME_S
 
@@ -398,7 +398,7 @@
 def _sort_key(call: QueuedCall, now: float) -> tuple[bool, int, bool, float]:
     late = _is_late(call, now)
     limit = call.deadline if late else call.objective
-    return late, call.priority, late and not call.returning, limit
+    return late, call.priority, late and not call.is_caller_retry, limit
 
 
 def _update_mean(
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -541,7 +541,7 @@
     priority: int = 0
     objective_ms: int = 0
     max_wait_ms: int = -1
-    returning: bool = False
+    is_caller_retry: bool = False
 
 
 class BodyChunk(Message, frozen=True, tag=41):
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -314,7 +314,7 @@
             request.priority,
             objective_ms,
             -1 if max_wait_s is None else max(0, int(max_wait_s * 1000)),
-            request.returning,
+            request.is_caller_retry,
         )
 
     async def run(
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -217,7 +217,7 @@
     objective: float = 0.0
     priority: int = 0
     attempts: int = 0
-    returning: bool = False
+    is_caller_retry: bool = False
 
 
 class ResponseSink(Protocol):
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -595,7 +595,7 @@
             call.priority,
             now + call.objective_ms / 1000 if call.objective_ms else deadline,
             deadline,
-            returning=call.returning,
+            is_caller_retry=call.is_caller_retry,
         )
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -25,14 +25,14 @@
     priority: int = 2,
     objective_s: float = 0.4,
     deadline_s: float = 1.2,
-    returning: bool = False,
+    is_caller_retry: bool = False,
 ) -> QueuedCall:
     return QueuedCall(
         route,
         priority,
         now + objective_s,
         now + deadline_s,
-        returning=returning,
+        is_caller_retry=is_caller_retry,
     )
 
 
@@ -152,7 +152,7 @@
     """A caller that was refused before gives up for good soon."""
     line = _busy_line()
     first = _waiter(0.0, objective_s=0.05)
-    retried = _waiter(0.0, objective_s=-0.3, returning=True)
+    retried = _waiter(0.0, objective_s=-0.3, is_caller_retry=True)
     line.admit(0.0, first)
     line.admit(0.0, retried)
     line.finish('r', _SERVICE_S)
