--- a/gypsumhall/core/_limits.py
+++ b/gypsumhall/core/_limits.py
@@ -174,22 +174,22 @@
         self._queued -= 1
         self._in_flight += run
 
-    def finish(self, now: float, service_s: float | None) -> None:
+    def finish(self, now: float, service_time_s: float | None) -> None:
         """Count a call that no longer runs.
 
         Parameters
         ----------
         now : float
             Current time in seconds.
-        service_s : float or None
+        service_time_s : float or None
             Time in seconds that it took; None when it was cut short.
         """
-        if service_s is not None:
-            self._limit.record(now, service_s, self._in_flight)
+        if service_time_s is not None:
+            self._limit.record(now, service_time_s, self._in_flight)
             if self._mean_s:
-                self._mean_s += self._WEIGHT * (service_s - self._mean_s)
+                self._mean_s += self._WEIGHT * (service_time_s - self._mean_s)
             else:
-                self._mean_s = service_s
+                self._mean_s = service_time_s
         self._in_flight -= 1
 
 
--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -138,16 +138,18 @@
 
     def wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
-        return self._wait_s(self._fresh(now), self.service_s)
+        return self._wait_s(self._fresh(now), self.service_time_s)
 
-    def cost_s(self, now: float, service_s: float, away_s: float) -> float:
+    def cost_s(
+        self, now: float, service_time_s: float, away_s: float
+    ) -> float:
         """Return the expected time until a response, with penalties.
 
         Parameters
         ----------
         now : float
             Current time in seconds.
-        service_s : float
+        service_time_s : float
             Assumed mean service time in seconds.
         away_s : float
             Cost of a response from another zone; 0 in the own one.
@@ -160,9 +162,9 @@
         if self.load is not None:
             failing = max(failing, self.load.failing * fresh)
             busy = self._busy(self.load, fresh)
-        cost = service_s + self._wait_s(fresh, service_s)
+        cost = service_time_s + self._wait_s(fresh, service_time_s)
         cost += failing * _FAILURE_COST_S
-        cost += min(1.0, busy / self.slots) * service_s * _UTILISATION
+        cost += min(1.0, busy / self.slots) * service_time_s * _UTILISATION
         if self.is_cold(now):
             cost *= _COLD_FACTOR
         return cost + away_s
@@ -187,27 +189,27 @@
     @property
     def is_known(self) -> bool:
         """Whether a service time has been reported."""
-        return self.load is not None and self.load.service_ms > 0
+        return self.load is not None and self.load.service_time_ms > 0
 
     @property
-    def service_s(self) -> float:
+    def service_time_s(self) -> float:
         """Reported mean service time in seconds, or the default one."""
-        if self.load is None or not self.load.service_ms:
+        if self.load is None or not self.load.service_time_ms:
             return _DEFAULT_SERVICE_S
-        return self.load.service_ms / 1000
+        return self.load.service_time_ms / 1000
 
     def _busy(self, load: Load, fresh: float) -> float:
         added = self.in_flight - self.own_at_report
         return max(0.0, load.in_flight * fresh + added)
 
-    def _wait_s(self, fresh: float, service_s: float) -> float:
+    def _wait_s(self, fresh: float, service_time_s: float) -> float:
         load = self.load
         if load is None:
             own = max(0, self.in_flight - self.slots + 1)
-            return own * service_s / self.slots
+            return own * service_time_s / self.slots
         queued = load.wait_ms / 1000 * fresh
         excess = max(0.0, self._busy(load, fresh) - self.slots + 1)
-        return max(queued, 0.0) + excess * service_s / self.slots
+        return max(queued, 0.0) + excess * service_time_s / self.slots
 
 
 class Placement:
@@ -325,7 +327,7 @@
         best_cost = math.inf
         away_s = self._away_s(route)
         states = self._candidates(service, version, now, exclude, priority)
-        known = [state.service_s for state in states if state.is_known]
+        known = [state.service_time_s for state in states if state.is_known]
         fastest_s = min(known, default=_DEFAULT_SERVICE_S)
         slowest_s = max(known, default=_DEFAULT_SERVICE_S)
         # One draw for all, so that many slow endpoints do not add trials.
@@ -333,21 +335,21 @@
         for state in states:
             home = state.member.zone == self._zone
             crossing_s = 0.0 if home else away_s
-            service_s = state.service_s
+            service_time_s = state.service_time_s
             if not state.is_known:
-                service_s = slowest_s
+                service_time_s = slowest_s
                 # All senders together try it in its share of the calls.
                 tried = self._rng.random() * len(states) < 1.0
                 if tried and not state.is_cold(now):
-                    service_s = fastest_s
+                    service_time_s = fastest_s
                     if state.joined:
                         crossing_s = 0.0
             elif state.is_old(now):
                 faded = math.exp(-(now - state.reported_at) / _TRIAL_FADE_S)
-                believed_s = fastest_s + (service_s - fastest_s) * faded
+                believed_s = fastest_s + (service_time_s - fastest_s) * faded
                 if draw * believed_s < _TRIAL_SHARE * fastest_s:
-                    service_s = fastest_s
-            cost = state.cost_s(now, service_s, crossing_s)
+                    service_time_s = fastest_s
+            cost = state.cost_s(now, service_time_s, crossing_s)
             cost *= 1.0 + _JITTER * self._rng.random()
             if cost < best_cost:
                 best, best_cost = state, cost
@@ -442,7 +444,7 @@
         state = self._states.get(member_id)
         if state is None:
             return
-        until = now + state.service_s / state.slots
+        until = now + state.service_time_s / state.slots
         if state.full_until <= now or priority < state.full_from:
             state.full_from = priority
         state.full_until = until
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -185,7 +185,7 @@
         return len(self._queue)
 
     @property
-    def service_s(self) -> float:
+    def service_time_s(self) -> float:
         """Recent mean service time in seconds; 0 before the first run."""
         return self._mean_service_time_s
 
@@ -312,7 +312,7 @@
     def finish(
         self,
         route: str,
-        service_s: float | None,
+        service_time_s: float | None,
         *,
         failed: bool | None = None,
         now: float = -math.inf,
@@ -323,7 +323,7 @@
         ----------
         route : str
             Route of the call.
-        service_s : float or None
+        service_time_s : float or None
             Service time in seconds; None when the run was aborted.
         failed : bool or None
             Whether the backend server failed; None when the run gives no
@@ -337,7 +337,7 @@
             self._failure_rate += _FAILURE_WEIGHT * (
                 failed - self._failure_rate
             )
-        if service_s is None:
+        if service_time_s is None:
             return
         weight = _MEAN_WEIGHT
         if now > self._mean_updated_at:
@@ -346,7 +346,7 @@
                 weight = max(weight, 1.0 - math.exp(-age_s / _MEAN_DECAY_S))
             self._mean_updated_at = now
         self._mean_service_time_s = _update_mean(
-            self._mean_service_time_s, service_s, weight
+            self._mean_service_time_s, service_time_s, weight
         )
         if (
             route not in self._route_service_times_s
@@ -354,7 +354,7 @@
         ):
             self._route_service_times_s.clear()
         mean = self._route_service_times_s.get(route, 0.0)
-        self._route_service_times_s[route] = _update_mean(mean, service_s)
+        self._route_service_times_s[route] = _update_mean(mean, service_time_s)
 
     def retry_after_s(self, now: float) -> float:
         """Return the time in seconds until there is likely to be room."""
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -460,7 +460,7 @@
         Concurrency limit.
     draining : bool
         Whether new work is refused.
-    service_ms : float
+    service_time_ms : float
         Recent mean time of a run; 0 when none was measured.
     wait_ms : float
         Time that a call arriving now would wait for a slot.
@@ -472,7 +472,7 @@
     queued: int
     slots: int
     draining: bool = False
-    service_ms: float = 0.0
+    service_time_ms: float = 0.0
     wait_ms: float = 0.0
     failing: float = 0.0
 
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -170,7 +170,7 @@
             queue.queued,
             queue.slots,
             self._draining or backend.endpoint.state != EndpointState.READY,
-            round(queue.service_s * 1000, 1),
+            round(queue.service_time_s * 1000, 1),
             round(queue.wait_s() * 1000, 1),
             round(queue.failing, 3),
         )
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -34,10 +34,10 @@
     """Endpoint and the line of the daemon beside it, for replays."""
 
     def __init__(
-        self, name: str, service_s: float, since: float = -_COLD_S
+        self, name: str, service_time_s: float, since: float = -_COLD_S
     ) -> None:
         self.name = name
-        self.service_s = service_s
+        self.service_time_s = service_time_s
         self._warm_at = since + _COLD_S
         self._line = CallQueue(_SLOTS)
         self._slots = trio.CapacityLimiter(_SLOTS)
@@ -47,13 +47,13 @@
     @property
     def load(self) -> Load:
         waiting = self._slots.statistics().tasks_waiting
-        service_s = self._line.service_s
+        service_time_s = self._line.service_time_s
         return Load(
             self._line.running,
             waiting,
             _SLOTS,
-            service_ms=service_s * 1000,
-            wait_ms=waiting * service_s * 1000 / _SLOTS,
+            service_time_ms=service_time_s * 1000,
+            wait_ms=waiting * service_time_s * 1000 / _SLOTS,
         )
 
     async def run(self, sender: int) -> None:
@@ -62,7 +62,7 @@
             now = trio.current_time()
             self._line.admit(now, QueuedCall('route', 0, now + 9, now + 9))
             cold = now < self._warm_at
-            await trio.sleep(self.service_s * (2 if cold else 1))
+            await trio.sleep(self.service_time_s * (2 if cold else 1))
             end = trio.current_time()
             self._line.finish('route', end - now, now=end)
 
@@ -168,10 +168,10 @@
 
 def test_slow_endpoints_get_calls_only_when_others_are_busy() -> None:
     placement = _placement(['az-1', 'az-1'])
-    placement.report('d0', 10.0, Load(0, 0, 4, service_ms=100.0))
-    placement.report('d1', 10.0, Load(0, 0, 4, service_ms=500.0))
+    placement.report('d0', 10.0, Load(0, 0, 4, service_time_ms=100.0))
+    placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=500.0))
     assert _choices(placement, 10.0) == {'d0': 200}
-    full_load = Load(4, 20, 4, service_ms=100.0, wait_ms=600.0)
+    full_load = Load(4, 20, 4, service_time_ms=100.0, wait_ms=600.0)
     placement.report('d0', 10.0, full_load)
     assert _choices(placement, 10.0)['d1'] > 190
 
@@ -190,9 +190,9 @@
 def test_another_zone_helps_when_the_own_one_is_busy() -> None:
     placement = _placement(['az-1', 'az-2'])
     for member in ('d0', 'd1'):
-        placement.report(member, 10.0, Load(0, 0, 4, service_ms=100.0))
+        placement.report(member, 10.0, Load(0, 0, 4, service_time_ms=100.0))
     assert _choices(placement, 10.0) == {'d0': 200}
-    busy = Load(4, 2, 4, service_ms=100.0, wait_ms=75.0)
+    busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=75.0)
     placement.report('d0', 10.0, busy)
     assert _choices(placement, 10.0) == {'d1': 200}
 
@@ -203,16 +203,16 @@
     for _ in range(50):
         placement.responded('large', 6000)
         placement.responded('small', 400)
-    busy = Load(4, 2, 4, service_ms=100.0, wait_ms=60.0)
+    busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=60.0)
     placement.report('d0', 10.0, busy)
-    placement.report('d1', 10.0, Load(0, 0, 4, service_ms=100.0))
+    placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=100.0))
     chosen = {
         route: placement.choose(_SERVICE, ANY_VERSION, 10.0, route=route)
         for route in ('large', 'small')
     }
     assert chosen['large'] is not None and chosen['large'].id == 'd0'
     assert chosen['small'] is not None and chosen['small'].id == 'd1'
-    queued = Load(4, 12, 4, service_ms=100.0, wait_ms=300.0)
+    queued = Load(4, 12, 4, service_time_ms=100.0, wait_ms=300.0)
     placement.report('d0', 10.0, queued)
     found = placement.choose(_SERVICE, ANY_VERSION, 10.0, route='large')
     assert found is not None and found.id == 'd1'
@@ -225,7 +225,7 @@
         placement = Placement('az-1', Random(seed))
         placement.update(_SERVICE, _members(['az-1'] * 6), 1, 0.0)
         for index in range(6):
-            load = Load(1, 0, 4, service_ms=100.0 + index)
+            load = Load(1, 0, 4, service_time_ms=100.0 + index)
             placement.report(f'd{index}', 10.0, load)
         member = placement.choose(_SERVICE, ANY_VERSION, 10.0)
         assert member is not None
@@ -235,7 +235,7 @@
 
 def test_old_reports_lose_their_weight() -> None:
     placement = _placement(['az-1', 'az-1'])
-    busy = Load(4, 8, 4, service_ms=100.0, wait_ms=300.0)
+    busy = Load(4, 8, 4, service_time_ms=100.0, wait_ms=300.0)
     placement.report('d0', 10.0, busy)
     assert placement.wait_s('d0', 10.0) > 0.29
     assert placement.wait_s('d0', 14.0) < 0.01
@@ -342,13 +342,13 @@
     replay = _Replay(['az-1'] * 6, endpoints, seed)
     await replay.play(5.0, 60.0)
     slow = endpoints[0]
-    slow.service_s = 0.3
+    slow.service_time_s = 0.3
     await replay.play(6.0, 60.0)
     start = trio.current_time()
     await replay.play(10.0, 60.0)
     # Trials may not cost the callers more than the others gain.
     assert slow.senders(start, start + 10.0).total() < 0.03 * 600
-    slow.service_s = 0.06
+    slow.service_time_s = 0.06
     await replay.play(20.0, 60.0)
     start = trio.current_time()
     await replay.play(5.0, 60.0)
@@ -375,9 +375,9 @@
     now: float,
 ) -> None:
     if kind == 'slow':
-        placement.report(name, now, Load(1, 0, 4, service_ms=900.0))
+        placement.report(name, now, Load(1, 0, 4, service_time_ms=900.0))
     elif kind == 'waiting':
-        load = Load(4, 9, 4, service_ms=60.0, wait_ms=900.0, failing=1.0)
+        load = Load(4, 9, 4, service_time_ms=60.0, wait_ms=900.0, failing=1.0)
         placement.report(name, now, load)
     elif kind == 'failed':
         placement.begin(name)
@@ -416,6 +416,6 @@
         chosen[member.id] += 1
         placement.begin(member.id)
         placement.end(member.id, now, failed=False)
-        placement.report(member.id, now, Load(0, 0, 4, service_ms=60.0))
+        placement.report(member.id, now, Load(0, 0, 4, service_time_ms=60.0))
     assert min(chosen.values()) > 40
     assert len(chosen) == 4
--- a/tests/test_core_waiting.py
+++ b/tests/test_core_waiting.py
@@ -49,7 +49,7 @@
     line: CallQueue,
     rate: float,
     seconds: float,
-    service_s: float = _SERVICE_S,
+    service_time_s: float = _SERVICE_S,
     seed: int = 7,
 ) -> Counter[str]:
     """Replay arrivals at a rate; count what became of them."""
@@ -62,7 +62,7 @@
     def start(waiter: QueuedCall, at: float) -> None:
         nonlocal number
         number += 1
-        work = service_s * rng.lognormvariate(0.0, 0.3)
+        work = service_time_s * rng.lognormvariate(0.0, 0.3)
         heapq.heappush(running, (at + work, number, waiter, work))
 
     def finish_until(limit: float) -> None:
@@ -107,12 +107,12 @@
     Four seconds at 1.4 times the capacity, with runs that take three quarters
     of the time to the objective.
     """
-    service_s = 0.3
+    service_time_s = 0.3
     results: Counter[str] = Counter()
     for seed in range(20):
-        rate = 1.4 * _SLOTS / service_s
+        rate = 1.4 * _SLOTS / service_time_s
         line = CallQueue(_SLOTS)
-        results += _replay(line, rate, 4.0, service_s, seed)
+        results += _replay(line, rate, 4.0, service_time_s, seed)
     calls = sum(results.values())
     assert results['in-time'] > 0.43 * calls
     assert results['late'] < 0.27 * calls
@@ -240,11 +240,11 @@
     for index in range(30):
         line.admit(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
         line.finish('r', 0.5, now=float(index))
-    assert line.service_s == pytest.approx(0.5)
+    assert line.service_time_s == pytest.approx(0.5)
     for index in range(30, 40):
         line.admit(index, QueuedCall('r', 0, index + 9.0, index + 9.0))
         line.finish('r', 0.1, now=float(index))
-    assert line.service_s < 0.16
+    assert line.service_time_s < 0.16
 
 
 def test_the_mean_of_many_calls_hardly_follows_one() -> None:
@@ -254,4 +254,4 @@
         now = index / 100
         line.admit(now, QueuedCall('r', 0, now + 9.0, now + 9.0))
         line.finish('r', 0.5 if index == 99 else 0.1, now=now)
-    assert line.service_s < 0.15
+    assert line.service_time_s < 0.15
