--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -105,7 +105,7 @@
 
 class _State:
     __slots__ = (
-        'failing',
+        'failure_rate',
         'failing_at',
         'in_flight',
         'load',
@@ -128,7 +128,7 @@
         self.load: Load | None = None
         self.reported_at = -math.inf
         self.own_at_report = 0
-        self.failing = 0.0
+        self.failure_rate = 0.0
         self.failing_at = since
         self.unreachable = False
         # Priority from which on calls were refused, and until when.
@@ -155,15 +155,15 @@
             Cost of a response from another zone; 0 in the own one.
         """
         fresh = self._fresh(now)
-        failing = self.failing * math.exp(
+        failure_rate = self.failure_rate * math.exp(
             -max(0.0, now - self.failing_at) / _FAILURE_FADE_S
         )
         busy = float(self.in_flight)
         if self.load is not None:
-            failing = max(failing, self.load.failing * fresh)
+            failure_rate = max(failure_rate, self.load.failure_rate * fresh)
             busy = self._busy(self.load, fresh)
         cost = service_time_s + self._wait_s(fresh, service_time_s)
-        cost += failing * _FAILURE_COST_S
+        cost += failure_rate * _FAILURE_COST_S
         cost += min(1.0, busy / self.slots) * service_time_s * _UTILISATION
         if self.is_cold(now):
             cost *= _COLD_FACTOR
@@ -410,8 +410,8 @@
         if failed is None:
             return
         age = max(0.0, now - state.failing_at)
-        known = state.failing * math.exp(-age / _FAILURE_FADE_S)
-        state.failing = known + _FAILURE_WEIGHT * (failed - known)
+        known = state.failure_rate * math.exp(-age / _FAILURE_FADE_S)
+        state.failure_rate = known + _FAILURE_WEIGHT * (failed - known)
         state.failing_at = now
 
     def set_reachable(self, member_id: str, *, reachable: bool) -> None:
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -190,7 +190,7 @@
         return self._mean_service_time_s
 
     @property
-    def failing(self) -> float:
+    def failure_rate(self) -> float:
         """Recent failure rate of the runs, 0 to 1."""
         return self._failure_rate
 
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -474,7 +474,7 @@
     draining: bool = False
     service_time_ms: float = 0.0
     wait_ms: float = 0.0
-    failing: float = 0.0
+    failure_rate: float = 0.0
 
 
 class CallStart(Message, frozen=True, tag=40):
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -172,7 +172,7 @@
             self._draining or backend.endpoint.state != EndpointState.READY,
             round(queue.service_time_s * 1000, 1),
             round(queue.wait_s() * 1000, 1),
-            round(queue.failing, 3),
+            round(queue.failure_rate, 3),
         )
 
     @property
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -377,7 +377,9 @@
     if kind == 'slow':
         placement.report(name, now, Load(1, 0, 4, service_time_ms=900.0))
     elif kind == 'waiting':
-        load = Load(4, 9, 4, service_time_ms=60.0, wait_ms=900.0, failing=1.0)
+        load = Load(
+            4, 9, 4, service_time_ms=60.0, wait_ms=900.0, failure_rate=1.0
+        )
         placement.report(name, now, load)
     elif kind == 'failed':
         placement.begin(name)
