--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_placement.py
@@ -136,7 +136,7 @@
         self.full_until = -math.inf
         self.retry_after_s = 0.0
 
-    def wait_s(self, now: float) -> float:
+    def expected_wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
         return self._wait_s(self._fresh(now), self.service_time_s)
 
@@ -378,10 +378,10 @@
             found.append(state)
         return found
 
-    def wait_s(self, member_id: str, now: float) -> float:
+    def expected_wait_s(self, member_id: str, now: float) -> float:
         """Return the expected wait for a slot at an endpoint, in seconds."""
         state = self._states.get(member_id)
-        return 0.0 if state is None else state.wait_s(now)
+        return 0.0 if state is None else state.expected_wait_s(now)
 
     def begin(self, member_id: str) -> None:
         """Count a call that is sent to an endpoint."""
@@ -460,7 +460,7 @@
         """
         return min(
             (
-                max(state.wait_s(now), state.retry_after_s)
+                max(state.expected_wait_s(now), state.retry_after_s)
                 for state in self._ready(service)
                 if not state.unreachable
             ),
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -198,7 +198,7 @@
         """Change the number of slots."""
         self._slots = max(1, slots)
 
-    def wait_s(self) -> float:
+    def expected_wait_s(self) -> float:
         """Return the expected wait in seconds of a call that arrives now."""
         if self._running < self._slots and not self._queue:
             return 0.0
@@ -359,8 +359,8 @@
     def retry_after_s(self, now: float) -> float:
         """Return the time in seconds until there is likely to be room."""
         if self._has_long_backlog(now):
-            return max(_LONG_BACKLOG_RETRY_AFTER_S, self.wait_s())
-        return max(_MIN_RETRY_AFTER_S, self.wait_s())
+            return max(_LONG_BACKLOG_RETRY_AFTER_S, self.expected_wait_s())
+        return max(_MIN_RETRY_AFTER_S, self.expected_wait_s())
 
     def _mean_or_default_s(self) -> float:
         return self._mean_service_time_s or DEFAULT_SERVICE_TIME_S
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -171,7 +171,7 @@
             queue.slots,
             self._draining or backend.endpoint.state != EndpointState.READY,
             round(queue.service_time_s * 1000, 1),
-            round(queue.wait_s() * 1000, 1),
+            round(queue.expected_wait_s() * 1000, 1),
             round(queue.failure_rate, 3),
         )
 
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -539,7 +539,7 @@
         if progress.no_room >= _OFFERS or not objective:
             return None
         limit_s = max(0.0, _OFFER_WAIT_SHARE * (objective - now))
-        if self._placement.wait_s(member_id, now) > limit_s:
+        if self._placement.expected_wait_s(member_id, now) > limit_s:
             # The best endpoint is known to be busy, so all of them are.
             return None
         return limit_s
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -237,8 +237,8 @@
     placement = _placement(['az-1', 'az-1'])
     busy = Load(4, 8, 4, service_time_ms=100.0, wait_ms=300.0)
     placement.report('d0', 10.0, busy)
-    assert placement.wait_s('d0', 10.0) > 0.29
-    assert placement.wait_s('d0', 14.0) < 0.01
+    assert placement.expected_wait_s('d0', 10.0) > 0.29
+    assert placement.expected_wait_s('d0', 14.0) < 0.01
 
 
 def test_unreachable_and_full_endpoints_are_left_out() -> None:
