Rename the placement to a load balancer

_placement.py -> _load_balancer.py test_core_placement.py -> test_core_load_balancer.py Placement -> LoadBalancer _placement -> _load_balancer

--- a/gypsumhall/core/_placement.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -212,7 +212,7 @@
         return max(queued, 0.0) + excess * service_time_s / self.slots
 
 
-class Placement:
+class LoadBalancer:
     """Endpoints of all services as one sender sees them.
 
     Parameters
--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -8,7 +8,7 @@
 
 from gypsumhall._errors import InvalidUpdateError
 from gypsumhall.core import _model
-from gypsumhall.core._placement import ANY_VERSION
+from gypsumhall.core._load_balancer import ANY_VERSION
 
 OPERATOR_PREFIX = 'op/'
 """Prefix of all that the operator writes."""
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -21,8 +21,8 @@
 from gypsumhall._errors import StoreError
 from gypsumhall.core import _rollout
 from gypsumhall.core import _tree
+from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._model import MoveState
-from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._snapshot import Split
 from gypsumhall.net._messages import RolloutCounts
 from gypsumhall.net._messages import RolloutEvidence
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -15,9 +15,9 @@
 from gypsumhall.core._ledger import Entry
 from gypsumhall.core._ledger import EntryState
 from gypsumhall.core._ledger import Ledger
+from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
-from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._stops import Absences
 from gypsumhall.core._waiting import AdmissionDecision
 from gypsumhall.core._waiting import CallQueue
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -13,8 +13,8 @@
 
 from gypsumhall._errors import PeerError
 from gypsumhall._errors import PeerUnreachableError
+from gypsumhall.core import _load_balancer
 from gypsumhall.core import _ownership
-from gypsumhall.core import _placement
 from gypsumhall.core import _routing
 from gypsumhall.core._limits import RetryBudget
 from gypsumhall.core._member import MemberStatus
@@ -254,7 +254,9 @@
             peers, membership.me, events, rng, execute
         )
         self._me = membership.me.id
-        self._placement = _placement.Placement(membership.me.zone, rng)
+        self._load_balancer = _load_balancer.LoadBalancer(
+            membership.me.zone, rng
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self._results = metrics.counter(
             'gypsumhall_sender_attempts_total',
@@ -397,7 +399,7 @@
                 return
         last = progress.last
         if last is None:
-            retry_after_s = self._placement.retry_after_s(
+            retry_after_s = self._load_balancer.retry_after_s(
                 request.service, trio.current_time()
             )
             raise _calls.CallRefusedError(
@@ -477,8 +479,8 @@
             return None
         now = trio.current_time()
         table = self._membership.table
-        if self._placement.revision(request.service) != table.revision:
-            self._placement.update(
+        if self._load_balancer.revision(request.service) != table.revision:
+            self._load_balancer.update(
                 request.service,
                 table.endpoints(request.service),
                 table.revision,
@@ -487,7 +489,7 @@
         split = self._splits(
             snapshot,
             request.service,
-            self._placement.versions(request.service),
+            self._load_balancer.versions(request.service),
         )
         if not progress.attempts or progress.version is None:
             progress.version = _routing.choose_version(
@@ -525,7 +527,7 @@
         rank = progress.request.priority
         route = progress.request.route
         for exclude in (tried, refused):
-            member = self._placement.choose(
+            member = self._load_balancer.choose(
                 service, version, now, exclude, rank, route
             )
             if member is not None:
@@ -539,7 +541,7 @@
         if progress.no_room >= _OFFERS or not objective:
             return None
         limit_s = max(0.0, _OFFER_WAIT_SHARE * (objective - now))
-        if self._placement.expected_wait_s(member_id, now) > limit_s:
+        if self._load_balancer.expected_wait_s(member_id, now) > limit_s:
             # The best endpoint is known to be busy, so all of them are.
             return None
         return limit_s
@@ -551,7 +553,7 @@
             return
         if nursery.cancel_scope.cancel_called:
             return
-        self._placement.set_reachable(member.id, reachable=False)
+        self._load_balancer.set_reachable(member.id, reachable=False)
         self._probed.add(member.id)
         nursery.start_soon(self._probe, member)
 
@@ -572,7 +574,7 @@
                     await trio.sleep(_PROBE_S * (0.5 + self._rng.random()))
         finally:
             self._probed.discard(member.id)
-            self._placement.set_reachable(member.id, reachable=True)
+            self._load_balancer.set_reachable(member.id, reachable=True)
 
     async def _attempt_with_backup(
         self, choice: _Choice, progress: _Progress
@@ -630,7 +632,7 @@
         split = choice.split
         request = progress.request
         for version in _versions(split, split.old_version):
-            member = self._placement.choose(
+            member = self._load_balancer.choose(
                 request.service,
                 version,
                 trio.current_time(),
@@ -706,7 +708,7 @@
         )
         failure: CallRefused | None = None
         failed: bool | None = None
-        self._placement.begin(member.id)
+        self._load_balancer.begin(member.id)
         try:
             await self._attempts.run(member, call, request, receiver)
             if not receiver.done and not request.idempotent:
@@ -728,20 +730,20 @@
             if failure is not None and failure.code != 'withheld':
                 failed = True if failure.code in _FAULTS else failed or None
             now = trio.current_time()
-            self._placement.end(member.id, now, failed=failed)
+            self._load_balancer.end(member.id, now, failed=failed)
             if receiver.load is not None:
-                self._placement.report(member.id, now, receiver.load)
+                self._load_balancer.report(member.id, now, receiver.load)
             if failure is not None and failure.code == 'peer-lost':
                 self._leave_out(member)
             if failure is not None and failure.code == 'overloaded':
-                self._placement.full(
+                self._load_balancer.full(
                     member.id,
                     now,
                     request.priority,
                     failure.retry_after_ms / 1000,
                 )
         if failure is None:
-            self._placement.responded(request.route, receiver.size)
+            self._load_balancer.responded(request.route, receiver.size)
         self._results.add(1.0, result=failure.code if failure else 'response')
         if receiver.withheld and receiver.complete:
             progress.fallback = receiver.recorder
--- a/tests/test_core_placement.py
+++ b/tests/test_core_load_balancer.py
@@ -1,4 +1,4 @@
-"""Replays of the load patterns that `gypsumhall.core._placement` answers."""
+"""Replays of the load patterns that `gypsumhall.core._load_balancer` answers."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 import pytest
 import trio
 
-from gypsumhall.core._placement import ANY_VERSION
-from gypsumhall.core._placement import Placement
+from gypsumhall.core._load_balancer import ANY_VERSION
+from gypsumhall.core._load_balancer import LoadBalancer
 from gypsumhall.core._waiting import CallQueue
 from gypsumhall.core._waiting import QueuedCall
 from gypsumhall.net._messages import Load
@@ -91,7 +91,7 @@
     ) -> None:
         self._rng = Random(seed)
         self._placements = [
-            Placement(zone, Random(seed * 100 + index))
+            LoadBalancer(zone, Random(seed * 100 + index))
             for index, zone in enumerate(zones)
         ]
         self._endpoints: dict[str, _Endpoint] = {}
@@ -149,14 +149,14 @@
     ]
 
 
-def _placement(zones: list[str]) -> Placement:
-    placement = Placement('az-1', Random(1))
+def _placement(zones: list[str]) -> LoadBalancer:
+    placement = LoadBalancer('az-1', Random(1))
     placement.update(_SERVICE, _members(zones), 1, 0.0)
     return placement
 
 
 def _choices(
-    placement: Placement, now: float, count: int = 200
+    placement: LoadBalancer, now: float, count: int = 200
 ) -> Counter[str]:
     chosen: Counter[str] = Counter()
     for _ in range(count):
@@ -222,7 +222,7 @@
     """Herding on the endpoint that looks best makes it the worst."""
     chosen: Counter[str] = Counter()
     for seed in range(60):
-        placement = Placement('az-1', Random(seed))
+        placement = LoadBalancer('az-1', Random(seed))
         placement.update(_SERVICE, _members(['az-1'] * 6), 1, 0.0)
         for index in range(6):
             load = Load(1, 0, 4, service_time_ms=100.0 + index)
@@ -256,7 +256,7 @@
 
 
 def test_only_the_wanted_version_is_chosen() -> None:
-    placement = Placement('az-1', Random(1))
+    placement = LoadBalancer('az-1', Random(1))
     members = [
         *_members(['az-1']),
         *_members(['az-1', 'az-1'], 'v2')[1:],
@@ -368,7 +368,7 @@
 
 
 def _apply(
-    placement: Placement,
+    placement: LoadBalancer,
     members: list[Member],
     kind: str,
     name: str,
@@ -402,7 +402,7 @@
 ) -> None:
     """Guards against what a sender once saw and never checks again."""
     members = _members(['az-1'] * 4)
-    placement = Placement('az-1', Random(seed))
+    placement = LoadBalancer('az-1', Random(seed))
     placement.update(_SERVICE, members, 1, 0.0)
     now = 1.0
     for kind, index, pause_s in events:
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -10,9 +10,9 @@
 import trio
 
 from gypsumhall import platform
+from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._model import MoveState
-from gypsumhall.core._placement import ANY_VERSION
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.core._snapshot import Split
 from gypsumhall.kernel import Kernel
