--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -420,7 +420,7 @@
         if state is not None:
             state.unreachable = not reachable
 
-    def full(
+    def mark_full(
         self,
         member_id: str,
         now: float,
@@ -477,7 +477,7 @@
             state.own_at_report = state.in_flight
             state.unreachable = False
 
-    def responded(self, route: str, size: int) -> None:
+    def record_response_size(self, route: str, size: int) -> None:
         """Take note of the bytes of a response's body."""
         if route not in self._bytes and len(self._bytes) >= _MAX_ROUTES:
             self._bytes.clear()
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -736,14 +736,16 @@
             if failure is not None and failure.code == 'peer-lost':
                 self._leave_out(member)
             if failure is not None and failure.code == 'overloaded':
-                self._load_balancer.full(
+                self._load_balancer.mark_full(
                     member.id,
                     now,
                     request.priority,
                     failure.retry_after_ms / 1000,
                 )
         if failure is None:
-            self._load_balancer.responded(request.route, receiver.size)
+            self._load_balancer.record_response_size(
+                request.route, receiver.size
+            )
         self._results.add(1.0, result=failure.code if failure else 'response')
         if receiver.withheld and receiver.complete:
             progress.fallback = receiver.recorder
--- a/tests/test_core_load_balancer.py
+++ b/tests/test_core_load_balancer.py
@@ -201,8 +201,8 @@
     """Users pay for bytes between zones, not for crossings."""
     placement = _placement(['az-1', 'az-2'])
     for _ in range(50):
-        placement.responded('large', 6000)
-        placement.responded('small', 400)
+        placement.record_response_size('large', 6000)
+        placement.record_response_size('small', 400)
     busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=60.0)
     placement.report('d0', 10.0, busy)
     placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=100.0))
@@ -245,7 +245,7 @@
     placement = _placement(['az-1', 'az-1'])
     placement.set_reachable('d0', reachable=False)
     assert _choices(placement, 10.0) == {'d1': 200}
-    placement.full('d1', 10.0, 2)
+    placement.mark_full('d1', 10.0, 2)
     assert placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 2) is None
     urgent = placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 1)
     assert urgent is not None and urgent.id == 'd1'
@@ -385,7 +385,7 @@
         placement.begin(name)
         placement.end(name, now, failed=True)
     elif kind == 'full':
-        placement.full(name, now, 0, 0.8)
+        placement.mark_full(name, now, 0, 0.8)
     elif kind == 'cut':
         placement.set_reachable(name, reachable=False)
     else:
