--- a/gypsumhall/core/_limits.py
+++ b/gypsumhall/core/_limits.py
@@ -238,7 +238,7 @@
         self._tokens -= 1.0
         return True
 
-    def give_back(self) -> None:
+    def refund(self) -> None:
         """Return a retry that reached no endpoint."""
         self._tokens += 1.0
 
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -612,7 +612,7 @@
             return
         progress.free_retries += 1
         if self._is_charged(choice):
-            self._budget(progress.request.service).give_back()
+            self._budget(progress.request.service).refund()
 
     async def _run_lane(
         self, lane: _race.Lane, choice: _Choice, progress: _Progress
