--- a/gypsumhall/core/_stops.py
+++ b/gypsumhall/core/_stops.py
@@ -26,7 +26,7 @@
 one included. The rest has room for their calls at two thirds of the load."""
 
 
-class Absences:
+class EndpointAvailability:
     """Endpoints of one service that have been ready a short time ago."""
 
     __slots__ = ('_ready', '_seen')
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -18,7 +18,7 @@
 from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
-from gypsumhall.core._stops import Absences
+from gypsumhall.core._stops import EndpointAvailability
 from gypsumhall.core._waiting import AdmissionDecision
 from gypsumhall.core._waiting import CallQueue
 from gypsumhall.core._waiting import QueuedCall
@@ -122,7 +122,7 @@
         self._notice_s = notice_s
         self._hold_s = hold_s
         self._stopped_at = math.inf
-        self._absences = Absences()
+        self._availability = EndpointAvailability()
         self._retries = retries
         self._dialect = dialect
         self._warm_at = -math.inf
@@ -284,7 +284,7 @@
         )
         while trio.current_time() < until:
             self._members_changed()
-            if self._absences.may_stop(trio.current_time()):
+            if self._availability.may_stop(trio.current_time()):
                 return
             await trio.sleep(_HOLD_CHECK_S)
 
@@ -298,7 +298,7 @@
             for member in membership.table.endpoints(backend.endpoint.service)
             if member.id != membership.me.id
         ]
-        self._absences.observe(others, trio.current_time())
+        self._availability.observe(others, trio.current_time())
 
     async def _note_stop(self, stopping: trio.Event) -> None:
         await stopping.wait()
@@ -346,7 +346,7 @@
             )
             self._keys.joined(endpoint.service)
             if old is None or old.endpoint.service != endpoint.service:
-                self._absences = Absences()
+                self._availability = EndpointAvailability()
         if endpoint.state != EndpointState.READY:
             self._reject_queued_calls()
 
--- a/tests/test_core_stops.py
+++ b/tests/test_core_stops.py
@@ -5,7 +5,7 @@
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
-from gypsumhall.core._stops import Absences
+from gypsumhall.core._stops import EndpointAvailability
 from gypsumhall.core._stops import RETURN_S
 from gypsumhall.testing import builders
 
@@ -21,7 +21,7 @@
 
 def test_the_last_ready_endpoint_waits_for_the_one_that_restarts() -> None:
     """Both of two endpoints were away for 1.4 s on a day of restarts."""
-    absences = Absences()
+    absences = EndpointAvailability()
     absences.observe([_member(1)], 0.0)
     assert absences.may_stop(0.5)
     absences.observe([_member(1, EndpointState.DRAINING)], 1.0)
@@ -33,7 +33,7 @@
 
 
 def test_an_endpoint_that_left_for_good_does_not_hold_a_stop() -> None:
-    absences = Absences()
+    absences = EndpointAvailability()
     absences.observe([_member(1)], 0.0)
     absences.observe([], 1.0)
     assert not absences.may_stop(1.0 + RETURN_S / 2)
@@ -41,7 +41,7 @@
 
 
 def test_a_few_of_many_endpoints_may_be_away_together() -> None:
-    absences = Absences()
+    absences = EndpointAvailability()
     absences.observe([_member(index) for index in range(1, 12)], 0.0)
     absences.observe([_member(index) for index in range(3, 12)], 1.0)
     assert absences.away(1.0) == 2
@@ -51,13 +51,13 @@
 
 
 def test_a_daemon_with_the_only_endpoint_stops_at_once() -> None:
-    absences = Absences()
+    absences = EndpointAvailability()
     absences.observe([], 0.0)
     assert absences.may_stop(0.0)
 
 
 def test_daemons_that_leave_or_are_dead_are_not_ready() -> None:
-    absences = Absences()
+    absences = EndpointAvailability()
     absences.observe(
         [
             _member(1, status=MemberStatus.LEAVING),
