--- a/gypsumhall/core/_limits.py
+++ b/gypsumhall/core/_limits.py
@@ -7,12 +7,12 @@
 
 
 class ConcurrencyLimit:
-    """Limit on requests in flight that falls when latency shows overload.
+    """Limit on requests in flight that is lowered when latency shows overload.
 
-    The limit starts at the number of slots and never exceeds it. Latencies
-    are compared window by window with the lowest recent median: a median of
-    more than twice that value while the limit is in use lowers the limit by
-    a tenth, any other window raises it by one.
+    The limit starts at the number of slots and never exceeds it. For each
+    window of calls, the median latency is compared with the lowest recent
+    median: more than twice that value while the limit was reached lowers the
+    limit by a tenth, any other window raises it by one.
 
     Parameters
     ----------
@@ -25,16 +25,17 @@
         '_latencies',
         '_limit',
         '_slots',
-        '_used',
+        '_was_reached',
         '_window_start',
     )
 
-    # Fewer samples make the median of mixed requests too uncertain.
+    # With fewer samples the median of mixed requests is too uncertain.
     _WINDOW_CALLS = 20
     _WINDOW_S = 0.5
-    # The baseline follows a lasting change of latency in about 35 windows.
+    # Growth per window: the baseline adapts to a lasting change of latency in
+    # about 35 windows.
     _BASELINE_GROWTH = 1.02
-    _TOLERANCE = 2.0
+    _MAX_LATENCY_RATIO = 2.0
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
@@ -42,7 +43,7 @@
         self._latencies: list[float] = []
         self._baseline_s = float('inf')
         self._window_start = 0.0
-        self._used = False
+        self._was_reached = False
 
     @property
     def limit(self) -> int:
@@ -50,7 +51,7 @@
         return self._limit
 
     def record(self, now: float, latency_s: float, in_flight: int) -> None:
-        """Take the latency of a finished request into account.
+        """Record the latency of a finished request.
 
         Parameters
         ----------
@@ -62,21 +63,24 @@
             Requests in flight when it ended, itself included.
         """
         self._latencies.append(latency_s)
-        self._used = self._used or in_flight >= self._limit
+        self._was_reached = self._was_reached or in_flight >= self._limit
         if (
             len(self._latencies) < self._WINDOW_CALLS
             or now - self._window_start < self._WINDOW_S
         ):
             return
         median = statistics.median(self._latencies)
-        grown = self._baseline_s * self._BASELINE_GROWTH
-        self._baseline_s = min(grown, median)
-        if median > self._TOLERANCE * self._baseline_s and self._used:
+        raised_s = self._baseline_s * self._BASELINE_GROWTH
+        self._baseline_s = min(raised_s, median)
+        if (
+            median > self._MAX_LATENCY_RATIO * self._baseline_s
+            and self._was_reached
+        ):
             self._limit = max(1, min(self._limit - 1, self._limit * 9 // 10))
         else:
             self._limit = min(self._slots, self._limit + 1)
         self._latencies.clear()
-        self._used = False
+        self._was_reached = False
         self._window_start = now
 
 
@@ -90,7 +94,7 @@
 
 
 class AdmissionQueue:
-    """Decides which calls run, wait or are refused.
+    """Decides which calls run, are queued or are rejected.
 
     Parameters
     ----------
@@ -99,7 +103,13 @@
         queue holds at most twice as many.
     """
 
-    __slots__ = ('_in_flight', '_limit', '_mean_s', '_queued', '_slots')
+    __slots__ = (
+        '_in_flight',
+        '_limit',
+        '_mean_service_time_s',
+        '_queued',
+        '_slots',
+    )
 
     # Weight of the latest service time in the moving mean.
     _WEIGHT = 0.1
@@ -109,11 +119,11 @@
         self._limit = ConcurrencyLimit(slots)
         self._in_flight = 0
         self._queued = 0
-        self._mean_s = 0.0
+        self._mean_service_time_s = 0.0
 
     @property
     def slots(self) -> int:
-        """Slots of the backend server."""
+        """Requests that the backend server executes at the same time."""
         return self._slots
 
     @property
@@ -128,7 +138,7 @@
 
     @property
     def queued(self) -> int:
-        """Requests waiting for a slot."""
+        """Requests queued for a slot."""
         return self._queued
 
     @property
@@ -137,16 +147,18 @@
         return self._in_flight < self._limit.limit
 
     def resize(self, slots: int) -> None:
-        """Take over another number of slots."""
+        """Change the number of slots and reset the concurrency limit."""
         self._slots = slots
         self._limit = ConcurrencyLimit(slots)
 
     def expected_wait_s(self) -> float:
-        """Return the time in seconds that a call queued now would wait."""
-        return (self._queued + 1) * self._mean_s / self._limit.limit
+        """Return the expected wait in seconds of a call queued now."""
+        return (
+            (self._queued + 1) * self._mean_service_time_s / self._limit.limit
+        )
 
     def admit(self, time_left_s: float) -> Admission:
-        """Decide about a new call and count it.
+        """Decide about a new call and count it unless it is rejected.
 
         Parameters
         ----------
@@ -164,12 +176,12 @@
         return Admission.QUEUE
 
     def dequeue(self, *, run: bool) -> None:
-        """Take a call out of the queue.
+        """Remove a call from the queue.
 
         Parameters
         ----------
         run : bool
-            Whether it runs now; False when it was given up.
+            Whether it runs now; False when it was cancelled or timed out.
         """
         self._queued -= 1
         self._in_flight += run
@@ -182,39 +194,41 @@
         now : float
             Current time in seconds.
         service_time_s : float or None
-            Time in seconds that it took; None when it was cut short.
+            Service time in seconds; None when the run was aborted.
         """
         if service_time_s is not None:
             self._limit.record(now, service_time_s, self._in_flight)
-            if self._mean_s:
-                self._mean_s += self._WEIGHT * (service_time_s - self._mean_s)
+            if self._mean_service_time_s:
+                self._mean_service_time_s += self._WEIGHT * (
+                    service_time_s - self._mean_service_time_s
+                )
             else:
-                self._mean_s = service_time_s
+                self._mean_service_time_s = service_time_s
         self._in_flight -= 1
 
 
 class RetryBudget:
-    """Allows retries up to a share of the calls plus a floor.
+    """Token bucket that limits retries to a share of the calls plus a floor.
 
     Parameters
     ----------
     share : float
         Retries per call.
     floor_per_s : float
-        Retries per second that are always allowed.
+        Retries per second that are allowed whatever the number of calls.
     """
 
-    __slots__ = ('_floor_per_s', '_now', '_share', '_tokens')
+    __slots__ = ('_floor_per_s', '_refilled_at', '_share', '_tokens')
 
-    # Budget that was not used is kept up to this many seconds of the
-    # floor, so that a long quiet period does not allow a burst of retries.
-    _KEPT_S = 10.0
+    # Unused tokens accumulate up to this many seconds of the floor, so that a
+    # long period without retries does not allow a burst of them.
+    _MAX_BURST_S = 10.0
 
     def __init__(self, share: float = 0.1, floor_per_s: float = 10.0) -> None:
         self._share = share
         self._floor_per_s = floor_per_s
         self._tokens = floor_per_s
-        self._now = 0.0
+        self._refilled_at = 0.0
 
     @property
     def available(self) -> int:
@@ -222,9 +236,9 @@
         return int(self._tokens)
 
     def set_floor(self, floor_per_s: float) -> None:
-        """Change the floor; what was kept beyond the new one is lost."""
+        """Change the floor; tokens above the new maximum are discarded."""
         self._floor_per_s = floor_per_s
-        self._tokens = min(self._tokens, floor_per_s * self._KEPT_S)
+        self._tokens = min(self._tokens, floor_per_s * self._MAX_BURST_S)
 
     def call(self, now: float) -> None:
         """Count a call."""
@@ -239,14 +253,14 @@
         return True
 
     def refund(self) -> None:
-        """Return a retry that reached no endpoint."""
+        """Return a retry that reached no endpoint to the budget."""
         self._tokens += 1.0
 
     def _refill(self, now: float, tokens: float) -> None:
-        elapsed = max(0.0, now - self._now)
-        self._now = now
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = now
         self._tokens = min(
-            self._floor_per_s * self._KEPT_S,
+            self._floor_per_s * self._MAX_BURST_S,
             self._tokens + tokens + elapsed * self._floor_per_s,
         )
 
@@ -259,8 +273,8 @@
     failures : int
         Consecutive failures after which an endpoint is ejected.
     base_s, max_s : float
-        First and longest time of ejection in seconds; it doubles with
-        each ejection that follows without a success between.
+        First and longest duration of an ejection in seconds; the duration
+        doubles with each ejection that follows without a success between.
     """
 
     __slots__ = ('_base_s', '_failures', '_max_s', '_states')
@@ -271,12 +285,13 @@
         self._failures = failures
         self._base_s = base_s
         self._max_s = max_s
-        # Endpoint id -> [consecutive failures, ejections, ejected until].
+        # By endpoint id: consecutive failures, number of ejections, and time
+        # in seconds until which the endpoint is ejected.
         self._states: dict[str, list[float]] = {}
 
     @property
     def any_failure(self) -> bool:
-        """Whether any endpoint failed since its last success."""
+        """Whether any endpoint has failed since its last success."""
         return bool(self._states)
 
     def success(self, endpoint: str) -> None:
@@ -294,7 +309,7 @@
             state[:] = [0, state[1] + 1, now + duration]
 
     def forget(self, endpoint: str) -> None:
-        """Drop the state of an endpoint that is gone."""
+        """Remove the state of an endpoint that has left."""
         self._states.pop(endpoint, None)
 
     def ejected(self, endpoint: str, now: float) -> bool:
@@ -303,17 +318,17 @@
         return state is not None and state[2] > now
 
     def usable(self, endpoints: list[str], now: float) -> list[str]:
-        """Return the endpoints that may get calls, at least half of them.
+        """Return the endpoints that may get calls, at least half of all.
 
-        When more than half are ejected, those whose ejection ends first
-        are used again.
+        When more than half are ejected, those whose ejection ends first are
+        returned as well.
         """
         if not self._states:
             return endpoints
-        good = [item for item in endpoints if not self.ejected(item, now)]
-        missing = (len(endpoints) + 1) // 2 - len(good)
+        selected = [item for item in endpoints if not self.ejected(item, now)]
+        missing = (len(endpoints) + 1) // 2 - len(selected)
         if missing > 0:
             ejected = [item for item in endpoints if self.ejected(item, now)]
             ejected.sort(key=lambda item: self._states[item][2])
-            good += ejected[:missing]
-        return good
+            selected += ejected[:missing]
+        return selected
--- a/gypsumhall/core/_routing.py
+++ b/gypsumhall/core/_routing.py
@@ -15,10 +15,10 @@
     from gypsumhall.core._member import Member
     from gypsumhall.core._snapshot import Split
 
-# Load reports lag; an older one says nothing about the present.
-_REPORT_KEPT_S = 2.0
+# Age in seconds from which a load report is ignored as outdated.
+_MAX_REPORT_AGE_S = 2.0
 _SLOW_START_S = 10.0
-# Share of an equal load that an endpoint gets when it has just appeared.
+# Initial load of a new endpoint as a share of an equal load.
 _SLOW_START_SHARE = 0.1
 
 
@@ -30,7 +30,7 @@
     Parameters
     ----------
     split : Split
-        How the calls of the service are divided.
+        Shares of the calls for the old and the new version.
     rng : Random
         Source of randomness.
     idempotent : bool
@@ -48,57 +48,66 @@
 
 
 @dataclass(slots=True)
-class _State:
+class _EndpointRecord:
     member: Member
     slots: int
     ready_since: float
     in_flight: int = 0
-    reported: int = 0
+    reported_load: int = 0
     reported_at: float = float('-inf')
     full: bool = False
 
-    def load(self, now: float) -> float:
-        busy = self.in_flight + 1
-        if now - self.reported_at < _REPORT_KEPT_S:
-            busy += self.reported
+    def utilisation(self, now: float) -> float:
+        load = self.in_flight + 1
+        if now - self.reported_at < _MAX_REPORT_AGE_S:
+            load += self.reported_load
         age = now - self.ready_since
         if age >= _SLOW_START_S:
-            return busy / self.slots
+            return load / self.slots
         share = max(_SLOW_START_SHARE, age / _SLOW_START_S)
-        return busy / (self.slots * share)
+        return load / (self.slots * share)
 
     def saturated(self, now: float) -> bool:
-        return self.full and now - self.reported_at < _REPORT_KEPT_S
+        return self.full and now - self.reported_at < _MAX_REPORT_AGE_S
 
 
 @dataclass(slots=True)
 class _ServiceIndex:
     revision: int
-    near: dict[str, list[str]]
-    far: dict[str, list[str]]
+    # Ids of the endpoints in the own zone and in other zones, by version.
+    own_zone: dict[str, list[str]]
+    other_zones: dict[str, list[str]]
 
 
 class Router:
-    """Endpoints of all services as one sender sees them.
+    """Router of one sender to the endpoints of all services.
 
     Parameters
     ----------
     zone : str
-        Availability zone of the sender; its endpoints come first.
+        Availability zone of the sender, whose endpoints are preferred.
     rng : Random
         Source of randomness.
     me : str
-        Id of the sender. Calls of an endpoint on its VM skip the exchange,
-        so that it is chosen unless it is loaded more than another one.
+        Id of the sender's member. Calls to the endpoint on its own VM need
+        no exchange with another daemon, so that endpoint is chosen unless it
+        has a higher load than another one.
     """
 
-    __slots__ = ('_ejection', '_me', '_rng', '_services', '_states', '_zone')
+    __slots__ = (
+        '_ejection',
+        '_me',
+        '_records',
+        '_rng',
+        '_services',
+        '_zone',
+    )
 
     def __init__(self, zone: str, rng: Random, me: str = '') -> None:
         self._zone = zone
         self._me = me
         self._rng = rng
-        self._states: dict[str, _State] = {}
+        self._records: dict[str, _EndpointRecord] = {}
         self._services: dict[str, _ServiceIndex] = {}
         self._ejection = OutlierEjection()
 
@@ -114,36 +123,38 @@
         revision: int,
         now: float,
     ) -> None:
-        """Take over the endpoints of a service from the member table.
+        """Update the endpoints of a service from the member table.
 
         Parameters
         ----------
         service : str
             Name of the service.
         members : sequence of Member
-            Members with an endpoint of it, whatever their status.
+            Members with an endpoint of it, in any status.
         revision : int
             Revision of the member table.
         now : float
             Current time in seconds.
         """
-        near: dict[str, list[str]] = {}
-        far: dict[str, list[str]] = {}
+        own_zone: dict[str, list[str]] = {}
+        other_zones: dict[str, list[str]] = {}
         old = self._services.get(service)
-        kept = set()
+        ready_ids = set()
         for member in members:
             endpoint = member.endpoint
             if endpoint is None or not member.is_ready:
                 continue
-            kept.add(member.id)
+            ready_ids.add(member.id)
             self._observe(member, endpoint.slots, now)
-            side = near if member.zone == self._zone else far
-            side.setdefault(endpoint.version, []).append(member.id)
+            group = own_zone if member.zone == self._zone else other_zones
+            group.setdefault(endpoint.version, []).append(member.id)
         if old is not None:
-            for side in (old.near, old.far):
-                for ids in side.values():
-                    self._remove(set(ids) - kept)
-        self._services[service] = _ServiceIndex(revision, near, far)
+            for group in (old.own_zone, old.other_zones):
+                for ids in group.values():
+                    self._remove(set(ids) - ready_ids)
+        self._services[service] = _ServiceIndex(
+            revision, own_zone, other_zones
+        )
 
     def choose(
         self,
@@ -161,7 +172,7 @@
         now : float
             Current time in seconds.
         exclude : collection of str
-            Ids of members that were tried before; they are used only when
+            Ids of members that were tried before; they are chosen only when
             no other is left.
 
         Returns
@@ -172,33 +183,38 @@
         index = self._services.get(service)
         if index is None:
             return None
-        near = index.near.get(version, [])
-        far = index.far.get(version, [])
-        if near and not exclude and not self._ejection.any_failure:
-            chosen = self._pick(near, now)
-            if not self._states[chosen.id].saturated(now):
+        own_zone = index.own_zone.get(version, [])
+        other_zones = index.other_zones.get(version, [])
+        if own_zone and not exclude and not self._ejection.any_failure:
+            chosen = self._pick(own_zone, now)
+            if not self._records[chosen.id].saturated(now):
                 return chosen
-        usable = set(self._ejection.usable(near + far, now))
-        sides = [[i for i in side if i in usable] for side in (near, far)]
+        usable = set(self._ejection.usable(own_zone + other_zones, now))
+        zone_groups = [
+            [i for i in group if i in usable]
+            for group in (own_zone, other_zones)
+        ]
         free = [
             [
                 i
-                for i in side
-                if i not in exclude and not self._states[i].saturated(now)
+                for i in group
+                if i not in exclude and not self._records[i].saturated(now)
             ]
-            for side in sides
+            for group in zone_groups
+        ]
+        untried = [
+            [i for i in group if i not in exclude] for group in zone_groups
         ]
-        untried = [[i for i in side if i not in exclude] for side in sides]
-        for ids in (*free, *untried, *sides):
+        for ids in (*free, *untried, *zone_groups):
             if ids:
                 return self._pick(ids, now)
         return None
 
     def begin(self, member_id: str) -> None:
         """Count a call that is sent to an endpoint."""
-        state = self._states.get(member_id)
-        if state is not None:
-            state.in_flight += 1
+        record = self._records.get(member_id)
+        if record is not None:
+            record.in_flight += 1
 
     def end(self, member_id: str, now: float, *, failed: bool | None) -> None:
         """Count the end of a call.
@@ -210,13 +226,12 @@
         now : float
             Current time in seconds.
         failed : bool or None
-            Whether the endpoint failed; None when the call says nothing
-            about it.
+            Whether the endpoint failed; None when the call gives no evidence.
         """
-        state = self._states.get(member_id)
-        if state is None:
+        record = self._records.get(member_id)
+        if record is None:
             return
-        state.in_flight = max(0, state.in_flight - 1)
+        record.in_flight = max(0, record.in_flight - 1)
         if failed:
             self._ejection.failure(member_id, now)
         elif failed is not None:
@@ -225,7 +240,7 @@
     def report(
         self, member_id: str, now: float, busy: int, *, full: bool
     ) -> None:
-        """Take over the load that came with a response.
+        """Record the load that was reported with a response.
 
         Parameters
         ----------
@@ -238,51 +253,54 @@
         full : bool
             Whether the queue is full.
         """
-        state = self._states.get(member_id)
-        if state is not None:
-            # The sender counts its own calls itself.
-            state.reported = max(0, busy - state.in_flight)
-            state.reported_at = now
-            state.full = full
+        record = self._records.get(member_id)
+        if record is not None:
+            # `in_flight` counts the calls of this sender.
+            record.reported_load = max(0, busy - record.in_flight)
+            record.reported_at = now
+            record.full = full
 
     def _observe(self, member: Member, slots: int, now: float) -> None:
-        state = self._states.get(member.id)
+        record = self._records.get(member.id)
         if (
-            state is None
-            or state.member.endpoint != member.endpoint
-            or state.member.incarnation != member.incarnation
+            record is None
+            or record.member.endpoint != member.endpoint
+            or record.member.incarnation != member.incarnation
         ):
-            in_flight = 0 if state is None else state.in_flight
-            self._states[member.id] = _State(
+            in_flight = 0 if record is None else record.in_flight
+            self._records[member.id] = _EndpointRecord(
                 member, max(1, slots), now, in_flight
             )
         else:
-            state.member = member
+            record.member = member
 
     def _remove(self, member_ids: set[str]) -> None:
         for member_id in member_ids:
-            self._states.pop(member_id, None)
+            self._records.pop(member_id, None)
             self._ejection.forget(member_id)
 
     def _pick(self, ids: list[str], now: float) -> Member:
-        """Choose the less loaded of two, or the own VM's if that is idler."""
+        """Choose the own VM's endpoint unless one of two has a lower load."""
         chosen = self._two_choices(ids, now)
-        if self._me in self._states and self._me in ids:
-            own = self._states[self._me]
-            if own.load(now) <= self._states[chosen.id].load(now):
+        if self._me in self._records and self._me in ids:
+            own = self._records[self._me]
+            if own.utilisation(now) <= self._records[chosen.id].utilisation(
+                now
+            ):
                 return own.member
         return chosen
 
     def _two_choices(self, ids: list[str], now: float) -> Member:
         count = len(ids)
         index = int(self._rng.random() * count)
-        first = self._states[ids[index]]
+        first = self._records[ids[index]]
         if count == 1:
             return first.member
-        # Two different endpoints: with the same one twice, a quarter of the
-        # calls would go to the slower of two endpoints whatever its load.
+        # The two endpoints must differ: if the same one could be drawn twice,
+        # a quarter of the calls would go to the slower of two endpoints
+        # whatever its load.
         index += 1 + int(self._rng.random() * (count - 1))
-        second = self._states[ids[index % count]]
-        if second.load(now) < first.load(now):
+        second = self._records[ids[index % count]]
+        if second.utilisation(now) < first.utilisation(now):
             return second.member
         return first.member
--- a/gypsumhall/core/_stops.py
+++ b/gypsumhall/core/_stops.py
@@ -1,11 +1,11 @@
-"""Order of planned stops of daemons that serve one service.
-
-An endpoint is out of reach while the daemon beside it restarts. The load
-pattern is a third or more of the daemons being restarted in turn, a second
-apart: with two endpoints of a service, both would be away at the same time.
-A daemon that is asked to stop therefore goes on serving its endpoint while
-too many others of the service are away. ``tests/test_core_stops.py`` replays
-the pattern.
+"""Limit on planned stops of daemons that serve one service.
+
+An endpoint is unavailable while the daemon beside it restarts. In a rolling
+restart of a third or more of the daemons, a second apart, both endpoints of a
+service with two of them would be unavailable at the same time. A daemon that
+is asked to stop therefore continues to serve its endpoint while too many
+others of the service are unavailable. ``tests/test_core_stops.py`` simulates
+this load pattern.
 """
 
 from __future__ import annotations
@@ -17,61 +17,63 @@
 
     from gypsumhall.core._member import Member
 
-RETURN_S = 4.0
-"""Time in seconds after which an endpoint that has vanished is not expected
-back: a daemon that restarts needs two to three."""
+MAX_RESTART_S = 4.0
+"""Time in seconds after which an endpoint that is no longer ready is treated
+as removed: a daemon needs two to three seconds to restart."""
 
-AWAY_SHARE = 1 / 3
-"""Largest share of a service's endpoints that may be away at a time, this
-one included. The rest has room for their calls at two thirds of the load."""
+MAX_UNAVAILABLE_SHARE = 1 / 3
+"""Largest share of a service's endpoints that may be unavailable at a time,
+including this one. The others have room for the calls of the unavailable ones
+while the service runs at up to two thirds of its capacity."""
 
 
 class EndpointAvailability:
-    """Endpoints of one service that have been ready a short time ago."""
+    """Recent availability of the other endpoints of one service."""
 
-    __slots__ = ('_ready', '_seen')
+    __slots__ = ('_ready_at', '_ready_ids')
 
     def __init__(self) -> None:
-        self._seen: dict[str, float] = {}
-        self._ready: set[str] = set()
+        self._ready_at: dict[str, float] = {}
+        self._ready_ids: set[str] = set()
 
     def observe(self, members: Iterable[Member], now: float) -> None:
-        """Take over the members with an endpoint of the service.
+        """Update the availability from the members with an endpoint.
 
         Parameters
         ----------
         members : iterable of Member
-            All of them but the own one, whatever their status.
+            All other members with an endpoint of the service, in any status.
         now : float
             Current time in seconds.
         """
-        ready = {member.id for member in members if member.is_ready}
-        for member_id in ready | self._ready:
-            self._seen[member_id] = now
-        self._ready = ready
-        self._seen = {
-            member_id: seen
-            for member_id, seen in self._seen.items()
-            if now - seen < RETURN_S
+        ready_ids = {member.id for member in members if member.is_ready}
+        for member_id in ready_ids | self._ready_ids:
+            self._ready_at[member_id] = now
+        self._ready_ids = ready_ids
+        self._ready_at = {
+            member_id: ready_at
+            for member_id, ready_at in self._ready_at.items()
+            if now - ready_at < MAX_RESTART_S
         }
 
     @property
     def ready(self) -> int:
         """Number of other endpoints that are ready."""
-        return len(self._ready)
+        return len(self._ready_ids)
 
-    def away(self, now: float) -> int:
-        """Return how many endpoints are expected to come back."""
+    def unavailable(self, now: float) -> int:
+        """Return the number of other endpoints that are restarting."""
         return sum(
             1
-            for member_id, seen in self._seen.items()
-            if member_id not in self._ready and now - seen < RETURN_S
+            for member_id, ready_at in self._ready_at.items()
+            if member_id not in self._ready_ids
+            and now - ready_at < MAX_RESTART_S
         )
 
     def may_stop(self, now: float) -> bool:
-        """Whether one more endpoint may go away now."""
-        away = self.away(now)
-        if not away:
+        """Whether one more endpoint may become unavailable now."""
+        unavailable = self.unavailable(now)
+        if not unavailable:
             return True
-        known = len(self._ready) + away + 1
-        return away + 1 <= AWAY_SHARE * known
+        total = len(self._ready_ids) + unavailable + 1
+        return unavailable + 1 <= MAX_UNAVAILABLE_SHARE * total
--- a/tests/test_core_stops.py
+++ b/tests/test_core_stops.py
@@ -6,7 +6,7 @@
 from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
 from gypsumhall.core._stops import EndpointAvailability
-from gypsumhall.core._stops import RETURN_S
+from gypsumhall.core._stops import MAX_RESTART_S
 from gypsumhall.testing import builders
 
 
@@ -36,15 +36,15 @@
     absences = EndpointAvailability()
     absences.observe([_member(1)], 0.0)
     absences.observe([], 1.0)
-    assert not absences.may_stop(1.0 + RETURN_S / 2)
-    assert absences.may_stop(1.0 + RETURN_S)
+    assert not absences.may_stop(1.0 + MAX_RESTART_S / 2)
+    assert absences.may_stop(1.0 + MAX_RESTART_S)
 
 
 def test_a_few_of_many_endpoints_may_be_away_together() -> None:
     absences = EndpointAvailability()
     absences.observe([_member(index) for index in range(1, 12)], 0.0)
     absences.observe([_member(index) for index in range(3, 12)], 1.0)
-    assert absences.away(1.0) == 2
+    assert absences.unavailable(1.0) == 2
     assert absences.may_stop(1.0)
     absences.observe([_member(index) for index in range(5, 12)], 1.2)
     assert not absences.may_stop(1.2)
