Reword the tests of calls, the queue, the load balancer and stops

Test names state the expected behaviour, heads state the failure guarded against; replays are simulations.

--- a/tests/test_core_calls.py
+++ b/tests/test_core_calls.py
@@ -41,8 +41,8 @@
 class LedgerMachine(RuleBasedStateMachine):
     """No id runs twice, and none that a query has refused ever runs.
 
-    Starts and queries arrive in any order, late or more than once, while
-    limits and time make the ledger forget.
+    Starts and queries arrive in any order, late or more than once, while the
+    ledger removes entries by its size limits and their age.
     """
 
     def __init__(self) -> None:
@@ -104,9 +104,9 @@
         self.put(me)
 
     def put(self, member: Member) -> None:
-        held = self.table.get(member.id)
+        stored = self.table.get(member.id)
         order = (member.incarnation, member.sequence)
-        if held is None or (held.incarnation, held.sequence) < order:
+        if stored is None or (stored.incarnation, stored.sequence) < order:
             self.table[member.id] = member
 
     def observe(self, now: float) -> None:
@@ -114,14 +114,14 @@
 
 
 _NODES = st.integers(0, 3)
-_LOST = st.sets(st.integers(0, 3), max_size=1)
+_UNREACHABLE = st.sets(st.integers(0, 3), max_size=1)
 
 
 class OwnershipMachine(RuleBasedStateMachine):
     """No key runs twice while member tables differ and daemons restart.
 
     The first daemon never restarts: when all daemons of a service are
-    replaced at once, nobody is left who knows which keys have been used.
+    replaced at once, none is left that knows which keys have been used.
     """
 
     @initialize()
@@ -138,10 +138,10 @@
         for node in self.nodes:
             node.observe(self.now)
 
-    @rule(source=_NODES, receiver=_NODES, about=_NODES)
-    def spread(self, source: int, receiver: int, about: int) -> None:
-        member = self.nodes[source].table[f'd{about}']
-        if about != receiver:
+    @rule(source=_NODES, receiver=_NODES, subject=_NODES)
+    def send_entry(self, source: int, receiver: int, subject: int) -> None:
+        member = self.nodes[source].table[f'd{subject}']
+        if subject != receiver:
             self.nodes[receiver].put(member)
             self.nodes[receiver].observe(self.now)
 
@@ -154,8 +154,8 @@
         self.nodes[index].observe(self.now)
 
     @rule(observer=_NODES, index=st.integers(1, 3))
-    def suspect_death(self, observer: int, index: int) -> None:
-        """A daemon holds another one for dead, rightly or not."""
+    def declare_dead(self, observer: int, index: int) -> None:
+        """A daemon considers another one dead, rightly or wrongly."""
         if observer != index:
             node = self.nodes[observer]
             member = node.table[f'd{index}']
@@ -182,10 +182,12 @@
     @rule(
         index=_NODES,
         key=st.sampled_from(['k0', 'k1', 'k2']),
-        lost=_LOST,
+        unreachable=_UNREACHABLE,
         runs=st.booleans(),
     )
-    def use(self, index: int, key: str, lost: set[int], runs: bool) -> None:
+    def use_key(
+        self, index: int, key: str, unreachable: set[int], runs: bool
+    ) -> None:
         node = self.nodes[index]
         chosen = owner('availability', key, node.table.values())
         if chosen is None or chosen.id != node.me.id:
@@ -195,7 +197,7 @@
             node.keys.reclaim('availability', key, b'')
         elif entry.state != KeyState.NEW:
             return
-        if self._released(node, key, entry.released_to, lost) and runs:
+        if self._released(node, key, entry.released_to, unreachable) and runs:
             self.runs[key] += 1
             assert self.runs[key] == 1
             node.keys.finish('availability', key, self.now, KeyState.DONE)
@@ -207,7 +209,7 @@
         node: _Node,
         key: str,
         released_to: set[tuple[str, int]],
-        lost: set[int],
+        unreachable: set[int],
     ) -> bool:
         former = node.history.former_owners(key, self.now, 0.0)
         asked = tuple((item.id, item.incarnation) for item in former.ask)
@@ -221,7 +223,7 @@
         to = (node.me.id, node.me.incarnation)
         for member in former.ask:
             target = self.nodes[int(member.id[1:])]
-            if int(member.id[1:]) in lost:
+            if int(member.id[1:]) in unreachable:
                 certain = False
                 continue
             state = target.keys.release(
@@ -247,16 +249,19 @@
 TestOwnership.settings = _MACHINE_SETTINGS
 
 
-def test_key_response_is_kept_within_the_byte_limit() -> None:
-    """Large responses must not use up the memory; the keys stay known."""
+def test_responses_of_keys_are_stored_within_the_byte_limit() -> None:
+    """Guards against large responses that exhaust the memory.
+
+    Only responses are removed; the keys themselves remain.
+    """
     ledger = KeyLedger(max_bytes=100)
     for index in range(5):
         assert ledger.begin('s', f'k{index}', b'd', 0.0).state == KeyState.NEW
         response = RecordedResponse(200, (), bytes(40))
         ledger.finish('s', f'k{index}', 0.0, KeyState.DONE, response)
-    kept = [ledger.begin('s', f'k{index}', b'd', 0.0) for index in range(5)]
-    assert [entry.state for entry in kept] == [KeyState.DONE] * 5
-    assert [entry.response is not None for entry in kept] == (
+    entries = [ledger.begin('s', f'k{index}', b'd', 0.0) for index in range(5)]
+    assert [entry.state for entry in entries] == [KeyState.DONE] * 5
+    assert [entry.response is not None for entry in entries] == (
         [False] * 3 + [True] * 2
     )
     assert ledger.begin('s', 'k0', b'e', 0.0).state == KeyState.MISMATCH
@@ -264,7 +269,7 @@
 
 
 def test_concurrency_limit_falls_under_overload_and_recovers() -> None:
-    """A server that slows down above a load keeps a usable latency."""
+    """Guards against high latency of a server that slows down under load."""
     queue = AdmissionQueue(10)
     now = 0.0
     lowest = 10
@@ -283,7 +288,7 @@
     assert queue.limit == 10
 
 
-def test_queue_refuses_what_cannot_make_its_deadline() -> None:
+def test_queue_rejects_calls_that_would_miss_their_deadline() -> None:
     queue = AdmissionQueue(2)
     assert queue.admit(1.0) == Admission.RUN
     queue.finish(1.0, 0.5)
@@ -293,8 +298,8 @@
     assert queue.admit(9.0) == Admission.QUEUE_FULL
 
 
-def test_retry_budget_bounds_the_share_of_retries() -> None:
-    """Retries must not multiply the load when everything fails."""
+def test_retry_budget_limits_the_share_of_retries() -> None:
+    """Guards against retries that multiply the load when all calls fail."""
     budget = RetryBudget()
     retries = 0
     for index in range(10_000):
@@ -304,7 +309,7 @@
     assert 1000 <= retries <= 1000 + 10 * 10 + 10
 
 
-def test_ejection_spares_half_of_the_endpoints_and_backs_off() -> None:
+def test_ejection_leaves_half_of_the_endpoints_and_backs_off() -> None:
     ejection = OutlierEjection()
     ids = ['a', 'b', 'c', 'd']
     now = 0.0
@@ -344,11 +349,11 @@
     ) == ('v1')
 
 
-def test_a_handover_tells_of_processes_that_are_gone() -> None:
-    """A key that a killed owner has run must not run for a second time.
+def test_handover_names_owners_that_have_died() -> None:
+    """Guards against running a key again after its owner was killed.
 
-    A daemon that started after that owner died may know of it only through
-    the daemon that hands its keys over.
+    A daemon that started after that owner died may learn of it only from the
+    daemon that hands its keys over.
     """
     endpoint = builders.build_endpoint()
     members = [
@@ -373,7 +378,7 @@
 
 
 def test_own_endpoint_is_preferred_until_it_is_busier() -> None:
-    """The preference must not pile calls up on one backend server."""
+    """Guards against a preference that overloads one backend server."""
     router = Router('az-1', Random(1), 'd0')
     endpoint = builders.build_endpoint(slots=4)
     members = [
@@ -397,8 +402,8 @@
     assert member is not None and member.id != 'd0'
 
 
-def test_own_zone_comes_first_and_new_endpoints_start_slowly() -> None:
-    """Another zone is used only when the own one is full or gone."""
+def test_own_zone_is_preferred_and_new_endpoints_start_slowly() -> None:
+    """Another zone is used only without a free endpoint in the own one."""
     router = Router('az-1', Random(1))
     endpoint = builders.build_endpoint()
     members = [
--- a/tests/test_core_load_balancer.py
+++ b/tests/test_core_load_balancer.py
@@ -1,4 +1,4 @@
-"""Replays of the load patterns that `gypsumhall.core._load_balancer` answers."""
+"""Simulations of the load patterns of `gypsumhall.core._load_balancer`."""
 
 from __future__ import annotations
 
@@ -26,20 +26,20 @@
 
 _SERVICE = 'availability'
 _SLOTS = 4
-# Time in seconds that an endpoint is slow after its start, by the users' page.
+# Time in seconds for which an endpoint is slow after its start, as required.
 _COLD_S = 3.0
 
 
 class _Endpoint:
-    """Endpoint and the line of the daemon beside it, for replays."""
+    """Simulated endpoint with the queue of the daemon beside it."""
 
     def __init__(
-        self, name: str, service_time_s: float, since: float = -_COLD_S
+        self, name: str, service_time_s: float, started_at: float = -_COLD_S
     ) -> None:
         self.name = name
         self.service_time_s = service_time_s
-        self._warm_at = since + _COLD_S
-        self._line = CallQueue(_SLOTS)
+        self._warm_at = started_at + _COLD_S
+        self._queue = CallQueue(_SLOTS)
         self._slots = trio.CapacityLimiter(_SLOTS)
         # Sender and time of each call that arrived.
         self.calls: list[tuple[int, float]] = []
@@ -47,9 +47,9 @@
     @property
     def load(self) -> Load:
         waiting = self._slots.statistics().tasks_waiting
-        service_time_s = self._line.service_time_s
+        service_time_s = self._queue.service_time_s
         return Load(
-            self._line.running,
+            self._queue.running,
             waiting,
             _SLOTS,
             service_time_ms=service_time_s * 1000,
@@ -60,43 +60,43 @@
         self.calls.append((sender, trio.current_time()))
         async with self._slots:
             now = trio.current_time()
-            self._line.admit(now, QueuedCall('route', 0, now + 9, now + 9))
+            self._queue.admit(now, QueuedCall('route', 0, now + 9, now + 9))
             cold = now < self._warm_at
             await trio.sleep(self.service_time_s * (2 if cold else 1))
             end = trio.current_time()
-            self._line.finish('route', end - now, now=end)
+            self._queue.finish('route', end - now, now=end)
 
     def senders(self, start: float, end: float) -> Counter[int]:
-        """Return the calls of each sender that arrived in a time."""
+        """Return the number of calls of each sender between two times."""
         return Counter(
             sender for sender, time in self.calls if start <= time < end
         )
 
 
-class _Replay:
-    """Senders that call the endpoints of one service.
+class _Simulation:
+    """Simulated senders that call the endpoints of one service.
 
     Parameters
     ----------
     zones : list of str
         Zone of each sender.
     endpoints : list of _Endpoint
-        Endpoints that all senders know from their start.
+        Endpoints that all senders know from the start.
     seed : int
-        Seed of the load and of the choices.
+        Seed of the simulated load and of the load balancers.
     """
 
     def __init__(
         self, zones: list[str], endpoints: list[_Endpoint], seed: int
     ) -> None:
         self._rng = Random(seed)
-        self._placements = [
+        self._balancers = [
             LoadBalancer(zone, Random(seed * 100 + index))
             for index, zone in enumerate(zones)
         ]
         self._endpoints: dict[str, _Endpoint] = {}
         self._members: list[Member] = []
-        self.took_s: list[float] = []
+        self.response_times_s: list[float] = []
         for endpoint in endpoints:
             self.join(endpoint, 'az-1', update=False)
         self.update()
@@ -115,30 +115,30 @@
     def update(self) -> None:
         now = trio.current_time()
         revision = len(self._members)
-        for placement in self._placements:
-            placement.update(_SERVICE, self._members, revision, now)
+        for balancer in self._balancers:
+            balancer.update(_SERVICE, self._members, revision, now)
 
-    async def play(self, seconds: float, calls_per_s: float) -> None:
+    async def run(self, seconds: float, calls_per_s: float) -> None:
         """Send calls at random times and wait for their responses."""
         end = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 await trio.sleep(self._rng.expovariate(calls_per_s))
-                sender = self._rng.randrange(len(self._placements))
+                sender = self._rng.randrange(len(self._balancers))
                 nursery.start_soon(self._call, sender)
 
     async def _call(self, sender: int) -> None:
-        placement = self._placements[sender]
+        balancer = self._balancers[sender]
         start = trio.current_time()
-        member = placement.choose(_SERVICE, ANY_VERSION, start)
+        member = balancer.choose(_SERVICE, ANY_VERSION, start)
         assert member is not None
-        placement.begin(member.id)
+        balancer.begin(member.id)
         endpoint = self._endpoints[member.id]
         await endpoint.run(sender)
         now = trio.current_time()
-        placement.end(member.id, now, failed=False)
-        placement.report(member.id, now, endpoint.load)
-        self.took_s.append(now - start)
+        balancer.end(member.id, now, failed=False)
+        balancer.report(member.id, now, endpoint.load)
+        self.response_times_s.append(now - start)
 
 
 def _members(zones: list[str], version: str = 'v1') -> list[Member]:
@@ -149,143 +149,143 @@
     ]
 
 
-def _placement(zones: list[str]) -> LoadBalancer:
-    placement = LoadBalancer('az-1', Random(1))
-    placement.update(_SERVICE, _members(zones), 1, 0.0)
-    return placement
+def _balancer(zones: list[str]) -> LoadBalancer:
+    balancer = LoadBalancer('az-1', Random(1))
+    balancer.update(_SERVICE, _members(zones), 1, 0.0)
+    return balancer
 
 
-def _choices(
-    placement: LoadBalancer, now: float, count: int = 200
+def _count_choices(
+    balancer: LoadBalancer, now: float, count: int = 200
 ) -> Counter[str]:
     chosen: Counter[str] = Counter()
     for _ in range(count):
-        member = placement.choose(_SERVICE, ANY_VERSION, now)
+        member = balancer.choose(_SERVICE, ANY_VERSION, now)
         assert member is not None
         chosen[member.id] += 1
     return chosen
 
 
 def test_slow_endpoints_get_calls_only_when_others_are_busy() -> None:
-    placement = _placement(['az-1', 'az-1'])
-    placement.report('d0', 10.0, Load(0, 0, 4, service_time_ms=100.0))
-    placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=500.0))
-    assert _choices(placement, 10.0) == {'d0': 200}
+    balancer = _balancer(['az-1', 'az-1'])
+    balancer.report('d0', 10.0, Load(0, 0, 4, service_time_ms=100.0))
+    balancer.report('d1', 10.0, Load(0, 0, 4, service_time_ms=500.0))
+    assert _count_choices(balancer, 10.0) == {'d0': 200}
     full_load = Load(4, 20, 4, service_time_ms=100.0, wait_ms=600.0)
-    placement.report('d0', 10.0, full_load)
-    assert _choices(placement, 10.0)['d1'] > 190
+    balancer.report('d0', 10.0, full_load)
+    assert _count_choices(balancer, 10.0)['d1'] > 190
 
 
-def test_failing_endpoints_are_avoided_and_forgiven() -> None:
-    """Guards against endpoints that fail while their health is good."""
-    placement = _placement(['az-1', 'az-1'])
+def test_failing_endpoints_are_avoided_until_they_recover() -> None:
+    """Guards against endpoints that fail while they report good health."""
+    balancer = _balancer(['az-1', 'az-1'])
     for _ in range(5):
-        placement.begin('d0')
-        placement.end('d0', 10.0, failed=True)
-    assert _choices(placement, 10.0) == {'d1': 200}
-    later = _choices(placement, 60.0)
+        balancer.begin('d0')
+        balancer.end('d0', 10.0, failed=True)
+    assert _count_choices(balancer, 10.0) == {'d1': 200}
+    later = _count_choices(balancer, 60.0)
     assert 60 < later['d0'] < 140
 
 
-def test_another_zone_helps_when_the_own_one_is_busy() -> None:
-    placement = _placement(['az-1', 'az-2'])
+def test_another_zone_is_used_when_the_own_zone_is_busy() -> None:
+    balancer = _balancer(['az-1', 'az-2'])
     for member in ('d0', 'd1'):
-        placement.report(member, 10.0, Load(0, 0, 4, service_time_ms=100.0))
-    assert _choices(placement, 10.0) == {'d0': 200}
+        balancer.report(member, 10.0, Load(0, 0, 4, service_time_ms=100.0))
+    assert _count_choices(balancer, 10.0) == {'d0': 200}
     busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=75.0)
-    placement.report('d0', 10.0, busy)
-    assert _choices(placement, 10.0) == {'d1': 200}
+    balancer.report('d0', 10.0, busy)
+    assert _count_choices(balancer, 10.0) == {'d1': 200}
 
 
-def test_large_responses_stay_in_the_zone_longer_than_small_ones() -> None:
-    """Users pay for bytes between zones, not for crossings."""
-    placement = _placement(['az-1', 'az-2'])
+def test_calls_with_large_responses_stay_in_the_zone_longer() -> None:
+    """Traffic between zones is charged by bytes, not by calls."""
+    balancer = _balancer(['az-1', 'az-2'])
     for _ in range(50):
-        placement.record_response_size('large', 6000)
-        placement.record_response_size('small', 400)
+        balancer.record_response_size('large', 6000)
+        balancer.record_response_size('small', 400)
     busy = Load(4, 2, 4, service_time_ms=100.0, wait_ms=60.0)
-    placement.report('d0', 10.0, busy)
-    placement.report('d1', 10.0, Load(0, 0, 4, service_time_ms=100.0))
+    balancer.report('d0', 10.0, busy)
+    balancer.report('d1', 10.0, Load(0, 0, 4, service_time_ms=100.0))
     chosen = {
-        route: placement.choose(_SERVICE, ANY_VERSION, 10.0, route=route)
+        route: balancer.choose(_SERVICE, ANY_VERSION, 10.0, route=route)
         for route in ('large', 'small')
     }
     assert chosen['large'] is not None and chosen['large'].id == 'd0'
     assert chosen['small'] is not None and chosen['small'].id == 'd1'
     queued = Load(4, 12, 4, service_time_ms=100.0, wait_ms=300.0)
-    placement.report('d0', 10.0, queued)
-    found = placement.choose(_SERVICE, ANY_VERSION, 10.0, route='large')
+    balancer.report('d0', 10.0, queued)
+    found = balancer.choose(_SERVICE, ANY_VERSION, 10.0, route='large')
     assert found is not None and found.id == 'd1'
 
 
-def test_senders_with_equal_reports_do_not_choose_one_endpoint() -> None:
-    """Herding on the endpoint that looks best makes it the worst."""
+def test_senders_with_equal_reports_choose_different_endpoints() -> None:
+    """Guards against senders that all choose the endpoint of lowest cost."""
     chosen: Counter[str] = Counter()
     for seed in range(60):
-        placement = LoadBalancer('az-1', Random(seed))
-        placement.update(_SERVICE, _members(['az-1'] * 6), 1, 0.0)
+        balancer = LoadBalancer('az-1', Random(seed))
+        balancer.update(_SERVICE, _members(['az-1'] * 6), 1, 0.0)
         for index in range(6):
             load = Load(1, 0, 4, service_time_ms=100.0 + index)
-            placement.report(f'd{index}', 10.0, load)
-        member = placement.choose(_SERVICE, ANY_VERSION, 10.0)
+            balancer.report(f'd{index}', 10.0, load)
+        member = balancer.choose(_SERVICE, ANY_VERSION, 10.0)
         assert member is not None
         chosen[member.id] += 1
     assert max(chosen.values()) < 30
 
 
-def test_old_reports_lose_their_weight() -> None:
-    placement = _placement(['az-1', 'az-1'])
+def test_weight_of_old_reports_decays() -> None:
+    balancer = _balancer(['az-1', 'az-1'])
     busy = Load(4, 8, 4, service_time_ms=100.0, wait_ms=300.0)
-    placement.report('d0', 10.0, busy)
-    assert placement.expected_wait_s('d0', 10.0) > 0.29
-    assert placement.expected_wait_s('d0', 14.0) < 0.01
-
-
-def test_unreachable_and_full_endpoints_are_left_out() -> None:
-    placement = _placement(['az-1', 'az-1'])
-    placement.set_reachable('d0', reachable=False)
-    assert _choices(placement, 10.0) == {'d1': 200}
-    placement.mark_full('d1', 10.0, 2)
-    assert placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 2) is None
-    urgent = placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 1)
+    balancer.report('d0', 10.0, busy)
+    assert balancer.expected_wait_s('d0', 10.0) > 0.29
+    assert balancer.expected_wait_s('d0', 14.0) < 0.01
+
+
+def test_unreachable_and_full_endpoints_are_excluded() -> None:
+    balancer = _balancer(['az-1', 'az-1'])
+    balancer.set_reachable('d0', reachable=False)
+    assert _count_choices(balancer, 10.0) == {'d1': 200}
+    balancer.mark_full('d1', 10.0, 2)
+    assert balancer.choose(_SERVICE, ANY_VERSION, 10.0, (), 2) is None
+    urgent = balancer.choose(_SERVICE, ANY_VERSION, 10.0, (), 1)
     assert urgent is not None and urgent.id == 'd1'
-    placement.set_reachable('d0', reachable=True)
-    found = placement.choose(_SERVICE, ANY_VERSION, 10.0, (), 2)
+    balancer.set_reachable('d0', reachable=True)
+    found = balancer.choose(_SERVICE, ANY_VERSION, 10.0, (), 2)
     assert found is not None and found.id == 'd0'
-    assert placement.choose(_SERVICE, ANY_VERSION, 11.0, {'d0'}, 2) is not None
+    assert balancer.choose(_SERVICE, ANY_VERSION, 11.0, {'d0'}, 2) is not None
 
 
-def test_only_the_wanted_version_is_chosen() -> None:
-    placement = LoadBalancer('az-1', Random(1))
+def test_only_the_requested_version_is_chosen() -> None:
+    balancer = LoadBalancer('az-1', Random(1))
     members = [
         *_members(['az-1']),
         *_members(['az-1', 'az-1'], 'v2')[1:],
     ]
-    placement.update(_SERVICE, members, 1, 0.0)
-    assert placement.versions(_SERVICE) == {'v1', 'v2'}
-    found = placement.choose(_SERVICE, 'v2', 0.0)
+    balancer.update(_SERVICE, members, 1, 0.0)
+    assert balancer.versions(_SERVICE) == {'v1', 'v2'}
+    found = balancer.choose(_SERVICE, 'v2', 0.0)
     assert found is not None and found.id == 'd1'
-    assert placement.choose(_SERVICE, 'v3', 0.0) is None
+    assert balancer.choose(_SERVICE, 'v3', 0.0) is None
 
 
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('known_s', [0.03, 0.06, 0.3])
-async def test_an_endpoint_that_joins_gets_its_share(
+async def test_joining_endpoint_gets_its_share(
     autojump_clock: MockClock, known_s: float, seed: int
 ) -> None:
-    """Guards against an endpoint that joins beside known ones at low load.
+    """Guards against wrong shares of an endpoint that joins at low load.
 
-    With a fixed guess of its service time no sender tried it beside faster
-    ones, and all senders tried it at once beside slower ones.
+    With a fixed default for its service time, no sender tried it beside
+    faster endpoints, and all senders tried it at once beside slower ones.
     """
     known = [_Endpoint(f'known-{index}', known_s) for index in range(3)]
-    replay = _Replay(['az-1'] * 6, known, seed)
+    simulation = _Simulation(['az-1'] * 6, known, seed)
     calls_per_s = 0.2 * 4 * _SLOTS / known_s
-    await replay.play(5.0, calls_per_s)
+    await simulation.run(5.0, calls_per_s)
     joined_at = trio.current_time()
     joined = _Endpoint('joined', known_s, joined_at)
-    replay.join(joined, 'az-1')
-    await replay.play(13.0, calls_per_s)
+    simulation.join(joined, 'az-1')
+    await simulation.run(13.0, calls_per_s)
 
     fair = calls_per_s / 4
     cold = joined.senders(joined_at, joined_at + _COLD_S)
@@ -296,62 +296,62 @@
     share = joined.senders(warm_at + 2.0, warm_at + 10.0)
     assert len(share) == 6
     assert 0.5 * fair < share.total() / 8.0 < 2.0 * fair
-    assert max(replay.took_s) < 2.5 * known_s
+    assert max(simulation.response_times_s) < 2.5 * known_s
 
 
 @pytest.mark.parametrize('seed', range(4))
-async def test_senders_of_other_zones_try_an_endpoint_that_joins(
+async def test_senders_of_other_zones_try_a_joining_endpoint(
     autojump_clock: MockClock, seed: int
 ) -> None:
-    """Guards against an endpoint that joins a zone without senders."""
+    """Guards against ignoring an endpoint in a zone without senders."""
     known = [_Endpoint(f'known-{index}', 0.06) for index in range(3)]
-    replay = _Replay(['az-1'] * 6, known, seed)
-    await replay.play(5.0, 50.0)
+    simulation = _Simulation(['az-1'] * 6, known, seed)
+    await simulation.run(5.0, 50.0)
     joined_at = trio.current_time()
     joined = _Endpoint('joined', 0.06, joined_at)
-    replay.join(joined, 'az-2')
-    await replay.play(10.0, 50.0)
+    simulation.join(joined, 'az-2')
+    await simulation.run(10.0, 50.0)
     assert not joined.senders(joined_at, joined_at + _COLD_S)
     tried = joined.senders(joined_at, joined_at + 10.0)
     assert len(tried) == 6
-    # Each sender pays for the crossing until the first report.
+    # Each sender ignores the crossing cost only until its first report.
     assert max(tried.values()) <= 3
 
 
-async def test_a_cold_endpoint_helps_when_the_others_are_full(
+async def test_cold_endpoint_is_used_when_the_others_are_full(
     autojump_clock: MockClock,
 ) -> None:
-    """Guards against leaving out cold endpoints while calls wait."""
+    """Guards against excluding cold endpoints while calls are queued."""
     known = [_Endpoint('known', 0.06)]
-    replay = _Replay(['az-1'] * 3, known, 1)
-    await replay.play(3.0, 30.0)
+    simulation = _Simulation(['az-1'] * 3, known, 1)
+    await simulation.run(3.0, 30.0)
     joined_at = trio.current_time()
     joined = _Endpoint('joined', 0.06, joined_at)
-    replay.join(joined, 'az-1')
+    simulation.join(joined, 'az-1')
     # The known endpoint serves 67 calls a second.
-    await replay.play(2.0, 100.0)
+    await simulation.run(2.0, 100.0)
     assert joined.senders(joined_at, joined_at + 2.0).total() > 34
 
 
 @pytest.mark.parametrize('seed', range(4))
-async def test_an_endpoint_that_was_slow_gets_its_share_again(
+async def test_recovered_endpoint_gets_its_share_again(
     autojump_clock: MockClock, seed: int
 ) -> None:
-    """Guards against reports of a slow spell that are believed for ever."""
+    """Guards against outdated reports of slowness that stay in effect."""
     endpoints = [_Endpoint(f'known-{index}', 0.06) for index in range(4)]
-    replay = _Replay(['az-1'] * 6, endpoints, seed)
-    await replay.play(5.0, 60.0)
+    simulation = _Simulation(['az-1'] * 6, endpoints, seed)
+    await simulation.run(5.0, 60.0)
     slow = endpoints[0]
     slow.service_time_s = 0.3
-    await replay.play(6.0, 60.0)
+    await simulation.run(6.0, 60.0)
     start = trio.current_time()
-    await replay.play(10.0, 60.0)
-    # Trials may not cost the callers more than the others gain.
+    await simulation.run(10.0, 60.0)
+    # Trial calls must not cost their callers more than others gain.
     assert slow.senders(start, start + 10.0).total() < 0.03 * 600
     slow.service_time_s = 0.06
-    await replay.play(20.0, 60.0)
+    await simulation.run(20.0, 60.0)
     start = trio.current_time()
-    await replay.play(5.0, 60.0)
+    await simulation.run(5.0, 60.0)
     share = slow.senders(start, start + 5.0)
     assert len(share) == 6
     assert share.total() > 0.5 * 300 / 4
@@ -359,7 +359,9 @@
 
 _EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(['slow', 'waiting', 'failed', 'full', 'cut', 'gone']),
+        st.sampled_from(
+            ['slow', 'queueing', 'failed', 'full', 'unreachable', 'rejoined']
+        ),
         st.integers(0, 3),
         st.floats(0.0, 5.0),
     ),
@@ -368,56 +370,56 @@
 
 
 def _apply(
-    placement: LoadBalancer,
+    balancer: LoadBalancer,
     members: list[Member],
     kind: str,
     name: str,
     now: float,
 ) -> None:
     if kind == 'slow':
-        placement.report(name, now, Load(1, 0, 4, service_time_ms=900.0))
-    elif kind == 'waiting':
+        balancer.report(name, now, Load(1, 0, 4, service_time_ms=900.0))
+    elif kind == 'queueing':
         load = Load(
             4, 9, 4, service_time_ms=60.0, wait_ms=900.0, failure_rate=1.0
         )
-        placement.report(name, now, load)
+        balancer.report(name, now, load)
     elif kind == 'failed':
-        placement.begin(name)
-        placement.end(name, now, failed=True)
+        balancer.begin(name)
+        balancer.end(name, now, failed=True)
     elif kind == 'full':
-        placement.mark_full(name, now, 0, 0.8)
-    elif kind == 'cut':
-        placement.set_reachable(name, reachable=False)
+        balancer.mark_full(name, now, 0, 0.8)
+    elif kind == 'unreachable':
+        balancer.set_reachable(name, reachable=False)
     else:
         rest = [member for member in members if member.id != name]
-        revision = placement.revision(_SERVICE) + 1
-        placement.update(_SERVICE, rest, revision, now)
-        placement.update(_SERVICE, members, revision + 1, now)
+        revision = balancer.revision(_SERVICE) + 1
+        balancer.update(_SERVICE, rest, revision, now)
+        balancer.update(_SERVICE, members, revision + 1, now)
 
 
 @given(events=_EVENTS, seed=st.integers(0, 100))
 @settings(max_examples=200, deadline=None, derandomize=True)
-def test_no_endpoint_is_left_out_for_ever(
+def test_no_endpoint_is_excluded_permanently(
     events: list[tuple[str, int, float]], seed: int
 ) -> None:
-    """Guards against what a sender once saw and never checks again."""
+    """Guards against past observations that a sender never checks again."""
     members = _members(['az-1'] * 4)
-    placement = LoadBalancer('az-1', Random(seed))
-    placement.update(_SERVICE, members, 1, 0.0)
+    balancer = LoadBalancer('az-1', Random(seed))
+    balancer.update(_SERVICE, members, 1, 0.0)
     now = 1.0
     for kind, index, pause_s in events:
-        _apply(placement, members, kind, f'd{index}', now)
+        _apply(balancer, members, kind, f'd{index}', now)
         now += pause_s
     for index in range(4):
-        placement.set_reachable(f'd{index}', reachable=True)
+        balancer.set_reachable(f'd{index}', reachable=True)
     chosen: Counter[str] = Counter()
     for _ in range(600):
         now += 0.1
-        member = placement.choose(_SERVICE, ANY_VERSION, now)
+        member = balancer.choose(_SERVICE, ANY_VERSION, now)
         assert member is not None
         chosen[member.id] += 1
-        placement.begin(member.id)
-        placement.end(member.id, now, failed=False)
-        placement.report(member.id, now, Load(0, 0, 4, service_time_ms=60.0))
+        balancer.begin(member.id)
+        balancer.end(member.id, now, failed=False)
+        balancer.report(member.id, now, Load(0, 0, 4, service_time_ms=60.0))
     assert min(chosen.values()) > 40
     assert len(chosen) == 4
