--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -217,7 +217,7 @@
         ----------
         now : float
             Current time in seconds.
-        call : Waiter
+        call : QueuedCall
             The call.
         max_wait_s : float
             Longest expected wait in seconds for which the sender wants the
