Reword the stages and the sequential test of moves in plain terms

Comments, docstrings and private names of core/_moves.py, _evidence.py, _judge.py and _binomial.py. The docstring of EvidenceTest.observe said that counts of earlier stages are not part of new_calls; they are.

--- a/gypsumhall/coordination.py
+++ b/gypsumhall/coordination.py
@@ -1,7 +1,7 @@
-"""Coordination parts for other programs to embed.
+"""Public API of the coordination components, for embedding in programs.
 
-All of them are free of I/O and read no clock: they take the time as an
-argument and return what to do. The daemon's services are built on them.
+The components perform no I/O and read no clock: they take the current time as
+an argument and return the actions to perform. The daemon's services use them.
 """
 
 from gypsumhall.core._clock import HybridLogicalClock
--- a/gypsumhall/core/__init__.py
+++ b/gypsumhall/core/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions without I/O: usable as a library, testable without a network."""
+"""Decision logic without I/O: usable as a library, testable offline."""
--- a/gypsumhall/core/_binomial.py
+++ b/gypsumhall/core/_binomial.py
@@ -1,22 +1,22 @@
-"""Probabilities of counts of faults among independent calls."""
+"""Binomial distribution of the number of faults among independent calls."""
 
 from __future__ import annotations
 
 import math
 
 _NEGLIGIBLE = 1e-15
-"""Terms beyond the mean below which the rest of a tail is left out."""
+"""The sum ends at the first term beyond the mean that is below this value."""
 
 
 def tail(trials: int, successes: int, rate: float) -> float:
-    """Return the probability of at least as many successes.
+    """Return the probability of at least `successes` successes.
 
     Parameters
     ----------
     trials, successes : int
-        Number of independent trials, and of successes among them.
+        Number of independent trials and of successes.
     rate : float
-        Probability of a success, above 0.
+        Probability of a success in each trial, above 0.
     """
     if rate >= 1.0:
         return 1.0
--- a/gypsumhall/core/_evidence.py
+++ b/gypsumhall/core/_evidence.py
@@ -1,12 +1,12 @@
 """Sequential test of whether a new service version is worse than the old.
 
-Calls are assigned to the two versions at random. When the new version is not
-worse, a fault therefore hits it with the probability of its share of the
-calls, whatever the rate of faults. The likelihood ratio of a fault against a
-given odds ratio is then an e-value: its expectation is at most one, so that a
-product over many faults rarely becomes large by chance (Grünwald, de Heide
-and Koolen, "Safe testing", 2024; the restart at one follows Shin, Ramdas and
-Rinaldo, "E-detectors", 2024).
+Calls are assigned to the two versions at random. If the new version is not
+worse, the probability that a given fault occurs on it therefore equals its
+share of the calls, whatever the fault rate. The likelihood ratio of a fault
+for a given odds ratio is then an e-value: its expectation is at most one, so
+a product over many faults is unlikely to become large by chance (Grünwald, de
+Heide and Koolen, "Safe testing", 2024; the restart at one follows Shin, Ramdas
+and Rinaldo, "E-detectors", 2024).
 """
 
 from __future__ import annotations
@@ -28,49 +28,50 @@
 
     from gypsumhall.net._messages import Counts
 
-# Name of the test over all routes together, which finds a fault on all of
-# them sooner than the tests of the single routes.
+# Key of the test over all routes together, which detects a fault that affects
+# all of them sooner than the tests of single routes.
 ALL_ROUTES = '*'
 
 ODDS_RATIOS = (2.0, 5.0, 20.0, 100.0)
 
-# The mixture over the odds ratios divides the level of the test by their
-# number; 1e9 keeps the yearly rate of false verdicts over all moves under one.
+# Log evidence required for a verdict. The mixture over the odds ratios divides
+# the significance level by their number; 1e9 keeps the rate of false verdicts
+# over all moves below one a year.
 VERDICT_LOG = math.log(1e9 * len(ODDS_RATIOS))
 
-# Lower bound without the worst failure domain, so that one sick VM or zone
-# does not condemn a version. At 1e2 the restarted statistic reaches the bound
-# by chance within minutes.
+# Log evidence that a verdict also requires without the worst failure domain,
+# so that a single faulty VM or availability zone does not cause a verdict. A
+# bound of 1e2 is reached by the restarted statistic by chance within minutes.
 DOMAIN_LOG = math.log(1e4)
 
-# Bounds the evidence of one interval, so that a fault that lasts less than
-# four intervals does not condemn a version.
+# Upper bound of the log evidence of one interval, so that a fault that lasts
+# less than four intervals does not cause a verdict.
 INTERVAL_LOG = math.log(1e3)
 
-# Above this statistic a stage is not advanced while the new version's rate of
-# faults exceeds the old one's by more than the tolerance.
+# Above this statistic a stage is not advanced while the fault rate of the new
+# version exceeds that of the old version by more than the tolerance.
 SUSPICION_LOG = math.log(20.0 * len(ODDS_RATIOS))
 FAULT_RATE_TOLERANCE = 0.01
 
-# Intervals, and faults above what the old version's rate of faults explains,
-# that make recent evidence suspicious whatever the statistic. At a share of
-# 90 %, and while senders eject the failing endpoints of their zone, so that
-# few groups have calls to both versions, the statistic grew so slowly that a
-# version that failed all calls for 9 s was moved to.
+# Evidence is suspicious, whatever the statistic, if the faults in this number
+# of recent intervals exceed those expected from the old version's fault rate
+# by this number and by this fraction of the calls. The statistic alone grows
+# too slowly at a share of 90 % while senders eject the failing endpoints of
+# their zone, since few groups then have calls to both versions: a move to a
+# version that failed all calls for 9 s was finished.
 RECENT_INTERVALS = 10
 RECENT_EXCESS = 5.0
 RECENT_EXCESS_RATE = 0.05
 
-
-# Probabilities by chance, of all failures and of those outside the worst
-# failure domain, below which few calls condemn a version. The second one is
-# that of `DOMAIN_LOG`.
+# Significance levels of the test for small samples, for all failures and for
+# those outside the worst failure domain. The second one corresponds to
+# `DOMAIN_LOG`.
 FEW_CALLS_LEVEL = 1e-6
 FEW_CALLS_DOMAIN_LEVEL = 1e-4
 
 
 class FaultKind(enum.StrEnum):
-    """Kinds of faults that are tested separately."""
+    """Kind of fault; each kind is tested separately."""
 
     FAILURE = 'failure'
     SLOW = 'slow'
@@ -78,14 +79,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Verdict:
-    """Finding against a new version.
+    """Conclusion of the test that a new version is worse.
 
     Parameters
     ----------
     route : str
-        ``<department>/<route>`` that shows the fault, or `ALL_ROUTES`.
+        ``<department>/<route>`` with the faults, or `ALL_ROUTES`.
     kind : FaultKind
-        What is wrong.
+        Kind of the faults.
     statistic : float
         Natural logarithm of the evidence.
     """
@@ -101,14 +102,15 @@
         )
 
 
-# Numbers of last intervals in which a growth of the new version's share is
-# looked for, so that it is not blamed when the other one's endpoints are gone.
+# Numbers of recent intervals that are checked for an increase of the new
+# version's share. If the old version's endpoints disappear, nearly all calls and
+# faults fall to the new version, which alone is no evidence against it.
 GROWTH_WINDOWS = (1, 4, 16, 64)
 
 
 @dataclass(slots=True)
-class _Cell:
-    """Counts of both versions."""
+class _VersionCounts:
+    """Calls and faults of both versions."""
 
     old_calls: int = 0
     old_faults: int = 0
@@ -123,7 +125,7 @@
             self.old_calls += calls
             self.old_faults += faults
 
-    def include(self, other: _Cell) -> None:
+    def include(self, other: _VersionCounts) -> None:
         self.old_calls += other.old_calls
         self.old_faults += other.old_faults
         self.new_calls += other.new_calls
@@ -131,7 +133,7 @@
 
     @property
     def excess_rate(self) -> float:
-        """Fault rate of the new version less that of the old one."""
+        """Fault rate of the new version minus that of the old one."""
         old = self.old_faults / self.old_calls if self.old_calls else 0.0
         new = self.new_faults / self.new_calls if self.new_calls else 0.0
         return new - old
@@ -140,8 +142,9 @@
     def share(self) -> float:
         """Upper estimate of the new version's share of the calls.
 
-        Too large a share only weakens the evidence; too small a one would
-        make it invalid. Hence one call and one standard deviation more.
+        An overestimate of the share only weakens the evidence, while an
+        underestimate would invalidate it. The estimate is therefore raised by
+        one call and one standard deviation.
         """
         upper = self.new_calls + 1 + math.sqrt(self.new_calls)
         return min(1.0, upper / (self.old_calls + self.new_calls + 1))
@@ -149,56 +152,60 @@
 
 @dataclass(slots=True)
 class _Stratum:
-    """Calls whose assignment to the versions is random with one share."""
+    """Calls that are randomly assigned to the versions at a common share."""
 
-    total: _Cell = field(default_factory=_Cell)
-    recent: deque[_Cell] = field(
+    total: _VersionCounts = field(default_factory=_VersionCounts)
+    recent: deque[_VersionCounts] = field(
         default_factory=lambda: deque(maxlen=GROWTH_WINDOWS[-1])
     )
 
-    def add(self, cell: _Cell) -> None:
-        self.total.include(cell)
-        self.recent.appendleft(cell)
+    def add(self, counts: _VersionCounts) -> None:
+        self.total.include(counts)
+        self.recent.appendleft(counts)
 
     @property
     def share(self) -> float:
-        """Upper estimate of the share, from recent calls if it has grown."""
+        """Upper estimate of the share, from recent calls if it increased."""
         share = self.total.share
-        window = _Cell()
-        found = share
-        for index, cell in enumerate(self.recent, 1):
-            window.include(cell)
+        window = _VersionCounts()
+        estimate = share
+        for index, group in enumerate(self.recent, 1):
+            window.include(group)
             if index in GROWTH_WINDOWS and _has_grown(window, share):
-                found = max(found, window.share)
-        return found
+                estimate = max(estimate, window.share)
+        return estimate
 
 
-def _has_grown(cell: _Cell, share: float) -> bool:
-    calls = cell.old_calls + cell.new_calls
+def _has_grown(counts: _VersionCounts, share: float) -> bool:
+    calls = counts.old_calls + counts.new_calls
     deviation = math.sqrt(calls * share * (1 - share))
-    return cell.new_calls > calls * share + 4 * deviation + 2
+    return counts.new_calls > calls * share + 4 * deviation + 2
 
 
 @dataclass(slots=True)
 class _Statistic:
-    """Evidence of one route and kind of fault, restarted at zero."""
+    """Log evidence of one route and kind of fault; restarts at zero."""
 
-    logs: list[float] = field(default_factory=lambda: [0.0] * len(ODDS_RATIOS))
+    log_evidence: list[float] = field(
+        default_factory=lambda: [0.0] * len(ODDS_RATIOS)
+    )
 
     @property
     def value(self) -> float:
-        return max(self.logs)
+        return max(self.log_evidence)
 
     def add(self, increments: Sequence[float]) -> None:
         for index, increment in enumerate(increments):
             bounded = min(increment, INTERVAL_LOG)
-            self.logs[index] = max(0.0, self.logs[index] + bounded)
+            self.log_evidence[index] = max(
+                0.0, self.log_evidence[index] + bounded
+            )
 
 
 def log_likelihood_ratios(
     share: float, old_faults: int, new_faults: int
 ) -> tuple[float, ...]:
-    """Return the evidence of some faults for each of `ODDS_RATIOS`.
+    """Return the evidence of the given faults for each of `ODDS_RATIOS`.
 
     Parameters
     ----------
@@ -225,21 +232,21 @@
     Parameters
     ----------
     new_version : str
-        Service version that the move goes to; all others count as old.
+        Target version of the move; all others count as old.
     """
 
     __slots__ = (
-        '_domains',
-        '_move_cell',
+        '_endpoints_by_zone',
+        '_leave_one_out',
+        '_move_counts',
         '_new_version',
         '_recent',
         '_stage',
-        '_stage_cell',
-        '_stage_cells',
+        '_stage_counts',
+        '_stage_counts_by_endpoint',
         '_statistics',
         '_strata',
         '_verdict',
-        '_without',
     )
 
     def __init__(self, new_version: str) -> None:
@@ -247,109 +254,118 @@
         self._statistics: dict[tuple[str, FaultKind], _Statistic] = (
             defaultdict(_Statistic)
         )
-        self._without: dict[tuple[str, FaultKind], dict[str, _Statistic]] = (
-            defaultdict(lambda: defaultdict(_Statistic))
-        )
+        self._leave_one_out: dict[
+            tuple[str, FaultKind], dict[str, _Statistic]
+        ] = defaultdict(lambda: defaultdict(_Statistic))
         self._strata: dict[tuple[int, str, str], _Stratum] = defaultdict(
             _Stratum
         )
-        self._domains: dict[str, set[str]] = {}
+        self._endpoints_by_zone: dict[str, set[str]] = {}
         self._recent: deque[Sequence[Counts]] = deque(maxlen=RECENT_INTERVALS)
         self._stage = -1
-        self._stage_cell = _Cell()
-        self._stage_cells: dict[tuple[str, str], _Cell] = defaultdict(_Cell)
-        self._move_cell = _Cell()
+        self._stage_counts = _VersionCounts()
+        self._stage_counts_by_endpoint: dict[
+            tuple[str, str], _VersionCounts
+        ] = defaultdict(_VersionCounts)
+        self._move_counts = _VersionCounts()
         self._verdict: Verdict | None = None
 
     @property
     def verdict(self) -> Verdict | None:
-        """The first verdict; it never changes again."""
+        """The first verdict, which is final."""
         return self._verdict
 
     @property
     def new_calls(self) -> int:
         """Calls to the new version in all stages."""
-        return self._move_cell.new_calls
+        return self._move_counts.new_calls
 
     @property
     def calls(self) -> int:
         """Calls to both versions in all stages."""
-        return self._move_cell.old_calls + self._move_cell.new_calls
+        return self._move_counts.old_calls + self._move_counts.new_calls
 
     @property
     def stage_calls(self) -> int:
         """Calls to both versions in the latest stage."""
-        return self._stage_cell.old_calls + self._stage_cell.new_calls
+        return self._stage_counts.old_calls + self._stage_counts.new_calls
 
     @property
     def excess_rate(self) -> float:
-        """Fault rate of the new version less that of the old one.
+        """Fault rate of the new version minus that of the old one.
 
-        Both are taken from the latest stage, 0 to 1.
+        Both are rates of the latest stage, 0 to 1.
         """
-        return self._stage_cell.excess_rate
+        return self._stage_counts.excess_rate
 
     @property
     def statistic(self) -> float:
-        """Largest statistic over all routes and kinds of fault."""
+        """Largest statistic over all routes and kinds of faults."""
         values = (item.value for item in self._statistics.values())
         return max(values, default=0.0)
 
     @property
     def suspicion(self) -> float:
         """Largest statistic without its worst failure domain."""
-        values = [self._robust_value(key) for key in self._statistics]
+        values = [self._robust_statistic(key) for key in self._statistics]
         return max(values, default=0.0)
 
     @property
     def suspicious(self) -> bool:
-        """Whether the evidence speaks against going on for now."""
-        if self._fails_recently():
+        """Whether the evidence is currently against advancing the move."""
+        if self._has_recent_excess():
             return True
         if self.suspicion < SUSPICION_LOG:
             return False
-        return self._stage_cell.excess_rate > FAULT_RATE_TOLERANCE
+        return self._stage_counts.excess_rate > FAULT_RATE_TOLERANCE
 
     def fault_probability(self) -> float:
-        """Return how probable the new version's faults are by chance.
+        """Return the p-value of the new version's number of faults.
 
-        That is the probability of at least as many faults in as many calls
-        at the old version's rate of faults, over all stages. Unlike the
-        sequential test it does not tell a zone fault from a version's, and
-        it is meant for few calls only.
+        This is the probability of at least this number of faults among the
+        calls of all stages at the old version's fault rate. Unlike the
+        sequential test, it does not distinguish a fault of a zone from one of
+        the version, and it is intended for small numbers of calls only.
         """
-        cell = self._move_cell
-        rate = (cell.old_faults + 1) / (cell.old_calls + 1)
-        return _binomial.tail(cell.new_calls, cell.new_faults, rate)
+        counts = self._move_counts
+        rate = (counts.old_faults + 1) / (counts.old_calls + 1)
+        return _binomial.tail(counts.new_calls, counts.new_faults, rate)
 
     def condemned_by_few_calls(self) -> bool:
-        """Whether the failures of the latest stage cannot be chance.
+        """Whether the failures of the latest stage are significant.
 
-        Each zone of endpoints is compared with itself, and one failure
-        domain may be left out. It is meant for few calls only: the upper
-        estimate of the share makes the sequential test need more of them.
+        The versions are compared within each zone of endpoints, and the
+        failures must remain significant whichever failure domain is left out.
+        The test is intended for small numbers of calls only: the sequential
+        test needs more, since it uses an upper estimate of the share.
         """
         domains = self._failure_domains()
-        if not domains or self._stage_probability('') >= FEW_CALLS_LEVEL:
+        if not domains or self._stage_p_value('') >= FEW_CALLS_LEVEL:
             return False
         return all(
-            self._stage_probability(domain) < FEW_CALLS_DOMAIN_LEVEL
+            self._stage_p_value(domain) < FEW_CALLS_DOMAIN_LEVEL
             for domain in domains
         )
 
-    def _stage_probability(self, without: str) -> float:
-        """Return how probable the latest stage's failures are by chance."""
-        zones: dict[str, _Cell] = defaultdict(_Cell)
-        for key, cell in self._stage_cells.items():
-            if without not in key:
-                zones[key[0]].include(cell)
-        calls = sum(cell.new_calls for cell in zones.values())
+    def _stage_p_value(self, excluded: str) -> float:
+        """Return the p-value of the latest stage's failures.
+
+        Parameters
+        ----------
+        excluded : str
+            Zone or endpoint whose counts are left out; empty for none.
+        """
+        zones: dict[str, _VersionCounts] = defaultdict(_VersionCounts)
+        for key, group in self._stage_counts_by_endpoint.items():
+            if excluded not in key:
+                zones[key[0]].include(group)
+        calls = sum(group.new_calls for group in zones.values())
         if not calls:
             return 1.0
-        faults = sum(cell.new_faults for cell in zones.values())
+        faults = sum(group.new_faults for group in zones.values())
         expected = sum(
-            cell.new_calls * (cell.old_faults + 1) / (cell.old_calls + 1)
-            for cell in zones.values()
+            group.new_calls * (group.old_faults + 1) / (group.old_calls + 1)
+            for group in zones.values()
         )
         return _binomial.tail(calls, faults, expected / calls)
 
@@ -360,15 +376,15 @@
         ----------
         stage : int
             Stage in which the calls were assigned to the versions. Counts
-            of an earlier stage than the latest are tested, but not added
-            to `new_calls`.
+            of earlier stages than the latest are tested, but not added to the
+            counts of the latest stage.
         counts : iterable of Counts
             Results by route, version and endpoint.
 
         Returns
         -------
         Verdict or None
-            The verdict if there is one by now.
+            The verdict, if one has been reached.
         """
         items = list(counts)
         if items:
@@ -377,23 +393,23 @@
         self._count_strata(stage, items)
         for item in items:
             if item.version == self._new_version and item.calls:
-                zone = self._domains.setdefault(item.zone, set())
+                zone = self._endpoints_by_zone.setdefault(item.zone, set())
                 zone.add(item.endpoint)
         for kind in FaultKind:
             if any(_faults(item, kind) for item in items):
                 self._observe_kind(stage, kind, items)
         return self._verdict
 
-    def _fails_recently(self) -> bool:
-        """Whether recent faults exceed the old version's in all domains.
+    def _has_recent_excess(self) -> bool:
+        """Whether recent faults are excessive, whichever domain is left out.
 
-        Each zone of endpoints is compared with itself, from whatever zone
-        the calls came, and one failure domain may be left out.
+        The versions are compared within each zone of endpoints, whatever the
+        zone of the sender.
         """
         items = [item for counts in self._recent for item in counts]
         domains = self._failure_domains() or ('',)
         return all(
-            _exceeds(
+            _has_excess_faults(
                 [
                     item
                     for item in items
@@ -407,31 +423,33 @@
     def _count_stage(self, stage: int, counts: Sequence[Counts]) -> None:
         if stage > self._stage:
             self._stage = stage
-            self._stage_cell = _Cell()
-            self._stage_cells.clear()
-        cell = _Cell()
+            self._stage_counts = _VersionCounts()
+            self._stage_counts_by_endpoint.clear()
+        interval_counts = _VersionCounts()
         for item in counts:
             new = item.version == self._new_version
             faults = max(item.failures, item.slow)
-            cell.add(new=new, calls=item.calls, faults=faults)
+            interval_counts.add(new=new, calls=item.calls, faults=faults)
             if stage == self._stage:
-                self._stage_cells[item.zone, item.endpoint].add(
+                self._stage_counts_by_endpoint[item.zone, item.endpoint].add(
                     new=new, calls=item.calls, faults=item.failures
                 )
-        self._move_cell.include(cell)
+        self._move_counts.include(interval_counts)
         if stage == self._stage:
-            self._stage_cell.include(cell)
+            self._stage_counts.include(interval_counts)
 
     def _count_strata(self, stage: int, counts: Sequence[Counts]) -> None:
-        cells: dict[tuple[str, str], _Cell] = defaultdict(_Cell)
+        groups: dict[tuple[str, str], _VersionCounts] = defaultdict(
+            _VersionCounts
+        )
         for item in counts:
-            cells[item.sender_zone, item.zone].add(
+            groups[item.sender_zone, item.zone].add(
                 new=item.version == self._new_version,
                 calls=item.calls,
                 faults=0,
             )
-        for key, cell in cells.items():
-            self._strata[stage, *key].add(cell)
+        for key, group in groups.items():
+            self._strata[stage, *key].add(group)
 
     def _observe_kind(
         self, stage: int, kind: FaultKind, counts: Sequence[Counts]
@@ -447,35 +465,39 @@
                 if domain not in (item.zone, item.endpoint)
             ]
             for route, values in self._increments(stage, rest, kind).items():
-                self._without[route, kind][domain].add(values)
+                self._leave_one_out[route, kind][domain].add(values)
         for route in increments:
-            self._judge((route, kind))
+            self._update_verdict((route, kind))
 
     def _failure_domains(self) -> Sequence[str]:
-        """Return the zones or, with one zone only, its endpoints.
+        """Return the zones or, if there is only one, its endpoints.
 
-        Without a second zone or endpoint there is nothing to compare
-        with, and no domain is left out.
+        Only zones and endpoints of the new version are included. The result
+        is empty if there is a single endpoint: no domain can be left out.
         """
-        if len(self._domains) > 1:
-            return sorted(self._domains)
+        if len(self._endpoints_by_zone) > 1:
+            return sorted(self._endpoints_by_zone)
         endpoints = sorted(
-            name for names in self._domains.values() for name in names
+            name
+            for names in self._endpoints_by_zone.values()
+            for name in names
         )
         return endpoints if len(endpoints) > 1 else ()
 
     def _increments(
         self, stage: int, counts: Iterable[Counts], kind: FaultKind
     ) -> Mapping[str, Sequence[float]]:
-        """Return the evidence by route, and over all routes together."""
+        """Return the log evidence by route and for all routes together."""
         sums: dict[str, list[float]] = defaultdict(
             lambda: [0.0] * len(ODDS_RATIOS)
         )
-        for key, cell in _group(counts, kind, self._new_version).items():
+        for key, group in _group_counts(
+            counts, kind, self._new_version
+        ).items():
             ratios = log_likelihood_ratios(
                 self._strata[stage, *key[1:]].share,
-                cell.old_faults,
-                cell.new_faults,
+                group.old_faults,
+                group.new_faults,
             )
             route = key[0]
             for name in (route, ALL_ROUTES):
@@ -484,19 +506,19 @@
                     total[index] += ratio
         return sums
 
-    def _robust_value(self, key: tuple[str, FaultKind]) -> float:
+    def _robust_statistic(self, key: tuple[str, FaultKind]) -> float:
         """Return the statistic without its worst failure domain."""
         value = self._statistics[key].value
-        without = self._without[key]
+        leave_one_out = self._leave_one_out[key]
         for domain in self._failure_domains():
-            value = min(value, without[domain].value)
+            value = min(value, leave_one_out[domain].value)
         return value
 
-    def _judge(self, key: tuple[str, FaultKind]) -> None:
+    def _update_verdict(self, key: tuple[str, FaultKind]) -> None:
         value = self._statistics[key].value
         if self._verdict is not None or value < VERDICT_LOG:
             return
-        if self._robust_value(key) >= DOMAIN_LOG:
+        if self._robust_statistic(key) >= DOMAIN_LOG:
             self._verdict = Verdict(key[0], key[1], value)
 
 
@@ -504,40 +526,45 @@
     return item.failures if kind is FaultKind.FAILURE else item.slow
 
 
-def _exceeds(counts: Iterable[Counts], new_version: str) -> bool:
-    """Whether the old version's rates do not explain the new one's faults."""
-    cells: dict[str, _Cell] = defaultdict(_Cell)
+def _has_excess_faults(counts: Iterable[Counts], new_version: str) -> bool:
+    """Whether the new version's faults exceed the old version's rates."""
+    groups: dict[str, _VersionCounts] = defaultdict(_VersionCounts)
     for item in counts:
-        cells[item.zone].add(
+        groups[item.zone].add(
             new=item.version == new_version,
             calls=item.calls,
             faults=max(item.failures, item.slow),
         )
     both = [
-        cell for cell in cells.values() if cell.old_calls and cell.new_calls
+        group
+        for group in groups.values()
+        if group.old_calls and group.new_calls
     ]
-    calls = sum(cell.new_calls for cell in both)
-    faults = sum(cell.new_faults for cell in both)
+    calls = sum(group.new_calls for group in both)
+    faults = sum(group.new_faults for group in both)
     expected = sum(
-        cell.new_calls * (cell.old_faults + 1) / (cell.old_calls + 1)
-        for cell in both
+        group.new_calls * (group.old_faults + 1) / (group.old_calls + 1)
+        for group in both
     )
     bound = RECENT_EXCESS + 3 * math.sqrt(expected)
     excess = faults - expected
     return excess > max(bound, RECENT_EXCESS_RATE * calls)
 
 
-def _group(
+def _group_counts(
     counts: Iterable[Counts], kind: FaultKind, new_version: str
-) -> dict[tuple[str, str, str], _Cell]:
-    cells: dict[tuple[str, str, str], _Cell] = defaultdict(_Cell)
+) -> dict[tuple[str, str, str], _VersionCounts]:
+    groups: dict[tuple[str, str, str], _VersionCounts] = defaultdict(
+        _VersionCounts
+    )
     for item in counts:
-        # Calls are exchangeable only among senders of one zone and endpoints
-        # of one zone, since a zone fault hits both versions there alike.
-        cell = cells[(item.route, item.sender_zone, item.zone)]
-        cell.add(
+        # Calls are exchangeable only with the same sender zone and the same
+        # endpoint zone, since the fault of a zone affects both versions there
+        # alike.
+        group = groups[(item.route, item.sender_zone, item.zone)]
+        group.add(
             new=item.version == new_version,
             calls=item.calls,
             faults=_faults(item, kind),
         )
-    return cells
+    return groups
--- a/gypsumhall/core/_judge.py
+++ b/gypsumhall/core/_judge.py
@@ -1,4 +1,4 @@
-"""Evidence of one move in one zone, collected by interval."""
+"""Collection of the evidence about one move, by interval."""
 
 from __future__ import annotations
 
@@ -16,22 +16,22 @@
 
 INTERVAL_S = 0.5
 
-# A call is slow above three times the old version's 95th percentile, and at
-# least 50 ms above it, so that jitter of fast routes is no evidence.
+# A call counts as slow above three times the old version's 95th percentile,
+# and at least 50 ms above it, so that jitter on fast routes is not counted.
 SLOW_FACTOR = 3.0
 SLOW_MARGIN_MS = 50.0
 
-# Intervals whose evidence is kept for a new controller: one minute.
+# Intervals whose evidence is retained for a new controller; one minute.
 KEPT_INTERVALS = 120
 
-# Intervals of the old version's latency behind a threshold, and the calls
-# they need to have seen.
+# Number of recent intervals from which the threshold of a route is computed,
+# and the calls to the old version that they must contain.
 THRESHOLD_INTERVALS = 8
 THRESHOLD_CALLS = 10
 
 
 class Judge:
-    """Collects the evidence of a move and tests it interval by interval.
+    """Collects the evidence about a move and tests it by interval.
 
     Parameters
     ----------
@@ -42,12 +42,12 @@
     """
 
     __slots__ = (
-        '_closed',
-        '_kept',
+        '_last_closed',
         '_latencies',
         '_move',
         '_new_version',
-        '_open',
+        '_open_intervals',
+        '_retained',
         '_test',
     )
 
@@ -55,62 +55,67 @@
         self._move = move
         self._new_version = new_version
         self._test = EvidenceTest(new_version)
-        self._closed = 0
-        self._open: dict[int, dict[tuple[int, str, str, str], Counts]] = (
-            defaultdict(dict)
-        )
-        self._kept: deque[Evidence] = deque()
+        self._last_closed = 0
+        self._open_intervals: dict[
+            int, dict[tuple[int, str, str, str], Counts]
+        ] = defaultdict(dict)
+        self._retained: deque[Evidence] = deque()
         self._latencies: dict[str, deque[tuple[int, float]]] = defaultdict(
             lambda: deque(maxlen=THRESHOLD_INTERVALS)
         )
 
     @property
     def test(self) -> EvidenceTest:
-        """Test over the closed intervals."""
+        """Sequential test over the closed intervals."""
         return self._test
 
     @property
     def closed(self) -> int:
         """Number of the last closed interval."""
-        return self._closed
+        return self._last_closed
 
     def add(self, evidence: Evidence) -> bool:
-        """Add evidence of an open interval; repeated evidence replaces.
+        """Add evidence of an open interval.
+
+        Counts of the same stage, route, endpoint and sender zone replace
+        earlier ones, so that repeated reports are harmless.
 
         Returns
         -------
         bool
-            False when the interval is closed already; the evidence is not
-            used then, whatever it says.
+            False if the interval is already closed; the evidence is then
+            ignored.
         """
-        if evidence.interval <= self._closed:
+        if evidence.interval <= self._last_closed:
             return False
-        cells = self._open[evidence.interval]
+        counts_by_key = self._open_intervals[evidence.interval]
         for item in evidence.counts:
             key = (evidence.stage, item.route, item.endpoint, item.sender_zone)
-            cells[key] = item
+            counts_by_key[key] = item
         return True
 
     def close(self, interval: int) -> Verdict | None:
-        """Test all open intervals up to and including `interval`."""
-        for number in sorted(self._open):
+        """Close and test all open intervals up to `interval`, inclusive."""
+        for number in sorted(self._open_intervals):
             if number > interval:
                 break
             by_stage: dict[int, list[Counts]] = defaultdict(list)
-            for key, item in self._open.pop(number).items():
+            for key, item in self._open_intervals.pop(number).items():
                 by_stage[key[0]].append(item)
             for stage, counts in sorted(by_stage.items()):
                 self._close_stage(number, stage, counts)
-        self._closed = max(self._closed, interval)
+        self._last_closed = max(self._last_closed, interval)
         return self._test.verdict
 
     def _close_stage(
         self, interval: int, stage: int, counts: list[Counts]
     ) -> None:
         self._test.observe(stage, counts)
-        self._kept.append(Evidence(self._move, stage, interval, tuple(counts)))
-        while self._kept[0].interval <= interval - KEPT_INTERVALS:
-            self._kept.popleft()
+        self._retained.append(
+            Evidence(self._move, stage, interval, tuple(counts))
+        )
+        while self._retained[0].interval <= interval - KEPT_INTERVALS:
+            self._retained.popleft()
         self._add_latencies(counts)
 
     def _add_latencies(self, counts: list[Counts]) -> None:
@@ -118,26 +123,26 @@
         for item in counts:
             if item.version == self._new_version or not item.latencies_ms:
                 continue
-            calls, total = sums.get(item.route, (0, 0.0))
+            calls, p95_sum_ms = sums.get(item.route, (0, 0.0))
             sums[item.route] = (
                 calls + item.calls,
-                total + item.calls * item.latencies_ms[1],
+                p95_sum_ms + item.calls * item.latencies_ms[1],
             )
         for route, value in sums.items():
             self._latencies[route].append(value)
 
     def since(self, interval: int) -> list[Evidence]:
-        """Return the kept evidence of the intervals after `interval`."""
-        return [item for item in self._kept if item.interval > interval]
+        """Return the retained evidence of the intervals after `interval`."""
+        return [item for item in self._retained if item.interval > interval]
 
     def thresholds(self) -> tuple[SlowThreshold, ...]:
-        """Return the latency above which calls of each route are slow."""
-        found = []
+        """Return the latency above which a call is slow, for each route."""
+        thresholds = []
         for route, values in sorted(self._latencies.items()):
             calls = sum(item[0] for item in values)
             if calls < THRESHOLD_CALLS:
                 continue
-            usual = sum(item[1] for item in values) / calls
-            limit = max(SLOW_FACTOR * usual, usual + SLOW_MARGIN_MS)
-            found.append(SlowThreshold(route, limit))
-        return tuple(found)
+            p95_ms = sum(item[1] for item in values) / calls
+            limit = max(SLOW_FACTOR * p95_ms, p95_ms + SLOW_MARGIN_MS)
+            thresholds.append(SlowThreshold(route, limit))
+        return tuple(thresholds)
--- a/gypsumhall/core/_moves.py
+++ b/gypsumhall/core/_moves.py
@@ -17,43 +17,52 @@
 # has ended, since the test compares versions within the same interval.
 STAGE_SHARES = (0.01, 0.05, 0.2, 0.5, 0.9)
 
-# Part of the time to the deadline that is kept free for held stages.
+# Fraction of the time to the deadline that is reserved for stages that are
+# held beyond their planned end.
 RESERVE = 0.1
 
 # With fewer calls than this to the new version since the move began, the
-# sequential test cannot decide yet. A stage is then held when the faults of
-# the new version are this improbable at the old version's rate of faults. A
-# hold after any single fault made 4 of 1,000 good moves miss their deadline.
+# sequential test has too little data. A stage is then held if the number of
+# faults of the new version has a p-value below this level at the old
+# version's fault rate. Holding a stage after any single fault made 4 of 1,000
+# moves to a good version miss their deadline.
 LOW_TRAFFIC_CALLS = 50
 LOW_TRAFFIC_LEVEL = 1e-3
 
-# Calls to the new version, since the move began, that a stage waits for. A
-# version that fails all calls went from a stage of 4 s to 20 % of them while
-# the controller knew of one call or none. Two failures show as a doubt.
+# Calls to the new version, since the move began, that a stage waits for.
+# Without the wait, a version that failed all calls passed a stage of 4 s and
+# got 20 % of the calls while the controller had evidence of at most one. Two
+# failures are enough to hold a stage.
 ENOUGH_CALLS = 3
 
-# Time in seconds that a stage which waits leaves to each one after it: a
-# little over the time in which evidence reaches the controller.
+# Minimum time in seconds that a stage which waits for calls leaves to each
+# later stage: slightly more than the delay, also in seconds, until evidence
+# reaches the controller.
 SHORTEST_STAGE_S = 3.0
 EVIDENCE_LAG_S = 2.5
 
-# Calls that a stage has to expect in the time it may wait. At low traffic
-# the wait would only shorten the later stages, which have more calls.
+# A stage waits only if at least this many calls to the new version are
+# expected in the time available. At low traffic the wait would only shorten
+# the later stages, which get more calls.
 EXPECTED_CALLS = 0.3
 
-# A first stage without any call to compare, as all requests of the service
-# are non-idempotent or keyed, ends after this time in seconds.
+# Time in seconds after which a first stage without comparable calls ends. No
+# calls can be compared if all requests of the service are non-idempotent or
+# keyed.
 UNTRIED_S = 3.0
 
-# Largest factors by which a stage raises the share, with and without enough
-# calls. The first one has precedence, so that the last share is reached.
+# Largest factors by which a stage raises the share, with `ENOUGH_CALLS` and
+# with fewer. With fewer, the share is still raised as far as necessary for the
+# later stages to reach the last share by `LARGEST_GROWTH` each.
 LARGEST_GROWTH = 5.0
 FEW_CALLS_GROWTH = 2.0
 
-# A soak that starts late is shortened to the time left, down to this part.
+# A soak that starts late is shortened to the time left, but not below this
+# fraction of its length.
 SHORTEST_SOAK = 0.5
 
-# The last compare-and-swap has to be in effect everywhere by the deadline.
+# A soak is planned to end this time in seconds before the deadline or earlier,
+# so that the last compare-and-swap is in effect on all daemons by then.
 FINISH_MARGIN_S = 3.0
 
 DEADLINE_REASON = 'deadline'
@@ -62,11 +71,11 @@
 FEW_FAILURES_REASON = 'failure-of-few-calls'
 LOW_TRAFFIC_REASON = 'low-traffic-with-faults'
 
-_DOUBTS = (SUSPICION_REASON, LOW_TRAFFIC_REASON)
+_EVIDENCE_HOLDS = (SUSPICION_REASON, LOW_TRAFFIC_REASON)
 
 
 class Step(enum.StrEnum):
-    """What happens to a move next."""
+    """Next action on a move."""
 
     HOLD = 'hold'
     ADVANCE = 'advance'
@@ -77,18 +86,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Decision:
-    """A step with what it needs.
+    """Next step of a move and its parameters.
 
     Parameters
     ----------
     step : Step
-        What to do.
+        The step.
     stage : int
         Stage after the step.
     share : float
         Share of the calls for the new version after the step.
     reason : str
-        Why the move is held or reverted.
+        Reason code or verdict if the move is held or reverted.
     """
 
     step: Step
@@ -98,7 +107,7 @@
 
 
 def usable_time(spec: MoveSpec, started: float) -> float:
-    """Return the time that a move's stages may take in total, in seconds.
+    """Return the total time available to a move's stages, in seconds.
 
     Parameters
     ----------
@@ -111,50 +120,57 @@
 
 
 def stage_end(move: Move) -> float:
-    """Return the Unix time in seconds at which the stage should end.
+    """Return the planned end of the current stage, Unix time in seconds.
 
-    The time that is left is divided over the stages that are left, so a
-    stage that was held shortens those after it.
+    The remaining time is divided evenly among the remaining stages, so a
+    stage that was held shortens the later ones.
     """
     plan_end = move.started + usable_time(move.spec, move.started)
-    left = len(STAGE_SHARES) - move.stage
-    return move.stage_started + max(0.0, plan_end - move.stage_started) / left
+    stages_left = len(STAGE_SHARES) - move.stage
+    return (
+        move.stage_started
+        + max(0.0, plan_end - move.stage_started) / stages_left
+    )
 
 
-def _longest_doubt(move: Move) -> float:
-    """Return when a stage has lasted twice its planned time."""
+def _hold_limit(move: Move) -> float:
+    """Return the Unix time at which a stage took twice its planned time."""
     return 2 * stage_end(move) - move.stage_started
 
 
-def _is_untried(move: Move, test: EvidenceTest, now: float) -> bool:
-    """Whether the first stage has no calls that could be compared."""
-    waited = now - move.stage_started >= UNTRIED_S
-    return move.stage == 0 and waited and not test.calls
+def _lacks_comparable_calls(
+    move: Move, test: EvidenceTest, now: float
+) -> bool:
+    """Whether the first stage timed out without comparable calls."""
+    timed_out = now - move.stage_started >= UNTRIED_S
+    return move.stage == 0 and timed_out and not test.calls
 
 
-def _waits_for_calls(move: Move, test: EvidenceTest, now: float) -> bool:
-    """Whether enough calls will come without delaying the move."""
+def _should_wait_for_calls(move: Move, test: EvidenceTest, now: float) -> bool:
+    """Whether to wait for more calls; False if it would delay the move."""
     if test.new_calls >= ENOUGH_CALLS:
         return False
     plan_end = move.started + usable_time(move.spec, move.started)
-    later = len(STAGE_SHARES) - 1 - move.stage
-    latest = min(plan_end - later * SHORTEST_STAGE_S, _longest_doubt(move))
+    later_stages = len(STAGE_SHARES) - 1 - move.stage
+    latest = min(plan_end - later_stages * SHORTEST_STAGE_S, _hold_limit(move))
     if now >= latest:
         return False
-    seen_s = max(now - EVIDENCE_LAG_S - move.stage_started, 0.1)
-    rate = test.stage_calls / seen_s
+    observed_s = max(now - EVIDENCE_LAG_S - move.stage_started, 0.1)
+    rate = test.stage_calls / observed_s
     return rate * move.share * (latest - now) >= EXPECTED_CALLS
 
 
-def _following_share(move: Move, test: EvidenceTest) -> float:
-    """Return the share of the next stage, at most the planned one."""
+def _next_share(move: Move, test: EvidenceTest) -> float:
+    """Return the share of the next stage; at most its planned share."""
     stage = move.stage + 1
     planned = STAGE_SHARES[stage]
     if test.new_calls >= ENOUGH_CALLS:
         return min(planned, round(LARGEST_GROWTH * move.share, 6))
-    later = len(STAGE_SHARES) - 1 - stage
-    least = STAGE_SHARES[-1] / LARGEST_GROWTH**later
-    return min(planned, round(max(least, FEW_CALLS_GROWTH * move.share), 6))
+    later_stages = len(STAGE_SHARES) - 1 - stage
+    min_share = STAGE_SHARES[-1] / LARGEST_GROWTH**later_stages
+    return min(
+        planned, round(max(min_share, FEW_CALLS_GROWTH * move.share), 6)
+    )
 
 
 def decide(
@@ -170,7 +186,7 @@
     Parameters
     ----------
     move : Move
-        Progress as the head records it.
+        State of the move as recorded in the head.
     test : EvidenceTest
         Evidence of all zones.
     now : float
@@ -178,7 +194,7 @@
     endpoints_ready : bool
         Whether the new version has a ready endpoint.
     evidence_fresh : bool
-        Whether the judge of at least one zone reported recently.
+        Whether the judge of at least one zone has reported recently.
     """
     if move.state.final:
         return _hold(move, 'ended')
@@ -188,21 +204,21 @@
         return _decide_soaking(move, test, now, evidence_fresh)
     if now >= move.spec.deadline - SHORTEST_SOAK * move.spec.soak_s:
         return _revert(move, DEADLINE_REASON)
-    few = test.new_calls < LOW_TRAFFIC_CALLS
-    if few and test.condemned_by_few_calls():
+    low_traffic = test.new_calls < LOW_TRAFFIC_CALLS
+    if low_traffic and test.condemned_by_few_calls():
         return _revert(move, FEW_FAILURES_REASON)
-    if now < stage_end(move) and not _is_untried(move, test, now):
+    if now < stage_end(move) and not _lacks_comparable_calls(move, test, now):
         return _hold(move, 'planned')
-    reason = _reason_to_hold(test, endpoints_ready, evidence_fresh)
-    if reason in _DOUBTS and now >= _longest_doubt(move):
+    reason = _hold_reason(test, endpoints_ready, evidence_fresh)
+    if reason in _EVIDENCE_HOLDS and now >= _hold_limit(move):
         return _revert(move, reason)
     if reason:
         return _hold(move, reason)
-    if _waits_for_calls(move, test, now):
+    if _should_wait_for_calls(move, test, now):
         return _hold(move, FEW_CALLS_REASON)
     if move.stage + 1 < len(STAGE_SHARES):
         stage = move.stage + 1
-        return Decision(Step.ADVANCE, stage, _following_share(move, test))
+        return Decision(Step.ADVANCE, stage, _next_share(move, test))
     return Decision(Step.SOAK, move.stage, move.share)
 
 
@@ -216,13 +232,13 @@
     end = max(shortest, min(move.stage_started + move.spec.soak_s, latest))
     if now < end:
         return _hold(move, 'soaking')
-    reason = _reason_to_hold(test, True, evidence_fresh)
+    reason = _hold_reason(test, True, evidence_fresh)
     if reason:
         return _hold(move, reason)
     return Decision(Step.FINISH, move.stage, 1.0)
 
 
-def _reason_to_hold(
+def _hold_reason(
     test: EvidenceTest, endpoints_ready: bool, evidence_fresh: bool
 ) -> str:
     if not endpoints_ready:
