--- a/gypsumhall/core/_evidence.py
+++ b/gypsumhall/core/_evidence.py
@@ -103,8 +103,8 @@
 
 
 # Numbers of recent intervals that are checked for an increase of the new
-# version's share. If the old version's endpoints disappear, nearly all calls and
-# faults fall to the new version, which alone is no evidence against it.
+# version's share. If the old version's endpoints disappear, nearly all faults
+# occur on the new version, which alone is no evidence against it.
 GROWTH_WINDOWS = (1, 4, 16, 64)
 
 
--- a/gypsumhall/core/_judge.py
+++ b/gypsumhall/core/_judge.py
@@ -137,12 +137,12 @@
 
     def thresholds(self) -> tuple[SlowThreshold, ...]:
         """Return the latency above which a call is slow, for each route."""
-        thresholds = []
+        slow_thresholds = []
         for route, values in sorted(self._latencies.items()):
             calls = sum(item[0] for item in values)
             if calls < THRESHOLD_CALLS:
                 continue
             p95_ms = sum(item[1] for item in values) / calls
             limit = max(SLOW_FACTOR * p95_ms, p95_ms + SLOW_MARGIN_MS)
-            thresholds.append(SlowThreshold(route, limit))
-        return tuple(thresholds)
+            slow_thresholds.append(SlowThreshold(route, limit))
+        return tuple(slow_thresholds)
--- a/gypsumhall/core/_rollout.py
+++ b/gypsumhall/core/_rollout.py
@@ -1,11 +1,11 @@
-"""Stages and verdict of a move that lasts seconds.
-
-A rollout of 16 s at 100 calls/s leaves no time for the evidence of
-`gypsumhall.core._evidence`, which was designed for minutes. Here the results
-of the new version are compared with those of the old one at the same time,
-once over all routes and once per route, and both for failures and for slow
-runs. ``tests/test_core_rollout.py`` replays versions that are good, that
-fail or are slow at once, later, under load and on one route.
+"""Stages and decisions of rollouts, which are moves that last seconds.
+
+A rollout of 16 s at 100 calls/s is too short for the sequential test of
+`gypsumhall.core._evidence`, which was designed for minutes. Instead, the
+failures and slow runs of the new version are compared with those of the old
+version at the same time, over all routes and for each route.
+``tests/test_core_rollout.py`` simulates good versions and versions that fail
+or are slow from the start, later, under load or on one route.
 """
 
 from __future__ import annotations
@@ -25,64 +25,66 @@
     from gypsumhall.net._messages import RolloutCounts
 
 BUCKETS = 24
-"""Number of ranges of durations."""
+"""Number of buckets of the histogram of durations."""
 
-_FIRST_MS = 2.0
-_RATIO = 1.5
+_FIRST_BUCKET_MS = 2.0
+_BUCKET_RATIO = 1.5
 
 STAGES = ((0.0, 0.04), (0.45, 0.2), (0.66, 0.45), (0.8, 1.0))
-"""Part of the rollout's time at which a stage begins, and the share of the
-calls that the new version gets in it. The first one stays below the tenth
-that a bad version may get, and is long enough for versions that turn bad
-some seconds after their start. A version that turns bad in the third one has
-got less than a tenth of all calls. Before the last one, the slots of both
-versions are in use."""
+"""Fraction of the rollout's duration at which each stage begins, and the share
+of the calls that the new version gets in it. The first share is below the
+tenth of the calls that a bad version may get, and the first stage is long
+enough to detect versions that become bad some seconds after their start. A
+version that becomes bad in the third stage has got less than a tenth of all
+calls by then. The slots of both versions are in use before the last stage."""
 
 COMPLETE_AT = 0.88
-"""Part of the time at which a rollout is complete: calls that were sent to
-the old version before the last stage have ended by then, and the rest of the
-time covers a slow store."""
+"""Fraction of the duration at which a rollout is complete. Calls that were
+sent to the old version before the last stage have ended by then, and the
+remaining time allows for a slow store."""
 
 MIN_STAGE_S = 1.0
-"""Shortest time in seconds of a stage that began late."""
+"""Minimum duration of a stage in seconds, which matters if it began late."""
 
 MIN_RUNS = 20
-"""Runs of the new version without which the first stage lasts longer."""
+"""Runs of the new version below which the first stage is extended."""
 
 _FEW_RUNS = 10
-"""Runs in the whole first stage below which the second one begins early: at
-low rates the first stage would show nothing, and the calls that a bad version
-gets in the second one are few."""
+"""Expected runs of the new version in the whole first stage below which the
+second stage begins early. At such low rates the first stage would give no
+evidence, and a bad version gets few calls in the second stage."""
 
-_EARLY_START = 0.15
-"""Part of the time after which the rate of runs is known well enough."""
+_SECOND_STAGE_EARLIEST = 0.15
+"""Fraction of the duration after which the rate of runs is known well enough
+to begin the second stage early."""
 
-_LAST_START = 0.7
-"""Part of the time after which the second stage begins without `MIN_RUNS`."""
+_SECOND_STAGE_LATEST = 0.7
+"""Fraction of the duration after which the second stage begins without
+`MIN_RUNS`."""
 
-_MIN_BAD = 4
+_MIN_FAULTS = 4
 _ALPHA = 1e-5
-"""Probability by chance below which results condemn a version."""
+"""Significance level of a decision against the new version."""
 
-_LAST_RATE = 0.5
-"""Share of failures in the last stage that a version must exceed to be
-condemned. Without calls to the old version at the same time, faults that
-have another cause cannot be told apart otherwise."""
+_LAST_STAGE_FAILURE_RATE = 0.5
+"""Failure rate that the new version must significantly exceed in the last
+stage to be rolled back. Without calls to the old version at the same time,
+faults that have another cause cannot otherwise be distinguished."""
 
-_ALPHA_REST = 0.05
-"""The same, for the results without the worst endpoint."""
+_ALPHA_WITHOUT_WORST = 0.05
+"""Significance level for the results without the worst endpoint."""
 
 _SLOW_SHARE = 0.1
-"""Share of the old version's runs that count as slow."""
+"""Fraction of the old version's runs that count as slow."""
 
 _TOLERANCE = 0.02
-"""Faults of the old version are taken to be more frequent by this share."""
+"""Added to the fault rate of the old version before the comparison."""
 
 _PRIOR_RUNS = 20
 
 
 class Outcome(enum.Enum):
-    """What the controller decides."""
+    """Decision on a rollout."""
 
     CONTINUE = 'continue'
     COMPLETE = 'complete'
@@ -90,23 +92,23 @@
 
 
 def bucket(duration_ms: float) -> int:
-    """Return the index of the range that a duration lies in."""
-    if duration_ms <= _FIRST_MS:
+    """Return the index of the bucket of a duration."""
+    if duration_ms <= _FIRST_BUCKET_MS:
         return 0
-    index = int(math.log(duration_ms / _FIRST_MS, _RATIO)) + 1
+    index = int(math.log(duration_ms / _FIRST_BUCKET_MS, _BUCKET_RATIO)) + 1
     return min(BUCKETS - 1, index)
 
 
 @dataclass(slots=True)
 class Tally:
-    """Results of runs, summed up.
+    """Aggregated results of runs.
 
     Parameters
     ----------
     failures : int
         Runs that failed.
     durations : list of int
-        Number of runs by range of duration.
+        Number of runs by bucket of the duration.
     """
 
     failures: int = 0
@@ -130,12 +132,12 @@
                 self.durations[index] += count
 
     def slower_than(self, index: int) -> int:
-        """Return the number of runs in ranges above one."""
+        """Return the number of runs in the buckets above `index`."""
         return sum(self.durations[index + 1 :])
 
 
 @dataclass(slots=True)
-class _Version:
+class _VersionResults:
     """Results of one version, by endpoint and route."""
 
     endpoints: dict[str, Mapping[str, RolloutCounts]] = field(
@@ -157,25 +159,25 @@
 
 
 class Rollout:
-    """Evidence and stage of one rollout, as its controller holds them.
+    """Evidence and stage of one rollout, as tracked by its controller.
 
     Parameters
     ----------
     version : str
         The new version.
     started : float
-        Time in seconds at which it was ordered.
+        Time in seconds at which the rollout was ordered.
     duration_s : float
-        Time in seconds within which it has to end.
+        Time in seconds within which the rollout has to end.
     """
 
     __slots__ = (
+        '_before_last_stage',
         '_duration_s',
         '_new',
         '_old',
         '_stage',
-        '_before_last',
-        '_stage_since',
+        '_stage_started',
         '_started',
         '_version',
     )
@@ -186,11 +188,11 @@
         self._version = version
         self._started = started
         self._duration_s = max(0.001, duration_s)
-        self._new = _Version()
-        self._old = _Version()
+        self._new = _VersionResults()
+        self._old = _VersionResults()
         self._stage = -1
-        self._stage_since = started
-        self._before_last = Tally()
+        self._stage_started = started
+        self._before_last_stage = Tally()
 
     @property
     def share(self) -> float:
@@ -199,24 +201,24 @@
 
     @property
     def runs(self) -> tuple[int, int]:
-        """Runs of the new and of the old version that are known."""
+        """Reported runs of the new and of the old version."""
         return self._new.tally().runs, self._old.tally().runs
 
     def resume(self, share: float, now: float) -> None:
-        """Take over the stage that an earlier controller has reached."""
-        for index, (_, known) in enumerate(STAGES):
-            if known <= share:
-                self._enter(index, now)
+        """Continue from the stage that a previous controller has reached."""
+        for index, (_, stage_share) in enumerate(STAGES):
+            if stage_share <= share:
+                self._enter_stage(index, now)
 
     def take(
         self, endpoint: str, version: str, counts: Iterable[RolloutCounts]
     ) -> None:
-        """Take over the results at an endpoint; they replace earlier ones."""
-        side = self._new if version == self._version else self._old
-        side.endpoints[endpoint] = {item.route: item for item in counts}
+        """Set the results of an endpoint, replacing its earlier ones."""
+        results = self._new if version == self._version else self._old
+        results.endpoints[endpoint] = {item.route: item for item in counts}
 
     def advance(self, now: float, *, present: bool) -> Outcome:
-        """Decide about the rollout; `share` may change.
+        """Decide how the rollout continues; this may change `share`.
 
         Parameters
         ----------
@@ -227,41 +229,46 @@
         """
         if self.suspicion():
             return Outcome.ROLL_BACK
-        part = (now - self._started) / self._duration_s
+        progress = (now - self._started) / self._duration_s
         if not present:
-            # Without endpoints the old version has to go on.
-            return Outcome.ROLL_BACK if part >= 1.0 else Outcome.CONTINUE
+            # Without a ready endpoint, the old version must keep serving.
+            return Outcome.ROLL_BACK if progress >= 1.0 else Outcome.CONTINUE
         if self._stage < 0:
-            self._enter(0, now)
-        held = now - self._stage_since
+            self._enter_stage(0, now)
+        elapsed_s = now - self._stage_started
         last = len(STAGES) - 1
         if self._stage == last:
-            if part >= COMPLETE_AT and held >= MIN_STAGE_S:
+            if progress >= COMPLETE_AT and elapsed_s >= MIN_STAGE_S:
                 return Outcome.COMPLETE
             return Outcome.CONTINUE
-        due = part >= STAGES[self._stage + 1][0] and held >= MIN_STAGE_S
-        if due and self._stage == 0 and part < _LAST_START:
+        due = (
+            progress >= STAGES[self._stage + 1][0] and elapsed_s >= MIN_STAGE_S
+        )
+        if due and self._stage == 0 and progress < _SECOND_STAGE_LATEST:
             due = self._new.tally().runs >= MIN_RUNS
-        if due or self._has_few_runs(now):
-            self._enter(self._stage + 1, now)
+        if due or self._gets_few_runs(now):
+            self._enter_stage(self._stage + 1, now)
         return Outcome.CONTINUE
 
-    def _has_few_runs(self, now: float) -> bool:
-        """Whether the first stage cannot show whether a version is bad."""
-        held = now - self._stage_since
-        if self._stage or held < _EARLY_START * self._duration_s:
+    def _gets_few_runs(self, now: float) -> bool:
+        """Whether the first stage gets too few runs for a decision."""
+        elapsed_s = now - self._stage_started
+        if (
+            self._stage
+            or elapsed_s < _SECOND_STAGE_EARLIEST * self._duration_s
+        ):
             return False
         new, old = self.runs
-        if old < _MIN_BAD:
-            # Results may be late or lost; the rate is not known then.
+        if old < _MIN_FAULTS:
+            # Results may be delayed or lost, so the rate is unknown.
             return False
         stage_s = STAGES[1][0] * self._duration_s
-        return self.share * (new + old) * stage_s / held < _FEW_RUNS
+        return self.share * (new + old) * stage_s / elapsed_s < _FEW_RUNS
 
     def suspicion(self) -> str:
-        """Return why the new version is bad; empty when it is not."""
+        """Return where the new version is bad; empty if it is not."""
         if self._stage == len(STAGES) - 1:
-            return self._suspicion_alone()
+            return self._last_stage_suspicion()
         if self._is_bad(''):
             return 'all routes'
         for route in sorted(self._new.routes()):
@@ -269,39 +276,41 @@
                 return f'route {route}'
         return ''
 
-    def _suspicion_alone(self) -> str:
+    def _last_stage_suspicion(self) -> str:
         total = self._new.tally()
-        before = self._before_last
+        before = self._before_last_stage
         runs = total.runs - before.runs
         failures = total.failures - before.failures
-        if tail(runs, failures, _LAST_RATE) < _ALPHA:
+        if tail(runs, failures, _LAST_STAGE_FAILURE_RATE) < _ALPHA:
             return 'all routes in the last stage'
         return ''
 
-    def _enter(self, stage: int, now: float) -> None:
+    def _enter_stage(self, stage: int, now: float) -> None:
         self._stage = stage
-        self._stage_since = now
+        self._stage_started = now
         if stage == len(STAGES) - 1:
-            self._before_last = self._new.tally()
+            self._before_last_stage = self._new.tally()
 
     def _is_bad(self, route: str) -> bool:
         new = self._new.tally(route)
         old = self._old.tally(route)
-        if self._chance(new, old) >= _ALPHA:
+        if self._p_value(new, old) >= _ALPHA:
             return False
         endpoints = self._new.endpoints
         if len(endpoints) < 2:
             return True
         worst = max(
             endpoints,
-            key=lambda item: self._bad_runs(self._tally_of(item, route), old),
+            key=lambda item: self._faulty_runs(
+                self._endpoint_tally(item, route), old
+            ),
         )
         rest = self._new.tally(route, without=worst)
         if not rest.runs:
             return True
-        return self._chance(rest, old) < _ALPHA_REST
+        return self._p_value(rest, old) < _ALPHA_WITHOUT_WORST
 
-    def _tally_of(self, endpoint: str, route: str) -> Tally:
+    def _endpoint_tally(self, endpoint: str, route: str) -> Tally:
         total = Tally()
         for counts in self._new.endpoints[endpoint].values():
             if route in ('', counts.route):
@@ -309,41 +318,41 @@
         return total
 
     @staticmethod
-    def _bad_runs(new: Tally, old: Tally) -> int:
-        return new.failures + new.slower_than(_slow_from(old))
+    def _faulty_runs(new: Tally, old: Tally) -> int:
+        return new.failures + new.slower_than(_slow_bucket(old))
 
     @staticmethod
-    def _chance(new: Tally, old: Tally) -> float:
-        """Return how likely the faults are if the versions are equal."""
+    def _p_value(new: Tally, old: Tally) -> float:
+        """Return the p-value of the faults if the versions are equal."""
         runs = new.runs
-        known = old.runs
-        rate = (old.failures + 1) / (known + _PRIOR_RUNS) + _TOLERANCE
-        chance = tail(runs, new.failures, rate)
-        if known >= _PRIOR_RUNS:
-            index = _slow_from(old)
-            slow = (old.slower_than(index) + 1) / (known + 1) + _TOLERANCE
-            chance = min(chance, tail(runs, new.slower_than(index), slow))
-        return chance
-
-
-def _slow_from(old: Tally) -> int:
-    """Return the range above which a run counts as slow."""
+        old_runs = old.runs
+        rate = (old.failures + 1) / (old_runs + _PRIOR_RUNS) + _TOLERANCE
+        p_value = tail(runs, new.failures, rate)
+        if old_runs >= _PRIOR_RUNS:
+            index = _slow_bucket(old)
+            slow = (old.slower_than(index) + 1) / (old_runs + 1) + _TOLERANCE
+            p_value = min(p_value, tail(runs, new.slower_than(index), slow))
+        return p_value
+
+
+def _slow_bucket(old: Tally) -> int:
+    """Return the bucket above which a run counts as slow."""
     allowed = _SLOW_SHARE * old.runs
     above = 0
     for index in range(BUCKETS - 1, -1, -1):
         above += old.durations[index]
         if above > allowed:
-            # One range more, so that rounding cannot make a run slow.
+            # One bucket higher, so that rounding cannot make a run slow.
             return min(BUCKETS - 1, index + 1)
     return BUCKETS - 1
 
 
 def tail(trials: int, successes: int, rate: float) -> float:
-    """Return the probability of at least as many successes.
+    """Return the probability of at least `successes` successes.
 
-    Fewer than `_MIN_BAD` of them show nothing. The parameters are those of
-    `gypsumhall.core._binomial.tail`.
+    The result is 1 for fewer than `_MIN_FAULTS` successes, which are never
+    significant. The parameters are those of `gypsumhall.core._binomial.tail`.
     """
-    if successes < _MIN_BAD:
+    if successes < _MIN_FAULTS:
         return 1.0
     return _binomial.tail(trials, successes, min(0.99, rate))
