--- a/gypsumhall/core/_binomial.py
+++ b/gypsumhall/core/_binomial.py
@@ -8,7 +8,7 @@
 """The sum ends at the first term beyond the mean that is below this value."""
 
 
-def tail(trials: int, successes: int, rate: float) -> float:
+def tail_probability(trials: int, successes: int, rate: float) -> float:
     """Return the probability of at least `successes` successes.
 
     Parameters
--- a/gypsumhall/core/_evidence.py
+++ b/gypsumhall/core/_evidence.py
@@ -305,7 +305,7 @@
         return max(values, default=0.0)
 
     @property
-    def suspicion(self) -> float:
+    def robust_statistic(self) -> float:
         """Largest statistic without its worst failure domain."""
         values = [self._robust_statistic(key) for key in self._statistics]
         return max(values, default=0.0)
@@ -315,11 +315,11 @@
         """Whether the evidence is currently against advancing the move."""
         if self._has_recent_excess():
             return True
-        if self.suspicion < SUSPICION_LOG:
+        if self.robust_statistic < SUSPICION_LOG:
             return False
         return self._stage_counts.excess_rate > FAULT_RATE_TOLERANCE
 
-    def fault_probability(self) -> float:
+    def fault_p_value(self) -> float:
         """Return the p-value of the new version's number of faults.
 
         This is the probability of at least this number of faults among the
@@ -329,9 +329,11 @@
         """
         counts = self._move_counts
         rate = (counts.old_faults + 1) / (counts.old_calls + 1)
-        return _binomial.tail(counts.new_calls, counts.new_faults, rate)
+        return _binomial.tail_probability(
+            counts.new_calls, counts.new_faults, rate
+        )
 
-    def condemned_by_few_calls(self) -> bool:
+    def fails_small_sample_test(self) -> bool:
         """Whether the failures of the latest stage are significant.
 
         The versions are compared within each zone of endpoints, and the
@@ -367,7 +369,7 @@
             group.new_calls * (group.old_faults + 1) / (group.old_calls + 1)
             for group in zones.values()
         )
-        return _binomial.tail(calls, faults, expected / calls)
+        return _binomial.tail_probability(calls, faults, expected / calls)
 
     def observe(self, stage: int, counts: Iterable[Counts]) -> Verdict | None:
         """Add the results of one interval of all endpoints.
--- a/gypsumhall/core/_judge.py
+++ b/gypsumhall/core/_judge.py
@@ -22,7 +22,7 @@
 SLOW_MARGIN_MS = 50.0
 
 # Intervals whose evidence is retained for a new controller; one minute.
-KEPT_INTERVALS = 120
+RETAINED_INTERVALS = 120
 
 # Number of recent intervals from which the threshold of a route is computed,
 # and the calls to the old version that they must contain.
@@ -70,7 +70,7 @@
         return self._test
 
     @property
-    def closed(self) -> int:
+    def last_closed_interval(self) -> int:
         """Number of the last closed interval."""
         return self._last_closed
 
@@ -114,7 +114,7 @@
         self._retained.append(
             Evidence(self._move, stage, interval, tuple(counts))
         )
-        while self._retained[0].interval <= interval - KEPT_INTERVALS:
+        while self._retained[0].interval <= interval - RETAINED_INTERVALS:
             self._retained.popleft()
         self._add_latencies(counts)
 
--- a/gypsumhall/core/_moves.py
+++ b/gypsumhall/core/_moves.py
@@ -33,7 +33,7 @@
 # Without the wait, a version that failed all calls passed a stage of 4 s and
 # got 20 % of the calls while the controller had evidence of at most one. Two
 # failures are enough to hold a stage.
-ENOUGH_CALLS = 3
+MIN_NEW_CALLS = 3
 
 # Minimum time in seconds that a stage which waits for calls leaves to each
 # later stage: slightly more than the delay, also in seconds, until evidence
@@ -44,14 +44,14 @@
 # A stage waits only if at least this many calls to the new version are
 # expected in the time available. At low traffic the wait would only shorten
 # the later stages, which get more calls.
-EXPECTED_CALLS = 0.3
+MIN_EXPECTED_CALLS = 0.3
 
 # Time in seconds after which a first stage without comparable calls ends. No
 # calls can be compared if all requests of the service are non-idempotent or
 # keyed.
-UNTRIED_S = 3.0
+NO_CALLS_TIMEOUT_S = 3.0
 
-# Largest factors by which a stage raises the share, with `ENOUGH_CALLS` and
+# Largest factors by which a stage raises the share, with `MIN_NEW_CALLS` and
 # with fewer. With fewer, the share is still raised as far as necessary for the
 # later stages to reach the last share by `LARGEST_GROWTH` each.
 LARGEST_GROWTH = 5.0
@@ -59,7 +59,7 @@
 
 # A soak that starts late is shortened to the time left, but not below this
 # fraction of its length.
-SHORTEST_SOAK = 0.5
+MIN_SOAK_FRACTION = 0.5
 
 # A soak is planned to end this time in seconds before the deadline or earlier,
 # so that the last compare-and-swap is in effect on all daemons by then.
@@ -142,13 +142,13 @@
     move: Move, test: EvidenceTest, now: float
 ) -> bool:
     """Whether the first stage timed out without comparable calls."""
-    timed_out = now - move.stage_started >= UNTRIED_S
+    timed_out = now - move.stage_started >= NO_CALLS_TIMEOUT_S
     return move.stage == 0 and timed_out and not test.calls
 
 
 def _should_wait_for_calls(move: Move, test: EvidenceTest, now: float) -> bool:
     """Whether to wait for more calls; False if it would delay the move."""
-    if test.new_calls >= ENOUGH_CALLS:
+    if test.new_calls >= MIN_NEW_CALLS:
         return False
     plan_end = move.started + usable_time(move.spec, move.started)
     later_stages = len(STAGE_SHARES) - 1 - move.stage
@@ -157,14 +157,14 @@
         return False
     observed_s = max(now - EVIDENCE_LAG_S - move.stage_started, 0.1)
     rate = test.stage_calls / observed_s
-    return rate * move.share * (latest - now) >= EXPECTED_CALLS
+    return rate * move.share * (latest - now) >= MIN_EXPECTED_CALLS
 
 
 def _next_share(move: Move, test: EvidenceTest) -> float:
     """Return the share of the next stage; at most its planned share."""
     stage = move.stage + 1
     planned = STAGE_SHARES[stage]
-    if test.new_calls >= ENOUGH_CALLS:
+    if test.new_calls >= MIN_NEW_CALLS:
         return min(planned, round(LARGEST_GROWTH * move.share, 6))
     later_stages = len(STAGE_SHARES) - 1 - stage
     min_share = STAGE_SHARES[-1] / LARGEST_GROWTH**later_stages
@@ -202,10 +202,10 @@
         return _revert(move, str(test.verdict))
     if move.state is MoveState.SOAKING:
         return _decide_soaking(move, test, now, evidence_fresh)
-    if now >= move.spec.deadline - SHORTEST_SOAK * move.spec.soak_s:
+    if now >= move.spec.deadline - MIN_SOAK_FRACTION * move.spec.soak_s:
         return _revert(move, DEADLINE_REASON)
     low_traffic = test.new_calls < LOW_TRAFFIC_CALLS
-    if low_traffic and test.condemned_by_few_calls():
+    if low_traffic and test.fails_small_sample_test():
         return _revert(move, FEW_FAILURES_REASON)
     if now < stage_end(move) and not _lacks_comparable_calls(move, test, now):
         return _hold(move, 'planned')
@@ -228,7 +228,7 @@
     if now >= move.spec.deadline:
         return _revert(move, DEADLINE_REASON)
     latest = move.spec.deadline - FINISH_MARGIN_S
-    shortest = move.stage_started + SHORTEST_SOAK * move.spec.soak_s
+    shortest = move.stage_started + MIN_SOAK_FRACTION * move.spec.soak_s
     end = max(shortest, min(move.stage_started + move.spec.soak_s, latest))
     if now < end:
         return _hold(move, 'soaking')
@@ -249,7 +249,7 @@
         return SUSPICION_REASON
     if (
         test.new_calls < LOW_TRAFFIC_CALLS
-        and test.fault_probability() < LOW_TRAFFIC_LEVEL
+        and test.fault_p_value() < LOW_TRAFFIC_LEVEL
     ):
         return LOW_TRAFFIC_REASON
     return ''
--- a/gypsumhall/core/_rollout.py
+++ b/gypsumhall/core/_rollout.py
@@ -210,7 +210,7 @@
             if stage_share <= share:
                 self._enter_stage(index, now)
 
-    def take(
+    def set_results(
         self, endpoint: str, version: str, counts: Iterable[RolloutCounts]
     ) -> None:
         """Set the results of an endpoint, replacing its earlier ones."""
@@ -281,7 +281,7 @@
         before = self._before_last_stage
         runs = total.runs - before.runs
         failures = total.failures - before.failures
-        if tail(runs, failures, _LAST_STAGE_FAILURE_RATE) < _ALPHA:
+        if tail_probability(runs, failures, _LAST_STAGE_FAILURE_RATE) < _ALPHA:
             return 'all routes in the last stage'
         return ''
 
@@ -327,11 +327,13 @@
         runs = new.runs
         old_runs = old.runs
         rate = (old.failures + 1) / (old_runs + _PRIOR_RUNS) + _TOLERANCE
-        p_value = tail(runs, new.failures, rate)
+        p_value = tail_probability(runs, new.failures, rate)
         if old_runs >= _PRIOR_RUNS:
             index = _slow_bucket(old)
             slow = (old.slower_than(index) + 1) / (old_runs + 1) + _TOLERANCE
-            p_value = min(p_value, tail(runs, new.slower_than(index), slow))
+            p_value = min(
+                p_value, tail_probability(runs, new.slower_than(index), slow)
+            )
         return p_value
 
 
@@ -347,12 +349,13 @@
     return BUCKETS - 1
 
 
-def tail(trials: int, successes: int, rate: float) -> float:
+def tail_probability(trials: int, successes: int, rate: float) -> float:
     """Return the probability of at least `successes` successes.
 
     The result is 1 for fewer than `_MIN_FAULTS` successes, which are never
-    significant. The parameters are those of `gypsumhall.core._binomial.tail`.
+    significant. The parameters are those of the function in
+    `gypsumhall.core._binomial`.
     """
     if successes < _MIN_FAULTS:
         return 1.0
-    return _binomial.tail(trials, successes, min(0.99, rate))
+    return _binomial.tail_probability(trials, successes, min(0.99, rate))
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -215,7 +215,7 @@
     def _take_evidence(self, member: str, message: RolloutEvidence) -> None:
         found = self._rollouts.get(message.service)
         if found is not None and found[0] == message.order:
-            found[1].take(member, message.version, message.counts)
+            found[1].set_results(member, message.version, message.counts)
 
     # Records
 
--- a/tests/test_core_evidence.py
+++ b/tests/test_core_evidence.py
@@ -184,7 +184,7 @@
     # Senders that eject the failing endpoints of their zone leave no group
     # with calls to both versions, and the statistic stays at zero.
     test = _ejected(new_zones, old_failures)
-    assert test.suspicion < 1.0
+    assert test.robust_statistic < 1.0
     assert test.suspicious is suspicious
 
 
@@ -219,14 +219,14 @@
             ],
         )
     assert test.verdict is None
-    assert test.condemned_by_few_calls() is condemned
+    assert test.fails_small_sample_test() is condemned
 
 
 def test_few_failures_at_one_endpoint_do_not_condemn() -> None:
     # With one endpoint known, a sick VM looks like a bad version.
     test = EvidenceTest('v2')
     test.observe(0, _interval(0, 6, calls=300, new_calls=6))
-    assert not test.condemned_by_few_calls()
+    assert not test.fails_small_sample_test()
 
 
 def test_few_failures_are_compared_within_their_zone() -> None:
@@ -241,4 +241,4 @@
             build_counts('v2', 10, 5, endpoint='n2'),
         ],
     )
-    assert not test.condemned_by_few_calls()
+    assert not test.fails_small_sample_test()
--- a/tests/test_core_judge.py
+++ b/tests/test_core_judge.py
@@ -44,7 +44,7 @@
         judge.add(report)
     for item in (expected, judge):
         item.close(3)
-    assert judge.test.suspicion == expected.test.suspicion
+    assert judge.test.robust_statistic == expected.test.robust_statistic
     assert judge.test.new_calls == expected.test.new_calls == 120
 
 
@@ -61,7 +61,7 @@
         judge.add(_evidence(interval, build_counts()))
         judge.close(interval)
     kept = judge.since(0)
-    assert len(kept) == _judge.KEPT_INTERVALS
+    assert len(kept) == _judge.RETAINED_INTERVALS
     assert [item.interval for item in judge.since(198)] == [199, 200]
 
 
--- a/tests/test_core_moves.py
+++ b/tests/test_core_moves.py
@@ -153,7 +153,7 @@
 def test_a_first_stage_without_comparable_calls_ends_early() -> None:
     # It gives no evidence, and its time is missing in the stages after it.
     empty = EvidenceTest('v2')
-    decision = _decide(_move(), _moves.UNTRIED_S, empty)
+    decision = _decide(_move(), _moves.NO_CALLS_TIMEOUT_S, empty)
     assert (decision.step, decision.share) == (Step.ADVANCE, 0.02)
     assert _decide(_move(), 2.5, empty).reason == 'planned'
     assert _decide(_move(), 4.0, empty, fresh=False).reason == 'no-evidence'
@@ -262,7 +262,7 @@
         if after.state is MoveState.DONE:
             assert before.state is MoveState.SOAKING
             soaked = after.stage_started - before.stage_started
-            assert soaked >= _moves.SHORTEST_SOAK * before.spec.soak_s
+            assert soaked >= _moves.MIN_SOAK_FRACTION * before.spec.soak_s
         self.head = following
 
     @rule(seconds=st.sampled_from([0.5, 5.0, 60.0, 200.0]))
--- a/tests/test_core_rollout.py
+++ b/tests/test_core_rollout.py
@@ -108,7 +108,7 @@
                 RolloutCounts(route, tally.failures, tuple(tally.durations))
                 for route, tally in routes.items()
             ]
-            rollout.take(endpoint, version, counts)
+            rollout.set_results(endpoint, version, counts)
         outcome = rollout.advance(now, present=True)
         if outcome is not Outcome.CONTINUE:
             return outcome, now, exposed / (rate * _DURATION_S), bad
@@ -199,7 +199,7 @@
     for _ in range(old_runs):
         tally.record(_MEAN_MS, failed=False)
     counts = RolloutCounts('a', 0, tuple(tally.durations))
-    rollout.take('o0', 'v1', [counts])
+    rollout.set_results('o0', 'v1', [counts])
     rollout.advance(3.0, present=True)
     assert rollout.share == _rollout.STAGES[0][1]
 
@@ -227,7 +227,7 @@
 def test_tail(
     trials: int, successes: int, rate: float, expected: float
 ) -> None:
-    found = _rollout.tail(trials, successes, rate)
+    found = _rollout.tail_probability(trials, successes, rate)
     assert found == pytest.approx(expected, rel=1e-2)
 
 
--- a/tests/test_services_moves.py
+++ b/tests/test_services_moves.py
@@ -376,7 +376,7 @@
             for evidence in fleet.moves[fleet.judge(zone).id]
             ._judges[_MOVE]
             .since(0)
-            if evidence.interval <= known.closed
+            if evidence.interval <= known.last_closed_interval
             for counts in evidence.counts
             if counts.version == 'v2'
         )
