--- a/tests/test_core_evidence.py
+++ b/tests/test_core_evidence.py
@@ -33,7 +33,7 @@
 
 @pytest.mark.parametrize('share', [0.01, 0.05, 0.5, 0.9])
 @pytest.mark.parametrize('index', range(len(_evidence.ODDS_RATIOS)))
-def test_the_expected_likelihood_ratio_is_one_for_a_good_version(
+def test_expected_likelihood_ratio_is_one_for_good_version(
     share: float, index: int
 ) -> None:
     new = _evidence.log_likelihood_ratios(share, 0, 1)[index]
@@ -43,7 +43,7 @@
     assert expected == pytest.approx(1.0)
 
 
-def test_a_version_that_fails_is_condemned_and_stays_so() -> None:
+def test_verdict_on_failing_version_is_final() -> None:
     test = EvidenceTest('v2')
     for _ in range(20):
         test.observe(0, _interval(0, 5))
@@ -55,7 +55,7 @@
     assert test.verdict is verdict
 
 
-def test_a_fault_on_one_route_is_found_on_that_route() -> None:
+def test_fault_on_one_route_is_attributed_to_that_route() -> None:
     test = EvidenceTest('v2')
     while test.verdict is None:
         test.observe(
@@ -66,8 +66,8 @@
     assert test.verdict.route == 'spa/book'
 
 
-def test_a_short_fault_does_not_condemn() -> None:
-    # A burst of failures within one or two intervals is no lasting fault.
+def test_short_fault_causes_no_verdict() -> None:
+    # A burst of failures within one or two intervals is not a lasting fault.
     test = EvidenceTest('v2')
     test.observe(0, _interval(0, 0, calls=10000, new_calls=100))
     test.observe(0, _interval(0, 100, new_calls=100))
@@ -75,7 +75,7 @@
     assert test.verdict is None
 
 
-def test_an_overload_of_both_versions_is_no_evidence() -> None:
+def test_overload_of_both_versions_causes_no_verdict() -> None:
     rng = random.Random(3)
     test = EvidenceTest('v2')
     for _ in range(2000):
@@ -84,8 +84,8 @@
     assert test.verdict is None
 
 
-def test_a_zone_without_calls_to_the_old_version_is_no_evidence() -> None:
-    # The old version's endpoints of a zone are gone, then the zone fails.
+def test_zone_without_calls_to_old_version_causes_no_verdict() -> None:
+    # The old version's endpoints of a zone are removed, then the zone fails.
     test = EvidenceTest('v2')
     for _ in range(40):
         test.observe(0, _interval(0, 0))
@@ -94,7 +94,7 @@
     assert test.verdict is None
 
 
-def test_a_sick_vm_does_not_condemn_a_version_with_other_endpoints() -> None:
+def test_faulty_vm_causes_no_verdict_with_other_endpoints() -> None:
     test = EvidenceTest('v2')
     for _ in range(200):
         test.observe(
@@ -108,7 +108,7 @@
     assert not test.suspicious
 
 
-def test_a_fault_in_all_endpoints_condemns_a_version_with_several() -> None:
+def test_fault_at_all_endpoints_causes_verdict() -> None:
     test = EvidenceTest('v2')
     for _ in range(40):
         test.observe(
@@ -121,8 +121,8 @@
     assert test.verdict is not None
 
 
-def test_a_version_that_turns_bad_late_is_condemned_as_fast() -> None:
-    # Without the restart, a long good time would offset later faults.
+def test_version_that_becomes_bad_late_is_detected_equally_fast() -> None:
+    # Without the restart, a long time without faults would offset later ones.
     test = EvidenceTest('v2')
     for _ in range(5000):
         test.observe(0, _interval(1, 0))
@@ -131,7 +131,7 @@
     assert test.verdict is not None
 
 
-def test_suspicion_and_counts_start_anew_with_a_stage() -> None:
+def test_suspicion_and_excess_rate_are_reset_by_new_stage() -> None:
     test = EvidenceTest('v2')
     test.observe(0, _interval(0, 5))
     assert test.suspicious
@@ -142,15 +142,17 @@
     assert not test.suspicious
 
 
-def _ejected(new_zones: dict[str, int], old_failures: int = 0) -> EvidenceTest:
+def _cross_zone_calls(
+    new_zones: dict[str, int], old_failures: int = 0
+) -> EvidenceTest:
     """Return a test in which all calls to the new version cross zones.
 
     Parameters
     ----------
     new_zones : dict of str to int
-        Failures among 10 calls of each interval by the endpoint's zone.
+        Failures among the 10 calls of each interval, by endpoint zone.
     old_failures : int
-        Failures among 10 calls to the old version in each zone.
+        Failures among the 10 calls to the old version in each zone.
     """
     test = EvidenceTest('v2')
     for _ in range(5):
@@ -172,41 +174,41 @@
     ('new_zones', 'old_failures', 'suspicious'),
     [
         ({'az-1': 10, 'az-2': 10}, 0, True),
-        # A zone fault, a sick VM and a fault of both versions.
+        # A fault of a zone, a faulty VM and a fault of both versions.
         ({'az-1': 10, 'az-2': 0}, 0, False),
         ({'az-1': 5, 'az-2': 5}, 5, False),
         ({'az-1': 1, 'az-2': 0}, 0, False),
     ],
 )
-def test_a_version_whose_calls_all_cross_zones_is_not_moved_to(
+def test_failing_version_is_suspicious_if_all_calls_cross_zones(
     new_zones: dict[str, int], old_failures: int, suspicious: bool
 ) -> None:
-    # Senders that eject the failing endpoints of their zone leave no group
-    # with calls to both versions, and the statistic stays at zero.
-    test = _ejected(new_zones, old_failures)
+    # If senders eject the failing endpoints of their zone, no group has calls
+    # to both versions, and the statistic remains near zero.
+    test = _cross_zone_calls(new_zones, old_failures)
     assert test.robust_statistic < 1.0
     assert test.suspicious is suspicious
 
 
 @pytest.mark.parametrize(
-    ('failures', 'old_failures', 'condemned'),
+    ('failures', 'old_failures', 'fails'),
     [
         ((3, 3), (0, 0), True),
-        # A sick VM or a zone of the new version, with chance failures.
+        # A faulty VM or zone of the new version, with random failures.
         ((3, 2), (0, 0), False),
         ((3, 0), (0, 0), False),
-        # A zone fault and a fault of both versions.
+        # A fault of a zone and a fault of both versions.
         ((3, 0), (60, 0), False),
         ((3, 3), (60, 60), False),
     ],
 )
-def test_few_failures_condemn_if_both_zones_show_them(
+def test_small_sample_test_fails_only_if_both_zones_have_failures(
     failures: tuple[int, int],
     old_failures: tuple[int, int],
-    condemned: bool,
+    fails: bool,
 ) -> None:
-    # At 2 % of 27 calls/s the sequential test took more calls than the
-    # version may get, and one failure domain must not decide alone.
+    # At 2 % of 27 calls/s the sequential test needed more calls than a bad
+    # version may get. A single failure domain must not decide.
     test = EvidenceTest('v2')
     for zone, new, old in zip(
         ('az-1', 'az-2'), failures, old_failures, strict=True
@@ -219,18 +221,18 @@
             ],
         )
     assert test.verdict is None
-    assert test.fails_small_sample_test() is condemned
+    assert test.fails_small_sample_test() is fails
 
 
-def test_few_failures_at_one_endpoint_do_not_condemn() -> None:
-    # With one endpoint known, a sick VM looks like a bad version.
+def test_small_sample_test_passes_with_a_single_endpoint() -> None:
+    # With a single endpoint, a faulty VM looks like a bad version.
     test = EvidenceTest('v2')
     test.observe(0, _interval(0, 6, calls=300, new_calls=6))
     assert not test.fails_small_sample_test()
 
 
-def test_few_failures_are_compared_within_their_zone() -> None:
-    # The new version's only zone fails; the old one has healthy zones too.
+def test_small_sample_test_compares_within_zones() -> None:
+    # The new version's only zone fails; the old one also has a healthy zone.
     test = EvidenceTest('v2')
     test.observe(
         0,
--- a/tests/test_core_judge.py
+++ b/tests/test_core_judge.py
@@ -1,4 +1,4 @@
-"""Tests of the evidence that a judge collects."""
+"""Tests of the collection of evidence by a judge."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
     order=st.permutations(_REPORTS),
     repeated=st.lists(st.sampled_from(_REPORTS), max_size=5),
 )
-def test_order_and_repetition_of_reports_do_not_matter(
+def test_order_and_repetition_of_reports_have_no_effect(
     order: list[Evidence], repeated: list[Evidence]
 ) -> None:
     expected, judge = Judge('spa/move', 'v2'), Judge('spa/move', 'v2')
@@ -48,24 +48,24 @@
     assert judge.test.new_calls == expected.test.new_calls == 120
 
 
-def test_a_report_for_a_closed_interval_is_refused() -> None:
+def test_report_for_closed_interval_is_rejected() -> None:
     judge = Judge('spa/move', 'v2')
     judge.close(5)
     assert not judge.add(_evidence(5, build_counts()))
     assert judge.add(_evidence(6, build_counts()))
 
 
-def test_a_new_controller_gets_the_last_minute() -> None:
+def test_new_controller_receives_last_minute_of_evidence() -> None:
     judge = Judge('spa/move', 'v2')
     for interval in range(1, 201):
         judge.add(_evidence(interval, build_counts()))
         judge.close(interval)
-    kept = judge.since(0)
-    assert len(kept) == _judge.RETAINED_INTERVALS
+    retained = judge.since(0)
+    assert len(retained) == _judge.RETAINED_INTERVALS
     assert [item.interval for item in judge.since(198)] == [199, 200]
 
 
-def test_thresholds_follow_the_old_version_only() -> None:
+def test_thresholds_are_computed_from_old_version_only() -> None:
     judge = Judge('spa/move', 'v2')
     slow = Counts(
         'spa/search', 'v2', 'n1', 'az-1', 10, 0, 0, (900.0, 950.0, 990.0)
@@ -73,7 +73,8 @@
     judge.add(_evidence(1, build_counts('v1', endpoint='o1'), slow))
     judge.close(1)
     (threshold,) = judge.thresholds()
-    # The builder's 95th percentile is 20 ms: 50 ms more than three times it.
+    # The 95th percentile of `build_counts` is 20 ms. The margin of 50 ms above
+    # it exceeds three times the percentile.
     assert threshold.threshold_ms == 70.0
     for interval in range(2, 20):
         judge.add(
--- a/tests/test_core_moves.py
+++ b/tests/test_core_moves.py
@@ -1,4 +1,4 @@
-"""Tests of the stages of a move."""
+"""Tests of move stages and decisions."""
 
 from __future__ import annotations
 
@@ -52,8 +52,8 @@
     return test
 
 
-def _sick_vm(calls: int, failures: int) -> EvidenceTest:
-    """Return a test in which one of two endpoints fails."""
+def _faulty_vm(calls: int, failures: int) -> EvidenceTest:
+    """Return a test in which one of two endpoints has failures."""
     test = EvidenceTest('v2')
     test.observe(
         0,
@@ -83,7 +83,7 @@
     )
 
 
-def test_a_good_version_finishes_before_its_deadline() -> None:
+def test_move_to_good_version_finishes_before_deadline() -> None:
     move = _move()
     shares = [move.share]
     now = 0.0
@@ -109,7 +109,7 @@
     assert shares == [0.01, 0.05, 0.2, 0.5, 0.9, 0.9, 1.0]
 
 
-def test_a_held_stage_shortens_those_after_it() -> None:
+def test_held_stage_shortens_later_stages() -> None:
     on_time = _moves.stage_end(_move(1, stage_started=178.0)) - 178.0
     late = _moves.stage_end(_move(1, stage_started=500.0)) - 500.0
     assert late < on_time
@@ -124,24 +124,24 @@
         ({'ready': False}, (Step.HOLD, 'no-ready-endpoint')),
         ({'fresh': False}, (Step.HOLD, 'no-evidence')),
         (
-            {'test': _sick_vm(calls=5, failures=2)},
+            {'test': _faulty_vm(calls=5, failures=2)},
             (Step.HOLD, 'low-traffic-with-faults'),
         ),
         ({'test': _test(calls=5, failures=1)}, (Step.ADVANCE, '')),
-        ({'test': _sick_vm(calls=100, failures=3)}, (Step.ADVANCE, '')),
+        ({'test': _faulty_vm(calls=100, failures=3)}, (Step.ADVANCE, '')),
         ({'test': _test(calls=10, failures=0)}, (Step.ADVANCE, '')),
         ({'test': _test(calls=20, failures=1)}, (Step.ADVANCE, '')),
         ({'test': _test(calls=100, failures=20)}, (Step.HOLD, 'suspicious')),
     ],
 )
-def test_what_holds_a_stage_at_its_planned_end(
+def test_stage_is_held_or_advanced_at_its_planned_end(
     changes: dict[str, object], expected: tuple[Step, str]
 ) -> None:
     decision = _decide(_move(), 179.0, **changes)
     assert (decision.step, decision.reason) == expected
 
 
-def _few(old: int, new: int, stage: int = 0) -> EvidenceTest:
+def _few_calls(old: int, new: int, stage: int = 0) -> EvidenceTest:
     test = EvidenceTest('v2')
     counts = [build_counts('v1', old, 0, endpoint='o1')]
     if new:
@@ -150,30 +150,30 @@
     return test
 
 
-def test_a_first_stage_without_comparable_calls_ends_early() -> None:
-    # It gives no evidence, and its time is missing in the stages after it.
+def test_first_stage_without_comparable_calls_ends_early() -> None:
+    # The stage gives no evidence, and its time would be lost to later stages.
     empty = EvidenceTest('v2')
     decision = _decide(_move(), _moves.NO_CALLS_TIMEOUT_S, empty)
     assert (decision.step, decision.share) == (Step.ADVANCE, 0.02)
     assert _decide(_move(), 2.5, empty).reason == 'planned'
     assert _decide(_move(), 4.0, empty, fresh=False).reason == 'no-evidence'
-    assert _decide(_move(), 4.0, _few(1, 0)).reason == 'planned'
+    assert _decide(_move(), 4.0, _few_calls(1, 0)).reason == 'planned'
 
 
-def test_a_stage_waits_for_calls_while_time_allows() -> None:
-    # A version was moved to 20 % of the calls before one call was known.
+def test_stage_waits_for_calls_while_time_allows() -> None:
+    # Guards against reaching a share of 20 % before evidence of any call.
     move = _move()
     end = _moves.stage_end(move)
-    assert _decide(move, end, _few(5000, 2)).reason == 'too-few-calls'
-    assert _decide(move, end, _few(5000, 3)).step is Step.ADVANCE
-    # At low traffic the calls do not come; the share grows less.
-    assert _decide(move, end, _few(5, 0)).share == 0.02
-    last = _decide(move, 2 * end, _few(5000, 2))
+    assert _decide(move, end, _few_calls(5000, 2)).reason == 'too-few-calls'
+    assert _decide(move, end, _few_calls(5000, 3)).step is Step.ADVANCE
+    # At low traffic no calls are expected; the share increases less.
+    assert _decide(move, end, _few_calls(5, 0)).share == 0.02
+    last = _decide(move, 2 * end, _few_calls(5000, 2))
     assert (last.step, last.share) == (Step.ADVANCE, 0.02)
 
 
-def test_without_calls_the_last_share_is_reached_by_bounded_steps() -> None:
-    # A move without calls has to end, and without a jump to all calls.
+def test_without_calls_last_share_is_reached_in_bounded_steps() -> None:
+    # A move without calls must end, but without a jump to all calls.
     shares = [_moves.STAGE_SHARES[0]]
     for stage in range(LAST):
         move = msgspec.structs.replace(_move(stage), share=shares[-1])
@@ -184,12 +184,12 @@
         assert before < after <= 5.0001 * before
 
 
-def test_a_stage_that_stays_suspicious_is_reverted() -> None:
+def test_stage_that_remains_suspicious_is_reverted() -> None:
     decision = _decide(_move(), 400.0, _test(100, 20))
     assert (decision.step, decision.reason) == (Step.REVERT, 'suspicious')
 
 
-def test_an_unfinished_move_is_reverted_at_the_deadline() -> None:
+def test_unfinished_move_is_reverted_at_deadline() -> None:
     decision = _decide(_move(), 996.0, ready=False)
     assert (decision.step, decision.reason) == (Step.REVERT, 'deadline')
     soaking = _move(LAST, MoveState.SOAKING, 990.0)
@@ -198,7 +198,7 @@
     assert _decide(soaking, 1000.0).reason == 'deadline'
 
 
-def test_a_verdict_reverts_in_every_state() -> None:
+def test_verdict_reverts_every_unfinished_move() -> None:
     test = _test()
     while test.verdict is None:
         test.observe(
@@ -221,8 +221,9 @@
 class MoveMachine(RuleBasedStateMachine):
     """Two controllers and three daemons with views of different ages.
 
-    Guards against a stale controller that repeats or skips a stage, a final
-    state that is left, and calls to a version that a daemon knows as bad.
+    Guards against a stale controller that repeats or skips a stage, against
+    leaving a final state, and against calls to a version after a daemon has
+    received its revert.
     """
 
     def __init__(self) -> None:
@@ -287,7 +288,7 @@
 
     @rule(daemon=_DAEMONS, choice=st.integers(0, 1000))
     def deliver(self, daemon: int, choice: int) -> None:
-        """Deliver any report, perhaps again, to a judge and a controller."""
+        """Deliver any report, possibly again, to a judge and a controller."""
         if self.reports:
             report = self.reports[choice % len(self.reports)]
             self.judges[daemon].add(report)
@@ -297,9 +298,9 @@
     def close(self, daemon: int) -> None:
         verdict = self.judges[daemon].close(self.interval)
         if verdict is not None:
-            self.condemn(daemon, str(verdict))
+            self.revert(daemon, str(verdict))
 
-    def condemn(self, daemon: int, reason: str) -> None:
+    def revert(self, daemon: int, reason: str) -> None:
         self.reverts[daemon].add_own(
             Revert(self.id, reason, f'd{daemon}'), self.snapshots[daemon]
         )
@@ -318,7 +319,7 @@
         self.reverts[daemon].prune(self.snapshots[daemon])
 
     @rule(one=_CONTROLLERS)
-    def look(self, one: int) -> None:
+    def refresh_view(self, one: int) -> None:
         self.views[one] = self.head
 
     @rule(one=_CONTROLLERS)
@@ -327,7 +328,7 @@
         move = self.views[one].moves[self.id]
         decision = _decide(move, self.now, self.controllers[one].test)
         if decision.step is Step.REVERT:
-            self.condemn(one, decision.reason)
+            self.revert(one, decision.reason)
         elif decision.step is not Step.HOLD:
             self.steps[one] = (move, decision, self.now)
 
@@ -341,13 +342,13 @@
             if following is not None:
                 self.writes[one] = (self.head, following)
 
-    @rule(one=_CONTROLLERS, answered=st.booleans())
-    def write_head(self, one: int, answered: bool) -> None:
+    @rule(one=_CONTROLLERS, acknowledged=st.booleans())
+    def write_head(self, one: int, acknowledged: bool) -> None:
         write = self.writes[one]
         if write is not None:
             self.swap(*write)
-            # Without an answer the same write and step come again.
-            if answered:
+            # Without a response the same write and step are repeated.
+            if acknowledged:
                 self.steps[one] = self.writes[one] = None
 
     @rule(one=_CONTROLLERS)
@@ -362,7 +363,7 @@
 
     @rule(daemon=_DAEMONS)
     def abort(self, daemon: int) -> None:
-        self.condemn(daemon, 'aborted')
+        self.revert(daemon, 'aborted')
         self.swap(
             self.head,
             _accept.revert_moves(self.head, {self.id: 'aborted'}, self.now),
--- a/tests/test_core_rollout.py
+++ b/tests/test_core_rollout.py
@@ -1,7 +1,7 @@
-"""Replays of good and bad versions, as `gypsumhall.core._rollout` sees them.
+"""Simulated rollouts of good and bad versions with `gypsumhall.core._rollout`.
 
-Each trial replays a rollout of 16 s at 100 calls per second with log-normal
-service times, and a controller that looks four times a second.
+Each trial simulates a rollout of 16 s at 100 calls per second with log-normal
+service times and a controller that decides four times a second.
 """
 
 from __future__ import annotations
@@ -29,75 +29,82 @@
 _MEAN_MS = 120.0
 
 
-def _work(rng: Random) -> float:
+def _service_ms(rng: Random) -> float:
     return _MEAN_MS * rng.lognormvariate(-0.2, 0.6)
 
 
 def _good(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
-    return _work(rng), rng.random() < 0.005
+    return _service_ms(rng), rng.random() < 0.005
 
 
-def _failing(
+def _often_failing(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
-    return _work(rng), rng.random() < 0.4
+    return _service_ms(rng), rng.random() < 0.4
 
 
 def _slow(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
     factor = 8.0 if rng.random() < 0.4 else 1.0
-    return factor * _work(rng), False
+    return factor * _service_ms(rng), False
 
 
 def _failing_always(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
-    return _work(rng), True
+    return _service_ms(rng), True
 
 
-def _late(
+def _failing_late(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
-    return _work(rng), now > 3.5 and rng.random() < 0.4
+    return _service_ms(rng), now > 3.5 and rng.random() < 0.4
 
 
-def _on_one_route(
+def _failing_on_one_route(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
-    return _work(rng), route == 'b' and rng.random() < 0.5
+    return _service_ms(rng), route == 'b' and rng.random() < 0.5
 
 
-def _under_load(
+def _failing_under_load(
     rng: Random, now: float, route: str, share: float
 ) -> tuple[float, bool]:
-    return _work(rng), share > 0.15 and rng.random() < 0.4
+    return _service_ms(rng), share > 0.15 and rng.random() < 0.4
 
 
 def _trial(
-    seed: int, behaviour: Behaviour, sick: str = '', rate: int = _RATE
+    seed: int,
+    behaviour: Behaviour,
+    faulty_endpoint: str = '',
+    rate: int = _RATE,
 ) -> tuple[Outcome, float, float, int]:
-    """Return the outcome, its time, the exposed share and the bad runs."""
+    """Return the outcome, its time, the new version's share and faulty runs.
+
+    The share is the fraction of all calls of a full rollout that went to the
+    new version. Runs are faulty if they failed or were slow.
+    """
     rng = Random(seed)
     rollout = Rollout('v2', 0.0, _DURATION_S)
     tallies: dict[tuple[str, str], dict[str, Tally]] = {}
-    exposed = bad = 0
+    new_calls = bad = 0
     now = 0.0
     while now < _DURATION_S:
         now += _STEP_S
         for _ in range(int(rate * _STEP_S)):
             is_new = rng.random() < rollout.share
-            side = 'n' if is_new else 'o'
-            endpoint = side + str(rng.randrange(3))
+            prefix = 'n' if is_new else 'o'
+            endpoint = prefix + str(rng.randrange(3))
             route = 'a' if rng.random() < 0.7 else 'b'
             if is_new:
                 duration, failed = behaviour(rng, now, route, rollout.share)
-                exposed += 1
+                new_calls += 1
             else:
                 duration, failed = _good(rng, now, route, 0.0)
-            if endpoint == sick:
+            if endpoint == faulty_endpoint:
                 failed = rng.random() < 0.5
             bad += is_new and (failed or duration > 4 * _MEAN_MS)
             key = (endpoint, 'v2' if is_new else 'v1')
@@ -111,11 +118,11 @@
             rollout.set_results(endpoint, version, counts)
         outcome = rollout.advance(now, present=True)
         if outcome is not Outcome.CONTINUE:
-            return outcome, now, exposed / (rate * _DURATION_S), bad
-    return Outcome.CONTINUE, now, exposed / (rate * _DURATION_S), bad
+            return outcome, now, new_calls / (rate * _DURATION_S), bad
+    return Outcome.CONTINUE, now, new_calls / (rate * _DURATION_S), bad
 
 
-def test_good_versions_are_complete_in_time() -> None:
+def test_rollouts_of_good_versions_complete_in_time() -> None:
     results = [_trial(seed, _good) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.COMPLETE}
     assert max(item[1] for item in results) <= 0.95 * _DURATION_S
@@ -123,13 +130,13 @@
 
 @pytest.mark.parametrize(
     'behaviour',
-    [_failing, _slow, _late, _on_one_route],
+    [_often_failing, _slow, _failing_late, _failing_on_one_route],
     ids=lambda i: i.__name__,
 )
-def test_bad_versions_are_rolled_back_from_the_first_stage(
+def test_bad_versions_are_rolled_back_in_first_stage(
     behaviour: Behaviour,
 ) -> None:
-    """Bounds: a tenth of the calls, and 50 bad answers."""
+    """Bounds: a tenth of the calls, and 50 bad responses."""
     results = [_trial(seed, behaviour) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.ROLL_BACK}
     assert max(item[2] for item in results) < 0.1
@@ -138,9 +145,9 @@
 
 @pytest.mark.parametrize('rate', [28, 8, 4])
 def test_bad_versions_are_rolled_back_at_low_rates(rate: int) -> None:
-    """They were completed before enough of their calls were known.
+    """Guards against completion before enough results are available.
 
-    Bound: a tenth of the calls and 50 more, as the platform counts.
+    Bound, as the platform counts: a tenth of the calls plus 50.
     """
     results = [
         _trial(seed, _failing_always, rate=rate) for seed in range(_TRIALS)
@@ -151,48 +158,48 @@
 
 
 @pytest.mark.parametrize('rate', [28, 8, 4])
-def test_good_versions_are_complete_at_low_rates(rate: int) -> None:
+def test_rollouts_of_good_versions_complete_at_low_rates(rate: int) -> None:
     results = [_trial(seed, _good, rate=rate) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.COMPLETE}
     assert max(item[1] for item in results) <= 0.95 * _DURATION_S
 
 
-def test_a_version_that_fails_under_load_is_rolled_back_at_once() -> None:
-    """Bound: a tenth of the calls and 50 more, as the platform counts."""
-    results = [_trial(seed, _under_load) for seed in range(_TRIALS)]
+def test_version_that_fails_under_load_is_rolled_back() -> None:
+    """Bound, as the platform counts: a tenth of the calls plus 50."""
+    results = [_trial(seed, _failing_under_load) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.ROLL_BACK}
     calls = _RATE * _DURATION_S
     assert max(item[2] * calls for item in results) < 0.1 * calls + 50
 
 
-def test_one_sick_endpoint_does_not_condemn_a_good_version() -> None:
+def test_faulty_endpoint_does_not_roll_back_good_version() -> None:
     results = [_trial(seed, _good, 'n1') for seed in range(_TRIALS)]
     rolled_back = [item for item in results if item[0] is Outcome.ROLL_BACK]
     assert len(rolled_back) <= 1
 
 
-def test_overload_in_the_last_stage_does_not_condemn_a_version() -> None:
-    """All calls on fewer endpoints are slower, whatever the version.
+def test_overload_in_last_stage_does_not_roll_back_version() -> None:
+    """Calls are slower when fewer endpoints serve them, whatever the version.
 
-    Seen on steamgate-na scale-1: a good version was rolled back 1 s after it
-    had got all calls.
+    On steamgate-na scale-1 a good version was rolled back 1 s after it had
+    received all calls.
     """
 
     def slower_when_alone(
         rng: Random, now: float, route: str, share: float
     ) -> tuple[float, bool]:
         factor = 2.5 if share == 1.0 else 1.0
-        return factor * _work(rng), rng.random() < 0.1 * (share == 1.0)
+        return factor * _service_ms(rng), rng.random() < 0.1 * (share == 1.0)
 
     results = [_trial(seed, slower_when_alone) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.COMPLETE}
 
 
 @pytest.mark.parametrize('old_runs', [0, 240])
-def test_a_rollout_without_results_stays_in_its_first_stage(
+def test_rollout_without_results_remains_in_first_stage(
     old_runs: int,
 ) -> None:
-    """A bad version would get a fifth of many calls, unseen."""
+    """Otherwise a bad version would get a fifth of the calls undetected."""
     rollout = Rollout('v2', 0.0, 16.0)
     rollout.advance(0.25, present=True)
     tally = Tally()
@@ -204,15 +211,15 @@
     assert rollout.share == _rollout.STAGES[0][1]
 
 
-def test_without_endpoints_the_old_version_goes_on() -> None:
+def test_without_endpoints_old_version_keeps_serving() -> None:
     rollout = Rollout('v2', 0.0, 16.0)
     assert rollout.advance(8.0, present=False) is Outcome.CONTINUE
     assert rollout.share == 0.0
     assert rollout.advance(16.0, present=False) is Outcome.ROLL_BACK
 
 
-def test_a_new_controller_takes_over_the_stage() -> None:
-    """The share must not fall back when the controller changes."""
+def test_new_controller_resumes_stage() -> None:
+    """The share must not decrease when the controller changes."""
     rollout = Rollout('v2', 0.0, 16.0)
     rollout.resume(0.45, 9.0)
     assert rollout.share == 0.45
@@ -224,14 +231,14 @@
     ('trials', 'successes', 'rate', 'expected'),
     [(10, 10, 0.5, 0.0009765625), (10, 3, 0.5, 1.0), (20, 4, 0.01, 4.259e-5)],
 )
-def test_tail(
+def test_tail_probability(
     trials: int, successes: int, rate: float, expected: float
 ) -> None:
     found = _rollout.tail_probability(trials, successes, rate)
     assert found == pytest.approx(expected, rel=1e-2)
 
 
-def test_buckets_grow_with_the_duration() -> None:
+def test_buckets_increase_with_duration() -> None:
     values = [_rollout.bucket(10 ** (exponent / 10)) for exponent in range(60)]
     assert values == sorted(values)
     assert values[0] == 0 and values[-1] == _rollout.BUCKETS - 1
