--- a/gypsumhall/core/_moves.py
+++ b/gypsumhall/core/_moves.py
@@ -51,9 +51,10 @@
 # keyed.
 NO_CALLS_TIMEOUT_S = 3.0
 
-# Largest factors by which a stage raises the share, with `MIN_NEW_CALLS` and
-# with fewer. With fewer, the share is still raised as far as necessary for the
-# later stages to reach the last share by `LARGEST_GROWTH` each.
+# Largest factors by which a stage raises the share, with at least
+# `MIN_NEW_CALLS` and with fewer. With fewer, the share is still raised as far
+# as necessary for the later stages to reach the last share by `LARGEST_GROWTH`
+# each.
 LARGEST_GROWTH = 5.0
 FEW_CALLS_GROWTH = 2.0
 
--- a/gypsumhall/core/_rollout.py
+++ b/gypsumhall/core/_rollout.py
@@ -55,7 +55,7 @@
 evidence, and a bad version gets few calls in the second stage."""
 
 _SECOND_STAGE_EARLIEST = 0.15
-"""Fraction of the duration after which the rate of runs is known well enough
+"""Fraction of the duration after which the rate of runs is accurate enough
 to begin the second stage early."""
 
 _SECOND_STAGE_LATEST = 0.7
--- a/tests/test_core_moves.py
+++ b/tests/test_core_moves.py
@@ -248,10 +248,10 @@
     def build(self, head: Head) -> Snapshot:
         return Snapshot.build(head, [self.fragment])
 
-    def swap(self, known: Head, following: Head | None) -> None:
-        if following is None or known is not self.head:
+    def swap(self, expected: Head, following: Head | None) -> None:
+        if following is None or expected is not self.head:
             return
-        before, after = known.moves[self.id], following.moves[self.id]
+        before, after = expected.moves[self.id], following.moves[self.id]
         assert not before.state.final
         if after.state is MoveState.REVERTED:
             assert (after.share, after.stage) == (0.0, before.stage)
