--- a/gypsumhall/core/_actions.py
+++ b/gypsumhall/core/_actions.py
@@ -1,4 +1,4 @@
-"""What the replica asks its surroundings to do."""
+"""Actions that the replica returns for its caller to carry out."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Send a message without waiting for an answer."""
+    """Send a message without waiting for a reply."""
 
     address: str
     message: Message
@@ -41,21 +41,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Installed:
-    """A configuration version was installed."""
+    """Report that a configuration version was installed."""
 
     snapshot: Snapshot
 
 
 @dataclass(slots=True, frozen=True)
 class Reverted:
-    """Moves were added to the reverts."""
+    """Report that moves were added to the reverts."""
 
     reverts: tuple[Revert, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class Alarm:
-    """Something that an operator should look at.
+    """Record an event that may need an operator's attention.
 
     Parameters
     ----------
@@ -64,7 +64,7 @@
     fields : mapping of str to object
         Details of the event.
     error : InvalidUpdateError or None
-        Check that an update failed.
+        Reason for which an update was rejected.
     """
 
     code: str
--- a/gypsumhall/core/_checkins.py
+++ b/gypsumhall/core/_checkins.py
@@ -1,4 +1,4 @@
-"""Order of heartbeats that arrive late, twice or from earlier processes."""
+"""Backend server state from delayed, duplicate or outdated heartbeats."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 MISSING_S = 6.0
 """Time in seconds without a heartbeat after which a backend server counts as
-gone; heartbeats are sent every 1.5 s and may arrive seconds late."""
+stopped; heartbeats are sent every 1.5 s and may be delayed by seconds."""
 
 
 class Decision(enum.Enum):
-    """What a heartbeat changed."""
+    """Effect of a heartbeat on the recorded state."""
 
     CHANGED = 'changed'
     SAME = 'same'
@@ -25,18 +25,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Known:
-    """The backend server on the VM.
+    """One process of the backend server on the VM.
 
     Parameters
     ----------
     instance : str
-        Id of its process.
+        Id of the process.
     started_ms : int
-        Unix time in milliseconds of its start.
+        Start of the process as Unix time in milliseconds.
     address : str
         ``<ip>:<port>`` of its HTTP listener.
     endpoint : Endpoint
-        What it runs.
+        Service, version and state that it reports.
     """
 
     instance: str
@@ -46,21 +46,27 @@
 
 
 class CheckIns:
-    """The newest process of the backend server that reported itself."""
+    """Tracks the latest process of the backend server by its heartbeats."""
 
-    __slots__ = ('_heard', '_known', '_left', '_present', '_sequence')
+    __slots__ = (
+        '_backend',
+        '_leaving',
+        '_present',
+        '_received_at',
+        '_sequence',
+    )
 
     def __init__(self) -> None:
-        self._known: Known | None = None
+        self._backend: Known | None = None
         self._sequence = 0
-        self._heard = 0.0
+        self._received_at = 0.0
         self._present = False
-        self._left = False
+        self._leaving = False
 
     @property
     def current(self) -> Known | None:
-        """The backend server; None when it is gone."""
-        return self._known if self._present else None
+        """The backend server; None when its heartbeats have stopped."""
+        return self._backend if self._present else None
 
     def take(
         self,
@@ -71,57 +77,61 @@
         endpoint: Endpoint,
         now: float,
     ) -> Decision:
-        """Take a heartbeat.
+        """Record a heartbeat.
 
-        A process that has said that it leaves does not come back; what
-        arrives from it later was delayed.
+        Once a process has announced that it is leaving, it stays draining:
+        a later heartbeat that says otherwise was delayed.
         """
-        known = self._known
-        same = known is not None and (instance, started_ms) == (
-            known.instance,
-            known.started_ms,
+        backend = self._backend
+        same_process = backend is not None and (instance, started_ms) == (
+            backend.instance,
+            backend.started_ms,
         )
-        if known is not None and not same and started_ms < known.started_ms:
+        if (
+            backend is not None
+            and not same_process
+            and started_ms < backend.started_ms
+        ):
             return Decision.STALE
-        if same and sequence <= self._sequence:
+        if same_process and sequence <= self._sequence:
             return Decision.STALE
-        if not same:
-            self._left = False
+        if not same_process:
+            self._leaving = False
         self._sequence = sequence
-        self._heard = now
+        self._received_at = now
         if endpoint.state is EndpointState.DRAINING:
-            self._left = True
-        elif self._left:
+            self._leaving = True
+        elif self._leaving:
             endpoint = msgspec.structs.replace(
                 endpoint, state=EndpointState.DRAINING
             )
-        found = Known(instance, started_ms, address, endpoint)
-        if found == known and self._present:
+        updated = Known(instance, started_ms, address, endpoint)
+        if updated == backend and self._present:
             return Decision.SAME
-        self._known = found
+        self._backend = updated
         self._present = True
         return Decision.CHANGED
 
     def leave(self, instance: str, started_ms: int) -> bool:
-        """Take a notice of leaving; False when it changes nothing."""
-        known = self._known
-        if known is None or known.instance != instance:
+        """Record that a process is leaving; False when nothing changes."""
+        backend = self._backend
+        if backend is None or backend.instance != instance:
             return False
-        if started_ms and started_ms < known.started_ms:
+        if started_ms and started_ms < backend.started_ms:
             return False
-        already = self._left
-        self._left = True
+        already_leaving = self._leaving
+        self._leaving = True
         endpoint = msgspec.structs.replace(
-            known.endpoint, state=EndpointState.DRAINING
+            backend.endpoint, state=EndpointState.DRAINING
         )
-        self._known = Known(
-            known.instance, known.started_ms, known.address, endpoint
+        self._backend = Known(
+            backend.instance, backend.started_ms, backend.address, endpoint
         )
-        return not already
+        return not already_leaving
 
     def expire(self, now: float) -> bool:
-        """Forget a backend server that is silent; True when it was known."""
-        if not self._present or now - self._heard < MISSING_S:
+        """Drop the backend server if its heartbeats stopped; True if so."""
+        if not self._present or now - self._received_at < MISSING_S:
             return False
         self._present = False
         return True
--- a/gypsumhall/core/_ledger.py
+++ b/gypsumhall/core/_ledger.py
@@ -1,8 +1,8 @@
 """Execution ledger of a runner: each request id runs at most once.
 
 Request ids have the form ``<prefix>:<counter>``. A sender uses one prefix
-for its lifetime and increasing counters, so that the ledger can forget old
-ids and still recognise them: an id at or below the highest forgotten counter
+for its lifetime and increasing counters. The ledger can therefore remove old
+ids and still recognise them: an id at or below the highest removed counter
 of its prefix is never run and never reported as ``not-run``.
 """
 
@@ -14,7 +14,7 @@
 
 
 class EntryState(enum.Enum):
-    """What the ledger knows about a request id."""
+    """Execution state of a request id."""
 
     RUNNING = 'running'
     DONE = 'done'
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RecordedResponse:
-    """A whole response that can be sent again.
+    """A complete response that can be sent again.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
     headers : tuple of (bytes, bytes)
         Response headers.
     body : bytes
-        Whole body.
+        Complete body.
     """
 
     status: int
@@ -42,21 +42,21 @@
 
     @property
     def size(self) -> int:
-        """Bytes that the response counts against the limit."""
+        """Number of bytes that count against the limit."""
         headers = sum(len(name) + len(value) for name, value in self.headers)
         return headers + len(self.body)
 
 
 @dataclass(slots=True)
 class Entry:
-    """A request id and what is known about it.
+    """Execution state and stored response of a request id.
 
     Parameters
     ----------
     state : EntryState
-        Progress.
+        Execution state.
     response : RecordedResponse or None
-        Kept response; None when it was too large or has been dropped.
+        Stored response; None when it was too large or has been evicted.
     """
 
     state: EntryState
@@ -64,31 +64,31 @@
 
 
 class Ledger:
-    """Record of the request ids that a runner has seen.
+    """Record of the request ids that a runner has received.
 
     Parameters
     ----------
     keep_s : float
-        Time in seconds that a finished entry is kept.
+        Time in seconds for which a finished entry is kept.
     refused_keep_s : float
-        Time in seconds that an id refused for good is kept.
+        Time in seconds for which an id that `query` refused is kept.
     max_bytes : int
-        Bytes of responses that are kept; the oldest are dropped first,
-        their entries stay.
+        Maximum total size of the stored responses in bytes. The oldest
+        responses are evicted first; their entries remain.
     max_entries : int
-        Finished entries that are kept.
+        Maximum number of finished entries per retention time.
     """
 
     __slots__ = (
         '_bytes',
         '_entries',
         '_expiry',
-        '_forgotten',
-        '_keep_s',
+        '_highest_removed',
         '_max_bytes',
         '_max_entries',
-        '_refused_keep_s',
-        '_with_response',
+        '_refused_retention_s',
+        '_response_sizes',
+        '_retention_s',
     )
 
     def __init__(
@@ -99,19 +99,19 @@
         max_bytes: int = 32 * 1024 * 1024,
         max_entries: int = 50_000,
     ) -> None:
-        self._keep_s = keep_s
-        self._refused_keep_s = refused_keep_s
+        self._retention_s = keep_s
+        self._refused_retention_s = refused_keep_s
         self._max_bytes = max_bytes
         self._max_entries = max_entries
         self._entries: dict[str, Entry] = {}
-        # One queue per retention time, so that each is in order of expiry.
+        # One queue per retention time, so that each is ordered by expiry.
         self._expiry: dict[float, OrderedDict[str, float]] = {
             keep_s: OrderedDict(),
             refused_keep_s: OrderedDict(),
         }
-        self._with_response: OrderedDict[str, int] = OrderedDict()
+        self._response_sizes: OrderedDict[str, int] = OrderedDict()
         self._bytes = 0
-        self._forgotten: dict[str, int] = {}
+        self._highest_removed: dict[str, int] = {}
 
     @property
     def size(self) -> int:
@@ -120,7 +120,7 @@
 
     @property
     def response_bytes(self) -> int:
-        """Bytes of the responses that are kept."""
+        """Total size of the stored responses in bytes."""
         return self._bytes
 
     def begin(self, request_id: str, now: float) -> Entry | None:
@@ -136,14 +136,13 @@
         Returns
         -------
         Entry or None
-            None when the id is new and may run now; otherwise what is
-            known about it.
+            None when the id is new and may run now; otherwise its entry.
         """
         self._expire(now)
         entry = self._entries.get(request_id)
         if entry is not None:
             return entry
-        if self._is_forgotten(request_id):
+        if self._was_removed(request_id):
             return Entry(EntryState.UNKNOWN)
         self._entries[request_id] = Entry(EntryState.RUNNING)
         return None
@@ -155,7 +154,7 @@
         state: EntryState,
         response: RecordedResponse | None = None,
     ) -> None:
-        """Record how a claimed request id ended.
+        """Record the outcome of a claimed request id.
 
         Parameters
         ----------
@@ -167,22 +166,22 @@
             ``DONE`` when it ran, ``UNKNOWN`` when that is not certain,
             ``REFUSED`` when it certainly did not run.
         response : RecordedResponse or None
-            Response to keep.
+            Response to store.
         """
         entry = self._entries[request_id]
         entry.state = state
-        self._expiry[self._keep_s][request_id] = now + self._keep_s
+        self._expiry[self._retention_s][request_id] = now + self._retention_s
         if response is not None and response.size <= self._max_bytes:
             entry.response = response
-            self._with_response[request_id] = response.size
+            self._response_sizes[request_id] = response.size
             self._bytes += response.size
         while self._bytes > self._max_bytes:
-            oldest = next(iter(self._with_response))
+            oldest = next(iter(self._response_sizes))
             self._drop_response(oldest)
         self._expire(now)
 
     def query(self, request_id: str, now: float) -> Entry:
-        """Return what is known about an id, and refuse it if it is new.
+        """Return the entry of an id; refuse the id if it is new.
 
         Parameters
         ----------
@@ -194,19 +193,19 @@
         Returns
         -------
         Entry
-            ``REFUSED`` is certain: the id has not run and never will.
+            ``REFUSED`` guarantees that the id has not run and never will.
         """
         entry = self.begin(request_id, now)
         if entry is None:
             entry = self._entries[request_id]
             entry.state = EntryState.REFUSED
-            expiry = self._expiry[self._refused_keep_s]
-            expiry[request_id] = now + self._refused_keep_s
+            expiry = self._expiry[self._refused_retention_s]
+            expiry[request_id] = now + self._refused_retention_s
         return entry
 
-    def _is_forgotten(self, request_id: str) -> bool:
+    def _was_removed(self, request_id: str) -> bool:
         prefix, counter = _parse(request_id)
-        return counter <= self._forgotten.get(prefix, -1)
+        return counter <= self._highest_removed.get(prefix, -1)
 
     def _expire(self, now: float) -> None:
         for queue in self._expiry.values():
@@ -215,17 +214,17 @@
                 if queue[request_id] > now and len(queue) <= self._max_entries:
                     break
                 del queue[request_id]
-                self._forget(request_id)
+                self._remove(request_id)
 
-    def _forget(self, request_id: str) -> None:
+    def _remove(self, request_id: str) -> None:
         self._drop_response(request_id)
         del self._entries[request_id]
         prefix, counter = _parse(request_id)
-        known = self._forgotten.get(prefix, -1)
-        self._forgotten[prefix] = max(known, counter)
+        highest = self._highest_removed.get(prefix, -1)
+        self._highest_removed[prefix] = max(highest, counter)
 
     def _drop_response(self, request_id: str) -> None:
-        size = self._with_response.pop(request_id, None)
+        size = self._response_sizes.pop(request_id, None)
         if size is not None:
             self._bytes -= size
             self._entries[request_id].response = None
@@ -233,6 +232,6 @@
 
 def _parse(request_id: str) -> tuple[str, int]:
     prefix, _, counter = request_id.rpartition(':')
-    # An id of another form shares one prefix and is never trusted again
-    # once any such id has been forgotten.
+    # All ids of another form share one prefix and counter: once one of them
+    # has been removed, no further one is run.
     return (prefix, int(counter)) if counter.isdecimal() else ('', 0)
--- a/gypsumhall/core/_member.py
+++ b/gypsumhall/core/_member.py
@@ -1,4 +1,4 @@
-"""Values of the member table: daemons and their endpoints."""
+"""Entries of the member table: daemons and their endpoints."""
 
 from __future__ import annotations
 
@@ -8,7 +8,11 @@
 
 
 class MemberStatus(enum.IntEnum):
-    """Status of a daemon; at equal incarnation the higher one wins."""
+    """Status of a daemon.
+
+    Of two entries with the same incarnation and sequence, the one with the
+    higher status replaces the other.
+    """
 
     ALIVE = 0
     SUSPECT = 1
@@ -30,11 +34,11 @@
     Parameters
     ----------
     service, version : str
-        What the backend server runs.
+        Service that the backend server runs, and its version.
     slots : int
-        Requests that it executes at the same time.
+        Number of requests that it executes concurrently.
     state : EndpointState
-        Whether it takes new work.
+        Whether it accepts new requests.
     """
 
     service: str
@@ -55,12 +59,12 @@
     peer_address : str
         ``<ip>:<port>`` of the listener for other daemons.
     incarnation : int
-        Grows with every start of the daemon and when it refutes a
-        suspicion; Unix time in milliseconds at the start.
+        Unix time in milliseconds at the start of the daemon; increased
+        whenever the daemon refutes a suspicion.
     sequence : int
-        Grows with every change of the entry within an incarnation.
+        Increases with every change of the entry within an incarnation.
     status : MemberStatus
-        Whether the daemon takes part.
+        Whether the daemon is alive, suspect, leaving or dead.
     endpoint : Endpoint or None
         The backend server on the daemon's VM.
     """
@@ -75,12 +79,12 @@
 
     @property
     def is_live(self) -> bool:
-        """Whether the daemon takes part; one may fail to answer for now."""
+        """Whether the daemon is alive or suspect; it may be unreachable."""
         return self.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
     @property
     def is_ready(self) -> bool:
-        """Whether the daemon takes part and its endpoint takes new work."""
+        """Whether the daemon is live and its endpoint accepts requests."""
         endpoint = self.endpoint
         return (
             endpoint is not None
--- a/gypsumhall/core/_membership.py
+++ b/gypsumhall/core/_membership.py
@@ -1,16 +1,17 @@
-"""Member table, spread of changes and failure detection, without I/O.
+"""Member table, change propagation and failure detection, without I/O.
 
 Entries are ordered by (incarnation, sequence, status). Each table keeps the
-highest entry per member that it has seen, so tables that have seen the same
-entries are equal, in whatever order and however often they saw them.
-
-Only members of a daemon's own zone are judged by its failure detector. The
-entries of a zone that cannot be reached stay as they are: a partition
-between zones says nothing about the daemons behind it, and dropping up to
-1,250 entries one by one on both sides and adding them again would cost each
-daemon of the fleet some 200 KB per partition. Calls to such a zone fail at
-the connection and go elsewhere; the zone's own members still judge each
-other, and their verdicts arrive with the first exchange after the partition.
+highest entry per member that it has received. Tables that have received the
+same entries are therefore equal, regardless of order and duplicates.
+
+A daemon's failure detector covers only members of its own zone. Entries of
+an unreachable zone are left unchanged: a partition between zones does not
+show whether the daemons behind it are alive, and removing up to 1,250
+entries one by one on both sides and adding them again would cost each daemon
+of the fleet some 200 KB per partition. Calls to an unreachable zone fail at
+the connection and are routed elsewhere. The members of that zone continue to
+monitor each other, and their status changes arrive with the first exchange
+after the partition.
 """
 
 from __future__ import annotations
@@ -37,21 +38,21 @@
     from gypsumhall.core._member import Member
 
 BUCKETS = 256
-"""Buckets of the digests that tables compare to repair a difference."""
+"""Number of buckets whose digests tables compare to repair differences."""
 RETENTION_S = 600.0
-"""Time for which dead and leaving entries are kept. The owners of
+"""Time in seconds for which dead and leaving entries are kept. The owners of
 idempotency keys are derived from them for as long as keys are kept."""
 MASKED = -1
-"""Stands for a bucket that is not to be compared."""
+"""Value of a bucket that is excluded from the comparison."""
 ENTRY_BYTES = 80
-"""Typical encoding of an entry, for limits in bytes."""
+"""Typical encoded size of an entry in bytes, for limits in bytes."""
 
-_GONE = frozenset({MemberStatus.DEAD, MemberStatus.LEAVING})
+_DEPARTED = frozenset({MemberStatus.DEAD, MemberStatus.LEAVING})
 _ENCODER = msgspec.msgpack.Encoder()
 
 
 def position(member_id: str) -> int:
-    """Return the place of a member on the ring of its zone, 64 bits."""
+    """Return the position of a member on its zone's hash ring, 64 bits."""
     value = hashlib.blake2b(member_id.encode(), digest_size=8).digest()
     return int.from_bytes(value, 'big')
 
@@ -68,8 +69,8 @@
 def newer(one: Member, other: Member) -> bool:
     """Return whether `one` replaces `other`.
 
-    Entries of equal rank differ only if two daemons use the same id; their
-    encodings then decide, so that all tables still choose the same one.
+    Entries of equal rank differ only if two daemons use the same id. Their
+    encodings are then compared, so that all tables choose the same entry.
     """
     first, second = _rank(one), _rank(other)
     if first != second:
@@ -77,24 +78,24 @@
     return one != other and _ENCODER.encode(one) > _ENCODER.encode(other)
 
 
-class _Slot:
-    """An entry with its position, hash and time of death."""
+class _Record:
+    """An entry with its ring position, its hash and when it departed."""
 
-    __slots__ = ('gone_at', 'hash', 'member', 'position')
+    __slots__ = ('departed_at', 'hash', 'member', 'position')
 
-    def __init__(self, member: Member, place: int) -> None:
+    def __init__(self, member: Member, ring_position: int) -> None:
         self.member = member
-        self.position = place
+        self.position = ring_position
         self.hash = 0
-        self.gone_at = math.inf
+        self.departed_at = math.inf
 
 
 class Table:
     """Member table; implements `MemberTable`.
 
-    Dead and leaving entries count as absent in the digests, because they
-    are removed at slightly different times everywhere. A table that misses
-    a death still differs, as it holds the member as alive.
+    The digests exclude dead and leaving entries, because each table removes
+    them at a slightly different time. A table that has missed a death still
+    has a different digest, since it lists the member as alive.
     """
 
     __slots__ = (
@@ -103,19 +104,19 @@
         '_by_service',
         '_by_zone',
         '_changed_at',
+        '_departed',
         '_digest',
         '_endpoints',
-        '_gone',
+        '_records',
         '_revision',
         '_rings',
-        '_slots',
     )
 
     def __init__(self) -> None:
-        self._slots: dict[str, _Slot] = {}
-        self._gone: set[str] = set()
-        self._by_zone: dict[str, dict[str, _Slot]] = {}
-        self._by_service: dict[str, dict[str, _Slot]] = {}
+        self._records: dict[str, _Record] = {}
+        self._departed: set[str] = set()
+        self._by_zone: dict[str, dict[str, _Record]] = {}
+        self._by_service: dict[str, dict[str, _Record]] = {}
         self._alive: dict[str, tuple[Member, ...]] = {}
         self._rings: dict[str, tuple[list[int], list[Member]]] = {}
         self._endpoints: dict[str, tuple[Member, ...]] = {}
@@ -125,16 +126,16 @@
         self._revision = 0
 
     def __len__(self) -> int:
-        return len(self._slots)
+        return len(self._records)
 
     @property
     def digest(self) -> int:
-        """Digest over all alive and suspect entries, 64 bits."""
+        """Digest of all alive and suspect entries, 64 bits."""
         return self._digest
 
     @property
     def revision(self) -> int:
-        """Grows with every change of any entry."""
+        """Counter that increases with every change of any entry."""
         return self._revision
 
     @property
@@ -144,64 +145,64 @@
 
     def get(self, member_id: str) -> Member | None:
         """Return an entry by id."""
-        slot = self._slots.get(member_id)
-        return None if slot is None else slot.member
+        record = self._records.get(member_id)
+        return None if record is None else record.member
 
     def members(self) -> Sequence[Member]:
         """Return all entries."""
-        return [slot.member for slot in self._slots.values()]
+        return [record.member for record in self._records.values()]
 
     def alive(self, zone: str) -> Sequence[Member]:
         """Return the alive and suspect members of a zone, sorted by id."""
-        found = self._alive.get(zone)
-        if found is None:
-            slots = self._by_zone.get(zone, {})
-            found = tuple(slots[key].member for key in sorted(slots))
-            self._alive[zone] = found
-        return found
+        members = self._alive.get(zone)
+        if members is None:
+            records = self._by_zone.get(zone, {})
+            members = tuple(records[key].member for key in sorted(records))
+            self._alive[zone] = members
+        return members
 
     def endpoints(self, service: str) -> Sequence[Member]:
         """Return the members with an endpoint of a service, sorted by id.
 
         Dead and leaving members are included until they are removed.
         """
-        found = self._endpoints.get(service)
-        if found is None:
-            slots = self._by_service.get(service, {})
-            found = tuple(slots[key].member for key in sorted(slots))
-            self._endpoints[service] = found
-        return found
+        members = self._endpoints.get(service)
+        if members is None:
+            records = self._by_service.get(service, {})
+            members = tuple(records[key].member for key in sorted(records))
+            self._endpoints[service] = members
+        return members
 
     def neighbours(self, member: Member, count: int) -> Sequence[Member]:
-        """Return the alive members that follow one on its zone's ring."""
+        """Return up to `count` members that follow one on its zone's ring."""
         ring = self._rings.get(member.zone)
         if ring is None:
-            slots = sorted(
+            records = sorted(
                 self._by_zone.get(member.zone, {}).values(),
-                key=lambda slot: slot.position,
+                key=lambda record: record.position,
             )
             ring = (
-                [slot.position for slot in slots],
-                [slot.member for slot in slots],
+                [record.position for record in records],
+                [record.member for record in records],
             )
             self._rings[member.zone] = ring
-        places, members = ring
-        start = bisect_right(places, position(member.id))
+        positions, members = ring
+        start = bisect_right(positions, position(member.id))
         chosen: list[Member] = []
         for step in range(len(members)):
-            found = members[(start + step) % len(members)]
-            if found.id == member.id or len(chosen) == count:
+            candidate = members[(start + step) % len(members)]
+            if candidate.id == member.id or len(chosen) == count:
                 break
-            chosen.append(found)
+            chosen.append(candidate)
         return chosen
 
     def age(self, member_id: str, now: float) -> float:
-        """Return for how long an entry has been dead or leaving, in s."""
-        slot = self._slots.get(member_id)
-        return 0.0 if slot is None else max(0.0, now - slot.gone_at)
+        """Return the seconds for which an entry has been dead or leaving."""
+        record = self._records.get(member_id)
+        return 0.0 if record is None else max(0.0, now - record.departed_at)
 
     def merge(self, member: Member, now: float, age: float = 0.0) -> bool:
-        """Take over an entry if it is newer; return whether it was.
+        """Store an entry if it is newer; return whether it was stored.
 
         Parameters
         ----------
@@ -210,30 +211,30 @@
         now : float
             Current time in seconds.
         age : float
-            For how long another table has held it as dead or leaving, in
-            seconds. Entries past their retention are not added.
+            Time in seconds for which another table has listed the entry as
+            dead or leaving. Entries past their retention are not added.
         """
-        slot = self._slots.get(member.id)
-        gone = member.status in _GONE
-        if slot is None:
-            if gone and age >= RETENTION_S:
+        record = self._records.get(member.id)
+        departed = member.status in _DEPARTED
+        if record is None:
+            if departed and age >= RETENTION_S:
                 return False
-            slot = _Slot(member, position(member.id))
-            self._slots[member.id] = slot
-        elif not newer(member, slot.member):
+            record = _Record(member, position(member.id))
+            self._records[member.id] = record
+        elif not newer(member, record.member):
             return False
         else:
-            self._unlink(slot)
-        if not gone:
-            slot.gone_at = math.inf
+            self._remove_from_indexes(record)
+        if not departed:
+            record.departed_at = math.inf
         elif (
-            slot.gone_at == math.inf
-            or slot.member.incarnation != member.incarnation
+            record.departed_at == math.inf
+            or record.member.incarnation != member.incarnation
         ):
-            slot.gone_at = now - age
-        slot.member = member
-        self._link(slot)
-        self._changed_at[slot.position % BUCKETS] = now
+            record.departed_at = now - age
+        record.member = member
+        self._add_to_indexes(record)
+        self._changed_at[record.position % BUCKETS] = now
         self._revision += 1
         return True
 
@@ -241,11 +242,11 @@
         """Remove entries past their retention and return their ids."""
         expired = [
             key
-            for key in self._gone
-            if now - self._slots[key].gone_at >= RETENTION_S
+            for key in self._departed
+            if now - self._records[key].departed_at >= RETENTION_S
         ]
         for key in expired:
-            self._unlink(self._slots.pop(key))
+            self._remove_from_indexes(self._records.pop(key))
             self._revision += 1
         return expired
 
@@ -253,14 +254,14 @@
         """Return the digests of the buckets.
 
         Buckets that changed within the last seconds are masked: their
-        changes are probably still on the way to the other table, and a
-        bucket of a table of 25,000 holds about 100 entries. In a small
-        table a superfluous comparison costs little.
+        changes are probably still in transit to the other table, and a
+        bucket of a table with 25,000 entries contains about 100 of them. In
+        a small table, a redundant comparison costs little.
         """
-        quiet_s = 10.0 * min(1.0, len(self._slots) / 4096)
+        masking_s = 10.0 * min(1.0, len(self._records) / 4096)
         return [
-            MASKED if now - changed < quiet_s else value
-            for value, changed in zip(
+            MASKED if now - changed_at < masking_s else value
+            for value, changed_at in zip(
                 self._buckets, self._changed_at, strict=True
             )
         ]
@@ -273,7 +274,7 @@
         Parameters
         ----------
         buckets : sequence of int
-            Digests of the other table; empty to return all entries.
+            Bucket digests of the other table; empty to return all entries.
         now : float
             Current time in seconds.
         """
@@ -290,126 +291,127 @@
         if not wanted:
             return []
         return [
-            slot.member
-            for slot in self._slots.values()
-            if slot.position % BUCKETS in wanted
+            record.member
+            for record in self._records.values()
+            if record.position % BUCKETS in wanted
         ]
 
-    def _link(self, slot: _Slot) -> None:
-        member = slot.member
-        if member.status in _GONE:
-            self._gone.add(member.id)
+    def _add_to_indexes(self, record: _Record) -> None:
+        member = record.member
+        if member.status in _DEPARTED:
+            self._departed.add(member.id)
         else:
             value = hashlib.blake2b(
                 _ENCODER.encode(member), digest_size=8
             ).digest()
-            slot.hash = int.from_bytes(value, 'big')
-            self._by_zone.setdefault(member.zone, {})[member.id] = slot
-        self._toggle(slot)
+            record.hash = int.from_bytes(value, 'big')
+            self._by_zone.setdefault(member.zone, {})[member.id] = record
+        self._update_digests(record)
         if member.endpoint is not None:
             service = member.endpoint.service
-            self._by_service.setdefault(service, {})[member.id] = slot
+            self._by_service.setdefault(service, {})[member.id] = record
             self._endpoints.pop(service, None)
 
-    def _unlink(self, slot: _Slot) -> None:
-        member = slot.member
-        self._gone.discard(member.id)
+    def _remove_from_indexes(self, record: _Record) -> None:
+        member = record.member
+        self._departed.discard(member.id)
         _remove(self._by_zone, member.zone, member.id)
-        self._toggle(slot)
-        slot.hash = 0
+        self._update_digests(record)
+        record.hash = 0
         if member.endpoint is not None:
             service = member.endpoint.service
             _remove(self._by_service, service, member.id)
             self._endpoints.pop(service, None)
 
-    def _toggle(self, slot: _Slot) -> None:
-        self._digest ^= slot.hash
-        self._buckets[slot.position % BUCKETS] ^= slot.hash
-        self._alive.pop(slot.member.zone, None)
-        self._rings.pop(slot.member.zone, None)
+    def _update_digests(self, record: _Record) -> None:
+        self._digest ^= record.hash
+        self._buckets[record.position % BUCKETS] ^= record.hash
+        self._alive.pop(record.member.zone, None)
+        self._rings.pop(record.member.zone, None)
 
 
 def _remove(
-    index: dict[str, dict[str, _Slot]], key: str, member_id: str
+    index: dict[str, dict[str, _Record]], key: str, member_id: str
 ) -> None:
-    slots = index.get(key)
-    if slots is not None:
-        slots.pop(member_id, None)
-        if not slots:
+    records = index.get(key)
+    if records is not None:
+        records.pop(member_id, None)
+        if not records:
             del index[key]
 
 
 class ChangeQueue:
-    """Changes that heartbeats carry to other members.
+    """Queue of the changes that heartbeats carry to other members.
 
-    A change is carried a limited number of times, about log2 of the zone's
-    size. Hearing it again from elsewhere takes one off, because it is then
-    already spread. Entries past a limit in bytes wait: the queue may spend
-    `rate` bytes per second and a burst.
+    Each change is sent a limited number of times, about log2 of the zone's
+    size. Receiving the same change from another member reduces this number
+    by one, because the change has then already spread. A token bucket limits
+    the bytes; entries that exceed it remain queued.
 
     Parameters
     ----------
     rate : float
         Bytes per second.
     burst : float
-        Bytes that may be spent at once after a quiet time.
+        Capacity of the token bucket in bytes, that is, what can be sent at
+        once after a time without changes.
     """
 
-    __slots__ = ('_budget', '_burst', '_left', '_rate', '_refilled')
+    __slots__ = ('_budget', '_burst', '_rate', '_refilled_at', '_sends_left')
 
     def __init__(self, rate: float = 600.0, burst: float = 131072.0) -> None:
         self._rate = rate
         self._burst = burst
         self._budget = burst
-        self._refilled = -math.inf
-        self._left: dict[str, int] = {}
+        self._refilled_at = -math.inf
+        self._sends_left: dict[str, int] = {}
 
     def __len__(self) -> int:
-        return len(self._left)
+        return len(self._sends_left)
 
     def add(self, member_id: str, zone_size: int) -> None:
-        """Queue a change, anew when the member was queued already."""
-        self._left[member_id] = math.ceil(math.log2(zone_size + 1)) + 1
+        """Queue a change; reset the count if the member is already queued."""
+        self._sends_left[member_id] = math.ceil(math.log2(zone_size + 1)) + 1
 
     def heard(self, member_id: str) -> None:
-        """Note that another member carries the same change."""
-        if member_id in self._left:
-            self._spend(member_id)
+        """Record that another member has sent the same change."""
+        if member_id in self._sends_left:
+            self._count_send(member_id)
 
     def take(
         self, now: float, known: Container[str] = (), count: int = 32
     ) -> Sequence[str]:
-        """Return the ids whose entries go with the next message.
+        """Return the ids whose entries the next message is to carry.
 
         Parameters
         ----------
         now : float
             Current time in seconds.
         known : container of str
-            Ids that the receiver has just sent itself.
+            Ids whose entries the receiver has just sent itself.
         count : int
-            Largest number of ids.
+            Maximum number of ids.
         """
-        passed = min(now - self._refilled, self._burst)
-        self._budget = min(self._burst, self._budget + passed * self._rate)
-        self._refilled = now
+        elapsed = min(now - self._refilled_at, self._burst)
+        self._budget = min(self._burst, self._budget + elapsed * self._rate)
+        self._refilled_at = now
         count = min(count, int(self._budget // ENTRY_BYTES))
-        if count <= 0 or not self._left:
+        if count <= 0 or not self._sends_left:
             return ()
         chosen = heapq.nlargest(
             count,
-            (key for key in self._left if key not in known),
-            key=self._left.__getitem__,
+            (key for key in self._sends_left if key not in known),
+            key=self._sends_left.__getitem__,
         )
         self._budget -= len(chosen) * ENTRY_BYTES
         for key in chosen:
-            self._spend(key)
+            self._count_send(key)
         return chosen
 
-    def _spend(self, member_id: str) -> None:
-        self._left[member_id] -= 1
-        if not self._left[member_id]:
-            del self._left[member_id]
+    def _count_send(self, member_id: str) -> None:
+        self._sends_left[member_id] -= 1
+        if not self._sends_left[member_id]:
+            del self._sends_left[member_id]
 
 
 class _Suspicion(NamedTuple):
@@ -419,53 +421,56 @@
 
 
 class Detector:
-    """Failure detector for the members of the own zone.
-
-    A daemon watches the members that follow it on the ring. If one has been
-    silent for `check_after_s`, others are asked to reach it. It becomes
-    suspect after `suspect_after_s`, and only if most of the members asked
-    did answer and none reached it: one bad link condemns nobody, and a
-    daemon that is cut off itself gets no answers and judges nobody. After a
-    pause of its own process, a daemon judges nobody until it has refreshed
-    its table.
+    """Failure detector for the members of a daemon's own zone.
+
+    A daemon watches the members that follow it on the ring. If it has
+    received no heartbeat from one of them for 1.2 intervals, it asks other
+    members to probe that member. The member becomes suspect after two
+    intervals without a heartbeat, and only if most of the members asked sent
+    a reply and none of them reached it. One faulty link is therefore not
+    enough to suspect a member, and a daemon that is itself disconnected
+    receives no replies and suspects nobody. A suspect that does not refute
+    the suspicion is declared dead after three further intervals. After a
+    pause of its own process, a daemon suspects nobody and declares nobody
+    dead until it has refreshed its table.
 
     Parameters
     ----------
     table : Table
         Member table.
     me : str
-        Own id.
+        Id of this daemon.
     zone : str
-        Own zone.
+        Zone of this daemon.
     interval_s : float
         Time between heartbeats in seconds.
     """
 
     __slots__ = (
-        '_answered',
-        '_check_after_s',
-        '_checked_at',
         '_dead_after_s',
-        '_heard',
-        '_held_since',
         '_interval_s',
+        '_last_received_at',
         '_last_tick',
         '_me',
         '_paused_until',
+        '_probe_after_s',
+        '_probed_at',
+        '_received_at',
         '_suspect_after_s',
         '_suspicions',
         '_table',
+        '_unconfirmed_since',
         '_watched',
         '_zone',
     )
 
-    # Up to this zone size, and after this time, a verdict needs no witness:
-    # all who could confirm it may be gone for good.
-    _SMALL = 8
-    _HOLD_S = 10.0
-    # Further time after which daemons that neither raised a suspicion nor
-    # watch its member act on it.
-    _BACKSTOP_S = 5.0
+    # In zones of up to this size, a suspicion needs no confirmation after
+    # this time: all members that could confirm it may have failed for good.
+    _SMALL_ZONE_MEMBERS = 8
+    _CONFIRMATION_TIMEOUT_S = 10.0
+    # Additional delay before daemons that neither raised a suspicion nor
+    # watch the suspect declare it dead.
+    _FALLBACK_DELAY_S = 5.0
 
     def __init__(
         self,
@@ -479,15 +484,15 @@
         self._me = me
         self._zone = zone
         self._interval_s = interval_s
-        self._check_after_s = 1.2 * interval_s
+        self._probe_after_s = 1.2 * interval_s
         self._suspect_after_s = 2.0 * interval_s
         self._dead_after_s = 3.0 * interval_s
         self._watched: set[str] = set()
-        self._heard: dict[str, float] = {}
-        self._checked_at: dict[str, float] = {}
-        self._held_since: dict[str, float] = {}
+        self._received_at: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
+        self._unconfirmed_since: dict[str, float] = {}
         self._suspicions: dict[str, _Suspicion] = {}
-        self._answered = -math.inf
+        self._last_received_at = -math.inf
         self._last_tick = math.nan
         self._paused_until = -math.inf
 
@@ -495,57 +500,60 @@
         """Start a round; return whether the table has to be refreshed.
 
         If the last round began more than three intervals ago, this process
-        was paused and its silences mean nothing. Nobody is judged until
-        `refreshed` is called, or for ten intervals at most.
+        was paused, and missing heartbeats are no evidence of a failure.
+        Detection is suspended until `refreshed` is called, for at most ten
+        intervals.
         """
         paused = now - self._last_tick > 3 * self._interval_s
         self._last_tick = now
         if paused:
             self._paused_until = now + 10 * self._interval_s
-            self._restart(now)
+            self._reset_timers(now)
         return paused
 
     def refreshed(self, now: float) -> None:
-        """Note that the table was compared with another member's."""
+        """Record that the table was compared with another member's."""
         if now < self._paused_until:
             self._paused_until = now
-            self._restart(now)
+            self._reset_timers(now)
 
     def watch(self, members: Iterable[Member], now: float) -> None:
-        """Set the members that are watched."""
+        """Set the members whose heartbeats are expected."""
         self._watched = {item.id for item in members}
         for key in self._watched:
-            self._heard.setdefault(key, now)
-        for key in [key for key in self._heard if key not in self._watched]:
-            del self._heard[key]
-            self._checked_at.pop(key, None)
-            self._held_since.pop(key, None)
+            self._received_at.setdefault(key, now)
+        for key in [
+            key for key in self._received_at if key not in self._watched
+        ]:
+            del self._received_at[key]
+            self._probed_at.pop(key, None)
+            self._unconfirmed_since.pop(key, None)
 
     def heard(self, member_id: str, now: float) -> None:
-        """Note a sign of life that came directly from a member."""
-        self._answered = now
-        if member_id in self._heard:
-            self._heard[member_id] = now
-            self._held_since.pop(member_id, None)
+        """Record a heartbeat or reply received directly from a member."""
+        self._last_received_at = now
+        if member_id in self._received_at:
+            self._received_at[member_id] = now
+            self._unconfirmed_since.pop(member_id, None)
 
     def silent(self, now: float) -> Sequence[Member]:
-        """Return the watched members that others should try to reach now."""
+        """Return the watched members that others should probe now."""
         if now < self._paused_until:
             return []
-        found = []
+        silent_members = []
         for key in self._watched:
             member = self._table.get(key)
             if (
                 member is None
                 or member.status is not MemberStatus.ALIVE
-                or now - self._heard[key] < self._check_after_s
-                or now - self._checked_at.get(key, -math.inf)
+                or now - self._received_at[key] < self._probe_after_s
+                or now - self._probed_at.get(key, -math.inf)
                 < 0.5 * self._interval_s
             ):
                 continue
-            self._checked_at[key] = now
-            found.append(member)
-        return found
+            self._probed_at[key] = now
+            silent_members.append(member)
+        return silent_members
 
     def checked(
         self,
@@ -555,45 +563,45 @@
         reached: int,
         now: float,
     ) -> Member | None:
-        """Judge a silent member; return its entry as suspect, if it is.
+        """Return the entry of a silent member as suspect, or None.
 
         Parameters
         ----------
         member : Member
-            The silent member as `silent` returned it.
+            Entry that `silent` returned.
         asked, answered, reached : int
-            Members asked to reach it, how many of them answered, and how
-            many of these reached it.
+            Number of members asked to probe it, how many of them sent a
+            reply, and how many of these reached it.
         now : float
             Current time in seconds.
         """
-        heard = self._heard.get(member.id)
+        received_at = self._received_at.get(member.id)
         current = self._table.get(member.id)
         if (
-            heard is None
+            received_at is None
             or current is None
             or _rank(current) != _rank(member)
             or now < self._paused_until
         ):
             return None
         if answered:
-            self._answered = now
+            self._last_received_at = now
         if reached:
-            self._heard[member.id] = now
+            self._received_at[member.id] = now
             return None
-        if now - heard < self._suspect_after_s:
-            self._checked_at.pop(member.id, None)
+        if now - received_at < self._suspect_after_s:
+            self._probed_at.pop(member.id, None)
             return None
         if (
             asked
             and answered * 2 <= asked
-            and not self._held_long(member.id, now)
+            and not self._confirmation_timed_out(member.id, now)
         ):
             return None
         return msgspec.structs.replace(member, status=MemberStatus.SUSPECT)
 
     def changed(self, member: Member, now: float, *, own: bool) -> None:
-        """Note a change of the table.
+        """Record a change of the table.
 
         Parameters
         ----------
@@ -612,20 +620,22 @@
             self._suspicions.pop(member.id, None)
 
     def overdue(self, now: float) -> Sequence[Member]:
-        """Return the entries of suspects whose time is over, as dead.
+        """Return the entries of suspects whose time-out has passed, as dead.
 
         The daemon that raised a suspicion and those that watch the member
-        act first; all others act later, in case these are gone.
+        declare it dead first; all others do so later, in case the first
+        ones have failed.
         """
         if now < self._paused_until:
             return []
         if (
-            now - self._answered > self._suspect_after_s
-            and len(self._table.alive(self._zone)) > self._SMALL
+            now - self._last_received_at > self._suspect_after_s
+            and len(self._table.alive(self._zone)) > self._SMALL_ZONE_MEMBERS
         ):
-            # Without any answer this daemon may be the one cut off.
+            # Without any recent message or reply, this daemon itself may
+            # be disconnected.
             return []
-        found = []
+        dead = []
         for key, suspicion in list(self._suspicions.items()):
             member = self._table.get(key)
             if member is None or _rank(member) != suspicion.rank:
@@ -633,71 +643,74 @@
                 continue
             limit = self._dead_after_s
             if not suspicion.own and key not in self._watched:
-                limit += self._BACKSTOP_S
+                limit += self._FALLBACK_DELAY_S
             if now - suspicion.since >= limit:
-                found.append(
+                dead.append(
                     msgspec.structs.replace(member, status=MemberStatus.DEAD)
                 )
-        return found
+        return dead
 
-    def _held_long(self, member_id: str, now: float) -> bool:
+    def _confirmation_timed_out(self, member_id: str, now: float) -> bool:
         alive = len(self._table.alive(self._zone))
-        since = self._held_since.setdefault(member_id, now)
-        return alive <= self._SMALL and now - since >= self._HOLD_S
-
-    def _restart(self, now: float) -> None:
-        for key in self._heard:
-            self._heard[key] = now
-        self._checked_at.clear()
-        self._held_since.clear()
+        since = self._unconfirmed_since.setdefault(member_id, now)
+        return (
+            alive <= self._SMALL_ZONE_MEMBERS
+            and now - since >= self._CONFIRMATION_TIMEOUT_S
+        )
+
+    def _reset_timers(self, now: float) -> None:
+        for key in self._received_at:
+            self._received_at[key] = now
+        self._probed_at.clear()
+        self._unconfirmed_since.clear()
         for key, suspicion in self._suspicions.items():
             self._suspicions[key] = suspicion._replace(since=now)
 
 
-def refute(mine: Member, seen: Member) -> Member | None:
-    """Return a new own entry if an entry of others contradicts it.
+def refute(own: Member, received: Member) -> Member | None:
+    """Return a new own entry if a received entry would replace it.
 
     Parameters
     ----------
-    mine : Member
-        Own entry.
-    seen : Member
-        Entry of the own id in another table.
+    own : Member
+        Entry of this daemon.
+    received : Member
+        Entry with the same id from another table.
 
     Returns
     -------
     Member or None
-        An entry that replaces `seen` in every table; None if the own entry
-        does already.
+        An entry that replaces `received` in every table; None if the own
+        entry already does.
     """
-    if seen == mine or newer(mine, seen):
+    if received == own or newer(own, received):
         return None
     return msgspec.structs.replace(
-        mine, incarnation=max(mine.incarnation, seen.incarnation) + 1
+        own, incarnation=max(own.incarnation, received.incarnation) + 1
     )
 
 
 class Partners:
-    """Members that a daemon gossips with, replaced one after the other.
+    """Members that a daemon gossips with, replaced one at a time.
 
-    A new random member every second would cost a new stream, and thus a
-    handshake of some 400 bytes, every second.
+    Choosing a new random member every second would open a new stream, with
+    a handshake of some 400 bytes, every second.
 
     Parameters
     ----------
     size : int
         Number of partners.
     period_s : float
-        Time in seconds after which one of them is replaced.
+        Time in seconds between two replacements.
     """
 
-    __slots__ = ('_ids', '_period_s', '_replaced', '_size')
+    __slots__ = ('_ids', '_period_s', '_replaced_at', '_size')
 
     def __init__(self, size: int, period_s: float) -> None:
         self._size = size
         self._period_s = period_s
         self._ids: list[str] = []
-        self._replaced = -math.inf
+        self._replaced_at = -math.inf
 
     def update(
         self,
@@ -706,7 +719,7 @@
         rng: random.Random,
         now: float,
     ) -> Sequence[Member]:
-        """Replace partners that are due or gone; return the partners.
+        """Replace due and departed partners; return all partners.
 
         Parameters
         ----------
@@ -719,19 +732,19 @@
         now : float
             Current time in seconds.
         """
-        known = {
+        partners = {
             key: member
             for key in self._ids
             if (member := table.get(key)) is not None
-            and member.status not in _GONE
+            and member.status not in _DEPARTED
         }
-        full = len(known) >= self._size
-        if full and now - self._replaced >= self._period_s:
-            self._replaced = now
-            del known[rng.choice(list(known))]
-        for _ in range(2 * (self._size - len(known))):
+        full = len(partners) >= self._size
+        if full and now - self._replaced_at >= self._period_s:
+            self._replaced_at = now
+            del partners[rng.choice(list(partners))]
+        for _ in range(2 * (self._size - len(partners))):
             member = draw()
-            if member is not None and len(known) < self._size:
-                known[member.id] = member
-        self._ids = list(known)
-        return list(known.values())
+            if member is not None and len(partners) < self._size:
+                partners[member.id] = member
+        self._ids = list(partners)
+        return list(partners.values())
--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -1,4 +1,4 @@
-"""Ownership of idempotency keys, and the ledger of a key owner."""
+"""Ownership of idempotency keys, and the key owner's ledger."""
 
 from __future__ import annotations
 
@@ -17,25 +17,26 @@
     from gypsumhall.core._member import Member
 
 RETENTION_S = 600.0
+"""Time in seconds for which keys and departed members are kept."""
 
 
 def takes_part(member: Member) -> bool:
     """Whether a member can own keys.
 
-    Unreachable members take part until the membership declares them dead.
+    This includes unreachable members until they are declared dead.
     """
     return member.is_live
 
 
 def owner(service: str, key: str, members: Iterable[Member]) -> Member | None:
-    """Return the member that owns a key; None without any member.
+    """Return the member that owns a key; None if no member can own it.
 
     Parameters
     ----------
     service, key : str
         Service and idempotency key.
     members : iterable of Member
-        Members with an endpoint of the service, whatever their status.
+        Members with an endpoint of the service, of any status.
     """
     return max(
         (member for member in members if takes_part(member)),
@@ -48,32 +49,33 @@
 
 
 @dataclass(slots=True)
-class _Known:
+class _TrackedMember:
     member: Member
     joined_at: float
 
 
 @dataclass(slots=True, frozen=True)
 class FormerOwners:
-    """Members that may hold a key that another member owns now.
+    """Members that may have owned a key before its present owner.
 
     Parameters
     ----------
     ask : tuple of Member
-        Members to ask; the key is free only if all of them release it.
+        Members to query; the key is free only if all of them release it.
     lost : tuple of str
-        Ids of earlier processes that cannot be asked any more, because
-        another incarnation runs in their place.
+        Ids of earlier processes that can no longer be queried, because
+        another incarnation has replaced them.
     """
 
     ask: tuple[Member, ...]
     lost: tuple[str, ...]
 
 
-# A refuted suspicion raises the incarnation by a little, a new process takes
-# the time in milliseconds. No process can come back within this time: its
-# death has to be seen and the new one has to reach its version floor first.
-_RESTART_MS = 50
+# Refuting a suspicion increases the incarnation slightly, whereas a new
+# process uses the current time in milliseconds. No process can be replaced
+# within this time: its death has to be detected, and the new process has to
+# reach its version floor first.
+_MIN_RESTART_MS = 50
 
 
 def is_same_process(member: Member, incarnation: int) -> bool:
@@ -82,11 +84,11 @@
 
 
 def _are_same_process(incarnation: int, other: int) -> bool:
-    return abs(incarnation - other) < _RESTART_MS
+    return abs(incarnation - other) < _MIN_RESTART_MS
 
 
 class OwnershipHistory:
-    """Changes of the members with an endpoint of one service.
+    """History of the members with an endpoint of one service.
 
     Parameters
     ----------
@@ -98,23 +100,23 @@
 
     __slots__ = (
         '_departed',
-        '_handed_over',
-        '_known',
-        '_lost',
+        '_handovers',
         '_me',
+        '_replaced',
         '_service',
+        '_tracked',
     )
 
     def __init__(self, service: str, me: str) -> None:
         self._service = service
         self._me = me
-        self._known: dict[str, _Known] = {}
-        # Id -> member, time at which it was seen to have left.
+        self._tracked: dict[str, _TrackedMember] = {}
+        # Id -> member, time at which its departure was observed.
         self._departed: dict[str, tuple[Member, float]] = {}
         # Id -> member, time at which another incarnation replaced it.
-        self._lost: dict[str, tuple[Member, float]] = {}
-        # Id -> incarnation of the process whose keys this daemon has taken.
-        self._handed_over: dict[str, int] = {}
+        self._replaced: dict[str, tuple[Member, float]] = {}
+        # Id -> incarnation of the process that handed its keys to this daemon.
+        self._handovers: dict[str, int] = {}
 
     @property
     def service(self) -> str:
@@ -124,7 +126,7 @@
     def gone(self, now: float) -> list[Member]:
         """Return the processes that left without handing their keys over."""
         return self._recent(self._departed, now) + self._recent(
-            self._lost, now
+            self._replaced, now
         )
 
     def handed_over(
@@ -134,7 +136,7 @@
         gone: Iterable[Member],
         now: float,
     ) -> None:
-        """Note that this daemon knows all that a process knew about keys.
+        """Record that a process has handed all its keys to this daemon.
 
         Parameters
         ----------
@@ -143,60 +145,63 @@
         incarnation : int
             Incarnation of its process.
         gone : iterable of Member
-            Its `gone`. Asked about a key of one of these, it would have
-            answered that the outcome is unknown; so must this daemon.
+            Result of its `gone`. For a key of one of these members, it would
+            have replied that the outcome is unknown, and this daemon has to
+            reply the same.
         now : float
             Current time in seconds.
         """
-        self._handed_over[member_id] = incarnation
+        self._handovers[member_id] = incarnation
         for member in gone:
-            known = self._known.get(member.id)
-            left = self._departed.get(member.id)
-            other = known.member if known else left[0] if left else None
-            if other is not None and is_same_process(
-                other, member.incarnation
+            tracked = self._tracked.get(member.id)
+            former = self._departed.get(member.id)
+            latest = (
+                tracked.member if tracked else former[0] if former else None
+            )
+            if latest is not None and is_same_process(
+                latest, member.incarnation
             ):
                 continue
-            if other is not None or member.id == self._me:
-                self._lost.setdefault(member.id, (member, now))
+            if latest is not None or member.id == self._me:
+                self._replaced.setdefault(member.id, (member, now))
             else:
                 self._departed[member.id] = (member, now)
 
     def _is_handed_over(self, member: Member) -> bool:
-        incarnation = self._handed_over.get(member.id)
+        incarnation = self._handovers.get(member.id)
         return incarnation is not None and is_same_process(member, incarnation)
 
     def observe(self, members: Iterable[Member], now: float) -> None:
-        """Take over the members with an endpoint of the service.
+        """Update the history from the current entries of the members.
 
         Parameters
         ----------
         members : iterable of Member
-            Members whatever their status.
+            Members with an endpoint of the service, of any status.
         now : float
             Current time in seconds.
         """
-        seen = {}
+        present = {}
         for member in members:
             if takes_part(member):
-                seen[member.id] = member
-            elif member.id not in self._known:
+                present[member.id] = member
+            elif member.id not in self._tracked:
                 self._departed.setdefault(member.id, (member, now))
-        for member_id, known in list(self._known.items()):
-            if member_id not in seen:
-                self._departed[member_id] = (known.member, now)
-                del self._known[member_id]
-        for member in seen.values():
-            self._join(member, now)
-        for table in (self._departed, self._lost):
-            for member_id, (_, left_at) in list(table.items()):
-                if now - left_at >= RETENTION_S:
+        for member_id, tracked in list(self._tracked.items()):
+            if member_id not in present:
+                self._departed[member_id] = (tracked.member, now)
+                del self._tracked[member_id]
+        for member in present.values():
+            self._track(member, now)
+        for table in (self._departed, self._replaced):
+            for member_id, (_, departed_at) in list(table.items()):
+                if now - departed_at >= RETENTION_S:
                     del table[member_id]
 
     def former_owners(
         self, key: str, now: float, joined_at: float
     ) -> FormerOwners:
-        """Return who may have owned a key within the retention time.
+        """Return members that may have owned a key within the retention time.
 
         Parameters
         ----------
@@ -210,27 +215,28 @@
         Returns
         -------
         FormerOwners
-            Members that ranked above this daemon and have left. If this
-            daemon joined within the retention time, also the members that
-            ranked next, up to the first one that has been there for that
-            long.
+            Members that ranked above this daemon and have departed. If this
+            daemon joined within the retention time, also the members ranked
+            below it, up to and including the first one that joined before
+            that time.
         """
         departed = self._recent(self._departed, now)
-        ask = [member for member in departed if self._is_above(key, member)]
+        ask = [member for member in departed if self._outranks_me(key, member)]
         lost = [
             member.id
-            for member in self._recent(self._lost, now)
-            if member.id == self._me or self._is_above(key, member)
+            for member in self._recent(self._replaced, now)
+            if member.id == self._me or self._outranks_me(key, member)
         ]
         if now - joined_at < RETENTION_S:
             joined = {
-                item.member.id: item.joined_at for item in self._known.values()
+                item.member.id: item.joined_at
+                for item in self._tracked.values()
             }
-            candidates = [item.member for item in self._known.values()]
+            candidates = [item.member for item in self._tracked.values()]
             below = [
                 member
                 for member in candidates + departed
-                if member.id != self._me and not self._is_above(key, member)
+                if member.id != self._me and not self._outranks_me(key, member)
             ]
             for member in _rendezvous.rank(self._service, key, below):
                 ask.append(member)
@@ -245,10 +251,10 @@
         to: tuple[str, int],
         asked: Iterable[tuple[str, int]],
     ) -> bool:
-        """Whether a member with a better claim left within the time.
+        """Whether a higher-ranked member departed within the retention time.
 
-        An earlier process of the new owner counts, even if its death has
-        not been seen here yet.
+        An earlier process of the new owner counts, even if this daemon has
+        not yet been notified of its death.
 
         Parameters
         ----------
@@ -259,60 +265,63 @@
         to : (str, int)
             Id and incarnation of the new owner.
         asked : iterable of (str, int)
-            Ids and incarnations of the members that it asks anyway.
+            Ids and incarnations of the members that it queries anyway.
         """
-        before = self._known.get(to[0])
+        previous = self._tracked.get(to[0])
         if (
-            before is not None
-            and not is_same_process(before.member, to[1])
-            and not self._is_handed_over(before.member)
+            previous is not None
+            and not is_same_process(previous.member, to[1])
+            and not self._is_handed_over(previous.member)
         ):
             return True
         incarnations = dict(asked)
-        gone = self._recent(self._lost, now)
+        gone = self._recent(self._replaced, now)
         gone += [
             member
             for member in self._recent(self._departed, now)
             if member.id not in incarnations
             or not is_same_process(member, incarnations[member.id])
         ]
-        return any(self._is_above(key, member) for member in gone)
+        return any(self._outranks_me(key, member) for member in gone)
 
     def _recent(
         self, table: dict[str, tuple[Member, float]], now: float
     ) -> list[Member]:
         return [
             member
-            for member, left_at in table.values()
-            if now - left_at < RETENTION_S and not self._is_handed_over(member)
+            for member, departed_at in table.values()
+            if now - departed_at < RETENTION_S
+            and not self._is_handed_over(member)
         ]
 
-    def _is_above(self, key: str, member: Member) -> bool:
+    def _outranks_me(self, key: str, member: Member) -> bool:
         if member.id == self._me:
             return False
-        mine = (_rendezvous.weight(self._service, key, self._me), self._me)
+        own = (_rendezvous.weight(self._service, key, self._me), self._me)
         return (
             _rendezvous.weight(self._service, key, member.id),
             member.id,
-        ) > mine
+        ) > own
 
-    def _join(self, member: Member, now: float) -> None:
-        known = self._known.get(member.id)
+    def _track(self, member: Member, now: float) -> None:
+        tracked = self._tracked.get(member.id)
         departed = self._departed.pop(member.id, None)
-        before = known.member if known else departed[0] if departed else None
-        restarted = before is not None and not is_same_process(
-            before, member.incarnation
+        previous = (
+            tracked.member if tracked else departed[0] if departed else None
         )
-        if before is not None and restarted:
-            self._lost[member.id] = (before, now)
-        if known is None or restarted:
-            self._known[member.id] = _Known(member, now)
+        restarted = previous is not None and not is_same_process(
+            previous, member.incarnation
+        )
+        if previous is not None and restarted:
+            self._replaced[member.id] = (previous, now)
+        if tracked is None or restarted:
+            self._tracked[member.id] = _TrackedMember(member, now)
         else:
-            known.member = member
+            tracked.member = member
 
 
 class KeyState(enum.Enum):
-    """What a key owner knows about a key."""
+    """State of a key in the ledger of its owner."""
 
     NEW = 'new'
     RUNNING = 'running'
@@ -324,20 +333,20 @@
 
 @dataclass(slots=True)
 class KeyEntry:
-    """A key and what is known about it.
+    """State and stored response of a key.
 
     Parameters
     ----------
     state : KeyState
-        Progress.
+        State of the key.
     digest : bytes
         Digest of the request; another request must not use the key.
     response : RecordedResponse or None
-        Kept response.
+        Stored response.
     expires_at : float
-        Time in seconds at which the entry is dropped.
+        Time in seconds at which the entry is removed.
     released_to : set of (str, int)
-        Ids and incarnations of the daemons that the key was given up for.
+        Ids and incarnations of the daemons that the key was released to.
     """
 
     state: KeyState
@@ -348,13 +357,13 @@
 
 
 class KeyLedger:
-    """Record of the keys that a key owner has seen.
+    """Record of the keys that a key owner has received.
 
     Parameters
     ----------
     max_bytes : int
-        Bytes of responses that are kept. When they are used up, responses
-        of the oldest keys are dropped; the keys stay.
+        Maximum total size of the stored responses in bytes. Beyond it, the
+        oldest responses are evicted; their keys remain.
     """
 
     __slots__ = ('_bytes', '_entries', '_expiry', '_max_bytes', '_responses')
@@ -388,8 +397,8 @@
         Returns
         -------
         KeyEntry
-            State ``NEW`` when the caller of this method has claimed it;
-            it then has to call `finish` or `abandon`. An entry that is
+            State ``NEW`` when the key has been claimed; the caller then has
+            to call `finish` or `abandon`. An entry in the state
             ``RELEASED`` can be claimed with `reclaim`.
         """
         self._expire(now)
@@ -409,7 +418,7 @@
         state: KeyState,
         response: RecordedResponse | None = None,
     ) -> None:
-        """Record how the request of a claimed key ended.
+        """Record the outcome of the request of a claimed key.
 
         Parameters
         ----------
@@ -420,11 +429,11 @@
         state : KeyState
             ``DONE`` when it ran, ``UNKNOWN`` when that is not certain.
         response : RecordedResponse or None
-            Response to keep.
+            Response to store.
         """
         entry = self._entries[service, key]
         entry.state = state
-        self._keep(service, key, entry, now)
+        self._schedule_expiry(service, key, entry, now)
         if response is not None and response.size <= self._max_bytes:
             entry.response = response
             self._responses[service, key] = response.size
@@ -435,11 +444,11 @@
             self._bytes -= size
 
     def abandon(self, service: str, key: str, now: float) -> None:
-        """Give up a claimed key whose request certainly did not run."""
+        """Cancel the claim to a key whose request certainly did not run."""
         entry = self._entries[service, key]
         if entry.released_to:
             entry.state = KeyState.RELEASED
-            self._keep(service, key, entry, now)
+            self._schedule_expiry(service, key, entry, now)
         else:
             del self._entries[service, key]
 
@@ -451,7 +460,7 @@
         to: tuple[str, int],
         asked: Iterable[tuple[str, int]],
     ) -> KeyState:
-        """Give up a key for its new owner.
+        """Release a key to its new owner.
 
         Parameters
         ----------
@@ -462,21 +471,23 @@
         to : (str, int)
             Id and incarnation of the new owner.
         asked : iterable of (str, int)
-            Ids and incarnations of all members that the new owner asks.
+            Ids and incarnations of all members that the new owner queries.
 
         Returns
         -------
         KeyState
             ``RELEASED`` when no request with the key has run here or with
             the consent of this daemon, and none will without the consent
-            of the new owner; otherwise what is known about the key.
+            of the new owner; otherwise the state of the key, or
+            ``UNKNOWN`` when it was released to a daemon that the new owner
+            does not query.
         """
         self._expire(now)
         entry = self._entries.get((service, key))
         if entry is None:
             entry = KeyEntry(KeyState.RELEASED, b'')
             self._entries[service, key] = entry
-            self._keep(service, key, entry, now)
+            self._schedule_expiry(service, key, entry, now)
         if entry.state != KeyState.RELEASED:
             return entry.state
         consulted = {**dict(asked), to[0]: to[1]}
@@ -503,10 +514,9 @@
         now: float,
         entry: KeyEntry,
     ) -> None:
-        """Take over what a daemon that stops knows about a key.
+        """Store the entry of a key from a daemon that stops.
 
-        What is known here already stays, unless it is only that the key was
-        given up.
+        An existing entry is kept, unless its state is ``RELEASED``.
 
         Parameters
         ----------
@@ -518,22 +528,22 @@
             Entry of the other daemon, without a response.
         """
         self._expire(now)
-        known = self._entries.get((service, key))
-        if known is None:
+        existing = self._entries.get((service, key))
+        if existing is None:
             self._entries[service, key] = entry
-            self._keep(service, key, entry, now)
-        elif known.state == KeyState.RELEASED:
-            known.state = entry.state
-            known.digest = entry.digest
-            known.released_to |= entry.released_to
+            self._schedule_expiry(service, key, entry, now)
+        elif existing.state == KeyState.RELEASED:
+            existing.state = entry.state
+            existing.digest = entry.digest
+            existing.released_to |= entry.released_to
 
     def reclaim(self, service: str, key: str, digest: bytes) -> None:
-        """Claim a released key, to ask those that it was given up for.
+        """Claim a released key again, to query those it was released to.
 
         Parameters
         ----------
         service, key : str
-            Service and key, whose entry is ``RELEASED``.
+            Service, and a key whose state is ``RELEASED``.
         digest : bytes
             Digest of the request.
         """
@@ -543,7 +553,7 @@
         entry.expires_at = float('inf')
         del self._expiry[service, key]
 
-    def _keep(
+    def _schedule_expiry(
         self, service: str, key: str, entry: KeyEntry, now: float
     ) -> None:
         entry.expires_at = now + RETENTION_S
--- a/gypsumhall/core/_rendezvous.py
+++ b/gypsumhall/core/_rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: members agree on the owner of a key without messages."""
+"""Rendezvous hashing: selects the owner of a key without messages."""
 
 from __future__ import annotations
 
@@ -12,18 +12,18 @@
 
 
 def weight(scope: str, key: str, member_id: str) -> bytes:
-    """Return the claim of a member to a key; the highest claim wins."""
+    """Return the weight of a member for a key; the highest weight wins."""
     text = f'{scope}\0{key}\0{member_id}'
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
 
 def rank(scope: str, key: str, members: Iterable[Member]) -> list[Member]:
-    """Return members in the order of their claim to a key.
+    """Return members by descending weight for a key.
 
     Parameters
     ----------
     scope, key : str
-        Keys of different scopes have independent orders.
+        Key, and its namespace; scopes have independent orders.
     members : iterable of Member
         Candidates.
     """
--- a/tests/test_core_checkins.py
+++ b/tests/test_core_checkins.py
@@ -1,4 +1,4 @@
-"""Heartbeats that arrive late, crossed and from earlier processes."""
+"""Tests of delayed, reordered and outdated heartbeats of backend servers."""
 
 from __future__ import annotations
 
@@ -15,53 +15,53 @@
 _DRAINING = builders.build_endpoint(state=EndpointState.DRAINING)
 
 
-def _state(known: CheckIns) -> EndpointState | None:
-    return None if known.current is None else known.current.endpoint.state
+def _state(tracker: CheckIns) -> EndpointState | None:
+    return None if tracker.current is None else tracker.current.endpoint.state
 
 
-def test_a_heartbeat_of_an_earlier_process_changes_nothing() -> None:
-    """It may arrive after the address has gone to a new process."""
-    known = CheckIns()
-    assert known.take('i-2', 200, 1, 'a:1', _READY, 0.0) is Decision.CHANGED
-    assert known.take('i-1', 100, 9, 'a:1', _READY, 0.1) is Decision.STALE
-    assert not known.leave('i-1', 100)
-    assert known.current is not None and known.current.instance == 'i-2'
+def test_heartbeat_of_earlier_process_is_ignored() -> None:
+    """It may arrive after a new process has taken over the address."""
+    tracker = CheckIns()
+    assert tracker.take('i-2', 200, 1, 'a:1', _READY, 0.0) is Decision.CHANGED
+    assert tracker.take('i-1', 100, 9, 'a:1', _READY, 0.1) is Decision.STALE
+    assert not tracker.leave('i-1', 100)
+    assert tracker.current is not None and tracker.current.instance == 'i-2'
 
 
-def test_a_restart_under_the_same_id_starts_its_counts_anew() -> None:
-    known = CheckIns()
-    known.take('i-1', 100, 9, 'a:1', _DRAINING, 0.0)
-    assert known.take('i-1', 200, 1, 'a:1', _READY, 1.0) is Decision.CHANGED
-    assert _state(known) is EndpointState.READY
+def test_restart_with_same_id_resets_sequence_and_draining() -> None:
+    tracker = CheckIns()
+    tracker.take('i-1', 100, 9, 'a:1', _DRAINING, 0.0)
+    assert tracker.take('i-1', 200, 1, 'a:1', _READY, 1.0) is Decision.CHANGED
+    assert _state(tracker) is EndpointState.READY
 
 
-def test_a_late_heartbeat_does_not_undo_leaving() -> None:
-    """A request would reach the backend server after its acknowledgement."""
-    known = CheckIns()
-    known.take('i-1', 100, 1, 'a:1', _READY, 0.0)
-    known.take('i-1', 100, 3, 'a:1', _DRAINING, 1.0)
-    assert known.take('i-1', 100, 2, 'a:1', _READY, 1.1) is Decision.STALE
-    assert known.take('i-1', 100, 4, 'a:1', _READY, 1.2) is Decision.SAME
-    assert _state(known) is EndpointState.DRAINING
+def test_delayed_heartbeat_does_not_end_draining() -> None:
+    """Otherwise requests reach a server whose leaving was acknowledged."""
+    tracker = CheckIns()
+    tracker.take('i-1', 100, 1, 'a:1', _READY, 0.0)
+    tracker.take('i-1', 100, 3, 'a:1', _DRAINING, 1.0)
+    assert tracker.take('i-1', 100, 2, 'a:1', _READY, 1.1) is Decision.STALE
+    assert tracker.take('i-1', 100, 4, 'a:1', _READY, 1.2) is Decision.SAME
+    assert _state(tracker) is EndpointState.DRAINING
 
 
-def test_a_notice_without_draining_before_is_a_leaving_too() -> None:
-    known = CheckIns()
-    known.take('i-1', 100, 1, 'a:1', _READY, 0.0)
-    assert known.leave('i-1', 0)
-    assert not known.leave('i-1', 0)
-    assert _state(known) is EndpointState.DRAINING
-    known.take('i-1', 100, 5, 'a:1', _READY, 0.5)
-    assert _state(known) is EndpointState.DRAINING
+def test_notice_of_leaving_without_draining_heartbeat_drains() -> None:
+    tracker = CheckIns()
+    tracker.take('i-1', 100, 1, 'a:1', _READY, 0.0)
+    assert tracker.leave('i-1', 0)
+    assert not tracker.leave('i-1', 0)
+    assert _state(tracker) is EndpointState.DRAINING
+    tracker.take('i-1', 100, 5, 'a:1', _READY, 0.5)
+    assert _state(tracker) is EndpointState.DRAINING
 
 
-def test_a_silent_backend_server_is_forgotten_and_found_again() -> None:
-    known = CheckIns()
-    known.take('i-1', 100, 1, 'a:1', _READY, 0.0)
-    assert not known.expire(MISSING_S - 0.1)
-    assert known.expire(MISSING_S)
-    assert known.current is None
-    changed = known.take('i-1', 100, 7, 'a:1', _READY, 9.0)
+def test_backend_server_expires_and_returns_with_next_heartbeat() -> None:
+    tracker = CheckIns()
+    tracker.take('i-1', 100, 1, 'a:1', _READY, 0.0)
+    assert not tracker.expire(MISSING_S - 0.1)
+    assert tracker.expire(MISSING_S)
+    assert tracker.current is None
+    changed = tracker.take('i-1', 100, 7, 'a:1', _READY, 9.0)
     assert changed is Decision.CHANGED
 
 
@@ -75,21 +75,21 @@
         max_size=20,
     )
 )
-def test_no_order_of_arrival_makes_a_leaving_process_ready(
+def test_leaving_process_stays_draining_in_any_arrival_order(
     arrivals: list[tuple[int, int, bool]],
 ) -> None:
-    known = CheckIns()
-    left: set[int] = set()
+    tracker = CheckIns()
+    leaving: set[int] = set()
     newest = 0
     for now, (started, sequence, draining) in enumerate(arrivals):
         endpoint = _DRAINING if draining else _READY
-        decision = known.take(
+        decision = tracker.take(
             f'i-{started}', started, sequence, 'a:1', endpoint, now * 0.01
         )
         if draining and decision is not Decision.STALE:
-            left.add(started)
+            leaving.add(started)
         newest = max(newest, started)
-        assert known.current is not None
-        assert known.current.started_ms == newest
-        if newest in left:
-            assert _state(known) is EndpointState.DRAINING
+        assert tracker.current is not None
+        assert tracker.current.started_ms == newest
+        if newest in leaving:
+            assert _state(tracker) is EndpointState.DRAINING
--- a/tests/test_core_membership.py
+++ b/tests/test_core_membership.py
@@ -21,7 +21,7 @@
 
 _MEMBERS = st.integers(0, 4)
 _TABLES = st.integers(0, 2)
-_GONE = (MemberStatus.DEAD, MemberStatus.LEAVING)
+_DEPARTED = (MemberStatus.DEAD, MemberStatus.LEAVING)
 
 
 def _rank(member: Member) -> tuple[int, int, int]:
@@ -33,15 +33,18 @@
 
 
 def _rebuilt(table: _membership.Table) -> _membership.Table:
-    """Return a table with the same entries and no history."""
-    fresh = _membership.Table()
+    """Return a new table with the same entries."""
+    rebuilt = _membership.Table()
     for member in table.members():
-        fresh.merge(member, 0.0)
-    return fresh
+        rebuilt.merge(member, 0.0)
+    return rebuilt
 
 
 class TableMachine(RuleBasedStateMachine):
-    """Members change, restart and are suspected; entries arrive anyhow."""
+    """Tables converge when entries are lost, repeated or out of order.
+
+    Meanwhile members change, leave, restart, are suspected and declared dead.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -51,7 +54,7 @@
             for index in range(5)
         }
         self.sent: list[Member] = list(self.own.values())
-        self.held: dict[tuple[int, str], tuple[int, int, int]] = {}
+        self.highest_ranks: dict[tuple[int, str], tuple[int, int, int]] = {}
 
     def _publish(self, index: int, **changes: Any) -> None:
         member = msgspec.structs.replace(self.own[index], **changes)
@@ -90,24 +93,26 @@
         data=st.data(),
         status=st.sampled_from([MemberStatus.SUSPECT, MemberStatus.DEAD]),
     )
-    def accuse(self, data: st.DataObject, status: MemberStatus) -> None:
+    def report_failure(
+        self, data: st.DataObject, status: MemberStatus
+    ) -> None:
         member = data.draw(st.sampled_from(self.sent))
         self.sent.append(msgspec.structs.replace(member, status=status))
 
     @rule(data=st.data(), index=_MEMBERS)
     def refute(self, data: st.DataObject, index: int) -> None:
-        mine = self.own[index]
-        seen = data.draw(
-            st.sampled_from([e for e in self.sent if e.id == mine.id])
+        own_entry = self.own[index]
+        received = data.draw(
+            st.sampled_from([e for e in self.sent if e.id == own_entry.id])
         )
-        found = _membership.refute(mine, seen)
-        if found is None:
-            assert _rank(seen) <= _rank(mine)
+        refuted = _membership.refute(own_entry, received)
+        if refuted is None:
+            assert _rank(received) <= _rank(own_entry)
         else:
-            assert _membership.newer(found, seen)
-            assert _membership.newer(found, mine)
-            self.own[index] = found
-            self.sent.append(found)
+            assert _membership.newer(refuted, received)
+            assert _membership.newer(refuted, own_entry)
+            self.own[index] = refuted
+            self.sent.append(refuted)
 
     @rule(data=st.data(), table=_TABLES)
     def deliver(self, data: st.DataObject, table: int) -> None:
@@ -115,7 +120,7 @@
         self.tables[table].merge(member, 1.0)
 
     @rule(seed=st.integers(0, 99))
-    def deliver_everything(self, seed: int) -> None:
+    def deliver_all_entries(self, seed: int) -> None:
         rng = random.Random(seed)
         for table in self.tables:
             for member in rng.sample(self.sent, len(self.sent)):
@@ -127,25 +132,25 @@
             assert not first.differing(other.buckets(99.0), 99.0)
 
     @invariant()
-    def no_entry_goes_back(self) -> None:
+    def ranks_of_entries_never_decrease(self) -> None:
         for number, table in enumerate(self.tables):
             for member in table.members():
                 key = (number, member.id)
-                assert self.held.get(key, (0, 0, 0)) <= _rank(member)
-                self.held[key] = _rank(member)
+                assert self.highest_ranks.get(key, (0, 0, 0)) <= _rank(member)
+                self.highest_ranks[key] = _rank(member)
 
     @invariant()
-    def indexes_and_digests_follow_from_the_entries(self) -> None:
+    def indexes_and_digests_match_the_entries(self) -> None:
         for table in self.tables:
-            fresh = _rebuilt(table)
-            assert table.digest == fresh.digest
-            assert table.buckets(99.0) == fresh.buckets(99.0)
+            rebuilt = _rebuilt(table)
+            assert table.digest == rebuilt.digest
+            assert table.buckets(99.0) == rebuilt.buckets(99.0)
             members = sorted(table.members(), key=lambda item: item.id)
             for zone in ('az-0', 'az-1'):
                 assert list(table.alive(zone)) == [
                     item
                     for item in members
-                    if item.zone == zone and item.status not in _GONE
+                    if item.zone == zone and item.status not in _DEPARTED
                 ]
             for service in ('s0', 's1'):
                 assert list(table.endpoints(service)) == [
@@ -162,8 +167,8 @@
 )
 
 
-def test_entries_of_equal_rank_merge_alike_in_any_order() -> None:
-    """Two daemons that use one id must not make tables differ for ever."""
+def test_merge_of_entries_with_equal_rank_ignores_order() -> None:
+    """Tables must converge even if two daemons use the same id."""
     one = builders.build_member(1)
     two = msgspec.structs.replace(one, peer_address='127.0.9.9:1')
     tables = [_membership.Table(), _membership.Table()]
@@ -173,7 +178,7 @@
     assert tables[0].get(one.id) == tables[1].get(one.id)
 
 
-def test_dead_entries_expire_and_do_not_come_back_by_repair() -> None:
+def test_repair_does_not_restore_expired_dead_entries() -> None:
     dead = builders.build_member(1, status=MemberStatus.DEAD)
     one, two = _membership.Table(), _membership.Table()
     one.merge(dead, 0.0)
@@ -185,7 +190,7 @@
     assert two.get(dead.id) is None
 
 
-def test_a_repair_finds_the_missing_entries_only() -> None:
+def test_repair_returns_few_entries_besides_missing_ones() -> None:
     one, two = _membership.Table(), _membership.Table()
     for index in range(5000):
         member = builders.build_member(index)
@@ -193,16 +198,16 @@
         if index != 1234:
             two.merge(member, 0.0)
     assert one.digest != two.digest
-    found = one.differing(two.buckets(20.0), 20.0)
-    assert builders.build_member(1234) in found
-    assert len(found) < 60
+    entries = one.differing(two.buckets(20.0), 20.0)
+    assert builders.build_member(1234) in entries
+    assert len(entries) < 60
     two.merge(builders.build_member(1234), 20.0)
-    # A change that is on its way is not repaired.
+    # A recent change may still be in transit and is not repaired.
     assert not one.differing(two.buckets(21.0), 21.0)
     assert one.digest == two.digest
 
 
-def test_the_change_queue_keeps_to_its_budget() -> None:
+def test_change_queue_limits_bytes_and_skips_known_ids() -> None:
     queue = _membership.ChangeQueue(rate=160.0, burst=800.0)
     for index in range(100):
         queue.add(f'd{index}', 1000)
@@ -213,8 +218,8 @@
     assert not set(queue.take(5.0, known=first)) & set(first)
 
 
-class _Watch:
-    """A detector beside `count` members, all heard of at time 0."""
+class _DetectorTrial:
+    """Detector of a daemon in a zone of `count` members, started at time 0."""
 
     def __init__(self, count: int) -> None:
         self.table = _membership.Table()
@@ -226,16 +231,16 @@
         self.watched = self.table.neighbours(self.me, 3)
         self.detector.watch(self.watched, 0.0)
 
-    def judge(
-        self, now: float, asked: int, answered: int, reached: int
+    def probe(
+        self, now: float, asked: int, replied: int, reached: int
     ) -> Member | None:
-        silent = self.detector.silent(now)
-        if not silent:
+        members = self.detector.silent(now)
+        if not members:
             return None
         result = self.detector.checked(
-            silent[0],
+            members[0],
             asked=asked,
-            answered=answered,
+            answered=replied,
             reached=reached,
             now=now,
         )
@@ -246,47 +251,47 @@
 
 
 @pytest.mark.parametrize(
-    ('count', 'asked', 'answered', 'reached', 'suspect'),
+    ('count', 'asked', 'replied', 'reached', 'suspect'),
     [
         (50, 3, 3, 0, True),
         (50, 3, 2, 0, True),
-        (50, 3, 3, 1, False),  # only the own link is bad
-        (50, 3, 1, 0, False),  # the own daemon is probably cut off
-        (50, 3, 0, 0, False),  # the own daemon is cut off
-        (2, 0, 0, 0, True),  # nobody else is left to ask
+        (50, 3, 3, 1, False),  # only this daemon's link is faulty
+        (50, 3, 1, 0, False),  # probably disconnected itself
+        (50, 3, 0, 0, False),  # disconnected itself
+        (2, 0, 0, 0, True),  # no other member to ask
         (4, 2, 0, 0, False),
     ],
 )
-def test_a_suspicion_needs_witnesses(
-    count: int, asked: int, answered: int, reached: int, suspect: bool
+def test_suspicion_needs_replies_of_most_members_asked(
+    count: int, asked: int, replied: int, reached: int, suspect: bool
 ) -> None:
-    watch = _Watch(count)
-    assert watch.judge(1.5, asked, answered, reached) is None
-    found = watch.judge(2.5, asked, answered, reached)
-    assert (found is not None) is suspect
-    if found is not None:
-        assert not watch.detector.overdue(5.4)
-        dead = watch.detector.overdue(5.6)
-        # Without an answer since, the own daemon may be cut off by now.
+    trial = _DetectorTrial(count)
+    assert trial.probe(1.5, asked, replied, reached) is None
+    suspected = trial.probe(2.5, asked, replied, reached)
+    assert (suspected is not None) is suspect
+    if suspected is not None:
+        assert not trial.detector.overdue(5.4)
+        dead = trial.detector.overdue(5.6)
+        # Without a reply since then, this daemon may be disconnected itself.
         assert bool(dead) is (count == 2)
-        watch.detector.heard('d1', 5.5)
-        assert watch.detector.overdue(5.6)[0].status is MemberStatus.DEAD
-
-
-def test_the_last_members_of_a_small_fleet_are_found_dead() -> None:
-    watch = _Watch(4)
-    assert watch.judge(2.5, 2, 0, 0) is None
-    assert watch.judge(13.0, 2, 0, 0) is not None
-
-
-def test_a_paused_process_judges_nobody_before_it_has_refreshed() -> None:
-    watch = _Watch(50)
-    assert watch.judge(2.5, 3, 3, 0) is not None
-    assert watch.detector.tick(60.0)
-    assert not watch.detector.overdue(60.0)
-    assert watch.judge(62.5, 3, 3, 0) is None
-    watch.detector.refreshed(63.0)
-    watch.detector.heard('d1', 65.9)
-    assert not watch.detector.silent(64.0)
-    assert not watch.detector.overdue(65.9)
-    assert watch.detector.overdue(66.1)
+        trial.detector.heard('d1', 5.5)
+        assert trial.detector.overdue(5.6)[0].status is MemberStatus.DEAD
+
+
+def test_small_zone_suspects_members_without_confirmation() -> None:
+    trial = _DetectorTrial(4)
+    assert trial.probe(2.5, 2, 0, 0) is None
+    assert trial.probe(13.0, 2, 0, 0) is not None
+
+
+def test_detection_is_suspended_from_pause_until_refresh() -> None:
+    trial = _DetectorTrial(50)
+    assert trial.probe(2.5, 3, 3, 0) is not None
+    assert trial.detector.tick(60.0)
+    assert not trial.detector.overdue(60.0)
+    assert trial.probe(62.5, 3, 3, 0) is None
+    trial.detector.refreshed(63.0)
+    trial.detector.heard('d1', 65.9)
+    assert not trial.detector.silent(64.0)
+    assert not trial.detector.overdue(65.9)
+    assert trial.detector.overdue(66.1)
