--- a/benchmarks/bench_network.py
+++ b/benchmarks/bench_network.py
@@ -297,7 +297,7 @@
     _time('endpoints(service)', lambda: table.endpoints('service-1'), 20_000)
     _time('neighbours', lambda: table.neighbours(members[0], 3), 20_000)
     _time('buckets', lambda: table.buckets(99.0), 1000)
-    _time('differing', lambda: table.differing(buckets, 99.0), 100)
+    _time('differing', lambda: table.differing_entries(buckets, 99.0), 100)
     queue = _membership.ChangeQueue()
     assert members[0].status is MemberStatus.ALIVE
     for member in members[:1250]:
--- a/gypsumhall/core/_checkins.py
+++ b/gypsumhall/core/_checkins.py
@@ -10,12 +10,12 @@
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
 
-MISSING_S = 6.0
+HEARTBEAT_TIMEOUT_S = 6.0
 """Time in seconds without a heartbeat after which a backend server counts as
 stopped; heartbeats are sent every 1.5 s and may be delayed by seconds."""
 
 
-class Decision(enum.Enum):
+class HeartbeatResult(enum.Enum):
     """Effect of a heartbeat on the recorded state."""
 
     CHANGED = 'changed'
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Known:
+class BackendInstance:
     """One process of the backend server on the VM.
 
     Parameters
@@ -45,7 +45,7 @@
     endpoint: Endpoint
 
 
-class CheckIns:
+class BackendTracker:
     """Tracks the latest process of the backend server by its heartbeats."""
 
     __slots__ = (
@@ -57,18 +57,18 @@
     )
 
     def __init__(self) -> None:
-        self._backend: Known | None = None
+        self._backend: BackendInstance | None = None
         self._sequence = 0
         self._received_at = 0.0
         self._present = False
         self._leaving = False
 
     @property
-    def current(self) -> Known | None:
+    def current(self) -> BackendInstance | None:
         """The backend server; None when its heartbeats have stopped."""
         return self._backend if self._present else None
 
-    def take(
+    def record_heartbeat(
         self,
         instance: str,
         started_ms: int,
@@ -76,7 +76,7 @@
         address: str,
         endpoint: Endpoint,
         now: float,
-    ) -> Decision:
+    ) -> HeartbeatResult:
         """Record a heartbeat.
 
         Once a process has announced that it is leaving, it stays draining:
@@ -92,9 +92,9 @@
             and not same_process
             and started_ms < backend.started_ms
         ):
-            return Decision.STALE
+            return HeartbeatResult.STALE
         if same_process and sequence <= self._sequence:
-            return Decision.STALE
+            return HeartbeatResult.STALE
         if not same_process:
             self._leaving = False
         self._sequence = sequence
@@ -105,14 +105,14 @@
             endpoint = msgspec.structs.replace(
                 endpoint, state=EndpointState.DRAINING
             )
-        updated = Known(instance, started_ms, address, endpoint)
+        updated = BackendInstance(instance, started_ms, address, endpoint)
         if updated == backend and self._present:
-            return Decision.SAME
+            return HeartbeatResult.SAME
         self._backend = updated
         self._present = True
-        return Decision.CHANGED
+        return HeartbeatResult.CHANGED
 
-    def leave(self, instance: str, started_ms: int) -> bool:
+    def record_leaving(self, instance: str, started_ms: int) -> bool:
         """Record that a process is leaving; False when nothing changes."""
         backend = self._backend
         if backend is None or backend.instance != instance:
@@ -124,14 +124,14 @@
         endpoint = msgspec.structs.replace(
             backend.endpoint, state=EndpointState.DRAINING
         )
-        self._backend = Known(
+        self._backend = BackendInstance(
             backend.instance, backend.started_ms, backend.address, endpoint
         )
         return not already_leaving
 
     def expire(self, now: float) -> bool:
         """Drop the backend server if its heartbeats stopped; True if so."""
-        if not self._present or now - self._received_at < MISSING_S:
+        if not self._present or now - self._received_at < HEARTBEAT_TIMEOUT_S:
             return False
         self._present = False
         return True
--- a/gypsumhall/core/_ledger.py
+++ b/gypsumhall/core/_ledger.py
@@ -68,9 +68,9 @@
 
     Parameters
     ----------
-    keep_s : float
+    retention_s : float
         Time in seconds for which a finished entry is kept.
-    refused_keep_s : float
+    refused_retention_s : float
         Time in seconds for which an id that `query` refused is kept.
     max_bytes : int
         Maximum total size of the stored responses in bytes. The oldest
@@ -94,20 +94,20 @@
     def __init__(
         self,
         *,
-        keep_s: float = 60.0,
-        refused_keep_s: float = 600.0,
+        retention_s: float = 60.0,
+        refused_retention_s: float = 600.0,
         max_bytes: int = 32 * 1024 * 1024,
         max_entries: int = 50_000,
     ) -> None:
-        self._retention_s = keep_s
-        self._refused_retention_s = refused_keep_s
+        self._retention_s = retention_s
+        self._refused_retention_s = refused_retention_s
         self._max_bytes = max_bytes
         self._max_entries = max_entries
         self._entries: dict[str, Entry] = {}
         # One queue per retention time, so that each is ordered by expiry.
         self._expiry: dict[float, OrderedDict[str, float]] = {
-            keep_s: OrderedDict(),
-            refused_keep_s: OrderedDict(),
+            retention_s: OrderedDict(),
+            refused_retention_s: OrderedDict(),
         }
         self._response_sizes: OrderedDict[str, int] = OrderedDict()
         self._bytes = 0
--- a/gypsumhall/core/_membership.py
+++ b/gypsumhall/core/_membership.py
@@ -266,7 +266,7 @@
             )
         ]
 
-    def differing(
+    def differing_entries(
         self, buckets: Sequence[int], now: float
     ) -> Sequence[Member]:
         """Return the entries of the buckets that differ from another table.
@@ -373,7 +373,7 @@
         """Queue a change; reset the count if the member is already queued."""
         self._sends_left[member_id] = math.ceil(math.log2(zone_size + 1)) + 1
 
-    def heard(self, member_id: str) -> None:
+    def record_received(self, member_id: str) -> None:
         """Record that another member has sent the same change."""
         if member_id in self._sends_left:
             self._count_send(member_id)
@@ -501,8 +501,8 @@
 
         If the last round began more than three intervals ago, this process
         was paused, and missing heartbeats are no evidence of a failure.
-        Detection is suspended until `refreshed` is called, for at most ten
-        intervals.
+        Detection is suspended until `record_refresh` is called, for at most
+        ten intervals.
         """
         paused = now - self._last_tick > 3 * self._interval_s
         self._last_tick = now
@@ -511,7 +511,7 @@
             self._reset_timers(now)
         return paused
 
-    def refreshed(self, now: float) -> None:
+    def record_refresh(self, now: float) -> None:
         """Record that the table was compared with another member's."""
         if now < self._paused_until:
             self._paused_until = now
@@ -529,14 +529,14 @@
             self._probed_at.pop(key, None)
             self._unconfirmed_since.pop(key, None)
 
-    def heard(self, member_id: str, now: float) -> None:
+    def record_received(self, member_id: str, now: float) -> None:
         """Record a heartbeat or reply received directly from a member."""
         self._last_received_at = now
         if member_id in self._received_at:
             self._received_at[member_id] = now
             self._unconfirmed_since.pop(member_id, None)
 
-    def silent(self, now: float) -> Sequence[Member]:
+    def members_to_probe(self, now: float) -> Sequence[Member]:
         """Return the watched members that others should probe now."""
         if now < self._paused_until:
             return []
@@ -555,11 +555,11 @@
             silent_members.append(member)
         return silent_members
 
-    def checked(
+    def evaluate_probes(
         self,
         member: Member,
         asked: int,
-        answered: int,
+        replied: int,
         reached: int,
         now: float,
     ) -> Member | None:
@@ -568,8 +568,8 @@
         Parameters
         ----------
         member : Member
-            Entry that `silent` returned.
-        asked, answered, reached : int
+            Entry that `members_to_probe` returned.
+        asked, replied, reached : int
             Number of members asked to probe it, how many of them sent a
             reply, and how many of these reached it.
         now : float
@@ -584,7 +584,7 @@
             or now < self._paused_until
         ):
             return None
-        if answered:
+        if replied:
             self._last_received_at = now
         if reached:
             self._received_at[member.id] = now
@@ -594,13 +594,13 @@
             return None
         if (
             asked
-            and answered * 2 <= asked
+            and replied * 2 <= asked
             and not self._confirmation_timed_out(member.id, now)
         ):
             return None
         return msgspec.structs.replace(member, status=MemberStatus.SUSPECT)
 
-    def changed(self, member: Member, now: float, *, own: bool) -> None:
+    def record_change(self, member: Member, now: float, *, own: bool) -> None:
         """Record a change of the table.
 
         Parameters
@@ -619,7 +619,7 @@
         else:
             self._suspicions.pop(member.id, None)
 
-    def overdue(self, now: float) -> Sequence[Member]:
+    def expired_suspects(self, now: float) -> Sequence[Member]:
         """Return the entries of suspects whose time-out has passed, as dead.
 
         The daemon that raised a suspicion and those that watch the member
@@ -690,7 +690,7 @@
     )
 
 
-class Partners:
+class GossipPartners:
     """Members that a daemon gossips with, replaced one at a time.
 
     Choosing a new random member every second would open a new stream, with
--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -20,7 +20,7 @@
 """Time in seconds for which keys and departed members are kept."""
 
 
-def takes_part(member: Member) -> bool:
+def can_own_keys(member: Member) -> bool:
     """Whether a member can own keys.
 
     This includes unreachable members until they are declared dead.
@@ -39,7 +39,7 @@
         Members with an endpoint of the service, of any status.
     """
     return max(
-        (member for member in members if takes_part(member)),
+        (member for member in members if can_own_keys(member)),
         key=lambda member: (
             _rendezvous.weight(service, key, member.id),
             member.id,
@@ -60,14 +60,14 @@
 
     Parameters
     ----------
-    ask : tuple of Member
+    to_query : tuple of Member
         Members to query; the key is free only if all of them release it.
     lost : tuple of str
         Ids of earlier processes that can no longer be queried, because
         another incarnation has replaced them.
     """
 
-    ask: tuple[Member, ...]
+    to_query: tuple[Member, ...]
     lost: tuple[str, ...]
 
 
@@ -123,17 +123,17 @@
         """Name of the service."""
         return self._service
 
-    def gone(self, now: float) -> list[Member]:
+    def departed_members(self, now: float) -> list[Member]:
         """Return the processes that left without handing their keys over."""
         return self._recent(self._departed, now) + self._recent(
             self._replaced, now
         )
 
-    def handed_over(
+    def record_handover(
         self,
         member_id: str,
         incarnation: int,
-        gone: Iterable[Member],
+        departed_members: Iterable[Member],
         now: float,
     ) -> None:
         """Record that a process has handed all its keys to this daemon.
@@ -144,15 +144,15 @@
             Id of the daemon that stops.
         incarnation : int
             Incarnation of its process.
-        gone : iterable of Member
-            Result of its `gone`. For a key of one of these members, it would
-            have replied that the outcome is unknown, and this daemon has to
-            reply the same.
+        departed_members : iterable of Member
+            Result of its method `departed_members`. For a key of one of
+            these members, it would have replied that the outcome is unknown,
+            and this daemon has to reply the same.
         now : float
             Current time in seconds.
         """
         self._handovers[member_id] = incarnation
-        for member in gone:
+        for member in departed_members:
             tracked = self._tracked.get(member.id)
             former = self._departed.get(member.id)
             latest = (
@@ -183,7 +183,7 @@
         """
         present = {}
         for member in members:
-            if takes_part(member):
+            if can_own_keys(member):
                 present[member.id] = member
             elif member.id not in self._tracked:
                 self._departed.setdefault(member.id, (member, now))
@@ -221,7 +221,9 @@
             that time.
         """
         departed = self._recent(self._departed, now)
-        ask = [member for member in departed if self._outranks_me(key, member)]
+        to_query = [
+            member for member in departed if self._outranks_me(key, member)
+        ]
         lost = [
             member.id
             for member in self._recent(self._replaced, now)
@@ -239,10 +241,10 @@
                 if member.id != self._me and not self._outranks_me(key, member)
             ]
             for member in _rendezvous.rank(self._service, key, below):
-                ask.append(member)
+                to_query.append(member)
                 if now - joined.get(member.id, now) >= RETENTION_S:
                     break
-        return FormerOwners(tuple(ask), tuple(lost))
+        return FormerOwners(tuple(to_query), tuple(lost))
 
     def had_earlier_owner(
         self,
@@ -275,14 +277,16 @@
         ):
             return True
         incarnations = dict(asked)
-        gone = self._recent(self._replaced, now)
-        gone += [
+        departed_members = self._recent(self._replaced, now)
+        departed_members += [
             member
             for member in self._recent(self._departed, now)
             if member.id not in incarnations
             or not is_same_process(member, incarnations[member.id])
         ]
-        return any(self._outranks_me(key, member) for member in gone)
+        return any(
+            self._outranks_me(key, member) for member in departed_members
+        )
 
     def _recent(
         self, table: dict[str, tuple[Member, float]], now: float
@@ -507,7 +511,7 @@
             if name == service
         ]
 
-    def take(
+    def import_entry(
         self,
         service: str,
         key: str,
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -720,7 +720,7 @@
     service: str
     records: tuple[KeyRecord, ...]
     last: bool
-    gone: tuple[Member, ...] = ()
+    departed_members: tuple[Member, ...] = ()
 
 
 class KeysTaken(Message, frozen=True, tag=50):
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -10,8 +10,8 @@
 
 from gypsumhall import platform
 from gypsumhall._errors import GypsumhallError
-from gypsumhall.core._checkins import CheckIns
-from gypsumhall.core._checkins import Decision
+from gypsumhall.core._checkins import BackendTracker
+from gypsumhall.core._checkins import HeartbeatResult
 from gypsumhall.services import _protocols
 
 if TYPE_CHECKING:
@@ -57,7 +57,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._started = False
-        self._known = CheckIns()
+        self._known = BackendTracker()
         self._membership: _protocols.Membership
         self._runner: BackendRunner
         self._events: _protocols.Events
@@ -107,7 +107,7 @@
                 detail=f'{instance!r} is at {check_in.address!r}, not here',
             )
             return _response(400)
-        decision = self._known.take(
+        decision = self._known.record_heartbeat(
             instance,
             check_in.started_ms,
             check_in.sequence,
@@ -115,12 +115,12 @@
             check_in.endpoint,
             trio.current_time(),
         )
-        if decision is not Decision.STALE:
+        if decision is not HeartbeatResult.STALE:
             now = trio.current_time()
             self._runner.set_warm_at(now + check_in.warmup_s)
-        if decision is Decision.CHANGED:
+        if decision is HeartbeatResult.CHANGED:
             self._apply('check-in')
-        elif decision is Decision.STALE:
+        elif decision is HeartbeatResult.STALE:
             self._events.emit(
                 'check-in-stale',
                 instance=instance,
@@ -136,7 +136,7 @@
             return _response(503)
         instance = request.path[len(platform.INSTANCES_PATH) :]
         started_ms = platform.decode_start_time(request.body)
-        if self._known.leave(instance, started_ms):
+        if self._known.record_leaving(instance, started_ms):
             self._apply('leaving')
         return _response(200)
 
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -219,15 +219,21 @@
         me = self._membership.me.id
         async with trio.open_nursery() as nursery:
             for service, known in self._joined.items():
-                gone = tuple(known.history.gone(trio.current_time()))
+                departed_members = tuple(
+                    known.history.departed_members(trio.current_time())
+                )
                 records = [
                     _record(key, entry)
                     for key, entry in self._ledger.records(service)
                 ]
                 for member in self._membership.table.endpoints(service):
-                    if member.id != me and _ownership.takes_part(member):
+                    if member.id != me and _ownership.can_own_keys(member):
                         nursery.start_soon(
-                            self._hand_over_to, member, service, records, gone
+                            self._hand_over_to,
+                            member,
+                            service,
+                            records,
+                            departed_members,
                         )
 
     async def _hand_over_to(
@@ -235,7 +241,7 @@
         member: Member,
         service: str,
         records: list[KeyRecord],
-        gone: tuple[Member, ...],
+        departed_members: tuple[Member, ...],
     ) -> None:
         with (
             trio.move_on_after(_HANDOVER_S),
@@ -250,7 +256,7 @@
                         service,
                         tuple(records[start:end]),
                         last,
-                        gone if last else (),
+                        departed_members if last else (),
                     ),
                     timeout_s=_HANDOVER_S,
                 )
@@ -275,11 +281,13 @@
             state = KeyState(record.state)
             if state != KeyState.RELEASED or released_to:
                 entry = KeyEntry(state, record.digest, released_to=released_to)
-                self._ledger.take(message.service, record.key, now, entry)
+                self._ledger.import_entry(
+                    message.service, record.key, now, entry
+                )
         if message.last:
             peer = exchange.peer
-            known.history.handed_over(
-                peer.id, peer.incarnation, message.gone, now
+            known.history.record_handover(
+                peer.id, peer.incarnation, message.departed_members, now
             )
         with contextlib.suppress(PeerError):
             await exchange.send(KeysTaken())
@@ -357,22 +365,22 @@
                 'former-owner-lost',
                 f'former owners of the key have restarted: {former.lost}',
             )
-        ask = {item.id: item for item in former.ask}
+        to_query = {item.id: item for item in former.to_query}
         for member_id, incarnation in released_to:
-            if member_id not in ask or not _ownership.is_same_process(
-                ask[member_id], incarnation
+            if member_id not in to_query or not _ownership.is_same_process(
+                to_query[member_id], incarnation
             ):
                 raise _calls.CallRefusedError(
                     Outcome.UNKNOWN,
                     'key-released',
                     f'the key was given up for {member_id}',
                 )
-        if not former.ask:
+        if not former.to_query:
             return
         answers: dict[str, Outcome] = {}
-        asked = tuple((item.id, item.incarnation) for item in former.ask)
+        asked = tuple((item.id, item.incarnation) for item in former.to_query)
         async with trio.open_nursery() as nursery:
-            for member in former.ask:
+            for member in former.to_query:
                 nursery.start_soon(self._ask, member, request, asked, answers)
         for outcome in (Outcome.RUN, Outcome.UNKNOWN):
             for member_id, answer in answers.items():
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -162,8 +162,8 @@
         self._rng = rng or random.Random()
         self._table = _membership.Table()
         self._queue = _membership.ChangeQueue()
-        self._partners = _membership.Partners(8, 10.0)
-        self._distant = _membership.Partners(4, 60.0)
+        self._partners = _membership.GossipPartners(8, 10.0)
+        self._distant = _membership.GossipPartners(4, 60.0)
         self._contacts: Sequence[Member] = ()
         self._acknowledged: dict[str, int] = {}
         self._subscribers: list[Callable[[], None]] = []
@@ -347,7 +347,7 @@
                 continue
             known = self._table.get(member.id)
             if self._table.merge(member, now, age):
-                self._detector.changed(member, now, own=False)
+                self._detector.record_change(member, now, own=False)
                 self._note_gone(member)
                 if news and age < _FRESH_S:
                     self._news(member)
@@ -358,7 +358,7 @@
                     ):
                         self._spread(member)
             elif not urgent and self._table.get(member.id) == member:
-                self._queue.heard(member.id)
+                self._queue.record_received(member.id)
         if self._table.revision != revision:
             self._notify()
 
@@ -377,7 +377,7 @@
         """Enter a verdict of the own failure detector."""
         now = trio.current_time()
         if self._table.merge(member, now):
-            self._detector.changed(member, now, own=True)
+            self._detector.record_change(member, now, own=True)
             self._note_gone(member)
             self._events.emit(
                 f'member-{member.status.name.lower()}',
@@ -448,9 +448,9 @@
             self._detector.watch(ring, now)
             for target in (*self._targets(ring, now), *self._absent(now)):
                 self._nursery.start_soon(self._beat, target)
-            for member in self._detector.silent(now):
+            for member in self._detector.members_to_probe(now):
                 self._nursery.start_soon(self._check, member)
-            for member in self._detector.overdue(now):
+            for member in self._detector.expired_suspects(now):
                 self._judge(member)
             expired = self._table.expire(now)
             for key in expired:
@@ -601,7 +601,7 @@
             return
         now = trio.current_time()
         self._events.clock.observe(message.time)
-        self._detector.heard(sender.id, now)
+        self._detector.record_received(sender.id, now)
         if digest.version > self.acknowledged(sender.id):
             self._acknowledged[sender.id] = digest.version
         self._apply((sender, *message.members))
@@ -656,10 +656,10 @@
         async with trio.open_nursery() as nursery:
             for helper in helpers:
                 nursery.start_soon(ask, helper)
-        suspect = self._detector.checked(
+        suspect = self._detector.evaluate_probes(
             member,
             asked=len(helpers),
-            answered=len(results),
+            replied=len(results),
             reached=sum(results),
             now=trio.current_time(),
         )
@@ -695,7 +695,7 @@
             list(self._contacts), min(3, len(self._contacts))
         ):
             if await self._repair(member.peer_address):
-                self._detector.refreshed(trio.current_time())
+                self._detector.record_refresh(trio.current_time())
                 return
 
     async def _repair(self, address: str) -> bool:
@@ -757,7 +757,7 @@
             others = tuple(item.peer_address for item in self._contacts)
             await exchange.send(_messages.Busy(others))
             return
-        members = list(self._table.differing(message.buckets, now))
+        members = list(self._table.differing_entries(message.buckets, now))
         if not joining and len(members) > _REPAIR_ENTRIES:
             members = self._rng.sample(members, _REPAIR_ENTRIES)
         self._joins += joining
--- a/tests/test_core_calls.py
+++ b/tests/test_core_calls.py
@@ -210,16 +210,16 @@
         lost: set[int],
     ) -> bool:
         former = node.history.former_owners(key, self.now, 0.0)
-        asked = tuple((item.id, item.incarnation) for item in former.ask)
+        asked = tuple((item.id, item.incarnation) for item in former.to_query)
         certain = not former.lost and all(
             any(
                 member.id == member_id and is_same_process(member, incarnation)
-                for member in former.ask
+                for member in former.to_query
             )
             for member_id, incarnation in released_to
         )
         to = (node.me.id, node.me.incarnation)
-        for member in former.ask:
+        for member in former.to_query:
             target = self.nodes[int(member.id[1:])]
             if int(member.id[1:]) in lost:
                 certain = False
@@ -365,11 +365,11 @@
     history.observe([stopped, me], 0.0)
     to = (killed.id, killed.incarnation + 1000)
     assert not history.had_earlier_owner(key, 1.0, to, ())
-    history.handed_over(stopped.id, stopped.incarnation, [killed], 1.0)
+    history.record_handover(stopped.id, stopped.incarnation, [killed], 1.0)
     history.observe([me], 2.0)
-    assert history.former_owners(key, 3.0, 0.0).ask == (killed,)
+    assert history.former_owners(key, 3.0, 0.0).to_query == (killed,)
     assert history.had_earlier_owner(key, 3.0, to, ())
-    assert history.gone(3.0) == [killed]
+    assert history.departed_members(3.0) == [killed]
 
 
 def test_own_endpoint_is_preferred_until_it_is_busier() -> None:
--- a/tests/test_core_checkins.py
+++ b/tests/test_core_checkins.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsumhall.core._checkins import CheckIns
-from gypsumhall.core._checkins import Decision
-from gypsumhall.core._checkins import MISSING_S
+from gypsumhall.core._checkins import BackendTracker
+from gypsumhall.core._checkins import HEARTBEAT_TIMEOUT_S
+from gypsumhall.core._checkins import HeartbeatResult
 from gypsumhall.core._member import EndpointState
 from gypsumhall.testing import builders
 
@@ -15,54 +15,69 @@
 _DRAINING = builders.build_endpoint(state=EndpointState.DRAINING)
 
 
-def _state(tracker: CheckIns) -> EndpointState | None:
+def _state(tracker: BackendTracker) -> EndpointState | None:
     return None if tracker.current is None else tracker.current.endpoint.state
 
 
 def test_heartbeat_of_earlier_process_is_ignored() -> None:
     """It may arrive after a new process has taken over the address."""
-    tracker = CheckIns()
-    assert tracker.take('i-2', 200, 1, 'a:1', _READY, 0.0) is Decision.CHANGED
-    assert tracker.take('i-1', 100, 9, 'a:1', _READY, 0.1) is Decision.STALE
-    assert not tracker.leave('i-1', 100)
+    tracker = BackendTracker()
+    assert (
+        tracker.record_heartbeat('i-2', 200, 1, 'a:1', _READY, 0.0)
+        is HeartbeatResult.CHANGED
+    )
+    assert (
+        tracker.record_heartbeat('i-1', 100, 9, 'a:1', _READY, 0.1)
+        is HeartbeatResult.STALE
+    )
+    assert not tracker.record_leaving('i-1', 100)
     assert tracker.current is not None and tracker.current.instance == 'i-2'
 
 
 def test_restart_with_same_id_resets_sequence_and_draining() -> None:
-    tracker = CheckIns()
-    tracker.take('i-1', 100, 9, 'a:1', _DRAINING, 0.0)
-    assert tracker.take('i-1', 200, 1, 'a:1', _READY, 1.0) is Decision.CHANGED
+    tracker = BackendTracker()
+    tracker.record_heartbeat('i-1', 100, 9, 'a:1', _DRAINING, 0.0)
+    assert (
+        tracker.record_heartbeat('i-1', 200, 1, 'a:1', _READY, 1.0)
+        is HeartbeatResult.CHANGED
+    )
     assert _state(tracker) is EndpointState.READY
 
 
 def test_delayed_heartbeat_does_not_end_draining() -> None:
     """Otherwise requests reach a server whose leaving was acknowledged."""
-    tracker = CheckIns()
-    tracker.take('i-1', 100, 1, 'a:1', _READY, 0.0)
-    tracker.take('i-1', 100, 3, 'a:1', _DRAINING, 1.0)
-    assert tracker.take('i-1', 100, 2, 'a:1', _READY, 1.1) is Decision.STALE
-    assert tracker.take('i-1', 100, 4, 'a:1', _READY, 1.2) is Decision.SAME
+    tracker = BackendTracker()
+    tracker.record_heartbeat('i-1', 100, 1, 'a:1', _READY, 0.0)
+    tracker.record_heartbeat('i-1', 100, 3, 'a:1', _DRAINING, 1.0)
+    assert (
+        tracker.record_heartbeat('i-1', 100, 2, 'a:1', _READY, 1.1)
+        is HeartbeatResult.STALE
+    )
+    assert (
+        tracker.record_heartbeat('i-1', 100, 4, 'a:1', _READY, 1.2)
+        is HeartbeatResult.SAME
+    )
     assert _state(tracker) is EndpointState.DRAINING
 
 
 def test_notice_of_leaving_without_draining_heartbeat_drains() -> None:
-    tracker = CheckIns()
-    tracker.take('i-1', 100, 1, 'a:1', _READY, 0.0)
-    assert tracker.leave('i-1', 0)
-    assert not tracker.leave('i-1', 0)
+    tracker = BackendTracker()
+    tracker.record_heartbeat('i-1', 100, 1, 'a:1', _READY, 0.0)
+    assert tracker.record_leaving('i-1', 0)
+    assert not tracker.record_leaving('i-1', 0)
     assert _state(tracker) is EndpointState.DRAINING
-    tracker.take('i-1', 100, 5, 'a:1', _READY, 0.5)
+    tracker.record_heartbeat('i-1', 100, 5, 'a:1', _READY, 0.5)
     assert _state(tracker) is EndpointState.DRAINING
 
 
 def test_backend_server_expires_and_returns_with_next_heartbeat() -> None:
-    tracker = CheckIns()
-    tracker.take('i-1', 100, 1, 'a:1', _READY, 0.0)
-    assert not tracker.expire(MISSING_S - 0.1)
-    assert tracker.expire(MISSING_S)
+    tracker = BackendTracker()
+    tracker.record_heartbeat('i-1', 100, 1, 'a:1', _READY, 0.0)
+    assert not tracker.expire(HEARTBEAT_TIMEOUT_S - 0.1)
+    assert tracker.expire(HEARTBEAT_TIMEOUT_S)
     assert tracker.current is None
-    changed = tracker.take('i-1', 100, 7, 'a:1', _READY, 9.0)
-    assert changed is Decision.CHANGED
+    changed = tracker.record_heartbeat('i-1', 100, 7, 'a:1', _READY, 9.0)
+    assert changed is HeartbeatResult.CHANGED
 
 
 @given(
@@ -78,15 +93,15 @@
 def test_leaving_process_stays_draining_in_any_arrival_order(
     arrivals: list[tuple[int, int, bool]],
 ) -> None:
-    tracker = CheckIns()
+    tracker = BackendTracker()
     leaving: set[int] = set()
     newest = 0
     for now, (started, sequence, draining) in enumerate(arrivals):
         endpoint = _DRAINING if draining else _READY
-        decision = tracker.take(
+        decision = tracker.record_heartbeat(
             f'i-{started}', started, sequence, 'a:1', endpoint, now * 0.01
         )
-        if draining and decision is not Decision.STALE:
+        if draining and decision is not HeartbeatResult.STALE:
             leaving.add(started)
         newest = max(newest, started)
         assert tracker.current is not None
--- a/tests/test_core_membership.py
+++ b/tests/test_core_membership.py
@@ -129,7 +129,7 @@
         for other in self.tables[1:]:
             assert _by_id(first) == _by_id(other)
             assert first.digest == other.digest
-            assert not first.differing(other.buckets(99.0), 99.0)
+            assert not first.differing_entries(other.buckets(99.0), 99.0)
 
     @invariant()
     def ranks_of_entries_never_decrease(self) -> None:
@@ -198,12 +198,12 @@
         if index != 1234:
             two.merge(member, 0.0)
     assert one.digest != two.digest
-    entries = one.differing(two.buckets(20.0), 20.0)
+    entries = one.differing_entries(two.buckets(20.0), 20.0)
     assert builders.build_member(1234) in entries
     assert len(entries) < 60
     two.merge(builders.build_member(1234), 20.0)
     # A recent change may still be in transit and is not repaired.
-    assert not one.differing(two.buckets(21.0), 21.0)
+    assert not one.differing_entries(two.buckets(21.0), 21.0)
     assert one.digest == two.digest
 
 
@@ -234,19 +234,19 @@
     def probe(
         self, now: float, asked: int, replied: int, reached: int
     ) -> Member | None:
-        members = self.detector.silent(now)
+        members = self.detector.members_to_probe(now)
         if not members:
             return None
-        result = self.detector.checked(
+        result = self.detector.evaluate_probes(
             members[0],
             asked=asked,
-            answered=replied,
+            replied=replied,
             reached=reached,
             now=now,
         )
         if result is not None:
             self.table.merge(result, now)
-            self.detector.changed(result, now, own=True)
+            self.detector.record_change(result, now, own=True)
         return result
 
 
@@ -270,12 +270,14 @@
     suspected = trial.probe(2.5, asked, replied, reached)
     assert (suspected is not None) is suspect
     if suspected is not None:
-        assert not trial.detector.overdue(5.4)
-        dead = trial.detector.overdue(5.6)
+        assert not trial.detector.expired_suspects(5.4)
+        dead = trial.detector.expired_suspects(5.6)
         # Without a reply since then, this daemon may be disconnected itself.
         assert bool(dead) is (count == 2)
-        trial.detector.heard('d1', 5.5)
-        assert trial.detector.overdue(5.6)[0].status is MemberStatus.DEAD
+        trial.detector.record_received('d1', 5.5)
+        assert (
+            trial.detector.expired_suspects(5.6)[0].status is MemberStatus.DEAD
+        )
 
 
 def test_small_zone_suspects_members_without_confirmation() -> None:
@@ -288,10 +290,10 @@
     trial = _DetectorTrial(50)
     assert trial.probe(2.5, 3, 3, 0) is not None
     assert trial.detector.tick(60.0)
-    assert not trial.detector.overdue(60.0)
+    assert not trial.detector.expired_suspects(60.0)
     assert trial.probe(62.5, 3, 3, 0) is None
-    trial.detector.refreshed(63.0)
-    trial.detector.heard('d1', 65.9)
-    assert not trial.detector.silent(64.0)
-    assert not trial.detector.overdue(65.9)
-    assert trial.detector.overdue(66.1)
+    trial.detector.record_refresh(63.0)
+    trial.detector.record_received('d1', 65.9)
+    assert not trial.detector.members_to_probe(64.0)
+    assert not trial.detector.expired_suspects(65.9)
+    assert trial.detector.expired_suspects(66.1)
