--- a/gypsumhall/core/_checkins.py
+++ b/gypsumhall/core/_checkins.py
@@ -65,7 +65,7 @@
 
     @property
     def current(self) -> BackendInstance | None:
-        """The backend server; None when its heartbeats have stopped."""
+        """The backend server; None while it sends no heartbeats."""
         return self._backend if self._present else None
 
     def record_heartbeat(
