--- a/gypsumhall/core/_actions.py
+++ b/gypsumhall/core/_actions.py
@@ -26,7 +26,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Fetch:
-    """Pull a configuration; the result goes to `Replica.handle_fetch_result`."""
+    """Pull a configuration.
+
+    The result is passed to `Replica.handle_fetch_result`.
+    """
 
     address: str
     pull: Pull
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -83,7 +83,8 @@
     Parameters
     ----------
     id : str
-        Kept by the operator over all retries, see `_accept.SUBMISSION_ID_PATTERN`.
+        Kept by the operator over all retries, see
+        `_accept.SUBMISSION_ID_PATTERN`.
     token : str
         The department's token.
     text : str
@@ -459,9 +460,9 @@
         if not _accept.is_submission_id(submission.id):
             finding = Finding(
                 'bad-submission-id',
-                f'{_text.quote_value(submission.id)} is no submission id; write 8 '
-                'to 36 letters, digits, "_" and "-", after a version and "." '
-                'if wanted',
+                f'{_text.quote_value(submission.id)} is no submission id; '
+                'write 8 to 36 letters, digits, "_" and "-", after a version '
+                'and "." if wanted',
                 Place('id'),
             )
             return self._result(
