Rename public names of gypsumhall.services to terms of the field

Among them: the module of backup attempts is _hedging, responses are no answers, the budget of buffered responses is ResponseBufferBudget instead of HeldBytes, the times of a graceful shutdown say what they delay, and the fields of a dialect say what they switch. Applied by whole words over the repository.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -164,25 +164,25 @@
         connect_timeout_s=0.25,
     )
     rollouts = RolloutService(rng=rng)
-    retries = RetryLimits(
+    retry_limits = RetryLimits(
         _RETRY_SHARE * settings.retry_ratio.value,
         _RETRY_SHARE
         * settings.retry_slack.value
         / settings.retry_window.value,
         fleet_wide=True,
     )
-    linger_s = _LINGER_SHARE * settings.grace.value
+    drain_delay_s = _LINGER_SHARE * settings.grace.value
     runner = RunnerService(
         rng,
         dialect=platform.DIALECT,
-        retries=retries,
-        notice_s=_NOTICE_S,
-        hold_s=linger_s,
+        retry_limits=retry_limits,
+        rejection_delay_s=_NOTICE_S,
+        availability_wait_s=drain_delay_s,
     )
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
     check_ins = CheckInService(settings.backend_address.value)
-    check_ins.listen_on(admin)
+    check_ins.register_routes(admin)
     services: list[Service] = [
         EventLog(daemon, zone, lines_per_s=LINES_PER_S),
         MetricRegistry(),
@@ -190,7 +190,9 @@
         Peers(peer_settings),
         MembershipService(
             MembershipSettings(
-                interval_s=_HEARTBEAT_S, jitter_s=_JITTER_S, reseed_s=5.0
+                interval_s=_HEARTBEAT_S,
+                jitter_s=_JITTER_S,
+                reseed_interval_s=5.0,
             )
         ),
         Registration(rng=rng),
@@ -205,7 +207,7 @@
             settings.outbound_address.value,
             platform.DIALECT,
             settings.service.value,
-            linger_s,
+            drain_delay_s,
             _END_SHARE * settings.grace.value,
         ),
         Readiness(),
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -334,7 +334,7 @@
         count as an answer.
     """
 
-    acknowledged: int
+    acknowledged_version: int
     held: int
     ready: bool = True
 
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -49,16 +49,16 @@
 
 MAX_ATTEMPTS = 16
 TIME_LIMIT_S = 10.0
-FIRST_BACKOFF_S = 0.02
+INITIAL_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 1.0
-MAX_WAITING = 64
-FRAGMENT_READERS = 8
-RETIRED_S = 600.0
-CLEAN_INTERVAL_S = 60.0
-CLEAN_BATCH = 100
+MAX_PENDING_SUBMISSIONS = 64
+MAX_CONCURRENT_FETCHES = 8
+FRAGMENT_RETENTION_S = 600.0
+CLEANUP_INTERVAL_S = 60.0
+MAX_DELETES_PER_CLEANUP = 100
 # A daemon that stops within 10 min forgets what it had to remove. A listing
 # of all fragments after one of this many submissions finds such fragments.
-LISTING_ODDS = 256
+SUBMISSIONS_PER_LISTING = 256
 
 
 class SubmissionStatus(enum.StrEnum):
@@ -270,9 +270,9 @@
         self._distribution.subscribe(self._keep_named)
         task_status.started()
         while True:
-            await trio.sleep(CLEAN_INTERVAL_S)
+            await trio.sleep(CLEANUP_INTERVAL_S)
             try:
-                await self.clean()
+                await self.remove_unreferenced_fragments()
             except StoreError as error:
                 self._events.emit('fragments-not-removed', error=str(error))
 
@@ -315,7 +315,7 @@
 
     async def submit(self, submission: Submission) -> SubmissionResult:
         """Have a text accepted, at most once for each submission id."""
-        if self._draining or self._waiting >= MAX_WAITING:
+        if self._draining or self._waiting >= MAX_PENDING_SUBMISSIONS:
             why = 'the daemon is stopping' if self._draining else 'busy'
             return self._result(
                 submission, SubmissionStatus.UNAVAILABLE, detail=why
@@ -592,7 +592,9 @@
 
     async def _back_off(self, attempt: int) -> None:
         if attempt:
-            longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (attempt - 1))
+            longest = min(
+                MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (attempt - 1)
+            )
             await trio.sleep(self._rng.uniform(0, longest))
 
     async def _attempt(
@@ -686,7 +688,7 @@
                     return
 
         async with trio.open_nursery() as nursery:
-            for _ in range(min(FRAGMENT_READERS, len(digests))):
+            for _ in range(min(MAX_CONCURRENT_FETCHES, len(digests))):
                 nursery.start_soon(read_next)
         if errors:
             raise errors[0]
@@ -722,7 +724,7 @@
     def _retire(self, digest: str) -> None:
         if digest:
             self._retired[digest] = trio.current_time()
-        if self._rng.randrange(LISTING_ODDS) == 0:
+        if self._rng.randrange(SUBMISSIONS_PER_LISTING) == 0:
             self._listing_due = True
 
     def _keep_named(self) -> None:
@@ -731,7 +733,7 @@
             for ref in snapshot.head.departments.values():
                 self._retired.pop(ref.fragment, None)
 
-    async def clean(self) -> None:
+    async def remove_unreferenced_fragments(self) -> None:
         """Remove fragments that no head has named for 10 min.
 
         Raises
@@ -749,14 +751,16 @@
         due = [
             digest
             for digest, since in self._retired.items()
-            if now - since >= RETIRED_S
+            if now - since >= FRAGMENT_RETENTION_S
         ]
         if not due and not self._retired:
             return
         revision, head = await self._read_head()
         for ref in head.departments.values():
             self._retired.pop(ref.fragment, None)
-        due = [item for item in due if item in self._retired][:CLEAN_BATCH]
+        due = [item for item in due if item in self._retired][
+            :MAX_DELETES_PER_CLEANUP
+        ]
         if not due:
             return
         result = await self._store.txn(
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -136,7 +136,7 @@
         self._ended = trio.Event()
 
     @property
-    def bound(self) -> str:
+    def bound_address(self) -> str:
         """Address of the listener, ``<host>:<port>``; empty before."""
         return self._bound
 
@@ -180,8 +180,8 @@
         config.read_timeout = READ_TIMEOUT_S
         async with trio.open_nursery() as nursery:
             with listening_at(self._address):
-                bound = await nursery.start(self._serve, config)
-            self._bound = bound[0].partition('://')[2]
+                bound_address = await nursery.start(self._serve, config)
+            self._bound = bound_address[0].partition('://')[2]
             task_status.started()
         self._ended.set()
 
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -63,13 +63,13 @@
     should_retry : callable or None
         Decides by the status whether the response is kept from the sink,
         because the request will be repeated.
-    held : HeldBytes, optional
+    held : ResponseBufferBudget, optional
         Room for responses that are held back or kept; without room, one is
         passed on at once or dropped.
     """
 
     __slots__ = (
-        '_held',
+        '_buffer_budget',
         '_hold',
         '_recorder',
         '_request_id',
@@ -93,13 +93,13 @@
         *,
         hold: bool = False,
         should_retry: Callable[[int], bool] | None = None,
-        held: _calls.HeldBytes | None = None,
+        buffer_budget: _calls.ResponseBufferBudget | None = None,
     ) -> None:
         self._request_id = request_id
         self._sink = sink
         self._hold = hold
         self._should_retry = should_retry
-        self._held = held or _calls.HeldBytes()
+        self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._recorder: _calls.Recorder | None = None
         self.size = 0
         self.refused: CallRefused | None = None
@@ -166,7 +166,7 @@
         if self._should_retry is not None:
             self.withheld = self._should_retry(message.status)
         if self.withheld or (not message.last and self._holds(message)):
-            self._recorder = _calls.Recorder(self._held)
+            self._recorder = _calls.Recorder(self._buffer_budget)
             self._recorder.head(message.status, message.headers)
         else:
             self.passed = True
@@ -190,7 +190,7 @@
             if (
                 last
                 or whole_size > _HELD_BYTES
-                or not self._held.has_room(len(data))
+                or not self._buffer_budget.has_room(len(data))
             ):
                 await self._pass_held(recorder)
         if self._recorder is not None:
@@ -202,12 +202,12 @@
             self.done = True
 
     async def _pass_held(self, recorder: _calls.Recorder) -> None:
-        held = recorder.response
+        buffer_budget = recorder.response
         self._recorder = None
         self.passed = True
-        assert held is not None
-        await self._sink.head(held.status, held.headers)
-        for part in _calls.chunks(held.body):
+        assert buffer_budget is not None
+        await self._sink.head(buffer_budget.status, buffer_budget.headers)
+        for part in _calls.chunks(buffer_budget.body):
             if part:
                 await self._sink.chunk(part, last=False)
 
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -23,15 +23,15 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 MAX_HEADER_BYTES = 32 * 1024
-MAX_REQUEST_BODY = 8 * 1024 * 1024
-MAX_RESPONSE_BODY = 64 * 1024 * 1024
+MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 # Larger responses are not kept for repetition, so that one of them cannot
 # push the responses of many other calls out of the ledger.
 MAX_RECORDED_BODY = 1024 * 1024
 # Part of its time after which a call takes too long. In a move, an idempotent
 # request then gets a second attempt, and its run counts as failed in any case.
-SLOW_SHARE = 0.5
+SLOW_CALL_FRACTION = 0.5
 # Bytes of responses that one daemon keeps while their calls run: recorded for
 # repetition, held back until they are whole, or withheld for a retry. An
 # eighth of the memory of the smallest machines, 128 MB.
@@ -61,10 +61,10 @@
         Process of a backend server that a request is meant for.
     not_executed : bytes
         Marks responses of a backend server that did not run the request.
-    status_promises : bool
+    status_503_means_not_run : bool
         Whether status 503 promises that a request was not run, so that a
         refusal with another outcome needs another status.
-    whole_responses : bool
+    buffer_responses : bool
         Whether a response is held back until it is complete.
     literal_prefixes : bool
         Whether a route's prefix has to match with its closing slash.
@@ -77,12 +77,12 @@
     caller_service: bytes = b''
     expected_instance: bytes = b''
     not_executed: bytes = b''
-    status_promises: bool = False
-    whole_responses: bool = False
+    status_503_means_not_run: bool = False
+    buffer_responses: bool = False
     literal_prefixes: bool = False
 
 
-OWN_DIALECT = Dialect()
+DEFAULT_DIALECT = Dialect()
 
 _HOP_BY_HOP = frozenset(
     [
@@ -156,7 +156,7 @@
         return _STATUS.get(self.reason, 503)
 
     @property
-    def promising_status(self) -> int:
+    def status_if_503_means_not_run(self) -> int:
         """HTTP status where 503 promises that a request was not run."""
         if self.outcome == Outcome.NOT_RUN:
             return 503 if self.status >= 500 else self.status
@@ -232,7 +232,7 @@
         ...
 
 
-class HeldBytes:
+class ResponseBufferBudget:
     """Counts the bytes of responses that all calls of a daemon keep.
 
     Parameters
@@ -268,19 +268,21 @@
 
     Parameters
     ----------
-    held : HeldBytes, optional
+    held : ResponseBufferBudget, optional
         Room for the body, which is given back when the recorder is freed;
         by default that of the recorder alone.
     """
 
-    __slots__ = ('_body', '_headers', '_held', '_status')
+    __slots__ = ('_body', '_headers', '_buffer_budget', '_status')
 
-    def __init__(self, held: HeldBytes | None = None) -> None:
+    def __init__(
+        self, buffer_budget: ResponseBufferBudget | None = None
+    ) -> None:
         self._status = 0
         self._headers: Headers = ()
         # Small chunks in a list would take many times their size.
         self._body: bytearray | None = bytearray()
-        self._held = held or HeldBytes()
+        self._buffer_budget = buffer_budget or ResponseBufferBudget()
 
     def __del__(self) -> None:
         self._drop()
@@ -307,14 +309,14 @@
         if self._body is None:
             return
         size = len(self._body) + len(data)
-        if size <= MAX_RECORDED_BODY and self._held.take(len(data)):
+        if size <= MAX_RECORDED_BODY and self._buffer_budget.take(len(data)):
             self._body += data
         else:
             self._drop()
 
     def _drop(self) -> None:
         if self._body is not None:
-            self._held.release(len(self._body))
+            self._buffer_budget.release(len(self._body))
             self._body = None
 
 
@@ -334,7 +336,7 @@
 
 
 def request_headers(
-    headers: Iterable[tuple[bytes, bytes]], dialect: Dialect = OWN_DIALECT
+    headers: Iterable[tuple[bytes, bytes]], dialect: Dialect = DEFAULT_DIALECT
 ) -> Headers:
     """Return the headers of a request that are passed on.
 
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -64,7 +64,7 @@
 MAX_BOOTSTRAPS = 8
 
 # Answers from which a version floor is derived.
-FLOOR_ANSWERS = 3
+MIN_FLOOR_REPLIES = 3
 
 _BOOTSTRAP_JITTER_S = 0.5
 _FLOOR_ASKED = 8
@@ -101,7 +101,8 @@
 
 def _highest(answers: Iterable[tuple[Member, Floor]]) -> int:
     return max(
-        (max(item.acknowledged, item.held) for _, item in answers), default=0
+        (max(item.acknowledged_version, item.held) for _, item in answers),
+        default=0,
     )
 
 
@@ -437,7 +438,7 @@
             self._execute([])
             return
         floor = _highest(answers)
-        known = _count_ready(answers) >= FLOOR_ANSWERS
+        known = _count_ready(answers) >= MIN_FLOOR_REPLIES
         if not known and self._may_read_head(len(others)):
             head = await self._head_version()
             if head is not None:
@@ -489,7 +490,7 @@
         asked = {
             item.id: item
             for item in [
-                *ring_neighbours(me.id, others, FLOOR_ANSWERS),
+                *ring_neighbours(me.id, others, MIN_FLOOR_REPLIES),
                 *sample_members(others, _FLOOR_ASKED, me.id, self._rng),
             ][:_FLOOR_ASKED]
         }
@@ -573,15 +574,17 @@
             for member in self._membership.table.alive(me.zone)
             if member.id != asking
         ]
-        chosen = sample_members(members, FLOOR_ANSWERS, me.id, self._rng)
+        chosen = sample_members(members, MIN_FLOOR_REPLIES, me.id, self._rng)
         return Busy(tuple(item.peer_address for item in chosen))
 
     async def _on_floor_request(
         self, exchange: Exchange, message: FloorRequest
     ) -> None:
         replica = self._started()
-        acknowledged = self._membership.acknowledged(message.member)
-        floor = Floor(acknowledged, replica.version, replica.ready)
+        acknowledged_version = self._membership.acknowledged_version(
+            message.member
+        )
+        floor = Floor(acknowledged_version, replica.version, replica.ready)
         await _answer(exchange, floor)
 
     async def _on_acknowledgement(
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -93,7 +93,7 @@
 """Deaths learned later than this are not passed on as news."""
 _ZONE_FAILURES = 3
 _RESEEDERS = 4
-"""Daemons of a zone that look for unknown seeds per `reseed_s`, on average."""
+"""Daemons of a zone that look for unknown seeds per `reseed_interval_s`, on average."""
 
 DigestProvider = Callable[[], Digest]
 DigestCallback = Callable[[str, Digest], None]
@@ -123,10 +123,10 @@
         detector are multiples of it.
     jitter_s : float
         Longest random delay in seconds before the first join.
-    repair_s : float
+    repair_interval_s : float
         Time in seconds between two comparisons of tables that differ; a
         tenth of it while comparisons bring entries.
-    reseed_s : float
+    reseed_interval_s : float
         Time in seconds between attempts to reach seeds that are not in the
         table, so that two groups that started apart find each other.
     """
@@ -134,8 +134,8 @@
     seeds: tuple[str, ...] = ()
     interval_s: float = 1.0
     jitter_s: float = 0.5
-    repair_s: float = 20.0
-    reseed_s: float = 30.0
+    repair_interval_s: float = 20.0
+    reseed_interval_s: float = 30.0
 
 
 class MembershipService:
@@ -174,7 +174,7 @@
         self._joins = 0
         self._hints: tuple[str, ...] = ()
         self._repair_at = 0.0
-        self._repair_wait_s = settings.repair_s / 10
+        self._repair_wait_s = settings.repair_interval_s / 10
         self._repairing = False
         self._zone_failures: dict[str, int] = {}
         # Members of the zone that have left or died a short time ago.
@@ -218,7 +218,7 @@
         """Call back after each change of the member table."""
         self._subscribers.append(callback)
 
-    def acknowledged(self, member_id: str) -> int:
+    def acknowledged_version(self, member_id: str) -> int:
         """Return the highest version that a member is known to have held."""
         return self._acknowledged.get(member_id, 0)
 
@@ -602,7 +602,7 @@
         now = trio.current_time()
         self._events.clock.observe(message.time)
         self._detector.record_received(sender.id, now)
-        if digest.version > self.acknowledged(sender.id):
+        if digest.version > self.acknowledged_version(sender.id):
             self._acknowledged[sender.id] = digest.version
         self._apply((sender, *message.members))
         for callback in self._digest_callbacks:
@@ -709,7 +709,7 @@
         finally:
             self._repairing = False
         # While repairs bring something, the next one follows early.
-        longest = self._settings.repair_s
+        longest = self._settings.repair_interval_s
         if self._table.revision != revision:
             self._repair_wait_s = longest / 10
         else:
@@ -820,7 +820,9 @@
         self._greet_until = trio.current_time() + _START_S
         self._spread(self.me)
         while True:
-            await trio.sleep(settings.reseed_s * self._rng.uniform(0.5, 1.5))
+            await trio.sleep(
+                settings.reseed_interval_s * self._rng.uniform(0.5, 1.5)
+            )
             known = {
                 item.peer_address
                 for item in self._table.members()
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -53,8 +53,8 @@
 
 # An interval is closed this many intervals after its end, so that the reports
 # of all endpoints have arrived: at the judge, then at the controller.
-JUDGE_LAG = 1
-CONTROLLER_LAG = 3
+JUDGE_LAG_INTERVALS = 1
+CONTROLLER_LAG_INTERVALS = 3
 
 # Without a report of any judge for this time a stage is not advanced.
 EVIDENCE_TIMEOUT_S = 5.0
@@ -283,7 +283,7 @@
         return EvidenceReply(judge.thresholds())
 
     def _close_judges(self) -> None:
-        last = self._interval() - 1 - JUDGE_LAG
+        last = self._interval() - 1 - JUDGE_LAG_INTERVALS
         for name, judge in list(self._judges.items()):
             verdict = judge.close(last)
             if verdict is not None:
@@ -344,7 +344,7 @@
                 wanted[address].append(name)
         # Taken before the pulls: while one of them waits for an unreachable
         # judge, the others close intervals that were not asked for.
-        last = self._interval() - 1 - CONTROLLER_LAG
+        last = self._interval() - 1 - CONTROLLER_LAG_INTERVALS
         async with trio.open_nursery() as nursery:
             for address, names in wanted.items():
                 nursery.start_soon(self._pull, address, names, joined)
@@ -494,7 +494,7 @@
             # A verdict of a zone's judge may arrive while the head is read.
             if name in self._distribution.reverts:
                 return None
-            return advance(head, name, move, decision, now)
+            return apply_decision(head, name, move, decision, now)
 
         head = await self._apply(lease, transition)
         if head is not None:
@@ -538,7 +538,7 @@
             return None
 
 
-def advance(
+def apply_decision(
     head: Head,
     name: str,
     move: Move,
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -33,11 +33,11 @@
 from gypsumhall.net._messages import Load
 from gypsumhall.net._messages import Outcome
 from gypsumhall.net._protocol import PeerNetwork
-from gypsumhall.services import _answers
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _calls
 from gypsumhall.services import _keys
 from gypsumhall.services import _protocols
+from gypsumhall.services import _responses
 from gypsumhall.services import _sender
 from gypsumhall.services import _watches
 
@@ -90,10 +90,10 @@
         Names of the headers that the backend server uses.
     retries : RetryLimits, optional
         Repetitions that the sender may make.
-    notice_s : float
+    rejection_delay_s : float
         Time in seconds between telling others of a planned stop and
         refusing their calls.
-    hold_s : float
+    availability_wait_s : float
         Time in seconds after the start of a planned stop until which calls
         are served while other endpoints of the service are away.
     """
@@ -114,19 +114,19 @@
         connect: Callable[
             [str], _backend_client.Client
         ] = _backend_client.BackendClient,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
-        retries: _sender.RetryLimits | None = None,
-        notice_s: float = 0.0,
-        hold_s: float = 0.0,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
+        retry_limits: _sender.RetryLimits | None = None,
+        rejection_delay_s: float = 0.0,
+        availability_wait_s: float = 0.0,
     ) -> None:
-        self._notice_s = notice_s
-        self._hold_s = hold_s
+        self._rejection_delay_s = rejection_delay_s
+        self._availability_wait_s = availability_wait_s
         self._stopped_at = math.inf
         self._availability = EndpointAvailability()
-        self._retries = retries
+        self._retry_limits = retry_limits
         self._dialect = dialect
-        self._warm_at = -math.inf
-        self._splits: _sender.SplitSource | None = None
+        self._warmup_ends_at = -math.inf
+        self._split_source: _sender.SplitSource | None = None
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
@@ -142,7 +142,7 @@
         self._active = 0
         self._idle = trio.Event()
         self._buffered = 0
-        self.held = _calls.HeldBytes()
+        self.buffer_budget = _calls.ResponseBufferBudget()
         self._watches = _watches.Watches()
         self._incarnation = 0
         self._keys: _keys.KeyOwner
@@ -182,7 +182,7 @@
 
     def set_split_source(self, source: _sender.SplitSource) -> None:
         """Set how calls are divided between versions, before `run`."""
-        self._splits = source
+        self._split_source = source
 
     async def run(
         self,
@@ -215,16 +215,16 @@
             rng=self._rng,
             execute=self.execute,
             dialect=self._dialect,
-            splits=self._splits,
-            retries=self._retries,
-            held=self.held,
+            split_source=self._split_source,
+            retry_limits=self._retry_limits,
+            buffer_budget=self.buffer_budget,
         )
         self._keys = _keys.KeyOwner(
-            peers, self._membership, self._sender, self.held
+            peers, self._membership, self._sender, self.buffer_budget
         )
         self._sender.execute_keyed = self._keys.execute
         self._membership.subscribe(self._keys.members_changed)
-        if self._hold_s:
+        if self._availability_wait_s:
             self._membership.subscribe(self._members_changed)
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
@@ -272,15 +272,15 @@
                     EndpointState.DRAINING,
                 )
             )
-        await trio.sleep(self._notice_s)
+        await trio.sleep(self._rejection_delay_s)
         self._draining = True
         self._reject_queued_calls()
 
     async def _wait_for_others(self) -> None:
         """Go on while too few other endpoints of the service are ready."""
         until = min(
-            self._stopped_at + self._hold_s,
-            trio.current_time() + self._hold_s,
+            self._stopped_at + self._availability_wait_s,
+            trio.current_time() + self._availability_wait_s,
         )
         while trio.current_time() < until:
             self._members_changed()
@@ -350,12 +350,12 @@
         if endpoint.state != EndpointState.READY:
             self._reject_queued_calls()
 
-    def set_warm_at(self, time: float) -> None:
+    def set_warmup_end(self, time: float) -> None:
         """Set until when a backend server that has started is slow.
 
         Until then its runs are no evidence about its version.
         """
-        self._warm_at = time
+        self._warmup_ends_at = time
 
     async def execute(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
@@ -388,8 +388,10 @@
     async def _execute_new(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
-        recorder = None if call.idempotent else _calls.Recorder(self.held)
-        run = _answers.Run(send, recorder)
+        recorder = (
+            None if call.idempotent else _calls.Recorder(self.buffer_budget)
+        )
+        run = _responses.Run(send, recorder)
         refusal: _calls.CallRefusedError | None = None
         deadline = trio.current_time() + call.deadline_ms / 1000
         try:
@@ -419,7 +421,11 @@
         await self._refuse(call.request_id, refusal, send)
 
     async def _admit_and_run(
-        self, call: CallStart, body: bytes, run: _answers.Run, deadline: float
+        self,
+        call: CallStart,
+        body: bytes,
+        run: _responses.Run,
+        deadline: float,
     ) -> _calls.CallRefusedError | None:
         try:
             backend = self._check(call)
@@ -442,7 +448,10 @@
                     call, cause, detail, now - started, deadline - started
                 )
             limit_s = call.deadline_ms / 1000
-            slow = now - (deadline - limit_s) >= _calls.SLOW_SHARE * limit_s
+            slow = (
+                now - (deadline - limit_s)
+                >= _calls.SLOW_CALL_FRACTION * limit_s
+            )
             # Its caller has left, or another endpoint has responded first.
             if cause == 'cancelled':
                 run.failed = run.failed or slow
@@ -454,7 +463,10 @@
                 now=now,
             )
             self._wake()
-            if run.outcome != Outcome.NOT_RUN and started >= self._warm_at:
+            if (
+                run.outcome != Outcome.NOT_RUN
+                and started >= self._warmup_ends_at
+            ):
                 # Whether a slow run is cut for a backup depends on the room
                 # at others, so it counts as failed in either case.
                 failed = run.failed or (slow and call.idempotent)
@@ -487,7 +499,7 @@
         backend: _Backend,
         call: CallStart,
         body: bytes,
-        run: _answers.Run,
+        run: _responses.Run,
         deadline: float,
     ) -> _calls.CallRefusedError | None:
         left_ms = int((deadline - trio.current_time()) * 1000)
@@ -533,7 +545,7 @@
         self,
         call: CallStart,
         response: _backend_client.BackendResponse,
-        run: _answers.Run,
+        run: _responses.Run,
     ) -> None:
         """Refuse a response that is none to this request."""
         dialect = self._dialect
@@ -675,7 +687,9 @@
     ) -> None:
         response = known.response
         if response is not None:
-            await _answers.send_recorded(request_id, response, self.load, send)
+            await _responses.send_recorded(
+                request_id, response, self.load, send
+            )
             return
         outcomes = {
             EntryState.REFUSED: (Outcome.NOT_RUN, 'refused'),
@@ -722,7 +736,7 @@
                 chunks.append(message.data)
                 whole = message.last
                 if (
-                    size > _calls.MAX_REQUEST_BODY
+                    size > _calls.MAX_REQUEST_BODY_BYTES
                     or self._buffered > _MAX_BUFFERED
                 ):
                     refusal = _calls.not_run(
@@ -786,8 +800,8 @@
             await self._replay(call.request_id, known, send)
             return
         self._active += 1
-        recorder = _calls.Recorder(self.held)
-        sink = _answers.MessageSink(
+        recorder = _calls.Recorder(self.buffer_budget)
+        sink = _responses.MessageSink(
             lambda: self.load, call.request_id, send, recorder
         )
         state = EntryState.UNKNOWN
@@ -813,7 +827,7 @@
             await self._refuse(call.request_id, error, sink.send)
         except _calls.BrokenResponseError:
             state = EntryState.DONE
-            recorder = _calls.Recorder(self.held)
+            recorder = _calls.Recorder(self.buffer_budget)
             await sink.flush()
             await sink.send(AnswerEnd(call.request_id, complete=False))
         finally:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -23,7 +23,7 @@
 from gypsumhall.net._messages import Ping
 from gypsumhall.services import _attempts
 from gypsumhall.services import _calls
-from gypsumhall.services import _race
+from gypsumhall.services import _hedging
 
 if TYPE_CHECKING:
     from random import Random
@@ -218,7 +218,7 @@
         configuration says.
     retries : RetryLimits, optional
         Repetitions that are allowed.
-    held : HeldBytes, optional
+    held : ResponseBufferBudget, optional
         Room for responses that are held back or kept.
     """
 
@@ -232,17 +232,17 @@
         metrics: _protocols.Metrics,
         rng: Random,
         execute: _attempts.Execute,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
-        splits: SplitSource | None = None,
-        retries: RetryLimits | None = None,
-        held: _calls.HeldBytes | None = None,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
+        split_source: SplitSource | None = None,
+        retry_limits: RetryLimits | None = None,
+        buffer_budget: _calls.ResponseBufferBudget | None = None,
     ) -> None:
-        self._held = held or _calls.HeldBytes()
-        self._whole_responses = dialect.whole_responses
-        self._retries = retries or RetryLimits()
-        self._floor_per_s = self._retries.floor_per_s
+        self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
+        self._buffer_responses = dialect.buffer_responses
+        self._retry_limits = retry_limits or RetryLimits()
+        self._floor_per_s = self._retry_limits.floor_per_s
         self._revision = -1
-        self._splits = splits or self._configured_split
+        self._split_source = split_source or self._configured_split
         self._peers = peers
         self._nursery: trio.Nursery | None = None
         self._probed: set[str] = set()
@@ -276,7 +276,7 @@
         request: _calls.Request,
         sink: _calls.ResponseSink,
         *,
-        unkeyed: bool = False,
+        key_claimed: bool = False,
     ) -> None:
         """Run a request and pass its response to a sink.
 
@@ -296,7 +296,7 @@
         BrokenResponseError
             When the response broke off after its head was passed on.
         """
-        if request.key and not request.idempotent and not unkeyed:
+        if request.key and not request.idempotent and not key_claimed:
             await self._send_to_owner(request, sink)
             return
         await self._send(request, sink)
@@ -359,7 +359,9 @@
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         call = self._attempts.build(request, owner, '', key=request.key)
-        receiver = _attempts.Receiver(call.request_id, sink, held=self._held)
+        receiver = _attempts.Receiver(
+            call.request_id, sink, buffer_budget=self._buffer_budget
+        )
         try:
             await self._attempts.run(owner, call, request, receiver)
         except PeerUnreachableError as error:
@@ -424,7 +426,7 @@
         if budget is None:
             if len(self._budgets) >= _MAX_BUDGETS:
                 self._budgets.clear()
-            budget = RetryBudget(self._retries.share, self._floor_per_s)
+            budget = RetryBudget(self._retry_limits.share, self._floor_per_s)
             self._budgets[service] = budget
         return budget
 
@@ -435,7 +437,10 @@
         not keep the floor of that moment.
         """
         table = self._membership.table
-        if not self._retries.fleet_wide or table.revision == self._revision:
+        if (
+            not self._retry_limits.fleet_wide
+            or table.revision == self._revision
+        ):
             return
         self._revision = table.revision
         daemons = sum(
@@ -443,7 +448,7 @@
             for member in table.members()
             if member.status is not MemberStatus.LEAVING
         )
-        self._floor_per_s = self._retries.floor_per_s / max(1, daemons)
+        self._floor_per_s = self._retry_limits.floor_per_s / max(1, daemons)
         for budget in self._budgets.values():
             budget.set_floor(self._floor_per_s)
 
@@ -486,7 +491,7 @@
                 table.revision,
                 now,
             )
-        split = self._splits(
+        split = self._split_source(
             snapshot,
             request.service,
             self._load_balancer.versions(request.service),
@@ -584,12 +589,12 @@
         Another endpoint can still respond when a version hangs. The first
         attempt goes on, as the second may be refused.
         """
-        race = _race.Race(progress.sink)
+        race = _hedging.Race(progress.sink)
         first, second = race.add(), race.add()
         left = progress.request.deadline - trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_lane, first, choice, progress)
-            with trio.move_on_after(_calls.SLOW_SHARE * left):
+            with trio.move_on_after(_calls.SLOW_CALL_FRACTION * left):
                 await first.ended.wait()
             if not first.ended.is_set() and race.winner is None:
                 backup = self._choose_backup(choice, progress)
@@ -604,7 +609,7 @@
         return first.failure
 
     def _settle_backup(
-        self, choice: _Choice, lane: _race.Lane, progress: _Progress
+        self, choice: _Choice, lane: _hedging.Lane, progress: _Progress
     ) -> None:
         """Do not charge a backup that reached no endpoint."""
         failure = lane.failure
@@ -615,7 +620,7 @@
             self._budget(progress.request.service).refund()
 
     async def _run_lane(
-        self, lane: _race.Lane, choice: _Choice, progress: _Progress
+        self, lane: _hedging.Lane, choice: _Choice, progress: _Progress
     ) -> None:
         try:
             with lane.scope:
@@ -697,14 +702,14 @@
         receiver = _attempts.Receiver(
             call.request_id,
             sink,
-            hold=self._whole_responses
+            hold=self._buffer_responses
             or (request.idempotent and choice.is_new),
             should_retry=(
                 lambda status: self._withhold(choice, progress, status)
             )
             if request.idempotent
             else None,
-            held=self._held,
+            buffer_budget=self._buffer_budget,
         )
         failure: CallRefused | None = None
         failed: bool | None = None
@@ -769,7 +774,7 @@
             # The other attempt has been paid for and may succeed.
             return status >= 500
         fails = status in _RETRIED_STATUS
-        if choice.is_new or self._whole_responses:
+        if choice.is_new or self._buffer_responses:
             fails = status >= 500
         if not fails or not self._retry_is_possible(progress):
             return False
@@ -789,7 +794,7 @@
         return budget.retry(trio.current_time())
 
     def _is_charged(self, choice: _Choice) -> bool:
-        return not choice.is_new or self._whole_responses
+        return not choice.is_new or self._buffer_responses
 
     def _retry_is_possible(self, progress: _Progress) -> bool:
         limit = progress.request.attempts or _MAX_ATTEMPTS
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -172,9 +172,9 @@
         Seed of the sender.
     listen : str
         Address for callers; empty for none.
-    hold_s : float
+    availability_wait_s : float
         Longest time in seconds for which a stop waits for other endpoints.
-    linger_s : float
+    drain_delay_s : float
         Longest time in seconds for which a stop serves new callers.
     drain_timeout_s : float
         Longest time in seconds of a planned stop; requests end at 0.9 of it.
@@ -193,10 +193,10 @@
         ] = _backend_client.BackendClient,
         seed: int = 0,
         listen: str = '',
-        hold_s: float = 0.0,
-        linger_s: float = 0.0,
+        availability_wait_s: float = 0.0,
+        drain_delay_s: float = 0.0,
         drain_timeout_s: float = 30.0,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
     ) -> None:
         self._drain_timeout_s = drain_timeout_s
         self.membership = fakes.FakeMembership(me, table)
@@ -206,7 +206,10 @@
         self.metrics = fakes.FakeMetrics()
         self.admin = fakes.FakeAdmin()
         self.runner = RunnerService(
-            Random(seed), connect, dialect, hold_s=hold_s
+            Random(seed),
+            connect,
+            dialect,
+            availability_wait_s=availability_wait_s,
         )
         self.announcements = AnnouncementsService()
         self.caller = (
@@ -214,7 +217,7 @@
                 listen,
                 dialect,
                 '',
-                linger_s,
+                drain_delay_s,
                 0.9 * drain_timeout_s,
             )
             if listen
--- a/tests/test_services_attempts.py
+++ b/tests/test_services_attempts.py
@@ -68,31 +68,35 @@
 
 async def test_held_responses_of_all_calls_have_a_limit() -> None:
     # Each call alone may hold 256 KiB; thousands of them together may not.
-    held = _calls.HeldBytes(100_000)
+    buffer_budget = _calls.ResponseBufferBudget(100_000)
     sinks = [_Sink() for _ in range(50)]
     receivers = [
-        Receiver('present', sink, hold=True, held=held) for sink in sinks
+        Receiver('present', sink, hold=True, buffer_budget=buffer_budget)
+        for sink in sinks
     ]
     part = bytes(10_000)
     for receiver in receivers:
         await receiver.feed(_messages.AnswerStart('present', 200, (), _LOAD))
         await receiver.feed(_messages.BodyChunk(part))
-        assert held.used <= 100_000
-    assert held.used == 100_000
+        assert buffer_budget.used <= 100_000
+    assert buffer_budget.used == 100_000
     for receiver in receivers:
         await receiver.feed(_messages.BodyChunk(part, last=True))
         assert receiver.complete
     assert [(sink.heads, sink.body, sink.ended) for sink in sinks] == [
         ([200], 2 * part, True)
     ] * 50
-    assert held.used == 0
+    assert buffer_budget.used == 0
 
 
 async def test_withheld_responses_of_all_calls_have_a_limit() -> None:
-    held = _calls.HeldBytes(100_000)
+    buffer_budget = _calls.ResponseBufferBudget(100_000)
     receivers = [
         Receiver(
-            'present', _Sink(), should_retry=lambda status: True, held=held
+            'present',
+            _Sink(),
+            should_retry=lambda status: True,
+            buffer_budget=buffer_budget,
         )
         for _ in range(50)
     ]
@@ -100,7 +104,7 @@
         await receiver.feed(_messages.AnswerStart('present', 503, (), _LOAD))
         for _ in range(10):
             await receiver.feed(_messages.BodyChunk(bytes(9_000)))
-            assert held.used <= 100_000
+            assert buffer_budget.used <= 100_000
         await receiver.feed(_messages.AnswerEnd('present'))
         assert receiver.complete
     # A response without room must not be repeated in part.
@@ -108,15 +112,15 @@
     whole = [len(item.body) for item in kept if item is not None]
     assert (len(kept), whole) == (50, [90_000])
     del receivers, receiver
-    assert held.used == 0
+    assert buffer_budget.used == 0
 
 
 def test_recorded_responses_have_a_limit_in_any_chunks() -> None:
     # In a list, each chunk takes 40 bytes and more, whatever its size.
-    held = _calls.HeldBytes(10_000_000)
+    buffer_budget = _calls.ResponseBufferBudget(10_000_000)
     tracemalloc.start()
     try:
-        recorders = [_calls.Recorder(held) for _ in range(4)]
+        recorders = [_calls.Recorder(buffer_budget) for _ in range(4)]
         for recorder in recorders:
             recorder.head(200, ())
             for index in range(100_000):
@@ -124,9 +128,9 @@
         size, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    assert held.used == 800_000
-    assert size < 2 * held.used
+    assert buffer_budget.used == 800_000
+    assert size < 2 * buffer_budget.used
     for _ in range(6):
         recorders[0].chunk(bytes(_calls.MAX_RECORDED_BODY))
     assert recorders[0].response is None
-    assert held.used == 600_000
+    assert buffer_budget.used == 600_000
--- a/tests/test_services_backend_client.py
+++ b/tests/test_services_backend_client.py
@@ -235,7 +235,9 @@
                     calls.start_soon(call)
         assert results == [expected] * 3
         await _until(lambda: endpoint.cut == 3)
-        assert endpoint.sent < 3 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
+        assert endpoint.sent < 3 * (
+            _calls.MAX_RESPONSE_BODY_BYTES + _SOCKET_BUFFERS
+        )
         nursery.cancel_scope.cancel()
         assert longest_s < _TURN_S
     # A run that is not counted as ended keeps its slot for ever.
@@ -327,7 +329,9 @@
         open_daemons(endpoint.address, _SNAPSHOT) as daemons,
     ):
         for daemon in daemons:
-            daemon.runner.held = _calls.HeldBytes(1_000_000)
+            daemon.runner.buffer_budget = _calls.ResponseBufferBudget(
+                1_000_000
+            )
             host, _, port = daemon.caller.address.rpartition(':')
             with trio.fail_after(_EARLY_S):
                 stream = await trio.open_tcp_stream(host, int(port))
@@ -340,9 +344,11 @@
             head = received.split(b'\r\n\r\n')[0].lower()
             assert head.startswith(b'http/1.1 502')
             assert b'gypsumhall-outcome: run' in head
-            assert daemon.runner.held.used == 0
+            assert daemon.runner.buffer_budget.used == 0
         await _until(lambda: endpoint.cut == 2)
-        assert endpoint.sent < 2 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
+        assert endpoint.sent < 2 * (
+            _calls.MAX_RESPONSE_BODY_BYTES + _SOCKET_BUFFERS
+        )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -402,7 +402,7 @@
 
 @contextlib.asynccontextmanager
 async def _two_services(
-    linger_s: float = 0.0,
+    drain_delay_s: float = 0.0,
     drain_timeout_s: float = 30.0,
 ) -> AsyncIterator[list[CallDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
@@ -423,7 +423,7 @@
                     lambda info: MemoryNetwork(hub, info),
                     snapshot,
                     listen='127.0.0.1:0',
-                    linger_s=linger_s,
+                    drain_delay_s=drain_delay_s,
                     drain_timeout_s=drain_timeout_s,
                 )
                 await nursery.start(daemon.run)
@@ -493,7 +493,7 @@
 async def test_calls_of_running_requests_do_not_prolong_a_stop() -> None:
     """Every stop took 3 s longer, so that stops in turn overlapped."""
     async with (
-        _two_services(linger_s=6.0) as daemons,
+        _two_services(drain_delay_s=6.0) as daemons,
         httpcore.AsyncConnectionPool() as pool,
     ):
         url = f'http://{daemons[0].caller.address}/check'
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -236,7 +236,9 @@
     everyone = list(fleet.daemons.values())
     await fleet.all_hold(version, everyone, within_s=3)
     fleet.read_head = None
-    fleet.table.acknowledged = {item.id: version for item in fleet.members}
+    fleet.table.acknowledged_version = {
+        item.id: version for item in fleet.members
+    }
     returning = fleet.members[5:40]
     fleet.stop(returning)
     await fleet.start(returning, seed=100)
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -381,12 +381,14 @@
         second.service.subscribe(
             lambda: changes.append(second.service.table.revision)
         )
-        await fleet.until(lambda: second.service.acknowledged('d0') == 7, 10.0)
+        await fleet.until(
+            lambda: second.service.acknowledged_version('d0') == 7, 10.0
+        )
         members = first.service.table.digest
         assert (first.address, Digest(7, 'a', members, 9)) in seen
         first.service.set_endpoint(builders.build_endpoint())
         await fleet.until(lambda: bool(changes), 10.0)
-        assert second.service.acknowledged('d9') == 0
+        assert second.service.acknowledged_version('d9') == 0
 
 
 async def test_daemons_join_and_leave_over_real_streams() -> None:
