Reword the HTTP listener for callers

Comments, docstrings, private names and test names use the terms of the field: graceful shutdown, rejection, nested call, buffer and retry. Names that leave the process and texts of responses stay.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -31,50 +31,54 @@
     Receive = Callable[[], Awaitable[dict[str, Any]]]
     Send = Callable[[dict[str, Any]], Awaitable[None]]
 
-# Bytes of request bodies that may be held at the same time.
-_MAX_BUFFERED = 64 * 1024 * 1024
-# A caller that sends its body more slowly than this is cut off, in seconds.
+# Limit on the request bodies that are buffered at the same time.
+_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# A request whose body takes longer to arrive, in seconds, is rejected and its
+# connection closed.
 _BODY_TIMEOUT_S = 30.0
 _MAX_KEY_BYTES = 255
 _RETRY_AFTER_S = 1
-# Time in seconds after which a caller may return when another endpoint can
-# serve it; callers there honour fractions.
-_RETRY_SOON_S = 0.1
-# Largest part by which a known time is extended, so that callers that were
-# refused together do not return together.
-_RETRY_SPREAD = 0.5
-# Time that a caller may have spent on its way here in a first attempt.
-_RETURNING_S = 0.05
-# Time limit in seconds up to which a route is taken for one that is called
-# while other requests run, and the part of it in which responses are useful.
-_SHORT_S = 0.5
-_SHORT_SHARE = 0.75
-# Rank of such calls. One that fails wastes the run that waits for it, which
-# takes four times as long.
+# `Retry-After` in seconds when another endpoint can serve a retry at once.
+# Callers for which it is used honour fractions of a second.
+_FAST_RETRY_AFTER_S = 0.1
+# Largest fraction by which `Retry-After` is extended, so that callers that
+# were rejected at the same time do not retry at the same time.
+_RETRY_JITTER = 0.5
+# A request whose caller has waited longer than this, in seconds, is taken for
+# a retry; a first attempt may spend as much time in transit.
+_CALLER_RETRY_ELAPSED_S = 0.05
+# Calls of a route with a time limit of at most this, in seconds, are taken for
+# nested calls, which the backend server makes while it runs a request. Their
+# responses are useful within the given share of the time limit.
+_NESTED_TIMEOUT_S = 0.5
+_NESTED_OBJECTIVE_SHARE = 0.75
+# Priority of nested calls. A failed one wastes the run that waits for it,
+# which takes four times as long.
 _NESTED_PRIORITY = 0
-# Callers are told to go elsewhere once they have missed two questions that
-# are asked every second; no request for a while shows that they have gone.
-_NOTICE_S = 1.0
-_QUIET_S = 0.8
-# Callers may not know of a planned stop in its first 3 s, by the users' rules,
-# which excuse that a request from that time is cut by the end of the daemon.
-# The rest is for the way of the request and of SIGTERM.
-_UNNOTICED_S = 2.9
-# Time in seconds in which connections end once all requests have. Only
-# requests that were read in the same moment need it, for their refusal.
-_CLOSE_S = 0.5
-# Time in seconds in which a request that is cancelled may still be answered.
-_LAST_S = 0.1
-# Routes whose longest stated time is kept.
-_MAX_ROUTES = 16_384
-
-# Set in the tasks that handle requests. Responses made elsewhere are those
-# of the HTTP library to input that is not a valid request.
+# Callers are redirected to other daemons after two failed probes, which are
+# sent every second. They are taken to have left when no request has arrived
+# for `_IDLE_AFTER_S`.
+_MIN_DRAIN_DELAY_S = 1.0
+_IDLE_AFTER_S = 0.8
+# By the users' rules, callers need not know of a graceful shutdown in its
+# first 3 s, and a request from that time may be cut off when the daemon ends.
+# The remaining 0.1 s cover the transit time of the request and of SIGTERM.
+_UNAWARE_CALLERS_S = 2.9
+# Time limit in seconds for closing the connections after the last request has
+# ended. Only requests that were read at that moment need it, to be rejected.
+_CLOSE_TIMEOUT_S = 0.5
+# Time limit in seconds for sending the response to a cancelled request.
+_FINAL_RESPONSE_TIMEOUT_S = 0.1
+# Limit on the routes whose longest stated timeout is stored.
+_MAX_TRACKED_ROUTES = 16_384
+
+# True in tasks that handle requests. Responses from other tasks are those of
+# the HTTP library to input that is not a valid request.
 _in_request: ContextVar[bool] = ContextVar('in_request', default=False)
 
 
 class _Config(hypercorn.config.Config):
-    """Marks refusals by the HTTP library as ``not-run``."""
+    """Adds the outcome ``not-run`` to rejections by the HTTP library."""
 
     def __init__(self, dialect: _calls.Dialect) -> None:
         super().__init__()
@@ -86,22 +90,22 @@
         return [(self._dialect.outcome, Outcome.NOT_RUN.value.encode())]
 
 
-class _CallerGoneError(Exception):
+class _CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
 
 class _HttpSink:
-    """Passes a response to the caller.
+    """Sends a response to the caller.
 
-    HTTP/1.0 cannot tell a response of unknown length that broke off from a
-    whole one, so such a response is held until it is complete.
+    In HTTP/1.0, a truncated response of unknown length looks like a complete
+    one, so a response without a length is buffered until it is complete.
     """
 
     __slots__ = (
+        '_buffer',
+        '_buffer_budget',
         '_caller',
         '_head',
-        '_held',
-        '_hold',
         '_send',
         'finished',
         'started',
@@ -113,18 +117,18 @@
         *,
         is_http_1_0: bool,
         caller: CallerService,
-        held: _calls.HeldBytes,
+        buffer_budget: _calls.HeldBytes,
     ) -> None:
-        self._held = held
+        self._buffer_budget = buffer_budget
         self._send = send
         self._caller = caller
-        self._hold: bytearray | None = bytearray() if is_http_1_0 else None
+        self._buffer: bytearray | None = bytearray() if is_http_1_0 else None
         self._head: dict[str, Any] = {}
         self.started = False
         self.finished = False
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers."""
+        """Send the status and headers, or store them while buffering."""
         if self._caller.stopping:
             headers = (*headers, (b'connection', b'close'))
         self._head = {
@@ -133,24 +137,24 @@
             'headers': headers,
         }
         if any(name == b'content-length' for name, _ in headers):
-            self._hold = None
-        if self._hold is None:
+            self._buffer = None
+        if self._buffer is None:
             self.started = True
             await self._send(self._head)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
-        if self._hold is not None:
-            if not self._held.take(len(data)):
+        """Send a part of the body, or buffer it."""
+        if self._buffer is not None:
+            if not self._buffer_budget.take(len(data)):
                 raise _calls.CallRefusedError(
                     Outcome.RUN,
                     'response-dropped',
                     'the response is too large to be held for HTTP/1.0',
                 )
-            self._hold += data
+            self._buffer += data
             if not last:
                 return
-            data = bytes(self._hold)
+            data = bytes(self._buffer)
             length = (b'content-length', b'%d' % len(data))
             self._head['headers'] = [*self._head['headers'], length]
             self.started = True
@@ -165,10 +169,10 @@
         )
 
     def close(self) -> None:
-        """Give back the room of a response that was held."""
-        if self._hold is not None:
-            self._held.release(len(self._hold))
-            self._hold = None
+        """Release the budget of a buffered response."""
+        if self._buffer is not None:
+            self._buffer_budget.release(len(self._buffer))
+            self._buffer = None
 
 
 class CallerService:
@@ -181,17 +185,19 @@
     dialect : Dialect
         Names of the headers that callers use.
     service : str
-        Service on this VM, which backend servers are told as the caller's;
-        used if the dialect has a header for it.
+        Service on this VM, sent to backend servers as the service of the
+        caller if the dialect has a header for it.
     linger_s : float
-        Time in seconds after the start of a planned stop in which new
-        requests are still taken, until all callers know of it.
+        Time in seconds after the start of a graceful shutdown during which
+        new requests are still accepted, until all callers know of the
+        shutdown.
     end_s : float
-        Time in seconds after the start of a planned stop after which requests
-        that still run are given up, so that their callers get an answer
-        before the process ends. Calls of running requests are taken while
-        they end before that. So are new requests, of which those are taken
-        in any case whose callers cannot know of the stop yet.
+        Time in seconds after the start of a graceful shutdown after which
+        requests that still run are cancelled, so that their callers get a
+        response before the process ends. Nested calls, which the backend
+        server makes while it runs a request, are accepted if their deadline
+        is not later. So are new requests; those whose callers cannot know of
+        the shutdown yet are accepted with any deadline.
     """
 
     name = 'caller'
@@ -208,26 +214,26 @@
         self._address = address
         self._dialect = dialect
         self._service = service
-        self._linger_s = linger_s
-        self._end_s = end_s
+        self._drain_delay_s = linger_s
+        self._cancel_after_s = end_s
         self._rng = random.Random()
-        self._last_request = -math.inf
+        self._last_request_at = -math.inf
         self._stopping = False
-        # Longest time that callers of a route were seen to wait, by route.
-        self._longest_s: dict[str, float] = {}
-        self._bound = ''
-        # Set when calls of running requests are refused as well.
-        self._closed = False
-        self._lingers_until = math.inf
-        self._unnoticed_until = math.inf
-        self._ends_at = math.inf
-        # Requests in progress, for the end of a planned stop.
-        self._running: set[trio.CancelScope] = set()
+        # Longest timeout that callers of a route have stated, by route.
+        self._longest_timeout_s: dict[str, float] = {}
+        self._bound_address = ''
+        # Whether nested calls are rejected as well as new requests.
+        self._rejects_nested = False
+        self._accepts_until = math.inf
+        self._unaware_until = math.inf
+        self._cancels_at = math.inf
+        # Requests in progress, to be cancelled in a graceful shutdown.
+        self._request_scopes: set[trio.CancelScope] = set()
         self._stop = trio.Event()
-        self._ended = trio.Event()
-        self._active = 0
+        self._server_ended = trio.Event()
+        self._active_requests = 0
         self._idle = trio.Event()
-        self._buffered = 0
+        self._buffered_bytes = 0
         self._watches = _watches.Watches()
         self._distribution: _protocols.Distribution
         self._runner: _runner.RunnerService
@@ -237,7 +243,7 @@
     @property
     def address(self) -> str:
         """Bound address, ``<ip>:<port>``; empty before the start."""
-        return self._bound
+        return self._bound_address
 
     async def run(
         self,
@@ -265,11 +271,11 @@
         config.h11_max_incomplete_size = _calls.MAX_HEADER_BYTES
         config.keep_alive_timeout = 60.0
         config.keep_alive_max_requests = 1_000_000
-        config.graceful_timeout = _CLOSE_S
+        config.graceful_timeout = _CLOSE_TIMEOUT_S
         config.errorlog = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watches.run)
-            self._bound = await nursery.start(self._serve, config)
+            self._bound_address = await nursery.start(self._serve, config)
             task_status.started()
 
     async def _serve(
@@ -282,53 +288,56 @@
             self._stop,
             task_status=task_status,
         )
-        self._ended.set()
+        self._server_ended.set()
 
     @property
     def stopping(self) -> bool:
-        """Whether a planned stop has begun."""
+        """Whether a graceful shutdown has begun."""
         return self._stopping
 
     async def drain(self) -> None:
-        """Refuse new requests and wait for those in flight."""
+        """Reject new requests and wait for those in progress."""
         self._stopping = True
         now = trio.current_time()
-        self._lingers_until = now + self._linger_s
-        self._unnoticed_until = now + min(self._linger_s, _UNNOTICED_S)
-        self._ends_at = now + self._end_s
-        with trio.CancelScope(deadline=self._ends_at):
-            await self._linger()
-            # Runs on the backend server make calls of their own until they
-            # end.
+        self._accepts_until = now + self._drain_delay_s
+        self._unaware_until = now + min(
+            self._drain_delay_s, _UNAWARE_CALLERS_S
+        )
+        self._cancels_at = now + self._cancel_after_s
+        with trio.CancelScope(deadline=self._cancels_at):
+            await self._drain_callers()
+            # The backend server makes nested calls until the requests that
+            # it runs have ended.
             await self._runner.drain()
-            self._closed = True
-            while self._active:
+            self._rejects_nested = True
+            while self._active_requests:
                 self._idle = trio.Event()
                 await self._idle.wait()
-        self._closed = True
-        for scope in self._running:
+        self._rejects_nested = True
+        for scope in self._request_scopes:
             scope.cancel()
         self._stop.set()
-        # A request that was read in the meantime still gets its refusal.
-        await self._ended.wait()
+        # A request that was read in the meantime is still sent a rejection.
+        await self._server_ended.wait()
 
     async def _application(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
         if scope['type'] != 'http':
-            # The HTTP library refuses the upgrade with status 403.
+            # The HTTP library rejects the upgrade with status 403.
             await receive()
             await send({'type': 'websocket.close', 'code': 1003})
             return
         _in_request.set(True)
-        self._active += 1
+        self._active_requests += 1
         try:
             await self._serve_request(scope, receive, send)
         finally:
-            # Not before a refusal has been sent: a planned stop ends the
-            # connections when no request is left.
-            self._active -= 1
-            if not self._active:
+            # A request counts as active until its rejection has been sent,
+            # because a graceful shutdown closes the connections when no
+            # request is active.
+            self._active_requests -= 1
+            if not self._active_requests:
                 self._idle.set()
 
     async def _serve_request(
@@ -339,83 +348,89 @@
             send,
             is_http_1_0=scope['http_version'] == '1.0',
             caller=self,
-            held=self._runner.held,
+            buffer_budget=self._runner.held,
         )
         result = 'response'
-        refusal: _calls.CallRefusedError | None = None
+        rejection: _calls.CallRefusedError | None = None
         request: _calls.Request | None = None
-        held = 0
-        limit = trio.CancelScope()
-        self._running.add(limit)
+        body_bytes = 0
+        request_scope = trio.CancelScope()
+        self._request_scopes.add(request_scope)
         try:
-            with limit:
-                request = await self._read(scope, receive)
-                held = len(request.body)
+            with request_scope:
+                request = await self._read_request(scope, receive)
+                body_bytes = len(request.body)
                 await self._forward(request, sink, receive)
-            if limit.cancelled_caught:
-                raise _given_up(request, sink)
+            if request_scope.cancelled_caught:
+                raise _cancelled_request_error(request, sink)
         except _calls.CallRefusedError as error:
-            refusal = error
+            rejection = error
         except _calls.BrokenResponseError as error:
-            # When the head has been sent, returning without the end of the
+            # If the head has been sent, returning without the end of the
             # body makes the HTTP library close the connection in the
             # middle of the response.
             result = 'broken-response'
             if not sink.started:
-                refusal = _calls.CallRefusedError(
+                rejection = _calls.CallRefusedError(
                     Outcome.RUN, 'bad-response', str(error)
                 )
-        except _CallerGoneError:
+        except _CallerDisconnectedError:
             result = 'caller-gone'
         except trio.Cancelled:
-            # The process ends, for example because it stood still when the
-            # drain should have given this request up.
-            end = _given_up(request, sink)
-            if isinstance(end, _calls.CallRefusedError):
+            # The process ends although the drain has not cancelled this
+            # request, for example because the process was suspended then.
+            shutdown_error = _cancelled_request_error(request, sink)
+            if isinstance(shutdown_error, _calls.CallRefusedError):
                 is_head = scope['method'] == 'HEAD'
-                with trio.CancelScope(shield=True) as last:
-                    last.deadline = trio.current_time() + _LAST_S
-                    await self._send_refusal(send, end, head_only=is_head)
+                with trio.CancelScope(shield=True) as response_scope:
+                    response_scope.deadline = (
+                        trio.current_time() + _FINAL_RESPONSE_TIMEOUT_S
+                    )
+                    await self._send_rejection(
+                        send, shutdown_error, head_only=is_head
+                    )
             raise
         finally:
-            self._running.discard(limit)
+            self._request_scopes.discard(request_scope)
             sink.close()
-            self._buffered -= held
-        if refusal is not None:
-            result = refusal.reason
+            self._buffered_bytes -= body_bytes
+        if rejection is not None:
+            result = rejection.reason
             is_head = scope['method'] == 'HEAD'
-            await self._send_refusal(send, refusal, head_only=is_head)
+            await self._send_rejection(send, rejection, head_only=is_head)
         elapsed_s = trio.current_time() - started
         self._requests.add(1.0, result=result)
         self._latency.add(elapsed_s)
         if result != 'response' and self._dialect.request_id:
             limit_s = request.deadline - started if request else 0.0
-            self._log_end(scope, result, refusal, elapsed_s, limit_s)
+            self._emit_failure(scope, result, rejection, elapsed_s, limit_s)
 
-    def _log_end(
+    def _emit_failure(
         self,
         scope: dict[str, Any],
         result: str,
-        refusal: _calls.CallRefusedError | None,
+        rejection: _calls.CallRefusedError | None,
         elapsed_s: float,
         limit_s: float,
     ) -> None:
-        """Record why a request got no response of a backend server."""
+        """Emit an event that says why the backend server sent no response."""
         fields = dict(scope['headers'])
         name = self._dialect.request_id
         request_id = fields.get(name, b'').decode('latin-1')
         stated = fields.get(self._dialect.deadline, b'').decode('latin-1')
-        refused = refusal is not None and refusal.outcome == Outcome.NOT_RUN
+        rejected = (
+            rejection is not None and rejection.outcome == Outcome.NOT_RUN
+        )
         self._events.emit(
-            'request-refused' if refused else 'request-failed',
+            'request-refused' if rejected else 'request-failed',
             request=request_id,
             path=scope['path'],
             result=result,
-            outcome=refusal.outcome.value if refusal else '',
-            detail=refusal.detail if refusal else '',
-            trail=refusal.trail if refusal else (),
-            retry_after_ms=round(refusal.retry_after_s * 1000)
-            if refusal
+            outcome=rejection.outcome.value if rejection else '',
+            detail=rejection.detail if rejection else '',
+            trail=rejection.trail if rejection else (),
+            retry_after_ms=round(rejection.retry_after_s * 1000)
+            if rejection
             else 0,
             elapsed_ms=round(elapsed_s * 1000, 1),
             stated_ms=stated,
@@ -426,28 +441,31 @@
     async def _forward(
         self, request: _calls.Request, sink: _HttpSink, receive: Receive
     ) -> None:
-        async def watch() -> None:
+        async def wait_for_disconnect() -> None:
             while (await receive())['type'] != 'http.disconnect':
                 pass
-            # The end of the response is reported in the same way.
+            # The HTTP library reports the end of a response in the same way.
             if not sink.finished:
                 scope.cancel()
 
-        with trio.CancelScope() as scope, self._watches.watch(watch):
+        with (
+            trio.CancelScope() as scope,
+            self._watches.watch(wait_for_disconnect),
+        ):
             await self._runner.sender.send(request, sink)
         if scope.cancelled_caught:
-            raise _CallerGoneError
+            raise _CallerDisconnectedError
 
-    async def _read(
+    async def _read_request(
         self, scope: dict[str, Any], receive: Receive
     ) -> _calls.Request:
         now = trio.current_time()
         matched, fields = self._match(scope)
         route = matched.route
         if not _is_nested(route):
-            self._last_request = now
+            self._last_request_at = now
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
-        if self._stopping and not self._takes(route, now, now + timeout_s):
+        if self._stopping and not self._accepts(route, now, now + timeout_s):
             raise _calls.not_run('draining', 'this daemon is stopping')
         key = fields.get(self._dialect.key, b'')
         if len(key) > _MAX_KEY_BYTES:
@@ -469,9 +487,12 @@
         objective_s = route.objective_s
         priority = route.priority
         if objective_s and _is_nested(route):
-            # Other requests hold slots until such a call ends, so it is of
-            # use until its time limit and goes before new work.
-            objective_s = max(objective_s, _SHORT_SHARE * route.timeout_s)
+            # The request that makes a nested call occupies a slot until the
+            # call ends. So a late response is still useful, and nested calls
+            # take precedence over new requests.
+            objective_s = max(
+                objective_s, _NESTED_OBJECTIVE_SHARE * route.timeout_s
+            )
             priority = _NESTED_PRIORITY
         return _calls.Request(
             _choose_target(route, self._rng),
@@ -486,34 +507,34 @@
             now + objective_s - elapsed_s if objective_s else 0.0,
             priority,
             route.attempts,
-            elapsed_s > _RETURNING_S,
+            elapsed_s > _CALLER_RETRY_ELAPSED_S,
         )
 
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
-        """Return for how long the caller has waited before this request.
+        """Return the seconds that the caller has waited before this request.
 
-        Callers that return after a refusal state what is left of their
-        time, while others of the same route state all of it.
+        Callers that retry after a rejection state the rest of their timeout,
+        while other callers of the same route state the whole of it.
         """
-        stated_s = _stated_s(fields, self._dialect.deadline)
+        stated_s = _stated_timeout_s(fields, self._dialect.deadline)
         if stated_s is None:
             return 0.0
-        if len(self._longest_s) >= _MAX_ROUTES:
-            self._longest_s.clear()
-        longest_s = max(self._longest_s.get(route, 0.0), stated_s)
-        self._longest_s[route] = longest_s
+        if len(self._longest_timeout_s) >= _MAX_TRACKED_ROUTES:
+            self._longest_timeout_s.clear()
+        longest_s = max(self._longest_timeout_s.get(route, 0.0), stated_s)
+        self._longest_timeout_s[route] = longest_s
         return longest_s - stated_s
 
-    async def _linger(self) -> None:
-        """Serve new requests until callers have gone elsewhere."""
-        if not self._linger_s:
+    async def _drain_callers(self) -> None:
+        """Serve new requests until callers have left or the delay is over."""
+        if not self._drain_delay_s:
             return
         started = trio.current_time()
-        while (left := self._lingers_until - trio.current_time()) > 0:
-            await trio.sleep(min(left, _QUIET_S / 4))
+        while (remaining_s := self._accepts_until - trio.current_time()) > 0:
+            await trio.sleep(min(remaining_s, _IDLE_AFTER_S / 4))
             now = trio.current_time()
-            quiet = now - self._last_request >= _QUIET_S
-            if quiet and now - started >= _NOTICE_S:
+            idle = now - self._last_request_at >= _IDLE_AFTER_S
+            if idle and now - started >= _MIN_DRAIN_DELAY_S:
                 return
 
     def _match(
@@ -544,13 +565,13 @@
             )
         return matched, fields
 
-    def _takes(self, route: Route, now: float, deadline: float) -> bool:
-        """Whether a request that arrives during a planned stop is taken."""
+    def _accepts(self, route: Route, now: float, deadline: float) -> bool:
+        """Return whether a request is accepted in a graceful shutdown."""
         if _is_nested(route):
-            return not self._closed and deadline <= self._ends_at
-        if now >= self._lingers_until or self._stop.is_set():
+            return not self._rejects_nested and deadline <= self._cancels_at
+        if now >= self._accepts_until or self._stop.is_set():
             return False
-        return now < self._unnoticed_until or deadline <= self._ends_at
+        return now < self._unaware_until or deadline <= self._cancels_at
 
     async def _read_body(
         self, fields: dict[bytes, bytes], receive: Receive
@@ -559,36 +580,36 @@
             'request-too-large',
             f'request bodies may have {_calls.MAX_REQUEST_BODY} bytes',
         )
-        announced = fields.get(b'content-length', b'0')
-        if int(announced) > _calls.MAX_REQUEST_BODY:
+        content_length = fields.get(b'content-length', b'0')
+        if int(content_length) > _calls.MAX_REQUEST_BODY:
             raise too_large
         body = bytearray()
-        whole = False
+        complete = False
         try:
             with trio.move_on_after(_BODY_TIMEOUT_S):
-                while not whole:
+                while not complete:
                     message = await receive()
                     if message['type'] == 'http.disconnect':
-                        raise _CallerGoneError
+                        raise _CallerDisconnectedError
                     body += message['body']
-                    self._buffered += len(message['body'])
+                    self._buffered_bytes += len(message['body'])
                     if len(body) > _calls.MAX_REQUEST_BODY:
                         raise too_large
-                    if self._buffered > _MAX_BUFFERED:
+                    if self._buffered_bytes > _MAX_BUFFERED_BYTES:
                         raise _calls.not_run(
                             'overloaded', 'too many request bodies'
                         )
-                    whole = not message['more_body']
+                    complete = not message['more_body']
         finally:
-            if not whole:
-                self._buffered -= len(body)
-        if not whole:
+            if not complete:
+                self._buffered_bytes -= len(body)
+        if not complete:
             raise _calls.not_run(
                 'body-timeout', 'the request body did not arrive in time'
             )
         return bytes(body)
 
-    async def _send_refusal(
+    async def _send_rejection(
         self, send: Send, error: _calls.CallRefusedError, *, head_only: bool
     ) -> None:
         dialect = self._dialect
@@ -617,8 +638,13 @@
             if dialect.status_promises or error.retry_after_s:
                 value = _retry_after(error, self._rng)
             headers = [*headers, (b'retry-after', value)]
-        closing = ('draining', 'request-too-large', 'body-timeout', 'stopped')
-        if self._stopping or error.reason in closing:
+        closing_reasons = (
+            'draining',
+            'request-too-large',
+            'body-timeout',
+            'stopped',
+        )
+        if self._stopping or error.reason in closing_reasons:
             headers = [*headers, (b'connection', b'close')]
         await send(
             {
@@ -636,10 +662,10 @@
         )
 
 
-def _given_up(
+def _cancelled_request_error(
     request: _calls.Request | None, sink: _HttpSink
 ) -> _calls.CallRefusedError | _calls.BrokenResponseError:
-    """Return the end of a request that the end of a planned stop cut."""
+    """Return the error of a request that a graceful shutdown cancelled."""
     if request is None:
         return _calls.not_run('draining', 'this daemon is stopping')
     if sink.started:
@@ -650,15 +676,16 @@
 
 
 def _is_nested(route: Route) -> bool:
-    """Whether the calls of a route are taken for those of running requests.
+    """Return whether the calls of a route are taken for nested calls.
 
-    Both come from the same address, and nothing else tells them apart.
+    Nested calls and new requests come from the same address and differ only
+    in the time limits of their routes.
     """
-    return route.timeout_s <= _SHORT_S
+    return route.timeout_s <= _NESTED_TIMEOUT_S
 
 
 def _choose_target(route: Route, rng: random.Random) -> str:
-    """Return the service that gets a request of a route."""
+    """Return the service that a request of a route is sent to."""
     if not route.targets:
         return route.service
     weights = [target.weight for target in route.targets]
@@ -668,8 +695,8 @@
     return chosen.service
 
 
-def _stated_s(fields: dict[bytes, bytes], name: bytes) -> float | None:
-    """Return how many seconds the caller waits, or None if it is silent."""
+def _stated_timeout_s(fields: dict[bytes, bytes], name: bytes) -> float | None:
+    """Return the timeout in seconds that the caller states, if any."""
     value = fields.get(name)
     if value is None:
         return None
@@ -688,7 +715,7 @@
 def _timeout_s(
     fields: dict[bytes, bytes], name: bytes, route_s: float
 ) -> float:
-    stated_s = _stated_s(fields, name)
+    stated_s = _stated_timeout_s(fields, name)
     if stated_s is None:
         return route_s
     if stated_s <= 0:
@@ -697,6 +724,6 @@
 
 
 def _retry_after(error: _calls.CallRefusedError, rng: random.Random) -> bytes:
-    """Return the value of ``Retry-After``, spread over callers."""
-    spread = 1.0 + _RETRY_SPREAD * rng.random()
-    return b'%.3f' % ((error.retry_after_s or _RETRY_SOON_S) * spread)
+    """Return the value of ``Retry-After``, with random jitter."""
+    factor = 1.0 + _RETRY_JITTER * rng.random()
+    return b'%.3f' % ((error.retry_after_s or _FAST_RETRY_AFTER_S) * factor)
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -2,7 +2,7 @@
 
 `hypercorn.trio.serve` sends the head and the body of a response separately,
 starts a task for every idle period of a connection and shields sending from
-cancellation. This module listens itself, so that it can use a subclass of
+cancellation. This module opens the sockets itself, to use a subclass of
 hypercorn's connection that differs in these three points.
 """
 
@@ -30,7 +30,7 @@
     from hypercorn.config import Config
 
 
-# Longest time in seconds for which a caller may not read.
+# A connection whose caller reads nothing for this long, in seconds, is closed.
 _SEND_TIMEOUT_S = 30.0
 
 
@@ -47,14 +47,14 @@
         self._scope: trio.CancelScope | None = None
 
     async def restart(self, task_group: Any, action: Any) -> None:
-        """Note that the connection is idle from now on."""
+        """Start the timeout, as the connection has become idle."""
         if self._scope is None:
             self._scope = trio.CancelScope()
             task_group.spawn(self._connection.close_when_idle, self._scope)
         self._scope.deadline = trio.current_time() + self._timeout_s
 
     async def stop(self) -> None:
-        """Note that a request is being handled."""
+        """Suspend the timeout while a request is handled."""
         if self._scope is not None:
             self._scope.deadline = math.inf
 
@@ -72,27 +72,27 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self._held = b''
-        self._ended = False
+        self._pending_head = b''
+        self._read_ended = False
         self._timer = _IdleTimer(self, self.config.keep_alive_timeout)
         self.idle_task = self._timer  # type: ignore[assignment]
-        # Reaches the application as `scope['state']`.
+        # Passed to the application as `scope['state']`.
         self.state = {'reset': self._reset}
 
     async def protocol_send(self, event: Event) -> None:
-        """Send data, or take note of a change of state."""
+        """Send data, or handle a change of the state of the connection."""
         if isinstance(event, RawData):
             data = bytes(event.data)
             if (
-                not self._held
+                not self._pending_head
                 and data.startswith(self._HEAD)
                 and not data.startswith(self._INFORMATIONAL)
             ):
-                self._held = data
+                self._pending_head = data
                 return
             await self._send(data)
             return
-        if self._held:
+        if self._pending_head:
             await self._send(b'')
         if isinstance(event, Updated):
             if event.idle:
@@ -109,12 +109,12 @@
             if not math.isfinite(scope.deadline):
                 # hypercorn closes the connection after the response.
                 return
-        if not self._ended:
+        if not self._read_ended:
             with trio.CancelScope(shield=True):
                 await self._initiate_server_close()
 
     async def _reset(self) -> None:
-        """Reset the connection, for servers that imitate a crash."""
+        """Reset the connection, for servers that simulate a crash."""
         linger = struct.pack('ii', 1, 0)
         self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         await self.stream.aclose()
@@ -123,24 +123,24 @@
         try:
             await super()._read_data()
         finally:
-            self._ended = True
+            self._read_ended = True
             self._timer.end()
 
     async def _send(self, data: bytes) -> None:
-        """Send data; cancellation closes the connection.
+        """Send data; close the connection on cancellation.
 
-        hypercorn shields sending from cancellation, so that a caller that
-        stops reading would keep its call for ever.
+        hypercorn shields sending from cancellation; the call of a caller that
+        stops reading would then never end.
         """
-        held, self._held = self._held, b''
-        data = held + data
+        pending_head, self._pending_head = self._pending_head, b''
+        data = pending_head + data
         if not data:
             return
         async with self.send_lock:
-            limit = trio.current_time() + _SEND_TIMEOUT_S
+            send_deadline = trio.current_time() + _SEND_TIMEOUT_S
             try:
-                # `trio.fail_after` takes several times as long.
-                with trio.CancelScope(deadline=limit) as scope:
+                # `trio.fail_after` is several times slower.
+                with trio.CancelScope(deadline=send_deadline) as scope:
                     await self.stream.send_all(data)
                 if scope.cancelled_caught:
                     await trio.aclose_forcefully(self.stream)
@@ -178,7 +178,7 @@
     stop : trio.Event
         Ends the server when set.
     task_status : trio.TaskStatus
-        Gets the bound address.
+        Receives the bound address.
     """
     host, _, port = address.rpartition(':')
     with listening_at(address):
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -47,7 +47,7 @@
 async def _daemons(
     backend: str, *, remote: bool = True
 ) -> AsyncIterator[list[CallDaemon]]:
-    """Run a daemon with a backend server, and one without before it."""
+    """Run a daemon with a backend server, preceded by one without."""
     count = 2 if remote else 1
     with trio.fail_after(_WAIT_S):
         async with open_daemons(backend, build_snapshot(), count) as daemons:
@@ -58,7 +58,7 @@
 async def _scripted_backend(
     script: bytes | None, *, reset: bool = False
 ) -> AsyncIterator[str]:
-    """Run a server that answers every request with the same bytes."""
+    """Run a server that sends the same bytes for every request."""
 
     async def serve(stream: trio.SocketStream) -> None:
         received = b''
@@ -95,8 +95,8 @@
     b'Connection: close\r\n\r\n'
 )
 _PADDING = b'X-Padding: ' + b'x' * 33_000 + b'\r\n'
-# A small response is held back until it is whole.
-_SMALL_BROKEN = (502, 'run')
+# A small response is buffered until it is complete.
+_TRUNCATED_SMALL_BODY = (502, 'run')
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
@@ -115,10 +115,16 @@
             _HEAD + b'\r\nhello', False, (502, 'unknown'), id='unframed'
         ),
         pytest.param(
-            _HEAD + _LENGTH + b'short', False, _SMALL_BROKEN, id='short-body'
+            _HEAD + _LENGTH + b'short',
+            False,
+            _TRUNCATED_SMALL_BODY,
+            id='short-body',
         ),
         pytest.param(
-            _HEAD + _LENGTH + b'short', True, _SMALL_BROKEN, id='reset-in-body'
+            _HEAD + _LENGTH + b'short',
+            True,
+            _TRUNCATED_SMALL_BODY,
+            id='reset-in-body',
         ),
         pytest.param(
             _HEAD + _LONG + b'short', False, None, id='short-long-body'
@@ -137,7 +143,7 @@
     reset: bool,
     expected: tuple[int, str] | None,
 ) -> None:
-    """A fault must become neither a complete response nor `not-run`."""
+    """Guards against faults reported as a complete response or `not-run`."""
     async with (
         _scripted_backend(script, reset=reset) as backend,
         _daemons(backend) as daemons,
@@ -156,16 +162,16 @@
                     await pool.request(method, url, headers=headers)
                 continue
             response = await pool.request(method, url, headers=headers)
-            found = dict(response.headers)
-            outcome = found.get(b'gypsumhall-outcome', b'').decode()
+            response_headers = dict(response.headers)
+            outcome = response_headers.get(b'gypsumhall-outcome', b'').decode()
             assert (response.status, outcome) == expected
             if outcome:
                 assert json.loads(response.content)['outcome'] == outcome
             else:
-                assert found[b'retry-after'] == b'7'
+                assert response_headers[b'retry-after'] == b'7'
 
 
-async def test_backend_server_that_does_not_listen_ran_nothing() -> None:
+async def test_unreachable_backend_server_is_reported_as_not_run() -> None:
     async with (
         _daemons('127.0.0.1:1') as daemons,
         httpcore.AsyncConnectionPool() as pool,
@@ -241,10 +247,10 @@
         ),
     ],
 )
-async def test_request_that_is_refused_before_it_runs(
+async def test_rejection_before_the_run_states_the_outcome(
     request_bytes: bytes, status: int
 ) -> None:
-    """Every refusal states the outcome, also those of the HTTP library."""
+    """Rejections by the HTTP library have to state the outcome as well."""
     async with _daemons('127.0.0.1:1') as daemons:
         host, _, port = daemons[0].caller.address.rpartition(':')
         stream = await trio.open_tcp_stream(host, int(port))
@@ -267,7 +273,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _standin(
+async def _backend_and_daemons(
     service_time_ms: float,
 ) -> AsyncIterator[tuple[BackendServer, list[CallDaemon], trio.Nursery]]:
     async with trio.open_nursery() as nursery:
@@ -282,14 +288,12 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_large_bodies_and_key_are_repeated_without_a_second_run() -> (
-    None
-):
+async def test_repeated_key_with_large_bodies_causes_no_second_run() -> None:
     async with (
-        _standin(1.0) as (server, daemons, _),
+        _backend_and_daemons(1.0) as (server, daemons, _),
         httpcore.AsyncConnectionPool() as pool,
     ):
-        answers = []
+        responses = []
         for body in (b'a' * 300_000, b'a' * 300_000, b'other'):
             response = await pool.request(
                 'POST',
@@ -301,18 +305,18 @@
                 },
                 content=body,
             )
-            answers.append((response.status, len(response.content)))
-        assert answers[:2] == [(200, 300_000)] * 2
-        assert answers[2][0] == 422
+            responses.append((response.status, len(response.content)))
+        assert responses[:2] == [(200, 300_000)] * 2
+        assert responses[2][0] == 422
         assert server.runs == {'r1': 1}
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 @pytest.mark.parametrize('index', [0, 1])
-async def test_caller_that_leaves_cancels_the_run(
+async def test_disconnect_of_the_caller_cancels_the_run(
     method: str, index: int
 ) -> None:
-    async with _standin(600_000.0) as (server, daemons, _):
+    async with _backend_and_daemons(600_000.0) as (server, daemons, _):
         address = daemons[index].caller.address
         pool = httpcore.AsyncConnectionPool()
 
@@ -331,10 +335,10 @@
         assert daemons[-1].runner.load.in_flight == 0
 
 
-async def test_planned_stop_finishes_calls_and_refuses_new_ones() -> None:
-    """A request in flight is not interrupted by a planned stop."""
+async def test_graceful_shutdown_finishes_calls_and_rejects_new_ones() -> None:
+    """Guards against a shutdown that interrupts requests in progress."""
     async with (
-        _standin(300.0) as (server, daemons, nursery),
+        _backend_and_daemons(300.0) as (server, daemons, nursery),
         httpcore.AsyncConnectionPool() as pool,
     ):
         url = f'http://{daemons[0].caller.address}/search'
@@ -357,13 +361,13 @@
         assert server.runs == {'r1': 1}
 
 
-async def test_run_is_not_given_up_before_the_stated_time(
+async def test_run_is_not_cancelled_before_the_stated_deadline(
     autojump_clock: MockClock,
 ) -> None:
-    """Its caller got a failure while the endpoint was still at work."""
+    """Guards against a failure response while the endpoint still runs."""
     backend = MemoryBackend(Random(0))
     backend.constant = True
-    # The head takes this time and the body as long again.
+    # The head takes this time, and the body takes as long.
     backend.mean_s = 0.295
     async with trio.open_nursery() as nursery:
         hub = MemoryHub(nursery)
@@ -389,7 +393,7 @@
         nursery.cancel_scope.cancel()
 
 
-_NESTED = builders.build_route(
+_NESTED_ROUTE = builders.build_route(
     'check',
     'bookings',
     path='/check',
@@ -397,7 +401,9 @@
     objective_s=0.1,
     priority=2,
 )
-_NEW_WORK = builders.build_route(path='/search', objective_s=0.5, priority=1)
+_SEARCH_ROUTE = builders.build_route(
+    path='/search', objective_s=0.5, priority=1
+)
 
 
 @contextlib.asynccontextmanager
@@ -406,7 +412,7 @@
     drain_timeout_s: float = 30.0,
 ) -> AsyncIterator[list[CallDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
-    snapshot = build_snapshot(routes=(_NEW_WORK, _NESTED))
+    snapshot = build_snapshot(routes=(_SEARCH_ROUTE, _NESTED_ROUTE))
     with trio.fail_after(_WAIT_S):
         async with trio.open_nursery() as nursery:
             hub = MemoryHub(nursery)
@@ -433,8 +439,8 @@
             nursery.cancel_scope.cancel()
 
 
-async def test_calls_of_running_requests_are_served_during_a_stop() -> None:
-    """They were refused, so that the requests in flight failed."""
+async def test_nested_calls_are_served_during_a_graceful_shutdown() -> None:
+    """Guards against rejected nested calls, which fail running requests."""
     async with (
         _two_services() as daemons,
         httpcore.AsyncConnectionPool() as pool,
@@ -461,8 +467,8 @@
         ]
 
 
-async def test_calls_of_running_requests_are_refused_at_its_end() -> None:
-    """One that is taken when the process ends is cut off."""
+async def test_nested_calls_are_rejected_late_in_a_graceful_shutdown() -> None:
+    """Guards against accepted calls that the end of the process cuts off."""
     async with (
         _two_services(drain_timeout_s=0.9) as daemons,
         httpcore.AsyncConnectionPool() as pool,
@@ -490,8 +496,11 @@
         assert statuses == [200]
 
 
-async def test_calls_of_running_requests_do_not_prolong_a_stop() -> None:
-    """Every stop took 3 s longer, so that stops in turn overlapped."""
+async def test_nested_calls_do_not_prolong_a_graceful_shutdown() -> None:
+    """Guards against shutdowns that take 3 s longer because of such calls.
+
+    The shutdowns of daemons that are stopped in turn then overlapped.
+    """
     async with (
         _two_services(linger_s=6.0) as daemons,
         httpcore.AsyncConnectionPool() as pool,
@@ -513,30 +522,32 @@
                     await trio.sleep(0.1)
 
 
-async def test_calls_of_running_requests_go_before_new_work() -> None:
-    """A check that is refused wastes the run that waits for it."""
+async def test_nested_calls_have_priority_over_new_requests() -> None:
+    """A rejected nested call wastes the run that waits for it."""
     async with (
         _two_services() as daemons,
         httpcore.AsyncConnectionPool() as pool,
     ):
         url = f'http://{daemons[0].caller.address}'
-        seen: list[tuple[str, int]] = []
+        received_calls: list[tuple[str, int]] = []
         execute = daemons[1].runner.execute
 
-        async def note(call: CallStart, body: bytes, send: object) -> None:
-            seen.append((call.route, call.priority))
+        async def record_call(
+            call: CallStart, body: bytes, send: object
+        ) -> None:
+            received_calls.append((call.route, call.priority))
             await execute(call, body, send)
 
-        daemons[1].runner.execute = note
+        daemons[1].runner.execute = record_call
         await pool.request(
             'GET', url + '/check', headers={'Host': 'spa.example'}
         )
-        assert seen == [('spa/check', 0)]
+        assert received_calls == [('spa/check', 0)]
 
 
-async def test_caller_that_stops_reading_does_not_keep_a_slot() -> None:
-    """A connection can go silent for good in the middle of a response."""
-    async with _standin(1.0) as (_, daemons, _):
+async def test_caller_that_stops_reading_does_not_occupy_a_slot() -> None:
+    """Guards against slots lost to connections that stall in a response."""
+    async with _backend_and_daemons(1.0) as (_, daemons, _):
         for daemon in daemons:
             host, _, port = daemon.caller.address.rpartition(':')
             stream = await trio.open_tcp_stream(host, int(port))
