Reword the listeners for operators and for readiness probes

Correct the docstring of EventLog.since: the index itself is excluded. Delete headings that say nothing about the system.

--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -33,11 +33,13 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_REQUESTS = 256
-# Bytes of bodies that all requests in progress hold; `MAX_REQUESTS` bodies of
-# full size would not fit into the memory of the smallest machines, 128 MB.
-MAX_BODIES_BYTES = 16 * 1024 * 1024
+# Limit on the buffered bodies of all requests in progress. `MAX_REQUESTS`
+# bodies of full size would not fit into the memory of the smallest machines,
+# 128 MB.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 BODY_TIMEOUT_S = 30.0
-# Ends connections that go silent; longer than the longest wait of a request.
+# Connections on which nothing is received are closed after this time. It has
+# to exceed the longest time that a request may wait for a condition.
 READ_TIMEOUT_S = 75
 DRAIN_TIMEOUT_S = 5.0
 MAX_EVENTS = 4096
@@ -48,16 +50,16 @@
 
 @runtime_checkable
 class EventLog(Protocol):
-    """What ``/events`` needs of the service ``events``."""
+    """Part of the service ``events`` that ``/events`` uses."""
 
     def since(self, index: int) -> Sequence[Mapping[str, object]]:
-        """Return the kept events with an ``index`` of at least `index`."""
+        """Return the stored events with a greater ``index`` than `index`."""
         ...
 
 
 @runtime_checkable
 class MetricsPage(Protocol):
-    """What ``/metrics`` needs of the service ``metrics``."""
+    """Part of the service ``metrics`` that ``/metrics`` uses."""
 
     def render(self, accept: str) -> tuple[bytes, str]:
         """Return the page and its content type for an Accept header."""
@@ -76,7 +78,7 @@
     findings: Iterable[Finding] = (),
     **fields: object,
 ) -> AdminResponse:
-    """Return a problem body as of RFC 9457.
+    """Return a response whose body is a problem document (RFC 9457).
 
     Parameters
     ----------
@@ -85,11 +87,11 @@
     code : str
         Stable identifier of the problem.
     detail : str
-        What went wrong, for people.
+        Explanation for the operator.
     findings : iterable of Finding
-        Faults with their places.
+        Errors found in a text, with their positions.
     **fields
-        Further members of the body.
+        Additional members of the problem document.
     """
     body = {
         'type': 'about:blank',
@@ -106,7 +108,7 @@
 
 
 class RequestError(Exception):
-    """A request that is answered with a problem."""
+    """A request that is rejected with a problem document."""
 
     def __init__(self, status: int, code: str, detail: str) -> None:
         super().__init__(detail)
@@ -127,27 +129,29 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._bound = ''
-        self._exact: dict[str, dict[str, AdminHandler]] = {}
-        self._prefixes: dict[str, dict[str, AdminHandler]] = {}
-        self._active = 0
-        self._buffered = 0
+        self._bound_address = ''
+        self._exact_routes: dict[str, dict[str, AdminHandler]] = {}
+        self._prefix_routes: dict[str, dict[str, AdminHandler]] = {}
+        self._active_requests = 0
+        self._buffered_bytes = 0
         self._stop = trio.Event()
         self._ended = trio.Event()
 
     @property
     def bound(self) -> str:
-        """Address of the listener, ``<host>:<port>``; empty before."""
-        return self._bound
+        """Address of the listener, ``<host>:<port>``; empty before start."""
+        return self._bound_address
 
     @property
     def stopping(self) -> trio.Event:
-        """Set when handlers that wait have to return."""
+        """Event that is set when waiting handlers have to return."""
         return self._stop
 
     def add_route(self, method: str, path: str, handler: AdminHandler) -> None:
         """Register a handler for an exact path, or a prefix ending in /."""
-        table = self._prefixes if path.endswith('/') else self._exact
+        table = (
+            self._prefix_routes if path.endswith('/') else self._exact_routes
+        )
         table.setdefault(path, {})[method] = handler
 
     async def run(
@@ -162,11 +166,11 @@
         page = kernel.get('metrics', MetricsPage)
 
         async def serve_metrics(request: AdminRequest) -> AdminResponse:
-            body, kind = page.render(request.headers.get('accept', ''))
-            return AdminResponse(200, body, kind)
+            body, content_type = page.render(request.headers.get('accept', ''))
+            return AdminResponse(200, body, content_type)
 
         async def serve_events(request: AdminRequest) -> AdminResponse:
-            since = number_of(request.query, 'since', 0, 0, 2**62)
+            since = query_number(request.query, 'since', 0, 0, 2**62)
             events = list(log.since(int(since)))[:MAX_EVENTS]
             return json_response({'events': events})
 
@@ -180,8 +184,8 @@
         config.read_timeout = READ_TIMEOUT_S
         async with trio.open_nursery() as nursery:
             with listening_at(self._address):
-                bound = await nursery.start(self._serve, config)
-            self._bound = bound[0].partition('://')[2]
+                binds = await nursery.start(self._serve, config)
+            self._bound_address = binds[0].partition('://')[2]
             task_status.started()
         self._ended.set()
 
@@ -205,8 +209,6 @@
         with trio.move_on_after(DRAIN_TIMEOUT_S):
             await self._ended.wait()
 
-    # ASGI
-
     async def _application(
         self, scope: dict[str, Any], receive: _Receive, send: _Send
     ) -> None:
@@ -220,11 +222,11 @@
     async def _serve_request(
         self, scope: dict[str, Any], receive: _Receive, send: _Send
     ) -> None:
-        self._active += 1
+        self._active_requests += 1
         try:
             response = await self._respond(scope, receive)
         finally:
-            self._active -= 1
+            self._active_requests -= 1
         headers = [
             (b'content-type', response.content_type.encode()),
             (b'content-length', str(len(response.body)).encode()),
@@ -233,7 +235,7 @@
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
             headers.append((b'retry-after', b'1'))
         if response.status == HTTPStatus.METHOD_NOT_ALLOWED:
-            methods = ', '.join(sorted(self._methods(scope['path'])))
+            methods = ', '.join(sorted(self._handlers_of(scope['path'])))
             headers.append((b'allow', methods.encode()))
         await send(
             {
@@ -248,7 +250,7 @@
         self, scope: dict[str, Any], receive: _Receive
     ) -> AdminResponse:
         path, method = scope['path'], scope['method']
-        handlers = self._methods(path)
+        handlers = self._handlers_of(path)
         handler = handlers.get(method)
         if handler is None:
             if handlers:
@@ -259,7 +261,7 @@
                     f'{", ".join(sorted(handlers))}',
                 )
             return problem(404, 'no-such-path', f'nothing is at {path}')
-        if self._active > MAX_REQUESTS:
+        if self._active_requests > MAX_REQUESTS:
             return problem(
                 503, 'busy', f'{MAX_REQUESTS} requests are in progress'
             )
@@ -280,11 +282,11 @@
                     AdminRequest(method, path, query, headers, bytes(body))
                 )
             finally:
-                self._buffered -= len(body)
+                self._buffered_bytes -= len(body)
         except RequestError as error:
             return error.response
         except Exception as error:
-            # One faulty request must not end the listener.
+            # An error in one request must not end the listener.
             self._events.emit(
                 'admin-request-failed', path=path, error=repr(error)
             )
@@ -293,7 +295,7 @@
     async def _read_body(
         self, headers: Mapping[str, str], receive: _Receive, body: bytearray
     ) -> None:
-        """Append the body of a request, also when it is refused later."""
+        """Append the body of a request to `body`, even if it is rejected."""
         too_large = RequestError(
             413, 'too-large', f'a body has at most {MAX_BODY_BYTES} bytes'
         )
@@ -307,10 +309,10 @@
                     raise RequestError(400, 'incomplete', 'the body broke off')
                 data = event.get('body', b'')
                 body += data
-                self._buffered += len(data)
+                self._buffered_bytes += len(data)
                 if len(body) > MAX_BODY_BYTES:
                     raise too_large
-                if self._buffered > MAX_BODIES_BYTES:
+                if self._buffered_bytes > MAX_BUFFERED_BYTES:
                     raise RequestError(
                         503, 'busy', 'too many bodies are in progress'
                     )
@@ -320,29 +322,31 @@
             408, 'slow-body', f'the body took over {BODY_TIMEOUT_S:g} s'
         )
 
-    def _methods(self, path: str) -> Mapping[str, AdminHandler]:
-        found = self._exact.get(path)
-        if found is not None:
-            return found
-        prefixes = [item for item in self._prefixes if path.startswith(item)]
+    def _handlers_of(self, path: str) -> Mapping[str, AdminHandler]:
+        handlers = self._exact_routes.get(path)
+        if handlers is not None:
+            return handlers
+        prefixes = [
+            item for item in self._prefix_routes if path.startswith(item)
+        ]
         if not prefixes:
             return {}
-        return self._prefixes[max(prefixes, key=len)]
+        return self._prefix_routes[max(prefixes, key=len)]
 
 
-def number_of(
+def query_number(
     query: Mapping[str, str],
     name: str,
     default: float,
-    lowest: float,
-    highest: float,
+    minimum: float,
+    maximum: float,
 ) -> float:
-    """Return a number from a query.
+    """Return the number that a query parameter states.
 
     Raises
     ------
     RequestError
-        When it is no number or out of range.
+        If the value is not a number or is out of range.
     """
     text = query.get(name)
     if text is None:
@@ -351,12 +355,12 @@
         value = float(text)
     except ValueError:
         value = float('nan')
-    if not lowest <= value <= highest:
+    if not minimum <= value <= maximum:
         raise RequestError(
             400,
             'bad-query',
-            f'{name}={text!r} has to be a number from {lowest:g} to '
-            f'{highest:g}',
+            f'{name}={text!r} has to be a number from {minimum:g} to '
+            f'{maximum:g}',
         )
     return value
 
--- a/gypsumhall/services/_operator.py
+++ b/gypsumhall/services/_operator.py
@@ -20,8 +20,8 @@
 from gypsumhall.services._acceptance import TIME_LIMIT_S
 from gypsumhall.services._admin import AdminService
 from gypsumhall.services._admin import json_response
-from gypsumhall.services._admin import number_of
 from gypsumhall.services._admin import problem
+from gypsumhall.services._admin import query_number
 from gypsumhall.services._admin import RequestError
 from gypsumhall.services._protocols import Distribution
 from gypsumhall.services._protocols import Membership
@@ -38,10 +38,10 @@
 
 DEFAULT_WAIT_S = 30.0
 MAX_WAIT_S = 60.0
-# Zone summaries change without a callback, so waiting requests look again.
-POLL_S = 0.05
+# Zone summaries change without a callback, so requests that wait poll them.
+POLL_INTERVAL_S = 0.05
 
-_ROOT = '/v1/operator'
+_PATH_PREFIX = '/v1/operator'
 
 
 class OperatorService:
@@ -75,20 +75,19 @@
             ('GET', '/wait', self._wait),
             ('POST', '/moves/', self._abort),
         ):
-            self._admin.add_route(method, _ROOT + path, handler)
+            self._admin.add_route(method, _PATH_PREFIX + path, handler)
         task_status.started()
         await trio.sleep_forever()
 
     async def drain(self) -> None:
         """Return at once; `admin` waits for requests in progress."""
 
-    # Texts
-
     async def _check(self, request: AdminRequest) -> AdminResponse:
         body = _json_body(request)
         try:
             result = await self._acceptance.check(
-                _field(body, 'text'), _field(body, 'source', 'text')
+                _string_field(body, 'text'),
+                _string_field(body, 'source', 'text'),
             )
         except StoreError as error:
             return problem(503, 'unavailable', str(error))
@@ -103,23 +102,23 @@
         body = _json_body(request)
         result = await self._acceptance.submit(
             Submission(
-                _field(body, 'id'),
-                _field(body, 'token'),
-                _field(body, 'text'),
-                _field(body, 'department', ''),
-                _field(body, 'source', 'text'),
-                _seconds(body),
+                _string_field(body, 'id'),
+                _string_field(body, 'token'),
+                _string_field(body, 'text'),
+                _string_field(body, 'department', ''),
+                _string_field(body, 'source', 'text'),
+                _submission_timeout_s(body),
             )
         )
         return _submission_response(result)
 
     async def _submission(self, request: AdminRequest) -> AdminResponse:
-        submission_id = request.path.removeprefix(_ROOT + '/submissions/')
+        submission_id = request.path.removeprefix(
+            _PATH_PREFIX + '/submissions/'
+        )
         result = await self._acceptance.find(submission_id)
         return _submission_response(result)
 
-    # State
-
     def _status_fields(self) -> dict[str, object]:
         snapshot = self._distribution.snapshot
         if snapshot is None:
@@ -209,8 +208,8 @@
         return json_response({'moves': self._move_list()})
 
     async def _wait(self, request: AdminRequest) -> AdminResponse:
-        """Answer when the condition holds or the timeout has passed."""
-        timeout = number_of(
+        """Respond when the condition holds or the timeout has passed."""
+        timeout = query_number(
             request.query, 'timeout', DEFAULT_WAIT_S, 0, MAX_WAIT_S
         )
         move_id = request.query.get('move', '')
@@ -218,7 +217,7 @@
             raise RequestError(
                 400, 'bad-query', 'give exactly one of version and move'
             )
-        version = int(number_of(request.query, 'version', 0, 0, 2**53))
+        version = int(query_number(request.query, 'version', 0, 0, 2**53))
         deadline = trio.current_time() + timeout
         while True:
             if move_id:
@@ -231,7 +230,9 @@
                 or self._admin.stopping.is_set()
             ):
                 return json_response(fields)
-            await trio.sleep(min(POLL_S, deadline - trio.current_time()))
+            await trio.sleep(
+                min(POLL_INTERVAL_S, deadline - trio.current_time())
+            )
 
     def _version_progress(self, version: int) -> dict[str, object]:
         snapshot = self._distribution.snapshot
@@ -251,18 +252,16 @@
             'move': self._move_fields(move) if move else None,
         }
 
-    # Moves
-
     async def _abort(self, request: AdminRequest) -> AdminResponse:
-        path = request.path.removeprefix(_ROOT + '/moves/')
+        path = request.path.removeprefix(_PATH_PREFIX + '/moves/')
         move_id, _, action = path.rpartition('/')
         if action != 'abort' or move_id.count('/') != 1:
             raise RequestError(
                 404,
                 'no-such-path',
-                f'use {_ROOT}/moves/<department>/<move>/abort',
+                f'use {_PATH_PREFIX}/moves/<department>/<move>/abort',
             )
-        token = _field(_json_body(request), 'token')
+        token = _string_field(_json_body(request), 'token')
         try:
             result = await self._acceptance.abort(move_id, token)
         except StoreError as error:
@@ -327,7 +326,7 @@
     return body
 
 
-def _seconds(body: Mapping[str, Any]) -> float:
+def _submission_timeout_s(body: Mapping[str, Any]) -> float:
     value = body.get('timeout_s', TIME_LIMIT_S)
     if not isinstance(value, int | float) or not value > 0:
         raise RequestError(
@@ -336,7 +335,7 @@
     return min(value, TIME_LIMIT_S)
 
 
-def _field(
+def _string_field(
     body: Mapping[str, Any], name: str, default: str | None = None
 ) -> str:
     value = body.get(name, default)
--- a/gypsumhall/services/_readiness.py
+++ b/gypsumhall/services/_readiness.py
@@ -1,4 +1,4 @@
-"""Service ``readiness``: tells whether this daemon takes callers."""
+"""Service ``readiness``: reports whether callers may use this daemon."""
 
 from __future__ import annotations
 
@@ -15,15 +15,16 @@
 
 
 class ReadyListener(AdminService):
-    """Listener of its own for questions about readiness."""
+    """Separate HTTP listener for readiness probes."""
 
     name = 'ready-listener'
 
 
 class Readiness:
-    """Answers as ready while requests can be served.
+    """Reports that the daemon is ready while requests can be served.
 
-    It answers as not ready as soon as a planned stop begins.
+    It reports that the daemon is not ready as soon as a graceful shutdown
+    begins.
     """
 
     name = 'readiness'
@@ -49,13 +50,13 @@
             'distribution', _protocols.Distribution
         )
         listener = kernel.get('ready-listener', ReadyListener)
-        listener.add_route('GET', platform.READY_PATH, self._answer)
+        listener.add_route('GET', platform.READY_PATH, self._handle_probe)
         task_status.started()
 
     async def drain(self) -> None:
-        """Nothing is in flight."""
+        """Return at once, as no requests are in progress."""
 
-    async def _answer(
+    async def _handle_probe(
         self, request: _protocols.AdminRequest
     ) -> _protocols.AdminResponse:
         ready = (
--- a/tests/test_services_admin.py
+++ b/tests/test_services_admin.py
@@ -17,37 +17,37 @@
     return AdminResponse(200, b'%d' % len(request.body))
 
 
-async def test_bodies_of_all_requests_have_a_limit(
+async def test_total_size_of_request_bodies_is_limited(
     autojump_clock: Any,
 ) -> None:
-    """Bodies that arrive slowly must not fill the memory together."""
+    """Guards against slow request bodies that together fill the memory."""
     admin = _admin.AdminService('127.0.0.1:0')
     admin.add_route('PUT', '/a', _echo)
-    held = 0
-    most = 0
+    buffered_bytes = 0
+    peak_bytes = 0
     statuses: list[int] = []
 
     async def request(size: int) -> None:
-        left = size
-        own = 0
+        remaining_bytes = size
+        own_bytes = 0
 
         async def receive() -> dict[str, Any]:
-            nonlocal left, own, held, most
+            nonlocal remaining_bytes, own_bytes, buffered_bytes, peak_bytes
             await trio.sleep(0.1)
-            left -= len(_PART)
-            own += len(_PART)
-            held += len(_PART)
-            most = max(most, held)
+            remaining_bytes -= len(_PART)
+            own_bytes += len(_PART)
+            buffered_bytes += len(_PART)
+            peak_bytes = max(peak_bytes, buffered_bytes)
             return {
                 'type': 'http.request',
                 'body': _PART,
-                'more_body': left > 0,
+                'more_body': remaining_bytes > 0,
             }
 
         async def send(event: dict[str, Any]) -> None:
-            nonlocal held, own
-            held -= own
-            own = 0
+            nonlocal buffered_bytes, own_bytes
+            buffered_bytes -= own_bytes
+            own_bytes = 0
             if 'status' in event:
                 statuses.append(event['status'])
 
@@ -63,10 +63,10 @@
     async with trio.open_nursery() as nursery:
         for _ in range(_admin.MAX_REQUESTS):
             nursery.start_soon(request, _admin.MAX_BODY_BYTES)
-    assert most <= 16 * 1024 * 1024 + len(_PART)
+    assert peak_bytes <= 16 * 1024 * 1024 + len(_PART)
     assert len(statuses) == _admin.MAX_REQUESTS
     assert set(statuses) == {200, 503}
-    # The room of all requests that have ended is free again.
+    # The budget of all requests that have ended is available again.
     statuses.clear()
     await request(_admin.MAX_BODY_BYTES)
     assert statuses == [200]
