Reword the event log and the metric registry

Rename LineBudget to LineRateLimiter and KEPT_EVENTS to MAX_STORED_EVENTS, which no other part uses, and private names.

--- a/gypsumhall/services/_events.py
+++ b/gypsumhall/services/_events.py
@@ -26,22 +26,23 @@
     from gypsumhall.services._protocols import AdminHandler
     from gypsumhall.services._protocols import AdminRequest
 
-KEPT_EVENTS = 4096
-"""Events kept in memory for operators who ask the daemon."""
+MAX_STORED_EVENTS = 4096
+"""Number of events stored in memory, which operators can request."""
 
 MAX_PENDING_BYTES = 256 * 1024
-"""Bytes of lines that wait for a reader of the log that has stopped reading;
-lines beyond are counted and left out."""
+"""Bytes of lines that are buffered while the reader of the log does not read;
+further lines are counted and dropped."""
 
 LINES_PER_S = 200
-"""Lines per second that are written on average, with as many in a burst as
-in two seconds. A line costs about 0.05 ms, so that this is 1 % of a core."""
+"""Largest average number of lines written per second; a burst may have the
+lines of two seconds. A line takes about 0.05 ms, so this is 1 % of a core."""
 
 MAX_EVENT_BYTES = 16 * 1024
-"""Longest JSON line; the fields of a longer one are replaced by a note."""
+"""Longest JSON line; the fields of a longer one are replaced by its size."""
 
-# Lines of failed requests explain what nothing else does.
-_ALWAYS_WRITTEN = frozenset(['request-failed', 'lines-omitted'])
+# Codes of events that are exempt from the rate limit. Nothing else records why
+# a request failed.
+_UNLIMITED_CODES = frozenset(['request-failed', 'lines-omitted'])
 
 _ROTATION_BYTES = 64 * 1024 * 1024
 _RETENTION_FILES = 2
@@ -62,11 +63,11 @@
     code : str
         Stable identifier.
     daemon, zone : str
-        Where it happened.
+        Id and availability zone of the daemon that emitted the event.
     version : int
         Installed configuration version; 0 for none.
     fields : dict
-        What else is known.
+        Additional values.
     """
 
     index: int
@@ -80,7 +81,7 @@
 
 
 class NonBlockingWriter:
-    """Writes lines to a file descriptor without ever waiting for its reader.
+    """Writes lines to a file descriptor and never blocks.
 
     Parameters
     ----------
@@ -99,11 +100,11 @@
 
     @property
     def dropped(self) -> int:
-        """Lines that were left out."""
+        """Number of lines that were dropped."""
         return self._dropped
 
     def write(self, line: str) -> None:
-        """Write a line now, later or never."""
+        """Write or buffer a line; drop it if the buffer is full."""
         data = line.encode()
         if len(self._pending) + len(data) > MAX_PENDING_BYTES:
             self._flush()
@@ -120,14 +121,14 @@
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody can read the log any more.
+                # The log has no reader any more.
                 self._pending.clear()
                 return
             del self._pending[:written]
 
 
-class LineBudget:
-    """Bounds the lines of a log per second.
+class LineRateLimiter:
+    """Limits the lines of a log per second, by a token bucket.
 
     Parameters
     ----------
@@ -135,37 +136,37 @@
         Lines that are allowed on average.
     """
 
-    __slots__ = ('_left', '_lines_per_s', '_omitted', '_since')
+    __slots__ = ('_lines_per_s', '_omitted', '_tokens', '_updated_at')
 
     _BURST_S = 2.0
 
     def __init__(self, lines_per_s: float) -> None:
         self._lines_per_s = lines_per_s
-        self._left = lines_per_s * self._BURST_S
-        self._since: float | None = None
+        self._tokens = lines_per_s * self._BURST_S
+        self._updated_at: float | None = None
         self._omitted = 0
 
-    def take(self, now: float) -> bool:
-        """Whether a line may be written; otherwise it is counted."""
-        since = now if self._since is None else self._since
-        self._since = now
-        gained = max(0.0, now - since) * self._lines_per_s
-        most = self._lines_per_s * self._BURST_S
-        self._left = min(most, self._left + gained)
-        if self._left < 1.0:
+    def allow(self, now: float) -> bool:
+        """Return whether a line may be written; count it otherwise."""
+        updated_at = now if self._updated_at is None else self._updated_at
+        self._updated_at = now
+        refill = max(0.0, now - updated_at) * self._lines_per_s
+        capacity = self._lines_per_s * self._BURST_S
+        self._tokens = min(capacity, self._tokens + refill)
+        if self._tokens < 1.0:
             self._omitted += 1
             return False
-        self._left -= 1.0
+        self._tokens -= 1.0
         return True
 
-    def omitted(self) -> int:
-        """Return the lines left out since the last call."""
+    def pop_omitted(self) -> int:
+        """Return the number of lines omitted since the last call."""
         omitted, self._omitted = self._omitted, 0
         return omitted
 
 
 class EventLog:
-    """Writes events as JSON lines and keeps the latest in memory.
+    """Writes events as JSON lines and stores the latest in memory.
 
     Parameters
     ----------
@@ -173,13 +174,13 @@
         Id and zone of the daemon, part of each event.
     path : str
         File to append to; empty for the standard error stream, which is
-        never waited for. A file is rotated at 64 MiB, and 2 old ones are
-        kept.
+        written to without blocking. A file is rotated at 64 MiB, and 2 old
+        ones are retained.
     wall : callable
         Returns Unix time in seconds.
     lines_per_s : float
-        Lines per second that are written on average. Events of requests
-        that failed are written in any case, as far as the reader keeps up.
+        Largest average number of lines written per second. Events of failed
+        requests are exempt, but are dropped as well if the reader is slow.
     """
 
     name = 'events'
@@ -194,14 +195,14 @@
         wall: Callable[[], float] = time.time,
         lines_per_s: float = math.inf,
     ) -> None:
-        self._budget = LineBudget(lines_per_s)
+        self._rate_limiter = LineRateLimiter(lines_per_s)
         self._writer: NonBlockingWriter | None = None
         self._daemon = daemon
         self._zone = zone
         self._path = path
         self._wall = wall
         self._clock = HybridLogicalClock(wall)
-        self._kept: deque[Event] = deque(maxlen=KEPT_EVENTS)
+        self._stored_events: deque[Event] = deque(maxlen=MAX_STORED_EVENTS)
         self._index = 0
         self._kernel: Kernel | None = None
         self._distribution: Distribution | None = None
@@ -229,7 +230,7 @@
             self._kernel = self._distribution = None
 
     async def drain(self) -> None:
-        """Nothing is buffered."""
+        """Return at once, as events are written when they are emitted."""
 
     def emit(self, code: str, **fields: object) -> None:
         """Record one event.
@@ -244,7 +245,7 @@
         Raises
         ------
         ValueError
-            When the code is not such an identifier.
+            If the code is not such an identifier.
         """
         if not _CODE.fullmatch(code):
             raise ValueError(
@@ -267,29 +268,29 @@
             note = {'omitted_bytes': len(line)}
             event = msgspec.structs.replace(event, fields=note)
             line = _encode(event)
-        self._kept.append(event)
-        if code in _ALWAYS_WRITTEN:
+        self._stored_events.append(event)
+        if code in _UNLIMITED_CODES:
             self._logger.info(line.decode())
-        elif self._budget.take(self._wall()):
+        elif self._rate_limiter.allow(self._wall()):
             self._logger.info(line.decode())
-            omitted = self._budget.omitted()
+            omitted = self._rate_limiter.pop_omitted()
             if omitted:
                 self.emit('lines-omitted', lines=omitted)
 
     def since(self, index: int) -> list[Event]:
-        """Return the kept events after an index, oldest first.
+        """Return the stored events after an index, oldest first.
 
-        The first one has a greater index than `index` + 1 when older events
-        are no longer kept.
+        The first one has a greater index than `index` + 1 if older events
+        have been discarded.
         """
-        return [event for event in self._kept if event.index > index]
+        return [event for event in self._stored_events if event.index > index]
 
     def lines_since(self, index: int) -> bytes:
         """Return the events after an index as JSON lines."""
         return b''.join(_encode(event) + b'\n' for event in self.since(index))
 
     def _add_sink(self) -> int:
-        _separate_plain_log()
+        _exclude_events_from_default_log()
         options: dict[str, Any] = {
             'format': '{message}',
             'filter': lambda record: record['extra'].get('event_log') is self,
@@ -308,7 +309,7 @@
 
     def _version(self) -> int:
         if self._distribution is None:
-            # The log starts before the service that knows the version.
+            # This service starts before the one that provides the version.
             if self._kernel is None or (
                 'distribution' not in self._kernel.names
             ):
@@ -318,12 +319,12 @@
         return 0 if snapshot is None else snapshot.version
 
 
-def _separate_plain_log() -> None:
-    """Keep events out of the default log on the standard error stream."""
+def _exclude_events_from_default_log() -> None:
+    """Exclude events from the default log on the standard error stream."""
     try:
         logger.remove(0)
     except ValueError:
-        # Already replaced, by this function or by the program.
+        # Already replaced by an earlier call or by the program.
         return
     logger.add(
         sys.stderr, filter=lambda record: 'event_log' not in record['extra']
--- a/gypsumhall/services/_metrics.py
+++ b/gypsumhall/services/_metrics.py
@@ -20,9 +20,9 @@
     from gypsumhall.services._protocols import AdminRequest
 
 MAX_SERIES = 1000
-"""Most combinations of labels of one metric.
+"""Limit on the combinations of labels of one metric.
 
-Labels that follow from requests or peers must not exhaust the memory.
+Labels taken from requests or peers must not exhaust the memory.
 """
 
 BUCKETS_S = (
@@ -45,26 +45,33 @@
 
 
 class MetricError(GypsumhallError):
-    """A metric is used as another kind than the one it was created as."""
+    """A metric was used as a kind that differs from the one it has."""
 
     code = 'metric'
 
 
 class _Metric:
-    """A collector with a bound on the number of its series.
+    """A collector with a limit on the number of its series.
 
-    Counts are summed up here and passed on when they are read, because the
-    collector takes 9 us for each of them and a call adds several.
+    The increments of a counter are summed here and passed to the collector
+    when the metrics are read, because the collector takes 9 us for each
+    increment and a call causes several.
     """
 
-    __slots__ = ('_collector', '_counts', '_dropped', '_seen', '_summed')
+    __slots__ = (
+        '_collector',
+        '_dropped',
+        '_is_counter',
+        '_known_series',
+        '_pending_counts',
+    )
 
     def __init__(self, collector: Any, dropped: aioprometheus.Counter) -> None:
         self._collector = collector
         self._dropped = dropped
-        self._seen: set[tuple[tuple[str, str], ...]] = set()
-        self._counts: dict[tuple[tuple[str, str], ...], float] = {}
-        self._summed = isinstance(collector, aioprometheus.Counter)
+        self._known_series: set[tuple[tuple[str, str], ...]] = set()
+        self._pending_counts: dict[tuple[tuple[str, str], ...], float] = {}
+        self._is_counter = isinstance(collector, aioprometheus.Counter)
 
     @property
     def collector(self) -> Any:
@@ -72,24 +79,24 @@
 
     def add(self, value: float = 1.0, **labels: str) -> None:
         """Add to a counter or gauge, or record a value in a histogram."""
-        if not self._summed:
-            if self._admit(labels):
+        if not self._is_counter:
+            if self._admit_series(labels):
                 self._collector.add(labels, value)
             return
         series = tuple(labels.items())
-        count = self._counts.get(series)
+        count = self._pending_counts.get(series)
         if count is None:
-            if not self._admit(labels):
+            if not self._admit_series(labels):
                 return
             count = 0.0
-        self._counts[series] = count + value
+        self._pending_counts[series] = count + value
 
     def flush(self) -> None:
-        """Pass the counts on to the collector."""
-        for series, count in self._counts.items():
+        """Pass the pending counts to the collector."""
+        for series, count in self._pending_counts.items():
             if count:
                 self._collector.add(dict(series), count)
-                self._counts[series] = 0.0
+                self._pending_counts[series] = 0.0
 
     def set(self, value: float, **labels: str) -> None:
         """Set a gauge.
@@ -97,24 +104,24 @@
         Raises
         ------
         MetricError
-            When the metric is no gauge.
+            If the metric is not a gauge.
         """
         if not isinstance(self._collector, aioprometheus.Gauge):
             raise MetricError(
                 f'metric {self._collector.name!r} is a '
                 f'{self._collector.kind.name}; only a gauge can be set'
             )
-        if self._admit(labels):
+        if self._admit_series(labels):
             self._collector.set(labels, value)
 
-    def _admit(self, labels: dict[str, str]) -> bool:
+    def _admit_series(self, labels: dict[str, str]) -> bool:
         series = tuple(sorted(labels.items()))
-        if series in self._seen:
+        if series in self._known_series:
             return True
-        if len(self._seen) >= MAX_SERIES:
+        if len(self._known_series) >= MAX_SERIES:
             self._dropped.add({'metric': self._collector.name}, 1)
             return False
-        self._seen.add(series)
+        self._known_series.add(series)
         return True
 
 
@@ -140,23 +147,23 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Do nothing until cancelled; values are recorded by the callers."""
+        """Do nothing until cancelled; other services record the values."""
         task_status.started()
         await trio.sleep_forever()
 
     async def drain(self) -> None:
-        """Nothing is buffered."""
+        """Return at once, as nothing is buffered."""
 
     def counter(self, name: str, description: str) -> _Metric:
-        """Return the counter of that name."""
+        """Return the counter of this name; create it if it is missing."""
         return self._metric(aioprometheus.Counter, name, description)
 
     def gauge(self, name: str, description: str) -> _Metric:
-        """Return the gauge of that name."""
+        """Return the gauge of this name; create it if it is missing."""
         return self._metric(aioprometheus.Gauge, name, description)
 
     def histogram(self, name: str, description: str) -> _Metric:
-        """Return the histogram of that name; its values are seconds."""
+        """Return the histogram of this name; its values are in seconds."""
         return self._metric(
             aioprometheus.Histogram, name, description, buckets=BUCKETS_S
         )
@@ -182,18 +189,18 @@
     def _metric(
         self, kind: type, name: str, description: str, **options: Any
     ) -> _Metric:
-        found = self._metrics.get(name)
-        if found is None:
+        metric = self._metrics.get(name)
+        if metric is None:
             collector = kind(
                 name, description, registry=self._registry, **options
             )
-            found = self._metrics[name] = _Metric(collector, self._dropped)
-        elif not isinstance(found.collector, kind):
+            metric = self._metrics[name] = _Metric(collector, self._dropped)
+        elif not isinstance(metric.collector, kind):
             raise MetricError(
-                f'metric {name!r} is a {found.collector.kind.name}, not a '
+                f'metric {name!r} is a {metric.collector.kind.name}, not a '
                 f'{kind.__name__.lower()}'
             )
-        return found
+        return metric
 
 
 def metrics_handler(metrics: MetricRegistry) -> AdminHandler:
--- a/tests/test_services_events.py
+++ b/tests/test_services_events.py
@@ -21,7 +21,7 @@
     from pathlib import Path
 
 
-def test_a_reader_that_stops_costs_lines_and_never_waits() -> None:
+def test_writer_drops_lines_and_never_blocks_if_the_reader_stops() -> None:
     """Guards against requests that wait for the reader of the log."""
     reading, writing = os.pipe()
     writer = _events.NonBlockingWriter(writing)
@@ -39,8 +39,11 @@
     os.close(writing)
 
 
-async def test_lines_beyond_the_budget_are_counted(tmp_path: Path) -> None:
-    """A storm of events must not take the processor; failures are kept."""
+async def test_lines_beyond_the_rate_limit_are_counted(tmp_path: Path) -> None:
+    """Guards against bursts of events that use up the CPU time.
+
+    Failures are logged nevertheless.
+    """
     path = tmp_path / 'events.jsonl'
     now = 0.0
     log = _events.EventLog(
@@ -68,7 +71,7 @@
     assert omitted == [80]
 
 
-async def test_events_are_written_as_json_lines_and_kept(
+async def test_events_are_written_as_json_lines_and_stored(
     tmp_path: Path,
 ) -> None:
     path = tmp_path / 'events.jsonl'
@@ -103,13 +106,13 @@
 
 async def test_memory_for_events_is_bounded() -> None:
     log = _events.EventLog('d1', 'az-1', path='/dev/null')
-    for _ in range(_events.KEPT_EVENTS + 10):
+    for _ in range(_events.MAX_STORED_EVENTS + 10):
         log.emit('many')
     log.emit('long', text='x' * _events.MAX_EVENT_BYTES)
-    kept = log.since(0)
-    assert len(kept) == _events.KEPT_EVENTS
-    assert [kept[0].index, kept[-1].index] == [12, 4107]
-    assert 'omitted_bytes' in kept[-1].fields
+    stored_events = log.since(0)
+    assert len(stored_events) == _events.MAX_STORED_EVENTS
+    assert [stored_events[0].index, stored_events[-1].index] == [12, 4107]
+    assert 'omitted_bytes' in stored_events[-1].fields
     with pytest.raises(ValueError, match='Not A Code'):
         log.emit('Not A Code')
 
@@ -159,7 +162,7 @@
             use()
 
 
-def test_values_that_json_cannot_represent_lose_no_event() -> None:
+def test_values_without_a_json_form_do_not_lose_the_event() -> None:
     log = _events.EventLog('d1', 'az-1', path='/dev/null')
     loop: list[Any] = []
     loop.append(loop)
