--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -44,20 +44,19 @@
 # Largest fraction by which `Retry-After` is extended, so that callers that
 # were rejected at the same time do not retry at the same time.
 _RETRY_JITTER = 0.5
-# A request whose caller has waited longer than this, in seconds, is taken for
+# A request whose caller has waited longer than this, in seconds, is treated as
 # a retry; a first attempt may spend as much time in transit.
 _CALLER_RETRY_ELAPSED_S = 0.05
-# Calls of a route with a time limit of at most this, in seconds, are taken for
-# nested calls, which the backend server makes while it runs a request. Their
-# responses are useful within the given share of the time limit.
+# Calls of a route with a time limit of at most this, in seconds, are treated
+# as nested calls, which the backend server makes while it runs a request.
+# Their responses are useful within `_NESTED_OBJECTIVE_SHARE` of the limit.
 _NESTED_TIMEOUT_S = 0.5
 _NESTED_OBJECTIVE_SHARE = 0.75
 # Priority of nested calls. A failed one wastes the run that waits for it,
 # which takes four times as long.
 _NESTED_PRIORITY = 0
 # Callers are redirected to other daemons after two failed probes, which are
-# sent every second. They are taken to have left when no request has arrived
-# for `_IDLE_AFTER_S`.
+# sent every second. No request for `_IDLE_AFTER_S` shows that they have left.
 _MIN_DRAIN_DELAY_S = 1.0
 _IDLE_AFTER_S = 0.8
 # By the users' rules, callers need not know of a graceful shutdown in its
@@ -353,13 +352,13 @@
         result = 'response'
         rejection: _calls.CallRefusedError | None = None
         request: _calls.Request | None = None
-        body_bytes = 0
+        buffered_bytes = 0
         request_scope = trio.CancelScope()
         self._request_scopes.add(request_scope)
         try:
             with request_scope:
                 request = await self._read_request(scope, receive)
-                body_bytes = len(request.body)
+                buffered_bytes = len(request.body)
                 await self._forward(request, sink, receive)
             if request_scope.cancelled_caught:
                 raise _cancelled_request_error(request, sink)
@@ -393,7 +392,7 @@
         finally:
             self._request_scopes.discard(request_scope)
             sink.close()
-            self._buffered_bytes -= body_bytes
+            self._buffered_bytes -= buffered_bytes
         if rejection is not None:
             result = rejection.reason
             is_head = scope['method'] == 'HEAD'
@@ -676,7 +675,7 @@
 
 
 def _is_nested(route: Route) -> bool:
-    """Return whether the calls of a route are taken for nested calls.
+    """Return whether the calls of a route are treated as nested calls.
 
     Nested calls and new requests come from the same address and differ only
     in the time limits of their routes.
