Rename linger_s, end_s and AdminService.bound

drain_delay_s and cancel_after_s say what happens after the start of a graceful shutdown: new requests are accepted for the former, and requests that still run are cancelled after the latter. bound_address names the address that the listener is bound to.

--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -192,7 +192,7 @@
         AnnouncementsService(),
         CallerService(
             settings.caller_address.value,
-            end_s=_END_SHARE * settings.drain_timeout.value,
+            cancel_after_s=_END_SHARE * settings.drain_timeout.value,
         ),
     ]
     kernel = Kernel()
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -171,13 +171,13 @@
         / settings.retry_window.value,
         fleet_wide=True,
     )
-    linger_s = _LINGER_SHARE * settings.grace.value
+    drain_delay_s = _LINGER_SHARE * settings.grace.value
     runner = RunnerService(
         rng,
         dialect=platform.DIALECT,
         retries=retries,
         notice_s=_NOTICE_S,
-        hold_s=linger_s,
+        hold_s=drain_delay_s,
     )
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
@@ -205,7 +205,7 @@
             settings.outbound_address.value,
             platform.DIALECT,
             settings.service.value,
-            linger_s,
+            drain_delay_s,
             _END_SHARE * settings.grace.value,
         ),
         Readiness(),
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -138,7 +138,7 @@
         self._ended = trio.Event()
 
     @property
-    def bound(self) -> str:
+    def bound_address(self) -> str:
         """Address of the listener, ``<host>:<port>``; empty before start."""
         return self._bound_address
 
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -186,11 +186,11 @@
     service : str
         Service on this VM, sent to backend servers as the service of the
         caller if the dialect has a header for it.
-    linger_s : float
+    drain_delay_s : float
         Time in seconds after the start of a graceful shutdown during which
         new requests are still accepted, until all callers know of the
         shutdown.
-    end_s : float
+    cancel_after_s : float
         Time in seconds after the start of a graceful shutdown after which
         requests that still run are cancelled, so that their callers get a
         response before the process ends. Nested calls, which the backend
@@ -207,14 +207,14 @@
         address: str,
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
         service: str = '',
-        linger_s: float = 0.0,
-        end_s: float = math.inf,
+        drain_delay_s: float = 0.0,
+        cancel_after_s: float = math.inf,
     ) -> None:
         self._address = address
         self._dialect = dialect
         self._service = service
-        self._drain_delay_s = linger_s
-        self._cancel_after_s = end_s
+        self._drain_delay_s = drain_delay_s
+        self._cancel_after_s = cancel_after_s
         self._rng = random.Random()
         self._last_request_at = -math.inf
         self._stopping = False
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -174,7 +174,7 @@
         Address for callers; empty for none.
     hold_s : float
         Longest time in seconds for which a stop waits for other endpoints.
-    linger_s : float
+    drain_delay_s : float
         Longest time in seconds for which a stop serves new callers.
     drain_timeout_s : float
         Longest time in seconds of a planned stop; requests end at 0.9 of it.
@@ -194,7 +194,7 @@
         seed: int = 0,
         listen: str = '',
         hold_s: float = 0.0,
-        linger_s: float = 0.0,
+        drain_delay_s: float = 0.0,
         drain_timeout_s: float = 30.0,
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
     ) -> None:
@@ -214,7 +214,7 @@
                 listen,
                 dialect,
                 '',
-                linger_s,
+                drain_delay_s,
                 0.9 * drain_timeout_s,
             )
             if listen
--- a/tests/test_cli_operator.py
+++ b/tests/test_cli_operator.py
@@ -62,7 +62,7 @@
     def __init__(self, plane: ControlPlane, capsys: Any) -> None:
         assert plane.admin is not None
         self.plane = plane
-        self.address = plane.admin.bound
+        self.address = plane.admin.bound_address
         self._capsys = capsys
 
     async def run(self, *arguments: str, daemons: str = '') -> _Outcome:
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -408,7 +408,7 @@
 
 @contextlib.asynccontextmanager
 async def _two_services(
-    linger_s: float = 0.0,
+    drain_delay_s: float = 0.0,
     drain_timeout_s: float = 30.0,
 ) -> AsyncIterator[list[CallDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
@@ -429,7 +429,7 @@
                     lambda info: MemoryNetwork(hub, info),
                     snapshot,
                     listen='127.0.0.1:0',
-                    linger_s=linger_s,
+                    drain_delay_s=drain_delay_s,
                     drain_timeout_s=drain_timeout_s,
                 )
                 await nursery.start(daemon.run)
@@ -502,7 +502,7 @@
     The shutdowns of daemons that are stopped in turn then overlapped.
     """
     async with (
-        _two_services(linger_s=6.0) as daemons,
+        _two_services(drain_delay_s=6.0) as daemons,
         httpcore.AsyncConnectionPool() as pool,
     ):
         url = f'http://{daemons[0].caller.address}/check'
--- a/tests/test_services_planned_stop.py
+++ b/tests/test_services_planned_stop.py
@@ -278,7 +278,7 @@
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """They were for up to 0.2 s longer, and a long one was then cut off."""
-    async with _paused(monkeypatch, busy_s=3.0, linger_s=0.5) as listener:
+    async with _paused(monkeypatch, busy_s=3.0, drain_delay_s=0.5) as listener:
         await trio.sleep(0.45)
         assert await listener.get('/search', 1000) == 200
         await trio.sleep(0.1)
@@ -290,7 +290,7 @@
 ) -> None:
     """It was cut off by the end of the daemon."""
     async with _paused(
-        monkeypatch, busy_s=8.0, linger_s=5.0, drain_timeout_s=10.0
+        monkeypatch, busy_s=8.0, drain_delay_s=5.0, drain_timeout_s=10.0
     ) as listener:
 
         async def keep_calling() -> None:
@@ -312,7 +312,7 @@
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """It was refused, though its caller could not know of the stop yet."""
-    async with _paused(monkeypatch, busy_s=6.0, linger_s=3.0) as listener:
+    async with _paused(monkeypatch, busy_s=6.0, drain_delay_s=3.0) as listener:
         await trio.sleep(1.5)
         assert await listener.get('/search', 1000) == 200
         await trio.sleep(1.6)
@@ -324,7 +324,7 @@
 ) -> None:
     """One that is taken too late is cut off, and so is the run."""
     async with _paused(
-        monkeypatch, busy_s=3.0, linger_s=0.5, drain_timeout_s=2.0
+        monkeypatch, busy_s=3.0, drain_delay_s=0.5, drain_timeout_s=2.0
     ) as listener:
         await trio.sleep(1.35)
         assert await listener.get('/check', 400) == 200
