--- a/gypsumhall/services/_answers.py
+++ b/gypsumhall/services/_answers.py
@@ -86,29 +86,29 @@
         head = AnswerStart(
             call.request_id, response.status, response.headers, load
         )
-        left = response.length
-        if left is None:
+        remaining_bytes = response.length
+        if remaining_bytes is None:
             self.started_response = True
             await self.send(head)
-        waiting = left is not None
+        head_pending = remaining_bytes is not None
         async with contextlib.aclosing(response.chunks()) as chunks:
             async for data in chunks:
                 last = False
-                if left is not None:
-                    left -= len(data)
-                    last = left == 0
+                if remaining_bytes is not None:
+                    remaining_bytes -= len(data)
+                    last = remaining_bytes == 0
                 if self._recorder is not None:
                     self._recorder.chunk(data)
-                if waiting:
-                    waiting = False
+                if head_pending:
+                    head_pending = False
                     self.started_response = True
                     head = msgspec.structs.replace(head, body=data, last=last)
                     await self.send(head)
                 else:
                     await self.send(BodyChunk(data, last))
-        if waiting:
+        if head_pending:
             await self.send(msgspec.structs.replace(head, last=True))
-        elif left is None:
+        elif remaining_bytes is None:
             await self.send(AnswerEnd(call.request_id))
 
 
@@ -127,7 +127,7 @@
         Keeps the response for repetition.
     """
 
-    __slots__ = ('_head', '_load', '_recorder', '_request_id', '_send')
+    __slots__ = ('_pending_head', '_load', '_recorder', '_request_id', '_send')
 
     def __init__(
         self,
@@ -140,7 +140,7 @@
         self._request_id = request_id
         self._send: _calls.SendMessage | None = send
         self._recorder = recorder
-        self._head: AnswerStart | None = None
+        self._pending_head: AnswerStart | None = None
 
     async def send(self, message: Message) -> None:
         """Send a message; without a receiver it is only recorded."""
@@ -152,22 +152,22 @@
 
     async def flush(self) -> None:
         """Send a head that waits for the first part of its body."""
-        if self._head is not None:
-            head, self._head = self._head, None
+        if self._pending_head is not None:
+            head, self._pending_head = self._pending_head, None
             await self.send(head)
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
         """Take the status and the headers."""
         self._recorder.head(status, headers)
-        self._head = AnswerStart(
+        self._pending_head = AnswerStart(
             self._request_id, status, headers, self._load()
         )
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
         """Take a part of the body."""
         self._recorder.chunk(data)
-        if self._head is not None:
-            head, self._head = self._head, None
+        if self._pending_head is not None:
+            head, self._pending_head = self._pending_head, None
             await self.send(
                 msgspec.structs.replace(head, body=data, last=last)
             )
--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -23,8 +23,8 @@
 
 # Shorter than usual keep-alive timeouts of servers, so that a connection is
 # rarely closed by the server while a request is being sent on it.
-_IDLE_S = 2.0
-_CONNECT_S = 1.0
+_IDLE_TIMEOUT_S = 2.0
+_CONNECT_TIMEOUT_S = 1.0
 # Most bytes before the end of a response's head, with all informational
 # responses before it. Twice `_calls.MAX_HEADER_BYTES`, so that a head of that
 # size may follow some of them.
@@ -48,7 +48,7 @@
     code = 'backend-unreachable'
 
 
-class BackendRejectedError(GypsumhallError):
+class BackendRequestError(GypsumhallError):
     """The request cannot be sent as HTTP; nothing was sent."""
 
     code = 'bad-request'
@@ -75,52 +75,55 @@
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
-        self._received = 0
+        self._received_bytes = 0
         self._in_head = True
         # Bytes of the body that the parser has returned.
-        self._body = 0
-        self._small = True
-        self.ended = False
+        self._body_bytes = 0
+        self._small_reads = True
+        self.reached_eof = False
 
-    def begin(self) -> None:
+    def begin_head(self) -> None:
         """Expect the head of a response."""
-        self._received = 0
+        self._received_bytes = 0
         self._in_head = True
-        self._body = 0
-        self._small = True
+        self._body_bytes = 0
+        self._small_reads = True
 
-    def end_head(self) -> None:
+    def begin_body(self) -> None:
         """Expect the body of the response."""
         self._in_head = False
 
-    def add_body(self, size: int) -> None:
+    def count_body(self, size: int) -> None:
         """Count a part of the body."""
-        self._body += size
-        self._small = size < _SMALL_CHUNK_BYTES
+        self._body_bytes += size
+        self._small_reads = size < _SMALL_CHUNK_BYTES
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
         if self._in_head:
-            if self._received >= _MAX_HEAD_BYTES:
+            if self._received_bytes >= _MAX_HEAD_BYTES:
                 raise BackendResponseError(
-                    f'no head of a response in {self._received} bytes'
+                    f'no head of a response in {self._received_bytes} bytes'
                 )
         else:
-            framing = self._received - self._body
-            if framing > _MAX_FRAMING_BYTES + self._body // _FRAMING_RATIO:
+            framing = self._received_bytes - self._body_bytes
+            if (
+                framing
+                > _MAX_FRAMING_BYTES + self._body_bytes // _FRAMING_RATIO
+            ):
                 raise BackendResponseError(
-                    f'{framing} bytes of framing for {self._body} bytes of '
+                    f'{framing} bytes of framing for {self._body_bytes} bytes of '
                     'a response body'
                 )
-        if self._small:
+        if self._small_reads:
             max_bytes = min(max_bytes, _SMALL_READ_BYTES)
         try:
             data = bytes(await self._stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error)) from error
-        self._received += len(data)
-        self.ended = not data
+        self._received_bytes += len(data)
+        self.reached_eof = not data
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -145,13 +148,13 @@
         super().__init__(origin, stream)
         self.network = stream
 
-    def has_excess(self) -> bool:
+    def has_unexpected_bytes(self) -> bool:
         """Return whether the server sent more than its response.
 
         The parser keeps such bytes and would take them for the response to
         the next request.
         """
-        return bool(self._unparsed()) or self.has_expired()
+        return bool(self._unparsed_bytes()) or self.has_expired()
 
     async def body(
         self, response: httpcore.Response
@@ -171,33 +174,33 @@
         # httpcore declares an iterable; that of a connection is a generator.
         stream = cast(AsyncIterable[bytes], response.stream).__aiter__()
         parts = cast(AsyncGenerator[bytes, None], stream)
-        joined = bytearray()
+        pending = bytearray()
         try:
             async with contextlib.aclosing(parts):
                 async for data in parts:
-                    self.network.add_body(len(data))
-                    if len(data) >= _SMALL_CHUNK_BYTES and not joined:
+                    self.network.count_body(len(data))
+                    if len(data) >= _SMALL_CHUNK_BYTES and not pending:
                         yield data
                         continue
-                    joined += data
+                    pending += data
                     # The end of the line after a chunk is parsed later.
                     if (
-                        len(joined) >= _calls.CHUNK_BYTES
-                        or len(self._unparsed()) <= 2
+                        len(pending) >= _calls.CHUNK_BYTES
+                        or len(self._unparsed_bytes()) <= 2
                     ):
-                        data = bytes(joined)
-                        joined.clear()
+                        data = bytes(pending)
+                        pending.clear()
                         yield data
-            if joined:
-                yield bytes(joined)
+            if pending:
+                yield bytes(pending)
         except httpcore.RemoteProtocolError as error:
-            if self.network.ended:
+            if self.network.reached_eof:
                 raise BackendResetError(f'body broke off: {error}') from error
             raise BackendResponseError(f'body: {error}') from error
         except httpcore.NetworkError as error:
             raise BackendResetError(f'body broke off: {error!r}') from error
 
-    def _unparsed(self) -> bytes:
+    def _unparsed_bytes(self) -> bytes:
         return self._h11_state.trailing_data[0]
 
 
@@ -334,28 +337,28 @@
 
         Raises
         ------
-        BackendUnreachableError, BackendRejectedError
+        BackendUnreachableError, BackendRequestError
             When nothing was sent.
         BackendResetError, BackendResponseError
             When the request may have been run.
         """
-        request = self._build(method, path, headers, body)
+        request = self._build_request(method, path, headers, body)
         connection = await self._connect()
         on_send()
-        connection.network.begin()
+        connection.network.begin_head()
         try:
             try:
                 response = await connection.handle_async_request(request)
             except httpcore.LocalProtocolError as error:
-                raise BackendRejectedError(str(error)) from error
+                raise BackendRequestError(str(error)) from error
             except httpcore.RemoteProtocolError as error:
-                if connection.network.ended:
+                if connection.network.reached_eof:
                     raise BackendResetError(str(error)) from error
                 raise BackendResponseError(str(error)) from error
             except httpcore.NetworkError as error:
                 raise BackendResetError(repr(error)) from error
-            connection.network.end_head()
-            yield _head(method, response, connection.body(response))
+            connection.network.begin_body()
+            yield _build_response(method, response, connection.body(response))
         except BaseException:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
@@ -364,10 +367,10 @@
             await response.aclose()
         if not connection.is_idle():
             return
-        if connection.has_excess():
+        if connection.has_unexpected_bytes():
             await connection.aclose()
         else:
-            expires = trio.current_time() + _IDLE_S
+            expires = trio.current_time() + _IDLE_TIMEOUT_S
             self._idle.append((expires, connection))
 
     async def close_idle(self, *, all_connections: bool = False) -> None:
@@ -380,12 +383,12 @@
         for _, connection in expired:
             await connection.aclose()
 
-    def _build(
+    def _build_request(
         self, method: str, path: str, headers: _calls.Headers, body: bytes
     ) -> httpcore.Request:
-        sent = list(headers)
+        sent_headers = list(headers)
         if body or method not in ('GET', 'HEAD', 'OPTIONS', 'DELETE'):
-            sent.append((b'content-length', b'%d' % len(body)))
+            sent_headers.append((b'content-length', b'%d' % len(body)))
         url = httpcore.URL(
             scheme=self._origin.scheme,
             host=self._origin.host,
@@ -393,7 +396,10 @@
             target=path.encode('ascii'),
         )
         return httpcore.Request(
-            method.encode('ascii'), url, headers=sent, content=body or None
+            method.encode('ascii'),
+            url,
+            headers=sent_headers,
+            content=body or None,
         )
 
     async def _connect(self) -> _Connection:
@@ -404,7 +410,7 @@
                 return connection
             await connection.aclose()
         try:
-            with trio.fail_after(_CONNECT_S):
+            with trio.fail_after(_CONNECT_TIMEOUT_S):
                 stream = await trio.open_tcp_stream(self._host, self._port)
         except (OSError, trio.TooSlowError) as error:
             raise BackendUnreachableError(
@@ -413,7 +419,7 @@
         return _Connection(self._origin, _Stream(stream))
 
 
-def _head(
+def _build_response(
     method: str,
     response: httpcore.Response,
     body: AsyncGenerator[bytes, None],
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -33,12 +33,12 @@
 
 # Time in seconds to wait for a former owner; a member that was seen to have
 # left rarely responds, and the caller waits.
-_ASK_TIMEOUT_S = 1.0
+_RELEASE_TIMEOUT_S = 1.0
 
 # Records of one message, which has to fit into a frame, and the time in
 # seconds that each daemon has to take over the keys of one that stops.
-_RECORDS = 500
-_HANDOVER_S = 2.0
+_RECORDS_PER_MESSAGE = 500
+_HANDOVER_TIMEOUT_S = 2.0
 
 _OUTCOMES = {
     KeyState.RELEASED: Outcome.NOT_RUN,
@@ -74,7 +74,7 @@
 
 
 @dataclass(slots=True)
-class _Joined:
+class _JoinedService:
     history: OwnershipHistory
     joined_at: float
 
@@ -95,15 +95,15 @@
     """
 
     __slots__ = (
-        '_finished',
+        '_finished_events',
         '_held',
         '_incarnation',
-        '_joined',
+        '_services',
         '_ledger',
         '_membership',
         '_peers',
         '_sender',
-        '_stopped',
+        '_shutting_down',
     )
 
     def __init__(
@@ -119,27 +119,27 @@
         self._sender = sender
         self._ledger = KeyLedger()
         self._incarnation = membership.me.incarnation
-        self._stopped = False
-        self._joined: dict[str, _Joined] = {}
+        self._shutting_down = False
+        self._services: dict[str, _JoinedService] = {}
         # Events of running requests; set when the request has ended.
-        self._finished: dict[tuple[str, str], trio.Event] = {}
+        self._finished_events: dict[tuple[str, str], trio.Event] = {}
 
-    def joined(self, service: str) -> None:
+    def join_service(self, service: str) -> None:
         """Note that this daemon has an endpoint of a service from now on."""
         now = trio.current_time()
-        known = self._joined.get(service)
+        known = self._services.get(service)
         if known is None:
             history = OwnershipHistory(service, self._membership.me.id)
-            self._joined[service] = _Joined(history, now)
+            self._services[service] = _JoinedService(history, now)
         else:
             known.joined_at = now
-        self.members_changed()
+        self.on_members_changed()
 
-    def members_changed(self) -> None:
+    def on_members_changed(self) -> None:
         """Take over changes of the member table."""
         now = trio.current_time()
         table = self._membership.table
-        for service, known in self._joined.items():
+        for service, known in self._services.items():
             known.history.observe(table.endpoints(service), now)
 
     async def execute(
@@ -170,7 +170,7 @@
             entry = self._ledger.begin(service, key, digest, now)
             if entry.state != KeyState.RUNNING:
                 break
-            finished = self._finished[service, key]
+            finished = self._finished_events[service, key]
             with trio.move_on_after(request.deadline - now) as scope:
                 await finished.wait()
             if scope.cancelled_caught:
@@ -184,7 +184,7 @@
         if entry.state in (KeyState.NEW, KeyState.RUNNING):
             await self._execute_claimed(request, sink, entry.released_to)
         else:
-            await _repeat(entry, key, sink)
+            await _replay(entry, key, sink)
 
     async def handle_release(
         self, exchange: Exchange, message: KeyRelease
@@ -192,38 +192,42 @@
         """Give up a key for its new owner."""
         now = trio.current_time()
         service, key = message.service, message.key
-        to = (exchange.peer.id, exchange.peer.incarnation)
-        state = self._ledger.release(service, key, now, to, message.asked)
+        new_owner = (exchange.peer.id, exchange.peer.incarnation)
+        state = self._ledger.release(
+            service, key, now, new_owner, message.asked
+        )
         outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
-        known = self._joined.get(service)
+        known = self._services.get(service)
         if outcome == Outcome.NOT_RUN and (
             message.incarnation < self._incarnation
             or known is None
-            or known.history.had_earlier_owner(key, now, to, message.asked)
+            or known.history.had_earlier_owner(
+                key, now, new_owner, message.asked
+            )
         ):
             outcome = Outcome.UNKNOWN
         # Without an answer the new owner assumes the worst.
         with contextlib.suppress(PeerError):
             await exchange.send(KeyReleased(outcome))
 
-    async def hand_over(self) -> None:
+    async def hand_over_keys(self) -> None:
         """Give the keys to the other owners, for a planned stop.
 
         Without it, the next owner could not tell whether a key has run here
         and would refuse half of the keyed requests for the retention time.
         A daemon that does not take all keys goes on as after a crash.
         """
-        self._stopped = True
-        while self._finished:
-            await next(iter(self._finished.values())).wait()
+        self._shutting_down = True
+        while self._finished_events:
+            await next(iter(self._finished_events.values())).wait()
         me = self._membership.me.id
         async with trio.open_nursery() as nursery:
-            for service, known in self._joined.items():
+            for service, known in self._services.items():
                 departed_members = tuple(
                     known.history.departed_members(trio.current_time())
                 )
                 records = [
-                    _record(key, entry)
+                    _build_record(key, entry)
                     for key, entry in self._ledger.records(service)
                 ]
                 for member in self._membership.table.endpoints(service):
@@ -244,11 +248,11 @@
         departed_members: tuple[Member, ...],
     ) -> None:
         with (
-            trio.move_on_after(_HANDOVER_S),
+            trio.move_on_after(_HANDOVER_TIMEOUT_S),
             contextlib.suppress(PeerError),
         ):
-            for start in range(0, len(records) + 1, _RECORDS):
-                end = start + _RECORDS
+            for start in range(0, len(records) + 1, _RECORDS_PER_MESSAGE):
+                end = start + _RECORDS_PER_MESSAGE
                 last = end > len(records)
                 await self._peers.request(
                     member.peer_address,
@@ -258,7 +262,7 @@
                         last,
                         departed_members if last else (),
                     ),
-                    timeout_s=_HANDOVER_S,
+                    timeout_s=_HANDOVER_TIMEOUT_S,
                 )
 
     async def handle_handover(
@@ -267,7 +271,7 @@
         """Take over the keys of a daemon that stops."""
         now = trio.current_time()
         me = self._membership.me
-        known = self._joined.get(message.service)
+        known = self._services.get(message.service)
         if known is None:
             # Keys taken before the first endpoint would not be asked for.
             return
@@ -293,7 +297,7 @@
             await exchange.send(KeysTaken())
 
     def _check_owner(self, request: _calls.Request) -> None:
-        if self._stopped:
+        if self._shutting_down:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN, 'not-owner', 'this daemon is stopping'
             )
@@ -315,12 +319,12 @@
         released_to: set[tuple[str, int]],
     ) -> None:
         service, key = request.service, request.key
-        finished = self._finished[service, key] = trio.Event()
+        finished = self._finished_events[service, key] = trio.Event()
         recording = _RecordingSink(sink, self._held)
         state: KeyState | None = KeyState.UNKNOWN
         try:
             try:
-                await self._ask_former_owners(request, released_to)
+                await self._query_former_owners(request, released_to)
             except BaseException:
                 state = None
                 raise
@@ -338,7 +342,7 @@
             recording = _RecordingSink(sink, self._held)
             raise
         finally:
-            del self._finished[service, key]
+            del self._finished_events[service, key]
             if state is None:
                 self._ledger.abandon(service, key, trio.current_time())
             else:
@@ -349,10 +353,10 @@
                 self._ledger.finish(service, key, now, state, response)
             finished.set()
 
-    async def _ask_former_owners(
+    async def _query_former_owners(
         self, request: _calls.Request, released_to: set[tuple[str, int]]
     ) -> None:
-        known = self._joined.get(request.service)
+        known = self._services.get(request.service)
         if known is None:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN, 'not-owner', 'no endpoint of the service here'
@@ -377,14 +381,16 @@
                 )
         if not former.to_query:
             return
-        answers: dict[str, Outcome] = {}
+        outcomes: dict[str, Outcome] = {}
         asked = tuple((item.id, item.incarnation) for item in former.to_query)
         async with trio.open_nursery() as nursery:
             for member in former.to_query:
-                nursery.start_soon(self._ask, member, request, asked, answers)
+                nursery.start_soon(
+                    self._request_release, member, request, asked, outcomes
+                )
         for outcome in (Outcome.RUN, Outcome.UNKNOWN):
-            for member_id, answer in answers.items():
-                if answer == outcome:
+            for member_id, reply_outcome in outcomes.items():
+                if reply_outcome == outcome:
                     raise _calls.CallRefusedError(
                         outcome,
                         'former-owner',
@@ -392,30 +398,30 @@
                         'release it',
                     )
 
-    async def _ask(
+    async def _request_release(
         self,
         member: Member,
         request: _calls.Request,
         asked: tuple[tuple[str, int], ...],
-        answers: dict[str, Outcome],
+        outcomes: dict[str, Outcome],
     ) -> None:
-        answers[member.id] = Outcome.UNKNOWN
-        left = request.deadline - trio.current_time()
+        outcomes[member.id] = Outcome.UNKNOWN
+        remaining_s = request.deadline - trio.current_time()
         try:
             reply = await self._peers.request(
                 member.peer_address,
                 KeyRelease(
                     request.service, request.key, member.incarnation, asked
                 ),
-                timeout_s=max(0.0, min(_ASK_TIMEOUT_S, left)),
+                timeout_s=max(0.0, min(_RELEASE_TIMEOUT_S, remaining_s)),
             )
         except PeerError:
             return
         if isinstance(reply, KeyReleased):
-            answers[member.id] = reply.outcome
+            outcomes[member.id] = reply.outcome
 
 
-def _record(key: str, entry: KeyEntry) -> KeyRecord:
+def _build_record(key: str, entry: KeyEntry) -> KeyRecord:
     state = entry.state
     if state not in (KeyState.DONE, KeyState.RELEASED):
         state = KeyState.UNKNOWN
@@ -435,7 +441,7 @@
     return digest.digest()
 
 
-async def _repeat(
+async def _replay(
     entry: _ownership.KeyEntry, key: str, sink: _calls.ResponseSink
 ) -> None:
     if entry.state == KeyState.MISMATCH:
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -49,16 +49,16 @@
     from gypsumhall.net._protocol import Exchange
 
 # Bytes of request bodies that may be held at the same time.
-_MAX_BUFFERED = 64 * 1024 * 1024
-_MAINTENANCE_S = 1.0
+_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+_MAINTENANCE_INTERVAL_S = 1.0
 # Time between two looks for waiting calls that cannot be served any more.
-_LINE_CHECK_S = 0.05
+_QUEUE_CHECK_INTERVAL_S = 0.05
 # Time in seconds that an answer needs to reach the caller: two crossings of
 # 8 ms and the time of two daemons. It bounds the wait for a slot only; a run
 # goes on until its deadline, since its caller may still wait then.
-_ANSWER_S = 0.025
+_RESPONSE_TRANSIT_S = 0.025
 # Time between two looks whether other endpoints have come back.
-_HOLD_CHECK_S = 0.1
+_AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -71,7 +71,7 @@
 
 
 @dataclass(slots=True)
-class _Pending:
+class _PendingCall:
     ready: trio.Event
     admitted: bool = False
     code: str = 'draining'
@@ -121,27 +121,27 @@
     ) -> None:
         self._notice_s = notice_s
         self._hold_s = hold_s
-        self._stopped_at = math.inf
+        self._shutdown_started_at = math.inf
         self._availability = EndpointAvailability()
         self._retries = retries
         self._dialect = dialect
         self._warm_at = -math.inf
-        self._splits: _sender.SplitSource | None = None
+        self._split_source: _sender.SplitSource | None = None
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
-        self._pending: dict[QueuedCall, _Pending] = {}
-        self._arrived = trio.Event()
+        self._pending: dict[QueuedCall, _PendingCall] = {}
+        self._call_queued = trio.Event()
         self._ledger = Ledger()
         # Detached calls by request id; set when the call has ended.
-        self._running: dict[str, trio.Event] = {}
+        self._detached_calls: dict[str, trio.Event] = {}
         self._stopping = False
         self._draining = False
         self._handed_over = False
-        self._active = 0
+        self._active_calls = 0
         self._idle = trio.Event()
-        self._buffered = 0
+        self._buffered_bytes = 0
         self.held = _calls.HeldBytes()
         self._watches = _watches.Watches()
         self._incarnation = 0
@@ -151,7 +151,7 @@
         self._events: _protocols.Events
         self._nursery: trio.Nursery
         self._sender: _sender.Sender
-        self._runs: _protocols.Metric
+        self._call_counter: _protocols.Metric
 
     @property
     def sender(self) -> _sender.Sender:
@@ -182,7 +182,7 @@
 
     def set_split_source(self, source: _sender.SplitSource) -> None:
         """Set how calls are divided between versions, before `run`."""
-        self._splits = source
+        self._split_source = source
 
     async def run(
         self,
@@ -197,7 +197,7 @@
         self._moves = kernel.get('moves', _protocols.Moves)
         self._events = kernel.get('events', _protocols.Events)
         metrics = kernel.get('metrics', _protocols.Metrics)
-        self._runs = metrics.counter(
+        self._call_counter = metrics.counter(
             'gypsumhall_runner_calls_total',
             'Calls that reached the runner, by result.',
         )
@@ -215,7 +215,7 @@
             rng=self._rng,
             execute=self.execute,
             dialect=self._dialect,
-            splits=self._splits,
+            splits=self._split_source,
             retries=self._retries,
             held=self.held,
         )
@@ -223,21 +223,23 @@
             peers, self._membership, self._sender, self.held
         )
         self._sender.execute_keyed = self._keys.execute
-        self._membership.subscribe(self._keys.members_changed)
+        self._membership.subscribe(self._keys.on_members_changed)
         if self._hold_s:
-            self._membership.subscribe(self._members_changed)
+            self._membership.subscribe(self._update_availability)
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
         peers.on(KeyRelease, self._keys.handle_release)
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._watches.run)
-            self._nursery.start_soon(self._check_line)
+            self._nursery.start_soon(self._check_queue)
             self._nursery.start_soon(self._sender.run)
-            self._nursery.start_soon(self._note_stop, kernel.stopping)
+            self._nursery.start_soon(
+                self._record_shutdown_start, kernel.stopping
+            )
             task_status.started()
             while True:
-                await trio.sleep(_MAINTENANCE_S)
+                await trio.sleep(_MAINTENANCE_INTERVAL_S)
                 await self._close_idle()
                 load.set(self.load.in_flight, kind='in-flight')
                 load.set(self.load.queued, kind='queued')
@@ -249,18 +251,18 @@
         May be cancelled and called again.
         """
         if not self._draining:
-            await self._announce_stop()
-        while self._active:
+            await self._announce_shutdown()
+        while self._active_calls:
             self._idle = trio.Event()
             await self._idle.wait()
         if self._dialect.key and not self._handed_over:
-            await self._keys.hand_over()
+            await self._keys.hand_over_keys()
             self._handed_over = True
 
-    async def _announce_stop(self) -> None:
+    async def _announce_shutdown(self) -> None:
         """Let others stop sending calls before this daemon refuses them."""
         if self._backend is not None:
-            await self._wait_for_others()
+            await self._wait_for_other_endpoints()
         self._stopping = True
         backend = self._backend
         if backend is not None:
@@ -276,19 +278,19 @@
         self._draining = True
         self._reject_queued_calls()
 
-    async def _wait_for_others(self) -> None:
+    async def _wait_for_other_endpoints(self) -> None:
         """Go on while too few other endpoints of the service are ready."""
         until = min(
-            self._stopped_at + self._hold_s,
+            self._shutdown_started_at + self._hold_s,
             trio.current_time() + self._hold_s,
         )
         while trio.current_time() < until:
-            self._members_changed()
+            self._update_availability()
             if self._availability.may_stop(trio.current_time()):
                 return
-            await trio.sleep(_HOLD_CHECK_S)
+            await trio.sleep(_AVAILABILITY_CHECK_INTERVAL_S)
 
-    def _members_changed(self) -> None:
+    def _update_availability(self) -> None:
         backend = self._backend
         if backend is None:
             return
@@ -300,9 +302,9 @@
         ]
         self._availability.observe(others, trio.current_time())
 
-    async def _note_stop(self, stopping: trio.Event) -> None:
+    async def _record_shutdown_start(self, stopping: trio.Event) -> None:
         await stopping.wait()
-        self._stopped_at = trio.current_time()
+        self._shutdown_started_at = trio.current_time()
 
     def set_backend(
         self, endpoint: Endpoint | None, address: str, instance: str = ''
@@ -319,20 +321,20 @@
             Id of its process; empty when it has none.
         """
         old = self._backend
-        same = (
+        unchanged = (
             old is not None
             and endpoint is not None
             and old.client.address == address
             and old.instance == instance
             and old.endpoint.service == endpoint.service
         )
-        if old is not None and not same:
+        if old is not None and not unchanged:
             self._old_clients.append(old.client)
         if endpoint is None:
             self._reject_queued_calls()
             self._backend = None
             return
-        if old is not None and same:
+        if old is not None and unchanged:
             if old.queue.slots != endpoint.slots:
                 old.queue.resize(endpoint.slots)
             old.endpoint = endpoint
@@ -344,7 +346,7 @@
                 CallQueue(endpoint.slots),
                 instance,
             )
-            self._keys.joined(endpoint.service)
+            self._keys.join_service(endpoint.service)
             if old is None or old.endpoint.service != endpoint.service:
                 self._availability = EndpointAvailability()
         if endpoint.state != EndpointState.READY:
@@ -372,7 +374,7 @@
             Takes the messages of the answer: `CallRefused`, or
             `AnswerStart` followed by the body.
         """
-        self._active += 1
+        self._active_calls += 1
         try:
             known = self._ledger.begin(call.request_id, trio.current_time())
             if known is not None:
@@ -381,8 +383,8 @@
             else:
                 await self._execute_new(call, body, send)
         finally:
-            self._active -= 1
-            if not self._active:
+            self._active_calls -= 1
+            if not self._active_calls:
                 self._idle.set()
 
     async def _execute_new(
@@ -416,13 +418,13 @@
             with contextlib.suppress(PeerError):
                 await run.send(AnswerEnd(call.request_id, complete=False))
             return
-        await self._refuse(call.request_id, refusal, send)
+        await self._send_refusal(call.request_id, refusal, send)
 
     async def _admit_and_run(
         self, call: CallStart, body: bytes, run: _answers.Run, deadline: float
     ) -> _calls.CallRefusedError | None:
         try:
-            backend = self._check(call)
+            backend = self._backend_for(call)
             await self._admit(backend, call, deadline)
         except _calls.CallRefusedError as error:
             return error
@@ -431,14 +433,14 @@
         cause = 'cancelled'
         detail = ''
         try:
-            refusal = await self._pass_on(backend, call, body, run, deadline)
+            refusal = await self._forward(backend, call, body, run, deadline)
             complete = refusal is None
             cause = refusal.reason if refusal is not None else ''
             detail = refusal.detail if refusal is not None else ''
         finally:
             now = trio.current_time()
             if cause and run.outcome != Outcome.NOT_RUN:
-                self._log_cut(
+                self._log_aborted_run(
                     call, cause, detail, now - started, deadline - started
                 )
             limit_s = call.deadline_ms / 1000
@@ -453,7 +455,7 @@
                 failed=failed,
                 now=now,
             )
-            self._wake()
+            self._start_queued_calls()
             if run.outcome != Outcome.NOT_RUN and started >= self._warm_at:
                 # Whether a slow run is cut for a backup depends on the room
                 # at others, so it counts as failed in either case.
@@ -461,7 +463,7 @@
                 self._moves.record(call, (now - started) * 1000, failed=failed)
         return refusal
 
-    def _log_cut(
+    def _log_aborted_run(
         self,
         call: CallStart,
         cause: str,
@@ -482,7 +484,7 @@
                 stopping=self._stopping,
             )
 
-    async def _pass_on(
+    async def _forward(
         self,
         backend: _Backend,
         call: CallStart,
@@ -490,10 +492,10 @@
         run: _answers.Run,
         deadline: float,
     ) -> _calls.CallRefusedError | None:
-        left_ms = int((deadline - trio.current_time()) * 1000)
+        remaining_ms = int((deadline - trio.current_time()) * 1000)
         headers = (
             *call.headers,
-            (self._dialect.deadline, b'%d' % max(1, left_ms)),
+            (self._dialect.deadline, b'%d' % max(1, remaining_ms)),
         )
         expected = self._dialect.expected_instance
         if expected and backend.instance:
@@ -510,7 +512,7 @@
                 return error
             except _backend_client.BackendUnreachableError as error:
                 return _calls.not_run('backend-unreachable', str(error))
-            except _backend_client.BackendRejectedError as error:
+            except _backend_client.BackendRequestError as error:
                 run.outcome = Outcome.NOT_RUN
                 return _calls.not_run('bad-request', str(error))
             except _backend_client.BackendResetError as error:
@@ -547,16 +549,16 @@
                 code, f'the backend server answered {response.status}'
             )
         sent = dict(call.headers).get(dialect.request_id)
-        found = fields.get(dialect.request_id)
-        if sent != found:
+        received_id = fields.get(dialect.request_id)
+        if sent != received_id:
             run.failed = True
             raise _calls.CallRefusedError(
                 run.outcome,
                 'bad-response',
-                f'response to request {found!r} instead of {sent!r}',
+                f'response to request {received_id!r} instead of {sent!r}',
             )
 
-    def _check(self, call: CallStart) -> _Backend:
+    def _backend_for(self, call: CallStart) -> _Backend:
         backend = self._backend
         if call.runner_incarnation and (
             call.runner_incarnation < self._incarnation
@@ -588,8 +590,8 @@
         now = trio.current_time()
         if deadline <= now:
             raise _calls.not_run('deadline', 'the deadline has passed')
-        if deadline - now > 4 * _ANSWER_S:
-            deadline -= _ANSWER_S
+        if deadline - now > 4 * _RESPONSE_TRANSIT_S:
+            deadline -= _RESPONSE_TRANSIT_S
         queued_call = QueuedCall(
             call.route,
             call.priority,
@@ -610,10 +612,10 @@
                 f'{backend.queue.queued} calls wait',
                 backend.queue.retry_after_s(now),
             )
-        pending = self._pending[queued_call] = _Pending(trio.Event())
-        self._arrived.set()
+        pending = self._pending[queued_call] = _PendingCall(trio.Event())
+        self._call_queued.set()
         evicted = backend.queue.evict(now)
-        self._release(evicted, AdmissionDecision.OVERLOADED.value)
+        self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
         try:
             with trio.CancelScope(deadline=deadline):
                 await pending.ready.wait()
@@ -621,7 +623,7 @@
             # The slot can have been given to it in the same moment.
             if pending.admitted:
                 backend.queue.finish(call.route, None)
-                self._wake()
+                self._start_queued_calls()
             raise
         finally:
             self._pending.pop(queued_call, None)
@@ -637,7 +639,7 @@
             )
         raise _calls.not_run('deadline', 'the deadline passed in the queue')
 
-    def _wake(self) -> None:
+    def _start_queued_calls(self) -> None:
         backend = self._backend
         if backend is None:
             return
@@ -649,26 +651,28 @@
 
     def _reject_queued_calls(self) -> None:
         if self._backend is not None:
-            self._release(self._backend.queue.clear(), 'draining')
+            self._reject_calls(self._backend.queue.clear(), 'draining')
 
-    def _release(self, queued_calls: Iterable[QueuedCall], code: str) -> None:
+    def _reject_calls(
+        self, queued_calls: Iterable[QueuedCall], code: str
+    ) -> None:
         for queued_call in queued_calls:
             pending = self._pending.pop(queued_call, None)
             if pending is not None:
                 pending.code = code
                 pending.ready.set()
 
-    async def _check_line(self) -> None:
+    async def _check_queue(self) -> None:
         """Refuse waiting calls as soon as they cannot be served any more."""
         while True:
             if not self._pending:
-                self._arrived = trio.Event()
-                await self._arrived.wait()
-            await trio.sleep(_LINE_CHECK_S)
+                self._call_queued = trio.Event()
+                await self._call_queued.wait()
+            await trio.sleep(_QUEUE_CHECK_INTERVAL_S)
             if self._backend is not None:
                 now = trio.current_time()
                 evicted = self._backend.queue.evict(now)
-                self._release(evicted, AdmissionDecision.OVERLOADED.value)
+                self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
 
     async def _replay(
         self, request_id: str, known: Entry, send: _calls.SendMessage
@@ -687,9 +691,9 @@
         refusal = _calls.CallRefusedError(
             outcome, code, f'attempt {request_id} is {known.state.value}'
         )
-        await self._refuse(request_id, refusal, send)
+        await self._send_refusal(request_id, refusal, send)
 
-    async def _refuse(
+    async def _send_refusal(
         self,
         request_id: str,
         refusal: _calls.CallRefusedError,
@@ -709,26 +713,28 @@
     async def _handle_call(self, exchange: Exchange, call: CallStart) -> None:
         self._events.clock.observe(call.time)
         size = len(call.body)
-        self._buffered += size
+        self._buffered_bytes += size
         chunks = [call.body]
-        whole = not call.has_body
+        complete = not call.has_body
         try:
-            while not whole:
+            while not complete:
                 message = await exchange.receive()
                 if not isinstance(message, BodyChunk):
                     return
                 size += len(message.data)
-                self._buffered += len(message.data)
+                self._buffered_bytes += len(message.data)
                 chunks.append(message.data)
-                whole = message.last
+                complete = message.last
                 if (
                     size > _calls.MAX_REQUEST_BODY
-                    or self._buffered > _MAX_BUFFERED
+                    or self._buffered_bytes > _MAX_BUFFERED_BYTES
                 ):
                     refusal = _calls.not_run(
                         'buffer-full', 'too many bytes of request bodies'
                     )
-                    await self._refuse(call.request_id, refusal, exchange.send)
+                    await self._send_refusal(
+                        call.request_id, refusal, exchange.send
+                    )
                     return
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
@@ -736,7 +742,7 @@
             # detached and finish on their own.
             self._count('sender-lost')
         finally:
-            self._buffered -= size
+            self._buffered_bytes -= size
 
     async def _run_for_peer(
         self, exchange: Exchange, call: CallStart, body: bytes
@@ -747,11 +753,11 @@
             with scope, self._watches.watch(watch):
                 await self.execute(call, body, exchange.send)
             return
-        if call.request_id in self._running:
-            await self._answer_query(call.request_id, exchange.send)
+        if call.request_id in self._detached_calls:
+            await self._reply_to_query(call.request_id, exchange.send)
             return
         scope = trio.CancelScope()
-        done = self._running[call.request_id] = trio.Event()
+        done = self._detached_calls[call.request_id] = trio.Event()
         self._nursery.start_soon(
             self._run_detached, exchange, call, body, scope, done
         )
@@ -774,7 +780,7 @@
                 else:
                     await self.execute(call, body, exchange.send)
         finally:
-            self._running.pop(call.request_id, None)
+            self._detached_calls.pop(call.request_id, None)
             done.set()
 
     async def _execute_keyed(
@@ -785,7 +791,7 @@
         if known is not None:
             await self._replay(call.request_id, known, send)
             return
-        self._active += 1
+        self._active_calls += 1
         recorder = _calls.Recorder(self.held)
         sink = _answers.MessageSink(
             lambda: self.load, call.request_id, send, recorder
@@ -810,7 +816,7 @@
                 state = EntryState.REFUSED
             elif error.outcome == Outcome.RUN:
                 state = EntryState.DONE
-            await self._refuse(call.request_id, error, sink.send)
+            await self._send_refusal(call.request_id, error, sink.send)
         except _calls.BrokenResponseError:
             state = EntryState.DONE
             recorder = _calls.Recorder(self.held)
@@ -820,8 +826,8 @@
             response = recorder.response if state == EntryState.DONE else None
             now = trio.current_time()
             self._ledger.finish(call.request_id, now, state, response)
-            self._active -= 1
-            if not self._active:
+            self._active_calls -= 1
+            if not self._active_calls:
                 self._idle.set()
 
     async def _watch(
@@ -849,17 +855,19 @@
                 refusal = _calls.CallRefusedError(
                     Outcome.UNKNOWN, 'restarted', 'the runner has restarted'
                 )
-                await self._refuse(query.request_id, refusal, exchange.send)
+                await self._send_refusal(
+                    query.request_id, refusal, exchange.send
+                )
                 return
-            await self._answer_query(query.request_id, exchange.send)
+            await self._reply_to_query(query.request_id, exchange.send)
 
-    async def _answer_query(
+    async def _reply_to_query(
         self, request_id: str, send: _calls.SendMessage
     ) -> None:
         # A call whose body has not arrived is not in the ledger yet; the
         # query then refuses it, so that it cannot run later.
         entry = self._ledger.query(request_id, trio.current_time())
-        done = self._running.get(request_id)
+        done = self._detached_calls.get(request_id)
         if entry.state == EntryState.RUNNING and done is not None:
             await done.wait()
             entry = self._ledger.query(request_id, trio.current_time())
@@ -873,4 +881,4 @@
             await client.close_idle(all_connections=True)
 
     def _count(self, result: str) -> None:
-        self._runs.add(1.0, result=result)
+        self._call_counter.add(1.0, result=result)
