--- a/gypsumhall/services/_answers.py
+++ b/gypsumhall/services/_answers.py
@@ -1,4 +1,4 @@
-"""Messages that answer a call, made from the response of a backend server."""
+"""Convert responses of a backend server to messages between daemons."""
 
 from __future__ import annotations
 
@@ -30,9 +30,9 @@
     Parameters
     ----------
     send : callable
-        Takes the messages of the answer.
+        Sends the messages of the response.
     recorder : Recorder or None
-        Keeps the response for repetition; None for idempotent calls.
+        Records the response, to replay it later; None for idempotent calls.
     """
 
     __slots__ = (
@@ -53,13 +53,18 @@
         self.failed = False
 
     def mark_sent(self) -> None:
-        """Note that the backend server may run the request from now on."""
+        """Record that the backend server may run the request from now on."""
         self.outcome = Outcome.UNKNOWN
 
     async def send(self, message: Message) -> None:
-        """Pass a message on.
+        """Send a message to the sender of the call.
 
-        Calls whose response is recorded continue without a receiver.
+        If the sender is gone, a call whose response is recorded continues.
+
+        Raises
+        ------
+        PeerError
+            When the sender is gone and the response is not recorded.
         """
         if self._send is None:
             return
@@ -76,13 +81,14 @@
         response: _backend_client.BackendResponse,
         load: Load,
     ) -> None:
-        """Pass a response on, with its body in chunks."""
+        """Forward a response, with its body in chunks."""
         self.outcome = Outcome.RUN
         self.failed = response.status >= 500
         if self._recorder is not None:
             self._recorder.head(response.status, response.headers)
-        # One message with the first part of the body costs less than two.
-        # A chunked response may pause before its body, so it doesn't wait.
+        # Sending the head together with the first part of the body costs less
+        # than two messages. The head of a chunked response is sent at once,
+        # because its body may follow much later.
         head = AnswerStart(
             call.request_id, response.status, response.headers, load
         )
@@ -113,18 +119,18 @@
 
 
 class MessageSink:
-    """Turns a response into messages for the daemon that sent the call.
+    """Converts a response to messages for the daemon that sent the call.
 
     Parameters
     ----------
     load : callable
         Returns the load of the backend server on this VM.
     request_id : str
-        Id of the attempt.
+        Request id of the attempt.
     send : callable
-        Takes the messages.
+        Sends the messages.
     recorder : Recorder
-        Keeps the response for repetition.
+        Records the response, to replay it later.
     """
 
     __slots__ = ('_pending_head', '_load', '_recorder', '_request_id', '_send')
@@ -143,7 +149,7 @@
         self._pending_head: AnswerStart | None = None
 
     async def send(self, message: Message) -> None:
-        """Send a message; without a receiver it is only recorded."""
+        """Send a message; does nothing once the sender is gone."""
         if self._send is not None:
             try:
                 await self._send(message)
@@ -151,20 +157,20 @@
                 self._send = None
 
     async def flush(self) -> None:
-        """Send a head that waits for the first part of its body."""
+        """Send the head if it still waits for the first part of the body."""
         if self._pending_head is not None:
             head, self._pending_head = self._pending_head, None
             await self.send(head)
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers."""
+        """Record the status and headers; they are sent with the body."""
         self._recorder.head(status, headers)
         self._pending_head = AnswerStart(
             self._request_id, status, headers, self._load()
         )
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
+        """Record and send a part of the body."""
         self._recorder.chunk(data)
         if self._pending_head is not None:
             head, self._pending_head = self._pending_head, None
--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connections to the backend server on the VM."""
+"""HTTP/1.1 client for the backend server on the VM."""
 
 from __future__ import annotations
 
@@ -21,69 +21,69 @@
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
-# Shorter than usual keep-alive timeouts of servers, so that a connection is
-# rarely closed by the server while a request is being sent on it.
+# Shorter than the usual keep-alive timeouts of servers, so that a server
+# rarely closes a connection while a request is being sent on it.
 _IDLE_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 1.0
-# Most bytes before the end of a response's head, with all informational
-# responses before it. Twice `_calls.MAX_HEADER_BYTES`, so that a head of that
-# size may follow some of them.
+# Limit on the size of a response's head, including all informational
+# responses that precede it. Twice `_calls.MAX_HEADER_BYTES`, so that some of
+# them may precede a head of the largest size.
 _MAX_HEAD_BYTES = 2 * _calls.MAX_HEADER_BYTES
-# Most bytes that are read at once where each of them costs much to parse:
-# 8 KiB of small chunks or informational responses take about 20 ms, in which
-# no other call is served.
+# Size of a read where parsing is slow: 8 KiB of small chunks or
+# informational responses take about 20 ms, which block all other calls.
 _SMALL_READ_BYTES = 8 * 1024
-# Chunks of a body that are smaller on average count as small, in bytes.
+# Parts of a body below this size are treated as small chunks.
 _SMALL_CHUNK_BYTES = 1024
-# Most bytes of chunk sizes, extensions and trailers beyond one byte for
-# `_FRAMING_RATIO` bytes of the body: lines of 50 bytes that are sent as one
-# chunk each stay below it, as do 20,000 smaller ones.
+# Limit on chunk sizes, extensions and trailers, in addition to one byte per
+# `_FRAMING_RATIO` bytes of the body. Responses that send each line of 50 bytes
+# as a chunk stay below it, as do responses with 20,000 smaller chunks.
 _MAX_FRAMING_BYTES = 128 * 1024
 _FRAMING_RATIO = 8
 
 
 class BackendUnreachableError(GypsumhallError):
-    """No connection could be opened; nothing was sent."""
+    """The connection could not be opened, so nothing was sent."""
 
     code = 'backend-unreachable'
 
 
 class BackendRequestError(GypsumhallError):
-    """The request cannot be sent as HTTP; nothing was sent."""
+    """The request is not valid HTTP, so nothing was sent."""
 
     code = 'bad-request'
 
 
 class BackendResetError(GypsumhallError):
-    """The connection ended or timed out before the response did."""
+    """The connection ended or timed out within the response."""
 
     code = 'backend-reset'
 
 
 class BackendResponseError(GypsumhallError):
-    """The backend server's response is not valid or too large."""
+    """The response of the backend server is invalid or too large."""
 
     code = 'bad-response'
 
 
 class _Stream(httpcore.AsyncNetworkStream):
-    """Socket without a timeout per operation; a cancel scope bounds all.
+    """Socket that limits the size of a response's head and framing.
 
-    It bounds the bytes that are read for a head, as httpcore skips any number
-    of informational responses, and those of a body's framing.
+    The head needs a limit because httpcore skips any number of informational
+    responses. Operations have no timeouts of their own; the cancel scope of
+    the call limits their total time.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._received_bytes = 0
         self._in_head = True
-        # Bytes of the body that the parser has returned.
+        # Size of the body that the parser has returned so far.
         self._body_bytes = 0
         self._small_reads = True
         self.reached_eof = False
 
     def begin_head(self) -> None:
-        """Expect the head of a response."""
+        """Reset the counters and expect the head of a response."""
         self._received_bytes = 0
         self._in_head = True
         self._body_bytes = 0
@@ -94,7 +94,7 @@
         self._in_head = False
 
     def count_body(self, size: int) -> None:
-        """Count a part of the body."""
+        """Count the size of a parsed part of the body."""
         self._body_bytes += size
         self._small_reads = size < _SMALL_CHUNK_BYTES
 
@@ -104,7 +104,8 @@
         if self._in_head:
             if self._received_bytes >= _MAX_HEAD_BYTES:
                 raise BackendResponseError(
-                    f'no head of a response in {self._received_bytes} bytes'
+                    'response head incomplete after '
+                    f'{self._received_bytes} bytes'
                 )
         else:
             framing = self._received_bytes - self._body_bytes
@@ -113,8 +114,8 @@
                 > _MAX_FRAMING_BYTES + self._body_bytes // _FRAMING_RATIO
             ):
                 raise BackendResponseError(
-                    f'{framing} bytes of framing for {self._body_bytes} bytes of '
-                    'a response body'
+                    f'{framing} bytes of framing for {self._body_bytes} bytes '
+                    'of a response body'
                 )
         if self._small_reads:
             max_bytes = min(max_bytes, _SMALL_READ_BYTES)
@@ -142,17 +143,17 @@
 
 
 class _Connection(httpcore.AsyncHTTP11Connection):
-    """Connection that tells whether bytes after a response have arrived."""
+    """Connection that detects bytes after the end of a response."""
 
     def __init__(self, origin: httpcore.Origin, stream: _Stream) -> None:
         super().__init__(origin, stream)
         self.network = stream
 
     def has_unexpected_bytes(self) -> bool:
-        """Return whether the server sent more than its response.
+        """Return whether the server sent bytes after its response.
 
-        The parser keeps such bytes and would take them for the response to
-        the next request.
+        The parser buffers them and would return them as the response to the
+        next request.
         """
         return bool(self._unparsed_bytes()) or self.has_expired()
 
@@ -161,17 +162,17 @@
     ) -> AsyncGenerator[bytes, None]:
         """Yield the body of a response.
 
-        Small chunks that arrived together are joined, so that their number
-        costs no memory later.
+        Small chunks that arrived together are joined, because many small
+        objects would take more memory later.
 
         Raises
         ------
         BackendResetError
-            When the body ends early.
+            When the connection is lost before the end of the body.
         BackendResponseError
-            When the body is not valid.
+            When the body is invalid.
         """
-        # httpcore declares an iterable; that of a connection is a generator.
+        # httpcore declares an iterable, but a connection returns a generator.
         stream = cast(AsyncIterable[bytes], response.stream).__aiter__()
         parts = cast(AsyncGenerator[bytes, None], stream)
         pending = bytearray()
@@ -183,7 +184,8 @@
                         yield data
                         continue
                     pending += data
-                    # The end of the line after a chunk is parsed later.
+                    # The CRLF after a chunk is parsed with the next event, so
+                    # two bytes may be unparsed after the last one received.
                     if (
                         len(pending) >= _calls.CHUNK_BYTES
                         or len(self._unparsed_bytes()) <= 2
@@ -195,17 +197,17 @@
                 yield bytes(pending)
         except httpcore.RemoteProtocolError as error:
             if self.network.reached_eof:
-                raise BackendResetError(f'body broke off: {error}') from error
-            raise BackendResponseError(f'body: {error}') from error
+                raise BackendResetError(f'incomplete body: {error}') from error
+            raise BackendResponseError(f'invalid body: {error}') from error
         except httpcore.NetworkError as error:
-            raise BackendResetError(f'body broke off: {error!r}') from error
+            raise BackendResetError(f'incomplete body: {error!r}') from error
 
     def _unparsed_bytes(self) -> bytes:
         return self._h11_state.trailing_data[0]
 
 
 class BackendResponse:
-    """Head of a response, with its body still to be read.
+    """Head of a response, whose body has not been read yet.
 
     Parameters
     ----------
@@ -214,7 +216,7 @@
     headers : tuple of (bytes, bytes)
         End-to-end headers.
     length : int or None
-        Bytes of the body; None when it is chunked.
+        Size of the body in bytes; None if it is chunked.
     stream : async iterator of bytes
         Parts of the body.
     """
@@ -239,9 +241,9 @@
         Raises
         ------
         BackendResetError
-            When the body ends early.
+            When the connection is lost before the end of the body.
         BackendResponseError
-            When the body is too large or not valid.
+            When the body is too large or invalid.
         """
         received = 0
         async with contextlib.aclosing(self._stream):
@@ -257,7 +259,7 @@
 
 
 class Client(Protocol):
-    """Sends requests to one backend server."""
+    """Protocol of clients that send requests to one backend server."""
 
     @property
     def address(self) -> str:
@@ -281,11 +283,11 @@
 
 
 class BackendClient:
-    """Keeps connections to one backend server open.
+    """HTTP client with a connection pool for one backend server.
 
-    `httpcore.AsyncConnectionPool` looks at all its connections for every
-    request; as there is one origin, the most recently used connection is
-    taken instead.
+    `httpcore.AsyncConnectionPool` scans all its connections for every
+    request. There is only one origin here, so this pool takes the most
+    recently used connection.
 
     Parameters
     ----------
@@ -321,17 +323,19 @@
     ) -> AsyncIterator[BackendResponse]:
         """Send a request and yield the head of the response.
 
-        The connection is closed when the block is left before the end of
-        the body, which tells the backend server that nobody waits.
+        If the block is left before the end of the body, the connection is
+        closed, which signals to the backend server that the response is no
+        longer needed.
 
         Parameters
         ----------
         method, path : str
-            Request line; the path includes the query.
+            Method and target of the request line; the path includes the
+            query.
         headers : tuple of (bytes, bytes)
             End-to-end headers without ``Content-Length``.
         body : bytes
-            Whole body.
+            Complete request body.
         on_send : callable
             Called before the first byte is sent.
 
@@ -444,7 +448,7 @@
     if method == 'HEAD' or response.status in (204, 304):
         length = 0
     elif length is None and not chunked:
-        # The end of such a body cannot be told from a lost connection.
+        # The end of such a body looks the same as a lost connection.
         raise BackendResponseError(
             'response has neither Content-Length nor chunked encoding'
         )
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -1,4 +1,4 @@
-"""Owner of idempotency keys: a request with a key runs at most once."""
+"""Owner of idempotency keys, which runs a request with a key at most once."""
 
 from __future__ import annotations
 
@@ -31,13 +31,13 @@
     from gypsumhall.services import _protocols
     from gypsumhall.services._sender import Sender
 
-# Time in seconds to wait for a former owner; a member that was seen to have
-# left rarely responds, and the caller waits.
+# Time-out of a request to a former owner. It is short, because a member that
+# has left rarely responds and the caller is waiting.
 _RELEASE_TIMEOUT_S = 1.0
 
-# Records of one message, which has to fit into a frame, and the time in
-# seconds that each daemon has to take over the keys of one that stops.
+# Limits the size of a handover message, which has to fit into a frame.
 _RECORDS_PER_MESSAGE = 500
+# Time in which each other daemon has to take over the keys at a shutdown.
 _HANDOVER_TIMEOUT_S = 2.0
 
 _OUTCOMES = {
@@ -47,7 +47,7 @@
 
 
 class _RecordingSink:
-    """Passes a response on and keeps it."""
+    """Forwards a response to another sink and records it."""
 
     __slots__ = ('_recorder', '_sink')
 
@@ -59,16 +59,16 @@
 
     @property
     def response(self) -> RecordedResponse | None:
-        """The response; None when it was too large."""
+        """The recorded response; None if it was too large to record."""
         return self._recorder.response
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers."""
+        """Record and forward the status and the headers."""
         self._recorder.head(status, headers)
         await self._sink.head(status, headers)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
+        """Record and forward a part of the body."""
         self._recorder.chunk(data)
         await self._sink.chunk(data, last=last)
 
@@ -80,18 +80,18 @@
 
 
 class KeyOwner:
-    """Runs requests with keys that this daemon owns.
+    """Runs requests whose idempotency keys this daemon owns.
 
     Parameters
     ----------
     peers : PeerNetwork
-        Streams to other daemons.
+        Connections to other daemons.
     membership : Membership
         Member table.
     sender : Sender
         Sends the requests to a runner.
     held : HeldBytes
-        Room for the responses of running requests.
+        Memory budget for the recorded responses of running requests.
     """
 
     __slots__ = (
@@ -121,31 +121,31 @@
         self._incarnation = membership.me.incarnation
         self._shutting_down = False
         self._services: dict[str, _JoinedService] = {}
-        # Events of running requests; set when the request has ended.
+        # (service, key) of each running request -> event set at its end.
         self._finished_events: dict[tuple[str, str], trio.Event] = {}
 
     def join_service(self, service: str) -> None:
-        """Note that this daemon has an endpoint of a service from now on."""
+        """Record that this daemon has an endpoint of a service from now on."""
         now = trio.current_time()
-        known = self._services.get(service)
-        if known is None:
+        joined = self._services.get(service)
+        if joined is None:
             history = OwnershipHistory(service, self._membership.me.id)
             self._services[service] = _JoinedService(history, now)
         else:
-            known.joined_at = now
+            joined.joined_at = now
         self.on_members_changed()
 
     def on_members_changed(self) -> None:
-        """Take over changes of the member table."""
+        """Update the ownership histories from the member table."""
         now = trio.current_time()
         table = self._membership.table
-        for service, known in self._services.items():
-            known.history.observe(table.endpoints(service), now)
+        for service, joined in self._services.items():
+            joined.history.observe(table.endpoints(service), now)
 
     async def execute(
         self, request: _calls.Request, sink: _calls.ResponseSink
     ) -> None:
-        """Run a request as the owner of its key, or repeat its response.
+        """Run a request as the owner of its key, or replay its response.
 
         Parameters
         ----------
@@ -157,10 +157,10 @@
         Raises
         ------
         CallRefusedError
-            When there is no response. ``not-run`` is certain for every
-            request with this key.
+            When there is no response. The outcome ``not-run`` holds for
+            every request with this key, not only for this one.
         BrokenResponseError
-            When the response broke off.
+            When the response ended before it was complete.
         """
         service, key = request.service, request.key
         digest = _digest(request)
@@ -189,7 +189,7 @@
     async def handle_release(
         self, exchange: Exchange, message: KeyRelease
     ) -> None:
-        """Give up a key for its new owner."""
+        """Release a key to its new owner, on a request of that owner."""
         now = trio.current_time()
         service, key = message.service, message.key
         new_owner = (exchange.peer.id, exchange.peer.incarnation)
@@ -197,34 +197,35 @@
             service, key, now, new_owner, message.asked
         )
         outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
-        known = self._services.get(service)
+        joined = self._services.get(service)
         if outcome == Outcome.NOT_RUN and (
             message.incarnation < self._incarnation
-            or known is None
-            or known.history.had_earlier_owner(
+            or joined is None
+            or joined.history.had_earlier_owner(
                 key, now, new_owner, message.asked
             )
         ):
             outcome = Outcome.UNKNOWN
-        # Without an answer the new owner assumes the worst.
+        # Without a reply, the new owner takes the outcome as unknown.
         with contextlib.suppress(PeerError):
             await exchange.send(KeyReleased(outcome))
 
     async def hand_over_keys(self) -> None:
-        """Give the keys to the other owners, for a planned stop.
+        """Hand the keys over to the other owners, in a graceful shutdown.
 
-        Without it, the next owner could not tell whether a key has run here
-        and would refuse half of the keyed requests for the retention time.
-        A daemon that does not take all keys goes on as after a crash.
+        Without it, the next owner could not know whether a request with a
+        key has run here, and would reject half of the requests with keys for
+        the retention time. A daemon that does not receive all records
+        treats this one as crashed.
         """
         self._shutting_down = True
         while self._finished_events:
             await next(iter(self._finished_events.values())).wait()
         me = self._membership.me.id
         async with trio.open_nursery() as nursery:
-            for service, known in self._services.items():
+            for service, joined in self._services.items():
                 departed_members = tuple(
-                    known.history.departed_members(trio.current_time())
+                    joined.history.departed_members(trio.current_time())
                 )
                 records = [
                     _build_record(key, entry)
@@ -268,12 +269,13 @@
     async def handle_handover(
         self, exchange: Exchange, message: KeyHandover
     ) -> None:
-        """Take over the keys of a daemon that stops."""
+        """Import the keys of a daemon that shuts down."""
         now = trio.current_time()
         me = self._membership.me
-        known = self._services.get(message.service)
-        if known is None:
-            # Keys taken before the first endpoint would not be asked for.
+        joined = self._services.get(message.service)
+        if joined is None:
+            # Before its first endpoint of the service, this daemon would not
+            # be queried for these keys, so it must not confirm the handover.
             return
         for record in message.records:
             released_to = {
@@ -290,7 +292,7 @@
                 )
         if message.last:
             peer = exchange.peer
-            known.history.record_handover(
+            joined.history.record_handover(
                 peer.id, peer.incarnation, message.departed_members, now
             )
         with contextlib.suppress(PeerError):
@@ -356,13 +358,15 @@
     async def _query_former_owners(
         self, request: _calls.Request, released_to: set[tuple[str, int]]
     ) -> None:
-        known = self._services.get(request.service)
-        if known is None:
+        joined = self._services.get(request.service)
+        if joined is None:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN, 'not-owner', 'no endpoint of the service here'
             )
         now = trio.current_time()
-        former = known.history.former_owners(request.key, now, known.joined_at)
+        former = joined.history.former_owners(
+            request.key, now, joined.joined_at
+        )
         if former.lost:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN,
@@ -377,7 +381,7 @@
                 raise _calls.CallRefusedError(
                     Outcome.UNKNOWN,
                     'key-released',
-                    f'the key was given up for {member_id}',
+                    f'the key was released to {member_id}',
                 )
         if not former.to_query:
             return
@@ -429,7 +433,8 @@
 
 
 def _digest(request: _calls.Request) -> bytes:
-    # The fields are separated by their lengths.
+    # Length prefixes separate the fields, so that no two requests with the
+    # same concatenation of fields have the same digest.
     digest = hashlib.blake2b(digest_size=16)
     for part in (
         request.method.encode(),
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -1,4 +1,4 @@
-"""Service ``runner``: passes calls to the backend server on this VM."""
+"""Service ``runner``: server-side proxy for the backend server on this VM."""
 
 from __future__ import annotations
 
@@ -48,16 +48,16 @@
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._protocol import Exchange
 
-# Bytes of request bodies that may be held at the same time.
+# Limit on the bytes of all buffered request bodies.
 _MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 _MAINTENANCE_INTERVAL_S = 1.0
-# Time between two looks for waiting calls that cannot be served any more.
+# Interval at which queued calls that can no longer be served are evicted.
 _QUEUE_CHECK_INTERVAL_S = 0.05
-# Time in seconds that an answer needs to reach the caller: two crossings of
-# 8 ms and the time of two daemons. It bounds the wait for a slot only; a run
-# goes on until its deadline, since its caller may still wait then.
+# Transit time of a response to the caller: a network delay of 8 ms, twice, and
+# the processing in two daemons. It shortens only the wait for a slot. A run
+# continues until its deadline, because its caller may still be waiting.
 _RESPONSE_TRANSIT_S = 0.025
-# Time between two looks whether other endpoints have come back.
+# Interval between checks whether other endpoints are available again.
 _AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
 
@@ -66,7 +66,7 @@
     endpoint: Endpoint
     client: _backend_client.Client
     queue: CallQueue
-    # Process of the backend server that requests are meant for.
+    # Id of the backend server process that requests are addressed to.
     instance: str = ''
 
 
@@ -78,24 +78,25 @@
 
 
 class RunnerService:
-    """Admits calls, runs each at most once and records the outcome.
+    """Admits calls, runs each at most once and records its outcome.
 
     Parameters
     ----------
     rng : Random or None
-        Source of randomness of the sender.
+        Random number generator of the sender.
     connect : callable
-        Returns the client for the address of a backend server.
+        Returns a client for the address of a backend server.
     dialect : Dialect
-        Names of the headers that the backend server uses.
+        Names of the HTTP headers that the backend server uses.
     retries : RetryLimits, optional
-        Repetitions that the sender may make.
+        Limits on the retries of the sender.
     notice_s : float
-        Time in seconds between telling others of a planned stop and
-        refusing their calls.
+        Time in seconds between announcing a graceful shutdown to other
+        daemons and rejecting their calls.
     hold_s : float
-        Time in seconds after the start of a planned stop until which calls
-        are served while other endpoints of the service are away.
+        Longest time in seconds after the start of a graceful shutdown in
+        which calls are still served because too many other endpoints of the
+        service are unavailable.
     """
 
     name = 'runner'
@@ -134,7 +135,7 @@
         self._pending: dict[QueuedCall, _PendingCall] = {}
         self._call_queued = trio.Event()
         self._ledger = Ledger()
-        # Detached calls by request id; set when the call has ended.
+        # Request id of each detached call -> event set when it has ended.
         self._detached_calls: dict[str, trio.Event] = {}
         self._stopping = False
         self._draining = False
@@ -155,7 +156,7 @@
 
     @property
     def sender(self) -> _sender.Sender:
-        """Sends calls to the runners of all daemons."""
+        """Client-side proxy; sends calls to the runners of all daemons."""
         return self._sender
 
     @property
@@ -177,11 +178,11 @@
 
     @property
     def stopping(self) -> bool:
-        """Whether others have been told that no more calls are taken."""
+        """Whether the shutdown has been announced to other daemons."""
         return self._stopping
 
     def set_split_source(self, source: _sender.SplitSource) -> None:
-        """Set how calls are divided between versions, before `run`."""
+        """Set how calls are split between versions; call before `run`."""
         self._split_source = source
 
     async def run(
@@ -246,9 +247,9 @@
                 load.set(self.load.slots, kind='limit')
 
     async def drain(self) -> None:
-        """Refuse new work and wait for the calls in flight.
+        """Reject new calls and wait for the calls in flight.
 
-        May be cancelled and called again.
+        May be called again after a cancellation.
         """
         if not self._draining:
             await self._announce_shutdown()
@@ -260,7 +261,10 @@
             self._handed_over = True
 
     async def _announce_shutdown(self) -> None:
-        """Let others stop sending calls before this daemon refuses them."""
+        """Announce the shutdown, then start to reject calls.
+
+        The delay between the two lets other daemons stop sending calls.
+        """
         if self._backend is not None:
             await self._wait_for_other_endpoints()
         self._stopping = True
@@ -279,12 +283,15 @@
         self._reject_queued_calls()
 
     async def _wait_for_other_endpoints(self) -> None:
-        """Go on while too few other endpoints of the service are ready."""
-        until = min(
+        """Keep serving until enough other endpoints of the service are ready.
+
+        The wait is limited, see parameter `hold_s`.
+        """
+        wait_until = min(
             self._shutdown_started_at + self._hold_s,
             trio.current_time() + self._hold_s,
         )
-        while trio.current_time() < until:
+        while trio.current_time() < wait_until:
             self._update_availability()
             if self._availability.may_stop(trio.current_time()):
                 return
@@ -309,16 +316,16 @@
     def set_backend(
         self, endpoint: Endpoint | None, address: str, instance: str = ''
     ) -> None:
-        """Take over what the backend server announced.
+        """Apply the latest announcement of the backend server.
 
         Parameters
         ----------
         endpoint : Endpoint or None
-            What it runs; None when it is gone.
+            Service and version that it runs; None when it is unavailable.
         address : str
             ``<ip>:<port>`` of the backend server.
         instance : str
-            Id of its process; empty when it has none.
+            Id of its process; empty if it reports none.
         """
         old = self._backend
         unchanged = (
@@ -353,9 +360,10 @@
             self._reject_queued_calls()
 
     def set_warm_at(self, time: float) -> None:
-        """Set until when a backend server that has started is slow.
+        """Set the end of the warm-up of the backend server, in seconds.
 
-        Until then its runs are no evidence about its version.
+        Runs that start earlier may be slow and are not counted as evidence
+        about its version.
         """
         self._warm_at = time
 
@@ -369,17 +377,17 @@
         call : CallStart
             The call.
         body : bytes
-            Whole request body.
+            Complete request body.
         send : callable
-            Takes the messages of the answer: `CallRefused`, or
+            Sends the messages of the response: `CallRefused`, or
             `AnswerStart` followed by the body.
         """
         self._active_calls += 1
         try:
-            known = self._ledger.begin(call.request_id, trio.current_time())
-            if known is not None:
+            entry = self._ledger.begin(call.request_id, trio.current_time())
+            if entry is not None:
                 self._count('duplicate')
-                await self._replay(call.request_id, known, send)
+                await self._replay(call.request_id, entry, send)
             else:
                 await self._execute_new(call, body, send)
         finally:
@@ -397,8 +405,8 @@
         try:
             refusal = await self._admit_and_run(call, body, run, deadline)
         finally:
-            # Also reached by cancellation, where `run.outcome` tells how
-            # far the call got.
+            # Also runs on cancellation; `run.outcome` then says whether the
+            # request can have been run.
             now = trio.current_time()
             if run.outcome == Outcome.NOT_RUN:
                 state = EntryState.REFUSED
@@ -445,7 +453,8 @@
                 )
             limit_s = call.deadline_ms / 1000
             slow = now - (deadline - limit_s) >= _calls.SLOW_SHARE * limit_s
-            # Its caller has left, or another endpoint has responded first.
+            # The caller disconnected, or another endpoint responded first. A
+            # run that was slow until then counts as failed.
             if cause == 'cancelled':
                 run.failed = run.failed or slow
             failed = run.failed if run.outcome != Outcome.NOT_RUN else None
@@ -457,8 +466,9 @@
             )
             self._start_queued_calls()
             if run.outcome != Outcome.NOT_RUN and started >= self._warm_at:
-                # Whether a slow run is cut for a backup depends on the room
-                # at others, so it counts as failed in either case.
+                # A slow idempotent run may be cancelled in favor of a backup
+                # attempt, depending on the free capacity of other endpoints.
+                # It counts as failed whether or not that happens.
                 failed = run.failed or (slow and call.idempotent)
                 self._moves.record(call, (now - started) * 1000, failed=failed)
         return refusal
@@ -471,7 +481,7 @@
         ran_s: float,
         limit_s: float,
     ) -> None:
-        """Record that a run ended without its whole response."""
+        """Log that a run ended before its response was complete."""
         name = self._dialect.request_id
         if name:
             self._events.emit(
@@ -497,9 +507,9 @@
             *call.headers,
             (self._dialect.deadline, b'%d' % max(1, remaining_ms)),
         )
-        expected = self._dialect.expected_instance
-        if expected and backend.instance:
-            headers = (*headers, (expected, backend.instance.encode()))
+        header = self._dialect.expected_instance
+        if header and backend.instance:
+            headers = (*headers, (header, backend.instance.encode()))
         with trio.CancelScope(deadline=deadline) as scope:
             try:
                 async with backend.client.request(
@@ -537,7 +547,14 @@
         response: _backend_client.BackendResponse,
         run: _answers.Run,
     ) -> None:
-        """Refuse a response that is none to this request."""
+        """Raise unless the response is the result of this request.
+
+        Raises
+        ------
+        CallRefusedError
+            When the response says that the request was not run, or carries
+            the id of another request.
+        """
         dialect = self._dialect
         if not dialect.request_id:
             return
@@ -546,16 +563,16 @@
             run.outcome = Outcome.NOT_RUN
             code = 'no-backend' if response.status == 421 else 'shed'
             raise _calls.not_run(
-                code, f'the backend server answered {response.status}'
+                code, f'the backend server responded with {response.status}'
             )
-        sent = dict(call.headers).get(dialect.request_id)
+        sent_id = dict(call.headers).get(dialect.request_id)
         received_id = fields.get(dialect.request_id)
-        if sent != received_id:
+        if sent_id != received_id:
             run.failed = True
             raise _calls.CallRefusedError(
                 run.outcome,
                 'bad-response',
-                f'response to request {received_id!r} instead of {sent!r}',
+                f'response to request {received_id!r} instead of {sent_id!r}',
             )
 
     def _backend_for(self, call: CallStart) -> _Backend:
@@ -564,7 +581,7 @@
             call.runner_incarnation < self._incarnation
         ):
             raise _calls.not_run(
-                'restarted', 'the call is meant for an earlier process'
+                'restarted', 'the call is addressed to an earlier process'
             )
         if backend is None:
             raise _calls.not_run('no-backend', 'no backend server here')
@@ -609,7 +626,7 @@
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 decision.value,
-                f'{backend.queue.queued} calls wait',
+                f'{backend.queue.queued} calls are queued',
                 backend.queue.retry_after_s(now),
             )
         pending = self._pending[queued_call] = _PendingCall(trio.Event())
@@ -620,7 +637,7 @@
             with trio.CancelScope(deadline=deadline):
                 await pending.ready.wait()
         except trio.Cancelled:
-            # The slot can have been given to it in the same moment.
+            # The call may have been given a slot just before the cancellation.
             if pending.admitted:
                 backend.queue.finish(call.route, None)
                 self._start_queued_calls()
@@ -634,7 +651,7 @@
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 pending.code,
-                'the call left the line of the endpoint',
+                'the call was removed from the queue of the endpoint',
                 backend.queue.retry_after_s(trio.current_time()),
             )
         raise _calls.not_run('deadline', 'the deadline passed in the queue')
@@ -663,7 +680,7 @@
                 pending.ready.set()
 
     async def _check_queue(self) -> None:
-        """Refuse waiting calls as soon as they cannot be served any more."""
+        """Reject queued calls that can no longer be served, at intervals."""
         while True:
             if not self._pending:
                 self._call_queued = trio.Event()
@@ -675,9 +692,9 @@
                 self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
 
     async def _replay(
-        self, request_id: str, known: Entry, send: _calls.SendMessage
+        self, request_id: str, entry: Entry, send: _calls.SendMessage
     ) -> None:
-        response = known.response
+        response = entry.response
         if response is not None:
             await _answers.send_recorded(request_id, response, self.load, send)
             return
@@ -686,10 +703,10 @@
             EntryState.DONE: (Outcome.RUN, 'response-dropped'),
         }
         outcome, code = outcomes.get(
-            known.state, (Outcome.UNKNOWN, 'outcome-unknown')
+            entry.state, (Outcome.UNKNOWN, 'outcome-unknown')
         )
         refusal = _calls.CallRefusedError(
-            outcome, code, f'attempt {request_id} is {known.state.value}'
+            outcome, code, f'attempt {request_id} is {entry.state.value}'
         )
         await self._send_refusal(request_id, refusal, send)
 
@@ -738,8 +755,8 @@
                     return
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
-            # Nobody waits any more. Calls that are not idempotent are
-            # detached and finish on their own.
+            # The sender is gone. Calls that are not idempotent run detached
+            # and continue without it.
             self._count('sender-lost')
         finally:
             self._buffered_bytes -= size
@@ -787,9 +804,9 @@
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
         """Run a call as the owner of its idempotency key."""
-        known = self._ledger.begin(call.request_id, trio.current_time())
-        if known is not None:
-            await self._replay(call.request_id, known, send)
+        entry = self._ledger.begin(call.request_id, trio.current_time())
+        if entry is not None:
+            await self._replay(call.request_id, entry, send)
             return
         self._active_calls += 1
         recorder = _calls.Recorder(self.held)
@@ -833,7 +850,10 @@
     async def _watch(
         self, exchange: Exchange, call: CallStart, scope: trio.CancelScope
     ) -> None:
-        """Cancel a call when its sender asks for it or is gone."""
+        """Cancel a call when its sender requests that.
+
+        Idempotent calls are also cancelled when the sender disconnects.
+        """
         try:
             while True:
                 message = await exchange.receive()
@@ -864,8 +884,8 @@
     async def _reply_to_query(
         self, request_id: str, send: _calls.SendMessage
     ) -> None:
-        # A call whose body has not arrived is not in the ledger yet; the
-        # query then refuses it, so that it cannot run later.
+        # A call whose body is incomplete is not in the ledger yet. The query
+        # then records it as refused, so that it cannot run later.
         entry = self._ledger.query(request_id, trio.current_time())
         done = self._detached_calls.get(request_id)
         if entry.state == EntryState.RUNNING and done is not None:
--- a/tests/test_services_backend_client.py
+++ b/tests/test_services_backend_client.py
@@ -1,4 +1,4 @@
-"""Tests of backend servers that send bytes without end."""
+"""Tests of limits on endless and excess bytes from backend servers."""
 
 from __future__ import annotations
 
@@ -23,51 +23,51 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
-# Deadline of the calls, and a time well before it that leaves room for a
-# busy machine, in seconds.
+# Deadline of the calls, and a time limit well before it that a busy machine
+# can still meet.
 _DEADLINE_S = 60.0
-_EARLY_S = 20.0
-# Longest processor time in seconds between two turns of the loop. Unlike the
-# time that calls take, it is the same on a busy machine.
-_TURN_S = 0.25
+_TIME_LIMIT_S = 20.0
+# Limit on the processor time between two iterations of the event loop. Unlike
+# the latency of calls, it doesn't depend on the load of the machine.
+_MAX_BLOCKING_S = 0.25
 _GOOD = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood'
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 _SNAPSHOT = build_snapshot(
     routes=(builders.build_route(path='/', timeout_s=_DEADLINE_S),)
 )
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
-# Bytes that a server can send beyond those that were read: the buffers of
-# both sockets on the loopback interface.
+# Bytes that a server can send beyond those that the daemon reads: the buffers
+# of both sockets on the loopback interface.
 _SOCKET_BUFFERS = 8 * 1024 * 1024
 
 
 @dataclass
-class _Endpoint:
-    """Server that answers ``/good``, and other paths without end.
+class _EndlessServer:
+    """Server whose responses never end, except that to ``/good``.
 
     Parameters
     ----------
     start : bytes
         Sent once after the request.
     unit : bytes
-        Sent again and again after it, until the connection is closed.
+        Sent repeatedly after that, until the connection is closed.
     pause_s : float
-        Time between two units.
+        Time in seconds between two units.
     """
 
     start: bytes
     unit: bytes
     pause_s: float = 0.0
     address: str = ''
-    # Connections that were opened, and those closed by the daemon while the
-    # server was sending.
-    opened: int = 0
-    cut: int = 0
+    # Accepted connections, and those that the daemon closed while the server
+    # was sending.
+    accepted: int = 0
+    aborted: int = 0
     sent: int = 0
     paths: list[bytes] = field(default_factory=list)
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        self.opened += 1
+        self.accepted += 1
         with contextlib.suppress(trio.BrokenResourceError):
             while (path := await _read_path(stream)) == b'/good':
                 self.paths.append(path)
@@ -76,11 +76,11 @@
                 return
             self.paths.append(path)
             try:
-                await self._send_endless(stream)
+                await self._send_endlessly(stream)
             finally:
-                self.cut += 1
+                self.aborted += 1
 
-    async def _send_endless(self, stream: trio.SocketStream) -> None:
+    async def _send_endlessly(self, stream: trio.SocketStream) -> None:
         await stream.send_all(self.start)
         while self.unit:
             await stream.send_all(self.unit)
@@ -90,7 +90,7 @@
         await stream.receive_some()
 
     @contextlib.asynccontextmanager
-    async def run(self) -> AsyncIterator[_Endpoint]:
+    async def run(self) -> AsyncIterator[_EndlessServer]:
         async with trio.open_nursery() as nursery:
             listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
             nursery.start_soon(trio.serve_listeners, self.serve, listeners)
@@ -101,7 +101,7 @@
 
 
 async def _read_path(stream: trio.SocketStream) -> bytes:
-    """Return the path of the next request; empty if there is none."""
+    """Return the path of the next request; empty at the end of the stream."""
     received = b''
     while b'\r\n\r\n' not in received:
         data = await stream.receive_some()
@@ -111,8 +111,8 @@
     return received.split(b' ')[1]
 
 
-async def _until(condition: Callable[[], bool]) -> None:
-    with trio.fail_after(_EARLY_S):
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    with trio.fail_after(_TIME_LIMIT_S):
         while True:
             if condition():
                 return
@@ -122,7 +122,7 @@
 async def _call(
     daemon: CallDaemon, path: str, method: str = 'POST'
 ) -> tuple[int, str]:
-    """Return the status and the outcome; status 0 if the body broke off."""
+    """Return the status and outcome; status 0 if the body is incomplete."""
     async with httpcore.AsyncConnectionPool() as pool:
         try:
             response = await pool.request(
@@ -136,7 +136,7 @@
     return response.status, found.get(b'gypsumhall-outcome', b'').decode()
 
 
-_BROKEN = (0, '')
+_INCOMPLETE_BODY = (0, '')
 _NO_HEAD = (502, 'unknown')
 
 
@@ -167,78 +167,88 @@
         pytest.param(
             _CHUNKED,
             b'1000\r\n' + bytes(0x1000) + b'\r\n',
-            _BROKEN,
+            _INCOMPLETE_BODY,
             id='chunks',
         ),
         pytest.param(
-            _CHUNKED, b'1\r\nx\r\n' * 1000, _BROKEN, id='chunks-of-a-byte'
+            _CHUNKED,
+            b'1\r\nx\r\n' * 1000,
+            _INCOMPLETE_BODY,
+            id='chunks-of-a-byte',
         ),
         pytest.param(
             _CHUNKED,
             b'1;a=' + b'b' * 1000 + b'\r\nx\r\n',
-            _BROKEN,
+            _INCOMPLETE_BODY,
             id='extensions',
         ),
-        pytest.param(_CHUNKED + b'1;a=', b'b' * 4096, _BROKEN, id='extension'),
+        pytest.param(
+            _CHUNKED + b'1;a=', b'b' * 4096, _INCOMPLETE_BODY, id='extension'
+        ),
         pytest.param(
             _CHUNKED + b'0\r\n',
             b'X-Padding: x\r\n' * 100,
-            _BROKEN,
+            _INCOMPLETE_BODY,
             id='trailers',
         ),
         pytest.param(
             _CHUNKED + b'0\r\nX-Padding: ',
             b'x' * 4096,
-            _BROKEN,
+            _INCOMPLETE_BODY,
             id='trailer-line',
         ),
     ],
 )
-async def test_response_without_end(
+async def test_endless_response_is_aborted(
     start: bytes,
     unit: bytes,
     expected: tuple[int, str],
     index: int,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A response without end must end early and not delay other calls."""
+    """An endless response is aborted early and does not delay other calls.
+
+    Without limits, it would block the event loop or run until the deadline.
+    """
     monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
     async with (
-        _Endpoint(start, unit).run() as endpoint,
+        _EndlessServer(start, unit).run() as endpoint,
         open_daemons(endpoint.address, _SNAPSHOT) as daemons,
         trio.open_nursery() as nursery,
     ):
-        longest_s = 0.0
+        longest_blocking_s = 0.0
 
-        async def call_on() -> None:
+        async def call_repeatedly() -> None:
             while True:
                 assert await _call(daemons[index], '/good') == (200, '')
                 await trio.sleep(0.02)
 
-        async def watch_loop() -> None:
-            nonlocal longest_s
+        async def measure_blocking() -> None:
+            nonlocal longest_blocking_s
             while True:
                 begin = time.process_time()
                 await trio.lowlevel.checkpoint()
-                longest_s = max(longest_s, time.process_time() - begin)
+                longest_blocking_s = max(
+                    longest_blocking_s, time.process_time() - begin
+                )
 
-        nursery.start_soon(call_on)
-        nursery.start_soon(watch_loop)
+        nursery.start_soon(call_repeatedly)
+        nursery.start_soon(measure_blocking)
         results = []
 
         async def call() -> None:
             results.append(await _call(daemons[index], '/endless'))
 
-        with trio.fail_after(_EARLY_S):
+        with trio.fail_after(_TIME_LIMIT_S):
             async with trio.open_nursery() as calls:
                 for _ in range(3):
                     calls.start_soon(call)
         assert results == [expected] * 3
-        await _until(lambda: endpoint.cut == 3)
+        await _wait_until(lambda: endpoint.aborted == 3)
         assert endpoint.sent < 3 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
         nursery.cancel_scope.cancel()
-        assert longest_s < _TURN_S
-    # A run that is not counted as ended keeps its slot for ever.
+        assert longest_blocking_s < _MAX_BLOCKING_S
+    # A run that is never counted as finished would keep its slot forever.
     assert daemons[-1].runner.load.in_flight == 0
 
 
@@ -264,19 +274,19 @@
         ),
     ],
 )
-async def test_bytes_after_a_response_belong_to_no_request(
+async def test_bytes_after_a_response_are_discarded(
     start: bytes, unit: bytes, method: str
 ) -> None:
-    """The next request must not get them as its response."""
-    async with _Endpoint(start, unit).run() as endpoint:
+    """The next request must not get the excess bytes as its response."""
+    async with _EndlessServer(start, unit).run() as endpoint:
         client = _backend_client.BackendClient(endpoint.address)
-        with trio.fail_after(_EARLY_S):
+        with trio.fail_after(_TIME_LIMIT_S):
             first = await _read(client, '/endless', method)
             assert first == (b'' if method == 'HEAD' else b'good')
             assert await _read(client, '/good', 'GET') == b'good'
         assert endpoint.paths == [b'/endless', b'/good']
-        assert endpoint.opened == 2
-        await _until(lambda: endpoint.cut == 1)
+        assert endpoint.accepted == 2
+        await _wait_until(lambda: endpoint.aborted == 1)
         await client.close_idle(all_connections=True)
 
 
@@ -300,36 +310,36 @@
         pytest.param(_CHUNKED, b'1\r\nx\r\n', id='chunks'),
     ],
 )
-async def test_slow_bytes_end_with_the_deadline(
+async def test_slow_response_ends_at_the_deadline(
     start: bytes, unit: bytes
 ) -> None:
-    """Bytes that arrive slowly must not prolong a call."""
-    async with _Endpoint(start, unit, 0.02).run() as endpoint:
+    """A response that arrives byte by byte must not prolong its call."""
+    async with _EndlessServer(start, unit, 0.02).run() as endpoint:
         client = _backend_client.BackendClient(endpoint.address)
         with trio.move_on_after(0.3) as scope:
             await _read(client, '/endless', 'GET')
         assert scope.cancelled_caught
-        await _until(lambda: endpoint.cut == 1)
+        await _wait_until(lambda: endpoint.aborted == 1)
         assert await _read(client, '/good', 'GET') == b'good'
-        assert endpoint.opened == 2
+        assert endpoint.accepted == 2
         await client.close_idle(all_connections=True)
 
 
-async def test_response_without_end_to_a_caller_of_http_1_0(
+async def test_endless_response_to_http_1_0_caller(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Such a response is held until it is whole, in a bounded buffer."""
-    # A run that must not be repeated goes on without its caller.
+    """The response is buffered for such a caller, but only up to a limit."""
+    # A run that is not idempotent continues after its caller has gone.
     monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
     unit = b'10000\r\n' + bytes(0x10000) + b'\r\n'
     async with (
-        _Endpoint(_CHUNKED, unit).run() as endpoint,
+        _EndlessServer(_CHUNKED, unit).run() as endpoint,
         open_daemons(endpoint.address, _SNAPSHOT) as daemons,
     ):
         for daemon in daemons:
             daemon.runner.held = _calls.HeldBytes(1_000_000)
             host, _, port = daemon.caller.address.rpartition(':')
-            with trio.fail_after(_EARLY_S):
+            with trio.fail_after(_TIME_LIMIT_S):
                 stream = await trio.open_tcp_stream(host, int(port))
                 await stream.send_all(
                     b'POST /endless HTTP/1.0\r\nHost: spa.example\r\n\r\n'
@@ -341,7 +351,7 @@
             assert head.startswith(b'http/1.1 502')
             assert b'gypsumhall-outcome: run' in head
             assert daemon.runner.held.used == 0
-        await _until(lambda: endpoint.cut == 2)
+        await _wait_until(lambda: endpoint.aborted == 2)
         assert endpoint.sent < 2 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
 
 
@@ -351,7 +361,7 @@
         pytest.param(
             b'',
             b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100,
-            'no head of a response in',
+            'response head incomplete after',
             id='head',
         ),
         pytest.param(
@@ -362,22 +372,22 @@
         ),
     ],
 )
-async def test_log_says_why_a_response_without_end_was_cut(
+async def test_event_has_cause_of_aborted_response(
     start: bytes, unit: bytes, detail: str
 ) -> None:
-    """After the head has been passed on, nothing else can say it."""
+    """Once the head has been forwarded, only the event can carry the cause."""
     async with (
-        _Endpoint(start, unit).run() as endpoint,
+        _EndlessServer(start, unit).run() as endpoint,
         open_daemons(endpoint.address, _SNAPSHOT) as daemons,
     ):
         daemon = daemons[-1]
         daemon.runner._dialect = _calls.Dialect(request_id=b'x-request')
-        with trio.fail_after(_EARLY_S):
+        with trio.fail_after(_TIME_LIMIT_S):
             await _call(daemons[0], '/endless')
-        cut = [
+        aborted = [
             fields
             for code, fields in daemon.events.emitted
             if code == 'run-cut'
         ]
-        assert [item['cause'] for item in cut] == ['bad-response']
-        assert detail in str(cut[0]['detail'])
+        assert [item['cause'] for item in aborted] == ['bad-response']
+        assert detail in str(aborted[0]['detail'])
--- a/tests/test_services_planned_stop.py
+++ b/tests/test_services_planned_stop.py
@@ -1,4 +1,4 @@
-"""What callers see of the planned stop of a daemon."""
+"""Tests of what callers observe during the graceful shutdown of a daemon."""
 
 from __future__ import annotations
 
@@ -29,33 +29,33 @@
 
     from gypsumhall.core._snapshot import Snapshot
 
-_WAIT_S = 20.0
+_TIME_LIMIT_S = 20.0
 _ADDRESS = '127.0.0.1:1'
 _OTHER_ADDRESS = '127.0.0.1:2'
-# Scheduler ticks that a planned stop without work takes, and some more.
-_TICKS = 25
+# A few more scheduler ticks than an idle daemon needs for its shutdown.
+_SHUTDOWN_TICKS = 25
 
 
 @contextlib.asynccontextmanager
-async def _daemon(
+async def _run_daemon(
     backend: MemoryBackend,
     snapshot: Snapshot | None = None,
-    other: trio.Event | None = None,
+    start_other: trio.Event | None = None,
     **settings: Any,
 ) -> AsyncIterator[tuple[CallDaemon, trio.Event]]:
-    """Run a daemon; the event is set when its kernel has ended.
+    """Run a daemon; the event yielded is set when its kernel has ended.
 
-    The event ``other`` starts a second one, with an endpoint of its own.
+    Setting the event ``start_other`` starts a second daemon with an endpoint.
     """
     ended = trio.Event()
-    with trio.fail_after(_WAIT_S):
+    with trio.fail_after(_TIME_LIMIT_S):
         async with trio.open_nursery() as nursery:
             hub = MemoryHub(nursery)
             table = fakes.FakeTable()
             snapshot = snapshot or build_snapshot()
 
             async def run_other() -> None:
-                await other.wait()
+                await start_other.wait()
                 daemon = CallDaemon(
                     builders.build_member(1),
                     table,
@@ -66,7 +66,7 @@
                 await nursery.start(daemon.run)
                 daemon.set_backend(_OTHER_ADDRESS)
 
-            if other is not None:
+            if start_other is not None:
                 nursery.start_soon(run_other)
             daemon = CallDaemon(
                 builders.build_member(0),
@@ -101,7 +101,7 @@
 
 
 async def _read_response(stream: trio.SocketStream) -> bytes:
-    """Return what the daemon sends until it closes the connection."""
+    """Return all bytes sent until the daemon closes the connection."""
     received = b''
     with contextlib.suppress(trio.BrokenResourceError):
         while data := await stream.receive_some():
@@ -109,7 +109,7 @@
     return received
 
 
-async def _until_running(backend: MemoryBackend) -> None:
+async def _wait_until_running(backend: MemoryBackend) -> None:
     while True:
         if backend.runs:
             return
@@ -117,20 +117,20 @@
 
 
 @pytest.mark.parametrize('_attempt', range(8))
-async def test_the_last_request_of_a_stop_gets_its_refusal(
+async def test_last_request_gets_its_error_response(
     _attempt: int,
 ) -> None:
-    """The connections were cancelled before the refusal was sent."""
+    """Connections must not be cancelled before the error response is sent."""
     backend = MemoryBackend(Random(1))
     backend.mean_s, backend.constant = 0.2, True
     backend.reset_rate = 1.0
-    # A daemon that has no keys to hand over ends at once.
+    # Without idempotency keys to hand over, a daemon ends at once.
     dialect = Dialect(key=b'')
-    async with _daemon(backend, dialect=dialect) as (daemon, ended):
+    async with _run_daemon(backend, dialect=dialect) as (daemon, ended):
         stream = await _connect(daemon)
         async with stream:
             await stream.send_all(_request('r1'))
-            await _until_running(backend)
+            await _wait_until_running(backend)
             daemon.kernel.stop()
             response = await _read_response(stream)
         assert response.startswith(b'HTTP/1.1 502 ')
@@ -139,20 +139,24 @@
 
 
 @pytest.mark.parametrize('timeout_s', [0.0, 2.0])
-async def test_a_request_that_is_still_running_at_the_end_gets_an_answer(
+async def test_request_running_at_the_end_gets_a_response(
     timeout_s: float,
 ) -> None:
-    """Its connection was closed without an answer of any kind.
+    """Its connection must not be closed without any response.
 
-    Without any time it is as if the process stood still until its end.
+    A timeout of 0 s has the same effect as a process that is suspended until
+    the end of its shutdown.
     """
     backend = MemoryBackend(Random(1))
     backend.hang.add(_ADDRESS)
-    async with _daemon(backend, drain_timeout_s=timeout_s) as (daemon, ended):
+    async with _run_daemon(backend, drain_timeout_s=timeout_s) as (
+        daemon,
+        ended,
+    ):
         stream = await _connect(daemon)
         async with stream:
             await stream.send_all(_request('r1'))
-            await _until_running(backend)
+            await _wait_until_running(backend)
             daemon.kernel.stop()
             response = await _read_response(stream)
         assert response.startswith(b'HTTP/1.1 502 ')
@@ -161,10 +165,10 @@
         await ended.wait()
 
 
-async def test_a_request_whose_body_is_late_at_the_end_is_refused() -> None:
-    """Its connection was closed although it certainly has not run."""
+async def test_request_with_late_body_at_the_end_is_rejected() -> None:
+    """Its connection must not be closed, as it has certainly not run."""
     backend = MemoryBackend(Random(1))
-    async with _daemon(backend, drain_timeout_s=2.0) as (daemon, ended):
+    async with _run_daemon(backend, drain_timeout_s=2.0) as (daemon, ended):
         stream = await _connect(daemon)
         async with stream:
             head = _request('r1').replace(b'Length: 0', b'Length: 5')
@@ -177,26 +181,26 @@
         await ended.wait()
 
 
-@pytest.mark.parametrize('ticks', range(_TICKS))
-async def test_a_request_that_was_read_is_answered_however_late_it_came(
+@pytest.mark.parametrize('ticks', range(_SHUTDOWN_TICKS))
+async def test_every_request_that_was_read_gets_a_response(
     monkeypatch: pytest.MonkeyPatch, ticks: int
 ) -> None:
-    """One that was read while the daemon ended had no answer."""
-    read = b''
+    """A request that is read while the daemon ends must get one, too."""
+    received = b''
     receive = trio.SocketStream.receive_some
 
-    async def note(
+    async def recording_receive(
         stream: trio.SocketStream, max_bytes: int | None = None
     ) -> bytes:
-        nonlocal read
+        nonlocal received
         data = bytes(await receive(stream, max_bytes))
-        read += data
+        received += data
         return data
 
-    monkeypatch.setattr(trio.SocketStream, 'receive_some', note)
+    monkeypatch.setattr(trio.SocketStream, 'receive_some', recording_receive)
     backend = MemoryBackend(Random(1))
     backend.mean_s, backend.constant = 0.0, True
-    async with _daemon(backend) as (daemon, ended):
+    async with _run_daemon(backend) as (daemon, ended):
         host, _, port = daemon.caller.address.rpartition(':')
         with socket.create_connection((host, int(port))) as caller:
             caller.setblocking(False)
@@ -210,12 +214,12 @@
             response = b''
             with contextlib.suppress(OSError):
                 response = caller.recv(65536)
-        assert not read or response.startswith(b'HTTP/1.1 ')
+        assert not received or response.startswith(b'HTTP/1.1 ')
         assert not backend.runs or b' 200 ' in response
 
 
-class _Listener:
-    """Stands in for the HTTP server, so that the clock can be paused."""
+class _FakeHttpServer:
+    """Replaces the HTTP server, so that tests can use a mock clock."""
 
     def __init__(self) -> None:
         self._application: Any = None
@@ -235,7 +239,7 @@
         await stop.wait()
 
     async def get(self, path: str, deadline_ms: int) -> int:
-        """Return the status of a response."""
+        """Send a request and return the status of its response."""
         self._requests += 1
         headers = [
             (b'host', b'spa.example'),
@@ -250,56 +254,61 @@
 
 
 @contextlib.asynccontextmanager
-async def _paused(
+async def _shut_down_busy_daemon(
     monkeypatch: pytest.MonkeyPatch, *, busy_s: float, **settings: Any
-) -> AsyncIterator[_Listener]:
-    """Stop a daemon that is busy with a request, beside an idle one."""
-    other = trio.Event()
-    listener = _Listener()
+) -> AsyncIterator[_FakeHttpServer]:
+    """Shut down a daemon that runs a request, beside an idle daemon."""
+    start_other = trio.Event()
+    listener = _FakeHttpServer()
     monkeypatch.setattr(_http_server, 'serve', listener.serve)
     backend = MemoryBackend(Random(1))
     backend.mean_s, backend.constant = busy_s, True
     snapshot = build_snapshot(routes=(_LONG, _NESTED))
     async with (
-        _daemon(backend, snapshot, other, **settings) as (daemon, _),
+        _run_daemon(backend, snapshot, start_other, **settings) as (daemon, _),
         trio.open_nursery() as nursery,
     ):
         nursery.start_soon(listener.get, '/search', 10_000)
-        await _until_running(backend)
+        await _wait_until_running(backend)
         backend.mean_s = 0.01
-        other.set()
+        start_other.set()
         await trio.sleep(0.1)
         daemon.kernel.stop()
         yield listener
         nursery.cancel_scope.cancel()
 
 
-async def test_new_requests_are_not_taken_after_the_time_for_them(
+async def test_new_requests_are_rejected_after_the_drain_delay(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """They were for up to 0.2 s longer, and a long one was then cut off."""
-    async with _paused(monkeypatch, busy_s=3.0, linger_s=0.5) as listener:
+    """They must not be accepted for up to 0.2 s more.
+
+    The end of the daemon would then cancel a request that takes long.
+    """
+    async with _shut_down_busy_daemon(
+        monkeypatch, busy_s=3.0, linger_s=0.5
+    ) as listener:
         await trio.sleep(0.45)
         assert await listener.get('/search', 1000) == 200
         await trio.sleep(0.1)
         assert await listener.get('/search', 1000) == 503
 
 
-async def test_a_late_request_that_would_outlast_the_stop_is_not_taken(
+async def test_request_that_would_outlast_the_shutdown_is_rejected(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It was cut off by the end of the daemon."""
-    async with _paused(
+    """The end of the daemon would cancel it."""
+    async with _shut_down_busy_daemon(
         monkeypatch, busy_s=8.0, linger_s=5.0, drain_timeout_s=10.0
     ) as listener:
 
-        async def keep_calling() -> None:
+        async def call_repeatedly() -> None:
             while True:
                 await trio.sleep(0.5)
                 await listener.get('/search', 100)
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(keep_calling)
+            nursery.start_soon(call_repeatedly)
             await trio.sleep(2.5)
             assert await listener.get('/search', 9000) == 200
             await trio.sleep(1.0)
@@ -308,22 +317,24 @@
             nursery.cancel_scope.cancel()
 
 
-async def test_a_request_after_a_quiet_second_of_a_stop_is_taken(
+async def test_request_after_an_idle_second_is_accepted(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It was refused, though its caller could not know of the stop yet."""
-    async with _paused(monkeypatch, busy_s=6.0, linger_s=3.0) as listener:
+    """Its caller cannot know of the shutdown yet, so it is not rejected."""
+    async with _shut_down_busy_daemon(
+        monkeypatch, busy_s=6.0, linger_s=3.0
+    ) as listener:
         await trio.sleep(1.5)
         assert await listener.get('/search', 1000) == 200
         await trio.sleep(1.6)
         assert await listener.get('/search', 1000) == 503
 
 
-async def test_calls_of_running_requests_are_taken_while_they_end_in_time(
+async def test_nested_calls_are_accepted_while_they_end_in_time(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """One that is taken too late is cut off, and so is the run."""
-    async with _paused(
+    """One accepted too late would be cancelled, and so would its caller."""
+    async with _shut_down_busy_daemon(
         monkeypatch, busy_s=3.0, linger_s=0.5, drain_timeout_s=2.0
     ) as listener:
         await trio.sleep(1.35)
