--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -54,7 +54,7 @@
 
 
 class BackendResetError(GypsumhallError):
-    """The connection ended or timed out within the response."""
+    """The connection ended or timed out before a complete response."""
 
     code = 'backend-reset'
 
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -53,7 +53,7 @@
 _MAINTENANCE_INTERVAL_S = 1.0
 # Interval at which queued calls that can no longer be served are evicted.
 _QUEUE_CHECK_INTERVAL_S = 0.05
-# Transit time of a response to the caller: a network delay of 8 ms, twice, and
+# Transit time of a response to the caller: two network delays of 8 ms each and
 # the processing in two daemons. It shortens only the wait for a slot. A run
 # continues until its deadline, because its caller may still be waiting.
 _RESPONSE_TRANSIT_S = 0.025
--- a/tests/test_services_backend_client.py
+++ b/tests/test_services_backend_client.py
@@ -212,8 +212,8 @@
     """
     monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
     async with (
-        _EndlessServer(start, unit).run() as endpoint,
-        open_daemons(endpoint.address, _SNAPSHOT) as daemons,
+        _EndlessServer(start, unit).run() as server,
+        open_daemons(server.address, _SNAPSHOT) as daemons,
         trio.open_nursery() as nursery,
     ):
         longest_blocking_s = 0.0
@@ -244,8 +244,8 @@
                 for _ in range(3):
                     calls.start_soon(call)
         assert results == [expected] * 3
-        await _wait_until(lambda: endpoint.aborted == 3)
-        assert endpoint.sent < 3 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
+        await _wait_until(lambda: server.aborted == 3)
+        assert server.sent < 3 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
         nursery.cancel_scope.cancel()
         assert longest_blocking_s < _MAX_BLOCKING_S
     # A run that is never counted as finished would keep its slot forever.
@@ -278,15 +278,15 @@
     start: bytes, unit: bytes, method: str
 ) -> None:
     """The next request must not get the excess bytes as its response."""
-    async with _EndlessServer(start, unit).run() as endpoint:
-        client = _backend_client.BackendClient(endpoint.address)
+    async with _EndlessServer(start, unit).run() as server:
+        client = _backend_client.BackendClient(server.address)
         with trio.fail_after(_TIME_LIMIT_S):
             first = await _read(client, '/endless', method)
             assert first == (b'' if method == 'HEAD' else b'good')
             assert await _read(client, '/good', 'GET') == b'good'
-        assert endpoint.paths == [b'/endless', b'/good']
-        assert endpoint.accepted == 2
-        await _wait_until(lambda: endpoint.aborted == 1)
+        assert server.paths == [b'/endless', b'/good']
+        assert server.accepted == 2
+        await _wait_until(lambda: server.aborted == 1)
         await client.close_idle(all_connections=True)
 
 
@@ -314,14 +314,14 @@
     start: bytes, unit: bytes
 ) -> None:
     """A response that arrives byte by byte must not prolong its call."""
-    async with _EndlessServer(start, unit, 0.02).run() as endpoint:
-        client = _backend_client.BackendClient(endpoint.address)
+    async with _EndlessServer(start, unit, 0.02).run() as server:
+        client = _backend_client.BackendClient(server.address)
         with trio.move_on_after(0.3) as scope:
             await _read(client, '/endless', 'GET')
         assert scope.cancelled_caught
-        await _wait_until(lambda: endpoint.aborted == 1)
+        await _wait_until(lambda: server.aborted == 1)
         assert await _read(client, '/good', 'GET') == b'good'
-        assert endpoint.accepted == 2
+        assert server.accepted == 2
         await client.close_idle(all_connections=True)
 
 
@@ -333,8 +333,8 @@
     monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
     unit = b'10000\r\n' + bytes(0x10000) + b'\r\n'
     async with (
-        _EndlessServer(_CHUNKED, unit).run() as endpoint,
-        open_daemons(endpoint.address, _SNAPSHOT) as daemons,
+        _EndlessServer(_CHUNKED, unit).run() as server,
+        open_daemons(server.address, _SNAPSHOT) as daemons,
     ):
         for daemon in daemons:
             daemon.runner.held = _calls.HeldBytes(1_000_000)
@@ -351,8 +351,8 @@
             assert head.startswith(b'http/1.1 502')
             assert b'gypsumhall-outcome: run' in head
             assert daemon.runner.held.used == 0
-        await _wait_until(lambda: endpoint.aborted == 2)
-        assert endpoint.sent < 2 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
+        await _wait_until(lambda: server.aborted == 2)
+        assert server.sent < 2 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
 
 
 @pytest.mark.parametrize(
@@ -377,8 +377,8 @@
 ) -> None:
     """Once the head has been forwarded, only the event can carry the cause."""
     async with (
-        _EndlessServer(start, unit).run() as endpoint,
-        open_daemons(endpoint.address, _SNAPSHOT) as daemons,
+        _EndlessServer(start, unit).run() as server,
+        open_daemons(server.address, _SNAPSHOT) as daemons,
     ):
         daemon = daemons[-1]
         daemon.runner._dialect = _calls.Dialect(request_id=b'x-request')
--- a/tests/test_services_planned_stop.py
+++ b/tests/test_services_planned_stop.py
@@ -166,7 +166,10 @@
 
 
 async def test_request_with_late_body_at_the_end_is_rejected() -> None:
-    """Its connection must not be closed, as it has certainly not run."""
+    """Its connection must not be closed without a response.
+
+    The response says that the request has certainly not run.
+    """
     backend = MemoryBackend(Random(1))
     async with _run_daemon(backend, drain_timeout_s=2.0) as (daemon, ended):
         stream = await _connect(daemon)
@@ -259,8 +262,8 @@
 ) -> AsyncIterator[_FakeHttpServer]:
     """Shut down a daemon that runs a request, beside an idle daemon."""
     start_other = trio.Event()
-    listener = _FakeHttpServer()
-    monkeypatch.setattr(_http_server, 'serve', listener.serve)
+    server = _FakeHttpServer()
+    monkeypatch.setattr(_http_server, 'serve', server.serve)
     backend = MemoryBackend(Random(1))
     backend.mean_s, backend.constant = busy_s, True
     snapshot = build_snapshot(routes=(_LONG, _NESTED))
@@ -268,30 +271,30 @@
         _run_daemon(backend, snapshot, start_other, **settings) as (daemon, _),
         trio.open_nursery() as nursery,
     ):
-        nursery.start_soon(listener.get, '/search', 10_000)
+        nursery.start_soon(server.get, '/search', 10_000)
         await _wait_until_running(backend)
         backend.mean_s = 0.01
         start_other.set()
         await trio.sleep(0.1)
         daemon.kernel.stop()
-        yield listener
+        yield server
         nursery.cancel_scope.cancel()
 
 
 async def test_new_requests_are_rejected_after_the_drain_delay(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """They must not be accepted for up to 0.2 s more.
+    """None that arrives up to 0.2 s after the delay must be accepted.
 
-    The end of the daemon would then cancel a request that takes long.
+    If it takes long, the end of the daemon would cancel it.
     """
     async with _shut_down_busy_daemon(
         monkeypatch, busy_s=3.0, linger_s=0.5
-    ) as listener:
+    ) as server:
         await trio.sleep(0.45)
-        assert await listener.get('/search', 1000) == 200
+        assert await server.get('/search', 1000) == 200
         await trio.sleep(0.1)
-        assert await listener.get('/search', 1000) == 503
+        assert await server.get('/search', 1000) == 503
 
 
 async def test_request_that_would_outlast_the_shutdown_is_rejected(
@@ -300,20 +303,20 @@
     """The end of the daemon would cancel it."""
     async with _shut_down_busy_daemon(
         monkeypatch, busy_s=8.0, linger_s=5.0, drain_timeout_s=10.0
-    ) as listener:
+    ) as server:
 
         async def call_repeatedly() -> None:
             while True:
                 await trio.sleep(0.5)
-                await listener.get('/search', 100)
+                await server.get('/search', 100)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(call_repeatedly)
             await trio.sleep(2.5)
-            assert await listener.get('/search', 9000) == 200
+            assert await server.get('/search', 9000) == 200
             await trio.sleep(1.0)
-            assert await listener.get('/search', 9000) == 503
-            assert await listener.get('/search', 4000) == 200
+            assert await server.get('/search', 9000) == 503
+            assert await server.get('/search', 4000) == 200
             nursery.cancel_scope.cancel()
 
 
@@ -323,11 +326,11 @@
     """Its caller cannot know of the shutdown yet, so it is not rejected."""
     async with _shut_down_busy_daemon(
         monkeypatch, busy_s=6.0, linger_s=3.0
-    ) as listener:
+    ) as server:
         await trio.sleep(1.5)
-        assert await listener.get('/search', 1000) == 200
+        assert await server.get('/search', 1000) == 200
         await trio.sleep(1.6)
-        assert await listener.get('/search', 1000) == 503
+        assert await server.get('/search', 1000) == 503
 
 
 async def test_nested_calls_are_accepted_while_they_end_in_time(
@@ -336,8 +339,8 @@
     """One accepted too late would be cancelled, and so would its caller."""
     async with _shut_down_busy_daemon(
         monkeypatch, busy_s=3.0, linger_s=0.5, drain_timeout_s=2.0
-    ) as listener:
+    ) as server:
         await trio.sleep(1.35)
-        assert await listener.get('/check', 400) == 200
+        assert await server.get('/check', 400) == 200
         await trio.sleep(0.15)
-        assert await listener.get('/check', 400) == 503
+        assert await server.get('/check', 400) == 503
