--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -33,11 +33,11 @@
 from gypsumhall.net._messages import Load
 from gypsumhall.net._messages import Outcome
 from gypsumhall.net._protocol import PeerNetwork
-from gypsumhall.services import _answers
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _calls
 from gypsumhall.services import _keys
 from gypsumhall.services import _protocols
+from gypsumhall.services import _responses
 from gypsumhall.services import _sender
 from gypsumhall.services import _watches
 
@@ -399,7 +399,7 @@
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
         recorder = None if call.idempotent else _calls.Recorder(self.held)
-        run = _answers.Run(send, recorder)
+        run = _responses.Run(send, recorder)
         refusal: _calls.CallRefusedError | None = None
         deadline = trio.current_time() + call.deadline_ms / 1000
         try:
@@ -429,7 +429,11 @@
         await self._send_refusal(call.request_id, refusal, send)
 
     async def _admit_and_run(
-        self, call: CallStart, body: bytes, run: _answers.Run, deadline: float
+        self,
+        call: CallStart,
+        body: bytes,
+        run: _responses.Run,
+        deadline: float,
     ) -> _calls.CallRefusedError | None:
         try:
             backend = self._backend_for(call)
@@ -499,7 +503,7 @@
         backend: _Backend,
         call: CallStart,
         body: bytes,
-        run: _answers.Run,
+        run: _responses.Run,
         deadline: float,
     ) -> _calls.CallRefusedError | None:
         remaining_ms = int((deadline - trio.current_time()) * 1000)
@@ -545,7 +549,7 @@
         self,
         call: CallStart,
         response: _backend_client.BackendResponse,
-        run: _answers.Run,
+        run: _responses.Run,
     ) -> None:
         """Raise unless the response is the result of this request.
 
@@ -696,7 +700,9 @@
     ) -> None:
         response = entry.response
         if response is not None:
-            await _answers.send_recorded(request_id, response, self.load, send)
+            await _responses.send_recorded(
+                request_id, response, self.load, send
+            )
             return
         outcomes = {
             EntryState.REFUSED: (Outcome.NOT_RUN, 'refused'),
@@ -810,7 +816,7 @@
             return
         self._active_calls += 1
         recorder = _calls.Recorder(self.held)
-        sink = _answers.MessageSink(
+        sink = _responses.MessageSink(
             lambda: self.load, call.request_id, send, recorder
         )
         state = EntryState.UNKNOWN
