--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -177,7 +177,7 @@
         dialect=platform.DIALECT,
         retries=retries,
         notice_s=_NOTICE_S,
-        hold_s=linger_s,
+        availability_wait_s=linger_s,
     )
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -93,7 +93,7 @@
     notice_s : float
         Time in seconds between announcing a graceful shutdown to other
         daemons and rejecting their calls.
-    hold_s : float
+    availability_wait_s : float
         Longest time in seconds after the start of a graceful shutdown in
         which calls are still served because too many other endpoints of the
         service are unavailable.
@@ -118,10 +118,10 @@
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
         retries: _sender.RetryLimits | None = None,
         notice_s: float = 0.0,
-        hold_s: float = 0.0,
+        availability_wait_s: float = 0.0,
     ) -> None:
         self._notice_s = notice_s
-        self._hold_s = hold_s
+        self._availability_wait_s = availability_wait_s
         self._shutdown_started_at = math.inf
         self._availability = EndpointAvailability()
         self._retries = retries
@@ -225,7 +225,7 @@
         )
         self._sender.execute_keyed = self._keys.execute
         self._membership.subscribe(self._keys.on_members_changed)
-        if self._hold_s:
+        if self._availability_wait_s:
             self._membership.subscribe(self._update_availability)
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
@@ -285,11 +285,11 @@
     async def _wait_for_other_endpoints(self) -> None:
         """Keep serving until enough other endpoints of the service are ready.
 
-        The wait is limited, see parameter `hold_s`.
+        The wait is limited, see parameter `availability_wait_s`.
         """
         wait_until = min(
-            self._shutdown_started_at + self._hold_s,
-            trio.current_time() + self._hold_s,
+            self._shutdown_started_at + self._availability_wait_s,
+            trio.current_time() + self._availability_wait_s,
         )
         while trio.current_time() < wait_until:
             self._update_availability()
--- a/gypsumhall/testing/call_trial.py
+++ b/gypsumhall/testing/call_trial.py
@@ -68,7 +68,7 @@
         Share of the move; 0 for no move.
     fault_rate : float
         Share of messages with a fault.
-    hold_s : float
+    availability_wait_s : float
         Longest time in seconds for which a stop waits for other endpoints.
     """
 
@@ -80,10 +80,10 @@
         daemons: int = 5,
         share: float = 0.0,
         fault_rate: float = 0.0,
-        hold_s: float = 0.0,
+        availability_wait_s: float = 0.0,
     ) -> None:
         self._nursery = nursery
-        self._hold_s = hold_s
+        self._availability_wait_s = availability_wait_s
         self.rng = Random(seed)
         self.hub = MemoryHub(nursery)
         self.backend = MemoryBackend(self.rng)
@@ -276,7 +276,7 @@
             self.snapshot,
             self.backend.client,
             self.rng.randrange(2**32),
-            hold_s=self._hold_s,
+            availability_wait_s=self._availability_wait_s,
         )
         daemon.membership.subscribe(
             lambda: self._spread(index, daemon.membership.me)
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -172,7 +172,7 @@
         Seed of the sender.
     listen : str
         Address for callers; empty for none.
-    hold_s : float
+    availability_wait_s : float
         Longest time in seconds for which a stop waits for other endpoints.
     linger_s : float
         Longest time in seconds for which a stop serves new callers.
@@ -193,7 +193,7 @@
         ] = _backend_client.BackendClient,
         seed: int = 0,
         listen: str = '',
-        hold_s: float = 0.0,
+        availability_wait_s: float = 0.0,
         linger_s: float = 0.0,
         drain_timeout_s: float = 30.0,
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
@@ -206,7 +206,10 @@
         self.metrics = fakes.FakeMetrics()
         self.admin = fakes.FakeAdmin()
         self.runner = RunnerService(
-            Random(seed), connect, dialect, hold_s=hold_s
+            Random(seed),
+            connect,
+            dialect,
+            availability_wait_s=availability_wait_s,
         )
         self.announcements = AnnouncementsService()
         self.caller = (
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -40,11 +40,15 @@
 
 @contextlib.asynccontextmanager
 async def _trial(
-    daemons: int = 4, share: float = 0.0, hold_s: float = 0.0
+    daemons: int = 4, share: float = 0.0, availability_wait_s: float = 0.0
 ) -> AsyncIterator[CallTrial]:
     async with trio.open_nursery() as nursery:
         trial = CallTrial(
-            nursery, 1, daemons=daemons, share=share, hold_s=hold_s
+            nursery,
+            1,
+            daemons=daemons,
+            share=share,
+            availability_wait_s=availability_wait_s,
         )
         await trial.start()
         await trio.sleep(20.0)
@@ -585,7 +589,7 @@
     autojump_clock: MockClock,
 ) -> None:
     """Two daemons that restart in turn left no endpoint for 1.4 s."""
-    async with _trial(daemons=3, hold_s=3.0) as trial:
+    async with _trial(daemons=3, availability_wait_s=3.0) as trial:
         first, second = trial.daemons[:2]
         first.set_backend('backend-0', state=EndpointState.DRAINING)
         await trio.sleep(0.1)
@@ -601,7 +605,7 @@
 async def test_a_stop_does_not_wait_for_ever(
     autojump_clock: MockClock,
 ) -> None:
-    async with _trial(daemons=3, hold_s=3.0) as trial:
+    async with _trial(daemons=3, availability_wait_s=3.0) as trial:
         first, second = trial.daemons[:2]
         first.set_backend('backend-0', state=EndpointState.DRAINING)
         await trio.sleep(0.1)
