--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -176,7 +176,7 @@
         rng,
         dialect=platform.DIALECT,
         retries=retries,
-        notice_s=_NOTICE_S,
+        rejection_delay_s=_NOTICE_S,
         availability_wait_s=linger_s,
     )
     runner.set_split_source(rollouts.split)
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -90,7 +90,7 @@
         Names of the HTTP headers that the backend server uses.
     retries : RetryLimits, optional
         Limits on the retries of the sender.
-    notice_s : float
+    rejection_delay_s : float
         Time in seconds between announcing a graceful shutdown to other
         daemons and rejecting their calls.
     availability_wait_s : float
@@ -117,10 +117,10 @@
         ] = _backend_client.BackendClient,
         dialect: _calls.Dialect = _calls.OWN_DIALECT,
         retries: _sender.RetryLimits | None = None,
-        notice_s: float = 0.0,
+        rejection_delay_s: float = 0.0,
         availability_wait_s: float = 0.0,
     ) -> None:
-        self._notice_s = notice_s
+        self._rejection_delay_s = rejection_delay_s
         self._availability_wait_s = availability_wait_s
         self._shutdown_started_at = math.inf
         self._availability = EndpointAvailability()
@@ -278,7 +278,7 @@
                     EndpointState.DRAINING,
                 )
             )
-        await trio.sleep(self._notice_s)
+        await trio.sleep(self._rejection_delay_s)
         self._draining = True
         self._reject_queued_calls()
 
