--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -36,7 +36,7 @@
         """Take over what the backend server reported."""
         ...
 
-    def set_warm_at(self, time: float) -> None:
+    def set_warmup_end(self, time: float) -> None:
         """Set until when a backend server that has started is slow."""
         ...
 
@@ -117,7 +117,7 @@
         )
         if decision is not HeartbeatResult.STALE:
             now = trio.current_time()
-            self._runner.set_warm_at(now + check_in.warmup_s)
+            self._runner.set_warmup_end(now + check_in.warmup_s)
         if decision is HeartbeatResult.CHANGED:
             self._apply('check-in')
         elif decision is HeartbeatResult.STALE:
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -126,7 +126,7 @@
         self._availability = EndpointAvailability()
         self._retries = retries
         self._dialect = dialect
-        self._warm_at = -math.inf
+        self._warmup_ends_at = -math.inf
         self._split_source: _sender.SplitSource | None = None
         self._rng = rng or Random()
         self._connect = connect
@@ -359,13 +359,13 @@
         if endpoint.state != EndpointState.READY:
             self._reject_queued_calls()
 
-    def set_warm_at(self, time: float) -> None:
+    def set_warmup_end(self, time: float) -> None:
         """Set the end of the warm-up of the backend server, in seconds.
 
         Runs that start earlier may be slow and are not counted as evidence
         about its version.
         """
-        self._warm_at = time
+        self._warmup_ends_at = time
 
     async def execute(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
@@ -469,7 +469,10 @@
                 now=now,
             )
             self._start_queued_calls()
-            if run.outcome != Outcome.NOT_RUN and started >= self._warm_at:
+            if (
+                run.outcome != Outcome.NOT_RUN
+                and started >= self._warmup_ends_at
+            ):
                 # A slow idempotent run may be cancelled in favor of a backup
                 # attempt, depending on the free capacity of other endpoints.
                 # It counts as failed whether or not that happens.
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -88,7 +88,7 @@
         state = None if endpoint is None else endpoint.state
         self.backends.append((state, instance))
 
-    def set_warm_at(self, time: float) -> None:
+    def set_warmup_end(self, time: float) -> None:
         pass
 
 
