--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -98,11 +98,11 @@
         '_finished_events',
         '_held',
         '_incarnation',
-        '_services',
         '_ledger',
         '_membership',
         '_peers',
         '_sender',
+        '_services',
         '_shutting_down',
     )
 
@@ -206,7 +206,7 @@
             )
         ):
             outcome = Outcome.UNKNOWN
-        # Without a reply, the new owner takes the outcome as unknown.
+        # Without a reply, the new owner treats the outcome as unknown.
         with contextlib.suppress(PeerError):
             await exchange.send(KeyReleased(outcome))
 
@@ -386,11 +386,13 @@
         if not former.to_query:
             return
         outcomes: dict[str, Outcome] = {}
-        asked = tuple((item.id, item.incarnation) for item in former.to_query)
+        queried = tuple(
+            (item.id, item.incarnation) for item in former.to_query
+        )
         async with trio.open_nursery() as nursery:
             for member in former.to_query:
                 nursery.start_soon(
-                    self._request_release, member, request, asked, outcomes
+                    self._request_release, member, request, queried, outcomes
                 )
         for outcome in (Outcome.RUN, Outcome.UNKNOWN):
             for member_id, reply_outcome in outcomes.items():
@@ -406,7 +408,7 @@
         self,
         member: Member,
         request: _calls.Request,
-        asked: tuple[tuple[str, int], ...],
+        queried: tuple[tuple[str, int], ...],
         outcomes: dict[str, Outcome],
     ) -> None:
         outcomes[member.id] = Outcome.UNKNOWN
@@ -415,7 +417,7 @@
             reply = await self._peers.request(
                 member.peer_address,
                 KeyRelease(
-                    request.service, request.key, member.incarnation, asked
+                    request.service, request.key, member.incarnation, queried
                 ),
                 timeout_s=max(0.0, min(_RELEASE_TIMEOUT_S, remaining_s)),
             )
@@ -464,6 +466,6 @@
         raise _calls.CallRefusedError(
             Outcome.RUN,
             'response-dropped',
-            f'the response to key {key!r} is no longer kept',
+            f'the response to key {key!r} is no longer stored',
         )
     await _calls.deliver(response, sink)
--- a/gypsumhall/services/_responses.py
+++ b/gypsumhall/services/_responses.py
@@ -59,12 +59,12 @@
     async def send(self, message: Message) -> None:
         """Send a message to the sender of the call.
 
-        If the sender is gone, a call whose response is recorded continues.
+        Without its sender, a call whose response is recorded continues.
 
         Raises
         ------
         PeerError
-            When the sender is gone and the response is not recorded.
+            When the sender disconnected and the response is not recorded.
         """
         if self._send is None:
             return
@@ -149,7 +149,7 @@
         self._pending_head: AnswerStart | None = None
 
     async def send(self, message: Message) -> None:
-        """Send a message; does nothing once the sender is gone."""
+        """Send a message; does nothing after the sender disconnected."""
         if self._send is not None:
             try:
                 await self._send(message)
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -764,7 +764,7 @@
                     return
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
-            # The sender is gone. Calls that are not idempotent run detached
+            # The sender disconnected. Calls that are not idempotent run detached
             # and continue without it.
             self._count('sender-lost')
         finally:
