--- a/gypsumhall/services/_responses.py
+++ b/gypsumhall/services/_responses.py
@@ -59,7 +59,7 @@
     async def send(self, message: Message) -> None:
         """Send a message to the sender of the call.
 
-        Without its sender, a call whose response is recorded continues.
+        A call whose response is recorded continues without its sender.
 
         Raises
         ------
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -764,8 +764,8 @@
                     return
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
-            # The sender disconnected. Calls that are not idempotent run detached
-            # and continue without it.
+            # The sender disconnected. Calls that are not idempotent run
+            # detached and continue without it.
             self._count('sender-lost')
         finally:
             self._buffered_bytes -= size
