--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -1,4 +1,4 @@
-"""Owner of idempotency keys: a request with a key runs at most once."""
+"""Owner of idempotency keys, which runs a request with a key at most once."""
 
 from __future__ import annotations
 
@@ -31,14 +31,14 @@
     from gypsumhall.services import _protocols
     from gypsumhall.services._sender import Sender
 
-# Time in seconds to wait for a former owner; a member that was seen to have
-# left rarely responds, and the caller waits.
-_ASK_TIMEOUT_S = 1.0
+# Time-out of a request to a former owner. It is short, because a member that
+# has left rarely responds and the caller is waiting.
+_RELEASE_TIMEOUT_S = 1.0
 
-# Records of one message, which has to fit into a frame, and the time in
-# seconds that each daemon has to take over the keys of one that stops.
-_RECORDS = 500
-_HANDOVER_S = 2.0
+# Limits the size of a handover message, which has to fit into a frame.
+_RECORDS_PER_MESSAGE = 500
+# Time in which each other daemon has to take over the keys at a shutdown.
+_HANDOVER_TIMEOUT_S = 2.0
 
 _OUTCOMES = {
     KeyState.RELEASED: Outcome.NOT_RUN,
@@ -47,7 +47,7 @@
 
 
 class _RecordingSink:
-    """Passes a response on and keeps it."""
+    """Forwards a response to another sink and records it."""
 
     __slots__ = ('_recorder', '_sink')
 
@@ -61,51 +61,51 @@
 
     @property
     def response(self) -> RecordedResponse | None:
-        """The response; None when it was too large."""
+        """The recorded response; None if it was too large to record."""
         return self._recorder.response
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers."""
+        """Record and forward the status and the headers."""
         self._recorder.head(status, headers)
         await self._sink.head(status, headers)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
+        """Record and forward a part of the body."""
         self._recorder.chunk(data)
         await self._sink.chunk(data, last=last)
 
 
 @dataclass(slots=True)
-class _Joined:
+class _JoinedService:
     history: OwnershipHistory
     joined_at: float
 
 
 class KeyOwner:
-    """Runs requests with keys that this daemon owns.
+    """Runs requests whose idempotency keys this daemon owns.
 
     Parameters
     ----------
     peers : PeerNetwork
-        Streams to other daemons.
+        Connections to other daemons.
     membership : Membership
         Member table.
     sender : Sender
         Sends the requests to a runner.
     held : ResponseBufferBudget
-        Room for the responses of running requests.
+        Memory budget for the recorded responses of running requests.
     """
 
     __slots__ = (
-        '_finished',
+        '_finished_events',
         '_buffer_budget',
         '_incarnation',
-        '_joined',
         '_ledger',
         '_membership',
         '_peers',
         '_sender',
-        '_stopped',
+        '_services',
+        '_shutting_down',
     )
 
     def __init__(
@@ -121,33 +121,33 @@
         self._sender = sender
         self._ledger = KeyLedger()
         self._incarnation = membership.me.incarnation
-        self._stopped = False
-        self._joined: dict[str, _Joined] = {}
-        # Events of running requests; set when the request has ended.
-        self._finished: dict[tuple[str, str], trio.Event] = {}
+        self._shutting_down = False
+        self._services: dict[str, _JoinedService] = {}
+        # (service, key) of each running request -> event set at its end.
+        self._finished_events: dict[tuple[str, str], trio.Event] = {}
 
-    def joined(self, service: str) -> None:
-        """Note that this daemon has an endpoint of a service from now on."""
+    def join_service(self, service: str) -> None:
+        """Record that this daemon has an endpoint of a service from now on."""
         now = trio.current_time()
-        known = self._joined.get(service)
-        if known is None:
+        joined = self._services.get(service)
+        if joined is None:
             history = OwnershipHistory(service, self._membership.me.id)
-            self._joined[service] = _Joined(history, now)
+            self._services[service] = _JoinedService(history, now)
         else:
-            known.joined_at = now
-        self.members_changed()
+            joined.joined_at = now
+        self.on_members_changed()
 
-    def members_changed(self) -> None:
-        """Take over changes of the member table."""
+    def on_members_changed(self) -> None:
+        """Update the ownership histories from the member table."""
         now = trio.current_time()
         table = self._membership.table
-        for service, known in self._joined.items():
-            known.history.observe(table.endpoints(service), now)
+        for service, joined in self._services.items():
+            joined.history.observe(table.endpoints(service), now)
 
     async def execute(
         self, request: _calls.Request, sink: _calls.ResponseSink
     ) -> None:
-        """Run a request as the owner of its key, or repeat its response.
+        """Run a request as the owner of its key, or replay its response.
 
         Parameters
         ----------
@@ -159,10 +159,10 @@
         Raises
         ------
         CallRefusedError
-            When there is no response. ``not-run`` is certain for every
-            request with this key.
+            When there is no response. The outcome ``not-run`` holds for
+            every request with this key, not only for this one.
         BrokenResponseError
-            When the response broke off.
+            When the response ended before it was complete.
         """
         service, key = request.service, request.key
         digest = _digest(request)
@@ -172,7 +172,7 @@
             entry = self._ledger.begin(service, key, digest, now)
             if entry.state != KeyState.RUNNING:
                 break
-            finished = self._finished[service, key]
+            finished = self._finished_events[service, key]
             with trio.move_on_after(request.deadline - now) as scope:
                 await finished.wait()
             if scope.cancelled_caught:
@@ -186,46 +186,51 @@
         if entry.state in (KeyState.NEW, KeyState.RUNNING):
             await self._execute_claimed(request, sink, entry.released_to)
         else:
-            await _repeat(entry, key, sink)
+            await _replay(entry, key, sink)
 
     async def handle_release(
         self, exchange: Exchange, message: KeyRelease
     ) -> None:
-        """Give up a key for its new owner."""
+        """Release a key to its new owner, on a request of that owner."""
         now = trio.current_time()
         service, key = message.service, message.key
-        to = (exchange.peer.id, exchange.peer.incarnation)
-        state = self._ledger.release(service, key, now, to, message.asked)
+        new_owner = (exchange.peer.id, exchange.peer.incarnation)
+        state = self._ledger.release(
+            service, key, now, new_owner, message.asked
+        )
         outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
-        known = self._joined.get(service)
+        joined = self._services.get(service)
         if outcome == Outcome.NOT_RUN and (
             message.incarnation < self._incarnation
-            or known is None
-            or known.history.had_earlier_owner(key, now, to, message.asked)
+            or joined is None
+            or joined.history.had_earlier_owner(
+                key, now, new_owner, message.asked
+            )
         ):
             outcome = Outcome.UNKNOWN
-        # Without an answer the new owner assumes the worst.
+        # Without a reply, the new owner treats the outcome as unknown.
         with contextlib.suppress(PeerError):
             await exchange.send(KeyReleased(outcome))
 
-    async def hand_over(self) -> None:
-        """Give the keys to the other owners, for a planned stop.
+    async def hand_over_keys(self) -> None:
+        """Hand the keys over to the other owners, in a graceful shutdown.
 
-        Without it, the next owner could not tell whether a key has run here
-        and would refuse half of the keyed requests for the retention time.
-        A daemon that does not take all keys goes on as after a crash.
+        Without it, the next owner could not know whether a request with a
+        key has run here, and would reject half of the requests with keys for
+        the retention time. A daemon that does not receive all records
+        treats this one as crashed.
         """
-        self._stopped = True
-        while self._finished:
-            await next(iter(self._finished.values())).wait()
+        self._shutting_down = True
+        while self._finished_events:
+            await next(iter(self._finished_events.values())).wait()
         me = self._membership.me.id
         async with trio.open_nursery() as nursery:
-            for service, known in self._joined.items():
+            for service, joined in self._services.items():
                 departed_members = tuple(
-                    known.history.departed_members(trio.current_time())
+                    joined.history.departed_members(trio.current_time())
                 )
                 records = [
-                    _record(key, entry)
+                    _build_record(key, entry)
                     for key, entry in self._ledger.records(service)
                 ]
                 for member in self._membership.table.endpoints(service):
@@ -246,11 +251,11 @@
         departed_members: tuple[Member, ...],
     ) -> None:
         with (
-            trio.move_on_after(_HANDOVER_S),
+            trio.move_on_after(_HANDOVER_TIMEOUT_S),
             contextlib.suppress(PeerError),
         ):
-            for start in range(0, len(records) + 1, _RECORDS):
-                end = start + _RECORDS
+            for start in range(0, len(records) + 1, _RECORDS_PER_MESSAGE):
+                end = start + _RECORDS_PER_MESSAGE
                 last = end > len(records)
                 await self._peers.request(
                     member.peer_address,
@@ -260,18 +265,19 @@
                         last,
                         departed_members if last else (),
                     ),
-                    timeout_s=_HANDOVER_S,
+                    timeout_s=_HANDOVER_TIMEOUT_S,
                 )
 
     async def handle_handover(
         self, exchange: Exchange, message: KeyHandover
     ) -> None:
-        """Take over the keys of a daemon that stops."""
+        """Import the keys of a daemon that shuts down."""
         now = trio.current_time()
         me = self._membership.me
-        known = self._joined.get(message.service)
-        if known is None:
-            # Keys taken before the first endpoint would not be asked for.
+        joined = self._services.get(message.service)
+        if joined is None:
+            # Before its first endpoint of the service, this daemon would not
+            # be queried for these keys, so it must not confirm the handover.
             return
         for record in message.records:
             released_to = {
@@ -288,14 +294,14 @@
                 )
         if message.last:
             peer = exchange.peer
-            known.history.record_handover(
+            joined.history.record_handover(
                 peer.id, peer.incarnation, message.departed_members, now
             )
         with contextlib.suppress(PeerError):
             await exchange.send(KeysTaken())
 
     def _check_owner(self, request: _calls.Request) -> None:
-        if self._stopped:
+        if self._shutting_down:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN, 'not-owner', 'this daemon is stopping'
             )
@@ -317,12 +323,12 @@
         released_to: set[tuple[str, int]],
     ) -> None:
         service, key = request.service, request.key
-        finished = self._finished[service, key] = trio.Event()
+        finished = self._finished_events[service, key] = trio.Event()
         recording = _RecordingSink(sink, self._buffer_budget)
         state: KeyState | None = KeyState.UNKNOWN
         try:
             try:
-                await self._ask_former_owners(request, released_to)
+                await self._query_former_owners(request, released_to)
             except BaseException:
                 state = None
                 raise
@@ -340,7 +346,7 @@
             recording = _RecordingSink(sink, self._buffer_budget)
             raise
         finally:
-            del self._finished[service, key]
+            del self._finished_events[service, key]
             if state is None:
                 self._ledger.abandon(service, key, trio.current_time())
             else:
@@ -351,16 +357,18 @@
                 self._ledger.finish(service, key, now, state, response)
             finished.set()
 
-    async def _ask_former_owners(
+    async def _query_former_owners(
         self, request: _calls.Request, released_to: set[tuple[str, int]]
     ) -> None:
-        known = self._joined.get(request.service)
-        if known is None:
+        joined = self._services.get(request.service)
+        if joined is None:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN, 'not-owner', 'no endpoint of the service here'
             )
         now = trio.current_time()
-        former = known.history.former_owners(request.key, now, known.joined_at)
+        former = joined.history.former_owners(
+            request.key, now, joined.joined_at
+        )
         if former.lost:
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN,
@@ -375,18 +383,22 @@
                 raise _calls.CallRefusedError(
                     Outcome.UNKNOWN,
                     'key-released',
-                    f'the key was given up for {member_id}',
+                    f'the key was released to {member_id}',
                 )
         if not former.to_query:
             return
-        answers: dict[str, Outcome] = {}
-        asked = tuple((item.id, item.incarnation) for item in former.to_query)
+        outcomes: dict[str, Outcome] = {}
+        queried = tuple(
+            (item.id, item.incarnation) for item in former.to_query
+        )
         async with trio.open_nursery() as nursery:
             for member in former.to_query:
-                nursery.start_soon(self._ask, member, request, asked, answers)
+                nursery.start_soon(
+                    self._request_release, member, request, queried, outcomes
+                )
         for outcome in (Outcome.RUN, Outcome.UNKNOWN):
-            for member_id, answer in answers.items():
-                if answer == outcome:
+            for member_id, reply_outcome in outcomes.items():
+                if reply_outcome == outcome:
                     raise _calls.CallRefusedError(
                         outcome,
                         'former-owner',
@@ -394,30 +406,30 @@
                         'release it',
                     )
 
-    async def _ask(
+    async def _request_release(
         self,
         member: Member,
         request: _calls.Request,
-        asked: tuple[tuple[str, int], ...],
-        answers: dict[str, Outcome],
+        queried: tuple[tuple[str, int], ...],
+        outcomes: dict[str, Outcome],
     ) -> None:
-        answers[member.id] = Outcome.UNKNOWN
-        left = request.deadline - trio.current_time()
+        outcomes[member.id] = Outcome.UNKNOWN
+        remaining_s = request.deadline - trio.current_time()
         try:
             reply = await self._peers.request(
                 member.peer_address,
                 KeyRelease(
-                    request.service, request.key, member.incarnation, asked
+                    request.service, request.key, member.incarnation, queried
                 ),
-                timeout_s=max(0.0, min(_ASK_TIMEOUT_S, left)),
+                timeout_s=max(0.0, min(_RELEASE_TIMEOUT_S, remaining_s)),
             )
         except PeerError:
             return
         if isinstance(reply, KeyReleased):
-            answers[member.id] = reply.outcome
+            outcomes[member.id] = reply.outcome
 
 
-def _record(key: str, entry: KeyEntry) -> KeyRecord:
+def _build_record(key: str, entry: KeyEntry) -> KeyRecord:
     state = entry.state
     if state not in (KeyState.DONE, KeyState.RELEASED):
         state = KeyState.UNKNOWN
@@ -425,7 +437,8 @@
 
 
 def _digest(request: _calls.Request) -> bytes:
-    # The fields are separated by their lengths.
+    # Length prefixes separate the fields, so that no two requests with the
+    # same concatenation of fields have the same digest.
     digest = hashlib.blake2b(digest_size=16)
     for part in (
         request.method.encode(),
@@ -437,7 +450,7 @@
     return digest.digest()
 
 
-async def _repeat(
+async def _replay(
     entry: _ownership.KeyEntry, key: str, sink: _calls.ResponseSink
 ) -> None:
     if entry.state == KeyState.MISMATCH:
@@ -455,6 +468,6 @@
         raise _calls.CallRefusedError(
             Outcome.RUN,
             'response-dropped',
-            f'the response to key {key!r} is no longer kept',
+            f'the response to key {key!r} is no longer stored',
         )
     await _calls.deliver(response, sink)
--- a/gypsumhall/services/_responses.py
+++ b/gypsumhall/services/_responses.py
@@ -1,4 +1,4 @@
-"""Messages that answer a call, made from the response of a backend server."""
+"""Convert responses of a backend server to messages between daemons."""
 
 from __future__ import annotations
 
@@ -30,9 +30,9 @@
     Parameters
     ----------
     send : callable
-        Takes the messages of the answer.
+        Sends the messages of the response.
     recorder : Recorder or None
-        Keeps the response for repetition; None for idempotent calls.
+        Records the response, to replay it later; None for idempotent calls.
     """
 
     __slots__ = (
@@ -53,13 +53,18 @@
         self.failed = False
 
     def mark_sent(self) -> None:
-        """Note that the backend server may run the request from now on."""
+        """Record that the backend server may run the request from now on."""
         self.outcome = Outcome.UNKNOWN
 
     async def send(self, message: Message) -> None:
-        """Pass a message on.
+        """Send a message to the sender of the call.
 
-        Calls whose response is recorded continue without a receiver.
+        A call whose response is recorded continues without its sender.
+
+        Raises
+        ------
+        PeerError
+            When the sender disconnected and the response is not recorded.
         """
         if self._send is None:
             return
@@ -76,58 +81,59 @@
         response: _backend_client.BackendResponse,
         load: Load,
     ) -> None:
-        """Pass a response on, with its body in chunks."""
+        """Forward a response, with its body in chunks."""
         self.outcome = Outcome.RUN
         self.failed = response.status >= 500
         if self._recorder is not None:
             self._recorder.head(response.status, response.headers)
-        # One message with the first part of the body costs less than two.
-        # A chunked response may pause before its body, so it doesn't wait.
+        # Sending the head together with the first part of the body costs less
+        # than two messages. The head of a chunked response is sent at once,
+        # because its body may follow much later.
         head = AnswerStart(
             call.request_id, response.status, response.headers, load
         )
-        left = response.length
-        if left is None:
+        remaining_bytes = response.length
+        if remaining_bytes is None:
             self.started_response = True
             await self.send(head)
-        waiting = left is not None
+        head_pending = remaining_bytes is not None
         async with contextlib.aclosing(response.chunks()) as chunks:
             async for data in chunks:
                 last = False
-                if left is not None:
-                    left -= len(data)
-                    last = left == 0
+                if remaining_bytes is not None:
+                    remaining_bytes -= len(data)
+                    last = remaining_bytes == 0
                 if self._recorder is not None:
                     self._recorder.chunk(data)
-                if waiting:
-                    waiting = False
+                if head_pending:
+                    head_pending = False
                     self.started_response = True
                     head = msgspec.structs.replace(head, body=data, last=last)
                     await self.send(head)
                 else:
                     await self.send(BodyChunk(data, last))
-        if waiting:
+        if head_pending:
             await self.send(msgspec.structs.replace(head, last=True))
-        elif left is None:
+        elif remaining_bytes is None:
             await self.send(AnswerEnd(call.request_id))
 
 
 class MessageSink:
-    """Turns a response into messages for the daemon that sent the call.
+    """Converts a response to messages for the daemon that sent the call.
 
     Parameters
     ----------
     load : callable
         Returns the load of the backend server on this VM.
     request_id : str
-        Id of the attempt.
+        Request id of the attempt.
     send : callable
-        Takes the messages.
+        Sends the messages.
     recorder : Recorder
-        Keeps the response for repetition.
+        Records the response, to replay it later.
     """
 
-    __slots__ = ('_head', '_load', '_recorder', '_request_id', '_send')
+    __slots__ = ('_pending_head', '_load', '_recorder', '_request_id', '_send')
 
     def __init__(
         self,
@@ -140,10 +146,10 @@
         self._request_id = request_id
         self._send: _calls.SendMessage | None = send
         self._recorder = recorder
-        self._head: AnswerStart | None = None
+        self._pending_head: AnswerStart | None = None
 
     async def send(self, message: Message) -> None:
-        """Send a message; without a receiver it is only recorded."""
+        """Send a message; does nothing after the sender disconnected."""
         if self._send is not None:
             try:
                 await self._send(message)
@@ -151,23 +157,23 @@
                 self._send = None
 
     async def flush(self) -> None:
-        """Send a head that waits for the first part of its body."""
-        if self._head is not None:
-            head, self._head = self._head, None
+        """Send the head if it still waits for the first part of the body."""
+        if self._pending_head is not None:
+            head, self._pending_head = self._pending_head, None
             await self.send(head)
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers."""
+        """Record the status and headers; they are sent with the body."""
         self._recorder.head(status, headers)
-        self._head = AnswerStart(
+        self._pending_head = AnswerStart(
             self._request_id, status, headers, self._load()
         )
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
+        """Record and send a part of the body."""
         self._recorder.chunk(data)
-        if self._head is not None:
-            head, self._head = self._head, None
+        if self._pending_head is not None:
+            head, self._pending_head = self._pending_head, None
             await self.send(
                 msgspec.structs.replace(head, body=data, last=last)
             )
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -1,4 +1,4 @@
-"""Service ``runner``: passes calls to the backend server on this VM."""
+"""Service ``runner``: server-side proxy for the backend server on this VM."""
 
 from __future__ import annotations
 
@@ -48,17 +48,17 @@
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._protocol import Exchange
 
-# Bytes of request bodies that may be held at the same time.
-_MAX_BUFFERED = 64 * 1024 * 1024
-_MAINTENANCE_S = 1.0
-# Time between two looks for waiting calls that cannot be served any more.
-_LINE_CHECK_S = 0.05
-# Time in seconds that an answer needs to reach the caller: two crossings of
-# 8 ms and the time of two daemons. It bounds the wait for a slot only; a run
-# goes on until its deadline, since its caller may still wait then.
-_ANSWER_S = 0.025
-# Time between two looks whether other endpoints have come back.
-_HOLD_CHECK_S = 0.1
+# Limit on the bytes of all buffered request bodies.
+_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+_MAINTENANCE_INTERVAL_S = 1.0
+# Interval at which queued calls that can no longer be served are evicted.
+_QUEUE_CHECK_INTERVAL_S = 0.05
+# Transit time of a response to the caller: two network delays of 8 ms each and
+# the processing in two daemons. It shortens only the wait for a slot. A run
+# continues until its deadline, because its caller may still be waiting.
+_RESPONSE_TRANSIT_S = 0.025
+# Interval between checks whether other endpoints are available again.
+_AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -66,36 +66,37 @@
     endpoint: Endpoint
     client: _backend_client.Client
     queue: CallQueue
-    # Process of the backend server that requests are meant for.
+    # Id of the backend server process that requests are addressed to.
     instance: str = ''
 
 
 @dataclass(slots=True)
-class _Pending:
+class _PendingCall:
     ready: trio.Event
     admitted: bool = False
     code: str = 'draining'
 
 
 class RunnerService:
-    """Admits calls, runs each at most once and records the outcome.
+    """Admits calls, runs each at most once and records its outcome.
 
     Parameters
     ----------
     rng : Random or None
-        Source of randomness of the sender.
+        Random number generator of the sender.
     connect : callable
-        Returns the client for the address of a backend server.
+        Returns a client for the address of a backend server.
     dialect : Dialect
-        Names of the headers that the backend server uses.
+        Names of the HTTP headers that the backend server uses.
     retries : RetryLimits, optional
-        Repetitions that the sender may make.
+        Limits on the retries of the sender.
     rejection_delay_s : float
-        Time in seconds between telling others of a planned stop and
-        refusing their calls.
+        Time in seconds between announcing a graceful shutdown to other
+        daemons and rejecting their calls.
     availability_wait_s : float
-        Time in seconds after the start of a planned stop until which calls
-        are served while other endpoints of the service are away.
+        Longest time in seconds after the start of a graceful shutdown in
+        which calls are still served because too many other endpoints of the
+        service are unavailable.
     """
 
     name = 'runner'
@@ -121,7 +122,7 @@
     ) -> None:
         self._rejection_delay_s = rejection_delay_s
         self._availability_wait_s = availability_wait_s
-        self._stopped_at = math.inf
+        self._shutdown_started_at = math.inf
         self._availability = EndpointAvailability()
         self._retry_limits = retry_limits
         self._dialect = dialect
@@ -131,17 +132,17 @@
         self._connect = connect
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
-        self._pending: dict[QueuedCall, _Pending] = {}
-        self._arrived = trio.Event()
+        self._pending: dict[QueuedCall, _PendingCall] = {}
+        self._call_queued = trio.Event()
         self._ledger = Ledger()
-        # Detached calls by request id; set when the call has ended.
-        self._running: dict[str, trio.Event] = {}
+        # Request id of each detached call -> event set when it has ended.
+        self._detached_calls: dict[str, trio.Event] = {}
         self._stopping = False
         self._draining = False
         self._handed_over = False
-        self._active = 0
+        self._active_calls = 0
         self._idle = trio.Event()
-        self._buffered = 0
+        self._buffered_bytes = 0
         self.buffer_budget = _calls.ResponseBufferBudget()
         self._watches = _watches.Watches()
         self._incarnation = 0
@@ -151,11 +152,11 @@
         self._events: _protocols.Events
         self._nursery: trio.Nursery
         self._sender: _sender.Sender
-        self._runs: _protocols.Metric
+        self._call_counter: _protocols.Metric
 
     @property
     def sender(self) -> _sender.Sender:
-        """Sends calls to the runners of all daemons."""
+        """Client-side proxy; sends calls to the runners of all daemons."""
         return self._sender
 
     @property
@@ -177,11 +178,11 @@
 
     @property
     def stopping(self) -> bool:
-        """Whether others have been told that no more calls are taken."""
+        """Whether the shutdown has been announced to other daemons."""
         return self._stopping
 
     def set_split_source(self, source: _sender.SplitSource) -> None:
-        """Set how calls are divided between versions, before `run`."""
+        """Set how calls are split between versions; call before `run`."""
         self._split_source = source
 
     async def run(
@@ -197,7 +198,7 @@
         self._moves = kernel.get('moves', _protocols.Moves)
         self._events = kernel.get('events', _protocols.Events)
         metrics = kernel.get('metrics', _protocols.Metrics)
-        self._runs = metrics.counter(
+        self._call_counter = metrics.counter(
             'gypsumhall_runner_calls_total',
             'Calls that reached the runner, by result.',
         )
@@ -223,44 +224,49 @@
             peers, self._membership, self._sender, self.buffer_budget
         )
         self._sender.execute_keyed = self._keys.execute
-        self._membership.subscribe(self._keys.members_changed)
+        self._membership.subscribe(self._keys.on_members_changed)
         if self._availability_wait_s:
-            self._membership.subscribe(self._members_changed)
+            self._membership.subscribe(self._update_availability)
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
         peers.on(KeyRelease, self._keys.handle_release)
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._watches.run)
-            self._nursery.start_soon(self._check_line)
+            self._nursery.start_soon(self._check_queue)
             self._nursery.start_soon(self._sender.run)
-            self._nursery.start_soon(self._note_stop, kernel.stopping)
+            self._nursery.start_soon(
+                self._record_shutdown_start, kernel.stopping
+            )
             task_status.started()
             while True:
-                await trio.sleep(_MAINTENANCE_S)
+                await trio.sleep(_MAINTENANCE_INTERVAL_S)
                 await self._close_idle()
                 load.set(self.load.in_flight, kind='in-flight')
                 load.set(self.load.queued, kind='queued')
                 load.set(self.load.slots, kind='limit')
 
     async def drain(self) -> None:
-        """Refuse new work and wait for the calls in flight.
+        """Reject new calls and wait for the calls in flight.
 
-        May be cancelled and called again.
+        May be called again after a cancellation.
         """
         if not self._draining:
-            await self._announce_stop()
-        while self._active:
+            await self._announce_shutdown()
+        while self._active_calls:
             self._idle = trio.Event()
             await self._idle.wait()
         if self._dialect.key and not self._handed_over:
-            await self._keys.hand_over()
+            await self._keys.hand_over_keys()
             self._handed_over = True
 
-    async def _announce_stop(self) -> None:
-        """Let others stop sending calls before this daemon refuses them."""
+    async def _announce_shutdown(self) -> None:
+        """Announce the shutdown, then start to reject calls.
+
+        The delay between the two lets other daemons stop sending calls.
+        """
         if self._backend is not None:
-            await self._wait_for_others()
+            await self._wait_for_other_endpoints()
         self._stopping = True
         backend = self._backend
         if backend is not None:
@@ -276,19 +282,22 @@
         self._draining = True
         self._reject_queued_calls()
 
-    async def _wait_for_others(self) -> None:
-        """Go on while too few other endpoints of the service are ready."""
-        until = min(
-            self._stopped_at + self._availability_wait_s,
+    async def _wait_for_other_endpoints(self) -> None:
+        """Keep serving until enough other endpoints of the service are ready.
+
+        The wait is limited, see parameter `availability_wait_s`.
+        """
+        wait_until = min(
+            self._shutdown_started_at + self._availability_wait_s,
             trio.current_time() + self._availability_wait_s,
         )
-        while trio.current_time() < until:
-            self._members_changed()
+        while trio.current_time() < wait_until:
+            self._update_availability()
             if self._availability.may_stop(trio.current_time()):
                 return
-            await trio.sleep(_HOLD_CHECK_S)
+            await trio.sleep(_AVAILABILITY_CHECK_INTERVAL_S)
 
-    def _members_changed(self) -> None:
+    def _update_availability(self) -> None:
         backend = self._backend
         if backend is None:
             return
@@ -300,39 +309,39 @@
         ]
         self._availability.observe(others, trio.current_time())
 
-    async def _note_stop(self, stopping: trio.Event) -> None:
+    async def _record_shutdown_start(self, stopping: trio.Event) -> None:
         await stopping.wait()
-        self._stopped_at = trio.current_time()
+        self._shutdown_started_at = trio.current_time()
 
     def set_backend(
         self, endpoint: Endpoint | None, address: str, instance: str = ''
     ) -> None:
-        """Take over what the backend server announced.
+        """Apply the latest announcement of the backend server.
 
         Parameters
         ----------
         endpoint : Endpoint or None
-            What it runs; None when it is gone.
+            Service and version that it runs; None when it is unavailable.
         address : str
             ``<ip>:<port>`` of the backend server.
         instance : str
-            Id of its process; empty when it has none.
+            Id of its process; empty if it reports none.
         """
         old = self._backend
-        same = (
+        unchanged = (
             old is not None
             and endpoint is not None
             and old.client.address == address
             and old.instance == instance
             and old.endpoint.service == endpoint.service
         )
-        if old is not None and not same:
+        if old is not None and not unchanged:
             self._old_clients.append(old.client)
         if endpoint is None:
             self._reject_queued_calls()
             self._backend = None
             return
-        if old is not None and same:
+        if old is not None and unchanged:
             if old.queue.slots != endpoint.slots:
                 old.queue.resize(endpoint.slots)
             old.endpoint = endpoint
@@ -344,16 +353,17 @@
                 CallQueue(endpoint.slots),
                 instance,
             )
-            self._keys.joined(endpoint.service)
+            self._keys.join_service(endpoint.service)
             if old is None or old.endpoint.service != endpoint.service:
                 self._availability = EndpointAvailability()
         if endpoint.state != EndpointState.READY:
             self._reject_queued_calls()
 
     def set_warmup_end(self, time: float) -> None:
-        """Set until when a backend server that has started is slow.
+        """Set the end of the warm-up of the backend server, in seconds.
 
-        Until then its runs are no evidence about its version.
+        Runs that start earlier may be slow and are not counted as evidence
+        about its version.
         """
         self._warmup_ends_at = time
 
@@ -367,22 +377,22 @@
         call : CallStart
             The call.
         body : bytes
-            Whole request body.
+            Complete request body.
         send : callable
-            Takes the messages of the answer: `CallRefused`, or
+            Sends the messages of the response: `CallRefused`, or
             `AnswerStart` followed by the body.
         """
-        self._active += 1
+        self._active_calls += 1
         try:
-            known = self._ledger.begin(call.request_id, trio.current_time())
-            if known is not None:
+            entry = self._ledger.begin(call.request_id, trio.current_time())
+            if entry is not None:
                 self._count('duplicate')
-                await self._replay(call.request_id, known, send)
+                await self._replay(call.request_id, entry, send)
             else:
                 await self._execute_new(call, body, send)
         finally:
-            self._active -= 1
-            if not self._active:
+            self._active_calls -= 1
+            if not self._active_calls:
                 self._idle.set()
 
     async def _execute_new(
@@ -397,8 +407,8 @@
         try:
             refusal = await self._admit_and_run(call, body, run, deadline)
         finally:
-            # Also reached by cancellation, where `run.outcome` tells how
-            # far the call got.
+            # Also runs on cancellation; `run.outcome` then says whether the
+            # request can have been run.
             now = trio.current_time()
             if run.outcome == Outcome.NOT_RUN:
                 state = EntryState.REFUSED
@@ -418,7 +428,7 @@
             with contextlib.suppress(PeerError):
                 await run.send(AnswerEnd(call.request_id, complete=False))
             return
-        await self._refuse(call.request_id, refusal, send)
+        await self._send_refusal(call.request_id, refusal, send)
 
     async def _admit_and_run(
         self,
@@ -428,7 +438,7 @@
         deadline: float,
     ) -> _calls.CallRefusedError | None:
         try:
-            backend = self._check(call)
+            backend = self._backend_for(call)
             await self._admit(backend, call, deadline)
         except _calls.CallRefusedError as error:
             return error
@@ -437,14 +447,14 @@
         cause = 'cancelled'
         detail = ''
         try:
-            refusal = await self._pass_on(backend, call, body, run, deadline)
+            refusal = await self._forward(backend, call, body, run, deadline)
             complete = refusal is None
             cause = refusal.reason if refusal is not None else ''
             detail = refusal.detail if refusal is not None else ''
         finally:
             now = trio.current_time()
             if cause and run.outcome != Outcome.NOT_RUN:
-                self._log_cut(
+                self._log_aborted_run(
                     call, cause, detail, now - started, deadline - started
                 )
             limit_s = call.deadline_ms / 1000
@@ -452,7 +462,8 @@
                 now - (deadline - limit_s)
                 >= _calls.SLOW_CALL_FRACTION * limit_s
             )
-            # Its caller has left, or another endpoint has responded first.
+            # The caller disconnected, or another endpoint responded first. A
+            # run that was slow until then counts as failed.
             if cause == 'cancelled':
                 run.failed = run.failed or slow
             failed = run.failed if run.outcome != Outcome.NOT_RUN else None
@@ -462,18 +473,19 @@
                 failed=failed,
                 now=now,
             )
-            self._wake()
+            self._start_queued_calls()
             if (
                 run.outcome != Outcome.NOT_RUN
                 and started >= self._warmup_ends_at
             ):
-                # Whether a slow run is cut for a backup depends on the room
-                # at others, so it counts as failed in either case.
+                # A slow idempotent run may be cancelled in favor of a backup
+                # attempt, depending on the free capacity of other endpoints.
+                # It counts as failed whether or not that happens.
                 failed = run.failed or (slow and call.idempotent)
                 self._moves.record(call, (now - started) * 1000, failed=failed)
         return refusal
 
-    def _log_cut(
+    def _log_aborted_run(
         self,
         call: CallStart,
         cause: str,
@@ -481,7 +493,7 @@
         ran_s: float,
         limit_s: float,
     ) -> None:
-        """Record that a run ended without its whole response."""
+        """Log that a run ended before its response was complete."""
         name = self._dialect.request_id
         if name:
             self._events.emit(
@@ -494,7 +506,7 @@
                 stopping=self._stopping,
             )
 
-    async def _pass_on(
+    async def _forward(
         self,
         backend: _Backend,
         call: CallStart,
@@ -502,14 +514,14 @@
         run: _responses.Run,
         deadline: float,
     ) -> _calls.CallRefusedError | None:
-        left_ms = int((deadline - trio.current_time()) * 1000)
+        remaining_ms = int((deadline - trio.current_time()) * 1000)
         headers = (
             *call.headers,
-            (self._dialect.deadline, b'%d' % max(1, left_ms)),
+            (self._dialect.deadline, b'%d' % max(1, remaining_ms)),
         )
-        expected = self._dialect.expected_instance
-        if expected and backend.instance:
-            headers = (*headers, (expected, backend.instance.encode()))
+        header = self._dialect.expected_instance
+        if header and backend.instance:
+            headers = (*headers, (header, backend.instance.encode()))
         with trio.CancelScope(deadline=deadline) as scope:
             try:
                 async with backend.client.request(
@@ -522,7 +534,7 @@
                 return error
             except _backend_client.BackendUnreachableError as error:
                 return _calls.not_run('backend-unreachable', str(error))
-            except _backend_client.BackendRejectedError as error:
+            except _backend_client.BackendRequestError as error:
                 run.outcome = Outcome.NOT_RUN
                 return _calls.not_run('bad-request', str(error))
             except _backend_client.BackendResetError as error:
@@ -547,7 +559,14 @@
         response: _backend_client.BackendResponse,
         run: _responses.Run,
     ) -> None:
-        """Refuse a response that is none to this request."""
+        """Raise unless the response is the result of this request.
+
+        Raises
+        ------
+        CallRefusedError
+            When the response says that the request was not run, or carries
+            the id of another request.
+        """
         dialect = self._dialect
         if not dialect.request_id:
             return
@@ -556,25 +575,25 @@
             run.outcome = Outcome.NOT_RUN
             code = 'no-backend' if response.status == 421 else 'shed'
             raise _calls.not_run(
-                code, f'the backend server answered {response.status}'
+                code, f'the backend server responded with {response.status}'
             )
-        sent = dict(call.headers).get(dialect.request_id)
-        found = fields.get(dialect.request_id)
-        if sent != found:
+        sent_id = dict(call.headers).get(dialect.request_id)
+        received_id = fields.get(dialect.request_id)
+        if sent_id != received_id:
             run.failed = True
             raise _calls.CallRefusedError(
                 run.outcome,
                 'bad-response',
-                f'response to request {found!r} instead of {sent!r}',
+                f'response to request {received_id!r} instead of {sent_id!r}',
             )
 
-    def _check(self, call: CallStart) -> _Backend:
+    def _backend_for(self, call: CallStart) -> _Backend:
         backend = self._backend
         if call.runner_incarnation and (
             call.runner_incarnation < self._incarnation
         ):
             raise _calls.not_run(
-                'restarted', 'the call is meant for an earlier process'
+                'restarted', 'the call is addressed to an earlier process'
             )
         if backend is None:
             raise _calls.not_run('no-backend', 'no backend server here')
@@ -600,8 +619,8 @@
         now = trio.current_time()
         if deadline <= now:
             raise _calls.not_run('deadline', 'the deadline has passed')
-        if deadline - now > 4 * _ANSWER_S:
-            deadline -= _ANSWER_S
+        if deadline - now > 4 * _RESPONSE_TRANSIT_S:
+            deadline -= _RESPONSE_TRANSIT_S
         queued_call = QueuedCall(
             call.route,
             call.priority,
@@ -619,21 +638,21 @@
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 decision.value,
-                f'{backend.queue.queued} calls wait',
+                f'{backend.queue.queued} calls are queued',
                 backend.queue.retry_after_s(now),
             )
-        pending = self._pending[queued_call] = _Pending(trio.Event())
-        self._arrived.set()
+        pending = self._pending[queued_call] = _PendingCall(trio.Event())
+        self._call_queued.set()
         evicted = backend.queue.evict(now)
-        self._release(evicted, AdmissionDecision.OVERLOADED.value)
+        self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
         try:
             with trio.CancelScope(deadline=deadline):
                 await pending.ready.wait()
         except trio.Cancelled:
-            # The slot can have been given to it in the same moment.
+            # The call may have been given a slot just before the cancellation.
             if pending.admitted:
                 backend.queue.finish(call.route, None)
-                self._wake()
+                self._start_queued_calls()
             raise
         finally:
             self._pending.pop(queued_call, None)
@@ -644,12 +663,12 @@
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 pending.code,
-                'the call left the line of the endpoint',
+                'the call was removed from the queue of the endpoint',
                 backend.queue.retry_after_s(trio.current_time()),
             )
         raise _calls.not_run('deadline', 'the deadline passed in the queue')
 
-    def _wake(self) -> None:
+    def _start_queued_calls(self) -> None:
         backend = self._backend
         if backend is None:
             return
@@ -661,31 +680,33 @@
 
     def _reject_queued_calls(self) -> None:
         if self._backend is not None:
-            self._release(self._backend.queue.clear(), 'draining')
+            self._reject_calls(self._backend.queue.clear(), 'draining')
 
-    def _release(self, queued_calls: Iterable[QueuedCall], code: str) -> None:
+    def _reject_calls(
+        self, queued_calls: Iterable[QueuedCall], code: str
+    ) -> None:
         for queued_call in queued_calls:
             pending = self._pending.pop(queued_call, None)
             if pending is not None:
                 pending.code = code
                 pending.ready.set()
 
-    async def _check_line(self) -> None:
-        """Refuse waiting calls as soon as they cannot be served any more."""
+    async def _check_queue(self) -> None:
+        """Reject queued calls that can no longer be served, at intervals."""
         while True:
             if not self._pending:
-                self._arrived = trio.Event()
-                await self._arrived.wait()
-            await trio.sleep(_LINE_CHECK_S)
+                self._call_queued = trio.Event()
+                await self._call_queued.wait()
+            await trio.sleep(_QUEUE_CHECK_INTERVAL_S)
             if self._backend is not None:
                 now = trio.current_time()
                 evicted = self._backend.queue.evict(now)
-                self._release(evicted, AdmissionDecision.OVERLOADED.value)
+                self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
 
     async def _replay(
-        self, request_id: str, known: Entry, send: _calls.SendMessage
+        self, request_id: str, entry: Entry, send: _calls.SendMessage
     ) -> None:
-        response = known.response
+        response = entry.response
         if response is not None:
             await _responses.send_recorded(
                 request_id, response, self.load, send
@@ -696,14 +717,14 @@
             EntryState.DONE: (Outcome.RUN, 'response-dropped'),
         }
         outcome, code = outcomes.get(
-            known.state, (Outcome.UNKNOWN, 'outcome-unknown')
+            entry.state, (Outcome.UNKNOWN, 'outcome-unknown')
         )
         refusal = _calls.CallRefusedError(
-            outcome, code, f'attempt {request_id} is {known.state.value}'
+            outcome, code, f'attempt {request_id} is {entry.state.value}'
         )
-        await self._refuse(request_id, refusal, send)
+        await self._send_refusal(request_id, refusal, send)
 
-    async def _refuse(
+    async def _send_refusal(
         self,
         request_id: str,
         refusal: _calls.CallRefusedError,
@@ -723,34 +744,36 @@
     async def _handle_call(self, exchange: Exchange, call: CallStart) -> None:
         self._events.clock.observe(call.time)
         size = len(call.body)
-        self._buffered += size
+        self._buffered_bytes += size
         chunks = [call.body]
-        whole = not call.has_body
+        complete = not call.has_body
         try:
-            while not whole:
+            while not complete:
                 message = await exchange.receive()
                 if not isinstance(message, BodyChunk):
                     return
                 size += len(message.data)
-                self._buffered += len(message.data)
+                self._buffered_bytes += len(message.data)
                 chunks.append(message.data)
-                whole = message.last
+                complete = message.last
                 if (
                     size > _calls.MAX_REQUEST_BODY_BYTES
-                    or self._buffered > _MAX_BUFFERED
+                    or self._buffered_bytes > _MAX_BUFFERED_BYTES
                 ):
                     refusal = _calls.not_run(
                         'buffer-full', 'too many bytes of request bodies'
                     )
-                    await self._refuse(call.request_id, refusal, exchange.send)
+                    await self._send_refusal(
+                        call.request_id, refusal, exchange.send
+                    )
                     return
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
-            # Nobody waits any more. Calls that are not idempotent are
-            # detached and finish on their own.
+            # The sender disconnected. Calls that are not idempotent run
+            # detached and continue without it.
             self._count('sender-lost')
         finally:
-            self._buffered -= size
+            self._buffered_bytes -= size
 
     async def _run_for_peer(
         self, exchange: Exchange, call: CallStart, body: bytes
@@ -761,11 +784,11 @@
             with scope, self._watches.watch(watch):
                 await self.execute(call, body, exchange.send)
             return
-        if call.request_id in self._running:
-            await self._answer_query(call.request_id, exchange.send)
+        if call.request_id in self._detached_calls:
+            await self._reply_to_query(call.request_id, exchange.send)
             return
         scope = trio.CancelScope()
-        done = self._running[call.request_id] = trio.Event()
+        done = self._detached_calls[call.request_id] = trio.Event()
         self._nursery.start_soon(
             self._run_detached, exchange, call, body, scope, done
         )
@@ -788,18 +811,18 @@
                 else:
                     await self.execute(call, body, exchange.send)
         finally:
-            self._running.pop(call.request_id, None)
+            self._detached_calls.pop(call.request_id, None)
             done.set()
 
     async def _execute_keyed(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
         """Run a call as the owner of its idempotency key."""
-        known = self._ledger.begin(call.request_id, trio.current_time())
-        if known is not None:
-            await self._replay(call.request_id, known, send)
+        entry = self._ledger.begin(call.request_id, trio.current_time())
+        if entry is not None:
+            await self._replay(call.request_id, entry, send)
             return
-        self._active += 1
+        self._active_calls += 1
         recorder = _calls.Recorder(self.buffer_budget)
         sink = _responses.MessageSink(
             lambda: self.load, call.request_id, send, recorder
@@ -824,7 +847,7 @@
                 state = EntryState.REFUSED
             elif error.outcome == Outcome.RUN:
                 state = EntryState.DONE
-            await self._refuse(call.request_id, error, sink.send)
+            await self._send_refusal(call.request_id, error, sink.send)
         except _calls.BrokenResponseError:
             state = EntryState.DONE
             recorder = _calls.Recorder(self.buffer_budget)
@@ -834,14 +857,17 @@
             response = recorder.response if state == EntryState.DONE else None
             now = trio.current_time()
             self._ledger.finish(call.request_id, now, state, response)
-            self._active -= 1
-            if not self._active:
+            self._active_calls -= 1
+            if not self._active_calls:
                 self._idle.set()
 
     async def _watch(
         self, exchange: Exchange, call: CallStart, scope: trio.CancelScope
     ) -> None:
-        """Cancel a call when its sender asks for it or is gone."""
+        """Cancel a call when its sender requests that.
+
+        Idempotent calls are also cancelled when the sender disconnects.
+        """
         try:
             while True:
                 message = await exchange.receive()
@@ -863,17 +889,19 @@
                 refusal = _calls.CallRefusedError(
                     Outcome.UNKNOWN, 'restarted', 'the runner has restarted'
                 )
-                await self._refuse(query.request_id, refusal, exchange.send)
+                await self._send_refusal(
+                    query.request_id, refusal, exchange.send
+                )
                 return
-            await self._answer_query(query.request_id, exchange.send)
+            await self._reply_to_query(query.request_id, exchange.send)
 
-    async def _answer_query(
+    async def _reply_to_query(
         self, request_id: str, send: _calls.SendMessage
     ) -> None:
-        # A call whose body has not arrived is not in the ledger yet; the
-        # query then refuses it, so that it cannot run later.
+        # A call whose body is incomplete is not in the ledger yet. The query
+        # then records it as refused, so that it cannot run later.
         entry = self._ledger.query(request_id, trio.current_time())
-        done = self._running.get(request_id)
+        done = self._detached_calls.get(request_id)
         if entry.state == EntryState.RUNNING and done is not None:
             await done.wait()
             entry = self._ledger.query(request_id, trio.current_time())
@@ -887,4 +915,4 @@
             await client.close_idle(all_connections=True)
 
     def _count(self, result: str) -> None:
-        self._runs.add(1.0, result=result)
+        self._call_counter.add(1.0, result=result)
