--- a/gypsumhall/services/_announcements.py
+++ b/gypsumhall/services/_announcements.py
@@ -1,4 +1,4 @@
-"""Service ``announcements``: the backend server on the VM reports itself."""
+"""Service ``announcements``: state reports of the backend server on the VM."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from gypsumhall.kernel import Kernel
 
-_MISSING_S = 3.0
+_ANNOUNCEMENT_TIMEOUT_S = 3.0
 _MAX_SLOTS = 10_000
 _STATES = {state.name.lower(): state for state in EndpointState}
 
@@ -45,16 +45,16 @@
 
 
 class AnnouncementsService:
-    """Takes the announcements and removes an endpoint that stops them."""
+    """Handles announcements; removes the endpoint when they stop."""
 
     name = 'announcements'
     requires: tuple[str, ...] = ('admin', 'membership', 'runner', 'events')
 
     def __init__(self) -> None:
         self._announced: Announced | None = None
-        self._last = 0.0
+        self._last_received_at = 0.0
         self._draining = False
-        self._arrived = trio.Event()
+        self._received = trio.Event()
         self._membership: _protocols.Membership
         self._runner: _runner.RunnerService
         self._events: _protocols.Events
@@ -65,7 +65,7 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Watch for announcements that stop, until cancelled."""
+        """Remove the endpoint when announcements stop, until cancelled."""
         admin = kernel.get('admin', _protocols.Admin)
         self._membership = kernel.get('membership', _protocols.Membership)
         self._runner = kernel.get('runner', _runner.RunnerService)
@@ -73,11 +73,16 @@
         admin.add_route('POST', '/v1/announce', self.handle)
         task_status.started()
         while True:
-            await self._arrived.wait()
-            self._arrived = trio.Event()
+            await self._received.wait()
+            self._received = trio.Event()
             while self._announced is not None:
-                await trio.sleep_until(self._last + _MISSING_S)
-                if trio.current_time() >= self._last + _MISSING_S:
+                await trio.sleep_until(
+                    self._last_received_at + _ANNOUNCEMENT_TIMEOUT_S
+                )
+                if (
+                    trio.current_time()
+                    >= self._last_received_at + _ANNOUNCEMENT_TIMEOUT_S
+                ):
                     self._remove()
 
     async def drain(self) -> None:
@@ -90,17 +95,17 @@
         """Handle ``POST /v1/announce``."""
         try:
             announced = msgspec.json.decode(request.body, type=Announced)
-            endpoint = _endpoint(announced)
+            endpoint = _build_endpoint(announced)
         except (msgspec.DecodeError, ValueError) as error:
             return _problem(400, 'bad-announcement', str(error))
         if self._draining:
             return _problem(503, 'draining', 'this daemon is stopping')
-        self._last = trio.current_time()
-        self._arrived.set()
+        self._last_received_at = trio.current_time()
+        self._received.set()
         if announced != self._announced:
             self._announced = announced
-            # The runner first, so that it refuses work or accepts it before
-            # other daemons learn of the change.
+            # The runner is updated first, so that it already accepts or
+            # rejects calls when other daemons receive the change.
             self._runner.set_backend(endpoint, announced.address)
             self._membership.set_endpoint(endpoint)
             self._events.emit(
@@ -127,7 +132,7 @@
             )
 
 
-def _endpoint(announced: Announced) -> Endpoint:
+def _build_endpoint(announced: Announced) -> Endpoint:
     state = _STATES.get(announced.state)
     if state is None:
         raise ValueError(
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -18,37 +18,37 @@
     from gypsumhall.core._member import Endpoint
     from gypsumhall.kernel import Kernel
 
-_CHECK_S = 0.5
+_CHECK_INTERVAL_S = 0.5
 
 
 @runtime_checkable
 class BackendRunner(Protocol):
-    """What this service needs of the service ``runner``."""
+    """Part of the service ``runner`` that this service uses."""
 
     @property
     def stopping(self) -> bool:
-        """Whether others have been told that no more calls are taken."""
+        """Whether peers were notified that no more calls are accepted."""
         ...
 
     def set_backend(
         self, endpoint: Endpoint | None, address: str, instance: str = ''
     ) -> None:
-        """Take over what the backend server reported."""
+        """Apply the state that the backend server reported."""
         ...
 
     def set_warm_at(self, time: float) -> None:
-        """Set until when a backend server that has started is slow."""
+        """Set the time at which the backend server has warmed up."""
         ...
 
 
 class CheckInService:
-    """Takes heartbeats, and tells runner and membership of changes.
+    """Handles heartbeats; updates runner and membership on changes.
 
     Parameters
     ----------
     address : str
-        ``<ip>:<port>`` of the backend server on the VM; heartbeats that
-        name another one are not used. Empty for any.
+        ``<ip>:<port>`` of the backend server on the VM; heartbeats with
+        another address are rejected. Empty to accept any address.
     """
 
     name = 'check-ins'
@@ -57,7 +57,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._started = False
-        self._known = BackendTracker()
+        self._tracker = BackendTracker()
         self._membership: _protocols.Membership
         self._runner: BackendRunner
         self._events: _protocols.Events
@@ -68,29 +68,35 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Look for heartbeats that stop, until cancelled."""
+        """Check for missing heartbeats until cancelled."""
         self._membership = kernel.get('membership', _protocols.Membership)
         self._runner = kernel.get('runner', BackendRunner)
         self._events = kernel.get('events', _protocols.Events)
         self._started = True
         task_status.started()
         while True:
-            await trio.sleep(_CHECK_S)
-            if self._known.expire(trio.current_time()):
-                self._apply('missing')
+            await trio.sleep(_CHECK_INTERVAL_S)
+            if self._tracker.expire(trio.current_time()):
+                self._publish_state('missing')
 
     def listen_on(self, admin: _protocols.Admin) -> None:
-        """Register with a listener, before it starts.
+        """Register the heartbeat routes with a listener before it starts.
 
         Until this service has started, heartbeats are not acknowledged.
         """
-        admin.add_route('PUT', platform.INSTANCES_PATH, self._check_in)
-        admin.add_route('DELETE', platform.INSTANCES_PATH, self._leave)
+        admin.add_route('PUT', platform.INSTANCES_PATH, self._handle_heartbeat)
+        admin.add_route(
+            'DELETE', platform.INSTANCES_PATH, self._handle_leaving
+        )
 
     async def drain(self) -> None:
-        """Go on: the promise to a backend server that leaves holds."""
+        """Return at once; heartbeats are handled until the daemon stops.
+
+        A backend server whose notice of leaving was acknowledged must get no
+        new calls, also while this daemon shuts down.
+        """
 
-    async def _check_in(
+    async def _handle_heartbeat(
         self, request: _protocols.AdminRequest
     ) -> _protocols.AdminResponse:
         if not self._started:
@@ -104,10 +110,11 @@
         if self._address and check_in.address != self._address:
             self._events.emit(
                 'check-in-rejected',
-                detail=f'{instance!r} is at {check_in.address!r}, not here',
+                detail=f'{instance!r} has address {check_in.address!r}, '
+                'not the configured one',
             )
             return _response(400)
-        decision = self._known.record_heartbeat(
+        result = self._tracker.record_heartbeat(
             instance,
             check_in.started_ms,
             check_in.sequence,
@@ -115,12 +122,12 @@
             check_in.endpoint,
             trio.current_time(),
         )
-        if decision is not HeartbeatResult.STALE:
+        if result is not HeartbeatResult.STALE:
             now = trio.current_time()
             self._runner.set_warm_at(now + check_in.warmup_s)
-        if decision is HeartbeatResult.CHANGED:
-            self._apply('check-in')
-        elif decision is HeartbeatResult.STALE:
+        if result is HeartbeatResult.CHANGED:
+            self._publish_state('check-in')
+        elif result is HeartbeatResult.STALE:
             self._events.emit(
                 'check-in-stale',
                 instance=instance,
@@ -129,23 +136,27 @@
             )
         return _response(200)
 
-    async def _leave(
+    async def _handle_leaving(
         self, request: _protocols.AdminRequest
     ) -> _protocols.AdminResponse:
         if not self._started:
             return _response(503)
         instance = request.path[len(platform.INSTANCES_PATH) :]
         started_ms = platform.decode_start_time(request.body)
-        if self._known.record_leaving(instance, started_ms):
-            self._apply('leaving')
+        if self._tracker.record_leaving(instance, started_ms):
+            self._publish_state('leaving')
         return _response(200)
 
-    def _apply(self, cause: str) -> None:
-        """Pass the state on, first to the runner, which keeps promises."""
-        found = self._known.current
-        endpoint = None if found is None else found.endpoint
-        instance = '' if found is None else found.instance
-        address = '' if found is None else found.address
+    def _publish_state(self, cause: str) -> None:
+        """Forward the state to the runner, then to the membership.
+
+        The runner must reject calls to a backend server that is leaving
+        before the heartbeat is acknowledged.
+        """
+        backend = self._tracker.current
+        endpoint = None if backend is None else backend.endpoint
+        instance = '' if backend is None else backend.instance
+        address = '' if backend is None else backend.address
         self._runner.set_backend(endpoint, address, instance)
         if not self._runner.stopping:
             self._membership.set_endpoint(endpoint)
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -59,54 +59,56 @@
 
 HeadReader = Callable[[], Awaitable['Head']]
 
-# A whole configuration takes about 1 MB at the design scale, so more
-# bootstraps at a time would exceed a daemon's memory and network share.
+# A full configuration takes about 1 MB at the design scale, so more concurrent
+# bootstraps would exceed a daemon's share of memory and network bandwidth.
 MAX_BOOTSTRAPS = 8
 
-# Answers from which a version floor is derived.
+# Replies of ready daemons that are needed to determine a version floor.
 FLOOR_ANSWERS = 3
 
 _BOOTSTRAP_JITTER_S = 0.5
-_FLOOR_ASKED = 8
+_FLOOR_REQUESTS = 8
 _FLOOR_TIMEOUT_S = 1.0
 _BACKOFF_MIN_S = 0.2
 _BACKOFF_MAX_S = 5.0
 
-# Two rounds of membership heartbeats: before, the member table may not yet
-# list the members that a small zone has.
-_SETTLE_S = 2.0
+# Two rounds of membership heartbeats: before that, the member table may not
+# list all members of a small zone.
+_MEMBERSHIP_SETTLE_S = 2.0
 
 _FETCH_TIMEOUT_S = 10.0
 _REVERTS_TIMEOUT_S = 2.0
 
-# Daemons of a zone that read the platform's head in one round of attempts.
-_HEAD_READS = 100
+# Daemons of a zone that read the platform's head per attempt, on average.
+_HEAD_READERS_PER_ATTEMPT = 100
 
-# The own zone and the platform come first: other zones may lag behind them.
-_OTHER_ZONES_S = 5.0
+# Time in seconds after the start from which members of other zones are asked
+# for the floor. The own zone and the platform are preferred, as other zones
+# may have older versions.
+_OTHER_ZONES_AFTER_S = 5.0
 
 # At 512 KiB per part this is far above any valid configuration.
-_MAX_PARTS = 64
+_MAX_UPDATE_PARTS = 64
 
 
-async def _answer(exchange: Exchange, *messages: Message) -> None:
-    """Answer an exchange; a peer that has gone asks somebody else."""
+async def _reply(exchange: Exchange, *messages: Message) -> None:
+    """Send a reply; on failure the peer repeats its request elsewhere."""
     try:
         for message in messages:
             await exchange.send(message)
         await exchange.finish()
     except PeerError as error:
-        logger.debug('answer to {} failed: {}', exchange.peer.id, error)
+        logger.debug('reply to {} failed: {}', exchange.peer.id, error)
 
 
-def _highest(answers: Iterable[tuple[Member, Floor]]) -> int:
+def _highest_version(replies: Iterable[tuple[Member, Floor]]) -> int:
     return max(
-        (max(item.acknowledged, item.held) for _, item in answers), default=0
+        (max(item.acknowledged, item.held) for _, item in replies), default=0
     )
 
 
-def _count_ready(answers: Iterable[tuple[Member, Floor]]) -> int:
-    return sum(1 for _, item in answers if item.ready)
+def _count_ready(replies: Iterable[tuple[Member, Floor]]) -> int:
+    return sum(1 for _, item in replies if item.ready)
 
 
 class DistributionService:
@@ -117,8 +119,8 @@
     rng : random.Random or None
         Source of randomness; a fresh one by default.
     jitter_s : float
-        Longest random delay in seconds before the version floor is asked
-        for.
+        Longest random delay in seconds before the version floor is first
+        requested.
     """
 
     __slots__ = (
@@ -159,7 +161,7 @@
 
     @property
     def snapshot(self) -> Snapshot | None:
-        """Installed configuration; None before the floor is reached."""
+        """Installed configuration; None before its version floor is met."""
         replica = self._replica
         return replica.snapshot if replica and replica.ready else None
 
@@ -175,7 +177,7 @@
 
     @property
     def digest(self) -> Digest:
-        """Summary of the state that daemons compare with each other."""
+        """Digest of the state, which daemons compare with each other."""
         return self._replica.digest if self._replica else Digest()
 
     async def run(
@@ -196,7 +198,7 @@
         if 'metrics' in kernel.names:
             self._metrics = kernel.get('metrics', Metrics)
         self._replica = Replica(membership.me, membership.table, self._rng)
-        self._listen()
+        self._register_handlers()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._run_timers)
@@ -204,14 +206,16 @@
             task_status.started()
 
     async def drain(self) -> None:
-        """Return at once: peers may pull until the daemon has stopped."""
+        """Return at once; peers may pull until the daemon has stopped."""
 
     async def wait_ready(self) -> None:
         """Wait until a configuration at or above the floor is installed."""
         await self._ready.wait()
 
     def set_head_reader(self, read: HeadReader) -> None:
-        """Set how the version floor is read when peers do not know it.
+        """Set a fallback source of the version floor.
+
+        It is used when too few peers report a version.
 
         Parameters
         ----------
@@ -238,7 +242,7 @@
         InvalidUpdateError
             When the update fails its checks; nothing was applied.
         """
-        replica = self._started()
+        replica = self._require_replica()
         before = replica.version
         actions = replica.receive(update, '', trio.current_time())
         self._execute(actions)
@@ -257,19 +261,19 @@
         fragments : sequence of Fragment
             All fragments that the head names.
         """
-        replica = self._started()
+        replica = self._require_replica()
         self._execute(replica.publish(head, fragments, trio.current_time()))
 
     def add_revert(self, revert: Revert) -> None:
-        """Add a verdict, apply it and spread it at once."""
-        self._execute(self._started().add_revert(revert))
+        """Add a revert, apply it and send it to peers at once."""
+        self._execute(self._require_replica().add_revert(revert))
 
-    def _started(self) -> Replica:
+    def _require_replica(self) -> Replica:
         if self._replica is None:
             raise KernelError('service distribution has not been started')
         return self._replica
 
-    def _listen(self) -> None:
+    def _register_handlers(self) -> None:
         self._peers.on(Update, self._on_update)
         self._peers.on(Announcement, self._on_announcement)
         self._peers.on(Pull, self._on_pull)
@@ -278,8 +282,9 @@
         self._peers.on(ZoneSummaries, self._on_summaries)
         self._peers.on(Reverts, self._on_reverts)
         self._peers.on(RevertsPull, self._on_reverts_pull)
-        self._membership.subscribe(self._on_members)
-        # Heartbeats compare digests more often than announcements do.
+        self._membership.subscribe(self._on_members_changed)
+        # Heartbeats carry digests as well, and are more frequent than
+        # announcements.
         provide = getattr(self._membership, 'set_digest_provider', None)
         if provide is not None:
             provide(lambda: self.digest)
@@ -294,14 +299,14 @@
         for action in actions:
             match action:
                 case Send(address, message):
-                    self._peers.post(address, self._stamped(message))
+                    self._peers.post(address, self._add_timestamp(message))
                 case Fetch():
                     self._nursery.start_soon(self._fetch, action)
                 case FetchReverts(address):
                     self._nursery.start_soon(self._fetch_reverts, address)
                 case Installed(snapshot):
                     changed = True
-                    self._note(
+                    self._record_event(
                         'snapshot-installed',
                         version=snapshot.version,
                         digest=snapshot.digest,
@@ -309,7 +314,7 @@
                 case Reverted(reverts):
                     changed = True
                     for revert in reverts:
-                        self._note(
+                        self._record_event(
                             'move-reverted',
                             move=revert.move,
                             reason=revert.reason,
@@ -317,28 +322,28 @@
                         )
                 case Alarm(code, fields):
                     logger.warning('{}: {}', code, dict(fields))
-                    self._note(code, **fields)
-        replica = self._started()
+                    self._record_event(code, **fields)
+        replica = self._require_replica()
         if replica.ready and not self._ready.is_set():
             self._ready.set()
-            self._note('distribution-ready', version=replica.version)
+            self._record_event('distribution-ready', version=replica.version)
             changed = True
         self._wake.set()
         if changed:
             for callback in self._subscribers:
                 callback()
 
-    def _stamped(self, message: Message) -> Message:
+    def _add_timestamp(self, message: Message) -> Message:
         if self._events and isinstance(message, Update | Reverts):
             time = self._events.clock.now()
             return msgspec.structs.replace(message, time=time)
         return message
 
-    def _observe(self, message: Update | Reverts) -> None:
+    def _observe_clock(self, message: Update | Reverts) -> None:
         if self._events and message.time:
             self._events.clock.observe(message.time)
 
-    def _note(self, code: str, **fields: object) -> None:
+    def _record_event(self, code: str, **fields: object) -> None:
         if self._events:
             self._events.emit(code, **fields)
         if self._metrics:
@@ -349,10 +354,10 @@
             self._metrics.gauge(
                 'gypsumhall_configuration_version',
                 'Installed configuration version.',
-            ).set(self._started().version)
+            ).set(self._require_replica().version)
 
     async def _run_timers(self) -> None:
-        replica = self._started()
+        replica = self._require_replica()
         while True:
             self._wake = trio.Event()
             with trio.move_on_at(replica.due):
@@ -360,10 +365,10 @@
             self._execute(replica.tick(trio.current_time()))
 
     async def _fetch(self, action: Fetch) -> None:
-        answer: Update | Busy | None = None
+        reply: Update | Busy | None = None
         try:
             with trio.move_on_after(_FETCH_TIMEOUT_S):
-                answer = await self._pull(action)
+                reply = await self._pull(action)
         except (PeerError, trio.EndOfChannel) as error:
             logger.debug('pull from {} failed: {}', action.address, error)
         except CorruptUpdateError as error:
@@ -371,16 +376,16 @@
                 error.code, {'peer': action.address, 'error': str(error)}
             )
             self._execute([alarm])
-        if isinstance(answer, Update):
-            self._observe(answer)
+        if isinstance(reply, Update):
+            self._observe_clock(reply)
         now = trio.current_time()
-        replica = self._started()
-        self._execute(replica.handle_fetch_result(action.address, answer, now))
+        replica = self._require_replica()
+        self._execute(replica.handle_fetch_result(action.address, reply, now))
 
     async def _pull(self, action: Fetch) -> Update | Busy | None:
         parts: list[Update] = []
         async with self._peers.open(action.address, action.pull) as exchange:
-            while len(parts) < _MAX_PARTS:
+            while len(parts) < _MAX_UPDATE_PARTS:
                 message = await exchange.receive()
                 if isinstance(message, Busy):
                     return message
@@ -393,63 +398,68 @@
 
     async def _fetch_reverts(self, address: str) -> None:
         try:
-            answer = await self._peers.request(
+            reply = await self._peers.request(
                 address, RevertsPull(), timeout_s=_REVERTS_TIMEOUT_S
             )
         except (PeerError, trio.EndOfChannel) as error:
-            logger.debug('reverts from {} failed: {}', address, error)
+            logger.debug('pull of reverts from {} failed: {}', address, error)
             return
-        if isinstance(answer, Reverts):
-            self._observe(answer)
+        if isinstance(reply, Reverts):
+            self._observe_clock(reply)
             self._execute(
-                self._started().receive_reverts(answer, address, complete=True)
+                self._require_replica().receive_reverts(
+                    reply, address, complete=True
+                )
             )
 
     # Bootstrap
 
     async def _bootstrap(self) -> None:
-        """Learn the version floor, then pull until it is reached."""
-        replica = self._started()
+        """Determine the version floor, then pull until it is reached."""
+        replica = self._require_replica()
         started = trio.current_time()
         await trio.sleep(self._rng.uniform(0, self._jitter_s))
         backoff = _BACKOFF_MIN_S
         while not replica.ready:
-            await self._learn_floor(started)
+            await self._determine_floor(started)
             if replica.ready:
                 break
             with trio.move_on_after(self._rng.uniform(backoff / 2, backoff)):
                 await self._ready.wait()
             backoff = min(backoff * 2, _BACKOFF_MAX_S)
 
-    async def _learn_floor(self, started: float) -> None:
-        replica = self._started()
+    async def _determine_floor(self, started: float) -> None:
+        replica = self._require_replica()
         me = self._membership.me
         others = [
             member
             for member in self._membership.table.alive(me.zone)
             if member.id != me.id
         ]
-        answers = await self._ask_members(others)
+        answers = await self._request_floors(others)
         now = trio.current_time()
         for member, answer in answers:
             replica.note_peer_version(answer.held, member.peer_address, now)
         if replica.floor is not None:
             self._execute([])
             return
-        floor = _highest(answers)
+        floor = _highest_version(answers)
         known = _count_ready(answers) >= FLOOR_ANSWERS
         if not known and self._may_read_head(len(others)):
-            head = await self._head_version()
+            head = await self._read_head_version()
             if head is not None:
                 floor = max(floor, head)
                 known = True
         waited = trio.current_time() - started
-        if not known and waited >= _SETTLE_S:
-            # All that is left of a small zone's knowledge.
+        if not known and waited >= _MEMBERSHIP_SETTLE_S:
+            # A small zone may have too few ready daemons. Once all of its
+            # members have replied, no other one can report a higher version.
             known = len(answers) == len(others) and bool(_count_ready(answers))
-        if not known and waited >= _OTHER_ZONES_S:
-            distant = await self._ask_members(self._members_elsewhere())
-            floor = max(floor, _highest(distant))
+        if not known and waited >= _OTHER_ZONES_AFTER_S:
+            distant = await self._request_floors(
+                self._members_of_other_zones()
+            )
+            floor = max(floor, _highest_version(distant))
             known = bool(_count_ready(distant))
             for member, answer in distant:
                 replica.note_peer_version(
@@ -460,18 +470,18 @@
         self._execute([])
 
     def _may_read_head(self, others: int) -> bool:
-        """Draw whether this daemon reads the platform in this attempt.
+        """Decide at random whether this attempt reads the platform.
 
-        Without a limit, 1,250 daemons of a returning zone read the head
-        within 0.5 s, which exceeds the platform's 2,000 reads a second.
+        Without a limit, the 1,250 daemons of a zone that restarts read the
+        head within 0.5 s, which exceeds the platform's 2,000 reads a second.
         """
-        return self._rng.random() * (others + 1) < _HEAD_READS
+        return self._rng.random() * (others + 1) < _HEAD_READERS_PER_ATTEMPT
 
-    def _members_elsewhere(self) -> list[Member]:
+    def _members_of_other_zones(self) -> list[Member]:
         """Return the live members of the other zones.
 
-        A zone that restarts as a whole while the platform is down has only
-        them to learn the version floor from.
+        They are the only source of the version floor for a zone that restarts
+        as a whole while the platform is down.
         """
         zone = self._membership.me.zone
         return [
@@ -480,40 +490,40 @@
             if member.zone != zone and member.is_live
         ]
 
-    async def _ask_members(
+    async def _request_floors(
         self, others: Sequence[Member]
     ) -> list[tuple[Member, Floor]]:
         me = self._membership.me
         # The daemons that receive this one's heartbeats know the version
         # that it acknowledged last.
-        asked = {
+        targets = {
             item.id: item
             for item in [
                 *ring_neighbours(me.id, others, FLOOR_ANSWERS),
-                *sample_members(others, _FLOOR_ASKED, me.id, self._rng),
-            ][:_FLOOR_ASKED]
+                *sample_members(others, _FLOOR_REQUESTS, me.id, self._rng),
+            ][:_FLOOR_REQUESTS]
         }
-        answers: list[tuple[Member, Floor]] = []
+        replies: list[tuple[Member, Floor]] = []
 
-        async def ask(member: Member) -> None:
+        async def request_floor(member: Member) -> None:
             try:
-                answer = await self._peers.request(
+                reply = await self._peers.request(
                     member.peer_address,
                     FloorRequest(me.id),
                     timeout_s=_FLOOR_TIMEOUT_S,
                 )
             except (PeerError, trio.EndOfChannel):
                 return
-            if isinstance(answer, Floor):
-                answers.append((member, answer))
+            if isinstance(reply, Floor):
+                replies.append((member, reply))
 
         with trio.move_on_after(2 * _FLOOR_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                for member in asked.values():
-                    nursery.start_soon(ask, member)
-        return answers
+                for member in targets.values():
+                    nursery.start_soon(request_floor, member)
+        return replies
 
-    async def _head_version(self) -> int | None:
+    async def _read_head_version(self) -> int | None:
         if self._read_head is None:
             return None
         try:
@@ -525,25 +535,25 @@
 
     # Handlers
 
-    def _on_members(self) -> None:
-        self._started().members_changed(trio.current_time())
+    def _on_members_changed(self) -> None:
+        self._require_replica().members_changed(trio.current_time())
         self._wake.set()
 
     def _on_peer_digest(self, address: str, digest: Digest) -> None:
-        replica = self._started()
+        replica = self._require_replica()
         now = trio.current_time()
         self._execute(replica.receive_digest(digest, address, now))
 
     async def _on_update(self, exchange: Exchange, message: Update) -> None:
-        self._observe(message)
-        replica = self._started()
+        self._observe_clock(message)
+        replica = self._require_replica()
         now = trio.current_time()
         self._execute(replica.receive(message, exchange.peer.address, now))
 
     async def _on_announcement(
         self, exchange: Exchange, message: Announcement
     ) -> None:
-        replica = self._started()
+        replica = self._require_replica()
         self._execute(
             replica.receive_digest(
                 message.digest,
@@ -554,24 +564,24 @@
         )
 
     async def _on_pull(self, exchange: Exchange, message: Pull) -> None:
-        parts = self._started().build_pull_reply(message)
+        parts = self._require_replica().build_pull_reply(message)
         if parts[0].base:
-            await _answer(exchange, *parts)
+            await _reply(exchange, *parts)
         elif self._bootstraps >= MAX_BOOTSTRAPS:
-            await _answer(exchange, self._busy(exchange.peer.id))
+            await _reply(exchange, self._build_busy_reply(exchange.peer.id))
         else:
             self._bootstraps += 1
             try:
-                await _answer(exchange, *parts)
+                await _reply(exchange, *parts)
             finally:
                 self._bootstraps -= 1
 
-    def _busy(self, asking: str) -> Busy:
+    def _build_busy_reply(self, requester: str) -> Busy:
         me = self._membership.me
         members = [
             member
             for member in self._membership.table.alive(me.zone)
-            if member.id != asking
+            if member.id != requester
         ]
         chosen = sample_members(members, FLOOR_ANSWERS, me.id, self._rng)
         return Busy(tuple(item.peer_address for item in chosen))
@@ -579,15 +589,15 @@
     async def _on_floor_request(
         self, exchange: Exchange, message: FloorRequest
     ) -> None:
-        replica = self._started()
+        replica = self._require_replica()
         acknowledged = self._membership.acknowledged(message.member)
         floor = Floor(acknowledged, replica.version, replica.ready)
-        await _answer(exchange, floor)
+        await _reply(exchange, floor)
 
     async def _on_acknowledgement(
         self, exchange: Exchange, message: Acknowledgement
     ) -> None:
-        replica = self._started()
+        replica = self._require_replica()
         now = trio.current_time()
         self._execute(
             replica.receive_acknowledgement(exchange.peer.id, message, now)
@@ -596,7 +606,7 @@
     async def _on_summaries(
         self, exchange: Exchange, message: ZoneSummaries
     ) -> None:
-        replica = self._started()
+        replica = self._require_replica()
         peer = exchange.peer
         now = trio.current_time()
         self._execute(
@@ -604,13 +614,15 @@
         )
 
     async def _on_reverts(self, exchange: Exchange, message: Reverts) -> None:
-        self._observe(message)
+        self._observe_clock(message)
         self._execute(
-            self._started().receive_reverts(message, exchange.peer.address)
+            self._require_replica().receive_reverts(
+                message, exchange.peer.address
+            )
         )
 
     async def _on_reverts_pull(
         self, exchange: Exchange, message: RevertsPull
     ) -> None:
-        answer = self._started().all_reverts()
-        await _answer(exchange, self._stamped(answer))
+        reply = self._require_replica().all_reverts()
+        await _reply(exchange, self._add_timestamp(reply))
--- a/gypsumhall/services/_peers.py
+++ b/gypsumhall/services/_peers.py
@@ -14,7 +14,7 @@
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._network import PeerSettings
 
-_KINDS = (
+_TRAFFIC_KINDS = (
     ('control', 'sent'),
     ('control', 'received'),
     ('call', 'sent'),
@@ -23,7 +23,7 @@
 
 
 class Peers(Network):
-    """Network whose events and counters go to the other services.
+    """Network that reports to the services ``events`` and ``metrics``.
 
     Parameters
     ----------
@@ -50,14 +50,14 @@
             await nursery.start(self.serve)
             if 'metrics' in kernel.names:
                 metrics = kernel.get('metrics', Metrics)
-                nursery.start_soon(self._report, metrics)
+                nursery.start_soon(self._report_metrics, metrics)
             task_status.started()
 
     def _record(self, code: str, **fields: object) -> None:
         if self._events is not None:
             self._events.emit(code, **fields)
 
-    async def _report(self, metrics: Metrics) -> None:
+    async def _report_metrics(self, metrics: Metrics) -> None:
         sizes = metrics.counter(
             'gypsumhall_peer_bytes_total', 'Bytes of frames between daemons'
         )
@@ -74,26 +74,27 @@
         streams = metrics.gauge(
             'gypsumhall_peer_streams', 'Open streams between daemons'
         )
-        seen_frames = [0] * len(_KINDS)
-        seen_sizes = [0] * len(_KINDS)
-        seen_control: dict[tuple[str, str], int] = {}
-        seen_dropped = 0
+        old_frames = [0] * len(_TRAFFIC_KINDS)
+        old_sizes = [0] * len(_TRAFFIC_KINDS)
+        old_control: dict[tuple[str, str], int] = {}
+        old_dropped = 0
         while True:
-            # Counters are summed up here because a labelled counter costs
-            # more than sending a frame.
+            # The network keeps plain counters, and only their differences are
+            # added here: updating a labelled counter costs more than sending
+            # a frame.
             await trio.sleep(1.0)
-            now_frames, now_sizes = self.traffic.frames, self.traffic.sizes
-            for index, (kind, direction) in enumerate(_KINDS):
+            new_frames, new_sizes = self.traffic.frames, self.traffic.sizes
+            for index, (kind, direction) in enumerate(_TRAFFIC_KINDS):
                 labels = {'kind': kind, 'direction': direction}
-                frames.add(now_frames[index] - seen_frames[index], **labels)
-                sizes.add(now_sizes[index] - seen_sizes[index], **labels)
-            now_control = self.traffic.control_by_message()
-            for key, size in now_control.items():
-                added = size - seen_control.get(key, 0)
+                frames.add(new_frames[index] - old_frames[index], **labels)
+                sizes.add(new_sizes[index] - old_sizes[index], **labels)
+            new_control = self.traffic.control_by_message()
+            for key, size in new_control.items():
+                added = size - old_control.get(key, 0)
                 if added:
                     control.add(added, message=key[0], direction=key[1])
-            seen_control = now_control
-            seen_frames, seen_sizes = list(now_frames), list(now_sizes)
-            dropped.add(self.dropped - seen_dropped)
-            seen_dropped = self.dropped
+            old_control = new_control
+            old_frames, old_sizes = list(new_frames), list(new_sizes)
+            dropped.add(self.dropped - old_dropped)
+            old_dropped = self.dropped
             streams.set(self.streams)
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -1,7 +1,8 @@
-"""Service ``registration``: a leased entry through which daemons meet.
+"""Service ``registration``: leased store entries for peer discovery.
 
-A few daemons of each zone hold an entry in the platform's store; those that
-start read the entries and join through any of them.
+A few daemons of each zone keep an entry with their peer address in the
+platform's store; a daemon that starts reads the entries and joins the fleet
+through any of them.
 """
 
 from __future__ import annotations
@@ -32,24 +33,24 @@
 """Prefix of the entries; the zone and the id of the daemon follow."""
 
 ENTRIES_PER_ZONE = 4
-"""Daemons of a zone that hold an entry, so that the calls do not grow with the
-fleet and the loss of most machines leaves some: each entry costs a renewal
-and a read in 1.5 s."""
+"""Daemons of a zone that keep an entry. Each entry costs a renewal and a read
+every 1.5 s, so their number must not grow with the fleet; with several, some
+remain after the loss of most machines."""
 
 TTL_S = 10
 """Time to live of an entry in seconds."""
 
-_RENEW_S = 1.5
-"""Time between two renewals in seconds. An entry that lapsed is back after
-this time at most, which is below the 2 s that are asked for."""
+_RENEW_INTERVAL_S = 1.5
+"""Time between two renewals in seconds. An entry that lapsed is written again
+after this time at most, which is below the required 2 s."""
 
-_RETRY_S = 0.4
-_IDLE_S = 2.0
+_RETRY_DELAY_S = 0.4
+_ROLE_CHECK_INTERVAL_S = 2.0
 
 
 @runtime_checkable
 class SeededMembership(Membership, Protocol):
-    """Membership that asks for addresses to join through."""
+    """Membership with a configurable source of seed addresses."""
 
     def set_seed_source(
         self, source: Callable[[], Awaitable[Sequence[str]]]
@@ -59,7 +60,7 @@
 
 
 class Registration:
-    """Keeps the own entry, and reads those of others.
+    """Maintains this daemon's entry and reads the entries of all zones.
 
     Parameters
     ----------
@@ -84,32 +85,34 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Keep the entry until cancelled."""
+        """Maintain the entry until cancelled."""
         self._membership = kernel.get('membership', SeededMembership)
         self._store = kernel.get('store', StoreService)
         self._events = kernel.get('events', Events)
         self._membership.set_seed_source(self.read_seeds)
         task_status.started()
         while True:
-            if self._stopping or not self._holds_entry():
-                await self._withdraw()
-                await trio.sleep(_IDLE_S)
+            if self._stopping or not self._should_register():
+                await self._remove_entry()
+                await trio.sleep(_ROLE_CHECK_INTERVAL_S)
                 continue
             try:
-                await self._renew()
+                await self._renew_entry()
             except StoreError as error:
                 self._events.emit(
                     'registration-failed', error=error.code, detail=str(error)
                 )
-                await trio.sleep(_RETRY_S * self._rng.uniform(0.75, 1.25))
+                await trio.sleep(
+                    _RETRY_DELAY_S * self._rng.uniform(0.75, 1.25)
+                )
                 continue
-            await trio.sleep(_RENEW_S * self._rng.uniform(0.9, 1.0))
+            await trio.sleep(_RENEW_INTERVAL_S * self._rng.uniform(0.9, 1.0))
 
     async def drain(self) -> None:
-        """Remove the entry; a daemon that starts must not wait for it."""
+        """Remove the entry, which would cost joining daemons a time-out."""
         self._stopping = True
         with trio.move_on_after(0.5):
-            await self._withdraw()
+            await self._remove_entry()
 
     async def read_seeds(self) -> Sequence[str]:
         """Return peer addresses of daemons of all zones.
@@ -122,14 +125,14 @@
         items = await self._store.range(PREFIX)
         return [item.value.decode('latin-1') for item in items]
 
-    def _holds_entry(self) -> bool:
+    def _should_register(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
         return _tree.has_zone_role(
             'registration', me.id, alive, ENTRIES_PER_ZONE
         )
 
-    async def _renew(self) -> None:
+    async def _renew_entry(self) -> None:
         me = self._membership.me
         key = f'{PREFIX}{me.zone}/{me.id}'
         if self._lease and not await self._store.keep_alive(self._lease):
@@ -148,14 +151,14 @@
             raise
         self._events.emit('entry-registered', key=key, lease=self._lease)
 
-    async def _withdraw(self) -> None:
+    async def _remove_entry(self) -> None:
         lease, self._lease = self._lease, 0
         if not lease:
             return
         try:
             await self._store.revoke(lease)
         except StoreError as error:
-            # It lapses by itself.
+            # The entry is removed when its lease expires.
             self._events.emit(
                 'registration-kept', lease=lease, detail=str(error)
             )
