--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -1,4 +1,4 @@
-"""Scenarios of the distribution service on an in-memory network."""
+"""Tests of the distribution service on an in-memory network."""
 
 from __future__ import annotations
 
@@ -72,19 +72,19 @@
         ]
         self.table = FakeTable(self.members)
         self.hub = MemoryHub(nursery, LATENCY_S)
-        self.hub.blocked = self._is_cut
+        self.hub.blocked = self._is_blocked
         self.daemons: dict[str, _Daemon] = {}
-        self.cut: set[str] = set()
+        self.isolated_zones: set[str] = set()
         self.read_head: Callable[[], Awaitable[_model.Head]] | None = None
         self.published: list[_model.Head] = []
 
-    def _is_cut(self, one: str, other: str) -> bool:
+    def _is_blocked(self, one: str, other: str) -> bool:
         zones = {
             item.zone
             for item in self.members
             if item.peer_address in (one, other)
         }
-        return len(zones) > 1 and bool(zones & self.cut)
+        return len(zones) > 1 and bool(zones & self.isolated_zones)
 
     def zone(self, name: str) -> list[_Daemon]:
         return [
@@ -122,10 +122,10 @@
             self.daemons[member_id].service.publish(head, [fragment])
         return version
 
-    async def all_hold(
+    async def wait_for_version(
         self, version: int, daemons: list[_Daemon], within_s: float
     ) -> None:
-        """Fail unless the daemons serve the version in time."""
+        """Fail unless all daemons install the version within the time."""
         deadline = trio.current_time() + within_s
         while trio.current_time() < deadline:
             if all(
@@ -135,11 +135,13 @@
             ):
                 return
             await trio.sleep(0.005)
-        held = [
+        installed = [
             item.service.snapshot and item.service.snapshot.version
             for item in daemons
         ]
-        raise AssertionError(f'expected version {version}, held: {held}')
+        raise AssertionError(
+            f'expected version {version}, installed: {installed}'
+        )
 
 
 @pytest.fixture
@@ -157,7 +159,7 @@
     return result
 
 
-async def test_a_change_passes_a_dead_inner_node(
+async def test_a_change_reaches_daemons_behind_a_dead_tree_node(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     tree = fleet.daemons['d0'].service._replica._trees.get('a', 'd0')
@@ -166,35 +168,35 @@
     fleet.hub.silent.add(inner.peer_address)
     version = fleet.publish('d0')
     others = [item for item in fleet.zone('a') if item.me != inner]
-    await fleet.all_hold(version, others, within_s=0.6)
+    await fleet.wait_for_version(version, others, within_s=0.6)
     assert fleet.daemons[inner.id].service.snapshot.version == 0
     assert not fleet.daemons['d0'].service.in_effect(version)
     fleet.hub.silent.clear()
     everyone = list(fleet.daemons.values())
-    await fleet.all_hold(version, everyone, within_s=20)
+    await fleet.wait_for_version(version, everyone, within_s=20)
     await trio.sleep(25)
     assert all(item.service.in_effect(version) for item in everyone)
 
 
-async def test_a_zone_cut_from_the_platform_gets_versions_from_others(
+async def test_a_zone_without_the_platform_gets_versions_from_others(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     # Only daemons of zone a read the platform.
     version = fleet.publish('d0', 'd1', 'd2')
-    await fleet.all_hold(version, fleet.zone('b'), within_s=3)
+    await fleet.wait_for_version(version, fleet.zone('b'), within_s=3)
     assert fleet.daemons['d40'].service.snapshot.match('spa.example', '/0')
 
 
-async def test_a_separated_zone_keeps_its_version_and_then_catches_up(
+async def test_an_isolated_zone_keeps_its_version_and_catches_up(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     first = fleet.publish('d0', 'd40')
     everyone = list(fleet.daemons.values())
-    await fleet.all_hold(first, everyone, within_s=3)
-    fleet.cut = {'b'}
+    await fleet.wait_for_version(first, everyone, within_s=3)
+    fleet.isolated_zones = {'b'}
     second = fleet.publish('d0')
-    ours = _messages.Revert('spa/move', 'failures', 'd41')
-    fleet.daemons['d41'].service.add_revert(ours)
+    local_revert = _messages.Revert('spa/move', 'failures', 'd41')
+    fleet.daemons['d41'].service.add_revert(local_revert)
     await trio.sleep(0.5)
     assert all('spa/move' in item.service.reverts for item in fleet.zone('b'))
     await trio.sleep(20)
@@ -206,8 +208,8 @@
     )
     assert not any(item.service.reverts for item in fleet.zone('a'))
     assert not any(item.service.in_effect(second) for item in everyone)
-    fleet.cut = set()
-    await fleet.all_hold(second, everyone, within_s=10)
+    fleet.isolated_zones = set()
+    await fleet.wait_for_version(second, everyone, within_s=10)
     await trio.sleep(20)
     for item in everyone:
         assert 'spa/move' in item.service.reverts
@@ -219,7 +221,7 @@
 ) -> None:
     version = fleet.publish('d0', 'd40')
     everyone = list(fleet.daemons.values())
-    await fleet.all_hold(version, everyone, within_s=3)
+    await fleet.wait_for_version(version, everyone, within_s=3)
     calls = []
     fleet.daemons['d51'].service.subscribe(lambda: calls.append('called'))
     revert = _messages.Revert('spa/move', 'failures', 'd3')
@@ -229,58 +231,60 @@
     assert calls == ['called']
 
 
-async def test_a_herd_bootstraps_with_bounded_concurrency(
+async def test_concurrent_bootstraps_are_limited(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     version = fleet.publish('d0', 'd40', routes=300)
     everyone = list(fleet.daemons.values())
-    await fleet.all_hold(version, everyone, within_s=3)
+    await fleet.wait_for_version(version, everyone, within_s=3)
     fleet.read_head = None
     fleet.table.acknowledged = {item.id: version for item in fleet.members}
-    returning = fleet.members[5:40]
-    fleet.stop(returning)
-    await fleet.start(returning, seed=100)
-    stayed = [fleet.daemons[f'd{index}'].service for index in range(5)]
-    most = 0
+    restarted = fleet.members[5:40]
+    fleet.stop(restarted)
+    await fleet.start(restarted, seed=100)
+    survivors = [fleet.daemons[f'd{index}'].service for index in range(5)]
+    peak = 0
     with trio.fail_after(15):
         while not all(
-            fleet.daemons[item.id].service.snapshot for item in returning
+            fleet.daemons[item.id].service.snapshot for item in restarted
         ):
-            most = max(most, *(item._bootstraps for item in stayed))
-            for item in returning:
-                held = fleet.daemons[item.id].service.snapshot
-                assert held is None or held.version >= version
+            peak = max(peak, *(item._bootstraps for item in survivors))
+            for item in restarted:
+                snapshot = fleet.daemons[item.id].service.snapshot
+                assert snapshot is None or snapshot.version >= version
             await trio.sleep(LATENCY_S / 2)
-    assert 1 <= most <= MAX_BOOTSTRAPS
+    assert 1 <= peak <= MAX_BOOTSTRAPS
 
 
-async def test_busy_names_other_peers(
+async def test_a_busy_reply_lists_other_peers(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     version = fleet.publish('d0', 'd40')
-    await fleet.all_hold(version, fleet.zone('a'), within_s=3)
+    await fleet.wait_for_version(version, fleet.zone('a'), within_s=3)
     fleet.daemons['d1'].service._bootstraps = MAX_BOOTSTRAPS
-    asking = fleet.daemons['d2']
+    requester = fleet.daemons['d2']
     address = fleet.daemons['d1'].me.peer_address
-    answer = await asking.network.request(
+    reply = await requester.network.request(
         address, _messages.Pull(), timeout_s=1
     )
-    assert isinstance(answer, _messages.Busy)
-    assert len(answer.others) == 3
-    assert not {address, asking.me.peer_address} & set(answer.others)
-    # Deltas are small and are never refused.
-    held = asking.service.digest
-    pull = _messages.Pull(held.version, held.snapshot)
-    answer = await asking.network.request(address, pull, timeout_s=1)
-    assert isinstance(answer, _messages.Update)
+    assert isinstance(reply, _messages.Busy)
+    assert len(reply.others) == 3
+    assert not {address, requester.me.peer_address} & set(reply.others)
+    # Deltas are small and are never rejected.
+    digest = requester.service.digest
+    pull = _messages.Pull(digest.version, digest.snapshot)
+    reply = await requester.network.request(address, pull, timeout_s=1)
+    assert isinstance(reply, _messages.Update)
 
 
 async def test_a_zone_that_restarts_as_a_whole_waits_for_a_floor(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
-    """Empty daemons must not agree with each other on version 0."""
+    """Daemons without a configuration must not settle on version 0."""
     version = fleet.publish('d0', 'd40')
-    await fleet.all_hold(version, list(fleet.daemons.values()), within_s=3)
+    await fleet.wait_for_version(
+        version, list(fleet.daemons.values()), within_s=3
+    )
     reads = []
 
     async def read() -> _model.Head:
@@ -291,27 +295,29 @@
 
     outage_end = trio.current_time() + 30
     fleet.read_head = read
-    fleet.cut = {'b'}
+    fleet.isolated_zones = {'b'}
     restarted = [item for item in fleet.members if item.zone == 'b']
     fleet.stop(restarted)
     await fleet.start(restarted, seed=200)
     await trio.sleep(25)
     assert all(item.service.snapshot is None for item in fleet.zone('b'))
-    # 12 daemons with backoff up to 5 s must not load the platform.
+    # 12 daemons with a backoff of up to 5 s must not overload the platform.
     assert len(reads) < 12 * 25
     with trio.move_on_after(20) as scope:
         await fleet.zone('b')[0].service.wait_ready()
     assert scope.cancelled_caught
-    fleet.cut = set()
-    await fleet.all_hold(version, fleet.zone('b'), within_s=10)
+    fleet.isolated_zones = set()
+    await fleet.wait_for_version(version, fleet.zone('b'), within_s=10)
 
 
-async def test_a_zone_that_restarts_in_an_outage_asks_other_zones(
+async def test_a_zone_that_restarts_in_an_outage_queries_other_zones(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
-    """With the platform down, it would not serve before the outage ends."""
+    """Otherwise the zone serves no requests until the outage ends."""
     version = fleet.publish('d0', 'd40')
-    await fleet.all_hold(version, list(fleet.daemons.values()), within_s=3)
+    await fleet.wait_for_version(
+        version, list(fleet.daemons.values()), within_s=3
+    )
 
     async def fail() -> _model.Head:
         raise StoreUnavailableError('outage')
@@ -320,24 +326,24 @@
     restarted = [item for item in fleet.members if item.zone == 'b']
     fleet.stop(restarted)
     await fleet.start(restarted, seed=300)
-    await fleet.all_hold(version, fleet.zone('b'), within_s=20)
+    await fleet.wait_for_version(version, fleet.zone('b'), within_s=20)
 
 
-def test_a_large_zone_that_returns_spares_the_platform() -> None:
-    """All 1,250 daemons of a zone could read the head within 0.5 s."""
+def test_head_reads_of_a_restarting_zone_are_limited() -> None:
+    """Without a limit, all 1,250 daemons of a zone read it within 0.5 s."""
     service = DistributionService(rng=random.Random(1))
     reads = sum(service._may_read_head(1249) for _ in range(1250))
     assert 50 < reads < 200
     assert all(service._may_read_head(50) for _ in range(50))
 
 
-async def test_alarms_and_errors_of_bad_heads(
+async def test_bad_heads_raise_alarms_and_errors(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     for _ in range(3):
         version = fleet.publish('d0', 'd40')
         everyone = list(fleet.daemons.values())
-        await fleet.all_hold(version, everyone, within_s=3)
+        await fleet.wait_for_version(version, everyone, within_s=3)
     await trio.sleep(5)
     daemon = fleet.daemons['d0']
     daemon.service.publish(fleet.published[0], [])
@@ -363,10 +369,10 @@
 ) -> None:
     fleet.publish('d0', 'd40')
     version = fleet.publish('d0', routes=9000)
-    await fleet.all_hold(version, fleet.zone('a'), within_s=5)
+    await fleet.wait_for_version(version, fleet.zone('a'), within_s=5)
 
 
-async def test_a_lost_member_no_longer_counts(
+async def test_a_dead_member_no_longer_counts(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
     version = fleet.publish('d0', 'd40')
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -85,18 +85,18 @@
         await self.nursery.start(daemon.run)
         return daemon
 
-    def agreed(self) -> bool:
+    def tables_agree(self) -> bool:
         running = [item for item in self.daemons if item.address]
         return len({item.service.table.digest for item in running}) == 1
 
-    async def until(
+    async def wait_until(
         self, condition: Callable[[], bool], limit_s: float
     ) -> None:
         with trio.fail_after(limit_s):
             while not condition():  # noqa: ASYNC110
                 await trio.sleep(0.1)
 
-    def everyone_sees(self, member: str, status: MemberStatus) -> bool:
+    def all_have_status(self, member: str, status: MemberStatus) -> bool:
         return all(
             item.statuses().get(member) is status for item in self.daemons
         )
@@ -106,15 +106,17 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet(zones: int = 3, size: int = 14) -> AsyncIterator[_Fleet]:
+async def _start_fleet(
+    zones: int = 3, size: int = 14
+) -> AsyncIterator[_Fleet]:
     async with trio.open_nursery() as nursery:
         fleet = _Fleet(nursery)
         for index in range(zones * size):
             daemon = await fleet.start(index, f'az-{index % zones}')
             fleet.daemons.append(daemon)
-        await fleet.until(
+        await fleet.wait_until(
             lambda: (
-                fleet.agreed()
+                fleet.tables_agree()
                 and len(fleet.daemons[0].statuses()) == zones * size
             ),
             30.0,
@@ -123,40 +125,40 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_a_dead_member_is_found_and_comes_back_by_restart(
+async def test_dead_members_are_detected_and_may_restart(
     autojump_clock: MockClock,
 ) -> None:
-    async with _fleet() as fleet:
-        victims = [fleet.daemons[index] for index in (7, 9, 22)]
-        for victim in victims:
-            victim.crash()
-            fleet.daemons.remove(victim)
-        for victim in victims:
-            await fleet.until(
-                lambda key=victim.id: fleet.everyone_sees(
+    async with _start_fleet() as fleet:
+        crashed = [fleet.daemons[index] for index in (7, 9, 22)]
+        for crashed_daemon in crashed:
+            crashed_daemon.crash()
+            fleet.daemons.remove(crashed_daemon)
+        for crashed_daemon in crashed:
+            await fleet.wait_until(
+                lambda key=crashed_daemon.id: fleet.all_have_status(
                     key, MemberStatus.DEAD
                 ),
                 20.0,
             )
         for item in fleet.daemons:
-            gone = [
+            not_alive = [
                 key
                 for key, status in item.statuses().items()
                 if status is not MemberStatus.ALIVE
             ]
-            assert sorted(gone) == ['d22', 'd7', 'd9']
+            assert sorted(not_alive) == ['d22', 'd7', 'd9']
         fleet.daemons.append(await fleet.start(7, 'az-1', 5))
-        await fleet.until(
-            lambda: fleet.everyone_sees('d7', MemberStatus.ALIVE), 20.0
+        await fleet.wait_until(
+            lambda: fleet.all_have_status('d7', MemberStatus.ALIVE), 20.0
         )
 
 
-async def test_an_echo_of_another_daemon_is_no_sign_of_life(
+async def test_an_echo_of_another_daemon_is_no_heartbeat_reply(
     autojump_clock: MockClock,
 ) -> None:
-    # Echoes carry no id: a daemon that took over an address must not keep
-    # the entry of its predecessor alive.
-    async with _fleet() as fleet:
+    # Echoes carry no id. If any daemon could send one, a daemon that took over
+    # an address would keep the entry of its predecessor alive.
+    async with _start_fleet() as fleet:
         sizes = fleet.hub.sizes = Counter()
         await trio.sleep(5)
         assert sizes['HeartbeatEcho'] > 0
@@ -164,73 +166,76 @@
         fleet.hub.sizes = None
         fleet.daemons[7].crash()
         fleet.daemons[7] = await fleet.start(7, 'az-1', name='other')
-        await fleet.until(
+        await fleet.wait_until(
             lambda: (
-                fleet.everyone_sees('d7', MemberStatus.DEAD)
-                and fleet.everyone_sees('other', MemberStatus.ALIVE)
+                fleet.all_have_status('d7', MemberStatus.DEAD)
+                and fleet.all_have_status('other', MemberStatus.ALIVE)
             ),
             30.0,
         )
 
 
-async def test_dead_entries_expire_everywhere_for_good(
+async def test_dead_entries_expire_permanently_on_all_daemons(
     autojump_clock: MockClock,
 ) -> None:
-    """Tables must not pass expired entries back to each other."""
-    async with _fleet(2, 3) as fleet:
-        victim = fleet.daemons.pop()
-        victim.crash()
-        await fleet.until(
-            lambda: fleet.everyone_sees(victim.id, MemberStatus.DEAD), 20.0
+    """Expired entries must not come back from tables that still have them."""
+    async with _start_fleet(2, 3) as fleet:
+        crashed_daemon = fleet.daemons.pop()
+        crashed_daemon.crash()
+        await fleet.wait_until(
+            lambda: fleet.all_have_status(
+                crashed_daemon.id, MemberStatus.DEAD
+            ),
+            20.0,
         )
         late = await fleet.start(8, 'az-0')
         fleet.daemons.append(late)
         await trio.sleep(300.0)
-        assert fleet.everyone_sees(victim.id, MemberStatus.DEAD)
+        assert fleet.all_have_status(crashed_daemon.id, MemberStatus.DEAD)
         await trio.sleep(330.0)
         for daemon in fleet.daemons:
-            assert victim.id not in daemon.statuses()
+            assert crashed_daemon.id not in daemon.statuses()
 
 
-async def test_one_bad_link_condemns_nobody(
+async def test_a_single_bad_link_causes_no_suspicion(
     autojump_clock: MockClock,
 ) -> None:
-    async with _fleet(1, 20) as fleet:
+    async with _start_fleet(1, 20) as fleet:
         first = fleet.daemons[0]
         table = first.service.table
-        next_one = table.neighbours(first.service.me, 1)[0].peer_address
+        neighbour = table.neighbours(first.service.me, 1)[0].peer_address
         fleet.hub.blocked = lambda one, other: (
-            {one, other} == {first.address, next_one}
+            {one, other} == {first.address, neighbour}
         )
         await trio.sleep(60.0)
         assert fleet.count('member-suspect') == 0
-        assert fleet.agreed()
+        assert fleet.tables_agree()
 
 
-async def test_a_daemon_that_is_cut_off_judges_nobody_and_returns(
+async def test_an_isolated_daemon_suspects_nobody_and_rejoins(
     autojump_clock: MockClock,
 ) -> None:
-    """Guards against a returning daemon that condemns its whole zone."""
-    async with _fleet() as fleet:
-        cut = fleet.daemons[4]
-        fleet.hub.blocked = lambda one, other: cut.address in (one, other)
+    """A daemon that was isolated must not report its whole zone as dead."""
+    async with _start_fleet() as fleet:
+        isolated = fleet.daemons[4]
+        fleet.hub.blocked = lambda one, other: isolated.address in (one, other)
         await trio.sleep(60.0)
-        assert set(cut.statuses().values()) == {MemberStatus.ALIVE}
+        assert set(isolated.statuses().values()) == {MemberStatus.ALIVE}
         assert fleet.daemons[0].statuses()['d4'] is MemberStatus.DEAD
         fleet.hub.blocked = lambda one, other: False
-        await fleet.until(
-            lambda: fleet.everyone_sees('d4', MemberStatus.ALIVE), 30.0
+        await fleet.wait_until(
+            lambda: fleet.all_have_status('d4', MemberStatus.ALIVE), 30.0
         )
-        assert cut.codes().count('member-refuted') == 1
+        assert isolated.codes().count('member-refuted') == 1
         assert fleet.count('member-refuted') == 1
 
 
-async def test_a_partition_between_zones_drops_no_entry(
+async def test_a_partition_between_zones_removes_no_entry(
     autojump_clock: MockClock,
 ) -> None:
-    async with _fleet() as fleet:
-        side = {i.address for i in fleet.daemons if i.zone == 'az-0'}
-        fleet.hub.blocked = lambda one, other: (one in side) != (other in side)
+    async with _start_fleet() as fleet:
+        zone = {i.address for i in fleet.daemons if i.zone == 'az-0'}
+        fleet.hub.blocked = lambda one, other: (one in zone) != (other in zone)
         await trio.sleep(60.0)
         assert fleet.count('zone-unreachable') > 0
         assert fleet.count('member-suspect') == 0
@@ -240,7 +245,7 @@
         await trio.sleep(20.0)
         assert len(far.service.table.endpoints('availability')) == 0
         fleet.hub.blocked = lambda one, other: False
-        await fleet.until(fleet.agreed, 40.0)
+        await fleet.wait_until(fleet.tables_agree, 40.0)
         for item in (near, far):
             assert len(item.service.table.endpoints('bookings')) == 1
             assert len(item.service.table.endpoints('availability')) == 1
@@ -249,14 +254,14 @@
 async def test_reads_of_the_platform_do_not_grow_with_the_zone(
     autojump_clock: MockClock,
 ) -> None:
-    # Every daemon once looked for seeds in the platform every 30 s.
+    # Without a limit, every daemon reads seeds from the platform every 30 s.
     reads = []
 
     async def read() -> list[str]:
         reads.append(trio.current_time())
         return []
 
-    async with _fleet(zones=1, size=42) as fleet:
+    async with _start_fleet(zones=1, size=42) as fleet:
         for daemon in fleet.daemons:
             daemon.service.set_seed_source(read)
         await trio.sleep(300)
@@ -264,7 +269,7 @@
     assert 10 <= len(reads) <= 80
 
 
-async def test_two_groups_that_started_apart_find_each_other(
+async def test_two_groups_that_formed_separately_merge(
     autojump_clock: MockClock,
 ) -> None:
     async with trio.open_nursery() as nursery:
@@ -277,19 +282,21 @@
         await trio.sleep(30.0)
         assert len(fleet.daemons[0].statuses()) == 6
         fleet.hub.blocked = lambda one, other: False
-        await fleet.until(
-            lambda: fleet.agreed() and len(fleet.daemons[0].statuses()) == 12,
+        await fleet.wait_until(
+            lambda: (
+                fleet.tables_agree() and len(fleet.daemons[0].statuses()) == 12
+            ),
             90.0,
         )
         nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize('draining', [True, False])
-async def test_urgent_changes_are_known_within_a_second(
+async def test_urgent_changes_reach_all_daemons_within_a_second(
     draining: bool, autojump_clock: MockClock
 ) -> None:
-    """A leaving backend server may get no new work after 2 s."""
-    async with _fleet() as fleet:
+    """A leaving backend server must get no new calls after 2 s."""
+    async with _start_fleet() as fleet:
         leaving = fleet.daemons[5]
         if draining:
             leaving.service.set_endpoint(
@@ -298,7 +305,7 @@
         else:
             leaving.service.set_leaving()
         entry = leaving.service.me
-        await fleet.until(
+        await fleet.wait_until(
             lambda: all(
                 item.service.table.get('d5') == entry for item in fleet.daemons
             ),
@@ -306,50 +313,62 @@
         )
 
 
-async def test_an_endpoint_that_is_ready_is_known_at_once(
+async def test_an_endpoint_that_becomes_ready_is_pushed_at_once(
     autojump_clock: MockClock,
 ) -> None:
-    """After a restart all senders used the one endpoint that they knew."""
-    async with _fleet() as fleet:
+    """Endpoints that become ready must be pushed, not only gossiped.
+
+    Otherwise, after a restart, all senders use the one endpoint that they
+    know.
+    """
+    async with _start_fleet() as fleet:
         fleet.daemons[5].service.set_endpoint(builders.build_endpoint())
         entry = fleet.daemons[5].service.me
         await trio.sleep(0.1)
-        known = sum(
+        updated = sum(
             item.service.table.get('d5') == entry for item in fleet.daemons
         )
-        assert known > 0.9 * len(fleet.daemons)
+        assert updated > 0.9 * len(fleet.daemons)
 
 
-@pytest.mark.parametrize('planned', [True, False])
-async def test_a_daemon_that_restarts_without_seeds_is_found(
-    planned: bool, autojump_clock: MockClock
+@pytest.mark.parametrize('graceful', [True, False])
+async def test_a_daemon_that_restarts_without_seeds_is_discovered(
+    graceful: bool, autojump_clock: MockClock
 ) -> None:
-    """While the platform was down it knew nobody and served no request."""
-    async with _fleet(1, 6) as fleet:
+    """The zone must contact it, as it cannot find members by itself.
+
+    Without seeds, while the platform is down, it knew no other member and
+    served no request.
+    """
+    async with _start_fleet(1, 6) as fleet:
         leaving = fleet.daemons[4]
-        if planned:
+        if graceful:
             leaving.service.set_leaving()
             await trio.sleep(0.2)
         leaving.crash()
         fleet.daemons.remove(leaving)
-        status = MemberStatus.LEAVING if planned else MemberStatus.DEAD
-        await fleet.until(
-            lambda: fleet.everyone_sees(leaving.id, status), 20.0
+        status = MemberStatus.LEAVING if graceful else MemberStatus.DEAD
+        await fleet.wait_until(
+            lambda: fleet.all_have_status(leaving.id, status), 20.0
         )
         fleet.hub.silent.discard(leaving.address)
         daemon = _Daemon(fleet.hub, 4, 'az-0', 5, seeds=())
         await fleet.nursery.start(daemon.run)
-        await fleet.until(lambda: len(daemon.statuses()) == 6, 4.0)
+        await fleet.wait_until(lambda: len(daemon.statuses()) == 6, 4.0)
         fleet.daemons.append(daemon)
-        await fleet.until(
-            lambda: fleet.everyone_sees('d4', MemberStatus.ALIVE), 4.0
+        await fleet.wait_until(
+            lambda: fleet.all_have_status('d4', MemberStatus.ALIVE), 4.0
         )
 
 
-async def test_daemons_that_start_together_know_each_other_soon(
+async def test_daemons_that_start_together_discover_each_other_soon(
     autojump_clock: MockClock,
 ) -> None:
-    """After a loss of all daemons each one had joined a table of two."""
+    """Daemons must notify many seeds when they start.
+
+    After a restart of the whole fleet, each daemon had joined through a
+    table of two members and knew no others.
+    """
     async with trio.open_nursery() as nursery:
         fleet = _Fleet(nursery)
         for index in range(12):
@@ -367,25 +386,27 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_heartbeats_carry_digests_both_ways(
+async def test_heartbeats_and_replies_carry_digests(
     autojump_clock: MockClock,
 ) -> None:
-    async with _fleet(1, 4) as fleet:
+    async with _start_fleet(1, 4) as fleet:
         first, second = fleet.daemons[:2]
-        seen: list[tuple[str, Digest]] = []
-        changes: list[int] = []
+        received: list[tuple[str, Digest]] = []
+        revisions: list[int] = []
         first.service.set_digest_provider(lambda: Digest(7, 'a', 0, 9))
         second.service.on_peer_digest(
-            lambda address, digest: seen.append((address, digest))
+            lambda address, digest: received.append((address, digest))
         )
         second.service.subscribe(
-            lambda: changes.append(second.service.table.revision)
+            lambda: revisions.append(second.service.table.revision)
+        )
+        await fleet.wait_until(
+            lambda: second.service.acknowledged('d0') == 7, 10.0
         )
-        await fleet.until(lambda: second.service.acknowledged('d0') == 7, 10.0)
         members = first.service.table.digest
-        assert (first.address, Digest(7, 'a', members, 9)) in seen
+        assert (first.address, Digest(7, 'a', members, 9)) in received
         first.service.set_endpoint(builders.build_endpoint())
-        await fleet.until(lambda: bool(changes), 10.0)
+        await fleet.wait_until(lambda: bool(revisions), 10.0)
         assert second.service.acknowledged('d9') == 0
 
 
@@ -420,9 +441,9 @@
             entry = services[0].table.get(seeds[2])
             assert entry is not None
             assert entry.status is MemberStatus.LEAVING
-            received = {'kind': 'control', 'direction': 'received'}
+            labels = {'kind': 'control', 'direction': 'received'}
             while not counters.value(  # noqa: ASYNC110
-                'gypsumhall_peer_bytes_total', **received
+                'gypsumhall_peer_bytes_total', **labels
             ):
                 await trio.sleep(0.05)
         nursery.cancel_scope.cancel()
