--- a/benchmarks/check_proofs.py
+++ b/benchmarks/check_proofs.py
@@ -71,8 +71,8 @@
         1,
         'only ready daemons count for the version floor',
         'services/_distribution.py',
-        'known = _count_ready(answers) >= FLOOR_ANSWERS',
-        'known = len(answers) >= FLOOR_ANSWERS',
+        'known = _count_ready(replies) >= MIN_FLOOR_REPLIES',
+        'known = len(replies) >= MIN_FLOOR_REPLIES',
         'tests/test_services_distribution.py',
     ),
     Mutation(
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -182,7 +182,7 @@
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
     check_ins = CheckInService(settings.backend_address.value)
-    check_ins.listen_on(admin)
+    check_ins.register_routes(admin)
     services: list[Service] = [
         EventLog(daemon, zone, lines_per_s=LINES_PER_S),
         MetricRegistry(),
@@ -190,7 +190,9 @@
         Peers(peer_settings),
         MembershipService(
             MembershipSettings(
-                interval_s=_HEARTBEAT_S, jitter_s=_JITTER_S, reseed_s=5.0
+                interval_s=_HEARTBEAT_S,
+                jitter_s=_JITTER_S,
+                reseed_interval_s=5.0,
             )
         ),
         Registration(rng=rng),
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -323,7 +323,7 @@
 
     Parameters
     ----------
-    acknowledged : int
+    acknowledged_version : int
         Highest configuration version that the asking daemon is known to
         have held; 0 when unknown.
     held : int
@@ -334,7 +334,7 @@
         count as an answer.
     """
 
-    acknowledged: int
+    acknowledged_version: int
     held: int
     ready: bool = True
 
--- a/gypsumhall/services/_announcements.py
+++ b/gypsumhall/services/_announcements.py
@@ -22,7 +22,7 @@
 _STATES = {state.name.lower(): state for state in EndpointState}
 
 
-class Announced(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class AnnounceRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body of ``POST /v1/announce``.
 
     Parameters
@@ -51,7 +51,7 @@
     requires: tuple[str, ...] = ('admin', 'membership', 'runner', 'events')
 
     def __init__(self) -> None:
-        self._announced: Announced | None = None
+        self._announced: AnnounceRequest | None = None
         self._last_received_at = 0.0
         self._draining = False
         self._received = trio.Event()
@@ -94,7 +94,7 @@
     ) -> _protocols.AdminResponse:
         """Handle ``POST /v1/announce``."""
         try:
-            announced = msgspec.json.decode(request.body, type=Announced)
+            announced = msgspec.json.decode(request.body, type=AnnounceRequest)
             endpoint = _build_endpoint(announced)
         except (msgspec.DecodeError, ValueError) as error:
             return _problem(400, 'bad-announcement', str(error))
@@ -132,7 +132,7 @@
             )
 
 
-def _build_endpoint(announced: Announced) -> Endpoint:
+def _build_endpoint(announced: AnnounceRequest) -> Endpoint:
     state = _STATES.get(announced.state)
     if state is None:
         raise ValueError(
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -79,7 +79,7 @@
             if self._tracker.expire(trio.current_time()):
                 self._publish_state('missing')
 
-    def listen_on(self, admin: _protocols.Admin) -> None:
+    def register_routes(self, admin: _protocols.Admin) -> None:
         """Register the heartbeat routes with a listener before it starts.
 
         Until this service has started, heartbeats are not acknowledged.
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -64,7 +64,7 @@
 MAX_BOOTSTRAPS = 8
 
 # Replies of ready daemons that are needed to determine a version floor.
-FLOOR_ANSWERS = 3
+MIN_FLOOR_REPLIES = 3
 
 _BOOTSTRAP_JITTER_S = 0.5
 _FLOOR_REQUESTS = 8
@@ -103,7 +103,8 @@
 
 def _highest_version(replies: Iterable[tuple[Member, Floor]]) -> int:
     return max(
-        (max(item.acknowledged, item.held) for _, item in replies), default=0
+        (max(item.acknowledged_version, item.held) for _, item in replies),
+        default=0,
     )
 
 
@@ -436,15 +437,15 @@
             for member in self._membership.table.alive(me.zone)
             if member.id != me.id
         ]
-        answers = await self._request_floors(others)
+        replies = await self._request_floors(others)
         now = trio.current_time()
-        for member, answer in answers:
-            replica.note_peer_version(answer.held, member.peer_address, now)
+        for member, reply in replies:
+            replica.note_peer_version(reply.held, member.peer_address, now)
         if replica.floor is not None:
             self._execute([])
             return
-        floor = _highest_version(answers)
-        known = _count_ready(answers) >= FLOOR_ANSWERS
+        floor = _highest_version(replies)
+        known = _count_ready(replies) >= MIN_FLOOR_REPLIES
         if not known and self._may_read_head(len(others)):
             head = await self._read_head_version()
             if head is not None:
@@ -454,17 +455,15 @@
         if not known and waited >= _MEMBERSHIP_SETTLE_S:
             # A small zone may have too few ready daemons. Once all of its
             # members have replied, no other one can report a higher version.
-            known = len(answers) == len(others) and bool(_count_ready(answers))
+            known = len(replies) == len(others) and bool(_count_ready(replies))
         if not known and waited >= _OTHER_ZONES_AFTER_S:
             distant = await self._request_floors(
                 self._members_of_other_zones()
             )
             floor = max(floor, _highest_version(distant))
             known = bool(_count_ready(distant))
-            for member, answer in distant:
-                replica.note_peer_version(
-                    answer.held, member.peer_address, now
-                )
+            for member, reply in distant:
+                replica.note_peer_version(reply.held, member.peer_address, now)
         if known:
             replica.set_floor(floor, trio.current_time())
         self._execute([])
@@ -499,7 +498,7 @@
         targets = {
             item.id: item
             for item in [
-                *ring_neighbours(me.id, others, FLOOR_ANSWERS),
+                *ring_neighbours(me.id, others, MIN_FLOOR_REPLIES),
                 *sample_members(others, _FLOOR_REQUESTS, me.id, self._rng),
             ][:_FLOOR_REQUESTS]
         }
@@ -583,15 +582,17 @@
             for member in self._membership.table.alive(me.zone)
             if member.id != requester
         ]
-        chosen = sample_members(members, FLOOR_ANSWERS, me.id, self._rng)
+        chosen = sample_members(members, MIN_FLOOR_REPLIES, me.id, self._rng)
         return Busy(tuple(item.peer_address for item in chosen))
 
     async def _on_floor_request(
         self, exchange: Exchange, message: FloorRequest
     ) -> None:
         replica = self._require_replica()
-        acknowledged = self._membership.acknowledged(message.member)
-        floor = Floor(acknowledged, replica.version, replica.ready)
+        acknowledged_version = self._membership.acknowledged_version(
+            message.member
+        )
+        floor = Floor(acknowledged_version, replica.version, replica.ready)
         await _reply(exchange, floor)
 
     async def _on_acknowledgement(
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -102,7 +102,8 @@
 _UNREACHABLE_AFTER_FAILURES = 3
 """Consecutive failed heartbeats after which a zone is reported unreachable."""
 _RESEEDING_DAEMONS = 4
-"""Daemons of a zone that query the seed source per `reseed_s`, on average."""
+"""Daemons of a zone that query the seed source per `reseed_interval_s`, on
+average."""
 
 DigestProvider = Callable[[], Digest]
 DigestCallback = Callable[[str, Digest], None]
@@ -132,10 +133,10 @@
         detector are multiples of it.
     jitter_s : float
         Longest random delay in seconds before the first join.
-    repair_s : float
+    repair_interval_s : float
         Time in seconds between two comparisons of tables that differ; a
         tenth of it while comparisons yield new entries.
-    reseed_s : float
+    reseed_interval_s : float
         Time in seconds between attempts to reach seeds that are not in the
         table, so that two groups that formed separately merge.
     """
@@ -143,8 +144,8 @@
     seeds: tuple[str, ...] = ()
     interval_s: float = 1.0
     jitter_s: float = 0.5
-    repair_s: float = 20.0
-    reseed_s: float = 30.0
+    repair_interval_s: float = 20.0
+    reseed_interval_s: float = 30.0
 
 
 class MembershipService:
@@ -183,7 +184,7 @@
         self._active_joins = 0
         self._suggested_peers: tuple[str, ...] = ()
         self._repair_at = 0.0
-        self._repair_wait_s = settings.repair_s / 10
+        self._repair_wait_s = settings.repair_interval_s / 10
         self._repairing = False
         self._zone_failures: dict[str, int] = {}
         # Members of the zone that have left or died recently.
@@ -227,7 +228,7 @@
         """Call back after each change of the member table."""
         self._subscribers.append(callback)
 
-    def acknowledged(self, member_id: str) -> int:
+    def acknowledged_version(self, member_id: str) -> int:
         """Return the highest version that a member has acknowledged.
 
         0 when none is known.
@@ -629,7 +630,7 @@
         now = trio.current_time()
         self._events.clock.observe(message.time)
         self._detector.record_received(sender.id, now)
-        if digest.version > self.acknowledged(sender.id):
+        if digest.version > self.acknowledged_version(sender.id):
             self._acknowledged_versions[sender.id] = digest.version
         self._merge_entries((sender, *message.members))
         for callback in self._digest_callbacks:
@@ -736,7 +737,7 @@
         finally:
             self._repairing = False
         # After a repair that changed the table, the next one starts sooner.
-        max_wait_s = self._settings.repair_s
+        max_wait_s = self._settings.repair_interval_s
         if self._table.revision != revision:
             self._repair_wait_s = max_wait_s / 10
         else:
@@ -851,7 +852,9 @@
         self._notify_seeds_until = trio.current_time() + _SEED_NOTIFICATION_S
         self._push_change(self.me)
         while True:
-            await trio.sleep(settings.reseed_s * self._rng.uniform(0.5, 1.5))
+            await trio.sleep(
+                settings.reseed_interval_s * self._rng.uniform(0.5, 1.5)
+            )
             known = {
                 item.peer_address
                 for item in self._table.members()
--- a/gypsumhall/services/_protocols.py
+++ b/gypsumhall/services/_protocols.py
@@ -148,7 +148,7 @@
         """Mark this daemon as leaving and spread the change at once."""
         ...
 
-    def acknowledged(self, member_id: str) -> int:
+    def acknowledged_version(self, member_id: str) -> int:
         """Return the highest version that a member is known to have held."""
         ...
 
--- a/gypsumhall/testing/fakes.py
+++ b/gypsumhall/testing/fakes.py
@@ -58,9 +58,9 @@
 
     Attributes
     ----------
-    acknowledged : dict of str to int
+    acknowledged_version : dict of str to int
         Configuration versions by member id, for
-        `FakeMembership.acknowledged`.
+        `FakeMembership.acknowledged_version`.
     """
 
     def __init__(self, members: Iterable[Member] = ()) -> None:
@@ -68,7 +68,7 @@
         self._alive: dict[str, list[Member]] | None = None
         self._revision = 1
         self._callbacks: list[Callable[[], None]] = []
-        self.acknowledged: dict[str, int] = {}
+        self.acknowledged_version: dict[str, int] = {}
 
     @property
     def digest(self) -> int:
@@ -170,9 +170,9 @@
         """Mark this daemon as leaving."""
         self._replace(status=MemberStatus.LEAVING)
 
-    def acknowledged(self, member_id: str) -> int:
+    def acknowledged_version(self, member_id: str) -> int:
         """Return what the table has; 0 for unknown."""
-        return self._table.acknowledged.get(member_id, 0)
+        return self._table.acknowledged_version.get(member_id, 0)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the table."""
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -65,7 +65,7 @@
         answer = await self.request(address, _FLOOR, timeout_s=_WAIT_S)
         assert isinstance(answer, _messages.Floor)
         assert answer.held == 2
-        return answer.acknowledged
+        return answer.acknowledged_version
 
 
 class _Relay:
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -238,7 +238,9 @@
     everyone = list(fleet.daemons.values())
     await fleet.wait_for_version(version, everyone, within_s=3)
     fleet.read_head = None
-    fleet.table.acknowledged = {item.id: version for item in fleet.members}
+    fleet.table.acknowledged_version = {
+        item.id: version for item in fleet.members
+    }
     restarted = fleet.members[5:40]
     fleet.stop(restarted)
     await fleet.start(restarted, seed=100)
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -271,7 +271,7 @@
     runner, admin = _Runner(), FakeAdmin()
     membership = _Membership(builders.build_member(0))
     service = CheckInService('10.0.0.9:80')
-    service.listen_on(admin)
+    service.register_routes(admin)
     kernel = _kernel(
         admin, membership, _Distribution(), _Rollouts(), runner, service
     )
@@ -315,7 +315,7 @@
     runner, admin = _Runner(), FakeAdmin()
     membership = _Membership(builders.build_member(0))
     service = CheckInService('10.0.0.9:80')
-    service.listen_on(admin)
+    service.register_routes(admin)
     kernel = _kernel(
         admin, membership, _Distribution(), _Rollouts(), runner, service
     )
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -401,13 +401,13 @@
             lambda: revisions.append(second.service.table.revision)
         )
         await fleet.wait_until(
-            lambda: second.service.acknowledged('d0') == 7, 10.0
+            lambda: second.service.acknowledged_version('d0') == 7, 10.0
         )
         members = first.service.table.digest
         assert (first.address, Digest(7, 'a', members, 9)) in received
         first.service.set_endpoint(builders.build_endpoint())
         await fleet.wait_until(lambda: bool(revisions), 10.0)
-        assert second.service.acknowledged('d9') == 0
+        assert second.service.acknowledged_version('d9') == 0
 
 
 async def test_daemons_join_and_leave_over_real_streams() -> None:
