--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -467,7 +467,7 @@
             ring = self._table.neighbours(self.me, _RING_NEIGHBOURS)
             self._detector.watch(ring, now)
             for target in (
-                *self._targets(ring, now),
+                *self._heartbeat_targets(ring, now),
                 *self._departed_targets(now),
             ):
                 self._nursery.start_soon(self._send_heartbeat, target)
@@ -481,7 +481,9 @@
             if expired:
                 self._notify_subscribers()
 
-    def _targets(self, ring: Sequence[Member], now: float) -> list[Member]:
+    def _heartbeat_targets(
+        self, ring: Sequence[Member], now: float
+    ) -> list[Member]:
         near = self._partners.update(
             self._table, self._draw_zone_member, self._rng, now
         )
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -252,8 +252,8 @@
         ):
             peak = max(peak, *(item._bootstraps for item in survivors))
             for item in restarted:
-                snapshot = fleet.daemons[item.id].service.snapshot
-                assert snapshot is None or snapshot.version >= version
+                installed = fleet.daemons[item.id].service.snapshot
+                assert installed is None or installed.version >= version
             await trio.sleep(LATENCY_S / 2)
     assert 1 <= peak <= MAX_BOOTSTRAPS
 
@@ -273,8 +273,8 @@
     assert len(reply.others) == 3
     assert not {address, requester.me.peer_address} & set(reply.others)
     # Deltas are small and are never rejected.
-    digest = requester.service.digest
-    pull = _messages.Pull(digest.version, digest.snapshot)
+    base = requester.service.digest
+    pull = _messages.Pull(base.version, base.snapshot)
     reply = await requester.network.request(address, pull, timeout_s=1)
     assert isinstance(reply, _messages.Update)
 
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -234,8 +234,8 @@
     autojump_clock: MockClock,
 ) -> None:
     async with _start_fleet() as fleet:
-        zone = {i.address for i in fleet.daemons if i.zone == 'az-0'}
-        fleet.hub.blocked = lambda one, other: (one in zone) != (other in zone)
+        az_0 = {i.address for i in fleet.daemons if i.zone == 'az-0'}
+        fleet.hub.blocked = lambda one, other: (one in az_0) != (other in az_0)
         await trio.sleep(60.0)
         assert fleet.count('zone-unreachable') > 0
         assert fleet.count('member-suspect') == 0
