--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -323,7 +323,7 @@
 
     Parameters
     ----------
-    acknowledged : int
+    acknowledged_version : int
         Highest configuration version that the asking daemon is known to
         have held; 0 when unknown.
     held : int
--- a/gypsumhall/testing/fakes.py
+++ b/gypsumhall/testing/fakes.py
@@ -58,7 +58,7 @@
 
     Attributes
     ----------
-    acknowledged : dict of str to int
+    acknowledged_version : dict of str to int
         Configuration versions by member id, for
         `FakeMembership.acknowledged_version`.
     """
