--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -1,4 +1,4 @@
-"""The service ``acceptance``: changes of the head by compare-and-swap."""
+"""The service ``acceptance``: changes the head by compare-and-swap."""
 
 from __future__ import annotations
 
@@ -56,17 +56,18 @@
 RETIRED_S = 600.0
 CLEAN_INTERVAL_S = 60.0
 CLEAN_BATCH = 100
-# A daemon that stops within 10 min forgets what it had to remove. A listing
-# of all fragments after one of this many submissions finds such fragments.
+# The list of unreferenced fragments is lost when a daemon stops before they
+# are removed. On average, one in this many submissions is followed by a
+# listing of all stored fragments, which finds them again.
 LISTING_ODDS = 256
 
 
 class SubmissionStatus(enum.StrEnum):
     """Result of a submission.
 
-    ``unavailable`` means that nothing was accepted, ``unknown`` that the
-    operator has to ask again with the same id, and ``absent`` (from a
-    look-up only) that the head does not name the id.
+    ``unavailable`` means that nothing was accepted, and ``unknown`` that the
+    operator has to retry with the same id. ``absent`` is returned by a
+    look-up only: the head does not record the id.
     """
 
     ACCEPTED = 'accepted'
@@ -78,22 +79,23 @@
 
 @dataclass(slots=True, frozen=True)
 class Submission:
-    """A text that an operator wants to have accepted.
+    """A text that an operator submits for acceptance.
 
     Parameters
     ----------
     id : str
-        Kept by the operator over all retries, see `_accept.SUBMISSION_ID_PATTERN`.
+        The same for all retries; see `_accept.SUBMISSION_ID_PATTERN`.
     token : str
         The department's token.
     text : str
         The text.
     department : str
-        Department that the operator acts for; empty for that of the text.
+        Department that the operator acts for; empty for the department that
+        the text names.
     source : str
         Name of the text in findings.
     timeout_s : float
-        Seconds that reading and writing the head may take at most.
+        Longest time to read and write the head, in seconds.
     """
 
     id: str
@@ -117,9 +119,9 @@
     version : int
         Configuration version, when accepted; 0 otherwise.
     findings : tuple of Finding
-        Why it was refused.
+        Why the text was rejected.
     detail : str
-        What kept the daemon from a result.
+        Why there is no definite result.
     """
 
     status: SubmissionStatus
@@ -131,7 +133,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CheckResult:
-    """Findings of a text, and the version that it was checked against."""
+    """Findings about a text, and the version it was checked against."""
 
     version: int
     findings: tuple[Finding, ...]
@@ -146,9 +148,9 @@
     move : str
         Id of the move.
     recorded : bool
-        Whether the head names the move as reverted. When false, the
-        platform did not respond: the revert spreads between the daemons
-        and is recorded later.
+        Whether the head records the move as reverted. When false, the
+        platform did not respond: the revert is distributed between the
+        daemons and recorded later.
     findings : tuple of Finding
         Why the move was not aborted.
     """
@@ -160,10 +162,10 @@
 
 @dataclass(slots=True, frozen=True)
 class _Write:
-    """Next head with the fragments that it names.
+    """Next head with the fragments that it refers to.
 
     `stored` is the fragment to write with it, and `replaced` the digest of
-    the one that the head does not name any more.
+    the fragment that the head no longer refers to.
     """
 
     head: _model.Head
@@ -173,11 +175,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _End(Generic[T]):
-    """A result without a write.
+class _NoWrite(Generic[T]):
+    """A result that requires no write.
 
-    A result that is not `certain` holds only if no earlier write of the
-    same change can still take effect.
+    Unless it is `certain`, the result is valid only if no earlier write of
+    the same change can still take effect.
     """
 
     value: T
@@ -185,8 +187,8 @@
 
 
 @dataclass(slots=True)
-class _Pending:
-    """Writes whose effect is unknown, all on the same revision."""
+class _PendingWrites:
+    """Writes with an unknown outcome, all based on the same revision."""
 
     revision: int = -1
     writes: list[_Write] = field(default_factory=list)
@@ -196,8 +198,8 @@
         self.writes.append(write)
 
 
-_Decide = Callable[
-    [_model.Head, 'Mapping[str, _model.Fragment]'], '_Write | _End[T]'
+_DecisionFunction = Callable[
+    [_model.Head, 'Mapping[str, _model.Fragment]'], '_Write | _NoWrite[T]'
 ]
 
 
@@ -207,13 +209,13 @@
     Parameters
     ----------
     origin : str
-        Id of this daemon, for the reverts that it adds.
+        Id of this daemon, sent with the reverts that it adds.
     wall_clock : callable
         Returns the Unix time in seconds.
     rng : random.Random, optional
-        Source of the jitter.
+        Source of the jitter of back-off times.
     run_sync : callable
-        Runs a function outside the event loop; reading a large text takes
+        Runs a function outside the event loop; parsing a large text takes
         seconds.
     """
 
@@ -237,14 +239,14 @@
         self._wall_clock = wall_clock
         self._rng = rng or random.Random()
         self._run_sync = run_sync
-        self._turn = trio.Lock()
-        self._reading = trio.Lock()
-        self._waiting = 0
-        self._cache: dict[str, _model.Fragment] = {}
-        self._retired: dict[str, float] = {}
+        self._submission_lock = trio.Lock()
+        self._parsing_lock = trio.Lock()
+        self._submissions_in_progress = 0
+        self._fragment_cache: dict[str, _model.Fragment] = {}
+        self._unreferenced_since: dict[str, float] = {}
         self._listing_due = False
         self._draining = False
-        self._idle = trio.Event()
+        self._drained = trio.Event()
 
     async def run(
         self,
@@ -252,7 +254,7 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled, and remove old fragments meanwhile."""
+        """Remove unreferenced fragments at intervals until cancelled."""
         self._store = kernel.get('store', Store)
         self._distribution = kernel.get('distribution', Distribution)
         self._events = kernel.get('events', Events)
@@ -266,7 +268,7 @@
         self._seconds = metrics.histogram(
             'acceptance_seconds', 'Duration of submissions in seconds'
         )
-        self._distribution.subscribe(self._keep_named)
+        self._distribution.subscribe(self._discard_referenced)
         task_status.started()
         while True:
             await trio.sleep(CLEAN_INTERVAL_S)
@@ -276,15 +278,18 @@
                 self._events.emit('fragments-not-removed', error=str(error))
 
     async def drain(self) -> None:
-        """Refuse new submissions and wait for those in progress."""
+        """Reject new submissions and wait for those in progress."""
         self._draining = True
-        if self._waiting:
-            await self._idle.wait()
+        if self._submissions_in_progress:
+            await self._drained.wait()
 
-    # Operators
+    # Requests of operators
 
     async def check(self, text: str, source: str) -> CheckResult:
-        """Check a text against the head, or the snapshot in an outage.
+        """Check a text against the head.
+
+        While the platform does not respond, the text is checked against the
+        installed snapshot.
 
         Parameters
         ----------
@@ -296,12 +301,12 @@
         Raises
         ------
         StoreError
-            When neither the platform nor a snapshot is at hand.
+            When neither the platform nor a snapshot is available.
         """
-        parsed = await self._read_text(text, source)
+        parsed = await self._parse_text(text, source)
         try:
             with trio.fail_after(TIME_LIMIT_S):
-                _, head, fragments = await self._read()
+                _, head, fragments = await self._read_configuration()
         except (StoreError, trio.TooSlowError) as error:
             snapshot = self._distribution.snapshot
             if snapshot is None:
@@ -313,28 +318,28 @@
         return CheckResult(head.version, findings)
 
     async def submit(self, submission: Submission) -> SubmissionResult:
-        """Have a text accepted, at most once for each submission id."""
-        if self._draining or self._waiting >= MAX_WAITING:
-            why = 'the daemon is stopping' if self._draining else 'busy'
-            return self._result(
-                submission, SubmissionStatus.UNAVAILABLE, detail=why
+        """Accept a text, at most once for each submission id."""
+        if self._draining or self._submissions_in_progress >= MAX_WAITING:
+            detail = 'the daemon is stopping' if self._draining else 'busy'
+            return self._report_result(
+                submission, SubmissionStatus.UNAVAILABLE, detail=detail
             )
         started = trio.current_time()
-        self._waiting += 1
+        self._submissions_in_progress += 1
         try:
             result = await self._submit(submission)
         finally:
-            self._waiting -= 1
-            if self._draining and not self._waiting:
-                self._idle.set()
+            self._submissions_in_progress -= 1
+            if self._draining and not self._submissions_in_progress:
+                self._drained.set()
         self._seconds.add(trio.current_time() - started)
         return result
 
     async def find(self, submission_id: str) -> SubmissionResult:
-        """Look a submission up.
+        """Return the recorded result of a submission.
 
-        ``absent`` excludes that the id was accepted before this look-up,
-        not that an attempt that is still under way will be accepted.
+        ``absent`` means that the id was not accepted before this look-up; an
+        attempt that is still in progress may be accepted later.
         """
         try:
             with trio.fail_after(TIME_LIMIT_S):
@@ -349,33 +354,35 @@
             status, detail = SubmissionStatus.ABSENT, ''
             if not _accept.records_submissions_since(head, base):
                 status = SubmissionStatus.UNKNOWN
-                detail = 'the id is too old to tell'
-        known = _accept.find_submission(head, submission_id)
-        if known is not None:
+                detail = 'the id is older than the recorded submissions'
+        recorded_submission = _accept.find_submission(head, submission_id)
+        if recorded_submission is not None:
             return SubmissionResult(
-                SubmissionStatus.ACCEPTED, submission_id, known[0]
+                SubmissionStatus.ACCEPTED,
+                submission_id,
+                recorded_submission[0],
             )
         return SubmissionResult(status, submission_id, detail=detail)
 
     async def abort(self, move_id: str, token: str) -> AbortResult:
         """Revert a move with reason ``aborted``.
 
-        If the installed configuration permits it, the revert is spread
-        before the head is written: calls leave the new version at once
-        even while the platform is slow or down.
+        If the installed configuration permits it, the revert is distributed
+        to the daemons before the head is written, so that calls leave the
+        new version at once even while the platform is slow or down.
 
         Raises
         ------
         StoreError
-            When the platform does not respond and the revert could not be
-            spread.
+            When the platform does not respond and the revert was not
+            distributed.
         """
         snapshot = self._distribution.snapshot
-        spread = snapshot is not None and not _accept.abort_findings(
+        distributed = snapshot is not None and not _accept.abort_findings(
             snapshot.head, move_id, token
         )
-        if spread:
-            self._spread_abort(move_id)
+        if distributed:
+            self._distribute_abort(move_id)
         findings: tuple[Finding, ...] = ()
 
         def transition(head: _model.Head) -> _model.Head | None:
@@ -390,14 +397,14 @@
         try:
             await self.apply(transition)
         except StoreError:
-            if not spread:
+            if not distributed:
                 raise
             return AbortResult(move_id, recorded=False)
-        if not findings and not spread:
-            self._spread_abort(move_id)
+        if not findings and not distributed:
+            self._distribute_abort(move_id)
         return AbortResult(move_id, recorded=True, findings=findings)
 
-    def _spread_abort(self, move_id: str) -> None:
+    def _distribute_abort(self, move_id: str) -> None:
         self._distribution.add_revert(Revert(move_id, 'aborted', self._origin))
         self._events.emit('move-aborted', move=move_id)
 
@@ -413,13 +420,13 @@
 
         def decide(
             head: _model.Head, fragments: Mapping[str, _model.Fragment]
-        ) -> _Write | _End[None]:
-            following = transition(head)
-            if following is None:
-                return _End(None)
-            return _Write(following, fragments)
+        ) -> _Write | _NoWrite[None]:
+            next_head = transition(head)
+            if next_head is None:
+                return _NoWrite(None)
+            return _Write(next_head, fragments)
 
-        result = await self._swap(decide)
+        result = await self._compare_and_swap(decide)
         if isinstance(result, _Write):
             self._publish(result)
             return result.head
@@ -427,14 +434,14 @@
 
     # Submissions
 
-    async def _read_text(self, text: str, source: str) -> ParsedText:
-        async with self._reading:
+    async def _parse_text(self, text: str, source: str) -> ParsedText:
+        async with self._parsing_lock:
             parsed = await self._run_sync(
                 _text.read_text, text, source, self._wall_clock()
             )
         return cast('ParsedText', parsed)
 
-    def _result(
+    def _report_result(
         self,
         submission: Submission,
         status: SubmissionStatus,
@@ -459,59 +466,62 @@
         if not _accept.is_submission_id(submission.id):
             finding = Finding(
                 'bad-submission-id',
-                f'{_text.quote_value(submission.id)} is no submission id; write 8 '
-                'to 36 letters, digits, "_" and "-", after a version and "." '
-                'if wanted',
+                f'{_text.quote_value(submission.id)} is not a submission id; '
+                'write 8 to 36 letters, digits, "_" and "-", optionally '
+                'after a version and "."',
                 Place('id'),
             )
-            return self._result(
+            return self._report_result(
                 submission, SubmissionStatus.REFUSED, findings=(finding,)
             )
-        parsed = await self._read_text(submission.text, submission.source)
+        parsed = await self._parse_text(submission.text, submission.source)
         try:
-            result = await self._swap(
-                self._decision(submission, parsed),
-                turn=self._turn,
+            result = await self._compare_and_swap(
+                self._decision_function(submission, parsed),
+                lock=self._submission_lock,
                 limit_s=submission.timeout_s,
             )
         except StoreUnknownError as error:
-            return self._result(
+            return self._report_result(
                 submission, SubmissionStatus.UNKNOWN, detail=str(error)
             )
         except StoreError as error:
-            return self._result(
+            return self._report_result(
                 submission, SubmissionStatus.UNAVAILABLE, detail=str(error)
             )
         if isinstance(result, _Write):
             self._publish(result)
-            self._retire(result.replaced)
-            return self._result(
+            self._mark_unreferenced(result.replaced)
+            return self._report_result(
                 submission, SubmissionStatus.ACCEPTED, result.head.version
             )
         if isinstance(result, _accept.AlreadyAccepted):
-            return self._result(
+            return self._report_result(
                 submission, SubmissionStatus.ACCEPTED, result.version
             )
         if isinstance(result, _accept.Refused):
-            return self._result(
+            return self._report_result(
                 submission, SubmissionStatus.REFUSED, findings=result.findings
             )
-        return self._result(
+        return self._report_result(
             submission,
             SubmissionStatus.UNKNOWN,
-            detail='the id is too old to tell whether it was accepted',
+            detail='the id is older than the recorded submissions; it is '
+            'unknown whether it was accepted',
         )
 
-    def _decision(
+    def _decision_function(
         self, submission: Submission, parsed: ParsedText
-    ) -> _Decide[_accept.Decision]:
-        first: int | None = None
+    ) -> _DecisionFunction[_accept.Decision]:
+        first_version: int | None = None
 
         def decide(
             head: _model.Head, fragments: Mapping[str, _model.Fragment]
-        ) -> _Write | _End[_accept.Decision]:
-            nonlocal first
-            first = head.version if first is None else first
+        ) -> _Write | _NoWrite[_accept.Decision]:
+            nonlocal first_version
+            first_version = (
+                head.version if first_version is None else first_version
+            )
             decision = _accept.decide_submission(
                 head,
                 fragments,
@@ -519,14 +529,14 @@
                 submission.id,
                 submission.token,
                 self._wall_clock(),
-                since=first,
+                since=first_version,
             )
             if isinstance(
                 decision, _accept.AlreadyAccepted | _accept.OutcomeUnknown
             ):
-                return _End(decision, certain=True)
+                return _NoWrite(decision, certain=True)
             if isinstance(decision, _accept.Refused):
-                return _End(decision)
+                return _NoWrite(decision)
             department = decision.fragment.department
             if submission.department not in ('', department):
                 finding = Finding(
@@ -535,7 +545,7 @@
                     f'of {_text.quote_value(submission.department)}',
                     parsed.place('department'),
                 )
-                return _End(_accept.Refused((finding,)))
+                return _NoWrite(_accept.Refused((finding,)))
             old = head.departments.get(department)
             new = decision.head.departments[department]
             replaced = ''
@@ -552,25 +562,26 @@
 
     # Compare-and-swap
 
-    async def _swap(
+    async def _compare_and_swap(
         self,
-        decide: _Decide[T],
-        turn: trio.Lock | None = None,
+        decide: _DecisionFunction[T],
+        lock: trio.Lock | None = None,
         limit_s: float = TIME_LIMIT_S,
     ) -> _Write | T:
-        """Decide on the present head until a write or a result holds.
+        """Decide on the current head until a write succeeds or none is needed.
 
         Raises
         ------
         StoreUnavailableError
-            When attempts or time ran out and nothing was written.
+            When all attempts failed or the time limit passed, and nothing
+            was written.
         StoreUnknownError
-            When attempts or time ran out and a write may take effect.
+            The same when a write may have taken or still take effect.
         """
-        pending = _Pending()
+        pending = _PendingWrites()
         problem = 'no response within the time limit'
         with trio.move_on_after(limit_s):
-            async with turn or contextlib.nullcontext():
+            async with lock or contextlib.nullcontext():
                 for attempt in range(MAX_ATTEMPTS):
                     await self._back_off(attempt)
                     try:
@@ -578,11 +589,11 @@
                     except StoreError as error:
                         problem = str(error)
                         continue
-                    if isinstance(result, _End):
+                    if isinstance(result, _NoWrite):
                         return result.value
                     if result is not None:
                         return result
-                    problem = 'other changes of the head came first'
+                    problem = 'the head was changed concurrently'
         if pending.writes:
             raise StoreUnknownError(
                 f'it is unknown whether the change was written: {problem}'
@@ -591,34 +602,37 @@
 
     async def _back_off(self, attempt: int) -> None:
         if attempt:
-            longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (attempt - 1))
-            await trio.sleep(self._rng.uniform(0, longest))
+            max_delay_s = min(
+                MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (attempt - 1)
+            )
+            await trio.sleep(self._rng.uniform(0, max_delay_s))
 
     async def _attempt(
-        self, decide: _Decide[T], pending: _Pending
-    ) -> _Write | _End[T] | None:
-        """Read, decide and write once; None when a race was lost."""
-        revision, head, fragments = await self._read()
+        self, decide: _DecisionFunction[T], pending: _PendingWrites
+    ) -> _Write | _NoWrite[T] | None:
+        """Read, decide and write once; None after a concurrent change."""
+        revision, head, fragments = await self._read_configuration()
         if pending.writes and pending.revision != revision:
-            # Compares on the older revision can no longer hold.
+            # A pending write took effect already or will fail its comparison
+            # with the older revision.
             for write in pending.writes:
                 if write.head == head:
                     return write
             pending.writes.clear()
-        step = decide(head, fragments)
-        if isinstance(step, _End):
-            if step.certain or not pending.writes:
-                return step
-            # An earlier write on this same head may still arrive and make
-            # the result false.
-            raise StoreUnknownError('an earlier write is still open')
+        outcome = decide(head, fragments)
+        if isinstance(outcome, _NoWrite):
+            if outcome.certain or not pending.writes:
+                return outcome
+            # An earlier write based on this head may still take effect and
+            # invalidate the result.
+            raise StoreUnknownError('an earlier write may still take effect')
         writes: list[Put | Delete] = []
-        if step.stored is not None:
-            data = _model.encode(step.stored)
+        if outcome.stored is not None:
+            data = _model.encode(outcome.stored)
             writes.append(Put(_keys.FRAGMENTS + _model.digest(data), data))
-        # Last, so that a watch delivers the fragment before its head.
-        writes.append(Put(_keys.HEAD, _model.encode(step.head)))
-        pending.add(revision, step)
+        # The head is put last: a watch must deliver the fragment before it.
+        writes.append(Put(_keys.HEAD, _model.encode(outcome.head)))
+        pending.add(revision, outcome)
         try:
             result = await self._store.txn(
                 [Compare(_keys.HEAD, revision)], writes
@@ -632,7 +646,7 @@
             raise
         if result.succeeded:
             self._swaps.add(1, result='swapped')
-            return step
+            return outcome
         pending.writes.pop()
         self._swaps.add(1, result='lost')
         return None
@@ -646,40 +660,46 @@
         except msgspec.DecodeError as error:
             raise StoreProtocolError(f'{_keys.HEAD}: {error}') from error
 
-    async def _read(
+    async def _read_configuration(
         self,
     ) -> tuple[int, _model.Head, Mapping[str, _model.Fragment]]:
         revision, head = await self._read_head()
-        wanted = {ref.fragment for ref in head.departments.values()}
-        self._take_installed(wanted)
-        missing = sorted(wanted - self._cache.keys())
+        referenced = {ref.fragment for ref in head.departments.values()}
+        self._cache_installed_fragments(referenced)
+        missing = sorted(referenced - self._fragment_cache.keys())
         if missing:
-            await self._fetch(missing)
-        if len(self._cache) > 2 * len(wanted) + 64:
-            self._cache = {item: self._cache[item] for item in wanted}
+            await self._fetch_fragments(missing)
+        if len(self._fragment_cache) > 2 * len(referenced) + 64:
+            self._fragment_cache = {
+                item: self._fragment_cache[item] for item in referenced
+            }
         fragments = {
-            name: self._cache[ref.fragment]
+            name: self._fragment_cache[ref.fragment]
             for name, ref in head.departments.items()
         }
         return revision, head, fragments
 
-    def _take_installed(self, wanted: set[str]) -> None:
-        """Take from the installed snapshot what it shares with the head."""
+    def _cache_installed_fragments(self, referenced: set[str]) -> None:
+        """Cache the fragments that the head shares with the snapshot."""
         snapshot = self._distribution.snapshot
         if snapshot is None:
             return
         for name, ref in snapshot.head.departments.items():
-            if ref.fragment in wanted:
-                self._cache.setdefault(ref.fragment, snapshot.fragments[name])
+            if ref.fragment in referenced:
+                self._fragment_cache.setdefault(
+                    ref.fragment, snapshot.fragments[name]
+                )
 
-    async def _fetch(self, digests: list[str]) -> None:
+    async def _fetch_fragments(self, digests: list[str]) -> None:
         errors: list[StoreError] = []
         remaining = iter(digests)
 
         async def read_next() -> None:
             for digest in remaining:
                 try:
-                    self._cache[digest] = await self._fragment(digest)
+                    self._fragment_cache[digest] = await self._fetch_fragment(
+                        digest
+                    )
                 except StoreError as error:
                     errors.append(error)
                     return
@@ -690,7 +710,7 @@
         if errors:
             raise errors[0]
 
-    async def _fragment(self, digest: str) -> _model.Fragment:
+    async def _fetch_fragment(self, digest: str) -> _model.Fragment:
         found = await self._store.get(_keys.FRAGMENTS + digest)
         if found is None or _model.digest(found.value) != digest:
             state = 'is missing' if found is None else 'is damaged'
@@ -708,35 +728,35 @@
                 write.head, tuple(write.fragments.values())
             )
         except InvalidUpdateError as error:
-            # The head is in the platform already; daemons keep what they
-            # hold, and the alarm has to be seen.
+            # The head is stored already, but daemons keep their installed
+            # version; operators are alerted by the event.
             self._events.emit(
                 'accepted-version-invalid',
                 version=write.head.version,
                 error=str(error),
             )
 
-    # Removal of old fragments
+    # Removal of unreferenced fragments
 
-    def _retire(self, digest: str) -> None:
+    def _mark_unreferenced(self, digest: str) -> None:
         if digest:
-            self._retired[digest] = trio.current_time()
+            self._unreferenced_since[digest] = trio.current_time()
         if self._rng.randrange(LISTING_ODDS) == 0:
             self._listing_due = True
 
-    def _keep_named(self) -> None:
+    def _discard_referenced(self) -> None:
         snapshot = self._distribution.snapshot
-        if snapshot is not None and self._retired:
+        if snapshot is not None and self._unreferenced_since:
             for ref in snapshot.head.departments.values():
-                self._retired.pop(ref.fragment, None)
+                self._unreferenced_since.pop(ref.fragment, None)
 
     async def clean(self) -> None:
-        """Remove fragments that no head has named for 10 min.
+        """Remove fragments that no head has referred to for 10 min.
 
         Raises
         ------
         StoreError
-            When the platform does not respond; a later call goes on.
+            When the platform does not respond; a later call tries again.
         """
         now = trio.current_time()
         if self._listing_due:
@@ -744,25 +764,27 @@
             self._listing_due = False
             for item in stored:
                 digest = item.key.removeprefix(_keys.FRAGMENTS)
-                self._retired.setdefault(digest, now)
-        due = [
+                self._unreferenced_since.setdefault(digest, now)
+        expired = [
             digest
-            for digest, since in self._retired.items()
+            for digest, since in self._unreferenced_since.items()
             if now - since >= RETIRED_S
         ]
-        if not due and not self._retired:
+        if not expired and not self._unreferenced_since:
             return
         revision, head = await self._read_head()
         for ref in head.departments.values():
-            self._retired.pop(ref.fragment, None)
-        due = [item for item in due if item in self._retired][:CLEAN_BATCH]
-        if not due:
+            self._unreferenced_since.pop(ref.fragment, None)
+        expired = [
+            item for item in expired if item in self._unreferenced_since
+        ][:CLEAN_BATCH]
+        if not expired:
             return
         result = await self._store.txn(
             [Compare(_keys.HEAD, revision)],
-            [Delete(_keys.FRAGMENTS + digest) for digest in due],
+            [Delete(_keys.FRAGMENTS + digest) for digest in expired],
         )
         if result.succeeded:
-            for digest in due:
-                self._retired.pop(digest, None)
-            self._events.emit('fragments-removed', count=len(due))
+            for digest in expired:
+                self._unreferenced_since.pop(digest, None)
+            self._events.emit('fragments-removed', count=len(expired))
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -1,4 +1,4 @@
-"""Evidence, verdicts and stages of moves; the service ``moves``."""
+"""The service ``moves``: evidence, verdicts and stages of moves."""
 
 from __future__ import annotations
 
@@ -51,12 +51,12 @@
     from gypsumhall.net._protocol import Exchange
     from gypsumhall.store import Lease
 
-# An interval is closed this many intervals after its end, so that the reports
-# of all endpoints have arrived: at the judge, then at the controller.
+# Intervals from the end of an interval to its closing, by which the reports of
+# all endpoints have arrived: at the judge of a zone, and at the controller.
 JUDGE_LAG = 1
 CONTROLLER_LAG = 3
 
-# Without a report of any judge for this time a stage is not advanced.
+# A stage is not advanced when no judge has replied to a pull for this time.
 EVIDENCE_TIMEOUT_S = 5.0
 
 _REQUEST_TIMEOUT_S = 1.0
@@ -64,32 +64,33 @@
 
 
 @dataclass(slots=True)
-class _Joined:
+class _JointEvidence:
     """Evidence about one move from the judges of all zones.
 
-    `positions` holds the last interval received by judge address.
+    `positions` maps the address of a judge to the last interval received
+    from it, and `pulled_at` is the time of the last successful pull.
     """
 
     judge: Judge
     positions: dict[str, int] = field(default_factory=dict)
-    reported: float = float('-inf')
+    pulled_at: float = float('-inf')
 
 
 class MovesService:
     """Evidence, verdicts and stages of moves; the service ``moves``.
 
-    A daemon beside a backend server reports its results to the judge of its
-    zone. The judge reverts a bad version without the platform. While its own
-    zone's evidence speaks against a version, it also pulls the evidence of
-    the judges of the other zones and tests all of it together: at a share of
-    1 % one zone alone may take longer than the stage lasts. The daemon that
-    holds the controller lease pulls the evidence of all judges as well and
-    advances the moves in the head.
+    A daemon beside a backend server reports the results of its calls to the
+    judge of its zone. The judge reverts a bad version without the platform.
+    While the evidence of its own zone is against a version, it also pulls the
+    evidence of the judges of the other zones and tests all of it together: at
+    a share of 1 %, the evidence of one zone may need more time than the stage
+    lasts. The daemon that holds the controller lease also pulls the evidence
+    of all judges, and advances the moves in the head.
 
-    An endpoint of a moving service sends one report of about 100 bytes per
-    route every 500 ms; other daemons send nothing. A judge answers one pull
-    every 500 ms from the controller, and one from each judge that has
-    evidence against the version.
+    An endpoint of a service with an active move sends one report of about
+    100 bytes per route every 500 ms; other daemons send nothing. A judge
+    replies to one pull every 500 ms from the controller, and to one from each
+    judge that has evidence against the version.
 
     Parameters
     ----------
@@ -99,10 +100,10 @@
 
     __slots__ = (
         '_acceptance',
-        '_controlled',
+        '_controller_evidence',
         '_distribution',
         '_events',
-        '_joined',
+        '_joint_evidence',
         '_judges',
         '_membership',
         '_peers',
@@ -127,8 +128,8 @@
     def __init__(self, *, wall_clock: Callable[[], float] = time.time) -> None:
         self._wall_clock = wall_clock
         self._judges: dict[str, Judge] = {}
-        self._joined: dict[str, _Joined] = {}
-        self._controlled: dict[str, _Joined] = {}
+        self._joint_evidence: dict[str, _JointEvidence] = {}
+        self._controller_evidence: dict[str, _JointEvidence] = {}
         self._recorder: Recorder | None = None
         self._ready_since: float | None = None
 
@@ -138,7 +139,7 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Report, judge and control until cancelled."""
+        """Report and test evidence and control moves until cancelled."""
         get = kernel.get
         self._events = get('events', Events)
         self._peers = get('peers', PeerNetwork)
@@ -152,7 +153,7 @@
         self._peers.on(Evidence, self._on_evidence)
         self._peers.on(EvidencePull, self._on_pull)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_intervals)
+            nursery.start_soon(self._run_reporting)
             nursery.start_soon(self._run_joint_tests)
             nursery.start_soon(self._run_controller)
             task_status.started()
@@ -166,7 +167,7 @@
         """Record the result of a call to the backend server on this VM."""
         if not call.move or self._recorder is None:
             return
-        since = self._ready_since
+        ready_since = self._ready_since
         self._recorder.add(
             call.move,
             call.stage,
@@ -175,10 +176,12 @@
             call.zone,
             latency_ms,
             failed=failed,
-            ready_for_s=trio.current_time() - since if since else 0.0,
+            ready_for_s=(
+                trio.current_time() - ready_since if ready_since else 0.0
+            ),
         )
 
-    def _interval(self) -> int:
+    def _current_interval(self) -> int:
         return int(self._wall_clock() / INTERVAL_S)
 
     def _active_moves(self) -> Mapping[str, Move]:
@@ -194,21 +197,21 @@
 
     # Reports of this daemon's endpoint
 
-    async def _run_intervals(self) -> None:
+    async def _run_reporting(self) -> None:
         while True:
-            started = self._interval()
-            # The wall clock may be short of the boundary after the sleep; a
-            # second report of one interval would replace the first.
-            while self._interval() == started:
-                left = INTERVAL_S - self._wall_clock() % INTERVAL_S
-                await trio.sleep(left)
-            self._note_readiness()
+            started = self._current_interval()
+            # The wall clock may not have reached the boundary after the
+            # sleep; a second report of one interval would replace the first.
+            while self._current_interval() == started:
+                remaining_s = INTERVAL_S - self._wall_clock() % INTERVAL_S
+                await trio.sleep(remaining_s)
+            self._update_readiness()
             active = self._active_moves()
-            self._forget(active)
-            await self._report(active)
-            self._close_judges()
+            self._discard_inactive_moves(active)
+            await self._send_reports(active)
+            self._close_intervals()
 
-    def _note_readiness(self) -> None:
+    def _update_readiness(self) -> None:
         endpoint = self._membership.me.endpoint
         ready = endpoint is not None and endpoint.state is EndpointState.READY
         if not ready:
@@ -216,31 +219,33 @@
         elif self._ready_since is None:
             self._ready_since = trio.current_time()
 
-    def _forget(self, active: Mapping[str, Move]) -> None:
+    def _discard_inactive_moves(self, active: Mapping[str, Move]) -> None:
         if self._recorder is not None:
             self._recorder.retain_moves(active)
         for name in [name for name in self._judges if name not in active]:
             del self._judges[name]
 
-    async def _report(self, active: Mapping[str, Move]) -> None:
+    async def _send_reports(self, active: Mapping[str, Move]) -> None:
         if self._recorder is None:
             return
         async with trio.open_nursery() as nursery:
-            for evidence in self._recorder.pop_evidence(self._interval() - 1):
+            for evidence in self._recorder.pop_evidence(
+                self._current_interval() - 1
+            ):
                 if evidence.move in active:
                     nursery.start_soon(self._send_evidence, evidence)
 
     async def _send_evidence(self, evidence: Evidence) -> None:
         me = self._membership.me
-        judge = self._judge_of(evidence.move, me.zone)
+        judge = self._select_judge(evidence.move, me.zone)
         if judge is None or judge.id == me.id:
-            reply: Message = self._judge(evidence)
+            reply: Message = self._add_evidence(evidence)
         else:
             try:
                 reply = await self._peers.request(
                     judge.peer_address,
                     evidence,
-                    # Reports of the next interval must not queue up behind.
+                    # Must end before the next report, so that none queue up.
                     timeout_s=INTERVAL_S / 2,
                 )
             except PeerError as error:
@@ -254,7 +259,7 @@
         if isinstance(reply, EvidenceReply) and self._recorder is not None:
             self._recorder.set_thresholds(evidence.move, reply.thresholds)
 
-    def _judge_of(self, move: str, zone: str) -> Member | None:
+    def _select_judge(self, move: str, zone: str) -> Member | None:
         candidates = [
             member
             for member in self._membership.table.alive(zone)
@@ -263,15 +268,15 @@
         ranked = _rendezvous.rank(_JUDGE_SCOPE, move, candidates)
         return ranked[0] if ranked else None
 
-    # Judge of this zone
+    # Tests of the evidence of this zone
 
     async def _on_evidence(
         self, exchange: Exchange, evidence: Evidence
     ) -> None:
         self._events.clock.observe(evidence.time)
-        await exchange.send(self._judge(evidence))
+        await exchange.send(self._add_evidence(evidence))
 
-    def _judge(self, evidence: Evidence) -> EvidenceReply:
+    def _add_evidence(self, evidence: Evidence) -> EvidenceReply:
         move = self._active_moves().get(evidence.move)
         if move is None:
             return EvidenceReply()
@@ -282,14 +287,14 @@
         judge.add(evidence)
         return EvidenceReply(judge.thresholds())
 
-    def _close_judges(self) -> None:
-        last = self._interval() - 1 - JUDGE_LAG
+    def _close_intervals(self) -> None:
+        last = self._current_interval() - 1 - JUDGE_LAG
         for name, judge in list(self._judges.items()):
             verdict = judge.close(last)
             if verdict is not None:
-                self._condemn(name, str(verdict))
+                self._revert_move(name, str(verdict))
 
-    def _condemn(self, move: str, reason: str) -> None:
+    def _revert_move(self, move: str, reason: str) -> None:
         if move in self._distribution.reverts:
             return
         me = self._membership.me.id
@@ -297,15 +302,15 @@
         self._distribution.add_revert(Revert(move, reason, me))
 
     async def _on_pull(self, exchange: Exchange, pull: EvidencePull) -> None:
-        found = self._kept_evidence(pull.positions)
+        reports = self._retained_evidence(pull.positions)
         await exchange.send(
-            EvidenceBatch(tuple(found), self._events.clock.now())
+            EvidenceBatch(tuple(reports), self._events.clock.now())
         )
 
-    # Evidence of all zones
+    # Tests of the evidence of all zones
 
     async def _run_joint_tests(self) -> None:
-        """Test the evidence of all zones that this judge can reach."""
+        """Test the joint evidence of all zones that can be reached."""
         while True:
             await trio.sleep(INTERVAL_S)
             suspected = {
@@ -314,61 +319,70 @@
                 if name in self._judges
                 and self._judges[name].test.statistic > 0
                 # The controller tests the same evidence.
-                and name not in self._controlled
+                and name not in self._controller_evidence
             }
-            await self._collect(suspected, self._joined)
-            for name, known in self._joined.items():
-                verdict = known.judge.test.verdict
+            await self._collect_evidence(suspected, self._joint_evidence)
+            for name, joint in self._joint_evidence.items():
+                verdict = joint.judge.test.verdict
                 if verdict is not None:
-                    self._condemn(name, str(verdict))
+                    self._revert_move(name, str(verdict))
 
-    async def _collect(
-        self, moves: Mapping[str, Move], joined: dict[str, _Joined]
+    async def _collect_evidence(
+        self,
+        moves: Mapping[str, Move],
+        joint_evidence: dict[str, _JointEvidence],
     ) -> None:
-        """Pull and test what the judges of all zones have closed.
+        """Pull and test the closed intervals of the judges of all zones.
 
         Parameters
         ----------
         moves : dict of str to Move
-            Moves whose evidence is wanted.
+            Moves whose evidence is pulled.
         joined : dict of str to _Joined
             Evidence by move; entries of other moves are dropped.
         """
-        for name in [name for name in joined if name not in moves]:
-            del joined[name]
-        wanted: dict[str, list[str]] = defaultdict(list)
+        for name in [name for name in joint_evidence if name not in moves]:
+            del joint_evidence[name]
+        names_by_address: dict[str, list[str]] = defaultdict(list)
         for name, move in moves.items():
-            if name not in joined:
-                joined[name] = _Joined(Judge(name, move.spec.to_version))
+            if name not in joint_evidence:
+                joint_evidence[name] = _JointEvidence(
+                    Judge(name, move.spec.to_version)
+                )
             for address in self._judge_addresses(name, move):
-                wanted[address].append(name)
-        # Taken before the pulls: while one of them waits for an unreachable
-        # judge, the others close intervals that were not asked for.
-        last = self._interval() - 1 - CONTROLLER_LAG
+                names_by_address[address].append(name)
+        # Computed before the pulls: while one of them waits for an unreachable
+        # judge, the other judges close intervals that were not requested.
+        last = self._current_interval() - 1 - CONTROLLER_LAG
         async with trio.open_nursery() as nursery:
-            for address, names in wanted.items():
-                nursery.start_soon(self._pull, address, names, joined)
+            for address, names in names_by_address.items():
+                nursery.start_soon(self._pull, address, names, joint_evidence)
         for name in moves:
-            joined[name].judge.close(last)
+            joint_evidence[name].judge.close(last)
 
     def _judge_addresses(self, name: str, move: Move) -> set[str]:
-        """Return the judges of the zones with endpoints of the service."""
+        """Return the addresses of the judges of zones with endpoints."""
         members = self._membership.table.endpoints(move.spec.service)
         judges = (
-            self._judge_of(name, zone)
+            self._select_judge(name, zone)
             for zone in {member.zone for member in members}
         )
         return {judge.peer_address for judge in judges if judge is not None}
 
     async def _pull(
-        self, address: str, names: list[str], joined: Mapping[str, _Joined]
+        self,
+        address: str,
+        names: list[str],
+        joint_evidence: Mapping[str, _JointEvidence],
     ) -> None:
         positions = tuple(
-            EvidencePosition(name, joined[name].positions.get(address, 0))
+            EvidencePosition(
+                name, joint_evidence[name].positions.get(address, 0)
+            )
             for name in names
         )
         if address == self._membership.me.peer_address:
-            found = self._kept_evidence(positions)
+            reports = self._retained_evidence(positions)
         else:
             try:
                 batch = await self._peers.request(
@@ -381,19 +395,19 @@
             if not isinstance(batch, EvidenceBatch):
                 return
             self._events.clock.observe(batch.time)
-            found = list(batch.evidence)
+            reports = list(batch.evidence)
         now = trio.current_time()
         for name in names:
-            joined[name].reported = now
-        for evidence in found:
-            known = joined.get(evidence.move)
-            if known is not None:
-                known.judge.add(evidence)
-                known.positions[address] = max(
-                    known.positions.get(address, 0), evidence.interval
+            joint_evidence[name].pulled_at = now
+        for evidence in reports:
+            joint = joint_evidence.get(evidence.move)
+            if joint is not None:
+                joint.judge.add(evidence)
+                joint.positions[address] = max(
+                    joint.positions.get(address, 0), evidence.interval
                 )
 
-    def _kept_evidence(
+    def _retained_evidence(
         self, positions: Iterable[EvidencePosition]
     ) -> list[Evidence]:
         return [
@@ -418,7 +432,8 @@
         """Control the moves while this daemon holds the controller lease.
 
         Only readers campaign: they have a connection to the platform, and
-        25,000 daemons waiting for one lease would exceed its rates.
+        25,000 daemons that wait for one lease would exceed the platform's
+        rate limits.
         """
         if self._reader.slot is None:
             return
@@ -429,26 +444,26 @@
             self._events.emit('controller-started')
             try:
                 while lease.valid(trio.current_time()):
-                    await self._control(lease)
+                    await self._control_moves(lease)
                     with trio.move_on_after(INTERVAL_S):
                         await lease.lost.wait()
             finally:
-                self._controlled.clear()
+                self._controller_evidence.clear()
             self._events.emit('controller-stopped')
 
-    async def _control(self, lease: Lease) -> None:
-        moves = self._moves_in_head()
+    async def _control_moves(self, lease: Lease) -> None:
+        moves = self._unfinished_moves()
         await self._write_reverts(lease, moves)
         active = {
             name: move
             for name, move in moves.items()
             if name not in self._distribution.reverts
         }
-        await self._collect(active, self._controlled)
+        await self._collect_evidence(active, self._controller_evidence)
         for name, move in active.items():
-            await self._step(lease, name, move)
+            await self._evaluate_move(lease, name, move)
 
-    def _moves_in_head(self) -> Mapping[str, Move]:
+    def _unfinished_moves(self) -> Mapping[str, Move]:
         snapshot = self._distribution.snapshot
         if snapshot is None:
             return {}
@@ -470,28 +485,30 @@
                 lambda head: _accept.revert_moves(head, reasons, now),
             )
 
-    async def _step(self, lease: Lease, name: str, move: Move) -> None:
+    async def _evaluate_move(
+        self, lease: Lease, name: str, move: Move
+    ) -> None:
         if name in self._distribution.reverts:
             return
-        known = self._controlled[name]
+        joint = self._controller_evidence[name]
         now = self._wall_clock()
         decision = _moves.decide(
             move,
-            known.judge.test,
+            joint.judge.test,
             now,
             endpoints_ready=self._has_ready_endpoint(move),
             evidence_fresh=(
-                trio.current_time() - known.reported < EVIDENCE_TIMEOUT_S
+                trio.current_time() - joint.pulled_at < EVIDENCE_TIMEOUT_S
             ),
         )
         if decision.step is _moves.Step.HOLD:
             return
         if decision.step is _moves.Step.REVERT:
-            self._condemn(name, decision.reason)
+            self._revert_move(name, decision.reason)
             return
 
         def transition(head: Head) -> Head | None:
-            # A verdict of a zone's judge may arrive while the head is read.
+            # The revert of a zone's judge may arrive while the head is read.
             if name in self._distribution.reverts:
                 return None
             return advance(head, name, move, decision, now)
@@ -521,18 +538,18 @@
     ) -> Head | None:
         """Swap the head while the lease is valid.
 
-        A transition is evaluated just before the compare-and-swap, so a
-        controller that was paused finds its lease expired, and one whose
-        clock stood still finds that the move has changed.
+        A transition is evaluated just before the compare-and-swap. A
+        controller that was paused then finds that its lease has expired, or,
+        if its clock was paused as well, that the move has changed.
         """
 
-        def guarded(head: Head) -> Head | None:
+        def transition_under_lease(head: Head) -> Head | None:
             if not lease.valid(trio.current_time()):
                 return None
             return transition(head)
 
         try:
-            return await self._acceptance.apply(guarded)
+            return await self._acceptance.apply(transition_under_lease)
         except StoreError as error:
             self._events.emit('head-not-written', error=error.code)
             return None
@@ -545,9 +562,9 @@
     decision: _moves.Decision,
     now: float,
 ) -> Head | None:
-    """Return the head after a step, if the move is as it was judged."""
-    present = head.moves.get(name)
-    if present is None or (present.state, present.stage) != (
+    """Return the head after a decision, or None if the move has changed."""
+    current = head.moves.get(name)
+    if current is None or (current.state, current.stage) != (
         move.state,
         move.stage,
     ):
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -1,10 +1,10 @@
 """Moves that are ordered through the platform's store; service ``moves``.
 
 One daemon at a time, the holder of a lease, is the controller: it collects
-the results at the endpoints of the service, advances the stages and writes
-the state that the operator reads. All daemons divide calls by the newest
-record that they hold; records are told by the controller and compared with a
-random peer now and then.
+the results of the endpoints of the service, advances the stages and writes
+the state that the operator reads. All daemons split calls according to the
+newest record that they have received. The controller sends the records to all
+daemons, and each daemon also sends its records to a random peer at intervals.
 """
 
 from __future__ import annotations
@@ -45,50 +45,54 @@
     from gypsumhall.store import Lease
 
 _CONTROLLER_KEY = 'gypsumhall/controller'
-_RECORDS = 'gypsumhall/rollouts/'
-_LEASE_S = 3
-"""Time to live of the controller's lease in seconds; a successor takes over
+_RECORDS_PREFIX = 'gypsumhall/rollouts/'
+_LEASE_TTL_S = 3
+"""Time to live of the controller's lease, in seconds. A successor takes over
 within a fifth of a rollout of 16 s."""
 
-_ROUND_S = 0.25
-"""Time between two decisions, in seconds."""
+_DECISION_INTERVAL_S = 0.25
+"""Time between two decisions of the controller, in seconds."""
 
-_GOSSIP_S = 2.0
-"""Time between two comparisons of records with a random peer."""
+_GOSSIP_INTERVAL_S = 2.0
+"""Mean time between two messages with records to a random peer, in seconds."""
 
-_CAMPAIGN_S = (0.3, 0.6)
-_CANDIDATES = 2
-"""Daemons of a zone that campaign at once; every campaign costs two calls of
-the store, and only one wins."""
+_CAMPAIGN_DELAY_S = (0.3, 0.6)
+"""Range of the random delay after a failed campaign, in seconds. The lower end
+also limits the random delay before a campaign, and the upper end is the time
+between two checks for a controller."""
 
-_DEFER_S = 1.0
-"""Time in seconds after which the others campaign if nobody rules."""
+_CANDIDATES_PER_ZONE = 2
+"""Number of daemons of a zone that campaign first. Every campaign costs two
+calls of the store, and only one succeeds."""
 
-_RETRY_S = 0.3
+_NON_CANDIDATE_DELAY_S = 1.0
+"""Time in seconds after which other daemons campaign without a controller."""
+
+_RETRY_DELAY_S = 0.3
 
 
 @dataclass(slots=True)
-class _Order:
+class _ReceivedOrder:
     order: platform.RolloutOrder
     revision: int
-    seen: float
+    received_at: float
 
 
 @dataclass(slots=True)
-class _Results:
-    """Results of the own endpoint since a rollout was ordered."""
+class _EndpointResults:
+    """Results of the local endpoint since a rollout was ordered."""
 
     order: int
     routes: dict[str, _rollout.Tally] = field(default_factory=dict)
 
 
 class RolloutService:
-    """Divides calls between versions, and runs rollouts.
+    """Splits calls between versions, and controls rollouts.
 
     Parameters
     ----------
     rng : random.Random, optional
-        Source of jitter.
+        Source of the jitter.
     """
 
     name = 'moves'
@@ -102,12 +106,12 @@
     def __init__(self, *, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
         self._records: dict[str, RolloutRecord] = {}
-        self._orders: dict[str, _Order] = {}
-        self._established: dict[str, str] = {}
-        self._results: dict[str, _Results] = {}
+        self._orders: dict[str, _ReceivedOrder] = {}
+        self._stable_versions: dict[str, str] = {}
+        self._results: dict[str, _EndpointResults] = {}
         self._rollouts: dict[str, tuple[int, _rollout.Rollout]] = {}
-        self._ordered = trio.Event()
-        self._told_at = -1e9
+        self._order_received = trio.Event()
+        self._controller_update_at = -1e9
         self._membership: _protocols.Membership
         self._events: _protocols.Events
         self._peers: PeerNetwork
@@ -133,14 +137,14 @@
             task_status.started()
 
     async def drain(self) -> None:
-        """Go on: the lease lapses or is given up when the service ends."""
+        """Continue: the lease lapses or is released when the service ends."""
 
-    # Division of calls
+    # Split of calls
 
     def split(
         self, snapshot: Snapshot, service: str, versions: set[str]
     ) -> Split:
-        """Return how the calls of a service are divided.
+        """Return how the calls of a service are split between versions.
 
         Parameters
         ----------
@@ -152,23 +156,24 @@
             Versions of its ready endpoints.
         """
         record = self._records.get(service)
-        known = self._established.get(service)
+        stable = self._stable_versions.get(service)
         if record is None:
             if len(versions) == 1:
-                self._established[service] = next(iter(versions))
-            if len(versions) <= 1 or known not in versions:
+                self._stable_versions[service] = next(iter(versions))
+            if len(versions) <= 1 or stable not in versions:
                 return Split(ANY_VERSION)
-            # Another version gets calls only by an order.
-            return Split(known or ANY_VERSION)
+            # Another version gets calls only after an order.
+            return Split(stable or ANY_VERSION)
         target = record.version
         if record.state == MoveState.DONE:
-            self._established[service] = target
+            self._stable_versions[service] = target
             return Split(target if target in versions else ANY_VERSION)
         others = versions - {target}
-        old = known if known in others else min(others, default='')
+        old = stable if stable in others else min(others, default='')
         if not old:
-            # No endpoint of the old version is left or known.
-            old = known if known and known != target else f'not {target}'
+            # No ready endpoint has another version. A placeholder that matches
+            # no endpoint stands for an unknown old version.
+            old = stable if stable and stable != target else f'not {target}'
         if record.state == MoveState.REVERTED:
             return Split(old)
         move = f'{service}/{record.order}'
@@ -185,11 +190,13 @@
             return
         results = self._results.get(call.service)
         if results is None or results.order != record.order:
-            results = self._results[call.service] = _Results(record.order)
+            results = self._results[call.service] = _EndpointResults(
+                record.order
+            )
         tally = results.routes.setdefault(call.route, _rollout.Tally())
         tally.record(latency_ms, failed=failed)
 
-    def _evidence(self, record: RolloutRecord) -> RolloutEvidence | None:
+    def _build_evidence(self, record: RolloutRecord) -> RolloutEvidence | None:
         endpoint = self._membership.me.endpoint
         results = self._results.get(record.service)
         if (
@@ -210,21 +217,21 @@
     async def _on_evidence(
         self, exchange: Exchange, message: RolloutEvidence
     ) -> None:
-        self._take_evidence(exchange.peer.id, message)
+        self._set_evidence(exchange.peer.id, message)
 
-    def _take_evidence(self, member: str, message: RolloutEvidence) -> None:
-        found = self._rollouts.get(message.service)
-        if found is not None and found[0] == message.order:
-            found[1].set_results(member, message.version, message.counts)
+    def _set_evidence(self, member: str, message: RolloutEvidence) -> None:
+        entry = self._rollouts.get(message.service)
+        if entry is not None and entry[0] == message.order:
+            entry[1].set_results(member, message.version, message.counts)
 
     # Records
 
     def order(self, order: platform.RolloutOrder, revision: int) -> None:
-        """Take over an order that was read from the store."""
-        known = self._orders.get(order.service)
-        if known is not None and known.revision >= revision:
+        """Start to follow an order that was read from the store."""
+        earlier = self._orders.get(order.service)
+        if earlier is not None and earlier.revision >= revision:
             return
-        self._orders[order.service] = _Order(
+        self._orders[order.service] = _ReceivedOrder(
             order, revision, trio.current_time()
         )
         self._events.emit(
@@ -237,11 +244,11 @@
         self._install(
             RolloutRecord(order.service, order.version, revision), 'order'
         )
-        self._ordered.set()
+        self._order_received.set()
 
     def _install(self, record: RolloutRecord, source: str) -> bool:
-        known = self._records.get(record.service)
-        if known is not None and (known.order, known.step) >= (
+        current = self._records.get(record.service)
+        if current is not None and (current.order, current.step) >= (
             record.order,
             record.step,
         ):
@@ -266,22 +273,24 @@
             self._install(record, exchange.peer.id)
         if not message.evidence:
             return
-        self._told_at = trio.current_time()
+        self._controller_update_at = trio.current_time()
         for record in message.records:
-            evidence = self._evidence(record)
+            evidence = self._build_evidence(record)
             if evidence is not None:
                 self._peers.post(exchange.peer.address, evidence)
 
     async def _gossip(self) -> None:
         while True:
-            await trio.sleep(_GOSSIP_S * self._rng.uniform(0.75, 1.25))
-            others = self._others()
-            if self._records and others:
-                target = self._rng.choice(others)
+            await trio.sleep(
+                _GOSSIP_INTERVAL_S * self._rng.uniform(0.75, 1.25)
+            )
+            addresses = self._other_addresses()
+            if self._records and addresses:
+                target = self._rng.choice(addresses)
                 update = RolloutUpdate(tuple(self._records.values()))
                 self._peers.post(target, update)
 
-    def _others(self) -> list[str]:
+    def _other_addresses(self) -> list[str]:
         me = self._membership.me
         return [
             member.peer_address
@@ -289,23 +298,23 @@
             if member.id != me.id and member.is_live
         ]
 
-    def _tell(self, records: Iterable[RolloutRecord]) -> None:
+    def _send_records(self, records: Iterable[RolloutRecord]) -> None:
         update = RolloutUpdate(tuple(records), evidence=True)
-        for address in self._others():
+        for address in self._other_addresses():
             self._peers.post(address, update)
 
     async def _read_records(self) -> None:
-        """Learn the outcome of earlier rollouts after a start."""
+        """Read the records of earlier rollouts after a start."""
         while True:
             try:
-                items = await self._store.range(_RECORDS)
+                items = await self._store.range(_RECORDS_PREFIX)
                 break
             except StoreError as error:
                 self._events.emit('rollouts-unread', detail=str(error))
-                await trio.sleep(_RETRY_S * self._rng.uniform(1.0, 2.0))
-        self._take_items(items)
+                await trio.sleep(_RETRY_DELAY_S * self._rng.uniform(1.0, 2.0))
+        self._install_items(items)
 
-    def _take_items(self, items: Iterable[KeyValue]) -> None:
+    def _install_items(self, items: Iterable[KeyValue]) -> None:
         for item in items:
             try:
                 record = msgspec.msgpack.decode(item.value, type=RolloutRecord)
@@ -318,7 +327,7 @@
 
     # Controller
 
-    def _open_orders(self) -> list[_Order]:
+    def _open_orders(self) -> list[_ReceivedOrder]:
         return [
             item
             for item in self._orders.values()
@@ -330,72 +339,78 @@
     async def _campaign(self) -> None:
         while True:
             if not self._open_orders():
-                self._ordered = trio.Event()
-                await self._ordered.wait()
-                # Old orders are read again after a start.
+                self._order_received = trio.Event()
+                await self._order_received.wait()
+                # After a start, the orders that are read may have ended.
                 continue
-            await trio.sleep(self._rng.uniform(0.0, _CAMPAIGN_S[0]))
-            if not self._is_ruled() and not self._is_candidate():
-                await trio.sleep(_DEFER_S)
-            if self._is_ruled():
-                await trio.sleep(_CAMPAIGN_S[1])
+            await trio.sleep(self._rng.uniform(0.0, _CAMPAIGN_DELAY_S[0]))
+            if not self._has_controller() and not self._is_candidate():
+                await trio.sleep(_NON_CANDIDATE_DELAY_S)
+            if self._has_controller():
+                await trio.sleep(_CAMPAIGN_DELAY_S[1])
                 continue
             try:
                 async with self._store.elections.campaign(
                     _CONTROLLER_KEY,
                     self._membership.me.id.encode(),
-                    _LEASE_S,
+                    _LEASE_TTL_S,
                     wait=False,
                 ) as lease:
                     await self._control(lease)
             except LeaseHeldError:
-                await trio.sleep(self._rng.uniform(*_CAMPAIGN_S))
+                await trio.sleep(self._rng.uniform(*_CAMPAIGN_DELAY_S))
             except StoreError as error:
                 self._events.emit(
                     'campaign-failed', error=error.code, detail=str(error)
                 )
-                await trio.sleep(self._rng.uniform(*_CAMPAIGN_S))
+                await trio.sleep(self._rng.uniform(*_CAMPAIGN_DELAY_S))
 
-    def _is_ruled(self) -> bool:
-        return trio.current_time() - self._told_at < 2 * _CAMPAIGN_S[1]
+    def _has_controller(self) -> bool:
+        return (
+            trio.current_time() - self._controller_update_at
+            < 2 * _CAMPAIGN_DELAY_S[1]
+        )
 
     def _is_candidate(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
-        return _tree.has_zone_role('controller', me.id, alive, _CANDIDATES)
+        return _tree.has_zone_role(
+            'controller', me.id, alive, _CANDIDATES_PER_ZONE
+        )
 
     async def _control(self, lease: Lease) -> None:
         self._rollouts.clear()
         self._events.emit('controller-started', key=lease.key)
-        # An earlier controller may have written what was not told to all.
-        self._take_items(await self._store.range(_RECORDS))
+        # An earlier controller may have written records without sending them
+        # to all daemons.
+        self._install_items(await self._store.range(_RECORDS_PREFIX))
         while lease.valid(trio.current_time()):
             orders = self._open_orders()
             if not orders:
                 break
             for order in orders:
                 await self._decide(order, lease)
-            self._tell(self._records.values())
-            await trio.sleep(_ROUND_S)
-        # The last records are told once more, as messages may be lost.
-        self._tell(self._records.values())
+            self._send_records(self._records.values())
+            await trio.sleep(_DECISION_INTERVAL_S)
+        # The last records are sent once more, as messages may be lost.
+        self._send_records(self._records.values())
 
-    async def _decide(self, order: _Order, lease: Lease) -> None:
+    async def _decide(self, order: _ReceivedOrder, lease: Lease) -> None:
         now = trio.current_time()
         service = order.order.service
         record = self._records[service]
-        found = self._rollouts.get(service)
-        if found is None or found[0] != order.revision:
+        entry = self._rollouts.get(service)
+        if entry is None or entry[0] != order.revision:
             rollout = _rollout.Rollout(
-                order.order.version, order.seen, order.order.duration_s
+                order.order.version, order.received_at, order.order.duration_s
             )
             if record.step:
                 rollout.resume(record.share, now)
-            found = self._rollouts[service] = (order.revision, rollout)
-        rollout = found[1]
-        evidence = self._evidence(record)
+            entry = self._rollouts[service] = (order.revision, rollout)
+        rollout = entry[1]
+        evidence = self._build_evidence(record)
         if evidence is not None:
-            self._take_evidence(self._membership.me.id, evidence)
+            self._set_evidence(self._membership.me.id, evidence)
         present = any(
             member.endpoint is not None
             and member.endpoint.version == order.order.version
@@ -411,7 +426,7 @@
             state, share = MoveState.REVERTED, 0.0
         if record.step and (record.state, record.share) == (state, share):
             return
-        following = msgspec.structs.replace(
+        next_record = msgspec.structs.replace(
             record, step=record.step + 1, share=share, state=state
         )
         self._events.emit(
@@ -421,29 +436,31 @@
             order=record.order,
             share=share,
             state=state.value,
-            elapsed_s=round(now - order.seen, 2),
+            elapsed_s=round(now - order.received_at, 2),
             runs=rollout.runs,
             suspicion=rollout.suspicion(),
             present=present,
         )
         if state is MoveState.REVERTED:
-            # Calls must not wait for the store to leave a bad version.
-            self._install(following, 'controller')
-            self._tell([following])
-        await self._write(order, following, state, lease)
-        self._install(following, 'controller')
+            # Calls leave a bad version before the store has responded.
+            self._install(next_record, 'controller')
+            self._send_records([next_record])
+        await self._write(order, next_record, state, lease)
+        self._install(next_record, 'controller')
 
     async def _write(
         self,
-        order: _Order,
+        order: _ReceivedOrder,
         record: RolloutRecord,
         state: MoveState,
         lease: Lease,
     ) -> None:
         service = order.order.service
-        writes = [Put(f'{_RECORDS}{service}', msgspec.msgpack.encode(record))]
-        known = self._records[service]
-        if not known.step or known.state != state or record is known:
+        writes = [
+            Put(f'{_RECORDS_PREFIX}{service}', msgspec.msgpack.encode(record))
+        ]
+        current = self._records[service]
+        if not current.step or current.state != state or record is current:
             status = platform.encode_rollout_status(order.order, state)
             writes.append(Put(platform.rollout_status_key(service), status))
         while lease.valid(trio.current_time()):
@@ -456,9 +473,11 @@
                     error=error.code,
                     detail=str(error),
                 )
-                await trio.sleep(_RETRY_S)
+                await trio.sleep(_RETRY_DELAY_S)
                 continue
             if not result.succeeded:
-                raise LeaseHeldError(f'{service}: another controller rules')
+                raise LeaseHeldError(
+                    f'{service}: another controller holds the lease'
+                )
             return
-        raise LeaseHeldError(f'{service}: the lease ended before the write')
+        raise LeaseHeldError(f'{service}: the lease expired before the write')
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -1,8 +1,8 @@
-"""Tests of acceptance against a store that fails in every way.
+"""Tests of acceptance with injected faults of the store.
 
 The state machine guards against a submission that is accepted twice, an
-accepted one that is missing from a later head, a refused one that was
-accepted, and versions without a total order.
+accepted one that is missing from a later head, one that is reported as
+rejected although it was accepted, and versions without a total order.
 """
 
 from __future__ import annotations
@@ -73,7 +73,7 @@
     return Submission(f'submission-{number}', token, text)
 
 
-def _plane(store: MemoryStore, seed: int = 0) -> ControlPlane:
+def _control_plane(store: MemoryStore, seed: int = 0) -> ControlPlane:
     return ControlPlane(store, lambda: _NOW + trio.current_time(), seed=seed)
 
 
@@ -95,13 +95,13 @@
         ([Fault.LOST_REQUEST] * 40, Status.UNKNOWN),
     ],
 )
-async def test_faults_of_the_write(
+async def test_result_of_a_submission_after_faults_of_the_write(
     autojump_clock: trio.testing.MockClock,
     faults: list[Fault],
     status: SubmissionStatus,
 ) -> None:
     store = MemoryStore()
-    async with _plane(store).running() as plane:
+    async with _control_plane(store).running() as plane:
         store.inject('txn', *faults)
         result = await plane.acceptance.submit(_submission(_text('a')))
         assert result.status is status
@@ -115,11 +115,11 @@
             assert await _head(store) == head
 
 
-async def test_an_outage_ends_within_the_time_limit(
+async def test_a_submission_in_an_outage_ends_within_the_time_limit(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     store = MemoryStore()
-    async with _plane(store).running() as plane:
+    async with _control_plane(store).running() as plane:
         store.latency_s = 60.0
         result = await plane.acceptance.submit(_submission(_text('a')))
         assert result.status is Status.UNAVAILABLE
@@ -128,17 +128,18 @@
             await plane.acceptance.apply(lambda head: head)
 
 
-async def test_a_refusal_waits_for_an_earlier_write_that_may_arrive(
+async def test_no_rejection_while_an_earlier_write_may_take_effect(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    """Guards against "refused" for a text that is accepted later.
+    """Guards against status "refused" for a text that is accepted later.
 
-    The first write is late, and the deadline comes too close meanwhile.
+    The first write is executed late. Meanwhile the deadline of the move has
+    come so close that another decision would reject the text.
     """
     store = MemoryStore()
     store.late_s = 6.0
     text = _text('a', _move('a', 'up', _deadline(20)))
-    async with _plane(store).running() as plane:
+    async with _control_plane(store).running() as plane:
         store.inject('txn', Fault.LATE)
 
         async def wait_after_the_write(operation: str) -> None:
@@ -157,8 +158,8 @@
 ) -> None:
     store = MemoryStore()
     async with (
-        _plane(store, 1).running() as paused,
-        _plane(store, 2).running() as rival,
+        _control_plane(store, 1).running() as paused,
+        _control_plane(store, 2).running() as rival,
     ):
         results: list[SubmissionResult] = []
 
@@ -179,9 +180,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(submit_paused)
             await trio.sleep(1)
-            # Takes away what the paused text depends on.
-            gone = Submission('submission-3', 'secret-token', 'department: b')
-            assert (await rival.acceptance.submit(gone)).version == 2
+            # Removes the service that the paused text depends on.
+            removal = Submission(
+                'submission-3', 'secret-token', 'department: b'
+            )
+            assert (await rival.acceptance.submit(removal)).version == 2
         assert results[0].status is Status.REFUSED
         assert results[0].findings[0].code == 'missing-dependency'
         assert (await _head(store)).version == 2
@@ -192,7 +195,7 @@
 ) -> None:
     store = MemoryStore()
     text = _text('a', _move('a', 'up'))
-    async with _plane(store).running() as plane:
+    async with _control_plane(store).running() as plane:
         await plane.acceptance.submit(_submission(text))
         store.inject('txn', Fault.LOST_ANSWER)
 
@@ -215,7 +218,7 @@
 ) -> None:
     store = MemoryStore()
     text = _text('a', _move('a', 'up'))
-    async with _plane(store).running() as plane:
+    async with _control_plane(store).running() as plane:
         await plane.acceptance.submit(_submission(text))
         wrong = await plane.acceptance.abort('a/up', 'another-token')
         assert [item.code for item in wrong.findings] == ['wrong-token']
@@ -227,8 +230,8 @@
             assert plane.distribution.reverts['a/up'].reason == 'aborted'
         store.latency_s = 0
         store.outage = True
-        spread = await plane.acceptance.abort('a/up', 'secret-token')
-        assert not spread.recorded
+        distributed = await plane.acceptance.abort('a/up', 'secret-token')
+        assert not distributed.recorded
         with pytest.raises(StoreUnavailableError):
             await plane.acceptance.abort('a/other', 'secret-token')
         store.outage = False
@@ -240,11 +243,11 @@
         assert (move.state, move.reason) == ('reverted', 'aborted')
 
 
-async def test_fragments_are_removed_after_no_head_named_them_for_long(
+async def test_unreferenced_fragments_are_removed_after_their_retention(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     store = MemoryStore()
-    async with _plane(store).running() as plane:
+    async with _control_plane(store).running() as plane:
         for number, text in enumerate(
             (_text('a'), _text('a', _move('a', 'up')), _text('b'))
         ):
@@ -268,7 +271,7 @@
 
 @st.composite
 def _operators(draw: st.DrawFn) -> list[tuple[str, str, int, int]]:
-    """Return (department, text, number of daemon, tries) for a race."""
+    """Return (department, text, index of a daemon, attempts) per operator."""
     result = []
     for _ in range(draw(st.integers(1, 4))):
         department = draw(st.sampled_from(_DEPARTMENTS))
@@ -276,7 +279,8 @@
         extra = ''
         if draw(st.booleans()):
             number = draw(st.integers(0, 2))
-            # The race turns "soon" into a deadline that pauses can miss.
+            # The rule `race` replaces "soon" by a deadline that a paused
+            # submission can miss.
             deadline = draw(st.sampled_from(('within: 60s', 'soon')))
             extra = _move(department, f'm{number}', deadline)
         text = draw(
@@ -313,7 +317,7 @@
 
 
 class AcceptanceMachine(RuleBasedStateMachine):
-    """Races of rival operators through three daemons on one store."""
+    """Concurrent operators that use three daemons on one store."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -326,9 +330,10 @@
 
     def _run(self, race: Any, *args: Any) -> None:
         async def start() -> None:
-            # The store outlives the run, so its times may not go back.
+            # The store is used in several runs, so the clock of each run
+            # starts after the last time of the one before.
             await trio.sleep(self.time)
-            planes = [_plane(self.store, seed) for seed in range(3)]
+            planes = [_control_plane(self.store, seed) for seed in range(3)]
             async with (
                 planes[0].running(),
                 planes[1].running(),
@@ -342,7 +347,7 @@
     async def _control(
         self, plane: ControlPlane, changes: list[tuple[str, int]]
     ) -> None:
-        """Change moves as a controller does, in any order."""
+        """Apply transitions of a controller, in any order."""
         for kind, choice in changes:
 
             def transition(
@@ -369,7 +374,7 @@
     async def _operate(
         self, planes: list[ControlPlane], first: int, tries: int, number: str
     ) -> None:
-        """Submit with one id until there is a result or no try is left."""
+        """Submit with one id until there is a result or no attempt is left."""
         open_attempt = False
         for attempt in range(tries):
             plane = planes[(first + attempt) % len(planes)]
@@ -410,7 +415,7 @@
         late_s: float,
         changes: list[tuple[str, int]],
     ) -> None:
-        """Let operators submit while a controller changes moves."""
+        """Submit texts while a controller changes moves."""
         waits = list(pauses)
 
         async def pause(operation: str) -> None:
@@ -442,7 +447,7 @@
 
     @rule(data=st.data())
     def repeat(self, data: st.DataObject) -> None:
-        """Let an operator ask again with an id that was used before."""
+        """Submit again with an id that was used before."""
         if not self.submissions:
             return
         number = data.draw(st.sampled_from(sorted(self.submissions)))
@@ -455,7 +460,7 @@
                 assert result.status is Status.ACCEPTED
                 assert result.version == self.accepted[number]
             elif result.status is Status.ACCEPTED:
-                # A refused text may be valid by now; it is a new attempt.
+                # A text that was rejected earlier may be valid now.
                 self.excluded.discard(number)
                 self.accepted[number] = result.version
 
@@ -464,8 +469,8 @@
         self._run(start)
 
     @invariant()
-    def heads_keep_their_promises(self) -> None:
-        """Look at every head that was ever written."""
+    def heads_agree_with_all_results(self) -> None:
+        """Compare every head that was written with the results."""
         heads = [
             _model.decode_head(item.value)
             for item in self.store.history
@@ -488,7 +493,7 @@
 
     @invariant()
     def heads_are_valid_and_moves_end_once(self) -> None:
-        """Install every head as a daemon does."""
+        """Build the snapshot of every head that was written."""
         fragments = {}
         before: Snapshot | None = None
         for item in self.store.history:
--- a/tests/test_services_moves.py
+++ b/tests/test_services_moves.py
@@ -1,4 +1,4 @@
-"""Tests of the service ``moves`` with several daemons in memory."""
+"""Tests of the service ``moves`` with several daemons in one process."""
 
 from __future__ import annotations
 
@@ -53,25 +53,26 @@
     return _EPOCH + trio.current_time()
 
 
-class _Store(MemoryStore):
-    """The platform with elections."""
+class _ElectionStore(MemoryStore):
+    """Store of the platform that supports elections."""
 
     def __init__(self) -> None:
         super().__init__()
         self.elections = StoreElections(self, rng=random.Random(1))
 
 
-class _Reader(FakeEvents):
+class _FakeReader(FakeEvents):
     name = 'reader'
     slot: int | None = None
 
 
 class _Fleet:
-    """Daemons of several zones that share a head and spread reverts.
+    """Daemons of several zones that share a head and distribute reverts.
 
-    `hold_write` delays the compare-and-swap of one daemon after it decided.
-    Without `idempotent`, the first stage takes no calls. `calls` counts all
-    calls by version.
+    `blocked_writes` maps the id of a daemon to an event that its
+    compare-and-swap waits for after the decision. Unless `idempotent` is set,
+    the new version gets no calls in the first stage. `calls` counts all calls
+    by version.
     """
 
     def __init__(
@@ -84,17 +85,17 @@
         self.hub = hub
         self.nursery = nursery
         self.table = FakeTable()
-        self.store = _Store()
+        self.store = _ElectionStore()
         spec = builders.build_move(deadline=_now() + within, soak_s=soak_s)
         self.fragment = builders.build_fragment(moves=[spec])
         move = Move(spec, MoveState.ACTIVE, 0, 0.01, _now(), _now())
         self.heads = [builders.build_head([self.fragment], moves=[move])]
-        self.distributions: dict[str, _Distribution] = {}
+        self.distributions: dict[str, _FleetDistribution] = {}
         self.events: dict[str, FakeEvents] = {}
         self.moves: dict[str, MovesService] = {}
-        self.readers: dict[str, _Reader] = {}
+        self.readers: dict[str, _FakeReader] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
-        self.hold_write: dict[str, trio.Event] = {}
+        self.blocked_writes: dict[str, trio.Event] = {}
         self.failing: Callable[[str], float] = lambda zone: 0.0
         self.rng = random.Random(3)
         self.idempotent = True
@@ -110,8 +111,8 @@
         )
         kernel = Kernel()
         self.events[me.id] = FakeEvents()
-        self.readers[me.id] = _Reader()
-        self.distributions[me.id] = _Distribution(self)
+        self.readers[me.id] = _FakeReader()
+        self.distributions[me.id] = _FleetDistribution(self)
         self.moves[me.id] = MovesService(wall_clock=_now)
         peer = PeerInfo(me.id, me.zone, 1, me.peer_address)
         for service in (
@@ -120,7 +121,7 @@
             MemoryNetwork(self.hub, peer),
             FakeMembership(me, self.table),
             self.distributions[me.id],
-            _Acceptance(self, me.id),
+            _FleetAcceptance(self, me.id),
             self.readers[me.id],
             self.moves[me.id],
         ):
@@ -133,17 +134,17 @@
 
         await self.nursery.start(run)
 
-    def swap(self, known: Head, following: Head) -> bool:
+    def swap(self, known: Head, next_head: Head) -> bool:
         if self.heads[-1] is not known:
             return False
-        before, after = known.moves[_MOVE], following.moves[_MOVE]
+        before, after = known.moves[_MOVE], next_head.moves[_MOVE]
         assert not before.state.final
         assert after.stage - before.stage in (0, 1)
         if after.state is MoveState.DONE:
             assert before.state is MoveState.SOAKING
-        self.heads.append(following)
+        self.heads.append(next_head)
         for item in self.distributions.values():
-            item.snapshot = Snapshot.build(following, [self.fragment])
+            item.snapshot = Snapshot.build(next_head, [self.fragment])
         return True
 
     def codes(self, code: str) -> list[str]:
@@ -159,7 +160,7 @@
         return _rendezvous.rank('judge', _MOVE, self.table.alive(zone))[0]
 
     async def load(self, rate: float) -> None:
-        """Make calls within each zone, as the share of the move says."""
+        """Make calls within each zone, split by the share of the move."""
         zones = sorted({item.zone for item in self.table.members()})
         while True:
             await trio.sleep(self.rng.expovariate(rate))
@@ -211,8 +212,8 @@
         return trio.current_time() - started
 
 
-class _Distribution(FakeDistribution):
-    """Spreads reverts to the daemons that it reaches."""
+class _FleetDistribution(FakeDistribution):
+    """Distributes reverts to all daemons of a fleet at once."""
 
     def __init__(self, fleet: _Fleet) -> None:
         super().__init__(Snapshot.build(fleet.heads[-1], [fleet.fragment]))
@@ -223,8 +224,8 @@
             item.reverts.setdefault(revert.move, revert)
 
 
-class _Acceptance(FakeEvents):
-    """Compare-and-swap on the head of a fleet."""
+class _FleetAcceptance(FakeEvents):
+    """Applies transitions to the head of a fleet by compare-and-swap."""
 
     name = 'acceptance'
 
@@ -242,13 +243,13 @@
             if fleet.store.outage:
                 raise StoreUnavailableError('outage')
             known = fleet.heads[-1]
-            following = transition(known)
-            if following is None:
+            next_head = transition(known)
+            if next_head is None:
                 return None
-            if self._daemon in fleet.hold_write:
-                await fleet.hold_write[self._daemon].wait()
-            if fleet.swap(known, following):
-                return following
+            if self._daemon in fleet.blocked_writes:
+                await fleet.blocked_writes[self._daemon].wait()
+            if fleet.swap(known, next_head):
+                return next_head
 
 
 @asynccontextmanager
@@ -258,7 +259,7 @@
     within: float = 40.0,
     soak_s: float = 6.0,
 ) -> AsyncIterator[_Fleet]:
-    """Run two old endpoints and one new one in each zone."""
+    """Run two endpoints of the old version and one of the new per zone."""
     async with trio.open_nursery() as nursery:
         hub = MemoryHub(nursery, latency_s=0.002)
         fleet = _Fleet(hub, nursery, within, soak_s)
@@ -314,22 +315,23 @@
 async def test_a_short_move_exposes_few_calls_to_a_bad_version(
     autojump_clock: MockClock,
 ) -> None:
-    # The first stage took no calls, and the second one ended before enough
-    # of its calls were known: 1.2 to 5 % of the calls went to a version that
-    # fails all of them.
+    # Guards against stages that advance before there is enough evidence. The
+    # first stage got no calls, and the second one ended before enough of its
+    # results were reported: 1.2 to 5 % of all calls went to a version that
+    # fails every call.
     shares = []
     for seed in range(20):
         fleet = await _short_move(seed, 1.0)
         assert fleet.move.state is MoveState.REVERTED
         shares.append(fleet.calls['v2'] / fleet.calls.total())
-    # Single moves exceed the target still (KNOWN-RED.txt, entry 4).
+    # Single moves still exceed the target (KNOWN-RED.txt, entry 4).
     assert statistics.median(shares) <= 0.01
 
 
 async def test_a_short_move_to_a_good_version_is_done_in_time(
     autojump_clock: MockClock,
 ) -> None:
-    # Stages that wait for calls must not cost the move its deadline.
+    # Guards against stages that wait for calls until the deadline has passed.
     for seed in range(10):
         fleet = await _short_move(seed, 0.0)
         assert fleet.move.state is MoveState.DONE
@@ -338,10 +340,10 @@
 
 
 @pytest.mark.parametrize('seed', range(5))
-async def test_without_the_platform_the_zones_judge_together(
+async def test_without_the_platform_judges_test_evidence_of_all_zones(
     seed: int, autojump_clock: MockClock
 ) -> None:
-    # Each zone alone sees a fault of the new version every 3 s only.
+    # In each zone alone, the new version fails only one call every 3 s.
     async with _fleet(within=300.0) as fleet:
         fleet.rng.seed(seed)
         fleet.failing = lambda zone: 1.0
@@ -360,16 +362,17 @@
 async def test_an_unreachable_zone_does_not_hide_evidence_of_the_others(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # A pull that waits for its timeout made the controller close intervals
-    # that it had not yet pulled from the reachable judges.
-    # Pulls from a busy process take longer than their timeout.
+    # While a pull from an unreachable judge waited for its timeout, the
+    # controller closed intervals that it had not yet pulled from the reachable
+    # judges. The longer timeout stands for pulls in a busy process, which take
+    # longer than their timeout.
     monkeypatch.setattr(_moves, '_REQUEST_TIMEOUT_S', 1.3)
     async with _fleet(zones=3, rate=300.0, within=300.0) as fleet:
         cut = fleet.judge('az-3').peer_address
         fleet.hub.blocked = lambda one, other: cut in (one, other)
         fleet.readers['d10'].slot = 0
         await trio.sleep(20)
-        known = fleet.moves['d10']._controlled[_MOVE].judge
+        known = fleet.moves['d10']._controller_evidence[_MOVE].judge
         reported = sum(
             counts.calls
             for zone in ('az-1', 'az-2')
@@ -398,7 +401,7 @@
                     judge, status=MemberStatus.DEAD, sequence=2
                 )
             )
-            # The VM goes on serving under another daemon.
+            # The backend server on the VM continues with another daemon.
             index = 100 + int(judge.id[1:])
             assert judge.endpoint is not None
             await fleet.start(index, zone, judge.endpoint.version)
@@ -407,12 +410,12 @@
 
 
 @pytest.mark.parametrize('late_first', [False, True])
-async def test_two_controllers_neither_skip_nor_repeat_a_stage(
+async def test_two_controllers_neither_skip_nor_repeat_stages(
     late_first: bool, autojump_clock: MockClock
 ) -> None:
     async with _fleet(within=60.0) as fleet:
         fleet.readers['d10'].slot = 0
-        fleet.hold_write['d10'] = release = trio.Event()
+        fleet.blocked_writes['d10'] = release = trio.Event()
         await trio.sleep(12)
         assert fleet.codes('controller-started') == ['d10']
         fleet.readers['d20'].slot = 0
@@ -428,35 +431,35 @@
         )
         await trio.sleep(5)
         release.set()
-        del fleet.hold_write['d10']
+        del fleet.blocked_writes['d10']
         await fleet.wait_for(lambda: _ended(fleet), 60)
         assert fleet.move.state is MoveState.DONE
         stages = [head.moves[_MOVE].stage for head in fleet.heads]
         assert stages == [0, 1, 2, 3, 4, 4, 4]
 
 
-async def test_a_verdict_stops_a_step_that_is_on_its_way(
+async def test_a_revert_cancels_a_pending_stage_advance(
     autojump_clock: MockClock,
 ) -> None:
     async with _fleet() as fleet:
         fleet.readers['d10'].slot = 0
-        fleet.hold_write['d10'] = release = trio.Event()
+        fleet.blocked_writes['d10'] = release = trio.Event()
         await trio.sleep(12)
-        fleet.moves['d20']._condemn(_MOVE, 'bad')
+        fleet.moves['d20']._revert_move(_MOVE, 'bad')
         fleet.swap(
             fleet.heads[-1],
             msgspec.structs.replace(
                 fleet.heads[-1], version=fleet.heads[-1].version + 1
             ),
         )
-        del fleet.hold_write['d10']
+        del fleet.blocked_writes['d10']
         release.set()
         await fleet.wait_for(lambda: _ended(fleet), 10)
         assert fleet.move.state is MoveState.REVERTED
         assert {head.moves[_MOVE].stage for head in fleet.heads} == {0}
 
 
-async def test_late_and_repeated_evidence_changes_nothing(
+async def test_late_and_repeated_evidence_is_not_counted_again(
     autojump_clock: MockClock,
 ) -> None:
     async with _fleet(rate=0.01) as fleet:
@@ -466,13 +469,13 @@
         counts = (builders.build_counts(calls=50, failures=50),)
         interval = int(_now() / 0.5)
         for number in (interval, interval, interval - 20, interval + 1):
-            service._judge(Evidence(_MOVE, 0, number, counts))
-        service._judge(Evidence('spa/none', 0, interval, counts))
+            service._add_evidence(Evidence(_MOVE, 0, number, counts))
+        service._add_evidence(Evidence('spa/none', 0, interval, counts))
         await trio.sleep(3)
-        # The repeated report replaced itself; nothing was closed before.
+        # The repeated report was counted once; no interval was closed before.
         before = service._judges[_MOVE].test.new_calls
         assert before == 150
-        service._judge(Evidence(_MOVE, 0, interval, counts))
+        service._add_evidence(Evidence(_MOVE, 0, interval, counts))
         await trio.sleep(3)
         assert service._judges[_MOVE].test.new_calls == before
         assert list(service._judges) == [_MOVE]
