Rename constants and the clean-up of acceptance to usual terms

RETIRED_S is FRAGMENT_RETENTION_S, LISTING_ODDS is SUBMISSIONS_PER_LISTING, and clean is remove_unreferenced_fragments, as the old names did not say what is retained, counted or removed.

--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -49,17 +49,17 @@
 
 MAX_ATTEMPTS = 16
 TIME_LIMIT_S = 10.0
-FIRST_BACKOFF_S = 0.02
+INITIAL_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 1.0
-MAX_WAITING = 64
-FRAGMENT_READERS = 8
-RETIRED_S = 600.0
-CLEAN_INTERVAL_S = 60.0
-CLEAN_BATCH = 100
+MAX_PENDING_SUBMISSIONS = 64
+MAX_CONCURRENT_FETCHES = 8
+FRAGMENT_RETENTION_S = 600.0
+CLEANUP_INTERVAL_S = 60.0
+MAX_DELETES_PER_CLEANUP = 100
 # The list of unreferenced fragments is lost when a daemon stops before they
 # are removed. On average, one in this many submissions is followed by a
 # listing of all stored fragments, which finds them again.
-LISTING_ODDS = 256
+SUBMISSIONS_PER_LISTING = 256
 
 
 class SubmissionStatus(enum.StrEnum):
@@ -271,9 +271,9 @@
         self._distribution.subscribe(self._discard_referenced)
         task_status.started()
         while True:
-            await trio.sleep(CLEAN_INTERVAL_S)
+            await trio.sleep(CLEANUP_INTERVAL_S)
             try:
-                await self.clean()
+                await self.remove_unreferenced_fragments()
             except StoreError as error:
                 self._events.emit('fragments-not-removed', error=str(error))
 
@@ -319,7 +319,10 @@
 
     async def submit(self, submission: Submission) -> SubmissionResult:
         """Accept a text, at most once for each submission id."""
-        if self._draining or self._submissions_in_progress >= MAX_WAITING:
+        if (
+            self._draining
+            or self._submissions_in_progress >= MAX_PENDING_SUBMISSIONS
+        ):
             detail = 'the daemon is stopping' if self._draining else 'busy'
             return self._report_result(
                 submission, SubmissionStatus.UNAVAILABLE, detail=detail
@@ -603,7 +606,7 @@
     async def _back_off(self, attempt: int) -> None:
         if attempt:
             max_delay_s = min(
-                MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (attempt - 1)
+                MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (attempt - 1)
             )
             await trio.sleep(self._rng.uniform(0, max_delay_s))
 
@@ -705,7 +708,7 @@
                     return
 
         async with trio.open_nursery() as nursery:
-            for _ in range(min(FRAGMENT_READERS, len(digests))):
+            for _ in range(min(MAX_CONCURRENT_FETCHES, len(digests))):
                 nursery.start_soon(read_next)
         if errors:
             raise errors[0]
@@ -741,7 +744,7 @@
     def _mark_unreferenced(self, digest: str) -> None:
         if digest:
             self._unreferenced_since[digest] = trio.current_time()
-        if self._rng.randrange(LISTING_ODDS) == 0:
+        if self._rng.randrange(SUBMISSIONS_PER_LISTING) == 0:
             self._listing_due = True
 
     def _discard_referenced(self) -> None:
@@ -750,7 +753,7 @@
             for ref in snapshot.head.departments.values():
                 self._unreferenced_since.pop(ref.fragment, None)
 
-    async def clean(self) -> None:
+    async def remove_unreferenced_fragments(self) -> None:
         """Remove fragments that no head has referred to for 10 min.
 
         Raises
@@ -768,7 +771,7 @@
         expired = [
             digest
             for digest, since in self._unreferenced_since.items()
-            if now - since >= RETIRED_S
+            if now - since >= FRAGMENT_RETENTION_S
         ]
         if not expired and not self._unreferenced_since:
             return
@@ -777,7 +780,7 @@
             self._unreferenced_since.pop(ref.fragment, None)
         expired = [
             item for item in expired if item in self._unreferenced_since
-        ][:CLEAN_BATCH]
+        ][:MAX_DELETES_PER_CLEANUP]
         if not expired:
             return
         result = await self._store.txn(
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -26,7 +26,7 @@
 from gypsumhall.errors import StoreError
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.errors import StoreUnknownError
-from gypsumhall.services._acceptance import RETIRED_S
+from gypsumhall.services._acceptance import FRAGMENT_RETENTION_S
 from gypsumhall.services._acceptance import Submission
 from gypsumhall.services._acceptance import SubmissionResult
 from gypsumhall.services._acceptance import SubmissionStatus
@@ -254,7 +254,7 @@
             await plane.acceptance.submit(_submission(text, number))
         await store.txn([], [Put(_keys.FRAGMENTS + 'left-over', b'')])
         plane.acceptance._listing_due = True
-        await trio.sleep(RETIRED_S - 1)
+        await trio.sleep(FRAGMENT_RETENTION_S - 1)
         assert len(store.keys) == 5
         await trio.sleep(200)
         head = await _head(store)
