Rename advance to apply_decision and give lags their unit

The function applies any decision about a move, not only an advance of the stage. JUDGE_LAG and CONTROLLER_LAG count intervals.

--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -53,8 +53,8 @@
 
 # Intervals from the end of an interval to its closing, by which the reports of
 # all endpoints have arrived: at the judge of a zone, and at the controller.
-JUDGE_LAG = 1
-CONTROLLER_LAG = 3
+JUDGE_LAG_INTERVALS = 1
+CONTROLLER_LAG_INTERVALS = 3
 
 # A stage is not advanced when no judge has replied to a pull for this time.
 EVIDENCE_TIMEOUT_S = 5.0
@@ -288,7 +288,7 @@
         return EvidenceReply(judge.thresholds())
 
     def _close_intervals(self) -> None:
-        last = self._current_interval() - 1 - JUDGE_LAG
+        last = self._current_interval() - 1 - JUDGE_LAG_INTERVALS
         for name, judge in list(self._judges.items()):
             verdict = judge.close(last)
             if verdict is not None:
@@ -353,7 +353,7 @@
                 names_by_address[address].append(name)
         # Computed before the pulls: while one of them waits for an unreachable
         # judge, the other judges close intervals that were not requested.
-        last = self._current_interval() - 1 - CONTROLLER_LAG
+        last = self._current_interval() - 1 - CONTROLLER_LAG_INTERVALS
         async with trio.open_nursery() as nursery:
             for address, names in names_by_address.items():
                 nursery.start_soon(self._pull, address, names, joint_evidence)
@@ -511,7 +511,7 @@
             # The revert of a zone's judge may arrive while the head is read.
             if name in self._distribution.reverts:
                 return None
-            return advance(head, name, move, decision, now)
+            return apply_decision(head, name, move, decision, now)
 
         head = await self._apply(lease, transition)
         if head is not None:
@@ -555,7 +555,7 @@
             return None
 
 
-def advance(
+def apply_decision(
     head: Head,
     name: str,
     move: Move,
--- a/tests/test_core_moves.py
+++ b/tests/test_core_moves.py
@@ -22,7 +22,7 @@
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.net._messages import Evidence
 from gypsumhall.net._messages import Revert
-from gypsumhall.services._moves import advance
+from gypsumhall.services._moves import apply_decision
 from gypsumhall.testing.builders import build_counts
 from gypsumhall.testing.builders import build_fragment
 from gypsumhall.testing.builders import build_head
@@ -337,7 +337,7 @@
         step = self.steps[one]
         if step is not None:
             move, decision, now = step
-            following = advance(self.head, self.id, move, decision, now)
+            following = apply_decision(self.head, self.id, move, decision, now)
             if following is not None:
                 self.writes[one] = (self.head, following)
 
