--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -56,7 +56,7 @@
 class RolloutOrders(Protocol):
     """Takes orders; the service ``moves``."""
 
-    def order(self, order: platform.RolloutOrder, revision: int) -> None:
+    def add_order(self, order: platform.RolloutOrder, revision: int) -> None:
         """Take over an order that was read from the store."""
         ...
 
@@ -154,7 +154,7 @@
                 self._publish(value, revision)
             elif platform.rollout_service(key):
                 order = platform.decode_rollout(value)
-                self._rollouts.order(order, revision)
+                self._rollouts.add_order(order, revision)
         except InvalidUpdateError as error:
             self._events.emit(
                 'feed-entry-rejected',
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -226,7 +226,7 @@
 
     # Records
 
-    def order(self, order: platform.RolloutOrder, revision: int) -> None:
+    def add_order(self, order: platform.RolloutOrder, revision: int) -> None:
         """Start to follow an order that was read from the store."""
         earlier = self._orders.get(order.service)
         if earlier is not None and earlier.revision >= revision:
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -71,7 +71,7 @@
     def __init__(self) -> None:
         self.orders: list[tuple[str, int]] = []
 
-    def order(self, order: Any, revision: int) -> None:
+    def add_order(self, order: Any, revision: int) -> None:
         self.orders.append((order.service, revision))
 
 
@@ -399,6 +399,6 @@
         # Without a store, a campaign ends the test with an error.
         nursery.start_soon(service._campaign)
         await trio.sleep(0.1)
-        service.order(platform.RolloutOrder('s', 'v2', 12.0), 7)
+        service.add_order(platform.RolloutOrder('s', 'v2', 12.0), 7)
         await trio.sleep(5.0)
         nursery.cancel_scope.cancel()
