Name ids, heads and judges in the tests of acceptance and moves

Locals such as number, known and excluded are named by what they hold, and the reason for an unavailable submission has a name of its own again.

--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -323,9 +323,9 @@
             self._draining
             or self._submissions_in_progress >= MAX_PENDING_SUBMISSIONS
         ):
-            detail = 'the daemon is stopping' if self._draining else 'busy'
+            reason = 'the daemon is stopping' if self._draining else 'busy'
             return self._report_result(
-                submission, SubmissionStatus.UNAVAILABLE, detail=detail
+                submission, SubmissionStatus.UNAVAILABLE, detail=reason
             )
         started = trio.current_time()
         self._submissions_in_progress += 1
--- a/gypsumhall/services/_moves.py
+++ b/gypsumhall/services/_moves.py
@@ -338,7 +338,7 @@
         ----------
         moves : dict of str to Move
             Moves whose evidence is pulled.
-        joined : dict of str to _Joined
+        joint_evidence : dict of str to _JointEvidence
             Evidence by move; entries of other moves are dropped.
         """
         for name in [name for name in joint_evidence if name not in moves]:
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -58,8 +58,9 @@
 
 _CAMPAIGN_DELAY_S = (0.3, 0.6)
 """Range of the random delay after a failed campaign, in seconds. The lower end
-also limits the random delay before a campaign, and the upper end is the time
-between two checks for a controller."""
+also limits the random delay before a campaign. The upper end is the time
+between two checks for a controller, and a controller counts as absent when it
+has sent no records for twice this time."""
 
 _CANDIDATES_PER_ZONE = 2
 """Number of daemons of a zone that campaign first. Every campaign costs two
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -302,7 +302,7 @@
     return result
 
 
-def _check_step(before: Snapshot, after: Snapshot) -> None:
+def _check_successive_heads(before: Snapshot, after: Snapshot) -> None:
     ended = set()
     for move_id, move in before.head.moves.items():
         later = after.head.moves[move_id]
@@ -326,7 +326,7 @@
         self.time = 0.0
         self.submissions: dict[str, Submission] = {}
         self.accepted: dict[str, int] = {}
-        self.excluded: set[str] = set()
+        self.not_accepted: set[str] = set()
 
     def _run(self, race: Any, *args: Any) -> None:
         async def start() -> None:
@@ -372,22 +372,28 @@
                 await plane.acceptance.apply(transition)
 
     async def _operate(
-        self, planes: list[ControlPlane], first: int, tries: int, number: str
+        self,
+        planes: list[ControlPlane],
+        first: int,
+        tries: int,
+        submission_id: str,
     ) -> None:
         """Submit with one id until there is a result or no attempt is left."""
         open_attempt = False
         for attempt in range(tries):
             plane = planes[(first + attempt) % len(planes)]
-            result = await plane.acceptance.submit(self.submissions[number])
+            result = await plane.acceptance.submit(
+                self.submissions[submission_id]
+            )
             if result.status is Status.ACCEPTED:
-                known = self.accepted.setdefault(number, result.version)
+                known = self.accepted.setdefault(submission_id, result.version)
                 assert known == result.version
                 return
             open_attempt = open_attempt or result.status is Status.UNKNOWN
             if result.status is Status.REFUSED:
                 break
         if not open_attempt:
-            self.excluded.add(number)
+            self.not_accepted.add(submission_id)
 
     @rule(
         operators=_operators(),
@@ -433,14 +439,14 @@
                 nursery.start_soon(self._control, planes[1], changes)
                 for department, text, first, tries in operators:
                     self.count += 1
-                    number = f'submission-{self.count}'
-                    self.submissions[number] = Submission(
-                        number,
+                    submission_id = f'submission-{self.count}'
+                    self.submissions[submission_id] = Submission(
+                        submission_id,
                         f'token-of-{department}',
                         text.replace('soon', deadline),
                     )
                     nursery.start_soon(
-                        self._operate, planes, first, tries, number
+                        self._operate, planes, first, tries, submission_id
                     )
 
         self._run(start)
@@ -450,19 +456,19 @@
         """Submit again with an id that was used before."""
         if not self.submissions:
             return
-        number = data.draw(st.sampled_from(sorted(self.submissions)))
+        submission_id = data.draw(st.sampled_from(sorted(self.submissions)))
 
         async def start(planes: list[ControlPlane]) -> None:
             result = await planes[0].acceptance.submit(
-                self.submissions[number]
+                self.submissions[submission_id]
             )
-            if number in self.accepted:
+            if submission_id in self.accepted:
                 assert result.status is Status.ACCEPTED
-                assert result.version == self.accepted[number]
+                assert result.version == self.accepted[submission_id]
             elif result.status is Status.ACCEPTED:
                 # A text that was rejected earlier may be valid now.
-                self.excluded.discard(number)
-                self.accepted[number] = result.version
+                self.not_accepted.discard(submission_id)
+                self.accepted[submission_id] = result.version
 
         self.store.clear_faults()
         self.store.before = None
@@ -481,15 +487,15 @@
         produced: dict[str, int] = {}
         for head in heads:
             for key, version in head.submissions.items():
-                number = key.partition('~')[0]
-                assert produced.setdefault(number, version) == version
+                submission_id = key.partition('~')[0]
+                assert produced.setdefault(submission_id, version) == version
                 assert version <= head.version
-        for number, version in self.accepted.items():
+        for submission_id, version in self.accepted.items():
             for head in heads[version - 1 :]:
-                found = _accept.find_submission(head, number)
+                found = _accept.find_submission(head, submission_id)
                 assert found is not None
                 assert found[0] == version
-        assert not self.excluded & produced.keys()
+        assert not self.not_accepted & produced.keys()
 
     @invariant()
     def heads_are_valid_and_moves_end_once(self) -> None:
@@ -509,7 +515,7 @@
                 [fragments[ref.fragment] for ref in head.departments.values()],
             )
             if before is not None:
-                _check_step(before, snapshot)
+                _check_successive_heads(before, snapshot)
             before = snapshot
 
 
--- a/tests/test_services_moves.py
+++ b/tests/test_services_moves.py
@@ -134,10 +134,10 @@
 
         await self.nursery.start(run)
 
-    def swap(self, known: Head, next_head: Head) -> bool:
-        if self.heads[-1] is not known:
+    def swap(self, expected: Head, next_head: Head) -> bool:
+        if self.heads[-1] is not expected:
             return False
-        before, after = known.moves[_MOVE], next_head.moves[_MOVE]
+        before, after = expected.moves[_MOVE], next_head.moves[_MOVE]
         assert not before.state.final
         assert after.stage - before.stage in (0, 1)
         if after.state is MoveState.DONE:
@@ -242,13 +242,13 @@
             await trio.sleep(0.005)
             if fleet.store.outage:
                 raise StoreUnavailableError('outage')
-            known = fleet.heads[-1]
-            next_head = transition(known)
+            expected = fleet.heads[-1]
+            next_head = transition(expected)
             if next_head is None:
                 return None
             if self._daemon in fleet.blocked_writes:
                 await fleet.blocked_writes[self._daemon].wait()
-            if fleet.swap(known, next_head):
+            if fleet.swap(expected, next_head):
                 return next_head
 
 
@@ -372,18 +372,18 @@
         fleet.hub.blocked = lambda one, other: cut in (one, other)
         fleet.readers['d10'].slot = 0
         await trio.sleep(20)
-        known = fleet.moves['d10']._controller_evidence[_MOVE].judge
+        controller_judge = fleet.moves['d10']._controller_evidence[_MOVE].judge
         reported = sum(
             counts.calls
             for zone in ('az-1', 'az-2')
             for evidence in fleet.moves[fleet.judge(zone).id]
             ._judges[_MOVE]
             .since(0)
-            if evidence.interval <= known.last_closed_interval
+            if evidence.interval <= controller_judge.last_closed_interval
             for counts in evidence.counts
             if counts.version == 'v2'
         )
-        assert known.test.new_calls == reported > 10
+        assert controller_judge.test.new_calls == reported > 10
 
 
 async def test_another_member_takes_over_from_a_dead_judge(
