--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -1,4 +1,4 @@
-"""Single attempts to run a request, on this VM or through an exchange."""
+"""Single attempts to run a request, on this VM or on another daemon."""
 
 from __future__ import annotations
 
@@ -33,23 +33,23 @@
     from gypsumhall.net._protocol import PeerNetwork
     from gypsumhall.services import _protocols
 
-# The runner refuses at the deadline; its refusal, which knows whether the
-# request was run, needs this long to arrive.
+# Time in seconds after the deadline for which a rejection may arrive. The
+# runner rejects at the deadline and reports whether the request was run.
 _GRACE_S = 0.25
-# Time in seconds in which a runner has to be reached to settle the outcome
-# of a request that must not be repeated, and the time after the deadline in
-# which it has to answer: callers get an answer within half a second after it.
-_QUERY_S = 3.0
-_QUERY_AFTER_S = 0.4
+# Time in seconds in which a runner has to be reached to query the outcome of a
+# request that must not be repeated, and the time after the deadline in which
+# it has to reply: callers get a response within half a second after it.
+_QUERY_TIMEOUT_S = 3.0
+_QUERY_AFTER_DEADLINE_S = 0.4
 _QUERY_BACKOFF_S = 0.05
-# Responses of up to this size can be held back until they are complete.
-_HELD_BYTES = 256 * 1024
+# Responses up to this size can be buffered until they are complete.
+_MAX_BUFFERED_BYTES = 256 * 1024
 
 Execute = Callable[[CallStart, bytes, '_calls.SendMessage'], Awaitable[None]]
 
 
 class Receiver:
-    """Receives the answer of one attempt.
+    """Receives the response of one attempt.
 
     Parameters
     ----------
@@ -58,28 +58,28 @@
     sink : ResponseSink
         Receives the response.
     hold : bool
-        Whether the response is held back until it is complete. Responses
-        of a known small length are held back in any case.
-    should_retry : callable or None
-        Decides by the status whether the response is kept from the sink,
-        because the request will be repeated.
+        Whether the response is buffered until it is complete. Responses with
+        a small ``content-length`` are always buffered.
+    should_withhold : callable or None
+        Returns, given the status, whether the response is withheld from the
+        sink because the request will be retried.
     held : HeldBytes, optional
-        Room for responses that are held back or kept; without room, one is
-        passed on at once or dropped.
+        Memory limit of buffered responses. Beyond it, a buffered response is
+        forwarded at once, and a withheld one is dropped.
     """
 
     __slots__ = (
         '_held',
-        '_hold',
+        '_buffer_response',
         '_recorder',
         '_request_id',
-        '_should_retry',
+        '_should_withhold',
         '_sink',
         'complete',
         'done',
         'load',
-        'passed',
-        'refused',
+        'forwarded',
+        'rejection',
         'size',
         'status',
         'timed_out',
@@ -91,43 +91,43 @@
         request_id: str,
         sink: _calls.ResponseSink,
         *,
-        hold: bool = False,
-        should_retry: Callable[[int], bool] | None = None,
+        buffer_response: bool = False,
+        should_withhold: Callable[[int], bool] | None = None,
         held: _calls.HeldBytes | None = None,
     ) -> None:
         self._request_id = request_id
         self._sink = sink
-        self._hold = hold
-        self._should_retry = should_retry
+        self._buffer_response = buffer_response
+        self._should_withhold = should_withhold
         self._held = held or _calls.HeldBytes()
         self._recorder: _calls.Recorder | None = None
         self.size = 0
-        self.refused: CallRefused | None = None
+        self.rejection: CallRefused | None = None
         self.load: Load | None = None
         self.status = 0
         self.timed_out = False
         self.withheld = False
-        self.passed = False
+        self.forwarded = False
         self.complete = False
         self.done = False
 
     @property
     def started(self) -> bool:
         """Whether the head of a response has arrived."""
-        return self.passed or self._recorder is not None
+        return self.forwarded or self._recorder is not None
 
     @property
     def recorder(self) -> _calls.Recorder | None:
-        """Response that was kept from the sink."""
+        """Response that has not been forwarded to the sink."""
         return self._recorder
 
-    def restart(self) -> None:
-        """Forget a response that was lost before it was passed on."""
+    def reset(self) -> None:
+        """Discard a partial response that was not forwarded."""
         self._recorder = None
         self.size = 0
 
     async def feed(self, message: Message) -> None:
-        """Take a message of the answer; `done` tells whether it was last."""
+        """Process a message of the response; the last one sets `done`."""
         if self.done:
             return
         if isinstance(message, BodyChunk):
@@ -138,13 +138,13 @@
                 await self._head(message)
         elif isinstance(message, CallRefused):
             if message.request_id == self._request_id and not self.started:
-                self.refused = message
+                self.rejection = message
                 self.load = message.load
                 self.done = True
         elif isinstance(message, Failure):
-            # The other daemon failed; how far the call got is not certain.
+            # The other daemon failed, so whether the call ran is unknown.
             if not self.started:
-                self.refused = CallRefused(
+                self.rejection = CallRefused(
                     self._request_id,
                     Outcome.UNKNOWN,
                     'peer-failure',
@@ -163,19 +163,21 @@
     async def _head(self, message: AnswerStart) -> None:
         self.load = message.load
         self.status = message.status
-        if self._should_retry is not None:
-            self.withheld = self._should_retry(message.status)
-        if self.withheld or (not message.last and self._holds(message)):
+        if self._should_withhold is not None:
+            self.withheld = self._should_withhold(message.status)
+        if self.withheld or (
+            not message.last and self._should_buffer(message)
+        ):
             self._recorder = _calls.Recorder(self._held)
             self._recorder.head(message.status, message.headers)
         else:
-            self.passed = True
+            self.forwarded = True
             await self._sink.head(message.status, message.headers)
         if message.body or message.last:
             await self._chunk(message.body, last=message.last)
 
-    def _holds(self, message: AnswerStart) -> bool:
-        if self._hold:
+    def _should_buffer(self, message: AnswerStart) -> bool:
+        if self._buffer_response:
             return True
         for name, value in message.headers:
             if name == b'content-length':
@@ -189,10 +191,10 @@
             whole_size = recorder.size + len(data)
             if (
                 last
-                or whole_size > _HELD_BYTES
+                or whole_size > _MAX_BUFFERED_BYTES
                 or not self._held.has_room(len(data))
             ):
-                await self._pass_held(recorder)
+                await self._flush_buffer(recorder)
         if self._recorder is not None:
             self._recorder.chunk(data)
         else:
@@ -201,26 +203,26 @@
             self.complete = True
             self.done = True
 
-    async def _pass_held(self, recorder: _calls.Recorder) -> None:
-        held = recorder.response
+    async def _flush_buffer(self, recorder: _calls.Recorder) -> None:
+        buffered = recorder.response
         self._recorder = None
-        self.passed = True
-        assert held is not None
-        await self._sink.head(held.status, held.headers)
-        for part in _calls.chunks(held.body):
+        self.forwarded = True
+        assert buffered is not None
+        await self._sink.head(buffered.status, buffered.headers)
+        for part in _calls.chunks(buffered.body):
             if part:
                 await self._sink.chunk(part, last=False)
 
 
 class Attempts:
-    """Makes attempts.
+    """Sends calls to runners, once each.
 
     Parameters
     ----------
     peers : PeerNetwork
         Streams to other daemons.
     me : Member
-        Entry of this daemon at its start.
+        Member entry of this daemon as of its start.
     events : Events
         Event log, for its clock.
     rng : Random
@@ -254,7 +256,8 @@
         self._events = events
         self._rng = rng
         self._execute = execute
-        # The ledger relies on one prefix per process and on rising counters.
+        # The ledger relies on a unique prefix per process and on increasing
+        # counters.
         self._prefix = f'{me.id}/{me.incarnation}'
         self._counter = 0
 
@@ -281,7 +284,7 @@
         key : str
             Idempotency key for its owner; empty otherwise.
         split : Split or None
-            Move that the attempt is evidence for.
+            Split of the move that the attempt is evidence about.
         max_wait_s : float or None
             Longest expected wait with which the runner accepts the call;
             by default any that leaves time to run it.
@@ -291,7 +294,7 @@
         now = trio.current_time()
         objective_ms = 0
         if request.objective:
-            # 0 would stand for no objective.
+            # 0 would mean that there is no objective.
             objective_ms = int((request.objective - now) * 1000) or -1
         return CallStart(
             f'{self._prefix}:{self._counter}',
@@ -324,7 +327,7 @@
         request: _calls.Request,
         receiver: Receiver,
     ) -> None:
-        """Make an attempt; `receiver.done` is False when it was lost.
+        """Make an attempt; `receiver.done` stays False when it was lost.
 
         Parameters
         ----------
@@ -335,7 +338,7 @@
         request : Request
             The request.
         receiver : Receiver
-            Receives the answer.
+            Receives the response.
 
         Raises
         ------
@@ -352,7 +355,9 @@
                 async with self._peers.open(
                     member.peer_address, call
                 ) as exchange:
-                    await self._converse(exchange, call, request, receiver)
+                    await self._exchange_messages(
+                        exchange, call, request, receiver
+                    )
             except PeerUnreachableError:
                 if receiver.started:
                     return
@@ -361,53 +366,53 @@
                 return
         receiver.timed_out = scope.cancelled_caught
 
-    async def settle(
+    async def resolve_outcome(
         self,
         member: Member,
         call: CallStart,
         request: _calls.Request,
         receiver: Receiver,
     ) -> None:
-        """Find out what became of an attempt that must not be repeated.
+        """Query the outcome of a lost attempt that must not be repeated.
 
-        The receiver ends with a response or a refusal. The parameters
+        Afterwards the receiver has a response or a rejection. The parameters
         are those of `run`.
         """
-        if receiver.passed:
+        if receiver.forwarded:
             return
         query = CallQuery(call.request_id, call.runner_incarnation)
         now = trio.current_time()
-        give_up_at = now + _QUERY_S
-        backoff = _QUERY_BACKOFF_S
-        deadline = request.deadline + _QUERY_AFTER_S
+        query_until = now + _QUERY_TIMEOUT_S
+        backoff_s = _QUERY_BACKOFF_S
+        deadline = request.deadline + _QUERY_AFTER_DEADLINE_S
         with trio.CancelScope(deadline=deadline):
-            while not receiver.done and not receiver.passed:
+            while not receiver.done and not receiver.forwarded:
                 now = trio.current_time()
-                if now >= give_up_at:
+                if now >= query_until:
                     break
-                receiver.restart()
+                receiver.reset()
                 try:
-                    # The runner answers when the call has ended.
+                    # The runner replies when the call has ended.
                     async with self._peers.open(
                         member.peer_address, query
                     ) as exchange:
                         while not receiver.done:
                             await receiver.feed(await exchange.receive())
                 except (PeerError, trio.EndOfChannel):
-                    # Time in which the query waited was not lost.
-                    give_up_at += trio.current_time() - now
-                    await trio.sleep(backoff * (1 + self._rng.random()))
-                    backoff *= 2
-        if not receiver.done and not receiver.passed:
-            receiver.restart()
-            receiver.refused = CallRefused(
+                    # The duration of the query itself does not count.
+                    query_until += trio.current_time() - now
+                    await trio.sleep(backoff_s * (1 + self._rng.random()))
+                    backoff_s *= 2
+        if not receiver.done and not receiver.forwarded:
+            receiver.reset()
+            receiver.rejection = CallRefused(
                 call.request_id,
                 Outcome.UNKNOWN,
                 'peer-lost',
                 f'the stream to {member.id} was lost',
             )
 
-    async def _converse(
+    async def _exchange_messages(
         self,
         exchange: Exchange,
         call: CallStart,
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -1,4 +1,4 @@
-"""Values and rules that the sender and the runner of a call share."""
+"""Types, limits and header rules shared by sender and runner."""
 
 from __future__ import annotations
 
@@ -26,48 +26,49 @@
 MAX_REQUEST_BODY = 8 * 1024 * 1024
 MAX_RESPONSE_BODY = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
-# Larger responses are not kept for repetition, so that one of them cannot
-# push the responses of many other calls out of the ledger.
-MAX_RECORDED_BODY = 1024 * 1024
-# Part of its time after which a call takes too long. In a move, an idempotent
-# request then gets a second attempt, and its run counts as failed in any case.
+# Larger responses are not recorded, so that one of them cannot evict the
+# responses of many other calls from the ledger.
+MAX_RECORDED_BODY_BYTES = 1024 * 1024
+# Fraction of its time limit after which a call is slow. In a move, an
+# idempotent request then gets a backup attempt, and its run counts as failed
+# whether there was a backup or not.
 SLOW_SHARE = 0.5
-# Bytes of responses that one daemon keeps while their calls run: recorded for
-# repetition, held back until they are whole, or withheld for a retry. An
-# eighth of the memory of the smallest machines, 128 MB.
-MAX_HELD_RESPONSES = 16 * 1024 * 1024
+# Limit of one daemon for the responses of running calls in memory: recorded
+# for repetition, buffered until they are complete, or withheld for a retry.
+# An eighth of the memory of the smallest machines, 128 MB.
+MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
 class Dialect:
-    """Names of the HTTP headers that callers and backend servers use.
+    """HTTP headers and conventions of callers and backend servers.
 
-    The defaults are the product's own. A header with an empty name is
-    neither read nor sent.
+    A header with an empty name is neither read nor sent.
 
     Parameters
     ----------
     deadline : bytes
-        Milliseconds that the sender of a request waits.
+        Milliseconds for which the client waits for the response.
     outcome : bytes
-        Whether a refused request was run.
+        Whether a rejected request was run.
     key : bytes
         Idempotency key.
     request_id : bytes
         Id that a backend server repeats in its response.
     caller_service : bytes
-        Service on the VM where a request began.
+        Service on the VM that the request comes from.
     expected_instance : bytes
-        Process of a backend server that a request is meant for.
+        Process of a backend server that the request is meant for.
     not_executed : bytes
         Marks responses of a backend server that did not run the request.
     status_promises : bool
-        Whether status 503 promises that a request was not run, so that a
-        refusal with another outcome needs another status.
+        Whether status 503 means that a request was not run, so that a
+        rejection with another outcome needs another status.
     whole_responses : bool
-        Whether a response is held back until it is complete.
+        Whether a response is buffered until it is complete.
     literal_prefixes : bool
-        Whether a route's prefix has to match with its closing slash.
+        Whether a path has to match the prefix of its route literally,
+        including the trailing slash.
     """
 
     deadline: bytes = b'gypsumhall-deadline-ms'
@@ -97,10 +98,10 @@
         b'upgrade',
     ]
 )
-# The runner sets the length from the body that it received.
-_REQUEST_ONLY = frozenset([b'content-length', b'expect'])
+# The runner sets the length to that of the body which it received.
+_DROPPED_REQUEST_HEADERS = frozenset([b'content-length', b'expect'])
 
-_STATUS = {
+_STATUS_BY_CODE = {
     'bad-request': 400,
     'unknown-route': 404,
     'body-timeout': 408,
@@ -118,7 +119,7 @@
 
 
 class CallRefusedError(GypsumhallError):
-    """A call without a response.
+    """A call that ended without a response.
 
     Parameters
     ----------
@@ -127,10 +128,10 @@
     code : str
         Reason, for example ``overloaded``.
     detail : str
-        Explanation for people.
+        Human-readable explanation.
     retry_after_s : float
-        Time in seconds after which there is likely to be room; 0 when that
-        is not known.
+        Time in seconds after which there is likely to be capacity; 0 when
+        that is not known.
     """
 
     code = 'call-refused'
@@ -147,30 +148,30 @@
         self.reason = code
         self.detail = detail
         self.retry_after_s = retry_after_s
-        # Endpoints that were asked, with what each of them said.
+        # Endpoints that were tried, with the failure of each.
         self.trail: tuple[str, ...] = ()
 
     @property
     def status(self) -> int:
-        """HTTP status of the refusal."""
-        return _STATUS.get(self.reason, 503)
+        """HTTP status of the rejection."""
+        return _STATUS_BY_CODE.get(self.reason, 503)
 
     @property
     def promising_status(self) -> int:
-        """HTTP status where 503 promises that a request was not run."""
+        """HTTP status where 503 means that a request was not run."""
         if self.outcome == Outcome.NOT_RUN:
             return 503 if self.status >= 500 else self.status
         return 502 if self.status in (408, 503) else self.status
 
 
 class BrokenResponseError(GypsumhallError):
-    """A response ended early after its head was passed on."""
+    """A response was truncated after its head was forwarded."""
 
     code = 'broken-response'
 
 
 def not_run(code: str, detail: str) -> CallRefusedError:
-    """Return the refusal of a request that certainly was not run."""
+    """Return the rejection of a request that certainly was not run."""
     return CallRefusedError(Outcome.NOT_RUN, code, detail)
 
 
@@ -189,20 +190,22 @@
     body : bytes
         Whole body.
     deadline : float
-        Time in seconds, by `trio.current_time`, at which nobody waits for
-        the response any more.
+        Time in seconds, by `trio.current_time`, at which the caller stops
+        waiting for the response.
     idempotent : bool
         Whether the request may be repeated.
     key : str
         Idempotency key; empty for none.
     objective : float
-        Time until which a response is worth most; 0 for the deadline.
+        Time of the latency objective, in seconds as for `deadline`; 0 for
+        the deadline.
     priority : int
         Rank of the route, 0 for the most urgent.
     attempts : int
-        Most endpoints that the request may reach; 0 for no own limit.
-    returning : bool
-        Whether the caller was refused before.
+        Maximum number of endpoints that the request may reach; 0 for the
+        default of the sender.
+    is_caller_retry : bool
+        Whether the caller retries after a rejection.
     """
 
     service: str
@@ -221,56 +224,56 @@
 
 
 class ResponseSink(Protocol):
-    """Receives a response, for example to pass it on to the caller."""
+    """Receives a response, for example to forward it to the caller."""
 
     async def head(self, status: int, headers: Headers) -> None:
-        """Take the status and the headers."""
+        """Receive the status and the headers."""
         ...
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body; empty only when it is the last."""
+        """Receive a part of the body; empty only when it is the last."""
         ...
 
 
 class HeldBytes:
-    """Counts the bytes of responses that all calls of a daemon keep.
+    """Limits the bytes of responses that all calls of a daemon buffer.
 
     Parameters
     ----------
     limit : int, optional
-        Most bytes; by default `MAX_HELD_RESPONSES`.
+        Maximum bytes; by default `MAX_BUFFERED_RESPONSE_BYTES`.
     """
 
     __slots__ = ('_limit', 'used')
 
     def __init__(self, limit: int | None = None) -> None:
-        self._limit = MAX_HELD_RESPONSES if limit is None else limit
+        self._limit = MAX_BUFFERED_RESPONSE_BYTES if limit is None else limit
         self.used = 0
 
     def has_room(self, size: int) -> bool:
-        """Return whether that many bytes may be kept in addition."""
+        """Return whether that many more bytes may be buffered."""
         return self.used + size <= self._limit
 
     def take(self, size: int) -> bool:
-        """Count bytes that are kept; False if there is no room for them."""
+        """Reserve bytes; False if they would exceed the limit."""
         if not self.has_room(size):
             return False
         self.used += size
         return True
 
     def release(self, size: int) -> None:
-        """Count bytes that are kept no more."""
+        """Release reserved bytes."""
         self.used -= size
 
 
 class Recorder:
-    """Keeps a response for repetition, unless it becomes too large.
+    """Records a response, unless it becomes too large.
 
     Parameters
     ----------
     held : HeldBytes, optional
-        Room for the body, which is given back when the recorder is freed;
-        by default that of the recorder alone.
+        Memory limit that the body counts against until the recorder is
+        freed; by default a separate one.
     """
 
     __slots__ = ('_body', '_headers', '_held', '_status')
@@ -287,27 +290,27 @@
 
     @property
     def response(self) -> RecordedResponse | None:
-        """The response; None when it was too large."""
+        """Recorded response; None if it has not begun or was too large."""
         if self._body is None or not self._status:
             return None
         return RecordedResponse(self._status, self._headers, bytes(self._body))
 
     @property
     def size(self) -> int:
-        """Bytes of the body that are kept."""
+        """Bytes of the body that are recorded."""
         return len(self._body or b'')
 
     def head(self, status: int, headers: Headers) -> None:
-        """Take the status and the headers."""
+        """Record the status and the headers."""
         self._status = status
         self._headers = headers
 
     def chunk(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Record a part of the body."""
         if self._body is None:
             return
         size = len(self._body) + len(data)
-        if size <= MAX_RECORDED_BODY and self._held.take(len(data)):
+        if size <= MAX_RECORDED_BODY_BYTES and self._held.take(len(data)):
             self._body += data
         else:
             self._drop()
@@ -325,7 +328,7 @@
 
 
 async def deliver(response: RecordedResponse, sink: ResponseSink) -> None:
-    """Send a whole response to a sink."""
+    """Send a recorded response to a sink."""
     await sink.head(response.status, response.headers)
     sent = 0
     for part in chunks(response.body):
@@ -336,33 +339,41 @@
 def request_headers(
     headers: Iterable[tuple[bytes, bytes]], dialect: Dialect = OWN_DIALECT
 ) -> Headers:
-    """Return the headers of a request that are passed on.
+    """Return the headers of a request that are forwarded.
 
-    Those that the system sets itself are left out.
+    Those that the daemons set themselves are dropped.
     """
-    own = (dialect.deadline, dialect.caller_service, dialect.expected_instance)
-    return _end_to_end(headers, _REQUEST_ONLY.union(own))
+    internal = (
+        dialect.deadline,
+        dialect.caller_service,
+        dialect.expected_instance,
+    )
+    return _end_to_end(headers, _DROPPED_REQUEST_HEADERS.union(internal))
 
 
 def response_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers of a response that are passed on."""
+    """Return the headers of a response that are forwarded."""
     return _end_to_end(headers, frozenset())
 
 
 def _end_to_end(
     headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
 ) -> Headers:
-    kept = []
-    named: set[bytes] = set()
+    end_to_end = []
+    connection_options: set[bytes] = set()
     for name, value in headers:
         lower = name.lower()
         if lower == b'connection':
-            named.update(item.strip() for item in value.lower().split(b','))
+            connection_options.update(
+                item.strip() for item in value.lower().split(b',')
+            )
         elif lower not in _HOP_BY_HOP and lower not in dropped:
-            kept.append((lower, value))
-    if named:
-        return tuple(item for item in kept if item[0] not in named)
-    return tuple(kept)
+            end_to_end.append((lower, value))
+    if connection_options:
+        return tuple(
+            item for item in end_to_end if item[0] not in connection_options
+        )
+    return tuple(end_to_end)
 
 
 def header_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int:
--- a/gypsumhall/services/_race.py
+++ b/gypsumhall/services/_race.py
@@ -1,4 +1,4 @@
-"""Attempts at one request that run beside each other."""
+"""Hedged requests: concurrent attempts, of which one responds."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
     from gypsumhall.services import _calls
 
 
-class Lane:
-    """Response sink of one of the attempts.
+class HedgedAttempt:
+    """Response sink of one attempt at a hedged request.
 
     Parameters
     ----------
-    race : Race
+    hedged_request : HedgedRequest
         All attempts at the request.
 
     Attributes
@@ -26,32 +26,32 @@
     ended : trio.Event
         Set when the attempt has ended.
     failure : CallRefused or None
-        Why it failed; None while it runs and when it responded.
+        Why the attempt failed; None while it runs and when it responded.
     error : Exception or None
-        Error with which it broke off.
+        Error that ended the attempt after it had begun to respond.
     """
 
-    __slots__ = ('_race', 'ended', 'error', 'failure', 'scope')
+    __slots__ = ('_hedged_request', 'ended', 'error', 'failure', 'scope')
 
-    def __init__(self, race: Race) -> None:
-        self._race = race
+    def __init__(self, hedged_request: HedgedRequest) -> None:
+        self._hedged_request = hedged_request
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
         self.failure: CallRefused | None = None
         self.error: Exception | None = None
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Take the status and the headers, and end the other attempts."""
-        await self._race.claim(self)
-        await self._race.sink.head(status, headers)
+        """Forward the status and headers, and cancel the other attempts."""
+        await self._hedged_request.claim(self)
+        await self._hedged_request.sink.head(status, headers)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
-        """Take a part of the body."""
-        await self._race.sink.chunk(data, last=last)
+        """Forward a part of the body."""
+        await self._hedged_request.sink.chunk(data, last=last)
 
 
-class Race:
-    """Passes the response of the first attempt that has one.
+class HedgedRequest:
+    """Forwards the response of the attempt that responds first.
 
     Parameters
     ----------
@@ -60,29 +60,29 @@
 
     Attributes
     ----------
-    winner : Lane or None
-        Attempt that responds.
+    winner : HedgedAttempt or None
+        Attempt that responded first.
     """
 
-    __slots__ = ('_lanes', 'sink', 'winner')
+    __slots__ = ('_attempts', 'sink', 'winner')
 
     def __init__(self, sink: _calls.ResponseSink) -> None:
-        self._lanes: list[Lane] = []
+        self._attempts: list[HedgedAttempt] = []
         self.sink = sink
-        self.winner: Lane | None = None
+        self.winner: HedgedAttempt | None = None
 
-    def add(self) -> Lane:
-        """Return the sink of one more attempt."""
-        lane = Lane(self)
-        self._lanes.append(lane)
-        return lane
+    def add(self) -> HedgedAttempt:
+        """Add an attempt and return its sink."""
+        attempt = HedgedAttempt(self)
+        self._attempts.append(attempt)
+        return attempt
 
-    async def claim(self, lane: Lane) -> None:
-        """Let one attempt respond; never returns for any other."""
+    async def claim(self, attempt: HedgedAttempt) -> None:
+        """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
-            self.winner = lane
-            for other in self._lanes:
-                if other is not lane:
+            self.winner = attempt
+            for other in self._attempts:
+                if other is not attempt:
                     other.scope.cancel()
-        if self.winner is not lane:
+        if self.winner is not attempt:
             await trio.sleep_forever()
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -1,4 +1,4 @@
-"""Sender: chooses a runner for each request and settles its outcome."""
+"""Sender (client-side proxy): chooses a runner for each request."""
 
 from __future__ import annotations
 
@@ -36,23 +36,23 @@
     from gypsumhall.services import _protocols
 
 _MAX_ATTEMPTS = 4
-# Services whose budgets are kept.
+# Services for which retry budgets are stored.
 _MAX_BUDGETS = 4096
 
 
 @dataclass(slots=True, frozen=True)
 class RetryLimits:
-    """Repetitions that the senders of one service may make.
+    """Retries that the senders of one service may make.
 
     Parameters
     ----------
     share : float
-        Repetitions per call.
+        Retries per call.
     floor_per_s : float
-        Repetitions per second that are allowed in any case.
+        Retries per second that are always allowed.
     fleet_wide : bool
-        Whether the floor is that of all daemons together, of which each
-        takes an equal part.
+        Whether the floor is the total of all daemons, divided equally
+        between them.
     """
 
     share: float = 0.1
@@ -60,16 +60,17 @@
     fleet_wide: bool = False
 
 
-# Attempts that stale routing data may cost one request in addition.
+# Retries per request, due to stale routing data, that are not counted as
+# attempts.
 _MAX_FREE_RETRIES = 16
 # Time in seconds for which a request waits for an endpoint after all have
-# failed: a killed process is replaced or declared dead within it.
-_WAIT_S = 3.0
+# failed. A killed process is replaced or declared dead within this time.
+_ENDPOINT_WAIT_S = 3.0
 _FIRST_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.5
-# Refusals for stale routing data cost the fleet no work, so their retries
-# do not count against the budget.
-_FREE_RETRIES = frozenset(
+# Rejections due to stale routing data cost the fleet no work, so retries
+# after them do not count against the budget.
+_FREE_RETRY_CODES = frozenset(
     [
         'busy',
         'draining',
@@ -80,41 +81,42 @@
         'version-mismatch',
     ]
 )
-# Endpoints that are asked for a slot without a long wait, before the request
-# is put in the line of the best one.
-_OFFERS = 2
-# Part of the time to the objective for which such an offer may wait.
-_OFFER_WAIT_SHARE = 0.1
-# Refusals after which another endpoint may have room.
-_NO_ROOM = frozenset(['busy', 'overloaded'])
-# Time between two questions to a daemon that did not answer, in seconds.
-_PROBE_S = 0.25
-# Time after which a caller may return when no endpoint is ready, in seconds:
-# that in which a daemon that was stopped starts again.
+# Endpoints that are tried with a limit on the expected wait for a slot, before
+# the request may join the queue of the best one.
+_MAX_SHORT_WAIT_ATTEMPTS = 2
+# That limit, as a fraction of the time left until the latency objective.
+_SHORT_WAIT_FRACTION = 0.1
+# Rejections after which another endpoint may have capacity.
+_NO_CAPACITY_CODES = frozenset(['busy', 'overloaded'])
+# Timeout of a probe of an unreachable daemon and mean delay until the next
+# one, in seconds.
+_PROBE_INTERVAL_S = 0.25
+# Time in seconds after which a caller may retry when no endpoint is ready: a
+# stopped daemon starts again within it.
 _NO_ENDPOINT_RETRY_S = 0.5
-# Endpoints that a log line names for one request.
-_MAX_TRAIL = 8
-# Endpoints without room after which a request is refused.
-_MAX_NO_ROOM = 4
-# Certain refusals of one attempt by the owner of a key.
-_ATTEMPT_ONLY = frozenset(['buffer-full', 'refused'])
-# Refusals of a keyed request before anything was sent or claimed.
-_OWNER_ONLY = frozenset(['key-owner-unreachable', 'not-owner'])
-# Refusals that every other endpoint would repeat.
-_FINAL = frozenset(['bad-request', 'request-too-large'])
-# Refusals that show a faulty endpoint, and those that show nothing.
-_FAULTS = frozenset(
+# Failed attempts that the log line of one request lists.
+_MAX_TRAIL_ENTRIES = 8
+# Endpoints without capacity after which a request is rejected.
+_MAX_NO_CAPACITY_REJECTIONS = 4
+# Definite rejections of a single attempt by the owner of a key.
+_ATTEMPT_ONLY_CODES = frozenset(['buffer-full', 'refused'])
+# Rejections of a keyed request before it was sent or its key was claimed.
+_OWNER_UNAVAILABLE_CODES = frozenset(['key-owner-unreachable', 'not-owner'])
+# Rejections that every other endpoint would repeat.
+_FINAL_CODES = frozenset(['bad-request', 'request-too-large'])
+# Failures that indicate a faulty endpoint; other codes say nothing about it.
+_FAULT_CODES = frozenset(
     ['backend-reset', 'backend-unreachable', 'bad-response', 'peer-lost']
 )
-_RETRIED_STATUS = (502, 503, 504)
+_RETRIED_STATUSES = (502, 503, 504)
 _SEVERITY = {Outcome.NOT_RUN: 0, Outcome.UNKNOWN: 1, Outcome.RUN: 2}
 
 ExecuteKeyed = Callable[
     ['_calls.Request', '_calls.ResponseSink'], Awaitable[None]
 ]
 SplitSource = Callable[['Snapshot', str, set[str]], 'Split']
-"""Returns how the calls of a service are divided, from the configuration, the
-service and the versions of its ready endpoints."""
+"""Returns how the calls of a service are split between versions, given the
+configuration, the service and the versions of its ready endpoints."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -124,9 +126,9 @@
     version: str
     # Whether the call was assigned to the version at random, so that it is
     # evidence about the move.
-    evidence: bool
-    # Whether another attempt at the request still runs. Such a one takes a
-    # free slot only, as waiting work goes before repeated work.
+    is_evidence: bool
+    # Whether another attempt at the request is still running. A backup only
+    # gets a free slot, as queued calls take precedence over repeated ones.
     is_backup: bool = False
 
     @property
@@ -139,45 +141,45 @@
     request: _calls.Request
     sink: _calls.ResponseSink
     attempts: int = 0
-    # Attempts that run at the moment.
-    running: int = 0
-    tried: set[str] = field(default_factory=set)
-    # Members that certainly did not run the request and would refuse again.
-    refused_by: set[str] = field(default_factory=set)
-    # The worst that an attempt can have done; the refusal of a later
-    # attempt must not say less.
+    # Attempts in progress.
+    running_attempts: int = 0
+    tried_members: set[str] = field(default_factory=set)
+    # Members that certainly did not run the request and would reject it again.
+    rejected_by: set[str] = field(default_factory=set)
+    # Worst outcome of the attempts so far. The rejection of a later attempt
+    # must not report a better one.
     outcome: Outcome = Outcome.NOT_RUN
-    last: CallRefused | None = None
-    # Response with a failure status, in case that no retry does better.
+    last_failure: CallRefused | None = None
+    # Response with a failure status, for the case that no retry succeeds.
     fallback: _calls.Recorder | None = None
     retry_granted: bool = False
     free_retries: int = 0
     # Version that the request was assigned to, and whether it failed there.
     version: str | None = None
     failed: bool = False
-    # Endpoints that refused because they have no free slot or no room.
-    no_room: int = 0
+    # Endpoints that rejected the request for lack of a free slot or capacity.
+    no_capacity_rejections: int = 0
     trail: list[str] = field(default_factory=list)
     retry_after_s: float = math.inf
     backoff_s: float = _FIRST_BACKOFF_S
-    give_up_at: float = math.inf
+    endpoint_wait_until: float = math.inf
 
-    def note(
+    def record_failure(
         self, member_id: str, failure: CallRefused, started: float
     ) -> None:
-        self.last = failure
-        if len(self.trail) < _MAX_TRAIL:
-            took_ms = (trio.current_time() - started) * 1000
+        self.last_failure = failure
+        if len(self.trail) < _MAX_TRAIL_ENTRIES:
+            elapsed_ms = (trio.current_time() - started) * 1000
             limit_ms = (self.request.deadline - started) * 1000
             self.trail.append(
                 f'{_describe(member_id, failure)} '
-                f'after {took_ms:.0f} of {limit_ms:.0f} ms'
+                f'after {elapsed_ms:.0f} of {limit_ms:.0f} ms'
             )
-        if failure.code in _NO_ROOM and failure.retry_after_ms:
+        if failure.code in _NO_CAPACITY_CODES and failure.retry_after_ms:
             retry_after_s = failure.retry_after_ms / 1000
             self.retry_after_s = min(self.retry_after_s, retry_after_s)
         if failure.outcome == Outcome.NOT_RUN and failure.code != 'busy':
-            self.refused_by.add(member_id)
+            self.rejected_by.add(member_id)
         if _SEVERITY[failure.outcome] > _SEVERITY[self.outcome]:
             self.outcome = failure.outcome
 
@@ -214,12 +216,11 @@
     dialect : Dialect
         Names of the headers that callers and backend servers use.
     splits : callable, optional
-        How calls are divided between versions; by default as the
-        configuration says.
+        How calls are split between versions; by default as configured.
     retries : RetryLimits, optional
-        Repetitions that are allowed.
+        Limits of retries.
     held : HeldBytes, optional
-        Room for responses that are held back or kept.
+        Memory limit of buffered responses.
     """
 
     def __init__(
@@ -241,11 +242,11 @@
         self._whole_responses = dialect.whole_responses
         self._retries = retries or RetryLimits()
         self._floor_per_s = self._retries.floor_per_s
-        self._revision = -1
+        self._membership_revision = -1
         self._splits = splits or self._configured_split
         self._peers = peers
         self._nursery: trio.Nursery | None = None
-        self._probed: set[str] = set()
+        self._probed_members: set[str] = set()
         self._membership = membership
         self._distribution = distribution
         self._rng = rng
@@ -264,7 +265,7 @@
         )
 
     async def run(self) -> None:
-        """Ask daemons that were left out whether they answer again."""
+        """Probe unreachable daemons until they respond again."""
         try:
             async with trio.open_nursery() as self._nursery:
                 await trio.sleep_forever()
@@ -287,14 +288,14 @@
         sink : ResponseSink
             Receives the response.
         unkeyed : bool
-            Whether the key has been dealt with by its owner.
+            Whether the owner of the key has claimed it already.
 
         Raises
         ------
         CallRefusedError
             When there is no response.
         BrokenResponseError
-            When the response broke off after its head was passed on.
+            When the response was truncated after its head was forwarded.
         """
         if request.key and not request.idempotent and not unkeyed:
             await self._send_to_owner(request, sink)
@@ -306,8 +307,8 @@
     ) -> None:
         """Send a request to the owner of its key.
 
-        The owner's key ledger makes repetition safe. A refusal by its
-        execution ledger settles only one attempt and says nothing about
+        The owner's key ledger makes retries safe. A rejection by its
+        execution ledger applies to one attempt only and says nothing about
         earlier requests with the key.
         """
         attempts = 0
@@ -318,24 +319,25 @@
                 assert self.execute_keyed is not None
                 await self.execute_keyed(request, sink)
                 return
-            refused = await self._attempt_at_owner(owner, request, sink)
-            if refused is None:
+            rejection = await self._attempt_at_owner(owner, request, sink)
+            if rejection is None:
                 return
             left = request.deadline - trio.current_time()
-            if refused.code in _OWNER_ONLY and left > backoff_s:
-                # Another daemon will own the key, or this one comes back.
+            if rejection.code in _OWNER_UNAVAILABLE_CODES and left > backoff_s:
+                # Another daemon will own the key, or the owner will be
+                # reachable again.
                 await trio.sleep(backoff_s * (0.5 + self._rng.random()))
                 backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
                 continue
             attempts += 1
-            # Every attempt that was lost has been settled, so that it
-            # cannot run after a later one has been refused.
-            if refused.code not in _ATTEMPT_ONLY:
+            # The outcome of every lost attempt has been resolved, so that
+            # none can run after a later one has been rejected.
+            if rejection.code not in _ATTEMPT_ONLY_CODES:
                 raise _calls.CallRefusedError(
-                    refused.outcome, refused.code, refused.detail
+                    rejection.outcome, rejection.code, rejection.detail
                 )
         raise _calls.CallRefusedError(
-            Outcome.UNKNOWN, 'peer-lost', 'streams to the owner were lost'
+            Outcome.UNKNOWN, 'peer-lost', 'streams to the key owner were lost'
         )
 
     def _owner(self, request: _calls.Request) -> Member:
@@ -348,7 +350,7 @@
             raise _calls.CallRefusedError(
                 Outcome.UNKNOWN,
                 'no-key-owner',
-                f'no endpoint of {request.service} to own the key',
+                f'no endpoint of {request.service} can own the key',
             )
         return owner
 
@@ -367,10 +369,12 @@
                 call.request_id,
                 Outcome.UNKNOWN,
                 'key-owner-unreachable',
-                f'owner {owner.id} of the key: {error}',
+                f'key owner {owner.id} is unreachable: {error}',
             )
         if not receiver.done:
-            await self._attempts.settle(owner, call, request, receiver)
+            await self._attempts.resolve_outcome(
+                owner, call, request, receiver
+            )
         return _failure(receiver, call.request_id, owner.id)
 
     async def _send(
@@ -384,10 +388,10 @@
                 if await self._wait_for_endpoint(progress):
                     continue
                 break
-            if choice.evidence and request.idempotent:
+            if choice.is_evidence and request.idempotent:
                 failure = await self._attempt_with_backup(choice, progress)
             else:
-                failure = await self._try(choice, progress, sink)
+                failure = await self._make_attempt(choice, progress, sink)
             if failure is None:
                 return
             if not self._may_retry(choice, progress, failure):
@@ -397,29 +401,29 @@
             if response is not None:
                 await _calls.deliver(response, sink)
                 return
-        last = progress.last
-        if last is None:
+        last_failure = progress.last_failure
+        if last_failure is None:
             retry_after_s = self._load_balancer.retry_after_s(
                 request.service, trio.current_time()
             )
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 'overloaded' if retry_after_s else 'no-endpoint',
-                f'no endpoint of {request.service} has room',
+                f'no endpoint of {request.service} has capacity',
                 retry_after_s or _NO_ENDPOINT_RETRY_S,
             )
         retry_after_s = progress.retry_after_s
         error = _calls.CallRefusedError(
             progress.outcome,
-            last.code,
-            last.detail,
+            last_failure.code,
+            last_failure.detail,
             0.0 if math.isinf(retry_after_s) else retry_after_s,
         )
         error.trail = tuple(progress.trail)
         raise error
 
     def _budget(self, service: str) -> RetryBudget:
-        self._follow_members()
+        self._update_retry_floor()
         budget = self._budgets.get(service)
         if budget is None:
             if len(self._budgets) >= _MAX_BUDGETS:
@@ -428,16 +432,19 @@
             self._budgets[service] = budget
         return budget
 
-    def _follow_members(self) -> None:
-        """Keep the sum of the floors when daemons come and go.
+    def _update_retry_floor(self) -> None:
+        """Divide the fleet's retry floor by the current number of daemons.
 
-        A daemon that has just started knows few others; its budgets must
-        not keep the floor of that moment.
+        A daemon that has just started knows few others, so existing budgets
+        must not keep the high floor that it computed then.
         """
         table = self._membership.table
-        if not self._retries.fleet_wide or table.revision == self._revision:
+        if (
+            not self._retries.fleet_wide
+            or table.revision == self._membership_revision
+        ):
             return
-        self._revision = table.revision
+        self._membership_revision = table.revision
         daemons = sum(
             1
             for member in table.members()
@@ -453,23 +460,28 @@
         return snapshot.split(service, self._distribution.reverts)
 
     async def _wait_for_endpoint(self, progress: _Progress) -> bool:
-        """Wait until all endpoints may be tried again; False to give up.
+        """Wait before all endpoints are tried again; False on time-out.
 
         Right after several processes died or restarted, every endpoint in
-        the table can fail at once although others appear soon.
+        the member table can fail at once although others will be ready soon.
+        Other failures than stale routing data are not waited for.
         """
-        last = progress.last
-        if last is None or last.code not in _FREE_RETRIES:
+        last_failure = progress.last_failure
+        if last_failure is None or last_failure.code not in _FREE_RETRY_CODES:
             return False
         now = trio.current_time()
-        progress.give_up_at = min(progress.give_up_at, now + _WAIT_S)
-        give_up_at = min(progress.give_up_at, progress.request.deadline)
-        if now + progress.backoff_s >= give_up_at:
+        progress.endpoint_wait_until = min(
+            progress.endpoint_wait_until, now + _ENDPOINT_WAIT_S
+        )
+        endpoint_wait_until = min(
+            progress.endpoint_wait_until, progress.request.deadline
+        )
+        if now + progress.backoff_s >= endpoint_wait_until:
             return False
         await trio.sleep(progress.backoff_s * (0.5 + self._rng.random()))
         progress.backoff_s = min(2 * progress.backoff_s, _MAX_BACKOFF_S)
-        progress.tried.clear()
-        progress.refused_by.clear()
+        progress.tried_members.clear()
+        progress.rejected_by.clear()
         return True
 
     def _choose(self, progress: _Progress) -> _Choice | None:
@@ -502,31 +514,31 @@
         if progress.failed:
             version = split.old_version
         first = not progress.failed
-        for item in _versions(split, version):
-            member = self._find(progress, item, now)
+        for item in _eligible_versions(split, version):
+            member = self._choose_endpoint(progress, item, now)
             if member is not None:
                 comparable = split.stage > 0 or (
                     request.idempotent and not request.key
                 )
-                evidence = (
+                is_evidence = (
                     first and item == version and comparable
                 ) and split.new_version is not None
-                return _Choice(member, split, item, evidence)
+                return _Choice(member, split, item, is_evidence)
         return None
 
-    def _find(
+    def _choose_endpoint(
         self, progress: _Progress, version: str, now: float
     ) -> Member | None:
-        """Return an endpoint that has not refused the request for good.
+        """Return an endpoint that has not definitely rejected the request.
 
-        Those that were tried are chosen again only if no other is left.
+        Endpoints that were tried are chosen again only if no other is left.
         """
         service = progress.request.service
-        refused = progress.refused_by
-        tried = refused | progress.tried
+        rejecting_members = progress.rejected_by
+        tried_members = rejecting_members | progress.tried_members
         rank = progress.request.priority
         route = progress.request.route
-        for exclude in (tried, refused):
+        for exclude in (tried_members, rejecting_members):
             member = self._load_balancer.choose(
                 service, version, now, exclude, rank, route
             )
@@ -538,105 +550,122 @@
         self, progress: _Progress, member_id: str, now: float
     ) -> float | None:
         objective = progress.request.objective
-        if progress.no_room >= _OFFERS or not objective:
+        if (
+            progress.no_capacity_rejections >= _MAX_SHORT_WAIT_ATTEMPTS
+            or not objective
+        ):
             return None
-        limit_s = max(0.0, _OFFER_WAIT_SHARE * (objective - now))
+        limit_s = max(0.0, _SHORT_WAIT_FRACTION * (objective - now))
         if self._load_balancer.expected_wait_s(member_id, now) > limit_s:
-            # The best endpoint is known to be busy, so all of them are.
+            # Even the best endpoint exceeds the limit, so all of them do.
             return None
         return limit_s
 
-    def _leave_out(self, member: Member) -> None:
-        """Leave out a daemon that did not answer, until it does."""
+    def _mark_unreachable(self, member: Member) -> None:
+        """Exclude a daemon from load balancing until a probe succeeds."""
         nursery = self._nursery
-        if member.id in self._probed or nursery is None:
+        if member.id in self._probed_members or nursery is None:
             return
         if nursery.cancel_scope.cancel_called:
             return
         self._load_balancer.set_reachable(member.id, reachable=False)
-        self._probed.add(member.id)
+        self._probed_members.add(member.id)
         nursery.start_soon(self._probe, member)
 
     async def _probe(self, member: Member) -> None:
-        """Ask a daemon whether it answers, so that no request has to."""
+        """Probe a daemon until it responds, so that no request has to try."""
         try:
             while True:
-                known = self._membership.table.get(member.id)
-                if known is None or not known.is_live:
+                current = self._membership.table.get(member.id)
+                if current is None or not current.is_live:
                     # Its address may belong to another daemon by now.
                     break
                 try:
                     await self._peers.request(
-                        known.peer_address, Ping(), timeout_s=_PROBE_S
+                        current.peer_address,
+                        Ping(),
+                        timeout_s=_PROBE_INTERVAL_S,
                     )
                     break
                 except PeerError:
-                    await trio.sleep(_PROBE_S * (0.5 + self._rng.random()))
+                    await trio.sleep(
+                        _PROBE_INTERVAL_S * (0.5 + self._rng.random())
+                    )
         finally:
-            self._probed.discard(member.id)
+            self._probed_members.discard(member.id)
             self._load_balancer.set_reachable(member.id, reachable=True)
 
     async def _attempt_with_backup(
         self, choice: _Choice, progress: _Progress
     ) -> CallRefused | None:
-        """Make an attempt, and one beside it if it takes long.
+        """Make an attempt, and a backup attempt if the first one is slow.
 
         Another endpoint can still respond when a version hangs. The first
-        attempt goes on, as the second may be refused.
+        attempt continues, as the backup may be rejected.
         """
-        race = _race.Race(progress.sink)
-        first, second = race.add(), race.add()
+        hedged_request = _race.HedgedRequest(progress.sink)
+        first, second = hedged_request.add(), hedged_request.add()
         left = progress.request.deadline - trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_lane, first, choice, progress)
+            nursery.start_soon(
+                self._run_hedged_attempt, first, choice, progress
+            )
             with trio.move_on_after(_calls.SLOW_SHARE * left):
                 await first.ended.wait()
-            if not first.ended.is_set() and race.winner is None:
+            if not first.ended.is_set() and hedged_request.winner is None:
                 backup = self._choose_backup(choice, progress)
                 if backup is not None:
-                    await self._run_lane(second, backup, progress)
-                    self._settle_backup(choice, second, progress)
-        for lane in (first, second):
-            if lane.error is not None:
-                raise lane.error
-        if race.winner is not None:
-            return race.winner.failure
+                    await self._run_hedged_attempt(second, backup, progress)
+                    self._refund_unrun_backup(choice, second, progress)
+        for attempt in (first, second):
+            if attempt.error is not None:
+                raise attempt.error
+        if hedged_request.winner is not None:
+            return hedged_request.winner.failure
         return first.failure
 
-    def _settle_backup(
-        self, choice: _Choice, lane: _race.Lane, progress: _Progress
+    def _refund_unrun_backup(
+        self,
+        choice: _Choice,
+        attempt: _race.HedgedAttempt,
+        progress: _Progress,
     ) -> None:
-        """Do not charge a backup that reached no endpoint."""
-        failure = lane.failure
+        """Refund the retry of a backup attempt that was not run."""
+        failure = attempt.failure
         if failure is None or failure.outcome != Outcome.NOT_RUN:
             return
         progress.free_retries += 1
-        if self._is_charged(choice):
+        if self._uses_retry_budget(choice):
             self._budget(progress.request.service).refund()
 
-    async def _run_lane(
-        self, lane: _race.Lane, choice: _Choice, progress: _Progress
+    async def _run_hedged_attempt(
+        self,
+        attempt: _race.HedgedAttempt,
+        choice: _Choice,
+        progress: _Progress,
     ) -> None:
         try:
-            with lane.scope:
-                lane.failure = await self._try(choice, progress, lane)
+            with attempt.scope:
+                attempt.failure = await self._make_attempt(
+                    choice, progress, attempt
+                )
         except _calls.BrokenResponseError as error:
-            lane.error = error
+            attempt.error = error
         finally:
-            lane.ended.set()
+            attempt.ended.set()
 
     def _choose_backup(
         self, choice: _Choice, progress: _Progress
     ) -> _Choice | None:
-        """Return an endpoint for an attempt beside one that takes long."""
+        """Return the endpoint for a backup of a slow attempt, or None."""
         split = choice.split
         request = progress.request
-        for version in _versions(split, split.old_version):
+        for version in _eligible_versions(split, split.old_version):
             member = self._load_balancer.choose(
                 request.service,
                 version,
                 trio.current_time(),
-                progress.tried | progress.refused_by,
+                progress.tried_members | progress.rejected_by,
                 request.priority,
                 request.route,
             )
@@ -644,42 +673,43 @@
                 continue
             if not self._retry_is_possible(progress):
                 return None
-            # A failing response that still arrives has paid for it.
+            # A failed response that is still arriving may have taken the
+            # retry from the budget already.
             granted = progress.retry_granted
             progress.retry_granted = False
-            if not granted and not self._may_repeat(choice, progress):
+            if not granted and not self._take_retry(choice, progress):
                 return None
             return _Choice(member, split, version, False, is_backup=True)
         return None
 
-    async def _try(
+    async def _make_attempt(
         self,
         choice: _Choice,
         progress: _Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
-        """Make an attempt and take note of why it failed, or return None."""
+        """Make an attempt; record and return its failure, if any."""
         progress.attempts += 1
-        progress.running += 1
+        progress.running_attempts += 1
         started = trio.current_time()
         try:
-            failure = await self._attempt(choice, progress, sink)
+            failure = await self._send_attempt(choice, progress, sink)
         finally:
-            progress.running -= 1
+            progress.running_attempts -= 1
         if failure is not None:
-            progress.note(choice.member.id, failure, started)
+            progress.record_failure(choice.member.id, failure, started)
         return failure
 
-    async def _attempt(
+    async def _send_attempt(
         self,
         choice: _Choice,
         progress: _Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
-        """Make an attempt; return why it failed, or None."""
+        """Send the request to a runner; return the failure, or None."""
         request = progress.request
         member = choice.member
-        progress.tried.add(member.id)
+        progress.tried_members.add(member.id)
         left = request.deadline - trio.current_time()
         if left <= 0:
             return CallRefused(
@@ -689,7 +719,7 @@
             request,
             member,
             choice.version,
-            split=choice.split if choice.evidence else None,
+            split=choice.split if choice.is_evidence else None,
             max_wait_s=0.0
             if choice.is_backup
             else self._max_wait_s(progress, member.id, trio.current_time()),
@@ -697,10 +727,10 @@
         receiver = _attempts.Receiver(
             call.request_id,
             sink,
-            hold=self._whole_responses
+            buffer_response=self._whole_responses
             or (request.idempotent and choice.is_new),
-            should_retry=(
-                lambda status: self._withhold(choice, progress, status)
+            should_withhold=(
+                lambda status: self._should_withhold(choice, progress, status)
             )
             if request.idempotent
             else None,
@@ -712,11 +742,11 @@
         try:
             await self._attempts.run(member, call, request, receiver)
             if not receiver.done and not request.idempotent:
-                await self._settle(choice, call, request, receiver)
+                await self._resolve_outcome(choice, call, request, receiver)
             failure = _failure(receiver, call.request_id, member.id)
             failed = receiver.status >= 500 if receiver.status else None
         except PeerUnreachableError as error:
-            self._leave_out(member)
+            self._mark_unreachable(member)
             failure = CallRefused(
                 call.request_id,
                 Outcome.NOT_RUN,
@@ -728,13 +758,15 @@
             raise
         finally:
             if failure is not None and failure.code != 'withheld':
-                failed = True if failure.code in _FAULTS else failed or None
+                failed = (
+                    True if failure.code in _FAULT_CODES else failed or None
+                )
             now = trio.current_time()
             self._load_balancer.end(member.id, now, failed=failed)
             if receiver.load is not None:
                 self._load_balancer.report(member.id, now, receiver.load)
             if failure is not None and failure.code == 'peer-lost':
-                self._leave_out(member)
+                self._mark_unreachable(member)
             if failure is not None and failure.code == 'overloaded':
                 self._load_balancer.mark_full(
                     member.id,
@@ -751,7 +783,7 @@
             progress.fallback = receiver.recorder
         return failure
 
-    async def _settle(
+    async def _resolve_outcome(
         self,
         choice: _Choice,
         call: CallStart,
@@ -759,36 +791,41 @@
         receiver: _attempts.Receiver,
     ) -> None:
         if choice.member.id != self._me:
-            await self._attempts.settle(choice.member, call, request, receiver)
+            await self._attempts.resolve_outcome(
+                choice.member, call, request, receiver
+            )
 
-    def _withhold(
+    def _should_withhold(
         self, choice: _Choice, progress: _Progress, status: int
     ) -> bool:
-        """Decide by its status whether a response is replaced by a retry."""
-        if progress.running > 1:
-            # The other attempt has been paid for and may succeed.
+        """Return whether a response with this status is withheld for a retry.
+
+        A retry that this needs is taken from the budget.
+        """
+        if progress.running_attempts > 1:
+            # The other attempt is already charged and may succeed.
             return status >= 500
-        fails = status in _RETRIED_STATUS
+        fails = status in _RETRIED_STATUSES
         if choice.is_new or self._whole_responses:
             fails = status >= 500
         if not fails or not self._retry_is_possible(progress):
             return False
-        progress.retry_granted = self._may_repeat(choice, progress)
+        progress.retry_granted = self._take_retry(choice, progress)
         return progress.retry_granted
 
-    def _may_repeat(self, choice: _Choice, progress: _Progress) -> bool:
-        """Take a repetition from the budget of the service.
+    def _take_retry(self, choice: _Choice, progress: _Progress) -> bool:
+        """Take a retry from the budget of the service; False if it is empty.
 
         A call that failed on the new version of a move has to succeed on
-        the old one; the move's share bounds these unless the budget is the
-        fleet's.
+        the old one, so its retry is not charged: the move's share limits
+        these retries. It is charged if the budget is that of the fleet.
         """
-        if not self._is_charged(choice):
+        if not self._uses_retry_budget(choice):
             return True
         budget = self._budget(progress.request.service)
         return budget.retry(trio.current_time())
 
-    def _is_charged(self, choice: _Choice) -> bool:
+    def _uses_retry_budget(self, choice: _Choice) -> bool:
         return not choice.is_new or self._whole_responses
 
     def _retry_is_possible(self, progress: _Progress) -> bool:
@@ -801,11 +838,11 @@
     def _may_retry(
         self, choice: _Choice, progress: _Progress, failure: CallRefused
     ) -> bool:
-        if failure.code in _NO_ROOM:
-            progress.no_room += 1
+        if failure.code in _NO_CAPACITY_CODES:
+            progress.no_capacity_rejections += 1
             progress.free_retries += 1
             return (
-                progress.no_room < _MAX_NO_ROOM
+                progress.no_capacity_rejections < _MAX_NO_CAPACITY_REJECTIONS
                 and trio.current_time() < progress.request.deadline
             )
         if progress.retry_granted:
@@ -814,24 +851,27 @@
             return True
         if (
             failure.outcome == Outcome.NOT_RUN
-            and failure.code in _FREE_RETRIES
+            and failure.code in _FREE_RETRY_CODES
             and progress.free_retries < _MAX_FREE_RETRIES
             and trio.current_time() < progress.request.deadline
         ):
             progress.free_retries += 1
             return True
-        if not self._retry_is_possible(progress) or failure.code in _FINAL:
+        if (
+            not self._retry_is_possible(progress)
+            or failure.code in _FINAL_CODES
+        ):
             return False
         if failure.outcome != Outcome.NOT_RUN and (
             not progress.request.idempotent
         ):
             return False
         progress.failed = True
-        return self._may_repeat(choice, progress)
+        return self._take_retry(choice, progress)
 
 
-def _versions(split: Split, first: str) -> list[str]:
-    """Return the versions that may get a call, the wanted one first."""
+def _eligible_versions(split: Split, first: str) -> list[str]:
+    """Return the versions that may get a call, the preferred one first."""
     if first != split.old_version:
         return [first, split.old_version]
     if split.new_version is not None and split.share >= 1.0:
@@ -842,8 +882,8 @@
 def _failure(
     receiver: _attempts.Receiver, request_id: str, member_id: str
 ) -> CallRefused | None:
-    if receiver.refused is not None:
-        return receiver.refused
+    if receiver.rejection is not None:
+        return receiver.rejection
     if receiver.withheld:
         return CallRefused(
             request_id,
@@ -853,16 +893,16 @@
         )
     if receiver.complete:
         return None
-    if receiver.passed:
+    if receiver.forwarded:
         raise _calls.BrokenResponseError(
-            f'the response of {member_id} broke off'
+            f'the response of {member_id} was truncated'
         )
     if receiver.started:
         return CallRefused(
             request_id,
             Outcome.RUN,
             'backend-reset',
-            f'the response of {member_id} broke off',
+            f'the response of {member_id} was truncated',
         )
     if receiver.timed_out:
         return CallRefused(
--- a/tests/test_services_attempts.py
+++ b/tests/test_services_attempts.py
@@ -41,7 +41,7 @@
 async def test_messages_of_another_response_are_dropped(
     late: _messages.Message,
 ) -> None:
-    # Without the match by request id a caller gets the response of another.
+    # Without matching request ids, a caller gets the response of another.
     sink = _Sink()
     receiver = Receiver('present', sink)
     await receiver.feed(late)
@@ -55,7 +55,7 @@
     assert (sink.heads, sink.body, sink.ended) == ([200], b'own', True)
 
 
-async def test_a_response_that_was_broken_off_never_looks_complete() -> None:
+async def test_truncated_response_is_not_complete() -> None:
     sink = _Sink()
     receiver = Receiver('present', sink)
     await receiver.feed(_messages.AnswerStart('present', 200, (), _LOAD))
@@ -66,12 +66,13 @@
     assert not sink.ended
 
 
-async def test_held_responses_of_all_calls_have_a_limit() -> None:
-    # Each call alone may hold 256 KiB; thousands of them together may not.
+async def test_buffered_responses_of_all_calls_share_a_limit() -> None:
+    # Each call may buffer 256 KiB, but thousands of them together may not.
     held = _calls.HeldBytes(100_000)
     sinks = [_Sink() for _ in range(50)]
     receivers = [
-        Receiver('present', sink, hold=True, held=held) for sink in sinks
+        Receiver('present', sink, buffer_response=True, held=held)
+        for sink in sinks
     ]
     part = bytes(10_000)
     for receiver in receivers:
@@ -88,11 +89,11 @@
     assert held.used == 0
 
 
-async def test_withheld_responses_of_all_calls_have_a_limit() -> None:
+async def test_withheld_responses_of_all_calls_share_a_limit() -> None:
     held = _calls.HeldBytes(100_000)
     receivers = [
         Receiver(
-            'present', _Sink(), should_retry=lambda status: True, held=held
+            'present', _Sink(), should_withhold=lambda status: True, held=held
         )
         for _ in range(50)
     ]
@@ -103,16 +104,16 @@
             assert held.used <= 100_000
         await receiver.feed(_messages.AnswerEnd('present'))
         assert receiver.complete
-    # A response without room must not be repeated in part.
-    kept = [item.recorder.response for item in receivers if item.recorder]
-    whole = [len(item.body) for item in kept if item is not None]
-    assert (len(kept), whole) == (50, [90_000])
+    # A response beyond the limit must not be replayed in part.
+    responses = [item.recorder.response for item in receivers if item.recorder]
+    complete_sizes = [len(item.body) for item in responses if item is not None]
+    assert (len(responses), complete_sizes) == (50, [90_000])
     del receivers, receiver
     assert held.used == 0
 
 
-def test_recorded_responses_have_a_limit_in_any_chunks() -> None:
-    # In a list, each chunk takes 40 bytes and more, whatever its size.
+def test_recorded_responses_are_limited_for_any_chunk_size() -> None:
+    # In a list, each chunk takes at least 40 bytes, whatever its size.
     held = _calls.HeldBytes(10_000_000)
     tracemalloc.start()
     try:
@@ -127,6 +128,6 @@
     assert held.used == 800_000
     assert size < 2 * held.used
     for _ in range(6):
-        recorders[0].chunk(bytes(_calls.MAX_RECORDED_BODY))
+        recorders[0].chunk(bytes(_calls.MAX_RECORDED_BODY_BYTES))
     assert recorders[0].response is None
     assert held.used == 600_000
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -74,7 +74,9 @@
     return sink.status
 
 
-def _break_on(kind: type[Message], fault: Fault, times: int = 1) -> FaultRule:
+def _fault_on_message(
+    kind: type[Message], fault: Fault, times: int = 1
+) -> FaultRule:
     left = [times]
 
     def rule(source: str, target: str, message: Message) -> Fault:
@@ -106,35 +108,35 @@
     kind: type[Message],
     fault: Fault,
 ) -> None:
-    """Idempotent calls are repeated, the others asked for by a query."""
+    """Idempotent calls are retried; others are resolved by a query."""
     async with _trial() as trial:
-        trial.hub.rule = _break_on(kind, fault)
+        trial.hub.rule = _fault_on_message(kind, fault)
         request = trial.request('r1', method=method)
         assert await trial.call(3, request) == 'response'
         assert method == 'GET' or trial.backend.runs == {'r1': 1}
 
 
-async def test_requests_do_not_wait_for_a_daemon_that_is_cut_off(
+async def test_requests_skip_an_unreachable_daemon(
     autojump_clock: MockClock,
 ) -> None:
-    """Each request tried it for the time of a connection in a zone cut."""
+    """In a zone partition, each request waited for a connection time-out."""
     async with _trial(daemons=6) as trial:
-        # In the zone of the sender, with the version that gets the calls.
-        cut = trial.daemons[4].membership.me.peer_address
-        trial.hub.silent.add(cut)
+        # Same zone as the sender, and the version that gets the calls.
+        unreachable = trial.daemons[4].membership.me.peer_address
+        trial.hub.silent.add(unreachable)
         tried = []
 
         def rule(source: str, target: str, message: Message) -> Fault:
-            if target == cut and isinstance(message, CallStart):
+            if target == unreachable and isinstance(message, CallStart):
                 tried.append(message.request_id)
             return Fault.NONE
 
-        async def answer(exchange: Exchange, message: Ping) -> None:
+        async def reply(exchange: Exchange, message: Ping) -> None:
             await exchange.send(Pong())
 
-        found = trial.hub.find(cut)
-        assert found is not None
-        found[0].on(Ping, answer)
+        hub_entry = trial.hub.find(unreachable)
+        assert hub_entry is not None
+        hub_entry[0].on(Ping, reply)
         trial.hub.rule = rule
         slow = 0
         for index in range(40):
@@ -144,7 +146,7 @@
             slow += trio.current_time() - started > 0.4
             await trio.sleep(0.05)
         assert slow <= 1
-        trial.hub.silent.discard(cut)
+        trial.hub.silent.discard(unreachable)
         await trio.sleep(1.0)
         async with trio.open_nursery() as nursery:
             for index in range(24):
@@ -153,51 +155,56 @@
         assert tried
 
 
-async def test_a_dead_daemon_is_not_asked_any_more(
+async def test_dead_daemon_is_no_longer_probed(
     autojump_clock: MockClock,
 ) -> None:
-    """Its address belonged to the sender itself after a replacement."""
+    """Guards against probes of an address that belongs to another daemon.
+
+    After a replacement it belonged to the sender itself.
+    """
     async with _trial(daemons=4) as trial:
-        cut = trial.daemons[1].membership.me
-        found = trial.hub.find(cut.peer_address)
-        assert found is not None
-        asked = []
+        unreachable = trial.daemons[1].membership.me
+        hub_entry = trial.hub.find(unreachable.peer_address)
+        assert hub_entry is not None
+        probes = []
 
-        async def answer(exchange: Exchange, message: Ping) -> None:
-            asked.append(message)
+        async def reply(exchange: Exchange, message: Ping) -> None:
+            probes.append(message)
             await exchange.send(Pong())
 
-        found[0].on(Ping, answer)
-        trial.hub.silent.add(cut.peer_address)
+        hub_entry[0].on(Ping, reply)
+        trial.hub.silent.add(unreachable.peer_address)
         for index in range(10):
             request = trial.request(f'r{index}', method='GET')
             assert await trial.call(3, request) == 'response'
         trial.daemons[3].membership.table.put(
             msgspec.structs.replace(
-                cut, status=MemberStatus.DEAD, sequence=cut.sequence + 1
+                unreachable,
+                status=MemberStatus.DEAD,
+                sequence=unreachable.sequence + 1,
             )
         )
         await trio.sleep(1.0)
-        trial.hub.silent.discard(cut.peer_address)
+        trial.hub.silent.discard(unreachable.peer_address)
         await trio.sleep(5.0)
-        assert not asked
+        assert not probes
 
 
-async def test_a_silent_daemon_does_not_hold_a_request_past_its_time(
+async def test_silent_daemon_does_not_delay_a_request_past_its_deadline(
     autojump_clock: MockClock,
 ) -> None:
-    """Its caller was kept for 1.25 s after the limit of the route."""
+    """The caller got its response 1.25 s after the limit of the route."""
     async with _trial(daemons=2) as trial:
         trial.backend.hang.add('backend-0')
         request = trial.request('r1', timeout_s=1.0)
         peer = trial.daemons[0].membership.me.peer_address
 
-        async def fall_silent() -> None:
+        async def silence_peer() -> None:
             await trio.sleep(0.2)
             trial.hub.silent.add(peer)
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fall_silent)
+            nursery.start_soon(silence_peer)
             assert await trial.call(1, request) == 'unknown'
         assert trio.current_time() <= request.deadline + 0.5
 
@@ -205,10 +212,10 @@
 async def test_query_reaches_a_restarted_daemon(
     autojump_clock: MockClock,
 ) -> None:
-    """A new process does not know what the old one ran."""
+    """A restarted process does not know which requests the old one ran."""
     async with _trial(daemons=2) as trial:
         trial.backend.mean_s = 2.0
-        trial.hub.rule = _break_on(AnswerStart, Fault.SILENCE)
+        trial.hub.rule = _fault_on_message(AnswerStart, Fault.SILENCE)
         async with trio.open_nursery() as nursery:
             results = []
 
@@ -223,10 +230,10 @@
 
 
 @pytest.mark.parametrize('fault', ['status', 'reset', 'hang'])
-async def test_failure_on_the_new_version_is_repeated_on_the_old_one(
+async def test_failure_on_the_new_version_is_retried_on_the_old_one(
     autojump_clock: MockClock, fault: str
 ) -> None:
-    """Callers of idempotent requests lose nothing to a bad version."""
+    """Callers of idempotent requests see no failure of a bad version."""
     async with _trial(share=1.0) as trial:
         new = 'backend-2'
         if fault == 'status':
@@ -243,23 +250,23 @@
         assert failed and all(failed)
 
 
-async def test_slow_runs_are_not_given_up_before_the_deadline_in_a_move(
+async def test_slow_runs_are_not_cancelled_before_the_deadline_in_a_move(
     autojump_clock: MockClock,
 ) -> None:
-    """They were ended after half of their time, though nothing followed."""
+    """They were cancelled at half of their time limit without a backup."""
     async with _trial(share=1.0) as trial:
         trial.backend.constant = True
-        # The head takes this time and the body as long again.
+        # The head takes this time, and the body as long again.
         trial.backend.mean_s = 0.3
         for index in range(20):
             request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
             assert await trial.call(3, request) == 'response'
 
 
-async def test_slow_runs_are_not_repeated_while_all_endpoints_are_busy(
+async def test_no_backup_attempts_run_while_all_endpoints_are_busy(
     autojump_clock: MockClock,
 ) -> None:
-    """Repetitions would take the slots of requests that wait."""
+    """Backup attempts would take the slots of queued calls."""
     async with _trial(share=1.0) as trial:
         trial.backend.constant = True
         trial.backend.mean_s = 0.3
@@ -275,19 +282,19 @@
             slots = sum(item.runner.load.slots for item in trial.daemons)
             for number in range(2 * slots):
                 nursery.start_soon(call, number)
-        ended_early = [
+        early_failures = [
             item
             for item in results
             if item[0] not in ('response', 'not-run') and item[1] < 0.999
         ]
-        assert not ended_early
+        assert not early_failures
         assert set(trial.backend.runs.values()) == {1}
 
 
-async def test_backups_without_room_leave_the_retry_budget_to_failures(
+async def test_backups_without_a_free_slot_do_not_use_the_retry_budget(
     autojump_clock: MockClock,
 ) -> None:
-    """Each took a repetition, so that failures were not repeated."""
+    """Each took a retry from the budget, so that failures got none."""
     async with _trial(share=0.3) as trial:
         trial.backend.constant = True
         trial.backend.mean_s = 0.3
@@ -306,10 +313,10 @@
         assert set(trial.backend.runs.values()) == {1}
 
 
-async def test_failure_of_a_backup_does_not_end_the_first_attempt(
+async def test_failure_of_a_backup_does_not_cancel_the_first_attempt(
     autojump_clock: MockClock,
 ) -> None:
-    """Its failure was passed on and the first run, still at work, cut."""
+    """The failure was forwarded and the first run cancelled."""
     async with _trial(share=1.0) as trial:
         backend = trial.backend
         backend.constant = True
@@ -325,10 +332,10 @@
         assert backups >= 5
 
 
-async def test_a_backup_uses_the_repetition_that_a_failure_was_granted(
+async def test_backup_uses_the_retry_granted_to_a_failed_response(
     autojump_clock: MockClock,
 ) -> None:
-    """The request ran on more endpoints than its route allows."""
+    """Without this, a request ran on more endpoints than its route allows."""
     async with _trial(share=1.0) as trial:
         backend = trial.backend
         backend.constant = True
@@ -341,10 +348,10 @@
         assert max(backend.runs.values()) == 2
 
 
-async def test_a_failed_run_counts_as_failed_when_its_caller_leaves(
+async def test_failed_run_counts_as_failed_when_its_call_is_cancelled(
     autojump_clock: MockClock,
 ) -> None:
-    """A run with status 500 that was cancelled early counted as good."""
+    """A run with status 500 that was cancelled early counted as a success."""
     async with _trial(share=1.0) as trial:
         backend = trial.backend
         backend.constant = True
@@ -362,7 +369,10 @@
 async def test_slow_runs_are_the_same_evidence_with_and_without_a_backup(
     autojump_clock: MockClock,
 ) -> None:
-    """Only those on the new version had a backup and counted as failed."""
+    """Only slow runs on the new version had a backup and counted as failed.
+
+    That biased the comparison of the versions.
+    """
     async with _trial(daemons=3, share=0.5) as trial:
         trial.backend.mean_s = 0.3
         for index in range(600):
@@ -378,10 +388,10 @@
         assert abs(old - new) < 0.08, shares
 
 
-async def test_only_random_idempotent_calls_use_the_first_stage(
+async def test_first_stage_gets_only_randomly_assigned_idempotent_calls(
     autojump_clock: MockClock,
 ) -> None:
-    """Others would be at risk, and would bias the evidence."""
+    """Other calls would be at risk and would bias the evidence."""
     async with _trial(share=1.0) as trial:
         for index in range(20):
             request = trial.request(f'p{index}')
@@ -395,7 +405,7 @@
         assert 'backend-2' not in trial.backend.by_address
 
 
-async def test_draining_endpoint_refuses_and_others_take_over(
+async def test_draining_endpoint_rejects_and_others_take_over(
     autojump_clock: MockClock,
 ) -> None:
     """A sender whose member table lags must not reach a leaving server."""
@@ -409,19 +419,19 @@
                 'response'
             )
         assert 'backend-1' not in trial.backend.by_address
-        refused = leaving.metrics.value(
+        rejections = leaving.metrics.value(
             'gypsumhall_runner_calls_total', result='draining'
         )
-        assert refused > 0
+        assert rejections > 0
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 async def test_a_request_waits_while_all_endpoints_fail(
     autojump_clock: MockClock, method: str
 ) -> None:
-    """After a group of processes died, others are ready soon.
+    """After several processes died, other endpoints are ready soon.
 
-    Refusals that cost nothing used up the attempts within milliseconds
+    Rejections without a run used up the attempts within milliseconds
     although the deadline was seconds away.
     """
     async with _trial() as trial, trio.open_nursery() as nursery:
@@ -446,10 +456,10 @@
         assert results == ['response']
 
 
-async def test_overload_is_refused_before_the_run(
+async def test_overload_is_rejected_before_the_run(
     autojump_clock: MockClock,
 ) -> None:
-    """Calls beyond slots and queue are refused, none of them is run."""
+    """Calls beyond slots and queue are rejected and none of them is run."""
     async with _trial(daemons=2) as trial:
         trial.backend.mean_s = 1.0
         async with trio.open_nursery() as nursery:
@@ -463,7 +473,7 @@
 async def test_key_released_by_a_former_owner_runs_once(
     autojump_clock: MockClock,
 ) -> None:
-    """A new owner must not run a key that another one has run."""
+    """A new owner must not run a key that the former owner has run."""
     async with _trial(daemons=6) as trial:
         assert trial.daemons[0].membership.table.revision
         for index in range(30):
@@ -481,13 +491,13 @@
         assert set(trial.backend.runs.values()) == {1}
 
 
-async def test_keys_of_a_planned_stop_are_handed_over(
+async def test_keys_are_handed_over_at_a_graceful_shutdown(
     autojump_clock: MockClock,
 ) -> None:
-    """The next owners run new keys and no key for a second time.
+    """The next owners run new keys, and no key for a second time.
 
-    They refused half of the keyed requests as unknown for 600 s, since
-    nobody could be asked about the keys of the daemon that had stopped.
+    They rejected half of the keyed requests as unknown for 600 s, since no
+    daemon could be queried about the keys of the stopped one.
     """
     async with _trial(daemons=6) as trial:
         keys = [trial.request(f'k{i}', key=f'k{i}') for i in range(30)]
@@ -509,25 +519,25 @@
 ) -> None:
     """The callers' listener drains the runner before the kernel does."""
     async with _trial(daemons=4) as trial:
-        handed = []
+        handover_targets = []
 
         def rule(source: str, target: str, message: Message) -> Fault:
             if isinstance(message, KeyHandover):
-                handed.append(target)
+                handover_targets.append(target)
             return Fault.NONE
 
         trial.hub.rule = rule
         await trial.daemons[0].runner.drain()
-        first = len(handed)
+        first = len(handover_targets)
         await trial.daemons[0].runner.drain()
         assert first
-        assert len(handed) == first
+        assert len(handover_targets) == first
 
 
 async def test_cancelled_calls_in_the_queue_release_their_slots(
     autojump_clock: MockClock,
 ) -> None:
-    """A call may be admitted in the moment in which its caller leaves."""
+    """A call may be admitted at the moment at which it is cancelled."""
     async with _trial(daemons=2) as trial:
         trial.backend.mean_s = 0.05
         trial.backend.constant = True
@@ -547,10 +557,10 @@
         assert (load.in_flight, load.queued) == (0, 0)
 
 
-async def test_the_floors_of_all_daemons_add_up_to_that_of_the_fleet(
+async def test_retry_floors_of_all_daemons_add_up_to_the_fleet_floor(
     autojump_clock: MockClock,
 ) -> None:
-    """A daemon that starts alone must not keep the floor of all."""
+    """A daemon that first knows no other must not keep the whole floor."""
     async with _trial(daemons=4) as trial:
         daemon = trial.daemons[0]
         sender = _sender.Sender(
@@ -565,7 +575,9 @@
         )
         table = daemon.membership.table
         others = [
-            m for m in table.members() if m.id != daemon.membership.me.id
+            peer
+            for peer in table.members()
+            if peer.id != daemon.membership.me.id
         ]
         for member in others:
             table.remove(member.id)
@@ -577,14 +589,17 @@
         allowed = sum(
             budget.retry(now + 100.0 + index / 100) for index in range(1000)
         )
-        # What is kept for 10 s, and the floor of the 10 s of this test.
+        # Unused budget of up to 10 s, and the floor of the 10 s of this test.
         assert allowed <= 12.0 / 4 * 20 + 1
 
 
-async def test_a_stop_waits_until_the_other_endpoint_is_back(
+async def test_graceful_shutdown_waits_for_another_ready_endpoint(
     autojump_clock: MockClock,
 ) -> None:
-    """Two daemons that restart in turn left no endpoint for 1.4 s."""
+    """Without the wait, two daemons that restart in turn left a gap.
+
+    No endpoint was ready for 1.4 s.
+    """
     async with _trial(daemons=3, hold_s=3.0) as trial:
         first, second = trial.daemons[:2]
         first.set_backend('backend-0', state=EndpointState.DRAINING)
@@ -598,7 +613,7 @@
         assert second.runner.load.draining
 
 
-async def test_a_stop_does_not_wait_for_ever(
+async def test_graceful_shutdown_does_not_wait_forever(
     autojump_clock: MockClock,
 ) -> None:
     async with _trial(daemons=3, hold_s=3.0) as trial:
