Rename shared names of the sender to terms of the field

HeldBytes -> ResponseBufferBudget (held -> buffer_budget), size limits get their unit, SLOW_SHARE -> SLOW_CALL_FRACTION, OWN_DIALECT -> DEFAULT_DIALECT, fields of Dialect say what they switch, unkeyed -> key_claimed, splits and retries -> split_source and retry_limits; module _race -> _hedging, as it is about hedged attempts and no race condition.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -164,7 +164,7 @@
         connect_timeout_s=0.25,
     )
     rollouts = RolloutService(rng=rng)
-    retries = RetryLimits(
+    retry_limits = RetryLimits(
         _RETRY_SHARE * settings.retry_ratio.value,
         _RETRY_SHARE
         * settings.retry_slack.value
@@ -175,7 +175,7 @@
     runner = RunnerService(
         rng,
         dialect=platform.DIALECT,
-        retries=retries,
+        retry_limits=retry_limits,
         notice_s=_NOTICE_S,
         hold_s=linger_s,
     )
--- a/gypsumhall/platform/_names.py
+++ b/gypsumhall/platform/_names.py
@@ -15,8 +15,8 @@
     caller_service=b'gypsumhall-caller-service',
     expected_instance=b'gypsumhall-expected-instance',
     not_executed=b'gypsumhall-not-executed',
-    status_promises=True,
-    whole_responses=True,
+    status_503_means_not_run=True,
+    buffer_responses=True,
     literal_prefixes=True,
 )
 """Headers of callers and backend servers on the platform."""
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -63,13 +63,13 @@
     should_withhold : callable or None
         Returns, given the status, whether the response is withheld from the
         sink because the request will be retried.
-    held : HeldBytes, optional
+    buffer_budget : ResponseBufferBudget, optional
         Memory limit of buffered responses. Beyond it, a buffered response is
         forwarded at once, and a withheld one is dropped.
     """
 
     __slots__ = (
-        '_held',
+        '_buffer_budget',
         '_buffer_response',
         '_recorder',
         '_request_id',
@@ -93,13 +93,13 @@
         *,
         buffer_response: bool = False,
         should_withhold: Callable[[int], bool] | None = None,
-        held: _calls.HeldBytes | None = None,
+        buffer_budget: _calls.ResponseBufferBudget | None = None,
     ) -> None:
         self._request_id = request_id
         self._sink = sink
         self._buffer_response = buffer_response
         self._should_withhold = should_withhold
-        self._held = held or _calls.HeldBytes()
+        self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._recorder: _calls.Recorder | None = None
         self.size = 0
         self.rejection: CallRefused | None = None
@@ -168,7 +168,7 @@
         if self.withheld or (
             not message.last and self._should_buffer(message)
         ):
-            self._recorder = _calls.Recorder(self._held)
+            self._recorder = _calls.Recorder(self._buffer_budget)
             self._recorder.head(message.status, message.headers)
         else:
             self.forwarded = True
@@ -192,7 +192,7 @@
             if (
                 last
                 or whole_size > _MAX_BUFFERED_BYTES
-                or not self._held.has_room(len(data))
+                or not self._buffer_budget.has_room(len(data))
             ):
                 await self._flush_buffer(recorder)
         if self._recorder is not None:
--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -244,10 +244,10 @@
         async with contextlib.aclosing(self._stream):
             async for data in self._stream:
                 received += len(data)
-                if received > _calls.MAX_RESPONSE_BODY:
+                if received > _calls.MAX_RESPONSE_BODY_BYTES:
                     raise BackendResponseError(
                         'response body is larger than '
-                        f'{_calls.MAX_RESPONSE_BODY} bytes'
+                        f'{_calls.MAX_RESPONSE_BODY_BYTES} bytes'
                     )
                 for start in range(0, len(data), _calls.CHUNK_BYTES):
                     yield data[start : start + _calls.CHUNK_BYTES]
@@ -442,10 +442,10 @@
         raise BackendResponseError(
             'response has neither Content-Length nor chunked encoding'
         )
-    if length is not None and length > _calls.MAX_RESPONSE_BODY:
+    if length is not None and length > _calls.MAX_RESPONSE_BODY_BYTES:
         raise BackendResponseError(
             f'response body of {length} bytes is larger than '
-            f'{_calls.MAX_RESPONSE_BODY} bytes'
+            f'{_calls.MAX_RESPONSE_BODY_BYTES} bytes'
         )
     return BackendResponse(
         response.status, _calls.response_headers(headers), length, body
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -100,7 +100,7 @@
     __slots__ = (
         '_caller',
         '_head',
-        '_held',
+        '_buffer_budget',
         '_hold',
         '_send',
         'finished',
@@ -113,9 +113,9 @@
         *,
         is_http_1_0: bool,
         caller: CallerService,
-        held: _calls.HeldBytes,
+        buffer_budget: _calls.ResponseBufferBudget,
     ) -> None:
-        self._held = held
+        self._buffer_budget = buffer_budget
         self._send = send
         self._caller = caller
         self._hold: bytearray | None = bytearray() if is_http_1_0 else None
@@ -141,7 +141,7 @@
     async def chunk(self, data: bytes, *, last: bool) -> None:
         """Take a part of the body."""
         if self._hold is not None:
-            if not self._held.take(len(data)):
+            if not self._buffer_budget.take(len(data)):
                 raise _calls.CallRefusedError(
                     Outcome.RUN,
                     'response-dropped',
@@ -167,7 +167,7 @@
     def close(self) -> None:
         """Give back the room of a response that was held."""
         if self._hold is not None:
-            self._held.release(len(self._hold))
+            self._buffer_budget.release(len(self._hold))
             self._hold = None
 
 
@@ -200,7 +200,7 @@
     def __init__(
         self,
         address: str,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
         service: str = '',
         linger_s: float = 0.0,
         end_s: float = math.inf,
@@ -339,18 +339,18 @@
             send,
             is_http_1_0=scope['http_version'] == '1.0',
             caller=self,
-            held=self._runner.held,
+            buffer_budget=self._runner.buffer_budget,
         )
         result = 'response'
         refusal: _calls.CallRefusedError | None = None
         request: _calls.Request | None = None
-        held = 0
+        buffered_bytes = 0
         limit = trio.CancelScope()
         self._running.add(limit)
         try:
             with limit:
                 request = await self._read(scope, receive)
-                held = len(request.body)
+                buffered_bytes = len(request.body)
                 await self._forward(request, sink, receive)
             if limit.cancelled_caught:
                 raise _given_up(request, sink)
@@ -380,7 +380,7 @@
         finally:
             self._running.discard(limit)
             sink.close()
-            self._buffered -= held
+            self._buffered -= buffered_bytes
         if refusal is not None:
             result = refusal.reason
             is_head = scope['method'] == 'HEAD'
@@ -557,10 +557,10 @@
     ) -> bytes:
         too_large = _calls.not_run(
             'request-too-large',
-            f'request bodies may have {_calls.MAX_REQUEST_BODY} bytes',
+            f'request bodies may have {_calls.MAX_REQUEST_BODY_BYTES} bytes',
         )
         announced = fields.get(b'content-length', b'0')
-        if int(announced) > _calls.MAX_REQUEST_BODY:
+        if int(announced) > _calls.MAX_REQUEST_BODY_BYTES:
             raise too_large
         body = bytearray()
         whole = False
@@ -572,7 +572,7 @@
                         raise _CallerGoneError
                     body += message['body']
                     self._buffered += len(message['body'])
-                    if len(body) > _calls.MAX_REQUEST_BODY:
+                    if len(body) > _calls.MAX_REQUEST_BODY_BYTES:
                         raise too_large
                     if self._buffered > _MAX_BUFFERED:
                         raise _calls.not_run(
@@ -593,8 +593,8 @@
     ) -> None:
         dialect = self._dialect
         status = error.status
-        if dialect.status_promises:
-            status = error.promising_status
+        if dialect.status_503_means_not_run:
+            status = error.status_if_503_means_not_run
         body = json.dumps(
             {
                 'type': f'urn:gypsumhall:refusal:{error.reason}',
@@ -614,7 +614,7 @@
             headers = [*headers, outcome]
         if status == 503:
             value = b'%d' % _RETRY_AFTER_S
-            if dialect.status_promises or error.retry_after_s:
+            if dialect.status_503_means_not_run or error.retry_after_s:
                 value = _retry_after(error, self._rng)
             headers = [*headers, (b'retry-after', value)]
         closing = ('draining', 'request-too-large', 'body-timeout', 'stopped')
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -23,8 +23,8 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 MAX_HEADER_BYTES = 32 * 1024
-MAX_REQUEST_BODY = 8 * 1024 * 1024
-MAX_RESPONSE_BODY = 64 * 1024 * 1024
+MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 # Larger responses are not recorded, so that one of them cannot evict the
 # responses of many other calls from the ledger.
@@ -32,7 +32,7 @@
 # Fraction of its time limit after which a call is slow. In a move, an
 # idempotent request then gets a backup attempt, and its run counts as failed
 # whether there was a backup or not.
-SLOW_SHARE = 0.5
+SLOW_CALL_FRACTION = 0.5
 # Limit of one daemon for the responses of running calls in memory: recorded
 # for repetition, buffered until they are complete, or withheld for a retry.
 # An eighth of the memory of the smallest machines, 128 MB.
@@ -61,10 +61,10 @@
         Process of a backend server that the request is meant for.
     not_executed : bytes
         Marks responses of a backend server that did not run the request.
-    status_promises : bool
+    status_503_means_not_run : bool
         Whether status 503 means that a request was not run, so that a
         rejection with another outcome needs another status.
-    whole_responses : bool
+    buffer_responses : bool
         Whether a response is buffered until it is complete.
     literal_prefixes : bool
         Whether a path has to match the prefix of its route literally,
@@ -78,12 +78,12 @@
     caller_service: bytes = b''
     expected_instance: bytes = b''
     not_executed: bytes = b''
-    status_promises: bool = False
-    whole_responses: bool = False
+    status_503_means_not_run: bool = False
+    buffer_responses: bool = False
     literal_prefixes: bool = False
 
 
-OWN_DIALECT = Dialect()
+DEFAULT_DIALECT = Dialect()
 
 _HOP_BY_HOP = frozenset(
     [
@@ -157,7 +157,7 @@
         return _STATUS_BY_CODE.get(self.reason, 503)
 
     @property
-    def promising_status(self) -> int:
+    def status_if_503_means_not_run(self) -> int:
         """HTTP status where 503 means that a request was not run."""
         if self.outcome == Outcome.NOT_RUN:
             return 503 if self.status >= 500 else self.status
@@ -235,7 +235,7 @@
         ...
 
 
-class HeldBytes:
+class ResponseBufferBudget:
     """Limits the bytes of responses that all calls of a daemon buffer.
 
     Parameters
@@ -271,19 +271,21 @@
 
     Parameters
     ----------
-    held : HeldBytes, optional
+    buffer_budget : ResponseBufferBudget, optional
         Memory limit that the body counts against until the recorder is
         freed; by default a separate one.
     """
 
-    __slots__ = ('_body', '_headers', '_held', '_status')
+    __slots__ = ('_body', '_headers', '_buffer_budget', '_status')
 
-    def __init__(self, held: HeldBytes | None = None) -> None:
+    def __init__(
+        self, buffer_budget: ResponseBufferBudget | None = None
+    ) -> None:
         self._status = 0
         self._headers: Headers = ()
         # Small chunks in a list would take many times their size.
         self._body: bytearray | None = bytearray()
-        self._held = held or HeldBytes()
+        self._buffer_budget = buffer_budget or ResponseBufferBudget()
 
     def __del__(self) -> None:
         self._drop()
@@ -310,14 +312,16 @@
         if self._body is None:
             return
         size = len(self._body) + len(data)
-        if size <= MAX_RECORDED_BODY_BYTES and self._held.take(len(data)):
+        if size <= MAX_RECORDED_BODY_BYTES and self._buffer_budget.take(
+            len(data)
+        ):
             self._body += data
         else:
             self._drop()
 
     def _drop(self) -> None:
         if self._body is not None:
-            self._held.release(len(self._body))
+            self._buffer_budget.release(len(self._body))
             self._body = None
 
 
@@ -337,7 +341,7 @@
 
 
 def request_headers(
-    headers: Iterable[tuple[bytes, bytes]], dialect: Dialect = OWN_DIALECT
+    headers: Iterable[tuple[bytes, bytes]], dialect: Dialect = DEFAULT_DIALECT
 ) -> Headers:
     """Return the headers of a request that are forwarded.
 
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -52,10 +52,12 @@
     __slots__ = ('_recorder', '_sink')
 
     def __init__(
-        self, sink: _calls.ResponseSink, held: _calls.HeldBytes
+        self,
+        sink: _calls.ResponseSink,
+        buffer_budget: _calls.ResponseBufferBudget,
     ) -> None:
         self._sink = sink
-        self._recorder = _calls.Recorder(held)
+        self._recorder = _calls.Recorder(buffer_budget)
 
     @property
     def response(self) -> RecordedResponse | None:
@@ -90,13 +92,13 @@
         Member table.
     sender : Sender
         Sends the requests to a runner.
-    held : HeldBytes
+    buffer_budget : ResponseBufferBudget
         Room for the responses of running requests.
     """
 
     __slots__ = (
         '_finished',
-        '_held',
+        '_buffer_budget',
         '_incarnation',
         '_joined',
         '_ledger',
@@ -111,9 +113,9 @@
         peers: PeerNetwork,
         membership: _protocols.Membership,
         sender: Sender,
-        held: _calls.HeldBytes,
+        buffer_budget: _calls.ResponseBufferBudget,
     ) -> None:
-        self._held = held
+        self._buffer_budget = buffer_budget
         self._peers = peers
         self._membership = membership
         self._sender = sender
@@ -316,7 +318,7 @@
     ) -> None:
         service, key = request.service, request.key
         finished = self._finished[service, key] = trio.Event()
-        recording = _RecordingSink(sink, self._held)
+        recording = _RecordingSink(sink, self._buffer_budget)
         state: KeyState | None = KeyState.UNKNOWN
         try:
             try:
@@ -324,18 +326,18 @@
             except BaseException:
                 state = None
                 raise
-            await self._sender.send(request, recording, unkeyed=True)
+            await self._sender.send(request, recording, key_claimed=True)
             state = KeyState.DONE
         except _calls.CallRefusedError as error:
             if error.outcome == Outcome.NOT_RUN:
                 state = None
             elif error.outcome == Outcome.RUN:
                 state = KeyState.DONE
-            recording = _RecordingSink(sink, self._held)
+            recording = _RecordingSink(sink, self._buffer_budget)
             raise
         except _calls.BrokenResponseError:
             state = KeyState.DONE
-            recording = _RecordingSink(sink, self._held)
+            recording = _RecordingSink(sink, self._buffer_budget)
             raise
         finally:
             del self._finished[service, key]
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -88,7 +88,7 @@
         Returns the client for the address of a backend server.
     dialect : Dialect
         Names of the headers that the backend server uses.
-    retries : RetryLimits, optional
+    retry_limits : RetryLimits, optional
         Repetitions that the sender may make.
     notice_s : float
         Time in seconds between telling others of a planned stop and
@@ -114,8 +114,8 @@
         connect: Callable[
             [str], _backend_client.Client
         ] = _backend_client.BackendClient,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
-        retries: _sender.RetryLimits | None = None,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
+        retry_limits: _sender.RetryLimits | None = None,
         notice_s: float = 0.0,
         hold_s: float = 0.0,
     ) -> None:
@@ -123,10 +123,10 @@
         self._hold_s = hold_s
         self._stopped_at = math.inf
         self._availability = EndpointAvailability()
-        self._retries = retries
+        self._retry_limits = retry_limits
         self._dialect = dialect
         self._warm_at = -math.inf
-        self._splits: _sender.SplitSource | None = None
+        self._split_source: _sender.SplitSource | None = None
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
@@ -142,7 +142,7 @@
         self._active = 0
         self._idle = trio.Event()
         self._buffered = 0
-        self.held = _calls.HeldBytes()
+        self.buffer_budget = _calls.ResponseBufferBudget()
         self._watches = _watches.Watches()
         self._incarnation = 0
         self._keys: _keys.KeyOwner
@@ -182,7 +182,7 @@
 
     def set_split_source(self, source: _sender.SplitSource) -> None:
         """Set how calls are divided between versions, before `run`."""
-        self._splits = source
+        self._split_source = source
 
     async def run(
         self,
@@ -215,12 +215,12 @@
             rng=self._rng,
             execute=self.execute,
             dialect=self._dialect,
-            splits=self._splits,
-            retries=self._retries,
-            held=self.held,
+            split_source=self._split_source,
+            retry_limits=self._retry_limits,
+            buffer_budget=self.buffer_budget,
         )
         self._keys = _keys.KeyOwner(
-            peers, self._membership, self._sender, self.held
+            peers, self._membership, self._sender, self.buffer_budget
         )
         self._sender.execute_keyed = self._keys.execute
         self._membership.subscribe(self._keys.members_changed)
@@ -388,7 +388,9 @@
     async def _execute_new(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
-        recorder = None if call.idempotent else _calls.Recorder(self.held)
+        recorder = (
+            None if call.idempotent else _calls.Recorder(self.buffer_budget)
+        )
         run = _answers.Run(send, recorder)
         refusal: _calls.CallRefusedError | None = None
         deadline = trio.current_time() + call.deadline_ms / 1000
@@ -442,7 +444,10 @@
                     call, cause, detail, now - started, deadline - started
                 )
             limit_s = call.deadline_ms / 1000
-            slow = now - (deadline - limit_s) >= _calls.SLOW_SHARE * limit_s
+            slow = (
+                now - (deadline - limit_s)
+                >= _calls.SLOW_CALL_FRACTION * limit_s
+            )
             # Its caller has left, or another endpoint has responded first.
             if cause == 'cancelled':
                 run.failed = run.failed or slow
@@ -722,7 +727,7 @@
                 chunks.append(message.data)
                 whole = message.last
                 if (
-                    size > _calls.MAX_REQUEST_BODY
+                    size > _calls.MAX_REQUEST_BODY_BYTES
                     or self._buffered > _MAX_BUFFERED
                 ):
                     refusal = _calls.not_run(
@@ -786,7 +791,7 @@
             await self._replay(call.request_id, known, send)
             return
         self._active += 1
-        recorder = _calls.Recorder(self.held)
+        recorder = _calls.Recorder(self.buffer_budget)
         sink = _answers.MessageSink(
             lambda: self.load, call.request_id, send, recorder
         )
@@ -813,7 +818,7 @@
             await self._refuse(call.request_id, error, sink.send)
         except _calls.BrokenResponseError:
             state = EntryState.DONE
-            recorder = _calls.Recorder(self.held)
+            recorder = _calls.Recorder(self.buffer_budget)
             await sink.flush()
             await sink.send(AnswerEnd(call.request_id, complete=False))
         finally:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -23,7 +23,7 @@
 from gypsumhall.net._messages import Ping
 from gypsumhall.services import _attempts
 from gypsumhall.services import _calls
-from gypsumhall.services import _race
+from gypsumhall.services import _hedging
 
 if TYPE_CHECKING:
     from random import Random
@@ -215,11 +215,11 @@
         Runs a call on this VM.
     dialect : Dialect
         Names of the headers that callers and backend servers use.
-    splits : callable, optional
+    split_source : callable, optional
         How calls are split between versions; by default as configured.
-    retries : RetryLimits, optional
+    retry_limits : RetryLimits, optional
         Limits of retries.
-    held : HeldBytes, optional
+    buffer_budget : ResponseBufferBudget, optional
         Memory limit of buffered responses.
     """
 
@@ -233,17 +233,17 @@
         metrics: _protocols.Metrics,
         rng: Random,
         execute: _attempts.Execute,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
-        splits: SplitSource | None = None,
-        retries: RetryLimits | None = None,
-        held: _calls.HeldBytes | None = None,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
+        split_source: SplitSource | None = None,
+        retry_limits: RetryLimits | None = None,
+        buffer_budget: _calls.ResponseBufferBudget | None = None,
     ) -> None:
-        self._held = held or _calls.HeldBytes()
-        self._whole_responses = dialect.whole_responses
-        self._retries = retries or RetryLimits()
-        self._floor_per_s = self._retries.floor_per_s
+        self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
+        self._buffer_responses = dialect.buffer_responses
+        self._retry_limits = retry_limits or RetryLimits()
+        self._floor_per_s = self._retry_limits.floor_per_s
         self._membership_revision = -1
-        self._splits = splits or self._configured_split
+        self._split_source = split_source or self._configured_split
         self._peers = peers
         self._nursery: trio.Nursery | None = None
         self._probed_members: set[str] = set()
@@ -277,7 +277,7 @@
         request: _calls.Request,
         sink: _calls.ResponseSink,
         *,
-        unkeyed: bool = False,
+        key_claimed: bool = False,
     ) -> None:
         """Run a request and pass its response to a sink.
 
@@ -297,7 +297,7 @@
         BrokenResponseError
             When the response was truncated after its head was forwarded.
         """
-        if request.key and not request.idempotent and not unkeyed:
+        if request.key and not request.idempotent and not key_claimed:
             await self._send_to_owner(request, sink)
             return
         await self._send(request, sink)
@@ -361,7 +361,9 @@
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         call = self._attempts.build(request, owner, '', key=request.key)
-        receiver = _attempts.Receiver(call.request_id, sink, held=self._held)
+        receiver = _attempts.Receiver(
+            call.request_id, sink, buffer_budget=self._buffer_budget
+        )
         try:
             await self._attempts.run(owner, call, request, receiver)
         except PeerUnreachableError as error:
@@ -428,7 +430,7 @@
         if budget is None:
             if len(self._budgets) >= _MAX_BUDGETS:
                 self._budgets.clear()
-            budget = RetryBudget(self._retries.share, self._floor_per_s)
+            budget = RetryBudget(self._retry_limits.share, self._floor_per_s)
             self._budgets[service] = budget
         return budget
 
@@ -440,7 +442,7 @@
         """
         table = self._membership.table
         if (
-            not self._retries.fleet_wide
+            not self._retry_limits.fleet_wide
             or table.revision == self._membership_revision
         ):
             return
@@ -450,7 +452,7 @@
             for member in table.members()
             if member.status is not MemberStatus.LEAVING
         )
-        self._floor_per_s = self._retries.floor_per_s / max(1, daemons)
+        self._floor_per_s = self._retry_limits.floor_per_s / max(1, daemons)
         for budget in self._budgets.values():
             budget.set_floor(self._floor_per_s)
 
@@ -498,7 +500,7 @@
                 table.revision,
                 now,
             )
-        split = self._splits(
+        split = self._split_source(
             snapshot,
             request.service,
             self._load_balancer.versions(request.service),
@@ -603,14 +605,14 @@
         Another endpoint can still respond when a version hangs. The first
         attempt continues, as the backup may be rejected.
         """
-        hedged_request = _race.HedgedRequest(progress.sink)
+        hedged_request = _hedging.HedgedRequest(progress.sink)
         first, second = hedged_request.add(), hedged_request.add()
         left = progress.request.deadline - trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._run_hedged_attempt, first, choice, progress
             )
-            with trio.move_on_after(_calls.SLOW_SHARE * left):
+            with trio.move_on_after(_calls.SLOW_CALL_FRACTION * left):
                 await first.ended.wait()
             if not first.ended.is_set() and hedged_request.winner is None:
                 backup = self._choose_backup(choice, progress)
@@ -627,7 +629,7 @@
     def _refund_unrun_backup(
         self,
         choice: _Choice,
-        attempt: _race.HedgedAttempt,
+        attempt: _hedging.HedgedAttempt,
         progress: _Progress,
     ) -> None:
         """Refund the retry of a backup attempt that was not run."""
@@ -640,7 +642,7 @@
 
     async def _run_hedged_attempt(
         self,
-        attempt: _race.HedgedAttempt,
+        attempt: _hedging.HedgedAttempt,
         choice: _Choice,
         progress: _Progress,
     ) -> None:
@@ -727,14 +729,14 @@
         receiver = _attempts.Receiver(
             call.request_id,
             sink,
-            buffer_response=self._whole_responses
+            buffer_response=self._buffer_responses
             or (request.idempotent and choice.is_new),
             should_withhold=(
                 lambda status: self._should_withhold(choice, progress, status)
             )
             if request.idempotent
             else None,
-            held=self._held,
+            buffer_budget=self._buffer_budget,
         )
         failure: CallRefused | None = None
         failed: bool | None = None
@@ -806,7 +808,7 @@
             # The other attempt is already charged and may succeed.
             return status >= 500
         fails = status in _RETRIED_STATUSES
-        if choice.is_new or self._whole_responses:
+        if choice.is_new or self._buffer_responses:
             fails = status >= 500
         if not fails or not self._retry_is_possible(progress):
             return False
@@ -826,7 +828,7 @@
         return budget.retry(trio.current_time())
 
     def _uses_retry_budget(self, choice: _Choice) -> bool:
-        return not choice.is_new or self._whole_responses
+        return not choice.is_new or self._buffer_responses
 
     def _retry_is_possible(self, progress: _Progress) -> bool:
         limit = progress.request.attempts or _MAX_ATTEMPTS
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -196,7 +196,7 @@
         hold_s: float = 0.0,
         linger_s: float = 0.0,
         drain_timeout_s: float = 30.0,
-        dialect: _calls.Dialect = _calls.OWN_DIALECT,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
     ) -> None:
         self._drain_timeout_s = drain_timeout_s
         self.membership = fakes.FakeMembership(me, table)
--- a/tests/test_services_attempts.py
+++ b/tests/test_services_attempts.py
@@ -68,32 +68,37 @@
 
 async def test_buffered_responses_of_all_calls_share_a_limit() -> None:
     # Each call may buffer 256 KiB, but thousands of them together may not.
-    held = _calls.HeldBytes(100_000)
+    buffer_budget = _calls.ResponseBufferBudget(100_000)
     sinks = [_Sink() for _ in range(50)]
     receivers = [
-        Receiver('present', sink, buffer_response=True, held=held)
+        Receiver(
+            'present', sink, buffer_response=True, buffer_budget=buffer_budget
+        )
         for sink in sinks
     ]
     part = bytes(10_000)
     for receiver in receivers:
         await receiver.feed(_messages.AnswerStart('present', 200, (), _LOAD))
         await receiver.feed(_messages.BodyChunk(part))
-        assert held.used <= 100_000
-    assert held.used == 100_000
+        assert buffer_budget.used <= 100_000
+    assert buffer_budget.used == 100_000
     for receiver in receivers:
         await receiver.feed(_messages.BodyChunk(part, last=True))
         assert receiver.complete
     assert [(sink.heads, sink.body, sink.ended) for sink in sinks] == [
         ([200], 2 * part, True)
     ] * 50
-    assert held.used == 0
+    assert buffer_budget.used == 0
 
 
 async def test_withheld_responses_of_all_calls_share_a_limit() -> None:
-    held = _calls.HeldBytes(100_000)
+    buffer_budget = _calls.ResponseBufferBudget(100_000)
     receivers = [
         Receiver(
-            'present', _Sink(), should_withhold=lambda status: True, held=held
+            'present',
+            _Sink(),
+            should_withhold=lambda status: True,
+            buffer_budget=buffer_budget,
         )
         for _ in range(50)
     ]
@@ -101,7 +106,7 @@
         await receiver.feed(_messages.AnswerStart('present', 503, (), _LOAD))
         for _ in range(10):
             await receiver.feed(_messages.BodyChunk(bytes(9_000)))
-            assert held.used <= 100_000
+            assert buffer_budget.used <= 100_000
         await receiver.feed(_messages.AnswerEnd('present'))
         assert receiver.complete
     # A response beyond the limit must not be replayed in part.
@@ -109,15 +114,15 @@
     complete_sizes = [len(item.body) for item in responses if item is not None]
     assert (len(responses), complete_sizes) == (50, [90_000])
     del receivers, receiver
-    assert held.used == 0
+    assert buffer_budget.used == 0
 
 
 def test_recorded_responses_are_limited_for_any_chunk_size() -> None:
     # In a list, each chunk takes at least 40 bytes, whatever its size.
-    held = _calls.HeldBytes(10_000_000)
+    buffer_budget = _calls.ResponseBufferBudget(10_000_000)
     tracemalloc.start()
     try:
-        recorders = [_calls.Recorder(held) for _ in range(4)]
+        recorders = [_calls.Recorder(buffer_budget) for _ in range(4)]
         for recorder in recorders:
             recorder.head(200, ())
             for index in range(100_000):
@@ -125,9 +130,9 @@
         size, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    assert held.used == 800_000
-    assert size < 2 * held.used
+    assert buffer_budget.used == 800_000
+    assert size < 2 * buffer_budget.used
     for _ in range(6):
         recorders[0].chunk(bytes(_calls.MAX_RECORDED_BODY_BYTES))
     assert recorders[0].response is None
-    assert held.used == 600_000
+    assert buffer_budget.used == 600_000
--- a/tests/test_services_backend_client.py
+++ b/tests/test_services_backend_client.py
@@ -202,7 +202,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A response without end must end early and not delay other calls."""
-    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
+    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY_BYTES', 4 * 1024 * 1024)
     async with (
         _Endpoint(start, unit).run() as endpoint,
         open_daemons(endpoint.address, _SNAPSHOT) as daemons,
@@ -235,7 +235,9 @@
                     calls.start_soon(call)
         assert results == [expected] * 3
         await _until(lambda: endpoint.cut == 3)
-        assert endpoint.sent < 3 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
+        assert endpoint.sent < 3 * (
+            _calls.MAX_RESPONSE_BODY_BYTES + _SOCKET_BUFFERS
+        )
         nursery.cancel_scope.cancel()
         assert longest_s < _TURN_S
     # A run that is not counted as ended keeps its slot for ever.
@@ -320,14 +322,16 @@
 ) -> None:
     """Such a response is held until it is whole, in a bounded buffer."""
     # A run that must not be repeated goes on without its caller.
-    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
+    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY_BYTES', 4 * 1024 * 1024)
     unit = b'10000\r\n' + bytes(0x10000) + b'\r\n'
     async with (
         _Endpoint(_CHUNKED, unit).run() as endpoint,
         open_daemons(endpoint.address, _SNAPSHOT) as daemons,
     ):
         for daemon in daemons:
-            daemon.runner.held = _calls.HeldBytes(1_000_000)
+            daemon.runner.buffer_budget = _calls.ResponseBufferBudget(
+                1_000_000
+            )
             host, _, port = daemon.caller.address.rpartition(':')
             with trio.fail_after(_EARLY_S):
                 stream = await trio.open_tcp_stream(host, int(port))
@@ -340,9 +344,11 @@
             head = received.split(b'\r\n\r\n')[0].lower()
             assert head.startswith(b'http/1.1 502')
             assert b'gypsumhall-outcome: run' in head
-            assert daemon.runner.held.used == 0
+            assert daemon.runner.buffer_budget.used == 0
         await _until(lambda: endpoint.cut == 2)
-        assert endpoint.sent < 2 * (_calls.MAX_RESPONSE_BODY + _SOCKET_BUFFERS)
+        assert endpoint.sent < 2 * (
+            _calls.MAX_RESPONSE_BODY_BYTES + _SOCKET_BUFFERS
+        )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -571,7 +571,7 @@
             metrics=fakes.FakeMetrics(),
             rng=Random(1),
             execute=daemon.runner.execute,
-            retries=_sender.RetryLimits(0.0, 12.0, fleet_wide=True),
+            retry_limits=_sender.RetryLimits(0.0, 12.0, fleet_wide=True),
         )
         table = daemon.membership.table
         others = [
