--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -57,7 +57,7 @@
         Id of the attempt; messages with another id are dropped.
     sink : ResponseSink
         Receives the response.
-    hold : bool
+    buffer_response : bool
         Whether the response is buffered until it is complete. Responses with
         a small ``content-length`` are always buffered.
     should_withhold : callable or None
@@ -421,10 +421,12 @@
     ) -> None:
         try:
             if call.has_body:
-                left = len(request.body)
+                remaining_bytes = len(request.body)
                 for part in _calls.chunks(request.body):
-                    left -= len(part)
-                    await exchange.send(BodyChunk(part, last=not left))
+                    remaining_bytes -= len(part)
+                    await exchange.send(
+                        BodyChunk(part, last=not remaining_bytes)
+                    )
             while not receiver.done:
                 await receiver.feed(await exchange.receive())
         except trio.EndOfChannel:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -214,7 +214,7 @@
     execute : callable
         Runs a call on this VM.
     dialect : Dialect
-        Names of the headers that callers and backend servers use.
+        HTTP headers and conventions of callers and backend servers.
     split_source : callable, optional
         How calls are split between versions; by default as configured.
     retry_limits : RetryLimits, optional
@@ -279,7 +279,7 @@
         *,
         key_claimed: bool = False,
     ) -> None:
-        """Run a request and pass its response to a sink.
+        """Run a request and forward its response to a sink.
 
         Parameters
         ----------
@@ -287,7 +287,7 @@
             The request.
         sink : ResponseSink
             Receives the response.
-        unkeyed : bool
+        key_claimed : bool
             Whether the owner of the key has claimed it already.
 
         Raises
@@ -322,8 +322,11 @@
             rejection = await self._attempt_at_owner(owner, request, sink)
             if rejection is None:
                 return
-            left = request.deadline - trio.current_time()
-            if rejection.code in _OWNER_UNAVAILABLE_CODES and left > backoff_s:
+            remaining_s = request.deadline - trio.current_time()
+            if (
+                rejection.code in _OWNER_UNAVAILABLE_CODES
+                and remaining_s > backoff_s
+            ):
                 # Another daemon will own the key, or the owner will be
                 # reachable again.
                 await trio.sleep(backoff_s * (0.5 + self._rng.random()))
@@ -607,12 +610,12 @@
         """
         hedged_request = _hedging.HedgedRequest(progress.sink)
         first, second = hedged_request.add(), hedged_request.add()
-        left = progress.request.deadline - trio.current_time()
+        remaining_s = progress.request.deadline - trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._run_hedged_attempt, first, choice, progress
             )
-            with trio.move_on_after(_calls.SLOW_CALL_FRACTION * left):
+            with trio.move_on_after(_calls.SLOW_CALL_FRACTION * remaining_s):
                 await first.ended.wait()
             if not first.ended.is_set() and hedged_request.winner is None:
                 backup = self._choose_backup(choice, progress)
@@ -712,8 +715,8 @@
         request = progress.request
         member = choice.member
         progress.tried_members.add(member.id)
-        left = request.deadline - trio.current_time()
-        if left <= 0:
+        remaining_s = request.deadline - trio.current_time()
+        if remaining_s <= 0:
             return CallRefused(
                 '', Outcome.NOT_RUN, 'deadline', 'the deadline has passed'
             )
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -77,11 +77,11 @@
 def _fault_on_message(
     kind: type[Message], fault: Fault, times: int = 1
 ) -> FaultRule:
-    left = [times]
+    remaining = [times]
 
     def rule(source: str, target: str, message: Message) -> Fault:
-        if isinstance(message, kind) and left[0]:
-            left[0] -= 1
+        if isinstance(message, kind) and remaining[0]:
+            remaining[0] -= 1
             return fault
         return Fault.NONE
 
