--- a/benchmarks/check_proofs.py
+++ b/benchmarks/check_proofs.py
@@ -87,7 +87,7 @@
         3,
         'a failed check leaves the installed snapshot alone',
         'core/_replica.py',
-        '        if (version, update.digest) in self._rejected:\n'
+        '        if (version, update.digest) in self._rejected_versions:\n'
         '            return []\n        base = None',
         '        self._snapshot = Snapshot(update.head, {})\n'
         '        base = None',
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -30,7 +30,8 @@
     if path.parent.name in ('core', 'net', 'services', 'store')
 ]
 _EMITTERS = {
-    'emit', '_emit', '_event', '_note', '_alarm', 'Alarm', '_on_change',
+    'emit', '_emit', '_event', '_record_event', '_build_alarm', 'Alarm',
+    '_on_change',
 }  # fmt: skip
 # Codes that are computed from an enumeration or an error.
 _COMPUTED = {
--- a/tests/test_services_backend_client.py
+++ b/tests/test_services_backend_client.py
@@ -210,7 +210,7 @@
 
     Without limits, it would block the event loop or run until the deadline.
     """
-    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
+    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY_BYTES', 4 * 1024 * 1024)
     async with (
         _EndlessServer(start, unit).run() as server,
         open_daemons(server.address, _SNAPSHOT) as daemons,
@@ -332,7 +332,7 @@
 ) -> None:
     """The response is buffered for such a caller, but only up to a limit."""
     # A run that is not idempotent continues after its caller has gone.
-    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY', 4 * 1024 * 1024)
+    monkeypatch.setattr(_calls, 'MAX_RESPONSE_BODY_BYTES', 4 * 1024 * 1024)
     unit = b'10000\r\n' + bytes(0x10000) + b'\r\n'
     async with (
         _EndlessServer(_CHUNKED, unit).run() as server,
