Rename public names of net, store, platform and timeline to terms of the field

Among them: heartbeats of backend servers, positions in a text are source locations, fields of messages between daemons (arrays, so the names are not on the wire) and limits carry their unit. Classes of messages stay, as the traffic metric has their names as a label. Applied by whole words over the repository.

--- a/gypsumhall/_errors.py
+++ b/gypsumhall/_errors.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Place:
+class SourceLocation:
     """A position in an operator's text or in the settings.
 
     Parameters
@@ -51,10 +51,10 @@
 
     code: str
     message: str
-    place: Place
+    location: SourceLocation
 
     def __str__(self) -> str:
-        return f'{self.place}: {self.code}: {self.message}'
+        return f'{self.location}: {self.code}: {self.message}'
 
 
 class GypsumhallError(Exception):
@@ -68,9 +68,9 @@
     return {
         'code': finding.code,
         'message': finding.message,
-        'source': finding.place.source,
-        'line': finding.place.line,
-        'column': finding.place.column,
+        'source': finding.location.source,
+        'line': finding.location.line,
+        'column': finding.location.column,
     }
 
 
@@ -108,7 +108,7 @@
 
 
 @contextmanager
-def listening_at(address: str) -> Iterator[None]:
+def translate_listen_errors(address: str) -> Iterator[None]:
     """Name the address when opening its listener fails.
 
     Raises
@@ -119,7 +119,7 @@
     try:
         yield
     except (OSError, BaseExceptionGroup) as error:
-        cause = innermost(error)
+        cause = first_leaf_error(error)
         if not isinstance(cause, OSError):
             raise
         # The texts of some libraries repeat the address.
@@ -128,7 +128,7 @@
         raise AddressError(f'cannot listen at {address!r}: {reason}') from None
 
 
-def innermost(error: BaseException) -> BaseException:
+def first_leaf_error(error: BaseException) -> BaseException:
     """Return the first error of nested groups, or the error itself."""
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumhall._errors import Finding
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
@@ -31,7 +31,7 @@
 from gypsumhall.services._platform_link import PlatformLinkService
 from gypsumhall.services._reader import Reader
 from gypsumhall.services._runner import RunnerService
-from gypsumhall.services._store import PlatformStore
+from gypsumhall.services._store import InstrumentedStore
 from gypsumhall.store import EtcdStore
 
 if TYPE_CHECKING:
@@ -146,12 +146,14 @@
                 f'{zone!r} is no availability zone; valid choices: '
                 f'{", ".join(zones)}'
             )
-            findings.append(Finding('unknown-zone', message, Place('--zone')))
+            findings.append(
+                Finding('unknown-zone', message, SourceLocation('--zone'))
+            )
         count = len(self.peer_keys.value)
         if count > MAX_KEYS:
             message = f'{count} keys; at most {MAX_KEYS} are accepted'
             findings.append(
-                Finding('bad-setting', message, Place('--peer_keys'))
+                Finding('bad-setting', message, SourceLocation('--peer_keys'))
             )
         return findings
 
@@ -178,7 +180,7 @@
     services: list[Service] = [
         EventLog(daemon, zone, path=settings.event_log.value),
         MetricRegistry(),
-        PlatformStore(EtcdStore(settings.platform.value, rng=rng)),
+        InstrumentedStore(EtcdStore(settings.platform.value, rng=rng)),
         Peers(peer_settings),
         MembershipService(MembershipSettings(settings.seeds.value)),
         DistributionService(),
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -402,7 +402,7 @@
         configuration otherwise. All parts of a delta have `base` set. A
         peer that is up to date receives an empty delta.
         """
-        if pull.held >= self.version:
+        if pull.installed_version >= self.version:
             return [
                 Update(
                     _model.Head(self.version),
@@ -411,7 +411,7 @@
                     digest=self._snapshot.digest,
                 )
             ]
-        base = self._delta_bases.get((pull.held, pull.digest))
+        base = self._delta_bases.get((pull.installed_version, pull.digest))
         if base is not None:
             target = _delta.Base.of(self._snapshot)
             return _delta.split(_delta.diff(base, target))
--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -23,17 +23,17 @@
 from gypsumhall.net import _messages
 from gypsumhall.net._messages import Message
 
-MAX_FRAME = 1024 * 1024 + 64 * 1024
+MAX_FRAME_BYTES = 1024 * 1024 + 64 * 1024
 """Largest frame in bytes: a 1 MiB message and its envelope."""
 
-MAX_READ = 64 * 1024
+MAX_READ_BYTES = 64 * 1024
 """Most bytes that a decoder is fed at a time."""
 
 _READ_SIZE = 16 * 1024
 """First buffer of an unpacker; the default is 1 MiB."""
 
 _FREE_UNPACKERS = 4
-"""Unpackers kept for later; one may have grown to `MAX_FRAME`."""
+"""Unpackers kept for later; one may have grown to `MAX_FRAME_BYTES`."""
 
 _MAX_ID = 2**62
 
@@ -126,10 +126,10 @@
         When the message is too large for a frame.
     """
     payload = _ENCODER.encode(message)
-    if len(payload) > MAX_FRAME - 32:
+    if len(payload) > MAX_FRAME_BYTES - 32:
         raise PeerProtocolError(
             f'{type(message).__name__} takes {len(payload)} bytes; '
-            f'a frame holds {MAX_FRAME}'
+            f'a frame holds {MAX_FRAME_BYTES}'
         )
     return payload
 
@@ -153,7 +153,7 @@
     return _PACKER.pack((exchange, int(kind), payload))
 
 
-class Traffic:
+class TrafficCounters:
     """Counts of frames and bytes.
 
     Attributes
@@ -166,26 +166,26 @@
         Tag 0 stands for frames without a message and for handshakes.
     """
 
-    __slots__ = ('control', 'frames', 'sizes')
+    __slots__ = ('control_bytes', 'frames', 'sizes')
 
     def __init__(self) -> None:
         self.frames = [0, 0, 0, 0]
         self.sizes = [0, 0, 0, 0]
-        self.control = ([0] * 128, [0] * 128)
+        self.control_bytes = ([0] * 128, [0] * 128)
 
     def add(self, index: int, size: int, payload: bytes | int = 0) -> None:
         """Count one frame."""
         self.frames[index] += 1
         self.sizes[index] += size
         if index < 2:
-            self.control[index][_tag_of(payload)] += size
+            self.control_bytes[index][_tag_of(payload)] += size
 
     def control_by_message(self) -> dict[tuple[str, str], int]:
         """Return the control bytes by message name and direction."""
         return {
             (_TAG_NAMES.get(tag, 'none'), direction): size
             for direction, sizes in zip(
-                ('sent', 'received'), self.control, strict=True
+                ('sent', 'received'), self.control_bytes, strict=True
             )
             for tag, size in enumerate(sizes)
             if size
@@ -226,7 +226,7 @@
         Parameters
         ----------
         data : bytes
-            At most `MAX_READ` bytes.
+            At most `MAX_READ_BYTES` bytes.
 
         Raises
         ------
@@ -263,8 +263,8 @@
     return msgpack.Unpacker(
         read_size=_READ_SIZE,
         # A read may end a frame and begin the next.
-        max_buffer_size=MAX_FRAME + MAX_READ,
-        max_bin_len=MAX_FRAME - 16,
+        max_buffer_size=MAX_FRAME_BYTES + MAX_READ_BYTES,
+        max_bin_len=MAX_FRAME_BYTES - 16,
         max_array_len=3,
         max_str_len=0,
         max_map_len=0,
--- a/gypsumhall/net/_handshake.py
+++ b/gypsumhall/net/_handshake.py
@@ -5,7 +5,7 @@
 its proof. Each proof is an HMAC-SHA256 over protocol version, role, both
 nonces and both identities: a recorded handshake fails against a fresh nonce,
 and a proof sent back to its author fails because of the role. Hellos are the
-only bytes read before a proof; they are limited to `MAX_HELLO` bytes.
+only bytes read before a proof; they are limited to `MAX_HELLO_BYTES` bytes.
 
 A proof is a list with one code per key. During a rotation of keys, two
 daemons understand each other when they have any key in common.
@@ -30,10 +30,10 @@
     from collections.abc import Sequence
     import socket
 
-    from gypsumhall.net._frames import Traffic
+    from gypsumhall.net._frames import TrafficCounters
 
 PROTOCOL = 'gypsumhall/1'
-MAX_HELLO = 1024
+MAX_HELLO_BYTES = 1024
 """Largest handshake frame in bytes."""
 MAX_KEYS = 4
 """Largest number of keys accepted at the same time."""
@@ -220,13 +220,13 @@
 
     __slots__ = ('_sock', '_traffic', '_unpacker')
 
-    def __init__(self, sock: socket.socket, traffic: Traffic) -> None:
+    def __init__(self, sock: socket.socket, traffic: TrafficCounters) -> None:
         self._sock = sock
         self._traffic = traffic
         self._unpacker = msgpack.Unpacker(
-            read_size=MAX_HELLO,
-            max_buffer_size=2 * MAX_HELLO,
-            max_bin_len=MAX_HELLO,
+            read_size=MAX_HELLO_BYTES,
+            max_buffer_size=2 * MAX_HELLO_BYTES,
+            max_bin_len=MAX_HELLO_BYTES,
             max_array_len=0,
             max_map_len=0,
             max_str_len=0,
@@ -236,7 +236,7 @@
     @property
     def rest(self) -> bytes:
         """Bytes read after the last frame."""
-        return self._unpacker.read_bytes(2 * MAX_HELLO)
+        return self._unpacker.read_bytes(2 * MAX_HELLO_BYTES)
 
     async def frame(self) -> bytes:
         while True:
@@ -251,7 +251,7 @@
                 return frame
             if frame is not None:
                 raise PeerProtocolError('malformed handshake')
-            data = await _socket.receive(self._sock, MAX_HELLO)
+            data = await _socket.receive(self._sock, MAX_HELLO_BYTES)
             if not data:
                 raise PeerLostError('stream ended during the handshake')
             try:
@@ -260,13 +260,18 @@
                 raise PeerProtocolError('oversized handshake') from error
 
 
-async def _send(sock: socket.socket, data: bytes, traffic: Traffic) -> None:
+async def _send(
+    sock: socket.socket, data: bytes, traffic: TrafficCounters
+) -> None:
     traffic.add(0, len(data) + _ENVELOPE)
     await _socket.send_all(sock, msgpack.packb(data))
 
 
-async def prove_as_opener(
-    sock: socket.socket, me: PeerInfo, keys: Sequence[bytes], traffic: Traffic
+async def authenticate_as_opener(
+    sock: socket.socket,
+    me: PeerInfo,
+    keys: Sequence[bytes],
+    traffic: TrafficCounters,
 ) -> PeerInfo:
     """Run the opening side of a handshake.
 
@@ -284,8 +289,11 @@
     return peer
 
 
-async def prove_as_acceptor(
-    sock: socket.socket, me: PeerInfo, keys: Sequence[bytes], traffic: Traffic
+async def authenticate_as_acceptor(
+    sock: socket.socket,
+    me: PeerInfo,
+    keys: Sequence[bytes],
+    traffic: TrafficCounters,
 ) -> tuple[PeerInfo, bytes]:
     """Run the accepting side of a handshake.
 
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -302,7 +302,7 @@
         the same digest.
     """
 
-    held: int = 0
+    installed_version: int = 0
     digest: str = ''
 
 
@@ -335,7 +335,7 @@
     """
 
     acknowledged_version: int
-    held: int
+    installed_version: int
     ready: bool = True
 
 
@@ -353,7 +353,7 @@
     """
 
     root: str
-    lowest: int
+    lowest_version: int
     members: int
 
 
@@ -381,7 +381,7 @@
     sequence: int
     members: int
     expected: int
-    lowest: int
+    lowest_version: int
 
 
 class ZoneSummaries(Message, frozen=True, tag=26):
@@ -664,7 +664,7 @@
     service: str
     key: str
     incarnation: int = 0
-    asked: tuple[tuple[str, int], ...] = ()
+    queried_members: tuple[tuple[str, int], ...] = ()
 
 
 class KeyReleased(Message, frozen=True, tag=48):
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -18,7 +18,7 @@
 from gypsumhall.net import _messages
 from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
-from gypsumhall.net._frames import Traffic
+from gypsumhall.net._frames import TrafficCounters
 from gypsumhall.net._protocol import PeerInfo
 from gypsumhall.net._stream import Stream
 from gypsumhall.net._stream import StreamSettings
@@ -173,7 +173,7 @@
         self._settings = settings
         # Peers and firewalls see the address that the settings name, on VMs
         # with several addresses too.
-        self._source = _socket.source_of(settings.address)
+        self._source = _socket.source_ip(settings.address)
         self._emit = emit
         self._emitted: dict[str, tuple[float, int]] = {}
         self._handlers: dict[type[Message], Handler[Any]] = {}
@@ -188,8 +188,8 @@
         self._idle: list[_Worker] = []
         self._draining = False
         self._dropped = 0
-        self._traffic = Traffic()
-        self._last_tick = 0.0
+        self._traffic = TrafficCounters()
+        self._last_check_time = 0.0
 
     @property
     def me(self) -> PeerInfo:
@@ -199,12 +199,12 @@
         return self._me
 
     @property
-    def last_tick(self) -> float:
+    def last_check_time(self) -> float:
         """Time of the last round of checks of the streams."""
-        return self._last_tick
+        return self._last_check_time
 
     @property
-    def traffic(self) -> Traffic:
+    def traffic(self) -> TrafficCounters:
         """Frames and bytes of all streams, by kind and direction."""
         return self._traffic
 
@@ -214,7 +214,7 @@
         return len(self._streams)
 
     @property
-    def dropped(self) -> int:
+    def dropped_posts(self) -> int:
         """Number of posted messages that were dropped."""
         return self._dropped
 
@@ -323,7 +323,7 @@
             settings.incarnation,
             address,
         )
-        self._last_tick = trio.current_time()
+        self._last_check_time = trio.current_time()
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -350,8 +350,8 @@
         in_flight: list[StreamExchange] = []
         for stream in self._streams:
             in_flight += stream.in_flight
-            if not stream.opened:
-                stream.refuse()
+            if not stream.is_opener:
+                stream.send_goaway()
         await trio.sleep(_GOAWAY_GRACE_S)
         # Exchanges that other services open meanwhile, such as heartbeats,
         # do not delay the stop. Polling is cheaper than an event per
@@ -370,17 +370,17 @@
 
     # What the streams call.
 
-    def accept(
+    def accept_exchange(
         self, stream: Stream, exchange: StreamExchange, message: Message
     ) -> None:
         """Start the handler of a new exchange."""
         handler = self._handlers.get(type(message))
         if self._draining or stream.exchanges > self._settings.max_handlers:
-            exchange.answer(_messages.Busy())
+            exchange.reply(_messages.Busy())
             exchange.close()
         elif handler is None or self._nursery is None:
             name = type(message).__name__
-            exchange.answer(
+            exchange.reply(
                 _messages.Failure('unknown-request', f'no handler of {name}')
             )
             exchange.close()
@@ -396,8 +396,8 @@
     def ended(self, stream: Stream, error: PeerError | None) -> None:
         """Forget a stream."""
         self._streams.discard(stream)
-        if self._primary.get(stream.dialled) is stream:
-            del self._primary[stream.dialled]
+        if self._primary.get(stream.dialled_address) is stream:
+            del self._primary[stream.dialled_address]
         if error is not None and not self._draining:
             code = (
                 'peer-protocol-error'
@@ -410,7 +410,7 @@
 
     def _usable(self, address: str) -> Stream | None:
         stream = self._primary.get(address)
-        if stream is None or stream.refusing or stream.suspicious:
+        if stream is None or stream.goaway_received or stream.ping_overdue:
             return None
         return stream
 
@@ -439,7 +439,7 @@
             self._make_room()
             with trio.move_on_after(self._settings.connect_timeout_s):
                 sock = await _socket.connect(address, self._source)
-                peer = await _handshake.prove_as_opener(
+                peer = await _handshake.authenticate_as_opener(
                     sock, self.me, self._settings.keys, self._traffic
                 )
                 attempt.stream = self._add(sock, peer, address, b'')
@@ -458,17 +458,21 @@
             attempt.done.set()
 
     def _make_room(self) -> None:
-        opened = [item for item in self._streams if item.opened]
-        if len(opened) < self._settings.max_streams:
+        is_opener = [item for item in self._streams if item.is_opener]
+        if len(is_opener) < self._settings.max_streams:
             return
-        idle = [item for item in opened if item.idle]
+        idle = [item for item in is_opener if item.idle]
         if not idle:
-            self._event('peer-streams-exhausted', streams=len(opened))
-            raise PeerLostError(f'all {len(opened)} streams are in use')
+            self._event('peer-streams-exhausted', streams=len(is_opener))
+            raise PeerLostError(f'all {len(is_opener)} streams are in use')
         min(idle, key=lambda item: item.last_used).end(None)
 
     def _add(
-        self, sock: socket.socket, peer: PeerInfo, dialled: str, first: bytes
+        self,
+        sock: socket.socket,
+        peer: PeerInfo,
+        dialled_address: str,
+        first: bytes,
     ) -> Stream:
         if self._nursery is None:
             raise PeerLostError('the network is not running')
@@ -476,13 +480,13 @@
             self,
             sock,
             peer,
-            dialled=dialled,
+            dialled_address=dialled_address,
             settings=self._settings.stream,
             nursery=self._nursery,
         )
         self._streams.add(stream)
-        if dialled:
-            self._primary[dialled] = stream
+        if dialled_address:
+            self._primary[dialled_address] = stream
         self._nursery.start_soon(stream.run, first)
         return stream
 
@@ -529,10 +533,10 @@
         keep = False
         try:
             with trio.move_on_after(self._settings.connect_timeout_s) as scope:
-                accepted = sum(not item.opened for item in self._streams)
+                accepted = sum(not item.is_opener for item in self._streams)
                 if accepted >= self._settings.max_streams:
                     raise PeerProtocolError(f'{accepted} streams are open')
-                peer, rest = await _handshake.prove_as_acceptor(
+                peer, rest = await _handshake.authenticate_as_acceptor(
                     sock, self.me, self._settings.keys, self._traffic
                 )
                 self._add(sock, peer, '', rest)
@@ -577,7 +581,7 @@
                     message=type(message).__name__,
                     detail=f'{type(error).__name__}: {error}',
                 )
-                exchange.answer(
+                exchange.reply(
                     _messages.Failure('internal', type(error).__name__)
                 )
         except BaseException:
@@ -594,8 +598,8 @@
         while True:
             await trio.sleep(interval)
             now = trio.current_time()
-            passed = now - self._last_tick
-            self._last_tick = now
+            passed = now - self._last_check_time
+            self._last_check_time = now
             if passed > settings.dead_after_s:
                 # The other ends have given up their exchanges, even those
                 # that still wait in the sockets of idle streams.
@@ -607,7 +611,7 @@
                 continue
             late = False
             for stream in list(self._streams):
-                stream.check(now)
+                stream.check_timeouts(now)
 
     def _event(self, code: str, **fields: object) -> None:
         # A flood of bad connections must not become a flood of events.
--- a/gypsumhall/net/_socket.py
+++ b/gypsumhall/net/_socket.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from gypsumhall._errors import listening_at
+from gypsumhall._errors import translate_listen_errors
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -42,7 +42,7 @@
     return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
 
 
-def source_of(address: str) -> str:
+def source_ip(address: str) -> str:
     """Return the IP number of a listener, empty when it is a wildcard."""
     host, _ = split_address(address)
     return '' if ipaddress.ip_address(host).is_unspecified else host
@@ -100,7 +100,7 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    with listening_at(address):
+    with translate_listen_errors(address):
         sock = socket.create_server((host, port), family=family, backlog=1024)
     sock.setblocking(False)
     return sock
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -28,7 +28,7 @@
 from gypsumhall.net import _frames
 from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
-from gypsumhall.net._frames import Traffic
+from gypsumhall.net._frames import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -66,20 +66,20 @@
     window: int = 128 * 1024
 
 
-class Owner(Protocol):
+class StreamOwner(Protocol):
     """What a stream needs from its network."""
 
     @property
-    def last_tick(self) -> float:
+    def last_check_time(self) -> float:
         """Time of the last round of checks."""
         ...
 
     @property
-    def traffic(self) -> Traffic:
+    def traffic(self) -> TrafficCounters:
         """Counts of all streams."""
         ...
 
-    def accept(
+    def accept_exchange(
         self, stream: Stream, exchange: StreamExchange, message: Message
     ) -> None:
         """Handle a new exchange."""
@@ -135,7 +135,7 @@
     @property
     def ended(self) -> bool:
         """Whether this end has left the exchange or lost its stream."""
-        return not self._stream.holds(self)
+        return not self._stream.has_exchange(self)
 
     async def send(self, message: Message) -> None:
         """Send a message; waits while the other end's window is full.
@@ -211,7 +211,7 @@
         """End the exchange after the messages that were sent before."""
         self._end(Kind.CLOSE, PeerLostError('the exchange has ended'))
 
-    def answer(self, message: Message) -> None:
+    def reply(self, message: Message) -> None:
         """Send a last message without waiting and end the exchange."""
         if self._error is None and not self._finished:
             self._finished = True
@@ -224,14 +224,14 @@
             self._error = error
         self._wake()
 
-    def handle(self, kind: Kind, payload: bytes | int) -> None:
+    def handle_frame(self, kind: Kind, payload: bytes | int) -> None:
         """Take a frame from the other end."""
         if kind is Kind.DATA or kind is Kind.LAST:
             size = len(payload)  # type: ignore[arg-type]
             message = _frames.decode_message(payload)
             self._buffered += size
             window = self._stream.settings.window
-            if self._buffered > window + _frames.MAX_FRAME:
+            if self._buffered > window + _frames.MAX_FRAME_BYTES:
                 raise PeerProtocolError('peer sends more than its window')
             self._queue.append((message, size))
         if kind is Kind.CREDIT:
@@ -250,7 +250,7 @@
         self._wake()
 
     def _end(self, kind: Kind, error: PeerLostError) -> None:
-        if self._stream.forget(self.number) and self._error is None:
+        if self._stream.remove_exchange(self.number) and self._error is None:
             # Both ends know already when each has said its last.
             if not (self._finished and self._closed):
                 self._write(kind, 0)
@@ -314,21 +314,21 @@
         '_used',
         '_watch_until',
         '_writable',
-        'dialled',
+        'dialled_address',
         'ended',
-        'opened',
+        'is_opener',
         'peer',
-        'refusing',
+        'goaway_received',
         'settings',
     )
 
     def __init__(
         self,
-        owner: Owner,
+        owner: StreamOwner,
         sock: socket.socket,
         peer: PeerInfo,
         *,
-        dialled: str,
+        dialled_address: str,
         settings: StreamSettings,
         nursery: trio.Nursery,
     ) -> None:
@@ -347,11 +347,11 @@
         self._watch_until = now
         self._pinged_at = math.inf
         self.peer = peer
-        self.dialled = dialled
-        self.opened = bool(dialled)
+        self.dialled_address = dialled_address
+        self.is_opener = bool(dialled_address)
         self.settings = settings
         self.ended: PeerError | None = None
-        self.refusing = False
+        self.goaway_received = False
         """The other end takes no new exchanges."""
 
     @property
@@ -380,7 +380,7 @@
         return self._used
 
     @property
-    def suspicious(self) -> bool:
+    def ping_overdue(self) -> bool:
         """Whether a ping is unanswered for a quarter of the time it has.
 
         A new exchange then uses a new connection instead of waiting until
@@ -449,15 +449,15 @@
         if self._backlog and self.ended is None:
             await self._writable.park()
 
-    def forget(self, number: int) -> bool:
+    def remove_exchange(self, number: int) -> bool:
         """Remove an exchange; False when it is unknown."""
         return self._exchanges.pop(number, None) is not None
 
-    def holds(self, exchange: StreamExchange) -> bool:
+    def has_exchange(self, exchange: StreamExchange) -> bool:
         """Return whether an exchange is in progress."""
         return self._exchanges.get(exchange.number) is exchange
 
-    def check(self, now: float) -> None:
+    def check_timeouts(self, now: float) -> None:
         """Ping, give up or close the stream when it is due."""
         settings = self.settings
         if not self._exchanges and now >= self._watch_until:
@@ -465,7 +465,7 @@
             # streams of heartbeats would cost more than the heartbeats.
             self._quiet_since = now
             self._pinged_at = math.inf
-            limit = settings.idle_s * (1 if self.opened else 2)
+            limit = settings.idle_s * (1 if self.is_opener else 2)
             if now - self._used > limit:
                 self.end(None)
             return
@@ -484,7 +484,7 @@
             self._pinged_at = now
             self.write(0, Kind.PING, 0, is_call=False)
 
-    def refuse(self) -> None:
+    def send_goaway(self) -> None:
         """Tell the other end to open no further exchanges."""
         self.write(0, Kind.GOAWAY, 0, is_call=False)
 
@@ -531,7 +531,7 @@
                         return
                 await trio.lowlevel.wait_readable(self._sock)
                 try:
-                    data = self._sock.recv(_frames.MAX_READ)
+                    data = self._sock.recv(_frames.MAX_READ_BYTES)
                 except BlockingIOError:
                     data = b''
                     continue
@@ -540,7 +540,10 @@
                         break
                     raise PeerLostError('the peer ended the stream')
                 now = trio.current_time()
-                if now - self._owner.last_tick > self.settings.dead_after_s:
+                if (
+                    now - self._owner.last_check_time
+                    > self.settings.dead_after_s
+                ):
                     # The peer has given up its exchanges meanwhile, so a
                     # call that waits in the socket must not start now.
                     raise PeerLostError('this process was paused')
@@ -560,7 +563,7 @@
         if not self._exchanges and now >= self._watch_until:
             self._quiet_since = now
         self._used = now
-        if exchange.is_call and self.opened:
+        if exchange.is_call and self.is_opener:
             self._watch_until = now + self.settings.idle_s
         self._exchanges[exchange.number] = exchange
 
@@ -576,15 +579,15 @@
             if kind is Kind.PING:
                 self.write(0, Kind.PONG, 0, is_call=False)
             elif kind is Kind.GOAWAY:
-                self.refusing = True
+                self.goaway_received = True
         elif exchange is not None:
-            exchange.handle(kind, payload)
+            exchange.handle_frame(kind, payload)
         elif not 0 < number <= self._last_id:
             raise PeerProtocolError(f'{kind.name} for unknown id {number}')
 
     def _accept(self, frame: _frames.Frame) -> None:
         number, kind, payload, size = frame
-        if self.opened or number <= self._last_id:
+        if self.is_opener or number <= self._last_id:
             raise PeerProtocolError(f'{kind.name} with the id {number}')
         self._last_id = number
         message = _frames.decode_message(payload)
@@ -597,12 +600,12 @@
         index = 3 if exchange.is_call else 1
         self._owner.traffic.add(index, size, payload)
         if kind is not Kind.OPEN:
-            exchange.handle(Kind.FINISH, 0)
+            exchange.handle_frame(Kind.FINISH, 0)
         if kind is Kind.POST:
             # Answers to a posted message go nowhere.
-            exchange.handle(Kind.CLOSE, 0)
+            exchange.handle_frame(Kind.CLOSE, 0)
         self._start(exchange)
-        self._owner.accept(self, exchange, message)
+        self._owner.accept_exchange(self, exchange, message)
 
     async def _flush(self) -> None:
         try:
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -20,7 +20,7 @@
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import InvalidUpdateError
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall._errors import StoreError
 from gypsumhall._errors import StoreProtocolError
 from gypsumhall._errors import StoreUnavailableError
@@ -472,7 +472,7 @@
                 f'{_text.quote_value(submission.id)} is not a submission id; '
                 'write 8 to 36 letters, digits, "_" and "-", optionally '
                 'after a version and "."',
-                Place('id'),
+                SourceLocation('id'),
             )
             return self._report_result(
                 submission, SubmissionStatus.REFUSED, findings=(finding,)
@@ -546,7 +546,7 @@
                     'wrong-department',
                     f'the text is of department {department}, the submission '
                     f'of {_text.quote_value(submission.department)}',
-                    parsed.place('department'),
+                    parsed.location('department'),
                 )
                 return _NoWrite(_accept.Refused((finding,)))
             old = head.departments.get(department)
@@ -632,7 +632,9 @@
         writes: list[Put | Delete] = []
         if outcome.stored is not None:
             data = _model.encode(outcome.stored)
-            writes.append(Put(_keys.FRAGMENTS + _model.digest(data), data))
+            writes.append(
+                Put(_keys.FRAGMENTS_PREFIX + _model.digest(data), data)
+            )
         # The head is put last: a watch must deliver the fragment before it.
         writes.append(Put(_keys.HEAD, _model.encode(outcome.head)))
         pending.add(revision, outcome)
@@ -714,15 +716,17 @@
             raise errors[0]
 
     async def _fetch_fragment(self, digest: str) -> _model.Fragment:
-        found = await self._store.get(_keys.FRAGMENTS + digest)
+        found = await self._store.get(_keys.FRAGMENTS_PREFIX + digest)
         if found is None or _model.digest(found.value) != digest:
             state = 'is missing' if found is None else 'is damaged'
-            raise StoreProtocolError(f'{_keys.FRAGMENTS}{digest} {state}')
+            raise StoreProtocolError(
+                f'{_keys.FRAGMENTS_PREFIX}{digest} {state}'
+            )
         try:
             return _model.decode_fragment(found.value)
         except msgspec.DecodeError as error:
             raise StoreProtocolError(
-                f'{_keys.FRAGMENTS}{digest}: {error}'
+                f'{_keys.FRAGMENTS_PREFIX}{digest}: {error}'
             ) from error
 
     def _publish(self, write: _Write) -> None:
@@ -763,10 +767,10 @@
         """
         now = trio.current_time()
         if self._listing_due:
-            stored = await self._store.range(_keys.FRAGMENTS)
+            stored = await self._store.range(_keys.FRAGMENTS_PREFIX)
             self._listing_due = False
             for item in stored:
-                digest = item.key.removeprefix(_keys.FRAGMENTS)
+                digest = item.key.removeprefix(_keys.FRAGMENTS_PREFIX)
                 self._unreferenced_since.setdefault(digest, now)
         expired = [
             digest
@@ -785,7 +789,7 @@
             return
         result = await self._store.txn(
             [Compare(_keys.HEAD, revision)],
-            [Delete(_keys.FRAGMENTS + digest) for digest in expired],
+            [Delete(_keys.FRAGMENTS_PREFIX + digest) for digest in expired],
         )
         if result.succeeded:
             for digest in expired:
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -103,7 +103,10 @@
 
 def _highest_version(replies: Iterable[tuple[Member, Floor]]) -> int:
     return max(
-        (max(item.acknowledged_version, item.held) for _, item in replies),
+        (
+            max(item.acknowledged_version, item.installed_version)
+            for _, item in replies
+        ),
         default=0,
     )
 
@@ -440,7 +443,9 @@
         replies = await self._request_floors(others)
         now = trio.current_time()
         for member, reply in replies:
-            replica.note_peer_version(reply.held, member.peer_address, now)
+            replica.note_peer_version(
+                reply.installed_version, member.peer_address, now
+            )
         if replica.floor is not None:
             self._execute([])
             return
@@ -463,7 +468,9 @@
             floor = max(floor, _highest_version(distant))
             known = bool(_count_ready(distant))
             for member, reply in distant:
-                replica.note_peer_version(reply.held, member.peer_address, now)
+                replica.note_peer_version(
+                    reply.installed_version, member.peer_address, now
+                )
         if known:
             replica.set_floor(floor, trio.current_time())
         self._execute([])
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -196,7 +196,7 @@
         service, key = message.service, message.key
         new_owner = (exchange.peer.id, exchange.peer.incarnation)
         state = self._ledger.release(
-            service, key, now, new_owner, message.asked
+            service, key, now, new_owner, message.queried_members
         )
         outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
         joined = self._services.get(service)
@@ -204,7 +204,7 @@
             message.incarnation < self._incarnation
             or joined is None
             or joined.history.had_earlier_owner(
-                key, now, new_owner, message.asked
+                key, now, new_owner, message.queried_members
             )
         ):
             outcome = Outcome.UNKNOWN
--- a/gypsumhall/services/_peers.py
+++ b/gypsumhall/services/_peers.py
@@ -68,7 +68,7 @@
         frames = metrics.counter(
             'gypsumhall_peer_frames_total', 'Frames between daemons'
         )
-        dropped = metrics.counter(
+        dropped_posts = metrics.counter(
             'gypsumhall_peer_dropped_total', 'Posted messages dropped'
         )
         streams = metrics.gauge(
@@ -95,6 +95,6 @@
                     control.add(added, message=key[0], direction=key[1])
             old_control = new_control
             old_frames, old_sizes = list(new_frames), list(new_sizes)
-            dropped.add(self.dropped - old_dropped)
-            old_dropped = self.dropped
+            dropped_posts.add(self.dropped_posts - old_dropped)
+            old_dropped = self.dropped_posts
             streams.set(self.streams)
--- a/gypsumhall/store/_election.py
+++ b/gypsumhall/store/_election.py
@@ -21,7 +21,7 @@
 
     from gypsumhall.store._protocol import Store
 
-SAFETY_SHARE = 0.2
+SAFETY_MARGIN_FRACTION = 0.2
 """Share of the time to live that is given up for safety.
 
 The platform counts from the arrival of a keep-alive, the holder from before
@@ -111,9 +111,9 @@
         return self._lost
 
     @property
-    def expires(self) -> float:
+    def expires_at(self) -> float:
         """Time in seconds up to which the lease is valid."""
-        return self._sent + self._ttl_s * (1 - SAFETY_SHARE)
+        return self._sent + self._ttl_s * (1 - SAFETY_MARGIN_FRACTION)
 
     def valid(self, now: float) -> bool:
         """Whether no other holder can have the lease yet.
@@ -121,9 +121,9 @@
         The answer follows from the clock alone, so a process that was
         paused gets it right before any of its tasks has run.
         """
-        return not self._lost.is_set() and now < self.expires
+        return not self._lost.is_set() and now < self.expires_at
 
-    def hold(self, mod_revision: int) -> None:
+    def set_key_revision(self, mod_revision: int) -> None:
         """Record the revision at which the election key was written."""
         self._mod_revision = mod_revision
 
@@ -134,7 +134,7 @@
         # Jitter keeps the renewals of holders that started together apart.
         delay_s = interval_s * self._rng.uniform(0.7, 1.0)
         while not self._lost.is_set():
-            with trio.move_on_at(self.expires):
+            with trio.move_on_at(self.expires_at):
                 await trio.sleep(delay_s)
                 delay_s = await self._renew_once(interval_s, backoff)
             if not self.valid(trio.current_time()):
@@ -154,7 +154,7 @@
         backoff.reset()
         return interval_s * self._rng.uniform(0.9, 1.0)
 
-    async def end(self) -> None:
+    async def release(self) -> None:
         """Give the lease up, so that a successor need not wait."""
         self._lost.set()
         with trio.move_on_after(_REVOKE_TIMEOUT_S) as scope:
@@ -229,7 +229,7 @@
                 failure = error
             nursery.cancel_scope.cancel()
     finally:
-        await lease.end()
+        await lease.release()
     if failure is not None:
         raise failure
 
@@ -248,7 +248,7 @@
         await _write_key(store, lease, value)
     except BaseException:
         # The key may have been written all the same; the lease removes it.
-        await lease.end()
+        await lease.release()
         raise
     return lease
 
@@ -261,7 +261,7 @@
         try:
             result = await store.txn([Compare(lease.key, 0)], writes)
             if result.succeeded:
-                lease.hold(result.revision)
+                lease.set_key_revision(result.revision)
                 return
         except StoreLeaseError:
             raise
@@ -278,7 +278,7 @@
             failure = error
         else:
             if held is not None and held.lease == lease.id:
-                lease.hold(held.mod_revision)
+                lease.set_key_revision(held.mod_revision)
                 return
             if held is not None:
                 raise LeaseHeldError(
--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -351,7 +351,7 @@
         or ``https://``.
     timeout_s : float
         Longest time of a call at one address, in seconds.
-    silence_s : float
+    watch_idle_timeout_s : float
         Seconds after which a watch without any message is opened anew from
         the revision after the last one it delivered, so that an open
         connection that went silent loses no event for longer than that.
@@ -367,7 +367,7 @@
         addresses: Sequence[str],
         *,
         timeout_s: float = 2.0,
-        silence_s: float = 30.0,
+        watch_idle_timeout_s: float = 30.0,
         rng: Random | None = None,
         network_backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
@@ -380,7 +380,7 @@
             for item in addresses
         ]
         self._timeout_s = timeout_s
-        self._silence_s = silence_s
+        self._watch_idle_timeout_s = watch_idle_timeout_s
         self._preferred = 0 if rng is None else rng.randrange(len(self._urls))
         self._network_backend = network_backend
         self._calls = _Pool(network_backend)
@@ -397,9 +397,9 @@
         return self._timeout_s
 
     @property
-    def silence_s(self) -> float:
+    def watch_idle_timeout_s(self) -> float:
         """Seconds after which a silent watch is opened anew."""
-        return self._silence_s
+        return self._watch_idle_timeout_s
 
     async def __aenter__(self) -> Self:
         """Return the adapter; connections are opened when needed."""
@@ -763,7 +763,7 @@
         """Return the next event."""
         while not self._pending:
             message = None
-            with trio.move_on_after(self._store.silence_s):
+            with trio.move_on_after(self._store.watch_idle_timeout_s):
                 message = await self._receive()
             if message is None:
                 await self.close()
--- a/gypsumhall/timeline/__init__.py
+++ b/gypsumhall/timeline/__init__.py
@@ -1,7 +1,7 @@
 """Merges the event logs of all processes into one time line."""
 
+from gypsumhall.timeline._merge import EventFilter
 from gypsumhall.timeline._merge import merge
-from gypsumhall.timeline._merge import Selection
 from gypsumhall.timeline._read import fetch_logs
 from gypsumhall.timeline._read import Logs
 from gypsumhall.timeline._read import read_files
@@ -11,7 +11,7 @@
 
 __all__ = [
     'Logs',
-    'Selection',
+    'EventFilter',
     'fetch_logs',
     'merge',
     'read_files',
--- a/tests/test_net_frames.py
+++ b/tests/test_net_frames.py
@@ -24,7 +24,7 @@
 )
 
 
-@given(one=_FRAMES, two=_FRAMES, size=st.integers(1, _frames.MAX_READ))
+@given(one=_FRAMES, two=_FRAMES, size=st.integers(1, _frames.MAX_READ_BYTES))
 def test_frames_survive_any_split_of_the_bytes(
     one: list[tuple[int, Kind, bytes | int]],
     two: list[tuple[int, Kind, bytes | int]],
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -64,7 +64,7 @@
         """Return the number of calls that a process has started."""
         answer = await self.request(address, _FLOOR, timeout_s=_WAIT_S)
         assert isinstance(answer, _messages.Floor)
-        assert answer.held == 2
+        assert answer.installed_version == 2
         return answer.acknowledged_version
 
 
@@ -479,7 +479,7 @@
         assert '3' not in ran
         release.set()
         await _eventually(lambda: all(item.idle for item in two._streams))
-        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME_BYTES)
         with pytest.raises(PeerProtocolError):
             await one.request(address, large, timeout_s=1.0)
         await one.floor(address)
@@ -499,13 +499,13 @@
         two.on(_messages.Reverts, note)
         for _ in range(1000):
             one.post('127.0.0.1:1', _messages.Reverts(()))
-        await _eventually(lambda: one.dropped == 1000)
-        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        await _eventually(lambda: one.dropped_posts == 1000)
+        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME_BYTES)
         for message in (large, _messages.Reverts(()), large):
             one.post(relay.address, message)
         await _eventually(lambda: len(received) == 1)
         one.post(relay.address, large)
-        assert one.dropped == 1003
+        assert one.dropped_posts == 1003
         assert one.events == ['peer-post-failed'] * 3
 
 
@@ -564,5 +564,5 @@
             nursery.start_soon(receive)
             await trio.testing.wait_all_tasks_blocked()
             scope.cancel()
-            exchange.handle(Kind.DATA, _frames.encode_message(_FLOOR))
+            exchange.handle_frame(Kind.DATA, _frames.encode_message(_FLOOR))
         assert await exchange.receive() == _FLOOR
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -145,7 +145,7 @@
 
 
 def test_a_heartbeat_is_decoded() -> None:
-    found = platform.decode_check_in('i-1', json.dumps(_BODY).encode())
+    found = platform.decode_heartbeat('i-1', json.dumps(_BODY).encode())
     assert (found.instance, found.started_ms, found.sequence) == (
         'i-1',
         1700,
@@ -174,13 +174,13 @@
 ) -> None:
     body = json.dumps({**_BODY, **change}).encode()
     with pytest.raises(GypsumhallError):
-        platform.decode_check_in('i-1', body)
+        platform.decode_heartbeat('i-1', body)
 
 
 @pytest.mark.parametrize('body', [b'', b'\xff\xfe', b'[]', b'null'])
 def test_bytes_that_are_no_heartbeat_are_rejected(body: bytes) -> None:
     with pytest.raises(GypsumhallError):
-        platform.decode_check_in('i-1', body)
+        platform.decode_heartbeat('i-1', body)
     assert platform.decode_start_time(body) == 0
 
 
