Reword the services reader and feed and their tests

Name what the private attributes hold (published version, slot records, counters) and give the poll intervals and rates names that say what they limit. Say in docstrings and tests which failure is meant.

--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -1,10 +1,10 @@
-"""Service ``feed``: carries what the operator writes into the zone.
+"""Service ``feed``: publishes the operator's changes in the zone.
 
-A few daemons of each zone watch the platform's store and push what they read
-to the others; the distribution's trees, digests on heartbeats and pulls do
-the rest. Which daemons watch follows from the member table alone, so that a
-daemon that dies is replaced as soon as the table says so, and the number of
-watches does not grow with the zone.
+A few daemons of each zone watch the platform's store and publish what they
+read; the service ``distribution`` spreads it through its trees, digests on
+heartbeats and pulls. The watchers are selected from the member table alone,
+so that a failed watcher is replaced as soon as the table marks it as dead,
+and the number of watches does not grow with the zone.
 """
 
 from __future__ import annotations
@@ -33,31 +33,31 @@
 
     from gypsumhall.kernel import Kernel
 
-WATCHERS = 3
-"""Daemons of a zone that watch the store. Each costs a call every 3 s and one
-per change. When 55 % of the machines die at once, all watchers of three zones
-are among them with a probability of 0.5 %; others replace them then."""
+WATCHERS_PER_ZONE = 3
+"""Daemons of a zone that watch the store. Each makes a call every 3 s and one
+per change. When 55 % of the machines fail at once, all watchers of three zones
+are among them with a probability of 0.5 %, and are then replaced."""
 
-_RETRY_S = (0.1, 0.5)
+_RETRY_BACKOFF_S = (0.1, 0.5)
 
 
 @runtime_checkable
-class FedDistribution(Distribution, Protocol):
-    """Distribution that asks for the version floor."""
+class HeadReadingDistribution(Distribution, Protocol):
+    """Distribution that reads the version floor from a head."""
 
     def set_head_reader(
         self, read: Callable[[], Awaitable[_model.Head]]
     ) -> None:
-        """Set how the version floor is read."""
+        """Set the function that reads the head with the version floor."""
         ...
 
 
 @runtime_checkable
-class RolloutOrders(Protocol):
-    """Takes orders; the service ``moves``."""
+class RolloutOrderReceiver(Protocol):
+    """Receives rollout orders; the service ``moves``."""
 
     def order(self, order: platform.RolloutOrder, revision: int) -> None:
-        """Take over an order that was read from the store."""
+        """Accept an order that was read from the store."""
         ...
 
 
@@ -83,12 +83,12 @@
         self._rng = rng or random.Random()
         self._store: StoreService
         self._membership: Membership
-        self._distribution: FedDistribution
+        self._distribution: HeadReadingDistribution
         self._events: Events
-        self._rollouts: RolloutOrders
+        self._order_receiver: RolloutOrderReceiver
         self._config_revision = 0
-        self._reachable = True
-        self._changed = trio.Event()
+        self._platform_reachable = True
+        self._membership_changed = trio.Event()
 
     async def run(
         self,
@@ -96,15 +96,17 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Watch whenever this daemon is one of the watchers."""
+        """Watch the store while this daemon is one of the watchers."""
         self._store = kernel.get('store', StoreService)
         self._membership = kernel.get('membership', Membership)
-        self._distribution = kernel.get('distribution', FedDistribution)
+        self._distribution = kernel.get(
+            'distribution', HeadReadingDistribution
+        )
         self._events = kernel.get('events', Events)
-        self._rollouts = kernel.get('moves', RolloutOrders)
+        self._order_receiver = kernel.get('moves', RolloutOrderReceiver)
         self._distribution.set_head_reader(self._read_head)
         task_status.started()
-        self._membership.subscribe(self._members_changed)
+        self._membership.subscribe(self._on_membership_change)
         while True:
             await self._wait_until(watcher=True)
             async with trio.open_nursery() as nursery:
@@ -113,48 +115,48 @@
                 nursery.cancel_scope.cancel()
 
     async def drain(self) -> None:
-        """Go on until the daemon has stopped: requests are still served."""
+        """Keep watching: requests are served until the daemon has stopped."""
 
-    def _members_changed(self) -> None:
-        self._changed.set()
+    def _on_membership_change(self) -> None:
+        self._membership_changed.set()
 
     async def _wait_until(self, *, watcher: bool) -> None:
         while self._is_watcher() != watcher:
-            self._changed = trio.Event()
-            await self._changed.wait()
+            self._membership_changed = trio.Event()
+            await self._membership_changed.wait()
 
     def _is_watcher(self) -> bool:
         me = self._membership.me
         alive = self._membership.table.alive(me.zone)
-        return _tree.has_zone_role('feed', me.id, alive, WATCHERS)
+        return _tree.has_zone_role('feed', me.id, alive, WATCHERS_PER_ZONE)
 
     async def _watch(self) -> None:
-        backoff = Backoff(*_RETRY_S, self._rng)
+        backoff = Backoff(*_RETRY_BACKOFF_S, self._rng)
         while True:
             try:
                 await self._watch_once(backoff)
             except StoreError as error:
-                self._note_reachable(error)
+                self._record_reachability(error)
                 await trio.sleep(backoff.next())
 
     async def _watch_once(self, backoff: Backoff) -> None:
         async with self._store.watch(platform.OPERATOR_PREFIX) as events:
-            # The watch covers what is written during this read.
+            # The watch is already open, so it reports writes during this read.
             for item in await self._store.range(platform.OPERATOR_PREFIX):
-                self._take(item.key, item.value, item.mod_revision)
-            self._note_reachable(None)
+                self._apply_entry(item.key, item.value, item.mod_revision)
+            self._record_reachability(None)
             backoff.reset()
             async for event in events:
                 if event.value is not None:
-                    self._take(event.key, event.value, event.revision)
+                    self._apply_entry(event.key, event.value, event.revision)
 
-    def _take(self, key: str, value: bytes, revision: int) -> None:
+    def _apply_entry(self, key: str, value: bytes, revision: int) -> None:
         try:
             if key == platform.CONFIGURATION_KEY:
-                self._publish(value, revision)
+                self._publish_configuration(value, revision)
             elif platform.rollout_service(key):
                 order = platform.decode_rollout(value)
-                self._rollouts.order(order, revision)
+                self._order_receiver.order(order, revision)
         except InvalidUpdateError as error:
             self._events.emit(
                 'feed-entry-rejected',
@@ -163,7 +165,7 @@
                 detail=str(error),
             )
 
-    def _publish(self, value: bytes, revision: int) -> None:
+    def _publish_configuration(self, value: bytes, revision: int) -> None:
         if revision <= self._config_revision:
             return
         self._config_revision = revision
@@ -179,11 +181,11 @@
             return _model.Head()
         return platform.decode_configuration(item.value)[0]
 
-    def _note_reachable(self, error: StoreError | None) -> None:
-        if error is None and not self._reachable:
+    def _record_reachability(self, error: StoreError | None) -> None:
+        if error is None and not self._platform_reachable:
             self._events.emit('platform-reachable')
-        elif error is not None and self._reachable:
+        elif error is not None and self._platform_reachable:
             self._events.emit(
                 'platform-unreachable', error=error.code, detail=str(error)
             )
-        self._reachable = error is None
+        self._platform_reachable = error is None
--- a/gypsumhall/services/_reader.py
+++ b/gypsumhall/services/_reader.py
@@ -1,16 +1,16 @@
-"""Service ``reader``: carries new configuration versions into the zone.
+"""Service ``reader``: publishes new configuration versions in the zone.
 
 Load on the platform, per zone with 3 readers, as `benchmarks/bench_store.py`
 measures it with 4 daemons per zone at 20 zones:
 
-* Quiet: 1.8 calls/s and 3 waiting watches. Each reader renews its lease about
-  every 3.2 s, reads the head about every 4.8 s and reopens its silent watch
-  every 30 s. The other daemons of the zone together read the slots about 0.5
-  times per second at most.
+* Without changes: 1.8 calls/s and 3 open watches. Each reader renews its lease
+  about every 3.2 s, reads the head about every 4.8 s and reopens an idle watch
+  every 30 s. The other daemons of the zone together read the slots at most
+  about 0.5 times per second.
 * At 12.5 changes a minute: 2.3 calls/s. A change of the head adds one read
   per reader and changed fragment.
 * While a reader is missing, the other daemons of the zone together read the
-  slots about 4 times per second at most.
+  slots at most about 4 times per second.
 """
 
 from __future__ import annotations
@@ -42,15 +42,16 @@
     from gypsumhall.store import Lease
     from gypsumhall.store import Store
 
-HEAD_CHECK_S = 5.0
-"""Seconds between two reads of the head, which find silent watches."""
+HEAD_CHECK_INTERVAL_S = 5.0
+"""Seconds between two polls of the head, which detect watches that no longer
+deliver events."""
 
-_WATCH_GRACE_S = 1.0
-_START_JITTER_S = 2.0
-_TICK_S = 0.5
-_QUIET_READS_PER_S = 0.5
-_URGENT_READS_PER_S = 4.0
-_CONCURRENT_FETCHES = 4
+_WATCH_DELAY_TOLERANCE_S = 1.0
+_MAX_START_DELAY_S = 2.0
+_SLOT_POLL_INTERVAL_S = 0.5
+_NORMAL_SLOT_READS_PER_S = 0.5
+_VACANT_SLOT_READS_PER_S = 4.0
+_MAX_CONCURRENT_FETCHES = 4
 
 
 class ReaderRecord(msgspec.Struct, frozen=True):
@@ -83,16 +84,16 @@
 
 
 async def read_seeds(store: Store, zone: str) -> list[ReaderRecord]:
-    """Return the readers of all zones, those of the own zone first.
+    """Return the readers of all zones, those of the local zone first.
 
-    Malformed records are left out.
+    Malformed records are skipped.
 
     Parameters
     ----------
     store : Store
         The platform.
     zone : str
-        The own availability zone.
+        Availability zone of this daemon.
 
     Raises
     ------
@@ -108,7 +109,7 @@
 
 
 class Reader:
-    """Holds one of the reader slots of the zone when one is free.
+    """Claims a free reader slot of the zone and publishes new versions.
 
     Parameters
     ----------
@@ -129,21 +130,21 @@
         self._rng = rng or random.Random()
         self._scope = trio.CancelScope()
         self._stopped = trio.Event()
-        self._records: dict[str, ReaderRecord] = {}
-        self._cache: dict[str, _model.Fragment] = {}
-        self._newest: _model.Head | None = None
-        self._newest_revision = 0
-        self._published = 0
+        self._slot_records: dict[str, ReaderRecord] = {}
+        self._fragments: dict[str, _model.Fragment] = {}
+        self._newest_head: _model.Head | None = None
+        self._newest_head_revision = 0
+        self._published_version = 0
         self._published_digest = ''
-        self._offered = trio.Event()
+        self._head_received = trio.Event()
         self._watched_revision = 0
         self._watch_scope: trio.CancelScope | None = None
         self._slot: int | None = None
-        self._reachable = True
+        self._platform_reachable = True
 
     @property
     def slot(self) -> int | None:
-        """Number of the slot that is held; None without one."""
+        """Number of the slot that this daemon holds; None without one."""
         return self._slot
 
     async def run(
@@ -152,67 +153,74 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Campaign for a slot, and read while it is held."""
+        """Campaign for a slot, and publish versions while holding it."""
         self._events = kernel.get('events', Events)
         self._store = kernel.get('store', StoreService)
         self._membership = kernel.get('membership', Membership)
         self._distribution = kernel.get('distribution', Distribution)
         metrics = kernel.get('metrics', Metrics)
-        self._held: Metric = metrics.gauge(
+        self._slot_held_gauge: Metric = metrics.gauge(
             'gypsumhall_reader_slot_held', 'Whether a reader slot is held'
         )
-        self._fetches: Metric = metrics.counter(
+        self._fetch_counter: Metric = metrics.counter(
             'gypsumhall_reader_fetches_total', 'Fragments fetched'
         )
-        self._publishes: Metric = metrics.counter(
+        self._publish_counter: Metric = metrics.counter(
             'gypsumhall_reader_publishes_total', 'Versions published'
         )
         task_status.started()
         try:
             with self._scope:
-                await trio.sleep(self._rng.uniform(0, _START_JITTER_S))
+                await trio.sleep(self._rng.uniform(0, _MAX_START_DELAY_S))
                 while True:
                     await self._campaign(await self._find_free_slot())
         finally:
             self._stopped.set()
 
     async def drain(self) -> None:
-        """Give the slot up, so that another daemon can take it at once."""
+        """Release the slot, so that another daemon can claim it at once."""
         self._scope.cancel()
         await self._stopped.wait()
 
     async def _find_free_slot(self) -> int:
-        """Wait until a slot of the zone is free.
+        """Wait until a slot of the zone is free, and return its number.
 
-        The daemons of a zone share a rate of reads: each reads the slots
-        with a probability that falls with the number of alive members.
+        All daemons of a zone together read the slots at a fixed rate: each
+        daemon does so with a probability that is inversely proportional to
+        the number of alive members.
         """
-        backoff = Backoff(_TICK_S, 10.0, self._rng)
+        backoff = Backoff(_SLOT_POLL_INTERVAL_S, 10.0, self._rng)
         me = self._membership.me
         while True:
-            await trio.sleep(_TICK_S * self._rng.uniform(0.75, 1.25))
+            await trio.sleep(
+                _SLOT_POLL_INTERVAL_S * self._rng.uniform(0.75, 1.25)
+            )
             alive = {item.id for item in self._membership.table.alive(me.zone)}
             alive.add(me.id)
-            readers = {item.id for item in self._records.values()} & alive
-            missing = len(readers) < min(_keys.READER_SLOTS, len(alive))
-            rate = _URGENT_READS_PER_S if missing else _QUIET_READS_PER_S
-            if self._rng.random() >= rate * _TICK_S / len(alive):
+            readers = {item.id for item in self._slot_records.values()} & alive
+            reader_missing = len(readers) < min(_keys.READER_SLOTS, len(alive))
+            rate = (
+                _VACANT_SLOT_READS_PER_S
+                if reader_missing
+                else _NORMAL_SLOT_READS_PER_S
+            )
+            if self._rng.random() >= rate * _SLOT_POLL_INTERVAL_S / len(alive):
                 continue
             try:
-                free = await self._read_slots(me.zone)
+                free_slots = await self._read_slots(me.zone)
             except StoreError as error:
-                self._set_reachable(error)
+                self._record_reachability(error)
                 await trio.sleep(backoff.next())
                 continue
-            self._set_reachable(None)
+            self._record_reachability(None)
             backoff.reset()
-            if free:
-                return self._rng.choice(free)
+            if free_slots:
+                return self._rng.choice(free_slots)
 
     async def _read_slots(self, zone: str) -> list[int]:
         prefix = _keys.readers_prefix(zone)
         items = {item.key: item for item in await self._store.range(prefix)}
-        self._records = {
+        self._slot_records = {
             key: record
             for key, item in items.items()
             if (record := _decode_record(item)) is not None
@@ -232,12 +240,12 @@
                 key, msgspec.json.encode(record), _keys.LEASE_TTL_S, wait=False
             ) as lease:
                 self._slot = slot
-                self._held.set(1)
+                self._slot_held_gauge.set(1)
                 try:
-                    await self._read(lease)
+                    await self._follow_head(lease)
                 finally:
                     self._slot = None
-                    self._held.set(0)
+                    self._slot_held_gauge.set(0)
         except StoreError as error:
             self._events.emit(
                 'reader-campaign-failed',
@@ -246,23 +254,23 @@
                 detail=str(error),
             )
 
-    async def _read(self, lease: Lease) -> None:
-        self._watched_revision = self._newest_revision = 0
+    async def _follow_head(self, lease: Lease) -> None:
+        self._watched_revision = self._newest_head_revision = 0
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_head)
-            nursery.start_soon(self._check_head)
+            nursery.start_soon(self._poll_head)
             nursery.start_soon(self._publish_versions)
             await lease.lost.wait()
             nursery.cancel_scope.cancel()
 
     async def _watch_head(self) -> None:
-        backoff = Backoff(0.2, HEAD_CHECK_S, self._rng)
+        backoff = Backoff(0.2, HEAD_CHECK_INTERVAL_S, self._rng)
         while True:
             with trio.CancelScope() as self._watch_scope:
                 try:
                     await self._watch_once(backoff)
                 except StoreCompactedError:
-                    # The next read of the head bridges the gap.
+                    # The next poll of the head covers the compacted changes.
                     self._watched_revision = 0
                 except StoreError as error:
                     self._events.emit(
@@ -280,51 +288,56 @@
                 if event.key != _keys.HEAD or event.value is None:
                     continue
                 self._watched_revision = event.revision
-                self._offer(event.value, event.revision, 'watch')
+                self._receive_head(event.value, event.revision, 'watch')
 
-    async def _check_head(self) -> None:
-        """Read the head regularly, and end a watch that missed a change."""
-        backoff = Backoff(0.5, HEAD_CHECK_S, self._rng)
+    async def _poll_head(self) -> None:
+        """Poll the head, and restart a watch that missed a change."""
+        backoff = Backoff(0.5, HEAD_CHECK_INTERVAL_S, self._rng)
         while True:
-            # Read first: the installed version may grow during the call.
+            # Taken before the call, during which a newer version may be
+            # installed.
             snapshot = self._distribution.snapshot
             floor = 0 if snapshot is None else snapshot.version
             try:
                 item = await self._store.get(_keys.HEAD)
             except StoreError as error:
-                self._set_reachable(error)
+                self._record_reachability(error)
                 await trio.sleep(backoff.next())
                 continue
-            self._set_reachable(None)
+            self._record_reachability(None)
             backoff.reset()
-            seen = self._watched_revision
+            watched_revision = self._watched_revision
             if item is not None:
                 revision = item.mod_revision
-                floor = max(floor, self._published)
-                self._offer(item.value, revision, 'check', floor)
-                if revision > seen:
-                    await self._check_watch(revision, seen)
-            await trio.sleep(HEAD_CHECK_S * self._rng.uniform(0.9, 1.0))
-
-    async def _check_watch(self, revision: int, seen: int) -> None:
-        if seen:
-            await trio.sleep(_WATCH_GRACE_S)
+                floor = max(floor, self._published_version)
+                self._receive_head(item.value, revision, 'check', floor)
+                if revision > watched_revision:
+                    await self._check_watch(revision, watched_revision)
+            await trio.sleep(
+                HEAD_CHECK_INTERVAL_S * self._rng.uniform(0.9, 1.0)
+            )
+
+    async def _check_watch(self, revision: int, watched_revision: int) -> None:
+        if watched_revision:
+            await trio.sleep(_WATCH_DELAY_TOLERANCE_S)
         if self._watched_revision >= revision:
             return
-        # Without an event yet, the watch starts after this revision.
+        # The next watch starts after this revision, also when the present
+        # one has not delivered an event yet.
         self._watched_revision = revision
-        if seen and self._watch_scope is not None:
+        if watched_revision and self._watch_scope is not None:
             self._events.emit('watch-silent', revision=revision)
             self._watch_scope.cancel()
 
-    def _offer(
+    def _receive_head(
         self, data: bytes, revision: int, source: str, floor: int = 0
     ) -> None:
-        """Take a head record unless a later one was taken.
+        """Store a head record for publishing unless it is outdated.
 
-        Revisions of the store decide which record is later, so that a record
-        that cannot be published does not hide its correction. The platform
-        must not return an older version than `floor`.
+        Records are ordered by the revision of the store, so that a record
+        that cannot be published does not block the one that corrects it. A
+        version below `floor` is reported, as the platform must not return
+        it.
         """
         try:
             head = _model.decode_head(data)
@@ -333,12 +346,12 @@
                 'head-malformed', source=source, detail=str(error)
             )
             return
-        if head.version > self._published:
-            if revision > self._newest_revision:
-                self._newest = head
-                self._newest_revision = revision
-                self._offered.set()
-        elif head.version == self._published and (
+        if head.version > self._published_version:
+            if revision > self._newest_head_revision:
+                self._newest_head = head
+                self._newest_head_revision = revision
+                self._head_received.set()
+        elif head.version == self._published_version and (
             _digest(head) != self._published_digest
         ):
             self._events.emit(
@@ -348,16 +361,16 @@
             self._events.emit('head-behind', head=head.version, floor=floor)
 
     async def _publish_versions(self) -> None:
-        backoff = Backoff(0.1, HEAD_CHECK_S, self._rng)
+        backoff = Backoff(0.1, HEAD_CHECK_INTERVAL_S, self._rng)
         while True:
-            head = self._newest
-            if head is None or head.version <= self._published:
-                await self._offered.wait()
-                self._offered = trio.Event()
+            head = self._newest_head
+            if head is None or head.version <= self._published_version:
+                await self._head_received.wait()
+                self._head_received = trio.Event()
                 continue
             started = trio.current_time()
             try:
-                fragments = await self._fetch(head)
+                fragments = await self._fetch_fragments(head)
             except StoreError as error:
                 self._events.emit(
                     'fetch-failed',
@@ -365,10 +378,10 @@
                     error=error.code,
                     detail=str(error),
                 )
-                # A newer version need not wait for this one.
-                self._offered = trio.Event()
+                # A newer version ends the back-off.
+                self._head_received = trio.Event()
                 with trio.move_on_after(backoff.next()):
-                    await self._offered.wait()
+                    await self._head_received.wait()
                 continue
             backoff.reset()
             self._publish(head, fragments, started)
@@ -379,8 +392,8 @@
         fragments: list[_model.Fragment],
         started: float,
     ) -> None:
-        # A version that fails its checks never gets better.
-        self._published = head.version
+        # A version that fails its checks is not retried: it cannot change.
+        self._published_version = head.version
         self._published_digest = _digest(head)
         try:
             self._distribution.publish(head, fragments)
@@ -389,34 +402,38 @@
                 'head-invalid', head=head.version, detail=str(error)
             )
             return
-        self._publishes.add()
+        self._publish_counter.add()
         self._events.emit(
             'version-published',
             head=head.version,
             fetch_ms=round((trio.current_time() - started) * 1000, 1),
         )
 
-    async def _fetch(self, head: _model.Head) -> list[_model.Fragment]:
-        """Return the fragments that a head names, from the cache if held."""
+    async def _fetch_fragments(
+        self, head: _model.Head
+    ) -> list[_model.Fragment]:
+        """Return the fragments of a head, from the cache where possible."""
         wanted = {ref.fragment for ref in head.departments.values()}
-        self._cache = {
+        self._fragments = {
             digest: fragment
-            for digest, fragment in self._cache.items()
+            for digest, fragment in self._fragments.items()
             if digest in wanted
         }
         self._reuse_installed(wanted)
         failures: list[StoreError] = []
-        limiter = trio.CapacityLimiter(_CONCURRENT_FETCHES)
+        limiter = trio.CapacityLimiter(_MAX_CONCURRENT_FETCHES)
         async with trio.open_nursery() as nursery:
-            for digest in sorted(wanted - self._cache.keys()):
+            for digest in sorted(wanted - self._fragments.keys()):
                 nursery.start_soon(
                     functools.partial(
-                        self._fetch_one, digest, limiter, failures
+                        self._fetch_fragment, digest, limiter, failures
                     )
                 )
         if failures:
             raise failures[0]
-        return [self._cache[ref.fragment] for ref in head.departments.values()]
+        return [
+            self._fragments[ref.fragment] for ref in head.departments.values()
+        ]
 
     def _reuse_installed(self, wanted: set[str]) -> None:
         snapshot = self._distribution.snapshot
@@ -424,9 +441,9 @@
             return
         for department, ref in snapshot.head.departments.items():
             if ref.fragment in wanted:
-                self._cache[ref.fragment] = snapshot.fragments[department]
+                self._fragments[ref.fragment] = snapshot.fragments[department]
 
-    async def _fetch_one(
+    async def _fetch_fragment(
         self,
         digest: str,
         limiter: trio.CapacityLimiter,
@@ -437,21 +454,21 @@
                 return
             try:
                 item = await self._store.get(_keys.fragment_key(digest))
-                self._cache[digest] = _decode_fragment(item, digest)
+                self._fragments[digest] = _decode_fragment(item, digest)
             except StoreError as error:
                 failures.append(error)
             else:
-                self._fetches.add()
+                self._fetch_counter.add()
 
-    def _set_reachable(self, error: StoreError | None) -> None:
-        """Record when the platform fails and when it responds again."""
-        if error is None and not self._reachable:
+    def _record_reachability(self, error: StoreError | None) -> None:
+        """Emit an event when the platform fails and when it responds again."""
+        if error is None and not self._platform_reachable:
             self._events.emit('platform-reachable')
-        elif error is not None and self._reachable:
+        elif error is not None and self._platform_reachable:
             self._events.emit(
                 'platform-unreachable', error=error.code, detail=str(error)
             )
-        self._reachable = error is None
+        self._platform_reachable = error is None
 
 
 def _decode_fragment(item: KeyValue | None, digest: str) -> _model.Fragment:
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -1,4 +1,4 @@
-"""Services of the daemon on the users' platform, against fakes."""
+"""Tests of the services that use the users' platform, against fakes."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 from gypsumhall.services import _registration
 from gypsumhall.services._checkins import CheckInService
 from gypsumhall.services._feed import Feed
-from gypsumhall.services._feed import WATCHERS
+from gypsumhall.services._feed import WATCHERS_PER_ZONE
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._registration import Registration
 from gypsumhall.services._rollouts import RolloutService
@@ -102,7 +102,7 @@
 # Registration
 
 
-async def test_a_lapsed_entry_is_back_within_two_seconds(
+async def test_expired_entry_is_written_again_within_two_seconds(
     autojump_clock: MockClock,
 ) -> None:
     store = _Store()
@@ -123,10 +123,10 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_an_entry_that_vanished_without_its_lease_is_written_again(
+async def test_entry_deleted_while_its_lease_is_valid_is_written_again(
     autojump_clock: MockClock,
 ) -> None:
-    """The platform may take keys away without any request showing it."""
+    """The platform may delete a key without failing any request."""
     store = _Store()
     membership = _Membership(builders.build_member(0))
     kernel = _kernel(store, membership, Registration())
@@ -142,7 +142,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_entries_do_not_grow_with_the_zone(
+async def test_number_of_entries_does_not_grow_with_the_zone(
     autojump_clock: MockClock,
 ) -> None:
     members = [builders.build_member(index) for index in range(30)]
@@ -186,7 +186,7 @@
     await store.txn([], [Put('op/config', _config(version))])
 
 
-async def test_the_feed_publishes_changes_orders_and_survives_faults(
+async def test_feed_publishes_changes_and_orders_despite_store_faults(
     autojump_clock: MockClock,
 ) -> None:
     store, distribution, rollouts = _Store(), _Distribution(), _Rollouts()
@@ -232,7 +232,7 @@
 async def test_few_daemons_of_a_zone_watch_the_store(
     autojump_clock: MockClock,
 ) -> None:
-    """The calls to the store must not grow with the fleet."""
+    """The number of store calls must not grow with the fleet."""
     members = [builders.build_member(index) for index in range(20)]
     store = _Store()
     await _publish(store, 5)
@@ -247,7 +247,7 @@
             )
             await nursery.start(kernel.run)
         await trio.sleep(2)
-        assert store.counts['range'] == WATCHERS
+        assert store.counts['range'] == WATCHERS_PER_ZONE
         nursery.cancel_scope.cancel()
 
 
@@ -265,7 +265,7 @@
 
 
 @pytest.mark.parametrize('leaves_with', ['draining', 'notice'])
-async def test_the_runner_knows_of_leaving_before_it_is_acknowledged(
+async def test_runner_is_notified_of_leaving_before_the_acknowledgement(
     autojump_clock: MockClock, leaves_with: str
 ) -> None:
     runner, admin = _Runner(), FakeAdmin()
@@ -279,11 +279,12 @@
 
     async def send(method: str, body: bytes) -> int:
         handler = admin.routes[method, '/v1/instances/']
-        answer = await handler(AdminRequest(method, path, body=body))
-        return int(answer.status)
+        response = await handler(AdminRequest(method, path, body=body))
+        return int(response.status)
 
     async with trio.open_nursery() as nursery:
-        # The listener may be up before the daemon can keep a promise.
+        # The listener may start before the service can act on heartbeats, so
+        # they must not be acknowledged yet.
         assert await send('PUT', _check_in('ready', 1)) == 503
         assert await send('DELETE', b'') == 503
         await nursery.start(kernel.run)
@@ -308,10 +309,10 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_an_endpoint_that_starts_during_a_stop_is_not_announced(
+async def test_endpoint_that_starts_during_a_shutdown_is_not_announced(
     autojump_clock: MockClock,
 ) -> None:
-    """Others would send it calls, which the daemon beside it refuses."""
+    """Others would send it calls, which the stopping daemon would reject."""
     runner, admin = _Runner(), FakeAdmin()
     membership = _Membership(builders.build_member(0))
     service = CheckInService('10.0.0.9:80')
@@ -326,8 +327,8 @@
         request = AdminRequest(
             'PUT', '/v1/instances/i-1', body=_check_in('ready', 1)
         )
-        answer = await handler(request)
-        assert answer.status == 200
+        response = await handler(request)
+        assert response.status == 200
         assert runner.backends[-1] == (EndpointState.READY, 'i-1')
         assert membership.me.endpoint is None
         nursery.cancel_scope.cancel()
@@ -355,7 +356,7 @@
     assert _split(service, {'v1', 'v2'}) == Split('v1')
 
 
-def test_records_decide_the_share_and_never_go_back() -> None:
+def test_share_follows_the_newest_record() -> None:
     service = _rollouts()
     _split(service, {'v1'})
     second = RolloutRecord('s', 'v2', 7, 2, 0.2)
@@ -374,7 +375,7 @@
 def test_a_version_that_was_rolled_back_gets_no_calls(
     versions: set[str],
 ) -> None:
-    """Even when it is the only one left: its answers are bad."""
+    """Even when no other version is left, as its responses are faulty."""
     record = RolloutRecord('s', 'v2', 7, 3, 0.0, MoveState.REVERTED)
     service = _rollouts()
     _split(service, {'v1'})
@@ -388,15 +389,15 @@
     assert _split(service, {'v1', 'v2'}) == Split('v2')
 
 
-async def test_an_order_that_has_ended_is_not_campaigned_for(
+async def test_ended_order_starts_no_campaign(
     autojump_clock: MockClock,
 ) -> None:
-    """Every daemon that started took the lease for orders of the past."""
+    """Guards against taking the lease after a start for ended orders."""
     service = _rollouts(
         RolloutRecord('s', 'v2', 7, 3, 0.0, MoveState.REVERTED)
     )
     async with trio.open_nursery() as nursery:
-        # Without a store, a campaign ends the test with an error.
+        # The service has no store here, so that a campaign fails the test.
         nursery.start_soon(service._campaign)
         await trio.sleep(0.1)
         service.order(platform.RolloutOrder('s', 'v2', 12.0), 7)
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -10,7 +10,7 @@
 import trio
 
 from gypsumhall.core import _model
-from gypsumhall.services._reader import HEAD_CHECK_S
+from gypsumhall.services._reader import HEAD_CHECK_INTERVAL_S
 from gypsumhall.services._reader import read_seeds
 from gypsumhall.store import _keys
 from gypsumhall.store import Put
@@ -73,7 +73,7 @@
             assert calls <= 60 * most_per_s
 
 
-async def test_a_planned_stop_frees_the_slot_and_a_crash_lets_it_lapse(
+async def test_slot_is_reclaimed_after_graceful_shutdown_and_after_crash(
     autojump_clock: MockClock,
 ) -> None:
     async with _zone(8) as zone:
@@ -82,7 +82,8 @@
             if stop:
                 zone.kernels[name].stop()
             else:
-                # The process is gone; its entries and lease remain.
+                # A crash: during the outage the lease cannot be revoked, so
+                # the slot stays taken until the lease expires.
                 zone.readers[name]._scope.cancel()
                 zone.platform.set_faults({'outage': True})
                 await trio.sleep(0.1)
@@ -93,10 +94,11 @@
             await zone.converge(1)
 
 
-async def test_a_reader_that_is_cut_off_alone_loses_its_slot(
+async def test_slot_of_a_single_unreachable_reader_is_reclaimed(
     autojump_clock: MockClock,
 ) -> None:
-    # The other members still see it alive, so they learn it from the slots.
+    # The other members still see it as alive, so only reading the slots shows
+    # that one is free.
     async with _zone(8) as zone:
         name, reader = zone.holder()
         me = zone.kernels[name].get('membership', FakeMembership).me
@@ -146,7 +148,7 @@
         zone.check_published(zone.version)
         if code is not None and duration > 10:
             assert code in zone.codes()
-        # Dropped watches and unused leases are not left behind.
+        # No dropped watch or unused lease remains.
         stats = zone.platform.stats
         assert stats['leases'] == 3
         assert stats['watches'] == 3
@@ -160,10 +162,10 @@
             await zone.change()
             await trio.sleep(1)
             zone.platform.set_faults({'silence_watches': True})
-            await zone.converge(HEAD_CHECK_S + 0.1)
+            await zone.converge(HEAD_CHECK_INTERVAL_S + 0.1)
             await trio.sleep(2)
             assert 'watch-silent' in zone.codes()
-            # The watch that replaces it delivers at once.
+            # The replacement watch delivers events at once.
             await zone.converge(0.1)
 
 
@@ -171,16 +173,16 @@
     return _model.encode(builders.build_head([fragment], 9))
 
 
-DANGLING = builders.build_fragment(
+UNRESOLVED_FRAGMENT = builders.build_fragment(
     routes=[builders.build_route(service='missing')]
 )
-DANGLING_DATA = _model.encode(DANGLING)
+UNRESOLVED_FRAGMENT_DATA = _model.encode(UNRESOLVED_FRAGMENT)
 
 BAD_RECORDS: list[Any] = [
     ([Put(_keys.HEAD, b'\x00nonsense')], 'head-malformed', False),
     ([Put(_keys.HEAD, _model.encode(_model.Head()))], 'head-behind', False),
     ([Put(_keys.HEAD, _model.encode(_model.Head(1)))], 'head-conflict', False),
-    # The fragment does not exist, or its contents are others.
+    # The fragment does not exist, or its contents do not match its digest.
     (
         [Put(_keys.HEAD, _head(builders.build_fragment()))],
         'fetch-failed',
@@ -188,19 +190,22 @@
     ),
     (
         [
-            Put(_keys.HEAD, _head(DANGLING)),
-            Put(_keys.fragment_key(_model.digest(DANGLING_DATA)), b'x'),
+            Put(_keys.HEAD, _head(UNRESOLVED_FRAGMENT)),
+            Put(
+                _keys.fragment_key(_model.digest(UNRESOLVED_FRAGMENT_DATA)),
+                b'x',
+            ),
         ],
         'fetch-failed',
         False,
     ),
-    # A version that fails its checks is tried once by each reader.
+    # Each reader tries a version that fails its checks only once.
     (
         [
-            Put(_keys.HEAD, _head(DANGLING)),
+            Put(_keys.HEAD, _head(UNRESOLVED_FRAGMENT)),
             Put(
-                _keys.fragment_key(_model.digest(DANGLING_DATA)),
-                DANGLING_DATA,
+                _keys.fragment_key(_model.digest(UNRESOLVED_FRAGMENT_DATA)),
+                UNRESOLVED_FRAGMENT_DATA,
             ),
         ],
         'head-invalid',
@@ -212,7 +217,7 @@
 @pytest.mark.parametrize(
     ('writes', 'code', 'once'), BAD_RECORDS, ids=range(len(BAD_RECORDS))
 )
-async def test_records_that_cannot_be_used_are_reported_and_passed_over(
+async def test_unusable_records_are_reported_and_skipped(
     autojump_clock: MockClock,
     writes: Sequence[Put],
     code: str,
@@ -222,9 +227,10 @@
         await zone.store.txn([], writes)
         await trio.sleep(60)
         zone.check_published(1)
-        found = zone.codes()
-        assert found[code] == 3 if once else found[code] >= 3
-        # Also a lower version than the bad one, unless that was published.
+        counts = zone.codes()
+        assert counts[code] == 3 if once else counts[code] >= 3
+        # A lower version than the bad one is published too, unless the bad
+        # one passed the fetch.
         zone.version = 10 if once else 1
         # A newer version does not wait for the retries of the bad one.
         await zone.converge(0.5)
