Reword the store service, call watches and service protocols

Use callback, timestamp, propagate and expire, and name the metrics of the store service by their kind.

--- a/gypsumhall/services/__init__.py
+++ b/gypsumhall/services/__init__.py
@@ -1,1 +1,1 @@
-"""Services of a daemon, found by name through the kernel."""
+"""Services of a daemon, which the kernel looks up by name."""
--- a/gypsumhall/services/_platform_link.py
+++ b/gypsumhall/services/_platform_link.py
@@ -1,7 +1,7 @@
 """Connects membership and distribution to the platform's records.
 
-Both services start before the platform is known to answer, so they get
-functions to call when they need seeds or a version floor.
+Both services start before the platform is known to be reachable, so they get
+callbacks that read the seeds and the version floor when needed.
 """
 
 from __future__ import annotations
@@ -37,28 +37,28 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Connect the services; nothing runs afterwards."""
+        """Register the callbacks, and return."""
         self._store = kernel.get('store', PlatformStore)
         membership = kernel.get('membership', MembershipService)
         self._zone = membership.me.zone
-        membership.set_seed_source(self._seeds)
+        membership.set_seed_source(self._read_seed_addresses)
         kernel.get('distribution', DistributionService).set_head_reader(
             self._read_head
         )
         task_status.started()
 
     async def drain(self) -> None:
-        """Nothing is in flight."""
+        """Do nothing; no call of this service is in progress."""
 
-    async def _seeds(self) -> Sequence[str]:
+    async def _read_seed_addresses(self) -> Sequence[str]:
         records = await read_seeds(self._store, self._zone)
         return [record.address for record in records]
 
     async def _read_head(self) -> _model.Head:
-        found = await self._store.get(_keys.HEAD)
-        if found is None:
+        item = await self._store.get(_keys.HEAD)
+        if item is None:
             return _model.Head()
         try:
-            return _model.decode_head(found.value)
+            return _model.decode_head(item.value)
         except msgspec.MsgspecError as error:
             raise StoreProtocolError(f'{_keys.HEAD}: {error}') from error
--- a/gypsumhall/services/_protocols.py
+++ b/gypsumhall/services/_protocols.py
@@ -1,4 +1,4 @@
-"""What the services of a daemon offer each other."""
+"""Interfaces between the services of a daemon."""
 
 from __future__ import annotations
 
@@ -28,14 +28,14 @@
 
 @runtime_checkable
 class HybridClock(Protocol):
-    """Hybrid logical clock: wall time that never runs behind a message."""
+    """Hybrid logical clock: wall time, ahead of every received message."""
 
     def now(self) -> int:
-        """Return the next time stamp."""
+        """Return the next timestamp."""
         ...
 
     def observe(self, time: int) -> None:
-        """Move past a time stamp that came with a message."""
+        """Advance past the timestamp of a received message."""
         ...
 
 
@@ -141,19 +141,19 @@
         ...
 
     def set_endpoint(self, endpoint: Endpoint | None) -> None:
-        """Change the endpoint of this daemon and spread the change."""
+        """Change the endpoint of this daemon and propagate the change."""
         ...
 
     def set_leaving(self) -> None:
-        """Mark this daemon as leaving and spread the change at once."""
+        """Mark this daemon as leaving and propagate the change at once."""
         ...
 
     def acknowledged_version(self, member_id: str) -> int:
-        """Return the highest version that a member is known to have held."""
+        """Return the highest version known to be installed at a member."""
         ...
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call back after each change of the member table."""
+        """Register a callback for changes of the member table."""
         ...
 
 
@@ -163,7 +163,7 @@
 
     @property
     def snapshot(self) -> Snapshot | None:
-        """Installed configuration; None before the floor is reached."""
+        """Installed configuration; None below the version floor."""
         ...
 
     @property
@@ -191,19 +191,19 @@
         ...
 
     def publish(self, head: Head, fragments: Sequence[Fragment]) -> None:
-        """Install a version read from the platform and push it.
+        """Install a version read from the platform and distribute it.
 
         Parameters
         ----------
         head : Head
             Head record.
         fragments : sequence of Fragment
-            All fragments that the head names.
+            All fragments that the head refers to.
         """
         ...
 
     def add_revert(self, revert: Revert) -> None:
-        """Add a verdict, apply it and spread it at once."""
+        """Add a revert, apply it and propagate it at once."""
         ...
 
     def in_effect(self, version: int) -> bool:
@@ -211,7 +211,7 @@
         ...
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call back after each install and each new revert."""
+        """Register a callback for new installations and new reverts."""
         ...
 
 
@@ -222,14 +222,14 @@
     async def apply(
         self, transition: Callable[[Head], Head | None]
     ) -> Head | None:
-        """Swap the head for the one that a transition returns.
+        """Replace the head with the one that a transition returns.
 
         Parameters
         ----------
         transition : callable
             Pure function from the present head to the next one, or to None
             when it does not apply. It is called again for each head that
-            is read after a lost race or a lost answer.
+            is read after a conflicting write or a lost response.
 
         Returns
         -------
@@ -253,7 +253,7 @@
 
     @property
     def slot(self) -> int | None:
-        """Number of the reader slot that is held; None for none."""
+        """Number of the reader slot that this daemon holds, or None."""
         ...
 
 
@@ -279,11 +279,11 @@
         Parameters
         ----------
         call : CallStart
-            The call; ``call.move`` is empty when it is no evidence.
+            The call; ``call.move`` is empty when it is not evidence.
         latency_ms : float
             Time from the start of the run to the end of the response.
         failed : bool
-            Whether the response was a 5xx or was broken off.
+            Whether the response was a 5xx or was incomplete.
         """
         ...
 
@@ -325,7 +325,7 @@
 
 @runtime_checkable
 class Admin(Protocol):
-    """HTTP listener for operators and backend server; service ``admin``."""
+    """HTTP listener for operators and backend servers; service ``admin``."""
 
     def add_route(self, method: str, path: str, handler: AdminHandler) -> None:
         """Register a handler.
--- a/gypsumhall/services/_store.py
+++ b/gypsumhall/services/_store.py
@@ -1,4 +1,4 @@
-"""Service ``store``: the platform with metrics, and elections on it."""
+"""Service ``store``: the platform's store with metrics and elections."""
 
 from __future__ import annotations
 
@@ -37,7 +37,8 @@
     Parameters
     ----------
     store : Store
-        The platform; it is closed when the service ends, if it can be.
+        Client of the platform; closed when the service ends if it has a
+        method ``aclose``.
     rng : random.Random, optional
         Source of the jitter of elections.
     """
@@ -53,9 +54,9 @@
             self, rng=rng, on_change=self._on_lease_change
         )
         self._events: Events | None = None
-        self._calls: Metric | None = None
-        self._seconds: Metric | None = None
-        self._watches: Metric | None = None
+        self._call_counter: Metric | None = None
+        self._call_duration: Metric | None = None
+        self._open_watches: Metric | None = None
 
     @property
     def elections(self) -> StoreElections:
@@ -71,14 +72,14 @@
         """Serve until cancelled."""
         metrics = kernel.get('metrics', Metrics)
         self._events = kernel.get('events', Events)
-        self._calls = metrics.counter(
+        self._call_counter = metrics.counter(
             'gypsumhall_store_calls_total',
             'Calls to the platform by call and outcome',
         )
-        self._seconds = metrics.histogram(
+        self._call_duration = metrics.histogram(
             'gypsumhall_store_call_seconds', 'Duration of platform calls'
         )
-        self._watches = metrics.gauge(
+        self._open_watches = metrics.gauge(
             'gypsumhall_store_watches', 'Open watches on the platform'
         )
         try:
@@ -113,12 +114,12 @@
             return await self._store.txn(compares, writes)
 
     async def grant_lease(self, ttl_s: int) -> int:
-        """Create a lease that lapses without renewal; return its id."""
+        """Create a lease that expires without renewal; return its id."""
         with self._measure('grant-lease'):
             return await self._store.grant_lease(ttl_s)
 
     async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease once; False when it has lapsed."""
+        """Renew a lease once; False when it has expired."""
         with self._measure('keep-alive'):
             return await self._store.keep_alive(lease)
 
@@ -137,13 +138,13 @@
                 events = await stack.enter_async_context(
                     self._store.watch(prefix, from_revision)
                 )
-            self._add_watches(1)
-            stack.callback(self._add_watches, -1)
+            self._change_open_watches(1)
+            stack.callback(self._change_open_watches, -1)
             yield events
 
-    def _add_watches(self, change: int) -> None:
-        if self._watches is not None:
-            self._watches.add(change)
+    def _change_open_watches(self, change: int) -> None:
+        if self._open_watches is not None:
+            self._open_watches.add(change)
 
     @contextmanager
     def _measure(self, call: str) -> Iterator[None]:
@@ -156,9 +157,14 @@
             outcome = error.code
             raise
         finally:
-            if self._calls is not None and self._seconds is not None:
-                self._calls.add(1, call=call, outcome=outcome)
-                self._seconds.add(trio.current_time() - started, call=call)
+            if (
+                self._call_counter is not None
+                and self._call_duration is not None
+            ):
+                self._call_counter.add(1, call=call, outcome=outcome)
+                self._call_duration.add(
+                    trio.current_time() - started, call=call
+                )
 
     def _on_lease_change(self, code: str, key: str) -> None:
         if self._events is not None:
--- a/gypsumhall/services/_watches.py
+++ b/gypsumhall/services/_watches.py
@@ -1,4 +1,4 @@
-"""Watches for the end of interest in calls that take a while."""
+"""Runs functions beside long calls, to detect callers that disconnect."""
 
 from __future__ import annotations
 
@@ -13,45 +13,47 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
-# Most calls are shorter. A task for each call to see that its caller leaves
-# would take about a tenth of the CPU time of a call.
-_DELAY_S = 0.05
+# Most calls are shorter than this delay. A task for each call that detects a
+# disconnected caller would take about a tenth of the CPU time of the call.
+_START_DELAY_S = 0.05
 
 
 @dataclass(slots=True, eq=False)
 class _Watch:
     function: Callable[[], Awaitable[None]]
-    start_at: float
+    start_time: float
     scope: trio.CancelScope
 
 
 class Watches:
-    """Runs a function beside each call that is not short."""
+    """Runs a function concurrently with each call that is not short."""
 
-    __slots__ = ('_arrived', '_pending')
+    __slots__ = ('_watch_added', '_pending')
 
     def __init__(self) -> None:
-        # In order of their start.
+        # Ordered by start time.
         self._pending: dict[_Watch, None] = {}
-        self._arrived = trio.Event()
+        self._watch_added = trio.Event()
 
     async def run(self) -> None:
-        """Start the functions until cancelled."""
+        """Start the functions when they are due, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 while self._pending:
                     watch = next(iter(self._pending))
-                    if watch.start_at <= trio.current_time():
+                    if watch.start_time <= trio.current_time():
                         del self._pending[watch]
-                        nursery.start_soon(_run, watch)
+                        nursery.start_soon(_run_watch, watch)
                     else:
-                        await trio.sleep(_DELAY_S)
-                self._arrived = trio.Event()
-                await self._arrived.wait()
+                        await trio.sleep(_START_DELAY_S)
+                self._watch_added = trio.Event()
+                await self._watch_added.wait()
 
     @contextlib.contextmanager
     def watch(self, function: Callable[[], Awaitable[None]]) -> Iterator[None]:
-        """Run a function during the block, unless the block is short.
+        """Run a function concurrently with the block, unless it is short.
+
+        The function starts 50 ms after the block at the earliest.
 
         Parameters
         ----------
@@ -60,10 +62,10 @@
             the block.
         """
         watch = _Watch(
-            function, trio.current_time() + _DELAY_S, trio.CancelScope()
+            function, trio.current_time() + _START_DELAY_S, trio.CancelScope()
         )
         if not self._pending:
-            self._arrived.set()
+            self._watch_added.set()
         self._pending[watch] = None
         try:
             yield
@@ -72,6 +74,6 @@
             watch.scope.cancel()
 
 
-async def _run(watch: _Watch) -> None:
+async def _run_watch(watch: _Watch) -> None:
     with watch.scope:
         await watch.function()
