Reword the platform adapter and its tests

Name prefixes, connection pools and records by their content. Messages of rejected heartbeats, orders and store requests name the reason.

--- a/gypsumhall/platform/__init__.py
+++ b/gypsumhall/platform/__init__.py
@@ -1,7 +1,7 @@
 """Adapter to the platform on which Iturraspe and Omaruru run the fleet.
 
-It holds names, formats and calls, and decides nothing. Each message is
-decoded once into a value whose fields say what they hold.
+It defines names, formats and calls, and contains no decision logic. Each
+message is decoded once into a value with descriptive field names.
 """
 
 from gypsumhall.platform._checkins import CheckIn
--- a/gypsumhall/platform/_checkins.py
+++ b/gypsumhall/platform/_checkins.py
@@ -19,13 +19,13 @@
 }
 
 
-class MalformedCheckInError(GypsumhallError):
-    """A heartbeat that names no backend server to use."""
+class MalformedHeartbeatError(GypsumhallError):
+    """A heartbeat that does not describe a usable backend server."""
 
     code = 'malformed-check-in'
 
 
-class _Info(msgspec.Struct):
+class _InstanceInfo(msgspec.Struct):
     service: str
     version: str
     zone: str
@@ -40,12 +40,12 @@
 
 class _Body(msgspec.Struct):
     addr: str
-    info: _Info
+    info: _InstanceInfo
     status: _Status
     born: int = 0
 
 
-class _Start(msgspec.Struct):
+class _LeavingNotice(msgspec.Struct):
     born: int = 0
 
 
@@ -58,16 +58,16 @@
     instance : str
         Id of the process.
     started_ms : int
-        Unix time in milliseconds of its start, by its own clock; 0 when it
-        is not stated.
+        Unix time in milliseconds at which the process started, by its own
+        clock; 0 when unknown.
     sequence : int
-        Grows with each heartbeat of the process.
+        Sequence number; increases with each heartbeat of the process.
     address : str
         ``<ip>:<port>`` of its HTTP listener.
     endpoint : Endpoint
-        What it runs.
+        Service, version, slots and state of the backend server.
     warmup_s : float
-        Time in seconds for which it will still be slow after its start.
+        Remaining time in seconds for which it is slow after its start.
     """
 
     instance: str
@@ -83,38 +83,41 @@
 
     Raises
     ------
-    MalformedCheckInError
-        When the body cannot be read or names no backend server to use.
+    MalformedHeartbeatError
+        When the body cannot be decoded or does not describe a usable
+        backend server.
     """
     try:
-        found = msgspec.json.decode(body, type=_Body)
+        heartbeat = msgspec.json.decode(body, type=_Body)
     except (msgspec.MsgspecError, ValueError) as error:
-        raise MalformedCheckInError(f'{instance!r}: {error}') from error
-    state = _STATES.get(found.status.state)
-    info = found.info
+        raise MalformedHeartbeatError(f'{instance!r}: {error}') from error
+    state = _STATES.get(heartbeat.status.state)
+    info = heartbeat.info
     if state is None or not info.service or not info.version:
-        raise MalformedCheckInError(
-            f'{instance!r}: state {found.status.state!r}, service '
+        raise MalformedHeartbeatError(
+            f'{instance!r}: unknown state or missing service or version: '
+            f'state {heartbeat.status.state!r}, service '
             f'{info.service!r}, version {info.version!r}'
         )
-    if info.slots < 1 or not instance or ':' not in found.addr:
-        raise MalformedCheckInError(
-            f'{instance!r}: slots {info.slots}, address {found.addr!r}'
+    if info.slots < 1 or not instance or ':' not in heartbeat.addr:
+        raise MalformedHeartbeatError(
+            f'{instance!r}: no slots, instance id or port: '
+            f'slots {info.slots}, address {heartbeat.addr!r}'
         )
     endpoint = Endpoint(info.service, info.version, info.slots, state)
     return CheckIn(
         instance,
-        found.born,
-        found.status.seq,
-        found.addr,
+        heartbeat.born,
+        heartbeat.status.seq,
+        heartbeat.addr,
         endpoint,
-        max(0.0, found.status.warmup_ms / 1000),
+        max(0.0, heartbeat.status.warmup_ms / 1000),
     )
 
 
 def decode_start_time(body: bytes) -> int:
-    """Return the start time in a notice of leaving; 0 when it has none."""
+    """Return the start time in a leaving notice; 0 when it states none."""
     try:
-        return msgspec.json.decode(body, type=_Start).born
+        return msgspec.json.decode(body, type=_LeavingNotice).born
     except (msgspec.MsgspecError, ValueError):
         return 0
--- a/gypsumhall/platform/_names.py
+++ b/gypsumhall/platform/_names.py
@@ -5,7 +5,7 @@
 from gypsumhall.services._calls import Dialect
 
 READY_PATH = '/v1/readyz'
-"""Asked once a second whether this daemon takes callers."""
+"""Path of the readiness probe, which is sent once a second."""
 
 DIALECT = Dialect(
     deadline=b'gypsumhall-timeout-ms',
--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -1,4 +1,4 @@
-"""What the operator writes to the platform's store, and reads there."""
+"""Records that the operator writes to and reads from the store."""
 
 from __future__ import annotations
 
@@ -11,19 +11,20 @@
 from gypsumhall.core._load_balancer import ANY_VERSION
 
 OPERATOR_PREFIX = 'op/'
-"""Prefix of all that the operator writes."""
+"""Prefix of all keys that the operator writes."""
 
 CONFIGURATION_KEY = 'op/config'
-"""Newest configuration, in full."""
+"""Key of the newest configuration; its value is the full configuration."""
 
-_ROLLOUTS = 'op/rollout/'
-_ROLLOUT_STATUS = 'status/rollout/'
-# The platform's text does not name departments; one fragment holds it.
+_ROLLOUT_PREFIX = 'op/rollout/'
+_ROLLOUT_STATUS_PREFIX = 'status/rollout/'
+# The platform's configuration does not name departments, so that a single
+# fragment holds all of it.
 _DEPARTMENT = 'platform'
 
 
 # State of a rollout, as the operator reads it.
-_STATES = {
+_ROLLOUT_STATES = {
     _model.MoveState.ACTIVE: 'in_progress',
     _model.MoveState.DONE: 'completed',
     _model.MoveState.REVERTED: 'rolled_back',
@@ -37,9 +38,9 @@
     Parameters
     ----------
     service, version : str
-        Service, and the version that is to get its calls.
+        Service, and the version to which its calls are moved.
     duration_s : float
-        Time in seconds within which the move has to end.
+        Time in seconds within which the move must end.
     """
 
     service: str
@@ -70,7 +71,7 @@
 class _Route(msgspec.Struct):
     host: str
     prefix: str
-    # Says whether requests may be repeated, not what they are.
+    # Despite its name, states whether requests may be repeated.
     type: str
     timeout_ms: float = msgspec.field(name='timeoutMs')
     objective_ms: float = msgspec.field(name='sloMs', default=0)
@@ -94,12 +95,12 @@
 def decode_configuration(
     value: bytes,
 ) -> tuple[_model.Head, _model.Fragment]:
-    """Decode a configuration into the product's records.
+    """Decode a configuration into a head and its fragment.
 
     Raises
     ------
     InvalidUpdateError
-        When it cannot be read.
+        When the configuration is malformed.
     """
     try:
         config = msgspec.json.decode(value, type=_Config)
@@ -113,7 +114,7 @@
                     _model.Service(name, (ANY_VERSION,), ANY_VERSION)
                 )
             elif entry.type == 'routes':
-                routes.append(_route(name, entry.spec))
+                routes.append(_decode_route(name, entry.spec))
     except (msgspec.MsgspecError, ValueError) as error:
         raise InvalidUpdateError(f'{CONFIGURATION_KEY}: {error}') from error
     services.sort(key=lambda item: item.name)
@@ -126,7 +127,7 @@
     return head, fragment
 
 
-def _route(name: str, spec: msgspec.Raw) -> _model.Route:
+def _decode_route(name: str, spec: msgspec.Raw) -> _model.Route:
     route = msgspec.json.decode(spec, type=_Route)
     targets = tuple(
         _model.Target(item.service, round(item.weight)) for item in route.split
@@ -147,34 +148,36 @@
 
 
 def rollout_service(key: str) -> str:
-    """Return the service whose order a key holds; empty for other keys."""
-    if not key.startswith(_ROLLOUTS):
+    """Return the service of a rollout key; empty for other keys."""
+    if not key.startswith(_ROLLOUT_PREFIX):
         return ''
-    return key[len(_ROLLOUTS) :]
+    return key[len(_ROLLOUT_PREFIX) :]
 
 
 def rollout_status_key(service: str) -> str:
-    """Return the key at which the operator reads the state of a rollout."""
-    return f'{_ROLLOUT_STATUS}{service}'
+    """Return the key from which the operator reads a rollout's state."""
+    return f'{_ROLLOUT_STATUS_PREFIX}{service}'
 
 
 def decode_rollout(value: bytes) -> RolloutOrder:
-    """Decode an order.
+    """Decode a rollout order.
 
     Raises
     ------
     InvalidUpdateError
-        When it cannot be read.
+        When the order is malformed.
     """
     try:
-        found = msgspec.json.decode(value, type=_Rollout)
+        rollout = msgspec.json.decode(value, type=_Rollout)
     except (msgspec.MsgspecError, ValueError) as error:
-        raise InvalidUpdateError(f'rollout: {error}') from error
-    return RolloutOrder(found.service, found.target, found.duration_s)
+        raise InvalidUpdateError(f'rollout order: {error}') from error
+    return RolloutOrder(rollout.service, rollout.target, rollout.duration_s)
 
 
 def encode_rollout_status(
     order: RolloutOrder, state: _model.MoveState
 ) -> bytes:
     """Encode the state of a rollout for the operator."""
-    return msgspec.json.encode(_RolloutStatus(_STATES[state], order.version))
+    return msgspec.json.encode(
+        _RolloutStatus(_ROLLOUT_STATES[state], order.version)
+    )
--- a/gypsumhall/platform/_store.py
+++ b/gypsumhall/platform/_store.py
@@ -34,29 +34,29 @@
 T = TypeVar('T')
 
 MAX_TXN_ENTRIES = 32
-"""Most entries of a transaction, as the platform's page states."""
+"""Maximum entries of a transaction, from the platform's documentation."""
 
 MAX_KEY_BYTES = 200
-"""Longest key, as the platform's page states."""
+"""Maximum length of a key, from the platform's documentation."""
 
 _CALL_TIMEOUT_S = 1.2
-"""Longest time for a call; the platform answers in milliseconds, and a lost
-response is noticed only in this way."""
+"""Timeout of a call. The platform responds within milliseconds, and a lost
+response is detected only by this timeout."""
 
-_WATCH_S = 3.0
-"""Time for which the platform holds a watch without events; a watch that has
-gone silent is noticed after this time and `_CALL_TIMEOUT_S`."""
+_WATCH_POLL_S = 3.0
+"""Time for which the platform holds a long poll without events. A poll that
+gets no response is detected after this time plus `_CALL_TIMEOUT_S`."""
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Largest response that is read, as for the other store."""
+"""Largest response that is read, as in `gypsumhall.store._etcd`."""
 
 _MAX_PAGES = 200
 _MAX_CONNECTIONS = 16
 
-_IDLE_S = 5.0
-"""Time in seconds for which an idle connection is kept."""
+_KEEPALIVE_EXPIRY_S = 5.0
+"""Time in seconds after which an idle connection is closed."""
 
-_NOT_SENT = (
+_NOT_SENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
@@ -137,7 +137,7 @@
 
 
 class KvStore:
-    """The platform's metadata store, behind the protocol `Store`.
+    """Client of the platform's metadata store; implements `Store`.
 
     Parameters
     ----------
@@ -147,30 +147,31 @@
         Opens connections; by default over TCP.
     """
 
-    __slots__ = ('_base', '_pool', '_watches')
+    __slots__ = ('_base_url', '_call_pool', '_watch_pool')
 
     def __init__(
         self,
         address: str,
         network_backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
-        self._base = f'http://{address}'
+        self._base_url = f'http://{address}'
 
         def open_pool() -> httpcore.AsyncConnectionPool:
             return httpcore.AsyncConnectionPool(
                 max_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=_IDLE_S,
+                keepalive_expiry=_KEEPALIVE_EXPIRY_S,
                 network_backend=network_backend,
             )
 
-        self._pool = open_pool()
-        # Watches wait for long, so they have connections of their own.
-        self._watches = open_pool()
+        self._call_pool = open_pool()
+        # Watches are long polls; with a pool of their own, they do not
+        # delay other calls.
+        self._watch_pool = open_pool()
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
-        await self._watches.aclose()
+        await self._call_pool.aclose()
+        await self._watch_pool.aclose()
 
     async def get(self, key: str, *, stale: bool = False) -> KeyValue | None:
         """Read one key; None when it does not exist.
@@ -180,7 +181,8 @@
         key : str
             The key.
         stale : bool
-            Whether a value that is seconds old will do; it costs a tenth.
+            Whether a value that is seconds old is acceptable; such a read
+            costs a tenth of a regular one.
         """
         query: dict[str, Any] = {'key': key}
         if stale:
@@ -194,9 +196,9 @@
     async def range(self, prefix: str) -> list[KeyValue]:
         """Read all keys that start with a prefix, in key order.
 
-        The pages of a long range are read one after the other.
+        Long ranges are read page by page.
         """
-        found: dict[str, KeyValue] = {}
+        entries: dict[str, KeyValue] = {}
         after = ''
         for _ in range(_MAX_PAGES):
             query = {'prefix': prefix}
@@ -204,13 +206,13 @@
                 query['after'] = after
             page = _decode(await self._read('/v1/kv-range', query), _Page)
             for item in page.items:
-                found[item.key] = KeyValue(
+                entries[item.key] = KeyValue(
                     item.key, item.value, item.revision, item.lease
                 )
                 after = item.key
             if not page.has_more or not page.items:
-                return [found[key] for key in sorted(found)]
-        raise StoreProtocolError(f'{prefix!r} has over {_MAX_PAGES} pages')
+                return [entries[key] for key in sorted(entries)]
+        raise StoreProtocolError(f'{prefix!r} exceeds {_MAX_PAGES} pages')
 
     async def txn(
         self,
@@ -219,7 +221,7 @@
     ) -> TxnResult:
         """Execute all writes if all conditions hold, else none."""
         check_writes(writes)
-        _check_entries(compares, writes)
+        _check_limits(compares, writes)
         body = _Txn(
             [_Precondition(item.key, item.mod_revision) for item in compares],
             [
@@ -231,26 +233,26 @@
         )
         response = await self._write('/v1/kv-txn', body)
         if response.status == 412:
-            found = _decode(response, _Failed, 412)
-            revisions = [item.revision for item in found.items]
+            failed = _decode(response, _Failed, 412)
+            revisions = [item.revision for item in failed.items]
             return TxnResult(False, max(revisions, default=0))
         if response.status == 404:
-            raise StoreLeaseError('the lease has lapsed')
+            raise StoreLeaseError('the lease has expired')
         return TxnResult(True, _decode(response, _Revision).revision)
 
     async def grant_lease(self, ttl_s: int) -> int:
-        """Create a lease that lapses without renewal; return its id."""
+        """Create a lease that expires without renewal; return its id."""
         body = _LeaseRequest(ttl_s * 1000)
         return _decode(
             await self._write('/v1/kv-lease', body), _LeaseResponse
         ).lease
 
     async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease once; False when it has lapsed."""
+        """Renew a lease once; False when it has expired."""
         response = await self._write(f'/v1/kv-keep/{lease}')
         if response.status == 404:
             return False
-        _check(response)
+        _check_status(response)
         return True
 
     async def revoke(self, lease: int) -> None:
@@ -258,7 +260,7 @@
         path = f'/v1/kv-lease-end/{lease}'
         response = await self._write(path, method='DELETE')
         if response.status != 404:
-            _check(response)
+            _check_status(response)
 
     @asynccontextmanager
     async def watch(
@@ -280,22 +282,22 @@
     async def _poll(
         self, prefix: str, after: int
     ) -> AsyncIterator[WatchEvent]:
-        wait_ms = int(_WATCH_S * 1000)
+        wait_ms = int(_WATCH_POLL_S * 1000)
         while True:
             query = {'prefix': prefix, 'after': after, 'waitMs': wait_ms}
             response = await self._read(
                 '/v1/kv-watch',
                 query,
-                _WATCH_S + _CALL_TIMEOUT_S,
-                self._watches,
+                _WATCH_POLL_S + _CALL_TIMEOUT_S,
+                self._watch_pool,
             )
             if response.status == 410:
-                raise StoreCompactedError(f'revision {after} is not kept')
-            found = _decode(response, _Events)
-            for item in sorted(found.events, key=lambda item: item.revision):
+                raise StoreCompactedError(f'revision {after} is compacted')
+            batch = _decode(response, _Events)
+            for item in sorted(batch.events, key=lambda item: item.revision):
                 value = None if item.tombstone else item.value
                 yield WatchEvent(item.key, value, item.revision)
-            after = max(after, found.current)
+            after = max(after, batch.current)
 
     async def _read(
         self,
@@ -320,7 +322,7 @@
         content = b'' if body is None else msgspec.json.encode(body)
         try:
             return await self._call(method, path, content, _CALL_TIMEOUT_S)
-        except _NOT_SENT as error:
+        except _NOT_SENT_ERRORS as error:
             raise StoreUnavailableError(f'{path}: {error!r}') from error
         except (*_HTTP_ERRORS, _TooLargeError, trio.TooSlowError) as error:
             raise StoreUnknownError(f'{path}: {error!r}') from error
@@ -336,14 +338,14 @@
         headers = [('Content-Type', 'application/json')] if content else []
         body = bytearray()
         with trio.fail_after(timeout_s):
-            async with (pool or self._pool).stream(
+            async with (pool or self._call_pool).stream(
                 method,
-                self._base + target,
+                self._base_url + target,
                 headers=headers,
                 content=content,
             ) as response:
-                async for part in response.aiter_stream():
-                    body += part
+                async for chunk in response.aiter_stream():
+                    body += chunk
                     if len(body) > MAX_RESPONSE_BYTES:
                         raise _TooLargeError(
                             f'more than {MAX_RESPONSE_BYTES} bytes'
@@ -355,7 +357,7 @@
         return _Response(response.status, bytes(body))
 
 
-def _check_entries(
+def _check_limits(
     compares: Sequence[Compare], writes: Sequence[Put | Delete]
 ) -> None:
     if len(compares) + len(writes) > MAX_TXN_ENTRIES:
@@ -365,10 +367,12 @@
         )
     for item in (*compares, *writes):
         if len(item.key.encode()) > MAX_KEY_BYTES:
-            raise StoreLimitError(f'key {item.key!r} is too long')
+            raise StoreLimitError(
+                f'key {item.key!r} exceeds the maximum length'
+            )
 
 
-def _check(response: _Response, expected: int = 200) -> None:
+def _check_status(response: _Response, expected: int = 200) -> None:
     if response.status != expected:
         raise StoreProtocolError(
             f'status {response.status}: {response.body[:200]!r}'
@@ -376,7 +380,7 @@
 
 
 def _decode(response: _Response, kind: type[T], expected: int = 200) -> T:
-    _check(response, expected)
+    _check_status(response, expected)
     try:
         return msgspec.json.decode(response.body, type=kind)
     except (msgspec.MsgspecError, ValueError) as error:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""What the platform speaks, decoded once."""
+"""Tests of the platform's configuration, order and heartbeat formats."""
 
 from __future__ import annotations
 
@@ -74,9 +74,9 @@
     )
     snapshot = _snapshot(value)
     assert snapshot.version == 12
-    found = snapshot.match('hulo84.example', '/a/b/c', exact=True)
-    assert found is not None
-    route = found.route
+    matched = snapshot.match('hulo84.example', '/a/b/c', exact=True)
+    assert matched is not None
+    route = matched.route
     assert (route.service, route.timeout_s, route.objective_s) == (
         's1',
         1.5,
@@ -99,10 +99,10 @@
         ('/b/', None),
     ],
 )
-def test_a_prefix_matches_with_its_closing_slash(
+def test_a_prefix_matches_with_its_trailing_slash(
     path: str, name: str | None
 ) -> None:
-    """The longest prefix that begins the path is selected, slash included."""
+    """The longest matching prefix wins; its trailing slash must match too."""
     snapshot = _snapshot(
         _config(
             _route('r1', '/a/', service='s1'),
@@ -110,8 +110,8 @@
             _service('s1'),
         )
     )
-    found = snapshot.match('hulo84.example', path, exact=True)
-    assert (found.id if found else None) == name
+    matched = snapshot.match('hulo84.example', path, exact=True)
+    assert (matched.id if matched else None) == name
 
 
 @pytest.mark.parametrize(
@@ -124,7 +124,7 @@
         _config({'entryType': 'routes', 'metadata': {'name': 'r'}, 'spec': 3}),
     ],
 )
-def test_a_damaged_configuration_is_rejected_whole(value: bytes) -> None:
+def test_malformed_configuration_is_rejected(value: bytes) -> None:
     with pytest.raises(InvalidUpdateError):
         platform.decode_configuration(value)
 
@@ -145,14 +145,14 @@
 
 
 def test_a_heartbeat_is_decoded() -> None:
-    found = platform.decode_check_in('i-1', json.dumps(_BODY).encode())
-    assert (found.instance, found.started_ms, found.sequence) == (
-        'i-1',
-        1700,
-        4,
-    )
-    assert found.endpoint.state is EndpointState.READY
-    assert found.warmup_s == 1.5
+    heartbeat = platform.decode_check_in('i-1', json.dumps(_BODY).encode())
+    assert (
+        heartbeat.instance,
+        heartbeat.started_ms,
+        heartbeat.sequence,
+    ) == ('i-1', 1700, 4)
+    assert heartbeat.endpoint.state is EndpointState.READY
+    assert heartbeat.warmup_s == 1.5
 
 
 @pytest.mark.parametrize(
@@ -169,7 +169,7 @@
     ],
     ids=str,
 )
-def test_a_heartbeat_of_another_writer_names_no_endpoint(
+def test_heartbeat_with_invalid_fields_is_rejected(
     change: dict[str, Any],
 ) -> None:
     body = json.dumps({**_BODY, **change}).encode()
@@ -178,13 +178,13 @@
 
 
 @pytest.mark.parametrize('body', [b'', b'\xff\xfe', b'[]', b'null'])
-def test_bytes_that_are_no_heartbeat_are_rejected(body: bytes) -> None:
+def test_malformed_heartbeat_is_rejected(body: bytes) -> None:
     with pytest.raises(GypsumhallError):
         platform.decode_check_in('i-1', body)
     assert platform.decode_start_time(body) == 0
 
 
-def test_an_order_and_its_state() -> None:
+def test_order_is_decoded_and_its_state_encoded() -> None:
     value = b'{"service":"s","targetVersion":"v2","durationS":12}'
     order = platform.decode_rollout(value)
     assert (order.service, order.version, order.duration_s) == ('s', 'v2', 12)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,4 +1,4 @@
-"""Tests of the store's client against responses without end."""
+"""Tests of the store client against endless responses."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
 from gypsumhall.store import Put
 
 _LIMIT = 256 * 1024
-# Bytes that a server can send beyond those that were read: the buffers of
-# both sockets on the loopback interface.
+# Bytes that a server can send beyond those that the client has read: the
+# buffers of both sockets on the loopback interface.
 _SOCKET_BUFFERS = 8 * 1024 * 1024
-_UNIT = b'10000\r\n' + bytes(0x10000) + b'\r\n'
+_CHUNK = b'10000\r\n' + bytes(0x10000) + b'\r\n'
 
 
 @pytest.mark.parametrize(
@@ -28,12 +28,12 @@
         pytest.param(True, StoreUnknownError, id='write'),
     ],
 )
-async def test_response_without_end(
+async def test_endless_response_is_cut_off(
     write: bool,
     expected: type[GypsumhallError],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """It must not fill the memory until the call times out."""
+    """The response must not fill the memory until the call times out."""
     monkeypatch.setattr(_store, 'MAX_RESPONSE_BYTES', _LIMIT, raising=False)
     sent = 0
     closed = trio.Event()
@@ -48,8 +48,8 @@
                 b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
             )
             while True:
-                await stream.send_all(_UNIT)
-                sent += len(_UNIT)
+                await stream.send_all(_CHUNK)
+                sent += len(_CHUNK)
         closed.set()
 
     async with trio.open_nursery() as nursery:
