Rename CheckIn to BackendHeartbeat

A check-in of a backend server is a heartbeat everywhere else; only event codes keep the older word.

--- a/gypsumhall/platform/__init__.py
+++ b/gypsumhall/platform/__init__.py
@@ -4,8 +4,8 @@
 message is decoded once into a value with descriptive field names.
 """
 
-from gypsumhall.platform._checkins import CheckIn
-from gypsumhall.platform._checkins import decode_check_in
+from gypsumhall.platform._checkins import BackendHeartbeat
+from gypsumhall.platform._checkins import decode_heartbeat
 from gypsumhall.platform._checkins import decode_start_time
 from gypsumhall.platform._checkins import INSTANCES_PATH
 from gypsumhall.platform._names import DIALECT
@@ -26,10 +26,10 @@
     'INSTANCES_PATH',
     'OPERATOR_PREFIX',
     'READY_PATH',
-    'CheckIn',
+    'BackendHeartbeat',
     'KvStore',
     'RolloutOrder',
-    'decode_check_in',
+    'decode_heartbeat',
     'decode_configuration',
     'decode_rollout',
     'decode_start_time',
--- a/gypsumhall/platform/_checkins.py
+++ b/gypsumhall/platform/_checkins.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class CheckIn:
+class BackendHeartbeat:
     """A heartbeat of a backend server.
 
     Parameters
@@ -78,7 +78,7 @@
     warmup_s: float = 0.0
 
 
-def decode_check_in(instance: str, body: bytes) -> CheckIn:
+def decode_heartbeat(instance: str, body: bytes) -> BackendHeartbeat:
     """Decode a heartbeat.
 
     Raises
@@ -105,7 +105,7 @@
             f'slots {info.slots}, address {heartbeat.addr!r}'
         )
     endpoint = Endpoint(info.service, info.version, info.slots, state)
-    return CheckIn(
+    return BackendHeartbeat(
         instance,
         heartbeat.born,
         heartbeat.status.seq,
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -97,7 +97,7 @@
             return _response(503)
         instance = request.path[len(platform.INSTANCES_PATH) :]
         try:
-            check_in = platform.decode_check_in(instance, request.body)
+            check_in = platform.decode_heartbeat(instance, request.body)
         except GypsumhallError as error:
             self._events.emit('check-in-rejected', detail=str(error))
             return _response(400)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -145,7 +145,7 @@
 
 
 def test_a_heartbeat_is_decoded() -> None:
-    heartbeat = platform.decode_check_in('i-1', json.dumps(_BODY).encode())
+    heartbeat = platform.decode_heartbeat('i-1', json.dumps(_BODY).encode())
     assert (
         heartbeat.instance,
         heartbeat.started_ms,
@@ -174,13 +174,13 @@
 ) -> None:
     body = json.dumps({**_BODY, **change}).encode()
     with pytest.raises(GypsumhallError):
-        platform.decode_check_in('i-1', body)
+        platform.decode_heartbeat('i-1', body)
 
 
 @pytest.mark.parametrize('body', [b'', b'\xff\xfe', b'[]', b'null'])
 def test_malformed_heartbeat_is_rejected(body: bytes) -> None:
     with pytest.raises(GypsumhallError):
-        platform.decode_check_in('i-1', body)
+        platform.decode_heartbeat('i-1', body)
     assert platform.decode_start_time(body) == 0
 
 
