Rename Watches to CallMonitor

The class monitors long calls for callers that disconnect; it has nothing to do with watches of the store.

--- a/gypsumhall/services/_watches.py
+++ b/gypsumhall/services/_call_monitor.py
@@ -25,7 +25,7 @@
     scope: trio.CancelScope
 
 
-class Watches:
+class CallMonitor:
     """Runs a function concurrently with each call that is not short."""
 
     __slots__ = ('_watch_added', '_pending')
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -13,11 +13,11 @@
 import trio
 
 from gypsumhall.net._messages import Outcome
+from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
 from gypsumhall.services import _http_server
 from gypsumhall.services import _protocols
 from gypsumhall.services import _runner
-from gypsumhall.services import _watches
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -228,7 +228,7 @@
         self._active = 0
         self._idle = trio.Event()
         self._buffered = 0
-        self._watches = _watches.Watches()
+        self._call_monitor = _call_monitor.CallMonitor()
         self._distribution: _protocols.Distribution
         self._runner: _runner.RunnerService
         self._requests: _protocols.Metric
@@ -268,7 +268,7 @@
         config.graceful_timeout = _CLOSE_S
         config.errorlog = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watches.run)
+            nursery.start_soon(self._call_monitor.run)
             self._bound = await nursery.start(self._serve, config)
             task_status.started()
 
@@ -433,7 +433,7 @@
             if not sink.finished:
                 scope.cancel()
 
-        with trio.CancelScope() as scope, self._watches.watch(watch):
+        with trio.CancelScope() as scope, self._call_monitor.watch(watch):
             await self._runner.sender.send(request, sink)
         if scope.cancelled_caught:
             raise _CallerGoneError
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -34,12 +34,12 @@
 from gypsumhall.net._messages import Outcome
 from gypsumhall.net._protocol import PeerNetwork
 from gypsumhall.services import _backend_client
+from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
 from gypsumhall.services import _keys
 from gypsumhall.services import _protocols
 from gypsumhall.services import _responses
 from gypsumhall.services import _sender
-from gypsumhall.services import _watches
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,7 +143,7 @@
         self._idle = trio.Event()
         self._buffered = 0
         self.buffer_budget = _calls.ResponseBufferBudget()
-        self._watches = _watches.Watches()
+        self._call_monitor = _call_monitor.CallMonitor()
         self._incarnation = 0
         self._keys: _keys.KeyOwner
         self._membership: _protocols.Membership
@@ -231,7 +231,7 @@
         peers.on(KeyRelease, self._keys.handle_release)
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
-            self._nursery.start_soon(self._watches.run)
+            self._nursery.start_soon(self._call_monitor.run)
             self._nursery.start_soon(self._check_line)
             self._nursery.start_soon(self._sender.run)
             self._nursery.start_soon(self._note_stop, kernel.stopping)
@@ -758,7 +758,7 @@
         if call.idempotent and not call.key:
             scope = trio.CancelScope()
             watch = functools.partial(self._watch, exchange, call, scope)
-            with scope, self._watches.watch(watch):
+            with scope, self._call_monitor.watch(watch):
                 await self.execute(call, body, exchange.send)
             return
         if call.request_id in self._running:
@@ -770,7 +770,7 @@
             self._run_detached, exchange, call, body, scope, done
         )
         watch = functools.partial(self._watch, exchange, call, scope)
-        with self._watches.watch(watch):
+        with self._call_monitor.watch(watch):
             await done.wait()
 
     async def _run_detached(
