--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -31,7 +31,7 @@
 from gypsumhall.services._platform_link import PlatformLinkService
 from gypsumhall.services._reader import Reader
 from gypsumhall.services._runner import RunnerService
-from gypsumhall.services._store import PlatformStore
+from gypsumhall.services._store import InstrumentedStore
 from gypsumhall.store import EtcdStore
 
 if TYPE_CHECKING:
@@ -178,7 +178,7 @@
     services: list[Service] = [
         EventLog(daemon, zone, path=settings.event_log.value),
         MetricRegistry(),
-        PlatformStore(EtcdStore(settings.platform.value, rng=rng)),
+        InstrumentedStore(EtcdStore(settings.platform.value, rng=rng)),
         Peers(peer_settings),
         MembershipService(MembershipSettings(settings.seeds.value)),
         DistributionService(),
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -33,7 +33,7 @@
 from gypsumhall.services._rollouts import RolloutService
 from gypsumhall.services._runner import RunnerService
 from gypsumhall.services._sender import RetryLimits
-from gypsumhall.services._store import PlatformStore
+from gypsumhall.services._store import InstrumentedStore
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -186,7 +186,7 @@
     services: list[Service] = [
         EventLog(daemon, zone, lines_per_s=LINES_PER_S),
         MetricRegistry(),
-        PlatformStore(platform.KvStore(store_address), rng=rng),
+        InstrumentedStore(platform.KvStore(store_address), rng=rng),
         Peers(peer_settings),
         MembershipService(
             MembershipSettings(
--- a/gypsumhall/services/_platform_link.py
+++ b/gypsumhall/services/_platform_link.py
@@ -16,7 +16,7 @@
 from gypsumhall.services._distribution import DistributionService
 from gypsumhall.services._membership import MembershipService
 from gypsumhall.services._reader import read_seeds
-from gypsumhall.services._store import PlatformStore
+from gypsumhall.services._store import InstrumentedStore
 from gypsumhall.store import _keys
 
 if TYPE_CHECKING:
@@ -38,7 +38,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Register the callbacks, and return."""
-        self._store = kernel.get('store', PlatformStore)
+        self._store = kernel.get('store', InstrumentedStore)
         membership = kernel.get('membership', MembershipService)
         self._zone = membership.me.zone
         membership.set_seed_source(self._read_seed_addresses)
--- a/gypsumhall/services/_store.py
+++ b/gypsumhall/services/_store.py
@@ -31,7 +31,7 @@
     from gypsumhall.store import WatchEvent
 
 
-class PlatformStore:
+class InstrumentedStore:
     """Delegates to a store and measures each call.
 
     Parameters
--- a/gypsumhall/testing/readers.py
+++ b/gypsumhall/testing/readers.py
@@ -12,7 +12,7 @@
 from gypsumhall.services._events import EventLog
 from gypsumhall.services._metrics import MetricRegistry
 from gypsumhall.services._reader import Reader
-from gypsumhall.services._store import PlatformStore
+from gypsumhall.services._store import InstrumentedStore
 from gypsumhall.testing import builders
 from gypsumhall.testing.fakes import FakeDistribution
 from gypsumhall.testing.fakes import FakeMembership
@@ -81,7 +81,9 @@
         for service in (
             log,
             MetricRegistry(),
-            PlatformStore(self.opened.open_store(me.peer_address), rng=rng),
+            InstrumentedStore(
+                self.opened.open_store(me.peer_address), rng=rng
+            ),
             FakeMembership(me, self.table),
             self.distributions[me.id],
             self.readers[me.id],
