--- a/gypsumhall/testing/call_trial.py
+++ b/gypsumhall/testing/call_trial.py
@@ -24,7 +24,7 @@
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.daemons import restarted
 from gypsumhall.testing.memory_network import Fault
@@ -89,7 +89,7 @@
         self.backend = MemoryBackend(self.rng)
         self._fault_rate = fault_rate
         if fault_rate:
-            self.hub.rule = self._fault
+            self.hub.fault_rule = self._fault
         self._has_move = share > 0.0
         moves: tuple[Move, ...] = ()
         if share:
@@ -99,10 +99,10 @@
         self._count = daemons
         self._tables: list[fakes.FakeTable] = []
         self._scopes: list[trio.CancelScope] = []
-        self.daemons: list[CallDaemon] = []
+        self.daemons: list[CallPathDaemon] = []
         self.spread_s = 0.0
         self.results: Counter[str] = Counter()
-        self.faults_found: list[str] = []
+        self.violation_messages: list[str] = []
         self._number = 0
 
     async def start(self) -> None:
@@ -260,7 +260,7 @@
 
     def _check(self, condition: bool, request_id: str, text: str) -> None:
         if not condition:
-            self.faults_found.append(f'{request_id}: {text}')
+            self.violation_messages.append(f'{request_id}: {text}')
 
     async def _check_later(self, request_id: str) -> None:
         await trio.sleep(20.0)
@@ -268,8 +268,8 @@
             request_id not in self.backend.runs, request_id, 'ran later'
         )
 
-    def _build(self, index: int, member: Member) -> CallDaemon:
-        daemon = CallDaemon(
+    def _build(self, index: int, member: Member) -> CallPathDaemon:
+        daemon = CallPathDaemon(
             member,
             self._tables[index],
             lambda info: MemoryNetwork(self.hub, info),
@@ -384,12 +384,14 @@
             load = daemon.runner.load
             if load.in_flight or load.queued:
                 name = daemon.membership.me.id
-                trial.faults_found.append(f'{name}: slots in use: {load}')
+                trial.violation_messages.append(
+                    f'{name}: slots in use: {load}'
+                )
         nursery.cancel_scope.cancel()
     return trial
 
 
-def check(trial: CallTrial) -> None:
+def raise_on_violations(trial: CallTrial) -> None:
     """Raise an error that lists all violations of a trial.
 
     Raises
@@ -397,5 +399,5 @@
     AssertionError
         When there is one.
     """
-    if trial.faults_found:
-        raise AssertionError('\n'.join(trial.faults_found))
+    if trial.violation_messages:
+        raise AssertionError('\n'.join(trial.violation_messages))
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -49,17 +49,17 @@
     """What happens to one request.
 
     ``UNAVAILABLE`` refuses it. ``LOST_REQUEST`` loses it before and
-    ``LOST_ANSWER`` after it was executed, and ``LATE`` executes it some
+    ``LOST_RESPONSE`` after it was executed, and ``LATE`` executes it some
     time after its client gave up; these three raise `StoreUnknownError`,
     and for reads, which leave nothing unknown, `StoreUnavailableError`.
-    ``NONSENSE`` executes it and raises `StoreProtocolError`.
+    ``INVALID_RESPONSE`` executes it and raises `StoreProtocolError`.
     """
 
     UNAVAILABLE = 'unavailable'
     LOST_REQUEST = 'lost-request'
-    LOST_ANSWER = 'lost-answer'
+    LOST_RESPONSE = 'lost-answer'
     LATE = 'late'
-    NONSENSE = 'nonsense'
+    INVALID_RESPONSE = 'nonsense'
 
 
 @dataclass(slots=True)
@@ -190,7 +190,7 @@
         self._compacted = self._revision
         self._history.clear()
 
-    def lapse(self, *leases: int) -> None:
+    def expire_leases(self, *leases: int) -> None:
         """End leases at once, or all, as if the holders had been paused."""
         for lease in leases or self._leases:
             if lease in self._leases:
@@ -235,7 +235,7 @@
 
     async def revoke(self, lease: int) -> None:
         """End a lease and remove its keys."""
-        await self._request('revoke', lambda: self.lapse(lease))
+        await self._request('revoke', lambda: self.expire_leases(lease))
 
     @asynccontextmanager
     async def watch(
@@ -274,9 +274,9 @@
             self._late.append((trio.current_time() + late_s, execute))
             raise lost(f'{operation}: no answer in time')
         result = execute()
-        if fault is Fault.LOST_ANSWER:
+        if fault is Fault.LOST_RESPONSE:
             raise lost(f'{operation}: injected lost answer')
-        if fault is Fault.NONSENSE:
+        if fault is Fault.INVALID_RESPONSE:
             raise StoreProtocolError(f'{operation}: injected nonsense')
         return result
 
--- a/gypsumhall/testing/processes.py
+++ b/gypsumhall/testing/processes.py
@@ -23,7 +23,7 @@
 import httpcore
 import trio
 
-from gypsumhall.testing.relay import Network
+from gypsumhall.testing.relay import NetworkFaults
 from gypsumhall.testing.relay import Relay
 
 if TYPE_CHECKING:
@@ -125,7 +125,7 @@
     network: int
     zones: tuple[str, ...]
     vms: dict[str, Vm] = field(default_factory=dict)
-    links: Network | None = None
+    network_faults: NetworkFaults | None = None
     _nursery: trio.Nursery | None = None
     _running: dict[str, _Running] = field(default_factory=dict)
     # A process may close an idle connection at any time, above all one that
@@ -192,7 +192,7 @@
         ]
         listener = vm.peer_address
         platform = self.platform_address
-        if self.links is not None:
+        if self.network_faults is not None:
             listener = f'{vm.ip}:{RELAYED_PEER_PORT}'
             platform = self._zone_gateway(vm.zone)
         await self._start(
@@ -216,15 +216,20 @@
 
     async def start_relays(self) -> None:
         """Put relays in front of the platform and of all VMs added so far."""
-        if self.links is None or self._nursery is None:
+        if self.network_faults is None or self._nursery is None:
             raise ProcessError('the fleet was opened without relays')
         for zone in self.zones:
             relay = Relay(
-                self.links, 'platform', self.platform_address, source_zone=zone
+                self.network_faults,
+                'platform',
+                self.platform_address,
+                source_zone=zone,
             )
             await self._nursery.start(relay.serve, self._zone_gateway(zone))
         for vm in self.vms.values():
-            relay = Relay(self.links, vm.zone, f'{vm.ip}:{RELAYED_PEER_PORT}')
+            relay = Relay(
+                self.network_faults, vm.zone, f'{vm.ip}:{RELAYED_PEER_PORT}'
+            )
             await self._nursery.start(relay.serve, vm.peer_address)
 
     def zone_of(self, ip: str) -> str:
@@ -276,7 +281,7 @@
             running.frozen = False
         running.process.send_signal(number)
 
-    async def wait_ended(self, name: str, timeout_s: float = 60.0) -> int:
+    async def wait_exit(self, name: str, timeout_s: float = 60.0) -> int:
         """Wait for the end of a process and return its status."""
         with trio.move_on_after(timeout_s):
             return await self._running[name].process.wait()
@@ -437,7 +442,7 @@
         fleet = Fleet(Path(name), _free_network(), tuple(zones))
         async with trio.open_nursery() as nursery:
             if relayed:
-                fleet.links = Network(fleet.zone_of)
+                fleet.network_faults = NetworkFaults(fleet.zone_of)
                 fleet._nursery = nursery
             try:
                 await fleet.start_platform()
--- a/gypsumhall/testing/readers.py
+++ b/gypsumhall/testing/readers.py
@@ -47,13 +47,16 @@
     """
 
     def __init__(
-        self, opened: MemoryPlatform, name: str = 'az-1', first: int = 0
+        self,
+        memory_platform: MemoryPlatform,
+        name: str = 'az-1',
+        first: int = 0,
     ) -> None:
         self._name = name
         self._first = first
-        self.opened = opened
-        self.platform = opened.platform
-        self.store = opened.open_store()
+        self.memory_platform = memory_platform
+        self.platform = memory_platform.platform
+        self.store = memory_platform.open_store()
         self.table = FakeTable()
         self.readers: dict[str, Reader] = {}
         self.distributions: dict[str, FakeDistribution] = {}
@@ -82,7 +85,7 @@
             log,
             MetricRegistry(),
             InstrumentedStore(
-                self.opened.open_store(me.peer_address), rng=rng
+                self.memory_platform.open_store(me.peer_address), rng=rng
             ),
             FakeMembership(me, self.table),
             self.distributions[me.id],
@@ -104,7 +107,7 @@
         await trio.sleep(seconds)
         self.check_published(self.version)
 
-    def holder(self) -> tuple[str, Reader]:
+    def slot_holder(self) -> tuple[str, Reader]:
         """Return a reader that holds a slot."""
         return next(
             item for item in self.readers.items() if item[1].slot is not None
--- a/gypsumhall/testing/relay.py
+++ b/gypsumhall/testing/relay.py
@@ -12,7 +12,7 @@
 _CHUNK = 64 * 1024
 
 
-class Network:
+class NetworkFaults:
     """Which zones reach each other; shared by all relays of a fleet.
 
     A cut holds bytes back in both directions and lets connections neither
@@ -51,7 +51,7 @@
         self._cuts.clear()
         self._notify()
 
-    def silence(self) -> None:
+    def silence_open_connections(self) -> None:
         """Make all open connections silent for good; new ones work."""
         self._epoch += 1
         self._notify()
@@ -84,7 +84,11 @@
     __slots__ = ('_network', '_source_zone', '_target', '_zone')
 
     def __init__(
-        self, network: Network, zone: str, target: str, source_zone: str = ''
+        self,
+        network: NetworkFaults,
+        zone: str,
+        target: str,
+        source_zone: str = '',
     ) -> None:
         self._network = network
         self._zone = zone
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -344,13 +344,13 @@
             for name in (vm.name, backend_name(vm.name)):
                 if self._fleet.is_running(name):
                     self._fleet.signal(name, signal.SIGKILL)
-                    await self._fleet.wait_ended(name)
+                    await self._fleet.wait_exit(name)
 
     async def _kill_daemon(self, names: tuple[str, ...]) -> None:
         """Kill daemons; their backend servers stay."""
         for vm in self._vms(names):
             self._fleet.signal(vm.name, signal.SIGKILL)
-            await self._fleet.wait_ended(vm.name)
+            await self._fleet.wait_exit(vm.name)
 
     async def _freeze(self, names: tuple[str, ...]) -> None:
         """Suspend daemons."""
@@ -376,7 +376,7 @@
         for name in processes:
             self._fleet.signal(name, signal.SIGTERM)
         for name in processes:
-            status = await self._fleet.wait_ended(name)
+            status = await self._fleet.wait_exit(name)
             if status != 0:
                 raise ExpectationError(
                     f'{name} ended with {status}:\n'
@@ -387,18 +387,18 @@
 
     async def _cut(self, cut: Cut) -> None:
         """Separate two zones, or a zone and the platform."""
-        assert self._fleet.links is not None
-        self._fleet.links.cut(*cut.between)
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.cut(*cut.between)
 
     async def _heal(self, _: bool) -> None:
         """End all cuts."""
-        assert self._fleet.links is not None
-        self._fleet.links.heal()
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.heal()
 
     async def _silence(self, _: bool) -> None:
         """Make all open connections between daemons silent for good."""
-        assert self._fleet.links is not None
-        self._fleet.links.silence()
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.silence_open_connections()
 
     async def _platform(self, faults: dict[str, Any]) -> None:
         """Switch faults of the platform."""
--- a/tests/test_testing_memory_store.py
+++ b/tests/test_testing_memory_store.py
@@ -33,8 +33,8 @@
     [
         (Fault.UNAVAILABLE, StoreUnavailableError, False),
         (Fault.LOST_REQUEST, StoreUnknownError, False),
-        (Fault.LOST_ANSWER, StoreUnknownError, True),
-        (Fault.NONSENSE, StoreProtocolError, True),
+        (Fault.LOST_RESPONSE, StoreUnknownError, True),
+        (Fault.INVALID_RESPONSE, StoreProtocolError, True),
     ],
 )
 async def test_faults_hit_one_request(
