Reword the errors and the kernel in terms of the field

Drains that are cut are cancelled, a planned stop is a graceful shutdown, _RESERVE_SHARE is _RESERVED_DRAIN_FRACTION.

--- a/gypsumhall/_errors.py
+++ b/gypsumhall/_errors.py
@@ -1,4 +1,4 @@
-"""Exceptions with codes, and findings that name a place in a text."""
+"""Exceptions with error codes, and findings with a source location."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Place:
-    """A position in an operator's text or in the settings.
+    """A position in a configuration text or in the settings.
 
     Parameters
     ----------
     source : str
-        Name of the text, the flag or the environment variable.
+        Name of the text, flag or environment variable.
     line, column : int
         Position in the text, both counted from 1; 0 when unknown.
     """
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Finding:
-    """One fault in a text or in the settings.
+    """One error in a configuration text or in the settings.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
     message : str
         What is wrong, with the value and the valid choices.
     place : Place
-        Where it is.
+        Position of the error.
     """
 
     code: str
@@ -75,7 +75,7 @@
 
 
 class FindingsError(GypsumhallError):
-    """Several faults, collected and reported together."""
+    """Several errors, collected and reported together."""
 
     code = 'invalid'
 
@@ -85,31 +85,31 @@
 
     @property
     def findings(self) -> tuple[Finding, ...]:
-        """The faults in the order of their places."""
+        """The findings, ordered by location."""
         return self._findings
 
 
 class InvalidTextError(FindingsError):
-    """An operator's text that cannot be accepted."""
+    """A configuration text that is rejected."""
 
     code = 'invalid-text'
 
 
 class SettingsError(FindingsError):
-    """Settings that cannot be used."""
+    """Settings that are missing or invalid."""
 
     code = 'invalid-settings'
 
 
 class AddressError(GypsumhallError, OSError):
-    """An address that cannot be listened at."""
+    """A listen address that cannot be bound."""
 
     code = 'address'
 
 
 @contextmanager
 def listening_at(address: str) -> Iterator[None]:
-    """Name the address when opening its listener fails.
+    """Raise errors that name the address when opening its listener fails.
 
     Raises
     ------
@@ -122,21 +122,22 @@
         cause = innermost(error)
         if not isinstance(cause, OSError):
             raise
-        # The texts of some libraries repeat the address.
+        # Some libraries include the address in their error text, so the text
+        # of the error number is used where there is one.
         number = cause.errno or 0
         reason = os.strerror(number) if number > 0 else str(cause)
         raise AddressError(f'cannot listen at {address!r}: {reason}') from None
 
 
 def innermost(error: BaseException) -> BaseException:
-    """Return the first error of nested groups, or the error itself."""
+    """Return the first leaf of nested exception groups, or the error."""
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return error
 
 
 class InvalidUpdateError(GypsumhallError):
-    """A configuration update that fails its checks; nothing was applied."""
+    """A configuration update that fails validation; it was not applied."""
 
     code = 'invalid-update'
 
@@ -148,25 +149,25 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The platform did not execute the request."""
+    """The key-value service did not execute the request."""
 
     code = 'store-unavailable'
 
 
 class StoreUnknownError(StoreError):
-    """The platform may have executed the request; its answer was lost."""
+    """The request may have been executed; the response is missing."""
 
     code = 'store-unknown'
 
 
 class StoreCompactedError(StoreError):
-    """The revision asked for is no longer kept by the platform."""
+    """The requested revision has been compacted."""
 
     code = 'store-compacted'
 
 
 class StoreProtocolError(StoreError):
-    """The platform sent an answer that does not follow its protocol."""
+    """The key-value service sent a response that violates its protocol."""
 
     code = 'store-protocol'
 
@@ -184,7 +185,7 @@
 
 
 class PeerLostError(PeerError):
-    """The stream ended or went silent after the message was sent."""
+    """The stream was closed or timed out after the message was sent."""
 
     code = 'peer-lost'
 
--- a/gypsumhall/_kernel.py
+++ b/gypsumhall/_kernel.py
@@ -1,4 +1,4 @@
-"""Registry, start order and stop order of services."""
+"""Service registry with dependency-ordered start and shutdown."""
 
 from __future__ import annotations
 
@@ -12,13 +12,14 @@
 
 T = TypeVar('T')
 
-_RESERVE_SHARE = 0.05
-"""Part of the time for draining that is kept for the services which are left
-when one has used up the rest; a daemon tells others in it that it leaves."""
+_RESERVED_DRAIN_FRACTION = 0.05
+"""Fraction of the drain timeout that is reserved for the remaining services
+when one service has used up the rest. In this time a daemon still notifies the
+other daemons that it leaves."""
 
 
 class KernelError(GypsumhallError):
-    """A service is missing, registered twice or part of a cycle."""
+    """A service is missing, registered twice or part of a dependency cycle."""
 
     code = 'kernel'
 
@@ -29,7 +30,7 @@
     Attributes
     ----------
     name : str
-        Name by which other services find this one.
+        Name by which other services look this one up.
     requires : tuple of str
         Names of the services that have to be started first.
     """
@@ -47,15 +48,16 @@
         ...
 
     async def drain(self) -> None:
-        """Refuse new work and return when no work is left."""
+        """Reject new work and return when no work is left."""
         ...
 
 
 class Kernel:
     """Starts services in the order of their requirements.
 
-    Services are drained and cancelled in the reverse order. One whose drain
-    takes too long is cut, and those that are left are drained together.
+    Services are drained one by one in the reverse order, then cancelled. When
+    a drain takes too long it is cancelled, and the remaining services are
+    drained concurrently.
     """
 
     __slots__ = ('_order', '_services', '_stopping')
@@ -72,7 +74,7 @@
 
     @property
     def stopping(self) -> trio.Event:
-        """Set when a planned stop has been asked for."""
+        """Set when a graceful shutdown has been requested."""
         return self._stopping
 
     def register(self, service: Service) -> None:
@@ -81,7 +83,7 @@
         Raises
         ------
         KernelError
-            When the name is taken.
+            When a service with this name is already registered.
         """
         if service.name in self._services:
             raise KernelError(f'service {service.name!r} is registered twice')
@@ -104,8 +106,8 @@
         """
         service: Any = self._services.get(name)
         if service is None:
-            known = ', '.join(sorted(self._services))
-            raise KernelError(f'no service {name!r}; registered: {known}')
+            registered = ', '.join(sorted(self._services))
+            raise KernelError(f'no service {name!r}; registered: {registered}')
         if not isinstance(service, kind):
             raise KernelError(
                 f'service {name!r} is a {type(service).__name__}, '
@@ -114,7 +116,7 @@
         return service
 
     def stop(self) -> None:
-        """Ask for a planned stop."""
+        """Request a graceful shutdown."""
         self._stopping.set()
 
     async def run(
@@ -123,12 +125,12 @@
         drain_timeout_s: float = 30.0,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Start all services, wait for `stop`, then drain and end them.
+        """Start all services, wait for `stop`, then drain and cancel them.
 
         Parameters
         ----------
         drain_timeout_s : float
-            Longest time in seconds that draining may take in total.
+            Time limit in seconds for draining all services.
         """
         self._order = _start_order(self._services)
         async with trio.open_nursery() as nursery:
@@ -141,19 +143,21 @@
             nursery.cancel_scope.cancel()
 
     async def _drain(self, timeout_s: float) -> None:
-        """Drain in order; at its end all that are left at the same time."""
-        ends_at = trio.current_time() + timeout_s
-        waiting = list(self._order)
-        with trio.CancelScope(deadline=ends_at - _RESERVE_SHARE * timeout_s):
-            while waiting:
-                await self._services[waiting[-1]].drain()
-                waiting.pop()
-        if not waiting:
+        """Drain one by one; near the deadline drain the rest concurrently."""
+        drain_deadline = trio.current_time() + timeout_s
+        pending = list(self._order)
+        with trio.CancelScope(
+            deadline=drain_deadline - _RESERVED_DRAIN_FRACTION * timeout_s
+        ):
+            while pending:
+                await self._services[pending[-1]].drain()
+                pending.pop()
+        if not pending:
             return
-        # The last of these is the one that was cut.
-        with trio.CancelScope(deadline=ends_at):
+        # The last pending service is the one whose drain was cancelled.
+        with trio.CancelScope(deadline=drain_deadline):
             async with trio.open_nursery() as nursery:
-                for name in reversed(waiting[:-1]):
+                for name in reversed(pending[:-1]):
                     nursery.start_soon(self._services[name].drain)
 
 
--- a/gypsumhall/errors.py
+++ b/gypsumhall/errors.py
@@ -1,4 +1,4 @@
-"""Exceptions with codes, and findings that name a place in a text."""
+"""Exceptions with error codes, and findings with a source location."""
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import FindingsError
--- a/gypsumhall/kernel.py
+++ b/gypsumhall/kernel.py
@@ -1,4 +1,4 @@
-"""Micro-kernel: starts services that find each other by name."""
+"""Micro-kernel: starts services, which look each other up by name."""
 
 from gypsumhall._kernel import Kernel
 from gypsumhall._kernel import KernelError
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -9,7 +9,7 @@
 from gypsumhall.kernel import KernelError
 
 
-class _Recorder:
+class _RecordingService:
     def __init__(
         self, name: str, requires: tuple[str, ...], log: list[str]
     ) -> None:
@@ -36,8 +36,8 @@
 ) -> None:
     log: list[str] = []
     kernel = Kernel()
-    kernel.register(_Recorder('caller', ('peers',), log))
-    kernel.register(_Recorder('peers', (), log))
+    kernel.register(_RecordingService('caller', ('peers',), log))
+    kernel.register(_RecordingService('peers', (), log))
     async with trio.open_nursery() as nursery:
         await nursery.start(kernel.run)
         kernel.stop()
@@ -49,21 +49,25 @@
     ]
 
 
-class _Slow(_Recorder):
+class _HangingService(_RecordingService):
     async def drain(self) -> None:
         await super().drain()
         await trio.sleep_forever()
 
 
-async def test_a_drain_that_takes_all_the_time_does_not_starve_the_others(
+async def test_a_drain_that_uses_up_the_timeout_does_not_block_the_others(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    """Others were not told that the daemon leaves, leases were kept."""
+    """Guards against a drain that uses up the time of the other services.
+
+    The daemon then stopped without notifying other daemons that it leaves and
+    without releasing its leases.
+    """
     log: list[str] = []
     kernel = Kernel()
-    kernel.register(_Slow('caller', ('peers',), log))
-    kernel.register(_Slow('peers', ('membership',), log))
-    kernel.register(_Recorder('membership', (), log))
+    kernel.register(_HangingService('caller', ('peers',), log))
+    kernel.register(_HangingService('peers', ('membership',), log))
+    kernel.register(_RecordingService('membership', (), log))
     async with trio.open_nursery() as nursery:
         await nursery.start(kernel.run)
         started = trio.current_time()
@@ -80,18 +84,18 @@
         ({'a': ('missing',)}, "'missing', which is not registered"),
     ],
 )
-async def test_impossible_requirements_are_refused(
+async def test_unsatisfiable_requirements_are_rejected(
     requires: dict[str, tuple[str, ...]], expected: str
 ) -> None:
     kernel = Kernel()
-    for name, names in requires.items():
-        kernel.register(_Recorder(name, names, []))
+    for name, required in requires.items():
+        kernel.register(_RecordingService(name, required, []))
     with pytest.raises(KernelError, match=expected):
         await kernel.run()
 
 
-def test_a_service_of_another_type_is_refused() -> None:
+def test_get_rejects_a_service_of_another_type() -> None:
     kernel = Kernel()
-    kernel.register(_Recorder('peers', (), []))
+    kernel.register(_RecordingService('peers', (), []))
     with pytest.raises(KernelError, match='expected dict'):
         kernel.get('peers', dict)
