--- a/gypsumhall/store/_election.py
+++ b/gypsumhall/store/_election.py
@@ -1,4 +1,4 @@
-"""Elections: a key under a lease names the holder."""
+"""Leader elections: a key bound to a lease identifies the holder."""
 
 from __future__ import annotations
 
@@ -22,15 +22,18 @@
     from gypsumhall.store._protocol import Store
 
 SAFETY_SHARE = 0.2
-"""Share of the time to live that is given up for safety.
+"""Fraction of the time to live that the holder does not use.
 
-The platform counts from the arrival of a keep-alive, the holder from before
-it was sent, so without clock errors the holder gives up first in any case.
-The margin covers clocks that differ in speed and the time between a check of
-`HeldLease.valid` and the effect of what it permitted.
+The key-value service counts from the arrival of a keep-alive, the holder from
+before it was sent, so without clock errors the lease always expires at the
+holder first. The margin covers clocks that run at
+different rates, and the time between a check of `HeldLease.valid` and the
+effect of the operation that it permitted.
 """
 
 _BACKOFF_S = (0.1, 2.0)
+"""First and longest delay between attempts."""
+
 _REVOKE_TIMEOUT_S = 1.0
 
 
@@ -38,7 +41,7 @@
     """Delays that double from attempt to attempt, with jitter.
 
     Each delay is uniform between half and all of the doubled value, so that
-    clients that failed together do not return together.
+    clients that failed together do not retry together.
 
     Parameters
     ----------
@@ -59,7 +62,7 @@
         self._rng = rng
 
     def reset(self) -> None:
-        """Start again with the first delay, after a success."""
+        """Restart with the first delay, after a success."""
         self._next_s = self._first_s
 
     def next(self) -> float:
@@ -70,7 +73,7 @@
 
 
 class HeldLease:
-    """Leadership that is renewed in the background; see `Lease`."""
+    """Lease that is renewed in the background; see `Lease`."""
 
     def __init__(
         self,
@@ -78,21 +81,21 @@
         key: str,
         lease: int,
         ttl_s: int,
-        sent: float,
+        sent_at: float,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._key = key
         self._lease = lease
         self._ttl_s = ttl_s
-        self._sent = sent
+        self._valid_from = sent_at
         self._rng = rng
         self._lost = trio.Event()
         self._mod_revision = 0
 
     @property
     def id(self) -> int:
-        """Lease that the election key is bound to."""
+        """Id of the lease that the election key is bound to."""
         return self._lease
 
     @property
@@ -113,13 +116,13 @@
     @property
     def expires(self) -> float:
         """Time in seconds up to which the lease is valid."""
-        return self._sent + self._ttl_s * (1 - SAFETY_SHARE)
+        return self._valid_from + self._ttl_s * (1 - SAFETY_SHARE)
 
     def valid(self, now: float) -> bool:
-        """Whether no other holder can have the lease yet.
+        """Whether it is certain that no other client holds the lease.
 
-        The answer follows from the clock alone, so a process that was
-        paused gets it right before any of its tasks has run.
+        The result depends on the clock alone, so after a pause of the process
+        it is correct even before any task has run.
         """
         return not self._lost.is_set() and now < self.expires
 
@@ -131,7 +134,7 @@
         """Renew the lease until it is lost or the task is cancelled."""
         interval_s = self._ttl_s / 3
         backoff = Backoff(_BACKOFF_S[0], interval_s / 2, self._rng)
-        # Jitter keeps the renewals of holders that started together apart.
+        # Jitter spreads the renewals of holders that started together.
         delay_s = interval_s * self._rng.uniform(0.7, 1.0)
         while not self._lost.is_set():
             with trio.move_on_at(self.expires):
@@ -141,28 +144,29 @@
                 self._lost.set()
 
     async def _renew_once(self, interval_s: float, backoff: Backoff) -> float:
-        sent = trio.current_time()
+        sent_at = trio.current_time()
         try:
             alive = await self._store.keep_alive(self._lease)
         except StoreError:
             return backoff.next()
         if not alive:
             self._lost.set()
-        # A call that took longer than the lease proves nothing any more.
+        # A response that arrives after the lease has expired does not extend
+        # it.
         elif self.valid(trio.current_time()):
-            self._sent = sent
+            self._valid_from = sent_at
         backoff.reset()
         return interval_s * self._rng.uniform(0.9, 1.0)
 
     async def end(self) -> None:
-        """Give the lease up, so that a successor need not wait."""
+        """Revoke the lease, so that a successor need not wait for expiry."""
         self._lost.set()
         with trio.move_on_after(_REVOKE_TIMEOUT_S) as scope:
             scope.shield = True
             try:
                 await self._store.revoke(self._lease)
             except StoreError:
-                # It lapses by itself.
+                # The lease expires by itself.
                 return
 
 
@@ -185,30 +189,30 @@
     Parameters
     ----------
     store : Store
-        The platform.
+        Key-value service with the election key.
     key : str
         The election key.
     value : bytes
         Stored under the key while the lease is held.
     ttl_s : int
-        Seconds after which the lease lapses without renewal.
+        Seconds after which the lease expires without renewal.
     wait : bool
-        Wait, also through outages, while the lease cannot be had.
+        Wait until the lease can be acquired, also during outages.
     rng : random.Random, optional
         Source of the jitter.
 
     Raises
     ------
     LeaseHeldError
-        On entry, when another holder has the lease and `wait` is false.
+        On entry, when another client holds the lease and `wait` is false.
     StoreError
-        On entry, when the platform fails and `wait` is false.
+        On entry, when a request to the store fails and `wait` is false.
     """
-    source = rng or random.Random()
-    backoff = Backoff(*_BACKOFF_S, source)
+    jitter_rng = rng or random.Random()
+    backoff = Backoff(*_BACKOFF_S, jitter_rng)
     while True:
         try:
-            lease = await _acquire(store, key, value, ttl_s, source)
+            lease = await _acquire(store, key, value, ttl_s, jitter_rng)
             break
         except LeaseHeldError:
             if not wait:
@@ -222,7 +226,8 @@
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(lease.renew)
-            # Raised outside of the nursery, which would put it in a group.
+            # Raised outside of the nursery, which would wrap it in an
+            # exception group.
             try:
                 yield lease
             except Exception as error:
@@ -237,24 +242,25 @@
 async def _acquire(
     store: Store, key: str, value: bytes, ttl_s: int, rng: random.Random
 ) -> HeldLease:
-    held = await store.get(key)
-    if held is not None:
-        raise LeaseHeldError(f'{key!r} is held under lease {held.lease}')
-    sent = trio.current_time()
+    current = await store.get(key)
+    if current is not None:
+        raise LeaseHeldError(f'{key!r} is held under lease {current.lease}')
+    sent_at = trio.current_time()
     lease = HeldLease(
-        store, key, await store.grant_lease(ttl_s), ttl_s, sent, rng
+        store, key, await store.grant_lease(ttl_s), ttl_s, sent_at, rng
     )
     try:
         await _write_key(store, lease, value)
     except BaseException:
-        # The key may have been written all the same; the lease removes it.
+        # The key may have been written nevertheless; it is removed with the
+        # lease.
         await lease.end()
         raise
     return lease
 
 
 async def _write_key(store: Store, lease: HeldLease, value: bytes) -> None:
-    """Write the election key, also when responses are lost."""
+    """Write the election key, even if responses are lost."""
     writes = [Put(lease.key, value, lease.id)]
     failure: StoreError | None = None
     while lease.valid(trio.current_time()):
@@ -270,37 +276,37 @@
                 raise
         except StoreError as error:
             failure = error
-        # Whoever wrote the key, possibly this daemon, is bound to it by
-        # the lease. A write that is still on its way fails or is found.
+        # The lease of the key shows who wrote it, possibly this daemon. A
+        # write that is still in transit fails, or a later read returns it.
         try:
-            held = await store.get(lease.key)
+            current = await store.get(lease.key)
         except StoreError as error:
             failure = error
         else:
-            if held is not None and held.lease == lease.id:
-                lease.hold(held.mod_revision)
+            if current is not None and current.lease == lease.id:
+                lease.hold(current.mod_revision)
                 return
-            if held is not None:
+            if current is not None:
                 raise LeaseHeldError(
-                    f'{lease.key!r} is held under lease {held.lease}'
+                    f'{lease.key!r} is held under lease {current.lease}'
                 )
         await trio.sleep(_BACKOFF_S[0])
     raise failure or StoreUnavailableError(
-        f'lease {lease.id} lapsed before {lease.key!r} was written'
+        f'lease {lease.id} expired before {lease.key!r} was written'
     )
 
 
 async def _wait_until_free(
     store: Store, key: str, ttl_s: int, backoff: Backoff
 ) -> None:
-    """Wait for a change of the election key, at most for its lease.
+    """Wait until the election key is removed, at most for `ttl_s`.
 
-    The key is read again after that time, as a watch may be silent.
+    The caller then reads the key again, as a watch may have stalled.
     """
     try:
         with trio.move_on_after(ttl_s):
             async with store.watch(key) as events:
-                # The key may have been removed before the watch began.
+                # The key may have been removed before the watch was opened.
                 if await store.get(key) is None:
                     backoff.reset()
                     return
@@ -318,12 +324,12 @@
     Parameters
     ----------
     store : Store
-        The platform.
+        Key-value service with the election keys.
     rng : random.Random, optional
         Source of the jitter.
     on_change : callable, optional
         Called with an event code and the key when a lease was acquired
-        (``lease-acquired``) and when it was lost or given up
+        (``lease-acquired``) and when it was lost or released
         (``lease-lost``, ``lease-released``).
     """
 
--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -1,4 +1,4 @@
-"""Adapter for the published etcd v3 JSON gateway.
+"""Adapter for the etcd v3 JSON gateway.
 
 The gateway maps each remote call to ``POST /v3/...`` with a JSON body. Keys
 and values are base64, 64-bit integers are strings, and fields that have
@@ -42,24 +42,24 @@
 T = TypeVar('T')
 
 MAX_KEY_BYTES = 1024
-"""Longest key."""
+"""Longest key that the adapter sends."""
 
 MAX_TXN_BYTES = 1_500_000
-"""Largest sum of keys and values of a transaction.
+"""Largest total size of the keys and values of a transaction.
 
-The published service refuses requests of more than 1.5 MiB by default.
+By default etcd rejects requests of more than 1.5 MiB.
 """
 
 MAX_TXN_WRITES = 128
-"""Most writes of a transaction, the default limit of the service."""
+"""Largest number of writes in a transaction, the default limit of etcd."""
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Largest response or watch message that is read."""
+"""Largest response or watch message that the adapter accepts."""
 
 PAGE_KEYS = 128
-"""Most keys that are asked for at once when reading a range."""
+"""Largest number of keys per request when reading a range."""
 
-_RANGE_RESTARTS = 3
+_MAX_RANGE_ATTEMPTS = 3
 
 _HTTP_ERRORS = (
     httpcore.NetworkError,
@@ -70,15 +70,16 @@
 _CODE_NOT_FOUND = 5
 _CODE_OUT_OF_RANGE = 11
 
-# gRPC status codes with which the service refuses a request before it is
-# proposed: invalid argument, not found, permission denied, resource
+# gRPC status codes with which etcd rejects a request before it is proposed
+# to the cluster: invalid argument, not found, permission denied, resource
 # exhausted, failed precondition, out of range, unimplemented,
 # unauthenticated.
-_REFUSED_CODES = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
+_REJECTION_CODES = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
 
 # The status `unavailable` (14) is also used for requests that timed out
-# after they were proposed. Only these messages rule that out.
-_NOT_SENT_MESSAGES = (
+# after they were proposed. Only with these messages the request was certainly
+# not proposed.
+_NOT_PROPOSED_MESSAGES = (
     'Error while dialing',
     'there is no address available',
     'there is no connection available',
@@ -87,7 +88,7 @@
 
 
 class _NotExecutedError(Exception):
-    """The gateway did not execute the request; another one may."""
+    """The gateway did not execute the request; try the next one."""
 
 
 class _MaybeExecutedError(Exception):
@@ -136,7 +137,10 @@
 
 
 class _StreamError(msgspec.Struct):
-    """Error within a stream; releases of the gateway differ in the name."""
+    """Error within a stream.
+
+    Depending on its release the gateway sends `grpc_code` or `code`.
+    """
 
     grpc_code: int = 0
     code: int = 0
@@ -172,15 +176,19 @@
     message: str = ''
 
 
-class _Pool:
-    """Connections for calls, closed when retired and no longer in use."""
+class _CallPool:
+    """Connection pool for calls.
+
+    A retired pool is closed as soon as no call uses it.
+    """
 
     def __init__(
         self, network_backend: httpcore.AsyncNetworkBackend | None
     ) -> None:
-        self._users = 0
+        self._active_calls = 0
         self._retired = False
-        # An idle connection is given up before a load balancer forgets it.
+        # Idle connections are closed before a load balancer between daemon and
+        # gateway silently drops them.
         self._connections = httpcore.AsyncConnectionPool(
             max_connections=16,
             keepalive_expiry=30.0,
@@ -189,17 +197,17 @@
 
     @asynccontextmanager
     async def use(self) -> AsyncIterator[httpcore.AsyncConnectionPool]:
-        """Keep the connections open within a context."""
-        self._users += 1
+        """Prevent the pool from being closed within a context."""
+        self._active_calls += 1
         try:
             yield self._connections
         finally:
-            self._users -= 1
-            if self._retired and not self._users:
+            self._active_calls -= 1
+            if self._retired and not self._active_calls:
                 await self.aclose()
 
     def retire(self) -> None:
-        """Close the connections as soon as no call uses them."""
+        """Close the pool as soon as no call uses it."""
         self._retired = True
 
     async def aclose(self) -> None:
@@ -216,18 +224,18 @@
         ...
 
 
-def _text(data: bytes) -> str:
+def _base64(data: bytes) -> str:
     return base64.b64encode(data).decode('ascii')
 
 
-def _key(key: str) -> str:
+def _encode_key(key: str) -> str:
     data = key.encode()
     if not 0 < len(data) <= MAX_KEY_BYTES:
         raise StoreLimitError(
             f'key {key[:80]!r} has {len(data)} bytes, expected 1 to '
             f'{MAX_KEY_BYTES}'
         )
-    return _text(data)
+    return _base64(data)
 
 
 def _prefix_end(prefix: bytes) -> bytes:
@@ -255,7 +263,7 @@
         )
 
 
-def _key_value(item: _Kv, prefix: str, call: str) -> KeyValue:
+def _to_key_value(item: _Kv, prefix: str, call: str) -> KeyValue:
     try:
         key = item.key.decode()
     except UnicodeDecodeError:
@@ -272,14 +280,14 @@
 
 def _encode_write(write: Put | Delete) -> dict[str, Any]:
     if isinstance(write, Delete):
-        return {'request_delete_range': {'key': _key(write.key)}}
+        return {'request_delete_range': {'key': _encode_key(write.key)}}
     return {'request_put': _encode_put(write)}
 
 
 def _encode_put(write: Put) -> dict[str, Any]:
     return {
-        'key': _key(write.key),
-        'value': _text(write.value),
+        'key': _encode_key(write.key),
+        'value': _base64(write.value),
         'lease': str(write.lease),
     }
 
@@ -293,7 +301,7 @@
         When a key, a value or the transaction is too large.
     """
     for write in writes:
-        _key(write.key)
+        _encode_key(write.key)
         if isinstance(write, Put) and len(write.value) > MAX_VALUE_BYTES:
             raise StoreLimitError(
                 f'value of {write.key!r} has {len(write.value)} bytes, '
@@ -314,23 +322,26 @@
         )
 
 
-def _raise_refusal(code: int, message: str, call: str) -> None:
-    """Raise the error for a status, classified by what was executed."""
+def _raise_grpc_error(code: int, message: str, call: str) -> None:
+    """Raise the error for a gRPC status.
+
+    Its class depends on whether the request may have been executed.
+    """
     detail = f'{call} failed with status {code}: {message}'
     if code == _CODE_OUT_OF_RANGE and 'compacted' in message:
         raise StoreCompactedError(detail)
     if code == _CODE_NOT_FOUND and 'lease not found' in message:
         raise StoreLeaseError(detail)
-    if code in _REFUSED_CODES:
+    if code in _REJECTION_CODES:
         raise StoreUnavailableError(detail)
-    if any(part in message for part in _NOT_SENT_MESSAGES):
+    if any(part in message for part in _NOT_PROPOSED_MESSAGES):
         raise _NotExecutedError(detail)
     raise _MaybeExecutedError(detail)
 
 
 def _raise_stream_error(error: _StreamError, call: str) -> None:
     try:
-        _raise_refusal(error.grpc_code or error.code, error.message, call)
+        _raise_grpc_error(error.grpc_code or error.code, error.message, call)
     except (_NotExecutedError, _MaybeExecutedError) as failure:
         raise StoreUnavailableError(str(failure)) from failure
 
@@ -338,11 +349,12 @@
 class EtcdStore:
     """The platform's key-value service behind JSON gateways.
 
-    A call that was certainly not executed is tried at every address once.
-    Calls that may be repeated (reads, and the calls about leases, whose
-    repetition leaves at most an unused lease that lapses) are also tried
-    again when a response is missing, with a single address on a new
-    connection. All other calls raise `StoreUnknownError` then.
+    A call that was certainly not executed is retried once at each of the
+    other addresses. When a response is missing, only calls that are safe to
+    repeat are retried: reads, and lease calls, whose repetition leaves at most
+    an unused lease that expires. With a single address the retry uses a new
+    connection.
+    All other calls raise `StoreUnknownError` when the response is missing.
 
     Parameters
     ----------
@@ -350,16 +362,16 @@
         Gateways as ``<ip>:<port>``, or as URLs that start with ``http://``
         or ``https://``.
     timeout_s : float
-        Longest time of a call at one address, in seconds.
+        Timeout of a call to one address, in seconds.
     silence_s : float
-        Seconds after which a watch without any message is opened anew from
-        the revision after the last one it delivered, so that an open
-        connection that went silent loses no event for longer than that.
+        Seconds without any message after which a watch is reopened from the
+        revision after the last one it delivered. A connection that stalls
+        while it is open thus delays events by at most this time.
     rng : Random, optional
-        Chooses the address that is used first, so that many daemons spread
-        over the gateways; by default the first address is.
+        Chooses the address that is tried first, so that many daemons are
+        spread over the gateways; by default the first one in `addresses`.
     network_backend : httpcore.AsyncNetworkBackend, optional
-        Replaces TCP in tests.
+        Replacement for TCP in tests.
     """
 
     def __init__(
@@ -372,7 +384,7 @@
         network_backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         if not addresses:
-            raise ValueError('no address of the platform was given')
+            raise ValueError('no address of the key-value service was given')
         self._urls = [
             item.rstrip('/')
             if item.startswith(('http://', 'https://'))
@@ -383,9 +395,9 @@
         self._silence_s = silence_s
         self._preferred = 0 if rng is None else rng.randrange(len(self._urls))
         self._network_backend = network_backend
-        self._calls = _Pool(network_backend)
-        # Every watch occupies a connection, so they have their own pool.
-        self._watches = httpcore.AsyncConnectionPool(
+        self._call_pool = _CallPool(network_backend)
+        # Each watch occupies a connection, so watches have their own pool.
+        self._watch_pool = httpcore.AsyncConnectionPool(
             max_connections=None,
             max_keepalive_connections=0,
             network_backend=network_backend,
@@ -393,16 +405,16 @@
 
     @property
     def timeout_s(self) -> float:
-        """Longest time of a call at one address, in seconds."""
+        """Timeout of a call to one address, in seconds."""
         return self._timeout_s
 
     @property
     def silence_s(self) -> float:
-        """Seconds after which a silent watch is opened anew."""
+        """Seconds without any message after which a watch is reopened."""
         return self._silence_s
 
     async def __aenter__(self) -> Self:
-        """Return the adapter; connections are opened when needed."""
+        """Return the adapter; connections are opened on demand."""
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -411,54 +423,54 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._calls.aclose()
+        await self._call_pool.aclose()
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
-            await self._watches.aclose()
+            await self._watch_pool.aclose()
 
     async def get(self, key: str) -> KeyValue | None:
         """Read one key; None when it does not exist."""
         response = _decode(
-            await self._call('/v3/kv/range', {'key': _key(key)}),
+            await self._call('/v3/kv/range', {'key': _encode_key(key)}),
             _RangeResponse,
             'range',
         )
         _check_revision(response.header.revision, 'range')
         if not response.kvs:
             return None
-        found = _key_value(response.kvs[0], key, 'range')
-        if len(response.kvs) > 1 or found.key != key:
+        item = _to_key_value(response.kvs[0], key, 'range')
+        if len(response.kvs) > 1 or item.key != key:
             raise StoreProtocolError(
                 f'response to range has {len(response.kvs)} keys, the first '
-                f'{found.key!r}, expected {key!r}'
+                f'{item.key!r}, expected {key!r}'
             )
-        return found
+        return item
 
     async def range(self, prefix: str) -> list[KeyValue]:
         """Read all keys that start with a prefix, in key order.
 
         The keys are read in pages at one revision. If that revision is
-        compacted meanwhile, reading starts anew.
+        compacted in the meantime, the read is restarted at a newer one.
         """
-        for _ in range(_RANGE_RESTARTS):
+        for _ in range(_MAX_RANGE_ATTEMPTS):
             try:
                 return await self._range(prefix)
             except StoreCompactedError:
                 continue
         raise StoreUnavailableError(
-            f'revisions were compacted {_RANGE_RESTARTS} times while the '
+            f'revisions were compacted {_MAX_RANGE_ATTEMPTS} times while the '
             f'keys with prefix {prefix!r} were read'
         )
 
     async def _range(self, prefix: str) -> list[KeyValue]:
-        found: list[KeyValue] = []
+        items: list[KeyValue] = []
         start = prefix.encode()
         end = _prefix_end(start)
         revision = 0
         limit = PAGE_KEYS
         while True:
             body = {
-                'key': _text(start or b'\0'),
-                'range_end': _text(end),
+                'key': _base64(start or b'\0'),
+                'range_end': _base64(end),
                 'limit': str(limit),
                 'revision': str(revision),
             }
@@ -472,7 +484,7 @@
             page = _decode(data, _RangeResponse, 'range')
             _check_revision(page.header.revision, 'range')
             for item in page.kvs:
-                found.append(_key_value(item, prefix, 'range'))
+                items.append(_to_key_value(item, prefix, 'range'))
                 if item.key < start:
                     raise StoreProtocolError(
                         f'response to range has the key {item.key!r} after '
@@ -480,10 +492,10 @@
                     )
                 start = item.key + b'\0'
             if not page.more:
-                return found
+                return items
             if not page.kvs:
                 raise StoreProtocolError(
-                    'response to range has no keys, but says there are more'
+                    'response to range has no keys, but reports more keys'
                 )
             revision = revision or page.header.revision
 
@@ -494,22 +506,22 @@
     ) -> TxnResult:
         """Execute all writes if all conditions hold, else none.
 
-        A `StoreProtocolError` leaves open whether the writes were executed.
+        After a `StoreProtocolError` the writes may have been executed.
 
         Raises
         ------
         StoreLimitError
             When a key, a value or the transaction is too large.
         StoreLeaseError
-            When a lease of the writes has lapsed.
+            When the lease of a write has expired.
         """
         check_writes(writes)
         if not compares and len(writes) == 1:
-            return await self._write(writes[0])
+            return await self._write_one(writes[0])
         body = {
             'compare': [
                 {
-                    'key': _key(item.key),
+                    'key': _encode_key(item.key),
                     'target': 'MOD',
                     'result': 'EQUAL',
                     'mod_revision': str(item.mod_revision),
@@ -519,25 +531,25 @@
             'success': [_encode_write(item) for item in writes],
         }
         response = _decode(
-            await self._call('/v3/kv/txn', body, repeatable=not writes),
+            await self._call('/v3/kv/txn', body, retry_safe=not writes),
             _TxnResponse,
             'txn',
         )
         _check_revision(response.header.revision, 'txn')
         return TxnResult(response.succeeded, response.header.revision)
 
-    async def _write(self, write: Put | Delete) -> TxnResult:
+    async def _write_one(self, write: Put | Delete) -> TxnResult:
         if isinstance(write, Delete):
-            path, body = '/v3/kv/deleterange', {'key': _key(write.key)}
+            path, body = '/v3/kv/deleterange', {'key': _encode_key(write.key)}
         else:
             path, body = '/v3/kv/put', _encode_put(write)
-        data = await self._call(path, body, repeatable=False)
+        data = await self._call(path, body, retry_safe=False)
         response = _decode(data, _WriteResponse, path)
         _check_revision(response.header.revision, path)
         return TxnResult(True, response.header.revision)
 
     async def grant_lease(self, ttl_s: int) -> int:
-        """Create a lease that lapses without renewal; return its id."""
+        """Create a lease that expires without renewal; return its id."""
         response = _decode(
             await self._call('/v3/lease/grant', {'TTL': str(ttl_s)}),
             _GrantResponse,
@@ -551,9 +563,9 @@
         return response.id
 
     async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease once; False when it has lapsed."""
+        """Renew a lease once; False when it has expired."""
         data = await self._call('/v3/lease/keepalive', {'ID': str(lease)})
-        # The gateway answers with a stream of one message.
+        # The gateway responds with a stream of one message.
         response = _decode(
             data.strip(), _KeepAliveResponse, 'lease keep-alive'
         )
@@ -568,7 +580,7 @@
         return result.ttl > 0
 
     async def revoke(self, lease: int) -> None:
-        """End a lease and remove its keys."""
+        """Revoke a lease, which removes its keys."""
         try:
             data = await self._call('/v3/lease/revoke', {'ID': str(lease)})
         except StoreLeaseError:
@@ -581,8 +593,8 @@
     ) -> AsyncIterator[AsyncIterator[WatchEvent]]:
         """Watch all keys that start with a prefix.
 
-        The watch is in force when the context is entered: every later
-        change is delivered, or an error is raised.
+        The watch is active once the context is entered: every later change is
+        delivered, or an error is raised.
 
         Raises
         ------
@@ -590,7 +602,7 @@
             On entry, when no gateway can be reached, and from the iterator,
             when the watch was dropped.
         StoreCompactedError
-            From the iterator, when `from_revision` is no longer kept.
+            From the iterator, when `from_revision` has been compacted.
         """
         watch = _Watch(self, prefix, from_revision)
         try:
@@ -602,12 +614,14 @@
     async def open_watch(self, body: bytes) -> httpcore.Response:
         """Open the stream of a watch at the first address that responds."""
         failure = 'no address'
-        for index in self._order():
+        for index in self._address_indexes():
             self._preferred = index
-            request = self._request(index, '/v3/watch', body, read_s=None)
+            request = self._build_request(
+                index, '/v3/watch', body, read_timeout_s=None
+            )
             try:
                 with trio.fail_after(self._timeout_s):
-                    response = await self._watches.handle_async_request(
+                    response = await self._watch_pool.handle_async_request(
                         request
                     )
             except (*_HTTP_ERRORS, trio.TooSlowError) as error:
@@ -616,7 +630,7 @@
             if response.status == 200:
                 return response
             try:
-                await self._read(response)
+                await self._read_body(response)
                 failure = f'status {response.status}'
             except _TooLargeError as error:
                 failure = str(error)
@@ -624,24 +638,25 @@
                 failure = f'{type(error).__name__}: {error}'
         raise StoreUnavailableError(f'watch could not be opened: {failure}')
 
-    def _order(self) -> list[int]:
+    def _address_indexes(self) -> list[int]:
         count = len(self._urls)
         return [(self._preferred + step) % count for step in range(count)]
 
-    def _request(
+    def _build_request(
         self,
         index: int,
         path: str,
         body: bytes,
-        read_s: float | None,
+        read_timeout_s: float | None,
         trace: Any = None,
     ) -> httpcore.Request:
         timeouts = {
-            # A host that drops packets must not use up the whole call.
+            # Shorter than the timeout of the call, so that a host that drops
+            # packets does not use up all of it.
             'connect': self._timeout_s / 2,
             'pool': self._timeout_s,
             'write': self._timeout_s,
-            'read': read_s,
+            'read': read_timeout_s,
         }
         extensions: dict[str, Any] = {'timeout': timeouts}
         if trace is not None:
@@ -657,15 +672,15 @@
         )
 
     async def _call(
-        self, path: str, body: dict[str, Any], *, repeatable: bool = True
+        self, path: str, body: dict[str, Any], *, retry_safe: bool = True
     ) -> bytes:
         encoded = msgspec.json.encode(body)
         failure: Exception = _NotExecutedError('no address')
-        order = self._order()
-        if repeatable and len(order) == 1:
+        indexes = self._address_indexes()
+        if retry_safe and len(indexes) == 1:
             # The second attempt uses a new connection.
-            order *= 2
-        for index in order:
+            indexes *= 2
+        for index in indexes:
             try:
                 data = await self._call_once(index, path, encoded)
             except StoreProtocolError:
@@ -673,7 +688,7 @@
                 raise
             except _MaybeExecutedError as error:
                 self._preferred = (index + 1) % len(self._urls)
-                if not repeatable:
+                if not retry_safe:
                     raise StoreUnknownError(str(error)) from error
                 failure = error
             except _NotExecutedError as error:
@@ -684,46 +699,48 @@
         raise StoreUnavailableError(str(failure)) from failure
 
     async def _call_once(self, index: int, path: str, body: bytes) -> bytes:
-        sent = False
+        request_sent = False
 
         async def trace(event: str, info: dict[str, Any]) -> None:
-            nonlocal sent
+            nonlocal request_sent
             if event == 'http11.send_request_headers.started':
-                sent = True
+                request_sent = True
 
-        request = self._request(index, path, body, self._timeout_s, trace)
-        where = f'{path} at {self._urls[index]}'
-        pool = self._calls
+        request = self._build_request(
+            index, path, body, self._timeout_s, trace
+        )
+        target = f'{path} at {self._urls[index]}'
+        pool = self._call_pool
         try:
             async with pool.use() as connections:
                 with trio.fail_after(self._timeout_s):
                     response = await connections.handle_async_request(request)
-                    data = await self._read(response)
+                    data = await self._read_body(response)
         except (*_HTTP_ERRORS, trio.TooSlowError) as error:
-            if sent and pool is self._calls:
-                # The other open connections may be silent for good as well.
+            if request_sent and pool is self._call_pool:
+                # The other open connections may have stalled as well.
                 pool.retire()
-                self._calls = _Pool(self._network_backend)
-            detail = f'{where}: {type(error).__name__}: {error}'
-            if sent:
+                self._call_pool = _CallPool(self._network_backend)
+            detail = f'{target}: {type(error).__name__}: {error}'
+            if request_sent:
                 raise _MaybeExecutedError(detail)
             raise _NotExecutedError(detail)
         if response.status != 200:
-            self._raise_status(response.status, data, where)
+            self._raise_http_error(response.status, data, target)
         return data
 
-    def _raise_status(self, status: int, data: bytes, where: str) -> None:
+    def _raise_http_error(self, status: int, data: bytes, target: str) -> None:
         try:
             error = msgspec.json.decode(data, type=_ErrorBody)
         except msgspec.MsgspecError:
-            detail = f'{where}: HTTP status {status}: {data[:80]!r}'
-            # A proxy in front of the gateway may lose the response.
+            detail = f'{target}: HTTP status {status}: {data[:80]!r}'
+            # A proxy in front of the gateway may have lost the response.
             if status >= 500:
                 raise _MaybeExecutedError(detail)
             raise StoreProtocolError(detail)
-        _raise_refusal(error.code, error.message, where)
+        _raise_grpc_error(error.code, error.message, target)
 
-    async def _read(self, response: httpcore.Response) -> bytes:
+    async def _read_body(self, response: httpcore.Response) -> bytes:
         data = bytearray()
         try:
             async for chunk in response.aiter_stream():
@@ -742,15 +759,18 @@
 
 
 class _Watch:
-    """Iterator over the events of a watch, which it reopens when silent."""
+    """Iterator over the events of a watch.
+
+    The watch is reopened when no message arrives for a while.
+    """
 
     def __init__(
         self, store: EtcdStore, prefix: str, from_revision: int
     ) -> None:
         self._store = store
         self._prefix = prefix
-        self._next = from_revision
-        self._pending: deque[WatchEvent] = deque()
+        self._next_revision = from_revision
+        self._pending_events: deque[WatchEvent] = deque()
         self._buffer = bytearray()
         self._response: httpcore.Response | None = None
         self._chunks: AsyncIterator[bytes] | None = None
@@ -761,7 +781,7 @@
 
     async def __anext__(self) -> WatchEvent:
         """Return the next event."""
-        while not self._pending:
+        while not self._pending_events:
             message = None
             with trio.move_on_after(self._store.silence_s):
                 message = await self._receive()
@@ -769,17 +789,17 @@
                 await self.close()
                 await self.open()
             else:
-                self._handle(message)
-        return self._pending.popleft()
+                self._handle_message(message)
+        return self._pending_events.popleft()
 
     async def open(self) -> None:
         """Open the stream and wait for its confirmation."""
         start = self._prefix.encode()
         body = {
             'create_request': {
-                'key': _text(start or b'\0'),
-                'range_end': _text(_prefix_end(start)),
-                'start_revision': str(self._next),
+                'key': _base64(start or b'\0'),
+                'range_end': _base64(_prefix_end(start)),
+                'start_revision': str(self._next_revision),
                 'progress_notify': True,
             }
         }
@@ -791,8 +811,10 @@
             message = await self._receive()
             if not message.created:
                 raise StoreProtocolError('watch was not confirmed')
-            self._next = self._next or message.header.revision + 1
-            self._handle(message)
+            self._next_revision = (
+                self._next_revision or message.header.revision + 1
+            )
+            self._handle_message(message)
             return
         raise StoreUnavailableError(
             f'watch was not confirmed within {self._store.timeout_s} s'
@@ -840,12 +862,12 @@
                     f'watch was dropped: {type(error).__name__}: {error}'
                 )
 
-    def _handle(self, message: _WatchResult) -> None:
+    def _handle_message(self, message: _WatchResult) -> None:
         _check_revision(message.header.revision, 'watch')
         if message.compact_revision:
             raise StoreCompactedError(
-                f'revision {self._next} is no longer kept; the first one is '
-                f'{message.compact_revision}'
+                f'revision {self._next_revision} has been compacted; the '
+                f'first available one is {message.compact_revision}'
             )
         if message.canceled:
             raise StoreUnavailableError(
@@ -854,17 +876,20 @@
         for event in message.events:
             self._handle_event(event)
         if message.events:
-            self._next = self._pending[-1].revision + 1
+            self._next_revision = self._pending_events[-1].revision + 1
         elif not message.created:
-            # A progress notification: all earlier events were delivered.
-            self._next = max(self._next, message.header.revision + 1)
+            # A progress notification: all events up to this revision have been
+            # delivered.
+            self._next_revision = max(
+                self._next_revision, message.header.revision + 1
+            )
 
     def _handle_event(self, event: _Event) -> None:
-        item = _key_value(event.kv, self._prefix, 'watch')
-        if item.mod_revision < self._next:
+        item = _to_key_value(event.kv, self._prefix, 'watch')
+        if item.mod_revision < self._next_revision:
             raise StoreProtocolError(
                 f'watch delivered revision {item.mod_revision} after '
-                f'revision {self._next - 1}'
+                f'revision {self._next_revision - 1}'
             )
         if event.type not in ('PUT', 'DELETE'):
             raise StoreProtocolError(
@@ -872,4 +897,6 @@
                 "'PUT' or 'DELETE'"
             )
         value = None if event.type == 'DELETE' else item.value
-        self._pending.append(WatchEvent(item.key, value, item.mod_revision))
+        self._pending_events.append(
+            WatchEvent(item.key, value, item.mod_revision)
+        )
--- a/gypsumhall/store/_keys.py
+++ b/gypsumhall/store/_keys.py
@@ -1,4 +1,4 @@
-"""Keys that gypsumhall uses in the platform."""
+"""Keys that gypsumhall uses in the platform's key-value service."""
 
 HEAD = 'gypsumhall/head'
 CONTROLLER = 'gypsumhall/controller'
@@ -6,7 +6,7 @@
 READERS = 'gypsumhall/readers/'
 
 READER_SLOTS = 3
-"""Reader slots of each zone."""
+"""Number of reader slots in each zone."""
 
 LEASE_TTL_S = 10
 """Time to live of reader and controller leases, in seconds."""
@@ -23,11 +23,11 @@
     Raises
     ------
     ValueError
-        When the name of the zone would be taken for a part of the key.
+        When the zone name is empty or contains a slash.
     """
     if not zone or '/' in zone:
         raise ValueError(
-            f'zone {zone!r} must have a name without slashes to be part of a '
-            'key'
+            f'zone name {zone!r} must not be empty or contain a slash, '
+            'because it is part of a key'
         )
     return f'{READERS}{zone}/'
--- a/gypsumhall/store/_protocol.py
+++ b/gypsumhall/store/_protocol.py
@@ -17,23 +17,23 @@
     import trio
 
 MAX_VALUE_BYTES = 1_000_000
-"""Largest value that the platform stores."""
+"""Largest value that the key-value service stores."""
 
 
 class StoreLimitError(StoreUnavailableError):
-    """The request exceeds a limit; it was not executed and never will be."""
+    """The request exceeds a limit; it was not executed, retries fail too."""
 
     code = 'store-limit'
 
 
 class StoreLeaseError(StoreUnavailableError):
-    """The lease has lapsed; the request was not executed."""
+    """The lease has expired; the request was not executed."""
 
     code = 'store-lease'
 
 
 class LeaseHeldError(StoreUnavailableError):
-    """Another holder has the election key."""
+    """Another client holds the lease of the election key."""
 
     code = 'lease-held'
 
@@ -45,7 +45,7 @@
     Parameters
     ----------
     key : str
-        Name, for example ``gypsumhall/head``.
+        The key, for example ``gypsumhall/head``.
     value : bytes
         Contents, at most 1 MB.
     mod_revision : int
@@ -62,7 +62,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Compare:
-    """A condition of a transaction: the key's revision of last write.
+    """A condition of a transaction on the revision of a key's last write.
 
     Parameters
     ----------
@@ -110,7 +110,7 @@
 
 @dataclass(slots=True, frozen=True)
 class WatchEvent:
-    """A change seen by a watch.
+    """A change that a watch delivers.
 
     Parameters
     ----------
@@ -133,7 +133,7 @@
 
     Every method raises `StoreUnavailableError` when the request was not
     executed, `StoreUnknownError` when it may have been executed,
-    and `StoreProtocolError` for an answer that makes no sense.
+    and `StoreProtocolError` for a response that violates the protocol.
     """
 
     async def get(self, key: str) -> KeyValue | None:
@@ -153,15 +153,15 @@
         ...
 
     async def grant_lease(self, ttl_s: int) -> int:
-        """Create a lease that lapses without renewal; return its id."""
+        """Create a lease that expires without renewal; return its id."""
         ...
 
     async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease once; False when it has lapsed."""
+        """Renew a lease once; False when it has expired."""
         ...
 
     async def revoke(self, lease: int) -> None:
-        """End a lease and remove its keys."""
+        """Revoke a lease, which removes its keys."""
         ...
 
     def watch(
@@ -179,7 +179,7 @@
         Raises
         ------
         StoreCompactedError
-            From the iterator, when `from_revision` is no longer kept.
+            From the iterator, when `from_revision` has been compacted.
         StoreUnavailableError
             From the iterator, when the watch was dropped.
         """
@@ -188,7 +188,7 @@
 
 @runtime_checkable
 class Lease(Protocol):
-    """Leadership that ends unless it is renewed in time."""
+    """Leadership that expires unless it is renewed in time."""
 
     @property
     def key(self) -> str:
@@ -199,8 +199,8 @@
     def compare(self) -> Compare:
         """Condition that fences writes under this lease.
 
-        A transaction with this condition fails as soon as the platform has
-        ended the lease, however late the transaction arrives.
+        A transaction with this condition fails once the key-value service has
+        ended the lease, even if the transaction was sent before.
         """
         ...
 
@@ -210,13 +210,13 @@
         ...
 
     def valid(self, now: float) -> bool:
-        """Whether no other holder can have the lease yet.
+        """Whether it is certain that no other client holds the lease.
 
         Parameters
         ----------
         now : float
-            Current time in seconds, from `trio.current_time()`, read after
-            everything that the answer is about.
+            Current time in seconds, from `trio.current_time()`. Read it after
+            all operations that must have taken place under the lease.
         """
         ...
 
@@ -237,14 +237,14 @@
         value : bytes
             Stored under the key while the lease is held.
         ttl_s : int
-            Seconds after which the lease lapses without renewal.
+            Seconds after which the lease expires without renewal.
         wait : bool
-            Wait for the lease while another holder has it.
+            Wait while another client holds the lease.
 
         Raises
         ------
         LeaseHeldError
-            On entry, when another holder has the lease and `wait` is false.
+            On entry, when another client holds the lease and `wait` is false.
         """
         ...
 
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -1,7 +1,8 @@
-"""Contract of `Store`, as one table of cases and faults.
+"""Contract tests of `Store`: cases and faults for all implementations.
 
-Every implementation runs the same cases: add a factory to `FACTORIES`. All
-run on a virtual clock, so no case depends on the speed of the machine.
+Each implementation runs the same cases; to add one, add a factory to
+`FACTORIES`. The tests use a virtual clock, so that no result depends on the
+speed of the machine.
 """
 
 from __future__ import annotations
@@ -45,12 +46,12 @@
 
 
 class Harness(Protocol):
-    """A store under test and the switches of its faults."""
+    """A store under test with fault injection."""
 
     store: Store
 
     def set_faults(self, **faults: Any) -> None:
-        """Change faults; the names are the fields of `FaultSettings`."""
+        """Set faults; the names are the fields of `FaultSettings`."""
 
     def clear_faults(self) -> None:
         """End all faults."""
@@ -83,13 +84,13 @@
 
     def set_faults(self, **faults: Any) -> None:
         for name, value in faults.items():
-            self._switches()[name](value)
+            self._fault_setters()[name](value)
 
     def clear_faults(self) -> None:
         self.memory.clear_faults()
         self.set_faults(outage=False, hang=False, delay_s=0.0)
 
-    def _switches(self) -> dict[str, Callable[[Any], None]]:
+    def _fault_setters(self) -> dict[str, Callable[[Any], None]]:
         store = self.memory
         return {
             'outage': functools.partial(setattr, store, 'outage'),
@@ -120,13 +121,13 @@
         super().__init__(app.store, store)
         self._app = app
 
-    def _switches(self) -> dict[str, Callable[[Any], None]]:
-        # A watch of this store is a series of calls; the next one is cut.
-        def cut(_: Any) -> None:
+    def _fault_setters(self) -> dict[str, Callable[[Any], None]]:
+        # A watch of this store is a series of calls; the next one is aborted.
+        def drop_next_watch(_: Any) -> None:
             self._app.cut_watches += 1
             self.memory.drop_watches()
 
-        return {**super()._switches(), 'drop_watches': cut}
+        return {**super()._fault_setters(), 'drop_watches': drop_next_watch}
 
 
 @asynccontextmanager
@@ -190,20 +191,20 @@
     async with factory() as harness:
         store = harness.store
         revision = (await store.txn([], [Put('held', b'1')])).revision
-        # -1 stands for the revision that the key really has.
-        fixed = [
+        # -1 stands for the current revision of the key.
+        resolved = [
             Compare(item.key, revision if item.mod_revision == -1 else 0)
             if item.mod_revision <= 0
             else item
             for item in compares
         ]
-        result = await store.txn(fixed, [Put('new', b'2'), Delete('held')])
+        result = await store.txn(resolved, [Put('new', b'2'), Delete('held')])
         assert result.succeeded is succeeds
         assert (await store.get('new') is not None) is succeeds
         assert (await store.get('held') is None) is succeeds
 
 
-async def test_keys_end_with_their_lease(
+async def test_keys_are_removed_with_their_lease(
     autojump_clock: MockClock, factory: Factory
 ) -> None:
     async with factory() as harness:
@@ -228,7 +229,7 @@
         assert await store.get('k') is None
 
 
-async def test_a_key_written_anew_leaves_its_former_lease(
+async def test_a_rewritten_key_is_detached_from_its_former_lease(
     autojump_clock: MockClock,
     factory: Factory,
 ) -> None:
@@ -250,20 +251,27 @@
     async with factory() as harness:
         store = harness.store
         start = (await store.txn([], [Put('w/a', b'old')])).revision
-        async with store.watch('w/') as now, store.watch('w/', start) as past:
+        async with (
+            store.watch('w/') as live,
+            store.watch('w/', start) as replayed,
+        ):
             await store.txn([], [Put('w/a', b'1'), Put('w/b', b'2')])
             await store.txn([], [Put('x', b'outside of the prefix')])
             await store.txn([], [Delete('w/a')])
-            seen = [await anext(now) for _ in range(3)]
-            assert [(item.key, item.value) for item in seen] == [
+            received = [await anext(live) for _ in range(3)]
+            assert [(item.key, item.value) for item in received] == [
                 ('w/a', b'1'),
                 ('w/b', b'2'),
                 ('w/a', None),
             ]
-            assert seen[0].revision == seen[1].revision < seen[2].revision
-            replay = [await anext(past) for _ in range(4)]
-            assert replay[0].value == b'old'
-            assert replay[1:] == seen
+            assert (
+                received[0].revision
+                == received[1].revision
+                < received[2].revision
+            )
+            received_again = [await anext(replayed) for _ in range(4)]
+            assert received_again[0].value == b'old'
+            assert received_again[1:] == received
 
 
 @pytest.mark.parametrize(
@@ -295,8 +303,8 @@
         assert await harness.store.range('k') == []
 
 
-# Fault, error of a read, error of a write, and whether the write takes
-# effect in the end.
+# Fault, expected error of a read, expected error of a write, and whether the
+# write is executed in the end.
 FAULTS: list[Any] = [
     ({}, None, None, True),
     ({'delay_s': 1.0}, None, None, True),
@@ -311,7 +319,7 @@
 @pytest.mark.parametrize(
     ('faults', 'read_error', 'write_error', 'executed'), FAULTS, ids=str
 )
-async def test_errors_tell_whether_a_write_may_have_taken_effect(
+async def test_errors_show_whether_a_write_may_have_been_executed(
     autojump_clock: MockClock,
     factory: Factory,
     faults: dict[str, Any],
@@ -323,10 +331,10 @@
         store = harness.store
         await store.txn([], [Put('old', b'1')])
         harness.set_faults(**faults)
-        assert await _error(lambda: store.get('old')) is read_error
+        assert await _error_type(lambda: store.get('old')) is read_error
         writes = [Put('new', b'2')]
         assert (
-            await _error(lambda: store.txn([Compare('new', 0)], writes))
+            await _error_type(lambda: store.txn([Compare('new', 0)], writes))
             is write_error
         )
         harness.clear_faults()
@@ -334,7 +342,7 @@
         assert (await store.get('new') is not None) is executed
 
 
-async def _error(call: Callable[[], Any]) -> type[StoreError] | None:
+async def _error_type(call: Callable[[], Any]) -> type[StoreError] | None:
     try:
         await call()
     except StoreError as error:
@@ -368,7 +376,7 @@
                 await anext(events)
 
 
-async def test_lapsed_leases_remove_their_keys(
+async def test_expired_leases_remove_their_keys(
     autojump_clock: MockClock, factory: Factory
 ) -> None:
     async with factory() as harness:
@@ -391,11 +399,11 @@
 @hypothesis.given(
     steps=st.lists(st.tuples(_FAULT, _KEY, st.booleans()), max_size=8)
 )
-def test_outcomes_of_writes_under_faults_are_true(
+def test_reported_outcomes_of_writes_are_correct_under_faults(
     factory: Factory, steps: list[tuple[dict[str, Any], str, bool]]
 ) -> None:
-    # Guards against a write that is reported as refused but was executed, or
-    # as executed but was not.
+    # Guards against a write that is reported as rejected although it was
+    # executed, or as executed although it was not.
     async def run() -> None:
         async with factory() as harness:
             for number, step in enumerate(steps):
--- a/tests/test_store_election.py
+++ b/tests/test_store_election.py
@@ -1,4 +1,4 @@
-"""Tests of elections: at most one holder is ever valid."""
+"""Tests of elections: at most one lease is valid at any time."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
         yield store, opened.platform
 
 
-async def test_a_successor_follows_at_once_when_the_lease_is_given_up(
+async def test_a_successor_acquires_a_released_lease_without_delay(
     autojump_clock: MockClock,
 ) -> None:
     async with _platform() as (store, _), trio.open_nursery() as nursery:
@@ -44,7 +44,7 @@
                 async with campaign(store, KEY, b'two', 10, wait=False):
                     pass
 
-            async def succeed() -> None:
+            async def take_over() -> None:
                 async with campaign(store, KEY, b'two', 10) as other:
                     assert not lease.valid(trio.current_time())
                     assert trio.current_time() - ended < 1
@@ -53,33 +53,33 @@
                     assert item.value == b'two'
                     assert other.compare != lease.compare
 
-            nursery.start_soon(succeed)
+            nursery.start_soon(take_over)
             await trio.sleep(60)
             assert lease.valid(trio.current_time())
             ended = trio.current_time()
         assert lease.lost.is_set()
 
 
-async def test_a_paused_holder_knows_and_cannot_write_late(
+async def test_a_paused_holder_detects_expiry_and_its_late_write_fails(
     autojump_clock: MockClock,
 ) -> None:
     async with _platform() as (store, _):
         async with campaign(store, KEY, b'one', 10) as lease:
             assert lease.valid(trio.current_time())
-            fenced = lease.compare
+            fence = lease.compare
             autojump_clock.jump(8.01)
-            # No task has run since the pause.
+            # No task has run since the simulated pause of the process.
             assert not lease.valid(trio.current_time())
             assert not lease.lost.is_set()
             await trio.sleep(0.01)
             assert lease.lost.is_set()
             await trio.sleep(5)
         async with campaign(store, KEY, b'two', 10):
-            late = await store.txn([fenced], [Put('head', b'late')])
+            late = await store.txn([fence], [Put('head', b'late')])
             assert not late.succeeded
 
 
-async def test_errors_of_the_body_are_raised_as_they_are(
+async def test_errors_of_the_body_are_raised_unwrapped(
     autojump_clock: MockClock,
 ) -> None:
     async with _platform() as (store, platform):
@@ -90,7 +90,7 @@
         assert platform.stats['leases'] == 0
 
 
-async def test_a_holder_gives_up_before_the_platform_does(
+async def test_a_lease_expires_at_its_holder_before_it_does_in_the_store(
     autojump_clock: MockClock,
 ) -> None:
     async with open_platform() as opened, opened.open_store('10.0.0.1:1') as a:
@@ -110,7 +110,7 @@
 
 
 @pytest.mark.parametrize('call', ['grant_lease', 'txn'])
-async def test_a_lost_response_does_not_cost_the_lease(
+async def test_a_lost_response_does_not_lose_the_lease(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, call: str
 ) -> None:
     async with _platform() as (store, platform):
@@ -155,8 +155,9 @@
 def test_two_holders_are_never_valid_at_the_same_time(
     schedule: list[tuple[dict[str, Any], float, float]], seed: int
 ) -> None:
-    # Lapsed leases are left out of the check of validity: the platform ends
-    # them early, against its promise. Then only the fence holds.
+    # Schedules with `lapse_leases` skip the check of validity: with this fault
+    # the platform ends leases before their time to live. Then only the fencing
+    # condition rejects writes of former holders.
     trio.run(
         _check_schedule, schedule, seed, clock=MockClock(autojump_threshold=0)
     )
@@ -165,7 +166,7 @@
 async def _check_schedule(
     schedule: list[tuple[dict[str, Any], float, float]], seed: int
 ) -> None:
-    held: dict[str, Any] = {}
+    leases: dict[str, Any] = {}
     terms = 0
 
     async def contend(store: EtcdStore, name: str) -> None:
@@ -176,31 +177,33 @@
                 store, KEY, name.encode(), 10, rng=rng
             ) as lease:
                 terms += 1
-                held[name] = lease
+                leases[name] = lease
                 with trio.move_on_after(rng.uniform(5, 40)):
                     await lease.lost.wait()
 
-    lapse = False
+    leases_end_early = False
     async with _platform() as (store, platform):
         async with trio.open_nursery() as nursery:
             for name in ('a', 'b', 'c'):
                 nursery.start_soon(contend, store, name)
             for faults, duration, pause in schedule:
                 platform.set_faults(faults)
-                lapse = lapse or 'lapse_leases' in faults
+                leases_end_early = leases_end_early or 'lapse_leases' in faults
                 for _ in range(int(duration / 0.25)):
                     await trio.sleep(0.25)
                     now = trio.current_time()
-                    valid = [item for item in held.values() if item.valid(now)]
-                    assert len(valid) <= 1 or lapse
+                    valid = [
+                        item for item in leases.values() if item.valid(now)
+                    ]
+                    assert len(valid) <= 1 or leases_end_early
                 platform.clear_faults()
                 await trio.sleep(pause)
-            # The campaign recovers from all of it.
+            # Elections go on after all faults have ended.
             before = terms
             await trio.sleep(120)
             assert terms > before
             nursery.cancel_scope.cancel()
-        stale = [item.compare for item in held.values()]
+        stale = [item.compare for item in leases.values()]
         await trio.sleep(11)
         for compare in stale:
             assert compare != Compare(KEY, 0)
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -27,20 +27,23 @@
 
     from trio.testing import MockClock
 
-ONE = '127.0.0.1:1'
-TWO = '127.0.0.1:2'
+FIRST_ADDRESS = '127.0.0.1:1'
+SECOND_ADDRESS = '127.0.0.1:2'
 
 
 @asynccontextmanager
 async def _two_gateways() -> AsyncIterator[
     tuple[EtcdStore, Platform, HttpNetwork]
 ]:
-    async with open_platform() as opened, opened.open_store(ONE, TWO) as store:
+    async with (
+        open_platform() as opened,
+        opened.open_store(FIRST_ADDRESS, SECOND_ADDRESS) as store,
+    ):
         yield store, opened.platform, opened.network
 
 
-class _Script:
-    """ASGI application that answers with fixed bodies and keeps requests."""
+class _ScriptedGateway:
+    """ASGI application with scripted responses that records requests."""
 
     def __init__(self, *bodies: str, status: int = 200) -> None:
         self._bodies = list(bodies)
@@ -71,30 +74,34 @@
 
 
 @asynccontextmanager
-async def _scripted(script: _Script) -> AsyncIterator[EtcdStore]:
+async def _open_scripted_store(
+    gateway: _ScriptedGateway,
+) -> AsyncIterator[EtcdStore]:
     async with trio.open_nursery() as nursery:
         network = HttpNetwork(nursery)
-        network.listen(ONE, script)
-        async with EtcdStore([ONE], network_backend=network) as store:
+        network.listen(FIRST_ADDRESS, gateway)
+        async with EtcdStore(
+            [FIRST_ADDRESS], network_backend=network
+        ) as store:
             yield store
         nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize('fault', ['refused', 'unreachable'])
-async def test_calls_move_on_from_a_gateway_that_cannot_be_reached(
+async def test_calls_fail_over_from_an_unreachable_gateway(
     autojump_clock: MockClock, fault: str
 ) -> None:
     async with _two_gateways() as (store, platform, network):
-        getattr(network, fault).add(ONE)
+        getattr(network, fault).add(FIRST_ADDRESS)
         assert (await store.txn([Compare('k', 0)], [Put('k', b'')])).succeeded
         started = trio.current_time()
         assert await store.get('k') is not None
-        # The address that responded last is asked first.
+        # The address that responded last is tried first.
         assert trio.current_time() == started
         async with store.watch('k') as events:
             await store.txn([], [Put('k', b'2')])
             assert (await anext(events)).value == b'2'
-        getattr(network, fault).add(TWO)
+        getattr(network, fault).add(SECOND_ADDRESS)
         await store.aclose()
         with pytest.raises(StoreUnavailableError):
             await store.txn([], [Put('k', b'3')])
@@ -107,7 +114,8 @@
 async def test_a_write_is_never_sent_twice(
     autojump_clock: MockClock,
 ) -> None:
-    # Guards against a second execution after a lost response.
+    # Guards against a write that is executed twice because it is retried
+    # after its response was lost.
     async with _two_gateways() as (store, platform, _):
         platform.set_faults({'lose_responses': 1})
         with pytest.raises(StoreUnknownError):
@@ -120,15 +128,15 @@
         assert platform.stats['calls']['range'] == 2
 
 
-async def test_calls_recover_when_open_connections_go_silent_for_good(
+async def test_calls_recover_when_open_connections_stall_permanently(
     autojump_clock: MockClock,
 ) -> None:
-    async with _two_gateways() as (both, _, network):
-        store = EtcdStore([ONE], network_backend=network)
+    async with _two_gateways() as (two_gateways_store, _, network):
+        store = EtcdStore([FIRST_ADDRESS], network_backend=network)
         async with trio.open_nursery() as nursery:
             for _ in range(8):
                 nursery.start_soon(store.get, 'k')
-        async with both.watch('k') as events:
+        async with two_gateways_store.watch('k') as events:
             network.silence_open_connections()
             assert await store.get('k') is None
             started = trio.current_time()
@@ -137,7 +145,7 @@
             assert (await anext(events)).value == b'1'
 
 
-async def test_a_silent_watch_is_opened_anew_and_loses_nothing(
+async def test_a_silent_watch_is_reopened_without_losing_events(
     autojump_clock: MockClock,
 ) -> None:
     async with _two_gateways() as (store, platform, _):
@@ -165,7 +173,8 @@
         keys = [f'p/{index:03}' for index in range(53)]
         for key in keys:
             await store.txn([], [Put(key, bytes(1000))])
-        # Ten values exceed the limit of a response, so pages get smaller.
+        # Ten values exceed the size limit of a response, so pages of fewer
+        # keys are requested.
         assert [item.key for item in await store.range('p/')] == keys
         assert platform.stats['calls']['range'] > 53 // 10
         platform.set_faults({'delay_s': 0.1})
@@ -180,15 +189,17 @@
             platform.set_faults({'delay_s': 0})
             await store.txn([], [Put('p/000a', b'')])
             platform.set_faults({'compact': True})
-        # The compaction ends the first reading; the second one is whole.
+        # The compaction interrupts the first read; the restarted one returns
+        # all keys.
         assert found == [sorted([*keys, 'p/000a'])]
 
 
 async def test_requests_and_responses_follow_the_published_mapping(
     autojump_clock: MockClock,
 ) -> None:
-    # Guards against a mistake that adapter and stand-in would share.
-    script = _Script(
+    # The other tests use the stand-in of etcd; this one guards against errors
+    # in the JSON mapping that adapter and stand-in have in common.
+    gateway = _ScriptedGateway(
         '{"header":{"cluster_id":"12585971608760269493","revision":"3"},'
         '"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"2",'
         '"version":"1","value":"YmFy"}],"count":"1"}',
@@ -205,7 +216,7 @@
         '"Zm9v","mod_revision":"13","value":"YmFy"}},{"type":"DELETE",'
         '"kv":{"key":"Zm9v","mod_revision":"14"}}]}}\n',
     )
-    async with _scripted(script) as store:
+    async with _open_scripted_store(gateway) as store:
         item = await store.get('foo')
         assert item is not None
         assert (item.value, item.mod_revision) == (b'bar', 2)
@@ -219,19 +230,19 @@
         assert await store.keep_alive(lease)
         assert not await store.keep_alive(lease)
         async with store.watch('foo', 12) as events:
-            seen = [await anext(events), await anext(events)]
-        assert [(item.value, item.revision) for item in seen] == [
+            received = [await anext(events), await anext(events)]
+        assert [(item.value, item.revision) for item in received] == [
             (b'bar', 13),
             (None, 14),
         ]
-    assert script.requests[0] == ('/v3/kv/range', {'key': 'Zm9v'})
-    assert script.requests[1][0] == '/v3/kv/txn'
-    assert msgspec.json.encode(script.requests[1][1]) == (
+    assert gateway.requests[0] == ('/v3/kv/range', {'key': 'Zm9v'})
+    assert gateway.requests[1][0] == '/v3/kv/txn'
+    assert msgspec.json.encode(gateway.requests[1][1]) == (
         b'{"compare":[{"key":"Zm9v","target":"MOD","result":"EQUAL",'
         b'"mod_revision":"2"}],"success":[{"request_put":'
         b'{"key":"Zm9v","value":"YmFy","lease":"9"}}]}'
     )
-    assert script.requests[6][1]['create_request']['range_end'] == 'Zm9w'
+    assert gateway.requests[6][1]['create_request']['range_end'] == 'Zm9w'
 
 
 @pytest.mark.parametrize(
@@ -245,7 +256,7 @@
         (404, '<html>not found</html>', None),
     ],
 )
-async def test_refusals_are_classified(
+async def test_error_responses_are_classified(
     autojump_clock: MockClock,
     status: int,
     body: str,
@@ -256,7 +267,9 @@
         False: StoreUnavailableError,
         None: StoreProtocolError,
     }
-    async with _scripted(_Script(body, status=status)) as store:
+    async with _open_scripted_store(
+        _ScriptedGateway(body, status=status)
+    ) as store:
         with pytest.raises(expected[error]):
             await store.txn([Compare('k', 0)], [Put('k', b'')])
 
@@ -265,7 +278,7 @@
     'kind',
     ['text', 'shape', 'types', 'base64', 'other-key', 'truncated', 'huge'],
 )
-async def test_nonsense_is_recognized(
+async def test_malformed_responses_are_rejected(
     autojump_clock: MockClock, kind: str
 ) -> None:
     async with _two_gateways() as (store, platform, _):
@@ -304,7 +317,7 @@
             ):
                 await store.txn([Compare('k', 0)], [Put('k', b'1')])
                 assert (await anext(events)).value == b'1'
-                # The server ends although a watch is open.
+                # The server shuts down although a watch is open.
                 shutdown.set()
                 with pytest.raises(StoreUnavailableError):
                     await anext(events)
