--- a/tests/test_store_election.py
+++ b/tests/test_store_election.py
@@ -156,8 +156,8 @@
     schedule: list[tuple[dict[str, Any], float, float]], seed: int
 ) -> None:
     # Schedules with `lapse_leases` skip the check of validity: with this fault
-    # the platform ends leases before their time to live. Then only the fencing
-    # condition rejects writes of former holders.
+    # the platform ends leases before their time to live is over. Then only the
+    # fencing condition rejects writes of former holders.
     trio.run(
         _check_schedule, schedule, seed, clock=MockClock(autojump_threshold=0)
     )
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -178,10 +178,10 @@
         assert [item.key for item in await store.range('p/')] == keys
         assert platform.stats['calls']['range'] > 53 // 10
         platform.set_faults({'delay_s': 0.1})
-        found: list[list[str]] = []
+        results: list[list[str]] = []
 
         async def read() -> None:
-            found.append([item.key for item in await store.range('p/')])
+            results.append([item.key for item in await store.range('p/')])
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(read)
@@ -191,7 +191,7 @@
             platform.set_faults({'compact': True})
         # The compaction interrupts the first read; the restarted one returns
         # all keys.
-        assert found == [sorted([*keys, 'p/000a'])]
+        assert results == [sorted([*keys, 'p/000a'])]
 
 
 async def test_requests_and_responses_follow_the_published_mapping(
