Rename Place to SourceLocation

A position in a text or in the settings is a source location; the fields source, line and column in JSON stay.

--- a/gypsumhall/_errors.py
+++ b/gypsumhall/_errors.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Place:
+class SourceLocation:
     """A position in a configuration text or in the settings.
 
     Parameters
@@ -45,16 +45,16 @@
         Stable identifier, for example ``unknown-key``.
     message : str
         What is wrong, with the value and the valid choices.
-    place : Place
+    location : SourceLocation
         Position of the error.
     """
 
     code: str
     message: str
-    place: Place
+    location: SourceLocation
 
     def __str__(self) -> str:
-        return f'{self.place}: {self.code}: {self.message}'
+        return f'{self.location}: {self.code}: {self.message}'
 
 
 class GypsumhallError(Exception):
@@ -68,9 +68,9 @@
     return {
         'code': finding.code,
         'message': finding.message,
-        'source': finding.place.source,
-        'line': finding.place.line,
-        'column': finding.place.column,
+        'source': finding.location.source,
+        'line': finding.location.line,
+        'column': finding.location.column,
     }
 
 
--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -32,8 +32,8 @@
 from gypsumhall._errors import Finding
 from gypsumhall._errors import GypsumhallError
 from gypsumhall._errors import innermost
-from gypsumhall._errors import Place
 from gypsumhall._errors import SettingsError
+from gypsumhall._errors import SourceLocation
 from gypsumhall.core._durations import parse_duration
 
 if TYPE_CHECKING:
@@ -425,16 +425,16 @@
                 Finding(
                     'unexpected-argument',
                     f'{" ".join(names)!r}: only flags are accepted',
-                    Place('command line'),
+                    SourceLocation('command line'),
                 )
             )
         for name, item in self._definitions.items():
             given = self._flags[name].value
-            place = Place(f'--{name}')
+            location = SourceLocation(f'--{name}')
             if given is None:
                 variable = PREFIX + name.upper()
                 given = environment.get(variable)
-                place = Place(variable)
+                location = SourceLocation(variable)
             if given is None:
                 if item.required:
                     findings.append(
@@ -442,7 +442,7 @@
                             'missing-setting',
                             f'give --{name} or {PREFIX}{name.upper()}: '
                             f'{item.text}',
-                            Place(f'--{name}'),
+                            SourceLocation(f'--{name}'),
                         )
                     )
                 continue
@@ -453,7 +453,7 @@
             except ValueError as error:
                 shown = '' if item.secret else f'{given!r}: '
                 findings.append(
-                    Finding('bad-setting', shown + str(error), place)
+                    Finding('bad-setting', shown + str(error), location)
                 )
         if check is not None:
             findings += check(names)
@@ -473,7 +473,9 @@
             left = self._flags([self._program, *own], known_only=True)[1:]
         except (flags.Error, ValueError) as error:
             findings.append(
-                Finding('bad-setting', str(error), Place('command line'))
+                Finding(
+                    'bad-setting', str(error), SourceLocation('command line')
+                )
             )
             # A value is missing at the end only; the rest is checked too.
             return self._parse_flags(own[:-1], findings) if own else []
@@ -487,7 +489,7 @@
                         'unknown-flag',
                         'no such flag; '
                         + (f'similar: {hint}' if hint else 'see --help'),
-                        Place(f'--{name}'),
+                        SourceLocation(f'--{name}'),
                     )
                 )
         return [
--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumhall._errors import Finding
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
@@ -146,12 +146,14 @@
                 f'{zone!r} is no availability zone; valid choices: '
                 f'{", ".join(zones)}'
             )
-            findings.append(Finding('unknown-zone', message, Place('--zone')))
+            findings.append(
+                Finding('unknown-zone', message, SourceLocation('--zone'))
+            )
         count = len(self.peer_keys.value)
         if count > MAX_KEYS:
             message = f'{count} keys; at most {MAX_KEYS} are accepted'
             findings.append(
-                Finding('bad-setting', message, Place('--peer_keys'))
+                Finding('bad-setting', message, SourceLocation('--peer_keys'))
             )
         return findings
 
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -20,7 +20,7 @@
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import finding_fields
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.core import _accept
@@ -615,8 +615,10 @@
 
 
 def _finding_line(fields: Mapping[str, Any]) -> str:
-    place = Place(fields['source'], fields['line'], fields['column'])
-    return str(Finding(fields['code'], fields['message'], place))
+    location = SourceLocation(
+        fields['source'], fields['line'], fields['column']
+    )
+    return str(Finding(fields['code'], fields['message'], location))
 
 
 def _zone_text(item: Mapping[str, Any]) -> str:
--- a/gypsumhall/cli/timeline.py
+++ b/gypsumhall/cli/timeline.py
@@ -8,7 +8,7 @@
 import trio
 
 from gypsumhall._errors import Finding
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.timeline import fetch_logs
@@ -126,7 +126,7 @@
         if names or files.value or daemons.value:
             return []
         message = 'give event logs as arguments, or --admin_address'
-        return [Finding('no-log', message, Place('command line'))]
+        return [Finding('no-log', message, SourceLocation('command line'))]
 
     def start(names: list[str]) -> int:
         logs = Logs()
--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from gypsumhall._errors import Finding
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.core import _model
 from gypsumhall.core._model import MoveState
 from gypsumhall.core._text import quote_value
@@ -290,14 +290,14 @@
     A move that was already reverted gives no finding, so that repeating the
     command has the same result.
     """
-    place = Place(f'move {move_id}')
+    location = SourceLocation(f'move {move_id}')
     department = move_id.partition('/')[0]
     ref = head.departments.get(department)
     if ref is None:
         problem = f'unknown department {quote_value(department)}'
-        return (Finding('unknown-move', problem, place),)
+        return (Finding('unknown-move', problem, location),)
     if not hmac.compare_digest(ref.credential, credential_digest(token)):
-        return (_wrong_token(department, place),)
+        return (_wrong_token(department, location),)
     move = head.moves.get(move_id)
     if move is None:
         move_ids = [
@@ -308,22 +308,22 @@
                 'unknown-move',
                 f'unknown move {quote_value(move_id)}; moves of {department}: '
                 f'{", ".join(sorted(move_ids)) or "none"}',
-                place,
+                location,
             ),
         )
     if move.state is MoveState.DONE:
         return (
-            Finding('move-ended', f'move {move_id} is already done', place),
+            Finding('move-ended', f'move {move_id} is already done', location),
         )
     return ()
 
 
-def _wrong_token(department: str, place: Place) -> Finding:
+def _wrong_token(department: str, location: SourceLocation) -> Finding:
     return Finding(
         'wrong-token',
         f'the token is not the one that department {department} was first '
         'submitted with',
-        place,
+        location,
     )
 
 
@@ -421,8 +421,8 @@
         self._check_moves()
 
     def _add(self, code: str, message: str, *path: str) -> None:
-        place = self._parsed.place(*path)
-        self._findings.append(Finding(code, message, place))
+        location = self._parsed.location(*path)
+        self._findings.append(Finding(code, message, location))
 
     def _check_names(self) -> None:
         for name in self._services:
@@ -437,7 +437,7 @@
 
     def _exists(self, name: str) -> bool:
         # The position of a service is recorded even if its entry is faulty.
-        declared = ('services', name) in self._parsed.places
+        declared = ('services', name) in self._parsed.locations
         return declared or name in self._owners
 
     def _check_references(self) -> None:
@@ -509,7 +509,7 @@
         # two routes.
         for route in sorted(
             self._fragment.routes,
-            key=lambda item: self._parsed.place('routes', item.name).line,
+            key=lambda item: self._parsed.location('routes', item.name).line,
         ):
             key = (route.host, route.path)
             where = f'host {route.host} with path {route.path}'
@@ -556,7 +556,7 @@
             return
         version_in_use = effective_version(self._head, previous)
         path = ('services', service.name)
-        names_current = (*path, 'current') in self._parsed.places
+        names_current = (*path, 'current') in self._parsed.locations
         if version_in_use not in service.versions:
             self._add(
                 'version-in-use',
@@ -589,7 +589,7 @@
             if department != self._department or move.state.final:
                 continue
             if move_id not in move_ids and ('moves', name) not in (
-                self._parsed.places
+                self._parsed.locations
             ):
                 self._add(
                     'move-active',
@@ -622,7 +622,7 @@
             self._check_move(spec, name, recorded)
 
     def _line_of(self, spec: _model.MoveSpec) -> int:
-        return self._parsed.place('moves', spec.id.partition('/')[2]).line
+        return self._parsed.location('moves', spec.id.partition('/')[2]).line
 
     def _report_changed(self, recorded: _model.Move, name: str) -> None:
         if recorded.state.final:
@@ -647,7 +647,7 @@
     ) -> None:
         service = self._services.get(spec.service)
         if service is None:
-            if ('services', spec.service) in self._parsed.places:
+            if ('services', spec.service) in self._parsed.locations:
                 return
             owner = self._owners.get(spec.service)
             code = 'name-taken' if owner else 'unknown-service'
@@ -820,7 +820,7 @@
     """
     base_version = submission_base_version(submission_id)
     base_version = since if base_version is None else base_version
-    place = parsed.place('department')
+    location = parsed.location('department')
     recorded = find_submission(head, submission_id)
     if recorded is not None:
         version, fingerprint = recorded
@@ -830,7 +830,7 @@
             'submission-reused',
             f'submission id {submission_id} was already used for another text '
             'or with another token',
-            place,
+            location,
         )
     if base_version is not None and not records_submissions_since(
         head, base_version
@@ -845,10 +845,10 @@
         return _refusal(
             'wrong-token',
             f'a token must have at least {MIN_TOKEN_CHARACTERS} characters',
-            place,
+            location,
         )
     if ref and not hmac.compare_digest(ref.credential, credential):
-        return Refused((_wrong_token(department, place),))
+        return Refused((_wrong_token(department, location),))
     check = _TextCheck(head, fragments, parsed, now)
     check.run()
     if check.findings:
@@ -858,8 +858,8 @@
     )
 
 
-def _refusal(code: str, message: str, place: Place) -> Refused:
-    return Refused((Finding(code, message, place),))
+def _refusal(code: str, message: str, location: SourceLocation) -> Refused:
+    return Refused((Finding(code, message, location),))
 
 
 def _apply_submission(
@@ -893,7 +893,7 @@
         current=check.current,
         submissions=submissions,
     )
-    place = parsed.place('department')
+    location = parsed.location('department')
     for subject, size, limit in (
         ('the department', len(data), MAX_FRAGMENT_BYTES),
         ('the head', len(_model.encode(next_head)), MAX_HEAD_BYTES),
@@ -903,7 +903,7 @@
                 'too-large',
                 f'{subject} would take {size} bytes; at most {limit} can be '
                 'stored',
-                place,
+                location,
             )
     return Accepted(next_head, fragment, merged)
 
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -25,7 +25,7 @@
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import InvalidTextError
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.core import _model
 from gypsumhall.core._durations import DURATION_UNITS
 from gypsumhall.core._durations import parse_duration
@@ -113,22 +113,26 @@
     has_fragment: bool
     source: str
     digest: str
-    places: Mapping[tuple[str, ...], Place]
+    locations: Mapping[tuple[str, ...], SourceLocation]
 
-    def place(self, *path: str) -> Place:
+    def location(self, *path: str) -> SourceLocation:
         """Return the position of a path or of its closest parent."""
         for length in range(len(path), 0, -1):
-            position = self.places.get(path[:length])
+            position = self.locations.get(path[:length])
             if position is not None:
                 return position
-        return self.places.get(('department',), Place(self.source, 1, 1))
+        return self.locations.get(
+            ('department',), SourceLocation(self.source, 1, 1)
+        )
 
 
 def sorted_findings(findings: Iterable[Finding]) -> tuple[Finding, ...]:
     """Return findings sorted by position, without duplicates."""
     unique = dict.fromkeys(findings)
     return tuple(
-        sorted(unique, key=lambda item: (item.place.line, item.place.column))
+        sorted(
+            unique, key=lambda item: (item.location.line, item.location.column)
+        )
     )
 
 
@@ -151,7 +155,7 @@
     """
 
     kind: str
-    place: Place
+    location: SourceLocation
     text: str = ''
     plain: bool = False
     items: list[_Node] = field(default_factory=list)
@@ -174,9 +178,9 @@
 def _compose(text: str, source: str) -> _Node | None:
     """Return the root of the tree of nodes; None for an empty text."""
 
-    def place_of(event: events.Event) -> Place:
+    def location_of(event: events.Event) -> SourceLocation:
         mark = event.start_mark
-        return Place(source, mark.line + 1, mark.column + 1)
+        return SourceLocation(source, mark.line + 1, mark.column + 1)
 
     root: _Node | None = None
     stack: list[_Node] = []
@@ -187,18 +191,18 @@
                 Finding(
                     'syntax',
                     'a second YAML document starts here; only one is allowed',
-                    place_of(event),
+                    location_of(event),
                 )
             )
         if isinstance(event, events.NodeEvent):
-            node = _node(event, place_of(event))
+            node = _node(event, location_of(event))
             node_count += 1
             if node_count > MAX_NODES:
                 raise _FatalFindingError(
                     Finding(
                         'too-large',
                         f'more than {MAX_NODES} keys and values',
-                        node.place,
+                        node.location,
                     )
                 )
             if stack:
@@ -212,7 +216,7 @@
                     Finding(
                         'too-deep',
                         f'nested more than {MAX_DEPTH} levels',
-                        node.place,
+                        node.location,
                     )
                 )
         elif isinstance(event, events.CollectionEndEvent):
@@ -220,42 +224,44 @@
     return root
 
 
-def _node(event: events.NodeEvent, place: Place) -> _Node:
+def _node(event: events.NodeEvent, location: SourceLocation) -> _Node:
     if isinstance(event, events.AliasEvent):
         raise _FatalFindingError(
             Finding(
                 'alias',
                 f'alias *{event.anchor} is not allowed; repeat the '
                 'value instead',
-                place,
+                location,
             )
         )
     if event.anchor is not None:
         raise _FatalFindingError(
-            Finding('alias', f'anchor &{event.anchor} is not allowed', place)
+            Finding(
+                'alias', f'anchor &{event.anchor} is not allowed', location
+            )
         )
     tag = getattr(event, 'tag', None)
     if tag is not None:
         raise _FatalFindingError(
             Finding(
-                'tag', f'tag {quote_value(str(tag))} is not allowed', place
+                'tag', f'tag {quote_value(str(tag))} is not allowed', location
             )
         )
     if isinstance(event, events.ScalarEvent):
-        return _Node('scalar', place, event.value, not event.style)
+        return _Node('scalar', location, event.value, not event.style)
     if isinstance(event, events.SequenceStartEvent):
-        return _Node('list', place)
-    return _Node('mapping', place)
+        return _Node('list', location)
+    return _Node('mapping', location)
 
 
 def _syntax_finding(error: YAMLError, text: str, source: str) -> Finding:
     if isinstance(error, MarkedYAMLError):
         mark = error.problem_mark or error.context_mark
         parts = [item for item in (error.problem, error.context) if item]
-        place = Place(source, 1, 1)
+        location = SourceLocation(source, 1, 1)
         if mark is not None:
-            place = Place(source, mark.line + 1, mark.column + 1)
-        return Finding('syntax', ', '.join(parts) or 'not YAML', place)
+            location = SourceLocation(source, mark.line + 1, mark.column + 1)
+        return Finding('syntax', ', '.join(parts) or 'not YAML', location)
     if isinstance(error, ReaderError):
         before = text[: error.position]
         line = before.count('\n') + 1
@@ -263,9 +269,9 @@
         return Finding(
             'syntax',
             f'character U+{ord(text[error.position]):04X} is not allowed',
-            Place(source, line, column),
+            SourceLocation(source, line, column),
         )
-    return Finding('syntax', str(error), Place(source, 1, 1))
+    return Finding('syntax', str(error), SourceLocation(source, 1, 1))
 
 
 class _Reader:
@@ -275,11 +281,11 @@
         self._source = source
         self._now = now
         self.findings: list[Finding] = []
-        self.places: dict[tuple[str, ...], Place] = {}
+        self.locations: dict[tuple[str, ...], SourceLocation] = {}
         self.within: dict[str, float] = {}
 
-    def add(self, code: str, message: str, place: Place) -> None:
-        self.findings.append(Finding(code, message, place))
+    def add(self, code: str, message: str, location: SourceLocation) -> None:
+        self.findings.append(Finding(code, message, location))
 
     def read(self, root: _Node) -> _model.Fragment | None:
         keys = ('department', 'services', 'routes', 'moves')
@@ -322,21 +328,21 @@
 
         Keys that are not strings, and repeated keys, are reported and skipped.
         """
-        first_places: dict[str, Place] = {}
+        first_locations: dict[str, SourceLocation] = {}
         for key, value in zip(node.items[::2], node.items[1::2], strict=True):
             if key.kind != 'scalar':
-                self.add('wrong-type', 'a key must be a string', key.place)
+                self.add('wrong-type', 'a key must be a string', key.location)
                 continue
-            if key.text in first_places:
+            if key.text in first_locations:
                 self.add(
                     'duplicate-key',
                     f'key {quote_value(key.text)} is already defined in line '
-                    f'{first_places[key.text].line}',
-                    key.place,
+                    f'{first_locations[key.text].line}',
+                    key.location,
                 )
                 continue
-            first_places[key.text] = key.place
-            self.places[*path, key.text] = key.place
+            first_locations[key.text] = key.location
+            self.locations[*path, key.text] = key.location
             yield key.text, value
 
     def _check_mapping(self, node: _Node, subject: str) -> bool:
@@ -345,7 +351,7 @@
         self.add(
             'wrong-type',
             f'{subject} must be a mapping (key: value), not a {node.kind}',
-            node.place,
+            node.location,
         )
         return False
 
@@ -368,14 +374,14 @@
                     'unknown-key',
                     f'unknown key {quote_value(key)} in {subject}; valid '
                     f'keys: {", ".join(allowed_keys)}',
-                    self.places[*path, key],
+                    self.locations[*path, key],
                 )
         for key in required:
             if key not in result:
                 self.add(
                     'missing-key',
                     f'{subject} lacks the required key {key!r}',
-                    node.place,
+                    node.location,
                 )
         return result
 
@@ -391,14 +397,18 @@
             return
         for name, value in self._unique_items(node, (section,)):
             if self._check_pattern(
-                _NAME, name, 'bad-name', self.places[section, name]
+                _NAME, name, 'bad-name', self.locations[section, name]
             ):
                 yield name, value
 
     # Values
 
     def _check_pattern(
-        self, pattern: re.Pattern[str], text: str, code: str, place: Place
+        self,
+        pattern: re.Pattern[str],
+        text: str,
+        code: str,
+        location: SourceLocation,
     ) -> bool:
         if pattern.fullmatch(text):
             return True
@@ -412,7 +422,7 @@
         self.add(
             code,
             f'{quote_value(text)} is not valid; allowed are {rule}',
-            place,
+            location,
         )
         return False
 
@@ -424,7 +434,7 @@
             self.add(
                 'wrong-type',
                 f'{path[-1]} must be a string, but is {kind}',
-                node.place,
+                node.location,
             )
             return None
         return node.text
@@ -433,7 +443,7 @@
         text = self._string(node, path)
         if text is None or node is None:
             return None
-        valid = self._check_pattern(_NAME, text, 'bad-name', node.place)
+        valid = self._check_pattern(_NAME, text, 'bad-name', node.location)
         return text if valid else None
 
     def _version(
@@ -442,7 +452,9 @@
         text = self._string(node, path)
         if text is None or node is None:
             return None
-        valid = self._check_pattern(_VERSION, text, 'bad-version', node.place)
+        valid = self._check_pattern(
+            _VERSION, text, 'bad-version', node.location
+        )
         return text if valid else None
 
     def _list(
@@ -458,7 +470,7 @@
                 'wrong-type',
                 f'{path[-1]} must be a list, for example '
                 f'[first, second], not a {node.kind}',
-                node.place,
+                node.location,
             )
             return ()
         result: list[str] = []
@@ -471,10 +483,10 @@
                     'duplicate-item',
                     f'{quote_value(text)} is listed more than once in '
                     f'{path[-1]}',
-                    item.place,
+                    item.location,
                 )
                 continue
-            self.places[*path, text] = item.place
+            self.locations[*path, text] = item.location
             result.append(text)
         return tuple(result)
 
@@ -496,7 +508,7 @@
                 f'{quote_value(text)} is not a duration; write a number '
                 f'and one of {", ".join(DURATION_UNITS)}, for example 500ms '
                 'or 90s',
-                node.place,
+                node.location,
             )
             return default
         if not lowest <= value <= highest:
@@ -504,7 +516,7 @@
                 'bad-duration',
                 f'{path[-1]} {text} is out of range: {lowest:g}s to '
                 f'{highest:g}s',
-                node.place,
+                node.location,
             )
             return default
         return value
@@ -524,7 +536,7 @@
                 'bad-date',
                 f'{quote_value(text)} is not a date with time and time zone; '
                 'write for example 2026-12-05T06:00:00Z',
-                node.place,
+                node.location,
             )
             return None
 
@@ -539,7 +551,7 @@
                 'bad-host',
                 f'{quote_value(text)} is not a host name; write it without '
                 'scheme, port, path or wildcard, for example plans.example',
-                node.place,
+                node.location,
             )
             return None
         return host
@@ -561,7 +573,7 @@
                 'with "/", have no empty, "." or ".." segments and no query, '
                 'have other characters percent-encoded (%XX) and be at most '
                 '1024 characters long',
-                node.place,
+                node.location,
             )
             return None
         return text.rstrip('/') or '/'
@@ -575,7 +587,7 @@
                 'unknown-method',
                 f'unknown method {quote_value(text)}; valid methods: '
                 f'{", ".join(METHODS)}',
-                node.place,
+                node.location,
             )
             return None
         return text
@@ -597,7 +609,7 @@
             self.add(
                 'no-versions',
                 f'service {name} has no versions',
-                versions_node.place,
+                versions_node.location,
             )
         key_path = (*path, 'current')
         current = self._version(keys.get('current'), key_path)
@@ -606,7 +618,7 @@
                 'unknown-version',
                 f'current version {quote_value(current)} of service {name} is '
                 f'not one of its versions: {", ".join(versions)}',
-                keys['current'].place,
+                keys['current'].location,
             )
         key_path = (*path, 'depends_on')
         depends_on = self._list(keys.get('depends_on'), key_path, self._name)
@@ -653,7 +665,7 @@
             self.add(
                 'same-version',
                 f'move {name} has version {from_version} as both from and to',
-                keys['to'].place,
+                keys['to'].location,
             )
         soak_s = self._duration(
             keys.get('soak'), (*path, 'soak'), 10.0, 0.0, MAX_SOAK_S
@@ -683,12 +695,14 @@
     ) -> float | None:
         path = ('moves', name)
         if ('deadline' in keys) == ('within' in keys):
-            place = keys['within'].place if 'within' in keys else node.place
+            location = (
+                keys['within'].location if 'within' in keys else node.location
+            )
             self.add(
                 'move-deadline',
                 f'move {name} needs exactly one of the keys deadline and '
                 'within',
-                place,
+                location,
             )
             return None
         if 'deadline' in keys:
@@ -717,7 +731,7 @@
     summary = Finding(
         'more-findings',
         f'{omitted} more findings are not listed',
-        Place(source),
+        SourceLocation(source),
     )
     return (*result[:MAX_FINDINGS], summary)
 
@@ -747,14 +761,18 @@
             'too-large',
             f'the text has {len(data)} bytes; at most {MAX_TEXT_BYTES} are '
             'accepted',
-            Place(source, 1, 1),
+            SourceLocation(source, 1, 1),
         )
     else:
         try:
             root = _compose(text, source)
             if root is None or root.is_null:
                 raise _FatalFindingError(
-                    Finding('empty', 'the text is empty', Place(source, 1, 1))
+                    Finding(
+                        'empty',
+                        'the text is empty',
+                        SourceLocation(source, 1, 1),
+                    )
                 )
             fragment = reader.read(root)
         except _FatalFindingError as error:
@@ -764,7 +782,7 @@
         except (ValueError, OverflowError) as error:
             # The YAML scanner does not validate the code points of escapes
             # such as ``\\U``.
-            reader.add('syntax', str(error), Place(source, 1, 1))
+            reader.add('syntax', str(error), SourceLocation(source, 1, 1))
     return ParsedText(
         fragment or _model.Fragment(''),
         _limit_findings(reader.findings, source),
@@ -772,7 +790,7 @@
         fragment is not None,
         source,
         hashlib.sha256(data).hexdigest(),
-        reader.places,
+        reader.locations,
     )
 
 
--- a/gypsumhall/errors.py
+++ b/gypsumhall/errors.py
@@ -9,8 +9,8 @@
 from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerProtocolError
 from gypsumhall._errors import PeerUnreachableError
-from gypsumhall._errors import Place
 from gypsumhall._errors import SettingsError
+from gypsumhall._errors import SourceLocation
 from gypsumhall._errors import StoreCompactedError
 from gypsumhall._errors import StoreError
 from gypsumhall._errors import StoreProtocolError
@@ -27,7 +27,7 @@
     'PeerLostError',
     'PeerProtocolError',
     'PeerUnreachableError',
-    'Place',
+    'SourceLocation',
     'SettingsError',
     'StoreCompactedError',
     'StoreError',
--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -20,7 +20,7 @@
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import InvalidUpdateError
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall._errors import StoreError
 from gypsumhall._errors import StoreProtocolError
 from gypsumhall._errors import StoreUnavailableError
@@ -463,7 +463,7 @@
                 f'{_text.quote_value(submission.id)} is no submission id; '
                 'write 8 to 36 letters, digits, "_" and "-", after a version '
                 'and "." if wanted',
-                Place('id'),
+                SourceLocation('id'),
             )
             return self._result(
                 submission, SubmissionStatus.REFUSED, findings=(finding,)
@@ -534,7 +534,7 @@
                     'wrong-department',
                     f'the text is of department {department}, the submission '
                     f'of {_text.quote_value(submission.department)}',
-                    parsed.place('department'),
+                    parsed.location('department'),
                 )
                 return _End(_accept.Refused((finding,)))
             old = head.departments.get(department)
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -25,7 +25,7 @@
 
 from gypsumhall._errors import Finding
 from gypsumhall._errors import FindingsError
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.load._load import RequestKind
 from gypsumhall.testing.processes import backend_name
 from gypsumhall.testing.processes import Fleet
@@ -178,17 +178,19 @@
     try:
         data = YAML().load(path.read_text())
     except YAMLError as error:
-        place = Place(path.name)
-        raise ScenarioError([Finding('bad-yaml', str(error), place)])
+        location = SourceLocation(path.name)
+        raise ScenarioError([Finding('bad-yaml', str(error), location)])
     findings: list[Finding] = []
     for index, step in enumerate((data or {}).get('steps', [])):
         line = data['steps'].lc.item(index)[0] + 1
-        findings += _step_findings(step, Place(path.name, line, 1))
+        findings += _step_findings(step, SourceLocation(path.name, line, 1))
     try:
         scenario = msgspec.convert(_plain(data), Scenario)
     except msgspec.ValidationError as error:
         findings.append(
-            Finding('bad-scenario', str(error), Place(path.name, 1, 1))
+            Finding(
+                'bad-scenario', str(error), SourceLocation(path.name, 1, 1)
+            )
         )
     if findings:
         raise ScenarioError(findings)
@@ -207,21 +209,21 @@
     return value
 
 
-def _step_findings(step: Any, place: Place) -> Iterator[Finding]:
+def _step_findings(step: Any, location: SourceLocation) -> Iterator[Finding]:
     if not isinstance(step, dict) or len(step) != 1:
-        yield Finding('bad-step', f'{step!r} needs exactly one verb', place)
+        yield Finding('bad-step', f'{step!r} needs exactly one verb', location)
         return
     verb, arguments = next(iter(step.items()))
     if verb not in VERBS:
         choices = ', '.join(sorted(VERBS))
         yield Finding(
-            'unknown-verb', f'{verb!r}; valid choices: {choices}', place
+            'unknown-verb', f'{verb!r}; valid choices: {choices}', location
         )
         return
     try:
         msgspec.convert(_plain(arguments), VERBS[verb])
     except msgspec.ValidationError as error:
-        yield Finding('bad-arguments', f'{verb}: {error}', place)
+        yield Finding('bad-arguments', f'{verb}: {error}', location)
 
 
 class ScenarioRun:
--- a/gypsumhall/timeline/_read.py
+++ b/gypsumhall/timeline/_read.py
@@ -11,7 +11,7 @@
 import trio
 
 from gypsumhall._errors import Finding
-from gypsumhall._errors import Place
+from gypsumhall._errors import SourceLocation
 from gypsumhall.services._events import Event
 
 if TYPE_CHECKING:
@@ -60,23 +60,23 @@
         for number, line in enumerate(data.split(b'\n'), 1):
             if not line.strip():
                 continue
-            place = Place(source, number, 1)
+            location = SourceLocation(source, number, 1)
             try:
                 event = _decode(line)
             except (msgspec.MsgspecError, ValueError) as error:
                 message = f'{error}; the line starts with {line[:60]!r}'
-                self._report('malformed-line', message, place)
+                self._report('malformed-line', message, location)
                 continue
             self.events.append(event)
-            self._check_index(event, last, place)
+            self._check_index(event, last, location)
 
     def add_unreadable(self, source: str, reason: object) -> None:
         """Report a log that cannot be read."""
         self.unread += 1
-        self._report('unreadable-log', str(reason), Place(source))
+        self._report('unreadable-log', str(reason), SourceLocation(source))
 
     def _check_index(
-        self, event: Event, last: dict[str, int], place: Place
+        self, event: Event, last: dict[str, int], location: SourceLocation
     ) -> None:
         """Report events that are missing before an event."""
         expected = last.get(event.daemon, 0) + 1
@@ -86,11 +86,13 @@
                 f'events {expected} to {event.index - 1} of daemon '
                 f'{event.daemon!r} are missing'
             )
-            self._report('missing-events', message, place)
+            self._report('missing-events', message, location)
         last[event.daemon] = event.index
 
-    def _report(self, code: str, message: str, place: Place) -> None:
-        self.findings.append(Finding(code, message, place))
+    def _report(
+        self, code: str, message: str, location: SourceLocation
+    ) -> None:
+        self.findings.append(Finding(code, message, location))
 
 
 def _decode(line: bytes) -> Event:
--- a/tests/test_core_accept.py
+++ b/tests/test_core_accept.py
@@ -82,7 +82,9 @@
         decision = self.decide(text, token=token)
         if not isinstance(decision, _accept.Refused):
             return []
-        return [f'{item.place.line} {item.code}' for item in decision.findings]
+        return [
+            f'{item.location.line} {item.code}' for item in decision.findings
+        ]
 
     def apply(self, transition: Callable[..., object], *args: object) -> None:
         head = transition(self.head, *args, self.now)
--- a/tests/test_core_text.py
+++ b/tests/test_core_text.py
@@ -75,8 +75,8 @@
         ),
     )
     assert parsed.within == {'semaforizacion/later': 90.0}
-    place = parsed.place('services', service, 'depends_on', 'archive')
-    assert str(place) == 'plans.yaml:6:36'
+    location = parsed.location('services', service, 'depends_on', 'archive')
+    assert str(location) == 'plans.yaml:6:36'
 
 
 @pytest.mark.parametrize(
@@ -155,7 +155,7 @@
     with pytest.raises(InvalidTextError) as caught:
         _text.parse_text(text, 't', 0.0)
     reported = [
-        f'{item.place.line}:{item.place.column} {item.code}'
+        f'{item.location.line}:{item.location.column} {item.code}'
         for item in caught.value.findings
     ]
     assert reported == [expected]
@@ -178,7 +178,7 @@
     # Guards against texts that take long to read.
     monkeypatch.setattr(_text, 'MAX_NODES', 20)
     parsed = _text.read_text('a: [' + 'b,' * 100, 't', 0.0)
-    assert [str(item.place) for item in parsed.findings] == ['t:1:39']
+    assert [str(item.location) for item in parsed.findings] == ['t:1:39']
     assert parsed.findings[0].code == 'too-large'
 
 
@@ -199,4 +199,4 @@
     parsed = _text.read_text(text, 't', 0.0)
     assert parsed.has_fragment or parsed.findings
     for item in parsed.findings:
-        assert 1 <= item.place.line <= text.count('\n') + 2
+        assert 1 <= item.location.line <= text.count('\n') + 2
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -30,7 +30,7 @@
     with pytest.raises(scenario.ScenarioError) as caught:
         scenario.read_scenario(path)
     assert [
-        (item.code, item.place.line) for item in caught.value.findings
+        (item.code, item.location.line) for item in caught.value.findings
     ] == [('unknown-verb', 6), ('bad-arguments', 7), ('bad-step', 8)]
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -172,7 +172,7 @@
         nursery.cancel_scope.cancel()
     assert logs.events == log.since(0)
     assert logs.unread == 3
-    assert [item.place.source for item in logs.findings] == addresses[1:]
+    assert [item.location.source for item in logs.findings] == addresses[1:]
 
 
 @pytest.mark.parametrize(
