--- a/gypsumhall/_errors.py
+++ b/gypsumhall/_errors.py
@@ -108,7 +108,7 @@
 
 
 @contextmanager
-def listening_at(address: str) -> Iterator[None]:
+def translate_listen_errors(address: str) -> Iterator[None]:
     """Raise errors that name the address when opening its listener fails.
 
     Raises
@@ -119,7 +119,7 @@
     try:
         yield
     except (OSError, BaseExceptionGroup) as error:
-        cause = innermost(error)
+        cause = first_leaf_error(error)
         if not isinstance(cause, OSError):
             raise
         # Some libraries include the address in their error text, so the text
@@ -129,7 +129,7 @@
         raise AddressError(f'cannot listen at {address!r}: {reason}') from None
 
 
-def innermost(error: BaseException) -> BaseException:
+def first_leaf_error(error: BaseException) -> BaseException:
     """Return the first leaf of nested exception groups, or the error."""
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -30,8 +30,8 @@
 from absl import flags
 
 from gypsumhall._errors import Finding
+from gypsumhall._errors import first_leaf_error
 from gypsumhall._errors import GypsumhallError
-from gypsumhall._errors import innermost
 from gypsumhall._errors import SettingsError
 from gypsumhall._errors import SourceLocation
 from gypsumhall.core._durations import parse_duration
@@ -577,5 +577,7 @@
     try:
         status = start(names)
     except* (GypsumhallError, OSError) as group:
-        print(f'{settings.program}: {innermost(group)}', file=sys.stderr)
+        print(
+            f'{settings.program}: {first_leaf_error(group)}', file=sys.stderr
+        )
     return status
--- a/gypsumhall/net/_socket.py
+++ b/gypsumhall/net/_socket.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from gypsumhall._errors import listening_at
+from gypsumhall._errors import translate_listen_errors
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -100,7 +100,7 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    with listening_at(address):
+    with translate_listen_errors(address):
         sock = socket.create_server((host, port), family=family, backlog=1024)
     sock.setblocking(False)
     return sock
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -17,7 +17,7 @@
 import trio
 
 from gypsumhall._errors import finding_fields
-from gypsumhall._errors import listening_at
+from gypsumhall._errors import translate_listen_errors
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._protocols import AdminResponse
 from gypsumhall.services._protocols import Events
@@ -179,7 +179,7 @@
         config.include_server_header = False
         config.read_timeout = READ_TIMEOUT_S
         async with trio.open_nursery() as nursery:
-            with listening_at(self._address):
+            with translate_listen_errors(self._address):
                 bound_address = await nursery.start(self._serve, config)
             self._bound = bound_address[0].partition('://')[2]
             task_status.started()
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -24,7 +24,7 @@
 from hypercorn.utils import wrap_app
 import trio
 
-from gypsumhall._errors import listening_at
+from gypsumhall._errors import translate_listen_errors
 
 if TYPE_CHECKING:
     from hypercorn.config import Config
@@ -181,7 +181,7 @@
         Gets the bound address.
     """
     host, _, port = address.rpartition(':')
-    with listening_at(address):
+    with translate_listen_errors(address):
         listeners = await trio.open_tcp_listeners(
             int(port), host=host.strip('[]'), backlog=config.backlog
         )
--- a/gypsumhall/standin/_platform.py
+++ b/gypsumhall/standin/_platform.py
@@ -27,7 +27,7 @@
 import trio
 
 from gypsumhall._errors import GypsumhallError
-from gypsumhall._errors import listening_at
+from gypsumhall._errors import translate_listen_errors
 
 Json = dict[str, Any]
 Scope = MutableMapping[str, Any]
@@ -856,7 +856,7 @@
     async with trio.open_nursery() as background:
         await background.start(platform.run)
         async with trio.open_nursery() as nursery:
-            with listening_at(bind):
+            with translate_listen_errors(bind):
                 binds = await nursery.start(
                     functools.partial(
                         serve,
