--- a/gypsumhall/services/_acceptance.py
+++ b/gypsumhall/services/_acceptance.py
@@ -618,7 +618,9 @@
         writes: list[Put | Delete] = []
         if step.stored is not None:
             data = _model.encode(step.stored)
-            writes.append(Put(_keys.FRAGMENTS + _model.digest(data), data))
+            writes.append(
+                Put(_keys.FRAGMENTS_PREFIX + _model.digest(data), data)
+            )
         # Last, so that a watch delivers the fragment before its head.
         writes.append(Put(_keys.HEAD, _model.encode(step.head)))
         pending.add(revision, step)
@@ -694,15 +696,17 @@
             raise errors[0]
 
     async def _fragment(self, digest: str) -> _model.Fragment:
-        found = await self._store.get(_keys.FRAGMENTS + digest)
+        found = await self._store.get(_keys.FRAGMENTS_PREFIX + digest)
         if found is None or _model.digest(found.value) != digest:
             state = 'is missing' if found is None else 'is damaged'
-            raise StoreProtocolError(f'{_keys.FRAGMENTS}{digest} {state}')
+            raise StoreProtocolError(
+                f'{_keys.FRAGMENTS_PREFIX}{digest} {state}'
+            )
         try:
             return _model.decode_fragment(found.value)
         except msgspec.DecodeError as error:
             raise StoreProtocolError(
-                f'{_keys.FRAGMENTS}{digest}: {error}'
+                f'{_keys.FRAGMENTS_PREFIX}{digest}: {error}'
             ) from error
 
     def _publish(self, write: _Write) -> None:
@@ -743,10 +747,10 @@
         """
         now = trio.current_time()
         if self._listing_due:
-            stored = await self._store.range(_keys.FRAGMENTS)
+            stored = await self._store.range(_keys.FRAGMENTS_PREFIX)
             self._listing_due = False
             for item in stored:
-                digest = item.key.removeprefix(_keys.FRAGMENTS)
+                digest = item.key.removeprefix(_keys.FRAGMENTS_PREFIX)
                 self._retired.setdefault(digest, now)
         due = [
             digest
@@ -765,7 +769,7 @@
             return
         result = await self._store.txn(
             [Compare(_keys.HEAD, revision)],
-            [Delete(_keys.FRAGMENTS + digest) for digest in due],
+            [Delete(_keys.FRAGMENTS_PREFIX + digest) for digest in due],
         )
         if result.succeeded:
             for digest in due:
--- a/gypsumhall/services/_reader.py
+++ b/gypsumhall/services/_reader.py
@@ -101,7 +101,7 @@
     """
     records = [
         record
-        for item in await store.range(_keys.READERS)
+        for item in await store.range(_keys.READERS_PREFIX)
         if (record := _decode_record(item)) is not None
     ]
     return sorted(records, key=lambda record: record.zone != zone)
@@ -194,7 +194,9 @@
             alive = {item.id for item in self._membership.table.alive(me.zone)}
             alive.add(me.id)
             readers = {item.id for item in self._records.values()} & alive
-            missing = len(readers) < min(_keys.READER_SLOTS, len(alive))
+            missing = len(readers) < min(
+                _keys.READER_SLOTS_PER_ZONE, len(alive)
+            )
             rate = _URGENT_READS_PER_S if missing else _QUIET_READS_PER_S
             if self._rng.random() >= rate * _TICK_S / len(alive):
                 continue
@@ -210,7 +212,7 @@
                 return self._rng.choice(free)
 
     async def _read_slots(self, zone: str) -> list[int]:
-        prefix = _keys.readers_prefix(zone)
+        prefix = _keys.zone_readers_prefix(zone)
         items = {item.key: item for item in await self._store.range(prefix)}
         self._records = {
             key: record
@@ -219,14 +221,14 @@
         }
         return [
             slot
-            for slot in range(_keys.READER_SLOTS)
+            for slot in range(_keys.READER_SLOTS_PER_ZONE)
             if f'{prefix}{slot}' not in items
         ]
 
     async def _campaign(self, slot: int) -> None:
         me = self._membership.me
         record = ReaderRecord(me.id, me.zone, me.peer_address)
-        key = f'{_keys.readers_prefix(me.zone)}{slot}'
+        key = f'{_keys.zone_readers_prefix(me.zone)}{slot}'
         try:
             async with self._store.elections.campaign(
                 key, msgspec.json.encode(record), _keys.LEASE_TTL_S, wait=False
--- a/gypsumhall/store/_keys.py
+++ b/gypsumhall/store/_keys.py
@@ -2,10 +2,10 @@
 
 HEAD = 'gypsumhall/head'
 CONTROLLER = 'gypsumhall/controller'
-FRAGMENTS = 'gypsumhall/fragments/'
-READERS = 'gypsumhall/readers/'
+FRAGMENTS_PREFIX = 'gypsumhall/fragments/'
+READERS_PREFIX = 'gypsumhall/readers/'
 
-READER_SLOTS = 3
+READER_SLOTS_PER_ZONE = 3
 """Number of reader slots in each zone."""
 
 LEASE_TTL_S = 10
@@ -14,10 +14,10 @@
 
 def fragment_key(digest: str) -> str:
     """Return the key of the fragment with a digest."""
-    return f'{FRAGMENTS}{digest}'
+    return f'{FRAGMENTS_PREFIX}{digest}'
 
 
-def readers_prefix(zone: str) -> str:
+def zone_readers_prefix(zone: str) -> str:
     """Return the prefix of the reader slots of a zone.
 
     Raises
@@ -30,4 +30,4 @@
             f'zone name {zone!r} must not be empty or contain a slash, '
             'because it is part of a key'
         )
-    return f'{READERS}{zone}/'
+    return f'{READERS_PREFIX}{zone}/'
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -249,7 +249,7 @@
             (_text('a'), _text('a', _move('a', 'up')), _text('b'))
         ):
             await plane.acceptance.submit(_submission(text, number))
-        await store.txn([], [Put(_keys.FRAGMENTS + 'left-over', b'')])
+        await store.txn([], [Put(_keys.FRAGMENTS_PREFIX + 'left-over', b'')])
         plane.acceptance._listing_due = True
         await trio.sleep(FRAGMENT_RETENTION_S - 1)
         assert len(store.keys) == 5
@@ -258,7 +258,7 @@
         named = {ref.fragment for ref in head.departments.values()}
         assert set(store.keys) == {
             _keys.HEAD,
-            *(_keys.FRAGMENTS + item for item in named),
+            *(_keys.FRAGMENTS_PREFIX + item for item in named),
         }
         assert len(named) == 2
 
@@ -495,7 +495,7 @@
             if item.value is None:
                 continue
             if item.key != _keys.HEAD:
-                digest = item.key.removeprefix(_keys.FRAGMENTS)
+                digest = item.key.removeprefix(_keys.FRAGMENTS_PREFIX)
                 fragments[digest] = _model.decode_fragment(item.value)
                 continue
             head = _model.decode_head(item.value)
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -51,7 +51,7 @@
             if zone.readers[item.id].slot is not None
         }
         assert {seed.address for seed in seeds} == holders
-        await zone.store.txn([], [Put(f'{_keys.READERS}az-1/9', b'x')])
+        await zone.store.txn([], [Put(f'{_keys.READERS_PREFIX}az-1/9', b'x')])
         assert await read_seeds(zone.store, 'az-1') == seeds
 
 
