Name the idle timeout of watches and the operations of a lease

silence_s is watch_idle_timeout_s, SAFETY_SHARE is SAFETY_MARGIN_FRACTION; HeldLease has set_key_revision, release and expires_at.

--- a/gypsumhall/store/_election.py
+++ b/gypsumhall/store/_election.py
@@ -21,7 +21,7 @@
 
     from gypsumhall.store._protocol import Store
 
-SAFETY_SHARE = 0.2
+SAFETY_MARGIN_FRACTION = 0.2
 """Fraction of the time to live that the holder does not use.
 
 The key-value service counts from the arrival of a keep-alive, the holder from
@@ -114,9 +114,9 @@
         return self._lost
 
     @property
-    def expires(self) -> float:
+    def expires_at(self) -> float:
         """Time in seconds up to which the lease is valid."""
-        return self._valid_from + self._ttl_s * (1 - SAFETY_SHARE)
+        return self._valid_from + self._ttl_s * (1 - SAFETY_MARGIN_FRACTION)
 
     def valid(self, now: float) -> bool:
         """Whether it is certain that no other client holds the lease.
@@ -124,9 +124,9 @@
         The result depends on the clock alone, so after a pause of the process
         it is correct even before any task has run.
         """
-        return not self._lost.is_set() and now < self.expires
+        return not self._lost.is_set() and now < self.expires_at
 
-    def hold(self, mod_revision: int) -> None:
+    def set_key_revision(self, mod_revision: int) -> None:
         """Record the revision at which the election key was written."""
         self._mod_revision = mod_revision
 
@@ -137,7 +137,7 @@
         # Jitter spreads the renewals of holders that started together.
         delay_s = interval_s * self._rng.uniform(0.7, 1.0)
         while not self._lost.is_set():
-            with trio.move_on_at(self.expires):
+            with trio.move_on_at(self.expires_at):
                 await trio.sleep(delay_s)
                 delay_s = await self._renew_once(interval_s, backoff)
             if not self.valid(trio.current_time()):
@@ -158,7 +158,7 @@
         backoff.reset()
         return interval_s * self._rng.uniform(0.9, 1.0)
 
-    async def end(self) -> None:
+    async def release(self) -> None:
         """Revoke the lease, so that a successor need not wait for expiry."""
         self._lost.set()
         with trio.move_on_after(_REVOKE_TIMEOUT_S) as scope:
@@ -234,7 +234,7 @@
                 failure = error
             nursery.cancel_scope.cancel()
     finally:
-        await lease.end()
+        await lease.release()
     if failure is not None:
         raise failure
 
@@ -254,7 +254,7 @@
     except BaseException:
         # The key may have been written nevertheless; it is removed with the
         # lease.
-        await lease.end()
+        await lease.release()
         raise
     return lease
 
@@ -267,7 +267,7 @@
         try:
             result = await store.txn([Compare(lease.key, 0)], writes)
             if result.succeeded:
-                lease.hold(result.revision)
+                lease.set_key_revision(result.revision)
                 return
         except StoreLeaseError:
             raise
@@ -284,7 +284,7 @@
             failure = error
         else:
             if current is not None and current.lease == lease.id:
-                lease.hold(current.mod_revision)
+                lease.set_key_revision(current.mod_revision)
                 return
             if current is not None:
                 raise LeaseHeldError(
--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -363,7 +363,7 @@
         or ``https://``.
     timeout_s : float
         Timeout of a call to one address, in seconds.
-    silence_s : float
+    watch_idle_timeout_s : float
         Seconds without any message after which a watch is reopened from the
         revision after the last one it delivered. A connection that stalls
         while it is open thus delays events by at most this time.
@@ -379,7 +379,7 @@
         addresses: Sequence[str],
         *,
         timeout_s: float = 2.0,
-        silence_s: float = 30.0,
+        watch_idle_timeout_s: float = 30.0,
         rng: Random | None = None,
         network_backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
@@ -392,7 +392,7 @@
             for item in addresses
         ]
         self._timeout_s = timeout_s
-        self._silence_s = silence_s
+        self._watch_idle_timeout_s = watch_idle_timeout_s
         self._preferred = 0 if rng is None else rng.randrange(len(self._urls))
         self._network_backend = network_backend
         self._call_pool = _CallPool(network_backend)
@@ -409,9 +409,9 @@
         return self._timeout_s
 
     @property
-    def silence_s(self) -> float:
+    def watch_idle_timeout_s(self) -> float:
         """Seconds without any message after which a watch is reopened."""
-        return self._silence_s
+        return self._watch_idle_timeout_s
 
     async def __aenter__(self) -> Self:
         """Return the adapter; connections are opened on demand."""
@@ -761,7 +761,7 @@
 class _Watch:
     """Iterator over the events of a watch.
 
-    The watch is reopened when no message arrives for a while.
+    The watch is reopened when no message arrives within the idle timeout.
     """
 
     def __init__(
@@ -783,7 +783,7 @@
         """Return the next event."""
         while not self._pending_events:
             message = None
-            with trio.move_on_after(self._store.silence_s):
+            with trio.move_on_after(self._store.watch_idle_timeout_s):
                 message = await self._receive()
             if message is None:
                 await self.close()
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -156,7 +156,7 @@
             started = trio.current_time()
             assert (await anext(events)).value == b'1'
             assert (await anext(events)).value == b'2'
-            assert trio.current_time() - started <= store.silence_s
+            assert trio.current_time() - started <= store.watch_idle_timeout_s
             await store.txn([], [Put('w', b'3')])
             assert (await anext(events)).value == b'3'
         await trio.sleep(1)
