Reword the load generator and the demonstration

Rename private and local names that did not say what they contain (at, _run, _reasons, answer, base) and describe settings, report and help texts in plain terms. The keys of the report, the flags and the JSON of the demonstration are unchanged. Two messages of the demonstration and the detail of the violation 'crossed' are reworded; no test matches them.

--- a/gypsumhall/cli/demo.py
+++ b/gypsumhall/cli/demo.py
@@ -1,9 +1,9 @@
-"""Demonstration: the whole path as separate processes on this machine.
+"""Demonstration of the whole system as processes on one machine.
 
-Starts three availability zones at the size of one of the users, submits their
-text, sends calls, moves one service to a good version and another one to a
-bad version, and waits until the system says ``done`` and ``reverted``. The
-last line of the output is one JSON object.
+Starts three availability zones with as many VMs as one of the users has,
+submits that user's configuration text, sends calls, moves one service to a
+good version and another one to a bad version, and waits until the moves are
+``done`` and ``reverted``. The last line of the output is one JSON object.
 """
 
 from __future__ import annotations
@@ -42,13 +42,13 @@
 RATE_PER_S = 80.0
 TIME_LIMIT_S = 58.0
 
-_TEXT = (
+_TEXT_PATH = (
     Path(__file__).parents[2]
     / 'examples'
     / 'iturraspe'
     / 'semaforizacion.yaml'
 )
-_MOVES = f"""
+_MOVES_TEXT = f"""
 moves:
   consultation-to-v2:
     service: plan-consultation
@@ -64,11 +64,11 @@
     soak: {SOAK_S}s
 """
 _HOST = 'plans.iturraspe.example'
-BAD_SHARE = 0.01
-"""Largest share of a service's calls that a version which fails at once may
-get; see the invariants in docs/design.md."""
+MAX_BAD_VERSION_SHARE = 0.01
+"""Largest share of a service's calls that may be sent to a version that fails
+from the start; see the invariants in docs/design.md."""
 
-_KINDS = (
+_REQUEST_KINDS = (
     {'name': 'consult', 'host': _HOST, 'path': '/plans/1', 'weight': 5},
     {
         'name': 'dispatch',
@@ -83,11 +83,11 @@
 )
 
 
-def _note(text: str, started: float) -> None:
+def _print_progress(text: str, started: float) -> None:
     print(f'{time.monotonic() - started:6.1f} s  {text}', flush=True)
 
 
-async def _start(fleet: Fleet) -> None:
+async def _start_fleet(fleet: Fleet) -> None:
     for service, version, count in ENDPOINTS:
         for number in range(count):
             fleet.add_vm(
@@ -107,7 +107,7 @@
         await fleet.start_backend(vm, flags)
 
 
-async def _operator(
+async def _run_operator(
     fleet: Fleet, *arguments: str, allowed: Sequence[int] = (0,)
 ) -> dict[str, Any]:
     daemons = [vm.admin_address for vm in fleet.vms.values()]
@@ -122,22 +122,22 @@
     )
     if result.returncode not in allowed:
         raise ProcessError(
-            f'operator {arguments[-1]} ended with {result.returncode}: '
+            f'operator {arguments[-1]} exited with {result.returncode}: '
             f'{result.stderr.decode()}{result.stdout.decode()}'
         )
-    found: dict[str, Any] = json.loads(result.stdout or b'{}')
-    return found
+    output: dict[str, Any] = json.loads(result.stdout or b'{}')
+    return output
 
 
 async def _submit(fleet: Fleet, text: str) -> int:
     path = fleet.directory / 'text.yaml'
     path.write_text(text)
-    answer = await _operator(fleet, 'submit', str(path))
-    return int(answer['version'])
+    output = await _run_operator(fleet, 'submit', str(path))
+    return int(output['version'])
 
 
 async def _wait_ready(fleet: Fleet) -> None:
-    """Wait until every daemon knows every endpoint as ready."""
+    """Wait until every daemon lists all endpoints as ready."""
     for vm in fleet.vms.values():
         while True:
             members = (await fleet.status(vm))['members']
@@ -147,7 +147,7 @@
 
 
 def _convergence_ms(fleet: Fleet, version: int) -> float:
-    """Return the time from acceptance to the last install of a version."""
+    """Return the time from the acceptance of a version to its last install."""
     accepted: list[float] = []
     installed: dict[str, float] = {}
     for path in fleet.event_logs:
@@ -162,14 +162,14 @@
                 installed[event['daemon']] = event['wall']
     if not accepted or len(installed) != len(fleet.vms):
         raise ProcessError(
-            f'version {version} is on {len(installed)} of '
+            f'version {version} was installed by {len(installed)} of '
             f'{len(fleet.vms)} daemons'
         )
     return (max(installed.values()) - min(accepted)) * 1000
 
 
 async def _control_bytes(fleet: Fleet) -> float:
-    """Return the control bytes sent and received by all daemons."""
+    """Return the bytes of control traffic sent and received by all daemons."""
     total = 0.0
     for vm in fleet.vms.values():
         _status, _headers, body = await fleet.request(
@@ -184,13 +184,13 @@
     return total
 
 
-async def _load(fleet: Fleet, seconds: float, results: list[Any]) -> None:
+async def _run_load(fleet: Fleet, seconds: float, results: list[Any]) -> None:
     targets = ','.join(vm.caller_address for vm in fleet.vms.values())
     result = await fleet.run_binary(
         'gypsumhall.cli.load',
         [
             f'--targets={targets}',
-            *(f'--kind={json.dumps(kind)}' for kind in _KINDS),
+            *(f'--kind={json.dumps(kind)}' for kind in _REQUEST_KINDS),
             f'--rate_per_s={RATE_PER_S}',
             f'--seconds={seconds}',
             '--seed=1',
@@ -201,7 +201,7 @@
     results.append(json.loads(result.stdout))
 
 
-async def _stop(fleet: Fleet) -> None:
+async def _stop_fleet(fleet: Fleet) -> None:
     for vm in fleet.vms.values():
         fleet.signal(backend_name(vm.name), signal.SIGTERM)
     for vm in fleet.vms.values():
@@ -210,48 +210,51 @@
         status = await fleet.wait_ended(vm.name, 15.0)
         if status != 0:
             raise ProcessError(
-                f'{vm.name} ended with {status}:\n{fleet.log_tail(vm.name)}'
+                f'{vm.name} exited with {status}:\n{fleet.log_tail(vm.name)}'
             )
 
 
 async def _demonstrate(fleet: Fleet, started: float) -> dict[str, Any]:
-    await _start(fleet)
-    base = _TEXT.read_text()
-    first = await _submit(fleet, base)
-    _note(f'version {first} accepted', started)
+    await _start_fleet(fleet)
+    base_text = _TEXT_PATH.read_text()
+    first_version = await _submit(fleet, base_text)
+    _print_progress(f'version {first_version} accepted', started)
     await _wait_ready(fleet)
-    await _operator(fleet, 'wait', str(first))
-    _note(f'{len(fleet.vms)} daemons ready, calls begin', started)
+    await _run_operator(fleet, 'wait', str(first_version))
+    _print_progress(f'{len(fleet.vms)} daemons ready, calls begin', started)
     bytes_before = await _control_bytes(fleet)
-    measured = time.monotonic()
+    measured_from = time.monotonic()
     loads: list[Any] = []
     moves: dict[str, Any] = {}
 
     async def wait_move(name: str) -> None:
         move_id = f'semaforizacion/{name}'
-        answer = await _operator(fleet, 'wait', move_id, allowed=(0, 1))
-        moves[name] = answer['move']
-        _note(f'{name}: {answer["move"]["state"]}', started)
+        output = await _run_operator(fleet, 'wait', move_id, allowed=(0, 1))
+        moves[name] = output['move']
+        _print_progress(f'{name}: {output["move"]["state"]}', started)
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_load, fleet, MOVE_S + 2.0, loads)
+        nursery.start_soon(_run_load, fleet, MOVE_S + 2.0, loads)
         await trio.sleep(1.0)
-        second = await _submit(fleet, base + _MOVES)
-        _note(f'version {second} accepted: two moves', started)
+        second_version = await _submit(fleet, base_text + _MOVES_TEXT)
+        _print_progress(
+            f'version {second_version} accepted: two moves', started
+        )
         nursery.start_soon(wait_move, 'consultation-to-v2')
         nursery.start_soon(wait_move, 'dispatch-to-v2')
-    elapsed = time.monotonic() - measured
-    control = (await _control_bytes(fleet)) - bytes_before
-    convergence = _convergence_ms(fleet, second)
-    await _stop(fleet)
-    _note('all processes stopped', started)
+    elapsed = time.monotonic() - measured_from
+    control_bytes = (await _control_bytes(fleet)) - bytes_before
+    convergence = _convergence_ms(fleet, second_version)
+    await _stop_fleet(fleet)
+    _print_progress('all processes stopped', started)
     states = [move['state'] for move in moves.values()]
     load = loads[0]
     counts = Counter[str]()
     for results in load['results'].values():
         counts.update(results)
     succeeded = counts.pop('ok', 0)
-    # Only the bad version fails calls, and only those of its service.
+    # Only calls to the bad version can fail, so the failures of its service
+    # are the calls that were sent to it.
     dispatch = Counter[str](load['results']['dispatch'])
     bad_share = 1.0 - dispatch['ok'] / max(1, dispatch.total())
     return {
@@ -259,12 +262,12 @@
             moves['consultation-to-v2']['state'] == 'done'
             and moves['dispatch-to-v2']['state'] == 'reverted'
             and not load['violations']
-            and bad_share <= BAD_SHARE
+            and bad_share <= MAX_BAD_VERSION_SHARE
         ),
         'bad_version_share': round(bad_share, 4),
         'convergence_ms': round(convergence, 1),
         'control_bytes_per_daemon_s': round(
-            control / len(fleet.vms) / elapsed, 1
+            control_bytes / len(fleet.vms) / elapsed, 1
         ),
         'moves_done': states.count('done'),
         'moves_reverted': states.count('reverted'),
@@ -282,7 +285,7 @@
 
 
 def main() -> int:
-    """Run the demonstration; 0 when everything was seen."""
+    """Run the demonstration; return 0 if all expectations were met."""
     try:
         result = trio.run(_main)
     except* ProcessError as group:
--- a/gypsumhall/cli/load.py
+++ b/gypsumhall/cli/load.py
@@ -1,4 +1,4 @@
-"""Binary ``gypsumhall-load``: open-loop load over several daemons."""
+"""Binary ``gypsumhall-load``: an open-loop load generator."""
 
 from __future__ import annotations
 
@@ -22,16 +22,16 @@
 _USAGE = """\
 usage: gypsumhall-load [flags]
 
-Starts requests at random times, whatever became of earlier ones, and checks
-that each response belongs to its request.
+Sends requests to several daemons at random times, regardless of the outcome
+of earlier ones, and checks that each response belongs to its request.
 """
 _NOTES = """\
-Exit status: 0 when all checks hold, 1 when the report has violations or
+Exit status: 0 when all checks pass, 1 when the report has violations or
 cannot be written, 2 for invalid settings.
 """
 
 
-def _kind(text: str) -> RequestKind:
+def _parse_kind(text: str) -> RequestKind:
     try:
         return msgspec.json.decode(text, type=RequestKind)
     except msgspec.DecodeError as error:
@@ -39,7 +39,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Send the load and print the report.
+    """Generate the load and output the report.
 
     Parameters
     ----------
@@ -58,28 +58,34 @@
     kinds = settings.repeated(
         'kind',
         'Kind of request as a JSON object with name, host, path, method, '
-        'weight, keyed, idempotent, body_bytes and deadline_ms; given once '
-        'for each kind, in the variable one per line.',
-        _kind,
+        'weight, keyed, idempotent, body_bytes and deadline_ms; repeat the '
+        'flag for further kinds; the variable contains one per line.',
+        _parse_kind,
         required=True,
     )
     rate = settings.number(
         'rate_per_s', 100.0, 'Mean arrivals per second.', lowest=0.001
     )
     seconds = settings.number(
-        'seconds', 10.0, 'Longest time in seconds to start requests.'
+        'seconds', 10.0, 'Seconds during which requests are started.'
     )
     max_requests = settings.integer(
-        'max_requests', 1_000_000, 'Most requests to start.', lowest=1
+        'max_requests',
+        1_000_000,
+        'Maximum number of requests to start.',
+        lowest=1,
     )
     max_in_flight = settings.integer(
-        'max_in_flight', 5_000, 'Most requests in flight.', lowest=1
+        'max_in_flight',
+        5_000,
+        'Maximum number of requests in flight.',
+        lowest=1,
     )
     timeout = settings.number(
-        'timeout_s', 30.0, 'Seconds after which a request is given up.'
+        'timeout_s', 30.0, 'Seconds after which a request times out.'
     )
     seed = settings.integer(
-        'seed', 0, 'Seed of arrivals and kinds.', lowest=-(2**53)
+        'seed', 0, 'Seed of arrival times, kinds and targets.', lowest=-(2**53)
     )
     baseline = settings.addresses(
         'baseline', (), 'Addresses of backend servers to call directly.'
@@ -87,22 +93,23 @@
     baseline_share = settings.number(
         'baseline_share',
         0.1,
-        'Share of the requests for the baseline, 0 to 1.',
+        'Share of the requests sent to the baseline, 0 to 1.',
         highest=1.0,
     )
     check_runs = settings.addresses(
         'check_runs',
         (),
-        'Addresses of stand-in backend servers to ask for runs.',
+        'Addresses of stand-in backend servers from which the number of runs '
+        'of each request is fetched.',
     )
     run_logs = settings.items(
         'run_logs',
         (),
-        'Files in which stand-in backend servers note runs.',
+        'Files in which stand-in backend servers record runs.',
         str,
     )
     report = settings.string(
-        'report', '', 'File for the JSON report; empty for standard output.'
+        'report', '', 'File for the JSON report; standard output if empty.'
     )
 
     def start(_names: list[str]) -> int:
--- a/gypsumhall/load/__init__.py
+++ b/gypsumhall/load/__init__.py
@@ -1,1 +1,1 @@
-"""Open-loop load tool."""
+"""Open-loop load generator."""
--- a/gypsumhall/load/_load.py
+++ b/gypsumhall/load/_load.py
@@ -1,4 +1,8 @@
-"""Open-loop load: requests start at their time, whatever came before."""
+"""Open-loop load generator.
+
+Requests start at their arrival times, regardless of whether earlier ones have
+completed.
+"""
 
 from __future__ import annotations
 
@@ -16,11 +20,12 @@
 from gypsumhall._errors import GypsumhallError
 from gypsumhall.services import _backend_client
 
-# One microsecond to ten minutes with three significant digits.
-_HIGHEST_US = 600_000_000
+# The histograms cover one microsecond to ten minutes with three significant
+# digits.
+_MAX_LATENCY_US = 600_000_000
 _PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 _BASELINE = 'baseline'
-# Violations that the report describes one by one.
+# Violations that the report describes individually.
 _MAX_EXAMPLES = 20
 
 
@@ -32,7 +37,7 @@
     Parameters
     ----------
     name : str
-        Name in the report.
+        Name of the kind in the report.
     host : str
         Header ``Host``.
     path : str
@@ -44,11 +49,11 @@
     keyed : bool
         Whether each request carries an ``Idempotency-Key``.
     idempotent : bool
-        Whether a request may be run more than once.
+        Whether a request may be executed more than once.
     body_bytes : int
         Size of the request body.
     deadline_ms : int
-        Header ``Gypsumhall-Deadline-Ms``; 0 for none.
+        Header ``Gypsumhall-Deadline-Ms``; 0 omits it.
     """
 
     name: str
@@ -63,7 +68,7 @@
 
 
 class LoadSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of a load.
+    """Settings of a load generator.
 
     Parameters
     ----------
@@ -74,25 +79,26 @@
     rate_per_s : float
         Mean arrivals per second; the arrivals are a Poisson process.
     seconds : float
-        Longest time in which requests are started.
+        Time in seconds during which requests are started.
     max_requests : int
-        Most requests that are started.
+        Maximum number of requests that are started.
     max_in_flight : int
-        Requests in flight above which new ones are counted as ``skipped``.
+        Limit of requests in flight; further ones are not sent but counted
+        as ``skipped``.
     timeout_s : float
-        Time after which a request is given up.
+        Time in seconds after which a request times out.
     seed : int
-        Seed of arrivals, kinds and targets.
+        Seed of arrival times, kinds and targets.
     baseline : tuple of str
         Addresses of backend servers that are called directly.
     baseline_share : float
-        Share of the requests that go to them.
+        Share of the requests that are sent to `baseline`.
     check_runs : tuple of str
-        Addresses of stand-in backend servers that are asked at the end how
-        often each request was run.
+        Addresses of stand-in backend servers from which the number of runs
+        of each request is fetched at the end.
     run_logs : tuple of str
-        Files in which stand-in backend servers note the requests that they
-        run. With them the runs of killed servers count too.
+        Files in which stand-in backend servers record the requests that
+        they execute. They include the runs on servers that were killed.
     """
 
     targets: tuple[str, ...]
@@ -110,49 +116,49 @@
 
 
 class Load:
-    """Sends a load and reports what became of it.
+    """Sends requests and reports their outcomes and latencies.
 
     Parameters
     ----------
     settings : LoadSettings
-        Settings.
+        Settings of the load.
     """
 
     def __init__(self, settings: LoadSettings) -> None:
         self._settings = settings
         self._rng = Random(settings.seed)
-        # Requests of different runs against the same servers must differ.
-        self._run = f'{settings.seed}-{time.time_ns():x}'
+        # Request ids must be unique across loads against the same servers.
+        self._id_prefix = f'{settings.seed}-{time.time_ns():x}'
         self._clients: dict[str, _backend_client.BackendClient] = {}
         self._in_flight = 0
-        self._results: dict[str, Counter[str]] = defaultdict(Counter)
+        self._result_counts: dict[str, Counter[str]] = defaultdict(Counter)
         self._latency = {
-            group: HdrHistogram(1, _HIGHEST_US, 3)
+            group: HdrHistogram(1, _MAX_LATENCY_US, 3)
             for group in ('calls', _BASELINE)
         }
         self._violations: Counter[str] = Counter()
-        self._examples: list[dict[str, str]] = []
-        self._reasons: Counter[str] = Counter()
+        self._violation_examples: list[dict[str, str]] = []
+        self._rejection_reasons: Counter[str] = Counter()
         self._outcomes: dict[str, tuple[RequestKind, str, str]] = {}
-        self._runs: Counter[str] = Counter()
+        self._run_counts: Counter[str] = Counter()
 
     async def run(self) -> dict[str, Any]:
-        """Send the load.
+        """Send all requests and check the responses.
 
         Returns
         -------
         dict
-            Report that JSON can represent.
+            Report that can be encoded as JSON.
         """
         settings = self._settings
         weights = [kind.weight for kind in settings.kinds]
-        started = trio.current_time()
-        at = started
-        number = 0
+        started_at = trio.current_time()
+        arrives_at = started_at
+        request_count = 0
         async with trio.open_nursery() as nursery:
-            while number < settings.max_requests:
-                at += self._rng.expovariate(settings.rate_per_s)
-                if at - started > settings.seconds:
+            while request_count < settings.max_requests:
+                arrives_at += self._rng.expovariate(settings.rate_per_s)
+                if arrives_at - started_at > settings.seconds:
                     break
                 kind = self._rng.choices(settings.kinds, weights)[0]
                 group, addresses = 'calls', settings.targets
@@ -161,15 +167,20 @@
                 ):
                     group, addresses = _BASELINE, settings.baseline
                 address = self._rng.choice(addresses)
-                await trio.sleep_until(at)
-                number += 1
+                await trio.sleep_until(arrives_at)
+                request_count += 1
                 if self._in_flight >= settings.max_in_flight:
-                    self._results[kind.name]['skipped'] += 1
+                    self._result_counts[kind.name]['skipped'] += 1
                     continue
                 nursery.start_soon(
-                    self._request, f'{number}', kind, group, address, at
+                    self._request,
+                    f'{request_count}',
+                    kind,
+                    group,
+                    address,
+                    arrives_at,
                 )
-        elapsed_s = trio.current_time() - started
+        elapsed_s = trio.current_time() - started_at
         unchecked = []
         for address in settings.check_runs:
             try:
@@ -178,11 +189,13 @@
                 unchecked.append(address)
         for path in settings.run_logs:
             text = await trio.Path(path).read_text()
-            self._runs.update(text.splitlines())
+            self._run_counts.update(text.splitlines())
         self._check_runs(complete=not unchecked)
         for client in self._clients.values():
             await client.close_idle(all_connections=True)
-        return self._report(number, elapsed_s) | {'unchecked': unchecked}
+        return self._report(request_count, elapsed_s) | {
+            'unchecked': unchecked
+        }
 
     def _client(self, address: str) -> _backend_client.BackendClient:
         client = self._clients.get(address)
@@ -193,13 +206,13 @@
 
     async def _request(
         self,
-        number: str,
+        sequence_number: str,
         kind: RequestKind,
         group: str,
         address: str,
-        at: float,
+        arrives_at: float,
     ) -> None:
-        request_id = f'{self._run}-{number}'
+        request_id = f'{self._id_prefix}-{sequence_number}'
         headers = [
             (b'host', kind.host.encode()),
             (b'x-request', request_id.encode()),
@@ -219,12 +232,12 @@
                 )
         finally:
             self._in_flight -= 1
-        elapsed_us = int((trio.current_time() - at) * 1e6)
+        elapsed_us = int((trio.current_time() - arrives_at) * 1e6)
         if result == 'ok':
-            value = min(max(1, elapsed_us), _HIGHEST_US)
+            value = min(max(1, elapsed_us), _MAX_LATENCY_US)
             self._latency[group].record_value(value)
         name = kind.name if group == 'calls' else _BASELINE
-        self._results[name][result] += 1
+        self._result_counts[name][result] += 1
         if self._settings.check_runs or self._settings.run_logs:
             detail = f'{address} {detail}'
             self._outcomes[request_id] = (kind, result, detail)
@@ -250,7 +263,9 @@
             if name == b'gypsumhall-outcome':
                 text = content.decode(errors='replace')
                 result = f'refused-{value.decode()}'
-                self._reasons[f'{kind.name} {result} {_code(content)}'] += 1
+                self._rejection_reasons[
+                    f'{kind.name} {result} {_error_code(content)}'
+                ] += 1
                 return result, text
         if response.status >= 400:
             return f'status-{response.status}', ''
@@ -259,19 +274,25 @@
         return 'ok', ''
 
     def _check_response(self, request_id: str, content: bytes) -> None:
-        """Check that a response of the stand-in belongs to its request."""
+        """Check that a response of a stand-in belongs to the request."""
         try:
             echoed = json.loads(content)['id']
         except (ValueError, KeyError, TypeError):
-            self._violation('not-whole', request_id, repr(content[:200]))
+            self._record_violation(
+                'not-whole', request_id, repr(content[:200])
+            )
             return
         if echoed != request_id:
-            self._violation('crossed', request_id, f'has {echoed!r}')
+            self._record_violation(
+                'crossed', request_id, f'response has id {echoed!r}'
+            )
 
-    def _violation(self, name: str, request_id: str, detail: str) -> None:
+    def _record_violation(
+        self, name: str, request_id: str, detail: str
+    ) -> None:
         self._violations[name] += 1
-        if len(self._examples) < _MAX_EXAMPLES:
-            self._examples.append(
+        if len(self._violation_examples) < _MAX_EXAMPLES:
+            self._violation_examples.append(
                 {'violation': name, 'request': request_id, 'detail': detail}
             )
 
@@ -282,40 +303,43 @@
         ) as response:
             async for data in response.chunks():
                 content += data
-        self._runs.update(json.loads(content))
+        self._run_counts.update(json.loads(content))
 
     def _check_runs(self, *, complete: bool) -> None:
-        """Compare the outcomes with the runs that the servers counted.
+        """Compare the outcomes with the number of runs on the servers.
 
-        A server that has ended takes its counts along, so a request without
-        a run is a fault only when the counts are complete.
+        The counts of a server that has exited may be missing, so a request
+        without a run is a violation only if the counts are complete.
         """
         for request_id, (kind, result, detail) in self._outcomes.items():
-            runs = self._runs[request_id]
-            text = f'{kind.name}: {result}, {runs} runs, {detail}'
-            if runs > 1 and not kind.idempotent:
-                self._violation('ran-twice', request_id, text)
-            if runs and result == 'refused-not-run':
-                self._violation('false-not-run', request_id, text)
-            if complete and not runs and result in ('ok', 'refused-run'):
-                self._violation('false-run', request_id, text)
-
-    def _report(self, number: int, elapsed_s: float) -> dict[str, Any]:
+            run_count = self._run_counts[request_id]
+            description = f'{kind.name}: {result}, {run_count} runs, {detail}'
+            if run_count > 1 and not kind.idempotent:
+                self._record_violation('ran-twice', request_id, description)
+            if run_count and result == 'refused-not-run':
+                self._record_violation(
+                    'false-not-run', request_id, description
+                )
+            if complete and not run_count and result in ('ok', 'refused-run'):
+                self._record_violation('false-run', request_id, description)
+
+    def _report(self, request_count: int, elapsed_s: float) -> dict[str, Any]:
         latency = {
-            group: _summary(histogram)
+            group: _summarize(histogram)
             for group, histogram in self._latency.items()
             if histogram.get_total_count()
         }
         report: dict[str, Any] = {
-            'requests': number,
+            'requests': request_count,
             'elapsed_s': round(elapsed_s, 3),
             'results': {
-                name: dict(counts) for name, counts in self._results.items()
+                name: dict(counts)
+                for name, counts in self._result_counts.items()
             },
             'latency_ms': latency,
             'violations': dict(self._violations),
-            'examples': self._examples,
-            'reasons': dict(self._reasons),
+            'examples': self._violation_examples,
+            'reasons': dict(self._rejection_reasons),
         }
         if len(latency) == 2:
             report['added_ms'] = {
@@ -326,14 +350,14 @@
         return report
 
 
-def _code(content: bytearray) -> str:
+def _error_code(content: bytearray) -> str:
     try:
         return str(json.loads(content)['code'])
     except (ValueError, KeyError, TypeError):
         return ''
 
 
-def _summary(histogram: HdrHistogram) -> dict[str, float]:
+def _summarize(histogram: HdrHistogram) -> dict[str, float]:
     summary = {
         f'p{percentile:g}': histogram.get_value_at_percentile(percentile)
         / 1000
