--- a/gypsumhall/cli/__init__.py
+++ b/gypsumhall/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The binaries."""
+"""Entry points of the binaries."""
--- a/gypsumhall/cli/_run.py
+++ b/gypsumhall/cli/_run.py
@@ -1,4 +1,4 @@
-"""Run of a kernel as a process, until it is asked to stop."""
+"""Runs a kernel as the main program until a termination signal."""
 
 from __future__ import annotations
 
@@ -15,18 +15,22 @@
 
     from gypsumhall.kernel import Kernel
 
-_STOPS = (signal.SIGTERM, signal.SIGINT)
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 async def _run(
-    kernel: Kernel, drain_timeout_s: float, ignored: Sequence[signal.Signals]
+    kernel: Kernel,
+    drain_timeout_s: float,
+    ignored_signals: Sequence[signal.Signals],
 ) -> None:
-    with trio.open_signal_receiver(*_STOPS, *ignored) as signals:
+    with trio.open_signal_receiver(
+        *_STOP_SIGNALS, *ignored_signals
+    ) as signals:
         async with trio.open_nursery() as nursery:
 
             async def stop_on_signal() -> None:
-                async for number in signals:
-                    if number in _STOPS:
+                async for received in signals:
+                    if received in _STOP_SIGNALS:
                         kernel.stop()
 
             nursery.start_soon(stop_on_signal)
@@ -37,27 +41,27 @@
 def run_kernel(
     kernel: Kernel,
     drain_timeout_s: float,
-    ignored: Sequence[signal.Signals] = (),
+    ignored_signals: Sequence[signal.Signals] = (),
 ) -> int:
     """Run a kernel until SIGTERM or SIGINT, and return the exit status.
 
     Parameters
     ----------
     kernel : Kernel
-        Services to run.
+        Kernel with all services registered.
     drain_timeout_s : float
-        Longest time in seconds that draining may take in total.
-    ignored : sequence of signal.Signals
-        Signals that have no effect.
+        Time limit in seconds for draining all services.
+    ignored_signals : sequence of signal.Signals
+        Signals that are caught and ignored.
 
     Returns
     -------
     int
-        0 after a planned stop, 1 when a service failed.
+        0 after a graceful shutdown, 1 when a service failed.
     """
     status = 0
     try:
-        trio.run(_run, kernel, drain_timeout_s, ignored)
+        trio.run(_run, kernel, drain_timeout_s, ignored_signals)
     except* (OSError, GypsumhallError):
         raise
     except* Exception as group:
--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -3,14 +3,15 @@
 A binary defines its settings, parses once and reads the values::
 
     settings = Settings('gypsumhall', 'gypsumhall [flags] <command>')
-    timeout = settings.duration('timeout', 30.0, 'Longest time in all.')
-    names = settings.parse(sys.argv[1:], os.environ)
+    timeout = settings.duration('timeout', 30.0, 'Total time limit.')
+    positionals = settings.parse(sys.argv[1:], os.environ)
     use(timeout.value)
 
 `run_binary` does this for a binary and turns errors into exit statuses.
 
-The flag ``--timeout`` comes before the variable ``GYPSUMHALL_TIMEOUT``, and
-this before the default. All faults are collected and raised together.
+The flag ``--timeout`` takes precedence over the environment variable
+``GYPSUMHALL_TIMEOUT``, which takes precedence over the default. All errors
+are collected and raised together.
 """
 
 from __future__ import annotations
@@ -44,12 +45,12 @@
 T = TypeVar('T')
 
 PREFIX = 'GYPSUMHALL_'
-_TRUE = ('true', '1', 'yes', 'on')
-_FALSE = ('false', '0', 'no', 'off')
+_TRUE_VALUES = ('true', '1', 'yes', 'on')
+_FALSE_VALUES = ('false', '0', 'no', 'off')
 
 
 class Setting(Generic[T]):
-    """One setting; `value` may be read after `Settings.parse`."""
+    """One setting; read `value` after `Settings.parse`."""
 
     __slots__ = ('_value', 'name')
 
@@ -70,8 +71,8 @@
 class _Definition:
     setting: Setting[Any]
     convert: Callable[[str], Any]
-    shown_default: str
-    text: str
+    default_text: str
+    help_text: str
     required: bool
     switch: bool
     repeated: bool
@@ -86,11 +87,11 @@
     program : str
         Name of the binary.
     usage : str
-        First lines of the help page.
+        Text at the start of the help page.
     notes : str
-        Last lines of the help page.
-    positionals : bool
-        Whether arguments that are no flags are accepted.
+        Text at the end of the help page.
+    allow_positionals : bool
+        Whether arguments that are not flags are accepted.
     """
 
     def __init__(
@@ -99,10 +100,10 @@
         usage: str,
         notes: str = '',
         *,
-        positionals: bool = False,
+        allow_positionals: bool = False,
     ) -> None:
         self._program = program
-        self._positionals = positionals
+        self._allow_positionals = allow_positionals
         self._usage = usage
         self._notes = notes
         self._flags = flags.FlagValues()
@@ -121,20 +122,20 @@
         return tuple(self._definitions)
 
     @property
-    def help_wanted(self) -> bool:
-        """Whether ``--help`` was given; nothing else was checked then."""
+    def help_requested(self) -> bool:
+        """Whether ``--help`` was given; other flags are not checked then."""
         return self._help.value
 
     @property
     def help_page(self) -> str:
-        """Usage, flags with their variables and defaults, and notes."""
+        """Usage, flags with environment variables and defaults, and notes."""
         lines = [self._usage.strip(), '', 'Flags:']
         for name, item in sorted(self._definitions.items()):
             kind = f'--[no]{name}' if item.switch else f'--{name}=<value>'
             kind += '...' if item.repeated else ''
             lines.append(f'  {kind}  ({PREFIX}{name.upper()})')
-            default = 'required' if item.required else item.shown_default
-            lines.append(f'      {item.text} Default: {default}.')
+            default = 'required' if item.required else item.default_text
+            lines.append(f'      {item.help_text} Default: {default}.')
         if self._notes:
             lines += ['', self._notes.strip()]
         return '\n'.join(lines) + '\n'
@@ -145,12 +146,12 @@
         self,
         name: str,
         default: str,
-        text: str,
+        help_text: str,
         *,
         choices: Sequence[str] = (),
         required: bool = False,
     ) -> Setting[str]:
-        """Define a text, or one of several choices."""
+        """Define a string, optionally one of several choices."""
 
         def convert(value: str) -> str:
             if choices and value not in choices:
@@ -160,34 +161,36 @@
             return value
 
         return self._define(
-            name, default, text, convert, repr(default), required=required
+            name, default, help_text, convert, repr(default), required=required
         )
 
     def integer(
         self,
         name: str,
         default: int,
-        text: str,
+        help_text: str,
         *,
         lowest: int = 0,
         highest: int = 2**53,
     ) -> Setting[int]:
-        """Define a whole number within a range."""
+        """Define an integer within a range."""
 
         def convert(value: str) -> int:
             if not re.fullmatch(r'-?[0-9]{1,18}', value) or not (
                 lowest <= int(value) <= highest
             ):
-                raise ValueError(f'a whole number from {lowest} to {highest}')
+                raise ValueError(
+                    f'expected an integer from {lowest} to {highest}'
+                )
             return int(value)
 
-        return self._define(name, default, text, convert, str(default))
+        return self._define(name, default, help_text, convert, str(default))
 
     def number(
         self,
         name: str,
         default: float,
-        text: str,
+        help_text: str,
         *,
         lowest: float = 0.0,
         highest: float = math.inf,
@@ -195,7 +198,7 @@
         """Define a number within a range."""
 
         def convert(value: str) -> float:
-            problem = f'a number from {lowest:g} to {highest:g}'
+            problem = f'expected a number from {lowest:g} to {highest:g}'
             try:
                 result = float(value)
             except ValueError:
@@ -204,79 +207,91 @@
                 raise ValueError(problem)
             return result
 
-        return self._define(name, default, text, convert, f'{default:g}')
+        return self._define(name, default, help_text, convert, f'{default:g}')
 
     def duration(
         self,
         name: str,
         default: float,
-        text: str,
+        help_text: str,
         *,
         lowest: float = 0.0,
         highest: float = 86400.0,
     ) -> Setting[float]:
-        """Define a duration in seconds, written like ``500ms`` or ``2s``."""
+        """Define a duration, written like ``500ms`` or ``2s``.
+
+        The value, `lowest` and `highest` are in seconds.
+        """
 
         def convert(value: str) -> float:
             result = parse_duration(value)
             if result is None or not lowest <= result <= highest:
                 raise ValueError(
-                    'a number and one of ms, s, m, h, d, for example 500ms, '
-                    f'from {lowest:g}s to {highest:g}s'
+                    'expected a number and one of ms, s, m, h, d, for example '
+                    f'500ms, from {lowest:g}s to {highest:g}s'
                 )
             return result
 
-        return self._define(name, default, text, convert, f'{default:g}s')
+        return self._define(name, default, help_text, convert, f'{default:g}s')
 
-    def boolean(self, name: str, default: bool, text: str) -> Setting[bool]:
-        """Define a switch, ``--name`` or ``--noname``."""
+    def boolean(
+        self, name: str, default: bool, help_text: str
+    ) -> Setting[bool]:
+        """Define a Boolean flag, ``--name`` or ``--noname``."""
 
         def convert(value: str) -> bool:
-            if value.lower() in _TRUE:
+            if value.lower() in _TRUE_VALUES:
                 return True
-            if value.lower() in _FALSE:
+            if value.lower() in _FALSE_VALUES:
                 return False
             raise ValueError('valid choices: true, false')
 
         return self._define(
-            name, default, text, convert, str(default).lower(), switch=True
+            name,
+            default,
+            help_text,
+            convert,
+            str(default).lower(),
+            switch=True,
         )
 
     def address(
         self,
         name: str,
         default: str,
-        text: str,
+        help_text: str,
         *,
         required: bool = False,
-        hosts: bool = True,
+        allow_host_names: bool = True,
     ) -> Setting[str]:
-        """Define an address, `hosts` tells whether names are accepted."""
+        """Define an address; see `parse_address` for its forms."""
 
         def convert(value: str) -> str:
             if not value and not required:
                 return value
-            return parse_address(value, hosts=hosts)
+            return parse_address(value, allow_host_names=allow_host_names)
 
         return self._define(
-            name, default, text, convert, repr(default), required=required
+            name, default, help_text, convert, repr(default), required=required
         )
 
     def addresses(
         self,
         name: str,
         default: tuple[str, ...],
-        text: str,
+        help_text: str,
         *,
         required: bool = False,
-        hosts: bool = True,
+        allow_host_names: bool = True,
     ) -> Setting[tuple[str, ...]]:
-        """Define a list of addresses, separated by commas."""
+        """Define a comma-separated list of addresses."""
         return self.items(
             name,
             default,
-            text,
-            lambda item: parse_address(item, hosts=hosts),
+            help_text,
+            lambda item: parse_address(
+                item, allow_host_names=allow_host_names
+            ),
             required=required,
         )
 
@@ -284,24 +299,25 @@
         self,
         name: str,
         default: tuple[T, ...],
-        text: str,
+        help_text: str,
         convert: Callable[[str], T],
         *,
         required: bool = False,
         secret: bool = False,
     ) -> Setting[tuple[T, ...]]:
-        """Define a list of values, separated by commas.
+        """Define a comma-separated list of values.
 
         Parameters
         ----------
-        name, default, text
-            Name, value if nothing is given, and line of the help page.
+        name, default, help_text
+            Name, value if none is given, and description on the help page.
         convert : callable
-            Gets one item without blanks around it; raises `ValueError`.
+            Converts one item, stripped of surrounding white space; raises
+            `ValueError` for an invalid one.
         required : bool
             Whether at least one item has to be given.
         secret : bool
-            Whether messages leave the value out.
+            Whether error messages omit the value.
         """
 
         def convert_all(value: str) -> tuple[T, ...]:
@@ -311,13 +327,13 @@
                 raise ValueError('it must not be empty')
             return result
 
-        shown = ','.join(str(item) for item in default)
+        default_text = ','.join(str(item) for item in default)
         return self._define(
             name,
             default,
-            text,
+            help_text,
             convert_all,
-            repr(shown),
+            repr(default_text),
             required=required,
             secret=secret,
         )
@@ -325,14 +341,14 @@
     def repeated(
         self,
         name: str,
-        text: str,
+        help_text: str,
         convert: Callable[[str], T],
         *,
         required: bool = False,
     ) -> Setting[tuple[T, ...]]:
-        """Define a flag that is given once for each value.
+        """Define a flag that may be given several times.
 
-        The environment variable holds one value per line.
+        The environment variable contains one value per line.
         """
 
         def convert_all(value: str) -> tuple[T, ...]:
@@ -346,7 +362,7 @@
         return self._define(
             name,
             default,
-            text,
+            help_text,
             convert_all,
             'none',
             required=required,
@@ -357,9 +373,9 @@
         self,
         name: str,
         default: T,
-        text: str,
+        help_text: str,
         convert: Callable[[str], T],
-        shown_default: str,
+        default_text: str,
         *,
         required: bool = False,
         switch: bool = False,
@@ -370,8 +386,8 @@
         self._definitions[name] = _Definition(
             setting,
             convert,
-            shown_default,
-            text,
+            default_text,
+            help_text,
             required,
             switch,
             repeated,
@@ -379,14 +395,17 @@
         )
         values = self._flags
         if switch:
-            flags.DEFINE_boolean(name, None, text, flag_values=values)
-            # absl stops at the first value that is no boolean; as a text, it
-            # is converted with all other values.
+            flags.DEFINE_boolean(name, None, help_text, flag_values=values)
+            # The Boolean parser of absl raises at the first invalid value.
+            # Values are kept as strings here, so that `parse` converts them
+            # with all others and reports all errors together.
             values[name].parser = flags.ArgumentParser()
         elif repeated:
-            flags.DEFINE_multi_string(name, None, text, flag_values=values)
+            flags.DEFINE_multi_string(
+                name, None, help_text, flag_values=values
+            )
         else:
-            flags.DEFINE_string(name, None, text, flag_values=values)
+            flags.DEFINE_string(name, None, help_text, flag_values=values)
         return setting
 
     # Parsing
@@ -406,82 +425,91 @@
         environment : mapping
             Environment variables.
         check : callable, optional
-            Gets the positional arguments when all values are set and
-            returns faults of values that do not fit together. A setting
-            with a fault of its own has its default then.
+            Called with the positional arguments after all values are set;
+            returns the errors of combinations of values. Settings with an
+            invalid value have their default at that time.
 
         Raises
         ------
         SettingsError
-            With all faults.
+            With all errors.
         """
         if {'-h', '--help', '-help'}.intersection(arguments):
             self._help._set(True)
             return []
         findings: list[Finding] = []
-        names = self._parse_flags(arguments, findings)
-        if names and not self._positionals:
+        positionals = self._parse_flags(arguments, findings)
+        if positionals and not self._allow_positionals:
             findings.append(
                 Finding(
                     'unexpected-argument',
-                    f'{" ".join(names)!r}: only flags are accepted',
+                    f'{" ".join(positionals)!r}: only flags are accepted',
                     Place('command line'),
                 )
             )
         for name, item in self._definitions.items():
-            given = self._flags[name].value
+            raw_value = self._flags[name].value
             place = Place(f'--{name}')
-            if given is None:
+            if raw_value is None:
                 variable = PREFIX + name.upper()
-                given = environment.get(variable)
+                raw_value = environment.get(variable)
                 place = Place(variable)
-            if given is None:
+            if raw_value is None:
                 if item.required:
                     findings.append(
                         Finding(
                             'missing-setting',
                             f'give --{name} or {PREFIX}{name.upper()}: '
-                            f'{item.text}',
+                            f'{item.help_text}',
                             Place(f'--{name}'),
                         )
                     )
                 continue
-            if isinstance(given, list):
-                given = '\n'.join(given)
+            if isinstance(raw_value, list):
+                raw_value = '\n'.join(raw_value)
             try:
-                item.setting._set(item.convert(str(given)))
+                item.setting._set(item.convert(str(raw_value)))
             except ValueError as error:
-                shown = '' if item.secret else f'{given!r}: '
+                shown_value = '' if item.secret else f'{raw_value!r}: '
                 findings.append(
-                    Finding('bad-setting', shown + str(error), place)
+                    Finding('bad-setting', shown_value + str(error), place)
                 )
         if check is not None:
-            findings += check(names)
+            findings += check(positionals)
         if findings:
             raise SettingsError(findings)
-        return names
+        return positionals
 
     def _parse_flags(
         self, arguments: Sequence[str], findings: list[Finding]
     ) -> list[str]:
-        own = list(arguments)
-        rest: list[str] = []
-        if '--' in own:
-            at = own.index('--')
-            own, rest = own[:at], own[at + 1 :]
+        before_separator = list(arguments)
+        after_separator: list[str] = []
+        if '--' in before_separator:
+            index = before_separator.index('--')
+            before_separator, after_separator = (
+                before_separator[:index],
+                before_separator[index + 1 :],
+            )
         try:
-            left = self._flags([self._program, *own], known_only=True)[1:]
+            remaining = self._flags(
+                [self._program, *before_separator], known_only=True
+            )[1:]
         except (flags.Error, ValueError) as error:
             findings.append(
                 Finding('bad-setting', str(error), Place('command line'))
             )
-            # A value is missing at the end only; the rest is checked too.
-            return self._parse_flags(own[:-1], findings) if own else []
-        for item in left:
+            # Only the last flag can lack its value; check those before it.
+            return (
+                self._parse_flags(before_separator[:-1], findings)
+                if before_separator
+                else []
+            )
+        for item in remaining:
             if item.startswith('-') and item != '-':
                 name = item.lstrip('-').partition('=')[0]
-                close = difflib.get_close_matches(name, self._definitions, 3)
-                hint = ', '.join(f'--{other}' for other in close)
+                similar = difflib.get_close_matches(name, self._definitions, 3)
+                hint = ', '.join(f'--{other}' for other in similar)
                 findings.append(
                     Finding(
                         'unknown-flag',
@@ -491,45 +519,47 @@
                     )
                 )
         return [
-            item for item in left if not item.startswith('-') or item == '-'
-        ] + rest
+            item
+            for item in remaining
+            if not item.startswith('-') or item == '-'
+        ] + after_separator
 
 
-def parse_address(text: str, *, hosts: bool = True) -> str:
+def parse_address(text: str, *, allow_host_names: bool = True) -> str:
     """Check an address and return it.
 
     Parameters
     ----------
     text : str
         ``<ip>:<port>``, with brackets around IPv6, or ``<host>:<port>``.
-    hosts : bool
+    allow_host_names : bool
         Whether the second form is accepted.
 
     Raises
     ------
     ValueError
-        When it has another form or the port is not from 0 to 65535.
+        If it has another form or the port is not from 0 to 65535.
     """
     host, _, port = text.rpartition(':')
-    forms = '<ip>:<port>' + (' or <host>:<port>' if hosts else '')
+    forms = '<ip>:<port>' + (' or <host>:<port>' if allow_host_names else '')
     if (
-        not _is_host(host, hosts=hosts)
+        not _is_host(host, allow_host_names=allow_host_names)
         or not re.fullmatch(r'[0-9]{1,5}', port)
         or int(port) > 65535
     ):
         raise ValueError(
-            f'{text!r} is no address; expected {forms}, for example '
+            f'{text!r} is not an address; expected {forms}, for example '
             '127.0.0.1:7002'
         )
     return text
 
 
-def _is_host(text: str, *, hosts: bool) -> bool:
+def _is_host(text: str, *, allow_host_names: bool) -> bool:
     bracketed = text.startswith('[') and text.endswith(']')
     try:
         address = ipaddress.ip_address(text[1:-1] if bracketed else text)
     except ValueError:
-        return hosts and bool(re.fullmatch(r'[A-Za-z0-9.-]+', text))
+        return allow_host_names and bool(re.fullmatch(r'[A-Za-z0-9.-]+', text))
     return bracketed == (address.version == 6)
 
 
@@ -547,10 +577,9 @@
     settings : Settings
         All settings of the binary.
     argv : sequence of str or None
-        Command line with the name of the binary; None for that of the
-        process.
+        Command line with the name of the binary; None for `sys.argv`.
     start : callable
-        Gets the positional arguments and returns the exit status.
+        Called with the positional arguments; returns the exit status.
     check : callable, optional
         See `Settings.parse`.
     environment : mapping
@@ -559,21 +588,21 @@
     Returns
     -------
     int
-        That of `start`; 0 for ``--help``; 1 after an error with a known
-        reason, which is printed in one line; 2 for invalid settings.
+        Result of `start`; 0 for ``--help``; 1 after a `GypsumhallError` or
+        an `OSError`, which is printed in one line; 2 for invalid settings.
     """
     arguments = sys.argv[1:] if argv is None else argv[1:]
     try:
-        names = settings.parse(arguments, environment, check)
+        positionals = settings.parse(arguments, environment, check)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
-    if settings.help_wanted:
+    if settings.help_requested:
         print(settings.help_page, end='')
         return 0
     status = 1
     try:
-        status = start(names)
+        status = start(positionals)
     except* (GypsumhallError, OSError) as group:
         print(f'{settings.program}: {innermost(group)}', file=sys.stderr)
     return status
--- a/gypsumhall/cli/backend.py
+++ b/gypsumhall/cli/backend.py
@@ -1,4 +1,4 @@
-"""Binary ``gypsumhall-backend``: stand-in backend server."""
+"""Binary ``gypsumhall-backend``: a stand-in for a backend server."""
 
 from __future__ import annotations
 
@@ -23,21 +23,21 @@
 _USAGE = """\
 usage: gypsumhall-backend [flags]
 
-Executes requests of one service with a given service time and given faults,
-and announces itself to the daemon on its VM.
+Executes requests of one service with a configurable service time and
+injected faults, and announces itself to the daemon on its VM.
 """
 _NOTES = """\
-Exit status: 0 after a planned stop (SIGTERM or SIGINT), 1 when the address
-cannot be used, 2 for invalid settings.
+Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 when the
+address cannot be used, 2 for invalid settings.
 """
 
 
 def _define_faults(settings: Settings) -> list[Setting[Any]]:
-    def rate(name: str, text: str) -> Setting[float]:
+    def define_rate(name: str, text: str) -> Setting[float]:
         return settings.number(name, 0.0, text, highest=1.0)
 
     return [
-        rate('failure_rate', 'Share of failed requests, 0 to 1.'),
+        define_rate('failure_rate', 'Share of failed requests, 0 to 1.'),
         settings.integer(
             'failure_status',
             500,
@@ -46,12 +46,18 @@
             highest=599,
         ),
         settings.number('delay_ms', 0.0, 'Additional service time in ms.'),
-        rate('crash_rate', 'Share of reset connections, 0 to 1.'),
-        rate('break_rate', 'Share of broken responses, 0 to 1.'),
+        define_rate('crash_rate', 'Share of reset connections, 0 to 1.'),
+        define_rate('break_rate', 'Share of truncated responses, 0 to 1.'),
         settings.string('path', '', 'Path prefix that faults apply to.'),
         settings.number('after_s', 0.0, 'Seconds until faults apply.'),
-        settings.integer('above', 0, 'Load above which faults apply.'),
-        settings.number('load_factor', 1.0, 'Factor on the reported load.'),
+        settings.integer(
+            'above', 0, 'Requests in flight above which faults apply.'
+        ),
+        settings.number(
+            'load_factor',
+            1.0,
+            'Factor by which the reported load is multiplied.',
+        ),
     ]
 
 
@@ -68,7 +74,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the stand-in until it is asked to end.
+    """Run the stand-in until SIGTERM or SIGINT.
 
     Parameters
     ----------
@@ -86,7 +92,7 @@
     address = settings.address(
         'address',
         '127.0.0.1:0',
-        '<ip>:<port> to listen at; port 0 for any free one.',
+        '<ip>:<port> to listen on; port 0 for any free port.',
     )
     announce = settings.address(
         'announce',
@@ -95,7 +101,7 @@
         'VM; empty for none.',
     )
     slots = settings.integer(
-        'slots', 6, 'Requests executed at the same time.', lowest=1
+        'slots', 6, 'Requests executed concurrently.', lowest=1
     )
     service_time_ms = settings.number(
         'service_time_ms', 5.0, 'Mean service time in ms.'
@@ -107,7 +113,9 @@
         'seed', 0, 'Seed of service times and faults.', lowest=-(2**53)
     )
     run_log = settings.string(
-        'run_log', '', 'File for the ids of the requests that are run.'
+        'run_log',
+        '',
+        'File to which the ids of executed requests are written.',
     )
     faults = _define_faults(settings)
 
--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -1,4 +1,4 @@
-"""Binary ``gypsumhalld``: the process in the slot of a backend server VM."""
+"""Binary ``gypsumhalld``: the daemon beside each backend server."""
 
 from __future__ import annotations
 
@@ -43,19 +43,19 @@
 Serves callers, other daemons and operators on one VM.
 """
 _NOTES = """\
-Every flag may be given as an environment variable instead; the flag comes
-first. Exit status: 0 after a planned stop (SIGTERM or SIGINT), 1 when an
-address cannot be used or a service fails, 2 for invalid settings.
+Every flag may be given as an environment variable instead; the flag takes
+precedence. Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT), 1
+when an address cannot be used or a service fails, 2 for invalid settings.
 """
 
 MIN_KEY_CHARACTERS = 16
 
-_END_SHARE = 0.9
-"""Part of the time for a planned stop after which requests that still run are
-given up. The kernel cuts a drain at 0.95 of it."""
+_CANCEL_SHARE = 0.9
+"""Share of ``--drain_timeout`` after which requests that are still running are
+cancelled. At 0.95 the kernel interrupts a drain that has not ended."""
 
 
-def _key(text: str) -> bytes:
+def _parse_key(text: str) -> bytes:
     if len(text) < MIN_KEY_CHARACTERS:
         raise ValueError(
             f'every key needs at least {MIN_KEY_CHARACTERS} characters; one '
@@ -77,11 +77,11 @@
             'zones',
             (),
             'All availability zones, separated by commas; guards against a '
-            'misspelt --zone. Empty for no check.',
+            'misspelt --zone. If empty, --zone is not checked.',
             str,
         )
         self.id = settings.string(
-            'id', '', 'Unique name; the peer address when empty.'
+            'id', '', 'Unique name of the daemon; by default its peer address.'
         )
         self.caller_address = settings.address(
             'caller_address',
@@ -94,14 +94,14 @@
             '',
             '<ip>:<port> for other daemons.',
             required=True,
-            hosts=False,
+            allow_host_names=False,
         )
         self.advertised_peer_address = settings.address(
             'advertised_peer_address',
             '',
-            '<ip>:<port> at which other daemons reach the peer address, if '
-            'it is another one.',
-            hosts=False,
+            '<ip>:<port> at which other daemons reach this one, if it '
+            'differs from the peer address.',
+            allow_host_names=False,
         )
         self.admin_address = settings.address(
             'admin_address',
@@ -117,33 +117,33 @@
             'seeds',
             (),
             'Peer addresses of daemons to join through.',
-            hosts=False,
+            allow_host_names=False,
         )
         self.peer_keys = settings.items(
             'peer_keys',
             (),
             f'Shared keys, separated by commas: 1 to {MAX_KEYS}, at least '
-            f'{MIN_KEY_CHARACTERS} characters each. Daemons that have a key '
-            'in common accept each other. Better given in the environment '
-            'than on the command line.',
-            _key,
+            f'{MIN_KEY_CHARACTERS} characters each. Daemons with a key in '
+            'common accept each other. Prefer the environment variable to '
+            'the flag.',
+            _parse_key,
             required=True,
             secret=True,
         )
         self.event_log = settings.string(
-            'event_log', '', 'File for events; standard error when empty.'
+            'event_log', '', 'File for events; standard error if empty.'
         )
         self.drain_timeout = settings.duration(
-            'drain_timeout', 30.0, 'Longest time of a planned stop.'
+            'drain_timeout', 30.0, 'Time limit of a graceful shutdown.'
         )
 
     def check(self, _names: list[str]) -> list[Finding]:
-        """Return faults of values that do not fit together."""
+        """Return the errors of combinations of values."""
         findings = []
         zone, zones = self.zone.value, self.zones.value
         if zone and zones and zone not in zones:
             message = (
-                f'{zone!r} is no availability zone; valid choices: '
+                f'{zone!r} is not an availability zone; valid choices: '
                 f'{", ".join(zones)}'
             )
             findings.append(Finding('unknown-zone', message, Place('--zone')))
@@ -192,7 +192,7 @@
         AnnouncementsService(),
         CallerService(
             settings.caller_address.value,
-            cancel_after_s=_END_SHARE * settings.drain_timeout.value,
+            cancel_after_s=_CANCEL_SHARE * settings.drain_timeout.value,
         ),
     ]
     kernel = Kernel()
@@ -202,7 +202,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the daemon until it is asked to stop.
+    """Run the daemon until SIGTERM or SIGINT.
 
     Parameters
     ----------
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -1,4 +1,4 @@
-"""Binary ``gypsumhall-fleetd``: the daemon on the platform's machines."""
+"""Binary ``gypsumhall-fleetd``: the daemon for the users' platform."""
 
 from __future__ import annotations
 
@@ -44,39 +44,43 @@
 Serves callers and the backend server of one VM on the users' platform.
 """
 _NOTES = """\
-Every flag may be given as an environment variable instead; the flag comes
-first. deploy/system.toml renders them from the platform's fields. Exit
-status: 0 after a planned stop (SIGTERM or SIGINT), 1 when an address cannot
-be used or a service fails, 2 for invalid settings.
+Every flag may be given as an environment variable instead; the flag takes
+precedence. deploy/system.toml sets the variables from the platform's fields.
+Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 when an
+address cannot be used or a service fails, 2 for invalid settings.
 """
 
-_LINGER_SHARE = 0.5
-"""Part of the time for a planned stop in which new requests are served at
-most. From then on the own endpoint takes no calls, and its last ones end."""
+_DRAIN_DELAY_SHARE = 0.5
+"""Largest share of ``--grace`` during which new requests are accepted. After
+it, the endpoint of this daemon accepts no calls and completes its last ones.
+"""
 
-_END_SHARE = 0.86
-"""Part of the time for a planned stop after which requests that still run are
-given up. By the rules it is no fault in the last sixth, and the kernel cuts a
-drain at 0.95 of `_DRAIN_SHARE`, which is 0.88."""
+_CANCEL_SHARE = 0.86
+"""Share of ``--grace`` after which requests that are still running are
+cancelled. By the users' rules, requests cut off in its last sixth do not count
+as failures. At 0.95 of `_DRAIN_TIMEOUT_SHARE`, which is 0.88, the kernel
+interrupts a drain that has not ended."""
 
-_JITTER_S = 0.05
-"""Longest random delay in seconds at a start. After the loss of all machines
-every request waits for it; the store takes 2,000 reads a second."""
+_STARTUP_JITTER_S = 0.05
+"""Longest random delay in seconds at startup, to spread the reads of the
+store, which serves 2,000 reads per second. After a loss of all machines every
+request waits for this delay."""
 
-_NOTICE_S = 0.1
-"""Time in seconds in which news of a planned stop reaches most daemons."""
+_REJECTION_DELAY_S = 0.1
+"""Time in seconds until most daemons have received the notification of a
+graceful shutdown and send no more calls."""
 
-_DRAIN_SHARE = 0.93
-"""Part of the time for a planned stop after which the daemon ends."""
+_DRAIN_TIMEOUT_SHARE = 0.93
+"""Share of ``--grace`` after which the daemon exits."""
 
-_RETRY_SHARE = 0.45
-"""Part of the allowed repetitions that daemons make. What a daemon has not
-used is kept for a window, so the sum over a window can be twice the floor;
-calls of repeated runs count as repetitions too."""
+_RETRY_LIMIT_SHARE = 0.45
+"""Share of the allowed retries that the daemons make. Retries that a daemon
+has not used remain available for one window, so the total of a window can be
+twice the floor; calls that a retried run makes count as retries too."""
 
-_HEARTBEAT_S = 0.5
-"""Time between two heartbeats to another daemon in seconds. A machine that
-dies is left out after three of them."""
+_HEARTBEAT_INTERVAL_S = 0.5
+"""Time in seconds between two heartbeats to another daemon. A machine that
+fails is excluded after three intervals."""
 
 
 class FleetSettings:
@@ -103,7 +107,7 @@
         self.ready_address = settings.address(
             'ready_address',
             '',
-            '<ip>:<port> for questions about readiness.',
+            '<ip>:<port> for readiness probes.',
             required=True,
         )
         self.control_address = settings.address(
@@ -125,14 +129,14 @@
         self.retry_ratio = settings.number(
             'retry_ratio',
             0.2,
-            'Requests beyond the first per request that a service may get '
-            'from all daemons.',
+            'Retries per request that all daemons together may send to a '
+            'service.',
         )
         self.retry_slack = settings.number(
-            'retry_slack', 64.0, 'The same, in each window in any case.'
+            'retry_slack', 64.0, 'Retries allowed in each window in any case.'
         )
         self.retry_window = settings.duration(
-            'retry_window', 10.0, 'Length of that window.'
+            'retry_window', 10.0, 'Length of the window of retry_slack.'
         )
         self.grace = settings.duration(
             'grace', 6.0, 'Time between SIGTERM and SIGKILL.'
@@ -151,8 +155,8 @@
     zone = settings.zone.value
     store_address = settings.platform.value[0]
     rng = random.Random()  # noqa: S311
-    # The platform's settings hold no secret; this key keeps the daemons of
-    # different fleets apart.
+    # The platform's settings contain no secret; this key only prevents
+    # connections between daemons of different fleets.
     key = f'gypsumhall fleet at {store_address}'.encode()
     peer_settings = PeerSettings(
         daemon,
@@ -165,18 +169,18 @@
     )
     rollouts = RolloutService(rng=rng)
     retry_limits = RetryLimits(
-        _RETRY_SHARE * settings.retry_ratio.value,
-        _RETRY_SHARE
+        _RETRY_LIMIT_SHARE * settings.retry_ratio.value,
+        _RETRY_LIMIT_SHARE
         * settings.retry_slack.value
         / settings.retry_window.value,
         fleet_wide=True,
     )
-    drain_delay_s = _LINGER_SHARE * settings.grace.value
+    drain_delay_s = _DRAIN_DELAY_SHARE * settings.grace.value
     runner = RunnerService(
         rng,
         dialect=platform.DIALECT,
         retry_limits=retry_limits,
-        rejection_delay_s=_NOTICE_S,
+        rejection_delay_s=_REJECTION_DELAY_S,
         availability_wait_s=drain_delay_s,
     )
     runner.set_split_source(rollouts.split)
@@ -190,13 +194,13 @@
         Peers(peer_settings),
         MembershipService(
             MembershipSettings(
-                interval_s=_HEARTBEAT_S,
-                jitter_s=_JITTER_S,
+                interval_s=_HEARTBEAT_INTERVAL_S,
+                jitter_s=_STARTUP_JITTER_S,
                 reseed_interval_s=5.0,
             )
         ),
         Registration(rng=rng),
-        DistributionService(jitter_s=_JITTER_S),
+        DistributionService(jitter_s=_STARTUP_JITTER_S),
         rollouts,
         Feed(rng=rng),
         admin,
@@ -208,7 +212,7 @@
             platform.DIALECT,
             settings.service.value,
             drain_delay_s,
-            _END_SHARE * settings.grace.value,
+            _CANCEL_SHARE * settings.grace.value,
         ),
         Readiness(),
     ]
@@ -219,7 +223,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the daemon until it is asked to stop.
+    """Run the daemon until SIGTERM or SIGINT.
 
     Parameters
     ----------
@@ -235,10 +239,12 @@
 
     def start(_names: list[str]) -> int:
         kernel = build_kernel(settings)
-        # What this daemon reads of the settings is fixed for the life of
-        # its process, so SIGHUP changes nothing.
+        # The settings that the daemon uses are fixed for the life of its
+        # process, so a SIGHUP to reload them is ignored.
         return run_kernel(
-            kernel, _DRAIN_SHARE * settings.grace.value, (signal.SIGHUP,)
+            kernel,
+            _DRAIN_TIMEOUT_SHARE * settings.grace.value,
+            (signal.SIGHUP,),
         )
 
     return run_binary(settings.settings, argv, start)
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -1,4 +1,4 @@
-"""The binary ``gypsumhall``: the operators' command line."""
+"""Binary ``gypsumhall``: the command-line client for operators."""
 
 from __future__ import annotations
 
@@ -44,9 +44,11 @@
 gypsumhall [flags] <command> [arguments]
 
 Commands:
-  check <file>...         Check texts against the accepted configuration;
-                          without --daemons against each other only.
-  submit <file>           Have a text accepted ("-" reads standard input).
+  check <file>...         Check configuration texts against the accepted
+                          configuration, or only against each other if
+                          --daemons is not given.
+  submit <file>           Submit a configuration text ("-" reads standard
+                          input).
   status                  Show the version, the zones, moves and reverts.
   wait <version>          Wait until a version is in effect everywhere.
   wait <department>/<move>  Wait until a move is done or reverted.
@@ -56,31 +58,34 @@
 """
 _NOTES = f"""\
 Exit codes:
-  {OK}  done, or no finding
-  {REFUSED}  refused, with findings; or the move was reverted
-  {USAGE}  bad flags or arguments
+  {OK}  success, or no findings
+  {REFUSED}  rejected, with findings; or the move was reverted
+  {USAGE}  invalid flags or arguments
   {UNAVAILABLE}  no daemon or no platform responded; nothing was accepted
   {UNKNOWN}  it is unknown whether the text was accepted; submit again with
      the --submission_id that was printed
-  {TIMED_OUT}  the wait ended before its condition held
+  {TIMED_OUT}  the wait timed out before its condition was met
 """
 
-FIRST_BACKOFF_S = 0.1
+INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
-# A daemon gives up a submission after 10 s and reads a large text before.
+# A daemon processes a submission for at most 10 s, after the time for reading
+# a large text.
 SUBMIT_TIMEOUT_S = 25.0
 CONNECT_TIMEOUT_S = 2.0
-# A daemon that was told the time that is left still has to respond.
-GRACE_S = 2.0
+# A daemon receives the remaining time as its time limit and responds after it,
+# so the client waits longer by this margin.
+RESPONSE_MARGIN_S = 2.0
 LONG_POLL_S = 10.0
-# Statuses after which another daemon may do better.
-_TRY_NEXT = (404, 408, 500, 502, 503)
-# Problems of a daemon that did not look at the submission.
-_NOT_RUN = ('busy', 'no-such-path', 'slow-body', 'starting')
+# Statuses after which the request is sent to another daemon, which may be able
+# to handle it.
+_TRY_NEXT_STATUSES = (404, 408, 500, 502, 503)
+# Problem codes of a daemon that has not started to process the submission.
+_NOT_RUN_CODES = ('busy', 'no-such-path', 'slow-body', 'starting')
 
 
 class UsageError(Exception):
-    """Arguments that cannot be used."""
+    """Invalid arguments on the command line."""
 
 
 class NoDaemonError(Exception):
@@ -90,7 +95,7 @@
 class _NoResponseError(Exception):
     """One daemon did not respond.
 
-    `sent` tells whether the request may have been executed.
+    If `sent` is true, the request may have been executed.
     """
 
     def __init__(self, daemon: str, error: Exception, *, sent: bool) -> None:
@@ -114,50 +119,55 @@
 
     def __init__(self) -> None:
         self.settings = Settings(
-            'gypsumhall', _USAGE, _NOTES, positionals=True
+            'gypsumhall', _USAGE, _NOTES, allow_positionals=True
         )
         define = self.settings
         self.daemons = define.addresses(
             'daemons', (), 'Admin addresses of daemons, tried in this order.'
         )
         self.output = define.string(
-            'output', 'text', 'Form of the output.', choices=('text', 'json')
+            'output',
+            'text',
+            'Output format, text or json.',
+            choices=('text', 'json'),
         )
         self.timeout = define.duration(
-            'timeout', 60.0, 'Longest time of a command in all.'
+            'timeout', 60.0, 'Total time limit of a command.'
         )
         self.token = define.string(
-            'token', '', 'Token of the department; better in the variable.'
+            'token',
+            '',
+            'Token of the department; prefer the environment variable.',
         )
         self.token_file = define.string(
-            'token_file', '', 'File that holds the token.'
+            'token_file', '', 'File that contains the token.'
         )
         self.department = define.string(
-            'department', '', 'Refuse a text of another department.'
+            'department', '', 'Reject a text of another department.'
         )
         self.submission_id = define.string(
-            'submission_id', '', 'Id of an earlier attempt to ask about.'
+            'submission_id', '', 'Id of an earlier submission to retry.'
         )
         self.wait = define.boolean(
-            'wait', False, 'After submit: wait until it is in effect.'
+            'wait', False, 'After submit: wait until the text is in effect.'
         )
         self.since = define.integer(
             'since', 0, 'Index of the first event to show.'
         )
         self.follow = define.boolean(
-            'follow', False, 'Show further events as they come.'
+            'follow', False, 'Show new events continuously.'
         )
 
 
 class Client:
-    """Sends requests to one of several daemons.
+    """Sends requests to one of several daemons, with failover.
 
     Parameters
     ----------
     daemons : sequence of str
         Admin addresses.
     deadline : float
-        Trio time at which no further attempt starts.
+        Trio time after which no further attempt starts.
     """
 
     def __init__(self, daemons: Sequence[str], deadline: float) -> None:
@@ -169,7 +179,7 @@
 
     @property
     def remaining(self) -> float:
-        """Seconds left."""
+        """Seconds until the deadline."""
         return self._deadline - trio.current_time()
 
     async def aclose(self) -> None:
@@ -177,18 +187,20 @@
         await self._pool.aclose()
 
     def try_next(self) -> None:
-        """Turn to the next daemon."""
+        """Switch to the next daemon after a failure."""
         self._next += 1
         self._failures += 1
 
     async def back_off(self) -> bool:
-        """Wait before a repeated request; False when time is over."""
-        # A round through all daemons costs no wait.
+        """Wait before a retry; return False once the deadline has passed."""
+        # Wait only after all daemons have been tried.
         rounds = self._failures // max(1, len(self._daemons))
         if rounds and self._failures % len(self._daemons) == 0:
-            longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(rounds, 9))
+            limit_s = min(
+                MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** min(rounds, 9)
+            )
             await trio.sleep(
-                max(0.0, min(random.uniform(0.05, longest), self.remaining))
+                max(0.0, min(random.uniform(0.05, limit_s), self.remaining))
             )
         return self.remaining > 0
 
@@ -199,26 +211,29 @@
         body: Mapping[str, object] | None = None,
         timeout_s: float = 10.0,
     ) -> _Response:
-        """Send one request to the present daemon.
+        """Send one request to the current daemon.
 
         Raises
         ------
         _NoResponseError
-            When it does not respond in time.
+            If it does not respond in time.
         """
         daemon = self._daemons[self._next % len(self._daemons)]
-        limit = min(timeout_s, max(0.0, self.remaining) + GRACE_S)
-        connect = min(CONNECT_TIMEOUT_S, limit)
+        limit_s = min(timeout_s, max(0.0, self.remaining) + RESPONSE_MARGIN_S)
+        connect_timeout_s = min(CONNECT_TIMEOUT_S, limit_s)
         content = None if body is None else json.dumps(body).encode()
         try:
-            with trio.fail_after(limit):
+            with trio.fail_after(limit_s):
                 response = await self._pool.request(
                     method,
                     f'http://{daemon}{path}',
                     headers={'content-type': 'application/json'},
                     content=content,
                     extensions={
-                        'timeout': {'connect': connect, 'pool': connect}
+                        'timeout': {
+                            'connect': connect_timeout_s,
+                            'pool': connect_timeout_s,
+                        }
                     },
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -238,19 +253,19 @@
             fields = {}
         return _Response(response.status, fields)
 
-    async def ask(
+    async def send_with_retries(
         self,
         method: str,
         path: str,
         body: Mapping[str, object] | None = None,
         timeout_s: float = 10.0,
     ) -> _Response:
-        """Send a request that may be repeated until a daemon responds.
+        """Send an idempotent request, with retries until a daemon responds.
 
         Raises
         ------
         NoDaemonError
-            When none did before the deadline.
+            If none responds before the deadline.
         """
         problem = 'no time was left'
         while await self.back_off():
@@ -260,7 +275,10 @@
                 problem = str(error)
             else:
                 code = response.fields.get('code', '')
-                if response.status not in _TRY_NEXT or code == 'unknown-move':
+                if (
+                    response.status not in _TRY_NEXT_STATUSES
+                    or code == 'unknown-move'
+                ):
                     return response
                 problem = response.detail
             self.try_next()
@@ -268,7 +286,7 @@
 
 
 class _Command:
-    """One run of the binary."""
+    """One invocation of the command line."""
 
     def __init__(self, options: _Options, arguments: Sequence[str]) -> None:
         self._options = options
@@ -281,46 +299,48 @@
 
     # Output
 
-    def _show(self, fields: Mapping[str, Any], lines: Sequence[str]) -> None:
+    def _print_result(
+        self, fields: Mapping[str, Any], lines: Sequence[str]
+    ) -> None:
         if self._json:
             print(json.dumps(fields))
         else:
             for line in lines:
                 print(line)
 
-    def _progress(self, line: str) -> None:
+    def _print_progress(self, line: str) -> None:
         print(line, file=sys.stderr, flush=True)
 
-    def _show_findings(
+    def _print_findings(
         self, outcome: str, findings: Sequence[Mapping[str, Any]], **more: Any
     ) -> None:
-        self._show(
+        self._print_result(
             {'outcome': outcome, **more, 'findings': findings},
-            [_finding_line(item) for item in findings],
+            [_format_finding(item) for item in findings],
         )
 
     # Arguments
 
-    def _argument(self, what: str) -> str:
+    def _single_argument(self, description: str) -> str:
         if len(self._arguments) != 1:
             raise UsageError(
-                f'this command takes one argument, {what}; given: '
+                f'this command takes one argument, {description}; given: '
                 f'{len(self._arguments)}'
             )
         return self._arguments[0]
 
-    def _no_argument(self) -> None:
+    def _require_no_arguments(self) -> None:
         if self._arguments:
             raise UsageError(
                 f'this command takes no arguments; given: '
                 f'{" ".join(self._arguments)}'
             )
 
-    def _need_daemons(self) -> None:
+    def _require_daemons(self) -> None:
         if not self._options.daemons.value:
             raise UsageError('give --daemons or GYPSUMHALL_DAEMONS')
 
-    def _text(self, name: str) -> str:
+    def _read_text(self, name: str) -> str:
         """Return the contents of a file, or of standard input for "-"."""
         try:
             if name == '-':
@@ -334,7 +354,7 @@
         except UnicodeDecodeError as error:
             raise UsageError(f'{name}: not UTF-8 at byte {error.start}')
 
-    def _token(self) -> str:
+    def _read_token(self) -> str:
         path = self._options.token_file.value
         if path and not self._options.token.value:
             try:
@@ -354,7 +374,7 @@
         try:
             return await command(self)
         except NoDaemonError as error:
-            self._progress(f'gypsumhall: no daemon responded: {error}')
+            self._print_progress(f'gypsumhall: no daemon responded: {error}')
             return UNAVAILABLE
         finally:
             with trio.move_on_after(1, shield=True):
@@ -362,35 +382,41 @@
 
     async def check(self) -> int:
         if not self._arguments:
-            raise UsageError('this command takes the files with the texts')
-        texts = {name: self._text(name) for name in self._arguments}
+            raise UsageError(
+                'this command takes one or more files with configuration texts'
+            )
+        texts = {name: self._read_text(name) for name in self._arguments}
         findings: list[Mapping[str, Any]] = []
         if not self._options.daemons.value:
-            self._progress('checked without a daemon: these texts only')
-            findings += [finding_fields(item) for item in _check_alone(texts)]
+            self._print_progress(
+                'checked without a daemon: only against each other'
+            )
+            findings += [
+                finding_fields(item) for item in _check_without_daemon(texts)
+            ]
         else:
             for name, text in texts.items():
-                response = await self._client.ask(
+                response = await self._client.send_with_retries(
                     'POST',
                     '/v1/operator/check',
                     {'text': text, 'source': name},
                 )
                 if response.status != 200:
-                    self._progress(f'gypsumhall: {response.detail}')
+                    self._print_progress(f'gypsumhall: {response.detail}')
                     return USAGE
                 findings += response.fields['findings']
-        self._show_findings('findings' if findings else 'valid', findings)
+        self._print_findings('findings' if findings else 'valid', findings)
         return REFUSED if findings else OK
 
     async def submit(self) -> int:
-        self._need_daemons()
-        name = self._argument('the file with the text')
-        text = self._text(name)
-        token = self._token()
+        self._require_daemons()
+        name = self._single_argument('the file with the configuration text')
+        text = self._read_text(name)
+        token = self._read_token()
         submission_id = self._options.submission_id.value
         if not submission_id:
-            submission_id = await self._new_id()
-        self._progress(f'submission id: {submission_id}')
+            submission_id = await self._new_submission_id()
+        self._print_progress(f'submission id: {submission_id}')
         body: dict[str, object] = {
             'id': submission_id,
             'department': self._options.department.value,
@@ -398,9 +424,9 @@
             'text': text,
             'source': name,
         }
-        # An id of an earlier run may have been accepted by then.
+        # An earlier submission under a given id may have been accepted.
         uncertain = bool(self._options.submission_id.value)
-        problem = shown = 'no time was left'
+        problem = printed_problem = 'no time was left'
         while await self._client.back_off():
             body['timeout_s'] = self._client.remaining
             try:
@@ -413,26 +439,28 @@
             else:
                 outcome = response.fields.get('outcome')
                 if outcome in ('accepted', 'refused'):
-                    return await self._submitted(response, uncertain)
+                    return await self._report_decision(response, uncertain)
                 if response.status in (400, 413):
-                    self._progress(f'gypsumhall: {response.detail}')
+                    self._print_progress(f'gypsumhall: {response.detail}')
                     return USAGE
                 code = response.fields.get('code')
                 not_run = 'unavailable' in (outcome, code)
-                uncertain = uncertain or not (not_run or code in _NOT_RUN)
+                uncertain = uncertain or not (
+                    not_run or code in _NOT_RUN_CODES
+                )
                 problem = response.detail
-            if problem != shown:
-                self._progress(f'trying again: {problem}')
-                shown = problem
+            if problem != printed_problem:
+                self._print_progress(f'trying again: {problem}')
+                printed_problem = problem
             self._client.try_next()
-        return self._undecided(submission_id, problem, uncertain)
+        return self._report_no_decision(submission_id, problem, uncertain)
 
-    async def _new_id(self) -> str:
-        """Return an id that names the version in force.
+    async def _new_submission_id(self) -> str:
+        """Return an id that contains the current version.
 
-        The version lets a daemon tell an id that was never accepted from
-        one whose acceptance is recorded no longer. Without a version, as
-        before the first one, the id is random only.
+        The version lets a daemon distinguish an id that was never accepted
+        from one whose acceptance is no longer recorded. If there is no version
+        yet or it cannot be read, the id consists of the random part only.
         """
         random_part = secrets.token_hex(8)
         for _ in self._options.daemons.value:
@@ -448,92 +476,102 @@
             break
         return random_part
 
-    async def _submitted(self, response: _Response, uncertain: bool) -> int:
+    async def _report_decision(
+        self, response: _Response, uncertain: bool
+    ) -> int:
         fields = response.fields
         if fields['outcome'] == 'accepted':
             version = fields['version']
-            self._show(fields, [f'accepted as version {version}'])
+            self._print_result(fields, [f'accepted as version {version}'])
             if self._options.wait.value:
                 return await self._wait_for(f'version={version}')
             return OK
         findings = fields['findings']
         if not uncertain:
-            self._show_findings('refused', findings, id=fields['id'])
+            self._print_findings('refused', findings, id=fields['id'])
             return REFUSED
-        self._show_findings('unknown', findings, id=fields['id'])
-        self._progress(
-            'refused now, but an earlier attempt may still be accepted; '
-            'look at the status'
+        self._print_findings('unknown', findings, id=fields['id'])
+        self._print_progress(
+            'rejected, but an earlier attempt may still be accepted; check '
+            'the status'
         )
         return UNKNOWN
 
-    def _undecided(
+    def _report_no_decision(
         self, submission_id: str, problem: str, uncertain: bool
     ) -> int:
         outcome = 'unknown' if uncertain else 'unavailable'
         advice = (
-            f'ask again with --submission_id={submission_id}'
+            f'submit again with --submission_id={submission_id}'
             if uncertain
             else 'nothing was accepted'
         )
-        self._show(
+        self._print_result(
             {'outcome': outcome, 'id': submission_id, 'detail': problem},
             [f'{outcome}: {problem}; {advice}'],
         )
         return UNKNOWN if uncertain else UNAVAILABLE
 
     async def status(self) -> int:
-        self._no_argument()
-        self._need_daemons()
-        response = await self._client.ask('GET', '/v1/operator/status')
+        self._require_no_arguments()
+        self._require_daemons()
+        response = await self._client.send_with_retries(
+            'GET', '/v1/operator/status'
+        )
         fields = response.fields
         lines = [
             f'version {fields["version"]}, '
             + ('in effect' if fields['in_effect'] else 'not yet everywhere')
         ]
         for zone, item in fields['zones'].items():
-            lines.append(f'zone {zone}: {_zone_text(item)}')
-        lines += [_move_text(item) for item in fields['moves']]
+            lines.append(f'zone {zone}: {_format_zone(item)}')
+        lines += [_format_move(item) for item in fields['moves']]
         lines += [
             f'revert {item["move"]}: {item["reason"]} (by {item["origin"]})'
             for item in fields['reverts']
         ]
-        self._show(fields, lines)
+        self._print_result(fields, lines)
         return OK
 
     async def moves(self) -> int:
-        self._no_argument()
-        self._need_daemons()
-        response = await self._client.ask('GET', '/v1/operator/moves')
-        found = response.fields['moves']
-        self._show(
+        self._require_no_arguments()
+        self._require_daemons()
+        response = await self._client.send_with_retries(
+            'GET', '/v1/operator/moves'
+        )
+        move_items = response.fields['moves']
+        self._print_result(
             response.fields,
-            [_move_text(item) for item in found] or ['no moves'],
+            [_format_move(item) for item in move_items] or ['no moves'],
         )
         return OK
 
     async def abort(self) -> int:
-        move_id = self._argument('the id of the move')
+        move_id = self._single_argument('the id of the move')
         if not _is_move_id(move_id):
-            raise UsageError(f'{move_id!r} is no <department>/<move>')
-        self._need_daemons()
+            raise UsageError(f'{move_id!r} is not <department>/<move>')
+        self._require_daemons()
         path = f'/v1/operator/moves/{quote(move_id)}/abort'
-        token = self._token()
-        response = await self._client.ask('POST', path, {'token': token})
+        token = self._read_token()
+        response = await self._client.send_with_retries(
+            'POST', path, {'token': token}
+        )
         if response.status in (200, 202):
             recorded = response.fields['recorded']
             note = '' if recorded else '; the head records it later'
-            self._show(response.fields, [f'{move_id} is reverted{note}'])
+            self._print_result(
+                response.fields, [f'{move_id} is reverted{note}']
+            )
             return OK
         findings = response.fields.get('findings', ())
-        self._show_findings('refused', findings)
+        self._print_findings('refused', findings)
         if not findings:
-            self._progress(f'gypsumhall: {response.detail}')
+            self._print_progress(f'gypsumhall: {response.detail}')
         return REFUSED
 
     async def wait(self) -> int:
-        target = self._argument('a version or the id of a move')
-        self._need_daemons()
+        target = self._single_argument('a version or the id of a move')
+        self._require_daemons()
         if target.isdecimal():
             return await self._wait_for(f'version={target}')
         if not _is_move_id(target):
@@ -543,39 +581,45 @@
         return await self._wait_for(f'move={quote(target)}')
 
     async def _wait_for(self, condition: str) -> int:
-        last = ''
+        last_line = ''
         fields: Mapping[str, Any] = {}
         while self._client.remaining > 0:
-            seconds = min(LONG_POLL_S, self._client.remaining)
-            # A changed state is shown soon, so the first answers are short.
-            seconds = min(seconds, 1.0) if not last else seconds
-            path = f'/v1/operator/wait?{condition}&timeout={seconds:.3f}'
-            response = await self._client.ask(
-                'GET', path, timeout_s=seconds + GRACE_S
+            poll_timeout_s = min(LONG_POLL_S, self._client.remaining)
+            # The first poll is short, so that the state is printed soon.
+            poll_timeout_s = (
+                min(poll_timeout_s, 1.0) if not last_line else poll_timeout_s
+            )
+            path = (
+                f'/v1/operator/wait?{condition}&timeout={poll_timeout_s:.3f}'
+            )
+            response = await self._client.send_with_retries(
+                'GET', path, timeout_s=poll_timeout_s + RESPONSE_MARGIN_S
             )
             if response.status != 200:
                 raise UsageError(response.detail)
             fields = response.fields
-            line = _wait_text(fields)
-            if line != last:
-                self._progress(line)
-                last = line
+            line = _format_wait(fields)
+            if line != last_line:
+                self._print_progress(line)
+                last_line = line
             if fields['done']:
-                self._show(fields, [line])
+                self._print_result(fields, [line])
                 state = (fields.get('move') or {}).get('state')
                 return REFUSED if state == 'reverted' else OK
-        self._show(fields, [f'timed out: {last}'])
+        self._print_result(fields, [f'timed out: {last_line}'])
         return TIMED_OUT
 
     async def events(self) -> int:
-        self._no_argument()
-        self._need_daemons()
+        self._require_no_arguments()
+        self._require_daemons()
         since = self._options.since.value
         while True:
-            response = await self._client.ask('GET', f'/events?since={since}')
+            response = await self._client.send_with_retries(
+                'GET', f'/events?since={since}'
+            )
             for event in response.fields.get('events', ()):
                 since = max(since, int(event['index']) + 1)
-                self._show(event, [_event_text(event)])
+                self._print_result(event, [_format_event(event)])
             if not self._options.follow.value:
                 return OK
             if self._client.remaining <= 1:
@@ -599,8 +643,8 @@
     return bool(department) and bool(name) and '/' not in name
 
 
-def _check_alone(texts: Mapping[str, str]) -> list[Finding]:
-    """Check each text against the others, without a configuration."""
+def _check_without_daemon(texts: Mapping[str, str]) -> list[Finding]:
+    """Check each text against the others only."""
     now = time.time()
     parsed = [_text.read_text(text, name, now) for name, text in texts.items()]
     findings: list[Finding] = []
@@ -614,12 +658,12 @@
     return findings
 
 
-def _finding_line(fields: Mapping[str, Any]) -> str:
+def _format_finding(fields: Mapping[str, Any]) -> str:
     place = Place(fields['source'], fields['line'], fields['column'])
     return str(Finding(fields['code'], fields['message'], place))
 
 
-def _zone_text(item: Mapping[str, Any]) -> str:
+def _format_zone(item: Mapping[str, Any]) -> str:
     state = 'in effect' if item['in_effect'] else 'not yet'
     return (
         f'{state}, {item["members"]} of {item["expected"]} daemons, lowest '
@@ -627,7 +671,7 @@
     )
 
 
-def _move_text(item: Mapping[str, Any]) -> str:
+def _format_move(item: Mapping[str, Any]) -> str:
     deadline = datetime.datetime.fromtimestamp(
         item['deadline'], datetime.UTC
     ).isoformat(timespec='seconds')
@@ -642,26 +686,26 @@
     return text + (f' ({item["reason"]})' if item['reason'] else '')
 
 
-def _wait_text(fields: Mapping[str, Any]) -> str:
+def _format_wait(fields: Mapping[str, Any]) -> str:
     if 'move' in fields:
         move = fields['move']
-        return _move_text(move) if move else 'the move is not known yet'
-    behind = [
-        f'{zone}: {_zone_text(item)}'
+        return _format_move(move) if move else 'the move is not known yet'
+    pending_zones = [
+        f'{zone}: {_format_zone(item)}'
         for zone, item in fields['zones'].items()
         if not item['in_effect']
     ]
     state = 'in effect' if fields['done'] else 'not in effect yet'
-    return '; '.join([f'version {fields["version"]} {state}', *behind])
+    return '; '.join([f'version {fields["version"]} {state}', *pending_zones])
 
 
-def _event_text(event: Mapping[str, Any]) -> str:
-    rest = ' '.join(
+def _format_event(event: Mapping[str, Any]) -> str:
+    details = ' '.join(
         f'{key}={value}'
         for key, value in event.items()
         if key not in ('index', 'code') and value not in ('', [])
     )
-    return f'{event["index"]} {event.get("code", "")} {rest}'
+    return f'{event["index"]} {event.get("code", "")} {details}'
 
 
 def run(arguments: Sequence[str], environment: Mapping[str, str]) -> int:
@@ -676,19 +720,23 @@
     """
     options = _Options()
 
-    def start(names: list[str]) -> int:
-        command = _COMMANDS.get(names[0]) if names else None
+    def start(positionals: list[str]) -> int:
+        command = _COMMANDS.get(positionals[0]) if positionals else None
         if command is None:
-            given = f'unknown command {names[0]!r}' if names else 'no command'
+            problem = (
+                f'unknown command {positionals[0]!r}'
+                if positionals
+                else 'no command'
+            )
             print(
-                f'gypsumhall: {given}; commands: {", ".join(_COMMANDS)}; see '
-                '--help',
+                f'gypsumhall: {problem}; commands: {", ".join(_COMMANDS)}; '
+                'see --help',
                 file=sys.stderr,
             )
             return USAGE
 
         async def run_command() -> int:
-            return await _Command(options, names[1:]).run(command)
+            return await _Command(options, positionals[1:]).run(command)
 
         try:
             return trio.run(run_command)
@@ -701,7 +749,7 @@
 
 
 def main() -> None:
-    """Entry point of the binary."""
+    """Run the binary as a process and exit with its exit code."""
     try:
         sys.exit(run(sys.argv[1:], os.environ))
     except KeyboardInterrupt:
--- a/gypsumhall/cli/platform.py
+++ b/gypsumhall/cli/platform.py
@@ -1,6 +1,6 @@
-"""Binary ``gypsumhall-platform``: the stand-in of the platform.
+"""Binary ``gypsumhall-platform``: a stand-in for the platform's gateway.
 
-It prints the address that it listens at.
+It prints the address that it listens on.
 """
 
 from __future__ import annotations
@@ -22,11 +22,12 @@
 _USAGE = """\
 usage: gypsumhall-platform [flags]
 
-Serves the part of the platform's gateway that gypsumhall uses, from memory.
+Serves the part of the platform's API that gypsumhall uses. All data is in
+memory and lost at exit.
 """
 _NOTES = """\
-Exit status: 0 after a planned stop (SIGTERM or SIGINT), 1 when the address
-cannot be used, 2 for invalid settings.
+Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 when the
+address cannot be used, 2 for invalid settings.
 """
 
 
@@ -34,17 +35,17 @@
     shutdown = trio.Event()
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            bound = await nursery.start(
+            bound_address = await nursery.start(
                 serve_platform, Platform(), address, shutdown
             )
-            print(bound, flush=True)
+            print(bound_address, flush=True)
             async for _ in signals:
                 shutdown.set()
                 break
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the stand-in until it is asked to end.
+    """Run the stand-in until SIGTERM or SIGINT.
 
     Parameters
     ----------
@@ -60,8 +61,8 @@
     address = settings.address(
         'platform_address',
         '127.0.0.1:2379',
-        '<ip>:<port> to listen at; port 0 for any free one.',
-        hosts=False,
+        '<ip>:<port> to listen on; port 0 for any free port.',
+        allow_host_names=False,
     )
 
     def start(_names: list[str]) -> int:
--- a/gypsumhall/cli/timeline.py
+++ b/gypsumhall/cli/timeline.py
@@ -1,4 +1,4 @@
-"""Binary ``gypsumhall-timeline``: one time line of many processes."""
+"""Binary ``gypsumhall-timeline``: merges the event logs of many processes."""
 
 from __future__ import annotations
 
@@ -28,18 +28,17 @@
 _USAGE = """\
 usage: gypsumhall-timeline [flags] [event log]...
 
-Merges event logs into one time line in which no effect comes before its
-cause. Logs are files, given as arguments or with --log, and those of running
-daemons, given with --admin_address. Findings about the logs go to standard
-error.
+Merges event logs into one timeline in causal order. Logs are read from
+files, given as arguments or with --log, and from running daemons, given with
+--admin_address. Problems found in the logs are printed to standard error.
 """
 _NOTES = """\
-Exit status: 0, also with malformed lines; 1 when a log could not be read or
-the page not be written; 2 for invalid settings.
+Exit status: 0, even if there are malformed lines; 1 if a log could not be
+read or the output could not be written; 2 for invalid settings.
 """
 
 
-def _version(text: str) -> int:
+def _parse_version(text: str) -> int:
     if not text.isdecimal():
         raise ValueError('expected integers, separated by commas')
     return int(text)
@@ -50,26 +49,28 @@
         file.write(render_html(events, logs.findings))
 
 
-def _show(logs: Logs, selection: Selection, form: str, html: str) -> int:
-    """Print and write the selected events and return the exit status."""
+def _output_events(
+    logs: Logs, selection: Selection, output_format: str, html: str
+) -> int:
+    """Output the selected events and return the exit status."""
     events = [item for item in merge(logs.events) if selection.admits(item)]
     for finding in logs.findings:
         print(finding, file=sys.stderr)
     try:
         if html:
             _write_html(html, events, logs)
-        if form != 'none':
-            render = render_json if form == 'json' else render_text
+        if output_format != 'none':
+            render = render_json if output_format == 'json' else render_text
             for line in render(events):
                 print(line)
     except OSError as error:
-        print(f'the time line cannot be written: {error}', file=sys.stderr)
+        print(f'the timeline cannot be written: {error}', file=sys.stderr)
         return 1
     return 1 if logs.unread else 0
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    """Merge event logs and show them.
+    """Merge event logs and output the timeline.
 
     Parameters
     ----------
@@ -82,7 +83,7 @@
         Exit status, see ``--help``.
     """
     settings = Settings(
-        'gypsumhall-timeline', _USAGE, _NOTES, positionals=True
+        'gypsumhall-timeline', _USAGE, _NOTES, allow_positionals=True
     )
     files = settings.items(
         'log', (), 'Event logs to read, in addition to the arguments.', str
@@ -90,53 +91,63 @@
     daemons = settings.addresses(
         'admin_address',
         (),
-        'Admin addresses of daemons to ask, <ip>:<port>.',
-        hosts=False,
+        'Admin addresses of daemons to fetch logs from, <ip>:<port>.',
+        allow_host_names=False,
     )
     codes = settings.items(
         'code',
         (),
-        'Show only events with these codes; * stands for any text.',
+        'Show only events with these codes; * matches any characters.',
         str,
     )
     zones = settings.items('zone', (), 'Show only events of these zones.', str)
-    ids = settings.items(
-        'daemon', (), 'Show only events of the daemons with these ids.', str
+    daemon_ids = settings.items(
+        'daemon',
+        (),
+        'Show only events of the daemons with these ids.',
+        str,
     )
     moves = settings.items(
-        'move', (), 'Show only events about the moves with these ids.', str
+        'move',
+        (),
+        'Show only events about the moves with these ids.',
+        str,
     )
     versions = settings.items(
         'version',
         (),
         'Show only events at or about these configuration versions.',
-        _version,
+        _parse_version,
     )
-    form = settings.string(
+    output_format = settings.string(
         'format',
         'text',
-        'How events are printed: text, json or none.',
+        'Format of the printed events: text, json or none.',
         choices=('text', 'json', 'none'),
     )
     html = settings.string(
-        'html', '', 'File for a page with one lane per process.'
+        'html', '', 'File for an HTML page with one lane per process.'
     )
 
-    def check(names: list[str]) -> list[Finding]:
-        if names or files.value or daemons.value:
+    def check(positionals: list[str]) -> list[Finding]:
+        if positionals or files.value or daemons.value:
             return []
         message = 'give event logs as arguments, or --admin_address'
         return [Finding('no-log', message, Place('command line'))]
 
-    def start(names: list[str]) -> int:
+    def start(positionals: list[str]) -> int:
         logs = Logs()
-        read_files(logs, [*names, *files.value])
+        read_files(logs, [*positionals, *files.value])
         if daemons.value:
             trio.run(fetch_logs, logs, daemons.value)
         selection = Selection(
-            codes.value, zones.value, ids.value, moves.value, versions.value
+            codes.value,
+            zones.value,
+            daemon_ids.value,
+            moves.value,
+            versions.value,
         )
-        return _show(logs, selection, form.value, html.value)
+        return _output_events(logs, selection, output_format.value, html.value)
 
     return run_binary(settings, argv, start, check)
 
--- a/tests/test_cli_daemon.py
+++ b/tests/test_cli_daemon.py
@@ -52,7 +52,7 @@
         ({'peer_keys': ' , '}, '--peer_keys: bad-setting'),
         ({'zone': None}, 'GYPSUMHALL_ZONE'),
         ({'caller_address': None}, '--caller_address: missing-setting'),
-        ({'caller_address': 'here'}, "'here' is no address"),
+        ({'caller_address': 'here'}, "'here' is not an address"),
         ({'peer_address': 'host:1'}, 'expected <ip>:<port>'),
         ({'peer_address': '::1:7001'}, 'expected <ip>:<port>'),
         ({'advertised_peer_address': '1.2.3.4'}, '--advertised_peer_address'),
@@ -63,7 +63,7 @@
         ({'zome': 'az-1'}, 'similar: --zone'),
     ],
 )
-def test_faults_are_named_with_their_flag(
+def test_errors_name_the_flag(
     capsys: Any, changes: dict[str, str | None], message: str
 ) -> None:
     assert daemon.main(_command_line(**changes)) == 2
@@ -73,10 +73,10 @@
     assert len(error.splitlines()) == 1
 
 
-def test_all_faults_are_reported_together(
+def test_all_errors_are_reported_together(
     monkeypatch: pytest.MonkeyPatch, capsys: Any
 ) -> None:
-    # Guards against an operator who mends one fault for each start.
+    # Otherwise an operator would see only one error per start.
     monkeypatch.setenv('GYPSUMHALL_DRAIN_TIMEOUT', 'long')
     argv = [
         *_command_line(zone='az-9', peer_keys='short', admin_address=None),
@@ -99,16 +99,16 @@
 
 
 @contextlib.contextmanager
-def _taken_address() -> Iterator[str]:
-    with socket.create_server(('127.0.0.1', 0)) as taken:
-        yield f'127.0.0.1:{taken.getsockname()[1]}'
+def _address_in_use() -> Iterator[str]:
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        yield f'127.0.0.1:{listener.getsockname()[1]}'
 
 
 @pytest.mark.parametrize(
     'flag', ['caller_address', 'peer_address', 'admin_address']
 )
-def test_an_address_in_use_is_named_in_one_line(flag: str) -> None:
-    with _taken_address() as address:
+def test_address_in_use_is_reported_in_one_line(flag: str) -> None:
+    with _address_in_use() as address:
         command_line = _command_line(**{flag: address})
         result = subprocess.run(
             [sys.executable, '-m', 'gypsumhall.cli.daemon', *command_line[1:]],
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -1,4 +1,4 @@
-"""Settings of the daemon on the users' platform, and its deploy file."""
+"""Tests of the settings of ``gypsumhall-fleetd`` and of its deploy file."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from gypsumhall.cli._settings import run_binary
 
 _ROOT = Path(__file__).parents[1]
-# Values as the platform's page shows them, by placeholder.
+# Values by placeholder, as in the documentation of the platform.
 _FIELDS = {
     'nodeName': 'sidecar-meso-norte-1',
     'zone': 'meso-norte',
@@ -36,13 +36,13 @@
     (role,) = tomllib.loads(text)['roles'].values()
     return {
         name: re.sub(
-            r'\{\{([^}]+)\}\}', lambda found: _FIELDS[found[1]], value
+            r'\{\{([^}]+)\}\}', lambda match: _FIELDS[match[1]], value
         )
         for name, value in role['env'].items()
     }
 
 
-def test_the_deploy_file_renders_settings_that_are_accepted() -> None:
+def test_deploy_file_renders_valid_settings() -> None:
     settings = fleet.FleetSettings()
     settings.settings.parse([], _environment())
     kernel = fleet.build_kernel(settings)
@@ -51,7 +51,7 @@
     assert settings.peer_port.value == 7600
 
 
-def test_every_setting_of_the_deploy_file_is_explained() -> None:
+def test_every_setting_of_the_deploy_file_is_documented() -> None:
     page = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
     for name in _environment():
         suffix = name.removeprefix('GYPSUMHALL')
@@ -68,7 +68,7 @@
         ('GYPSUMHALL_GRACE', 'soon'),
     ],
 )
-def test_a_wrong_setting_is_named(
+def test_errors_name_the_invalid_setting(
     name: str,
     value: str,
     capsys: pytest.CaptureFixture[str],
--- a/tests/test_cli_operator.py
+++ b/tests/test_cli_operator.py
@@ -1,4 +1,4 @@
-"""Tests of the operators' command line against daemons over HTTP."""
+"""Tests of the command line ``gypsumhall`` against daemons over HTTP."""
 
 from __future__ import annotations
 
@@ -30,9 +30,9 @@
     str(_EXAMPLES / 'omaruru' / name)
     for name in ('availability.yaml', 'sales.yaml', 'memberships.yaml')
 ]
-_BAD_FLAGS = ('status', '--daemons=h', '--output=x', '--nope')
-_OVERSIZED = b' ' * (MAX_BODY_BYTES + 1)
-_MOVE = """
+_INVALID_FLAGS = ('status', '--daemons=h', '--output=x', '--nope')
+_OVERSIZED_BODY = b' ' * (MAX_BODY_BYTES + 1)
+_MOVES_TEXT = """
 moves:
   archive-v2: {service: archive, from: v1, to: v2, within: 1h}
 """
@@ -56,8 +56,8 @@
     return await trio.open_tcp_stream(host, int(port))
 
 
-class _Bench:
-    """A daemon and the binary that talks to it."""
+class _OperatorCli:
+    """A daemon and the command line that connects to it."""
 
     def __init__(self, plane: ControlPlane, capsys: Any) -> None:
         assert plane.admin is not None
@@ -66,7 +66,7 @@
         self._capsys = capsys
 
     async def run(self, *arguments: str, daemons: str = '') -> _Outcome:
-        """Run the binary in a thread, as it starts an event loop."""
+        """Run the binary in a thread, as it starts its own event loop."""
         environment = {
             'GYPSUMHALL_DAEMONS': daemons or self.address,
             'GYPSUMHALL_TOKEN': 'secret-token',
@@ -81,26 +81,26 @@
 
 
 @asynccontextmanager
-async def _bench(
+async def _operator_cli(
     capsys: Any, store: MemoryStore | None = None
-) -> AsyncIterator[_Bench]:
+) -> AsyncIterator[_OperatorCli]:
     plane = ControlPlane(store or MemoryStore(), time.time, '127.0.0.1:0')
     async with plane.running():
-        yield _Bench(plane, capsys)
+        yield _OperatorCli(plane, capsys)
 
 
-async def test_the_examples_are_accepted_in_order(capsys: Any) -> None:
-    async with _bench(capsys) as bench:
-        refused = await bench.run('submit', _OMARURU[1], '--output=json')
+async def test_examples_are_accepted_in_dependency_order(capsys: Any) -> None:
+    async with _operator_cli(capsys) as cli:
+        refused = await cli.run('submit', _OMARURU[1], '--output=json')
         assert refused.code == operator.REFUSED
         finding = refused.fields['findings'][0]
         assert (finding['code'], finding['line']) == ('missing-dependency', 7)
         for number, name in enumerate([*_OMARURU, _ITURRASPE], 1):
-            assert (await bench.run('check', name)).code == operator.OK
-            accepted = await bench.run('submit', name, '--output=json')
+            assert (await cli.run('check', name)).code == operator.OK
+            accepted = await cli.run('submit', name, '--output=json')
             assert accepted.code == operator.OK
             assert accepted.fields['version'] == number
-        status = await bench.run('status', '--output=json')
+        status = await cli.run('status', '--output=json')
         assert status.fields['departments'] == [
             'availability',
             'memberships',
@@ -108,113 +108,118 @@
             'semaforizacion',
         ]
         assert status.fields['in_effect']
-        metrics = await _connect(bench.address)
+        metrics = await _connect(cli.address)
         await metrics.send_all(b'GET /metrics HTTP/1.0\r\n\r\n')
         page = b''.join([chunk async for chunk in metrics])
         assert b'acceptance_results_total' in page
 
 
 async def test_wait_ends_when_a_version_is_in_effect(capsys: Any) -> None:
-    async with _bench(capsys) as bench:
-        await bench.run('submit', _ITURRASPE)
-        bench.plane.distribution.lag = 1
-        late = await bench.run('wait', '1', '--timeout=1s')
+    async with _operator_cli(capsys) as cli:
+        await cli.run('submit', _ITURRASPE)
+        cli.plane.distribution.lag = 1
+        late = await cli.run('wait', '1', '--timeout=1s')
         assert late.code == operator.TIMED_OUT
-        assert 'zone az-2: not yet' in (await bench.run('status')).out
+        assert 'zone az-2: not yet' in (await cli.run('status')).out
         async with trio.open_nursery() as nursery:
 
-            async def catch_up() -> None:
+            async def remove_lag() -> None:
                 await trio.sleep(0.3)
-                bench.plane.distribution.lag = 0
+                cli.plane.distribution.lag = 0
 
-            nursery.start_soon(catch_up)
-            done = await bench.run('wait', '1')
+            nursery.start_soon(remove_lag)
+            done = await cli.run('wait', '1')
         assert done.code == operator.OK
         assert done.out == 'version 1 in effect\n'
 
 
-async def test_a_move_is_followed_and_aborted(
+async def test_move_is_observed_and_aborted(
     capsys: Any, tmp_path: pathlib.Path
 ) -> None:
     path = tmp_path / 'text.yaml'
     text = await trio.Path(_ITURRASPE).read_text()
-    await trio.Path(path).write_text(text + _MOVE)
+    await trio.Path(path).write_text(text + _MOVES_TEXT)
     move = 'semaforizacion/archive-v2'
-    async with _bench(capsys) as bench:
-        await bench.run('submit', str(path), '--wait')
+    async with _operator_cli(capsys) as cli:
+        await cli.run('submit', str(path), '--wait')
         assert (
             f'move {move}: archive v1 -> v2, active, 1%'
-            in (await bench.run('moves')).out
+            in (await cli.run('moves')).out
         )
-        pending = await bench.run('wait', move, '--timeout=1s')
+        pending = await cli.run('wait', move, '--timeout=1s')
         assert pending.code == operator.TIMED_OUT
-        wrong = await bench.run('abort', move, '--token=wrong-token')
+        wrong = await cli.run('abort', move, '--token=wrong-token')
         assert wrong.code == operator.REFUSED
         assert 'wrong-token' in wrong.out
-        missing = await bench.run('abort', 'semaforizacion/other')
+        missing = await cli.run('abort', 'semaforizacion/other')
         assert missing.code == operator.REFUSED
         assert f'moves of semaforizacion: {move}' in missing.out
-        assert (await bench.run('abort', move)).code == operator.OK
-        ended = await bench.run('wait', move)
+        assert (await cli.run('abort', move)).code == operator.OK
+        ended = await cli.run('wait', move)
         assert ended.code == operator.REFUSED
         assert 'reverted (aborted)' in ended.out
-        events = await bench.run('events')
+        events = await cli.run('events')
         assert 'move-aborted' in events.out
 
 
-async def test_a_planned_stop_answers_requests_that_wait(capsys: Any) -> None:
-    async with _bench(capsys) as bench:
-        await bench.run('submit', _ITURRASPE)
-        bench.plane.distribution.lag = 1
-        stream = await _connect(bench.address)
+async def test_graceful_shutdown_responds_to_waiting_requests(
+    capsys: Any,
+) -> None:
+    async with _operator_cli(capsys) as cli:
+        await cli.run('submit', _ITURRASPE)
+        cli.plane.distribution.lag = 1
+        stream = await _connect(cli.address)
         await stream.send_all(
             b'GET /v1/operator/wait?version=1&timeout=60 HTTP/1.1\r\n'
             b'host: x\r\nconnection: close\r\n\r\n'
         )
         await trio.sleep(0.2)
-        bench.plane.kernel.stop()
+        cli.plane.kernel.stop()
         with trio.fail_after(30):
-            answer = b''.join([chunk async for chunk in stream])
-    assert b'"done": false' in answer
+            response = b''.join([chunk async for chunk in stream])
+    assert b'"done": false' in response
 
 
-async def _lose_answers(listener: trio.SocketListener, address: str) -> None:
-    """Pass requests on and drop every response."""
+async def _drop_responses(listener: trio.SocketListener, address: str) -> None:
+    """Forward requests and drop every response."""
 
     async def serve(client: trio.SocketStream) -> None:
         async with await _connect(address) as server, client:
 
-            async def pass_on() -> None:
+            async def forward() -> None:
                 async for chunk in client:
                     await server.send_all(chunk)
 
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(pass_on)
+                nursery.start_soon(forward)
                 await server.receive_some(65536)
                 nursery.cancel_scope.cancel()
 
     await trio.serve_listeners(serve, [listener])
 
 
-async def test_a_lost_answer_never_leads_to_a_second_acceptance(
+async def test_lost_response_does_not_cause_a_second_acceptance(
     capsys: Any,
 ) -> None:
     store = MemoryStore()
-    async with _bench(capsys, store) as bench, trio.open_nursery() as nursery:
+    async with (
+        _operator_cli(capsys, store) as cli,
+        trio.open_nursery() as nursery,
+    ):
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listeners[0].socket.getsockname()[1]
-        nursery.start_soon(_lose_answers, listeners[0], bench.address)
-        result = await bench.run(
+        nursery.start_soon(_drop_responses, listeners[0], cli.address)
+        result = await cli.run(
             'submit',
             _ITURRASPE,
             '--output=json',
             '--submission_id=0.first-attempt',
-            daemons=f'127.0.0.1:1,127.0.0.1:{port},{bench.address}',
+            daemons=f'127.0.0.1:1,127.0.0.1:{port},{cli.address}',
         )
         assert result.code == operator.OK
         assert result.fields['version'] == 1
         assert 'trying again' in result.err
-        snapshot = bench.plane.distribution.snapshot
+        snapshot = cli.plane.distribution.snapshot
         assert snapshot is not None
         assert snapshot.version == 1
         assert _accept.find_submission(snapshot.head, '0.first-attempt')
@@ -223,23 +228,24 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_outages_have_their_own_exit_codes(capsys: Any) -> None:
+async def test_outages_have_distinct_exit_codes(capsys: Any) -> None:
     store = MemoryStore()
-    async with _bench(capsys, store) as bench:
-        await bench.run('submit', _OMARURU[0])
+    async with _operator_cli(capsys, store) as cli:
+        await cli.run('submit', _OMARURU[0])
         store.outage = True
-        down = await bench.run('submit', _ITURRASPE, '--timeout=1s')
-        assert down.code == operator.UNAVAILABLE
-        assert 'nothing was accepted' in down.out
-        # Without the platform a text is checked against the snapshot.
-        checked = await bench.run('check', _OMARURU[2])
+        unavailable = await cli.run('submit', _ITURRASPE, '--timeout=1s')
+        assert unavailable.code == operator.UNAVAILABLE
+        assert 'nothing was accepted' in unavailable.out
+        # If the platform is unavailable, a text is checked against the
+        # snapshot.
+        checked = await cli.run('check', _OMARURU[2])
         assert 'missing-dependency' in checked.out
         store.outage = False
         store.inject('txn', *[Fault.LOST_REQUEST] * 1000)
-        lost = await bench.run('submit', _ITURRASPE, '--timeout=1s')
-        assert lost.code == operator.UNKNOWN
-        assert 'ask again with --submission_id=1.' in lost.out
-        none = await bench.run('status', '--timeout=1s', daemons='127.0.0.1:1')
+        unknown = await cli.run('submit', _ITURRASPE, '--timeout=1s')
+        assert unknown.code == operator.UNKNOWN
+        assert 'submit again with --submission_id=1.' in unknown.out
+        none = await cli.run('status', '--timeout=1s', daemons='127.0.0.1:1')
         assert none.code == operator.UNAVAILABLE
 
 
@@ -252,7 +258,7 @@
         ('POST /v1/operator/submit', b'[' * 5000, '400 bad-json'),
         ('POST /v1/operator/submit', b'[]', '400 bad-json'),
         ('POST /v1/operator/submit', b'{"id": 5}', '400 bad-field'),
-        ('POST /v1/operator/check', _OVERSIZED, '413 too-large'),
+        ('POST /v1/operator/check', _OVERSIZED_BODY, '413 too-large'),
         ('GET /v1/operator/wait?version=x', b'', '400 bad-query'),
         ('GET /v1/operator/wait', b'', '400 bad-query'),
         ('GET /v1/operator/wait?version=1&timeout=nan', b'', '400 bad-query'),
@@ -264,31 +270,31 @@
         ('GET /fails', b'', '500 internal'),
     ],
 )
-async def test_bad_requests_are_answered_with_problems(
+async def test_invalid_requests_receive_problem_responses(
     capsys: Any, request_head: str, body: bytes, expected: str
 ) -> None:
-    async with _bench(capsys) as bench:
+    async with _operator_cli(capsys) as cli:
 
         async def fail(request: object) -> Any:
             raise KeyError('injected')
 
-        assert bench.plane.admin is not None
-        bench.plane.admin.add_route('GET', '/fails', fail)
-        stream = await _connect(bench.address)
-        head = (
+        assert cli.plane.admin is not None
+        cli.plane.admin.add_route('GET', '/fails', fail)
+        stream = await _connect(cli.address)
+        request_text = (
             f'{request_head} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n'
             f'content-length: {len(body)}\r\n\r\n'
         )
         with trio.fail_after(30):
-            # An oversized body is refused before all of it was taken.
+            # An oversized body is rejected before all of it has been read.
             with trio.move_on_after(5):
-                await stream.send_all(head.encode() + body[:65536])
-            answer = b''.join([chunk async for chunk in stream])
-    start, _, content = answer.partition(b'\r\n\r\n')
+                await stream.send_all(request_text.encode() + body[:65536])
+            response = b''.join([chunk async for chunk in stream])
+    response_head, _, content = response.partition(b'\r\n\r\n')
     fields = json.loads(content)
-    assert b'content-type: application/problem+json' in start
+    assert b'content-type: application/problem+json' in response_head
     assert f'{fields["status"]} {fields["code"]}' == expected
-    assert start.split()[1] == str(fields['status']).encode()
+    assert response_head.split()[1] == str(fields['status']).encode()
 
 
 @pytest.mark.parametrize(
@@ -302,19 +308,19 @@
         (('submit', '/nonexistent', '--daemons=h:1'), 'No such file'),
         (('submit', _ITURRASPE, '--daemons=h:1'), 'give --token_file'),
         (('wait', 'x', '--daemons=h:1'), 'neither a version nor'),
-        (('abort', 'x', '--daemons=h:1'), 'is no <department>/<move>'),
+        (('abort', 'x', '--daemons=h:1'), 'is not <department>/<move>'),
         (
             ('abort', 'x/y', '--daemons=h:1', '--token_file=/nonexistent'),
             '--token_file',
         ),
-        (_BAD_FLAGS, '--daemons: bad-setting'),
-        (_BAD_FLAGS, '--output: bad-setting'),
-        (_BAD_FLAGS, '--nope: unknown-flag'),
+        (_INVALID_FLAGS, '--daemons: bad-setting'),
+        (_INVALID_FLAGS, '--output: bad-setting'),
+        (_INVALID_FLAGS, '--nope: unknown-flag'),
         (('status', '--timeout'), 'command line: bad-setting'),
         (('status', '--follow=maybe'), 'bad-setting'),
     ],
 )
-def test_wrong_usage_is_explained(
+def test_usage_errors_are_explained(
     capsys: Any, arguments: tuple[str, ...], expected: str
 ) -> None:
     assert operator.run(arguments, {}) == operator.USAGE
--- a/tests/test_cli_platform.py
+++ b/tests/test_cli_platform.py
@@ -1,4 +1,4 @@
-"""Tests of the binary of the stand-in."""
+"""Tests of the binary ``gypsumhall-platform``."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from gypsumhall.store import Put
 
 
-async def test_the_binary_serves_faults_and_ends_on_sigterm() -> None:
+async def test_binary_injects_faults_and_exits_on_sigterm() -> None:
     command = [
         sys.executable,
         '-m',
@@ -72,7 +72,7 @@
         (['--platform_address=198.51.100.1:1'], 1, '198.51.100.1'),
     ],
 )
-def test_settings_that_cannot_be_used_are_named(
+def test_errors_name_the_invalid_setting(
     capsys: Any, argv: list[str], status: int, message: str
 ) -> None:
     assert platform.main(['gypsumhall-platform', *argv]) == status
--- a/tests/test_cli_settings.py
+++ b/tests/test_cli_settings.py
@@ -1,4 +1,4 @@
-"""Tests of what the settings of all binaries have in common."""
+"""Tests of the settings, across all binaries."""
 
 from __future__ import annotations
 
@@ -28,7 +28,8 @@
     return operator.run(argv[1:], os.environ)
 
 
-# A binary, one of its flags, a bad value for it, and flags that it needs.
+# A binary, one of its flags, an invalid value of it, and arguments that the
+# binary requires.
 BINARIES = [
     pytest.param(backend.main, 'slots', '0', ['--service=x'], id='backend'),
     pytest.param(daemon.main, 'drain_timeout', '5', [], id='daemon'),
@@ -39,14 +40,16 @@
 ]
 
 
-@pytest.mark.parametrize(('main', 'flag', 'value', 'needed'), BINARIES)
-def test_binaries_explain_themselves_and_their_faults(
+@pytest.mark.parametrize(
+    ('main', 'flag', 'value', 'required_arguments'), BINARIES
+)
+def test_binaries_print_help_and_report_invalid_settings(
     monkeypatch: pytest.MonkeyPatch,
     capsys: Any,
     main: Callable[[list[str]], int],
     flag: str,
     value: str,
-    needed: list[str],
+    required_arguments: list[str],
 ) -> None:
     assert main(['name', '--help']) == 0
     page = capsys.readouterr().out
@@ -58,13 +61,16 @@
     assert all(name.upper() == variable for name, variable in flags)
     assert page.count('Default: ') == len(flags)
 
-    assert main(['name', *needed, f'--{flag}={value}', '--nope=1']) == 2
+    assert (
+        main(['name', *required_arguments, f'--{flag}={value}', '--nope=1'])
+        == 2
+    )
     error = capsys.readouterr().err
     assert f'--{flag}: bad-setting' in error
     assert '--nope: unknown-flag' in error
 
     monkeypatch.setenv(f'GYPSUMHALL_{flag.upper()}', value)
-    assert main(['name', *needed]) == 2
+    assert main(['name', *required_arguments]) == 2
     assert f'GYPSUMHALL_{flag.upper()}: bad-setting' in capsys.readouterr().err
 
 
@@ -75,18 +81,18 @@
         (backend.main, '--service=x --address'),
     ],
 )
-def test_an_address_in_use_is_named_in_one_line(
+def test_address_in_use_is_reported_in_one_line(
     capsys: Any, main: Callable[[list[str]], int], flag: str
 ) -> None:
-    with socket.create_server(('127.0.0.1', 0)) as taken:
-        address = f'127.0.0.1:{taken.getsockname()[1]}'
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
         assert main(['name', *f'{flag}={address}'.split()]) == 1
     error = capsys.readouterr().err
     assert f'cannot listen at {address!r}: Address already in use' in error
     assert len(error.splitlines()) == 1
 
 
-def test_repeated_flags_come_before_the_lines_of_their_variable() -> None:
+def test_repeated_flags_take_precedence_over_the_environment() -> None:
     settings = Settings('name', 'usage')
     numbers = settings.repeated('number', 'Numbers.', int)
     switch = settings.boolean('switch', True, 'Switch.')
@@ -113,12 +119,14 @@
         (':80', False, False),
     ],
 )
-def test_addresses_have_two_forms(
+def test_addresses_are_ips_or_host_names(
     text: str, is_ip: bool, is_host: bool
 ) -> None:
-    for hosts, valid in ((False, is_ip), (True, is_host)):
+    for allow_host_names, valid in ((False, is_ip), (True, is_host)):
         if valid:
-            assert parse_address(text, hosts=hosts) == text
+            assert (
+                parse_address(text, allow_host_names=allow_host_names) == text
+            )
         else:
             with pytest.raises(ValueError, match='expected <ip>:<port>'):
-                parse_address(text, hosts=hosts)
+                parse_address(text, allow_host_names=allow_host_names)
