--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -486,10 +486,10 @@
         before_separator = list(arguments)
         after_separator: list[str] = []
         if '--' in before_separator:
-            index = before_separator.index('--')
+            separator_index = before_separator.index('--')
             before_separator, after_separator = (
-                before_separator[:index],
-                before_separator[index + 1 :],
+                before_separator[:separator_index],
+                before_separator[separator_index + 1 :],
             )
         try:
             remaining = self._flags(
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -133,7 +133,9 @@
             'service.',
         )
         self.retry_slack = settings.number(
-            'retry_slack', 64.0, 'Retries allowed in each window in any case.'
+            'retry_slack',
+            64.0,
+            'Retries allowed in each window regardless of retry_ratio.',
         )
         self.retry_window = settings.duration(
             'retry_window', 10.0, 'Length of the window of retry_slack.'
