Reword gypsumhall.standin and rename its private names

Private names take etcd's terms (mod_revision, compact_revision) or name what they do; docstrings say reject, response and graceful shutdown. The message 'the client is gone' is now 'client disconnected'.

--- a/gypsumhall/standin/__init__.py
+++ b/gypsumhall/standin/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform and for backend servers."""
+"""Stand-ins for the platform and for backend servers, with faults."""
 
 from gypsumhall.standin._platform import FaultSettings
 from gypsumhall.standin._platform import Platform
--- a/gypsumhall/standin/_backend.py
+++ b/gypsumhall/standin/_backend.py
@@ -1,4 +1,4 @@
-"""Stand-in for a backend server, with faults."""
+"""Stand-in for a backend server, with fault injection."""
 
 from __future__ import annotations
 
@@ -24,39 +24,41 @@
     Receive = Callable[[], Awaitable[dict[str, Any]]]
     Send = Callable[[dict[str, Any]], Awaitable[None]]
 
-_ANNOUNCE_S = 1.0
-_MAX_BODY = 64 * 1024 * 1024
-_CHUNK = 64 * 1024
+# Also the timeout of one announcement.
+_ANNOUNCE_INTERVAL_S = 1.0
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+_CHUNK_BYTES = 64 * 1024
 
 
 class Faults(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Faults of a backend server; the defaults are none.
+    """Faults that a backend server injects; by default none.
 
     Parameters
     ----------
     failure_rate : float
-        Share of the requests that are answered with `failure_status`.
+        Fraction of the requests whose response has `failure_status`.
     failure_status : int
-        HTTP status of failures; 503 comes with ``Retry-After``.
+        HTTP status of failures; a 503 response has ``Retry-After``.
     delay_ms : float
         Additional service time in milliseconds.
     crash_rate : float
-        Share of the requests whose connection ends before the response.
+        Fraction of the requests whose connection is reset before the
+        response.
     break_rate : float
-        Share of the requests whose response ends early.
+        Fraction of the requests whose response body is truncated.
     path : str
         Path prefix of the requests that the faults above apply to.
     after_s : float
-        Seconds after the start from which they apply.
+        Seconds after the start of the server from which these faults apply.
     above : int
-        Requests in flight above which they apply.
+        Number of requests in flight above which these faults apply.
     load_factor : float
-        Factor by which ``GET /load`` misstates the load.
+        Factor by which the load that ``GET /load`` returns is multiplied.
     run_twice : bool
         Whether each request is counted as two runs, to test the tools that
-        look for these.
+        detect duplicate runs.
     """
 
     failure_rate: float = 0.0
@@ -78,24 +80,24 @@
     Parameters
     ----------
     service, version : str
-        What it pretends to run.
+        Service and version to announce.
     address : str
         ``<ip>:<port>`` to listen on; port 0 for any.
     announce : str
         ``<ip>:<port>`` of the administration listener of the daemon on
         the VM; empty for none.
     slots : int
-        Requests that are executed at the same time.
+        Maximum number of requests that run at the same time.
     service_time_ms : float
         Mean service time in milliseconds.
     cold_start_s : float
-        Seconds after the start in which the state is ``starting`` and
+        Seconds after the start during which the state is ``starting`` and
         requests take ten times as long.
     seed : int
         Seed of the service times and faults.
     run_log : str
         File to which the id of each request is appended when it is run, so
-        that the runs of a killed server are still known; empty for none.
+        that the runs of a killed server are recorded; empty for none.
     """
 
     service: str
@@ -110,17 +112,18 @@
 
 
 class BackendServer:
-    """Executes requests in slots and counts the runs of each.
+    """Runs requests in a limited number of slots and counts the runs.
 
-    ``GET /runs`` returns the runs by the request header ``X-Request``,
-    ``POST /faults`` sets the faults, ``GET /load`` returns the load.
+    ``GET /runs`` returns the number of runs by request id, the value of the
+    request header ``X-Request``; ``POST /faults`` sets the faults and
+    ``GET /load`` returns the number of requests in flight.
 
     Parameters
     ----------
     settings : BackendSettings
-        Settings.
-    faults : Faults
-        Faults at the start.
+        Settings of the server.
+    faults : Faults, optional
+        Initial faults; by default none.
     """
 
     def __init__(
@@ -133,10 +136,10 @@
         self._cancelled = 0
         self._in_flight = 0
         self._idle = trio.Event()
-        self._stop = trio.Event()
+        self._shutdown = trio.Event()
         self._draining = False
         self._address = ''
-        self._started = 0.0
+        self._started_at = 0.0
         self._slots: trio.CapacityLimiter
 
     @property
@@ -146,12 +149,12 @@
 
     @property
     def runs(self) -> Counter[str]:
-        """Runs by request id."""
+        """Number of runs by request id."""
         return self._runs
 
     @property
     def cancelled(self) -> int:
-        """Runs whose caller closed the connection."""
+        """Number of requests cancelled before their response ended."""
         return self._cancelled
 
     @property
@@ -168,9 +171,9 @@
         *,
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until `stop`; `task_status` gets the bound address."""
+        """Serve until `stop`; `task_status` receives the bound address."""
         self._slots = trio.CapacityLimiter(self._settings.slots)
-        self._started = trio.current_time()
+        self._started_at = trio.current_time()
         config = hypercorn.config.Config()
         config.backlog = 1024
         config.keep_alive_timeout = 60.0
@@ -184,7 +187,7 @@
                     self._application,
                     config,
                     self._settings.address,
-                    self._stop,
+                    self._shutdown,
                     task_status=task_status,
                 )
                 nursery.cancel_scope.cancel()
@@ -192,20 +195,20 @@
             self._address = await nursery.start(serve)
             task_status.started(self._address)
             if self._settings.announce:
-                nursery.start_soon(self._announce_regularly)
+                nursery.start_soon(self._announce_periodically)
 
     async def stop(self) -> None:
-        """Announce that the server drains, finish the work and end."""
+        """Announce ``draining``, finish requests in flight and stop."""
         self._draining = True
         if self._settings.announce:
             await self.announce()
         while self._in_flight:
             self._idle = trio.Event()
             await self._idle.wait()
-        self._stop.set()
+        self._shutdown.set()
 
     async def announce(self) -> None:
-        """Announce the server to the daemon once; errors are ignored."""
+        """Announce the server to the daemon once; ignore network errors."""
         body = json.dumps(
             {
                 'service': self._settings.service,
@@ -216,7 +219,7 @@
             }
         ).encode()
         try:
-            with trio.move_on_after(_ANNOUNCE_S):
+            with trio.move_on_after(_ANNOUNCE_INTERVAL_S):
                 async with httpcore.AsyncConnectionPool() as pool:
                     await pool.request(
                         'POST',
@@ -225,22 +228,25 @@
                         content=body,
                     )
         except (httpcore.NetworkError, httpcore.ProtocolError):
-            # The daemon may be restarting; the next announcement follows.
+            # The daemon may be restarting; the next announcement retries.
             return
 
-    async def _announce_regularly(self) -> None:
+    async def _announce_periodically(self) -> None:
         while True:
             await self.announce()
-            await trio.sleep(_ANNOUNCE_S if not self._cold() else 0.1)
+            # A short interval announces the end of a cold start promptly.
+            await trio.sleep(
+                _ANNOUNCE_INTERVAL_S if not self._in_cold_start() else 0.1
+            )
 
-    def _cold(self) -> bool:
-        age = trio.current_time() - self._started
+    def _in_cold_start(self) -> bool:
+        age = trio.current_time() - self._started_at
         return age < self._settings.cold_start_s
 
     def _state(self) -> str:
         if self._draining:
             return 'draining'
-        return 'starting' if self._cold() else 'ready'
+        return 'starting' if self._in_cold_start() else 'ready'
 
     async def _application(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -257,7 +263,7 @@
         elif route == ('POST', '/faults'):
             await self._set_faults(receive, send)
         else:
-            await self._execute(scope, receive, send)
+            await self._handle_request(scope, receive, send)
 
     async def _set_faults(self, receive: Receive, send: Send) -> None:
         body = await _read_body(receive)
@@ -268,13 +274,13 @@
             return
         await _send_json(send, 200, msgspec.to_builtins(self._faults))
 
-    async def _execute(
+    async def _handle_request(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        fields = dict(scope['headers'])
-        request_id = fields.get(b'x-request', b'').decode('latin-1')
-        deadline = fields.get(b'gypsumhall-deadline-ms')
-        if deadline is not None and int(deadline) <= 0:
+        headers = dict(scope['headers'])
+        request_id = headers.get(b'x-request', b'').decode('latin-1')
+        deadline_ms = headers.get(b'gypsumhall-deadline-ms')
+        if deadline_ms is not None and int(deadline_ms) <= 0:
             await _send_json(send, 504, {'detail': 'deadline passed'})
             return
         if self._slots.statistics().tasks_waiting >= 2 * self._settings.slots:
@@ -290,8 +296,10 @@
         try:
             body = await _read_body(receive)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_watch, receive, nursery.cancel_scope)
-                await self._run(scope, request_id, body, send)
+                nursery.start_soon(
+                    _cancel_on_disconnect, receive, nursery.cancel_scope
+                )
+                await self._run_request(scope, request_id, body, send)
                 finished = True
                 nursery.cancel_scope.cancel()
         finally:
@@ -300,7 +308,7 @@
             if not self._in_flight:
                 self._idle.set()
 
-    async def _run(
+    async def _run_request(
         self,
         scope: dict[str, Any],
         request_id: str,
@@ -308,31 +316,31 @@
         send: Send,
     ) -> None:
         faults = self._faults
-        faulty = (
+        faults_apply = (
             scope['path'].startswith(faults.path)
-            and trio.current_time() - self._started >= faults.after_s
+            and trio.current_time() - self._started_at >= faults.after_s
             and self._in_flight > faults.above
         )
         async with self._slots:
             self._runs[request_id] += 1 + faults.run_twice
             if self._settings.run_log:
-                # Closed at once, so that a killed server loses no entry.
+                # Closing flushes the entry, so that a kill does not lose it.
                 path = self._settings.run_log
                 with open(path, 'a') as file:  # noqa: ASYNC230
                     file.write(f'{request_id}\n')
             # A gamma distribution with a coefficient of variation of 0.5.
             time_ms = self._rng.gammavariate(4.0, 0.25)
             time_ms *= self._settings.service_time_ms
-            if self._cold():
+            if self._in_cold_start():
                 time_ms *= 10
-            if faulty:
+            if faults_apply:
                 time_ms += faults.delay_ms
             await trio.sleep(time_ms / 1000)
-        draw = self._rng.random()
-        if faulty and draw < faults.crash_rate:
+        crash_draw = self._rng.random()
+        if faults_apply and crash_draw < faults.crash_rate:
             await scope['state']['reset']()
             return
-        if faulty and self._rng.random() < faults.failure_rate:
+        if faults_apply and self._rng.random() < faults.failure_rate:
             headers = []
             if faults.failure_status == 503:
                 headers.append((b'retry-after', b'1'))
@@ -351,11 +359,13 @@
             }
         ).encode()
         content += b' ' * max(0, size - len(content))
-        broken = faulty and self._rng.random() < faults.break_rate
-        await _send(send, 200, content, request_id, broken=broken)
+        truncate = faults_apply and self._rng.random() < faults.break_rate
+        await _send(send, 200, content, request_id, truncate=truncate)
 
 
-async def _watch(receive: Receive, scope: trio.CancelScope) -> None:
+async def _cancel_on_disconnect(
+    receive: Receive, scope: trio.CancelScope
+) -> None:
     while (await receive())['type'] != 'http.disconnect':
         pass
     scope.cancel()
@@ -364,7 +374,7 @@
 async def _read_body(receive: Receive) -> bytes:
     body = bytearray()
     more = True
-    while more and len(body) <= _MAX_BODY:
+    while more and len(body) <= _MAX_BODY_BYTES:
         message = await receive()
         if message['type'] == 'http.disconnect':
             break
@@ -374,7 +384,7 @@
 
 
 async def _send(
-    send: Send, status: int, content: bytes, request_id: str, *, broken: bool
+    send: Send, status: int, content: bytes, request_id: str, *, truncate: bool
 ) -> None:
     headers = [
         (b'content-type', b'application/json'),
@@ -384,13 +394,13 @@
     await send(
         {'type': 'http.response.start', 'status': status, 'headers': headers}
     )
-    end = len(content) // 2 if broken else len(content)
-    for start in range(0, end, _CHUNK):
-        part = content[start : min(end, start + _CHUNK)]
+    end = len(content) // 2 if truncate else len(content)
+    for start in range(0, end, _CHUNK_BYTES):
+        part = content[start : min(end, start + _CHUNK_BYTES)]
         await send(
             {'type': 'http.response.body', 'body': part, 'more_body': True}
         )
-    if not broken:
+    if not truncate:
         await send({'type': 'http.response.body', 'body': b''})
 
 
--- a/gypsumhall/standin/_platform.py
+++ b/gypsumhall/standin/_platform.py
@@ -1,9 +1,9 @@
-"""Stand-in of the platform: a subset of the etcd v3 JSON gateway, in memory.
+"""Stand-in for the platform: a subset of the etcd v3 JSON gateway, in memory.
 
 It serves ranges, transactions, leases and watches, counts the calls by kind
-and can be told to fail. The faults are set by ``POST /faults`` with a JSON
-object of the fields of `FaultSettings`; ``GET /faults`` returns the ones in
-force, and ``GET /stats`` the counts.
+and injects faults. ``POST /faults`` sets the faults from a JSON object with
+fields of `FaultSettings`, ``GET /faults`` returns the current faults, and
+``GET /stats`` returns the counts.
 """
 
 from __future__ import annotations
@@ -35,32 +35,40 @@
 Send = Callable[[Json], Awaitable[None]]
 
 MAX_REQUEST_BYTES = 1_572_864
-"""Largest decoded request, the default limit of the published service."""
+"""Largest decoded request, the default limit of etcd."""
 
 MAX_TXN_OPERATIONS = 128
-"""Largest number of writes of a transaction, likewise."""
+"""Largest number of writes in a transaction, the default limit of etcd."""
 
 _MAX_BODY_BYTES = 4 * MAX_REQUEST_BYTES
 
-_HTTP_STATUS = {2: 500, 3: 400, 5: 404, 8: 429, 11: 400, 12: 501, 14: 503}
+_HTTP_STATUS_BY_GRPC_STATUS = {
+    2: 500,
+    3: 400,
+    5: 404,
+    8: 429,
+    11: 400,
+    12: 501,
+    14: 503,
+}
 
-_WRITES = frozenset(
+_WRITE_CALLS = frozenset(
     {'txn', 'put', 'deleterange', 'lease_grant', 'lease_revoke'}
 )
 
 
 class GatewayError(GypsumhallError):
-    """A request that the stand-in refuses, with its gRPC status code."""
+    """Error response of the gateway, with a gRPC status code."""
 
     code = 'gateway'
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(self, grpc_status: int, message: str) -> None:
         super().__init__(message)
-        self.status = status
+        self.grpc_status = grpc_status
 
 
-class Nonsense(enum.StrEnum):
-    """Kinds of responses that do not follow the protocol."""
+class InvalidResponseKind(enum.StrEnum):
+    """Kinds of responses that violate the protocol."""
 
     TEXT = 'text'
     SHAPE = 'shape'
@@ -74,32 +82,34 @@
 class FaultSettings(
     msgspec.Struct, forbid_unknown_fields=True, omit_defaults=False
 ):
-    """Faults in force, and faults to bring about once.
+    """Lasting faults, and faults that are applied once when they are set.
 
     Parameters
     ----------
     outage : bool
-        Refuse every call with the error of a gateway without a server.
+        Reject every call with the error of a gateway that cannot connect to
+        a server.
     hang : bool
-        Accept every call, but neither execute nor answer it.
+        Accept every call, but neither execute it nor send a response.
     delay_s : float
-        Seconds by which every call is delayed before it is executed.
+        Delay of every call before it is executed, in seconds.
     lose_responses : int
-        Number of writes to execute without answering them.
+        Number of writes to execute without sending a response.
     nonsense : int
-        Number of responses to replace by nonsense.
-    nonsense_kind : Nonsense
-        Kind of the nonsense.
+        Number of responses to replace by invalid ones.
+    nonsense_kind : InvalidResponseKind
+        Kind of the invalid responses.
     silence_new_watches : bool
-        Confirm new watches, but never deliver their events.
+        Confirm new watches, but never send their events.
     silence_watches : bool
-        Stop delivering on all open watches, which stay open. Once.
+        Stop sending events on all open watches, without closing them. Applied
+        once.
     drop_watches : bool
-        End all open watches. Once.
+        End all open watches. Applied once.
     lapse_leases : bool
-        Expire all leases. Once.
+        Expire all leases. Applied once.
     compact : bool
-        Forget all revisions but the latest. Once.
+        Discard all revisions but the latest. Applied once.
     """
 
     outage: bool = False
@@ -107,7 +117,7 @@
     delay_s: float = 0.0
     lose_responses: int = 0
     nonsense: int = 0
-    nonsense_kind: Nonsense = Nonsense.TEXT
+    nonsense_kind: InvalidResponseKind = InvalidResponseKind.TEXT
     silence_new_watches: bool = False
     silence_watches: bool = False
     drop_watches: bool = False
@@ -117,11 +127,11 @@
 
 @dataclass(slots=True, frozen=True)
 class _Version:
-    """A key at one revision; the value is None after a removal."""
+    """State of a key as of a revision; the value is None after a deletion."""
 
-    revision: int
-    created: int
-    count: int
+    mod_revision: int
+    create_revision: int
+    write_count: int
     value: bytes | None
     lease: int
 
@@ -129,7 +139,7 @@
 @dataclass(slots=True)
 class _Lease:
     ttl_s: int
-    expires: float
+    expires_at: float
     keys: set[bytes] = field(default_factory=set)
 
 
@@ -137,7 +147,7 @@
 class _Watch:
     start: bytes
     end: bytes
-    position: int
+    next_revision: int
     scope: trio.CancelScope
     silent: bool = False
 
@@ -148,39 +158,42 @@
     return key >= start and (end == b'\0' or key < end)
 
 
-def _bytes(request: Json, name: str) -> bytes:
+def _decode_bytes(request: Json, name: str) -> bytes:
     try:
         return base64.b64decode(request.get(name, ''), validate=True)
     except (binascii.Error, TypeError, ValueError):
         raise GatewayError(3, f'invalid base64 in field {name!r}')
 
 
-def _int(request: Json, name: str) -> int:
+def _decode_int(request: Json, name: str) -> int:
     try:
         return int(request.get(name, 0))
     except (TypeError, ValueError):
         raise GatewayError(3, f'invalid integer in field {name!r}')
 
 
-def _text(data: bytes) -> str:
+def _encode_base64(data: bytes) -> str:
     return base64.b64encode(data).decode('ascii')
 
 
 def _encode_version(key: bytes, version: _Version) -> Json:
-    result = {'key': _text(key), 'mod_revision': str(version.revision)}
+    result = {
+        'key': _encode_base64(key),
+        'mod_revision': str(version.mod_revision),
+    }
     if version.value is not None:
-        result['create_revision'] = str(version.created)
-        result['version'] = str(version.count)
+        result['create_revision'] = str(version.create_revision)
+        result['version'] = str(version.write_count)
         # The gateway omits fields that have their default value.
         if version.value:
-            result['value'] = _text(version.value)
+            result['value'] = _encode_base64(version.value)
         if version.lease:
             result['lease'] = str(version.lease)
     return result
 
 
 class Platform:
-    """Key-value state, leases and watches of the stand-in.
+    """Keys, leases, watches and faults of the stand-in.
 
     All methods that change state are synchronous, so that each call is
     atomic within the event loop.
@@ -188,34 +201,34 @@
 
     def __init__(self) -> None:
         self._revision = 1
-        self._compacted = 0
+        self._compact_revision = 0
         self._versions: dict[bytes, list[_Version]] = {}
-        self._log: list[tuple[int, bytes, _Version]] = []
+        self._change_log: list[tuple[int, bytes, _Version]] = []
         self._leases: dict[int, _Lease] = {}
-        self._next_lease = 7_587_848_390_000_000_000
+        self._last_lease = 7_587_848_390_000_000_000
         self._watches: set[_Watch] = set()
         self._changed = trio.Event()
-        self._granted = trio.Event()
+        self._lease_granted = trio.Event()
         self._calls: dict[str, int] = {}
-        self._failed: dict[str, int] = {}
+        self._failed_calls: dict[str, int] = {}
         self._faults = FaultSettings()
 
     @property
     def faults(self) -> FaultSettings:
-        """Faults in force."""
+        """Current faults."""
         return self._faults
 
     @property
     def revision(self) -> int:
-        """Revision of the store."""
+        """Latest revision of the store."""
         return self._revision
 
     @property
     def stats(self) -> Json:
-        """Calls by kind, refused calls by kind, and what is open."""
+        """Number of calls and failed calls by kind, and size of the state."""
         return {
             'calls': dict(self._calls),
-            'failed': dict(self._failed),
+            'failed': dict(self._failed_calls),
             'watches': len(self._watches),
             'leases': len(self._leases),
             'keys': sum(
@@ -225,23 +238,23 @@
             'revision': self._revision,
         }
 
-    def count(self, kind: str, *, failed: bool = False) -> None:
-        """Count a call."""
-        counts = self._failed if failed else self._calls
+    def count_call(self, kind: str, *, failed: bool = False) -> None:
+        """Count a call, or the failure of a call that was counted before."""
+        counts = self._failed_calls if failed else self._calls
         counts[kind] = counts.get(kind, 0) + 1
 
     def set_faults(self, changes: Json) -> None:
-        """Change the faults in force and bring about the ones given once.
+        """Change the lasting faults and apply the faults that occur once.
 
         Parameters
         ----------
         changes : dict
-            Fields of `FaultSettings`; the others keep their values.
+            Fields of `FaultSettings`; other fields keep their values.
 
         Raises
         ------
         msgspec.ValidationError
-            When a field is unknown or has another type; nothing changed.
+            When a field is unknown or has a wrong type; nothing is changed.
         """
         merged = msgspec.convert(
             msgspec.to_builtins(self._faults) | changes, FaultSettings
@@ -254,7 +267,7 @@
                 watch.silent = True
         if merged.lapse_leases:
             for lease in tuple(self._leases):
-                self._end_lease(lease)
+                self._remove_lease(lease)
         if merged.compact:
             self.compact()
         self._faults = msgspec.structs.replace(
@@ -266,13 +279,15 @@
         )
 
     def clear_faults(self) -> None:
-        """End all faults in force."""
+        """Reset all faults to their defaults."""
         self._faults = FaultSettings()
 
     def compact(self) -> None:
-        """Forget all revisions but the latest of every key."""
-        self._compacted = self._revision
-        self._log = [item for item in self._log if item[0] >= self._revision]
+        """Discard all revisions but the latest of every key."""
+        self._compact_revision = self._revision
+        self._change_log = [
+            item for item in self._change_log if item[0] >= self._revision
+        ]
         for key, versions in tuple(self._versions.items()):
             if versions[-1].value is None:
                 del self._versions[key]
@@ -288,16 +303,16 @@
         task_status.started()
         while True:
             earliest = min(
-                (item.expires for item in self._leases.values()),
+                (item.expires_at for item in self._leases.values()),
                 default=math.inf,
             )
             with trio.move_on_at(earliest):
-                await self._granted.wait()
-                self._granted = trio.Event()
+                await self._lease_granted.wait()
+                self._lease_granted = trio.Event()
             now = trio.current_time()
             for lease, item in tuple(self._leases.items()):
-                if item.expires <= now:
-                    self._end_lease(lease)
+                if item.expires_at <= now:
+                    self._remove_lease(lease)
 
     def call(self, kind: str, request: Json) -> Json:
         """Execute a unary call.
@@ -312,9 +327,9 @@
         Raises
         ------
         GatewayError
-            When the call is refused; nothing was changed.
+            When the call is rejected; nothing is changed.
         """
-        return _CALLS[kind](self, request)
+        return _CALL_HANDLERS[kind](self, request)
 
     def _header(self, revision: int | None = None) -> Json:
         return {
@@ -325,7 +340,7 @@
         }
 
     def _check_revision(self, revision: int) -> None:
-        if revision and revision < self._compacted:
+        if revision and revision < self._compact_revision:
             raise GatewayError(
                 11,
                 'etcdserver: mvcc: required revision has been compacted',
@@ -336,10 +351,10 @@
             )
 
     def _range(self, request: Json) -> Json:
-        start = _bytes(request, 'key')
-        end = _bytes(request, 'range_end')
-        limit = _int(request, 'limit')
-        revision = _int(request, 'revision')
+        start = _decode_bytes(request, 'key')
+        end = _decode_bytes(request, 'range_end')
+        limit = _decode_int(request, 'limit')
+        revision = _decode_int(request, 'revision')
         self._check_revision(revision)
         keys = (
             sorted(key for key in self._versions if _in_range(key, start, end))
@@ -348,7 +363,7 @@
         )
         found = []
         for key in keys:
-            version = self._at(key, revision or self._revision)
+            version = self._get_version(key, revision or self._revision)
             if version is not None:
                 found.append(_encode_version(key, version))
         page = found[:limit] if limit else found
@@ -359,10 +374,10 @@
             response['more'] = True
         return response
 
-    def _at(self, key: bytes, revision: int) -> _Version | None:
+    def _get_version(self, key: bytes, revision: int) -> _Version | None:
         versions = self._versions.get(key, [])
         index = bisect.bisect_right(
-            versions, revision, key=lambda item: item.revision
+            versions, revision, key=lambda item: item.mod_revision
         )
         if not index or versions[index - 1].value is None:
             return None
@@ -377,9 +392,11 @@
         return {'header': result['header'], 'deleted': before['count']}
 
     def _txn(self, request: Json) -> Json:
-        held = all(self._holds(item) for item in request.get('compare', ()))
-        operations = request.get('success' if held else 'failure', ())
-        writes = self._check_writes(operations)
+        succeeded = all(
+            self._evaluate_compare(item) for item in request.get('compare', ())
+        )
+        operations = request.get('success' if succeeded else 'failure', ())
+        writes = self._decode_writes(operations)
         if writes:
             revision = self._revision + 1
             changed = [
@@ -388,9 +405,9 @@
             ]
             if any(changed):
                 self._revision = revision
-                self._wake()
+                self._notify_watches()
         response: Json = {'header': self._header()}
-        if held:
+        if succeeded:
             response['succeeded'] = True
         if writes:
             response['responses'] = [
@@ -401,14 +418,16 @@
             ]
         return response
 
-    def _holds(self, compare: Json) -> bool:
+    def _evaluate_compare(self, compare: Json) -> bool:
         if compare.get('target') != 'MOD' or compare.get('result') != 'EQUAL':
             raise GatewayError(12, 'stand-in: only MOD EQUAL is supported')
-        version = self._at(_bytes(compare, 'key'), self._revision)
-        actual = 0 if version is None else version.revision
-        return actual == _int(compare, 'mod_revision')
+        version = self._get_version(
+            _decode_bytes(compare, 'key'), self._revision
+        )
+        actual = 0 if version is None else version.mod_revision
+        return actual == _decode_int(compare, 'mod_revision')
 
-    def _check_writes(
+    def _decode_writes(
         self, operations: list[Json]
     ) -> list[tuple[bytes, bytes | None, int]]:
         if len(operations) > MAX_TXN_OPERATIONS:
@@ -419,9 +438,9 @@
         size = 0
         for item in operations:
             if put := item.get('request_put'):
-                value = _bytes(put, 'value')
-                lease = _int(put, 'lease')
-                key = _bytes(put, 'key')
+                value = _decode_bytes(put, 'value')
+                lease = _decode_int(put, 'lease')
+                key = _decode_bytes(put, 'key')
                 if not key:
                     raise GatewayError(3, 'etcdserver: key is not provided')
                 if lease and lease not in self._leases:
@@ -431,8 +450,8 @@
                 size += len(key) + len(value)
                 writes.append((key, value, lease))
             elif removal := item.get('request_delete_range'):
-                start = _bytes(removal, 'key')
-                end = _bytes(removal, 'range_end')
+                start = _decode_bytes(removal, 'key')
+                end = _decode_bytes(removal, 'range_end')
                 writes += [
                     (key, None, 0)
                     for key in sorted(self._versions)
@@ -453,36 +472,36 @@
     ) -> bool:
         versions = self._versions.setdefault(key, [])
         last = versions[-1] if versions else None
-        alive = last is not None and last.value is not None
-        if value is None and not alive:
+        exists = last is not None and last.value is not None
+        if value is None and not exists:
             return False
-        if last is not None and alive and last.lease in self._leases:
+        if last is not None and exists and last.lease in self._leases:
             self._leases[last.lease].keys.discard(key)
         if lease:
             self._leases[lease].keys.add(key)
         version = _Version(
             revision,
-            last.created if last is not None and alive else revision,
-            last.count + 1 if last is not None and alive else 1,
+            last.create_revision if last is not None and exists else revision,
+            last.write_count + 1 if last is not None and exists else 1,
             value,
             lease,
         )
         versions.append(version)
-        self._log.append((revision, key, version))
+        self._change_log.append((revision, key, version))
         return True
 
-    def _wake(self) -> None:
+    def _notify_watches(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
     def _grant(self, request: Json) -> Json:
-        ttl_s = _int(request, 'TTL')
+        ttl_s = _decode_int(request, 'TTL')
         if ttl_s <= 0:
             raise GatewayError(3, 'etcdserver: invalid lease TTL')
-        self._next_lease += 1
-        lease = self._next_lease
+        self._last_lease += 1
+        lease = self._last_lease
         self._leases[lease] = _Lease(ttl_s, trio.current_time() + ttl_s)
-        self._granted.set()
+        self._lease_granted.set()
         return {
             'header': self._header(),
             'ID': str(lease),
@@ -490,74 +509,76 @@
         }
 
     def _keep_alive(self, request: Json) -> Json:
-        lease = _int(request, 'ID')
+        lease = _decode_int(request, 'ID')
         item = self._leases.get(lease)
         result: Json = {'header': self._header(), 'ID': str(lease)}
         if item is not None:
-            item.expires = trio.current_time() + item.ttl_s
+            item.expires_at = trio.current_time() + item.ttl_s
             result['TTL'] = str(item.ttl_s)
         return {'result': result}
 
     def _revoke(self, request: Json) -> Json:
-        lease = _int(request, 'ID')
+        lease = _decode_int(request, 'ID')
         if lease not in self._leases:
             raise GatewayError(5, 'etcdserver: requested lease not found')
-        self._end_lease(lease)
+        self._remove_lease(lease)
         return {'header': self._header()}
 
-    def _end_lease(self, lease: int) -> None:
+    def _remove_lease(self, lease: int) -> None:
         keys = sorted(self._leases[lease].keys)
         if keys:
             self._revision += 1
             for key in keys:
                 self._write(self._revision, key, None, 0)
         del self._leases[lease]
-        self._wake()
+        self._notify_watches()
 
     async def watch(
         self, request: Json, send: Callable[[Json], Awaitable[None]]
     ) -> None:
-        """Serve a watch until it is dropped.
+        """Serve a watch until it is cancelled or misses compacted revisions.
 
         Parameters
         ----------
         request : dict
             Decoded JSON body.
         send : callable
-            Sends one message to the client.
+            Function that sends one message to the client.
         """
         create = request.get('create_request')
         if not isinstance(create, dict):
             raise GatewayError(3, 'watch without create_request')
-        start = _bytes(create, 'key')
-        end = _bytes(create, 'range_end')
-        position = _int(create, 'start_revision') or self._revision + 1
+        start = _decode_bytes(create, 'key')
+        end = _decode_bytes(create, 'range_end')
+        next_revision = (
+            _decode_int(create, 'start_revision') or self._revision + 1
+        )
         with trio.CancelScope() as scope:
-            watch = _Watch(start, end, position, scope)
+            watch = _Watch(start, end, next_revision, scope)
             watch.silent = self._faults.silence_new_watches
             self._watches.add(watch)
             try:
                 await send({'header': self._header(), 'created': True})
-                await self._deliver(watch, send)
+                await self._send_events(watch, send)
             finally:
                 self._watches.discard(watch)
 
-    async def _deliver(
+    async def _send_events(
         self, watch: _Watch, send: Callable[[Json], Awaitable[None]]
     ) -> None:
         while True:
             changed = self._changed
-            if watch.position < self._compacted:
+            if watch.next_revision < self._compact_revision:
                 await send(
                     {
                         'header': self._header(),
                         'canceled': True,
-                        'compact_revision': str(self._compacted),
+                        'compact_revision': str(self._compact_revision),
                     }
                 )
                 return
             events = self._events_since(watch)
-            watch.position = max(watch.position, self._revision + 1)
+            watch.next_revision = max(watch.next_revision, self._revision + 1)
             if events and not watch.silent:
                 await send({'header': self._header(), 'events': events})
                 continue
@@ -565,10 +586,10 @@
 
     def _events_since(self, watch: _Watch) -> list[Json]:
         index = bisect.bisect_left(
-            self._log, watch.position, key=lambda item: item[0]
+            self._change_log, watch.next_revision, key=lambda item: item[0]
         )
         events = []
-        for _, key, version in self._log[index:]:
+        for _, key, version in self._change_log[index:]:
             if _in_range(key, watch.start, watch.end):
                 event: Json = {'kv': _encode_version(key, version)}
                 if version.value is None:
@@ -577,7 +598,7 @@
         return events
 
 
-_CALLS: dict[str, Callable[[Platform, Json], Json]] = {
+_CALL_HANDLERS: dict[str, Callable[[Platform, Json], Json]] = {
     'range': Platform._range,
     'txn': Platform._txn,
     'put': Platform._put,
@@ -587,7 +608,7 @@
     'lease_revoke': Platform._revoke,
 }
 
-_PATHS = {
+_CALL_BY_PATH = {
     '/v3/kv/range': 'range',
     '/v3/kv/txn': 'txn',
     '/v3/kv/put': 'put',
@@ -599,24 +620,26 @@
 }
 
 
-def _distort(kind: Nonsense, response: Json) -> bytes:
-    if kind is Nonsense.TEXT:
+def _encode_invalid_response(
+    kind: InvalidResponseKind, response: Json
+) -> bytes:
+    if kind is InvalidResponseKind.TEXT:
         return b'<html>upstream error</html>'
-    if kind is Nonsense.SHAPE:
+    if kind is InvalidResponseKind.SHAPE:
         return b'["unexpected"]'
-    if kind is Nonsense.TYPES:
+    if kind is InvalidResponseKind.TYPES:
         return b'{"header":{"revision":"many"},"kvs":7,"succeeded":"maybe"}'
-    if kind is Nonsense.BASE64:
+    if kind is InvalidResponseKind.BASE64:
         return (
             b'{"header":{"revision":"5"},"succeeded":3,"ID":"x","count":"1",'
             b'"kvs":[{"key":"*","value":"*","mod_revision":"2"}]}'
         )
-    if kind is Nonsense.OTHER_KEY:
+    if kind is InvalidResponseKind.OTHER_KEY:
         return (
             b'{"header":{"revision":"5"},"ID":"-4","TTL":"0","count":"1",'
             b'"kvs":[{"key":"b3RoZXI=","value":"eA==","mod_revision":"2"}]}'
         )
-    if kind is Nonsense.HUGE:
+    if kind is InvalidResponseKind.HUGE:
         return b'[' + b'0,' * (10 * 1024 * 1024) + b'0]'
     return msgspec.json.encode(response)[:-2]
 
@@ -636,13 +659,13 @@
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        """Handle one request or the life cycle of the server."""
+        """Handle an HTTP request or the lifespan events of the server."""
         if scope['type'] == 'lifespan':
             await self._serve_lifespan(receive, send)
             return
         if scope['type'] != 'http':
             return
-        kind = _PATHS.get(scope['path'])
+        kind = _CALL_BY_PATH.get(scope['path'])
         if scope['path'] in ('/faults', '/stats'):
             await self._serve_control(scope, receive, send)
         elif kind is None or scope['method'] != 'POST':
@@ -680,39 +703,41 @@
         self, kind: str, receive: Receive, send: Send
     ) -> None:
         platform = self._platform
-        platform.count(kind)
+        platform.count_call(kind)
         try:
             request = msgspec.json.decode(await _read_body(receive), type=Json)
-            await self._apply_faults_before(receive)
+            await self._apply_request_faults(receive)
             if kind == 'watch':
                 await self._serve_watch(request, receive, send)
                 return
             response = platform.call(kind, request)
         except msgspec.MsgspecError as error:
-            platform.count(kind, failed=True)
+            platform.count_call(kind, failed=True)
             await _respond_error(send, GatewayError(3, str(error)))
             return
         except GatewayError as error:
-            platform.count(kind, failed=True)
+            platform.count_call(kind, failed=True)
             await _respond_error(send, error)
             return
-        if kind in _WRITES and platform.faults.lose_responses > 0:
+        if kind in _WRITE_CALLS and platform.faults.lose_responses > 0:
             platform.faults.lose_responses -= 1
-            platform.count(kind, failed=True)
+            platform.count_call(kind, failed=True)
             await _wait_for_disconnect(receive)
             return
         body = msgspec.json.encode(response)
         if platform.faults.nonsense > 0:
             platform.faults.nonsense -= 1
-            platform.count(kind, failed=True)
-            body = _distort(platform.faults.nonsense_kind, response)
+            platform.count_call(kind, failed=True)
+            body = _encode_invalid_response(
+                platform.faults.nonsense_kind, response
+            )
         await _respond(send, body)
 
-    async def _apply_faults_before(self, receive: Receive) -> None:
+    async def _apply_request_faults(self, receive: Receive) -> None:
         faults = self._platform.faults
         if faults.hang:
             await _wait_for_disconnect(receive)
-            raise GatewayError(14, 'stand-in: the client is gone')
+            raise GatewayError(14, 'stand-in: client disconnected')
         if faults.delay_s:
             await trio.sleep(faults.delay_s)
         if self._platform.faults.outage:
@@ -728,13 +753,13 @@
         async def send_message(result: Json) -> None:
             nonlocal started
             if not started:
-                await _start(send, 200, None)
+                await _send_start(send, 200, None)
                 started = True
             body = msgspec.json.encode({'result': result})
             faults = self._platform.faults
             if faults.nonsense > 0:
                 faults.nonsense -= 1
-                body = _distort(faults.nonsense_kind, result)
+                body = _encode_invalid_response(faults.nonsense_kind, result)
             await send(
                 {
                     'type': 'http.response.body',
@@ -743,7 +768,7 @@
                 }
             )
 
-        refused: GatewayError | None = None
+        rejection: GatewayError | None = None
         async with trio.open_nursery() as nursery:
 
             async def cancel_on_disconnect() -> None:
@@ -754,10 +779,10 @@
             try:
                 await self._platform.watch(request, send_message)
             except GatewayError as error:
-                refused = error
+                rejection = error
             nursery.cancel_scope.cancel()
-        if refused is not None:
-            raise refused
+        if rejection is not None:
+            raise rejection
         if started:
             await send({'type': 'http.response.body', 'body': b''})
 
@@ -767,7 +792,7 @@
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
-            raise GatewayError(14, 'stand-in: the client is gone')
+            raise GatewayError(14, 'stand-in: client disconnected')
         body += message.get('body', b'')
         if len(body) > _MAX_BODY_BYTES:
             raise GatewayError(3, 'etcdserver: request is too large')
@@ -780,7 +805,7 @@
         pass
 
 
-async def _start(send: Send, status: int, length: int | None) -> None:
+async def _send_start(send: Send, status: int, length: int | None) -> None:
     headers = [(b'content-type', b'application/json')]
     if length is not None:
         headers.append((b'content-length', str(length).encode('ascii')))
@@ -794,23 +819,25 @@
 
 
 async def _respond(send: Send, body: bytes, status: int = 200) -> None:
-    await _start(send, status, len(body))
+    await _send_start(send, status, len(body))
     await send({'type': 'http.response.body', 'body': body})
 
 
 async def _respond_error(send: Send, error: GatewayError) -> None:
     body = {
         'error': str(error),
-        'code': error.status,
+        'code': error.grpc_status,
         'message': str(error),
     }
     await _respond(
-        send, msgspec.json.encode(body), _HTTP_STATUS.get(error.status, 500)
+        send,
+        msgspec.json.encode(body),
+        _HTTP_STATUS_BY_GRPC_STATUS.get(error.grpc_status, 500),
     )
 
 
 def server_config(bind: str) -> Config:
-    """Return the settings of the HTTP server of the stand-in.
+    """Return the Hypercorn settings of the stand-in.
 
     Parameters
     ----------
@@ -821,7 +848,7 @@
     config.bind = [bind]
     config.errorlog = None
     config.accesslog = None
-    # The published gateway does not close idle connections.
+    # The gateway of etcd does not close idle connections.
     config.keep_alive_timeout = 3600
     config.keep_alive_max_requests = 10**9
     config.graceful_timeout = 1.0
@@ -835,7 +862,7 @@
     *,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve a stand-in over TCP until a planned stop.
+    """Serve a stand-in over TCP until a graceful shutdown.
 
     Parameters
     ----------
@@ -844,7 +871,7 @@
     bind : str
         ``<ip>:<port>``; port 0 for any free one.
     shutdown : trio.Event
-        Asks for the stop; open watches are ended.
+        Event that starts the shutdown, which ends open watches.
     task_status : trio.TaskStatus of str
         Receives the address in use, ``<ip>:<port>``.
     """
