--- a/gypsumhall/timeline/__init__.py
+++ b/gypsumhall/timeline/__init__.py
@@ -1,4 +1,4 @@
-"""Merges the event logs of all processes into one time line."""
+"""Merges the event logs of many processes into one timeline."""
 
 from gypsumhall.timeline._merge import merge
 from gypsumhall.timeline._merge import Selection
--- a/gypsumhall/timeline/_merge.py
+++ b/gypsumhall/timeline/_merge.py
@@ -1,4 +1,4 @@
-"""Orders the events of many processes and selects some of them."""
+"""Merges the events of many processes in causal order and filters them."""
 
 from __future__ import annotations
 
@@ -14,19 +14,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Selection:
-    """Conditions on events; an empty one admits every event.
+    """Conditions on events; an empty condition matches every event.
 
     Parameters
     ----------
     codes : tuple of str
-        Codes; ``*`` stands for any text.
+        Event codes; ``*`` stands for any text.
     zones, daemons : tuple of str
-        Where the event happened.
+        Availability zone and id of the daemon that logged the event.
     moves : tuple of str
-        Ids of moves, the field ``move`` of the event.
+        Move ids, compared with the field ``move`` of the event.
     versions : tuple of int
-        Installed configuration version, or the version that the event is
-        about, its field ``head``.
+        Configuration versions, compared with the version that was installed
+        and with the field ``head``, the version that the event is about.
     """
 
     codes: tuple[str, ...] = ()
@@ -36,10 +36,12 @@
     versions: tuple[int, ...] = ()
 
     def admits(self, event: Event) -> bool:
-        """Whether an event meets all conditions."""
-        checks = (
+        """Return whether an event meets all conditions."""
+        conditions = (
             not self.codes
-            or any(fnmatch.fnmatchcase(event.code, c) for c in self.codes),
+            or any(
+                fnmatch.fnmatchcase(event.code, code) for code in self.codes
+            ),
             not self.zones or event.zone in self.zones,
             not self.daemons or event.daemon in self.daemons,
             not self.moves or event.fields.get('move') in self.moves,
@@ -47,21 +49,21 @@
             or event.version in self.versions
             or event.fields.get('head') in self.versions,
         )
-        return all(checks)
+        return all(conditions)
 
 
 def merge(events: Iterable[Event]) -> list[Event]:
-    """Return events in causal order, each one once.
+    """Return events in causal order, without duplicates.
 
-    A time stamp that a process took after it received a message is greater
-    than that of the sender, so sorting by time stamp never shows an effect
-    before its cause. An event that was read from a file and from the memory
-    of its daemon is returned once.
+    A timestamp that a process takes after it has received a message is
+    greater than the timestamp of the sender, so no effect is sorted before
+    its cause. An event that was read both from a file and from the memory of
+    its daemon is returned once.
 
     Parameters
     ----------
     events : iterable of Event
-        Events of any number of processes in any order.
+        Events of any number of processes, in any order.
     """
     ordered = sorted(
         events, key=lambda item: (item.hlc, item.daemon, item.index)
--- a/gypsumhall/timeline/_read.py
+++ b/gypsumhall/timeline/_read.py
@@ -1,4 +1,4 @@
-"""Reads event logs; what cannot be read is reported with its place."""
+"""Reads event logs and reports what is malformed, missing or unreadable."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     from collections.abc import Sequence
 
 MAX_RESPONSE_BYTES = 128 * 1024 * 1024
-"""Largest response of a daemon, above 4,096 events of 16 KiB."""
+"""Maximum response of a daemon; 4,096 events of 16 KiB need 64 MiB."""
 
 FETCH_TIMEOUT_S = 5.0
 
@@ -30,14 +30,14 @@
 
 @dataclass(slots=True)
 class Logs:
-    """Events of several logs, and what was found wrong with the logs.
+    """Events of several logs, and findings about the logs.
 
     Parameters
     ----------
     events : list of Event
-        In the order of reading.
+        Events in the order in which they were read.
     findings : list of Finding
-        Malformed lines, missing events and logs that cannot be read.
+        Malformed lines, missing events and unreadable logs.
     unread : int
         Number of logs that could not be read at all.
     """
@@ -54,13 +54,13 @@
         source : str
             Name of the log in findings.
         data : bytes
-            Contents; empty lines are allowed.
+            Content of the log; empty lines are skipped.
         """
-        last: dict[str, int] = {}
-        for number, line in enumerate(data.split(b'\n'), 1):
+        last_indexes: dict[str, int] = {}
+        for line_number, line in enumerate(data.split(b'\n'), 1):
             if not line.strip():
                 continue
-            place = Place(source, number, 1)
+            place = Place(source, line_number, 1)
             try:
                 event = _decode(line)
             except (msgspec.MsgspecError, ValueError) as error:
@@ -68,7 +68,7 @@
                 self._report('malformed-line', message, place)
                 continue
             self.events.append(event)
-            self._check_index(event, last, place)
+            self._check_index(event, last_indexes, place)
 
     def add_unreadable(self, source: str, reason: object) -> None:
         """Report a log that cannot be read."""
@@ -76,18 +76,18 @@
         self._report('unreadable-log', str(reason), Place(source))
 
     def _check_index(
-        self, event: Event, last: dict[str, int], place: Place
+        self, event: Event, last_indexes: dict[str, int], place: Place
     ) -> None:
-        """Report events that are missing before an event."""
-        expected = last.get(event.daemon, 0) + 1
-        # The index starts at 1 again after a restart of the process.
+        """Report a gap between an event and its predecessor."""
+        expected = last_indexes.get(event.daemon, 0) + 1
+        # The index restarts at 1 when the process restarts.
         if event.index > expected:
             message = (
                 f'events {expected} to {event.index - 1} of daemon '
                 f'{event.daemon!r} are missing'
             )
             self._report('missing-events', message, place)
-        last[event.daemon] = event.index
+        last_indexes[event.daemon] = event.index
 
     def _report(self, code: str, message: str, place: Place) -> None:
         self.findings.append(Finding(code, message, place))
@@ -101,7 +101,7 @@
 
 
 def read_files(logs: Logs, paths: Iterable[str]) -> None:
-    """Add the logs in files."""
+    """Add the logs in files; an unreadable file is reported as a finding."""
     for path in paths:
         try:
             with open(path, 'rb') as file:
@@ -118,14 +118,16 @@
     *,
     network_backend: httpcore.AsyncNetworkBackend | None = None,
 ) -> None:
-    """Add the logs that daemons keep in memory.
+    """Fetch and add the logs that daemons keep in memory.
+
+    A log that cannot be fetched is reported as a finding.
 
     Parameters
     ----------
     logs : Logs
-        Receives the events.
+        Receives the events and findings.
     addresses : sequence of str
-        Admin addresses, ``<ip>:<port>``.
+        Admin addresses of the daemons, ``<ip>:<port>``.
     network_backend : httpcore.AsyncNetworkBackend, optional
         Replaces TCP in tests.
     """
--- a/gypsumhall/timeline/_render.py
+++ b/gypsumhall/timeline/_render.py
@@ -1,4 +1,4 @@
-"""Shows a time line as text, as JSON lines and as an HTML page."""
+"""Renders a timeline as text, as JSON lines and as an HTML page."""
 
 from __future__ import annotations
 
@@ -21,20 +21,20 @@
     from gypsumhall._errors import Finding
     from gypsumhall.services._events import Event
 
-_LANE_PX = 22
-_LABEL_PX = 180
-_CHART_PX = 1400
-_MARK_PX = 5
-_TICKS = 8
+_LANE_HEIGHT_PX = 22
+_LABEL_WIDTH_PX = 180
+_CHART_WIDTH_PX = 1400
+_MARKER_RADIUS_PX = 5
+_TICK_INTERVALS = 8
 
 
 def format_time(hlc: int) -> str:
-    """Return a time stamp as UTC with milliseconds and its counter."""
+    """Return a timestamp as UTC with milliseconds, and its counter."""
     milliseconds = to_unix_ms(hlc)
     try:
         moment = datetime.fromtimestamp(milliseconds / 1000, UTC)
     except (OverflowError, ValueError, OSError):
-        # A wrong clock can be beyond the calendar.
+        # A wrong clock can be outside the range of datetime.
         return f'{milliseconds}ms.{counter(hlc)}'
     text = moment.strftime('%Y-%m-%dT%H:%M:%S')
     return f'{text}.{milliseconds % 1000:03}Z.{counter(hlc)}'
@@ -48,16 +48,16 @@
 
 
 def render_text(events: Sequence[Event]) -> Iterator[str]:
-    """Return one line per event, with aligned columns."""
-    zone = max((len(event.zone) for event in events), default=0)
-    daemon = max((len(event.daemon) for event in events), default=0)
+    """Return one line of text per event, with aligned columns."""
+    zone_width = max((len(event.zone) for event in events), default=0)
+    daemon_width = max((len(event.daemon) for event in events), default=0)
     for event in events:
         line = (
-            f'{format_time(event.hlc):31} {event.zone:{zone}} '
-            f'{event.daemon:{daemon}} v{event.version:<6} {event.code} '
+            f'{format_time(event.hlc):31} {event.zone:{zone_width}} '
+            f'{event.daemon:{daemon_width}} v{event.version:<6} {event.code} '
             f'{_format_fields(event)}'
         )
-        # Control characters of a log must not reach the terminal.
+        # Escape control characters, which could manipulate the terminal.
         yield ''.join(
             char if char.isprintable() else ascii(char)[1:-1]
             for char in line.rstrip()
@@ -65,22 +65,22 @@
 
 
 def render_json(events: Sequence[Event]) -> Iterator[str]:
-    """Return one JSON object per event."""
+    """Return one line with a JSON object per event."""
     for event in events:
         yield msgspec.json.encode(event).decode()
 
 
 def render_html(events: Sequence[Event], findings: Sequence[Finding]) -> str:
-    """Return a page with one lane per process, grouped by zone.
+    """Return a page with one lane per daemon, grouped by availability zone.
 
     Parameters
     ----------
     events : sequence of Event
         Events in causal order.
     findings : sequence of Finding
-        Shown below the chart.
+        Findings about the logs, listed below the chart.
     """
-    problems = ''.join(
+    finding_items = ''.join(
         f'<li>{html.escape(str(item))}</li>' for item in findings
     )
     codes = sorted({event.code for event in events})
@@ -101,67 +101,75 @@
         f'<h1>{len(events)} events</h1>\n{_render_chart(events)}\n'
         f'<h2>Codes</h2><ul class="legend">{legend}</ul>\n'
         f'<h2>{len(findings)} findings about the logs</h2>'
-        f'<ul>{problems}</ul>\n</body></html>\n'
+        f'<ul>{finding_items}</ul>\n</body></html>\n'
     )
 
 
 def _color(code: str) -> str:
-    """Return a color that is the same for a code on every page."""
+    """Return the CSS color of a code, the same on every page."""
     hue = hashlib.sha256(code.encode()).digest()[0] * 360 // 256
     return f'hsl({hue},70%,42%)'
 
 
 def _render_chart(events: Sequence[Event]) -> str:
     lanes = sorted({(event.zone, event.daemon) for event in events})
-    rows: list[str] = []
+    elements: list[str] = []
     positions: dict[tuple[str, str], int] = {}
-    y = _LANE_PX
+    y = _LANE_HEIGHT_PX
     for zone, group in itertools.groupby(lanes, key=lambda lane: lane[0]):
-        y += _LANE_PX
-        rows.append(
+        y += _LANE_HEIGHT_PX
+        elements.append(
             f'<text class="zone" x="0" y="{y}">{html.escape(zone)}</text>'
         )
         for lane in group:
-            y += _LANE_PX
+            y += _LANE_HEIGHT_PX
             positions[lane] = y
-            rows.append(
+            elements.append(
                 f'<text x="12" y="{y + 4}">{html.escape(lane[1])}</text>'
-                f'<line x1="{_LABEL_PX}" y1="{y}" '
-                f'x2="{_LABEL_PX + _CHART_PX}" y2="{y}"/>'
+                f'<line x1="{_LABEL_WIDTH_PX}" y1="{y}" '
+                f'x2="{_LABEL_WIDTH_PX + _CHART_WIDTH_PX}" y2="{y}"/>'
             )
-    first = to_unix_ms(events[0].hlc) if events else 0
-    span = max(1, to_unix_ms(events[-1].hlc) - first) if events else 1
-    rows += [
-        _render_tick(first + span * step // _TICKS, step, y + _LANE_PX)
-        for step in range(_TICKS + 1 if events else 0)
+    start_ms = to_unix_ms(events[0].hlc) if events else 0
+    span_ms = max(1, to_unix_ms(events[-1].hlc) - start_ms) if events else 1
+    elements += [
+        _render_tick(
+            start_ms + span_ms * step // _TICK_INTERVALS,
+            step,
+            y + _LANE_HEIGHT_PX,
+        )
+        for step in range(_TICK_INTERVALS + 1 if events else 0)
     ]
     for event in events:
-        x = _LABEL_PX + (to_unix_ms(event.hlc) - first) * _CHART_PX / span
-        row = positions[event.zone, event.daemon]
-        # Events of the same moment are set off from each other.
-        row += (event.index % 3 - 1) * _MARK_PX
-        rows.append(
-            f'<circle cx="{x:.1f}" cy="{row}" r="{_MARK_PX}" '
+        x = (
+            _LABEL_WIDTH_PX
+            + (to_unix_ms(event.hlc) - start_ms) * _CHART_WIDTH_PX / span_ms
+        )
+        marker_y = positions[event.zone, event.daemon]
+        # A vertical offset keeps simultaneous events apart.
+        marker_y += (event.index % 3 - 1) * _MARKER_RADIUS_PX
+        elements.append(
+            f'<circle cx="{x:.1f}" cy="{marker_y}" r="{_MARKER_RADIUS_PX}" '
             f'fill="{_color(event.code)}" fill-opacity="0.8">'
-            f'<title>{html.escape(_describe(event))}</title></circle>'
+            f'<title>{html.escape(_format_tooltip(event))}</title></circle>'
         )
     return (
-        f'<svg width="{_LABEL_PX + _CHART_PX + 60}" '
-        f'height="{y + 2 * _LANE_PX}">{"".join(rows)}</svg>'
+        f'<svg width="{_LABEL_WIDTH_PX + _CHART_WIDTH_PX + 60}" '
+        f'height="{y + 2 * _LANE_HEIGHT_PX}">{"".join(elements)}</svg>'
     )
 
 
 def _render_tick(milliseconds: int, step: int, height: int) -> str:
-    x = _LABEL_PX + step * _CHART_PX / _TICKS
+    x = _LABEL_WIDTH_PX + step * _CHART_WIDTH_PX / _TICK_INTERVALS
     label = format_time(milliseconds << 16)[11:24]
     return (
-        f'<line x1="{x:.1f}" y1="{_LANE_PX}" x2="{x:.1f}" y2="{height}"/>'
+        f'<line x1="{x:.1f}" y1="{_LANE_HEIGHT_PX}" '
+        f'x2="{x:.1f}" y2="{height}"/>'
         f'<text x="{x:.1f}" y="14" text-anchor="middle">'
         f'{html.escape(label)}</text>'
     )
 
 
-def _describe(event: Event) -> str:
+def _format_tooltip(event: Event) -> str:
     lines = [
         f'{event.code} at {format_time(event.hlc)}',
         f'{event.daemon} in {event.zone}, version {event.version}',
