--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from trio.testing import MockClock
 
-_ANNOUNCED = {
+_ANNOUNCEMENT = {
     'service': 'availability',
     'version': 'v1',
     'address': '127.0.0.1:9',
@@ -50,16 +50,19 @@
 
 
 async def _announce(daemon: CallDaemon, **changes: object) -> int:
-    body = json.dumps({**_ANNOUNCED, **changes}).encode()
+    body = json.dumps({**_ANNOUNCEMENT, **changes}).encode()
     handler = daemon.admin.routes['POST', '/v1/announce']
     request = AdminRequest('POST', '/v1/announce', body=body)
     return (await handler(request)).status
 
 
-async def test_endpoint_follows_its_announcements(
+async def test_endpoint_expires_without_announcements(
     autojump_clock: MockClock,
 ) -> None:
-    """A backend server that dies silently must not keep its endpoint."""
+    """The endpoint is removed 3 s after the last announcement.
+
+    Otherwise a crashed backend server would keep its endpoint.
+    """
     async with trio.open_nursery() as nursery:
         daemon = await _start_daemon(nursery)
         for _ in range(5):
@@ -90,7 +93,7 @@
         {'unknown': 1},
     ],
 )
-async def test_bad_announcement_changes_nothing(
+async def test_invalid_announcement_changes_nothing(
     autojump_clock: MockClock, changes: dict[str, object]
 ) -> None:
     async with trio.open_nursery() as nursery:
@@ -114,10 +117,8 @@
         (Faults(break_rate=1.0), None),
     ],
 )
-async def test_faults_of_the_standin(
-    faults: Faults, expected: int | None
-) -> None:
-    """Other tests rely on the faults that they ask for."""
+async def test_injected_faults(faults: Faults, expected: int | None) -> None:
+    """Other tests inject these faults and depend on their effect."""
     settings = BackendSettings('availability', 'v1', service_time_ms=0.1)
     server = BackendServer(settings, faults)
     with trio.fail_after(30):
@@ -138,9 +139,11 @@
             await server.stop()
 
 
-@pytest.mark.parametrize('fault', [False, True])
-async def test_load_reports_outcomes_and_violations(fault: bool) -> None:
-    """The tool must see a request that was run twice."""
+@pytest.mark.parametrize('run_twice', [False, True])
+async def test_load_report_has_outcomes_and_violations(
+    run_twice: bool,
+) -> None:
+    """The load tool must detect a request that was run twice."""
     with trio.fail_after(60):
         async with trio.open_nursery() as nursery:
             daemon = await _start_daemon(nursery, '127.0.0.1:0')
@@ -148,7 +151,7 @@
                 BackendSettings(
                     'availability', 'v1', slots=64, service_time_ms=1.0
                 ),
-                Faults(run_twice=fault),
+                Faults(run_twice=run_twice),
             )
             address = await nursery.start(server.run)
             daemon.set_backend(address, slots=64)
@@ -182,6 +185,6 @@
             assert set(results['get']) == set(results['post']) == {'ok'}
             assert set(results['lost']) == {'refused-not-run'}
             assert report['latency_ms']['calls']['p50'] > 0
-            violations = {'ran-twice'} if fault else set()
+            violations = {'ran-twice'} if run_twice else set()
             assert set(report['violations']) == violations
             nursery.cancel_scope.cancel()
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,4 +1,4 @@
-"""Tests of the time line of many processes."""
+"""Tests of the timeline of many processes."""
 
 from __future__ import annotations
 
@@ -21,22 +21,22 @@
     from trio.testing import MockClock
 
 
-def _exchange(seed: int, steps: int = 300) -> dict[str, EventLog]:
-    """Let daemons with wrong clocks send messages to each other."""
+def _simulate_messages(seed: int, steps: int = 300) -> dict[str, EventLog]:
+    """Return the logs of daemons with wrong clocks that exchange messages."""
     rng = random.Random(seed)
-    time = 1_796_366_400.0
+    now = 1_796_366_400.0
     offsets = [rng.uniform(-1, 1) for _ in range(4)]
     logs = {
         f'd{index}': EventLog(
             f'd{index}',
             f'az-{index % 2}',
             path='/dev/null',
-            wall=lambda offset=offset: time + offset,
+            wall=lambda offset=offset: now + offset,
         )
         for index, offset in enumerate(offsets)
     }
     for step in range(steps):
-        time += rng.uniform(0, 0.01)
+        now += rng.uniform(0, 0.01)
         sender, receiver = rng.sample(sorted(logs), 2)
         logs[sender].emit('message-sent', step=step, move='spa/move')
         logs[receiver].clock.observe(logs[sender].clock.last)
@@ -44,7 +44,7 @@
     return logs
 
 
-def _write(path: Path, logs: dict[str, EventLog]) -> list[str]:
+def _write_logs(path: Path, logs: dict[str, EventLog]) -> list[str]:
     paths = []
     for name, log in logs.items():
         file = path / f'{name}.jsonl'
@@ -54,10 +54,10 @@
 
 
 @pytest.mark.parametrize('seed', range(5))
-def test_no_effect_is_shown_before_its_cause(
+def test_causal_order_with_wrong_clocks(
     tmp_path: Path, capsys: Any, seed: int
 ) -> None:
-    paths = _write(tmp_path, _exchange(seed))
+    paths = _write_logs(tmp_path, _simulate_messages(seed))
     assert cli.main(['timeline', '--format=json', *paths, paths[0]]) == 0
     output = capsys.readouterr()
     assert output.err == ''
@@ -85,19 +85,19 @@
         (['--daemon=d0,d1,d2,d3'], 600),
     ],
 )
-def test_events_are_selected(
+def test_events_are_filtered(
     tmp_path: Path, capsys: Any, flags: list[str], count: int
 ) -> None:
-    paths = _write(tmp_path, _exchange(1))
+    paths = _write_logs(tmp_path, _simulate_messages(1))
     assert cli.main(['timeline', *flags, *paths]) == 0
     assert len(capsys.readouterr().out.splitlines()) == count
 
 
-def test_what_cannot_be_read_is_reported_with_its_place(
+def test_malformed_lines_and_unreadable_logs_are_reported(
     tmp_path: Path, capsys: Any
 ) -> None:
-    (first, *rest) = _write(tmp_path, _exchange(1, 20))
-    damaged = Path(first)
+    (damaged_path, *rest) = _write_logs(tmp_path, _simulate_messages(1, 20))
+    damaged = Path(damaged_path)
     lines = damaged.read_bytes().splitlines()
     assert len(lines) > 5
     lines[1] = b'{"index": "one"}'
@@ -108,25 +108,23 @@
     page = tmp_path / 'page.html'
     missing = str(tmp_path / 'missing.jsonl')
     status = cli.main(
-        ['timeline', f'--html={page}', first, *rest, missing],
+        ['timeline', f'--html={page}', damaged_path, *rest, missing],
     )
     output = capsys.readouterr()
     assert status == 1
     assert len(output.out.splitlines()) == 40 - 3
     for line in (1, 3, 4, 5):
-        assert f'{first}:{line}:1: malformed-line' in output.err
-    assert f'{first}:6:1: missing-events: events 2 to 4' in output.err
+        assert f'{damaged_path}:{line}:1: malformed-line' in output.err
+    assert f'{damaged_path}:6:1: missing-events: events 2 to 4' in output.err
     assert f'{missing}: unreadable-log' in output.err
     assert page.read_text().count('malformed-line') == 4
 
 
-def test_the_page_shows_each_event_in_the_lane_of_its_process(
-    tmp_path: Path, capsys: Any
-) -> None:
-    logs = _exchange(1, 10)
+def test_html_page_has_a_lane_per_daemon(tmp_path: Path, capsys: Any) -> None:
+    logs = _simulate_messages(1, 10)
     logs['d0'].emit('hostile', text='</title><script>alert(1)\x1b[2J')
     page = tmp_path / 'page.html'
-    paths = _write(tmp_path, logs)
+    paths = _write_logs(tmp_path, logs)
     assert cli.main(['timeline', f'--html={page}', *paths]) == 0
     assert '\x1b' not in capsys.readouterr().out
     text = page.read_text()
@@ -134,13 +132,13 @@
     svg = ElementTree.fromstring(
         text[text.index('<svg') : text.index('</svg>') + 6]
     )
-    marks = svg.findall('circle')
-    assert len(marks) == 21
-    assert 'message-sent at 2026-' in str(marks[0][0].text)
+    circles = svg.findall('circle')
+    assert len(circles) == 21
+    assert 'message-sent at 2026-' in str(circles[0][0].text)
     labels = [item.text for item in svg.findall('text')]
     assert labels[:6] == ['az-0', 'd0', 'd2', 'az-1', 'd1', 'd3']
-    # Lanes do not overlap.
-    assert len({mark.get('cy') for mark in marks}) <= 3 * 4
+    # Lanes do not overlap: each of the 4 has at most 3 vertical positions.
+    assert len({circle.get('cy') for circle in circles}) <= 3 * 4
     assert cli.main(['timeline', f'--html={page}', '--zone=x', *paths]) == 0
     assert '0 events' in page.read_text()
 
@@ -148,7 +146,7 @@
 async def test_logs_are_fetched_from_daemons(
     autojump_clock: MockClock,
 ) -> None:
-    log = _exchange(1)['d0']
+    log = _simulate_messages(1)['d0']
 
     async def serve(scope: Any, receive: Any, send: Any) -> None:
         assert scope['path'] == '/events'
@@ -184,7 +182,7 @@
         (['--format=xml', 'x'], 'text'),
     ],
 )
-def test_settings_that_cannot_be_used_are_named(
+def test_invalid_settings_are_rejected(
     capsys: Any, argv: list[str], message: str
 ) -> None:
     assert cli.main(['timeline', *argv]) == 2
@@ -194,7 +192,7 @@
 def test_flags_are_read_from_the_environment(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: Any
 ) -> None:
-    paths = _write(tmp_path, _exchange(1))
+    paths = _write_logs(tmp_path, _simulate_messages(1))
     monkeypatch.setenv('GYPSUMHALL_LOG', ','.join(paths))
     monkeypatch.setenv('GYPSUMHALL_ZONE', 'az-9')
     assert cli.main(['timeline']) == 0
