--- a/gypsumhall/timeline/_merge.py
+++ b/gypsumhall/timeline/_merge.py
@@ -40,7 +40,8 @@
         conditions = (
             not self.codes
             or any(
-                fnmatch.fnmatchcase(event.code, code) for code in self.codes
+                fnmatch.fnmatchcase(event.code, pattern)
+                for pattern in self.codes
             ),
             not self.zones or event.zone in self.zones,
             not self.daemons or event.daemon in self.daemons,
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -139,9 +139,9 @@
             await server.stop()
 
 
-@pytest.mark.parametrize('run_twice', [False, True])
+@pytest.mark.parametrize('duplicate_runs', [False, True])
 async def test_load_report_has_outcomes_and_violations(
-    run_twice: bool,
+    duplicate_runs: bool,
 ) -> None:
     """The load tool must detect a request that was run twice."""
     with trio.fail_after(60):
@@ -151,7 +151,7 @@
                 BackendSettings(
                     'availability', 'v1', slots=64, service_time_ms=1.0
                 ),
-                Faults(run_twice=run_twice),
+                Faults(run_twice=duplicate_runs),
             )
             address = await nursery.start(server.run)
             daemon.set_backend(address, slots=64)
@@ -185,6 +185,6 @@
             assert set(results['get']) == set(results['post']) == {'ok'}
             assert set(results['lost']) == {'refused-not-run'}
             assert report['latency_ms']['calls']['p50'] > 0
-            violations = {'ran-twice'} if run_twice else set()
+            violations = {'ran-twice'} if duplicate_runs else set()
             assert set(report['violations']) == violations
             nursery.cancel_scope.cancel()
