Rename timeline.Selection to EventFilter and Logs.unread

The class is a filter on events; admits is now matches. Logs.unread is a number and is now unreadable_count.

--- a/gypsumhall/cli/timeline.py
+++ b/gypsumhall/cli/timeline.py
@@ -11,6 +11,7 @@
 from gypsumhall._errors import Place
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
+from gypsumhall.timeline import EventFilter
 from gypsumhall.timeline import fetch_logs
 from gypsumhall.timeline import Logs
 from gypsumhall.timeline import merge
@@ -18,7 +19,6 @@
 from gypsumhall.timeline import render_html
 from gypsumhall.timeline import render_json
 from gypsumhall.timeline import render_text
-from gypsumhall.timeline import Selection
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -50,9 +50,9 @@
         file.write(render_html(events, logs.findings))
 
 
-def _show(logs: Logs, selection: Selection, form: str, html: str) -> int:
+def _show(logs: Logs, selection: EventFilter, form: str, html: str) -> int:
     """Print and write the selected events and return the exit status."""
-    events = [item for item in merge(logs.events) if selection.admits(item)]
+    events = [item for item in merge(logs.events) if selection.matches(item)]
     for finding in logs.findings:
         print(finding, file=sys.stderr)
     try:
@@ -65,7 +65,7 @@
     except OSError as error:
         print(f'the time line cannot be written: {error}', file=sys.stderr)
         return 1
-    return 1 if logs.unread else 0
+    return 1 if logs.unreadable_count else 0
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -133,7 +133,7 @@
         read_files(logs, [*names, *files.value])
         if daemons.value:
             trio.run(fetch_logs, logs, daemons.value)
-        selection = Selection(
+        selection = EventFilter(
             codes.value, zones.value, ids.value, moves.value, versions.value
         )
         return _show(logs, selection, form.value, html.value)
--- a/gypsumhall/timeline/_merge.py
+++ b/gypsumhall/timeline/_merge.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Selection:
+class EventFilter:
     """Conditions on events; an empty condition matches every event.
 
     Parameters
@@ -35,7 +35,7 @@
     moves: tuple[str, ...] = ()
     versions: tuple[int, ...] = ()
 
-    def admits(self, event: Event) -> bool:
+    def matches(self, event: Event) -> bool:
         """Return whether an event meets all conditions."""
         conditions = (
             not self.codes
--- a/gypsumhall/timeline/_read.py
+++ b/gypsumhall/timeline/_read.py
@@ -38,13 +38,13 @@
         Events in the order in which they were read.
     findings : list of Finding
         Malformed lines, missing events and unreadable logs.
-    unread : int
+    unreadable_count : int
         Number of logs that could not be read at all.
     """
 
     events: list[Event] = field(default_factory=list)
     findings: list[Finding] = field(default_factory=list)
-    unread: int = 0
+    unreadable_count: int = 0
 
     def add_lines(self, source: str, data: bytes) -> None:
         """Add a log of JSON lines.
@@ -72,7 +72,7 @@
 
     def add_unreadable(self, source: str, reason: object) -> None:
         """Report a log that cannot be read."""
-        self.unread += 1
+        self.unreadable_count += 1
         self._report('unreadable-log', str(reason), Place(source))
 
     def _check_index(
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -169,7 +169,7 @@
         await timeline.fetch_logs(logs, addresses, network_backend=network)
         nursery.cancel_scope.cancel()
     assert logs.events == log.since(0)
-    assert logs.unread == 3
+    assert logs.unreadable_count == 3
     assert [item.place.source for item in logs.findings] == addresses[1:]
 
 
