--- a/gypsumhall/timeline/__init__.py
+++ b/gypsumhall/timeline/__init__.py
@@ -1,4 +1,4 @@
-"""Merges the event logs of all processes into one time line."""
+"""Merges the event logs of many processes into one timeline."""
 
 from gypsumhall.timeline._merge import EventFilter
 from gypsumhall.timeline._merge import merge
@@ -10,8 +10,8 @@
 from gypsumhall.timeline._render import render_text
 
 __all__ = [
-    'Logs',
     'EventFilter',
+    'Logs',
     'fetch_logs',
     'merge',
     'read_files',
