Reword frames, handshake, sockets and interface of net in plain terms

Docstrings, comments and errors state what the code does. Private names follow: _prove -> _compute_proofs, _theirs -> _peer_hello, _free -> _pool, and constants carry a unit. Error texts name the violated limit.

--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -1,12 +1,13 @@
 """Frames on a stream between daemons.
 
 A frame is one msgpack array ``[exchange, kind, payload]``. The payload is
-the encoding of a typed message; frames without a message carry an integer
-or nothing. `msgpack.Unpacker` finds the ends of frames and bounds the bytes
-that wait for the end of one; the msgspec codec decodes and validates the
-payload. For a `Heartbeat` with three entries, encoding and decoding take
-1.7 and 2.2 us this way; ``msgspec.to_builtins`` and ``msgspec.convert`` on
-an unpacked payload take 5.7 and 56 us.
+an encoded message; frames without a message carry an integer, which is 0
+when the kind needs none. `msgpack.Unpacker` splits the stream into frames and
+limits the bytes that are buffered for an incomplete one; the msgspec codec
+decodes and validates the payload. For a `Heartbeat` with three entries,
+encoding and decoding take 1.7 and 2.2 us. The alternative,
+``msgspec.to_builtins`` and ``msgspec.convert`` on an unpacked payload, takes
+5.7 and 56 us.
 """
 
 from __future__ import annotations
@@ -24,90 +25,90 @@
 from gypsumhall.net._messages import Message
 
 MAX_FRAME = 1024 * 1024 + 64 * 1024
-"""Largest frame in bytes: a 1 MiB message and its envelope."""
+"""Maximum size of a frame: a message of 1 MiB and its frame header."""
 
 MAX_READ = 64 * 1024
-"""Most bytes that a decoder is fed at a time."""
+"""Maximum number of bytes per call of `FrameDecoder.feed`."""
 
-_READ_SIZE = 16 * 1024
-"""First buffer of an unpacker; the default is 1 MiB."""
+_INITIAL_BUFFER_BYTES = 16 * 1024
+"""Initial buffer size of an unpacker; the default is 1 MiB."""
 
-_FREE_UNPACKERS = 4
-"""Unpackers kept for later; one may have grown to `MAX_FRAME`."""
+_MAX_POOLED_UNPACKERS = 4
+"""Limited because the buffer of each may have grown to `MAX_FRAME`."""
 
 _MAX_ID = 2**62
 
 
 class Kind(enum.IntEnum):
-    """What a frame does to its exchange."""
+    """Kind of a frame: its effect on the exchange or the stream."""
 
     OPEN = 0
-    """Starts an exchange with a first message."""
+    """Opens an exchange with a first message."""
     REQUEST = 1
-    """Starts an exchange that ends with the first message of the answer."""
+    """Opens an exchange that ends with a single reply message."""
     POST = 2
-    """Carries a message that gets no answer."""
+    """Carries a message that gets no reply."""
     DATA = 3
     """Carries a further message."""
     LAST = 4
     """Carries a message and ends the exchange."""
     FINISH = 5
-    """The sender sends no further message."""
+    """Closes the sender's direction of the exchange."""
     CLOSE = 6
-    """Ends the exchange after the messages that were sent before."""
+    """Ends the exchange; messages sent before are still delivered."""
     CANCEL = 7
-    """Ends the exchange at once."""
+    """Ends the exchange at once; undelivered messages are discarded."""
     CREDIT = 8
-    """Lets the receiver send that many more payload bytes."""
+    """Allows the receiver to send that many more payload bytes."""
     PING = 9
-    """Asks for a `PONG`."""
+    """Requests a `PONG`."""
     PONG = 10
-    """Answers a `PING`."""
+    """Reply to a `PING`."""
     GOAWAY = 11
-    """The sender takes no new exchanges on this stream."""
+    """The sender accepts no new exchanges on this stream."""
 
 
-_BY_VALUE = tuple(Kind)
-_WITH_MESSAGE = frozenset(
+_KINDS_BY_VALUE = tuple(Kind)
+_KINDS_WITH_MESSAGE = frozenset(
     {Kind.OPEN, Kind.REQUEST, Kind.POST, Kind.DATA, Kind.LAST}
 )
 
 
 class Frame(NamedTuple):
-    """A frame whose payload is not decoded yet."""
+    """A frame with its payload still encoded."""
 
     exchange: int
     kind: Kind
     payload: bytes | int
     size: int
-    """Bytes on the stream."""
+    """Size on the stream in bytes."""
 
 
 def _message_types() -> tuple[type[Message], ...]:
-    found = [
-        item
-        for item in vars(_messages).values()
-        if isinstance(item, type)
-        and issubclass(item, Message)
-        and item is not Message
+    types = [
+        message_type
+        for message_type in vars(_messages).values()
+        if isinstance(message_type, type)
+        and issubclass(message_type, Message)
+        and message_type is not Message
     ]
-    return tuple(found)
+    return tuple(types)
 
 
 MESSAGE_TYPES = _message_types()
 _TAG_NAMES = {
-    typing.cast(int, item.__struct_config__.tag): item.__name__
-    for item in MESSAGE_TYPES
+    typing.cast(int, message_type.__struct_config__.tag): message_type.__name__
+    for message_type in MESSAGE_TYPES
 }
 _CALL_TAGS = range(40, 60)
 _CALL_TYPES = frozenset(
-    item
-    for item in MESSAGE_TYPES
-    if typing.cast(int, item.__struct_config__.tag) in _CALL_TAGS
+    message_type
+    for message_type in MESSAGE_TYPES
+    if typing.cast(int, message_type.__struct_config__.tag) in _CALL_TAGS
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
-    typing.Union[MESSAGE_TYPES]  # noqa: UP007 - the types are not literal
+    typing.Union[MESSAGE_TYPES]  # noqa: UP007 - `|` needs literal types
 )
 _PACKER = msgpack.Packer()
 
@@ -118,7 +119,7 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """Return the payload for a message.
+    """Return the payload that encodes a message.
 
     Raises
     ------
@@ -128,14 +129,14 @@
     payload = _ENCODER.encode(message)
     if len(payload) > MAX_FRAME - 32:
         raise PeerProtocolError(
-            f'{type(message).__name__} takes {len(payload)} bytes; '
-            f'a frame holds {MAX_FRAME}'
+            f'{type(message).__name__} of {len(payload)} bytes is too large; '
+            f'the maximum frame size is {MAX_FRAME}'
         )
     return payload
 
 
 def decode_message(payload: bytes | int) -> Message:
-    """Return the message of a payload.
+    """Return the message that a payload encodes.
 
     Raises
     ------
@@ -154,16 +155,16 @@
 
 
 class Traffic:
-    """Counts of frames and bytes.
+    """Counters of frames and bytes.
 
     Attributes
     ----------
     frames, sizes : list of int
-        Frames and bytes: control sent, control received, call sent, call
-        received.
+        Number of frames and of bytes, each for: control sent, control
+        received, call sent, call received.
     control : tuple of list of int
-        Bytes of control frames by the tag of their message: sent, received.
-        Tag 0 stands for frames without a message and for handshakes.
+        Bytes of control frames, sent and received, indexed by the tag of
+        the message. Index 0 counts frames without a message and handshakes.
     """
 
     __slots__ = ('control', 'frames', 'sizes')
@@ -174,7 +175,17 @@
         self.control = ([0] * 128, [0] * 128)
 
     def add(self, index: int, size: int, payload: bytes | int = 0) -> None:
-        """Count one frame."""
+        """Count one frame.
+
+        Parameters
+        ----------
+        index : int
+            Index into `frames` and `sizes`.
+        size : int
+            Size of the frame in bytes.
+        payload : bytes or int
+            Payload of the frame.
+        """
         self.frames[index] += 1
         self.sizes[index] += size
         if index < 2:
@@ -193,10 +204,11 @@
 
 
 def _tag_of(payload: bytes | int) -> int:
-    """Return the tag of an encoded message, 0 when there is none.
+    """Return the tag of an encoded message, or 0 without a message.
 
     A message is an array that starts with its tag. Control messages have
-    fewer than 16 fields, so that the array header takes one byte.
+    fewer than 16 fields, so the array header takes one byte and the tag is
+    the second byte.
     """
     if isinstance(payload, bytes) and len(payload) > 1:
         return payload[1] & 0x7F
@@ -206,22 +218,22 @@
 class FrameDecoder:
     """Splits received bytes into frames.
 
-    An `msgpack.Unpacker` takes 56 KiB. A decoder keeps one only while a
-    frame is incomplete; most reads end with a frame, so that hundreds of
-    streams share a few.
+    A `msgpack.Unpacker` takes 56 KiB. Most reads end at the end of a frame,
+    so a decoder keeps an unpacker only while a frame is incomplete. Hundreds
+    of streams thus share a few unpackers.
     """
 
-    __slots__ = ('_fed', '_start', '_unpacker')
+    __slots__ = ('_end_offset', '_frame_offset', '_unpacker')
 
-    _free: ClassVar[list[msgpack.Unpacker]] = []
+    _pool: ClassVar[list[msgpack.Unpacker]] = []
 
     def __init__(self) -> None:
         self._unpacker: msgpack.Unpacker | None = None
-        self._start = 0
-        self._fed = 0
+        self._frame_offset = 0
+        self._end_offset = 0
 
     def feed(self, data: bytes) -> list[Frame]:
-        """Return the frames that the bytes complete.
+        """Decode received bytes and return the completed frames.
 
         Parameters
         ----------
@@ -231,38 +243,38 @@
         Raises
         ------
         PeerProtocolError
-            When the bytes are no frames or a frame is too large; the
-            decoder cannot be used any more.
+            When the bytes are not valid frames or a frame is too large.
+            The decoder must not be used afterwards.
         """
         unpacker = self._unpacker
         if unpacker is None:
-            unpacker = self._free.pop() if self._free else _unpacker()
-            self._start = self._fed = unpacker.tell()
+            unpacker = self._pool.pop() if self._pool else _build_unpacker()
+            self._frame_offset = self._end_offset = unpacker.tell()
         frames = []
-        start = self._start
-        self._fed += len(data)
+        start = self._frame_offset
+        self._end_offset += len(data)
         try:
             unpacker.feed(data)
             for value in unpacker:
                 end = unpacker.tell()
-                frames.append(_check(value, end - start))
+                frames.append(_validate_frame(value, end - start))
                 start = end
         except (ValueError, msgpack.UnpackException) as error:
             raise PeerProtocolError(f'malformed frame: {error}') from error
-        self._start = start
-        if start < self._fed:
+        self._frame_offset = start
+        if start < self._end_offset:
             self._unpacker = unpacker
         else:
             self._unpacker = None
-            if len(self._free) < _FREE_UNPACKERS:
-                self._free.append(unpacker)
+            if len(self._pool) < _MAX_POOLED_UNPACKERS:
+                self._pool.append(unpacker)
         return frames
 
 
-def _unpacker() -> msgpack.Unpacker:
+def _build_unpacker() -> msgpack.Unpacker:
     return msgpack.Unpacker(
-        read_size=_READ_SIZE,
-        # A read may end a frame and begin the next.
+        read_size=_INITIAL_BUFFER_BYTES,
+        # One read may contain the end of a frame and the start of the next.
         max_buffer_size=MAX_FRAME + MAX_READ,
         max_bin_len=MAX_FRAME - 16,
         max_array_len=3,
@@ -273,19 +285,19 @@
     )
 
 
-def _check(value: object, size: int) -> Frame:
+def _validate_frame(value: object, size: int) -> Frame:
     if not isinstance(value, tuple) or len(value) != 3:
-        raise PeerProtocolError('a frame is an array of three items')
+        raise PeerProtocolError('frame is not an array of three items')
     exchange, kind, payload = value
     if type(exchange) is not int or not 0 <= exchange < _MAX_ID:
-        raise PeerProtocolError('the exchange id of a frame is invalid')
-    if type(kind) is not int or not 0 <= kind < len(_BY_VALUE):
-        raise PeerProtocolError(f'frame kind {kind!r} is unknown')
-    found = _BY_VALUE[kind]
-    if found in _WITH_MESSAGE:
+        raise PeerProtocolError('invalid exchange id in a frame')
+    if type(kind) is not int or not 0 <= kind < len(_KINDS_BY_VALUE):
+        raise PeerProtocolError(f'unknown frame kind {kind!r}')
+    frame_kind = _KINDS_BY_VALUE[kind]
+    if frame_kind in _KINDS_WITH_MESSAGE:
         valid = type(payload) is bytes
     else:
         valid = type(payload) is int and 0 <= payload < _MAX_ID
     if not valid:
-        raise PeerProtocolError(f'frame of kind {found.name} is malformed')
-    return Frame(exchange, found, payload, size)
+        raise PeerProtocolError(f'invalid payload in {frame_kind.name} frame')
+    return Frame(exchange, frame_kind, payload, size)
--- a/gypsumhall/net/_handshake.py
+++ b/gypsumhall/net/_handshake.py
@@ -1,14 +1,14 @@
-"""Mutual proof of a shared key at the start of a stream.
+"""Mutual authentication with a shared key at the start of a stream.
 
-The side that opens the stream sends a hello with a nonce. The side that
-accepts it answers with its own hello and a proof, and the opening side sends
-its proof. Each proof is an HMAC-SHA256 over protocol version, role, both
-nonces and both identities: a recorded handshake fails against a fresh nonce,
-and a proof sent back to its author fails because of the role. Hellos are the
+The side that opens the stream sends a hello with a nonce. The accepting side
+replies with its own hello and a proof, and the opening side sends its proof.
+Each proof is an HMAC-SHA256 over protocol version, role, both nonces and both
+identities. The nonces protect against the replay of a recorded handshake,
+and the role against the reflection of a proof to its author. Hellos are the
 only bytes read before a proof; they are limited to `MAX_HELLO` bytes.
 
-A proof is a list with one code per key. During a rotation of keys, two
-daemons understand each other when they have any key in common.
+Proofs are sent as a list with one HMAC per key, so that two daemons with any
+key in common can connect while keys are rotated.
 """
 
 from __future__ import annotations
@@ -34,11 +34,11 @@
 
 PROTOCOL = 'gypsumhall/1'
 MAX_HELLO = 1024
-"""Largest handshake frame in bytes."""
+"""Maximum size of a handshake frame."""
 MAX_KEYS = 4
-"""Largest number of keys accepted at the same time."""
-_NONCE = 32
-_ENVELOPE = 3
+"""Maximum number of keys accepted at the same time."""
+_NONCE_BYTES = 32
+_FRAME_HEADER_BYTES = 3
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True):
@@ -49,11 +49,12 @@
     protocol : str
         Name and version of the protocol.
     nonce : bytes
-        Fresh random bytes.
+        Random bytes, new in each handshake.
     peer : PeerInfo
-        Identity of the side.
+        Identity of the sending side.
     proofs : tuple of bytes
-        Proofs of the accepting side, one per key; empty in the first hello.
+        Proofs of the accepting side, one per key; empty in the hello of the
+        opening side.
     """
 
     protocol: str
@@ -73,19 +74,20 @@
 
 
 def check_keys(keys: Sequence[bytes]) -> tuple[bytes, ...]:
-    """Return the keys.
+    """Validate the shared keys and return them as a tuple.
 
     Raises
     ------
     ValueError
-        When there is no key, too many, or one under 16 bytes.
+        When there are no keys, too many, or one has less than 16 bytes.
     """
     if not 1 <= len(keys) <= MAX_KEYS:
         raise ValueError(f'{len(keys)} peer keys; expected 1 to {MAX_KEYS}')
     for index, key in enumerate(keys):
         if len(key) < 16:
             raise ValueError(
-                f'peer key {index + 1} has {len(key)} bytes; expected 16'
+                f'peer key {index + 1} has {len(key)} bytes; '
+                'expected at least 16'
             )
     return tuple(keys)
 
@@ -101,51 +103,51 @@
         Accepted keys, at most `MAX_KEYS`.
     """
 
-    __slots__ = ('_keys', '_me', '_nonce', '_theirs')
+    __slots__ = ('_keys', '_me', '_nonce', '_peer_hello')
 
     def __init__(self, me: PeerInfo, keys: Sequence[bytes]) -> None:
         self._me = me
         self._keys = tuple(keys)
-        self._nonce = secrets.token_bytes(_NONCE)
-        self._theirs: Hello | None = None
+        self._nonce = secrets.token_bytes(_NONCE_BYTES)
+        self._peer_hello: Hello | None = None
 
     def hello(self) -> bytes:
         """Return the first frame of the opening side."""
         return msgspec.msgpack.encode(Hello(PROTOCOL, self._nonce, self._me))
 
     def accept(self, data: bytes) -> bytes:
-        """Return the accepting side's answer to a hello.
+        """Return the accepting side's reply to a hello.
 
         Raises
         ------
         PeerProtocolError
             When the hello is malformed or has another protocol version.
         """
-        self._theirs = self._hello(data)
-        answer = Hello(PROTOCOL, self._nonce, self._me)
-        proofs = _prove(self._keys, 'accept', self._theirs, answer)
+        self._peer_hello = self._decode_hello(data)
+        reply = Hello(PROTOCOL, self._nonce, self._me)
+        proofs = _compute_proofs(self._keys, 'accept', self._peer_hello, reply)
         return msgspec.msgpack.encode(
             Hello(PROTOCOL, self._nonce, self._me, proofs)
         )
 
     def confirm(self, data: bytes) -> tuple[PeerInfo, bytes]:
-        """Check the accepting side's answer.
+        """Check the accepting side's reply.
 
         Returns
         -------
         tuple of PeerInfo and bytes
-            Identity of the accepting side, and the last frame.
+            Identity of the accepting side, and the last frame to send.
 
         Raises
         ------
         PeerProtocolError
-            When the answer proves no common key.
+            When no proof in the reply matches a key of this side.
         """
-        answer = self._hello(data)
+        reply = self._decode_hello(data)
         opening = Hello(PROTOCOL, self._nonce, self._me)
-        _verify(self._keys, 'accept', opening, answer, answer.proofs)
-        proofs = _prove(self._keys, 'open', opening, answer)
-        return answer.peer, msgspec.msgpack.encode(Proof(proofs))
+        _verify_proofs(self._keys, 'accept', opening, reply, reply.proofs)
+        proofs = _compute_proofs(self._keys, 'open', opening, reply)
+        return reply.peer, msgspec.msgpack.encode(Proof(proofs))
 
     def finish(self, data: bytes) -> PeerInfo:
         """Check the opening side's proof and return its identity.
@@ -153,70 +155,76 @@
         Raises
         ------
         PeerProtocolError
-            When the frame proves no common key.
+            When no proof matches a key of this side.
         """
-        if self._theirs is None:
-            raise PeerProtocolError('proof before hello')
+        if self._peer_hello is None:
+            raise PeerProtocolError('proof received before hello')
         try:
             proof = _PROOF.decode(data)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise PeerProtocolError(f'malformed proof: {error}') from error
-        answer = Hello(PROTOCOL, self._nonce, self._me)
-        _verify(self._keys, 'open', self._theirs, answer, proof.proofs)
-        return self._theirs.peer
+        reply = Hello(PROTOCOL, self._nonce, self._me)
+        _verify_proofs(
+            self._keys, 'open', self._peer_hello, reply, proof.proofs
+        )
+        return self._peer_hello.peer
 
-    def _hello(self, data: bytes) -> Hello:
+    def _decode_hello(self, data: bytes) -> Hello:
         try:
             hello = _HELLO.decode(data)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise PeerProtocolError(f'malformed hello: {error}') from error
         if hello.protocol != PROTOCOL:
             raise PeerProtocolError(
-                f'peer speaks {hello.protocol!r}; expected {PROTOCOL!r}'
+                f'peer uses protocol {hello.protocol!r}; expected {PROTOCOL!r}'
+            )
+        if len(hello.nonce) != _NONCE_BYTES or len(hello.proofs) > MAX_KEYS:
+            raise PeerProtocolError(
+                'malformed hello: wrong nonce length or too many proofs'
             )
-        if len(hello.nonce) != _NONCE or len(hello.proofs) > MAX_KEYS:
-            raise PeerProtocolError('malformed hello')
         if hello.peer.id == self._me.id:
-            # A relay could otherwise let a daemon prove a key to itself.
-            raise PeerProtocolError(f'peer has the own id {self._me.id!r}')
+            # Otherwise a relay could connect a daemon to itself and pass
+            # its own proofs back to it.
+            raise PeerProtocolError(f'peer has own id {self._me.id!r}')
         return hello
 
 
-def _prove(
-    keys: tuple[bytes, ...], role: str, opening: Hello, answer: Hello
+def _compute_proofs(
+    keys: tuple[bytes, ...], role: str, opening: Hello, reply: Hello
 ) -> tuple[bytes, ...]:
-    text = msgspec.msgpack.encode(
+    """Return the HMACs over a handshake, one per key."""
+    transcript = msgspec.msgpack.encode(
         (
             PROTOCOL,
             role,
             opening.nonce,
-            answer.nonce,
+            reply.nonce,
             opening.peer,
-            answer.peer,
+            reply.peer,
         )
     )
-    return tuple(hmac.digest(key, text, hashlib.sha256) for key in keys)
+    return tuple(hmac.digest(key, transcript, hashlib.sha256) for key in keys)
 
 
-def _verify(
+def _verify_proofs(
     keys: tuple[bytes, ...],
     role: str,
     opening: Hello,
-    answer: Hello,
+    reply: Hello,
     proofs: tuple[bytes, ...],
 ) -> None:
     if len(proofs) > MAX_KEYS:
-        raise PeerProtocolError('malformed proof')
+        raise PeerProtocolError('malformed proof: too many proofs')
     valid = False
-    for expected in _prove(keys, role, opening, answer):
+    for expected in _compute_proofs(keys, role, opening, reply):
         for proof in proofs:
             valid |= hmac.compare_digest(expected, proof)
     if not valid:
         raise PeerProtocolError('peer proves none of the shared keys')
 
 
-class _Reader:
-    """Reads handshake frames, each an msgpack byte string."""
+class _FrameReader:
+    """Reads handshake frames, each a msgpack byte string."""
 
     __slots__ = ('_sock', '_traffic', '_unpacker')
 
@@ -234,11 +242,11 @@
         )
 
     @property
-    def rest(self) -> bytes:
-        """Bytes read after the last frame."""
+    def unread_bytes(self) -> bytes:
+        """Bytes received after the last frame that was read."""
         return self._unpacker.read_bytes(2 * MAX_HELLO)
 
-    async def frame(self) -> bytes:
+    async def read_frame(self) -> bytes:
         while True:
             try:
                 frame = next(self._unpacker, None)
@@ -247,21 +255,27 @@
                     f'malformed handshake: {error}'
                 ) from error
             if isinstance(frame, bytes):
-                self._traffic.add(1, len(frame) + _ENVELOPE)
+                self._traffic.add(1, len(frame) + _FRAME_HEADER_BYTES)
                 return frame
             if frame is not None:
-                raise PeerProtocolError('malformed handshake')
+                raise PeerProtocolError(
+                    'malformed handshake: frame is not a byte string'
+                )
             data = await _socket.receive(self._sock, MAX_HELLO)
             if not data:
-                raise PeerLostError('stream ended during the handshake')
+                raise PeerLostError(
+                    'peer closed the stream during the handshake'
+                )
             try:
                 self._unpacker.feed(data)
             except msgpack.BufferFull as error:
                 raise PeerProtocolError('oversized handshake') from error
 
 
-async def _send(sock: socket.socket, data: bytes, traffic: Traffic) -> None:
-    traffic.add(0, len(data) + _ENVELOPE)
+async def _send_frame(
+    sock: socket.socket, data: bytes, traffic: Traffic
+) -> None:
+    traffic.add(0, len(data) + _FRAME_HEADER_BYTES)
     await _socket.send_all(sock, msgpack.packb(data))
 
 
@@ -273,14 +287,16 @@
     Raises
     ------
     PeerLostError
-        When the other side ends the stream.
+        When the other side closes the stream.
     PeerProtocolError
-        When the other side proves no common key.
+        When the handshake is malformed or the sides have no common key.
     """
     handshake = Handshake(me, keys)
-    await _send(sock, handshake.hello(), traffic)
-    peer, proof = handshake.confirm(await _Reader(sock, traffic).frame())
-    await _send(sock, proof, traffic)
+    await _send_frame(sock, handshake.hello(), traffic)
+    peer, proof = handshake.confirm(
+        await _FrameReader(sock, traffic).read_frame()
+    )
+    await _send_frame(sock, proof, traffic)
     return peer
 
 
@@ -292,17 +308,19 @@
     Returns
     -------
     tuple of PeerInfo and bytes
-        Identity of the opening side, and the bytes read after its proof.
+        Identity of the opening side, and the bytes received after its proof.
 
     Raises
     ------
     PeerLostError
-        When the other side ends the stream.
+        When the other side closes the stream.
     PeerProtocolError
-        When the other side proves no common key.
+        When the handshake is malformed or the sides have no common key.
     """
     handshake = Handshake(me, keys)
-    reader = _Reader(sock, traffic)
-    await _send(sock, handshake.accept(await reader.frame()), traffic)
-    peer = handshake.finish(await reader.frame())
-    return peer, reader.rest
+    reader = _FrameReader(sock, traffic)
+    await _send_frame(
+        sock, handshake.accept(await reader.read_frame()), traffic
+    )
+    peer = handshake.finish(await reader.read_frame())
+    return peer, reader.unread_bytes
--- a/gypsumhall/net/_protocol.py
+++ b/gypsumhall/net/_protocol.py
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerInfo:
-    """The daemon at the other end of a stream, as its handshake states.
+    """Identity of a daemon, as stated in the handshake.
 
     Parameters
     ----------
@@ -29,9 +29,9 @@
     zone : str
         Availability zone.
     incarnation : int
-        Incarnation of the process.
+        Incarnation of the daemon's process.
     address : str
-        ``<ip>:<port>`` of its listener for other daemons.
+        ``<ip>:<port>`` of the daemon's listener for other daemons.
     """
 
     id: str
@@ -43,7 +43,7 @@
 class Exchange(Protocol):
     """An ordered sequence of messages in both directions on a stream.
 
-    Many exchanges share a stream. Each has its own flow control.
+    Exchanges are multiplexed on a stream. Each has its own flow control.
     """
 
     @property
@@ -52,12 +52,12 @@
         ...
 
     async def send(self, message: Message) -> None:
-        """Send a message; waits while the other end's buffer is full.
+        """Send a message; waits while the receive window of the peer is full.
 
         Raises
         ------
         PeerLostError
-            When the stream has ended or gone silent.
+            When the stream has ended or timed out.
         """
         ...
 
@@ -67,23 +67,23 @@
         Raises
         ------
         PeerLostError
-            When the stream has ended or gone silent.
+            When the stream has ended or timed out.
         trio.EndOfChannel
-            When the other end has finished the exchange.
+            When the peer has finished sending.
         """
         ...
 
     async def finish(self) -> None:
-        """Tell the other end that no further message follows."""
+        """Notify the peer that no further message follows."""
         ...
 
     def cancel(self) -> None:
-        """Give the exchange up; the other end's `receive` ends."""
+        """Cancel the exchange; `receive` fails at the other end."""
         ...
 
 
 Handler = Callable[[Exchange, M], Awaitable[None]]
-"""Handles an exchange whose first message is of the registered type."""
+"""Handles an exchange that starts with a message of a registered type."""
 
 
 @runtime_checkable
@@ -106,35 +106,35 @@
         message : Message
             First message.
         timeout_s : float
-            Longest time to open a stream, in seconds.
+            Timeout for opening a stream, in seconds.
 
         Raises
         ------
         PeerUnreachableError
             When no stream could be opened; the message was not sent.
         PeerLostError
-            When the stream ended afterwards.
+            When the stream ended after the message was sent.
         """
         ...
 
     async def request(
         self, address: str, message: Message, *, timeout_s: float
     ) -> Message:
-        """Send a message and return the first message of the answer.
+        """Send a message and return the reply.
 
         Raises
         ------
         PeerUnreachableError
             When the message was not sent.
         PeerLostError
-            When the stream ended or no answer came in time.
+            When the stream ended or the reply timed out.
         """
         ...
 
     def post(self, address: str, message: Message) -> None:
-        """Send a message without waiting for an answer.
+        """Send a message that gets no reply, without waiting.
 
-        The message is dropped when the peer cannot be reached or its
-        queue is full.
+        The message is dropped when the peer is unreachable or the send
+        queue for the address is full.
         """
         ...
--- a/gypsumhall/net/_socket.py
+++ b/gypsumhall/net/_socket.py
@@ -1,8 +1,8 @@
 """Non-blocking TCP sockets under trio.
 
-`trio.SocketStream` offers no send that returns at once. Streams between
-daemons send most frames without a task switch, so they use the standard
-library's sockets with trio's readiness functions.
+`trio.SocketStream` has no non-blocking send. Streams between daemons send most
+frames without a task switch, so they use the sockets of the standard library
+with the readiness functions of trio.
 """
 
 from __future__ import annotations
@@ -18,12 +18,12 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``<ip>:<port>``.
+    """Split ``<ip>:<port>`` into IP address and port.
 
     Raises
     ------
     ValueError
-        When the address has another form.
+        When the address does not have this form.
     """
     host, separator, port = address.rpartition(':')
     host = host.strip('[]')
@@ -43,14 +43,15 @@
 
 
 def source_of(address: str) -> str:
-    """Return the IP number of a listener, empty when it is a wildcard."""
+    """Return the IP address of a listener; empty for a wildcard address."""
     host, _ = split_address(address)
     return '' if ipaddress.ip_address(host).is_unspecified else host
 
 
-def _prepare(sock: socket.socket) -> socket.socket:
+def _configure(sock: socket.socket) -> socket.socket:
     sock.setblocking(False)
-    # Small frames must not wait for the acknowledgement of earlier ones.
+    # Nagle's algorithm would delay small frames until earlier ones are
+    # acknowledged.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
@@ -63,7 +64,7 @@
     address : str
         ``<ip>:<port>`` to connect to.
     source : str
-        Own IP number to connect from; empty to leave it to the system.
+        Local IP address to connect from; empty to let the system choose.
 
     Raises
     ------
@@ -74,7 +75,7 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = _prepare(socket.socket(family, socket.SOCK_STREAM))
+    sock = _configure(socket.socket(family, socket.SOCK_STREAM))
     try:
         if source:
             sock.bind((source, 0))
@@ -91,7 +92,7 @@
 
 
 def listen(address: str) -> socket.socket:
-    """Open a listener; port 0 stands for any free port.
+    """Open a listening socket; port 0 selects any free port.
 
     Raises
     ------
@@ -107,18 +108,18 @@
 
 
 async def accept(listener: socket.socket) -> socket.socket:
-    """Return the next connection."""
+    """Accept the next connection."""
     while True:
         await trio.lowlevel.wait_readable(listener)
         try:
             sock, _ = listener.accept()
         except (BlockingIOError, ConnectionAbortedError):
             continue
-        return _prepare(sock)
+        return _configure(sock)
 
 
 async def receive(sock: socket.socket, size: int) -> bytes:
-    """Return the next bytes; none at the end of the stream."""
+    """Return received bytes; empty at the end of the stream."""
     while True:
         await trio.lowlevel.wait_readable(sock)
         try:
@@ -129,11 +130,11 @@
 
 async def send_all(sock: socket.socket, data: bytes) -> None:
     """Send all bytes."""
-    rest = memoryview(data)
-    while rest:
+    unsent = memoryview(data)
+    while unsent:
         await trio.lowlevel.wait_writable(sock)
         try:
-            rest = rest[sock.send(rest) :]
+            unsent = unsent[sock.send(unsent) :]
         except BlockingIOError:
             continue
 
