Reword docstrings of the messages between daemons

The entries follow the renamed fields (acknowledged_version, failure_rate, is_caller_retry, departed_members) and use request, reply and queue. Only docstrings change; tags, order and defaults of the fields stay.

--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -1,8 +1,8 @@
 """Messages between daemons.
 
-Every message is an msgpack array whose first item is the message's tag. A
-tag is never reused, and fields are only ever added at the end with a default,
-so that daemons of neighbouring releases understand each other.
+Every message is a msgpack array whose first item is the tag of its type. For
+compatibility between adjacent releases, tags are never reused, and fields are
+only added at the end and with a default.
 """
 
 from __future__ import annotations
@@ -25,30 +25,30 @@
 
 
 class Ping(Message, frozen=True, tag=1):
-    """Asks the other end of an idle stream for a sign of life."""
+    """Checks whether the peer on an idle stream responds; see `Pong`."""
 
 
 class Pong(Message, frozen=True, tag=2):
-    """Answers a `Ping`.
+    """Reply to a `Ping`.
 
     Parameters
     ----------
     member : str
-        Id of the daemon that answers.
+        Id of the replying daemon.
     """
 
     member: str = ''
 
 
 class Failure(Message, frozen=True, tag=3):
-    """Answers an exchange that the receiver cannot handle.
+    """Reply to a message that the receiver cannot handle.
 
     Parameters
     ----------
     code : str
         Error code.
     detail : str
-        What was wrong.
+        Description of the error.
     """
 
     code: str
@@ -56,14 +56,14 @@
 
 
 class Busy(Message, frozen=True, tag=4):
-    """Refuses a request for now.
+    """Rejects a request because the peer is busy.
 
     Parameters
     ----------
     others : tuple of str
-        Peer addresses that may answer instead.
+        Peer addresses that the request can be sent to instead.
     retry_after_ms : int
-        Time after which the same peer may be asked again.
+        Time in milliseconds after which the same peer may be tried again.
     """
 
     others: tuple[str, ...] = ()
@@ -74,7 +74,7 @@
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
-    """Summary of the state that daemons compare with each other.
+    """Digest of a daemon's state, which daemons compare with each other.
 
     Parameters
     ----------
@@ -83,9 +83,9 @@
     snapshot : str
         Digest of the installed configuration (16 hexadecimal digits).
     members : int
-        Digest of the member table, 64 bits.
+        Digest of the member table (64 bits).
     reverts : int
-        Digest of the set of reverted moves, 64 bits.
+        Digest of the set of reverted moves (64 bits).
     """
 
     version: int = 0
@@ -95,21 +95,21 @@
 
 
 class Heartbeat(Message, frozen=True, tag=10):
-    """Sign of life with changes to the member table.
+    """Heartbeat with changes to the member table.
 
     Parameters
     ----------
     sender : Member
-        Current entry of the sender.
+        Current member entry of the sender.
     digest : Digest
-        Summary of the sender's state.
+        Digest of the sender's state.
     members : tuple of Member
         Recent changes to the member table.
     time : int
         Hybrid logical clock of the sender.
     known : int
-        Checksum of the receiver's entry as the sender holds it; 0 asks for
-        a `HeartbeatReply` in any case.
+        Checksum of the receiver's entry in the sender's table; 0 requests
+        a `HeartbeatReply` unconditionally.
     """
 
     sender: Member
@@ -120,7 +120,7 @@
 
 
 class HeartbeatReply(Message, frozen=True, tag=11):
-    """Answers a `Heartbeat` with the same kinds of fields."""
+    """Full reply to a `Heartbeat`; the fields have the same meaning."""
 
     sender: Member
     digest: Digest
@@ -129,7 +129,10 @@
 
 
 class HeartbeatEcho(Message, frozen=True, tag=16):
-    """Answers a `Heartbeat` whose sender knows the answering daemon's entry.
+    """Short reply to a `Heartbeat` with a current `known` checksum.
+
+    The entry of the replying daemon is omitted because the sender of the
+    heartbeat has it.
 
     Parameters
     ----------
@@ -138,8 +141,8 @@
     time : int
         Hybrid logical clock of the sender.
     digest : Digest or None
-        State of the sender; None when it equals that of the heartbeat but
-        for the digest of the member table.
+        Digest of the sender's state; None when it differs from that in the
+        heartbeat at most in the digest of the member table.
     members : tuple of Member
         Changed entries of other members.
     """
@@ -151,13 +154,13 @@
 
 
 class MembersPull(Message, frozen=True, tag=12):
-    """Asks for the entries of the buckets whose digests differ.
+    """Requests the entries of the buckets whose digests differ.
 
     Parameters
     ----------
     buckets : tuple of int
-        Digests of the sender's buckets, in order, -1 for buckets not to be
-        compared; empty to ask for all entries.
+        Digests of the sender's buckets, in order, with -1 for buckets that
+        are not compared; empty to request all entries.
     """
 
     buckets: tuple[int, ...] = ()
@@ -173,9 +176,9 @@
     more : bool
         Whether another `Members` message follows in the exchange.
     ages : tuple of int
-        For each dead or leaving entry, in order, the seconds since the
-        sender's table holds it as such. Without them, tables would pass
-        such entries on to each other for ever.
+        For each dead or leaving entry, in order, the time in seconds for
+        which it has been dead or leaving in the sender's table. Without
+        ages, daemons would send such entries to each other forever.
     """
 
     members: tuple[Member, ...]
@@ -184,14 +187,14 @@
 
 
 class PingRequest(Message, frozen=True, tag=14):
-    """Asks a peer to check whether a third daemon responds.
+    """Requests a peer to check whether a third daemon responds.
 
     Parameters
     ----------
     target : str
         Peer address of the daemon to check.
     member : str
-        Id that the daemon at this address must have; empty for any.
+        Expected id of the daemon at this address; empty for any.
     """
 
     target: str
@@ -199,7 +202,7 @@
 
 
 class PingResult(Message, frozen=True, tag=15):
-    """Answers a `PingRequest`."""
+    """Reply to a `PingRequest`."""
 
     reachable: bool
 
@@ -208,7 +211,7 @@
 
 
 class HeadRemovals(msgspec.Struct, frozen=True, array_like=True):
-    """Keys of a head's maps that a delta removes."""
+    """Keys that a delta removes from the maps of the head."""
 
     departments: tuple[str, ...] = ()
     moves: tuple[str, ...] = ()
@@ -217,7 +220,7 @@
 
 
 class FragmentPatch(msgspec.Struct, frozen=True, array_like=True):
-    """Change of one department's fragment.
+    """Changes to the fragment of one department.
 
     Parameters
     ----------
@@ -239,37 +242,37 @@
 
 
 class Update(Message, frozen=True, tag=20):
-    """A configuration version, whole or as a delta.
+    """A configuration version, in full or as a delta.
 
-    A delta carries only what differs from its base: a head of 1,900
-    services takes 300 KB, but a typical change takes under 1 KB.
+    A delta carries only the differences from its base: a full head of
+    1,900 services takes 300 KB, a typical change less than 1 KB.
 
     Parameters
     ----------
     head : Head
-        Head record of the version; in a delta, the version and the added
-        and changed entries of the head's maps.
+        Head of the version; in a delta, the version and the added and
+        changed entries of the head's maps.
     base : int
-        Configuration version that the delta starts from; 0 for a whole
+        Configuration version that the delta is applied to; 0 for a full
         configuration.
     fragments : tuple of Fragment
-        All fragments, or those that a delta replaces as a whole.
+        All fragments, or those that a delta replaces in full.
     root : str
-        Id of the daemon at the root of the tree that carries the update;
-        empty outside the tree.
+        Id of the daemon at the root of the distribution tree in which the
+        update is sent; empty outside a tree.
     time : int
         Hybrid logical clock of the sender.
     digest : str
         Digest of the resulting snapshot; required in a delta.
     base_digest : str
-        Digest of the base's snapshot.
+        Digest of the snapshot at the base version.
     removed : HeadRemovals
-        Entries of the base's head that are gone.
+        Removed entries of the head's maps.
     patches : tuple of FragmentPatch
-        Changes of fragments that are not replaced as a whole.
+        Changes to fragments that are not replaced in full.
     more : bool
-        Whether a further `Update` in the exchange carries more fragments
-        of the same version.
+        Whether another `Update` with more fragments of the same version
+        follows in the exchange.
     """
 
     head: Head
@@ -285,21 +288,22 @@
 
 
 class Announcement(Message, frozen=True, tag=21):
-    """Tells a peer which configuration version the sender holds."""
+    """Notifies a peer of the sender's installed configuration version."""
 
     digest: Digest
 
 
 class Pull(Message, frozen=True, tag=22):
-    """Asks for the installed configuration; answered by `Update` or `Busy`.
+    """Requests the installed configuration; the reply is `Update` or `Busy`.
 
     Parameters
     ----------
     held : int
-        Version that the sender holds, as base of a delta; 0 for none.
+        Version installed at the sender, the possible base of a delta; 0 for
+        none.
     digest : str
-        Digest of the held snapshot. A delta is sent only from a base with
-        the same digest.
+        Digest of the snapshot installed at the sender. A delta is sent only
+        if its base has the same digest.
     """
 
     held: int = 0
@@ -307,31 +311,31 @@
 
 
 class FloorRequest(Message, frozen=True, tag=23):
-    """Asks which versions a peer knows a daemon to have acknowledged.
+    """Requests the version that a starting daemon has acknowledged before.
 
     Parameters
     ----------
     member : str
-        Id of the daemon that starts.
+        Id of the starting daemon.
     """
 
     member: str
 
 
 class Floor(Message, frozen=True, tag=24):
-    """Answers a `FloorRequest`.
+    """Reply to a `FloorRequest`.
 
     Parameters
     ----------
-    acknowledged : int
-        Highest configuration version that the asking daemon is known to
-        have held; 0 when unknown.
+    acknowledged_version : int
+        Highest configuration version that the requesting daemon is known to
+        have acknowledged; 0 when unknown.
     held : int
-        Configuration version of the answering daemon.
+        Configuration version installed at the replying daemon.
     ready : bool
-        Whether the answering daemon has reached its own floor. When all
-        daemons of a zone restart together, their empty state must not
-        count as an answer.
+        Whether the replying daemon has reached its own version floor. When
+        all daemons of a zone restart together, replies based on their empty
+        state must not count.
     """
 
     acknowledged_version: int
@@ -349,7 +353,7 @@
     lowest : int
         Lowest configuration version in the subtree.
     members : int
-        Daemons in the subtree.
+        Number of daemons in the subtree.
     """
 
     root: str
@@ -358,22 +362,23 @@
 
 
 class ZoneSummary(msgspec.Struct, frozen=True, array_like=True):
-    """State of a zone as the root of its distribution tree sees it.
+    """State of a zone as known at the root of its distribution tree.
 
     Parameters
     ----------
     zone : str
         Availability zone.
     incarnation : int
-        Incarnation of the root; with `sequence`, the later one wins.
+        Incarnation of the root. Of two summaries, the one with the higher
+        (`incarnation`, `sequence`) is used.
     sequence : int
-        Grows with every summary of the root.
+        Incremented with every summary of the root.
     members : int
-        Daemons that acknowledged.
+        Number of daemons that acknowledged.
     expected : int
-        Daemons in the root's member table.
+        Number of daemons of the zone in the root's member table.
     lowest : int
-        Lowest configuration version of the zone.
+        Lowest configuration version in the zone.
     """
 
     zone: str
@@ -391,14 +396,14 @@
 
 
 class Revert(msgspec.Struct, frozen=True, array_like=True):
-    """A verdict against a move.
+    """A verdict that a move has to be reverted.
 
     Parameters
     ----------
     move : str
         Id of the move.
     reason : str
-        Evidence or command that led to the verdict.
+        Evidence or operator command behind the verdict.
     origin : str
         Id of the daemon that reached the verdict.
     """
@@ -418,12 +423,13 @@
     time : int
         Hybrid logical clock of the sender.
     version : int
-        Configuration version by which all these moves existed. A receiver
-        at this version or above whose configuration does not know a move
-        drops its revert, because the move has been removed since.
+        Configuration version at which all these moves existed. A receiver
+        at this version or above drops the revert of a move that its
+        configuration does not contain, because the move was removed later.
     root : str
-        Id of the daemon of the receiver's zone whose tree carries the
-        message; empty outside a tree.
+        Id of the daemon in the receiver's zone at the root of the
+        distribution tree in which the message is sent; empty outside a
+        tree.
     """
 
     reverts: tuple[Revert, ...]
@@ -433,7 +439,7 @@
 
 
 class RevertsPull(Message, frozen=True, tag=28):
-    """Asks for all reverted moves; answered by `Reverts`."""
+    """Requests all reverted moves; the reply is `Reverts`."""
 
 
 # Calls
@@ -448,24 +454,24 @@
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
-    """Load of a backend server, as its daemon sees it.
+    """Load of a backend server, as measured by its daemon.
 
     Parameters
     ----------
     in_flight : int
-        Requests being executed.
+        Number of requests being executed.
     queued : int
-        Requests waiting for a slot.
+        Number of queued calls.
     slots : int
         Concurrency limit.
     draining : bool
-        Whether new work is refused.
+        Whether new calls are rejected.
     service_time_ms : float
-        Recent mean time of a run; 0 when none was measured.
+        Recent mean execution time; 0 when none was measured.
     wait_ms : float
-        Time that a call arriving now would wait for a slot.
-    failing : float
-        Recent share of runs that failed, 0 to 1.
+        Expected queueing time of a call that arrives now.
+    failure_rate : float
+        Recent fraction of executions that failed, 0 to 1.
     """
 
     in_flight: int
@@ -483,9 +489,9 @@
     Parameters
     ----------
     request_id : str
-        Unique id of the attempt; the execution ledger is keyed by it.
+        Unique id of the attempt, and its key in the execution ledger.
     runner_incarnation : int
-        Incarnation of the runner that the id is meant for; 0 for any.
+        Incarnation of the runner that the call is meant for; 0 for any.
     service, version, route : str
         Service, chosen service version and ``<department>/<route>``.
     method, path : str
@@ -501,24 +507,27 @@
     has_body : bool
         Whether `BodyChunk` messages follow.
     move : str
-        Id of the move whose evidence the call is part of; empty for none.
+        Id of the move for which the result counts as evidence; empty for
+        none.
     stage : int
         Stage of that move.
     time : int
         Hybrid logical clock of the sender.
     body : bytes
-        Whole body, at most 64 KiB; empty when `BodyChunk` messages follow.
+        Complete body, at most 64 KiB; empty when `BodyChunk` messages
+        follow.
     zone : str
         Zone of the sender.
     priority : int
-        Rank of the route, 0 for the most urgent.
+        Priority of the route; 0 is the highest.
     objective_ms : int
-        Time left until the latency objective; negative once it has passed.
+        Time left until the latency objective, in milliseconds; negative
+        after it has passed.
     max_wait_ms : int
-        Longest expected wait for a slot with which the runner accepts the
-        call; -1 for any that leaves time to run it.
-    returning : bool
-        Whether the caller was refused before.
+        Longest expected queueing time, in milliseconds, at which the runner
+        accepts the call; -1 for any that leaves time to execute it.
+    is_caller_retry : bool
+        Whether the caller retries after a rejection.
     """
 
     request_id: str
@@ -550,7 +559,7 @@
     Parameters
     ----------
     data : bytes
-        At most 64 KiB.
+        Bytes of the body, at most 64 KiB.
     last : bool
         Whether the body ends here.
     """
@@ -560,7 +569,7 @@
 
 
 class CallCancel(Message, frozen=True, tag=42):
-    """Tells the runner that nobody waits for the response any more."""
+    """Notifies the runner that the response is no longer needed."""
 
     request_id: str
 
@@ -568,8 +577,7 @@
 class AnswerStart(Message, frozen=True, tag=43):
     """Starts a response; `BodyChunk` messages and `AnswerEnd` follow.
 
-    A body ends with a chunk that is marked as the last, or with
-    `AnswerEnd`.
+    A body ends with the part marked as `last`, or with `AnswerEnd`.
 
     Parameters
     ----------
@@ -603,7 +611,7 @@
     request_id : str
         Id of the attempt.
     complete : bool
-        False when the backend server broke the response off.
+        False when the backend server aborted the response.
     """
 
     request_id: str
@@ -611,7 +619,7 @@
 
 
 class CallRefused(Message, frozen=True, tag=45):
-    """Refuses a call.
+    """Rejects a call or reports that it failed.
 
     Parameters
     ----------
@@ -620,13 +628,14 @@
     outcome : Outcome
         Whether the request was executed.
     code : str
-        Reason, for example ``draining`` or ``overloaded``.
+        Error code, for example ``draining`` or ``overloaded``.
     detail : str
-        Explanation for people.
+        Human-readable explanation.
     load : Load or None
         Load of the backend server.
     retry_after_ms : int
-        Time after which there is likely to be room; 0 when not known.
+        Time in milliseconds after which a retry is likely to be accepted;
+        0 when unknown.
     """
 
     request_id: str
@@ -638,9 +647,9 @@
 
 
 class CallQuery(Message, frozen=True, tag=46):
-    """Asks a runner for the outcome of an earlier attempt.
+    """Queries a runner for the outcome of an earlier attempt.
 
-    Answered like a call, by `AnswerStart` or `CallRefused`.
+    The reply is `AnswerStart` or `CallRefused`, as for a call.
     """
 
     request_id: str
@@ -648,17 +657,19 @@
 
 
 class KeyRelease(Message, frozen=True, tag=47):
-    """Asks a former key owner to give up an idempotency key.
+    """Requests a former key owner to release an idempotency key.
 
     Parameters
     ----------
     service, key : str
         Service and idempotency key.
     incarnation : int
-        Incarnation of the process that is asked; another one cannot know.
+        Incarnation of the queried process; a process with another
+        incarnation has no record of the key.
     asked : tuple of (str, int)
-        Ids and incarnations of all members that are asked, so that none of
-        them answers ``unknown`` because of another.
+        Ids and incarnations of all queried members. A member that released
+        the key before replies ``unknown`` unless the daemons that it
+        released the key to are queried as well.
     """
 
     service: str
@@ -668,31 +679,31 @@
 
 
 class KeyReleased(Message, frozen=True, tag=48):
-    """Answers a `KeyRelease`.
+    """Reply to a `KeyRelease`.
 
     Parameters
     ----------
     outcome : Outcome
-        ``not-run`` when the former owner never ran a request with this
-        key and will not run one any more.
+        ``not-run`` when the former owner has not executed a request with
+        this key and will not execute one later.
     """
 
     outcome: Outcome
 
 
 class KeyRecord(msgspec.Struct, frozen=True, array_like=True):
-    """What a key owner that stops as planned knows about a key.
+    """Record of an idempotency key, handed over in a graceful shutdown.
 
     Parameters
     ----------
     key : str
         Idempotency key.
     digest : bytes
-        Digest of its request.
+        Digest of the request with this key.
     state : str
         ``done``, ``unknown`` or ``released``.
     released_to : tuple of (str, int)
-        Ids and incarnations of the daemons that the key was given up for.
+        Ids and incarnations of the daemons that the key was released to.
     """
 
     key: str
@@ -702,19 +713,20 @@
 
 
 class KeyHandover(Message, frozen=True, tag=49):
-    """Hands the keys of a daemon that stops to the other owners.
+    """Hands the keys of a daemon that shuts down over to the other owners.
 
     Parameters
     ----------
     service : str
         Service of the keys.
     records : tuple of KeyRecord
-        Part of the keys.
+        Records of some of the keys.
     last : bool
-        Whether all keys have been sent now. The sender runs no request with
-        a key of the service any more, and need not be asked.
-    gone : tuple of Member
-        With the last part: processes whose keys the sender does not know.
+        Whether all keys have been sent. The sender then executes no further
+        keyed request of the service and need not be queried.
+    departed_members : tuple of Member
+        In the last message, departed processes whose keys the sender does
+        not know.
     """
 
     service: str
@@ -724,7 +736,7 @@
 
 
 class KeysTaken(Message, frozen=True, tag=50):
-    """Answers a `KeyHandover`."""
+    """Confirms a `KeyHandover`."""
 
 
 # Moves
@@ -744,7 +756,7 @@
     zone : str
         Zone of the endpoint.
     calls, failures, slow : int
-        Calls that were run, and how many of them failed or were slow.
+        Number of executed calls, and how many of them failed or were slow.
     latencies_ms : tuple of float
         Quantiles 0.5, 0.95 and 0.99 of the latency; empty without calls.
     sender_zone : str
@@ -772,7 +784,7 @@
     stage : int
         Stage during which the calls were assigned.
     interval : int
-        Number of the interval; Unix time divided by the interval's length.
+        Number of the interval: Unix time divided by the interval length.
     counts : tuple of Counts
         Results within the interval.
     time : int
@@ -794,7 +806,7 @@
 
 
 class EvidenceReply(Message, frozen=True, tag=61):
-    """Answers `Evidence` with what the endpoint needs for the next interval.
+    """Reply to `Evidence`, with the thresholds for the next interval.
 
     Parameters
     ----------
@@ -806,14 +818,14 @@
 
 
 class EvidencePosition(msgspec.Struct, frozen=True, array_like=True):
-    """Asks for the evidence about a move after an interval."""
+    """Selects the evidence about a move after an interval."""
 
     move: str
     after_interval: int = 0
 
 
 class EvidencePull(Message, frozen=True, tag=62):
-    """Asks a judge for evidence; answered by `EvidenceBatch`."""
+    """Requests evidence from a judge; the reply is `EvidenceBatch`."""
 
     positions: tuple[EvidencePosition, ...]
 
@@ -834,15 +846,15 @@
     Parameters
     ----------
     service, version : str
-        Service, and the version that is to get its calls.
+        Service, and the version to which its calls are moved.
     order : int
         Revision of the store at which the order was written.
     step : int
-        Grows with each change of the record.
+        Incremented with each change of the record.
     share : float
-        Share of the calls that go to the version, 0 to 1.
+        Fraction of the calls that are sent to the version, 0 to 1.
     state : MoveState
-        Progress; a move of seconds does not soak.
+        Progress. Such a move takes seconds and has no soak.
     """
 
     service: str
@@ -854,14 +866,14 @@
 
 
 class RolloutUpdate(Message, frozen=True, tag=64):
-    """Tells a peer the state of rollouts.
+    """Notifies a peer of the state of rollouts.
 
     Parameters
     ----------
     records : tuple of RolloutRecord
-        The records.
+        States of the rollouts.
     evidence : bool
-        Whether the sender, a controller, wants evidence in return.
+        Whether the sender, a controller, requests evidence.
     """
 
     records: tuple[RolloutRecord, ...]
@@ -869,16 +881,17 @@
 
 
 class RolloutCounts(msgspec.Struct, frozen=True, array_like=True):
-    """Results of the runs of one route since a rollout was ordered.
+    """Results of the executions of one route since a rollout was ordered.
 
     Parameters
     ----------
     route : str
         Id of the route.
     failures : int
-        Runs that failed.
+        Number of failed executions.
     durations : tuple of int
-        Number of runs by duration; see `gypsumhall.core._rollout.bucket`.
+        Number of executions per duration bucket; see
+        `gypsumhall.core._rollout.bucket`.
     """
 
     route: str
@@ -894,7 +907,7 @@
     service, version : str
         Service, and the version of the endpoint.
     order : int
-        Revision of the order.
+        Revision of the store at which the order was written.
     counts : tuple of RolloutCounts
         Results since the order.
     """
