--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -35,17 +35,17 @@
 
     _Job = tuple[Handler[Any], StreamExchange, Message]
 
-_UNPROVEN = 128
-"""Handshakes at a time on the listener; further connections wait in the
-backlog of the socket, so that a reconnect storm cannot take all memory."""
+_MAX_PENDING_HANDSHAKES = 128
+"""Limits concurrent handshakes on the listener. Further connections wait in
+the backlog of the socket, which bounds memory during a reconnect storm."""
 _GOAWAY_GRACE_S = 0.2
-"""Time for peers to learn that no new exchange is taken; a round trip between
-regions and a busy event loop fit in."""
-_SHUTDOWN_S = 1.0
-_POSTING = 256
-"""Addresses for which posted messages may wait."""
-_IDLE_WORKERS = 32
-"""Tasks kept for the next exchanges."""
+"""Time for peers to process GOAWAY frames; allows for a round trip between
+regions and a busy event loop."""
+_SHUTDOWN_TIMEOUT_S = 1.0
+_MAX_POST_QUEUES = 256
+"""Maximum number of addresses with queued posted messages."""
+_MAX_IDLE_WORKERS = 32
+"""Maximum number of idle tasks that are kept for further exchanges."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,16 +65,18 @@
     advertised_address : str
         ``<ip>:<port>`` that peers connect to; empty for the listener's.
     stream : StreamSettings
-        Times and limits of each stream.
+        Timeouts and limits of each stream.
     connect_timeout_s : float
-        Longest time in seconds for a connection and its handshake.
+        Timeout in seconds for a connection and its handshake.
     max_streams : int
-        Largest number of streams per direction of opening.
+        Maximum number of streams opened by this daemon, and likewise of
+        streams opened by peers.
     max_handlers : int
-        Largest number of handlers at a time per stream; further requests
-        are answered with `Busy`, further posts are dropped.
+        Maximum number of concurrent handlers per stream. Further exchanges
+        get the reply `Busy`, further posts are dropped.
     max_posts : int
-        Messages that wait per address until a stream is open.
+        Maximum number of messages queued per address until a stream is
+        open.
     """
 
     id: str
@@ -90,19 +92,19 @@
     max_posts: int = 64
 
 
-class _Attempt:
-    """An attempt to open a stream, shared by all who wait for it."""
+class _ConnectAttempt:
+    """An attempt to open a stream, shared by all tasks that wait for it."""
 
     __slots__ = ('done', 'reason', 'stream')
 
     def __init__(self) -> None:
         self.done = trio.Event()
         self.stream: Stream | None = None
-        self.reason = 'no answer in time'
+        self.reason = 'timed out'
 
 
 class _Worker:
-    """A task that handles one exchange after the other."""
+    """A task that handles exchanges one after the other."""
 
     __slots__ = ('job', 'task')
 
@@ -111,10 +113,10 @@
         self.job: _Job | None = None
 
 
-class _Opening:
-    """Context of an opened exchange.
+class _ExchangeContext:
+    """Context manager that opens and ends an exchange.
 
-    A class costs 5 us less per call than `contextlib.asynccontextmanager`.
+    A class takes 5 us less per call than `contextlib.asynccontextmanager`.
     """
 
     __slots__ = ('_address', '_exchange', '_message', '_network', '_timeout_s')
@@ -132,7 +134,9 @@
         self._timeout_s = timeout_s
 
     async def __aenter__(self) -> StreamExchange:
-        stream = await self._network._connected(self._address, self._timeout_s)
+        stream = await self._network._get_or_open_stream(
+            self._address, self._timeout_s
+        )
         self._exchange = stream.open(self._message, Kind.OPEN)
         return self._exchange
 
@@ -158,7 +162,7 @@
     Raises
     ------
     ValueError
-        When the keys or addresses are unusable.
+        When the keys or addresses are invalid.
     """
 
     def __init__(
@@ -171,21 +175,21 @@
         if settings.advertised_address:
             _socket.split_address(settings.advertised_address)
         self._settings = settings
-        # Peers and firewalls see the address that the settings name, on VMs
-        # with several addresses too.
-        self._source = _socket.source_of(settings.address)
+        # On VMs with several addresses, outgoing connections also use the
+        # configured address, so that peers and firewalls see no other.
+        self._source_ip = _socket.source_of(settings.address)
         self._emit = emit
-        self._emitted: dict[str, tuple[float, int]] = {}
+        self._event_counts: dict[str, tuple[float, int]] = {}
         self._handlers: dict[type[Message], Handler[Any]] = {}
         self._nursery: trio.Nursery | None = None
         self._listener: socket.socket | None = None
         self._me: PeerInfo | None = None
         self._streams: set[Stream] = set()
-        self._primary: dict[str, Stream] = {}
-        self._attempts: dict[str, _Attempt] = {}
-        self._posts: dict[str, deque[Message]] = {}
-        self._unproven = trio.Semaphore(_UNPROVEN)
-        self._idle: list[_Worker] = []
+        self._streams_by_address: dict[str, Stream] = {}
+        self._connect_attempts: dict[str, _ConnectAttempt] = {}
+        self._post_queues: dict[str, deque[Message]] = {}
+        self._handshake_slots = trio.Semaphore(_MAX_PENDING_HANDSHAKES)
+        self._idle_workers: list[_Worker] = []
         self._draining = False
         self._dropped = 0
         self._traffic = Traffic()
@@ -193,24 +197,24 @@
 
     @property
     def me(self) -> PeerInfo:
-        """Own identity; known as soon as `serve` has started."""
+        """Identity of this daemon; available once `serve` has started."""
         if self._me is None:
             raise RuntimeError('the network has not started')
         return self._me
 
     @property
     def last_tick(self) -> float:
-        """Time of the last round of checks of the streams."""
+        """Time of the last check of all streams."""
         return self._last_tick
 
     @property
     def traffic(self) -> Traffic:
-        """Frames and bytes of all streams, by kind and direction."""
+        """Counters of frames and bytes, over all streams."""
         return self._traffic
 
     @property
     def streams(self) -> int:
-        """Number of open streams in both directions of opening."""
+        """Number of open streams, opened by this daemon or by peers."""
         return len(self._streams)
 
     @property
@@ -224,10 +228,10 @@
         Raises
         ------
         ValueError
-            When the type has a handler.
+            When the type already has a handler.
         """
         if kind in self._handlers:
-            raise ValueError(f'{kind.__name__} has a handler already')
+            raise ValueError(f'{kind.__name__} already has a handler')
         self._handlers[kind] = handler
 
     def open(
@@ -235,64 +239,66 @@
     ) -> AbstractAsyncContextManager[StreamExchange]:
         """Open an exchange with a first message.
 
-        The exchange ends with the context: messages sent before still
-        arrive, unless the context ends with an exception.
+        When the context exits, the exchange is closed and messages sent
+        before are still delivered. An exception cancels the exchange.
 
         Raises
         ------
         PeerUnreachableError
             When no stream could be opened; the message was not sent.
         PeerLostError
-            When the stream ended afterwards.
+            When the stream ended after the message was sent.
         PeerProtocolError
             When the message is too large; it was not sent.
         """
-        return _Opening(self, address, message, timeout_s)
+        return _ExchangeContext(self, address, message, timeout_s)
 
     async def request(
         self, address: str, message: Message, *, timeout_s: float
     ) -> Message:
-        """Send a message and return the first message of the answer.
+        """Send a message and return the reply.
 
         Raises
         ------
         PeerUnreachableError
             When the message was not sent.
         PeerLostError
-            When the stream ended or no answer came in time.
+            When the stream ended or the reply timed out.
         PeerProtocolError
             When the message is too large; it was not sent.
         """
         deadline = trio.current_time() + timeout_s
-        stream = await self._connected(address, timeout_s)
+        stream = await self._get_or_open_stream(address, timeout_s)
         exchange = stream.open(message, Kind.REQUEST)
         try:
             with trio.move_on_at(deadline):
                 return await exchange.receive()
         except trio.EndOfChannel:
-            raise PeerLostError(f'{address} gave no answer') from None
+            raise PeerLostError(
+                f'{address} ended the exchange without a reply'
+            ) from None
         finally:
             exchange.cancel()
-        raise PeerLostError(f'{address} gave no answer in {timeout_s} s')
+        raise PeerLostError(f'no reply from {address} within {timeout_s} s')
 
     def post(self, address: str, message: Message) -> None:
-        """Send a message without waiting for an answer.
+        """Send a message that gets no reply, without waiting.
 
-        The message is dropped when the peer cannot be reached or its
-        queue is full.
+        The message is dropped when the peer is unreachable or the send
+        queue for the address is full.
         """
-        stream = self._usable(address)
+        stream = self._usable_stream(address)
         if stream is not None:
-            self._post_on(stream, message)
+            self._post_to_stream(stream, message)
             return
-        queue = self._posts.get(address)
+        queue = self._post_queues.get(address)
         if (
             queue is None
             and self._nursery is not None
-            and len(self._posts) < _POSTING
+            and len(self._post_queues) < _MAX_POST_QUEUES
         ):
-            queue = self._posts[address] = deque()
-            self._nursery.start_soon(self._post_later, address, queue)
+            queue = self._post_queues[address] = deque()
+            self._nursery.start_soon(self._connect_and_post, address, queue)
         if queue is None or len(queue) >= self._settings.max_posts:
             self._dropped += 1
         else:
@@ -308,7 +314,7 @@
         Raises
         ------
         OSError
-            When the address cannot be used.
+            When listening on the address fails.
         """
         settings = self._settings
         listener = _socket.listen(settings.address)
@@ -327,9 +333,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._listen, listener)
+                nursery.start_soon(self._accept_connections, listener)
                 task_status.started()
-                await self._monitor()
+                await self._monitor_streams()
         finally:
             self._nursery = None
             _socket.close(listener)
@@ -337,11 +343,11 @@
                 stream.end(None)
 
     async def drain(self) -> None:
-        """Take no new exchange and return when none is left.
+        """Shut down gracefully; return when no exchange is in flight.
 
-        Peers are told to open no further exchanges, and the listener is
-        closed, so that they find out at once that they have to go
-        elsewhere. Exchanges in flight end undisturbed.
+        GOAWAY frames notify peers that no new exchanges are accepted, and
+        the listener is closed, so that peers switch to other daemons at
+        once. Exchanges in flight are completed.
         """
         if self._draining or self._listener is None:
             return
@@ -353,27 +359,27 @@
             if not stream.opened:
                 stream.refuse()
         await trio.sleep(_GOAWAY_GRACE_S)
-        # Exchanges that other services open meanwhile, such as heartbeats,
-        # do not delay the stop. Polling is cheaper than an event per
-        # exchange would be.
+        # Exchanges that other services open after this point, such as
+        # heartbeats, do not delay the shutdown. Polling is cheaper than an
+        # event per exchange.
         while (  # noqa: ASYNC110
-            self._posts
+            self._post_queues
             or any(stream.backlog for stream in self._streams)
             or not all(exchange.ended for exchange in in_flight)
         ):
             await trio.sleep(0.02)
         for stream in list(self._streams):
             stream.shut_down()
-        with trio.move_on_after(_SHUTDOWN_S):
+        with trio.move_on_after(_SHUTDOWN_TIMEOUT_S):
             while self._streams:  # noqa: ASYNC110
                 await trio.sleep(0.02)
 
-    # What the streams call.
+    # Callbacks of the streams
 
     def accept(
         self, stream: Stream, exchange: StreamExchange, message: Message
     ) -> None:
-        """Start the handler of a new exchange."""
+        """Start the handler of an exchange that a peer has opened."""
         handler = self._handlers.get(type(message))
         if self._draining or stream.exchanges > self._settings.max_handlers:
             exchange.answer(_messages.Busy())
@@ -386,45 +392,47 @@
             exchange.close()
         else:
             job = handler, exchange, message
-            if self._idle:
-                worker = self._idle.pop()
+            if self._idle_workers:
+                worker = self._idle_workers.pop()
                 worker.job = job
                 trio.lowlevel.reschedule(worker.task)
             else:
-                self._nursery.start_soon(self._work, job)
+                self._nursery.start_soon(self._run_worker, job)
 
     def ended(self, stream: Stream, error: PeerError | None) -> None:
-        """Forget a stream."""
+        """Remove a stream that has ended and emit an event on an error."""
         self._streams.discard(stream)
-        if self._primary.get(stream.dialled) is stream:
-            del self._primary[stream.dialled]
+        if self._streams_by_address.get(stream.dialled) is stream:
+            del self._streams_by_address[stream.dialled]
         if error is not None and not self._draining:
             code = (
                 'peer-protocol-error'
                 if isinstance(error, PeerProtocolError)
                 else 'peer-lost'
             )
-            self._event(code, peer=stream.peer.id, detail=str(error))
+            self._emit_limited(code, peer=stream.peer.id, detail=str(error))
 
-    # Opening
+    # Opening of streams
 
-    def _usable(self, address: str) -> Stream | None:
-        stream = self._primary.get(address)
+    def _usable_stream(self, address: str) -> Stream | None:
+        stream = self._streams_by_address.get(address)
         if stream is None or stream.refusing or stream.suspicious:
             return None
         return stream
 
-    async def _connected(self, address: str, timeout_s: float) -> Stream:
+    async def _get_or_open_stream(
+        self, address: str, timeout_s: float
+    ) -> Stream:
         await trio.lowlevel.checkpoint_if_cancelled()
-        stream = self._usable(address)
+        stream = self._usable_stream(address)
         if stream is not None:
             return stream
-        attempt = self._attempts.get(address)
+        attempt = self._connect_attempts.get(address)
         if attempt is None:
             if self._nursery is None:
                 raise PeerUnreachableError('the network is not running')
-            attempt = self._attempts[address] = _Attempt()
-            self._nursery.start_soon(self._connect, address, attempt)
+            attempt = self._connect_attempts[address] = _ConnectAttempt()
+            self._nursery.start_soon(self._open_stream, address, attempt)
         with trio.move_on_after(timeout_s):
             await attempt.done.wait()
         if attempt.stream is None or attempt.stream.ended is not None:
@@ -433,42 +441,50 @@
             )
         return attempt.stream
 
-    async def _connect(self, address: str, attempt: _Attempt) -> None:
+    async def _open_stream(
+        self, address: str, attempt: _ConnectAttempt
+    ) -> None:
         sock = None
         try:
-            self._make_room()
+            self._ensure_stream_capacity()
             with trio.move_on_after(self._settings.connect_timeout_s):
-                sock = await _socket.connect(address, self._source)
+                sock = await _socket.connect(address, self._source_ip)
                 peer = await _handshake.prove_as_opener(
                     sock, self.me, self._settings.keys, self._traffic
                 )
-                attempt.stream = self._add(sock, peer, address, b'')
+                attempt.stream = self._add_stream(sock, peer, address, b'')
                 sock = None
         except (OSError, ValueError, PeerLostError) as error:
             attempt.reason = str(error)
         except PeerError as error:
             attempt.reason = str(error)
-            self._event(
+            self._emit_limited(
                 'peer-handshake-failed', address=address, detail=str(error)
             )
         finally:
             if sock is not None:
                 _socket.close(sock)
-            del self._attempts[address]
+            del self._connect_attempts[address]
             attempt.done.set()
 
-    def _make_room(self) -> None:
-        opened = [item for item in self._streams if item.opened]
-        if len(opened) < self._settings.max_streams:
+    def _ensure_stream_capacity(self) -> None:
+        outgoing = [stream for stream in self._streams if stream.opened]
+        if len(outgoing) < self._settings.max_streams:
             return
-        idle = [item for item in opened if item.idle]
+        idle = [stream for stream in outgoing if stream.idle]
         if not idle:
-            self._event('peer-streams-exhausted', streams=len(opened))
-            raise PeerLostError(f'all {len(opened)} streams are in use')
-        min(idle, key=lambda item: item.last_used).end(None)
+            self._emit_limited('peer-streams-exhausted', streams=len(outgoing))
+            raise PeerLostError(
+                f'all {len(outgoing)} outgoing streams are in use'
+            )
+        min(idle, key=lambda stream: stream.last_used).end(None)
 
-    def _add(
-        self, sock: socket.socket, peer: PeerInfo, dialled: str, first: bytes
+    def _add_stream(
+        self,
+        sock: socket.socket,
+        peer: PeerInfo,
+        dialled: str,
+        unread_bytes: bytes,
     ) -> Stream:
         if self._nursery is None:
             raise PeerLostError('the network is not running')
@@ -482,97 +498,102 @@
         )
         self._streams.add(stream)
         if dialled:
-            self._primary[dialled] = stream
-        self._nursery.start_soon(stream.run, first)
+            self._streams_by_address[dialled] = stream
+        self._nursery.start_soon(stream.run, unread_bytes)
         return stream
 
-    async def _post_later(self, address: str, queue: deque[Message]) -> None:
+    async def _connect_and_post(
+        self, address: str, queue: deque[Message]
+    ) -> None:
         stream = None
         try:
-            stream = await self._connected(
+            stream = await self._get_or_open_stream(
                 address, self._settings.connect_timeout_s
             )
         except PeerError:
             pass
         finally:
-            del self._posts[address]
+            del self._post_queues[address]
             for message in queue:
-                self._post_on(stream, message)
+                self._post_to_stream(stream, message)
 
-    def _post_on(self, stream: Stream | None, message: Message) -> None:
+    def _post_to_stream(self, stream: Stream | None, message: Message) -> None:
         try:
             sent = stream is not None and stream.post(message)
         except PeerProtocolError as error:
             sent = False
-            self._event('peer-post-failed', detail=str(error))
+            self._emit_limited('peer-post-failed', detail=str(error))
         self._dropped += not sent
 
-    # Accepting
+    # Accepting of streams
 
-    async def _listen(self, listener: socket.socket) -> None:
+    async def _accept_connections(self, listener: socket.socket) -> None:
         while not self._draining:
             try:
-                await self._unproven.acquire()
+                await self._handshake_slots.acquire()
                 sock = await _socket.accept(listener)
             except trio.ClosedResourceError:
                 return
             except OSError as error:
-                # Most likely no file descriptor is free.
-                self._unproven.release()
-                self._event('peer-accept-failed', detail=str(error))
+                # The usual cause is a lack of file descriptors.
+                self._handshake_slots.release()
+                self._emit_limited('peer-accept-failed', detail=str(error))
                 await trio.sleep(0.1)
                 continue
             assert self._nursery is not None
-            self._nursery.start_soon(self._welcome, sock)
+            self._nursery.start_soon(self._handle_connection, sock)
 
-    async def _welcome(self, sock: socket.socket) -> None:
-        keep = False
+    async def _handle_connection(self, sock: socket.socket) -> None:
+        handed_over = False
         try:
             with trio.move_on_after(self._settings.connect_timeout_s) as scope:
-                accepted = sum(not item.opened for item in self._streams)
+                accepted = sum(not stream.opened for stream in self._streams)
                 if accepted >= self._settings.max_streams:
-                    raise PeerProtocolError(f'{accepted} streams are open')
-                peer, rest = await _handshake.prove_as_acceptor(
+                    raise PeerProtocolError(
+                        f'limit of {accepted} accepted streams reached'
+                    )
+                peer, unread_bytes = await _handshake.prove_as_acceptor(
                     sock, self.me, self._settings.keys, self._traffic
                 )
-                self._add(sock, peer, '', rest)
-                keep = True
+                self._add_stream(sock, peer, '', unread_bytes)
+                handed_over = True
             if scope.cancelled_caught:
-                raise PeerProtocolError('no proof in time')
+                raise PeerProtocolError('handshake timed out')
         except (PeerError, OSError) as error:
-            self._event('peer-handshake-failed', detail=str(error))
+            self._emit_limited('peer-handshake-failed', detail=str(error))
         finally:
-            self._unproven.release()
-            if not keep:
+            self._handshake_slots.release()
+            if not handed_over:
                 _socket.close(sock)
 
-    async def _work(self, job: _Job) -> None:
-        # Starting and ending a task costs more than a short handler.
+    async def _run_worker(self, job: _Job) -> None:
+        # Tasks are reused because starting and ending a task takes longer
+        # than a short handler.
         worker = _Worker(trio.lowlevel.current_task())
 
         def abort(_: object) -> trio.lowlevel.Abort:
-            self._idle.remove(worker)
+            self._idle_workers.remove(worker)
             return trio.lowlevel.Abort.SUCCEEDED
 
         worker.job = job
         while worker.job is not None:
             job, worker.job = worker.job, None
-            await self._handle(*job)
-            # An idle worker must not keep the last message.
+            await self._run_handler(*job)
+            # An idle worker must not keep the last message in memory.
             del job
-            if len(self._idle) < _IDLE_WORKERS:
-                self._idle.append(worker)
+            if len(self._idle_workers) < _MAX_IDLE_WORKERS:
+                self._idle_workers.append(worker)
                 await trio.lowlevel.wait_task_rescheduled(abort)
 
-    async def _handle(
+    async def _run_handler(
         self, handler: Handler[Any], exchange: StreamExchange, message: Message
     ) -> None:
         try:
             await handler(exchange, message)
         except Exception as error:
-            # A handler whose peer is gone has nothing left to do.
-            if not _is_loss(error):
-                self._event(
+            # The loss of the peer is not an error of the handler.
+            if not _is_peer_loss(error):
+                self._emit_limited(
                     'peer-handler-failed',
                     message=type(message).__name__,
                     detail=f'{type(error).__name__}: {error}',
@@ -585,44 +606,51 @@
             raise
         exchange.close()
 
-    # Checks
+    # Liveness checks
 
-    async def _monitor(self) -> None:
+    async def _monitor_streams(self) -> None:
         settings = self._settings.stream
         interval = min(settings.ping_after_s, settings.dead_after_s) / 4
-        late = False
+        check_skipped = False
         while True:
             await trio.sleep(interval)
             now = trio.current_time()
-            passed = now - self._last_tick
+            elapsed = now - self._last_tick
             self._last_tick = now
-            if passed > settings.dead_after_s:
-                # The other ends have given up their exchanges, even those
-                # that still wait in the sockets of idle streams.
+            if elapsed > settings.dead_after_s:
+                # Peers have timed out their exchanges with this process,
+                # including those still unread in the sockets of idle
+                # streams.
                 for stream in list(self._streams):
-                    stream.end(PeerLostError('this process was paused'))
-            elif passed > 2 * interval and not late:
-                # What arrived during the delay has not been read yet.
-                late = True
+                    stream.end(
+                        PeerLostError(
+                            f'this process was paused for {elapsed:.1f} s'
+                        )
+                    )
+            elif elapsed > 2 * interval and not check_skipped:
+                # Data received during the delay has not been read yet, so
+                # one check is skipped.
+                check_skipped = True
                 continue
-            late = False
+            check_skipped = False
             for stream in list(self._streams):
                 stream.check(now)
 
-    def _event(self, code: str, **fields: object) -> None:
-        # A flood of bad connections must not become a flood of events.
+    def _emit_limited(self, code: str, **fields: object) -> None:
+        # At most 10 events per code and second, so that a flood of invalid
+        # connections does not flood the event log.
         if self._emit is None:
             return
         now = trio.current_time()
-        start, count = self._emitted.get(code, (now, 0))
+        start, count = self._event_counts.get(code, (now, 0))
         if now - start >= 1.0:
             start, count = now, 0
-        self._emitted[code] = (start, count + 1)
+        self._event_counts[code] = (start, count + 1)
         if count < 10:
             self._emit(code, **fields)
 
 
-def _is_loss(error: BaseException) -> bool:
+def _is_peer_loss(error: BaseException) -> bool:
     if isinstance(error, BaseExceptionGroup):
-        return all(_is_loss(item) for item in error.exceptions)
+        return all(_is_peer_loss(item) for item in error.exceptions)
     return isinstance(error, PeerLostError | trio.EndOfChannel)
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -1,13 +1,13 @@
 """A stream between two daemons and the exchanges on it.
 
-A stream is opened by one daemon and only that daemon opens exchanges on it;
-two daemons that call each other hold two streams. Exchange ids therefore
-never collide, and the opening side can close an idle stream without a race.
-
-Frames are sent from the task that produces them while the socket takes them;
-a task is started only for a backlog. Each exchange has a window of payload
-bytes in each direction, so an exchange whose receiver does not read fills
-its own window and leaves the socket to the others.
+Only the daemon that opened a stream opens exchanges on it; two daemons that
+call each other use two streams. Exchange ids therefore never collide, and the
+opening side can close an idle stream without a race.
+
+Frames are sent by the task that produces them while the socket is writable; a
+separate task is started only to send a backlog. Each exchange has a flow
+control window of payload bytes per direction. An exchange whose receiver does
+not read thus fills only its own window and does not block other exchanges.
 """
 
 from __future__ import annotations
@@ -36,28 +36,31 @@
     from gypsumhall.net._messages import Message
     from gypsumhall.net._protocol import PeerInfo
 
-_HIGH_WATER = 256 * 1024
-"""Backlog in bytes above which senders wait and posts are dropped."""
-_MAX_BACKLOG = 4 * 1024 * 1024
-"""Backlog in bytes at which a peer that does not read is given up. Only
-frames that do not wait, such as answers to pings, get past the high-water
-mark."""
+_HIGH_WATER_MARK_BYTES = 256 * 1024
+"""Backlog above which senders wait and posts are dropped."""
+_MAX_BACKLOG_BYTES = 4 * 1024 * 1024
+"""Backlog above which the stream is ended because the peer does not read.
+Only frames that are sent without waiting, such as replies to pings, exceed
+the high-water mark."""
 
 
 @dataclass(slots=True, frozen=True)
 class StreamSettings:
-    """Times and limits of streams.
+    """Timeouts and limits of streams.
 
     Parameters
     ----------
     ping_after_s : float
-        Silence in seconds after which a stream in use is pinged.
+        Time in seconds without received data after which a ping is sent on
+        a stream in use.
     dead_after_s : float
-        Silence in seconds after which a stream in use is given up.
+        Time in seconds without received data after which a stream in use
+        times out.
     idle_s : float
         Time in seconds without exchanges after which a stream is closed.
     window : int
-        Payload bytes that an exchange may have under way per direction.
+        Flow control window of an exchange in each direction, in payload
+        bytes.
     """
 
     ping_after_s: float = 1.0
@@ -67,26 +70,26 @@
 
 
 class Owner(Protocol):
-    """What a stream needs from its network."""
+    """Interface of the network that owns a stream."""
 
     @property
     def last_tick(self) -> float:
-        """Time of the last round of checks."""
+        """Time of the last check of all streams."""
         ...
 
     @property
     def traffic(self) -> Traffic:
-        """Counts of all streams."""
+        """Counters of frames and bytes, over all streams."""
         ...
 
     def accept(
         self, stream: Stream, exchange: StreamExchange, message: Message
     ) -> None:
-        """Handle a new exchange."""
+        """Start the handler of an exchange that the peer has opened."""
         ...
 
     def ended(self, stream: Stream, error: PeerError | None) -> None:
-        """Forget a stream; `error` is None when it was closed on purpose."""
+        """Remove a stream; `error` is None when it was closed regularly."""
         ...
 
 
@@ -94,36 +97,36 @@
     """An exchange on a `Stream`; implements `Exchange`."""
 
     __slots__ = (
-        '_buffered',
-        '_closed',
-        '_consumed',
-        '_credit',
+        '_buffered_bytes',
+        '_receiving_closed',
+        '_consumed_bytes',
+        '_credit_bytes',
         '_error',
-        '_finished',
-        '_queue',
-        '_receiver',
-        '_senders',
-        '_single',
+        '_sending_closed',
+        '_receive_queue',
+        '_blocked_receiver',
+        '_blocked_senders',
+        '_single_reply',
         '_stream',
         'is_call',
         'number',
     )
 
     def __init__(
-        self, stream: Stream, number: int, *, is_call: bool, single: bool
+        self, stream: Stream, number: int, *, is_call: bool, single_reply: bool
     ) -> None:
         self._stream = stream
         self.number = number
-        self._queue: deque[tuple[Message, int]] = deque()
-        self._receiver: trio.lowlevel.Task | None = None
-        self._senders: trio.lowlevel.ParkingLot | None = None
-        self._credit = stream.settings.window
-        self._buffered = 0
-        self._consumed = 0
-        # The answer to a request is one message that also ends the exchange.
-        self._single = single
-        self._finished = False
-        self._closed = False
+        self._receive_queue: deque[tuple[Message, int]] = deque()
+        self._blocked_receiver: trio.lowlevel.Task | None = None
+        self._blocked_senders: trio.lowlevel.ParkingLot | None = None
+        self._credit_bytes = stream.settings.window
+        self._buffered_bytes = 0
+        self._consumed_bytes = 0
+        # The reply to a request is a single frame that ends the exchange.
+        self._single_reply = single_reply
+        self._sending_closed = False
+        self._receiving_closed = False
         self._error: PeerError | None = None
         self.is_call = is_call
 
@@ -134,36 +137,39 @@
 
     @property
     def ended(self) -> bool:
-        """Whether this end has left the exchange or lost its stream."""
+        """Whether this end has ended the exchange or the stream has ended."""
         return not self._stream.holds(self)
 
     async def send(self, message: Message) -> None:
-        """Send a message; waits while the other end's window is full.
+        """Send a message; waits while the receive window of the peer is full.
 
         Raises
         ------
         PeerLostError
             When the stream or the exchange has ended.
         PeerProtocolError
-            When the message is too large; the exchange goes on.
+            When the message is too large; the exchange is not affected.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
         payload = _frames.encode_message(message)
-        self._check_sending()
-        if self._single:
-            self._finished = True
-            self._closed = True
+        self._check_can_send()
+        if self._single_reply:
+            self._sending_closed = True
+            self._receiving_closed = True
             self._write(Kind.LAST, payload)
             return
-        while self._credit <= 0 or self._stream.backlog > _HIGH_WATER:
-            if self._credit <= 0:
-                if self._senders is None:
-                    self._senders = trio.lowlevel.ParkingLot()
-                await self._senders.park()
+        while (
+            self._credit_bytes <= 0
+            or self._stream.backlog > _HIGH_WATER_MARK_BYTES
+        ):
+            if self._credit_bytes <= 0:
+                if self._blocked_senders is None:
+                    self._blocked_senders = trio.lowlevel.ParkingLot()
+                await self._blocked_senders.park()
             else:
                 await self._stream.wait_writable()
-            self._check_sending()
-        self._credit -= len(payload)
+            self._check_can_send()
+        self._credit_bytes -= len(payload)
         self._write(Kind.DATA, payload)
 
     async def receive(self) -> Message:
@@ -172,50 +178,52 @@
         Raises
         ------
         PeerLostError
-            When the stream has ended or the other end cancelled.
+            When the stream has ended or the peer cancelled the exchange.
         trio.EndOfChannel
-            When the other end has finished the exchange.
+            When the peer has finished sending.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
-        while not self._queue:
-            if self._closed:
-                # A stream that is lost afterwards takes nothing away.
+        while not self._receive_queue:
+            if self._receiving_closed:
+                # The loss of the stream after the last message is no error.
                 raise trio.EndOfChannel
             if self._error is not None:
                 raise PeerLostError(str(self._error)) from self._error
-            if self._receiver is not None:
-                raise trio.BusyResourceError('another task receives')
-            self._receiver = trio.lowlevel.current_task()
+            if self._blocked_receiver is not None:
+                raise trio.BusyResourceError(
+                    'another task is receiving from the exchange'
+                )
+            self._blocked_receiver = trio.lowlevel.current_task()
             await trio.lowlevel.wait_task_rescheduled(self._abort)
-        message, size = self._queue.popleft()
-        self._buffered -= size
-        self._consumed += size
-        if self._consumed >= self._stream.settings.window // 2:
-            if not self._closed:
-                self._write(Kind.CREDIT, self._consumed)
-            self._consumed = 0
+        message, size = self._receive_queue.popleft()
+        self._buffered_bytes -= size
+        self._consumed_bytes += size
+        if self._consumed_bytes >= self._stream.settings.window // 2:
+            if not self._receiving_closed:
+                self._write(Kind.CREDIT, self._consumed_bytes)
+            self._consumed_bytes = 0
         return message
 
     async def finish(self) -> None:
-        """Tell the other end that no further message follows."""
+        """Notify the peer that no further message follows."""
         await trio.lowlevel.checkpoint_if_cancelled()
-        if not self._finished and self._error is None:
-            self._finished = True
+        if not self._sending_closed and self._error is None:
+            self._sending_closed = True
             self._write(Kind.FINISH, 0)
 
     def cancel(self) -> None:
-        """Give the exchange up; the other end's `receive` ends."""
+        """Cancel the exchange; `receive` fails at the other end."""
         self._end(Kind.CANCEL, PeerLostError('the exchange was cancelled'))
 
     def close(self) -> None:
-        """End the exchange after the messages that were sent before."""
+        """End the exchange; messages sent before are still delivered."""
         self._end(Kind.CLOSE, PeerLostError('the exchange has ended'))
 
     def answer(self, message: Message) -> None:
-        """Send a last message without waiting and end the exchange."""
-        if self._error is None and not self._finished:
-            self._finished = True
-            self._closed = True
+        """Send a final message without waiting and end the exchange."""
+        if self._error is None and not self._sending_closed:
+            self._sending_closed = True
+            self._receiving_closed = True
             self._write(Kind.LAST, _frames.encode_message(message))
 
     def fail(self, error: PeerError) -> None:
@@ -225,59 +233,61 @@
         self._wake()
 
     def handle(self, kind: Kind, payload: bytes | int) -> None:
-        """Take a frame from the other end."""
+        """Process a frame from the peer."""
         if kind is Kind.DATA or kind is Kind.LAST:
             size = len(payload)  # type: ignore[arg-type]
             message = _frames.decode_message(payload)
-            self._buffered += size
+            self._buffered_bytes += size
             window = self._stream.settings.window
-            if self._buffered > window + _frames.MAX_FRAME:
-                raise PeerProtocolError('peer sends more than its window')
-            self._queue.append((message, size))
+            if self._buffered_bytes > window + _frames.MAX_FRAME:
+                raise PeerProtocolError(
+                    'peer exceeded the flow control window'
+                )
+            self._receive_queue.append((message, size))
         if kind is Kind.CREDIT:
-            self._credit += int(payload)
-            if self._senders is not None:
-                self._senders.unpark_all()
+            self._credit_bytes += int(payload)
+            if self._blocked_senders is not None:
+                self._blocked_senders.unpark_all()
             return
         if kind is Kind.CANCEL:
-            self._queue.clear()
+            self._receive_queue.clear()
             self.fail(PeerLostError('the peer cancelled the exchange'))
         elif kind is not Kind.DATA:
-            self._closed = True
+            self._receiving_closed = True
             if kind is not Kind.FINISH:
-                # The other end takes no message either.
-                self._finished = True
+                # The peer does not receive messages any more either.
+                self._sending_closed = True
         self._wake()
 
     def _end(self, kind: Kind, error: PeerLostError) -> None:
         if self._stream.forget(self.number) and self._error is None:
-            # Both ends know already when each has said its last.
-            if not (self._finished and self._closed):
+            # No frame is needed once both directions are closed.
+            if not (self._sending_closed and self._receiving_closed):
                 self._write(kind, 0)
             self._error = error
         self._wake()
 
-    def _check_sending(self) -> None:
+    def _check_can_send(self) -> None:
         if self._error is not None:
             raise PeerLostError(str(self._error)) from self._error
-        if self._finished:
-            raise PeerLostError('the exchange takes no further message')
+        if self._sending_closed:
+            raise PeerLostError('sending on the exchange is already closed')
 
     def _write(self, kind: Kind, payload: bytes | int) -> None:
         self._stream.write(self.number, kind, payload, self.is_call)
 
     def _abort(self, _: object) -> trio.lowlevel.Abort:
-        # The task counts as rescheduled from now on, not only when it runs:
-        # a frame that arrives in between must not reschedule it again.
-        self._receiver = None
+        # The cancelled task is scheduled already but has not run yet. A
+        # frame that arrives in between must not reschedule it again.
+        self._blocked_receiver = None
         return trio.lowlevel.Abort.SUCCEEDED
 
     def _wake(self) -> None:
-        if self._receiver is not None:
-            trio.lowlevel.reschedule(self._receiver)
-            self._receiver = None
-        if self._senders is not None:
-            self._senders.unpark_all()
+        if self._blocked_receiver is not None:
+            trio.lowlevel.reschedule(self._blocked_receiver)
+            self._blocked_receiver = None
+        if self._blocked_senders is not None:
+            self._blocked_senders.unpark_all()
 
 
 class Stream:
@@ -286,16 +296,16 @@
     Parameters
     ----------
     owner : Owner
-        Receives new exchanges and the end of the stream.
+        Network that handles new exchanges and the end of the stream.
     sock : socket.socket
-        Connected socket after the handshake.
+        Connected socket, after the handshake.
     peer : PeerInfo
         Identity of the other end.
     dialled : str
-        Address that this side connected to; empty when the other end opened
-        the stream.
+        Address that this side connected to; empty when the peer opened the
+        stream.
     settings : StreamSettings
-        Times and limits.
+        Timeouts and limits.
     nursery : trio.Nursery
         Runs the task that sends a backlog.
     """
@@ -303,16 +313,16 @@
     __slots__ = (
         '_backlog',
         '_exchanges',
-        '_heard',
-        '_last_id',
+        '_last_received',
+        '_last_exchange_id',
         '_nursery',
-        '_out',
+        '_send_queue',
         '_owner',
         '_pinged_at',
-        '_quiet_since',
+        '_monitored_since',
         '_sock',
-        '_used',
-        '_watch_until',
+        '_last_used',
+        '_monitored_until',
         '_writable',
         'dialled',
         'ended',
@@ -337,14 +347,14 @@
         self._sock = sock
         self._nursery = nursery
         self._exchanges: dict[int, StreamExchange] = {}
-        self._last_id = 0
-        self._out: deque[memoryview] = deque()
+        self._last_exchange_id = 0
+        self._send_queue: deque[memoryview] = deque()
         self._backlog = 0
         self._writable = trio.lowlevel.ParkingLot()
-        self._heard = now
-        self._used = now
-        self._quiet_since = now
-        self._watch_until = now
+        self._last_received = now
+        self._last_used = now
+        self._monitored_since = now
+        self._monitored_until = now
         self._pinged_at = math.inf
         self.peer = peer
         self.dialled = dialled
@@ -352,11 +362,11 @@
         self.settings = settings
         self.ended: PeerError | None = None
         self.refusing = False
-        """The other end takes no new exchanges."""
+        """Whether the peer accepts no new exchanges."""
 
     @property
     def backlog(self) -> int:
-        """Bytes that the socket has not taken yet."""
+        """Number of bytes queued because the socket is not writable."""
         return self._backlog
 
     @property
@@ -377,14 +387,15 @@
     @property
     def last_used(self) -> float:
         """Time at which the last exchange started or a message was posted."""
-        return self._used
+        return self._last_used
 
     @property
     def suspicious(self) -> bool:
-        """Whether a ping is unanswered for a quarter of the time it has.
+        """Whether the reply to a ping is overdue.
 
-        A new exchange then uses a new connection instead of waiting until
-        the stream is given up.
+        This is the case after a quarter of the time between ping and
+        timeout. New exchanges then use a new connection instead of waiting
+        until the stream times out.
         """
         settings = self.settings
         quarter = (settings.dead_after_s - settings.ping_after_s) / 4
@@ -399,36 +410,36 @@
             When the message is too large.
         """
         payload = _frames.encode_message(message)
-        self._last_id += 1
-        call = _frames.is_call(message)
+        self._last_exchange_id += 1
+        is_call = _frames.is_call(message)
         exchange = StreamExchange(
-            self, self._last_id, is_call=call, single=False
+            self, self._last_exchange_id, is_call=is_call, single_reply=False
         )
-        self._start(exchange)
-        self.write(self._last_id, kind, payload, call)
+        self._add_exchange(exchange)
+        self.write(self._last_exchange_id, kind, payload, is_call)
         return exchange
 
     def post(self, message: Message) -> bool:
-        """Send a message without an exchange; False when it was dropped."""
-        if self._backlog > _HIGH_WATER or self.ended is not None:
+        """Send a message without reply; return False if it was dropped."""
+        if self._backlog > _HIGH_WATER_MARK_BYTES or self.ended is not None:
             return False
         payload = _frames.encode_message(message)
-        self._last_id += 1
-        self._used = trio.current_time()
-        call = _frames.is_call(message)
-        self.write(self._last_id, Kind.POST, payload, call)
+        self._last_exchange_id += 1
+        self._last_used = trio.current_time()
+        is_call = _frames.is_call(message)
+        self.write(self._last_exchange_id, Kind.POST, payload, is_call)
         return True
 
     def write(
         self, number: int, kind: Kind, payload: bytes | int, is_call: bool
     ) -> None:
-        """Send a frame, or append it to the backlog."""
+        """Send a frame or append it to the backlog."""
         if self.ended is not None:
             return
         data = _frames.encode_frame(number, kind, payload)
         self._owner.traffic.add(2 if is_call else 0, len(data), payload)
         sent = 0
-        if not self._out:
+        if not self._send_queue:
             try:
                 sent = self._sock.send(data)
             except BlockingIOError:
@@ -439,18 +450,22 @@
             if sent == len(data):
                 return
             self._nursery.start_soon(self._flush)
-        self._out.append(memoryview(data)[sent:])
+        self._send_queue.append(memoryview(data)[sent:])
         self._backlog += len(data) - sent
-        if self._backlog > _MAX_BACKLOG:
-            self.end(PeerLostError('the peer does not read'))
+        if self._backlog > _MAX_BACKLOG_BYTES:
+            self.end(
+                PeerLostError(
+                    f'the peer does not read: backlog of {self._backlog} bytes'
+                )
+            )
 
     async def wait_writable(self) -> None:
-        """Wait until the backlog was sent or the stream has ended."""
+        """Wait until the backlog has shrunk or the stream has ended."""
         if self._backlog and self.ended is None:
             await self._writable.park()
 
     def forget(self, number: int) -> bool:
-        """Remove an exchange; False when it is unknown."""
+        """Remove an exchange; return False if it is not in progress."""
         return self._exchanges.pop(number, None) is not None
 
     def holds(self, exchange: StreamExchange) -> bool:
@@ -458,41 +473,41 @@
         return self._exchanges.get(exchange.number) is exchange
 
     def check(self, now: float) -> None:
-        """Ping, give up or close the stream when it is due."""
+        """Send a ping, time the stream out or close it if it is idle."""
         settings = self.settings
-        if not self._exchanges and now >= self._watch_until:
-            # Nothing can be lost on an unused stream, and pinging the
-            # streams of heartbeats would cost more than the heartbeats.
-            self._quiet_since = now
+        if not self._exchanges and now >= self._monitored_until:
+            # Unused streams are not pinged: no message can be lost on them,
+            # and pings on the streams that carry heartbeats would cost more
+            # than the heartbeats.
+            self._monitored_since = now
             self._pinged_at = math.inf
             limit = settings.idle_s * (1 if self.opened else 2)
-            if now - self._used > limit:
+            if now - self._last_used > limit:
                 self.end(None)
             return
-        silence = now - max(self._heard, self._quiet_since)
-        # Half of the time is left for the answer even if this process was
-        # late with its ping.
-        patience = (settings.dead_after_s - settings.ping_after_s) / 2
+        silence = now - max(self._last_received, self._monitored_since)
+        # The peer has at least half of the time between ping and timeout to
+        # reply, even if this process sent its ping late.
+        ping_timeout_s = (settings.dead_after_s - settings.ping_after_s) / 2
         if (
             silence >= settings.dead_after_s
-            and now - self._pinged_at >= patience
+            and now - self._pinged_at >= ping_timeout_s
         ):
-            self.end(
-                PeerLostError(f'nothing received for {silence:.1f} seconds')
-            )
+            self.end(PeerLostError(f'nothing received for {silence:.1f} s'))
         elif self._pinged_at == math.inf and silence >= settings.ping_after_s:
             self._pinged_at = now
             self.write(0, Kind.PING, 0, is_call=False)
 
     def refuse(self) -> None:
-        """Tell the other end to open no further exchanges."""
+        """Notify the peer that no new exchanges are accepted."""
         self.write(0, Kind.GOAWAY, 0, is_call=False)
 
     def shut_down(self) -> None:
-        """Let the other end see the end of the stream after all frames.
+        """Shut down the sending direction of the socket.
 
-        Closing the socket at once would reset the connection if a frame of
-        the peer is still unread, and answers under way could be lost.
+        The peer then reads the end of the stream after all frames. Closing
+        the socket at once would reset the connection if a frame of the peer
+        is still unread, and responses in flight could be lost.
         """
         if self.ended is None:
             with contextlib.suppress(OSError):
@@ -505,7 +520,7 @@
         self.ended = error or PeerLostError('the stream was closed')
         exchanges = list(self._exchanges.values())
         self._exchanges.clear()
-        self._out.clear()
+        self._send_queue.clear()
         self._backlog = 0
         _socket.close(self._sock)
         for exchange in exchanges:
@@ -513,16 +528,16 @@
         self._writable.unpark_all()
         self._owner.ended(self, error)
 
-    async def run(self, first: bytes) -> None:
+    async def run(self, unread_bytes: bytes) -> None:
         """Receive frames until the stream ends.
 
         Parameters
         ----------
-        first : bytes
-            Bytes that were received with the handshake.
+        unread_bytes : bytes
+            Bytes received together with the handshake.
         """
         decoder = _frames.FrameDecoder()
-        data = first
+        data = unread_bytes
         try:
             while self.ended is None:
                 for frame in decoder.feed(data):
@@ -538,13 +553,13 @@
                 if not data:
                     if self.idle:
                         break
-                    raise PeerLostError('the peer ended the stream')
+                    raise PeerLostError('the peer closed the stream')
                 now = trio.current_time()
                 if now - self._owner.last_tick > self.settings.dead_after_s:
-                    # The peer has given up its exchanges meanwhile, so a
-                    # call that waits in the socket must not start now.
+                    # The peer has timed out its exchanges by now, so a call
+                    # that is still unread in the socket must not start.
                     raise PeerLostError('this process was paused')
-                self._heard = now
+                self._last_received = now
                 self._pinged_at = math.inf
         except PeerError as error:
             self.end(error)
@@ -555,19 +570,19 @@
         finally:
             self.end(None)
 
-    def _start(self, exchange: StreamExchange) -> None:
+    def _add_exchange(self, exchange: StreamExchange) -> None:
         now = trio.current_time()
-        if not self._exchanges and now >= self._watch_until:
-            self._quiet_since = now
-        self._used = now
+        if not self._exchanges and now >= self._monitored_until:
+            self._monitored_since = now
+        self._last_used = now
         if exchange.is_call and self.opened:
-            self._watch_until = now + self.settings.idle_s
+            self._monitored_until = now + self.settings.idle_s
         self._exchanges[exchange.number] = exchange
 
     def _dispatch(self, frame: _frames.Frame) -> None:
         number, kind, payload, size = frame
         if kind <= Kind.POST:
-            self._accept(frame)
+            self._accept_exchange(frame)
             return
         exchange = self._exchanges.get(number)
         is_call = exchange is not None and exchange.is_call
@@ -579,48 +594,55 @@
                 self.refusing = True
         elif exchange is not None:
             exchange.handle(kind, payload)
-        elif not 0 < number <= self._last_id:
-            raise PeerProtocolError(f'{kind.name} for unknown id {number}')
+        elif not 0 < number <= self._last_exchange_id:
+            raise PeerProtocolError(
+                f'{kind.name} frame for unknown exchange {number}'
+            )
 
-    def _accept(self, frame: _frames.Frame) -> None:
+    def _accept_exchange(self, frame: _frames.Frame) -> None:
         number, kind, payload, size = frame
-        if self.opened or number <= self._last_id:
-            raise PeerProtocolError(f'{kind.name} with the id {number}')
-        self._last_id = number
+        if self.opened or number <= self._last_exchange_id:
+            raise PeerProtocolError(
+                f'{kind.name} frame with invalid exchange id {number}'
+            )
+        self._last_exchange_id = number
         message = _frames.decode_message(payload)
         exchange = StreamExchange(
             self,
             number,
             is_call=_frames.is_call(message),
-            single=kind is Kind.REQUEST,
+            single_reply=kind is Kind.REQUEST,
         )
         index = 3 if exchange.is_call else 1
         self._owner.traffic.add(index, size, payload)
         if kind is not Kind.OPEN:
             exchange.handle(Kind.FINISH, 0)
         if kind is Kind.POST:
-            # Answers to a posted message go nowhere.
+            # A posted message gets no reply.
             exchange.handle(Kind.CLOSE, 0)
-        self._start(exchange)
+        self._add_exchange(exchange)
         self._owner.accept(self, exchange, message)
 
     async def _flush(self) -> None:
         try:
-            while self._out:
+            while self._send_queue:
                 await trio.lowlevel.wait_writable(self._sock)
-                batch = [self._out[i] for i in range(min(16, len(self._out)))]
+                batch = [
+                    self._send_queue[i]
+                    for i in range(min(16, len(self._send_queue)))
+                ]
                 try:
                     sent = self._sock.sendmsg(batch)
                 except BlockingIOError:
                     continue
                 self._backlog -= sent
                 while sent:
-                    first = self._out.popleft()
-                    if sent < len(first):
-                        self._out.appendleft(first[sent:])
+                    chunk = self._send_queue.popleft()
+                    if sent < len(chunk):
+                        self._send_queue.appendleft(chunk[sent:])
                         break
-                    sent -= len(first)
-                if self._backlog <= _HIGH_WATER:
+                    sent -= len(chunk)
+                if self._backlog <= _HIGH_WATER_MARK_BYTES:
                     self._writable.unpark_all()
         except trio.ClosedResourceError:
             pass
--- a/tests/test_net_frames.py
+++ b/tests/test_net_frames.py
@@ -1,4 +1,4 @@
-"""Tests of the frames on a stream."""
+"""Tests of the encoding and decoding of frames."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     Kind.DATA: st.binary(max_size=70_000),
     Kind.CREDIT: st.integers(0, 2**40),
 }
-_FRAMES = st.lists(
+_FRAME_LISTS = st.lists(
     st.sampled_from(list(_PAYLOADS)).flatmap(
         lambda kind: st.tuples(
             st.integers(0, 2**40), st.just(kind), _PAYLOADS[kind]
@@ -24,32 +24,36 @@
 )
 
 
-@given(one=_FRAMES, two=_FRAMES, size=st.integers(1, _frames.MAX_READ))
-def test_frames_survive_any_split_of_the_bytes(
-    one: list[tuple[int, Kind, bytes | int]],
-    two: list[tuple[int, Kind, bytes | int]],
+@given(
+    first=_FRAME_LISTS,
+    second=_FRAME_LISTS,
+    size=st.integers(1, _frames.MAX_READ),
+)
+def test_frames_are_decoded_from_any_split_of_the_bytes(
+    first: list[tuple[int, Kind, bytes | int]],
+    second: list[tuple[int, Kind, bytes | int]],
     size: int,
 ) -> None:
-    """Decoders share unpackers, so two are fed in turn."""
+    """Two decoders are fed in turn because decoders share unpackers."""
     size = max(size, 64)
     sources = [
         b''.join(_frames.encode_frame(*frame) for frame in frames)
-        for frames in (one, two)
+        for frames in (first, second)
     ]
     decoders = [_frames.FrameDecoder(), _frames.FrameDecoder()]
-    found: list[list[_frames.Frame]] = [[], []]
+    decoded: list[list[_frames.Frame]] = [[], []]
     for start in range(0, max(map(len, sources)), size):
         for index, source in enumerate(sources):
             part = source[start : start + size]
-            found[index] += decoders[index].feed(part)
+            decoded[index] += decoders[index].feed(part)
     for frames, expected, source in zip(
-        found, (one, two), sources, strict=True
+        decoded, (first, second), sources, strict=True
     ):
         assert [frame[:3] for frame in frames] == expected
         assert sum(frame.size for frame in frames) == len(source)
 
 
-def test_every_message_type_is_found_by_its_tag() -> None:
+def test_every_message_type_is_decoded_by_its_tag() -> None:
     member = builders.build_member(endpoint=builders.build_endpoint())
     messages = [
         _messages.Ping(),
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -38,21 +38,24 @@
 
     from gypsumhall.net._protocol import Exchange
 
-# Times well above the delays of a busy machine, well below the test timeout.
-_TIMES = StreamSettings(ping_after_s=0.5, dead_after_s=1.5)
-_WAIT_S = 20.0
-_FLOOR = _messages.FloorRequest('d1')
+# Well above the delays of a busy machine and well below the test timeout.
+_STREAM_SETTINGS = StreamSettings(ping_after_s=0.5, dead_after_s=1.5)
+_TIMEOUT_S = 20.0
+_FLOOR_REQUEST = _messages.FloorRequest('d1')
 _CALL = _messages.CallStart(
     'r1', 0, 's', 'v1', 'd/r', 'POST', '/', (), 1000, False, has_body=True
 )
 
 
 class _Peer(Network):
-    """Network that keeps its events."""
+    """Network that records the codes of its events."""
 
     def __init__(self, name: str, **settings: Any) -> None:
         self.events: list[str] = []
-        values = {'stream': _TIMES, 'keys': (echo_peer.KEY,)} | settings
+        values = {
+            'stream': _STREAM_SETTINGS,
+            'keys': (echo_peer.KEY,),
+        } | settings
         super().__init__(
             PeerSettings(name, 'az-1', 1, '127.0.0.1:0', **values),
             lambda code, **fields: self.events.append(code),
@@ -60,23 +63,25 @@
         self.on(_messages.FloorRequest, echo_peer.answer_floor)
         self.on(_messages.CallStart, echo_peer.answer_call)
 
-    async def floor(self, address: str) -> int:
-        """Return the number of calls that a process has started."""
-        answer = await self.request(address, _FLOOR, timeout_s=_WAIT_S)
-        assert isinstance(answer, _messages.Floor)
-        assert answer.held == 2
-        return answer.acknowledged_version
+    async def count_started_calls(self, address: str) -> int:
+        """Return the number of calls that the peer's process has started."""
+        reply = await self.request(
+            address, _FLOOR_REQUEST, timeout_s=_TIMEOUT_S
+        )
+        assert isinstance(reply, _messages.Floor)
+        assert reply.held == 2
+        return reply.acknowledged_version
 
 
 class _Relay:
-    """Relays connections to a peer and disturbs those that it relays."""
+    """Relay of connections to a peer that can inject faults."""
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(':')
         self._target = (host, int(port))
         self._pairs: list[tuple[trio.SocketStream, trio.SocketStream]] = []
         self._silent: set[trio.SocketStream] = set()
-        self.recorded = b''
+        self.recorded_bytes = b''
         self.address = ''
 
     async def serve(self, *, task_status: trio.TaskStatus[None]) -> None:
@@ -103,13 +108,13 @@
         ):
             async for data in source:
                 if any(source is pair[0] for pair in self._pairs):
-                    self.recorded += data
+                    self.recorded_bytes += data
                 if source not in self._silent:
                     await sink.send_all(data)
             await sink.aclose()
 
     def silence(self) -> None:
-        """Drop everything on the present connections, not on new ones."""
+        """Drop all data on existing connections, but not on new ones."""
         for pair in self._pairs:
             self._silent.update(pair)
 
@@ -124,7 +129,7 @@
                 stream.socket.close()
 
     async def inject(self, data: bytes) -> None:
-        """Send bytes to the accepting side, in the midst of the stream."""
+        """Send bytes to the accepting side within the stream."""
         with contextlib.suppress(trio.BrokenResourceError):
             await self._pairs[-1][1].send_all(data)
 
@@ -134,7 +139,7 @@
     one: dict[str, Any] | None = None, two: dict[str, Any] | None = None
 ) -> AsyncIterator[tuple[_Peer, _Peer, _Relay]]:
     first, second = _Peer('one', **(one or {})), _Peer('two', **(two or {}))
-    with trio.fail_after(3 * _WAIT_S):
+    with trio.fail_after(3 * _TIMEOUT_S):
         async with trio.open_nursery() as nursery:
             await nursery.start(first.serve)
             await nursery.start(second.serve)
@@ -145,7 +150,7 @@
 
 
 async def _eventually(condition: Callable[[], bool]) -> None:
-    with trio.fail_after(_WAIT_S):
+    with trio.fail_after(_TIMEOUT_S):
         while not condition():  # noqa: ASYNC110
             await trio.sleep(0.02)
 
@@ -169,14 +174,17 @@
 _FAULTS = {
     'reset': (_reset, 'peer-lost'),
     'silence': (_silence, 'peer-lost'),
-    'no msgpack': (_inject(b'\xc1' * 64), 'peer-protocol-error'),
+    'invalid msgpack': (_inject(b'\xc1' * 64), 'peer-protocol-error'),
     'http': (_inject(b'GET / HTTP/1.1\r\n\r\n'), 'peer-protocol-error'),
     'deep nesting': (_inject(b'\x91' * 100_000), 'peer-protocol-error'),
     'oversized': (
         _inject(b'\x93\x02\x00\xc6\x00\x20\x00\x00' + b'x' * 3_000_000),
         'peer-protocol-error',
     ),
-    'endless array': (_inject(b'\xdd\xff\xff\xff\xff'), 'peer-protocol-error'),
+    'oversized array': (
+        _inject(b'\xdd\xff\xff\xff\xff'),
+        'peer-protocol-error',
+    ),
     'unknown tag': (
         _inject(_frame(99, 0, msgpack.packb([9999]))),
         'peer-protocol-error',
@@ -191,11 +199,11 @@
     ),
     'unknown kind': (_inject(_frame(99, 77, 0)), 'peer-protocol-error'),
     'negative credit': (_inject(_frame(1, 8, -5)), 'peer-protocol-error'),
-    'id in the future': (
+    'unused id': (
         _inject(_frame(99, 3, msgpack.packb([1]))),
         'peer-protocol-error',
     ),
-    'id used twice': (
+    'reused id': (
         _inject(_frame(1, 1, msgpack.packb([23, 'd']))),
         'peer-protocol-error',
     ),
@@ -203,38 +211,40 @@
 
 
 @pytest.mark.parametrize('fault', _FAULTS)
-async def test_a_fault_ends_the_exchanges_and_new_ones_work(
+async def test_a_fault_ends_exchanges_and_new_exchanges_work(
     fault: str,
 ) -> None:
-    """Guards against exchanges that hang and daemons that end."""
-    disturb, event = _FAULTS[fault]
+    """Guards against hanging exchanges and daemons that crash."""
+    inject_fault, event = _FAULTS[fault]
     async with _peers() as (one, two, relay):
-        await one.floor(relay.address)
+        await one.count_started_calls(relay.address)
         async with one.open(relay.address, _CALL) as exchange:
             await exchange.receive()
-            await disturb(relay)
-            with trio.fail_after(_WAIT_S), pytest.raises(PeerLostError):
+            await inject_fault(relay)
+            with trio.fail_after(_TIMEOUT_S), pytest.raises(PeerLostError):
                 while True:
                     await exchange.receive()
             with pytest.raises(PeerLostError):
                 await exchange.send(_messages.BodyChunk(b''))
-        await one.floor(relay.address)
+        await one.count_started_calls(relay.address)
         await _eventually(lambda: event in one.events + two.events)
-        await two.floor(one.me.address)
+        await two.count_started_calls(one.me.address)
 
 
-async def test_a_stream_that_goes_silent_while_unused_is_replaced() -> None:
-    """A half-open stream costs one request at most."""
+async def test_an_unused_stream_that_stops_responding_is_replaced() -> None:
+    """A half-open connection fails one request at most."""
     async with _peers() as (one, _, relay):
-        await one.floor(relay.address)
+        await one.count_started_calls(relay.address)
         relay.silence()
-        with trio.fail_after(_WAIT_S), pytest.raises(PeerLostError):
-            await one.request(relay.address, _FLOOR, timeout_s=_WAIT_S)
-        await one.floor(relay.address)
+        with trio.fail_after(_TIMEOUT_S), pytest.raises(PeerLostError):
+            await one.request(
+                relay.address, _FLOOR_REQUEST, timeout_s=_TIMEOUT_S
+            )
+        await one.count_started_calls(relay.address)
 
 
-async def test_a_frozen_process_comes_back_and_runs_no_old_call() -> None:
-    """A call given up by its sender must not start when the peer returns."""
+async def test_a_resumed_process_starts_no_call_that_timed_out() -> None:
+    """A call that its sender has timed out must not start at the peer."""
     process = await trio.lowlevel.open_process(
         [sys.executable, '-m', 'gypsumhall.testing.echo_peer'],
         stdin=subprocess.PIPE,
@@ -244,31 +254,31 @@
     address = (await process.stdout.receive_some()).decode().strip()
     try:
         async with _peers() as (one, _, _):
-            assert await one.floor(address) == 0
+            assert await one.count_started_calls(address) == 0
             os.kill(process.pid, signal.SIGSTOP)
             async with one.open(address, _CALL) as exchange:
-                with trio.fail_after(_WAIT_S), pytest.raises(PeerLostError):
+                with trio.fail_after(_TIMEOUT_S), pytest.raises(PeerLostError):
                     await exchange.receive()
             with pytest.raises(PeerUnreachableError):
-                await one.request(address, _FLOOR, timeout_s=1.5)
+                await one.request(address, _FLOOR_REQUEST, timeout_s=1.5)
             os.kill(process.pid, signal.SIGCONT)
-            assert await one.floor(address) == 0
+            assert await one.count_started_calls(address) == 0
             async with one.open(address, _CALL) as exchange:
                 await exchange.receive()
-            assert await one.floor(address) == 1
+            assert await one.count_started_calls(address) == 1
     finally:
         process.kill()
         await process.wait()
 
 
-async def test_a_finished_answer_survives_the_loss_of_the_stream() -> None:
+async def test_a_complete_response_survives_the_loss_of_the_stream() -> None:
     """A complete response must not be reported as lost."""
     async with _peers() as (one, _, relay):
         call = msgspec.structs.replace(_CALL, has_body=False)
         async with one.open(relay.address, call) as exchange:
             stream = next(iter(one._streams))
             assert isinstance(await exchange.receive(), _messages.AnswerStart)
-            await _eventually(lambda: exchange._closed)
+            await _eventually(lambda: exchange._receiving_closed)
             relay.reset()
             await _eventually(lambda: stream.ended is not None)
             assert isinstance(await exchange.receive(), _messages.AnswerEnd)
@@ -276,19 +286,21 @@
                 await exchange.receive()
 
 
-_HANDSHAKES = {
+_REJECTED_KEYS = {
     'no common key': (b'another key 123456',),
-    'no keys in common of several': (b'a' * 16, b'b' * 16),
+    'several keys, none in common': (b'a' * 16, b'b' * 16),
 }
 
 
-@pytest.mark.parametrize('keys', _HANDSHAKES.values(), ids=_HANDSHAKES)
-async def test_a_peer_without_the_key_is_refused(
+@pytest.mark.parametrize('keys', _REJECTED_KEYS.values(), ids=_REJECTED_KEYS)
+async def test_a_peer_without_a_common_key_is_rejected(
     keys: tuple[bytes, ...],
 ) -> None:
     async with _peers({'keys': keys}) as (one, two, relay):
         with pytest.raises(PeerUnreachableError, match='none of the shared'):
-            await one.request(relay.address, _FLOOR, timeout_s=_WAIT_S)
+            await one.request(
+                relay.address, _FLOOR_REQUEST, timeout_s=_TIMEOUT_S
+            )
         assert two.streams == 0
         assert one.events == ['peer-handshake-failed']
 
@@ -296,37 +308,37 @@
 async def test_keys_can_be_rotated() -> None:
     new = b'next key for tests'
     async with _peers({'keys': (new, echo_peer.KEY)}) as (one, two, _):
-        await one.floor(two.me.address)
-        await two.floor(one.me.address)
+        await one.count_started_calls(two.me.address)
+        await two.count_started_calls(one.me.address)
 
 
-async def test_a_recorded_handshake_is_refused() -> None:
-    """Replayed bytes must not reach a handler."""
+async def test_a_replayed_handshake_is_rejected() -> None:
+    """Bytes of an earlier connection must not reach a handler."""
     async with _peers() as (one, two, relay):
-        await one.floor(relay.address)
-        recorded = relay.recorded
+        await one.count_started_calls(relay.address)
+        recorded_bytes = relay.recorded_bytes
         port = int(two.me.address.rpartition(':')[2])
         async with await trio.open_tcp_stream('127.0.0.1', port) as raw:
-            await raw.send_all(recorded)
+            await raw.send_all(recorded_bytes)
             await _eventually(lambda: 'peer-handshake-failed' in two.events)
         assert two.streams == 1
 
 
 @pytest.mark.parametrize('data', [b'', b'\xc5\xff\xff' + b'x' * 60_000])
-async def test_an_unproven_connection_is_closed(data: bytes) -> None:
-    """Neither silence nor a large first frame may hold memory."""
+async def test_an_unauthenticated_connection_is_closed(data: bytes) -> None:
+    """Neither a silent nor an oversized handshake may occupy memory."""
     async with _peers(two={'connect_timeout_s': 0.5}) as (_, two, _):
         port = int(two.me.address.rpartition(':')[2])
         async with await trio.open_tcp_stream('127.0.0.1', port) as raw:
             with contextlib.suppress(trio.BrokenResourceError):
                 await raw.send_all(data)
-            with trio.fail_after(_WAIT_S):
+            with trio.fail_after(_TIMEOUT_S):
                 with contextlib.suppress(trio.BrokenResourceError):
                     assert await raw.receive_some() == b''
         await _eventually(lambda: 'peer-handshake-failed' in two.events)
 
 
-def test_a_proof_sent_back_to_its_author_is_refused() -> None:
+def test_a_reflected_proof_is_rejected() -> None:
     me = _Peer('one')._settings
     info = _handshake.PeerInfo(me.id, me.zone, 1, me.address)
     handshake = _handshake.Handshake(info, me.keys)
@@ -357,20 +369,20 @@
                     await quick.send(chunk)
                     if size == 0:
                         await quick.receive()
-                    answer = await quick.receive()
-                    assert answer == chunk
+                    reply = await quick.receive()
+                    assert reply == chunk
                     size += 65536
             assert one.streams == 1
             blocked.set()
-            with pytest.raises(PeerLostError), trio.fail_after(_WAIT_S):
+            with pytest.raises(PeerLostError), trio.fail_after(_TIMEOUT_S):
                 while True:
                     await slow.send(chunk)
 
 
-async def test_crossing_cancels_leave_nothing_behind() -> None:
+async def test_simultaneous_cancels_leave_no_exchange_open() -> None:
     rng = random.Random(1)
 
-    async def sometimes(
+    async def reply_randomly(
         exchange: Exchange, message: _messages.CallQuery
     ) -> None:
         for _ in range(rng.randrange(3)):
@@ -378,7 +390,7 @@
         if rng.random() < 0.5:
             exchange.cancel()
 
-    async def use(one: _Peer, address: str) -> None:
+    async def call_randomly(one: _Peer, address: str) -> None:
         with contextlib.suppress(PeerLostError, trio.EndOfChannel):
             async with one.open(
                 address, _messages.CallQuery('r', 0)
@@ -391,20 +403,20 @@
                     await exchange.receive()
 
     async with _peers() as (one, two, _):
-        two.on(_messages.CallQuery, sometimes)
+        two.on(_messages.CallQuery, reply_randomly)
         async with trio.open_nursery() as nursery:
             for _ in range(300):
-                nursery.start_soon(use, one, two.me.address)
-        await one.floor(two.me.address)
+                nursery.start_soon(call_randomly, one, two.me.address)
+        await one.count_started_calls(two.me.address)
         streams = list(one._streams) + list(two._streams)
         assert len(streams) == 2
         await _eventually(lambda: all(item.idle for item in streams))
         assert 'peer-protocol-error' not in one.events + two.events
 
 
-async def test_an_end_at_the_moment_of_a_cancel_is_no_fault() -> None:
-    # A receiver that was cancelled, but had not run yet, was rescheduled a
-    # second time by the end of its exchange, which stopped the daemon.
+async def test_an_exchange_may_end_while_its_receiver_is_cancelled() -> None:
+    # Guards against a crash of the daemon: the end of the exchange
+    # rescheduled a receiver that was cancelled but had not run yet.
     async def wait(exchange: Exchange, message: _messages.CallQuery) -> None:
         await exchange.receive()
 
@@ -423,16 +435,16 @@
 
 
 async def test_concurrent_opens_share_a_stream_per_direction() -> None:
-    """Both sides opening at once must not end with a stream too few."""
+    """Simultaneous opening must not close the stream of either side."""
     async with _peers() as (one, two, _):
         async with trio.open_nursery() as nursery:
             for _ in range(50):
-                nursery.start_soon(one.floor, two.me.address)
-                nursery.start_soon(two.floor, one.me.address)
+                nursery.start_soon(one.count_started_calls, two.me.address)
+                nursery.start_soon(two.count_started_calls, one.me.address)
         assert one.streams == two.streams == 2
 
 
-async def test_a_planned_stop_lets_exchanges_finish() -> None:
+async def test_a_graceful_shutdown_completes_exchanges() -> None:
     finished = []
 
     async def call(one: _Peer, address: str, started: trio.Event) -> None:
@@ -455,20 +467,20 @@
             await two.drain()
         assert finished
         with pytest.raises(PeerUnreachableError):
-            await one.floor(two.me.address)
+            await one.count_started_calls(two.me.address)
         await _eventually(lambda: one.streams == 0)
 
 
-async def test_limits_refuse_without_running_anything() -> None:
+async def test_requests_over_a_limit_run_no_handler() -> None:
     release = trio.Event()
-    ran = []
+    handled_ids = []
 
-    async def hold(exchange: Exchange, message: _messages.CallQuery) -> None:
-        ran.append(message.request_id)
+    async def block(exchange: Exchange, message: _messages.CallQuery) -> None:
+        handled_ids.append(message.request_id)
         await release.wait()
 
     async with _peers(two={'max_handlers': 2}) as (one, two, _):
-        two.on(_messages.CallQuery, hold)
+        two.on(_messages.CallQuery, block)
         address = two.me.address
         async with (
             one.open(address, _messages.CallQuery('1', 0)),
@@ -476,79 +488,82 @@
             one.open(address, _messages.CallQuery('3', 0)) as third,
         ):
             assert isinstance(await third.receive(), _messages.Busy)
-        assert '3' not in ran
+        assert '3' not in handled_ids
         release.set()
         await _eventually(lambda: all(item.idle for item in two._streams))
-        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
         with pytest.raises(PeerProtocolError):
-            await one.request(address, large, timeout_s=1.0)
-        await one.floor(address)
-        answer = await one.request(
-            address, _messages.RevertsPull(), timeout_s=_WAIT_S
+            await one.request(address, oversized, timeout_s=1.0)
+        await one.count_started_calls(address)
+        reply = await one.request(
+            address, _messages.RevertsPull(), timeout_s=_TIMEOUT_S
         )
-        assert isinstance(answer, _messages.Failure)
+        assert isinstance(reply, _messages.Failure)
 
 
-async def test_posts_are_bounded_and_dropped() -> None:
+async def test_posts_over_a_limit_are_dropped() -> None:
     received = []
 
-    async def note(exchange: Exchange, message: _messages.Reverts) -> None:
+    async def record(exchange: Exchange, message: _messages.Reverts) -> None:
         received.append(message)
 
     async with _peers() as (one, two, relay):
-        two.on(_messages.Reverts, note)
+        two.on(_messages.Reverts, record)
         for _ in range(1000):
             one.post('127.0.0.1:1', _messages.Reverts(()))
         await _eventually(lambda: one.dropped == 1000)
-        large = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
-        for message in (large, _messages.Reverts(()), large):
+        oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        for message in (oversized, _messages.Reverts(()), oversized):
             one.post(relay.address, message)
         await _eventually(lambda: len(received) == 1)
-        one.post(relay.address, large)
+        one.post(relay.address, oversized)
         assert one.dropped == 1003
         assert one.events == ['peer-post-failed'] * 3
 
 
-async def test_a_failing_handler_answers_and_the_network_goes_on() -> None:
+async def test_the_network_continues_after_a_failing_handler() -> None:
     async def fail(exchange: Exchange, message: _messages.RevertsPull) -> None:
         raise ValueError('broken')
 
     async with _peers() as (one, two, _):
         two.on(_messages.RevertsPull, fail)
-        answer = await one.request(
-            two.me.address, _messages.RevertsPull(), timeout_s=_WAIT_S
+        reply = await one.request(
+            two.me.address, _messages.RevertsPull(), timeout_s=_TIMEOUT_S
         )
-        assert answer == _messages.Failure('internal', 'ValueError')
+        assert reply == _messages.Failure('internal', 'ValueError')
         assert two.events == ['peer-handler-failed']
-        await one.floor(two.me.address)
+        await one.count_started_calls(two.me.address)
 
 
 async def test_unused_streams_are_closed() -> None:
     times = StreamSettings(ping_after_s=0.2, dead_after_s=0.8, idle_s=0.5)
     async with _peers({'stream': times}) as (one, two, _):
-        await one.floor(two.me.address)
+        await one.count_started_calls(two.me.address)
         await _eventually(lambda: one.streams == two.streams == 0)
         assert 'peer-protocol-error' not in two.events
 
 
 async def test_control_bytes_are_attributed_to_their_messages() -> None:
-    # A frame that is missing in the split makes its mechanism look cheap.
+    # The bytes by message have to add up to the total. Otherwise the cost of
+    # the messages that are missing is underestimated.
     async with _peers() as (one, other, _):
         for _ in range(3):
-            await one.floor(other.me.address)
-        found = one.traffic.control_by_message()
-        assert found['FloorRequest', 'sent'] > 0
-        assert found['Floor', 'received'] > 0
+            await one.count_started_calls(other.me.address)
+        control_bytes = one.traffic.control_by_message()
+        assert control_bytes['FloorRequest', 'sent'] > 0
+        assert control_bytes['Floor', 'received'] > 0
         for index, direction in enumerate(('sent', 'received')):
             total = sum(
-                size for key, size in found.items() if key[1] == direction
+                size
+                for key, size in control_bytes.items()
+                if key[1] == direction
             )
             assert total == one.traffic.sizes[index]
 
 
 async def test_a_frame_may_arrive_while_its_receiver_is_cancelled() -> None:
-    # Both in one turn of the event loop scheduled the task twice, which
-    # ended the daemon.
+    # Guards against a crash of the daemon: a frame and a cancellation in the
+    # same turn of the event loop scheduled the receiver twice.
     async with (
         _peers() as (one, two, _),
         one.open(two.me.address, _CALL) as exchange,
@@ -564,5 +579,5 @@
             nursery.start_soon(receive)
             await trio.testing.wait_all_tasks_blocked()
             scope.cancel()
-            exchange.handle(Kind.DATA, _frames.encode_message(_FLOOR))
-        assert await exchange.receive() == _FLOOR
+            exchange.handle(Kind.DATA, _frames.encode_message(_FLOOR_REQUEST))
+        assert await exchange.receive() == _FLOOR_REQUEST
