--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -299,5 +299,7 @@
     else:
         valid = type(payload) is int and 0 <= payload < _MAX_ID
     if not valid:
-        raise PeerProtocolError(f'invalid payload in {frame_kind.name} frame')
+        raise PeerProtocolError(
+            f'frame of kind {frame_kind.name} has an invalid payload'
+        )
     return Frame(exchange, frame_kind, payload, size)
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -279,7 +279,7 @@
             ) from None
         finally:
             exchange.cancel()
-        raise PeerLostError(f'no reply from {address} within {timeout_s} s')
+        raise PeerLostError(f'{address} sent no reply within {timeout_s} s')
 
     def post(self, address: str, message: Message) -> None:
         """Send a message that gets no reply, without waiting.
@@ -550,7 +550,7 @@
                 accepted = sum(not stream.opened for stream in self._streams)
                 if accepted >= self._settings.max_streams:
                     raise PeerProtocolError(
-                        f'limit of {accepted} accepted streams reached'
+                        f'{accepted} accepted streams are open; limit reached'
                     )
                 peer, unread_bytes = await _handshake.prove_as_acceptor(
                     sock, self.me, self._settings.keys, self._traffic
@@ -610,10 +610,10 @@
 
     async def _monitor_streams(self) -> None:
         settings = self._settings.stream
-        interval = min(settings.ping_after_s, settings.dead_after_s) / 4
+        interval_s = min(settings.ping_after_s, settings.dead_after_s) / 4
         check_skipped = False
         while True:
-            await trio.sleep(interval)
+            await trio.sleep(interval_s)
             now = trio.current_time()
             elapsed = now - self._last_tick
             self._last_tick = now
@@ -622,12 +622,8 @@
                 # including those still unread in the sockets of idle
                 # streams.
                 for stream in list(self._streams):
-                    stream.end(
-                        PeerLostError(
-                            f'this process was paused for {elapsed:.1f} s'
-                        )
-                    )
-            elif elapsed > 2 * interval and not check_skipped:
+                    stream.end(PeerLostError('this process was paused'))
+            elif elapsed > 2 * interval_s and not check_skipped:
                 # Data received during the delay has not been read yet, so
                 # one check is skipped.
                 check_skipped = True
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -411,12 +411,15 @@
         """
         payload = _frames.encode_message(message)
         self._last_exchange_id += 1
-        is_call = _frames.is_call(message)
+        carries_call = _frames.is_call(message)
         exchange = StreamExchange(
-            self, self._last_exchange_id, is_call=is_call, single_reply=False
+            self,
+            self._last_exchange_id,
+            is_call=carries_call,
+            single_reply=False,
         )
         self._add_exchange(exchange)
-        self.write(self._last_exchange_id, kind, payload, is_call)
+        self.write(self._last_exchange_id, kind, payload, carries_call)
         return exchange
 
     def post(self, message: Message) -> bool:
@@ -426,8 +429,8 @@
         payload = _frames.encode_message(message)
         self._last_exchange_id += 1
         self._last_used = trio.current_time()
-        is_call = _frames.is_call(message)
-        self.write(self._last_exchange_id, Kind.POST, payload, is_call)
+        carries_call = _frames.is_call(message)
+        self.write(self._last_exchange_id, Kind.POST, payload, carries_call)
         return True
 
     def write(
@@ -455,7 +458,7 @@
         if self._backlog > _MAX_BACKLOG_BYTES:
             self.end(
                 PeerLostError(
-                    f'the peer does not read: backlog of {self._backlog} bytes'
+                    'the peer does not read; limit of the backlog exceeded'
                 )
             )
 
