--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -292,7 +292,7 @@
     if type(exchange) is not int or not 0 <= exchange < _MAX_ID:
         raise PeerProtocolError('invalid exchange id in a frame')
     if type(kind) is not int or not 0 <= kind < len(_KINDS_BY_VALUE):
-        raise PeerProtocolError(f'unknown frame kind {kind!r}')
+        raise PeerProtocolError(f'frame kind {kind!r} is unknown')
     frame_kind = _KINDS_BY_VALUE[kind]
     if frame_kind in _KINDS_WITH_MESSAGE:
         valid = type(payload) is bytes
