Name fields of messages between daemons after their contents

held -> installed_version, lowest -> lowest_version, asked -> queried_members, known -> receiver_checksum, table -> members_digest, others -> alternative_addresses; Network.dropped -> dropped_posts. The messages are arrays on the wire, and JSON keys and metrics keep their names.

--- a/gypsumhall/core/_acknowledgements.py
+++ b/gypsumhall/core/_acknowledgements.py
@@ -109,7 +109,7 @@
         summaries = [self._summaries.get(zone) for zone in self._trees.zones()]
         return bool(summaries) and all(
             item is not None
-            and item.lowest >= version
+            and item.lowest_version >= version
             and item.members >= item.expected
             for item in summaries
         )
@@ -222,14 +222,16 @@
             for sender, report in self._reports.items()
             if sender in children
         ]
-        lowest = min([self._version, *(item.lowest for item in reports)])
+        lowest_version = min(
+            [self._version, *(item.lowest_version for item in reports)]
+        )
         members = 1 + sum(item.members for item in reports)
         if parent is None:
             expected = len(self._trees.table.alive(self._me.zone))
             return self._update_summary(
-                lowest, members, expected, now, refresh
+                lowest_version, members, expected, now, refresh
             )
-        report = Acknowledgement(root.id, lowest, members)
+        report = Acknowledgement(root.id, lowest_version, members)
         if self._last_sent == (parent.id, report) and not refresh:
             return []
         self._last_sent = parent.id, report
@@ -238,7 +240,7 @@
 
     def _update_summary(
         self,
-        lowest: int,
+        lowest_version: int,
         members: int,
         expected: int,
         now: float,
@@ -246,10 +248,11 @@
     ) -> list[Send]:
         zone = self._me.zone
         stored = self._summaries.get(zone)
-        state = (members, expected, lowest)
+        state = (members, expected, lowest_version)
         if (
             stored is not None
-            and (stored.members, stored.expected, stored.lowest) == state
+            and (stored.members, stored.expected, stored.lowest_version)
+            == state
         ):
             return self._exchange_summaries() if refresh else []
         # A new root may have started before the former root, so it continues
@@ -313,7 +316,7 @@
     return (
         summary.incarnation,
         summary.sequence,
-        -summary.lowest,
+        -summary.lowest_version,
         -summary.members,
         summary.expected,
     )
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -379,7 +379,7 @@
             self._pull_full = False
             actions = self.receive(reply, address, now)
         elif isinstance(reply, Busy) and source is not None:
-            for other in reply.others:
+            for other in reply.alternative_addresses:
                 if other != self._me.peer_address:
                     self._add_source(other, source)
             self._add_source(address, source)
@@ -402,7 +402,7 @@
         configuration otherwise. All parts of a delta have `base` set. A
         peer that is up to date receives an empty delta.
         """
-        if pull.held >= self.version:
+        if pull.installed_version >= self.version:
             return [
                 Update(
                     _model.Head(self.version),
@@ -411,7 +411,7 @@
                     digest=self._snapshot.digest,
                 )
             ]
-        base = self._delta_bases.get((pull.held, pull.digest))
+        base = self._delta_bases.get((pull.installed_version, pull.digest))
         if base is not None:
             target = _delta.Base.of(self._snapshot)
             return _delta.split(_delta.diff(base, target))
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -60,13 +60,13 @@
 
     Parameters
     ----------
-    others : tuple of str
+    alternative_addresses : tuple of str
         Peer addresses that the request can be sent to instead.
     retry_after_ms : int
         Time in milliseconds after which the same peer may be tried again.
     """
 
-    others: tuple[str, ...] = ()
+    alternative_addresses: tuple[str, ...] = ()
     retry_after_ms: int = 200
 
 
@@ -107,7 +107,7 @@
         Recent changes to the member table.
     time : int
         Hybrid logical clock of the sender.
-    known : int
+    receiver_checksum : int
         Checksum of the receiver's entry in the sender's table; 0 requests
         a `HeartbeatReply` unconditionally.
     """
@@ -116,7 +116,7 @@
     digest: Digest
     members: tuple[Member, ...] = ()
     time: int = 0
-    known: int = 0
+    receiver_checksum: int = 0
 
 
 class HeartbeatReply(Message, frozen=True, tag=11):
@@ -129,14 +129,14 @@
 
 
 class HeartbeatEcho(Message, frozen=True, tag=16):
-    """Short reply to a `Heartbeat` with a current `known` checksum.
+    """Short reply to a `Heartbeat` with a current `receiver_checksum`.
 
     The entry of the replying daemon is omitted because the sender of the
     heartbeat has it.
 
     Parameters
     ----------
-    table : int
+    members_digest : int
         Digest of the member table.
     time : int
         Hybrid logical clock of the sender.
@@ -147,7 +147,7 @@
         Changed entries of other members.
     """
 
-    table: int
+    members_digest: int
     time: int
     digest: Digest | None = None
     members: tuple[Member, ...] = ()
@@ -298,7 +298,7 @@
 
     Parameters
     ----------
-    held : int
+    installed_version : int
         Version installed at the sender, the possible base of a delta; 0 for
         none.
     digest : str
@@ -306,7 +306,7 @@
         if its base has the same digest.
     """
 
-    held: int = 0
+    installed_version: int = 0
     digest: str = ''
 
 
@@ -330,7 +330,7 @@
     acknowledged_version : int
         Highest configuration version that the requesting daemon is known to
         have acknowledged; 0 when unknown.
-    held : int
+    installed_version : int
         Configuration version installed at the replying daemon.
     ready : bool
         Whether the replying daemon has reached its own version floor. When
@@ -339,7 +339,7 @@
     """
 
     acknowledged_version: int
-    held: int
+    installed_version: int
     ready: bool = True
 
 
@@ -350,14 +350,14 @@
     ----------
     root : str
         Id of the reader at the root of the tree.
-    lowest : int
+    lowest_version : int
         Lowest configuration version in the subtree.
     members : int
         Number of daemons in the subtree.
     """
 
     root: str
-    lowest: int
+    lowest_version: int
     members: int
 
 
@@ -377,7 +377,7 @@
         Number of daemons that acknowledged.
     expected : int
         Number of daemons of the zone in the root's member table.
-    lowest : int
+    lowest_version : int
         Lowest configuration version in the zone.
     """
 
@@ -386,7 +386,7 @@
     sequence: int
     members: int
     expected: int
-    lowest: int
+    lowest_version: int
 
 
 class ZoneSummaries(Message, frozen=True, tag=26):
@@ -666,7 +666,7 @@
     incarnation : int
         Incarnation of the queried process; a process with another
         incarnation has no record of the key.
-    asked : tuple of (str, int)
+    queried_members : tuple of (str, int)
         Ids and incarnations of all queried members. A member that released
         the key before replies ``unknown`` unless the daemons that it
         released the key to are queried as well.
@@ -675,7 +675,7 @@
     service: str
     key: str
     incarnation: int = 0
-    asked: tuple[tuple[str, int], ...] = ()
+    queried_members: tuple[tuple[str, int], ...] = ()
 
 
 class KeyReleased(Message, frozen=True, tag=48):
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -218,7 +218,7 @@
         return len(self._streams)
 
     @property
-    def dropped(self) -> int:
+    def dropped_posts(self) -> int:
         """Number of posted messages that were dropped."""
         return self._dropped
 
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -101,7 +101,10 @@
 
 def _highest(answers: Iterable[tuple[Member, Floor]]) -> int:
     return max(
-        (max(item.acknowledged_version, item.held) for _, item in answers),
+        (
+            max(item.acknowledged_version, item.installed_version)
+            for _, item in answers
+        ),
         default=0,
     )
 
@@ -433,7 +436,9 @@
         answers = await self._ask_members(others)
         now = trio.current_time()
         for member, answer in answers:
-            replica.note_peer_version(answer.held, member.peer_address, now)
+            replica.note_peer_version(
+                answer.installed_version, member.peer_address, now
+            )
         if replica.floor is not None:
             self._execute([])
             return
@@ -454,7 +459,7 @@
             known = bool(_count_ready(distant))
             for member, answer in distant:
                 replica.note_peer_version(
-                    answer.held, member.peer_address, now
+                    answer.installed_version, member.peer_address, now
                 )
         if known:
             replica.set_floor(floor, trio.current_time())
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -195,13 +195,17 @@
         now = trio.current_time()
         service, key = message.service, message.key
         to = (exchange.peer.id, exchange.peer.incarnation)
-        state = self._ledger.release(service, key, now, to, message.asked)
+        state = self._ledger.release(
+            service, key, now, to, message.queried_members
+        )
         outcome = _OUTCOMES.get(state, Outcome.UNKNOWN)
         known = self._joined.get(service)
         if outcome == Outcome.NOT_RUN and (
             message.incarnation < self._incarnation
             or known is None
-            or known.history.had_earlier_owner(key, now, to, message.asked)
+            or known.history.had_earlier_owner(
+                key, now, to, message.queried_members
+            )
         ):
             outcome = Outcome.UNKNOWN
         # Without an answer the new owner assumes the worst.
@@ -380,10 +384,14 @@
         if not former.to_query:
             return
         answers: dict[str, Outcome] = {}
-        asked = tuple((item.id, item.incarnation) for item in former.to_query)
+        queried_members = tuple(
+            (item.id, item.incarnation) for item in former.to_query
+        )
         async with trio.open_nursery() as nursery:
             for member in former.to_query:
-                nursery.start_soon(self._ask, member, request, asked, answers)
+                nursery.start_soon(
+                    self._ask, member, request, queried_members, answers
+                )
         for outcome in (Outcome.RUN, Outcome.UNKNOWN):
             for member_id, answer in answers.items():
                 if answer == outcome:
@@ -398,7 +406,7 @@
         self,
         member: Member,
         request: _calls.Request,
-        asked: tuple[tuple[str, int], ...],
+        queried_members: tuple[tuple[str, int], ...],
         answers: dict[str, Outcome],
     ) -> None:
         answers[member.id] = Outcome.UNKNOWN
@@ -407,7 +415,10 @@
             reply = await self._peers.request(
                 member.peer_address,
                 KeyRelease(
-                    request.service, request.key, member.incarnation, asked
+                    request.service,
+                    request.key,
+                    member.incarnation,
+                    queried_members,
                 ),
                 timeout_s=max(0.0, min(_ASK_TIMEOUT_S, left)),
             )
--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -578,7 +578,7 @@
             # The sender has to refute what is told about it.
             members = (known, *members)
         digest, time = self._digest(), self._events.clock.now()
-        if message.known == _membership.checksum(self.me):
+        if message.receiver_checksum == _membership.checksum(self.me):
             await exchange.send(
                 _messages.HeartbeatEcho(
                     digest.members,
@@ -734,7 +734,7 @@
                     while True:
                         message = await exchange.receive()
                         if isinstance(message, _messages.Busy):
-                            self._hints = message.others
+                            self._hints = message.alternative_addresses
                         if not isinstance(message, _messages.Members):
                             return None
                         count += len(message.members)
@@ -852,7 +852,9 @@
     The checksum in the heartbeat covers id and incarnation, so only the
     daemon with exactly this entry answers with an echo.
     """
-    digest = msgspec.structs.replace(echo.digest or sent, members=echo.table)
+    digest = msgspec.structs.replace(
+        echo.digest or sent, members=echo.members_digest
+    )
     return _messages.HeartbeatReply(member, digest, echo.members, echo.time)
 
 
--- a/gypsumhall/services/_operator.py
+++ b/gypsumhall/services/_operator.py
@@ -167,8 +167,8 @@
             zone: {
                 'members': item.members,
                 'expected': item.expected,
-                'lowest': item.lowest,
-                'in_effect': item.lowest >= version
+                'lowest': item.lowest_version,
+                'in_effect': item.lowest_version >= version
                 and item.members >= item.expected,
             }
             for zone, item in sorted(self._distribution.summaries.items())
--- a/gypsumhall/services/_peers.py
+++ b/gypsumhall/services/_peers.py
@@ -68,7 +68,7 @@
         frames = metrics.counter(
             'gypsumhall_peer_frames_total', 'Frames between daemons'
         )
-        dropped = metrics.counter(
+        dropped_posts = metrics.counter(
             'gypsumhall_peer_dropped_total', 'Posted messages dropped'
         )
         streams = metrics.gauge(
@@ -94,6 +94,6 @@
                     control.add(added, message=key[0], direction=key[1])
             seen_control = now_control
             seen_frames, seen_sizes = list(now_frames), list(now_sizes)
-            dropped.add(self.dropped - seen_dropped)
-            seen_dropped = self.dropped
+            dropped_posts.add(self.dropped_posts - seen_dropped)
+            seen_dropped = self.dropped_posts
             streams.set(self.streams)
--- a/gypsumhall/testing/fakes.py
+++ b/gypsumhall/testing/fakes.py
@@ -238,7 +238,9 @@
 
     def in_effect(self, version: int) -> bool:
         """Whether both zones hold the version."""
-        return all(item.lowest >= version for item in self.summaries.values())
+        return all(
+            item.lowest_version >= version for item in self.summaries.values()
+        )
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each install."""
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -69,7 +69,7 @@
             address, _FLOOR_REQUEST, timeout_s=_TIMEOUT_S
         )
         assert isinstance(reply, _messages.Floor)
-        assert reply.held == 2
+        assert reply.installed_version == 2
         return reply.acknowledged_version
 
 
@@ -511,13 +511,13 @@
         two.on(_messages.Reverts, record)
         for _ in range(1000):
             one.post('127.0.0.1:1', _messages.Reverts(()))
-        await _eventually(lambda: one.dropped == 1000)
+        await _eventually(lambda: one.dropped_posts == 1000)
         oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
         for message in (oversized, _messages.Reverts(()), oversized):
             one.post(relay.address, message)
         await _eventually(lambda: len(received) == 1)
         one.post(relay.address, oversized)
-        assert one.dropped == 1003
+        assert one.dropped_posts == 1003
         assert one.events == ['peer-post-failed'] * 3
 
 
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -268,8 +268,10 @@
         address, _messages.Pull(), timeout_s=1
     )
     assert isinstance(answer, _messages.Busy)
-    assert len(answer.others) == 3
-    assert not {address, asking.me.peer_address} & set(answer.others)
+    assert len(answer.alternative_addresses) == 3
+    assert not {address, asking.me.peer_address} & set(
+        answer.alternative_addresses
+    )
     # Deltas are small and are never refused.
     held = asking.service.digest
     pull = _messages.Pull(held.version, held.snapshot)
