Rename classes, methods and constants of net to terms of the field

Only files of net use these names: Traffic -> TrafficCounters, dialled -> dialled_address, refusing -> goaway_received, suspicious -> ping_overdue, ended -> end_error, has_ended and handle_stream_end, prove_as_* -> authenticate_as_*; size limits carry their unit.

--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -24,17 +24,17 @@
 from gypsumhall.net import _messages
 from gypsumhall.net._messages import Message
 
-MAX_FRAME = 1024 * 1024 + 64 * 1024
+MAX_FRAME_BYTES = 1024 * 1024 + 64 * 1024
 """Maximum size of a frame: a message of 1 MiB and its frame header."""
 
-MAX_READ = 64 * 1024
+MAX_READ_BYTES = 64 * 1024
 """Maximum number of bytes per call of `FrameDecoder.feed`."""
 
 _INITIAL_BUFFER_BYTES = 16 * 1024
 """Initial buffer size of an unpacker; the default is 1 MiB."""
 
 _MAX_POOLED_UNPACKERS = 4
-"""Limited because the buffer of each may have grown to `MAX_FRAME`."""
+"""Limited because the buffer of each may have grown to `MAX_FRAME_BYTES`."""
 
 _MAX_ID = 2**62
 
@@ -127,10 +127,10 @@
         When the message is too large for a frame.
     """
     payload = _ENCODER.encode(message)
-    if len(payload) > MAX_FRAME - 32:
+    if len(payload) > MAX_FRAME_BYTES - 32:
         raise PeerProtocolError(
             f'{type(message).__name__} of {len(payload)} bytes is too large; '
-            f'the maximum frame size is {MAX_FRAME}'
+            f'the maximum frame size is {MAX_FRAME_BYTES}'
         )
     return payload
 
@@ -154,7 +154,7 @@
     return _PACKER.pack((exchange, int(kind), payload))
 
 
-class Traffic:
+class TrafficCounters:
     """Counters of frames and bytes.
 
     Attributes
@@ -162,17 +162,17 @@
     frames, sizes : list of int
         Number of frames and of bytes, each for: control sent, control
         received, call sent, call received.
-    control : tuple of list of int
+    control_bytes : tuple of list of int
         Bytes of control frames, sent and received, indexed by the tag of
         the message. Index 0 counts frames without a message and handshakes.
     """
 
-    __slots__ = ('control', 'frames', 'sizes')
+    __slots__ = ('control_bytes', 'frames', 'sizes')
 
     def __init__(self) -> None:
         self.frames = [0, 0, 0, 0]
         self.sizes = [0, 0, 0, 0]
-        self.control = ([0] * 128, [0] * 128)
+        self.control_bytes = ([0] * 128, [0] * 128)
 
     def add(self, index: int, size: int, payload: bytes | int = 0) -> None:
         """Count one frame.
@@ -189,14 +189,14 @@
         self.frames[index] += 1
         self.sizes[index] += size
         if index < 2:
-            self.control[index][_tag_of(payload)] += size
+            self.control_bytes[index][_tag_of(payload)] += size
 
     def control_by_message(self) -> dict[tuple[str, str], int]:
         """Return the control bytes by message name and direction."""
         return {
             (_TAG_NAMES.get(tag, 'none'), direction): size
             for direction, sizes in zip(
-                ('sent', 'received'), self.control, strict=True
+                ('sent', 'received'), self.control_bytes, strict=True
             )
             for tag, size in enumerate(sizes)
             if size
@@ -238,7 +238,7 @@
         Parameters
         ----------
         data : bytes
-            At most `MAX_READ` bytes.
+            Received bytes, at most `MAX_READ_BYTES`.
 
         Raises
         ------
@@ -275,8 +275,8 @@
     return msgpack.Unpacker(
         read_size=_INITIAL_BUFFER_BYTES,
         # One read may contain the end of a frame and the start of the next.
-        max_buffer_size=MAX_FRAME + MAX_READ,
-        max_bin_len=MAX_FRAME - 16,
+        max_buffer_size=MAX_FRAME_BYTES + MAX_READ_BYTES,
+        max_bin_len=MAX_FRAME_BYTES - 16,
         max_array_len=3,
         max_str_len=0,
         max_map_len=0,
--- a/gypsumhall/net/_handshake.py
+++ b/gypsumhall/net/_handshake.py
@@ -5,7 +5,7 @@
 Each proof is an HMAC-SHA256 over protocol version, role, both nonces and both
 identities. The nonces protect against the replay of a recorded handshake,
 and the role against the reflection of a proof to its author. Hellos are the
-only bytes read before a proof; they are limited to `MAX_HELLO` bytes.
+only bytes read before a proof; they are limited to `MAX_HELLO_BYTES`.
 
 Proofs are sent as a list with one HMAC per key, so that two daemons with any
 key in common can connect while keys are rotated.
@@ -30,10 +30,10 @@
     from collections.abc import Sequence
     import socket
 
-    from gypsumhall.net._frames import Traffic
+    from gypsumhall.net._frames import TrafficCounters
 
 PROTOCOL = 'gypsumhall/1'
-MAX_HELLO = 1024
+MAX_HELLO_BYTES = 1024
 """Maximum size of a handshake frame."""
 MAX_KEYS = 4
 """Maximum number of keys accepted at the same time."""
@@ -228,13 +228,13 @@
 
     __slots__ = ('_sock', '_traffic', '_unpacker')
 
-    def __init__(self, sock: socket.socket, traffic: Traffic) -> None:
+    def __init__(self, sock: socket.socket, traffic: TrafficCounters) -> None:
         self._sock = sock
         self._traffic = traffic
         self._unpacker = msgpack.Unpacker(
-            read_size=MAX_HELLO,
-            max_buffer_size=2 * MAX_HELLO,
-            max_bin_len=MAX_HELLO,
+            read_size=MAX_HELLO_BYTES,
+            max_buffer_size=2 * MAX_HELLO_BYTES,
+            max_bin_len=MAX_HELLO_BYTES,
             max_array_len=0,
             max_map_len=0,
             max_str_len=0,
@@ -244,7 +244,7 @@
     @property
     def unread_bytes(self) -> bytes:
         """Bytes received after the last frame that was read."""
-        return self._unpacker.read_bytes(2 * MAX_HELLO)
+        return self._unpacker.read_bytes(2 * MAX_HELLO_BYTES)
 
     async def read_frame(self) -> bytes:
         while True:
@@ -261,7 +261,7 @@
                 raise PeerProtocolError(
                     'malformed handshake: frame is not a byte string'
                 )
-            data = await _socket.receive(self._sock, MAX_HELLO)
+            data = await _socket.receive(self._sock, MAX_HELLO_BYTES)
             if not data:
                 raise PeerLostError(
                     'peer closed the stream during the handshake'
@@ -273,14 +273,17 @@
 
 
 async def _send_frame(
-    sock: socket.socket, data: bytes, traffic: Traffic
+    sock: socket.socket, data: bytes, traffic: TrafficCounters
 ) -> None:
     traffic.add(0, len(data) + _FRAME_HEADER_BYTES)
     await _socket.send_all(sock, msgpack.packb(data))
 
 
-async def prove_as_opener(
-    sock: socket.socket, me: PeerInfo, keys: Sequence[bytes], traffic: Traffic
+async def authenticate_as_opener(
+    sock: socket.socket,
+    me: PeerInfo,
+    keys: Sequence[bytes],
+    traffic: TrafficCounters,
 ) -> PeerInfo:
     """Run the opening side of a handshake.
 
@@ -300,8 +303,11 @@
     return peer
 
 
-async def prove_as_acceptor(
-    sock: socket.socket, me: PeerInfo, keys: Sequence[bytes], traffic: Traffic
+async def authenticate_as_acceptor(
+    sock: socket.socket,
+    me: PeerInfo,
+    keys: Sequence[bytes],
+    traffic: TrafficCounters,
 ) -> tuple[PeerInfo, bytes]:
     """Run the accepting side of a handshake.
 
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -18,7 +18,7 @@
 from gypsumhall.net import _messages
 from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
-from gypsumhall.net._frames import Traffic
+from gypsumhall.net._frames import TrafficCounters
 from gypsumhall.net._protocol import PeerInfo
 from gypsumhall.net._stream import Stream
 from gypsumhall.net._stream import StreamSettings
@@ -177,7 +177,7 @@
         self._settings = settings
         # On VMs with several addresses, outgoing connections also use the
         # configured address, so that peers and firewalls see no other.
-        self._source_ip = _socket.source_of(settings.address)
+        self._source_ip = _socket.source_ip(settings.address)
         self._emit = emit
         self._event_counts: dict[str, tuple[float, int]] = {}
         self._handlers: dict[type[Message], Handler[Any]] = {}
@@ -192,8 +192,8 @@
         self._idle_workers: list[_Worker] = []
         self._draining = False
         self._dropped = 0
-        self._traffic = Traffic()
-        self._last_tick = 0.0
+        self._traffic = TrafficCounters()
+        self._last_check_time = 0.0
 
     @property
     def me(self) -> PeerInfo:
@@ -203,12 +203,12 @@
         return self._me
 
     @property
-    def last_tick(self) -> float:
+    def last_check_time(self) -> float:
         """Time of the last check of all streams."""
-        return self._last_tick
+        return self._last_check_time
 
     @property
-    def traffic(self) -> Traffic:
+    def traffic(self) -> TrafficCounters:
         """Counters of frames and bytes, over all streams."""
         return self._traffic
 
@@ -329,7 +329,7 @@
             settings.incarnation,
             address,
         )
-        self._last_tick = trio.current_time()
+        self._last_check_time = trio.current_time()
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -356,8 +356,8 @@
         in_flight: list[StreamExchange] = []
         for stream in self._streams:
             in_flight += stream.in_flight
-            if not stream.opened:
-                stream.refuse()
+            if not stream.is_opener:
+                stream.send_goaway()
         await trio.sleep(_GOAWAY_GRACE_S)
         # Exchanges that other services open after this point, such as
         # heartbeats, do not delay the shutdown. Polling is cheaper than an
@@ -365,7 +365,7 @@
         while (  # noqa: ASYNC110
             self._post_queues
             or any(stream.backlog for stream in self._streams)
-            or not all(exchange.ended for exchange in in_flight)
+            or not all(exchange.has_ended for exchange in in_flight)
         ):
             await trio.sleep(0.02)
         for stream in list(self._streams):
@@ -376,17 +376,17 @@
 
     # Callbacks of the streams
 
-    def accept(
+    def accept_exchange(
         self, stream: Stream, exchange: StreamExchange, message: Message
     ) -> None:
         """Start the handler of an exchange that a peer has opened."""
         handler = self._handlers.get(type(message))
         if self._draining or stream.exchanges > self._settings.max_handlers:
-            exchange.answer(_messages.Busy())
+            exchange.reply(_messages.Busy())
             exchange.close()
         elif handler is None or self._nursery is None:
             name = type(message).__name__
-            exchange.answer(
+            exchange.reply(
                 _messages.Failure('unknown-request', f'no handler of {name}')
             )
             exchange.close()
@@ -399,11 +399,13 @@
             else:
                 self._nursery.start_soon(self._run_worker, job)
 
-    def ended(self, stream: Stream, error: PeerError | None) -> None:
+    def handle_stream_end(
+        self, stream: Stream, error: PeerError | None
+    ) -> None:
         """Remove a stream that has ended and emit an event on an error."""
         self._streams.discard(stream)
-        if self._streams_by_address.get(stream.dialled) is stream:
-            del self._streams_by_address[stream.dialled]
+        if self._streams_by_address.get(stream.dialled_address) is stream:
+            del self._streams_by_address[stream.dialled_address]
         if error is not None and not self._draining:
             code = (
                 'peer-protocol-error'
@@ -416,7 +418,7 @@
 
     def _usable_stream(self, address: str) -> Stream | None:
         stream = self._streams_by_address.get(address)
-        if stream is None or stream.refusing or stream.suspicious:
+        if stream is None or stream.goaway_received or stream.ping_overdue:
             return None
         return stream
 
@@ -435,7 +437,7 @@
             self._nursery.start_soon(self._open_stream, address, attempt)
         with trio.move_on_after(timeout_s):
             await attempt.done.wait()
-        if attempt.stream is None or attempt.stream.ended is not None:
+        if attempt.stream is None or attempt.stream.end_error is not None:
             raise PeerUnreachableError(
                 f'no stream to {address}: {attempt.reason}'
             )
@@ -449,7 +451,7 @@
             self._ensure_stream_capacity()
             with trio.move_on_after(self._settings.connect_timeout_s):
                 sock = await _socket.connect(address, self._source_ip)
-                peer = await _handshake.prove_as_opener(
+                peer = await _handshake.authenticate_as_opener(
                     sock, self.me, self._settings.keys, self._traffic
                 )
                 attempt.stream = self._add_stream(sock, peer, address, b'')
@@ -468,7 +470,7 @@
             attempt.done.set()
 
     def _ensure_stream_capacity(self) -> None:
-        outgoing = [stream for stream in self._streams if stream.opened]
+        outgoing = [stream for stream in self._streams if stream.is_opener]
         if len(outgoing) < self._settings.max_streams:
             return
         idle = [stream for stream in outgoing if stream.idle]
@@ -483,7 +485,7 @@
         self,
         sock: socket.socket,
         peer: PeerInfo,
-        dialled: str,
+        dialled_address: str,
         unread_bytes: bytes,
     ) -> Stream:
         if self._nursery is None:
@@ -492,13 +494,13 @@
             self,
             sock,
             peer,
-            dialled=dialled,
+            dialled_address=dialled_address,
             settings=self._settings.stream,
             nursery=self._nursery,
         )
         self._streams.add(stream)
-        if dialled:
-            self._streams_by_address[dialled] = stream
+        if dialled_address:
+            self._streams_by_address[dialled_address] = stream
         self._nursery.start_soon(stream.run, unread_bytes)
         return stream
 
@@ -547,12 +549,14 @@
         handed_over = False
         try:
             with trio.move_on_after(self._settings.connect_timeout_s) as scope:
-                accepted = sum(not stream.opened for stream in self._streams)
+                accepted = sum(
+                    not stream.is_opener for stream in self._streams
+                )
                 if accepted >= self._settings.max_streams:
                     raise PeerProtocolError(
                         f'{accepted} accepted streams are open; limit reached'
                     )
-                peer, unread_bytes = await _handshake.prove_as_acceptor(
+                peer, unread_bytes = await _handshake.authenticate_as_acceptor(
                     sock, self.me, self._settings.keys, self._traffic
                 )
                 self._add_stream(sock, peer, '', unread_bytes)
@@ -598,7 +602,7 @@
                     message=type(message).__name__,
                     detail=f'{type(error).__name__}: {error}',
                 )
-                exchange.answer(
+                exchange.reply(
                     _messages.Failure('internal', type(error).__name__)
                 )
         except BaseException:
@@ -615,8 +619,8 @@
         while True:
             await trio.sleep(interval_s)
             now = trio.current_time()
-            elapsed = now - self._last_tick
-            self._last_tick = now
+            elapsed = now - self._last_check_time
+            self._last_check_time = now
             if elapsed > settings.dead_after_s:
                 # Peers have timed out their exchanges with this process,
                 # including those still unread in the sockets of idle
@@ -630,7 +634,7 @@
                 continue
             check_skipped = False
             for stream in list(self._streams):
-                stream.check(now)
+                stream.check_timeouts(now)
 
     def _emit_limited(self, code: str, **fields: object) -> None:
         # At most 10 events per code and second, so that a flood of invalid
--- a/gypsumhall/net/_socket.py
+++ b/gypsumhall/net/_socket.py
@@ -42,7 +42,7 @@
     return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
 
 
-def source_of(address: str) -> str:
+def source_ip(address: str) -> str:
     """Return the IP address of a listener; empty for a wildcard address."""
     host, _ = split_address(address)
     return '' if ipaddress.ip_address(host).is_unspecified else host
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -28,7 +28,7 @@
 from gypsumhall.net import _frames
 from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
-from gypsumhall.net._frames import Traffic
+from gypsumhall.net._frames import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -69,26 +69,28 @@
     window: int = 128 * 1024
 
 
-class Owner(Protocol):
+class StreamOwner(Protocol):
     """Interface of the network that owns a stream."""
 
     @property
-    def last_tick(self) -> float:
+    def last_check_time(self) -> float:
         """Time of the last check of all streams."""
         ...
 
     @property
-    def traffic(self) -> Traffic:
+    def traffic(self) -> TrafficCounters:
         """Counters of frames and bytes, over all streams."""
         ...
 
-    def accept(
+    def accept_exchange(
         self, stream: Stream, exchange: StreamExchange, message: Message
     ) -> None:
         """Start the handler of an exchange that the peer has opened."""
         ...
 
-    def ended(self, stream: Stream, error: PeerError | None) -> None:
+    def handle_stream_end(
+        self, stream: Stream, error: PeerError | None
+    ) -> None:
         """Remove a stream; `error` is None when it was closed regularly."""
         ...
 
@@ -136,9 +138,9 @@
         return self._stream.peer
 
     @property
-    def ended(self) -> bool:
+    def has_ended(self) -> bool:
         """Whether this end has ended the exchange or the stream has ended."""
-        return not self._stream.holds(self)
+        return not self._stream.has_exchange(self)
 
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
@@ -219,7 +221,7 @@
         """End the exchange; messages sent before are still delivered."""
         self._end(Kind.CLOSE, PeerLostError('the exchange has ended'))
 
-    def answer(self, message: Message) -> None:
+    def reply(self, message: Message) -> None:
         """Send a final message without waiting and end the exchange."""
         if self._error is None and not self._sending_closed:
             self._sending_closed = True
@@ -232,14 +234,14 @@
             self._error = error
         self._wake()
 
-    def handle(self, kind: Kind, payload: bytes | int) -> None:
+    def handle_frame(self, kind: Kind, payload: bytes | int) -> None:
         """Process a frame from the peer."""
         if kind is Kind.DATA or kind is Kind.LAST:
             size = len(payload)  # type: ignore[arg-type]
             message = _frames.decode_message(payload)
             self._buffered_bytes += size
             window = self._stream.settings.window
-            if self._buffered_bytes > window + _frames.MAX_FRAME:
+            if self._buffered_bytes > window + _frames.MAX_FRAME_BYTES:
                 raise PeerProtocolError(
                     'peer exceeded the flow control window'
                 )
@@ -260,7 +262,7 @@
         self._wake()
 
     def _end(self, kind: Kind, error: PeerLostError) -> None:
-        if self._stream.forget(self.number) and self._error is None:
+        if self._stream.remove_exchange(self.number) and self._error is None:
             # No frame is needed once both directions are closed.
             if not (self._sending_closed and self._receiving_closed):
                 self._write(kind, 0)
@@ -295,13 +297,13 @@
 
     Parameters
     ----------
-    owner : Owner
+    owner : StreamOwner
         Network that handles new exchanges and the end of the stream.
     sock : socket.socket
         Connected socket, after the handshake.
     peer : PeerInfo
         Identity of the other end.
-    dialled : str
+    dialled_address : str
         Address that this side connected to; empty when the peer opened the
         stream.
     settings : StreamSettings
@@ -324,21 +326,21 @@
         '_last_used',
         '_monitored_until',
         '_writable',
-        'dialled',
-        'ended',
-        'opened',
+        'dialled_address',
+        'end_error',
+        'is_opener',
         'peer',
-        'refusing',
+        'goaway_received',
         'settings',
     )
 
     def __init__(
         self,
-        owner: Owner,
+        owner: StreamOwner,
         sock: socket.socket,
         peer: PeerInfo,
         *,
-        dialled: str,
+        dialled_address: str,
         settings: StreamSettings,
         nursery: trio.Nursery,
     ) -> None:
@@ -357,11 +359,11 @@
         self._monitored_until = now
         self._pinged_at = math.inf
         self.peer = peer
-        self.dialled = dialled
-        self.opened = bool(dialled)
+        self.dialled_address = dialled_address
+        self.is_opener = bool(dialled_address)
         self.settings = settings
-        self.ended: PeerError | None = None
-        self.refusing = False
+        self.end_error: PeerError | None = None
+        self.goaway_received = False
         """Whether the peer accepts no new exchanges."""
 
     @property
@@ -390,7 +392,7 @@
         return self._last_used
 
     @property
-    def suspicious(self) -> bool:
+    def ping_overdue(self) -> bool:
         """Whether the reply to a ping is overdue.
 
         This is the case after a quarter of the time between ping and
@@ -424,7 +426,10 @@
 
     def post(self, message: Message) -> bool:
         """Send a message without reply; return False if it was dropped."""
-        if self._backlog > _HIGH_WATER_MARK_BYTES or self.ended is not None:
+        if (
+            self._backlog > _HIGH_WATER_MARK_BYTES
+            or self.end_error is not None
+        ):
             return False
         payload = _frames.encode_message(message)
         self._last_exchange_id += 1
@@ -437,7 +442,7 @@
         self, number: int, kind: Kind, payload: bytes | int, is_call: bool
     ) -> None:
         """Send a frame or append it to the backlog."""
-        if self.ended is not None:
+        if self.end_error is not None:
             return
         data = _frames.encode_frame(number, kind, payload)
         self._owner.traffic.add(2 if is_call else 0, len(data), payload)
@@ -464,18 +469,18 @@
 
     async def wait_writable(self) -> None:
         """Wait until the backlog has shrunk or the stream has ended."""
-        if self._backlog and self.ended is None:
+        if self._backlog and self.end_error is None:
             await self._writable.park()
 
-    def forget(self, number: int) -> bool:
+    def remove_exchange(self, number: int) -> bool:
         """Remove an exchange; return False if it is not in progress."""
         return self._exchanges.pop(number, None) is not None
 
-    def holds(self, exchange: StreamExchange) -> bool:
+    def has_exchange(self, exchange: StreamExchange) -> bool:
         """Return whether an exchange is in progress."""
         return self._exchanges.get(exchange.number) is exchange
 
-    def check(self, now: float) -> None:
+    def check_timeouts(self, now: float) -> None:
         """Send a ping, time the stream out or close it if it is idle."""
         settings = self.settings
         if not self._exchanges and now >= self._monitored_until:
@@ -484,7 +489,7 @@
             # than the heartbeats.
             self._monitored_since = now
             self._pinged_at = math.inf
-            limit = settings.idle_s * (1 if self.opened else 2)
+            limit = settings.idle_s * (1 if self.is_opener else 2)
             if now - self._last_used > limit:
                 self.end(None)
             return
@@ -501,7 +506,7 @@
             self._pinged_at = now
             self.write(0, Kind.PING, 0, is_call=False)
 
-    def refuse(self) -> None:
+    def send_goaway(self) -> None:
         """Notify the peer that no new exchanges are accepted."""
         self.write(0, Kind.GOAWAY, 0, is_call=False)
 
@@ -512,24 +517,24 @@
         the socket at once would reset the connection if a frame of the peer
         is still unread, and responses in flight could be lost.
         """
-        if self.ended is None:
+        if self.end_error is None:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
 
     def end(self, error: PeerError | None) -> None:
         """End the stream and all its exchanges."""
-        if self.ended is not None:
+        if self.end_error is not None:
             return
-        self.ended = error or PeerLostError('the stream was closed')
+        self.end_error = error or PeerLostError('the stream was closed')
         exchanges = list(self._exchanges.values())
         self._exchanges.clear()
         self._send_queue.clear()
         self._backlog = 0
         _socket.close(self._sock)
         for exchange in exchanges:
-            exchange.fail(self.ended)
+            exchange.fail(self.end_error)
         self._writable.unpark_all()
-        self._owner.ended(self, error)
+        self._owner.handle_stream_end(self, error)
 
     async def run(self, unread_bytes: bytes) -> None:
         """Receive frames until the stream ends.
@@ -542,14 +547,14 @@
         decoder = _frames.FrameDecoder()
         data = unread_bytes
         try:
-            while self.ended is None:
+            while self.end_error is None:
                 for frame in decoder.feed(data):
                     self._dispatch(frame)
-                    if self.ended is not None:
+                    if self.end_error is not None:
                         return
                 await trio.lowlevel.wait_readable(self._sock)
                 try:
-                    data = self._sock.recv(_frames.MAX_READ)
+                    data = self._sock.recv(_frames.MAX_READ_BYTES)
                 except BlockingIOError:
                     data = b''
                     continue
@@ -558,7 +563,10 @@
                         break
                     raise PeerLostError('the peer closed the stream')
                 now = trio.current_time()
-                if now - self._owner.last_tick > self.settings.dead_after_s:
+                if (
+                    now - self._owner.last_check_time
+                    > self.settings.dead_after_s
+                ):
                     # The peer has timed out its exchanges by now, so a call
                     # that is still unread in the socket must not start.
                     raise PeerLostError('this process was paused')
@@ -578,7 +586,7 @@
         if not self._exchanges and now >= self._monitored_until:
             self._monitored_since = now
         self._last_used = now
-        if exchange.is_call and self.opened:
+        if exchange.is_call and self.is_opener:
             self._monitored_until = now + self.settings.idle_s
         self._exchanges[exchange.number] = exchange
 
@@ -594,9 +602,9 @@
             if kind is Kind.PING:
                 self.write(0, Kind.PONG, 0, is_call=False)
             elif kind is Kind.GOAWAY:
-                self.refusing = True
+                self.goaway_received = True
         elif exchange is not None:
-            exchange.handle(kind, payload)
+            exchange.handle_frame(kind, payload)
         elif not 0 < number <= self._last_exchange_id:
             raise PeerProtocolError(
                 f'{kind.name} frame for unknown exchange {number}'
@@ -604,7 +612,7 @@
 
     def _accept_exchange(self, frame: _frames.Frame) -> None:
         number, kind, payload, size = frame
-        if self.opened or number <= self._last_exchange_id:
+        if self.is_opener or number <= self._last_exchange_id:
             raise PeerProtocolError(
                 f'{kind.name} frame with invalid exchange id {number}'
             )
@@ -619,12 +627,12 @@
         index = 3 if exchange.is_call else 1
         self._owner.traffic.add(index, size, payload)
         if kind is not Kind.OPEN:
-            exchange.handle(Kind.FINISH, 0)
+            exchange.handle_frame(Kind.FINISH, 0)
         if kind is Kind.POST:
             # A posted message gets no reply.
-            exchange.handle(Kind.CLOSE, 0)
+            exchange.handle_frame(Kind.CLOSE, 0)
         self._add_exchange(exchange)
-        self._owner.accept(self, exchange, message)
+        self._owner.accept_exchange(self, exchange, message)
 
     async def _flush(self) -> None:
         try:
--- a/tests/test_net_frames.py
+++ b/tests/test_net_frames.py
@@ -27,7 +27,7 @@
 @given(
     first=_FRAME_LISTS,
     second=_FRAME_LISTS,
-    size=st.integers(1, _frames.MAX_READ),
+    size=st.integers(1, _frames.MAX_READ_BYTES),
 )
 def test_frames_are_decoded_from_any_split_of_the_bytes(
     first: list[tuple[int, Kind, bytes | int]],
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -280,7 +280,7 @@
             assert isinstance(await exchange.receive(), _messages.AnswerStart)
             await _eventually(lambda: exchange._receiving_closed)
             relay.reset()
-            await _eventually(lambda: stream.ended is not None)
+            await _eventually(lambda: stream.end_error is not None)
             assert isinstance(await exchange.receive(), _messages.AnswerEnd)
             with pytest.raises(trio.EndOfChannel):
                 await exchange.receive()
@@ -491,7 +491,7 @@
         assert '3' not in handled_ids
         release.set()
         await _eventually(lambda: all(item.idle for item in two._streams))
-        oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME_BYTES)
         with pytest.raises(PeerProtocolError):
             await one.request(address, oversized, timeout_s=1.0)
         await one.count_started_calls(address)
@@ -512,7 +512,7 @@
         for _ in range(1000):
             one.post('127.0.0.1:1', _messages.Reverts(()))
         await _eventually(lambda: one.dropped_posts == 1000)
-        oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME)
+        oversized = _messages.BodyChunk(b'x' * _frames.MAX_FRAME_BYTES)
         for message in (oversized, _messages.Reverts(()), oversized):
             one.post(relay.address, message)
         await _eventually(lambda: len(received) == 1)
@@ -579,5 +579,7 @@
             nursery.start_soon(receive)
             await trio.testing.wait_all_tasks_blocked()
             scope.cancel()
-            exchange.handle(Kind.DATA, _frames.encode_message(_FLOOR_REQUEST))
+            exchange.handle_frame(
+                Kind.DATA, _frames.encode_message(_FLOOR_REQUEST)
+            )
         assert await exchange.receive() == _FLOOR_REQUEST
