--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -187,7 +187,7 @@
 
 
 class PingRequest(Message, frozen=True, tag=14):
-    """Requests a peer to check whether a third daemon responds.
+    """Requests that a peer checks whether a third daemon responds.
 
     Parameters
     ----------
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -91,7 +91,7 @@
     def handle_stream_end(
         self, stream: Stream, error: PeerError | None
     ) -> None:
-        """Remove a stream; `error` is None when it was closed regularly."""
+        """Remove a stream; `error` is None if it was closed normally."""
         ...
 
 
