--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -379,7 +379,7 @@
             self._pull_full = False
             actions = self.receive(reply, address, now)
         elif isinstance(reply, Busy) and source is not None:
-            for other in reply.others:
+            for other in reply.alternative_addresses:
                 if other != self._me.peer_address:
                     self._add_source(other, source)
             self._add_source(address, source)
