Reword the scenario runner, the test fleet and its relays

Private and local names follow the terms of the field: partitions, octets of loopback addresses, installed_version instead of held, _wait_until, _select_vms. Errors say what was expected or reported. The test of the invariants matches the new messages, with the versions, and so more strictly.

--- a/gypsumhall/testing/processes.py
+++ b/gypsumhall/testing/processes.py
@@ -1,7 +1,7 @@
 """A fleet of real processes on loopback addresses.
 
-Used by the demonstration, the scenarios and the benchmarks. Every VM has an
-address of its own in 127.0.0.0/8, so that many fleets can run side by side.
+Used by the demonstration, the scenarios and the benchmarks. Every VM has its
+own address in 127.0.0.0/8, so that several fleets can run at the same time.
 """
 
 from __future__ import annotations
@@ -36,18 +36,21 @@
 ADMIN_PORT = 7002
 BACKEND_PORT = 8000
 PLATFORM_PORT = 2379
-# Behind a relay, a daemon listens here for other daemons.
+# Port on which a daemon behind a relay listens for other daemons; the relay
+# listens on the usual peer port.
 RELAYED_PEER_PORT = 7101
 SHARED_KEY = 'key-of-the-test-fleet'
 
-_FIRST_NETWORK = 10
-_LAST_NETWORK = 250
-_POLL_S = 0.05
-_NETWORKS_PER_ROUND = 32
+# Range of the second octet of loopback addresses; each fleet uses one.
+_FIRST_SECOND_OCTET = 10
+_SECOND_OCTET_END = 250
+_POLL_INTERVAL_S = 0.05
+# Third octets per block of 250 VMs, one for each zone.
+_OCTETS_PER_BLOCK = 32
 
 
 class ProcessError(Exception):
-    """A process of the fleet ended or did not respond in time."""
+    """A process of the fleet exited or did not respond in time."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,13 +60,14 @@
     Parameters
     ----------
     name : str
-        Unique name; also the id of the daemon.
+        Unique name, which is also the id of the daemon.
     zone : str
         Availability zone.
     ip : str
         Loopback address.
     service, version : str
-        What the backend server runs; empty for no backend server.
+        Service and version of the backend server; empty for no backend
+        server.
     """
 
     name: str
@@ -94,42 +98,42 @@
 
 
 @dataclass(slots=True)
-class _Running:
+class _FleetProcess:
     process: trio.Process
     log: Path
-    frozen: bool = False
+    is_suspended: bool = False
 
 
 @dataclass(slots=True)
 class Fleet:
-    """Processes of one platform stand-in and many VMs.
+    """Processes of one platform stand-in and of a number of VMs.
 
-    Use `open_fleet`; it ends all processes.
+    Create it with `open_fleet`, which kills all processes at the end.
 
     Parameters
     ----------
     directory : Path
-        Where the processes write their logs.
-    network : int
-        Second number of all loopback addresses.
+        Directory to which the processes write their logs.
+    second_octet : int
+        Second octet of all loopback addresses.
     zones : tuple of str
         Availability zones.
     vms : dict of str to Vm
         VMs by name.
     links : Network or None
-        Faults of the network between zones and platform, for a fleet with
-        relays.
+        Network faults between zones and between a zone and the platform;
+        None for a fleet without relays.
     """
 
     directory: Path
-    network: int
+    second_octet: int
     zones: tuple[str, ...]
     vms: dict[str, Vm] = field(default_factory=dict)
     links: Network | None = None
     _nursery: trio.Nursery | None = None
-    _running: dict[str, _Running] = field(default_factory=dict)
-    # A process may close an idle connection at any time, above all one that
-    # was frozen, so no connection is used twice.
+    _processes: dict[str, _FleetProcess] = field(default_factory=dict)
+    # A process may close an idle connection at any time, in particular after
+    # it was suspended, so connections are not reused.
     _http: httpcore.AsyncConnectionPool = field(
         default_factory=lambda: httpcore.AsyncConnectionPool(
             max_keepalive_connections=0
@@ -139,7 +143,7 @@
     @property
     def platform_address(self) -> str:
         """Address of the platform stand-in."""
-        return f'127.{self.network}.0.1:{PLATFORM_PORT}'
+        return f'127.{self.second_octet}.0.1:{PLATFORM_PORT}'
 
     @property
     def event_logs(self) -> list[Path]:
@@ -149,27 +153,27 @@
     def add_vm(
         self, name: str, zone: str, service: str = '', version: str = ''
     ) -> Vm:
-        """Add a VM; start its processes with `start_daemon`."""
-        host = len(self.vms) % 250 + 2
-        rounds = len(self.vms) // 250
-        third = self.zones.index(zone) + 1 + _NETWORKS_PER_ROUND * rounds
-        ip = f'127.{self.network}.{third}.{host}'
+        """Add a VM; its processes are started separately."""
+        fourth_octet = len(self.vms) % 250 + 2
+        block = len(self.vms) // 250
+        third_octet = self.zones.index(zone) + 1 + _OCTETS_PER_BLOCK * block
+        ip = f'127.{self.second_octet}.{third_octet}.{fourth_octet}'
         vm = Vm(name, zone, ip, service, version)
         self.vms[name] = vm
         return vm
 
     def is_running(self, name: str) -> bool:
-        """Whether a process was started and has not ended."""
-        running = self._running.get(name)
-        return running is not None and running.process.poll() is None
+        """Whether a process was started and has not exited."""
+        entry = self._processes.get(name)
+        return entry is not None and entry.process.poll() is None
 
     def pid(self, name: str) -> int:
         """Return the process id of a running process."""
-        return self._running[name].process.pid
+        return self._processes[name].process.pid
 
     def log_tail(self, name: str, lines: int = 20) -> str:
         """Return the last lines of a process's output."""
-        text = self._running[name].log.read_text(errors='replace')
+        text = self._processes[name].log.read_text(errors='replace')
         return '\n'.join(text.splitlines()[-lines:])
 
     async def start_platform(self) -> None:
@@ -184,16 +188,16 @@
     async def start_daemon(
         self, vm: Vm, flags: Mapping[str, str] | None = None
     ) -> None:
-        """Start a VM's daemon without waiting for it."""
+        """Start a VM's daemon without waiting until it listens."""
         seeds = [
             other.peer_address
             for other in list(self.vms.values())[:3]
             if other is not vm
         ]
-        listener = vm.peer_address
+        listen_address = vm.peer_address
         platform = self.platform_address
         if self.links is not None:
-            listener = f'{vm.ip}:{RELAYED_PEER_PORT}'
+            listen_address = f'{vm.ip}:{RELAYED_PEER_PORT}'
             platform = self._zone_gateway(vm.zone)
         await self._start(
             vm.name,
@@ -203,7 +207,7 @@
                 'zone': vm.zone,
                 'zones': ','.join(self.zones),
                 'caller_address': vm.caller_address,
-                'peer_address': listener,
+                'peer_address': listen_address,
                 'advertised_peer_address': vm.peer_address,
                 'admin_address': vm.admin_address,
                 'platform': platform,
@@ -215,7 +219,7 @@
         )
 
     async def start_relays(self) -> None:
-        """Put relays in front of the platform and of all VMs added so far."""
+        """Start relays for the platform and for all VMs added so far."""
         if self.links is None or self._nursery is None:
             raise ProcessError('the fleet was opened without relays')
         for zone in self.zones:
@@ -228,18 +232,18 @@
             await self._nursery.start(relay.serve, vm.peer_address)
 
     def zone_of(self, ip: str) -> str:
-        """Return the zone of an IP number of the fleet."""
-        third = int(ip.split('.')[2]) % _NETWORKS_PER_ROUND
-        return self.zones[third - 1]
+        """Return the zone of an IP address of the fleet."""
+        third_octet = int(ip.split('.')[2]) % _OCTETS_PER_BLOCK
+        return self.zones[third_octet - 1]
 
     def _zone_gateway(self, zone: str) -> str:
-        third = self.zones.index(zone) + 1
-        return f'127.{self.network}.{third}.1:{PLATFORM_PORT}'
+        third_octet = self.zones.index(zone) + 1
+        return f'127.{self.second_octet}.{third_octet}.1:{PLATFORM_PORT}'
 
     async def start_backend(
         self, vm: Vm, flags: Mapping[str, str] | None = None
     ) -> None:
-        """Start a VM's backend server without waiting for it."""
+        """Start a VM's backend server without waiting until it listens."""
         await self._start(
             backend_name(vm.name),
             'gypsumhall.cli.backend',
@@ -258,7 +262,7 @@
         arguments: Sequence[str],
         environment: dict[str, str] | None = None,
     ) -> subprocess.CompletedProcess[bytes]:
-        """Run a binary to its end and return its status and output."""
+        """Run a module as a process and return its exit status and output."""
         return await trio.run_process(
             [sys.executable, '-m', module, *arguments],
             env=os.environ | (environment or {}),
@@ -269,18 +273,18 @@
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process."""
-        running = self._running[name]
+        entry = self._processes[name]
         if number is signal.SIGSTOP:
-            running.frozen = True
+            entry.is_suspended = True
         elif number is signal.SIGCONT:
-            running.frozen = False
-        running.process.send_signal(number)
+            entry.is_suspended = False
+        entry.process.send_signal(number)
 
     async def wait_ended(self, name: str, timeout_s: float = 60.0) -> int:
-        """Wait for the end of a process and return its status."""
+        """Wait until a process exits and return its exit status."""
         with trio.move_on_after(timeout_s):
-            return await self._running[name].process.wait()
-        raise ProcessError(f'{name} did not end within {timeout_s} s')
+            return await self._processes[name].process.wait()
+        raise ProcessError(f'{name} did not exit within {timeout_s} s')
 
     async def wait_listening(
         self, address: str, name: str, timeout_s: float = 60.0
@@ -289,11 +293,11 @@
         host, _, port = address.rpartition(':')
         with trio.move_on_after(timeout_s):
             while True:
-                self._check_running(name)
+                self._raise_if_exited(name)
                 try:
                     stream = await trio.open_tcp_stream(host, int(port))
                 except OSError:
-                    await trio.sleep(_POLL_S)
+                    await trio.sleep(_POLL_INTERVAL_S)
                     continue
                 await stream.aclose()
                 return
@@ -317,32 +321,32 @@
         Raises
         ------
         httpcore.NetworkError, httpcore.TimeoutException
-            When no response arrived.
+            When no response was received.
         """
-        limits = dict.fromkeys(('connect', 'read', 'write'), timeout_s)
+        timeouts = dict.fromkeys(('connect', 'read', 'write'), timeout_s)
         response = await self._http.request(
             method,
             f'http://{address}{path}',
             headers={'Host': address, **(headers or {})},
             content=body,
-            extensions={'timeout': limits},
+            extensions={'timeout': timeouts},
         )
-        found = {
+        response_headers = {
             name.decode().lower(): value.decode()
             for name, value in response.headers
         }
-        return response.status, found, response.content
+        return response.status, response_headers, response.content
 
     async def status(self, vm: Vm) -> dict[str, Any]:
         """Return the status that a daemon reports to operators."""
         _status, _headers, body = await self.request(
             vm.admin_address, '/v1/operator/status'
         )
-        found: dict[str, Any] = json.loads(body)
-        return found
+        report: dict[str, Any] = json.loads(body)
+        return report
 
     async def set_faults(self, address: str, faults: object) -> None:
-        """Switch faults of a stand-in."""
+        """Set the injected faults of a stand-in."""
         status, _headers, body = await self.request(
             address,
             '/faults',
@@ -351,23 +355,25 @@
             body=json.dumps(faults).encode(),
         )
         if status >= 300:
-            raise ProcessError(f'{address} refused faults: {body!r}')
+            raise ProcessError(
+                f'{address} rejected the fault settings: {body!r}'
+            )
 
     async def close(self) -> None:
-        """Kill all processes that still run, by their ids."""
-        for running in self._running.values():
-            if running.process.poll() is None:
-                running.process.kill()
-        for running in self._running.values():
-            await running.process.wait()
+        """Kill all processes of the fleet that are still running."""
+        for entry in self._processes.values():
+            if entry.process.poll() is None:
+                entry.process.kill()
+        for entry in self._processes.values():
+            await entry.process.wait()
         await self._http.aclose()
 
-    def _check_running(self, name: str) -> None:
-        running = self._running[name]
-        status = running.process.poll()
+    def _raise_if_exited(self, name: str) -> None:
+        entry = self._processes[name]
+        status = entry.process.poll()
         if status is not None:
             raise ProcessError(
-                f'{name} ended with status {status}:\n' + self.log_tail(name)
+                f'{name} exited with status {status}:\n' + self.log_tail(name)
             )
 
     async def _start(
@@ -378,7 +384,7 @@
         environment: dict[str, str] | None = None,
     ) -> None:
         if self.is_running(name):
-            raise ProcessError(f'{name} runs already')
+            raise ProcessError(f'{name} is already running')
         log = self.directory / f'{name}.log'
         with log.open('ab') as file:
             process = await trio.lowlevel.open_process(
@@ -393,7 +399,7 @@
                 stderr=subprocess.STDOUT,
                 env=os.environ | (environment or {}),
             )
-        self._running[name] = _Running(process, log)
+        self._processes[name] = _FleetProcess(process, log)
 
 
 def backend_name(vm: str) -> str:
@@ -401,22 +407,23 @@
     return f'{vm}.backend'
 
 
-def _free_network() -> int:
-    """Return a loopback network that no other fleet uses.
+def _find_free_network() -> int:
+    """Return the second octet of a loopback network that no fleet uses.
 
-    The platform's address is the lock: it can be bound once only.
+    The address of the platform serves as a lock, since only one process can
+    bind it.
     """
-    span = _LAST_NETWORK - _FIRST_NETWORK
-    first = os.getpid() % span
-    for offset in range(span):
-        network = _FIRST_NETWORK + (first + offset) % span
+    octet_count = _SECOND_OCTET_END - _FIRST_SECOND_OCTET
+    first = os.getpid() % octet_count
+    for offset in range(octet_count):
+        second_octet = _FIRST_SECOND_OCTET + (first + offset) % octet_count
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
-                probe.bind((f'127.{network}.0.1', PLATFORM_PORT))
+                probe.bind((f'127.{second_octet}.0.1', PLATFORM_PORT))
             except OSError:
                 continue
-            return network
+            return second_octet
     raise ProcessError('no free loopback network')
 
 
@@ -431,10 +438,11 @@
     zones : sequence of str
         Availability zones.
     relayed : bool
-        Whether `start_relays` will be called, so that zones can be cut off.
+        Whether daemons listen behind relays, so that zones can be
+        partitioned; the caller then calls `start_relays`.
     """
     with tempfile.TemporaryDirectory(prefix='gypsumhall-') as name:
-        fleet = Fleet(Path(name), _free_network(), tuple(zones))
+        fleet = Fleet(Path(name), _find_free_network(), tuple(zones))
         async with trio.open_nursery() as nursery:
             if relayed:
                 fleet.links = Network(fleet.zone_of)
--- a/gypsumhall/testing/relay.py
+++ b/gypsumhall/testing/relay.py
@@ -1,4 +1,4 @@
-"""Relay in front of a listener, which imitates faults of the network."""
+"""TCP relay that imitates network faults in front of a listener."""
 
 from __future__ import annotations
 
@@ -9,60 +9,66 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_CHUNK = 64 * 1024
+_CHUNK_BYTES = 64 * 1024
 
 
 class Network:
-    """Which zones reach each other; shared by all relays of a fleet.
+    """Network partitions between zones; shared by all relays of a fleet.
 
-    A cut holds bytes back in both directions and lets connections neither
-    fail nor succeed, as a network that drops packets does. After healing the
-    bytes arrive, as retransmitted packets do.
+    A partition delays all bytes in both directions, and new connections
+    neither fail nor succeed, as in a network that drops packets. When the
+    partition ends the delayed bytes are delivered, as retransmitted packets
+    would be.
 
     Parameters
     ----------
     zone_of : callable
-        Returns the zone of an IP number.
+        Returns the zone of an IP address.
     """
 
-    __slots__ = ('_changed', '_cuts', '_epoch', '_zone_of')
+    __slots__ = ('_changed', '_partitioned_pairs', '_epoch', '_zone_of')
 
     def __init__(self, zone_of: Callable[[str], str]) -> None:
         self._zone_of = zone_of
-        self._cuts: set[frozenset[str]] = set()
+        self._partitioned_pairs: set[frozenset[str]] = set()
         self._changed = trio.Event()
         self._epoch = 0
 
     @property
     def epoch(self) -> int:
-        """Grows when all open connections go silent for good."""
+        """Count of calls of `silence`; connections of earlier epochs stall."""
         return self._epoch
 
     def zone_of(self, ip: str) -> str:
-        """Return the zone of an IP number."""
+        """Return the zone of an IP address."""
         return self._zone_of(ip)
 
-    def cut(self, one: str, other: str) -> None:
-        """Separate two zones, or a zone and ``platform``."""
-        self._cuts.add(frozenset((one, other)))
+    def cut(self, first_zone: str, second_zone: str) -> None:
+        """Partition two zones, or a zone and ``platform``."""
+        self._partitioned_pairs.add(frozenset((first_zone, second_zone)))
 
     def heal(self) -> None:
-        """End all cuts."""
-        self._cuts.clear()
-        self._notify()
+        """End all partitions."""
+        self._partitioned_pairs.clear()
+        self._notify_waiters()
 
     def silence(self) -> None:
-        """Make all open connections silent for good; new ones work."""
+        """Stall all open connections permanently; new ones work."""
         self._epoch += 1
-        self._notify()
+        self._notify_waiters()
 
-    def _notify(self) -> None:
+    def _notify_waiters(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
-    async def wait_open(self, one: str, other: str, epoch: int) -> None:
-        """Wait until bytes pass on a connection opened at `epoch`."""
-        while epoch != self._epoch or frozenset((one, other)) in self._cuts:
+    async def wait_until_connected(
+        self, first_zone: str, second_zone: str, epoch: int
+    ) -> None:
+        """Wait until bytes may pass on a connection opened in `epoch`."""
+        while (
+            epoch != self._epoch
+            or frozenset((first_zone, second_zone)) in self._partitioned_pairs
+        ):
             await self._changed.wait()
 
 
@@ -72,22 +78,26 @@
     Parameters
     ----------
     network : Network
-        Decides whether bytes pass.
-    zone : str
+        Partitions that delay bytes.
+    target_zone : str
         Zone of the listener behind the relay, or ``platform``.
     target : str
         Address of the listener.
     source_zone : str
-        Zone of all clients; empty to derive it from their IP numbers.
+        Zone of all clients; empty to derive it from their IP addresses.
     """
 
-    __slots__ = ('_network', '_source_zone', '_target', '_zone')
+    __slots__ = ('_network', '_source_zone', '_target', '_target_zone')
 
     def __init__(
-        self, network: Network, zone: str, target: str, source_zone: str = ''
+        self,
+        network: Network,
+        target_zone: str,
+        target: str,
+        source_zone: str = '',
     ) -> None:
         self._network = network
-        self._zone = zone
+        self._target_zone = target_zone
         self._target = target
         self._source_zone = source_zone
 
@@ -97,7 +107,7 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Forward connections to an address until cancelled."""
+        """Listen at an address and forward its connections until cancelled."""
         host, _, port = address.rpartition(':')
         listeners = await trio.open_tcp_listeners(int(port), host=host)
         async with trio.open_nursery() as nursery:
@@ -106,30 +116,38 @@
 
     async def _forward(self, client: trio.SocketStream) -> None:
         ip = client.socket.getpeername()[0]
-        source = self._source_zone or self._network.zone_of(ip)
+        source_zone = self._source_zone or self._network.zone_of(ip)
         epoch = self._network.epoch
         host, _, port = self._target.rpartition(':')
         async with client:
-            await self._network.wait_open(source, self._zone, epoch)
+            await self._network.wait_until_connected(
+                source_zone, self._target_zone, epoch
+            )
             try:
                 server = await trio.open_tcp_stream(host, int(port))
             except OSError:
                 return
             async with server, trio.open_nursery() as nursery:
-                nursery.start_soon(self._pump, client, server, source, epoch)
-                nursery.start_soon(self._pump, server, client, source, epoch)
-
-    async def _pump(
+                nursery.start_soon(
+                    self._copy_bytes, client, server, source_zone, epoch
+                )
+                nursery.start_soon(
+                    self._copy_bytes, server, client, source_zone, epoch
+                )
+
+    async def _copy_bytes(
         self,
         receiver: trio.SocketStream,
         sender: trio.SocketStream,
-        source: str,
+        source_zone: str,
         epoch: int,
     ) -> None:
         try:
             while True:
-                data = await receiver.receive_some(_CHUNK)
-                await self._network.wait_open(source, self._zone, epoch)
+                data = await receiver.receive_some(_CHUNK_BYTES)
+                await self._network.wait_until_connected(
+                    source_zone, self._target_zone, epoch
+                )
                 if not data:
                     await sender.send_eof()
                     return
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -1,10 +1,10 @@
-"""Scenarios: scripted failures of real processes.
+"""Scenarios: scripted fault injection tests with real processes.
 
-A scenario is a YAML file with a fleet, texts of operators and steps. Each
-step is a mapping with one key, the verb; `VERBS` names them, and
-`docs/scenarios.md` describes them. Every wait is bounded. After the last
-step the event logs of all daemons are checked against the invariants that
-must hold in every scenario.
+A scenario is a YAML file that defines a fleet, configuration texts of
+operators, and steps. Each step is a mapping with one key, the verb; `VERBS`
+lists the verbs, and `docs/scenarios.md` describes them. Every wait has a
+timeout. After the last step the event logs of all daemons are checked against
+the invariants that hold in every scenario.
 """
 
 from __future__ import annotations
@@ -40,25 +40,25 @@
     from collections.abc import Mapping
     from pathlib import Path
 
-# Waits end as soon as their condition holds; the limits only bound a failed
-# run on a slow machine.
-WAIT_LIMIT_S = 60.0
-_POLL_S = 0.1
-_TOKEN = 'token-of-'
+# Default timeout of waits. They end as soon as their condition holds, so the
+# timeout only matters for a failing run and has room for slow machines.
+WAIT_TIMEOUT_S = 60.0
+_POLL_INTERVAL_S = 0.1
+_TOKEN_PREFIX = 'token-of-'
 
 
 class ScenarioError(FindingsError):
-    """A scenario that cannot be read."""
+    """A scenario file is invalid."""
 
     code = 'invalid-scenario'
 
 
 class ExpectationError(AssertionError):
-    """A step of a scenario did not turn out as expected."""
+    """A step of a scenario failed or an invariant is violated."""
 
 
 class VmGroup(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """VMs of one zone that run the same; named ``<zone>-<service>-<n>``."""
+    """VMs of one zone and service version, named ``<zone>-<service>-<n>``."""
 
     zone: str
     service: str
@@ -68,20 +68,20 @@
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A scenario as it is read from its file.
+    """Content of a scenario file.
 
     Parameters
     ----------
     about : str
-        Which failure the scenario is about.
+        Failure that the scenario tests.
     zones : tuple of str
         Availability zones.
     vms : tuple of VmGroup
         VMs with their backend servers.
     texts : dict of str to str
-        Operators' texts by name.
+        Configuration texts of operators by name.
     steps : tuple of dict
-        Steps; each has one verb.
+        Steps, each with one verb as its key.
     """
 
     about: str
@@ -106,7 +106,7 @@
 
     move: str
     state: str
-    within: float = WAIT_LIMIT_S
+    within: float = WAIT_TIMEOUT_S
 
 
 class StartLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -135,7 +135,7 @@
 
 
 class Call(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Arguments of ``call``: one request until it is answered as expected."""
+    """Arguments of ``call``: a request and its expected response."""
 
     vm: str
     host: str
@@ -143,22 +143,22 @@
     method: str = 'GET'
     status: int = 200
     outcome: str = ''
-    within: float = WAIT_LIMIT_S
+    within: float = WAIT_TIMEOUT_S
 
 
 class Expect(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Arguments of ``expect``, each of which is checked if given.
+    """Arguments of ``expect``; those that are given are checked.
 
     Parameters
     ----------
     reverted : tuple of str
-        Moves that every running daemon knows as reverted.
+        Moves that every running daemon reports as reverted.
     same_version : bool
-        Whether all running daemons hold the latest accepted version.
+        Whether all running daemons have the latest accepted version.
     no_calls : tuple of str
-        VMs whose backend servers get no further call for `seconds`.
+        VMs whose backend servers run no calls for `seconds`.
     seconds : float
-        Length of the observation.
+        Duration of the check of `no_calls`, in seconds.
     """
 
     reverted: tuple[str, ...] = ()
@@ -168,12 +168,12 @@
 
 
 def read_scenario(path: Path) -> Scenario:
-    """Read a scenario.
+    """Read a scenario file.
 
     Raises
     ------
     ScenarioError
-        With all faults and their lines.
+        If the file is invalid; lists all errors with their lines.
     """
     try:
         data = YAML().load(path.read_text())
@@ -185,7 +185,7 @@
         line = data['steps'].lc.item(index)[0] + 1
         findings += _step_findings(step, SourceLocation(path.name, line, 1))
     try:
-        scenario = msgspec.convert(_plain(data), Scenario)
+        scenario = msgspec.convert(_to_builtins(data), Scenario)
     except msgspec.ValidationError as error:
         findings.append(
             Finding(
@@ -197,21 +197,23 @@
     return scenario
 
 
-def _plain(value: Any) -> Any:
-    """Return YAML data without the round-trip types of its reader."""
+def _to_builtins(value: Any) -> Any:
+    """Convert round-trip types of the YAML parser to builtin types."""
     if isinstance(value, dict):
-        return {str(key): _plain(item) for key, item in value.items()}
+        return {str(key): _to_builtins(item) for key, item in value.items()}
     if isinstance(value, list):
-        return [_plain(item) for item in value]
-    for kind in (bool, str, int, float):
-        if isinstance(value, kind):
-            return kind(value)
+        return [_to_builtins(item) for item in value]
+    for scalar_type in (bool, str, int, float):
+        if isinstance(value, scalar_type):
+            return scalar_type(value)
     return value
 
 
 def _step_findings(step: Any, location: SourceLocation) -> Iterator[Finding]:
     if not isinstance(step, dict) or len(step) != 1:
-        yield Finding('bad-step', f'{step!r} needs exactly one verb', location)
+        yield Finding(
+            'bad-step', f'{step!r} must have exactly one verb', location
+        )
         return
     verb, arguments = next(iter(step.items()))
     if verb not in VERBS:
@@ -221,7 +223,7 @@
         )
         return
     try:
-        msgspec.convert(_plain(arguments), VERBS[verb])
+        msgspec.convert(_to_builtins(arguments), VERBS[verb])
     except msgspec.ValidationError as error:
         yield Finding('bad-arguments', f'{verb}: {error}', location)
 
@@ -232,11 +234,11 @@
     Parameters
     ----------
     scenario : Scenario
-        The scenario.
+        Scenario to run.
     fleet : Fleet
-        Its processes, with relays.
+        Processes of the scenario, with relays.
     nursery : trio.Nursery
-        Runs loads.
+        Runs loads in the background.
     """
 
     def __init__(
@@ -245,8 +247,8 @@
         self._scenario = scenario
         self._fleet = fleet
         self._nursery = nursery
-        self._accepted = 0
-        self._started: set[str] = set()
+        self._accepted_version = 0
+        self._started_backends: set[str] = set()
         self._loads: list[tuple[StartLoad, list[Any], trio.Event]] = []
         self._groups: dict[str, VmGroup] = {}
 
@@ -254,11 +256,11 @@
         """Execute all steps, then check the invariants."""
         for group in self._scenario.vms:
             for _ in range(group.count):
-                taken = sum(
+                existing = sum(
                     name.startswith(f'{group.zone}-{group.service}-')
                     for name in self._groups
                 )
-                name = f'{group.zone}-{group.service}-{taken + 1}'
+                name = f'{group.zone}-{group.service}-{existing + 1}'
                 self._groups[name] = group
                 self._fleet.add_vm(
                     name, group.zone, group.service, group.version
@@ -275,8 +277,8 @@
                 ) from error
         check_events(self._fleet.event_logs)
 
-    def _vms(self, names: tuple[str, ...]) -> list[Vm]:
-        found: list[Vm] = []
+    def _select_vms(self, names: tuple[str, ...]) -> list[Vm]:
+        selected: list[Vm] = []
         for name in names:
             matching = [
                 vm
@@ -288,13 +290,13 @@
                 raise ExpectationError(
                     f'no VM or zone {name!r}; valid choices: {choices}'
                 )
-            found += matching
-        return found
+            selected += matching
+        return selected
 
-    def _run_log(self, name: str) -> Path:
+    def _run_log_path(self, name: str) -> Path:
         return self._fleet.directory / f'{name}.runs'
 
-    def _running(self) -> list[Vm]:
+    def _running_vms(self) -> list[Vm]:
         return [
             vm
             for vm in self._fleet.vms.values()
@@ -304,8 +306,8 @@
     # Processes
 
     async def _start(self, names: tuple[str, ...]) -> None:
-        """Start daemons and backend servers; wait until they listen."""
-        vms = self._vms(names)
+        """Start daemons and backend servers; wait until the daemons listen."""
+        vms = self._select_vms(names)
         for vm in vms:
             if not self._fleet.is_running(vm.name):
                 await self._fleet.start_daemon(vm)
@@ -316,60 +318,60 @@
                     key: str(value)
                     for key, value in self._groups[vm.name].backend.items()
                 }
-                # A load that starts before the first run needs the file too.
-                self._run_log(vm.name).touch()
-                flags['run_log'] = str(self._run_log(vm.name))
+                # A load reads the file even if no call has run yet.
+                self._run_log_path(vm.name).touch()
+                flags['run_log'] = str(self._run_log_path(vm.name))
                 await self._fleet.start_backend(vm, flags)
-                self._started.add(vm.name)
+                self._started_backends.add(vm.name)
 
     async def _ready(self, names: tuple[str, ...]) -> None:
-        """Wait until daemons know the endpoints of all running ones."""
-        expected = len(self._running())
+        """Wait until daemons see the endpoints of all running daemons."""
+        expected = len(self._running_vms())
 
-        async def knows_all(vm: Vm) -> bool:
+        async def sees_all(vm: Vm) -> bool:
             status = await self._status(vm)
             if status is None:
                 return False
             return bool(status['members']['ready_endpoints'] >= expected)
 
-        for vm in self._vms(names):
-            await self._until(
-                lambda vm=vm: knows_all(vm),  # type: ignore[misc]
-                f'{vm.name} does not know {expected} ready endpoints',
+        for vm in self._select_vms(names):
+            await self._wait_until(
+                lambda vm=vm: sees_all(vm),  # type: ignore[misc]
+                f'{vm.name} does not report {expected} ready endpoints',
             )
 
     async def _kill(self, names: tuple[str, ...]) -> None:
         """Kill daemons and backend servers."""
-        for vm in self._vms(names):
+        for vm in self._select_vms(names):
             for name in (vm.name, backend_name(vm.name)):
                 if self._fleet.is_running(name):
                     self._fleet.signal(name, signal.SIGKILL)
                     await self._fleet.wait_ended(name)
 
     async def _kill_daemon(self, names: tuple[str, ...]) -> None:
-        """Kill daemons; their backend servers stay."""
-        for vm in self._vms(names):
+        """Kill daemons but not their backend servers."""
+        for vm in self._select_vms(names):
             self._fleet.signal(vm.name, signal.SIGKILL)
             await self._fleet.wait_ended(vm.name)
 
     async def _freeze(self, names: tuple[str, ...]) -> None:
-        """Suspend daemons."""
-        for vm in self._vms(names):
+        """Suspend daemons with SIGSTOP."""
+        for vm in self._select_vms(names):
             self._fleet.signal(vm.name, signal.SIGSTOP)
 
     async def _thaw(self, names: tuple[str, ...]) -> None:
-        """Let suspended daemons go on."""
-        for vm in self._vms(names):
+        """Resume suspended daemons."""
+        for vm in self._select_vms(names):
             self._fleet.signal(vm.name, signal.SIGCONT)
 
     async def _stop(self, names: tuple[str, ...]) -> None:
-        """Stop daemons as planned."""
-        await self._terminate([vm.name for vm in self._vms(names)])
+        """Shut daemons down gracefully."""
+        await self._terminate([vm.name for vm in self._select_vms(names)])
 
     async def _stop_backend(self, names: tuple[str, ...]) -> None:
-        """Stop backend servers as planned."""
+        """Shut backend servers down gracefully."""
         await self._terminate(
-            [backend_name(vm.name) for vm in self._vms(names)]
+            [backend_name(vm.name) for vm in self._select_vms(names)]
         )
 
     async def _terminate(self, processes: list[str]) -> None:
@@ -379,38 +381,38 @@
             status = await self._fleet.wait_ended(name)
             if status != 0:
                 raise ExpectationError(
-                    f'{name} ended with {status}:\n'
+                    f'{name} exited with status {status}:\n'
                     + self._fleet.log_tail(name)
                 )
 
     # Network, platform and backend servers
 
     async def _cut(self, cut: Cut) -> None:
-        """Separate two zones, or a zone and the platform."""
+        """Partition two zones, or a zone and the platform."""
         assert self._fleet.links is not None
         self._fleet.links.cut(*cut.between)
 
     async def _heal(self, _: bool) -> None:
-        """End all cuts."""
+        """End all partitions."""
         assert self._fleet.links is not None
         self._fleet.links.heal()
 
     async def _silence(self, _: bool) -> None:
-        """Make all open connections between daemons silent for good."""
+        """Stall all open connections between daemons permanently."""
         assert self._fleet.links is not None
         self._fleet.links.silence()
 
     async def _platform(self, faults: dict[str, Any]) -> None:
-        """Switch faults of the platform."""
+        """Set the injected faults of the platform."""
         await self._fleet.set_faults(self._fleet.platform_address, faults)
 
     async def _backend(self, arguments: BackendFaults) -> None:
-        """Switch faults of backend servers."""
-        for vm in self._vms(arguments.vms):
+        """Set the injected faults of backend servers."""
+        for vm in self._select_vms(arguments.vms):
             await self._fleet.set_faults(vm.backend_address, arguments.faults)
 
     async def _sleep(self, seconds: float) -> None:
-        """Let time pass, for example until a lease has lapsed."""
+        """Sleep, for example until a lease has expired."""
         await trio.sleep(seconds)
 
     # Operators
@@ -424,7 +426,7 @@
             )
 
     async def _race(self, submissions: tuple[Submit, ...]) -> None:
-        """Submit several texts at the same moment, all to be accepted."""
+        """Submit several texts concurrently; check the result of each."""
         async with trio.open_nursery() as nursery:
             for item in submissions:
                 nursery.start_soon(self._submit, item)
@@ -433,8 +435,8 @@
         text = self._scenario.texts[arguments.text]
         department = str(YAML(typ='safe').load(text)['department'])
         vms = [arguments.vm] if arguments.vm else []
-        vms += [vm.name for vm in self._running() if vm.name not in vms]
-        token = arguments.token or _TOKEN + department
+        vms += [vm.name for vm in self._running_vms() if vm.name not in vms]
+        token = arguments.token or _TOKEN_PREFIX + department
         daemons = [self._fleet.vms[name].admin_address for name in vms[:3]]
         path = self._fleet.directory / f'{arguments.text}.yaml'
         path.write_text(text)
@@ -449,66 +451,77 @@
             ],
             {'GYPSUMHALL_TOKEN': token},
         )
-        found = {0: 'accepted', 1: 'refused', 3: 'unavailable', 4: 'unknown'}
-        outcome = found.get(result.returncode)
+        outcomes = {
+            0: 'accepted',
+            1: 'refused',
+            3: 'unavailable',
+            4: 'unknown',
+        }
+        outcome = outcomes.get(result.returncode)
         if outcome is None:
             raise ExpectationError(
-                f'submit ended with {result.returncode}: '
+                f'submit exited with status {result.returncode}: '
                 f'{result.stderr.decode()}{result.stdout.decode()}'
             )
         if outcome == 'accepted':
             version = int(json.loads(result.stdout)['version'])
-            self._accepted = max(self._accepted, version)
+            self._accepted_version = max(self._accepted_version, version)
         return outcome
 
     async def _wait_version(self, within: float) -> None:
-        """Wait until all running daemons hold the latest accepted version."""
-        for vm in self._running():
-            await self._until(
-                lambda vm=vm: self._holds_latest(vm),  # type: ignore[misc]
-                f'{vm.name} does not hold version {self._accepted}',
+        """Wait until all running daemons have the latest accepted version."""
+        for vm in self._running_vms():
+            await self._wait_until(
+                lambda vm=vm: self._has_latest(vm),  # type: ignore[misc]
+                f'{vm.name} does not have version {self._accepted_version}',
                 within,
             )
 
-    async def _holds_latest(self, vm: Vm) -> bool:
+    async def _has_latest(self, vm: Vm) -> bool:
         status = await self._status(vm)
-        return status is not None and status['version'] >= self._accepted
+        return (
+            status is not None and status['version'] >= self._accepted_version
+        )
 
     async def _wait_in_effect(self, within: float) -> None:
-        """Wait until the system says that the version is in effect."""
+        """Wait until a daemon reports that the latest version is in effect."""
 
         async def in_effect() -> bool:
-            status = await self._status(self._running()[0])
+            status = await self._status(self._running_vms()[0])
             return bool(
                 status
-                and status['version'] >= self._accepted
+                and status['version'] >= self._accepted_version
                 and status['in_effect']
             )
 
-        await self._until(
-            in_effect, f'version {self._accepted} is not in effect', within
+        await self._wait_until(
+            in_effect,
+            f'version {self._accepted_version} is not in effect',
+            within,
         )
 
     async def _wait_move(self, arguments: WaitMove) -> None:
-        """Wait until a move ends, and check how."""
-        last: list[Any] = [None]
+        """Wait until a move ends and check its final state."""
+        observed_move: list[Any] = [None]
 
         async def ended() -> bool:
-            for vm in self._running():
+            for vm in self._running_vms():
                 status = await self._status(vm)
                 for move in status['moves'] if status else ():
                     if move['id'] == arguments.move:
-                        last[0] = move
+                        observed_move[0] = move
                         return move['state'] in ('done', 'reverted')
             return False
 
-        await self._until(
-            ended, f'{arguments.move} has not ended', arguments.within
+        await self._wait_until(
+            ended,
+            f'{arguments.move} is neither done nor reverted',
+            arguments.within,
         )
-        if last[0]['state'] != arguments.state:
+        if observed_move[0]['state'] != arguments.state:
             raise ExpectationError(
-                f'{arguments.move} is {last[0]["state"]} '
-                f'({last[0]["reason"]}), expected {arguments.state}'
+                f'{arguments.move} is {observed_move[0]["state"]} '
+                f'({observed_move[0]["reason"]}), expected {arguments.state}'
             )
 
     # Callers
@@ -524,7 +537,7 @@
         self, arguments: StartLoad, results: list[Any], ended: trio.Event
     ) -> None:
         zones = arguments.zones or self._fleet.zones
-        targets = [vm for vm in self._running() if vm.zone in zones]
+        targets = [vm for vm in self._running_vms() if vm.zone in zones]
         kinds = [
             f'--kind={json.dumps(msgspec.to_builtins(kind))}'
             for kind in arguments.kinds
@@ -537,9 +550,12 @@
                 f'--rate_per_s={arguments.rate}',
                 f'--seconds={arguments.seconds}',
                 f'--seed={arguments.seed}',
-                # Files, since a restarted server has lost its counts.
+                # From files, as counts of a server are lost in a restart.
                 '--run_logs='
-                + ','.join(str(self._run_log(vm)) for vm in self._started),
+                + ','.join(
+                    str(self._run_log_path(vm))
+                    for vm in self._started_backends
+                ),
             ],
         )
         results.append(result)
@@ -551,17 +567,19 @@
             with trio.move_on_after(within):
                 await ended.wait()
             if not ended.is_set():
-                raise ExpectationError(f'the load runs for over {within} s')
+                raise ExpectationError(
+                    f'the load did not end within {within} s'
+                )
             _check_load(arguments, results[0])
         self._loads.clear()
 
     async def _call(self, arguments: Call) -> None:
-        """Repeat a request until it is answered as expected."""
-        vm = self._vms((arguments.vm,))[0]
-        last = ''
+        """Repeat a request until it gets the expected response."""
+        vm = self._select_vms((arguments.vm,))[0]
+        last_result = ''
 
-        async def answered() -> bool:
-            nonlocal last
+        async def has_expected_response() -> bool:
+            nonlocal last_result
             try:
                 status, headers, _ = await self._fleet.request(
                     vm.caller_address,
@@ -570,40 +588,44 @@
                     headers={'Host': arguments.host},
                 )
             except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-                last = repr(error)
+                last_result = repr(error)
                 return False
             outcome = headers.get('gypsumhall-outcome', '')
-            last = f'{status} {outcome}'
+            last_result = f'{status} {outcome}'
             return status == arguments.status and (
                 not arguments.outcome or outcome == arguments.outcome
             )
 
         try:
-            await self._until(answered, 'no such response', arguments.within)
+            await self._wait_until(
+                has_expected_response, 'no expected response', arguments.within
+            )
         except ExpectationError as error:
-            raise ExpectationError(f'{error}; the last one was {last}')
+            raise ExpectationError(
+                f'{error}; the last result was {last_result}'
+            )
 
     # Checks
 
     async def _expect(self, arguments: Expect) -> None:
         """Check the state of the running daemons."""
         for move in arguments.reverted:
-            for vm in self._running():
-                await self._until(
+            for vm in self._running_vms():
+                await self._wait_until(
                     functools.partial(self._has_reverted, vm, move),
-                    f'{vm.name} does not know that {move} is reverted',
+                    f'{vm.name} does not report {move} as reverted',
                 )
         if arguments.same_version:
-            await self._wait_version(WAIT_LIMIT_S)
+            await self._wait_version(WAIT_TIMEOUT_S)
         if arguments.no_calls:
-            vms = self._vms(arguments.no_calls)
+            vms = self._select_vms(arguments.no_calls)
             before = [await self._count_runs(vm) for vm in vms]
             await trio.sleep(arguments.seconds)
             after = [await self._count_runs(vm) for vm in vms]
             if before != after:
                 raise ExpectationError(
-                    f'runs of {arguments.no_calls} grew from {before} to '
-                    f'{after}'
+                    f'run counts of {arguments.no_calls} grew from {before} '
+                    f'to {after}'
                 )
 
     async def _has_reverted(self, vm: Vm, move: str) -> bool:
@@ -631,31 +653,31 @@
             return None
         return status if 'version' in status else None
 
-    async def _until(
+    async def _wait_until(
         self,
         condition: Callable[[], Awaitable[bool]],
         message: str,
-        within: float = WAIT_LIMIT_S,
+        within: float = WAIT_TIMEOUT_S,
     ) -> None:
         with trio.move_on_after(within):
-            # The condition is about other processes; no event tells of it.
+            # No event is available, as the state is that of other processes.
             while not await condition():  # noqa: ASYNC110
-                await trio.sleep(_POLL_S)
+                await trio.sleep(_POLL_INTERVAL_S)
             return
         raise ExpectationError(f'{message} after {within:g} s')
 
 
-Names = tuple[str, ...]
+VmNames = tuple[str, ...]
 
 VERBS: Mapping[str, Any] = {
-    'start': Names,
-    'ready': Names,
-    'kill': Names,
-    'kill_daemon': Names,
-    'freeze': Names,
-    'thaw': Names,
-    'stop': Names,
-    'stop_backend': Names,
+    'start': VmNames,
+    'ready': VmNames,
+    'kill': VmNames,
+    'kill_daemon': VmNames,
+    'freeze': VmNames,
+    'thaw': VmNames,
+    'stop': VmNames,
+    'stop_backend': VmNames,
     'cut': Cut,
     'heal': bool,
     'silence': bool,
@@ -688,13 +710,13 @@
     for kind in arguments.kinds:
         counts = dict(report['results'].get(kind.name, {}))
         total += sum(counts.values())
-        bad = sum(counts.values()) - counts.get('ok', 0)
-        failed += bad
-        if bad > arguments.max_failed.get(kind.name, math.inf):
+        failed_of_kind = sum(counts.values()) - counts.get('ok', 0)
+        failed += failed_of_kind
+        if failed_of_kind > arguments.max_failed.get(kind.name, math.inf):
             raise ExpectationError(
-                f'{bad} calls of kind {kind.name} failed, expected at most '
-                f'{arguments.max_failed[kind.name]}: {counts}, '
-                f'{report["reasons"]}'
+                f'{failed_of_kind} calls of kind {kind.name} failed, '
+                f'expected at most {arguments.max_failed[kind.name]}: '
+                f'{counts}, {report["reasons"]}'
             )
     if failed > arguments.max_failed_share * total:
         raise ExpectationError(
@@ -704,32 +726,34 @@
 
 
 def check_events(paths: list[Path]) -> None:
-    """Check what must hold in every scenario against the event logs.
+    """Check event logs against the invariants of all scenarios.
 
     Raises
     ------
     ExpectationError
-        When a daemon went back to an older version, also over a restart, or
-        two daemons installed different contents under one version.
+        If a daemon installed an older version than before, also across
+        restarts, or one version was installed with different contents.
     """
     digests: dict[int, set[str]] = defaultdict(set)
     for path in paths:
-        held = 0
+        installed_version = 0
         for line in path.read_text().splitlines():
             event = json.loads(line)
             if event['code'] != 'snapshot-installed':
                 continue
             version = event['fields']['version']
             digests[version].add(event['fields']['digest'])
-            if version < held:
+            if version < installed_version:
                 raise ExpectationError(
-                    f'{path.stem} went back from version {held} to {version}'
+                    f'{path.stem} regressed from version {installed_version} '
+                    f'to {version}'
                 )
-            held = version
-    for version, found in digests.items():
-        if len(found) > 1:
+            installed_version = version
+    for version, contents in digests.items():
+        if len(contents) > 1:
             raise ExpectationError(
-                f'version {version} was installed with contents {found}'
+                f'version {version} was installed with different contents '
+                f'{contents}'
             )
 
 
@@ -739,14 +763,14 @@
     Parameters
     ----------
     path : Path
-        File of the scenario.
+        Scenario file.
 
     Raises
     ------
     ScenarioError
-        When the file cannot be read.
+        If the file is invalid.
     ExpectationError
-        When something did not turn out as expected.
+        If a step fails or an invariant is violated.
     """
     scenario = read_scenario(path)
     async with (
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Runs every scenario with real processes, and tests of their reader."""
+"""Runs every scenario with real processes; tests reading and checks."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     await scenario.run_scenario(path)
 
 
-def test_all_faults_of_a_scenario_are_reported_with_their_lines(
+def test_all_errors_of_a_scenario_file_are_reported_with_their_lines(
     tmp_path: Path,
 ) -> None:
     path = tmp_path / 'bad.yaml'
@@ -37,11 +37,11 @@
 @pytest.mark.parametrize(
     ('installs', 'message'),
     [
-        ([(2, 'a'), (1, 'b')], 'went back'),
-        ([(1, 'a'), (1, 'b')], 'installed with contents'),
+        ([(2, 'a'), (1, 'b')], 'regressed from version 2 to 1'),
+        ([(1, 'a'), (1, 'b')], 'installed with different contents'),
     ],
 )
-def test_the_invariants_of_event_logs_can_fail(
+def test_violated_invariants_of_event_logs_are_reported(
     installs: list[tuple[int, str]], message: str, tmp_path: Path
 ) -> None:
     path = tmp_path / 'd1.events'
