--- a/gypsumhall/testing/control_plane.py
+++ b/gypsumhall/testing/control_plane.py
@@ -1,4 +1,4 @@
-"""One daemon's part for operators, with fakes of everything around it."""
+"""Services of one daemon for operators, with fakes of the others."""
 
 from __future__ import annotations
 
@@ -25,26 +25,26 @@
 
 
 async def run_inline(function: Callable[..., Any], *args: object) -> object:
-    """Run a function in the event loop.
+    """Call a function in the event loop instead of a thread.
 
-    A thread would let the mock clock jump while the function runs.
+    With a thread, the mock clock would advance while the function runs.
     """
     return function(*args)
 
 
 class ControlPlane:
-    """Services of one daemon that operators talk to.
+    """Services of one daemon that accept configuration from operators.
 
     Parameters
     ----------
     store : MemoryStore
-        The platform; several daemons may share it.
+        Store of the platform; several daemons may share it.
     wall_clock : callable
         Returns the Unix time in seconds.
     address : str
         Admin address; empty for no listener.
     seed : int
-        Seed of the jitter.
+        Seed of the jitter; also identifies the daemon as an origin.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[ControlPlane]:
-        """Run the services within a block."""
+        """Run the services while the context is active."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.kernel.run)
             yield self
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -1,4 +1,4 @@
-"""The call path of a daemon, with small versions of the other services."""
+"""The call path of a daemon, with fakes of the other services."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
     moves: tuple[_model.Move, ...] = (),
     routes: tuple[_model.Route, ...] = (POST_ROUTE,),
 ) -> Snapshot:
-    """Return a configuration with routes to the services that they name."""
+    """Return a configuration with the routes and the services they name."""
     names = sorted({item.service for item in routes})
     services = [builders.build_service(name) for name in names]
     fragment = builders.build_fragment(services=services, routes=routes)
@@ -55,7 +55,7 @@
     Parameters
     ----------
     rng : Random
-        Source of service times and faults.
+        Random source of service times and faults.
     """
 
     def __init__(self, rng: Random) -> None:
@@ -63,23 +63,25 @@
         self.runs: dict[str, int] = {}
         self.by_address: dict[str, int] = {}
         self.mean_s = 0.01
-        # Mean by address of the backend server; `mean_s` by default.
+        # Mean by address of the backend server; default `mean_s`.
         self.mean_by_address: dict[str, float] = {}
-        # Whether the service time is always the mean.
+        # Whether every service time is the mean instead of exponentially
+        # distributed.
         self.constant = False
         self.reset_rate = 0.0
         self.break_rate = 0.0
         self.unreachable_rate = 0.0
-        # Share of responses whose length is not known before their end.
+        # Share of responses without Content-Length.
         self.chunked_rate = 0.0
-        # Status by address of the backend server; 200 by default.
+        # Status by address of the backend server; default 200.
         self.status: dict[str, int] = {}
-        # Addresses whose requests hang, or whose responses break off.
+        # Addresses whose requests get no response.
         self.hang: set[str] = set()
+        # Addresses whose responses are truncated.
         self.broken: set[str] = set()
 
     def client(self, address: str) -> MemoryBackendClient:
-        """Return a client; usable as argument ``connect`` of the runner."""
+        """Return a client; passed to the runner as ``connect``."""
         return MemoryBackendClient(self, address)
 
     @contextlib.asynccontextmanager
@@ -89,7 +91,7 @@
         headers: _calls.Headers,
         on_send: Callable[[], None],
     ) -> AsyncIterator[_backend_client.BackendResponse]:
-        """Run a request, which counts by its header ``X-Request``."""
+        """Run a request and count it under its header ``X-Request``."""
         await trio.lowlevel.checkpoint()
         if self._rng.random() < self.unreachable_rate:
             raise _backend_client.BackendUnreachableError(address)
@@ -99,7 +101,7 @@
         self.by_address[address] = self.by_address.get(address, 0) + 1
         if address in self.hang:
             await trio.sleep_forever()
-        await trio.sleep(self._service_s(address))
+        await trio.sleep(self._service_time_s(address))
         if self._rng.random() < self.reset_rate:
             raise _backend_client.BackendResetError(address)
         body = request_id.encode()
@@ -112,7 +114,7 @@
             self._body(address, body),
         )
 
-    def _service_s(self, address: str) -> float:
+    def _service_time_s(self, address: str) -> float:
         mean_s = self.mean_by_address.get(address, self.mean_s)
         if self.constant:
             return mean_s
@@ -123,9 +125,9 @@
     ) -> AsyncGenerator[bytes, None]:
         half = len(body) // 2
         yield body[:half]
-        await trio.sleep(self._service_s(address))
+        await trio.sleep(self._service_time_s(address))
         if address in self.broken or self._rng.random() < self.break_rate:
-            raise _backend_client.BackendResetError('broke off')
+            raise _backend_client.BackendResetError('response truncated')
         yield body[half:]
 
 
@@ -150,7 +152,7 @@
         return self._backend.request(self.address, headers, on_send)
 
     async def close_idle(self, *, all_connections: bool = False) -> None:
-        """Return at once."""
+        """Do nothing, as there are no connections."""
 
 
 class CallDaemon:
@@ -159,7 +161,7 @@
     Parameters
     ----------
     me : Member
-        Entry of the daemon.
+        Member entry of the daemon.
     table : FakeTable
         Member table.
     peers : callable
@@ -169,15 +171,18 @@
     connect : callable
         Returns the client for the address of a backend server.
     seed : int
-        Seed of the sender.
+        Seed of the random choices of the runner and its sender.
     listen : str
         Address for callers; empty for none.
     availability_wait_s : float
-        Longest time in seconds for which a stop waits for other endpoints.
+        Longest time in seconds for which a graceful shutdown waits for other
+        endpoints.
     drain_delay_s : float
-        Longest time in seconds for which a stop serves new callers.
+        Longest time in seconds for which new callers are served during a
+        graceful shutdown.
     drain_timeout_s : float
-        Longest time in seconds of a planned stop; requests end at 0.9 of it.
+        Longest time in seconds of a graceful shutdown; requests are ended
+        after 0.9 of it.
     dialect : Dialect
         Names of the headers that callers and backend servers use.
     """
@@ -258,7 +263,10 @@
         state: EndpointState = EndpointState.READY,
         service: str = 'availability',
     ) -> None:
-        """Announce a backend server; it is not removed after 3 s."""
+        """Register a backend server that does not expire.
+
+        An announced one is removed after 3 s without a heartbeat.
+        """
         endpoint = Endpoint(service, version, slots, state)
         self.runner.set_backend(endpoint, address)
         self.membership.set_endpoint(endpoint)
@@ -268,7 +276,7 @@
 async def open_daemons(
     backend: str, snapshot: Snapshot, count: int = 2
 ) -> AsyncIterator[list[CallDaemon]]:
-    """Run daemons with listeners; the last has a backend server.
+    """Run daemons that listen for callers; the last has a backend server.
 
     Parameters
     ----------
@@ -299,8 +307,8 @@
         nursery.cancel_scope.cancel()
 
 
-def restarted(member: Member) -> Member:
-    """Return the entry of a daemon's next process, without endpoint."""
+def build_restarted_member(member: Member) -> Member:
+    """Return the entry of a daemon after a restart, without endpoint."""
     return msgspec.structs.replace(
         member, incarnation=member.incarnation + 1000, endpoint=None
     )
--- a/gypsumhall/testing/echo_peer.py
+++ b/gypsumhall/testing/echo_peer.py
@@ -1,8 +1,8 @@
-"""A process with a network that answers, for tests and benchmarks.
+"""A process that replies to messages and calls, for tests and benchmarks.
 
 ``python -m gypsumhall.testing.echo_peer`` prints its peer address and serves
-until its standard input ends. For each line that it reads, it prints the CPU
-time that it has used, in seconds.
+until the end of its standard input. For each line of input it prints the CPU
+time that it has used so far, in seconds.
 """
 
 from __future__ import annotations
@@ -22,22 +22,22 @@
 
 KEY = b'key for tests only'
 
-_calls_started = 0
+_started_calls = 0
 
 
 async def answer_floor(
     exchange: Exchange, message: _messages.FloorRequest
 ) -> None:
-    """Answer a `FloorRequest`; counts the calls as ``acknowledged``."""
-    await exchange.send(_messages.Floor(_calls_started, 2))
+    """Reply to a `FloorRequest` with the number of started calls."""
+    await exchange.send(_messages.Floor(_started_calls, 2))
 
 
 async def answer_call(
     exchange: Exchange, message: _messages.CallStart
 ) -> None:
-    """Answer a call with its own body."""
-    global _calls_started
-    _calls_started += 1
+    """Respond to a call with the body of its request."""
+    global _started_calls
+    _started_calls += 1
     load = _messages.Load(1, 0, 6)
     await exchange.send(
         _messages.AnswerStart(message.request_id, 200, (), load)
@@ -52,7 +52,7 @@
 
 
 def build_network(index: int = 0) -> Network:
-    """Return a network on any free port that answers like this process."""
+    """Return a network on a free port with the handlers of this process."""
     network = Network(
         PeerSettings(f'echo-{index}', 'az-1', 1, '127.0.0.1:0', (KEY,))
     )
