Rename public names of the test fleet and the fake backend server

The relay's Network imitates partitions and becomes NetworkFaults, since the network service has the same name; Fleet.links becomes network_faults and silence silence_open_connections, as in the etcd fake. wait_ended becomes wait_exit, CallDaemon CallPathDaemon, faults_found violation_messages, check raise_on_violations; attributes of MemoryBackend and the handlers of the echo peer say what they contain and do.

--- a/benchmarks/bench_calls_under_faults.py
+++ b/benchmarks/bench_calls_under_faults.py
@@ -148,7 +148,7 @@
     async def _kill_daemon(self) -> None:
         vm = self._pick()
         self._fleet.signal(vm.name, signal.SIGKILL)
-        await self._fleet.wait_ended(vm.name)
+        await self._fleet.wait_exit(vm.name)
         await self._wait(0.0, 4.0)
         await self._fleet.start_daemon(vm)
         await self._fleet.wait_listening(vm.admin_address, vm.name)
@@ -158,7 +158,7 @@
     async def _stop_daemon(self) -> None:
         vm = self._pick()
         self._fleet.signal(vm.name, signal.SIGTERM)
-        status = await self._fleet.wait_ended(vm.name)
+        status = await self._fleet.wait_exit(vm.name)
         if status:
             self.bad_stops.append(f'{vm.name} ended with status {status}')
         await self._wait(0.0, 4.0)
@@ -171,7 +171,7 @@
         vm = self._pick()
         name = backend_name(vm.name)
         self._fleet.signal(name, signal.SIGKILL)
-        await self._fleet.wait_ended(name)
+        await self._fleet.wait_exit(name)
         await self._wait(0.0, 4.0)
         await _start_backend(self._fleet, vm)
         await self._fleet.wait_listening(vm.backend_address, name)
@@ -196,15 +196,17 @@
             self._fleet.signal(name, signal.SIGCONT)
 
     async def _silence(self) -> None:
-        assert self._fleet.links is not None
-        self._fleet.links.silence()
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.silence_open_connections()
         await self._wait()
 
     async def _cut(self) -> None:
-        assert self._fleet.links is not None
-        self._fleet.links.cut(*self._rng.sample((*_ZONES, 'platform'), 2))
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.cut(
+            *self._rng.sample((*_ZONES, 'platform'), 2)
+        )
         await self._wait()
-        self._fleet.links.heal()
+        self._fleet.network_faults.heal()
 
     async def _platform(self) -> None:
         address = self._fleet.platform_address
--- a/benchmarks/trial_calls.py
+++ b/benchmarks/trial_calls.py
@@ -36,8 +36,8 @@
             clock=MockClock(autojump_threshold=0.0),
         )
         results += trial.results
-        violations += len(trial.faults_found)
-        for text in trial.faults_found:
+        violations += len(trial.violation_messages)
+        for text in trial.violation_messages:
             print(f'seed {seed}: {text}')
     print(f'{_TRIALS.value} trials, {results.total()} calls: {dict(results)}')
     print(f'{violations} violations, {time.monotonic() - started:.0f} s')
--- a/gypsumhall/cli/demo.py
+++ b/gypsumhall/cli/demo.py
@@ -207,7 +207,7 @@
     for vm in fleet.vms.values():
         fleet.signal(vm.name, signal.SIGTERM)
     for vm in fleet.vms.values():
-        status = await fleet.wait_ended(vm.name, 15.0)
+        status = await fleet.wait_exit(vm.name, 15.0)
         if status != 0:
             raise ProcessError(
                 f'{vm.name} ended with {status}:\n{fleet.log_tail(vm.name)}'
--- a/gypsumhall/testing/call_trial.py
+++ b/gypsumhall/testing/call_trial.py
@@ -25,7 +25,7 @@
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_restarted_member
 from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.memory_network import Fault
 from gypsumhall.testing.memory_network import MemoryHub
@@ -100,10 +100,10 @@
         self._daemon_count = daemons
         self._tables: list[fakes.FakeTable] = []
         self._scopes: list[trio.CancelScope] = []
-        self.daemons: list[CallDaemon] = []
+        self.daemons: list[CallPathDaemon] = []
         self.max_propagation_delay_s = 0.0
         self.results: Counter[str] = Counter()
-        self.faults_found: list[str] = []
+        self.violation_messages: list[str] = []
         self._request_count = 0
 
     async def start(self) -> None:
@@ -278,7 +278,7 @@
 
     def _verify(self, condition: bool, request_id: str, text: str) -> None:
         if not condition:
-            self.faults_found.append(f'{request_id}: {text}')
+            self.violation_messages.append(f'{request_id}: {text}')
 
     async def _verify_later(self, request_id: str) -> None:
         await trio.sleep(20.0)
@@ -288,8 +288,8 @@
             'ran after not-run',
         )
 
-    def _build_daemon(self, index: int, member: Member) -> CallDaemon:
-        daemon = CallDaemon(
+    def _build_daemon(self, index: int, member: Member) -> CallPathDaemon:
+        daemon = CallPathDaemon(
             member,
             self._tables[index],
             lambda info: MemoryNetwork(self.hub, info),
@@ -410,14 +410,14 @@
             load = daemon.runner.load
             if load.in_flight or load.queued:
                 name = daemon.membership.me.id
-                trial.faults_found.append(
+                trial.violation_messages.append(
                     f'{name}: calls are left at the end: {load}'
                 )
         nursery.cancel_scope.cancel()
     return trial
 
 
-def check(trial: CallTrial) -> None:
+def raise_on_violations(trial: CallTrial) -> None:
     """Raise an error if a trial has violated invariants.
 
     Raises
@@ -425,5 +425,5 @@
     AssertionError
         If there are violations; lists all of them.
     """
-    if trial.faults_found:
-        raise AssertionError('\n'.join(trial.faults_found))
+    if trial.violation_messages:
+        raise AssertionError('\n'.join(trial.violation_messages))
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -61,13 +61,13 @@
     def __init__(self, rng: Random) -> None:
         self._rng = rng
         self.runs: dict[str, int] = {}
-        self.by_address: dict[str, int] = {}
-        self.mean_s = 0.01
-        # Mean by address of the backend server; default `mean_s`.
-        self.mean_by_address: dict[str, float] = {}
+        self.runs_by_address: dict[str, int] = {}
+        self.mean_service_time_s = 0.01
+        # Mean by address of the backend server; default `mean_service_time_s`.
+        self.mean_service_time_by_address: dict[str, float] = {}
         # Whether every service time is the mean instead of exponentially
         # distributed.
-        self.constant = False
+        self.constant_service_time = False
         self.reset_rate = 0.0
         self.break_rate = 0.0
         self.unreachable_rate = 0.0
@@ -76,9 +76,9 @@
         # Status by address of the backend server; default 200.
         self.status: dict[str, int] = {}
         # Addresses whose requests get no response.
-        self.hang: set[str] = set()
+        self.hanging_addresses: set[str] = set()
         # Addresses whose responses are truncated.
-        self.broken: set[str] = set()
+        self.truncating_addresses: set[str] = set()
 
     def client(self, address: str) -> MemoryBackendClient:
         """Return a client; passed to the runner as ``connect``."""
@@ -98,8 +98,10 @@
         on_send()
         request_id = dict(headers)[b'x-request'].decode()
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
-        self.by_address[address] = self.by_address.get(address, 0) + 1
-        if address in self.hang:
+        self.runs_by_address[address] = (
+            self.runs_by_address.get(address, 0) + 1
+        )
+        if address in self.hanging_addresses:
             await trio.sleep_forever()
         await trio.sleep(self._service_time_s(address))
         if self._rng.random() < self.reset_rate:
@@ -115,10 +117,12 @@
         )
 
     def _service_time_s(self, address: str) -> float:
-        mean_s = self.mean_by_address.get(address, self.mean_s)
-        if self.constant:
-            return mean_s
-        return self._rng.expovariate(1 / mean_s)
+        mean_service_time_s = self.mean_service_time_by_address.get(
+            address, self.mean_service_time_s
+        )
+        if self.constant_service_time:
+            return mean_service_time_s
+        return self._rng.expovariate(1 / mean_service_time_s)
 
     async def _body(
         self, address: str, body: bytes
@@ -126,7 +130,10 @@
         half = len(body) // 2
         yield body[:half]
         await trio.sleep(self._service_time_s(address))
-        if address in self.broken or self._rng.random() < self.break_rate:
+        if (
+            address in self.truncating_addresses
+            or self._rng.random() < self.break_rate
+        ):
             raise _backend_client.BackendResetError('response truncated')
         yield body[half:]
 
@@ -155,7 +162,7 @@
         """Do nothing, as there are no connections."""
 
 
-class CallDaemon:
+class CallPathDaemon:
     """The services ``caller``, ``runner`` and ``announcements``.
 
     Parameters
@@ -275,7 +282,7 @@
 @contextlib.asynccontextmanager
 async def open_daemons(
     backend: str, snapshot: Snapshot, count: int = 2
-) -> AsyncIterator[list[CallDaemon]]:
+) -> AsyncIterator[list[CallPathDaemon]]:
     """Run daemons that listen for callers; the last has a backend server.
 
     Parameters
@@ -291,7 +298,7 @@
         hub = MemoryHub(nursery)
         table = fakes.FakeTable()
         daemons = [
-            CallDaemon(
+            CallPathDaemon(
                 builders.build_member(index),
                 table,
                 lambda info: MemoryNetwork(hub, info),
--- a/gypsumhall/testing/echo_peer.py
+++ b/gypsumhall/testing/echo_peer.py
@@ -25,16 +25,14 @@
 _started_calls = 0
 
 
-async def answer_floor(
+async def reply_to_floor_request(
     exchange: Exchange, message: _messages.FloorRequest
 ) -> None:
     """Reply to a `FloorRequest` with the number of started calls."""
     await exchange.send(_messages.Floor(_started_calls, 2))
 
 
-async def answer_call(
-    exchange: Exchange, message: _messages.CallStart
-) -> None:
+async def echo_call(exchange: Exchange, message: _messages.CallStart) -> None:
     """Respond to a call with the body of its request."""
     global _started_calls
     _started_calls += 1
@@ -56,8 +54,8 @@
     network = Network(
         PeerSettings(f'echo-{index}', 'az-1', 1, '127.0.0.1:0', (KEY,))
     )
-    network.on(_messages.FloorRequest, answer_floor)
-    network.on(_messages.CallStart, answer_call)
+    network.on(_messages.FloorRequest, reply_to_floor_request)
+    network.on(_messages.CallStart, echo_call)
     return network
 
 
--- a/gypsumhall/testing/processes.py
+++ b/gypsumhall/testing/processes.py
@@ -23,7 +23,7 @@
 import httpcore
 import trio
 
-from gypsumhall.testing.relay import Network
+from gypsumhall.testing.relay import NetworkFaults
 from gypsumhall.testing.relay import Relay
 
 if TYPE_CHECKING:
@@ -120,7 +120,7 @@
         Availability zones.
     vms : dict of str to Vm
         VMs by name.
-    links : Network or None
+    network_faults : NetworkFaults or None
         Network faults between zones and between a zone and the platform;
         None for a fleet without relays.
     """
@@ -129,7 +129,7 @@
     second_octet: int
     zones: tuple[str, ...]
     vms: dict[str, Vm] = field(default_factory=dict)
-    links: Network | None = None
+    network_faults: NetworkFaults | None = None
     _nursery: trio.Nursery | None = None
     _processes: dict[str, _FleetProcess] = field(default_factory=dict)
     # A process may close an idle connection at any time, in particular after
@@ -196,7 +196,7 @@
         ]
         listen_address = vm.peer_address
         platform = self.platform_address
-        if self.links is not None:
+        if self.network_faults is not None:
             listen_address = f'{vm.ip}:{RELAYED_PEER_PORT}'
             platform = self._zone_gateway(vm.zone)
         await self._start(
@@ -220,15 +220,20 @@
 
     async def start_relays(self) -> None:
         """Start relays for the platform and for all VMs added so far."""
-        if self.links is None or self._nursery is None:
+        if self.network_faults is None or self._nursery is None:
             raise ProcessError('the fleet was opened without relays')
         for zone in self.zones:
             relay = Relay(
-                self.links, 'platform', self.platform_address, source_zone=zone
+                self.network_faults,
+                'platform',
+                self.platform_address,
+                source_zone=zone,
             )
             await self._nursery.start(relay.serve, self._zone_gateway(zone))
         for vm in self.vms.values():
-            relay = Relay(self.links, vm.zone, f'{vm.ip}:{RELAYED_PEER_PORT}')
+            relay = Relay(
+                self.network_faults, vm.zone, f'{vm.ip}:{RELAYED_PEER_PORT}'
+            )
             await self._nursery.start(relay.serve, vm.peer_address)
 
     def zone_of(self, ip: str) -> str:
@@ -280,7 +285,7 @@
             entry.is_suspended = False
         entry.process.send_signal(number)
 
-    async def wait_ended(self, name: str, timeout_s: float = 60.0) -> int:
+    async def wait_exit(self, name: str, timeout_s: float = 60.0) -> int:
         """Wait until a process exits and return its exit status."""
         with trio.move_on_after(timeout_s):
             return await self._processes[name].process.wait()
@@ -445,7 +450,7 @@
         fleet = Fleet(Path(name), _find_free_network(), tuple(zones))
         async with trio.open_nursery() as nursery:
             if relayed:
-                fleet.links = Network(fleet.zone_of)
+                fleet.network_faults = NetworkFaults(fleet.zone_of)
                 fleet._nursery = nursery
             try:
                 await fleet.start_platform()
--- a/gypsumhall/testing/relay.py
+++ b/gypsumhall/testing/relay.py
@@ -12,7 +12,7 @@
 _CHUNK_BYTES = 64 * 1024
 
 
-class Network:
+class NetworkFaults:
     """Network partitions between zones; shared by all relays of a fleet.
 
     A partition delays all bytes in both directions, and new connections
@@ -36,7 +36,10 @@
 
     @property
     def epoch(self) -> int:
-        """Count of calls of `silence`; connections of earlier epochs stall."""
+        """Count of calls of `silence_open_connections`.
+
+        Connections that were opened in an earlier epoch stall.
+        """
         return self._epoch
 
     def zone_of(self, ip: str) -> str:
@@ -52,7 +55,7 @@
         self._partitioned_pairs.clear()
         self._notify_waiters()
 
-    def silence(self) -> None:
+    def silence_open_connections(self) -> None:
         """Stall all open connections permanently; new ones work."""
         self._epoch += 1
         self._notify_waiters()
@@ -77,7 +80,7 @@
 
     Parameters
     ----------
-    network : Network
+    network_faults : NetworkFaults
         Partitions that delay bytes.
     target_zone : str
         Zone of the listener behind the relay, or ``platform``.
@@ -87,16 +90,16 @@
         Zone of all clients; empty to derive it from their IP addresses.
     """
 
-    __slots__ = ('_network', '_source_zone', '_target', '_target_zone')
+    __slots__ = ('_network_faults', '_source_zone', '_target', '_target_zone')
 
     def __init__(
         self,
-        network: Network,
+        network_faults: NetworkFaults,
         target_zone: str,
         target: str,
         source_zone: str = '',
     ) -> None:
-        self._network = network
+        self._network_faults = network_faults
         self._target_zone = target_zone
         self._target = target
         self._source_zone = source_zone
@@ -116,11 +119,11 @@
 
     async def _forward(self, client: trio.SocketStream) -> None:
         ip = client.socket.getpeername()[0]
-        source_zone = self._source_zone or self._network.zone_of(ip)
-        epoch = self._network.epoch
+        source_zone = self._source_zone or self._network_faults.zone_of(ip)
+        epoch = self._network_faults.epoch
         host, _, port = self._target.rpartition(':')
         async with client:
-            await self._network.wait_until_connected(
+            await self._network_faults.wait_until_connected(
                 source_zone, self._target_zone, epoch
             )
             try:
@@ -145,7 +148,7 @@
         try:
             while True:
                 data = await receiver.receive_some(_CHUNK_BYTES)
-                await self._network.wait_until_connected(
+                await self._network_faults.wait_until_connected(
                     source_zone, self._target_zone, epoch
                 )
                 if not data:
--- a/gypsumhall/testing/scenario.py
+++ b/gypsumhall/testing/scenario.py
@@ -346,13 +346,13 @@
             for name in (vm.name, backend_name(vm.name)):
                 if self._fleet.is_running(name):
                     self._fleet.signal(name, signal.SIGKILL)
-                    await self._fleet.wait_ended(name)
+                    await self._fleet.wait_exit(name)
 
     async def _kill_daemon(self, names: tuple[str, ...]) -> None:
         """Kill daemons but not their backend servers."""
         for vm in self._select_vms(names):
             self._fleet.signal(vm.name, signal.SIGKILL)
-            await self._fleet.wait_ended(vm.name)
+            await self._fleet.wait_exit(vm.name)
 
     async def _freeze(self, names: tuple[str, ...]) -> None:
         """Suspend daemons with SIGSTOP."""
@@ -378,7 +378,7 @@
         for name in processes:
             self._fleet.signal(name, signal.SIGTERM)
         for name in processes:
-            status = await self._fleet.wait_ended(name)
+            status = await self._fleet.wait_exit(name)
             if status != 0:
                 raise ExpectationError(
                     f'{name} exited with status {status}:\n'
@@ -389,18 +389,18 @@
 
     async def _cut(self, cut: Cut) -> None:
         """Partition two zones, or a zone and the platform."""
-        assert self._fleet.links is not None
-        self._fleet.links.cut(*cut.between)
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.cut(*cut.between)
 
     async def _heal(self, _: bool) -> None:
         """End all partitions."""
-        assert self._fleet.links is not None
-        self._fleet.links.heal()
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.heal()
 
     async def _silence(self, _: bool) -> None:
         """Stall all open connections between daemons permanently."""
-        assert self._fleet.links is not None
-        self._fleet.links.silence()
+        assert self._fleet.network_faults is not None
+        self._fleet.network_faults.silence_open_connections()
 
     async def _platform(self, faults: dict[str, Any]) -> None:
         """Set the injected faults of the platform."""
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -57,8 +57,8 @@
             PeerSettings(name, 'az-1', 1, '127.0.0.1:0', **values),
             lambda code, **fields: self.events.append(code),
         )
-        self.on(_messages.FloorRequest, echo_peer.answer_floor)
-        self.on(_messages.CallStart, echo_peer.answer_call)
+        self.on(_messages.FloorRequest, echo_peer.reply_to_floor_request)
+        self.on(_messages.CallStart, echo_peer.echo_call)
 
     async def floor(self, address: str) -> int:
         """Return the number of calls that a process has started."""
--- a/tests/test_services_backend_client.py
+++ b/tests/test_services_backend_client.py
@@ -16,7 +16,7 @@
 from gypsumhall.services import _calls
 from gypsumhall.testing import builders
 from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.daemons import open_daemons
 
 if TYPE_CHECKING:
@@ -120,7 +120,7 @@
 
 
 async def _call(
-    daemon: CallDaemon, path: str, method: str = 'POST'
+    daemon: CallPathDaemon, path: str, method: str = 'POST'
 ) -> tuple[int, str]:
     """Return the status and outcome; status 0 if the body is incomplete."""
     async with httpcore.AsyncConnectionPool() as pool:
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -19,7 +19,7 @@
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.daemons import open_daemons
 from gypsumhall.testing.memory_network import MemoryHub
@@ -46,7 +46,7 @@
 @contextlib.asynccontextmanager
 async def _daemons(
     backend: str, *, remote: bool = True
-) -> AsyncIterator[list[CallDaemon]]:
+) -> AsyncIterator[list[CallPathDaemon]]:
     """Run a daemon with a backend server, preceded by one without."""
     count = 2 if remote else 1
     with trio.fail_after(_WAIT_S):
@@ -275,7 +275,7 @@
 @contextlib.asynccontextmanager
 async def _backend_and_daemons(
     service_time_ms: float,
-) -> AsyncIterator[tuple[BackendServer, list[CallDaemon], trio.Nursery]]:
+) -> AsyncIterator[tuple[BackendServer, list[CallPathDaemon], trio.Nursery]]:
     async with trio.open_nursery() as nursery:
         server = BackendServer(
             BackendSettings(
@@ -366,12 +366,12 @@
 ) -> None:
     """Guards against a failure response while the endpoint still runs."""
     backend = MemoryBackend(Random(0))
-    backend.constant = True
+    backend.constant_service_time = True
     # The head takes this time, and the body takes as long.
-    backend.mean_s = 0.295
+    backend.mean_service_time_s = 0.295
     async with trio.open_nursery() as nursery:
         hub = MemoryHub(nursery)
-        daemon = CallDaemon(
+        daemon = CallPathDaemon(
             builders.build_member(0),
             fakes.FakeTable(),
             lambda info: MemoryNetwork(hub, info),
@@ -410,7 +410,7 @@
 async def _two_services(
     drain_delay_s: float = 0.0,
     drain_timeout_s: float = 30.0,
-) -> AsyncIterator[list[CallDaemon]]:
+) -> AsyncIterator[list[CallPathDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
     snapshot = build_snapshot(routes=(_SEARCH_ROUTE, _NESTED_ROUTE))
     with trio.fail_after(_WAIT_S):
@@ -423,7 +423,7 @@
                 settings = BackendSettings(name, 'v1', service_time_ms=time_ms)
                 server = BackendServer(settings)
                 address = await nursery.start(server.run)
-                daemon = CallDaemon(
+                daemon = CallPathDaemon(
                     builders.build_member(index),
                     table,
                     lambda info: MemoryNetwork(hub, info),
--- a/tests/test_services_graceful_shutdown.py
+++ b/tests/test_services_graceful_shutdown.py
@@ -17,7 +17,7 @@
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.memory_network import MemoryHub
 from gypsumhall.testing.memory_network import MemoryNetwork
@@ -42,7 +42,7 @@
     snapshot: Snapshot | None = None,
     start_other: trio.Event | None = None,
     **settings: Any,
-) -> AsyncIterator[tuple[CallDaemon, trio.Event]]:
+) -> AsyncIterator[tuple[CallPathDaemon, trio.Event]]:
     """Run a daemon; the event yielded is set when its kernel has ended.
 
     Setting the event ``start_other`` starts a second daemon with an endpoint.
@@ -56,7 +56,7 @@
 
             async def run_other() -> None:
                 await start_other.wait()
-                daemon = CallDaemon(
+                daemon = CallPathDaemon(
                     builders.build_member(1),
                     table,
                     lambda info: MemoryNetwork(hub, info),
@@ -68,7 +68,7 @@
 
             if start_other is not None:
                 nursery.start_soon(run_other)
-            daemon = CallDaemon(
+            daemon = CallPathDaemon(
                 builders.build_member(0),
                 table,
                 lambda info: MemoryNetwork(hub, info),
@@ -95,7 +95,7 @@
     ).encode()
 
 
-async def _connect(daemon: CallDaemon) -> trio.SocketStream:
+async def _connect(daemon: CallPathDaemon) -> trio.SocketStream:
     host, _, port = daemon.caller.address.rpartition(':')
     return await trio.open_tcp_stream(host, int(port))
 
@@ -122,7 +122,7 @@
 ) -> None:
     """Connections must not be cancelled before the error response is sent."""
     backend = MemoryBackend(Random(1))
-    backend.mean_s, backend.constant = 0.2, True
+    backend.mean_service_time_s, backend.constant_service_time = 0.2, True
     backend.reset_rate = 1.0
     # Without idempotency keys to hand over, a daemon ends at once.
     dialect = Dialect(key=b'')
@@ -148,7 +148,7 @@
     the end of its shutdown.
     """
     backend = MemoryBackend(Random(1))
-    backend.hang.add(_ADDRESS)
+    backend.hanging_addresses.add(_ADDRESS)
     async with _run_daemon(backend, drain_timeout_s=timeout_s) as (
         daemon,
         ended,
@@ -202,7 +202,7 @@
 
     monkeypatch.setattr(trio.SocketStream, 'receive_some', recording_receive)
     backend = MemoryBackend(Random(1))
-    backend.mean_s, backend.constant = 0.0, True
+    backend.mean_service_time_s, backend.constant_service_time = 0.0, True
     async with _run_daemon(backend) as (daemon, ended):
         host, _, port = daemon.caller.address.rpartition(':')
         with socket.create_connection((host, int(port))) as caller:
@@ -265,7 +265,7 @@
     server = _FakeHttpServer()
     monkeypatch.setattr(_http_server, 'serve', server.serve)
     backend = MemoryBackend(Random(1))
-    backend.mean_s, backend.constant = busy_s, True
+    backend.mean_service_time_s, backend.constant_service_time = busy_s, True
     snapshot = build_snapshot(routes=(_LONG, _NESTED))
     async with (
         _run_daemon(backend, snapshot, start_other, **settings) as (daemon, _),
@@ -273,7 +273,7 @@
     ):
         nursery.start_soon(server.get, '/search', 10_000)
         await _wait_until_running(backend)
-        backend.mean_s = 0.01
+        backend.mean_service_time_s = 0.01
         start_other.set()
         await trio.sleep(0.1)
         daemon.kernel.stop()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -53,14 +53,14 @@
         await trial.start()
         await trio.sleep(20.0)
         yield trial
-        call_trial.check(trial)
+        call_trial.raise_on_violations(trial)
         nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize('seed', range(8))
 async def test_random_faults(autojump_clock: MockClock, seed: int) -> None:
     trial = await call_trial.run_trial(seed, 300, restarts=seed % 4)
-    call_trial.check(trial)
+    call_trial.raise_on_violations(trial)
     assert trial.results['response'] > 200
 
 
@@ -199,7 +199,7 @@
 ) -> None:
     """The caller got its response 1.25 s after the limit of the route."""
     async with _trial(daemons=2) as trial:
-        trial.backend.hang.add('backend-0')
+        trial.backend.hanging_addresses.add('backend-0')
         request = trial.request('r1', timeout_s=1.0)
         peer = trial.daemons[0].membership.me.peer_address
 
@@ -218,7 +218,7 @@
 ) -> None:
     """A restarted process does not know which requests the old one ran."""
     async with _trial(daemons=2) as trial:
-        trial.backend.mean_s = 2.0
+        trial.backend.mean_service_time_s = 2.0
         trial.hub.rule = _fault_on_message(AnswerStart, Fault.SILENCE)
         async with trio.open_nursery() as nursery:
             results = []
@@ -243,13 +243,13 @@
         if fault == 'status':
             trial.backend.status[new] = 500
         elif fault == 'hang':
-            trial.backend.hang.add(new)
+            trial.backend.hanging_addresses.add(new)
         else:
-            trial.backend.broken.add(new)
+            trial.backend.truncating_addresses.add(new)
         for index in range(30):
             request = trial.request(f'r{index}', method='GET')
             assert await trial.call(3, request) == 'response'
-        assert trial.backend.by_address[new] >= 5
+        assert trial.backend.runs_by_address[new] >= 5
         failed = [failed for _, _, failed in trial.daemons[2].moves.records]
         assert failed and all(failed)
 
@@ -259,9 +259,9 @@
 ) -> None:
     """They were cancelled at half of their time limit without a backup."""
     async with _trial(share=1.0) as trial:
-        trial.backend.constant = True
+        trial.backend.constant_service_time = True
         # The head takes this time, and the body as long again.
-        trial.backend.mean_s = 0.3
+        trial.backend.mean_service_time_s = 0.3
         for index in range(20):
             request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
             assert await trial.call(3, request) == 'response'
@@ -272,8 +272,8 @@
 ) -> None:
     """Backup attempts would take the slots of queued calls."""
     async with _trial(share=1.0) as trial:
-        trial.backend.constant = True
-        trial.backend.mean_s = 0.3
+        trial.backend.constant_service_time = True
+        trial.backend.mean_service_time_s = 0.3
         results: list[tuple[str, float]] = []
 
         async def call(number: int) -> None:
@@ -300,8 +300,8 @@
 ) -> None:
     """Each took a retry from the budget, so that failures got none."""
     async with _trial(share=0.3) as trial:
-        trial.backend.constant = True
-        trial.backend.mean_s = 0.3
+        trial.backend.constant_service_time = True
+        trial.backend.mean_service_time_s = 0.3
         sender = trial.daemons[3].runner.sender
         budget = sender._budget('availability')
         async with trio.open_nursery() as nursery:
@@ -323,14 +323,14 @@
     """The failure was forwarded and the first run cancelled."""
     async with _trial(share=1.0) as trial:
         backend = trial.backend
-        backend.constant = True
-        backend.mean_by_address['backend-2'] = 0.35
+        backend.constant_service_time = True
+        backend.mean_service_time_by_address['backend-2'] = 0.35
         backend.status = {'backend-0': 500, 'backend-1': 500}
         backups = 0
         for index in range(20):
-            before = backend.by_address.get('backend-2', 0)
+            before = backend.runs_by_address.get('backend-2', 0)
             status = await _status(trial, f'r{index}', attempts=2)
-            if backend.by_address.get('backend-2', 0) > before:
+            if backend.runs_by_address.get('backend-2', 0) > before:
                 backups += backend.runs[f'r{index}'] - 1
                 assert status == 200
         assert backups >= 5
@@ -342,11 +342,11 @@
     """Without this, a request ran on more endpoints than its route allows."""
     async with _trial(share=1.0) as trial:
         backend = trial.backend
-        backend.constant = True
+        backend.constant_service_time = True
         # The head arrives before the backup starts and the body after it.
-        backend.mean_by_address['backend-2'] = 0.4
+        backend.mean_service_time_by_address['backend-2'] = 0.4
         backend.status['backend-2'] = 500
-        backend.broken = {'backend-0', 'backend-1'}
+        backend.truncating_addresses = {'backend-0', 'backend-1'}
         for index in range(10):
             await _status(trial, f'r{index}', attempts=2)
         assert max(backend.runs.values()) == 2
@@ -358,8 +358,8 @@
     """A run with status 500 that was cancelled early counted as a success."""
     async with _trial(share=1.0) as trial:
         backend = trial.backend
-        backend.constant = True
-        backend.mean_by_address['backend-2'] = 0.1
+        backend.constant_service_time = True
+        backend.mean_service_time_by_address['backend-2'] = 0.1
         backend.status['backend-2'] = 500
         for index in range(5):
             request = trial.request(f'r{index}', method='GET')
@@ -378,7 +378,7 @@
     That biased the comparison of the versions.
     """
     async with _trial(daemons=3, share=0.5) as trial:
-        trial.backend.mean_s = 0.3
+        trial.backend.mean_service_time_s = 0.3
         for index in range(600):
             request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
             await trial.call(2, request)
@@ -402,11 +402,11 @@
             assert await trial.call(3, request) == 'response'
             keyed = trial.request(f'k{index}', key=f'k{index}')
             assert await trial.call(3, keyed) == 'response'
-        assert 'backend-2' not in trial.backend.by_address
+        assert 'backend-2' not in trial.backend.runs_by_address
         assert not any(daemon.moves.records for daemon in trial.daemons)
         trial.daemons[3].distribution.add_revert(Revert('spa/move', '', 'd0'))
         await trial.call(3, trial.request('g', method='GET'))
-        assert 'backend-2' not in trial.backend.by_address
+        assert 'backend-2' not in trial.backend.runs_by_address
 
 
 async def test_draining_endpoint_rejects_and_others_take_over(
@@ -422,7 +422,7 @@
             assert await trial.call(3, trial.request(f'r{index}')) == (
                 'response'
             )
-        assert 'backend-1' not in trial.backend.by_address
+        assert 'backend-1' not in trial.backend.runs_by_address
         rejections = leaving.metrics.value(
             'gypsumhall_runner_calls_total', result='draining'
         )
@@ -465,7 +465,7 @@
 ) -> None:
     """Calls beyond slots and queue are rejected and none of them is run."""
     async with _trial(daemons=2) as trial:
-        trial.backend.mean_s = 1.0
+        trial.backend.mean_service_time_s = 1.0
         async with trio.open_nursery() as nursery:
             for index in range(100):
                 request = trial.request(f'r{index}', timeout_s=30.0)
@@ -543,8 +543,8 @@
 ) -> None:
     """A call may be admitted at the moment at which it is cancelled."""
     async with _trial(daemons=2) as trial:
-        trial.backend.mean_s = 0.05
-        trial.backend.constant = True
+        trial.backend.mean_service_time_s = 0.05
+        trial.backend.constant_service_time = True
 
         async def call(index: int) -> None:
             # The calls end, and so admit the next, while others are
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -20,7 +20,7 @@
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
-from gypsumhall.testing.daemons import CallDaemon
+from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.memory_network import MemoryHub
 from gypsumhall.testing.memory_network import MemoryNetwork
 
@@ -36,9 +36,11 @@
 }
 
 
-async def _start_daemon(nursery: trio.Nursery, listen: str = '') -> CallDaemon:
+async def _start_daemon(
+    nursery: trio.Nursery, listen: str = ''
+) -> CallPathDaemon:
     hub = MemoryHub(nursery)
-    daemon = CallDaemon(
+    daemon = CallPathDaemon(
         builders.build_member(),
         fakes.FakeTable(),
         lambda info: MemoryNetwork(hub, info),
@@ -49,7 +51,7 @@
     return daemon
 
 
-async def _announce(daemon: CallDaemon, **changes: object) -> int:
+async def _announce(daemon: CallPathDaemon, **changes: object) -> int:
     body = json.dumps({**_ANNOUNCED, **changes}).encode()
     handler = daemon.admin.routes['POST', '/v1/announce']
     request = AdminRequest('POST', '/v1/announce', body=body)
