--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; none of them is a test."""
+"""Benchmarks, trials and mutation checks; not part of the test suite."""
--- a/benchmarks/bench_acceptance.py
+++ b/benchmarks/bench_acceptance.py
@@ -1,7 +1,8 @@
-"""Measures reading and acceptance of texts at the size of the design.
+"""Measures parsing and acceptance of texts at the design scale.
 
 Run it with ``python -m benchmarks.bench_acceptance``. It prints one line for
-each figure; the store is in memory, so the platform's own time is left out.
+each figure. The store is in memory, so the time of the platform is not
+included.
 """
 
 from __future__ import annotations
@@ -45,7 +46,7 @@
     return '\n'.join(lines) + '\n'
 
 
-def _measure_reading(sizes: tuple[int, ...]) -> None:
+def _measure_parsing(sizes: tuple[int, ...]) -> None:
     for services in sizes:
         text = _department_text(0, services, services // 4)
         start = time.perf_counter()
@@ -53,7 +54,7 @@
         seconds = time.perf_counter() - start
         assert not parsed.findings, parsed.findings[:3]
         print(
-            f'read {services} services, {len(text)} bytes: '
+            f'parse {services} services, {len(text)} bytes: '
             f'{seconds * 1000:.1f} ms, {len(text) / seconds / 1000:.0f} KB/s'
         )
 
@@ -89,7 +90,7 @@
     for _ in range(10):
         _accept.check_text(head, snapshot.fragments, parsed, time.time())
     print(
-        'check against all departments, without reading: '
+        'check against all departments, without parsing: '
         f'{(time.perf_counter() - start) * 100:.2f} ms'
     )
 
@@ -97,11 +98,11 @@
 def main() -> None:
     """Run all measurements."""
     settings = Settings('bench_acceptance', 'bench_acceptance.py [flags]')
-    departments = settings.integer('departments', 50, 'Departments.')
-    services = settings.integer('services', 38, 'Services of each.')
-    moves = settings.integer('moves', 10, 'Moves of each.')
+    departments = settings.integer('departments', 50, 'Number of departments.')
+    services = settings.integer('services', 38, 'Services per department.')
+    moves = settings.integer('moves', 10, 'Moves per department.')
     settings.parse([], os.environ)
-    _measure_reading((10, 100, 400))
+    _measure_parsing((10, 100, 400))
     trio.run(
         _measure_submissions, departments.value, services.value, moves.value
     )
--- a/benchmarks/bench_call.py
+++ b/benchmarks/bench_call.py
@@ -1,11 +1,12 @@
-"""Time and CPU that the daemons add to a call of a backend server.
+"""Latency and CPU time that the daemons add to a call.
 
 Starts real daemons in two zones: a caller's daemon without a backend server,
 and a daemon beside a stand-in backend server. An open-loop load sends half of
-its requests to the backend server directly, so that both kinds meet the same
-machine. It is sent first to the caller's daemon, so that each call passes two
-daemons (``remote``), then to the daemon beside the backend server (``local``).
-The bare exchange of two messages with a daemon is measured for comparison.
+its requests to the backend server directly, as a baseline under the same
+machine load. The other half goes to the caller's daemon first, so that each
+call passes two daemons (``remote``), and in a second load to the daemon beside
+the backend server (``local``). The round trip of two small messages with a
+daemon is measured for comparison.
 Run as ``python -m benchmarks.bench_call``.
 """
 
@@ -43,7 +44,7 @@
 _ZONES = ('az-1', 'az-2')
 _SLOTS = 64
 _IDLE_S = 4.0
-_EXCHANGES = 1000
+_ROUND_TRIPS = 1000
 _TEXT = """\
 department: spa
 services:
@@ -51,7 +52,7 @@
 routes:
   search: {host: spa.example, path: /search, service: availability}
 """
-_KIND = {'name': 'search', 'host': 'spa.example', 'path': '/search/1'}
+_REQUEST_KIND = {'name': 'search', 'host': 'spa.example', 'path': '/search/1'}
 
 
 def _cpu_s(pid: int) -> float:
@@ -60,7 +61,7 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
 
 
-async def _start(fleet: Fleet) -> tuple[Vm, Vm]:
+async def _start_daemons(fleet: Fleet) -> tuple[Vm, Vm]:
     caller = fleet.add_vm('caller', 'az-1')
     runner = fleet.add_vm('runner', 'az-2', 'availability', 'v1')
     for vm in (caller, runner):
@@ -78,7 +79,9 @@
         {'GYPSUMHALL_TOKEN': 'benchmark-token'},
     )
     if result.returncode:
-        raise app.UsageError(f'submit failed: {result.stderr.decode()}')
+        raise app.UsageError(
+            f'submission of the text failed: {result.stderr.decode()}'
+        )
     for vm in (caller, runner):
         while True:
             status = await fleet.status(vm)
@@ -88,8 +91,10 @@
     return caller, runner
 
 
-async def _cpu_per_s(fleet: Fleet, names: Sequence[str]) -> dict[str, float]:
-    """Return the CPU time that idle daemons use, in seconds per second."""
+async def _measure_idle_cpu(
+    fleet: Fleet, names: Sequence[str]
+) -> dict[str, float]:
+    """Return the CPU time of idle daemons, in seconds per second."""
     before = {name: _cpu_s(fleet.pid(name)) for name in names}
     await trio.sleep(_IDLE_S)
     return {
@@ -106,7 +111,7 @@
         'gypsumhall.cli.load',
         [
             f'--targets={target.caller_address}',
-            f'--kind={json.dumps(_KIND)}',
+            f'--kind={json.dumps(_REQUEST_KIND)}',
             f'--rate_per_s={_RATE.value}',
             f'--seconds={_SECONDS.value}',
             f'--seed={_SEED.value}',
@@ -115,7 +120,9 @@
         ],
     )
     if not result.stdout:
-        raise app.UsageError(f'load failed: {result.stderr.decode()}')
+        raise app.UsageError(
+            f'load generator printed no report: {result.stderr.decode()}'
+        )
     report = json.loads(result.stdout)
     calls = report['latency_ms']['calls']['count']
     cpu = {
@@ -135,8 +142,8 @@
     }
 
 
-async def _exchange_ms(fleet: Fleet, runner: Vm) -> dict[str, float]:
-    """Measure one small message each way with a daemon, without a call."""
+async def _measure_round_trip(fleet: Fleet, runner: Vm) -> dict[str, float]:
+    """Return percentiles of a request and its reply, in milliseconds."""
     ip = runner.ip.rpartition('.')[0] + '.250'
     settings = PeerSettings(
         'benchmark', 'az-1', 1, f'{ip}:0', (SHARED_KEY.encode(),)
@@ -146,7 +153,7 @@
     rng = Random(_SEED.value)  # noqa: S311
     async with trio.open_nursery() as nursery:
         await nursery.start(network.serve)
-        for _ in range(_EXCHANGES):
+        for _ in range(_ROUND_TRIPS):
             await trio.sleep(rng.expovariate(_RATE.value))
             started = time.perf_counter()
             await network.request(
@@ -164,12 +171,12 @@
 async def _run() -> list[dict[str, Any]]:
     reports = []
     async with open_fleet(_ZONES) as fleet:
-        caller, runner = await _start(fleet)
-        idle = await _cpu_per_s(fleet, (caller.name, runner.name))
+        caller, runner = await _start_daemons(fleet)
+        idle = await _measure_idle_cpu(fleet, (caller.name, runner.name))
         for _ in range(_ROUNDS.value):
             reports.append(
                 {
-                    'exchange_ms': await _exchange_ms(fleet, runner),
+                    'exchange_ms': await _measure_round_trip(fleet, runner),
                     'remote': await _measure(fleet, caller, runner, idle),
                     'local': await _measure(fleet, runner, runner, idle),
                 }
--- a/benchmarks/bench_calls_under_faults.py
+++ b/benchmarks/bench_calls_under_faults.py
@@ -1,13 +1,15 @@
 """Calls of real daemons under repeated faults, with a check of each request.
 
-Twelve daemons in three zones behind relays get requests that are idempotent,
-non-idempotent or keyed, while daemons and backend servers are killed and
-suspended, daemons stop as planned, zones are cut, connections go silent and
-the platform fails. The backend servers note each run in a file, so that the
-runs of killed ones count too. Run as
+Twelve daemons in three zones, connected through relays, receive idempotent,
+non-idempotent and keyed requests. Meanwhile daemons and backend servers are
+killed and suspended, daemons shut down gracefully, zones are partitioned,
+relays stop forwarding on open connections and the platform fails. The backend
+servers log each execution to a file, so that executions by killed backend
+servers count too. Run as
 ``python -m benchmarks.bench_calls_under_faults --seed 1``; the exit status is
-1 when a request ran twice, a refusal was false, a response was crossed or
-partial, or a planned stop failed.
+1 when a request was executed twice, a request that was reported as not
+executed was executed, a response was partial or belonged to another request,
+or a graceful shutdown failed.
 """
 
 from __future__ import annotations
@@ -42,15 +44,19 @@
 _SEED = flags.DEFINE_integer('seed', 1, 'Seed of the load and the faults.')
 _SECONDS = flags.DEFINE_float('seconds', 180.0, 'Duration of the load.')
 _RATE = flags.DEFINE_float('rate_per_s', 125.0, 'Arrivals per second.')
-_PAUSE_S = flags.DEFINE_float('pause_s', 2.5, 'Mean time between faults.')
+_PAUSE_S = flags.DEFINE_float(
+    'pause_s', 2.5, 'Mean time between faults, in seconds.'
+)
 _FAULTS = flags.DEFINE_list('faults', [], 'Faults to use; all when empty.')
-_KEEP = flags.DEFINE_string('keep', '', 'Directory for the logs.')
+_LOG_DIRECTORY = flags.DEFINE_string(
+    'keep', '', 'Directory that the logs are copied to.'
+)
 
 _ZONES = ('az-1', 'az-2', 'az-3')
 _SERVICES = ('availability', 'bookings')
 _PER_ZONE = 2
-# At most so many faults at a time; more would leave nothing to call.
-_MOST_FAULTS = 2
+# With more concurrent faults, no backend server would be reachable.
+_MAX_CONCURRENT_FAULTS = 2
 _TEXT = """\
 department: spa
 services:
@@ -61,7 +67,7 @@
     {host: spa.example, path: /search, service: availability, timeout: 8s}
   book: {host: spa.example, path: /book, service: bookings, timeout: 8s}
 """
-_KINDS: tuple[dict[str, Any], ...] = (
+_REQUEST_KINDS: tuple[dict[str, Any], ...] = (
     {'name': 'search', 'path': '/search/1', 'weight': 4},
     {'name': 'search-large', 'path': '/search/2?size=200000', 'weight': 1},
     {
@@ -91,17 +97,17 @@
 )
 
 
-class _Chaos:
-    """Brings about faults, each of which ends after a few seconds."""
+class _FaultInjector:
+    """Injects random faults, each for a few seconds."""
 
     def __init__(self, fleet: Fleet, rng: Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        # Processes with a fault; a second one at the same time would only
-        # hide the first.
-        self._busy: set[str] = set()
+        # VMs with a fault; a second fault of the same VM would mask the
+        # first.
+        self._faulty_vms: set[str] = set()
         self.counts: Counter[str] = Counter()
-        self.bad_stops: list[str] = []
+        self.failed_shutdowns: list[str] = []
         self._faults: dict[str, Callable[[], Awaitable[None]]] = {
             'kill-daemon': self._kill_daemon,
             'kill-backend': self._kill_backend,
@@ -115,18 +121,18 @@
         }
 
     async def run(self) -> None:
-        """Bring about faults until cancelled."""
+        """Inject faults until cancelled."""
         names = _FAULTS.value or list(self._faults)
-        limit = trio.Semaphore(_MOST_FAULTS)
+        limit = trio.Semaphore(_MAX_CONCURRENT_FAULTS)
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self._rng.expovariate(1 / _PAUSE_S.value))
                 await limit.acquire()
                 name = self._rng.choice(names)
                 self.counts[name] += 1
-                nursery.start_soon(self._one, self._faults[name], limit)
+                nursery.start_soon(self._inject, self._faults[name], limit)
 
-    async def _one(
+    async def _inject(
         self, fault: Callable[[], Awaitable[None]], limit: trio.Semaphore
     ) -> None:
         try:
@@ -134,93 +140,97 @@
         finally:
             limit.release()
 
-    def _pick(self) -> Vm:
-        free = [
-            vm for vm in self._fleet.vms.values() if vm.name not in self._busy
+    def _pick_vm(self) -> Vm:
+        candidates = [
+            vm
+            for vm in self._fleet.vms.values()
+            if vm.name not in self._faulty_vms
         ]
-        vm = self._rng.choice(free)
-        self._busy.add(vm.name)
+        vm = self._rng.choice(candidates)
+        self._faulty_vms.add(vm.name)
         return vm
 
-    async def _wait(self, low_s: float = 3.0, high_s: float = 6.0) -> None:
+    async def _sleep(self, low_s: float = 3.0, high_s: float = 6.0) -> None:
         await trio.sleep(self._rng.uniform(low_s, high_s))
 
     async def _kill_daemon(self) -> None:
-        vm = self._pick()
+        vm = self._pick_vm()
         self._fleet.signal(vm.name, signal.SIGKILL)
         await self._fleet.wait_ended(vm.name)
-        await self._wait(0.0, 4.0)
+        await self._sleep(0.0, 4.0)
         await self._fleet.start_daemon(vm)
         await self._fleet.wait_listening(vm.admin_address, vm.name)
-        await self._wait()
-        self._busy.remove(vm.name)
+        await self._sleep()
+        self._faulty_vms.remove(vm.name)
 
     async def _stop_daemon(self) -> None:
-        vm = self._pick()
+        vm = self._pick_vm()
         self._fleet.signal(vm.name, signal.SIGTERM)
         status = await self._fleet.wait_ended(vm.name)
         if status:
-            self.bad_stops.append(f'{vm.name} ended with status {status}')
-        await self._wait(0.0, 4.0)
+            self.failed_shutdowns.append(
+                f'{vm.name} exited with status {status}'
+            )
+        await self._sleep(0.0, 4.0)
         await self._fleet.start_daemon(vm)
         await self._fleet.wait_listening(vm.admin_address, vm.name)
-        await self._wait()
-        self._busy.remove(vm.name)
+        await self._sleep()
+        self._faulty_vms.remove(vm.name)
 
     async def _kill_backend(self) -> None:
-        vm = self._pick()
+        vm = self._pick_vm()
         name = backend_name(vm.name)
         self._fleet.signal(name, signal.SIGKILL)
         await self._fleet.wait_ended(name)
-        await self._wait(0.0, 4.0)
+        await self._sleep(0.0, 4.0)
         await _start_backend(self._fleet, vm)
         await self._fleet.wait_listening(vm.backend_address, name)
-        await self._wait(2.0, 3.0)
-        self._busy.remove(vm.name)
+        await self._sleep(2.0, 3.0)
+        self._faulty_vms.remove(vm.name)
 
     async def _freeze_daemon(self) -> None:
-        vm = self._pick()
+        vm = self._pick_vm()
         await self._freeze(vm.name)
-        self._busy.remove(vm.name)
+        self._faulty_vms.remove(vm.name)
 
     async def _freeze_backend(self) -> None:
-        vm = self._pick()
+        vm = self._pick_vm()
         await self._freeze(backend_name(vm.name))
-        self._busy.remove(vm.name)
+        self._faulty_vms.remove(vm.name)
 
     async def _freeze(self, name: str) -> None:
         self._fleet.signal(name, signal.SIGSTOP)
         try:
-            await self._wait()
+            await self._sleep()
         finally:
             self._fleet.signal(name, signal.SIGCONT)
 
     async def _silence(self) -> None:
         assert self._fleet.links is not None
         self._fleet.links.silence()
-        await self._wait()
+        await self._sleep()
 
     async def _cut(self) -> None:
         assert self._fleet.links is not None
         self._fleet.links.cut(*self._rng.sample((*_ZONES, 'platform'), 2))
-        await self._wait()
+        await self._sleep()
         self._fleet.links.heal()
 
     async def _platform(self) -> None:
         address = self._fleet.platform_address
         await self._fleet.set_faults(address, {'outage': True})
-        await self._wait()
+        await self._sleep()
         await self._fleet.set_faults(
             address, {'outage': False, 'lapse_leases': True}
         )
 
     async def _backend_faults(self) -> None:
-        vm = self._pick()
+        vm = self._pick_vm()
         kind = self._rng.choice(['crash_rate', 'break_rate'])
         await self._fleet.set_faults(vm.backend_address, {kind: 0.3})
-        await self._wait()
+        await self._sleep()
         await self._fleet.set_faults(vm.backend_address, {})
-        self._busy.remove(vm.name)
+        self._faulty_vms.remove(vm.name)
 
 
 def _run_log(fleet: Fleet, vm: Vm) -> Path:
@@ -232,7 +242,7 @@
     await fleet.start_backend(vm, flags_)
 
 
-async def _start(fleet: Fleet) -> None:
+async def _start_fleet(fleet: Fleet) -> None:
     for zone in _ZONES:
         for service in _SERVICES:
             for number in range(_PER_ZONE):
@@ -254,7 +264,9 @@
         {'GYPSUMHALL_TOKEN': 'benchmark-token'},
     )
     if result.returncode:
-        raise app.UsageError(f'submit failed: {result.stderr.decode()}')
+        raise app.UsageError(
+            f'submission of the text failed: {result.stderr.decode()}'
+        )
     for vm in vms:
         while True:
             status = await fleet.status(vm)
@@ -264,7 +276,7 @@
             await trio.sleep(0.1)
 
 
-async def _load(fleet: Fleet) -> dict[str, Any]:
+async def _run_load(fleet: Fleet) -> dict[str, Any]:
     vms = list(fleet.vms.values())
     result = await fleet.run_binary(
         'gypsumhall.cli.load',
@@ -272,7 +284,7 @@
             f'--targets={",".join(vm.caller_address for vm in vms)}',
             *(
                 f'--kind={json.dumps({"host": "spa.example", **kind})}'
-                for kind in _KINDS
+                for kind in _REQUEST_KINDS
             ),
             f'--rate_per_s={_RATE.value}',
             f'--seconds={_SECONDS.value}',
@@ -281,7 +293,9 @@
         ],
     )
     if not result.stdout:
-        raise app.UsageError(f'load failed: {result.stderr.decode()}')
+        raise app.UsageError(
+            f'load generator printed no report: {result.stderr.decode()}'
+        )
     report: dict[str, Any] = json.loads(result.stdout)
     return report
 
@@ -289,20 +303,24 @@
 async def _run() -> dict[str, Any]:
     started = time.monotonic()
     async with open_fleet(_ZONES, relayed=True) as fleet:
-        await _start(fleet)
-        chaos = _Chaos(fleet, Random(_SEED.value))  # noqa: S311
+        await _start_fleet(fleet)
+        injector = _FaultInjector(fleet, Random(_SEED.value))  # noqa: S311
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(chaos.run)
-            report = await _load(fleet)
+            nursery.start_soon(injector.run)
+            report = await _run_load(fleet)
             nursery.cancel_scope.cancel()
-        ended = [vm.name for vm in fleet.vms.values()]
-        ended = [name for name in ended if not fleet.is_running(name)]
-        if _KEEP.value:
-            shutil.copytree(fleet.directory, _KEEP.value, dirs_exist_ok=True)
+        stopped_names = [vm.name for vm in fleet.vms.values()]
+        stopped_names = [
+            name for name in stopped_names if not fleet.is_running(name)
+        ]
+        if _LOG_DIRECTORY.value:
+            shutil.copytree(
+                fleet.directory, _LOG_DIRECTORY.value, dirs_exist_ok=True
+            )
     report['seed'] = _SEED.value
-    report['faults'] = dict(chaos.counts)
-    report['bad_stops'] = chaos.bad_stops
-    report['not_running_at_end'] = ended
+    report['faults'] = dict(injector.counts)
+    report['bad_stops'] = injector.failed_shutdowns
+    report['not_running_at_end'] = stopped_names
     report['load_average'] = os.getloadavg()
     report['total_s'] = round(time.monotonic() - started, 1)
     return report
--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -1,7 +1,7 @@
-"""Figures for docs/CAPACITY.md: real modules and processes at several sizes.
+"""Figures for docs/CAPACITY.md, measured at several sizes.
 
-Runs the parts of the other benchmarks and fleets of real processes at growing
-sizes, fits straight lines, and writes ``benchmarks/results/capacity.json``,
+Runs parts of the other benchmarks, and fleets of real processes of increasing
+size, fits straight lines, and writes ``benchmarks/results/capacity.json``,
 the tables of ``docs/CAPACITY.md`` and ``docs/capacity.svg``. Takes up to four
 minutes and starts at most 75 processes at a time. Run as
 ``python -m benchmarks.bench_capacity``; ``--page_only`` redraws the page from
@@ -51,20 +51,26 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-_SIZES = flags.DEFINE_list('fleets', ['6', '18', '36'], 'Daemons of fleets.')
-_PAGE_ONLY = flags.DEFINE_bool('page_only', False, 'Only redraw the page.')
+_FLEET_SIZES = flags.DEFINE_list(
+    'fleets', ['6', '18', '36'], 'Numbers of daemons of the fleets.'
+)
+_PAGE_ONLY = flags.DEFINE_bool(
+    'page_only',
+    False,
+    'Only redraw the page, from the results of the last run.',
+)
 _RESUME = flags.DEFINE_bool(
-    'resume', False, 'Measure only what the file of results lacks.'
+    'resume', False, 'Skip measurements that the file of results contains.'
 )
 
 RESULTS = pathlib.Path(__file__).parent / 'results' / 'capacity.json'
 
 _ZONES = ('az-1', 'az-2', 'az-3')
-_QUIET_S = 10.0
+_IDLE_S = 10.0
 _CHANGES = 12
 _CHANGES_PER_S = 2.0
 _TOKEN = 'capacity-token'  # noqa: S105
-_CONTROL = re.compile(
+_CONTROL_BYTES_METRIC = re.compile(
     r'gypsumhall_peer_control_bytes_total\{(.*)\} (\S+)', re.MULTILINE
 )
 
@@ -72,13 +78,10 @@
 def fit(xs: Sequence[float], ys: Sequence[float]) -> dict[str, float]:
     """Return slope, intercept and largest deviation of a straight line."""
     slope, intercept = statistics.linear_regression(xs, ys)
-    rest = max(
+    deviation = max(
         abs(y - slope * x - intercept) for x, y in zip(xs, ys, strict=True)
     )
-    return {'slope': slope, 'intercept': intercept, 'deviation': rest}
-
-
-# Fleets of processes
+    return {'slope': slope, 'intercept': intercept, 'deviation': deviation}
 
 
 def _rss_mb(pid: int) -> float:
@@ -87,54 +90,65 @@
     return pages * os.sysconf('SC_PAGE_SIZE') / 2**20
 
 
-async def _control(fleet: Fleet) -> Counter[str]:
-    """Return the control bytes of all daemons by message, both directions."""
-    found: Counter[str] = Counter()
+async def _read_control_bytes(fleet: Fleet) -> Counter[str]:
+    """Return control bytes by message type, summed over all daemons.
+
+    Both directions count.
+    """
+    totals: Counter[str] = Counter()
     for vm in fleet.vms.values():
         _status, _headers, body = await fleet.request(
             vm.admin_address, '/metrics'
         )
-        for labels, value in _CONTROL.findall(body.decode()):
+        for labels, value in _CONTROL_BYTES_METRIC.findall(body.decode()):
             name = re.search('message="(.*?)"', labels)
             if name:
-                found[name[1]] += float(value)
-    return found
+                totals[name[1]] += float(value)
+    return totals
 
 
-async def _platform_calls(fleet: Fleet) -> int:
+async def _read_platform_calls(fleet: Fleet) -> int:
     _status, _headers, body = await fleet.request(
         fleet.platform_address, '/stats'
     )
     return sum(json.loads(body)['calls'].values())
 
 
-async def _period(
+async def _measure_period(
     fleet: Fleet, action: Callable[[], Any], seconds: float
 ) -> dict[str, Any]:
-    """Return rates per daemon while an action runs."""
+    """Return rates and CPU use per daemon while an action runs."""
     size = len(fleet.vms)
     pids = [fleet.pid(name) for name in fleet.vms]
-    control, calls = await _control(fleet), await _platform_calls(fleet)
-    cpu = [bench_call._cpu_s(pid) for pid in pids]
+    control_bytes, calls = (
+        await _read_control_bytes(fleet),
+        await _read_platform_calls(fleet),
+    )
+    cpu_before = [bench_call._cpu_s(pid) for pid in pids]
     start = time.monotonic()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(action)
         await trio.sleep(seconds)
-    spent = time.monotonic() - start
-    after = [bench_call._cpu_s(pid) for pid in pids]
-    calls = await _platform_calls(fleet) - calls
+    elapsed = time.monotonic() - start
+    cpu_after = [bench_call._cpu_s(pid) for pid in pids]
+    calls = await _read_platform_calls(fleet) - calls
     bytes_s = {
-        name: round(count / size / spent, 1)
-        for name, count in ((await _control(fleet)) - control).most_common()
+        name: round(count / size / elapsed, 1)
+        for name, count in (
+            (await _read_control_bytes(fleet)) - control_bytes
+        ).most_common()
     }
-    used = [now - old for now, old in zip(after, cpu, strict=True)]
+    cpu = [
+        after - before
+        for after, before in zip(cpu_after, cpu_before, strict=True)
+    ]
     return {
-        'seconds': round(spent, 2),
+        'seconds': round(elapsed, 2),
         'control_bytes_per_s': round(sum(bytes_s.values()), 1),
         'control_bytes_per_s_by_message': bytes_s,
-        'core_percent': round(100 * statistics.mean(used) / spent, 3),
-        'core_percent_most': round(100 * max(used) / spent, 3),
-        'platform_calls_per_s': round(calls / spent, 2),
+        'core_percent': round(100 * statistics.mean(cpu) / elapsed, 3),
+        'core_percent_most': round(100 * max(cpu) / elapsed, 3),
+        'platform_calls_per_s': round(calls / elapsed, 2),
     }
 
 
@@ -142,7 +156,7 @@
     text = capacity_page.TEXT.format(timeout=number + 2)
     vm = next(iter(fleet.vms.values()))
     body = {'id': f'capacity-{number}', 'token': _TOKEN, 'text': text}
-    status, _headers, answer = await fleet.request(
+    status, _headers, response = await fleet.request(
         vm.admin_address,
         '/v1/operator/submit',
         method='POST',
@@ -150,17 +164,22 @@
         body=json.dumps(body).encode(),
     )
     if status >= 300:
-        raise RuntimeError(f'submission refused: {answer!r}')
+        raise RuntimeError(f'submission rejected: {response!r}')
+
 
+def _distribution_times(fleet: Fleet) -> dict[str, Any]:
+    """Return the times to distribute a version and to start a daemon.
 
-def _spread_ms(fleet: Fleet) -> dict[str, Any]:
-    """Return times from acceptance to the last install, and of starts."""
+    A version counts from its acceptance to its install on the last daemon,
+    in milliseconds; a start counts from the first event of a daemon to its
+    readiness, in seconds.
+    """
     accepted: dict[int, float] = {}
     installed: dict[int, list[float]] = {}
     started: list[float] = []
     for path in fleet.event_logs:
         events = [json.loads(line) for line in path.read_text().splitlines()]
-        first = min(event['wall'] for event in events)
+        first_event = min(event['wall'] for event in events)
         for event in events:
             version = event['fields'].get('version')
             if event['code'] == 'submission-accepted':
@@ -168,7 +187,7 @@
             elif event['code'] == 'snapshot-installed':
                 installed.setdefault(version, []).append(event['wall'])
             elif event['code'] == 'distribution-ready':
-                started.append(event['wall'] - first)
+                started.append(event['wall'] - first_event)
     times = [
         1000 * (max(installed[version]) - at)
         for version, at in accepted.items()
@@ -196,24 +215,26 @@
         with trio.fail_after(40):
             for vm in fleet.vms.values():
                 while True:
-                    found = await fleet.request(
+                    response = await fleet.request(
                         vm.admin_address, '/v1/operator/status'
                     )
-                    if found[0] == 200:
-                        members = json.loads(found[2])['members']
+                    if response[0] == 200:
+                        members = json.loads(response[2])['members']
                         if members['ready_endpoints'] == size:
                             break
                     await trio.sleep(0.2)
         await _submit(fleet, 0)
         await trio.sleep(4)
-        quiet = await _period(fleet, trio.lowlevel.checkpoint, _QUIET_S)
+        quiet = await _measure_period(fleet, trio.lowlevel.checkpoint, _IDLE_S)
 
         async def change() -> None:
             for number in range(1, _CHANGES + 1):
                 await _submit(fleet, number)
                 await trio.sleep(1 / _CHANGES_PER_S)
 
-        changes = await _period(fleet, change, _CHANGES / _CHANGES_PER_S)
+        changes = await _measure_period(
+            fleet, change, _CHANGES / _CHANGES_PER_S
+        )
         rss = [_rss_mb(fleet.pid(name)) for name in fleet.vms]
         return {
             'daemons': size,
@@ -223,15 +244,15 @@
             'changes': changes,
             'rss_mb': round(statistics.mean(rss), 1),
             'rss_mb_most': round(max(rss), 1),
-            **_spread_ms(fleet),
+            **_distribution_times(fleet),
         }
 
 
-# Platform
-
-
 async def _measure_platform(count: int) -> dict[str, Any]:
-    """Count platform calls of zones with 3 readers on a virtual clock."""
+    """Return platform calls per second of zones with 3 readers each.
+
+    Runs on a virtual clock.
+    """
     daemons = bench_store.DAEMONS
     async with open_platform() as opened, trio.open_nursery() as nursery:
         zones = [
@@ -243,7 +264,7 @@
             await zone.start(nursery, daemons)
         await trio.sleep(bench_store.WARM_UP_S)
 
-        async def rate(seconds: float, changes: int) -> float:
+        async def measure_rate(seconds: float, changes: int) -> float:
             before = sum(opened.platform.stats['calls'].values())
             for _ in range(changes):
                 await zones[0].change()
@@ -255,17 +276,17 @@
 
         result = {
             'zones': count,
-            'quiet': await rate(30.0, 0),
-            'daily': await rate(14.4, 3),
-            'burst': await rate(4.0, 20),
+            'quiet': await measure_rate(30.0, 0),
+            'daily': await measure_rate(14.4, 3),
+            'burst': await measure_rate(4.0, 20),
             'watches': opened.platform.stats['watches'],
         }
         nursery.cancel_scope.cancel()
     return result
 
 
-async def _measure_return(daemons: int) -> dict[str, Any]:
-    """Count platform calls while all daemons of a zone start at once."""
+async def _measure_zone_start(daemons: int) -> dict[str, Any]:
+    """Count platform calls per second while all daemons of a zone start."""
     async with open_platform() as opened, trio.open_nursery() as nursery:
         zone = ReaderZone(opened, 'az-0', 0)
         await zone.change()
@@ -275,18 +296,15 @@
         for _ in range(10):
             await trio.sleep(1)
             counts.append(sum(opened.platform.stats['calls'].values()))
-        steps = [b - a for a, b in zip(counts, counts[1:], strict=False)]
+        rates = [b - a for a, b in zip(counts, counts[1:], strict=False)]
         nursery.cancel_scope.cancel()
-    return {'daemons': daemons, 'most_per_s': max(steps), 'per_s': steps}
-
+    return {'daemons': daemons, 'most_per_s': max(rates), 'per_s': rates}
 
-# Modules
 
-
-def _measure_spread() -> list[dict[str, Any]]:
+def _measure_distribution() -> list[dict[str, Any]]:
     start = bench_distribution.build_configuration()
     return [
-        bench_distribution.measure_spread(
+        bench_distribution.measure_distribution(
             start, size, readers, dead_inner_node=True
         )
         for size in (100, 400, 1250)
@@ -296,10 +314,10 @@
 
 def _traced_mb(build: Callable[[], object]) -> float:
     tracemalloc.start()
-    kept = build()
+    built_object = build()
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    del kept
+    del built_object
     return size / 2**20
 
 
@@ -329,7 +347,7 @@
         def fill(members: int = members) -> _membership.Table:
             table = _membership.Table()
             for index in range(members):
-                table.merge(bench_network._member(index), 0.0)
+                table.merge(bench_network._build_member(index), 0.0)
             for zone in table.zones:
                 table.alive(zone)
             for service in range(1900):
@@ -341,12 +359,12 @@
 
 
 async def _measure_join(members: int) -> dict[str, Any]:
-    """Join a daemon with a large table and measure three idle ones."""
+    """Measure the join of two daemons to one with a large member table."""
     async with trio.open_nursery() as nursery:
         first, membership = await bench_network._start_daemon(nursery, 0, ())
         for index in range(members):
             membership.table.merge(
-                bench_network._member(index), trio.current_time()
+                bench_network._build_member(index), trio.current_time()
             )
         times = []
         for index in (1, 2):
@@ -366,10 +384,10 @@
 
 
 def _measure_merge() -> dict[str, float]:
-    """Measure the time to take over a change with 25,000 entries."""
+    """Measure the time to merge a change into a table of 25,000 entries."""
     table = _membership.Table()
     for index in range(25_000):
-        table.merge(bench_network._member(index), 0.0)
+        table.merge(bench_network._build_member(index), 0.0)
     members = list(table.members())
     rng = random.Random(1)
     rounds = 300
@@ -386,9 +404,9 @@
 
 
 def _measure_judge(endpoints: int) -> dict[str, Any]:
-    """Measure a judge of a service whose endpoints all report."""
+    """Measure CPU and bytes of a judge to which all endpoints report."""
     judge = _judge.Judge('spa/move', 'v2')
-    size = spent = 0.0
+    size = cpu_s = 0.0
     intervals = 10
     for interval in range(1, intervals + 1):
         reports = [
@@ -414,10 +432,10 @@
                 )
             )
         judge.close(interval)
-        spent += time.process_time() - start
+        cpu_s += time.process_time() - start
     return {
         'endpoints': endpoints,
-        'core_percent': round(spent / intervals / 0.5 * 100, 3),
+        'core_percent': round(cpu_s / intervals / 0.5 * 100, 3),
         'bytes_per_s': round(size / intervals / 0.5),
     }
 
@@ -445,8 +463,10 @@
     }
 
 
-def _parts() -> dict[str, Callable[[], Any]]:
-    def virtual(function: Any, values: Sequence[int]) -> list[Any]:
+def _measurements() -> dict[str, Callable[[], Any]]:
+    def run_on_virtual_clock(
+        function: Any, values: Sequence[int]
+    ) -> list[Any]:
         return [
             trio.run(function, value, clock=MockClock(autojump_threshold=0))
             for value in values
@@ -456,11 +476,15 @@
     return {
         'calls': lambda: [_measure_calls(rate) for rate in (32, 64, 128)],
         'fleets': lambda: [
-            trio.run(_measure_fleet, int(size)) for size in _SIZES.value
+            trio.run(_measure_fleet, int(size)) for size in _FLEET_SIZES.value
         ],
-        'platform': lambda: virtual(_measure_platform, (1, 5, 20)),
-        'zone_return': lambda: virtual(_measure_return, (25, 50, 100)),
-        'spread': _measure_spread,
+        'platform': lambda: run_on_virtual_clock(
+            _measure_platform, (1, 5, 20)
+        ),
+        'zone_return': lambda: run_on_virtual_clock(
+            _measure_zone_start, (25, 50, 100)
+        ),
+        'spread': _measure_distribution,
         'bootstrap': lambda: bench_distribution.measure_bootstrap(build()),
         'install': lambda: bench_distribution.measure_snapshot(build()),
         'join': lambda: [
@@ -469,7 +493,7 @@
         ],
         'merge': _measure_merge,
         'judge': lambda: [_measure_judge(count) for count in (4, 16, 64)],
-        # It changes the size of the configuration, so it comes last.
+        # Last, as it changes the size of the configuration.
         'memory': _measure_memory,
     }
 
@@ -482,48 +506,58 @@
         'load_average': {'start': os.getloadavg()[0]},
     }
 
-    def note(part: str) -> None:
+    def save_results(part: str) -> None:
         results['load_average'][part] = round(os.getloadavg()[0], 1)
         print(f'{time.monotonic() - started:6.1f} s  {part}', flush=True)
-        # A part that fails later does not lose these figures.
+        # Saved after each part, so that a later failure loses no figures.
         RESULTS.write_text(json.dumps(results, indent=1) + '\n')
 
-    parts = _parts()
+    parts = _measurements()
     if _RESUME.value:
         results = json.loads(RESULTS.read_text())
     for part, measure in parts.items():
         if part not in results:
             results[part] = measure()
-            note(part)
+            save_results(part)
     results['fits'] = _fits(results)
     results['seconds'] = round(time.monotonic() - started, 1)
     return results
 
 
 def _fits(results: dict[str, Any]) -> dict[str, Any]:
-    def line(name: str, x: str, y: Callable[[Any], float]) -> dict[str, float]:
+    def fit_rows(
+        name: str, x: str, y: Callable[[Any], float]
+    ) -> dict[str, float]:
         rows = results[name]
         return fit([row[x] for row in rows], [y(row) for row in rows])
 
     tables = results['memory']['tables']
     configurations = results['memory']['configurations']
     return {
-        'bytes_by_daemons': line(
+        'bytes_by_daemons': fit_rows(
             'fleets',
             'daemons',
             lambda row: row['quiet']['control_bytes_per_s'],
         ),
-        'core_by_daemons': line(
+        'core_by_daemons': fit_rows(
             'fleets', 'daemons', lambda row: row['quiet']['core_percent']
         ),
-        'rss_by_daemons': line('fleets', 'daemons', lambda row: row['rss_mb']),
-        'quiet_by_zones': line('platform', 'zones', lambda row: row['quiet']),
-        'daily_by_zones': line('platform', 'zones', lambda row: row['daily']),
-        'burst_by_zones': line('platform', 'zones', lambda row: row['burst']),
-        'judge_by_endpoints': line(
+        'rss_by_daemons': fit_rows(
+            'fleets', 'daemons', lambda row: row['rss_mb']
+        ),
+        'quiet_by_zones': fit_rows(
+            'platform', 'zones', lambda row: row['quiet']
+        ),
+        'daily_by_zones': fit_rows(
+            'platform', 'zones', lambda row: row['daily']
+        ),
+        'burst_by_zones': fit_rows(
+            'platform', 'zones', lambda row: row['burst']
+        ),
+        'judge_by_endpoints': fit_rows(
             'judge', 'endpoints', lambda row: row['core_percent']
         ),
-        'join_bytes_by_members': line(
+        'join_bytes_by_members': fit_rows(
             'join', 'members', lambda row: row['bytes']
         ),
         'table_mb_by_members': fit(
@@ -537,7 +571,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Measure, unless only the page is wanted, and redraw the page."""
+    """Measure, unless ``--page_only`` is set, and redraw the page."""
     del argv
     if not _PAGE_ONLY.value:
         flags.FLAGS.changes = 2
--- a/benchmarks/bench_distribution.py
+++ b/benchmarks/bench_distribution.py
@@ -1,7 +1,7 @@
 """Time, messages and bytes for a change to reach every daemon of a zone.
 
-The real replicas run on a queue of messages. Every message takes a fixed
-time per hop, and every daemon handles one message at a time; the processing
+A discrete-event simulation runs the real replicas. Every message takes a fixed
+time per hop, and every daemon processes one message at a time; the processing
 time is measured while the replica runs. Message sizes are those of the
 msgpack encoding plus the assumed frame overhead.
 
@@ -39,12 +39,14 @@
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list('sizes', ['100', '400', '1250'], 'Daemons per zone.')
-flags.DEFINE_float('hop_ms', 0.5, 'Delay of a message, in milliseconds.')
+flags.DEFINE_float(
+    'hop_ms', 0.5, 'Transit time of a message, in milliseconds.'
+)
 flags.DEFINE_integer('changes', 10, 'Changes per run.')
 flags.DEFINE_string(
     'output',
     str(pathlib.Path(__file__).parent / 'results' / 'distribution.json'),
-    'File for the results.',
+    'File that the results are written to.',
 )
 
 SERVICES = 1900
@@ -61,9 +63,9 @@
 
 
 def build_configuration() -> Configuration:
-    """Return a configuration of the design scale.
+    """Return a configuration at the design scale.
 
-    One department has 500 routes, the others share the rest.
+    The first department has 500 routes, the others share the rest evenly.
     """
     fragments = {}
     per_department = SERVICES // DEPARTMENTS
@@ -131,8 +133,9 @@
     return f'{number:08x}-0000-4000-8000-{number:012x}'
 
 
-def _successor(head: _model.Head, **changes: Any) -> _model.Head:
-    # Decoded anew, as a reader receives it from the platform.
+def _next_head(head: _model.Head, **changes: Any) -> _model.Head:
+    # Encoded and decoded, so that it shares no objects with the previous
+    # head, as a reader receives it from the platform.
     changed = msgspec.structs.replace(
         head, version=head.version + 1, **changes
     )
@@ -140,18 +143,18 @@
 
 
 def advance_stage(configuration: Configuration, number: int) -> Configuration:
-    """Return the next version, in which one move has a new stage."""
+    """Return the next version, in which one move has advanced a stage."""
     head, fragments = configuration
     moves = dict(head.moves)
     key = list(moves)[number % len(moves)]
     moves[key] = msgspec.structs.replace(
         moves[key], stage=2, share=0.2, stage_started=1_795_000_200.0 + number
     )
-    return _successor(head, moves=moves), fragments
+    return _next_head(head, moves=moves), fragments
 
 
 def change_route(configuration: Configuration, number: int) -> Configuration:
-    """Return the next version: a submission that changed one route."""
+    """Return the next version, in which a submission changed one route."""
     head, fragments = configuration
     name = 'department-000'
     routes = list(fragments[name].routes)
@@ -166,7 +169,7 @@
     departments = dict(head.departments)
     departments[name] = _model.DepartmentRef(digest, 'c' * 64)
     return (
-        _successor(head, departments=departments, submissions=submissions),
+        _next_head(head, departments=departments, submissions=submissions),
         {**fragments, name: fragment},
     )
 
@@ -175,8 +178,8 @@
     return len(_model.encode(message)) + FRAME_BYTES
 
 
-class Zone:
-    """Replicas of one zone on a queue of messages."""
+class SimulatedZone:
+    """Discrete-event simulation of the replicas of one zone."""
 
     def __init__(self, size: int, hop_s: float) -> None:
         self.rng = random.Random(size)
@@ -191,7 +194,7 @@
         self.by_address = {
             item.peer_address: index for index, item in enumerate(self.members)
         }
-        self.silent: set[int] = set()
+        self.unresponsive: set[int] = set()
         self.queue: list[tuple[float, int, int, int, Any]] = []
         self.counter = itertools.count()
         self.busy_until = [0.0] * size
@@ -201,19 +204,19 @@
         self.sent_bytes: Counter[str] = Counter()
         self.received_bytes = [0] * size
 
-    def _post(self, at: float, source: int, target: int, item: Any) -> None:
+    def _enqueue(self, at: float, source: int, target: int, item: Any) -> None:
         heapq.heappush(
             self.queue, (at, next(self.counter), source, target, item)
         )
 
-    def handle(self, index: int, at: float, call: Any, *args: Any) -> None:
-        """Run one input of a replica and queue what it causes."""
+    def handle(self, index: int, at: float, method: Any, *args: Any) -> None:
+        """Call a method of a replica and enqueue the messages it returns."""
         at = max(at, self.busy_until[index])
         start = time.perf_counter()
-        actions = call(*args, at)
-        cost = time.perf_counter() - start
-        done = at + cost
-        self.cpu_s[index] += cost
+        actions = method(*args, at)
+        elapsed = time.perf_counter() - start
+        done = at + elapsed
+        self.cpu_s[index] += elapsed
         self.busy_until[index] = done
         for action in actions:
             if isinstance(action, _actions.Alarm):
@@ -221,25 +224,25 @@
             if isinstance(action, _actions.Installed):
                 self.installed_at[index] = done
             elif isinstance(action, _actions.Send):
-                self._count(action.message)
+                self._count_sent(action.message)
                 target = self.by_address[action.address]
-                self._post(done + self.hop_s, index, target, action.message)
+                self._enqueue(done + self.hop_s, index, target, action.message)
             elif isinstance(action, _actions.Fetch):
-                self._count(action.pull)
+                self._count_sent(action.pull)
                 target = self.by_address[action.address]
-                self._post(done + self.hop_s, index, target, action)
+                self._enqueue(done + self.hop_s, index, target, action)
 
-    def _count(self, message: Any) -> None:
+    def _count_sent(self, message: Any) -> None:
         size = _size(message)
         kind = type(message).__name__
         self.sent[kind] += 1
         self.sent_bytes[kind] += size
 
-    def settle(self, start: Configuration) -> float:
-        """Install the first version everywhere and reset the counters."""
+    def install_initial_version(self, start: Configuration) -> float:
+        """Install the first version on all replicas and reset the counters."""
         snapshot = Snapshot.build(start[0], start[1].values())
         for replica in self.replicas:
-            # They share the first version, so that 1,250 of them fit.
+            # All share one snapshot, as 1,250 copies would not fit in memory.
             replica._install(snapshot, 0.0)
         now = 30.0
         self.run(now)
@@ -247,8 +250,8 @@
         self.sent_bytes.clear()
         self.received_bytes = [0] * len(self.replicas)
         self.cpu_s = [0.0] * len(self.replicas)
-        # A collection over the heap of all daemons together would be
-        # charged to whichever daemon happens to trigger it.
+        # A garbage collection traverses the objects of all daemons, but its
+        # time would count for the daemon that happens to trigger it.
         gc.collect()
         gc.disable()
         return now
@@ -256,7 +259,7 @@
     def publish(
         self, publishers: list[int], now: float, configuration: Configuration
     ) -> None:
-        """Publish a version on some daemons."""
+        """Publish a version at the publishing daemons, the readers."""
         for index in publishers:
             self.handle(
                 index,
@@ -267,7 +270,7 @@
             )
 
     def run(self, until: float) -> None:
-        """Handle messages and timers up to a time."""
+        """Process messages and timers until a time."""
         timers = [
             (replica.due, index) for index, replica in enumerate(self.replicas)
         ]
@@ -278,20 +281,23 @@
                 at, _, source, target, item = heapq.heappop(self.queue)
                 if at > until:
                     break
-                touched = self._deliver(at, source, target, item)
+                replica_index = self._deliver(at, source, target, item)
             elif due <= until:
-                at, touched = heapq.heappop(timers)
-                replica = self.replicas[touched]
-                if replica.due <= at and touched not in self.silent:
-                    self.handle(touched, at, replica.tick)
+                at, replica_index = heapq.heappop(timers)
+                replica = self.replicas[replica_index]
+                if (
+                    replica.due <= at
+                    and replica_index not in self.unresponsive
+                ):
+                    self.handle(replica_index, at, replica.tick)
             else:
                 break
-            if touched not in self.silent:
-                due = self.replicas[touched].due
-                heapq.heappush(timers, (due, touched))
+            if replica_index not in self.unresponsive:
+                due = self.replicas[replica_index].due
+                heapq.heappush(timers, (due, replica_index))
 
     def _deliver(self, at: float, source: int, target: int, item: Any) -> int:
-        if target in self.silent:
+        if target in self.unresponsive:
             if isinstance(item, _actions.Fetch):
                 address = self.members[target].peer_address
                 handle_fetch_result = self.replicas[source].handle_fetch_result
@@ -308,7 +314,7 @@
         if isinstance(item, _actions.Fetch):
             parts = replica.build_pull_reply(item.pull)
             for part in parts:
-                self._count(part)
+                self._count_sent(part)
                 self.received_bytes[source] += _size(part)
             self.handle(
                 source,
@@ -344,16 +350,16 @@
         return target
 
 
-def measure_spread(
+def measure_distribution(
     start: Configuration, size: int, readers: int, *, dead_inner_node: bool
 ) -> dict[str, Any]:
-    """Publish changes one after another and time the last install."""
-    zone = Zone(size, FLAGS.hop_ms / 1000)
-    now = zone.settle(start)
+    """Publish changes one after another and measure the install times."""
+    zone = SimulatedZone(size, FLAGS.hop_ms / 1000)
+    now = zone.install_initial_version(start)
     if dead_inner_node:
         trees = zone.replicas[0]._trees
-        victim = trees.get('az-1', 'd0').children('d0')[0]
-        zone.silent.add(zone.by_address[victim.peer_address])
+        dead_node = trees.get('az-1', 'd0').children('d0')[0]
+        zone.unresponsive.add(zone.by_address[dead_node.peer_address])
     times = []
     configuration = start
     publishers = [0, 5, 9][:readers]
@@ -364,20 +370,22 @@
         zone.installed_at.clear()
         zone.publish(publishers, now, configuration)
         zone.run(now + interval)
-        reached = [
+        install_times = [
             at - now
             for index, at in zone.installed_at.items()
-            if index not in zone.silent
+            if index not in zone.unresponsive
         ]
-        assert len(reached) == size - len(zone.silent), len(reached)
-        times.append(sorted(reached))
+        assert len(install_times) == size - len(zone.unresponsive), len(
+            install_times
+        )
+        times.append(sorted(install_times))
         now += interval
     gc.enable()
     seconds = FLAGS.changes * interval
     others = [
         index
         for index in range(size)
-        if index not in publishers and index not in zone.silent
+        if index not in publishers and index not in zone.unresponsive
     ]
     sent = sum(zone.sent_bytes.values()) / size / seconds
     return {
@@ -385,10 +393,10 @@
         'readers': readers,
         'dead_inner_node': dead_inner_node,
         'last_ms': {
-            'median': _ms(statistics.median(item[-1] for item in times)),
-            'max': _ms(max(item[-1] for item in times)),
+            'median': _to_ms(statistics.median(item[-1] for item in times)),
+            'max': _to_ms(max(item[-1] for item in times)),
         },
-        'median_daemon_ms': _ms(
+        'median_daemon_ms': _to_ms(
             statistics.median(item[len(item) // 2] for item in times)
         ),
         'messages_per_change': {
@@ -407,7 +415,7 @@
                 statistics.mean(zone.received_bytes) / seconds * 86_400
             ),
         },
-        'cpu_ms_per_change': _ms(
+        'cpu_ms_per_change': _to_ms(
             statistics.mean(zone.cpu_s[index] for index in others)
             / FLAGS.changes
         ),
@@ -417,9 +425,9 @@
 def measure_burst(
     start: Configuration, size: int, changes: int, rate: float
 ) -> dict[str, Any]:
-    """Publish changes faster than they spread."""
-    zone = Zone(size, FLAGS.hop_ms / 1000)
-    now = zone.settle(start)
+    """Publish changes faster than the zone installs them."""
+    zone = SimulatedZone(size, FLAGS.hop_ms / 1000)
+    now = zone.install_initial_version(start)
     configuration = start
     for number in range(changes):
         change = change_route if number % 2 else advance_stage
@@ -435,30 +443,32 @@
         'daemons': size,
         'changes': changes,
         'changes_per_s': rate,
-        'last_ms': _ms(max(zone.installed_at.values()) - last),
+        'last_ms': _to_ms(max(zone.installed_at.values()) - last),
         'pulls': zone.sent['Pull'],
         'bytes_per_change_per_daemon': round(
             sum(zone.sent_bytes.values()) / size / changes
         ),
-        'cpu_ms_per_change': _ms(statistics.mean(zone.cpu_s[10:]) / changes),
+        'cpu_ms_per_change': _to_ms(
+            statistics.mean(zone.cpu_s[10:]) / changes
+        ),
     }
 
 
-def _ms(seconds: float) -> float:
+def _to_ms(seconds: float) -> float:
     return round(seconds * 1000, 3)
 
 
-def _time(call: Any, repeat: int = 20) -> float:
+def _median_time_ms(function: Any, repeat: int = 20) -> float:
     samples = []
     for _ in range(repeat):
         start = time.perf_counter()
-        call()
+        function()
         samples.append(time.perf_counter() - start)
-    return _ms(statistics.median(samples))
+    return _to_ms(statistics.median(samples))
 
 
 def measure_snapshot(start: Configuration) -> dict[str, Any]:
-    """Measure the cost of installing a version, and the size of deltas."""
+    """Measure the time to install a version, and the size of deltas."""
     head, fragments = start
     base = Snapshot.build(head, fragments.values())
     result: dict[str, Any] = {
@@ -469,14 +479,16 @@
         'largest_fragment_bytes': max(
             len(_model.encode(item)) for item in fragments.values()
         ),
-        'encode_and_digest_head_ms': _time(
+        'encode_and_digest_head_ms': _median_time_ms(
             lambda: _model.digest(_model.encode(head))
         ),
-        'build_ms': _time(lambda: Snapshot.build(head, fragments.values())),
+        'build_ms': _median_time_ms(
+            lambda: Snapshot.build(head, fragments.values())
+        ),
     }
     for change in (advance_stage, change_route):
-        other, merged = change(start, 0)
-        target = base.advance(other, merged.values())
+        changed_head, changed_fragments = change(start, 0)
+        target = base.advance(changed_head, changed_fragments.values())
         bases = _delta.Base.of(base), _delta.Base.of(target)
         update = _delta.diff(*bases)
 
@@ -486,17 +498,19 @@
         def diff(bases: Any = bases) -> _messages.Update:
             return _delta.diff(*bases)
 
-        install_ms = _time(install)
+        install_ms = _median_time_ms(install)
         result[change.__name__] = {
             'delta_bytes': len(_model.encode(update)),
-            'head_and_changed_fragments_bytes': len(_model.encode(other))
+            'head_and_changed_fragments_bytes': len(
+                _model.encode(changed_head)
+            )
             + sum(
                 len(_model.encode(item))
-                for name, item in merged.items()
+                for name, item in changed_fragments.items()
                 if item != fragments[name]
             ),
             'apply_ms': install_ms,
-            'diff_ms': _time(diff),
+            'diff_ms': _median_time_ms(diff),
             'core_percent_at_18000_per_day': round(
                 install_ms / 1000 * CHANGES_PER_DAY / 86_400 * 100, 3
             ),
@@ -513,29 +527,33 @@
         Replica(member, table, rng) for member in table.members()
     )
     source.publish(head, fragments.values(), 0.0)
-    began = time.perf_counter()
+    started = time.perf_counter()
     first = source.build_pull_reply(_messages.Pull())
-    first_ms = _ms(time.perf_counter() - began)
+    first_ms = _to_ms(time.perf_counter() - started)
     encoded = [_model.encode(part) for part in first]
     decoder = msgspec.msgpack.Decoder(_messages.Update)
-    decode_ms = _time(lambda: [decoder.decode(item) for item in encoded])
+    decode_ms = _median_time_ms(
+        lambda: [decoder.decode(item) for item in encoded]
+    )
     update = _delta.join([decoder.decode(item) for item in encoded])
-    began = time.perf_counter()
+    started = time.perf_counter()
     target.handle_fetch_result('d0', update, 1.0)
-    install_ms = _ms(time.perf_counter() - began)
+    install_ms = _to_ms(time.perf_counter() - started)
     assert target.version == source.version
     return {
         'parts': len(first),
         'bytes': sum(len(item) + FRAME_BYTES for item in encoded),
         'first_answer_ms': first_ms,
-        'encode_ms': _time(lambda: [_model.encode(part) for part in first]),
+        'encode_ms': _median_time_ms(
+            lambda: [_model.encode(part) for part in first]
+        ),
         'decode_ms': decode_ms,
         'install_ms': install_ms,
     }
 
 
 def measure_history(start: Configuration) -> dict[str, Any]:
-    """Measure the memory that the deltas' bases take on one daemon."""
+    """Measure the memory of one daemon for the bases of deltas."""
     table = FakeTable([builders.build_member()])
     replica = Replica(table.members()[0], table, random.Random(1))
     configuration = start
@@ -575,9 +593,11 @@
     }
     for size in map(int, FLAGS.sizes):
         for readers, dead in ((1, False), (1, True), (3, False), (3, True)):
-            found = measure_spread(start, size, readers, dead_inner_node=dead)
-            results['spread'].append(found)
-            print(json.dumps(found))
+            row = measure_distribution(
+                start, size, readers, dead_inner_node=dead
+            )
+            results['spread'].append(row)
+            print(json.dumps(row))
     print(json.dumps({**results, 'spread': None}, indent=2))
     path = pathlib.Path(FLAGS.output)
     path.parent.mkdir(parents=True, exist_ok=True)
--- a/benchmarks/bench_moves.py
+++ b/benchmarks/bench_moves.py
@@ -1,8 +1,8 @@
-"""Seeded trials of moves: how many good ones finish, bad ones are reverted.
+"""Seeded trials of moves: do good versions finish, are bad ones reverted?
 
-The real judge, test and stage decisions run on random call results. Two
-baselines run on the same trials: stages on a fixed timer without a test, and
-a fixed limit on the new version's rate of failures.
+The real judge, sequential test and stage decisions run on random call
+results. Two baselines run on the same trials: stages on a fixed timer without
+a test, and a fixed limit on the failure rate of the new version.
 
     python -m benchmarks.bench_moves --trials=1000
 """
@@ -42,7 +42,9 @@
 _SEED = flags.DEFINE_integer('seed', 1, 'Seed of the random numbers.')
 _KINDS = flags.DEFINE_list('kinds', None, 'Kinds to run; all by default.')
 _OUTPUT = flags.DEFINE_string(
-    'output', 'benchmarks/results/moves.json', 'File for the results.'
+    'output',
+    'benchmarks/results/moves.json',
+    'File that the results are written to.',
 )
 
 ZONES = ('az-1', 'az-2', 'az-3')
@@ -54,8 +56,8 @@
 QUANTILES = tuple(
     math.exp(SIGMA * NORMAL.inv_cdf(level)) for level in (0.5, 0.95, 0.99)
 )
-FAULT_S = 20.0
-COLD_START_S = 10.0
+FAULT_DURATION_S = 20.0
+COLD_START_DURATION_S = 10.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,20 +71,23 @@
     good : bool
         Whether the move has to finish.
     rate : float
-        Calls a second to the service.
+        Calls per second to the service.
     fails : float
         Failure probability of the new version while it is bad.
     slow : float
         Factor of the new version's latency while it is bad.
     after : float
-        Part of the time to the deadline after which it turns bad.
+        Fraction of the time to the deadline after which the new version
+        turns bad.
     min_share : float
-        Share from which it is bad (a fault under load only).
+        Share of traffic from which the new version is bad, for faults that
+        occur under load only.
     routes : int
-        Routes on which it is bad.
+        Number of routes on which the new version is bad.
     zone_fault, overload, sick_vm, cold_start, rack_fault : bool
-        Faults that are not the version's. A rack fault takes the old
-        version's endpoints of a zone away, and the new one's there fail.
+        Faults that the new version does not cause. In a rack fault, a zone
+        loses the endpoints of the old version, and those of the new version
+        in it fail.
     one_zone : bool
         Whether the new version has endpoints in the first zone only.
     """
@@ -149,19 +154,24 @@
 
 @dataclass(slots=True)
 class Result:
-    """Outcome of one trial."""
+    """Outcome of one trial.
+
+    `affected_calls` counts calls with a failed or late response because of
+    the new version. `detection_s` is the time from the first bad call to the
+    revert.
+    """
 
     finished: bool = False
     in_time: bool = False
     calls: int = 0
     bad_calls: int = 0
-    harmed: int = 0
+    affected_calls: int = 0
     detection_s: float | None = None
     reason: str = ''
 
 
 class Policy:
-    """Decides like the product; the baselines override `decide`."""
+    """The decisions of the product; baselines override `decide`."""
 
     name = 'sequential test'
 
@@ -190,7 +200,7 @@
     name = 'timer'
 
     def decide(self, move: Move, now: float) -> _moves.Decision:
-        """Return the next step without looking at the evidence."""
+        """Return the next step, without regard to the evidence."""
         empty = _judge.Judge(move.spec.id, move.spec.to_version)
         return _moves.decide(
             move, empty.test, now, endpoints_ready=True, evidence_fresh=True
@@ -204,7 +214,7 @@
 
     def __init__(self, spec: MoveSpec) -> None:
         super().__init__(spec)
-        self._recent: list[tuple[int, int]] = []
+        self._recent_counts: list[tuple[int, int]] = []
 
     def add(self, stage: int, interval: int, counts: list[Counts]) -> None:
         """Add the results of one interval."""
@@ -212,20 +222,20 @@
         new = [item for item in counts if item.version == 'v2']
         calls = sum(item.calls for item in new)
         failures = sum(item.failures for item in new)
-        self._recent.append((calls, failures))
-        del self._recent[:-10]
+        self._recent_counts.append((calls, failures))
+        del self._recent_counts[:-10]
 
     def decide(self, move: Move, now: float) -> _moves.Decision:
         """Return the next step."""
-        calls = sum(item[0] for item in self._recent)
-        failures = sum(item[1] for item in self._recent)
+        calls = sum(item[0] for item in self._recent_counts)
+        failures = sum(item[1] for item in self._recent_counts)
         if calls >= 5 and failures > 0.05 * calls:
             return _moves.Decision(_moves.Step.REVERT, move.stage, 0, 'limit')
         return super().decide(move, now)
 
 
-class _Row(NamedTuple):
-    """Calls of the senders of one zone to one endpoint."""
+class _EndpointCalls(NamedTuple):
+    """Calls of the senders of one zone to one endpoint, on one route."""
 
     sender: int
     zone: int
@@ -236,7 +246,7 @@
 
 
 @dataclass(slots=True)
-class World:
+class CallSimulator:
     """Draws the results of the calls of one trial."""
 
     kind: Kind
@@ -266,16 +276,16 @@
             and route < kind.routes
         )
 
-    def faulty(self, t: float) -> bool:
-        """Whether the fault that is not the version's is present."""
-        return self.fault_start <= t < self.fault_start + FAULT_S
+    def has_fault(self, t: float) -> bool:
+        """Whether a fault that the new version does not cause is active."""
+        return self.fault_start <= t < self.fault_start + FAULT_DURATION_S
 
-    def interval(
+    def draw_interval(
         self, t: float, move: Move, thresholds: dict[str, float]
     ) -> list[Counts]:
-        """Draw the results of one interval that starts at `t`."""
+        """Draw the call results of the interval that starts at `t`."""
         rate = self.kind.rate * _judge.INTERVAL_S / len(ZONES) / len(ROUTES)
-        if self.kind.overload and self.faulty(t):
+        if self.kind.overload and self.has_fault(t):
             rate *= 3
         cells = len(ZONES) * len(ROUTES)
         total = self.rng.poisson(rate, cells)
@@ -285,21 +295,21 @@
         for cell in range(cells):
             sender, route = divmod(cell, len(ROUTES))
             old, moved = total[cell] - new[cell], new[cell]
-            rows += self._rows(t, sender, route, False, old)
-            rows += self._rows(t, sender, route, True, moved)
-        return self._results(t, move, thresholds, rows)
+            rows += self._split_calls(t, sender, route, False, old)
+            rows += self._split_calls(t, sender, route, True, moved)
+        return self._draw_counts(t, move, thresholds, rows)
 
-    def _rows(
+    def _split_calls(
         self, t: float, sender: int, route: int, is_new: bool, calls: int
-    ) -> list[_Row]:
-        """Divide the calls of a sender's zone over the endpoints."""
+    ) -> list[_EndpointCalls]:
+        """Divide the calls of the senders of a zone among endpoints."""
         number = self.new_endpoints if is_new else self.old_endpoints
         zone = sender
         if is_new and self.kind.one_zone:
             zone = 0
             local = list(range(number))
         else:
-            if self.kind.rack_fault and self.faulty(t) and not is_new:
+            if self.kind.rack_fault and self.has_fault(t) and not is_new:
                 zone = max(zone, 1)
             local = [i for i in range(number) if i % len(ZONES) == zone]
         if len(local) == 1:
@@ -307,51 +317,55 @@
         else:
             split = self.rng.multinomial(calls, [1 / len(local)] * len(local))
         return [
-            _Row(sender, zone, route, is_new, endpoint, int(count))
+            _EndpointCalls(sender, zone, route, is_new, endpoint, int(count))
             for endpoint, count in zip(local, split, strict=True)
             if count
         ]
 
-    def _results(
+    def _draw_counts(
         self,
         t: float,
         move: Move,
         thresholds: dict[str, float],
-        rows: list[_Row],
+        rows: list[_EndpointCalls],
     ) -> list[Counts]:
         bad = [
             row.is_new and self.is_bad(t, move.share, row.route)
             for row in rows
         ]
         medians = [
-            self._median(t, row.is_new, is_bad)
+            self._median_latency_ms(t, row.is_new, is_bad)
             for row, is_bad in zip(rows, bad, strict=True)
         ]
         calls = [row.calls for row in rows]
         failures = self.rng.binomial(
             calls,
             [
-                self._failure(t, row, is_bad)
+                self._failure_probability(t, row, is_bad)
                 for row, is_bad in zip(rows, bad, strict=True)
             ],
         )
         slow = self.rng.binomial(
             calls,
             [
-                _tail(thresholds.get(ROUTES[row.route]), median)
+                _tail_probability(thresholds.get(ROUTES[row.route]), median)
                 for row, median in zip(rows, medians, strict=True)
             ],
         )
-        found = []
+        counts = []
         for index, row in enumerate(rows):
             failed, late = int(failures[index]), int(slow[index])
             if bad[index]:
-                self._account(row.calls, failed, late, move.stage)
-            if row.is_new and self.kind.cold_start and t < COLD_START_S:
-                # Runners leave out slow calls during a cold start.
+                self._count_bad_calls(row.calls, failed, late, move.stage)
+            if (
+                row.is_new
+                and self.kind.cold_start
+                and t < COLD_START_DURATION_S
+            ):
+                # Runners do not report slow calls during a cold start.
                 late = 0
             version = 'v2' if row.is_new else 'v1'
-            found.append(
+            counts.append(
                 Counts(
                     ROUTES[row.route],
                     version,
@@ -364,43 +378,45 @@
                     ZONES[row.sender],
                 )
             )
-        return found
+        return counts
 
-    def _failure(self, t: float, row: _Row, bad: bool) -> float:
-        chance = self.base_failure
-        if self.faulty(t):
+    def _failure_probability(
+        self, t: float, row: _EndpointCalls, bad: bool
+    ) -> float:
+        probability = self.base_failure
+        if self.has_fault(t):
             if (self.kind.zone_fault or self.kind.rack_fault) and (
                 row.zone == 0
             ):
-                chance = 0.5
+                probability = 0.5
             if self.kind.overload:
-                chance = max(chance, 0.3)
+                probability = max(probability, 0.3)
             if self.kind.sick_vm and row.is_new and row.endpoint == 0:
-                chance = 0.8
-        return max(chance, self.kind.fails) if bad else chance
+                probability = 0.8
+        return max(probability, self.kind.fails) if bad else probability
 
-    def _median(self, t: float, is_new: bool, bad: bool) -> float:
+    def _median_latency_ms(self, t: float, is_new: bool, bad: bool) -> float:
         """Return the median latency in milliseconds."""
         median = MEDIAN_MS
-        if self.kind.overload and self.faulty(t):
+        if self.kind.overload and self.has_fault(t):
             median *= 4
-        if self.kind.cold_start and is_new and t < COLD_START_S:
+        if self.kind.cold_start and is_new and t < COLD_START_DURATION_S:
             median *= 5
         return median * self.kind.slow if bad else median
 
-    def _account(
+    def _count_bad_calls(
         self, calls: int, failures: int, slow: int, stage: int
     ) -> None:
         self.result.bad_calls += calls
-        self.result.harmed += slow
-        # Stage 0 takes idempotent requests only; a failed one is retried on
-        # the old version, so that its caller sees no failure.
+        self.result.affected_calls += slow
+        # Stage 0 routes only idempotent requests to the new version; a failed
+        # one is retried on the old version, so its caller sees no failure.
         if stage > 0:
-            self.result.harmed += failures
+            self.result.affected_calls += failures
 
 
-def _tail(limit: float | None, median: float) -> float:
-    """Return the probability of a log-normal latency above a limit."""
+def _tail_probability(limit: float | None, median: float) -> float:
+    """Return the probability that a log-normal latency exceeds a limit."""
     if limit is None:
         return 0.0
     return 1 - NORMAL.cdf(math.log(limit / median) / SIGMA)
@@ -409,10 +425,10 @@
 def run_trial(
     kind: Kind, policy_type: type[Policy], rng: np.random.Generator
 ) -> Result:
-    """Run one move to its end."""
+    """Run one move until it finishes or is reverted."""
     total_s = float(rng.choice([60.0, 120.0, 300.0]))
     spec = MoveSpec('d/m', 's', 'v1', 'v2', total_s, total_s / 12)
-    world = World(kind, rng, total_s)
+    simulator = CallSimulator(kind, rng, total_s)
     policy = policy_type(spec)
     move = Move(spec, MoveState.ACTIVE, 0, _moves.STAGE_SHARES[0], 0.0, 0.0)
     bad_since: float | None = None
@@ -423,15 +439,17 @@
         thresholds = {
             item.route: item.threshold_ms for item in policy.judge.thresholds()
         }
-        counts = world.interval(t, move, thresholds)
-        if bad_since is None and world.result.bad_calls:
+        counts = simulator.draw_interval(t, move, thresholds)
+        if bad_since is None and simulator.result.bad_calls:
             bad_since = t
         policy.add(move.stage, interval, counts)
-        # Reports of the closed interval arrive one interval later.
+        # The reports of an interval arrive one interval after its end.
         now = t + 2 * _judge.INTERVAL_S
         decision = policy.decide(move, now)
         if decision.step in (_moves.Step.FINISH, _moves.Step.REVERT):
-            return _finish(world.result, decision, now, spec, bad_since)
+            return _complete_result(
+                simulator.result, decision, now, spec, bad_since
+            )
         move = _advance(move, decision, now)
 
 
@@ -446,7 +464,7 @@
     )
 
 
-def _finish(
+def _complete_result(
     result: Result,
     decision: _moves.Decision,
     now: float,
@@ -461,7 +479,9 @@
     return result
 
 
-def _seeded(kind: Kind, policy: type[Policy], seed: int, index: int) -> Result:
+def _run_seeded_trial(
+    kind: Kind, policy: type[Policy], seed: int, index: int
+) -> Result:
     return run_trial(kind, policy, np.random.default_rng((seed, index)))
 
 
@@ -477,18 +497,20 @@
         'reverted_by_deadline': sum(
             r.reason == _moves.DEADLINE_REASON for r in results
         ),
-        'detection_s': _quantiles(detections),
-        'bad_share': _quantiles(shares),
-        'harmed': _quantiles([float(r.harmed) for r in results]),
+        'detection_s': _summary_quantiles(detections),
+        'bad_share': _summary_quantiles(shares),
+        'harmed': _summary_quantiles(
+            [float(r.affected_calls) for r in results]
+        ),
     }
 
 
-def _quantiles(values: list[float]) -> list[float]:
+def _summary_quantiles(values: list[float]) -> list[float]:
     """Return median, 99th percentile and maximum."""
     if not values:
         return []
-    found = np.quantile(values, (0.5, 0.99, 1.0))
-    return [round(float(value), 5) for value in found]
+    quantiles = np.quantile(values, (0.5, 0.99, 1.0))
+    return [round(float(value), 5) for value in quantiles]
 
 
 def main(argv: list[str]) -> None:
@@ -506,7 +528,9 @@
         entry: dict[str, object] = {'kind': asdict(kind)}
         for policy in (Policy, TimerPolicy, LimitPolicy):
             started = time.perf_counter()
-            trial = functools.partial(_seeded, kind, policy, _SEED.value)
+            trial = functools.partial(
+                _run_seeded_trial, kind, policy, _SEED.value
+            )
             trials = _TRIALS.value
             if policy is not Policy:
                 trials = min(trials, _BASELINE_TRIALS.value)
--- a/benchmarks/bench_network.py
+++ b/benchmarks/bench_network.py
@@ -2,14 +2,14 @@
 
 Run as ``python -m benchmarks.bench_network``. It prints:
 
-* round trips between two processes: of bytes on a plain trio stream, for
-  comparison, of a message and of a call,
+* round-trip times between two processes: of a message, of a call and, for
+  comparison, of bytes on a plain trio stream,
 * CPU time per round trip in each of the two processes,
-* memory of an open stream,
+* memory of each end of an open stream,
 * bytes per second of the heartbeats of a pair of daemons,
-* memory and times of a member table of 25,000 entries, time and bytes of a
-  join, and CPU of a daemon with such a table,
-* bytes per second and daemon of a simulated fleet with changes.
+* memory of a member table of 25,000 entries and times of its operations, time
+  and bytes of a join, and CPU time of a daemon with such a table,
+* bytes per second and daemon of a simulated fleet with and without changes.
 """
 
 from __future__ import annotations
@@ -49,10 +49,10 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-_ROUNDS = 20_000
+_ROUND_TRIPS = 20_000
 _MEMBERS = 25_000
 _ZONES = 20
-_HEARTBEAT_S = 20
+_MEASUREMENT_S = 20
 _CALL = _messages.CallStart(
     'a' * 32,
     1_760_000_000_000,
@@ -67,10 +67,13 @@
 )
 
 
-def _report(name: str, times: list[float], cpu: tuple[float, float]) -> None:
-    marks = statistics.quantiles(times, n=100)
+def _print_round_trips(
+    name: str, times: list[float], cpu: tuple[float, float]
+) -> None:
+    percentiles = statistics.quantiles(times, n=100)
     print(
-        f'{name}: p50 {marks[49] * 1e3:.3f} ms, p99 {marks[98] * 1e3:.3f} ms; '
+        f'{name}: p50 {percentiles[49] * 1e3:.3f} ms, '
+        f'p99 {percentiles[98] * 1e3:.3f} ms; '
         f'CPU per round trip {cpu[0] / len(times) * 1e6:.0f} us here, '
         f'{cpu[1] / len(times) * 1e6:.0f} us in the peer'
     )
@@ -89,7 +92,7 @@
 
 
 async def _serve_plain() -> None:
-    """Echo bytes; the lower bound for a round trip with trio."""
+    """Echo bytes, for the lower bound of a round trip with trio."""
 
     async def echo(stream: trio.SocketStream) -> None:
         async for data in stream:
@@ -101,16 +104,16 @@
 
 
 async def _bench_plain() -> None:
-    process, line = await _start('benchmarks.bench_network', 'plain')
-    stream = await trio.open_tcp_stream('127.0.0.1', int(await line()))
+    process, read_line = await _start('benchmarks.bench_network', 'plain')
+    stream = await trio.open_tcp_stream('127.0.0.1', int(await read_line()))
     times = []
     cpu = time.process_time()
-    for _ in range(_ROUNDS):
+    for _ in range(_ROUND_TRIPS):
         start = time.perf_counter()
         await stream.send_all(b'x' * 16)
         await stream.receive_some()
         times.append(time.perf_counter() - start)
-    _report('plain stream', times, (time.process_time() - cpu, 0.0))
+    _print_round_trips('plain stream', times, (time.process_time() - cpu, 0.0))
     process.kill()
     await process.wait()
 
@@ -125,37 +128,37 @@
         stdout=subprocess.PIPE,
     )
 
-    async def line() -> str:
+    async def read_line() -> str:
         text = b''
         while not text.endswith(b'\n'):
             text += await process.stdout.receive_some()
         return text.decode().strip()
 
-    return process, line
+    return process, read_line
 
 
 async def _bench_streams() -> None:
-    process, line = await _start('gypsumhall.testing.echo_peer')
-    address = await line()
+    process, read_line = await _start('gypsumhall.testing.echo_peer')
+    address = await read_line()
     network = echo_peer.build_network(1)
 
     async def peer_cpu() -> float:
         await process.stdin.send_all(b'\n')
-        return float(await line())
+        return float(await read_line())
 
     async with trio.open_nursery() as nursery:
         await nursery.start(network.serve)
         for name, action in (('message', _request), ('call', _call)):
-            for _ in range(_ROUNDS // 10):
+            for _ in range(_ROUND_TRIPS // 10):
                 await action(network, address)
             times = []
             peer, own = await peer_cpu(), time.process_time()
-            for _ in range(_ROUNDS):
+            for _ in range(_ROUND_TRIPS):
                 start = time.perf_counter()
                 await action(network, address)
                 times.append(time.perf_counter() - start)
             own = time.process_time() - own
-            _report(name, times, (own, await peer_cpu() - peer))
+            _print_round_trips(name, times, (own, await peer_cpu() - peer))
         nursery.cancel_scope.cancel()
     process.kill()
     await process.wait()
@@ -185,10 +188,10 @@
         await _start_daemon(nursery, 2, (peers.me.address,))
         await trio.sleep(5)
         sizes, frames = list(peers.traffic.sizes), list(peers.traffic.frames)
-        await trio.sleep(_HEARTBEAT_S)
-        sent = (peers.traffic.sizes[0] - sizes[0]) / _HEARTBEAT_S
-        received = (peers.traffic.sizes[1] - sizes[1]) / _HEARTBEAT_S
-        count = (peers.traffic.frames[0] - frames[0]) / _HEARTBEAT_S
+        await trio.sleep(_MEASUREMENT_S)
+        sent = (peers.traffic.sizes[0] - sizes[0]) / _MEASUREMENT_S
+        received = (peers.traffic.sizes[1] - sizes[1]) / _MEASUREMENT_S
+        count = (peers.traffic.frames[0] - frames[0]) / _MEASUREMENT_S
         print(
             f'heartbeats of a pair: {sent:.0f} B/s sent, {received:.0f} B/s '
             f'received, {sent / count:.0f} bytes per frame; 8 frames per '
@@ -201,7 +204,7 @@
     async with trio.open_nursery() as nursery:
         first, membership = await _start_daemon(nursery, 0, ())
         for index in range(_MEMBERS):
-            membership.table.merge(_member(index), trio.current_time())
+            membership.table.merge(_build_member(index), trio.current_time())
         times = []
         for index in range(1, count):
             start = time.perf_counter()
@@ -215,8 +218,8 @@
         )
         await trio.sleep(3)
         cpu = time.process_time()
-        await trio.sleep(_HEARTBEAT_S)
-        cpu = (time.process_time() - cpu) / _HEARTBEAT_S / count
+        await trio.sleep(_MEASUREMENT_S)
+        cpu = (time.process_time() - cpu) / _MEASUREMENT_S / count
         print(f'CPU of an idle daemon: {cpu:.2%} of a core')
         nursery.cancel_scope.cancel()
 
@@ -226,12 +229,12 @@
     async with trio.open_nursery() as nursery:
         for network in networks:
             await nursery.start(network.serve)
-        opener, *others = networks
+        client, *others = networks
         gc.collect()
         tracemalloc.start()
         for network in others:
             for _ in range(100):
-                await _request(opener, network.me.address)
+                await _request(client, network.me.address)
         gc.collect()
         size, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
@@ -239,7 +242,7 @@
         nursery.cancel_scope.cancel()
 
 
-def _member(index: int) -> Member:
+def _build_member(index: int) -> Member:
     member = builders.build_member(
         index,
         f'az-{index % _ZONES}',
@@ -248,31 +251,32 @@
     member = msgspec.structs.replace(
         member, id=member.peer_address, incarnation=1_760_000_000_000 + index
     )
-    # As received: no strings are shared with other entries.
+    # Encoded and decoded, so that it shares no strings with other entries,
+    # like an entry that was received.
     return msgspec.msgpack.decode(msgspec.msgpack.encode(member), type=Member)
 
 
-def _time(name: str, action: Callable[[], object], rounds: int) -> None:
+def _print_time(name: str, action: Callable[[], object], rounds: int) -> None:
     start = time.perf_counter()
     for _ in range(rounds):
         action()
-    spent = (time.perf_counter() - start) / rounds
-    print(f'  {name}: {spent * 1e6:.1f} us')
+    elapsed = (time.perf_counter() - start) / rounds
+    print(f'  {name}: {elapsed * 1e6:.1f} us')
 
 
 def _bench_table() -> None:
     tracemalloc.start()
     table = _membership.Table()
     for index in range(_MEMBERS):
-        table.merge(_member(index), 0.0)
+        table.merge(_build_member(index), 0.0)
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     print(f'table of {_MEMBERS} entries: {size / 2**20:.1f} MiB')
     members = list(table.members())
-    fresh = _membership.Table()
+    new_table = _membership.Table()
     start = time.perf_counter()
     for member in members:
-        fresh.merge(member, 0.0)
+        new_table.merge(member, 0.0)
     print(f'  merge all: {time.perf_counter() - start:.3f} s')
     size = len(msgspec.msgpack.encode(members))
     print(f'  encoded: {size / _MEMBERS:.0f} bytes per entry')
@@ -290,19 +294,25 @@
         table.alive('az-1')
 
     buckets = table.buckets(99.0)
-    _time('merge a change', change, 20_000)
-    _time('merge a known entry', lambda: table.merge(members[0], 1.0), 20_000)
-    _time('merge a change, then alive(zone)', change_and_read, 200)
-    _time('alive(zone) unchanged', lambda: table.alive('az-1'), 20_000)
-    _time('endpoints(service)', lambda: table.endpoints('service-1'), 20_000)
-    _time('neighbours', lambda: table.neighbours(members[0], 3), 20_000)
-    _time('buckets', lambda: table.buckets(99.0), 1000)
-    _time('differing', lambda: table.differing_entries(buckets, 99.0), 100)
+    _print_time('merge a change', change, 20_000)
+    _print_time(
+        'merge a known entry', lambda: table.merge(members[0], 1.0), 20_000
+    )
+    _print_time('merge a change, then alive(zone)', change_and_read, 200)
+    _print_time('alive(zone) unchanged', lambda: table.alive('az-1'), 20_000)
+    _print_time(
+        'endpoints(service)', lambda: table.endpoints('service-1'), 20_000
+    )
+    _print_time('neighbours', lambda: table.neighbours(members[0], 3), 20_000)
+    _print_time('buckets', lambda: table.buckets(99.0), 1000)
+    _print_time(
+        'differing', lambda: table.differing_entries(buckets, 99.0), 100
+    )
     queue = _membership.ChangeQueue()
     assert members[0].status is MemberStatus.ALIVE
     for member in members[:1250]:
         queue.add(member.id, 1250)
-    _time('take from 1,250 queued changes', lambda: queue.take(0.0), 40)
+    _print_time('take from 1,250 queued changes', lambda: queue.take(0.0), 40)
 
 
 async def _bench_fleet(zones: int, size: int, changes: float) -> None:
@@ -311,7 +321,7 @@
         hub = MemoryHub(nursery, latency_s=0.002)
         services = []
         for index in range(zones * size):
-            member = _member(index)
+            member = _build_member(index)
             info = PeerInfo(
                 member.id,
                 f'az-{index % zones}',
@@ -343,19 +353,19 @@
                 msgspec.structs.replace(endpoint, slots=slots)
             )
         await trio.sleep_until(start + 60)
-        spent = {
+        rates = {
             key: round(value / 60 / len(services))
             for key, value in sizes.items()
         }
         print(
             f'fleet of {zones} zones with {size} daemons, {changes} changes '
-            f'per second: {sum(spent.values())} B/s sent per daemon, {spent}'
+            f'per second: {sum(rates.values())} B/s sent per daemon, {rates}'
         )
         nursery.cancel_scope.cancel()
 
 
 def main() -> None:
-    """Run all measurements, or serve the plain stream."""
+    """Run all measurements, or the echo server of the plain stream."""
     if sys.argv[1:] == ['plain']:
         trio.run(_serve_plain)
         return
--- a/benchmarks/bench_store.py
+++ b/benchmarks/bench_store.py
@@ -1,8 +1,9 @@
 """Platform calls per second that readers cause, by number of zones.
 
-Each zone has `DAEMONS` daemons, so that some look for a free slot. A virtual
-minute without changes and `CHANGES_S` with changes are measured against the
-stand-in on a virtual clock, so the figures do not depend on the machine.
+Each zone has `DAEMONS` daemons, more than there are reader slots, so that some
+poll for a free slot. A minute without changes and `CHANGES_S` seconds with
+changes are measured against the stand-in of the platform on a virtual clock,
+so the figures do not depend on the machine.
 
 Run with ``python -m benchmarks.bench_store``.
 """
@@ -24,13 +25,13 @@
 ZONES = (1, 3, 20)
 DAEMONS = 4
 WARM_UP_S = 8.0
-QUIET_S = 60.0
+IDLE_S = 60.0
 CHANGES_S = 14.4
 CHANGES = 3
-"""The design scale is 18,000 changes a day, 3 in 14.4 s."""
+"""The rate of the design scale: 18,000 changes a day are 3 in 14.4 s."""
 
 
-def _report(
+def _print_rates(
     label: str, before: dict[str, int], platform: Platform, seconds: float
 ) -> None:
     after = platform.stats['calls']
@@ -57,13 +58,13 @@
             await zone.start(nursery, DAEMONS)
         await trio.sleep(WARM_UP_S)
         before = dict(platform.stats['calls'])
-        await trio.sleep(QUIET_S)
-        _report('quiet', before, platform, QUIET_S)
+        await trio.sleep(IDLE_S)
+        _print_rates('quiet', before, platform, IDLE_S)
         before = dict(platform.stats['calls'])
         for _ in range(CHANGES):
             await zones[0].change()
             await trio.sleep(CHANGES_S / CHANGES)
-        _report('changes', before, platform, CHANGES_S)
+        _print_rates('changes', before, platform, CHANGES_S)
         for zone in zones:
             assert zone.slots() == [0, 1, 2]
             zone.check_published(zones[0].version)
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -1,7 +1,7 @@
 """Tables and plot of docs/CAPACITY.md, from benchmarks/results/capacity.json.
 
-Everything that is extrapolated to the design scale is worked out here, so
-that the page can be checked against the raw figures.
+All extrapolations to the design scale are calculated here, from the measured
+figures in that file, so that the page can be checked against them.
 """
 
 from __future__ import annotations
@@ -43,21 +43,22 @@
 
 DAEMONS = 25_000
 ZONES = 20
-ZONE = DAEMONS // ZONES
+DAEMONS_PER_ZONE = DAEMONS // ZONES
 SERVICES = 1900
 CALLS_PER_S = 64
 CHANGES_PER_S = 18_000 / 86_400
 SUMMARIES_PER_CHANGE = 1
-"""A zone reports a version once all of it has acknowledged it: the simulated
-zone sends each child one message per change, and one per refresh."""
+"""A zone reports a version once all its daemons have acknowledged it. In the
+simulated zone, each child of a tree node receives one summary per change and
+one per refresh."""
 MEMBER_CHANGES_PER_S = 0.3
-"""32 failures and 5,000 restarts a day, each with about five changes."""
+"""32 failures and 5,000 restarts a day, with about five changes each."""
 
-BOOTSTRAP_JITTER_S = 0.5
-CONTROLLER_RETRY_S = 5.0
-LEASE_RENEWAL_S = 3.2
-RESEEDERS = 4
-RESEED_S = 30.0
+MAX_BOOTSTRAP_JITTER_S = 0.5
+CONTROLLER_RETRY_INTERVAL_S = 5.0
+LEASE_RENEWAL_INTERVAL_S = 3.2
+RESEEDING_DAEMONS_PER_ZONE = 4
+RESEED_INTERVAL_S = 30.0
 
 Row = tuple[str, ...]
 
@@ -67,31 +68,38 @@
     return '\n'.join(f'| {" | ".join(line)} |' for line in lines)
 
 
-def _at(line: dict[str, float], x: float) -> float:
+def _evaluate_line(line: dict[str, float], x: float) -> float:
     return line['intercept'] + line['slope'] * x
 
 
-def _per_call_ms(found: dict[str, Any]) -> float:
+def _per_call_ms(results: dict[str, Any]) -> float:
     row = next(
-        item for item in found['calls'] if item['calls_per_s'] == CALLS_PER_S
+        item for item in results['calls'] if item['calls_per_s'] == CALLS_PER_S
     )
     return float(sum(row['cpu_ms_per_call'].values()))
 
 
-def _spread(found: dict[str, Any], size: int, readers: int) -> dict[str, Any]:
+def _find_run(
+    results: dict[str, Any], size: int, readers: int
+) -> dict[str, Any]:
     return next(
         item
-        for item in found['spread']
+        for item in results['spread']
         if (item['daemons'], item['readers']) == (size, readers)
     )
 
 
-def _summaries(zones: int) -> float:
-    """Return bytes a second that a daemon receives about other zones."""
+def _summary_bytes_per_s(zones: int) -> float:
+    """Return bytes per second that a daemon receives in zone summaries."""
     size = len(
         _model.encode(
             ZoneSummary(
-                'region-1-az-1', 1_796_000_000_000, 9000, ZONE, ZONE, 18_000
+                'region-1-az-1',
+                1_796_000_000_000,
+                9000,
+                DAEMONS_PER_ZONE,
+                DAEMONS_PER_ZONE,
+                18_000,
             )
         )
     )
@@ -102,68 +110,73 @@
     )
 
 
-def _bytes(found: dict[str, Any]) -> dict[str, float]:
-    """Return bytes a second, sent plus received, at the design scale."""
-    quiet = found['fleets'][-1]['quiet']['control_bytes_per_s_by_message']
+def _bytes_per_s(results: dict[str, Any]) -> dict[str, float]:
+    """Return bytes per second, sent plus received, at the design scale."""
+    quiet = results['fleets'][-1]['quiet']['control_bytes_per_s_by_message']
     heartbeats = sum(
         quiet.get(name, 0.0)
         for name in ('Heartbeat', 'HeartbeatEcho', 'HeartbeatReply')
     )
-    spread = _spread(found, ZONE, 3)
-    joins = found['join'][-1]['bytes'] + found['bootstrap']['bytes']
+    run = _find_run(results, DAEMONS_PER_ZONE, 3)
+    joins = results['join'][-1]['bytes'] + results['bootstrap']['bytes']
     return {
         'heartbeats': heartbeats,
         'member changes on heartbeats': 2 * 155.0,
         'repair of tables': 2 * 125.0,
         'configuration, acknowledgements, summaries': 2.0
-        * spread['sent_bytes_per_s_per_daemon'],
+        * run['sent_bytes_per_s_per_daemon'],
         'handshakes and frames without message': quiet.get('none', 0.0),
-        'summaries of the 19 other zones': 2.0 * _summaries(ZONES - 1),
+        'summaries of the 19 other zones': 2.0
+        * _summary_bytes_per_s(ZONES - 1),
         'urgent member changes': 2 * 51.0,
         'joins and bootstraps': 2 * joins * 5_000 / DAEMONS / 86_400,
     }
 
 
-def _places(found: dict[str, Any]) -> str:
-    """Return the table of bytes a second at each place of the trees."""
-    spread = _spread(found, ZONE, 3)
+def _tree_position_table(results: dict[str, Any]) -> str:
+    """Return the table of bytes per second by position in the trees."""
+    run = _find_run(results, DAEMONS_PER_ZONE, 3)
     per_message = {
-        name: spread['bytes_per_change'][name] / count
-        for name, count in spread['messages_per_change'].items()
+        name: run['bytes_per_change'][name] / count
+        for name, count in run['messages_per_change'].items()
     }
     update = per_message['Update'] * CHANGES_PER_S
-    report = (
-        spread['bytes_per_change']['Acknowledgement'] / ZONE * CHANGES_PER_S
+    acknowledgements = (
+        run['bytes_per_change']['Acknowledgement']
+        / DAEMONS_PER_ZONE
+        * CHANGES_PER_S
     )
-    announced = (
-        spread['bytes_per_change']['Announcement'] / ZONE * CHANGES_PER_S
+    announcements = (
+        run['bytes_per_change']['Announcement']
+        / DAEMONS_PER_ZONE
+        * CHANGES_PER_S
     )
-    summaries = _summaries(ZONES)
-    total = _bytes(found)
+    summaries = _summary_bytes_per_s(ZONES)
+    total = _bytes_per_s(results)
     base = sum(
         total[name]
         for name in total
         if not name.startswith(('configuration', 'summaries'))
     )
-    received = base / 2 + 3 * update + announced + summaries
-    sent = base / 2 + announced + report
+    received = base / 2 + 3 * update + announcements + summaries
+    sent = base / 2 + announcements + acknowledgements
     rows = (
         ('leaf of all trees', sent, received),
         ('inner node of one tree', sent + 8 * update, received),
         (
             'inner node of the tree of acknowledgements',
             sent + 8 * update + 8 * summaries,
-            received + 8 * report,
+            received + 8 * acknowledgements,
         ),
         (
             'reader, root of one tree',
-            sent + 8 * update - report,
+            sent + 8 * update - acknowledgements,
             received - update,
         ),
         (
             'reader, root of the tree of acknowledgements',
             sent + 8 * update + 8 * summaries,
-            received + 8 * report - update,
+            received + 8 * acknowledgements - update,
         ),
     )
     return _table(
@@ -171,70 +184,77 @@
         [
             (
                 name,
-                f'{out:.0f}',
-                f'{into:.0f}',
-                f'{out + into:.0f}',
-                'within' if out + into <= 3000 else '**exceeds**',
+                f'{sent_per_s:.0f}',
+                f'{received_per_s:.0f}',
+                f'{sent_per_s + received_per_s:.0f}',
+                'within'
+                if sent_per_s + received_per_s <= 3000
+                else '**exceeds**',
             )
-            for name, out, into in rows
+            for name, sent_per_s, received_per_s in rows
         ],
     )
 
 
-def _core(found: dict[str, Any]) -> dict[str, float]:
-    """Return shares of a core in percent for control at the design scale."""
-    fleet = found['fleets'][-1]['quiet']['core_percent']
-    install = found['install']['change_route']['apply_ms']
+def _core_percent(results: dict[str, Any]) -> dict[str, float]:
+    """Return the CPU use of the control traffic at the design scale.
+
+    In percent of a core.
+    """
+    fleet = results['fleets'][-1]['quiet']['core_percent']
+    install = results['install']['change_route']['apply_ms']
     return {
         'quiet daemon (heartbeats, timers)': fleet,
         'installs': install / 10 * CHANGES_PER_S,
-        'member changes': found['merge']['merge_ms']
+        'member changes': results['merge']['merge_ms']
         / 10
         * MEMBER_CHANGES_PER_S,
     }
 
 
-def _memory(found: dict[str, Any]) -> dict[str, float]:
-    fits = found['fits']
+def _memory_mb(results: dict[str, Any]) -> dict[str, float]:
+    fits = results['fits']
     return {
-        'process with a fleet of 36': found['fleets'][-1]['rss_mb_most'],
-        'configuration': _at(fits['snapshot_mb_by_services'], SERVICES),
-        'member table': _at(fits['table_mb_by_members'], DAEMONS),
+        'process with a fleet of 36': results['fleets'][-1]['rss_mb_most'],
+        'configuration': _evaluate_line(
+            fits['snapshot_mb_by_services'], SERVICES
+        ),
+        'member table': _evaluate_line(fits['table_mb_by_members'], DAEMONS),
         'bases of deltas (32 versions)': 2.4,
         '64 streams': 64 * 12 / 1024,
     }
 
 
-def _answers(found: dict[str, Any]) -> str:
-    fits = found['fits']
-    sizes = [item['zones'] for item in found['platform']]
-    spread = _spread(found, ZONE, 3)['last_ms']['max']
-    slow = _spread(found, ZONE, 1)['last_ms']['max']
-    bootstrap = found['bootstrap']
-    join = found['join'][-1]
+def _budget_table(results: dict[str, Any]) -> str:
+    fits = results['fits']
+    sizes = [item['zones'] for item in results['platform']]
+    last_install_ms = _find_run(results, DAEMONS_PER_ZONE, 3)['last_ms']['max']
+    one_reader_ms = _find_run(results, DAEMONS_PER_ZONE, 1)['last_ms']['max']
+    bootstrap = results['bootstrap']
+    join = results['join'][-1]
     size = bootstrap['bytes'] + join['bytes']
-    call = _per_call_ms(found)
+    cpu_ms_per_call = _per_call_ms(results)
     added = next(
         item['added_ms']['p99']
-        for item in found['calls']
+        for item in results['calls']
         if item['calls_per_s'] == CALLS_PER_S
     )
-    core = sum(_core(found).values())
-    capacity = 1000 / call * (1 - core / 100)
+    core = sum(_core_percent(results).values())
+    capacity = 1000 / cpu_ms_per_call * (1 - core / 100)
     rows = []
 
     def row(
-        question: str, value: str, budget: str, origin: str, ok: bool
+        quantity: str, value: str, budget: str, origin: str, ok: bool
     ) -> None:
         verdict = 'within' if ok else '**exceeds**'
-        rows.append((question, value, budget, verdict, origin))
+        rows.append((quantity, value, budget, verdict, origin))
 
     for name, label in (
         ('quiet_by_zones', 'Platform calls/s, quiet day'),
         ('daily_by_zones', 'Platform calls/s, 18,000 changes a day'),
         ('burst_by_zones', 'Platform calls/s, 5 changes a second'),
     ):
-        rate = _at(fits[name], ZONES)
+        rate = _evaluate_line(fits[name], ZONES)
         watches = 3 * ZONES
         row(
             label,
@@ -243,7 +263,10 @@
             f'virtual clock, line through {sizes} zones',
             rate + watches < 2000,
         )
-    rate = 3 * ZONES / CONTROLLER_RETRY_S + ZONES * RESEEDERS / RESEED_S
+    rate = (
+        3 * ZONES / CONTROLLER_RETRY_INTERVAL_S
+        + ZONES * RESEEDING_DAEMONS_PER_ZONE / RESEED_INTERVAL_S
+    )
     row(
         'Platform calls/s of campaigns for control and of looks for seeds',
         f'{rate:.0f}',
@@ -251,7 +274,7 @@
         'calculated: 60 readers per 5 s, 80 daemons per 30 s',
         rate < 2000,
     )
-    rate = 3 * ZONES / LEASE_RENEWAL_S + 3 * CHANGES_PER_S
+    rate = 3 * ZONES / LEASE_RENEWAL_INTERVAL_S + 3 * CHANGES_PER_S
     row(
         'Platform writes/s, 18,000 changes a day',
         f'{rate:.0f}',
@@ -259,18 +282,18 @@
         'calculated: leases of 60 readers per 3.2 s, 3 writes per change',
         rate < 300,
     )
-    returned = {
-        item['daemons']: item['most_per_s'] for item in found['zone_return']
+    peak_calls = {
+        item['daemons']: item['most_per_s'] for item in results['zone_return']
     }
     row(
         'Platform calls in the busiest second of a zone that returns: readers',
-        f'{max(returned.values())}, does not grow with the zone',
+        f'{max(peak_calls.values())}, does not grow with the zone',
         '2,000',
-        f'virtual clock, {list(returned)} daemons',
-        max(returned.values()) < 2000,
+        f'virtual clock, {list(peak_calls)} daemons',
+        max(peak_calls.values()) < 2000,
     )
-    # Every daemon reads the head within the jitter of its bootstrap.
-    rate = ZONE / BOOTSTRAP_JITTER_S
+    # Every daemon reads the head once, within the jitter of its bootstrap.
+    rate = DAEMONS_PER_ZONE / MAX_BOOTSTRAP_JITTER_S
     row(
         'The same: reads of the version floor while no member is ready',
         f'{rate:.0f}',
@@ -278,7 +301,7 @@
         'calculated: 1,250 reads of the head within 0.5 s',
         rate < 2000,
     )
-    total = sum(_bytes(found).values())
+    total = sum(_bytes_per_s(results).values())
     row(
         'Control bytes/s per daemon, sent plus received',
         f'{total:.0f}',
@@ -288,12 +311,13 @@
     )
     row(
         'Last of 1,250 daemons, one inner node dead',
-        f'{spread:.0f} ms with 3 readers, {slow:.0f} ms with 1',
+        f'{last_install_ms:.0f} ms with 3 readers, '
+        f'{one_reader_ms:.0f} ms with 1',
         '3,000 ms',
         'measured: real replicas, 0.5 ms per hop assumed',
-        max(spread, slow) < 3000,
+        max(last_install_ms, one_reader_ms) < 3000,
     )
-    total = sum(_memory(found).values())
+    total = sum(_memory_mb(results).values())
     row(
         'Memory of a daemon',
         f'{total:.0f} MB',
@@ -310,7 +334,7 @@
     )
     row(
         'Bytes of 1,250 starts at once',
-        f'{ZONE * size / 1e9:.1f} GB in the zone',
+        f'{DAEMONS_PER_ZONE * size / 1e9:.1f} GB in the zone',
         'none given',
         'calculated from one start',
         True,
@@ -347,13 +371,13 @@
     return _table(header, rows)
 
 
-def _parts(title: str, values: dict[str, float], digits: int) -> str:
+def _breakdown_table(title: str, values: dict[str, float], digits: int) -> str:
     rows = [(key, f'{value:.{digits}f}') for key, value in values.items()]
     rows.append(('sum', f'{sum(values.values()):.{digits}f}'))
     return _table((title, 'value'), rows)
 
 
-def _fleets(found: dict[str, Any]) -> str:
+def _fleet_table(results: dict[str, Any]) -> str:
     return _table(
         (
             'daemons',
@@ -380,13 +404,13 @@
                 f'{item["last_ms_median"]:.0f}, {item["last_ms_max"]:.0f}',
                 f'{item["start_to_ready_s_max"]:.1f}',
             )
-            for item in found['fleets']
+            for item in results['fleets']
         ],
     )
 
 
-def _messages(found: dict[str, Any]) -> str:
-    item = found['fleets'][-1]
+def _message_table(results: dict[str, Any]) -> str:
+    item = results['fleets'][-1]
     quiet = item['quiet']['control_bytes_per_s_by_message']
     changes = item['changes']['control_bytes_per_s_by_message']
     return _table(
@@ -400,7 +424,7 @@
     )
 
 
-def _calls(found: dict[str, Any]) -> str:
+def _call_table(results: dict[str, Any]) -> str:
     return _table(
         (
             'calls/s',
@@ -419,12 +443,12 @@
                 f'{item["cpu_ms_per_call"]["sender"]:.2f}',
                 f'{item["cpu_ms_per_call"]["runner"]:.2f}',
             )
-            for item in found['calls']
+            for item in results['calls']
         ],
     )
 
 
-def _fit_rows(found: dict[str, Any]) -> str:
+def _fit_table(results: dict[str, Any]) -> str:
     return _table(
         ('line', 'slope', 'intercept', 'largest deviation'),
         [
@@ -434,26 +458,28 @@
                 f'{item["intercept"]:.5g}',
                 f'{item["deviation"]:.3g}',
             )
-            for name, item in found['fits'].items()
+            for name, item in results['fits'].items()
         ],
     )
 
 
-def _run(found: dict[str, Any]) -> str:
+def _run_summary(results: dict[str, Any]) -> str:
     loads = ', '.join(
-        f'{name} {value:.1f}' for name, value in found['load_average'].items()
+        f'{name} {value:.1f}'
+        for name, value in results['load_average'].items()
     )
     return (
-        f'Taken on {found["cores"]} cores with Python {found["python"]} in '
-        f'{found["seconds"]:.0f} s of the last start. Load averages: {loads}.'
+        f'Taken on {results["cores"]} cores with Python '
+        f'{results["python"]} in {results["seconds"]:.0f} s of the last '
+        f'start. Load averages: {loads}.'
     )
 
 
-def _plot(found: dict[str, Any]) -> None:
-    # Without these the file changes with every run.
+def _plot(results: dict[str, Any]) -> None:
+    # With a fixed salt and no date, equal figures give an equal file.
     plt.rcParams['svg.hashsalt'] = 'gypsumhall'
     figure, axes = plt.subplots(1, 3, figsize=(12, 3.6))
-    fleets = found['fleets']
+    fleets = results['fleets']
     sizes = [item['daemons'] for item in fleets]
     for name, label in (('quiet', 'quiet'), ('changes', '2 changes/s')):
         rates = [item[name]['control_bytes_per_s'] for item in fleets]
@@ -461,7 +487,7 @@
     axes[0].axhline(3000, color='grey', linestyle=':', label='budget')
     axes[0].set(xlabel='daemons', ylabel='control B/s per daemon')
     for readers in (1, 3):
-        rows = [x for x in found['spread'] if x['readers'] == readers]
+        rows = [x for x in results['spread'] if x['readers'] == readers]
         axes[1].plot(
             [item['daemons'] for item in rows],
             [item['last_ms']['max'] for item in rows],
@@ -469,7 +495,7 @@
             label=f'{readers} readers, one node dead',
         )
     axes[1].set(xlabel='daemons in the zone', ylabel='last install, ms')
-    calls = found['calls']
+    calls = results['calls']
     axes[2].plot(
         [item['calls_per_s'] for item in calls],
         [item['added_ms']['p99'] for item in calls],
@@ -487,29 +513,32 @@
     PLOT.write_text('\n'.join(x.rstrip() for x in text.splitlines()) + '\n')
 
 
-def redraw(found: dict[str, Any]) -> None:
-    """Rewrite the plot and the tables between the markers of the page."""
+def redraw(results: dict[str, Any]) -> None:
+    """Rewrite the plot, and the tables between the markers of the page."""
     parts = {
-        'run': _run(found),
-        'answers': _answers(found),
-        'bytes': _parts('B/s per daemon', _bytes(found), 0),
-        'places': _places(found),
-        'core': _parts('% of a core', _core(found), 3),
-        'memory': _parts('MB', _memory(found), 1),
-        'fleets': _fleets(found),
-        'messages': _messages(found),
-        'calls': _calls(found),
-        'fits': _fit_rows(found),
+        'run': _run_summary(results),
+        'answers': _budget_table(results),
+        'bytes': _breakdown_table('B/s per daemon', _bytes_per_s(results), 0),
+        'places': _tree_position_table(results),
+        'core': _breakdown_table('% of a core', _core_percent(results), 3),
+        'memory': _breakdown_table('MB', _memory_mb(results), 1),
+        'fleets': _fleet_table(results),
+        'messages': _message_table(results),
+        'calls': _call_table(results),
+        'fits': _fit_table(results),
     }
     text = PAGE.read_text()
     for name, part in parts.items():
         begin, end = f'<!-- begin {name} -->', f'<!-- end {name} -->'
         pattern = f'{re.escape(begin)}.*?{re.escape(end)}'
-        whole = f'{begin}\n{part}\n{end}'
+        section = f'{begin}\n{part}\n{end}'
         text, count = re.subn(
-            pattern, lambda _, whole=whole: whole, text, flags=re.DOTALL
+            pattern, lambda _, section=section: section, text, flags=re.DOTALL
         )
         if count != 1:
-            raise ValueError(f'{PAGE.name} needs markers of {name!r} once')
+            raise ValueError(
+                f'{PAGE.name}: expected one pair of markers of {name!r}, '
+                f'got {count}'
+            )
     PAGE.write_text(text)
-    _plot(found)
+    _plot(results)
--- a/benchmarks/check_proofs.py
+++ b/benchmarks/check_proofs.py
@@ -1,7 +1,7 @@
-"""Switches one mechanism off at a time and checks that its test fails.
+"""Disables one mechanism at a time and checks that its tests fail.
 
-Each mutation is made on a scratch copy of the package and the tests. A proof
-whose test still passes without the mechanism proves nothing.
+Each mutation is applied to a temporary copy of the package and the tests.
+Tests that still pass without the mechanism don't cover it.
 
     python -m benchmarks.check_proofs
 """
@@ -21,12 +21,16 @@
 from absl import app
 from absl import flags
 
-_PROCESSES = flags.DEFINE_integer('processes', 3, 'Mutations at a time.')
+_PROCESSES = flags.DEFINE_integer(
+    'processes', 3, 'Mutations to check concurrently.'
+)
 _GUARANTEES = flags.DEFINE_list(
     'guarantees', None, 'Numbers of the invariants to check; all by default.'
 )
 _OUTPUT = flags.DEFINE_string(
-    'output', 'benchmarks/results/proofs.json', 'File for the results.'
+    'output',
+    'benchmarks/results/proofs.json',
+    'File that the results are written to.',
 )
 
 ROOT = Path(__file__).parents[1]
@@ -34,18 +38,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Mutation:
-    """A mechanism that is switched off.
+    """A change of the source that disables one mechanism.
 
     Parameters
     ----------
     guarantee : int
         Number of the invariant in docs/design.md.
     mechanism : str
-        What is switched off.
+        Description of the mechanism.
     file : str
-        File below the package.
+        Path relative to the package.
     old, new : str
-        Text that is replaced, exactly once, and its replacement.
+        Text to replace, which has to occur exactly once, and the
+        replacement.
     tests : str
         Arguments of pytest.
     """
@@ -157,7 +162,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """What the tests said without the mechanism."""
+    """Test result without the mechanism.
+
+    The fields are written to the file of results.
+    """
 
     guarantee: int
     mechanism: str
@@ -167,7 +175,7 @@
 
 
 def check(mutation: Mutation) -> Outcome:
-    """Run the tests of a mutation on a scratch copy."""
+    """Run the tests of a mutation on a temporary copy."""
     with tempfile.TemporaryDirectory() as name:
         scratch = Path(name)
         for part in ('gypsumhall', 'tests', 'examples', 'pyproject.toml'):
@@ -180,7 +188,7 @@
         text = path.read_text()
         if text.count(mutation.old) != 1:
             raise ValueError(
-                f'{mutation.file} holds {mutation.old!r} '
+                f'{mutation.file} contains {mutation.old!r} '
                 f'{text.count(mutation.old)} times, expected once'
             )
         path.write_text(text.replace(mutation.old, mutation.new))
@@ -213,7 +221,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Check all mutations; the exit status is 1 when one goes unnoticed."""
+    """Check the mutations; exit with status 1 if the tests miss one."""
     del argv
     chosen = [
         item
@@ -223,7 +231,7 @@
     with concurrent.futures.ThreadPoolExecutor(_PROCESSES.value) as pool:
         outcomes = list(pool.map(check, chosen))
     for outcome in outcomes:
-        verdict = 'noticed' if outcome.detected else 'NOT NOTICED'
+        verdict = 'detected' if outcome.detected else 'NOT DETECTED'
         print(f'{outcome.guarantee:3} {outcome.mechanism}: {verdict}')
         for name in outcome.failed:
             print(f'      {name}')
--- a/benchmarks/trial_calls.py
+++ b/benchmarks/trial_calls.py
@@ -1,4 +1,4 @@
-"""Trials of calls under faults: many seeds, no real time.
+"""Simulated calls under faults with many seeds, on a virtual clock.
 
 Run as ``python -m benchmarks.trial_calls --trials 100 --calls 1000``.
 """
@@ -21,7 +21,11 @@
 
 _TRIALS = flags.DEFINE_integer('trials', 10, 'Number of trials.')
 _CALLS = flags.DEFINE_integer('calls', 1000, 'Requests per trial.')
-_FIRST_SEED = flags.DEFINE_integer('first_seed', 0, 'Seed of the first trial.')
+_FIRST_SEED = flags.DEFINE_integer(
+    'first_seed',
+    0,
+    'Seed of the first trial; later trials use the next numbers.',
+)
 
 
 def _main(argv: Sequence[str]) -> None:
