Reword the tests of the documentation

Test names say documented where they said explained; the heads say what a test guards. Assertions are unchanged.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,4 @@
-"""Tests that the pages for operators name everything that the code has."""
+"""Tests that the operator documentation covers codes, metrics and flags."""
 
 from __future__ import annotations
 
@@ -33,7 +33,8 @@
     'emit', '_emit', '_event', '_record_event', '_build_alarm', 'Alarm',
     '_on_change',
 }  # fmt: skip
-# Codes that are computed from an enumeration or an error.
+# Codes that are built from an enumeration or an error, so that they are not
+# string constants in a call.
 _COMPUTED = {
     *(f'submission-{item.value}' for item in SubmissionStatus),
     *(f'member-{item.name.lower()}' for item in MemberStatus),
@@ -56,21 +57,21 @@
                         yield str(part.value)
 
 
-def test_every_event_code_is_explained() -> None:
+def test_every_event_code_is_documented() -> None:
     events = _PAGE.partition('## Events')[2]
     codes = {*_codes(), *_COMPUTED}
     assert len(codes) > 40
-    named = {
+    documented = {
         code
         for line in events.splitlines()
         if line.startswith('| `')
         for code in re.findall('`([a-z-]+)`', line.split('|')[1])
     }
-    assert codes - named == set()
-    assert named - codes == set()
+    assert codes - documented == set()
+    assert documented - codes == set()
 
 
-def test_every_metric_is_explained() -> None:
+def test_every_metric_is_documented() -> None:
     pattern = r"'((?:gypsumhall|acceptance)_\w+)'"
     metrics = {
         name
@@ -84,7 +85,7 @@
 @pytest.mark.parametrize(
     'name', ['backend', 'load', 'platform', 'timeline', '', 'd']
 )
-def test_every_flag_is_explained(
+def test_every_flag_is_documented(
     name: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
     binary = f'gypsumhall-{name}' if len(name) > 1 else f'gypsumhall{name}'
@@ -102,7 +103,7 @@
     assert missing == ['--[no]help']
 
 
-def test_every_verb_of_the_scenarios_has_a_row_and_an_example() -> None:
+def test_every_scenario_verb_has_a_table_row_and_an_example() -> None:
     page = (_ROOT / 'docs' / 'scenarios.md').read_text()
     for verb in scenario.VERBS:
         assert f'\n| `{verb}` |' in page
@@ -122,14 +123,14 @@
 
 
 @pytest.mark.parametrize('command', _COMMANDS)
-def test_commands_of_the_page_find_lines_in_recorded_logs(
+def test_log_commands_of_the_page_match_recorded_logs(
     command: str, tmp_path: Path
 ) -> None:
-    """A command that finds nothing leaves an engineer without the cause."""
+    """A command without output gives the engineer no cause of the failure."""
     logs = _ROOT / 'tests' / 'data' / 'platform_logs.jsonl'
     shutil.copy(logs, tmp_path / 'logs.jsonl')
     module = f'{sys.executable} -m gypsumhall.cli.timeline'
-    found = subprocess.run(
+    result = subprocess.run(
         ['bash', '-c', command.replace('gypsumhall-timeline', module)],
         cwd=tmp_path,
         env={**os.environ, 'PYTHONPATH': str(_ROOT)},
@@ -137,5 +138,5 @@
         text=True,
         check=False,
     )
-    assert found.returncode == 0, found.stderr
-    assert found.stdout.strip()
+    assert result.returncode == 0, result.stderr
+    assert result.stdout.strip()
