--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -608,7 +608,7 @@
             # The sender must receive the newer entry in order to refute it.
             members = (known, *members)
         digest, time = self._digest(), self._events.clock.now()
-        if message.known == _membership.checksum(self.me):
+        if message.receiver_checksum == _membership.checksum(self.me):
             await exchange.send(
                 _messages.HeartbeatEcho(
                     digest.members,
@@ -767,7 +767,7 @@
                     while True:
                         message = await exchange.receive()
                         if isinstance(message, _messages.Busy):
-                            self._suggested_peers = message.others
+                            self._suggested_peers = message.alternative_addresses
                         if not isinstance(message, _messages.Members):
                             return None
                         count += len(message.members)
@@ -888,7 +888,7 @@
     daemon with exactly this entry replies with an echo. `sent` is the digest
     of the heartbeat, which an echo without a digest repeats.
     """
-    digest = msgspec.structs.replace(echo.digest or sent, members=echo.table)
+    digest = msgspec.structs.replace(echo.digest or sent, members=echo.members_digest)
     return _messages.HeartbeatReply(member, digest, echo.members, echo.time)
 
 
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -270,8 +270,8 @@
         address, _messages.Pull(), timeout_s=1
     )
     assert isinstance(reply, _messages.Busy)
-    assert len(reply.others) == 3
-    assert not {address, requester.me.peer_address} & set(reply.others)
+    assert len(reply.alternative_addresses) == 3
+    assert not {address, requester.me.peer_address} & set(reply.alternative_addresses)
     # Deltas are small and are never rejected.
     base = requester.service.digest
     pull = _messages.Pull(base.version, base.snapshot)
