Reword the fakes and in-memory networks of the tests

Comments, docstrings, error texts and private names use terms of the field: streams are aborted, leases expire, requests time out and are rejected, a request has no response.

--- a/gypsumhall/testing/__init__.py
+++ b/gypsumhall/testing/__init__.py
@@ -1,1 +1,1 @@
-"""Builders of test data and the scenario language."""
+"""Test data builders, fakes, in-memory networks and scenario tools."""
--- a/gypsumhall/testing/asgi.py
+++ b/gypsumhall/testing/asgi.py
@@ -1,4 +1,4 @@
-"""Requests to ASGI applications without a server, for the paused clock."""
+"""Calls ASGI applications without a server, for tests with a mock clock."""
 
 from __future__ import annotations
 
@@ -17,21 +17,21 @@
     path: str,
     headers: Iterable[tuple[bytes, bytes]],
 ) -> int:
-    """Send a request without a body and return the status of its response.
+    """Send a request without a body and return the response status.
 
     Parameters
     ----------
     application : callable
         ASGI application.
     method, path : str
-        Request line; the path has no query.
+        Method and path of the request; the path has no query string.
     headers : iterable of (bytes, bytes)
         Headers with lower-case names.
     """
-    sent: list[dict[str, Any]] = []
+    messages: list[dict[str, Any]] = []
 
     async def send(message: dict[str, Any]) -> None:
-        sent.append(message)
+        messages.append(message)
 
     scope = {
         'type': 'http',
@@ -43,4 +43,4 @@
         'headers': list(headers),
     }
     await application(scope, trio.sleep_forever, send)
-    return int(sent[0]['status'])
+    return int(messages[0]['status'])
--- a/gypsumhall/testing/builders.py
+++ b/gypsumhall/testing/builders.py
@@ -1,4 +1,4 @@
-"""Builders of valid test data; every argument has a usable default."""
+"""Builders of valid test data; most arguments have a default."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     versions: tuple[str, ...] = ('v1', 'v2'),
     depends_on: tuple[str, ...] = (),
 ) -> _model.Service:
-    """Return a service whose first version is current."""
+    """Return a service whose current version is the first one."""
     return _model.Service(name, versions, versions[0], depends_on)
 
 
@@ -76,7 +76,7 @@
     moves: Iterable[_model.Move] = (),
     current: dict[str, str] | None = None,
 ) -> _model.Head:
-    """Return a head that names the fragments by their digests."""
+    """Return a head that refers to the fragments by their digests."""
     return _model.Head(
         version=version,
         departments={
@@ -96,7 +96,7 @@
     endpoint: Endpoint | None = None,
     status: MemberStatus = MemberStatus.ALIVE,
 ) -> Member:
-    """Return an entry whose id and address follow from the index."""
+    """Return a member with an id and address derived from the index."""
     address = f'127.0.{index // 250}.{index % 250 + 1}:7000'
     return Member(f'd{index}', zone, address, 1, 1, status, endpoint)
 
@@ -120,7 +120,7 @@
     zone: str = 'az-1',
     route: str = 'spa/search',
 ) -> Counts:
-    """Return results of calls whose sender is in the endpoint's zone."""
+    """Return call counts with the sender in the zone of the endpoint."""
     return Counts(
         route,
         version,
--- a/gypsumhall/testing/fakes.py
+++ b/gypsumhall/testing/fakes.py
@@ -1,4 +1,4 @@
-"""Small in-memory versions of daemon services, and a member table."""
+"""In-memory fakes of daemon services and of the member table."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 class FakeService:
-    """Does nothing while it runs."""
+    """Base class of the fakes; does nothing while it runs."""
 
     name = ''
     requires: tuple[str, ...] = ()
@@ -45,16 +45,16 @@
         await trio.sleep_forever()
 
     async def drain(self) -> None:
-        """Return at once."""
+        """Return immediately."""
 
 
 class FakeTable:
-    """A `MemberTable` that tests change; several daemons may share it.
+    """Fake `MemberTable` that tests can modify and daemons can share.
 
     Parameters
     ----------
     members : iterable of Member
-        The entries.
+        Initial entries.
 
     Attributes
     ----------
@@ -72,28 +72,28 @@
 
     @property
     def digest(self) -> int:
-        """The revision, as all users share the table."""
+        """The revision, which identifies the contents of a shared table."""
         return self._revision
 
     @property
     def revision(self) -> int:
-        """Grows with every change of any entry."""
+        """Counter that increases with every change of an entry."""
         return self._revision
 
     def put(self, member: Member) -> None:
         """Add or replace an entry."""
         self._members[member.id] = member
-        self._changed()
+        self._notify()
 
     def remove(self, member_id: str) -> None:
         """Remove an entry."""
         del self._members[member_id]
-        self._changed()
+        self._notify()
 
     def replace(self, members: Iterable[Member]) -> None:
         """Replace all entries."""
         self._members = {item.id: item for item in members}
-        self._changed()
+        self._notify()
 
     def get(self, member_id: str) -> Member | None:
         """Return an entry by id."""
@@ -121,10 +121,10 @@
         ]
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call back after each change."""
+        """Register a function to call after each change."""
         self._callbacks.append(callback)
 
-    def _changed(self) -> None:
+    def _notify(self) -> None:
         self._alive = None
         self._revision += 1
         for callback in self._callbacks:
@@ -132,14 +132,14 @@
 
 
 class FakeMembership(FakeService):
-    """Membership of one daemon over a table that may be shared.
+    """Fake membership service of one daemon.
 
     Parameters
     ----------
     me : Member
-        Entry of the daemon, which is put into the table.
+        Entry of the daemon; it is added to the table.
     table : FakeTable, optional
-        By default an own one.
+        Table to use, possibly shared; by default a new one.
     """
 
     name = 'membership'
@@ -171,11 +171,11 @@
         self._replace(status=MemberStatus.LEAVING)
 
     def acknowledged_version(self, member_id: str) -> int:
-        """Return what the table has; 0 for unknown."""
+        """Return the version recorded in the table; 0 if none is."""
         return self._table.acknowledged_version.get(member_id, 0)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call back after each change of the table."""
+        """Register a function to call after each change of the table."""
         self._table.subscribe(callback)
 
     def _replace(self, **changes: object) -> None:
@@ -186,19 +186,21 @@
 
 
 class FakeDistribution(FakeService):
-    """Distribution that installs what is published, on this daemon only.
+    """Fake distribution that installs versions on this daemon only.
 
     Parameters
     ----------
     snapshot : Snapshot, optional
-        Installed at the start.
+        Snapshot that is installed initially.
 
     Attributes
     ----------
     lag : int
-        Number of versions by which the second of two zones is behind.
+        Number of versions by which the second zone lags behind the first.
     published : list of Head
-        Everything that was published, in this order.
+        Published heads, in order of publication.
+    reverts : dict of str to Revert
+        Reverts that were added, by move.
     """
 
     name = 'distribution'
@@ -212,38 +214,38 @@
 
     @property
     def summaries(self) -> Mapping[str, ZoneSummary]:
-        """Two zones; the second is `lag` versions behind."""
+        """Summaries of two zones; the second lags by `lag` versions."""
         version = self.snapshot.version if self.snapshot else 0
         return {
-            zone: ZoneSummary(zone, 1, version, 3, 3, version - behind)
-            for zone, behind in (('az-1', 0), ('az-2', self.lag))
+            zone: ZoneSummary(zone, 1, version, 3, 3, version - lag)
+            for zone, lag in (('az-1', 0), ('az-2', self.lag))
         }
 
     async def wait_ready(self) -> None:
-        """Return at once."""
+        """Return immediately."""
         await trio.lowlevel.checkpoint()
 
     def install(self, update: Update) -> bool:
-        """Install a whole update when it is newer."""
+        """Install an update if it is newer; return whether it was."""
         return self._install(update.head, update.fragments)
 
     def publish(self, head: Head, fragments: Sequence[Fragment]) -> None:
-        """Install a version when it is newer, and record it."""
+        """Record a version and install it if it is newer."""
         self._install(head, fragments)
         self.published.append(head)
 
     def add_revert(self, revert: Revert) -> None:
-        """Keep a verdict."""
+        """Record a revert."""
         self.reverts[revert.move] = revert
 
     def in_effect(self, version: int) -> bool:
-        """Whether both zones hold the version."""
+        """Whether both zones have installed the version."""
         return all(
             item.lowest_version >= version for item in self.summaries.values()
         )
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call back after each install."""
+        """Register a function to call after each installation."""
         self._callbacks.append(callback)
 
     def _install(self, head: Head, fragments: Sequence[Fragment]) -> bool:
@@ -257,7 +259,7 @@
 
 
 class FakeMoves(FakeService):
-    """Keeps the recorded results."""
+    """Stores the recorded call results."""
 
     name = 'moves'
 
@@ -267,29 +269,29 @@
     def record(
         self, call: CallStart, latency_ms: float, *, failed: bool
     ) -> None:
-        """Record a result."""
+        """Record the result of a call that is part of a move."""
         if call.move:
             self.records.append((call, latency_ms, failed))
 
 
 class FakeClock:
-    """Hybrid logical clock that counts the time stamps."""
+    """Fake hybrid logical clock; its timestamps are a counter."""
 
     def __init__(self) -> None:
         self._time = 0
 
     def now(self) -> int:
-        """Return the next time stamp."""
+        """Return the next timestamp."""
         self._time += 1
         return self._time
 
     def observe(self, time: int) -> None:
-        """Move past a time stamp."""
+        """Advance the clock to at least a received timestamp."""
         self._time = max(self._time, time)
 
 
 class FakeEvents(FakeService):
-    """Keeps the codes and fields of all events in `emitted`."""
+    """Records the codes and fields of all events in `emitted`."""
 
     name = 'events'
 
@@ -303,7 +305,7 @@
         return [code for code, _ in self.emitted]
 
     def emit(self, code: str, **fields: object) -> None:
-        """Keep an event."""
+        """Record an event."""
         self.emitted.append((code, fields))
 
     def since(self, index: int) -> list[dict[str, object]]:
@@ -316,18 +318,18 @@
 
 
 class FakeMetric:
-    """Sums values by labels."""
+    """Values by labels; serves as counter, gauge and histogram."""
 
     def __init__(self) -> None:
         self.values: dict[tuple[tuple[str, str], ...], float] = {}
 
     def add(self, value: float = 1.0, **labels: str) -> None:
-        """Add to the sum."""
+        """Add to the value of a label set."""
         key = tuple(sorted(labels.items()))
         self.values[key] = self.values.get(key, 0.0) + value
 
     def set(self, value: float, **labels: str) -> None:
-        """Set a value."""
+        """Set the value of a label set."""
         self.values[tuple(sorted(labels.items()))] = value
 
 
@@ -340,14 +342,14 @@
         self.by_name: dict[str, FakeMetric] = {}
 
     def counter(self, name: str, description: str) -> FakeMetric:
-        """Return the metric of that name."""
+        """Return the metric with a name; create it if needed."""
         return self.by_name.setdefault(name, FakeMetric())
 
     gauge = counter
     histogram = counter
 
     def value(self, name: str, **labels: str) -> float:
-        """Return a sum; 0 when nothing was added."""
+        """Return a value; 0 if none was recorded."""
         metric = self.by_name.get(name, FakeMetric())
         return metric.values.get(tuple(sorted(labels.items())), 0.0)
 
@@ -362,7 +364,7 @@
 
 
 class FakeAdmin(FakeService):
-    """Keeps the handlers, so that tests can call them."""
+    """Stores the request handlers so that tests can call them."""
 
     name = 'admin'
 
--- a/gypsumhall/testing/http_network.py
+++ b/gypsumhall/testing/http_network.py
@@ -1,7 +1,7 @@
-"""HTTP between `httpcore` and `hypercorn` over streams in memory.
+"""HTTP between `httpcore` and `hypercorn` over in-memory streams.
 
-No socket is involved, so tests with `trio.testing.MockClock` pass minutes of
-timeouts within milliseconds, whatever the speed of the machine.
+No sockets are used, so with `trio.testing.MockClock` timeouts of minutes pass
+in milliseconds, independently of the speed of the machine.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 
 
 class _Socket:
-    """The part of a socket that the HTTP server asks for."""
+    """The socket methods that the HTTP server uses."""
 
     family = trio.socket.AF_INET
 
@@ -38,7 +38,7 @@
 
 
 class _ServerStream:
-    """End of a stream in memory that the HTTP server reads and writes."""
+    """Server end of an in-memory stream."""
 
     def __init__(self, stream: trio.abc.HalfCloseableStream) -> None:
         self._stream = stream
@@ -58,7 +58,10 @@
 
 
 class _ClientStream(httpcore.AsyncNetworkStream):
-    """End of a stream in memory that the HTTP client reads and writes."""
+    """Client end of an in-memory stream.
+
+    Once `silent` is set, all further data is lost in both directions.
+    """
 
     def __init__(
         self, stream: trio.abc.HalfCloseableStream, address: str
@@ -67,7 +70,7 @@
         self.address = address
         self.silent = False
 
-    async def _check_silent(self) -> None:
+    async def _block_if_silent(self) -> None:
         if self.silent:
             await trio.sleep_forever()
 
@@ -77,7 +80,7 @@
         try:
             with trio.fail_after(float('inf') if timeout is None else timeout):
                 data = bytes(await self._stream.receive_some(max_bytes))
-                await self._check_silent()
+                await self._block_if_silent()
                 return data
         except trio.TooSlowError as error:
             raise httpcore.ReadTimeout from error
@@ -106,23 +109,23 @@
         server_hostname: str | None = None,
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        raise NotImplementedError('streams in memory are not encrypted')
+        raise NotImplementedError('in-memory streams do not support TLS')
 
 
 class HttpNetwork(httpcore.AsyncNetworkBackend):
-    """Network backend of `httpcore` that connects to applications.
+    """`httpcore` network backend that connects to ASGI applications.
 
     Parameters
     ----------
     nursery : trio.Nursery
-        Runs the connections.
+        Runs the server side of the connections.
 
     Attributes
     ----------
     refused : set of str
-        Addresses that refuse new connections.
+        Addresses at which new connections are refused immediately.
     unreachable : set of str
-        Addresses whose new connections never open.
+        Addresses at which new connections time out.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
@@ -137,7 +140,7 @@
         self._apps[address] = app
 
     def silence_open_connections(self, address: str = '') -> None:
-        """Lose all further data of the connections that are open now.
+        """Drop all further data on the connections that are open now.
 
         Parameters
         ----------
@@ -164,16 +167,16 @@
             raise httpcore.ConnectTimeout
         if address in self.refused or address not in self._apps:
             raise httpcore.ConnectError(f'connection to {address} refused')
-        near, far = trio.testing.memory_stream_pair()
+        client_end, server_end = trio.testing.memory_stream_pair()
         server = TCPServer(
             ASGIWrapper(self._apps[address]),
             server_config(address),
             WorkerContext(None),
             ConnectionState({}),
-            _ServerStream(far),  # type: ignore[arg-type]
+            _ServerStream(server_end),  # type: ignore[arg-type]
         )
         self._nursery.start_soon(server.run)
-        stream = _ClientStream(near, address)
+        stream = _ClientStream(client_end, address)
         self._streams.add(stream)
         return stream
 
@@ -183,9 +186,9 @@
         timeout: float | None = None,
         socket_options: Iterable[Any] | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        """Refuse; only addresses are served."""
-        raise httpcore.ConnectError('no Unix sockets')
+        """Raise an error; Unix sockets are not supported."""
+        raise httpcore.ConnectError('Unix sockets are not supported')
 
     async def sleep(self, seconds: float) -> None:
-        """Sleep on the clock of the event loop."""
+        """Sleep for a time by the trio clock."""
         await trio.sleep(seconds)
--- a/gypsumhall/testing/kv_store.py
+++ b/gypsumhall/testing/kv_store.py
@@ -1,7 +1,7 @@
 """Stand-in of the metadata store that `gypsumhall.platform.KvStore` calls.
 
-State and faults are those of a `MemoryStore`; this module gives them the
-platform's published HTTP interface.
+A `MemoryStore` provides the state and the faults; this module adds the HTTP
+interface that the platform publishes.
 """
 
 from __future__ import annotations
@@ -39,12 +39,12 @@
     Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 ADDRESS = '127.0.0.1:8627'
-"""Address that is always served."""
+"""Address at which `open_kv_store` serves the stand-in."""
 
-_PAGE_ITEMS = 500
+_MAX_PAGE_ITEMS = 500
 
 
-def _item(found: KeyValue) -> dict[str, Any]:
+def _encode_item(found: KeyValue) -> dict[str, Any]:
     return {
         'key': found.key,
         'value': base64.b64encode(found.value).decode(),
@@ -54,7 +54,7 @@
     }
 
 
-def _event(event: WatchEvent) -> dict[str, Any]:
+def _encode_event(event: WatchEvent) -> dict[str, Any]:
     body: dict[str, Any] = {'key': event.key, 'revision': event.revision}
     if event.value is None:
         return {**body, 'tombstone': True}
@@ -68,14 +68,15 @@
     Parameters
     ----------
     store : MemoryStore
-        State and faults.
+        Provides the state and the faults.
 
     Attributes
     ----------
     refuse : int or None
-        Status with which every call is refused, for example 429.
+        Status code that rejects every request, for example 429;
+        None to execute requests.
     cut_watches : int
-        Watches that are refused from now on.
+        Number of the next watch requests that are rejected.
     """
 
     def __init__(self, store: MemoryStore) -> None:
@@ -114,7 +115,7 @@
         except StoreLeaseError:
             return 404, b'{}'
         except StoreUnavailableError as error:
-            if 'no answer' in str(error):
+            if 'no response' in str(error):
                 await trio.sleep_forever()
             return 503, b'{}'
         except StoreUnknownError:
@@ -135,7 +136,10 @@
                 found = await store.get(query['key'])
                 if found is None:
                     return 404, {}
-                return 200, {**_item(found), 'currentRev': store.revision}
+                return 200, {
+                    **_encode_item(found),
+                    'currentRev': store.revision,
+                }
             case 'kv-range':
                 return 200, await self._range(query)
             case 'kv-watch':
@@ -147,8 +151,8 @@
                 lease = await store.grant_lease(ttl_ms // 1000)
                 return 200, {'lease': lease, 'ttlMs': ttl_ms}
             case 'kv-keep':
-                kept = await store.keep_alive(int(argument))
-                return (200, {'ttlMs': 1000}) if kept else (404, {})
+                renewed = await store.keep_alive(int(argument))
+                return (200, {'ttlMs': 1000}) if renewed else (404, {})
             case 'kv-lease-end':
                 await store.revoke(int(argument))
                 return 200, {}
@@ -157,17 +161,19 @@
     async def _range(self, query: dict[str, str]) -> dict[str, Any]:
         items = await self.store.range(query['prefix'])
         after = query.get('after', '')
-        left = [item for item in items if item.key > after]
+        remaining = [item for item in items if item.key > after]
         return {
-            'items': [_item(item) for item in left[:_PAGE_ITEMS]],
-            'hasMore': len(left) > _PAGE_ITEMS,
+            'items': [
+                _encode_item(item) for item in remaining[:_MAX_PAGE_ITEMS]
+            ],
+            'hasMore': len(remaining) > _MAX_PAGE_ITEMS,
             'currentRev': self.store.revision,
         }
 
     async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
         if self.cut_watches:
             self.cut_watches -= 1
-            raise StoreUnavailableError('watch: injected end of the watch')
+            raise StoreUnavailableError('watch: injected termination')
         after = int(query['after'])
         found: list[WatchEvent] = []
         current = max(after, self.store.revision)
@@ -181,7 +187,7 @@
         if found:
             current = found[-1].revision
         return {
-            'events': [_event(event) for event in found],
+            'events': [_encode_event(event) for event in found],
             'currentRev': current,
         }
 
@@ -204,7 +210,7 @@
 
 @asynccontextmanager
 async def open_kv_store() -> AsyncIterator[tuple[KvStore, KvApp, HttpNetwork]]:
-    """Run a stand-in within a context; yield a client, it and the network."""
+    """Serve a stand-in; yield a client, the application and the network."""
     async with trio.open_nursery() as nursery:
         app = KvApp(MemoryStore())
         network = HttpNetwork(nursery)
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -1,4 +1,4 @@
-"""Network between daemons in memory, with faults."""
+"""In-memory network between daemons, with fault injection."""
 
 from __future__ import annotations
 
@@ -24,40 +24,40 @@
     from gypsumhall.net._protocol import M
     from gypsumhall.net._protocol import PeerInfo
 
-# Time after which the end points notice that a stream is silent.
+# Time after which both ends detect a silent stream.
 SILENCE_S = 2.0
-_QUEUE = 16
+_CHANNEL_CAPACITY = 16
 
 
 class Fault(enum.Enum):
-    """What happens to a message."""
+    """Fault that affects a message."""
 
     NONE = 'none'
-    # The stream dies before or after the message is delivered.
+    # The stream is aborted before or after the message is delivered.
     BREAK_BEFORE = 'break-before'
     BREAK_AFTER = 'break-after'
-    # Nothing passes any more, which is noticed after `SILENCE_S`.
+    # No further messages are delivered; detected after `SILENCE_S`.
     SILENCE = 'silence'
-    # The message and those behind it are delayed.
+    # The message and later ones in the same direction are delayed.
     DELAY = 'delay'
 
 
 FaultRule = Callable[[str, str, 'Message'], Fault]
-"""Returns the fault for a message from one address to another."""
+"""Function of source address, target address and message."""
 
 
-class _Link:
-    """A stream with one exchange on it."""
+class _Stream:
+    """A stream that carries one exchange."""
 
-    __slots__ = ('channels', 'dead', 'silent')
+    __slots__ = ('channels', 'aborted', 'silent')
 
     def __init__(self) -> None:
-        self.dead = False
+        self.aborted = False
         self.silent = False
         self.channels: list[trio.MemorySendChannel[Any]] = []
 
-    def kill(self) -> None:
-        self.dead = True
+    def abort(self) -> None:
+        self.aborted = True
         for channel in self.channels:
             channel.close()
 
@@ -68,13 +68,13 @@
     def __init__(
         self,
         hub: MemoryHub,
-        link: _Link,
+        stream: _Stream,
         ends: tuple[PeerInfo, PeerInfo],
         outgoing: trio.MemorySendChannel[Message],
         incoming: trio.MemoryReceiveChannel[Message],
     ) -> None:
         self._hub = hub
-        self._link = link
+        self._stream = stream
         self._me, self._peer = ends
         self._outgoing = outgoing
         self._incoming = incoming
@@ -86,8 +86,8 @@
 
     async def send(self, message: Message) -> None:
         """Send a message."""
-        if self._link.dead:
-            raise PeerLostError(f'stream to {self._peer.id} is dead')
+        if self._stream.aborted:
+            raise PeerLostError(f'stream to {self._peer.id} is aborted')
         self._hub.count(message)
         if self._hub.latency_s:
             await trio.sleep(self._hub.latency_s)
@@ -97,47 +97,47 @@
         fault = self._hub.fault(self._me.address, self._peer.address, message)
         if fault is Fault.DELAY:
             await trio.sleep(self._hub.delay_s)
-        if fault is Fault.SILENCE and not self._link.silent:
-            self._link.silent = True
-            self._hub.kill_later(self._link)
-        if self._link.silent:
+        if fault is Fault.SILENCE and not self._stream.silent:
+            self._stream.silent = True
+            self._hub.abort_later(self._stream)
+        if self._stream.silent:
             await trio.lowlevel.checkpoint()
             return
         if fault is Fault.BREAK_BEFORE:
-            self._link.kill()
+            self._stream.abort()
         try:
             await self._outgoing.send(message)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise PeerLostError(
-                f'stream to {self._peer.id} is dead'
+                f'stream to {self._peer.id} is aborted'
             ) from error
         if fault is Fault.BREAK_AFTER:
-            # The other end reads the message before it sees the end.
-            self._hub.kill_later(self._link, 0.0)
+            # Lets the peer receive the message before the stream is aborted.
+            self._hub.abort_later(self._stream, 0.0)
 
     async def receive(self) -> Message:
-        """Return the next message."""
+        """Wait for the next message and return it."""
         try:
             return await self._incoming.receive()
         except (trio.EndOfChannel, trio.ClosedResourceError):
-            if self._link.dead:
+            if self._stream.aborted:
                 raise PeerLostError(
-                    f'stream to {self._peer.id} is dead'
+                    f'stream to {self._peer.id} is aborted'
                 ) from None
             raise trio.EndOfChannel from None
 
     async def finish(self) -> None:
-        """End the messages in this direction."""
+        """Close this direction; the peer receives the end of the channel."""
         await self._outgoing.aclose()
 
     def cancel(self) -> None:
-        """Give the exchange up."""
+        """Cancel the exchange."""
         self._outgoing.close()
         self._incoming.close()
 
 
 class MemoryNetwork(FakeService):
-    """`PeerNetwork` of one daemon.
+    """In-memory `PeerNetwork` of one daemon.
 
     Parameters
     ----------
@@ -168,7 +168,7 @@
     async def open(
         self, address: str, message: Message, *, timeout_s: float = 2.0
     ) -> AsyncIterator[MemoryExchange]:
-        """Open an exchange with a first message."""
+        """Open an exchange by sending a first message."""
         await trio.lowlevel.checkpoint()
         if self._hub.blocks(self._me.address, address):
             self._hub.count(message)
@@ -178,47 +178,51 @@
         if target is None:
             raise PeerUnreachableError(f'no daemon at {address}')
         network, peer = target
-        link = _Link()
-        there, there_in = trio.open_memory_channel[Any](_QUEUE)
-        back, back_in = trio.open_memory_channel[Any](_QUEUE)
-        link.channels = [there, back]
+        stream = _Stream()
+        to_peer, peer_incoming = trio.open_memory_channel[Any](
+            _CHANNEL_CAPACITY
+        )
+        from_peer, own_incoming = trio.open_memory_channel[Any](
+            _CHANNEL_CAPACITY
+        )
+        stream.channels = [to_peer, from_peer]
         mine = MemoryExchange(
-            self._hub, link, (self._me, peer), there, back_in
+            self._hub, stream, (self._me, peer), to_peer, own_incoming
         )
         theirs = MemoryExchange(
-            self._hub, link, (peer, self._me), back, there_in
+            self._hub, stream, (peer, self._me), from_peer, peer_incoming
         )
-        self._hub.links[link] = (self._me.address, address)
+        self._hub.streams[stream] = (self._me.address, address)
         self._hub.spawn(network.serve, theirs)
         try:
             await mine.send(message)
             yield mine
         finally:
             mine.cancel()
-            del self._hub.links[link]
+            del self._hub.streams[stream]
 
     async def request(
         self, address: str, message: Message, *, timeout_s: float
     ) -> Message:
-        """Send a message and return the first message of the answer."""
+        """Send a message and return the first message of the reply."""
         with trio.move_on_after(timeout_s):
             async with self.open(address, message) as exchange:
                 try:
                     return await exchange.receive()
                 except trio.EndOfChannel:
-                    raise PeerLostError('no answer') from None
-        raise PeerLostError(f'no answer from {address} in time')
+                    raise PeerLostError(f'no reply from {address}') from None
+        raise PeerLostError(f'no reply from {address} in time')
 
     def post(self, address: str, message: Message) -> None:
-        """Send a message without waiting for an answer."""
+        """Send a message without waiting for a reply."""
         self._hub.spawn(self._post, address, message)
 
     async def serve(self, exchange: MemoryExchange) -> None:
-        """Handle an exchange that a peer has opened."""
+        """Handle an exchange that a peer opened."""
         try:
             first = await exchange.receive()
             handler = self._handlers.get(type(first))
-            # A daemon that has just started may have no handler yet.
+            # A daemon that is starting may not have registered a handler yet.
             if handler is not None:
                 await handler(exchange, first)
         except (PeerLostError, trio.EndOfChannel):
@@ -233,27 +237,28 @@
 
 
 class MemoryHub:
-    """Connects the networks of several daemons.
+    """Connects the in-memory networks of several daemons.
 
     Parameters
     ----------
     nursery : trio.Nursery
         Runs the handlers.
     latency_s : float
-        Time in seconds that sending a message takes.
+        Network delay of each message in seconds.
 
     Attributes
     ----------
     rule : callable or None
-        Chooses the fault of each message.
+        Selects the fault of each message; None for no faults.
     blocked : callable
-        Tells for two addresses whether nothing passes between them, which
-        their daemons notice by timeouts only.
+        Whether messages between two addresses are lost; daemons detect this
+        by timeouts only.
     silent : set of str
-        Addresses that nothing passes to or from.
+        Addresses for which all messages to or from them are lost.
     sizes : Counter of str or None
-        Bytes of the encoded messages that were sent, by type; None for no
-        count, which would take most of the time of a long trial.
+        Encoded size in bytes of the messages that were sent, by message
+        type; None disables counting, which would take most of the time of a
+        long trial.
     """
 
     def __init__(self, nursery: trio.Nursery, latency_s: float = 0.0) -> None:
@@ -262,46 +267,46 @@
         self.blocked: Callable[[str, str], bool] = lambda one, other: False
         self.silent: set[str] = set()
         self.sizes: Counter[str] | None = None
-        self._nodes: dict[str, tuple[MemoryNetwork, PeerInfo]] = {}
-        self.links: dict[_Link, tuple[str, str]] = {}
+        self._daemons: dict[str, tuple[MemoryNetwork, PeerInfo]] = {}
+        self.streams: dict[_Stream, tuple[str, str]] = {}
         self.rule: FaultRule | None = None
         self.delay_s = 0.05
 
     @property
     def addresses(self) -> tuple[str, ...]:
         """Addresses of all daemons."""
-        return tuple(self._nodes)
+        return tuple(self._daemons)
 
     def add(self, network: MemoryNetwork, info: PeerInfo) -> None:
         """Add a daemon, or replace the one at the same address."""
         self.remove(info.address)
         self.silent.discard(info.address)
-        self._nodes[info.address] = (network, info)
+        self._daemons[info.address] = (network, info)
 
     def remove(self, address: str, *, silent: bool = False) -> None:
-        """Remove a daemon; its streams die.
+        """Remove a daemon and abort its streams.
 
         Parameters
         ----------
         address : str
             Address of the daemon.
         silent : bool
-            Whether new streams time out, as if the VM were gone, instead of
-            being refused.
+            Whether attempts to open a stream time out, as after the loss of
+            the VM, instead of failing immediately.
         """
         if silent:
             self.silent.add(address)
-        self._nodes.pop(address, None)
-        for link, ends in self.links.items():
+        self._daemons.pop(address, None)
+        for stream, ends in self.streams.items():
             if address in ends:
-                link.kill()
+                stream.abort()
 
     def find(self, address: str) -> tuple[MemoryNetwork, PeerInfo] | None:
-        """Return the daemon at an address."""
-        return self._nodes.get(address)
+        """Return the network and identity of the daemon at an address."""
+        return self._daemons.get(address)
 
     def blocks(self, one: str, other: str) -> bool:
-        """Whether nothing passes between two addresses."""
+        """Whether messages between two addresses are lost."""
         return (
             one in self.silent
             or other in self.silent
@@ -309,13 +314,13 @@
         )
 
     def count(self, message: Message) -> None:
-        """Add to `sizes`, when they are counted."""
+        """Add the size of a message to `sizes` if counting is enabled."""
         if self.sizes is not None:
             size = len(_frames.encode_message(message))
             self.sizes[type(message).__name__] += size
 
     def fault(self, source: str, target: str, message: Message) -> Fault:
-        """Return the fault for a message."""
+        """Return the fault of a message."""
         if self.rule is None:
             return Fault.NONE
         return self.rule(source, target, message)
@@ -324,10 +329,10 @@
         """Run a function in the background."""
         self._nursery.start_soon(function, *args)
 
-    def kill_later(self, link: _Link, delay_s: float = SILENCE_S) -> None:
-        """Let a stream die after a time."""
-        self.spawn(self._kill, link, delay_s)
+    def abort_later(self, stream: _Stream, delay_s: float = SILENCE_S) -> None:
+        """Abort a stream after a delay in seconds."""
+        self.spawn(self._abort, stream, delay_s)
 
-    async def _kill(self, link: _Link, delay_s: float) -> None:
+    async def _abort(self, stream: _Stream, delay_s: float) -> None:
         await trio.sleep(delay_s)
-        link.kill()
+        stream.abort()
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -1,8 +1,8 @@
 """In-memory `Store` with revisions, leases, watches and faults.
 
-It follows the protocol of `gypsumhall.store` without a network. Time is the
-trio clock, so tests run it under `trio.testing.MockClock`. It can stand for
-the service ``store`` in a kernel.
+It implements the protocol of `gypsumhall.store` without a network. Time is
+measured by the trio clock, so tests can use `trio.testing.MockClock`. It can
+be registered with a kernel as the service ``store``.
 """
 
 from __future__ import annotations
@@ -46,13 +46,14 @@
 
 
 class Fault(enum.Enum):
-    """What happens to one request.
-
-    ``UNAVAILABLE`` refuses it. ``LOST_REQUEST`` loses it before and
-    ``LOST_ANSWER`` after it was executed, and ``LATE`` executes it some
-    time after its client gave up; these three raise `StoreUnknownError`,
-    and for reads, which leave nothing unknown, `StoreUnavailableError`.
-    ``NONSENSE`` executes it and raises `StoreProtocolError`.
+    """Fault that affects one request.
+
+    ``UNAVAILABLE`` rejects the request. ``LOST_REQUEST`` loses it before
+    execution, ``LOST_ANSWER`` loses its response after execution, and
+    ``LATE`` executes it `MemoryStore.late_s` seconds after its client has
+    timed out. These three raise `StoreUnknownError`, or
+    `StoreUnavailableError` for reads, which leave no outcome unknown.
+    ``NONSENSE`` executes the request and raises `StoreProtocolError`.
     """
 
     UNAVAILABLE = 'unavailable'
@@ -76,7 +77,7 @@
 
 
 class MemoryStore(FakeService):
-    """A `Store` that lives in this process.
+    """A `Store` in the memory of this process.
 
     Parameters
     ----------
@@ -86,16 +87,17 @@
     Attributes
     ----------
     latency_s : float
-        As above; may be changed at any time.
+        The parameter; may be changed at any time.
     timeout_s : float
-        Seconds after which the client of a request gives up.
+        Seconds after which a request times out.
     hang : bool
-        Whether requests are neither executed nor answered.
+        Whether requests are not executed and time out.
     late_s : float
-        Seconds after which requests with the fault ``LATE`` are executed.
+        Delay in seconds before requests with the fault ``LATE`` are
+        executed, counted from their time-out error.
     before : callable or None
-        Coroutine function that gets the name of each operation before it
-        is executed; it may wait, for example to pause one client.
+        Coroutine function that is called with the name of each operation
+        before its execution; it may wait, for example to pause one client.
     """
 
     name = 'store'
@@ -108,7 +110,7 @@
         self.late_s = 0.5
         self.before: Callable[[str], Awaitable[None]] | None = None
         self._revision = 1
-        self._compacted = 0
+        self._compacted_revision = 0
         self._next_lease = 1
         self._keys: dict[str, KeyValue] = {}
         self._history: list[WatchEvent] = []
@@ -116,13 +118,13 @@
         self._watches: set[_Watch] = set()
         self._faults: dict[str, list[Fault]] = {}
         self._counts: dict[str, int] = {}
-        self._late: list[tuple[float, Callable[[], object]]] = []
+        self._late_requests: list[tuple[float, Callable[[], object]]] = []
 
     @property
     def outage(self) -> bool:
-        """Whether every request is refused with `StoreUnavailableError`.
+        """Whether every request fails with `StoreUnavailableError`.
 
-        Setting it to true also drops the open watches.
+        Setting it to true also terminates the open watches.
         """
         return self._outage
 
@@ -153,10 +155,8 @@
         """All changes since the last compaction, in order."""
         return tuple(self._history)
 
-    # Faults
-
     def clear_faults(self) -> None:
-        """Forget the queued faults and start counting requests anew."""
+        """Remove the queued faults and reset the request counts."""
         self._faults.clear()
         self._counts.clear()
 
@@ -174,31 +174,35 @@
         self._faults.setdefault(operation, []).extend(faults)
 
     def drop_watches(self) -> None:
-        """End all open watches with `StoreUnavailableError`."""
+        """Terminate all open watches with `StoreUnavailableError`."""
         for watch in self._watches:
             watch.dropped = True
             watch.changed.set()
 
     def silence_watches(self) -> None:
-        """Let the open watches deliver nothing more, without an error."""
+        """Stop delivering events to the open watches, without an error."""
         for watch in self._watches:
             watch.silent = True
 
     def compact(self) -> None:
-        """Forget the history up to the present revision."""
+        """Discard the history up to the current revision."""
         self._expire()
-        self._compacted = self._revision
+        self._compacted_revision = self._revision
         self._history.clear()
 
     def lapse(self, *leases: int) -> None:
-        """End leases at once, or all, as if the holders had been paused."""
+        """Expire leases immediately, as if their holders had been paused.
+
+        Parameters
+        ----------
+        *leases : int
+            Ids of the leases; by default all leases.
+        """
         for lease in leases or self._leases:
             if lease in self._leases:
                 self._leases[lease].deadline = -math.inf
         self._expire()
 
-    # Store
-
     async def get(self, key: str) -> KeyValue | None:
         """Read one key; None when it does not exist."""
         return await self._request('get', lambda: self._keys.get(key))
@@ -226,15 +230,15 @@
         )
 
     async def grant_lease(self, ttl_s: int) -> int:
-        """Create a lease that lapses without renewal; return its id."""
+        """Create a lease that expires unless renewed; return its id."""
         return await self._request('grant_lease', lambda: self._grant(ttl_s))
 
     async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease once; False when it has lapsed."""
+        """Renew a lease once; return False if it has expired."""
         return await self._request('keep_alive', lambda: self._renew(lease))
 
     async def revoke(self, lease: int) -> None:
-        """End a lease and remove its keys."""
+        """Revoke a lease and remove its keys."""
         await self._request('revoke', lambda: self.lapse(lease))
 
     @asynccontextmanager
@@ -261,23 +265,23 @@
         await trio.sleep(min(latency_s, self.timeout_s))
         if self._outage or fault is Fault.UNAVAILABLE:
             raise StoreUnavailableError(f'{operation}: injected outage')
-        lost = (
+        error_type = (
             StoreUnavailableError if operation in _READS else StoreUnknownError
         )
         if fault is Fault.LOST_REQUEST:
-            raise lost(f'{operation}: injected lost request')
+            raise error_type(f'{operation}: injected lost request')
         self._expire()
         late_s = latency_s - self.timeout_s
         if fault is Fault.LATE:
             late_s = self.late_s
         if late_s > 0:
-            self._late.append((trio.current_time() + late_s, execute))
-            raise lost(f'{operation}: no answer in time')
+            self._late_requests.append((trio.current_time() + late_s, execute))
+            raise error_type(f'{operation}: no response in time')
         result = execute()
         if fault is Fault.LOST_ANSWER:
-            raise lost(f'{operation}: injected lost answer')
+            raise error_type(f'{operation}: injected lost response')
         if fault is Fault.NONSENSE:
-            raise StoreProtocolError(f'{operation}: injected nonsense')
+            raise StoreProtocolError(f'{operation}: injected invalid response')
         return result
 
     def _execute(
@@ -299,15 +303,15 @@
         return TxnResult(True, self._revision)
 
     def _write(self, writes: Sequence[Put | Delete]) -> None:
-        changes = [
+        effective_writes = [
             item
             for item in writes
             if isinstance(item, Put) or item.key in self._keys
         ]
-        if not changes:
+        if not effective_writes:
             return
         self._revision += 1
-        for item in changes:
+        for item in effective_writes:
             value = None
             if isinstance(item, Put):
                 value = item.value
@@ -327,34 +331,36 @@
         return lease
 
     def _renew(self, lease: int) -> bool:
-        held = self._leases.get(lease)
-        if held is None:
+        lease_state = self._leases.get(lease)
+        if lease_state is None:
             return False
-        held.deadline = trio.current_time() + held.ttl_s
+        lease_state.deadline = trio.current_time() + lease_state.ttl_s
         return True
 
     def _expire(self) -> None:
-        """Do what was due by now: late requests and lapsed leases."""
+        """Execute late requests that are due and remove expired leases."""
         now = trio.current_time()
-        due = [item for item in self._late if item[0] <= now]
-        self._late = [item for item in self._late if item[0] > now]
-        for _, execute in sorted(due, key=lambda item: item[0]):
-            # Nobody waits for the outcome any more.
+        due_requests = [item for item in self._late_requests if item[0] <= now]
+        self._late_requests = [
+            item for item in self._late_requests if item[0] > now
+        ]
+        for _, execute in sorted(due_requests, key=lambda item: item[0]):
+            # The client has timed out, so errors are not reported.
             with suppress(StoreError):
                 execute()
-        lapsed = {
+        expired = {
             lease
-            for lease, held in self._leases.items()
-            if held.deadline <= now
+            for lease, lease_state in self._leases.items()
+            if lease_state.deadline <= now
         }
-        for lease in lapsed:
+        for lease in expired:
             del self._leases[lease]
-        if lapsed:
+        if expired:
             self._write(
                 [
                     Delete(key)
                     for key, found in sorted(self._keys.items())
-                    if found.lease in lapsed
+                    if found.lease in expired
                 ]
             )
 
@@ -364,11 +370,11 @@
         while True:
             self._expire()
             if watch.dropped or self._outage:
-                raise StoreUnavailableError('watch: injected end of the watch')
-            if start <= self._compacted:
+                raise StoreUnavailableError('watch: injected termination')
+            if start <= self._compacted_revision:
                 raise StoreCompactedError(
-                    f'revision {start} is compacted; oldest kept: '
-                    f'{self._compacted + 1}'
+                    f'revision {start} is compacted; oldest available: '
+                    f'{self._compacted_revision + 1}'
                 )
             watch.changed = trio.Event()
             if not watch.silent:
@@ -381,12 +387,15 @@
                 start = last + 1
                 if self._revision > last:
                     continue
-            due = min(
+            next_deadline = min(
                 [
-                    *(held.deadline for held in self._leases.values()),
-                    *(time for time, _ in self._late),
+                    *(
+                        lease_state.deadline
+                        for lease_state in self._leases.values()
+                    ),
+                    *(time for time, _ in self._late_requests),
                 ],
                 default=math.inf,
             )
-            with trio.move_on_at(due):
+            with trio.move_on_at(next_deadline):
                 await watch.changed.wait()
--- a/gypsumhall/testing/platform.py
+++ b/gypsumhall/testing/platform.py
@@ -1,4 +1,4 @@
-"""The stand-in of the platform and stores on it, over streams in memory."""
+"""In-memory stand-in of the platform, and stores connected to it."""
 
 from __future__ import annotations
 
@@ -23,28 +23,32 @@
     from gypsumhall.store import Store
 
 ADDRESS = '127.0.0.1:2379'
-"""Address that is always served."""
+"""Address at which `open_platform` serves the stand-in."""
 
 
 @dataclass(slots=True, frozen=True)
 class MemoryPlatform:
-    """A stand-in that is served in memory.
+    """A stand-in of the platform that is served over in-memory streams.
 
     Parameters
     ----------
     platform : Platform
         State and faults of the stand-in.
     network : HttpNetwork
-        Connections and their faults.
+        Network through which the stand-in is reached, and its faults.
     """
 
     platform: Platform
     network: HttpNetwork
 
     def open_store(self, *addresses: str) -> EtcdStore:
-        """Return a store that uses the given gateways, or `ADDRESS`.
+        """Return a store that connects to the given gateways.
 
-        Every address leads to the same stand-in.
+        Parameters
+        ----------
+        *addresses : str
+            Gateway addresses, all served by the same stand-in; by default
+            `ADDRESS`.
         """
         for address in addresses:
             self.network.listen(address, PlatformApp(self.platform))
@@ -53,7 +57,7 @@
 
 @asynccontextmanager
 async def open_platform() -> AsyncIterator[MemoryPlatform]:
-    """Run a stand-in within a context."""
+    """Run a stand-in for the duration of the context."""
     async with trio.open_nursery() as nursery:
         platform = Platform()
         await nursery.start(platform.run)
@@ -66,16 +70,17 @@
 async def write_version(
     store: Store, version: int, fragment: _model.Fragment | None = None
 ) -> None:
-    """Write a head with one department, whatever the former head was.
+    """Write a head with one department, replacing any previous head.
 
     Parameters
     ----------
     store : Store
-        The platform.
+        Store of the platform.
     version : int
         Configuration version.
     fragment : Fragment, optional
-        Contents; by default a route that is named after the version.
+        Configuration of the department; by default one route that is named
+        after the version.
     """
     if fragment is None:
         route = builders.build_route(f'r{version}')
--- a/gypsumhall/testing/readers.py
+++ b/gypsumhall/testing/readers.py
@@ -1,4 +1,4 @@
-"""Daemons that run readers against a stand-in in memory."""
+"""Daemons that run the reader service against an in-memory stand-in."""
 
 from __future__ import annotations
 
@@ -25,25 +25,27 @@
 
 
 class ReaderZone:
-    """Daemons of a zone with little more than the service ``reader``.
+    """Daemons of one zone that run ``reader`` and the services it requires.
 
     Parameters
     ----------
     opened : MemoryPlatform
-        The platform; each daemon reaches it at its own peer address.
+        The platform; each daemon connects to it by a separate address, equal
+        to its peer address.
     name : str
         Availability zone.
     first : int
-        Index of the first daemon; ids and addresses follow from it.
+        Index of the first daemon; ids and addresses derive from the index.
 
     Attributes
     ----------
     table : FakeTable
-        The member table of all daemons; tests may change it.
+        Member table that all daemons share; tests may modify it.
     readers, distributions, logs, kernels : dict
-        Parts of the running daemons by daemon id.
+        Components of the daemons, by daemon id. `readers` and
+        `distributions` have only the daemons that are running.
     version : int
-        Configuration version that was written last.
+        Last configuration version that was written.
     """
 
     def __init__(
@@ -62,7 +64,7 @@
         self.version = 0
 
     async def start(self, nursery: trio.Nursery, daemons: int) -> None:
-        """Start daemons, one after the other."""
+        """Start daemons one after another."""
         for index in range(self._first, self._first + daemons):
             await nursery.start(self._run_daemon, index)
 
@@ -94,24 +96,24 @@
         del self.readers[me.id], self.distributions[me.id]
 
     async def change(self, fragment: _model.Fragment | None = None) -> None:
-        """Write a new version, as acceptance does."""
+        """Write the next version to the store, as acceptance does."""
         self.version += 1
         await write_version(self.store, self.version, fragment)
 
     async def converge(self, seconds: float) -> None:
-        """Write a new version and check that it is published in time."""
+        """Write the next version and check that it is published in time."""
         await self.change()
         await trio.sleep(seconds)
         self.check_published(self.version)
 
     def holder(self) -> tuple[str, Reader]:
-        """Return a reader that holds a slot."""
+        """Return the daemon id and reader of one daemon with a slot."""
         return next(
             item for item in self.readers.items() if item[1].slot is not None
         )
 
     def slots(self) -> list[int]:
-        """Return the slots that are held."""
+        """Return the slots that are assigned to readers, sorted."""
         return sorted(
             reader.slot
             for reader in self.readers.values()
@@ -124,7 +126,10 @@
         return Counter(event.code for log in logs for event in log.since(0))
 
     def check_published(self, version: int) -> None:
-        """Check that each holder published it and no daemon went back."""
+        """Assert that every reader with a slot published a version.
+
+        Published versions must also increase strictly on every daemon.
+        """
         for name, reader in self.readers.items():
             published = self.distributions[name].published
             versions = [head.version for head in published]
--- a/tests/test_testing_memory_store.py
+++ b/tests/test_testing_memory_store.py
@@ -1,4 +1,4 @@
-"""Tests of the in-memory store, which other tests rely on."""
+"""Tests of the in-memory store that other tests use."""
 
 from __future__ import annotations
 
@@ -16,15 +16,17 @@
 from gypsumhall.testing.memory_store import MemoryStore
 
 
-async def test_a_transaction_writes_all_or_nothing() -> None:
+async def test_transaction_is_atomic() -> None:
     store = MemoryStore()
     first = await store.txn([Compare('a', 0)], [Put('a', b'1'), Put('b', b'')])
     assert first.succeeded
     found = await store.get('a')
     assert found is not None
     assert found.mod_revision == first.revision
-    late = await store.txn([Compare('a', 0)], [Put('a', b'2'), Delete('b')])
-    assert not late.succeeded
+    rejected = await store.txn(
+        [Compare('a', 0)], [Put('a', b'2'), Delete('b')]
+    )
+    assert not rejected.succeeded
     assert [item.key for item in await store.range('')] == ['a', 'b']
 
 
@@ -37,7 +39,7 @@
         (Fault.NONSENSE, StoreProtocolError, True),
     ],
 )
-async def test_faults_hit_one_request(
+async def test_injected_fault_affects_one_request(
     fault: Fault, error: type[Exception], written: bool
 ) -> None:
     store = MemoryStore()
@@ -48,7 +50,7 @@
     await store.txn([], [Put('a', b'2')])
 
 
-async def test_a_lapsed_lease_removes_its_keys_and_wakes_watches(
+async def test_expired_lease_removes_its_keys_and_notifies_watches(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     store = MemoryStore()
@@ -64,7 +66,7 @@
     assert not await store.keep_alive(lease)
 
 
-async def test_watches_replay_and_end_as_told(
+async def test_watches_replay_history_and_end_on_faults(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     store = MemoryStore()
