--- a/gypsumhall/testing/call_trial.py
+++ b/gypsumhall/testing/call_trial.py
@@ -89,7 +89,7 @@
         self.backend = MemoryBackend(self.rng)
         self._fault_rate = fault_rate
         if fault_rate:
-            self.hub.rule = self._fault
+            self.hub.fault_rule = self._fault
         self._has_move = share > 0.0
         moves: tuple[Move, ...] = ()
         if share:
--- a/gypsumhall/testing/kv_store.py
+++ b/gypsumhall/testing/kv_store.py
@@ -75,14 +75,14 @@
     refuse : int or None
         Status code that rejects every request, for example 429;
         None to execute requests.
-    cut_watches : int
+    watches_to_reject : int
         Number of the next watch requests that are rejected.
     """
 
     def __init__(self, store: MemoryStore) -> None:
         self.store = store
         self.refuse: int | None = None
-        self.cut_watches = 0
+        self.watches_to_reject = 0
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -171,8 +171,8 @@
         }
 
     async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
-        if self.cut_watches:
-            self.cut_watches -= 1
+        if self.watches_to_reject:
+            self.watches_to_reject -= 1
             raise StoreUnavailableError('watch: injected termination')
         after = int(query['after'])
         found: list[WatchEvent] = []
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -248,9 +248,9 @@
 
     Attributes
     ----------
-    rule : callable or None
+    fault_rule : callable or None
         Selects the fault of each message; None for no faults.
-    blocked : callable
+    is_blocked : callable
         Whether messages between two addresses are lost; daemons detect this
         by timeouts only.
     silent : set of str
@@ -264,12 +264,12 @@
     def __init__(self, nursery: trio.Nursery, latency_s: float = 0.0) -> None:
         self._nursery = nursery
         self.latency_s = latency_s
-        self.blocked: Callable[[str, str], bool] = lambda one, other: False
+        self.is_blocked: Callable[[str, str], bool] = lambda one, other: False
         self.silent: set[str] = set()
         self.sizes: Counter[str] | None = None
         self._daemons: dict[str, tuple[MemoryNetwork, PeerInfo]] = {}
         self.streams: dict[_Stream, tuple[str, str]] = {}
-        self.rule: FaultRule | None = None
+        self.fault_rule: FaultRule | None = None
         self.delay_s = 0.05
 
     @property
@@ -310,7 +310,7 @@
         return (
             one in self.silent
             or other in self.silent
-            or self.blocked(one, other)
+            or self.is_blocked(one, other)
         )
 
     def count(self, message: Message) -> None:
@@ -321,9 +321,9 @@
 
     def fault(self, source: str, target: str, message: Message) -> Fault:
         """Return the fault of a message."""
-        if self.rule is None:
+        if self.fault_rule is None:
             return Fault.NONE
-        return self.rule(source, target, message)
+        return self.fault_rule(source, target, message)
 
     def spawn(self, function: Callable[..., Any], *args: Any) -> None:
         """Run a function in the background."""
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -49,18 +49,18 @@
     """Fault that affects one request.
 
     ``UNAVAILABLE`` rejects the request. ``LOST_REQUEST`` loses it before
-    execution, ``LOST_ANSWER`` loses its response after execution, and
+    execution, ``LOST_RESPONSE`` loses its response after execution, and
     ``LATE`` executes it `MemoryStore.late_s` seconds after its client has
     timed out. These three raise `StoreUnknownError`, or
     `StoreUnavailableError` for reads, which leave no outcome unknown.
-    ``NONSENSE`` executes the request and raises `StoreProtocolError`.
+    ``INVALID_RESPONSE`` executes the request and raises `StoreProtocolError`.
     """
 
     UNAVAILABLE = 'unavailable'
     LOST_REQUEST = 'lost-request'
-    LOST_ANSWER = 'lost-answer'
+    LOST_RESPONSE = 'lost-answer'
     LATE = 'late'
-    NONSENSE = 'nonsense'
+    INVALID_RESPONSE = 'nonsense'
 
 
 @dataclass(slots=True)
@@ -190,7 +190,7 @@
         self._compacted_revision = self._revision
         self._history.clear()
 
-    def lapse(self, *leases: int) -> None:
+    def expire_leases(self, *leases: int) -> None:
         """Expire leases immediately, as if their holders had been paused.
 
         Parameters
@@ -239,7 +239,7 @@
 
     async def revoke(self, lease: int) -> None:
         """Revoke a lease and remove its keys."""
-        await self._request('revoke', lambda: self.lapse(lease))
+        await self._request('revoke', lambda: self.expire_leases(lease))
 
     @asynccontextmanager
     async def watch(
@@ -278,9 +278,9 @@
             self._late_requests.append((trio.current_time() + late_s, execute))
             raise error_type(f'{operation}: no response in time')
         result = execute()
-        if fault is Fault.LOST_ANSWER:
+        if fault is Fault.LOST_RESPONSE:
             raise error_type(f'{operation}: injected lost response')
-        if fault is Fault.NONSENSE:
+        if fault is Fault.INVALID_RESPONSE:
             raise StoreProtocolError(f'{operation}: injected invalid response')
         return result
 
--- a/gypsumhall/testing/readers.py
+++ b/gypsumhall/testing/readers.py
@@ -29,7 +29,7 @@
 
     Parameters
     ----------
-    opened : MemoryPlatform
+    memory_platform : MemoryPlatform
         The platform; each daemon connects to it by a separate address, equal
         to its peer address.
     name : str
@@ -49,13 +49,16 @@
     """
 
     def __init__(
-        self, opened: MemoryPlatform, name: str = 'az-1', first: int = 0
+        self,
+        memory_platform: MemoryPlatform,
+        name: str = 'az-1',
+        first: int = 0,
     ) -> None:
         self._name = name
         self._first = first
-        self.opened = opened
-        self.platform = opened.platform
-        self.store = opened.open_store()
+        self.memory_platform = memory_platform
+        self.platform = memory_platform.platform
+        self.store = memory_platform.open_store()
         self.table = FakeTable()
         self.readers: dict[str, Reader] = {}
         self.distributions: dict[str, FakeDistribution] = {}
@@ -84,7 +87,7 @@
             log,
             MetricRegistry(),
             InstrumentedStore(
-                self.opened.open_store(me.peer_address), rng=rng
+                self.memory_platform.open_store(me.peer_address), rng=rng
             ),
             FakeMembership(me, self.table),
             self.distributions[me.id],
@@ -106,7 +109,7 @@
         await trio.sleep(seconds)
         self.check_published(self.version)
 
-    def holder(self) -> tuple[str, Reader]:
+    def slot_holder(self) -> tuple[str, Reader]:
         """Return the daemon id and reader of one daemon with a slot."""
         return next(
             item for item in self.readers.items() if item[1].slot is not None
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -87,9 +87,9 @@
     [
         ([], Status.ACCEPTED),
         ([Fault.UNAVAILABLE] * 3, Status.ACCEPTED),
-        ([Fault.LOST_ANSWER], Status.ACCEPTED),
-        ([Fault.LOST_REQUEST, Fault.LOST_ANSWER], Status.ACCEPTED),
-        ([Fault.NONSENSE], Status.ACCEPTED),
+        ([Fault.LOST_RESPONSE], Status.ACCEPTED),
+        ([Fault.LOST_REQUEST, Fault.LOST_RESPONSE], Status.ACCEPTED),
+        ([Fault.INVALID_RESPONSE], Status.ACCEPTED),
         ([Fault.LATE] * 4, Status.ACCEPTED),
         ([Fault.UNAVAILABLE] * 40, Status.UNAVAILABLE),
         ([Fault.LOST_REQUEST] * 40, Status.UNKNOWN),
@@ -197,7 +197,7 @@
     text = _text('a', _move('a', 'up'))
     async with _control_plane(store).running() as plane:
         await plane.acceptance.submit(_submission(text))
-        store.inject('txn', Fault.LOST_ANSWER)
+        store.inject('txn', Fault.LOST_RESPONSE)
 
         def advance(head: _model.Head) -> _model.Head | None:
             return _accept.advance_stage(head, 'a/up', 1, 0.05, _NOW)
@@ -399,7 +399,9 @@
         operators=_operators(),
         faults=st.lists(st.sampled_from([None, *Fault]), max_size=12),
         reads=st.lists(
-            st.sampled_from([None, None, Fault.UNAVAILABLE, Fault.NONSENSE]),
+            st.sampled_from(
+                [None, None, Fault.UNAVAILABLE, Fault.INVALID_RESPONSE]
+            ),
             max_size=6,
         ),
         pauses=st.lists(st.sampled_from([0.0, 0.01, 0.3, 4.0]), max_size=8),
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -72,7 +72,7 @@
         ]
         self.table = FakeTable(self.members)
         self.hub = MemoryHub(nursery, LATENCY_S)
-        self.hub.blocked = self._is_blocked
+        self.hub.is_blocked = self._is_blocked
         self.daemons: dict[str, _Daemon] = {}
         self.isolated_zones: set[str] = set()
         self.read_head: Callable[[], Awaitable[_model.Head]] | None = None
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -115,7 +115,7 @@
         for hang in (True, False):
             store.outage, store.hang = not hang, hang
             await trio.sleep(7.3)
-            store.lapse()
+            store.expire_leases()
             store.outage = store.hang = False
             assert not store.keys
             await trio.sleep(2.0)
--- a/tests/test_services_membership.py
+++ b/tests/test_services_membership.py
@@ -204,7 +204,7 @@
         first = fleet.daemons[0]
         table = first.service.table
         neighbour = table.neighbours(first.service.me, 1)[0].peer_address
-        fleet.hub.blocked = lambda one, other: (
+        fleet.hub.is_blocked = lambda one, other: (
             {one, other} == {first.address, neighbour}
         )
         await trio.sleep(60.0)
@@ -218,11 +218,13 @@
     """A daemon that was isolated must not report its whole zone as dead."""
     async with _start_fleet() as fleet:
         isolated = fleet.daemons[4]
-        fleet.hub.blocked = lambda one, other: isolated.address in (one, other)
+        fleet.hub.is_blocked = lambda one, other: (
+            isolated.address in (one, other)
+        )
         await trio.sleep(60.0)
         assert set(isolated.statuses().values()) == {MemberStatus.ALIVE}
         assert fleet.daemons[0].statuses()['d4'] is MemberStatus.DEAD
-        fleet.hub.blocked = lambda one, other: False
+        fleet.hub.is_blocked = lambda one, other: False
         await fleet.wait_until(
             lambda: fleet.all_have_status('d4', MemberStatus.ALIVE), 30.0
         )
@@ -235,7 +237,9 @@
 ) -> None:
     async with _start_fleet() as fleet:
         az_0 = {i.address for i in fleet.daemons if i.zone == 'az-0'}
-        fleet.hub.blocked = lambda one, other: (one in az_0) != (other in az_0)
+        fleet.hub.is_blocked = lambda one, other: (
+            (one in az_0) != (other in az_0)
+        )
         await trio.sleep(60.0)
         assert fleet.count('zone-unreachable') > 0
         assert fleet.count('member-suspect') == 0
@@ -244,7 +248,7 @@
         far.service.set_endpoint(builders.build_endpoint('bookings'))
         await trio.sleep(20.0)
         assert len(far.service.table.endpoints('availability')) == 0
-        fleet.hub.blocked = lambda one, other: False
+        fleet.hub.is_blocked = lambda one, other: False
         await fleet.wait_until(fleet.tables_agree, 40.0)
         for item in (near, far):
             assert len(item.service.table.endpoints('bookings')) == 1
@@ -274,14 +278,14 @@
 ) -> None:
     async with trio.open_nursery() as nursery:
         fleet = _Fleet(nursery)
-        fleet.hub.blocked = lambda one, other: (
+        fleet.hub.is_blocked = lambda one, other: (
             int(one[7:-2]) % 2 != int(other[7:-2]) % 2
         )
         for index in range(12):
             fleet.daemons.append(await fleet.start(index, 'az-0'))
         await trio.sleep(30.0)
         assert len(fleet.daemons[0].statuses()) == 6
-        fleet.hub.blocked = lambda one, other: False
+        fleet.hub.is_blocked = lambda one, other: False
         await fleet.wait_until(
             lambda: (
                 fleet.tables_agree() and len(fleet.daemons[0].statuses()) == 12
--- a/tests/test_services_moves.py
+++ b/tests/test_services_moves.py
@@ -369,7 +369,7 @@
     monkeypatch.setattr(_moves, '_REQUEST_TIMEOUT_S', 1.3)
     async with _fleet(zones=3, rate=300.0, within=300.0) as fleet:
         cut = fleet.judge('az-3').peer_address
-        fleet.hub.blocked = lambda one, other: cut in (one, other)
+        fleet.hub.is_blocked = lambda one, other: cut in (one, other)
         fleet.readers['d10'].slot = 0
         await trio.sleep(20)
         controller_judge = fleet.moves['d10']._controller_evidence[_MOVE].judge
@@ -423,7 +423,7 @@
         for key in fleet.store.keys:
             found = await fleet.store.get(key)
             assert found is not None
-            fleet.store.lapse(found.lease)
+            fleet.store.expire_leases(found.lease)
         if late_first:
             release.set()
         await fleet.wait_for(
--- a/tests/test_services_reader.py
+++ b/tests/test_services_reader.py
@@ -28,8 +28,11 @@
 
 @asynccontextmanager
 async def _zone(daemons: int) -> AsyncIterator[ReaderZone]:
-    async with open_platform() as opened, trio.open_nursery() as nursery:
-        zone = ReaderZone(opened)
+    async with (
+        open_platform() as memory_platform,
+        trio.open_nursery() as nursery,
+    ):
+        zone = ReaderZone(memory_platform)
         await zone.start(nursery, daemons)
         await zone.change()
         await trio.sleep(20)
@@ -78,7 +81,7 @@
 ) -> None:
     async with _zone(8) as zone:
         for stop in (True, False):
-            name, _ = zone.holder()
+            name, _ = zone.slot_holder()
             if stop:
                 zone.kernels[name].stop()
             else:
@@ -98,9 +101,9 @@
 ) -> None:
     # The other members still see it alive, so they learn it from the slots.
     async with _zone(8) as zone:
-        name, reader = zone.holder()
+        name, reader = zone.slot_holder()
         me = zone.kernels[name].get('membership', FakeMembership).me
-        network = zone.opened.network
+        network = zone.memory_platform.network
         network.unreachable.add(me.peer_address)
         network.silence_open_connections(me.peer_address)
         await trio.sleep(40)
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -83,13 +83,13 @@
 ) -> FaultRule:
     remaining = [times]
 
-    def rule(source: str, target: str, message: Message) -> Fault:
+    def fault_rule(source: str, target: str, message: Message) -> Fault:
         if isinstance(message, kind) and remaining[0]:
             remaining[0] -= 1
             return fault
         return Fault.NONE
 
-    return rule
+    return fault_rule
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
@@ -114,7 +114,7 @@
 ) -> None:
     """Idempotent calls are retried; others are resolved by a query."""
     async with _trial() as trial:
-        trial.hub.rule = _fault_on_message(kind, fault)
+        trial.hub.fault_rule = _fault_on_message(kind, fault)
         request = trial.request('r1', method=method)
         assert await trial.call(3, request) == 'response'
         assert method == 'GET' or trial.backend.runs == {'r1': 1}
@@ -130,7 +130,7 @@
         trial.hub.silent.add(unreachable)
         tried = []
 
-        def rule(source: str, target: str, message: Message) -> Fault:
+        def fault_rule(source: str, target: str, message: Message) -> Fault:
             if target == unreachable and isinstance(message, CallStart):
                 tried.append(message.request_id)
             return Fault.NONE
@@ -141,7 +141,7 @@
         hub_entry = trial.hub.find(unreachable)
         assert hub_entry is not None
         hub_entry[0].on(Ping, reply)
-        trial.hub.rule = rule
+        trial.hub.fault_rule = fault_rule
         slow = 0
         for index in range(40):
             started = trio.current_time()
@@ -219,7 +219,7 @@
     """A restarted process does not know which requests the old one ran."""
     async with _trial(daemons=2) as trial:
         trial.backend.mean_s = 2.0
-        trial.hub.rule = _fault_on_message(AnswerStart, Fault.SILENCE)
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.SILENCE)
         async with trio.open_nursery() as nursery:
             results = []
 
@@ -525,12 +525,12 @@
     async with _trial(daemons=4) as trial:
         handover_targets = []
 
-        def rule(source: str, target: str, message: Message) -> Fault:
+        def fault_rule(source: str, target: str, message: Message) -> Fault:
             if isinstance(message, KeyHandover):
                 handover_targets.append(target)
             return Fault.NONE
 
-        trial.hub.rule = rule
+        trial.hub.fault_rule = fault_rule
         await trial.daemons[0].runner.drain()
         first = len(handover_targets)
         await trial.daemons[0].runner.drain()
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -96,13 +96,13 @@
             'hang': functools.partial(setattr, store, 'hang'),
             'delay_s': functools.partial(setattr, store, 'latency_s'),
             'lose_responses': lambda count: store.inject(
-                'txn', *[Fault.LOST_ANSWER] * count
+                'txn', *[Fault.LOST_RESPONSE] * count
             ),
             'nonsense': lambda count: store.inject(
-                '', *[Fault.NONSENSE] * count
+                '', *[Fault.INVALID_RESPONSE] * count
             ),
             'drop_watches': lambda _: store.drop_watches(),
-            'lapse_leases': lambda _: store.lapse(),
+            'lapse_leases': lambda _: store.expire_leases(),
             'compact': lambda _: store.compact(),
         }
 
@@ -123,7 +123,7 @@
     def _switches(self) -> dict[str, Callable[[Any], None]]:
         # A watch of this store is a series of calls; the next one is cut.
         def cut(_: Any) -> None:
-            self._app.cut_watches += 1
+            self._app.watches_to_reject += 1
             self.memory.drop_watches()
 
         return {**super()._switches(), 'drop_watches': cut}
--- a/tests/test_testing_memory_store.py
+++ b/tests/test_testing_memory_store.py
@@ -35,8 +35,8 @@
     [
         (Fault.UNAVAILABLE, StoreUnavailableError, False),
         (Fault.LOST_REQUEST, StoreUnknownError, False),
-        (Fault.LOST_ANSWER, StoreUnknownError, True),
-        (Fault.NONSENSE, StoreProtocolError, True),
+        (Fault.LOST_RESPONSE, StoreUnknownError, True),
+        (Fault.INVALID_RESPONSE, StoreProtocolError, True),
     ],
 )
 async def test_injected_fault_affects_one_request(
