--- a/gypsumhall/testing/fakes.py
+++ b/gypsumhall/testing/fakes.py
@@ -217,8 +217,8 @@
         """Summaries of two zones; the second lags by `lag` versions."""
         version = self.snapshot.version if self.snapshot else 0
         return {
-            zone: ZoneSummary(zone, 1, version, 3, 3, version - lag)
-            for zone, lag in (('az-1', 0), ('az-2', self.lag))
+            zone: ZoneSummary(zone, 1, version, 3, 3, version - zone_lag)
+            for zone, zone_lag in (('az-1', 0), ('az-2', self.lag))
         }
 
     async def wait_ready(self) -> None:
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -210,7 +210,9 @@
                 try:
                     return await exchange.receive()
                 except trio.EndOfChannel:
-                    raise PeerLostError(f'no reply from {address}') from None
+                    raise PeerLostError(
+                        'exchange ended without a reply'
+                    ) from None
         raise PeerLostError(f'no reply from {address} in time')
 
     def post(self, address: str, message: Message) -> None:
