--- a/gypsumhall/services/_membership.py
+++ b/gypsumhall/services/_membership.py
@@ -767,7 +767,9 @@
                     while True:
                         message = await exchange.receive()
                         if isinstance(message, _messages.Busy):
-                            self._suggested_peers = message.alternative_addresses
+                            self._suggested_peers = (
+                                message.alternative_addresses
+                            )
                         if not isinstance(message, _messages.Members):
                             return None
                         count += len(message.members)
@@ -888,7 +890,9 @@
     daemon with exactly this entry replies with an echo. `sent` is the digest
     of the heartbeat, which an echo without a digest repeats.
     """
-    digest = msgspec.structs.replace(echo.digest or sent, members=echo.members_digest)
+    digest = msgspec.structs.replace(
+        echo.digest or sent, members=echo.members_digest
+    )
     return _messages.HeartbeatReply(member, digest, echo.members, echo.time)
 
 
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -271,7 +271,9 @@
     )
     assert isinstance(reply, _messages.Busy)
     assert len(reply.alternative_addresses) == 3
-    assert not {address, requester.me.peer_address} & set(reply.alternative_addresses)
+    assert not {address, requester.me.peer_address} & set(
+        reply.alternative_addresses
+    )
     # Deltas are small and are never rejected.
     base = requester.service.digest
     pull = _messages.Pull(base.version, base.snapshot)
