Call add_order by its name in the feed

The merge had kept the old name of this method in gypsumhall/services/_feed.py, which the type checker cannot see, as services are looked up by protocol.

--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -56,7 +56,7 @@
 class RolloutOrderReceiver(Protocol):
     """Receives rollout orders; the service ``moves``."""
 
-    def order(self, order: platform.RolloutOrder, revision: int) -> None:
+    def add_order(self, order: platform.RolloutOrder, revision: int) -> None:
         """Accept an order that was read from the store."""
         ...
 
@@ -156,7 +156,7 @@
                 self._publish_configuration(value, revision)
             elif platform.rollout_service(key):
                 order = platform.decode_rollout(value)
-                self._order_receiver.order(order, revision)
+                self._order_receiver.add_order(order, revision)
         except InvalidUpdateError as error:
             self._events.emit(
                 'feed-entry-rejected',
