--- a/benchmarks/bench_calls_under_faults.py
+++ b/benchmarks/bench_calls_under_faults.py
@@ -54,7 +54,8 @@
 
 _ZONES = ('az-1', 'az-2', 'az-3')
 _SERVICES = ('availability', 'bookings')
-_PER_ZONE = 2
+# Endpoints of each service in each zone.
+_ENDPOINTS_PER_ZONE = 2
 # With more concurrent faults, no backend server would be reachable.
 _MAX_CONCURRENT_FAULTS = 2
 _TEXT = """\
@@ -112,12 +113,12 @@
             'kill-daemon': self._kill_daemon,
             'kill-backend': self._kill_backend,
             'stop-daemon': self._stop_daemon,
-            'freeze-daemon': self._freeze_daemon,
-            'freeze-backend': self._freeze_backend,
-            'silence': self._silence,
-            'cut': self._cut,
-            'platform': self._platform,
-            'backend-faults': self._backend_faults,
+            'freeze-daemon': self._suspend_daemon,
+            'freeze-backend': self._suspend_backend,
+            'silence': self._silence_open_connections,
+            'cut': self._partition_zones,
+            'platform': self._interrupt_platform,
+            'backend-faults': self._set_backend_faults,
         }
 
     async def run(self) -> None:
@@ -188,29 +189,29 @@
         await self._sleep(2.0, 3.0)
         self._faulty_vms.remove(vm.name)
 
-    async def _freeze_daemon(self) -> None:
+    async def _suspend_daemon(self) -> None:
         vm = self._pick_vm()
-        await self._freeze(vm.name)
+        await self._suspend(vm.name)
         self._faulty_vms.remove(vm.name)
 
-    async def _freeze_backend(self) -> None:
+    async def _suspend_backend(self) -> None:
         vm = self._pick_vm()
-        await self._freeze(backend_name(vm.name))
+        await self._suspend(backend_name(vm.name))
         self._faulty_vms.remove(vm.name)
 
-    async def _freeze(self, name: str) -> None:
+    async def _suspend(self, name: str) -> None:
         self._fleet.signal(name, signal.SIGSTOP)
         try:
             await self._sleep()
         finally:
             self._fleet.signal(name, signal.SIGCONT)
 
-    async def _silence(self) -> None:
+    async def _silence_open_connections(self) -> None:
         assert self._fleet.network_faults is not None
         self._fleet.network_faults.silence_open_connections()
         await self._sleep()
 
-    async def _cut(self) -> None:
+    async def _partition_zones(self) -> None:
         assert self._fleet.network_faults is not None
         self._fleet.network_faults.cut(
             *self._rng.sample((*_ZONES, 'platform'), 2)
@@ -218,7 +219,7 @@
         await self._sleep()
         self._fleet.network_faults.heal()
 
-    async def _platform(self) -> None:
+    async def _interrupt_platform(self) -> None:
         address = self._fleet.platform_address
         await self._fleet.set_faults(address, {'outage': True})
         await self._sleep()
@@ -226,7 +227,7 @@
             address, {'outage': False, 'lapse_leases': True}
         )
 
-    async def _backend_faults(self) -> None:
+    async def _set_backend_faults(self) -> None:
         vm = self._pick_vm()
         kind = self._rng.choice(['crash_rate', 'break_rate'])
         await self._fleet.set_faults(vm.backend_address, {kind: 0.3})
@@ -240,14 +241,14 @@
 
 
 async def _start_backend(fleet: Fleet, vm: Vm) -> None:
-    flags_ = {'run_log': str(_run_log(fleet, vm))}
-    await fleet.start_backend(vm, flags_)
+    backend_flags = {'run_log': str(_run_log(fleet, vm))}
+    await fleet.start_backend(vm, backend_flags)
 
 
 async def _start_fleet(fleet: Fleet) -> None:
     for zone in _ZONES:
         for service in _SERVICES:
-            for number in range(_PER_ZONE):
+            for number in range(_ENDPOINTS_PER_ZONE):
                 name = f'{zone}-{service}-{number}'
                 fleet.add_vm(name, zone, service, 'v1')
     await fleet.start_relays()
--- a/gypsumhall/cli/demo.py
+++ b/gypsumhall/cli/demo.py
@@ -147,7 +147,7 @@
 
 
 def _convergence_ms(fleet: Fleet, version: int) -> float:
-    """Return the time from the acceptance of a version to its last install."""
+    """Return the time from acceptance to last installation of a version."""
     accepted: list[float] = []
     installed: dict[str, float] = {}
     for path in fleet.event_logs:
--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -4,11 +4,11 @@
 ``tests/test_core_load_balancer.py`` simulates:
 
 * Endpoints of unequal speed, some of them temporarily slow. The expected time
-  follows the service times reported by the daemons beside them.
+  follows the service times that the daemons on their VMs report.
 * Outdated load reports, because a sender calls each of many endpoints rarely.
   The weight of a report decays with its age, and the cost of each endpoint
   gets a little jitter, so that senders do not all choose the same one.
-* An endpoint that joins beside others that are faster than the assumed default
+* An endpoint that joins while the others are faster than the assumed default
   service time. It gets trial calls at its fair share, with the cost of the
   fastest endpoint, so that it is neither ignored nor chosen by all senders.
 * An endpoint that was slow and has recovered. Load reports come with
@@ -103,7 +103,7 @@
 would try an endpoint that was five times slower only after minutes."""
 
 _COLD_FACTOR = 2.0
-"""Factor by which the cost of a cold endpoint is raised."""
+"""Factor by which the cost of a cold endpoint is multiplied."""
 
 _JITTER = 0.2
 """Largest random fraction that is added to a cost."""
@@ -182,7 +182,7 @@
         return cost + crossing_cost_s
 
     def is_cold(self, now: float) -> bool:
-        """Return whether the endpoint is assumed to be slow as a new one."""
+        """Return whether the endpoint is so new that it may be slow."""
         return now - self.joined_at < _COLD_S
 
     def has_old_report(self, now: float) -> bool:
@@ -217,13 +217,13 @@
     def _expected_wait_s(self, weight: float, service_time_s: float) -> float:
         load = self.load
         if load is None:
-            own = max(0, self.in_flight - self.slots + 1)
-            return own * service_time_s / self.slots
-        queued = load.wait_ms / 1000 * weight
+            own_excess = max(0, self.in_flight - self.slots + 1)
+            return own_excess * service_time_s / self.slots
+        queue_wait_s = load.wait_ms / 1000 * weight
         excess = max(
             0.0, self._expected_in_flight(load, weight) - self.slots + 1
         )
-        return max(queued, 0.0) + excess * service_time_s / self.slots
+        return max(queue_wait_s, 0.0) + excess * service_time_s / self.slots
 
 
 class LoadBalancer:
@@ -334,8 +334,8 @@
         Returns
         -------
         Member or None
-            None when no endpoint is left that is reachable and has room as
-            far as is known.
+            None when each endpoint of the version is excluded, or known to
+            be unreachable or full.
         """
         best: _EndpointRecord | None = None
         best_cost = math.inf
@@ -438,7 +438,7 @@
         record.failure_rate_updated_at = now
 
     def set_reachable(self, member_id: str, *, reachable: bool) -> None:
-        """Exclude an endpoint while its daemon does not reply."""
+        """Set whether the daemon of an endpoint is reachable."""
         record = self._records.get(member_id)
         if record is not None:
             record.unreachable = not reachable
@@ -474,7 +474,7 @@
         record.retry_after_s = retry_after_s
 
     def retry_after_s(self, service: str, now: float) -> float:
-        """Return the time in seconds until there is likely to be room.
+        """Return the time in seconds until an endpoint likely has room.
 
         Returns
         -------
--- a/gypsumhall/core/_ownership.py
+++ b/gypsumhall/core/_ownership.py
@@ -494,10 +494,10 @@
             self._schedule_expiry(service, key, entry, now)
         if entry.state != KeyState.RELEASED:
             return entry.state
-        consulted = {**dict(asked), to[0]: to[1]}
+        incarnations_by_id = {**dict(asked), to[0]: to[1]}
         certain = all(
-            member_id in consulted
-            and _are_same_process(incarnation, consulted[member_id])
+            member_id in incarnations_by_id
+            and _are_same_process(incarnation, incarnations_by_id[member_id])
             for member_id, incarnation in entry.released_to
         )
         entry.released_to.add(to)
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -103,7 +103,7 @@
         Name of the text.
     digest : str
         SHA-256 digest of the text, in hexadecimal.
-    places : dict of tuple to Place
+    locations : mapping of tuple of str to SourceLocation
         Positions by path, for example ``('services', 'a', 'versions')``.
     """
 
@@ -144,7 +144,7 @@
     ----------
     kind : str
         ``scalar``, ``list`` or ``mapping``.
-    place : Place
+    location : SourceLocation
         Position of the node.
     text : str
         Value of a scalar.
@@ -324,7 +324,7 @@
     def _unique_items(
         self, node: _Node, path: tuple[str, ...]
     ) -> Iterator[tuple[str, _Node]]:
-        """Yield the items of a mapping and record the places of the keys.
+        """Yield the items of a mapping and record the locations of keys.
 
         Keys that are not strings, and repeated keys, are reported and skipped.
         """
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -102,7 +102,7 @@
         Time in seconds until which a response meets the latency objective.
     deadline : float
         Time in seconds until which the caller waits for a response.
-    returning : bool
+    is_caller_retry : bool
         Whether the caller retries after a rejection.
     """
 
@@ -110,9 +110,9 @@
         'deadline',
         'enqueued_at',
         'expected_service_time_s',
+        'is_caller_retry',
         'objective',
         'priority',
-        'is_caller_retry',
         'route',
     )
 
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -33,13 +33,14 @@
     from gypsumhall.net._protocol import PeerNetwork
     from gypsumhall.services import _protocols
 
-# Time in seconds after the deadline for which a rejection may arrive. The
+# Time in seconds after the deadline in which a rejection is still awaited: the
 # runner rejects at the deadline and reports whether the request was run.
 _GRACE_S = 0.25
-# Time in seconds in which a runner has to be reached to query the outcome of a
-# request that must not be repeated, and the time after the deadline in which
-# it has to reply: callers get a response within half a second after it.
+# Time in seconds for which a query of the outcome of a request that must not
+# be repeated is tried again while its runner cannot be reached.
 _QUERY_TIMEOUT_S = 3.0
+# Time in seconds after the deadline of a request in which the runner has to
+# reply to the query: callers get a response within half a second after it.
 _QUERY_AFTER_DEADLINE_S = 0.4
 _QUERY_BACKOFF_S = 0.05
 # Responses up to this size can be buffered until they are complete.
@@ -77,8 +78,8 @@
         '_sink',
         'complete',
         'done',
-        'load',
         'forwarded',
+        'load',
         'rejection',
         'size',
         'status',
--- a/gypsumhall/services/_call_monitor.py
+++ b/gypsumhall/services/_call_monitor.py
@@ -28,7 +28,7 @@
 class CallMonitor:
     """Runs a function concurrently with each call that is not short."""
 
-    __slots__ = ('_watch_added', '_pending')
+    __slots__ = ('_pending', '_watch_added')
 
     def __init__(self) -> None:
         # Ordered by start time.
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -276,7 +276,7 @@
         freed; by default a separate one.
     """
 
-    __slots__ = ('_body', '_headers', '_buffer_budget', '_status')
+    __slots__ = ('_body', '_buffer_budget', '_headers', '_status')
 
     def __init__(
         self, buffer_budget: ResponseBufferBudget | None = None
--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -92,13 +92,13 @@
         Member table.
     sender : Sender
         Sends the requests to a runner.
-    held : ResponseBufferBudget
+    buffer_budget : ResponseBufferBudget
         Memory budget for the recorded responses of running requests.
     """
 
     __slots__ = (
-        '_finished_events',
         '_buffer_budget',
+        '_finished_events',
         '_incarnation',
         '_ledger',
         '_membership',
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -41,7 +41,7 @@
 """Time to live of an entry in seconds."""
 
 _RENEW_INTERVAL_S = 1.5
-"""Time between two renewals in seconds. An entry that lapsed is written again
+"""Time between two renewals in seconds. An expired entry is written again
 after this time at most, which is below the required 2 s."""
 
 _RETRY_DELAY_S = 0.4
--- a/gypsumhall/services/_responses.py
+++ b/gypsumhall/services/_responses.py
@@ -59,7 +59,8 @@
     async def send(self, message: Message) -> None:
         """Send a message to the sender of the call.
 
-        A call whose response is recorded continues without its sender.
+        A call whose response is recorded continues after the sender has
+        disconnected.
 
         Raises
         ------
@@ -133,7 +134,7 @@
         Records the response, to replay it later.
     """
 
-    __slots__ = ('_pending_head', '_load', '_recorder', '_request_id', '_send')
+    __slots__ = ('_load', '_pending_head', '_recorder', '_request_id', '_send')
 
     def __init__(
         self,
@@ -157,7 +158,7 @@
                 self._send = None
 
     async def flush(self) -> None:
-        """Send the head if it still waits for the first part of the body."""
+        """Send the head if no part of the body has been sent yet."""
         if self._pending_head is not None:
             head, self._pending_head = self._pending_head, None
             await self.send(head)
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -138,7 +138,7 @@
             task_status.started()
 
     async def drain(self) -> None:
-        """Continue: the lease lapses or is released when the service ends."""
+        """Continue: the lease expires or is released when the service ends."""
 
     # Split of calls
 
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -88,7 +88,7 @@
         Returns a client for the address of a backend server.
     dialect : Dialect
         Names of the HTTP headers that the backend server uses.
-    retries : RetryLimits, optional
+    retry_limits : RetryLimits, optional
         Limits on the retries of the sender.
     rejection_delay_s : float
         Time in seconds between announcing a graceful shutdown to other
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -49,7 +49,7 @@
 class _Stream:
     """A stream that carries one exchange."""
 
-    __slots__ = ('channels', 'aborted', 'silent')
+    __slots__ = ('aborted', 'channels', 'silent')
 
     def __init__(self) -> None:
         self.aborted = False
--- a/gypsumhall/testing/relay.py
+++ b/gypsumhall/testing/relay.py
@@ -26,7 +26,7 @@
         Returns the zone of an IP address.
     """
 
-    __slots__ = ('_changed', '_partitioned_pairs', '_epoch', '_zone_of')
+    __slots__ = ('_changed', '_epoch', '_partitioned_pairs', '_zone_of')
 
     def __init__(self, zone_of: Callable[[str], str]) -> None:
         self._zone_of = zone_of
--- a/tests/test_core_rollout.py
+++ b/tests/test_core_rollout.py
@@ -84,8 +84,10 @@
 ) -> tuple[Outcome, float, float, int]:
     """Return the outcome, its time, the new version's share and faulty runs.
 
-    The share is the fraction of all calls of a full rollout that went to the
-    new version. Runs are faulty if they failed or were slow.
+    The share is the number of calls of the new version divided by the number
+    of all calls in a complete rollout. Runs are faulty if they failed or were
+    slow. Endpoints ``n0`` to ``n2`` run the new version, ``o0`` to ``o2`` the
+    old one.
     """
     rng = Random(seed)
     rollout = Rollout('v2', 0.0, _DURATION_S)
@@ -136,7 +138,7 @@
 def test_bad_versions_are_rolled_back_in_first_stage(
     behaviour: Behaviour,
 ) -> None:
-    """Bounds: a tenth of the calls, and 50 bad responses."""
+    """The new version gets under a tenth of the calls and 50 bad runs."""
     results = [_trial(seed, behaviour) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.ROLL_BACK}
     assert max(item[2] for item in results) < 0.1
@@ -147,7 +149,7 @@
 def test_bad_versions_are_rolled_back_at_low_rates(rate: int) -> None:
     """Guards against completion before enough results are available.
 
-    Bound, as the platform counts: a tenth of the calls plus 50.
+    The platform allows a bad version a tenth of all calls plus 50.
     """
     results = [
         _trial(seed, _failing_always, rate=rate) for seed in range(_TRIALS)
@@ -165,7 +167,7 @@
 
 
 def test_version_that_fails_under_load_is_rolled_back() -> None:
-    """Bound, as the platform counts: a tenth of the calls plus 50."""
+    """The platform allows a bad version a tenth of all calls plus 50."""
     results = [_trial(seed, _failing_under_load) for seed in range(_TRIALS)]
     assert {item[0] for item in results} == {Outcome.ROLL_BACK}
     calls = _RATE * _DURATION_S
@@ -181,8 +183,8 @@
 def test_overload_in_last_stage_does_not_roll_back_version() -> None:
     """Calls are slower when fewer endpoints serve them, whatever the version.
 
-    On steamgate-na scale-1 a good version was rolled back 1 s after it had
-    received all calls.
+    In the run scale-1 of steamgate-na, a good version was rolled back 1 s
+    after it had received all calls.
     """
 
     def slower_when_alone(
--- a/tests/test_services_acceptance.py
+++ b/tests/test_services_acceptance.py
@@ -379,7 +379,7 @@
         submission_id: str,
     ) -> None:
         """Submit with one id until there is a result or no attempt is left."""
-        open_attempt = False
+        outcome_unknown = False
         for attempt in range(tries):
             plane = planes[(first + attempt) % len(planes)]
             result = await plane.acceptance.submit(
@@ -389,10 +389,12 @@
                 known = self.accepted.setdefault(submission_id, result.version)
                 assert known == result.version
                 return
-            open_attempt = open_attempt or result.status is Status.UNKNOWN
+            outcome_unknown = (
+                outcome_unknown or result.status is Status.UNKNOWN
+            )
             if result.status is Status.REFUSED:
                 break
-        if not open_attempt:
+        if not outcome_unknown:
             self.not_accepted.add(submission_id)
 
     @rule(
