--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -30,7 +30,7 @@
     if path.parent.name in ('core', 'net', 'services', 'store')
 ]
 _EMITTERS = {
-    'emit', '_emit_limited', '_record_event', '_build_alarm', 'Alarm',
+    'emit', '_emit', '_emit_limited', '_record_event', '_build_alarm', 'Alarm',
     '_on_change',
 }  # fmt: skip
 # Codes that are built from an enumeration or an error, so that they are not
