--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -537,8 +537,7 @@
         )
         if count != 1:
             raise ValueError(
-                f'{PAGE.name}: expected one pair of markers of {name!r}, '
-                f'got {count}'
+                f'{PAGE.name} must contain the markers of {name!r} once'
             )
     PAGE.write_text(text)
     _plot(results)
--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -50,8 +50,8 @@
 messages, and calls that endpoints reject as busy."""
 
 _BYTE_COST_S = 3e-5
-"""Cost in seconds of a byte from another zone. The requirements value 5,000
-bytes at a tenth to a fifth of a request whose latency objective is 0.4 s and
+"""Cost in seconds of a byte from another zone. 5,000 bytes between zones are
+priced at a tenth to a fifth of a request whose latency objective is 0.4 s or
 more."""
 
 _MAX_BYTES_COST_S = 0.15
--- a/gypsumhall/core/_stops.py
+++ b/gypsumhall/core/_stops.py
@@ -1,4 +1,4 @@
-"""Limit on planned stops of daemons that serve one service.
+"""Limit on concurrent graceful shutdowns of the daemons of one service.
 
 An endpoint is unavailable while the daemon beside it restarts. In a rolling
 restart of a third or more of the daemons, a second apart, both endpoints of a
