--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -185,6 +185,7 @@
         retry_limits=retry_limits,
         rejection_delay_s=_REJECTION_DELAY_S,
         availability_wait_s=drain_delay_s,
+        cancel_after_s=_CANCEL_SHARE * settings.grace.value,
     )
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
--- a/gypsumhall/services/_admin.py
+++ b/gypsumhall/services/_admin.py
@@ -12,12 +12,10 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 
-from hypercorn.config import Config
-from hypercorn.trio import serve
 import trio
 
 from gypsumhall._errors import finding_fields
-from gypsumhall._errors import translate_listen_errors
+from gypsumhall.services import _http_server
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._protocols import AdminResponse
 from gypsumhall.services._protocols import Events
@@ -38,9 +36,8 @@
 # 128 MB.
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 BODY_TIMEOUT_S = 30.0
-# Connections on which nothing is received are closed after this time. It has
-# to exceed the longest time that a request may wait for a condition.
-READ_TIMEOUT_S = 75
+# Idle connections are closed after this time in seconds.
+IDLE_TIMEOUT_S = 75.0
 DRAIN_TIMEOUT_S = 5.0
 MAX_EVENTS = 4096
 
@@ -176,30 +173,25 @@
 
         self.add_route('GET', '/metrics', serve_metrics)
         self.add_route('GET', '/events', serve_events)
-        config = Config()
-        config.bind = [self._address]
-        config.accesslog = None
-        config.errorlog = None
-        config.include_server_header = False
-        config.read_timeout = READ_TIMEOUT_S
+        settings = _http_server.HttpSettings(
+            idle_timeout_s=IDLE_TIMEOUT_S, read_ahead=1
+        )
         async with trio.open_nursery() as nursery:
-            with translate_listen_errors(self._address):
-                binds = await nursery.start(self._serve, config)
-            self._bound_address = binds[0].partition('://')[2]
+            self._bound_address = await nursery.start(self._serve, settings)
             task_status.started()
         self._ended.set()
 
     async def _serve(
         self,
-        config: Config,
+        settings: _http_server.HttpSettings,
         *,
-        task_status: trio.TaskStatus[list[str]],
+        task_status: trio.TaskStatus[str],
     ) -> None:
-        await serve(
-            self._application,  # type: ignore[arg-type]
-            config,
-            mode='asgi',
-            shutdown_trigger=self._stop.wait,
+        await _http_server.serve(
+            self._application,
+            settings,
+            self._address,
+            self._stop,
             task_status=task_status,
         )
 
@@ -211,16 +203,6 @@
 
     async def _application(
         self, scope: dict[str, Any], receive: _Receive, send: _Send
-    ) -> None:
-        if scope['type'] == 'lifespan':
-            await _serve_lifespan(receive, send)
-        elif scope['type'] == 'http':
-            await self._serve_request(scope, receive, send)
-        else:
-            await send({'type': 'websocket.close'})
-
-    async def _serve_request(
-        self, scope: dict[str, Any], receive: _Receive, send: _Send
     ) -> None:
         self._active_requests += 1
         try:
@@ -363,11 +345,3 @@
             f'{maximum:g}',
         )
     return value
-
-
-async def _serve_lifespan(receive: _Receive, send: _Send) -> None:
-    while True:
-        event = await receive()
-        await send({'type': event['type'] + '.complete'})
-        if event['type'] == 'lifespan.shutdown':
-            return
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from contextvars import ContextVar
 import json
 import math
 import random
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
-import hypercorn.config
 import trio
 
 from gypsumhall.net._messages import Outcome
@@ -47,10 +46,8 @@
 # A request whose caller has waited longer than this, in seconds, is treated as
 # a retry; a first attempt may spend as much time in transit.
 _CALLER_RETRY_ELAPSED_S = 0.05
-# Calls of a route with a time limit of at most this, in seconds, are treated
-# as nested calls, which the backend server makes while it runs a request.
-# Their responses are useful within `_NESTED_OBJECTIVE_SHARE` of the limit.
-_NESTED_TIMEOUT_S = 0.5
+# Responses to nested calls, which the backend server makes while it runs a
+# request, are useful within this share of the time limit of their route.
 _NESTED_OBJECTIVE_SHARE = 0.75
 # Priority of nested calls. A failed one wastes the run that waits for it,
 # which takes four times as long.
@@ -59,10 +56,6 @@
 # sent every second. No request for `_IDLE_AFTER_S` shows that they have left.
 _MIN_DRAIN_DELAY_S = 1.0
 _IDLE_AFTER_S = 0.8
-# By the users' rules, callers need not know of a graceful shutdown in its
-# first 3 s, and a request from that time may be cut off when the daemon ends.
-# The remaining 0.1 s cover the transit time of the request and of SIGTERM.
-_UNAWARE_CALLERS_S = 2.9
 # Time limit in seconds for closing the connections after the last request has
 # ended. Only requests that were read at that moment need it, to be rejected.
 _CLOSE_TIMEOUT_S = 0.5
@@ -76,26 +69,112 @@
 # Limit on the routes whose longest stated timeout is stored.
 _MAX_TRACKED_ROUTES = 16_384
 
-# True in tasks that handle requests. Responses from other tasks are those of
-# the HTTP library to input that is not a valid request.
-_in_request: ContextVar[bool] = ContextVar('in_request', default=False)
 
+class _CallerDisconnectedError(Exception):
+    """The caller closed its connection."""
 
-class _Config(hypercorn.config.Config):
-    """Adds the outcome ``not-run`` to rejections by the HTTP library."""
 
-    def __init__(self, dialect: _calls.Dialect) -> None:
-        super().__init__()
-        self._dialect = dialect
+class _Turn(Protocol):
+    """Place of a request among those of its connection."""
 
-    def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
-        if _in_request.get() or not self._dialect.outcome:
-            return []
-        return [(self._dialect.outcome, Outcome.NOT_RUN.value.encode())]
+    @property
+    def received_at(self) -> float:
+        """Time at which the request was read, by `trio.current_time`."""
+        ...
 
+    @property
+    def passed_on(self) -> bool:
+        """Whether the request may have been passed on."""
+        ...
 
-class _CallerDisconnectedError(Exception):
-    """The caller closed its connection."""
+    @property
+    def response_started(self) -> bool:
+        """Whether a part of the response has been sent."""
+        ...
+
+    async def admit(self, *, alone: bool) -> None:
+        """Wait until the request may be passed on."""
+        ...
+
+    def replace_response(self) -> None:
+        """Drop the response that has not started."""
+        ...
+
+
+class _IncomingRequest:
+    """A request that is being handled.
+
+    Parameters
+    ----------
+    scope : dict
+        ASGI scope.
+    receive, send : callable
+        ASGI channels.
+    """
+
+    __slots__ = ('_turn', 'receive', 'received_at', 'request', 'scope', 'send')
+
+    def __init__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.request: _calls.Request | None = None
+        # Missing if the request was not received from a connection.
+        self._turn: _Turn | None = scope.get('state', {}).get('exchange')
+        self.received_at = (
+            trio.current_time()
+            if self._turn is None
+            else self._turn.received_at
+        )
+
+    @property
+    def passed_on(self) -> bool:
+        """Whether an endpoint may have received the request."""
+        return self.request is not None and (
+            self._turn is None or self._turn.passed_on
+        )
+
+    @property
+    def response_started(self) -> bool:
+        """Whether the caller may have received a part of the response.
+
+        Only known for requests from a connection.
+        """
+        return self._turn is not None and self._turn.response_started
+
+    @property
+    def may_hold_response(self) -> bool:
+        """Whether the response is held until those in front are sent."""
+        return self._turn is not None
+
+    async def wait_for_turn(self, request: _calls.Request) -> None:
+        """Wait until the request may be passed on.
+
+        Its time limit runs from when it was read. One that may be repeated
+        is passed on beside those in front of it.
+
+        Raises
+        ------
+        CallRefusedError
+            If the deadline passes.
+        NotReadError
+            If the connection closes before the response.
+        """
+        if self._turn is None:
+            return
+        with trio.move_on_at(request.deadline):
+            await self._turn.admit(alone=not request.idempotent)
+            return
+        raise _calls.not_run(
+            'deadline', 'the responses in front took until the deadline'
+        )
+
+    def replace_response(self) -> None:
+        """Drop the response, of which nothing has been sent."""
+        if self._turn is not None:
+            self._turn.replace_response()
 
 
 class _HttpSink:
@@ -110,27 +189,34 @@
         '_buffer_budget',
         '_caller',
         '_head',
-        '_send',
+        '_incoming',
+        '_started',
         'finished',
-        'started',
     )
 
     def __init__(
         self,
-        send: Send,
+        incoming: _IncomingRequest,
         *,
-        is_http_1_0: bool,
         caller: CallerService,
         buffer_budget: _calls.ResponseBufferBudget,
     ) -> None:
         self._buffer_budget = buffer_budget
-        self._send = send
+        self._incoming = incoming
         self._caller = caller
+        is_http_1_0 = incoming.scope['http_version'] == '1.0'
         self._buffer: bytearray | None = bytearray() if is_http_1_0 else None
         self._head: dict[str, Any] = {}
-        self.started = False
+        self._started = False
         self.finished = False
 
+    @property
+    def started(self) -> bool:
+        """Whether the caller may have received a part of the response."""
+        if self._incoming.may_hold_response:
+            return self._incoming.response_started
+        return self._started
+
     async def head(self, status: int, headers: _calls.Headers) -> None:
         """Send the status and headers, or store them while buffering."""
         if self._caller.stopping:
@@ -143,8 +229,8 @@
         if any(name == b'content-length' for name, _ in headers):
             self._buffer = None
         if self._buffer is None:
-            self.started = True
-            await self._send(self._head)
+            self._started = True
+            await self._incoming.send(self._head)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
         """Send a part of the body, or buffer it."""
@@ -161,10 +247,10 @@
             data = bytes(self._buffer)
             length = (b'content-length', b'%d' % len(data))
             self._head['headers'] = [*self._head['headers'], length]
-            self.started = True
-            await self._send(self._head)
+            self._started = True
+            await self._incoming.send(self._head)
         self.finished = last
-        await self._send(
+        await self._incoming.send(
             {
                 'type': 'http.response.body',
                 'body': data,
@@ -270,24 +356,29 @@
             'Time from a whole request to the end of its response.',
         )
         self._events = kernel.get('events', _protocols.Events)
-        config = _Config(self._dialect)
-        config.backlog = 1024
-        config.h11_max_incomplete_size = _calls.MAX_HEADER_BYTES
-        config.keep_alive_timeout = 60.0
-        config.keep_alive_max_requests = 1_000_000
-        config.graceful_timeout = _CLOSE_TIMEOUT_S
-        config.errorlog = None
+        error_headers: tuple[tuple[bytes, bytes], ...] = ()
+        if self._dialect.outcome:
+            outcome = Outcome.NOT_RUN.value.encode()
+            error_headers = ((self._dialect.outcome, outcome),)
+        settings = _http_server.HttpSettings(
+            max_head_bytes=_calls.MAX_HEADER_BYTES,
+            close_timeout_s=_CLOSE_TIMEOUT_S,
+            error_headers=error_headers,
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._call_monitor.run)
-            self._bound_address = await nursery.start(self._serve, config)
+            self._bound_address = await nursery.start(self._serve, settings)
             task_status.started()
 
     async def _serve(
-        self, config: _Config, *, task_status: trio.TaskStatus[str]
+        self,
+        settings: _http_server.HttpSettings,
+        *,
+        task_status: trio.TaskStatus[str],
     ) -> None:
         await _http_server.serve(
             self._application,
-            config,
+            settings,
             self._address,
             self._stop,
             task_status=task_status,
@@ -305,7 +396,7 @@
         now = trio.current_time()
         self._accepts_until = now + self._drain_delay_s
         self._unaware_until = now + min(
-            self._drain_delay_s, _UNAWARE_CALLERS_S
+            self._drain_delay_s, _calls.SHUTDOWN_NOTICE_S
         )
         self._cancels_at = now + self._cancel_after_s
         self._log_shutdown_phase('callers-drain')
@@ -339,12 +430,6 @@
     async def _application(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        if scope['type'] != 'http':
-            # The HTTP library rejects the upgrade with status 403.
-            await receive()
-            await send({'type': 'websocket.close', 'code': 1003})
-            return
-        _in_request.set(True)
         self._active_requests += 1
         try:
             await self._serve_request(scope, receive, send)
@@ -359,31 +444,19 @@
     async def _serve_request(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        started = trio.current_time()
+        incoming = _IncomingRequest(scope, receive, send)
         sink = _HttpSink(
-            send,
-            is_http_1_0=scope['http_version'] == '1.0',
-            caller=self,
-            buffer_budget=self._runner.buffer_budget,
+            incoming, caller=self, buffer_budget=self._runner.buffer_budget
         )
         result = 'response'
         rejection: _calls.CallRefusedError | None = None
-        request: _calls.Request | None = None
-        buffered_bytes = 0
-        request_scope = trio.CancelScope()
-        self._request_scopes.add(request_scope)
         try:
-            with request_scope:
-                request = await self._read_request(scope, receive)
-                buffered_bytes = len(request.body)
-                await self._forward(request, sink, receive)
-            if request_scope.cancelled_caught:
-                raise _cancelled_request_error(request, sink)
+            await self._answer(incoming, sink)
         except _calls.CallRefusedError as error:
             rejection = error
         except _calls.BrokenResponseError as error:
             # If the head has been sent, returning without the end of the
-            # body makes the HTTP library close the connection in the
+            # body makes the HTTP server close the connection in the
             # middle of the response.
             result = 'broken-response'
             if not sink.started:
@@ -392,73 +465,83 @@
                 )
         except _CallerDisconnectedError:
             result = 'caller-gone'
+        except _http_server.NotReadError:
+            result = 'not-read'
         except Exception:
-            # The HTTP library responds with status 500 and logs nothing.
-            self._log_unanswered(scope, 'internal-error', started, request)
+            # The HTTP server responds with status 500 and logs nothing.
+            self._log_unanswered(incoming, 'internal-error')
             raise
         except trio.Cancelled:
             # The process ends although the drain has not cancelled this
             # request, for example because the process was suspended then.
-            shutdown_error = _cancelled_request_error(request, sink)
-            self._log_unanswered(scope, 'stopped', started, request)
-            if isinstance(shutdown_error, _calls.CallRefusedError):
-                is_head = scope['method'] == 'HEAD'
-                with trio.CancelScope(shield=True) as response_scope:
-                    response_scope.deadline = (
-                        trio.current_time() + _FINAL_RESPONSE_TIMEOUT_S
-                    )
-                    await self._send_rejection(
-                        send, shutdown_error, head_only=is_head
-                    )
+            await self._end_cancelled(incoming, sink)
             raise
         finally:
-            self._request_scopes.discard(request_scope)
             sink.close()
-            self._buffered_bytes -= buffered_bytes
         if rejection is not None:
             result = rejection.reason
-            is_head = scope['method'] == 'HEAD'
-            body_unread = request is None and not is_head and _has_body(scope)
-            await self._send_rejection(
-                send,
-                rejection,
-                head_only=is_head,
-                receive=receive if body_unread else None,
-            )
-        elapsed_s = trio.current_time() - started
+            await self._send_rejection(incoming, rejection)
+        elapsed_s = trio.current_time() - incoming.received_at
         self._requests.add(1.0, result=result)
         self._latency.add(elapsed_s)
         if result != 'response':
-            self._emit_failure(scope, result, rejection, started, request)
+            self._emit_failure(incoming, result, rejection)
 
-    def _log_unanswered(
-        self,
-        scope: dict[str, Any],
-        result: str,
-        started: float,
-        request: _calls.Request | None,
+    async def _answer(
+        self, incoming: _IncomingRequest, sink: _HttpSink
     ) -> None:
+        """Read a request, wait for its turn and forward it."""
+        request_scope = trio.CancelScope()
+        self._request_scopes.add(request_scope)
+        buffered_bytes = 0
+        try:
+            with request_scope:
+                request = await self._read_request(incoming)
+                buffered_bytes = len(request.body)
+                incoming.request = request
+                await incoming.wait_for_turn(request)
+                await self._forward(request, sink, incoming.receive)
+            if request_scope.cancelled_caught:
+                raise _cancelled_request_error(incoming, sink)
+        finally:
+            self._request_scopes.discard(request_scope)
+            self._buffered_bytes -= buffered_bytes
+
+    async def _end_cancelled(
+        self, incoming: _IncomingRequest, sink: _HttpSink
+    ) -> None:
+        """Send a last response to a request that is being cancelled."""
+        error = _cancelled_request_error(incoming, sink)
+        self._log_unanswered(incoming, 'stopped')
+        if isinstance(error, _calls.CallRefusedError):
+            with trio.CancelScope(shield=True) as response_scope:
+                response_scope.deadline = (
+                    trio.current_time() + _FINAL_RESPONSE_TIMEOUT_S
+                )
+                await self._send_rejection(incoming, error, discard=False)
+
+    def _log_unanswered(self, incoming: _IncomingRequest, result: str) -> None:
         self._requests.add(1.0, result=result)
-        self._emit_failure(scope, result, None, started, request)
+        self._emit_failure(incoming, result, None)
 
     def _emit_failure(
         self,
-        scope: dict[str, Any],
+        incoming: _IncomingRequest,
         result: str,
         rejection: _calls.CallRefusedError | None,
-        started: float,
-        request: _calls.Request | None,
     ) -> None:
         """Emit an event that says why the backend server sent no response."""
         if not self._dialect.request_id:
             return
-        elapsed_s = trio.current_time() - started
-        limit_s = request.deadline - started if request else 0.0
+        scope, request = incoming.scope, incoming.request
+        received_at = incoming.received_at
+        elapsed_s = trio.current_time() - received_at
+        limit_s = request.deadline - received_at if request else 0.0
         fields = dict(scope['headers'])
         name = self._dialect.request_id
         request_id = fields.get(name, b'').decode('latin-1')
         stated = fields.get(self._dialect.deadline, b'').decode('latin-1')
-        rejected = (
+        rejected = result == 'not-read' or (
             rejection is not None and rejection.outcome == Outcome.NOT_RUN
         )
         self._events.emit(
@@ -499,15 +582,20 @@
             raise _CallerDisconnectedError
 
     async def _read_request(
-        self, scope: dict[str, Any], receive: Receive
+        self, incoming: _IncomingRequest
     ) -> _calls.Request:
-        now = trio.current_time()
+        scope, now = incoming.scope, incoming.received_at
         version, matched, fields = self._match(scope)
         route = matched.route
-        if not _is_nested(route):
-            self._last_request_at = now
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
-        if self._stopping and not self._accepts(route, now, now + timeout_s):
+        nested = self._runner.nested_calls.is_nested(
+            matched.id, now + timeout_s, now
+        )
+        if not nested:
+            self._last_request_at = now
+        if self._stopping and not self._accepts(
+            now, now + timeout_s, nested=nested
+        ):
             raise _calls.not_run('draining', 'this daemon is stopping')
         key = fields.get(self._dialect.key, b'')
         if len(key) > _MAX_KEY_BYTES:
@@ -517,7 +605,9 @@
             )
         body = b''
         if _has_body(scope):
-            body = await self._read_body(fields, receive)
+            body = await self._read_body(
+                fields, incoming.receive, now + timeout_s
+            )
         path = scope['raw_path']
         if scope['query_string']:
             path += b'?' + scope['query_string']
@@ -528,7 +618,7 @@
         elapsed_s = self._elapsed_s(matched.id, fields)
         objective_s = route.objective_s
         priority = route.priority
-        if objective_s and _is_nested(route):
+        if objective_s and nested:
             # The request that makes a nested call occupies a slot until the
             # call ends. So a late response is still useful, and nested calls
             # take precedence over new requests.
@@ -588,6 +678,9 @@
             raise _calls.not_run('http-version', 'only HTTP/1.1 is served')
         if scope['method'] == 'CONNECT':
             raise _calls.not_run('bad-request', 'CONNECT is not supported')
+        fields = dict(scope['headers'])
+        if fields.get(b'upgrade', b'').lower() == b'websocket':
+            raise _calls.not_run('websocket', 'WebSocket is not supported')
         if _calls.header_bytes(scope['headers']) > _calls.MAX_HEADER_BYTES:
             raise _calls.not_run(
                 'headers-too-large',
@@ -596,7 +689,6 @@
         snapshot = self._distribution.snapshot
         if snapshot is None:
             raise _calls.not_run('not-ready', 'no configuration installed yet')
-        fields = dict(scope['headers'])
         host = fields.get(b'host', b'').decode('latin-1')
         literal = self._dialect.literal_prefixes
         path = (
@@ -609,16 +701,16 @@
             )
         return snapshot.version, matched, fields
 
-    def _accepts(self, route: Route, now: float, deadline: float) -> bool:
+    def _accepts(self, now: float, deadline: float, *, nested: bool) -> bool:
         """Return whether a request is accepted in a graceful shutdown."""
-        if _is_nested(route):
+        if nested:
             return not self._rejects_nested and deadline <= self._cancels_at
         if now >= self._accepts_until or self._stop.is_set():
             return False
         return now < self._unaware_until or deadline <= self._cancels_at
 
     async def _read_body(
-        self, fields: dict[bytes, bytes], receive: Receive
+        self, fields: dict[bytes, bytes], receive: Receive, deadline: float
     ) -> bytes:
         too_large = _calls.not_run(
             'request-too-large',
@@ -629,8 +721,9 @@
             raise too_large
         body = bytearray()
         complete = False
+        deadline = min(deadline, trio.current_time() + _BODY_TIMEOUT_S)
         try:
-            with trio.move_on_after(_BODY_TIMEOUT_S):
+            with trio.move_on_at(deadline):
                 while not complete:
                     message = await receive()
                     if message['type'] == 'http.disconnect':
@@ -655,13 +748,31 @@
 
     async def _send_rejection(
         self,
-        send: Send,
+        incoming: _IncomingRequest,
         error: _calls.CallRefusedError,
         *,
-        head_only: bool,
-        receive: Receive | None = None,
+        discard: bool = True,
     ) -> None:
-        """Send a rejection, then discard the body if `receive` is given."""
+        """Send a rejection, then discard a body that was not read.
+
+        Parameters
+        ----------
+        incoming : _IncomingRequest
+            The request.
+        error : CallRefusedError
+            Reason.
+        discard : bool
+            Whether there is time to discard the body.
+        """
+        incoming.replace_response()
+        send = incoming.send
+        head_only = incoming.scope['method'] == 'HEAD'
+        body_unread = (
+            discard
+            and incoming.request is None
+            and not head_only
+            and _has_body(incoming.scope)
+        )
         dialect = self._dialect
         status = error.status
         if dialect.status_503_means_not_run:
@@ -707,11 +818,11 @@
             {
                 'type': 'http.response.body',
                 'body': b'' if head_only else body,
-                'more_body': receive is not None,
+                'more_body': body_unread,
             }
         )
-        if receive is not None:
-            await _discard_body(receive)
+        if body_unread:
+            await _discard_body(incoming.receive)
             await send({'type': 'http.response.body', 'more_body': False})
 
 
@@ -732,10 +843,10 @@
 
 
 def _cancelled_request_error(
-    request: _calls.Request | None, sink: _HttpSink
+    incoming: _IncomingRequest, sink: _HttpSink
 ) -> _calls.CallRefusedError | _calls.BrokenResponseError:
     """Return the error of a request that a graceful shutdown cancelled."""
-    if request is None:
+    if not incoming.passed_on:
         return _calls.not_run('draining', 'this daemon is stopping')
     if sink.started:
         return _calls.BrokenResponseError('this daemon stopped')
@@ -744,15 +855,6 @@
     )
 
 
-def _is_nested(route: Route) -> bool:
-    """Return whether the calls of a route are treated as nested calls.
-
-    Nested calls and new requests come from the same address and differ only
-    in the time limits of their routes.
-    """
-    return route.timeout_s <= _NESTED_TIMEOUT_S
-
-
 def _choose_target(route: Route, rng: random.Random) -> str:
     """Return the service that a request of a route is sent to."""
     if not route.targets:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -40,6 +40,10 @@
 # The backend server is told the deadline and reports its end with a response,
 # which must not be replaced by one of a daemon.
 DEADLINE_GRACE_S = 0.1
+# By the users' rules, nobody need know of a graceful shutdown in its first 3
+# s, and a request from that time may be cut off when the daemon ends. The
+# remaining 0.1 s cover the transit time of the request and of SIGTERM.
+SHUTDOWN_NOTICE_S = 2.9
 # Limit of one daemon for the responses of running calls in memory: recorded
 # for repetition, buffered until they are complete, or withheld for a retry.
 # An eighth of the memory of the smallest machines, 128 MB.
@@ -113,6 +117,7 @@
 
 _STATUS_BY_CODE = {
     'bad-request': 400,
+    'websocket': 403,
     'unknown-route': 404,
     'body-timeout': 408,
     'request-too-large': 413,
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -1,165 +1,671 @@
-"""HTTP/1.1 server with connections derived from hypercorn's.
+"""HTTP/1.1 server for ASGI applications, with pipelined requests.
 
-`hypercorn.trio.serve` sends the head and the body of a response separately,
-starts a task for every idle period of a connection and shields sending from
-cancellation. This module opens the sockets itself, to use a subclass of
-hypercorn's connection that differs in these three points.
+The messages are parsed and written by h11. A connection has one task that
+reads, so that a caller that leaves is noticed, and one for each request. Every
+request has an h11 connection of its own while others wait behind it, because
+h11 reads the next request only after the response to the last one.
 """
 
 from __future__ import annotations
 
-import functools
+from collections import deque
+import contextlib
 import math
 import socket
 import struct
 from typing import Any
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
-from hypercorn.events import Closed
-from hypercorn.events import Event
-from hypercorn.events import RawData
-from hypercorn.events import Updated
-from hypercorn.trio.tcp_server import TCPServer
-from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.utils import wrap_app
+import h11
 import trio
 
 from gypsumhall._errors import translate_listen_errors
+from gypsumhall.core._pipelining import Admission
+from gypsumhall.core._pipelining import Pipeline
+from gypsumhall.core._pipelining import PipelinedRequest
 
 if TYPE_CHECKING:
-    from hypercorn.config import Config
+    from collections.abc import Awaitable
+    from collections.abc import Callable
 
+    Application = Callable[..., Awaitable[None]]
 
+_RECEIVE_BYTES = 64 * 1024
 # A connection whose caller reads nothing for this long, in seconds, is closed.
 _SEND_TIMEOUT_S = 30.0
+# Limits on discarding data after the last response. Closing a connection with
+# unread bytes resets it, which can discard the response on its way.
+_LINGER_S = 1.0
+_MAX_LINGER_BYTES = 256 * 1024
+# Bytes of a request body that wait for the application.
+_MAX_BODY_BYTES = 256 * 1024
+# Bytes that are read behind the requests that there is room for.
+_MAX_UNPARSED_BYTES = 64 * 1024
+# Bytes of the responses of one connection that wait for their turn, and of the
+# next one while it is held until it is complete.
+_MAX_HELD_BYTES = 256 * 1024
+_MAX_READ_AHEAD_BYTES = 64 * 1024
+_NO_BODY_STATUSES = frozenset([204, 304])
 
 
-class _IdleTimer:
-    """Closes a connection that is idle for too long, with a single task.
+class NotReadError(Exception):
+    """The connection closes before the response to a request.
 
-    It has the interface of hypercorn's `TrioSingleTask`, which starts a new
-    task after each request.
+    Its caller repeats the request, so it must not be run.
     """
 
-    def __init__(self, connection: _Connection, timeout_s: float) -> None:
+
+class HttpSettings:
+    """Settings of a server.
+
+    Parameters
+    ----------
+    max_head_bytes : int
+        Longest head of a request, in bytes.
+    idle_timeout_s : float
+        Time in seconds after which a connection without a request is closed.
+    close_timeout_s : float
+        Time in seconds for closing the connections when the server stops.
+    read_ahead : int
+        Number of requests of a connection that are handled at the same time.
+    error_headers : tuple of (bytes, bytes)
+        Headers of the responses to input that is not a valid request.
+    backlog : int
+        Length of the queue of new connections.
+    """
+
+    __slots__ = (
+        'backlog',
+        'close_timeout_s',
+        'error_headers',
+        'idle_timeout_s',
+        'max_head_bytes',
+        'read_ahead',
+    )
+
+    def __init__(
+        self,
+        *,
+        max_head_bytes: int = 64 * 1024,
+        idle_timeout_s: float = 60.0,
+        close_timeout_s: float = 3.0,
+        read_ahead: int = 8,
+        error_headers: tuple[tuple[bytes, bytes], ...] = (),
+        backlog: int = 1024,
+    ) -> None:
+        self.max_head_bytes = max_head_bytes
+        self.idle_timeout_s = idle_timeout_s
+        self.close_timeout_s = close_timeout_s
+        self.read_ahead = read_ahead
+        self.error_headers = error_headers
+        self.backlog = backlog
+
+
+class Exchange(PipelinedRequest):
+    """A request and its response.
+
+    The application finds it as ``scope['state']['exchange']``.
+    """
+
+    __slots__ = (
+        '_body',
+        '_body_bytes',
+        '_body_end_reported',
+        '_body_ended',
+        '_changed',
+        '_connection',
+        '_disconnected',
+        '_end_sent',
+        '_failed',
+        '_head_sent',
+        '_held',
+        '_head',
+        '_held_bytes',
+        '_parser',
+        '_received_at',
+        '_response_ended',
+        '_response_head',
+        '_scope',
+    )
+
+    def __init__(
+        self,
+        connection: _Connection,
+        parser: h11.Connection,
+        head: h11.Request,
+    ) -> None:
+        super().__init__(
+            sum(len(name) + len(value) for name, value in head.headers)
+            + len(head.target)
+        )
         self._connection = connection
-        self._timeout_s = timeout_s
-        self._scope: trio.CancelScope | None = None
-
-    async def restart(self, task_group: Any, action: Any) -> None:
-        """Start the timeout, as the connection has become idle."""
-        if self._scope is None:
-            self._scope = trio.CancelScope()
-            task_group.spawn(self._connection.close_when_idle, self._scope)
-        self._scope.deadline = trio.current_time() + self._timeout_s
-
-    async def stop(self) -> None:
-        """Suspend the timeout while a request is handled."""
-        if self._scope is not None:
-            self._scope.deadline = math.inf
-
-    def end(self) -> None:
-        """End the task, because the connection has ended."""
-        if self._scope is not None:
-            self._scope.cancel()
-
-
-class _Connection(TCPServer):
-    """Connection that sends the head of a response with its first data."""
-
-    _HEAD = b'HTTP/1.1 '
-    _INFORMATIONAL = b'HTTP/1.1 1'
-
-    def __init__(self, *args: Any) -> None:
-        super().__init__(*args)
-        self._pending_head = b''
-        self._read_ended = False
-        self._timer = _IdleTimer(self, self.config.keep_alive_timeout)
-        self.idle_task = self._timer  # type: ignore[assignment]
-        # Passed to the application as `scope['state']`.
-        self.state = {'reset': self._reset}
-
-    async def protocol_send(self, event: Event) -> None:
-        """Send data, or handle a change of the state of the connection."""
-        if isinstance(event, RawData):
-            data = bytes(event.data)
+        self._parser = parser
+        self._head = head
+        self._received_at = trio.current_time()
+        self._scope = trio.CancelScope()
+        self._body: deque[bytes] = deque()
+        self._body_bytes = 0
+        self._body_ended = False
+        self._body_end_reported = False
+        self._disconnected = False
+        self._failed = False
+        self._changed = trio.Event()
+        self._response_head: dict[str, Any] | None = None
+        self._response_ended = False
+        self._end_sent = False
+        self._head_sent = False
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+
+    @property
+    def received_at(self) -> float:
+        """Time at which the head was read, by `trio.current_time`."""
+        return self._received_at
+
+    @property
+    def head(self) -> h11.Request:
+        """Head of the request."""
+        return self._head
+
+    @property
+    def parser(self) -> h11.Connection:
+        """Reads the request and writes the response."""
+        return self._parser
+
+    @property
+    def body_ended(self) -> bool:
+        """Whether the whole request has been read."""
+        return self._body_ended
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body that wait for the application."""
+        return self._body_bytes
+
+    async def admit(self, *, alone: bool) -> None:
+        """Wait until the request may be passed on to an endpoint.
+
+        Parameters
+        ----------
+        alone : bool
+            Whether all earlier responses have to be sent first, because the
+            request may run only once.
+
+        Raises
+        ------
+        NotReadError
+            If the connection closes before its response. The application
+            need not respond.
+        """
+        while not self._disconnected:
+            admission = self._connection.pipeline.admit(self, alone=alone)
+            if admission is Admission.GRANTED:
+                return
+            if admission is Admission.NOT_READ:
+                break
+            await self._wait()
+        raise NotReadError
+
+    def replace_response(self) -> None:
+        """Drop what the application has sent, so that it can send another.
+
+        Raises
+        ------
+        RuntimeError
+            If a part of it has been sent to the caller.
+        """
+        if self.response_started:
+            raise RuntimeError('a part of the response has been sent')
+        if not self._failed:
+            self._drop_response()
+
+    def _drop_response(self) -> None:
+        self._response_head = None
+        self._response_ended = False
+        self._release_held()
+
+    def add_body(self, data: bytes) -> None:
+        """Add a part of the request body."""
+        self._body.append(data)
+        self._body_bytes += len(data)
+        self.size += len(data)
+        self.notify()
+
+    def end_body(self) -> None:
+        """Record that the request body is complete."""
+        self._body_ended = True
+        self.notify()
+
+    def disconnect(self) -> None:
+        """Record that the caller has closed the connection."""
+        self._disconnected = True
+        self.notify()
+
+    def notify(self) -> None:
+        """Let the tasks of this request check its state again."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def fail(self, status: int) -> None:
+        """End the request with an error response, unless one has started."""
+        self._failed = True
+        self._body_ended = True
+        if not self.response_started:
+            self._drop_response()
+            self._response_head = {
+                'status': status,
+                'headers': [
+                    (b'content-length', b'0'),
+                    (b'connection', b'close'),
+                    *self._connection.settings.error_headers,
+                ],
+            }
+            self._response_ended = True
+        self._scope.cancel()
+
+    async def run(self, application: Application) -> None:
+        """Run the application and send its response."""
+        connection = self._connection
+        scope = _build_scope(self, connection.reset)
+        try:
+            if not self._failed:
+                with self._scope:
+                    await application(scope, self._receive, self._send)
+        except Exception:
+            # The application has logged it. The caller must get a response.
+            self.fail(500)
+        if not self._response_ended and not self.response_started:
+            self.fail(500)
+        while not self._is_abandoned():
+            if connection.pipeline.is_first(self):
+                with contextlib.suppress(h11.LocalProtocolError):
+                    await self._flush()
+                break
+            await self._wait()
+        if not self._end_sent and not self._is_abandoned():
+            # The caller must not take the response for a complete one.
+            await connection.abort()
+        self._release_held()
+        connection.end_exchange(self)
+
+    def _is_abandoned(self) -> bool:
+        """Return whether the caller cannot get the response any more."""
+        return self._disconnected or self._connection.pipeline.is_dropped(self)
+
+    async def _wait(self) -> None:
+        await self._changed.wait()
+
+    async def _receive(self) -> dict[str, Any]:
+        """Return the next ASGI message of the request."""
+        while True:
+            if self._body:
+                data = self._body.popleft()
+                self._body_bytes -= len(data)
+                self._connection.resume_reading()
+                ended = self._body_ended and not self._body
+                self._body_end_reported = ended
+                return _body_message(data, more=not ended)
+            if self._body_ended and not self._body_end_reported:
+                self._body_end_reported = True
+                return _body_message(b'', more=False)
+            if self._is_abandoned():
+                return {'type': 'http.disconnect'}
             if (
-                not self._pending_head
-                and data.startswith(self._HEAD)
-                and not data.startswith(self._INFORMATIONAL)
+                self._parser.they_are_waiting_for_100_continue
+                and self._connection.pipeline.is_first(self)
             ):
-                self._pending_head = data
-                return
-            await self._send(data)
-            return
-        if self._pending_head:
-            await self._send(b'')
-        if isinstance(event, Updated):
-            if event.idle:
-                await self._timer.restart(self._task_group, None)
+                await self._write(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
             else:
-                await self._timer.stop()
+                await self._wait()
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        """Send an ASGI message of the response, or hold it."""
+        if self._failed:
             return
-        await super().protocol_send(event)
-
-    async def close_when_idle(self, scope: trio.CancelScope) -> None:
-        """Close the connection at the timeout or when the server stops."""
-        with scope:
-            await self.context.terminated.wait()
-            if not math.isfinite(scope.deadline):
-                # hypercorn closes the connection after the response.
+        if message['type'] == 'http.response.start':
+            self._response_head = message
+            if not self._connection.pipeline.holds_response(self):
+                # It is sent with the first data.
+                self.response_started = True
+            return
+        data = message.get('body', b'')
+        if data and not self._is_without_body():
+            self._held.append(data)
+            self._held_bytes += len(data)
+            self._connection.held_bytes += len(data)
+        self._response_ended = not message.get('more_body', False)
+        pipeline = self._connection.pipeline
+        while pipeline.holds_response(self) and not self._is_abandoned():
+            is_first = pipeline.is_first(self)
+            held_bytes = (
+                self._held_bytes if is_first else self._connection.held_bytes
+            )
+            if self._response_ended or held_bytes <= _MAX_HELD_BYTES:
                 return
-        if not self._read_ended:
-            with trio.CancelScope(shield=True):
-                await self._initiate_server_close()
+            if is_first:
+                break
+            await self._wait()
+        await self._flush()
 
-    async def _reset(self) -> None:
-        """Reset the connection, for servers that simulate a crash."""
-        linger = struct.pack('ii', 1, 0)
-        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        await self.stream.aclose()
+    async def _flush(self) -> None:
+        """Send what is held of the response."""
+        if (
+            self._response_head is None
+            or self._end_sent
+            or self._is_abandoned()
+        ):
+            return
+        output: list[h11.Event] = []
+        if not self._head_sent:
+            self.response_started = self._head_sent = True
+            output.append(self._start_response(self._response_head))
+        output.extend(h11.Data(data=data) for data in self._held)
+        self._release_held()
+        if self._response_ended:
+            output.append(h11.EndOfMessage())
+        await self._write(*output)
+        self._end_sent = self._response_ended
+
+    def _start_response(self, head: dict[str, Any]) -> h11.Response:
+        """Return the head; decides whether the connection closes."""
+        connection = self._connection
+        headers = [
+            (bytes(name), bytes(value)) for name, value in head['headers']
+        ]
+        others = [item for item in headers if item[0] != b'connection']
+        wants_close = (
+            len(others) < len(headers)
+            or connection.stopping
+            or connection.pipeline.closing
+        )
+        if wants_close and connection.close_after(self):
+            others.append((b'connection', b'close'))
+        return h11.Response(status_code=head['status'], headers=others)
+
+    async def _write(self, *events: h11.Event) -> None:
+        data = b''.join(self._parser.send(event) or b'' for event in events)
+        await self._connection.send(data)
+
+    def _is_without_body(self) -> bool:
+        head = self._response_head
+        return self._head.method == b'HEAD' or (
+            head is not None and head['status'] in _NO_BODY_STATUSES
+        )
+
+    def _release_held(self) -> None:
+        self._connection.held_bytes -= self._held_bytes
+        self._held_bytes = 0
+        self._held.clear()
+
+
+class _Connection:
+    """A connection of a caller."""
+
+    def __init__(
+        self,
+        application: Application,
+        settings: HttpSettings,
+        stream: Any,
+        *,
+        stopping: bool = False,
+    ) -> None:
+        self._application = application
+        self._stream = stream
+        self._settings = settings
+        self._parser = self._new_parser()
+        # The request that `_parser` has read last, until its response ends.
+        self._current: Exchange | None = None
+        self._exchanges: list[Exchange] = []
+        # Whether nothing more is parsed, although more may be received.
+        self._parsing_ended = False
+        self._disconnected = False
+        self._finished = False
+        self._stopping = stopping
+        self._idle_deadline = trio.current_time() + settings.idle_timeout_s
+        self._read_scope = trio.CancelScope()
+        self._room = trio.Event()
+        self._send_lock = trio.Lock()
+        self._nursery: trio.Nursery
+        self.held_bytes = 0
+        self.pipeline = Pipeline(settings.read_ahead, _MAX_READ_AHEAD_BYTES)
+
+    @property
+    def settings(self) -> HttpSettings:
+        """Settings of the server."""
+        return self._settings
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the server stops."""
+        return self._stopping
+
+    def stop(self) -> None:
+        """Close the connection after the requests that were read."""
+        self._stopping = True
+        if self.pipeline.empty:
+            self._read_scope.cancel()
+
+    def close_after(self, exchange: Exchange) -> bool:
+        """Close from a response on; return whether it is the last one."""
+        is_last = self.pipeline.close_after(exchange)
+        self._notify_exchanges()
+        return is_last
 
-    async def _read_data(self) -> None:
+    def resume_reading(self) -> None:
+        """Let the reading task check again whether there is room."""
+        self._room.set()
+
+    async def run(self) -> None:
+        """Serve the connection until it is closed."""
         try:
-            await super()._read_data()
+            async with trio.open_nursery() as self._nursery:
+                await self._read_until_closed()
+            if not self._disconnected:
+                await self._close_gracefully()
         finally:
-            self._read_ended = True
-            self._timer.end()
-
-    async def _send(self, data: bytes) -> None:
-        """Send data; close the connection on cancellation.
+            await trio.aclose_forcefully(self._stream)
 
-        hypercorn shields sending from cancellation; the call of a caller that
-        stops reading would then never end.
-        """
-        pending_head, self._pending_head = self._pending_head, b''
-        data = pending_head + data
-        if not data:
+    async def send(self, data: bytes) -> None:
+        """Send data; close the connection on cancellation."""
+        if not data or self._disconnected:
             return
-        async with self.send_lock:
-            send_deadline = trio.current_time() + _SEND_TIMEOUT_S
+        async with self._send_lock:
+            deadline = trio.current_time() + _SEND_TIMEOUT_S
             try:
                 # `trio.fail_after` is several times slower.
-                with trio.CancelScope(deadline=send_deadline) as scope:
-                    await self.stream.send_all(data)
-                if scope.cancelled_caught:
-                    await trio.aclose_forcefully(self.stream)
+                with trio.CancelScope(deadline=deadline) as scope:
+                    await self._stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
+                self._disconnect()
+                return
             except trio.Cancelled:
                 # Part of the data may have been sent.
-                with trio.CancelScope(shield=True):
-                    await trio.aclose_forcefully(self.stream)
+                await self.abort()
                 raise
+            if scope.cancelled_caught:
+                await self.abort()
+
+    async def abort(self) -> None:
+        """Close the connection, in the middle of a response if need be."""
+        self._disconnect()
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(self._stream)
+
+    async def reset(self) -> None:
+        """Reset the connection, for servers that simulate a crash."""
+        linger = struct.pack('ii', 1, 0)
+        self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await self.abort()
+
+    def end_exchange(self, exchange: Exchange) -> None:
+        """Go on with the requests behind a response that has been sent."""
+        parser = exchange.parser
+        self._exchanges.remove(exchange)
+        if self._is_last(exchange):
+            self._finish()
+        self.pipeline.finish(exchange)
+        if self._current is exchange and not self._finished:
+            self._current = None
+            if not self.pipeline.closing:
+                parser.start_next_cycle()
+        self._notify_exchanges()
+        if self._finished or (self._stopping and self.pipeline.empty):
+            self._finish()
+            return
+        self._parse()
+        if self.pipeline.empty:
+            self._idle_deadline = (
+                trio.current_time() + self._settings.idle_timeout_s
+            )
+            self._read_scope.deadline = self._idle_deadline
+        self._room.set()
+
+    def _is_last(self, exchange: Exchange) -> bool:
+        """Return whether the connection closes after a response."""
+        parser = exchange.parser
+        return (
+            self._disconnected
+            or parser.our_state is not h11.DONE
+            or parser.their_state is not h11.DONE
+        ) and not self.pipeline.is_dropped(exchange)
+
+    def _finish(self) -> None:
+        self._finished = True
+        self._read_scope.cancel()
+        self._room.set()
+
+    def _disconnect(self) -> None:
+        self._disconnected = True
+        self._finish()
+        for exchange in self._exchanges:
+            exchange.disconnect()
+
+    def _notify_exchanges(self) -> None:
+        for exchange in self._exchanges:
+            exchange.notify()
+
+    async def _read_until_closed(self) -> None:
+        while not self._finished:
+            if self._stopping and self.pipeline.empty:
+                return
+            if self._is_full():
+                self._room = trio.Event()
+                await self._room.wait()
+                continue
+            try:
+                with trio.CancelScope(
+                    deadline=self._idle_deadline
+                ) as self._read_scope:
+                    data = await self._stream.receive_some(_RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b''
+            if self._read_scope.cancelled_caught:
+                return
+            if not data:
+                self._disconnect()
+                return
+            if not self._parsing_ended:
+                self._parser.receive_data(data)
+                self._parse()
+
+    def _is_full(self) -> bool:
+        """Return whether nothing more is read for now."""
+        current = self._current
+        if current is not None and current.body_bytes > _MAX_BODY_BYTES:
+            return True
+        return (
+            not self._parsing_ended
+            and not self.pipeline.has_room()
+            and len(self._parser.trailing_data[0]) > _MAX_UNPARSED_BYTES
+        )
+
+    def _parse(self) -> None:
+        """Handle what has been received, as far as there is room."""
+        while not self._parsing_ended and self._next_request_may_begin():
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                self._parsing_ended = True
+                self._reject_input(error.error_status_hint)
+                return
+            if isinstance(event, h11.Request):
+                self._start_exchange(event)
+            elif isinstance(event, h11.Data) and self._current is not None:
+                self._current.add_body(bytes(event.data))
+            elif (
+                isinstance(event, h11.EndOfMessage)
+                and self._current is not None
+            ):
+                self._current.end_body()
             else:
-                if not scope.cancelled_caught:
-                    return
-        await self.protocol.handle(Closed())
+                return
+
+    def _next_request_may_begin(self) -> bool:
+        """Return whether to parse on, with a new parser if needed."""
+        if self._finished or self.pipeline.closing:
+            return False
+        if self._current is None:
+            return self.pipeline.has_room()
+        if not self._current.body_ended:
+            return True
+        following = self._parser.trailing_data[0]
+        if (
+            not following
+            or self._parser.their_state is not h11.DONE
+            or not self.pipeline.has_room()
+        ):
+            return False
+        self._parser = self._new_parser()
+        self._parser.receive_data(following)
+        self._current = None
+        return True
+
+    def _start_exchange(self, head: h11.Request) -> Exchange:
+        exchange = Exchange(self, self._parser, head)
+        self._current = exchange
+        self._exchanges.append(exchange)
+        self.pipeline.add(exchange)
+        self._idle_deadline = self._read_scope.deadline = math.inf
+        self._nursery.start_soon(exchange.run, self._application)
+        return exchange
+
+    def _reject_input(self, status: int) -> None:
+        """Respond to input that is not a valid request, in its turn."""
+        exchange = self._current
+        if exchange is None:
+            exchange = self._start_exchange(
+                h11.Request(
+                    method='GET', target='/', headers=[('host', 'invalid')]
+                )
+            )
+        exchange.fail(status)
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._settings.max_head_bytes
+        )
+
+    async def _close_gracefully(self) -> None:
+        """Let the caller read the last response before the end."""
+        with trio.move_on_after(_LINGER_S):
+            try:
+                await self._stream.send_eof()
+                discarded = 0
+                while self._finished and discarded < _MAX_LINGER_BYTES:
+                    data = await self._stream.receive_some(_RECEIVE_BYTES)
+                    if not data:
+                        return
+                    discarded += len(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
 
 
 async def serve(
-    application: Any,
-    config: Config,
+    application: Application,
+    settings: HttpSettings,
     address: str,
     stop: trio.Event,
     *,
@@ -171,8 +677,8 @@
     ----------
     application : callable
         ASGI application.
-    config : Config
-        hypercorn's settings; those about sockets are not used.
+    settings : HttpSettings
+        Limits and times.
     address : str
         ``<ip>:<port>`` to listen on; port 0 for any.
     stop : trio.Event
@@ -183,26 +689,78 @@
     host, _, port = address.rpartition(':')
     with translate_listen_errors(address):
         listeners = await trio.open_tcp_listeners(
-            int(port), host=host.strip('[]'), backlog=config.backlog
+            int(port), host=host.strip('[]'), backlog=settings.backlog
+        )
+    connections: set[_Connection] = set()
+
+    async def handle(stream: trio.SocketStream) -> None:
+        connection = _Connection(
+            application, settings, stream, stopping=stop.is_set()
         )
-    context = WorkerContext(None)
-    app = wrap_app(application, config.wsgi_max_body_size, 'asgi')
-    handler = functools.partial(_Connection, app, config, context, {})
-    async with trio.open_nursery() as connections:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                functools.partial(
-                    trio.serve_listeners,
-                    handler,
-                    listeners,
-                    handler_nursery=connections,
+        connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            connections.discard(connection)
+
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as listening:
+
+            async def listen() -> None:
+                await trio.serve_listeners(
+                    handle, listeners, handler_nursery=nursery
                 )
-            )
+
+            listening.start_soon(listen)
             bound = listeners[0].socket.getsockname()[1]
             task_status.started(f'{host}:{bound}')
             await stop.wait()
-            nursery.cancel_scope.cancel()
-        await context.terminated.set()
-        connections.cancel_scope.deadline = (
-            trio.current_time() + config.graceful_timeout
+            listening.cancel_scope.cancel()
+        for connection in connections:
+            connection.stop()
+        nursery.cancel_scope.deadline = (
+            trio.current_time() + settings.close_timeout_s
         )
+
+
+async def serve_stream(
+    application: Application, settings: HttpSettings, stream: Any
+) -> None:
+    """Serve one connection, for tests without sockets.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    settings : HttpSettings
+        Limits and times.
+    stream : trio.abc.HalfCloseableStream
+        The connection.
+    """
+    await _Connection(application, settings, stream).run()
+
+
+def _body_message(data: bytes, *, more: bool) -> dict[str, Any]:
+    return {'type': 'http.request', 'body': data, 'more_body': more}
+
+
+def _build_scope(
+    exchange: Exchange, reset: Callable[[], Awaitable[None]]
+) -> dict[str, Any]:
+    """Return the ASGI scope of a request."""
+    head = exchange.head
+    path, _, query = head.target.partition(b'?')
+    return {
+        'type': 'http',
+        'asgi': {'spec_version': '2.1', 'version': '3.0'},
+        'http_version': head.http_version.decode('ascii'),
+        'method': head.method.decode('ascii'),
+        'scheme': 'http',
+        'path': unquote(path.decode('ascii')),
+        'raw_path': path,
+        'query_string': query,
+        'root_path': '',
+        'headers': list(head.headers),
+        'state': {'exchange': exchange, 'reset': reset},
+        'extensions': {},
+    }
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -18,6 +18,7 @@
 from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
+from gypsumhall.core._nested_calls import NestedCallDetector
 from gypsumhall.core._stops import EndpointAvailability
 from gypsumhall.core._waiting import AdmissionDecision
 from gypsumhall.core._waiting import CallQueue
@@ -57,6 +58,9 @@
 # the processing in two daemons. It shortens only the wait for a slot. A run
 # continues until its deadline, because its caller may still be waiting.
 _RESPONSE_TRANSIT_S = 0.025
+# Time in seconds after the start in which the backend server may still make
+# calls for runs that a former process of this daemon has started.
+_UNKNOWN_RUNS_S = 10.0
 # Interval between checks whether other endpoints are available again.
 _AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
@@ -97,6 +101,10 @@
         Longest time in seconds after the start of a graceful shutdown in
         which calls are still served because too many other endpoints of the
         service are unavailable.
+    cancel_after_s : float
+        Time in seconds after the start of a graceful shutdown after which
+        calls that still run may be cancelled. Calls with a later deadline are
+        rejected from `SHUTDOWN_NOTICE_S` on.
     """
 
     name = 'runner'
@@ -119,7 +127,9 @@
         retry_limits: _sender.RetryLimits | None = None,
         rejection_delay_s: float = 0.0,
         availability_wait_s: float = 0.0,
+        cancel_after_s: float = math.inf,
     ) -> None:
+        self._cancel_after_s = cancel_after_s
         self._rejection_delay_s = rejection_delay_s
         self._availability_wait_s = availability_wait_s
         self._shutdown_started_at = math.inf
@@ -150,6 +160,7 @@
         self._membership: _protocols.Membership
         self._moves: _protocols.Moves
         self._events: _protocols.Events
+        self._nested_calls: NestedCallDetector
         self._nursery: trio.Nursery
         self._sender: _sender.Sender
         self._call_counter: _protocols.Metric
@@ -176,6 +187,11 @@
             round(queue.failure_rate, 3),
         )
 
+    @property
+    def nested_calls(self) -> NestedCallDetector:
+        """Recognizes the calls that the backend server makes for its runs."""
+        return self._nested_calls
+
     @property
     def stopping(self) -> bool:
         """Whether the shutdown has been announced to other daemons."""
@@ -207,6 +223,9 @@
             'Calls in flight and queued, and the concurrency limit.',
         )
         self._incarnation = self._membership.me.incarnation
+        self._nested_calls = NestedCallDetector(
+            trio.current_time() + _UNKNOWN_RUNS_S
+        )
         self._sender = _sender.Sender(
             peers=peers,
             membership=self._membership,
@@ -449,10 +468,12 @@
     ) -> _calls.CallRefusedError | None:
         try:
             backend = self._backend_for(call)
+            self._check_shutdown_deadline(deadline)
             await self._admit(backend, call, deadline)
         except _calls.CallRefusedError as error:
             return error
         started = trio.current_time()
+        self._nested_calls.begin_run(run, call.route, deadline)
         complete = False
         cause = 'cancelled'
         detail = ''
@@ -469,6 +490,7 @@
             raise
         finally:
             now = trio.current_time()
+            self._nested_calls.end_run(run, now, aborted=not complete)
             if cause and run.outcome != Outcome.NOT_RUN:
                 self._log_aborted_run(
                     call, cause, detail, now - started, deadline - started
@@ -631,6 +653,15 @@
             )
         return backend
 
+    def _check_shutdown_deadline(self, deadline: float) -> None:
+        """Raise for a call that the end of the process might cut off."""
+        shutdown_s = trio.current_time() - self._shutdown_started_at
+        ends_at = self._shutdown_started_at + self._cancel_after_s
+        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and deadline > ends_at:
+            raise _calls.not_run(
+                'draining', 'this daemon stops before the deadline'
+            )
+
     async def _admit(
         self, backend: _Backend, call: CallStart, deadline: float
     ) -> None:
--- a/gypsumhall/standin/_backend.py
+++ b/gypsumhall/standin/_backend.py
@@ -11,7 +11,6 @@
 from urllib.parse import parse_qs
 
 import httpcore
-import hypercorn.config
 import msgspec
 import trio
 
@@ -174,18 +173,13 @@
         """Serve until `stop`; `task_status` receives the bound address."""
         self._slots = trio.CapacityLimiter(self._settings.slots)
         self._started_at = trio.current_time()
-        config = hypercorn.config.Config()
-        config.backlog = 1024
-        config.keep_alive_timeout = 60.0
-        config.keep_alive_max_requests = 1_000_000
-        config.include_server_header = False
-        config.errorlog = None
+        settings = _http_server.HttpSettings(read_ahead=1)
         async with trio.open_nursery() as nursery:
 
             async def serve(task_status: trio.TaskStatus[str]) -> None:
                 await _http_server.serve(
                     self._application,
-                    config,
+                    settings,
                     self._settings.address,
                     self._shutdown,
                     task_status=task_status,
@@ -251,9 +245,6 @@
     async def _application(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        if scope['type'] != 'http':
-            await send({'type': 'websocket.close', 'code': 1003})
-            return
         route = (scope['method'], scope['path'])
         if route == ('GET', '/runs'):
             await _send_json(send, 200, self._runs)
--- a/gypsumhall/standin/_platform.py
+++ b/gypsumhall/standin/_platform.py
@@ -17,17 +17,14 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
-import functools
 import math
 from typing import Any
 
-from hypercorn.config import Config
-from hypercorn.trio import serve
 import msgspec
 import trio
 
 from gypsumhall._errors import GypsumhallError
-from gypsumhall._errors import translate_listen_errors
+from gypsumhall.services import _http_server
 
 Json = dict[str, Any]
 Scope = MutableMapping[str, Any]
@@ -659,12 +656,7 @@
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        """Handle an HTTP request or the lifespan events of the server."""
-        if scope['type'] == 'lifespan':
-            await self._serve_lifespan(receive, send)
-            return
-        if scope['type'] != 'http':
-            return
+        """Handle an HTTP request."""
         kind = _CALL_BY_PATH.get(scope['path'])
         if scope['path'] in ('/faults', '/stats'):
             await self._serve_control(scope, receive, send)
@@ -673,13 +665,6 @@
         else:
             await self._serve_call(kind, receive, send)
 
-    async def _serve_lifespan(self, receive: Receive, send: Send) -> None:
-        while True:
-            message = await receive()
-            await send({'type': f'{message["type"]}.complete'})
-            if message['type'] == 'lifespan.shutdown':
-                return
-
     async def _serve_control(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -836,23 +821,12 @@
     )
 
 
-def server_config(bind: str) -> Config:
-    """Return the Hypercorn settings of the stand-in.
-
-    Parameters
-    ----------
-    bind : str
-        ``<ip>:<port>``; port 0 for any free one.
-    """
-    config = Config()
-    config.bind = [bind]
-    config.errorlog = None
-    config.accesslog = None
+def server_settings() -> _http_server.HttpSettings:
+    """Return the settings of the HTTP server of the stand-in."""
     # The gateway of etcd does not close idle connections.
-    config.keep_alive_timeout = 3600
-    config.keep_alive_max_requests = 10**9
-    config.graceful_timeout = 1.0
-    return config
+    return _http_server.HttpSettings(
+        idle_timeout_s=3600.0, close_timeout_s=1.0, read_ahead=1
+    )
 
 
 async def serve_platform(
@@ -876,21 +850,18 @@
         Receives the address in use, ``<ip>:<port>``.
     """
 
-    async def wait_and_end_watches() -> None:
+    async def end_watches() -> None:
         await shutdown.wait()
         platform.set_faults({'drop_watches': True})
 
     async with trio.open_nursery() as background:
         await background.start(platform.run)
-        async with trio.open_nursery() as nursery:
-            with translate_listen_errors(bind):
-                binds = await nursery.start(
-                    functools.partial(
-                        serve,
-                        PlatformApp(platform),  # type: ignore[arg-type]
-                        server_config(bind),
-                        shutdown_trigger=wait_and_end_watches,
-                    )
-                )
-            task_status.started(binds[0].removeprefix('http://'))
+        background.start_soon(end_watches)
+        await _http_server.serve(
+            PlatformApp(platform),
+            server_settings(),
+            bind,
+            shutdown,
+            task_status=task_status,
+        )
         background.cancel_scope.cancel()
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -222,6 +222,7 @@
             connect,
             dialect,
             availability_wait_s=availability_wait_s,
+            cancel_after_s=0.9 * drain_timeout_s,
         )
         self.announcements = AnnouncementsService()
         self.caller = (
--- a/gypsumhall/testing/http_network.py
+++ b/gypsumhall/testing/http_network.py
@@ -1,4 +1,4 @@
-"""HTTP between `httpcore` and `hypercorn` over in-memory streams.
+"""HTTP between `httpcore` and ASGI applications over in-memory streams.
 
 No sockets are used, so with `trio.testing.MockClock` timeouts of minutes pass
 in milliseconds, independently of the speed of the machine.
@@ -11,52 +11,17 @@
 import weakref
 
 import httpcore
-from hypercorn.app_wrappers import ASGIWrapper
-from hypercorn.trio.tcp_server import TCPServer
-from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.typing import ConnectionState
 import trio
 import trio.testing
 
-from gypsumhall.standin import server_config
+from gypsumhall.services import _http_server
+from gypsumhall.standin import server_settings
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     import ssl
 
 
-class _Socket:
-    """The socket methods that the HTTP server uses."""
-
-    family = trio.socket.AF_INET
-
-    def getpeername(self) -> tuple[str, int]:
-        return '127.0.0.1', 1
-
-    def getsockname(self) -> tuple[str, int]:
-        return '127.0.0.1', 2
-
-
-class _ServerStream:
-    """Server end of an in-memory stream."""
-
-    def __init__(self, stream: trio.abc.HalfCloseableStream) -> None:
-        self._stream = stream
-        self.socket = _Socket()
-
-    async def receive_some(self, max_bytes: int) -> bytes:
-        return bytes(await self._stream.receive_some(max_bytes))
-
-    async def send_all(self, data: bytes) -> None:
-        await self._stream.send_all(data)
-
-    async def send_eof(self) -> None:
-        await self._stream.send_eof()
-
-    async def aclose(self) -> None:
-        await self._stream.aclose()
-
-
 class _ClientStream(httpcore.AsyncNetworkStream):
     """Client end of an in-memory stream.
 
@@ -168,14 +133,12 @@
         if address in self.refused or address not in self._apps:
             raise httpcore.ConnectError(f'connection to {address} refused')
         client_end, server_end = trio.testing.memory_stream_pair()
-        server = TCPServer(
-            ASGIWrapper(self._apps[address]),
-            server_config(address),
-            WorkerContext(None),
-            ConnectionState({}),
-            _ServerStream(server_end),  # type: ignore[arg-type]
+        self._nursery.start_soon(
+            _http_server.serve_stream,
+            self._apps[address],
+            server_settings(),
+            server_end,
         )
-        self._nursery.start_soon(server.run)
         stream = _ClientStream(client_end, address)
         self._streams.add(stream)
         return stream
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -20,6 +20,6 @@
     code = (
         'import sys, gypsumhall.coordination; '
         'sys.exit(any(n in sys.modules for n in '
-        '("hypercorn", "httpcore", "trio")))'
+        '("h11", "httpcore", "trio")))'
     )
     subprocess.run([sys.executable, '-c', code], check=True)
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import json
 from random import Random
 import socket
@@ -555,14 +556,6 @@
         nursery.cancel_scope.cancel()
 
 
-_NESTED_ROUTE = builders.build_route(
-    'check',
-    'bookings',
-    path='/check',
-    timeout_s=0.4,
-    objective_s=0.1,
-    priority=2,
-)
 _SEARCH_ROUTE = builders.build_route(
     path='/search', objective_s=0.5, priority=1
 )
@@ -572,9 +565,18 @@
 async def _two_services(
     drain_delay_s: float = 0.0,
     drain_timeout_s: float = 30.0,
+    nested_timeout_s: float = 0.4,
 ) -> AsyncIterator[list[CallPathDaemon]]:
     """Run two daemons, each beside an endpoint of another service."""
-    snapshot = build_snapshot(routes=(_SEARCH_ROUTE, _NESTED_ROUTE))
+    nested_route = builders.build_route(
+        'check',
+        'bookings',
+        path='/check',
+        timeout_s=nested_timeout_s,
+        objective_s=0.1,
+        priority=2,
+    )
+    snapshot = build_snapshot(routes=(_SEARCH_ROUTE, nested_route))
     with trio.fail_after(_WAIT_S):
         async with trio.open_nursery() as nursery:
             hub = MemoryHub(nursery)
@@ -667,30 +669,45 @@
         _two_services(drain_delay_s=6.0) as daemons,
         httpcore.AsyncConnectionPool() as pool,
     ):
-        url = f'http://{daemons[0].caller.address}/check'
+        headers = {'Host': 'spa.example'}
         stopped = trio.Event()
 
         async def stop() -> None:
             await daemons[0].caller.drain()
             stopped.set()
 
+        async def search() -> None:
+            # The callers of another VM cause the runs that make the calls.
+            url = f'http://{daemons[1].caller.address}/search'
+            while not stopped.is_set():
+                await pool.request('GET', url, headers=headers)
+
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(search)
+            await _until(lambda: daemons[0].runner.load.in_flight == 1)
             nursery.start_soon(stop)
+            url = f'http://{daemons[0].caller.address}/check'
             with trio.fail_after(3.0):
                 while not stopped.is_set():
-                    await pool.request(
-                        'GET', url, headers={'Host': 'spa.example'}
-                    )
+                    if daemons[0].runner.load.in_flight:
+                        await pool.request('GET', url, headers=headers)
                     await trio.sleep(0.1)
 
 
-async def test_nested_calls_have_priority_over_new_requests() -> None:
-    """A rejected nested call wastes the run that waits for it."""
+@pytest.mark.parametrize('timeout_s', [0.4, 0.525, 2.0])
+async def test_nested_calls_have_priority_over_new_requests(
+    timeout_s: float,
+) -> None:
+    """A rejected nested call wastes the run that waits for it.
+
+    A request without such a run is none, however short its time limit is.
+    """
     async with (
-        _two_services() as daemons,
+        _two_services(nested_timeout_s=timeout_s) as daemons,
         httpcore.AsyncConnectionPool() as pool,
     ):
         url = f'http://{daemons[0].caller.address}'
+        headers = {'Host': 'spa.example'}
         received_calls: list[tuple[str, int]] = []
         execute = daemons[1].runner.execute
 
@@ -701,10 +718,16 @@
             await execute(call, body, send)
 
         daemons[1].runner.execute = record_call
-        await pool.request(
-            'GET', url + '/check', headers={'Host': 'spa.example'}
-        )
-        assert received_calls == [('spa/check', 0)]
+        await pool.request('GET', url + '/check', headers=headers)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                functools.partial(
+                    pool.request, 'GET', url + '/search', headers=headers
+                )
+            )
+            await _until(lambda: daemons[0].runner.load.in_flight == 1)
+            await pool.request('GET', url + '/check', headers=headers)
+        assert received_calls == [('spa/check', 2), ('spa/check', 0)]
 
 
 async def test_caller_that_stops_reading_does_not_occupy_a_slot() -> None:
--- a/tests/test_services_graceful_shutdown.py
+++ b/tests/test_services_graceful_shutdown.py
@@ -268,6 +268,8 @@
             await first.send_all(_request('r1'))
             await _wait_until_running(backend)
             daemon.kernel.stop()
+            while not daemon.caller.stopping:
+                await trio.lowlevel.checkpoint()
             head = _request('r2').replace(b'Length: 0', b'Length: 4000')
             await second.send_all(head)
             await trio.sleep(0.05)
@@ -291,7 +293,7 @@
     async def serve(
         self,
         application: Any,
-        config: object,
+        settings: object,
         address: str,
         stop: trio.Event,
         *,
@@ -301,15 +303,21 @@
         task_status.started(address)
         await stop.wait()
 
-    async def get(self, path: str, deadline_ms: int) -> int:
+    async def get(
+        self, path: str, deadline_ms: int, method: str = 'GET'
+    ) -> int:
         """Send a request and return the status of its response."""
         self._requests += 1
         headers = [
             (b'host', b'spa.example'),
-            (b'x-request', b'r%d' % self._requests),
+            (b'x-request', b'%d-%d' % (id(self), self._requests)),
             (b'gypsumhall-deadline-ms', b'%d' % deadline_ms),
         ]
-        return await asgi.call(self._application, 'GET', path, headers)
+        return await asgi.call(self._application, method, path, headers)
+
+    def sent(self, request_id: str) -> bool:
+        """Return whether a request was sent to this server."""
+        return request_id.startswith(f'{id(self)}-')
 
 
 _LONG = builders.build_route(path='/search', timeout_s=10.0)
@@ -404,3 +412,54 @@
         assert await server.get('/check', 400) == 200
         await trio.sleep(0.15)
         assert await server.get('/check', 400) == 503
+
+
+async def test_late_call_of_another_daemon_is_not_cut_by_the_shutdown(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Operators reported such calls as lost, among them unsafe ones.
+
+    While its own callers had not left, a daemon took calls of other daemons
+    that its end then cut off.
+    """
+    servers = [_FakeHttpServer(), _FakeHttpServer()]
+    backend = MemoryBackend(Random(1))
+    backend.mean_service_time_s, backend.constant_service_time = 0.01, True
+    snapshot = build_snapshot(routes=(_LONG,))
+    with trio.fail_after(60.0):
+        async with trio.open_nursery() as nursery:
+            hub, table = MemoryHub(nursery), fakes.FakeTable()
+            daemons = []
+            for index, server in enumerate(servers):
+                monkeypatch.setattr(_http_server, 'serve', server.serve)
+                daemon = CallPathDaemon(
+                    builders.build_member(index),
+                    table,
+                    lambda info: MemoryNetwork(hub, info),
+                    snapshot,
+                    connect=backend.client,
+                    listen='127.0.0.1:0',
+                    drain_delay_s=5.0,
+                    drain_timeout_s=10.0,
+                )
+                await nursery.start(daemon.run)
+                daemons.append(daemon)
+            daemons[0].set_backend(_ADDRESS)
+            daemons[0].kernel.stop()
+
+            async def call_repeatedly() -> None:
+                while True:
+                    await servers[0].get('/search', 100)
+                    await trio.sleep(0.3)
+
+            nursery.start_soon(call_repeatedly)
+            await trio.sleep(3.0)
+            # One that ends in time is served.
+            assert await servers[1].get('/search', 4000, 'POST') == 200
+            runs = [run for run in backend.runs if servers[1].sent(run)]
+            backend.mean_service_time_s = 8.0
+            assert await servers[1].get('/search', 10_000, 'POST') == 503
+            assert runs == [
+                run for run in backend.runs if servers[1].sent(run)
+            ]
+            nursery.cancel_scope.cancel()
