Count rejections by a backend server as failures in the choice of an endpoint

A rejection gave no evidence, so a server that rejects at once looked idle and fast to every sender and drew the requests. The retry after it uses up the budget of the service.

Change: such a rejection counts as a failure in the sender's view of the endpoint and in the failure rate that its daemon reports. It says nothing about the version in a rollout, as before.

--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -505,6 +505,8 @@
             if cause == 'cancelled':
                 run.failed = run.failed or slow
             failed = run.failed if run.outcome != Outcome.NOT_RUN else None
+            if cause == 'shed':
+                failed = True
             # The duration of a run that its deadline ended says nothing about
             # the time that a run takes.
             measured = complete and now < deadline
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -105,8 +105,15 @@
 # Rejections that every other endpoint would repeat.
 _FINAL_CODES = frozenset(['bad-request', 'request-too-large'])
 # Failures that indicate a faulty endpoint; other codes say nothing about it.
+# One that sheds requests looks idle otherwise.
 _FAULT_CODES = frozenset(
-    ['backend-reset', 'backend-unreachable', 'bad-response', 'peer-lost']
+    [
+        'backend-reset',
+        'backend-unreachable',
+        'bad-response',
+        'peer-lost',
+        'shed',
+    ]
 )
 _RETRIED_STATUSES = (502, 503, 504)
 _SEVERITY = {Outcome.NOT_RUN: 0, Outcome.UNKNOWN: 1, Outcome.RUN: 2}
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -77,6 +77,10 @@
         self.status: dict[str, int] = {}
         # Addresses whose requests get no response.
         self.hanging_addresses: set[str] = set()
+        # Addresses that reject all requests; the dialect's header for that
+        # has to be ``X-Not-Executed``.
+        self.shedding_addresses: set[str] = set()
+        self.shed_requests = 0
         # Addresses whose responses are truncated.
         self.truncating_addresses: set[str] = set()
 
@@ -97,6 +101,19 @@
             raise _backend_client.BackendUnreachableError(address)
         on_send()
         request_id = dict(headers)[b'x-request'].decode()
+        if address in self.shedding_addresses:
+            self.shed_requests += 1
+            yield _backend_client.BackendResponse(
+                503,
+                (
+                    (b'x-not-executed', b'1'),
+                    (b'x-request', request_id.encode()),
+                    (b'content-length', b'0'),
+                ),
+                0,
+                _empty_body(),
+            )
+            return
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.runs_by_address[address] = (
             self.runs_by_address.get(address, 0) + 1
@@ -107,7 +124,10 @@
         if self._rng.random() < self.reset_rate:
             raise _backend_client.BackendResetError(address)
         body = request_id.encode()
-        headers = ((b'content-length', b'%d' % len(body)),)
+        headers = (
+            (b'content-length', b'%d' % len(body)),
+            (b'x-request', body),
+        )
         chunked = self._rng.random() < self.chunked_rate
         yield _backend_client.BackendResponse(
             self.status.get(address, 200),
@@ -138,6 +158,10 @@
         yield body[half:]
 
 
+async def _empty_body() -> AsyncGenerator[bytes, None]:
+    yield b''
+
+
 class MemoryBackendClient:
     """Client of a `MemoryBackend`."""
 
