Survive streams that were reset when a graceful shutdown begins

drain iterates over a copy, as the end of serve does. The test resets the streams right before the drain; it failed with the same error before.

--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -355,7 +355,8 @@
         self._draining = True
         _socket.close(self._listener)
         in_flight: list[StreamExchange] = []
-        for stream in self._streams:
+        # A stream that was reset ends when GOAWAY is sent on it.
+        for stream in list(self._streams):
             in_flight += stream.in_flight
             if not stream.is_opener:
                 stream.send_goaway()
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -471,6 +471,22 @@
         await _eventually(lambda: one.streams == 0)
 
 
+async def test_graceful_shutdown_survives_reset_streams() -> None:
+    """The daemon ended with an exception, and its requests unanswered."""
+    async with _peers() as (one, two, relay):
+        await one.count_started_calls(two.me.address)
+        await one.count_started_calls(relay.address)
+        relay.reset()
+        for stream in one._streams:
+            linger = struct.pack('ii', 1, 0)
+            stream._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            stream._sock.close()
+        with trio.fail_after(_TIMEOUT_S):
+            await two.drain()
+
+
 async def test_requests_over_a_limit_run_no_handler() -> None:
     release = trio.Event()
     handled_ids = []
