Keep calls and pings clear of large messages between daemons

Calls, heartbeats and updates of the configuration shared one stream per peer.

- Messages above 16 KiB, and pulls, have a stream of their own.
- Replies to pings overtake the backlog of a stream.
- A call that is cancelled while it is still in the backlog is dropped there, and one whose cancellation arrives with it is not run.
- Progress of a backlog counts as a sign of life: the peer acknowledges data.

--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -108,6 +108,10 @@
     for message_type in MESSAGE_TYPES
     if typing.cast(int, message_type.__struct_config__.tag) in _CALL_TAGS
 )
+BULK_BYTES = 16 * 1024
+"""Size above which a message is sent on a stream of its own, which
+calls and heartbeats do not use."""
+_BULK_REPLY_TYPES = frozenset({_messages.Pull})
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
     typing.Union[MESSAGE_TYPES]  # noqa: UP007 - `|` needs literal types
@@ -120,6 +124,11 @@
     return type(message) in _CALL_TYPES
 
 
+def has_bulk_reply(message: Message) -> bool:
+    """Return whether the reply to a message may exceed `BULK_BYTES`."""
+    return type(message) in _BULK_REPLY_TYPES
+
+
 def encode_message(message: Message) -> bytes:
     """Return the payload that encodes a message.
 
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 import math
 from typing import Any
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,6 +16,7 @@
 from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerProtocolError
 from gypsumhall._errors import PeerUnreachableError
+from gypsumhall.net import _frames
 from gypsumhall.net import _handshake
 from gypsumhall.net import _messages
 from gypsumhall.net import _socket
@@ -93,6 +95,17 @@
     max_posts: int = 64
 
 
+class _Target(NamedTuple):
+    """What a stream is opened for.
+
+    Large messages would delay the calls and heartbeats behind them, so they
+    have a stream of their own.
+    """
+
+    address: str
+    bulk: bool = False
+
+
 class _ConnectAttempt:
     """An attempt to open a stream, shared by all tasks that wait for it."""
 
@@ -135,8 +148,9 @@
         self._timeout_s = timeout_s
 
     async def __aenter__(self) -> StreamExchange:
+        target = _Target(self._address, _frames.has_bulk_reply(self._message))
         stream = await self._network._get_or_open_stream(
-            self._address, self._timeout_s
+            target, self._timeout_s
         )
         self._exchange = stream.open(self._message, Kind.OPEN)
         return self._exchange
@@ -186,9 +200,10 @@
         self._listener: socket.socket | None = None
         self._me: PeerInfo | None = None
         self._streams: set[Stream] = set()
-        self._streams_by_address: dict[str, Stream] = {}
-        self._connect_attempts: dict[str, _ConnectAttempt] = {}
-        self._post_queues: dict[str, deque[Message]] = {}
+        self._streams_by_target: dict[_Target, Stream] = {}
+        self._connect_attempts: dict[_Target, _ConnectAttempt] = {}
+        # Encoded messages that wait for a stream.
+        self._post_queues: dict[_Target, deque[bytes]] = {}
         self._handshake_slots = trio.Semaphore(_MAX_PENDING_HANDSHAKES)
         self._idle_workers: list[_Worker] = []
         self._draining = False
@@ -269,7 +284,8 @@
             When the message is too large; it was not sent.
         """
         deadline = trio.current_time() + timeout_s
-        stream = await self._get_or_open_stream(address, timeout_s)
+        target = _Target(address, _frames.has_bulk_reply(message))
+        stream = await self._get_or_open_stream(target, timeout_s)
         exchange = stream.open(message, Kind.REQUEST)
         try:
             with trio.move_on_at(deadline):
@@ -285,25 +301,32 @@
     def post(self, address: str, message: Message) -> None:
         """Send a message that gets no reply, without waiting.
 
-        The message is dropped when the peer is unreachable or the send
-        queue for the address is full.
+        The message is dropped when the peer is unreachable, the send queue
+        for the address is full or the message is too large for a frame.
         """
-        stream = self._usable_stream(address)
+        try:
+            payload = _frames.encode_message(message)
+        except PeerProtocolError as error:
+            self._dropped += 1
+            self._emit_limited('peer-post-failed', detail=str(error))
+            return
+        target = _Target(address, len(payload) > _frames.BULK_BYTES)
+        stream = self._usable_stream(target)
         if stream is not None:
-            self._post_to_stream(stream, message)
+            self._dropped += not stream.post(payload)
             return
-        queue = self._post_queues.get(address)
+        queue = self._post_queues.get(target)
         if (
             queue is None
             and self._nursery is not None
             and len(self._post_queues) < _MAX_POST_QUEUES
         ):
-            queue = self._post_queues[address] = deque()
-            self._nursery.start_soon(self._connect_and_post, address, queue)
+            queue = self._post_queues[target] = deque()
+            self._nursery.start_soon(self._connect_and_post, target, queue)
         if queue is None or len(queue) >= self._settings.max_posts:
             self._dropped += 1
         else:
-            queue.append(message)
+            queue.append(payload)
 
     async def serve(
         self,
@@ -406,8 +429,10 @@
     ) -> None:
         """Remove a stream that has ended and emit an event on an error."""
         self._streams.discard(stream)
-        if self._streams_by_address.get(stream.dialled_address) is stream:
-            del self._streams_by_address[stream.dialled_address]
+        for bulk in (False, True):
+            target = _Target(stream.dialled_address, bulk)
+            if self._streams_by_target.get(target) is stream:
+                del self._streams_by_target[target]
         if error is not None and not self._draining:
             code = (
                 'peer-protocol-error'
@@ -418,37 +443,38 @@
 
     # Opening of streams
 
-    def _usable_stream(self, address: str) -> Stream | None:
-        stream = self._streams_by_address.get(address)
+    def _usable_stream(self, target: _Target) -> Stream | None:
+        stream = self._streams_by_target.get(target)
         if stream is None or stream.goaway_received or stream.ping_overdue:
             return None
         return stream
 
     async def _get_or_open_stream(
-        self, address: str, timeout_s: float
+        self, target: _Target, timeout_s: float
     ) -> Stream:
         await trio.lowlevel.checkpoint_if_cancelled()
-        stream = self._usable_stream(address)
+        stream = self._usable_stream(target)
         if stream is not None:
             return stream
-        attempt = self._connect_attempts.get(address)
+        attempt = self._connect_attempts.get(target)
         if attempt is None:
             if self._nursery is None:
                 raise PeerUnreachableError('the network is not running')
-            attempt = self._connect_attempts[address] = _ConnectAttempt()
-            self._nursery.start_soon(self._open_stream, address, attempt)
+            attempt = self._connect_attempts[target] = _ConnectAttempt()
+            self._nursery.start_soon(self._open_stream, target, attempt)
         with trio.move_on_after(timeout_s):
             await attempt.done.wait()
         if attempt.stream is None or attempt.stream.end_error is not None:
             raise PeerUnreachableError(
-                f'no stream to {address}: {attempt.reason}'
+                f'no stream to {target.address}: {attempt.reason}'
             )
         return attempt.stream
 
     async def _open_stream(
-        self, address: str, attempt: _ConnectAttempt
+        self, target: _Target, attempt: _ConnectAttempt
     ) -> None:
         sock = None
+        address = target.address
         try:
             self._ensure_stream_capacity()
             with trio.move_on_after(self._settings.connect_timeout_s):
@@ -457,6 +483,7 @@
                     sock, self.me, self._settings.keys, self._traffic
                 )
                 attempt.stream = self._add_stream(sock, peer, address, b'')
+                self._streams_by_target[target] = attempt.stream
                 sock = None
         except (OSError, ValueError, PeerLostError) as error:
             attempt.reason = str(error)
@@ -468,7 +495,7 @@
         finally:
             if sock is not None:
                 _socket.close(sock)
-            del self._connect_attempts[address]
+            del self._connect_attempts[target]
             attempt.done.set()
 
     def _ensure_stream_capacity(self) -> None:
@@ -501,33 +528,23 @@
             nursery=self._nursery,
         )
         self._streams.add(stream)
-        if dialled_address:
-            self._streams_by_address[dialled_address] = stream
         self._nursery.start_soon(stream.run, unread_bytes)
         return stream
 
     async def _connect_and_post(
-        self, address: str, queue: deque[Message]
+        self, target: _Target, queue: deque[bytes]
     ) -> None:
         stream = None
         try:
             stream = await self._get_or_open_stream(
-                address, self._settings.connect_timeout_s
+                target, self._settings.connect_timeout_s
             )
         except PeerError:
             pass
         finally:
-            del self._post_queues[address]
-            for message in queue:
-                self._post_to_stream(stream, message)
-
-    def _post_to_stream(self, stream: Stream | None, message: Message) -> None:
-        try:
-            sent = stream is not None and stream.post(message)
-        except PeerProtocolError as error:
-            sent = False
-            self._emit_limited('peer-post-failed', detail=str(error))
-        self._dropped += not sent
+            del self._post_queues[target]
+            for payload in queue:
+                self._dropped += stream is None or not stream.post(payload)
 
     # Accepting of streams
 
@@ -594,6 +611,10 @@
     async def _run_handler(
         self, handler: Handler[Any], exchange: StreamExchange, message: Message
     ) -> None:
+        if exchange.cancelled:
+            # The cancellation was received together with the first message.
+            exchange.close()
+            return
         try:
             await handler(exchange, message)
         except Exception as error:
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -142,6 +142,11 @@
         """Whether this end has ended the exchange or the stream has ended."""
         return not self._stream.has_exchange(self)
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether the peer has cancelled the exchange or is lost."""
+        return self._error is not None
+
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
 
@@ -264,7 +269,9 @@
     def _end(self, kind: Kind, error: PeerLostError) -> None:
         if self._stream.remove_exchange(self.number) and self._error is None:
             # No frame is needed once both directions are closed.
-            if not (self._sending_closed and self._receiving_closed):
+            if not (self._sending_closed and self._receiving_closed) and not (
+                kind is Kind.CANCEL and self._stream.withdraw(self.number)
+            ):
                 self._write(kind, 0)
             self._error = error
         self._wake()
@@ -315,6 +322,8 @@
     __slots__ = (
         '_backlog',
         '_exchanges',
+        '_flushing',
+        '_head_is_partial',
         '_last_exchange_id',
         '_last_received',
         '_last_used',
@@ -325,6 +334,7 @@
         '_pinged_at',
         '_send_queue',
         '_sock',
+        '_unsent_openings',
         '_writable',
         'dialled_address',
         'end_error',
@@ -350,7 +360,13 @@
         self._nursery = nursery
         self._exchanges: dict[int, StreamExchange] = {}
         self._last_exchange_id = 0
-        self._send_queue: deque[memoryview] = deque()
+        # Frames that wait for the socket, with the ids of their exchanges.
+        self._send_queue: deque[tuple[int, memoryview]] = deque()
+        self._head_is_partial = False
+        # Whether the task that sends the backlog is running.
+        self._flushing = False
+        # Exchanges of which no byte has been sent.
+        self._unsent_openings: set[int] = set()
         self._backlog = 0
         self._writable = trio.lowlevel.ParkingLot()
         self._last_received = now
@@ -421,21 +437,21 @@
             single_reply=False,
         )
         self._add_exchange(exchange)
+        if self._flushing:
+            self._unsent_openings.add(self._last_exchange_id)
         self.write(self._last_exchange_id, kind, payload, carries_call)
         return exchange
 
-    def post(self, message: Message) -> bool:
-        """Send a message without reply; return False if it was dropped."""
+    def post(self, payload: bytes) -> bool:
+        """Send an encoded message without reply; False if it was dropped."""
         if (
             self._backlog > _HIGH_WATER_MARK_BYTES
             or self.end_error is not None
         ):
             return False
-        payload = _frames.encode_message(message)
         self._last_exchange_id += 1
         self._last_used = trio.current_time()
-        carries_call = _frames.is_call(message)
-        self.write(self._last_exchange_id, Kind.POST, payload, carries_call)
+        self.write(self._last_exchange_id, Kind.POST, payload, is_call=False)
         return True
 
     def write(
@@ -447,7 +463,7 @@
         data = _frames.encode_frame(number, kind, payload)
         self._owner.traffic.add(2 if is_call else 0, len(data), payload)
         sent = 0
-        if not self._send_queue:
+        if not self._flushing:
             try:
                 sent = self._sock.send(data)
             except BlockingIOError:
@@ -457,8 +473,16 @@
                 return
             if sent == len(data):
                 return
+            self._head_is_partial = sent > 0
+            self._flushing = True
             self._nursery.start_soon(self._flush)
-        self._send_queue.append(memoryview(data)[sent:])
+        entry = (number, memoryview(data)[sent:])
+        if kind in (Kind.PING, Kind.PONG):
+            # The peer takes a stream whose replies wait in a backlog for a
+            # silent one.
+            self._send_queue.insert(int(self._head_is_partial), entry)
+        else:
+            self._send_queue.append(entry)
         self._backlog += len(data) - sent
         if self._backlog > _MAX_BACKLOG_BYTES:
             self.end(
@@ -467,6 +491,24 @@
                 )
             )
 
+    def withdraw(self, number: int) -> bool:
+        """Drop the frames of an exchange of which no byte has been sent.
+
+        Returns
+        -------
+        bool
+            Whether the peer gets to know nothing of the exchange.
+        """
+        if number not in self._unsent_openings:
+            return False
+        self._unsent_openings.remove(number)
+        kept = [item for item in self._send_queue if item[0] != number]
+        self._send_queue = deque(kept)
+        self._backlog = sum(len(view) for _, view in kept)
+        if self._backlog <= _HIGH_WATER_MARK_BYTES:
+            self._writable.unpark_all()
+        return True
+
     async def wait_writable(self) -> None:
         """Wait until the backlog has shrunk or the stream has ended."""
         if self._backlog and self.end_error is None:
@@ -523,6 +565,10 @@
             self._pinged_at = now
             self.write(0, Kind.PING, 0, is_call=False)
 
+    def _record_life(self, now: float) -> None:
+        self._last_received = now
+        self._pinged_at = math.inf
+
     def send_goaway(self) -> None:
         """Notify the peer that no new exchanges are accepted."""
         self.write(0, Kind.GOAWAY, 0, is_call=False)
@@ -546,6 +592,7 @@
         exchanges = list(self._exchanges.values())
         self._exchanges.clear()
         self._send_queue.clear()
+        self._unsent_openings.clear()
         self._backlog = 0
         _socket.close(self._sock)
         for exchange in exchanges:
@@ -587,8 +634,7 @@
                     # The peer has timed out its exchanges by now, so a call
                     # that is still unread in the socket must not start.
                     raise PeerLostError('this process was paused')
-                self._last_received = now
-                self._pinged_at = math.inf
+                self._record_life(now)
         except PeerError as error:
             self.end(error)
         except OSError as error:
@@ -656,23 +702,31 @@
             while self._send_queue:
                 await trio.lowlevel.wait_writable(self._sock)
                 batch = [
-                    self._send_queue[i]
+                    self._send_queue[i][1]
                     for i in range(min(16, len(self._send_queue)))
                 ]
                 try:
                     sent = self._sock.sendmsg(batch)
                 except BlockingIOError:
                     continue
-                self._backlog -= sent
-                while sent:
-                    chunk = self._send_queue.popleft()
-                    if sent < len(chunk):
-                        self._send_queue.appendleft(chunk[sent:])
-                        break
-                    sent -= len(chunk)
+                # The socket was full, so the peer has acknowledged data.
+                self._record_life(trio.current_time())
+                self._remove_sent(sent)
                 if self._backlog <= _HIGH_WATER_MARK_BYTES:
                     self._writable.unpark_all()
+            self._flushing = False
         except trio.ClosedResourceError:
             pass
         except OSError as error:
             self.end(PeerLostError(f'stream failed: {error}'))
+
+    def _remove_sent(self, sent: int) -> None:
+        self._backlog -= sent
+        while sent:
+            number, chunk = self._send_queue.popleft()
+            self._unsent_openings.discard(number)
+            self._head_is_partial = sent < len(chunk)
+            if self._head_is_partial:
+                self._send_queue.appendleft((number, chunk[sent:]))
+                break
+            sent -= len(chunk)
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import os
 import random
 import signal
@@ -81,6 +82,7 @@
         self._target = (host, int(port))
         self._pairs: list[tuple[trio.SocketStream, trio.SocketStream]] = []
         self._silent: set[trio.SocketStream] = set()
+        self._stall_after_bytes = math.inf
         self.recorded_bytes = b''
         self.address = ''
 
@@ -103,10 +105,14 @@
     async def _copy(
         self, source: trio.SocketStream, sink: trio.SocketStream
     ) -> None:
+        size = 0
         with contextlib.suppress(
             trio.BrokenResourceError, trio.ClosedResourceError
         ):
             async for data in source:
+                size += len(data)
+                if size > self._stall_after_bytes:
+                    await trio.sleep_forever()
                 if any(source is pair[0] for pair in self._pairs):
                     self.recorded_bytes += data
                 if source not in self._silent:
@@ -118,6 +124,10 @@
         for pair in self._pairs:
             self._silent.update(pair)
 
+    def stall_after(self, size: int) -> None:
+        """Stall connections that have carried that many bytes."""
+        self._stall_after_bytes = size
+
     def reset(self) -> None:
         for pair in self._pairs:
             for stream in pair:
@@ -231,6 +241,30 @@
         await two.count_started_calls(one.me.address)
 
 
+async def test_a_large_message_does_not_delay_calls() -> None:
+    """Behind a large configuration, streams were taken for lost."""
+    async with _peers() as (one, _, relay):
+        await one.count_started_calls(relay.address)
+        relay.stall_after(64 * 1024)
+        one.post(
+            relay.address, _messages.BodyChunk(b'x' * _frames.MAX_READ_BYTES)
+        )
+        one.post(relay.address, _messages.BodyChunk(b'x' * 500_000))
+        await trio.sleep(0.1)
+        async with one.open(relay.address, _CALL) as exchange:
+            with trio.fail_after(_STREAM_SETTINGS.dead_after_s):
+                await exchange.receive()
+
+
+async def test_a_call_cancelled_before_its_handler_starts_is_not_run() -> None:
+    """A delayed call ran although its caller had left."""
+    async with _peers() as (one, _, relay):
+        started = await one.count_started_calls(relay.address)
+        stream = next(iter(one._streams))
+        stream.open(_CALL, Kind.OPEN).cancel()
+        assert await one.count_started_calls(relay.address) == started
+
+
 async def test_an_unused_stream_that_stops_responding_is_replaced() -> None:
     """A half-open connection fails one request at most."""
     async with _peers() as (one, _, relay):
