Do not give up a request because its stream is silent

A stream without a byte for 0.75 s was ended. A slow link or a busy peer looks like a lost one for that long.

After 0.75 s the stream now reports silence (event 'peer-silent'): the daemon is left out for new requests, another endpoint is tried beside the first attempt if the retry budget allows it, and the first to respond wins. Requests that may run once query their outcome on a new stream, as before. The stream ends after 2.25 s without a byte. Daemons that are gone are thus noticed as early as before.

test_a_stream_delayed_by_a_slow_link_is_not_lost and test_silent_daemon_gets_help_of_another_one failed before.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -167,7 +167,9 @@
         int(time.time() * 1000),
         f'{settings.ip.value}:{settings.peer_port.value}',
         (key,),
-        stream=StreamSettings(ping_after_s=0.25, dead_after_s=0.75),
+        stream=StreamSettings(
+            ping_after_s=0.25, silent_after_s=0.75, dead_after_s=2.25
+        ),
         connect_timeout_s=0.25,
     )
     rollouts = RolloutService(rng=rng)
--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -424,6 +424,16 @@
             else:
                 self._nursery.start_soon(self._run_worker, job)
 
+    def handle_stream_silence(self, stream: Stream, silence_s: float) -> None:
+        """Emit an event on a stream from which nothing was received."""
+        self._emit_limited(
+            'peer-silent',
+            peer=stream.peer.id,
+            silence_ms=round(silence_s * 1000),
+            exchanges=stream.exchanges,
+            backlog_bytes=stream.backlog,
+        )
+
     def handle_stream_end(
         self, stream: Stream, error: PeerError | None
     ) -> None:
--- a/gypsumhall/net/_protocol.py
+++ b/gypsumhall/net/_protocol.py
@@ -81,6 +81,14 @@
         """Cancel the exchange; `receive` fails at the other end."""
         ...
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Set a function to call when the peer is silent.
+
+        It is called once at most. The exchange goes on: its messages may be
+        delayed, and the stream ends if nothing is received for longer.
+        """
+        ...
+
 
 Handler = Callable[[Exchange, M], Awaitable[None]]
 """Handles an exchange that starts with a message of a registered type."""
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -31,6 +31,7 @@
 from gypsumhall.net._frames import TrafficCounters
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from gypsumhall.net._messages import Message
@@ -53,6 +54,10 @@
     ping_after_s : float
         Time in seconds without received data after which a ping is sent on
         a stream in use.
+    silent_after_s : float
+        Time in seconds without received data after which a stream in use
+        reports to its exchanges that the peer is silent. A slow link or a
+        busy peer looks the same for a while, so the exchanges go on.
     dead_after_s : float
         Time in seconds without received data after which a stream in use
         times out.
@@ -64,6 +69,7 @@
     """
 
     ping_after_s: float = 1.0
+    silent_after_s: float = 2.0
     dead_after_s: float = 2.0
     idle_s: float = 60.0
     window: int = 128 * 1024
@@ -88,6 +94,10 @@
         """Start the handler of an exchange that the peer has opened."""
         ...
 
+    def handle_stream_silence(self, stream: Stream, silence_s: float) -> None:
+        """Record that nothing was received from a stream in use."""
+        ...
+
     def handle_stream_end(
         self, stream: Stream, error: PeerError | None
     ) -> None:
@@ -105,6 +115,7 @@
         '_consumed_bytes',
         '_credit_bytes',
         '_error',
+        '_on_silence',
         '_receive_queue',
         '_receiving_closed',
         '_sending_closed',
@@ -130,6 +141,7 @@
         self._sending_closed = False
         self._receiving_closed = False
         self._error: PeerError | None = None
+        self._on_silence: Callable[[], None] | None = None
         self.is_call = is_call
 
     @property
@@ -147,6 +159,16 @@
         """Whether the peer has cancelled the exchange or is lost."""
         return self._error is not None
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Call back once the peer is silent while the exchange goes on."""
+        self._on_silence = callback
+
+    def report_silence(self) -> None:
+        """Notify the user of the exchange that the peer is silent."""
+        if self._on_silence is not None:
+            callback, self._on_silence = self._on_silence, None
+            callback()
+
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
 
@@ -333,6 +355,7 @@
         '_owner',
         '_pinged_at',
         '_send_queue',
+        '_silence_reported',
         '_sock',
         '_unsent_openings',
         '_writable',
@@ -374,6 +397,7 @@
         self._monitored_since = now
         self._monitored_until = now
         self._pinged_at = math.inf
+        self._silence_reported = False
         self.peer = peer
         self.dialled_address = dialled_address
         self.is_opener = bool(dialled_address)
@@ -412,11 +436,12 @@
         """Whether the reply to a ping is overdue.
 
         This is the case after a quarter of the time between ping and
-        timeout. New exchanges then use a new connection instead of waiting
+        silence. New exchanges then use a new connection instead of waiting
         until the stream times out.
         """
         settings = self.settings
-        quarter = (settings.dead_after_s - settings.ping_after_s) / 4
+        silent_after_s = min(settings.silent_after_s, settings.dead_after_s)
+        quarter = (silent_after_s - settings.ping_after_s) / 4
         return trio.current_time() - self._pinged_at > quarter
 
     def open(self, message: Message, kind: Kind) -> StreamExchange:
@@ -531,16 +556,29 @@
             return math.inf
         if self._pinged_at == math.inf:
             return silent_since + settings.ping_after_s
+        limit_s = settings.dead_after_s
+        if not self._silence_reported:
+            limit_s = min(limit_s, settings.silent_after_s)
         return max(
-            silent_since + settings.dead_after_s,
-            self._pinged_at + self._ping_timeout_s,
+            silent_since + limit_s,
+            self._pinged_at + self._reply_time_s(limit_s),
         )
 
-    @property
-    def _ping_timeout_s(self) -> float:
-        # The peer has at least half of the time between ping and timeout to
-        # reply, even if this process sent its ping late.
-        return (self.settings.dead_after_s - self.settings.ping_after_s) / 2
+    def _reply_time_s(self, limit_s: float) -> float:
+        """Return the least time in seconds to wait for the reply to a ping.
+
+        The peer has at least half of the time between ping and limit to
+        reply, even if this process sent its ping late.
+        """
+        return (limit_s - self.settings.ping_after_s) / 2
+
+    def _is_silent_for(
+        self, limit_s: float, silence_s: float, now: float
+    ) -> bool:
+        return (
+            silence_s >= limit_s
+            and now - self._pinged_at >= self._reply_time_s(limit_s)
+        )
 
     def check_timeouts(self, now: float) -> None:
         """Send a ping, time the stream out or close it if it is idle."""
@@ -555,19 +593,29 @@
             if now - self._last_used > limit:
                 self.end(None)
             return
-        silence = now - max(self._last_received, self._monitored_since)
-        if (
-            silence >= settings.dead_after_s
-            and now - self._pinged_at >= self._ping_timeout_s
+        silence_s = now - max(self._last_received, self._monitored_since)
+        if self._is_silent_for(settings.dead_after_s, silence_s, now):
+            self.end(PeerLostError(f'nothing received for {silence_s:.1f} s'))
+        elif self._pinged_at == math.inf and (
+            silence_s >= settings.ping_after_s
         ):
-            self.end(PeerLostError(f'nothing received for {silence:.1f} s'))
-        elif self._pinged_at == math.inf and silence >= settings.ping_after_s:
             self._pinged_at = now
             self.write(0, Kind.PING, 0, is_call=False)
+        elif not self._silence_reported and self._is_silent_for(
+            settings.silent_after_s, silence_s, now
+        ):
+            self._report_silence(silence_s)
+
+    def _report_silence(self, silence_s: float) -> None:
+        self._silence_reported = True
+        self._owner.handle_stream_silence(self, silence_s)
+        for exchange in self.in_flight:
+            exchange.report_silence()
 
     def _record_life(self, now: float) -> None:
         self._last_received = now
         self._pinged_at = math.inf
+        self._silence_reported = False
 
     def send_goaway(self) -> None:
         """Notify the peer that no new exchanges are accepted."""
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -328,9 +328,14 @@
         call: CallStart,
         request: _calls.Request,
         receiver: Receiver,
+        on_silence: Callable[[], None] | None = None,
     ) -> None:
         """Make an attempt; `receiver.done` stays False when it was lost.
 
+        One that must not be repeated also counts as lost when the other
+        daemon is silent before it responds: its outcome can be queried on a
+        new stream. Any other one goes on, as it may only be delayed.
+
         Parameters
         ----------
         member : Member
@@ -341,6 +346,8 @@
             The request.
         receiver : Receiver
             Receives the response.
+        on_silence : callable, optional
+            Called when the other daemon is silent.
 
         Raises
         ------
@@ -357,9 +364,18 @@
                 async with self._peers.open(
                     member.peer_address, call
                 ) as exchange:
-                    await self._exchange_messages(
-                        exchange, call, request, receiver
+                    until_silent = _until_silent(
+                        exchange,
+                        receiver,
+                        on_silence,
+                        interrupt=not request.idempotent,
                     )
+                    with until_silent:
+                        await self._exchange_messages(
+                            exchange, call, request, receiver, until_silent
+                        )
+                    if until_silent.cancelled_caught:
+                        exchange.cancel()
             except PeerUnreachableError:
                 if receiver.started:
                     return
@@ -398,8 +414,9 @@
                     async with self._peers.open(
                         member.peer_address, query
                     ) as exchange:
-                        while not receiver.done:
-                            await receiver.feed(await exchange.receive())
+                        with _until_silent(exchange, receiver, interrupt=True):
+                            while not receiver.done:
+                                await receiver.feed(await exchange.receive())
                 except (PeerError, trio.EndOfChannel):
                     # The duration of the query itself does not count.
                     query_until += trio.current_time() - now
@@ -420,6 +437,7 @@
         call: CallStart,
         request: _calls.Request,
         receiver: Receiver,
+        until_silent: trio.CancelScope,
     ) -> None:
         try:
             if call.has_body:
@@ -434,9 +452,43 @@
         except trio.EndOfChannel:
             return
         except trio.Cancelled as error:
+            if until_silent.cancel_called:
+                raise
             cancel = CallCancel(call.request_id, _calls.cancel_cause(error))
             with trio.CancelScope(shield=True) as scope:
                 scope.deadline = trio.current_time() + _GRACE_S
                 with contextlib.suppress(PeerError):
                     await exchange.send(cancel)
             raise
+
+
+def _until_silent(
+    exchange: Exchange,
+    receiver: Receiver,
+    on_silence: Callable[[], None] | None = None,
+    *,
+    interrupt: bool,
+) -> trio.CancelScope:
+    """Return a scope that ends when the other daemon is silent.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Exchange with the other daemon.
+    receiver : Receiver
+        Receives the response. Once it has started, the scope does not end.
+    on_silence : callable, optional
+        Called when the other daemon is silent.
+    interrupt : bool
+        Whether the scope ends at all.
+    """
+    scope = trio.CancelScope()
+
+    def handle_silence() -> None:
+        if on_silence is not None:
+            on_silence()
+        if interrupt and not receiver.started:
+            scope.cancel()
+
+    exchange.on_silence(handle_silence)
+    return scope
--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -7,6 +7,8 @@
 import trio
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumhall.net._messages import CallRefused
     from gypsumhall.services import _calls
 
@@ -25,20 +27,55 @@
         Cancelled when another attempt has begun to respond.
     ended : trio.Event
         Set when the attempt has ended.
+    ended_or_silent : trio.Event
+        Set when the attempt has ended or its daemon is silent.
+    on_silence : callable or None
+        Called when the daemon of the attempt is silent.
     failure : CallRefused or None
         Why the attempt failed; None while it runs and when it responded.
     error : Exception or None
         Error that ended the attempt after it had begun to respond.
+    superseded : bool
+        Whether further attempts are made beside this one.
     """
 
-    __slots__ = ('_hedged_request', 'ended', 'error', 'failure', 'scope')
+    __slots__ = (
+        '_hedged_request',
+        'ended',
+        'ended_or_silent',
+        'error',
+        'failure',
+        'on_silence',
+        'scope',
+        'superseded',
+    )
 
     def __init__(self, hedged_request: HedgedRequest) -> None:
         self._hedged_request = hedged_request
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
+        self.ended_or_silent = trio.Event()
+        self.on_silence: Callable[[], None] | None = None
         self.failure: CallRefused | None = None
         self.error: Exception | None = None
+        self.superseded = False
+
+    @property
+    def is_only(self) -> bool:
+        """Whether no other attempt is likely to respond."""
+        return self._hedged_request.is_only(self)
+
+    def report_silence(self) -> None:
+        """Record that the daemon of the attempt is silent."""
+        if not self.ended_or_silent.is_set():
+            self.ended_or_silent.set()
+            if self.on_silence is not None:
+                self.on_silence()
+
+    def end(self) -> None:
+        """Record that the attempt has ended."""
+        self.ended.set()
+        self.ended_or_silent.set()
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
         """Forward the status and headers, and cancel the other attempts."""
@@ -75,8 +112,29 @@
         """Add an attempt and return its sink."""
         attempt = HedgedAttempt(self)
         self._attempts.append(attempt)
+        if self.winner is not None:
+            attempt.scope.cancel(reason='other-attempt')
         return attempt
 
+    def raise_error(self) -> None:
+        """Raise the error of the first attempt that has one."""
+        for attempt in self._attempts:
+            if attempt.error is not None:
+                raise attempt.error
+
+    def is_only(self, attempt: object) -> bool:
+        """Whether no other attempt can still respond, as far as known.
+
+        Parameters
+        ----------
+        attempt : object
+            The attempt itself; others whose daemons are silent do not count.
+        """
+        return all(
+            item is attempt or item.ended_or_silent.is_set()
+            for item in self._attempts
+        )
+
     async def claim(self, attempt: HedgedAttempt) -> None:
         """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import functools
 import math
 from typing import TYPE_CHECKING
 
@@ -121,6 +122,10 @@
 ExecuteKeyed = Callable[
     ['_calls.Request', '_calls.ResponseSink'], Awaitable[None]
 ]
+MakeAttempt = Callable[
+    ['_Choice', '_Progress', '_calls.ResponseSink'],
+    Awaitable['CallRefused | None'],
+]
 SplitSource = Callable[['Snapshot', str, set[str]], 'Split']
 """Returns how the calls of a service are split between versions, given the
 configuration, the service and the versions of its ready endpoints."""
@@ -143,13 +148,23 @@
         return self.version == self.split.new_version
 
 
+class _Chain:
+    """Consecutive attempts beside those at a silent daemon."""
+
+    __slots__ = ('ended', 'scope')
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.ended = trio.Event()
+
+
 @dataclass(slots=True)
 class _Progress:
     request: _calls.Request
     sink: _calls.ResponseSink
+    hedged_request: _hedging.HedgedRequest
+    chains: list[_Chain] = field(default_factory=list)
     attempts: int = 0
-    # Attempts in progress.
-    running_attempts: int = 0
     tried_members: set[str] = field(default_factory=set)
     # Members that certainly did not run the request and would reject it again.
     rejected_by: set[str] = field(default_factory=set)
@@ -393,21 +408,95 @@
         self, request: _calls.Request, sink: _calls.ResponseSink
     ) -> None:
         self._budget(request.service).call(trio.current_time())
-        progress = _Progress(request, sink)
-        while True:
+        hedged_request = _hedging.HedgedRequest(sink)
+        progress = _Progress(request, sink, hedged_request)
+        try:
+            await self._attempt_until_response(progress)
+            # The list grows while attempts are made.
+            for chain in progress.chains:
+                await chain.ended.wait()
+            if hedged_request.winner is not None:
+                await hedged_request.winner.ended.wait()
+        finally:
+            for chain in progress.chains:
+                chain.scope.cancel()
+        hedged_request.raise_error()
+        if hedged_request.winner is None:
+            await self._end_without_response(progress)
+
+    async def _attempt_until_response(self, progress: _Progress) -> None:
+        """Make attempts until one has responded or no other is allowed.
+
+        An attempt goes on when its daemon is silent. Further ones are then
+        made beside it.
+        """
+        hedged_request = progress.hedged_request
+        while hedged_request.winner is None:
             choice = self._choose(progress)
             if choice is None:
                 if await self._wait_for_endpoint(progress):
                     continue
-                break
-            if choice.is_evidence and request.idempotent:
-                failure = await self._attempt_with_backup(choice, progress)
+                return
+            attempt = hedged_request.add()
+            if progress.request.idempotent:
+                attempt.on_silence = functools.partial(
+                    self._continue_elsewhere,
+                    attempt,
+                    choice,
+                    progress,
+                )
+            if choice.is_evidence and progress.request.idempotent:
+                make_attempt = self._attempt_with_backup
             else:
-                failure = await self._make_attempt(choice, progress, sink)
-            if failure is None:
+                make_attempt = self._make_attempt
+            await self._run_hedged_attempt(
+                make_attempt, attempt, choice, progress
+            )
+            failure = attempt.failure
+            if (
+                failure is None
+                or attempt.superseded
+                or not self._may_retry(choice, progress, failure)
+            ):
                 return
-            if not self._may_retry(choice, progress, failure):
-                break
+
+    def _continue_elsewhere(
+        self,
+        attempt: _hedging.HedgedAttempt,
+        choice: _Choice,
+        progress: _Progress,
+    ) -> None:
+        """Make further attempts beside one at a silent daemon."""
+        if self._nursery is None:
+            return
+        failure = CallRefused(
+            '',
+            Outcome.UNKNOWN,
+            'peer-lost',
+            f'{choice.member.id} is silent',
+        )
+        if progress.hedged_request.winner is None and self._may_retry(
+            choice, progress, failure
+        ):
+            attempt.superseded = True
+            chain = _Chain()
+            progress.chains.append(chain)
+            self._nursery.start_soon(self._run_chain, chain, progress)
+
+    async def _run_chain(self, chain: _Chain, progress: _Progress) -> None:
+        with chain.scope:
+            await self._attempt_until_response(progress)
+        chain.ended.set()
+
+    async def _end_without_response(self, progress: _Progress) -> None:
+        """Deliver a failed response that was withheld, or raise.
+
+        Raises
+        ------
+        CallRefusedError
+            When there is none.
+        """
+        request, sink = progress.request, progress.sink
         if progress.fallback is not None:
             response = progress.fallback.response
             if response is not None:
@@ -608,30 +697,38 @@
             self._load_balancer.set_reachable(member.id, reachable=True)
 
     async def _attempt_with_backup(
-        self, choice: _Choice, progress: _Progress
+        self,
+        choice: _Choice,
+        progress: _Progress,
+        sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         """Make an attempt, and a backup attempt if the first one is slow.
 
         Another endpoint can still respond when a version hangs. The first
         attempt continues, as the backup may be rejected.
         """
-        hedged_request = _hedging.HedgedRequest(progress.sink)
-        first, second = hedged_request.add(), hedged_request.add()
+        hedged_request = _hedging.HedgedRequest(sink)
+        first = hedged_request.add()
         remaining_s = progress.request.deadline - trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                self._run_hedged_attempt, first, choice, progress
+                self._run_hedged_attempt,
+                self._make_attempt,
+                first,
+                choice,
+                progress,
             )
             with trio.move_on_after(_calls.SLOW_CALL_FRACTION * remaining_s):
-                await first.ended.wait()
+                await first.ended_or_silent.wait()
             if not first.ended.is_set() and hedged_request.winner is None:
                 backup = self._choose_backup(choice, progress)
                 if backup is not None:
-                    await self._run_hedged_attempt(second, backup, progress)
+                    second = hedged_request.add()
+                    await self._run_hedged_attempt(
+                        self._make_attempt, second, backup, progress
+                    )
                     self._refund_unrun_backup(choice, second, progress)
-        for attempt in (first, second):
-            if attempt.error is not None:
-                raise attempt.error
+        hedged_request.raise_error()
         if hedged_request.winner is not None:
             return hedged_request.winner.failure
         return first.failure
@@ -652,19 +749,21 @@
 
     async def _run_hedged_attempt(
         self,
+        make_attempt: MakeAttempt,
         attempt: _hedging.HedgedAttempt,
         choice: _Choice,
         progress: _Progress,
     ) -> None:
         try:
             with attempt.scope:
-                attempt.failure = await self._make_attempt(
-                    choice, progress, attempt
-                )
-        except _calls.BrokenResponseError as error:
+                attempt.failure = await make_attempt(choice, progress, attempt)
+        except (
+            _calls.BrokenResponseError,
+            _calls.CallRefusedError,
+        ) as error:
             attempt.error = error
         finally:
-            attempt.ended.set()
+            attempt.end()
 
     def _choose_backup(
         self, choice: _Choice, progress: _Progress
@@ -702,12 +801,8 @@
     ) -> CallRefused | None:
         """Make an attempt; record and return its failure, if any."""
         progress.attempts += 1
-        progress.running_attempts += 1
         started = trio.current_time()
-        try:
-            failure = await self._send_attempt(choice, progress, sink)
-        finally:
-            progress.running_attempts -= 1
+        failure = await self._send_attempt(choice, progress, sink)
         if failure is not None:
             progress.record_failure(choice.member.id, failure, started)
         return failure
@@ -742,7 +837,9 @@
             buffer_response=self._buffer_responses
             or (request.idempotent and choice.is_new),
             should_withhold=(
-                lambda status: self._should_withhold(choice, progress, status)
+                lambda status: self._should_withhold(
+                    choice, progress, sink, status
+                )
             )
             if request.idempotent
             else None,
@@ -750,9 +847,16 @@
         )
         failure: CallRefused | None = None
         failed: bool | None = None
+
         self._load_balancer.begin(member.id)
         try:
-            await self._attempts.run(member, call, request, receiver)
+            await self._attempts.run(
+                member,
+                call,
+                request,
+                receiver,
+                functools.partial(self._handle_silence, member, sink),
+            )
             if not receiver.done and not request.idempotent:
                 await self._resolve_outcome(choice, call, request, receiver)
             failure = _failure(receiver, call.request_id, member.id)
@@ -795,6 +899,13 @@
             progress.fallback = receiver.recorder
         return failure
 
+    def _handle_silence(
+        self, member: Member, sink: _calls.ResponseSink
+    ) -> None:
+        self._mark_unreachable(member)
+        if isinstance(sink, _hedging.HedgedAttempt):
+            sink.report_silence()
+
     async def _resolve_outcome(
         self,
         choice: _Choice,
@@ -808,13 +919,17 @@
             )
 
     def _should_withhold(
-        self, choice: _Choice, progress: _Progress, status: int
+        self,
+        choice: _Choice,
+        progress: _Progress,
+        sink: _calls.ResponseSink,
+        status: int,
     ) -> bool:
         """Return whether a response with this status is withheld for a retry.
 
         A retry that this needs is taken from the budget.
         """
-        if progress.running_attempts > 1:
+        if isinstance(sink, _hedging.HedgedAttempt) and not sink.is_only:
             # The other attempt is already charged and may succeed.
             return status >= 500
         fails = status in _RETRIED_STATUSES
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -26,6 +26,8 @@
 
 # Time after which both ends detect a silent stream.
 SILENCE_S = 2.0
+STALL_S = 3.0
+LOSS_S = 6.0
 _CHANNEL_CAPACITY = 16
 
 
@@ -36,10 +38,13 @@
     # The stream is aborted before or after the message is delivered.
     BREAK_BEFORE = 'break-before'
     BREAK_AFTER = 'break-after'
-    # No further messages are delivered; detected after `SILENCE_S`.
+    # No further messages are delivered; reported after `SILENCE_S`, and the
+    # stream is aborted after `LOSS_S`.
     SILENCE = 'silence'
     # The message and later ones in the same direction are delayed.
     DELAY = 'delay'
+    # The same, for so long that the opener of the stream reports silence.
+    STALL = 'stall'
 
 
 FaultRule = Callable[[str, str, 'Message'], Fault]
@@ -49,12 +54,18 @@
 class _Stream:
     """A stream that carries one exchange."""
 
-    __slots__ = ('aborted', 'channels', 'silent')
+    __slots__ = ('aborted', 'channels', 'on_silence', 'silent')
 
     def __init__(self) -> None:
         self.aborted = False
         self.silent = False
         self.channels: list[trio.MemorySendChannel[Any]] = []
+        self.on_silence: Callable[[], None] | None = None
+
+    def report_silence(self) -> None:
+        if self.on_silence is not None:
+            callback, self.on_silence = self.on_silence, None
+            callback()
 
     def abort(self) -> None:
         self.aborted = True
@@ -97,8 +108,12 @@
         fault = self._hub.fault(self._me.address, self._peer.address, message)
         if fault is Fault.DELAY:
             await trio.sleep(self._hub.delay_s)
+        if fault is Fault.STALL:
+            self._hub.report_silence_later(self._stream)
+            await trio.sleep(STALL_S)
         if fault is Fault.SILENCE and not self._stream.silent:
             self._stream.silent = True
+            self._hub.report_silence_later(self._stream)
             self._hub.abort_later(self._stream)
         if self._stream.silent:
             await trio.lowlevel.checkpoint()
@@ -130,6 +145,10 @@
         """Close this direction; the peer receives the end of the channel."""
         await self._outgoing.aclose()
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Set a function to call when the stream is silent."""
+        self._stream.on_silence = callback
+
     def cancel(self) -> None:
         """Cancel the exchange."""
         self._outgoing.close()
@@ -331,7 +350,15 @@
         """Run a function in the background."""
         self._nursery.start_soon(function, *args)
 
-    def abort_later(self, stream: _Stream, delay_s: float = SILENCE_S) -> None:
+    def report_silence_later(self, stream: _Stream) -> None:
+        """Report that a stream is silent after `SILENCE_S` seconds."""
+        self.spawn(self._report_silence, stream)
+
+    async def _report_silence(self, stream: _Stream) -> None:
+        await trio.sleep(SILENCE_S)
+        stream.report_silence()
+
+    def abort_later(self, stream: _Stream, delay_s: float = LOSS_S) -> None:
         """Abort a stream after a delay in seconds."""
         self.spawn(self._abort, stream, delay_s)
 
--- a/tests/test_idle_cost.py
+++ b/tests/test_idle_cost.py
@@ -39,7 +39,9 @@
 
 _DURATION_S = 20.0
 # Those of `gypsumhall-fleetd`.
-_STREAM_SETTINGS = StreamSettings(ping_after_s=0.25, dead_after_s=0.75)
+_STREAM_SETTINGS = StreamSettings(
+    ping_after_s=0.25, silent_after_s=0.75, dead_after_s=2.25
+)
 
 
 class _SteppedTasks(trio.abc.Instrument):
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -82,6 +82,8 @@
         self._target = (host, int(port))
         self._pairs: list[tuple[trio.SocketStream, trio.SocketStream]] = []
         self._silent: set[trio.SocketStream] = set()
+        self._resumed = trio.Event()
+        self._resumed.set()
         self._stall_after_bytes = math.inf
         self.recorded_bytes = b''
         self.address = ''
@@ -113,6 +115,7 @@
                 size += len(data)
                 if size > self._stall_after_bytes:
                     await trio.sleep_forever()
+                await self._resumed.wait()
                 if any(source is pair[0] for pair in self._pairs):
                     self.recorded_bytes += data
                 if source not in self._silent:
@@ -124,6 +127,13 @@
         for pair in self._pairs:
             self._silent.update(pair)
 
+    def pause(self) -> None:
+        """Hold all data until `resume`."""
+        self._resumed = trio.Event()
+
+    def resume(self) -> None:
+        self._resumed.set()
+
     def stall_after(self, size: int) -> None:
         """Stall connections that have carried that many bytes."""
         self._stall_after_bytes = size
@@ -265,6 +275,33 @@
         assert await one.count_started_calls(relay.address) == started
 
 
+async def test_a_stream_delayed_by_a_slow_link_is_not_lost() -> None:
+    """The caller got 502 while the endpoint ran the request."""
+    settings = StreamSettings(
+        ping_after_s=0.1, silent_after_s=0.4, dead_after_s=8.0
+    )
+    async with _peers({'stream': settings}, {'stream': settings}) as (
+        one,
+        two,
+        relay,
+    ):
+        await one.count_started_calls(relay.address)
+        silent = trio.Event()
+        async with one.open(relay.address, _CALL) as exchange:
+            exchange.on_silence(silent.set)
+            await exchange.receive()
+            relay.pause()
+            await silent.wait()
+            relay.resume()
+            await exchange.send(_messages.BodyChunk(b'', last=True))
+            while not isinstance(
+                await exchange.receive(), _messages.AnswerEnd
+            ):
+                pass
+        assert 'peer-silent' in one.events
+        assert 'peer-lost' not in one.events + two.events
+
+
 async def test_an_unused_stream_that_stops_responding_is_replaced() -> None:
     """A half-open connection fails one request at most."""
     async with _peers() as (one, _, relay):
--- a/tests/test_net_stream.py
+++ b/tests/test_net_stream.py
@@ -42,6 +42,9 @@
     ) -> None:
         pass
 
+    def handle_stream_silence(self, stream: Stream, silence_s: float) -> None:
+        pass
+
     def handle_stream_end(
         self, stream: Stream, error: PeerError | None
     ) -> None:
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -29,6 +29,7 @@
 from gypsumhall.testing.call_trial import CallTrial
 from gypsumhall.testing.memory_network import Fault
 from gypsumhall.testing.memory_network import FaultRule
+from gypsumhall.testing.memory_network import STALL_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -120,6 +121,33 @@
         assert method == 'GET' or trial.backend.runs == {'r1': 1}
 
 
+async def test_delayed_response_is_not_given_up_for_a_silent_stream(
+    autojump_clock: MockClock,
+) -> None:
+    """The caller got 502 although the endpoint was at work."""
+    async with _trial(daemons=3) as trial:
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.STALL)
+        request = dataclasses.replace(
+            trial.request('r1', method='GET'), attempts=1
+        )
+        assert await trial.call(2, request) == 'response'
+        assert trial.backend.runs == {'r1': 1}
+
+
+async def test_silent_daemon_gets_help_of_another_one(
+    autojump_clock: MockClock,
+) -> None:
+    """A response that is delayed for seconds is useless to most callers."""
+    async with _trial(daemons=4) as trial:
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.STALL)
+        started = trio.current_time()
+        request = trial.request('r1', method='GET')
+        assert await trial.call(3, request) == 'response'
+        assert trio.current_time() - started < STALL_S
+        await trio.sleep(STALL_S)
+        assert trial.backend.runs == {'r1': 2}
+
+
 async def test_requests_skip_an_unreachable_daemon(
     autojump_clock: MockClock,
 ) -> None:
