Test that a stopping daemon returns the response of a working endpoint

A record of the users has an own 504 after 206 ms at a daemon that stops, while the endpoint beside it was at work. The new tests pass on this code: a caller that comes back with 206 or 430 ms left gets the 504 of the endpoint, and no own 504 comes before the limit and the time after it on any of the paths tried (own endpoint or another daemon's, with and without a move and backups, limit of the caller or of the route).

The endpoint that responds at its deadline moves from tests/test_services_caller.py to gypsumhall/testing, unchanged but for a count of its runs.

--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -186,6 +186,39 @@
         """Do nothing, as there are no connections."""
 
 
+class DeadlineBackend(MemoryBackend):
+    """Backend server that responds when the time that it was given is over.
+
+    Its requests have to have the headers ``Gypsumhall-Deadline-Ms`` and
+    ``X-Request``. It responds with status 504.
+    """
+
+    # Time in seconds for the way of a request to the endpoint and back.
+    _TRANSIT_S = 0.005
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        headers: _calls.Headers,
+        on_send: Callable[[], None],
+    ) -> AsyncIterator[_backend_client.BackendResponse]:
+        """Respond with status 504 at the deadline."""
+        on_send()
+        fields = dict(headers)
+        request_id = fields[b'x-request']
+        name = request_id.decode()
+        self.runs[name] = self.runs.get(name, 0) + 1
+        deadline_ms = int(fields[b'gypsumhall-deadline-ms'])
+        await trio.sleep(deadline_ms / 1000 + self._TRANSIT_S)
+        yield _backend_client.BackendResponse(
+            504,
+            ((b'content-length', b'4'), (b'x-request', request_id)),
+            4,
+            self._body(address, b'late'),
+        )
+
+
 class CallPathDaemon:
     """The services ``caller``, ``runner`` and ``announcements``.
 
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -14,7 +14,6 @@
 import pytest
 import trio
 
-from gypsumhall.services import _backend_client
 from gypsumhall.services import _calls
 from gypsumhall.standin._backend import BackendServer
 from gypsumhall.standin._backend import BackendSettings
@@ -23,6 +22,7 @@
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
 from gypsumhall.testing.daemons import CallPathDaemon
+from gypsumhall.testing.daemons import DeadlineBackend
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.daemons import open_daemons
 from gypsumhall.testing.memory_network import MemoryHub
@@ -412,41 +412,13 @@
         nursery.cancel_scope.cancel()
 
 
-# Time in seconds for the way of a request to the endpoint and back.
-_TRANSIT_S = 0.005
-
-
-class _DeadlineBackend(MemoryBackend):
-    """Backend server that responds when the time that it was given is over."""
-
-    @contextlib.asynccontextmanager
-    async def request(
-        self,
-        address: str,
-        headers: _calls.Headers,
-        on_send: Callable[[], None],
-    ) -> AsyncIterator[_backend_client.BackendResponse]:
-        """Respond with status 504 at the deadline."""
-        on_send()
-        fields = dict(headers)
-        deadline_ms = int(fields[b'gypsumhall-deadline-ms'])
-        await trio.sleep(deadline_ms / 1000 + _TRANSIT_S)
-        echo = (b'x-request', fields[b'x-request'])
-        yield _backend_client.BackendResponse(
-            504,
-            ((b'content-length', b'4'), echo),
-            4,
-            self._body(address, b'late'),
-        )
-
-
 @pytest.mark.parametrize('stated_ms', [b'300', b'60000'])
 @pytest.mark.parametrize('index', [0, 1])
 async def test_run_at_its_deadline_ends_with_the_response_of_the_endpoint(
     autojump_clock: MockClock, stated_ms: bytes, index: int
 ) -> None:
     """A run was cut although its endpoint was about to report its end."""
-    backend = _DeadlineBackend(Random(0))
+    backend = DeadlineBackend(Random(0))
     backend.constant_service_time, backend.mean_service_time_s = True, 0.0
     async with trio.open_nursery() as nursery:
         hub = MemoryHub(nursery)
--- /dev/null
+++ b/tests/test_services_early_responses.py
@@ -0,0 +1,177 @@
+"""Tests that no daemon responds in place of an endpoint that is at work."""
+
+from __future__ import annotations
+
+import contextlib
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from gypsumhall.core._model import Move
+from gypsumhall.core._model import MoveState
+from gypsumhall.services import _calls
+from gypsumhall.testing import asgi
+from gypsumhall.testing import builders
+from gypsumhall.testing import fakes
+from gypsumhall.testing.daemons import build_snapshot
+from gypsumhall.testing.daemons import CallPathDaemon
+from gypsumhall.testing.daemons import DeadlineBackend
+from gypsumhall.testing.daemons import MemoryBackend
+from gypsumhall.testing.memory_network import MemoryHub
+from gypsumhall.testing.memory_network import MemoryNetwork
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from trio.testing import MockClock
+
+    from gypsumhall.core._snapshot import Snapshot
+
+# Callers get a response within this time in seconds after their limit.
+_RESPONSE_AFTER_LIMIT_S = 0.5
+_GRACE_S = 6.0
+
+
+@contextlib.asynccontextmanager
+async def _run_daemons(
+    backend: MemoryBackend,
+    snapshot: Snapshot,
+    versions: tuple[str, ...],
+    *,
+    buffer_responses: bool = True,
+    **settings: float,
+) -> AsyncIterator[list[CallPathDaemon]]:
+    """Run daemons, each with an endpoint of a version, or none for ``''``."""
+    dialect = _calls.Dialect(
+        request_id=b'x-request', buffer_responses=buffer_responses
+    )
+    async with trio.open_nursery() as nursery:
+        hub, table = MemoryHub(nursery), fakes.FakeTable()
+        daemons = []
+        for index, version in enumerate(versions):
+            daemon = CallPathDaemon(
+                builders.build_member(index),
+                table,
+                lambda info: MemoryNetwork(hub, info),
+                snapshot,
+                backend.client,
+                listen='127.0.0.1:0',
+                dialect=dialect,
+                **settings,
+            )
+            await nursery.start(daemon.run)
+            if version:
+                daemon.set_backend(f'backend-{index}', version)
+            daemons.append(daemon)
+        yield daemons
+        nursery.cancel_scope.cancel()
+
+
+async def _call(
+    daemon: CallPathDaemon, request_id: str, stated_ms: int, method: str
+) -> int:
+    headers = [
+        (b'host', b'spa.example'),
+        (b'x-request', request_id.encode()),
+        (b'gypsumhall-deadline-ms', b'%d' % stated_ms),
+    ]
+    application = daemon.caller._application
+    return await asgi.call(application, method, '/search', headers)
+
+
+def _build_snapshot(timeout_s: float, share: float) -> Snapshot:
+    moves: tuple[Move, ...] = ()
+    if share:
+        spec = builders.build_move()
+        moves = (Move(spec, MoveState.ACTIVE, 0, share, 0.0, 0.0),)
+    route = builders.build_route(path='/search', timeout_s=timeout_s)
+    return build_snapshot(1, moves, (route,))
+
+
+@pytest.mark.parametrize('stated_ms', [206, 430])
+@pytest.mark.parametrize('share', [0.0, 0.5])
+async def test_stopping_daemon_returns_the_response_of_the_endpoint(
+    autojump_clock: MockClock, stated_ms: int, share: float
+) -> None:
+    """A caller that came back in a shutdown got a 504 of the daemon.
+
+    Its endpoint was at work until the time that the caller had left.
+    """
+    backend = DeadlineBackend(Random(0))
+    backend.constant_service_time, backend.mean_service_time_s = True, 0.0
+    snapshot = _build_snapshot(2.0, share)
+    async with (
+        _run_daemons(
+            backend,
+            snapshot,
+            ('v1', 'v2'),
+            drain_delay_s=0.5 * _GRACE_S,
+            drain_timeout_s=0.93 * _GRACE_S,
+        ) as daemons,
+        trio.open_nursery() as nursery,
+    ):
+        daemon = daemons[0]
+
+        async def call_repeatedly() -> None:
+            for index in range(1000):
+                await _call(daemon, f'other-{index}', 100, 'GET')
+
+        # Other callers keep the daemon from announcing that it leaves.
+        nursery.start_soon(call_repeatedly)
+        daemon.kernel.stop()
+        await trio.sleep(1.525)
+        for index in range(3):
+            assert await _call(daemon, f'r{index}', stated_ms, 'GET') == 504
+        for item in daemons:
+            assert 'run-cut' not in item.events.codes
+            assert 'request-failed' not in item.events.codes
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('buffer_responses', [False, True])
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(
+    'versions', [('v1',), ('', 'v1'), ('', 'v2', 'v1'), ('v1', 'v2', 'v1')]
+)
+@pytest.mark.parametrize('share', [0.0, 0.5])
+@pytest.mark.parametrize(
+    ('stated_ms', 'route_s'), [(206, 2.0), (1000, 0.4), (1000, 0.05)]
+)
+async def test_no_run_is_cancelled_before_its_limit(
+    autojump_clock: MockClock,
+    buffer_responses: bool,
+    method: str,
+    versions: tuple[str, ...],
+    share: float,
+    stated_ms: int,
+    route_s: float,
+) -> None:
+    """Backups, half of the time or a stream's time limit ended runs early."""
+    backend = MemoryBackend(Random(0))
+    backend.hanging_addresses = {f'backend-{index}' for index in range(3)}
+    limit_s = min(stated_ms / 1000, route_s)
+    async with _run_daemons(
+        backend,
+        _build_snapshot(route_s, share),
+        versions,
+        buffer_responses=buffer_responses,
+    ) as daemons:
+        for index in range(4):
+            started = trio.current_time()
+            status = await _call(daemons[0], f'r{index}', stated_ms, method)
+            elapsed_s = trio.current_time() - started
+            assert status == 504
+            assert elapsed_s >= limit_s + _calls.DEADLINE_GRACE_S - 1e-6
+            assert elapsed_s <= limit_s + _RESPONSE_AFTER_LIMIT_S
+        cut = [
+            fields
+            for daemon in daemons
+            for code, fields in daemon.events.emitted
+            if code == 'run-cut'
+        ]
+        assert cut
+        for fields in cut:
+            assert fields['cause'] == 'deadline'
+            assert fields['ran_ms'] >= fields['limit_ms']
