Leave a late request of a shutdown the time to report its deadline

What callers saw: a request that was taken late in a shutdown, with a deadline in the last 0.1 s before requests are cancelled, got 502 although its endpoint was about to respond.

Cause: such a request was taken if its deadline lay before the time of the cancellation, but a run may go on for DEADLINE_GRACE_S after its deadline, so that the endpoint reports its end.

Evidence: test_shutdown_does_not_cancel_a_run_that_reports_its_deadline failed before for own callers with 3 and 50 ms between deadline and cancellation (502); calls of another daemon passed there, as the runner cancels nothing until the kernel ends.

Now both take a request only if this time fits as well; others are refused as not run and go to another daemon. Nested calls are taken as before: a refused one wastes the run that waits for it.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -286,7 +286,8 @@
         requests that still run are cancelled, so that their callers get a
         response before the process ends. Nested calls, which the backend
         server makes while it runs a request, are accepted if their deadline
-        is not later. So are new requests; those whose callers cannot know of
+        is not later. So are new requests that may not run longer, by their
+        deadline and `DEADLINE_GRACE_S`; those whose callers cannot know of
         the shutdown yet are accepted with any deadline.
     """
 
@@ -707,7 +708,8 @@
             return not self._rejects_nested and deadline <= self._cancels_at
         if now >= self._accepts_until or self._stop.is_set():
             return False
-        return now < self._unaware_until or deadline <= self._cancels_at
+        run_until = deadline + _calls.DEADLINE_GRACE_S
+        return now < self._unaware_until or run_until <= self._cancels_at
 
     async def _read_body(
         self, fields: dict[bytes, bytes], receive: Receive, deadline: float
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -103,8 +103,9 @@
         service are unavailable.
     cancel_after_s : float
         Time in seconds after the start of a graceful shutdown after which
-        calls that still run may be cancelled. Calls with a later deadline are
-        rejected from `SHUTDOWN_NOTICE_S` on.
+        calls that still run may be cancelled. Calls that may run longer, by
+        their deadline and `DEADLINE_GRACE_S`, are rejected from
+        `SHUTDOWN_NOTICE_S` on.
     """
 
     name = 'runner'
@@ -659,7 +660,8 @@
         """Raise for a call that the end of the process might cut off."""
         shutdown_s = trio.current_time() - self._shutdown_started_at
         ends_at = self._shutdown_started_at + self._cancel_after_s
-        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and deadline > ends_at:
+        run_until = deadline + _calls.DEADLINE_GRACE_S
+        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and run_until > ends_at:
             raise _calls.not_run(
                 'draining', 'this daemon stops before the deadline'
             )
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -193,8 +193,10 @@
     ``X-Request``. It responds with status 504.
     """
 
-    # Time in seconds for the way of a request to the endpoint and back.
-    _TRANSIT_S = 0.005
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        # Time in seconds for the way of a request to the endpoint and back.
+        self.transit_s = 0.005
 
     @contextlib.asynccontextmanager
     async def request(
@@ -210,7 +212,7 @@
         name = request_id.decode()
         self.runs[name] = self.runs.get(name, 0) + 1
         deadline_ms = int(fields[b'gypsumhall-deadline-ms'])
-        await trio.sleep(deadline_ms / 1000 + self._TRANSIT_S)
+        await trio.sleep(deadline_ms / 1000 + self.transit_s)
         yield _backend_client.BackendResponse(
             504,
             ((b'content-length', b'4'), (b'x-request', request_id)),
--- a/tests/test_services_early_responses.py
+++ b/tests/test_services_early_responses.py
@@ -175,3 +175,59 @@
         for fields in cut:
             assert fields['cause'] == 'deadline'
             assert fields['ran_ms'] >= fields['limit_ms']
+
+
+@pytest.mark.parametrize('before_end_s', [0.003, 0.05, 0.12])
+@pytest.mark.parametrize('caller', [0, 1])
+async def test_shutdown_does_not_cancel_a_run_that_reports_its_deadline(
+    autojump_clock: MockClock, before_end_s: float, caller: int
+) -> None:
+    """A late request with a deadline just before the end got 502.
+
+    It is refused as not run, so that its caller asks another daemon, or
+    gets the response of its endpoint.
+    """
+    backend = DeadlineBackend(Random(0))
+    backend.constant_service_time, backend.mean_service_time_s = True, 0.0
+    backend.transit_s = 0.08
+    # Longer than the time in which no caller need know of the shutdown.
+    cancels_at_s = 4.0
+    async with (
+        _run_daemons(
+            backend,
+            _build_snapshot(5.0, 0.0),
+            ('v1', ''),
+            drain_delay_s=3.6,
+            drain_timeout_s=cancels_at_s / 0.9,
+        ) as daemons,
+        trio.open_nursery() as nursery,
+    ):
+        statuses: list[int] = []
+
+        async def call(number: int) -> None:
+            limit_s = cancels_at_s - before_end_s - 3.2
+            stated_ms = int(limit_s * 1000)
+            statuses.append(
+                await _call(
+                    daemons[caller],
+                    f'r{number}',
+                    stated_ms,
+                    ('GET', 'POST')[number % 2],
+                )
+            )
+
+        async def call_repeatedly() -> None:
+            for index in range(1000):
+                await _call(daemons[0], f'other-{index}', 100, 'GET')
+
+        nursery.start_soon(call_repeatedly)
+        daemons[0].kernel.stop()
+        await trio.sleep(3.2)
+        async with trio.open_nursery() as calls:
+            for number in range(4):
+                calls.start_soon(call, number)
+        assert set(statuses) <= {503, 504}
+        for daemon in daemons:
+            assert 'run-cut' not in daemon.events.codes
+            assert 'request-failed' not in daemon.events.codes
+        nursery.cancel_scope.cancel()
