Let a second request with a key wait for a response at the deadline

What callers saw: of three requests with one key, two got 504 with an unknown outcome, although the run that all of them waited for responded a few milliseconds later.

Cause: the owner of a key let a further request wait until its deadline, while the run itself may go on for DEADLINE_GRACE_S, so that its endpoint reports its end.

Evidence: test_second_request_with_a_key_gets_the_response_at_the_deadline failed before with 'deadline' for two of three requests.

Now it waits as long as a run may take.

--- a/gypsumhall/services/_keys.py
+++ b/gypsumhall/services/_keys.py
@@ -173,7 +173,9 @@
             if entry.state != KeyState.RUNNING:
                 break
             finished = self._finished_events[service, key]
-            with trio.move_on_after(request.deadline - now) as scope:
+            # The other run may still end by itself at its deadline.
+            wait_until = request.deadline + _calls.DEADLINE_GRACE_S
+            with trio.move_on_at(wait_until) as scope:
                 await finished.wait()
             if scope.cancelled_caught:
                 raise _calls.CallRefusedError(
--- a/tests/test_services_early_responses.py
+++ b/tests/test_services_early_responses.py
@@ -15,6 +15,7 @@
 from gypsumhall.testing import asgi
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
+from gypsumhall.testing.call_trial import CollectingSink
 from gypsumhall.testing.daemons import build_snapshot
 from gypsumhall.testing.daemons import CallPathDaemon
 from gypsumhall.testing.daemons import DeadlineBackend
@@ -231,3 +232,40 @@
             assert 'run-cut' not in daemon.events.codes
             assert 'request-failed' not in daemon.events.codes
         nursery.cancel_scope.cancel()
+
+
+async def test_second_request_with_a_key_gets_the_response_at_the_deadline(
+    autojump_clock: MockClock,
+) -> None:
+    """It ended at its deadline while the first could still respond."""
+    backend = DeadlineBackend(Random(0))
+    backend.constant_service_time, backend.mean_service_time_s = True, 0.0
+    results: list[bytes | str] = []
+    async with _run_daemons(
+        backend, _build_snapshot(2.0, 0.0), ('v1', 'v1', '')
+    ) as daemons:
+
+        async def call(index: int) -> None:
+            request = _calls.Request(
+                'availability',
+                'spa/search',
+                'POST',
+                '/search',
+                ((b'x-request', b'r1'),),
+                b'',
+                trio.current_time() + 1.0,
+                idempotent=False,
+                key='key-1',
+            )
+            sink = CollectingSink()
+            try:
+                await daemons[index].runner.sender.send(request, sink)
+                results.append(sink.body)
+            except _calls.CallRefusedError as error:
+                results.append(error.reason)
+
+        async with trio.open_nursery() as calls:
+            for index in range(3):
+                calls.start_soon(call, index)
+        assert results == [b'late'] * 3
+        assert backend.runs == {'r1': 1}
