Buffer responses while two attempts at a request run

What callers saw: in a move, a response that broke off, although the first attempt at their request was still running and would have responded.

Cause: the head of a backup's response was forwarded at once if it had no length, and that cancelled the first attempt. A backup that is truncated afterwards leaves the request without any attempt.

Evidence: test_truncated_backup_does_not_cancel_the_first_attempt failed before ('broken' in place of 'response').

Now a response is held until it is complete while another attempt runs, as those of a new version are, up to 256 KiB. A truncated one then is a failed attempt, and the other one goes on. The platform's dialect holds all responses already; there, only ones above 256 KiB can still break off after the other attempt has been cancelled.

--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -59,9 +59,10 @@
         Id of the attempt; messages with another id are dropped.
     sink : ResponseSink
         Receives the response.
-    buffer_response : bool
-        Whether the response is buffered until it is complete. Responses with
-        a small ``content-length`` are always buffered.
+    should_buffer : callable or None
+        Returns, when the head has arrived, whether the response is buffered
+        until it is complete. Responses with a small ``content-length`` are
+        always buffered.
     should_withhold : callable or None
         Returns, given the status, whether the response is withheld from the
         sink because the request will be retried.
@@ -72,9 +73,9 @@
 
     __slots__ = (
         '_buffer_budget',
-        '_buffer_response',
         '_recorder',
         '_request_id',
+        '_should_buffer',
         '_should_withhold',
         '_sink',
         'complete',
@@ -93,13 +94,13 @@
         request_id: str,
         sink: _calls.ResponseSink,
         *,
-        buffer_response: bool = False,
+        should_buffer: Callable[[], bool] | None = None,
         should_withhold: Callable[[int], bool] | None = None,
         buffer_budget: _calls.ResponseBufferBudget | None = None,
     ) -> None:
         self._request_id = request_id
         self._sink = sink
-        self._buffer_response = buffer_response
+        self._should_buffer = should_buffer
         self._should_withhold = should_withhold
         self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._recorder: _calls.Recorder | None = None
@@ -167,9 +168,7 @@
         self.status = message.status
         if self._should_withhold is not None:
             self.withheld = self._should_withhold(message.status)
-        if self.withheld or (
-            not message.last and self._should_buffer(message)
-        ):
+        if self.withheld or (not message.last and self._is_buffered(message)):
             self._recorder = _calls.Recorder(self._buffer_budget)
             self._recorder.head(message.status, message.headers)
         else:
@@ -178,8 +177,8 @@
         if message.body or message.last:
             await self._chunk(message.body, last=message.last)
 
-    def _should_buffer(self, message: AnswerStart) -> bool:
-        if self._buffer_response:
+    def _is_buffered(self, message: AnswerStart) -> bool:
+        if self._should_buffer is not None and self._should_buffer():
             return True
         for name, value in message.headers:
             if name == b'content-length':
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -739,8 +739,13 @@
         receiver = _attempts.Receiver(
             call.request_id,
             sink,
-            buffer_response=self._buffer_responses
-            or (request.idempotent and choice.is_new),
+            # The head of a response cancels the other attempt, which must
+            # not happen for one that is truncated later.
+            should_buffer=lambda: (
+                self._buffer_responses
+                or (request.idempotent and choice.is_new)
+                or progress.running_attempts > 1
+            ),
             should_withhold=(
                 lambda status: self._should_withhold(choice, progress, status)
             )
--- a/tests/test_services_attempts.py
+++ b/tests/test_services_attempts.py
@@ -72,7 +72,10 @@
     sinks = [_Sink() for _ in range(50)]
     receivers = [
         Receiver(
-            'present', sink, buffer_response=True, buffer_budget=buffer_budget
+            'present',
+            sink,
+            should_buffer=lambda: True,
+            buffer_budget=buffer_budget,
         )
         for sink in sinks
     ]
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -336,6 +336,24 @@
         assert backups >= 5
 
 
+async def test_truncated_backup_does_not_cancel_the_first_attempt(
+    autojump_clock: MockClock,
+) -> None:
+    """Its head cancelled the first run, and then nothing else followed."""
+    async with _trial(share=1.0) as trial:
+        backend = trial.backend
+        backend.constant_service_time = True
+        backend.mean_service_time_by_address['backend-2'] = 0.35
+        backend.chunked_rate = 1.0
+        backend.truncating_addresses = {'backend-0', 'backend-1'}
+        backups = 0
+        for index in range(20):
+            request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
+            assert await trial.call(3, request) == 'response'
+            backups += backend.runs[f'r{index}'] - 1
+        assert backups >= 5
+
+
 async def test_backup_uses_the_retry_granted_to_a_failed_response(
     autojump_clock: MockClock,
 ) -> None:
