Raise the error of a hedged attempt itself, not an exception group

What callers saw: in a move, a request whose response could not be held for HTTP/1.0 got status 500 without a reason in place of 502.

Cause: the two attempts run in a nursery, which wraps an exception in an exception group. Only BrokenResponseError was taken out of it; the caller service handles neither group nor the rejection inside.

Evidence: test_rejection_by_the_sink_is_the_same_with_a_backup failed before with an ExceptionGroup, with and without a backup.

Now each attempt keeps its exception and the request raises that of the attempt that responds, or the first one.

--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -28,7 +28,7 @@
     failure : CallRefused or None
         Why the attempt failed; None while it runs and when it responded.
     error : Exception or None
-        Error that ended the attempt after it had begun to respond.
+        Error that ended the attempt, usually after it had begun to respond.
     """
 
     __slots__ = ('_hedged_request', 'ended', 'error', 'failure', 'scope')
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -629,12 +629,11 @@
                 if backup is not None:
                     await self._run_hedged_attempt(second, backup, progress)
                     self._refund_unrun_backup(choice, second, progress)
-        for attempt in (first, second):
+        winner = hedged_request.winner
+        for attempt in (first, second) if winner is None else (winner,):
             if attempt.error is not None:
                 raise attempt.error
-        if hedged_request.winner is not None:
-            return hedged_request.winner.failure
-        return first.failure
+        return first.failure if winner is None else winner.failure
 
     def _refund_unrun_backup(
         self,
@@ -661,7 +660,9 @@
                 attempt.failure = await self._make_attempt(
                     choice, progress, attempt
                 )
-        except _calls.BrokenResponseError as error:
+        except Exception as error:
+            # The nursery would wrap it in an exception group, which the
+            # caller service does not handle.
             attempt.error = error
         finally:
             attempt.ended.set()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -18,6 +18,7 @@
 from gypsumhall.net._messages import CallStart
 from gypsumhall.net._messages import KeyHandover
 from gypsumhall.net._messages import Message
+from gypsumhall.net._messages import Outcome
 from gypsumhall.net._messages import Ping
 from gypsumhall.net._messages import Pong
 from gypsumhall.net._messages import Revert
@@ -354,6 +355,34 @@
         assert backups >= 5
 
 
+class _FullSink:
+    """Has no room for the body of a response."""
+
+    async def head(self, status: int, headers: _calls.Headers) -> None:
+        """Receive the status and the headers."""
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Reject a part of the body."""
+        raise _calls.CallRefusedError(
+            Outcome.RUN, 'response-dropped', 'the response is too large'
+        )
+
+
+@pytest.mark.parametrize('service_time_s', [0.01, 0.35])
+async def test_rejection_by_the_sink_is_the_same_with_a_backup(
+    autojump_clock: MockClock, service_time_s: float
+) -> None:
+    """In a move, callers got status 500 and no reason."""
+    async with _trial(share=1.0) as trial:
+        trial.backend.constant_service_time = True
+        trial.backend.mean_service_time_s = service_time_s
+        for index in range(5):
+            request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
+            with pytest.raises(_calls.CallRefusedError) as raised:
+                await trial.daemons[3].runner.sender.send(request, _FullSink())
+            assert raised.value.reason == 'response-dropped'
+
+
 async def test_backup_uses_the_retry_granted_to_a_failed_response(
     autojump_clock: MockClock,
 ) -> None:
