Count the transfer of a request body towards the time limit of its run

What callers saw: a request with a large body that another daemon's endpoint ran got 504 of their own daemon 0.25 s after its limit, while the endpoint was at work: it had been given the whole limit once more.

Cause: the runner measured the time limit from the end of the body, while the sender measures it from the start. With a transfer of more than 0.15 s the sender ends first.

Evidence: test_transfer_of_the_body_counts_towards_the_time_limit failed before, with and without a key and for requests that may be repeated: 'did not respond in time' or 'outcome-unknown' in place of the response that the endpoint sends at its deadline.

Now the runner takes the time since the first message of the call off its limits before the run. The time of the first message itself on its way is still not known, as the clocks of two machines cannot be compared.

--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from gypsumhall._errors import PeerError
@@ -800,6 +801,7 @@
         self._buffered_bytes += size
         chunks = [call.body]
         complete = not call.has_body
+        received_at = trio.current_time()
         try:
             while not complete:
                 message = await exchange.receive()
@@ -820,6 +822,8 @@
                         call.request_id, refusal, exchange.send
                     )
                     return
+            if call.has_body:
+                call = _shorten(call, trio.current_time() - received_at)
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
             # The sender disconnected. Calls that are not idempotent run
@@ -969,3 +973,17 @@
 
     def _count(self, result: str) -> None:
         self._call_counter.add(1.0, result=result)
+
+
+def _shorten(call: CallStart, elapsed_s: float) -> CallStart:
+    """Return a call with its time limits shortened by the elapsed time."""
+    elapsed_ms = int(elapsed_s * 1000)
+    objective_ms = call.objective_ms
+    if objective_ms:
+        # 0 would mean that there is no objective.
+        objective_ms = objective_ms - elapsed_ms or -1
+    return msgspec.structs.replace(
+        call,
+        deadline_ms=max(0, call.deadline_ms - elapsed_ms),
+        objective_ms=objective_ms,
+    )
--- a/tests/test_services_early_responses.py
+++ b/tests/test_services_early_responses.py
@@ -42,6 +42,7 @@
     versions: tuple[str, ...],
     *,
     buffer_responses: bool = True,
+    latency_s: float = 0.0,
     **settings: float,
 ) -> AsyncIterator[list[CallPathDaemon]]:
     """Run daemons, each with an endpoint of a version, or none for ``''``."""
@@ -49,7 +50,7 @@
         request_id=b'x-request', buffer_responses=buffer_responses
     )
     async with trio.open_nursery() as nursery:
-        hub, table = MemoryHub(nursery), fakes.FakeTable()
+        hub, table = MemoryHub(nursery, latency_s), fakes.FakeTable()
         daemons = []
         for index, version in enumerate(versions):
             daemon = CallPathDaemon(
@@ -82,6 +83,23 @@
     return await asgi.call(application, method, '/search', headers)
 
 
+def _build_request(
+    *, body: bytes = b'', idempotent: bool = False, key: str = ''
+) -> _calls.Request:
+    """Return a request with a time limit of one second."""
+    return _calls.Request(
+        'availability',
+        'spa/search',
+        'POST',
+        '/search',
+        ((b'x-request', b'r1'),),
+        body,
+        trio.current_time() + 1.0,
+        idempotent,
+        key,
+    )
+
+
 def _build_snapshot(timeout_s: float, share: float) -> Snapshot:
     moves: tuple[Move, ...] = ()
     if share:
@@ -246,17 +264,7 @@
     ) as daemons:
 
         async def call(index: int) -> None:
-            request = _calls.Request(
-                'availability',
-                'spa/search',
-                'POST',
-                '/search',
-                ((b'x-request', b'r1'),),
-                b'',
-                trio.current_time() + 1.0,
-                idempotent=False,
-                key='key-1',
-            )
+            request = _build_request(key='key-1')
             sink = CollectingSink()
             try:
                 await daemons[index].runner.sender.send(request, sink)
@@ -269,3 +277,27 @@
                 calls.start_soon(call, index)
         assert results == [b'late'] * 3
         assert backend.runs == {'r1': 1}
+
+
+@pytest.mark.parametrize('key', ['', 'key-1'])
+@pytest.mark.parametrize('idempotent', [False, True])
+async def test_transfer_of_the_body_counts_towards_the_time_limit(
+    autojump_clock: MockClock, idempotent: bool, key: str
+) -> None:
+    """The endpoint was given the whole limit after a slow transfer.
+
+    So the sender ended the request first, while the endpoint was at work.
+    """
+    backend = DeadlineBackend(Random(0))
+    backend.constant_service_time, backend.mean_service_time_s = True, 0.0
+    async with _run_daemons(
+        backend, _build_snapshot(2.0, 0.0), ('v1', ''), latency_s=0.02
+    ) as daemons:
+        request = _build_request(
+            body=bytes(1_000_000), idempotent=idempotent, key=key
+        )
+        sink = CollectingSink()
+        await daemons[1].runner.sender.send(request, sink)
+        assert (sink.status, sink.body) == (504, b'late')
+        assert trio.current_time() <= request.deadline + 0.1
+        assert 'run-cut' not in daemons[0].events.codes
