--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -34,7 +34,7 @@
     failure : CallRefused or None
         Why the attempt failed; None while it runs and when it responded.
     error : Exception or None
-        Error that ended the attempt after it had begun to respond.
+        Error that ended the attempt, usually after it had begun to respond.
     superseded : bool
         Whether further attempts are made beside this one.
     """
@@ -65,6 +65,11 @@
         """Whether no other attempt is likely to respond."""
         return self._hedged_request.is_only(self)
 
+    @property
+    def has_running_others(self) -> bool:
+        """Whether other attempts run, at silent daemons included."""
+        return self._hedged_request.has_running_others(self)
+
     def report_silence(self) -> None:
         """Record that the daemon of the attempt is silent."""
         if not self.ended_or_silent.is_set():
@@ -117,8 +122,12 @@
         return attempt
 
     def raise_error(self) -> None:
-        """Raise the error of the first attempt that has one."""
-        for attempt in self._attempts:
+        """Raise the error of the attempt that responds, if it has one.
+
+        Without a response, the first error of an attempt is raised.
+        """
+        winner = self.winner
+        for attempt in self._attempts if winner is None else (winner,):
             if attempt.error is not None:
                 raise attempt.error
 
@@ -135,6 +144,13 @@
             for item in self._attempts
         )
 
+    def has_running_others(self, attempt: object) -> bool:
+        """Whether attempts run beside the given one."""
+        return any(
+            item is not attempt and not item.ended.is_set()
+            for item in self._attempts
+        )
+
     async def claim(self, attempt: HedgedAttempt) -> None:
         """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from gypsumhall._errors import PeerError
@@ -103,8 +104,9 @@
         service are unavailable.
     cancel_after_s : float
         Time in seconds after the start of a graceful shutdown after which
-        calls that still run may be cancelled. Calls with a later deadline are
-        rejected from `SHUTDOWN_NOTICE_S` on.
+        calls that still run may be cancelled. Calls that may run longer, by
+        their deadline and `DEADLINE_GRACE_S`, are rejected from
+        `SHUTDOWN_NOTICE_S` on.
     """
 
     name = 'runner'
@@ -659,7 +661,8 @@
         """Raise for a call that the end of the process might cut off."""
         shutdown_s = trio.current_time() - self._shutdown_started_at
         ends_at = self._shutdown_started_at + self._cancel_after_s
-        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and deadline > ends_at:
+        run_until = deadline + _calls.DEADLINE_GRACE_S
+        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and run_until > ends_at:
             raise _calls.not_run(
                 'draining', 'this daemon stops before the deadline'
             )
@@ -798,6 +801,7 @@
         self._buffered_bytes += size
         chunks = [call.body]
         complete = not call.has_body
+        received_at = trio.current_time()
         try:
             while not complete:
                 message = await exchange.receive()
@@ -818,6 +822,8 @@
                         call.request_id, refusal, exchange.send
                     )
                     return
+            if call.has_body:
+                call = _shorten(call, trio.current_time() - received_at)
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
             # The sender disconnected. Calls that are not idempotent run
@@ -967,3 +973,17 @@
 
     def _count(self, result: str) -> None:
         self._call_counter.add(1.0, result=result)
+
+
+def _shorten(call: CallStart, elapsed_s: float) -> CallStart:
+    """Return a call with its time limits shortened by the elapsed time."""
+    elapsed_ms = int(elapsed_s * 1000)
+    objective_ms = call.objective_ms
+    if objective_ms:
+        # 0 would mean that there is no objective.
+        objective_ms = objective_ms - elapsed_ms or -1
+    return msgspec.structs.replace(
+        call,
+        deadline_ms=max(0, call.deadline_ms - elapsed_ms),
+        objective_ms=objective_ms,
+    )
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -151,11 +151,12 @@
 class _Chain:
     """Consecutive attempts beside those at a silent daemon."""
 
-    __slots__ = ('ended', 'scope')
+    __slots__ = ('ended', 'error', 'scope')
 
     def __init__(self) -> None:
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
+        self.error: Exception | None = None
 
 
 @dataclass(slots=True)
@@ -415,6 +416,8 @@
             # The list grows while attempts are made.
             for chain in progress.chains:
                 await chain.ended.wait()
+                if chain.error is not None:
+                    raise chain.error
             if hedged_request.winner is not None:
                 await hedged_request.winner.ended.wait()
         finally:
@@ -484,9 +487,14 @@
             self._nursery.start_soon(self._run_chain, chain, progress)
 
     async def _run_chain(self, chain: _Chain, progress: _Progress) -> None:
-        with chain.scope:
-            await self._attempt_until_response(progress)
-        chain.ended.set()
+        try:
+            with chain.scope:
+                await self._attempt_until_response(progress)
+        except Exception as error:
+            # The request fails, not the service that runs the chain.
+            chain.error = error
+        finally:
+            chain.ended.set()
 
     async def _end_without_response(self, progress: _Progress) -> None:
         """Deliver a failed response that was withheld, or raise.
@@ -729,9 +737,8 @@
                     )
                     self._refund_unrun_backup(choice, second, progress)
         hedged_request.raise_error()
-        if hedged_request.winner is not None:
-            return hedged_request.winner.failure
-        return first.failure
+        winner = hedged_request.winner
+        return first.failure if winner is None else winner.failure
 
     def _refund_unrun_backup(
         self,
@@ -757,10 +764,9 @@
         try:
             with attempt.scope:
                 attempt.failure = await make_attempt(choice, progress, attempt)
-        except (
-            _calls.BrokenResponseError,
-            _calls.CallRefusedError,
-        ) as error:
+        except Exception as error:
+            # The nursery would wrap it in an exception group, which the
+            # caller service does not handle.
             attempt.error = error
         finally:
             attempt.end()
@@ -834,8 +840,13 @@
         receiver = _attempts.Receiver(
             call.request_id,
             sink,
-            buffer_response=self._buffer_responses
-            or (request.idempotent and choice.is_new),
+            # The head of a response cancels the other attempt, which must
+            # not happen for one that is truncated later.
+            should_buffer=lambda: (
+                self._buffer_responses
+                or (request.idempotent and choice.is_new)
+                or _has_running_others(sink)
+            ),
             should_withhold=(
                 lambda status: self._should_withhold(
                     choice, progress, sink, status
@@ -1006,6 +1017,11 @@
     return [first]
 
 
+def _has_running_others(sink: _calls.ResponseSink) -> bool:
+    """Return whether other attempts at a request run."""
+    return isinstance(sink, _hedging.HedgedAttempt) and sink.has_running_others
+
+
 def _failure(
     receiver: _attempts.Receiver, request_id: str, member_id: str
 ) -> CallRefused | None:
