Take the time of a call on its way off its time limit

The runner counted the limit of a call from its arrival.

Calls and pings carry a time stamp. The receiver of a stream takes the shortest time between stamp and arrival as the usual one (the clocks of two machines differ by an unknown offset) and what exceeds it as a delay, which it takes off the limits of the call.

test_run_of_a_delayed_call_ends_at_the_deadline_of_its_caller failed before. The format of CallStart gains a field and that of a ping its payload; streams between releases with and without them work, without the estimate.

--- a/gypsumhall/net/_frames.py
+++ b/gypsumhall/net/_frames.py
@@ -63,7 +63,7 @@
     CREDIT = 8
     """Allows the receiver to send that many more payload bytes."""
     PING = 9
-    """Requests a `PONG`."""
+    """Requests a `PONG`; carries the time stamp of the sender."""
     PONG = 10
     """Reply to a `PING`."""
     GOAWAY = 11
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -533,6 +533,9 @@
         accepts the call; -1 for any that leaves time to execute it.
     is_caller_retry : bool
         Whether the caller retries after a rejection.
+    sent_us : int
+        Time at which the call was sent, by `net._socket.clock_us` of the
+        sender; 0 if unknown.
     """
 
     request_id: str
@@ -556,6 +559,7 @@
     objective_ms: int = 0
     max_wait_ms: int = -1
     is_caller_retry: bool = False
+    sent_us: int = 0
 
 
 class BodyChunk(Message, frozen=True, tag=41):
--- a/gypsumhall/net/_protocol.py
+++ b/gypsumhall/net/_protocol.py
@@ -51,6 +51,14 @@
         """The daemon at the other end."""
         ...
 
+    @property
+    def delay_s(self) -> float:
+        """Time in seconds by which the first message was delayed.
+
+        Only known for a call that the peer has sent; 0 otherwise.
+        """
+        ...
+
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
 
--- a/gypsumhall/net/_socket.py
+++ b/gypsumhall/net/_socket.py
@@ -12,6 +12,7 @@
 import os
 import re
 import socket
+import time
 
 import trio
 
@@ -25,6 +26,15 @@
 _MAX_ADDRESS_BYTES = 100
 
 
+def clock_us() -> int:
+    """Return the time in microseconds by a clock that is never set.
+
+    Unlike the clock of trio it goes on while the machine is suspended, so its
+    offset to the clocks of other machines does not jump.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``<ip>:<port>`` into IP address and port.
 
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -25,10 +25,12 @@
 from gypsumhall._errors import PeerError
 from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerProtocolError
+from gypsumhall.core._transit import TransitEstimator
 from gypsumhall.net import _frames
 from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
 from gypsumhall.net._frames import TrafficCounters
+from gypsumhall.net._messages import CallStart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -121,6 +123,7 @@
         '_sending_closed',
         '_single_reply',
         '_stream',
+        'delay_s',
         'is_call',
         'number',
     )
@@ -143,6 +146,8 @@
         self._error: PeerError | None = None
         self._on_silence: Callable[[], None] | None = None
         self.is_call = is_call
+        self.delay_s = 0.0
+        """Time in seconds by which the first message was delayed."""
 
     @property
     def peer(self) -> PeerInfo:
@@ -357,6 +362,7 @@
         '_send_queue',
         '_silence_reported',
         '_sock',
+        '_transit',
         '_unsent_openings',
         '_writable',
         'dialled_address',
@@ -398,6 +404,7 @@
         self._monitored_until = now
         self._pinged_at = math.inf
         self._silence_reported = False
+        self._transit = TransitEstimator()
         self.peer = peer
         self.dialled_address = dialled_address
         self.is_opener = bool(dialled_address)
@@ -600,7 +607,7 @@
             silence_s >= settings.ping_after_s
         ):
             self._pinged_at = now
-            self.write(0, Kind.PING, 0, is_call=False)
+            self.write(0, Kind.PING, _socket.clock_us(), is_call=False)
         elif not self._silence_reported and self._is_silent_for(
             settings.silent_after_s, silence_s, now
         ):
@@ -711,6 +718,7 @@
         self._owner.traffic.add(3 if is_call else 1, size, payload)
         if kind >= Kind.PING:
             if kind is Kind.PING:
+                self._observe_stamp(int(payload))
                 self.write(0, Kind.PONG, 0, is_call=False)
             elif kind is Kind.GOAWAY:
                 self.goaway_received = True
@@ -742,9 +750,17 @@
         if kind is Kind.POST:
             # A posted message gets no reply.
             exchange.handle_frame(Kind.CLOSE, 0)
+        if isinstance(message, CallStart):
+            exchange.delay_s = self._observe_stamp(message.sent_us)
         self._add_exchange(exchange)
         self._owner.accept_exchange(self, exchange, message)
 
+    def _observe_stamp(self, sent_us: int) -> float:
+        """Return the delay in seconds of a message with a time stamp."""
+        if not sent_us:
+            return 0.0
+        return self._transit.observe(sent_us / 1e6, _socket.clock_us() / 1e6)
+
     async def _flush(self) -> None:
         try:
             while self._send_queue:
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -11,6 +11,7 @@
 
 from gypsumhall._errors import PeerError
 from gypsumhall._errors import PeerUnreachableError
+from gypsumhall.net import _socket
 from gypsumhall.net._messages import AnswerEnd
 from gypsumhall.net._messages import AnswerStart
 from gypsumhall.net._messages import BodyChunk
@@ -319,6 +320,7 @@
             objective_ms,
             -1 if max_wait_s is None else max(0, int(max_wait_s * 1000)),
             request.is_caller_retry,
+            _socket.clock_us(),
         )
 
     async def run(
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -62,6 +62,8 @@
 # Time in seconds after the start in which the backend server may still make
 # calls for runs that a former process of this daemon has started.
 _UNKNOWN_RUNS_S = 10.0
+# Delay in seconds of a call on its way from which its limits are shortened.
+_MIN_DELAY_S = 0.001
 # Interval between checks whether other endpoints are available again.
 _AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
@@ -802,6 +804,8 @@
         chunks = [call.body]
         complete = not call.has_body
         received_at = trio.current_time()
+        # Later messages say nothing about the time that the first one took.
+        delay_s = exchange.delay_s
         try:
             while not complete:
                 message = await exchange.receive()
@@ -822,8 +826,9 @@
                         call.request_id, refusal, exchange.send
                     )
                     return
-            if call.has_body:
-                call = _shorten(call, trio.current_time() - received_at)
+            delay_s += trio.current_time() - received_at
+            if delay_s >= _MIN_DELAY_S:
+                call = _shorten(call, delay_s)
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
             # The sender disconnected. Calls that are not idempotent run
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -54,9 +54,10 @@
 class _Stream:
     """A stream that carries one exchange."""
 
-    __slots__ = ('aborted', 'channels', 'on_silence', 'silent')
+    __slots__ = ('aborted', 'channels', 'delay_s', 'on_silence', 'silent')
 
     def __init__(self) -> None:
+        self.delay_s = 0.0
         self.aborted = False
         self.silent = False
         self.channels: list[trio.MemorySendChannel[Any]] = []
@@ -95,6 +96,11 @@
         """The daemon at the other end."""
         return self._peer
 
+    @property
+    def delay_s(self) -> float:
+        """Time in seconds by which messages were delayed."""
+        return self._stream.delay_s
+
     async def send(self, message: Message) -> None:
         """Send a message."""
         if self._stream.aborted:
@@ -107,8 +113,10 @@
             return
         fault = self._hub.fault(self._me.address, self._peer.address, message)
         if fault is Fault.DELAY:
+            self._stream.delay_s += self._hub.delay_s
             await trio.sleep(self._hub.delay_s)
         if fault is Fault.STALL:
+            self._stream.delay_s += STALL_S
             self._hub.report_silence_later(self._stream)
             await trio.sleep(STALL_S)
         if fault is Fault.SILENCE and not self._stream.silent:
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -26,6 +26,7 @@
 from gypsumhall.net import _frames
 from gypsumhall.net import _handshake
 from gypsumhall.net import _messages
+from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
 from gypsumhall.net._network import Network
 from gypsumhall.net._network import PeerSettings
@@ -275,6 +276,33 @@
         assert await one.count_started_calls(relay.address) == started
 
 
+async def test_delay_of_a_call_on_its_way_is_known_to_the_receiver() -> None:
+    """Its time limit was taken to begin at its arrival."""
+    delays_s: list[float] = []
+
+    async def record_delay(
+        exchange: Exchange, message: _messages.CallStart
+    ) -> None:
+        delays_s.append(exchange.delay_s)
+
+    async with _peers() as (one, two, relay):
+        two._handlers[_messages.CallStart] = record_delay
+        for _ in range(2):
+            call = msgspec.structs.replace(_CALL, sent_us=_socket.clock_us())
+            async with one.open(relay.address, call) as exchange:
+                with pytest.raises(trio.EndOfChannel):
+                    await exchange.receive()
+        relay.pause()
+        call = msgspec.structs.replace(_CALL, sent_us=_socket.clock_us())
+        async with one.open(relay.address, call) as exchange:
+            await trio.sleep(0.5)
+            relay.resume()
+            with pytest.raises(trio.EndOfChannel):
+                await exchange.receive()
+        assert delays_s[0] == 0.0
+        assert 0.4 < delays_s[2] < 5.0
+
+
 async def test_a_stream_delayed_by_a_slow_link_is_not_lost() -> None:
     """The caller got 502 while the endpoint ran the request."""
     settings = StreamSettings(
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -149,6 +149,23 @@
         assert trial.backend.runs == {'r1': 2}
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_run_of_a_delayed_call_ends_at_the_deadline_of_its_caller(
+    autojump_clock: MockClock, method: str
+) -> None:
+    """It had the whole time limit from its arrival, and ran for nobody."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.hanging_addresses.add('backend-0')
+        trial.hub.delay_s = 0.6
+        trial.hub.fault_rule = _fault_on_message(CallStart, Fault.DELAY)
+        request = dataclasses.replace(
+            trial.request('r1', method=method, timeout_s=1.0), attempts=1
+        )
+        assert await trial.call(1, request) == 'unknown'
+        ended_after_s = trio.current_time() - request.deadline
+        assert ended_after_s <= _calls.DEADLINE_GRACE_S + 0.01
+
+
 async def test_requests_skip_an_unreachable_daemon(
     autojump_clock: MockClock,
 ) -> None:
