Deliver a response that arrived before a pause of the event loop

What callers saw: a response of an endpoint that was in time got lost, and the daemon sent 502 or 504 in its place, if the event loop then stood still until the deadline had passed (a long computation, a slow machine).

Cause: after a pause, trio cancels the scopes whose deadline has passed before any task runs, so the response in the socket was never read.

Evidence: test_response_before_a_pause_of_the_event_loop_is_delivered failed before (502 in place of 200), for the own endpoint and that of another daemon.

Now one task cancels runs and attempts at their deadlines. It notices that it woke up late and gives the others 50 ms to process what has arrived.

--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -31,6 +31,7 @@
     from gypsumhall.core._snapshot import Split
     from gypsumhall.net._protocol import Exchange
     from gypsumhall.net._protocol import PeerNetwork
+    from gypsumhall.services import _deadlines
     from gypsumhall.services import _protocols
 
 # Time in seconds after the deadline in which a rejection is still awaited: the
@@ -230,10 +231,13 @@
         Source of randomness.
     execute : callable
         Runs a call on this VM.
+    deadlines : DeadlineMonitor
+        Cancels attempts that take too long.
     """
 
     __slots__ = (
         '_counter',
+        '_deadlines',
         '_events',
         '_execute',
         '_me',
@@ -250,7 +254,9 @@
         events: _protocols.Events,
         rng: Random,
         execute: Execute,
+        deadlines: _deadlines.DeadlineMonitor,
     ) -> None:
+        self._deadlines = deadlines
         self._peers = peers
         self._me = me.id
         self._zone = me.zone
@@ -347,7 +353,7 @@
             When nothing was sent.
         """
         timeout_s = call.deadline_ms / 1000 + _GRACE_S
-        with trio.move_on_after(timeout_s) as scope:
+        with self._deadlines.limit(trio.current_time() + timeout_s) as scope:
             if member.id == self._me:
                 await self._execute(call, request.body, receiver.feed)
                 receiver.done = True
--- /dev/null
+++ b/gypsumhall/services/_deadlines.py
@@ -0,0 +1,103 @@
+"""Cancels calls at their deadlines."""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Delay in seconds of the cancellation task from which on the event loop is
+# taken to have stood still, for example in a long computation or because the
+# process did not run.
+_PAUSE_S = 0.02
+# Time in seconds after a pause in which calls process what has arrived.
+_CATCH_UP_S = 0.05
+
+
+# Ended blocks that are kept at most, if they are fewer than the running ones.
+_MAX_ENDED = 64
+
+
+class _Limit:
+    """Deadline of a block of code."""
+
+    __slots__ = ('deadline', 'ended', 'scope')
+
+    def __init__(self, deadline: float) -> None:
+        self.deadline = deadline
+        self.scope = trio.CancelScope()
+        self.ended = False
+
+    def __lt__(self, other: _Limit) -> bool:
+        return self.deadline < other.deadline
+
+
+class DeadlineMonitor:
+    """Cancels blocks at their deadlines, unless the event loop stood still.
+
+    After a pause of the event loop, trio cancels the scopes whose deadline
+    has passed before any task can read a response that arrived in time. This
+    class lets the tasks run first.
+    """
+
+    __slots__ = ('_ended', '_limits', '_wait')
+
+    def __init__(self) -> None:
+        # Heap by deadline. Blocks that have ended are removed later.
+        self._limits: list[_Limit] = []
+        self._ended = 0
+        self._wait = trio.CancelScope()
+
+    def __len__(self) -> int:
+        return len(self._limits)
+
+    @contextlib.contextmanager
+    def limit(self, deadline: float) -> Iterator[trio.CancelScope]:
+        """Cancel the block at a deadline; yields its cancel scope.
+
+        Parameters
+        ----------
+        deadline : float
+            Time in seconds, by `trio.current_time`.
+        """
+        limit = _Limit(deadline)
+        heapq.heappush(self._limits, limit)
+        if deadline < self._wait.deadline:
+            self._wait.deadline = deadline
+        try:
+            with limit.scope:
+                yield limit.scope
+        finally:
+            limit.ended = True
+            self._ended += 1
+            if self._ended > max(_MAX_ENDED, len(self._limits) // 2):
+                self._limits = [
+                    item for item in self._limits if not item.ended
+                ]
+                heapq.heapify(self._limits)
+                self._ended = 0
+
+    async def run(self) -> None:
+        """Cancel blocks until cancelled."""
+        while True:
+            with trio.CancelScope(deadline=self._next_deadline()) as wait:
+                self._wait = wait
+                await trio.sleep_forever()
+            if trio.current_time() - self._next_deadline() > _PAUSE_S:
+                await trio.sleep(_CATCH_UP_S)
+            now = trio.current_time()
+            while self._next_deadline() <= now:
+                limit = heapq.heappop(self._limits)
+                limit.scope.cancel(reason='deadline')
+
+    def _next_deadline(self) -> float:
+        while self._limits and self._limits[0].ended:
+            heapq.heappop(self._limits)
+            self._ended -= 1
+        return self._limits[0].deadline if self._limits else math.inf
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -38,6 +38,7 @@
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
+from gypsumhall.services import _deadlines
 from gypsumhall.services import _keys
 from gypsumhall.services import _protocols
 from gypsumhall.services import _responses
@@ -157,6 +158,7 @@
         self._buffered_bytes = 0
         self.buffer_budget = _calls.ResponseBufferBudget()
         self._call_monitor = _call_monitor.CallMonitor()
+        self._deadlines = _deadlines.DeadlineMonitor()
         self._incarnation = 0
         self._keys: _keys.KeyOwner
         self._membership: _protocols.Membership
@@ -236,6 +238,7 @@
             metrics=metrics,
             rng=self._rng,
             execute=self.execute,
+            deadlines=self._deadlines,
             dialect=self._dialect,
             split_source=self._split_source,
             retry_limits=self._retry_limits,
@@ -254,6 +257,7 @@
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._call_monitor.run)
+            self._nursery.start_soon(self._deadlines.run)
             self._nursery.start_soon(self._check_queue)
             self._nursery.start_soon(self._sender.run)
             self._nursery.start_soon(
@@ -575,7 +579,7 @@
         if header and backend.instance:
             headers = (*headers, (header, backend.instance.encode()))
         run_until = deadline + _calls.DEADLINE_GRACE_S
-        with trio.CancelScope(deadline=run_until) as scope:
+        with self._deadlines.limit(run_until) as scope:
             try:
                 async with backend.client.request(
                     call.method, call.path, headers, body, run.mark_sent
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -33,6 +33,7 @@
     from gypsumhall.core._snapshot import Split
     from gypsumhall.net._messages import CallStart
     from gypsumhall.net._protocol import PeerNetwork
+    from gypsumhall.services import _deadlines
     from gypsumhall.services import _protocols
 
 _MAX_ATTEMPTS = 4
@@ -220,6 +221,8 @@
         Source of randomness.
     execute : callable
         Runs a call on this VM.
+    deadlines : DeadlineMonitor
+        Cancels attempts; its owner runs it.
     dialect : Dialect
         HTTP headers and conventions of callers and backend servers.
     split_source : callable, optional
@@ -240,6 +243,7 @@
         metrics: _protocols.Metrics,
         rng: Random,
         execute: _attempts.Execute,
+        deadlines: _deadlines.DeadlineMonitor,
         dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
         split_source: SplitSource | None = None,
         retry_limits: RetryLimits | None = None,
@@ -259,7 +263,7 @@
         self._rng = rng
         self.execute_keyed: ExecuteKeyed | None = None
         self._attempts = _attempts.Attempts(
-            peers, membership.me, events, rng, execute
+            peers, membership.me, events, rng, execute, deadlines
         )
         self._me = membership.me.id
         self._load_balancer = _load_balancer.LoadBalancer(
--- a/tests/test_services_early_responses.py
+++ b/tests/test_services_early_responses.py
@@ -11,6 +11,7 @@
 
 from gypsumhall.core._model import Move
 from gypsumhall.core._model import MoveState
+from gypsumhall.services import _backend_client
 from gypsumhall.services import _calls
 from gypsumhall.testing import asgi
 from gypsumhall.testing import builders
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from trio.testing import MockClock
 
@@ -301,3 +303,39 @@
         assert (sink.status, sink.body) == (504, b'late')
         assert trio.current_time() <= request.deadline + 0.1
         assert 'run-cut' not in daemons[0].events.codes
+
+
+class _PausingBackend(MemoryBackend):
+    """Backend server whose response arrives while the event loop stands."""
+
+    def __init__(self, clock: MockClock) -> None:
+        super().__init__(Random(0))
+        self._clock = clock
+        self.constant_service_time, self.mean_service_time_s = True, 0.0
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        headers: _calls.Headers,
+        on_send: Callable[[], None],
+    ) -> AsyncIterator[_backend_client.BackendResponse]:
+        """Respond after 0.1 s, at the start of a pause of 1 s."""
+        async with super().request(address, headers, on_send) as response:
+            await trio.sleep(0.1)
+            self._clock.jump(1.0)
+            yield response
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('caller', [0, 1])
+async def test_response_before_a_pause_of_the_event_loop_is_delivered(
+    autojump_clock: MockClock, caller: int, method: str
+) -> None:
+    """The deadline passed in the pause, and the response was discarded."""
+    async with _run_daemons(
+        _PausingBackend(autojump_clock),
+        _build_snapshot(2.0, 0.0),
+        ('v1', ''),
+    ) as daemons:
+        assert await _call(daemons[caller], 'r1', 200, method) == 200
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -24,6 +24,7 @@
 from gypsumhall.net._messages import Revert
 from gypsumhall.services import _calls
 from gypsumhall.services import _sender
+from gypsumhall.services._deadlines import DeadlineMonitor
 from gypsumhall.testing import builders
 from gypsumhall.testing import call_trial
 from gypsumhall.testing import fakes
@@ -622,6 +623,7 @@
             metrics=fakes.FakeMetrics(),
             rng=Random(1),
             execute=daemon.runner.execute,
+            deadlines=DeadlineMonitor(),
             retry_limits=_sender.RetryLimits(0.0, 12.0, fleet_wide=True),
         )
         table = daemon.membership.table
