Send a large change of the configuration to each daemon once

What callers saw: beside a configuration with 1,500 more routes, calls ended with 502 or 504, or with nothing, while their endpoints worked at them.

Cause: a daemon pushed the whole update, 190 KB for made-up routes, to up to eight children, and did so in the tree of each of the three watchers of its zone. The links were full for seconds, and streams that carried calls were taken for lost after 0.75 s without a byte.

Fix: an update of more than 4 KB is announced in the trees instead of pushed. A daemon pulls it at once from one source, announces it to its own children when it has installed it, and ignores further announcements of a version that it has or is pulling. Replies to pulls are built once per base and version. `Announcement` has a new last field `root`; a daemon of the former release ignores it and pulls after its usual delay.

--- a/gypsumhall/core/_delta.py
+++ b/gypsumhall/core/_delta.py
@@ -35,6 +35,11 @@
 # values that would exceed this size start a new part.
 PART_BYTES = 512 * 1024
 
+PUSH_BYTES = 4 * 1024
+"""Size of the largest update that is pushed. A daemon receives a push in the
+tree of each publisher of its zone and sends each to `FAN_OUT` children, so
+larger updates are announced in the trees and pulled once."""
+
 _NAME = attrgetter('name')
 _ID = attrgetter('id')
 
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -38,6 +38,7 @@
     import random
 
     from gypsumhall.core._member import Member
+    from gypsumhall.net._messages import Message
     from gypsumhall.net._messages import Revert
     from gypsumhall.net._messages import Reverts
     from gypsumhall.net._messages import ZoneSummaries
@@ -109,16 +110,17 @@
     __slots__ = (
         '_acknowledgements',
         '_announce_due',
+        '_announced_roots',
         '_delta_bases',
         '_failed_pulls',
         '_fetching',
         '_floor',
         '_forwarded_versions',
-        '_full_parts',
         '_installed_at',
         '_me',
         '_pull_due',
         '_pull_full',
+        '_pull_replies',
         '_raised_alarms',
         '_rejected_versions',
         '_reverts',
@@ -142,7 +144,8 @@
         self._snapshot = Snapshot.build(_model.Head(), ())
         self._installed_at = -math.inf
         self._delta_bases: dict[tuple[int, str], _delta.Base] = {}
-        self._full_parts: list[Update] = []
+        # Replies by version and digest of the base; (0, '') stands for none.
+        self._pull_replies: dict[tuple[int, str], Sequence[Update]] = {}
         self._floor: int | None = None
         self._reverts = RevertSet()
         self._reverts_pull_due = -math.inf
@@ -154,6 +157,8 @@
         self._failed_pulls = 0
         self._announce_due = -math.inf
         self._forwarded_versions: dict[str, int] = {}
+        # Highest version announced in the tree of each root.
+        self._announced_roots: dict[str, int] = {}
         self._rejected_versions: dict[tuple[object, ...], None] = {}
         self._raised_alarms: dict[tuple[object, ...], None] = {}
 
@@ -292,7 +297,7 @@
         if version == self.version:
             if update.digest != self._snapshot.digest:
                 return self._report_conflict(version, update.digest, address)
-            return [*self._forward(update)]
+            return [*self._forward(update, [update.root])]
         if (version, update.digest) in self._rejected_versions:
             return []
         base = None
@@ -312,13 +317,43 @@
             ]
         except InvalidUpdateError as error:
             return self._reject(version, update.digest, address, error)
-        if not update.root and self._forwarded_versions:
-            # A version that was pulled shows that a node above in the tree
-            # has failed: forward it, so that those below need not pull too.
-            root = next(reversed(self._forwarded_versions))
-            update = msgspec.structs.replace(update, root=root)
+        roots = [update.root] if update.root else list(self._announced_roots)
+        if not roots and self._forwarded_versions:
+            # A version that was pulled without an announcement in a tree
+            # shows that a node above in the tree has failed: forward it, so
+            # that those below need not pull too.
+            roots = [next(reversed(self._forwarded_versions))]
         actions = self._install(snapshot, now)
-        return [*self._forward(update), *actions]
+        return [*self._forward(update, roots), *actions]
+
+    def receive_announcement(
+        self, message: Announcement, address: str, now: float
+    ) -> list[Action]:
+        """Handle an announcement of a peer's version.
+
+        Parameters
+        ----------
+        message : Announcement
+            The announcement.
+        address : str
+            Peer address of the sender, which has the version.
+        now : float
+            Time in seconds.
+        """
+        digest, root = message.digest, message.root
+        actions = self.receive_digest(digest, address, now, reply=True)
+        if not root:
+            return actions
+        if digest.version > self.version and address in self._sources:
+            self._announced_roots.pop(root, None)
+            self._announced_roots[root] = digest.version
+            if len(self._announced_roots) > _MAX_SOURCES:
+                del self._announced_roots[next(iter(self._announced_roots))]
+            # No push follows.
+            self._pull_due = now
+        elif digest.version == self.version:
+            actions += self._forward(None, [root])
+        return actions
 
     def receive_digest(
         self, digest: Digest, address: str, now: float, *, reply: bool = False
@@ -411,15 +446,18 @@
                     digest=self._snapshot.digest,
                 )
             ]
-        base = self._delta_bases.get((pull.installed_version, pull.digest))
-        if base is not None:
+        key = pull.installed_version, pull.digest
+        base = self._delta_bases.get(key)
+        if base is None:
+            key = 0, ''
+        if key not in self._pull_replies:
             target = _delta.Base.of(self._snapshot)
-            return _delta.split(_delta.diff(base, target))
-        if not self._full_parts:
-            self._full_parts = _delta.split(
-                _delta.full_update(_delta.Base.of(self._snapshot))
+            self._pull_replies[key] = _delta.split(
+                _delta.full_update(target)
+                if base is None
+                else _delta.diff(base, target)
             )
-        return self._full_parts
+        return self._pull_replies[key]
 
     def _build_update(self, snapshot: Snapshot) -> Update:
         """Return the update to a snapshot from the latest earlier version."""
@@ -468,7 +506,8 @@
     def _install(self, snapshot: Snapshot, now: float) -> list[Action]:
         self._snapshot = snapshot
         self._installed_at = now
-        self._full_parts = []
+        self._pull_replies.clear()
+        self._announced_roots.clear()
         base = _delta.Base.of(snapshot)
         self._delta_bases[(snapshot.version, snapshot.digest)] = base
         if len(self._delta_bases) > MAX_DELTA_BASES:
@@ -511,25 +550,43 @@
         return [Send(item.peer_address, message) for item in members]
 
     def _push(self, update: Update) -> list[Send]:
-        root = self._me.id
-        return self._forward(msgspec.structs.replace(update, root=root))
+        return self._forward(update, [self._me.id])
 
-    def _forward(self, update: Update) -> list[Send]:
-        version = update.head.version
-        root = update.root
+    def _forward(
+        self, update: Update | None, roots: Iterable[str]
+    ) -> list[Send]:
+        """Send the installed version to the children in some trees.
+
+        Parameters
+        ----------
+        update : Update or None
+            Update to the installed version; None to announce it only.
+        roots : iterable of str
+            Roots of the trees; trees in which this daemon has forwarded the
+            version already, and empty roots, are skipped.
+        """
+        actions: list[Send] = []
+        is_small: bool | None = None if update else False
+        for root in roots:
+            children = self._start_forwarding(root)
+            if children and update is not None and is_small is None:
+                is_small = len(_model.encode(update)) <= _delta.PUSH_BYTES
+            message: Message = Announcement(self.digest, root)
+            if update is not None and is_small:
+                message = msgspec.structs.replace(update, root=root)
+            actions += [Send(item.peer_address, message) for item in children]
+        return actions
+
+    def _start_forwarding(self, root: str) -> Sequence[Member]:
+        """Return the children in a tree unless they have the version."""
+        version = self.version
         if not root or self._forwarded_versions.get(root, 0) >= version:
-            return []
+            return ()
         self._forwarded_versions.pop(root, None)
         self._forwarded_versions[root] = version
         if len(self._forwarded_versions) > _MAX_SOURCES:
             del self._forwarded_versions[next(iter(self._forwarded_versions))]
-        children = self._trees.get(self._me.zone, root).children(self._me.id)
-        if not children:
-            return []
-        if len(_model.encode(update)) > _delta.PART_BYTES:
-            # It does not fit into a frame; the children pull it in parts.
-            return self._announce(children)
-        return [Send(item.peer_address, update) for item in children]
+        return self._trees.get(self._me.zone, root).children(self._me.id)
 
     def _schedule_pull(
         self, version: int, digest: str, address: str, now: float
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -293,9 +293,20 @@
 
 
 class Announcement(Message, frozen=True, tag=21):
-    """Notifies a peer of the sender's installed configuration version."""
+    """Notifies a peer of the sender's installed configuration version.
+
+    Parameters
+    ----------
+    digest : Digest
+        Digest of the sender's state.
+    root : str
+        Id of the daemon at the root of the distribution tree in which a
+        large version is announced instead of pushed: the receiver pulls it
+        at once. Empty outside a tree.
+    """
 
     digest: Digest
+    root: str = ''
 
 
 class Pull(Message, frozen=True, tag=22):
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -573,11 +573,8 @@
     ) -> None:
         replica = self._require_replica()
         self._execute(
-            replica.receive_digest(
-                message.digest,
-                exchange.peer.address,
-                trio.current_time(),
-                reply=True,
+            replica.receive_announcement(
+                message, exchange.peer.address, trio.current_time()
             )
         )
 
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 import msgspec
+import pytest
 
 from gypsumhall.core import _actions
 from gypsumhall.core import _delta
@@ -204,9 +205,7 @@
             case _messages.Update():
                 actions = replica.receive(message, address, now)
             case _messages.Announcement():
-                actions = replica.receive_digest(
-                    message.digest, address, now, reply=True
-                )
+                actions = replica.receive_announcement(message, address, now)
             case _messages.Reverts():
                 actions = replica.receive_reverts(message, address)
             case _messages.Acknowledgement():
@@ -446,6 +445,83 @@
 )
 
 
+class AnnouncingMachine(ReplicaMachine):
+    """The same with versions that are too large to be pushed."""
+
+    @initialize()
+    def forbid_pushes(self) -> None:
+        self._limit = pytest.MonkeyPatch()
+        self._limit.setattr(_delta, 'PUSH_BYTES', 0)
+
+    def teardown(self) -> None:
+        super().teardown()
+        self._limit.undo()
+
+
+TestAnnouncingReplicas = AnnouncingMachine.TestCase
+TestAnnouncingReplicas.settings = TestReplicas.settings
+
+
+def _build_replicas(count: int) -> list[Replica]:
+    members = [builders.build_member(index) for index in range(count)]
+    table = FakeTable(members)
+    replicas = [
+        Replica(member, table, random.Random(index))
+        for index, member in enumerate(members)
+    ]
+    for replica in replicas:
+        replica.set_floor(0, 0.0)
+    return replicas
+
+
+def test_large_version_is_announced_in_the_tree_and_small_one_pushed() -> None:
+    """Pushes of large versions in several trees filled slow links."""
+    replica = _build_replicas(4)[0]
+    for version, routes, kind in (
+        (1, 2, _messages.Update),
+        (2, 300, _messages.Announcement),
+    ):
+        fragment = _fragment('spa', routes)
+        head = builders.build_head([fragment], version)
+        in_tree = [
+            action.message
+            for action in replica.publish(head, [fragment], float(version))
+            if isinstance(action, _actions.Send)
+            and getattr(action.message, 'root', '') == 'd0'
+        ]
+        assert [type(item) for item in in_tree] == [kind] * 3
+
+
+def test_announcement_in_a_tree_is_pulled_at_once_and_forwarded() -> None:
+    """A pull waited 0.1 s for a push, which does not follow here."""
+    publisher, replica, *_ = _build_replicas(12)
+    fragment = _fragment('spa', 300)
+    publisher.publish(builders.build_head([fragment]), [fragment], 1.0)
+    tree = replica._trees.get('az-1', 'd0')
+    replica._me = tree.children('d0')[0]
+    message = _messages.Announcement(publisher.digest, 'd0')
+    assert replica.receive_announcement(message, 'source', 1.0) == []
+    assert replica.receive_announcement(message, 'other source', 1.0) == []
+    fetches = replica.tick(1.0)
+    assert [type(item) for item in fetches].count(_actions.Fetch) == 1
+    # A pull in progress is not repeated for the same version.
+    replica.receive_announcement(message, 'third source', 1.1)
+    assert replica.tick(1.2) == []
+    reply = _delta.join(publisher.build_pull_reply(_messages.Pull()))
+    actions = replica.handle_fetch_result('source', reply, 1.3)
+    children = [item.peer_address for item in tree.children(replica._me.id)]
+    assert children
+    assert children == [
+        action.address
+        for action in actions
+        if isinstance(action, _actions.Send)
+        and getattr(action.message, 'root', '') == 'd0'
+    ]
+    assert replica.version == 1
+    repeated = replica.receive_announcement(message, 'third source', 1.4)
+    assert repeated == []
+
+
 def test_backoff_of_pulls_is_bounded_in_a_long_partition() -> None:
     """An unbounded backoff overflowed after about 1,000 failures."""
     members = [builders.build_member(index) for index in range(2)]
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 import random
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from gypsumhall.errors import InvalidUpdateError
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.kernel import Kernel
+from gypsumhall.net import _frames
 from gypsumhall.net import _messages
 from gypsumhall.net._protocol import PeerInfo
 from gypsumhall.services._distribution import DistributionService
@@ -376,6 +378,28 @@
     await fleet.wait_for_version(version, fleet.zone('a'), within_s=5)
 
 
+async def test_large_change_is_sent_once_to_each_daemon(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    """Each publisher pushed it to every daemon of the zone."""
+    first = fleet.publish('d0', 'd1', 'd2', routes=20)
+    everyone = list(fleet.daemons.values())
+    await fleet.wait_for_version(first, everyone, within_s=3)
+    base = fleet.daemons['d0'].service.digest
+    fleet.hub.sizes = Counter()
+    version = fleet.publish('d0', 'd1', 'd2', routes=500)
+    await fleet.wait_for_version(version, fleet.zone('a'), within_s=0.6)
+    await fleet.wait_for_version(version, fleet.zone('b'), within_s=3)
+    await trio.sleep(6)
+    replica = fleet.daemons['d0'].service._replica
+    parts = replica.build_pull_reply(
+        _messages.Pull(base.version, base.snapshot)
+    )
+    size = sum(len(_frames.encode_message(item)) for item in parts)
+    receivers = len(everyone) - 3
+    assert fleet.hub.sizes[type(parts[0]).__name__] <= 1.1 * receivers * size
+
+
 async def test_a_dead_member_no_longer_counts(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
