Compress large replies to pulls of the configuration

Cause: updates were sent uncompressed, though routes resemble each other.

Fix: a part of a reply that takes more than 4 KB is compressed with zlib at level 1, once per base and version, and sent as the new message `PackedUpdate`. Unpacking ends at the size of the largest frame; malformed, incomplete and oversized data count as a corrupt update: an alarm is raised and the whole configuration is pulled again. A corrupt reply was only reported before, so that a daemon kept its version until the next digest of a peer.

The wire format changes: a daemon of the former release does not know the message. All daemons of a fleet are replaced, as its pulls of large versions fail until then.

The test with links of 5 Mbit/s failed before and passes now.

--- a/benchmarks/bench_distribution.py
+++ b/benchmarks/bench_distribution.py
@@ -328,11 +328,7 @@
             self.handle(target, at, replica.receive, item, address)
         elif isinstance(item, _messages.Announcement):
             self.handle(
-                target,
-                at,
-                lambda now: replica.receive_digest(
-                    item.digest, address, now, reply=True
-                ),
+                target, at, replica.receive_announcement, item, address
             )
         elif isinstance(item, _messages.Acknowledgement):
             self.handle(
@@ -531,11 +527,17 @@
     first = source.build_pull_reply(_messages.Pull())
     first_ms = _to_ms(time.perf_counter() - started)
     encoded = [_model.encode(part) for part in first]
-    decoder = msgspec.msgpack.Decoder(_messages.Update)
-    decode_ms = _median_time_ms(
-        lambda: [decoder.decode(item) for item in encoded]
-    )
-    update = _delta.join([decoder.decode(item) for item in encoded])
+
+    def decode() -> _messages.Update:
+        return _delta.join(
+            [
+                msgspec.msgpack.decode(item, type=_delta.Part)
+                for item in encoded
+            ]
+        )
+
+    decode_ms = _median_time_ms(decode)
+    update = decode()
     started = time.perf_counter()
     target.handle_fetch_result('d0', update, 1.0)
     install_ms = _to_ms(time.perf_counter() - started)
--- a/gypsumhall/core/_delta.py
+++ b/gypsumhall/core/_delta.py
@@ -12,13 +12,18 @@
 from typing import Any
 from typing import TYPE_CHECKING
 from typing import TypeVar
+import zlib
 
 import msgspec
 
+from gypsumhall._decode import decode
+from gypsumhall._errors import MalformedDataError
 from gypsumhall.core import _model
 from gypsumhall.core._snapshot import CorruptUpdateError
+from gypsumhall.net._frames import MAX_FRAME_BYTES
 from gypsumhall.net._messages import FragmentPatch
 from gypsumhall.net._messages import HeadRemovals
+from gypsumhall.net._messages import PackedUpdate
 from gypsumhall.net._messages import Update
 
 if TYPE_CHECKING:
@@ -28,6 +33,9 @@
 
     from gypsumhall.core._snapshot import Snapshot
 
+Part = Update | PackedUpdate
+"""Part of the reply to a pull."""
+
 V = TypeVar('V')
 
 # A peer frame carries at most 1 MiB + 64 KiB, and the platform stores a head
@@ -35,11 +43,17 @@
 # values that would exceed this size start a new part.
 PART_BYTES = 512 * 1024
 
+# A value of 1 MB is stored in a frame, or compressed to one, only alone.
+MAX_UNPACKED_BYTES = MAX_FRAME_BYTES
+
 PUSH_BYTES = 4 * 1024
 """Size of the largest update that is pushed. A daemon receives a push in the
 tree of each publisher of its zone and sends each to `FAN_OUT` children, so
 larger updates are announced in the trees and pulled once."""
 
+_COMPRESSION_LEVEL = 1
+
+_UPDATE_DECODER = msgspec.msgpack.Decoder(Update)
 _NAME = attrgetter('name')
 _ID = attrgetter('id')
 
@@ -318,16 +332,54 @@
     ]
 
 
-def join(parts: Sequence[Update]) -> Update:
+def pack(update: Update) -> Part:
+    """Return a part of a reply in the form in which it is sent.
+
+    Updates that are small enough to be pushed are not compressed.
+    """
+    data = _model.encode(update)
+    if len(data) <= PUSH_BYTES:
+        return update
+    return PackedUpdate(update.base, zlib.compress(data, _COMPRESSION_LEVEL))
+
+
+def unpack(part: Part) -> Update:
+    """Return the update that a received part contains.
+
+    Raises
+    ------
+    CorruptUpdateError
+        When the data is malformed, or larger than a part may be.
+    """
+    if isinstance(part, Update):
+        return part
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(part.data, MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise CorruptUpdateError(f'compressed update: {error}') from error
+    if not decompressor.eof or decompressor.unused_data:
+        raise CorruptUpdateError(
+            f'compressed update of {len(part.data)} bytes does not end '
+            f'within {MAX_UNPACKED_BYTES} uncompressed bytes'
+        )
+    try:
+        return decode(_UPDATE_DECODER.decode, data, 'update')
+    except MalformedDataError as error:
+        raise CorruptUpdateError(f'malformed {error}') from error
+
+
+def join(parts: Sequence[Part]) -> Update:
     """Join the parts of an update.
 
     Raises
     ------
     CorruptUpdateError
-        When the parts belong to different versions or one is missing.
+        When a part cannot be unpacked, the parts belong to different
+        versions or one is missing.
     """
-    first = parts[0]
-    for part in parts[1:]:
+    first, *others = updates = [unpack(part) for part in parts]
+    for part in others:
         if (part.head.version, part.base, part.digest) != (
             first.head.version,
             first.base,
@@ -337,13 +389,13 @@
                 f'part of version {part.head.version} follows a part of '
                 f'version {first.head.version}'
             )
-    if parts[-1].more:
+    if updates[-1].more:
         raise CorruptUpdateError(
             f'update to version {first.head.version} was received without '
             'its last part'
         )
     return msgspec.structs.replace(
         first,
-        fragments=tuple(item for part in parts for item in part.fragments),
+        fragments=tuple(item for part in updates for item in part.fragments),
         more=False,
     )
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -145,7 +145,7 @@
         self._installed_at = -math.inf
         self._delta_bases: dict[tuple[int, str], _delta.Base] = {}
         # Replies by version and digest of the base; (0, '') stands for none.
-        self._pull_replies: dict[tuple[int, str], Sequence[Update]] = {}
+        self._pull_replies: dict[tuple[int, str], Sequence[_delta.Part]] = {}
         self._floor: int | None = None
         self._reverts = RevertSet()
         self._reverts_pull_due = -math.inf
@@ -393,7 +393,10 @@
         return actions
 
     def handle_fetch_result(
-        self, address: str, reply: Update | Busy | None, now: float
+        self,
+        address: str,
+        reply: Update | Busy | CorruptUpdateError | None,
+        now: float,
     ) -> list[Action]:
         """Handle the result of a `Fetch`.
 
@@ -401,8 +404,9 @@
         ----------
         address : str
             Peer address that the pull was sent to.
-        reply : Update, Busy or None
-            Reply, joined from its parts; None when the peer did not reply.
+        reply : Update, Busy, CorruptUpdateError or None
+            Reply, joined from its parts; the error when they cannot be
+            joined, None when the peer did not reply.
         now : float
             Time in seconds.
         """
@@ -413,6 +417,14 @@
         if isinstance(reply, Update):
             self._pull_full = False
             actions = self.receive(reply, address, now)
+        elif isinstance(reply, CorruptUpdateError):
+            self._pull_full = True
+            version = source.version if source else 0
+            if source is not None:
+                self._add_source(address, source)
+            actions.append(
+                self._build_alarm('corrupt-update', version, address, reply)
+            )
         elif isinstance(reply, Busy) and source is not None:
             for other in reply.alternative_addresses:
                 if other != self._me.peer_address:
@@ -430,7 +442,7 @@
             self._pull_due = now + self._rng.uniform(max_delay / 4, max_delay)
         return actions
 
-    def build_pull_reply(self, pull: Pull) -> Sequence[Update]:
+    def build_pull_reply(self, pull: Pull) -> Sequence[_delta.Part]:
         """Return the parts of the reply to a pull.
 
         The reply is a delta if its base is available, and the full
@@ -452,11 +464,15 @@
             key = 0, ''
         if key not in self._pull_replies:
             target = _delta.Base.of(self._snapshot)
-            self._pull_replies[key] = _delta.split(
+            update = (
                 _delta.full_update(target)
                 if base is None
                 else _delta.diff(base, target)
             )
+            # Packed once, not for each daemon that pulls.
+            self._pull_replies[key] = tuple(
+                _delta.pack(part) for part in _delta.split(update)
+            )
         return self._pull_replies[key]
 
     def _build_update(self, snapshot: Snapshot) -> Update:
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -292,6 +292,21 @@
     more: bool = False
 
 
+class PackedUpdate(Message, frozen=True, tag=29):
+    """A compressed `Update` in the reply to a `Pull`.
+
+    Parameters
+    ----------
+    base : int
+        As in the update.
+    data : bytes
+        The encoded update in zlib format.
+    """
+
+    base: int
+    data: bytes
+
+
 class Announcement(Message, frozen=True, tag=21):
     """Notifies a peer of the sender's installed configuration version.
 
@@ -310,7 +325,9 @@
 
 
 class Pull(Message, frozen=True, tag=22):
-    """Requests the installed configuration; the reply is `Update` or `Busy`.
+    """Requests the installed configuration.
+
+    The reply is `Busy`, or one or more of `Update` and `PackedUpdate`.
 
     Parameters
     ----------
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -380,17 +380,14 @@
             self._execute(replica.tick(trio.current_time()))
 
     async def _fetch(self, action: Fetch) -> None:
-        reply: Update | Busy | None = None
+        reply: Update | Busy | CorruptUpdateError | None = None
         try:
             with trio.move_on_after(_FETCH_TIMEOUT_S):
                 reply = await self._pull(action)
         except (PeerError, trio.EndOfChannel) as error:
             logger.debug('pull from {} failed: {}', action.address, error)
         except CorruptUpdateError as error:
-            alarm = Alarm(
-                error.code, {'peer': action.address, 'error': str(error)}
-            )
-            self._execute([alarm])
+            reply = error
         if isinstance(reply, Update):
             self._observe_clock(reply)
         now = trio.current_time()
@@ -404,10 +401,11 @@
                 message = await exchange.receive()
                 if isinstance(message, Busy):
                     return message
-                if not isinstance(message, Update):
+                if not isinstance(message, _delta.Part):
                     return None
-                parts.append(message)
-                if not message.more:
+                part = _delta.unpack(message)
+                parts.append(part)
+                if not part.more:
                     break
         return _delta.join(parts)
 
--- a/tests/test_big_configuration.py
+++ b/tests/test_big_configuration.py
@@ -43,7 +43,7 @@
     return duration_s, zone
 
 
-@pytest.mark.parametrize('mbits_per_s', [10, 20])
+@pytest.mark.parametrize('mbits_per_s', [5, 10, 20])
 async def test_calls_cross_slow_links_while_the_configuration_grows(
     clock: MockClock, mbits_per_s: float
 ) -> None:
--- a/tests/test_core_delta.py
+++ b/tests/test_core_delta.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
+from typing import TYPE_CHECKING
+import zlib
 
 from hypothesis import given
 from hypothesis import settings
@@ -17,11 +20,15 @@
 from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.errors import InvalidUpdateError
+from gypsumhall.net._messages import PackedUpdate
 from gypsumhall.net._messages import Revert
 from gypsumhall.net._messages import Update
 from gypsumhall.testing import builders
 from gypsumhall.testing.fakes import FakeTable
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 NAMES = st.sampled_from(('bath', 'spa', 'steam', 'tub'))
 
 
@@ -85,7 +92,11 @@
         _delta.full_update(_delta.Base.of(new)),
     ):
         sent = [
-            msgspec.msgpack.decode(_model.encode(part), type=Update)
+            _delta.unpack(
+                msgspec.msgpack.decode(
+                    _model.encode(_delta.pack(part)), type=_delta.Part
+                )
+            )
             for part in _delta.split(update, limit)
         ]
         assert [part.more for part in sent] == [True] * (len(sent) - 1) + [
@@ -101,6 +112,55 @@
                 _delta.join(sent[:-1])
 
 
+def _build_large_update() -> Update:
+    fragment = builders.build_fragment(
+        routes=[
+            builders.build_route(f'r{index:03}', path=f'/{index}')
+            for index in range(500)
+        ]
+    )
+    snapshot = Snapshot.build(builders.build_head([fragment]), [fragment])
+    return _delta.full_update(_delta.Base.of(snapshot))
+
+
+def test_large_update_is_compressed() -> None:
+    """Uncompressed updates filled slow links."""
+    update = _build_large_update()
+    part = _delta.pack(update)
+    assert isinstance(part, PackedUpdate)
+    assert len(_model.encode(part)) < len(_model.encode(update)) / 5
+    assert _delta.unpack(part) == update
+
+
+@pytest.mark.parametrize(
+    'damage',
+    [
+        lambda data: data[:-1],
+        lambda data: data + b'x',
+        lambda data: data[:50] + bytes([data[50] ^ 1]) + data[51:],
+        lambda data: b'',
+        lambda data: zlib.compress(b'no update'),
+        lambda data: zlib.compress(bytes(_delta.MAX_UNPACKED_BYTES + 1)),
+        lambda data: zlib.compress(bytes(300_000_000)),
+    ],
+    ids=['cut', 'longer', 'changed', 'empty', 'other', 'large', 'huge'],
+)
+def test_damaged_or_oversized_compressed_update_is_corrupt(
+    damage: Callable[[bytes], bytes],
+) -> None:
+    """A few compressed bytes could take all memory of a daemon."""
+    part = _delta.pack(_build_large_update())
+    assert isinstance(part, PackedUpdate)
+    damaged = msgspec.structs.replace(part, data=damage(part.data))
+    tracemalloc.start()
+    try:
+        with pytest.raises(CorruptUpdateError):
+            _delta.unpack(damaged)
+        assert tracemalloc.get_traced_memory()[1] < 8 * 1024 * 1024
+    finally:
+        tracemalloc.stop()
+
+
 def test_a_delta_is_small_and_bound_to_its_base() -> None:
     routes = [
         builders.build_route(f'r{index:03}', path=f'/{index}')
--- a/tests/test_core_replica.py
+++ b/tests/test_core_replica.py
@@ -17,6 +17,7 @@
 from gypsumhall.core import _delta
 from gypsumhall.core import _model
 from gypsumhall.core._replica import Replica
+from gypsumhall.core._snapshot import CorruptUpdateError
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.net import _messages
 from gypsumhall.testing import builders
@@ -522,6 +523,34 @@
     assert repeated == []
 
 
+def test_corrupt_reply_is_reported_and_the_configuration_pulled_again() -> (
+    None
+):
+    """A daemon would otherwise keep its version until the next heartbeat."""
+    publisher, replica = _build_replicas(2)
+    fragment = _fragment('spa', 300)
+    publisher.publish(builders.build_head([fragment]), [fragment], 1.0)
+    message = _messages.Announcement(publisher.digest, 'd0')
+    replica.receive_announcement(message, 'source', 1.0)
+    (fetch,) = (
+        action
+        for action in replica.tick(1.0)
+        if isinstance(action, _actions.Fetch)
+    )
+    error = CorruptUpdateError('damaged')
+    (alarm,) = replica.handle_fetch_result(fetch.address, error, 1.1)
+    assert isinstance(alarm, _actions.Alarm)
+    assert alarm.code == 'corrupt-update'
+    assert replica.version == 0
+    assert replica.due < 1.1 + 1.0
+    fetches = [
+        action
+        for action in replica.tick(replica.due)
+        if isinstance(action, _actions.Fetch)
+    ]
+    assert [action.pull for action in fetches] == [_messages.Pull()]
+
+
 def test_backoff_of_pulls_is_bounded_in_a_long_partition() -> None:
     """An unbounded backoff overflowed after about 1,000 failures."""
     members = [builders.build_member(index) for index in range(2)]
