--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -292,14 +292,42 @@
     more: bool = False
 
 
+class PackedUpdate(Message, frozen=True, tag=29):
+    """A compressed `Update` in the reply to a `Pull`.
+
+    Parameters
+    ----------
+    base : int
+        As in the update.
+    data : bytes
+        The encoded update in zlib format.
+    """
+
+    base: int
+    data: bytes
+
+
 class Announcement(Message, frozen=True, tag=21):
-    """Notifies a peer of the sender's installed configuration version."""
+    """Notifies a peer of the sender's installed configuration version.
+
+    Parameters
+    ----------
+    digest : Digest
+        Digest of the sender's state.
+    root : str
+        Id of the daemon at the root of the distribution tree in which a
+        large version is announced instead of pushed: the receiver pulls it
+        at once. Empty outside a tree.
+    """
 
     digest: Digest
+    root: str = ''
 
 
 class Pull(Message, frozen=True, tag=22):
-    """Requests the installed configuration; the reply is `Update` or `Busy`.
+    """Requests the installed configuration.
+
+    The reply is `Busy`, or one or more of `Update` and `PackedUpdate`.
 
     Parameters
     ----------
