Answer requests behind a response that did not announce a close

Callers saw a whole request end without a response: a daemon that stopped while a response without `Connection: close` was being sent ended the connection after it. Requests behind it were dropped if they had been read, and those that came next were read and discarded for up to 0.5 s. A request that the kernel held for an idle connection was reset.

The connection parsed nothing more once the server stopped and no request was left. It now closes in a stop only after a response that says so, or when it is idle and the kernel has nothing for it: the deadline of the read is set to the present time instead of cancelling it, and trio handles input before it handles deadlines. A request that is read gets a response that closes.

Three tests in tests/test_services_http_server.py failed before: two connections ended without a response to a request that had been read, one was reset.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -424,8 +424,8 @@
         self._disconnected = False
         self._finished = False
         self._stopping = stopping
-        self._idle_deadline = trio.current_time() + settings.idle_timeout_s
         self._read_scope = trio.CancelScope()
+        self._limit_idle_time()
         self._room = trio.Event()
         self._send_lock = trio.Lock()
         self._nursery: trio.Nursery
@@ -446,7 +446,7 @@
         """Close the connection after the requests that were read."""
         self._stopping = True
         if self.pipeline.empty:
-            self._read_scope.cancel()
+            self._limit_idle_time()
 
     def close_after(self, exchange: Exchange) -> bool:
         """Close from a response on; return whether it is the last one."""
@@ -512,17 +512,25 @@
             if not self.pipeline.closing:
                 parser.start_next_cycle()
         self._notify_exchanges()
-        if self._finished or (self._stopping and self.pipeline.empty):
-            self._finish()
+        if self._finished:
             return
+        # Also in a stop: unless the response announced that the connection
+        # closes, the requests behind it are answered.
         self._parse()
         if self.pipeline.empty:
-            self._idle_deadline = (
-                trio.current_time() + self._settings.idle_timeout_s
-            )
-            self._read_scope.deadline = self._idle_deadline
+            self._limit_idle_time()
         self._room.set()
 
+    def _limit_idle_time(self) -> None:
+        """Set the time at which the connection closes without a request.
+
+        In a stop this is now. A request that the kernel has received is still
+        read and answered, since trio handles it before it ends the reading.
+        """
+        idle_s = 0.0 if self._stopping else self._settings.idle_timeout_s
+        self._idle_deadline = trio.current_time() + idle_s
+        self._read_scope.deadline = self._idle_deadline
+
     def _is_last(self, exchange: Exchange) -> bool:
         """Return whether the connection closes after a response."""
         parser = exchange.parser
@@ -549,8 +557,6 @@
 
     async def _read_until_closed(self) -> None:
         while not self._finished:
-            if self._stopping and self.pipeline.empty:
-                return
             if self._is_full():
                 self._room = trio.Event()
                 await self._room.wait()
--- a/gypsumhall/testing/pipelining.py
+++ b/gypsumhall/testing/pipelining.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+from typing import Any
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from gypsumhall.services import _backend_client
+from gypsumhall.services import _http_server
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
@@ -236,6 +238,66 @@
         return responses
 
 
+class HttpServer:
+    """An HTTP server of its own, on a loopback port.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    """
+
+    def __init__(self, application: Any) -> None:
+        self._application = application
+        self._port = 0
+        self.stop = trio.Event()
+        self.ended = trio.Event()
+
+    @property
+    def port(self) -> int:
+        """Port on the loopback address."""
+        return self._port
+
+    async def run(
+        self,
+        settings: _http_server.HttpSettings,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until `stop` is set and all connections have ended."""
+        async with trio.open_nursery() as nursery:
+
+            async def serve(*, task_status: trio.TaskStatus[str]) -> None:
+                await _http_server.serve(
+                    self._application,
+                    settings,
+                    '127.0.0.1:0',
+                    self.stop,
+                    task_status=task_status,
+                )
+
+            address = await nursery.start(serve)
+            self._port = int(address.rpartition(':')[2])
+            task_status.started()
+        self.ended.set()
+
+    async def connect(self, receive_bytes: int = 0) -> PipeliningCaller:
+        """Open a connection.
+
+        Parameters
+        ----------
+        receive_bytes : int
+            Size of the buffer for received data; 0 for that of the system.
+        """
+        connection = trio.socket.socket()
+        if receive_bytes:
+            connection.setsockopt(
+                trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_bytes
+            )
+        await connection.connect(('127.0.0.1', self._port))
+        return PipeliningCaller(trio.SocketStream(connection))
+
+
 async def connect(daemon: CallPathDaemon) -> PipeliningCaller:
     """Open a connection to a daemon."""
     assert daemon.caller is not None
--- /dev/null
+++ b/tests/test_services_http_server.py
@@ -0,0 +1,162 @@
+"""Tests of the end of connections, on real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from gypsumhall.services import _http_server
+from gypsumhall.testing import pipelining
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+_TIME_LIMIT_S = 20.0
+
+
+class _Application:
+    """Application that sends as many bytes as the path of a request says.
+
+    With ``/held/`` in front it sends the second half when `release` is set.
+    """
+
+    def __init__(self) -> None:
+        self.paths: list[str] = []
+        self.release = trio.Event()
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Any, send: Any
+    ) -> None:
+        self.paths.append(scope['path'])
+        size = int(scope['path'].rpartition('/')[2])
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [(b'content-length', b'%d' % size)],
+            }
+        )
+        await send(
+            {
+                'type': 'http.response.body',
+                'body': bytes(size // 2),
+                'more_body': True,
+            }
+        )
+        if scope['path'].startswith('/held/'):
+            await self.release.wait()
+        await send(
+            {'type': 'http.response.body', 'body': bytes(size - size // 2)}
+        )
+
+
+def _get(path: str) -> bytes:
+    return f'GET {path} HTTP/1.1\r\nHost: spa.example\r\n\r\n'.encode()
+
+
+@contextlib.asynccontextmanager
+async def _serve(
+    **settings: Any,
+) -> AsyncIterator[tuple[pipelining.HttpServer, _Application]]:
+    application = _Application()
+    server = pipelining.HttpServer(application)
+    with trio.fail_after(_TIME_LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                server.run, _http_server.HttpSettings(**settings)
+            )
+            yield server, application
+            nursery.cancel_scope.cancel()
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    while True:
+        if condition():
+            return
+        await trio.sleep(0.005)
+
+
+@pytest.fixture
+def received(monkeypatch: pytest.MonkeyPatch) -> bytearray:
+    """Return what the servers of a test take from their sockets."""
+    data = bytearray()
+    receive = _http_server.trio.SocketStream.receive_some
+
+    async def recording_receive(
+        stream: trio.SocketStream, max_bytes: int | None = None
+    ) -> bytes:
+        part = await receive(stream, max_bytes)
+        if not getattr(stream, 'of_caller', False):
+            data.extend(part)
+        return bytes(part)
+
+    monkeypatch.setattr(trio.SocketStream, 'receive_some', recording_receive)
+    return data
+
+
+async def test_request_that_arrived_before_the_stop_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Closing without reading it would reset the connection."""
+    stop = _http_server._Connection.stop
+
+    def stop_after_a_request(connection: _http_server._Connection) -> None:
+        caller.stream.socket._sock.send(_get('/2'))
+        stop(connection)
+
+    monkeypatch.setattr(_http_server._Connection, 'stop', stop_after_a_request)
+    async with _serve() as (server, application):
+        caller = await server.connect()
+        async with caller.stream:
+            await caller.send(_get('/1'))
+            assert (await caller.read_response()).status == 200
+            server.stop.set()
+            responses = await caller.read_until_closed()
+        assert [len(response.body) for response in responses] == [2]
+        assert responses[0].closes
+        assert application.paths == ['/1', '/2']
+
+
+async def test_stop_answers_requests_behind_a_response_without_close() -> None:
+    """They were read, and no response told their caller to repeat them."""
+    async with _serve(read_ahead=1) as (server, application):
+        caller = await server.connect()
+        async with caller.stream:
+            await caller.send(_get('/held/4000'), _get('/5'))
+            await _until(lambda: application.paths == ['/held/4000'])
+            server.stop.set()
+            await trio.sleep(0.1)
+            application.release.set()
+            responses = await caller.read_until_closed()
+        assert [len(response.body) for response in responses] == [4000, 5]
+        assert [response.closes for response in responses] == [False, True]
+
+
+async def test_stop_discards_no_request_behind_a_response_without_close(
+    received: bytearray,
+) -> None:
+    """A request that has been read must not end without a response."""
+    async with _serve() as (server, application):
+        caller = await server.connect()
+        caller.stream.of_caller = True
+        async with caller.stream:
+            await caller.send(_get('/held/4000'))
+            await _until(lambda: application.paths == ['/held/4000'])
+            server.stop.set()
+            await trio.sleep(0.1)
+            application.release.set()
+            response = await caller.read_response()
+            assert len(response.body) == 4000
+            assert not response.closes
+            with contextlib.suppress(trio.BrokenResourceError):
+                await caller.send(_get('/6'))
+            responses = []
+            with contextlib.suppress(trio.BrokenResourceError):
+                responses = await caller.read_until_closed()
+            await server.ended.wait()
+        assert bool(responses) == (b'/6' in received)
