Accept the connections that wait when the listener closes

Callers whose connection the kernel had accepted and a stopping daemon had not got a reset or an end of the connection in place of a response to a request that they had sent.

A stop closed the listener at once, which resets what waits in its queue, and a connection accepted in that moment was closed unread.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -11,6 +11,7 @@
 from collections import deque
 import contextlib
 import math
+import select
 import socket
 import struct
 from typing import Any
@@ -34,6 +35,10 @@
 _RECEIVE_BYTES = 64 * 1024
 # A connection whose caller reads nothing for this long, in seconds, is closed.
 _SEND_TIMEOUT_S = 30.0
+# Time in seconds for a request on a connection that is accepted in a stop.
+_FIRST_READ_S = 0.1
+# Limit in seconds on accepting the connections that wait at a stop.
+_ACCEPT_TIMEOUT_S = 0.1
 # Limits on discarding data after the last response. Closing a connection with
 # unread bytes resets it, which can discard the response on its way.
 _LINGER_S = 1.0
@@ -426,6 +431,9 @@
         self._stopping = stopping
         self._read_scope = trio.CancelScope()
         self._limit_idle_time()
+        if stopping:
+            # The caller may not have sent its request yet.
+            self._idle_deadline += _FIRST_READ_S
         self._room = trio.Event()
         self._send_lock = trio.Lock()
         self._nursery: trio.Nursery
@@ -721,6 +729,7 @@
             bound = listeners[0].socket.getsockname()[1]
             task_status.started(f'{host}:{bound}')
             await stop.wait()
+            await _wait_until_accepted(listeners)
             listening.cancel_scope.cancel()
         for connection in connections:
             connection.stop()
@@ -729,6 +738,19 @@
         )
 
 
+async def _wait_until_accepted(listeners: list[trio.SocketListener]) -> None:
+    """Wait until no connection is in the queues of the listeners.
+
+    The end of a listener resets those that are.
+    """
+    poll = select.poll()
+    for listener in listeners:
+        poll.register(listener.socket.fileno(), select.POLLIN)
+    with trio.move_on_after(_ACCEPT_TIMEOUT_S):
+        while poll.poll(0):
+            await trio.lowlevel.checkpoint()
+
+
 async def serve_stream(
     application: Application, settings: HttpSettings, stream: Any
 ) -> None:
--- a/tests/test_services_http_server.py
+++ b/tests/test_services_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -160,3 +161,25 @@
                 responses = await caller.read_until_closed()
             await server.ended.wait()
         assert bool(responses) == (b'/6' in received)
+
+
+async def test_connections_that_wait_to_be_accepted_are_served() -> None:
+    """The end of the listener would reset them."""
+    async with _serve() as (server, application):
+        callers = [await server.connect() for _ in range(20)]
+        # No connection can be accepted before the stop.
+        blocking = [
+            socket.create_connection(('127.0.0.1', server.port))
+            for _ in range(20)
+        ]
+        for connection in blocking:
+            connection.sendall(_get('/7'))
+        server.stop.set()
+        for caller in callers:
+            assert await caller.read_until_closed() == []
+        await server.ended.wait()
+        for connection in blocking:
+            with connection:
+                connection.settimeout(1.0)
+                assert connection.recv(65536).startswith(b'HTTP/1.1 200 ')
+        assert application.paths == ['/7'] * 20
