Keep a closing response whatever its caller still sends

Callers that sent on behind a response with `Connection: close` and read it slowly received a part of it and then a reset.

After the response the server discarded input for 1 s or 256 KiB and closed. Input that was unread then, or came later, resets the connection, and the kernel drops what it has not delivered yet. The server now closes only when the kernel of the caller has acknowledged the whole response; beyond 256 KiB it stops reading, which holds the caller back, until the second is over.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -10,10 +10,13 @@
 
 from collections import deque
 import contextlib
+import fcntl
 import math
 import select
 import socket
 import struct
+import sys
+import termios
 from typing import Any
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
@@ -42,7 +45,9 @@
 # Limits on discarding data after the last response. Closing a connection with
 # unread bytes resets it, which can discard the response on its way.
 _LINGER_S = 1.0
+_STOP_LINGER_S = 0.5
 _MAX_LINGER_BYTES = 256 * 1024
+_UNSENT_CHECK_INTERVAL_S = 0.02
 # Bytes of a request body that wait for the application.
 _MAX_BODY_BYTES = 256 * 1024
 # Bytes that are read behind the requests that there is room for.
@@ -51,6 +56,8 @@
 # next one while it is held until it is complete.
 _MAX_HELD_BYTES = 256 * 1024
 _MAX_READ_AHEAD_BYTES = 64 * 1024
+# State of a connection that has been reset, from the kernel's `tcp_states.h`.
+_TCP_CLOSE = 7
 _NO_BODY_STATUSES = frozenset([204, 304])
 
 
@@ -434,6 +441,7 @@
         if stopping:
             # The caller may not have sent its request yet.
             self._idle_deadline += _FIRST_READ_S
+        self._linger_scope = trio.CancelScope()
         self._room = trio.Event()
         self._send_lock = trio.Lock()
         self._nursery: trio.Nursery
@@ -453,6 +461,9 @@
     def stop(self) -> None:
         """Close the connection after the requests that were read."""
         self._stopping = True
+        self._linger_scope.deadline = min(
+            self._linger_scope.deadline, trio.current_time() + _STOP_LINGER_S
+        )
         if self.pipeline.empty:
             self._limit_idle_time()
 
@@ -663,19 +674,38 @@
         )
 
     async def _close_gracefully(self) -> None:
-        """Let the caller read the last response before the end."""
-        with trio.move_on_after(_LINGER_S):
+        """Let the caller receive the last response before the end."""
+        with trio.move_on_after(_SEND_TIMEOUT_S):
             try:
                 await self._stream.send_eof()
-                discarded = 0
-                while self._finished and discarded < _MAX_LINGER_BYTES:
-                    data = await self._stream.receive_some(_RECEIVE_BYTES)
-                    if not data:
-                        return
-                    discarded += len(data)
+                if self._finished and await self._discard_input():
+                    return
+                await self._wait_until_delivered()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
 
+    async def _discard_input(self) -> bool:
+        """Discard input for a time; return whether the caller has closed."""
+        self._linger_scope.deadline = trio.current_time() + (
+            _STOP_LINGER_S if self._stopping else _LINGER_S
+        )
+        with self._linger_scope:
+            discarded = 0
+            while discarded < _MAX_LINGER_BYTES:
+                data = await self._stream.receive_some(_RECEIVE_BYTES)
+                if not data:
+                    return True
+                discarded += len(data)
+            await trio.sleep_forever()
+        return False
+
+    async def _wait_until_delivered(self) -> None:
+        """Wait until the kernel of the caller has received all data."""
+        while True:
+            if not _has_unsent_data(self._stream):
+                return
+            await trio.sleep(_UNSENT_CHECK_INTERVAL_S)
+
 
 async def serve(
     application: Application,
@@ -768,6 +798,20 @@
     await _Connection(application, settings, stream).run()
 
 
+def _has_unsent_data(stream: Any) -> bool:
+    """Return whether the kernel of the caller has yet to receive data."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    assert isinstance(state, bytes)
+    if state[0] == _TCP_CLOSE:
+        return False
+    queued = bytearray(4)
+    fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, queued)
+    # The end of the stream counts as one byte.
+    return int.from_bytes(queued, sys.byteorder) > 1
+
+
 def _body_message(data: bytes, *, more: bool) -> dict[str, Any]:
     return {'type': 'http.request', 'body': data, 'more_body': more}
 
--- a/gypsumhall/testing/pipelining.py
+++ b/gypsumhall/testing/pipelining.py
@@ -72,7 +72,7 @@
         Body with a length; without one if it is empty and `method` is GET.
     fault : str
         Fault of the backend server: ``truncate`` for a response that breaks
-        off, ``large`` for one of 1 MB.
+        off, ``medium`` for one of 200 KB, ``large`` for one of 1 MB.
     fields : tuple of str
         Further header lines.
     """
@@ -134,6 +134,8 @@
             content = request_id.encode()
             if fault in (b'large', b'truncate'):
                 content = content.ljust(1_000_000)
+            elif fault == b'medium':
+                content = content.ljust(200_000)
 
             async def parts() -> AsyncGenerator[bytes, None]:
                 yield content[:100_000]
@@ -289,17 +291,23 @@
         receive_bytes : int
             Size of the buffer for received data; 0 for that of the system.
         """
-        connection = trio.socket.socket()
-        if receive_bytes:
-            connection.setsockopt(
-                trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_bytes
-            )
-        await connection.connect(('127.0.0.1', self._port))
-        return PipeliningCaller(trio.SocketStream(connection))
+        return await _connect(self._port, receive_bytes)
 
 
-async def connect(daemon: CallPathDaemon) -> PipeliningCaller:
-    """Open a connection to a daemon."""
+async def connect(
+    daemon: CallPathDaemon, receive_bytes: int = 0
+) -> PipeliningCaller:
+    """Open a connection to a daemon; see `HttpServer.connect`."""
     assert daemon.caller is not None
-    host, _, port = daemon.caller.address.rpartition(':')
-    return PipeliningCaller(await trio.open_tcp_stream(host, int(port)))
+    port = daemon.caller.address.rpartition(':')[2]
+    return await _connect(int(port), receive_bytes)
+
+
+async def _connect(port: int, receive_bytes: int) -> PipeliningCaller:
+    connection = trio.socket.socket()
+    if receive_bytes:
+        connection.setsockopt(
+            trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_bytes
+        )
+    await connection.connect(('127.0.0.1', port))
+    return PipeliningCaller(trio.SocketStream(connection))
--- a/tests/test_services_http_server.py
+++ b/tests/test_services_http_server.py
@@ -56,8 +56,9 @@
         )
 
 
-def _get(path: str) -> bytes:
-    return f'GET {path} HTTP/1.1\r\nHost: spa.example\r\n\r\n'.encode()
+def _get(path: str, *fields: str) -> bytes:
+    lines = [f'GET {path} HTTP/1.1', 'Host: spa.example', *fields, '', '']
+    return '\r\n'.join(lines).encode()
 
 
 @contextlib.asynccontextmanager
@@ -183,3 +184,36 @@
                 connection.settimeout(1.0)
                 assert connection.recv(65536).startswith(b'HTTP/1.1 200 ')
         assert application.paths == ['/7'] * 20
+
+
+@pytest.mark.parametrize('stops', [False, True])
+async def test_flood_behind_a_closing_response_does_not_truncate_it(
+    *, stops: bool
+) -> None:
+    """The end of a connection with unread input discards what is unsent."""
+    async with _serve(close_timeout_s=_TIME_LIMIT_S) as (server, _):
+        caller = await server.connect(receive_bytes=4096)
+        async with caller.stream, trio.open_nursery() as nursery:
+
+            async def send() -> None:
+                flood = 2000 * _get('/8')
+                with contextlib.suppress(
+                    trio.BrokenResourceError, trio.ClosedResourceError
+                ):
+                    while True:
+                        await caller.send(flood)
+                        await trio.sleep(0.001)
+
+            await caller.send(_get('/400000', 'Connection: close'))
+            nursery.start_soon(send)
+            await trio.sleep(0.1)
+            if stops:
+                server.stop.set()
+            await trio.sleep(0.3)
+            received = b''
+            with contextlib.suppress(trio.BrokenResourceError):
+                while data := await caller.stream.receive_some(4096):
+                    received += data
+                    await trio.sleep(0.01)
+            assert len(received.partition(b'\r\n\r\n')[2]) == 400_000
+            nursery.cancel_scope.cancel()
