Give held responses the time of the drain to reach their callers

Callers that sent several requests at once and read slowly received a truncated response from a stopping daemon, although most of its grace time was left.

A response that is held until those in front have been sent is complete for the application, so the drain saw no request in progress. It then closed the server, which cut all connections 0.5 s later. The server of the callers now has no limit of its own: idle connections end at once, and what is being sent has the time of the drain, which the kernel of the daemon bounds by the grace time.

test_slow_reader_gets_the_held_responses_in_a_stop failed before: 20,439 of 200,000 bytes of the first of three responses.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -56,9 +56,6 @@
 # sent every second. No request for `_IDLE_AFTER_S` shows that they have left.
 _MIN_DRAIN_DELAY_S = 1.0
 _IDLE_AFTER_S = 0.8
-# Time limit in seconds for closing the connections after the last request has
-# ended. Only requests that were read at that moment need it, to be rejected.
-_CLOSE_TIMEOUT_S = 0.5
 # Time limit in seconds for sending the response to a cancelled request.
 _FINAL_RESPONSE_TIMEOUT_S = 0.1
 # Limits on discarding the rest of a request body after its rejection. Closing
@@ -362,7 +359,8 @@
             error_headers = ((self._dialect.outcome, outcome),)
         settings = _http_server.HttpSettings(
             max_head_bytes=_calls.MAX_HEADER_BYTES,
-            close_timeout_s=_CLOSE_TIMEOUT_S,
+            # Callers that read slowly have the time of the drain.
+            close_timeout_s=math.inf,
             error_headers=error_headers,
         )
         async with trio.open_nursery() as nursery:
--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -242,6 +242,29 @@
             assert backend.started == ['a']
 
 
+async def test_slow_reader_gets_the_held_responses_in_a_stop() -> None:
+    """The grace time bounds their way to the caller, not a shorter time."""
+    backend = ScriptedBackend()
+    with trio.fail_after(_TIME_LIMIT_S):
+        async with pipelining.run_daemon(backend) as daemon:
+            caller = await pipelining.connect(daemon, receive_bytes=4096)
+            async with caller.stream:
+                await caller.send(
+                    build_request('a', fault='medium', work_s=0.2),
+                    build_request('b', fault='medium'),
+                    build_request('c'),
+                )
+                await _until(lambda: len(backend.completed) == 3)
+                daemon.kernel.stop()
+                await trio.sleep(1.0)
+                responses = await caller.read_until_closed()
+            assert [len(response.body) for response in responses] == [
+                200_000,
+                200_000,
+                1,
+            ]
+
+
 async def test_request_that_closes_hides_what_is_behind() -> None:
     async with _open() as (backend, _, caller):
         await caller.send(
