Add a soak of real daemons with planned stops, faults and checks

Callers on kept and new connections, endpoints, the store and the links are played by one process; the daemons are separate processes.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 lint: venv
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
-	$(PY) -m flake8 gypsumhall tests benchmarks
+	$(PY) -m flake8 gypsumhall soak tests benchmarks
 	$(PY) -m mypy
 
 format: venv
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -102,6 +102,13 @@
         self.peer_port = settings.integer(
             'peer_port', 7600, 'Port for other daemons.', highest=65535
         )
+        self.advertised_peer_address = settings.address(
+            'advertised_peer_address',
+            '',
+            '<ip>:<port> at which other daemons reach this one, if it '
+            'differs from the IP and the peer port.',
+            allow_host_names=False,
+        )
         self.outbound_address = settings.address(
             'outbound_address', '', '<ip>:<port> for callers.', required=True
         )
@@ -167,6 +174,7 @@
         int(time.time() * 1000),
         f'{settings.ip.value}:{settings.peer_port.value}',
         (key,),
+        settings.advertised_peer_address.value,
         stream=StreamSettings(ping_after_s=0.25, dead_after_s=0.75),
         connect_timeout_s=0.25,
     )
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real daemons with faults, checked from outside."""
