Ignore signals while the process exits

A further SIGTERM that arrived after the graceful shutdown, while the interpreter exits, ended the process with status -15 instead of 0, because the signal receiver had restored the default action. A signal that arrived before the service lifecycle had started failed with an AttributeError and status 1. Both ends are covered by test_signal_before_or_after_the_run_does_not_end_the_process, which failed before. Handlers are now set before the kernel runs and stay; signals from before the run are handled when it begins.

--- a/gypsumhall/cli/_run.py
+++ b/gypsumhall/cli/_run.py
@@ -23,7 +23,14 @@
     kernel: Kernel,
     drain_timeout_s: float,
     ignored_signals: Sequence[signal.Signals],
+    early_signals: Sequence[int],
 ) -> None:
+    def handle(received: int) -> None:
+        lifecycle = kernel.get('lifecycle', Lifecycle)
+        lifecycle.record_signal(signal.Signals(received).name)
+        if received in _STOP_SIGNALS:
+            kernel.stop()
+
     with trio.open_signal_receiver(
         *_STOP_SIGNALS, *ignored_signals
     ) as signals:
@@ -31,11 +38,10 @@
 
             async def stop_on_signal() -> None:
                 async for received in signals:
-                    lifecycle = kernel.get('lifecycle', Lifecycle)
-                    lifecycle.record_signal(signal.Signals(received).name)
-                    if received in _STOP_SIGNALS:
-                        kernel.stop()
+                    handle(received)
 
+            for received in tuple(early_signals):
+                handle(received)
             nursery.start_soon(stop_on_signal)
             await kernel.run(drain_timeout_s=drain_timeout_s)
             nursery.cancel_scope.cancel()
@@ -48,6 +54,9 @@
 ) -> int:
     """Run a kernel until SIGTERM or SIGINT, and return the exit status.
 
+    The signals have no effect after the run, so that they do not change the
+    exit status of the process.
+
     Parameters
     ----------
     kernel : Kernel
@@ -63,8 +72,12 @@
         0 after a graceful shutdown, 1 when a service failed.
     """
     status = 0
+    other_signals: list[int] = []
+    for number in (*_STOP_SIGNALS, *ignored_signals):
+        # Called before and after the time in which the kernel receives them.
+        signal.signal(number, lambda other, _: other_signals.append(other))
     try:
-        trio.run(_run, kernel, drain_timeout_s, ignored_signals)
+        trio.run(_run, kernel, drain_timeout_s, ignored_signals, other_signals)
     except* (OSError, GypsumhallError):
         raise
     except* Exception as group:
--- a/gypsumhall/services/_lifecycle.py
+++ b/gypsumhall/services/_lifecycle.py
@@ -23,6 +23,9 @@
 
     def __init__(self) -> None:
         self._events: _protocols.Events
+        self._is_running = False
+        # Received before the service has started.
+        self._early_signals: list[str] = []
         self._started_at = 0.0
         self._stopping_at: float | None = None
 
@@ -36,13 +39,19 @@
         self._events = kernel.get('events', _protocols.Events)
         self._started_at = trio.current_time()
         self._events.emit('daemon-started', pid=os.getpid())
+        self._is_running = True
+        for name in self._early_signals:
+            self.record_signal(name)
         task_status.started()
         await kernel.stopping.wait()
         self._record_shutdown()
 
     def record_signal(self, name: str) -> None:
         """Emit an event for a signal that the process received."""
-        self._events.emit('signal-received', signal=name)
+        if self._is_running:
+            self._events.emit('signal-received', signal=name)
+        else:
+            self._early_signals.append(name)
 
     async def drain(self) -> None:
         """Emit the last event of the daemon."""
