--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -25,6 +25,7 @@
     from soak._endpoint import Endpoint
     from soak._processes import Daemon
     from soak._processes import Vm
+    from soak._starvation import Starvation
 
 # Bounds of the users' rules, in seconds.
 GONE_S = 0.5
@@ -45,12 +46,13 @@
 
     Parameters
     ----------
-    waited : callable
-        Returns the seconds that processes waited between two times.
+    starvation : Starvation
+        Tells when the machine slowed the processes down.
     """
 
-    def __init__(self, waited: Callable[[float, float], float]) -> None:
-        self._waited = waited
+    def __init__(self, starvation: Starvation) -> None:
+        self._starvation = starvation
+        self._waited = starvation.waited
         self.records = Records()
         self.operator: Operator
         self.daemons: list[Daemon] = []
@@ -113,10 +115,14 @@
         disruptions = list(self._disruptions)
         if with_store:
             disruptions += self._store_disruptions
-        return not any(
+        disrupted = any(
             first <= end and last >= start - STABLE_S
             for first, last in disruptions
         )
+        # As in the users' rules, a machine that is slowed down is not calm.
+        return not disrupted and not self._starvation.was_slow(
+            start - STABLE_S, end
+        )
 
     def arrive(
         self,
@@ -165,7 +171,9 @@
 
     def finish(self, request: Request) -> None:
         """Check a request that has ended for its caller."""
-        self.count(f'{request.end.value}' if request.end else 'none')
+        calm = self.is_calm(request.write_started_at, request.ended_at)
+        self.count('beside planned work only' if calm else 'beside faults')
+        self.count(request.end.value if request.end else 'open')
         if request.end is End.ANSWERED:
             self.count(f'status {request.status}')
             self._check_answer(request)
--- a/soak/_endpoint.py
+++ b/soak/_endpoint.py
@@ -86,8 +86,7 @@
             await trio.sleep(self._rng.uniform(0.5, 1.5))
 
     async def _serve_lifetime(self, born_ms: int) -> None:
-        host, _, port = self._vm.backend_address.rpartition(':')
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        listeners = await self._listen()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 trio.serve_listeners, self._serve_connection, listeners
@@ -107,6 +106,15 @@
                 await self._beat('DELETE', born_ms)
             nursery.cancel_scope.cancel()
 
+    async def _listen(self) -> list[trio.SocketListener]:
+        host, _, port = self._vm.backend_address.rpartition(':')
+        while True:
+            # A daemon that is being started has the descriptors of this
+            # process until it executes its program.
+            with suppress(OSError):
+                return await trio.open_tcp_listeners(int(port), host=host)
+            await trio.sleep(0.1)
+
     async def _beat(self, method: str, born_ms: int) -> bool:
         self._sequence += 1
         value = {
@@ -139,15 +147,17 @@
         return False
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        with suppress(
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            h11.ProtocolError,
-        ):
-            async with stream:
+        async with stream:
+            try:
                 connection = h11.Connection(h11.SERVER)
                 while await self._serve_request(stream, connection):
                     connection.start_next_cycle()
+            except* (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+                h11.ProtocolError,
+            ):
+                pass
 
     async def _serve_request(
         self, stream: trio.SocketStream, connection: h11.Connection
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -101,6 +101,8 @@
         Directory of its log.
     checks : Checks
         Receives ends that nobody asked for.
+    relayed : bool
+        Whether other daemons connect through a relay.
 
     Attributes
     ----------
@@ -114,8 +116,11 @@
         Whether the last two readiness probes did not both fail.
     """
 
-    def __init__(self, vm: Vm, directory: Path, checks: Checks) -> None:
+    def __init__(
+        self, vm: Vm, directory: Path, checks: Checks, *, relayed: bool
+    ) -> None:
         self.vm = vm
+        self._peer_port = _LISTEN_PORT if relayed else _PEER_PORT
         self.starts = 0
         self.ready_since: float | None = None
         self.terminated_at: float | None = None
@@ -140,7 +145,7 @@
             'id': f'vm-{vm.index}',
             'zone': vm.zone,
             'ip': vm.ip,
-            'peer_port': str(_LISTEN_PORT),
+            'peer_port': str(self._peer_port),
             'advertised_peer_address': vm.peer_address,
             'outbound_address': vm.outbound_address,
             'ready_address': vm.ready_address,
@@ -154,6 +159,8 @@
             f'GYPSUMHALL_{name.upper()}': value
             for name, value in settings.items()
         }
+        # Probes that have begun tell nothing about the new process.
+        self.starts += 1
         self.ready_since = self.terminated_at = None
         self.admits_callers = self.listened = self._killed = False
         with self._log.open('ab') as file:
@@ -165,7 +172,6 @@
                 env=os.environ | environment,
                 cwd=_ROOT,
             )
-        self.starts += 1
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it has not ended."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -87,7 +87,7 @@
         self._settings = settings
         self._directory = directory
         self.starvation = Starvation(self._pids)
-        self.checks = Checks(self.starvation.waited)
+        self.checks = Checks(self.starvation)
         self._links = Links()
         self._daemons: list[Daemon] = []
         self._endpoints: list[Endpoint] = []
@@ -105,7 +105,12 @@
                 service = _configurations.SERVICES[index % 3 == 2]
                 zones = min(settings.daemons, _MAX_ZONES)
                 vm = Vm(index, network, zones, service)
-                daemon = Daemon(vm, self._directory, self.checks)
+                daemon = Daemon(
+                    vm,
+                    self._directory,
+                    self.checks,
+                    relayed=settings.unplanned,
+                )
                 self._daemons.append(daemon)
             self.checks.services = [item.vm.service for item in self._daemons]
             try:
@@ -127,7 +132,8 @@
         )
         for daemon in self._daemons:
             vm = daemon.vm
-            await nursery.start(serve_relay, vm, self._links)
+            if settings.unplanned:
+                await nursery.start(serve_relay, vm, self._links)
             rng = random.Random(f'endpoint {settings.seed} {vm.index}')
             endpoint = Endpoint(vm, checks, rng)
             self._endpoints.append(endpoint)
--- a/soak/_starvation.py
+++ b/soak/_starvation.py
@@ -4,7 +4,6 @@
 
 from bisect import bisect_left
 from bisect import bisect_right
-from itertools import pairwise
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,9 @@
     from collections.abc import Mapping
 
 _INTERVAL_S = 0.05
+# A daemon that is silent for 0.75 s is taken for lost by others; heartbeats
+# follow 0.25 s after the last message.
+_SLOW_S = 0.25
 
 
 class Starvation:
@@ -30,11 +32,13 @@
         Returns the running daemons' process ids by index of their VM.
     """
 
-    __slots__ = ('_pids', '_samples', '_times')
+    __slots__ = ('_pids', '_samples', '_slow_at', '_times')
 
     def __init__(self, pids: Callable[[], Mapping[int, int]]) -> None:
         self._pids = pids
         self._times: list[float] = []
+        # Times of the samples in which a process waited too long.
+        self._slow_at: list[float] = []
         self._samples: list[tuple[float, dict[int, float]]] = []
 
     async def run(self) -> None:
@@ -51,6 +55,8 @@
                 previous[pid] = total
             self._times.append(now)
             self._samples.append((now - due, waits))
+            if max([now - due, *waits.values()]) >= _SLOW_S:
+                self._slow_at.append(now)
 
     def waited(self, start: float, end: float) -> float:
         """Return the time in seconds that a call may have lost to waiting.
@@ -69,15 +75,18 @@
                 by_pid[pid] = by_pid.get(pid, 0.0) + wait
         return own + sum(sorted(by_pid.values())[-2:])
 
+    def was_slow(self, start: float, end: float) -> bool:
+        """Whether a process was stopped for too long between two times."""
+        position = bisect_left(self._slow_at, start)
+        return position < len(self._slow_at) and (
+            # The sample after the end covers the last part of the interval.
+            self._slow_at[position] <= end + _SLOW_S
+        )
+
     def longest_lag(self) -> float:
         """Return the longest delay in seconds of this process's event loop."""
         return max((lag for lag, _ in self._samples), default=0.0)
 
-    def longest_gap(self) -> float:
-        """Return the longest time in seconds between two samples."""
-        gaps = (later - earlier for earlier, later in pairwise(self._times))
-        return max(gaps, default=0.0)
-
 
 def _run_delay_s(pid: int) -> float:
     try:
