List a drain that fails while connections wait for a handshake

Network._accept_connections yields in acquire(); if drain closes the listener meanwhile, it accepts on the closed socket: ValueError, and the daemon ends with status 1.

--- a/tests/test_net_drain.py
+++ b/tests/test_net_drain.py
@@ -6,6 +6,7 @@
 import struct
 
 import trio
+import trio.testing
 
 from gypsumhall.net import _messages
 from gypsumhall.net._network import Network
@@ -42,3 +43,25 @@
             await second.drain()
             assert second.streams == 0
             nursery.cancel_scope.cancel()
+
+
+async def test_a_drain_may_begin_while_all_handshake_slots_are_taken() -> None:
+    """Accepting on the closed listener ended the daemon with status 1."""
+    network = _build_network('one')
+    with trio.fail_after(_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(network.serve)
+            slots = network._handshake_slots
+            while slots.value:
+                slots.acquire_nowait()
+            host, _, port = network.me.address.rpartition(':')
+            async with await trio.open_tcp_stream(host, int(port)):
+                # The accepted connection has the last slot, so that the next
+                # one is not accepted before its handshake has failed.
+                while not slots.statistics().tasks_waiting:  # noqa: ASYNC110
+                    await trio.sleep(0.01)
+                nursery.start_soon(network.drain)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+            slots.release()
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
