--- a/gypsumhall/cli/_run.py
+++ b/gypsumhall/cli/_run.py
@@ -83,4 +83,7 @@
     except* Exception as group:
         logger.opt(exception=group).critical('a service failed')
         status = 1
+    # The interpreter restores the default action of handlers when it exits.
+    for number in (*_STOP_SIGNALS, *ignored_signals):
+        signal.signal(number, signal.SIG_IGN)
     return status
--- a/tests/test_services_lifecycle.py
+++ b/tests/test_services_lifecycle.py
@@ -116,6 +116,15 @@
 status = _run.run_kernel(kernel, 1.0, (signal.SIGHUP,))
 os.kill(os.getpid(), {number})
 print(f'ended with {{status}}')
+
+
+class Last:
+    def __del__(self, kill=os.kill, pid=os.getpid()):
+        kill(pid, {number})
+
+
+# Deleted when the interpreter has restored the default action of handlers.
+last = Last()
 """
     result = subprocess.run(
         [sys.executable, '-c', script], capture_output=True, text=True
