--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -562,6 +562,9 @@
         while not self._draining:
             try:
                 await self._handshake_slots.acquire()
+                if self._draining:
+                    # The listener was closed during the wait.
+                    return
                 sock = await _socket.accept(listener)
             except trio.ClosedResourceError:
                 return
