Limit the large replies that a daemon sends at the same time

What callers saw: on the link of a daemon that serves a large change, answers to calls took up to 0.14 s longer at 5 Mbit/s.

Cause: a daemon answered the pulls of all its children at once, so up to eleven streams with a large reply each shared its link with calls.

Fix: at most two large replies are sent at the same time, up to 16 pulls are accepted, and others get `Busy` with the addresses of daemons that received the version last. A transfer counts until the receiver ends the exchange, for 2 s at most. Small deltas are answered at once as before, full copies wait in the same line.

--- a/gypsumhall/core/_delta.py
+++ b/gypsumhall/core/_delta.py
@@ -369,6 +369,11 @@
         raise CorruptUpdateError(f'malformed {error}') from error
 
 
+def is_large(parts: Sequence[Part]) -> bool:
+    """Whether a reply is larger than an update that is pushed."""
+    return len(parts) > 1 or isinstance(parts[0], PackedUpdate)
+
+
 def join(parts: Sequence[Part]) -> Update:
     """Join the parts of an update.
 
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import math
 import random
 from typing import TYPE_CHECKING
@@ -58,6 +60,7 @@
     from gypsumhall.net._messages import Revert
     from gypsumhall.net._messages import ZoneSummary
     from gypsumhall.net._protocol import Exchange
+    from gypsumhall.net._protocol import PeerInfo
 
 HeadReader = Callable[[], Awaitable['Head']]
 
@@ -65,6 +68,13 @@
 # bootstraps would exceed a daemon's share of memory and network bandwidth.
 MAX_BOOTSTRAPS = 8
 
+# Large replies that are sent at the same time. More would share the daemon's
+# link with calls and heartbeats, and would not arrive earlier in total.
+MAX_TRANSFERS = 2
+
+# Pulls with large replies that are sent or that wait; others get `Busy`.
+MAX_LARGE_PULLS = 16
+
 # Replies of ready daemons that are needed to determine a version floor.
 MIN_FLOOR_REPLIES = 3
 
@@ -81,6 +91,9 @@
 _FETCH_TIMEOUT_S = 10.0
 _REVERTS_TIMEOUT_S = 2.0
 
+# Time after which a transfer that a peer does not end no longer counts.
+_TRANSFER_TIMEOUT_S = 2.0
+
 # Daemons of a zone that read the platform's head per attempt, on average.
 _HEAD_READERS_PER_ATTEMPT = 100
 
@@ -103,6 +116,16 @@
         logger.debug('reply to {} failed: {}', exchange.peer.id, error)
 
 
+async def _wait_for_end(exchange: Exchange) -> None:
+    """Wait until the peer has received a reply and ends the exchange."""
+    with (
+        trio.move_on_after(_TRANSFER_TIMEOUT_S),
+        contextlib.suppress(PeerError, trio.EndOfChannel),
+    ):
+        while True:
+            await exchange.receive()
+
+
 def _highest_version(replies: Iterable[tuple[Member, Floor]]) -> int:
     return max(
         (
@@ -133,6 +156,7 @@
         '_bootstraps',
         '_events',
         '_jitter_s',
+        '_large_pulls',
         '_membership',
         '_metrics',
         '_nursery',
@@ -141,8 +165,10 @@
         '_ready',
         '_replica',
         '_rng',
+        '_served_addresses',
         '_subscribers',
         '_timer_due',
+        '_transfers',
         '_wake',
     )
 
@@ -165,6 +191,10 @@
         # Time for which the timer task waits.
         self._timer_due = math.inf
         self._bootstraps = 0
+        self._large_pulls = 0
+        self._transfers = trio.Semaphore(MAX_TRANSFERS)
+        # Addresses of the daemons that received large replies last.
+        self._served_addresses: deque[str] = deque(maxlen=MIN_FLOOR_REPLIES)
         self._events: Events | None = None
         self._metrics: Metrics | None = None
 
@@ -577,27 +607,46 @@
         )
 
     async def _on_pull(self, exchange: Exchange, message: Pull) -> None:
-        parts = self._require_replica().build_pull_reply(message)
-        if parts[0].base:
+        replica = self._require_replica()
+        parts = replica.build_pull_reply(message)
+        is_bootstrap = not parts[0].base
+        if not is_bootstrap and not _delta.is_large(parts):
             await _reply(exchange, *parts)
-        elif self._bootstraps >= MAX_BOOTSTRAPS:
-            await _reply(exchange, self._build_busy_reply(exchange.peer.id))
-        else:
-            self._bootstraps += 1
-            try:
-                await _reply(exchange, *parts)
-            finally:
-                self._bootstraps -= 1
-
-    def _build_busy_reply(self, requester: str) -> Busy:
+            return
+        if self._large_pulls >= MAX_LARGE_PULLS or (
+            is_bootstrap and self._bootstraps >= MAX_BOOTSTRAPS
+        ):
+            await _reply(exchange, self._build_busy_reply(exchange.peer))
+            return
+        self._large_pulls += 1
+        self._bootstraps += is_bootstrap
+        try:
+            async with self._transfers:
+                # A newer version may have been installed meanwhile.
+                await _reply(exchange, *replica.build_pull_reply(message))
+                await _wait_for_end(exchange)
+        finally:
+            self._large_pulls -= 1
+            self._bootstraps -= is_bootstrap
+        self._served_addresses.append(exchange.peer.address)
+
+    def _build_busy_reply(self, requester: PeerInfo) -> Busy:
         me = self._membership.me
         members = [
             member
             for member in self._membership.table.alive(me.zone)
-            if member.id != requester
+            if member.id != requester.id
         ]
         chosen = sample_members(members, MIN_FLOOR_REPLIES, me.id, self._rng)
-        return Busy(tuple(item.peer_address for item in chosen))
+        addresses = dict.fromkeys(
+            address
+            for address in (
+                *reversed(self._served_addresses),
+                *(item.peer_address for item in chosen),
+            )
+            if address != requester.address
+        )
+        return Busy(tuple(addresses)[:MIN_FLOOR_REPLIES])
 
     async def _on_floor_request(
         self, exchange: Exchange, message: FloorRequest
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -20,6 +20,8 @@
 from gypsumhall.net._protocol import PeerInfo
 from gypsumhall.services._distribution import DistributionService
 from gypsumhall.services._distribution import MAX_BOOTSTRAPS
+from gypsumhall.services._distribution import MAX_LARGE_PULLS
+from gypsumhall.services._distribution import MAX_TRANSFERS
 from gypsumhall.testing import builders
 from gypsumhall.testing.fakes import FakeEvents
 from gypsumhall.testing.fakes import FakeMembership
@@ -400,6 +402,73 @@
     assert fleet.hub.sizes[type(parts[0]).__name__] <= 1.1 * receivers * size
 
 
+async def test_few_large_replies_are_sent_at_the_same_time(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    """Large replies to many daemons took the whole link from calls."""
+    version = fleet.publish('d0', 'd40', routes=20)
+    await fleet.wait_for_version(version, fleet.zone('a'), within_s=3)
+    base = fleet.daemons['d0'].service.digest
+    fleet.publish('d0', routes=500)
+    await fleet.wait_for_version(version + 1, fleet.zone('a'), within_s=3)
+    target = fleet.daemons['d1']
+    pull = _messages.Pull(base.version, base.snapshot)
+    received = []
+    refused = []
+
+    async def pull_slowly(requester: _Daemon) -> None:
+        async with requester.network.open(
+            target.me.peer_address, pull
+        ) as exchange:
+            reply = await exchange.receive()
+            if isinstance(reply, _messages.Busy):
+                refused.append((requester, reply))
+                return
+            received.append((requester, trio.current_time()))
+            await trio.sleep(0.5)
+
+    start = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for number in range(2, MAX_LARGE_PULLS + 6):
+            nursery.start_soon(pull_slowly, fleet.daemons[f'd{number}'])
+    assert len(received) == MAX_LARGE_PULLS
+    assert len(refused) == 4
+    for number, (_, time) in enumerate(received):
+        assert time - start >= 0.5 * (number // MAX_TRANSFERS)
+    # Later replies list daemons that have the version.
+    target.service._bootstraps = MAX_BOOTSTRAPS
+    reply = await fleet.daemons['d30'].network.request(
+        target.me.peer_address, _messages.Pull(), timeout_s=1
+    )
+    assert isinstance(reply, _messages.Busy)
+    assert set(reply.alternative_addresses) == {
+        requester.me.peer_address for requester, _ in received[-3:]
+    }
+
+
+async def test_silent_receiver_does_not_hold_up_other_transfers(
+    fleet: _Fleet, autojump_clock: MockClock
+) -> None:
+    """A receiver that is lost would keep the transfer for itself."""
+    version = fleet.publish('d0', 'd40', routes=300)
+    await fleet.wait_for_version(version, fleet.zone('a'), within_s=3)
+    address = fleet.daemons['d1'].me.peer_address
+    async with trio.open_nursery() as nursery:
+
+        async def pull_without_end(requester: _Daemon) -> None:
+            async with requester.network.open(address, _messages.Pull()):
+                await trio.sleep_forever()
+
+        for number in range(2, 2 + MAX_TRANSFERS):
+            nursery.start_soon(pull_without_end, fleet.daemons[f'd{number}'])
+        await trio.sleep(0.1)
+        reply = await fleet.daemons['d9'].network.request(
+            address, _messages.Pull(), timeout_s=4
+        )
+        assert isinstance(reply, _messages.PackedUpdate)
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_dead_member_no_longer_counts(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
