Pull from another source when one stalls

What callers saw: nothing yet; found while reading. Since large changes are pulled from one source at a time, a source that sends nothing kept its receivers on the former configuration for 10 s, though others had the version.

Fix: a pull fails after 1 s, and after twice the time of the one before when pulls have failed, up to 10 s, so that slow links get the time they need.

--- a/gypsumhall/core/_actions.py
+++ b/gypsumhall/core/_actions.py
@@ -29,10 +29,20 @@
     """Pull a configuration.
 
     The result is passed to `Replica.handle_fetch_result`.
+
+    Parameters
+    ----------
+    address : str
+        Peer address of the source.
+    pull : Pull
+        The request.
+    timeout_s : float
+        Time in seconds after which the pull has failed.
     """
 
     address: str
     pull: Pull
+    timeout_s: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumhall/core/_replica.py
+++ b/gypsumhall/core/_replica.py
@@ -60,6 +60,11 @@
 # but by no more than the time in which a version takes effect on all daemons.
 HEAD_LAG_S = 3.0
 
+# No other source is asked while a pull is in progress, so one that stalls must
+# end early. Slow links need longer: the timeout doubles with every failure.
+PULL_TIMEOUT_MIN_S = 1.0
+PULL_TIMEOUT_MAX_S = 10.0
+
 _ANNOUNCE_INTERVAL_S = 5.0
 _RETRY_MIN_S = 0.2
 _RETRY_MAX_S = 5.0
@@ -631,9 +636,13 @@
             ]
         )
         self._fetching = True
-        if self._pull_full or not self.version:
-            return [Fetch(address, Pull())]
-        return [Fetch(address, Pull(self.version, self._snapshot.digest))]
+        pull = Pull()
+        if self.version and not self._pull_full:
+            pull = Pull(self.version, self._snapshot.digest)
+        timeout_s = min(
+            PULL_TIMEOUT_MAX_S, PULL_TIMEOUT_MIN_S * 2**self._failed_pulls
+        )
+        return [Fetch(address, pull, timeout_s)]
 
     def _build_alarm(
         self,
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -88,7 +88,7 @@
 # list all members of a small zone.
 _MEMBERSHIP_SETTLE_S = 2.0
 
-_FETCH_TIMEOUT_S = 10.0
+_HEAD_TIMEOUT_S = 10.0
 _REVERTS_TIMEOUT_S = 2.0
 
 # Time after which a transfer that a peer does not end no longer counts.
@@ -412,7 +412,7 @@
     async def _fetch(self, action: Fetch) -> None:
         reply: Update | Busy | CorruptUpdateError | None = None
         try:
-            with trio.move_on_after(_FETCH_TIMEOUT_S):
+            with trio.move_on_after(action.timeout_s):
                 reply = await self._pull(action)
         except (PeerError, trio.EndOfChannel) as error:
             logger.debug('pull from {} failed: {}', action.address, error)
@@ -572,7 +572,7 @@
         if self._read_head is None:
             return None
         try:
-            with trio.move_on_after(_FETCH_TIMEOUT_S):
+            with trio.move_on_after(_HEAD_TIMEOUT_S):
                 return (await self._read_head()).version
         except (StoreError, MalformedDataError) as error:
             logger.debug('head cannot be read: {}', error)
