Do not fail when an answered request asks whether it was dropped

A daemon would end with ValueError, and with it all its connections, if the task that watches for the leaving of a caller ran once more after the response of its request while a later response of the same connection was the closing one. Pipeline.is_dropped looked for the position of a request that had been removed. It now returns that such a request was not dropped.

The unit test failed before.

--- a/gypsumhall/core/_pipelining.py
+++ b/gypsumhall/core/_pipelining.py
@@ -95,6 +95,9 @@
         """Return whether the connection closes before its response."""
         if self._last is None or request is self._last:
             return False
+        if request not in self._requests:
+            # Its response has been sent.
+            return False
         if self._last not in self._requests:
             return True
         return self._position(request) > self._position(self._last)
--- a/tests/test_core_pipelining.py
+++ b/tests/test_core_pipelining.py
@@ -74,3 +74,13 @@
     pipeline.admit(first, alone=False)
     assert pipeline.close_after(first)
     assert pipeline.is_dropped(second)
+
+
+def test_answered_request_is_not_dropped_when_a_later_one_closes() -> None:
+    """A task that still watches its caller would end the daemon."""
+    pipeline, (first, second) = _pipeline(2)
+    pipeline.admit(first, alone=False)
+    pipeline.admit(second, alone=False)
+    assert not pipeline.close_after(first)
+    pipeline.finish(first)
+    assert not pipeline.is_dropped(first)
