Test the ends of connections that were only argued

A caller that half-closes, 100-continue, HEAD and HTTP/1.0 with keep-alive in a stop, a stop that is requested twice, and a failure of the application amid a held response. All of them passed on the code before.

--- a/tests/test_services_graceful_shutdown.py
+++ b/tests/test_services_graceful_shutdown.py
@@ -283,6 +283,44 @@
     assert b'"draining"' in response
 
 
+@pytest.mark.parametrize(
+    ('method', 'version', 'fields'),
+    [
+        ('POST', '1.1', 'Content-Length: 9\r\nExpect: 100-continue\r\n'),
+        ('HEAD', '1.1', ''),
+        ('GET', '1.0', 'Connection: keep-alive\r\n'),
+    ],
+)
+async def test_request_in_a_stop_gets_one_refusal_that_closes(
+    method: str, version: str, fields: str
+) -> None:
+    """Whatever its kind; its caller must not be asked for a body."""
+    backend = MemoryBackend(Random(1))
+    backend.mean_service_time_s, backend.constant_service_time = 0.5, True
+    async with _run_daemon(backend) as (daemon, _):
+        first, second = await _connect(daemon), await _connect(daemon)
+        async with first, second:
+            await first.send_all(_request('r1'))
+            await _wait_until_running(backend)
+            daemon.kernel.stop()
+            # A second stop changes nothing.
+            daemon.kernel.stop()
+            while not daemon.caller.stopping:
+                await trio.lowlevel.checkpoint()
+            await second.send_all(
+                f'{method} /search HTTP/{version}\r\nHost: spa.example\r\n'
+                f'X-Request: r2\r\n{fields}\r\n'.encode()
+            )
+            response = b''
+            while data := await second.receive_some():
+                response += data
+    assert response.startswith(b'HTTP/1.1 503 ')
+    assert response.count(b'HTTP/1.1 ') == 1
+    head, _, body = response.lower().partition(b'\r\n\r\n')
+    assert b'connection: close' in head
+    assert bool(body) == (method != 'HEAD')
+
+
 class _FakeHttpServer:
     """Replaces the HTTP server, so that tests can use a mock clock."""
 
--- a/tests/test_services_http_server.py
+++ b/tests/test_services_http_server.py
@@ -23,7 +23,8 @@
 class _Application:
     """Application that sends as many bytes as the path of a request says.
 
-    With ``/held/`` in front it sends the second half when `release` is set.
+    With ``/held/`` in front it sends the second half when `release` is set,
+    with ``/failing/`` it fails instead.
     """
 
     def __init__(self) -> None:
@@ -35,6 +36,7 @@
     ) -> None:
         self.paths.append(scope['path'])
         size = int(scope['path'].rpartition('/')[2])
+        await scope['state']['exchange'].admit(alone=False)
         await send(
             {
                 'type': 'http.response.start',
@@ -51,6 +53,9 @@
         )
         if scope['path'].startswith('/held/'):
             await self.release.wait()
+        if scope['path'].startswith('/failing/'):
+            await self.release.wait()
+            raise RuntimeError('test')
         await send(
             {'type': 'http.response.body', 'body': bytes(size - size // 2)}
         )
@@ -217,3 +222,18 @@
                     await trio.sleep(0.01)
             assert len(received.partition(b'\r\n\r\n')[2]) == 400_000
             nursery.cancel_scope.cancel()
+
+
+async def test_failure_amid_a_held_response_loses_no_other() -> None:
+    """Nothing of it has been sent, so its caller gets an error response."""
+    async with _serve() as (server, application):
+        caller = await server.connect()
+        async with caller.stream:
+            await caller.send(_get('/failing/4000'), _get('/5'))
+            await _until(lambda: len(application.paths) == 2)
+            server.stop.set()
+            await trio.sleep(0.1)
+            application.release.set()
+            responses = await caller.read_until_closed()
+        assert [response.status for response in responses] == [500, 200]
+        assert [response.closes for response in responses] == [False, True]
--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -132,6 +132,21 @@
         assert not daemon.runner.load.in_flight
 
 
+async def test_caller_that_half_closes_ends_all_its_runs() -> None:
+    """Until something is sent to it, it looks like one that has closed."""
+    async with _open() as (backend, daemon, caller):
+        await caller.send(
+            build_request('a', work_s=9.0), build_request('b', work_s=9.0)
+        )
+        await _until(lambda: backend.running == 2)
+        await caller.stream.send_eof()
+        left_at = trio.current_time()
+        assert await caller.read_response() is None
+        await _until(lambda: not backend.running)
+        assert trio.current_time() - left_at < 0.5
+        assert not daemon.runner.load.in_flight
+
+
 async def test_number_of_requests_read_ahead_is_bounded() -> None:
     async with _open() as (backend, _, caller):
         requests = [build_request(f'r{i}', work_s=0.02) for i in range(50)]
