Send a complete response although the deadline of its run has passed

The endpoint's 504 was read after the deadline and its grace time, as the process had been delayed; the head had been passed on, and the cancellation of the run was delivered before the body could be written.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -218,7 +218,10 @@
         return self._started
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Send the status and headers, or store them while buffering."""
+        """Store the status and headers until there is a part of the body.
+
+        Until then a response that breaks off is replaced by another one.
+        """
         if self._caller.stopping:
             headers = (*headers, (b'connection', b'close'))
         self._head = {
@@ -228,9 +231,6 @@
         }
         if any(name == b'content-length' for name, _ in headers):
             self._buffer = None
-        if self._buffer is None:
-            self._started = True
-            await self._incoming.send(self._head)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
         """Send a part of the body, or buffer it."""
@@ -247,16 +247,27 @@
             data = bytes(self._buffer)
             length = (b'content-length', b'%d' % len(data))
             self._head['headers'] = [*self._head['headers'], length]
-            self._started = True
-            await self._incoming.send(self._head)
-        self.finished = last
-        await self._incoming.send(
-            {
-                'type': 'http.response.body',
-                'body': data,
-                'more_body': not last,
-            }
-        )
+        with trio.CancelScope() as scope:
+            now = trio.current_time()
+            if (
+                last
+                and not self._started
+                and (trio.current_effective_deadline() <= now)
+            ):
+                # The caller still waits for this response, which is complete.
+                scope.shield = True
+                scope.deadline = now + _FINAL_RESPONSE_TIMEOUT_S
+            if not self._started:
+                self._started = True
+                await self._incoming.send(self._head)
+            self.finished = last
+            await self._incoming.send(
+                {
+                    'type': 'http.response.body',
+                    'body': data,
+                    'more_body': not last,
+                }
+            )
 
     def close(self) -> None:
         """Release the budget of a buffered response."""
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -8,6 +8,7 @@
 from random import Random
 import socket
 import struct
+from typing import Any
 from typing import TYPE_CHECKING
 
 import httpcore
@@ -29,6 +30,7 @@
 from gypsumhall.testing.memory_network import MemoryNetwork
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
@@ -142,6 +144,13 @@
             _HEAD + _LONG + b'short', True, None, id='reset-in-long-body'
         ),
         pytest.param(_HEAD + _CHUNKED, False, None, id='unfinished-chunks'),
+        # Nothing has been sent to the caller yet.
+        pytest.param(
+            _HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+            False,
+            (502, 'run'),
+            id='no-chunk',
+        ),
         pytest.param(None, False, (504, 'unknown'), id='no-response'),
         pytest.param(_BUSY, False, (503, ''), id='overloaded-backend'),
     ],
@@ -440,6 +449,67 @@
         )
 
 
+class _LateBackend(_DeadlineBackend):
+    """Backend server whose response is read after the run should have ended.
+
+    Parameters
+    ----------
+    clock : MockClock
+        Clock, which advances before the response can be forwarded.
+    """
+
+    def __init__(self, clock: MockClock) -> None:
+        super().__init__(Random(0))
+        self._clock = clock
+
+    async def _body(
+        self, address: str, body: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        self._clock.jump(2 * _calls.DEADLINE_GRACE_S)
+        yield body
+
+
+async def test_complete_response_is_sent_although_its_deadline_has_passed(
+    autojump_clock: MockClock,
+) -> None:
+    """The connection was closed without a response (soak, seed 102)."""
+    sent: list[dict[str, Any]] = []
+
+    async def send(message: dict[str, Any]) -> None:
+        if message['type'] == 'http.response.body':
+            # A server sends the head with the first part of the body.
+            await trio.lowlevel.checkpoint()
+        sent.append(message)
+
+    async with trio.open_nursery() as nursery:
+        hub = MemoryHub(nursery)
+        daemon = CallPathDaemon(
+            builders.build_member(0),
+            fakes.FakeTable(),
+            lambda info: MemoryNetwork(hub, info),
+            build_snapshot(
+                routes=(builders.build_route(path='/search', timeout_s=0.4),)
+            ),
+            _LateBackend(autojump_clock).client,
+            listen='127.0.0.1:0',
+            dialect=_calls.Dialect(request_id=b'x-request'),
+        )
+        await nursery.start(daemon.run)
+        daemon.set_backend('backend-1')
+        scope = {
+            'http_version': '1.1',
+            'method': 'POST',
+            'path': '/search',
+            'raw_path': b'/search',
+            'query_string': b'',
+            'headers': [(b'host', b'spa.example'), (b'x-request', b'r1')],
+        }
+        await daemon.caller._application(scope, trio.sleep_forever, send)
+        nursery.cancel_scope.cancel()
+    assert [item.get('status') for item in sent] == [504, None]
+    assert sent[1]['body'] == b'late'
+
+
 @pytest.mark.parametrize('stated_ms', [b'300', b'60000'])
 @pytest.mark.parametrize('index', [0, 1])
 async def test_run_at_its_deadline_ends_with_the_response_of_the_endpoint(
