--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 
 from soak._run import Settings
 from soak._run import Soak
+from soak._seeds import REGRESSIONS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,15 +29,40 @@
         description='Run real daemons through faults and check promises.',
     )
     parser.add_argument('--seed', type=int, help='by default a random one')
-    parser.add_argument('--seconds', type=float, default=40.0)
+    parser.add_argument('--seconds', type=float, default=45.0)
     parser.add_argument('--daemons', type=int, default=5)
     parser.add_argument('--faults', choices=('planned', 'all'), default='all')
     parser.add_argument(
-        '--keep-logs', action='store_true', help='also of a run without faults'
+        '--runs', type=int, default=1, help='runs with consecutive seeds'
+    )
+    parser.add_argument(
+        '--regressions',
+        action='store_true',
+        help='repeat the runs that have failed once',
+    )
+    parser.add_argument(
+        '--keep-logs', action='store_true', help='also of a run that passed'
     )
     return parser.parse_args(argv)
 
 
+def _choose_runs(arguments: argparse.Namespace) -> Sequence[Settings]:
+    if arguments.regressions:
+        return REGRESSIONS
+    seed = arguments.seed
+    if seed is None:
+        seed = secrets.randbelow(10**9)
+    return [
+        Settings(
+            seed + number,
+            arguments.seconds,
+            arguments.daemons,
+            unplanned=arguments.faults == 'all',
+        )
+        for number in range(arguments.runs)
+    ]
+
+
 async def _run_until_signal(soak: Soak) -> bool:
     """Return whether the run was not interrupted."""
     with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
@@ -53,33 +79,13 @@
     return False
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run once.
-
-    Returns
-    -------
-    int
-        0 if no check failed, 1 if one did, 2 if interrupted.
-    """
-    arguments = _parse(argv)
-    seed = arguments.seed
-    if seed is None:
-        seed = secrets.randbelow(10**9)
-    settings = Settings(
-        seed,
-        arguments.seconds,
-        arguments.daemons,
-        unplanned=arguments.faults == 'all',
-    )
+def _run_once(settings: Settings, *, keep_logs: bool) -> int:
+    """Run once and return the exit status."""
     directory = Path(tempfile.mkdtemp(prefix='gypsumhall-soak-'))
     soak = Soak(settings, directory)
     finished = trio.run(_run_until_signal, soak)
     checks = soak.checks
-    command = (
-        f'python -m soak --seed {seed} --seconds {arguments.seconds:g} '
-        f'--daemons {arguments.daemons} --faults {arguments.faults}'
-    )
-    print(command)
+    print(settings.command)
     print(f'requests: {len(checks.records)}')
     for line in checks.lines():
         print(line)
@@ -90,13 +96,28 @@
             print(f'  {line}')
         (directory / 'violations').write_text('\n'.join(checks.violations))
         return 1
-    if not arguments.keep_logs:
+    if not keep_logs:
         shutil.rmtree(directory)
-    if not finished:
-        print('interrupted')
-        return 2
-    print('no check failed')
-    return 0
+    print('no check failed' if finished else 'interrupted', flush=True)
+    return 0 if finished else 2
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run once or several times.
+
+    Returns
+    -------
+    int
+        0 if no check failed, 1 if one did, 2 if interrupted.
+    """
+    arguments = _parse(argv)
+    worst = 0
+    for settings in _choose_runs(arguments):
+        status = _run_once(settings, keep_logs=arguments.keep_logs)
+        worst = max(worst, status)
+        if status == 2:
+            break
+    return worst
 
 
 if __name__ == '__main__':
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 import os
 from pathlib import Path
+import re
 import signal
 import socket
 import subprocess
@@ -203,9 +204,16 @@
             return
         self._killed = True
         self._checks.report(
-            'ended by itself', f'daemon {self.vm.index}: status {status}'
+            'ended by itself',
+            f'daemon {self.vm.index}: status {status} {self._last_error()}',
         )
 
+    def _last_error(self) -> str:
+        """Return the last exception in the log, if there is one."""
+        text = self._log.read_text(errors='replace')
+        errors = re.findall(r'^[ |]*(\w+Error: .*)$', text, re.M)
+        return str(errors[-1]) if errors else ''
+
     async def probe(self) -> None:
         """Probe readiness until cancelled, as the platform does."""
         failures = 0
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -71,6 +71,15 @@
         self.unplanned = unplanned
         self.batches_per_s = batches_per_s
 
+    @property
+    def command(self) -> str:
+        """Command that repeats the run."""
+        faults = 'all' if self.unplanned else 'planned'
+        return (
+            f'python -m soak --seed {self.seed} --seconds {self.seconds:g} '
+            f'--daemons {self.daemons} --faults {faults}'
+        )
+
 
 class Soak:
     """A run.
