--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 
 .PHONY: venv lint format test unit demo scenarios bench bench-moves \
-	bench-capacity bench-call bench-calls-under-faults
+	bench-capacity bench-call bench-calls-under-faults soak
 
 venv: $(VENV)/.installed
 
@@ -42,5 +42,12 @@
 bench-moves: venv
 	$(PY) -m benchmarks.bench_moves --trials=1000 --processes=3
 
+RUNS ?= 10
+
+soak: venv
+	$(PY) -m soak --regressions
+	$(PY) -m soak --runs $(RUNS) --faults planned
+	$(PY) -m soak --runs $(RUNS)
+
 check-proofs: venv
 	$(PY) -m benchmarks.check_proofs
