Close a connection also where the system does not tell what is unsent

An error of the two requests to the kernel ended the task of the connection, and with it the server.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -802,12 +802,16 @@
     """Return whether the kernel of the caller has yet to receive data."""
     if not isinstance(stream, trio.SocketStream):
         return False
-    state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    assert isinstance(state, bytes)
-    if state[0] == _TCP_CLOSE:
-        return False
     queued = bytearray(4)
-    fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, queued)
+    try:
+        state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        assert isinstance(state, bytes)
+        if state[0] == _TCP_CLOSE:
+            return False
+        fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, queued)
+    except OSError:
+        # The system does not tell.
+        return False
     # The end of the stream counts as one byte.
     return int.from_bytes(queued, sys.byteorder) > 1
 
