Test that runs are cancelled early only if another attempt responds

200 requests in a move with slow, reset and truncated responses, for eight seeds and both kinds of dialect.

Responses without a length of the backend in memory now have the id of their request, as the others do; without it they counted as those of another request.

--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -124,14 +124,13 @@
         if self._rng.random() < self.reset_rate:
             raise _backend_client.BackendResetError(address)
         body = request_id.encode()
-        headers = (
-            (b'content-length', b'%d' % len(body)),
-            (b'x-request', body),
-        )
+        headers = ((b'x-request', body),)
         chunked = self._rng.random() < self.chunked_rate
+        if not chunked:
+            headers = ((b'content-length', b'%d' % len(body)), *headers)
         yield _backend_client.BackendResponse(
             self.status.get(address, 200),
-            () if chunked else headers,
+            headers,
             None if chunked else len(body),
             self._body(address, body),
         )
--- a/tests/test_services_early_responses.py
+++ b/tests/test_services_early_responses.py
@@ -86,7 +86,11 @@
 
 
 def _build_request(
-    *, body: bytes = b'', idempotent: bool = False, key: str = ''
+    name: str = 'r1',
+    *,
+    body: bytes = b'',
+    idempotent: bool = False,
+    key: str = '',
 ) -> _calls.Request:
     """Return a request with a time limit of one second."""
     return _calls.Request(
@@ -94,7 +98,7 @@
         'spa/search',
         'POST',
         '/search',
-        ((b'x-request', b'r1'),),
+        ((b'x-request', name.encode()),),
         body,
         trio.current_time() + 1.0,
         idempotent,
@@ -339,3 +343,75 @@
         ('v1', ''),
     ) as daemons:
         assert await _call(daemons[caller], 'r1', 200, method) == 200
+
+
+class _WatchedBackend(MemoryBackend):
+    """Backend server that records runs that were cancelled early."""
+
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        self.cancelled_early: set[str] = set()
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        headers: _calls.Headers,
+        on_send: Callable[[], None],
+    ) -> AsyncIterator[_backend_client.BackendResponse]:
+        """Run a request."""
+        fields = dict(headers)
+        limit_s = int(fields[b'gypsumhall-deadline-ms']) / 1000
+        started = trio.current_time()
+        try:
+            async with super().request(address, headers, on_send) as response:
+                yield response
+        except trio.Cancelled:
+            if trio.current_time() < started + limit_s:
+                self.cancelled_early.add(fields[b'x-request'].decode())
+            raise
+
+
+@pytest.mark.parametrize('buffer_responses', [False, True])
+@pytest.mark.parametrize('seed', range(8))
+async def test_run_is_cancelled_early_only_if_another_responds(
+    autojump_clock: MockClock, seed: int, buffer_responses: bool
+) -> None:
+    """Callers got a failure, although an endpoint was still at work."""
+    rng = Random(seed)
+    backend = _WatchedBackend(rng)
+    backend.mean_service_time_s = 0.1
+    backend.mean_service_time_by_address['backend-1'] = 0.4
+    backend.reset_rate, backend.break_rate = 0.1, 0.4
+    backend.chunked_rate = 0.8
+    results: dict[str, str] = {}
+    async with _run_daemons(
+        backend,
+        _build_snapshot(2.0, 1.0),
+        ('v1', 'v2', 'v1', ''),
+        buffer_responses=buffer_responses,
+    ) as daemons:
+
+        async def call(name: str) -> None:
+            request = _build_request(name, idempotent=rng.random() < 0.8)
+            sink = CollectingSink()
+            try:
+                sender = daemons[rng.randrange(4)].runner.sender
+                await sender.send(request, sink)
+                results[name] = 'response' if sink.complete else 'incomplete'
+            except _calls.CallRefusedError as error:
+                results[name] = error.reason
+            except _calls.BrokenResponseError:
+                results[name] = 'broken'
+
+        async with trio.open_nursery() as calls:
+            for index in range(200):
+                calls.start_soon(call, f'r{index}')
+                await trio.sleep(rng.expovariate(5.0))
+    failed = {
+        name: results[name]
+        for name in backend.cancelled_early
+        if results[name] != 'response'
+    }
+    assert len(backend.cancelled_early) >= 5
+    assert not failed
