Date the install of a pulled version after its publication

What operators saw: nothing yet; found while reading. Pushes carry the hybrid logical clock of their sender, replies to pulls did not. Since large changes are pulled, the timeline could show an install before the publication when the clocks of two VMs differ.

Fix: replies carry the clock too; `PackedUpdate` has it as its last field.

Evidence: the new test fails for a pulled version before and passes now.

--- a/gypsumhall/core/_delta.py
+++ b/gypsumhall/core/_delta.py
@@ -364,9 +364,10 @@
             f'within {MAX_UNPACKED_BYTES} uncompressed bytes'
         )
     try:
-        return decode(_UPDATE_DECODER.decode, data, 'update')
+        update = decode(_UPDATE_DECODER.decode, data, 'update')
     except MalformedDataError as error:
         raise CorruptUpdateError(f'malformed {error}') from error
+    return msgspec.structs.replace(update, time=part.time)
 
 
 def is_large(parts: Sequence[Part]) -> bool:
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -301,10 +301,13 @@
         As in the update.
     data : bytes
         The encoded update in zlib format.
+    time : int
+        Hybrid logical clock of the sender.
     """
 
     base: int
     data: bytes
+    time: int = 0
 
 
 class Announcement(Message, frozen=True, tag=21):
--- a/gypsumhall/services/_distribution.py
+++ b/gypsumhall/services/_distribution.py
@@ -36,6 +36,7 @@
 from gypsumhall.net._messages import Digest
 from gypsumhall.net._messages import Floor
 from gypsumhall.net._messages import FloorRequest
+from gypsumhall.net._messages import PackedUpdate
 from gypsumhall.net._messages import Pull
 from gypsumhall.net._messages import Reverts
 from gypsumhall.net._messages import RevertsPull
@@ -373,7 +374,9 @@
                 callback()
 
     def _add_timestamp(self, message: Message) -> Message:
-        if self._events and isinstance(message, Update | Reverts):
+        if self._events and isinstance(
+            message, Update | PackedUpdate | Reverts
+        ):
             time = self._events.clock.now()
             return msgspec.structs.replace(message, time=time)
         return message
@@ -611,7 +614,7 @@
         parts = replica.build_pull_reply(message)
         is_bootstrap = not parts[0].base
         if not is_bootstrap and not _delta.is_large(parts):
-            await _reply(exchange, *parts)
+            await self._send_parts(exchange, parts)
             return
         if self._large_pulls >= MAX_LARGE_PULLS or (
             is_bootstrap and self._bootstraps >= MAX_BOOTSTRAPS
@@ -623,13 +626,20 @@
         try:
             async with self._transfers:
                 # A newer version may have been installed meanwhile.
-                await _reply(exchange, *replica.build_pull_reply(message))
+                await self._send_parts(
+                    exchange, replica.build_pull_reply(message)
+                )
                 await _wait_for_end(exchange)
         finally:
             self._large_pulls -= 1
             self._bootstraps -= is_bootstrap
         self._served_addresses.append(exchange.peer.address)
 
+    async def _send_parts(
+        self, exchange: Exchange, parts: Iterable[_delta.Part]
+    ) -> None:
+        await _reply(exchange, *(self._add_timestamp(part) for part in parts))
+
     def _build_busy_reply(self, requester: PeerInfo) -> Busy:
         me = self._membership.me
         members = [
--- a/tests/test_services_distribution.py
+++ b/tests/test_services_distribution.py
@@ -403,6 +403,18 @@
     assert fleet.hub.sizes[type(parts[0]).__name__] <= 1.1 * receivers * size
 
 
+@pytest.mark.parametrize('routes', [1, 500], ids=['pushed', 'pulled'])
+async def test_version_advances_the_clock_of_its_receivers(
+    fleet: _Fleet, autojump_clock: MockClock, routes: int
+) -> None:
+    """The install of a pulled version was dated before its publication."""
+    fleet.daemons['d0'].events.clock.observe(1_000_000)
+    version = fleet.publish('d0', routes=routes)
+    await fleet.wait_for_version(version, fleet.zone('a'), within_s=3)
+    for daemon in fleet.zone('a'):
+        assert daemon.events.clock.now() > 1_000_000
+
+
 async def test_few_large_replies_are_sent_at_the_same_time(
     fleet: _Fleet, autojump_clock: MockClock
 ) -> None:
