Open a watch without reading all values

Cause: to learn the current revision, a new watch read the first page of its prefix and threw it away, and the watcher then read the prefix again. With a grown configuration that is half a megabyte too much on the link of each new watcher, and stops of daemons make others watchers.

Fix: the page that is read begins after the last key, so that it has no items. If a store returned some, they would be ignored as before.

Evidence: the new test fails before and passes now.

--- a/gypsumhall/platform/_store.py
+++ b/gypsumhall/platform/_store.py
@@ -68,6 +68,9 @@
 _MAX_PAGES = 200
 _MAX_CONNECTIONS = 16
 
+_LAST_KEY = '~'
+"""Sorts after the letters, digits and separators of which keys consist."""
+
 _KEEPALIVE_EXPIRY_S = 5.0
 """Time in seconds after which an idle connection is closed."""
 
@@ -378,7 +381,9 @@
         if from_revision != NO_REVISION:
             after = Revision(from_revision.era, from_revision.number - 1)
         else:
-            query = {'prefix': prefix}
+            # Only the current revision is needed. A page that begins after
+            # the last key has no items, which may take megabytes.
+            query = {'prefix': prefix, 'after': prefix + _LAST_KEY}
             response = await self._read('/v1/kv-range', query)
             page = _decode_list(response, _Page, 'items')
             after = Revision(response.era, page.current)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -97,9 +97,18 @@
         self.pages: list[tuple[list[bytes], bool]] = []
         self.batches: list[list[bytes]] = []
         self.queries: list[bytes] = []
+        self.response_sizes: list[int] = []
+        self.forwards_watches = False
 
     async def _respond(
         self, scope: dict[str, Any], body: bytes
+    ) -> tuple[int, bytes]:
+        status, content = await self._respond_oddly(scope, body)
+        self.response_sizes.append(len(content))
+        return status, content
+
+    async def _respond_oddly(
+        self, scope: dict[str, Any], body: bytes
     ) -> tuple[int, bytes]:
         self.queries.append(scope['query_string'])
         if scope['path'] == '/v1/kv-range' and self.pages:
@@ -108,7 +117,7 @@
                 b',"hasMore":%s,"currentRev":9}' % json.dumps(more).encode()
             )
             return 200, b'{"items":[%s]' % b','.join(items) + fields
-        if scope['path'] == '/v1/kv-watch':
+        if scope['path'] == '/v1/kv-watch' and not self.forwards_watches:
             if not self.batches:
                 await trio.sleep_forever()
             items = self.batches.pop(0)
@@ -170,6 +179,26 @@
         assert len(reported) == 3
 
 
+@pytest.mark.parametrize('prefix', ['op/', 'servers/'])
+async def test_opening_a_watch_transfers_no_values(
+    prefix: str, autojump_clock: MockClock
+) -> None:
+    """The configuration was transferred twice, which filled slow links."""
+    async with _open_odd_store() as (store, app, _):
+        for key in ('op/config', 'op/rollout/z', 'servers/z9'):
+            await app.store.txn([], [Put(key, bytes(400_000))])
+        async with store.watch(prefix) as events:
+            assert app.response_sizes
+            assert max(app.response_sizes) < 1000
+            await app.store.txn([], [Put('op/config', b'new')])
+            await app.store.txn([], [Put('servers/z9', b'new')])
+            app.forwards_watches = True
+            with trio.fail_after(5):
+                event = await anext(events)
+        assert event.key.startswith(prefix)
+        assert event.value == b'new'
+
+
 async def test_next_page_begins_after_a_malformed_item(
     autojump_clock: MockClock,
 ) -> None:
