Close after a refusal in place of 100 Continue

A caller that had announced a body with `Expect: 100-continue`, was refused (404, 503) and therefore did not send it, got no response to its next request on the connection: the daemon took that request for the body and closed after 0.5 s. Such a refusal now carries `Connection: close`.

test_refusal_in_place_of_continue_closes failed before.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -803,7 +803,15 @@
             'body-timeout',
             'stopped',
         )
-        if self._stopping or error.reason in closing_reasons:
+        # A caller that waits to be asked for its body may not send it.
+        expects_continue = body_unread and any(
+            name == b'expect' for name, _ in incoming.scope['headers']
+        )
+        if (
+            self._stopping
+            or expects_continue
+            or error.reason in closing_reasons
+        ):
             headers = [*headers, (b'connection', b'close')]
         await send(
             {
--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -369,6 +369,25 @@
         assert (await caller.read_response()).body == b'b'
 
 
+async def test_refusal_in_place_of_continue_closes() -> None:
+    """A caller that sends no body would have its next request taken for it."""
+    async with _open() as (backend, _, caller):
+        refused = build_request(
+            'a',
+            'POST',
+            path='/unknown',
+            body=bytes(500),
+            fields=('Expect: 100-continue',),
+        )
+        await caller.send(refused[:-500])
+        response = await caller.read_response()
+        assert response.status == 404
+        assert response.closes
+        await caller.send(build_request('b'))
+        assert await caller.read_response() is None
+        assert not backend.started
+
+
 # Requests of the property test: time of the application, size of the
 # response, whether it may run once only, and what the application does.
 _REQUESTS = st.lists(
