Do not say "not run" when a passed-on request fails in the daemon

After an internal error of the daemon, its 500 carried `Gypsumhall-Outcome: not-run` although an endpoint may have had the request; callers would repeat one that may run once only. The headers were meant for input that is not a request. They are now left out once a request has been passed on.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -82,7 +82,7 @@
     read_ahead : int
         Number of requests of a connection that are handled at the same time.
     error_headers : tuple of (bytes, bytes)
-        Headers of the responses to input that is not a valid request.
+        Headers of error responses to requests that were not passed on.
     backlog : int
         Length of the queue of new connections.
     """
@@ -265,14 +265,10 @@
         self._body_ended = True
         if not self.response_started:
             self._drop_response()
-            self._response_head = {
-                'status': status,
-                'headers': [
-                    (b'content-length', b'0'),
-                    (b'connection', b'close'),
-                    *self._connection.settings.error_headers,
-                ],
-            }
+            headers = [(b'content-length', b'0'), (b'connection', b'close')]
+            if not self.passed_on:
+                headers.extend(self._connection.settings.error_headers)
+            self._response_head = {'status': status, 'headers': headers}
             self._response_ended = True
         self._scope.cancel()
 
--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -198,6 +198,28 @@
         assert (await caller.read_response()).body == b'b'
 
 
+@pytest.mark.parametrize('status', [500, 400])
+async def test_failure_after_passing_on_does_not_say_not_run(
+    monkeypatch: pytest.MonkeyPatch, status: int
+) -> None:
+    """Its caller would repeat a request that may run once only."""
+    async with _open() as (_, daemon, caller):
+
+        async def fail(*_: object) -> None:
+            raise RuntimeError('test')
+
+        monkeypatch.setattr(daemon.runner.sender, 'send', fail)
+        request = build_request('a', 'POST', body=b'x')
+        if status == 400:
+            request = b'\0' + request
+        await caller.send(request)
+        received = b''
+        while data := await caller.stream.receive_some():
+            received += data
+    assert received.startswith(b'HTTP/1.1 %d ' % status)
+    assert (b'not-run' in received.lower()) == (status == 400)
+
+
 async def test_request_behind_a_started_response_waits_for_its_end() -> None:
     """If that response broke off, a request passed on would be lost."""
     async with _open() as (backend, _, caller):
