--- a/gypsumhall/testing/pipelining.py
+++ b/gypsumhall/testing/pipelining.py
@@ -157,23 +157,45 @@
 
 @contextlib.asynccontextmanager
 async def run_daemon(
-    backend: ScriptedBackend, *, slots: int = 32, drain_timeout_s: float = 5.0
+    backend: ScriptedBackend,
+    *,
+    slots: int = 32,
+    remote: bool = False,
+    drain_delay_s: float = 0.0,
+    drain_timeout_s: float = 5.0,
 ) -> AsyncIterator[CallPathDaemon]:
-    """Run a daemon beside a backend server."""
+    """Run a daemon beside a backend server.
+
+    Parameters
+    ----------
+    backend : ScriptedBackend
+        Backend server.
+    slots : int
+        Number of requests that it runs at the same time.
+    remote : bool
+        Whether it is beside another daemon, to which the calls are sent.
+    drain_delay_s, drain_timeout_s : float
+        See `CallPathDaemon`.
+    """
     async with trio.open_nursery() as nursery:
-        hub = MemoryHub(nursery)
-        daemon = CallPathDaemon(
-            builders.build_member(0),
-            fakes.FakeTable(),
-            lambda info: MemoryNetwork(hub, info),
-            build_snapshot(routes=ROUTES),
-            connect=backend.connect,
-            listen='127.0.0.1:0',
-            drain_timeout_s=drain_timeout_s,
-        )
-        await nursery.start(daemon.run)
-        daemon.set_backend(backend.address, slots=slots)
-        yield daemon
+        hub, table = MemoryHub(nursery), fakes.FakeTable()
+        daemons = [
+            CallPathDaemon(
+                builders.build_member(index),
+                table,
+                lambda info: MemoryNetwork(hub, info),
+                build_snapshot(routes=ROUTES),
+                connect=backend.connect,
+                listen='' if index else '127.0.0.1:0',
+                drain_delay_s=drain_delay_s,
+                drain_timeout_s=drain_timeout_s,
+            )
+            for index in range(2 if remote else 1)
+        ]
+        for daemon in daemons:
+            await nursery.start(daemon.run)
+        daemons[-1].set_backend(backend.address, slots=slots)
+        yield daemons[0]
         nursery.cancel_scope.cancel()
 
 
