--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -235,6 +235,8 @@
         dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
     ) -> None:
         self._drain_timeout_s = drain_timeout_s
+        # Set when the daemon has stopped.
+        self.ended = trio.Event()
         self.membership = fakes.FakeMembership(me, table)
         self.distribution = fakes.FakeDistribution(snapshot)
         self.moves = fakes.FakeMoves()
@@ -286,6 +288,7 @@
         await self.kernel.run(
             drain_timeout_s=self._drain_timeout_s, task_status=task_status
         )
+        self.ended.set()
 
     def set_backend(
         self,
--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -302,6 +302,32 @@
             ]
 
 
+@pytest.mark.parametrize('fault', ['medium', 'large'])
+async def test_caller_that_reads_nothing_does_not_prolong_a_stop(
+    fault: str,
+) -> None:
+    """Its connection ends with the time limit of the drain."""
+    backend = ScriptedBackend()
+    with trio.fail_after(_TIME_LIMIT_S):
+        async with pipelining.run_daemon(
+            backend, drain_timeout_s=1.0
+        ) as daemon:
+            caller = await pipelining.connect(daemon, receive_bytes=4096)
+            async with caller.stream:
+                await caller.send(
+                    *(build_request(f'r{i}', fault=fault) for i in range(4))
+                )
+                await _until(lambda: len(backend.started) == 4)
+                await trio.sleep(0.2)
+                daemon.kernel.stop()
+                with trio.fail_after(1.0 + 0.5):
+                    await daemon.ended.wait()
+                with pytest.raises(
+                    (h11.RemoteProtocolError, trio.BrokenResourceError)
+                ):
+                    await caller.read_until_closed()
+
+
 async def test_request_that_closes_hides_what_is_behind() -> None:
     async with _open() as (backend, _, caller):
         await caller.send(
