--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -198,6 +198,28 @@
         assert (await caller.read_response()).body == b'b'
 
 
+@pytest.mark.parametrize('status', [500, 400])
+async def test_failure_after_passing_on_does_not_say_not_run(
+    monkeypatch: pytest.MonkeyPatch, status: int
+) -> None:
+    """Its caller would repeat a request that may run once only."""
+    async with _open() as (_, daemon, caller):
+
+        async def fail(*_: object) -> None:
+            raise RuntimeError('test')
+
+        monkeypatch.setattr(daemon.runner.sender, 'send', fail)
+        request = build_request('a', 'POST', body=b'x')
+        if status == 400:
+            request = b'\0' + request
+        await caller.send(request)
+        received = b''
+        while data := await caller.stream.receive_some():
+            received += data
+    assert received.startswith(b'HTTP/1.1 %d ' % status)
+    assert (b'not-run' in received.lower()) == (status == 400)
+
+
 async def test_request_behind_a_started_response_waits_for_its_end() -> None:
     """If that response broke off, a request passed on would be lost."""
     async with _open() as (backend, _, caller):
@@ -280,6 +302,32 @@
             ]
 
 
+@pytest.mark.parametrize('fault', ['medium', 'large'])
+async def test_caller_that_reads_nothing_does_not_prolong_a_stop(
+    fault: str,
+) -> None:
+    """Its connection ends with the time limit of the drain."""
+    backend = ScriptedBackend()
+    with trio.fail_after(_TIME_LIMIT_S):
+        async with pipelining.run_daemon(
+            backend, drain_timeout_s=1.0
+        ) as daemon:
+            caller = await pipelining.connect(daemon, receive_bytes=4096)
+            async with caller.stream:
+                await caller.send(
+                    *(build_request(f'r{i}', fault=fault) for i in range(4))
+                )
+                await _until(lambda: len(backend.started) == 4)
+                await trio.sleep(0.2)
+                daemon.kernel.stop()
+                with trio.fail_after(1.0 + 0.5):
+                    await daemon.ended.wait()
+                with pytest.raises(
+                    (h11.RemoteProtocolError, trio.BrokenResourceError)
+                ):
+                    await caller.read_until_closed()
+
+
 async def test_request_that_closes_hides_what_is_behind() -> None:
     async with _open() as (backend, _, caller):
         await caller.send(
@@ -369,6 +417,25 @@
         assert (await caller.read_response()).body == b'b'
 
 
+async def test_refusal_in_place_of_continue_closes() -> None:
+    """A caller that sends no body would have its next request taken for it."""
+    async with _open() as (backend, _, caller):
+        refused = build_request(
+            'a',
+            'POST',
+            path='/unknown',
+            body=bytes(500),
+            fields=('Expect: 100-continue',),
+        )
+        await caller.send(refused[:-500])
+        response = await caller.read_response()
+        assert response.status == 404
+        assert response.closes
+        await caller.send(build_request('b'))
+        assert await caller.read_response() is None
+        assert not backend.started
+
+
 # Requests of the property test: time of the application, size of the
 # response, whether it may run once only, and what the application does.
 _REQUESTS = st.lists(
