--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -116,8 +116,9 @@
         prefix = rng.choice(_configurations.routes())
         idempotent = _configurations.is_idempotent(prefix)
         work_ms = round(rng.choice((5, 20, 100, 400)) * rng.uniform(0.5, 1.5))
-        if rng.random() < 0.05:
-            work_ms = rng.randint(1000, 4000)
+        if rng.random() < 0.12:
+            # Runs that are in progress at the end of a shutdown.
+            work_ms = rng.randint(700, 4000)
         size = rng.choice((10, 300, 5000))
         if rng.random() < 0.02:
             size = 300_000
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -87,7 +87,7 @@
     while time_s < end_s:
         series = rng.choices(
             (_draw_stops, _draw_reloads, _draw_changes, _draw_leaves),
-            (5, 2, 3, 1),
+            (5, 2, 3, 2),
         )[0]
         events += series(rng, time_s, daemons)
         time_s += rng.uniform(0.2, 3.0)
