--- a/tests/test_services_http_server.py
+++ b/tests/test_services_http_server.py
@@ -24,7 +24,7 @@
     """Application that sends as many bytes as the path of a request says.
 
     With ``/held/`` in front it sends the second half when `release` is set,
-    with ``/failing/`` it fails instead.
+    with ``/failing/`` it sends the first half then and fails.
     """
 
     def __init__(self) -> None:
@@ -37,6 +37,8 @@
         self.paths.append(scope['path'])
         size = int(scope['path'].rpartition('/')[2])
         await scope['state']['exchange'].admit(alone=False)
+        if scope['path'].startswith('/failing/'):
+            await self.release.wait()
         await send(
             {
                 'type': 'http.response.start',
@@ -54,7 +56,6 @@
         if scope['path'].startswith('/held/'):
             await self.release.wait()
         if scope['path'].startswith('/failing/'):
-            await self.release.wait()
             raise RuntimeError('test')
         await send(
             {'type': 'http.response.body', 'body': bytes(size - size // 2)}
