Soak: make checks of times when waits for the processor are known

Checks of times are now made 5 s later. A caller no longer reuses a connection on which it has not written the whole of a request that was answered early (seed 504: status 400).

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 import itertools
 from typing import TYPE_CHECKING
 
@@ -215,31 +216,46 @@
                 return
 
     def _evaluate(self, number: int, request: Request) -> None:
-        sent_at = request.write_started_at
         newest = self._checks.operator.newest
         allows = request.status == 200
+        refuses = request.status == 404 and newest.number == number
         if allows and number > self._shown:
             self._shown, self._shown_at = number, request.ended_at
             self._checks.count('versions shown')
             return
-        slack_s = ROLLBACK_SLACK_S + self._waited(self._shown_at, sent_at)
-        if sent_at > self._shown_at + slack_s and (
-            (allows and number < self._shown)
-            or (request.status == 404 and number == self._shown)
-            and newest.number == number
+        if (allows and number < self._shown) or (
+            refuses and number == self._shown
         ):
+            self._checks.defer(
+                partial(
+                    self._check_order, self._shown, self._shown_at, request
+                )
+            )
+        if refuses:
+            self._checks.defer(
+                partial(
+                    self._check_applied,
+                    newest.sent_at,
+                    self._daemon.ready_since,
+                    request,
+                )
+            )
+
+    def _check_order(
+        self, shown: int, shown_at: float, request: Request
+    ) -> None:
+        sent_at = request.write_started_at
+        slack_s = ROLLBACK_SLACK_S + self._waited(shown_at, sent_at)
+        if sent_at > shown_at + slack_s:
             self._checks.report(
                 'older configuration',
-                f'after version {self._shown} at {self._shown_at:.3f}: '
-                f'{request!r}',
+                f'after version {shown} at {shown_at:.3f}: {request!r}',
             )
-        if request.status == 404 and newest.number == number:
-            self._check_applied(request)
 
-    def _check_applied(self, request: Request) -> None:
+    def _check_applied(
+        self, written_at: float, ready_since: float | None, request: Request
+    ) -> None:
         sent_at = request.write_started_at
-        written_at = self._checks.operator.newest.sent_at
-        ready_since = self._daemon.ready_since
         age_s = sent_at - written_at
         if (
             ready_since is None
@@ -298,7 +314,8 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_write, connection, batch, rng)
         usable = await _read_responses(connection, batch, checks, rng)
-        nursery.cancel_scope.cancel()
+        if not usable:
+            nursery.cancel_scope.cancel()
     for request in batch:
         if request.end is None:
             request.finish(End.NOT_WRITTEN, trio.current_time())
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,6 +16,7 @@
 from soak._records import Request
 from soak._records import Run
 from soak._records import RunEnd
+from soak._starvation import COUNTED_AFTER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +41,7 @@
 _LAST_SIXTH_S = GRACE_S * 5 / 6
 
 _PROMISES_NOT_RUN = (408, 421, 429, 503)
-_SETTLE_S = 3.0
+_SETTLE_S = COUNTED_AFTER_S
 
 
 class Checks:
@@ -64,12 +67,18 @@
         self._store_disruptions: list[list[float]] = []
         self._terminations: dict[int, list[float]] = {}
         self._settled: set[str] = set()
+        # Checks of times, with the time at which they are made.
+        self._deferred: deque[tuple[float, Callable[[], None]]] = deque()
 
     def report(self, check: str, detail: str) -> None:
         """Record a violation."""
         time = trio.current_time()
         self.violations.append(f'{time:.3f} {check}: {detail}')
 
+    def defer(self, check: Callable[[], None]) -> None:
+        """Make a check of times when the waits until now are known."""
+        self._deferred.append((trio.current_time() + _SETTLE_S, check))
+
     def count(self, name: str) -> None:
         """Count what a check covered."""
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -155,8 +164,11 @@
         timeout = fields.get('gypsumhall-timeout-ms', '')
         if not timeout.isdigit() or int(timeout) > request.stated_ms + 500:
             self.report('time limit', f'{timeout!r} ms: {request!r}')
-        self._check_leave(endpoint, request, now)
-        self._check_end(request, now)
+        if endpoint.left_at is not None:
+            check = self._check_leave
+            self.defer(partial(check, endpoint.left_at, request, now))
+        if request.end is not None:
+            self.defer(partial(self._check_end, request, now))
         return request
 
     def start_run(self, request: Request, run: Run) -> None:
@@ -171,17 +183,18 @@
 
     def finish(self, request: Request) -> None:
         """Check a request that has ended for its caller."""
-        calm = self.is_calm(request.write_started_at, request.ended_at)
-        self.count('beside planned work only' if calm else 'beside faults')
+        self.defer(partial(self._count_coverage, request))
         self.count(request.end.value if request.end else 'open')
         if request.end is End.ANSWERED:
             self.count(f'status {request.status}')
             self._check_answer(request)
         elif request.end in (End.CLOSED, End.RESET):
-            self._check_lost(request)
+            self.defer(partial(self._check_lost, request))
 
     def settle(self, before: float) -> None:
-        """Check the runs of requests that ended some seconds ago."""
+        """Make deferred checks, and check runs that ended seconds ago."""
+        while self._deferred and self._deferred[0][0] <= before:
+            self._deferred.popleft()[1]()
         for request in self.records:
             if (
                 request.end is not None
@@ -216,17 +229,18 @@
                 late += over_s > LATE_S + self._waited(end - 1, end)
         self.counts['runs of callers that left'] = eligible
         self.counts['requests over their limit'] = over_limit
-        if eligible >= 8 and at_work > eligible / 4:
+        if eligible >= 4 and at_work > eligible / 4:
             self.report('work after a leave', f'{at_work} of {eligible} runs')
         if late >= 8 and late > over_limit / 2:
             self.report('late', f'{late} of {over_limit} without an answer')
 
+    def _count_coverage(self, request: Request) -> None:
+        calm = self.is_calm(request.write_started_at, request.ended_at)
+        self.count('beside planned work only' if calm else 'beside faults')
+
     def _check_leave(
-        self, endpoint: Endpoint, request: Request, now: float
+        self, left_at: float, request: Request, now: float
     ) -> None:
-        left_at = endpoint.left_at
-        if left_at is None:
-            return
         self.count('arrivals after an acknowledged leave')
         bound = left_at + DRAIN_S + self._waited(left_at + DRAIN_S, now)
         if now > bound and self.is_calm(left_at, now):
@@ -236,8 +250,6 @@
 
     def _check_end(self, request: Request, now: float) -> None:
         """Check an arrival after the end of a request for its caller."""
-        if request.end is None:
-            return
         calm = self.is_calm(request.write_started_at, now)
         late_s = now - request.ended_at
         if request.end is End.LEFT and calm:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 import random
 import signal
 from typing import TYPE_CHECKING
@@ -34,6 +35,10 @@
 _CHECK_INTERVAL_S = 0.25
 _DISRUPTION_TAIL_S = 1.0
 _CALLERS_PER_DAEMON = 3
+# Time after the load in which daemons that waited are noticed.
+_END_S = 1.0
+# A daemon that waited for the processor may end later than it must.
+_KILL_AFTER_S = 2 * GRACE_S
 _MAX_ZONES = 3
 
 
@@ -191,8 +196,9 @@
                 print(f'{trio.current_time():.3f} {event}', file=self._log)
                 self._apply(event, nursery)
             await trio.sleep_until(started + settings.seconds)
-            checks.finish_run()
             load.cancel_scope.cancel()
+        await trio.sleep(_END_S)
+        checks.finish_run()
 
     def _apply(self, event: Event, nursery: trio.Nursery) -> None:
         daemon = self._daemons[event.vm]
@@ -268,24 +274,41 @@
         while True:
             await daemon.start()
             while not await daemon.wait_end(_CHECK_INTERVAL_S):
-                self._check_grace_time(daemon)
+                self._kill_late_daemon(daemon)
             daemon.check_alive()
+            if daemon.terminated_at is not None:
+                self.checks.defer(
+                    partial(
+                        self._check_grace_time,
+                        daemon.vm.index,
+                        daemon.terminated_at,
+                        trio.current_time(),
+                    )
+                )
             daemon.ready_since = None
             await trio.sleep(rng.uniform(0.1, 1.0))
 
-    def _check_grace_time(self, daemon: Daemon) -> None:
+    def _kill_late_daemon(self, daemon: Daemon) -> None:
         terminated_at = daemon.terminated_at
-        now = trio.current_time()
-        if terminated_at is None or now < terminated_at + GRACE_S:
-            return
-        waited_s = self.starvation.waited(terminated_at, now)
-        if now < terminated_at + GRACE_S + waited_s:
-            return
-        if self.checks.is_calm(terminated_at, now):
+        if terminated_at is not None and (
+            trio.current_time() > terminated_at + _KILL_AFTER_S
+        ):
+            daemon.send_signal(signal.SIGKILL)
+
+    def _check_grace_time(
+        self, daemon: int, terminated_at: float, ended_at: float
+    ) -> None:
+        elapsed_s = ended_at - terminated_at
+        bound_s = GRACE_S + self.starvation.waited(terminated_at, ended_at)
+        if (
+            # The end is noticed at the next check of the process.
+            elapsed_s > bound_s + _CHECK_INTERVAL_S
+            and self.checks.is_calm(terminated_at, ended_at)
+        ):
             self.checks.report(
-                'grace time exceeded', f'daemon {daemon.vm.index}'
+                'grace time exceeded',
+                f'daemon {daemon} after {elapsed_s:.3f} s',
             )
-        daemon.send_signal(signal.SIGKILL)
 
     async def _check_processes(self) -> None:
         while True:
--- a/soak/_starvation.py
+++ b/soak/_starvation.py
@@ -17,6 +17,8 @@
 # A daemon that is silent for 0.75 s is taken for lost by others; heartbeats
 # follow 0.25 s after the last message.
 _SLOW_S = 0.25
+# Time after which a wait has been counted.
+COUNTED_AFTER_S = 5.0
 
 
 class Starvation:
@@ -32,14 +34,14 @@
         Returns the running daemons' process ids by index of their VM.
     """
 
-    __slots__ = ('_pids', '_samples', '_slow_at', '_times')
+    __slots__ = ('_pids', '_samples', '_slow', '_times')
 
     def __init__(self, pids: Callable[[], Mapping[int, int]]) -> None:
         self._pids = pids
         self._times: list[float] = []
-        # Times of the samples in which a process waited too long.
-        self._slow_at: list[float] = []
         self._samples: list[tuple[float, dict[int, float]]] = []
+        # Intervals in which a process was stopped for too long.
+        self._slow: list[tuple[float, float]] = []
 
     async def run(self) -> None:
         """Take samples until cancelled."""
@@ -55,8 +57,9 @@
                 previous[pid] = total
             self._times.append(now)
             self._samples.append((now - due, waits))
-            if max([now - due, *waits.values()]) >= _SLOW_S:
-                self._slow_at.append(now)
+            longest_s = max([now - due, *waits.values()])
+            if longest_s >= _SLOW_S:
+                self._slow.append((now - longest_s - _INTERVAL_S, now))
 
     def waited(self, start: float, end: float) -> float:
         """Return the time in seconds that a call may have lost to waiting.
@@ -64,23 +67,25 @@
         It is that of this process and of the two daemons that waited longest
         between two times, as a call passes through two daemons.
         """
+        # The kernel counts a wait when it is over.
         first = bisect_left(self._times, start)
-        # The sample after the end covers the last part of the interval.
-        last = bisect_right(self._times, end) + 1
+        last = bisect_right(self._times, end + COUNTED_AFTER_S)
         own = 0.0
         by_pid: dict[int, float] = {}
-        for lag, waits in self._samples[first:last]:
-            own += lag
+        for time, (lag, waits) in zip(
+            self._times[first:last], self._samples[first:last], strict=True
+        ):
+            if time - lag - _INTERVAL_S <= end:
+                own += lag
             for pid, wait in waits.items():
-                by_pid[pid] = by_pid.get(pid, 0.0) + wait
+                if time - wait - _INTERVAL_S <= end:
+                    by_pid[pid] = by_pid.get(pid, 0.0) + wait
         return own + sum(sorted(by_pid.values())[-2:])
 
     def was_slow(self, start: float, end: float) -> bool:
         """Whether a process was stopped for too long between two times."""
-        position = bisect_left(self._slow_at, start)
-        return position < len(self._slow_at) and (
-            # The sample after the end covers the last part of the interval.
-            self._slow_at[position] <= end + _SLOW_S
+        return any(
+            first <= end and last >= start for first, last in self._slow
         )
 
     def longest_lag(self) -> float:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -275,6 +275,7 @@
         checks.operator = Operator(random.Random(0), lambda key, value: None)
         checks.operator.versions[0].sent_at = 0.0
         violate(checks)
+        checks.settle(float('inf'))
         return checks.violations
 
     (violation,) = trio.run(report)
