Stop a daemon while its request runs, also on a busy machine

test_response_that_closes_is_not_reset failed once beside other suites (load average 36): the request of 0.1 s ended before the stop began, so that its response announced no close and the next request was refused in its turn, as it should be. The same came with a pause of 0.3 s before the stop. The request now runs for 1 s; what is checked stays the same.

--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -264,7 +264,7 @@
     """Closing with unread requests in the socket would discard it."""
     for _ in range(5):
         async with _open() as (backend, daemon, caller):
-            await caller.send(build_request('a', 'POST', work_s=0.1))
+            await caller.send(build_request('a', 'POST', work_s=1.0))
             await _until(lambda: 'a' in backend.started)
             daemon.kernel.stop()
             while not daemon.caller.stopping:
