Query the outcome on silent streams until the deadline

Callers of a request that must not be repeated got 502 about 3 s after the first silence although its endpoint was at work and its deadline later. The query is given up when its stream is silent, but this time counted towards the limit of 3 s for runners that cannot be reached; the time of a query whose stream is lost does not count. A silent query is now handled as a lost one, which also withdraws or cancels its frames.

The new test failed before with the result unknown; the endpoint responds 4.4 s after the request began.

--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -10,6 +10,7 @@
 import trio
 
 from gypsumhall._errors import PeerError
+from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerUnreachableError
 from gypsumhall.net import _socket
 from gypsumhall.net._messages import AnswerEnd
@@ -421,9 +422,14 @@
                     async with self._peers.open(
                         member.peer_address, query
                     ) as exchange:
-                        with _until_silent(exchange, receiver, interrupt=True):
+                        until_silent = _until_silent(
+                            exchange, receiver, interrupt=True
+                        )
+                        with until_silent:
                             while not receiver.done:
                                 await receiver.feed(await exchange.receive())
+                        if until_silent.cancelled_caught:
+                            raise PeerLostError(f'{member.id} is silent')
                 except (PeerError, trio.EndOfChannel):
                     # The duration of the query itself does not count.
                     query_until += trio.current_time() - now
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -280,6 +280,28 @@
         assert results == ['unknown']
 
 
+async def test_queries_on_silent_streams_go_on_until_the_deadline(
+    autojump_clock: MockClock,
+) -> None:
+    """They ended after 3 s with 502 although the endpoint was at work."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.constant_service_time = True
+        trial.backend.mean_service_time_s = 2.2
+
+        async def report_silence() -> None:
+            while True:
+                await trio.sleep(0.75)
+                for stream in list(trial.hub.streams):
+                    stream.report_silence()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(report_silence)
+            request = trial.request('r1', timeout_s=9.0)
+            assert await trial.call(1, request) == 'response'
+            nursery.cancel_scope.cancel()
+        assert trial.backend.runs == {'r1': 1}
+
+
 @pytest.mark.parametrize('fault', ['status', 'reset', 'hang'])
 async def test_failure_on_the_new_version_is_retried_on_the_old_one(
     autojump_clock: MockClock, fault: str
