Make further attempts beside a silent one also in a move

In a move, a request whose daemon was silent had one backup attempt. If that failed or its daemon was silent too, nothing else was tried until a stream was lost: callers waited for 2.25 s in place of 0.75 s, or until their deadline. The silence was reported to the first of the two attempts, which has no further ones, and not to the attempt that both are a part of.

It is now reported when all attempts that run are at silent daemons. They see the further attempts as running ones, so that they hold their responses and withhold failures meanwhile.

Both new tests failed before: the response came after 6.0 s, with the first delayed one, and the request ran twice in place of three times.

--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -63,12 +63,20 @@
     @property
     def is_only(self) -> bool:
         """Whether no other attempt is likely to respond."""
-        return self._hedged_request.is_only(self)
+        hedged_request = self._hedged_request
+        outer = hedged_request.sink
+        return hedged_request.is_only(self) and (
+            not isinstance(outer, HedgedAttempt) or outer.is_only
+        )
 
     @property
     def has_running_others(self) -> bool:
         """Whether other attempts run, at silent daemons included."""
-        return self._hedged_request.has_running_others(self)
+        hedged_request = self._hedged_request
+        outer = hedged_request.sink
+        return hedged_request.has_running_others(self) or (
+            isinstance(outer, HedgedAttempt) and outer.has_running_others
+        )
 
     def report_silence(self) -> None:
         """Record that the daemon of the attempt is silent."""
@@ -144,13 +152,26 @@
             for item in self._attempts
         )
 
-    def has_running_others(self, attempt: object) -> bool:
-        """Whether attempts run beside the given one."""
+    def has_running_others(self, attempt: HedgedAttempt | None) -> bool:
+        """Whether attempts run beside the given one, if any."""
         return any(
             item is not attempt and not item.ended.is_set()
             for item in self._attempts
         )
 
+    async def report_silence(self, outer: HedgedAttempt) -> None:
+        """Report when all attempts that run are at silent daemons.
+
+        Parameters
+        ----------
+        outer : HedgedAttempt
+            Attempt that these attempts are a part of.
+        """
+        for attempt in self._attempts:
+            await attempt.ended_or_silent.wait()
+        if self.winner is None and self.has_running_others(None):
+            outer.report_silence()
+
     async def claim(self, attempt: HedgedAttempt) -> None:
         """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -734,6 +734,8 @@
                 await first.ended_or_silent.wait()
             if not first.ended.is_set() and hedged_request.winner is None:
                 backup = self._choose_backup(choice, progress)
+                if isinstance(sink, _hedging.HedgedAttempt):
+                    nursery.start_soon(hedged_request.report_silence, sink)
                 if backup is not None:
                     second = hedged_request.add()
                     await self._run_hedged_attempt(
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -40,6 +40,8 @@
 
     from gypsumhall.net._protocol import Exchange
 
+_SILENCE_INTERVAL_S = 0.75
+
 
 @contextlib.asynccontextmanager
 async def _trial(
@@ -81,6 +83,14 @@
     return sink.status
 
 
+async def _report_silence(trial: CallTrial) -> None:
+    """Report at intervals that all streams are silent."""
+    while True:
+        await trio.sleep(_SILENCE_INTERVAL_S)
+        for stream in list(trial.hub.streams):
+            stream.report_silence()
+
+
 def _fault_on_message(
     kind: type[Message], fault: Fault, times: int = 1
 ) -> FaultRule:
@@ -288,14 +298,8 @@
         trial.backend.constant_service_time = True
         trial.backend.mean_service_time_s = 2.2
 
-        async def report_silence() -> None:
-            while True:
-                await trio.sleep(0.75)
-                for stream in list(trial.hub.streams):
-                    stream.report_silence()
-
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(report_silence)
+            nursery.start_soon(_report_silence, trial)
             request = trial.request('r1', timeout_s=9.0)
             assert await trial.call(1, request) == 'response'
             nursery.cancel_scope.cancel()
@@ -405,6 +409,43 @@
         assert backups >= 5
 
 
+async def test_silent_daemons_of_a_backup_and_the_first_attempt_get_help(
+    autojump_clock: MockClock,
+) -> None:
+    """In a move, nothing else was tried until one of the streams was lost."""
+    async with _trial(share=1.0) as trial, trio.open_nursery() as nursery:
+        trial.hub.delay_s = 6.0
+        trial.hub.fault_rule = _fault_on_message(
+            AnswerStart, Fault.DELAY, times=2
+        )
+        nursery.start_soon(_report_silence, trial)
+        started = trio.current_time()
+        request = trial.request('r1', method='GET', timeout_s=9.0)
+        assert await trial.call(3, request) == 'response'
+        assert trio.current_time() - started < 4 * _SILENCE_INTERVAL_S
+        nursery.cancel_scope.cancel()
+
+
+async def test_failed_backup_of_a_silent_daemon_is_not_the_last_attempt(
+    autojump_clock: MockClock,
+) -> None:
+    """In a move, the request waited until the stream was lost."""
+    async with _trial(share=1.0) as trial, trio.open_nursery() as nursery:
+        trial.hub.delay_s = 6.0
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.DELAY)
+        trial.backend.status = {'backend-0': 503, 'backend-1': 503}
+        nursery.start_soon(_report_silence, trial)
+        request = dataclasses.replace(
+            trial.request('r1', method='GET', timeout_s=9.0), attempts=3
+        )
+        async with trio.open_nursery() as calls:
+            calls.start_soon(trial.call, 3, request)
+            await trio.sleep(1.5 * _SILENCE_INTERVAL_S)
+            assert trial.backend.runs['r1'] == 3
+            calls.cancel_scope.cancel()
+        nursery.cancel_scope.cancel()
+
+
 async def test_truncated_backup_does_not_cancel_the_first_attempt(
     autojump_clock: MockClock,
 ) -> None:
