End a request with its response while other attempts wait

A request whose first daemon was silent and responded later ended up to 0.75 s after its response if further attempts waited for an endpoint then: its connection could not be used for the next request until then, and the owner of a key held the response back. The wait now ends when an attempt responds.

The new test failed before, three times of three: the request was still running 20 ms after its complete response.

--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -112,14 +112,17 @@
     ----------
     winner : HedgedAttempt or None
         Attempt that responded first.
+    claimed : trio.Event
+        Set when there is a winner.
     """
 
-    __slots__ = ('_attempts', 'sink', 'winner')
+    __slots__ = ('_attempts', 'claimed', 'sink', 'winner')
 
     def __init__(self, sink: _calls.ResponseSink) -> None:
         self._attempts: list[HedgedAttempt] = []
         self.sink = sink
         self.winner: HedgedAttempt | None = None
+        self.claimed = trio.Event()
 
     def add(self) -> HedgedAttempt:
         """Add an attempt and return its sink."""
@@ -176,6 +179,7 @@
         """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
             self.winner = attempt
+            self.claimed.set()
             for other in self._attempts:
                 if other is not attempt:
                     other.scope.cancel(reason='other-attempt')
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -591,7 +591,9 @@
         )
         if now + progress.backoff_s >= endpoint_wait_until:
             return False
-        await trio.sleep(progress.backoff_s * (0.5 + self._rng.random()))
+        wait_s = progress.backoff_s * (0.5 + self._rng.random())
+        with trio.move_on_after(wait_s):
+            await progress.hedged_request.claimed.wait()
         progress.backoff_s = min(2 * progress.backoff_s, _MAX_BACKOFF_S)
         progress.tried_members.clear()
         progress.rejected_by.clear()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -446,6 +446,50 @@
         nursery.cancel_scope.cancel()
 
 
+class _NotifyingSink(call_trial.CollectingSink):
+    """Sets an event at the end of the response."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ended = trio.Event()
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Append a part of the body."""
+        await super().chunk(data, last=last)
+        if last:
+            self.ended.set()
+
+
+async def test_request_ends_with_its_response_while_others_wait(
+    autojump_clock: MockClock,
+) -> None:
+    """Attempts beside the one that responded held it up to 0.75 s longer."""
+    async with _trial(daemons=3) as trial, trio.open_nursery() as nursery:
+        trial.hub.delay_s = 2.0
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.DELAY)
+        sender = trial.daemons[2].runner.sender
+        sink = _NotifyingSink()
+
+        async def send() -> None:
+            request = trial.request('r1', method='GET', timeout_s=9.0)
+            await sender.send(request, sink)
+
+        nursery.start_soon(send)
+        await trio.sleep(0.5)
+        # The other endpoint rejects further attempts before they run.
+        for daemon in trial.daemons[:2]:
+            backend = daemon.runner._backend
+            assert backend is not None
+            backend.endpoint = msgspec.structs.replace(
+                backend.endpoint, state=EndpointState.STARTING
+            )
+        for stream in list(trial.hub.streams):
+            stream.report_silence()
+        await sink.ended.wait()
+        await trio.sleep(0.02)
+        assert not nursery.child_tasks
+
+
 async def test_truncated_backup_does_not_cancel_the_first_attempt(
     autojump_clock: MockClock,
 ) -> None:
