Send held responses when the server is cancelled

Callers with several requests at once got no response at all, though their requests had been passed on, from a daemon that was suspended until the end of its grace time or whose drain had no time left.

A cancelled request gets a last response within 0.1 s, but with others behind it the response was held, and the task that was to send it in its turn had been cancelled as well. These tasks now have 0.1 s of their own to send what is complete, in order.

test_all_requests_running_at_the_end_get_a_response[0.0] failed before: none of three requests was answered. With a drain of 1 s it passed before, too.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -47,6 +47,8 @@
 _LINGER_S = 1.0
 _STOP_LINGER_S = 0.5
 _MAX_LINGER_BYTES = 256 * 1024
+# Time in seconds for the responses of requests that the server cancels.
+_FINAL_RESPONSES_S = 0.1
 _UNSENT_CHECK_INTERVAL_S = 0.02
 # Bytes of a request body that wait for the application.
 _MAX_BODY_BYTES = 256 * 1024
@@ -274,8 +276,19 @@
 
     async def run(self, application: Application) -> None:
         """Run the application and send its response."""
-        connection = self._connection
-        scope = _build_scope(self, connection.reset)
+        try:
+            await self._run_application(application)
+            await self._finish_response()
+        except trio.Cancelled:
+            # The responses in front, of tasks that are cancelled as well, and
+            # this one are sent if that takes no time.
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + _FINAL_RESPONSES_S
+                await self._finish_response()
+            raise
+
+    async def _run_application(self, application: Application) -> None:
+        scope = _build_scope(self, self._connection.reset)
         try:
             if not self._failed:
                 with self._scope:
@@ -283,6 +296,10 @@
         except Exception:
             # The application has logged it. The caller must get a response.
             self.fail(500)
+
+    async def _finish_response(self) -> None:
+        """Send what is left of the response in its turn."""
+        connection = self._connection
         if not self._response_ended and not self.response_started:
             self.fail(500)
         while not self._is_abandoned():
--- a/tests/test_services_pipelining.py
+++ b/tests/test_services_pipelining.py
@@ -328,6 +328,33 @@
                     await caller.read_until_closed()
 
 
+@pytest.mark.parametrize('drain_timeout_s', [0.0, 1.0])
+async def test_all_requests_running_at_the_end_get_a_response(
+    drain_timeout_s: float,
+) -> None:
+    """Also those behind the first, in their order.
+
+    A timeout of 0 s has the same effect as a process that is suspended until
+    the end of its shutdown.
+    """
+    async with _open(drain_timeout_s=drain_timeout_s) as (
+        backend,
+        daemon,
+        caller,
+    ):
+        await caller.send(
+            build_request('a', work_s=9.0),
+            build_request('b'),
+            build_request('c', work_s=9.0),
+        )
+        await _until(lambda: backend.completed == ['b'])
+        await _until(lambda: len(backend.started) == 3)
+        daemon.kernel.stop()
+        responses = await caller.read_until_closed()
+        assert [response.status for response in responses] == [502, 200, 502]
+        assert responses[-1].closes
+
+
 async def test_request_that_closes_hides_what_is_behind() -> None:
     async with _open() as (backend, _, caller):
         await caller.send(
