Soak: bound the waits that checks of versions and leaves allow for

They grew with the time since a version or a leave, so that a daemon that used an older version for a tenth of its requests was not noticed on a busy machine.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -244,9 +244,7 @@
     def _check_order(
         self, shown: int, shown_at: float, request: Request
     ) -> None:
-        sent_at = request.write_started_at
-        slack_s = ROLLBACK_SLACK_S + self._waited(shown_at, sent_at)
-        if sent_at > shown_at + slack_s:
+        if request.write_started_at > shown_at + ROLLBACK_SLACK_S:
             self._checks.report(
                 'older configuration',
                 f'after version {shown} at {shown_at:.3f}: {request!r}',
@@ -261,7 +259,8 @@
             ready_since is None
             or sent_at < ready_since + STABLE_S
             or not self._checks.is_calm(written_at, sent_at, with_store=True)
-            or age_s <= APPLY_S + self._waited(written_at, sent_at)
+            or age_s
+            <= APPLY_S + self._waited(written_at, written_at + APPLY_S)
         ):
             return
         self._checks.report(
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -242,7 +242,7 @@
         self, left_at: float, request: Request, now: float
     ) -> None:
         self.count('arrivals after an acknowledged leave')
-        bound = left_at + DRAIN_S + self._waited(left_at + DRAIN_S, now)
+        bound = left_at + DRAIN_S + self._waited(now - LATE_S, now)
         if now > bound and self.is_calm(left_at, now):
             self.report(
                 'drain', f'{now - left_at:.3f} s after the ack: {request!r}'
