Soak: count only runs that their own limit would not have ended

Callers that left at their time limit diluted the share of runs that go on after a leave, so that daemons that do not cancel were not noticed.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -356,7 +356,7 @@
 ) -> bool:
     closing = False
     started = trio.current_time()
-    patience = 1.0 if rng.random() < 0.9 else rng.uniform(0.05, 0.8)
+    patience = 1.0 if rng.random() < 0.8 else rng.uniform(0.05, 0.8)
     for position, request in enumerate(batch):
         wait_until = started + patience * request.stated_ms / 1000
         with (
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -219,7 +219,7 @@
             if request.end is End.LEFT and request.idempotent:
                 for run in request.runs:
                     at_work += self._works_after_leave(request, run)
-                    eligible += _would_work_after_leave(request, run)
+                    eligible += self._would_work_after_leave(request, run)
             if request.first_of_batch and request.written_at is not None:
                 limit_s = self.operator.limit_s(
                     request.route, request.write_started_at, end
@@ -346,7 +346,7 @@
         )
 
     def _works_after_leave(self, request: Request, run: Run) -> bool:
-        if not _would_work_after_leave(request, run):
+        if not self._would_work_after_leave(request, run):
             return False
         bound = request.ended_at + GONE_S
         ended_at = run.ended_at
@@ -354,6 +354,19 @@
             request.ended_at, bound
         )
 
+    def _would_work_after_leave(self, request: Request, run: Run) -> bool:
+        """Whether a run that nobody cancels lasts long enough to be noticed."""
+        left_at = request.ended_at
+        limit_s = self.operator.limit_s(
+            request.route, request.write_started_at, left_at
+        )
+        limit_s = min(limit_s, request.stated_ms / 1000)
+        work_s = _configurations.work_ms(request.target) / 1000
+        ends_at = min(
+            run.started_at + work_s, request.write_started_at + limit_s
+        )
+        return run.started_at <= left_at and ends_at > left_at + GONE_S
+
     def lines(self) -> Iterator[str]:
         """Yield what the checks covered."""
         for name in sorted(self.counts):
@@ -368,14 +381,6 @@
     return request.status in _PROMISES_NOT_RUN and not request.signature
 
 
-def _would_work_after_leave(request: Request, run: Run) -> bool:
-    work_s = _configurations.work_ms(request.target) / 1000
-    return (
-        run.started_at <= request.ended_at
-        and run.started_at + work_s > request.ended_at + GONE_S
-    )
-
-
 def _cut_at(request: Request, run: Run) -> float | None:
     """Return when a daemon gave up a run while its caller waited, if so."""
     ended_at = float('inf') if run.ended_at is None else run.ended_at
