--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -292,14 +292,45 @@
     more: bool = False
 
 
+class PackedUpdate(Message, frozen=True, tag=29):
+    """A compressed `Update` in the reply to a `Pull`.
+
+    Parameters
+    ----------
+    base : int
+        As in the update.
+    data : bytes
+        The encoded update in zlib format.
+    time : int
+        Hybrid logical clock of the sender.
+    """
+
+    base: int
+    data: bytes
+    time: int = 0
+
+
 class Announcement(Message, frozen=True, tag=21):
-    """Notifies a peer of the sender's installed configuration version."""
+    """Notifies a peer of the sender's installed configuration version.
+
+    Parameters
+    ----------
+    digest : Digest
+        Digest of the sender's state.
+    root : str
+        Id of the daemon at the root of the distribution tree in which a
+        large version is announced instead of pushed: the receiver pulls it
+        at once. Empty outside a tree.
+    """
 
     digest: Digest
+    root: str = ''
 
 
 class Pull(Message, frozen=True, tag=22):
-    """Requests the installed configuration; the reply is `Update` or `Busy`.
+    """Requests the installed configuration.
+
+    The reply is `Busy`, or one or more of `Update` and `PackedUpdate`.
 
     Parameters
     ----------
@@ -533,6 +564,9 @@
         accepts the call; -1 for any that leaves time to execute it.
     is_caller_retry : bool
         Whether the caller retries after a rejection.
+    sent_us : int
+        Time at which the call was sent, by `net._socket.clock_us` of the
+        sender; 0 if unknown.
     """
 
     request_id: str
@@ -556,6 +590,7 @@
     objective_ms: int = 0
     max_wait_ms: int = -1
     is_caller_retry: bool = False
+    sent_us: int = 0
 
 
 class BodyChunk(Message, frozen=True, tag=41):
--- a/gypsumhall/net/_protocol.py
+++ b/gypsumhall/net/_protocol.py
@@ -51,6 +51,14 @@
         """The daemon at the other end."""
         ...
 
+    @property
+    def delay_s(self) -> float:
+        """Time in seconds by which the first message was delayed.
+
+        Only known for a call that the peer has sent; 0 otherwise.
+        """
+        ...
+
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
 
@@ -81,6 +89,14 @@
         """Cancel the exchange; `receive` fails at the other end."""
         ...
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Set a function to call when the peer is silent.
+
+        It is called once at most. The exchange goes on: its messages may be
+        delayed, and the stream ends if nothing is received for longer.
+        """
+        ...
+
 
 Handler = Callable[[Exchange, M], Awaitable[None]]
 """Handles an exchange that starts with a message of a registered type."""
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -25,12 +25,15 @@
 from gypsumhall._errors import PeerError
 from gypsumhall._errors import PeerLostError
 from gypsumhall._errors import PeerProtocolError
+from gypsumhall.core._transit import TransitEstimator
 from gypsumhall.net import _frames
 from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
 from gypsumhall.net._frames import TrafficCounters
+from gypsumhall.net._messages import CallStart
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from gypsumhall.net._messages import Message
@@ -53,6 +56,10 @@
     ping_after_s : float
         Time in seconds without received data after which a ping is sent on
         a stream in use.
+    silent_after_s : float
+        Time in seconds without received data after which a stream in use
+        reports to its exchanges that the peer is silent. A slow link or a
+        busy peer looks the same for a while, so the exchanges go on.
     dead_after_s : float
         Time in seconds without received data after which a stream in use
         times out.
@@ -64,6 +71,7 @@
     """
 
     ping_after_s: float = 1.0
+    silent_after_s: float = 2.0
     dead_after_s: float = 2.0
     idle_s: float = 60.0
     window: int = 128 * 1024
@@ -88,6 +96,10 @@
         """Start the handler of an exchange that the peer has opened."""
         ...
 
+    def handle_stream_silence(self, stream: Stream, silence_s: float) -> None:
+        """Record that nothing was received from a stream in use."""
+        ...
+
     def handle_stream_end(
         self, stream: Stream, error: PeerError | None
     ) -> None:
@@ -105,11 +117,13 @@
         '_consumed_bytes',
         '_credit_bytes',
         '_error',
+        '_on_silence',
         '_receive_queue',
         '_receiving_closed',
         '_sending_closed',
         '_single_reply',
         '_stream',
+        'delay_s',
         'is_call',
         'number',
     )
@@ -130,7 +144,10 @@
         self._sending_closed = False
         self._receiving_closed = False
         self._error: PeerError | None = None
+        self._on_silence: Callable[[], None] | None = None
         self.is_call = is_call
+        self.delay_s = 0.0
+        """Time in seconds by which the first message was delayed."""
 
     @property
     def peer(self) -> PeerInfo:
@@ -142,6 +159,21 @@
         """Whether this end has ended the exchange or the stream has ended."""
         return not self._stream.has_exchange(self)
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether the peer has cancelled the exchange or is lost."""
+        return self._error is not None
+
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Call back once the peer is silent while the exchange goes on."""
+        self._on_silence = callback
+
+    def report_silence(self) -> None:
+        """Notify the user of the exchange that the peer is silent."""
+        if self._on_silence is not None:
+            callback, self._on_silence = self._on_silence, None
+            callback()
+
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
 
@@ -264,7 +296,9 @@
     def _end(self, kind: Kind, error: PeerLostError) -> None:
         if self._stream.remove_exchange(self.number) and self._error is None:
             # No frame is needed once both directions are closed.
-            if not (self._sending_closed and self._receiving_closed):
+            if not (self._sending_closed and self._receiving_closed) and not (
+                kind is Kind.CANCEL and self._stream.withdraw(self.number)
+            ):
                 self._write(kind, 0)
             self._error = error
         self._wake()
@@ -315,6 +349,8 @@
     __slots__ = (
         '_backlog',
         '_exchanges',
+        '_flushing',
+        '_head_is_partial',
         '_last_exchange_id',
         '_last_received',
         '_last_used',
@@ -324,7 +360,10 @@
         '_owner',
         '_pinged_at',
         '_send_queue',
+        '_silence_reported',
         '_sock',
+        '_transit',
+        '_unsent_openings',
         '_writable',
         'dialled_address',
         'end_error',
@@ -350,7 +389,13 @@
         self._nursery = nursery
         self._exchanges: dict[int, StreamExchange] = {}
         self._last_exchange_id = 0
-        self._send_queue: deque[memoryview] = deque()
+        # Frames that wait for the socket, with the ids of their exchanges.
+        self._send_queue: deque[tuple[int, memoryview]] = deque()
+        self._head_is_partial = False
+        # Whether the task that sends the backlog is running.
+        self._flushing = False
+        # Exchanges of which no byte has been sent.
+        self._unsent_openings: set[int] = set()
         self._backlog = 0
         self._writable = trio.lowlevel.ParkingLot()
         self._last_received = now
@@ -358,6 +403,8 @@
         self._monitored_since = now
         self._monitored_until = now
         self._pinged_at = math.inf
+        self._silence_reported = False
+        self._transit = TransitEstimator()
         self.peer = peer
         self.dialled_address = dialled_address
         self.is_opener = bool(dialled_address)
@@ -396,11 +443,12 @@
         """Whether the reply to a ping is overdue.
 
         This is the case after a quarter of the time between ping and
-        timeout. New exchanges then use a new connection instead of waiting
+        silence. New exchanges then use a new connection instead of waiting
         until the stream times out.
         """
         settings = self.settings
-        quarter = (settings.dead_after_s - settings.ping_after_s) / 4
+        silent_after_s = min(settings.silent_after_s, settings.dead_after_s)
+        quarter = (silent_after_s - settings.ping_after_s) / 4
         return trio.current_time() - self._pinged_at > quarter
 
     def open(self, message: Message, kind: Kind) -> StreamExchange:
@@ -421,21 +469,21 @@
             single_reply=False,
         )
         self._add_exchange(exchange)
+        if self._flushing:
+            self._unsent_openings.add(self._last_exchange_id)
         self.write(self._last_exchange_id, kind, payload, carries_call)
         return exchange
 
-    def post(self, message: Message) -> bool:
-        """Send a message without reply; return False if it was dropped."""
+    def post(self, payload: bytes) -> bool:
+        """Send an encoded message without reply; False if it was dropped."""
         if (
             self._backlog > _HIGH_WATER_MARK_BYTES
             or self.end_error is not None
         ):
             return False
-        payload = _frames.encode_message(message)
         self._last_exchange_id += 1
         self._last_used = trio.current_time()
-        carries_call = _frames.is_call(message)
-        self.write(self._last_exchange_id, Kind.POST, payload, carries_call)
+        self.write(self._last_exchange_id, Kind.POST, payload, is_call=False)
         return True
 
     def write(
@@ -447,7 +495,7 @@
         data = _frames.encode_frame(number, kind, payload)
         self._owner.traffic.add(2 if is_call else 0, len(data), payload)
         sent = 0
-        if not self._send_queue:
+        if not self._flushing:
             try:
                 sent = self._sock.send(data)
             except BlockingIOError:
@@ -457,8 +505,16 @@
                 return
             if sent == len(data):
                 return
+            self._head_is_partial = sent > 0
+            self._flushing = True
             self._nursery.start_soon(self._flush)
-        self._send_queue.append(memoryview(data)[sent:])
+        entry = (number, memoryview(data)[sent:])
+        if kind in (Kind.PING, Kind.PONG):
+            # The peer takes a stream whose replies wait in a backlog for a
+            # silent one.
+            self._send_queue.insert(int(self._head_is_partial), entry)
+        else:
+            self._send_queue.append(entry)
         self._backlog += len(data) - sent
         if self._backlog > _MAX_BACKLOG_BYTES:
             self.end(
@@ -467,6 +523,24 @@
                 )
             )
 
+    def withdraw(self, number: int) -> bool:
+        """Drop the frames of an exchange of which no byte has been sent.
+
+        Returns
+        -------
+        bool
+            Whether the peer gets to know nothing of the exchange.
+        """
+        if number not in self._unsent_openings:
+            return False
+        self._unsent_openings.remove(number)
+        kept = [item for item in self._send_queue if item[0] != number]
+        self._send_queue = deque(kept)
+        self._backlog = sum(len(view) for _, view in kept)
+        if self._backlog <= _HIGH_WATER_MARK_BYTES:
+            self._writable.unpark_all()
+        return True
+
     async def wait_writable(self) -> None:
         """Wait until the backlog has shrunk or the stream has ended."""
         if self._backlog and self.end_error is None:
@@ -489,16 +563,29 @@
             return math.inf
         if self._pinged_at == math.inf:
             return silent_since + settings.ping_after_s
+        limit_s = settings.dead_after_s
+        if not self._silence_reported:
+            limit_s = min(limit_s, settings.silent_after_s)
         return max(
-            silent_since + settings.dead_after_s,
-            self._pinged_at + self._ping_timeout_s,
+            silent_since + limit_s,
+            self._pinged_at + self._reply_time_s(limit_s),
         )
 
-    @property
-    def _ping_timeout_s(self) -> float:
-        # The peer has at least half of the time between ping and timeout to
-        # reply, even if this process sent its ping late.
-        return (self.settings.dead_after_s - self.settings.ping_after_s) / 2
+    def _reply_time_s(self, limit_s: float) -> float:
+        """Return the least time in seconds to wait for the reply to a ping.
+
+        The peer has at least half of the time between ping and limit to
+        reply, even if this process sent its ping late.
+        """
+        return (limit_s - self.settings.ping_after_s) / 2
+
+    def _is_silent_for(
+        self, limit_s: float, silence_s: float, now: float
+    ) -> bool:
+        return (
+            silence_s >= limit_s
+            and now - self._pinged_at >= self._reply_time_s(limit_s)
+        )
 
     def check_timeouts(self, now: float) -> None:
         """Send a ping, time the stream out or close it if it is idle."""
@@ -513,15 +600,29 @@
             if now - self._last_used > limit:
                 self.end(None)
             return
-        silence = now - max(self._last_received, self._monitored_since)
-        if (
-            silence >= settings.dead_after_s
-            and now - self._pinged_at >= self._ping_timeout_s
+        silence_s = now - max(self._last_received, self._monitored_since)
+        if self._is_silent_for(settings.dead_after_s, silence_s, now):
+            self.end(PeerLostError(f'nothing received for {silence_s:.1f} s'))
+        elif self._pinged_at == math.inf and (
+            silence_s >= settings.ping_after_s
         ):
-            self.end(PeerLostError(f'nothing received for {silence:.1f} s'))
-        elif self._pinged_at == math.inf and silence >= settings.ping_after_s:
             self._pinged_at = now
-            self.write(0, Kind.PING, 0, is_call=False)
+            self.write(0, Kind.PING, _socket.clock_us(), is_call=False)
+        elif not self._silence_reported and self._is_silent_for(
+            settings.silent_after_s, silence_s, now
+        ):
+            self._report_silence(silence_s)
+
+    def _report_silence(self, silence_s: float) -> None:
+        self._silence_reported = True
+        self._owner.handle_stream_silence(self, silence_s)
+        for exchange in self.in_flight:
+            exchange.report_silence()
+
+    def _record_life(self, now: float) -> None:
+        self._last_received = now
+        self._pinged_at = math.inf
+        self._silence_reported = False
 
     def send_goaway(self) -> None:
         """Notify the peer that no new exchanges are accepted."""
@@ -546,6 +647,7 @@
         exchanges = list(self._exchanges.values())
         self._exchanges.clear()
         self._send_queue.clear()
+        self._unsent_openings.clear()
         self._backlog = 0
         _socket.close(self._sock)
         for exchange in exchanges:
@@ -587,8 +689,7 @@
                     # The peer has timed out its exchanges by now, so a call
                     # that is still unread in the socket must not start.
                     raise PeerLostError('this process was paused')
-                self._last_received = now
-                self._pinged_at = math.inf
+                self._record_life(now)
         except PeerError as error:
             self.end(error)
         except OSError as error:
@@ -617,6 +718,7 @@
         self._owner.traffic.add(3 if is_call else 1, size, payload)
         if kind >= Kind.PING:
             if kind is Kind.PING:
+                self._observe_stamp(int(payload))
                 self.write(0, Kind.PONG, 0, is_call=False)
             elif kind is Kind.GOAWAY:
                 self.goaway_received = True
@@ -648,31 +750,47 @@
         if kind is Kind.POST:
             # A posted message gets no reply.
             exchange.handle_frame(Kind.CLOSE, 0)
+        if isinstance(message, CallStart):
+            exchange.delay_s = self._observe_stamp(message.sent_us)
         self._add_exchange(exchange)
         self._owner.accept_exchange(self, exchange, message)
 
+    def _observe_stamp(self, sent_us: int) -> float:
+        """Return the delay in seconds of a message with a time stamp."""
+        if not sent_us:
+            return 0.0
+        return self._transit.observe(sent_us / 1e6, _socket.clock_us() / 1e6)
+
     async def _flush(self) -> None:
         try:
             while self._send_queue:
                 await trio.lowlevel.wait_writable(self._sock)
                 batch = [
-                    self._send_queue[i]
+                    self._send_queue[i][1]
                     for i in range(min(16, len(self._send_queue)))
                 ]
                 try:
                     sent = self._sock.sendmsg(batch)
                 except BlockingIOError:
                     continue
-                self._backlog -= sent
-                while sent:
-                    chunk = self._send_queue.popleft()
-                    if sent < len(chunk):
-                        self._send_queue.appendleft(chunk[sent:])
-                        break
-                    sent -= len(chunk)
+                # The socket was full, so the peer has acknowledged data.
+                self._record_life(trio.current_time())
+                self._remove_sent(sent)
                 if self._backlog <= _HIGH_WATER_MARK_BYTES:
                     self._writable.unpark_all()
+            self._flushing = False
         except trio.ClosedResourceError:
             pass
         except OSError as error:
             self.end(PeerLostError(f'stream failed: {error}'))
+
+    def _remove_sent(self, sent: int) -> None:
+        self._backlog -= sent
+        while sent:
+            number, chunk = self._send_queue.popleft()
+            self._unsent_openings.discard(number)
+            self._head_is_partial = sent < len(chunk)
+            if self._head_is_partial:
+                self._send_queue.appendleft((number, chunk[sent:]))
+                break
+            sent -= len(chunk)
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -11,6 +11,7 @@
 
 from gypsumhall._errors import PeerError
 from gypsumhall._errors import PeerUnreachableError
+from gypsumhall.net import _socket
 from gypsumhall.net._messages import AnswerEnd
 from gypsumhall.net._messages import AnswerStart
 from gypsumhall.net._messages import BodyChunk
@@ -31,6 +32,7 @@
     from gypsumhall.core._snapshot import Split
     from gypsumhall.net._protocol import Exchange
     from gypsumhall.net._protocol import PeerNetwork
+    from gypsumhall.services import _deadlines
     from gypsumhall.services import _protocols
 
 # Time in seconds after the deadline in which a rejection is still awaited: the
@@ -59,9 +61,10 @@
         Id of the attempt; messages with another id are dropped.
     sink : ResponseSink
         Receives the response.
-    buffer_response : bool
-        Whether the response is buffered until it is complete. Responses with
-        a small ``content-length`` are always buffered.
+    should_buffer : callable or None
+        Returns, when the head has arrived, whether the response is buffered
+        until it is complete. Responses with a small ``content-length`` are
+        always buffered.
     should_withhold : callable or None
         Returns, given the status, whether the response is withheld from the
         sink because the request will be retried.
@@ -72,9 +75,9 @@
 
     __slots__ = (
         '_buffer_budget',
-        '_buffer_response',
         '_recorder',
         '_request_id',
+        '_should_buffer',
         '_should_withhold',
         '_sink',
         'complete',
@@ -93,13 +96,13 @@
         request_id: str,
         sink: _calls.ResponseSink,
         *,
-        buffer_response: bool = False,
+        should_buffer: Callable[[], bool] | None = None,
         should_withhold: Callable[[int], bool] | None = None,
         buffer_budget: _calls.ResponseBufferBudget | None = None,
     ) -> None:
         self._request_id = request_id
         self._sink = sink
-        self._buffer_response = buffer_response
+        self._should_buffer = should_buffer
         self._should_withhold = should_withhold
         self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._recorder: _calls.Recorder | None = None
@@ -167,9 +170,7 @@
         self.status = message.status
         if self._should_withhold is not None:
             self.withheld = self._should_withhold(message.status)
-        if self.withheld or (
-            not message.last and self._should_buffer(message)
-        ):
+        if self.withheld or (not message.last and self._is_buffered(message)):
             self._recorder = _calls.Recorder(self._buffer_budget)
             self._recorder.head(message.status, message.headers)
         else:
@@ -178,8 +179,8 @@
         if message.body or message.last:
             await self._chunk(message.body, last=message.last)
 
-    def _should_buffer(self, message: AnswerStart) -> bool:
-        if self._buffer_response:
+    def _is_buffered(self, message: AnswerStart) -> bool:
+        if self._should_buffer is not None and self._should_buffer():
             return True
         for name, value in message.headers:
             if name == b'content-length':
@@ -231,10 +232,13 @@
         Source of randomness.
     execute : callable
         Runs a call on this VM.
+    deadlines : DeadlineMonitor
+        Cancels attempts that take too long.
     """
 
     __slots__ = (
         '_counter',
+        '_deadlines',
         '_events',
         '_execute',
         '_me',
@@ -251,7 +255,9 @@
         events: _protocols.Events,
         rng: Random,
         execute: Execute,
+        deadlines: _deadlines.DeadlineMonitor,
     ) -> None:
+        self._deadlines = deadlines
         self._peers = peers
         self._me = me.id
         self._zone = me.zone
@@ -320,6 +326,7 @@
             objective_ms,
             -1 if max_wait_s is None else max(0, int(max_wait_s * 1000)),
             request.is_caller_retry,
+            _socket.clock_us(),
         )
 
     async def run(
@@ -328,9 +335,14 @@
         call: CallStart,
         request: _calls.Request,
         receiver: Receiver,
+        on_silence: Callable[[], None] | None = None,
     ) -> None:
         """Make an attempt; `receiver.done` stays False when it was lost.
 
+        One that must not be repeated also counts as lost when the other
+        daemon is silent before it responds: its outcome can be queried on a
+        new stream. Any other one goes on, as it may only be delayed.
+
         Parameters
         ----------
         member : Member
@@ -341,6 +353,8 @@
             The request.
         receiver : Receiver
             Receives the response.
+        on_silence : callable, optional
+            Called when the other daemon is silent.
 
         Raises
         ------
@@ -348,7 +362,7 @@
             When nothing was sent.
         """
         timeout_s = call.deadline_ms / 1000 + _GRACE_S
-        with trio.move_on_after(timeout_s) as scope:
+        with self._deadlines.limit(trio.current_time() + timeout_s) as scope:
             if member.id == self._me:
                 await self._execute(call, request.body, receiver.feed)
                 receiver.done = True
@@ -357,9 +371,18 @@
                 async with self._peers.open(
                     member.peer_address, call
                 ) as exchange:
-                    await self._exchange_messages(
-                        exchange, call, request, receiver
+                    until_silent = _until_silent(
+                        exchange,
+                        receiver,
+                        on_silence,
+                        interrupt=not request.idempotent,
                     )
+                    with until_silent:
+                        await self._exchange_messages(
+                            exchange, call, request, receiver, until_silent
+                        )
+                    if until_silent.cancelled_caught:
+                        exchange.cancel()
             except PeerUnreachableError:
                 if receiver.started:
                     return
@@ -398,8 +421,9 @@
                     async with self._peers.open(
                         member.peer_address, query
                     ) as exchange:
-                        while not receiver.done:
-                            await receiver.feed(await exchange.receive())
+                        with _until_silent(exchange, receiver, interrupt=True):
+                            while not receiver.done:
+                                await receiver.feed(await exchange.receive())
                 except (PeerError, trio.EndOfChannel):
                     # The duration of the query itself does not count.
                     query_until += trio.current_time() - now
@@ -420,6 +444,7 @@
         call: CallStart,
         request: _calls.Request,
         receiver: Receiver,
+        until_silent: trio.CancelScope,
     ) -> None:
         try:
             if call.has_body:
@@ -434,9 +459,43 @@
         except trio.EndOfChannel:
             return
         except trio.Cancelled as error:
+            if until_silent.cancel_called:
+                raise
             cancel = CallCancel(call.request_id, _calls.cancel_cause(error))
             with trio.CancelScope(shield=True) as scope:
                 scope.deadline = trio.current_time() + _GRACE_S
                 with contextlib.suppress(PeerError):
                     await exchange.send(cancel)
             raise
+
+
+def _until_silent(
+    exchange: Exchange,
+    receiver: Receiver,
+    on_silence: Callable[[], None] | None = None,
+    *,
+    interrupt: bool,
+) -> trio.CancelScope:
+    """Return a scope that ends when the other daemon is silent.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Exchange with the other daemon.
+    receiver : Receiver
+        Receives the response. Once it has started, the scope does not end.
+    on_silence : callable, optional
+        Called when the other daemon is silent.
+    interrupt : bool
+        Whether the scope ends at all.
+    """
+    scope = trio.CancelScope()
+
+    def handle_silence() -> None:
+        if on_silence is not None:
+            on_silence()
+        if interrupt and not receiver.started:
+            scope.cancel()
+
+    exchange.on_silence(handle_silence)
+    return scope
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -56,9 +56,6 @@
 # sent every second. No request for `_IDLE_AFTER_S` shows that they have left.
 _MIN_DRAIN_DELAY_S = 1.0
 _IDLE_AFTER_S = 0.8
-# Time limit in seconds for closing the connections after the last request has
-# ended. Only requests that were read at that moment need it, to be rejected.
-_CLOSE_TIMEOUT_S = 0.5
 # Time limit in seconds for sending the response to a cancelled request.
 _FINAL_RESPONSE_TIMEOUT_S = 0.1
 # Limits on discarding the rest of a request body after its rejection. Closing
@@ -218,7 +215,10 @@
         return self._started
 
     async def head(self, status: int, headers: _calls.Headers) -> None:
-        """Send the status and headers, or store them while buffering."""
+        """Store the status and headers until there is a part of the body.
+
+        Until then a response that breaks off is replaced by another one.
+        """
         if self._caller.stopping:
             headers = (*headers, (b'connection', b'close'))
         self._head = {
@@ -228,9 +228,6 @@
         }
         if any(name == b'content-length' for name, _ in headers):
             self._buffer = None
-        if self._buffer is None:
-            self._started = True
-            await self._incoming.send(self._head)
 
     async def chunk(self, data: bytes, *, last: bool) -> None:
         """Send a part of the body, or buffer it."""
@@ -247,16 +244,27 @@
             data = bytes(self._buffer)
             length = (b'content-length', b'%d' % len(data))
             self._head['headers'] = [*self._head['headers'], length]
-            self._started = True
-            await self._incoming.send(self._head)
-        self.finished = last
-        await self._incoming.send(
-            {
-                'type': 'http.response.body',
-                'body': data,
-                'more_body': not last,
-            }
-        )
+        with trio.CancelScope() as scope:
+            now = trio.current_time()
+            if (
+                last
+                and not self._started
+                and (trio.current_effective_deadline() <= now)
+            ):
+                # The caller still waits for this response, which is complete.
+                scope.shield = True
+                scope.deadline = now + _FINAL_RESPONSE_TIMEOUT_S
+            if not self._started:
+                self._started = True
+                await self._incoming.send(self._head)
+            self.finished = last
+            await self._incoming.send(
+                {
+                    'type': 'http.response.body',
+                    'body': data,
+                    'more_body': not last,
+                }
+            )
 
     def close(self) -> None:
         """Release the budget of a buffered response."""
@@ -286,7 +294,8 @@
         requests that still run are cancelled, so that their callers get a
         response before the process ends. Nested calls, which the backend
         server makes while it runs a request, are accepted if their deadline
-        is not later. So are new requests; those whose callers cannot know of
+        is not later. So are new requests that may not run longer, by their
+        deadline and `DEADLINE_GRACE_S`; those whose callers cannot know of
         the shutdown yet are accepted with any deadline.
     """
 
@@ -362,7 +371,8 @@
             error_headers = ((self._dialect.outcome, outcome),)
         settings = _http_server.HttpSettings(
             max_head_bytes=_calls.MAX_HEADER_BYTES,
-            close_timeout_s=_CLOSE_TIMEOUT_S,
+            # Callers that read slowly have the time of the drain.
+            close_timeout_s=math.inf,
             error_headers=error_headers,
         )
         async with trio.open_nursery() as nursery:
@@ -707,7 +717,8 @@
             return not self._rejects_nested and deadline <= self._cancels_at
         if now >= self._accepts_until or self._stop.is_set():
             return False
-        return now < self._unaware_until or deadline <= self._cancels_at
+        run_until = deadline + _calls.DEADLINE_GRACE_S
+        return now < self._unaware_until or run_until <= self._cancels_at
 
     async def _read_body(
         self, fields: dict[bytes, bytes], receive: Receive, deadline: float
@@ -805,7 +816,15 @@
             'body-timeout',
             'stopped',
         )
-        if self._stopping or error.reason in closing_reasons:
+        # A caller that waits to be asked for its body may not send it.
+        expects_continue = body_unread and any(
+            name == b'expect' for name, _ in incoming.scope['headers']
+        )
+        if (
+            self._stopping
+            or expects_continue
+            or error.reason in closing_reasons
+        ):
             headers = [*headers, (b'connection', b'close')]
         await send(
             {
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -10,9 +10,13 @@
 
 from collections import deque
 import contextlib
+import fcntl
 import math
+import select
 import socket
 import struct
+import sys
+import termios
 from typing import Any
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
@@ -34,10 +38,16 @@
 _RECEIVE_BYTES = 64 * 1024
 # A connection whose caller reads nothing for this long, in seconds, is closed.
 _SEND_TIMEOUT_S = 30.0
+# Time in seconds for a request on a connection that is accepted in a stop.
+_FIRST_READ_S = 0.1
+# Limit in seconds on accepting the connections that wait at a stop.
+_ACCEPT_TIMEOUT_S = 0.1
 # Limits on discarding data after the last response. Closing a connection with
 # unread bytes resets it, which can discard the response on its way.
 _LINGER_S = 1.0
+_STOP_LINGER_S = 0.5
 _MAX_LINGER_BYTES = 256 * 1024
+_UNSENT_CHECK_INTERVAL_S = 0.02
 # Bytes of a request body that wait for the application.
 _MAX_BODY_BYTES = 256 * 1024
 # Bytes that are read behind the requests that there is room for.
@@ -46,6 +56,8 @@
 # next one while it is held until it is complete.
 _MAX_HELD_BYTES = 256 * 1024
 _MAX_READ_AHEAD_BYTES = 64 * 1024
+# State of a connection that has been reset, from the kernel's `tcp_states.h`.
+_TCP_CLOSE = 7
 _NO_BODY_STATUSES = frozenset([204, 304])
 
 
@@ -70,7 +82,7 @@
     read_ahead : int
         Number of requests of a connection that are handled at the same time.
     error_headers : tuple of (bytes, bytes)
-        Headers of the responses to input that is not a valid request.
+        Headers of error responses to requests that were not passed on.
     backlog : int
         Length of the queue of new connections.
     """
@@ -253,14 +265,10 @@
         self._body_ended = True
         if not self.response_started:
             self._drop_response()
-            self._response_head = {
-                'status': status,
-                'headers': [
-                    (b'content-length', b'0'),
-                    (b'connection', b'close'),
-                    *self._connection.settings.error_headers,
-                ],
-            }
+            headers = [(b'content-length', b'0'), (b'connection', b'close')]
+            if not self.passed_on:
+                headers.extend(self._connection.settings.error_headers)
+            self._response_head = {'status': status, 'headers': headers}
             self._response_ended = True
         self._scope.cancel()
 
@@ -424,8 +432,12 @@
         self._disconnected = False
         self._finished = False
         self._stopping = stopping
-        self._idle_deadline = trio.current_time() + settings.idle_timeout_s
         self._read_scope = trio.CancelScope()
+        self._limit_idle_time()
+        if stopping:
+            # The caller may not have sent its request yet.
+            self._idle_deadline += _FIRST_READ_S
+        self._linger_scope = trio.CancelScope()
         self._room = trio.Event()
         self._send_lock = trio.Lock()
         self._nursery: trio.Nursery
@@ -445,8 +457,11 @@
     def stop(self) -> None:
         """Close the connection after the requests that were read."""
         self._stopping = True
+        self._linger_scope.deadline = min(
+            self._linger_scope.deadline, trio.current_time() + _STOP_LINGER_S
+        )
         if self.pipeline.empty:
-            self._read_scope.cancel()
+            self._limit_idle_time()
 
     def close_after(self, exchange: Exchange) -> bool:
         """Close from a response on; return whether it is the last one."""
@@ -512,17 +527,25 @@
             if not self.pipeline.closing:
                 parser.start_next_cycle()
         self._notify_exchanges()
-        if self._finished or (self._stopping and self.pipeline.empty):
-            self._finish()
+        if self._finished:
             return
+        # Also in a stop: unless the response announced that the connection
+        # closes, the requests behind it are answered.
         self._parse()
         if self.pipeline.empty:
-            self._idle_deadline = (
-                trio.current_time() + self._settings.idle_timeout_s
-            )
-            self._read_scope.deadline = self._idle_deadline
+            self._limit_idle_time()
         self._room.set()
 
+    def _limit_idle_time(self) -> None:
+        """Set the time at which the connection closes without a request.
+
+        In a stop this is now. A request that the kernel has received is still
+        read and answered, since trio handles it before it ends the reading.
+        """
+        idle_s = 0.0 if self._stopping else self._settings.idle_timeout_s
+        self._idle_deadline = trio.current_time() + idle_s
+        self._read_scope.deadline = self._idle_deadline
+
     def _is_last(self, exchange: Exchange) -> bool:
         """Return whether the connection closes after a response."""
         parser = exchange.parser
@@ -549,8 +572,6 @@
 
     async def _read_until_closed(self) -> None:
         while not self._finished:
-            if self._stopping and self.pipeline.empty:
-                return
             if self._is_full():
                 self._room = trio.Event()
                 await self._room.wait()
@@ -649,19 +670,38 @@
         )
 
     async def _close_gracefully(self) -> None:
-        """Let the caller read the last response before the end."""
-        with trio.move_on_after(_LINGER_S):
+        """Let the caller receive the last response before the end."""
+        with trio.move_on_after(_SEND_TIMEOUT_S):
             try:
                 await self._stream.send_eof()
-                discarded = 0
-                while self._finished and discarded < _MAX_LINGER_BYTES:
-                    data = await self._stream.receive_some(_RECEIVE_BYTES)
-                    if not data:
-                        return
-                    discarded += len(data)
+                if self._finished and await self._discard_input():
+                    return
+                await self._wait_until_delivered()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
 
+    async def _discard_input(self) -> bool:
+        """Discard input for a time; return whether the caller has closed."""
+        self._linger_scope.deadline = trio.current_time() + (
+            _STOP_LINGER_S if self._stopping else _LINGER_S
+        )
+        with self._linger_scope:
+            discarded = 0
+            while discarded < _MAX_LINGER_BYTES:
+                data = await self._stream.receive_some(_RECEIVE_BYTES)
+                if not data:
+                    return True
+                discarded += len(data)
+            await trio.sleep_forever()
+        return False
+
+    async def _wait_until_delivered(self) -> None:
+        """Wait until the kernel of the caller has received all data."""
+        while True:
+            if not _has_unsent_data(self._stream):
+                return
+            await trio.sleep(_UNSENT_CHECK_INTERVAL_S)
+
 
 async def serve(
     application: Application,
@@ -715,6 +755,7 @@
             bound = listeners[0].socket.getsockname()[1]
             task_status.started(f'{host}:{bound}')
             await stop.wait()
+            await _wait_until_accepted(listeners)
             listening.cancel_scope.cancel()
         for connection in connections:
             connection.stop()
@@ -723,6 +764,19 @@
         )
 
 
+async def _wait_until_accepted(listeners: list[trio.SocketListener]) -> None:
+    """Wait until no connection is in the queues of the listeners.
+
+    The end of a listener resets those that are.
+    """
+    poll = select.poll()
+    for listener in listeners:
+        poll.register(listener.socket.fileno(), select.POLLIN)
+    with trio.move_on_after(_ACCEPT_TIMEOUT_S):
+        while poll.poll(0):
+            await trio.lowlevel.checkpoint()
+
+
 async def serve_stream(
     application: Application, settings: HttpSettings, stream: Any
 ) -> None:
@@ -740,6 +794,24 @@
     await _Connection(application, settings, stream).run()
 
 
+def _has_unsent_data(stream: Any) -> bool:
+    """Return whether the kernel of the caller has yet to receive data."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    queued = bytearray(4)
+    try:
+        state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        assert isinstance(state, bytes)
+        if state[0] == _TCP_CLOSE:
+            return False
+        fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, queued)
+    except OSError:
+        # The system does not tell.
+        return False
+    # The end of the stream counts as one byte.
+    return int.from_bytes(queued, sys.byteorder) > 1
+
+
 def _body_message(data: bytes, *, more: bool) -> dict[str, Any]:
     return {'type': 'http.request', 'body': data, 'more_body': more}
 
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from gypsumhall._errors import PeerError
@@ -37,6 +38,7 @@
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
+from gypsumhall.services import _deadlines
 from gypsumhall.services import _keys
 from gypsumhall.services import _protocols
 from gypsumhall.services import _responses
@@ -61,6 +63,8 @@
 # Time in seconds after the start in which the backend server may still make
 # calls for runs that a former process of this daemon has started.
 _UNKNOWN_RUNS_S = 10.0
+# Delay in seconds of a call on its way from which its limits are shortened.
+_MIN_DELAY_S = 0.001
 # Interval between checks whether other endpoints are available again.
 _AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
@@ -103,8 +107,9 @@
         service are unavailable.
     cancel_after_s : float
         Time in seconds after the start of a graceful shutdown after which
-        calls that still run may be cancelled. Calls with a later deadline are
-        rejected from `SHUTDOWN_NOTICE_S` on.
+        calls that still run may be cancelled. Calls that may run longer, by
+        their deadline and `DEADLINE_GRACE_S`, are rejected from
+        `SHUTDOWN_NOTICE_S` on.
     """
 
     name = 'runner'
@@ -155,6 +160,7 @@
         self._buffered_bytes = 0
         self.buffer_budget = _calls.ResponseBufferBudget()
         self._call_monitor = _call_monitor.CallMonitor()
+        self._deadlines = _deadlines.DeadlineMonitor()
         self._incarnation = 0
         self._keys: _keys.KeyOwner
         self._membership: _protocols.Membership
@@ -234,6 +240,7 @@
             metrics=metrics,
             rng=self._rng,
             execute=self.execute,
+            deadlines=self._deadlines,
             dialect=self._dialect,
             split_source=self._split_source,
             retry_limits=self._retry_limits,
@@ -252,6 +259,7 @@
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._call_monitor.run)
+            self._nursery.start_soon(self._deadlines.run)
             self._nursery.start_soon(self._check_queue)
             self._nursery.start_soon(self._sender.run)
             self._nursery.start_soon(
@@ -573,7 +581,7 @@
         if header and backend.instance:
             headers = (*headers, (header, backend.instance.encode()))
         run_until = deadline + _calls.DEADLINE_GRACE_S
-        with trio.CancelScope(deadline=run_until) as scope:
+        with self._deadlines.limit(run_until) as scope:
             try:
                 async with backend.client.request(
                     call.method, call.path, headers, body, run.mark_sent
@@ -659,7 +667,8 @@
         """Raise for a call that the end of the process might cut off."""
         shutdown_s = trio.current_time() - self._shutdown_started_at
         ends_at = self._shutdown_started_at + self._cancel_after_s
-        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and deadline > ends_at:
+        run_until = deadline + _calls.DEADLINE_GRACE_S
+        if shutdown_s >= _calls.SHUTDOWN_NOTICE_S and run_until > ends_at:
             raise _calls.not_run(
                 'draining', 'this daemon stops before the deadline'
             )
@@ -798,6 +807,9 @@
         self._buffered_bytes += size
         chunks = [call.body]
         complete = not call.has_body
+        received_at = trio.current_time()
+        # Later messages say nothing about the time that the first one took.
+        delay_s = exchange.delay_s
         try:
             while not complete:
                 message = await exchange.receive()
@@ -818,6 +830,9 @@
                         call.request_id, refusal, exchange.send
                     )
                     return
+            delay_s += trio.current_time() - received_at
+            if delay_s >= _MIN_DELAY_S:
+                call = _shorten(call, delay_s)
             await self._run_for_peer(exchange, call, b''.join(chunks))
         except (PeerError, trio.EndOfChannel):
             # The sender disconnected. Calls that are not idempotent run
@@ -967,3 +982,17 @@
 
     def _count(self, result: str) -> None:
         self._call_counter.add(1.0, result=result)
+
+
+def _shorten(call: CallStart, elapsed_s: float) -> CallStart:
+    """Return a call with its time limits shortened by the elapsed time."""
+    elapsed_ms = int(elapsed_s * 1000)
+    objective_ms = call.objective_ms
+    if objective_ms:
+        # 0 would mean that there is no objective.
+        objective_ms = objective_ms - elapsed_ms or -1
+    return msgspec.structs.replace(
+        call,
+        deadline_ms=max(0, call.deadline_ms - elapsed_ms),
+        objective_ms=objective_ms,
+    )
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -124,14 +124,13 @@
         if self._rng.random() < self.reset_rate:
             raise _backend_client.BackendResetError(address)
         body = request_id.encode()
-        headers = (
-            (b'content-length', b'%d' % len(body)),
-            (b'x-request', body),
-        )
+        headers = ((b'x-request', body),)
         chunked = self._rng.random() < self.chunked_rate
+        if not chunked:
+            headers = ((b'content-length', b'%d' % len(body)), *headers)
         yield _backend_client.BackendResponse(
             self.status.get(address, 200),
-            () if chunked else headers,
+            headers,
             None if chunked else len(body),
             self._body(address, body),
         )
@@ -186,6 +185,41 @@
         """Do nothing, as there are no connections."""
 
 
+class DeadlineBackend(MemoryBackend):
+    """Backend server that responds when the time that it was given is over.
+
+    Its requests have to have the headers ``Gypsumhall-Deadline-Ms`` and
+    ``X-Request``. It responds with status 504.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        # Time in seconds for the way of a request to the endpoint and back.
+        self.transit_s = 0.005
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        headers: _calls.Headers,
+        on_send: Callable[[], None],
+    ) -> AsyncIterator[_backend_client.BackendResponse]:
+        """Respond with status 504 at the deadline."""
+        on_send()
+        fields = dict(headers)
+        request_id = fields[b'x-request']
+        name = request_id.decode()
+        self.runs[name] = self.runs.get(name, 0) + 1
+        deadline_ms = int(fields[b'gypsumhall-deadline-ms'])
+        await trio.sleep(deadline_ms / 1000 + self.transit_s)
+        yield _backend_client.BackendResponse(
+            504,
+            ((b'content-length', b'4'), (b'x-request', request_id)),
+            4,
+            self._body(address, b'late'),
+        )
+
+
 class CallPathDaemon:
     """The services ``caller``, ``runner`` and ``announcements``.
 
@@ -235,6 +269,8 @@
         dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
     ) -> None:
         self._drain_timeout_s = drain_timeout_s
+        # Set when the daemon has stopped.
+        self.ended = trio.Event()
         self.membership = fakes.FakeMembership(me, table)
         self.distribution = fakes.FakeDistribution(snapshot)
         self.moves = fakes.FakeMoves()
@@ -286,6 +322,7 @@
         await self.kernel.run(
             drain_timeout_s=self._drain_timeout_s, task_status=task_status
         )
+        self.ended.set()
 
     def set_backend(
         self,
--- a/gypsumhall/testing/pipelining.py
+++ b/gypsumhall/testing/pipelining.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+from typing import Any
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from gypsumhall.services import _backend_client
+from gypsumhall.services import _http_server
 from gypsumhall.testing import builders
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
@@ -70,7 +72,7 @@
         Body with a length; without one if it is empty and `method` is GET.
     fault : str
         Fault of the backend server: ``truncate`` for a response that breaks
-        off, ``large`` for one of 1 MB.
+        off, ``medium`` for one of 200 KB, ``large`` for one of 1 MB.
     fields : tuple of str
         Further header lines.
     """
@@ -132,6 +134,8 @@
             content = request_id.encode()
             if fault in (b'large', b'truncate'):
                 content = content.ljust(1_000_000)
+            elif fault == b'medium':
+                content = content.ljust(200_000)
 
             async def parts() -> AsyncGenerator[bytes, None]:
                 yield content[:100_000]
@@ -153,23 +157,45 @@
 
 @contextlib.asynccontextmanager
 async def run_daemon(
-    backend: ScriptedBackend, *, slots: int = 32, drain_timeout_s: float = 5.0
+    backend: ScriptedBackend,
+    *,
+    slots: int = 32,
+    remote: bool = False,
+    drain_delay_s: float = 0.0,
+    drain_timeout_s: float = 5.0,
 ) -> AsyncIterator[CallPathDaemon]:
-    """Run a daemon beside a backend server."""
+    """Run a daemon beside a backend server.
+
+    Parameters
+    ----------
+    backend : ScriptedBackend
+        Backend server.
+    slots : int
+        Number of requests that it runs at the same time.
+    remote : bool
+        Whether it is beside another daemon, to which the calls are sent.
+    drain_delay_s, drain_timeout_s : float
+        See `CallPathDaemon`.
+    """
     async with trio.open_nursery() as nursery:
-        hub = MemoryHub(nursery)
-        daemon = CallPathDaemon(
-            builders.build_member(0),
-            fakes.FakeTable(),
-            lambda info: MemoryNetwork(hub, info),
-            build_snapshot(routes=ROUTES),
-            connect=backend.connect,
-            listen='127.0.0.1:0',
-            drain_timeout_s=drain_timeout_s,
-        )
-        await nursery.start(daemon.run)
-        daemon.set_backend(backend.address, slots=slots)
-        yield daemon
+        hub, table = MemoryHub(nursery), fakes.FakeTable()
+        daemons = [
+            CallPathDaemon(
+                builders.build_member(index),
+                table,
+                lambda info: MemoryNetwork(hub, info),
+                build_snapshot(routes=ROUTES),
+                connect=backend.connect,
+                listen='' if index else '127.0.0.1:0',
+                drain_delay_s=drain_delay_s,
+                drain_timeout_s=drain_timeout_s,
+            )
+            for index in range(2 if remote else 1)
+        ]
+        for daemon in daemons:
+            await nursery.start(daemon.run)
+        daemons[-1].set_backend(backend.address, slots=slots)
+        yield daemons[0]
         nursery.cancel_scope.cancel()
 
 
@@ -236,8 +262,74 @@
         return responses
 
 
-async def connect(daemon: CallPathDaemon) -> PipeliningCaller:
-    """Open a connection to a daemon."""
+class HttpServer:
+    """An HTTP server of its own, on a loopback port.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    """
+
+    def __init__(self, application: Any) -> None:
+        self._application = application
+        self._port = 0
+        self.stop = trio.Event()
+        self.ended = trio.Event()
+
+    @property
+    def port(self) -> int:
+        """Port on the loopback address."""
+        return self._port
+
+    async def run(
+        self,
+        settings: _http_server.HttpSettings,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until `stop` is set and all connections have ended."""
+        async with trio.open_nursery() as nursery:
+
+            async def serve(*, task_status: trio.TaskStatus[str]) -> None:
+                await _http_server.serve(
+                    self._application,
+                    settings,
+                    '127.0.0.1:0',
+                    self.stop,
+                    task_status=task_status,
+                )
+
+            address = await nursery.start(serve)
+            self._port = int(address.rpartition(':')[2])
+            task_status.started()
+        self.ended.set()
+
+    async def connect(self, receive_bytes: int = 0) -> PipeliningCaller:
+        """Open a connection.
+
+        Parameters
+        ----------
+        receive_bytes : int
+            Size of the buffer for received data; 0 for that of the system.
+        """
+        return await _connect(self._port, receive_bytes)
+
+
+async def connect(
+    daemon: CallPathDaemon, receive_bytes: int = 0
+) -> PipeliningCaller:
+    """Open a connection to a daemon; see `HttpServer.connect`."""
     assert daemon.caller is not None
-    host, _, port = daemon.caller.address.rpartition(':')
-    return PipeliningCaller(await trio.open_tcp_stream(host, int(port)))
+    port = daemon.caller.address.rpartition(':')[2]
+    return await _connect(int(port), receive_bytes)
+
+
+async def _connect(port: int, receive_bytes: int) -> PipeliningCaller:
+    connection = trio.socket.socket()
+    if receive_bytes:
+        connection.setsockopt(
+            trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_bytes
+        )
+    await connection.connect(('127.0.0.1', port))
+    return PipeliningCaller(trio.SocketStream(connection))
--- a/tests/test_net_network.py
+++ b/tests/test_net_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import os
 import random
 import signal
@@ -25,6 +26,7 @@
 from gypsumhall.net import _frames
 from gypsumhall.net import _handshake
 from gypsumhall.net import _messages
+from gypsumhall.net import _socket
 from gypsumhall.net._frames import Kind
 from gypsumhall.net._network import Network
 from gypsumhall.net._network import PeerSettings
@@ -81,6 +83,9 @@
         self._target = (host, int(port))
         self._pairs: list[tuple[trio.SocketStream, trio.SocketStream]] = []
         self._silent: set[trio.SocketStream] = set()
+        self._resumed = trio.Event()
+        self._resumed.set()
+        self._stall_after_bytes = math.inf
         self.recorded_bytes = b''
         self.address = ''
 
@@ -103,10 +108,15 @@
     async def _copy(
         self, source: trio.SocketStream, sink: trio.SocketStream
     ) -> None:
+        size = 0
         with contextlib.suppress(
             trio.BrokenResourceError, trio.ClosedResourceError
         ):
             async for data in source:
+                size += len(data)
+                if size > self._stall_after_bytes:
+                    await trio.sleep_forever()
+                await self._resumed.wait()
                 if any(source is pair[0] for pair in self._pairs):
                     self.recorded_bytes += data
                 if source not in self._silent:
@@ -118,6 +128,17 @@
         for pair in self._pairs:
             self._silent.update(pair)
 
+    def pause(self) -> None:
+        """Hold all data until `resume`."""
+        self._resumed = trio.Event()
+
+    def resume(self) -> None:
+        self._resumed.set()
+
+    def stall_after(self, size: int) -> None:
+        """Stall connections that have carried that many bytes."""
+        self._stall_after_bytes = size
+
     def reset(self) -> None:
         for pair in self._pairs:
             for stream in pair:
@@ -231,6 +252,84 @@
         await two.count_started_calls(one.me.address)
 
 
+async def test_a_large_message_does_not_delay_calls() -> None:
+    """Behind a large configuration, streams were taken for lost."""
+    async with _peers() as (one, _, relay):
+        await one.count_started_calls(relay.address)
+        relay.stall_after(64 * 1024)
+        one.post(
+            relay.address, _messages.BodyChunk(b'x' * _frames.MAX_READ_BYTES)
+        )
+        one.post(relay.address, _messages.BodyChunk(b'x' * 500_000))
+        await trio.sleep(0.1)
+        async with one.open(relay.address, _CALL) as exchange:
+            with trio.fail_after(_STREAM_SETTINGS.dead_after_s):
+                await exchange.receive()
+
+
+async def test_a_call_cancelled_before_its_handler_starts_is_not_run() -> None:
+    """A delayed call ran although its caller had left."""
+    async with _peers() as (one, _, relay):
+        started = await one.count_started_calls(relay.address)
+        stream = next(iter(one._streams))
+        stream.open(_CALL, Kind.OPEN).cancel()
+        assert await one.count_started_calls(relay.address) == started
+
+
+async def test_delay_of_a_call_on_its_way_is_known_to_the_receiver() -> None:
+    """Its time limit was taken to begin at its arrival."""
+    delays_s: list[float] = []
+
+    async def record_delay(
+        exchange: Exchange, message: _messages.CallStart
+    ) -> None:
+        delays_s.append(exchange.delay_s)
+
+    async with _peers() as (one, two, relay):
+        two._handlers[_messages.CallStart] = record_delay
+        for _ in range(2):
+            call = msgspec.structs.replace(_CALL, sent_us=_socket.clock_us())
+            async with one.open(relay.address, call) as exchange:
+                with pytest.raises(trio.EndOfChannel):
+                    await exchange.receive()
+        relay.pause()
+        call = msgspec.structs.replace(_CALL, sent_us=_socket.clock_us())
+        async with one.open(relay.address, call) as exchange:
+            await trio.sleep(0.5)
+            relay.resume()
+            with pytest.raises(trio.EndOfChannel):
+                await exchange.receive()
+        assert delays_s[0] == 0.0
+        assert 0.4 < delays_s[2] < 5.0
+
+
+async def test_a_stream_delayed_by_a_slow_link_is_not_lost() -> None:
+    """The caller got 502 while the endpoint ran the request."""
+    settings = StreamSettings(
+        ping_after_s=0.1, silent_after_s=0.4, dead_after_s=8.0
+    )
+    async with _peers({'stream': settings}, {'stream': settings}) as (
+        one,
+        two,
+        relay,
+    ):
+        await one.count_started_calls(relay.address)
+        silent = trio.Event()
+        async with one.open(relay.address, _CALL) as exchange:
+            exchange.on_silence(silent.set)
+            await exchange.receive()
+            relay.pause()
+            await silent.wait()
+            relay.resume()
+            await exchange.send(_messages.BodyChunk(b'', last=True))
+            while not isinstance(
+                await exchange.receive(), _messages.AnswerEnd
+            ):
+                pass
+        assert 'peer-silent' in one.events
+        assert 'peer-lost' not in one.events + two.events
+
+
 async def test_an_unused_stream_that_stops_responding_is_replaced() -> None:
     """A half-open connection fails one request at most."""
     async with _peers() as (one, _, relay):
--- a/tests/test_services_caller.py
+++ b/tests/test_services_caller.py
@@ -8,13 +8,13 @@
 from random import Random
 import socket
 import struct
+from typing import Any
 from typing import TYPE_CHECKING
 
 import httpcore
 import pytest
 import trio
 
-from gypsumhall.services import _backend_client
 from gypsumhall.services import _calls
 from gypsumhall.standin._backend import BackendServer
 from gypsumhall.standin._backend import BackendSettings
@@ -23,12 +23,14 @@
 from gypsumhall.testing import fakes
 from gypsumhall.testing.daemons import build_snapshot
 from gypsumhall.testing.daemons import CallPathDaemon
+from gypsumhall.testing.daemons import DeadlineBackend
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.daemons import open_daemons
 from gypsumhall.testing.memory_network import MemoryHub
 from gypsumhall.testing.memory_network import MemoryNetwork
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
@@ -142,6 +144,13 @@
             _HEAD + _LONG + b'short', True, None, id='reset-in-long-body'
         ),
         pytest.param(_HEAD + _CHUNKED, False, None, id='unfinished-chunks'),
+        # Nothing has been sent to the caller yet.
+        pytest.param(
+            _HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+            False,
+            (502, 'run'),
+            id='no-chunk',
+        ),
         pytest.param(None, False, (504, 'unknown'), id='no-response'),
         pytest.param(_BUSY, False, (503, ''), id='overloaded-backend'),
     ],
@@ -412,32 +421,65 @@
         nursery.cancel_scope.cancel()
 
 
-# Time in seconds for the way of a request to the endpoint and back.
-_TRANSIT_S = 0.005
+class _LateBackend(DeadlineBackend):
+    """Backend server whose response is read after the run should have ended.
 
+    Parameters
+    ----------
+    clock : MockClock
+        Clock, which advances before the response can be forwarded.
+    """
 
-class _DeadlineBackend(MemoryBackend):
-    """Backend server that responds when the time that it was given is over."""
+    def __init__(self, clock: MockClock) -> None:
+        super().__init__(Random(0))
+        self._clock = clock
 
-    @contextlib.asynccontextmanager
-    async def request(
-        self,
-        address: str,
-        headers: _calls.Headers,
-        on_send: Callable[[], None],
-    ) -> AsyncIterator[_backend_client.BackendResponse]:
-        """Respond with status 504 at the deadline."""
-        on_send()
-        fields = dict(headers)
-        deadline_ms = int(fields[b'gypsumhall-deadline-ms'])
-        await trio.sleep(deadline_ms / 1000 + _TRANSIT_S)
-        echo = (b'x-request', fields[b'x-request'])
-        yield _backend_client.BackendResponse(
-            504,
-            ((b'content-length', b'4'), echo),
-            4,
-            self._body(address, b'late'),
+    async def _body(
+        self, address: str, body: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        self._clock.jump(2 * _calls.DEADLINE_GRACE_S)
+        yield body
+
+
+async def test_complete_response_is_sent_although_its_deadline_has_passed(
+    autojump_clock: MockClock,
+) -> None:
+    """The connection was closed without a response (soak, seed 102)."""
+    sent: list[dict[str, Any]] = []
+
+    async def send(message: dict[str, Any]) -> None:
+        if message['type'] == 'http.response.body':
+            # A server sends the head with the first part of the body.
+            await trio.lowlevel.checkpoint()
+        sent.append(message)
+
+    async with trio.open_nursery() as nursery:
+        hub = MemoryHub(nursery)
+        daemon = CallPathDaemon(
+            builders.build_member(0),
+            fakes.FakeTable(),
+            lambda info: MemoryNetwork(hub, info),
+            build_snapshot(
+                routes=(builders.build_route(path='/search', timeout_s=0.4),)
+            ),
+            _LateBackend(autojump_clock).client,
+            listen='127.0.0.1:0',
+            dialect=_calls.Dialect(request_id=b'x-request'),
         )
+        await nursery.start(daemon.run)
+        daemon.set_backend('backend-1')
+        scope = {
+            'http_version': '1.1',
+            'method': 'POST',
+            'path': '/search',
+            'raw_path': b'/search',
+            'query_string': b'',
+            'headers': [(b'host', b'spa.example'), (b'x-request', b'r1')],
+        }
+        await daemon.caller._application(scope, trio.sleep_forever, send)
+        nursery.cancel_scope.cancel()
+    assert [item.get('status') for item in sent] == [504, None]
+    assert sent[1]['body'] == b'late'
 
 
 @pytest.mark.parametrize('stated_ms', [b'300', b'60000'])
@@ -446,7 +488,7 @@
     autojump_clock: MockClock, stated_ms: bytes, index: int
 ) -> None:
     """A run was cut although its endpoint was about to report its end."""
-    backend = _DeadlineBackend(Random(0))
+    backend = DeadlineBackend(Random(0))
     backend.constant_service_time, backend.mean_service_time_s = True, 0.0
     async with trio.open_nursery() as nursery:
         hub = MemoryHub(nursery)
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -18,17 +18,20 @@
 from gypsumhall.net._messages import CallStart
 from gypsumhall.net._messages import KeyHandover
 from gypsumhall.net._messages import Message
+from gypsumhall.net._messages import Outcome
 from gypsumhall.net._messages import Ping
 from gypsumhall.net._messages import Pong
 from gypsumhall.net._messages import Revert
 from gypsumhall.services import _calls
 from gypsumhall.services import _sender
+from gypsumhall.services._deadlines import DeadlineMonitor
 from gypsumhall.testing import builders
 from gypsumhall.testing import call_trial
 from gypsumhall.testing import fakes
 from gypsumhall.testing.call_trial import CallTrial
 from gypsumhall.testing.memory_network import Fault
 from gypsumhall.testing.memory_network import FaultRule
+from gypsumhall.testing.memory_network import STALL_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -120,6 +123,50 @@
         assert method == 'GET' or trial.backend.runs == {'r1': 1}
 
 
+async def test_delayed_response_is_not_given_up_for_a_silent_stream(
+    autojump_clock: MockClock,
+) -> None:
+    """The caller got 502 although the endpoint was at work."""
+    async with _trial(daemons=3) as trial:
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.STALL)
+        request = dataclasses.replace(
+            trial.request('r1', method='GET'), attempts=1
+        )
+        assert await trial.call(2, request) == 'response'
+        assert trial.backend.runs == {'r1': 1}
+
+
+async def test_silent_daemon_gets_help_of_another_one(
+    autojump_clock: MockClock,
+) -> None:
+    """A response that is delayed for seconds is useless to most callers."""
+    async with _trial(daemons=4) as trial:
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.STALL)
+        started = trio.current_time()
+        request = trial.request('r1', method='GET')
+        assert await trial.call(3, request) == 'response'
+        assert trio.current_time() - started < STALL_S
+        await trio.sleep(STALL_S)
+        assert trial.backend.runs == {'r1': 2}
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_run_of_a_delayed_call_ends_at_the_deadline_of_its_caller(
+    autojump_clock: MockClock, method: str
+) -> None:
+    """It had the whole time limit from its arrival, and ran for nobody."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.hanging_addresses.add('backend-0')
+        trial.hub.delay_s = 0.6
+        trial.hub.fault_rule = _fault_on_message(CallStart, Fault.DELAY)
+        request = dataclasses.replace(
+            trial.request('r1', method=method, timeout_s=1.0), attempts=1
+        )
+        assert await trial.call(1, request) == 'unknown'
+        ended_after_s = trio.current_time() - request.deadline
+        assert ended_after_s <= _calls.DEADLINE_GRACE_S + 0.01
+
+
 async def test_requests_skip_an_unreachable_daemon(
     autojump_clock: MockClock,
 ) -> None:
@@ -336,6 +383,52 @@
         assert backups >= 5
 
 
+async def test_truncated_backup_does_not_cancel_the_first_attempt(
+    autojump_clock: MockClock,
+) -> None:
+    """Its head cancelled the first run, and then nothing else followed."""
+    async with _trial(share=1.0) as trial:
+        backend = trial.backend
+        backend.constant_service_time = True
+        backend.mean_service_time_by_address['backend-2'] = 0.35
+        backend.chunked_rate = 1.0
+        backend.truncating_addresses = {'backend-0', 'backend-1'}
+        backups = 0
+        for index in range(20):
+            request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
+            assert await trial.call(3, request) == 'response'
+            backups += backend.runs[f'r{index}'] - 1
+        assert backups >= 5
+
+
+class _FullSink:
+    """Has no room for the body of a response."""
+
+    async def head(self, status: int, headers: _calls.Headers) -> None:
+        """Receive the status and the headers."""
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Reject a part of the body."""
+        raise _calls.CallRefusedError(
+            Outcome.RUN, 'response-dropped', 'the response is too large'
+        )
+
+
+@pytest.mark.parametrize('service_time_s', [0.01, 0.35])
+async def test_rejection_by_the_sink_is_the_same_with_a_backup(
+    autojump_clock: MockClock, service_time_s: float
+) -> None:
+    """In a move, callers got status 500 and no reason."""
+    async with _trial(share=1.0) as trial:
+        trial.backend.constant_service_time = True
+        trial.backend.mean_service_time_s = service_time_s
+        for index in range(5):
+            request = trial.request(f'r{index}', method='GET', timeout_s=1.0)
+            with pytest.raises(_calls.CallRefusedError) as raised:
+                await trial.daemons[3].runner.sender.send(request, _FullSink())
+            assert raised.value.reason == 'response-dropped'
+
+
 async def test_backup_uses_the_retry_granted_to_a_failed_response(
     autojump_clock: MockClock,
 ) -> None:
@@ -575,6 +668,7 @@
             metrics=fakes.FakeMetrics(),
             rng=Random(1),
             execute=daemon.runner.execute,
+            deadlines=DeadlineMonitor(),
             retry_limits=_sender.RetryLimits(0.0, 12.0, fleet_wide=True),
         )
         table = daemon.membership.table
