--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -591,7 +591,9 @@
         )
         if now + progress.backoff_s >= endpoint_wait_until:
             return False
-        await trio.sleep(progress.backoff_s * (0.5 + self._rng.random()))
+        wait_s = progress.backoff_s * (0.5 + self._rng.random())
+        with trio.move_on_after(wait_s):
+            await progress.hedged_request.claimed.wait()
         progress.backoff_s = min(2 * progress.backoff_s, _MAX_BACKOFF_S)
         progress.tried_members.clear()
         progress.rejected_by.clear()
@@ -734,6 +736,8 @@
                 await first.ended_or_silent.wait()
             if not first.ended.is_set() and hedged_request.winner is None:
                 backup = self._choose_backup(choice, progress)
+                if isinstance(sink, _hedging.HedgedAttempt):
+                    nursery.start_soon(hedged_request.report_silence, sink)
                 if backup is not None:
                     second = hedged_request.add()
                     await self._run_hedged_attempt(
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -40,6 +40,8 @@
 
     from gypsumhall.net._protocol import Exchange
 
+_SILENCE_INTERVAL_S = 0.75
+
 
 @contextlib.asynccontextmanager
 async def _trial(
@@ -81,6 +83,14 @@
     return sink.status
 
 
+async def _report_silence(trial: CallTrial) -> None:
+    """Report at intervals that all streams are silent."""
+    while True:
+        await trio.sleep(_SILENCE_INTERVAL_S)
+        for stream in list(trial.hub.streams):
+            stream.report_silence()
+
+
 def _fault_on_message(
     kind: type[Message], fault: Fault, times: int = 1
 ) -> FaultRule:
@@ -280,6 +290,22 @@
         assert results == ['unknown']
 
 
+async def test_queries_on_silent_streams_go_on_until_the_deadline(
+    autojump_clock: MockClock,
+) -> None:
+    """They ended after 3 s with 502 although the endpoint was at work."""
+    async with _trial(daemons=2) as trial:
+        trial.backend.constant_service_time = True
+        trial.backend.mean_service_time_s = 2.2
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_report_silence, trial)
+            request = trial.request('r1', timeout_s=9.0)
+            assert await trial.call(1, request) == 'response'
+            nursery.cancel_scope.cancel()
+        assert trial.backend.runs == {'r1': 1}
+
+
 @pytest.mark.parametrize('fault', ['status', 'reset', 'hang'])
 async def test_failure_on_the_new_version_is_retried_on_the_old_one(
     autojump_clock: MockClock, fault: str
@@ -383,6 +409,87 @@
         assert backups >= 5
 
 
+async def test_silent_daemons_of_a_backup_and_the_first_attempt_get_help(
+    autojump_clock: MockClock,
+) -> None:
+    """In a move, nothing else was tried until one of the streams was lost."""
+    async with _trial(share=1.0) as trial, trio.open_nursery() as nursery:
+        trial.hub.delay_s = 6.0
+        trial.hub.fault_rule = _fault_on_message(
+            AnswerStart, Fault.DELAY, times=2
+        )
+        nursery.start_soon(_report_silence, trial)
+        started = trio.current_time()
+        request = trial.request('r1', method='GET', timeout_s=9.0)
+        assert await trial.call(3, request) == 'response'
+        assert trio.current_time() - started < 4 * _SILENCE_INTERVAL_S
+        nursery.cancel_scope.cancel()
+
+
+async def test_failed_backup_of_a_silent_daemon_is_not_the_last_attempt(
+    autojump_clock: MockClock,
+) -> None:
+    """In a move, the request waited until the stream was lost."""
+    async with _trial(share=1.0) as trial, trio.open_nursery() as nursery:
+        trial.hub.delay_s = 6.0
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.DELAY)
+        trial.backend.status = {'backend-0': 503, 'backend-1': 503}
+        nursery.start_soon(_report_silence, trial)
+        request = dataclasses.replace(
+            trial.request('r1', method='GET', timeout_s=9.0), attempts=3
+        )
+        async with trio.open_nursery() as calls:
+            calls.start_soon(trial.call, 3, request)
+            await trio.sleep(1.5 * _SILENCE_INTERVAL_S)
+            assert trial.backend.runs['r1'] == 3
+            calls.cancel_scope.cancel()
+        nursery.cancel_scope.cancel()
+
+
+class _NotifyingSink(call_trial.CollectingSink):
+    """Sets an event at the end of the response."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ended = trio.Event()
+
+    async def chunk(self, data: bytes, *, last: bool) -> None:
+        """Append a part of the body."""
+        await super().chunk(data, last=last)
+        if last:
+            self.ended.set()
+
+
+async def test_request_ends_with_its_response_while_others_wait(
+    autojump_clock: MockClock,
+) -> None:
+    """Attempts beside the one that responded held it up to 0.75 s longer."""
+    async with _trial(daemons=3) as trial, trio.open_nursery() as nursery:
+        trial.hub.delay_s = 2.0
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.DELAY)
+        sender = trial.daemons[2].runner.sender
+        sink = _NotifyingSink()
+
+        async def send() -> None:
+            request = trial.request('r1', method='GET', timeout_s=9.0)
+            await sender.send(request, sink)
+
+        nursery.start_soon(send)
+        await trio.sleep(0.5)
+        # The other endpoint rejects further attempts before they run.
+        for daemon in trial.daemons[:2]:
+            backend = daemon.runner._backend
+            assert backend is not None
+            backend.endpoint = msgspec.structs.replace(
+                backend.endpoint, state=EndpointState.STARTING
+            )
+        for stream in list(trial.hub.streams):
+            stream.report_silence()
+        await sink.ended.wait()
+        await trio.sleep(0.02)
+        assert not nursery.child_tasks
+
+
 async def test_truncated_backup_does_not_cancel_the_first_attempt(
     autojump_clock: MockClock,
 ) -> None:
