--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -619,7 +619,7 @@
         for exchange in self.in_flight:
             exchange.report_silence()
 
-    def _record_life(self, now: float) -> None:
+    def _record_activity(self, now: float) -> None:
         self._last_received = now
         self._pinged_at = math.inf
         self._silence_reported = False
@@ -689,7 +689,7 @@
                     # The peer has timed out its exchanges by now, so a call
                     # that is still unread in the socket must not start.
                     raise PeerLostError('this process was paused')
-                self._record_life(now)
+                self._record_activity(now)
         except PeerError as error:
             self.end(error)
         except OSError as error:
@@ -774,7 +774,7 @@
                 except BlockingIOError:
                     continue
                 # The socket was full, so the peer has acknowledged data.
-                self._record_life(trio.current_time())
+                self._record_activity(trio.current_time())
                 self._remove_sent(sent)
                 if self._backlog <= _HIGH_WATER_MARK_BYTES:
                     self._writable.unpark_all()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -146,7 +146,7 @@
         assert trial.backend.runs == {'r1': 1}
 
 
-async def test_silent_daemon_gets_help_of_another_one(
+async def test_silent_daemon_gets_a_concurrent_attempt_at_another(
     autojump_clock: MockClock,
 ) -> None:
     """A response that is delayed for seconds is useless to most callers."""
@@ -409,7 +409,7 @@
         assert backups >= 5
 
 
-async def test_silent_daemons_of_a_backup_and_the_first_attempt_get_help(
+async def test_silent_backup_is_not_the_last_attempt(
     autojump_clock: MockClock,
 ) -> None:
     """In a move, nothing else was tried until one of the streams was lost."""
