Withhold failures while attempts at silent daemons run; check the nursery

Found in the review: without a retry in the budget, a 503 of the only attempt that was not silent was forwarded and cancelled the attempt at the silent daemon, whose endpoint may be at work. It is now the fallback until the other attempts have ended. Silence that is reported while the sender ends no longer starts a task in a closed nursery (read, not reproduced).

--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -60,15 +60,6 @@
         self.error: Exception | None = None
         self.superseded = False
 
-    @property
-    def is_only(self) -> bool:
-        """Whether no other attempt is likely to respond."""
-        hedged_request = self._hedged_request
-        outer = hedged_request.sink
-        return hedged_request.is_only(self) and (
-            not isinstance(outer, HedgedAttempt) or outer.is_only
-        )
-
     @property
     def has_running_others(self) -> bool:
         """Whether other attempts run, at silent daemons included."""
@@ -142,19 +133,6 @@
             if attempt.error is not None:
                 raise attempt.error
 
-    def is_only(self, attempt: object) -> bool:
-        """Whether no other attempt can still respond, as far as known.
-
-        Parameters
-        ----------
-        attempt : object
-            The attempt itself; others whose daemons are silent do not count.
-        """
-        return all(
-            item is attempt or item.ended_or_silent.is_set()
-            for item in self._attempts
-        )
-
     def has_running_others(self, attempt: HedgedAttempt | None) -> bool:
         """Whether attempts run beside the given one, if any."""
         return any(
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -474,7 +474,8 @@
         progress: _Progress,
     ) -> None:
         """Make further attempts beside one at a silent daemon."""
-        if self._nursery is None:
+        nursery = self._nursery
+        if nursery is None or nursery.cancel_scope.cancel_called:
             return
         failure = CallRefused(
             '',
@@ -488,7 +489,7 @@
             attempt.superseded = True
             chain = _Chain()
             progress.chains.append(chain)
-            self._nursery.start_soon(self._run_chain, chain, progress)
+            nursery.start_soon(self._run_chain, chain, progress)
 
     async def _run_chain(self, chain: _Chain, progress: _Progress) -> None:
         try:
@@ -948,7 +949,7 @@
 
         A retry that this needs is taken from the budget.
         """
-        if isinstance(sink, _hedging.HedgedAttempt) and not sink.is_only:
+        if _has_running_others(sink):
             # The other attempt is already charged and may succeed.
             return status >= 500
         fails = status in _RETRIED_STATUSES
