Forget the usual transit time of a stream after 10 s, and reword comments

The clock of a peer that stood still for 2 s made its calls count as 2 s late until the second window of 30 s had ended (trial of the estimator in the review).

--- a/gypsumhall/core/_transit.py
+++ b/gypsumhall/core/_transit.py
@@ -4,9 +4,10 @@
 
 import math
 
-WINDOW_S = 30.0
+WINDOW_S = 10.0
 """Time in seconds after which an observation no longer counts as usual: longer
-than the longest delays, and short enough for the drift of two clocks."""
+than the longest delays, and short enough for the drift of two clocks. After a
+clock has stood still, delays are wrong for up to two windows."""
 
 
 class TransitEstimator:
@@ -38,8 +39,8 @@
         Returns
         -------
         float
-            Delay in seconds; 0 for the first message. It is never longer than
-            the time since the message was sent.
+            Delay in seconds; 0 for the first message. While both clocks go, it
+            is never longer than the time since the message was sent.
         """
         if received >= self._window_end:
             expired = received >= self._window_end + WINDOW_S
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -529,7 +529,7 @@
         Returns
         -------
         bool
-            Whether the peer gets to know nothing of the exchange.
+            Whether the peer has received nothing of the exchange.
         """
         if number not in self._unsent_openings:
             return False
--- a/gypsumhall/services/_deadlines.py
+++ b/gypsumhall/services/_deadlines.py
@@ -13,13 +13,11 @@
     from collections.abc import Iterator
 
 # Delay in seconds of the cancellation task from which on the event loop is
-# taken to have stood still, for example in a long computation or because the
+# taken to have been blocked, for example in a long computation or because the
 # process did not run.
 _PAUSE_S = 0.02
 # Time in seconds after a pause in which calls process what has arrived.
 _CATCH_UP_S = 0.05
-
-
 # Ended blocks that are kept at most, if they are fewer than the running ones.
 _MAX_ENDED = 64
 
@@ -39,7 +37,7 @@
 
 
 class DeadlineMonitor:
-    """Cancels blocks at their deadlines, unless the event loop stood still.
+    """Cancels blocks at their deadlines, unless the event loop was blocked.
 
     After a pause of the event loop, trio cancels the scopes whose deadline
     has passed before any task can read a response that arrived in time. This
