--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,21 +30,6 @@
 
 
 _ROOT = Path(__file__).parents[1]
-_KNOWN_RED = (_ROOT / 'KNOWN-RED.txt').read_text()
-# Ends of daemons by the faults of the listed tests, by their error.
-_KNOWN_ERRORS = {
-    'tests/test_net_drain.py::test_a_drain_continues_when_a_peer_has_reset_'
-    'its_stream': 'Set changed size during iteration',
-    'tests/test_net_drain.py::test_a_drain_may_begin_while_all_handshake_'
-    'slots_are_taken': 'file descriptor cannot be a negative integer',
-}
-
-
-def _is_known(violation: str) -> bool:
-    return 'ended by itself' in violation and any(
-        test in _KNOWN_RED and error in violation
-        for test, error in _KNOWN_ERRORS.items()
-    )
 
 
 @pytest.mark.timeout(300)
@@ -62,12 +47,7 @@
     """Guards what callers and endpoints are promised, see docs/soak.md."""
     soak = Soak(settings, tmp_path)
     await soak.run()
-    violations = []
-    for violation in soak.checks.violations:
-        if _is_known(violation):
-            print(f'listed in KNOWN-RED.txt: {violation}')
-        else:
-            violations.append(violation)
+    violations = soak.checks.violations
     assert not violations, f'{settings.command}: {violations}'
     assert len(soak.checks.records) > 0
 
