--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -31,6 +31,7 @@
 from gypsumhall.testing.call_trial import CallTrial
 from gypsumhall.testing.memory_network import Fault
 from gypsumhall.testing.memory_network import FaultRule
+from gypsumhall.testing.memory_network import SILENCE_S
 from gypsumhall.testing.memory_network import STALL_S
 
 if TYPE_CHECKING:
@@ -146,6 +147,24 @@
         assert trial.backend.runs == {'r1': 1}
 
 
+async def test_failure_beside_a_silent_daemon_is_not_the_response(
+    autojump_clock: MockClock,
+) -> None:
+    """It was forwarded, and cancelled the attempt that could respond."""
+    async with _trial(daemons=4) as trial, trio.open_nursery() as nursery:
+        trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.STALL)
+        request = dataclasses.replace(
+            trial.request('r1', method='GET'), attempts=2
+        )
+        sink = call_trial.CollectingSink()
+        nursery.start_soon(trial.daemons[3].runner.sender.send, request, sink)
+        await trio.sleep(SILENCE_S / 2)
+        trial.backend.status = {f'backend-{i}': 503 for i in range(3)}
+        await trio.sleep(STALL_S)
+        assert trial.backend.runs == {'r1': 2}
+        assert sink.status == 200
+
+
 async def test_silent_daemon_gets_a_concurrent_attempt_at_another(
     autojump_clock: MockClock,
 ) -> None:
