Send a complete response whose run is cancelled as it begins to be sent

The response counted as begun, and the connection was closed without a byte.

test_response_is_sent_although_its_run_is_cancelled_then failed before.

--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -505,10 +505,16 @@
         if not data or self._disconnected:
             return
         async with self._send_lock:
-            deadline = trio.current_time() + _SEND_TIMEOUT_S
+            now = trio.current_time()
+            # A run may be cancelled while the lock is acquired. What it has
+            # begun to send is then still sent if that takes no time.
+            is_cancelled = trio.current_effective_deadline() <= now
+            timeout_s = _FINAL_RESPONSES_S if is_cancelled else _SEND_TIMEOUT_S
             try:
                 # `trio.fail_after` is several times slower.
-                with trio.CancelScope(deadline=deadline) as scope:
+                with trio.CancelScope(
+                    deadline=now + timeout_s, shield=is_cancelled
+                ) as scope:
                     await self._stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self._disconnect()
--- a/tests/test_services_http_server.py
+++ b/tests/test_services_http_server.py
@@ -238,3 +238,38 @@
             responses = await caller.read_until_closed()
         assert [response.status for response in responses] == [500, 200]
         assert [response.closes for response in responses] == [False, True]
+
+
+async def test_response_is_sent_although_its_run_is_cancelled_then() -> None:
+    """The connection was closed without a byte (soak, seed 102)."""
+
+    async def respond_while_cancelled(
+        scope: dict[str, Any], receive: Any, send: Any
+    ) -> None:
+        with trio.CancelScope() as run_scope:
+            async with trio.open_nursery() as nursery:
+                # It runs when the response waits for the first time.
+                nursery.start_soon(_cancel, run_scope)
+                await send(
+                    {
+                        'type': 'http.response.start',
+                        'status': 504,
+                        'headers': [(b'content-length', b'4')],
+                    }
+                )
+                await send({'type': 'http.response.body', 'body': b'late'})
+
+    async def _cancel(run_scope: trio.CancelScope) -> None:
+        run_scope.cancel()
+
+    server = pipelining.HttpServer(respond_while_cancelled)
+    with trio.fail_after(_TIME_LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.run, _http_server.HttpSettings())
+            for _ in range(10):
+                caller = await server.connect()
+                async with caller.stream:
+                    await caller.send(_get('/', 'Connection: close'))
+                    (response,) = await caller.read_until_closed()
+                assert (response.status, response.body) == (504, b'late')
+            nursery.cancel_scope.cancel()
