--- a/review/harness.py
+++ b/review/harness.py
@@ -15,18 +15,15 @@
 import logging
 import os
 from pathlib import Path
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
 from typing import Any
-from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
-if TYPE_CHECKING:
-    import signal
-
 ROOT = Path(__file__).resolve().parents[1]
 HOST = '127.0.0.1'
 GRACE_S = 6
@@ -696,13 +693,14 @@
     """Run a case and exit with its result."""
     case = Case(folder)
     status = NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     # Connections that are still open are closed after the end of the loop.
     sys.unraisablehook = lambda _: None
     logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     try:
         status = asyncio.run(run(case))
-    except CannotRunError as error:
-        case.record.write('error', str(error))
+    except Exception as error:
+        case.record.write('error', repr(error))
     finally:
         case.record.write('result', str(status))
         case.close()
