Believe the outcome of a call only from the process it was sent to

Cause: the incarnation of a process is the time of day at its start. After a step of the clock between two starts, the new process has the lower one, takes a query that is meant for its predecessor for its own, and says not-run. Ruled out: the member table, which raises the incarnation later and has no part in the query.

Change: the handshake of a stream states a random id of the process. The sender keeps the identity that an attempt was sent to and asks no other process; the outcome is then unknown and the caller gets 502.

The network in memory of the tests reports the loss of the first message by the exchange, as real streams do.

--- a/gypsumhall/net/_network.py
+++ b/gypsumhall/net/_network.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import math
+import secrets
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -47,6 +48,7 @@
 _SHUTDOWN_TIMEOUT_S = 1.0
 _MAX_POST_QUEUES = 256
 """Maximum number of addresses with queued posted messages."""
+_PROCESS_ID_BYTES = 8
 _MAX_IDLE_WORKERS = 32
 """Maximum number of idle tasks that are kept for further exchanges."""
 
@@ -352,6 +354,7 @@
             settings.zone,
             settings.incarnation,
             address,
+            secrets.token_hex(_PROCESS_ID_BYTES),
         )
         self._last_check_time = trio.current_time()
         try:
--- a/gypsumhall/net/_protocol.py
+++ b/gypsumhall/net/_protocol.py
@@ -32,12 +32,16 @@
         Incarnation of the daemon's process.
     address : str
         ``<ip>:<port>`` of the daemon's listener for other daemons.
+    process : str
+        Random id of the process. Incarnations are times of day, and a
+        process may start with an earlier one than the process before it.
     """
 
     id: str
     zone: str
     incarnation: int
     address: str
+    process: str = ''
 
 
 class Exchange(Protocol):
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -32,6 +32,7 @@
     from gypsumhall.core._member import Member
     from gypsumhall.core._snapshot import Split
     from gypsumhall.net._protocol import Exchange
+    from gypsumhall.net._protocol import PeerInfo
     from gypsumhall.net._protocol import PeerNetwork
     from gypsumhall.services import _deadlines
     from gypsumhall.services import _protocols
@@ -85,6 +86,7 @@
         'done',
         'forwarded',
         'load',
+        'peer',
         'rejection',
         'size',
         'status',
@@ -107,6 +109,8 @@
         self._should_withhold = should_withhold
         self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._recorder: _calls.Recorder | None = None
+        # Process that the call was sent to, if that is another daemon's.
+        self.peer: PeerInfo | None = None
         self.size = 0
         self.rejection: CallRefused | None = None
         self.load: Load | None = None
@@ -372,6 +376,7 @@
                 async with self._peers.open(
                     member.peer_address, call
                 ) as exchange:
+                    receiver.peer = exchange.peer
                     until_silent = _until_silent(
                         exchange,
                         receiver,
@@ -401,7 +406,8 @@
     ) -> None:
         """Query the outcome of a lost attempt that must not be repeated.
 
-        Afterwards the receiver has a response or a rejection. The parameters
+        Afterwards the receiver has a response or a rejection. Only the
+        process that the call was sent to knows the outcome. The parameters
         are those of `run`.
         """
         if receiver.forwarded:
@@ -422,6 +428,8 @@
                     async with self._peers.open(
                         member.peer_address, query
                     ) as exchange:
+                        if exchange.peer != receiver.peer:
+                            break
                         until_silent = _until_silent(
                             exchange, receiver, interrupt=True
                         )
--- a/gypsumhall/testing/call_trial.py
+++ b/gypsumhall/testing/call_trial.py
@@ -115,7 +115,9 @@
             self.daemons.append(self._build_daemon(index, member))
             await self._start_daemon(index)
 
-    async def restart(self, index: int, downtime_s: float) -> None:
+    async def restart(
+        self, index: int, downtime_s: float, incarnation_step: int = 1000
+    ) -> None:
         """Kill a daemon and start it again as a new process.
 
         Parameters
@@ -125,6 +127,9 @@
         downtime_s : float
             Seconds until the new process starts. If it is more than 5, the
             other daemons mark the daemon as dead after 5 seconds.
+        incarnation_step : int
+            Difference of its incarnation to that of the old process; not
+            positive after a step of the clock.
         """
         member = self.daemons[index].membership.me
         self._scopes[index].cancel()
@@ -143,7 +148,7 @@
             self._tables[index].put(known_member)
         self._scopes[index] = trio.CancelScope()
         self.daemons[index] = self._build_daemon(
-            index, build_restarted_member(member)
+            index, build_restarted_member(member, incarnation_step)
         )
         await self._start_daemon(index)
 
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,8 @@
     from gypsumhall.core._member import Member
     from gypsumhall.kernel import Service
 
+_PROCESSES = itertools.count(1)
+
 POST_ROUTE = builders.build_route(path='/')
 
 
@@ -297,7 +300,13 @@
             else None
         )
         self.kernel = Kernel()
-        info = PeerInfo(me.id, me.zone, me.incarnation, me.peer_address)
+        info = PeerInfo(
+            me.id,
+            me.zone,
+            me.incarnation,
+            me.peer_address,
+            f'process {next(_PROCESSES)}',
+        )
         for service in (
             self.membership,
             self.distribution,
@@ -382,8 +391,11 @@
         nursery.cancel_scope.cancel()
 
 
-def build_restarted_member(member: Member) -> Member:
+def build_restarted_member(
+    member: Member, incarnation_step: int = 1000
+) -> Member:
     """Return the entry of a daemon after a restart, without endpoint."""
+    incarnation = member.incarnation + incarnation_step
     return msgspec.structs.replace(
-        member, incarnation=member.incarnation + 1000, endpoint=None
+        member, incarnation=incarnation, endpoint=None
     )
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -222,7 +222,10 @@
         self._hub.streams[stream] = (self._me.address, address)
         self._hub.spawn(network.serve, theirs)
         try:
-            await mine.send(message)
+            # As on a real stream, the loss of a message that was sent is
+            # reported by the exchange.
+            with contextlib.suppress(PeerLostError):
+                await mine.send(message)
             yield mine
         finally:
             mine.cancel()
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -289,10 +289,14 @@
         assert trio.current_time() <= request.deadline + 0.5
 
 
+@pytest.mark.parametrize('incarnation_step', [1000, 0, -1000])
 async def test_query_reaches_a_restarted_daemon(
-    autojump_clock: MockClock,
+    autojump_clock: MockClock, incarnation_step: int
 ) -> None:
-    """A restarted process does not know which requests the old one ran."""
+    """A restarted process does not know which requests the old one ran.
+
+    After a step of the clock, it took itself for the old one.
+    """
     async with _trial(daemons=2) as trial:
         trial.backend.mean_service_time_s = 2.0
         trial.hub.fault_rule = _fault_on_message(AnswerStart, Fault.SILENCE)
@@ -305,7 +309,7 @@
 
             nursery.start_soon(call)
             await trio.sleep(0.1)
-            await trial.restart(0, 0.5)
+            await trial.restart(0, 0.5, incarnation_step)
         assert results == ['unknown']
 
 
