Keep an endpoint in use beside an odd heartbeat

Cause: the service that a heartbeat states was taken over although the daemon knows the one of its endpoint, and the later start time made all heartbeats of the endpoint itself stale for the life of the daemon. Ruled out: the service alone, as an earlier start time is harmless.

Change: another service is rejected; a start time orders heartbeats only while those of the later process arrive.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -201,7 +201,9 @@
     runner.set_split_source(rollouts.split)
     admin = AdminService(settings.control_address.value)
     check_ins = CheckInService(
-        settings.backend_address.value, HttpStatusCheck(platform.DIALECT)
+        settings.backend_address.value,
+        settings.service.value,
+        HttpStatusCheck(platform.DIALECT),
     )
     check_ins.register_routes(admin)
     services: list[Service] = [
--- a/gypsumhall/core/_checkins.py
+++ b/gypsumhall/core/_checkins.py
@@ -117,6 +117,8 @@
         )
         if (
             backend is not None
+            # A start time of another writer may lie in the future.
+            and self._present
             and not same_process
             and started_ms < backend.started_ms
         ):
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -55,6 +55,9 @@
     address : str
         ``<ip>:<port>`` of the backend server on the VM; heartbeats with
         another address are rejected. Empty to accept any address.
+    service : str
+        Service of the backend server; heartbeats with another service are
+        rejected. Empty to accept any service.
     status_check : StatusCheck
         Confirms that a backend server is ready before it is advertised.
     """
@@ -68,8 +71,11 @@
         'events',
     )
 
-    def __init__(self, address: str, status_check: StatusCheck) -> None:
+    def __init__(
+        self, address: str, service: str, status_check: StatusCheck
+    ) -> None:
         self._address = address
+        self._service = service
         self._status_check = status_check
         self._started = False
         self._tracker = BackendTracker()
@@ -129,15 +135,17 @@
         try:
             check_in = platform.decode_heartbeat(instance, request.body)
         except GypsumhallError as error:
-            self._events.emit('check-in-rejected', detail=str(error))
-            return _response(400)
+            return self._reject(str(error))
         if self._address and check_in.address != self._address:
-            self._events.emit(
-                'check-in-rejected',
-                detail=f'{instance!r} has address {check_in.address!r}, '
-                'not the configured one',
+            return self._reject(
+                f'{instance!r} has address {check_in.address!r}, '
+                'not the configured one'
+            )
+        service = check_in.endpoint.service
+        if self._service and service != self._service:
+            return self._reject(
+                f'{instance!r} has service {service!r}, not the configured one'
             )
-            return _response(400)
         result = self._tracker.record_heartbeat(
             instance,
             check_in.started_ms,
@@ -163,6 +171,10 @@
             )
         return _response(200)
 
+    def _reject(self, detail: str) -> _protocols.AdminResponse:
+        self._events.emit('check-in-rejected', detail=detail)
+        return _response(400)
+
     async def _handle_leaving(
         self, request: _protocols.AdminRequest
     ) -> _protocols.AdminResponse:
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -277,7 +277,7 @@
 ) -> None:
     runner, admin = _Runner(), FakeAdmin()
     membership = _Membership(builders.build_member(0))
-    service = CheckInService('10.0.0.9:80', FakeStatusCheck())
+    service = CheckInService('10.0.0.9:80', '', FakeStatusCheck())
     service.register_routes(admin)
     kernel = _kernel(
         admin, membership, _Distribution(), _Rollouts(), runner, service
@@ -323,7 +323,7 @@
     """Others would send it calls, which the stopping daemon would reject."""
     runner, admin = _Runner(), FakeAdmin()
     membership = _Membership(builders.build_member(0))
-    service = CheckInService('10.0.0.9:80', FakeStatusCheck())
+    service = CheckInService('10.0.0.9:80', '', FakeStatusCheck())
     service.register_routes(admin)
     kernel = _kernel(
         admin, membership, _Distribution(), _Rollouts(), runner, service
@@ -372,7 +372,7 @@
         self._admin = FakeAdmin()
         self.runner = _Runner()
         self.membership = _Membership(builders.build_member(0))
-        service = CheckInService('10.0.0.9:80', self.status_check)
+        service = CheckInService('10.0.0.9:80', 's', self.status_check)
         service.register_routes(self._admin)
         kernel = _kernel(
             self._admin,
@@ -386,11 +386,13 @@
             yield
             nursery.cancel_scope.cancel()
 
-    async def send(self, method: str, body: bytes) -> None:
+    async def send(
+        self, method: str, body: bytes, *, status: int = 200
+    ) -> None:
         """Send a heartbeat or a notice and let it take effect."""
         handler = self._admin.routes[method, '/v1/instances/']
         request = AdminRequest(method, '/v1/instances/i-1', body=body)
-        assert (await handler(request)).status == 200
+        assert (await handler(request)).status == status
         await wait_all_tasks_blocked()
 
 
@@ -487,6 +489,36 @@
         assert check_ins.state is EndpointState.READY
 
 
+async def test_heartbeat_with_another_service_is_rejected(
+    autojump_clock: MockClock,
+) -> None:
+    """One of another writer took the endpoint out of use for good."""
+    check_ins = _CheckIns()
+    info = {'service': 'other', 'version': 'v1', 'zone': 'z', 'slots': 6}
+    odd = _check_in('ready', 1, info=info, born=200)
+    async with check_ins.process():
+        await check_ins.send('PUT', _check_in('ready', 1))
+        await check_ins.send('PUT', odd, status=400)
+        for number in range(2, 20):
+            assert check_ins.state is EndpointState.READY
+            await trio.sleep(1.5)
+            await check_ins.send('PUT', _check_in('ready', number))
+
+
+async def test_endpoint_returns_after_a_heartbeat_with_a_later_start(
+    autojump_clock: MockClock,
+) -> None:
+    """Its own heartbeats counted as stale for the life of the daemon."""
+    check_ins = _CheckIns()
+    async with check_ins.process():
+        await check_ins.send('PUT', _check_in('ready', 1))
+        await check_ins.send('PUT', _check_in('ready', 1, born=2**60))
+        for number in range(2, 8):
+            await trio.sleep(1.5)
+            await check_ins.send('PUT', _check_in('ready', number))
+        assert check_ins.state is EndpointState.READY
+
+
 async def test_confirmed_endpoint_is_not_checked_again(
     autojump_clock: MockClock,
 ) -> None:
