Notice silent connections to the store within 3 s

Cause: the silence counts as a reset, so machines are in touch 3 s later; a watch was given up after 4.2 s, and the next call could take another silent connection of the pool at 1.2 s each. Ruled out: the distribution between daemons, which takes under 0.1 s.

Change: a poll takes 1.2 s in place of 3 s, and a call that times out closes the idle connections. Price: 0.83 calls a second of a watcher in place of 0.33.

--- a/gypsumhall/platform/_store.py
+++ b/gypsumhall/platform/_store.py
@@ -56,9 +56,11 @@
 """Timeout of a call. The platform responds within milliseconds, and a lost
 response is detected only by this timeout."""
 
-_WATCH_POLL_S = 3.0
+_WATCH_POLL_S = 1.2
 """Time for which the platform holds a long poll without events. A poll that
-gets no response is detected after this time plus `_CALL_TIMEOUT_S`."""
+gets no response is detected after this time plus `_CALL_TIMEOUT_S`. By the
+users' rules, a version has to be in force 3 s after connections went silent,
+so the rest remains for reading it again and for its distribution."""
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Largest response that is read, as in `gypsumhall.store._etcd`."""
@@ -490,19 +492,23 @@
     ) -> _Response:
         headers = [('Content-Type', 'application/json')] if content else []
         body = bytearray()
-        with trio.fail_after(timeout_s):
-            async with (pool or self._call_pool).stream(
-                method,
-                self._base_url + target,
-                headers=headers,
-                content=content,
-            ) as response:
-                async for chunk in response.aiter_stream():
-                    body += chunk
-                    if len(body) > MAX_RESPONSE_BYTES:
-                        raise _TooLargeError(
-                            f'more than {MAX_RESPONSE_BYTES} bytes'
-                        )
+        try:
+            with trio.fail_after(timeout_s):
+                async with (pool or self._call_pool).stream(
+                    method,
+                    self._base_url + target,
+                    headers=headers,
+                    content=content,
+                ) as response:
+                    async for chunk in response.aiter_stream():
+                        body += chunk
+                        if len(body) > MAX_RESPONSE_BYTES:
+                            raise _TooLargeError(
+                                f'more than {MAX_RESPONSE_BYTES} bytes'
+                            )
+        except trio.TooSlowError:
+            await self._close_idle()
+            raise
         era = _read_era(response, self._era)
         self._set_era(era)
         if response.status in (429, 503):
@@ -513,6 +519,14 @@
             raise _OutdatedEraError(f'era {era}, expected {self._era}')
         return _Response(response.status, bytes(body), era)
 
+    async def _close_idle(self) -> None:
+        """Close idle connections, which may be silent as another one was."""
+        with trio.CancelScope(shield=True):
+            for pool in (self._call_pool, self._watch_pool):
+                for connection in pool.connections:
+                    if connection.is_idle():
+                        await connection.aclose()
+
 
 def _read_era(response: httpcore.Response, default: int) -> int:
     """Return the era of a response; `default` when it names none."""
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -4,6 +4,7 @@
 
 from contextlib import asynccontextmanager
 import json
+import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
 from gypsumhall.core._snapshot import Split
 from gypsumhall.kernel import Kernel
 from gypsumhall.net._messages import RolloutRecord
+from gypsumhall.platform import KvStore
 from gypsumhall.services import _registration
 from gypsumhall.services._checkins import CheckInService
 from gypsumhall.services._feed import Feed
@@ -28,6 +30,7 @@
 from gypsumhall.services._protocols import AdminRequest
 from gypsumhall.services._registration import Registration
 from gypsumhall.services._rollouts import RolloutService
+from gypsumhall.services._store import InstrumentedStore
 from gypsumhall.store import Delete
 from gypsumhall.store import Put
 from gypsumhall.store import Revision
@@ -36,9 +39,13 @@
 from gypsumhall.testing.fakes import FakeDistribution
 from gypsumhall.testing.fakes import FakeEvents
 from gypsumhall.testing.fakes import FakeMembership
+from gypsumhall.testing.fakes import FakeMetrics
 from gypsumhall.testing.fakes import FakeService
 from gypsumhall.testing.fakes import FakeStatusCheck
 from gypsumhall.testing.fakes import FakeTable
+from gypsumhall.testing.http_network import HttpNetwork
+from gypsumhall.testing.kv_store import ADDRESS
+from gypsumhall.testing.kv_store import KvApp
 from gypsumhall.testing.memory_store import MemoryStore
 
 if TYPE_CHECKING:
@@ -236,6 +243,49 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('silent_after_s', [0.01, 0.5, 1.1, 2.9])
+@pytest.mark.parametrize('idle_connections', [0, 4])
+async def test_silent_connections_delay_a_version_by_less_than_3_s(
+    autojump_clock: MockClock, silent_after_s: float, idle_connections: int
+) -> None:
+    """By the users' rules, 3 s after the silence a version has to be used."""
+    memory = _Store()
+    async with trio.open_nursery() as nursery:
+        network = HttpNetwork(nursery)
+        network.listen(ADDRESS, KvApp(memory))
+        client = KvStore(ADDRESS, network_backend=network)
+        store = InstrumentedStore(client)
+        distribution = _Distribution()
+        kernel = _kernel(
+            FakeMetrics(),
+            store,
+            _Membership(builders.build_member(0)),
+            distribution,
+            _Rollouts(),
+            Feed(rng=random.Random(1)),
+        )
+        await _publish(memory, 5)
+        await nursery.start(kernel.run)
+        await trio.sleep(3.7)
+        await _publish(memory, 6)
+        async with trio.open_nursery() as calls:
+            for _ in range(idle_connections):
+                calls.start_soon(client.get, 'a')
+        await trio.sleep(silent_after_s)
+        silent_at = trio.current_time()
+        network.silence_open_connections()
+        await trio.sleep(0.5)
+        await _publish(memory, 7)
+        with trio.move_on_after(10.0):
+            while (  # noqa: ASYNC110
+                distribution.snapshot is None
+                or distribution.snapshot.version < 7
+            ):
+                await trio.sleep(0.05)
+        assert trio.current_time() - silent_at < 3.0
+        nursery.cancel_scope.cancel()
+
+
 async def test_few_daemons_of_a_zone_watch_the_store(
     autojump_clock: MockClock,
 ) -> None:
