--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -38,9 +38,9 @@
     from gypsumhall.store import Revision
 
 WATCHERS_PER_ZONE = 3
-"""Daemons of a zone that watch the store. Each makes a call every 1.2 s and one
-per change. When 55 % of the machines fail at once, all watchers of three zones
-are among them with a probability of 0.5 %, and are then replaced."""
+"""Daemons of a zone that watch the store. Each makes a call every 1.2 s and
+one per change. When 55 % of the machines fail at once, all watchers of three
+zones are among them with a probability of 0.5 %, and are then replaced."""
 
 _RETRY_BACKOFF_S = (0.1, 0.5)
 
