--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -223,7 +223,7 @@
     async def call(self, index: int, method: str, path: str) -> int:
         """Send a request to a daemon and return the status."""
         body = b'body' if method == 'POST' else None
-        with trio.fail_after(10.0):
+        with trio.fail_after(5.0):
             status, _ = await _request(
                 self.address(index), method, path, self.headers(), body
             )
@@ -293,11 +293,7 @@
             nonlocal ended
             method = 'GET' if kind == 'idempotent' else 'POST'
             for name in names:
-                with suppress(
-                    httpcore.NetworkError,
-                    httpcore.ProtocolError,
-                    trio.TooSlowError,
-                ):
+                with suppress(httpcore.NetworkError, httpcore.ProtocolError):
                     await fleet.call(index, method, f'/faulty/{kind}/{name}')
                 ended += 1
 
@@ -310,8 +306,7 @@
         peaks = fleet.peak_bytes()
 
     assert max(peaks) < _LIMIT_BYTES
-    # A busy machine may refuse some.
-    assert 200 in served and set(served) <= {200, 503}
+    assert set(served) == {200}
     assert ended > len(_RESPONSES)
 
 
