Parse plain HTTP heads with httptools and drop httpcore from calls

A call took about 4 ms of processor time in its daemons, of which a fifth was httpcore and h11 towards the backend server and a part was h11 towards callers.

Plain heads are now parsed by httptools and responses written directly. All other input still goes to h11: heads in parts, line folding, bare line feeds, control characters, chunks, expectations, upgrades, HTTP/1.0 and repeated framing fields. The client of the backend server uses a socket as the streams between daemons do. A status outside 100 to 599 is an invalid response.

--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
-from collections.abc import AsyncIterable
-from collections.abc import AsyncIterator
-from collections.abc import Callable
 import contextlib
-from typing import Any
-from typing import cast
+import socket
+from typing import NoReturn
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-import httpcore
+import h11
 import trio
 
 from gypsumhall._errors import GypsumhallError
+from gypsumhall.net import _socket
 from gypsumhall.services import _calls
+from gypsumhall.services import _http_parser
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from contextlib import AbstractAsyncContextManager
 
 # Shorter than the usual keep-alive timeouts of servers, so that a server
@@ -32,6 +33,9 @@
 # Size of a read where parsing is slow: 8 KiB of small chunks or
 # informational responses take about 20 ms, which block all other calls.
 _SMALL_READ_BYTES = 8 * 1024
+_READ_BYTES = 64 * 1024
+# Largest incomplete event of a response that h11 parses.
+_MAX_EVENT_BYTES = 100 * 1024
 # Parts of a body below this size are treated as small chunks.
 _SMALL_CHUNK_BYTES = 1024
 # Limit on chunk sizes, extensions and trailers, in addition to one byte per
@@ -65,152 +69,318 @@
     code = 'bad-response'
 
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """Socket that limits the size of a response's head and framing.
+class _Connection:
+    """Connection that limits the size of a response's head and framing.
 
-    The head needs a limit because httpcore skips any number of informational
-    responses. Operations have no timeouts of their own; the cancel scope of
-    the call limits their total time.
+    Plain responses are read with `_http_parser`, all others with h11, which
+    skips any number of informational responses and needs the limits.
+    Operations have no timeouts of their own; the cancel scope of the call
+    limits their total time.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
+    __slots__ = (
+        '_body_bytes',
+        '_complete',
+        '_in_head',
+        '_keep_alive',
+        '_reached_eof',
+        '_received',
+        '_received_bytes',
+        '_remaining',
+        '_small_reads',
+        '_sock',
+        '_unusual',
+        '_write_failed',
+        'reused',
+    )
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        # Data behind what has been parsed of a plain response.
+        self._received = b''
+        # Bytes of the body of a plain response that have not been received.
+        self._remaining = 0
+        # Reads a response that is not plain.
+        self._unusual: h11.Connection | None = None
         self._received_bytes = 0
         self._in_head = True
         # Size of the body that the parser has returned so far.
         self._body_bytes = 0
         self._small_reads = True
         self._write_failed = False
-        self.reached_eof = False
+        self._reached_eof = False
+        # Whether another request may follow the response.
+        self._complete = False
+        self._keep_alive = True
+        self.reused = False
+
+    async def send_request(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> tuple[int, list[tuple[bytes, bytes]]]:
+        """Send a request; return status and headers of the response.
 
-    def begin_head(self) -> None:
-        """Reset the counters and expect the head of a response."""
+        Raises
+        ------
+        BackendRequestError
+            When the request is invalid; nothing was sent.
+        BackendResetError
+            When the connection is lost before the end of the head.
+        BackendResponseError
+            When the head is invalid or too large.
+        """
         self._received_bytes = 0
         self._in_head = True
         self._body_bytes = 0
         self._small_reads = True
+        self._complete = False
+        head = _http_parser.encode_request(method, target, headers)
+        if head is None:
+            self._unusual, data = _encode_unusual(
+                method, target, headers, body
+            )
+            await self._write(data)
+        else:
+            await self._write(head + body)
+            self._received = await self._read()
+            parsed = None
+            if method != b'HEAD':
+                parsed = _http_parser.parse_response(self._received)
+            if parsed is not None:
+                return self._begin_plain_body(*parsed)
+            self._unusual, _ = _encode_unusual(method, target, headers, body)
+            if self._received:
+                self._unusual.receive_data(self._received)
+                self._received = b''
+            else:
+                self._raise_without_response()
+        return await self._read_unusual_head(self._unusual)
+
+    def close(self) -> None:
+        """Close the connection."""
+        _socket.close(self._sock)
+
+    def is_reusable(self) -> bool:
+        """Return whether the response is complete and nothing follows it.
+
+        Bytes that the server sent after its response would be taken for the
+        response to the next request.
+        """
+        return self._complete and not self._received and not self.has_expired()
+
+    def has_expired(self) -> bool:
+        """Return whether an idle connection has received bytes or its end."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
-    def begin_body(self) -> None:
-        """Expect the body of the response."""
+    async def body(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body of the response.
+
+        Raises
+        ------
+        BackendResetError
+            When the connection is lost before the end of the body.
+        BackendResponseError
+            When the body is invalid.
+        """
         self._in_head = False
+        if self._unusual is not None:
+            parts = self._read_unusual_body(self._unusual)
+            async with contextlib.aclosing(parts):
+                async for data in parts:
+                    yield data
+            return
+        while self._remaining:
+            if not self._received:
+                self._received = await self._read()
+                if not self._received:
+                    raise BackendResetError(
+                        'incomplete body: the connection ended '
+                        f'{self._remaining} bytes before the end of the body'
+                    )
+            data = self._received[: self._remaining]
+            self._received = self._received[self._remaining :]
+            self._remaining -= len(data)
+            self._count_body(len(data))
+            yield data
+        self._complete = self._keep_alive
+
+    def _begin_plain_body(
+        self, head: _http_parser.ResponseHead, size: int
+    ) -> tuple[int, list[tuple[bytes, bytes]]]:
+        self._unusual = None
+        self._received = self._received[size:]
+        self._remaining = head.length
+        self._keep_alive = head.keep_alive
+        return head.status, head.headers
+
+    async def _read_unusual_head(
+        self, parser: h11.Connection
+    ) -> tuple[int, list[tuple[bytes, bytes]]]:
+        while True:
+            try:
+                event = parser.next_event()
+            except h11.RemoteProtocolError as error:
+                if self._reached_eof:
+                    raise BackendResetError(str(error)) from error
+                raise BackendResponseError(str(error)) from error
+            if event is h11.NEED_DATA:
+                data = await self._read()
+                if not data and parser.their_state is h11.SEND_RESPONSE:
+                    self._raise_without_response()
+                parser.receive_data(data)
+            elif isinstance(event, h11.Response) or (
+                isinstance(event, h11.InformationalResponse)
+                and event.status_code == 101
+            ):
+                return event.status_code, event.headers.raw_items()
 
-    def count_body(self, size: int) -> None:
+    async def _read_unusual_body(
+        self, parser: h11.Connection
+    ) -> AsyncGenerator[bytes, None]:
+        """Yield the body of a response that h11 parses.
+
+        Small chunks that arrived together are joined, because many small
+        objects would take more memory later.
+        """
+        pending = bytearray()
+        while True:
+            try:
+                event = parser.next_event()
+            except h11.RemoteProtocolError as error:
+                if self._reached_eof:
+                    raise BackendResetError(
+                        f'incomplete body: {error}'
+                    ) from error
+                raise BackendResponseError(f'invalid body: {error}') from error
+            if event is h11.NEED_DATA:
+                parser.receive_data(await self._read())
+            elif isinstance(event, h11.Data):
+                data = bytes(event.data)
+                self._count_body(len(data))
+                if len(data) >= _SMALL_CHUNK_BYTES and not pending:
+                    yield data
+                    continue
+                pending += data
+                # The CRLF after a chunk is parsed with the next event, so
+                # two bytes may be unparsed after the last one received.
+                if (
+                    len(pending) >= _calls.CHUNK_BYTES
+                    or len(parser.trailing_data[0]) <= 2
+                ):
+                    data = bytes(pending)
+                    pending.clear()
+                    yield data
+            elif isinstance(event, h11.EndOfMessage) or event is h11.PAUSED:
+                break
+        if pending:
+            yield bytes(pending)
+        self._received = parser.trailing_data[0]
+        self._complete = (
+            parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        )
+
+    def _count_body(self, size: int) -> None:
         """Count the size of a parsed part of the body."""
         self._body_bytes += size
         self._small_reads = size < _SMALL_CHUNK_BYTES
 
-    async def read(
-        self, max_bytes: int, timeout: float | None = None
-    ) -> bytes:
+    def _raise_without_response(self) -> NoReturn:
+        raise BackendResetError(
+            'the server disconnected without sending a response'
+        )
+
+    def _check_received(self) -> None:
+        """Raise an error if the head or the framing is too large."""
         if self._in_head:
             if self._received_bytes >= _MAX_HEAD_BYTES:
                 raise BackendResponseError(
                     'response head incomplete after '
                     f'{self._received_bytes} bytes'
                 )
-        else:
-            framing = self._received_bytes - self._body_bytes
-            if (
-                framing
-                > _MAX_FRAMING_BYTES + self._body_bytes // _FRAMING_RATIO
-            ):
-                raise BackendResponseError(
-                    f'{framing} bytes of framing for {self._body_bytes} bytes '
-                    'of a response body'
-                )
-        if self._small_reads:
-            max_bytes = min(max_bytes, _SMALL_READ_BYTES)
+            return
+        framing = self._received_bytes - self._body_bytes
+        if framing > _MAX_FRAMING_BYTES + self._body_bytes // _FRAMING_RATIO:
+            raise BackendResponseError(
+                f'{framing} bytes of framing for {self._body_bytes} bytes '
+                'of a response body'
+            )
+
+    async def _read(self) -> bytes:
+        """Return received data; empty at the end of the stream."""
+        self._check_received()
+        size = _SMALL_READ_BYTES if self._small_reads else _READ_BYTES
         try:
-            data = bytes(await self._stream.receive_some(max_bytes))
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise httpcore.ReadError(str(error)) from error
+            data = await _socket.receive(self._sock, size)
+        except (OSError, trio.ClosedResourceError) as error:
+            raise BackendResetError(self._describe_reset(error)) from error
         if not data and self._write_failed:
             # The failed write has reported a reset, after which the socket
             # reports the end of the stream as if the peer had closed it.
-            raise httpcore.ReadError('the connection was reset')
+            raise BackendResetError('the connection was reset')
         self._received_bytes += len(data)
-        self.reached_eof = not data
+        self._reached_eof = not data
         return data
 
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        try:
-            await self._stream.send_all(buffer)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            self._write_failed = True
-            raise httpcore.WriteError(str(error)) from error
-
-    async def aclose(self) -> None:
-        await self._stream.aclose()
-
-    def get_extra_info(self, info: str) -> Any:
-        if info == 'is_readable':
-            return self._stream.socket.is_readable()
-        return None
-
-
-class _Connection(httpcore.AsyncHTTP11Connection):
-    """Connection that detects bytes after the end of a response."""
-
-    def __init__(self, origin: httpcore.Origin, stream: _Stream) -> None:
-        super().__init__(origin, stream)
-        self.network = stream
-        self.reused = False
+    def _describe_reset(self, error: Exception) -> str:
+        if self._in_head:
+            return repr(error)
+        return f'incomplete body: {error!r}'
 
-    def has_unexpected_bytes(self) -> bool:
-        """Return whether the server sent bytes after its response.
+    async def _write(self, data: bytes) -> None:
+        """Send data.
 
-        The parser buffers them and would return them as the response to the
-        next request.
+        A server that does not read all of a request may still respond to it,
+        so an error is left to the next read.
         """
-        return bool(self._unparsed_bytes()) or self.has_expired()
+        await trio.lowlevel.checkpoint_if_cancelled()
+        unsent = memoryview(data)
+        try:
+            while unsent:
+                try:
+                    unsent = unsent[self._sock.send(unsent) :]
+                except BlockingIOError:
+                    await trio.lowlevel.wait_writable(self._sock)
+        except (OSError, trio.ClosedResourceError):
+            self._write_failed = True
 
-    async def body(
-        self, response: httpcore.Response
-    ) -> AsyncGenerator[bytes, None]:
-        """Yield the body of a response.
 
-        Small chunks that arrived together are joined, because many small
-        objects would take more memory later.
+def _encode_unusual(
+    method: bytes,
+    target: bytes,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> tuple[h11.Connection, bytes]:
+    """Return a parser for the response to a request, and the request.
 
-        Raises
-        ------
-        BackendResetError
-            When the connection is lost before the end of the body.
-        BackendResponseError
-            When the body is invalid.
-        """
-        # httpcore declares an iterable, but a connection returns a generator.
-        stream = cast(AsyncIterable[bytes], response.stream).__aiter__()
-        parts = cast(AsyncGenerator[bytes, None], stream)
-        pending = bytearray()
-        try:
-            async with contextlib.aclosing(parts):
-                async for data in parts:
-                    self.network.count_body(len(data))
-                    if len(data) >= _SMALL_CHUNK_BYTES and not pending:
-                        yield data
-                        continue
-                    pending += data
-                    # The CRLF after a chunk is parsed with the next event, so
-                    # two bytes may be unparsed after the last one received.
-                    if (
-                        len(pending) >= _calls.CHUNK_BYTES
-                        or len(self._unparsed_bytes()) <= 2
-                    ):
-                        data = bytes(pending)
-                        pending.clear()
-                        yield data
-            if pending:
-                yield bytes(pending)
-        except httpcore.RemoteProtocolError as error:
-            if self.network.reached_eof:
-                raise BackendResetError(f'incomplete body: {error}') from error
-            raise BackendResponseError(f'invalid body: {error}') from error
-        except httpcore.NetworkError as error:
-            raise BackendResetError(f'incomplete body: {error!r}') from error
-
-    def _unparsed_bytes(self) -> bytes:
-        return self._h11_state.trailing_data[0]
+    Raises
+    ------
+    BackendRequestError
+        When the request is invalid.
+    """
+    parser = h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=_MAX_EVENT_BYTES
+    )
+    events: list[h11.Event] = []
+    try:
+        events.append(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        parts = [parser.send(event) or b'' for event in events]
+    except h11.LocalProtocolError as error:
+        raise BackendRequestError(str(error)) from error
+    return parser, b''.join(parts)
 
 
 class BackendResponse:
@@ -299,9 +469,8 @@
 class BackendClient:
     """HTTP client with a connection pool for one backend server.
 
-    `httpcore.AsyncConnectionPool` scans all its connections for every
-    request. There is only one origin here, so this pool takes the most
-    recently used connection.
+    There is only one origin, so the pool takes the most recently used
+    connection.
 
     Parameters
     ----------
@@ -309,16 +478,10 @@
         ``<ip>:<port>`` of the backend server.
     """
 
-    __slots__ = ('_address', '_host', '_idle', '_origin', '_port')
+    __slots__ = ('_address', '_idle')
 
     def __init__(self, address: str) -> None:
         self._address = address
-        host, _, port = address.rpartition(':')
-        self._host = host
-        self._port = int(port)
-        self._origin = httpcore.Origin(
-            b'http', host.encode('ascii'), self._port
-        )
         self._idle: list[tuple[float, _Connection]] = []
 
     @property
@@ -360,36 +523,27 @@
         BackendResetError, BackendResponseError
             When the request may have been run.
         """
-        request = self._build_request(method, path, headers, body)
+        sent_headers = list(headers)
+        if body or method not in ('GET', 'HEAD', 'OPTIONS', 'DELETE'):
+            sent_headers.append((b'content-length', b'%d' % len(body)))
+        target = path.encode('ascii')
         connection = await self._connect()
         on_send()
-        connection.network.begin_head()
         try:
-            try:
-                response = await connection.handle_async_request(request)
-            except httpcore.LocalProtocolError as error:
-                raise BackendRequestError(str(error)) from error
-            except httpcore.RemoteProtocolError as error:
-                if connection.network.reached_eof:
-                    raise BackendResetError(str(error)) from error
-                raise BackendResponseError(str(error)) from error
-            except httpcore.NetworkError as error:
-                raise BackendResetError(repr(error)) from error
-            connection.network.begin_body()
-            yield _build_response(method, response, connection)
+            status, received = await connection.send_request(
+                method.encode('ascii'), target, sent_headers, body
+            )
+            yield _build_response(method, status, received, connection)
         except BaseException:
-            with trio.CancelScope(shield=True):
-                await connection.aclose()
+            connection.close()
             raise
-        with trio.CancelScope(shield=True):
-            await response.aclose()
-        if not connection.is_idle():
-            return
-        if connection.has_unexpected_bytes():
-            await connection.aclose()
-        else:
+        # Bytes behind the response that are on their way are noticed.
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        if connection.is_reusable():
             expires = trio.current_time() + _IDLE_TIMEOUT_S
             self._idle.append((expires, connection))
+        else:
+            connection.close()
 
     async def close_idle(self, *, all_connections: bool = False) -> None:
         """Close connections that have been idle for too long, or all."""
@@ -399,26 +553,7 @@
         ]
         self._idle = [item for item in self._idle if item not in expired]
         for _, connection in expired:
-            await connection.aclose()
-
-    def _build_request(
-        self, method: str, path: str, headers: _calls.Headers, body: bytes
-    ) -> httpcore.Request:
-        sent_headers = list(headers)
-        if body or method not in ('GET', 'HEAD', 'OPTIONS', 'DELETE'):
-            sent_headers.append((b'content-length', b'%d' % len(body)))
-        url = httpcore.URL(
-            scheme=self._origin.scheme,
-            host=self._origin.host,
-            port=self._port,
-            target=path.encode('ascii'),
-        )
-        return httpcore.Request(
-            method.encode('ascii'),
-            url,
-            headers=sent_headers,
-            content=body or None,
-        )
+            connection.close()
 
     async def _connect(self) -> _Connection:
         now = trio.current_time()
@@ -427,29 +562,48 @@
             if expires > now and not connection.has_expired():
                 connection.reused = True
                 return connection
-            await connection.aclose()
+            connection.close()
         try:
             with trio.fail_after(_CONNECT_TIMEOUT_S):
-                stream = await trio.open_tcp_stream(self._host, self._port)
+                return _Connection(await _open_socket(self._address))
         except (OSError, trio.TooSlowError) as error:
             raise BackendUnreachableError(
                 f'backend server {self._address}: {error or "timeout"}'
             ) from error
-        return _Connection(self._origin, _Stream(stream))
+
+
+async def _open_socket(address: str) -> socket.socket:
+    """Open a connection to an IP address or a host name.
+
+    Raises
+    ------
+    OSError
+        When the connection fails.
+    """
+    try:
+        _socket.split_address(address)
+    except ValueError:
+        host, _, port = address.rpartition(':')
+        found = await trio.socket.getaddrinfo(
+            host, int(port), type=socket.SOCK_STREAM
+        )
+        address = _socket.join_address(str(found[0][4][0]), int(port))
+    return await _socket.connect(address)
 
 
 def _build_response(
     method: str,
-    response: httpcore.Response,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
     connection: _Connection,
 ) -> BackendResponse:
-    headers = response.headers
     if _calls.header_bytes(headers) > _calls.MAX_HEADER_BYTES:
         raise BackendResponseError(
             f'response headers exceed {_calls.MAX_HEADER_BYTES} bytes'
         )
-    if response.status < 200:
-        raise BackendResponseError(f'unexpected status {response.status}')
+    if not 200 <= status <= 599:
+        # RFC 9110, section 15, has no status codes outside 100 to 599.
+        raise BackendResponseError(f'unexpected status {status}')
     length: int | None = None
     chunked = False
     for name, value in headers:
@@ -465,7 +619,7 @@
         headers = [
             item for item in headers if item[0].lower() != b'content-length'
         ]
-    if method == 'HEAD' or response.status in (204, 304):
+    if method == 'HEAD' or status in (204, 304):
         length = 0
     if length is not None and length > _calls.MAX_RESPONSE_BODY_BYTES:
         raise BackendResponseError(
@@ -473,9 +627,9 @@
             f'{_calls.MAX_RESPONSE_BODY_BYTES} bytes'
         )
     return BackendResponse(
-        response.status,
+        status,
         _calls.response_headers(headers),
         length,
-        connection.body(response),
+        connection.body(),
         connection_reused=connection.reused,
     )
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -1,9 +1,9 @@
 """HTTP/1.1 server for ASGI applications, with pipelined requests.
 
-The messages are parsed and written by h11. A connection has one task that
-reads, so that a caller that leaves is noticed, and one for each request. Every
-request has an h11 connection of its own while others wait behind it, because
-h11 reads the next request only after the response to the last one.
+A connection has one task that reads, so that a caller that leaves is noticed,
+and one for each request. Every request has a parser of its own while others
+wait behind it, because a parser reads the next request only after the response
+to the last one.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
 from gypsumhall.core._pipelining import Admission
 from gypsumhall.core._pipelining import Pipeline
 from gypsumhall.core._pipelining import PipelinedRequest
+from gypsumhall.services import _http_parser
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -146,8 +147,8 @@
     def __init__(
         self,
         connection: _Connection,
-        parser: h11.Connection,
-        head: h11.Request,
+        parser: _http_parser.RequestParser,
+        head: _http_parser.RequestHead,
     ) -> None:
         super().__init__(
             sum(len(name) + len(value) for name, value in head.headers)
@@ -178,12 +179,12 @@
         return self._received_at
 
     @property
-    def head(self) -> h11.Request:
+    def head(self) -> _http_parser.RequestHead:
         """Head of the request."""
         return self._head
 
     @property
-    def parser(self) -> h11.Connection:
+    def parser(self) -> _http_parser.RequestParser:
         """Reads the request and writes the response."""
         return self._parser
 
@@ -337,12 +338,10 @@
             if self._is_abandoned():
                 return {'type': 'http.disconnect'}
             if (
-                self._parser.they_are_waiting_for_100_continue
+                self._parser.awaits_continue
                 and self._connection.pipeline.is_first(self)
             ):
-                await self._write(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
+                await self._connection.send(self._parser.encode_continue())
             else:
                 await self._wait()
 
@@ -383,18 +382,19 @@
             or self._is_abandoned()
         ):
             return
-        output: list[h11.Event] = []
+        output: list[bytes] = []
+        held = self._held.copy()
+        self._release_held()
         if not self._head_sent:
             self.response_started = self._head_sent = True
             output.append(self._start_response(self._response_head))
-        output.extend(h11.Data(data=data) for data in self._held)
-        self._release_held()
+        output.extend(map(self._parser.encode_body, held))
         if self._response_ended:
-            output.append(h11.EndOfMessage())
-        await self._write(*output)
+            output.append(self._parser.encode_end())
+        await self._connection.send(b''.join(output))
         self._end_sent = self._response_ended
 
-    def _start_response(self, head: dict[str, Any]) -> h11.Response:
+    def _start_response(self, head: dict[str, Any]) -> bytes:
         """Return the head; decides whether the connection closes."""
         connection = self._connection
         headers = [
@@ -408,11 +408,7 @@
         )
         if wants_close and connection.close_after(self):
             others.append((b'connection', b'close'))
-        return h11.Response(status_code=head['status'], headers=others)
-
-    async def _write(self, *events: h11.Event) -> None:
-        data = b''.join(self._parser.send(event) or b'' for event in events)
-        await self._connection.send(data)
+        return self._parser.encode_head(head['status'], others)
 
     def _is_without_body(self) -> bool:
         head = self._response_head
@@ -571,11 +567,8 @@
 
     def _is_last(self, exchange: Exchange) -> bool:
         """Return whether the connection closes after a response."""
-        parser = exchange.parser
         return (
-            self._disconnected
-            or parser.our_state is not h11.DONE
-            or parser.their_state is not h11.DONE
+            self._disconnected or not exchange.parser.done
         ) and not self.pipeline.is_dropped(exchange)
 
     def _finish(self) -> None:
@@ -612,7 +605,7 @@
                 self._disconnect()
                 return
             if not self._parsing_ended:
-                self._parser.receive_data(data)
+                self._parser.receive(data)
                 self._parse()
 
     def _is_full(self) -> bool:
@@ -623,7 +616,7 @@
         return (
             not self._parsing_ended
             and not self.pipeline.has_room()
-            and len(self._parser.trailing_data[0]) > _MAX_UNPARSED_BYTES
+            and len(self._parser.unparsed) > _MAX_UNPARSED_BYTES
         )
 
     def _parse(self) -> None:
@@ -631,21 +624,18 @@
         while not self._parsing_ended and self._next_request_may_begin():
             try:
                 event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
+            except _http_parser.InvalidRequestError as error:
                 self._parsing_ended = True
-                self._reject_input(error.error_status_hint)
+                self._reject_input(error.status)
                 return
-            if isinstance(event, h11.Request):
+            if isinstance(event, _http_parser.RequestHead):
                 self._start_exchange(event)
-            elif isinstance(event, h11.Data) and self._current is not None:
-                self._current.add_body(bytes(event.data))
-            elif (
-                isinstance(event, h11.EndOfMessage)
-                and self._current is not None
-            ):
-                self._current.end_body()
-            else:
+            elif event is None or self._current is None:
                 return
+            elif isinstance(event, bytes):
+                self._current.add_body(event)
+            else:
+                self._current.end_body()
 
     def _next_request_may_begin(self) -> bool:
         """Return whether to parse on, with a new parser if needed."""
@@ -655,19 +645,19 @@
             return self.pipeline.has_room()
         if not self._current.body_ended:
             return True
-        following = self._parser.trailing_data[0]
+        following = self._parser.unparsed
         if (
             not following
-            or self._parser.their_state is not h11.DONE
+            or not self._parser.request_done
             or not self.pipeline.has_room()
         ):
             return False
         self._parser = self._new_parser()
-        self._parser.receive_data(following)
+        self._parser.receive(following)
         self._current = None
         return True
 
-    def _start_exchange(self, head: h11.Request) -> Exchange:
+    def _start_exchange(self, head: _http_parser.RequestHead) -> Exchange:
         exchange = Exchange(self, self._parser, head)
         self._current = exchange
         self._exchanges.append(exchange)
@@ -681,16 +671,12 @@
         exchange = self._current
         if exchange is None:
             exchange = self._start_exchange(
-                h11.Request(
-                    method='GET', target='/', headers=[('host', 'invalid')]
-                )
+                _http_parser.RequestHead(b'GET', b'/', [(b'host', b'invalid')])
             )
         exchange.fail(status)
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._settings.max_head_bytes
-        )
+    def _new_parser(self) -> _http_parser.RequestParser:
+        return _http_parser.RequestParser(self._settings.max_head_bytes)
 
     async def _close_gracefully(self) -> None:
         """Let the caller receive the last response before the end."""
