--- a/benchmarks/bench_processor_time.py
+++ b/benchmarks/bench_processor_time.py
@@ -12,11 +12,13 @@
 
 from contextlib import AsyncExitStack
 from contextlib import contextmanager
+from contextlib import ExitStack
 import json
 import os
 from pathlib import Path
 from random import Random
 import re
+import shutil
 import signal
 import statistics
 import subprocess
@@ -452,29 +454,49 @@
 
 @contextmanager
 def _checkout(version: str) -> Iterator[Path]:
-    """Provide a directory with the code of a commit."""
-    if Path(version).is_dir():
-        yield Path(version)
-        return
+    """Provide the code of a directory or commit, compiled as deployed."""
     with tempfile.TemporaryDirectory(prefix='gypsumhall-') as name:
-        archive = subprocess.run(
-            ['git', 'archive', version, 'gypsumhall'],
-            cwd=_ROOT,
-            check=True,
-            capture_output=True,
-        ).stdout
-        subprocess.run(['tar', '-x', '-C', name], input=archive, check=True)
-        yield Path(name)
+        root = Path(name)
+        if Path(version).is_dir():
+            ignore = shutil.ignore_patterns('__pycache__')
+            for part in ('gypsumhall', 'deploy'):
+                shutil.copytree(
+                    Path(version) / part, root / part, ignore=ignore
+                )
+        else:
+            archive = subprocess.run(
+                ['git', 'archive', version, 'gypsumhall', 'deploy'],
+                cwd=_ROOT,
+                check=True,
+                capture_output=True,
+            ).stdout
+            subprocess.run(
+                ['tar', '-x', '-C', name], input=archive, check=True
+            )
+        build = (root / 'deploy' / 'system.toml').read_text().split('\n')[0]
+        found = re.search(r'-m (compileall [^|]*)', build)
+        if found:
+            subprocess.run(
+                [sys.executable, '-m', *found[1].split()],
+                cwd=root,
+                check=True,
+            )
+        yield root
 
 
 def _main(argv: Sequence[str]) -> None:
-    with tempfile.TemporaryDirectory(prefix='gypsumhall-') as name:
-        if not _BEFORE.value:
-            reports = trio.run(_measure, [('now', _ROOT)], Path(name))
-        else:
-            with _checkout(_BEFORE.value) as root:
-                checkouts = [('before', root), ('now', _ROOT)]
-                reports = trio.run(_measure, checkouts, Path(name))
+    versions = {'now': str(_ROOT)}
+    if _BEFORE.value:
+        versions = {'before': _BEFORE.value, **versions}
+    with ExitStack() as stack:
+        directory = stack.enter_context(
+            tempfile.TemporaryDirectory(prefix='gypsumhall-')
+        )
+        checkouts = [
+            (name, stack.enter_context(_checkout(version)))
+            for name, version in versions.items()
+        ]
+        reports = trio.run(_measure, checkouts, Path(directory))
     print(
         json.dumps(
             {**reports, 'load_average': round(os.getloadavg()[0], 1)}, indent=2
