Send nothing to the endpoints of an evacuated zone

The key op/evacuate/ZONE had no effect. Watchers now read it, also from a complete read, and spread the evacuated zones at a revision of the store; senders leave their endpoints out, and daemons of the zone reject calls that arrive or wait.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -20,6 +20,7 @@
 from gypsumhall.services._caller import CallerService
 from gypsumhall.services._checkins import CheckInService
 from gypsumhall.services._distribution import DistributionService
+from gypsumhall.services._evacuations import EvacuationService
 from gypsumhall.services._events import EventLog
 from gypsumhall.services._events import LINES_PER_S
 from gypsumhall.services._feed import Feed
@@ -199,11 +200,14 @@
         cancel_after_s=_CANCEL_SHARE * settings.grace.value,
     )
     runner.set_split_source(rollouts.split)
+    evacuations = EvacuationService(rng=rng)
+    runner.set_evacuations(evacuations)
     admin = AdminService(settings.control_address.value)
     check_ins = CheckInService(
         settings.backend_address.value,
         settings.service.value,
         HttpStatusCheck(platform.DIALECT),
+        evacuations,
     )
     check_ins.register_routes(admin)
     services: list[Service] = [
@@ -222,7 +226,8 @@
         Registration(rng=rng),
         DistributionService(jitter_s=_STARTUP_JITTER_S),
         rollouts,
-        Feed(rng=rng),
+        evacuations,
+        Feed(rng=rng, evacuations=evacuations),
         admin,
         ReadyListener(settings.ready_address.value),
         runner,
--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -15,6 +15,9 @@
   responses, so occasional trial calls are sent to get one.
 * Endpoints that fail some of their requests while they report good health.
   Failures add to the expected time, because failed work is repeated.
+* The endpoints of an evacuated zone all at once out of use. They get no call,
+  but their versions still count in the split between versions: that of the
+  other endpoints would otherwise become the current one without a rollout.
 * All endpoints of a zone busy while another zone has free slots. Crossing a
   zone boundary has a cost in time that grows with the size of a route's
   responses: calls with small responses use the slots of all zones, calls with
@@ -238,6 +241,7 @@
     """
 
     __slots__ = (
+        '_evacuated_zones',
         '_records',
         '_response_bytes',
         '_revisions',
@@ -249,6 +253,7 @@
     def __init__(self, zone: str, rng: Random) -> None:
         self._zone = zone
         self._rng = rng
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._records: dict[str, _EndpointRecord] = {}
         self._services: dict[str, list[str]] = {}
         # Mean size in bytes of the responses of a route.
@@ -259,6 +264,10 @@
         """Return the table revision of the last `update`; -1 for none."""
         return self._revisions.get(service, -1)
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Set the zones whose endpoints are not chosen."""
+        self._evacuated_zones = zones
+
     def update(
         self,
         service: str,
@@ -334,8 +343,8 @@
         Returns
         -------
         Member or None
-            None when each endpoint of the version is excluded, or known to
-            be unreachable or full.
+            None when each endpoint of the version is excluded, in an
+            evacuated zone, or known to be unreachable or full.
         """
         best: _EndpointRecord | None = None
         best_cost = math.inf
@@ -392,6 +401,8 @@
                 continue
             if record.unreachable:
                 continue
+            if record.member.zone in self._evacuated_zones:
+                continue
             if (
                 record.full_until > now
                 and priority >= record.full_from_priority
@@ -486,6 +497,7 @@
                 max(record.expected_wait_s(now), record.retry_after_s)
                 for record in self._ready(service)
                 if not record.unreachable
+                and record.member.zone not in self._evacuated_zones
             ),
             default=0.0,
         )
--- a/gypsumhall/core/_tree.py
+++ b/gypsumhall/core/_tree.py
@@ -4,6 +4,7 @@
 
 import functools
 import hashlib
+import heapq
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -35,6 +36,18 @@
     return hashlib.blake2b(value, digest_size=8).digest()
 
 
+def zone_role_holders(
+    role: str, members: Iterable[Member], count: int
+) -> list[Member]:
+    """Return the members for which `has_zone_role` is true.
+
+    The parameters are those of `has_zone_role`.
+    """
+    return heapq.nsmallest(
+        count, members, key=lambda item: _sort_key(role, item.id)
+    )
+
+
 def has_zone_role(
     role: str, member_id: str, members: Iterable[Member], count: int
 ) -> bool:
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from gypsumhall.core._evacuation import EvacuationState
 from gypsumhall.core._member import Count
 from gypsumhall.core._member import MAX_COUNT
 from gypsumhall.core._member import Member
@@ -991,3 +992,25 @@
     version: str
     order: Revision
     counts: tuple[RolloutCounts, ...]
+
+
+# Evacuations
+
+
+class EvacuationUpdate(Message, frozen=True, tag=66):
+    """Notifies a peer of the evacuated zones.
+
+    Parameters
+    ----------
+    state : EvacuationState
+        The newest state that the sender knows.
+    """
+
+    state: EvacuationState
+
+
+class EvacuationPull(Message, frozen=True, tag=67):
+    """Requests an `EvacuationUpdate`.
+
+    A daemon that knows no state does not reply.
+    """
--- a/gypsumhall/platform/__init__.py
+++ b/gypsumhall/platform/__init__.py
@@ -14,6 +14,7 @@
 from gypsumhall.platform._operator import decode_configuration
 from gypsumhall.platform._operator import decode_rollout
 from gypsumhall.platform._operator import encode_rollout_status
+from gypsumhall.platform._operator import evacuated_zone
 from gypsumhall.platform._operator import OPERATOR_PREFIX
 from gypsumhall.platform._operator import rollout_service
 from gypsumhall.platform._operator import rollout_status_key
@@ -34,6 +35,7 @@
     'decode_rollout',
     'decode_start_time',
     'encode_rollout_status',
+    'evacuated_zone',
     'rollout_service',
     'rollout_status_key',
 ]
--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -13,6 +13,7 @@
 from gypsumhall._errors import InvalidUpdateError
 from gypsumhall._errors import MalformedDataError
 from gypsumhall.core import _model
+from gypsumhall.core._evacuation import MAX_ZONE_CHARACTERS
 from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._member import Count
 
@@ -23,6 +24,7 @@
 """Key of the newest configuration; its value is the full configuration."""
 
 _ROLLOUT_PREFIX = 'op/rollout/'
+_EVACUATION_PREFIX = 'op/evacuate/'
 _ROLLOUT_STATUS_PREFIX = 'status/rollout/'
 # The platform's configuration does not name departments, so that a single
 # fragment holds all of it.
@@ -205,6 +207,27 @@
     return key[len(_ROLLOUT_PREFIX) :]
 
 
+def evacuated_zone(key: str) -> str:
+    """Return the zone of an evacuation key; empty for other keys.
+
+    The zone is evacuated while the key exists, whatever its value is.
+
+    Raises
+    ------
+    InvalidUpdateError
+        When the key does not name a usable zone.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return ''
+    zone = key[len(_EVACUATION_PREFIX) :]
+    if not 0 < len(zone) <= MAX_ZONE_CHARACTERS:
+        raise InvalidUpdateError(
+            f'{key[:80]!r}: the zone has {len(zone)} characters; expected 1 '
+            f'to {MAX_ZONE_CHARACTERS}'
+        )
+    return zone
+
+
 def rollout_status_key(service: str) -> str:
     """Return the key from which the operator reads a rollout's state."""
     return f'{_ROLLOUT_STATUS_PREFIX}{service}'
--- a/gypsumhall/platform/_store.py
+++ b/gypsumhall/platform/_store.py
@@ -275,7 +275,12 @@
 
         Long ranges are read page by page. Malformed items are skipped.
         """
+        return (await self.range_at(prefix))[0]
+
+    async def range_at(self, prefix: str) -> tuple[list[KeyValue], Revision]:
+        """Read as `range` does, and return the revision of the first page."""
         entries: dict[str, KeyValue] = {}
+        revision = NO_REVISION
         after = ''
         era = -1
         for _ in range(_MAX_PAGES):
@@ -289,10 +294,12 @@
                 )
             era = response.era
             page = _decode_list(response, _Page, 'items')
+            if revision == NO_REVISION:
+                revision = Revision(era, page.current)
             for item in self._decode_items(page.items):
                 entries[item.key] = response.build_key_value(item)
             if not page.has_more or not page.items:
-                return [entries[key] for key in sorted(entries)]
+                return [entries[key] for key in sorted(entries)], revision
             last_key = max(map(_read_key, page.items))
             if last_key <= after:
                 raise StoreProtocolError(f'{prefix!r}: page without a new key')
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -60,6 +60,8 @@
         rejected. Empty to accept any service.
     status_check : StatusCheck
         Confirms that a backend server is ready before it is advertised.
+    evacuations : Evacuations, optional
+        While the zone of this daemon is evacuated, no status is checked.
     """
 
     name = 'check-ins'
@@ -72,8 +74,13 @@
     )
 
     def __init__(
-        self, address: str, service: str, status_check: StatusCheck
+        self,
+        address: str,
+        service: str,
+        status_check: StatusCheck,
+        evacuations: _protocols.Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations
         self._address = address
         self._service = service
         self._status_check = status_check
@@ -101,6 +108,8 @@
         self._runner = kernel.get('runner', BackendRunner)
         self._events = kernel.get('events', _protocols.Events)
         self._started = True
+        if self._evacuations is not None:
+            self._evacuations.subscribe(self._on_evacuation)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._confirm_backends)
             task_status.started()
@@ -194,7 +203,11 @@
         while True:
             self._changed = trio.Event()
             backend = self._tracker.current
-            if backend is None or not self._confirmation.is_needed(backend):
+            if (
+                backend is None
+                or not self._confirmation.is_needed(backend)
+                or self._is_evacuated()
+            ):
                 await self._changed.wait()
                 delay, last_status = _FIRST_RETRY_S, None
                 continue
@@ -215,6 +228,17 @@
                 await self._changed.wait()
             delay = min(2 * delay, _MAX_RETRY_S)
 
+    def _is_evacuated(self) -> bool:
+        evacuations = self._evacuations
+        return (
+            evacuations is not None
+            and self._membership.me.zone in evacuations.zones
+        )
+
+    def _on_evacuation(self) -> None:
+        # A process that started meanwhile is still to be confirmed.
+        self._changed.set()
+
     async def _check_status(self, backend: BackendInstance) -> BackendStatus:
         snapshot = self._distribution.snapshot
         service = (
--- a/gypsumhall/services/_feed.py
+++ b/gypsumhall/services/_feed.py
@@ -33,9 +33,12 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from gypsumhall.kernel import Kernel
+    from gypsumhall.store import KeyValue
     from gypsumhall.store import Revision
+    from gypsumhall.store import WatchEvent
 
 WATCHERS_PER_ZONE = 3
 """Daemons of a zone that watch the store. Each makes a call every 1.2 s and
@@ -67,6 +70,20 @@
         ...
 
 
+class EvacuationReceiver(Protocol):
+    """Receives the evacuated zones; the service ``evacuations``."""
+
+    def set_all(self, zones: Iterable[str], revision: Revision) -> None:
+        """Apply a complete read of the store at a revision."""
+        ...
+
+    def set_zone(
+        self, zone: str, revision: Revision, *, evacuated: bool
+    ) -> None:
+        """Apply a change that a watch of the store has delivered."""
+        ...
+
+
 class Feed:
     """Watches the store for the operator's changes.
 
@@ -74,6 +91,8 @@
     ----------
     rng : random.Random, optional
         Source of the jitter of retries.
+    evacuations : EvacuationReceiver, optional
+        Receives the evacuated zones.
     """
 
     name = 'feed'
@@ -85,8 +104,16 @@
         'moves',
     )
 
-    def __init__(self, *, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random | None = None,
+        evacuations: EvacuationReceiver | None = None,
+    ) -> None:
         self._rng = rng or random.Random()
+        self._evacuations = evacuations
+        if evacuations is not None:
+            self.requires = (*self.requires, 'evacuations')
         self._store: StoreService
         self._membership: Membership
         self._distribution: HeadReadingDistribution
@@ -152,13 +179,60 @@
     async def _watch_once(self, backoff: Backoff) -> None:
         async with self._store.watch(platform.OPERATOR_PREFIX) as events:
             # The watch is already open, so it reports writes during this read.
-            for item in await self._store.range(platform.OPERATOR_PREFIX):
+            items, revision = await self._store.range_at(
+                platform.OPERATOR_PREFIX
+            )
+            # Daemons must know the zones before they send calls by the
+            # configuration.
+            self._apply_zones(items, revision)
+            for item in items:
                 self._apply_entry(item.key, item.value, item.mod_revision)
             self._record_reachability(None)
             backoff.reset()
             async for event in events:
                 if event.value is not None:
                     self._apply_entry(event.key, event.value, event.revision)
+                self._apply_zone(event)
+
+    def _apply_zones(
+        self, items: Iterable[KeyValue], revision: Revision
+    ) -> None:
+        """Apply the evacuated zones of a complete read."""
+        if self._evacuations is None:
+            return
+        zones = set()
+        for item in items:
+            try:
+                zone = platform.evacuated_zone(item.key)
+            except InvalidUpdateError as error:
+                self._reject(item.key, item.mod_revision, error)
+                continue
+            if zone:
+                zones.add(zone)
+        self._evacuations.set_all(zones, revision)
+
+    def _apply_zone(self, event: WatchEvent) -> None:
+        if self._evacuations is None:
+            return
+        try:
+            zone = platform.evacuated_zone(event.key)
+        except InvalidUpdateError as error:
+            self._reject(event.key, event.revision, error)
+            return
+        if zone:
+            self._evacuations.set_zone(
+                zone, event.revision, evacuated=event.value is not None
+            )
+
+    def _reject(
+        self, key: str, revision: Revision, error: InvalidUpdateError
+    ) -> None:
+        self._events.emit(
+            'feed-entry-rejected',
+            key=key,
+            revision=str(revision),
+            detail=str(error),
+        )
 
     def _apply_entry(self, key: str, value: bytes, revision: Revision) -> None:
         try:
@@ -172,12 +246,7 @@
                     )
                 self._order_receiver.add_order(order, revision)
         except InvalidUpdateError as error:
-            self._events.emit(
-                'feed-entry-rejected',
-                key=key,
-                revision=str(revision),
-                detail=str(error),
-            )
+            self._reject(key, revision, error)
 
     def _publish_configuration(self, value: bytes, revision: Revision) -> None:
         if revision <= self._config_revision:
--- a/gypsumhall/services/_protocols.py
+++ b/gypsumhall/services/_protocols.py
@@ -61,6 +61,20 @@
         ...
 
 
+@runtime_checkable
+class Evacuations(Protocol):
+    """Evacuated zones; the service ``evacuations``."""
+
+    @property
+    def zones(self) -> frozenset[str]:
+        """Names of the zones to whose endpoints nothing is sent."""
+        ...
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Register a function to call after each change of the zones."""
+        ...
+
+
 @runtime_checkable
 class Metric(Protocol):
     """A counter, gauge or histogram with labels."""
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -141,6 +141,8 @@
         self._dialect = dialect
         self._warmup_ends_at = -math.inf
         self._split_source: _sender.SplitSource | None = None
+        self._evacuations: _protocols.Evacuations | None = None
+        self._evacuated = False
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
@@ -205,6 +207,10 @@
         """Set how calls are split between versions; call before `run`."""
         self._split_source = source
 
+    def set_evacuations(self, evacuations: _protocols.Evacuations) -> None:
+        """Set the source of the evacuated zones; call before `run`."""
+        self._evacuations = evacuations
+
     async def run(
         self,
         kernel: Kernel,
@@ -251,6 +257,9 @@
         self._membership.subscribe(self._keys.on_members_changed)
         if self._availability_wait_s:
             self._membership.subscribe(self._update_availability)
+        if self._evacuations is not None:
+            self._evacuations.subscribe(self._apply_evacuations)
+            self._apply_evacuations()
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
         peers.on(KeyRelease, self._keys.handle_release)
@@ -344,6 +353,16 @@
         ]
         self._availability.observe(others, trio.current_time())
 
+    def _apply_evacuations(self) -> None:
+        """Return queued calls to their senders if the zone is evacuated."""
+        if self._evacuations is None:
+            return
+        zones = self._evacuations.zones
+        self._sender.set_evacuated_zones(zones)
+        self._evacuated = self._membership.me.zone in zones
+        if self._evacuated and self._backend is not None:
+            self._reject_calls(self._backend.queue.clear(), 'evacuated')
+
     async def _record_shutdown_start(self, stopping: trio.Event) -> None:
         await stopping.wait()
         self._shutdown_started_at = trio.current_time()
@@ -646,6 +665,8 @@
         if backend is None:
             raise _calls.not_run('no-backend', 'no backend server here')
         endpoint = backend.endpoint
+        if self._evacuated:
+            raise _calls.not_run('evacuated', 'the zone is evacuated')
         if self._draining or endpoint.state == EndpointState.DRAINING:
             raise _calls.not_run('draining', 'the endpoint is draining')
         if endpoint.state != EndpointState.READY:
@@ -716,6 +737,10 @@
             self._pending.pop(queued_call, None)
             backend.queue.remove(queued_call)
         if pending.admitted:
+            if self._evacuated:
+                # The evacuation began after the call was given a slot.
+                backend.queue.finish(call.route, None)
+                raise _calls.not_run('evacuated', 'the zone is evacuated')
             return
         if pending.ready.is_set():
             raise _calls.CallRefusedError(
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -76,6 +76,7 @@
     [
         'busy',
         'draining',
+        'evacuated',
         'no-backend',
         'peer-unreachable',
         'restarted',
@@ -299,6 +300,10 @@
         finally:
             self._nursery = None
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Set the zones to whose endpoints no request is sent."""
+        self._load_balancer.set_evacuated_zones(zones)
+
     async def send(
         self,
         request: _calls.Request,
--- a/gypsumhall/services/_store.py
+++ b/gypsumhall/services/_store.py
@@ -120,6 +120,11 @@
         with self._measure('range'):
             return await self._store.range(prefix)
 
+    async def range_at(self, prefix: str) -> tuple[list[KeyValue], Revision]:
+        """Read all keys that start with a prefix, and the revision."""
+        with self._measure('range'):
+            return await self._store.range_at(prefix)
+
     async def txn(
         self,
         compares: Sequence[Compare],
--- a/gypsumhall/store/_etcd.py
+++ b/gypsumhall/store/_etcd.py
@@ -480,6 +480,10 @@
         The keys are read in pages at one revision. If that revision is
         compacted in the meantime, the read is restarted at a newer one.
         """
+        return (await self.range_at(prefix))[0]
+
+    async def range_at(self, prefix: str) -> tuple[list[KeyValue], Revision]:
+        """Read as `range` does, and return the revision of the read."""
         for _ in range(_MAX_RANGE_ATTEMPTS):
             try:
                 return await self._range(prefix)
@@ -490,7 +494,7 @@
             f'keys with prefix {prefix!r} were read'
         )
 
-    async def _range(self, prefix: str) -> list[KeyValue]:
+    async def _range(self, prefix: str) -> tuple[list[KeyValue], Revision]:
         items: list[KeyValue] = []
         start = prefix.encode()
         end = _prefix_end(start)
@@ -520,13 +524,13 @@
                         f'{start!r}'
                     )
                 start = item.key + b'\0'
+            revision = revision or page.header.revision
             if not page.more:
-                return items
+                return items, Revision(_ERA, revision)
             if not page.kvs:
                 raise StoreProtocolError(
                     'response to range has no keys, but reports more keys'
                 )
-            revision = revision or page.header.revision
 
     async def txn(
         self,
--- a/gypsumhall/store/_protocol.py
+++ b/gypsumhall/store/_protocol.py
@@ -164,6 +164,13 @@
         """Read all keys that start with a prefix, in key order."""
         ...
 
+    async def range_at(self, prefix: str) -> tuple[list[KeyValue], Revision]:
+        """Read all keys that start with a prefix, and the revision.
+
+        All changes up to that revision are contained; later ones may be.
+        """
+        ...
+
     async def txn(
         self,
         compares: Sequence[Compare],
--- a/gypsumhall/testing/memory_store.py
+++ b/gypsumhall/testing/memory_store.py
@@ -289,6 +289,20 @@
             ],
         )
 
+    async def range_at(self, prefix: str) -> tuple[list[KeyValue], Revision]:
+        """Read all keys that start with a prefix, and the revision."""
+        return await self._request(
+            'range',
+            lambda: (
+                [
+                    self._keys[key]
+                    for key in sorted(self._keys)
+                    if key.startswith(prefix)
+                ],
+                self.revision,
+            ),
+        )
+
     async def txn(
         self,
         compares: Sequence[Compare],
