Limit the requests that are sent to a cold endpoint

Nothing read coldPerS, so the load of an evacuated zone could reach cold endpoints at any rate. The daemon beside such an endpoint now limits what it sends while heartbeats or status checks say that it is cold, and until either has been seen; its load reports tell senders the room that is left.

A platform that lacks a field renders it as empty, so an empty variable now selects the default.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -12,6 +12,7 @@
 from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
+from gypsumhall.core._cold_limit import ColdBounds
 from gypsumhall.kernel import Kernel
 from gypsumhall.kernel import Service
 from gypsumhall.net._network import PeerSettings
@@ -19,6 +20,7 @@
 from gypsumhall.services._admin import AdminService
 from gypsumhall.services._caller import CallerService
 from gypsumhall.services._checkins import CheckInService
+from gypsumhall.services._cold_monitor import ColdMonitor
 from gypsumhall.services._distribution import DistributionService
 from gypsumhall.services._evacuations import EvacuationService
 from gypsumhall.services._events import EventLog
@@ -150,6 +152,19 @@
         self.retry_window = settings.duration(
             'retry_window', 10.0, 'Length of the window of retry_slack.'
         )
+        self.cold_over = settings.number(
+            'cold_over',
+            1.5,
+            'Requests per second that may be sent to a cold backend server, '
+            'as a multiple of the rate that it can handle.',
+            highest=100.0,
+        )
+        self.cold_slack = settings.number(
+            'cold_slack',
+            8.0,
+            'Requests that may be sent to it in any second besides.',
+            highest=1e6,
+        )
         self.grace = settings.duration(
             'grace', 6.0, 'Time between SIGTERM and SIGKILL.'
         )
@@ -191,6 +206,9 @@
         fleet_wide=True,
     )
     drain_delay_s = _DRAIN_DELAY_SHARE * settings.grace.value
+    cold_monitor = ColdMonitor(
+        ColdBounds(settings.cold_over.value, settings.cold_slack.value)
+    )
     runner = RunnerService(
         rng,
         dialect=platform.DIALECT,
@@ -198,6 +216,7 @@
         rejection_delay_s=_REJECTION_DELAY_S,
         availability_wait_s=drain_delay_s,
         cancel_after_s=_CANCEL_SHARE * settings.grace.value,
+        cold_monitor=cold_monitor,
     )
     runner.set_split_source(rollouts.split)
     evacuations = EvacuationService(rng=rng)
@@ -206,8 +225,9 @@
     check_ins = CheckInService(
         settings.backend_address.value,
         settings.service.value,
-        HttpStatusCheck(platform.DIALECT),
+        HttpStatusCheck(platform.DIALECT, cold_monitor=cold_monitor),
         evacuations,
+        cold_monitor,
     )
     check_ins.register_routes(admin)
     services: list[Service] = [
--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -18,6 +18,8 @@
 * The endpoints of an evacuated zone all at once out of use. They get no call,
   but their versions still count in the split between versions: that of the
   other endpoints would otherwise become the current one without a rollout.
+* Cold endpoints that accept few requests per second. Their daemons report how
+  many more may begin; a sender that has used up this room goes elsewhere.
 * All endpoints of a zone busy while another zone has free slots. Crossing a
   zone boundary has a cost in time that grows with the size of a route's
   responses: calls with small responses use the slots of all zones, calls with
@@ -29,6 +31,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from gypsumhall.core._cold_limit import WINDOW_S
+
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Sequence
@@ -117,12 +121,14 @@
         'failure_rate',
         'failure_rate_updated_at',
         'full_from_priority',
+        'cold_until',
         'full_until',
         'in_flight',
         'joined_at',
         'load',
         'member',
         'own_in_flight_at_report',
+        'own_sent_since_report',
         'reported_at',
         'retry_after_s',
         'slots',
@@ -144,6 +150,9 @@
         self.full_from_priority = 0
         self.full_until = -math.inf
         self.retry_after_s = 0.0
+        # The endpoint is cold until this time, by its latest report.
+        self.cold_until = -math.inf
+        self.own_sent_since_report = 0
 
     def expected_wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
@@ -185,8 +194,22 @@
         return cost + crossing_cost_s
 
     def is_cold(self, now: float) -> bool:
-        """Return whether the endpoint is so new that it may be slow."""
-        return now - self.joined_at < _COLD_S
+        """Return whether the endpoint is or may be slow after its start."""
+        return now - self.joined_at < _COLD_S or now < self.cold_until
+
+    def cold_delay_s(self, now: float) -> float:
+        """Return the time until a cold endpoint has room for a call."""
+        cold = None if self.load is None else self.load.cold
+        age_s = now - self.reported_at
+        if cold is None or now >= self.cold_until or age_s >= WINDOW_S:
+            return 0.0
+        next_room_s = cold.next_room_ms / 1000
+        room = cold.room + (next_room_s > 0.0 and age_s >= next_room_s)
+        if self.own_sent_since_report < room:
+            return 0.0
+        if age_s < next_room_s:
+            return next_room_s - age_s
+        return WINDOW_S - age_s
 
     def has_old_report(self, now: float) -> bool:
         """Return whether the latest report may be outdated."""
@@ -344,7 +367,8 @@
         -------
         Member or None
             None when each endpoint of the version is excluded, in an
-            evacuated zone, or known to be unreachable or full.
+            evacuated zone, or known to be unreachable, full or cold without
+            room.
         """
         best: _EndpointRecord | None = None
         best_cost = math.inf
@@ -403,6 +427,8 @@
                 continue
             if record.member.zone in self._evacuated_zones:
                 continue
+            if record.cold_delay_s(now):
+                continue
             if (
                 record.full_until > now
                 and priority >= record.full_from_priority
@@ -421,6 +447,7 @@
         record = self._records.get(member_id)
         if record is not None:
             record.in_flight += 1
+            record.own_sent_since_report += 1
 
     def end(self, member_id: str, now: float, *, failed: bool | None) -> None:
         """Count the end of a call.
@@ -494,7 +521,11 @@
         """
         return min(
             (
-                max(record.expected_wait_s(now), record.retry_after_s)
+                max(
+                    record.expected_wait_s(now),
+                    record.retry_after_s,
+                    record.cold_delay_s(now),
+                )
                 for record in self._ready(service)
                 if not record.unreachable
                 and record.member.zone not in self._evacuated_zones
@@ -507,6 +538,10 @@
         record = self._records.get(member_id)
         if record is not None:
             record.load = load
+            record.own_sent_since_report = 0
+            record.cold_until = -math.inf
+            if load.cold is not None:
+                record.cold_until = now + load.cold.remaining_ms / 1000
             record.retry_after_s = 0.0
             record.reported_at = now
             record.own_in_flight_at_report = record.in_flight
--- a/gypsumhall/core/_model.py
+++ b/gypsumhall/core/_model.py
@@ -22,7 +22,11 @@
 
 _MAX_TIME_S = 1e12
 
+_MAX_RATE_PER_S = 1e9
+_NO_LIMIT = 0.0
+
 _Time = Annotated[float, msgspec.Meta(ge=0, le=_MAX_TIME_S)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=_MAX_RATE_PER_S)]
 
 
 def _set_floats(value: msgspec.Struct, *names: str) -> None:
@@ -49,6 +53,12 @@
     status_path : str
         Path at which its backend servers report their status; empty if they
         do not.
+    cold_rate_per_s : float
+        Requests per second that a backend server can handle while it is
+        cold; 0 for no limit.
+    warmup_s : float
+        Usual time in seconds for which a backend server is cold after its
+        start.
     """
 
     name: str
@@ -56,6 +66,15 @@
     current: str
     depends_on: tuple[str, ...] = ()
     status_path: str = ''
+    cold_rate_per_s: _Rate = _NO_LIMIT
+    warmup_s: _Time = _NO_LIMIT
+
+    def __post_init__(self) -> None:
+        """Replace zeros by the default object, which is not encoded."""
+        _set_floats(self, 'cold_rate_per_s', 'warmup_s')
+        for name in ('cold_rate_per_s', 'warmup_s'):
+            if getattr(self, name) == _NO_LIMIT:
+                msgspec.structs.force_setattr(self, name, _NO_LIMIT)
 
 
 class Target(msgspec.Struct, frozen=True):
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from gypsumhall.core._cold_limit import ColdLoad
 from gypsumhall.core._evacuation import EvacuationState
 from gypsumhall.core._member import Count
 from gypsumhall.core._member import MAX_COUNT
@@ -509,6 +510,9 @@
         Expected queueing time of a call that arrives now.
     failure_rate : float
         Recent fraction of executions that failed, 0 to 1.
+    cold : ColdLoad or None
+        Remaining time and capacity of a cold backend server; None for one
+        that is warm or has no limit.
     """
 
     in_flight: int
@@ -518,6 +522,7 @@
     service_time_ms: float = 0.0
     wait_ms: float = 0.0
     failure_rate: float = 0.0
+    cold: ColdLoad | None = None
 
 
 class CallStart(Message, frozen=True, tag=40):
--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -75,6 +75,8 @@
 _MAX_ROUTE_TIME_MS = 1e9
 _MAX_DURATION_S = 1e7
 _MAX_NAME_CHARACTERS = 256
+_MAX_COLD_RATE = 1e6
+_MAX_WARMUP_S = 86_400
 
 _RouteTime = Annotated[float, msgspec.Meta(ge=0, le=_MAX_ROUTE_TIME_MS)]
 _Name = Annotated[
@@ -104,6 +106,15 @@
     status_path: str = msgspec.field(name='healthPath', default='')
 
 
+class _ColdLimit(msgspec.Struct):
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_RATE)] = (
+        msgspec.field(name='coldPerS', default=0)
+    )
+    warmup_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_WARMUP_S)] = (
+        msgspec.field(name='warmupS', default=0)
+    )
+
+
 class _Rollout(msgspec.Struct):
     service: _Name
     target: _Name = msgspec.field(name='targetVersion')
@@ -117,6 +128,7 @@
 _PATH = re.compile(r'/[!-~]{0,2000}')
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
 _SERVICE_DECODER = msgspec.json.Decoder(_Service)
+_COLD_LIMIT_DECODER = msgspec.json.Decoder(_ColdLimit)
 _ROUTE_DECODER = msgspec.json.Decoder(_Route)
 _ROLLOUT_DECODER = msgspec.json.Decoder(_Rollout)
 
@@ -172,12 +184,22 @@
 
 def _convert_service(name: str, spec: msgspec.Raw) -> _model.Service:
     path = ''
+    cold = _ColdLimit()
     # A service without a usable status path still serves its routes.
     with contextlib.suppress(msgspec.MsgspecError):
         path = _SERVICE_DECODER.decode(spec).status_path
     if not _PATH.fullmatch(path):
         path = ''
-    return _model.Service(name, (ANY_VERSION,), ANY_VERSION, status_path=path)
+    with contextlib.suppress(msgspec.MsgspecError):
+        cold = _COLD_LIMIT_DECODER.decode(spec)
+    return _model.Service(
+        name,
+        (ANY_VERSION,),
+        ANY_VERSION,
+        status_path=path,
+        cold_rate_per_s=cold.rate_per_s,
+        warmup_s=cold.warmup_s,
+    )
 
 
 def _convert_route(name: str, spec: msgspec.Raw) -> _model.Route:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -78,6 +78,9 @@
         Process of a backend server that sent the response to a status check.
     not_executed : bytes
         Marks responses of a backend server that did not run the request.
+    warmup_remaining : bytes
+        Milliseconds for which a backend server remains cold, in a response
+        to a status check.
     status_503_means_not_run : bool
         Whether status 503 means that a request was not run, so that a
         rejection with another outcome needs another status.
@@ -96,6 +99,7 @@
     expected_instance: bytes = b''
     instance: bytes = b''
     not_executed: bytes = b''
+    warmup_remaining: bytes = b''
     status_503_means_not_run: bool = False
     buffer_responses: bool = False
     literal_prefixes: bool = False
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -20,6 +20,7 @@
     from gypsumhall.core._confirmation import BackendStatus
     from gypsumhall.core._member import Endpoint
     from gypsumhall.kernel import Kernel
+    from gypsumhall.services._cold_monitor import ColdMonitor
     from gypsumhall.services._status_check import StatusCheck
 
 _CHECK_INTERVAL_S = 0.5
@@ -62,6 +63,8 @@
         Confirms that a backend server is ready before it is advertised.
     evacuations : Evacuations, optional
         While the zone of this daemon is evacuated, no status is checked.
+    cold_monitor : ColdMonitor, optional
+        Receives the remaining warm-up times of heartbeats.
     """
 
     name = 'check-ins'
@@ -79,8 +82,12 @@
         service: str,
         status_check: StatusCheck,
         evacuations: _protocols.Evacuations | None = None,
+        cold_monitor: ColdMonitor | None = None,
     ) -> None:
         self._evacuations = evacuations
+        self._cold_monitor = cold_monitor
+        self._was_evacuated = False
+        self._zones_changed = trio.Event()
         self._address = address
         self._service = service
         self._status_check = status_check
@@ -110,7 +117,10 @@
         self._started = True
         if self._evacuations is not None:
             self._evacuations.subscribe(self._on_evacuation)
+            self._was_evacuated = self._is_evacuated()
         async with trio.open_nursery() as nursery:
+            if self._cold_monitor is not None:
+                nursery.start_soon(self._check_warmup, self._cold_monitor)
             nursery.start_soon(self._confirm_backends)
             task_status.started()
             while True:
@@ -168,6 +178,10 @@
         if result is not HeartbeatResult.STALE and backend is not None:
             now = trio.current_time()
             self._runner.set_warmup_end(now + check_in.warmup_s)
+            if self._cold_monitor is not None:
+                self._cold_monitor.record_heartbeat(
+                    (instance, check_in.started_ms), check_in.warmup_s
+                )
             confirmed = self._confirmation.record_heartbeat(backend, now)
         if result is HeartbeatResult.CHANGED or confirmed:
             self._publish_state('check-in')
@@ -238,6 +252,29 @@
     def _on_evacuation(self) -> None:
         # A process that started meanwhile is still to be confirmed.
         self._changed.set()
+        was_evacuated = self._was_evacuated
+        self._was_evacuated = self._is_evacuated()
+        if self._cold_monitor is not None:
+            if was_evacuated and not self._was_evacuated:
+                # It may have become cold after its last heartbeat.
+                self._cold_monitor.forget(is_replaced=False)
+            self._zones_changed.set()
+
+    async def _check_warmup(self, monitor: ColdMonitor) -> None:
+        """Check whether the endpoint is cold when load moves between zones.
+
+        There are no checks at intervals, as they have a price.
+        """
+        while True:
+            self._zones_changed = trio.Event()
+            await self._zones_changed.wait()
+            backend = self._tracker.current
+            if (
+                backend is not None
+                and monitor.rate_per_s
+                and not self._is_evacuated()
+            ):
+                await self._check_status(backend)
 
     async def _check_status(self, backend: BackendInstance) -> BackendStatus:
         snapshot = self._distribution.snapshot
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -38,6 +38,7 @@
 from gypsumhall.services import _backend_client
 from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
+from gypsumhall.services import _cold_monitor
 from gypsumhall.services import _deadlines
 from gypsumhall.services import _keys
 from gypsumhall.services import _protocols
@@ -108,6 +109,8 @@
         calls that still run may be cancelled. Calls that may run longer, by
         their deadline and `DEADLINE_GRACE_S`, are rejected from
         `SHUTDOWN_NOTICE_S` on.
+    cold_monitor : ColdMonitor, optional
+        Limits the requests to a cold backend server.
     """
 
     name = 'runner'
@@ -131,7 +134,9 @@
         rejection_delay_s: float = 0.0,
         availability_wait_s: float = 0.0,
         cancel_after_s: float = math.inf,
+        cold_monitor: _cold_monitor.ColdMonitor | None = None,
     ) -> None:
+        self._cold_monitor = cold_monitor or _cold_monitor.ColdMonitor()
         self._cancel_after_s = cancel_after_s
         self._rejection_delay_s = rejection_delay_s
         self._availability_wait_s = availability_wait_s
@@ -191,6 +196,7 @@
             round(queue.service_time_s * 1000, 1),
             round(queue.expected_wait_s() * 1000, 1),
             round(queue.failure_rate, 3),
+            self._cold_monitor.load(),
         )
 
     @property
@@ -232,6 +238,7 @@
             'gypsumhall_runner_load',
             'Calls in flight and queued, and the concurrency limit.',
         )
+        self._cold_monitor.start(distribution, self._events, metrics)
         self._incarnation = self._membership.me.incarnation
         self._nested_calls = NestedCallDetector(
             trio.current_time() + _UNKNOWN_RUNS_S
@@ -395,6 +402,7 @@
             self._reject_queued_calls()
             self._backend = None
             return
+        self._cold_monitor.set_service(endpoint.service)
         if old is not None and unchanged:
             if old.queue.slots != endpoint.slots:
                 old.queue.resize(endpoint.slots)
@@ -609,6 +617,7 @@
             except _calls.CallRefusedError as error:
                 return error
             except _backend_client.BackendUnreachableError as error:
+                self._cold_monitor.forget(is_replaced=True)
                 return _calls.not_run('backend-unreachable', str(error))
             except _backend_client.BackendRequestError as error:
                 run.outcome = Outcome.NOT_RUN
@@ -650,6 +659,9 @@
         if _responses.is_rejection(response, sent_id, self._dialect):
             run.outcome = Outcome.NOT_RUN
             code = 'no-backend' if response.status == 421 else 'shed'
+            if response.status == 421:
+                # Another process, which has just started, has the address.
+                self._cold_monitor.forget(is_replaced=True)
             raise _calls.not_run(
                 code, f'the backend server responded with {response.status}'
             )
@@ -710,8 +722,18 @@
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
         )
+        delay_s = self._cold_monitor.delay_s()
+        if delay_s:
+            self._cold_monitor.record_rejection()
+            raise _calls.CallRefusedError(
+                Outcome.NOT_RUN,
+                'busy',
+                'the backend server is cold and has its limit of requests',
+                delay_s,
+            )
         decision = backend.queue.admit(now, queued_call, max_wait_s)
         if decision is AdmissionDecision.RUN:
+            self._cold_monitor.record_request()
             return
         if decision is not AdmissionDecision.WAIT:
             raise _calls.CallRefusedError(
@@ -756,7 +778,11 @@
         if backend is None:
             return
         now = trio.current_time()
-        while (queued_call := backend.queue.dequeue(now)) is not None:
+        while not self._cold_monitor.delay_s():
+            queued_call = backend.queue.dequeue(now)
+            if queued_call is None:
+                return
+            self._cold_monitor.record_request()
             pending = self._pending.pop(queued_call)
             pending.admitted = True
             pending.ready.set()
@@ -785,6 +811,9 @@
                 now = trio.current_time()
                 evicted = self._backend.queue.evict(now)
                 self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
+                if self._cold_monitor.rate_per_s:
+                    # Calls may wait for the limit although a slot is free.
+                    self._start_queued_calls()
 
     async def _replay(
         self, request_id: str, entry: Entry, send: _calls.SendMessage
--- a/gypsumhall/services/_status_check.py
+++ b/gypsumhall/services/_status_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -15,8 +16,10 @@
 
     from gypsumhall.core._checkins import BackendInstance
     from gypsumhall.services import _calls
+    from gypsumhall.services._cold_monitor import ColdMonitor
 
 _TIMEOUT_S = 1.0
+_MILLISECONDS = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 
 class StatusCheck(Protocol):
@@ -49,6 +52,9 @@
         Names of the HTTP headers that the backend server uses.
     connect : callable
         Returns a client for the address of a backend server.
+    cold_monitor : ColdMonitor, optional
+        Counts the checks, and receives the remaining warm-up times that the
+        responses state.
     """
 
     def __init__(
@@ -57,7 +63,9 @@
         connect: Callable[
             [str], _backend_client.Client
         ] = _backend_client.BackendClient,
+        cold_monitor: ColdMonitor | None = None,
     ) -> None:
+        self._cold_monitor = cold_monitor
         self._dialect = dialect
         self._connect = connect
 
@@ -72,8 +80,9 @@
         try:
             with trio.move_on_after(_TIMEOUT_S):
                 async with client.request(
-                    'GET', path, headers, b'', _ignore_send
+                    'GET', path, headers, b'', self._count
                 ) as response:
+                    self._report_warmup(response, backend.instance)
                     return self._interpret(response, backend.instance)
         except _backend_client.BackendUnreachableError:
             return BackendStatus.UNAVAILABLE
@@ -88,6 +97,32 @@
                 await client.close_idle(all_connections=True)
         return BackendStatus.UNKNOWN
 
+    def _count(self) -> None:
+        """Count a check, which may be repeated but loads a cold endpoint."""
+        if self._cold_monitor is not None:
+            self._cold_monitor.record_request()
+
+    def _report_warmup(
+        self, response: _backend_client.BackendResponse, instance: str
+    ) -> None:
+        """Report how long the process remains cold."""
+        monitor, name = self._cold_monitor, self._dialect.warmup_remaining
+        if monitor is None or not name:
+            return
+        headers = dict(response.headers)
+        process = headers.get(self._dialect.instance, b'').decode('latin-1')
+        if process != instance:
+            return
+        value = headers.get(name, b'')
+        if not value:
+            # Only a check that was handled shows that it is warm.
+            if response.status == 200:
+                monitor.record_check(0.0)
+        elif _MILLISECONDS.fullmatch(value):
+            monitor.record_check(float(value) / 1000)
+        else:
+            monitor.record_malformed(name)
+
     def _interpret(
         self, response: _backend_client.BackendResponse, instance: str
     ) -> BackendStatus:
@@ -102,7 +137,3 @@
         ):
             return BackendStatus.UNAVAILABLE
         return BackendStatus.UNKNOWN
-
-
-def _ignore_send() -> None:
-    """Take no note of a check that is sent; it may always be repeated."""
--- a/gypsumhall/testing/evacuation_fleet.py
+++ b/gypsumhall/testing/evacuation_fleet.py
@@ -15,10 +15,12 @@
 from gypsumhall.core._member import Endpoint
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._member import MemberStatus
+from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.kernel import Kernel
 from gypsumhall.net._protocol import PeerInfo
 from gypsumhall.platform import KvStore
 from gypsumhall.services import _calls
+from gypsumhall.services._cold_monitor import ColdMonitor
 from gypsumhall.services._evacuations import EvacuationService
 from gypsumhall.services._feed import Feed
 from gypsumhall.services._runner import RunnerService
@@ -29,7 +31,6 @@
 from gypsumhall.testing import fakes
 from gypsumhall.testing.call_trial import CollectingSink
 from gypsumhall.testing.daemons import build_restarted_member
-from gypsumhall.testing.daemons import build_snapshot
 from gypsumhall.testing.daemons import MemoryBackend
 from gypsumhall.testing.http_network import HttpNetwork
 from gypsumhall.testing.kv_store import ADDRESS
@@ -100,7 +101,13 @@
         self.events = fakes.FakeEvents()
         self.metrics = fakes.FakeMetrics()
         self.evacuations = EvacuationService(rng=rng)
-        self.runner = RunnerService(rng, fleet.backend.client)
+        self.cold_monitor = ColdMonitor()
+        self.runner = RunnerService(
+            rng,
+            fleet.backend.client,
+            fleet.dialect,
+            cold_monitor=self.cold_monitor,
+        )
         self.runner.set_evacuations(self.evacuations)
         self.membership = fakes.FakeMembership(member, fleet.table)
         self.scope = trio.CancelScope()
@@ -139,7 +146,15 @@
         self.runner.set_backend(endpoint, self.address)
         self.membership.set_endpoint(endpoint)
 
-    async def call(self, request_id: str, method: str = 'GET') -> int:
+    def send_heartbeat(self, warmup_s: float, started_ms: int = 1) -> None:
+        """Report how long the backend server remains cold, in seconds."""
+        self.cold_monitor.record_heartbeat(
+            (self.address, started_ms), warmup_s
+        )
+
+    async def call(
+        self, request_id: str, method: str = 'GET', attempts: int = 0
+    ) -> int:
         """Send a request; return the status, or 0 for a rejection."""
         request = _calls.Request(
             SERVICE,
@@ -150,6 +165,7 @@
             b'',
             trio.current_time() + 2.0,
             method == 'GET',
+            attempts=attempts,
         )
         sink = CollectingSink()
         with suppress(_calls.CallRefusedError):
@@ -163,12 +179,26 @@
     Daemon ``i`` is in zone ``i`` modulo the number of zones.
     """
 
-    def __init__(self, nursery: trio.Nursery, size: int) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        size: int,
+        cold_rate_per_s: float = 0.0,
+        dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
+    ) -> None:
+        self.dialect = dialect
         self.nursery = nursery
         self.app = KvApp(MemoryStore())
         self.backend = RecordingBackend(random.Random(1))
         self.hub = MemoryHub(nursery, latency_s=0.001)
-        self.snapshot = build_snapshot()
+        service = msgspec.structs.replace(
+            builders.build_service(SERVICE),
+            cold_rate_per_s=cold_rate_per_s,
+            warmup_s=60.0,
+        )
+        fragment = builders.build_fragment(services=[service])
+        head = builders.build_head([fragment])
+        self.snapshot = Snapshot.build(head, [fragment])
         self.members = [
             builders.build_member(index, ZONES[index % len(ZONES)])
             for index in range(size)
@@ -237,6 +267,17 @@
             (one in inside) != (other in inside)
         )
 
+    def worst_second(self, address: str) -> int:
+        """Return the most requests that were sent to it in one second."""
+        times = [time for time, item in self.backend.sent if item == address]
+        return max(
+            (
+                sum(start <= time < start + 1.0 for time in times)
+                for start in times
+            ),
+            default=0,
+        )
+
     def addresses(self, zone: str) -> set[str]:
         """Return the addresses of the backend servers of a zone."""
         return {item.address for item in self.daemons if item.zone == zone}
@@ -262,10 +303,12 @@
 @asynccontextmanager
 async def open_evacuation_fleet(
     size: int = 15,
+    cold_rate_per_s: float = 0.0,
+    dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
 ) -> AsyncIterator[EvacuationFleet]:
     """Run a fleet of daemons within a context."""
     async with trio.open_nursery() as nursery:
-        fleet = EvacuationFleet(nursery, size)
+        fleet = EvacuationFleet(nursery, size, cold_rate_per_s, dialect)
         for index in range(size):
             fleet.daemons.append(await fleet.start(index))
         await trio.sleep(1.0)
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -28,6 +28,9 @@
     'bounds.retryBudgetRatio': '0.2',
     'bounds.budgetSlack': '64',
     'bounds.budgetWindowS': '10',
+    'bounds.coldOver': '1.25',
+    # A platform without the field.
+    'bounds.coldSlack': '',
 }
 
 
@@ -49,6 +52,8 @@
     assert 'caller' in kernel.names and 'check-ins' in kernel.names
     assert settings.retry_window.value == 10.0
     assert settings.peer_port.value == 7600
+    assert settings.cold_over.value == 1.25
+    assert settings.cold_slack.value == 8.0
 
 
 def test_every_setting_of_the_deploy_file_is_documented() -> None:
@@ -66,6 +71,8 @@
         ('GYPSUMHALL_READY_ADDRESS', '10.1.0.41'),
         ('GYPSUMHALL_RETRY_RATIO', '-1'),
         ('GYPSUMHALL_GRACE', 'soon'),
+        ('GYPSUMHALL_COLD_OVER', '-1'),
+        ('GYPSUMHALL_COLD_SLACK', '1e7'),
     ],
 )
 def test_errors_name_the_invalid_setting(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumhall import platform
+from gypsumhall.core import _model
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._model import MoveState
 from gypsumhall.core._model import Target
@@ -158,6 +159,53 @@
     assert (service.name, service.status_path) == ('s', path)
 
 
+@pytest.mark.parametrize(
+    ('fields', 'limit'),
+    [
+        ({'coldPerS': 12, 'warmupS': 4.5}, (12.0, 4.5)),
+        ({'coldPerS': 12}, (12.0, 0.0)),
+        ({}, (0.0, 0.0)),
+        ({'coldPerS': -1}, (0.0, 0.0)),
+        ({'coldPerS': '12'}, (0.0, 0.0)),
+    ],
+)
+def test_limit_of_cold_endpoints_is_read(
+    fields: dict[str, object], limit: tuple[float, float]
+) -> None:
+    """An odd limit must not hide the status path or the routes."""
+    entry = _service('s')
+    entry['spec'].update(fields)
+    value = {'version': '00000001', 'resources': [entry]}
+    _, fragment = platform.decode_configuration(json.dumps(value).encode())
+    (service,) = fragment.services
+    assert (service.cold_rate_per_s, service.warmup_s) == limit
+    assert service.status_path == '/healthz'
+    encoded = _model.encode(fragment)
+    assert (b'cold_rate_per_s' in encoded) == bool(limit[0])
+    assert _model.decode_fragment(encoded) == fragment
+
+
+@pytest.mark.parametrize(
+    ('key', 'zone'),
+    [
+        ('op/evacuate/norte', 'norte'),
+        ('op/evacuate/a/b', 'a/b'),
+        ('op/evacuated/norte', ''),
+        ('op/config', ''),
+        ('status/op/evacuate/norte', ''),
+    ],
+)
+def test_zone_of_an_evacuation_key(key: str, zone: str) -> None:
+    assert platform.evacuated_zone(key) == zone
+
+
+@pytest.mark.parametrize('zone', ['', 'z' * 257])
+def test_evacuation_key_without_a_usable_zone_is_rejected(zone: str) -> None:
+    """It would be spread to all daemons, which could not decode it."""
+    with pytest.raises(InvalidUpdateError, match='characters'):
+        platform.evacuated_zone(f'op/evacuate/{zone}')
+
+
 def test_a_route_to_an_unknown_service_is_not_installed() -> None:
     split = [{'service': 's1', 'weight': 1}, {'service': 's9', 'weight': 1}]
     value = _config(_route('r1', '/a/', split=split), _service('s1'))
--- a/tests/test_services_status_check.py
+++ b/tests/test_services_status_check.py
@@ -12,6 +12,7 @@
 from gypsumhall.core._checkins import BackendInstance
 from gypsumhall.core._confirmation import BackendStatus
 from gypsumhall.platform import DIALECT
+from gypsumhall.services._cold_monitor import ColdMonitor
 from gypsumhall.services._status_check import HttpStatusCheck
 from gypsumhall.testing import builders
 
@@ -20,6 +21,8 @@
 
 _OWN = 'Gypsumhall-Instance-Id: i-1\r\n'
 _OTHER = 'Gypsumhall-Instance-Id: i-2\r\n'
+_COLD = 'Gypsumhall-Warmup-Remaining: 1500.5\r\n'
+_ODD = 'Gypsumhall-Warmup-Remaining: soon\r\n'
 _REJECTED = 'Gypsumhall-Not-Executed: 1\r\n'
 
 
@@ -28,7 +31,11 @@
     return f'{head}{fields}\r\n'.encode()
 
 
-async def _check(parts: Iterable[bytes], path: str = '/status') -> str:
+async def _check(
+    parts: Iterable[bytes],
+    path: str = '/status',
+    monitor: ColdMonitor | None = None,
+) -> str:
     """Return the status by an endpoint that sends the parts and waits."""
 
     async def serve(stream: trio.SocketStream) -> None:
@@ -46,7 +53,8 @@
         endpoint = builders.build_endpoint()
         backend = BackendInstance('i-1', 1, f'127.0.0.1:{port}', endpoint)
         with trio.fail_after(5):
-            status = await HttpStatusCheck(DIALECT).check(backend, path)
+            check = HttpStatusCheck(DIALECT, cold_monitor=monitor)
+            status = await check.check(backend, path)
         nursery.cancel_scope.cancel()
     return status.value
 
@@ -74,6 +82,42 @@
     assert await _check([response]) == status
 
 
+class _Monitor(ColdMonitor):
+    def __init__(self) -> None:
+        self.reports: list[object] = []
+
+    def record_request(self) -> None:
+        self.reports.append('sent')
+
+    def record_check(self, warmup_s: float) -> None:
+        self.reports.append(warmup_s)
+
+    def record_malformed(self, header: bytes) -> None:
+        self.reports.append(header)
+
+
+@pytest.mark.parametrize(
+    ('response', 'reports'),
+    [
+        (_head(200, _OWN + _COLD), [1.5005]),
+        (_head(503, _OWN + _REJECTED + _COLD), [1.5005]),
+        (_head(200, _OWN), [0.0]),
+        (_head(503, _OWN + _REJECTED), []),
+        (_head(200, _OTHER + _COLD), []),
+        (_head(200, _COLD), []),
+        (_head(200, _OWN + _ODD), [b'gypsumhall-warmup-remaining']),
+        (b'', []),
+    ],
+)
+async def test_remaining_warmup_of_the_own_process_is_reported(
+    response: bytes, reports: list[object]
+) -> None:
+    """A cold endpoint that counts as warm is sent more than it can handle."""
+    monitor = _Monitor()
+    await _check([response], monitor=monitor)
+    assert monitor.reports == ['sent', *reports]
+
+
 @pytest.mark.parametrize('line', [b'a: b\r\n', b'x' * 65536])
 async def test_head_without_end_is_not_kept(line: bytes) -> None:
     """A faulty endpoint took the memory of a machine that called it."""
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -173,6 +173,9 @@
         assert items[1] == await store.get('a/2')
         again = await store.txn([], [Delete('a/1')])
         assert again.revision > first.revision
+        items, revision = await store.range_at('a/')
+        assert [item.key for item in items] == ['a/2']
+        assert revision == again.revision
         assert await store.get('a/1') is None
 
 
