--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from gypsumhall.core._cold_limit import ColdLoad
+from gypsumhall.core._evacuation import EvacuationState
 from gypsumhall.core._member import Count
 from gypsumhall.core._member import MAX_COUNT
 from gypsumhall.core._member import Member
@@ -508,6 +510,9 @@
         Expected queueing time of a call that arrives now.
     failure_rate : float
         Recent fraction of executions that failed, 0 to 1.
+    cold : ColdLoad or None
+        Remaining time and capacity of a cold backend server; None for one
+        that is warm or has no limit.
     """
 
     in_flight: int
@@ -517,6 +522,7 @@
     service_time_ms: float = 0.0
     wait_ms: float = 0.0
     failure_rate: float = 0.0
+    cold: ColdLoad | None = None
 
 
 class CallStart(Message, frozen=True, tag=40):
@@ -991,3 +997,25 @@
     version: str
     order: Revision
     counts: tuple[RolloutCounts, ...]
+
+
+# Evacuations
+
+
+class EvacuationUpdate(Message, frozen=True, tag=66):
+    """Notifies a peer of the evacuated zones.
+
+    Parameters
+    ----------
+    state : EvacuationState
+        The newest state that the sender knows.
+    """
+
+    state: EvacuationState
+
+
+class EvacuationPull(Message, frozen=True, tag=67):
+    """Requests an `EvacuationUpdate`.
+
+    A daemon that knows no state does not reply.
+    """
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -20,6 +20,7 @@
     from gypsumhall.core._confirmation import BackendStatus
     from gypsumhall.core._member import Endpoint
     from gypsumhall.kernel import Kernel
+    from gypsumhall.services._cold_monitor import ColdMonitor
     from gypsumhall.services._status_check import StatusCheck
 
 _CHECK_INTERVAL_S = 0.5
@@ -60,6 +61,10 @@
         rejected. Empty to accept any service.
     status_check : StatusCheck
         Confirms that a backend server is ready before it is advertised.
+    evacuations : Evacuations, optional
+        While the zone of this daemon is evacuated, no status is checked.
+    cold_monitor : ColdMonitor, optional
+        Receives the remaining warm-up times of heartbeats.
     """
 
     name = 'check-ins'
@@ -72,8 +77,17 @@
     )
 
     def __init__(
-        self, address: str, service: str, status_check: StatusCheck
+        self,
+        address: str,
+        service: str,
+        status_check: StatusCheck,
+        evacuations: _protocols.Evacuations | None = None,
+        cold_monitor: ColdMonitor | None = None,
     ) -> None:
+        self._evacuations = evacuations
+        self._cold_monitor = cold_monitor
+        self._was_evacuated = False
+        self._zones_changed = trio.Event()
         self._address = address
         self._service = service
         self._status_check = status_check
@@ -101,7 +115,12 @@
         self._runner = kernel.get('runner', BackendRunner)
         self._events = kernel.get('events', _protocols.Events)
         self._started = True
+        if self._evacuations is not None:
+            self._evacuations.subscribe(self._on_evacuation)
+            self._was_evacuated = self._is_evacuated()
         async with trio.open_nursery() as nursery:
+            if self._cold_monitor is not None:
+                nursery.start_soon(self._check_warmup, self._cold_monitor)
             nursery.start_soon(self._confirm_backends)
             task_status.started()
             while True:
@@ -159,6 +178,10 @@
         if result is not HeartbeatResult.STALE and backend is not None:
             now = trio.current_time()
             self._runner.set_warmup_end(now + check_in.warmup_s)
+            if self._cold_monitor is not None:
+                self._cold_monitor.record_heartbeat(
+                    (instance, check_in.started_ms), check_in.warmup_s
+                )
             confirmed = self._confirmation.record_heartbeat(backend, now)
         if result is HeartbeatResult.CHANGED or confirmed:
             self._publish_state('check-in')
@@ -194,7 +217,11 @@
         while True:
             self._changed = trio.Event()
             backend = self._tracker.current
-            if backend is None or not self._confirmation.is_needed(backend):
+            if (
+                backend is None
+                or not self._confirmation.is_needed(backend)
+                or self._is_evacuated()
+            ):
                 await self._changed.wait()
                 delay, last_status = _FIRST_RETRY_S, None
                 continue
@@ -215,6 +242,40 @@
                 await self._changed.wait()
             delay = min(2 * delay, _MAX_RETRY_S)
 
+    def _is_evacuated(self) -> bool:
+        evacuations = self._evacuations
+        return (
+            evacuations is not None
+            and self._membership.me.zone in evacuations.zones
+        )
+
+    def _on_evacuation(self) -> None:
+        # A process that started meanwhile is still to be confirmed.
+        self._changed.set()
+        was_evacuated = self._was_evacuated
+        self._was_evacuated = self._is_evacuated()
+        if self._cold_monitor is not None:
+            if was_evacuated and not self._was_evacuated:
+                # It may have become cold after its last heartbeat.
+                self._cold_monitor.forget(is_replaced=False)
+            self._zones_changed.set()
+
+    async def _check_warmup(self, monitor: ColdMonitor) -> None:
+        """Check whether the endpoint is cold when load moves between zones.
+
+        There are no checks at intervals, as they have a price.
+        """
+        while True:
+            self._zones_changed = trio.Event()
+            await self._zones_changed.wait()
+            backend = self._tracker.current
+            if (
+                backend is not None
+                and monitor.rate_per_s
+                and not self._is_evacuated()
+            ):
+                await self._check_status(backend)
+
     async def _check_status(self, backend: BackendInstance) -> BackendStatus:
         snapshot = self._distribution.snapshot
         service = (
