Add the types of tenants, limits and upload routes

A call carries the tenant from the first daemon to the queue of the runner; nothing sets it yet.

The encoding of a fragment without tenants is unchanged, so digests of stored fragments stay valid.

--- a/gypsumhall/core/_delta.py
+++ b/gypsumhall/core/_delta.py
@@ -149,6 +149,7 @@
     services, removed_services = _diff_items(old.services, new.services, _NAME)
     routes, removed_routes = _diff_items(old.routes, new.routes, _NAME)
     moves, removed_moves = _diff_items(old.moves, new.moves, _ID)
+    tenants, removed_tenants = _diff_items(old.tenants, new.tenants, _NAME)
     patch = FragmentPatch(
         new.department,
         services,
@@ -157,6 +158,9 @@
         removed_services,
         removed_routes,
         removed_moves,
+        tenants,
+        removed_tenants,
+        new.limits,
     )
     if _model.encode(patch_fragment(old, patch)) != _model.encode(new):
         return None
@@ -174,6 +178,8 @@
         ),
         _patch_items(old.routes, patch.routes, patch.removed_routes, _NAME),
         _patch_items(old.moves, patch.moves, patch.removed_moves, _ID),
+        _patch_items(old.tenants, patch.tenants, patch.removed_tenants, _NAME),
+        patch.limits,
     )
 
 
--- a/gypsumhall/core/_model.py
+++ b/gypsumhall/core/_model.py
@@ -21,8 +21,10 @@
 
 
 _MAX_TIME_S = 1e12
+_MAX_RATE = 1e9
 
 _Time = Annotated[float, msgspec.Meta(ge=0, le=_MAX_TIME_S)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=_MAX_RATE)]
 
 
 def _set_floats(value: msgspec.Struct, *names: str) -> None:
@@ -49,6 +51,9 @@
     status_path : str
         Path at which its backend servers report their status; empty if they
         do not.
+    max_connections : int
+        Maximum number of connections that one backend server accepts; 0 for
+        no limit.
     """
 
     name: str
@@ -56,6 +61,7 @@
     current: str
     depends_on: tuple[str, ...] = ()
     status_path: str = ''
+    max_connections: Count = 0
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -107,6 +113,10 @@
         route sets no limit.
     priority : int
         Rank of the route, 0 for the most urgent.
+    public : bool
+        Whether requests need no key, if the configuration has tenants.
+    upload : bool
+        Whether the bodies of its requests are large.
     """
 
     name: str
@@ -119,6 +129,8 @@
     objective_s: _Time = 0.0
     attempts: Count = 0
     priority: Count = 0
+    public: bool = False
+    upload: bool = False
 
     def __post_init__(self) -> None:
         """Replace values that are equal to a default by the default itself.
@@ -168,7 +180,63 @@
         _set_floats(self, 'deadline', 'soak_s')
 
 
-class Fragment(msgspec.Struct, frozen=True):
+class Tenant(msgspec.Struct, frozen=True):
+    """A customer whose requests are identified by a key.
+
+    Parameters
+    ----------
+    name : str
+        Unique over all departments.
+    key_digests : tuple of str
+        SHA-256 digests (hexadecimal) of its keys, sorted.
+    priority : int or None
+        Rank of its requests, 0 for the most urgent, in place of the rank of
+        the route; None for the rank of the route.
+    rate_per_s : float
+        Number of requests per second that it may send; 0 for no limit.
+    burst : float
+        Number of requests that it may send in addition.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: Count | None = None
+    rate_per_s: _Rate = 0.0
+    burst: _Rate = 0.0
+
+    def __post_init__(self) -> None:
+        """Convert rate and burst to floats."""
+        _set_floats(self, 'rate_per_s', 'burst')
+
+
+class RequestLimits(msgspec.Struct, frozen=True):
+    """Limits on the requests of callers; 0 for the default of the daemon.
+
+    Parameters
+    ----------
+    max_header_bytes, max_body_bytes : int
+        Maximum size of the head and of the body of a request, in bytes.
+    header_timeout_s : float
+        Time in seconds within which a head has to arrive.
+    idle_timeout_s : float
+        Time in seconds after which a connection without a request is closed.
+    """
+
+    max_header_bytes: Count = 0
+    max_body_bytes: Count = 0
+    header_timeout_s: _Time = 0.0
+    idle_timeout_s: _Time = 0.0
+
+    def __post_init__(self) -> None:
+        """Convert the times to floats."""
+        _set_floats(self, 'header_timeout_s', 'idle_timeout_s')
+
+
+def _no_items() -> tuple[Any, ...]:
+    return ()
+
+
+class Fragment(msgspec.Struct, frozen=True, omit_defaults=True):
     """Everything that one department configures.
 
     Parameters
@@ -178,12 +246,25 @@
     services, routes, moves : tuple
         Contents, sorted by name or id, so that texts with the same contents
         have the same digest.
+    tenants : tuple of Tenant
+        Tenants, sorted by name.
+    limits : RequestLimits or None
+        Limits on requests; None for the defaults of the daemon.
     """
 
     department: str
-    services: tuple[Service, ...] = ()
-    routes: tuple[Route, ...] = ()
-    moves: tuple[MoveSpec, ...] = ()
+    # Fields with a factory function are always encoded. Omitting empty ones
+    # would change the digests of stored fragments.
+    services: tuple[Service, ...] = msgspec.field(default_factory=_no_items)
+    routes: tuple[Route, ...] = msgspec.field(default_factory=_no_items)
+    moves: tuple[MoveSpec, ...] = msgspec.field(default_factory=_no_items)
+    tenants: tuple[Tenant, ...] = ()
+    limits: RequestLimits | None = None
+
+    def __post_init__(self) -> None:
+        """Replace empty tenants by the default, which is not encoded."""
+        if not self.tenants:
+            msgspec.structs.force_setattr(self, 'tenants', ())
 
 
 class MoveState(enum.StrEnum):
--- a/gypsumhall/core/_snapshot.py
+++ b/gypsumhall/core/_snapshot.py
@@ -16,9 +16,11 @@
     from collections.abc import Sequence
 
 E = TypeVar('E')
+N = TypeVar('N', int, float)
 
 _NO_REVERTS: frozenset[str] = frozenset()
 _EMPTY_FRAGMENT = _model.Fragment('')
+_NO_LIMITS = _model.RequestLimits()
 
 
 class CorruptUpdateError(InvalidUpdateError):
@@ -82,9 +84,12 @@
         '_digest',
         '_fragments',
         '_head',
+        '_limits',
         '_moves',
         '_routes',
         '_services',
+        '_tenants',
+        '_tenants_by_digest',
     )
 
     def __init__(
@@ -104,6 +109,10 @@
             for move in head.moves.values()
             if not move.state.final
         }
+        # Set by `advance`.
+        self._limits = _NO_LIMITS
+        self._tenants: Mapping[str, _model.Tenant] = {}
+        self._tenants_by_digest: Mapping[str, _model.Tenant] = {}
 
     @classmethod
     def build(
@@ -192,6 +201,7 @@
         if replaced or changed:
             services, routes = self._index(head, replaced, changed)
         snapshot = Snapshot(head, merged, services, routes)
+        snapshot._set_tenants(self, replaced, changed)
         service_removed = any(
             service.name not in services
             for fragment in replaced.values()
@@ -209,6 +219,41 @@
             _check_current(snapshot)
         return snapshot
 
+    def _set_tenants(
+        self,
+        previous: Snapshot,
+        replaced: Mapping[str, _model.Fragment],
+        changed: Mapping[str, _model.Fragment],
+    ) -> None:
+        differing = (*replaced.values(), *changed.values())
+        if not any(item.tenants or item.limits for item in differing):
+            self._limits = previous._limits
+            self._tenants = previous._tenants
+            self._tenants_by_digest = previous._tenants_by_digest
+            return
+        self._limits = _combine_limits(
+            [item.limits for item in self._fragments.values() if item.limits]
+        )
+        tenants: dict[str, _model.Tenant] = {}
+        by_digest: dict[str, _model.Tenant] = {}
+        self._tenants = tenants
+        self._tenants_by_digest = by_digest
+        for fragment in self._fragments.values():
+            for tenant in fragment.tenants:
+                if tenant.name in tenants:
+                    raise InvalidUpdateError(
+                        f'version {self.version} defines tenant '
+                        f'{tenant.name!r} twice'
+                    )
+                tenants[tenant.name] = tenant
+                for key_digest in tenant.key_digests:
+                    other = by_digest.setdefault(key_digest, tenant)
+                    if other is not tenant:
+                        raise InvalidUpdateError(
+                            f'tenants {other.name!r} and {tenant.name!r} in '
+                            f'version {self.version} have the same key'
+                        )
+
     def _merge(
         self, head: _model.Head, received: Mapping[str, _model.Fragment]
     ) -> tuple[dict[str, _model.Fragment], dict[str, _model.Fragment]]:
@@ -337,6 +382,25 @@
                 return None
             prefix = prefix.rpartition('/')[0]
 
+    @property
+    def limits(self) -> _model.RequestLimits:
+        """Limits on the requests of callers."""
+        return self._limits
+
+    @property
+    def tenants(self) -> Mapping[str, _model.Tenant]:
+        """Tenants by name."""
+        return self._tenants
+
+    @property
+    def has_tenants(self) -> bool:
+        """Whether requests need a key, unless their route is public."""
+        return bool(self._tenants)
+
+    def tenant_by_key(self, key: bytes) -> _model.Tenant | None:
+        """Return the tenant that a key belongs to."""
+        return self._tenants_by_digest.get(_model.digest(key))
+
     def service(self, name: str) -> _model.Service | None:
         """Return a service by name."""
         return self._services.get(name)
@@ -380,6 +444,22 @@
     return [entry for entry in entries if id(entry) not in other_ids]
 
 
+def _combine_limits(
+    limits: Sequence[_model.RequestLimits],
+) -> _model.RequestLimits:
+    """Return the lowest value of each limit; 0 means that it is not set."""
+
+    def lowest(values: Iterable[N]) -> N:
+        return min(filter(None, values), default=0)
+
+    return _model.RequestLimits(
+        lowest(item.max_header_bytes for item in limits),
+        lowest(item.max_body_bytes for item in limits),
+        lowest(item.header_timeout_s for item in limits),
+        lowest(item.idle_timeout_s for item in limits),
+    )
+
+
 def _route_key(route: _model.Route) -> tuple[str, str]:
     return route.host, route.path.rstrip('/')
 
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -104,6 +104,8 @@
         Time in seconds until which the caller waits for a response.
     is_caller_retry : bool
         Whether the caller retries after a rejection.
+    tenant : str
+        Tenant that sent the request; empty for none.
     """
 
     __slots__ = (
@@ -114,6 +116,7 @@
         'objective',
         'priority',
         'route',
+        'tenant',
     )
 
     def __init__(
@@ -124,12 +127,14 @@
         deadline: float,
         *,
         is_caller_retry: bool = False,
+        tenant: str = '',
     ) -> None:
         self.route = route
         self.priority = priority
         self.objective = objective
         self.deadline = deadline
         self.is_caller_retry = is_caller_retry
+        self.tenant = tenant
         self.enqueued_at = 0.0
         self.expected_service_time_s = DEFAULT_SERVICE_TIME_S
 
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -19,8 +19,10 @@
 from gypsumhall.core._model import Head
 from gypsumhall.core._model import MoveSpec
 from gypsumhall.core._model import MoveState
+from gypsumhall.core._model import RequestLimits
 from gypsumhall.core._model import Route
 from gypsumhall.core._model import Service
+from gypsumhall.core._model import Tenant
 from gypsumhall.core._revision import NO_REVISION
 from gypsumhall.core._revision import Revision
 
@@ -235,6 +237,12 @@
         Added and changed entries.
     removed_services, removed_routes, removed_moves : tuple of str
         Names or ids of removed entries.
+    tenants : tuple of Tenant
+        Added and changed tenants.
+    removed_tenants : tuple of str
+        Names of removed tenants.
+    limits : RequestLimits or None
+        Limits of the new fragment.
     """
 
     department: str
@@ -244,6 +252,9 @@
     removed_services: tuple[str, ...] = ()
     removed_routes: tuple[str, ...] = ()
     removed_moves: tuple[str, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    removed_tenants: tuple[str, ...] = ()
+    limits: RequestLimits | None = None
 
 
 class Update(Message, frozen=True, tag=20):
@@ -567,6 +578,8 @@
     sent_us : int
         Time at which the call was sent, by `net._socket.clock_us` of the
         sender; 0 if unknown.
+    tenant : str
+        Tenant that sent the request; empty for none.
     """
 
     request_id: str
@@ -591,6 +604,7 @@
     max_wait_ms: int = -1
     is_caller_retry: bool = False
     sent_us: int = 0
+    tenant: str = ''
 
 
 class BodyChunk(Message, frozen=True, tag=41):
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -332,6 +332,7 @@
             -1 if max_wait_s is None else max(0, int(max_wait_s * 1000)),
             request.is_caller_retry,
             _socket.clock_us(),
+            request.tenant,
         )
 
     async def run(
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -237,6 +237,8 @@
         Whether the ``caller`` or the ``route`` set the deadline.
     configuration : int
         Version of the configuration that the route belongs to.
+    tenant : str
+        Tenant that sent the request; empty for none.
     """
 
     service: str
@@ -254,6 +256,7 @@
     is_caller_retry: bool = False
     limit_source: str = ''
     configuration: int = 0
+    tenant: str = ''
 
 
 class ResponseSink(Protocol):
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -685,6 +685,7 @@
             now + call.objective_ms / 1000 if call.objective_ms else deadline,
             deadline,
             is_caller_retry=call.is_caller_retry,
+            tenant=call.tenant,
         )
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
@@ -906,6 +907,7 @@
                 trio.current_time() + call.deadline_ms / 1000,
                 call.idempotent,
                 call.key,
+                tenant=call.tenant,
             )
             await self._keys.execute(request, sink)
             state = EntryState.DONE
