Decode tenants, limits, public routes and uploads of the operator

No code read these entries, so requests with an unknown key were served. A malformed entry rejects the whole configuration; the message names the entry and the field and contains no key. An upload is not idempotent.

24 malformed entries are rejected with their place in tests/test_platform.py.

--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -4,6 +4,7 @@
 
 import contextlib
 from dataclasses import dataclass
+from operator import attrgetter
 import re
 from typing import Annotated
 
@@ -70,11 +71,13 @@
 
 
 _MAX_WEIGHT = 1e9
+_MAX_RATE = 1e9
 _MAX_ROUTE_TIME_MS = 1e9
 _MAX_DURATION_S = 1e7
 _MAX_NAME_CHARACTERS = 256
 
 _RouteTime = Annotated[float, msgspec.Meta(ge=0, le=_MAX_ROUTE_TIME_MS)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=_MAX_RATE)]
 _Name = Annotated[
     str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_CHARACTERS)
 ]
@@ -96,12 +99,37 @@
     attempts: Count = 0
     service: str = ''
     split: list[_Split] = []
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
     status_path: str = msgspec.field(name='healthPath', default='')
 
 
+class _ServiceLimits(msgspec.Struct):
+    max_connections: Count = msgspec.field(name='maxConns', default=0)
+
+
+class _Tenant(msgspec.Struct):
+    keys: Annotated[list[str], msgspec.Meta(min_length=1)] = msgspec.field(
+        name='apiKeys'
+    )
+    priority: Count | None = None
+    rate_per_s: _Rate = msgspec.field(name='ratePerS', default=0)
+    burst: _Rate = 0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: Count = msgspec.field(name='maxHeaderBytes', default=0)
+    max_body_bytes: Count = msgspec.field(name='maxBodyBytes', default=0)
+    header_timeout_ms: _RouteTime = msgspec.field(
+        name='headerTimeoutMs', default=0
+    )
+    idle_timeout_ms: _RouteTime = msgspec.field(
+        name='idleTimeoutMs', default=0
+    )
+
+
 class _Rollout(msgspec.Struct):
     service: _Name
     target: _Name = msgspec.field(name='targetVersion')
@@ -113,8 +141,16 @@
 # The version is a number of at most 60 bits.
 _VERSION = re.compile(r'0*[0-9a-fA-F]{1,15}')
 _PATH = re.compile(r'/[!-~]{0,2000}')
+# Names of tenants and keys are values of headers, which have no white space at
+# their ends and no control characters.
+_TENANT_NAME = re.compile(r'[!-~]([ -~]{0,254}[!-~])?')
+_KEY = re.compile(r'[^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?')
+_MAX_KEY_CHARACTERS = 1024
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
 _SERVICE_DECODER = msgspec.json.Decoder(_Service)
+_SERVICE_LIMITS_DECODER = msgspec.json.Decoder(_ServiceLimits)
+_TENANT_DECODER = msgspec.json.Decoder(_Tenant)
+_LIMITS_DECODER = msgspec.json.Decoder(_Limits)
 _ROUTE_DECODER = msgspec.json.Decoder(_Route)
 _ROLLOUT_DECODER = msgspec.json.Decoder(_Rollout)
 
@@ -152,15 +188,35 @@
     version = int(config.version, 16)
     services = []
     routes = []
-    for entry in config.resources:
+    tenants: list[_model.Tenant] = []
+    limits: list[_model.RequestLimits] = []
+    for index, entry in enumerate(config.resources):
         name = entry.metadata.name
-        if entry.type == 'services':
-            services.append(_convert_service(name, entry.spec))
-        elif entry.type == 'routes':
-            routes.append(_convert_route(name, entry.spec))
-    services.sort(key=lambda item: item.name)
-    routes.sort(key=lambda item: item.name)
-    fragment = _model.Fragment(_DEPARTMENT, tuple(services), tuple(routes))
+        try:
+            if entry.type == 'services':
+                services.append(_convert_service(name, entry.spec))
+            elif entry.type == 'routes':
+                routes.append(_convert_route(name, entry.spec))
+            elif entry.type == 'tenants':
+                tenants.append(_convert_tenant(name, entry.spec))
+            elif entry.type == 'limits':
+                limits.append(_convert_limits(entry.spec))
+        except ValueError as error:
+            raise ValueError(
+                f'resources[{index}], {entry.type} {name[:80]!r}: {error}'
+            ) from error
+    if len(limits) > 1:
+        raise ValueError('more than one entry of the type limits')
+    _check_tenants(tenants)
+    for entries in (services, routes, tenants):
+        entries.sort(key=attrgetter('name'))
+    fragment = _model.Fragment(
+        _DEPARTMENT,
+        tuple(services),
+        tuple(routes),
+        tenants=tuple(tenants),
+        limits=limits[0] if limits else None,
+    )
     digest = _model.digest(_model.encode(fragment))
     head = _model.Head(
         version, {_DEPARTMENT: _model.DepartmentRef(digest, '')}
@@ -175,7 +231,66 @@
         path = _SERVICE_DECODER.decode(spec).status_path
     if not _PATH.fullmatch(path):
         path = ''
-    return _model.Service(name, (ANY_VERSION,), ANY_VERSION, status_path=path)
+    limits = _ServiceLimits()
+    if bytes(spec).lstrip().startswith(b'{'):
+        limits = _SERVICE_LIMITS_DECODER.decode(spec)
+    return _model.Service(
+        name,
+        (ANY_VERSION,),
+        ANY_VERSION,
+        status_path=path,
+        max_connections=limits.max_connections,
+    )
+
+
+def _convert_tenant(name: str, spec: msgspec.Raw) -> _model.Tenant:
+    if not _TENANT_NAME.fullmatch(name):
+        raise ValueError(
+            'the name is not 1 to 256 visible characters of ASCII'
+        )
+    tenant = _TENANT_DECODER.decode(spec)
+    for index, key in enumerate(tenant.keys):
+        # The message must not contain the key.
+        if len(key) > _MAX_KEY_CHARACTERS or not _KEY.fullmatch(key):
+            raise ValueError(
+                f'apiKeys[{index}] is empty, has more than '
+                f'{_MAX_KEY_CHARACTERS} characters, control characters or '
+                'white space at an end'
+            )
+    digests = {_model.digest(key.encode()) for key in tenant.keys}
+    return _model.Tenant(
+        name,
+        tuple(sorted(digests)),
+        tenant.priority,
+        tenant.rate_per_s,
+        tenant.burst,
+    )
+
+
+def _check_tenants(tenants: list[_model.Tenant]) -> None:
+    """Raise if two tenants have the same name or the same key."""
+    names: set[str] = set()
+    owners: dict[str, str] = {}
+    for tenant in tenants:
+        if tenant.name in names:
+            raise ValueError(f'tenants {tenant.name!r} is defined twice')
+        names.add(tenant.name)
+        for key_digest in tenant.key_digests:
+            owner = owners.setdefault(key_digest, tenant.name)
+            if owner != tenant.name:
+                raise ValueError(
+                    f'tenants {owner!r} and {tenant.name!r} have the same key'
+                )
+
+
+def _convert_limits(spec: msgspec.Raw) -> _model.RequestLimits:
+    limits = _LIMITS_DECODER.decode(spec)
+    return _model.RequestLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms / 1000,
+        limits.idle_timeout_ms / 1000,
+    )
 
 
 def _convert_route(name: str, spec: msgspec.Raw) -> _model.Route:
@@ -195,6 +310,8 @@
         route.objective_ms / 1000,
         route.attempts,
         route.priority,
+        route.public,
+        route.type == 'upload',
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 from gypsumhall import platform
 from gypsumhall.core._member import EndpointState
 from gypsumhall.core._model import MoveState
+from gypsumhall.core._model import RequestLimits
 from gypsumhall.core._model import Target
 from gypsumhall.core._snapshot import Snapshot
 from gypsumhall.errors import GypsumhallError
@@ -224,3 +225,105 @@
     assert platform.rollout_status_key('s') == 'status/rollout/s'
     with pytest.raises(InvalidUpdateError):
         platform.decode_rollout(b'{"service":"s"}')
+
+
+def _tenant(name: str, *keys: Any, **spec: Any) -> dict[str, Any]:
+    return {
+        'entryType': 'tenants',
+        'metadata': {'name': name},
+        'spec': {'apiKeys': keys, **spec},
+    }
+
+
+def test_tenants_are_decoded_without_their_keys() -> None:
+    """Guards against keys that leave the code that reads the store."""
+    value = _config(
+        _tenant('b', 'key-b', 'key-c', priority=2, ratePerS=328, burst=9.5),
+        _tenant('a', 'key-a', 'key-a'),
+    )
+    head, fragment = platform.decode_configuration(value)
+    snapshot = Snapshot.build(head, [fragment])
+    assert [item.name for item in fragment.tenants] == ['a', 'b']
+    for key in (b'key-b', b'key-c'):
+        tenant = snapshot.tenant_by_key(key)
+        assert tenant is not None
+        assert (tenant.name, tenant.priority) == ('b', 2)
+        assert (tenant.rate_per_s, tenant.burst) == (328, 9.5)
+    assert snapshot.tenants['a'].priority is None
+    assert snapshot.tenants['a'].rate_per_s == 0
+    assert 'key-' not in repr(fragment)
+
+
+def test_public_uploads_and_limits_are_decoded() -> None:
+    limits = {
+        'entryType': 'limits',
+        'spec': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 67108864,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+    }
+    value = json.loads(
+        _config(
+            _route('r', '/a/', type='upload', public=True, service='s'),
+            _service('s'),
+        )
+    )
+    value['resources'][-1] = limits
+    snapshot = _snapshot(json.dumps(value).encode())
+    (matched,) = snapshot.routes
+    assert matched.route.public
+    assert matched.route.upload
+    # An upload must not be sent twice.
+    assert not matched.route.is_idempotent('PUT')
+    assert snapshot.services['s'].max_connections == 130
+    assert snapshot.limits == RequestLimits(16384, 67108864, 3.0, 15.0)
+
+
+_SECRET = 'secret-key-4711'
+
+
+@pytest.mark.parametrize(
+    ('entry', 'place'),
+    [
+        (_tenant('t'), 'apiKeys'),
+        (_tenant('t', _SECRET, ''), r'apiKeys\[1\]'),
+        (_tenant('t', ' ' + _SECRET), r'apiKeys\[0\]'),
+        (_tenant('t', _SECRET + '\r\nX: 1'), r'apiKeys\[0\]'),
+        (_tenant('t', _SECRET * 100), r'apiKeys\[0\]'),
+        (_tenant('t', _SECRET, 5), r'apiKeys\[1\]'),
+        (_tenant('t', _SECRET, ratePerS=-1), 'ratePerS'),
+        (_tenant('t', _SECRET, ratePerS='9'), 'ratePerS'),
+        (_tenant('t', _SECRET, burst=-1), 'burst'),
+        (_tenant('t', _SECRET, burst=True), 'burst'),
+        (_tenant('t', _SECRET, priority=-1), 'priority'),
+        (_tenant('t', _SECRET, priority=1.5), 'priority'),
+        (_tenant('', _SECRET), 'name'),
+        (_tenant('a\nb', _SECRET), 'name'),
+        (_tenant('first', _SECRET), "'first' is defined twice"),
+        (_tenant('t', 'other', 'first'), "'first' and 't' have the same key"),
+        ({**_tenant('t'), 'spec': {'apiKeys': _SECRET}}, 'apiKeys'),
+        ({**_tenant('t'), 'spec': None}, 'object'),
+        (_route('t', '/a/', public='yes', service='s'), 'public'),
+        ({**_service('t'), 'spec': {'maxConns': -1}}, 'maxConns'),
+        ({**_service('t'), 'spec': {'maxConns': '5'}}, 'maxConns'),
+        (
+            {'entryType': 'limits', 'spec': {'maxHeaderBytes': -1}},
+            'maxHeaderBytes',
+        ),
+        (
+            {'entryType': 'limits', 'spec': {'idleTimeoutMs': 'soon'}},
+            'idleTimeoutMs',
+        ),
+        ({'entryType': 'limits', 'spec': {}}, 'more than one'),
+    ],
+)
+def test_malformed_entry_rejects_the_configuration_without_its_key(
+    entry: dict[str, Any], place: str
+) -> None:
+    """Guards against a partial configuration, and against logged keys."""
+    value = _config(_tenant('first', 'first'), entry, _service('s'))
+    with pytest.raises(InvalidUpdateError, match=place) as caught:
+        platform.decode_configuration(value)
+    assert _SECRET not in str(caught.value)
