Identify the tenant of a request by its key

Requests with an unknown or missing key were served, and the caller's own header for the tenant reached the backend server. The daemon that receives a request now looks its key up before it reads the body; 401 names the reason. The headers of the key and the tenant never come from the caller. The daemon beside the backend server adds the tenant's name.

--- a/gypsumhall/core/_snapshot.py
+++ b/gypsumhall/core/_snapshot.py
@@ -399,7 +399,11 @@
 
     def tenant_by_key(self, key: bytes) -> _model.Tenant | None:
         """Return the tenant that a key belongs to."""
-        return self._tenants_by_digest.get(_model.digest(key))
+        return self.tenant_by_digest(_model.digest(key))
+
+    def tenant_by_digest(self, key_digest: str) -> _model.Tenant | None:
+        """Return the tenant whose key has a digest, in hexadecimal."""
+        return self._tenants_by_digest.get(key_digest)
 
     def service(self, name: str) -> _model.Service | None:
         """Return a service by name."""
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from gypsumhall.core import _tenants
 from gypsumhall.net._messages import Outcome
 from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
@@ -25,6 +26,7 @@
 
     from gypsumhall.core._model import Route
     from gypsumhall.core._snapshot import MatchedRoute
+    from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.kernel import Kernel
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -603,7 +605,7 @@
         self, incoming: _IncomingRequest
     ) -> _calls.Request:
         scope, now = incoming.scope, incoming.received_at
-        version, matched, fields = self._match(scope)
+        version, matched, fields, identity = self._match(scope)
         route = matched.route
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
         nested = self._runner.nested_calls.is_nested(
@@ -635,7 +637,7 @@
             headers = (*headers, (name, self._service.encode()))
         elapsed_s = self._elapsed_s(matched.id, fields)
         objective_s = route.objective_s
-        priority = route.priority
+        priority = identity.priority(route)
         if objective_s and nested:
             # The request that makes a nested call occupies a slot until the
             # call ends. So a late response is still useful, and nested calls
@@ -660,6 +662,7 @@
             elapsed_s > _CALLER_RETRY_ELAPSED_S,
             'route' if timeout_s == route.timeout_s else 'caller',
             version,
+            identity.name,
         )
 
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
@@ -691,7 +694,7 @@
 
     def _match(
         self, scope: dict[str, Any]
-    ) -> tuple[int, MatchedRoute, dict[bytes, bytes]]:
+    ) -> tuple[int, MatchedRoute, dict[bytes, bytes], _tenants.Identity]:
         if scope['http_version'] not in ('1.0', '1.1'):
             raise _calls.not_run('http-version', 'only HTTP/1.1 is served')
         if scope['method'] == 'CONNECT':
@@ -717,7 +720,30 @@
             raise _calls.not_run(
                 'unknown-route', f'no route for {host!r} {scope["path"]!r}'
             )
-        return snapshot.version, matched, fields
+        identity = self._identify(snapshot, matched.route, scope)
+        return snapshot.version, matched, fields, identity
+
+    def _identify(
+        self, snapshot: Snapshot, route: Route, scope: dict[str, Any]
+    ) -> _tenants.Identity:
+        """Return who sent a request.
+
+        Raises
+        ------
+        CallRefusedError
+            If the route requires a key that the request does not have.
+        """
+        if not self._dialect.tenant_key or not snapshot.has_tenants:
+            return _tenants.NO_TENANT
+        keys = [
+            value
+            for name, value in scope['headers']
+            if name == self._dialect.tenant_key
+        ]
+        identity = _tenants.identify(snapshot, route, keys)
+        if identity.reason:
+            raise _calls.not_run(identity.reason, identity.detail)
+        return identity
 
     def _accepts(self, now: float, deadline: float, *, nested: bool) -> bool:
         """Return whether a request is accepted in a graceful shutdown."""
@@ -814,6 +840,10 @@
         if dialect.outcome:
             outcome = (dialect.outcome, error.outcome.value.encode())
             headers = [*headers, outcome]
+        if status == 401:
+            # RFC 9110, section 11.6.1, requires a challenge.
+            challenge = (b'www-authenticate', self._dialect.tenant_key)
+            headers = [*headers, challenge]
         if status == 503:
             value = b'%d' % _RETRY_AFTER_S
             if dialect.status_503_means_not_run or error.retry_after_s:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -78,6 +78,10 @@
         Process of a backend server that sent the response to a status check.
     not_executed : bytes
         Marks responses of a backend server that did not run the request.
+    tenant_key : bytes
+        Key of the tenant, which is never forwarded.
+    tenant : bytes
+        Name of the tenant, sent to backend servers only.
     status_503_means_not_run : bool
         Whether status 503 means that a request was not run, so that a
         rejection with another outcome needs another status.
@@ -96,6 +100,8 @@
     expected_instance: bytes = b''
     instance: bytes = b''
     not_executed: bytes = b''
+    tenant_key: bytes = b'gypsumhall-key'
+    tenant: bytes = b'gypsumhall-tenant'
     status_503_means_not_run: bool = False
     buffer_responses: bool = False
     literal_prefixes: bool = False
@@ -124,6 +130,11 @@
 
 _STATUS_BY_CODE = {
     'bad-request': 400,
+    'key-empty': 401,
+    'key-missing': 401,
+    'key-removed': 401,
+    'key-repeated': 401,
+    'key-unknown': 401,
     'websocket': 403,
     'unknown-route': 404,
     'body-timeout': 408,
@@ -401,6 +412,8 @@
         dialect.deadline,
         dialect.caller_service,
         dialect.expected_instance,
+        dialect.tenant_key,
+        dialect.tenant,
     )
     return _end_to_end(headers, _DROPPED_REQUEST_HEADERS.union(internal))
 
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -578,6 +578,9 @@
         header = self._dialect.expected_instance
         if header and backend.instance:
             headers = (*headers, (header, backend.instance.encode()))
+        if self._dialect.tenant and call.tenant:
+            tenant = (self._dialect.tenant, call.tenant.encode())
+            headers = (*headers, tenant)
         run_until = deadline + _calls.DEADLINE_GRACE_S
         with self._deadlines.limit(run_until) as scope:
             try:
--- a/tests/test_core_tenants.py
+++ b/tests/test_core_tenants.py
@@ -8,7 +8,9 @@
 from gypsumhall._errors import InvalidUpdateError
 from gypsumhall.core import _delta
 from gypsumhall.core import _model
+from gypsumhall.core import _tenants
 from gypsumhall.core._snapshot import Snapshot
+from gypsumhall.testing import builders
 
 _FRAGMENT = _model.Fragment('d', (_model.Service('s', ('1',), '1'),))
 
@@ -100,3 +102,66 @@
     }
     new = old.advance(_model.Head(2, refs), [other])
     assert new.tenant_by_key(b'k') is tenant
+
+
+_PUBLIC = builders.build_route('public', path='/public')
+_PUBLIC = msgspec.structs.replace(_PUBLIC, public=True)
+_ROUTE = msgspec.structs.replace(builders.build_route(), priority=3)
+
+
+@pytest.mark.parametrize(
+    ('keys', 'tenant', 'reason'),
+    [
+        ([b'k1'], 'a', ''),
+        ([b'k2'], 'a', ''),
+        ([b'l'], 'b', ''),
+        ([], '', 'key-missing'),
+        ([b''], '', 'key-empty'),
+        ([b'K1'], '', 'key-unknown'),
+        ([b'k1,l'], '', 'key-unknown'),
+        ([b'k1', b'k1'], '', 'key-repeated'),
+        ([b'k1', b'l'], '', 'key-repeated'),
+        ([b'\xff\x00'], '', 'key-unknown'),
+    ],
+)
+def test_identity_by_key(keys: list[bytes], tenant: str, reason: str) -> None:
+    """Guards against requests without a key, and against ambiguous ones."""
+    tenants = (_tenant('a', b'k1', b'k2'), _tenant('b', b'l'))
+    snapshot = _snapshot(1, _model.Fragment('d', tenants=tenants))
+    identity = _tenants.identify(snapshot, _ROUTE, keys)
+    assert (identity.name, identity.reason) == (tenant, reason)
+    public = _tenants.identify(snapshot, _PUBLIC, keys)
+    assert (public.name, public.reason) == (tenant, '')
+    without = _tenants.identify(_snapshot(1, _FRAGMENT), _ROUTE, keys)
+    assert without is _tenants.NO_TENANT
+
+
+def test_priority_of_the_tenant_takes_precedence() -> None:
+    tenants = (_tenant('a', b'k'), _tenant('b', b'l'))
+    tenants = (msgspec.structs.replace(tenants[0], priority=0), tenants[1])
+    snapshot = _snapshot(1, _model.Fragment('d', tenants=tenants))
+    ranks = [
+        _tenants.identify(snapshot, _ROUTE, [key]).priority(_ROUTE)
+        for key in (b'k', b'l')
+    ]
+    assert ranks == [0, 3]
+
+
+def test_only_a_key_of_no_tenant_is_revoked() -> None:
+    old = _snapshot(
+        1, _model.Fragment('d', tenants=(_tenant('a', b'k', b'l'),))
+    )
+    identity = _tenants.identify(old, _ROUTE, [b'k'])
+    other = _tenant('b', b'k')
+    removed = _snapshot(2, _model.Fragment('d', tenants=(_tenant('a', b'l'),)))
+    moved = _snapshot(
+        2, _model.Fragment('d', tenants=(_tenant('a', b'l'), other))
+    )
+    assert not _tenants.is_revoked(old, _ROUTE, identity)
+    assert _tenants.is_revoked(removed, _ROUTE, identity)
+    assert _tenants.is_revoked(removed, None, identity)
+    # All of these configurations allow the request.
+    assert not _tenants.is_revoked(removed, _PUBLIC, identity)
+    assert not _tenants.is_revoked(moved, _ROUTE, identity)
+    assert not _tenants.is_revoked(_snapshot(2, _FRAGMENT), _ROUTE, identity)
+    assert not _tenants.is_revoked(removed, _ROUTE, _tenants.NO_TENANT)
