Withdraw waiting requests whose key has been removed

A request that waited for its turn, an endpoint or a queue slot was sent although its key had been removed since. When a configuration is installed, the first daemon now withdraws such requests: 401 if no byte of them has been sent to a backend server. The runner decides for calls in its queue, on the new message CallWithdraw; it also refuses a call whose body is still arriving. Running calls are completed, and a key that moves to another tenant stays valid.

tests/test_services_tenants.py covers open connections, pipelined requests, bodies, queues here and at another daemon, and missing endpoints.

--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -719,6 +719,21 @@
     runner_incarnation: int
 
 
+class CallWithdraw(Message, frozen=True, tag=39):
+    """Withdraws a call whose key has been removed; gets no reply.
+
+    If no byte of it has been sent to the backend server, the call ends with
+    `CallRefused`; otherwise it continues.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt.
+    """
+
+    request_id: str
+
+
 class KeyRelease(Message, frozen=True, tag=47):
     """Requests a former key owner to release an idempotency key.
 
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import functools
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,6 +21,7 @@
 from gypsumhall.net._messages import CallQuery
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import CallWithdraw
 from gypsumhall.net._messages import Failure
 from gypsumhall.net._messages import Load
 from gypsumhall.net._messages import Message
@@ -237,6 +239,8 @@
         Source of randomness.
     execute : callable
         Runs a call on this VM.
+    withdraw : callable
+        Withdraws a call on this VM, by the id of its attempt.
     deadlines : DeadlineMonitor
         Cancels attempts that take too long.
     """
@@ -250,6 +254,7 @@
         '_peers',
         '_prefix',
         '_rng',
+        '_withdraw_here',
         '_zone',
     )
 
@@ -260,8 +265,10 @@
         events: _protocols.Events,
         rng: Random,
         execute: Execute,
+        withdraw: Callable[[str], None],
         deadlines: _deadlines.DeadlineMonitor,
     ) -> None:
+        self._withdraw_here = withdraw
         self._deadlines = deadlines
         self._peers = peers
         self._me = me.id
@@ -367,6 +374,27 @@
         PeerUnreachableError
             When nothing was sent.
         """
+        if request.withdrawal is None:
+            await self._run(member, call, request, receiver, on_silence)
+            return
+        withdraw = functools.partial(self._withdraw, member, call.request_id)
+        with request.withdrawal.notify(withdraw):
+            await self._run(member, call, request, receiver, on_silence)
+
+    def _withdraw(self, member: Member, request_id: str) -> None:
+        if member.id == self._me:
+            self._withdraw_here(request_id)
+        else:
+            self._peers.post(member.peer_address, CallWithdraw(request_id))
+
+    async def _run(
+        self,
+        member: Member,
+        call: CallStart,
+        request: _calls.Request,
+        receiver: Receiver,
+        on_silence: Callable[[], None] | None,
+    ) -> None:
         timeout_s = call.deadline_ms / 1000 + _GRACE_S
         with self._deadlines.limit(trio.current_time() + timeout_s) as scope:
             if member.id == self._me:
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -23,8 +23,10 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from gypsumhall.core._model import Route
+    from gypsumhall.core._model import Tenant
     from gypsumhall.core._snapshot import MatchedRoute
     from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.kernel import Kernel
@@ -109,7 +111,17 @@
         ASGI channels.
     """
 
-    __slots__ = ('_turn', 'receive', 'received_at', 'request', 'scope', 'send')
+    __slots__ = (
+        '_turn',
+        'identity',
+        'receive',
+        'received_at',
+        'request',
+        'scope',
+        'send',
+        'waiting_scope',
+        'withdrawal',
+    )
 
     def __init__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -118,6 +130,11 @@
         self.receive = receive
         self.send = send
         self.request: _calls.Request | None = None
+        self.identity = _tenants.NO_TENANT
+        # Set once a key has been found that may be removed.
+        self.withdrawal: _calls.Withdrawal | None = None
+        # Time until the request is given to the sender.
+        self.waiting_scope = trio.CancelScope()
         # Missing if the request was not received from a connection.
         self._turn: _Turn | None = scope.get('state', {}).get('exchange')
         self.received_at = (
@@ -168,6 +185,12 @@
             'deadline', 'the responses in front took until the deadline'
         )
 
+    def withdraw(self) -> None:
+        """End the request, unless a backend server may have received it."""
+        self.waiting_scope.cancel(reason=_calls.KEY_REMOVED)
+        if self.withdrawal is not None:
+            self.withdrawal.request()
+
     def replace_response(self) -> None:
         """Drop the response, of which nothing has been sent."""
         if self._turn is not None:
@@ -328,6 +351,9 @@
         self._cancels_at = math.inf
         # Requests in progress, to be cancelled in a graceful shutdown.
         self._request_scopes: set[trio.CancelScope] = set()
+        # Requests in progress with a key, which may be removed.
+        self._identified: set[_IncomingRequest] = set()
+        self._tenants: Mapping[str, Tenant] = {}
         self._stop = trio.Event()
         self._server_ended = trio.Event()
         self._active_requests = 0
@@ -355,6 +381,7 @@
         self._distribution = kernel.get(
             'distribution', _protocols.Distribution
         )
+        self._distribution.subscribe(self._on_configuration_change)
         metrics = kernel.get('metrics', _protocols.Metrics)
         self._requests = metrics.counter(
             'gypsumhall_caller_requests_total',
@@ -380,6 +407,20 @@
             self._bound_address = await nursery.start(self._serve, settings)
             task_status.started()
 
+    def _on_configuration_change(self) -> None:
+        """Withdraw the requests whose keys have been removed."""
+        snapshot = self._distribution.snapshot
+        if snapshot is None or snapshot.tenants is self._tenants:
+            return
+        self._tenants = snapshot.tenants
+        for incoming in tuple(self._identified):
+            scope = incoming.scope
+            host = dict(scope['headers']).get(b'host', b'').decode('latin-1')
+            matched = self._match_route(snapshot, host, scope)
+            route = matched.route if matched is not None else None
+            if _tenants.is_revoked(snapshot, route, incoming.identity):
+                incoming.withdraw()
+
     async def _serve(
         self,
         settings: _http_server.HttpSettings,
@@ -516,15 +557,19 @@
         buffered_bytes = 0
         try:
             with request_scope:
-                request = await self._read_request(incoming)
-                buffered_bytes = len(request.body)
-                incoming.request = request
-                await incoming.wait_for_turn(request)
+                with incoming.waiting_scope:
+                    request = await self._read_request(incoming)
+                    buffered_bytes = len(request.body)
+                    incoming.request = request
+                    await incoming.wait_for_turn(request)
+                if incoming.waiting_scope.cancelled_caught:
+                    raise _calls.key_removed()
                 await self._forward(request, sink, incoming.receive)
             if request_scope.cancelled_caught:
                 raise _cancelled_request_error(incoming, sink)
         finally:
             self._request_scopes.discard(request_scope)
+            self._identified.discard(incoming)
             self._buffered_bytes -= buffered_bytes
 
     async def _end_cancelled(
@@ -606,6 +651,11 @@
     ) -> _calls.Request:
         scope, now = incoming.scope, incoming.received_at
         version, matched, fields, identity = self._match(scope)
+        # The quota of the tenant is taken here, before the body is read.
+        if identity.tenant is not None:
+            incoming.identity = identity
+            incoming.withdrawal = _calls.Withdrawal()
+            self._identified.add(incoming)
         route = matched.route
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
         nested = self._runner.nested_calls.is_nested(
@@ -663,6 +713,7 @@
             'route' if timeout_s == route.timeout_s else 'caller',
             version,
             identity.name,
+            incoming.withdrawal,
         )
 
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
@@ -711,11 +762,7 @@
         if snapshot is None:
             raise _calls.not_run('not-ready', 'no configuration installed yet')
         host = fields.get(b'host', b'').decode('latin-1')
-        literal = self._dialect.literal_prefixes
-        path = (
-            scope['raw_path'].decode('latin-1') if literal else (scope['path'])
-        )
-        matched = snapshot.match(host, path, exact=literal)
+        matched = self._match_route(snapshot, host, scope)
         if matched is None:
             raise _calls.not_run(
                 'unknown-route', f'no route for {host!r} {scope["path"]!r}'
@@ -723,6 +770,15 @@
         identity = self._identify(snapshot, matched.route, scope)
         return snapshot.version, matched, fields, identity
 
+    def _match_route(
+        self, snapshot: Snapshot, host: str, scope: dict[str, Any]
+    ) -> MatchedRoute | None:
+        literal = self._dialect.literal_prefixes
+        path = (
+            scope['raw_path'].decode('latin-1') if literal else (scope['path'])
+        )
+        return snapshot.match(host, path, exact=literal)
+
     def _identify(
         self, snapshot: Snapshot, route: Route, scope: dict[str, Any]
     ) -> _tenants.Identity:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 import math
 from typing import Protocol
@@ -213,6 +214,11 @@
     return CallRefusedError(Outcome.NOT_RUN, code, detail)
 
 
+def key_removed() -> CallRefusedError:
+    """Return the rejection of a request that was withdrawn in time."""
+    return not_run(KEY_REMOVED, 'the key has been removed')
+
+
 @dataclass(slots=True, frozen=True)
 class Request:
     """A caller's request.
@@ -250,6 +256,8 @@
         Version of the configuration that the route belongs to.
     tenant : str
         Tenant that sent the request; empty for none.
+    withdrawal : Withdrawal or None
+        Withdraws the request; None if it has no key that can be removed.
     """
 
     service: str
@@ -268,6 +276,50 @@
     limit_source: str = ''
     configuration: int = 0
     tenant: str = ''
+    withdrawal: Withdrawal | None = None
+
+    @property
+    def withdrawn(self) -> bool:
+        """Whether no further attempt may be made."""
+        return self.withdrawal is not None and self.withdrawal.requested
+
+
+KEY_REMOVED = 'key-removed'
+"""Reason of the rejection of a request that has been withdrawn."""
+
+
+class Withdrawal:
+    """Withdraws a request whose key is removed while it waits.
+
+    It ends unless a part of it has been sent to a backend server.
+    """
+
+    __slots__ = ('_callbacks', '_requested')
+
+    def __init__(self) -> None:
+        self._callbacks: list[Callable[[], None]] = []
+        self._requested = False
+
+    @property
+    def requested(self) -> bool:
+        """Whether the request has been withdrawn."""
+        return self._requested
+
+    def request(self) -> None:
+        """Withdraw the request."""
+        if not self._requested:
+            self._requested = True
+            for callback in tuple(self._callbacks):
+                callback()
+
+    @contextlib.contextmanager
+    def notify(self, callback: Callable[[], None]) -> Iterator[None]:
+        """Call back if the request is withdrawn within the block."""
+        self._callbacks.append(callback)
+        try:
+            yield
+        finally:
+            self._callbacks.remove(callback)
 
 
 class ResponseSink(Protocol):
--- a/gypsumhall/services/_responses.py
+++ b/gypsumhall/services/_responses.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import trio
+
     from gypsumhall.core._ledger import RecordedResponse
     from gypsumhall.net._messages import CallStart
     from gypsumhall.net._messages import Load
@@ -43,7 +45,9 @@
         '_send',
         'failed',
         'outcome',
+        'scope',
         'started_response',
+        'withdrawn',
     )
 
     def __init__(
@@ -54,6 +58,15 @@
         self.outcome = Outcome.NOT_RUN
         self.started_response = False
         self.failed = False
+        # Ends the run; None before it begins.
+        self.scope: trio.CancelScope | None = None
+        self.withdrawn = False
+
+    def withdraw(self) -> None:
+        """End the run, unless the backend server may have received it."""
+        if self.outcome == Outcome.NOT_RUN and self.scope is not None:
+            self.withdrawn = True
+            self.scope.cancel(reason=_calls.KEY_REMOVED)
 
     def mark_sent(self) -> None:
         """Record that the backend server may run the request from now on."""
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -30,6 +30,7 @@
 from gypsumhall.net._messages import CallQuery
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import CallWithdraw
 from gypsumhall.net._messages import KeyHandover
 from gypsumhall.net._messages import KeyRelease
 from gypsumhall.net._messages import Load
@@ -78,6 +79,7 @@
 
 @dataclass(slots=True)
 class _PendingCall:
+    request_id: str
     ready: trio.Event
     admitted: bool = False
     code: str = 'draining'
@@ -146,6 +148,8 @@
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
         self._pending: dict[QueuedCall, _PendingCall] = {}
+        # Runs in progress by request id.
+        self._runs: dict[str, _responses.Run] = {}
         self._call_queued = trio.Event()
         self._ledger = Ledger()
         # Request id of each detached call -> event set when it has ended.
@@ -238,6 +242,7 @@
             metrics=metrics,
             rng=self._rng,
             execute=self.execute,
+            withdraw=self.withdraw,
             deadlines=self._deadlines,
             dialect=self._dialect,
             split_source=self._split_source,
@@ -253,6 +258,7 @@
             self._membership.subscribe(self._update_availability)
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
+        peers.on(CallWithdraw, self._handle_withdrawal)
         peers.on(KeyRelease, self._keys.handle_release)
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
@@ -430,6 +436,32 @@
             if not self._active_calls:
                 self._idle.set()
 
+    def withdraw(self, request_id: str) -> None:
+        """Reject a call, unless a part of it was sent to the backend server.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the attempt.
+        """
+        for queued_call, pending in self._pending.items():
+            if pending.request_id == request_id:
+                if self._backend is not None:
+                    self._backend.queue.remove(queued_call)
+                self._reject_calls([queued_call], _calls.KEY_REMOVED)
+                return
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.withdraw()
+        else:
+            # A call whose body is incomplete is then refused when it begins.
+            self._ledger.query(request_id, trio.current_time())
+
+    async def _handle_withdrawal(
+        self, _exchange: Exchange, message: CallWithdraw
+    ) -> None:
+        self.withdraw(message.request_id)
+
     async def _execute_new(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
@@ -583,6 +615,8 @@
             headers = (*headers, tenant)
         run_until = deadline + _calls.DEADLINE_GRACE_S
         with self._deadlines.limit(run_until) as scope:
+            run.scope = scope
+            self._runs[call.request_id] = run
             try:
                 async with backend.client.request(
                     call.method, call.path, headers, body, run.mark_sent
@@ -607,7 +641,12 @@
                 return _calls.CallRefusedError(
                     run.outcome, 'bad-response', str(error)
                 )
+            finally:
+                run.scope = None
+                del self._runs[call.request_id]
         assert scope.cancelled_caught
+        if run.withdrawn and run.outcome == Outcome.NOT_RUN:
+            return _calls.key_removed()
         run.failed = run.outcome != Outcome.NOT_RUN
         return _calls.CallRefusedError(
             run.outcome, 'deadline', 'the deadline passed'
@@ -703,7 +742,9 @@
                 f'{backend.queue.queued} calls are queued',
                 backend.queue.retry_after_s(now),
             )
-        pending = self._pending[queued_call] = _PendingCall(trio.Event())
+        pending = self._pending[queued_call] = _PendingCall(
+            call.request_id, trio.Event()
+        )
         self._call_queued.set()
         evicted = backend.queue.evict(now)
         self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -105,7 +105,9 @@
 # Rejections of a keyed request before it was sent or its key was claimed.
 _OWNER_UNAVAILABLE_CODES = frozenset(['key-owner-unreachable', 'not-owner'])
 # Rejections that every other endpoint would repeat.
-_FINAL_CODES = frozenset(['bad-request', 'request-too-large'])
+_FINAL_CODES = frozenset(
+    ['bad-request', _calls.KEY_REMOVED, 'request-too-large']
+)
 # Failures that indicate a faulty endpoint; other codes say nothing about it.
 # One that sheds requests looks idle otherwise.
 _FAULT_CODES = frozenset(
@@ -191,7 +193,9 @@
     def record_failure(
         self, member_id: str, failure: CallRefused, started: float
     ) -> None:
-        self.last_failure = failure
+        # The end of an attempt that may have run takes precedence.
+        if failure.code != _calls.KEY_REMOVED or self.last_failure is None:
+            self.last_failure = failure
         if len(self.trail) < _MAX_TRAIL_ENTRIES:
             elapsed_ms = (trio.current_time() - started) * 1000
             limit_ms = (self.request.deadline - started) * 1000
@@ -237,6 +241,8 @@
         Source of randomness.
     execute : callable
         Runs a call on this VM.
+    withdraw : callable
+        Withdraws a call on this VM, by the id of its attempt.
     deadlines : DeadlineMonitor
         Cancels attempts; its owner runs it.
     dialect : Dialect
@@ -259,6 +265,7 @@
         metrics: _protocols.Metrics,
         rng: Random,
         execute: _attempts.Execute,
+        withdraw: Callable[[str], None],
         deadlines: _deadlines.DeadlineMonitor,
         dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
         split_source: SplitSource | None = None,
@@ -279,7 +286,7 @@
         self._rng = rng
         self.execute_keyed: ExecuteKeyed | None = None
         self._attempts = _attempts.Attempts(
-            peers, membership.me, events, rng, execute, deadlines
+            peers, membership.me, events, rng, execute, withdraw, deadlines
         )
         self._me = membership.me.id
         self._load_balancer = _load_balancer.LoadBalancer(
@@ -439,6 +446,8 @@
         """
         hedged_request = progress.hedged_request
         while hedged_request.winner is None:
+            if progress.request.withdrawn:
+                return
             choice = self._choose(progress)
             if choice is None:
                 if await self._wait_for_endpoint(progress):
@@ -516,6 +525,8 @@
                 await _calls.deliver(response, sink)
                 return
         last_failure = progress.last_failure
+        if request.withdrawn and progress.outcome == Outcome.NOT_RUN:
+            raise _calls.key_removed()
         if last_failure is None:
             retry_after_s = self._load_balancer.retry_after_s(
                 request.service, trio.current_time()
@@ -978,7 +989,8 @@
     def _retry_is_possible(self, progress: _Progress) -> bool:
         limit = progress.request.attempts or _MAX_ATTEMPTS
         return (
-            progress.attempts - progress.free_retries < limit
+            not progress.request.withdrawn
+            and progress.attempts - progress.free_retries < limit
             and trio.current_time() < progress.request.deadline
         )
 
--- a/gypsumhall/testing/tenants.py
+++ b/gypsumhall/testing/tenants.py
@@ -76,6 +76,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.headers: dict[str, _calls.Headers] = {}
+        # Time in seconds until a request is sent.
+        self.connect_s = 0.0
 
     def tenant(self, request_id: str) -> bytes | None:
         """Return the name of the tenant that a request states."""
@@ -93,6 +95,8 @@
         """Run a request."""
         request_id = dict(headers)[b'x-request'].decode()
         self.headers[request_id] = headers
+        if self.connect_s:
+            await trio.sleep(self.connect_s)
         async with super().request(
             method, path, headers, body, on_send
         ) as response:
--- a/tests/test_services_sender.py
+++ b/tests/test_services_sender.py
@@ -798,6 +798,7 @@
             metrics=fakes.FakeMetrics(),
             rng=Random(1),
             execute=daemon.runner.execute,
+            withdraw=daemon.runner.withdraw,
             deadlines=DeadlineMonitor(),
             retry_limits=_sender.RetryLimits(0.0, 12.0, fleet_wide=True),
         )
--- a/tests/test_services_tenants.py
+++ b/tests/test_services_tenants.py
@@ -9,6 +9,11 @@
 import pytest
 import trio
 
+from gypsumhall.core._member import EndpointState
+from gypsumhall.net._messages import CallRefused
+from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import Outcome
+from gypsumhall.testing import builders
 from gypsumhall.testing import tenants
 from gypsumhall.testing.pipelining import connect
 from gypsumhall.testing.tenants import build_request
@@ -19,6 +24,7 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
+    from gypsumhall.core import _model
     from gypsumhall.testing.daemons import CallPathDaemon
     from gypsumhall.testing.pipelining import PipeliningCaller
 
@@ -122,14 +128,16 @@
 
     async def serve(stream: trio.SocketStream) -> None:
         received = b''
-        while data := await stream.receive_some():
-            to_backend.extend(data)
-            received += data
-            if received.endswith((b'\r\n\r\n', b'end')):
-                received = b''
-                await stream.send_all(
-                    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
-                )
+        # The daemons reset their connections when they are cancelled.
+        with contextlib.suppress(trio.BrokenResourceError):
+            while data := await stream.receive_some():
+                to_backend.extend(data)
+                received += data
+                if received.endswith((b'\r\n\r\n', b'end')):
+                    received = b''
+                    await stream.send_all(
+                        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+                    )
 
     to_peers = tenants.Tee()
     with trio.fail_after(_WAIT_S):
@@ -182,3 +190,168 @@
     for data in (to_backend, to_peers.received, received, reports.encode()):
         assert data
         assert _KEY.encode() not in data
+
+
+# Removed keys
+
+
+async def test_removed_key_is_rejected_on_an_open_connection() -> None:
+    async with _open() as (_, daemons, caller):
+        for version, tenant, status in (
+            (3, _TENANT, 200),
+            (4, build_tenant('tenant-a', 'new-key'), 401),
+            (5, build_tenant('tenant-a', 'new-key', _KEY), 200),
+        ):
+            install(daemons[0], version, tenant)
+            await caller.send(build_request('a', key=_KEY))
+            assert (await caller.read_response()).status == status
+
+
+async def test_removed_key_ends_pipelined_requests_that_wait() -> None:
+    """Guards against a run that begins after its key has been removed."""
+    async with _open() as (backend, daemons, caller):
+        await caller.send(
+            build_request('a', work_s=0.3, key=_KEY),
+            build_request('b', 'POST', body=b'x', key=_KEY),
+            build_request('c', 'POST', body=b'x', key='key-b'),
+        )
+        await _until(lambda: backend.running == 1)
+        await trio.sleep(0.05)
+        install(daemons[0], 3, _OTHER)
+        responses = [await caller.read_response() for _ in range(3)]
+        assert [item.status for item in responses] == [200, 401, 200]
+        assert b'"code": "key-removed"' in responses[1].body
+        assert backend.started == ['a', 'c']
+
+
+@pytest.mark.parametrize('remote', [False, True])
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_removed_key_ends_queued_calls(
+    remote: bool, method: str
+) -> None:
+    """Also in the queue of another daemon; running calls are completed."""
+    async with _open(remote=remote, slots=1) as (backend, daemons, caller):
+        queued = await connect(daemons[0])
+        other = await connect(daemons[0])
+        async with queued.stream, other.stream:
+            await caller.send(build_request('a', work_s=1.0, key=_KEY))
+            await _until(lambda: backend.running == 1)
+            body = b'x' * 200_000 if method == 'POST' else b''
+            await queued.send(build_request('b', method, body=body, key=_KEY))
+            await _until(lambda: daemons[-1].runner.load.queued == 1)
+            await other.send(build_request('c', key='key-b'))
+            await _until(lambda: daemons[-1].runner.load.queued == 2)
+            install(daemons[0], 3, _OTHER)
+            response = await queued.read_response(method)
+            assert response.status == 401
+            assert b'"outcome": "not-run"' in response.body
+            assert backend.running == 1
+            assert (await caller.read_response()).status == 200
+            assert (await other.read_response()).status == 200
+            assert backend.started == ['a', 'c']
+            await _until(lambda: not daemons[-1].runner.load.in_flight)
+
+
+async def test_removed_key_ends_requests_that_wait_for_an_endpoint() -> None:
+    async with _open() as (backend, daemons, caller):
+        daemons[0].set_backend(backend.address, state=EndpointState.STARTING)
+        # The member table still lists the endpoint as ready.
+        daemons[0].membership.set_endpoint(builders.build_endpoint())
+        await caller.send(build_request('a', key=_KEY))
+        await trio.sleep(0.2)
+        install(daemons[0], 3, _OTHER)
+        removed_at = trio.current_time()
+        assert (await caller.read_response()).status == 401
+        assert trio.current_time() - removed_at < 1.0
+        assert not backend.started
+
+
+async def test_removed_key_ends_requests_whose_body_is_awaited() -> None:
+    async with _open() as (backend, daemons, caller):
+        request = build_request('a', 'POST', body=bytes(100), key=_KEY)
+        await caller.send(request[:-1])
+        await _until(lambda: bool(daemons[0].caller._buffered_bytes))
+        install(daemons[0], 3, _OTHER)
+        assert (await caller.read_response('POST')).status == 401
+        assert not daemons[0].caller._buffered_bytes
+        assert not backend.started
+
+
+@pytest.mark.parametrize('remote', [False, True])
+async def test_removed_key_ends_calls_that_wait_for_a_connection(
+    remote: bool,
+) -> None:
+    async with _open(remote=remote) as (backend, daemons, caller):
+        backend.connect_s = 5.0
+        await caller.send(build_request('a', 'POST', body=b'x', key=_KEY))
+        await _until(lambda: 'a' in backend.headers)
+        install(daemons[0], 3, _OTHER)
+        assert (await caller.read_response('POST')).status == 401
+        assert not backend.started
+        await _until(lambda: not daemons[-1].runner.load.in_flight)
+
+
+@pytest.mark.parametrize(
+    ('configuration', 'path'),
+    [
+        pytest.param(
+            (_OTHER, build_tenant('tenant-c', _KEY)), '/search', id='moved'
+        ),
+        pytest.param((), '/search', id='no-tenants'),
+        pytest.param((_OTHER,), '/open', id='public'),
+    ],
+)
+async def test_allowed_request_is_not_withdrawn(
+    configuration: tuple[_model.Tenant, ...], path: str
+) -> None:
+    """Guards against 401 for what every configuration allows."""
+    async with _open(slots=1) as (backend, daemons, caller):
+        other = await connect(daemons[0])
+        async with other.stream:
+            await other.send(build_request('a', work_s=0.3, key=_KEY))
+            await _until(lambda: backend.running == 1)
+            await caller.send(build_request('b', path=path, key=_KEY))
+            await _until(lambda: daemons[0].runner.load.queued == 1)
+            install(daemons[0], 3, *configuration)
+            assert (await caller.read_response()).status == 200
+            assert backend.tenant('b') == b'tenant-a'
+
+
+async def test_withdrawn_call_is_refused_when_it_begins_later() -> None:
+    """The withdrawal may overtake the last parts of a large body."""
+    async with _open() as (backend, daemons, _):
+        runner = daemons[0].runner
+        call = CallStart(
+            'd9/1:1',
+            0,
+            'availability',
+            '',
+            'spa/search',
+            'GET',
+            '/',
+            (),
+            900,
+            True,
+        )
+        runner.withdraw(call.request_id)
+        messages: list[object] = []
+
+        async def send(message: object) -> None:
+            messages.append(message)
+
+        await runner.execute(call, b'', send)
+        (refusal,) = messages
+        assert isinstance(refusal, CallRefused)
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert not backend.started
+
+
+async def test_nothing_is_kept_of_ended_requests() -> None:
+    """Guards against state that grows with the number of requests."""
+    async with _open(remote=True) as (_, daemons, caller):
+        for key in (_KEY, 'unknown', _KEY):
+            await caller.send(build_request('a', key=key))
+            await caller.read_response()
+        # The response may arrive before its request has ended.
+        await _until(lambda: not daemons[0].caller._identified)
+        await _until(lambda: not daemons[1].runner._runs)
