Apply the limits of the configuration to requests of callers

Limits on heads, bodies, slow heads and idle connections were fixed in the code. They now come from the configuration and take effect with the next request of each connection: 431, 413, 408 and a close. Limits above those of the daemon's memory have no effect.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -12,6 +12,7 @@
 import trio
 
 from gypsumhall.core import _tenants
+from gypsumhall.core._model import RequestLimits
 from gypsumhall.net._messages import Outcome
 from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
@@ -69,6 +70,9 @@
 _MAX_TRACKED_ROUTES = 16_384
 
 
+_NO_LIMITS = RequestLimits()
+
+
 class _CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
@@ -354,12 +358,15 @@
         # Requests in progress with a key, which may be removed.
         self._identified: set[_IncomingRequest] = set()
         self._tenants: Mapping[str, Tenant] = {}
+        self._max_header_bytes = _calls.MAX_HEADER_BYTES
+        self._max_body_bytes = _calls.MAX_REQUEST_BODY_BYTES
         self._stop = trio.Event()
         self._server_ended = trio.Event()
         self._active_requests = 0
         self._idle = trio.Event()
         self._buffered_bytes = 0
         self._call_monitor = _call_monitor.CallMonitor()
+        self._http_settings: _http_server.HttpSettings
         self._distribution: _protocols.Distribution
         self._runner: _runner.RunnerService
         self._requests: _protocols.Metric
@@ -381,7 +388,6 @@
         self._distribution = kernel.get(
             'distribution', _protocols.Distribution
         )
-        self._distribution.subscribe(self._on_configuration_change)
         metrics = kernel.get('metrics', _protocols.Metrics)
         self._requests = metrics.counter(
             'gypsumhall_caller_requests_total',
@@ -396,21 +402,28 @@
         if self._dialect.outcome:
             outcome = Outcome.NOT_RUN.value.encode()
             error_headers = ((self._dialect.outcome, outcome),)
-        settings = _http_server.HttpSettings(
-            max_head_bytes=_calls.MAX_HEADER_BYTES,
+        self._http_settings = _http_server.HttpSettings(
             # Callers that read slowly have the time of the drain.
             close_timeout_s=math.inf,
             error_headers=error_headers,
         )
+        self._apply_limits(_NO_LIMITS)
+        self._on_configuration_change()
+        self._distribution.subscribe(self._on_configuration_change)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._call_monitor.run)
-            self._bound_address = await nursery.start(self._serve, settings)
+            self._bound_address = await nursery.start(
+                self._serve, self._http_settings
+            )
             task_status.started()
 
     def _on_configuration_change(self) -> None:
-        """Withdraw the requests whose keys have been removed."""
+        """Apply the limits; withdraw requests whose keys were removed."""
         snapshot = self._distribution.snapshot
-        if snapshot is None or snapshot.tenants is self._tenants:
+        if snapshot is None:
+            return
+        self._apply_limits(snapshot.limits)
+        if snapshot.tenants is self._tenants:
             return
         self._tenants = snapshot.tenants
         for incoming in tuple(self._identified):
@@ -421,6 +434,23 @@
             if _tenants.is_revoked(snapshot, route, incoming.identity):
                 incoming.withdraw()
 
+    def _apply_limits(self, limits: RequestLimits) -> None:
+        """Set the limits from the next request of each connection on."""
+        self._max_header_bytes = min(
+            limits.max_header_bytes or _calls.MAX_HEADER_BYTES,
+            _calls.MAX_CONFIGURED_HEADER_BYTES,
+        )
+        self._max_body_bytes = min(
+            limits.max_body_bytes or _calls.MAX_REQUEST_BODY_BYTES,
+            _calls.MAX_REQUEST_BODY_BYTES,
+        )
+        settings = self._http_settings
+        settings.max_head_bytes = self._max_header_bytes
+        settings.head_timeout_s = limits.header_timeout_s or math.inf
+        settings.idle_timeout_s = (
+            limits.idle_timeout_s or _http_server.DEFAULT_IDLE_TIMEOUT_S
+        )
+
     async def _serve(
         self,
         settings: _http_server.HttpSettings,
@@ -753,10 +783,12 @@
         fields = dict(scope['headers'])
         if fields.get(b'upgrade', b'').lower() == b'websocket':
             raise _calls.not_run('websocket', 'WebSocket is not supported')
-        if _calls.header_bytes(scope['headers']) > _calls.MAX_HEADER_BYTES:
+        head_bytes = _calls.header_bytes(scope['headers'])
+        head_bytes += len(scope['raw_path']) + len(scope['query_string'])
+        if head_bytes > self._max_header_bytes:
             raise _calls.not_run(
                 'headers-too-large',
-                f'headers exceed {_calls.MAX_HEADER_BYTES} bytes',
+                f'the head exceeds {self._max_header_bytes} bytes',
             )
         snapshot = self._distribution.snapshot
         if snapshot is None:
@@ -814,8 +846,9 @@
         self, fields: dict[bytes, bytes], receive: Receive, deadline: float
     ) -> bytes:
         content_length = fields.get(b'content-length', b'0')
-        if int(content_length) > _calls.MAX_REQUEST_BODY_BYTES:
-            raise _too_large_error()
+        limit = self._max_body_bytes
+        if int(content_length) > limit:
+            raise _too_large_error(limit)
         body = bytearray()
         complete = False
         deadline = min(deadline, trio.current_time() + _BODY_TIMEOUT_S)
@@ -827,8 +860,8 @@
                         raise _CallerDisconnectedError
                     body += message['body']
                     self._buffered_bytes += len(message['body'])
-                    if len(body) > _calls.MAX_REQUEST_BODY_BYTES:
-                        raise _too_large_error()
+                    if len(body) > limit:
+                        raise _too_large_error(limit)
                     if (
                         self._buffered_bytes
                         > _calls.MAX_BUFFERED_REQUEST_BYTES
@@ -1014,8 +1047,8 @@
     return b'%.3f' % ((error.retry_after_s or _FAST_RETRY_AFTER_S) * factor)
 
 
-def _too_large_error() -> _calls.CallRefusedError:
+def _too_large_error(limit: int) -> _calls.CallRefusedError:
     return _calls.not_run(
         'request-too-large',
-        f'request bodies may have {_calls.MAX_REQUEST_BODY_BYTES} bytes',
+        f'request bodies may have {limit} bytes',
     )
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -27,6 +27,9 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 MAX_HEADER_BYTES = 32 * 1024
+# Limit of a configured `RequestLimits.max_header_bytes`. The head and a body
+# of `CHUNK_BYTES` have to fit into one frame between daemons.
+MAX_CONFIGURED_HEADER_BYTES = 64 * 1024
 MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -35,6 +35,9 @@
 
     Application = Callable[..., Awaitable[None]]
 
+DEFAULT_IDLE_TIMEOUT_S = 60.0
+"""Default of `HttpSettings.idle_timeout_s`."""
+
 _RECEIVE_BYTES = 64 * 1024
 # A connection whose caller reads nothing for this long, in seconds, is closed.
 _SEND_TIMEOUT_S = 30.0
@@ -73,12 +76,17 @@
 class HttpSettings:
     """Settings of a server.
 
+    Changes take effect with the next request of each connection.
+
     Parameters
     ----------
     max_head_bytes : int
         Longest head of a request, in bytes.
     idle_timeout_s : float
         Time in seconds after which a connection without a request is closed.
+    head_timeout_s : float
+        Time in seconds from the first byte of a head to its end, after which
+        it is rejected.
     close_timeout_s : float
         Time in seconds for closing the connections when the server stops.
     read_ahead : int
@@ -93,6 +101,7 @@
         'backlog',
         'close_timeout_s',
         'error_headers',
+        'head_timeout_s',
         'idle_timeout_s',
         'max_head_bytes',
         'read_ahead',
@@ -102,7 +111,8 @@
         self,
         *,
         max_head_bytes: int = 64 * 1024,
-        idle_timeout_s: float = 60.0,
+        idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
+        head_timeout_s: float = math.inf,
         close_timeout_s: float = 3.0,
         read_ahead: int = 8,
         error_headers: tuple[tuple[bytes, bytes], ...] = (),
@@ -110,6 +120,7 @@
     ) -> None:
         self.max_head_bytes = max_head_bytes
         self.idle_timeout_s = idle_timeout_s
+        self.head_timeout_s = head_timeout_s
         self.close_timeout_s = close_timeout_s
         self.read_ahead = read_ahead
         self.error_headers = error_headers
@@ -450,6 +461,8 @@
         self._finished = False
         self._stopping = stopping
         self._read_scope = trio.CancelScope()
+        # Whether a part of a head has been received.
+        self._head_started = False
         self._limit_idle_time()
         if stopping:
             # The caller may not have sent its request yet.
@@ -548,17 +561,37 @@
         if self._current is exchange and not self._finished:
             self._current = None
             if not self.pipeline.closing:
-                parser.start_next_cycle()
+                self._begin_next_cycle(parser)
         self._notify_exchanges()
         if self._finished:
             return
         # Also in a stop: unless the response announced that the connection
         # closes, the requests behind it are answered.
         self._parse()
-        if self.pipeline.empty:
+        if self.pipeline.empty and (self._stopping or not self._head_started):
             self._limit_idle_time()
+        self._limit_head_time()
         self._room.set()
 
+    def _begin_next_cycle(self, parser: h11.Connection) -> None:
+        parser.start_next_cycle()
+        if self._max_head_bytes != self._settings.max_head_bytes:
+            received = parser.trailing_data[0]
+            self._parser = self._new_parser()
+            if received:
+                self._parser.receive_data(received)
+
+    def _limit_head_time(self) -> None:
+        """Set the time at which a head that has begun is rejected."""
+        started = self._current is None and bool(self._parser.trailing_data[0])
+        timeout_s = self._settings.head_timeout_s
+        if self._stopping or math.isinf(timeout_s):
+            started = False
+        elif started and not self._head_started:
+            self._idle_deadline = trio.current_time() + timeout_s
+            self._read_scope.deadline = self._idle_deadline
+        self._head_started = started
+
     def _limit_idle_time(self) -> None:
         """Set the time at which the connection closes without a request.
 
@@ -607,13 +640,30 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             if self._read_scope.cancelled_caught:
-                return
+                if not self._rejects_slow_head():
+                    return
+                continue
             if not data:
                 self._disconnect()
                 return
             if not self._parsing_ended:
                 self._parser.receive_data(data)
                 self._parse()
+                self._limit_head_time()
+
+    def _rejects_slow_head(self) -> bool:
+        """Reject a head that has not ended in time; False if there is none."""
+        if (
+            not self._head_started
+            or self._stopping
+            or self._finished
+            or self._parsing_ended
+        ):
+            return False
+        self._parsing_ended = True
+        self._head_started = False
+        self._reject_input(408)
+        return True
 
     def _is_full(self) -> bool:
         """Return whether nothing more is read for now."""
@@ -688,8 +738,9 @@
         exchange.fail(status)
 
     def _new_parser(self) -> h11.Connection:
+        self._max_head_bytes = self._settings.max_head_bytes
         return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._settings.max_head_bytes
+            h11.SERVER, max_incomplete_event_size=self._max_head_bytes
         )
 
     async def _close_gracefully(self) -> None:
--- a/tests/test_services_tenants.py
+++ b/tests/test_services_tenants.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from gypsumhall.core import _model
 from gypsumhall.core._member import EndpointState
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import CallStart
@@ -24,7 +25,6 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
-    from gypsumhall.core import _model
     from gypsumhall.testing.daemons import CallPathDaemon
     from gypsumhall.testing.pipelining import PipeliningCaller
 
@@ -355,3 +355,120 @@
         # The response may arrive before its request has ended.
         await _until(lambda: not daemons[0].caller._identified)
         await _until(lambda: not daemons[1].runner._runs)
+
+
+# Limits
+
+
+def _limits(**values: float) -> _model.RequestLimits:
+    return _model.RequestLimits(**values)  # type: ignore[arg-type]
+
+
+async def test_head_above_the_limit_is_rejected() -> None:
+    """A limit applies to open connections, also if it has been raised."""
+    async with _open() as (_, daemons, caller):
+        padding = ('X-Padding: ' + 'x' * 40_000,)
+        small = ('X-Padding: ' + 'x' * 2_000,)
+        for version, limit, fields, status in (
+            (3, 1_000, (), 200),
+            (4, 50_000, padding, 200),
+            (5, 0, small, 200),
+            (6, 1_000, small, 431),
+        ):
+            install(
+                daemons[0], version, limits=_limits(max_header_bytes=limit)
+            )
+            request = build_request('a', fields=fields)
+            await caller.send(request[:35_000])
+            await trio.sleep(0.05)
+            if request[35_000:]:
+                await caller.send(request[35_000:])
+            assert (await caller.read_response()).status == status
+
+
+async def test_unfinished_head_above_the_limit_is_rejected() -> None:
+    async with _open() as (_, daemons, caller):
+        install(daemons[0], 3, limits=_limits(max_header_bytes=1_000))
+        await caller.send(build_request('a'))
+        assert (await caller.read_response()).status == 200
+        await caller.send(b'GET / HTTP/1.1\r\nX-Padding: ' + b'x' * 2_000)
+        assert (await caller.read_response()).status == 431
+
+
+async def test_body_above_the_limit_is_rejected() -> None:
+    async with _open() as (backend, daemons, caller):
+        for version, limit, size, status in (
+            (3, 1_000, 1_000, 200),
+            (4, 1_000, 1_001, 413),
+        ):
+            install(daemons[0], version, limits=_limits(max_body_bytes=limit))
+            body = b'x' * size
+            await caller.send(build_request('a', 'POST', body=body))
+            assert (await caller.read_response('POST')).status == status
+        assert backend.started == ['a']
+        assert not daemons[0].caller._buffered_bytes
+
+
+async def test_limit_of_the_configuration_does_not_raise_that_of_memory() -> (
+    None
+):
+    """Guards against bodies that fill the memory of a small VM."""
+    async with _open() as (_, daemons, caller):
+        install(daemons[0], 3, limits=_limits(max_body_bytes=64 * 1024 * 1024))
+        request = build_request('a', 'POST', body=b'x')
+        request = request.replace(
+            b'Content-Length: 1', b'Content-Length: 9000000'
+        )
+        await caller.send(request)
+        assert (await caller.read_response('POST')).status == 413
+
+
+async def test_slow_head_is_rejected() -> None:
+    """Guards against connections that are held by parts of a head."""
+    async with _open() as (_, daemons, caller):
+        limits = _limits(header_timeout_s=0.3, idle_timeout_s=5.0)
+        install(daemons[0], 3, limits=limits)
+        await caller.send(build_request('a'))
+        assert (await caller.read_response()).status == 200
+        started = trio.current_time()
+        request = build_request('b')
+        for index in range(0, 4):
+            await caller.send(request[index : index + 1])
+            await trio.sleep(0.05)
+        response = await caller.read_response()
+        assert response.status == 408
+        assert response.closes
+        assert 0.25 < trio.current_time() - started < 1.0
+        assert await caller.read_response() is None
+
+
+async def test_slow_head_behind_a_request_is_rejected_in_its_turn() -> None:
+    async with _open() as (_, daemons, caller):
+        install(daemons[0], 3, limits=_limits(header_timeout_s=0.2))
+        await caller.send(build_request('a', work_s=0.5), b'GET / HT')
+        assert (await caller.read_response()).body == b'a'
+        assert (await caller.read_response()).status == 408
+
+
+async def test_slow_body_is_not_a_slow_head() -> None:
+    async with _open() as (_, daemons, caller):
+        install(daemons[0], 3, limits=_limits(header_timeout_s=0.1))
+        request = build_request('a', 'POST', body=b'xy')
+        await caller.send(request[:-1])
+        await trio.sleep(0.3)
+        await caller.send(request[-1:])
+        assert (await caller.read_response('POST')).status == 200
+
+
+async def test_idle_connection_is_closed() -> None:
+    async with _open() as (_, daemons, caller):
+        install(daemons[0], 3, limits=_limits(idle_timeout_s=0.5))
+        await caller.send(build_request('a', work_s=0.8))
+        assert (await caller.read_response()).status == 200
+        answered_at = trio.current_time()
+        await trio.sleep(0.4)
+        # Callers reuse connections for four fifths of the time.
+        await caller.send(build_request('b'))
+        assert (await caller.read_response()).status == 200
+        assert await caller.read_response() is None
+        assert 0.85 < trio.current_time() - answered_at < 2.0
