Reject requests that need a key on a daemon that is cut off, if set

A daemon that is cut off from the store and from all other daemons does not learn of removed keys. It still serves by default; with strictRevoke it rejects requests that need a key with 503, not run, after revokeMs. Only then a service observes heartbeats and reads one key of the store while there are none. Empty variables of numbers and Booleans now select the default, as the platform renders fields that it lacks as empty.

--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -77,6 +77,8 @@
     switch: bool
     repeated: bool
     secret: bool
+    # Whether an empty environment variable selects the default.
+    empty_selects_default: bool
 
 
 class Settings:
@@ -184,7 +186,14 @@
                 )
             return int(value)
 
-        return self._define(name, default, help_text, convert, str(default))
+        return self._define(
+            name,
+            default,
+            help_text,
+            convert,
+            str(default),
+            empty_selects_default=True,
+        )
 
     def number(
         self,
@@ -207,7 +216,14 @@
                 raise ValueError(problem)
             return result
 
-        return self._define(name, default, help_text, convert, f'{default:g}')
+        return self._define(
+            name,
+            default,
+            help_text,
+            convert,
+            f'{default:g}',
+            empty_selects_default=True,
+        )
 
     def duration(
         self,
@@ -253,6 +269,7 @@
             convert,
             str(default).lower(),
             switch=True,
+            empty_selects_default=True,
         )
 
     def address(
@@ -381,6 +398,7 @@
         switch: bool = False,
         repeated: bool = False,
         secret: bool = False,
+        empty_selects_default: bool = False,
     ) -> Setting[T]:
         setting = Setting(name, default)
         self._definitions[name] = _Definition(
@@ -392,6 +410,7 @@
             switch,
             repeated,
             secret,
+            empty_selects_default,
         )
         values = self._flags
         if switch:
@@ -454,6 +473,8 @@
                 variable = PREFIX + name.upper()
                 raw_value = environment.get(variable)
                 location = SourceLocation(variable)
+                if not raw_value and item.empty_selects_default:
+                    raw_value = None
             if raw_value is None:
                 if item.required:
                     findings.append(
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -23,6 +23,7 @@
 from gypsumhall.services._events import EventLog
 from gypsumhall.services._events import LINES_PER_S
 from gypsumhall.services._feed import Feed
+from gypsumhall.services._isolation import IsolationService
 from gypsumhall.services._lifecycle import Lifecycle
 from gypsumhall.services._membership import MembershipService
 from gypsumhall.services._membership import MembershipSettings
@@ -149,6 +150,19 @@
         self.retry_window = settings.duration(
             'retry_window', 10.0, 'Length of the window of retry_slack.'
         )
+        self.revoke_ms = settings.integer(
+            'revoke_ms',
+            5000,
+            'Time in milliseconds without a response of the store or another '
+            'daemon after which strict_revoke takes effect.',
+            lowest=500,
+            highest=600_000,
+        )
+        self.strict_revoke = settings.boolean(
+            'strict_revoke',
+            False,
+            'Reject requests that need a key while this daemon is cut off.',
+        )
         self.grace = settings.duration(
             'grace', 6.0, 'Time between SIGTERM and SIGKILL.'
         )
@@ -206,6 +220,9 @@
         HttpStatusCheck(platform.DIALECT),
     )
     check_ins.register_routes(admin)
+    isolation = IsolationService(
+        settings.revoke_ms.value / 1000, platform.CONFIGURATION_KEY
+    )
     services: list[Service] = [
         EventLog(daemon, zone, lines_per_s=LINES_PER_S),
         Lifecycle(),
@@ -233,9 +250,12 @@
             settings.service.value,
             drain_delay_s,
             _CANCEL_SHARE * settings.grace.value,
+            isolation if settings.strict_revoke.value else None,
         ),
         Readiness(),
     ]
+    if settings.strict_revoke.value:
+        services.append(isolation)
     kernel = Kernel()
     for service in services:
         kernel.register(service)
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -77,6 +77,15 @@
     """The caller closed its connection."""
 
 
+class Connectivity(Protocol):
+    """Contact of a daemon with the store and other daemons."""
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the installed configuration may be too old."""
+        ...
+
+
 class _Turn(Protocol):
     """Place of a request among those of its connection."""
 
@@ -324,6 +333,9 @@
         is not later. So are new requests that may not run longer, by their
         deadline and `DEADLINE_GRACE_S`; those whose callers cannot know of
         the shutdown yet are accepted with any deadline.
+    connectivity : Connectivity, optional
+        Whether this daemon is cut off. If so, requests that need a key are
+        rejected as not run, because the key may have been removed.
     """
 
     name = 'caller'
@@ -336,8 +348,10 @@
         service: str = '',
         drain_delay_s: float = 0.0,
         cancel_after_s: float = math.inf,
+        connectivity: Connectivity | None = None,
     ) -> None:
         self._address = address
+        self._connectivity = connectivity
         self._dialect = dialect
         self._service = service
         self._drain_delay_s = drain_delay_s
@@ -829,6 +843,15 @@
             if name == self._dialect.tenant_key
         ]
         identity = _tenants.identify(snapshot, route, keys)
+        connectivity = self._connectivity
+        if (
+            connectivity is not None
+            and connectivity.cut_off
+            and not route.public
+        ):
+            raise _calls.not_run(
+                'cut-off', 'the keys of this daemon may be out of date'
+            )
         if identity.reason:
             raise _calls.not_run(identity.reason, identity.detail)
         return identity
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gypsumhall._errors import SettingsError
 from gypsumhall.cli import fleet
 from gypsumhall.cli._settings import run_binary
 
@@ -28,6 +29,8 @@
     'bounds.retryBudgetRatio': '0.2',
     'bounds.budgetSlack': '64',
     'bounds.budgetWindowS': '10',
+    'bounds.revokeMs': '4000',
+    'bounds.strictRevoke': 'true',
 }
 
 
@@ -48,6 +51,8 @@
     kernel = fleet.build_kernel(settings)
     assert 'caller' in kernel.names and 'check-ins' in kernel.names
     assert settings.retry_window.value == 10.0
+    assert settings.revoke_ms.value == 4000
+    assert 'isolation' in kernel.names
     assert settings.peer_port.value == 7600
 
 
@@ -84,3 +89,34 @@
     flag = name.removeprefix('GYPSUMHALL_').lower()
     message = capsys.readouterr().err
     assert flag in message.lower()
+
+
+def test_empty_values_select_the_defaults() -> None:
+    """The platform renders fields that it does not have as empty."""
+    environment = _environment()
+    environment['GYPSUMHALL_REVOKE_MS'] = ''
+    environment['GYPSUMHALL_STRICT_REVOKE'] = ''
+    settings = fleet.FleetSettings()
+    settings.settings.parse([], environment)
+    assert settings.revoke_ms.value == 5000
+    assert not settings.strict_revoke.value
+    assert 'isolation' not in fleet.build_kernel(settings).names
+
+
+@pytest.mark.parametrize(
+    ('name', 'value', 'expected'),
+    [
+        ('GYPSUMHALL_REVOKE_MS', '10', '500 to 600000'),
+        ('GYPSUMHALL_REVOKE_MS', '5s', '500 to 600000'),
+        ('GYPSUMHALL_STRICT_REVOKE', 'perhaps', 'true, false'),
+    ],
+)
+def test_setting_out_of_range_names_itself_and_the_range(
+    name: str, value: str, expected: str
+) -> None:
+    with pytest.raises(SettingsError) as caught:
+        fleet.FleetSettings().settings.parse(
+            [], {**_environment(), name: value}
+        )
+    for part in (name, value, expected):
+        assert part in str(caught.value)
--- a/tests/test_services_tenants.py
+++ b/tests/test_services_tenants.py
@@ -11,11 +11,16 @@
 
 from gypsumhall.core import _model
 from gypsumhall.core._member import EndpointState
+from gypsumhall.kernel import Kernel
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import CallStart
 from gypsumhall.net._messages import Outcome
+from gypsumhall.services._isolation import IsolationService
 from gypsumhall.testing import builders
 from gypsumhall.testing import tenants
+from gypsumhall.testing.fakes import FakeEvents
+from gypsumhall.testing.fakes import FakeService
+from gypsumhall.testing.memory_store import MemoryStore
 from gypsumhall.testing.pipelining import connect
 from gypsumhall.testing.tenants import build_request
 from gypsumhall.testing.tenants import build_tenant
@@ -25,6 +30,8 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
+    from trio.testing import MockClock
+
     from gypsumhall.testing.daemons import CallPathDaemon
     from gypsumhall.testing.pipelining import PipeliningCaller
 
@@ -472,3 +479,76 @@
         assert (await caller.read_response()).status == 200
         assert await caller.read_response() is None
         assert 0.85 < trio.current_time() - answered_at < 2.0
+
+
+# Cut off from the store and from all other daemons
+
+
+class _Store(MemoryStore):
+    """A `StoreService`; elections are not used here."""
+
+    elections = None
+
+
+class _Heartbeats(FakeService):
+    name = 'membership'
+
+    def __init__(self) -> None:
+        self.heard: Callable[[str, object], None]
+
+    def on_peer_digest(self, callback: Callable[[str, object], None]) -> None:
+        self.heard = callback
+
+
+async def test_daemon_is_cut_off_only_without_store_and_other_daemons(
+    autojump_clock: MockClock,
+) -> None:
+    """Guards against 503 of a daemon that still gets configurations."""
+    store, membership, events = _Store(), _Heartbeats(), FakeEvents()
+    isolation = IsolationService(5.0, 'op/config')
+    kernel = Kernel()
+    for service in (events, store, membership, isolation):
+        kernel.register(service)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        await trio.sleep(20.0)
+        assert not isolation.cut_off
+        store.outage = True
+        for _ in range(20):
+            await trio.sleep(1.0)
+            membership.heard('', None)
+        assert not isolation.cut_off
+        await trio.sleep(4.9)
+        assert not isolation.cut_off
+        await trio.sleep(0.2)
+        assert isolation.cut_off
+        await trio.sleep(2.0)
+        store.outage = False
+        await trio.sleep(2.1)
+        assert not isolation.cut_off
+        nursery.cancel_scope.cancel()
+    codes = [code for code in events.codes if code.startswith('daemon-')]
+    assert codes == ['daemon-cut-off', 'daemon-reconnected']
+
+
+class _Connectivity:
+    cut_off = True
+
+
+async def test_daemon_that_is_cut_off_rejects_requests_that_need_a_key() -> (
+    None
+):
+    async with _open() as (_, daemons, caller):
+        connectivity = _Connectivity()
+        daemons[0].caller._connectivity = connectivity
+        for cut_off, path, status in (
+            (True, '/search', 503),
+            (True, '/open', 200),
+            (False, '/search', 200),
+        ):
+            connectivity.cut_off = cut_off
+            await caller.send(build_request('a', path=path, key=_KEY))
+            response = await caller.read_response()
+            assert response.status == status
+            if status == 503:
+                assert b'"outcome": "not-run"' in response.body
