Accept tenants, keys, quotas and public routes in the departments' text

Only the operator's records in the store could name tenants. Texts now have a section for them and `public` for routes. Keys become digests when the text is read; findings name the tenant and the position, never a key. Names and keys are unique over all departments.

15 invalid texts have the expected finding without the key in tests/test_core_text.py.

--- a/gypsumhall/core/_accept.py
+++ b/gypsumhall/core/_accept.py
@@ -416,6 +416,7 @@
         self._check_references()
         self._check_cycles()
         self._check_routes()
+        self._check_tenants()
         for service in self._fragment.services:
             self._check_current(service)
         self._check_moves()
@@ -424,6 +425,38 @@
         location = self._parsed.location(*path)
         self._findings.append(Finding(code, message, location))
 
+    def _check_tenants(self) -> None:
+        owners: dict[str, str] = {}
+        for department, fragment in self._other_fragments.items():
+            for tenant in fragment.tenants:
+                owners[tenant.name] = department
+        names_by_key = {
+            key_digest: tenant.name
+            for fragment in self._other_fragments.values()
+            for tenant in fragment.tenants
+            for key_digest in tenant.key_digests
+        }
+        for tenant in self._fragment.tenants:
+            if tenant.name in owners:
+                self._add(
+                    'name-taken',
+                    f'tenant {tenant.name} belongs to department '
+                    f'{owners[tenant.name]}',
+                    'tenants',
+                    tenant.name,
+                )
+            for key_digest in tenant.key_digests:
+                other = names_by_key.setdefault(key_digest, tenant.name)
+                if other != tenant.name:
+                    self._add(
+                        'key-taken',
+                        f'tenants {other} and {tenant.name} have the same key',
+                        'tenants',
+                        tenant.name,
+                        'keys',
+                        key_digest,
+                    )
+
     def _check_names(self) -> None:
         for name in self._services:
             if name in self._owners:
--- a/gypsumhall/core/_text.py
+++ b/gypsumhall/core/_text.py
@@ -50,6 +50,8 @@
 MAX_WITHIN_S = 30 * 86400.0
 MAX_TIMEOUT_S = 3600.0
 MAX_SOAK_S = 86400.0
+MAX_PRIORITY = 1000
+MAX_RATE = 1e9
 METHODS = (
     'GET',
     'HEAD',
@@ -71,8 +73,11 @@
     r'\d{4}-\d{2}-\d{2}[T ]\d{2}:\d{2}:\d{2}(\.\d{1,6})?'
     r'(Z|[+-]\d{2}:\d{2})'
 )
+_KEY = re.compile(r'[!-~]{8,256}')
+_INTEGER = re.compile(r'[0-9]{1,9}')
+_DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,9})?')
 _NULL_SCALARS = ('', '~', 'null')
-_Named = TypeVar('_Named', _model.Service, _model.Route)
+_Named = TypeVar('_Named', _model.Service, _model.Route, _model.Tenant)
 
 
 def quote_value(value: str) -> str:
@@ -288,7 +293,7 @@
         self.findings.append(Finding(code, message, location))
 
     def read(self, root: _Node) -> _model.Fragment | None:
-        keys = ('department', 'services', 'routes', 'moves')
+        keys = ('department', 'services', 'routes', 'moves', 'tenants')
         sections = self._read_keys(root, (), keys, ('department',))
         if sections is None:
             return None
@@ -305,6 +310,10 @@
             self._move(department or '', name, node)
             for name, node in self._section(sections, 'moves')
         ]
+        tenants = [
+            self._tenant(name, node)
+            for name, node in self._section(sections, 'tenants')
+        ]
         if department is None:
             return None
         return _model.Fragment(
@@ -317,6 +326,7 @@
                     key=lambda item: item.id,
                 )
             ),
+            _sorted_by_name(tenants),
         )
 
     # Structure
@@ -521,6 +531,40 @@
             return default
         return value
 
+    def _number(
+        self,
+        node: _Node | None,
+        path: tuple[str, ...],
+        pattern: re.Pattern[str],
+        highest: float,
+    ) -> float | None:
+        text = self._string(node, path)
+        if text is None or node is None:
+            return None
+        if pattern.fullmatch(text) and float(text) <= highest:
+            return float(text)
+        kind = 'an integer' if pattern is _INTEGER else 'a number'
+        self.add(
+            'bad-number',
+            f'{path[-1]} {quote_value(text)} is not {kind} from 0 to '
+            f'{highest:g}',
+            node.location,
+        )
+        return None
+
+    def _boolean(self, node: _Node | None, path: tuple[str, ...]) -> bool:
+        text = self._string(node, path)
+        if text is None or node is None:
+            return False
+        if text not in ('true', 'false'):
+            self.add(
+                'bad-boolean',
+                f'{path[-1]} must be true or false, but is '
+                f'{quote_value(text)}',
+                node.location,
+            )
+        return text == 'true'
+
     def _timestamp(
         self, node: _Node | None, path: tuple[str, ...]
     ) -> float | None:
@@ -632,7 +676,7 @@
     def _route(self, name: str, node: _Node) -> _model.Route | None:
         path = ('routes', name)
         required = ('host', 'path', 'service')
-        allowed_keys = (*required, 'timeout', 'idempotent_methods')
+        allowed_keys = (*required, 'timeout', 'idempotent_methods', 'public')
         keys = self._read_keys(node, path, allowed_keys, required) or {}
         host = self._host(keys.get('host'), (*path, 'host'))
         prefix = self._path(keys.get('path'), (*path, 'path'))
@@ -647,9 +691,66 @@
                 keys['idempotent_methods'], key_path, self._method
             )
             methods = tuple(sorted(listed_methods))
+        public = self._boolean(keys.get('public'), (*path, 'public'))
         if host is None or prefix is None or service is None:
             return None
-        return _model.Route(name, host, prefix, service, timeout_s, methods)
+        return _model.Route(
+            name, host, prefix, service, timeout_s, methods, public=public
+        )
+
+    def _tenant(self, name: str, node: _Node) -> _model.Tenant:
+        path = ('tenants', name)
+        allowed_keys = ('keys', 'priority', 'rate_per_s', 'burst')
+        keys = self._read_keys(node, path, allowed_keys, ('keys',)) or {}
+        digests = self._key_digests(name, keys.get('keys'))
+        priority = self._number(
+            keys.get('priority'), (*path, 'priority'), _INTEGER, MAX_PRIORITY
+        )
+        rate_per_s = self._number(
+            keys.get('rate_per_s'), (*path, 'rate_per_s'), _DECIMAL, MAX_RATE
+        )
+        burst = self._number(
+            keys.get('burst'), (*path, 'burst'), _DECIMAL, MAX_RATE
+        )
+        return _model.Tenant(
+            name,
+            digests,
+            None if priority is None else int(priority),
+            rate_per_s or 0.0,
+            burst or 0.0,
+        )
+
+    def _key_digests(self, name: str, node: _Node | None) -> tuple[str, ...]:
+        """Return the digests of the keys, which no finding contains."""
+        if node is None:
+            return ()
+        if node.kind != 'list' or not node.items:
+            self.add(
+                'no-keys',
+                f'keys of tenant {name} must be a list of at least one key',
+                node.location,
+            )
+            return ()
+        digests: set[str] = set()
+        for item in node.items:
+            if item.kind != 'scalar' or not _KEY.fullmatch(item.text):
+                self.add(
+                    'bad-key',
+                    f'a key of tenant {name} is not valid; allowed are 8 to '
+                    '256 visible characters of ASCII',
+                    item.location,
+                )
+                continue
+            digest = _model.digest(item.text.encode())
+            if digest in digests:
+                self.add(
+                    'duplicate-item',
+                    f'a key of tenant {name} is listed more than once',
+                    item.location,
+                )
+            digests.add(digest)
+            self.locations['tenants', name, 'keys', digest] = item.location
+        return tuple(sorted(digests))
 
     def _move(
         self, department: str, name: str, node: _Node
--- a/tests/test_core_accept.py
+++ b/tests/test_core_accept.py
@@ -327,3 +327,32 @@
     assert config.codes(_OWN + _MOVE) == ['1 too-large']
     monkeypatch.setattr(_accept, 'MAX_FRAGMENT_BYTES', 10)
     assert config.codes(_OWN) == ['1 too-large']
+
+
+_TENANTS = 'department: t\ntenants:\n  one:\n    keys: [key-number-1]\n'
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (_OWN + 'tenants:\n  two:\n    keys: [key-number-2]\n', []),
+        (
+            _OWN + 'tenants:\n  one:\n    keys: [key-number-2]\n',
+            ['8 name-taken'],
+        ),
+        (
+            _OWN + 'tenants:\n  two:\n    keys: [key-number-1]\n',
+            ['9 key-taken'],
+        ),
+        (
+            _TENANTS + '  two:\n    keys: [key-number-3, key-number-1]\n',
+            ['6 key-taken'],
+        ),
+        (_TENANTS.replace('number-1', 'number-2'), []),
+    ],
+)
+def test_tenants_and_keys_are_unique_over_all_departments(
+    text: str, expected: list[str]
+) -> None:
+    """Guards against a key that stands for two tenants."""
+    assert _Config(_TENANTS).codes(text) == expected
--- a/tests/test_core_text.py
+++ b/tests/test_core_text.py
@@ -200,3 +200,64 @@
     assert parsed.has_fragment or parsed.findings
     for item in parsed.findings:
         assert 1 <= item.location.line <= text.count('\n') + 2
+
+
+_TENANTS = """\
+department: a
+routes:
+  r: {host: h.x, path: /, service: s, public: true}
+tenants:
+  small: {keys: [key-of-small]}
+  large:
+    keys: [first-key-of-large, second-key-of-large]
+    priority: 2
+    rate_per_s: 12.5
+    burst: 40
+"""
+
+
+def test_tenants_are_read_with_digests_in_place_of_keys() -> None:
+    fragment = _text.parse_text(_TENANTS, 't.yaml', 0.0).fragment
+    large, small = fragment.tenants
+    digests = sorted(
+        _model.digest(key)
+        for key in (b'first-key-of-large', b'second-key-of-large')
+    )
+    assert large == _model.Tenant('large', tuple(digests), 2, 12.5, 40.0)
+    assert small.priority is None
+    assert fragment.routes[0].public
+    assert b'key-of' not in _model.encode(fragment)
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'position', 'code'),
+    [
+        ('[key-of-small]', '[]', '5:17', 'no-keys'),
+        ('[key-of-small]', 'key-of-small', '5:17', 'no-keys'),
+        ('keys: [key-of-small]', 'burst: 1', '5:10', 'missing-key'),
+        ('[key-of-small]', '[short]', '5:18', 'bad-key'),
+        ('[key-of-small]', '["key-of small"]', '5:18', 'bad-key'),
+        ('[key-of-small]', '[[key-of-small]]', '5:18', 'bad-key'),
+        ('second-key', 'first-key', '7:32', 'duplicate-item'),
+        ('priority: 2', 'priority: -2', '8:15', 'bad-number'),
+        ('priority: 2', 'priority: 2.5', '8:15', 'bad-number'),
+        ('12.5', 'many', '9:17', 'bad-number'),
+        ('40', '1e99', '10:12', 'bad-number'),
+        ('40', '[40]', '10:12', 'wrong-type'),
+        ('burst:', 'bursts:', '10:5', 'unknown-key'),
+        ('true', 'yes', '3:47', 'bad-boolean'),
+        ('small:', 'Small:', '5:3', 'bad-name'),
+    ],
+)
+def test_invalid_tenant_has_a_finding_without_its_key(
+    before: str, after: str, position: str, code: str
+) -> None:
+    text = _TENANTS.replace(before, after, 1)
+    assert text != _TENANTS
+    parsed = _text.read_text(text, 't.yaml', 0.0)
+    found = [
+        (f'{item.location.line}:{item.location.column}', item.code)
+        for item in parsed.findings
+    ]
+    assert (position, code) in found
+    assert 'key-of' not in str(parsed.findings)
