Report withdrawn requests, and apply a raised head limit at once

The parser of an idle connection kept the limit on heads of the former configuration, so that the next head could be rejected with 431 although it was within the new one (seen once in the tests on a busy machine). The limit is now applied when a head begins.

An event counts the requests that a configuration withdraws, the lines of refused requests name the tenant, and a test writes malformed tenants to the store: the configuration in use stays, and the event names the entry.

--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -440,6 +440,7 @@
         if snapshot.tenants is self._tenants:
             return
         self._tenants = snapshot.tenants
+        withdrawn = 0
         for incoming in tuple(self._identified):
             scope = incoming.scope
             host = dict(scope['headers']).get(b'host', b'').decode('latin-1')
@@ -447,6 +448,11 @@
             route = matched.route if matched is not None else None
             if _tenants.is_revoked(snapshot, route, incoming.identity):
                 incoming.withdraw()
+                withdrawn += 1
+        if withdrawn:
+            self._events.emit(
+                'requests-withdrawn', head=snapshot.version, requests=withdrawn
+            )
 
     def _apply_limits(self, limits: RequestLimits) -> None:
         """Set the limits from the next request of each connection on."""
@@ -657,6 +663,7 @@
             'request-refused' if rejected else 'request-failed',
             request=request_id,
             path=scope['path'],
+            tenant=incoming.identity.name,
             result=result,
             outcome=rejection.outcome.value if rejection else '',
             detail=rejection.detail if rejection else '',
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -561,7 +561,7 @@
         if self._current is exchange and not self._finished:
             self._current = None
             if not self.pipeline.closing:
-                self._begin_next_cycle(parser)
+                parser.start_next_cycle()
         self._notify_exchanges()
         if self._finished:
             return
@@ -573,10 +573,13 @@
         self._limit_head_time()
         self._room.set()
 
-    def _begin_next_cycle(self, parser: h11.Connection) -> None:
-        parser.start_next_cycle()
-        if self._max_head_bytes != self._settings.max_head_bytes:
-            received = parser.trailing_data[0]
+    def _update_head_limit(self) -> None:
+        """Apply a changed limit to the head that is received next."""
+        if (
+            self._current is None
+            and self._max_head_bytes != self._settings.max_head_bytes
+        ):
+            received = self._parser.trailing_data[0]
             self._parser = self._new_parser()
             if received:
                 self._parser.receive_data(received)
@@ -647,6 +650,7 @@
                 self._disconnect()
                 return
             if not self._parsing_ended:
+                self._update_head_limit()
                 self._parser.receive_data(data)
                 self._parse()
                 self._limit_head_time()
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -657,3 +657,59 @@
         service.add_order(platform.RolloutOrder('s', 'v2', 12.0), _ORDER)
         await trio.sleep(5.0)
         nursery.cancel_scope.cancel()
+
+
+async def test_malformed_tenants_leave_the_configuration_in_use(
+    autojump_clock: MockClock,
+) -> None:
+    """Guards against keys that are dropped, or logged, by a bad entry."""
+    store, distribution = _Store(), _Distribution()
+    membership = _Membership(builders.build_member(0))
+    kernel = _kernel(store, membership, distribution, _Rollouts(), Feed())
+    events = kernel.get('events', FakeEvents)
+
+    async def write(version: int, *specs: dict[str, Any]) -> None:
+        resources = [
+            {
+                'entryType': 'tenants',
+                'metadata': {'name': f't{index}'},
+                'spec': spec,
+            }
+            for index, spec in enumerate(specs)
+        ]
+        value = {'version': f'{version:08x}', 'resources': resources}
+        record = json.dumps(value).encode()
+        await store.txn([], [Put(platform.CONFIGURATION_KEY, record)])
+        await trio.sleep(0.2)
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kernel.run)
+        await write(1, {'apiKeys': ['secret-one']})
+        for version, spec in enumerate(
+            (
+                {'apiKeys': ['secret-one']},
+                {'apiKeys': ['secret-two', '']},
+                {'apiKeys': 'secret-two'},
+                {'apiKeys': ['secret-two'], 'ratePerS': -1},
+            ),
+            2,
+        ):
+            await write(version, {'apiKeys': ['secret-one']}, spec)
+            snapshot = distribution.snapshot
+            assert snapshot is not None
+            assert snapshot.version == 1
+            assert snapshot.tenant_by_key(b'secret-one') is not None
+        await write(9, {'apiKeys': ['secret-two']})
+        snapshot = distribution.snapshot
+        assert snapshot is not None
+        assert snapshot.tenant_by_key(b'secret-one') is None
+        assert snapshot.tenant_by_key(b'secret-two') is not None
+        nursery.cancel_scope.cancel()
+    rejected = [
+        str(fields)
+        for code, fields in events.emitted
+        if code == 'feed-entry-rejected'
+    ]
+    assert len(rejected) == 4
+    assert all("'t1'" in item for item in rejected)
+    assert 'secret' not in repr(events.emitted)
--- a/tests/test_services_tenants.py
+++ b/tests/test_services_tenants.py
@@ -382,6 +382,8 @@
             (5, 0, small, 200),
             (6, 1_000, small, 431),
         ):
+            # The parser of the idle connection has the former limit.
+            await trio.sleep(0.05)
             install(
                 daemons[0], version, limits=_limits(max_header_bytes=limit)
             )
