--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -11,6 +11,8 @@
 
 import trio
 
+from gypsumhall.core import _tenants
+from gypsumhall.core._model import RequestLimits
 from gypsumhall.net._messages import Outcome
 from gypsumhall.services import _call_monitor
 from gypsumhall.services import _calls
@@ -22,9 +24,12 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from gypsumhall.core._model import Route
+    from gypsumhall.core._model import Tenant
     from gypsumhall.core._snapshot import MatchedRoute
+    from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.kernel import Kernel
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -65,10 +70,22 @@
 _MAX_TRACKED_ROUTES = 16_384
 
 
+_NO_LIMITS = RequestLimits()
+
+
 class _CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
 
+class Connectivity(Protocol):
+    """Contact of a daemon with the store and other daemons."""
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the installed configuration may be too old."""
+        ...
+
+
 class _Turn(Protocol):
     """Place of a request among those of its connection."""
 
@@ -107,7 +124,17 @@
         ASGI channels.
     """
 
-    __slots__ = ('_turn', 'receive', 'received_at', 'request', 'scope', 'send')
+    __slots__ = (
+        '_turn',
+        'identity',
+        'receive',
+        'received_at',
+        'request',
+        'scope',
+        'send',
+        'waiting_scope',
+        'withdrawal',
+    )
 
     def __init__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -116,6 +143,11 @@
         self.receive = receive
         self.send = send
         self.request: _calls.Request | None = None
+        self.identity = _tenants.NO_TENANT
+        # Set once a key has been found that may be removed.
+        self.withdrawal: _calls.Withdrawal | None = None
+        # Time until the request is given to the sender.
+        self.waiting_scope = trio.CancelScope()
         # Missing if the request was not received from a connection.
         self._turn: _Turn | None = scope.get('state', {}).get('exchange')
         self.received_at = (
@@ -166,6 +198,12 @@
             'deadline', 'the responses in front took until the deadline'
         )
 
+    def withdraw(self) -> None:
+        """End the request, unless a backend server may have received it."""
+        self.waiting_scope.cancel(reason=_calls.KEY_REMOVED)
+        if self.withdrawal is not None:
+            self.withdrawal.request()
+
     def replace_response(self) -> None:
         """Drop the response, of which nothing has been sent."""
         if self._turn is not None:
@@ -295,6 +333,9 @@
         is not later. So are new requests that may not run longer, by their
         deadline and `DEADLINE_GRACE_S`; those whose callers cannot know of
         the shutdown yet are accepted with any deadline.
+    connectivity : Connectivity, optional
+        Whether this daemon is cut off. If so, requests that need a key are
+        rejected as not run, because the key may have been removed.
     """
 
     name = 'caller'
@@ -307,8 +348,10 @@
         service: str = '',
         drain_delay_s: float = 0.0,
         cancel_after_s: float = math.inf,
+        connectivity: Connectivity | None = None,
     ) -> None:
         self._address = address
+        self._connectivity = connectivity
         self._dialect = dialect
         self._service = service
         self._drain_delay_s = drain_delay_s
@@ -326,12 +369,18 @@
         self._cancels_at = math.inf
         # Requests in progress, to be cancelled in a graceful shutdown.
         self._request_scopes: set[trio.CancelScope] = set()
+        # Requests in progress with a key, which may be removed.
+        self._identified: set[_IncomingRequest] = set()
+        self._tenants: Mapping[str, Tenant] = {}
+        self._max_header_bytes = _calls.MAX_HEADER_BYTES
+        self._max_body_bytes = _calls.MAX_REQUEST_BODY_BYTES
         self._stop = trio.Event()
         self._server_ended = trio.Event()
         self._active_requests = 0
         self._idle = trio.Event()
         self._buffered_bytes = 0
         self._call_monitor = _call_monitor.CallMonitor()
+        self._http_settings: _http_server.HttpSettings
         self._distribution: _protocols.Distribution
         self._runner: _runner.RunnerService
         self._requests: _protocols.Metric
@@ -367,17 +416,61 @@
         if self._dialect.outcome:
             outcome = Outcome.NOT_RUN.value.encode()
             error_headers = ((self._dialect.outcome, outcome),)
-        settings = _http_server.HttpSettings(
-            max_head_bytes=_calls.MAX_HEADER_BYTES,
+        self._http_settings = _http_server.HttpSettings(
             # Callers that read slowly have the time of the drain.
             close_timeout_s=math.inf,
             error_headers=error_headers,
         )
+        self._apply_limits(_NO_LIMITS)
+        self._on_configuration_change()
+        self._distribution.subscribe(self._on_configuration_change)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._call_monitor.run)
-            self._bound_address = await nursery.start(self._serve, settings)
+            self._bound_address = await nursery.start(
+                self._serve, self._http_settings
+            )
             task_status.started()
 
+    def _on_configuration_change(self) -> None:
+        """Apply the limits; withdraw requests whose keys were removed."""
+        snapshot = self._distribution.snapshot
+        if snapshot is None:
+            return
+        self._apply_limits(snapshot.limits)
+        if snapshot.tenants is self._tenants:
+            return
+        self._tenants = snapshot.tenants
+        withdrawn = 0
+        for incoming in tuple(self._identified):
+            scope = incoming.scope
+            host = dict(scope['headers']).get(b'host', b'').decode('latin-1')
+            matched = self._match_route(snapshot, host, scope)
+            route = matched.route if matched is not None else None
+            if _tenants.is_revoked(snapshot, route, incoming.identity):
+                incoming.withdraw()
+                withdrawn += 1
+        if withdrawn:
+            self._events.emit(
+                'requests-withdrawn', head=snapshot.version, requests=withdrawn
+            )
+
+    def _apply_limits(self, limits: RequestLimits) -> None:
+        """Set the limits from the next request of each connection on."""
+        self._max_header_bytes = min(
+            limits.max_header_bytes or _calls.MAX_HEADER_BYTES,
+            _calls.MAX_CONFIGURED_HEADER_BYTES,
+        )
+        self._max_body_bytes = min(
+            limits.max_body_bytes or _calls.MAX_REQUEST_BODY_BYTES,
+            _calls.MAX_REQUEST_BODY_BYTES,
+        )
+        settings = self._http_settings
+        settings.max_head_bytes = self._max_header_bytes
+        settings.head_timeout_s = limits.header_timeout_s or math.inf
+        settings.idle_timeout_s = (
+            limits.idle_timeout_s or _http_server.DEFAULT_IDLE_TIMEOUT_S
+        )
+
     async def _serve(
         self,
         settings: _http_server.HttpSettings,
@@ -514,15 +607,19 @@
         buffered_bytes = 0
         try:
             with request_scope:
-                request = await self._read_request(incoming)
-                buffered_bytes = len(request.body)
-                incoming.request = request
-                await incoming.wait_for_turn(request)
+                with incoming.waiting_scope:
+                    request = await self._read_request(incoming)
+                    buffered_bytes = len(request.body)
+                    incoming.request = request
+                    await incoming.wait_for_turn(request)
+                if incoming.waiting_scope.cancelled_caught:
+                    raise _calls.key_removed()
                 await self._forward(request, sink, incoming.receive)
             if request_scope.cancelled_caught:
                 raise _cancelled_request_error(incoming, sink)
         finally:
             self._request_scopes.discard(request_scope)
+            self._identified.discard(incoming)
             self._buffered_bytes -= buffered_bytes
 
     async def _end_cancelled(
@@ -566,6 +663,7 @@
             'request-refused' if rejected else 'request-failed',
             request=request_id,
             path=scope['path'],
+            tenant=incoming.identity.name,
             result=result,
             outcome=rejection.outcome.value if rejection else '',
             detail=rejection.detail if rejection else '',
@@ -603,7 +701,12 @@
         self, incoming: _IncomingRequest
     ) -> _calls.Request:
         scope, now = incoming.scope, incoming.received_at
-        version, matched, fields = self._match(scope)
+        version, matched, fields, identity = self._match(scope)
+        # The quota of the tenant is taken here, before the body is read.
+        if identity.tenant is not None:
+            incoming.identity = identity
+            incoming.withdrawal = _calls.Withdrawal()
+            self._identified.add(incoming)
         route = matched.route
         timeout_s = _timeout_s(fields, self._dialect.deadline, route.timeout_s)
         nested = self._runner.nested_calls.is_nested(
@@ -635,7 +738,7 @@
             headers = (*headers, (name, self._service.encode()))
         elapsed_s = self._elapsed_s(matched.id, fields)
         objective_s = route.objective_s
-        priority = route.priority
+        priority = identity.priority(route)
         if objective_s and nested:
             # The request that makes a nested call occupies a slot until the
             # call ends. So a late response is still useful, and nested calls
@@ -660,6 +763,8 @@
             elapsed_s > _CALLER_RETRY_ELAPSED_S,
             'route' if timeout_s == route.timeout_s else 'caller',
             version,
+            identity.name,
+            incoming.withdrawal,
         )
 
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
@@ -691,7 +796,7 @@
 
     def _match(
         self, scope: dict[str, Any]
-    ) -> tuple[int, MatchedRoute, dict[bytes, bytes]]:
+    ) -> tuple[int, MatchedRoute, dict[bytes, bytes], _tenants.Identity]:
         if scope['http_version'] not in ('1.0', '1.1'):
             raise _calls.not_run('http-version', 'only HTTP/1.1 is served')
         if scope['method'] == 'CONNECT':
@@ -699,25 +804,64 @@
         fields = dict(scope['headers'])
         if fields.get(b'upgrade', b'').lower() == b'websocket':
             raise _calls.not_run('websocket', 'WebSocket is not supported')
-        if _calls.header_bytes(scope['headers']) > _calls.MAX_HEADER_BYTES:
+        head_bytes = _calls.header_bytes(scope['headers'])
+        head_bytes += len(scope['raw_path']) + len(scope['query_string'])
+        if head_bytes > self._max_header_bytes:
             raise _calls.not_run(
                 'headers-too-large',
-                f'headers exceed {_calls.MAX_HEADER_BYTES} bytes',
+                f'the head exceeds {self._max_header_bytes} bytes',
             )
         snapshot = self._distribution.snapshot
         if snapshot is None:
             raise _calls.not_run('not-ready', 'no configuration installed yet')
         host = fields.get(b'host', b'').decode('latin-1')
+        matched = self._match_route(snapshot, host, scope)
+        if matched is None:
+            raise _calls.not_run(
+                'unknown-route', f'no route for {host!r} {scope["path"]!r}'
+            )
+        identity = self._identify(snapshot, matched.route, scope)
+        return snapshot.version, matched, fields, identity
+
+    def _match_route(
+        self, snapshot: Snapshot, host: str, scope: dict[str, Any]
+    ) -> MatchedRoute | None:
         literal = self._dialect.literal_prefixes
         path = (
             scope['raw_path'].decode('latin-1') if literal else (scope['path'])
         )
-        matched = snapshot.match(host, path, exact=literal)
-        if matched is None:
+        return snapshot.match(host, path, exact=literal)
+
+    def _identify(
+        self, snapshot: Snapshot, route: Route, scope: dict[str, Any]
+    ) -> _tenants.Identity:
+        """Return who sent a request.
+
+        Raises
+        ------
+        CallRefusedError
+            If the route requires a key that the request does not have.
+        """
+        if not self._dialect.tenant_key or not snapshot.has_tenants:
+            return _tenants.NO_TENANT
+        keys = [
+            value
+            for name, value in scope['headers']
+            if name == self._dialect.tenant_key
+        ]
+        identity = _tenants.identify(snapshot, route, keys)
+        connectivity = self._connectivity
+        if (
+            connectivity is not None
+            and connectivity.cut_off
+            and not route.public
+        ):
             raise _calls.not_run(
-                'unknown-route', f'no route for {host!r} {scope["path"]!r}'
+                'cut-off', 'the keys of this daemon may be out of date'
             )
-        return snapshot.version, matched, fields
+        if identity.reason:
+            raise _calls.not_run(identity.reason, identity.detail)
+        return identity
 
     def _accepts(self, now: float, deadline: float, *, nested: bool) -> bool:
         """Return whether a request is accepted in a graceful shutdown."""
@@ -732,8 +876,9 @@
         self, fields: dict[bytes, bytes], receive: Receive, deadline: float
     ) -> bytes:
         content_length = fields.get(b'content-length', b'0')
-        if int(content_length) > _calls.MAX_REQUEST_BODY_BYTES:
-            raise _too_large_error()
+        limit = self._max_body_bytes
+        if int(content_length) > limit:
+            raise _too_large_error(limit)
         body = bytearray()
         complete = False
         deadline = min(deadline, trio.current_time() + _BODY_TIMEOUT_S)
@@ -745,8 +890,8 @@
                         raise _CallerDisconnectedError
                     body += message['body']
                     self._buffered_bytes += len(message['body'])
-                    if len(body) > _calls.MAX_REQUEST_BODY_BYTES:
-                        raise _too_large_error()
+                    if len(body) > limit:
+                        raise _too_large_error(limit)
                     if (
                         self._buffered_bytes
                         > _calls.MAX_BUFFERED_REQUEST_BYTES
@@ -814,6 +959,10 @@
         if dialect.outcome:
             outcome = (dialect.outcome, error.outcome.value.encode())
             headers = [*headers, outcome]
+        if status == 401:
+            # RFC 9110, section 11.6.1, requires a challenge.
+            challenge = (b'www-authenticate', self._dialect.tenant_key)
+            headers = [*headers, challenge]
         if status == 503:
             value = b'%d' % _RETRY_AFTER_S
             if dialect.status_503_means_not_run or error.retry_after_s:
@@ -928,8 +1077,8 @@
     return b'%.3f' % ((error.retry_after_s or _FAST_RETRY_AFTER_S) * factor)
 
 
-def _too_large_error() -> _calls.CallRefusedError:
+def _too_large_error(limit: int) -> _calls.CallRefusedError:
     return _calls.not_run(
         'request-too-large',
-        f'request bodies may have {_calls.MAX_REQUEST_BODY_BYTES} bytes',
+        f'request bodies may have {limit} bytes',
     )
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 import math
 from typing import Protocol
@@ -26,6 +27,9 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 MAX_HEADER_BYTES = 32 * 1024
+# Limit of a configured `RequestLimits.max_header_bytes`. The head and a body
+# of `CHUNK_BYTES` have to fit into one frame between daemons.
+MAX_CONFIGURED_HEADER_BYTES = 64 * 1024
 MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
@@ -81,6 +85,10 @@
     warmup_remaining : bytes
         Milliseconds for which a backend server remains cold, in a response
         to a status check.
+    tenant_key : bytes
+        Key of the tenant, which is never forwarded.
+    tenant : bytes
+        Name of the tenant, sent to backend servers only.
     status_503_means_not_run : bool
         Whether status 503 means that a request was not run, so that a
         rejection with another outcome needs another status.
@@ -100,6 +108,8 @@
     instance: bytes = b''
     not_executed: bytes = b''
     warmup_remaining: bytes = b''
+    tenant_key: bytes = b'gypsumhall-key'
+    tenant: bytes = b'gypsumhall-tenant'
     status_503_means_not_run: bool = False
     buffer_responses: bool = False
     literal_prefixes: bool = False
@@ -128,6 +138,11 @@
 
 _STATUS_BY_CODE = {
     'bad-request': 400,
+    'key-empty': 401,
+    'key-missing': 401,
+    'key-removed': 401,
+    'key-repeated': 401,
+    'key-unknown': 401,
     'websocket': 403,
     'unknown-route': 404,
     'body-timeout': 408,
@@ -206,6 +221,11 @@
     return CallRefusedError(Outcome.NOT_RUN, code, detail)
 
 
+def key_removed() -> CallRefusedError:
+    """Return the rejection of a request that was withdrawn in time."""
+    return not_run(KEY_REMOVED, 'the key has been removed')
+
+
 @dataclass(slots=True, frozen=True)
 class Request:
     """A caller's request.
@@ -241,6 +261,10 @@
         Whether the ``caller`` or the ``route`` set the deadline.
     configuration : int
         Version of the configuration that the route belongs to.
+    tenant : str
+        Tenant that sent the request; empty for none.
+    withdrawal : Withdrawal or None
+        Withdraws the request; None if it has no key that can be removed.
     """
 
     service: str
@@ -258,6 +282,51 @@
     is_caller_retry: bool = False
     limit_source: str = ''
     configuration: int = 0
+    tenant: str = ''
+    withdrawal: Withdrawal | None = None
+
+    @property
+    def withdrawn(self) -> bool:
+        """Whether no further attempt may be made."""
+        return self.withdrawal is not None and self.withdrawal.requested
+
+
+KEY_REMOVED = 'key-removed'
+"""Reason of the rejection of a request that has been withdrawn."""
+
+
+class Withdrawal:
+    """Withdraws a request whose key is removed while it waits.
+
+    It ends unless a part of it has been sent to a backend server.
+    """
+
+    __slots__ = ('_callbacks', '_requested')
+
+    def __init__(self) -> None:
+        self._callbacks: list[Callable[[], None]] = []
+        self._requested = False
+
+    @property
+    def requested(self) -> bool:
+        """Whether the request has been withdrawn."""
+        return self._requested
+
+    def request(self) -> None:
+        """Withdraw the request."""
+        if not self._requested:
+            self._requested = True
+            for callback in tuple(self._callbacks):
+                callback()
+
+    @contextlib.contextmanager
+    def notify(self, callback: Callable[[], None]) -> Iterator[None]:
+        """Call back if the request is withdrawn within the block."""
+        self._callbacks.append(callback)
+        try:
+            yield
+        finally:
+            self._callbacks.remove(callback)
 
 
 class ResponseSink(Protocol):
@@ -402,6 +471,8 @@
         dialect.deadline,
         dialect.caller_service,
         dialect.expected_instance,
+        dialect.tenant_key,
+        dialect.tenant,
     )
     return _end_to_end(headers, _DROPPED_REQUEST_HEADERS.union(internal))
 
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -36,6 +36,9 @@
 
     Application = Callable[..., Awaitable[None]]
 
+DEFAULT_IDLE_TIMEOUT_S = 60.0
+"""Default of `HttpSettings.idle_timeout_s`."""
+
 _RECEIVE_BYTES = 64 * 1024
 # A connection whose caller reads nothing for this long, in seconds, is closed.
 _SEND_TIMEOUT_S = 30.0
@@ -74,12 +77,17 @@
 class HttpSettings:
     """Settings of a server.
 
+    Changes take effect with the next request of each connection.
+
     Parameters
     ----------
     max_head_bytes : int
         Longest head of a request, in bytes.
     idle_timeout_s : float
         Time in seconds after which a connection without a request is closed.
+    head_timeout_s : float
+        Time in seconds from the first byte of a head to its end, after which
+        it is rejected.
     close_timeout_s : float
         Time in seconds for closing the connections when the server stops.
     read_ahead : int
@@ -94,6 +102,7 @@
         'backlog',
         'close_timeout_s',
         'error_headers',
+        'head_timeout_s',
         'idle_timeout_s',
         'max_head_bytes',
         'read_ahead',
@@ -103,7 +112,8 @@
         self,
         *,
         max_head_bytes: int = 64 * 1024,
-        idle_timeout_s: float = 60.0,
+        idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
+        head_timeout_s: float = math.inf,
         close_timeout_s: float = 3.0,
         read_ahead: int = 8,
         error_headers: tuple[tuple[bytes, bytes], ...] = (),
@@ -111,6 +121,7 @@
     ) -> None:
         self.max_head_bytes = max_head_bytes
         self.idle_timeout_s = idle_timeout_s
+        self.head_timeout_s = head_timeout_s
         self.close_timeout_s = close_timeout_s
         self.read_ahead = read_ahead
         self.error_headers = error_headers
@@ -446,6 +457,8 @@
         self._finished = False
         self._stopping = stopping
         self._read_scope = trio.CancelScope()
+        # Whether a part of a head has been received.
+        self._head_started = False
         self._limit_idle_time()
         if stopping:
             # The caller may not have sent its request yet.
@@ -551,10 +564,33 @@
         # Also in a stop: unless the response announced that the connection
         # closes, the requests behind it are answered.
         self._parse()
-        if self.pipeline.empty:
+        if self.pipeline.empty and (self._stopping or not self._head_started):
             self._limit_idle_time()
+        self._limit_head_time()
         self._room.set()
 
+    def _update_head_limit(self) -> None:
+        """Apply a changed limit to the head that is received next."""
+        if (
+            self._current is None
+            and self._max_head_bytes != self._settings.max_head_bytes
+        ):
+            received = self._parser.unparsed
+            self._parser = self._new_parser()
+            if received:
+                self._parser.receive(received)
+
+    def _limit_head_time(self) -> None:
+        """Set the time at which a head that has begun is rejected."""
+        started = self._current is None and bool(self._parser.unparsed)
+        timeout_s = self._settings.head_timeout_s
+        if self._stopping or math.isinf(timeout_s):
+            started = False
+        elif started and not self._head_started:
+            self._idle_deadline = trio.current_time() + timeout_s
+            self._read_scope.deadline = self._idle_deadline
+        self._head_started = started
+
     def _limit_idle_time(self) -> None:
         """Set the time at which the connection closes without a request.
 
@@ -600,13 +636,31 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             if self._read_scope.cancelled_caught:
-                return
+                if not self._rejects_slow_head():
+                    return
+                continue
             if not data:
                 self._disconnect()
                 return
             if not self._parsing_ended:
+                self._update_head_limit()
                 self._parser.receive(data)
                 self._parse()
+                self._limit_head_time()
+
+    def _rejects_slow_head(self) -> bool:
+        """Reject a head that has not ended in time; False if there is none."""
+        if (
+            not self._head_started
+            or self._stopping
+            or self._finished
+            or self._parsing_ended
+        ):
+            return False
+        self._parsing_ended = True
+        self._head_started = False
+        self._reject_input(408)
+        return True
 
     def _is_full(self) -> bool:
         """Return whether nothing more is read for now."""
@@ -676,7 +730,8 @@
         exchange.fail(status)
 
     def _new_parser(self) -> _http_parser.RequestParser:
-        return _http_parser.RequestParser(self._settings.max_head_bytes)
+        self._max_head_bytes = self._settings.max_head_bytes
+        return _http_parser.RequestParser(self._max_head_bytes)
 
     async def _close_gracefully(self) -> None:
         """Let the caller receive the last response before the end."""
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -30,6 +30,7 @@
 from gypsumhall.net._messages import CallQuery
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import CallStart
+from gypsumhall.net._messages import CallWithdraw
 from gypsumhall.net._messages import KeyHandover
 from gypsumhall.net._messages import KeyRelease
 from gypsumhall.net._messages import Load
@@ -79,6 +80,7 @@
 
 @dataclass(slots=True)
 class _PendingCall:
+    request_id: str
     ready: trio.Event
     admitted: bool = False
     code: str = 'draining'
@@ -153,6 +155,8 @@
         self._backend: _Backend | None = None
         self._old_clients: list[_backend_client.Client] = []
         self._pending: dict[QueuedCall, _PendingCall] = {}
+        # Runs in progress by request id.
+        self._runs: dict[str, _responses.Run] = {}
         self._call_queued = trio.Event()
         self._ledger = Ledger()
         # Request id of each detached call -> event set when it has ended.
@@ -251,6 +255,7 @@
             metrics=metrics,
             rng=self._rng,
             execute=self.execute,
+            withdraw=self.withdraw,
             deadlines=self._deadlines,
             dialect=self._dialect,
             split_source=self._split_source,
@@ -269,6 +274,7 @@
             self._apply_evacuations()
         peers.on(CallStart, self._handle_call)
         peers.on(CallQuery, self._handle_query)
+        peers.on(CallWithdraw, self._handle_withdrawal)
         peers.on(KeyRelease, self._keys.handle_release)
         peers.on(KeyHandover, self._keys.handle_handover)
         async with trio.open_nursery() as self._nursery:
@@ -457,6 +463,32 @@
             if not self._active_calls:
                 self._idle.set()
 
+    def withdraw(self, request_id: str) -> None:
+        """Reject a call, unless a part of it was sent to the backend server.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the attempt.
+        """
+        for queued_call, pending in self._pending.items():
+            if pending.request_id == request_id:
+                if self._backend is not None:
+                    self._backend.queue.remove(queued_call)
+                self._reject_calls([queued_call], _calls.KEY_REMOVED)
+                return
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.withdraw()
+        else:
+            # A call whose body is incomplete is then refused when it begins.
+            self._ledger.query(request_id, trio.current_time())
+
+    async def _handle_withdrawal(
+        self, _exchange: Exchange, message: CallWithdraw
+    ) -> None:
+        self.withdraw(message.request_id)
+
     async def _execute_new(
         self, call: CallStart, body: bytes, send: _calls.SendMessage
     ) -> None:
@@ -605,8 +637,13 @@
         header = self._dialect.expected_instance
         if header and backend.instance:
             headers = (*headers, (header, backend.instance.encode()))
+        if self._dialect.tenant and call.tenant:
+            tenant = (self._dialect.tenant, call.tenant.encode())
+            headers = (*headers, tenant)
         run_until = deadline + _calls.DEADLINE_GRACE_S
         with self._deadlines.limit(run_until) as scope:
+            run.scope = scope
+            self._runs[call.request_id] = run
             try:
                 async with backend.client.request(
                     call.method, call.path, headers, body, run.mark_sent
@@ -633,7 +670,12 @@
                 return _calls.CallRefusedError(
                     run.outcome, 'bad-response', str(error)
                 )
+            finally:
+                run.scope = None
+                del self._runs[call.request_id]
         assert scope.cancelled_caught
+        if run.withdrawn and run.outcome == Outcome.NOT_RUN:
+            return _calls.key_removed()
         run.failed = run.outcome != Outcome.NOT_RUN
         return _calls.CallRefusedError(
             run.outcome, 'deadline', 'the deadline passed'
@@ -719,6 +761,7 @@
             now + call.objective_ms / 1000 if call.objective_ms else deadline,
             deadline,
             is_caller_retry=call.is_caller_retry,
+            tenant=call.tenant,
         )
         max_wait_s = (
             math.inf if call.max_wait_ms < 0 else call.max_wait_ms / 1000
@@ -743,7 +786,9 @@
                 f'{backend.queue.queued} calls are queued',
                 backend.queue.retry_after_s(now),
             )
-        pending = self._pending[queued_call] = _PendingCall(trio.Event())
+        pending = self._pending[queued_call] = _PendingCall(
+            call.request_id, trio.Event()
+        )
         self._call_queued.set()
         evicted = backend.queue.evict(now)
         self._reject_calls(evicted, AdmissionDecision.OVERLOADED.value)
@@ -961,6 +1006,7 @@
                 trio.current_time() + call.deadline_ms / 1000,
                 call.idempotent,
                 call.key,
+                tenant=call.tenant,
             )
             await self._keys.execute(request, sink)
             state = EntryState.DONE
