Accept a tenant whose last key has been removed

The whole configuration was rejected for a tenant with an empty list of keys, so the version in force would have stayed everywhere, with the removed keys. The operator's store accepts only valid configurations, and nothing says that a tenant keeps a key.

--- a/gypsumhall/platform/_operator.py
+++ b/gypsumhall/platform/_operator.py
@@ -124,9 +124,8 @@
 
 
 class _Tenant(msgspec.Struct):
-    keys: Annotated[list[str], msgspec.Meta(min_length=1)] = msgspec.field(
-        name='apiKeys'
-    )
+    # An operator takes away the last key of a tenant by an empty list.
+    keys: list[str] = msgspec.field(name='apiKeys')
     priority: Count | None = None
     rate_per_s: _Rate = msgspec.field(name='ratePerS', default=0)
     burst: _Rate = 0
