--- a/gypsumhall/testing/builders.py
+++ b/gypsumhall/testing/builders.py
@@ -96,10 +96,11 @@
     zone: str = 'az-1',
     endpoint: Endpoint | None = None,
     status: MemberStatus = MemberStatus.ALIVE,
+    incarnation: int = 1,
 ) -> Member:
     """Return a member with an id and address derived from the index."""
     address = f'127.0.{index // 250}.{index % 250 + 1}:7000'
-    return Member(f'd{index}', zone, address, 1, 1, status, endpoint)
+    return Member(f'd{index}', zone, address, incarnation, 1, status, endpoint)
 
 
 def build_endpoint(
