Limit the requests of tenants over all daemons

The service quotas exchanges tokens between daemons (QuotaPacket, tag 80) and reads the limits from the installed configuration. The caller service refuses requests over the quota with 429 and Retry-After; a request that no backend server received returns its token, and each further attempt takes one. The settings quota_window, quota_over and quota_slack come from deploy/system.toml; an empty variable selects the default.

--- a/gypsumhall/cli/_settings.py
+++ b/gypsumhall/cli/_settings.py
@@ -10,8 +10,8 @@
 `run_binary` does this for a binary and turns errors into exit statuses.
 
 The flag ``--timeout`` takes precedence over the environment variable
-``GYPSUMHALL_TIMEOUT``, which takes precedence over the default. All errors
-are collected and raised together.
+``GYPSUMHALL_TIMEOUT``, which takes precedence over the default. An empty
+variable counts as not set. All errors are collected and raised together.
 """
 
 from __future__ import annotations
@@ -452,7 +452,8 @@
             location = SourceLocation(f'--{name}')
             if raw_value is None:
                 variable = PREFIX + name.upper()
-                raw_value = environment.get(variable)
+                # A platform renders a field that it does not have as empty.
+                raw_value = environment.get(variable) or None
                 location = SourceLocation(variable)
             if raw_value is None:
                 if item.required:
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -12,6 +12,7 @@
 from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
+from gypsumhall.core._quotas import QuotaBounds
 from gypsumhall.kernel import Kernel
 from gypsumhall.kernel import Service
 from gypsumhall.net._network import PeerSettings
@@ -28,6 +29,7 @@
 from gypsumhall.services._membership import MembershipSettings
 from gypsumhall.services._metrics import MetricRegistry
 from gypsumhall.services._peers import Peers
+from gypsumhall.services._quotas import QuotaService
 from gypsumhall.services._readiness import Readiness
 from gypsumhall.services._readiness import ReadyListener
 from gypsumhall.services._registration import Registration
@@ -149,6 +151,28 @@
         self.retry_window = settings.duration(
             'retry_window', 10.0, 'Length of the window of retry_slack.'
         )
+        self.quota_window = settings.number(
+            'quota_window',
+            5.0,
+            'Length of the window of quota_over and quota_slack in seconds.',
+            lowest=1.0,
+            highest=60.0,
+        )
+        self.quota_over = settings.number(
+            'quota_over',
+            0.1,
+            'Share by which a tenant may exceed its quota in a window.',
+            lowest=0.0,
+            highest=1.0,
+        )
+        self.quota_slack = settings.number(
+            'quota_slack',
+            20.0,
+            'Requests by which a tenant may exceed its quota in a window, '
+            'regardless of quota_over.',
+            lowest=1.0,
+            highest=10_000.0,
+        )
         self.grace = settings.duration(
             'grace', 6.0, 'Time between SIGTERM and SIGKILL.'
         )
@@ -199,6 +223,17 @@
         cancel_after_s=_CANCEL_SHARE * settings.grace.value,
     )
     runner.set_split_source(rollouts.split)
+    quotas = QuotaService(
+        QuotaBounds(
+            settings.quota_window.value,
+            settings.quota_over.value,
+            settings.quota_slack.value,
+        ),
+        rng=rng,
+    )
+    runner.set_quotas(quotas)
+    registration = Registration(rng=rng)
+    quotas.set_zone_source(lambda: registration.zones)
     admin = AdminService(settings.control_address.value)
     check_ins = CheckInService(
         settings.backend_address.value,
@@ -219,8 +254,9 @@
                 reseed_interval_s=5.0,
             )
         ),
-        Registration(rng=rng),
+        registration,
         DistributionService(jitter_s=_STARTUP_JITTER_S),
+        quotas,
         rollouts,
         Feed(rng=rng),
         admin,
@@ -233,6 +269,7 @@
             settings.service.value,
             drain_delay_s,
             _CANCEL_SHARE * settings.grace.value,
+            has_quotas=True,
         ),
         Readiness(),
     ]
--- a/gypsumhall/net/_messages.py
+++ b/gypsumhall/net/_messages.py
@@ -23,6 +23,9 @@
 from gypsumhall.core._model import Route
 from gypsumhall.core._model import Service
 from gypsumhall.core._model import Tenant
+from gypsumhall.core._quotas import Answer
+from gypsumhall.core._quotas import Question
+from gypsumhall.core._quotas import ZoneQuestion
 from gypsumhall.core._revision import NO_REVISION
 from gypsumhall.core._revision import Revision
 
@@ -1005,3 +1008,30 @@
     version: str
     order: Revision
     counts: tuple[RolloutCounts, ...]
+
+
+# Quotas
+
+
+class QuotaPacket(Message, frozen=True, tag=80):
+    """Questions and answers about the quotas of tenants.
+
+    Parameters
+    ----------
+    zones : int
+        Number of zones that the sender knows.
+    avoided : str
+        Id of the owner that the sender could not reach; empty for none.
+    questions : tuple of Question
+        Questions to the owner in the sender's zone.
+    zone_questions : tuple of ZoneQuestion
+        Questions of an owner to the owner in another zone.
+    answers : tuple of Answer
+        Answers to questions of either kind.
+    """
+
+    zones: Count = 1
+    avoided: str = ''
+    questions: tuple[Question, ...] = ()
+    zone_questions: tuple[ZoneQuestion, ...] = ()
+    answers: tuple[Answer, ...] = ()
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -309,7 +309,12 @@
         service: str = '',
         drain_delay_s: float = 0.0,
         cancel_after_s: float = math.inf,
+        *,
+        has_quotas: bool = False,
     ) -> None:
+        if has_quotas:
+            # Requests that arrive before it has started would not count.
+            self.requires = (*self.requires, 'quotas')
         self._address = address
         self._dialect = dialect
         self._service = service
@@ -520,6 +525,7 @@
                 buffered_bytes = len(request.body)
                 incoming.request = request
                 await incoming.wait_for_turn(request)
+                await self._take_token(request)
                 await self._forward(request, sink, incoming.receive)
             if request_scope.cancelled_caught:
                 raise _cancelled_request_error(incoming, sink)
@@ -527,6 +533,30 @@
             self._request_scopes.discard(request_scope)
             self._buffered_bytes -= buffered_bytes
 
+    async def _take_token(self, request: _calls.Request) -> None:
+        """Count a request against the quota of its tenant.
+
+        Raises
+        ------
+        CallRefusedError
+            If the tenant is over its quota, or if no daemon decides.
+        """
+        quotas = self._runner.quotas
+        if quotas is None or not request.tenant:
+            return
+        decision = await quotas.decide(request.tenant)
+        if decision.granted:
+            return
+        code, detail = (
+            'over-quota',
+            f'tenant {request.tenant} is over its quota',
+        )
+        if decision.reason != 'over-quota':
+            code, detail = 'quota-undecided', 'no daemon decides on the quota'
+        raise _calls.CallRefusedError(
+            Outcome.NOT_RUN, code, detail, decision.retry_after_s
+        )
+
     async def _end_cancelled(
         self, incoming: _IncomingRequest, sink: _HttpSink
     ) -> None:
@@ -844,7 +874,7 @@
             # RFC 9110, section 11.6.1, requires a challenge.
             challenge = (b'www-authenticate', self._dialect.tenant_key)
             headers = [*headers, challenge]
-        if status == 503:
+        if status in (429, 503):
             value = b'%d' % _RETRY_AFTER_S
             if dialect.status_503_means_not_run or error.retry_after_s:
                 value = _retry_after(error, self._rng)
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -138,6 +138,7 @@
     'websocket': 403,
     'unknown-route': 404,
     'body-timeout': 408,
+    'over-quota': 429,
     'request-too-large': 413,
     'key-mismatch': 422,
     'headers-too-large': 431,
--- a/gypsumhall/services/_protocols.py
+++ b/gypsumhall/services/_protocols.py
@@ -18,6 +18,7 @@
     from gypsumhall.core._member import Member
     from gypsumhall.core._model import Fragment
     from gypsumhall.core._model import Head
+    from gypsumhall.core._quotas import Decision
     from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.net._messages import CallStart
     from gypsumhall.net._messages import Load
@@ -267,6 +268,27 @@
         ...
 
 
+@runtime_checkable
+class Quotas(Protocol):
+    """Quotas of tenants over all daemons; the service ``quotas``."""
+
+    def take(self, tenant: str, now: float) -> Decision:
+        """Take a token for one request without waiting.
+
+        The reason ``undecided`` means that the owner has to be asked, which
+        `decide` does.
+        """
+        ...
+
+    async def decide(self, tenant: str) -> Decision:
+        """Take a token; wait for the owner of the quota if necessary."""
+        ...
+
+    def give_back(self, tenant: str, now: float) -> None:
+        """Return the token of a request that was not sent."""
+        ...
+
+
 @runtime_checkable
 class Moves(Protocol):
     """Evidence about moves; the service ``moves``."""
--- a/gypsumhall/services/_registration.py
+++ b/gypsumhall/services/_registration.py
@@ -81,6 +81,12 @@
         self._store: StoreService
         self._events: Events
         self._stopping = False
+        self._zones: frozenset[str] = frozenset()
+
+    @property
+    def zones(self) -> frozenset[str]:
+        """Zones that had an entry when the entries were last read."""
+        return self._zones
 
     async def run(
         self,
@@ -128,7 +134,11 @@
             When the platform cannot be read.
         """
         addresses = []
-        for item in await self._store.range(PREFIX):
+        items = await self._store.range(PREFIX)
+        self._zones = frozenset(
+            item.key.removeprefix(PREFIX).split('/')[0] for item in items
+        )
+        for item in items:
             try:
                 address = decode_address(item.value, item.key)
             except MalformedDataError as error:
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -141,6 +141,7 @@
         self._dialect = dialect
         self._warmup_ends_at = -math.inf
         self._split_source: _sender.SplitSource | None = None
+        self._quotas: _protocols.Quotas | None = None
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
@@ -201,6 +202,15 @@
         """Whether the shutdown has been announced to other daemons."""
         return self._stopping
 
+    @property
+    def quotas(self) -> _protocols.Quotas | None:
+        """Quotas of tenants; None for no limits."""
+        return self._quotas
+
+    def set_quotas(self, quotas: _protocols.Quotas) -> None:
+        """Set the quotas of tenants; called before the start."""
+        self._quotas = quotas
+
     def set_split_source(self, source: _sender.SplitSource) -> None:
         """Set how calls are split between versions; call before `run`."""
         self._split_source = source
@@ -243,6 +253,7 @@
             split_source=self._split_source,
             retry_limits=self._retry_limits,
             buffer_budget=self.buffer_budget,
+            quotas=self._quotas,
         )
         self._keys = _keys.KeyOwner(
             peers, self._membership, self._sender, self.buffer_budget
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -105,7 +105,7 @@
 # Rejections of a keyed request before it was sent or its key was claimed.
 _OWNER_UNAVAILABLE_CODES = frozenset(['key-owner-unreachable', 'not-owner'])
 # Rejections that every other endpoint would repeat.
-_FINAL_CODES = frozenset(['bad-request', 'request-too-large'])
+_FINAL_CODES = frozenset(['bad-request', 'over-quota', 'request-too-large'])
 # Failures that indicate a faulty endpoint; other codes say nothing about it.
 # One that sheds requests looks idle otherwise.
 _FAULT_CODES = frozenset(
@@ -178,6 +178,11 @@
     fallback: _calls.Recorder | None = None
     retry_granted: bool = False
     free_retries: int = 0
+    # Tokens of the tenant's quota that no attempt uses. One is taken before
+    # the request is sent here.
+    tokens: int = 1
+    # Whether a backend server has received a part of the request.
+    reached_backend: bool = False
     # Version that the request was assigned to, and whether it failed there.
     version: str | None = None
     failed: bool = False
@@ -247,6 +252,8 @@
         Limits of retries.
     buffer_budget : ResponseBufferBudget, optional
         Memory limit of buffered responses.
+    quotas : Quotas, optional
+        Quotas of tenants, which each further attempt counts against.
     """
 
     def __init__(
@@ -264,7 +271,9 @@
         split_source: SplitSource | None = None,
         retry_limits: RetryLimits | None = None,
         buffer_budget: _calls.ResponseBufferBudget | None = None,
+        quotas: _protocols.Quotas | None = None,
     ) -> None:
+        self._quotas = quotas
         self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._buffer_responses = dialect.buffer_responses
         self._retry_limits = retry_limits or RetryLimits()
@@ -325,7 +334,12 @@
             When the response was truncated after its head was forwarded.
         """
         if request.key and not request.idempotent and not key_claimed:
-            await self._send_to_owner(request, sink)
+            try:
+                await self._send_to_owner(request, sink)
+            except _calls.CallRefusedError as error:
+                if error.outcome == Outcome.NOT_RUN:
+                    self._return_tokens(request, 1)
+                raise
             return
         await self._send(request, sink)
 
@@ -427,6 +441,8 @@
         finally:
             for chain in progress.chains:
                 chain.scope.cancel()
+            if not progress.reached_backend:
+                self._return_tokens(request, progress.tokens)
         hedged_request.raise_error()
         if hedged_request.winner is None:
             await self._end_without_response(progress)
@@ -467,6 +483,24 @@
             ):
                 return
 
+    def _return_tokens(self, request: _calls.Request, count: int) -> None:
+        """Return the tokens of attempts that no backend server received."""
+        if self._quotas is None or not request.tenant:
+            return
+        for _ in range(count):
+            self._quotas.give_back(request.tenant, trio.current_time())
+
+    def _take_token(self, progress: _Progress) -> bool:
+        """Take a token of the tenant's quota for one attempt."""
+        tenant = progress.request.tenant
+        if self._quotas is None or not tenant:
+            return True
+        if not progress.tokens:
+            decision = self._quotas.take(tenant, trio.current_time())
+            return decision.granted
+        progress.tokens -= 1
+        return True
+
     def _continue_elsewhere(
         self,
         attempt: _hedging.HedgedAttempt,
@@ -814,12 +848,24 @@
         progress: _Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
-        """Make an attempt; record and return its failure, if any."""
+        """Make an attempt; record and return its failure, if any.
+
+        One for which the tenant's quota has no room is not recorded: the
+        outcome of those before it counts.
+        """
+        if not self._take_token(progress):
+            return CallRefused(
+                '', Outcome.NOT_RUN, 'over-quota', 'no room for a retry'
+            )
         progress.attempts += 1
         started = trio.current_time()
         failure = await self._send_attempt(choice, progress, sink)
         if failure is not None:
             progress.record_failure(choice.member.id, failure, started)
+            if failure.outcome == Outcome.NOT_RUN:
+                progress.tokens += 1
+                if failure.code == 'shed':
+                    progress.reached_backend = True
         return failure
 
     async def _send_attempt(
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -33,6 +33,7 @@
     from gypsumhall.core import _model
     from gypsumhall.core._member import Member
     from gypsumhall.kernel import Service
+    from gypsumhall.services._quotas import QuotaService
 
 _PROCESSES = itertools.count(1)
 
@@ -253,6 +254,8 @@
         after 0.9 of it.
     dialect : Dialect
         Names of the headers that callers and backend servers use.
+    quotas : QuotaService, optional
+        Quotas of tenants; by default without limits.
     """
 
     def __init__(
@@ -270,6 +273,7 @@
         drain_delay_s: float = 0.0,
         drain_timeout_s: float = 30.0,
         dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
+        quotas: QuotaService | None = None,
     ) -> None:
         self._drain_timeout_s = drain_timeout_s
         # Set when the daemon has stopped.
@@ -295,6 +299,7 @@
                 '',
                 drain_delay_s,
                 0.9 * drain_timeout_s,
+                has_quotas=quotas is not None,
             )
             if listen
             else None
@@ -319,6 +324,9 @@
             self.announcements,
         ):
             self.kernel.register(service)
+        if quotas is not None:
+            self.runner.set_quotas(quotas)
+            self.kernel.register(quotas)
         if self.caller is not None:
             self.kernel.register(self.caller)
 
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gypsumhall._errors import SettingsError
 from gypsumhall.cli import fleet
 from gypsumhall.cli._settings import run_binary
 
@@ -28,6 +29,9 @@
     'bounds.retryBudgetRatio': '0.2',
     'bounds.budgetSlack': '64',
     'bounds.budgetWindowS': '10',
+    'bounds.quotaWindowS': '4',
+    'bounds.quotaOver': '0.2',
+    'bounds.quotaSlack': '30',
 }
 
 
@@ -49,6 +53,43 @@
     assert 'caller' in kernel.names and 'check-ins' in kernel.names
     assert settings.retry_window.value == 10.0
     assert settings.peer_port.value == 7600
+    assert 'quotas' in kernel.names
+    assert settings.quota_window.value == 4.0
+    assert settings.quota_over.value == 0.2
+    assert settings.quota_slack.value == 30.0
+
+
+def test_missing_quota_fields_select_the_defaults() -> None:
+    """Guards against a start that fails without the fields of quotas."""
+    environment = _environment()
+    for name in ('WINDOW', 'OVER', 'SLACK'):
+        environment[f'GYPSUMHALL_QUOTA_{name}'] = ''
+    settings = fleet.FleetSettings()
+    settings.settings.parse([], environment)
+    assert settings.quota_window.value == 5.0
+    assert settings.quota_over.value == 0.1
+    assert settings.quota_slack.value == 20.0
+
+
+@pytest.mark.parametrize(
+    ('name', 'value', 'range_text'),
+    [
+        ('QUOTA_WINDOW', '0.5', '1 to 60'),
+        ('QUOTA_OVER', '1.5', '0 to 1'),
+        ('QUOTA_SLACK', '0', '1 to 10000'),
+        ('QUOTA_SLACK', 'many', '1 to 10000'),
+    ],
+)
+def test_quota_settings_out_of_range_prevent_the_start(
+    name: str, value: str, range_text: str
+) -> None:
+    settings = fleet.FleetSettings()
+    environment = {**_environment(), f'GYPSUMHALL_{name}': value}
+    with pytest.raises(SettingsError) as caught:
+        settings.settings.parse([], environment)
+    text = str(caught.value)
+    assert f'GYPSUMHALL_{name}' in text
+    assert repr(value) in text and range_text in text
 
 
 def test_every_setting_of_the_deploy_file_is_documented() -> None:
