--- a/gypsumhall/core/_quota_owners.py
+++ b/gypsumhall/core/_quota_owners.py
@@ -26,10 +26,10 @@
 others may be owners at any age, as all of them have started together."""
 
 _DAEMONS_PER_GROUP = 8
-_MAX_GROUPS = 32
-"""Tenants are divided into one group per 8 daemons of a zone, so that a
+_MAX_GROUPS = 256
+"""Tenants are divided into about one group per 8 daemons of a zone, so that a
 daemon has few owners to ask and the questions about several tenants go
-together. More groups would not reduce the load of an owner further."""
+together."""
 
 
 class Owners:
@@ -151,7 +151,7 @@
         return self._owners[key]
 
     def _refresh(self, at: float, now: float) -> None:
-        before = self._eligible.get(self._zone)
+        before = self._eligible
         self._avoided = {
             name: until for name, until in self._avoided.items() if until > at
         }
@@ -159,7 +159,18 @@
             zone: self._choose_eligible(members, at)
             for zone, members in self._members.items()
         }
-        self._owners.clear()
+        changed = {
+            zone
+            for zone in before.keys() | self._eligible.keys()
+            if _addresses(before.get(zone, []))
+            != _addresses(self._eligible.get(zone, []))
+        }
+        # Hashing all members of a large zone takes most of a millisecond.
+        self._owners = {
+            key: owner
+            for key, owner in self._owners.items()
+            if key[0] not in changed
+        }
         self._next_change = min(
             (
                 time
@@ -171,10 +182,7 @@
             ),
             default=math.inf,
         )
-        after = self._eligible.get(self._zone)
-        if [item.id for item in before or ()] != [
-            item.id for item in after or ()
-        ]:
+        if self._zone in changed:
             self.changed_at = max(self.changed_at, at)
 
     def _choose_eligible(
@@ -194,6 +202,10 @@
         ]
 
 
+def _addresses(members: list[Member]) -> list[tuple[str, str]]:
+    return [(item.id, item.peer_address) for item in members]
+
+
 def _group(tenant: str, daemons: int) -> int:
     """Return the group of a tenant; the tenants of a group share an owner."""
     groups = 1
--- a/gypsumhall/services/_quotas.py
+++ b/gypsumhall/services/_quotas.py
@@ -42,6 +42,7 @@
 """The member table is read after a change, at most once in
 `_MEMBERS_INTERVAL_S` and for `_MEMBERS_PER_S` entries per second."""
 
+_MIN_PAUSE_S = 0.002
 _REPORT_INTERVAL_S = 1.0
 _EVENT_INTERVAL_S = 10.0
 """Shortest time in seconds between two events about one tenant."""
@@ -159,6 +160,10 @@
                     await self._wake.wait()
                 self._wake = trio.Event()
                 self._poll()
+                if self._scheduled_at <= trio.current_time():
+                    # The loop must not spin if nothing can be done yet.
+                    self._scheduled_at = trio.current_time() + _MIN_PAUSE_S
+                    self._wake = trio.Event()
 
     async def drain(self) -> None:
         """Continue: requests are served until the end of the drain."""
@@ -195,10 +200,11 @@
         try:
             with trio.move_on_after(_quota_exchange.DECISION_TIMEOUT_S):
                 while decision.reason == 'undecided':
-                    self._poll()
+                    # The loop asks for all requests that have arrived until
+                    # it runs in one message.
+                    self._schedule(trio.current_time())
+                    await waiting.park()
                     decision = daemon.retake(tenant, trio.current_time())
-                    if decision.reason == 'undecided':
-                        await waiting.park()
         finally:
             daemon.wait(tenant, -1)
             if not waiting:
@@ -273,9 +279,7 @@
         due = self._exchange.next_time(now)
         if self._counts or self._reported_use:
             due = min(due, self._reported_at + _REPORT_INTERVAL_S)
-        # The loop must not spin if a time is not in the future.
-        due = max(due, now + 0.001)
-        if due < self._scheduled_at:
+        if due <= now or due < self._scheduled_at:
             self._wake.set()
         self._scheduled_at = due
 
