--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -32,6 +32,8 @@
     'bounds.quotaWindowS': '4',
     'bounds.quotaOver': '0.2',
     'bounds.quotaSlack': '30',
+    'bounds.revokeMs': '4000',
+    'bounds.strictRevoke': 'true',
 }
 
 
@@ -52,6 +54,8 @@
     kernel = fleet.build_kernel(settings)
     assert 'caller' in kernel.names and 'check-ins' in kernel.names
     assert settings.retry_window.value == 10.0
+    assert settings.revoke_ms.value == 4000
+    assert 'isolation' in kernel.names
     assert settings.peer_port.value == 7600
     assert 'quotas' in kernel.names
     assert settings.quota_window.value == 4.0
@@ -125,3 +129,34 @@
     flag = name.removeprefix('GYPSUMHALL_').lower()
     message = capsys.readouterr().err
     assert flag in message.lower()
+
+
+def test_empty_values_select_the_defaults() -> None:
+    """The platform renders fields that it does not have as empty."""
+    environment = _environment()
+    environment['GYPSUMHALL_REVOKE_MS'] = ''
+    environment['GYPSUMHALL_STRICT_REVOKE'] = ''
+    settings = fleet.FleetSettings()
+    settings.settings.parse([], environment)
+    assert settings.revoke_ms.value == 5000
+    assert not settings.strict_revoke.value
+    assert 'isolation' not in fleet.build_kernel(settings).names
+
+
+@pytest.mark.parametrize(
+    ('name', 'value', 'expected'),
+    [
+        ('GYPSUMHALL_REVOKE_MS', '10', '500 to 600000'),
+        ('GYPSUMHALL_REVOKE_MS', '5s', '500 to 600000'),
+        ('GYPSUMHALL_STRICT_REVOKE', 'perhaps', 'true, false'),
+    ],
+)
+def test_setting_out_of_range_names_itself_and_the_range(
+    name: str, value: str, expected: str
+) -> None:
+    with pytest.raises(SettingsError) as caught:
+        fleet.FleetSettings().settings.parse(
+            [], {**_environment(), name: value}
+        )
+    for part in (name, value, expected):
+        assert part in str(caught.value)
