Return the token of a keyed request once, and keep Retry-After below its limit

A request with an idempotency key that was not run returned its token at the daemon of its caller and at the owner of the key. A daemon that refused on the answer of an owner added 10 ms to the longest Retry-After (2.51 s in place of 2.5 s); it now uses 10 ms as the shortest one.

--- a/gypsumhall/core/_quotas.py
+++ b/gypsumhall/core/_quotas.py
@@ -107,6 +107,9 @@
 """Largest share of its bucket that a zone keeps for its own demand. The rate
 of a demand that has moved away is high for a second."""
 
+_MIN_RETRY_S = 0.01
+"""Shortest ``Retry-After`` in seconds; 0 would mean that it is not known."""
+
 _MAX_RETRY_SHARE = 0.5
 """Longest ``Retry-After`` as a share of the window."""
 
@@ -395,7 +398,7 @@
         if now < state.refused_until:
             state.refused += 1
             return Decision(
-                False, 'over-quota', max(state.retry_at, now) - now + 0.01
+                False, 'over-quota', max(state.retry_at - now, _MIN_RETRY_S)
             )
         return UNDECIDED
 
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -336,6 +336,8 @@
     connectivity : Connectivity, optional
         Whether this daemon is cut off. If so, requests that need a key are
         rejected as not run, because the key may have been removed.
+    has_quotas : bool
+        Whether the kernel has the service ``quotas``.
     """
 
     name = 'caller'
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -348,7 +348,9 @@
                     self._return_tokens(request, 1)
                 raise
             return
-        await self._send(request, sink)
+        # Where the key was claimed for another daemon, that one returns the
+        # token of the request.
+        await self._send(request, sink, returns_tokens=not key_claimed)
 
     async def _send_to_owner(
         self, request: _calls.Request, sink: _calls.ResponseSink
@@ -431,7 +433,11 @@
         return _failure(receiver, call.request_id, owner.id)
 
     async def _send(
-        self, request: _calls.Request, sink: _calls.ResponseSink
+        self,
+        request: _calls.Request,
+        sink: _calls.ResponseSink,
+        *,
+        returns_tokens: bool,
     ) -> None:
         self._budget(request.service).call(trio.current_time())
         hedged_request = _hedging.HedgedRequest(sink)
@@ -448,7 +454,7 @@
         finally:
             for chain in progress.chains:
                 chain.scope.cancel()
-            if not progress.reached_backend:
+            if returns_tokens and not progress.reached_backend:
                 self._return_tokens(request, progress.tokens)
         hedged_request.raise_error()
         if hedged_request.winner is None:
--- a/tests/test_services_quotas.py
+++ b/tests/test_services_quotas.py
@@ -372,6 +372,7 @@
     dialect: _calls.Dialect = _calls.DEFAULT_DIALECT,
     *,
     has_endpoint: bool = True,
+    key: str = '',
 ) -> _Sink | _calls.CallRefusedError:
     """Send a request of a tenant that has taken a token already."""
     result: _Sink | _calls.CallRefusedError = _Sink()
@@ -398,12 +399,13 @@
         request = _calls.Request(
             'availability',
             'r',
-            'GET',
+            'POST' if key else 'GET',
             '/',
             ((b'x-request', b'1'),),
             b'',
             trio.current_time() + 2.0,
-            True,
+            not key,
+            key,
             tenant='limited',
         )
         try:
@@ -453,6 +455,19 @@
     assert (quotas.tokens, quotas.returned) == (5, 1)
 
 
+async def test_keyed_request_returns_its_token_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a token that its owner and the sender both return."""
+    backend = daemons.MemoryBackend(random.Random(1))
+    backend.unreachable_rate = 1.0
+    quotas = _FakeQuotas(5)
+    result = await _send(backend, quotas, key='once')
+    assert isinstance(result, _calls.CallRefusedError)
+    assert result.outcome == Outcome.NOT_RUN
+    assert (quotas.tokens, quotas.returned) == (5, 1)
+
+
 async def test_response_uses_the_token(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
