--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -13,6 +13,7 @@
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
 from gypsumhall.core._cold_limit import ColdBounds
+from gypsumhall.core._quotas import QuotaBounds
 from gypsumhall.kernel import Kernel
 from gypsumhall.kernel import Service
 from gypsumhall.net._network import PeerSettings
@@ -32,6 +33,7 @@
 from gypsumhall.services._membership import MembershipSettings
 from gypsumhall.services._metrics import MetricRegistry
 from gypsumhall.services._peers import Peers
+from gypsumhall.services._quotas import QuotaService
 from gypsumhall.services._readiness import Readiness
 from gypsumhall.services._readiness import ReadyListener
 from gypsumhall.services._registration import Registration
@@ -166,6 +168,28 @@
             'Requests that may be sent to it in any second besides.',
             highest=1e6,
         )
+        self.quota_window = settings.number(
+            'quota_window',
+            5.0,
+            'Length of the window of quota_over and quota_slack in seconds.',
+            lowest=1.0,
+            highest=60.0,
+        )
+        self.quota_over = settings.number(
+            'quota_over',
+            0.1,
+            'Share by which a tenant may exceed its quota in a window.',
+            lowest=0.0,
+            highest=1.0,
+        )
+        self.quota_slack = settings.number(
+            'quota_slack',
+            20.0,
+            'Requests by which a tenant may exceed its quota in a window, '
+            'regardless of quota_over.',
+            lowest=1.0,
+            highest=10_000.0,
+        )
         self.revoke_ms = settings.integer(
             'revoke_ms',
             5000,
@@ -235,6 +259,17 @@
     runner.set_split_source(rollouts.split)
     evacuations = EvacuationService(rng=rng)
     runner.set_evacuations(evacuations)
+    quotas = QuotaService(
+        QuotaBounds(
+            settings.quota_window.value,
+            settings.quota_over.value,
+            settings.quota_slack.value,
+        ),
+        rng=rng,
+    )
+    runner.set_quotas(quotas)
+    registration = Registration(rng=rng)
+    quotas.set_zone_source(lambda: registration.zones)
     admin = AdminService(settings.control_address.value)
     check_ins = CheckInService(
         settings.backend_address.value,
@@ -260,8 +295,9 @@
                 reseed_interval_s=5.0,
             )
         ),
-        Registration(rng=rng),
+        registration,
         DistributionService(jitter_s=_STARTUP_JITTER_S),
+        quotas,
         rollouts,
         evacuations,
         Feed(rng=rng, evacuations=evacuations),
@@ -276,6 +312,7 @@
             drain_delay_s,
             _CANCEL_SHARE * settings.grace.value,
             isolation if settings.strict_revoke.value else None,
+            has_quotas=True,
         ),
         Readiness(),
     ]
