Keep calls in their zone while it has room

Endpoints of other zones are now candidates only when less than a free slot is expected in the own zone, with hysteresis, and the request body counts in the cost of leaving it. The choice returns its reason and the costs of the candidates; a metric counts the reasons.

--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -17,12 +17,16 @@
   Failures add to the expected time, because failed work is repeated.
 * All endpoints of a zone busy while another zone has free slots. Crossing a
   zone boundary has a cost in time that grows with the size of a route's
-  responses: calls with small responses use the slots of all zones, calls with
-  large ones stay in their zone.
+  bodies: calls with small bodies use the slots of all zones, calls with large
+  ones stay in their zone.
+* Load waves that reach the zones one after the other. A call stays in its zone
+  while a free slot is expected there, whatever the endpoints of other zones
+  cost; a difference between the thresholds keeps a sender from alternating.
 """
 
 from __future__ import annotations
 
+import enum
 import math
 from typing import TYPE_CHECKING
 
@@ -54,6 +58,23 @@
 priced at a tenth to a fifth of a request whose latency objective is 0.4 s or
 more."""
 
+_SPILL_FREE_SHARE = 0.02
+"""Share of a zone's slots below which calls may leave it, if that is more than
+one slot."""
+
+_RETURN_FREE_SHARE = 0.15
+"""Share of a zone's slots that must be free until calls stay in it again, if
+that is more than two slots."""
+
+_MAX_FAILURE_RATE_WITH_ROOM = 0.2
+"""Failure rate above which the free slots of an endpoint do not keep calls in
+its zone."""
+
+_MAX_SLOWNESS_WITH_ROOM = 6.0
+"""Multiple of the fastest service time above which the free slots of an
+endpoint do not keep calls in its zone. Permanent speeds differ by a factor of
+3.2, and the mean of one that is temporarily slow by up to twice as much."""
+
 _MAX_BYTES_COST_S = 0.15
 """Largest cost in seconds of the bytes of a call. A free slot in another zone
 is preferred to a longer wait in the own zone, whatever the response size."""
@@ -109,8 +130,54 @@
 """Largest random fraction that is added to a cost."""
 
 
+_ROOM_DECAY_S = 2.0
+"""Age in seconds at which the weight of a report has decayed to 1/e in the
+estimate of the free slots of a zone. A sender hears of each endpoint every few
+seconds, and the load of a zone changes over several seconds."""
+
+_UNKNOWN_WEIGHT = 0.1
+"""Weight, in slots, of the assumption that a zone is idle. It matters only
+when no report is recent."""
+
+
+class Reason(enum.Enum):
+    """Why an endpoint was chosen."""
+
+    NONE = 'none'
+    OWN_ZONE = 'own-zone'
+    SPILLED = 'spilled'
+    TRIAL = 'trial'
+
+
+class Decision:
+    """Choice of an endpoint, with what led to it.
+
+    Parameters
+    ----------
+    member : Member or None
+        The chosen endpoint, if any.
+    reason : Reason
+        Why it was chosen.
+    costs : list of (Member, float)
+        Candidates and their costs in seconds, in the order of the table.
+    """
+
+    __slots__ = ('costs', 'member', 'reason')
+
+    def __init__(
+        self,
+        member: Member | None,
+        reason: Reason,
+        costs: list[tuple[Member, float]],
+    ) -> None:
+        self.member = member
+        self.reason = reason
+        self.costs = costs
+
+
 class _EndpointRecord:
     __slots__ = (
+        'busy',
         'failure_rate',
         'failure_rate_updated_at',
         'full_from_priority',
@@ -132,6 +199,8 @@
         self.joined_at = joined_at
         self.in_flight = 0
         self.load: Load | None = None
+        # Calls that run or wait there, by the latest report.
+        self.busy = 0
         self.reported_at = -math.inf
         self.own_in_flight_at_report = 0
         self.failure_rate = 0.0
@@ -145,7 +214,7 @@
     def expected_wait_s(self, now: float) -> float:
         """Return the expected wait for a slot, in seconds."""
         return self._expected_wait_s(
-            self._report_weight(now), self.service_time_s
+            self.report_weight(now), self.service_time_s
         )
 
     def cost_s(
@@ -162,7 +231,7 @@
         crossing_cost_s : float
             Cost in seconds of a response from another zone; 0 in the own one.
         """
-        weight = self._report_weight(now)
+        weight = self.report_weight(now)
         failure_rate = self.failure_rate * math.exp(
             -max(0.0, now - self.failure_rate_updated_at) / _FAILURE_DECAY_S
         )
@@ -185,11 +254,25 @@
         """Return whether the endpoint is so new that it may be slow."""
         return now - self.joined_at < _COLD_S
 
+    def keeps_calls(self, now: float, fastest_s: float) -> bool:
+        """Return whether free slots here keep calls in the zone."""
+        if self.is_cold(now):
+            return False
+        load = self.load
+        if load is None:
+            return self.failure_rate <= _MAX_FAILURE_RATE_WITH_ROOM
+        return (
+            max(self.failure_rate, load.failure_rate)
+            <= _MAX_FAILURE_RATE_WITH_ROOM
+            and load.service_time_ms
+            <= _MAX_SLOWNESS_WITH_ROOM * fastest_s * 1000
+        )
+
     def has_old_report(self, now: float) -> bool:
         """Return whether the latest report may be outdated."""
         return now - self.reported_at > _TRIAL_AGE_S
 
-    def _report_weight(self, now: float) -> float:
+    def report_weight(self, now: float) -> float:
         """Return the weight of the latest report, 0 to 1."""
         return math.exp(-max(0.0, now - self.reported_at) / _REPORT_DECAY_S)
 
@@ -243,6 +326,7 @@
         '_revisions',
         '_rng',
         '_services',
+        '_spilling',
         '_zone',
     )
 
@@ -254,6 +338,8 @@
         # Mean size in bytes of the responses of a route.
         self._response_bytes: dict[str, float] = {}
         self._revisions: dict[str, int] = {}
+        # Services whose calls may leave the zone.
+        self._spilling: set[str] = set()
 
     def revision(self, service: str) -> int:
         """Return the table revision of the last `update`; -1 for none."""
@@ -316,7 +402,26 @@
         priority: int = 0,
         route: str = '',
     ) -> Member | None:
-        """Return the endpoint with the least expected time to a response.
+        """Return the member that `decide` chooses, or None."""
+        return self.decide(
+            service, version, now, exclude, priority, route
+        ).member
+
+    def decide(
+        self,
+        service: str,
+        version: str,
+        now: float,
+        exclude: Collection[str] = (),
+        priority: int = 0,
+        route: str = '',
+        request_bytes: int = 0,
+    ) -> Decision:
+        """Choose the endpoint with the least expected time to a response.
+
+        Endpoints of other zones are candidates only while the own zone has no
+        room. Exceptions are endpoints that joined later and have reported no
+        service time; each sender tries them once.
 
         Parameters
         ----------
@@ -330,16 +435,19 @@
             Priority of the call.
         route : str
             Route of the call, which determines the expected response size.
+        request_bytes : int
+            Size in bytes of the body of the request.
 
         Returns
         -------
-        Member or None
-            None when each endpoint of the version is excluded, or known to
-            be unreachable or full.
+        Decision
+            Its member is None when each endpoint of the version is excluded,
+            or known to be unreachable or full.
         """
         best: _EndpointRecord | None = None
         best_cost = math.inf
-        crossing_cost_s = self._crossing_cost_s(route)
+        best_is_trial = False
+        crossing_cost_s = self._crossing_cost_s(route, request_bytes)
         records = self._candidates(service, version, now, exclude, priority)
         known_times_s = [
             record.service_time_s
@@ -348,31 +456,87 @@
         ]
         fastest_s = min(known_times_s, default=_DEFAULT_SERVICE_TIME_S)
         slowest_s = max(known_times_s, default=_DEFAULT_SERVICE_TIME_S)
+        own = [item for item in records if item.member.zone == self._zone]
+        stays = bool(own) and self._has_room(service, own, fastest_s, now)
+        costs: list[tuple[Member, float]] = []
         # One draw for all, so that the share of trial calls does not grow
         # with the number of slow endpoints.
         draw = self._rng.random()
         for record in records:
             in_own_zone = record.member.zone == self._zone
+            if stays and not in_own_zone and record.has_service_time:
+                continue
             zone_cost_s = 0.0 if in_own_zone else crossing_cost_s
             service_time_s = record.service_time_s
+            is_trial = False
             if not record.has_service_time:
                 service_time_s = slowest_s
                 # Together, the senders try it at its fair share of the calls.
                 is_trial = self._rng.random() * len(records) < 1.0
-                if is_trial and not record.is_cold(now):
+                is_trial = is_trial and not record.is_cold(now)
+                if is_trial:
                     service_time_s = fastest_s
                     if record.has_joined_later:
                         zone_cost_s = 0.0
+                if stays and zone_cost_s:
+                    continue
             elif record.has_old_report(now):
                 weight = math.exp(-(now - record.reported_at) / _TRIAL_DECAY_S)
                 assumed_s = fastest_s + (service_time_s - fastest_s) * weight
                 if draw * assumed_s < _TRIAL_SHARE * fastest_s:
                     service_time_s = fastest_s
+                    is_trial = True
             cost = record.cost_s(now, service_time_s, zone_cost_s)
             cost *= 1.0 + _JITTER * self._rng.random()
+            costs.append((record.member, cost))
             if cost < best_cost:
                 best, best_cost = record, cost
-        return None if best is None else best.member
+                best_is_trial = is_trial and not zone_cost_s
+        if best is None:
+            return Decision(None, Reason.NONE, costs)
+        if best.member.zone != self._zone:
+            reason = Reason.TRIAL if best_is_trial else Reason.SPILLED
+        else:
+            reason = Reason.OWN_ZONE
+        return Decision(best.member, reason, costs)
+
+    def _has_room(
+        self,
+        service: str,
+        own: Sequence[_EndpointRecord],
+        fastest_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether a free slot is expected in the own zone.
+
+        Old reports count less, so that the mean of the fresh ones stands for
+        endpoints that have not been called for a while.
+        """
+        slots = 0
+        added = 0
+        known_slots = _UNKNOWN_WEIGHT
+        known_free = _UNKNOWN_WEIGHT
+        for record in own:
+            if not record.keeps_calls(now, fastest_s):
+                continue
+            slots += record.slots
+            load = record.load
+            if load is None:
+                added += record.in_flight
+                continue
+            added += record.in_flight - record.own_in_flight_at_report
+            weight = math.exp((record.reported_at - now) / _ROOM_DECAY_S)
+            known_slots += weight * record.slots
+            known_free += weight * max(0, record.slots - record.busy)
+        free = slots * known_free / known_slots - added
+        if service in self._spilling:
+            if free < max(2.0, _RETURN_FREE_SHARE * slots):
+                return False
+            self._spilling.discard(service)
+        elif free < max(1.0, _SPILL_FREE_SHARE * slots):
+            self._spilling.add(service)
+            return False
+        return True
 
     def _candidates(
         self,
@@ -490,11 +654,26 @@
             default=0.0,
         )
 
-    def report(self, member_id: str, now: float, load: Load) -> None:
-        """Record the load that was reported with a response or a rejection."""
+    def report(
+        self, member_id: str, now: float, load: Load, *, ended: bool = False
+    ) -> None:
+        """Record the load that was reported with a response or a rejection.
+
+        Parameters
+        ----------
+        member_id : str
+            Id of the member.
+        now : float
+            Current time in seconds.
+        load : Load
+            The load.
+        ended : bool
+            Whether it includes a run that has ended since.
+        """
         record = self._records.get(member_id)
         if record is not None:
             record.load = load
+            record.busy = load.in_flight + load.queued - ended
             record.retry_after_s = 0.0
             record.reported_at = now
             record.own_in_flight_at_report = record.in_flight
@@ -510,9 +689,9 @@
         mean = self._response_bytes.get(route, float(size))
         self._response_bytes[route] = mean + _SIZE_WEIGHT * (size - mean)
 
-    def _crossing_cost_s(self, route: str) -> float:
+    def _crossing_cost_s(self, route: str, request_bytes: int) -> float:
         size = self._response_bytes.get(route, _DEFAULT_RESPONSE_BYTES)
-        cost_s = (size + _OVERHEAD_BYTES) * _BYTE_COST_S
+        cost_s = (size + request_bytes + _OVERHEAD_BYTES) * _BYTE_COST_S
         return _CROSSING_COST_S + min(_MAX_BYTES_COST_S, cost_s)
 
     def _ready(self, service: str) -> list[_EndpointRecord]:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -290,6 +290,10 @@
             'gypsumhall_sender_attempts_total',
             'Attempts to run a request, by result.',
         )
+        self._choices = metrics.counter(
+            'gypsumhall_sender_choices_total',
+            'Endpoints chosen for attempts, by reason.',
+        )
 
     async def run(self) -> None:
         """Probe unreachable daemons until they respond again."""
@@ -654,12 +658,14 @@
         tried_members = rejecting_members | progress.tried_members
         rank = progress.request.priority
         route = progress.request.route
+        size = len(progress.request.body)
         for exclude in (tried_members, rejecting_members):
-            member = self._load_balancer.choose(
-                service, version, now, exclude, rank, route
+            decision = self._load_balancer.decide(
+                service, version, now, exclude, rank, route, size
             )
-            if member is not None:
-                return member
+            if decision.member is not None:
+                self._choices.add(1.0, reason=decision.reason.value)
+                return decision.member
         return None
 
     def _max_wait_s(
@@ -787,14 +793,15 @@
         split = choice.split
         request = progress.request
         for version in _eligible_versions(split, split.old_version):
-            member = self._load_balancer.choose(
+            member = self._load_balancer.decide(
                 request.service,
                 version,
                 trio.current_time(),
                 progress.tried_members | progress.rejected_by,
                 request.priority,
                 request.route,
-            )
+                len(request.body),
+            ).member
             if member is None:
                 continue
             if not self._retry_is_possible(progress):
@@ -900,7 +907,9 @@
             now = trio.current_time()
             self._load_balancer.end(member.id, now, failed=failed)
             if receiver.load is not None:
-                self._load_balancer.report(member.id, now, receiver.load)
+                self._load_balancer.report(
+                    member.id, now, receiver.load, ended=receiver.complete
+                )
             if failure is not None and failure.code == 'peer-lost':
                 self._mark_unreachable(member)
             if failure is not None and failure.code == 'overloaded':
