--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -991,9 +991,12 @@
         receiver: _attempts.Receiver,
         call: CallStart,
     ) -> _QueuedAttempt | None:
-        """Remember an attempt that may be withdrawn, and return it."""
+        """Remember an attempt that may be withdrawn, and return it.
+
+        One that accepts only a short wait has nothing to gain.
+        """
         if (
-            not call.max_wait_ms
+            call.max_wait_ms >= 0
             or choice.is_evidence
             or progress.withdrawal_requested
         ):
--- a/gypsumhall/testing/uneven_load.py
+++ b/gypsumhall/testing/uneven_load.py
@@ -474,7 +474,7 @@
                 if item.zone == request.zone
             )
         balancer.begin(member.id)
-        if max_wait_s > 0 and not request.withdrawn:
+        if math.isinf(max_wait_s) and not request.withdrawn:
             request.server = server
             self._queued[request.sender].append(request)
         self.at(
