--- a/tests/test_services_backend_responses.py
+++ b/tests/test_services_backend_responses.py
@@ -388,6 +388,32 @@
         assert await _execute(daemon, 'r1') == _BAD_RESPONSE
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(
+    'status',
+    ['000', '007', '099', '101', '20', '2000', '+20', '-01', '600', '999'],
+)
+async def test_status_outside_the_standard_never_reaches_a_caller(
+    status: str, method: str
+) -> None:
+    """Guards against responses with a status that RFC 9110 does not define.
+
+    An endpoint that fails may send one; 600 and 999 were passed on. The
+    request may have run, so its caller gets 502.
+    """
+
+    async def respond(stream: trio.SocketStream) -> None:
+        response = _response(200, 'r1').replace(
+            b' 200 ', f' {status} '.encode()
+        )
+        await stream.send_all(response)
+
+    async with _open_daemon(_Server({'r1': respond})) as daemon:
+        result = await _call(daemon, method, 'r1')
+    assert result is not None
+    assert result[0] == 502
+
+
 @pytest.mark.parametrize('status', [200, 404, 500])
 async def test_rejection_with_the_status_of_a_run_is_not_believed(
     status: int,
