Keep the task and the cancel scope of a caller's connection

Each request started a task, and each read of a connection entered a cancel scope and three context managers of trio. The task of the last request now runs the next one, a connection enters a new scope only after a deadline, and sockets are read directly. A request to the backend server uses a class instead of a generator as context manager.

--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -18,7 +18,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
-    from collections.abc import AsyncIterator
     from collections.abc import Callable
     from contextlib import AbstractAsyncContextManager
 
@@ -494,6 +493,67 @@
         ...
 
 
+class _RequestContext:
+    """Context manager that sends a request and ends its response.
+
+    A generator with `contextlib.asynccontextmanager` would take more time.
+    """
+
+    __slots__ = (
+        '_body',
+        '_client',
+        '_connection',
+        '_headers',
+        '_method',
+        '_on_send',
+        '_path',
+    )
+
+    def __init__(
+        self,
+        client: BackendClient,
+        method: str,
+        path: str,
+        headers: _calls.Headers,
+        body: bytes,
+        on_send: Callable[[], None],
+    ) -> None:
+        self._client = client
+        self._method = method
+        self._path = path
+        self._headers = headers
+        self._body = body
+        self._on_send = on_send
+        self._connection: _Connection
+
+    async def __aenter__(self) -> BackendResponse:
+        method, body = self._method, self._body
+        headers = list(self._headers)
+        if body or method not in ('GET', 'HEAD', 'OPTIONS', 'DELETE'):
+            headers.append((b'content-length', b'%d' % len(body)))
+        target = self._path.encode('ascii')
+        connection = self._connection = await self._client._connect()
+        self._on_send()
+        try:
+            status, received = await connection.send_request(
+                method.encode('ascii'), target, headers, body
+            )
+            return _build_response(method, status, received, connection)
+        except BaseException:
+            connection.close()
+            raise
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, *_: object
+    ) -> None:
+        if kind is not None:
+            self._connection.close()
+            return
+        # Bytes behind the response that are on their way are noticed.
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        self._client._release(self._connection)
+
+
 class BackendClient:
     """HTTP client with a connection pool for one backend server.
 
@@ -517,15 +577,14 @@
         """Address of the backend server."""
         return self._address
 
-    @contextlib.asynccontextmanager
-    async def request(
+    def request(
         self,
         method: str,
         path: str,
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
-    ) -> AsyncIterator[BackendResponse]:
+    ) -> AbstractAsyncContextManager[BackendResponse]:
         """Send a request and yield the head of the response.
 
         If the block is left before the end of the body, the connection is
@@ -551,27 +610,7 @@
         BackendResetError, BackendResponseError
             When the request may have been run.
         """
-        sent_headers = list(headers)
-        if body or method not in ('GET', 'HEAD', 'OPTIONS', 'DELETE'):
-            sent_headers.append((b'content-length', b'%d' % len(body)))
-        target = path.encode('ascii')
-        connection = await self._connect()
-        on_send()
-        try:
-            status, received = await connection.send_request(
-                method.encode('ascii'), target, sent_headers, body
-            )
-            yield _build_response(method, status, received, connection)
-        except BaseException:
-            connection.close()
-            raise
-        # Bytes behind the response that are on their way are noticed.
-        await trio.lowlevel.cancel_shielded_checkpoint()
-        if connection.is_reusable():
-            expires = trio.current_time() + _IDLE_TIMEOUT_S
-            self._idle.append((expires, connection))
-        else:
-            connection.close()
+        return _RequestContext(self, method, path, headers, body, on_send)
 
     async def close_idle(self, *, all_connections: bool = False) -> None:
         """Close connections that have been idle for too long, or all."""
@@ -583,6 +622,14 @@
         for _, connection in expired:
             connection.close()
 
+    def _release(self, connection: _Connection) -> None:
+        """Keep a connection for another request, if it allows one."""
+        if connection.is_reusable():
+            expires = trio.current_time() + _IDLE_TIMEOUT_S
+            self._idle.append((expires, connection))
+        else:
+            connection.close()
+
     async def _connect(self) -> _Connection:
         now = trio.current_time()
         while self._idle:
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -1,9 +1,9 @@
 """HTTP/1.1 server for ASGI applications, with pipelined requests.
 
 A connection has one task that reads, so that a caller that leaves is noticed,
-and one for each request. Every request has a parser of its own while others
-wait behind it, because a parser reads the next request only after the response
-to the last one.
+and one for each request that runs at the same time. Every request has a parser
+of its own while others wait behind it, because a parser reads the next request
+only after the response to the last one.
 """
 
 from __future__ import annotations
@@ -445,6 +445,22 @@
         self._held.clear()
 
 
+class _Worker:
+    """A task that runs requests one after the other."""
+
+    __slots__ = ('_task', 'exchange')
+
+    def __init__(self, task: trio.lowlevel.Task) -> None:
+        self._task = task
+        # The request that it runs next.
+        self.exchange: Exchange | None = None
+
+    def wake(self, exchange: Exchange | None) -> None:
+        """Run a request, or end without one; only while it waits."""
+        self.exchange = exchange
+        trio.lowlevel.reschedule(self._task)
+
+
 class _Connection:
     """A connection of a caller."""
 
@@ -467,6 +483,7 @@
         self._parsing_ended = False
         self._disconnected = False
         self._finished = False
+        self._reading_ended = False
         self._stopping = stopping
         self._read_scope = trio.CancelScope()
         # Whether a part of a head has been received.
@@ -479,6 +496,8 @@
         self._room = trio.Event()
         self._send_lock = trio.Lock()
         self._nursery: trio.Nursery
+        # Worker that waits for a request, if there is one.
+        self._idle_worker: _Worker | None = None
         self.held_bytes = 0
         self.pipeline = Pipeline(settings.read_ahead, _MAX_READ_AHEAD_BYTES)
 
@@ -516,6 +535,8 @@
         try:
             async with trio.open_nursery() as self._nursery:
                 await self._read_until_closed()
+                self._reading_ended = True
+                self._end_idle_worker()
             if not self._disconnected:
                 await self._close_gracefully()
         finally:
@@ -661,17 +682,23 @@
                 self._room = trio.Event()
                 await self._room.wait()
                 continue
+            with trio.CancelScope(
+                deadline=self._idle_deadline
+            ) as self._read_scope:
+                await self._read(self._read_scope)
+            if (
+                self._read_scope.cancelled_caught
+                and not self._rejects_slow_head()
+            ):
+                return
+
+    async def _read(self, scope: trio.CancelScope) -> None:
+        """Read until there is no room or a new cancel scope is needed."""
+        while True:
             try:
-                with trio.CancelScope(
-                    deadline=self._idle_deadline
-                ) as self._read_scope:
-                    data = await self._stream.receive_some(_RECEIVE_BYTES)
+                data = await self._receive()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
-            if self._read_scope.cancelled_caught:
-                if not self._rejects_slow_head():
-                    return
-                continue
             if not data:
                 self._disconnect()
                 return
@@ -680,6 +707,29 @@
                 self._parser.receive(data)
                 self._parse()
                 self._limit_head_time()
+            # The data may have arrived together with the deadline, which
+            # does not apply to what follows.
+            if self._finished or scope.cancel_called or self._is_full():
+                return
+
+    async def _receive(self) -> bytes:
+        """Return received data; empty at the end.
+
+        The methods of a `trio.SocketStream` enter several context managers.
+        """
+        stream = self._stream
+        if not isinstance(stream, trio.SocketStream):
+            data: bytes = await stream.receive_some(_RECEIVE_BYTES)
+            return data
+        while (descriptor := stream.socket.fileno()) >= 0:
+            await trio.lowlevel.wait_readable(descriptor)
+            try:
+                return os.read(descriptor, _RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError:
+                break
+        return b''
 
     def _rejects_slow_head(self) -> bool:
         """Reject a head that has not ended in time; False if there is none."""
@@ -750,9 +800,40 @@
         self._exchanges.append(exchange)
         self.pipeline.add(exchange)
         self._idle_deadline = self._read_scope.deadline = math.inf
-        self._nursery.start_soon(exchange.run, self._application)
+        worker, self._idle_worker = self._idle_worker, None
+        if worker is None:
+            self._nursery.start_soon(self._run_exchanges, exchange)
+        else:
+            worker.wake(exchange)
         return exchange
 
+    async def _run_exchanges(self, exchange: Exchange) -> None:
+        """Run a request, then others of this connection.
+
+        Starting and ending a task for each of them would take more time.
+        """
+        worker = _Worker(trio.lowlevel.current_task())
+        following: Exchange | None = exchange
+        # The task must not keep a request in memory while it waits.
+        del exchange
+        while following is not None:
+            await following.run(self._application)
+            following = None
+            if self._reading_ended or self._idle_worker is not None:
+                return
+            self._idle_worker = worker
+            await trio.lowlevel.wait_task_rescheduled(self._abort_idle_worker)
+            following, worker.exchange = worker.exchange, None
+
+    def _abort_idle_worker(self, _: object) -> trio.lowlevel.Abort:
+        self._idle_worker = None
+        return trio.lowlevel.Abort.SUCCEEDED
+
+    def _end_idle_worker(self) -> None:
+        worker, self._idle_worker = self._idle_worker, None
+        if worker is not None:
+            worker.wake(None)
+
     def _reject_input(self, status: int) -> None:
         """Respond to input that is not a valid request, in its turn."""
         exchange = self._current
