Call the store with a plain HTTP client

The connection pools of httpcore were the largest part of an idle daemon. Limits, time-outs, reuse of connections and the bytes of requests stay the same.

--- a/gypsumhall/platform/_store.py
+++ b/gypsumhall/platform/_store.py
@@ -10,7 +10,6 @@
 from typing import TypeVar
 from urllib.parse import urlencode
 
-import httpcore
 import msgspec
 import trio
 
@@ -21,6 +20,7 @@
 from gypsumhall._errors import StoreUnavailableError
 from gypsumhall._errors import StoreUnknownError
 from gypsumhall.core._member import Count
+from gypsumhall.platform import _http_client
 from gypsumhall.store import Delete
 from gypsumhall.store import KeyValue
 from gypsumhall.store import LeaseId
@@ -76,29 +76,15 @@
 _KEEPALIVE_EXPIRY_S = 5.0
 """Time in seconds after which an idle connection is closed."""
 
-_NOT_SENT_ERRORS = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
-_HTTP_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
-
-class _TooLargeError(Exception):
-    """A response exceeds `MAX_RESPONSE_BYTES`."""
-
 
 class _OutdatedEraError(Exception):
     """A response is from an era before the one that is known."""
 
 
 _NO_RESPONSE_ERRORS = (
-    *_HTTP_ERRORS,
-    _TooLargeError,
+    _http_client.ConnectError,
+    _http_client.ResponseError,
+    _http_client.TooLargeError,
     _OutdatedEraError,
     trio.TooSlowError,
 )
@@ -202,40 +188,40 @@
     ----------
     address : str
         ``<ip>:<port>`` of the store.
-    network_backend : httpcore.AsyncNetworkBackend, optional
+    network : Network, optional
         Opens connections; by default over TCP.
     """
 
     __slots__ = (
-        '_base_url',
-        '_call_pool',
+        '_call_client',
         '_era',
         '_polls',
         '_report',
-        '_watch_pool',
+        '_watch_client',
     )
 
     def __init__(
         self,
         address: str,
-        network_backend: httpcore.AsyncNetworkBackend | None = None,
+        network: _http_client.Network | None = None,
     ) -> None:
-        self._base_url = f'http://{address}'
         self._era = 0
         self._polls: set[trio.CancelScope] = set()
         self._report: Callable[[str, str], None] | None = None
 
-        def open_pool() -> httpcore.AsyncConnectionPool:
-            return httpcore.AsyncConnectionPool(
+        def open_client() -> _http_client.Client:
+            return _http_client.Client(
+                network or _http_client.TcpNetwork(),
+                address,
                 max_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=_KEEPALIVE_EXPIRY_S,
-                network_backend=network_backend,
+                idle_s=_KEEPALIVE_EXPIRY_S,
+                max_body_bytes=MAX_RESPONSE_BYTES,
             )
 
-        self._call_pool = open_pool()
-        # Watches are long polls; with a pool of their own, they do not
+        self._call_client = open_client()
+        # Watches are long polls; with connections of their own, they do not
         # delay other calls.
-        self._watch_pool = open_pool()
+        self._watch_client = open_client()
 
     @property
     def era(self) -> int:
@@ -247,9 +233,9 @@
         self._report = report
 
     async def aclose(self) -> None:
-        """Close all connections."""
-        await self._call_pool.aclose()
-        await self._watch_pool.aclose()
+        """Close the connections; the calls on them have ended."""
+        await self._call_client.close_idle()
+        await self._watch_client.close_idle()
 
     async def get(self, key: str, *, stale: bool = False) -> KeyValue | None:
         """Read one key; None when it does not exist.
@@ -435,7 +421,7 @@
                         '/v1/kv-watch',
                         query,
                         _WATCH_POLL_S + _CALL_TIMEOUT_S,
-                        self._watch_pool,
+                        self._watch_client,
                     )
                 finally:
                     self._polls.discard(scope)
@@ -466,11 +452,11 @@
         path: str,
         query: dict[str, Any],
         timeout_s: float = _CALL_TIMEOUT_S,
-        pool: httpcore.AsyncConnectionPool | None = None,
+        client: _http_client.Client | None = None,
     ) -> _Response:
         try:
             return await self._call(
-                'GET', f'{path}?{urlencode(query)}', b'', timeout_s, pool
+                'GET', f'{path}?{urlencode(query)}', b'', timeout_s, client
             )
         except _NO_RESPONSE_ERRORS as error:
             raise StoreUnavailableError(f'{path}: {error!r}') from error
@@ -484,7 +470,7 @@
         content = b'' if body is None else msgspec.json.encode(body)
         try:
             return await self._call(method, path, content, _CALL_TIMEOUT_S)
-        except _NOT_SENT_ERRORS as error:
+        except _http_client.ConnectError as error:
             raise StoreUnavailableError(f'{path}: {error!r}') from error
         except _NO_RESPONSE_ERRORS as error:
             raise StoreUnknownError(f'{path}: {error!r}') from error
@@ -495,24 +481,14 @@
         target: str,
         content: bytes,
         timeout_s: float,
-        pool: httpcore.AsyncConnectionPool | None = None,
+        client: _http_client.Client | None = None,
     ) -> _Response:
-        headers = [('Content-Type', 'application/json')] if content else []
-        body = bytearray()
+        content_type = b'application/json' if content else b''
         try:
             with trio.fail_after(timeout_s):
-                async with (pool or self._call_pool).stream(
-                    method,
-                    self._base_url + target,
-                    headers=headers,
-                    content=content,
-                ) as response:
-                    async for chunk in response.aiter_stream():
-                        body += chunk
-                        if len(body) > MAX_RESPONSE_BYTES:
-                            raise _TooLargeError(
-                                f'more than {MAX_RESPONSE_BYTES} bytes'
-                            )
+                response = await (client or self._call_client).request(
+                    method.encode(), target.encode(), content, content_type
+                )
         except trio.TooSlowError:
             await self._close_idle()
             raise
@@ -524,18 +500,15 @@
             )
         if era < self._era:
             raise _OutdatedEraError(f'era {era}, expected {self._era}')
-        return _Response(response.status, bytes(body), era)
+        return _Response(response.status, response.body, era)
 
     async def _close_idle(self) -> None:
         """Close idle connections, which may be silent as another one was."""
-        with trio.CancelScope(shield=True):
-            for pool in (self._call_pool, self._watch_pool):
-                for connection in pool.connections:
-                    if connection.is_idle():
-                        await connection.aclose()
+        for client in (self._call_client, self._watch_client):
+            await client.close_idle()
 
 
-def _read_era(response: httpcore.Response, default: int) -> int:
+def _read_era(response: _http_client.Response, default: int) -> int:
     """Return the era of a response; `default` when it names none."""
     for name, value in response.headers:
         if (
--- a/gypsumhall/testing/http_network.py
+++ b/gypsumhall/testing/http_network.py
@@ -62,6 +62,15 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise httpcore.WriteError from error
 
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        data = bytes(await self._stream.receive_some(max_bytes))
+        await self._block_if_silent()
+        return data
+
+    async def send_all(self, data: bytes) -> None:
+        if not self.silent:
+            await self._stream.send_all(data)
+
     async def aclose(self) -> None:
         await self._stream.aclose()
 
@@ -78,7 +87,9 @@
 
 
 class HttpNetwork(httpcore.AsyncNetworkBackend):
-    """`httpcore` network backend that connects to ASGI applications.
+    """Network that connects to ASGI applications.
+
+    It is a network backend of `httpcore` and a `Network` of `_http_client`.
 
     Parameters
     ----------
@@ -143,6 +154,14 @@
         self._streams.add(stream)
         return stream
 
+    async def open_stream(self, address: str) -> Any:
+        """Open a stream to the application at an address."""
+        host, _, port = address.rpartition(':')
+        try:
+            return await self.connect_tcp(host, int(port))
+        except httpcore.ConnectError as error:
+            raise ConnectionRefusedError(str(error)) from error
+
     async def connect_unix_socket(
         self,
         path: str,
--- a/gypsumhall/testing/kv_store.py
+++ b/gypsumhall/testing/kv_store.py
@@ -242,7 +242,7 @@
         app = KvApp(MemoryStore())
         network = HttpNetwork(nursery)
         network.listen(ADDRESS, app)
-        store = KvStore(ADDRESS, network_backend=network)
+        store = KvStore(ADDRESS, network)
         yield store, app, network
         with trio.CancelScope(shield=True):
             await store.aclose()
--- a/gypsumhall/testing/rollout_fleet.py
+++ b/gypsumhall/testing/rollout_fleet.py
@@ -58,7 +58,7 @@
         self._scope = trio.CancelScope()
         member = fleet.members[index]
         info = PeerInfo(member.id, member.zone, 1, member.peer_address)
-        self.client = KvStore(ADDRESS, network_backend=fleet.network)
+        self.client = KvStore(ADDRESS, network=fleet.network)
         self._services = (
             self.events,
             FakeMetrics(),
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -135,7 +135,7 @@
     async with trio.open_nursery() as nursery:
         network = HttpNetwork(nursery)
         network.listen(ADDRESS, app)
-        store = KvStore(ADDRESS, network_backend=network)
+        store = KvStore(ADDRESS, network)
         store.set_reporter(lambda key, reason: reported.append(key))
         yield store, app, reported
         with trio.CancelScope(shield=True):
--- a/tests/test_platform_store_eras.py
+++ b/tests/test_platform_store_eras.py
@@ -5,7 +5,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import httpcore
 import pytest
 import trio
 
@@ -13,6 +12,7 @@
 from gypsumhall.errors import StoreError
 from gypsumhall.errors import StoreUnavailableError
 from gypsumhall.errors import StoreUnknownError
+from gypsumhall.platform import _http_client
 from gypsumhall.platform._store import _read_era
 from gypsumhall.store import campaign
 from gypsumhall.store import Compare
@@ -205,5 +205,5 @@
 @pytest.mark.parametrize('value', [b'9' * 19, b'-1', b'', b'2.0', b'x'])
 def test_unusable_era_is_not_taken_for_another_one(value: bytes) -> None:
     """A wrong high era would make all later responses unusable."""
-    response = httpcore.Response(200, headers=[(b'Store-Era', value)])
+    response = _http_client.Response(200, [(b'Store-Era', value)], b'')
     assert _read_era(response, 3) == 3
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -253,7 +253,7 @@
     async with trio.open_nursery() as nursery:
         network = HttpNetwork(nursery)
         network.listen(ADDRESS, KvApp(memory))
-        client = KvStore(ADDRESS, network_backend=network)
+        client = KvStore(ADDRESS, network)
         store = InstrumentedStore(client)
         distribution = _Distribution()
         kernel = _kernel(
