End requests that reached no backend server as not run

Requests that were not run ended with 502 or 504, so that callers of routes that are not idempotent could not return: calls that never left the send queue of a stream, calls whose body was not handed over as a whole when the daemon was lost, and idempotent calls whose stream was lost on the way or in a queue. A request also waited for an endpoint until its deadline.

An exchange now knows whether a byte of it was sent, and an attempt whether its whole body was handed over. Lost attempts at idempotent requests are queried for 0.25 s when no attempt has responded; the query withdraws a queued call. The wait for an endpoint ends when half of the time is left, and the caller is told to return after 0.5 s.

--- a/gypsumhall/net/_protocol.py
+++ b/gypsumhall/net/_protocol.py
@@ -63,6 +63,11 @@
         """
         ...
 
+    @property
+    def unsent(self) -> bool:
+        """Whether the exchange has ended before a byte of it was sent."""
+        ...
+
     async def send(self, message: Message) -> None:
         """Send a message; waits while the receive window of the peer is full.
 
--- a/gypsumhall/net/_stream.py
+++ b/gypsumhall/net/_stream.py
@@ -126,6 +126,7 @@
         'delay_s',
         'is_call',
         'number',
+        'unsent',
     )
 
     def __init__(
@@ -148,6 +149,8 @@
         self.is_call = is_call
         self.delay_s = 0.0
         """Time in seconds by which the first message was delayed."""
+        self.unsent = False
+        """Whether the exchange has ended before a byte of it was sent."""
 
     @property
     def peer(self) -> PeerInfo:
@@ -296,10 +299,11 @@
     def _end(self, kind: Kind, error: PeerLostError) -> None:
         if self._stream.remove_exchange(self.number) and self._error is None:
             # No frame is needed once both directions are closed.
-            if not (self._sending_closed and self._receiving_closed) and not (
-                kind is Kind.CANCEL and self._stream.withdraw(self.number)
-            ):
-                self._write(kind, 0)
+            if not (self._sending_closed and self._receiving_closed):
+                if kind is Kind.CANCEL:
+                    self.unsent = self._stream.withdraw(self.number)
+                if not self.unsent:
+                    self._write(kind, 0)
             self._error = error
         self._wake()
 
@@ -645,6 +649,8 @@
             return
         self.end_error = error or PeerLostError('the stream was closed')
         exchanges = list(self._exchanges.values())
+        for exchange in exchanges:
+            exchange.unsent = exchange.number in self._unsent_openings
         self._exchanges.clear()
         self._send_queue.clear()
         self._unsent_openings.clear()
--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -93,6 +93,7 @@
         'size',
         'status',
         'timed_out',
+        'unsent',
         'withheld',
     )
 
@@ -118,6 +119,8 @@
         self.load: Load | None = None
         self.status = 0
         self.timed_out = False
+        # Whether the runner certainly did not get the whole call.
+        self.unsent = False
         self.withheld = False
         self.forwarded = False
         self.complete = False
@@ -401,6 +404,7 @@
                 await self._execute(call, request.body, receiver.feed)
                 receiver.done = True
                 return
+            exchange: Exchange | None = None
             try:
                 async with self._peers.open(
                     member.peer_address, call
@@ -423,7 +427,10 @@
                     return
                 raise
             except PeerError:
-                return
+                pass
+            finally:
+                if exchange is not None and exchange.unsent:
+                    receiver.unsent = True
         receiver.timed_out = scope.cancelled_caught
 
     async def resolve_outcome(
@@ -492,8 +499,12 @@
         try:
             if call.has_body:
                 remaining_bytes = len(request.body)
+                # The runner starts no call whose body is incomplete.
+                receiver.unsent = True
                 for part in _calls.chunks(request.body):
                     remaining_bytes -= len(part)
+                    if not remaining_bytes:
+                        receiver.unsent = False
                     await exchange.send(
                         BodyChunk(part, last=not remaining_bytes)
                     )
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -471,12 +471,8 @@
         request_id : str
             Id of the attempt.
         """
-        for queued_call, pending in self._pending.items():
-            if pending.request_id == request_id:
-                if self._backend is not None:
-                    self._backend.queue.remove(queued_call)
-                self._reject_calls([queued_call], _calls.KEY_REMOVED)
-                return
+        if self._withdraw_queued(request_id, _calls.KEY_REMOVED):
+            return
         run = self._runs.get(request_id)
         if run is not None:
             run.withdraw()
@@ -484,6 +480,16 @@
             # A call whose body is incomplete is then refused when it begins.
             self._ledger.query(request_id, trio.current_time())
 
+    def _withdraw_queued(self, request_id: str, code: str) -> bool:
+        """Reject a call that waits in the queue; False if none does."""
+        for queued_call, pending in self._pending.items():
+            if pending.request_id == request_id:
+                if self._backend is not None:
+                    self._backend.queue.remove(queued_call)
+                self._reject_calls([queued_call], code)
+                return True
+        return False
+
     async def _handle_withdrawal(
         self, _exchange: Exchange, message: CallWithdraw
     ) -> None:
@@ -1073,6 +1079,11 @@
         if entry.state == EntryState.RUNNING and done is not None:
             await done.wait()
             entry = self._ledger.query(request_id, trio.current_time())
+        elif entry.state == EntryState.RUNNING and self._withdraw_queued(
+            request_id, 'withdrawn'
+        ):
+            # An idempotent call, whose sender no longer waits for it.
+            entry = Entry(EntryState.REFUSED)
         await self._replay(request_id, entry, send)
 
     async def _close_idle(self) -> None:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -68,6 +68,12 @@
 # Time in seconds for which a request waits for an endpoint after all have
 # failed. A killed process is replaced or declared dead within this time.
 _ENDPOINT_WAIT_S = 3.0
+# Longest such wait, as a fraction of the time left until the deadline. A
+# caller that is rejected later has no time to return.
+_ENDPOINT_WAIT_FRACTION = 0.5
+# Time in seconds for which the outcomes of lost attempts at an idempotent
+# request are queried before it is rejected.
+_LOST_ATTEMPT_QUERY_S = 0.25
 _FIRST_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.5
 # Rejections due to stale routing data cost the fleet no work, so retries
@@ -152,6 +158,9 @@
         return self.version == self.split.new_version
 
 
+_LostAttempt = tuple[_Choice, 'CallStart', _attempts.Receiver]
+
+
 class _Chain:
     """Consecutive attempts beside those at a silent daemon."""
 
@@ -186,6 +195,8 @@
     failed: bool = False
     # Endpoints that rejected the request for lack of a free slot or capacity.
     no_capacity_rejections: int = 0
+    # Lost attempts at an idempotent request, which may have run, by id.
+    lost_attempts: dict[str, _LostAttempt] = field(default_factory=dict)
     trail: list[str] = field(default_factory=list)
     retry_after_s: float = math.inf
     backoff_s: float = _FIRST_BACKOFF_S
@@ -209,9 +220,20 @@
             self.retry_after_s = min(self.retry_after_s, retry_after_s)
         if failure.outcome == Outcome.NOT_RUN and failure.code != 'busy':
             self.rejected_by.add(member_id)
+        if failure.request_id in self.lost_attempts:
+            # Its outcome is asked for if no attempt responds.
+            return
         if _SEVERITY[failure.outcome] > _SEVERITY[self.outcome]:
             self.outcome = failure.outcome
 
+    def replace_failure(self, failure: CallRefused) -> None:
+        """Replace the last failure if it is that of the same attempt."""
+        if (
+            self.last_failure is not None
+            and self.last_failure.request_id == failure.request_id
+        ):
+            self.last_failure = failure
+
 
 def _describe(member_id: str, failure: CallRefused) -> str:
     load = failure.load
@@ -529,6 +551,7 @@
             if response is not None:
                 await _calls.deliver(response, sink)
                 return
+        await self._resolve_lost_attempts(progress)
         last_failure = progress.last_failure
         if request.withdrawn and progress.outcome == Outcome.NOT_RUN:
             raise _calls.key_removed()
@@ -543,6 +566,10 @@
                 retry_after_s or _NO_ENDPOINT_RETRY_S,
             )
         retry_after_s = progress.retry_after_s
+        if math.isinf(retry_after_s) and (
+            last_failure.code in _FREE_RETRY_CODES
+        ):
+            retry_after_s = _NO_ENDPOINT_RETRY_S
         error = _calls.CallRefusedError(
             progress.outcome,
             last_failure.code,
@@ -552,6 +579,35 @@
         error.trail = tuple(progress.trail)
         raise error
 
+    async def _resolve_lost_attempts(self, progress: _Progress) -> None:
+        """Query whether lost attempts at an idempotent request were run.
+
+        A query also withdraws a call that waits in a queue. Without a reply,
+        the outcome remains unknown.
+        """
+        if not progress.lost_attempts:
+            return
+        if progress.outcome == Outcome.NOT_RUN:
+            with trio.move_on_after(_LOST_ATTEMPT_QUERY_S):
+                async with trio.open_nursery() as nursery:
+                    for choice, call, receiver in list(
+                        progress.lost_attempts.values()
+                    ):
+                        nursery.start_soon(
+                            self._resolve_outcome,
+                            choice,
+                            call,
+                            progress.request,
+                            receiver,
+                        )
+        for _, _, receiver in progress.lost_attempts.values():
+            rejection = receiver.rejection
+            outcome = rejection.outcome if rejection else Outcome.UNKNOWN
+            if _SEVERITY[outcome] > _SEVERITY[progress.outcome]:
+                progress.outcome = outcome
+            if rejection is not None and outcome == Outcome.NOT_RUN:
+                progress.replace_failure(rejection)
+
     def _budget(self, service: str) -> RetryBudget:
         self._update_retry_floor()
         budget = self._budgets.get(service)
@@ -600,13 +656,13 @@
         if last_failure is None or last_failure.code not in _FREE_RETRY_CODES:
             return False
         now = trio.current_time()
+        remaining_s = progress.request.deadline - now
         progress.endpoint_wait_until = min(
-            progress.endpoint_wait_until, now + _ENDPOINT_WAIT_S
-        )
-        endpoint_wait_until = min(
-            progress.endpoint_wait_until, progress.request.deadline
+            progress.endpoint_wait_until,
+            now + _ENDPOINT_WAIT_S,
+            now + _ENDPOINT_WAIT_FRACTION * remaining_s,
         )
-        if now + progress.backoff_s >= endpoint_wait_until:
+        if now + progress.backoff_s >= progress.endpoint_wait_until:
             return False
         wait_s = progress.backoff_s * (0.5 + self._rng.random())
         with trio.move_on_after(wait_s):
@@ -893,8 +949,8 @@
                 receiver,
                 functools.partial(self._handle_silence, member, sink),
             )
-            if not receiver.done and not request.idempotent:
-                await self._resolve_outcome(choice, call, request, receiver)
+            if not receiver.done and not receiver.unsent:
+                await self._handle_loss(choice, call, progress, receiver)
             failure = _failure(receiver, call.request_id, member.id)
             failed = receiver.status >= 500 if receiver.status else None
         except PeerUnreachableError as error:
@@ -917,7 +973,10 @@
             self._load_balancer.end(member.id, now, failed=failed)
             if receiver.load is not None:
                 self._load_balancer.report(member.id, now, receiver.load)
-            if failure is not None and failure.code == 'peer-lost':
+            if failure is not None and (
+                failure.code == 'peer-lost'
+                or (receiver.unsent and not receiver.timed_out)
+            ):
                 self._mark_unreachable(member)
             if failure is not None and failure.code == 'overloaded':
                 self._load_balancer.mark_full(
@@ -942,6 +1001,21 @@
         if isinstance(sink, _hedging.HedgedAttempt):
             sink.report_silence()
 
+    async def _handle_loss(
+        self,
+        choice: _Choice,
+        call: CallStart,
+        progress: _Progress,
+        receiver: _attempts.Receiver,
+    ) -> None:
+        """Query the outcome of a lost attempt, or remember it for later."""
+        request = progress.request
+        if not request.idempotent:
+            await self._resolve_outcome(choice, call, request, receiver)
+        elif not receiver.started and choice.member.id != self._me:
+            lost_attempt = choice, call, receiver
+            progress.lost_attempts[call.request_id] = lost_attempt
+
     async def _resolve_outcome(
         self,
         choice: _Choice,
@@ -1073,6 +1147,13 @@
             'backend-reset',
             f'the response of {member_id} was truncated',
         )
+    if receiver.unsent:
+        return CallRefused(
+            request_id,
+            Outcome.NOT_RUN,
+            'deadline' if receiver.timed_out else 'peer-unreachable',
+            f'the call could not be sent to {member_id}',
+        )
     if receiver.timed_out:
         return CallRefused(
             request_id,
--- a/gypsumhall/testing/memory_network.py
+++ b/gypsumhall/testing/memory_network.py
@@ -54,11 +54,19 @@
 class _Stream:
     """A stream that carries one exchange."""
 
-    __slots__ = ('aborted', 'channels', 'delay_s', 'on_silence', 'silent')
+    __slots__ = (
+        'aborted',
+        'channels',
+        'delay_s',
+        'held',
+        'on_silence',
+        'silent',
+    )
 
     def __init__(self) -> None:
         self.delay_s = 0.0
         self.aborted = False
+        self.held = False
         self.silent = False
         self.channels: list[trio.MemorySendChannel[Any]] = []
         self.on_silence: Callable[[], None] | None = None
@@ -101,6 +109,11 @@
         """Time in seconds by which messages were delayed."""
         return self._stream.delay_s
 
+    @property
+    def unsent(self) -> bool:
+        """Whether the messages of the exchange were held back."""
+        return self._stream.held
+
     async def send(self, message: Message) -> None:
         """Send a message."""
         if self._stream.aborted:
@@ -108,7 +121,7 @@
         self._hub.count(message)
         if self._hub.latency_s:
             await trio.sleep(self._hub.latency_s)
-        if self._hub.blocks(self._me.address, self._peer.address):
+        if self._is_blocked():
             await trio.lowlevel.checkpoint()
             return
         fault = self._hub.fault(self._me.address, self._peer.address, message)
@@ -138,6 +151,16 @@
             # Lets the peer receive the message before the stream is aborted.
             self._hub.abort_later(self._stream, 0.0)
 
+    def _is_blocked(self) -> bool:
+        """Return whether messages are lost or held back."""
+        stream = self._stream
+        if self._peer.address in self._hub.held and not stream.held:
+            stream.held = True
+            self._hub.report_silence_later(stream)
+        return stream.held or self._hub.blocks(
+            self._me.address, self._peer.address
+        )
+
     async def receive(self) -> Message:
         """Wait for the next message and return it."""
         try:
@@ -287,6 +310,8 @@
         by timeouts only.
     silent : set of str
         Addresses for which all messages to or from them are lost.
+    held : set of str
+        Addresses to which no byte of a new exchange can be sent.
     sizes : Counter of str or None
         Encoded size in bytes of the messages that were sent, by message
         type; None disables counting, which would take most of the time of a
@@ -298,6 +323,7 @@
         self.latency_s = latency_s
         self.is_blocked: Callable[[str, str], bool] = lambda one, other: False
         self.silent: set[str] = set()
+        self.held: set[str] = set()
         self.sizes: Counter[str] | None = None
         self._daemons: dict[str, tuple[MemoryNetwork, PeerInfo]] = {}
         self.streams: dict[_Stream, tuple[str, str]] = {}
--- a/tests/test_net_stream.py
+++ b/tests/test_net_stream.py
@@ -108,6 +108,19 @@
     assert numbers == [1, 2, exchanges[1].number]
 
 
+async def test_exchanges_of_which_no_byte_was_sent_are_known() -> None:
+    """Guards against "not run" for a call of which a byte was sent."""
+    async with _blocked_stream() as (stream, _):
+        started = stream.in_flight[0]
+        cancelled, lost = [stream.open(_CALL, Kind.OPEN) for _ in range(2)]
+        cancelled.cancel()
+        assert cancelled.unsent
+        assert not lost.unsent
+        stream.end(None)
+        assert lost.unsent
+        assert not started.unsent
+
+
 async def test_a_withdrawn_backlog_does_not_block_later_frames() -> None:
     """Guards against a second task that waits for the same socket."""
     async with _blocked_stream() as (stream, other):
