Give tenants fair shares of the queue of an endpoint

A tenant at 7.5 times its usual rate got a share of the slots that grew with its attempts, and the other tenants lost as many of their requests as it did. Among calls of the same lateness and priority, those of tenants above the mean go last, are displaced first, and are told to return up to twice as late, within a third of the time that the caller has left. Nested calls stay first. A counter has the reason of each rejection and the class of the tenant.

--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -17,6 +17,10 @@
 * An overload that lasts for seconds. Callers whose retry delay covers only
   the current wait return to the same queue until they run out of attempts.
   They get a longer delay, to which their own daemon adds jitter.
+* A tenant that sends many times its usual rate, and whose callers return at
+  once. Among calls of the same lateness and priority, those of tenants that
+  have recently been given more than the mean service time go last
+  (`gypsumhall.core._tenant_shares`).
 * Callers that retry after a rejection. Their objective has passed; they go
   before other late calls, because they time out soon.
 """
@@ -27,6 +31,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from gypsumhall.core._tenant_shares import TenantShares
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -73,6 +79,13 @@
 _MIN_RETRY_AFTER_S = 0.05
 """Shortest retry delay in seconds for a rejected caller."""
 
+_MAX_SHARE_FACTOR = 2.0
+"""Longest retry delay of a tenant above the mean share, as a multiple of that
+of the others."""
+
+_CALLER_WAIT_FRACTION = 1 / 3
+"""Fraction of the time left to them that callers wait at most."""
+
 _LONG_BACKLOG_RETRY_AFTER_S = 0.8
 """Retry delay in seconds once the backlog is older than `_SHORT_BACKLOG_S`.
 Callers that retry as soon as the current queue has been served find the next
@@ -89,6 +102,10 @@
     OVERLOADED = 'overloaded'
 
 
+_SortKey = tuple[bool, int, float, bool, float]
+"""Late, priority, excess service time of the tenant, not returning, limit."""
+
+
 class QueuedCall:
     """A call in the queue.
 
@@ -160,12 +177,14 @@
         '_queue',
         '_route_service_times_s',
         '_running',
+        '_shares',
         '_slots',
     )
 
     def __init__(self, slots: int) -> None:
         self._slots = max(1, slots)
         self._running = 0
+        self._shares = TenantShares()
         self._queue: list[QueuedCall] = []
         self._displaced: list[QueuedCall] = []
         self._backlog_since = math.inf
@@ -235,8 +254,10 @@
         )
         if self._running < self._slots and not self._queue:
             self._running += 1
+            self._charge(now, call)
             return AdmissionDecision.RUN
-        wait_time_s = self._expected_wait_of(now, call)
+        keys = self._sort_keys(now, call)
+        wait_time_s = self._expected_wait_of(call, keys)
         if wait_time_s > max_wait_s:
             return AdmissionDecision.BUSY
         time_left = _DEADLINE_MARGIN * (call.deadline - now)
@@ -255,8 +276,8 @@
                 other for other in self._queue if _is_late(other, now)
             ]
         if candidates:
-            last = max(candidates, key=lambda other: _sort_key(other, now))
-            if _sort_key(last, now) <= _sort_key(call, now):
+            last = max(candidates, key=keys.__getitem__)
+            if keys[last] <= keys[call]:
                 return AdmissionDecision.OVERLOADED
             self._queue.remove(last)
             self._displaced.append(last)
@@ -269,9 +290,10 @@
         """Return the call that runs next, if a slot is free."""
         if self._running >= self._slots or not self._queue:
             return None
-        chosen = min(self._queue, key=lambda call: _sort_key(call, now))
+        chosen = min(self._queue, key=self._sort_keys(now).__getitem__)
         self._queue.remove(chosen)
         self._running += 1
+        self._charge(now, chosen)
         return chosen
 
     def evict(self, now: float) -> list[QueuedCall]:
@@ -284,7 +306,8 @@
         ahead_s = 0.0
         # A late call that others overtake is evicted while its caller still
         # has time to retry.
-        for call in sorted(self._queue, key=lambda call: _sort_key(call, now)):
+        keys = self._sort_keys(now)
+        for call in sorted(self._queue, key=keys.__getitem__):
             delay_s = ahead_s / self._slots if _is_late(call, now) else 0.0
             if now + delay_s + call.expected_service_time_s > call.deadline:
                 evicted.append(call)
@@ -296,7 +319,7 @@
         excess = self._count_late(now) - self._max_late()
         if excess > 0:
             late = [call for call in self._queue if _is_late(call, now)]
-            late.sort(key=lambda call: _sort_key(call, now))
+            late.sort(key=keys.__getitem__)
             for call in late[-excess:]:
                 self._queue.remove(call)
                 evicted.append(call)
@@ -361,11 +384,82 @@
         mean = self._route_service_times_s.get(route, 0.0)
         self._route_service_times_s[route] = _update_mean(mean, service_time_s)
 
-    def retry_after_s(self, now: float) -> float:
-        """Return the time in seconds until there is likely to be room."""
+    def retry_after_s(
+        self, now: float, call: QueuedCall | None = None
+    ) -> float:
+        """Return the time in seconds until there is likely to be room.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        call : QueuedCall or None
+            Rejected call. The delay is longer for a tenant above the mean
+            share, whose next call would be rejected in favor of others, but
+            not so long that its caller could not return.
+        """
+        minimum_s = _MIN_RETRY_AFTER_S
         if self._has_long_backlog(now):
-            return max(_LONG_BACKLOG_RETRY_AFTER_S, self.expected_wait_s())
-        return max(_MIN_RETRY_AFTER_S, self.expected_wait_s())
+            minimum_s = _LONG_BACKLOG_RETRY_AFTER_S
+        retry_after_s = max(minimum_s, self.expected_wait_s())
+        mean_s = self._shares.mean_s(now)
+        if call is None or not mean_s:
+            return retry_after_s
+        factor = self._shares.used_s(now, call.tenant) / mean_s
+        longest_s = _CALLER_WAIT_FRACTION * (call.deadline - now)
+        return max(
+            retry_after_s,
+            min(
+                longest_s,
+                retry_after_s * min(factor, _MAX_SHARE_FACTOR),
+            ),
+        )
+
+    def tenant_class(self, now: float, call: QueuedCall) -> str:
+        """Return how much its tenant uses: `none`, `within` or `above`."""
+        if not call.tenant:
+            return 'none'
+        used_s = self._shares.used_s(now, call.tenant)
+        return 'above' if used_s > self._shares.mean_s(now) else 'within'
+
+    def _charge(self, now: float, call: QueuedCall) -> None:
+        """Charge a call that begins to run to its tenant.
+
+        Calls without a tenant count as those of one more tenant, except
+        nested calls, which hold a slot for another call.
+        """
+        if call.tenant or (call.priority and len(self._shares)):
+            self._shares.charge(now, call.tenant, call.expected_service_time_s)
+
+    def _sort_keys(
+        self, now: float, new_call: QueuedCall | None = None
+    ) -> dict[QueuedCall, _SortKey]:
+        """Return the key by which each queued call is ordered.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        new_call : QueuedCall or None
+            Call to include that is not queued.
+        """
+        calls = self._queue if new_call is None else [*self._queue, new_call]
+        keys = {call: _sort_key(call, now) for call in calls}
+        mean_s = self._shares.mean_s(now)
+        if not mean_s:
+            return keys
+        used_s: dict[str, float] = {}
+        for call in sorted(calls, key=keys.__getitem__):
+            late, priority, _, first, limit = keys[call]
+            tenant = call.tenant
+            if not tenant and not priority:
+                continue
+            if tenant not in used_s:
+                used_s[tenant] = self._shares.used_s(now, tenant)
+            excess_s = max(0.0, used_s[tenant] - mean_s)
+            used_s[tenant] += call.expected_service_time_s
+            keys[call] = late, priority, excess_s, first, limit
+        return keys
 
     def _mean_or_default_s(self) -> float:
         return self._mean_service_time_s or DEFAULT_SERVICE_TIME_S
@@ -382,13 +476,15 @@
     def _count_late(self, now: float) -> int:
         return sum(_is_late(call, now) for call in self._queue)
 
-    def _expected_wait_of(self, now: float, call: QueuedCall) -> float:
+    def _expected_wait_of(
+        self, call: QueuedCall, keys: dict[QueuedCall, _SortKey]
+    ) -> float:
         """Return the expected wait in seconds behind calls that go first."""
-        order = _sort_key(call, now)
+        order = keys[call]
         ahead_s = sum(
             other.expected_service_time_s
             for other in self._queue
-            if _sort_key(other, now) <= order
+            if keys[other] <= order
         )
         excess = max(1, self._running - self._slots + 1)
         return (ahead_s + excess * self._mean_or_default_s()) / self._slots
@@ -400,10 +496,11 @@
     )
 
 
-def _sort_key(call: QueuedCall, now: float) -> tuple[bool, int, bool, float]:
+def _sort_key(call: QueuedCall, now: float) -> _SortKey:
+    """Return the key without the share of the tenant."""
     late = _is_late(call, now)
     limit = call.deadline if late else call.objective
-    return late, call.priority, late and not call.is_caller_retry, limit
+    return late, call.priority, 0.0, late and not call.is_caller_retry, limit
 
 
 def _update_mean(
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -179,6 +179,7 @@
         self._nursery: trio.Nursery
         self._sender: _sender.Sender
         self._call_counter: _protocols.Metric
+        self._queue_rejections: _protocols.Metric
 
     @property
     def sender(self) -> _sender.Sender:
@@ -238,6 +239,10 @@
             'gypsumhall_runner_calls_total',
             'Calls that reached the runner, by result.',
         )
+        self._queue_rejections = metrics.counter(
+            'gypsumhall_queue_rejections_total',
+            'Calls without a place in the queue, by reason and tenant class.',
+        )
         load = metrics.gauge(
             'gypsumhall_runner_load',
             'Calls in flight and queued, and the concurrency limit.',
@@ -786,11 +791,12 @@
             self._cold_monitor.record_request()
             return
         if decision is not AdmissionDecision.WAIT:
+            self._count_queue_rejection(queued_call, decision.value)
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 decision.value,
                 f'{backend.queue.queued} calls are queued',
-                backend.queue.retry_after_s(now),
+                backend.queue.retry_after_s(now, queued_call),
             )
         pending = self._pending[queued_call] = _PendingCall(
             call.request_id, trio.Event()
@@ -821,7 +827,7 @@
                 Outcome.NOT_RUN,
                 pending.code,
                 'the call was removed from the queue of the endpoint',
-                backend.queue.retry_after_s(trio.current_time()),
+                backend.queue.retry_after_s(trio.current_time(), queued_call),
             )
         raise _calls.not_run('deadline', 'the deadline passed in the queue')
 
@@ -843,12 +849,20 @@
         if self._backend is not None:
             self._reject_calls(self._backend.queue.clear(), 'draining')
 
+    def _count_queue_rejection(self, call: QueuedCall, reason: str) -> None:
+        if self._backend is not None:
+            tenants = self._backend.queue.tenant_class(
+                trio.current_time(), call
+            )
+            self._queue_rejections.add(1.0, reason=reason, tenants=tenants)
+
     def _reject_calls(
         self, queued_calls: Iterable[QueuedCall], code: str
     ) -> None:
         for queued_call in queued_calls:
             pending = self._pending.pop(queued_call, None)
             if pending is not None:
+                self._count_queue_rejection(queued_call, f'{code}-later')
                 pending.code = code
                 pending.ready.set()
 
