Remember per tenant which endpoints are full

A rejection of a tenant over its share marked the endpoint as full for all tenants of that priority at the sender, although it still takes their calls; they were rejected on arrival. The sender now remembers such rejections per tenant, for the time of a run per slot. A further request of the tenant is rejected on arrival if all endpoints are marked, instead of asking up to four of them. Requests without a tenant are handled as before.

--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -17,8 +17,10 @@
 from gypsumhall.core import _load_balancer
 from gypsumhall.core import _ownership
 from gypsumhall.core import _routing
+from gypsumhall.core._full_endpoints import FullEndpoints
 from gypsumhall.core._limits import RetryBudget
 from gypsumhall.core._member import MemberStatus
+from gypsumhall.core._waiting import DEFAULT_SERVICE_TIME_S
 from gypsumhall.net._messages import CallRefused
 from gypsumhall.net._messages import Outcome
 from gypsumhall.net._messages import Ping
@@ -315,6 +317,7 @@
         self._load_balancer = _load_balancer.LoadBalancer(
             membership.me.zone, rng
         )
+        self._full_endpoints = FullEndpoints()
         self._budgets: dict[str, RetryBudget] = {}
         self._results = metrics.counter(
             'gypsumhall_sender_attempts_total',
@@ -556,8 +559,10 @@
         if request.withdrawn and progress.outcome == Outcome.NOT_RUN:
             raise _calls.key_removed()
         if last_failure is None:
-            retry_after_s = self._load_balancer.retry_after_s(
-                request.service, trio.current_time()
+            now = trio.current_time()
+            retry_after_s = max(
+                self._load_balancer.retry_after_s(request.service, now),
+                self._full_endpoints.retry_after_s(now, request.tenant),
             )
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
@@ -723,6 +728,12 @@
         """
         service = progress.request.service
         rejecting_members = progress.rejected_by
+        if progress.request.tenant:
+            rejecting_members = rejecting_members.union(
+                self._full_endpoints.members(
+                    now, progress.request.tenant, progress.request.priority
+                )
+            )
         tried_members = rejecting_members | progress.tried_members
         rank = progress.request.priority
         route = progress.request.route
@@ -979,12 +990,7 @@
             ):
                 self._mark_unreachable(member)
             if failure is not None and failure.code == 'overloaded':
-                self._load_balancer.mark_full(
-                    member.id,
-                    now,
-                    request.priority,
-                    failure.retry_after_ms / 1000,
-                )
+                self._mark_full(member.id, request, failure)
         if failure is None:
             self._load_balancer.record_response_size(
                 request.route, receiver.size
@@ -994,6 +1000,31 @@
             progress.fallback = receiver.recorder
         return failure
 
+    def _mark_full(
+        self, member_id: str, request: _calls.Request, failure: CallRefused
+    ) -> None:
+        """Exclude an endpoint until a run there is likely to end.
+
+        It may have room for other tenants than that of the rejected call.
+        """
+        now = trio.current_time()
+        retry_after_s = failure.retry_after_ms / 1000
+        load = failure.load
+        if not request.tenant or load is None:
+            self._load_balancer.mark_full(
+                member_id, now, request.priority, retry_after_s
+            )
+            return
+        service_time_s = load.service_time_ms / 1000 or DEFAULT_SERVICE_TIME_S
+        self._full_endpoints.mark(
+            now,
+            request.tenant,
+            member_id,
+            request.priority,
+            now + service_time_s / max(1, load.slots),
+            retry_after_s,
+        )
+
     def _handle_silence(
         self, member: Member, sink: _calls.ResponseSink
     ) -> None:
