--- a/gypsumhall/services/_attempts.py
+++ b/gypsumhall/services/_attempts.py
@@ -102,6 +102,7 @@
         'size',
         'status',
         'timed_out',
+        'unsent',
         'withheld',
     )
 
@@ -127,6 +128,8 @@
         self.load: Load | None = None
         self.status = 0
         self.timed_out = False
+        # Whether the runner certainly did not get the whole call.
+        self.unsent = False
         self.withheld = False
         self.forwarded = False
         self.complete = False
@@ -457,6 +460,7 @@
         timeout_s = call.deadline_ms / 1000 + _GRACE_S
         limit = self._deadlines.limit(trio.current_time() + timeout_s)
         interruption: _Interruption | None = None
+        exchange: Exchange | None = None
         with limit as scope:
             try:
                 async with self._peers.open(
@@ -478,7 +482,10 @@
                     return
                 raise
             except PeerError:
-                return
+                pass
+            finally:
+                if exchange is not None and exchange.unsent:
+                    receiver.unsent = True
         receiver.timed_out = scope.cancelled_caught and (
             interruption is None or not interruption.occurred
         )
@@ -549,8 +556,12 @@
         try:
             if call.has_body:
                 remaining_bytes = len(request.body)
+                # The runner starts no call whose body is incomplete.
+                receiver.unsent = True
                 for part in _calls.chunks(request.body):
                     remaining_bytes -= len(part)
+                    if not remaining_bytes:
+                        receiver.unsent = False
                     await exchange.send(
                         BodyChunk(part, last=not remaining_bytes)
                     )
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -183,6 +183,7 @@
         self._sender: _sender.Sender
         self._call_counter: _protocols.Metric
         self._invalid_headers: _protocols.Metric
+        self._queue_rejections: _protocols.Metric
 
     @property
     def sender(self) -> _sender.Sender:
@@ -256,6 +257,10 @@
             'gypsumhall_runner_invalid_headers_total',
             'Headers of the backend server that were ignored, by header.',
         )
+        self._queue_rejections = metrics.counter(
+            'gypsumhall_queue_rejections_total',
+            'Calls without a place in the queue, by reason and tenant class.',
+        )
         load = metrics.gauge(
             'gypsumhall_runner_load',
             'Calls in flight and queued, and the concurrency limit.',
@@ -504,14 +509,8 @@
             Whether a call that has been given a slot, or is not known, is
             not affected. Otherwise the key of the call has been removed.
         """
-        for queued_call, pending in self._pending.items():
-            if pending.request_id == request_id:
-                if self._backend is not None:
-                    self._backend.queue.remove(queued_call)
-                code = 'withdrawn' if only_queued else _calls.KEY_REMOVED
-                self._reject_calls([queued_call], code)
-                return
-        if only_queued:
+        code = 'withdrawn' if only_queued else _calls.KEY_REMOVED
+        if self._withdraw_queued(request_id, code) or only_queued:
             return
         run = self._runs.get(request_id)
         if run is not None:
@@ -520,6 +519,16 @@
             # A call whose body is incomplete is then refused when it begins.
             self._ledger.query(request_id, trio.current_time())
 
+    def _withdraw_queued(self, request_id: str, code: str) -> bool:
+        """Reject a call that waits in the queue; False if none does."""
+        for queued_call, pending in self._pending.items():
+            if pending.request_id == request_id:
+                if self._backend is not None:
+                    self._backend.queue.remove(queued_call)
+                self._reject_calls([queued_call], code)
+                return True
+        return False
+
     async def _handle_withdrawal(
         self, _exchange: Exchange, message: CallWithdraw
     ) -> None:
@@ -830,11 +839,12 @@
             self._cold_monitor.record_request()
             return
         if decision is not AdmissionDecision.WAIT:
+            self._count_queue_rejection(queued_call, decision.value)
             raise _calls.CallRefusedError(
                 Outcome.NOT_RUN,
                 decision.value,
                 f'{backend.queue.queued} calls are queued',
-                backend.queue.retry_after_s(now),
+                backend.queue.retry_after_s(now, queued_call),
             )
         pending = self._pending[queued_call] = _PendingCall(
             call.request_id, trio.Event()
@@ -865,7 +875,7 @@
                 Outcome.NOT_RUN,
                 pending.code,
                 'the call was removed from the queue of the endpoint',
-                backend.queue.retry_after_s(trio.current_time()),
+                backend.queue.retry_after_s(trio.current_time(), queued_call),
             )
         raise _calls.not_run('deadline', 'the deadline passed in the queue')
 
@@ -887,12 +897,20 @@
         if self._backend is not None:
             self._reject_calls(self._backend.queue.clear(), 'draining')
 
+    def _count_queue_rejection(self, call: QueuedCall, reason: str) -> None:
+        if self._backend is not None:
+            tenants = self._backend.queue.tenant_class(
+                trio.current_time(), call
+            )
+            self._queue_rejections.add(1.0, reason=reason, tenants=tenants)
+
     def _reject_calls(
         self, queued_calls: Iterable[QueuedCall], code: str
     ) -> None:
         for queued_call in queued_calls:
             pending = self._pending.pop(queued_call, None)
             if pending is not None:
+                self._count_queue_rejection(queued_call, f'{code}-later')
                 pending.code = code
                 pending.ready.set()
 
@@ -1123,6 +1141,11 @@
         if entry.state == EntryState.RUNNING and done is not None:
             await done.wait()
             entry = self._ledger.query(request_id, trio.current_time())
+        elif entry.state == EntryState.RUNNING and self._withdraw_queued(
+            request_id, 'withdrawn'
+        ):
+            # An idempotent call, whose sender no longer waits for it.
+            entry = Entry(EntryState.REFUSED)
         await self._replay(request_id, entry, send)
 
     async def _close_idle(self) -> None:
