Take the bounds of two simulations from the targets

The tests allowed what was measured: a loss of 0.03 instead of 0.02 for the other tenants at 1.2 times the capacity, and 1.6 and 1.75 instead of 1.3 times the times of complete information.

--- a/tests/test_core_tenant_load.py
+++ b/tests/test_core_tenant_load.py
@@ -69,18 +69,14 @@
     assert hot.of_others > before.of_others + 0.05
 
 
-@pytest.mark.parametrize(
-    ('load', 'loss'), [(1.2, 0.03), (1.5, 0.02), (1.8, 0.02)]
-)
-def test_others_are_served_when_callers_return_at_once(
-    load: float, loss: float
-) -> None:
+@pytest.mark.parametrize('load', [1.2, 1.5, 1.8])
+def test_others_are_served_when_callers_return_at_once(load: float) -> None:
     """Guards against a share of the slots that grows with the attempts."""
     calm, hot = (
         _Shares(load, is_hot=is_hot, returns_at_once=True)
         for is_hot in (False, True)
     )
-    assert hot.of_others > calm.of_others - loss
+    assert hot.of_others > calm.of_others - 0.02
     assert hot.lowest_other > 0.25 * hot.mean
 
 
--- a/tests/test_core_uneven_load.py
+++ b/tests/test_core_uneven_load.py
@@ -81,9 +81,14 @@
     assert now.p99_s < 0.65 * before.p99_s
     assert now.crossing_bytes < ideal.crossing_bytes
     assert not now.failed
-    # The target of the design page is 1.3 for both.
-    assert now.mean_s < 1.6 * ideal.mean_s
-    assert now.p99_s < 1.75 * ideal.p99_s
+
+
+def test_response_times_are_near_those_of_complete_information() -> None:
+    """Asks for the target of the design page at nine tenths of the capacity."""
+    ideal = uneven_load.CompleteInformation(1).run(10.0)
+    now = uneven_load.Balanced(1, withdraws=True).run(10.0)
+    assert now.mean_s < 1.3 * ideal.mean_s
+    assert now.p99_s < 1.3 * ideal.p99_s
 
 
 def test_slower_endpoints_with_free_slots_keep_calls_in_the_zone() -> None:
