Offer a full endpoint sooner after a restart of its daemon

Cause: an endpoint that rejects status checks, never answers them or resets their connections does not say whether it leaves, so a new process of its daemon believed the third heartbeat, up to 4.5 s after its start. Senders then took the endpoint for a cold one for 3 s, although only its daemon had been restarted, and sent it nothing while others had room.

Change: two heartbeats with consecutive numbers that arrive 1 to 2 s apart are believed from 2.5 s after the start on. No limit on the delay of heartbeats is lowered: a single one is believed after 6 s as before, also beside a rejection, as an endpoint that leaves may be full as well. Heartbeats before a status that says "unavailable" no longer count. Endpoint.is_warm (one byte of an entry) tells senders that the process is not a new one.

The new tests of restarts fail without the change.

--- a/gypsumhall/core/_confirmation.py
+++ b/gypsumhall/core/_confirmation.py
@@ -17,6 +17,17 @@
 _MIN_HEARTBEATS = 3
 # Heartbeats that were held up together arrive within a short time.
 _MIN_HEARTBEAT_SPAN_S = 2.5
+# Two heartbeats that arrive at the interval at which they are sent, 1.5 s,
+# have the same delay, which is unlikely for delayed ones.
+_MIN_STEADY_INTERVAL_S = 1.0
+_MAX_STEADY_INTERVAL_S = 2.0
+# Time after the start from which steady heartbeats are believed. One that a
+# former process should have got is delayed by the time since the start and by
+# the time for which there was no process.
+_MIN_OBSERVATION_S = 2.5
+# Age of a process at its first heartbeat from which it counts as warm. Senders
+# take a new endpoint for slow in its first 3 s.
+_MIN_WARM_AGE_S = 4.5
 
 
 class BackendStatus(enum.Enum):
@@ -37,9 +48,12 @@
     server leaves, and a heartbeat that was sent before that may arrive now.
     So a process of the backend server counts as starting until it has
     confirmed by a status check that it is ready. If it does not respond to
-    the check, its heartbeats are believed once they cannot all be delayed
-    ones: one arrives `HEARTBEAT_TIMEOUT_S` after the start of this daemon,
-    or several arrive one after the other.
+    the check, or rejects it because it is full, its heartbeats are believed
+    once they are not likely to be delayed ones: two with consecutive numbers
+    arrive at the interval at which they are sent, several arrive one after
+    the other, or one arrives `HEARTBEAT_TIMEOUT_S` after the start of this
+    daemon. A rejection is no better evidence than silence: an endpoint that
+    leaves may be full as well.
 
     Parameters
     ----------
@@ -51,10 +65,13 @@
         '_confirmed',
         '_first_at',
         '_heartbeats',
+        '_is_warm',
         '_last_at',
         '_process',
+        '_sequence',
         '_started_at',
         '_status',
+        '_steady',
     )
 
     def __init__(self, started_at: float) -> None:
@@ -66,6 +83,10 @@
         self._heartbeats = 0
         self._first_at = 0.0
         self._last_at = 0.0
+        self._sequence = 0
+        # Whether the last two heartbeats arrived as they are sent.
+        self._steady = False
+        self._is_warm = False
 
     def is_needed(self, backend: BackendInstance | None) -> bool:
         """Whether a process that reports to be ready is unconfirmed."""
@@ -80,45 +101,88 @@
         if backend is None:
             return None
         if not self.is_needed(backend):
-            return backend.endpoint
+            return msgspec.structs.replace(
+                backend.endpoint, is_warm=self._is_warm
+            )
         return msgspec.structs.replace(
             backend.endpoint, state=EndpointState.STARTING
         )
 
-    def record_heartbeat(self, backend: BackendInstance, now: float) -> bool:
-        """Record a heartbeat that is not stale; True if it confirms."""
+    def record_heartbeat(
+        self,
+        backend: BackendInstance,
+        sequence: int,
+        now: float,
+        age_s: float = 0.0,
+    ) -> bool:
+        """Record a heartbeat that is not stale; True if it confirms.
+
+        Parameters
+        ----------
+        backend : BackendInstance
+            The process that sent it.
+        sequence : int
+            Sequence number of the heartbeat.
+        now : float
+            Current time in seconds.
+        age_s : float
+            Time in seconds since the start of the process, 0 if it may be
+            slow as after a start.
+        """
         process = _identify(backend)
         if process != self._process:
             self._process = process
             self._status = None
             self._confirmed = False
             self._heartbeats = 0
+            self._is_warm = age_s >= _MIN_WARM_AGE_S
+        if not self._heartbeats:
             self._first_at = now
+        interval_s = now - self._last_at
+        self._steady = (
+            self._heartbeats > 0
+            and sequence == self._sequence + 1
+            and _MIN_STEADY_INTERVAL_S <= interval_s <= _MAX_STEADY_INTERVAL_S
+        )
         self._heartbeats += 1
         self._last_at = now
-        return self._confirm()
+        self._sequence = sequence
+        return self.confirm(now)
 
     def record_status(
-        self, backend: BackendInstance, status: BackendStatus
+        self, backend: BackendInstance, status: BackendStatus, now: float
     ) -> bool:
         """Record the result of a status check; True if it confirms."""
         if _identify(backend) != self._process:
             return False
         self._status = status
-        return self._confirm()
+        if status is BackendStatus.UNAVAILABLE:
+            # What it sends later has to show that it is available again.
+            self._heartbeats = 0
+            self._steady = False
+        return self.confirm(now)
 
-    def _confirm(self) -> bool:
+    def confirm(self, now: float) -> bool:
+        """Confirm the process if that is possible by now; True if so."""
         if self._confirmed:
             return False
         self._confirmed = self._status is BackendStatus.HEALTHY or (
-            self._status is BackendStatus.UNKNOWN and not self._may_be_late()
+            self._status is BackendStatus.UNKNOWN
+            and not self._may_be_late(now)
         )
         return self._confirmed
 
-    def _may_be_late(self) -> bool:
-        """Whether all heartbeats may have been sent before the start."""
+    def _may_be_late(self, now: float) -> bool:
+        """Whether all heartbeats may have been sent before the start.
+
+        Those before a status that says "unavailable" do not count.
+        """
+        if not self._heartbeats:
+            return True
         if self._last_at - self._started_at >= HEARTBEAT_TIMEOUT_S:
             return False
+        if self._steady and now - self._started_at >= _MIN_OBSERVATION_S:
+            return False
         return (
             self._heartbeats < _MIN_HEARTBEATS
             or self._last_at - self._first_at < _MIN_HEARTBEAT_SPAN_S
--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -124,7 +124,8 @@
 1/e."""
 
 _COLD_S = 3.0
-"""Time in seconds during which a new endpoint is assumed to be slow."""
+"""Time in seconds during which a new endpoint is assumed to be slow, unless
+its daemon says that only the daemon was restarted."""
 
 _TRIAL_SHARE = 0.1
 """Share of the calls that are sent as trials to an endpoint without a recent
@@ -301,7 +302,11 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint is or may be slow after its start."""
-        return now - self.joined_at < _COLD_S or now < self.cold_until
+        endpoint = self.member.endpoint
+        may_have_started = endpoint is None or not endpoint.is_warm
+        return (
+            may_have_started and now - self.joined_at < _COLD_S
+        ) or now < self.cold_until
 
     def cold_delay_s(self, now: float) -> float:
         """Return the time until a cold endpoint has room for a call."""
--- a/gypsumhall/core/_member.py
+++ b/gypsumhall/core/_member.py
@@ -47,12 +47,16 @@
         Number of requests that it executes concurrently.
     state : EndpointState
         Whether it accepts new requests.
+    is_warm : bool
+        Whether it had been running for a while when this daemon, which was
+        restarted, began to advertise it.
     """
 
     service: str
     version: str
     slots: Count
     state: EndpointState
+    is_warm: bool = False
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/gypsumhall/services/_checkins.py
+++ b/gypsumhall/services/_checkins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Protocol
 from typing import runtime_checkable
 from typing import TYPE_CHECKING
@@ -16,6 +17,8 @@
 from gypsumhall.services import _protocols
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumhall.core._checkins import BackendInstance
     from gypsumhall.core._confirmation import BackendStatus
     from gypsumhall.core._member import Endpoint
@@ -65,6 +68,9 @@
         While the zone of this daemon is evacuated, no status is checked.
     cold_monitor : ColdMonitor, optional
         Receives the remaining warm-up times of heartbeats.
+    wall : callable, optional
+        Returns the Unix time in seconds, in which heartbeats state the start
+        of their process.
     """
 
     name = 'check-ins'
@@ -83,7 +89,9 @@
         status_check: StatusCheck,
         evacuations: _protocols.Evacuations | None = None,
         cold_monitor: ColdMonitor | None = None,
+        wall: Callable[[], float] = time.time,
     ) -> None:
+        self._wall = wall
         self._evacuations = evacuations
         self._cold_monitor = cold_monitor
         self._was_evacuated = False
@@ -125,8 +133,13 @@
             task_status.started()
             while True:
                 await trio.sleep(_CHECK_INTERVAL_S)
-                if self._tracker.expire(trio.current_time()):
+                now = trio.current_time()
+                if self._tracker.expire(now):
                     self._publish_state('missing')
+                elif self._confirmation.is_needed(
+                    self._tracker.current
+                ) and self._confirmation.confirm(now):
+                    self._publish_state('check-in')
 
     def register_routes(self, admin: _protocols.Admin) -> None:
         """Register the heartbeat routes with a listener before it starts.
@@ -182,7 +195,12 @@
                 self._cold_monitor.record_heartbeat(
                     (instance, check_in.started_ms), check_in.warmup_s
                 )
-            confirmed = self._confirmation.record_heartbeat(backend, now)
+            age_s = 0.0
+            if not check_in.warmup_s:
+                age_s = self._wall() - check_in.started_ms / 1000
+            confirmed = self._confirmation.record_heartbeat(
+                backend, check_in.sequence, now, age_s
+            )
         if result is HeartbeatResult.CHANGED or confirmed:
             self._publish_state('check-in')
         elif result is HeartbeatResult.STALE:
@@ -226,7 +244,9 @@
                 delay, last_status = _FIRST_RETRY_S, None
                 continue
             status = await self._check_status(backend)
-            confirmed = self._confirmation.record_status(backend, status)
+            confirmed = self._confirmation.record_status(
+                backend, status, trio.current_time()
+            )
             if confirmed or status is not last_status:
                 self._events.emit(
                     'status-checked',
--- a/gypsumhall/testing/builders.py
+++ b/gypsumhall/testing/builders.py
@@ -108,9 +108,11 @@
     version: str = 'v1',
     slots: int = 6,
     state: EndpointState = EndpointState.READY,
+    *,
+    is_warm: bool = False,
 ) -> Endpoint:
     """Return a ready endpoint."""
-    return Endpoint(service, version, slots, state)
+    return Endpoint(service, version, slots, state, is_warm)
 
 
 def build_counts(
--- a/tests/test_core_load_balancer.py
+++ b/tests/test_core_load_balancer.py
@@ -102,9 +102,14 @@
         self.update()
 
     def join(
-        self, endpoint: _Endpoint, zone: str, *, update: bool = True
+        self,
+        endpoint: _Endpoint,
+        zone: str,
+        *,
+        update: bool = True,
+        is_warm: bool = False,
     ) -> None:
-        advertised = builders.build_endpoint(slots=_SLOTS)
+        advertised = builders.build_endpoint(slots=_SLOTS, is_warm=is_warm)
         index = len(self._members)
         member = builders.build_member(index, zone, advertised)
         self._members.append(member)
@@ -268,6 +273,23 @@
     assert balancer.choose(_SERVICE, 'v3', 0.0) is None
 
 
+@pytest.mark.parametrize('seed', range(4))
+async def test_endpoint_of_a_restarted_daemon_gets_calls_at_once(
+    autojump_clock: MockClock, seed: int
+) -> None:
+    """It was taken for a cold one for 3 s, although it had been running."""
+    known = [_Endpoint(f'known-{index}', 0.06) for index in range(3)]
+    simulation = _Simulation(['az-1'] * 6, known, seed)
+    calls_per_s = 0.2 * 4 * _SLOTS / 0.06
+    await simulation.run(5.0, calls_per_s)
+    joined_at = trio.current_time()
+    joined = _Endpoint('joined', 0.06)
+    simulation.join(joined, 'az-1', is_warm=True)
+    await simulation.run(_COLD_S, calls_per_s)
+    first = joined.senders(joined_at, joined_at + _COLD_S).total()
+    assert first > 0.5 * calls_per_s / 4 * _COLD_S
+
+
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('known_s', [0.03, 0.06, 0.3])
 async def test_joining_endpoint_gets_its_share(
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -4,6 +4,7 @@
 
 from contextlib import asynccontextmanager
 import json
+import time
 import random
 from typing import Any
 from typing import TYPE_CHECKING
@@ -416,6 +417,12 @@
         )
         return None if endpoint is None else endpoint.state
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether senders are told that the endpoint is not a new one."""
+        endpoint = self.membership.me.endpoint
+        return endpoint is not None and endpoint.is_warm
+
     @asynccontextmanager
     async def process(self) -> AsyncIterator[None]:
         """Run one process of the daemon."""
@@ -510,6 +517,93 @@
             await trio.sleep(0.5)
 
 
+@pytest.mark.parametrize('first_s', [0.0, 0.4, 0.9, 1.1, 1.5])
+@pytest.mark.parametrize('check_s', [0.0, 1.0])
+async def test_full_endpoint_is_offered_soon_after_a_restart(
+    autojump_clock: MockClock, first_s: float, check_s: float
+) -> None:
+    """One that rejects or ignores checks got no request for 7 s.
+
+    Senders learn of the endpoint up to 2 s after this daemon offers it.
+    """
+    check_ins = _CheckIns()
+    check_ins.status_check.status = BackendStatus.UNKNOWN
+    check_ins.status_check.delay_s = check_s
+    started = trio.current_time()
+    async with check_ins.process():
+        await trio.sleep(first_s)
+        for number in range(2):
+            assert check_ins.state is not EndpointState.READY
+            if number:
+                await trio.sleep(1.5)
+            await check_ins.send('PUT', _check_in('ready', number))
+        await trio.sleep_until(started + 3.1)
+        assert check_ins.state is EndpointState.READY
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        # Arrival time in seconds and sequence number.
+        [(0.5, 1), (2.0, 3)],
+        [(0.5, 1), (2.6, 2)],
+        [(1.8, 1), (2.5, 2)],
+        [(2.5, 1)],
+        [(5.9, 1)],
+    ],
+)
+async def test_unsteady_heartbeats_do_not_replace_a_status(
+    autojump_clock: MockClock, sent: list[tuple[float, int]]
+) -> None:
+    """Heartbeats that were delayed on their own do not arrive as sent."""
+    check_ins = _CheckIns()
+    check_ins.status_check.status = BackendStatus.UNKNOWN
+    started = trio.current_time()
+    async with check_ins.process():
+        for time, number in sent:
+            await trio.sleep_until(started + time)
+            await check_ins.send('PUT', _check_in('ready', number))
+        for _ in range(20):
+            assert check_ins.state is not EndpointState.READY
+            await trio.sleep(0.5)
+
+
+async def test_heartbeats_before_a_refusal_do_not_replace_a_status(
+    autojump_clock: MockClock,
+) -> None:
+    """An endpoint that said that it leaves may be silent afterwards."""
+    check_ins = _CheckIns()
+    check_ins.status_check.status = BackendStatus.UNAVAILABLE
+    async with check_ins.process():
+        for number in range(6):
+            await check_ins.send('PUT', _check_in('ready', number))
+            await trio.sleep(1.4)
+        check_ins.status_check.status = BackendStatus.UNKNOWN
+        for _ in range(5):
+            await trio.sleep(0.5)
+            assert check_ins.state is not EndpointState.READY
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'warmup_ms', 'is_warm'),
+    [(60.0, 0, True), (1.0, 0, False), (60.0, 500, False)],
+)
+async def test_endpoint_of_a_restarted_daemon_is_not_a_new_one(
+    autojump_clock: MockClock, age_s: float, warmup_ms: int, is_warm: bool
+) -> None:
+    """Senders avoided it for 3 s after a restart of the daemon alone."""
+    check_ins = _CheckIns()
+    born = int((time.time() - age_s) * 1000)
+    async with check_ins.process():
+        status = {'state': 'ready', 'seq': 1, 'warmupLeftMs': warmup_ms}
+        body = _check_in('ready', 1, status=status, born=born)
+        await check_ins.send('PUT', body)
+        await trio.sleep(1.5)
+        await check_ins.send('PUT', _check_in('ready', 2, born=born))
+        assert check_ins.state is EndpointState.READY
+        assert check_ins.is_warm == is_warm
+
+
 async def test_endpoint_that_leaves_during_its_status_check_is_not_offered(
     autojump_clock: MockClock,
 ) -> None:
