Do not take resets by a full endpoint for its failures

Cause: a backend server that resets connections while it is full was taken for a faulty one: the reset counted in its failure rate, at senders and as evidence against its version. A cancelled run freed its slot at once, so that the next request found the server still busy with it, and status checks were not counted. A reset of a new connection before anything was sent had the outcome "unknown".

Change, for services with maxConns: cancelled runs occupy a slot until the server closes the half-closed connection, at most 0.5 s, and so do status checks; the slots in use are at most maxConns. A reset of a request that was sent while all slots were in use is 'backend-full', whose outcome stays unknown and which is no evidence. For all services, a new connection that the server has ended before the request is sent is "not run"; if the endpoint is full, another one is asked without using the retry budget.

No measurement in a fleet.

--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -278,6 +278,7 @@
             platform.DIALECT,
             cold_monitor=cold_monitor,
             on_server_load=runner.observe_server_load,
+            occupy_slot=runner.occupy_slot,
         ),
         evacuations,
         cold_monitor,
--- a/gypsumhall/core/_waiting.py
+++ b/gypsumhall/core/_waiting.py
@@ -199,6 +199,14 @@
         """Recent failure rate of the runs, 0 to 1."""
         return self._failure_rate
 
+    def occupy(self) -> None:
+        """Count something else that takes a slot of the backend server."""
+        self._running += 1
+
+    def release(self) -> None:
+        """Count the end of what `occupy` counted."""
+        self._running -= 1
+
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         self._slots = max(1, slots)
--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -51,6 +51,10 @@
     code = 'backend-unreachable'
 
 
+class BackendRejectedError(BackendUnreachableError):
+    """The server ended a new connection before anything was sent on it."""
+
+
 class BackendRequestError(GypsumhallError):
     """The request is not valid HTTP, so nothing was sent."""
 
@@ -163,6 +167,35 @@
         """Close the connection."""
         _socket.close(self._sock)
 
+    def half_close(self) -> None:
+        """Tell the server that nothing more is sent and no one is waiting."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    async def wait_end(self, limit_s: float) -> None:
+        """Close the connection when the server has, or after a limit.
+
+        Until then the server may still execute the request.
+        """
+        try:
+            with (
+                trio.move_on_after(limit_s),
+                contextlib.suppress(OSError, trio.ClosedResourceError),
+            ):
+                while await _socket.receive(self._sock, _READ_BYTES):
+                    await trio.lowlevel.checkpoint()
+        finally:
+            self.close()
+
+    def has_ended(self) -> bool:
+        """Return whether the server has closed or reset the connection."""
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def is_reusable(self) -> bool:
         """Return whether the response is complete and nothing follows it.
 
@@ -470,6 +503,18 @@
                     yield data[start : start + _calls.CHUNK_BYTES]
 
 
+class Connection(Protocol):
+    """Protocol of connections whose request was aborted."""
+
+    def close(self) -> None:
+        """Close the connection."""
+        ...
+
+    async def wait_end(self, limit_s: float) -> None:
+        """Close the connection when the server has, or after a limit."""
+        ...
+
+
 class Client(Protocol):
     """Protocol of clients that send requests to one backend server."""
 
@@ -485,6 +530,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: Callable[[Connection], None] | None = None,
     ) -> AbstractAsyncContextManager[BackendResponse]:
         """Send a request; see `BackendClient.request`."""
         ...
@@ -525,6 +571,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: Callable[[Connection], None] | None = None,
     ) -> AsyncIterator[BackendResponse]:
         """Send a request and yield the head of the response.
 
@@ -543,6 +590,10 @@
             Complete request body.
         on_send : callable
             Called before the first byte is sent.
+        on_abort : callable, optional
+            Called with the half-closed connection when the block is left
+            before the end of the body and the server has not ended it. The
+            receiver closes it. By default it is closed at once.
 
         Raises
         ------
@@ -562,9 +613,16 @@
                 method.encode('ascii'), target, sent_headers, body
             )
             yield _build_response(method, status, received, connection)
-        except BaseException:
+        except (BackendRequestError, BackendResetError):
             connection.close()
             raise
+        except BaseException:
+            if on_abort is None:
+                connection.close()
+            else:
+                connection.half_close()
+                on_abort(connection)
+            raise
         # Bytes behind the response that are on their way are noticed.
         await trio.lowlevel.cancel_shielded_checkpoint()
         if connection.is_reusable():
@@ -593,11 +651,19 @@
             connection.close()
         try:
             with trio.fail_after(_CONNECT_TIMEOUT_S):
-                return _Connection(await _open_socket(self._address))
+                connection = _Connection(await _open_socket(self._address))
         except (OSError, trio.TooSlowError) as error:
             raise BackendUnreachableError(
                 f'backend server {self._address}: {error or "timeout"}'
             ) from error
+        if connection.has_ended():
+            # A server that accepts no more connections resets new ones.
+            connection.close()
+            raise BackendRejectedError(
+                f'backend server {self._address}: the connection ended '
+                'before a request was sent'
+            )
+        return connection
 
 
 async def _open_socket(address: str) -> socket.socket:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -153,6 +153,7 @@
     'request-too-large': 413,
     'key-mismatch': 422,
     'headers-too-large': 431,
+    'backend-full': 502,
     'backend-reset': 502,
     'bad-response': 502,
     'peer-lost': 502,
@@ -295,6 +296,9 @@
         return self.withdrawal is not None and self.withdrawal.requested
 
 
+BACKEND_FULL = 'backend-full'
+"""Reason if a backend server without room ended a connection."""
+
 KEY_REMOVED = 'key-removed'
 """Reason of the rejection of a request that has been withdrawn."""
 
--- a/gypsumhall/services/_responses.py
+++ b/gypsumhall/services/_responses.py
@@ -46,6 +46,7 @@
         'failed',
         'outcome',
         'scope',
+        'sent_when_full',
         'started_response',
         'withdrawn',
     )
@@ -58,6 +59,8 @@
         self.outcome = Outcome.NOT_RUN
         self.started_response = False
         self.failed = False
+        # Whether the backend server had no room when the request was sent.
+        self.sent_when_full = False
         # Ends the run; None before it begins.
         self.scope: trio.CancelScope | None = None
         self.withdrawn = False
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from gypsumhall._errors import GypsumhallError
 from gypsumhall._errors import PeerError
 from gypsumhall.core._ledger import Entry
 from gypsumhall.core._ledger import EntryState
@@ -50,6 +51,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from gypsumhall.kernel import Kernel
     from gypsumhall.net._protocol import Exchange
@@ -66,6 +68,9 @@
 _UNKNOWN_RUNS_S = 10.0
 # Delay in seconds of a call on its way from which its limits are shortened.
 _MIN_DELAY_S = 0.001
+# Longest time in seconds for which a cancelled run occupies its slot while the
+# backend server has not closed the connection.
+_MAX_RUN_END_S = 0.5
 # Interval between checks whether other endpoints are available again.
 _AVAILABILITY_CHECK_INTERVAL_S = 0.1
 
@@ -76,9 +81,21 @@
     client: _backend_client.Client
     queue: CallQueue
     speed: ServerSpeed
+    # Whether its service limits the connections to it.
+    limits_connections: bool = False
     # Id of the backend server process that requests are addressed to.
     instance: str = ''
 
+    @property
+    def is_full(self) -> bool:
+        """Whether as many requests are in flight as it accepts.
+
+        False if its service does not limit connections: a reset is a fault.
+        """
+        return self.limits_connections and (
+            self.queue.running >= self.queue.slots
+        )
+
 
 @dataclass(slots=True)
 class _PendingCall:
@@ -174,6 +191,7 @@
         self._call_monitor = _call_monitor.CallMonitor()
         self._deadlines = _deadlines.DeadlineMonitor()
         self._incarnation = 0
+        self._distribution: _protocols.Distribution
         self._keys: _keys.KeyOwner
         self._membership: _protocols.Membership
         self._moves: _protocols.Moves
@@ -183,6 +201,7 @@
         self._sender: _sender.Sender
         self._call_counter: _protocols.Metric
         self._invalid_headers: _protocols.Metric
+        self._full_resets: _protocols.Metric
 
     @property
     def sender(self) -> _sender.Sender:
@@ -245,6 +264,7 @@
         peers = kernel.get('peers', PeerNetwork)
         self._membership = kernel.get('membership', _protocols.Membership)
         distribution = kernel.get('distribution', _protocols.Distribution)
+        self._distribution = distribution
         self._moves = kernel.get('moves', _protocols.Moves)
         self._events = kernel.get('events', _protocols.Events)
         metrics = kernel.get('metrics', _protocols.Metrics)
@@ -260,6 +280,10 @@
             'gypsumhall_runner_load',
             'Calls in flight and queued, and the concurrency limit.',
         )
+        self._full_resets = metrics.counter(
+            'gypsumhall_full_resets_total',
+            'Connections that the backend server reset while it was full.',
+        )
         self._cold_monitor.start(distribution, self._events, metrics)
         self._incarnation = self._membership.me.incarnation
         self._nested_calls = NestedCallDetector(
@@ -308,6 +332,7 @@
             while True:
                 await trio.sleep(_MAINTENANCE_INTERVAL_S)
                 await self._close_idle()
+                self._apply_connection_limit()
                 load.set(self.load.in_flight, kind='in-flight')
                 load.set(self.load.queued, kind='queued')
                 load.set(self.load.slots, kind='limit')
@@ -429,8 +454,6 @@
             return
         self._cold_monitor.set_service(endpoint.service)
         if old is not None and unchanged:
-            if old.queue.slots != endpoint.slots:
-                old.queue.resize(endpoint.slots)
             old.endpoint = endpoint
         else:
             self._reject_queued_calls()
@@ -439,14 +462,77 @@
                 self._connect(address),
                 CallQueue(endpoint.slots),
                 ServerSpeed(),
-                instance,
+                instance=instance,
             )
             self._keys.join_service(endpoint.service)
             if old is None or old.endpoint.service != endpoint.service:
                 self._availability = EndpointAvailability()
+        self._apply_connection_limit()
         if endpoint.state != EndpointState.READY:
             self._reject_queued_calls()
 
+    def _apply_connection_limit(self) -> None:
+        """Limit the slots in use to the connections that are accepted.
+
+        A connection is opened only if none is idle, so there are never more
+        than there were requests at the same time.
+        """
+        backend = self._backend
+        if backend is None:
+            return
+        snapshot = self._distribution.snapshot
+        service = (
+            None
+            if snapshot is None
+            else snapshot.service(backend.endpoint.service)
+        )
+        limit = 0 if service is None else service.max_connections
+        backend.limits_connections = limit > 0
+        slots = backend.endpoint.slots
+        if limit:
+            slots = min(slots, limit)
+        if backend.queue.slots != slots:
+            backend.queue.resize(slots)
+
+    @contextlib.contextmanager
+    def occupy_slot(self) -> Iterator[bool]:
+        """Count a status check as in flight; the value is False without room.
+
+        Nothing is counted unless the service limits its connections.
+        """
+        backend = self._backend
+        if backend is None or not backend.limits_connections:
+            yield True
+            return
+        if backend.queue.running >= backend.queue.slots:
+            yield False
+            return
+        backend.queue.occupy()
+        try:
+            yield True
+        finally:
+            backend.queue.release()
+            self._start_queued_calls()
+
+    async def _hold_slot(
+        self, backend: _Backend, connection: _backend_client.Connection
+    ) -> None:
+        """Occupy a slot until the server has noticed a cancellation."""
+        try:
+            await connection.wait_end(_MAX_RUN_END_S)
+        finally:
+            backend.queue.release()
+            self._start_queued_calls()
+
+    def _end_aborted(
+        self, backend: _Backend, connection: _backend_client.Connection
+    ) -> None:
+        if self._nursery.cancel_scope.cancel_called:
+            connection.close()
+            return
+        backend.queue.occupy()
+        self._nursery.start_soon(self._hold_slot, backend, connection)
+
     def set_warmup_end(self, time: float) -> None:
         """Set the end of the warm-up of the backend server, in seconds.
 
@@ -610,6 +696,9 @@
             failed = run.failed if run.outcome != Outcome.NOT_RUN else None
             if cause == 'shed':
                 failed = True
+            was_full = cause == _calls.BACKEND_FULL
+            if was_full:
+                failed = None
             # The duration of a run that its deadline ended says nothing about
             # the time that a run takes.
             measured = complete and now < deadline
@@ -626,6 +715,7 @@
             self._start_queued_calls()
             if (
                 run.outcome != Outcome.NOT_RUN
+                and not was_full
                 and started >= self._warmup_ends_at
             ):
                 # A slow idempotent run may be cancelled in favor of a backup
@@ -683,12 +773,20 @@
             tenant = (self._dialect.tenant, call.tenant.encode())
             headers = (*headers, tenant)
         run_until = deadline + _calls.DEADLINE_GRACE_S
+        on_abort = None
+        if backend.limits_connections:
+            on_abort = functools.partial(self._end_aborted, backend)
+
+        def mark_sent() -> None:
+            run.mark_sent()
+            run.sent_when_full = backend.is_full
+
         with self._deadlines.limit(run_until) as scope:
             run.scope = scope
             self._runs[call.request_id] = run
             try:
                 async with backend.client.request(
-                    call.method, call.path, headers, body, run.mark_sent
+                    call.method, call.path, headers, body, mark_sent, on_abort
                 ) as response:
                     self.observe_server_load(response.headers)
                     self._check_response(call, response, run)
@@ -696,23 +794,13 @@
                 return None
             except _calls.CallRefusedError as error:
                 return error
-            except _backend_client.BackendUnreachableError as error:
-                # The process may have ended, or may be too busy to accept.
-                self._cold_monitor.forget(is_replaced=False)
-                return _calls.not_run('backend-unreachable', str(error))
-            except _backend_client.BackendRequestError as error:
-                run.outcome = Outcome.NOT_RUN
-                return _calls.not_run('bad-request', str(error))
-            except _backend_client.BackendResetError as error:
-                run.failed = True
-                return _calls.CallRefusedError(
-                    run.outcome, 'backend-reset', str(error)
-                )
-            except _backend_client.BackendResponseError as error:
-                run.failed = True
-                return _calls.CallRefusedError(
-                    run.outcome, 'bad-response', str(error)
-                )
+            except (
+                _backend_client.BackendUnreachableError,
+                _backend_client.BackendRequestError,
+                _backend_client.BackendResetError,
+                _backend_client.BackendResponseError,
+            ) as error:
+                return self._convert_failure(backend, run, error)
             finally:
                 run.scope = None
                 del self._runs[call.request_id]
@@ -724,6 +812,37 @@
             run.outcome, 'deadline', 'the deadline passed'
         )
 
+    def _convert_failure(
+        self,
+        backend: _Backend,
+        run: _responses.Run,
+        error: GypsumhallError,
+    ) -> _calls.CallRefusedError:
+        """Return the refusal for a request without a usable response."""
+        detail = str(error)
+        if isinstance(error, _backend_client.BackendUnreachableError):
+            is_rejected = isinstance(
+                error, _backend_client.BackendRejectedError
+            )
+            if is_rejected and backend.is_full:
+                self._full_resets.add(1.0, sent='no')
+                return _calls.not_run(_calls.BACKEND_FULL, detail)
+            # The process may have ended, or may be too busy to accept.
+            self._cold_monitor.forget(is_replaced=False)
+            return _calls.not_run('backend-unreachable', detail)
+        if isinstance(error, _backend_client.BackendRequestError):
+            run.outcome = Outcome.NOT_RUN
+            return _calls.not_run('bad-request', detail)
+        is_reset = isinstance(error, _backend_client.BackendResetError)
+        if is_reset and run.sent_when_full and not run.started_response:
+            self._full_resets.add(1.0, sent='yes')
+            return _calls.CallRefusedError(
+                run.outcome, _calls.BACKEND_FULL, detail
+            )
+        run.failed = True
+        code = 'backend-reset' if is_reset else 'bad-response'
+        return _calls.CallRefusedError(run.outcome, code, detail)
+
     def _check_response(
         self,
         call: CallStart,
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -76,6 +76,7 @@
 # after them do not count against the budget.
 _FREE_RETRY_CODES = frozenset(
     [
+        _calls.BACKEND_FULL,
         'busy',
         'draining',
         'evacuated',
--- a/gypsumhall/services/_status_check.py
+++ b/gypsumhall/services/_status_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -22,6 +23,10 @@
 _MILLISECONDS = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 
+def _occupy_nothing() -> contextlib.AbstractContextManager[bool]:
+    return contextlib.nullcontext(True)
+
+
 class StatusCheck(Protocol):
     """Asks a backend server for its status."""
 
@@ -58,6 +63,9 @@
     on_server_load : callable, optional
         Called with the headers of each response of the process that was
         asked.
+    occupy_slot : callable, optional
+        Returns a context manager that counts a check as in flight; its value
+        says whether the backend server has room for it.
     """
 
     def __init__(
@@ -68,7 +76,11 @@
         ] = _backend_client.BackendClient,
         cold_monitor: ColdMonitor | None = None,
         on_server_load: Callable[[_calls.Headers], None] | None = None,
+        occupy_slot: Callable[
+            [], contextlib.AbstractContextManager[bool]
+        ] = _occupy_nothing,
     ) -> None:
+        self._occupy_slot = occupy_slot
         self._cold_monitor = cold_monitor
         self._dialect = dialect
         self._connect = connect
@@ -80,6 +92,14 @@
         """Return the status of a process of the backend server."""
         if not path:
             return BackendStatus.UNKNOWN
+        with self._occupy_slot() as has_room:
+            if not has_room:
+                return BackendStatus.UNKNOWN
+            return await self._request(backend, path)
+
+    async def _request(
+        self, backend: BackendInstance, path: str
+    ) -> BackendStatus:
         client = self._connect(backend.address)
         headers = ((b'host', backend.address.encode()),)
         try:
@@ -89,6 +109,8 @@
                 ) as response:
                     self._report_warmup(response, backend.instance)
                     return self._interpret(response, backend.instance)
+        except _backend_client.BackendRejectedError:
+            return BackendStatus.UNKNOWN
         except _backend_client.BackendUnreachableError:
             return BackendStatus.UNAVAILABLE
         except (
--- a/gypsumhall/testing/daemons.py
+++ b/gypsumhall/testing/daemons.py
@@ -183,6 +183,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: object = None,
     ) -> contextlib.AbstractAsyncContextManager[
         _backend_client.BackendResponse
     ]:
--- a/gypsumhall/testing/pipelining.py
+++ b/gypsumhall/testing/pipelining.py
@@ -121,6 +121,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: object = None,
     ) -> AsyncIterator[_backend_client.BackendResponse]:
         """Run a request."""
         fields = dict(headers)
--- a/gypsumhall/testing/tenants.py
+++ b/gypsumhall/testing/tenants.py
@@ -91,6 +91,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: object = None,
     ) -> AsyncIterator[_backend_client.BackendResponse]:
         """Run a request."""
         request_id = dict(headers)[b'x-request'].decode()
--- a/tests/test_services_fleet.py
+++ b/tests/test_services_fleet.py
@@ -4,7 +4,6 @@
 
 from contextlib import asynccontextmanager
 import json
-import time
 import random
 from typing import Any
 from typing import TYPE_CHECKING
@@ -394,6 +393,10 @@
         nursery.cancel_scope.cancel()
 
 
+# Unix time of the check-ins.
+_NOW_S = 1000.0
+
+
 class _CheckIns:
     """Check-ins of a daemon that is started several times."""
 
@@ -429,7 +432,9 @@
         self._admin = FakeAdmin()
         self.runner = _Runner()
         self.membership = _Membership(builders.build_member(0))
-        service = CheckInService('10.0.0.9:80', 's', self.status_check)
+        service = CheckInService(
+            '10.0.0.9:80', 's', self.status_check, wall=lambda: _NOW_S
+        )
         service.register_routes(self._admin)
         kernel = _kernel(
             self._admin,
@@ -593,7 +598,7 @@
 ) -> None:
     """Senders avoided it for 3 s after a restart of the daemon alone."""
     check_ins = _CheckIns()
-    born = int((time.time() - age_s) * 1000)
+    born = int((_NOW_S - age_s) * 1000)
     async with check_ins.process():
         status = {'state': 'ready', 'seq': 1, 'warmupLeftMs': warmup_ms}
         body = _check_in('ready', 1, status=status, born=born)
--- a/tests/test_services_server_load.py
+++ b/tests/test_services_server_load.py
@@ -38,6 +38,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: object = None,
     ) -> AsyncIterator[_backend_client.BackendResponse]:
         yield _backend_client.BackendResponse(
             self._status, self._headers, 0, _empty_body()
