--- a/gypsumhall/services/_backend_client.py
+++ b/gypsumhall/services/_backend_client.py
@@ -50,6 +50,10 @@
     code = 'backend-unreachable'
 
 
+class BackendRejectedError(BackendUnreachableError):
+    """The server ended a new connection before anything was sent on it."""
+
+
 class BackendRequestError(GypsumhallError):
     """The request is not valid HTTP, so nothing was sent."""
 
@@ -162,6 +166,35 @@
         """Close the connection."""
         _socket.close(self._sock)
 
+    def half_close(self) -> None:
+        """Tell the server that nothing more is sent and no one is waiting."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    async def wait_end(self, limit_s: float) -> None:
+        """Close the connection when the server has, or after a limit.
+
+        Until then the server may still execute the request.
+        """
+        try:
+            with (
+                trio.move_on_after(limit_s),
+                contextlib.suppress(OSError, trio.ClosedResourceError),
+            ):
+                while await _socket.receive(self._sock, _READ_BYTES):
+                    await trio.lowlevel.checkpoint()
+        finally:
+            self.close()
+
+    def has_ended(self) -> bool:
+        """Return whether the server has closed or reset the connection."""
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def is_reusable(self) -> bool:
         """Return whether the response is complete and nothing follows it.
 
@@ -469,6 +502,18 @@
                     yield data[start : start + _calls.CHUNK_BYTES]
 
 
+class Connection(Protocol):
+    """Protocol of connections whose request was aborted."""
+
+    def close(self) -> None:
+        """Close the connection."""
+        ...
+
+    async def wait_end(self, limit_s: float) -> None:
+        """Close the connection when the server has, or after a limit."""
+        ...
+
+
 class Client(Protocol):
     """Protocol of clients that send requests to one backend server."""
 
@@ -484,6 +529,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: Callable[[Connection], None] | None = None,
     ) -> AbstractAsyncContextManager[BackendResponse]:
         """Send a request; see `BackendClient.request`."""
         ...
@@ -505,6 +551,7 @@
         '_connection',
         '_headers',
         '_method',
+        '_on_abort',
         '_on_send',
         '_path',
     )
@@ -517,6 +564,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: Callable[[Connection], None] | None,
     ) -> None:
         self._client = client
         self._method = method
@@ -524,6 +572,7 @@
         self._headers = headers
         self._body = body
         self._on_send = on_send
+        self._on_abort = on_abort
         self._connection: _Connection
 
     async def __aenter__(self) -> BackendResponse:
@@ -539,20 +588,30 @@
                 method.encode('ascii'), target, headers, body
             )
             return _build_response(method, status, received, connection)
-        except BaseException:
-            connection.close()
+        except BaseException as error:
+            self._abort(type(error))
             raise
 
     async def __aexit__(
         self, kind: type[BaseException] | None, *_: object
     ) -> None:
         if kind is not None:
-            self._connection.close()
+            self._abort(kind)
             return
         # Bytes behind the response that are on their way are noticed.
         await trio.lowlevel.cancel_shielded_checkpoint()
         self._client._release(self._connection)
 
+    def _abort(self, kind: type[BaseException]) -> None:
+        """End a request whose response has not been read to its end."""
+        connection = self._connection
+        ended = issubclass(kind, BackendRequestError | BackendResetError)
+        if ended or self._on_abort is None:
+            connection.close()
+        else:
+            connection.half_close()
+            self._on_abort(connection)
+
 
 class BackendClient:
     """HTTP client with a connection pool for one backend server.
@@ -584,6 +643,7 @@
         headers: _calls.Headers,
         body: bytes,
         on_send: Callable[[], None],
+        on_abort: Callable[[Connection], None] | None = None,
     ) -> AbstractAsyncContextManager[BackendResponse]:
         """Send a request and yield the head of the response.
 
@@ -602,6 +662,10 @@
             Complete request body.
         on_send : callable
             Called before the first byte is sent.
+        on_abort : callable, optional
+            Called with the half-closed connection when the block is left
+            before the end of the body and the server has not ended it. The
+            receiver closes it. By default it is closed at once.
 
         Raises
         ------
@@ -610,7 +674,9 @@
         BackendResetError, BackendResponseError
             When the request may have been run.
         """
-        return _RequestContext(self, method, path, headers, body, on_send)
+        return _RequestContext(
+            self, method, path, headers, body, on_send, on_abort
+        )
 
     async def close_idle(self, *, all_connections: bool = False) -> None:
         """Close connections that have been idle for too long, or all."""
@@ -640,11 +706,19 @@
             connection.close()
         try:
             with trio.fail_after(_CONNECT_TIMEOUT_S):
-                return _Connection(await _open_socket(self._address))
+                connection = _Connection(await _open_socket(self._address))
         except (OSError, trio.TooSlowError) as error:
             raise BackendUnreachableError(
                 f'backend server {self._address}: {error or "timeout"}'
             ) from error
+        if connection.has_ended():
+            # A server that accepts no more connections resets new ones.
+            connection.close()
+            raise BackendRejectedError(
+                f'backend server {self._address}: the connection ended '
+                'before a request was sent'
+            )
+        return connection
 
 
 async def _open_socket(address: str) -> socket.socket:
