Add the explanation of a request to the daemons and the command line

Cause: an operator could not tell where a request would go, or why it was refused, without sending it.

Change: POST /v1/explain on the admin and control listeners and the command gypsumhall explain. Both use LoadBalancer.decide on a copy made by preview, which has its own random numbers; decide can also list why endpoints are no candidates. Quotas are read by DaemonQuotas.peek.

--- a/gypsumhall/cli/daemon.py
+++ b/gypsumhall/cli/daemon.py
@@ -22,6 +22,7 @@
 from gypsumhall.services._caller import CallerService
 from gypsumhall.services._distribution import DistributionService
 from gypsumhall.services._events import EventLog
+from gypsumhall.services._explain import ExplainService
 from gypsumhall.services._lifecycle import Lifecycle
 from gypsumhall.services._membership import MembershipService
 from gypsumhall.services._membership import MembershipSettings
@@ -198,6 +199,7 @@
             settings.caller_address.value,
             cancel_after_s=_CANCEL_SHARE * settings.drain_timeout.value,
         ),
+        ExplainService(),
     ]
     kernel = Kernel()
     for service in services:
--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -26,6 +26,7 @@
 from gypsumhall.services._evacuations import EvacuationService
 from gypsumhall.services._events import EventLog
 from gypsumhall.services._events import LINES_PER_S
+from gypsumhall.services._explain import ExplainService
 from gypsumhall.services._feed import Feed
 from gypsumhall.services._isolation import IsolationService
 from gypsumhall.services._lifecycle import Lifecycle
@@ -318,6 +319,7 @@
             isolation if settings.strict_revoke.value else None,
             has_quotas=True,
         ),
+        ExplainService(quotas, rollouts.preview_split),
         Readiness(),
     ]
     if settings.strict_revoke.value:
--- a/gypsumhall/cli/operator.py
+++ b/gypsumhall/cli/operator.py
@@ -57,6 +57,8 @@
   moves                   Show all moves.
   abort <department>/<move>  Revert a move.
   events                  Show the event log of one daemon.
+  explain <method> <host> <path>  Show where a request would go now, and why,
+                          without sending it.
 """
 _NOTES = f"""\
 Exit codes:
@@ -69,6 +71,10 @@
   {TIMED_OUT}  the wait timed out before its condition was met
 """
 
+# The key has no flag, because command lines are visible to other processes.
+_KEY_VARIABLE = 'GYPSUMHALL_KEY'
+_MAX_KEY_BYTES = 65_536
+
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
 # A daemon processes a submission for at most 10 s, after the time for reading
@@ -156,6 +162,16 @@
         self.since = define.integer(
             'since', 0, 'Index of the first event to show.'
         )
+        self.key_file = define.string(
+            'key_file',
+            '',
+            'For explain: file with the key of the tenant; by default, the '
+            f'key is read from {_KEY_VARIABLE}.',
+        )
+        self.zone = define.string(
+            'zone', '', 'For explain: ask a daemon of this zone.'
+        )
+        self.json = define.boolean('json', False, 'The same as --output=json.')
         self.follow = define.boolean(
             'follow', False, 'Show new events continuously.'
         )
@@ -290,10 +306,16 @@
 class _Command:
     """One invocation of the command line."""
 
-    def __init__(self, options: _Options, arguments: Sequence[str]) -> None:
+    def __init__(
+        self,
+        options: _Options,
+        arguments: Sequence[str],
+        environment: Mapping[str, str],
+    ) -> None:
         self._options = options
         self._arguments = arguments
-        self._json = options.output.value == 'json'
+        self._environment = environment
+        self._json = options.output.value == 'json' or options.json.value
         self._client = Client(
             options.daemons.value,
             trio.current_time() + options.timeout.value,
@@ -369,6 +391,22 @@
             raise UsageError('give --token_file or GYPSUMHALL_TOKEN')
         return token
 
+    def _read_key(self) -> str | None:
+        """Return the key of the tenant; None for none."""
+        path = self._options.key_file.value
+        if not path:
+            return self._environment.get(_KEY_VARIABLE) or None
+        try:
+            with pathlib.Path(path).open('rb') as file:
+                data = file.read(_MAX_KEY_BYTES + 1)
+        except OSError as error:
+            raise UsageError(f'--key_file {path}: {error.strerror}')
+        if len(data) > _MAX_KEY_BYTES:
+            raise UsageError(
+                f'--key_file {path}: more than {_MAX_KEY_BYTES} bytes'
+            )
+        return data.decode('latin-1').rstrip('\r\n')
+
     # Commands
 
     async def run(self, command: Callable[[_Command], Awaitable[int]]) -> int:
@@ -628,6 +666,43 @@
                 return OK
             await trio.sleep(1.0)
 
+    async def explain(self) -> int:
+        if len(self._arguments) != 3:
+            raise UsageError(
+                'this command takes three arguments, the method, the host and '
+                f'the path; given: {len(self._arguments)}'
+            )
+        self._require_daemons()
+        method, host, path = self._arguments
+        body: dict[str, object] = {
+            'method': method,
+            'host': host,
+            'path': path,
+            'zone': self._options.zone.value,
+        }
+        key = self._read_key()
+        if key is not None:
+            body['key'] = key
+        problem = ''
+        for _ in self._options.daemons.value:
+            response = await self._client.send_with_retries(
+                'POST', '/v1/explain', body
+            )
+            if response.status == 200:
+                self._print_result(
+                    response.fields, _format_explanation(response.fields)
+                )
+                return OK
+            problem = response.detail
+            if response.fields.get('code') != 'other-zone':
+                self._print_progress(f'gypsumhall: {problem}')
+                return USAGE
+            self._client.try_next()
+        raise NoDaemonError(
+            f'none of --daemons is in zone {self._options.zone.value}: '
+            f'{problem}'
+        )
+
 
 _COMMANDS: dict[str, Callable[[_Command], Awaitable[int]]] = {
     'check': _Command.check,
@@ -637,6 +712,7 @@
     'moves': _Command.moves,
     'abort': _Command.abort,
     'events': _Command.events,
+    'explain': _Command.explain,
 }
 
 
@@ -712,6 +788,89 @@
     return f'{event["index"]} {event.get("code", "")} {details}'
 
 
+def _format_explanation(fields: Mapping[str, Any]) -> list[str]:
+    version = fields['config_version']
+    rows = [
+        ('daemon', f'{fields["daemon"]} in zone {fields["zone"]}'),
+        ('configuration', 'none' if version is None else f'version {version}'),
+    ]
+    route = fields['route']
+    if route is None:
+        rows.append(('route', 'none'))
+    else:
+        objective = f', objective {route["objective_ms"]} ms'
+        rows += [
+            ('route', f'{route["id"]} ({route["host"]}{route["path"]})'),
+            ('key', 'needed' if fields['key_required'] else 'not needed'),
+            ('tenant', fields['tenant'] or 'none'),
+            ('priority', str(fields['priority'])),
+            (
+                'time limit',
+                f'{route["timeout_ms"]} ms'
+                + (objective if route['objective_ms'] else ''),
+            ),
+            ('quota', _format_quota(fields['quota'])),
+            ('services', _format_shares(fields['services'], 'service')),
+            ('versions', _format_shares(fields['versions'], 'version')),
+        ]
+    lines = [f'{name:<14} {value}' for name, value in rows]
+    lines += _format_candidates(fields['candidates'])
+    return [*lines, f'{"result":<14} {_format_outcome(fields["outcome"])}']
+
+
+def _format_quota(quota: Mapping[str, Any] | None) -> str:
+    if quota is None:
+        return 'no limit'
+    return (
+        f'{quota["rate_per_s"]:g}/s, burst {quota["burst"]:g}, at this '
+        f'daemon: {quota["state"]}'
+    )
+
+
+def _format_shares(items: Sequence[Mapping[str, Any]], name: str) -> str:
+    return ', '.join(
+        f'{item[name] or "any"} {item["share"]:.0%}' for item in items
+    )
+
+
+def _format_candidates(items: Sequence[Mapping[str, Any]]) -> list[str]:
+    table = [('', 'endpoint', 'zone', 'version', 'cost', 'reason')]
+    for item in items:
+        cost_ms = item['cost_ms']
+        table.append(
+            (
+                '>' if item['chosen'] else '',
+                item['member'],
+                item['zone'],
+                item['version'],
+                '-' if cost_ms is None else f'{cost_ms:.1f} ms',
+                item['reason'],
+            )
+        )
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    return [
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in table
+    ] * bool(items)
+
+
+def _format_outcome(outcome: Mapping[str, Any]) -> str:
+    if outcome['action'] == 'send':
+        text = (
+            f'sent to {outcome["member"]} in zone {outcome["zone"]} '
+            f'({outcome["reason"]})'
+        )
+        if outcome['asks_quota_owner']:
+            text += ', if the owner of the quota grants it'
+        return text
+    text = f'{outcome["status"]} {outcome["reason"]}: {outcome["detail"]}'
+    if outcome['retry_after_s']:
+        text += f'; Retry-After {outcome["retry_after_s"]:g} s or more'
+    return text
+
+
 def run(arguments: Sequence[str], environment: Mapping[str, str]) -> int:
     """Run the binary and return its exit code.
 
@@ -740,7 +899,8 @@
             return USAGE
 
         async def run_command() -> int:
-            return await _Command(options, positionals[1:]).run(command)
+            arguments = positionals[1:]
+            return await _Command(options, arguments, environment).run(command)
 
         try:
             return trio.run(run_command)
--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -37,6 +37,7 @@
 
 from __future__ import annotations
 
+import copy
 import enum
 import math
 from typing import TYPE_CHECKING
@@ -412,6 +413,31 @@
         # Services whose calls may leave the zone.
         self._spilling: set[str] = set()
 
+    def preview(self, service: str, rng: Random) -> LoadBalancer:
+        """Return a copy for one service whose use does not change this one.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        rng : Random
+            Source of randomness of the copy.
+        """
+        result = LoadBalancer(self._zone, rng)
+        result._evacuated_zones = self._evacuated_zones
+        result._response_bytes = dict(self._response_bytes)
+        if service in self._services:
+            member_ids = self._services[service]
+            result._services[service] = list(member_ids)
+            result._revisions[service] = self._revisions[service]
+            result._records = {
+                member_id: copy.copy(self._records[member_id])
+                for member_id in member_ids
+                if member_id in self._records
+            }
+        result._spilling = self._spilling & {service}
+        return result
+
     def revision(self, service: str) -> int:
         """Return the table revision of the last `update`; -1 for none."""
         return self._revisions.get(service, -1)
@@ -491,6 +517,7 @@
         priority: int = 0,
         route: str = '',
         request_bytes: int = 0,
+        excluded: list[tuple[Member, str]] | None = None,
     ) -> Decision:
         """Choose the endpoint with the least expected time to a response.
 
@@ -513,6 +540,8 @@
             Route of the call, which determines the expected response size.
         request_bytes : int
             Size in bytes of the body of the request.
+        excluded : list, optional
+            Gets the ready endpoints that are no candidates, with the reason.
 
         Returns
         -------
@@ -524,7 +553,9 @@
         best: _EndpointRecord | None = None
         best_cost = math.inf
         best_is_trial = False
-        records = self._candidates(service, version, now, exclude, priority)
+        records = self._candidates(
+            service, version, now, exclude, priority, excluded
+        )
         known_times_s = [
             record.known_time_s for record in records if record.known_time_s
         ]
@@ -628,27 +659,32 @@
         now: float,
         exclude: Collection[str],
         priority: int,
+        excluded: list[tuple[Member, str]] | None = None,
     ) -> list[_EndpointRecord]:
         """Return the endpoints that a call may be sent to."""
         found = []
         for record in self._ready(service):
             endpoint = record.member.endpoint
             if record.member.id in exclude or endpoint is None:
-                continue
-            if version not in (ANY_VERSION, endpoint.version):
-                continue
-            if record.unreachable:
-                continue
-            if record.member.zone in self._evacuated_zones:
-                continue
-            if record.cold_delay_s(now):
-                continue
-            if (
+                reason = 'tried'
+            elif version not in (ANY_VERSION, endpoint.version):
+                reason = 'excluded-version'
+            elif record.unreachable:
+                reason = 'unreachable'
+            elif record.member.zone in self._evacuated_zones:
+                reason = 'evacuated'
+            elif record.cold_delay_s(now):
+                reason = 'cold'
+            elif (
                 record.full_until > now
                 and priority >= record.full_from_priority
             ):
+                reason = 'full'
+            else:
+                found.append(record)
                 continue
-            found.append(record)
+            if excluded is not None:
+                excluded.append((record.member, reason))
         return found
 
     def expected_wait_s(self, member_id: str, now: float) -> float:
--- a/gypsumhall/core/_quotas.py
+++ b/gypsumhall/core/_quotas.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import copy
 from dataclasses import dataclass
 from dataclasses import field
 import math
@@ -382,6 +383,15 @@
             self._active.add(tenant)
         return self._take(state, now)
 
+    def peek(self, tenant: str, now: float) -> Decision:
+        """Return the decision about a request without counting it."""
+        if tenant not in self.limits:
+            return NO_LIMIT
+        state = self._tenants.get(tenant)
+        return self._take(
+            _DaemonState() if state is None else copy.copy(state), now
+        )
+
     def retake(self, tenant: str, now: float) -> Decision:
         """Take a token for a request that has waited for an answer."""
         state = self._tenants.get(tenant)
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 import json
 import math
 import random
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 import trio
 
@@ -28,6 +30,7 @@
 
     from gypsumhall.core._model import Route
     from gypsumhall.core._model import Tenant
+    from gypsumhall.core._quotas import Decision
     from gypsumhall.core._snapshot import MatchedRoute
     from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.kernel import Kernel
@@ -216,6 +219,28 @@
             self._turn.replace_response()
 
 
+@dataclass(slots=True, frozen=True)
+class Preview:
+    """How a request would be matched.
+
+    Parameters
+    ----------
+    snapshot : Snapshot or None
+        Installed configuration.
+    matched : MatchedRoute or None
+        Its route.
+    identity : Identity
+        Who would have sent it; `NO_TENANT` if it would be rejected.
+    rejection : CallRefusedError or None
+        Why it would be rejected.
+    """
+
+    snapshot: Snapshot | None
+    matched: MatchedRoute | None
+    identity: _tenants.Identity
+    rejection: _calls.CallRefusedError | None
+
+
 class _HttpSink:
     """Sends a response to the caller.
 
@@ -655,15 +680,7 @@
         decision = await quotas.decide(request.tenant)
         if decision.granted:
             return
-        code, detail = (
-            'over-quota',
-            f'tenant {request.tenant} is over its quota',
-        )
-        if decision.reason != 'over-quota':
-            code, detail = 'quota-undecided', 'no daemon decides on the quota'
-        raise _calls.CallRefusedError(
-            Outcome.NOT_RUN, code, detail, decision.retry_after_s
-        )
+        raise quota_error(request.tenant, decision)
 
     async def _end_cancelled(
         self, incoming: _IncomingRequest, sink: _HttpSink
@@ -791,7 +808,7 @@
             )
             priority = _NESTED_PRIORITY
         return _calls.Request(
-            _choose_target(route, self._rng),
+            choose_target(route, self._rng),
             matched.id,
             scope['method'],
             path.decode('ascii'),
@@ -810,6 +827,62 @@
             incoming.withdrawal,
         )
 
+    def status(self, error: _calls.CallRefusedError) -> int:
+        """Return the status with which a request is rejected."""
+        if self._dialect.status_503_means_not_run:
+            return error.status_if_503_means_not_run
+        return error.status
+
+    def min_retry_after_s(self, error: _calls.CallRefusedError) -> float:
+        """Return ``Retry-After`` without jitter, in seconds; 0 for none."""
+        if self.status(error) not in (429, 503):
+            return 0.0
+        if error.retry_after_s:
+            return error.retry_after_s
+        if self._dialect.status_503_means_not_run:
+            return _FAST_RETRY_AFTER_S
+        return _RETRY_AFTER_S
+
+    def preview(
+        self, method: str, host: str, target: str, key: bytes | None
+    ) -> Preview:
+        """Return how a request would be matched, without serving it.
+
+        Parameters
+        ----------
+        method, host, target : str
+            Method, host, and path with an optional query; in ASCII.
+        key : bytes or None
+            Key of the tenant.
+        """
+        path, _, query = target.partition('?')
+        headers = [(b'host', host.encode())]
+        if key is not None and self._dialect.tenant_key:
+            headers.append((self._dialect.tenant_key, key))
+        scope = {
+            'http_version': '1.1',
+            'method': method,
+            'headers': headers,
+            'raw_path': path.encode(),
+            'path': unquote(path),
+            'query_string': query.encode(),
+        }
+        snapshot = self._distribution.snapshot
+        matched = None
+        if snapshot is not None:
+            matched = self._match_route(snapshot, host, scope)
+        try:
+            _, matched, _, identity = self._match(scope)
+            now = trio.current_time()
+            if self._stopping and not self._accepts(
+                now, now + matched.route.timeout_s, nested=False
+            ):
+                raise _calls.not_run('draining', 'this daemon is stopping')
+        except _calls.CallRefusedError as error:
+            rejection = error.with_traceback(None)
+            return Preview(snapshot, matched, _tenants.NO_TENANT, rejection)
+        return Preview(snapshot, matched, identity, None)
+
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
         """Return the seconds that the caller has waited before this request.
 
@@ -982,9 +1055,7 @@
             and _has_body(incoming.scope)
         )
         dialect = self._dialect
-        status = error.status
-        if dialect.status_503_means_not_run:
-            status = error.status_if_503_means_not_run
+        status = self.status(error)
         body = json.dumps(
             {
                 'type': f'urn:gypsumhall:refusal:{error.reason}',
@@ -1075,7 +1146,17 @@
     )
 
 
-def _choose_target(route: Route, rng: random.Random) -> str:
+def quota_error(tenant: str, decision: Decision) -> _calls.CallRefusedError:
+    """Return the rejection of a request that got no token."""
+    code, detail = 'over-quota', f'tenant {tenant} is over its quota'
+    if decision.reason != 'over-quota':
+        code, detail = 'quota-undecided', 'no daemon decides on the quota'
+    return _calls.CallRefusedError(
+        Outcome.NOT_RUN, code, detail, decision.retry_after_s
+    )
+
+
+def choose_target(route: Route, rng: random.Random) -> str:
     """Return the service that a request of a route is sent to."""
     if not route.targets:
         return route.service
--- a/gypsumhall/services/_quotas.py
+++ b/gypsumhall/services/_quotas.py
@@ -189,6 +189,13 @@
                 self._schedule(now)
         return decision
 
+    def peek(self, tenant: str, now: float) -> _quotas.Decision:
+        """Return the decision of this daemon without taking a token.
+
+        Its reason is ``undecided`` if the owner would have to be asked.
+        """
+        return self._exchange.daemon.peek(tenant, now)
+
     async def decide(self, tenant: str) -> _quotas.Decision:
         """Take a token; wait for the owner of the quota if necessary."""
         daemon = self._exchange.daemon
--- a/gypsumhall/services/_rollouts.py
+++ b/gypsumhall/services/_rollouts.py
@@ -158,6 +158,17 @@
 
     # Split of calls
 
+    def preview_split(
+        self, snapshot: Snapshot, service: str, versions: set[str]
+    ) -> Split:
+        """Return the result of `split` without its effect on later ones."""
+        stable_versions = self._stable_versions
+        self._stable_versions = dict(stable_versions)
+        try:
+            return self.split(snapshot, service, versions)
+        finally:
+            self._stable_versions = stable_versions
+
     def split(
         self, snapshot: Snapshot, service: str, versions: set[str]
     ) -> Split:
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -354,6 +354,21 @@
         """Set the zones to whose endpoints no request is sent."""
         self._load_balancer.set_evacuated_zones(zones)
 
+    def preview(
+        self, service: str, rng: Random
+    ) -> _load_balancer.LoadBalancer:
+        """Return a current copy of the load balancer for one service."""
+        balancer = self._load_balancer.preview(service, rng)
+        table = self._membership.table
+        if balancer.revision(service) != table.revision:
+            balancer.update(
+                service,
+                table.endpoints(service),
+                table.revision,
+                trio.current_time(),
+            )
+        return balancer
+
     async def send(
         self,
         request: _calls.Request,
@@ -607,14 +622,8 @@
         if request.withdrawn and progress.outcome == Outcome.NOT_RUN:
             raise _calls.key_removed()
         if last_failure is None:
-            retry_after_s = self._load_balancer.retry_after_s(
-                request.service, trio.current_time()
-            )
-            raise _calls.CallRefusedError(
-                Outcome.NOT_RUN,
-                'overloaded' if retry_after_s else 'no-endpoint',
-                f'no endpoint of {request.service} has capacity',
-                retry_after_s or _NO_ENDPOINT_RETRY_S,
+            raise no_capacity_error(
+                self._load_balancer, request.service, trio.current_time()
             )
         retry_after_s = progress.retry_after_s
         error = _calls.CallRefusedError(
@@ -720,7 +729,7 @@
         if progress.failed:
             version = split.old_version
         first = not progress.failed
-        for item in _eligible_versions(split, version):
+        for item in eligible_versions(split, version):
             member = self._choose_endpoint(progress, item, now)
             if member is not None:
                 comparable = split.stage > 0 or (
@@ -885,7 +894,7 @@
         """Return the endpoint for a backup of a slow attempt, or None."""
         split = choice.split
         request = progress.request
-        for version in _eligible_versions(split, split.old_version):
+        for version in eligible_versions(split, split.old_version):
             member = self._load_balancer.decide(
                 request.service,
                 version,
@@ -1228,7 +1237,20 @@
         return self._take_retry(choice, progress)
 
 
-def _eligible_versions(split: Split, first: str) -> list[str]:
+def no_capacity_error(
+    balancer: _load_balancer.LoadBalancer, service: str, now: float
+) -> _calls.CallRefusedError:
+    """Return the rejection of a request that no endpoint can take."""
+    retry_after_s = balancer.retry_after_s(service, now)
+    return _calls.CallRefusedError(
+        Outcome.NOT_RUN,
+        'overloaded' if retry_after_s else 'no-endpoint',
+        f'no endpoint of {service} has capacity',
+        retry_after_s or _NO_ENDPOINT_RETRY_S,
+    )
+
+
+def eligible_versions(split: Split, first: str) -> list[str]:
     """Return the versions that may get a call, the preferred one first."""
     if first != split.old_version:
         return [first, split.old_version]
