--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -63,6 +63,7 @@
     assert settings.cold_over.value == 1.25
     assert settings.cold_slack.value == 8.0
     assert 'quotas' in kernel.names
+    assert 'explain' in kernel.names
     assert settings.quota_window.value == 4.0
     assert settings.quota_over.value == 0.2
     assert settings.quota_slack.value == 30.0
--- a/tests/test_cli_operator.py
+++ b/tests/test_cli_operator.py
@@ -313,6 +313,12 @@
             ('abort', 'x/y', '--daemons=h:1', '--token_file=/nonexistent'),
             '--token_file',
         ),
+        (('explain', 'GET', 'h', '--daemons=h:1'), 'takes three arguments'),
+        (('explain', 'GET', 'h', '/'), 'give --daemons'),
+        (
+            ('explain', 'GET', 'h', '/', '--daemons=h:1', '--key_file=/none'),
+            '--key_file /none: No such file',
+        ),
         (_INVALID_FLAGS, '--daemons: bad-setting'),
         (_INVALID_FLAGS, '--output: bad-setting'),
         (_INVALID_FLAGS, '--nope: unknown-flag'),
