Test the explanation at a whole fleet daemon

Cause: the tests used fakes of the listener and of most services.

Change: a gypsumhall-fleetd with its store on a loopback address answers the command; what it logs until it stops does not contain the key.

--- a/tests/test_services_explain.py
+++ b/tests/test_services_explain.py
@@ -7,23 +7,30 @@
 import json
 from random import Random
 from typing import Any
+from typing import cast
 from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
 import trio
 
+from gypsumhall.cli import fleet
 from gypsumhall.cli import operator
 from gypsumhall.core import _quotas
 from gypsumhall.core._model import Move
 from gypsumhall.core._model import MoveState
 from gypsumhall.services import _explain
+from gypsumhall.services import _http_server
 from gypsumhall.services._admin import AdminService
 from gypsumhall.services._admin import RequestError
 from gypsumhall.services._rollouts import RolloutService
+from gypsumhall.standin import server_settings
+from gypsumhall.store import Put
 from gypsumhall.testing import builders
 from gypsumhall.testing import tenants
 from gypsumhall.testing.daemons import build_snapshot
+from gypsumhall.testing.kv_store import KvApp
+from gypsumhall.testing.memory_store import MemoryStore
 from gypsumhall.testing.pipelining import connect
 
 if TYPE_CHECKING:
@@ -281,11 +288,14 @@
     def __init__(self, address: str, capsys: Any) -> None:
         self._address = address
         self._capsys = capsys
+        # What was written between the commands.
+        self.other_output = ''
 
     async def run(
         self, *arguments: str, **environment: str
     ) -> tuple[int, str, str]:
-        self._capsys.readouterr()
+        captured = self._capsys.readouterr()
+        self.other_output += captured.out + captured.err
         code = await trio.to_thread.run_sync(
             operator.run,
             ('explain', *arguments),
@@ -354,3 +364,84 @@
         assert heads
         assert not any(_KEY.encode() in item for item in heads)
         nursery.cancel_scope.cancel()
+
+
+def _configuration() -> bytes:
+    route = {
+        'host': 'h',
+        'prefix': '/a/',
+        'type': 'idempotent',
+        'timeoutMs': 1000,
+        'service': 's',
+    }
+    tenant = {'apiKeys': [_KEY], 'priority': 1, 'ratePerS': 50, 'burst': 20}
+    entries = (
+        ('routes', 'r', route),
+        ('services', 's', {}),
+        ('tenants', 'tenant-a', tenant),
+    )
+    resources = [
+        {'entryType': kind, 'metadata': {'name': name}, 'spec': spec}
+        for kind, name, spec in entries
+    ]
+    return json.dumps({'version': '00000001', 'resources': resources}).encode()
+
+
+async def test_fleet_daemon_answers_without_writing_the_key(
+    capfd: Any,
+) -> None:
+    """Guards against services of a whole daemon that do not fit together."""
+    store = MemoryStore()
+    await store.txn([], [Put('op/config', _configuration())])
+    app = cast('Any', KvApp(store))
+    stop = trio.Event()
+    with trio.fail_after(_WAIT_S):
+        async with trio.open_nursery() as nursery:
+            store_address = await nursery.start(
+                _http_server.serve,
+                app,
+                server_settings(),
+                '127.0.0.1:0',
+                stop,
+            )
+            with trio.socket.socket() as probe:
+                await probe.bind(('127.0.0.1', 0))
+                peer_port = probe.getsockname()[1]
+            settings = fleet.FleetSettings()
+            environment = {
+                'ID': 'd1',
+                'ZONE': 'az-1',
+                'IP': '127.0.0.1',
+                'PEER_PORT': str(peer_port),
+                'OUTBOUND_ADDRESS': '127.0.0.1:0',
+                'READY_ADDRESS': '127.0.0.1:0',
+                'CONTROL_ADDRESS': '127.0.0.1:0',
+                'PLATFORM': store_address,
+            }
+            settings.settings.parse(
+                [],
+                {f'GYPSUMHALL_{name}': v for name, v in environment.items()},
+            )
+            kernel = fleet.build_kernel(settings)
+            await nursery.start(kernel.run)
+            admin = kernel.get('admin', AdminService)
+            command = _Command(admin.bound_address, capfd)
+            code, out, err = 0, '', ''
+            while '"config_version": 1' not in out:
+                code, out, new_err = await command.run(
+                    'GET', 'h', '/a/b', '--json', GYPSUMHALL_KEY=_KEY
+                )
+                err += new_err
+                await trio.sleep(0.1)
+            kernel.stop()
+            await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+    assert code == operator.OK
+    result = json.loads(out)
+    assert (result['tenant'], result['priority']) == ('tenant-a', 1)
+    assert result['quota']['state'] == 'undecided'
+    assert result['outcome']['status'] == 503
+    assert result['outcome']['reason'] == 'no-endpoint'
+    err += command.other_output + capfd.readouterr().err
+    assert '"code":' in err
+    assert _KEY not in out + err
