Test explanations of a zone with room and of a stopping daemon

Cause: the reason own-zone-has-room and the rejection draining had no test.

Change: one test of each.

--- a/tests/test_core_explanation.py
+++ b/tests/test_core_explanation.py
@@ -17,6 +17,7 @@
 from gypsumhall.core._member import Member
 from gypsumhall.core._member import MemberStatus
 from gypsumhall.net._messages import Load
+from gypsumhall.net._messages import ServerFigures
 from gypsumhall.testing import builders
 
 _SERVICE = 'availability'
@@ -124,6 +125,20 @@
     assert _explain(balancer, members)[members[0].id].reason == 'spilled'
 
 
+def test_room_in_the_own_zone_excludes_other_zones() -> None:
+    """Guards against costs of endpoints that were not compared."""
+    members = _members('az-1', 'az-2')
+    balancer = _balancer(members)
+    for member, time_ms in zip(members, (40.0, 10.0), strict=True):
+        figures = ServerFigures(int(time_ms), 100, 0)
+        load = Load(0, 0, 4, service_time_ms=time_ms, server=figures)
+        balancer.report(member.id, _NOW, load)
+    found = _explain(balancer, members)
+    assert found[members[0].id].reason == 'own-zone'
+    assert found[members[1].id].reason == 'own-zone-has-room'
+    assert found[members[1].id].cost_ms is None
+
+
 def test_preview_changes_neither_the_balancer_nor_its_random_numbers() -> None:
     """Guards against explanations that shift the choices of calls."""
     members = _members('az-1', 'az-1', 'az-2')
--- a/tests/test_services_explain.py
+++ b/tests/test_services_explain.py
@@ -165,6 +165,16 @@
         assert explained.outcome('/search', None) == (401, 'key-missing')
 
 
+async def test_stopping_daemon_explains_its_rejection() -> None:
+    async with _open() as explained:
+        caller = explained.daemon.caller
+        assert caller is not None
+        caller._stopping = True
+        caller._accepts_until = trio.current_time()
+        assert explained.outcome('/open') == (503, 'draining')
+        caller._stopping = False
+
+
 def _state(value: Any) -> Any:
     """Return a copy of the data below an object, for comparisons."""
     if isinstance(value, Random):
