--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -380,6 +380,55 @@
         """Set the zones to whose endpoints no request is sent."""
         self._load_balancer.set_evacuated_zones(zones)
 
+    def preview(
+        self, service: str, rng: Random
+    ) -> _load_balancer.LoadBalancer:
+        """Return a current copy of the load balancer for one service."""
+        balancer = self._load_balancer.preview(service, rng)
+        table = self._membership.table
+        if balancer.revision(service) != table.revision:
+            balancer.update(
+                service,
+                table.endpoints(service),
+                table.revision,
+                trio.current_time(),
+            )
+        return balancer
+
+    def full_members(self, tenant: str, priority: int) -> set[str]:
+        """Return the members that have lately rejected calls of a tenant."""
+        if not tenant:
+            return set()
+        now = trio.current_time()
+        return self._full_endpoints.members(now, tenant, priority)
+
+    def no_capacity_error(
+        self,
+        balancer: _load_balancer.LoadBalancer,
+        service: str,
+        tenant: str,
+    ) -> _calls.CallRefusedError:
+        """Return the rejection of a request that no endpoint can take.
+
+        Parameters
+        ----------
+        balancer : LoadBalancer
+            That of the sender, or a copy made by `preview`.
+        service, tenant : str
+            Service and tenant of the request.
+        """
+        now = trio.current_time()
+        retry_after_s = max(
+            balancer.retry_after_s(service, now),
+            self._full_endpoints.retry_after_s(now, tenant),
+        )
+        return _calls.CallRefusedError(
+            Outcome.NOT_RUN,
+            'overloaded' if retry_after_s else 'no-endpoint',
+            f'no endpoint of {service} has capacity',
+            retry_after_s or _NO_ENDPOINT_RETRY_S,
+        )
+
     async def send(
         self,
         request: _calls.Request,
@@ -634,16 +683,8 @@
         if request.withdrawn and progress.outcome == Outcome.NOT_RUN:
             raise _calls.key_removed()
         if last_failure is None:
-            now = trio.current_time()
-            retry_after_s = max(
-                self._load_balancer.retry_after_s(request.service, now),
-                self._full_endpoints.retry_after_s(now, request.tenant),
-            )
-            raise _calls.CallRefusedError(
-                Outcome.NOT_RUN,
-                'overloaded' if retry_after_s else 'no-endpoint',
-                f'no endpoint of {request.service} has capacity',
-                retry_after_s or _NO_ENDPOINT_RETRY_S,
+            raise self.no_capacity_error(
+                self._load_balancer, request.service, request.tenant
             )
         retry_after_s = progress.retry_after_s
         if math.isinf(retry_after_s) and (
@@ -782,7 +823,7 @@
         if progress.failed:
             version = split.old_version
         first = not progress.failed
-        for item in _eligible_versions(split, version):
+        for item in eligible_versions(split, version):
             member = self._choose_endpoint(progress, item, now)
             if member is not None:
                 comparable = split.stage > 0 or (
@@ -805,8 +846,8 @@
         rejecting_members = progress.rejected_by
         if progress.request.tenant:
             rejecting_members = rejecting_members.union(
-                self._full_endpoints.members(
-                    now, progress.request.tenant, progress.request.priority
+                self.full_members(
+                    progress.request.tenant, progress.request.priority
                 )
             )
         tried_members = rejecting_members | progress.tried_members
@@ -953,7 +994,7 @@
         """Return the endpoint for a backup of a slow attempt, or None."""
         split = choice.split
         request = progress.request
-        for version in _eligible_versions(split, split.old_version):
+        for version in eligible_versions(split, split.old_version):
             member = self._load_balancer.decide(
                 request.service,
                 version,
@@ -1334,7 +1375,7 @@
         return self._take_retry(choice, progress)
 
 
-def _eligible_versions(split: Split, first: str) -> list[str]:
+def eligible_versions(split: Split, first: str) -> list[str]:
     """Return the versions that may get a call, the preferred one first."""
     if first != split.old_version:
         return [first, split.old_version]
