Hedge slow requests in the sender

A few slow runs decide the 99th percentile of a route. The sender now makes a second attempt at an idempotent request after the policy's delay, at an endpoint with a free slot, within the budget, the quota and the retry budget; the first response wins and the loser is cancelled. Rejected hedges refund what they took. Without a policy, which is the default, attempts are made as before.

--- a/gypsumhall/core/_load_balancer.py
+++ b/gypsumhall/core/_load_balancer.py
@@ -168,6 +168,13 @@
 when no report is recent."""
 
 
+_MAX_FACTOR_OF_HEDGES = 1.25
+"""Momentary factor above which an endpoint gets no hedge."""
+
+_MAX_FAILURE_RATE_OF_HEDGES = 0.2
+"""Failure rate above which an endpoint gets no hedge."""
+
+
 _UNEVEN_JITTER = 0.4
 """Largest random fraction that is added to a cost if backend servers state
 their load. All senders know the fast ones then; with 0.2, 58 of 60 senders
@@ -331,6 +338,20 @@
             <= _MAX_SLOWNESS_WITH_ROOM * fastest_s * 1000
         )
 
+    def accepts_hedges(self, now: float) -> bool:
+        """Return whether a second attempt may be made here."""
+        load = self.load
+        if load is None or load.draining or self.is_cold(now):
+            return False
+        weight = self.report_weight(now)
+        failure_rate = max(self.failure_rate, load.failure_rate)
+        return (
+            self._expected_in_flight(load, weight) + 1.0 <= self.slots
+            and load.queued * weight < 1.0
+            and failure_rate <= _MAX_FAILURE_RATE_OF_HEDGES
+            and self.momentary_factor(now) <= _MAX_FACTOR_OF_HEDGES
+        )
+
     def has_old_report(self, now: float) -> bool:
         """Return whether the latest report may be outdated."""
         return now - self.reported_at > _TRIAL_AGE_S
@@ -579,6 +600,42 @@
             reason = Reason.TRIAL if best_is_trial else Reason.SPILLED
         return Decision(best.member, reason, costs)
 
+    def choose_for_hedge(
+        self,
+        decision: Decision,
+        first: Member,
+        now: float,
+    ) -> Member | None:
+        """Return the best candidate of a decision for a second attempt.
+
+        Parameters
+        ----------
+        decision : Decision
+            Candidates and costs, from `decide`.
+        first : Member
+            Endpoint of the first attempt. If it is in the own zone, so is
+            that of the second one.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        Member or None
+            None unless a candidate has reported that it is not cold, and is
+            expected to have a free slot.
+        """
+        best: Member | None = None
+        best_cost = math.inf
+        for member, cost in decision.costs:
+            if cost >= best_cost:
+                continue
+            if first.zone == self._zone and member.zone != self._zone:
+                continue
+            record = self._records.get(member.id)
+            if record is not None and record.accepts_hedges(now):
+                best, best_cost = member, cost
+        return best
+
     def _has_room(
         self,
         service: str,
--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -808,6 +808,7 @@
             version,
             identity.name,
             incoming.withdrawal,
+            nested,
         )
 
     def _elapsed_s(self, route: str, fields: dict[bytes, bytes]) -> float:
--- a/gypsumhall/services/_calls.py
+++ b/gypsumhall/services/_calls.py
@@ -269,6 +269,8 @@
         Tenant that sent the request; empty for none.
     withdrawal : Withdrawal or None
         Withdraws the request; None if it has no key that can be removed.
+    nested : bool
+        Whether a backend server makes the request for one of its runs.
     """
 
     service: str
@@ -288,6 +290,7 @@
     configuration: int = 0
     tenant: str = ''
     withdrawal: Withdrawal | None = None
+    nested: bool = False
 
     @property
     def withdrawn(self) -> bool:
--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -107,15 +107,24 @@
         Attempt that responded first.
     claimed : trio.Event
         Set when there is a winner.
+    claimed_at : float
+        When that was, by the clock of the runtime; 0 without a winner.
     """
 
-    __slots__ = ('_attempts', 'claimed', 'sink', 'winner')
+    __slots__ = ('_attempts', 'claimed', 'claimed_at', 'sink', 'winner')
 
     def __init__(self, sink: _calls.ResponseSink) -> None:
         self._attempts: list[HedgedAttempt] = []
         self.sink = sink
         self.winner: HedgedAttempt | None = None
         self.claimed = trio.Event()
+        self.claimed_at = 0.0
+
+    @property
+    def failure(self) -> CallRefused | None:
+        """Failure of the winner, or of the first attempt without one."""
+        winner = self.winner or self._attempts[0]
+        return winner.failure
 
     def add(self) -> HedgedAttempt:
         """Add an attempt and return its sink."""
@@ -159,6 +168,7 @@
         """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
             self.winner = attempt
+            self.claimed_at = trio.current_time()
             self.claimed.set()
             for other in self._attempts:
                 if other is not attempt:
--- a/gypsumhall/services/_runner.py
+++ b/gypsumhall/services/_runner.py
@@ -13,6 +13,8 @@
 import trio
 
 from gypsumhall._errors import PeerError
+from gypsumhall.core._hedge_policy import HedgePolicy
+from gypsumhall.core._hedge_policy import HedgeSettings
 from gypsumhall.core._ledger import Entry
 from gypsumhall.core._ledger import EntryState
 from gypsumhall.core._ledger import Ledger
@@ -153,6 +155,7 @@
         self._evacuations: _protocols.Evacuations | None = None
         self._evacuated = False
         self._quotas: _protocols.Quotas | None = None
+        self._hedge_settings = HedgeSettings()
         self._rng = rng or Random()
         self._connect = connect
         self._backend: _Backend | None = None
@@ -227,6 +230,10 @@
         """Set the quotas of tenants; called before the start."""
         self._quotas = quotas
 
+    def set_hedging(self, settings: HedgeSettings) -> None:
+        """Set the limits of hedged requests; call before `run`."""
+        self._hedge_settings = settings
+
     def set_split_source(self, source: _sender.SplitSource) -> None:
         """Set how calls are split between versions; call before `run`."""
         self._split_source = source
@@ -281,6 +288,9 @@
             buffer_budget=self.buffer_budget,
             quotas=self._quotas,
         )
+        if self._hedge_settings.share:
+            policy = HedgePolicy(self._hedge_settings)
+            self._sender.set_hedge_policy(policy)
         self._keys = _keys.KeyOwner(
             peers, self._membership, self._sender, self.buffer_budget
         )
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from gypsumhall.core._hedge_policy import HedgePolicy
     from gypsumhall.core._member import Member
     from gypsumhall.core._snapshot import Snapshot
     from gypsumhall.core._snapshot import Split
@@ -125,12 +126,17 @@
         'shed',
     ]
 )
+# Attempts to hedge one slow request, and the time in seconds between them. A
+# rejected hedge pauses those of its service for slightly less.
+_MAX_HEDGE_TRIES = 3
+_HEDGE_RETRY_S = 0.06
 _RETRIED_STATUSES = (502, 503, 504)
 _SEVERITY = {Outcome.NOT_RUN: 0, Outcome.UNKNOWN: 1, Outcome.RUN: 2}
 
 ExecuteKeyed = Callable[
     ['_calls.Request', '_calls.ResponseSink'], Awaitable[None]
 ]
+ChooseSecond = Callable[['_Choice', '_Progress'], '_Choice | None']
 MakeAttempt = Callable[
     ['_Choice', '_Progress', '_calls.ResponseSink'],
     Awaitable['CallRefused | None'],
@@ -151,6 +157,8 @@
     # Whether another attempt at the request is still running. A backup only
     # gets a free slot, as queued calls take precedence over repeated ones.
     is_backup: bool = False
+    # Whether it is a backup that the hedge policy allowed.
+    is_hedge: bool = False
 
     @property
     def is_new(self) -> bool:
@@ -220,6 +228,8 @@
     endpoint_wait_until: float = math.inf
     # Whether the withdrawal of an attempt has been requested.
     withdrawal_requested: bool = False
+    # Whether a hedge has been made; later attempts get none.
+    hedged: bool = False
 
     def record_failure(
         self, member_id: str, failure: CallRefused, started: float
@@ -310,6 +320,7 @@
         quotas: _protocols.Quotas | None = None,
     ) -> None:
         self._quotas = quotas
+        self._hedge_policy: HedgePolicy | None = None
         self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._buffer_responses = dialect.buffer_responses
         self._retry_limits = retry_limits or RetryLimits()
@@ -341,6 +352,10 @@
             'gypsumhall_sender_choices_total',
             'Endpoints chosen for attempts, by reason.',
         )
+        self._hedges = metrics.counter(
+            'gypsumhall_sender_hedges_total',
+            'Second attempts at slow requests, by result.',
+        )
 
     async def run(self) -> None:
         """Probe unreachable daemons until they respond again."""
@@ -354,6 +369,10 @@
         """Set the zones to whose endpoints no request is sent."""
         self._load_balancer.set_evacuated_zones(zones)
 
+    def set_hedge_policy(self, policy: HedgePolicy | None) -> None:
+        """Set the delays and the budget of hedges; None for no hedges."""
+        self._hedge_policy = policy
+
     async def send(
         self,
         request: _calls.Request,
@@ -479,6 +498,8 @@
         returns_tokens: bool,
     ) -> None:
         self._budget(request.service).call(trio.current_time())
+        if self._hedge_policy is not None:
+            self._hedge_policy.count_call(request.service)
         hedged_request = _hedging.HedgedRequest(sink)
         progress = _Progress(request, sink, hedged_request)
         try:
@@ -524,6 +545,13 @@
                 )
             if choice.is_evidence and progress.request.idempotent:
                 make_attempt = self._attempt_with_backup
+            elif (
+                self._hedge_policy is not None
+                and progress.request.idempotent
+                and not progress.request.nested
+                and not progress.hedged
+            ):
+                make_attempt = self._attempt_with_hedge
             else:
                 make_attempt = self._make_attempt
             await self._run_hedged_attempt(
@@ -555,6 +583,13 @@
         progress.tokens -= 1
         return True
 
+    def _reserve_token(self, progress: _Progress) -> bool:
+        """Make sure that the next attempt has a token of the quota."""
+        if progress.tokens or not self._take_token(progress):
+            return progress.tokens > 0
+        progress.tokens += 1
+        return True
+
     def _continue_elsewhere(
         self,
         attempt: _hedging.HedgedAttempt,
@@ -818,12 +853,81 @@
     ) -> CallRefused | None:
         """Make an attempt, and a backup attempt if the first one is slow.
 
-        Another endpoint can still respond when a version hangs. The first
-        attempt continues, as the backup may be rejected.
+        Another endpoint can still respond when a version hangs.
         """
+        remaining_s = progress.request.deadline - trio.current_time()
+        hedged_request = _hedging.HedgedRequest(sink)
+        await self._attempt_twice(
+            choice,
+            progress,
+            hedged_request,
+            _calls.SLOW_CALL_FRACTION * remaining_s,
+            self._choose_backup,
+        )
+        return hedged_request.failure
+
+    async def _attempt_with_hedge(
+        self,
+        choice: _Choice,
+        progress: _Progress,
+        sink: _calls.ResponseSink,
+    ) -> CallRefused | None:
+        """Make an attempt, and another if it is slow for its route."""
+        request = progress.request
+        policy = self._hedge_policy
+        if policy is None:
+            return await self._make_attempt(choice, progress, sink)
+        started = trio.current_time()
+        delay_s = policy.delay_s(request.route, started)
+        if delay_s is None or started + delay_s >= request.deadline:
+            # The time of the attempt is recorded nevertheless.
+            delay_s = math.inf
         hedged_request = _hedging.HedgedRequest(sink)
+        second = await self._attempt_twice(
+            choice,
+            progress,
+            hedged_request,
+            delay_s,
+            self._choose_hedge,
+            _MAX_HEDGE_TRIES,
+        )
+        if hedged_request.winner is not None:
+            now = trio.current_time()
+            time_s = hedged_request.claimed_at - started
+            policy.record(request.route, time_s, now)
+        if second is not None and not _was_rejected(second):
+            policy.end_pause(request.service)
+            result = 'lost'
+            if hedged_request.winner is second:
+                result = 'won'
+            elif second.failure is not None or second.error is not None:
+                result = 'failed'
+            self._hedges.add(1.0, result=result)
+        return hedged_request.failure
+
+    async def _attempt_twice(
+        self,
+        choice: _Choice,
+        progress: _Progress,
+        hedged_request: _hedging.HedgedRequest,
+        delay_s: float,
+        choose_second: ChooseSecond,
+        tries: int = 1,
+    ) -> _hedging.HedgedAttempt | None:
+        """Make an attempt, and a second one after a delay or a silence.
+
+        The first attempt continues, as the second one may be rejected. If it
+        is, or if there was no endpoint for it, another is made after
+        `_HEDGE_RETRY_S`, up to the number of tries.
+
+        Returns
+        -------
+        HedgedAttempt or None
+            The last attempt besides the first, if there was one.
+        """
+        sink = hedged_request.sink
         first = hedged_request.add()
-        remaining_s = progress.request.deadline - trio.current_time()
+        second: _hedging.HedgedAttempt | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._run_hedged_attempt,
@@ -832,35 +936,91 @@
                 choice,
                 progress,
             )
-            with trio.move_on_after(_calls.SLOW_CALL_FRACTION * remaining_s):
-                await first.ended_or_silent.wait()
-            if not first.ended.is_set() and hedged_request.winner is None:
-                backup = self._choose_backup(choice, progress)
-                if isinstance(sink, _hedging.HedgedAttempt):
+            for number in range(tries):
+                with trio.move_on_after(delay_s):
+                    await first.ended_or_silent.wait()
+                if first.ended.is_set() or hedged_request.winner is not None:
+                    break
+                backup = choose_second(choice, progress)
+                if not number and isinstance(sink, _hedging.HedgedAttempt):
                     nursery.start_soon(hedged_request.report_silence, sink)
                 if backup is not None:
                     second = hedged_request.add()
                     await self._run_hedged_attempt(
                         self._make_attempt, second, backup, progress
                     )
-                    self._refund_unrun_backup(choice, second, progress)
+                    if not _was_rejected(second):
+                        break
+                    self._refund_backup(choice, backup, progress)
+                if first.ended_or_silent.is_set():
+                    break
+                delay_s = _HEDGE_RETRY_S
         hedged_request.raise_error()
-        winner = hedged_request.winner
-        return first.failure if winner is None else winner.failure
+        return second
 
-    def _refund_unrun_backup(
-        self,
-        choice: _Choice,
-        attempt: _hedging.HedgedAttempt,
-        progress: _Progress,
+    def _choose_hedge(
+        self, choice: _Choice, progress: _Progress
+    ) -> _Choice | None:
+        """Return the endpoint for a hedge of a slow attempt, or None.
+
+        What the hedge needs has been taken from the budgets then.
+        """
+        request = progress.request
+        policy = self._hedge_policy
+        # A retry that has been granted follows a failed response.
+        if policy is None or progress.retry_granted:
+            return None
+        now = trio.current_time()
+        refusal = policy.refusal(request.service, now)
+        member: Member | None = None
+        if not refusal:
+            decision = self._load_balancer.decide(
+                request.service,
+                choice.version,
+                now,
+                progress.tried_members | progress.rejected_by,
+                request.priority,
+                request.route,
+                len(request.body),
+            )
+            member = self._load_balancer.choose_for_hedge(
+                decision, choice.member, now
+            )
+            if member is None:
+                refusal = 'no-free-slot'
+            elif not self._retry_is_possible(progress):
+                refusal = 'no-attempt'
+            elif not self._take_retry(choice, progress):
+                refusal = 'no-retry'
+            elif not self._reserve_token(progress):
+                refusal = 'no-quota'
+                if self._uses_retry_budget(choice):
+                    self._budget(request.service).refund()
+        if member is None or refusal:
+            self._hedges.add(1.0, result=refusal)
+            return None
+        policy.take(request.service)
+        progress.hedged = True
+        return _Choice(
+            member,
+            choice.split,
+            choice.version,
+            False,
+            is_backup=True,
+            is_hedge=True,
+        )
+
+    def _refund_backup(
+        self, choice: _Choice, backup: _Choice, progress: _Progress
     ) -> None:
-        """Refund the retry of a backup attempt that was not run."""
-        failure = attempt.failure
-        if failure is None or failure.outcome != Outcome.NOT_RUN:
-            return
+        """Refund what a backup attempt took that was not run."""
+        service = progress.request.service
         progress.free_retries += 1
         if self._uses_retry_budget(choice):
-            self._budget(progress.request.service).refund()
+            self._budget(service).refund()
+        if backup.is_hedge and self._hedge_policy is not None:
+            self._hedge_policy.refund(service, trio.current_time())
+            self._hedges.add(1.0, result='rejected')
 
     async def _run_hedged_attempt(
         self,
@@ -1237,6 +1397,11 @@
     return [first]
 
 
+def _was_rejected(attempt: _hedging.HedgedAttempt) -> bool:
+    failure = attempt.failure
+    return failure is not None and failure.outcome == Outcome.NOT_RUN
+
+
 def _has_running_others(sink: _calls.ResponseSink) -> bool:
     """Return whether other attempts at a request run."""
     return isinstance(sink, _hedging.HedgedAttempt) and sink.has_running_others
--- a/tests/test_core_uneven_load.py
+++ b/tests/test_core_uneven_load.py
@@ -5,8 +5,10 @@
 from collections import Counter
 from random import Random
 
+import msgspec
 import pytest
 
+from gypsumhall.core._cold_limit import ColdLoad
 from gypsumhall.core._load_balancer import ANY_VERSION
 from gypsumhall.core._load_balancer import LoadBalancer
 from gypsumhall.core._load_balancer import Reason
@@ -166,3 +168,47 @@
         chosen[member.id] += 1
     assert max(chosen.values()) < 25
     assert sum(chosen[f'd{index}'] for index in (3, 4, 5)) > 5
+
+
+def _hedge_choice(
+    zones: list[str], loads: list[Load], first: int, age_s: float = 0.1
+) -> str:
+    """Return the endpoint of a hedge; empty for none."""
+    balancer = _build_balancer(zones)
+    for index, load in enumerate(loads):
+        balancer.report(f'd{index}', 10.0, load)
+    now = 10.0 + age_s
+    balancer.set_evacuated_zones(frozenset(['az-evacuated']))
+    exclude = {f'd{first}'}
+    decision = balancer.decide(_SERVICE, ANY_VERSION, now, exclude)
+    endpoint = builders.build_endpoint(slots=3)
+    member = builders.build_member(first, zones[first], endpoint)
+    chosen = balancer.choose_for_hedge(decision, member, now)
+    return '' if chosen is None else chosen.id
+
+
+def test_hedges_get_only_endpoints_with_a_free_slot() -> None:
+    """Guards against hedges at busy, slow, failing or leaving endpoints."""
+    zones = ['az-1', 'az-1']
+    busy = _load(3)
+    assert _hedge_choice(zones, [busy, _load(2)], 0) == 'd1'
+    assert not _hedge_choice(zones, [busy, _load(3)], 0)
+    assert not _hedge_choice(zones, [busy, _load(5)], 0)
+    assert not _hedge_choice(zones, [busy, _load(0, percent=250)], 0)
+    draining = msgspec.structs.replace(_load(0), draining=True)
+    assert not _hedge_choice(zones, [busy, draining], 0)
+    failing = msgspec.structs.replace(_load(0), failure_rate=0.5)
+    assert not _hedge_choice(zones, [busy, failing], 0)
+    cold = msgspec.structs.replace(_load(0), cold=ColdLoad(2000, 5, 0))
+    assert not _hedge_choice(zones, [busy, cold], 0)
+    # Nothing has been reported by the second one.
+    assert not _hedge_choice(zones, [busy], 0)
+
+
+def test_hedges_leave_neither_the_zone_nor_reach_evacuated_ones() -> None:
+    """Guards against bytes between zones and requests to evacuated ones."""
+    free = _load(0)
+    assert not _hedge_choice(['az-1', 'az-2'], [_load(3), free], 0)
+    assert _hedge_choice(['az-2', 'az-1'], [free, free], 0) == 'd1'
+    assert _hedge_choice(['az-2', 'az-3'], [free, free], 0) == 'd1'
+    assert not _hedge_choice(['az-2', 'az-evacuated'], [free, free], 0)
