--- a/gypsumhall/cli/fleet.py
+++ b/gypsumhall/cli/fleet.py
@@ -12,6 +12,7 @@
 from gypsumhall.cli._run import run_kernel
 from gypsumhall.cli._settings import run_binary
 from gypsumhall.cli._settings import Settings
+from gypsumhall.core import _hedge_policy
 from gypsumhall.core._cold_limit import ColdBounds
 from gypsumhall.core._quotas import QuotaBounds
 from gypsumhall.kernel import Kernel
@@ -190,6 +191,21 @@
             lowest=1.0,
             highest=10_000.0,
         )
+        self.hedge_share = settings.number(
+            'hedge_share',
+            0.0,
+            'Share of the calls that get a second attempt at another '
+            'endpoint when they are slow, on idempotent routes; 0 for none.',
+            highest=_hedge_policy.MAX_SHARE,
+        )
+        self.hedge_quantile = settings.number(
+            'hedge_quantile',
+            0.95,
+            'Quantile of the response times of a route after which a call '
+            'counts as slow.',
+            lowest=_hedge_policy.MIN_QUANTILE,
+            highest=_hedge_policy.MAX_QUANTILE,
+        )
         self.revoke_ms = settings.integer(
             'revoke_ms',
             5000,
@@ -268,6 +284,11 @@
         rng=rng,
     )
     runner.set_quotas(quotas)
+    runner.set_hedging(
+        _hedge_policy.HedgeSettings(
+            settings.hedge_share.value, settings.hedge_quantile.value
+        )
+    )
     registration = Registration(rng=rng)
     quotas.set_zone_source(lambda: registration.zones)
     admin = AdminService(settings.control_address.value)
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -66,6 +66,8 @@
     assert settings.quota_window.value == 4.0
     assert settings.quota_over.value == 0.2
     assert settings.quota_slack.value == 30.0
+    assert settings.hedge_share.value == 0.0
+    assert settings.hedge_quantile.value == 0.95
 
 
 def test_missing_quota_fields_select_the_defaults() -> None:
@@ -87,9 +89,14 @@
         ('QUOTA_OVER', '1.5', '0 to 1'),
         ('QUOTA_SLACK', '0', '1 to 10000'),
         ('QUOTA_SLACK', 'many', '1 to 10000'),
+        ('HEDGE_SHARE', '0.21', '0 to 0.2'),
+        ('HEDGE_SHARE', '-0.1', '0 to 0.2'),
+        ('HEDGE_SHARE', 'nan', '0 to 0.2'),
+        ('HEDGE_QUANTILE', '0.49', '0.5 to 0.999'),
+        ('HEDGE_QUANTILE', '1', '0.5 to 0.999'),
     ],
 )
-def test_quota_settings_out_of_range_prevent_the_start(
+def test_settings_out_of_range_prevent_the_start(
     name: str, value: str, range_text: str
 ) -> None:
     settings = fleet.FleetSettings()
