--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 
 import trio
@@ -175,3 +176,60 @@
                     other.scope.cancel(reason='other-attempt')
         if self.winner is not attempt:
             await trio.sleep_forever()
+
+
+class Timer:
+    """Calls back at given times; does not need a task for each.
+
+    `run` has to be running.
+    """
+
+    __slots__ = ('_count', '_entries', '_wake')
+
+    def __init__(self) -> None:
+        self._entries: list[tuple[float, int, TimerEntry]] = []
+        self._count = 0
+        self._wake = trio.Event()
+
+    def add(self, time: float, callback: Callable[[], None]) -> TimerEntry:
+        """Call back at a time, by the clock of the runtime, in seconds."""
+        entry = TimerEntry(callback)
+        self._count += 1
+        if not self._entries or time < self._entries[0][0]:
+            self._wake.set()
+        heapq.heappush(self._entries, (time, self._count, entry))
+        return entry
+
+    async def run(self) -> None:
+        """Call back until cancelled."""
+        entries = self._entries
+        while True:
+            while entries and entries[0][2].callback is None:
+                heapq.heappop(entries)
+            self._wake = trio.Event()
+            time = entries[0][0] if entries else float('inf')
+            with trio.move_on_at(time):
+                await self._wake.wait()
+            while entries and entries[0][0] <= trio.current_time():
+                callback = heapq.heappop(entries)[2].callback
+                if callback is not None:
+                    callback()
+
+
+class TimerEntry:
+    """A time to call back at.
+
+    Parameters
+    ----------
+    callback : callable
+        What is called.
+    """
+
+    __slots__ = ('callback',)
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Do not call back."""
+        self.callback = None
--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -136,7 +136,6 @@
 ExecuteKeyed = Callable[
     ['_calls.Request', '_calls.ResponseSink'], Awaitable[None]
 ]
-ChooseSecond = Callable[['_Choice', '_Progress'], '_Choice | None']
 MakeAttempt = Callable[
     ['_Choice', '_Progress', '_calls.ResponseSink'],
     Awaitable['CallRefused | None'],
@@ -176,6 +175,19 @@
         self.error: Exception | None = None
 
 
+class _Hedge:
+    """The second attempt at a slow request, and the tries to make it."""
+
+    __slots__ = ('attempt', 'ended', 'error', 'scope', 'started')
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.started = False
+        self.ended = trio.Event()
+        self.attempt: _hedging.HedgedAttempt | None = None
+        self.error: Exception | None = None
+
+
 class _QueuedAttempt:
     """An attempt that may wait in the queue of an endpoint."""
 
@@ -321,6 +333,7 @@
     ) -> None:
         self._quotas = quotas
         self._hedge_policy: HedgePolicy | None = None
+        self._hedge_timer = _hedging.Timer()
         self._buffer_budget = buffer_budget or _calls.ResponseBufferBudget()
         self._buffer_responses = dialect.buffer_responses
         self._retry_limits = retry_limits or RetryLimits()
@@ -361,7 +374,7 @@
         """Probe unreachable daemons until they respond again."""
         try:
             async with trio.open_nursery() as self._nursery:
-                await trio.sleep_forever()
+                await self._hedge_timer.run()
         finally:
             self._nursery = None
 
@@ -853,17 +866,34 @@
     ) -> CallRefused | None:
         """Make an attempt, and a backup attempt if the first one is slow.
 
-        Another endpoint can still respond when a version hangs.
+        Another endpoint can still respond when a version hangs. The first
+        attempt continues, as the backup may be rejected.
         """
-        remaining_s = progress.request.deadline - trio.current_time()
         hedged_request = _hedging.HedgedRequest(sink)
-        await self._attempt_twice(
-            choice,
-            progress,
-            hedged_request,
-            _calls.SLOW_CALL_FRACTION * remaining_s,
-            self._choose_backup,
-        )
+        first = hedged_request.add()
+        remaining_s = progress.request.deadline - trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._run_hedged_attempt,
+                self._make_attempt,
+                first,
+                choice,
+                progress,
+            )
+            with trio.move_on_after(_calls.SLOW_CALL_FRACTION * remaining_s):
+                await first.ended_or_silent.wait()
+            if not first.ended.is_set() and hedged_request.winner is None:
+                backup = self._choose_backup(choice, progress)
+                if isinstance(sink, _hedging.HedgedAttempt):
+                    nursery.start_soon(hedged_request.report_silence, sink)
+                if backup is not None:
+                    second = hedged_request.add()
+                    await self._run_hedged_attempt(
+                        self._make_attempt, second, backup, progress
+                    )
+                    if _was_rejected(second):
+                        self._refund_backup(choice, backup, progress)
+        hedged_request.raise_error()
         return hedged_request.failure
 
     async def _attempt_with_hedge(
@@ -879,22 +909,32 @@
             return await self._make_attempt(choice, progress, sink)
         started = trio.current_time()
         delay_s = policy.delay_s(request.route, started)
-        if delay_s is None or started + delay_s >= request.deadline:
-            # The time of the attempt is recorded nevertheless.
-            delay_s = math.inf
         hedged_request = _hedging.HedgedRequest(sink)
-        second = await self._attempt_twice(
-            choice,
-            progress,
-            hedged_request,
-            delay_s,
-            self._choose_hedge,
-            _MAX_HEDGE_TRIES,
+        first = hedged_request.add()
+        hedge = _Hedge()
+        start_hedge = functools.partial(
+            self._start_hedge, hedge, choice, progress, hedged_request, first
         )
+        first.on_silence = start_hedge
+        # The time of the attempt is recorded without a delay, too.
+        timer_entry: _hedging.TimerEntry | None = None
+        if delay_s is not None and started + delay_s < request.deadline:
+            timer_entry = self._hedge_timer.add(started + delay_s, start_hedge)
+        try:
+            await self._run_hedged_attempt(
+                self._make_attempt, first, choice, progress
+            )
+            if hedge.started:
+                await hedge.ended.wait()
+        finally:
+            if timer_entry is not None:
+                timer_entry.cancel()
+            hedge.scope.cancel()
         if hedged_request.winner is not None:
             now = trio.current_time()
             time_s = hedged_request.claimed_at - started
             policy.record(request.route, time_s, now)
+        second = hedge.attempt
         if second is not None and not _was_rejected(second):
             policy.end_pause(request.service)
             result = 'lost'
@@ -903,60 +943,82 @@
             elif second.failure is not None or second.error is not None:
                 result = 'failed'
             self._hedges.add(1.0, result=result)
+        if hedge.error is not None:
+            raise hedge.error
+        hedged_request.raise_error()
         return hedged_request.failure
 
-    async def _attempt_twice(
+    def _start_hedge(
         self,
+        hedge: _Hedge,
         choice: _Choice,
         progress: _Progress,
         hedged_request: _hedging.HedgedRequest,
-        delay_s: float,
-        choose_second: ChooseSecond,
-        tries: int = 1,
-    ) -> _hedging.HedgedAttempt | None:
-        """Make an attempt, and a second one after a delay or a silence.
-
-        The first attempt continues, as the second one may be rejected. If it
-        is, or if there was no endpoint for it, another is made after
-        `_HEDGE_RETRY_S`, up to the number of tries.
-
-        Returns
-        -------
-        HedgedAttempt or None
-            The last attempt besides the first, if there was one.
-        """
+        first: _hedging.HedgedAttempt,
+    ) -> None:
+        """Start to hedge an attempt that is slow or at a silent daemon."""
+        nursery = self._nursery
+        if (
+            hedge.started
+            or hedged_request.winner is not None
+            or first.ended.is_set()
+            or nursery is None
+            or nursery.cancel_scope.cancel_called
+        ):
+            return
+        hedge.started = True
+        nursery.start_soon(
+            self._run_hedge, hedge, choice, progress, hedged_request, first
+        )
+
+    async def _run_hedge(
+        self,
+        hedge: _Hedge,
+        choice: _Choice,
+        progress: _Progress,
+        hedged_request: _hedging.HedgedRequest,
+        first: _hedging.HedgedAttempt,
+    ) -> None:
         sink = hedged_request.sink
-        first = hedged_request.add()
-        second: _hedging.HedgedAttempt | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._run_hedged_attempt,
-                self._make_attempt,
-                first,
-                choice,
-                progress,
-            )
-            for number in range(tries):
-                with trio.move_on_after(delay_s):
-                    await first.ended_or_silent.wait()
-                if first.ended.is_set() or hedged_request.winner is not None:
-                    break
-                backup = choose_second(choice, progress)
-                if not number and isinstance(sink, _hedging.HedgedAttempt):
-                    nursery.start_soon(hedged_request.report_silence, sink)
-                if backup is not None:
-                    second = hedged_request.add()
-                    await self._run_hedged_attempt(
-                        self._make_attempt, second, backup, progress
+        try:
+            with hedge.scope:
+                async with trio.open_nursery() as nursery:
+                    if isinstance(sink, _hedging.HedgedAttempt):
+                        nursery.start_soon(hedged_request.report_silence, sink)
+                    await self._try_hedges(
+                        hedge, choice, progress, hedged_request, first
                     )
-                    if not _was_rejected(second):
-                        break
-                    self._refund_backup(choice, backup, progress)
-                if first.ended_or_silent.is_set():
-                    break
-                delay_s = _HEDGE_RETRY_S
-        hedged_request.raise_error()
-        return second
+        except Exception as error:
+            # The request fails, not the service that runs the hedge.
+            hedge.error = error
+        finally:
+            hedge.ended.set()
+
+    async def _try_hedges(
+        self,
+        hedge: _Hedge,
+        choice: _Choice,
+        progress: _Progress,
+        hedged_request: _hedging.HedgedRequest,
+        first: _hedging.HedgedAttempt,
+    ) -> None:
+        """Make a second attempt; try again if it cannot be made or run."""
+        for _ in range(_MAX_HEDGE_TRIES):
+            if first.ended.is_set() or hedged_request.winner is not None:
+                return
+            backup = self._choose_hedge(choice, progress)
+            if backup is not None:
+                second = hedge.attempt = hedged_request.add()
+                await self._run_hedged_attempt(
+                    self._make_attempt, second, backup, progress
+                )
+                if not _was_rejected(second):
+                    return
+                self._refund_backup(choice, backup, progress)
+            if first.ended_or_silent.is_set():
+                return
+            with trio.move_on_after(_HEDGE_RETRY_S):
+                await first.ended_or_silent.wait()
 
     def _choose_hedge(
         self, choice: _Choice, progress: _Progress
