--- a/tests/test_services_hedging.py
+++ b/tests/test_services_hedging.py
@@ -17,6 +17,7 @@
 from gypsumhall.core._waiting import QueuedCall
 from gypsumhall.net._messages import CallStart
 from gypsumhall.net._messages import Message
+from gypsumhall.services import _hedging
 from gypsumhall.testing import call_trial
 from gypsumhall.testing import hedged_load
 from gypsumhall.testing.call_trial import CallTrial
@@ -366,3 +367,37 @@
         await trio.sleep(25.0)
         call_trial.raise_on_violations(trial)
         nursery.cancel_scope.cancel()
+
+
+async def test_timer_calls_back_in_order(autojump_clock: MockClock) -> None:
+    """Guards against hedges that are late, early or for ended attempts."""
+    timer = _hedging.Timer()
+    called: list[tuple[str, float]] = []
+
+    def add(name: str, delay_s: float) -> _hedging.TimerEntry:
+        return timer.add(
+            trio.current_time() + delay_s,
+            lambda: called.append((name, round(trio.current_time(), 3))),
+        )
+
+    async with trio.open_nursery() as nursery:
+        add('first', 1.0)
+        nursery.start_soon(timer.run)
+        await trio.sleep(0.2)
+        add('earlier', 0.3)
+        cancelled = add('cancelled', 0.1)
+        add('last', 5.0)
+        cancelled.cancel()
+        await trio.sleep(3.0)
+        add('same time', 1.8)
+        await trio.sleep(5.0)
+        add('after a pause', 0.5)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert called == [
+        ('earlier', 0.5),
+        ('first', 1.0),
+        ('same time', 5.0),
+        ('last', 5.2),
+        ('after a pause', 8.7),
+    ]
