--- a/gypsumhall/services/_caller.py
+++ b/gypsumhall/services/_caller.py
@@ -846,6 +846,7 @@
             version,
             identity.name,
             incoming.withdrawal,
+            nested,
         )
 
     def status(self, error: _calls.CallRefusedError) -> int:
--- a/gypsumhall/services/_hedging.py
+++ b/gypsumhall/services/_hedging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 
 import trio
@@ -107,15 +108,24 @@
         Attempt that responded first.
     claimed : trio.Event
         Set when there is a winner.
+    claimed_at : float
+        When that was, by the clock of the runtime; 0 without a winner.
     """
 
-    __slots__ = ('_attempts', 'claimed', 'sink', 'winner')
+    __slots__ = ('_attempts', 'claimed', 'claimed_at', 'sink', 'winner')
 
     def __init__(self, sink: _calls.ResponseSink) -> None:
         self._attempts: list[HedgedAttempt] = []
         self.sink = sink
         self.winner: HedgedAttempt | None = None
         self.claimed = trio.Event()
+        self.claimed_at = 0.0
+
+    @property
+    def failure(self) -> CallRefused | None:
+        """Failure of the winner, or of the first attempt without one."""
+        winner = self.winner or self._attempts[0]
+        return winner.failure
 
     def add(self) -> HedgedAttempt:
         """Add an attempt and return its sink."""
@@ -159,9 +169,67 @@
         """Select the attempt that responds; never returns for any other."""
         if self.winner is None:
             self.winner = attempt
+            self.claimed_at = trio.current_time()
             self.claimed.set()
             for other in self._attempts:
                 if other is not attempt:
                     other.scope.cancel(reason='other-attempt')
         if self.winner is not attempt:
             await trio.sleep_forever()
+
+
+class Timer:
+    """Calls back at given times; does not need a task for each.
+
+    `run` has to be running.
+    """
+
+    __slots__ = ('_count', '_entries', '_wake')
+
+    def __init__(self) -> None:
+        self._entries: list[tuple[float, int, TimerEntry]] = []
+        self._count = 0
+        self._wake = trio.Event()
+
+    def add(self, time: float, callback: Callable[[], None]) -> TimerEntry:
+        """Call back at a time, by the clock of the runtime, in seconds."""
+        entry = TimerEntry(callback)
+        self._count += 1
+        if not self._entries or time < self._entries[0][0]:
+            self._wake.set()
+        heapq.heappush(self._entries, (time, self._count, entry))
+        return entry
+
+    async def run(self) -> None:
+        """Call back until cancelled."""
+        entries = self._entries
+        while True:
+            while entries and entries[0][2].callback is None:
+                heapq.heappop(entries)
+            self._wake = trio.Event()
+            time = entries[0][0] if entries else float('inf')
+            with trio.move_on_at(time):
+                await self._wake.wait()
+            while entries and entries[0][0] <= trio.current_time():
+                callback = heapq.heappop(entries)[2].callback
+                if callback is not None:
+                    callback()
+
+
+class TimerEntry:
+    """A time to call back at.
+
+    Parameters
+    ----------
+    callback : callable
+        What is called.
+    """
+
+    __slots__ = ('callback',)
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Do not call back."""
+        self.callback = None
