--- a/tests/test_core_uneven_load.py
+++ b/tests/test_core_uneven_load.py
@@ -86,7 +86,7 @@
 
 
 def test_response_times_are_near_those_of_complete_information() -> None:
-    """Asks for the target of the design page at nine tenths of the capacity."""
+    """Asks for the target of the design page at 0.9 of the capacity."""
     ideal = uneven_load.CompleteInformation(1).run(10.0)
     now = uneven_load.Balanced(1, withdraws=True).run(10.0)
     assert now.mean_s < 1.3 * ideal.mean_s
