--- a/gypsumhall/services/_sender.py
+++ b/gypsumhall/services/_sender.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
 import functools
 import math
 from typing import TYPE_CHECKING
@@ -28,6 +27,7 @@
 from gypsumhall.services import _attempts
 from gypsumhall.services import _calls
 from gypsumhall.services import _hedging
+from gypsumhall.services import _progress
 
 if TYPE_CHECKING:
     from random import Random
@@ -79,7 +79,6 @@
 # Time in seconds for which the outcomes of lost attempts at an idempotent
 # request are queried before it is rejected.
 _LOST_ATTEMPT_QUERY_S = 0.25
-_FIRST_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.5
 # Rejections due to stale routing data cost the fleet no work, so retries
 # after them do not count against the budget.
@@ -102,18 +101,12 @@
 _MAX_SHORT_WAIT_ATTEMPTS = 2
 # That limit, as a fraction of the time left until the latency objective.
 _SHORT_WAIT_FRACTION = 0.1
-# Rejections that the same endpoint may not repeat.
-_REPEATABLE_REJECTION_CODES = frozenset(['busy', 'withdrawn'])
-# Rejections after which another endpoint may have capacity.
-_NO_CAPACITY_CODES = frozenset(['busy', 'overloaded'])
 # Timeout of a probe of an unreachable daemon and mean delay until the next
 # one, in seconds.
 _PROBE_INTERVAL_S = 0.25
 # Time in seconds after which a caller may retry when no endpoint is ready: a
 # stopped daemon starts again within it.
 _NO_ENDPOINT_RETRY_S = 0.5
-# Failed attempts that the log line of one request lists.
-_MAX_TRAIL_ENTRIES = 8
 # Endpoints without capacity after which a request is rejected.
 _MAX_NO_CAPACITY_REJECTIONS = 4
 # Definite rejections of a single attempt by the owner of a key.
@@ -140,13 +133,12 @@
 _MAX_HEDGE_TRIES = 3
 _HEDGE_RETRY_S = 0.06
 _RETRIED_STATUSES = (502, 503, 504)
-_SEVERITY = {Outcome.NOT_RUN: 0, Outcome.UNKNOWN: 1, Outcome.RUN: 2}
 
 ExecuteKeyed = Callable[
     ['_calls.Request', '_calls.ResponseSink'], Awaitable[None]
 ]
 MakeAttempt = Callable[
-    ['_Choice', '_Progress', '_calls.ResponseSink'],
+    ['_progress.Choice', '_progress.Progress', '_calls.ResponseSink'],
     Awaitable['CallRefused | None'],
 ]
 SplitSource = Callable[['Snapshot', str, set[str]], 'Split']
@@ -154,155 +146,6 @@
 configuration, the service and the versions of its ready endpoints."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Choice:
-    member: Member
-    split: Split
-    version: str
-    # Whether the call was assigned to the version at random, so that it is
-    # evidence about the move.
-    is_evidence: bool
-    # Whether another attempt at the request is still running. A backup only
-    # gets a free slot, as queued calls take precedence over repeated ones.
-    is_backup: bool = False
-    # Whether it is a backup that the hedge policy allowed.
-    is_hedge: bool = False
-
-    @property
-    def is_new(self) -> bool:
-        return self.version == self.split.new_version
-
-
-_LostAttempt = tuple[_Choice, 'CallStart', _attempts.Receiver]
-
-
-class _Chain:
-    """Consecutive attempts beside those at a silent daemon."""
-
-    __slots__ = ('ended', 'error', 'scope')
-
-    def __init__(self) -> None:
-        self.scope = trio.CancelScope()
-        self.ended = trio.Event()
-        self.error: Exception | None = None
-
-
-class _Hedge:
-    """The second attempt at a slow request, and the tries to make it."""
-
-    __slots__ = ('attempt', 'ended', 'error', 'scope', 'started')
-
-    def __init__(self) -> None:
-        self.scope = trio.CancelScope()
-        self.started = False
-        self.ended = trio.Event()
-        self.attempt: _hedging.HedgedAttempt | None = None
-        self.error: Exception | None = None
-
-
-class _QueuedAttempt:
-    """An attempt that may wait in the queue of an endpoint."""
-
-    __slots__ = ('choice', 'progress', 'receiver', 'request_id')
-
-    def __init__(
-        self,
-        choice: _Choice,
-        progress: _Progress,
-        receiver: _attempts.Receiver,
-        request_id: str,
-    ) -> None:
-        self.choice = choice
-        self.progress = progress
-        self.receiver = receiver
-        self.request_id = request_id
-
-
-@dataclass(slots=True)
-class _Progress:
-    request: _calls.Request
-    sink: _calls.ResponseSink
-    hedged_request: _hedging.HedgedRequest
-    chains: list[_Chain] = field(default_factory=list)
-    attempts: int = 0
-    tried_members: set[str] = field(default_factory=set)
-    # Members that certainly did not run the request and would reject it again.
-    rejected_by: set[str] = field(default_factory=set)
-    # Worst outcome of the attempts so far. The rejection of a later attempt
-    # must not report a better one.
-    outcome: Outcome = Outcome.NOT_RUN
-    last_failure: CallRefused | None = None
-    # Response with a failure status, for the case that no retry succeeds.
-    fallback: _calls.Recorder | None = None
-    retry_granted: bool = False
-    free_retries: int = 0
-    # Tokens of the tenant's quota that no attempt uses. One is taken before
-    # the request is sent here.
-    tokens: int = 1
-    # Whether a backend server has received a part of the request.
-    reached_backend: bool = False
-    # Version that the request was assigned to, and whether it failed there.
-    version: str | None = None
-    failed: bool = False
-    # Endpoints that rejected the request for lack of a free slot or capacity.
-    no_capacity_rejections: int = 0
-    # Lost attempts at an idempotent request, which may have run, by id.
-    lost_attempts: dict[str, _LostAttempt] = field(default_factory=dict)
-    trail: list[str] = field(default_factory=list)
-    retry_after_s: float = math.inf
-    backoff_s: float = _FIRST_BACKOFF_S
-    endpoint_wait_until: float = math.inf
-    # Whether the withdrawal of an attempt has been requested.
-    withdrawal_requested: bool = False
-    # Whether a hedge has been made; later attempts get none.
-    hedged: bool = False
-
-    def record_failure(
-        self, member_id: str, failure: CallRefused, started: float
-    ) -> None:
-        # The end of an attempt that may have run takes precedence.
-        if failure.code != _calls.KEY_REMOVED or self.last_failure is None:
-            self.last_failure = failure
-        if len(self.trail) < _MAX_TRAIL_ENTRIES:
-            elapsed_ms = (trio.current_time() - started) * 1000
-            limit_ms = (self.request.deadline - started) * 1000
-            self.trail.append(
-                f'{_describe(member_id, failure)} '
-                f'after {elapsed_ms:.0f} of {limit_ms:.0f} ms'
-            )
-        if failure.code in _NO_CAPACITY_CODES and failure.retry_after_ms:
-            retry_after_s = failure.retry_after_ms / 1000
-            self.retry_after_s = min(self.retry_after_s, retry_after_s)
-        if (
-            failure.outcome == Outcome.NOT_RUN
-            and failure.code not in _REPEATABLE_REJECTION_CODES
-        ):
-            self.rejected_by.add(member_id)
-        if failure.request_id in self.lost_attempts:
-            # Its outcome is asked for if no attempt responds.
-            return
-        if _SEVERITY[failure.outcome] > _SEVERITY[self.outcome]:
-            self.outcome = failure.outcome
-
-    def replace_failure(self, failure: CallRefused) -> None:
-        """Replace the last failure if it is that of the same attempt."""
-        if (
-            self.last_failure is not None
-            and self.last_failure.request_id == failure.request_id
-        ):
-            self.last_failure = failure
-
-
-def _describe(member_id: str, failure: CallRefused) -> str:
-    load = failure.load
-    if load is None:
-        return f'{member_id} {failure.code}'
-    return (
-        f'{member_id} {failure.code} {load.in_flight}/{load.slots} '
-        f'+{load.queued} wait {load.wait_ms:.0f} ms'
-    )
-
-
 class Sender:
     """Sends requests to runners.
 
@@ -372,7 +215,7 @@
         self._distribution = distribution
         self._rng = rng
         self._withdraw_local = withdraw
-        self._queued_attempts: dict[str, list[_QueuedAttempt]] = {}
+        self._queued_attempts: dict[str, list[_progress.QueuedAttempt]] = {}
         self.execute_keyed: ExecuteKeyed | None = None
         self._attempts = _attempts.Attempts(
             peers, membership.me, events, rng, execute, withdraw, deadlines
@@ -508,7 +351,7 @@
         earlier requests with the key.
         """
         attempts = 0
-        backoff_s = _FIRST_BACKOFF_S
+        backoff_s = _progress.FIRST_BACKOFF_S
         while attempts < _MAX_ATTEMPTS:
             owner = self._owner(request)
             if owner.id == self._me:
@@ -589,7 +432,7 @@
         if self._hedge_policy is not None:
             self._hedge_policy.count_call(request.service)
         hedged_request = _hedging.HedgedRequest(sink)
-        progress = _Progress(request, sink, hedged_request)
+        progress = _progress.Progress(request, sink, hedged_request)
         try:
             await self._attempt_until_response(progress)
             # The list grows while attempts are made.
@@ -608,7 +451,9 @@
         if hedged_request.winner is None:
             await self._end_without_response(progress)
 
-    async def _attempt_until_response(self, progress: _Progress) -> None:
+    async def _attempt_until_response(
+        self, progress: _progress.Progress
+    ) -> None:
         """Make attempts until one has responded or no other is allowed.
 
         An attempt goes on when its daemon is silent. Further ones are then
@@ -660,7 +505,7 @@
         for _ in range(count):
             self._quotas.give_back(request.tenant, trio.current_time())
 
-    def _take_token(self, progress: _Progress) -> bool:
+    def _take_token(self, progress: _progress.Progress) -> bool:
         """Take a token of the tenant's quota for one attempt."""
         tenant = progress.request.tenant
         if self._quotas is None or not tenant:
@@ -671,7 +516,7 @@
         progress.tokens -= 1
         return True
 
-    def _reserve_token(self, progress: _Progress) -> bool:
+    def _reserve_token(self, progress: _progress.Progress) -> bool:
         """Make sure that the next attempt has a token of the quota."""
         if progress.tokens or not self._take_token(progress):
             return progress.tokens > 0
@@ -681,8 +526,8 @@
     def _continue_elsewhere(
         self,
         attempt: _hedging.HedgedAttempt,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
     ) -> None:
         """Make further attempts beside one at a silent daemon."""
         nursery = self._nursery
@@ -698,11 +543,13 @@
             choice, progress, failure
         ):
             attempt.superseded = True
-            chain = _Chain()
+            chain = _progress.Chain()
             progress.chains.append(chain)
             nursery.start_soon(self._run_chain, chain, progress)
 
-    async def _run_chain(self, chain: _Chain, progress: _Progress) -> None:
+    async def _run_chain(
+        self, chain: _progress.Chain, progress: _progress.Progress
+    ) -> None:
         try:
             with chain.scope:
                 await self._attempt_until_response(progress)
@@ -712,7 +559,9 @@
         finally:
             chain.ended.set()
 
-    async def _end_without_response(self, progress: _Progress) -> None:
+    async def _end_without_response(
+        self, progress: _progress.Progress
+    ) -> None:
         """Deliver a failed response that was withheld, or raise.
 
         Raises
@@ -748,7 +597,9 @@
         error.trail = tuple(progress.trail)
         raise error
 
-    async def _resolve_lost_attempts(self, progress: _Progress) -> None:
+    async def _resolve_lost_attempts(
+        self, progress: _progress.Progress
+    ) -> None:
         """Query whether lost attempts at an idempotent request were run.
 
         A query also withdraws a call that waits in a queue. Without a reply,
@@ -772,7 +623,10 @@
         for _, _, receiver in progress.lost_attempts.values():
             rejection = receiver.rejection
             outcome = rejection.outcome if rejection else Outcome.UNKNOWN
-            if _SEVERITY[outcome] > _SEVERITY[progress.outcome]:
+            if (
+                _progress.SEVERITY[outcome]
+                > _progress.SEVERITY[progress.outcome]
+            ):
                 progress.outcome = outcome
             if rejection is not None and outcome == Outcome.NOT_RUN:
                 progress.replace_failure(rejection)
@@ -814,7 +668,7 @@
     ) -> Split:
         return snapshot.split(service, self._distribution.reverts)
 
-    async def _wait_for_endpoint(self, progress: _Progress) -> bool:
+    async def _wait_for_endpoint(self, progress: _progress.Progress) -> bool:
         """Wait before all endpoints are tried again; False on time-out.
 
         Right after several processes died or restarted, every endpoint in
@@ -841,7 +695,7 @@
         progress.rejected_by.clear()
         return True
 
-    def _choose(self, progress: _Progress) -> _Choice | None:
+    def _choose(self, progress: _progress.Progress) -> _progress.Choice | None:
         request = progress.request
         snapshot = self._distribution.snapshot
         if snapshot is None or snapshot.service(request.service) is None:
@@ -880,11 +734,11 @@
                 is_evidence = (
                     first and item == version and comparable
                 ) and split.new_version is not None
-                return _Choice(member, split, item, is_evidence)
+                return _progress.Choice(member, split, item, is_evidence)
         return None
 
     def _choose_endpoint(
-        self, progress: _Progress, version: str, now: float
+        self, progress: _progress.Progress, version: str, now: float
     ) -> Member | None:
         """Return an endpoint that has not definitely rejected the request.
 
@@ -919,7 +773,7 @@
         return None
 
     def _max_wait_s(
-        self, progress: _Progress, member_id: str, now: float
+        self, progress: _progress.Progress, member_id: str, now: float
     ) -> float | None:
         objective = progress.request.objective
         if (
@@ -969,8 +823,8 @@
 
     async def _attempt_with_backup(
         self,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         """Make an attempt, and a backup attempt if the first one is slow.
@@ -1007,8 +861,8 @@
 
     async def _attempt_with_hedge(
         self,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         """Make an attempt, and another if it is slow for its route."""
@@ -1020,7 +874,7 @@
         delay_s = policy.delay_s(request.route, started)
         hedged_request = _hedging.HedgedRequest(sink)
         first = hedged_request.add()
-        hedge = _Hedge()
+        hedge = _progress.Hedge()
         start_hedge = functools.partial(
             self._start_hedge, hedge, choice, progress, hedged_request, first
         )
@@ -1059,9 +913,9 @@
 
     def _start_hedge(
         self,
-        hedge: _Hedge,
-        choice: _Choice,
-        progress: _Progress,
+        hedge: _progress.Hedge,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         hedged_request: _hedging.HedgedRequest,
         first: _hedging.HedgedAttempt,
     ) -> None:
@@ -1082,9 +936,9 @@
 
     async def _run_hedge(
         self,
-        hedge: _Hedge,
-        choice: _Choice,
-        progress: _Progress,
+        hedge: _progress.Hedge,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         hedged_request: _hedging.HedgedRequest,
         first: _hedging.HedgedAttempt,
     ) -> None:
@@ -1105,9 +959,9 @@
 
     async def _try_hedges(
         self,
-        hedge: _Hedge,
-        choice: _Choice,
-        progress: _Progress,
+        hedge: _progress.Hedge,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         hedged_request: _hedging.HedgedRequest,
         first: _hedging.HedgedAttempt,
     ) -> None:
@@ -1130,8 +984,8 @@
                 await first.ended_or_silent.wait()
 
     def _choose_hedge(
-        self, choice: _Choice, progress: _Progress
-    ) -> _Choice | None:
+        self, choice: _progress.Choice, progress: _progress.Progress
+    ) -> _progress.Choice | None:
         """Return the endpoint for a hedge of a slow attempt, or None.
 
         What the hedge needs has been taken from the budgets then.
@@ -1172,7 +1026,7 @@
             return None
         policy.take(request.service)
         progress.hedged = True
-        return _Choice(
+        return _progress.Choice(
             member,
             choice.split,
             choice.version,
@@ -1182,7 +1036,10 @@
         )
 
     def _refund_backup(
-        self, choice: _Choice, backup: _Choice, progress: _Progress
+        self,
+        choice: _progress.Choice,
+        backup: _progress.Choice,
+        progress: _progress.Progress,
     ) -> None:
         """Refund what a backup attempt took that was not run."""
         service = progress.request.service
@@ -1197,8 +1054,8 @@
         self,
         make_attempt: MakeAttempt,
         attempt: _hedging.HedgedAttempt,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
     ) -> None:
         try:
             with attempt.scope:
@@ -1211,8 +1068,8 @@
             attempt.end()
 
     def _choose_backup(
-        self, choice: _Choice, progress: _Progress
-    ) -> _Choice | None:
+        self, choice: _progress.Choice, progress: _progress.Progress
+    ) -> _progress.Choice | None:
         """Return the endpoint for a backup of a slow attempt, or None."""
         split = choice.split
         request = progress.request
@@ -1236,13 +1093,15 @@
             progress.retry_granted = False
             if not granted and not self._take_retry(choice, progress):
                 return None
-            return _Choice(member, split, version, False, is_backup=True)
+            return _progress.Choice(
+                member, split, version, False, is_backup=True
+            )
         return None
 
     async def _make_attempt(
         self,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         """Make an attempt; record and return its failure, if any.
@@ -1267,8 +1126,8 @@
 
     async def _send_attempt(
         self,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         sink: _calls.ResponseSink,
     ) -> CallRefused | None:
         """Send the request to a runner; return the failure, or None."""
@@ -1364,7 +1223,7 @@
 
     def _report_load(
         self,
-        choice: _Choice,
+        choice: _progress.Choice,
         service: str,
         receiver: _attempts.Receiver,
         now: float,
@@ -1380,11 +1239,11 @@
 
     def _remember_queued(
         self,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         receiver: _attempts.Receiver,
         call: CallStart,
-    ) -> _QueuedAttempt | None:
+    ) -> _progress.QueuedAttempt | None:
         """Remember an attempt that may be withdrawn, and return it.
 
         One that accepts only a short wait has nothing to gain.
@@ -1395,12 +1254,14 @@
             or progress.withdrawal_requested
         ):
             return None
-        attempt = _QueuedAttempt(choice, progress, receiver, call.request_id)
+        attempt = _progress.QueuedAttempt(
+            choice, progress, receiver, call.request_id
+        )
         service = progress.request.service
         self._queued_attempts.setdefault(service, []).append(attempt)
         return attempt
 
-    def _forget_queued(self, attempt: _QueuedAttempt | None) -> None:
+    def _forget_queued(self, attempt: _progress.QueuedAttempt | None) -> None:
         if attempt is None:
             return
         service = attempt.progress.request.service
@@ -1411,7 +1272,7 @@
             self._queued_attempts.pop(service, None)
 
     def _use_free_slot(
-        self, choice: _Choice, service: str, load: Load
+        self, choice: _progress.Choice, service: str, load: Load
     ) -> None:
         """Withdraw a queued call when an endpoint reports a free slot.
 
@@ -1420,7 +1281,7 @@
 
         Parameters
         ----------
-        choice : _Choice
+        choice : _progress.Choice
             Choice of the attempt that has just ended.
         service : str
             Service of the endpoint.
@@ -1492,9 +1353,9 @@
 
     async def _handle_loss(
         self,
-        choice: _Choice,
+        choice: _progress.Choice,
         call: CallStart,
-        progress: _Progress,
+        progress: _progress.Progress,
         receiver: _attempts.Receiver,
     ) -> None:
         """Query the outcome of a lost attempt, or remember it for later."""
@@ -1507,7 +1368,7 @@
 
     async def _resolve_outcome(
         self,
-        choice: _Choice,
+        choice: _progress.Choice,
         call: CallStart,
         request: _calls.Request,
         receiver: _attempts.Receiver,
@@ -1519,8 +1380,8 @@
 
     def _should_withhold(
         self,
-        choice: _Choice,
-        progress: _Progress,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
         sink: _calls.ResponseSink,
         status: int,
     ) -> bool:
@@ -1539,7 +1400,9 @@
         progress.retry_granted = self._take_retry(choice, progress)
         return progress.retry_granted
 
-    def _take_retry(self, choice: _Choice, progress: _Progress) -> bool:
+    def _take_retry(
+        self, choice: _progress.Choice, progress: _progress.Progress
+    ) -> bool:
         """Take a retry from the budget of the service; False if it is empty.
 
         A call that failed on the new version of a move has to succeed on
@@ -1551,10 +1414,10 @@
         budget = self._budget(progress.request.service)
         return budget.retry(trio.current_time())
 
-    def _uses_retry_budget(self, choice: _Choice) -> bool:
+    def _uses_retry_budget(self, choice: _progress.Choice) -> bool:
         return not choice.is_new or self._buffer_responses
 
-    def _retry_is_possible(self, progress: _Progress) -> bool:
+    def _retry_is_possible(self, progress: _progress.Progress) -> bool:
         limit = progress.request.attempts or _MAX_ATTEMPTS
         return (
             not progress.request.withdrawn
@@ -1563,9 +1426,12 @@
         )
 
     def _may_retry(
-        self, choice: _Choice, progress: _Progress, failure: CallRefused
+        self,
+        choice: _progress.Choice,
+        progress: _progress.Progress,
+        failure: CallRefused,
     ) -> bool:
-        if failure.code in _NO_CAPACITY_CODES:
+        if failure.code in _progress.NO_CAPACITY_CODES:
             progress.no_capacity_rejections += 1
             progress.free_retries += 1
             return (
