--- a/gypsumhall/services/_http_parser.py
+++ b/gypsumhall/services/_http_parser.py
@@ -375,6 +375,15 @@
             and self._unusual.they_are_waiting_for_100_continue
         )
 
+    def take_unparsed(self) -> bytes:
+        """Return what `unparsed` does, and release it if that is possible.
+
+        Each of the requests that are read ahead would keep a copy otherwise.
+        """
+        data = self.unparsed
+        self._received = b''
+        return data
+
     def receive(self, data: bytes) -> None:
         """Add received data."""
         if self._unusual is not None:
--- a/gypsumhall/services/_http_server.py
+++ b/gypsumhall/services/_http_server.py
@@ -782,13 +782,13 @@
             return self.pipeline.has_room()
         if not self._current.body_ended:
             return True
-        following = self._parser.unparsed
         if (
-            not following
+            not self._parser.unparsed
             or not self._parser.request_done
             or not self.pipeline.has_room()
         ):
             return False
+        following = self._parser.take_unparsed()
         self._parser = self._new_parser()
         self._parser.receive(following)
         self._current = None
